Workspace: packages, borders, identifiers and consistency rules

Cause: nothing existed, and the packages need agreed borders before they grow. Change: nine packages along duties; identifiers, stamps, tokens, the rule for acknowledging a commit, the control statements of a member, the settings model and the border to the platform.

--- /dev/null
+++ b/crates/arbutusrudder/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/arbutusrudder/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/rudder-core/src/ack.rs
@@ -0,0 +1,57 @@
+//! When a commit may be acknowledged.
+//!
+//! A commit at term T and position P is acknowledged once a majority of the members, the primary
+//! included, report that T is the highest term they accepted and that they received P. A promotion
+//! must first fence a majority; the two majorities share a member. Either that member reported
+//! before it was fenced, then the promotion sees P and keeps it, or after, then its report fails
+//! the check.
+
+use crate::ident::MemberName;
+use crate::stamp::LogStamp;
+use crate::status::MemberStatus;
+
+/// The verdict over a commit from the reports seen so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AckVerdict {
+    /// A majority holds the commit at its own term.
+    Acknowledged,
+    /// Too few reports so far, but none speaks against it.
+    Waiting,
+    /// A member accepted a greater term: this commit can no longer be acknowledged.
+    Superseded,
+}
+
+/// How many of `members` make a majority.
+///
+/// ```
+/// assert_eq!(rudder_core::majority_of(3), 2);
+/// assert_eq!(rudder_core::majority_of(4), 3);
+/// ```
+#[must_use]
+pub const fn majority_of(members: usize) -> usize {
+    members / 2 + 1
+}
+
+/// Judges a commit from one report per member.
+///
+/// `reports` holds the latest report of each member that was asked after the commit.
+///
+/// ```
+/// use rudder_core::{AckVerdict, LogStamp, judge_commit};
+/// assert_eq!(judge_commit(LogStamp::new(1, 9), 3, &[]), AckVerdict::Waiting);
+/// ```
+#[must_use]
+pub fn judge_commit(
+    commit: LogStamp,
+    members: usize,
+    reports: &[(MemberName, MemberStatus)],
+) -> AckVerdict {
+    // Guards against a superseded primary: without it a cut-off primary that still believes it
+    // leads would acknowledge writes that the new one never sees.
+    if reports.iter().any(|(_, status)| status.accepted > commit.term) {
+        return AckVerdict::Superseded;
+    }
+    let holds = |status: &MemberStatus| status.accepted == commit.term && status.received >= commit;
+    let holders = reports.iter().filter(|(_, status)| holds(status)).count();
+    if holders >= majority_of(members) { AckVerdict::Acknowledged } else { AckVerdict::Waiting }
+}
--- /dev/null
+++ b/crates/rudder-core/src/lib.rs
@@ -0,0 +1,25 @@
+//! Identifiers, units and consistency rules shared by every package of the workspace.
+//!
+//! Nothing here opens a socket, reads a clock or depends on an async runtime, so each rule can be
+//! tested by feeding it values.
+
+mod ack;
+mod control;
+mod derive;
+mod error;
+mod ident;
+mod outcome;
+mod session;
+mod stamp;
+mod status;
+mod unit;
+
+pub use ack::{AckVerdict, judge_commit, majority_of};
+pub use control::{ControlStatement, STATUS_COLUMNS, TERM_REFUSED_SQLSTATE};
+pub use error::ParseError;
+pub use ident::{CallerKind, DomainName, InstanceName, MemberName, RequestKey, ServiceName};
+pub use outcome::{OutcomeClass, RefusalNotice};
+pub use session::{SessionFloor, SessionId, SessionToken};
+pub use stamp::{LogPosition, LogStamp, LogTerm};
+pub use status::{MemberRole, MemberStatus};
+pub use unit::{ByteSize, ConnectionCount, MemberSpeed, RequestRate, SlotCount};
--- /dev/null
+++ b/crates/rudder-core/src/outcome.rs
@@ -0,0 +1,131 @@
+//! The three classes of refusal, and the SQLSTATEs that carry them to callers.
+
+use std::fmt;
+use std::time::Duration;
+
+/// What a caller may conclude about a request that was not answered with success.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum OutcomeClass {
+    /// The request truly did not run; it may be sent again.
+    NotRun,
+    /// The request may or may not have taken effect.
+    Unknown,
+    /// The endpoint ran the request and answered with an error of its own.
+    Failed,
+}
+
+impl fmt::Display for OutcomeClass {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::Failed => "failed",
+        })
+    }
+}
+
+/// SQLSTATE of a refusal because too much waits already.
+const OVERLOADED: &str = "53300";
+/// SQLSTATE of a refusal because no primary is confirmed now.
+const NO_PRIMARY: &str = "57P03";
+/// SQLSTATE of a refusal because the instance is leaving.
+const LEAVING: &str = "57P01";
+/// SQLSTATE of an outcome that nobody can tell.
+const UNRESOLVED: &str = "08007";
+/// SQLSTATE of a read for which no member is fresh enough.
+const TOO_STALE: &str = "RU002";
+/// SQLSTATE of a request whose key has run already.
+const ALREADY_RUN: &str = "RU003";
+/// SQLSTATE of a request that the proxy cannot serve as it was sent.
+const UNSUPPORTED: &str = "0A000";
+
+/// A refusal in this project's own words, as opposed to an error of the endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RefusalNotice {
+    /// Too much waits already, for this service or this caller.
+    Overloaded {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// No primary is confirmed.
+    NoPrimary {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// No member is fresh enough for the session or the staleness bound.
+    TooStale {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// This instance is shutting down.
+    Leaving,
+    /// The request was sent, and whether it took effect is not known.
+    Unresolved,
+    /// The request's key has run already.
+    AlreadyRun,
+    /// The request is not supported as sent.
+    Unsupported(String),
+}
+
+impl RefusalNotice {
+    /// The class that the caller may rely on.
+    ///
+    /// ```
+    /// use rudder_core::{OutcomeClass, RefusalNotice};
+    /// assert_eq!(RefusalNotice::Unresolved.class(), OutcomeClass::Unknown);
+    /// ```
+    #[must_use]
+    pub fn class(&self) -> OutcomeClass {
+        match self {
+            Self::Unresolved => OutcomeClass::Unknown,
+            _ => OutcomeClass::NotRun,
+        }
+    }
+
+    /// The SQLSTATE sent to the caller.
+    ///
+    /// ```
+    /// assert_eq!(rudder_core::RefusalNotice::Unresolved.sqlstate(), "08007");
+    /// ```
+    #[must_use]
+    pub fn sqlstate(&self) -> &'static str {
+        match self {
+            Self::Overloaded { .. } => OVERLOADED,
+            Self::NoPrimary { .. } => NO_PRIMARY,
+            Self::TooStale { .. } => TOO_STALE,
+            Self::Leaving => LEAVING,
+            Self::Unresolved => UNRESOLVED,
+            Self::AlreadyRun => ALREADY_RUN,
+            Self::Unsupported(_) => UNSUPPORTED,
+        }
+    }
+
+    /// When to come back, where that is known.
+    ///
+    /// ```
+    /// assert_eq!(rudder_core::RefusalNotice::Leaving.retry_after(), None);
+    /// ```
+    #[must_use]
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Overloaded { retry_after }
+            | Self::NoPrimary { retry_after }
+            | Self::TooStale { retry_after } => Some(*retry_after),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for RefusalNotice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Overloaded { .. } => f.write_str("not run: too many requests are waiting"),
+            Self::NoPrimary { .. } => f.write_str("not run: no primary is confirmed at present"),
+            Self::TooStale { .. } => f.write_str("not run: no member is fresh enough at present"),
+            Self::Leaving => f.write_str("not run: this instance is shutting down"),
+            Self::Unresolved => f.write_str("outcome unknown: the request may have taken effect"),
+            Self::AlreadyRun => f.write_str("not run again: a request with this key has run"),
+            Self::Unsupported(what) => write!(f, "not run: {what}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-endpoint/src/lib.rs
@@ -0,0 +1,5 @@
+//! Connections to the members (endpoints) of a database group.
+
+mod control;
+
+pub use control::{ControlError, MemberControl};
