--- /dev/null
+++ b/crates/rudder-endpoint/src/login.rs
@@ -0,0 +1,161 @@
+//! Logging in at a member: plain or TLS, trust, cleartext, MD5 or SCRAM.
+
+use crate::connection::CancelTarget;
+use crate::status::read_error_fields;
+use crate::wire::{WireError, WireLink, tag};
+use bytes::BytesMut;
+use displaydoc::Display;
+use postgres_protocol::authentication::sasl::{ChannelBinding, SCRAM_SHA_256, ScramSha256};
+use postgres_protocol::message::backend::Message;
+use postgres_protocol::message::frontend;
+
+/// How to log in at a member.
+#[derive(Clone, PartialEq, Eq)]
+pub struct LoginSettings {
+    /// The user.
+    pub user: String,
+    /// The database.
+    pub database: String,
+    /// The password, if the user has one. Never logged.
+    pub password: Option<String>,
+}
+
+impl std::fmt::Debug for LoginSettings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        // The password stays out: debug output ends up in logs.
+        f.debug_struct("LoginSettings")
+            .field("user", &self.user)
+            .field("database", &self.database)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Why a connection to a member cannot be opened or used.
+#[derive(Debug, Display)]
+#[ignore_extra_doc_attributes]
+pub enum EndpointError {
+    /// the member cannot be reached: {0}
+    Unreachable(std::io::Error),
+    /// the member did not answer in time
+    TimedOut,
+    /// the connection to the member failed: {0}
+    Wire(WireError),
+    /// the member refused the login ({sqlstate}): {message}
+    Refused {
+        /// The member's SQLSTATE.
+        sqlstate: String,
+        /// The member's words.
+        message: String,
+    },
+    /// the member asks for a login that is not supported: {0}
+    Unsupported(&'static str),
+    /// the user needs a password at the member, but none is set
+    PasswordMissing,
+}
+
+impl std::error::Error for EndpointError {}
+
+impl From<WireError> for EndpointError {
+    fn from(error: WireError) -> Self {
+        Self::Wire(error)
+    }
+}
+
+impl From<std::io::Error> for EndpointError {
+    fn from(error: std::io::Error) -> Self {
+        Self::Wire(WireError::from(error))
+    }
+}
+
+/// What a member said during login.
+pub(crate) struct LoginOutcome {
+    pub(crate) parameters: Vec<(String, String)>,
+    pub(crate) cancel: CancelTarget,
+}
+
+/// Logs in over a fresh link.
+pub(crate) async fn log_in(
+    link: &mut WireLink,
+    settings: &LoginSettings,
+) -> Result<LoginOutcome, EndpointError> {
+    let parameters = [
+        ("user", settings.user.as_str()),
+        ("database", settings.database.as_str()),
+        ("application_name", "arbutusrudder"),
+        ("client_encoding", "UTF8"),
+    ];
+    frontend::startup_message(parameters, link.outgoing())?;
+    authenticate(link, settings).await?;
+    await_ready(link).await
+}
+
+async fn authenticate(link: &mut WireLink, settings: &LoginSettings) -> Result<(), EndpointError> {
+    let mut scram: Option<ScramSha256> = None;
+    loop {
+        match next_message(link).await? {
+            Message::AuthenticationOk => return Ok(()),
+            Message::AuthenticationCleartextPassword => {
+                frontend::password_message(password_of(settings)?.as_bytes(), link.outgoing())?;
+            }
+            Message::AuthenticationMd5Password(body) => {
+                let hash = postgres_protocol::authentication::md5_hash(
+                    settings.user.as_bytes(),
+                    password_of(settings)?.as_bytes(),
+                    body.salt(),
+                );
+                frontend::password_message(hash.as_bytes(), link.outgoing())?;
+            }
+            Message::AuthenticationSasl(_) => {
+                let password = password_of(settings)?.as_bytes();
+                let exchange = ScramSha256::new(password, ChannelBinding::unsupported());
+                frontend::sasl_initial_response(
+                    SCRAM_SHA_256,
+                    exchange.message(),
+                    link.outgoing(),
+                )?;
+                scram = Some(exchange);
+            }
+            Message::AuthenticationSaslContinue(body) => {
+                let exchange = scram.as_mut().ok_or(EndpointError::Unsupported("SASL order"))?;
+                exchange.update(body.data())?;
+                frontend::sasl_response(exchange.message(), link.outgoing())?;
+            }
+            Message::AuthenticationSaslFinal(body) => {
+                let exchange = scram.as_mut().ok_or(EndpointError::Unsupported("SASL order"))?;
+                exchange.finish(body.data())?;
+            }
+            _ => return Err(EndpointError::Unsupported("neither trust, password nor SCRAM")),
+        }
+    }
+}
+
+async fn await_ready(link: &mut WireLink) -> Result<LoginOutcome, EndpointError> {
+    let mut parameters = Vec::new();
+    let mut cancel = CancelTarget { process_id: 0, secret: 0 };
+    loop {
+        match next_message(link).await? {
+            Message::ParameterStatus(body) => {
+                parameters.push((body.name()?.to_owned(), body.value()?.to_owned()));
+            }
+            Message::BackendKeyData(body) => {
+                cancel = CancelTarget { process_id: body.process_id(), secret: body.secret_key() };
+            }
+            Message::ReadyForQuery(_) => return Ok(LoginOutcome { parameters, cancel }),
+            _ => {}
+        }
+    }
+}
+
+fn password_of(settings: &LoginSettings) -> Result<&str, EndpointError> {
+    settings.password.as_deref().ok_or(EndpointError::PasswordMissing)
+}
+
+async fn next_message(link: &mut WireLink) -> Result<Message, EndpointError> {
+    let frame = link.next_frame().await?;
+    if frame.tag == tag::ERROR {
+        let fields = read_error_fields(frame.body());
+        return Err(EndpointError::Refused { sqlstate: fields.sqlstate, message: fields.message });
+    }
+    let mut bytes = BytesMut::from(frame.bytes);
+    Message::parse(&mut bytes)?.ok_or(EndpointError::Wire(WireError::Malformed("a short frame")))
+}
--- /dev/null
+++ b/crates/rudder-endpoint/src/wire/link.rs
@@ -0,0 +1,283 @@
+//! One side's connection: buffered bytes in, buffered bytes out, cut into frames.
+
+use super::frame::{FramePart, HEADER_SIZE, StartupPacket, WireError, WireFrame};
+use super::tag;
+use bytes::{Buf, BufMut, BytesMut};
+use futures::future::poll_fn;
+use rudder_core::ByteSize;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_util::io::poll_read_buf;
+
+/// Rows and COPY data above this size are handed on in parts, so that one large value does not
+/// sit in memory as a whole.
+const PART_SIZE: usize = 64 * 1024;
+
+/// Bytes read at once; a batch of small frames fits.
+const READ_SIZE: usize = 16 * 1024;
+
+/// Above this many unsent bytes the sender waits for the other side to read.
+const OUTGOING_HIGH: usize = 256 * 1024;
+
+/// A login packet longer than this is no login: `PostgreSQL` itself allows 10,000 bytes.
+const STARTUP_SIZE_MAX: usize = 10_000;
+
+const TLS_REQUEST_CODE: i32 = 80_877_103;
+const GSS_REQUEST_CODE: i32 = 80_877_104;
+const CANCEL_REQUEST_CODE: i32 = 80_877_102;
+const PROTOCOL_MAJOR: i32 = 3;
+
+/// A byte stream in both directions: plain TCP or TLS.
+pub trait LinkStream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<S: AsyncRead + AsyncWrite + Send + Unpin> LinkStream for S {}
+
+/// A connection cut into frames, with bytes waiting to be sent.
+pub struct WireLink {
+    stream: Box<dyn LinkStream>,
+    incoming: BytesMut,
+    outgoing: BytesMut,
+    part_left: usize,
+    part_tag: u8,
+    frame_size_max: ByteSize,
+}
+
+impl WireLink {
+    /// Wraps a stream; frames that are not rows or COPY data may have `frame_size_max` bytes.
+    ///
+    /// ```
+    /// let (near, _far) = tokio::io::duplex(64);
+    /// let link = rudder_endpoint::WireLink::new(Box::new(near), rudder_core::ByteSize(1024));
+    /// assert!(!link.has_buffered_frame());
+    /// ```
+    #[must_use]
+    pub fn new(stream: Box<dyn LinkStream>, frame_size_max: ByteSize) -> Self {
+        Self {
+            stream,
+            incoming: BytesMut::with_capacity(READ_SIZE),
+            outgoing: BytesMut::with_capacity(READ_SIZE),
+            part_left: 0,
+            part_tag: 0,
+            frame_size_max,
+        }
+    }
+
+    /// Gives back the stream, for a change to TLS; fails if bytes were sent ahead of it.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError::Malformed`] if the other side sent bytes before the change: they could have
+    /// been put there by somebody between the two ends.
+    pub fn into_stream(self) -> Result<Box<dyn LinkStream>, WireError> {
+        if self.incoming.is_empty() {
+            return Ok(self.stream);
+        }
+        Err(WireError::Malformed("bytes were sent ahead of the change to TLS"))
+    }
+
+    /// The buffer of bytes to be sent; they leave with the next read or flush.
+    pub fn outgoing(&mut self) -> &mut BytesMut {
+        &mut self.outgoing
+    }
+
+    /// Whether a frame can be taken without waiting.
+    #[must_use]
+    pub fn has_buffered_frame(&self) -> bool {
+        if self.part_left > 0 {
+            return !self.incoming.is_empty();
+        }
+        self.incoming.len() >= HEADER_SIZE && self.incoming.len() >= self.announced_size()
+    }
+
+    /// Whether the bytes waiting to be sent should be flushed before more are added.
+    #[must_use]
+    pub fn is_congested(&self) -> bool {
+        self.outgoing.len() >= OUTGOING_HIGH
+    }
+
+    /// Whether the other side has closed or sent something, without waiting.
+    pub async fn is_quiet(&mut self) -> bool {
+        if !self.incoming.is_empty() {
+            return false;
+        }
+        poll_fn(|cx| match self.poll_fill(cx) {
+            Poll::Pending => Poll::Ready(true),
+            Poll::Ready(_) => Poll::Ready(false),
+        })
+        .await
+    }
+
+    /// The next frame, or the next part of a large row. Sends what waits to be sent meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] when the other side closed, the connection failed, or the bytes are no frame.
+    pub async fn next_frame(&mut self) -> Result<WireFrame, WireError> {
+        loop {
+            if let Some(frame) = self.take_frame()? {
+                return Ok(frame);
+            }
+            poll_fn(|cx| self.poll_exchange(cx)).await?;
+        }
+    }
+
+    /// The first packet of a caller's connection.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] as for [`WireLink::next_frame`].
+    pub async fn next_startup(&mut self) -> Result<StartupPacket, WireError> {
+        loop {
+            if let Some(packet) = self.take_startup()? {
+                return Ok(packet);
+            }
+            poll_fn(|cx| self.poll_exchange(cx)).await?;
+        }
+    }
+
+    /// Sends everything that waits to be sent.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] when the connection failed.
+    pub async fn flush(&mut self) -> Result<(), WireError> {
+        poll_fn(|cx| {
+            ready!(self.poll_send(cx))?;
+            Pin::new(&mut self.stream).poll_flush(cx).map_err(WireError::from)
+        })
+        .await
+    }
+
+    fn announced_size(&self) -> usize {
+        let length = (&self.incoming[1..HEADER_SIZE]).get_u32();
+        length as usize + 1
+    }
+
+    fn take_frame(&mut self) -> Result<Option<WireFrame>, WireError> {
+        if self.part_left > 0 {
+            return Ok(self.take_part());
+        }
+        if self.incoming.len() < HEADER_SIZE {
+            return Ok(None);
+        }
+        let tag = self.incoming[0];
+        let size = self.announced_size();
+        if size < HEADER_SIZE {
+            return Err(WireError::Malformed("a length is below four"));
+        }
+        if self.incoming.len() >= size {
+            let bytes = self.incoming.split_to(size).freeze();
+            return Ok(Some(WireFrame { tag, part: FramePart::Whole, bytes }));
+        }
+        let in_parts = size > PART_SIZE && matches!(tag, tag::DATA_ROW | tag::COPY_DATA);
+        if in_parts {
+            return Ok(Some(self.start_parts(tag, size)));
+        }
+        let limit = self.frame_size_max;
+        if size as u64 > limit.0 {
+            return Err(WireError::TooLong { size: ByteSize(size as u64), limit });
+        }
+        self.incoming.reserve(size - self.incoming.len());
+        Ok(None)
+    }
+
+    fn start_parts(&mut self, tag: u8, size: usize) -> WireFrame {
+        let bytes = self.incoming.split().freeze();
+        self.part_left = size - bytes.len();
+        self.part_tag = tag;
+        WireFrame { tag, part: FramePart::Start, bytes }
+    }
+
+    fn take_part(&mut self) -> Option<WireFrame> {
+        if self.incoming.is_empty() {
+            return None;
+        }
+        let size = self.incoming.len().min(self.part_left);
+        let bytes = self.incoming.split_to(size).freeze();
+        self.part_left -= size;
+        let part = if self.part_left == 0 { FramePart::End } else { FramePart::Middle };
+        Some(WireFrame { tag: self.part_tag, part, bytes })
+    }
+
+    fn take_startup(&mut self) -> Result<Option<StartupPacket>, WireError> {
+        if self.incoming.len() < 4 {
+            return Ok(None);
+        }
+        let size = (&self.incoming[..4]).get_u32() as usize;
+        if !(8..=STARTUP_SIZE_MAX).contains(&size) {
+            return Err(WireError::Malformed("the first packet is not a PostgreSQL login"));
+        }
+        if self.incoming.len() < size {
+            return Ok(None);
+        }
+        let mut packet = self.incoming.split_to(size).freeze();
+        packet.advance(4);
+        let code = packet.get_i32();
+        match code {
+            TLS_REQUEST_CODE => Ok(Some(StartupPacket::TlsRequest)),
+            GSS_REQUEST_CODE => Ok(Some(StartupPacket::GssRequest)),
+            CANCEL_REQUEST_CODE if packet.len() >= 8 => {
+                let process_id = packet.get_i32();
+                let secret = packet.get_i32();
+                Ok(Some(StartupPacket::CancelRequest { process_id, secret }))
+            }
+            _ if code >> 16 == PROTOCOL_MAJOR => read_parameters(&packet).map(Some),
+            _ => Err(WireError::Malformed("the protocol version is not 3")),
+        }
+    }
+
+    fn poll_exchange(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), WireError>> {
+        // Both directions move in one step: a member that stops reading while its own answers
+        // wait for us would otherwise block both sides for good.
+        match self.poll_send(cx) {
+            Poll::Ready(Ok(())) => {
+                if let Poll::Ready(Err(error)) = Pin::new(&mut self.stream).poll_flush(cx) {
+                    return Poll::Ready(Err(error.into()));
+                }
+            }
+            Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+            Poll::Pending => {}
+        }
+        self.poll_fill(cx)
+    }
+
+    fn poll_send(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), WireError>> {
+        while !self.outgoing.is_empty() {
+            let sent = ready!(Pin::new(&mut self.stream).poll_write(cx, &self.outgoing))?;
+            if sent == 0 {
+                return Poll::Ready(Err(WireError::Closed));
+            }
+            self.outgoing.advance(sent);
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), WireError>> {
+        if self.incoming.remaining_mut() == 0 || self.incoming.capacity() - self.incoming.len() == 0
+        {
+            self.incoming.reserve(READ_SIZE);
+        }
+        let count = ready!(poll_read_buf(Pin::new(&mut self.stream), cx, &mut self.incoming))?;
+        if count == 0 {
+            return Poll::Ready(Err(WireError::Closed));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+fn read_parameters(packet: &[u8]) -> Result<StartupPacket, WireError> {
+    let mut fields = packet.split(|&byte| byte == 0).map(std::str::from_utf8);
+    let mut parameters = Vec::new();
+    loop {
+        let name = match fields.next() {
+            Some(Ok("")) | None => return Ok(StartupPacket::Login(parameters)),
+            Some(Ok(name)) => name.to_owned(),
+            Some(Err(_)) => return Err(WireError::Malformed("a login parameter is not UTF-8")),
+        };
+        match fields.next() {
+            Some(Ok(value)) => parameters.push((name, value.to_owned())),
+            _ => return Err(WireError::Malformed("a login parameter has no value")),
+        }
+    }
+}
