--- /dev/null
+++ b/crates/arbutusrudder/src/classify/cache.rs
@@ -0,0 +1,50 @@
+//! Remembered classifications, so that a text that recurs is scanned once.
+
+use super::facts::StatementsSummary;
+use super::scan::classify_text;
+use std::sync::{Arc, RwLock};
+use xxhash_rust::xxh3::xxh3_128;
+
+/// Texts remembered at most; literal texts of simple queries would fill memory otherwise.
+const CACHE_ENTRIES_MAX: usize = 4096;
+
+/// Texts longer than this are not remembered.
+const CACHED_TEXT_MAX: usize = 4096;
+
+/// A bounded cache of classifications, shared by all callers of an instance.
+#[derive(Default)]
+pub(crate) struct FactsCache {
+    entries: RwLock<Vec<(u128, Arc<StatementsSummary>)>>,
+}
+
+impl FactsCache {
+    /// The classification of `text`.
+    pub(crate) fn summary_of(&self, text: &str) -> Arc<StatementsSummary> {
+        if text.len() > CACHED_TEXT_MAX {
+            return Arc::new(classify_text(text));
+        }
+        let hash = xxh3_128(text.as_bytes());
+        if let Some(summary) = self.find(hash) {
+            return summary;
+        }
+        let summary = Arc::new(classify_text(text));
+        self.remember(hash, Arc::clone(&summary));
+        summary
+    }
+
+    fn find(&self, hash: u128) -> Option<Arc<StatementsSummary>> {
+        let entries = self.entries.read().expect("no holder of this lock panics");
+        let index = entries.binary_search_by_key(&hash, |(hash, _)| *hash).ok()?;
+        Some(Arc::clone(&entries[index].1))
+    }
+
+    fn remember(&self, hash: u128, summary: Arc<StatementsSummary>) {
+        let mut entries = self.entries.write().expect("no holder of this lock panics");
+        if entries.len() >= CACHE_ENTRIES_MAX {
+            entries.clear();
+        }
+        if let Err(index) = entries.binary_search_by_key(&hash, |(hash, _)| *hash) {
+            entries.insert(index, (hash, summary));
+        }
+    }
+}
