Succession decisions: plan, suspicion, grant, repair

Cause: a failed primary must be replaced without anyone asked, and each step must be repeatable. Change: pure decisions in rudder-core: the plan (fence, choose, promote, follow, confirm, planned switch), the tally of suspicion, the grant with reserved terms, and the condition of a group.

--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -12,6 +12,7 @@
 mod session;
 mod stamp;
 mod status;
+mod succession;
 mod unit;
 
 pub use ack::{AckVerdict, judge_commit, majority_of};
@@ -22,4 +23,9 @@
 pub use session::{SessionFloor, SessionId, SessionToken};
 pub use stamp::{LogPosition, LogStamp, LogTerm};
 pub use status::{MemberRole, MemberStatus};
+pub use succession::{
+    GrantError, GroupCondition, KeeperSeat, ObserverVote, PlanBounds, PlanMember, PlanReply,
+    PlanRequest, PlanState, ReservedTerm, StallWatch, SuccessionGrant, SuccessionPlan,
+    SuspicionTally, TermPurse, VoteKind, WriterMark, choose_candidate, judge_group,
+};
 pub use unit::{ByteSize, ConnectionCount, MemberSpeed, RequestRate, SlotCount};
--- /dev/null
+++ b/crates/rudder-core/src/succession/grant.rs
@@ -0,0 +1,303 @@
+//! The platform's object that says who may use which term of a group.
+//!
+//! Every change is a conditional update, so the versions of the object form one chain. A number
+//! is written into the object for one run of one instance, always greater than any number that
+//! stood there before. So terms of different runs differ, also when one of them acts on an old
+//! copy during an outage of the platform.
+
+use crate::derive::name_type;
+use crate::ident::{InstanceName, MemberName};
+use crate::plain_data;
+use crate::stamp::LogTerm;
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+
+name_type! {
+    /// A random mark by which a writer knows its own change again, and a run its reservations.
+    WriterMark
+}
+
+impl WriterMark {
+    /// A fresh mark.
+    ///
+    /// ```
+    /// use rudder_core::WriterMark;
+    /// assert_ne!(WriterMark::random(), WriterMark::random());
+    /// ```
+    #[must_use]
+    pub fn random() -> Self {
+        Self(uuid::Uuid::new_v4().simple().to_string().into())
+    }
+}
+
+plain_data! {
+    /// One run of an instance that keeps a group.
+    #[derive(Serialize, Deserialize)]
+    pub struct KeeperSeat {
+        /// The instance.
+        pub instance: InstanceName,
+        /// The mark of its current run; a restart brings another.
+        pub incarnation: WriterMark,
+    }
+}
+
+plain_data! {
+    /// A term set aside for one run of an instance.
+    #[derive(Serialize, Deserialize)]
+    pub struct ReservedTerm {
+        /// The term.
+        pub term: LogTerm,
+        /// Who may use it.
+        pub seat: KeeperSeat,
+    }
+}
+
+plain_data! {
+    /// The object as it is stored.
+    #[derive(Serialize, Deserialize)]
+    #[serde(rename_all = "camelCase")]
+    struct GrantRecord {
+        term: LogTerm,
+        holder: InstanceName,
+        mark: WriterMark,
+        primary: Option<MemberName>,
+        primary_term: LogTerm,
+        reserved: Vec<ReservedTerm>,
+    }
+}
+
+/// Why a stored grant is not valid.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[ignore_extra_doc_attributes]
+pub enum GrantError {
+    /// the succession grant reserves term {0} twice; remove one of the two entries
+    ReservedTwice(LogTerm),
+    /// the succession grant both grants and reserves term {0}; remove the reservation
+    GrantedAndReserved(LogTerm),
+}
+
+impl std::error::Error for GrantError {}
+
+plain_data! {
+    /// Who may use which term of one group.
+    #[derive(Serialize, Deserialize)]
+    #[serde(try_from = "GrantRecord", into = "GrantRecord")]
+    pub struct SuccessionGrant {
+        term: LogTerm,
+        holder: InstanceName,
+        mark: WriterMark,
+        primary: Option<MemberName>,
+        primary_term: LogTerm,
+        reserved: Vec<ReservedTerm>,
+    }
+}
+
+impl SuccessionGrant {
+    /// The first grant of a group whose members accepted `accepted` at most.
+    ///
+    /// ```
+    /// use rudder_core::{LogTerm, SuccessionGrant, WriterMark};
+    /// let grant = SuccessionGrant::first("inst-1".parse()?, LogTerm(3), WriterMark::random());
+    /// assert_eq!(grant.term(), LogTerm(3));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub const fn first(holder: InstanceName, accepted: LogTerm, mark: WriterMark) -> Self {
+        let reserved = Vec::new();
+        Self { term: accepted, holder, mark, primary: None, primary_term: LogTerm(0), reserved }
+    }
+
+    /// The last term that was granted by a conditional update.
+    #[must_use]
+    pub const fn term(&self) -> LogTerm {
+        self.term
+    }
+
+    /// Who was granted that term.
+    #[must_use]
+    pub const fn holder(&self) -> &InstanceName {
+        &self.holder
+    }
+
+    /// The mark of the last change.
+    #[must_use]
+    pub const fn mark(&self) -> &WriterMark {
+        &self.mark
+    }
+
+    /// The last primary that was confirmed and written down, with its term.
+    #[must_use]
+    pub fn primary(&self) -> Option<(&MemberName, LogTerm)> {
+        self.primary.as_ref().map(|primary| (primary, self.primary_term))
+    }
+
+    /// The reserved terms, sorted by instance.
+    #[must_use]
+    pub fn reserved(&self) -> &[ReservedTerm] {
+        &self.reserved
+    }
+
+    /// What is reserved for the run that `incarnation` marks.
+    ///
+    /// ```
+    /// use rudder_core::{LogTerm, SuccessionGrant, WriterMark};
+    /// let grant = SuccessionGrant::first("inst-1".parse()?, LogTerm(3), WriterMark::random());
+    /// assert!(grant.reserved_for(&WriterMark::random()).is_none());
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn reserved_for(&self, incarnation: &WriterMark) -> Option<&ReservedTerm> {
+        // Guards against a restarted instance that repeats a term which its earlier run spent:
+        // the mark of the run decides, not the name.
+        self.reserved.iter().find(|entry| entry.seat.incarnation == *incarnation)
+    }
+
+    /// The greatest number anywhere in the grant.
+    ///
+    /// ```
+    /// use rudder_core::{LogTerm, SuccessionGrant, WriterMark};
+    /// let grant = SuccessionGrant::first("inst-1".parse()?, LogTerm(3), WriterMark::random());
+    /// assert_eq!(grant.highest(), LogTerm(3));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn highest(&self) -> LogTerm {
+        let reserved = self.reserved.iter().map(|entry| entry.term);
+        reserved.chain([self.term, self.primary_term]).max().unwrap_or(self.term)
+    }
+
+    /// The grant in which `holder` has taken the next term. `accepted` is the greatest term that
+    /// members are known to have accepted.
+    ///
+    /// ```
+    /// use rudder_core::{LogTerm, SuccessionGrant, WriterMark};
+    /// let grant = SuccessionGrant::first("inst-1".parse()?, LogTerm(3), WriterMark::random());
+    /// let taken = grant.take("inst-2".parse()?, LogTerm(5), WriterMark::random());
+    /// assert_eq!(taken.term(), LogTerm(6));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn take(&self, holder: InstanceName, accepted: LogTerm, mark: WriterMark) -> Self {
+        let mut next = self.clone();
+        next.term = LogTerm(self.highest().max(accepted).0 + 1);
+        next.holder = holder;
+        next.mark = mark;
+        next.renumber(LogTerm(0));
+        next
+    }
+
+    /// The grant in which `seat` has a usable reservation and only `keepers` have any; none if
+    /// that is so already. `spent` is the last reserved term that this run used.
+    ///
+    /// ```
+    /// use rudder_core::{KeeperSeat, LogTerm, SuccessionGrant, WriterMark};
+    /// let grant = SuccessionGrant::first("inst-1".parse()?, LogTerm(3), WriterMark::random());
+    /// let seat = KeeperSeat { instance: "inst-2".parse()?, incarnation: WriterMark::random() };
+    /// let keepers = [seat.instance.clone()];
+    /// let grant = grant.enrol(&seat, &keepers, None, WriterMark::random()).unwrap();
+    /// assert_eq!(grant.reserved()[0].term, LogTerm(4));
+    /// assert!(grant.enrol(&seat, &keepers, None, WriterMark::random()).is_none());
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn enrol(
+        &self,
+        seat: &KeeperSeat,
+        keepers: &[InstanceName],
+        spent: Option<LogTerm>,
+        mark: WriterMark,
+    ) -> Option<Self> {
+        let mut next = self.clone();
+        next.reserved.retain(|entry| keepers.contains(&entry.seat.instance));
+        let is_valid = |entry: &ReservedTerm| {
+            entry.seat == *seat && spent.is_none_or(|spent| entry.term > spent)
+        };
+        if keepers.contains(&seat.instance) && !next.reserved.iter().any(is_valid) {
+            next.reserve(seat.clone(), self.highest().max(spent.unwrap_or_default()));
+        }
+        (next.reserved != self.reserved).then_some(Self { mark, ..next })
+    }
+
+    /// The grant in which `primary` is written down as confirmed at `term`; none if it is known
+    /// already or a later one is.
+    ///
+    /// ```
+    /// use rudder_core::{LogTerm, SuccessionGrant, WriterMark};
+    /// let grant = SuccessionGrant::first("inst-1".parse()?, LogTerm(3), WriterMark::random());
+    /// let grant = grant.settle(&"scores-2".parse()?, LogTerm(3), WriterMark::random()).unwrap();
+    /// assert_eq!(grant.primary().unwrap().1, LogTerm(3));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn settle(&self, primary: &MemberName, term: LogTerm, mark: WriterMark) -> Option<Self> {
+        if self.primary.is_some() && term <= self.primary_term {
+            return None;
+        }
+        let mut next = self.clone();
+        next.primary = Some(primary.clone());
+        next.primary_term = term;
+        next.mark = mark;
+        next.renumber(term);
+        Some(next)
+    }
+
+    fn reserve(&mut self, seat: KeeperSeat, above: LogTerm) {
+        let entry = ReservedTerm { term: LogTerm(above.0 + 1), seat };
+        let order = |known: &ReservedTerm| known.seat.instance.cmp(&entry.seat.instance);
+        match self.reserved.binary_search_by(order) {
+            Ok(index) => self.reserved[index] = entry,
+            Err(index) => self.reserved.insert(index, entry),
+        }
+    }
+
+    /// Moves the reservations that members would refuse by now above every number in use.
+    fn renumber(&mut self, accepted: LogTerm) {
+        let floor = self.term.max(self.primary_term).max(accepted);
+        let mut highest = self.highest();
+        for entry in &mut self.reserved {
+            if entry.term > floor {
+                continue;
+            }
+            highest = LogTerm(highest.0 + 1);
+            entry.term = highest;
+        }
+    }
+}
+
+impl From<SuccessionGrant> for GrantRecord {
+    fn from(grant: SuccessionGrant) -> Self {
+        Self {
+            term: grant.term,
+            holder: grant.holder,
+            mark: grant.mark,
+            primary: grant.primary,
+            primary_term: grant.primary_term,
+            reserved: grant.reserved,
+        }
+    }
+}
+
+impl TryFrom<GrantRecord> for SuccessionGrant {
+    type Error = GrantError;
+
+    fn try_from(record: GrantRecord) -> Result<Self, Self::Error> {
+        let mut terms: Vec<_> = record.reserved.iter().map(|entry| entry.term).collect();
+        terms.sort_unstable();
+        if let Some(pair) = terms.windows(2).find(|pair| pair[0] == pair[1]) {
+            return Err(GrantError::ReservedTwice(pair[0]));
+        }
+        if terms.binary_search(&record.term).is_ok() {
+            return Err(GrantError::GrantedAndReserved(record.term));
+        }
+        let mut reserved = record.reserved;
+        reserved.sort_by(|left, right| left.seat.instance.cmp(&right.seat.instance));
+        Ok(Self {
+            term: record.term,
+            holder: record.holder,
+            mark: record.mark,
+            primary: record.primary,
+            primary_term: record.primary_term,
+            reserved,
+        })
+    }
+}
--- /dev/null
+++ b/crates/rudder-core/src/succession/mod.rs
@@ -0,0 +1,22 @@
+//! How a group gets a new primary: suspicion, agreement on a term, and the steps of a promotion.
+//!
+//! The members are the acceptors of terms; the platform's object decides who uses which term. This
+//! module holds the decisions only. Whoever drives it sends the statements and reports the answers.
+
+mod candidate;
+mod condition;
+mod grant;
+mod plan;
+mod plan_step;
+mod purse;
+mod stall;
+mod tally;
+
+pub use candidate::choose_candidate;
+pub use condition::{GroupCondition, judge_group};
+pub use grant::{GrantError, KeeperSeat, ReservedTerm, SuccessionGrant, WriterMark};
+pub use plan::SuccessionPlan;
+pub use plan_step::{PlanBounds, PlanMember, PlanReply, PlanRequest, PlanState};
+pub use purse::TermPurse;
+pub use stall::StallWatch;
+pub use tally::{ObserverVote, SuspicionTally, VoteKind};
--- /dev/null
+++ b/crates/rudder-core/src/succession/purse.rs
@@ -0,0 +1,86 @@
+//! The reserved term of one instance, spent at most once.
+
+use super::grant::{SuccessionGrant, WriterMark};
+use crate::plain_data;
+use crate::stamp::LogTerm;
+
+plain_data! {
+    /// What one run of an instance remembers of the terms reserved for it.
+    pub struct TermPurse {
+        incarnation: WriterMark,
+        reserved: Option<LogTerm>,
+        spent: LogTerm,
+    }
+}
+
+impl TermPurse {
+    /// An empty purse of the run that `incarnation` marks.
+    ///
+    /// ```
+    /// use rudder_core::{LogTerm, TermPurse, WriterMark};
+    /// let mut purse = TermPurse::new(WriterMark::random());
+    /// assert_eq!(purse.spend(LogTerm(4)), None);
+    /// ```
+    #[must_use]
+    pub const fn new(incarnation: WriterMark) -> Self {
+        Self { incarnation, reserved: None, spent: LogTerm(0) }
+    }
+
+    /// The mark of this run.
+    #[must_use]
+    pub const fn incarnation(&self) -> &WriterMark {
+        &self.incarnation
+    }
+
+    /// Takes over what a grant reserves for this run.
+    ///
+    /// ```
+    /// use rudder_core::{LogTerm, SuccessionGrant, TermPurse, WriterMark};
+    /// let mut purse = TermPurse::new(WriterMark::random());
+    /// let grant = SuccessionGrant::first("inst-1".parse()?, LogTerm(1), WriterMark::random());
+    /// let seat = rudder_core::KeeperSeat {
+    ///     instance: "inst-1".parse()?,
+    ///     incarnation: purse.incarnation().clone(),
+    /// };
+    /// let grant = grant.enrol(&seat, &["inst-1".parse()?], None, WriterMark::random()).unwrap();
+    /// purse.refill(&grant);
+    /// assert!(purse.spend(LogTerm(1)).is_some());
+    /// assert_eq!(purse.spend(LogTerm(1)), None);
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn refill(&mut self, grant: &SuccessionGrant) {
+        let Some(entry) = grant.reserved_for(&self.incarnation) else { return };
+        // A stale read of the grant shows an earlier, lower reservation; it changes nothing.
+        if self.reserved.is_none_or(|reserved| reserved < entry.term) && entry.term > self.spent {
+            self.reserved = Some(entry.term);
+        }
+    }
+
+    /// Takes the reserved term out, if it is greater than `accepted`, the greatest term that
+    /// members are known to have accepted.
+    ///
+    /// ```
+    /// use rudder_core::{LogTerm, TermPurse, WriterMark};
+    /// assert!(TermPurse::new(WriterMark::random()).spend(LogTerm(0)).is_none());
+    /// ```
+    pub fn spend(&mut self, accepted: LogTerm) -> Option<LogTerm> {
+        let term = self.reserved.filter(|term| *term > accepted)?;
+        // Guards against two plans of one term: a lost promotion of the first may still take
+        // effect when the second promotes another member.
+        self.reserved = None;
+        self.spent = term;
+        Some(term)
+    }
+
+    /// The last term that was taken out, to be replaced in the grant; zero if none was.
+    #[must_use]
+    pub const fn spent(&self) -> LogTerm {
+        self.spent
+    }
+
+    /// Whether a reserved term is at hand.
+    #[must_use]
+    pub const fn is_filled(&self) -> bool {
+        self.reserved.is_some()
+    }
+}
--- /dev/null
+++ b/crates/rudder-core/src/succession/stall.rs
@@ -0,0 +1,68 @@
+//! Which replicas have stopped following: behind the primary, and not moving.
+
+use crate::ident::MemberName;
+use crate::plain_data;
+use crate::stamp::LogStamp;
+use crate::status::MemberStatus;
+use std::time::Duration;
+
+plain_data! {
+    struct StallMark {
+        member: MemberName,
+        received: LogStamp,
+        since: Duration,
+    }
+}
+
+plain_data! {
+    /// Remembers since when each member's log has stood still.
+    #[derive(Default)]
+    pub struct StallWatch {
+        marks: Vec<StallMark>,
+    }
+}
+
+impl StallWatch {
+    /// Takes in a report and says whether the member has stood still behind the primary for
+    /// `bound`. The watch then starts anew, so that the caller repeats its repair once per bound.
+    ///
+    /// A restarted member follows nobody; its status says so only by this.
+    ///
+    /// ```
+    /// use rudder_core::{LogStamp, LogTerm, MemberRole, MemberStatus, StallWatch};
+    /// use std::time::Duration;
+    /// let received = LogStamp::new(1, 3);
+    /// let role = MemberRole::Replica;
+    /// let status = MemberStatus { role, accepted: LogTerm(1), received, applied: received };
+    /// let (leader, bound) = (LogStamp::new(1, 9), Duration::from_secs(1));
+    /// let mut watch = StallWatch::default();
+    /// let member = "scores-2".parse()?;
+    /// assert!(!watch.note(&member, status, leader, Duration::ZERO, bound));
+    /// assert!(watch.note(&member, status, leader, bound, bound));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn note(
+        &mut self,
+        member: &MemberName,
+        status: MemberStatus,
+        leader: LogStamp,
+        now: Duration,
+        bound: Duration,
+    ) -> bool {
+        let received = status.received;
+        let fresh = StallMark { member: member.clone(), received, since: now };
+        let mark = match self.marks.binary_search_by(|mark| mark.member.cmp(member)) {
+            Ok(index) => &mut self.marks[index],
+            Err(index) => {
+                self.marks.insert(index, fresh);
+                return false;
+            }
+        };
+        let stands_still = mark.received == received && received < leader;
+        if stands_still && now < mark.since + bound {
+            return false;
+        }
+        *mark = fresh;
+        stands_still
+    }
+}
--- /dev/null
+++ b/crates/rudder-core/src/succession/tally.rs
@@ -0,0 +1,233 @@
+//! When a primary is suspected: own failed requests and probes, and the votes of other observers.
+
+use crate::ident::{DomainName, InstanceName};
+use crate::plain_data;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// A waking observer must see fresh failures, not only a long silence, before it votes.
+const FAILURES_MIN: u32 = 2;
+
+/// Answers in a row that withdraw the own vote, so that a flapping link does not reset it.
+const ANSWERS_TO_CLEAR: u32 = 2;
+
+/// How many times longer an observer waits that hears too few other failure domains.
+const ALONE_FACTOR: u32 = 2;
+
+/// What an observer says about a primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum VoteKind {
+    /// The primary answered lately.
+    Heard,
+    /// The primary has been silent for too long.
+    Unheard,
+}
+
+plain_data! {
+    /// The latest vote of one observer.
+    pub struct ObserverVote {
+        /// The instance that observes.
+        pub observer: InstanceName,
+        /// The failure domain that it stands in.
+        pub domain: DomainName,
+        /// What it says.
+        pub kind: VoteKind,
+        /// When the vote arrived here.
+        pub at: Duration,
+    }
+}
+
+plain_data! {
+    /// One observer's tally over one primary. Times count from any origin of the owner.
+    pub struct SuspicionTally {
+        suspect_after: Duration,
+        domain: DomainName,
+        domains_expected: usize,
+        heard_at: Duration,
+        failures: u32,
+        answers: u32,
+        unheard: bool,
+        votes: Vec<ObserverVote>,
+    }
+}
+
+impl SuspicionTally {
+    /// A tally that has just heard the primary.
+    ///
+    /// `domains_expected` counts the failure domains that have an observer, the own included.
+    ///
+    /// ```
+    /// use rudder_core::SuspicionTally;
+    /// use std::time::Duration;
+    /// let bound = Duration::from_millis(800);
+    /// let tally = SuspicionTally::new(bound, "kigali-a".parse()?, 1, Duration::ZERO);
+    /// assert!(!tally.is_suspected(Duration::ZERO));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn new(
+        suspect_after: Duration,
+        domain: DomainName,
+        domains_expected: usize,
+        now: Duration,
+    ) -> Self {
+        Self {
+            suspect_after,
+            domain,
+            domains_expected,
+            heard_at: now,
+            failures: 0,
+            answers: ANSWERS_TO_CLEAR,
+            unheard: false,
+            votes: Vec::new(),
+        }
+    }
+
+    /// Takes in an answer of the primary to a statement that was sent at `sent_at`.
+    ///
+    /// ```
+    /// use rudder_core::{SuspicionTally, VoteKind};
+    /// use std::time::Duration;
+    /// let bound = Duration::from_millis(800);
+    /// let mut tally = SuspicionTally::new(bound, "kigali-a".parse()?, 1, Duration::ZERO);
+    /// tally.note_answer(bound);
+    /// assert_eq!(tally.own_vote(), VoteKind::Heard);
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn note_answer(&mut self, sent_at: Duration) {
+        self.heard_at = self.heard_at.max(sent_at);
+        self.failures = 0;
+        self.answers = self.answers.saturating_add(1);
+        // Guards against a link that lets one answer in ten through: one answer alone does not
+        // withdraw a vote.
+        if self.answers >= ANSWERS_TO_CLEAR {
+            self.unheard = false;
+        }
+    }
+
+    /// Takes in a failed request or probe.
+    ///
+    /// ```
+    /// use rudder_core::{SuspicionTally, VoteKind};
+    /// use std::time::Duration;
+    /// let bound = Duration::from_millis(800);
+    /// let mut tally = SuspicionTally::new(bound, "kigali-a".parse()?, 1, Duration::ZERO);
+    /// tally.note_failure(bound);
+    /// tally.note_failure(bound);
+    /// assert_eq!(tally.own_vote(), VoteKind::Unheard);
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn note_failure(&mut self, now: Duration) {
+        self.failures = self.failures.saturating_add(1);
+        self.answers = 0;
+        // Guards against an observer that was frozen: on waking it sees a long silence, but its
+        // first new probe is answered, so it never counts enough failures.
+        if self.failures >= FAILURES_MIN && now >= self.heard_at + self.suspect_after {
+            self.unheard = true;
+        }
+    }
+
+    /// Takes in the vote of another observer; it replaces that observer's earlier one.
+    ///
+    /// ```
+    /// use rudder_core::{ObserverVote, SuspicionTally, VoteKind};
+    /// use std::time::Duration;
+    /// let bound = Duration::from_millis(800);
+    /// let mut tally = SuspicionTally::new(bound, "kigali-a".parse()?, 2, Duration::ZERO);
+    /// tally.note_vote(ObserverVote {
+    ///     observer: "inst-2".parse()?,
+    ///     domain: "nairobi-a".parse()?,
+    ///     kind: VoteKind::Unheard,
+    ///     at: Duration::ZERO,
+    /// });
+    /// assert!(!tally.is_suspected(Duration::ZERO));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn note_vote(&mut self, vote: ObserverVote) {
+        match self.votes.binary_search_by(|known| known.observer.cmp(&vote.observer)) {
+            Ok(index) if self.votes[index].at <= vote.at => self.votes[index] = vote,
+            Ok(_) => {}
+            Err(index) => self.votes.insert(index, vote),
+        }
+    }
+
+    /// The own vote, to be told to the other observers.
+    ///
+    /// ```
+    /// use rudder_core::{SuspicionTally, VoteKind};
+    /// use std::time::Duration;
+    /// let bound = Duration::from_millis(800);
+    /// let tally = SuspicionTally::new(bound, "kigali-a".parse()?, 1, Duration::ZERO);
+    /// assert_eq!(tally.own_vote(), VoteKind::Heard);
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn own_vote(&self) -> VoteKind {
+        if self.unheard { VoteKind::Unheard } else { VoteKind::Heard }
+    }
+
+    /// Whether the primary is suspected: the own vote and those of observers in a majority of the
+    /// failure domains that can speak say that it is unheard.
+    ///
+    /// ```
+    /// use rudder_core::SuspicionTally;
+    /// use std::time::Duration;
+    /// let bound = Duration::from_millis(800);
+    /// let mut tally = SuspicionTally::new(bound, "kigali-a".parse()?, 1, Duration::ZERO);
+    /// tally.note_failure(bound);
+    /// tally.note_failure(bound);
+    /// assert!(tally.is_suspected(bound));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn is_suspected(&self, now: Duration) -> bool {
+        if !self.unheard {
+            return false;
+        }
+        let domains = self.speaking_domains(now);
+        let unheard = domains.iter().filter(|(_, kind)| *kind == VoteKind::Unheard).count();
+        // Guards against one cut link: the observer behind it is alone in its vote, and the
+        // other failure domains outvote it.
+        if 2 * unheard <= domains.len() {
+            return false;
+        }
+        // Guards against an instance that is itself cut off: it hears too few others to be
+        // outvoted, so it waits longer, and its fence then finds no majority either.
+        let is_alone = 2 * domains.len() <= self.domains_expected;
+        !is_alone || now >= self.heard_at + ALONE_FACTOR * self.suspect_after
+    }
+
+    /// Changes how many failure domains have an observer.
+    ///
+    /// ```
+    /// use rudder_core::SuspicionTally;
+    /// use std::time::Duration;
+    /// let bound = Duration::from_millis(800);
+    /// let mut tally = SuspicionTally::new(bound, "kigali-a".parse()?, 1, Duration::ZERO);
+    /// tally.expect_domains(3);
+    /// assert!(!tally.is_suspected(Duration::ZERO));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn expect_domains(&mut self, domains_expected: usize) {
+        self.domains_expected = domains_expected;
+    }
+
+    /// The failure domains with a live vote, each with one voice: unheard only if all its
+    /// observers say so.
+    fn speaking_domains(&self, now: Duration) -> Vec<(&DomainName, VoteKind)> {
+        let own = (&self.domain, self.own_vote());
+        let live = self.votes.iter().filter(|vote| now < vote.at + self.suspect_after);
+        let mut voices: Vec<_> = live.map(|vote| (&vote.domain, vote.kind)).collect();
+        voices.push(own);
+        voices.sort_by(|left, right| left.0.cmp(right.0));
+        voices.dedup_by(|later, kept| {
+            let same = later.0 == kept.0;
+            if same && later.1 == VoteKind::Heard {
+                kept.1 = VoteKind::Heard;
+            }
+            same
+        });
+        voices
+    }
+}
