Freshness decisions: age without clocks, verdict over a read

Cause: clocks of instances differ, and a hint about lag may be wrong. Change: samples of the majority-confirmed primary on the asker's own time line, a bounded ledger of them, and a verdict from the member's status taken before the read.

--- /dev/null
+++ b/crates/rudder-core/src/freshness/ledger.rs
@@ -0,0 +1,106 @@
+//! The samples of one service, from which the age of a member's answer follows.
+
+use super::sample::FreshSample;
+use crate::plain_data;
+use crate::stamp::LogStamp;
+use std::time::Duration;
+
+/// Samples kept of one service; older ones are thinned out beyond it.
+const SAMPLES_MAX: usize = 64;
+
+plain_data! {
+    /// Samples sorted by time; both time and stamp grow strictly from one to the next.
+    #[derive(Default)]
+    pub struct AgeLedger {
+        samples: Vec<FreshSample>,
+    }
+}
+
+impl AgeLedger {
+    /// Takes in a confirmed sample, in any order.
+    ///
+    /// ```
+    /// use rudder_core::{AgeLedger, FreshSample, LogStamp};
+    /// use std::time::Duration;
+    /// let mut ledger = AgeLedger::default();
+    /// ledger.note(FreshSample { sent_at: Duration::from_secs(5), stamp: LogStamp::new(1, 9) });
+    /// let now = Duration::from_secs(7);
+    /// assert_eq!(ledger.age_of(LogStamp::new(1, 9), now), Some(Duration::from_secs(2)));
+    /// assert_eq!(ledger.age_of(LogStamp::new(1, 8), now), None);
+    /// ```
+    pub fn note(&mut self, sample: FreshSample) {
+        let index = self.samples.partition_point(|known| known.sent_at < sample.sent_at);
+        // A known sample that is as recent and needs no more of the log says more than this one.
+        if self.samples[index..].iter().any(|known| known.stamp <= sample.stamp) {
+            return;
+        }
+        let says_less =
+            |known: &FreshSample| known.sent_at <= sample.sent_at && known.stamp >= sample.stamp;
+        self.samples.retain(|known| !says_less(known));
+        let index = self.samples.partition_point(|known| known.sent_at < sample.sent_at);
+        self.samples.insert(index, sample);
+        if self.samples.len() > SAMPLES_MAX {
+            self.thin_out();
+        }
+    }
+
+    /// Takes in a peer's newest sample: `age` old when the peer answered a question that was
+    /// sent to it at `asked_at`.
+    ///
+    /// ```
+    /// use rudder_core::{AgeLedger, LogStamp};
+    /// use std::time::Duration;
+    /// let mut ledger = AgeLedger::default();
+    /// let second = Duration::from_secs(1);
+    /// ledger.note_peer(10 * second, second, LogStamp::new(1, 9));
+    /// assert_eq!(ledger.age_of(LogStamp::new(1, 9), 11 * second), Some(2 * second));
+    /// ```
+    pub fn note_peer(&mut self, asked_at: Duration, age: Duration, stamp: LogStamp) {
+        // Guards against a slow answer that makes data look fresh: the peer's age counts from
+        // the question, so the whole round trip is added to it.
+        let Some(sent_at) = asked_at.checked_sub(age) else { return };
+        self.note(FreshSample { sent_at, stamp });
+    }
+
+    /// How old, at `now`, the data of a member is that has applied the log up to `applied`.
+    ///
+    /// None means unknown, which is too old for any bound.
+    ///
+    /// ```
+    /// use rudder_core::{AgeLedger, LogStamp};
+    /// use std::time::Duration;
+    /// assert_eq!(AgeLedger::default().age_of(LogStamp::new(1, 1), Duration::ZERO), None);
+    /// ```
+    #[must_use]
+    pub fn age_of(&self, applied: LogStamp, now: Duration) -> Option<Duration> {
+        let count = self.samples.partition_point(|sample| sample.stamp <= applied);
+        let sample = self.samples[..count].last()?;
+        Some(now.saturating_sub(sample.sent_at))
+    }
+
+    /// The newest sample, to be told to peers.
+    ///
+    /// ```
+    /// assert_eq!(rudder_core::AgeLedger::default().newest(), None);
+    /// ```
+    #[must_use]
+    pub fn newest(&self) -> Option<FreshSample> {
+        self.samples.last().copied()
+    }
+
+    /// Drops the sample whose loss costs least, relative to its age: recent ones stay close
+    /// together, old ones stand further apart. A dropped sample only makes ages greater.
+    fn thin_out(&mut self) {
+        let Some(newest) = self.newest() else { return };
+        let cost = |window: &[FreshSample]| {
+            let gap = window[2].sent_at - window[0].sent_at;
+            let age = newest.sent_at - window[0].sent_at;
+            gap.as_micros().saturating_mul(1_000_000) / age.as_micros().max(1)
+        };
+        let costs = self.samples.windows(3).map(cost);
+        let cheapest = costs.enumerate().min_by_key(|(_, cost)| *cost);
+        if let Some((index, _)) = cheapest {
+            self.samples.remove(index + 1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-core/src/freshness/sample.rs
@@ -0,0 +1,56 @@
+//! A moment at which the confirmed primary was seen at a stamp.
+
+use crate::ack::majority_of;
+use crate::ident::MemberName;
+use crate::plain_data;
+use crate::stamp::LogStamp;
+use crate::status::{MemberRole, MemberStatus};
+use std::time::Duration;
+
+plain_data! {
+    /// One member's status, with the time at which it was asked for.
+    pub struct TimedReport {
+        /// The member.
+        pub member: MemberName,
+        /// When the question was sent, on the asker's own time line.
+        pub asked_at: Duration,
+        /// What it answered.
+        pub status: MemberStatus,
+    }
+}
+
+plain_data! {
+    /// Every write that was acknowledged before `sent_at` is contained in a log that reaches `stamp`.
+    #[derive(Copy)]
+    pub struct FreshSample {
+        /// When the earliest of the confirming questions was sent.
+        pub sent_at: Duration,
+        /// How far the confirmed primary's log went.
+        pub stamp: LogStamp,
+    }
+}
+
+/// Makes a sample out of the reports of a group of `members` members, if they confirm the primary.
+///
+/// They do if the primary and enough others to make a majority report the same greatest term. The
+/// sample dates from the earliest question among the latest asked majority.
+///
+/// ```
+/// assert_eq!(rudder_core::confirm_sample(3, &[]), None);
+/// ```
+#[must_use]
+pub fn confirm_sample(members: usize, reports: &[TimedReport]) -> Option<FreshSample> {
+    let term = reports.iter().map(|report| report.status.accepted).max()?;
+    let at_term = |report: &&TimedReport| report.status.accepted == term;
+    let leads = |report: &&TimedReport| report.status.role == MemberRole::Primary;
+    let primary = reports.iter().filter(at_term).find(leads)?;
+    let mut asked: Vec<_> = reports.iter().filter(at_term).map(|report| report.asked_at).collect();
+    asked.sort_unstable_by(|left, right| right.cmp(left));
+    // Guards against an isolated primary's log passing for the newest: at `sent_at` a majority
+    // had accepted no greater term, so no successor had acknowledged anything by then.
+    let majority_asked_at = *asked.get(majority_of(members) - 1)?;
+    let sent_at = majority_asked_at.min(primary.asked_at);
+    // A primary that was just promoted or restarted may still be applying its log; what it has
+    // received holds every acknowledged write.
+    Some(FreshSample { sent_at, stamp: primary.status.received })
+}
--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod derive;
 mod error;
+mod freshness;
 mod ident;
 mod outcome;
 mod session;
@@ -18,6 +19,9 @@
 pub use ack::{AckVerdict, judge_commit, majority_of};
 pub use control::{ControlStatement, STATUS_COLUMNS, TERM_REFUSED_SQLSTATE};
 pub use error::ParseError;
+pub use freshness::{
+    AgeLedger, FreshSample, ReadNeed, ReadVerdict, TimedReport, confirm_sample, judge_read,
+};
 pub use ident::{CallerKind, DomainName, InstanceName, MemberName, RequestKey, ServiceName};
 pub use outcome::{OutcomeClass, RefusalNotice};
 pub use session::{SessionFloor, SessionId, SessionToken};
