--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -7,19 +7,29 @@
 mod control;
 mod derive;
 mod error;
+mod freshness;
 mod ident;
 mod outcome;
 mod session;
 mod stamp;
 mod status;
+mod succession;
 mod unit;
 
 pub use ack::{AckVerdict, judge_commit, majority_of};
 pub use control::{ControlStatement, STATUS_COLUMNS, TERM_REFUSED_SQLSTATE};
 pub use error::ParseError;
+pub use freshness::{
+    AgeLedger, FreshSample, ReadNeed, ReadVerdict, TimedReport, confirm_sample, judge_read,
+};
 pub use ident::{CallerKind, DomainName, InstanceName, MemberName, RequestKey, ServiceName};
 pub use outcome::{OutcomeClass, RefusalNotice};
 pub use session::{SessionFloor, SessionId, SessionToken};
 pub use stamp::{LogPosition, LogStamp, LogTerm};
 pub use status::{MemberRole, MemberStatus};
+pub use succession::{
+    GrantError, GroupCondition, KeeperSeat, ObserverVote, PlanBounds, PlanMember, PlanReply,
+    PlanRequest, PlanState, ReservedTerm, StallWatch, SuccessionGrant, SuccessionPlan,
+    SuspicionTally, TermPurse, VoteKind, WriterMark, choose_candidate, judge_group,
+};
 pub use unit::{ByteSize, ConnectionCount, MemberSpeed, RequestRate, SlotCount};
