decisions: admission gate, read router, member meter

Cause: the proxy needs its admission, routing and slot limits as pure code. Change: AdmissionGate (limits per kind and caller, a lane per member with flows that take turns, class reserve, cap on long work, spread retry-after), ReadRouter (least expected time, catch-up wait, spill to the primary), MemberMeter (service time, adaptive limit), WorkEstimate (size by fingerprint).

--- /dev/null
+++ b/crates/rudder-decisions/src/admission/gate.rs
@@ -0,0 +1,352 @@
+//! The gate of one instance: limits per kind and caller, and a lane per member.
+//!
+//! Thresholds: one caller gets at most [`CALLER_PART`] of its kind's limit, so that a single busy
+//! caller cannot use the limit up and have its neighbours refused. Work that is turned away first
+//! is refused from [`SHED_PART`] of the queue on, so the rest always finds room for a burst. A
+//! request that is not expected to get its slot within its bound is refused at once: it would
+//! only hold a place, and its caller learns sooner when to come back.
+
+use super::lane::{FlowKey, LaneLimits, LaneUsage, MemberLane, WaitingTicket};
+use super::request::{
+    AdmissionRequest, AdmissionVerdict, LaneKey, RefusalReason, RefusalWord, TicketId,
+    TicketNotice, TicketOutcome,
+};
+use super::retry_after::RetryPacer;
+use rand::Rng;
+use rudder_core::CallerKind;
+use std::time::Instant;
+
+/// The part of its kind's limit that one caller may use.
+const CALLER_PART: f64 = 0.75;
+
+/// The part of the queue from which on work is shed that is turned away first.
+const SHED_PART: f64 = 0.5;
+
+#[derive(Clone, Debug)]
+struct LaneRecord {
+    key: LaneKey,
+    lane: MemberLane,
+    pacer: RetryPacer,
+}
+
+#[derive(Clone, Debug)]
+struct TicketRecord {
+    ticket: TicketId,
+    lane: LaneKey,
+    kind: CallerKind,
+    flow: FlowKey,
+    running_since: Option<Instant>,
+}
+
+/// Counts of one kind, or of one caller of it, by requests that run or wait.
+#[derive(Clone, Debug)]
+struct UsageCount<K> {
+    key: K,
+    count: u32,
+}
+
+/// Decides which requests run, wait or are refused. One per instance.
+///
+/// ```
+/// use rand::SeedableRng;
+/// use rudder_decisions::{
+///     AdmissionGate, AdmissionRequest, AdmissionVerdict, LaneKey, LaneLimits, WorkClass, WorkSize,
+/// };
+/// use std::time::{Duration, Instant};
+/// let mut rng = rand::rngs::StdRng::seed_from_u64(1);
+/// let now = Instant::now();
+/// let lane = LaneKey { service: "scores-db".parse()?, member: "scores-1".parse()? };
+/// let request = AdmissionRequest {
+///     lane: lane.clone(),
+///     kind: "copyist".parse()?,
+///     caller: 7,
+///     class: WorkClass::Read,
+///     size: WorkSize::Short,
+///     shed: false,
+///     in_flight_max: 100,
+///     queue_wait: Duration::from_secs(1),
+///     deadline: now + Duration::from_secs(30),
+/// };
+/// let mut gate = AdmissionGate::new();
+/// gate.set_lane(&lane, LaneLimits { slots: 1, ..LaneLimits::default() });
+///
+/// let AdmissionVerdict::Run(first) = gate.offer(&request, now, &mut rng) else { panic!() };
+/// let AdmissionVerdict::Wait(second) = gate.offer(&request, now, &mut rng) else { panic!() };
+/// let notices = gate.release(first, now, &mut rng);
+///
+/// assert_eq!(notices[0].ticket, second);
+/// # Ok::<(), rudder_core::ParseError>(())
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct AdmissionGate {
+    lanes: Vec<LaneRecord>,
+    tickets: Vec<TicketRecord>,
+    kinds: Vec<UsageCount<CallerKind>>,
+    callers: Vec<UsageCount<(CallerKind, u64)>>,
+    next_ticket: u64,
+}
+
+impl AdmissionGate {
+    /// A gate without lanes.
+    ///
+    /// ```
+    /// assert!(rudder_decisions::AdmissionGate::new().next_expiry().is_none());
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a lane or changes its limits. Call [`AdmissionGate::expire`] afterwards, so that a
+    /// raised limit serves what waits. A lane that was never set gets the default limits.
+    ///
+    /// ```
+    /// use rudder_decisions::{AdmissionGate, LaneKey, LaneLimits};
+    /// let lane = LaneKey { service: "a".parse()?, member: "b".parse()? };
+    /// AdmissionGate::new().set_lane(&lane, LaneLimits::default());
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn set_lane(&mut self, key: &LaneKey, limits: LaneLimits) {
+        self.lane_of(key).lane.limits = limits;
+    }
+
+    /// How full a lane is.
+    ///
+    /// ```
+    /// use rudder_decisions::{AdmissionGate, LaneKey, LaneUsage};
+    /// let lane = LaneKey { service: "a".parse()?, member: "b".parse()? };
+    /// assert_eq!(AdmissionGate::new().usage(&lane), LaneUsage::default());
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn usage(&self, key: &LaneKey) -> LaneUsage {
+        let index = self.lanes.binary_search_by(|record| record.key.cmp(key));
+        index.map_or_else(|_| LaneUsage::default(), |index| self.lanes[index].lane.usage())
+    }
+
+    /// Decides over a new request.
+    ///
+    /// See the example of [`AdmissionGate`].
+    pub fn offer(
+        &mut self,
+        request: &AdmissionRequest,
+        now: Instant,
+        rng: &mut dyn Rng,
+    ) -> AdmissionVerdict {
+        if let Some(word) = self.refusal_of(request, now) {
+            return AdmissionVerdict::Refuse(self.refusal(&request.lane, word, now, rng));
+        }
+        let flow = flow_of(request);
+        let ticket = self.open_ticket(request, flow);
+        let lane = &mut self.lane_of(&request.lane).lane;
+        if lane.has_room(flow) {
+            lane.take_slot(flow);
+            self.mark_running(ticket, now);
+            return AdmissionVerdict::Run(ticket);
+        }
+        let give_up = request.deadline.min(now + request.queue_wait);
+        lane.enqueue(flow, WaitingTicket { ticket, give_up });
+        AdmissionVerdict::Wait(ticket)
+    }
+
+    /// Takes back a ticket, running or waiting, and says what becomes of those that wait. A ticket
+    /// that is not known changes nothing, so it is safe to release twice.
+    ///
+    /// See the example of [`AdmissionGate`].
+    pub fn release(
+        &mut self,
+        ticket: TicketId,
+        now: Instant,
+        rng: &mut dyn Rng,
+    ) -> Vec<TicketNotice> {
+        let Some(record) = self.close_ticket(ticket) else {
+            return Vec::new();
+        };
+        let lane = &mut self.lane_of(&record.lane).lane;
+        match record.running_since {
+            Some(since) => lane.give_slot(record.flow, now.duration_since(since)),
+            None => {
+                lane.take_ticket(ticket);
+            }
+        }
+        self.settle(&record.lane, now, rng)
+    }
+
+    /// Refuses what has waited long enough, in every lane, and serves what may run. Call it at
+    /// [`AdmissionGate::next_expiry`].
+    ///
+    /// ```
+    /// use rand::SeedableRng;
+    /// let mut rng = rand::rngs::StdRng::seed_from_u64(1);
+    /// let mut gate = rudder_decisions::AdmissionGate::new();
+    /// assert!(gate.expire(std::time::Instant::now(), &mut rng).is_empty());
+    /// ```
+    pub fn expire(&mut self, now: Instant, rng: &mut dyn Rng) -> Vec<TicketNotice> {
+        let keys: Vec<LaneKey> = self.lanes.iter().map(|record| record.key.clone()).collect();
+        keys.iter().flat_map(|key| self.settle(key, now, rng)).collect()
+    }
+
+    /// Refuses everything that waits in a lane, because its member is gone.
+    ///
+    /// ```
+    /// use rand::SeedableRng;
+    /// use rudder_decisions::{AdmissionGate, LaneKey};
+    /// let mut rng = rand::rngs::StdRng::seed_from_u64(1);
+    /// let lane = LaneKey { service: "a".parse()?, member: "b".parse()? };
+    /// let notices = AdmissionGate::new().close(&lane, std::time::Instant::now(), &mut rng);
+    /// assert!(notices.is_empty());
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn close(&mut self, key: &LaneKey, now: Instant, rng: &mut dyn Rng) -> Vec<TicketNotice> {
+        let tickets = self.lane_of(key).lane.take_all();
+        self.refuse_all(key, &tickets, RefusalWord::LaneClosed, now, rng)
+    }
+
+    /// When the next waiting request's wait is over, or `None` if nothing waits.
+    ///
+    /// ```
+    /// assert_eq!(rudder_decisions::AdmissionGate::new().next_expiry(), None);
+    /// ```
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.lanes.iter().filter_map(|record| record.lane.next_expiry()).min()
+    }
+
+    /// Why a request is refused at once, if it is.
+    fn refusal_of(&mut self, request: &AdmissionRequest, now: Instant) -> Option<RefusalWord> {
+        let caller_key = (request.kind.clone(), request.caller);
+        let caller_max = (f64::from(request.in_flight_max) * CALLER_PART).ceil() as u32;
+        if count_of(&self.kinds, &request.kind) >= request.in_flight_max {
+            return Some(RefusalWord::KindLimit);
+        }
+        if count_of(&self.callers, &caller_key) >= caller_max {
+            return Some(RefusalWord::CallerLimit);
+        }
+        let flow = flow_of(request);
+        let lane = &self.lane_of(&request.lane).lane;
+        if lane.has_room(flow) {
+            return (request.deadline <= now).then_some(RefusalWord::TooLate);
+        }
+        let waiting = f64::from(lane.usage().waiting);
+        let queue_max = f64::from(lane.limits.queue_max);
+        if waiting >= queue_max {
+            return Some(RefusalWord::QueueFull);
+        }
+        if request.shed && waiting >= queue_max * SHED_PART {
+            return Some(RefusalWord::Shed);
+        }
+        let give_up = request.deadline.min(now + request.queue_wait);
+        (now + lane.expected_wait(flow) > give_up).then_some(RefusalWord::TooLate)
+    }
+
+    /// Refuses what has waited long enough in one lane, then serves what may run.
+    fn settle(&mut self, key: &LaneKey, now: Instant, rng: &mut dyn Rng) -> Vec<TicketNotice> {
+        let expired = self.lane_of(key).lane.take_expired(now);
+        let mut notices = self.refuse_all(key, &expired, RefusalWord::WaitOver, now, rng);
+        while let Some(ticket) = self.lane_of(key).lane.serve_next() {
+            self.mark_running(ticket, now);
+            notices.push(TicketNotice { ticket, outcome: TicketOutcome::Run });
+        }
+        notices
+    }
+
+    fn refuse_all(
+        &mut self,
+        key: &LaneKey,
+        tickets: &[TicketId],
+        word: RefusalWord,
+        now: Instant,
+        rng: &mut dyn Rng,
+    ) -> Vec<TicketNotice> {
+        let mut notices = Vec::with_capacity(tickets.len());
+        for &ticket in tickets {
+            self.close_ticket(ticket);
+            let reason = self.refusal(key, word, now, rng);
+            notices.push(TicketNotice { ticket, outcome: TicketOutcome::Refuse(reason) });
+        }
+        notices
+    }
+
+    fn refusal(
+        &mut self,
+        key: &LaneKey,
+        word: RefusalWord,
+        now: Instant,
+        rng: &mut dyn Rng,
+    ) -> RefusalReason {
+        let record = self.lane_of(key);
+        let (backlog, pace) = (record.lane.backlog(), record.lane.pace());
+        let retry_after = record.pacer.next(backlog, pace, now, rng);
+        RefusalReason { word, retry_after }
+    }
+
+    fn lane_of(&mut self, key: &LaneKey) -> &mut LaneRecord {
+        let index = match self.lanes.binary_search_by(|record| record.key.cmp(key)) {
+            Ok(index) => index,
+            Err(index) => {
+                let lane = MemberLane::new(LaneLimits::default());
+                let record = LaneRecord { key: key.clone(), lane, pacer: RetryPacer::default() };
+                self.lanes.insert(index, record);
+                index
+            }
+        };
+        &mut self.lanes[index]
+    }
+
+    fn open_ticket(&mut self, request: &AdmissionRequest, flow: FlowKey) -> TicketId {
+        self.next_ticket += 1;
+        let ticket = TicketId(self.next_ticket);
+        add(&mut self.kinds, request.kind.clone());
+        add(&mut self.callers, (request.kind.clone(), request.caller));
+        // Ticket numbers only grow, so pushing keeps the records sorted.
+        self.tickets.push(TicketRecord {
+            ticket,
+            lane: request.lane.clone(),
+            kind: request.kind.clone(),
+            flow,
+            running_since: None,
+        });
+        ticket
+    }
+
+    fn close_ticket(&mut self, ticket: TicketId) -> Option<TicketRecord> {
+        let index = self.tickets.binary_search_by_key(&ticket, |record| record.ticket).ok()?;
+        let record = self.tickets.remove(index);
+        subtract(&mut self.kinds, &record.kind);
+        subtract(&mut self.callers, &(record.kind.clone(), record.flow.caller));
+        Some(record)
+    }
+
+    fn mark_running(&mut self, ticket: TicketId, now: Instant) {
+        let index = self.tickets.binary_search_by_key(&ticket, |record| record.ticket);
+        if let Ok(index) = index {
+            self.tickets[index].running_since = Some(now);
+        }
+    }
+}
+
+fn flow_of(request: &AdmissionRequest) -> FlowKey {
+    FlowKey { caller: request.caller, class: request.class, size: request.size, shed: request.shed }
+}
+
+fn count_of<K: Ord>(counts: &[UsageCount<K>], key: &K) -> u32 {
+    let index = counts.binary_search_by(|usage| usage.key.cmp(key));
+    index.map_or(0, |index| counts[index].count)
+}
+
+fn add<K: Ord>(counts: &mut Vec<UsageCount<K>>, key: K) {
+    match counts.binary_search_by(|usage| usage.key.cmp(&key)) {
+        Ok(index) => counts[index].count += 1,
+        Err(index) => counts.insert(index, UsageCount { key, count: 1 }),
+    }
+}
+
+fn subtract<K: Ord>(counts: &mut Vec<UsageCount<K>>, key: &K) {
+    let Ok(index) = counts.binary_search_by(|usage| usage.key.cmp(key)) else {
+        return;
+    };
+    counts[index].count -= 1;
+    if counts[index].count == 0 {
+        counts.remove(index);
+    }
+}
--- /dev/null
+++ b/crates/rudder-decisions/src/admission/lane.rs
@@ -0,0 +1,238 @@
+//! The slots of one member and the queue in front of them.
+//!
+//! Order of service: each caller's waiting requests of one class and size form a flow, and flows
+//! take turns. A flow is passed over while its class or size may not take another slot, and keeps
+//! its turn. Work that is turned away last goes before work that is turned away first, except at
+//! every [`SHED_TURN`]th turn, so that the latter is slow under load, not starved.
+//!
+//! - Reads and writes: each class leaves [`CLASS_RESERVE`] slot to the other where both are served
+//!   and there are two slots or more. With one slot the turns of the flows must do.
+//! - Long work holds at most half of the slots and takes its turn like other work. It can
+//!   thus neither fill the member nor starve.
+
+use super::request::TicketId;
+use crate::average::MovingAverage;
+use crate::work::{WorkClass, WorkSize};
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Slots that each class leaves to the other. One is enough to keep a class from waiting for the
+/// other class's longest statement; more would idle a fifth or a third of a member each.
+const CLASS_RESERVE: u32 = 1;
+
+/// Every this many turns, work that is turned away first goes before the rest.
+const SHED_TURN: u64 = 4;
+
+/// Long work takes at most one part in this many of the slots, and always at least one slot.
+const LONG_PART: u32 = 2;
+
+/// Weight of one more run in a lane's service time: about the last twenty runs count.
+const SERVICE_GAIN: f64 = 0.05;
+
+/// Service time assumed before the first run.
+const SERVICE_GUESS: Duration = Duration::from_millis(10);
+
+rudder_core::plain_data! {
+    /// The limits of one lane.
+    #[derive(Copy)]
+    pub struct LaneLimits {
+        /// Statements that this instance may keep in flight at the member.
+        pub slots: u32,
+        /// Requests that may wait.
+        pub queue_max: u32,
+        /// Whether both classes are served, so that each is kept a reserve.
+        pub mixed: bool,
+    }
+}
+
+impl Default for LaneLimits {
+    fn default() -> Self {
+        Self { slots: 1, queue_max: 64, mixed: true }
+    }
+}
+
+rudder_core::plain_data! {
+    /// How full a lane is.
+    #[derive(Copy, Default)]
+    pub struct LaneUsage {
+        /// Reads that hold a slot.
+        pub reads: u32,
+        /// Writes that hold a slot.
+        pub writes: u32,
+        /// Requests that wait.
+        pub waiting: u32,
+    }
+}
+
+/// What decides the turn of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct FlowKey {
+    pub(crate) caller: u64,
+    pub(crate) class: WorkClass,
+    pub(crate) size: WorkSize,
+    pub(crate) shed: bool,
+}
+
+/// A waiting request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WaitingTicket {
+    pub(crate) ticket: TicketId,
+    pub(crate) give_up: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct WaitingFlow {
+    key: FlowKey,
+    tickets: VecDeque<WaitingTicket>,
+}
+
+/// One member's slots and queue. Flows stand in the order of their turns.
+#[derive(Clone, Debug)]
+pub(crate) struct MemberLane {
+    pub(crate) limits: LaneLimits,
+    reads: u32,
+    writes: u32,
+    long: u32,
+    waiting: u32,
+    turns: u64,
+    flows: VecDeque<WaitingFlow>,
+    service: MovingAverage,
+}
+
+impl MemberLane {
+    pub(crate) fn new(limits: LaneLimits) -> Self {
+        Self {
+            limits,
+            reads: 0,
+            writes: 0,
+            long: 0,
+            waiting: 0,
+            turns: 0,
+            flows: VecDeque::new(),
+            service: MovingAverage::new(SERVICE_GAIN),
+        }
+    }
+
+    pub(crate) fn usage(&self) -> LaneUsage {
+        LaneUsage { reads: self.reads, writes: self.writes, waiting: self.waiting }
+    }
+
+    /// The time between two slots becoming free when all are taken.
+    pub(crate) fn pace(&self) -> Duration {
+        self.service.value().unwrap_or(SERVICE_GUESS) / self.limits.slots.max(1)
+    }
+
+    /// The time until everything that waits now has got a slot.
+    pub(crate) fn backlog(&self) -> Duration {
+        self.pace() * self.waiting
+    }
+
+    /// The expected wait of one more request of this flow. Flows take turns, so what stands before
+    /// it is its own flow's queue times the number of flows, and never more than the whole queue.
+    pub(crate) fn expected_wait(&self, key: FlowKey) -> Duration {
+        let own = self.flows.iter().find(|flow| flow.key == key);
+        let own_waiting = own.map_or(0, |flow| flow.tickets.len());
+        let flows = self.flows.len() + usize::from(own.is_none());
+        let before = ((own_waiting + 1) * flows).min(self.waiting as usize + 1);
+        self.pace() * u32::try_from(before).unwrap_or(u32::MAX)
+    }
+
+    /// Whether a request of this flow may take a slot now. A free slot goes to a newcomer only if
+    /// no waiting request may use it, which the gate ensures by serving the queue at every release.
+    pub(crate) fn has_room(&self, key: FlowKey) -> bool {
+        let slots = self.limits.slots;
+        let reserve = if self.limits.mixed && slots > CLASS_RESERVE { CLASS_RESERVE } else { 0 };
+        let of_class = match key.class {
+            WorkClass::Read => self.reads,
+            WorkClass::Write => self.writes,
+        };
+        let long_max = (slots / LONG_PART).max(1);
+        self.reads + self.writes < slots
+            && of_class < slots - reserve
+            && (key.size == WorkSize::Short || self.long < long_max)
+    }
+
+    pub(crate) fn take_slot(&mut self, key: FlowKey) {
+        *self.class_count(key.class) += 1;
+        self.long += u32::from(key.size == WorkSize::Long);
+    }
+
+    /// Gives a slot back after `held`.
+    pub(crate) fn give_slot(&mut self, key: FlowKey, held: Duration) {
+        let count = self.class_count(key.class);
+        *count = count.saturating_sub(1);
+        self.long = self.long.saturating_sub(u32::from(key.size == WorkSize::Long));
+        self.service.observe(held);
+    }
+
+    pub(crate) fn enqueue(&mut self, key: FlowKey, waiting: WaitingTicket) {
+        self.waiting += 1;
+        if let Some(flow) = self.flows.iter_mut().find(|flow| flow.key == key) {
+            flow.tickets.push_back(waiting);
+            return;
+        }
+        self.flows.push_back(WaitingFlow { key, tickets: VecDeque::from([waiting]) });
+    }
+
+    /// Takes the next waiting request that may have a slot, and gives it one.
+    pub(crate) fn serve_next(&mut self) -> Option<TicketId> {
+        let index = self.next_flow()?;
+        let mut flow = self.flows.remove(index)?;
+        let waiting = flow.tickets.pop_front()?;
+        self.take_slot(flow.key);
+        self.waiting -= 1;
+        self.turns += 1;
+        if !flow.tickets.is_empty() {
+            self.flows.push_back(flow);
+        }
+        Some(waiting.ticket)
+    }
+
+    /// Takes out every waiting request whose wait is over.
+    pub(crate) fn take_expired(&mut self, now: Instant) -> Vec<TicketId> {
+        self.take_waiting(|waiting| waiting.give_up <= now)
+    }
+
+    /// Takes out one waiting request, for example because its caller went away.
+    pub(crate) fn take_ticket(&mut self, ticket: TicketId) -> bool {
+        !self.take_waiting(|waiting| waiting.ticket == ticket).is_empty()
+    }
+
+    /// Takes out everything that waits.
+    pub(crate) fn take_all(&mut self) -> Vec<TicketId> {
+        self.take_waiting(|_| true)
+    }
+
+    /// When the next waiting request's wait is over.
+    pub(crate) fn next_expiry(&self) -> Option<Instant> {
+        let tickets = self.flows.iter().flat_map(|flow| flow.tickets.iter());
+        tickets.map(|waiting| waiting.give_up).min()
+    }
+
+    fn next_flow(&self) -> Option<usize> {
+        let shed_first = self.turns % SHED_TURN == SHED_TURN - 1;
+        let ready = |shed: bool| {
+            self.flows.iter().position(|flow| flow.key.shed == shed && self.has_room(flow.key))
+        };
+        ready(shed_first).or_else(|| ready(!shed_first))
+    }
+
+    fn take_waiting(&mut self, leaves: impl Fn(&WaitingTicket) -> bool) -> Vec<TicketId> {
+        let mut taken = Vec::new();
+        for flow in &mut self.flows {
+            let leaving = flow.tickets.iter().filter(|waiting| leaves(waiting));
+            taken.extend(leaving.map(|waiting| waiting.ticket));
+            flow.tickets.retain(|waiting| !leaves(waiting));
+        }
+        self.flows.retain(|flow| !flow.tickets.is_empty());
+        self.waiting -= u32::try_from(taken.len()).unwrap_or(self.waiting);
+        taken
+    }
+
+    fn class_count(&mut self, class: WorkClass) -> &mut u32 {
+        match class {
+            WorkClass::Read => &mut self.reads,
+            WorkClass::Write => &mut self.writes,
+        }
+    }
+}
--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -1,1 +1,24 @@
-//! Placeholder.
+//! Decisions under load: what is let in, what waits, what is turned away, where work goes, and how
+//! fast the system shifts.
+//!
+//! Nothing here opens a socket, reads a clock or depends on an async runtime. Time is passed in as
+//! [`std::time::Instant`] and randomness as a `&mut dyn rand::Rng`, so every decision can be
+//! played in virtual time. The header of each module says which load pattern it answers, what
+//! goes wrong without it, and why its thresholds are what they are.
+
+mod admission;
+mod average;
+mod meter;
+mod routing;
+mod work;
+
+pub use admission::{
+    AdmissionGate, AdmissionRequest, AdmissionVerdict, LaneKey, LaneLimits, LaneUsage,
+    RefusalReason, RefusalWord, TicketId, TicketNotice, TicketOutcome,
+};
+pub use meter::MemberMeter;
+pub use routing::{
+    MemberHealth, MemberView, MemberWeight, ReadDemand, ReadRoute, ReadRouter, RouteChoice,
+    RouteReason,
+};
+pub use work::{WorkClass, WorkEstimate, WorkSize};
--- /dev/null
+++ b/crates/rudder-decisions/src/routing/mod.rs
@@ -0,0 +1,9 @@
+//! Which member answers a read.
+
+mod demand;
+mod router;
+
+pub use demand::{
+    MemberHealth, MemberView, MemberWeight, ReadDemand, ReadRoute, RouteChoice, RouteReason,
+};
+pub use router::ReadRouter;
--- /dev/null
+++ b/crates/rudder-decisions/src/routing/router.rs
@@ -0,0 +1,236 @@
+//! Which replica answers a read, or whether it waits for one to catch up, or goes to the primary.
+//!
+//! Load pattern: reads over old and new hardware at different distances, with replicas that trail.
+//! Without it: round robin gives a member at 0.4 of the others' speed as much work as them, its
+//! queue grows without end at a load that the group as a whole carries easily, and reads that the
+//! replicas may serve queue behind writes at the primary.
+//!
+//! The rule is least expected time: link, plus service, plus the wait for a slot. Thresholds: the
+//! primary takes a read that a replica may serve only if it answers [`SPILL_FACTOR`] times sooner
+//! and has a free slot. The share of reads on replicas is the first measure, so spilling must
+//! stay the exception; without it a burst that fills the replicas would queue beside idle slots.
+
+use super::demand::{MemberHealth, MemberView, ReadDemand, ReadRoute, RouteChoice, RouteReason};
+use rand::{Rng, RngExt};
+use rudder_core::MemberRole;
+use std::time::Duration;
+
+/// How many times sooner the primary must answer to take a read that a replica may serve.
+const SPILL_FACTOR: f64 = 4.0;
+
+/// Slots of the primary that reads spilled from replicas leave free.
+const SPILL_SLOTS_KEPT: u32 = 1;
+
+/// Expected times that differ by less than this share count as equal, and chance decides:
+/// instances with the same view would otherwise all choose the same member.
+const TIE_SHARE: f64 = 0.1;
+
+/// Shortest wait for a replica to catch up: below it, asking again costs more than it brings.
+const CATCH_UP_MIN: Duration = Duration::from_millis(1);
+
+/// Why a replica cannot answer now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Obstacle {
+    Floor,
+    Age,
+}
+
+/// Chooses the member for a read. Holds no state: everything learned comes in with the views.
+///
+/// ```
+/// use rand::SeedableRng;
+/// use rudder_decisions::{ReadDemand, ReadRoute, ReadRouter, RouteReason};
+/// use std::time::Duration;
+/// let demand = ReadDemand {
+///     floor: None,
+///     floor_age: Duration::ZERO,
+///     bound: Duration::from_secs(1),
+///     domain: "kigali-a".parse()?,
+///     wait_max: Duration::from_millis(50),
+/// };
+/// let mut rng = rand::rngs::StdRng::seed_from_u64(1);
+/// let choice = ReadRouter::new().choose(&demand, &[], &mut rng);
+/// assert_eq!(choice.route, ReadRoute::Refuse);
+/// assert_eq!(choice.reason, RouteReason::NoMember);
+/// # Ok::<(), rudder_core::ParseError>(())
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReadRouter;
+
+impl ReadRouter {
+    /// A router.
+    ///
+    /// ```
+    /// let _router = rudder_decisions::ReadRouter::new();
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self
+    }
+
+    /// Chooses where a read goes.
+    ///
+    /// The views may be out of date: whether the answer may be used is decided from what the
+    /// member says along with it.
+    ///
+    /// ```
+    /// use rand::SeedableRng;
+    /// use rudder_decisions::{ReadDemand, ReadRoute, ReadRouter};
+    /// use std::time::Duration;
+    /// let demand = ReadDemand {
+    ///     floor: None,
+    ///     floor_age: Duration::ZERO,
+    ///     bound: Duration::ZERO,
+    ///     domain: "bangor".parse()?,
+    ///     wait_max: Duration::ZERO,
+    /// };
+    /// let mut rng = rand::rngs::StdRng::seed_from_u64(1);
+    /// let choice = ReadRouter::new().choose(&demand, &[], &mut rng);
+    /// assert_eq!(choice.reason.to_string(), "no_member");
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn choose(
+        &self,
+        demand: &ReadDemand,
+        members: &[MemberView],
+        rng: &mut dyn Rng,
+    ) -> RouteChoice {
+        for health in [MemberHealth::Ready, MemberHealth::Suspect] {
+            if let Some(choice) = choose_among(demand, members, health, rng) {
+                return choice;
+            }
+        }
+        RouteChoice { route: ReadRoute::Refuse, reason: RouteReason::NoMember }
+    }
+}
+
+/// The choice among the members of one health, or `None` if none of them may serve.
+fn choose_among(
+    demand: &ReadDemand,
+    members: &[MemberView],
+    health: MemberHealth,
+    rng: &mut dyn Rng,
+) -> Option<RouteChoice> {
+    let usable = |index: &usize| members[*index].health == health;
+    let (primaries, replicas): (Vec<usize>, Vec<usize>) = (0..members.len())
+        .filter(usable)
+        .partition(|index| members[*index].role == MemberRole::Primary);
+    let primary = primaries.first().copied();
+    let fresh: Vec<usize> = replicas
+        .iter()
+        .copied()
+        .filter(|index| obstacle(demand, &members[*index]).is_none())
+        .collect();
+    if !fresh.is_empty() {
+        return Some(choose_fresh(members, &fresh, primary, rng));
+    }
+    if let Some(choice) = catch_up(demand, members, &replicas) {
+        return Some(choice);
+    }
+    let reason = if replicas.is_empty() {
+        RouteReason::NoReplica
+    } else if replicas.iter().any(|&index| obstacle(demand, &members[index]) == Some(Obstacle::Age))
+    {
+        RouteReason::TooOld
+    } else {
+        RouteReason::FloorAhead
+    };
+    primary.map(|index| RouteChoice { route: ReadRoute::Primary(index), reason })
+}
+
+/// The fresh replica with the least expected time, or the primary if they are all too busy.
+fn choose_fresh(
+    members: &[MemberView],
+    fresh: &[usize],
+    primary: Option<usize>,
+    rng: &mut dyn Rng,
+) -> RouteChoice {
+    let candidates = draw_by_weight(members, fresh, rng);
+    let best = least_time(members, &candidates, rng);
+    if let Some(primary) = primary
+        && spills(&members[primary], &members[best])
+    {
+        return RouteChoice {
+            route: ReadRoute::Primary(primary),
+            reason: RouteReason::ReplicasBusy,
+        };
+    }
+    let reason = if fresh.len() == 1 { RouteReason::OnlyFresh } else { RouteReason::LeastTime };
+    RouteChoice { route: ReadRoute::Replica(best), reason }
+}
+
+/// The replica that will have caught up soonest, if that is within the allowed wait.
+fn catch_up(
+    demand: &ReadDemand,
+    members: &[MemberView],
+    replicas: &[usize],
+) -> Option<RouteChoice> {
+    let waits = replicas
+        .iter()
+        .copied()
+        .filter(|&index| obstacle(demand, &members[index]) == Some(Obstacle::Floor))
+        .map(|index| (members[index].lag.saturating_sub(demand.floor_age), index));
+    let (wait, index) = waits.min()?;
+    let wait = wait.max(CATCH_UP_MIN);
+    (wait <= demand.wait_max).then_some(RouteChoice {
+        route: ReadRoute::WaitFor(index, wait),
+        reason: RouteReason::CatchUp,
+    })
+}
+
+/// Why `member` cannot answer now, if it cannot. Age comes first: waiting does not mend it.
+fn obstacle(demand: &ReadDemand, member: &MemberView) -> Option<Obstacle> {
+    if member.age.is_none_or(|age| age > demand.bound) {
+        return Some(Obstacle::Age);
+    }
+    if demand.floor.is_some_and(|floor| member.applied < floor) {
+        return Some(Obstacle::Floor);
+    }
+    None
+}
+
+/// Leaves each candidate out with the probability that its weight lacks, but never all of them.
+fn draw_by_weight(members: &[MemberView], fresh: &[usize], rng: &mut dyn Rng) -> Vec<usize> {
+    let drawn: Vec<usize> = fresh
+        .iter()
+        .copied()
+        .filter(|&index| {
+            let permille = u32::from(members[index].weight.permille());
+            permille >= 1000 || rng.random_range(0..1000) < permille
+        })
+        .collect();
+    if !drawn.is_empty() {
+        return drawn;
+    }
+    let heaviest = fresh.iter().copied().max_by_key(|&index| members[index].weight);
+    heaviest.into_iter().collect()
+}
+
+/// The candidate with the least expected time; near ties are broken by chance.
+fn least_time(members: &[MemberView], candidates: &[usize], rng: &mut dyn Rng) -> usize {
+    let times: Vec<f64> =
+        candidates.iter().map(|&index| expected_time_s(&members[index])).collect();
+    let least = times.iter().copied().fold(f64::INFINITY, f64::min);
+    let ties: Vec<usize> = candidates
+        .iter()
+        .zip(&times)
+        .filter(|(_, time)| **time <= least * (1.0 + TIE_SHARE))
+        .map(|(&index, _)| index)
+        .collect();
+    ties[rng.random_range(0..ties.len())]
+}
+
+/// Link, service, and the wait for a slot if all are taken, in seconds.
+fn expected_time_s(member: &MemberView) -> f64 {
+    let slots = member.slots.max(1);
+    let service_s = member.service.as_secs_f64();
+    let ahead = (member.in_flight + 1).saturating_sub(slots);
+    member.link.as_secs_f64() + service_s * (1.0 + f64::from(ahead) / f64::from(slots))
+}
+
+/// Whether the primary should take a read that `replica` may serve.
+fn spills(primary: &MemberView, replica: &MemberView) -> bool {
+    let has_room = primary.in_flight + SPILL_SLOTS_KEPT < primary.slots;
+    has_room && expected_time_s(primary) * SPILL_FACTOR < expected_time_s(replica)
+}
--- /dev/null
+++ b/crates/rudder-decisions/src/work.rs
@@ -0,0 +1,194 @@
+//! Classes and sizes of work, and the estimate of a statement's size from its fingerprint.
+//!
+//! Load pattern: long work among short (a condition map for an engineer among page claims).
+//! Without it: a few reports fill every slot of a member, and each short statement waits for the
+//! longest of them. Thresholds: work counts as long from [`LONG_FACTOR`] times the typical time
+//! upwards. Shorter differences come from hardware (old members run at 0.4 of the speed of new
+//! ones) and from queueing, and must not change a statement's size.
+
+use crate::average::MovingAverage;
+use std::fmt;
+use std::time::Duration;
+
+/// Multiple of the typical service time from which work counts as long.
+const LONG_FACTOR: f64 = 8.0;
+
+/// Work shorter than this is never long, however fast the typical statement is.
+const LONG_MIN: Duration = Duration::from_millis(40);
+
+/// Weight of one more run in a fingerprint's estimate: about the last ten runs count.
+const FINGERPRINT_GAIN: f64 = 0.2;
+
+/// Weight of one more run in the typical time: about the last hundred runs count.
+const TYPICAL_GAIN: f64 = 0.02;
+
+/// Fingerprints remembered; the one unused for longest makes room.
+const FINGERPRINTS_MAX: usize = 2048;
+
+/// Whether a statement changes data.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum WorkClass {
+    /// Reads only.
+    Read,
+    /// May change data, or runs inside a transaction that may.
+    Write,
+}
+
+impl fmt::Display for WorkClass {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Read => "read",
+            Self::Write => "write",
+        })
+    }
+}
+
+/// Whether a statement is expected to hold its slot much longer than the typical one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum WorkSize {
+    /// Of the typical size, or not known.
+    #[default]
+    Short,
+    /// Much longer than the typical statement.
+    Long,
+}
+
+impl fmt::Display for WorkSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Short => "short",
+            Self::Long => "long",
+        })
+    }
+}
+
+/// What is remembered of one fingerprint.
+#[derive(Clone, Debug)]
+struct FingerprintRecord {
+    fingerprint: u64,
+    service: MovingAverage,
+    used: u64,
+}
+
+/// Learns how long statements take, by the fingerprint of their text without its constants.
+///
+/// ```
+/// use rudder_decisions::{WorkEstimate, WorkSize};
+/// use std::time::Duration;
+/// let mut estimate = WorkEstimate::new();
+/// for _ in 0..50 {
+///     estimate.observe(1, Duration::from_millis(10));
+/// }
+/// estimate.observe(2, Duration::from_secs(2));
+/// assert_eq!(estimate.size(1), WorkSize::Short);
+/// assert_eq!(estimate.size(2), WorkSize::Long);
+/// ```
+#[derive(Clone, Debug)]
+pub struct WorkEstimate {
+    records: Vec<FingerprintRecord>,
+    typical_ln_s: Option<f64>,
+    uses: u64,
+}
+
+impl WorkEstimate {
+    /// An estimate that knows nothing: all work is short.
+    ///
+    /// ```
+    /// use rudder_decisions::{WorkEstimate, WorkSize};
+    /// assert_eq!(WorkEstimate::new().size(7), WorkSize::Short);
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self { records: Vec::new(), typical_ln_s: None, uses: 0 }
+    }
+
+    /// Takes in how long one run of `fingerprint` held its slot.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let mut estimate = rudder_decisions::WorkEstimate::new();
+    /// estimate.observe(7, Duration::from_millis(3));
+    /// assert_eq!(estimate.expected(7), Some(Duration::from_millis(3)));
+    /// ```
+    pub fn observe(&mut self, fingerprint: u64, held: Duration) {
+        self.uses += 1;
+        let used = self.uses;
+        let index = self.slot_of(fingerprint);
+        let record = &mut self.records[index];
+        record.service.observe(held);
+        record.used = used;
+        // The typical time is a geometric mean: a few very long runs would drag an arithmetic
+        // mean up until nothing counted as long any more.
+        let held_ln_s = held.as_secs_f64().max(1e-6).ln();
+        self.typical_ln_s = Some(match self.typical_ln_s {
+            Some(typical) => typical + TYPICAL_GAIN * (held_ln_s - typical),
+            None => held_ln_s,
+        });
+    }
+
+    /// The expected time of `fingerprint` at its slot, or `None` if it has not been seen.
+    ///
+    /// ```
+    /// assert_eq!(rudder_decisions::WorkEstimate::new().expected(7), None);
+    /// ```
+    #[must_use]
+    pub fn expected(&self, fingerprint: u64) -> Option<Duration> {
+        let index = self.position(fingerprint).ok()?;
+        self.records[index].service.value()
+    }
+
+    /// The time of a typical statement, or `None` before the first run.
+    ///
+    /// ```
+    /// assert_eq!(rudder_decisions::WorkEstimate::new().typical(), None);
+    /// ```
+    #[must_use]
+    pub fn typical(&self) -> Option<Duration> {
+        self.typical_ln_s.map(|typical| Duration::from_secs_f64(typical.exp()))
+    }
+
+    /// The size of `fingerprint`; short while nothing is known of it.
+    ///
+    /// ```
+    /// use rudder_decisions::WorkSize;
+    /// assert_eq!(rudder_decisions::WorkEstimate::default().size(7), WorkSize::Short);
+    /// ```
+    #[must_use]
+    pub fn size(&self, fingerprint: u64) -> WorkSize {
+        let (Some(expected), Some(typical)) = (self.expected(fingerprint), self.typical()) else {
+            return WorkSize::Short;
+        };
+        let bound = typical.mul_f64(LONG_FACTOR).max(LONG_MIN);
+        if expected >= bound { WorkSize::Long } else { WorkSize::Short }
+    }
+
+    fn position(&self, fingerprint: u64) -> Result<usize, usize> {
+        self.records.binary_search_by_key(&fingerprint, |record| record.fingerprint)
+    }
+
+    fn slot_of(&mut self, fingerprint: u64) -> usize {
+        if let Ok(index) = self.position(fingerprint) {
+            return index;
+        }
+        if self.records.len() >= FINGERPRINTS_MAX {
+            self.forget_oldest();
+        }
+        let index = self.records.partition_point(|record| record.fingerprint < fingerprint);
+        let service = MovingAverage::new(FINGERPRINT_GAIN);
+        self.records.insert(index, FingerprintRecord { fingerprint, service, used: 0 });
+        index
+    }
+
+    fn forget_oldest(&mut self) {
+        let ages = self.records.iter().enumerate().map(|(index, record)| (record.used, index));
+        if let Some((_, index)) = ages.min() {
+            self.records.remove(index);
+        }
+    }
+}
+
+impl Default for WorkEstimate {
+    fn default() -> Self {
+        Self::new()
+    }
+}
