settings: merge and check a folder of TOML files

Cause: operators declare services, members, callers and bounds in many small files, and nothing read them.

--- /dev/null
+++ b/crates/rudder-settings/src/check/fleet.rs
@@ -0,0 +1,156 @@
+//! Checks across tables: domains that members name, addresses, users and names given twice.
+
+use crate::model::FleetSettings;
+use crate::problem::{SettingsProblem, SourcePlace};
+use crate::source::{SourceTable, SourceValue};
+
+/// Adds what is wrong between the tables of a tree.
+pub(crate) fn check_fleet(
+    tree: &SourceTable,
+    fleet: &FleetSettings,
+    problems: &mut Vec<SettingsProblem>,
+) {
+    check_members_present(tree, fleet, problems);
+    check_domains(tree, fleet, problems);
+    check_addresses(tree, fleet, problems);
+    check_member_names(tree, fleet, problems);
+    check_users(tree, fleet, problems);
+}
+
+/// A service without members can serve nobody. Members refused for another reason count here.
+fn check_members_present(
+    tree: &SourceTable,
+    fleet: &FleetSettings,
+    problems: &mut Vec<SettingsProblem>,
+) {
+    for service in &fleet.services {
+        let path = ["services", service.name.as_str()];
+        let members = find_value(tree, &[path[0], path[1], "members"]);
+        let present =
+            matches!(members, Some(SourceValue::Table(table)) if !table.entries.is_empty());
+        if !present {
+            let right = format!("add a table [services.{}.members.NAME]", service.name);
+            problems.push(problem(tree, &path, "the service has no members", right));
+        }
+    }
+}
+
+fn check_domains(tree: &SourceTable, fleet: &FleetSettings, problems: &mut Vec<SettingsProblem>) {
+    // The keys of the tree, not the accepted domains: one that lacks its region is declared too.
+    let known: Vec<&str> = match find_value(tree, &["domains"]) {
+        Some(SourceValue::Table(table)) => {
+            table.entries.iter().map(|entry| entry.key.as_str()).collect()
+        }
+        _ => Vec::new(),
+    };
+    for (service, member) in each_member(fleet) {
+        if known.binary_search(&member.domain.as_str()).is_ok() {
+            continue;
+        }
+        let path = ["services", service, "members", member.name.as_str(), "domain"];
+        let wrong = format!("failure domain \"{}\" is not declared", member.domain);
+        let declare = format!("declare it with [domains.{}]", member.domain);
+        let right = match known.as_slice() {
+            [] => declare,
+            names => format!("use one of {}, or {declare}", names.join(", ")),
+        };
+        problems.push(problem(tree, &path, wrong, right));
+    }
+}
+
+fn check_addresses(tree: &SourceTable, fleet: &FleetSettings, problems: &mut Vec<SettingsProblem>) {
+    let mut seen: Vec<(std::net::SocketAddr, String)> = Vec::new();
+    for (service, member) in each_member(fleet) {
+        let owner = format!("services.{service}.members.{}", member.name);
+        match seen.binary_search_by(|(address, _)| address.cmp(&member.address)) {
+            Ok(index) => {
+                let path = ["services", service, "members", member.name.as_str(), "address"];
+                let wrong =
+                    format!("address {} belongs to {} already", member.address, seen[index].1);
+                let right = "give each member an address of its own";
+                problems.push(problem(tree, &path, wrong, right));
+            }
+            Err(index) => seen.insert(index, (member.address, owner)),
+        }
+    }
+}
+
+/// Logs and orders speak of members by name, so a name stands for one member in the whole fleet.
+fn check_member_names(
+    tree: &SourceTable,
+    fleet: &FleetSettings,
+    problems: &mut Vec<SettingsProblem>,
+) {
+    let mut seen: Vec<(&str, &str)> = Vec::new();
+    for (service, member) in each_member(fleet) {
+        let name = member.name.as_str();
+        match seen.binary_search_by(|(known, _)| (*known).cmp(name)) {
+            Ok(index) => {
+                let path = ["services", service, "members", name];
+                let wrong = format!("service {} has a member of this name already", seen[index].1);
+                let right = "give each member of the fleet a name of its own";
+                problems.push(problem(tree, &path, wrong, right));
+            }
+            Err(index) => seen.insert(index, (name, service)),
+        }
+    }
+}
+
+fn check_users(tree: &SourceTable, fleet: &FleetSettings, problems: &mut Vec<SettingsProblem>) {
+    let mut seen: Vec<(&str, &str)> = Vec::new();
+    for caller in &fleet.callers {
+        let kind = caller.kind.as_str();
+        for user in &caller.users {
+            match seen.binary_search_by(|(known, _)| (*known).cmp(user)) {
+                Ok(index) => {
+                    let path = ["callers", kind, "users"];
+                    let wrong =
+                        format!("user \"{user}\" belongs to kind {} already", seen[index].1);
+                    let right = "name each user in one kind of caller";
+                    problems.push(problem(tree, &path, wrong, right));
+                }
+                Err(index) => seen.insert(index, (user, kind)),
+            }
+        }
+    }
+}
+
+fn each_member(
+    fleet: &FleetSettings,
+) -> impl Iterator<Item = (&str, &crate::model::MemberSettings)> {
+    fleet.services.iter().flat_map(|service| {
+        service.members.iter().map(move |member| (service.name.as_str(), member))
+    })
+}
+
+fn problem(
+    tree: &SourceTable,
+    path: &[&str],
+    wrong: impl Into<String>,
+    right: impl Into<String>,
+) -> SettingsProblem {
+    SettingsProblem {
+        place: find_place(tree, path),
+        key: path.join("."),
+        wrong: wrong.into(),
+        right: right.into(),
+    }
+}
+
+fn find_place(tree: &SourceTable, path: &[&str]) -> Option<SourcePlace> {
+    let (last, tables) = path.split_last()?;
+    let entry = find_table(tree, tables)?.entry(last)?;
+    Some(entry.place.clone())
+}
+
+fn find_value<'t>(tree: &'t SourceTable, path: &[&str]) -> Option<&'t SourceValue> {
+    let (last, tables) = path.split_last()?;
+    Some(&find_table(tree, tables)?.entry(last)?.node.value)
+}
+
+fn find_table<'t>(tree: &'t SourceTable, path: &[&str]) -> Option<&'t SourceTable> {
+    path.iter().try_fold(tree, |table, key| match &table.entry(key)?.node.value {
+        SourceValue::Table(inner) => Some(inner),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/rudder-settings/src/check/reader.rs
@@ -0,0 +1,152 @@
+//! Reads one table key by key, notes what is wrong and which keys nobody asked for.
+
+use super::nearest::nearest_key;
+use super::value::ValueRefusal;
+use crate::folder::join_key;
+use crate::problem::{SettingsProblem, SourcePlace};
+use crate::source::{SourceEntry, SourceTable, SourceValue};
+use std::str::FromStr;
+
+/// A cursor over one table.
+pub(crate) struct TableReader<'t, 'p> {
+    path: String,
+    place: Option<SourcePlace>,
+    table: &'t SourceTable,
+    known: Vec<&'static str>,
+    problems: &'p mut Vec<SettingsProblem>,
+}
+
+impl<'t, 'p> TableReader<'t, 'p> {
+    /// A reader of the whole tree.
+    pub(crate) fn root(table: &'t SourceTable, problems: &'p mut Vec<SettingsProblem>) -> Self {
+        Self { path: String::new(), place: None, table, known: Vec::new(), problems }
+    }
+
+    /// Notes a problem of one key that stands in this table.
+    pub(crate) fn refuse_key(&mut self, key: &str, wrong: String, right: String) {
+        let place = self.table.entry(key).map(|entry| entry.node.place.clone());
+        let place = place.or_else(|| self.place.clone());
+        self.problems.push(SettingsProblem { place, key: join_key(&self.path, key), wrong, right });
+    }
+
+    /// Reads a key that may be missing.
+    pub(crate) fn optional<T>(
+        &mut self,
+        key: &'static str,
+        parse: impl Fn(&SourceValue) -> Result<T, ValueRefusal>,
+    ) -> Option<T> {
+        self.known.push(key);
+        let entry = self.table.entry(key)?;
+        match parse(&entry.node.value) {
+            Ok(value) => Some(value),
+            Err(refusal) => {
+                self.refuse_key(key, refusal.wrong, refusal.right);
+                None
+            }
+        }
+    }
+
+    /// Reads a key that must stand here.
+    pub(crate) fn required<T>(
+        &mut self,
+        key: &'static str,
+        example: &str,
+        parse: impl Fn(&SourceValue) -> Result<T, ValueRefusal>,
+    ) -> Option<T> {
+        if self.table.entry(key).is_none() {
+            self.known.push(key);
+            self.refuse_key(key, "missing".to_owned(), format!("add {key} = {example}"));
+            return None;
+        }
+        self.optional(key, parse)
+    }
+
+    /// Reads a table of this table.
+    pub(crate) fn table<T>(
+        &mut self,
+        key: &'static str,
+        read: impl FnOnce(&mut TableReader<'_, '_>) -> T,
+    ) -> Option<T> {
+        self.known.push(key);
+        let entry = self.table.entry(key)?;
+        let path = join_key(&self.path, key);
+        self.inner(entry, path, read)
+    }
+
+    /// Reads a table of tables that are named by their keys; the result is sorted by name.
+    pub(crate) fn named_tables<N: FromStr, T>(
+        &mut self,
+        key: &'static str,
+        read: impl Fn(N, &mut TableReader<'_, '_>) -> Option<T>,
+    ) -> Vec<T>
+    where
+        N::Err: std::fmt::Display,
+    {
+        self.table(key, |reader| {
+            let entries = reader.table.entries.iter();
+            entries.filter_map(|entry| reader.named_table(entry, &read)).collect()
+        })
+        .unwrap_or_default()
+    }
+
+    /// Notes every key that nobody asked for.
+    pub(crate) fn finish(&mut self) {
+        for entry in &self.table.entries {
+            if self.known.contains(&entry.key.as_str()) {
+                continue;
+            }
+            let right = match nearest_key(&entry.key, &self.known) {
+                Some(key) => format!("did you mean {key}?"),
+                None => format!("known here: {}", self.known.join(", ")),
+            };
+            self.problems.push(SettingsProblem {
+                place: Some(entry.place.clone()),
+                key: join_key(&self.path, &entry.key),
+                wrong: "unknown key".to_owned(),
+                right,
+            });
+        }
+    }
+
+    fn named_table<N: FromStr, T>(
+        &mut self,
+        entry: &SourceEntry,
+        read: &impl Fn(N, &mut TableReader<'_, '_>) -> Option<T>,
+    ) -> Option<T>
+    where
+        N::Err: std::fmt::Display,
+    {
+        let path = join_key(&self.path, &entry.key);
+        match entry.key.parse::<N>() {
+            Ok(name) => self.inner(entry, path, |reader| read(name, reader))?,
+            Err(error) => {
+                self.problems.push(SettingsProblem {
+                    place: Some(entry.place.clone()),
+                    key: path,
+                    wrong: format!("not a name: {error}"),
+                    right: "choose a name such as kigali-a".to_owned(),
+                });
+                None
+            }
+        }
+    }
+
+    fn inner<T>(
+        &mut self,
+        entry: &SourceEntry,
+        path: String,
+        read: impl FnOnce(&mut TableReader<'_, '_>) -> T,
+    ) -> Option<T> {
+        let place = Some(entry.place.clone());
+        let SourceValue::Table(table) = &entry.node.value else {
+            let wrong = format!("{} is not a table", entry.node.value);
+            let right = format!("open a table with [{path}]");
+            self.problems.push(SettingsProblem { place, key: path, wrong, right });
+            return None;
+        };
+        let problems = &mut *self.problems;
+        let mut reader = TableReader { path, place, table, known: Vec::new(), problems };
+        let value = read(&mut reader);
+        Some(value)
+    }
+}
--- /dev/null
+++ b/crates/rudder-settings/src/check/service.rs
@@ -0,0 +1,81 @@
+//! `[services.NAME]` and `[services.NAME.members.NAME]`: a database group.
+
+use super::reader::TableReader;
+use super::value::{
+    ValueRefusal, parse_address, parse_choice, parse_count, parse_name, parse_percent, parse_text,
+    parse_truth,
+};
+use crate::model::{AckRule, MemberSettings, ServiceSettings};
+use crate::source::SourceValue;
+use rudder_core::{ConnectionCount, MemberName, MemberSpeed, ServiceName, SlotCount};
+
+const SLOTS_MAX: u32 = 10_000;
+const CONNECTIONS_MAX: u32 = 100_000;
+/// Percent of the reference member.
+const SPEED_MAX: u32 = 10_000;
+const SPEED_DEFAULT: MemberSpeed = MemberSpeed(100);
+const USER_DEFAULT: &str = "rudder";
+
+const ACK_WORDS: [(&str, AckRule); 2] =
+    [("majority", AckRule::Majority), ("primary", AckRule::Primary)];
+
+pub(crate) fn read_service(
+    name: ServiceName,
+    reader: &mut TableReader<'_, '_>,
+) -> Option<ServiceSettings> {
+    let database = reader.optional("database", parse_text);
+    let user = reader.optional("user", parse_text);
+    let password_variable = reader.optional("password_variable", parse_variable);
+    let ack = reader.optional("ack", |value| parse_choice(value, &ACK_WORDS));
+    let members = reader.named_tables("members", read_member);
+    reader.finish();
+    Some(ServiceSettings {
+        database: database.unwrap_or_else(|| name.to_string()),
+        user: user.unwrap_or_else(|| USER_DEFAULT.to_owned()),
+        password_variable,
+        ack: ack.unwrap_or_default(),
+        members,
+        name,
+    })
+}
+
+fn read_member(name: MemberName, reader: &mut TableReader<'_, '_>) -> Option<MemberSettings> {
+    let address = reader.required("address", "\"10.20.1.11:5432\"", parse_address);
+    let domain = reader.required("domain", "\"kigali-a\"", parse_name);
+    let slots = reader.required("slots", "5", |value| parse_count(value, 1, SLOTS_MAX));
+    let connections =
+        reader.required("connections", "30", |value| parse_count(value, 1, CONNECTIONS_MAX));
+    let speed = reader.optional("speed", |value| parse_percent(value, 1, SPEED_MAX));
+    let draining = reader.optional("draining", parse_truth);
+    reader.finish();
+    if let (Some(slots), Some(connections)) = (slots, connections)
+        && connections < slots
+    {
+        let wrong = format!("{connections} connections cannot fill {slots} slots");
+        reader.refuse_key("connections", wrong, format!("give at least {slots}"));
+    }
+    Some(MemberSettings {
+        name,
+        address: address?,
+        domain: domain?,
+        slots: SlotCount(slots?),
+        connections: ConnectionCount(connections?),
+        speed: speed.map_or(SPEED_DEFAULT, MemberSpeed),
+        draining: draining.unwrap_or_default(),
+    })
+}
+
+/// The name of an environment variable. A password written here by mistake is not echoed.
+fn parse_variable(value: &SourceValue) -> Result<String, ValueRefusal> {
+    let right =
+        "name the environment variable that holds the password, such as \"SCORES_PASSWORD\"";
+    let SourceValue::Text(text) = value else {
+        return Err(ValueRefusal::new("not a text", right));
+    };
+    let allowed = |byte: u8| byte.is_ascii_uppercase() || byte.is_ascii_digit() || byte == b'_';
+    let starts_well = text.bytes().next().is_some_and(|byte| !byte.is_ascii_digit());
+    if starts_well && text.bytes().all(allowed) {
+        return Ok(text.clone());
+    }
+    Err(ValueRefusal::new("not the name of a variable (A-Z, 0-9 and \"_\")", right))
+}
--- /dev/null
+++ b/crates/rudder-settings/src/file.rs
@@ -0,0 +1,149 @@
+//! One file of the operators' folder: its name and its text.
+
+use displaydoc::Display;
+use rudder_core::plain_data;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::path::Path;
+use std::str::FromStr;
+
+/// Files of a folder end in this; others are not settings.
+const FILE_SUFFIX: &str = ".toml";
+
+/// File names become part of object names in the platform, which allow 253 characters.
+const FILE_NAME_LENGTH_MAX: usize = 120;
+
+/// The name of a settings file, such as `10-services.toml`. Files merge in the order of names.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct FileName(String);
+
+impl FileName {
+    /// The name as text.
+    ///
+    /// ```
+    /// let name: rudder_settings::FileName = "10-services.toml".parse()?;
+    /// assert_eq!(name.as_str(), "10-services.toml");
+    /// # Ok::<(), rudder_settings::FolderError>(())
+    /// ```
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for FileName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for FileName {
+    type Err = FolderError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let refusal = || FolderError::Name(text.chars().take(FILE_NAME_LENGTH_MAX).collect());
+        let stem = text.strip_suffix(FILE_SUFFIX).ok_or_else(refusal)?;
+        let allowed =
+            |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_.".contains(&byte);
+        let starts_well = stem.bytes().next().is_some_and(|byte| byte.is_ascii_alphanumeric());
+        if starts_well && text.len() <= FILE_NAME_LENGTH_MAX && stem.bytes().all(allowed) {
+            return Ok(Self(text.to_owned()));
+        }
+        Err(refusal())
+    }
+}
+
+impl TryFrom<String> for FileName {
+    type Error = FolderError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<FileName> for String {
+    fn from(name: FileName) -> Self {
+        name.0
+    }
+}
+
+plain_data! {
+    /// One file of the operators' folder.
+    #[derive(Serialize, Deserialize)]
+    pub struct SettingsFile {
+        /// Its name, which decides its place in the merge.
+        pub name: FileName,
+        /// Its text, TOML.
+        pub text: String,
+    }
+}
+
+impl SettingsFile {
+    /// A file from its name and text.
+    ///
+    /// ```
+    /// let file = rudder_settings::SettingsFile::new("10-domains.toml", "")?;
+    /// assert_eq!(file.name.as_str(), "10-domains.toml");
+    /// # Ok::<(), rudder_settings::FolderError>(())
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// When the name is not a settings file's name.
+    pub fn new(name: &str, text: impl Into<String>) -> Result<Self, FolderError> {
+        Ok(Self { name: name.parse()?, text: text.into() })
+    }
+}
+
+/// Why a folder could not be read.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[ignore_extra_doc_attributes]
+pub enum FolderError {
+    /// "{0}" is not the name of a settings file: use a-z, 0-9, "-", "_" and ".", ending in .toml
+    Name(String),
+    /// folder {folder} cannot be read: {reason}
+    Unreadable {
+        /// The folder or file.
+        folder: String,
+        /// What the operating system said.
+        reason: String,
+    },
+    /// folder {0} holds no .toml file
+    Empty(String),
+}
+
+impl std::error::Error for FolderError {}
+
+/// Reads the `.toml` files of a folder, sorted by name; other files are left alone.
+///
+/// ```
+/// assert!(rudder_settings::read_folder(std::path::Path::new("/no/such/folder")).is_err());
+/// ```
+///
+/// # Errors
+///
+/// When the folder or a file cannot be read, a name is not allowed, or there is no file.
+pub fn read_folder(folder: &Path) -> Result<Vec<SettingsFile>, FolderError> {
+    let unreadable = |place: &Path, error: std::io::Error| FolderError::Unreadable {
+        folder: place.display().to_string(),
+        reason: error.to_string(),
+    };
+    let entries = std::fs::read_dir(folder).map_err(|error| unreadable(folder, error))?;
+    let mut files = Vec::new();
+    for entry in entries {
+        let path = entry.map_err(|error| unreadable(folder, error))?.path();
+        let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        let hidden = name.starts_with('.');
+        if hidden || !name.ends_with(FILE_SUFFIX) {
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).map_err(|error| unreadable(&path, error))?;
+        files.push(SettingsFile::new(&name, text)?);
+    }
+    if files.is_empty() {
+        return Err(FolderError::Empty(folder.display().to_string()));
+    }
+    files.sort_by(|one, other| one.name.cmp(&other.name));
+    Ok(files)
+}
--- /dev/null
+++ b/crates/rudder-settings/src/folder.rs
@@ -0,0 +1,104 @@
+//! A folder as a whole: merged in the order of names, checked, typed.
+
+use crate::check::check_tree;
+use crate::file::SettingsFile;
+use crate::merge::overlay;
+use crate::model::FleetSettings;
+use crate::problem::{SettingsProblem, SettingsRefusal, SourcePlace};
+use crate::source::{SourceTable, SourceValue, parse_file};
+use rudder_core::plain_data;
+use serde::Serialize;
+
+plain_data! {
+    /// One merged value and the file that gave it.
+    #[derive(Serialize)]
+    pub struct MergedValue {
+        /// The key, dotted.
+        pub key: String,
+        /// The value, as TOML would write it.
+        pub value: String,
+        /// Where the value in force stands.
+        pub place: SourcePlace,
+    }
+}
+
+plain_data! {
+    /// A folder that passed every check.
+    pub struct MergedFolder {
+        /// The settings.
+        pub fleet: FleetSettings,
+        /// Every value in force and where it stands, sorted by key.
+        pub values: Vec<MergedValue>,
+    }
+}
+
+/// Merges files in the order of their names and checks the whole.
+///
+/// The order in which `files` are given does not matter; of two files with one name the last wins.
+///
+/// ```
+/// use rudder_settings::{SettingsFile, merge_folder};
+/// let first = SettingsFile::new("10-a.toml", "[domains.kigali-a]\nregion = \"north\"")?;
+/// let later = SettingsFile::new("20-b.toml", "[domains.kigali-a]\nregion = \"kigali\"")?;
+/// let merged = merge_folder(&[later, first])?;
+/// assert_eq!(merged.fleet.domains[0].region, "kigali");
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+///
+/// # Errors
+///
+/// Every problem of the folder at once, each with its file, line and key.
+pub fn merge_folder(files: &[SettingsFile]) -> Result<MergedFolder, SettingsRefusal> {
+    let mut problems = Vec::new();
+    let tree = merge_trees(files, &mut problems);
+    if !problems.is_empty() {
+        return Err(refusal(problems));
+    }
+    let fleet = check_tree(&tree, &mut problems);
+    if !problems.is_empty() {
+        return Err(refusal(problems));
+    }
+    let mut values = Vec::new();
+    list_values("", &tree, &mut values);
+    Ok(MergedFolder { fleet, values })
+}
+
+fn refusal(mut problems: Vec<SettingsProblem>) -> SettingsRefusal {
+    problems.sort();
+    problems.dedup();
+    SettingsRefusal { problems }
+}
+
+fn merge_trees(files: &[SettingsFile], problems: &mut Vec<SettingsProblem>) -> SourceTable {
+    let mut ordered: Vec<&SettingsFile> = files.iter().collect();
+    ordered.sort_by(|one, other| one.name.cmp(&other.name));
+    let mut tree = SourceTable::default();
+    for (index, file) in ordered.iter().enumerate() {
+        let replaced = ordered.get(index + 1).is_some_and(|next| next.name == file.name);
+        if replaced {
+            continue;
+        }
+        match parse_file(file) {
+            Ok(table) => overlay(&mut tree, table),
+            Err(mut found) => problems.append(&mut found),
+        }
+    }
+    tree
+}
+
+fn list_values(path: &str, table: &SourceTable, values: &mut Vec<MergedValue>) {
+    for entry in &table.entries {
+        let key = join_key(path, &entry.key);
+        if let SourceValue::Table(inner) = &entry.node.value {
+            list_values(&key, inner, values);
+            continue;
+        }
+        let value = entry.node.value.to_string();
+        values.push(MergedValue { key, value, place: entry.place.clone() });
+    }
+}
+
+/// Joins a key to its table's path.
+pub(crate) fn join_key(path: &str, key: &str) -> String {
+    if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") }
+}
