--- /dev/null
+++ b/crates/arbutusrudder/src/caller/acknowledge.rs
@@ -0,0 +1,75 @@
+//! Acknowledging a commit: the member's own status after it, then a majority of the group.
+
+use crate::exchange::ExchangeError;
+use crate::group::{ConfirmOutcome, GroupState, PooledConnection};
+use rudder_core::{ControlStatement, LogStamp, LogTerm, MemberRole, MemberStatus};
+use rudder_endpoint::{ControlError, WireError};
+use rudder_settings::AckRule;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Queues the question for a member's status on a connection in use.
+pub(crate) fn ask_status(pooled: &mut PooledConnection) -> Result<(), ExchangeError> {
+    let question = ControlStatement::Status.to_string();
+    pooled.connection.queue_query(&question).map_err(|_| ExchangeError::MemberSilent)
+}
+
+/// Reads the answer to [`ask_status`], and notes it as asked for at `asked_at`.
+pub(crate) async fn read_status(
+    group: &GroupState,
+    member: usize,
+    pooled: &mut PooledConnection,
+    asked_at: Duration,
+) -> Result<MemberStatus, ExchangeError> {
+    let bound = group.timing.statement_timeout;
+    match timeout(bound, pooled.connection.next_status()).await {
+        Ok(Ok(status)) => {
+            group.board.note(group.members[member].name(), asked_at, status);
+            Ok(status)
+        }
+        Ok(Err(ControlError::Unreachable(_))) => Err(ExchangeError::Member(WireError::Closed)),
+        Ok(Err(_)) | Err(_) => Err(ExchangeError::MemberSilent),
+    }
+}
+
+/// Waits until what was committed at `term` may be acknowledged, and answers its stamp; `None` if
+/// nobody can tell whether it stays. The question for the status after the commit must have been
+/// queued already, at `asked_at` or later.
+pub(crate) async fn acknowledge(
+    group: &GroupState,
+    member: usize,
+    pooled: &mut PooledConnection,
+    term: Option<LogTerm>,
+    asked_at: Duration,
+) -> Option<LogStamp> {
+    let after = read_status(group, member, pooled, asked_at).await.ok()?;
+    // Guards against a member that was superseded and led again in between: it would report a
+    // log in which the commit may have been dropped. Terms only grow, so the same term before and
+    // after means that nothing happened between.
+    if term.is_none() || leading_term(&after) != term {
+        return None;
+    }
+    confirm(group, member, after.received).await.then_some(after.received)
+}
+
+async fn confirm(group: &GroupState, member: usize, commit: LogStamp) -> bool {
+    if group.service.ack == AckRule::Primary {
+        return true;
+    }
+    let outcome = group.confirm_commit(commit, group.timing.ack_timeout).await;
+    if outcome != ConfirmOutcome::Acknowledged {
+        log::warn!(
+            target: "rudder::acknowledge", service:% = group.service.name,
+            member:% = group.members[member].name(), commit:% = commit,
+            reason = if outcome == ConfirmOutcome::Superseded { "superseded" } else { "timed_out" };
+            "commit not acknowledged"
+        );
+    }
+    outcome == ConfirmOutcome::Acknowledged
+}
+
+/// The term at which a member leads, if it does.
+pub(crate) fn leading_term(status: &MemberStatus) -> Option<LogTerm> {
+    let leads = status.role == MemberRole::Primary && status.received.term == status.accepted;
+    leads.then_some(status.accepted)
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/caller/attempt.rs
@@ -0,0 +1,225 @@
+//! One attempt to run a batch at one member: a slot, a connection, and the status that the member
+//! gives on the same connection before the batch.
+
+use super::acknowledge::{acknowledge, ask_status, read_status};
+use super::session::CallerSession;
+use crate::exchange::{CallerBatch, ExchangeError, RelayBounds, sync_settings};
+use crate::group::{AdmissionPass, GroupState, PoolError, PooledConnection};
+use displaydoc::Display;
+use rudder_core::{ControlStatement, LogStamp, LogTerm, MemberStatus};
+use rudder_decisions::{AdmissionRequest, RefusalReason, WorkClass, WorkSize};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Why an attempt did not come to run its batch: nothing of the batch took effect.
+#[derive(Debug, Display)]
+#[ignore_extra_doc_attributes]
+pub(crate) enum AttemptError {
+    /// turned away at the gate: {0:?}
+    Refused(RefusalReason),
+    /// no connection: {0}
+    Pool(PoolError),
+}
+
+impl std::error::Error for AttemptError {}
+
+/// A member's connection in use for one batch.
+pub(crate) struct MemberAttempt {
+    /// The group.
+    pub(crate) group: Arc<GroupState>,
+    /// The member's index.
+    pub(crate) member: usize,
+    /// The connection.
+    pub(crate) pooled: PooledConnection,
+    /// The settings statements that were queued first have a reply to skip.
+    settings_queued: bool,
+    started: Instant,
+    asked_at: Duration,
+    _pass: AdmissionPass,
+    _load: LoadGuard,
+}
+
+/// Counts a statement in flight at a member while it lives.
+struct LoadGuard {
+    group: Arc<GroupState>,
+    member: usize,
+}
+
+impl LoadGuard {
+    fn new(group: &Arc<GroupState>, member: usize) -> Self {
+        group.members[member].in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { group: Arc::clone(group), member }
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.group.members[self.member].in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Waits for a slot at a member, as long as the caller's kind allows.
+pub(crate) async fn enter(
+    session: &CallerSession,
+    group: &Arc<GroupState>,
+    member: usize,
+    class: WorkClass,
+    deadline: Instant,
+) -> Result<AdmissionPass, RefusalReason> {
+    let request = AdmissionRequest {
+        lane: group.lane(member),
+        kind: session.caller.kind.clone(),
+        caller: session.caller_key,
+        class,
+        size: WorkSize::Short,
+        shed: session.caller.shed == rudder_settings::ShedOrder::First,
+        in_flight_max: session.caller.in_flight_max,
+        queue_wait: session.caller.queue_wait,
+        deadline,
+    };
+    let asked = Instant::now();
+    let outcome = group.desk.enter(&request).await;
+    metrics::histogram!("rudder_queue_seconds", "class" => class.to_string())
+        .record(asked.elapsed());
+    if let Err(reason) = &outcome {
+        log::info!(
+            target: "rudder::admission", service:% = group.service.name,
+            member:% = group.members[member].name(), kind:% = session.caller.kind,
+            class:% = class, reason:% = reason.word,
+            retry_after_ms = reason.retry_after.as_millis() as u64; "request turned away"
+        );
+    }
+    outcome
+}
+
+impl MemberAttempt {
+    /// Takes a slot and a connection, and queues what goes before the batch: the session's
+    /// settings and the question for the member's status.
+    pub(crate) async fn begin(
+        session: &mut CallerSession,
+        group: &Arc<GroupState>,
+        member: usize,
+        class: WorkClass,
+        deadline: Instant,
+    ) -> Result<Self, AttemptError> {
+        let pass = enter(session, group, member, class, deadline)
+            .await
+            .map_err(AttemptError::Refused)?;
+        let load = LoadGuard::new(group, member);
+        let within = deadline.saturating_duration_since(Instant::now());
+        let timing = &group.timing;
+        let pool = &group.members[member].pool;
+        let mut pooled = pool
+            .take(within, timing.connect_timeout, timing.idle_check_after)
+            .await
+            .map_err(AttemptError::Pool)?;
+        let unsent = |error| AttemptError::Pool(PoolError::Endpoint(error));
+        let settings_queued = sync_settings(&mut pooled, &session.settings).map_err(unsent)?;
+        let question = ControlStatement::Status.to_string();
+        pooled.connection.queue_query(&question).map_err(unsent)?;
+        let target = (pool.address().address, pooled.connection.cancel_target());
+        *session.cancel.slot.lock().await = Some(target);
+        Ok(Self {
+            group: Arc::clone(group),
+            member,
+            pooled,
+            settings_queued,
+            started: Instant::now(),
+            asked_at: group.board.now(),
+            _pass: pass,
+            _load: load,
+        })
+    }
+
+    /// Queues the question for the member's status after the batch.
+    pub(crate) fn ask_again(&mut self) -> Result<(), ExchangeError> {
+        ask_status(&mut self.pooled)
+    }
+
+    /// Reads the status that was asked for before the batch.
+    pub(crate) async fn first_status(&mut self) -> Result<MemberStatus, ExchangeError> {
+        if self.settings_queued {
+            self.settings_queued = false;
+            self.skip_settings().await?;
+        }
+        self.last_status().await
+    }
+
+    /// Reads the status that was asked for after the batch. It was queued together with the batch,
+    /// so it counts as asked for when the batch began.
+    pub(crate) async fn last_status(&mut self) -> Result<MemberStatus, ExchangeError> {
+        read_status(&self.group, self.member, &mut self.pooled, self.asked_at).await
+    }
+
+    /// Waits until what the batch committed at `term` may be acknowledged.
+    pub(crate) async fn acknowledge(
+        &mut self,
+        term: Option<LogTerm>,
+        asked_again: bool,
+    ) -> Option<LogStamp> {
+        if !asked_again {
+            self.ask_again().ok()?;
+        }
+        acknowledge(&self.group, self.member, &mut self.pooled, term, self.asked_at).await
+    }
+
+    /// Reads the reply to the settings that were queued. A failure shows again at the status.
+    async fn skip_settings(&mut self) -> Result<(), ExchangeError> {
+        let bound = self.group.timing.statement_timeout;
+        let link = self.pooled.connection.link();
+        let skip = async {
+            loop {
+                let frame = link.next_frame().await.map_err(ExchangeError::Member)?;
+                if frame.tag == rudder_endpoint::tag::READY {
+                    return Ok(());
+                }
+            }
+        };
+        timeout(bound, skip).await.map_err(|_| ExchangeError::MemberSilent)?
+    }
+
+    /// Bounds for relaying `batch`.
+    pub(crate) fn bounds(&self, batch: &CallerBatch) -> RelayBounds {
+        bounds_of(&self.group, batch)
+    }
+
+    /// Ends an attempt whose member is ready and outside of a transaction.
+    pub(crate) async fn finish(self, session: &CallerSession) {
+        let member = &self.group.members[self.member];
+        member.observe(self.started.elapsed());
+        // Waits for a cancel on its way: it must not hit the connection's next caller.
+        *session.cancel.slot.lock().await = None;
+        member.pool.give_back(self.pooled);
+    }
+
+    /// Ends an attempt whose connection cannot be trusted any more: it is closed, so that a late
+    /// answer reaches nobody.
+    pub(crate) async fn abandon(self, session: &CallerSession, error: &ExchangeError) {
+        let member = &self.group.members[self.member];
+        if !matches!(error, ExchangeError::Caller(_)) {
+            member.fail();
+        }
+        *session.cancel.slot.lock().await = None;
+        log::info!(
+            target: "rudder::attempt", service:% = self.group.service.name,
+            member:% = member.name(), reason:% = error; "connection to member given up"
+        );
+    }
+
+    /// Gives up the slot and keeps the connection, for a transaction.
+    pub(crate) fn into_pooled(self) -> PooledConnection {
+        self.group.members[self.member].observe(self.started.elapsed());
+        self.pooled
+    }
+}
+
+/// Bounds for relaying `batch` at a member of `group`.
+pub(crate) fn bounds_of(group: &GroupState, batch: &CallerBatch) -> RelayBounds {
+    RelayBounds {
+        member_silence: group.timing.statement_timeout,
+        caller_silence: group.timing.transaction_idle_timeout,
+        end: batch.end,
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/caller/collect.rs
@@ -0,0 +1,148 @@
+//! Collecting a batch from the caller's frames.
+
+use super::session::CallerSession;
+use crate::classify::FactsCache;
+use crate::exchange::{BatchEnd, BatchFrame, CallerBatch, PreparedStatement};
+use bytes::Bytes;
+use rudder_endpoint::{FramePart, WireError, WireFrame, tag};
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_128;
+
+/// What a caller sent.
+pub(crate) enum CallerInput {
+    /// A batch to answer.
+    Batch(CallerBatch),
+    /// The end of the connection.
+    Goodbye,
+}
+
+/// Frames of one batch at most; a longer pipeline without Sync is refused.
+const BATCH_FRAMES_MAX: usize = 65_536;
+
+/// Reads frames until the caller waits for an answer.
+pub(crate) async fn collect_batch(
+    session: &mut CallerSession,
+    facts: &FactsCache,
+) -> Result<CallerInput, WireError> {
+    let mut batch = CallerBatch {
+        frames: Vec::new(),
+        end: BatchEnd::Sync,
+        summaries: Vec::new(),
+        executes: false,
+    };
+    loop {
+        let frame = session.link.next_frame().await?;
+        if batch.frames.len() >= BATCH_FRAMES_MAX {
+            return Err(WireError::Malformed("a batch has too many messages"));
+        }
+        match frame.tag {
+            tag::QUERY => {
+                let text = text_of(frame.body())?;
+                batch.summaries.push(facts.summary_of(text));
+                batch.frames.push(BatchFrame::Plain(frame));
+                batch.end = BatchEnd::Simple;
+                batch.executes = true;
+                return Ok(CallerInput::Batch(batch));
+            }
+            tag::SYNC => return Ok(CallerInput::Batch(batch)),
+            tag::FLUSH if batch.frames.is_empty() => {}
+            tag::FLUSH => {
+                batch.end = BatchEnd::Flush;
+                return Ok(CallerInput::Batch(batch));
+            }
+            tag::TERMINATE => return Ok(CallerInput::Goodbye),
+            // Left over from a COPY that the member ended with an error.
+            tag::COPY_DATA | tag::COPY_DONE | tag::COPY_FAIL => {}
+            tag::PARSE | tag::BIND | tag::DESCRIBE | tag::EXECUTE | tag::CLOSE => {
+                collect_frame(session, facts, &mut batch, frame)?;
+            }
+            _ => return Err(WireError::Malformed("an unknown message type")),
+        }
+    }
+}
+
+fn collect_frame(
+    session: &mut CallerSession,
+    facts: &FactsCache,
+    batch: &mut CallerBatch,
+    frame: WireFrame,
+) -> Result<(), WireError> {
+    debug_assert_eq!(frame.part, FramePart::Whole);
+    let body = frame.bytes.slice(frame.bytes.len() - frame.body().len()..);
+    let collected = match frame.tag {
+        tag::PARSE => {
+            let statement = read_parse(session, facts, &body)?;
+            batch.summaries.push(Arc::clone(&statement.summary));
+            BatchFrame::Parse(statement)
+        }
+        tag::BIND => collect_bind(session, batch, &body, frame)?,
+        tag::DESCRIBE if body.first() == Some(&b'S') => {
+            match session.statement(text_of(&body[1..])?) {
+                Some(statement) => {
+                    batch.summaries.push(Arc::clone(&statement.summary));
+                    BatchFrame::DescribeStatement(Arc::clone(statement))
+                }
+                None => BatchFrame::Plain(frame),
+            }
+        }
+        tag::CLOSE if body.first() == Some(&b'S') => {
+            session.forget(text_of(&body[1..])?);
+            BatchFrame::CloseStatement
+        }
+        tag::EXECUTE => {
+            batch.executes = true;
+            BatchFrame::Plain(frame)
+        }
+        _ => BatchFrame::Plain(frame),
+    };
+    batch.frames.push(collected);
+    Ok(())
+}
+
+fn read_parse(
+    session: &mut CallerSession,
+    facts: &FactsCache,
+    body: &Bytes,
+) -> Result<Arc<PreparedStatement>, WireError> {
+    let name_end = end_of_text(body, 0)?;
+    let name = text_of(&body[..=name_end])?;
+    let definition = body.slice(name_end + 1..);
+    let text = text_of(&definition)?;
+    let statement = Arc::new(PreparedStatement {
+        hash: xxh3_128(&definition),
+        summary: facts.summary_of(text),
+        definition: definition.clone(),
+    });
+    session.remember(name, Arc::clone(&statement));
+    Ok(statement)
+}
+
+fn collect_bind(
+    session: &CallerSession,
+    batch: &mut CallerBatch,
+    body: &Bytes,
+    frame: WireFrame,
+) -> Result<BatchFrame, WireError> {
+    let portal_end = end_of_text(body, 0)?;
+    let name_end = end_of_text(body, portal_end + 1)?;
+    let name = text_of(&body[portal_end + 1..=name_end])?;
+    let Some(statement) = session.statement(name) else {
+        // The member says that there is no such statement.
+        return Ok(BatchFrame::Plain(frame));
+    };
+    batch.summaries.push(Arc::clone(&statement.summary));
+    let portal = body.slice(..=portal_end);
+    let rest = body.slice(name_end + 1..);
+    Ok(BatchFrame::Bind(Arc::clone(statement), portal, rest))
+}
+
+fn end_of_text(body: &[u8], start: usize) -> Result<usize, WireError> {
+    let rest = body.get(start..).unwrap_or_default();
+    let length = rest.iter().position(|&byte| byte == 0);
+    length.map(|length| start + length).ok_or(WireError::Malformed("a text has no end"))
+}
+
+fn text_of(body: &[u8]) -> Result<&str, WireError> {
+    let end = end_of_text(body, 0)?;
+    std::str::from_utf8(&body[..end]).map_err(|_| WireError::Malformed("a text is not UTF-8"))
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/caller/keyed.rs
@@ -0,0 +1,301 @@
+//! Requests with a key: the key is written in the same transaction as the change, under a unique
+//! index on the endpoint, so that a repeat on any instance, after any failover, finds it.
+
+use super::acknowledge::leading_term;
+use super::answer::{put_complete, put_ready};
+use super::attempt::MemberAttempt;
+use super::serve::{SessionEnd, refuse};
+use super::session::CallerSession;
+use super::write::{self, WriteEnd, answer_unresolved, is_not_run, note_commit};
+use crate::context::InstanceContext;
+use crate::exchange::{
+    BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink, encode_batch, relay_batch,
+};
+use crate::group::PooledConnection;
+use rudder_core::{LogTerm, RefusalNotice, RequestKey};
+use rudder_endpoint::{ErrorFields, WireError, read_error_fields, tag};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// SQLSTATE of a key that is there already.
+const UNIQUE_VIOLATION: &str = "23505";
+
+/// SQLSTATE of a table that is not there yet.
+const TABLE_MISSING: &str = "42P01";
+
+/// The table of keys. Operators may create it beforehand and prune it.
+const CREATE_TABLE: &str =
+    "CREATE TABLE IF NOT EXISTS rudder_requests (key text PRIMARY KEY, outcome text)";
+
+const WHOLE_TRANSACTION: &str =
+    "a request with a key must be one statement or an explicit transaction";
+
+/// A request that must run at most once.
+pub(crate) struct KeyedRequest {
+    /// Its key.
+    pub(crate) key: RequestKey,
+    /// Whether an attempt of ours got as far as sending its commit: if the key is then found, it is
+    /// most likely our own, and the first outcome is the answer.
+    committing: bool,
+}
+
+impl KeyedRequest {
+    /// The key of a batch, from its comment or from the session's setting, which serves once.
+    pub(crate) fn of(session: &mut CallerSession, batch: &CallerBatch) -> Option<Self> {
+        let key = batch.key().cloned().or_else(|| session.key.take())?;
+        Some(Self { key, committing: false })
+    }
+}
+
+/// What a simple statement of our own brought.
+#[derive(Debug, Default)]
+pub(crate) struct OwnReply {
+    /// The error, if it failed.
+    pub(crate) error: Option<ErrorFields>,
+    /// The first column of the first row.
+    pub(crate) value: Option<String>,
+    /// The tag of its completion.
+    pub(crate) tag: Vec<u8>,
+}
+
+/// The statement that enters a key.
+pub(crate) fn insert_of(key: &RequestKey) -> String {
+    format!("INSERT INTO rudder_requests (key, outcome) VALUES ('{key}', '')")
+}
+
+/// Whether an error says that the key is there already.
+pub(crate) fn is_duplicate(error: &ErrorFields) -> bool {
+    error.sqlstate == UNIQUE_VIOLATION
+}
+
+/// Runs a batch under its key.
+pub(crate) async fn run(
+    context: &InstanceContext,
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    mut attempt: MemberAttempt,
+    keyed: &mut KeyedRequest,
+) -> Result<WriteEnd, SessionEnd> {
+    if batch.ends() {
+        attempt.abandon(session, &ExchangeError::MemberSilent).await;
+        let notice = RefusalNotice::Unsupported(WHOLE_TRANSACTION.to_owned());
+        refuse(session, batch, &notice).await?;
+        return Ok(WriteEnd::Answered);
+    }
+    match enter_key(&mut attempt, keyed).await {
+        Ok(KeyEntry::Entered(term)) => change(context, session, batch, attempt, keyed, term).await,
+        Ok(KeyEntry::Duplicate(term)) => {
+            answer_duplicate(context, session, batch, attempt, keyed, term).await
+        }
+        Ok(KeyEntry::NotRun) => {
+            attempt.finish(session).await;
+            Ok(WriteEnd::NotRun)
+        }
+        Err(error) => {
+            // Nothing but the key was sent, and its transaction was not committed.
+            attempt.abandon(session, &error).await;
+            Ok(WriteEnd::NotRun)
+        }
+    }
+}
+
+enum KeyEntry {
+    Entered(Option<LogTerm>),
+    Duplicate(Option<LogTerm>),
+    NotRun,
+}
+
+async fn enter_key(
+    attempt: &mut MemberAttempt,
+    keyed: &KeyedRequest,
+) -> Result<KeyEntry, ExchangeError> {
+    let status = attempt.first_status().await?;
+    let bound = attempt.group.timing.statement_timeout;
+    let pooled = &mut attempt.pooled;
+    run_own(pooled, "BEGIN", bound).await?;
+    let reply = run_own(pooled, &insert_of(&keyed.key), bound).await?;
+    let Some(error) = reply.error else {
+        return Ok(KeyEntry::Entered(leading_term(&status)));
+    };
+    run_own(pooled, "ROLLBACK", bound).await?;
+    if is_duplicate(&error) {
+        return Ok(KeyEntry::Duplicate(leading_term(&status)));
+    }
+    if error.sqlstate == TABLE_MISSING {
+        run_own(pooled, CREATE_TABLE, bound).await?;
+    }
+    Ok(KeyEntry::NotRun)
+}
+
+async fn change(
+    context: &InstanceContext,
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    mut attempt: MemberAttempt,
+    keyed: &mut KeyedRequest,
+    term: Option<LogTerm>,
+) -> Result<WriteEnd, SessionEnd> {
+    let mut queue = encode_batch(&mut attempt.pooled, batch);
+    let bounds = attempt.bounds(batch);
+    let mut sink = ReplySink::new(&mut session.link, HoldRule::UntilCommit);
+    let relayed = relay_batch(&mut attempt.pooled, &mut queue, &mut sink, bounds).await;
+    let held = sink.into_held();
+    let outcome = match relayed {
+        Ok(outcome) => outcome,
+        Err(error) => {
+            // The transaction was not committed, so the change is undone with the connection.
+            attempt.abandon(session, &error).await;
+            let broken = held.relayed || matches!(error, ExchangeError::Caller(_));
+            return if broken { Err(SessionEnd::Broken(error)) } else { Ok(WriteEnd::NotRun) };
+        }
+    };
+    if outcome.error.is_some() {
+        return Ok(undo(context, session, batch, attempt, &outcome, held).await);
+    }
+    keyed.committing = true;
+    let stamp = match commit(&mut attempt, keyed, &outcome.last_tag).await {
+        Ok(true) => attempt.acknowledge(term, false).await,
+        Ok(false) => {
+            // The member rolled back: a request with the same key was faster, or it is fenced.
+            attempt.finish(session).await;
+            return Ok(try_again(session, &held));
+        }
+        Err(_) => None,
+    };
+    let Some(stamp) = stamp else {
+        attempt.abandon(session, &ExchangeError::MemberSilent).await;
+        return Ok(try_again(session, &held));
+    };
+    held.release(&mut session.link);
+    write::answer(context, session, batch, attempt, &outcome, Some(stamp)).await;
+    Ok(WriteEnd::Answered)
+}
+
+/// Rolls back a change that failed, and hands on its error unless another member may do better.
+async fn undo(
+    context: &InstanceContext,
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    mut attempt: MemberAttempt,
+    outcome: &BatchOutcome,
+    held: HeldReplies,
+) -> WriteEnd {
+    let retry = is_not_run(outcome, &held);
+    let bound = attempt.group.timing.statement_timeout;
+    let rolled_back = run_own(&mut attempt.pooled, "ROLLBACK", bound).await;
+    if retry {
+        match rolled_back {
+            Ok(_) => attempt.finish(session).await,
+            Err(error) => attempt.abandon(session, &error).await,
+        }
+        return WriteEnd::NotRun;
+    }
+    held.release(&mut session.link);
+    match rolled_back {
+        Ok(_) => write::answer(context, session, batch, attempt, outcome, None).await,
+        Err(error) => {
+            attempt.abandon(session, &error).await;
+            put_ready(session.link.outgoing(), b'I');
+        }
+    }
+    WriteEnd::Answered
+}
+
+/// Trying again is safe under the key, also after a commit of unknown outcome: if the change
+/// stays, its key is found. Not once the caller has part of the answer, though.
+fn try_again(session: &mut CallerSession, held: &HeldReplies) -> WriteEnd {
+    if held.relayed {
+        answer_unresolved(session);
+        return WriteEnd::Answered;
+    }
+    WriteEnd::NotRun
+}
+
+/// Records the outcome and commits; answers whether the member committed.
+async fn commit(
+    attempt: &mut MemberAttempt,
+    keyed: &KeyedRequest,
+    last_tag: &[u8],
+) -> Result<bool, ExchangeError> {
+    let bound = attempt.group.timing.statement_timeout;
+    let outcome = String::from_utf8_lossy(last_tag).replace('\'', "");
+    let record =
+        format!("UPDATE rudder_requests SET outcome = '{outcome}' WHERE key = '{}'", keyed.key);
+    run_own(&mut attempt.pooled, &record, bound).await?;
+    let reply = run_own(&mut attempt.pooled, "COMMIT", bound).await?;
+    Ok(reply.error.is_none() && reply.tag == b"COMMIT")
+}
+
+/// Answers a request whose key is there: with the first outcome if the first run was our own, else
+/// with a refusal that names it. Either way what was found must be there to stay.
+async fn answer_duplicate(
+    context: &InstanceContext,
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    mut attempt: MemberAttempt,
+    keyed: &KeyedRequest,
+    term: Option<LogTerm>,
+) -> Result<WriteEnd, SessionEnd> {
+    let bound = attempt.group.timing.statement_timeout;
+    let question = format!("SELECT outcome FROM rudder_requests WHERE key = '{}'", keyed.key);
+    let found = run_own(&mut attempt.pooled, &question, bound).await;
+    let value = match found {
+        Ok(reply) => reply.value.unwrap_or_default(),
+        Err(error) => {
+            attempt.abandon(session, &error).await;
+            return Ok(WriteEnd::NotRun);
+        }
+    };
+    let Some(stamp) = attempt.acknowledge(term, false).await else {
+        attempt.abandon(session, &ExchangeError::MemberSilent).await;
+        return Ok(WriteEnd::NotRun);
+    };
+    attempt.finish(session).await;
+    note_commit(context, session, Some(stamp));
+    let simple = batch.end == BatchEnd::Simple;
+    if keyed.committing && simple && !value.is_empty() {
+        put_complete(session.link.outgoing(), &value);
+        put_ready(session.link.outgoing(), b'I');
+    } else {
+        refuse(session, batch, &RefusalNotice::AlreadyRun { outcome: value }).await?;
+    }
+    Ok(WriteEnd::Answered)
+}
+
+/// Runs a simple statement of our own on a connection in use.
+pub(crate) async fn run_own(
+    pooled: &mut PooledConnection,
+    text: &str,
+    bound: Duration,
+) -> Result<OwnReply, ExchangeError> {
+    pooled.connection.queue_query(text).map_err(|_| ExchangeError::MemberSilent)?;
+    timeout(bound, read_own(pooled))
+        .await
+        .map_err(|_| ExchangeError::MemberSilent)?
+        .map_err(ExchangeError::Member)
+}
+
+/// Reads the reply to a simple statement of our own that was queued before.
+pub(crate) async fn read_own(pooled: &mut PooledConnection) -> Result<OwnReply, WireError> {
+    let mut reply = OwnReply::default();
+    loop {
+        let frame = pooled.connection.link().next_frame().await?;
+        match frame.tag {
+            tag::ERROR if reply.error.is_none() => {
+                reply.error = Some(read_error_fields(frame.body()));
+            }
+            tag::DATA_ROW if reply.value.is_none() => reply.value = first_column(frame.body()),
+            tag::COMMAND_COMPLETE => {
+                reply.tag = frame.body().strip_suffix(b"\0").unwrap_or_default().to_vec();
+            }
+            tag::READY => return Ok(reply),
+            _ => {}
+        }
+    }
+}
+
+fn first_column(body: &[u8]) -> Option<String> {
+    let size = i32::from_be_bytes(body.get(2..6)?.try_into().ok()?);
+    let text = body.get(6..6 + usize::try_from(size).ok()?)?;
+    String::from_utf8(text.to_vec()).ok()
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/caller/local.rs
@@ -0,0 +1,163 @@
+//! Statements that concern this proxy alone and never reach a member.
+
+use super::answer::{put_complete, put_error, put_parameter, put_ready, put_text_row};
+use super::session::CallerSession;
+use crate::classify::SessionChange;
+use crate::exchange::{BatchEnd, CallerBatch};
+use std::time::Duration;
+
+/// Prefix of the settings that are this proxy's own.
+const OWN_PREFIX: &str = "rudder.";
+
+/// SQLSTATE of a setting that does not exist.
+const UNKNOWN_SETTING: &str = "42704";
+
+/// SQLSTATE of a setting's value that is not allowed.
+const WRONG_VALUE: &str = "22023";
+
+/// Why a setting of this proxy's own was not taken.
+pub(crate) struct SettingRefusal {
+    sqlstate: &'static str,
+    message: String,
+}
+
+/// Answers a simple query that concerns this proxy alone; `false` if a member must answer it.
+pub(crate) fn answer_locally(session: &mut CallerSession, batch: &CallerBatch) -> bool {
+    if batch.end != BatchEnd::Simple {
+        return false;
+    }
+    let mut facts = batch.facts();
+    let (Some(only), None) = (facts.next(), facts.next()) else {
+        return false;
+    };
+    let Some(change) = &only.change else {
+        return false;
+    };
+    if !is_own(change) {
+        return false;
+    }
+    answer_change(session, change);
+    let status = session.status();
+    put_ready(session.link.outgoing(), status);
+    true
+}
+
+/// Whether a change concerns this proxy alone.
+pub(crate) fn is_own(change: &SessionChange) -> bool {
+    match change {
+        SessionChange::Set { name, .. }
+        | SessionChange::Reset { name }
+        | SessionChange::Show { name } => name.starts_with(OWN_PREFIX),
+        SessionChange::Deallocate { .. } => true,
+        SessionChange::ResetAll => false,
+    }
+}
+
+fn answer_change(session: &mut CallerSession, change: &SessionChange) {
+    match change {
+        SessionChange::Set { name, value, .. } => {
+            let outcome = set_own(session, name, value.as_deref());
+            finish_setting(session, outcome, "SET");
+        }
+        SessionChange::Reset { name } => {
+            let outcome = reset_own(session, name);
+            finish_setting(session, outcome, "RESET");
+        }
+        SessionChange::Show { name } => show_own(session, name),
+        SessionChange::Deallocate { name } => {
+            match name {
+                Some(name) => session.forget(name),
+                None => session.prepared.clear(),
+            }
+            put_complete(session.link.outgoing(), "DEALLOCATE");
+        }
+        SessionChange::ResetAll => {}
+    }
+}
+
+fn finish_setting(session: &mut CallerSession, outcome: Result<(), SettingRefusal>, tag: &str) {
+    let out = session.link.outgoing();
+    match outcome {
+        Ok(()) => put_complete(out, tag),
+        Err(refusal) => put_error(out, refusal.sqlstate, &refusal.message),
+    }
+}
+
+/// Takes a setting of this proxy's own.
+pub(crate) fn set_own(
+    session: &mut CallerSession,
+    name: &str,
+    value: Option<&str>,
+) -> Result<(), SettingRefusal> {
+    let value = value.ok_or_else(|| wrong(name, "a single literal value"))?;
+    match name {
+        "rudder.session" => {
+            let token: rudder_core::SessionToken =
+                value.parse().map_err(|_| wrong(name, "a token that this proxy reported"))?;
+            session.token.merge(&token);
+        }
+        "rudder.key" => {
+            session.key =
+                Some(value.parse().map_err(|_| wrong(name, "1 to 200 printable characters"))?);
+        }
+        "rudder.once" => {
+            session.once = match value {
+                "on" | "true" | "1" => true,
+                "off" | "false" | "0" => false,
+                _ => return Err(wrong(name, "on or off")),
+            };
+        }
+        "rudder.staleness_ms" => {
+            let bound = value.parse().map_err(|_| wrong(name, "a whole number of ms"))?;
+            session.staleness = Some(Duration::from_millis(bound));
+        }
+        _ => return Err(unknown(name)),
+    }
+    Ok(())
+}
+
+fn reset_own(session: &mut CallerSession, name: &str) -> Result<(), SettingRefusal> {
+    match name {
+        "rudder.key" => session.key = None,
+        "rudder.once" => session.once = false,
+        "rudder.staleness_ms" => session.staleness = None,
+        _ => return Err(unknown(name)),
+    }
+    Ok(())
+}
+
+fn show_own(session: &mut CallerSession, name: &str) {
+    let value = match name {
+        "rudder.session" => session.token.to_string(),
+        "rudder.session_id" => session.token.id().to_string(),
+        "rudder.key" => session.key.as_ref().map(ToString::to_string).unwrap_or_default(),
+        "rudder.once" => if session.once { "on" } else { "off" }.to_owned(),
+        "rudder.staleness_ms" => session.bound().as_millis().to_string(),
+        _ => {
+            let refusal = unknown(name);
+            put_error(session.link.outgoing(), refusal.sqlstate, &refusal.message);
+            return;
+        }
+    };
+    let out = session.link.outgoing();
+    put_text_row(out, name, &value);
+    put_complete(out, "SHOW");
+}
+
+/// Reports the session's token, for the caller to hand in elsewhere.
+pub(crate) fn report_token(session: &mut CallerSession) {
+    let token = session.token.to_string();
+    put_parameter(session.link.outgoing(), "rudder.session", &token);
+}
+
+fn unknown(name: &str) -> SettingRefusal {
+    let message = format!(
+        "there is no setting {name}: the proxy's own are rudder.session, rudder.session_id, \
+         rudder.key, rudder.once and rudder.staleness_ms"
+    );
+    SettingRefusal { sqlstate: UNKNOWN_SETTING, message }
+}
+
+fn wrong(name: &str, expected: &str) -> SettingRefusal {
+    SettingRefusal { sqlstate: WRONG_VALUE, message: format!("{name} takes {expected}") }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/caller/login.rs
@@ -0,0 +1,251 @@
+//! A caller's login: negotiation, parameters, authentication.
+
+use super::answer::{put_fatal, put_parameter, put_ready};
+use super::cancel::CancelEntry;
+use bytes::Bytes;
+use displaydoc::Display;
+use pgwire::api::auth::Password;
+use pgwire::api::auth::sasl::scram::{ScramServerAuth, gen_salted_password};
+use pgwire::messages::Message;
+use pgwire::messages::startup::{Authentication, BackendKeyData, SecretKey};
+use rudder_core::{ParseError, ServiceName, SessionId, SessionToken};
+use rudder_endpoint::{StartupPacket, WireError, WireLink, tag};
+
+/// Iterations of the password hash, the least that the standard allows.
+const SCRAM_ITERATIONS: usize = 4096;
+
+const SCRAM_MECHANISM: &str = "SCRAM-SHA-256";
+
+/// Parameters that the login itself uses or that must not be set on shared connections.
+const OWN_PARAMETERS: [&str; 6] =
+    ["database", "options", "replication", "rudder.session", "rudder.session_id", "user"];
+
+/// Why a caller's login failed.
+#[derive(Debug, Display)]
+#[ignore_extra_doc_attributes]
+pub(crate) enum LoginError {
+    /// the caller's connection failed: {0}
+    Wire(WireError),
+    /// the login names no user
+    UserMissing,
+    /// the database is not the name of a service: {0}
+    Service(ParseError),
+    /// the session token cannot be read: {0}
+    Token(ParseError),
+    /// a login option is not of the form "-c name=value"
+    Options,
+    /// the password is wrong
+    Password,
+    /// replication connections are not served
+    Replication,
+}
+
+impl std::error::Error for LoginError {}
+
+impl From<WireError> for LoginError {
+    fn from(error: WireError) -> Self {
+        Self::Wire(error)
+    }
+}
+
+impl LoginError {
+    /// The SQLSTATE that the caller is given.
+    pub(crate) fn sqlstate(&self) -> &'static str {
+        match self {
+            Self::Wire(_) => "08P01",
+            Self::UserMissing | Self::Password => "28P01",
+            Self::Service(_) => "3D000",
+            Self::Token(_) | Self::Options => "22023",
+            Self::Replication => "0A000",
+        }
+    }
+}
+
+/// What a caller asked for at login.
+#[derive(Debug)]
+pub(crate) struct LoginRequest {
+    /// The user.
+    pub(crate) user: String,
+    /// The service that it wants.
+    pub(crate) service: ServiceName,
+    /// The session that it continues, if it named one.
+    pub(crate) session: Option<SessionClaim>,
+    /// Settings for its statements, sorted by name.
+    pub(crate) settings: Vec<(String, String)>,
+}
+
+/// The session that a caller continues.
+#[derive(Debug)]
+pub(crate) enum SessionClaim {
+    /// With its token.
+    Token(SessionToken),
+    /// By its id only: what it must see has to be found out.
+    Id(SessionId),
+}
+
+/// Reads the parameters of a login.
+pub(crate) fn read_login(parameters: Vec<(String, String)>) -> Result<LoginRequest, LoginError> {
+    let mut all: Vec<(String, String)> = Vec::with_capacity(parameters.len());
+    for (name, value) in parameters {
+        if name == "options" {
+            all.extend(read_options(&value)?);
+        }
+        all.push((name.to_ascii_lowercase(), value));
+    }
+    let find = |wanted: &str| {
+        all.iter().find(|(name, _)| name == wanted).map(|(_, value)| value.clone())
+    };
+    if find("replication").is_some_and(|value| value != "false" && value != "off") {
+        return Err(LoginError::Replication);
+    }
+    let user = find("user").ok_or(LoginError::UserMissing)?;
+    let database = find("database").unwrap_or_else(|| user.clone());
+    let session = match (find("rudder.session"), find("rudder.session_id")) {
+        (Some(token), _) => Some(SessionClaim::Token(token.parse().map_err(LoginError::Token)?)),
+        (None, Some(id)) => Some(SessionClaim::Id(id.parse().map_err(LoginError::Token)?)),
+        (None, None) => None,
+    };
+    let service = database.parse().map_err(LoginError::Service)?;
+    Ok(LoginRequest { user, service, session, settings: settings_of(&all) })
+}
+
+fn settings_of(parameters: &[(String, String)]) -> Vec<(String, String)> {
+    let mut settings: Vec<(String, String)> = Vec::new();
+    for (name, value) in parameters {
+        let protocol = name.starts_with("_pq_.");
+        if protocol || OWN_PARAMETERS.binary_search(&name.as_str()).is_ok() {
+            continue;
+        }
+        let statement = format!("SET {name} = '{}'", value.replace('\'', "''"));
+        match settings.binary_search_by(|(known, _)| known.cmp(name)) {
+            Ok(index) => settings[index].1 = statement,
+            Err(index) => settings.insert(index, (name.clone(), statement)),
+        }
+    }
+    settings
+}
+
+/// Reads `-c name=value` options; a backslash escapes a space.
+fn read_options(text: &str) -> Result<Vec<(String, String)>, LoginError> {
+    let marked = text.replace("\\ ", "\u{1}");
+    let mut words = marked.split_whitespace().map(|word| word.replace('\u{1}', " "));
+    let mut options = Vec::new();
+    while let Some(word) = words.next() {
+        let assignment = match word.strip_prefix("-c").or_else(|| word.strip_prefix("--")) {
+            Some("") => words.next().ok_or(LoginError::Options)?,
+            Some(rest) => rest.to_owned(),
+            None => return Err(LoginError::Options),
+        };
+        let (name, value) = assignment.split_once('=').ok_or(LoginError::Options)?;
+        let plain = name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"._".contains(&byte));
+        if !plain {
+            return Err(LoginError::Options);
+        }
+        options.push((name.to_ascii_lowercase(), value.to_owned()));
+    }
+    Ok(options)
+}
+
+/// Checks the caller's password by SCRAM, if its user has one.
+pub(crate) async fn authenticate(
+    link: &mut WireLink,
+    password: Option<&str>,
+) -> Result<(), LoginError> {
+    if let Some(password) = password {
+        run_scram(link, password).await?;
+    }
+    put_authentication(link, &Authentication::Ok);
+    Ok(())
+}
+
+async fn run_scram(link: &mut WireLink, password: &str) -> Result<(), LoginError> {
+    put_authentication(link, &Authentication::SASL(vec![SCRAM_MECHANISM.to_owned()]));
+    let first = read_password(link).await?;
+    // Initial response: the mechanism's name, the length, the data.
+    let data = first
+        .strip_prefix(SCRAM_MECHANISM.as_bytes())
+        .and_then(|rest| rest.get(5..))
+        .ok_or(LoginError::Password)?;
+    let salt: [u8; 16] = rand::random();
+    let salted = gen_salted_password(password, &salt, SCRAM_ITERATIONS);
+    let expected = Password::new(Some(salt.to_vec()), salted);
+    let mut scram = ScramServerAuth::new();
+    scram.set_iterations(SCRAM_ITERATIONS);
+    let (answer, exchange) =
+        scram.on_client_first_message(data, expected).map_err(|_| LoginError::Password)?;
+    put_authentication(link, &Authentication::SASLContinue(Bytes::from(answer)));
+    let proof = read_password(link).await?;
+    let answer = exchange.on_client_final_message(&proof).map_err(|_| LoginError::Password)?;
+    put_authentication(link, &Authentication::SASLFinal(Bytes::from(answer)));
+    Ok(())
+}
+
+async fn read_password(link: &mut WireLink) -> Result<Vec<u8>, LoginError> {
+    let frame = link.next_frame().await?;
+    if frame.tag != tag::PASSWORD {
+        return Err(LoginError::Wire(WireError::Malformed("expected a password message")));
+    }
+    Ok(frame.body().to_vec())
+}
+
+fn put_authentication(link: &mut WireLink, message: &Authentication) {
+    message.encode(link.outgoing()).expect("the message is below the protocol's limits");
+}
+
+/// Tells the caller that it is logged in.
+pub(crate) fn put_welcome(
+    link: &mut WireLink,
+    parameters: &[(String, String)],
+    token: &SessionToken,
+    cancel: &CancelEntry,
+) {
+    let out = link.outgoing();
+    for (name, value) in parameters {
+        put_parameter(out, name, value);
+    }
+    put_parameter(out, "rudder.session", &token.to_string());
+    let (process_id, secret) = cancel.key();
+    BackendKeyData::new(process_id, SecretKey::I32(secret))
+        .encode(out)
+        .expect("the message is below the protocol's limits");
+    put_ready(out, b'I');
+}
+
+/// Tells the caller why its login failed.
+pub(crate) async fn refuse_login(link: &mut WireLink, error: &LoginError) {
+    put_fatal(link.outgoing(), error.sqlstate(), &error.to_string());
+    // The caller may be gone already; there is nobody else to tell.
+    let _ = link.flush().await;
+}
+
+/// The first packet that is a login or a cancel request; declines GSS, and TLS where none is set.
+pub(crate) async fn negotiate(
+    mut link: WireLink,
+    tls: Option<&tokio_rustls::TlsAcceptor>,
+    frame_size_max: rudder_core::ByteSize,
+) -> Result<(WireLink, StartupPacket), LoginError> {
+    loop {
+        match link.next_startup().await? {
+            StartupPacket::TlsRequest => match tls {
+                Some(acceptor) => {
+                    link.outgoing().extend_from_slice(b"S");
+                    link.flush().await?;
+                    let stream = acceptor
+                        .accept(link.into_stream()?)
+                        .await
+                        .map_err(|error| LoginError::Wire(WireError::from(error)))?;
+                    link = WireLink::new(Box::new(stream), frame_size_max);
+                }
+                None => {
+                    link.outgoing().extend_from_slice(b"N");
+                    link.flush().await?;
+                }
+            },
+            StartupPacket::GssRequest => {
+                link.outgoing().extend_from_slice(b"N");
+                link.flush().await?;
+            }
+            packet => return Ok((link, packet)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/caller/mod.rs
@@ -0,0 +1,21 @@
+//! Serving one caller: login, batches, the session that outlives connections, and the answers.
+
+mod acknowledge;
+mod answer;
+mod attempt;
+mod cancel;
+mod collect;
+mod keyed;
+mod local;
+mod login;
+mod read;
+mod roam;
+mod serve;
+mod session;
+mod session_change;
+mod transaction;
+mod write;
+
+pub(crate) use cancel::CancelBoard;
+pub(crate) use roam::SessionDirectory;
+pub(crate) use serve::serve_caller;
--- /dev/null
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -0,0 +1,264 @@
+//! Serving a read: from a replica that holds what the session must see and is young enough, else
+//! from the primary, else a refusal that says so.
+
+use super::answer::put_ready;
+use super::attempt::{AttemptError, MemberAttempt};
+use super::serve::{SessionEnd, refuse};
+use super::session::{CallerSession, FloorKnowledge, PinnedConnection};
+use super::{session_change, write};
+use crate::context::InstanceContext;
+use crate::exchange::{
+    BatchOutcome, CallerBatch, ExchangeError, HoldRule, ReplySink, drain_batch, encode_batch,
+    relay_batch,
+};
+use crate::group::{ConfirmOutcome, GroupState};
+use rudder_core::{MemberRole, MemberStatus, ReadNeed, ReadVerdict, RefusalNotice, judge_read};
+use rudder_decisions::{ReadDemand, ReadRoute, ReadRouter, RouteReason, WorkClass};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Members tried for one read before it is refused.
+const ATTEMPTS_MAX: u32 = 8;
+
+/// When a refused read should come back, if nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// SQLSTATEs with which a replica refuses what turns out to be a write.
+const READ_ONLY: &str = "25006";
+
+/// How an attempt ended.
+enum ReadEnd {
+    /// The caller has its answer.
+    Served,
+    /// The member was too old; another may do.
+    TooOld,
+    /// The member failed before anything was answered.
+    Failed,
+    /// The statement turned out to write.
+    Writes,
+}
+
+/// Serves a read.
+pub(crate) async fn serve(
+    context: &Arc<InstanceContext>,
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    group: &Arc<GroupState>,
+) -> Result<(), SessionEnd> {
+    let arrived = group.board.now();
+    let deadline = Instant::now() + session.caller.queue_wait + group.timing.read_wait;
+    let mut avoided: Vec<usize> = Vec::new();
+    let mut waited = Duration::ZERO;
+    for _ in 0..ATTEMPTS_MAX {
+        let choice = choose(context, session, group, &avoided, waited);
+        let member = match choice.route {
+            ReadRoute::Replica(member) | ReadRoute::Primary(member) => member,
+            ReadRoute::WaitFor(_, pause) => {
+                tokio::time::sleep(pause).await;
+                waited += pause;
+                continue;
+            }
+            ReadRoute::Refuse => break,
+        };
+        log_route(session, group, member, choice.reason);
+        let attempt =
+            MemberAttempt::begin(session, group, member, WorkClass::Read, deadline).await;
+        let attempt = match attempt {
+            Ok(attempt) => attempt,
+            Err(AttemptError::Refused(reason)) => {
+                let notice = RefusalNotice::Overloaded { retry_after: reason.retry_after };
+                return refuse(session, batch, &notice).await;
+            }
+            Err(AttemptError::Pool(_)) => {
+                group.members[member].fail();
+                avoided.push(member);
+                continue;
+            }
+        };
+        match run(session, batch, attempt, arrived).await? {
+            ReadEnd::Served => return Ok(()),
+            ReadEnd::Writes => return write::serve(context, session, batch, group).await,
+            ReadEnd::TooOld if group.members[member].settings.draining => avoided.push(member),
+            ReadEnd::TooOld => {}
+            ReadEnd::Failed => avoided.push(member),
+        }
+    }
+    let notice = match group.primary() {
+        Some(_) => RefusalNotice::TooStale { retry_after: RETRY_AFTER },
+        None => RefusalNotice::NoPrimary { retry_after: RETRY_AFTER },
+    };
+    refuse(session, batch, &notice).await
+}
+
+struct MemberChoice {
+    route: ReadRoute,
+    reason: RouteReason,
+}
+
+fn choose(
+    context: &InstanceContext,
+    session: &CallerSession,
+    group: &GroupState,
+    avoided: &[usize],
+    waited: Duration,
+) -> MemberChoice {
+    let (mut views, mut indexes) = group.views();
+    for index in (0..indexes.len()).rev() {
+        // A session of unknown past may only read from the confirmed primary.
+        let unknown = session.knowledge == FloorKnowledge::Unknown
+            && views[index].role == MemberRole::Replica;
+        if unknown || avoided.contains(&indexes[index]) {
+            views.remove(index);
+            indexes.remove(index);
+        }
+    }
+    let demand = ReadDemand {
+        floor: session.floor(),
+        floor_age: Duration::ZERO,
+        bound: session.bound(),
+        domain: context.domain().clone(),
+        wait_max: group.timing.read_wait.saturating_sub(waited),
+    };
+    let choice = ReadRouter::new().choose(&demand, &views, &mut rand::rng());
+    let route = match choice.route {
+        ReadRoute::Replica(index) => ReadRoute::Replica(indexes[index]),
+        ReadRoute::Primary(index) => ReadRoute::Primary(indexes[index]),
+        ReadRoute::WaitFor(index, pause) => ReadRoute::WaitFor(indexes[index], pause),
+        ReadRoute::Refuse => ReadRoute::Refuse,
+    };
+    MemberChoice { route, reason: choice.reason }
+}
+
+fn log_route(session: &CallerSession, group: &GroupState, member: usize, reason: RouteReason) {
+    log::info!(
+        target: "rudder::route", service:% = group.service.name,
+        member:% = group.members[member].name(), class = "read",
+        kind:% = session.caller.kind, reason:% = reason; "read routed"
+    );
+}
+
+async fn run(
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    mut attempt: MemberAttempt,
+    arrived: Duration,
+) -> Result<ReadEnd, SessionEnd> {
+    let mut queue = encode_batch(&mut attempt.pooled, batch);
+    let status = match attempt.first_status().await {
+        Ok(status) => status,
+        Err(error) => return fail(session, attempt, &error).await,
+    };
+    if !may_serve(session, &attempt, &status, arrived).await {
+        let bounds = attempt.bounds(batch);
+        return match drain_batch(&mut attempt.pooled, &mut queue, bounds).await {
+            Ok(outcome) if outcome.status == b'I' => {
+                attempt.finish(session).await;
+                Ok(ReadEnd::TooOld)
+            }
+            Ok(_) => {
+                attempt.abandon(session, &ExchangeError::MemberSilent).await;
+                Ok(ReadEnd::TooOld)
+            }
+            Err(error) => fail(session, attempt, &error).await,
+        };
+    }
+    let bounds = attempt.bounds(batch);
+    let mut sink = ReplySink::new(&mut session.link, HoldRule::UntilRow);
+    let relayed = relay_batch(&mut attempt.pooled, &mut queue, &mut sink, bounds).await;
+    let held = sink.into_held();
+    match relayed {
+        Ok(outcome) if is_hidden_write(&outcome) && !held.relayed => {
+            attempt.finish(session).await;
+            Ok(ReadEnd::Writes)
+        }
+        Ok(outcome) => {
+            held.release(&mut session.link);
+            count_read(&status);
+            conclude(session, batch, attempt, &outcome).await;
+            Ok(ReadEnd::Served)
+        }
+        Err(error) if held.relayed || matches!(error, ExchangeError::Caller(_)) => {
+            attempt.abandon(session, &error).await;
+            Err(SessionEnd::Broken(error))
+        }
+        Err(error) => fail(session, attempt, &error).await,
+    }
+}
+
+async fn fail(
+    session: &CallerSession,
+    attempt: MemberAttempt,
+    error: &ExchangeError,
+) -> Result<ReadEnd, SessionEnd> {
+    attempt.abandon(session, error).await;
+    Ok(ReadEnd::Failed)
+}
+
+fn is_hidden_write(outcome: &BatchOutcome) -> bool {
+    outcome.error.as_ref().is_some_and(|error| error.sqlstate == READ_ONLY)
+}
+
+/// Whether the member's answer may go to the caller, judged from what the member itself said on
+/// the same connection before the read.
+async fn may_serve(
+    session: &CallerSession,
+    attempt: &MemberAttempt,
+    status: &MemberStatus,
+    arrived: Duration,
+) -> bool {
+    let group = &attempt.group;
+    let bound = session.bound();
+    let unknown = session.knowledge == FloorKnowledge::Unknown;
+    let need = ReadNeed { floor: session.floor(), bound, as_of: group.board.now() };
+    let verdict = group.board.with_ledger(|ledger| judge_read(status, &need, ledger));
+    match verdict {
+        ReadVerdict::Serve => !unknown || confirm(attempt, status, arrived).await,
+        ReadVerdict::TooOldForSession => false,
+        ReadVerdict::TooOldForBound => confirm(attempt, status, arrived).await,
+    }
+}
+
+/// Guards against an isolated primary that shows an old picture as today's: a majority, asked
+/// after the read arrived, must not have accepted a greater term.
+async fn confirm(attempt: &MemberAttempt, status: &MemberStatus, arrived: Duration) -> bool {
+    if status.role != MemberRole::Primary || status.received.term != status.accepted {
+        return false;
+    }
+    let within = attempt.group.timing.ack_timeout;
+    let outcome = attempt.group.confirm_term(status.received, arrived, within).await;
+    outcome == ConfirmOutcome::Acknowledged
+}
+
+fn count_read(status: &MemberStatus) {
+    metrics::counter!("rudder_reads_total", "role" => status.role.to_string()).increment(1);
+}
+
+/// Ends the answer: the connection goes back, or stays with the session for its transaction.
+async fn conclude(
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    mut attempt: MemberAttempt,
+    outcome: &BatchOutcome,
+) {
+    if outcome.error.is_none() {
+        session_change::apply(session, batch, &mut attempt.pooled);
+    }
+    if outcome.status == b'I' {
+        attempt.finish(session).await;
+    } else {
+        let settings_before = session.settings.clone();
+        let group = Arc::clone(&attempt.group);
+        let member = attempt.member;
+        let pooled = attempt.into_pooled();
+        session.pinned = Some(PinnedConnection {
+            group,
+            member,
+            pooled,
+            term: None,
+            status: outcome.status,
+            settings_before,
+            key: None,
+        });
+    }
+    put_ready(session.link.outgoing(), outcome.status);
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/caller/serve.rs
@@ -0,0 +1,313 @@
+//! A caller's connection from login to its end.
+
+use super::answer::{put_error, put_fatal, put_ready, put_refusal};
+use super::collect::{CallerInput, collect_batch};
+use super::local::answer_locally;
+use super::login::{
+    LoginError, LoginRequest, SessionClaim, authenticate, negotiate, put_welcome, read_login,
+    refuse_login,
+};
+use super::session::{CallerSession, FloorKnowledge};
+use super::{read, transaction, write};
+use crate::context::InstanceContext;
+use crate::exchange::{BatchEnd, CallerBatch, ExchangeError};
+use crate::group::GroupState;
+use displaydoc::Display;
+use rudder_core::{ByteSize, RefusalNotice, SessionId, SessionToken};
+use rudder_endpoint::{StartupPacket, WireError, WireLink, tag};
+use rudder_settings::CallerSettings;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// SQLSTATE of a caller that was idle for too long.
+const IDLE_TOO_LONG: &str = "57P05";
+
+/// SQLSTATE of a protocol violation.
+const PROTOCOL_VIOLATION: &str = "08P01";
+
+/// Settings reported at login while no member has reported its own yet.
+const DEFAULT_PARAMETERS: [(&str, &str); 6] = [
+    ("server_version", "15.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+];
+
+/// Why a caller's connection ends.
+#[derive(Debug, Display)]
+#[ignore_extra_doc_attributes]
+pub(crate) enum SessionEnd {
+    /// the caller said goodbye
+    Goodbye,
+    /// the login failed: {0}
+    Login(LoginError),
+    /// the caller's connection failed: {0}
+    Caller(WireError),
+    /// the caller was idle for too long
+    Idle,
+    /// this instance is leaving
+    Leaving,
+    /// an answer broke off in the middle: {0}
+    Broken(ExchangeError),
+}
+
+impl std::error::Error for SessionEnd {}
+
+/// Serves one caller until its connection ends.
+pub(crate) async fn serve_caller(context: Arc<InstanceContext>, stream: TcpStream) {
+    // Without this, small answers wait for the kernel to fill a packet.
+    let _ = stream.set_nodelay(true);
+    metrics::gauge!("rudder_callers").increment(1.0);
+    let end = run_caller(&context, stream).await;
+    metrics::gauge!("rudder_callers").decrement(1.0);
+    if let Err(end) = end {
+        log::debug!(target: "rudder::caller", reason:% = end; "caller's connection ended");
+    }
+}
+
+async fn run_caller(context: &Arc<InstanceContext>, stream: TcpStream) -> Result<(), SessionEnd> {
+    let within = context.fleet.load().settings.timing.login_timeout;
+    let login = timeout(within, log_in(context, stream));
+    let Some(mut session) = login.await.map_err(|_| SessionEnd::Idle)?? else {
+        return Ok(());
+    };
+    let end = serve_batches(context, &mut session).await;
+    transaction::abandon(&mut session).await;
+    match end {
+        Err(SessionEnd::Idle) => say_goodbye(&mut session, IDLE_TOO_LONG, "idle for too long").await,
+        Err(SessionEnd::Leaving) => {
+            let notice = RefusalNotice::Leaving;
+            say_goodbye(&mut session, notice.sqlstate(), &notice.to_string()).await;
+        }
+        Err(SessionEnd::Caller(WireError::Malformed(what))) => {
+            say_goodbye(&mut session, PROTOCOL_VIOLATION, what).await;
+        }
+        Err(SessionEnd::Caller(error @ WireError::TooLong { .. })) => {
+            say_goodbye(&mut session, PROTOCOL_VIOLATION, &error.to_string()).await;
+        }
+        _ => {}
+    }
+    end
+}
+
+async fn say_goodbye(session: &mut CallerSession, sqlstate: &str, message: &str) {
+    put_fatal(session.link.outgoing(), sqlstate, message);
+    let _ = timeout(Duration::from_secs(1), session.link.flush()).await;
+}
+
+async fn log_in(
+    context: &Arc<InstanceContext>,
+    stream: TcpStream,
+) -> Result<Option<CallerSession>, SessionEnd> {
+    let frame_size_max = ByteSize(context.process.message_size_max);
+    let link = WireLink::new(Box::new(stream), frame_size_max);
+    let (mut link, packet) =
+        negotiate(link, context.tls.as_ref(), frame_size_max).await.map_err(SessionEnd::Login)?;
+    let parameters = match packet {
+        StartupPacket::Login(parameters) => parameters,
+        StartupPacket::CancelRequest { process_id, secret } => {
+            context.cancel.cancel(process_id, secret).await;
+            return Ok(None);
+        }
+        StartupPacket::TlsRequest | StartupPacket::GssRequest => return Ok(None),
+    };
+    match open_session(context, &mut link, parameters).await {
+        Ok(parts) => {
+            let mut session = parts.into_session(context, link);
+            let parameters = reported_parameters(context, &session);
+            put_welcome(&mut session.link, &parameters, &session.token, &session.cancel);
+            session.link.flush().await.map_err(SessionEnd::Caller)?;
+            Ok(Some(session))
+        }
+        Err(error) => {
+            refuse_login(&mut link, &error).await;
+            Err(SessionEnd::Login(error))
+        }
+    }
+}
+
+struct SessionParts {
+    request: LoginRequest,
+    caller: CallerSettings,
+    token: SessionToken,
+    knowledge: FloorKnowledge,
+}
+
+async fn open_session(
+    context: &Arc<InstanceContext>,
+    link: &mut WireLink,
+    parameters: Vec<(String, String)>,
+) -> Result<SessionParts, LoginError> {
+    let mut request = read_login(parameters)?;
+    let fleet = context.fleet.load();
+    let password = context.process.password_of(&request.user);
+    authenticate(link, password.as_deref()).await?;
+    let caller = fleet.settings.caller_of(&request.user).cloned();
+    let caller = caller.unwrap_or_else(|| context.process.default_caller());
+    let (token, knowledge) = match request.session.take() {
+        Some(SessionClaim::Token(token)) => (token, FloorKnowledge::Known),
+        Some(SessionClaim::Id(id)) => find_session(context, id).await,
+        None => (SessionToken::new(SessionId::random()), FloorKnowledge::Known),
+    };
+    Ok(SessionParts { request, caller, token, knowledge })
+}
+
+/// What a session named by its id must see: from this instance, else from its peers. No answer
+/// never means that it has written nothing.
+async fn find_session(
+    context: &Arc<InstanceContext>,
+    id: SessionId,
+) -> (SessionToken, FloorKnowledge) {
+    let mut token = context.sessions.find(&id).unwrap_or_else(|| SessionToken::new(id.clone()));
+    let complete = match context.peers.get() {
+        Some(peers) => peers.find_session(&id, &mut token).await,
+        None => false,
+    };
+    let knowledge = if complete { FloorKnowledge::Known } else { FloorKnowledge::Unknown };
+    (token, knowledge)
+}
+
+impl SessionParts {
+    fn into_session(self, context: &Arc<InstanceContext>, link: WireLink) -> CallerSession {
+        CallerSession {
+            link,
+            service: self.request.service,
+            caller: self.caller,
+            caller_key: xxh3_64(self.request.user.as_bytes()),
+            token: self.token,
+            knowledge: self.knowledge,
+            settings: self.request.settings,
+            prepared: Vec::new(),
+            pinned: None,
+            key: None,
+            once: false,
+            staleness: None,
+            cancel: context.cancel.enter(),
+        }
+    }
+}
+
+fn reported_parameters(
+    context: &InstanceContext,
+    session: &CallerSession,
+) -> Vec<(String, String)> {
+    let fleet = context.fleet.load();
+    let reported = fleet.group(&session.service).and_then(|group| group.reported_parameters());
+    reported.unwrap_or_else(|| {
+        DEFAULT_PARAMETERS
+            .iter()
+            .map(|(name, value)| ((*name).to_owned(), (*value).to_owned()))
+            .collect()
+    })
+}
+
+async fn serve_batches(
+    context: &Arc<InstanceContext>,
+    session: &mut CallerSession,
+) -> Result<(), SessionEnd> {
+    loop {
+        let batch = match next_input(context, session).await? {
+            CallerInput::Batch(batch) => batch,
+            CallerInput::Goodbye => return Err(SessionEnd::Goodbye),
+        };
+        serve_batch(context, session, &batch).await?;
+        if !session.link.has_buffered_frame() || session.link.is_congested() {
+            session.link.flush().await.map_err(SessionEnd::Caller)?;
+        }
+    }
+}
+
+async fn next_input(
+    context: &Arc<InstanceContext>,
+    session: &mut CallerSession,
+) -> Result<CallerInput, SessionEnd> {
+    let timing = context.fleet.load().settings.timing.clone();
+    let in_transaction = session.pinned.is_some();
+    let bound = if in_transaction { timing.transaction_idle_timeout } else { timing.idle_timeout };
+    let mut leaving = context.leaving.subscribe();
+    let collect = timeout(bound, collect_batch(session, &context.facts));
+    tokio::select! {
+        biased;
+        input = collect => input.map_err(|_| SessionEnd::Idle)?.map_err(SessionEnd::Caller),
+        // A transaction in flight is finished first; an idle caller is told to come back
+        // elsewhere.
+        _ = leaving.wait_for(|leaving| *leaving), if !in_transaction => Err(SessionEnd::Leaving),
+    }
+}
+
+async fn serve_batch(
+    context: &Arc<InstanceContext>,
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+) -> Result<(), SessionEnd> {
+    if answer_locally(session, batch) {
+        return Ok(());
+    }
+    if let Some(reason) = batch.refusal() {
+        return refuse(session, batch, &RefusalNotice::Unsupported(reason.to_owned())).await;
+    }
+    if session.pinned.is_some() {
+        return transaction::serve(context, session, batch).await;
+    }
+    if batch.frames.is_empty() {
+        put_ready(session.link.outgoing(), b'I');
+        return Ok(());
+    }
+    let Some(group) = context.fleet.load().group(&session.service).cloned() else {
+        let message = format!("there is no service {}", session.service);
+        put_error(session.link.outgoing(), "3D000", &message);
+        return finish_refusal(session, batch).await;
+    };
+    serve_in_group(context, session, batch, &group).await
+}
+
+async fn serve_in_group(
+    context: &Arc<InstanceContext>,
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    group: &Arc<GroupState>,
+) -> Result<(), SessionEnd> {
+    let reads = batch.is_read() || batch.begins() == Some(true);
+    if reads && session.key.is_none() && batch.key().is_none() {
+        read::serve(context, session, batch, group).await
+    } else {
+        write::serve(context, session, batch, group).await
+    }
+}
+
+/// Answers a batch with a refusal.
+pub(crate) async fn refuse(
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    notice: &RefusalNotice,
+) -> Result<(), SessionEnd> {
+    metrics::counter!("rudder_refusals_total", "class" => notice.class().to_string(),
+        "sqlstate" => notice.sqlstate())
+    .increment(1);
+    put_refusal(session.link.outgoing(), notice);
+    finish_refusal(session, batch).await
+}
+
+/// Ends the answer to a batch that was not run; after a Flush the rest up to Sync is skipped.
+async fn finish_refusal(
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+) -> Result<(), SessionEnd> {
+    if batch.end == BatchEnd::Flush {
+        loop {
+            let frame = session.link.next_frame().await.map_err(SessionEnd::Caller)?;
+            if frame.tag == tag::SYNC {
+                break;
+            }
+        }
+    }
+    // The member never saw the batch, so a transaction around it goes on as it was.
+    let status = session.status();
+    put_ready(session.link.outgoing(), status);
+    Ok(())
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/caller/session.rs
@@ -0,0 +1,109 @@
+//! What a session keeps between its batches.
+
+use crate::exchange::PreparedStatement;
+use crate::group::{GroupState, PooledConnection};
+use rudder_core::{LogStamp, LogTerm, RequestKey, ServiceName, SessionToken};
+use rudder_endpoint::WireLink;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::cancel::CancelEntry;
+use rudder_settings::CallerSettings;
+
+/// A connection that belongs to the session until its transaction ends.
+pub(crate) struct PinnedConnection {
+    /// The group.
+    pub(crate) group: Arc<GroupState>,
+    /// The member's index.
+    pub(crate) member: usize,
+    /// The connection.
+    pub(crate) pooled: PooledConnection,
+    /// The term at which the transaction began, if it may write.
+    pub(crate) term: Option<LogTerm>,
+    /// The transaction status: `T` or `E`, or `I` after a Flush whose Sync has not come.
+    pub(crate) status: u8,
+    /// The session's settings when the transaction began: a rollback brings them back.
+    pub(crate) settings_before: Vec<(String, String)>,
+    /// The key that the transaction must run under at most once.
+    pub(crate) key: Option<RequestKey>,
+}
+
+/// What is known of what the session must see.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FloorKnowledge {
+    /// The token says it.
+    Known,
+    /// The caller named a session that no live instance knows: only the confirmed primary may
+    /// answer, until a write of its own says where the session stands.
+    Unknown,
+}
+
+/// One caller's session at this instance.
+pub(crate) struct CallerSession {
+    /// The caller's connection.
+    pub(crate) link: WireLink,
+    /// The service.
+    pub(crate) service: ServiceName,
+    /// What its kind of caller is given.
+    pub(crate) caller: CallerSettings,
+    /// Tells this caller from others in fairness.
+    pub(crate) caller_key: u64,
+    /// What it must see.
+    pub(crate) token: SessionToken,
+    /// Whether the token is complete.
+    pub(crate) knowledge: FloorKnowledge,
+    /// Its settings, sorted by name, with their SET statements.
+    pub(crate) settings: Vec<(String, String)>,
+    /// Its prepared statements, sorted by name; the unnamed one has the empty name.
+    pub(crate) prepared: Vec<(String, Arc<PreparedStatement>)>,
+    /// The connection of its open transaction.
+    pub(crate) pinned: Option<PinnedConnection>,
+    /// The key for its next request.
+    pub(crate) key: Option<RequestKey>,
+    /// Whether its requests must not be repeated even without a key.
+    pub(crate) once: bool,
+    /// A staleness bound of its own, at most that of its kind.
+    pub(crate) staleness: Option<Duration>,
+    /// Its place on the cancel board.
+    pub(crate) cancel: CancelEntry,
+}
+
+impl CallerSession {
+    /// The greatest age that its reads accept.
+    pub(crate) fn bound(&self) -> Duration {
+        let own = self.staleness.unwrap_or(self.caller.staleness);
+        own.min(self.caller.staleness)
+    }
+
+    /// The least stamp that it must see.
+    pub(crate) fn floor(&self) -> Option<LogStamp> {
+        self.token.floor(&self.service)
+    }
+
+    /// The transaction status that the caller is told.
+    pub(crate) fn status(&self) -> u8 {
+        self.pinned.as_ref().map_or(b'I', |pinned| pinned.status)
+    }
+
+    /// The prepared statement of this name.
+    pub(crate) fn statement(&self, name: &str) -> Option<&Arc<PreparedStatement>> {
+        let index =
+            self.prepared.binary_search_by(|(known, _)| known.as_str().cmp(name)).ok()?;
+        Some(&self.prepared[index].1)
+    }
+
+    /// Remembers a prepared statement.
+    pub(crate) fn remember(&mut self, name: &str, statement: Arc<PreparedStatement>) {
+        match self.prepared.binary_search_by(|(known, _)| known.as_str().cmp(name)) {
+            Ok(index) => self.prepared[index].1 = statement,
+            Err(index) => self.prepared.insert(index, (name.to_owned(), statement)),
+        }
+    }
+
+    /// Forgets a prepared statement.
+    pub(crate) fn forget(&mut self, name: &str) {
+        if let Ok(index) = self.prepared.binary_search_by(|(known, _)| known.as_str().cmp(name)) {
+            self.prepared.remove(index);
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/caller/session_change.rs
@@ -0,0 +1,48 @@
+//! Following what statements do to the session's own settings, so that they hold on whichever
+//! connection serves the session next.
+
+use super::local::{is_own, set_own};
+use super::session::CallerSession;
+use crate::classify::SessionChange;
+use crate::exchange::CallerBatch;
+use crate::group::PooledConnection;
+
+/// Takes over the changes of a batch that ran without error on `pooled`.
+pub(crate) fn apply(
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    pooled: &mut PooledConnection,
+) {
+    if !batch.executes {
+        return;
+    }
+    for change in batch.changes() {
+        if is_own(change) {
+            if let SessionChange::Set { name, value, .. } = change {
+                // The member took the value; a wrong one simply has no effect here.
+                let _ = set_own(session, name, value.as_deref());
+            }
+            continue;
+        }
+        apply_to(&mut session.settings, change);
+        apply_to(&mut pooled.settings, change);
+        if *change == SessionChange::ResetAll {
+            // DISCARD ALL drops the prepared statements of the connection too.
+            pooled.prepared.clear();
+        }
+    }
+}
+
+fn apply_to(settings: &mut Vec<(String, String)>, change: &SessionChange) {
+    match change {
+        SessionChange::Set { name, statement, .. } => {
+            match settings.binary_search_by(|(known, _)| known.cmp(name)) {
+                Ok(index) => settings[index].1.clone_from(statement),
+                Err(index) => settings.insert(index, (name.clone(), statement.clone())),
+            }
+        }
+        SessionChange::Reset { name } => settings.retain(|(known, _)| known != name),
+        SessionChange::ResetAll => settings.clear(),
+        SessionChange::Show { .. } | SessionChange::Deallocate { .. } => {}
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/caller/transaction.rs
@@ -0,0 +1,190 @@
+//! Batches inside a transaction: on the connection that the transaction began on, until it ends.
+
+use super::acknowledge::{acknowledge, ask_status, read_status};
+use super::answer::put_ready;
+use super::attempt::bounds_of;
+use super::keyed::{insert_of, is_duplicate, run_own};
+use super::serve::{SessionEnd, refuse};
+use super::session::{CallerSession, PinnedConnection};
+use super::session_change;
+use super::write::{answer_unresolved, note_commit};
+use crate::context::InstanceContext;
+use crate::exchange::{
+    BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink,
+    encode_batch, relay_batch,
+};
+use rudder_core::{RefusalNotice, RequestKey};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a transaction of a caller that vanished may take to roll back.
+const ROLLBACK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How a batch was sent, and what of its answer is still held.
+struct SentBatch {
+    /// Whether the member was asked for its status after the batch.
+    asked: bool,
+    /// When, on this instance's time line.
+    asked_at: Duration,
+    /// What is held of the answer.
+    held: HeldReplies,
+}
+
+/// Serves a batch on the connection of the session's open transaction.
+pub(crate) async fn serve(
+    context: &InstanceContext,
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+) -> Result<(), SessionEnd> {
+    let Some(mut pinned) = session.pinned.take() else {
+        return Ok(());
+    };
+    if let Some(key) = pinned.key.clone().filter(|_| commits(batch)) {
+        if let Some(notice) = enter_key(&mut pinned, &key).await {
+            roll_back(session, pinned).await;
+            return refuse(session, batch, &notice).await;
+        }
+    }
+    let asked_at = pinned.group.board.now();
+    let mut queue = encode_batch(&mut pinned.pooled, batch);
+    // Between a Flush and its Sync the member is outside of a declared transaction, and commits
+    // at the Sync.
+    let closes = batch.ends() || (pinned.status == b'I' && batch.end != BatchEnd::Flush);
+    let ahead = closes && batch.end != BatchEnd::Flush && !batch.copies_in();
+    let asked = ahead && ask_status(&mut pinned.pooled).is_ok();
+    let rule = if closes { HoldRule::UntilCommit } else { HoldRule::Pass };
+    let bounds = bounds_of(&pinned.group, batch);
+    let mut sink = ReplySink::new(&mut session.link, rule);
+    let relayed = relay_batch(&mut pinned.pooled, &mut queue, &mut sink, bounds).await;
+    let held = sink.into_held();
+    match relayed {
+        Ok(outcome) => {
+            let sent = SentBatch { asked, asked_at, held };
+            conclude(context, session, batch, pinned, &outcome, sent).await
+        }
+        Err(error) if held.relayed || matches!(error, ExchangeError::Caller(_)) => {
+            Err(SessionEnd::Broken(error))
+        }
+        Err(_) if closes => Ok(lose_commit(session)),
+        Err(_) => refuse(session, batch, &RefusalNotice::TransactionLost).await,
+    }
+}
+
+/// Whether a batch commits its transaction, as far as its text says.
+fn commits(batch: &CallerBatch) -> bool {
+    batch.ends() && batch.executes
+}
+
+/// Enters the transaction's key before its commit; answers a refusal if that fails.
+async fn enter_key(pinned: &mut PinnedConnection, key: &RequestKey) -> Option<RefusalNotice> {
+    let bound = pinned.group.timing.statement_timeout;
+    match run_own(&mut pinned.pooled, &insert_of(key), bound).await {
+        Ok(reply) => match reply.error {
+            None => None,
+            Some(error) if is_duplicate(&error) => {
+                Some(RefusalNotice::AlreadyRun { outcome: "a transaction".to_owned() })
+            }
+            Some(_) => Some(RefusalNotice::TransactionLost),
+        },
+        Err(_) => Some(RefusalNotice::TransactionLost),
+    }
+}
+
+async fn conclude(
+    context: &InstanceContext,
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    mut pinned: PinnedConnection,
+    outcome: &BatchOutcome,
+    sent: SentBatch,
+) -> Result<(), SessionEnd> {
+    if outcome.status == 0 {
+        sent.held.release(&mut session.link);
+        session.pinned = Some(pinned);
+        return Ok(());
+    }
+    if outcome.error.is_none() {
+        session_change::apply(session, batch, &mut pinned.pooled);
+    }
+    if outcome.status == b'I' {
+        return end_transaction(context, session, pinned, outcome, sent).await;
+    }
+    if sent.asked && !settle(&mut pinned, sent.asked_at).await {
+        return refuse(session, batch, &RefusalNotice::TransactionLost).await;
+    }
+    sent.held.release(&mut session.link);
+    pinned.status = outcome.status;
+    put_ready(session.link.outgoing(), outcome.status);
+    session.pinned = Some(pinned);
+    Ok(())
+}
+
+/// Reads the status that was asked for after a batch that committed nothing.
+async fn settle(pinned: &mut PinnedConnection, asked_at: Duration) -> bool {
+    let group = &pinned.group;
+    read_status(group, pinned.member, &mut pinned.pooled, asked_at).await.is_ok()
+}
+
+async fn end_transaction(
+    context: &InstanceContext,
+    session: &mut CallerSession,
+    mut pinned: PinnedConnection,
+    outcome: &BatchOutcome,
+    sent: SentBatch,
+) -> Result<(), SessionEnd> {
+    let rolled_back = outcome.last_tag == b"ROLLBACK";
+    if rolled_back {
+        session.settings.clone_from(&pinned.settings_before);
+        pinned.pooled.settings.clone_from(&pinned.settings_before);
+    }
+    if !sent.asked && ask_status(&mut pinned.pooled).is_err() {
+        return Ok(lose_commit(session));
+    }
+    let group = Arc::clone(&pinned.group);
+    // A transaction without a term is a read-only one on a replica: there is nothing to commit.
+    let stamp = if rolled_back || pinned.term.is_none() {
+        if !settle(&mut pinned, sent.asked_at).await {
+            return Ok(lose_commit(session));
+        }
+        None
+    } else {
+        let term = pinned.term;
+        let pooled = &mut pinned.pooled;
+        match acknowledge(&group, pinned.member, pooled, term, sent.asked_at).await {
+            Some(stamp) => Some(stamp),
+            None => return Ok(lose_commit(session)),
+        }
+    };
+    sent.held.release(&mut session.link);
+    give_back(session, pinned).await;
+    note_commit(context, session, stamp);
+    put_ready(session.link.outgoing(), b'I');
+    Ok(())
+}
+
+async fn give_back(session: &CallerSession, pinned: PinnedConnection) {
+    // Waits for a cancel on its way: it must not hit the connection's next caller.
+    *session.cancel.slot.lock().await = None;
+    pinned.group.members[pinned.member].pool.give_back(pinned.pooled);
+}
+
+fn lose_commit(session: &mut CallerSession) {
+    answer_unresolved(session);
+}
+
+async fn roll_back(session: &mut CallerSession, mut pinned: PinnedConnection) {
+    let bound = pinned.group.timing.statement_timeout.min(ROLLBACK_TIMEOUT);
+    if run_own(&mut pinned.pooled, "ROLLBACK", bound).await.is_ok() {
+        session.settings.clone_from(&pinned.settings_before);
+        pinned.pooled.settings.clone_from(&pinned.settings_before);
+        give_back(session, pinned).await;
+    }
+}
+
+/// Ends the transaction of a caller that is gone. Its statements must not mix with those of the
+/// connection's next caller, so the connection is rolled back, or closed if that fails.
+pub(crate) async fn abandon(session: &mut CallerSession) {
+    if let Some(pinned) = session.pinned.take() {
+        roll_back(session, pinned).await;
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -0,0 +1,268 @@
+//! Serving a write: at the primary, acknowledged only once a majority holds it at the primary's
+//! own term.
+
+use super::acknowledge::leading_term;
+use super::answer::{put_ready, put_refusal};
+use super::attempt::{AttemptError, MemberAttempt};
+use super::local::report_token;
+use super::serve::{SessionEnd, refuse};
+use super::session::{CallerSession, FloorKnowledge, PinnedConnection};
+use super::keyed::{self, KeyedRequest};
+use super::session_change;
+use crate::context::InstanceContext;
+use crate::exchange::{
+    BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink, encode_batch,
+    relay_batch,
+};
+use crate::group::GroupState;
+use rudder_core::{LogStamp, MemberStatus, RefusalNotice, TERM_REFUSED_SQLSTATE};
+use rudder_decisions::{MemberHealth, WorkClass};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout_at;
+
+/// When a write that found no primary should come back, if nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// SQLSTATE with which a replica refuses a write.
+const READ_ONLY: &str = "25006";
+
+/// Pause before a member that turned out not to lead is tried again.
+const REROUTE_PAUSE: Duration = Duration::from_millis(20);
+
+/// How an attempt ended.
+pub(crate) enum WriteEnd {
+    /// The caller has its answer.
+    Answered,
+    /// Provably not run: another attempt is safe.
+    NotRun,
+}
+
+/// Serves a write, or a transaction's beginning.
+pub(crate) async fn serve(
+    context: &Arc<InstanceContext>,
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    group: &Arc<GroupState>,
+) -> Result<(), SessionEnd> {
+    let deadline = Instant::now() + session.caller.queue_wait;
+    let mut keyed = KeyedRequest::of(session, batch);
+    loop {
+        let primary = await_primary(group, deadline).await;
+        let Some(member) = primary.filter(|_| Instant::now() < deadline) else {
+            let notice = RefusalNotice::NoPrimary { retry_after: RETRY_AFTER };
+            return refuse(session, batch, &notice).await;
+        };
+        log_route(session, group, member);
+        let attempt =
+            MemberAttempt::begin(session, group, member, WorkClass::Write, deadline).await;
+        let attempt = match attempt {
+            Ok(attempt) => attempt,
+            Err(AttemptError::Refused(reason)) => {
+                let notice = RefusalNotice::Overloaded { retry_after: reason.retry_after };
+                return refuse(session, batch, &notice).await;
+            }
+            Err(AttemptError::Pool(_)) => {
+                group.members[member].fail();
+                tokio::time::sleep(REROUTE_PAUSE).await;
+                continue;
+            }
+        };
+        let end = match &mut keyed {
+            Some(keyed) if batch.begins().is_none() => {
+                keyed::run(context, session, batch, attempt, keyed).await?
+            }
+            _ => run(context, session, batch, attempt).await?,
+        };
+        if let (Some(pinned), Some(keyed)) = (&mut session.pinned, &keyed) {
+            pinned.key = Some(keyed.key.clone());
+        }
+        match end {
+            WriteEnd::Answered => return Ok(()),
+            WriteEnd::NotRun => tokio::time::sleep(REROUTE_PAUSE).await,
+        }
+    }
+}
+
+/// The member that leads, as far as is known; waits for one until the deadline.
+async fn await_primary(group: &Arc<GroupState>, deadline: Instant) -> Option<usize> {
+    let mut changes = group.board.subscribe();
+    loop {
+        if let Some(belief) = group.primary() {
+            if group.members[belief.index].health() != MemberHealth::Down {
+                return Some(belief.index);
+            }
+        }
+        timeout_at(deadline.into(), changes.changed()).await.ok()?.ok()?;
+    }
+}
+
+fn log_route(session: &CallerSession, group: &GroupState, member: usize) {
+    log::info!(
+        target: "rudder::route", service:% = group.service.name,
+        member:% = group.members[member].name(), class = "write",
+        kind:% = session.caller.kind, reason = "primary"; "write routed"
+    );
+}
+
+async fn run(
+    context: &Arc<InstanceContext>,
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    mut attempt: MemberAttempt,
+) -> Result<WriteEnd, SessionEnd> {
+    let mut queue = encode_batch(&mut attempt.pooled, batch);
+    let asked_again = may_ask_ahead(batch) && attempt.ask_again().is_ok();
+    let before = match attempt.first_status().await {
+        Ok(status) => status,
+        Err(error) => return Ok(lose(session, batch, attempt, &error).await),
+    };
+    let bounds = attempt.bounds(batch);
+    let mut sink = ReplySink::new(&mut session.link, HoldRule::UntilCommit);
+    let relayed = relay_batch(&mut attempt.pooled, &mut queue, &mut sink, bounds).await;
+    let held = sink.into_held();
+    let outcome = match relayed {
+        Ok(outcome) => outcome,
+        Err(error) if held.relayed || matches!(error, ExchangeError::Caller(_)) => {
+            attempt.abandon(session, &error).await;
+            return Err(SessionEnd::Broken(error));
+        }
+        Err(error) => return Ok(lose(session, batch, attempt, &error).await),
+    };
+    if is_not_run(&outcome, &held) {
+        let settled = !asked_again || attempt.last_status().await.is_ok();
+        if settled && outcome.status == b'I' {
+            attempt.finish(session).await;
+        }
+        return Ok(WriteEnd::NotRun);
+    }
+    if outcome.status != b'I' {
+        held.release(&mut session.link);
+        return Ok(pin(session, batch, attempt, &outcome, &before, asked_again).await);
+    }
+    let committed = held.completions > 0 && outcome.last_tag != b"ROLLBACK" && batch.executes;
+    let verdict = if committed {
+        attempt.acknowledge(leading_term(&before), asked_again).await.map(Some)
+    } else {
+        let settled = !asked_again || attempt.last_status().await.is_ok();
+        settled.then_some(None)
+    };
+    match verdict {
+        Some(stamp) => {
+            held.release(&mut session.link);
+            answer(context, session, batch, attempt, &outcome, stamp).await;
+        }
+        None => {
+            attempt.abandon(session, &ExchangeError::MemberSilent).await;
+            answer_unresolved(session);
+        }
+    }
+    Ok(WriteEnd::Answered)
+}
+
+/// Whether the question for the status after the batch can be sent along with it. A COPY would
+/// take it for data, and a Flush leaves the batch open.
+fn may_ask_ahead(batch: &CallerBatch) -> bool {
+    batch.end != BatchEnd::Flush && !batch.copies_in() && batch.begins().is_none()
+}
+
+/// Whether the member refused the whole batch because it does not lead, and the caller has seen
+/// nothing of it.
+pub(crate) fn is_not_run(outcome: &BatchOutcome, held: &HeldReplies) -> bool {
+    let refused = |sqlstate: &str| sqlstate == READ_ONLY || sqlstate == TERM_REFUSED_SQLSTATE;
+    held.completions == 0 && !held.relayed && outcome.error.as_ref().is_some_and(|error| refused(&error.sqlstate))
+}
+
+/// Ends an attempt whose connection failed after the batch was sent: nobody can tell whether it
+/// ran.
+async fn lose(
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    attempt: MemberAttempt,
+    error: &ExchangeError,
+) -> WriteEnd {
+    attempt.abandon(session, error).await;
+    if !batch.executes {
+        return WriteEnd::NotRun;
+    }
+    answer_unresolved(session);
+    WriteEnd::Answered
+}
+
+/// Tells the caller that nobody can tell.
+pub(crate) fn answer_unresolved(session: &mut CallerSession) {
+    metrics::counter!("rudder_refusals_total", "class" => "unknown", "sqlstate" => "08007")
+        .increment(1);
+    put_refusal(session.link.outgoing(), &RefusalNotice::Unresolved);
+    put_ready(session.link.outgoing(), b'I');
+}
+
+/// Ends the answer to a batch that left no transaction open.
+pub(crate) async fn answer(
+    context: &InstanceContext,
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    mut attempt: MemberAttempt,
+    outcome: &BatchOutcome,
+    stamp: Option<LogStamp>,
+) {
+    if outcome.error.is_none() {
+        session_change::apply(session, batch, &mut attempt.pooled);
+    }
+    attempt.finish(session).await;
+    note_commit(context, session, stamp);
+    put_ready(session.link.outgoing(), b'I');
+}
+
+/// Raises what the session must see, and reports its token.
+pub(crate) fn note_commit(
+    context: &InstanceContext,
+    session: &mut CallerSession,
+    stamp: Option<LogStamp>,
+) {
+    let Some(stamp) = stamp else { return };
+    metrics::counter!("rudder_commits_total").increment(1);
+    let service = session.service.clone();
+    session.token.raise(&service, stamp);
+    // An acknowledged write of its own is at least as far as any earlier one of the session.
+    session.knowledge = FloorKnowledge::Known;
+    context.sessions.remember(&session.token);
+    report_token(session);
+}
+
+/// Keeps the connection for the session's transaction.
+async fn pin(
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    mut attempt: MemberAttempt,
+    outcome: &BatchOutcome,
+    before: &MemberStatus,
+    asked_again: bool,
+) -> WriteEnd {
+    if asked_again && attempt.last_status().await.is_err() {
+        attempt.abandon(session, &ExchangeError::MemberSilent).await;
+        answer_unresolved(session);
+        return WriteEnd::Answered;
+    }
+    let settings_before = session.settings.clone();
+    if outcome.error.is_none() {
+        session_change::apply(session, batch, &mut attempt.pooled);
+    }
+    let group = Arc::clone(&attempt.group);
+    let member = attempt.member;
+    let pooled = attempt.into_pooled();
+    let flushed = outcome.status == 0;
+    session.pinned = Some(PinnedConnection {
+        group,
+        member,
+        pooled,
+        term: leading_term(before),
+        status: if flushed { b'I' } else { outcome.status },
+        settings_before,
+        key: None,
+    });
+    if !flushed {
+        put_ready(session.link.outgoing(), outcome.status);
+    }
+    WriteEnd::Answered
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/context.rs
@@ -0,0 +1,73 @@
+//! What every caller's task of this instance shares.
+
+use crate::caller::{CancelBoard, SessionDirectory};
+use crate::classify::FactsCache;
+use crate::group::GroupState;
+use crate::peering::PeerLink;
+use crate::process::ProcessSettings;
+use arc_swap::ArcSwap;
+use rudder_core::{DomainName, InstanceName, ServiceName};
+use rudder_settings::FleetSettings;
+use std::sync::{Arc, OnceLock};
+use std::time::Instant;
+use tokio::sync::watch;
+use tokio_rustls::TlsAcceptor;
+
+/// The settings in force, with the groups that they declare.
+#[derive(Default)]
+pub(crate) struct FleetState {
+    /// The revision's number; zero before any was accepted.
+    pub(crate) revision: u64,
+    /// The settings.
+    pub(crate) settings: FleetSettings,
+    /// The groups, sorted by service name.
+    pub(crate) groups: Vec<Arc<GroupState>>,
+}
+
+impl FleetState {
+    /// The group of a service.
+    pub(crate) fn group(&self, service: &ServiceName) -> Option<&Arc<GroupState>> {
+        let index =
+            self.groups.binary_search_by(|group| group.service.name.cmp(service)).ok()?;
+        Some(&self.groups[index])
+    }
+}
+
+/// The state of one instance.
+pub(crate) struct InstanceContext {
+    /// This process's own settings.
+    pub(crate) process: ProcessSettings,
+    /// The settings in force.
+    pub(crate) fleet: ArcSwap<FleetState>,
+    /// Remembered classifications.
+    pub(crate) facts: FactsCache,
+    /// The callers' cancel keys.
+    pub(crate) cancel: Arc<CancelBoard>,
+    /// Sessions known by id.
+    pub(crate) sessions: SessionDirectory,
+    /// The way to the other instances, once it is up.
+    pub(crate) peers: OnceLock<PeerLink>,
+    /// Whether this instance is leaving.
+    pub(crate) leaving: watch::Sender<bool>,
+    /// TLS towards callers, if it is set.
+    pub(crate) tls: Option<TlsAcceptor>,
+    /// The origin of this instance's time line.
+    pub(crate) origin: Instant,
+}
+
+impl InstanceContext {
+    /// This instance's name.
+    pub(crate) fn name(&self) -> &InstanceName {
+        &self.process.instance
+    }
+
+    /// This instance's failure domain.
+    pub(crate) fn domain(&self) -> &DomainName {
+        &self.process.domain
+    }
+
+    /// Whether this instance is leaving.
+    pub(crate) fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/exchange/encode.rs
@@ -0,0 +1,153 @@
+//! Encoding a batch for one connection: statements get names that hold for every caller, and are
+//! prepared there first if the connection has not seen them.
+
+use super::batch::{BatchEnd, BatchFrame, CallerBatch, PreparedStatement};
+use super::replies::{ExpectedReply, ReplyQueue};
+use crate::group::PooledConnection;
+use bytes::{BufMut, BytesMut};
+use postgres_protocol::message::frontend;
+use rudder_endpoint::{EndpointError, tag};
+
+/// Statements kept prepared on one connection; beyond it an earlier one is closed.
+const PREPARED_MAX: usize = 200;
+
+/// Queues the statements that give a connection the session's settings; answers whether there
+/// was anything to queue.
+pub(crate) fn sync_settings(
+    pooled: &mut PooledConnection,
+    wanted: &[(String, String)],
+) -> Result<bool, EndpointError> {
+    if pooled.settings == wanted {
+        return Ok(false);
+    }
+    let mut text = String::from("RESET ALL");
+    for (_, statement) in wanted {
+        text.push_str("; ");
+        text.push_str(statement);
+    }
+    pooled.connection.queue_query(&text)?;
+    pooled.settings = wanted.to_vec();
+    Ok(true)
+}
+
+/// Queues a batch and answers the replies to await.
+pub(crate) fn encode_batch(pooled: &mut PooledConnection, batch: &CallerBatch) -> ReplyQueue {
+    let mut queue = ReplyQueue::default();
+    for frame in &batch.frames {
+        encode_frame(pooled, frame, batch.end, &mut queue);
+    }
+    let outgoing = pooled.connection.link().outgoing();
+    match batch.end {
+        BatchEnd::Simple => {}
+        BatchEnd::Sync => frontend::sync(outgoing),
+        BatchEnd::Flush => frontend::flush(outgoing),
+    }
+    queue
+}
+
+fn encode_frame(
+    pooled: &mut PooledConnection,
+    frame: &BatchFrame,
+    end: BatchEnd,
+    queue: &mut ReplyQueue,
+) {
+    match frame {
+        BatchFrame::Parse(statement) => {
+            if is_prepared(pooled, statement, queue) {
+                queue.expect(ExpectedReply::MadeUpParse);
+            } else {
+                prepare(pooled, statement, true, queue);
+            }
+        }
+        BatchFrame::Bind(statement, portal, rest) => {
+            ensure_prepared(pooled, statement, queue);
+            let name = member_name(statement);
+            let outgoing = pooled.connection.link().outgoing();
+            put_frame(outgoing, tag::BIND, &[portal, name.as_bytes(), b"\0", rest]);
+            queue.expect(ExpectedReply::Single);
+        }
+        BatchFrame::DescribeStatement(statement) => {
+            ensure_prepared(pooled, statement, queue);
+            let name = member_name(statement);
+            let outgoing = pooled.connection.link().outgoing();
+            put_frame(outgoing, tag::DESCRIBE, &[b"S", name.as_bytes(), b"\0"]);
+            queue.expect(ExpectedReply::Describe);
+        }
+        BatchFrame::CloseStatement => queue.expect(ExpectedReply::MadeUpClose),
+        BatchFrame::Plain(frame) => {
+            pooled.connection.link().outgoing().extend_from_slice(&frame.bytes);
+            if end != BatchEnd::Simple {
+                queue.expect(reply_to(frame.tag));
+            }
+        }
+    }
+}
+
+fn reply_to(frame_tag: u8) -> ExpectedReply {
+    match frame_tag {
+        tag::DESCRIBE => ExpectedReply::Describe,
+        tag::EXECUTE => ExpectedReply::Execute,
+        _ => ExpectedReply::Single,
+    }
+}
+
+fn is_prepared(
+    pooled: &PooledConnection,
+    statement: &PreparedStatement,
+    queue: &ReplyQueue,
+) -> bool {
+    pooled.prepared.binary_search(&statement.hash).is_ok() || queue.awaits_parse(statement.hash)
+}
+
+fn ensure_prepared(
+    pooled: &mut PooledConnection,
+    statement: &PreparedStatement,
+    queue: &mut ReplyQueue,
+) {
+    if !is_prepared(pooled, statement, queue) {
+        prepare(pooled, statement, false, queue);
+    }
+}
+
+fn prepare(
+    pooled: &mut PooledConnection,
+    statement: &PreparedStatement,
+    relayed: bool,
+    queue: &mut ReplyQueue,
+) {
+    make_room(pooled, statement.hash, queue);
+    let name = member_name(statement);
+    let outgoing = pooled.connection.link().outgoing();
+    put_frame(outgoing, tag::PARSE, &[name.as_bytes(), b"\0", &statement.definition]);
+    queue.expect(ExpectedReply::Parse { hash: statement.hash, relayed });
+}
+
+/// Closes one prepared statement if the connection holds too many. Which one is as good as random:
+/// the neighbour of the new one in the order of hashes.
+fn make_room(pooled: &mut PooledConnection, hash: u128, queue: &mut ReplyQueue) {
+    if pooled.prepared.len() < PREPARED_MAX {
+        return;
+    }
+    let index = pooled.prepared.partition_point(|known| *known < hash) % pooled.prepared.len();
+    let closed = pooled.prepared.remove(index);
+    let name = name_of(closed);
+    put_frame(pooled.connection.link().outgoing(), tag::CLOSE, &[b"S", name.as_bytes(), b"\0"]);
+    queue.expect(ExpectedReply::SilentClose);
+}
+
+fn member_name(statement: &PreparedStatement) -> String {
+    name_of(statement.hash)
+}
+
+fn name_of(hash: u128) -> String {
+    format!("rudder_{hash:032x}")
+}
+
+fn put_frame(outgoing: &mut BytesMut, frame_tag: u8, parts: &[&[u8]]) {
+    let size: usize = parts.iter().map(|part| part.len()).sum();
+    outgoing.put_u8(frame_tag);
+    outgoing.put_u32(u32::try_from(size + 4).unwrap_or(u32::MAX));
+    for part in parts {
+        outgoing.extend_from_slice(part);
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/exchange/relay.rs
@@ -0,0 +1,190 @@
+//! Relaying a batch's replies until the member is ready for the next one.
+
+use super::batch::BatchEnd;
+use super::replies::{ReplyAction, ReplyQueue};
+use super::sink::ReplySink;
+use crate::group::PooledConnection;
+use displaydoc::Display;
+use rudder_endpoint::{ErrorFields, FramePart, WireError, WireFrame, read_error_fields, tag};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Why a batch was not relayed to its end.
+#[derive(Debug, Display)]
+#[ignore_extra_doc_attributes]
+pub(crate) enum ExchangeError {
+    /// the member's connection failed: {0}
+    Member(WireError),
+    /// the member did not answer in time
+    MemberSilent,
+    /// the caller's connection failed: {0}
+    Caller(WireError),
+    /// the answer that waits for its commit is too large to hold
+    Overfull,
+}
+
+impl std::error::Error for ExchangeError {}
+
+/// Bounds of one exchange.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RelayBounds {
+    /// How long the member may send nothing.
+    pub(crate) member_silence: Duration,
+    /// How long the caller may take to send or take data.
+    pub(crate) caller_silence: Duration,
+    /// How the batch ends. After a Flush it is over when all replies have come.
+    pub(crate) end: BatchEnd,
+}
+
+/// How a batch ended at its member.
+#[derive(Debug, Default)]
+pub(crate) struct BatchOutcome {
+    /// The transaction status that the member reported: `I`, `T` or `E`; zero after a Flush.
+    pub(crate) status: u8,
+    /// The first error, if any statement failed.
+    pub(crate) error: Option<ErrorFields>,
+    /// The tag of the last statement that completed.
+    pub(crate) last_tag: Vec<u8>,
+}
+
+/// Relays replies into `sink` until the member is ready or, for a Flush, every reply has come.
+pub(crate) async fn relay_batch(
+    pooled: &mut PooledConnection,
+    queue: &mut ReplyQueue,
+    sink: &mut ReplySink<'_>,
+    bounds: RelayBounds,
+) -> Result<BatchOutcome, ExchangeError> {
+    let mut outcome = BatchOutcome::default();
+    loop {
+        queue.make_up(|bytes| sink.push_bytes(bytes));
+        if bounds.end == BatchEnd::Flush && queue.is_empty() {
+            return Ok(outcome);
+        }
+        flush_caller_if_idle(pooled, sink, bounds).await?;
+        let frame = next_reply(pooled, bounds).await?;
+        if frame.tag == tag::READY {
+            outcome.status = frame.body().first().copied().unwrap_or(b'I');
+            return Ok(outcome);
+        }
+        note_reply(&frame, &mut outcome);
+        let whole = matches!(frame.part, FramePart::Whole);
+        if whole && queue.take(frame.tag) == ReplyAction::Swallow {
+            continue;
+        }
+        remember_prepared(pooled, queue);
+        sink.push(&frame);
+        if sink.is_overfull() {
+            return Err(ExchangeError::Overfull);
+        }
+        if frame.tag == tag::COPY_IN {
+            forward_copy(pooled, sink, bounds).await?;
+        }
+    }
+}
+
+/// Reads and drops replies until the member is ready.
+pub(crate) async fn drain_batch(
+    pooled: &mut PooledConnection,
+    queue: &mut ReplyQueue,
+    bounds: RelayBounds,
+) -> Result<BatchOutcome, ExchangeError> {
+    let mut outcome = BatchOutcome::default();
+    loop {
+        queue.make_up(|_| {});
+        let frame = next_reply(pooled, bounds).await?;
+        if frame.tag == tag::READY {
+            outcome.status = frame.body().first().copied().unwrap_or(b'I');
+            return Ok(outcome);
+        }
+        note_reply(&frame, &mut outcome);
+        if matches!(frame.part, FramePart::Whole) {
+            queue.take(frame.tag);
+            remember_prepared(pooled, queue);
+        }
+    }
+}
+
+async fn next_reply(
+    pooled: &mut PooledConnection,
+    bounds: RelayBounds,
+) -> Result<WireFrame, ExchangeError> {
+    timeout(bounds.member_silence, pooled.connection.link().next_frame())
+        .await
+        .map_err(|_| ExchangeError::MemberSilent)?
+        .map_err(ExchangeError::Member)
+}
+
+/// Sends what the caller can already have before waiting for the member, or when much has piled up.
+async fn flush_caller_if_idle(
+    pooled: &mut PooledConnection,
+    sink: &mut ReplySink<'_>,
+    bounds: RelayBounds,
+) -> Result<(), ExchangeError> {
+    let caller = sink.caller();
+    let more_ready = pooled.connection.link().has_buffered_frame();
+    if caller.outgoing().is_empty() || (more_ready && !caller.is_congested()) {
+        return Ok(());
+    }
+    flush_caller(sink, bounds).await
+}
+
+async fn flush_caller(sink: &mut ReplySink<'_>, bounds: RelayBounds) -> Result<(), ExchangeError> {
+    timeout(bounds.caller_silence, sink.caller().flush())
+        .await
+        .map_err(|_| ExchangeError::Caller(WireError::Closed))?
+        .map_err(ExchangeError::Caller)
+}
+
+fn note_reply(frame: &WireFrame, outcome: &mut BatchOutcome) {
+    match frame.tag {
+        tag::ERROR if outcome.error.is_none() => {
+            outcome.error = Some(read_error_fields(frame.body()));
+        }
+        tag::COMMAND_COMPLETE => {
+            outcome.last_tag = frame.body().strip_suffix(b"\0").unwrap_or_default().to_vec();
+        }
+        _ => {}
+    }
+}
+
+fn remember_prepared(pooled: &mut PooledConnection, queue: &mut ReplyQueue) {
+    for hash in queue.take_prepared() {
+        if let Err(index) = pooled.prepared.binary_search(&hash) {
+            pooled.prepared.insert(index, hash);
+        }
+    }
+}
+
+/// Forwards the caller's COPY data until it ends or the member speaks: a member that refuses the
+/// data says so in the middle.
+async fn forward_copy(
+    pooled: &mut PooledConnection,
+    sink: &mut ReplySink<'_>,
+    bounds: RelayBounds,
+) -> Result<(), ExchangeError> {
+    flush_caller(sink, bounds).await?;
+    loop {
+        let next = timeout(bounds.caller_silence, sink.caller().next_frame());
+        let frame = next
+            .await
+            .map_err(|_| ExchangeError::Caller(WireError::Closed))?
+            .map_err(ExchangeError::Caller)?;
+        // In an extended batch the member answers a COPY only after a Sync of its own: the one
+        // that was sent along with the batch is skipped while data is awaited.
+        let ends = match bounds.end {
+            BatchEnd::Simple => matches!(frame.tag, tag::COPY_DONE | tag::COPY_FAIL),
+            BatchEnd::Sync | BatchEnd::Flush => frame.tag == tag::SYNC,
+        };
+        let member = pooled.connection.link();
+        member.outgoing().extend_from_slice(&frame.bytes);
+        if ends {
+            return Ok(());
+        }
+        if member.is_congested() {
+            timeout(bounds.member_silence, member.flush())
+                .await
+                .map_err(|_| ExchangeError::MemberSilent)?
+                .map_err(ExchangeError::Member)?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/group/admission.rs
@@ -0,0 +1,130 @@
+//! Waiting at the admission gate: the gate decides, this module wakes the waiters.
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rudder_decisions::{
+    AdmissionGate, AdmissionRequest, AdmissionVerdict, LaneKey, LaneLimits, RefusalReason,
+    TicketId, TicketNotice, TicketOutcome,
+};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+use tokio::sync::oneshot;
+
+/// The admission gate of one group, with those who wait at it.
+pub(crate) struct AdmissionDesk {
+    inner: Mutex<DeskState>,
+}
+
+struct DeskState {
+    gate: AdmissionGate,
+    rng: StdRng,
+    /// Sorted by ticket: tickets only grow.
+    waiters: Vec<(TicketId, oneshot::Sender<TicketOutcome>)>,
+}
+
+/// A held slot; dropping it gives the slot back.
+pub(crate) struct AdmissionPass {
+    desk: Arc<AdmissionDesk>,
+    ticket: TicketId,
+}
+
+impl Drop for AdmissionPass {
+    fn drop(&mut self) {
+        self.desk.release(self.ticket);
+    }
+}
+
+impl AdmissionDesk {
+    /// A desk whose refusals are spread by a generator seeded with `seed`.
+    pub(crate) fn new(seed: u64) -> Self {
+        let inner = DeskState {
+            gate: AdmissionGate::new(),
+            rng: StdRng::seed_from_u64(seed),
+            waiters: Vec::new(),
+        };
+        Self { inner: Mutex::new(inner) }
+    }
+
+    /// Sets the limits of one member's lane.
+    pub(crate) fn set_lane(&self, key: &LaneKey, limits: LaneLimits) {
+        self.lock().gate.set_lane(key, limits);
+    }
+
+    /// Waits for a slot; a refusal is the final answer and comes at once.
+    pub(crate) async fn enter(
+        self: &Arc<Self>,
+        request: &AdmissionRequest,
+    ) -> Result<AdmissionPass, RefusalReason> {
+        let (ticket, outcome) = match self.offer(request) {
+            (AdmissionVerdict::Run(ticket), _) => return Ok(self.pass(ticket)),
+            (AdmissionVerdict::Refuse(reason), _) => return Err(reason),
+            (AdmissionVerdict::Wait(ticket), outcome) => (ticket, outcome),
+        };
+        // The pass also covers the wait: a caller that vanishes gives its place back.
+        let pass = self.pass(ticket);
+        let give_up = request.deadline.min(Instant::now() + request.queue_wait);
+        let mut outcome = outcome;
+        loop {
+            let sleep = tokio::time::sleep_until(give_up.into());
+            tokio::select! {
+                outcome = &mut outcome => return match outcome {
+                    Ok(TicketOutcome::Refuse(reason)) => Err(reason),
+                    Ok(TicketOutcome::Run) | Err(_) => Ok(pass),
+                },
+                () = sleep => self.expire(),
+            }
+            // The clock may be a hair behind the gate's own bound.
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        }
+    }
+
+    fn offer(
+        &self,
+        request: &AdmissionRequest,
+    ) -> (AdmissionVerdict, oneshot::Receiver<TicketOutcome>) {
+        let (sender, receiver) = oneshot::channel();
+        let mut inner = self.lock();
+        let DeskState { gate, rng, waiters } = &mut *inner;
+        let verdict = gate.offer(request, Instant::now(), rng);
+        if let AdmissionVerdict::Wait(ticket) = verdict {
+            waiters.push((ticket, sender));
+        }
+        (verdict, receiver)
+    }
+
+    fn release(&self, ticket: TicketId) {
+        let mut inner = self.lock();
+        let DeskState { gate, rng, waiters } = &mut *inner;
+        if let Ok(index) = waiters.binary_search_by_key(&ticket, |(known, _)| *known) {
+            waiters.remove(index);
+        }
+        let notices = gate.release(ticket, Instant::now(), rng);
+        inform(waiters, &notices);
+    }
+
+    fn expire(&self) {
+        let mut inner = self.lock();
+        let DeskState { gate, rng, waiters } = &mut *inner;
+        let notices = gate.expire(Instant::now(), rng);
+        inform(waiters, &notices);
+    }
+
+    fn pass(self: &Arc<Self>, ticket: TicketId) -> AdmissionPass {
+        AdmissionPass { desk: Arc::clone(self), ticket }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, DeskState> {
+        self.inner.lock().expect("no holder of this lock panics")
+    }
+}
+
+fn inform(waiters: &mut Vec<(TicketId, oneshot::Sender<TicketOutcome>)>, notices: &[TicketNotice]) {
+    for notice in notices {
+        let found = waiters.binary_search_by_key(&notice.ticket, |(known, _)| *known);
+        if let Ok(index) = found {
+            let (_, sender) = waiters.remove(index);
+            // A waiter that is gone gives its ticket back by its pass.
+            let _ = sender.send(notice.outcome);
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/group/confirm.rs
@@ -0,0 +1,101 @@
+//! Waiting until a majority of the members confirms a commit, or a primary's term for a read.
+//!
+//! All that wait in one group share the members' reports: while anything waits, each member is
+//! asked again as soon as it has answered, and every answer serves all waiters.
+
+use super::state::GroupState;
+use rudder_core::{AckVerdict, LogStamp, MemberName, MemberStatus, judge_commit};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// What became of a wait for a majority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConfirmOutcome {
+    /// A majority holds the commit at its own term.
+    Acknowledged,
+    /// A greater term was accepted somewhere: the commit may be lost.
+    Superseded,
+    /// No majority answered in time.
+    TimedOut,
+}
+
+/// While it lives, every member is asked for reports without pause.
+struct DemandGuard<'a> {
+    group: &'a GroupState,
+}
+
+impl<'a> DemandGuard<'a> {
+    fn new(group: &'a GroupState) -> Self {
+        for member in &group.members {
+            member.demand.fetch_add(1, Ordering::AcqRel);
+            member.wanted.notify_one();
+        }
+        Self { group }
+    }
+}
+
+impl Drop for DemandGuard<'_> {
+    fn drop(&mut self) {
+        for member in &self.group.members {
+            member.demand.fetch_sub(1, Ordering::AcqRel);
+        }
+    }
+}
+
+impl GroupState {
+    /// Waits until a majority holds `commit` at its own term.
+    pub(crate) async fn confirm_commit(
+        &self,
+        commit: LogStamp,
+        within: Duration,
+    ) -> ConfirmOutcome {
+        self.confirm(commit, Duration::ZERO, within).await
+    }
+
+    /// Waits until a majority, asked at or after `since`, has accepted no greater term than that
+    /// of `seen`, the primary's own stamp: then the primary's data was the newest at `since`.
+    pub(crate) async fn confirm_term(
+        &self,
+        seen: LogStamp,
+        since: Duration,
+        within: Duration,
+    ) -> ConfirmOutcome {
+        let start_of_term = LogStamp { position: rudder_core::LogPosition(0), ..seen };
+        self.confirm(start_of_term, since, within).await
+    }
+
+    async fn confirm(&self, stamp: LogStamp, since: Duration, within: Duration) -> ConfirmOutcome {
+        if let Some(outcome) = self.judge(stamp, since) {
+            return outcome;
+        }
+        let _demand = DemandGuard::new(self);
+        let mut changes = self.board.subscribe();
+        let wait = async {
+            loop {
+                if let Some(outcome) = self.judge(stamp, since) {
+                    return outcome;
+                }
+                if changes.changed().await.is_err() {
+                    return ConfirmOutcome::TimedOut;
+                }
+            }
+        };
+        timeout(within, wait).await.unwrap_or(ConfirmOutcome::TimedOut)
+    }
+
+    fn judge(&self, stamp: LogStamp, since: Duration) -> Option<ConfirmOutcome> {
+        let reports: Vec<(MemberName, MemberStatus)> = self
+            .board
+            .reports()
+            .into_iter()
+            .filter(|report| report.asked_at >= since)
+            .map(|report| (report.member, report.status))
+            .collect();
+        match judge_commit(stamp, self.members.len(), &reports) {
+            AckVerdict::Acknowledged => Some(ConfirmOutcome::Acknowledged),
+            AckVerdict::Superseded => Some(ConfirmOutcome::Superseded),
+            AckVerdict::Waiting => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/group/mod.rs
@@ -0,0 +1,18 @@
+//! One database group as this instance sees it: its members, their last reports, the connections
+//! to them, and the acknowledgement of commits.
+
+mod admission;
+mod confirm;
+mod member;
+mod pool;
+mod reports;
+mod state;
+mod watch;
+
+pub(crate) use admission::{AdmissionDesk, AdmissionPass};
+pub(crate) use confirm::ConfirmOutcome;
+pub(crate) use member::GroupMember;
+pub(crate) use pool::{PoolError, PooledConnection};
+pub(crate) use reports::ReportBoard;
+pub(crate) use state::{GroupState, GroupTuning, PrimaryBelief};
+pub(crate) use watch::spawn_watch;
--- /dev/null
+++ b/crates/arbutusrudder/src/group/pool.rs
@@ -0,0 +1,156 @@
+//! The connections of this instance to one member.
+
+use displaydoc::Display;
+use rudder_endpoint::{EndpointError, MemberAddress, MemberConnection};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
+
+/// Statements kept prepared on one connection; beyond this all are dropped at its return.
+const PREPARED_MAX: usize = 256;
+
+/// How long an idle connection may take to prove itself; a new one is opened after that.
+const IDLE_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why no connection could be had. Nothing was sent, so the request did not run.
+#[derive(Debug, Display)]
+#[ignore_extra_doc_attributes]
+pub(crate) enum PoolError {
+    /// all connections stayed in use
+    Exhausted,
+    /// no connection could be opened: {0}
+    Endpoint(EndpointError),
+}
+
+impl std::error::Error for PoolError {}
+
+/// A connection in use, with what it remembers of earlier callers.
+pub(crate) struct PooledConnection {
+    /// The connection itself.
+    pub(crate) connection: MemberConnection,
+    /// Hashes of the statements that are prepared on it, sorted.
+    pub(crate) prepared: Vec<u128>,
+    /// The settings that are in force on it, sorted by name, with their SET statements.
+    pub(crate) settings: Vec<(String, String)>,
+    _permit: OwnedSemaphorePermit,
+}
+
+struct IdleConnection {
+    connection: MemberConnection,
+    prepared: Vec<u128>,
+    settings: Vec<(String, String)>,
+    since: Instant,
+}
+
+/// A bounded set of connections to one member.
+pub(crate) struct ConnectionPool {
+    address: MemberAddress,
+    permits: Arc<Semaphore>,
+    limit: Mutex<u32>,
+    idle: Mutex<Vec<IdleConnection>>,
+}
+
+impl ConnectionPool {
+    /// A pool of at most `limit` connections.
+    pub(crate) fn new(address: MemberAddress, limit: u32) -> Self {
+        Self {
+            address,
+            permits: Arc::new(Semaphore::new(limit as usize)),
+            limit: Mutex::new(limit),
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Where the member is.
+    pub(crate) fn address(&self) -> &MemberAddress {
+        &self.address
+    }
+
+    /// Changes the limit; a smaller one takes effect as connections come back.
+    pub(crate) fn set_limit(&self, wanted: u32) {
+        let mut limit = self.limit.lock().expect("no holder of this lock panics");
+        if wanted > *limit {
+            self.permits.add_permits((wanted - *limit) as usize);
+            *limit = wanted;
+        } else {
+            let forgotten = self.permits.forget_permits((*limit - wanted) as usize);
+            *limit -= u32::try_from(forgotten).unwrap_or(u32::MAX);
+            self.lock_idle().truncate(wanted as usize);
+        }
+    }
+
+    /// Takes a connection, idle or new, within `within`.
+    pub(crate) async fn take(
+        &self,
+        within: Duration,
+        connect_timeout: Duration,
+        check_after: Duration,
+    ) -> Result<PooledConnection, PoolError> {
+        let permit = timeout(within, Arc::clone(&self.permits).acquire_owned())
+            .await
+            .ok()
+            .and_then(Result::ok)
+            .ok_or(PoolError::Exhausted)?;
+        if let Some(idle) = self.take_idle(check_after).await {
+            return Ok(PooledConnection {
+                connection: idle.connection,
+                prepared: idle.prepared,
+                settings: idle.settings,
+                _permit: permit,
+            });
+        }
+        let bound = within.min(connect_timeout);
+        let opened = MemberConnection::open(&self.address, bound).await;
+        let connection = opened.map_err(PoolError::Endpoint)?;
+        metrics::counter!("rudder_member_connections_opened_total").increment(1);
+        Ok(PooledConnection {
+            connection,
+            prepared: Vec::new(),
+            settings: Vec::new(),
+            _permit: permit,
+        })
+    }
+
+    /// Takes back a connection that its member called ready and outside of a transaction. Every
+    /// other connection is dropped instead, which closes it: a late answer on it would reach the
+    /// next caller.
+    pub(crate) fn give_back(&self, pooled: PooledConnection) {
+        let PooledConnection { connection, prepared, settings, _permit: permit } = pooled;
+        if prepared.len() <= PREPARED_MAX {
+            let since = Instant::now();
+            self.lock_idle().push(IdleConnection { connection, prepared, settings, since });
+        }
+        drop(permit);
+    }
+
+    /// Closes all idle connections, because the member is gone or leaving.
+    pub(crate) fn clear(&self) {
+        self.lock_idle().clear();
+    }
+
+    async fn take_idle(&self, check_after: Duration) -> Option<IdleConnection> {
+        loop {
+            let mut idle = self.lock_idle().pop()?;
+            // Guards against a connection that the member closed while it was idle: the statement
+            // would be lost with an unknown outcome although it never ran.
+            if !idle.connection.link().is_quiet().await {
+                continue;
+            }
+            if idle.since.elapsed() < check_after {
+                return Some(idle);
+            }
+            // Guards against a connection that something between the two ends lost track of: it
+            // takes bytes and answers nothing. An idle one proves itself before a caller's work.
+            let check = idle.connection.control(&rudder_core::ControlStatement::Status);
+            if matches!(timeout(IDLE_CHECK_TIMEOUT, check).await, Ok(Ok(_))) {
+                return Some(idle);
+            }
+            metrics::counter!("rudder_silent_connections_total").increment(1);
+        }
+    }
+
+    fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<IdleConnection>> {
+        self.idle.lock().expect("no holder of this lock panics")
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/group/reports.rs
@@ -0,0 +1,94 @@
+//! The last report of each member, and what follows from all of them together.
+
+use rudder_core::{
+    AgeLedger, LogStamp, LogTerm, MemberName, MemberRole, MemberStatus, TimedReport, confirm_sample,
+};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// Reports of a group's members, with the age ledger that they feed.
+pub(crate) struct ReportBoard {
+    origin: Instant,
+    members: usize,
+    inner: Mutex<BoardState>,
+    changes: watch::Sender<u64>,
+}
+
+#[derive(Default)]
+struct BoardState {
+    /// Sorted by member name; one report each.
+    reports: Vec<TimedReport>,
+    ledger: AgeLedger,
+}
+
+impl ReportBoard {
+    /// An empty board for a group of `members` members.
+    pub(crate) fn new(origin: Instant, members: usize) -> Self {
+        let (changes, _) = watch::channel(0);
+        Self { origin, members, inner: Mutex::default(), changes }
+    }
+
+    /// The time since this instance's origin.
+    pub(crate) fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// Takes a member's report. One that was asked for earlier than the known one is dropped: it
+    /// says less.
+    pub(crate) fn note(&self, member: &MemberName, asked_at: Duration, status: MemberStatus) {
+        {
+            let mut inner = self.lock();
+            let report = TimedReport { member: member.clone(), asked_at, status };
+            match inner.reports.binary_search_by(|known| known.member.cmp(member)) {
+                Ok(index) if inner.reports[index].asked_at > asked_at => return,
+                Ok(index) => inner.reports[index] = report,
+                Err(index) => inner.reports.insert(index, report),
+            }
+            if let Some(sample) = confirm_sample(self.members, &inner.reports) {
+                inner.ledger.note(sample);
+            }
+        }
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// A receiver that is woken by each report.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// The reports, sorted by member name.
+    pub(crate) fn reports(&self) -> Vec<TimedReport> {
+        self.lock().reports.clone()
+    }
+
+    /// The last status of one member.
+    pub(crate) fn status_of(&self, member: &MemberName) -> Option<MemberStatus> {
+        let inner = self.lock();
+        let index = inner.reports.binary_search_by(|known| known.member.cmp(member)).ok()?;
+        Some(inner.reports[index].status)
+    }
+
+    /// The member that leads at the greatest term, as far as the reports say.
+    pub(crate) fn primary(&self) -> Option<(MemberName, LogTerm)> {
+        let inner = self.lock();
+        let leads = |report: &&TimedReport| report.status.role == MemberRole::Primary;
+        let primary =
+            inner.reports.iter().filter(leads).max_by_key(|report| report.status.accepted)?;
+        Some((primary.member.clone(), primary.status.accepted))
+    }
+
+    /// Runs a question against the age ledger.
+    pub(crate) fn with_ledger<T>(&self, question: impl FnOnce(&AgeLedger) -> T) -> T {
+        question(&self.lock().ledger)
+    }
+
+    /// Takes a peer's sample: its age when the peer answered a question asked at `asked_at`.
+    pub(crate) fn note_peer(&self, asked_at: Duration, age: Duration, stamp: LogStamp) {
+        self.lock().ledger.note_peer(asked_at, age, stamp);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BoardState> {
+        self.inner.lock().expect("no holder of this lock panics")
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/group/state.rs
@@ -0,0 +1,152 @@
+//! A group's state: the declared service, its members, and what is believed of its primary.
+
+use super::admission::AdmissionDesk;
+use super::member::GroupMember;
+use super::reports::ReportBoard;
+use rudder_core::{DomainName, LogTerm, MemberName};
+use rudder_decisions::{LaneKey, LaneLimits, MemberView};
+use rudder_endpoint::{LoginSettings, MemberAddress};
+use rudder_settings::{DomainSettings, MemberSettings, ServiceSettings, TimingSettings};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Requests that may wait at one member, per slot.
+const QUEUE_PER_SLOT: u32 = 64;
+
+/// Round trip assumed to a member in the same failure domain, in another one, in another region.
+const LINK_GUESSES: [Duration; 3] =
+    [Duration::from_millis(1), Duration::from_millis(8), Duration::from_millis(24)];
+
+/// Connections per member that stay apart for control statements.
+const CONTROL_CONNECTIONS: u32 = 1;
+
+/// What this instance is, as far as its groups need it.
+#[derive(Clone, Debug)]
+pub(crate) struct GroupTuning {
+    /// The failure domain of this instance.
+    pub(crate) domain: DomainName,
+    /// The declared failure domains, sorted by name.
+    pub(crate) domains: Vec<DomainSettings>,
+    /// How many instances share the members' connections.
+    pub(crate) instances: u32,
+    /// The origin of this instance's time line.
+    pub(crate) origin: Instant,
+}
+
+/// Which member is believed to lead.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct PrimaryBelief {
+    /// Its index among the group's members.
+    pub(crate) index: usize,
+    /// The term at which it leads.
+    pub(crate) term: LogTerm,
+}
+
+/// One database group as this instance sees it.
+pub(crate) struct GroupState {
+    /// The declared service.
+    pub(crate) service: ServiceSettings,
+    /// Bounds in time.
+    pub(crate) timing: TimingSettings,
+    /// The members, sorted by name.
+    pub(crate) members: Vec<GroupMember>,
+    /// The members' reports.
+    pub(crate) board: ReportBoard,
+    /// The admission gate.
+    pub(crate) desk: Arc<AdmissionDesk>,
+    links: Vec<Duration>,
+}
+
+impl GroupState {
+    /// The state of a declared service, before any member was asked.
+    pub(crate) fn new(
+        service: ServiceSettings,
+        timing: TimingSettings,
+        tuning: &GroupTuning,
+    ) -> Self {
+        let login = login_of(&service);
+        let make = |settings: &MemberSettings| {
+            let address = MemberAddress { address: settings.address, login: login.clone() };
+            let connections = connection_share(settings, tuning.instances);
+            GroupMember::new(settings.clone(), address, connections)
+        };
+        let members: Vec<GroupMember> = service.members.iter().map(make).collect();
+        let links = members.iter().map(|member| link_guess(&member.settings, tuning)).collect();
+        let board = ReportBoard::new(tuning.origin, members.len());
+        let desk = Arc::new(AdmissionDesk::new(rand::random()));
+        let group = Self { service, timing, members, board, desk, links };
+        group.refresh_lanes();
+        group
+    }
+
+    /// The member believed to lead, if any report says that one does.
+    pub(crate) fn primary(&self) -> Option<PrimaryBelief> {
+        let (name, term) = self.board.primary()?;
+        Some(PrimaryBelief { index: self.index_of(&name)?, term })
+    }
+
+    /// The index of a member.
+    pub(crate) fn index_of(&self, name: &MemberName) -> Option<usize> {
+        self.members.binary_search_by(|member| member.name().cmp(name)).ok()
+    }
+
+    /// The lane of a member at the admission gate.
+    pub(crate) fn lane(&self, index: usize) -> LaneKey {
+        let member = self.members[index].name().clone();
+        LaneKey { service: self.service.name.clone(), member }
+    }
+
+    /// Sets the lanes' slots to what the members' meters allow.
+    pub(crate) fn refresh_lanes(&self) {
+        for (index, member) in self.members.iter().enumerate() {
+            let slots = member.slot_limit();
+            let limits = LaneLimits { slots, queue_max: slots * QUEUE_PER_SLOT, mixed: true };
+            self.desk.set_lane(&self.lane(index), limits);
+        }
+    }
+
+    /// Shares the members' connections anew among `instances` instances.
+    pub(crate) fn share_connections(&self, instances: u32) {
+        for member in &self.members {
+            member.pool.set_limit(connection_share(&member.settings, instances));
+        }
+    }
+
+    /// What the read router is told, in the order of the members. Members that have not reported
+    /// are left out by the second list, which gives each view's member index.
+    pub(crate) fn views(&self) -> (Vec<MemberView>, Vec<usize>) {
+        let now = self.board.now();
+        let mut views = Vec::with_capacity(self.members.len());
+        let mut indexes = Vec::with_capacity(self.members.len());
+        for report in self.board.reports() {
+            let Some(index) = self.index_of(&report.member) else { continue };
+            let age = self.board.with_ledger(|ledger| ledger.age_of(report.status.applied, now));
+            views.push(self.members[index].view(report.status, age, self.links[index]));
+            indexes.push(index);
+        }
+        (views, indexes)
+    }
+}
+
+/// An equal share of a member's connections, less those for control, and at least one.
+fn connection_share(settings: &MemberSettings, instances: u32) -> u32 {
+    let share = settings.connections.0 / instances.max(1);
+    share.saturating_sub(CONTROL_CONNECTIONS).max(1)
+}
+
+fn login_of(service: &ServiceSettings) -> LoginSettings {
+    let password = service.password_variable.as_ref().and_then(|name| std::env::var(name).ok());
+    LoginSettings { user: service.user.clone(), database: service.database.clone(), password }
+}
+
+fn link_guess(member: &MemberSettings, tuning: &GroupTuning) -> Duration {
+    if member.domain == tuning.domain {
+        return LINK_GUESSES[0];
+    }
+    let region_of = |name: &DomainName| {
+        let index = tuning.domains.binary_search_by(|domain| domain.name.cmp(name)).ok()?;
+        Some(&tuning.domains[index].region)
+    };
+    let same_region = region_of(&member.domain) == region_of(&tuning.domain);
+    if same_region { LINK_GUESSES[1] } else { LINK_GUESSES[2] }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/group/watch.rs
@@ -0,0 +1,65 @@
+//! Asking each member for reports: at an interval, and without pause while something waits.
+
+use super::member::GroupMember;
+use super::state::GroupState;
+use rudder_core::ControlStatement;
+use rudder_decisions::MemberHealth;
+use rudder_endpoint::MemberControl;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// Pause between two questions to one member while something waits for its report. Replication
+/// takes milliseconds between failure domains, so asking faster brings nothing.
+const EAGER_PAUSE: Duration = Duration::from_micros(400);
+
+/// Starts the tasks that ask the members of `group`; they end with the returned set.
+pub(crate) fn spawn_watch(group: &Arc<GroupState>) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    for index in 0..group.members.len() {
+        tasks.spawn(watch_member(Arc::clone(group), index));
+    }
+    tasks
+}
+
+async fn watch_member(group: Arc<GroupState>, index: usize) {
+    let member = &group.members[index];
+    loop {
+        ask(&group, member).await;
+        if member.demand.load(Ordering::Acquire) > 0 {
+            sleep(EAGER_PAUSE).await;
+        } else {
+            let _ = timeout(group.timing.probe_interval, member.wanted.notified()).await;
+        }
+    }
+}
+
+async fn ask(group: &GroupState, member: &GroupMember) {
+    let asked_at = group.board.now();
+    let bound = group.timing.suspect_after;
+    match member.channel.run(&ControlStatement::Status, bound).await {
+        Ok(status) => {
+            group.board.note(member.name(), asked_at, status);
+            set_health(group, member, MemberHealth::Ready, "answered");
+        }
+        Err(error) => {
+            set_health(group, member, MemberHealth::Down, &error.to_string());
+            // A member that refuses at once would otherwise be asked in a tight loop.
+            sleep(group.timing.probe_interval / 4).await;
+        }
+    }
+}
+
+fn set_health(group: &GroupState, member: &GroupMember, health: MemberHealth, reason: &str) {
+    if member.set_health(health) {
+        log::info!(
+            target: "rudder::health", service:% = group.service.name, member:% = member.name(),
+            health:% = health, reason; "member health changed"
+        );
+        if health == MemberHealth::Down {
+            member.pool.clear();
+        }
+    }
+}
--- a/crates/arbutusrudder/src/lib.rs
+++ b/crates/arbutusrudder/src/lib.rs
@@ -2,4 +2,6 @@
 
 #![allow(dead_code, unused_imports)]
 mod classify;
+mod exchange;
+mod group;
 pub use classify::classify_text;
--- a/crates/rudder-core/src/outcome.rs
+++ b/crates/rudder-core/src/outcome.rs
@@ -36,6 +36,8 @@
 const TOO_STALE: &str = "RU002";
 /// SQLSTATE of a request whose key has run already.
 const ALREADY_RUN: &str = "RU003";
+/// SQLSTATE of a transaction that was rolled back before its commit was sent.
+const TRANSACTION_LOST: &str = "40000";
 /// SQLSTATE of a request that the proxy cannot serve as it was sent.
 const UNSUPPORTED: &str = "0A000";
 
@@ -62,7 +64,12 @@
     /// The request was sent, and whether it took effect is not known.
     Unresolved,
     /// The request's key has run already.
-    AlreadyRun,
+    AlreadyRun {
+        /// What the first run brought: the tag of its last statement.
+        outcome: String,
+    },
+    /// The transaction's connection failed before its commit was sent: it was rolled back.
+    TransactionLost,
     /// The request is not supported as sent.
     Unsupported(String),
 }
@@ -95,7 +102,8 @@
             Self::TooStale { .. } => TOO_STALE,
             Self::Leaving => LEAVING,
             Self::Unresolved => UNRESOLVED,
-            Self::AlreadyRun => ALREADY_RUN,
+            Self::AlreadyRun { .. } => ALREADY_RUN,
+            Self::TransactionLost => TRANSACTION_LOST,
             Self::Unsupported(_) => UNSUPPORTED,
         }
     }
@@ -124,7 +132,12 @@
             Self::TooStale { .. } => f.write_str("not run: no member is fresh enough at present"),
             Self::Leaving => f.write_str("not run: this instance is shutting down"),
             Self::Unresolved => f.write_str("outcome unknown: the request may have taken effect"),
-            Self::AlreadyRun => f.write_str("not run again: a request with this key has run"),
+            Self::AlreadyRun { outcome } => {
+                write!(f, "not run again: a request with this key has run: {outcome}")
+            }
+            Self::TransactionLost => {
+                f.write_str("not run: the transaction was rolled back as its connection failed")
+            }
             Self::Unsupported(what) => write!(f, "not run: {what}"),
         }
     }
