--- /dev/null
+++ b/crates/rudder-peers/src/budget/bucket.rs
@@ -0,0 +1,91 @@
+//! A token bucket whose last tokens are kept for what must not wait.
+
+use std::time::Duration;
+
+/// Bytes that IPv4 and UDP add to each datagram; they are charged too.
+pub(crate) const DATAGRAM_OVERHEAD_BYTES: u64 = 28;
+
+/// What a datagram is for; each class leaves a part of the bucket to those above it.
+///
+/// Guards against the budget itself causing failures: if hints could use up the bucket, answers to
+/// heartbeats would not be sent, live instances would be suspected, and the news of that would fill
+/// the bucket again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SendClass {
+    /// Heartbeats and their answers.
+    Liveness,
+    /// News of members and urgent hints.
+    News,
+    /// Routine hints.
+    Routine,
+}
+
+impl SendClass {
+    const fn reserve_percent(self) -> i64 {
+        match self {
+            Self::Liveness => 0,
+            Self::News => 30,
+            Self::Routine => 60,
+        }
+    }
+}
+
+/// A token bucket, in thousandths of a byte so that small steps of time are not lost.
+#[derive(Debug)]
+pub(crate) struct TokenBucket {
+    rate_bytes_per_second: i64,
+    depth_millibytes: i64,
+    level_millibytes: i64,
+    filled_at: Duration,
+}
+
+impl TokenBucket {
+    /// A full bucket.
+    pub(crate) fn new(bytes_per_second: u64, depth_bytes: u64, now: Duration) -> Self {
+        let depth_millibytes = to_i64(depth_bytes).saturating_mul(1000);
+        Self {
+            rate_bytes_per_second: to_i64(bytes_per_second),
+            depth_millibytes,
+            level_millibytes: depth_millibytes,
+            filled_at: now,
+        }
+    }
+
+    /// Whether `bytes` of this class may be sent now.
+    pub(crate) fn allows(&mut self, bytes: u64, class: SendClass, now: Duration) -> bool {
+        self.fill(now);
+        let reserve = self.depth_millibytes / 100 * class.reserve_percent();
+        self.level_millibytes - to_i64(bytes).saturating_mul(1000) >= reserve
+    }
+
+    /// Takes `bytes` out; the level may become negative, and is then paid off by waiting.
+    pub(crate) fn take(&mut self, bytes: u64) {
+        self.level_millibytes =
+            self.level_millibytes.saturating_sub(to_i64(bytes).saturating_mul(1000));
+    }
+
+    /// Takes `bytes` out if no earlier debt stands; for transfers larger than the bucket.
+    pub(crate) fn take_on_credit(&mut self, bytes: u64, now: Duration) -> bool {
+        self.fill(now);
+        let allowed = self.level_millibytes > 0;
+        if allowed {
+            self.take(bytes);
+        }
+        allowed
+    }
+
+    fn fill(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.filled_at);
+        let millis = to_i64(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX));
+        let gained = self.rate_bytes_per_second.saturating_mul(millis);
+        self.level_millibytes =
+            self.level_millibytes.saturating_add(gained).min(self.depth_millibytes);
+        self.filled_at = self
+            .filled_at
+            .saturating_add(Duration::from_millis(u64::try_from(millis).unwrap_or_default()));
+    }
+}
+
+fn to_i64(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/rudder-peers/src/budget/mod.rs
@@ -0,0 +1,5 @@
+//! The budget of bytes per second that an instance spends on its peers.
+
+mod bucket;
+
+pub(crate) use bucket::{DATAGRAM_OVERHEAD_BYTES, SendClass, TokenBucket};
--- /dev/null
+++ b/crates/rudder-peers/src/hints/board.rs
@@ -0,0 +1,123 @@
+//! The board of the newest hints, and which of them are still to be passed on.
+
+use super::hint::{HintKey, HintUrgency, PeerHint};
+use std::time::Duration;
+
+/// Hints kept at most: 780 groups with three members each, their samples and votes, several times
+/// over.
+const HINTS_MAX: usize = 16_384;
+
+/// A vote speaks of the last seconds; later it only takes memory.
+const VOTE_LIFE: Duration = Duration::from_secs(30);
+
+/// By then the settings say that a member is leaving, or it has left.
+const NOTICE_LIFE: Duration = Duration::from_secs(600);
+
+/// How often a routine hint is told.
+const ROUTINE_SENDS: u32 = 2;
+
+#[derive(Clone, Debug)]
+struct HintRecord {
+    key: HintKey,
+    hint: PeerHint,
+    heard_at: Duration,
+    urgency: HintUrgency,
+    sends_left: u32,
+}
+
+/// The newest hint for each key, sorted by key, and how often each is still to be told.
+#[derive(Debug, Default)]
+pub(crate) struct HintBoard {
+    records: Vec<HintRecord>,
+}
+
+impl HintBoard {
+    /// Takes a hint in. Returns how it travels, or none if it is not news.
+    ///
+    /// `sends` is how often an urgent hint is told, `relayed` whether a peer told it.
+    pub(crate) fn absorb(
+        &mut self,
+        hint: PeerHint,
+        relayed: bool,
+        sends: u32,
+        now: Duration,
+    ) -> Option<HintUrgency> {
+        let key = hint.key();
+        let found = self.records.binary_search_by(|record| record.key.cmp(&key));
+        let known = found.ok().map(|index| self.records[index].current(now));
+        let urgency = hint.urgency_after(known.as_ref())?;
+        let sends_left = match urgency {
+            HintUrgency::Urgent => sends,
+            // A routine hint is not relayed: 780 groups passed on by 570 instances would not fit
+            // any budget, and each relay makes its age worse.
+            HintUrgency::Routine if relayed => 0,
+            HintUrgency::Routine => ROUTINE_SENDS,
+        };
+        let record = HintRecord { key, hint, heard_at: now, urgency, sends_left };
+        match found {
+            Ok(index) => {
+                // A refresh of a term that is still being spread must not stop its spread.
+                let pending = &self.records[index];
+                let spreading = pending.urgency == HintUrgency::Urgent
+                    && pending.sends_left > record.sends_left;
+                let (urgency, sends_left) = if spreading {
+                    (pending.urgency, pending.sends_left)
+                } else {
+                    (record.urgency, record.sends_left)
+                };
+                self.records[index] = HintRecord { urgency, sends_left, ..record };
+            }
+            Err(index) if self.records.len() < HINTS_MAX => self.records.insert(index, record),
+            Err(_) => return None,
+        }
+        Some(urgency)
+    }
+
+    /// The hints of this urgency that are still to be told, the least told first, aged to `now`.
+    pub(crate) fn pending(
+        &self,
+        urgency: HintUrgency,
+        count_max: usize,
+        now: Duration,
+    ) -> Vec<PeerHint> {
+        let waits = |record: &&HintRecord| record.urgency == urgency && record.sends_left > 0;
+        let mut waiting: Vec<&HintRecord> = self.records.iter().filter(waits).collect();
+        waiting.sort_by_key(|record| std::cmp::Reverse(record.sends_left));
+        waiting.iter().take(count_max).map(|record| record.current(now)).collect()
+    }
+
+    /// Counts a hint as told once more.
+    pub(crate) fn told(&mut self, hint: &PeerHint) {
+        let key = hint.key();
+        if let Ok(index) = self.records.binary_search_by(|record| record.key.cmp(&key)) {
+            let record = &mut self.records[index];
+            record.sends_left = record.sends_left.saturating_sub(1);
+        }
+    }
+
+    /// The greatest revision number known; zero if none is.
+    pub(crate) fn revision(&self) -> u64 {
+        match self.records.first().map(|record| &record.hint) {
+            Some(PeerHint::Revision(hint)) => hint.number,
+            _ => 0,
+        }
+    }
+
+    /// Drops votes and notices that have served.
+    pub(crate) fn expire(&mut self, now: Duration) {
+        self.records.retain(|record| {
+            let age = now.saturating_sub(record.heard_at);
+            match record.hint {
+                PeerHint::Vote(_) => age < VOTE_LIFE,
+                PeerHint::Leaving(_) => age < NOTICE_LIFE,
+                _ => true,
+            }
+        });
+    }
+}
+
+impl HintRecord {
+    fn current(&self, now: Duration) -> PeerHint {
+        self.hint.clone().aged(now.saturating_sub(self.heard_at))
+    }
+}
--- /dev/null
+++ b/crates/rudder-peers/src/keepers/ranking.rs
@@ -0,0 +1,71 @@
+//! Rendezvous hashing that spreads the chosen over failure domains.
+
+use crate::member::PeerEntry;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// The hash of a name, computed once per name and not once per pair.
+pub(crate) fn name_hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// One instance that may be chosen.
+#[derive(Clone, Debug)]
+pub(crate) struct RankedPeer {
+    /// Place in the list of instances given.
+    pub(crate) index: usize,
+    hash: u64,
+    domain: usize,
+}
+
+/// The instances that may be given duties, prepared for many choices.
+pub(crate) fn candidates(peers: &[PeerEntry]) -> Vec<RankedPeer> {
+    let mut domains: Vec<&str> = peers.iter().map(|peer| peer.domain.as_str()).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    peers
+        .iter()
+        .enumerate()
+        .filter(|(_, peer)| peer.takes_duties())
+        .map(|(index, peer)| RankedPeer {
+            index,
+            hash: name_hash(peer.name.as_str()),
+            domain: domains.partition_point(|domain| *domain < peer.domain.as_str()),
+        })
+        .collect()
+}
+
+/// The `count` instances chosen for the key, the first in rank first, as indices.
+///
+/// Each domain's instances are ordered by weight; the order is then by place within the domain, and
+/// by weight among equal places. So domains take turns, and when an instance comes or goes, only
+/// the places of its own domain move up or down by one.
+pub(crate) fn choose(key_hash: u64, candidates: &[RankedPeer], count: usize) -> Vec<usize> {
+    if count == 0 {
+        return Vec::new();
+    }
+    let mut kept: Vec<Vec<(u64, usize)>> = Vec::new();
+    for peer in candidates {
+        if kept.len() <= peer.domain {
+            kept.resize_with(peer.domain + 1, Vec::new);
+        }
+        let weight = xxh3_64_with_seed(&peer.hash.to_le_bytes(), key_hash);
+        keep_heaviest(&mut kept[peer.domain], (weight, peer.index), count);
+    }
+    let mut chosen: Vec<(usize, u64, usize)> = Vec::new();
+    for domain in kept {
+        let places = domain.into_iter().enumerate();
+        chosen.extend(places.map(|(place, (weight, index))| (place, weight, index)));
+    }
+    chosen.sort_unstable_by(|a, b| (a.0, b.1, a.2).cmp(&(b.0, a.1, b.2)));
+    chosen.into_iter().take(count).map(|(_, _, index)| index).collect()
+}
+
+/// Keeps the `count` heaviest, the heaviest first.
+fn keep_heaviest(kept: &mut Vec<(u64, usize)>, peer: (u64, usize), count: usize) {
+    if kept.len() == count && kept.last().is_some_and(|last| last.0 >= peer.0) {
+        return;
+    }
+    let place = kept.partition_point(|other| other.0 >= peer.0);
+    kept.insert(place, peer);
+    kept.truncate(count);
+}
--- /dev/null
+++ b/crates/rudder-peers/src/membership/probing.rs
@@ -0,0 +1,221 @@
+//! Whom a membership probes, and what it concludes from answers and silence.
+
+use super::action::PeerAction;
+use super::probe::{ProbeRecord, ProbeTarget, RelayRecord};
+use super::state::Membership;
+use super::table::CheckPlan;
+use crate::member::{PeerEntry, PeerState};
+use crate::wire::DatagramBody;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rudder_core::{DomainName, InstanceName};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+impl Membership {
+    /// Guards against a frozen instance that wakes and takes its own silence for that of others:
+    /// probes sent before the freeze give no verdict, and all checks start anew.
+    pub(super) fn notice_freeze(&mut self, now: Duration) {
+        let frozen =
+            self.ticked_at.is_some_and(|ticked| now.saturating_sub(ticked) > self.settings.period);
+        self.ticked_at = Some(now);
+        if frozen {
+            self.probes.abandon();
+            self.table.defer_checks(now + self.settings.suspicion);
+            log::info!(target: "rudder::membership", instance:% = self.me.name; "woke after a freeze");
+        }
+    }
+
+    pub(super) fn judge_probes(&mut self, now: Duration, actions: &mut Vec<PeerAction>) {
+        let settings = &self.settings;
+        let (mut failed, mut slow) = (Vec::new(), Vec::new());
+        for probe in self.probes.probes() {
+            let waited = now.saturating_sub(probe.sent_at);
+            let bound = if probe.lone { settings.direct_timeout } else { settings.probe_timeout };
+            if waited >= bound {
+                failed.push(probe.sequence);
+            } else if waited >= settings.direct_timeout && !probe.helped {
+                slow.push(probe.clone());
+            }
+        }
+        for sequence in failed {
+            if let Some(probe) = self.probes.take(sequence) {
+                self.probe_failed(&probe, now);
+            }
+        }
+        for probe in slow {
+            self.ask_helpers(&probe, actions);
+        }
+    }
+
+    fn probe_failed(&mut self, probe: &ProbeRecord, now: Duration) {
+        let ProbeTarget::Peer { name, incarnation } = &probe.target else { return };
+        let Some(record) = self.table.get(name) else { return };
+        let entry = record.entry.clone();
+        if entry.incarnation != *incarnation || entry.state == PeerState::Gone {
+            return;
+        }
+        match record.check {
+            Some(plan) if plan.at <= now => self.bury(entry, now),
+            Some(_) => {}
+            None => {
+                let plan = CheckPlan { at: now + self.settings.suspicion, hearsay: false };
+                let state = entry.state.max(PeerState::Suspect);
+                log::info!(target: "rudder::membership", instance:% = entry.name; "suspected");
+                self.replace(PeerEntry { state, ..entry }, Some(plan), now);
+            }
+        }
+    }
+
+    /// Asks others to probe. They stand in different failure domains, so that one cut link, or one
+    /// domain cut off from the target's, does not look like the target's failure.
+    fn ask_helpers(&mut self, probe: &ProbeRecord, actions: &mut Vec<PeerAction>) {
+        self.probes.mark_helped(probe.sequence);
+        let ProbeTarget::Peer { name, .. } = &probe.target else { return };
+        let Some(target) = self.table.get(name).map(|record| record.entry.clone()) else { return };
+        for to in self.helpers_for(name) {
+            let sequence = probe.sequence;
+            let body = DatagramBody::IndirectProbe { sequence, target: name.clone() };
+            actions.push(PeerAction::Send { to, body, first: Some(target.clone()) });
+        }
+    }
+
+    fn helpers_for(&mut self, target: &InstanceName) -> Vec<SocketAddr> {
+        let mut candidates: Vec<PeerEntry> = self
+            .table
+            .present()
+            .filter(|entry| entry.takes_duties() && entry.name != *target)
+            .cloned()
+            .collect();
+        candidates.shuffle(&mut self.rng);
+        let mut seen: Vec<DomainName> = vec![self.me.domain.clone()];
+        let (mut far, mut near) = (Vec::new(), Vec::new());
+        for entry in candidates {
+            if seen.contains(&entry.domain) {
+                near.push(entry.address);
+            } else {
+                seen.push(entry.domain);
+                far.push(entry.address);
+            }
+        }
+        far.extend(near);
+        far.truncate(self.settings.helpers);
+        far
+    }
+
+    /// Probes one instance whose check is due. One per tick, so that the loss of a whole failure
+    /// domain is worked off at a constant rate.
+    pub(super) fn check_one(&mut self, now: Duration, actions: &mut Vec<PeerAction>) {
+        let due = self.table.records().iter().find(|record| {
+            record.check.is_some_and(|plan| plan.at <= now)
+                && !self.probes.probes_peer(&record.entry.name)
+        });
+        if let Some((entry, plan)) = due.map(|record| (record.entry.clone(), record.check)) {
+            let lone = plan.is_some_and(|plan| plan.hearsay);
+            self.probe(&entry, lone, now, actions);
+        }
+    }
+
+    pub(super) fn probe_next(&mut self, now: Duration, actions: &mut Vec<PeerAction>) {
+        let table = &self.table;
+        let all = || table.present().map(|entry| entry.name.clone()).collect();
+        let Some(name) = self.order.next(&mut self.rng, all) else { return };
+        let Some(record) = self.table.get(&name) else { return };
+        if record.entry.state != PeerState::Gone && !self.probes.probes_peer(&name) {
+            let entry = record.entry.clone();
+            self.probe(&entry, false, now, actions);
+        }
+    }
+
+    /// Probes one instance that is gone, or a seed nobody is known at. Guards against two parted
+    /// regions that never find each other again, since each has removed the other.
+    pub(super) fn revive_one(&mut self, now: Duration, actions: &mut Vec<PeerAction>) {
+        let known = |seed: &SocketAddr| {
+            *seed == self.me.address || self.table.present().any(|entry| entry.address == *seed)
+        };
+        let strangers: Vec<SocketAddr> =
+            self.seeds.iter().filter(|seed| !known(seed)).copied().collect();
+        let gone: Vec<PeerEntry> = self.table.gone().cloned().collect();
+        if let Some(entry) = gone.choose(&mut self.rng) {
+            self.probe(entry, true, now, actions);
+        }
+        if let Some(&seed) = strangers.choose(&mut self.rng) {
+            let sequence = self.add_probe(ProbeTarget::Seed, true, now);
+            let body = DatagramBody::Probe { sequence, target: None };
+            actions.push(PeerAction::Send { to: seed, body, first: None });
+        }
+    }
+
+    fn probe(
+        &mut self,
+        entry: &PeerEntry,
+        lone: bool,
+        now: Duration,
+        actions: &mut Vec<PeerAction>,
+    ) {
+        let target = ProbeTarget::Peer { name: entry.name.clone(), incarnation: entry.incarnation };
+        let sequence = self.add_probe(target, lone, now);
+        let body = DatagramBody::Probe { sequence, target: Some(entry.name.clone()) };
+        let first = (entry.state != PeerState::Live).then(|| entry.clone());
+        actions.push(PeerAction::Send { to: entry.address, body, first });
+    }
+
+    fn add_probe(&mut self, target: ProbeTarget, lone: bool, now: Duration) -> u32 {
+        let sequence = self.next_sequence();
+        self.probes.add(ProbeRecord { sequence, target, sent_at: now, helped: false, lone });
+        sequence
+    }
+
+    fn next_sequence(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence
+    }
+
+    pub(super) fn probe_for(
+        &mut self,
+        origin: SocketAddr,
+        origin_sequence: u32,
+        target: &InstanceName,
+        now: Duration,
+        actions: &mut Vec<PeerAction>,
+    ) {
+        let Some(entry) = self.entry(target).cloned() else { return };
+        let sequence = self.next_sequence();
+        if self.probes.add_relay(RelayRecord { sequence, origin, origin_sequence, sent_at: now }) {
+            let body = DatagramBody::Probe { sequence, target: Some(target.clone()) };
+            let first = (entry.state != PeerState::Live).then(|| entry.clone());
+            actions.push(PeerAction::Send { to: entry.address, body, first });
+        }
+    }
+
+    pub(super) fn acknowledged(
+        &mut self,
+        sequence: u32,
+        sender: &PeerEntry,
+        now: Duration,
+        actions: &mut Vec<PeerAction>,
+    ) -> Option<Duration> {
+        if let Some(relay) = self.probes.take_relay(sequence) {
+            let body = DatagramBody::RelayedAck { sequence: relay.origin_sequence };
+            let first = Some(sender.clone());
+            actions.push(PeerAction::Send { to: relay.origin, body, first });
+            return None;
+        }
+        let probe = self.probes.take(sequence)?;
+        self.confirm(&probe, sender, now);
+        Some(now.saturating_sub(probe.sent_at))
+    }
+
+    /// The target of a probe has answered.
+    pub(super) fn confirm(&mut self, probe: &ProbeRecord, answerer: &PeerEntry, now: Duration) {
+        let ProbeTarget::Peer { name, .. } = &probe.target else { return };
+        if *name != answerer.name {
+            return;
+        }
+        let Some(record) = self.table.get(name) else { return };
+        // A suspect instance answers with a greater incarnation once it has heard of the
+        // suspicion; until then it stays suspect, but it is not removed.
+        let plan = CheckPlan { at: now + self.settings.suspicion, hearsay: false };
+        let check = (record.entry.state == PeerState::Suspect).then_some(plan);
+        self.table.plan_check(name, check);
+    }
+}
--- /dev/null
+++ b/crates/rudder-peers/src/membership/state.rs
@@ -0,0 +1,263 @@
+//! The membership of one instance: a state machine without sockets or a clock.
+
+use super::action::PeerAction;
+use super::news::{NewsQueue, sends_for};
+use super::probe::{ProbeList, ProbeOrder};
+use super::settings::MembershipSettings;
+use super::table::{PeerTable, entry_digest};
+use crate::member::{PeerEntry, PeerState};
+use crate::wire::{DatagramBody, PeerDatagram};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rudder_core::InstanceName;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The membership as one instance sees it. Time is counted from an origin of the driver's choice.
+#[derive(Debug)]
+pub(crate) struct Membership {
+    pub(super) settings: MembershipSettings,
+    pub(super) me: PeerEntry,
+    pub(super) table: PeerTable,
+    pub(super) probes: ProbeList,
+    pub(super) order: ProbeOrder,
+    pub(super) news: NewsQueue,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) rng: StdRng,
+    pub(super) sequence: u32,
+    pub(super) ticked_at: Option<Duration>,
+    pub(super) probe_at: Duration,
+    pub(super) revive_at: Duration,
+    pub(super) mismatch_since: Option<Duration>,
+    pub(super) fetched_at: Option<Duration>,
+    pub(super) changed: bool,
+    pub(super) urgent: bool,
+}
+
+impl Membership {
+    pub(crate) fn new(
+        me: PeerEntry,
+        seeds: Vec<SocketAddr>,
+        settings: MembershipSettings,
+        random_seed: u64,
+    ) -> Self {
+        Self {
+            settings,
+            me,
+            table: PeerTable::default(),
+            probes: ProbeList::default(),
+            order: ProbeOrder::default(),
+            news: NewsQueue::default(),
+            seeds,
+            rng: StdRng::seed_from_u64(random_seed),
+            sequence: 0,
+            ticked_at: None,
+            probe_at: Duration::ZERO,
+            revive_at: Duration::ZERO,
+            mismatch_since: None,
+            fetched_at: None,
+            changed: true,
+            urgent: false,
+        }
+    }
+
+    /// This instance about itself.
+    pub(crate) fn me(&self) -> &PeerEntry {
+        &self.me
+    }
+
+    /// The instances that are not gone, this one included, sorted by name.
+    pub(crate) fn snapshot(&self) -> Vec<PeerEntry> {
+        let mut entries: Vec<PeerEntry> = self.table.present().cloned().collect();
+        let index = entries.partition_point(|entry| entry.name < self.me.name);
+        entries.insert(index, self.me.clone());
+        entries
+    }
+
+    /// Everything that is known of the other instances, gone ones included.
+    pub(crate) fn known(&self) -> Vec<PeerEntry> {
+        self.table.records().iter().map(|record| record.entry.clone()).collect()
+    }
+
+    /// What is held of an instance.
+    pub(crate) fn entry(&self, name: &InstanceName) -> Option<&PeerEntry> {
+        if *name == self.me.name {
+            return Some(&self.me);
+        }
+        self.table.get(name).map(|record| &record.entry)
+    }
+
+    /// The digest of the table, this instance included.
+    pub(crate) fn digest(&self) -> u32 {
+        self.table.digest().wrapping_add(entry_digest(&self.me))
+    }
+
+    /// How often a piece of news must be told to reach the whole fleet.
+    pub(crate) fn sends(&self) -> u32 {
+        sends_for(self.table.records().len())
+    }
+
+    /// Whether the snapshot has changed since this was last asked.
+    pub(crate) fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Whether there is news since this was last asked that must not wait for heartbeats.
+    pub(crate) fn take_urgent(&mut self) -> bool {
+        std::mem::take(&mut self.urgent)
+    }
+
+    /// The news that should ride on the next datagram.
+    pub(crate) fn next_news(&self, count_max: usize) -> Vec<PeerEntry> {
+        let names = self.news.next(count_max);
+        names.iter().filter_map(|name| self.entry(name).cloned()).collect()
+    }
+
+    /// Counts the news of an instance as told once more.
+    pub(crate) fn told(&mut self, name: &InstanceName) {
+        self.news.told(name);
+    }
+
+    /// Some random instances that take part, at most `count`.
+    pub(crate) fn sample(&mut self, count: usize) -> Vec<SocketAddr> {
+        let live: Vec<SocketAddr> = self
+            .table
+            .present()
+            .filter(|entry| entry.takes_duties())
+            .map(|entry| entry.address)
+            .collect();
+        live.sample(&mut self.rng, count).copied().collect()
+    }
+
+    /// Says that this instance is leaving. Of one incarnation, that is final.
+    pub(crate) fn leave(&mut self) {
+        if self.me.state != PeerState::Leaving {
+            self.me.state = PeerState::Leaving;
+            self.announce_me();
+        }
+    }
+
+    /// Takes somebody else's word that an instance is leaving. If it is not, it refutes this.
+    pub(crate) fn mark_leaving(&mut self, name: &InstanceName, now: Duration) {
+        if let Some(entry) = self.table.get(name).map(|record| record.entry.clone()) {
+            self.hear(PeerEntry { state: PeerState::Leaving, ..entry }, now);
+        }
+    }
+
+    /// Lets time pass. To be called several times per probe timeout.
+    pub(crate) fn tick(&mut self, now: Duration) -> Vec<PeerAction> {
+        let mut actions = Vec::new();
+        self.notice_freeze(now);
+        self.judge_probes(now, &mut actions);
+        self.check_one(now, &mut actions);
+        if now >= self.probe_at {
+            self.probe_at = now + self.settings.period;
+            self.probe_next(now, &mut actions);
+        }
+        if now >= self.revive_at {
+            self.revive_at = now + self.settings.revival_interval;
+            self.revive_one(now, &mut actions);
+            self.table.forget(now, self.settings.tombstone_life);
+            self.probes.forget_relays(now.saturating_sub(self.settings.probe_timeout));
+        }
+        actions
+    }
+
+    /// Takes in a datagram. The second value is the round trip, if it answers a probe of this
+    /// instance directly: no information in it can be older than that by the network's fault.
+    pub(crate) fn receive(
+        &mut self,
+        datagram: &PeerDatagram,
+        now: Duration,
+    ) -> (Vec<PeerAction>, Option<Duration>) {
+        let mut actions = Vec::new();
+        let alone = self.table.present().next().is_none();
+        let sender = &datagram.sender;
+        self.hear(sender.clone(), now);
+        self.bury_predecessors(sender, now);
+        for entry in &datagram.news {
+            self.hear(entry.clone(), now);
+        }
+        let mut round_trip = None;
+        match &datagram.body {
+            DatagramBody::Probe { sequence, .. } => {
+                let body = DatagramBody::Ack { sequence: *sequence };
+                let first = self.correction_for(sender);
+                actions.push(PeerAction::Send { to: sender.address, body, first });
+            }
+            DatagramBody::IndirectProbe { sequence, target } => {
+                self.probe_for(sender.address, *sequence, target, now, &mut actions);
+            }
+            DatagramBody::Ack { sequence } => {
+                round_trip = self.acknowledged(*sequence, sender, now, &mut actions);
+            }
+            DatagramBody::RelayedAck { sequence } => {
+                if let (Some(probe), Some(target)) =
+                    (self.probes.take(*sequence), datagram.news.first())
+                {
+                    self.confirm(&probe, target, now);
+                }
+            }
+            DatagramBody::Push => {}
+        }
+        self.compare_digest(datagram, alone, now, &mut actions);
+        (actions, round_trip)
+    }
+
+    /// Takes in a peer's table. Returns what this instance knows better.
+    pub(crate) fn merge(
+        &mut self,
+        sender: &PeerEntry,
+        entries: &[PeerEntry],
+        now: Duration,
+    ) -> Vec<PeerEntry> {
+        self.hear(sender.clone(), now);
+        for entry in entries {
+            self.hear(entry.clone(), now);
+        }
+        let mut told: Vec<&PeerEntry> = entries.iter().chain([sender]).collect();
+        told.sort_by(|a, b| a.name.cmp(&b.name));
+        let known_there = |name: &InstanceName| {
+            told.binary_search_by(|entry| entry.name.cmp(name)).ok().map(|index| told[index])
+        };
+        self.known()
+            .into_iter()
+            .chain([self.me.clone()])
+            .filter(|mine| match known_there(&mine.name) {
+                Some(theirs) => mine.supersedes(theirs),
+                None => mine.state != PeerState::Gone,
+            })
+            .collect()
+    }
+
+    /// What the sender should hear about itself: that somebody doubts it.
+    fn correction_for(&self, sender: &PeerEntry) -> Option<PeerEntry> {
+        self.entry(&sender.name).filter(|held| held.supersedes(sender)).cloned()
+    }
+
+    /// Fetches the sender's table if the digests have differed for long, or if this instance knows
+    /// nobody yet.
+    fn compare_digest(
+        &mut self,
+        datagram: &PeerDatagram,
+        alone: bool,
+        now: Duration,
+        actions: &mut Vec<PeerAction>,
+    ) {
+        if datagram.digest == self.digest() {
+            self.mismatch_since = None;
+            return;
+        }
+        let since = *self.mismatch_since.get_or_insert(now);
+        let patient = now.saturating_sub(since) >= self.settings.mismatch_patience;
+        let rested = self
+            .fetched_at
+            .is_none_or(|fetched| now.saturating_sub(fetched) >= self.settings.fetch_interval);
+        if alone || patient && rested {
+            self.fetched_at = Some(now);
+            self.mismatch_since = None;
+            actions.push(PeerAction::FetchTable { from: datagram.sender.address });
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-peers/src/membership/table.rs
@@ -0,0 +1,136 @@
+//! The table of the other instances.
+
+use crate::member::{PeerEntry, PeerState};
+use rudder_core::InstanceName;
+use std::net::SocketAddr;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Instances that are gone and remembered at most.
+const TOMBSTONES_MAX: usize = 2048;
+
+/// When an instance is to be checked, and what speaks against it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CheckPlan {
+    /// From when on a failed probe removes it.
+    pub(crate) at: Duration,
+    /// Whether a peer found it gone already, so that no helpers need to be asked.
+    pub(crate) hearsay: bool,
+}
+
+/// One other instance.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerRecord {
+    pub(crate) entry: PeerEntry,
+    pub(crate) check: Option<CheckPlan>,
+    /// When it was found to be gone; meaningful in that state only.
+    pub(crate) gone_at: Duration,
+}
+
+/// The other instances, sorted by name, with a digest of those not gone.
+#[derive(Debug, Default)]
+pub(crate) struct PeerTable {
+    records: Vec<PeerRecord>,
+    digest: u32,
+}
+
+impl PeerTable {
+    pub(crate) fn records(&self) -> &[PeerRecord] {
+        &self.records
+    }
+
+    pub(crate) fn get(&self, name: &InstanceName) -> Option<&PeerRecord> {
+        let index = self.index(name).ok()?;
+        Some(&self.records[index])
+    }
+
+    /// The digest of the other instances that are not gone.
+    pub(crate) fn digest(&self) -> u32 {
+        self.digest
+    }
+
+    /// The instances that are not gone.
+    pub(crate) fn present(&self) -> impl Iterator<Item = &PeerEntry> {
+        self.records.iter().map(|record| &record.entry).filter(|entry| is_present(entry))
+    }
+
+    /// The instances that are gone and remembered.
+    pub(crate) fn gone(&self) -> impl Iterator<Item = &PeerEntry> {
+        self.records.iter().map(|record| &record.entry).filter(|entry| !is_present(entry))
+    }
+
+    /// Replaces what is held of an instance.
+    pub(crate) fn put(&mut self, record: PeerRecord) {
+        self.digest = self.digest.wrapping_add(entry_digest(&record.entry));
+        match self.index(&record.entry.name) {
+            Ok(index) => {
+                self.digest = self.digest.wrapping_sub(entry_digest(&self.records[index].entry));
+                self.records[index] = record;
+            }
+            Err(index) => self.records.insert(index, record),
+        }
+    }
+
+    /// Changes when an instance is checked.
+    pub(crate) fn plan_check(&mut self, name: &InstanceName, check: Option<CheckPlan>) {
+        if let Ok(index) = self.index(name) {
+            self.records[index].check = check;
+        }
+    }
+
+    /// Puts all checks off until `at`, and forgets what peers said against anyone.
+    pub(crate) fn defer_checks(&mut self, at: Duration) {
+        for record in &mut self.records {
+            record.check = record.check.map(|_| CheckPlan { at, hearsay: false });
+        }
+    }
+
+    /// The names of other instances that are present at this address.
+    pub(crate) fn others_at(&self, address: SocketAddr, name: &InstanceName) -> Vec<InstanceName> {
+        self.present()
+            .filter(|entry| entry.address == address && entry.name != *name)
+            .map(|entry| entry.name.clone())
+            .collect()
+    }
+
+    /// Forgets instances that have been gone for longer than `life`, and the oldest beyond a bound.
+    pub(crate) fn forget(&mut self, now: Duration, life: Duration) {
+        let expired = |record: &PeerRecord| {
+            !is_present(&record.entry) && now.saturating_sub(record.gone_at) >= life
+        };
+        self.records.retain(|record| !expired(record));
+        let mut gone: Vec<Duration> = self
+            .records
+            .iter()
+            .filter(|record| !is_present(&record.entry))
+            .map(|record| record.gone_at)
+            .collect();
+        if gone.len() > TOMBSTONES_MAX {
+            gone.sort_unstable();
+            let oldest_kept = gone[gone.len() - TOMBSTONES_MAX];
+            self.records
+                .retain(|record| is_present(&record.entry) || record.gone_at >= oldest_kept);
+        }
+    }
+
+    fn index(&self, name: &InstanceName) -> Result<usize, usize> {
+        self.records.binary_search_by(|record| record.entry.name.cmp(name))
+    }
+}
+
+/// The digest of one entry; entries that are gone do not count, since they are forgotten at
+/// different times, and suspicion does not, since it passes.
+pub(crate) fn entry_digest(entry: &PeerEntry) -> u32 {
+    if !is_present(entry) {
+        return 0;
+    }
+    let mut bytes = entry.name.as_str().as_bytes().to_vec();
+    bytes.extend_from_slice(&entry.incarnation.0.to_le_bytes());
+    bytes.push(u8::from(entry.state == PeerState::Leaving));
+    let [a, b, c, d, ..] = xxh3_64(&bytes).to_le_bytes();
+    u32::from_le_bytes([a, b, c, d])
+}
+
+fn is_present(entry: &PeerEntry) -> bool {
+    entry.state != PeerState::Gone
+}
--- /dev/null
+++ b/crates/rudder-peers/src/mesh/client.rs
@@ -0,0 +1,56 @@
+//! Asking a peer over TCP.
+
+use super::error::PeerError;
+use super::frame::{read_frame, write_frame};
+use crate::wire::{AnswerFrame, RequestBody, RequestFrame, decode_answer, encode_request};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Numbers requests, so that an answer to another one is recognised.
+#[derive(Debug, Default)]
+pub(super) struct RequestCounter(AtomicU64);
+
+impl RequestCounter {
+    pub(super) fn next(&self) -> u64 {
+        self.0.fetch_add(1, Ordering::Relaxed)
+    }
+}
+
+/// One connection to a peer, for a few requests one after the other.
+pub(super) struct PeerConnection<'a> {
+    stream: TcpStream,
+    counter: &'a RequestCounter,
+}
+
+impl<'a> PeerConnection<'a> {
+    pub(super) async fn open(
+        address: SocketAddr,
+        counter: &'a RequestCounter,
+    ) -> Result<Self, PeerError> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, counter })
+    }
+
+    /// Asks and waits for the answer. After an error the connection must not be used again.
+    ///
+    /// Guards against an answer that reaches another request: each has its number, and a
+    /// connection on which an answer was given up is closed with it.
+    pub(super) async fn ask(&mut self, body: RequestBody) -> Result<AnswerFrame, PeerError> {
+        let number = self.counter.next();
+        let bytes = encode_request(&RequestFrame { number, body })?;
+        write_frame(&mut self.stream, &bytes).await?;
+        let answer = decode_answer(&read_frame(&mut self.stream).await?)?;
+        if answer.number() == number { Ok(answer) } else { Err(PeerError::Mismatched) }
+    }
+}
+
+/// Runs a conversation with a peer within a bound.
+pub(super) async fn within<T>(
+    bound: Duration,
+    work: impl Future<Output = Result<T, PeerError>>,
+) -> Result<T, PeerError> {
+    tokio::time::timeout(bound, work).await.map_err(|_| PeerError::TimedOut)?
+}
--- /dev/null
+++ b/crates/rudder-peers/src/mesh/command.rs
@@ -0,0 +1,22 @@
+//! What other tasks ask the driver to do.
+
+use crate::hints::PeerHint;
+use crate::member::PeerEntry;
+use crate::wire::PeerTableFrame;
+use rudder_core::InstanceName;
+use tokio::sync::oneshot;
+
+/// What other tasks ask the driver to do.
+#[derive(Debug)]
+pub(super) enum MeshCommand {
+    /// Spread a hint.
+    Publish(PeerHint),
+    /// Send a hint to these instances only.
+    Tell(Vec<InstanceName>, PeerHint),
+    /// Say that this instance is leaving.
+    Leave,
+    /// Encode the answer to a request for the table, or a refusal.
+    EncodeTable { number: u64, reply: oneshot::Sender<Vec<u8>> },
+    /// Take in a peer's table; answer with the differences that the peer should hear.
+    Merge { table: PeerTableFrame, reply: oneshot::Sender<Vec<PeerEntry>> },
+}
--- /dev/null
+++ b/crates/rudder-peers/src/mesh/driver.rs
@@ -0,0 +1,180 @@
+//! The task that owns the UDP socket and the state machine.
+
+use super::client::{PeerConnection, RequestCounter, within};
+use super::command::MeshCommand;
+use super::error::PeerError;
+use crate::hints::HintMessage;
+use crate::member::PeerEntry;
+use crate::node::{NodeOutput, PeerNode, TrafficCount};
+use crate::wire::{AnswerFrame, DATAGRAM_BYTES_MAX, PeerTableFrame, RequestBody, encode_answer};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, MissedTickBehavior};
+
+/// Well below the timeout of a probe, so that silence is judged in time.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How long fetching a table may take.
+const FETCH_BOUND: Duration = Duration::from_secs(5);
+
+pub(super) struct MeshDriver {
+    pub(super) node: PeerNode,
+    pub(super) socket: UdpSocket,
+    pub(super) started: Instant,
+    pub(super) commands: mpsc::Receiver<MeshCommand>,
+    /// For the fetching tasks; weak, so that the driver ends when nobody else can command it.
+    pub(super) command_sender: mpsc::WeakSender<MeshCommand>,
+    pub(super) hints: mpsc::Sender<HintMessage>,
+    pub(super) view: watch::Sender<Arc<[PeerEntry]>>,
+    pub(super) traffic: watch::Sender<TrafficCount>,
+    pub(super) counter: Arc<RequestCounter>,
+}
+
+impl MeshDriver {
+    /// Runs until nobody can command it any more; what it started ends with it.
+    pub(super) async fn run(mut self) {
+        let mut ticker = tokio::time::interval(TICK_INTERVAL);
+        ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut fetches = JoinSet::new();
+        let mut buffer = [0; DATAGRAM_BYTES_MAX + 1];
+        loop {
+            // Datagrams first: after a pause, answers that already wait must be read before
+            // silence is judged.
+            let output = tokio::select! {
+                biased;
+                received = self.socket.recv_from(&mut buffer) => self.received(&buffer, received),
+                command = self.commands.recv() => match command {
+                    Some(command) => self.command(command),
+                    None => return,
+                },
+                _ = ticker.tick() => {
+                    while fetches.try_join_next().is_some() {}
+                    let now = self.now();
+                    self.node.tick(now)
+                }
+            };
+            self.perform(output, &mut fetches);
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn received(
+        &mut self,
+        buffer: &[u8],
+        received: std::io::Result<(usize, SocketAddr)>,
+    ) -> NodeOutput {
+        let now = self.now();
+        let result = match received {
+            Ok((length, _)) => self.node.receive(&buffer[..length], now),
+            Err(error) => {
+                log::debug!(target: "rudder::peers", reason:% = error; "cannot receive");
+                return NodeOutput::default();
+            }
+        };
+        result.unwrap_or_else(|error| {
+            metrics::counter!("rudder_peer_malformed_total").increment(1);
+            log::debug!(target: "rudder::peers", reason:% = error; "datagram not taken");
+            NodeOutput::default()
+        })
+    }
+
+    fn command(&mut self, command: MeshCommand) -> NodeOutput {
+        let now = self.now();
+        match command {
+            MeshCommand::Publish(hint) => return self.node.publish(hint, now),
+            MeshCommand::Tell(names, hint) => return self.node.tell(&names, &hint, now),
+            MeshCommand::Leave => return self.node.leave(now),
+            MeshCommand::EncodeTable { number, reply } => {
+                let _ = reply.send(self.encode_table(number, now));
+            }
+            MeshCommand::Merge { table, reply } => {
+                let _ = reply.send(self.node.merge(&table, now));
+            }
+        }
+        NodeOutput::default()
+    }
+
+    fn encode_table(&mut self, number: u64, now: Duration) -> Vec<u8> {
+        let busy = || encode_answer(&AnswerFrame::Busy { number }).unwrap_or_default();
+        let answer = encode_answer(&AnswerFrame::Table { number, table: self.node.table() });
+        match answer {
+            Ok(bytes) if self.node.charge_table(length_of(&bytes), now) => bytes,
+            _ => busy(),
+        }
+    }
+
+    fn perform(&mut self, output: NodeOutput, fetches: &mut JoinSet<()>) {
+        for (to, bytes) in output.datagrams {
+            // A full send buffer loses the datagram, as the network might.
+            let _ = self.socket.try_send_to(&bytes, to);
+        }
+        for message in output.hints {
+            if self.hints.try_send(message).is_err() {
+                metrics::counter!("rudder_peer_hints_lost_total").increment(1);
+            }
+        }
+        for from in output.fetches {
+            if let Some(commands) = self.command_sender.upgrade() {
+                let counter = Arc::clone(&self.counter);
+                fetches.spawn(fetch_table(from, commands, counter, self.node.me().clone()));
+            }
+        }
+        if self.node.take_changed() {
+            self.view.send_replace(self.node.snapshot().into());
+        }
+        self.count_traffic();
+    }
+
+    fn count_traffic(&mut self) {
+        let now = self.node.traffic();
+        let before = self.traffic.send_replace(now);
+        if now == before {
+            return;
+        }
+        metrics::counter!("rudder_peer_datagrams_total")
+            .increment(now.datagrams - before.datagrams);
+        metrics::counter!("rudder_peer_bytes_total", "kind" => "datagram")
+            .increment(now.datagram_bytes - before.datagram_bytes);
+        metrics::counter!("rudder_peer_withheld_total").increment(now.withheld - before.withheld);
+        metrics::counter!("rudder_peer_tables_refused_total")
+            .increment(now.tables_refused - before.tables_refused);
+    }
+}
+
+/// Fetches a peer's table, takes it in, and tells the peer what it did not know.
+async fn fetch_table(
+    from: SocketAddr,
+    commands: mpsc::Sender<MeshCommand>,
+    counter: Arc<RequestCounter>,
+    me: PeerEntry,
+) {
+    let work = async {
+        let mut connection = PeerConnection::open(from, &counter).await?;
+        let AnswerFrame::Table { table, .. } = connection.ask(RequestBody::Table).await? else {
+            return Err(PeerError::Busy);
+        };
+        let (reply, differences) = oneshot::channel();
+        let merge = MeshCommand::Merge { table, reply };
+        commands.send(merge).await.map_err(|_| PeerError::Busy)?;
+        let entries = differences.await.map_err(|_| PeerError::Busy)?;
+        if !entries.is_empty() {
+            let update = RequestBody::Update(PeerTableFrame { sender: me, entries });
+            connection.ask(update).await?;
+        }
+        Ok(())
+    };
+    if let Err(error) = within(FETCH_BOUND, work).await {
+        log::debug!(target: "rudder::peers", peer:% = from, reason:% = error; "table not fetched");
+    }
+}
+
+fn length_of(bytes: &[u8]) -> u64 {
+    u64::try_from(bytes.len()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/rudder-peers/src/mesh/handle.rs
@@ -0,0 +1,233 @@
+//! The handle by which the rest of the proxy uses the mesh.
+
+use super::client::{PeerConnection, RequestCounter, within};
+use super::command::MeshCommand;
+use super::driver::MeshDriver;
+use super::error::{MeshError, PeerError};
+use super::server::PeerServer;
+use super::settings::MeshSettings;
+use crate::handler::PeerHandler;
+use crate::hints::{HintMessage, PeerHint};
+use crate::member::{PeerEntry, PeerState};
+use crate::membership::{Membership, MembershipSettings};
+use crate::node::{BudgetSettings, PeerNode, TrafficCount};
+use crate::wire::{AnswerFrame, PeerReply, PeerRequest, RequestBody};
+use rudder_core::InstanceName;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// Less than this does not carry heartbeats and their answers.
+const BYTES_PER_SECOND_MIN: u64 = 400;
+
+/// Commands that wait for the driver.
+const COMMANDS_MAX: usize = 256;
+
+/// Hints that wait for the handler; more are lost, which hints may be.
+const HINTS_WAITING_MAX: usize = 4096;
+
+/// How often a free port is looked for that serves UDP and TCP alike.
+const PORT_TRIES: usize = 16;
+
+/// This instance's part in the mesh. It ends when it is dropped.
+#[derive(Debug)]
+pub struct PeerMesh {
+    address: SocketAddr,
+    commands: mpsc::Sender<MeshCommand>,
+    view: watch::Receiver<Arc<[PeerEntry]>>,
+    traffic: watch::Receiver<TrafficCount>,
+    counter: Arc<RequestCounter>,
+    tasks: Vec<AbortHandle>,
+}
+
+impl PeerMesh {
+    /// Listens for peers and begins to look for them. Must be called inside a tokio runtime.
+    ///
+    /// ```
+    /// use rudder_peers::{
+    ///     HintMessage, MeshSettings, PeerHandler, PeerMesh, PeerReply, PeerRequest,
+    /// };
+    /// struct NoHandler;
+    ///
+    /// #[async_trait::async_trait]
+    /// impl PeerHandler for NoHandler {
+    ///     async fn on_hint(&self, _message: HintMessage) {}
+    ///     async fn on_request(&self, _request: PeerRequest) -> PeerReply {
+    ///         PeerReply::Unknown
+    ///     }
+    /// }
+    ///
+    /// # #[tokio::main]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// let address = ([127, 0, 0, 1], 0).into();
+    /// let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
+    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(NoHandler)).await?;
+    /// assert_eq!(mesh.live().len(), 1);
+    /// mesh.stop().await;
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub async fn start(
+        settings: MeshSettings,
+        handler: Arc<dyn PeerHandler>,
+    ) -> Result<Self, MeshError> {
+        if settings.bytes_per_second < BYTES_PER_SECOND_MIN {
+            return Err(MeshError::Budget(settings.bytes_per_second));
+        }
+        let (socket, listener, address) = listen(settings.address).await?;
+        let node = start_node(settings, address);
+        let (command_sender, commands) = mpsc::channel(COMMANDS_MAX);
+        let (hint_sender, hints) = mpsc::channel(HINTS_WAITING_MAX);
+        let (view_sender, view) = watch::channel(node.snapshot().into());
+        let (traffic_sender, traffic) = watch::channel(TrafficCount::default());
+        let counter = Arc::new(RequestCounter::default());
+        let driver = MeshDriver {
+            node,
+            socket,
+            started: Instant::now(),
+            commands,
+            command_sender: command_sender.downgrade(),
+            hints: hint_sender,
+            view: view_sender,
+            traffic: traffic_sender,
+            counter: Arc::clone(&counter),
+        };
+        let server = PeerServer { commands: command_sender.clone(), handler: Arc::clone(&handler) };
+        let tasks = vec![
+            tokio::spawn(driver.run()).abort_handle(),
+            tokio::spawn(server.serve(listener)).abort_handle(),
+            tokio::spawn(deliver(hints, handler)).abort_handle(),
+        ];
+        Ok(Self { address, commands: command_sender, view, traffic, counter, tasks })
+    }
+
+    /// Where this instance listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The instances that are not gone, this one included, sorted by name.
+    #[must_use]
+    pub fn live(&self) -> Arc<[PeerEntry]> {
+        Arc::clone(&self.view.borrow())
+    }
+
+    /// The same, for a task that waits for changes.
+    #[must_use]
+    pub fn watch(&self) -> watch::Receiver<Arc<[PeerEntry]>> {
+        self.view.clone()
+    }
+
+    /// What this instance has sent to its peers so far.
+    #[must_use]
+    pub fn traffic(&self) -> TrafficCount {
+        *self.traffic.borrow()
+    }
+
+    /// Spreads a hint to all instances, as far as the budget allows: a new term, a vote, a notice
+    /// or a new revision at once; refreshes and samples in answers to heartbeats.
+    pub async fn publish(&self, hint: PeerHint) {
+        let _ = self.commands.send(MeshCommand::Publish(hint)).await;
+    }
+
+    /// Sends a hint once to these instances only, for instance a vote to a group's keepers.
+    pub async fn tell(&self, instances: &[InstanceName], hint: PeerHint) {
+        let _ = self.commands.send(MeshCommand::Tell(instances.to_vec(), hint)).await;
+    }
+
+    /// Says that this instance is leaving. It still answers, until it is stopped.
+    pub async fn leave(&self) {
+        let _ = self.commands.send(MeshCommand::Leave).await;
+    }
+
+    /// Asks an instance, and waits for its reply no longer than `within`.
+    pub async fn request(
+        &self,
+        instance: &InstanceName,
+        request: PeerRequest,
+        within: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let live = self.live();
+        let index = live
+            .binary_search_by(|entry| entry.name.cmp(instance))
+            .map_err(|_| PeerError::NotKnown)?;
+        self.request_at(live[index].address, request, within).await
+    }
+
+    /// Asks whoever listens at an address.
+    pub async fn request_at(
+        &self,
+        address: SocketAddr,
+        request: PeerRequest,
+        bound: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let work = async {
+            let mut connection = PeerConnection::open(address, &self.counter).await?;
+            match connection.ask(RequestBody::Ask(request)).await? {
+                AnswerFrame::Reply { reply, .. } => Ok(reply),
+                AnswerFrame::Busy { .. } => Err(PeerError::Busy),
+                AnswerFrame::Table { .. } => Err(PeerError::Mismatched),
+            }
+        };
+        within(bound, work).await
+    }
+
+    /// Ends all tasks and closes the sockets. `leave` first, unless the instance is to look failed.
+    pub async fn stop(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        while self.tasks.iter().any(|task| !task.is_finished()) {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+impl Drop for PeerMesh {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Binds one port for UDP and TCP.
+async fn listen(wanted: SocketAddr) -> Result<(UdpSocket, TcpListener, SocketAddr), MeshError> {
+    let failure = |source| MeshError::Listen { address: wanted, source };
+    let mut tries = PORT_TRIES;
+    loop {
+        let socket = UdpSocket::bind(wanted).await.map_err(failure)?;
+        let address = socket.local_addr().map_err(failure)?;
+        tries -= 1;
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Ok((socket, listener, address)),
+            // The port that was free for UDP was taken for TCP; another one may be free for both.
+            Err(_) if wanted.port() == 0 && tries > 0 => {}
+            Err(source) => return Err(failure(source)),
+        }
+    }
+}
+
+fn start_node(settings: MeshSettings, address: SocketAddr) -> PeerNode {
+    let me = PeerEntry {
+        name: settings.instance,
+        address,
+        domain: settings.domain,
+        incarnation: settings.incarnation,
+        state: PeerState::Live,
+    };
+    let membership =
+        Membership::new(me, settings.seeds, MembershipSettings::default(), rand::random());
+    PeerNode::new(membership, &BudgetSettings::split(settings.bytes_per_second), Duration::ZERO)
+}
+
+async fn deliver(mut hints: mpsc::Receiver<HintMessage>, handler: Arc<dyn PeerHandler>) {
+    while let Some(message) = hints.recv().await {
+        handler.on_hint(message).await;
+    }
+}
--- /dev/null
+++ b/crates/rudder-peers/src/mesh/mod.rs
@@ -0,0 +1,14 @@
+//! The driver: one UDP socket and one TCP listener around the state machines.
+
+mod client;
+mod command;
+mod driver;
+mod error;
+mod frame;
+mod handle;
+mod server;
+mod settings;
+
+pub use error::{MeshError, PeerError};
+pub use handle::PeerMesh;
+pub use settings::MeshSettings;
--- /dev/null
+++ b/crates/rudder-peers/src/mesh/server.rs
@@ -0,0 +1,91 @@
+//! Answering peers over TCP.
+
+use super::command::MeshCommand;
+use super::error::PeerError;
+use super::frame::{read_frame, write_frame};
+use crate::handler::PeerHandler;
+use crate::wire::{AnswerFrame, PeerReply, RequestBody, WireError, decode_request, encode_answer};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::task::JoinSet;
+
+/// Peers served at a time over TCP.
+const CONNECTIONS_MAX: usize = 128;
+
+/// A peer that says nothing for so long is cut off.
+const IDLE_MAX: Duration = Duration::from_secs(5);
+
+/// How long to wait after a failed accept, for instance without free file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+#[derive(Clone)]
+pub(super) struct PeerServer {
+    pub(super) commands: mpsc::Sender<MeshCommand>,
+    pub(super) handler: Arc<dyn PeerHandler>,
+}
+
+impl PeerServer {
+    /// Accepts connections until it is cancelled; what it started ends with it.
+    pub(super) async fn serve(self, listener: TcpListener) {
+        let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+        let mut tasks = JoinSet::new();
+        loop {
+            while tasks.try_join_next().is_some() {}
+            let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let server = self.clone();
+                    tasks.spawn(async move {
+                        let result = server.converse(stream).await;
+                        drop(permit);
+                        if let Err(error) = result {
+                            log::debug!(target: "rudder::peers", reason:% = error; "peer connection ended");
+                        }
+                    });
+                }
+                Err(error) => {
+                    log::warn!(target: "rudder::peers", reason:% = error; "cannot accept a peer");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn converse(&self, mut stream: TcpStream) -> Result<(), PeerError> {
+        stream.set_nodelay(true)?;
+        loop {
+            let read = tokio::time::timeout(IDLE_MAX, read_frame(&mut stream));
+            let bytes = read.await.map_err(|_| PeerError::TimedOut)??;
+            let answer = self.answer(&bytes).await?;
+            let write = tokio::time::timeout(IDLE_MAX, write_frame(&mut stream, &answer));
+            write.await.map_err(|_| PeerError::TimedOut)??;
+        }
+    }
+
+    async fn answer(&self, bytes: &[u8]) -> Result<Vec<u8>, PeerError> {
+        let request = decode_request(bytes)?;
+        let number = request.number;
+        let reply = match request.body {
+            RequestBody::Table => return self.encode_table(number).await,
+            RequestBody::Update(table) => {
+                let (reply, _) = oneshot::channel();
+                self.command(MeshCommand::Merge { table, reply }).await?;
+                PeerReply::Taken
+            }
+            RequestBody::Ask(request) => self.handler.on_request(request).await,
+        };
+        Ok(encode_answer(&AnswerFrame::Reply { number, reply })?)
+    }
+
+    async fn encode_table(&self, number: u64) -> Result<Vec<u8>, PeerError> {
+        let (reply, answer) = oneshot::channel();
+        self.command(MeshCommand::EncodeTable { number, reply }).await?;
+        answer.await.map_err(|_| PeerError::Busy)
+    }
+
+    async fn command(&self, command: MeshCommand) -> Result<(), PeerError> {
+        self.commands.send(command).await.map_err(|_| PeerError::Malformed(WireError::Encode))
+    }
+}
--- /dev/null
+++ b/crates/rudder-peers/src/node/compose.rs
@@ -0,0 +1,131 @@
+//! Filling a datagram up to what its class may take from the budget.
+
+use super::state::PeerNode;
+use crate::budget::{DATAGRAM_OVERHEAD_BYTES, SendClass};
+use crate::hints::{HintUrgency, PeerHint};
+use crate::member::PeerEntry;
+use crate::wire::{
+    DATAGRAM_BYTES_MAX, DatagramBody, PeerDatagram, encode_datagram, encoded_entry_size,
+    encoded_hint_size,
+};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// News of members that one datagram carries at most.
+const NEWS_PER_DATAGRAM: usize = 6;
+/// Urgent hints that one datagram carries at most.
+const URGENT_PER_DATAGRAM: usize = 20;
+/// Routine hints that one answer carries at most.
+const ROUTINE_PER_DATAGRAM: usize = 8;
+/// Bytes that the counts before the lists may grow by.
+const COUNT_SLACK_BYTES: usize = 4;
+
+impl PeerNode {
+    /// The bytes of a datagram with this body and as much as fits besides; none if the budget is
+    /// used up.
+    pub(super) fn compose(
+        &mut self,
+        to: SocketAddr,
+        body: DatagramBody,
+        first: Option<PeerEntry>,
+        now: Duration,
+    ) -> Option<(SocketAddr, Vec<u8>)> {
+        let push = body == DatagramBody::Push;
+        let answer = matches!(body, DatagramBody::Ack { .. });
+        let mut datagram = PeerDatagram {
+            sender: self.membership.me().clone(),
+            digest: self.membership.digest(),
+            revision: self.board.revision(),
+            body,
+            news: first.into_iter().collect(),
+            hints: Vec::new(),
+        };
+        let base = encode_datagram(&datagram).ok()?.len() + COUNT_SLACK_BYTES;
+        let class = if push { SendClass::News } else { SendClass::Liveness };
+        if !self.affords(base, class, now) {
+            self.traffic.withheld += 1;
+            return None;
+        }
+        let mut size = self.add_news(&mut datagram, base, now);
+        size = self.add_hints(&mut datagram, size, HintUrgency::Urgent, URGENT_PER_DATAGRAM, now);
+        if answer {
+            self.add_hints(&mut datagram, size, HintUrgency::Routine, ROUTINE_PER_DATAGRAM, now);
+        }
+        if push && datagram.news.is_empty() && datagram.hints.is_empty() {
+            return None;
+        }
+        let bytes = encode_datagram(&datagram).ok()?;
+        self.charge(&datagram, bytes.len());
+        Some((to, bytes))
+    }
+
+    fn add_news(&mut self, datagram: &mut PeerDatagram, base: usize, now: Duration) -> usize {
+        let mut size = base;
+        for entry in self.membership.next_news(NEWS_PER_DATAGRAM) {
+            // The sender's own entry is in every datagram, and the first news is there already.
+            if datagram.news.first() == Some(&entry) || entry.name == datagram.sender.name {
+                self.membership.told(&entry.name);
+                continue;
+            }
+            let grown = size + encoded_entry_size(&entry);
+            if grown <= DATAGRAM_BYTES_MAX && self.affords(grown, SendClass::News, now) {
+                size = grown;
+                datagram.news.push(entry);
+            }
+        }
+        size
+    }
+
+    fn add_hints(
+        &mut self,
+        datagram: &mut PeerDatagram,
+        base: usize,
+        urgency: HintUrgency,
+        count_max: usize,
+        now: Duration,
+    ) -> usize {
+        let class = match urgency {
+            HintUrgency::Urgent => SendClass::News,
+            HintUrgency::Routine => SendClass::Routine,
+        };
+        let mut size = base;
+        for hint in self.board.pending(urgency, count_max, now) {
+            let grown = size + encoded_hint_size(&hint);
+            if grown <= DATAGRAM_BYTES_MAX && self.affords(grown, class, now) {
+                size = grown;
+                datagram.hints.push(hint);
+            }
+        }
+        size
+    }
+
+    fn affords(&mut self, size: usize, class: SendClass, now: Duration) -> bool {
+        self.datagram_bucket.allows(charged_bytes(size), class, now)
+    }
+
+    fn charge(&mut self, datagram: &PeerDatagram, size: usize) {
+        self.datagram_bucket.take(charged_bytes(size));
+        self.traffic.datagrams += 1;
+        self.traffic.datagram_bytes += charged_bytes(size);
+        for entry in &datagram.news {
+            self.membership.told(&entry.name);
+        }
+        for hint in &datagram.hints {
+            self.board.told(hint);
+        }
+    }
+}
+
+/// What a datagram of this size is charged, headers included.
+fn charged_bytes(size: usize) -> u64 {
+    u64::try_from(size).unwrap_or(u64::MAX).saturating_add(DATAGRAM_OVERHEAD_BYTES)
+}
+
+/// Whether a hint may carry its age on: only in an answer can the receiver bound the time that the
+/// hint was under way.
+pub(super) fn received_hint(hint: PeerHint, round_trip: Option<Duration>) -> PeerHint {
+    match round_trip {
+        Some(round_trip) => hint.aged(round_trip),
+        None => hint.unbounded(),
+    }
+}
--- /dev/null
+++ b/crates/rudder-peers/src/node/state.rs
@@ -0,0 +1,225 @@
+//! The state machine of an instance's conversation with its peers.
+
+use super::budget::{BudgetSettings, TrafficCount};
+use super::compose::received_hint;
+use crate::budget::{DATAGRAM_OVERHEAD_BYTES, SendClass, TokenBucket};
+use crate::hints::{
+    HintBoard, HintMessage, HintUrgency, LeavingNotice, LeavingSubject, PeerHint, RevisionHint,
+};
+use crate::member::PeerEntry;
+use crate::membership::{Membership, PeerAction};
+use crate::wire::{
+    DatagramBody, PeerDatagram, PeerTableFrame, WireError, decode_datagram, encode_datagram,
+};
+use rudder_core::InstanceName;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Peers to whom urgent hints are pushed at once.
+const PUSH_FANOUT: usize = 3;
+
+/// Urgent hints that arrive within this time are pushed together.
+const PUSH_SPACING: Duration = Duration::from_millis(50);
+
+/// What the driver has to do.
+#[derive(Debug, Default)]
+pub(crate) struct NodeOutput {
+    /// Datagrams to send.
+    pub(crate) datagrams: Vec<(SocketAddr, Vec<u8>)>,
+    /// Hints that are news, to hand to the handler.
+    pub(crate) hints: Vec<HintMessage>,
+    /// Peers whose table is to be fetched.
+    pub(crate) fetches: Vec<SocketAddr>,
+}
+
+/// The conversation of one instance with its peers.
+#[derive(Debug)]
+pub(crate) struct PeerNode {
+    pub(super) membership: Membership,
+    pub(super) board: HintBoard,
+    pub(super) datagram_bucket: TokenBucket,
+    pub(super) traffic: TrafficCount,
+    table_bucket: TokenBucket,
+    push_due: bool,
+    pushed_at: Option<Duration>,
+}
+
+impl PeerNode {
+    pub(crate) fn new(membership: Membership, budget: &BudgetSettings, now: Duration) -> Self {
+        Self {
+            membership,
+            board: HintBoard::default(),
+            datagram_bucket: TokenBucket::new(budget.datagram_rate, budget.datagram_depth, now),
+            table_bucket: TokenBucket::new(budget.table_rate, budget.table_depth, now),
+            traffic: TrafficCount::default(),
+            push_due: false,
+            pushed_at: None,
+        }
+    }
+
+    pub(crate) fn traffic(&self) -> TrafficCount {
+        self.traffic
+    }
+
+    /// This instance about itself.
+    pub(crate) fn me(&self) -> &PeerEntry {
+        self.membership.me()
+    }
+
+    /// The instances that are not gone, this one included, sorted by name.
+    pub(crate) fn snapshot(&self) -> Vec<PeerEntry> {
+        self.membership.snapshot()
+    }
+
+    pub(crate) fn take_changed(&mut self) -> bool {
+        self.membership.take_changed()
+    }
+
+    /// Where an instance listens.
+    pub(crate) fn address_of(&self, name: &InstanceName) -> Option<SocketAddr> {
+        self.membership.entry(name).map(|entry| entry.address)
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self, now: Duration) -> NodeOutput {
+        let mut output = NodeOutput::default();
+        let actions = self.membership.tick(now);
+        self.perform(actions, &mut output, now);
+        self.board.expire(now);
+        self.push(&mut output, now);
+        output
+    }
+
+    /// Takes in a datagram.
+    pub(crate) fn receive(&mut self, bytes: &[u8], now: Duration) -> Result<NodeOutput, WireError> {
+        let datagram = decode_datagram(bytes)?;
+        let mut output = NodeOutput::default();
+        let (actions, round_trip) = self.membership.receive(&datagram, now);
+        self.take_hints(datagram, round_trip, &mut output, now);
+        self.perform(actions, &mut output, now);
+        self.push(&mut output, now);
+        Ok(output)
+    }
+
+    /// Spreads a hint of this instance's own.
+    pub(crate) fn publish(&mut self, hint: PeerHint, now: Duration) -> NodeOutput {
+        let mut output = NodeOutput::default();
+        if let PeerHint::Leaving(LeavingNotice { subject: LeavingSubject::Instance(name) }) = &hint
+        {
+            self.membership.mark_leaving(name, now);
+        } else {
+            let sends = self.membership.sends();
+            let urgency = self.board.absorb(hint, false, sends, now);
+            self.push_due |= urgency == Some(HintUrgency::Urgent);
+        }
+        self.push(&mut output, now);
+        output
+    }
+
+    /// Sends a hint to these instances only.
+    pub(crate) fn tell(
+        &mut self,
+        names: &[InstanceName],
+        hint: &PeerHint,
+        now: Duration,
+    ) -> NodeOutput {
+        let mut output = NodeOutput::default();
+        for name in names {
+            let Some(to) = self.address_of(name) else { continue };
+            let datagram = PeerDatagram {
+                sender: self.membership.me().clone(),
+                digest: self.membership.digest(),
+                revision: self.board.revision(),
+                body: DatagramBody::Push,
+                news: Vec::new(),
+                hints: vec![hint.clone()],
+            };
+            let Ok(bytes) = encode_datagram(&datagram) else { continue };
+            let charged = u64::try_from(bytes.len()).unwrap_or(u64::MAX) + DATAGRAM_OVERHEAD_BYTES;
+            if self.datagram_bucket.allows(charged, SendClass::Liveness, now) {
+                self.datagram_bucket.take(charged);
+                self.traffic.datagrams += 1;
+                self.traffic.datagram_bytes += charged;
+                output.datagrams.push((to, bytes));
+            } else {
+                self.traffic.withheld += 1;
+            }
+        }
+        output
+    }
+
+    /// Says that this instance is leaving.
+    pub(crate) fn leave(&mut self, now: Duration) -> NodeOutput {
+        let mut output = NodeOutput::default();
+        self.membership.leave();
+        self.push(&mut output, now);
+        output
+    }
+
+    /// This instance's table, for a peer.
+    pub(crate) fn table(&self) -> PeerTableFrame {
+        PeerTableFrame { sender: self.membership.me().clone(), entries: self.membership.known() }
+    }
+
+    /// Whether a table of so many bytes may be sent now; if so, they are charged.
+    pub(crate) fn charge_table(&mut self, bytes: u64, now: Duration) -> bool {
+        let allowed = self.table_bucket.take_on_credit(bytes, now);
+        if allowed {
+            self.traffic.table_bytes += bytes;
+        } else {
+            self.traffic.tables_refused += 1;
+        }
+        allowed
+    }
+
+    /// Takes in a peer's table, and returns the differences that the peer should hear.
+    pub(crate) fn merge(&mut self, table: &PeerTableFrame, now: Duration) -> Vec<PeerEntry> {
+        self.membership.merge(&table.sender, &table.entries, now)
+    }
+
+    fn perform(&mut self, actions: Vec<PeerAction>, output: &mut NodeOutput, now: Duration) {
+        for action in actions {
+            match action {
+                PeerAction::Send { to, body, first } => {
+                    output.datagrams.extend(self.compose(to, body, first, now));
+                }
+                PeerAction::FetchTable { from } => output.fetches.push(from),
+            }
+        }
+    }
+
+    fn take_hints(
+        &mut self,
+        datagram: PeerDatagram,
+        round_trip: Option<Duration>,
+        output: &mut NodeOutput,
+        now: Duration,
+    ) {
+        let sends = self.membership.sends();
+        let mut hints = datagram.hints;
+        if datagram.revision > self.board.revision() {
+            hints.push(PeerHint::Revision(RevisionHint { number: datagram.revision }));
+        }
+        for hint in hints {
+            let hint = received_hint(hint, round_trip);
+            if let Some(urgency) = self.board.absorb(hint.clone(), true, sends, now) {
+                self.push_due |= urgency == HintUrgency::Urgent;
+                output.hints.push(HintMessage { from: datagram.sender.name.clone(), hint });
+            }
+        }
+    }
+
+    /// Pushes urgent hints and news to a few random peers.
+    fn push(&mut self, output: &mut NodeOutput, now: Duration) {
+        self.push_due |= self.membership.take_urgent();
+        let rested = self.pushed_at.is_none_or(|pushed| now.saturating_sub(pushed) >= PUSH_SPACING);
+        if !self.push_due || !rested {
+            return;
+        }
+        self.push_due = false;
+        self.pushed_at = Some(now);
+        for to in self.membership.sample(PUSH_FANOUT) {
+            output.datagrams.extend(self.compose(to, DatagramBody::Push, None, now));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-peers/src/wire/codec.rs
@@ -0,0 +1,84 @@
+//! Encoding and decoding, with bounds on what is taken in.
+
+use super::datagram::{PeerDatagram, WireDatagram};
+use super::entry::WireEntry;
+use super::error::WireError;
+use super::hint::WireHint;
+use super::request::{AnswerFrame, RequestFrame, WireAnswer, WireRequest};
+use crate::hints::PeerHint;
+use crate::member::PeerEntry;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// The version that this program speaks, the first byte of each message.
+const WIRE_VERSION: u8 = 1;
+
+/// A datagram stays below the smallest MTU on the way (1280 in IPv6), so that the loss of one
+/// fragment never loses the rest.
+pub(crate) const DATAGRAM_BYTES_MAX: usize = 1200;
+
+/// A settings revision of up to a megabyte, with room for its list of files.
+pub(crate) const FRAME_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+pub(crate) fn encode_datagram(datagram: &PeerDatagram) -> Result<Vec<u8>, WireError> {
+    encode(&WireDatagram::from(datagram), DATAGRAM_BYTES_MAX)
+}
+
+pub(crate) fn decode_datagram(bytes: &[u8]) -> Result<PeerDatagram, WireError> {
+    decode::<WireDatagram>(bytes, DATAGRAM_BYTES_MAX)?.try_into()
+}
+
+pub(crate) fn encode_request(frame: &RequestFrame) -> Result<Vec<u8>, WireError> {
+    encode(&WireRequest::from(frame), FRAME_BYTES_MAX)
+}
+
+pub(crate) fn decode_request(bytes: &[u8]) -> Result<RequestFrame, WireError> {
+    decode::<WireRequest>(bytes, FRAME_BYTES_MAX)?.try_into()
+}
+
+pub(crate) fn encode_answer(frame: &AnswerFrame) -> Result<Vec<u8>, WireError> {
+    encode(&WireAnswer::from(frame), FRAME_BYTES_MAX)
+}
+
+pub(crate) fn decode_answer(bytes: &[u8]) -> Result<AnswerFrame, WireError> {
+    decode::<WireAnswer>(bytes, FRAME_BYTES_MAX)?.try_into()
+}
+
+/// The bytes that an entry adds to a datagram.
+pub(crate) fn encoded_entry_size(entry: &PeerEntry) -> usize {
+    encoded_size(&WireEntry::from(entry))
+}
+
+/// The bytes that a hint adds to a datagram.
+pub(crate) fn encoded_hint_size(hint: &PeerHint) -> usize {
+    encoded_size(&WireHint::from(hint))
+}
+
+fn encoded_size<T: Serialize>(wire: &T) -> usize {
+    postcard::to_stdvec(wire).map_or(DATAGRAM_BYTES_MAX, |bytes| bytes.len())
+}
+
+fn encode<T: Serialize>(wire: &T, bytes_max: usize) -> Result<Vec<u8>, WireError> {
+    let bytes = postcard::to_extend(wire, vec![WIRE_VERSION]).map_err(|_| WireError::Encode)?;
+    if bytes.len() > bytes_max {
+        return Err(WireError::TooLong(bytes.len()));
+    }
+    Ok(bytes)
+}
+
+/// Guards against hostile and damaged messages: the length is bounded before anything is
+/// allocated, lengths inside the message cannot exceed it, and each value is checked.
+fn decode<T: DeserializeOwned>(bytes: &[u8], bytes_max: usize) -> Result<T, WireError> {
+    if bytes.len() > bytes_max {
+        return Err(WireError::TooLong(bytes.len()));
+    }
+    let (&version, rest) = bytes.split_first().ok_or(WireError::Empty)?;
+    if version != WIRE_VERSION {
+        return Err(WireError::Version(version));
+    }
+    let (wire, trailing) = postcard::take_from_bytes(rest).map_err(|_| WireError::Malformed)?;
+    if !trailing.is_empty() {
+        return Err(WireError::Trailing(trailing.len()));
+    }
+    Ok(wire)
+}
--- /dev/null
+++ b/crates/rudder-peers/src/wire/mod.rs
@@ -0,0 +1,21 @@
+//! The messages between instances as they are encoded: a version byte, then `postcard`.
+//!
+//! The types here mirror the domain types and hold plain text and numbers, so that a change of a
+//! domain type does not silently change what travels. Everything received is checked on its way
+//! into a domain type.
+
+mod codec;
+mod datagram;
+mod entry;
+mod error;
+mod hint;
+mod request;
+
+pub(crate) use codec::{
+    DATAGRAM_BYTES_MAX, FRAME_BYTES_MAX, decode_answer, decode_datagram, decode_request,
+    encode_answer, encode_datagram, encode_request, encoded_entry_size, encoded_hint_size,
+};
+pub(crate) use datagram::{DatagramBody, PeerDatagram};
+pub use error::WireError;
+pub(crate) use request::{AnswerFrame, PeerTableFrame, RequestBody, RequestFrame};
+pub use request::{PeerReply, PeerRequest};
--- /dev/null
+++ b/crates/rudder-peers/src/wire/request.rs
@@ -0,0 +1,264 @@
+//! The requests that travel over TCP, and their answers.
+
+use super::entry::WireEntry;
+use super::error::WireError;
+use crate::member::PeerEntry;
+use rudder_core::{LogStamp, SessionId, SessionToken, plain_data};
+use serde::{Deserialize, Serialize};
+
+/// A question to a peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerRequest {
+    /// What must this session see?
+    SessionLookup(SessionId),
+    /// Sessions that the asking instance hands over because it is leaving.
+    SessionHandover(Vec<SessionToken>),
+    /// The settings revision, if it is newer than this number.
+    RevisionFetch {
+        /// The number of the newest revision that the asking instance has.
+        newer_than: u64,
+    },
+    /// A question between the succession code of two instances, in that code's own encoding.
+    Succession(Vec<u8>),
+}
+
+/// The answer to a question.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerReply {
+    /// The answering instance does not know. It never means that there is nothing.
+    Unknown,
+    /// What the session must see, as far as the answering instance knows.
+    Session(SessionToken),
+    /// What was handed over has been taken.
+    Taken,
+    /// The revision that was asked for, in the settings code's own encoding.
+    Revision(Vec<u8>),
+    /// An answer of the succession code, in that code's own encoding.
+    Succession(Vec<u8>),
+}
+
+plain_data! {
+    /// Instances as the sender knows them, exchanged when two digests differ.
+    pub(crate) struct PeerTableFrame {
+        /// The sending instance, as it knows itself.
+        pub(crate) sender: PeerEntry,
+        /// Others: the whole table in an answer, the differences in an update.
+        pub(crate) entries: Vec<PeerEntry>,
+    }
+}
+
+/// What is asked over TCP.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum RequestBody {
+    /// Send me your table.
+    Table,
+    /// These entries are newer than yours.
+    Update(PeerTableFrame),
+    Ask(PeerRequest),
+}
+
+plain_data! {
+    /// A question with the number that its answer must repeat.
+    pub(crate) struct RequestFrame {
+        pub(crate) number: u64,
+        pub(crate) body: RequestBody,
+    }
+}
+
+/// What is answered over TCP.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerFrame {
+    /// The answering instance's own table.
+    Table {
+        number: u64,
+        table: PeerTableFrame,
+    },
+    /// The answering instance has used up its budget for tables.
+    Busy {
+        number: u64,
+    },
+    Reply {
+        number: u64,
+        reply: PeerReply,
+    },
+}
+
+impl AnswerFrame {
+    pub(crate) fn number(&self) -> u64 {
+        match self {
+            Self::Table { number, .. } | Self::Busy { number } | Self::Reply { number, .. } => {
+                *number
+            }
+        }
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireRequest {
+    number: u64,
+    body: WireRequestBody,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum WireRequestBody {
+    Table,
+    Update(WireTable),
+    SessionLookup(String),
+    SessionHandover(Vec<WireSession>),
+    RevisionFetch { newer_than: u64 },
+    Succession(Vec<u8>),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireAnswer {
+    number: u64,
+    body: WireAnswerBody,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum WireAnswerBody {
+    Table(WireTable),
+    Busy,
+    Unknown,
+    Session(WireSession),
+    Taken,
+    Revision(Vec<u8>),
+    Succession(Vec<u8>),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireTable {
+    sender: WireEntry,
+    entries: Vec<WireEntry>,
+}
+
+/// A session token: its id, and per service the term and position of its floor.
+#[derive(Debug, Serialize, Deserialize)]
+struct WireSession {
+    id: String,
+    floors: Vec<(String, u64, u64)>,
+}
+
+impl From<&PeerTableFrame> for WireTable {
+    fn from(table: &PeerTableFrame) -> Self {
+        Self {
+            sender: (&table.sender).into(),
+            entries: table.entries.iter().map(WireEntry::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<WireTable> for PeerTableFrame {
+    type Error = WireError;
+
+    fn try_from(wire: WireTable) -> Result<Self, WireError> {
+        let entries: Result<_, WireError> =
+            wire.entries.into_iter().map(PeerEntry::try_from).collect();
+        Ok(Self { sender: wire.sender.try_into()?, entries: entries? })
+    }
+}
+
+impl From<&SessionToken> for WireSession {
+    fn from(token: &SessionToken) -> Self {
+        let floors = token
+            .floors()
+            .iter()
+            .map(|floor| (floor.service.to_string(), floor.stamp.term.0, floor.stamp.position.0));
+        Self { id: token.id().to_string(), floors: floors.collect() }
+    }
+}
+
+impl TryFrom<WireSession> for SessionToken {
+    type Error = WireError;
+
+    fn try_from(wire: WireSession) -> Result<Self, WireError> {
+        let mut token = Self::new(wire.id.parse()?);
+        for (service, term, position) in wire.floors {
+            token.raise(&service.parse()?, LogStamp::new(term, position));
+        }
+        Ok(token)
+    }
+}
+
+impl From<&RequestFrame> for WireRequest {
+    fn from(frame: &RequestFrame) -> Self {
+        let body = match &frame.body {
+            RequestBody::Table => WireRequestBody::Table,
+            RequestBody::Update(table) => WireRequestBody::Update(table.into()),
+            RequestBody::Ask(PeerRequest::SessionLookup(id)) => {
+                WireRequestBody::SessionLookup(id.to_string())
+            }
+            RequestBody::Ask(PeerRequest::SessionHandover(tokens)) => {
+                WireRequestBody::SessionHandover(tokens.iter().map(WireSession::from).collect())
+            }
+            RequestBody::Ask(PeerRequest::RevisionFetch { newer_than }) => {
+                WireRequestBody::RevisionFetch { newer_than: *newer_than }
+            }
+            RequestBody::Ask(PeerRequest::Succession(bytes)) => {
+                WireRequestBody::Succession(bytes.clone())
+            }
+        };
+        Self { number: frame.number, body }
+    }
+}
+
+impl TryFrom<WireRequest> for RequestFrame {
+    type Error = WireError;
+
+    fn try_from(wire: WireRequest) -> Result<Self, WireError> {
+        let body = match wire.body {
+            WireRequestBody::Table => RequestBody::Table,
+            WireRequestBody::Update(table) => RequestBody::Update(table.try_into()?),
+            WireRequestBody::SessionLookup(id) => {
+                RequestBody::Ask(PeerRequest::SessionLookup(id.parse()?))
+            }
+            WireRequestBody::SessionHandover(sessions) => {
+                let tokens: Result<_, WireError> =
+                    sessions.into_iter().map(SessionToken::try_from).collect();
+                RequestBody::Ask(PeerRequest::SessionHandover(tokens?))
+            }
+            WireRequestBody::RevisionFetch { newer_than } => {
+                RequestBody::Ask(PeerRequest::RevisionFetch { newer_than })
+            }
+            WireRequestBody::Succession(bytes) => RequestBody::Ask(PeerRequest::Succession(bytes)),
+        };
+        Ok(Self { number: wire.number, body })
+    }
+}
+
+impl From<&AnswerFrame> for WireAnswer {
+    fn from(frame: &AnswerFrame) -> Self {
+        let body = match frame {
+            AnswerFrame::Table { table, .. } => WireAnswerBody::Table(table.into()),
+            AnswerFrame::Busy { .. } => WireAnswerBody::Busy,
+            AnswerFrame::Reply { reply, .. } => match reply {
+                PeerReply::Unknown => WireAnswerBody::Unknown,
+                PeerReply::Session(token) => WireAnswerBody::Session(token.into()),
+                PeerReply::Taken => WireAnswerBody::Taken,
+                PeerReply::Revision(bytes) => WireAnswerBody::Revision(bytes.clone()),
+                PeerReply::Succession(bytes) => WireAnswerBody::Succession(bytes.clone()),
+            },
+        };
+        Self { number: frame.number(), body }
+    }
+}
+
+impl TryFrom<WireAnswer> for AnswerFrame {
+    type Error = WireError;
+
+    fn try_from(wire: WireAnswer) -> Result<Self, WireError> {
+        let number = wire.number;
+        let reply = match wire.body {
+            WireAnswerBody::Table(table) => {
+                return Ok(Self::Table { number, table: table.try_into()? });
+            }
+            WireAnswerBody::Busy => return Ok(Self::Busy { number }),
+            WireAnswerBody::Unknown => PeerReply::Unknown,
+            WireAnswerBody::Session(session) => PeerReply::Session(session.try_into()?),
+            WireAnswerBody::Taken => PeerReply::Taken,
+            WireAnswerBody::Revision(bytes) => PeerReply::Revision(bytes),
+            WireAnswerBody::Succession(bytes) => PeerReply::Succession(bytes),
+        };
+        Ok(Self::Reply { number, reply })
+    }
+}
--- /dev/null
+++ b/crates/rudder-peers/tests/mesh.rs
@@ -0,0 +1,158 @@
+//! Real meshes on loopback.
+
+#![allow(clippy::unwrap_used, reason = "a test may end at an unexpected value")]
+
+use async_trait::async_trait;
+use rudder_core::{InstanceName, LogStamp, LogTerm, SessionToken};
+use rudder_peers::{
+    GroupHint, HintMessage, MeshSettings, PeerHandler, PeerHint, PeerMesh, PeerReply, PeerRequest,
+    PeerState,
+};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Far longer than anything here takes; only a broken mesh waits so long.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+#[derive(Default)]
+struct RecordingHandler {
+    hints: Mutex<Vec<PeerHint>>,
+}
+
+#[async_trait]
+impl PeerHandler for RecordingHandler {
+    async fn on_hint(&self, message: HintMessage) {
+        self.hints.lock().unwrap().push(message.hint);
+    }
+
+    async fn on_request(&self, request: PeerRequest) -> PeerReply {
+        match request {
+            PeerRequest::SessionLookup(id) if id.as_str() == "anna" => {
+                PeerReply::Session("v1/anna/scores-db=2:40".parse().unwrap())
+            }
+            PeerRequest::SessionHandover(_) => PeerReply::Taken,
+            PeerRequest::Succession(bytes) => PeerReply::Succession(bytes),
+            _ => PeerReply::Unknown,
+        }
+    }
+}
+
+struct MeshFixture {
+    mesh: PeerMesh,
+    handler: Arc<RecordingHandler>,
+}
+
+async fn start(number: usize, seeds: Vec<SocketAddr>) -> MeshFixture {
+    let name = format!("i{number}").parse().unwrap();
+    let domain = format!("d{}", number % 3).parse().unwrap();
+    let mut settings = MeshSettings::new(name, domain, ([127, 0, 0, 1], 0).into());
+    settings.seeds = seeds;
+    let handler = Arc::new(RecordingHandler::default());
+    let mesh = PeerMesh::start(settings, handler.clone()).await.unwrap();
+    MeshFixture { mesh, handler }
+}
+
+/// Starts meshes that each know the first only, and waits until each knows all.
+async fn start_fleet(size: usize) -> Vec<MeshFixture> {
+    let mut fleet = vec![start(0, Vec::new()).await];
+    for number in 1..size {
+        fleet.push(start(number, vec![fleet[0].mesh.address()]).await);
+    }
+    wait_for(|| fleet.iter().all(|fixture| fixture.mesh.live().len() == size)).await;
+    fleet
+}
+
+async fn wait_for(condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait).await.expect("the condition should come true");
+}
+
+fn new_term(term: u64) -> PeerHint {
+    PeerHint::Group(GroupHint {
+        service: "scores-db".parse().unwrap(),
+        term: LogTerm(term),
+        primary: "m2".parse().unwrap(),
+        stamp: LogStamp::new(term, 7),
+        age: Some(Duration::ZERO),
+    })
+}
+
+fn name(number: usize) -> InstanceName {
+    format!("i{number}").parse().unwrap()
+}
+
+#[tokio::test]
+async fn one_known_seed_is_enough_to_join_and_a_new_term_reaches_everyone() {
+    let fleet = start_fleet(4).await;
+
+    fleet[3].mesh.publish(new_term(5)).await;
+
+    let heard = |fixture: &MeshFixture| {
+        let hints = fixture.handler.hints.lock().unwrap();
+        hints.iter().any(|hint| matches!(hint, PeerHint::Group(hint) if hint.term == LogTerm(5)))
+    };
+    wait_for(|| fleet[..3].iter().all(heard)).await;
+}
+
+#[tokio::test]
+async fn a_hint_that_was_pushed_has_no_age_bound() {
+    // A user would be shown a read as fresh that is not: the datagram that says when the primary
+    // was confirmed waits on its way, and its receiver cannot tell for how long.
+    let fleet = start_fleet(2).await;
+
+    fleet[0].mesh.tell(&[name(1)], new_term(9)).await;
+
+    wait_for(|| !fleet[1].handler.hints.lock().unwrap().is_empty()).await;
+    let hints = fleet[1].handler.hints.lock().unwrap();
+    assert!(hints.iter().all(|hint| matches!(hint, PeerHint::Group(hint) if hint.age.is_none())));
+}
+
+#[tokio::test]
+async fn requests_are_answered_by_the_handler() {
+    let fleet = start_fleet(2).await;
+    let peer = name(1);
+    let ask = |request| fleet[0].mesh.request(&peer, request, PATIENCE);
+
+    let known = ask(PeerRequest::SessionLookup("anna".parse().unwrap())).await.unwrap();
+    let unknown = ask(PeerRequest::SessionLookup("berta".parse().unwrap())).await.unwrap();
+    let tokens = vec!["v1/anna/scores-db=2:40".parse::<SessionToken>().unwrap()];
+    let handover = ask(PeerRequest::SessionHandover(tokens)).await.unwrap();
+
+    assert_eq!(known, PeerReply::Session("v1/anna/scores-db=2:40".parse().unwrap()));
+    assert_eq!(unknown, PeerReply::Unknown);
+    assert_eq!(handover, PeerReply::Taken);
+}
+
+#[tokio::test]
+async fn a_large_request_comes_back_whole() {
+    let fleet = start_fleet(2).await;
+    let bytes: Vec<u8> = (0..=u8::MAX).cycle().take(300_000).collect();
+
+    let peer = name(1);
+    let request = PeerRequest::Succession(bytes.clone());
+    let reply = fleet[0].mesh.request(&peer, request, PATIENCE).await.unwrap();
+
+    assert_eq!(reply, PeerReply::Succession(bytes));
+}
+
+#[tokio::test]
+async fn a_stopped_instance_disappears_and_a_leaving_one_says_so() {
+    // Callers are sent to an instance that is no longer there, or that is about to go.
+    let mut fleet = start_fleet(4).await;
+
+    fleet[1].mesh.leave().await;
+    fleet.remove(3).mesh.stop().await;
+
+    let settled = |fixture: &MeshFixture| {
+        let live = fixture.mesh.live();
+        let state =
+            |number| live.iter().find(|entry| entry.name == name(number)).map(|entry| entry.state);
+        state(3).is_none() && state(1) == Some(PeerState::Leaving)
+    };
+    wait_for(|| fleet.iter().all(settled)).await;
+}
