--- a/crates/rudder-peers/src/hints/board.rs
+++ b/crates/rudder-peers/src/hints/board.rs
@@ -29,6 +29,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct HintBoard {
     records: Vec<HintRecord>,
+    digest: u32,
 }
 
 impl HintBoard {
@@ -53,11 +54,16 @@
             HintUrgency::Routine if relayed => 0,
             HintUrgency::Routine => ROUTINE_SENDS,
         };
+        if found.is_err() && self.records.len() >= HINTS_MAX {
+            return None;
+        }
+        self.digest = self.digest.wrapping_add(hint.digest());
         let record = HintRecord { key, hint, heard_at: now, urgency, sends_left };
         match found {
             Ok(index) => {
                 // A refresh of a term that is still being spread must not stop its spread.
                 let pending = &self.records[index];
+                self.digest = self.digest.wrapping_sub(pending.hint.digest());
                 let spreading = pending.urgency == HintUrgency::Urgent
                     && pending.sends_left > record.sends_left;
                 let (urgency, sends_left) = if spreading {
@@ -67,12 +73,23 @@
                 };
                 self.records[index] = HintRecord { urgency, sends_left, ..record };
             }
-            Err(index) if self.records.len() < HINTS_MAX => self.records.insert(index, record),
-            Err(_) => return None,
+            Err(index) => self.records.insert(index, record),
         }
         Some(urgency)
     }
 
+    /// The digest of the terms of all groups; zero if none is known.
+    pub(crate) fn digest(&self) -> u32 {
+        self.digest
+    }
+
+    /// The primaries of all groups, without a bound on their ages.
+    pub(crate) fn groups(&self) -> Vec<PeerHint> {
+        let is_group = |hint: &&PeerHint| matches!(hint, PeerHint::Group(_));
+        let hints = self.records.iter().map(|record| &record.hint);
+        hints.filter(is_group).cloned().map(PeerHint::unbounded).collect()
+    }
+
     /// The hints of this urgency that are still to be told, the least told first, aged to `now`.
     pub(crate) fn pending(
         &self,
--- a/crates/rudder-peers/src/hints/hint.rs
+++ b/crates/rudder-peers/src/hints/hint.rs
@@ -5,6 +5,7 @@
     DomainName, InstanceName, LogStamp, LogTerm, MemberName, MemberStatus, ServiceName, plain_data,
 };
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A hint.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -175,6 +176,14 @@
         }
     }
 
+    /// A digest of the group and its term; zero for hints of other kinds.
+    pub(crate) fn digest(&self) -> u32 {
+        let Self::Group(hint) = self else { return 0 };
+        let hash = xxh3_64_with_seed(hint.service.as_str().as_bytes(), hint.term.0);
+        let [a, b, c, d, ..] = hash.to_le_bytes();
+        u32::from_le_bytes([a, b, c, d])
+    }
+
     fn age_mut(&mut self) -> Option<&mut Option<Duration>> {
         match self {
             Self::Group(hint) => Some(&mut hint.age),
--- a/crates/rudder-peers/src/hints/mod.rs
+++ b/crates/rudder-peers/src/hints/mod.rs
@@ -2,6 +2,8 @@
 
 mod board;
 mod hint;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use board::HintBoard;
 pub(crate) use hint::HintUrgency;
--- a/crates/rudder-peers/src/keepers/mod.rs
+++ b/crates/rudder-peers/src/keepers/mod.rs
@@ -3,6 +3,8 @@
 
 mod ranking;
 mod share;
+#[cfg(test)]
+mod tests;
 mod watch;
 
 pub use share::{ConnectionShare, HolderRule};
--- a/crates/rudder-peers/src/membership/action.rs
+++ b/crates/rudder-peers/src/membership/action.rs
@@ -2,13 +2,15 @@
 
 use crate::member::PeerEntry;
 use crate::wire::DatagramBody;
+use rudder_core::plain_data;
 use std::net::SocketAddr;
 
-/// What the membership asks its driver to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum PeerAction {
-    /// Send a datagram. `first` must be the first of its news.
-    Send { to: SocketAddr, body: DatagramBody, first: Option<PeerEntry> },
-    /// Fetch the table of the peer at this address.
-    FetchTable { from: SocketAddr },
+plain_data! {
+    /// A datagram to send.
+    pub(crate) struct PeerAction {
+        pub(crate) to: SocketAddr,
+        pub(crate) body: DatagramBody,
+        /// What must be the first of its news.
+        pub(crate) first: Option<PeerEntry>,
+    }
 }
--- a/crates/rudder-peers/src/membership/probing.rs
+++ b/crates/rudder-peers/src/membership/probing.rs
@@ -75,7 +75,7 @@
         for to in self.helpers_for(name) {
             let sequence = probe.sequence;
             let body = DatagramBody::IndirectProbe { sequence, target: name.clone() };
-            actions.push(PeerAction::Send { to, body, first: Some(target.clone()) });
+            actions.push(PeerAction { to, body, first: Some(target.clone()) });
         }
     }
 
@@ -141,7 +141,7 @@
         if let Some(&seed) = strangers.choose(&mut self.rng) {
             let sequence = self.add_probe(ProbeTarget::Seed, true, now);
             let body = DatagramBody::Probe { sequence, target: None };
-            actions.push(PeerAction::Send { to: seed, body, first: None });
+            actions.push(PeerAction { to: seed, body, first: None });
         }
     }
 
@@ -156,7 +156,7 @@
         let sequence = self.add_probe(target, lone, now);
         let body = DatagramBody::Probe { sequence, target: Some(entry.name.clone()) };
         let first = (entry.state != PeerState::Live).then(|| entry.clone());
-        actions.push(PeerAction::Send { to: entry.address, body, first });
+        actions.push(PeerAction { to: entry.address, body, first });
     }
 
     fn add_probe(&mut self, target: ProbeTarget, lone: bool, now: Duration) -> u32 {
@@ -183,7 +183,7 @@
         if self.probes.add_relay(RelayRecord { sequence, origin, origin_sequence, sent_at: now }) {
             let body = DatagramBody::Probe { sequence, target: Some(target.clone()) };
             let first = (entry.state != PeerState::Live).then(|| entry.clone());
-            actions.push(PeerAction::Send { to: entry.address, body, first });
+            actions.push(PeerAction { to: entry.address, body, first });
         }
     }
 
@@ -197,7 +197,7 @@
         if let Some(relay) = self.probes.take_relay(sequence) {
             let body = DatagramBody::RelayedAck { sequence: relay.origin_sequence };
             let first = Some(sender.clone());
-            actions.push(PeerAction::Send { to: relay.origin, body, first });
+            actions.push(PeerAction { to: relay.origin, body, first });
             return None;
         }
         let probe = self.probes.take(sequence)?;
--- a/crates/rudder-peers/src/membership/settings.rs
+++ b/crates/rudder-peers/src/membership/settings.rs
@@ -19,10 +19,6 @@
     pub(crate) revival_interval: Duration,
     /// How long an instance that is gone is remembered; longer than regions are parted.
     pub(crate) tombstone_life: Duration,
-    /// How long digests must differ before a table is fetched; news usually arrives sooner.
-    pub(crate) mismatch_patience: Duration,
-    /// The least time between two fetches of a table.
-    pub(crate) fetch_interval: Duration,
 }
 
 impl Default for MembershipSettings {
@@ -35,8 +31,6 @@
             helpers: 2,
             revival_interval: Duration::from_secs(5),
             tombstone_life: Duration::from_secs(2 * 3600),
-            mismatch_patience: Duration::from_secs(8),
-            fetch_interval: Duration::from_secs(20),
         }
     }
 }
--- a/crates/rudder-peers/src/membership/state.rs
+++ b/crates/rudder-peers/src/membership/state.rs
@@ -29,8 +29,6 @@
     pub(super) ticked_at: Option<Duration>,
     pub(super) probe_at: Duration,
     pub(super) revive_at: Duration,
-    pub(super) mismatch_since: Option<Duration>,
-    pub(super) fetched_at: Option<Duration>,
     pub(super) changed: bool,
     pub(super) urgent: bool,
 }
@@ -55,8 +53,6 @@
             ticked_at: None,
             probe_at: Duration::ZERO,
             revive_at: Duration::ZERO,
-            mismatch_since: None,
-            fetched_at: None,
             changed: true,
             urgent: false,
         }
@@ -88,6 +84,11 @@
         self.table.get(name).map(|record| &record.entry)
     }
 
+    /// Whether no other instance is known to be there.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.table.present().next().is_none()
+    }
+
     /// The digest of the table, this instance included.
     pub(crate) fn digest(&self) -> u32 {
         self.table.digest().wrapping_add(entry_digest(&self.me))
@@ -172,7 +173,6 @@
         now: Duration,
     ) -> (Vec<PeerAction>, Option<Duration>) {
         let mut actions = Vec::new();
-        let alone = self.table.present().next().is_none();
         let sender = &datagram.sender;
         self.hear(sender.clone(), now);
         self.bury_predecessors(sender, now);
@@ -184,7 +184,7 @@
             DatagramBody::Probe { sequence, .. } => {
                 let body = DatagramBody::Ack { sequence: *sequence };
                 let first = self.correction_for(sender);
-                actions.push(PeerAction::Send { to: sender.address, body, first });
+                actions.push(PeerAction { to: sender.address, body, first });
             }
             DatagramBody::IndirectProbe { sequence, target } => {
                 self.probe_for(sender.address, *sequence, target, now, &mut actions);
@@ -201,7 +201,6 @@
             }
             DatagramBody::Push => {}
         }
-        self.compare_digest(datagram, alone, now, &mut actions);
         (actions, round_trip)
     }
 
@@ -235,29 +234,4 @@
     fn correction_for(&self, sender: &PeerEntry) -> Option<PeerEntry> {
         self.entry(&sender.name).filter(|held| held.supersedes(sender)).cloned()
     }
-
-    /// Fetches the sender's table if the digests have differed for long, or if this instance knows
-    /// nobody yet.
-    fn compare_digest(
-        &mut self,
-        datagram: &PeerDatagram,
-        alone: bool,
-        now: Duration,
-        actions: &mut Vec<PeerAction>,
-    ) {
-        if datagram.digest == self.digest() {
-            self.mismatch_since = None;
-            return;
-        }
-        let since = *self.mismatch_since.get_or_insert(now);
-        let patient = now.saturating_sub(since) >= self.settings.mismatch_patience;
-        let rested = self
-            .fetched_at
-            .is_none_or(|fetched| now.saturating_sub(fetched) >= self.settings.fetch_interval);
-        if alone || patient && rested {
-            self.fetched_at = Some(now);
-            self.mismatch_since = None;
-            actions.push(PeerAction::FetchTable { from: datagram.sender.address });
-        }
-    }
 }
--- a/crates/rudder-peers/src/mesh/command.rs
+++ b/crates/rudder-peers/src/mesh/command.rs
@@ -17,6 +17,10 @@
     Leave,
     /// Encode the answer to a request for the table, or a refusal.
     EncodeTable { number: u64, reply: oneshot::Sender<Vec<u8>> },
+    /// Encode the answer to a request for the primaries of groups, or a refusal.
+    EncodeGroups { number: u64, reply: oneshot::Sender<Vec<u8>> },
+    /// Take in the primaries that a peer knows of.
+    MergeGroups { from: InstanceName, groups: Vec<PeerHint> },
     /// Take in a peer's table; answer with the differences that the peer should hear.
     Merge { table: PeerTableFrame, reply: oneshot::Sender<Vec<PeerEntry>> },
 }
--- a/crates/rudder-peers/src/mesh/driver.rs
+++ b/crates/rudder-peers/src/mesh/driver.rs
@@ -1,26 +1,23 @@
 //! The task that owns the UDP socket and the state machine.
 
-use super::client::{PeerConnection, RequestCounter, within};
+use super::client::RequestCounter;
 use super::command::MeshCommand;
-use super::error::PeerError;
+use super::fetch::PeerFetch;
 use crate::hints::HintMessage;
 use crate::member::PeerEntry;
 use crate::node::{NodeOutput, PeerNode, TrafficCount};
-use crate::wire::{AnswerFrame, DATAGRAM_BYTES_MAX, PeerTableFrame, RequestBody, encode_answer};
+use crate::wire::{AnswerFrame, DATAGRAM_BYTES_MAX, encode_answer};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior};
 
 /// Well below the timeout of a probe, so that silence is judged in time.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long fetching a table may take.
-const FETCH_BOUND: Duration = Duration::from_secs(5);
-
 pub(super) struct MeshDriver {
     pub(super) node: PeerNode,
     pub(super) socket: UdpSocket,
@@ -92,7 +89,16 @@
             MeshCommand::Tell(names, hint) => return self.node.tell(&names, &hint, now),
             MeshCommand::Leave => return self.node.leave(now),
             MeshCommand::EncodeTable { number, reply } => {
-                let _ = reply.send(self.encode_table(number, now));
+                let answer = AnswerFrame::Table { number, table: self.node.table() };
+                let _ = reply.send(self.encode(&answer, now));
+            }
+            MeshCommand::EncodeGroups { number, reply } => {
+                let (sender, hints) = (self.node.me().name.clone(), self.node.groups());
+                let answer = AnswerFrame::Groups { number, sender, hints };
+                let _ = reply.send(self.encode(&answer, now));
+            }
+            MeshCommand::MergeGroups { from, groups } => {
+                return self.node.merge_groups(&from, groups, now);
             }
             MeshCommand::Merge { table, reply } => {
                 let _ = reply.send(self.node.merge(&table, now));
@@ -101,12 +107,12 @@
         NodeOutput::default()
     }
 
-    fn encode_table(&mut self, number: u64, now: Duration) -> Vec<u8> {
-        let busy = || encode_answer(&AnswerFrame::Busy { number }).unwrap_or_default();
-        let answer = encode_answer(&AnswerFrame::Table { number, table: self.node.table() });
-        match answer {
+    /// Encodes an answer, or a refusal if the budget for transfers is used up.
+    fn encode(&mut self, answer: &AnswerFrame, now: Duration) -> Vec<u8> {
+        let busy = AnswerFrame::Busy { number: answer.number() };
+        match encode_answer(answer) {
             Ok(bytes) if self.node.charge_table(length_of(&bytes), now) => bytes,
-            _ => busy(),
+            _ => encode_answer(&busy).unwrap_or_default(),
         }
     }
 
@@ -120,10 +126,11 @@
                 metrics::counter!("rudder_peer_hints_lost_total").increment(1);
             }
         }
-        for from in output.fetches {
+        for (from, kind) in output.fetches {
             if let Some(commands) = self.command_sender.upgrade() {
                 let counter = Arc::clone(&self.counter);
-                fetches.spawn(fetch_table(from, commands, counter, self.node.me().clone()));
+                let fetch = PeerFetch { from, kind, commands, counter, me: self.node.me().clone() };
+                fetches.spawn(fetch.run());
             }
         }
         if self.node.take_changed() {
@@ -148,33 +155,6 @@
     }
 }
 
-/// Fetches a peer's table, takes it in, and tells the peer what it did not know.
-async fn fetch_table(
-    from: SocketAddr,
-    commands: mpsc::Sender<MeshCommand>,
-    counter: Arc<RequestCounter>,
-    me: PeerEntry,
-) {
-    let work = async {
-        let mut connection = PeerConnection::open(from, &counter).await?;
-        let AnswerFrame::Table { table, .. } = connection.ask(RequestBody::Table).await? else {
-            return Err(PeerError::Busy);
-        };
-        let (reply, differences) = oneshot::channel();
-        let merge = MeshCommand::Merge { table, reply };
-        commands.send(merge).await.map_err(|_| PeerError::Busy)?;
-        let entries = differences.await.map_err(|_| PeerError::Busy)?;
-        if !entries.is_empty() {
-            let update = RequestBody::Update(PeerTableFrame { sender: me, entries });
-            connection.ask(update).await?;
-        }
-        Ok(())
-    };
-    if let Err(error) = within(FETCH_BOUND, work).await {
-        log::debug!(target: "rudder::peers", peer:% = from, reason:% = error; "table not fetched");
-    }
-}
-
 fn length_of(bytes: &[u8]) -> u64 {
     u64::try_from(bytes.len()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/crates/rudder-peers/src/mesh/fetch.rs
@@ -0,0 +1,67 @@
+//! Fetching from a peer what datagrams did not bring.
+
+use super::client::{PeerConnection, RequestCounter, within};
+use super::command::MeshCommand;
+use super::error::PeerError;
+use crate::member::PeerEntry;
+use crate::node::FetchKind;
+use crate::wire::{AnswerFrame, PeerTableFrame, RequestBody};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// How long a transfer may take.
+const FETCH_BOUND: Duration = Duration::from_secs(5);
+
+/// One transfer from a peer.
+pub(super) struct PeerFetch {
+    pub(super) from: SocketAddr,
+    pub(super) kind: FetchKind,
+    pub(super) commands: mpsc::Sender<MeshCommand>,
+    pub(super) counter: Arc<RequestCounter>,
+    /// This instance about itself.
+    pub(super) me: PeerEntry,
+}
+
+impl PeerFetch {
+    /// Runs the transfer. A failure is only logged: the digests still differ, so another follows.
+    pub(super) async fn run(self) {
+        let result = match self.kind {
+            FetchKind::Peers => within(FETCH_BOUND, self.fetch_peers()).await,
+            FetchKind::Groups => within(FETCH_BOUND, self.fetch_groups()).await,
+        };
+        if let Err(error) = result {
+            log::debug!(target: "rudder::peers", peer:% = self.from, reason:% = error; "fetch failed");
+        }
+    }
+
+    /// Takes the peer's table in, and tells the peer what it did not know.
+    async fn fetch_peers(&self) -> Result<(), PeerError> {
+        let mut connection = PeerConnection::open(self.from, &self.counter).await?;
+        let AnswerFrame::Table { table, .. } = connection.ask(RequestBody::Table).await? else {
+            return Err(PeerError::Busy);
+        };
+        let (reply, differences) = oneshot::channel();
+        self.command(MeshCommand::Merge { table, reply }).await?;
+        let entries = differences.await.map_err(|_| PeerError::Busy)?;
+        if !entries.is_empty() {
+            let update = PeerTableFrame { sender: self.me.clone(), entries };
+            connection.ask(RequestBody::Update(update)).await?;
+        }
+        Ok(())
+    }
+
+    async fn fetch_groups(&self) -> Result<(), PeerError> {
+        let mut connection = PeerConnection::open(self.from, &self.counter).await?;
+        let answer = connection.ask(RequestBody::Groups).await?;
+        let AnswerFrame::Groups { sender, hints, .. } = answer else {
+            return Err(PeerError::Busy);
+        };
+        self.command(MeshCommand::MergeGroups { from: sender, groups: hints }).await
+    }
+
+    async fn command(&self, command: MeshCommand) -> Result<(), PeerError> {
+        self.commands.send(command).await.map_err(|_| PeerError::Busy)
+    }
+}
--- a/crates/rudder-peers/src/mesh/handle.rs
+++ b/crates/rudder-peers/src/mesh/handle.rs
@@ -171,7 +171,9 @@
             match connection.ask(RequestBody::Ask(request)).await? {
                 AnswerFrame::Reply { reply, .. } => Ok(reply),
                 AnswerFrame::Busy { .. } => Err(PeerError::Busy),
-                AnswerFrame::Table { .. } => Err(PeerError::Mismatched),
+                AnswerFrame::Table { .. } | AnswerFrame::Groups { .. } => {
+                    Err(PeerError::Mismatched)
+                }
             }
         };
         within(bound, work).await
--- a/crates/rudder-peers/src/mesh/mod.rs
+++ b/crates/rudder-peers/src/mesh/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod driver;
 mod error;
+mod fetch;
 mod frame;
 mod handle;
 mod server;
--- a/crates/rudder-peers/src/mesh/server.rs
+++ b/crates/rudder-peers/src/mesh/server.rs
@@ -68,7 +68,14 @@
         let request = decode_request(bytes)?;
         let number = request.number;
         let reply = match request.body {
-            RequestBody::Table => return self.encode_table(number).await,
+            RequestBody::Table => {
+                let command = |reply| MeshCommand::EncodeTable { number, reply };
+                return self.encode(command).await;
+            }
+            RequestBody::Groups => {
+                let command = |reply| MeshCommand::EncodeGroups { number, reply };
+                return self.encode(command).await;
+            }
             RequestBody::Update(table) => {
                 let (reply, _) = oneshot::channel();
                 self.command(MeshCommand::Merge { table, reply }).await?;
@@ -79,9 +86,12 @@
         Ok(encode_answer(&AnswerFrame::Reply { number, reply })?)
     }
 
-    async fn encode_table(&self, number: u64) -> Result<Vec<u8>, PeerError> {
+    async fn encode(
+        &self,
+        command: impl FnOnce(oneshot::Sender<Vec<u8>>) -> MeshCommand,
+    ) -> Result<Vec<u8>, PeerError> {
         let (reply, answer) = oneshot::channel();
-        self.command(MeshCommand::EncodeTable { number, reply }).await?;
+        self.command(command(reply)).await?;
         answer.await.map_err(|_| PeerError::Busy)
     }
 
--- a/crates/rudder-peers/src/node/compose.rs
+++ b/crates/rudder-peers/src/node/compose.rs
@@ -35,6 +35,7 @@
         let mut datagram = PeerDatagram {
             sender: self.membership.me().clone(),
             digest: self.membership.digest(),
+            groups: self.board.digest(),
             revision: self.board.revision(),
             body,
             news: first.into_iter().collect(),
--- /dev/null
+++ b/crates/rudder-peers/src/node/digest.rs
@@ -0,0 +1,39 @@
+//! When a difference between two digests is worth a transfer.
+
+use std::time::Duration;
+
+/// How long digests must differ before a transfer; news usually arrives sooner.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// The least time between two transfers.
+const REST: Duration = Duration::from_secs(20);
+
+/// Watches the digests that peers send.
+///
+/// Guards against what datagrams cannot: news that reached everyone but one instance has used up
+/// its transmissions, and that instance would never hear of it. A digest in each datagram shows the
+/// difference, at a cost that does not grow with the fleet.
+#[derive(Debug, Default)]
+pub(crate) struct DigestWatch {
+    differs_since: Option<Duration>,
+    fetched_at: Option<Duration>,
+}
+
+impl DigestWatch {
+    /// Whether to fetch now from the peer whose digest was compared. `urgent` skips the patience.
+    pub(crate) fn compare(&mut self, mine: u32, theirs: u32, urgent: bool, now: Duration) -> bool {
+        if mine == theirs {
+            self.differs_since = None;
+            return false;
+        }
+        let since = *self.differs_since.get_or_insert(now);
+        let patient = now.saturating_sub(since) >= PATIENCE;
+        let rested = self.fetched_at.is_none_or(|fetched| now.saturating_sub(fetched) >= REST);
+        let fetch = rested && (patient || urgent);
+        if fetch {
+            self.fetched_at = Some(now);
+            self.differs_since = None;
+        }
+        fetch
+    }
+}
--- a/crates/rudder-peers/src/node/mod.rs
+++ b/crates/rudder-peers/src/node/mod.rs
@@ -3,8 +3,11 @@
 
 mod budget;
 mod compose;
+mod digest;
 mod state;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use budget::BudgetSettings;
 pub use budget::TrafficCount;
-pub(crate) use state::{NodeOutput, PeerNode};
+pub(crate) use state::{FetchKind, NodeOutput, PeerNode};
--- a/crates/rudder-peers/src/node/state.rs
+++ b/crates/rudder-peers/src/node/state.rs
@@ -2,6 +2,7 @@
 
 use super::budget::{BudgetSettings, TrafficCount};
 use super::compose::received_hint;
+use super::digest::DigestWatch;
 use crate::budget::{DATAGRAM_OVERHEAD_BYTES, SendClass, TokenBucket};
 use crate::hints::{
     HintBoard, HintMessage, HintUrgency, LeavingNotice, LeavingSubject, PeerHint, RevisionHint,
@@ -28,8 +29,17 @@
     pub(crate) datagrams: Vec<(SocketAddr, Vec<u8>)>,
     /// Hints that are news, to hand to the handler.
     pub(crate) hints: Vec<HintMessage>,
-    /// Peers whose table is to be fetched.
-    pub(crate) fetches: Vec<SocketAddr>,
+    /// Peers from whom something is to be fetched.
+    pub(crate) fetches: Vec<(SocketAddr, FetchKind)>,
+}
+
+/// What is fetched from a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FetchKind {
+    /// Its table of instances.
+    Peers,
+    /// The primaries of groups that it knows of.
+    Groups,
 }
 
 /// The conversation of one instance with its peers.
@@ -40,6 +50,8 @@
     pub(super) datagram_bucket: TokenBucket,
     pub(super) traffic: TrafficCount,
     table_bucket: TokenBucket,
+    peers_watch: DigestWatch,
+    groups_watch: DigestWatch,
     push_due: bool,
     pushed_at: Option<Duration>,
 }
@@ -52,6 +64,8 @@
             datagram_bucket: TokenBucket::new(budget.datagram_rate, budget.datagram_depth, now),
             table_bucket: TokenBucket::new(budget.table_rate, budget.table_depth, now),
             traffic: TrafficCount::default(),
+            peers_watch: DigestWatch::default(),
+            groups_watch: DigestWatch::default(),
             push_due: false,
             pushed_at: None,
         }
@@ -94,7 +108,9 @@
     pub(crate) fn receive(&mut self, bytes: &[u8], now: Duration) -> Result<NodeOutput, WireError> {
         let datagram = decode_datagram(bytes)?;
         let mut output = NodeOutput::default();
+        let alone = self.membership.is_alone();
         let (actions, round_trip) = self.membership.receive(&datagram, now);
+        self.compare_digests(&datagram, alone, &mut output, now);
         self.take_hints(datagram, round_trip, &mut output, now);
         self.perform(actions, &mut output, now);
         self.push(&mut output, now);
@@ -129,6 +145,7 @@
             let datagram = PeerDatagram {
                 sender: self.membership.me().clone(),
                 digest: self.membership.digest(),
+                groups: self.board.digest(),
                 revision: self.board.revision(),
                 body: DatagramBody::Push,
                 news: Vec::new(),
@@ -172,6 +189,24 @@
         allowed
     }
 
+    /// The primaries of groups that this instance knows of, for a peer; their ages have no bound.
+    pub(crate) fn groups(&self) -> Vec<PeerHint> {
+        self.board.groups()
+    }
+
+    /// Takes in the primaries that a peer knows of.
+    pub(crate) fn merge_groups(
+        &mut self,
+        from: &InstanceName,
+        groups: Vec<PeerHint>,
+        now: Duration,
+    ) -> NodeOutput {
+        let mut output = NodeOutput::default();
+        // The others know these: what is fetched is not spread again.
+        self.absorb(from, groups.into_iter().map(PeerHint::unbounded), 0, &mut output, now);
+        output
+    }
+
     /// Takes in a peer's table, and returns the differences that the peer should hear.
     pub(crate) fn merge(&mut self, table: &PeerTableFrame, now: Duration) -> Vec<PeerEntry> {
         self.membership.merge(&table.sender, &table.entries, now)
@@ -179,12 +214,28 @@
 
     fn perform(&mut self, actions: Vec<PeerAction>, output: &mut NodeOutput, now: Duration) {
         for action in actions {
-            match action {
-                PeerAction::Send { to, body, first } => {
-                    output.datagrams.extend(self.compose(to, body, first, now));
-                }
-                PeerAction::FetchTable { from } => output.fetches.push(from),
-            }
+            let datagram = self.compose(action.to, action.body, action.first, now);
+            output.datagrams.extend(datagram);
+        }
+    }
+
+    /// Asks for what the sender knows, if the digests have differed for long or nothing is known
+    /// here yet.
+    fn compare_digests(
+        &mut self,
+        datagram: &PeerDatagram,
+        alone: bool,
+        output: &mut NodeOutput,
+        now: Duration,
+    ) {
+        let from = datagram.sender.address;
+        let mine = self.membership.digest();
+        if self.peers_watch.compare(mine, datagram.digest, alone, now) {
+            output.fetches.push((from, FetchKind::Peers));
+        }
+        let mine = self.board.digest();
+        if self.groups_watch.compare(mine, datagram.groups, mine == 0, now) {
+            output.fetches.push((from, FetchKind::Groups));
         }
     }
 
@@ -195,16 +246,27 @@
         output: &mut NodeOutput,
         now: Duration,
     ) {
-        let sends = self.membership.sends();
         let mut hints = datagram.hints;
         if datagram.revision > self.board.revision() {
             hints.push(PeerHint::Revision(RevisionHint { number: datagram.revision }));
         }
+        let received = hints.into_iter().map(|hint| received_hint(hint, round_trip));
+        let sends = self.membership.sends();
+        self.absorb(&datagram.sender.name, received, sends, output, now);
+    }
+
+    fn absorb(
+        &mut self,
+        from: &InstanceName,
+        hints: impl Iterator<Item = PeerHint>,
+        sends: u32,
+        output: &mut NodeOutput,
+        now: Duration,
+    ) {
         for hint in hints {
-            let hint = received_hint(hint, round_trip);
             if let Some(urgency) = self.board.absorb(hint.clone(), true, sends, now) {
-                self.push_due |= urgency == HintUrgency::Urgent;
-                output.hints.push(HintMessage { from: datagram.sender.name.clone(), hint });
+                self.push_due |= urgency == HintUrgency::Urgent && sends > 0;
+                output.hints.push(HintMessage { from: from.clone(), hint });
             }
         }
     }
--- /dev/null
+++ b/crates/rudder-peers/src/node/tests.rs
@@ -0,0 +1,244 @@
+//! Failures brought about in a fleet of nodes.
+
+mod fleet;
+mod schedule;
+
+use crate::hints::{GroupHint, LeavingNotice, LeavingSubject, PeerHint, SuspicionVote};
+use crate::member::PeerState;
+use fleet::{BYTES_PER_SECOND, Fleet};
+use rudder_core::{LogStamp, LogTerm};
+use std::time::Duration;
+
+/// Loss of a probe is noticed after one round of probing at worst; the rest is timeouts.
+const REMOVAL_BOUND: Duration = Duration::from_secs(15);
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn new_term(service: usize, term: u64) -> PeerHint {
+    PeerHint::Group(GroupHint {
+        service: format!("scores-db-{service}").parse().unwrap(),
+        term: LogTerm(term),
+        primary: "m2".parse().unwrap(),
+        stamp: LogStamp::new(term, 7),
+        age: Some(Duration::ZERO),
+    })
+}
+
+fn vote(number: u64, suspected: bool) -> PeerHint {
+    PeerHint::Vote(SuspicionVote {
+        service: "scores-db".parse().unwrap(),
+        member: "m1".parse().unwrap(),
+        observer: "i0-0".parse().unwrap(),
+        domain: "d0".parse().unwrap(),
+        term: LogTerm(1),
+        number,
+        suspected,
+    })
+}
+
+#[test]
+fn instances_that_know_one_seed_find_all_others() {
+    let mut fleet = Fleet::new(30, 1);
+
+    let took = fleet.run_until(seconds(120), Fleet::settled);
+
+    assert!(took.is_some());
+}
+
+#[test]
+fn a_dead_instance_is_removed_by_all_in_bounded_time() {
+    // Callers' forwarded statements keep going to an instance that died without a word. Each of
+    // the others must stop counting on it by its own probes or the news of them.
+    let mut fleet = Fleet::joined(30, 2);
+    fleet.kill(17);
+
+    let took = fleet.run_until(REMOVAL_BOUND, Fleet::settled);
+
+    assert!(took.is_some());
+}
+
+#[test]
+fn a_cut_link_between_two_instances_removes_neither() {
+    // Two instances cannot reach each other, while everybody else reaches both. If the two removed
+    // each other, duties would be computed differently on both sides.
+    let mut fleet = Fleet::joined(12, 3);
+    fleet.cut(4, 8);
+
+    for _ in 0..120 {
+        fleet.run(seconds(1));
+
+        for site in 0..fleet.size() {
+            assert!(fleet.state(site, &fleet.name_of(4)).is_some());
+            assert!(fleet.state(site, &fleet.name_of(8)).is_some());
+        }
+    }
+}
+
+#[test]
+fn an_instance_that_wakes_is_taken_back_and_removes_nobody() {
+    // An instance stands still for a minute and is removed. On waking it finds its own probes
+    // unanswered; if it believed them, it would tell everyone that the others are gone.
+    let mut fleet = Fleet::joined(12, 4);
+    fleet.freeze(5, seconds(60));
+    fleet.run(seconds(59));
+    assert_eq!(fleet.state(0, &fleet.name_of(5)), None);
+
+    for _ in 0..60 {
+        fleet.run(seconds(1));
+
+        for other in (0..12).filter(|site| *site != 5) {
+            assert_eq!(fleet.state(5, &fleet.name_of(other)), Some(PeerState::Live));
+        }
+    }
+
+    assert!(fleet.settled());
+}
+
+#[test]
+fn a_short_freeze_brings_no_suspicion_of_others() {
+    // An instance stands still for two seconds while its probe is under way. The answer waits in
+    // its socket, but its timers say that the other did not answer.
+    let mut fleet = Fleet::joined(8, 14);
+
+    for _ in 0..20 {
+        fleet.freeze(3, seconds(2));
+        fleet.run(seconds(6));
+
+        for other in (0..8).filter(|site| *site != 3) {
+            assert_eq!(fleet.state(3, &fleet.name_of(other)), Some(PeerState::Live));
+        }
+    }
+}
+
+#[test]
+fn an_instance_replaced_at_its_address_is_known_by_its_new_name() {
+    // A machine is replaced and the new one gets the same address. The old name answers no more,
+    // but whoever only looks at the address takes the new instance for the old one.
+    let mut fleet = Fleet::joined(12, 5);
+    let old = fleet.name_of(6);
+
+    fleet.replace(6);
+    let took = fleet.run_until(REMOVAL_BOUND, Fleet::settled);
+
+    assert!(took.is_some());
+    assert_eq!(fleet.state(0, &old), None);
+}
+
+#[test]
+fn regions_parted_for_an_hour_find_each_other_within_the_budget() {
+    // Two regions lose each other for an hour, and each removes the other's instances. When they
+    // meet, all instances must refute, and all must hear of it; sent at once, that is a storm.
+    let mut fleet = Fleet::joined(24, 6);
+    fleet.part(12);
+    fleet.run(seconds(3600));
+    assert_eq!(fleet.node(0).snapshot().len(), 12);
+    assert_eq!(fleet.node(20).snapshot().len(), 12);
+    fleet.heal();
+
+    let before: Vec<u64> = (0..24).map(|site| fleet.bytes_sent(site)).collect();
+    let healed_at = fleet.now;
+    while fleet.now < healed_at + seconds(120) {
+        fleet.run(seconds(1));
+
+        // Nobody is removed on the word of the region that had removed it.
+        for site in 0..24 {
+            let own_side = site / 12 * 12;
+            for peer in own_side..own_side + 12 {
+                assert!(fleet.state(site, &fleet.name_of(peer)).is_some());
+            }
+        }
+    }
+
+    assert!(fleet.settled());
+    let allowed = BYTES_PER_SECOND * (120 + 4);
+    for (site, before) in before.iter().enumerate() {
+        assert!(fleet.bytes_sent(site) - before <= allowed);
+    }
+}
+
+#[test]
+fn leaving_reaches_all_and_is_not_taken_back_by_old_news() {
+    // An instance shuts down, and balancing still sends it work because an older heartbeat says
+    // that it is live.
+    let mut fleet = Fleet::joined(12, 7);
+    fleet.leave(3);
+
+    fleet.run(seconds(3));
+    for _ in 0..20 {
+        fleet.run(seconds(1));
+
+        for site in 0..12 {
+            assert_eq!(fleet.state(site, &fleet.name_of(3)), Some(PeerState::Leaving));
+        }
+    }
+}
+
+#[test]
+fn an_instance_wrongly_called_leaving_refutes() {
+    // The platform's list lags: it still calls an instance leaving that has been started anew.
+    let mut fleet = Fleet::joined(8, 8);
+    let subject = LeavingSubject::Instance(fleet.name_of(3));
+
+    fleet.publish(1, PeerHint::Leaving(LeavingNotice { subject }));
+    assert_eq!(fleet.state(1, &fleet.name_of(3)), Some(PeerState::Leaving));
+    let took = fleet.run_until(seconds(20), Fleet::settled);
+
+    assert!(took.is_some());
+    assert_eq!(fleet.state(1, &fleet.name_of(3)), Some(PeerState::Live));
+}
+
+#[test]
+fn a_flood_of_hints_leaves_heartbeats_their_budget() {
+    // A failure domain is lost and hundreds of groups change their primary at once. If their news
+    // took the whole budget, heartbeats would stay away and live instances be suspected.
+    let mut fleet = Fleet::joined(8, 9);
+    let before: Vec<u64> = (0..8).map(|site| fleet.bytes_sent(site)).collect();
+
+    for service in 0..800 {
+        fleet.publish(service % 8, new_term(service, 2));
+    }
+    for _ in 0..60 {
+        fleet.run(seconds(1));
+
+        for site in 0..8 {
+            let snapshot = fleet.node(site).snapshot();
+            assert!(snapshot.iter().all(|entry| entry.state == PeerState::Live));
+            assert_eq!(snapshot.len(), 8);
+        }
+    }
+
+    for (site, before) in before.iter().enumerate() {
+        assert!(fleet.bytes_sent(site) - before <= BYTES_PER_SECOND * (60 + 4));
+    }
+}
+
+#[test]
+fn a_new_term_reaches_all_in_spite_of_loss() {
+    let mut fleet = Fleet::joined(30, 10);
+    fleet.loss_percent = 20;
+
+    fleet.publish(0, new_term(1, 9));
+    let heard_by_all = |fleet: &Fleet| (1..30).all(|site| !fleet.heard(site).is_empty());
+    let took = fleet.run_until(seconds(20), heard_by_all);
+
+    assert!(took.is_some());
+}
+
+#[test]
+fn two_votes_of_one_observer_do_not_chase_each_other() {
+    // A member is suspected and at once no longer. The two votes travel on different ways; if the
+    // one heard last won, they would replace each other round the fleet without end.
+    let mut fleet = Fleet::joined(10, 11);
+
+    fleet.publish(0, vote(1, true));
+    fleet.publish(0, vote(2, false));
+    fleet.run(seconds(20));
+
+    for site in 1..10 {
+        let heard = fleet.heard(site);
+        assert_eq!(heard.last(), Some(&vote(2, false)));
+        assert!(heard.len() <= 2);
+    }
+}
--- /dev/null
+++ b/crates/rudder-peers/src/node/tests/fleet.rs
@@ -0,0 +1,268 @@
+//! A fleet of nodes with a deterministic network between them.
+
+use crate::hints::PeerHint;
+use crate::member::{Incarnation, PeerEntry, PeerState};
+use crate::membership::{Membership, MembershipSettings};
+use crate::node::{BudgetSettings, FetchKind, NodeOutput, PeerNode};
+use crate::wire::{AnswerFrame, encode_answer};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rudder_core::InstanceName;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const SLICE: Duration = Duration::from_millis(10);
+const TICK_MILLIS: u128 = 100;
+pub(super) const BYTES_PER_SECOND: u64 = 1600;
+
+struct Site {
+    node: PeerNode,
+    running: bool,
+    frozen_until: Duration,
+    side: usize,
+    life: usize,
+    heard: Vec<PeerHint>,
+}
+
+struct Parcel {
+    due: Duration,
+    from: usize,
+    to: SocketAddr,
+    bytes: Vec<u8>,
+}
+
+pub(super) struct Fleet {
+    sites: Vec<Site>,
+    parcels: Vec<Parcel>,
+    cut_links: Vec<(usize, usize)>,
+    pub(super) now: Duration,
+    pub(super) loss_percent: u32,
+    rng: StdRng,
+}
+
+pub(super) fn name(site: usize, life: usize) -> InstanceName {
+    format!("i{site}-{life}").parse().unwrap()
+}
+
+fn address(site: usize) -> SocketAddr {
+    ([10, 0, 0, 1], 7000 + u16::try_from(site).unwrap()).into()
+}
+
+fn new_node(site: usize, life: usize, now: Duration, seed: u64) -> PeerNode {
+    let me = PeerEntry {
+        name: name(site, life),
+        address: address(site),
+        domain: format!("d{}", site % 3).parse().unwrap(),
+        incarnation: Incarnation(u64::try_from(now.as_millis()).unwrap() + 1),
+        state: PeerState::Live,
+    };
+    let seeds = vec![address(0), address(1)];
+    let membership = Membership::new(me, seeds, MembershipSettings::default(), seed);
+    PeerNode::new(membership, &BudgetSettings::split(BYTES_PER_SECOND), now)
+}
+
+impl Fleet {
+    pub(super) fn new(size: usize, seed: u64) -> Self {
+        let site = |number| Site {
+            node: new_node(number, 0, Duration::ZERO, seed + u64::try_from(number).unwrap()),
+            running: true,
+            frozen_until: Duration::ZERO,
+            side: 0,
+            life: 0,
+            heard: Vec::new(),
+        };
+        Self {
+            sites: (0..size).map(site).collect(),
+            parcels: Vec::new(),
+            cut_links: Vec::new(),
+            now: Duration::ZERO,
+            loss_percent: 0,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// A fleet whose instances all know each other.
+    pub(super) fn joined(size: usize, seed: u64) -> Self {
+        let mut fleet = Self::new(size, seed);
+        fleet.run_until(Duration::from_secs(300), Self::settled);
+        fleet
+    }
+
+    pub(super) fn size(&self) -> usize {
+        self.sites.len()
+    }
+
+    pub(super) fn kill(&mut self, site: usize) {
+        self.sites[site].running = false;
+    }
+
+    pub(super) fn freeze(&mut self, site: usize, time: Duration) {
+        self.sites[site].frozen_until = self.now + time;
+    }
+
+    /// Starts a new instance, with a new name, at the address of the one that was there.
+    pub(super) fn replace(&mut self, site: usize) {
+        let life = self.sites[site].life + 1;
+        let seed = self.rng.random();
+        let (node, side) = (new_node(site, life, self.now, seed), self.sites[site].side);
+        let frozen_until = Duration::ZERO;
+        self.sites[site] = Site { node, running: true, frozen_until, side, life, heard: vec![] };
+    }
+
+    pub(super) fn leave(&mut self, site: usize) {
+        let output = self.sites[site].node.leave(self.now);
+        self.perform(site, output);
+    }
+
+    pub(super) fn publish(&mut self, site: usize, hint: PeerHint) {
+        let output = self.sites[site].node.publish(hint, self.now);
+        self.perform(site, output);
+    }
+
+    /// Parts the sites from `first` on from those before it.
+    pub(super) fn part(&mut self, first: usize) {
+        for (number, site) in self.sites.iter_mut().enumerate() {
+            site.side = usize::from(number >= first);
+        }
+    }
+
+    pub(super) fn cut(&mut self, a: usize, b: usize) {
+        self.cut_links.push((a, b));
+    }
+
+    pub(super) fn heal(&mut self) {
+        self.part(self.sites.len());
+        self.cut_links.clear();
+        self.loss_percent = 0;
+    }
+
+    pub(super) fn heard(&self, site: usize) -> &[PeerHint] {
+        &self.sites[site].heard
+    }
+
+    pub(super) fn bytes_sent(&self, site: usize) -> u64 {
+        self.sites[site].node.traffic().datagram_bytes
+    }
+
+    pub(super) fn node(&self, site: usize) -> &PeerNode {
+        &self.sites[site].node
+    }
+
+    pub(super) fn name_of(&self, site: usize) -> InstanceName {
+        name(site, self.sites[site].life)
+    }
+
+    /// What `site` holds of `of`.
+    pub(super) fn state(&self, site: usize, of: &InstanceName) -> Option<PeerState> {
+        let snapshot = self.sites[site].node.snapshot();
+        snapshot.into_iter().find(|entry| entry.name == *of).map(|entry| entry.state)
+    }
+
+    pub(super) fn running(&self) -> Vec<usize> {
+        (0..self.size()).filter(|site| self.sites[*site].running).collect()
+    }
+
+    /// Whether each running instance sees exactly the running ones, none of them suspect.
+    pub(super) fn settled(&self) -> bool {
+        let mut expected: Vec<PeerEntry> = Vec::new();
+        for site in self.running() {
+            expected.push(self.sites[site].node.me().clone());
+        }
+        expected.sort_by(|a, b| a.name.cmp(&b.name));
+        self.running().iter().all(|site| self.sites[*site].node.snapshot() == expected)
+    }
+
+    pub(super) fn run(&mut self, time: Duration) {
+        self.run_until(time, |_| false);
+    }
+
+    /// Runs until the condition holds, at most for `bound`; returns how long it took.
+    pub(super) fn run_until(
+        &mut self,
+        bound: Duration,
+        condition: impl Fn(&Self) -> bool,
+    ) -> Option<Duration> {
+        let started = self.now;
+        while self.now < started + bound {
+            let ticked = self.now.as_millis().is_multiple_of(TICK_MILLIS);
+            if ticked && condition(self) {
+                return Some(self.now - started);
+            }
+            self.step(ticked);
+        }
+        None
+    }
+
+    fn step(&mut self, ticked: bool) {
+        self.now += SLICE;
+        self.deliver_due();
+        for site in 0..self.sites.len() {
+            if ticked && self.awake(site) {
+                let output = self.sites[site].node.tick(self.now);
+                self.perform(site, output);
+            }
+        }
+    }
+
+    fn deliver_due(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<Parcel>, Vec<Parcel>) =
+            std::mem::take(&mut self.parcels).into_iter().partition(|parcel| parcel.due <= now);
+        self.parcels = later;
+        for parcel in due {
+            let to = usize::from(parcel.to.port() - 7000);
+            if !self.sites[to].running || self.is_cut(parcel.from, to) {
+                continue;
+            }
+            if !self.awake(to) {
+                // The socket's buffer keeps it until the instance wakes.
+                self.parcels.push(Parcel { due: self.sites[to].frozen_until, ..parcel });
+                continue;
+            }
+            let output = self.sites[to].node.receive(&parcel.bytes, now).unwrap();
+            self.perform(to, output);
+        }
+    }
+
+    fn perform(&mut self, from: usize, output: NodeOutput) {
+        for (to, bytes) in output.datagrams {
+            if self.rng.random_range(0..100) >= self.loss_percent {
+                let due = self.now + Duration::from_millis(self.rng.random_range(1..40));
+                self.parcels.push(Parcel { due, from, to, bytes });
+            }
+        }
+        self.sites[from].heard.extend(output.hints.into_iter().map(|message| message.hint));
+        for (address, kind) in output.fetches {
+            self.fetch(from, usize::from(address.port() - 7000), kind);
+        }
+    }
+
+    fn fetch(&mut self, from: usize, to: usize, kind: FetchKind) {
+        if !self.awake(to) || !self.sites[to].running || self.is_cut(from, to) {
+            return;
+        }
+        if kind == FetchKind::Groups {
+            let (sender, groups) = (self.name_of(to), self.sites[to].node.groups());
+            let output = self.sites[from].node.merge_groups(&sender, groups, self.now);
+            return self.perform(from, output);
+        }
+        let table = self.sites[to].node.table();
+        let answer = AnswerFrame::Table { number: 0, table: table.clone() };
+        let bytes = u64::try_from(encode_answer(&answer).unwrap().len()).unwrap();
+        if self.sites[to].node.charge_table(bytes, self.now) {
+            let entries = self.sites[from].node.merge(&table, self.now);
+            let sender = self.sites[from].node.me().clone();
+            let update = crate::wire::PeerTableFrame { sender, entries };
+            self.sites[to].node.merge(&update, self.now);
+        }
+    }
+
+    fn awake(&self, site: usize) -> bool {
+        self.sites[site].running && self.now >= self.sites[site].frozen_until
+    }
+
+    fn is_cut(&self, a: usize, b: usize) -> bool {
+        let cut = |link: &(usize, usize)| *link == (a, b) || *link == (b, a);
+        self.sites[a].side != self.sites[b].side || self.cut_links.iter().any(cut)
+    }
+}
--- /dev/null
+++ b/crates/rudder-peers/src/node/tests/schedule.rs
@@ -0,0 +1,80 @@
+//! Generated schedules of failures.
+
+use super::fleet::Fleet;
+use super::seconds;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const SIZE: usize = 9;
+const CASES: u32 = 24;
+
+#[derive(Clone, Debug)]
+enum Failure {
+    Kill(usize),
+    Freeze(usize, u64),
+    Replace(usize),
+    Leave(usize),
+    Part(usize),
+    Cut(usize, usize),
+    Lose(u32),
+    Heal,
+}
+
+fn any_failure() -> impl Strategy<Value = Failure> {
+    let site = 0..SIZE;
+    prop_oneof![
+        site.clone().prop_map(Failure::Kill),
+        (site.clone(), 1..90_u64).prop_map(|(site, time)| Failure::Freeze(site, time)),
+        site.clone().prop_map(Failure::Replace),
+        site.clone().prop_map(Failure::Leave),
+        (1..SIZE).prop_map(Failure::Part),
+        (site.clone(), site).prop_map(|(a, b)| Failure::Cut(a, b)),
+        (1..40_u32).prop_map(Failure::Lose),
+        Just(Failure::Heal),
+    ]
+}
+
+fn bring_about(fleet: &mut Fleet, failure: &Failure) {
+    match *failure {
+        // Two instances always stay, so that there is a fleet to come back to.
+        Failure::Kill(site) if fleet.running().len() > 2 => fleet.kill(site),
+        Failure::Kill(_) => {}
+        Failure::Freeze(site, time) => fleet.freeze(site, seconds(time)),
+        Failure::Replace(site) => fleet.replace(site),
+        Failure::Leave(site) if fleet.running().contains(&site) => fleet.leave(site),
+        Failure::Leave(_) => {}
+        Failure::Part(first) => fleet.part(first),
+        Failure::Cut(a, b) => fleet.cut(a, b),
+        Failure::Lose(percent) => fleet.loss_percent = percent,
+        Failure::Heal => fleet.heal(),
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(0x0570_0780),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    // Whatever fails in whatever order: once the failures are over, each running instance sees
+    // exactly the running ones again, whether or not it removed them meanwhile, and those that
+    // left stay leaving.
+    #[test]
+    fn after_any_failures_all_views_agree(
+        seed in any::<u32>(),
+        failures in prop::collection::vec((any_failure(), 0..40_u64), 1..12),
+    ) {
+        let mut fleet = Fleet::joined(SIZE, u64::from(seed));
+        for (failure, pause) in &failures {
+            bring_about(&mut fleet, failure);
+            fleet.run(seconds(*pause));
+        }
+
+        fleet.heal();
+        let took = fleet.run_until(seconds(300), Fleet::settled);
+
+        prop_assert!(took.is_some(), "views did not agree after {:?}", failures);
+    }
+}
--- a/crates/rudder-peers/src/wire/datagram.rs
+++ b/crates/rudder-peers/src/wire/datagram.rs
@@ -15,6 +15,8 @@
         pub(crate) sender: PeerEntry,
         /// Digest of the sender's table of instances; equal tables have equal digests.
         pub(crate) digest: u32,
+        /// Digest of the terms that the sender knows of.
+        pub(crate) groups: u32,
         /// The greatest settings revision that the sender knows of; zero if none.
         pub(crate) revision: u64,
         pub(crate) body: DatagramBody,
@@ -43,6 +45,7 @@
 pub(crate) struct WireDatagram {
     sender: WireEntry,
     digest: u32,
+    groups: u32,
     revision: u64,
     body: WireBody,
     news: Vec<WireEntry>,
@@ -63,6 +66,7 @@
         Self {
             sender: (&datagram.sender).into(),
             digest: datagram.digest,
+            groups: datagram.groups,
             revision: datagram.revision,
             body: (&datagram.body).into(),
             news: datagram.news.iter().map(WireEntry::from).collect(),
@@ -80,6 +84,7 @@
         Ok(Self {
             sender: wire.sender.try_into()?,
             digest: wire.digest,
+            groups: wire.groups,
             revision: wire.revision,
             body: wire.body.try_into()?,
             news: news?,
--- a/crates/rudder-peers/src/wire/mod.rs
+++ b/crates/rudder-peers/src/wire/mod.rs
@@ -10,6 +10,8 @@
 mod error;
 mod hint;
 mod request;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use codec::{
     DATAGRAM_BYTES_MAX, FRAME_BYTES_MAX, decode_answer, decode_datagram, decode_request,
--- a/crates/rudder-peers/src/wire/request.rs
+++ b/crates/rudder-peers/src/wire/request.rs
@@ -2,8 +2,10 @@
 
 use super::entry::WireEntry;
 use super::error::WireError;
+use super::hint::WireHint;
+use crate::hints::PeerHint;
 use crate::member::PeerEntry;
-use rudder_core::{LogStamp, SessionId, SessionToken, plain_data};
+use rudder_core::{InstanceName, LogStamp, SessionId, SessionToken, plain_data};
 use serde::{Deserialize, Serialize};
 
 /// A question to a peer.
@@ -52,6 +54,8 @@
 pub(crate) enum RequestBody {
     /// Send me your table.
     Table,
+    /// Send me the primaries that you know of.
+    Groups,
     /// These entries are newer than yours.
     Update(PeerTableFrame),
     Ask(PeerRequest),
@@ -73,6 +77,12 @@
         number: u64,
         table: PeerTableFrame,
     },
+    /// The primaries of groups.
+    Groups {
+        number: u64,
+        sender: InstanceName,
+        hints: Vec<PeerHint>,
+    },
     /// The answering instance has used up its budget for tables.
     Busy {
         number: u64,
@@ -86,9 +96,10 @@
 impl AnswerFrame {
     pub(crate) fn number(&self) -> u64 {
         match self {
-            Self::Table { number, .. } | Self::Busy { number } | Self::Reply { number, .. } => {
-                *number
-            }
+            Self::Table { number, .. }
+            | Self::Groups { number, .. }
+            | Self::Busy { number }
+            | Self::Reply { number, .. } => *number,
         }
     }
 }
@@ -102,6 +113,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 enum WireRequestBody {
     Table,
+    Groups,
     Update(WireTable),
     SessionLookup(String),
     SessionHandover(Vec<WireSession>),
@@ -118,6 +130,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 enum WireAnswerBody {
     Table(WireTable),
+    Groups { sender: String, hints: Vec<WireHint> },
     Busy,
     Unknown,
     Session(WireSession),
@@ -184,6 +197,7 @@
     fn from(frame: &RequestFrame) -> Self {
         let body = match &frame.body {
             RequestBody::Table => WireRequestBody::Table,
+            RequestBody::Groups => WireRequestBody::Groups,
             RequestBody::Update(table) => WireRequestBody::Update(table.into()),
             RequestBody::Ask(PeerRequest::SessionLookup(id)) => {
                 WireRequestBody::SessionLookup(id.to_string())
@@ -208,6 +222,7 @@
     fn try_from(wire: WireRequest) -> Result<Self, WireError> {
         let body = match wire.body {
             WireRequestBody::Table => RequestBody::Table,
+            WireRequestBody::Groups => RequestBody::Groups,
             WireRequestBody::Update(table) => RequestBody::Update(table.try_into()?),
             WireRequestBody::SessionLookup(id) => {
                 RequestBody::Ask(PeerRequest::SessionLookup(id.parse()?))
@@ -230,6 +245,10 @@
     fn from(frame: &AnswerFrame) -> Self {
         let body = match frame {
             AnswerFrame::Table { table, .. } => WireAnswerBody::Table(table.into()),
+            AnswerFrame::Groups { sender, hints, .. } => WireAnswerBody::Groups {
+                sender: sender.to_string(),
+                hints: hints.iter().map(WireHint::from).collect(),
+            },
             AnswerFrame::Busy { .. } => WireAnswerBody::Busy,
             AnswerFrame::Reply { reply, .. } => match reply {
                 PeerReply::Unknown => WireAnswerBody::Unknown,
@@ -252,6 +271,11 @@
             WireAnswerBody::Table(table) => {
                 return Ok(Self::Table { number, table: table.try_into()? });
             }
+            WireAnswerBody::Groups { sender, hints } => {
+                let hints: Result<_, WireError> =
+                    hints.into_iter().map(PeerHint::try_from).collect();
+                return Ok(Self::Groups { number, sender: sender.parse()?, hints: hints? });
+            }
             WireAnswerBody::Busy => return Ok(Self::Busy { number }),
             WireAnswerBody::Unknown => PeerReply::Unknown,
             WireAnswerBody::Session(session) => PeerReply::Session(session.try_into()?),
