--- a/crates/arbutusrudder/src/caller/keyed.rs
+++ b/crates/arbutusrudder/src/caller/keyed.rs
@@ -7,7 +7,6 @@
 use super::serve::{SessionEnd, refuse};
 use super::session::CallerSession;
 use super::write::{self, WriteEnd, answer_unresolved, is_not_run, note_commit};
-use crate::context::InstanceContext;
 use crate::exchange::{
     BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink, encode_batch, relay_batch,
 };
@@ -70,7 +69,6 @@
 
 /// Runs a batch under its key.
 pub(crate) async fn run(
-    context: &InstanceContext,
     session: &mut CallerSession,
     batch: &CallerBatch,
     mut attempt: MemberAttempt,
@@ -83,9 +81,9 @@
         return Ok(WriteEnd::Answered);
     }
     match enter_key(&mut attempt, keyed).await {
-        Ok(KeyEntry::Entered(term)) => change(context, session, batch, attempt, keyed, term).await,
+        Ok(KeyEntry::Entered(term)) => change(session, batch, attempt, keyed, term).await,
         Ok(KeyEntry::Duplicate(term)) => {
-            answer_duplicate(context, session, batch, attempt, keyed, term).await
+            answer_duplicate(session, batch, attempt, keyed, term).await
         }
         Ok(KeyEntry::NotRun) => {
             attempt.finish(session).await;
@@ -128,7 +126,6 @@
 }
 
 async fn change(
-    context: &InstanceContext,
     session: &mut CallerSession,
     batch: &CallerBatch,
     mut attempt: MemberAttempt,
@@ -150,7 +147,7 @@
         }
     };
     if outcome.error.is_some() {
-        return Ok(undo(context, session, batch, attempt, &outcome, held).await);
+        return Ok(undo(session, batch, attempt, &outcome, held).await);
     }
     keyed.committing = true;
     let stamp = match commit(&mut attempt, keyed, &outcome.last_tag).await {
@@ -167,13 +164,12 @@
         return Ok(try_again(session, &held));
     };
     held.release(&mut session.link);
-    write::answer(context, session, batch, attempt, &outcome, Some(stamp)).await;
+    write::answer(session, batch, attempt, &outcome, Some(stamp)).await;
     Ok(WriteEnd::Answered)
 }
 
 /// Rolls back a change that failed, and hands on its error unless another member may do better.
 async fn undo(
-    context: &InstanceContext,
     session: &mut CallerSession,
     batch: &CallerBatch,
     mut attempt: MemberAttempt,
@@ -192,7 +188,7 @@
     }
     held.release(&mut session.link);
     match rolled_back {
-        Ok(_) => write::answer(context, session, batch, attempt, outcome, None).await,
+        Ok(_) => write::answer(session, batch, attempt, outcome, None).await,
         Err(error) => {
             attempt.abandon(session, &error).await;
             put_ready(session.link.outgoing(), b'I');
@@ -229,7 +225,6 @@
 /// Answers a request whose key is there: with the first outcome if the first run was our own, else
 /// with a refusal that names it. Either way what was found must be there to stay.
 async fn answer_duplicate(
-    context: &InstanceContext,
     session: &mut CallerSession,
     batch: &CallerBatch,
     mut attempt: MemberAttempt,
@@ -251,7 +246,7 @@
         return Ok(WriteEnd::NotRun);
     };
     attempt.finish(session).await;
-    note_commit(context, session, Some(stamp));
+    note_commit(session, Some(stamp));
     let simple = batch.end == BatchEnd::Simple;
     if keyed.committing && simple && !value.is_empty() {
         put_complete(session.link.outgoing(), &value);
--- a/crates/arbutusrudder/src/caller/login.rs
+++ b/crates/arbutusrudder/src/caller/login.rs
@@ -2,6 +2,7 @@
 
 use super::answer::{put_fatal, put_parameter, put_ready};
 use super::cancel::CancelEntry;
+use crate::process::LoginRule;
 use bytes::Bytes;
 use displaydoc::Display;
 use pgwire::api::auth::Password;
@@ -149,10 +150,12 @@
 /// Checks the caller's password by SCRAM, if its user has one.
 pub(crate) async fn authenticate(
     link: &mut WireLink,
-    password: Option<&str>,
+    rule: &LoginRule,
 ) -> Result<(), LoginError> {
-    if let Some(password) = password {
-        run_scram(link, password).await?;
+    match rule {
+        LoginRule::Trusted => {}
+        LoginRule::Password(password) => run_scram(link, password).await?,
+        LoginRule::Refused => return Err(LoginError::Password),
     }
     put_authentication(link, &Authentication::Ok);
     Ok(())
--- a/crates/arbutusrudder/src/caller/mod.rs
+++ b/crates/arbutusrudder/src/caller/mod.rs
@@ -9,7 +9,6 @@
 mod local;
 mod login;
 mod read;
-mod roam;
 mod serve;
 mod session;
 mod session_change;
@@ -17,5 +16,4 @@
 mod write;
 
 pub(crate) use cancel::CancelBoard;
-pub(crate) use roam::SessionDirectory;
 pub(crate) use serve::serve_caller;
--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -77,7 +77,7 @@
         };
         match run(session, batch, attempt, arrived).await? {
             ReadEnd::Served => return Ok(()),
-            ReadEnd::Writes => return write::serve(context, session, batch, group).await,
+            ReadEnd::Writes => return write::serve(session, batch, group).await,
             ReadEnd::TooOld if group.members[member].settings.draining => avoided.push(member),
             ReadEnd::TooOld => {}
             ReadEnd::Failed => avoided.push(member),
@@ -97,17 +97,16 @@
 
 fn choose(
     context: &InstanceContext,
-    session: &CallerSession,
+    session: &mut CallerSession,
     group: &GroupState,
     avoided: &[usize],
     waited: Duration,
 ) -> MemberChoice {
+    let known = session.learn_floor(group);
     let (mut views, mut indexes) = group.views();
     for index in (0..indexes.len()).rev() {
-        // A session of unknown past may only read from the confirmed primary.
-        let unknown = session.knowledge == FloorKnowledge::Unknown
-            && views[index].role == MemberRole::Replica;
-        if unknown || avoided.contains(&indexes[index]) {
+        let barred = !known && views[index].role == MemberRole::Replica;
+        if barred || avoided.contains(&indexes[index]) {
             views.remove(index);
             indexes.remove(index);
         }
@@ -208,7 +207,7 @@
 ) -> bool {
     let group = &attempt.group;
     let bound = session.bound();
-    let unknown = session.knowledge == FloorKnowledge::Unknown;
+    let unknown = session.knowledge != FloorKnowledge::Known;
     let need = ReadNeed { floor: session.floor(), bound, as_of: group.board.now() };
     let verdict = group.board.with_ledger(|ledger| judge_read(status, &need, ledger));
     match verdict {
--- a/crates/arbutusrudder/src/caller/serve.rs
+++ b/crates/arbutusrudder/src/caller/serve.rs
@@ -145,33 +145,19 @@
 ) -> Result<SessionParts, LoginError> {
     let mut request = read_login(parameters)?;
     let fleet = context.fleet.load();
-    let password = context.process.password_of(&request.user);
-    authenticate(link, password.as_deref()).await?;
+    authenticate(link, &context.process.login_rule(&request.user)).await?;
     let caller = fleet.settings.caller_of(&request.user).cloned();
     let caller = caller.unwrap_or_else(|| context.process.default_caller());
     let (token, knowledge) = match request.session.take() {
         Some(SessionClaim::Token(token)) => (token, FloorKnowledge::Known),
-        Some(SessionClaim::Id(id)) => find_session(context, id).await,
+        Some(SessionClaim::Id(id)) => {
+            (SessionToken::new(id), FloorKnowledge::Unknown(context.origin.elapsed()))
+        }
         None => (SessionToken::new(SessionId::random()), FloorKnowledge::Known),
     };
     Ok(SessionParts { request, caller, token, knowledge })
 }
 
-/// What a session named by its id must see: from this instance, else from its peers. No answer
-/// never means that it has written nothing.
-async fn find_session(
-    context: &Arc<InstanceContext>,
-    id: SessionId,
-) -> (SessionToken, FloorKnowledge) {
-    let mut token = context.sessions.find(&id).unwrap_or_else(|| SessionToken::new(id.clone()));
-    let complete = match context.peers.get() {
-        Some(peers) => peers.find_session(&id, &mut token).await,
-        None => false,
-    };
-    let knowledge = if complete { FloorKnowledge::Known } else { FloorKnowledge::Unknown };
-    (token, knowledge)
-}
-
 impl SessionParts {
     fn into_session(self, context: &Arc<InstanceContext>, link: WireLink) -> CallerSession {
         CallerSession {
@@ -252,7 +238,7 @@
         return refuse(session, batch, &RefusalNotice::Unsupported(reason.to_owned())).await;
     }
     if session.pinned.is_some() {
-        return transaction::serve(context, session, batch).await;
+        return transaction::serve(session, batch).await;
     }
     if batch.frames.is_empty() {
         put_ready(session.link.outgoing(), b'I');
@@ -276,7 +262,7 @@
     if reads && session.key.is_none() && batch.key().is_none() {
         read::serve(context, session, batch, group).await
     } else {
-        write::serve(context, session, batch, group).await
+        write::serve(session, batch, group).await
     }
 }
 
--- a/crates/arbutusrudder/src/caller/session.rs
+++ b/crates/arbutusrudder/src/caller/session.rs
@@ -2,7 +2,7 @@
 
 use crate::exchange::PreparedStatement;
 use crate::group::{GroupState, PooledConnection};
-use rudder_core::{LogStamp, LogTerm, RequestKey, ServiceName, SessionToken};
+use rudder_core::{AgeLedger, LogStamp, LogTerm, RequestKey, ServiceName, SessionToken};
 use rudder_endpoint::WireLink;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,9 +33,10 @@
 pub(crate) enum FloorKnowledge {
     /// The token says it.
     Known,
-    /// The caller named a session that no live instance knows: only the confirmed primary may
-    /// answer, until a write of its own says where the session stands.
-    Unknown,
+    /// The caller named its session without a token, at this time. What a confirmed primary held
+    /// at that time or later contains everything that the session was ever acknowledged; until
+    /// such a sample is there, only the confirmed primary may answer.
+    Unknown(Duration),
 }
 
 /// One caller's session at this instance.
@@ -85,6 +86,17 @@
         self.pinned.as_ref().map_or(b'I', |pinned| pinned.status)
     }
 
+    /// Whether replicas may answer; learns the floor of a session that came without a token.
+    pub(crate) fn learn_floor(&mut self, group: &GroupState) -> bool {
+        let FloorKnowledge::Unknown(since) = self.knowledge else { return true };
+        let newest = group.board.with_ledger(AgeLedger::newest);
+        let Some(sample) = newest.filter(|sample| sample.sent_at >= since) else { return false };
+        let service = self.service.clone();
+        self.token.raise(&service, sample.stamp);
+        self.knowledge = FloorKnowledge::Known;
+        true
+    }
+
     /// The prepared statement of this name.
     pub(crate) fn statement(&self, name: &str) -> Option<&Arc<PreparedStatement>> {
         let index =
--- a/crates/arbutusrudder/src/caller/transaction.rs
+++ b/crates/arbutusrudder/src/caller/transaction.rs
@@ -8,7 +8,6 @@
 use super::session::{CallerSession, PinnedConnection};
 use super::session_change;
 use super::write::{answer_unresolved, note_commit};
-use crate::context::InstanceContext;
 use crate::exchange::{
     BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink,
     encode_batch, relay_batch,
@@ -32,7 +31,6 @@
 
 /// Serves a batch on the connection of the session's open transaction.
 pub(crate) async fn serve(
-    context: &InstanceContext,
     session: &mut CallerSession,
     batch: &CallerBatch,
 ) -> Result<(), SessionEnd> {
@@ -60,7 +58,7 @@
     match relayed {
         Ok(outcome) => {
             let sent = SentBatch { asked, asked_at, held };
-            conclude(context, session, batch, pinned, &outcome, sent).await
+            conclude(session, batch, pinned, &outcome, sent).await
         }
         Err(error) if held.relayed || matches!(error, ExchangeError::Caller(_)) => {
             Err(SessionEnd::Broken(error))
@@ -91,7 +89,6 @@
 }
 
 async fn conclude(
-    context: &InstanceContext,
     session: &mut CallerSession,
     batch: &CallerBatch,
     mut pinned: PinnedConnection,
@@ -107,7 +104,7 @@
         session_change::apply(session, batch, &mut pinned.pooled);
     }
     if outcome.status == b'I' {
-        return end_transaction(context, session, pinned, outcome, sent).await;
+        return end_transaction(session, pinned, outcome, sent).await;
     }
     if sent.asked && !settle(&mut pinned, sent.asked_at).await {
         return refuse(session, batch, &RefusalNotice::TransactionLost).await;
@@ -126,7 +123,6 @@
 }
 
 async fn end_transaction(
-    context: &InstanceContext,
     session: &mut CallerSession,
     mut pinned: PinnedConnection,
     outcome: &BatchOutcome,
@@ -157,7 +153,7 @@
     };
     sent.held.release(&mut session.link);
     give_back(session, pinned).await;
-    note_commit(context, session, stamp);
+    note_commit(session, stamp);
     put_ready(session.link.outgoing(), b'I');
     Ok(())
 }
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -9,7 +9,6 @@
 use super::session::{CallerSession, FloorKnowledge, PinnedConnection};
 use super::keyed::{self, KeyedRequest};
 use super::session_change;
-use crate::context::InstanceContext;
 use crate::exchange::{
     BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink, encode_batch,
     relay_batch,
@@ -40,7 +39,6 @@
 
 /// Serves a write, or a transaction's beginning.
 pub(crate) async fn serve(
-    context: &Arc<InstanceContext>,
     session: &mut CallerSession,
     batch: &CallerBatch,
     group: &Arc<GroupState>,
@@ -70,9 +68,9 @@
         };
         let end = match &mut keyed {
             Some(keyed) if batch.begins().is_none() => {
-                keyed::run(context, session, batch, attempt, keyed).await?
+                keyed::run(session, batch, attempt, keyed).await?
             }
-            _ => run(context, session, batch, attempt).await?,
+            _ => run(session, batch, attempt).await?,
         };
         if let (Some(pinned), Some(keyed)) = (&mut session.pinned, &keyed) {
             pinned.key = Some(keyed.key.clone());
@@ -106,7 +104,6 @@
 }
 
 async fn run(
-    context: &Arc<InstanceContext>,
     session: &mut CallerSession,
     batch: &CallerBatch,
     mut attempt: MemberAttempt,
@@ -150,7 +147,7 @@
     match verdict {
         Some(stamp) => {
             held.release(&mut session.link);
-            answer(context, session, batch, attempt, &outcome, stamp).await;
+            answer(session, batch, attempt, &outcome, stamp).await;
         }
         None => {
             attempt.abandon(session, &ExchangeError::MemberSilent).await;
@@ -199,7 +196,6 @@
 
 /// Ends the answer to a batch that left no transaction open.
 pub(crate) async fn answer(
-    context: &InstanceContext,
     session: &mut CallerSession,
     batch: &CallerBatch,
     mut attempt: MemberAttempt,
@@ -210,23 +206,18 @@
         session_change::apply(session, batch, &mut attempt.pooled);
     }
     attempt.finish(session).await;
-    note_commit(context, session, stamp);
+    note_commit(session, stamp);
     put_ready(session.link.outgoing(), b'I');
 }
 
 /// Raises what the session must see, and reports its token.
-pub(crate) fn note_commit(
-    context: &InstanceContext,
-    session: &mut CallerSession,
-    stamp: Option<LogStamp>,
-) {
+pub(crate) fn note_commit(session: &mut CallerSession, stamp: Option<LogStamp>) {
     let Some(stamp) = stamp else { return };
     metrics::counter!("rudder_commits_total").increment(1);
     let service = session.service.clone();
     session.token.raise(&service, stamp);
     // An acknowledged write of its own is at least as far as any earlier one of the session.
     session.knowledge = FloorKnowledge::Known;
-    context.sessions.remember(&session.token);
     report_token(session);
 }
 
--- a/crates/arbutusrudder/src/context.rs
+++ b/crates/arbutusrudder/src/context.rs
@@ -1,14 +1,14 @@
 //! What every caller's task of this instance shares.
 
-use crate::caller::{CancelBoard, SessionDirectory};
+use crate::caller::CancelBoard;
 use crate::classify::FactsCache;
 use crate::group::GroupState;
-use crate::peering::PeerLink;
 use crate::process::ProcessSettings;
 use arc_swap::ArcSwap;
 use rudder_core::{DomainName, InstanceName, ServiceName};
 use rudder_settings::FleetSettings;
-use std::sync::{Arc, OnceLock};
+use rudder_platform::RevisionFollower;
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 use tokio::sync::watch;
 use tokio_rustls::TlsAcceptor;
@@ -43,10 +43,10 @@
     pub(crate) facts: FactsCache,
     /// The callers' cancel keys.
     pub(crate) cancel: Arc<CancelBoard>,
-    /// Sessions known by id.
-    pub(crate) sessions: SessionDirectory,
-    /// The way to the other instances, once it is up.
-    pub(crate) peers: OnceLock<PeerLink>,
+    /// The revision in force, with its files, for peers that ask.
+    pub(crate) follower: Mutex<RevisionFollower>,
+    /// The greatest revision number that a peer spoke of.
+    pub(crate) revision_hint: watch::Sender<u64>,
     /// Whether this instance is leaving.
     pub(crate) leaving: watch::Sender<bool>,
     /// TLS towards callers, if it is set.
--- /dev/null
+++ b/crates/arbutusrudder/src/error.rs
@@ -0,0 +1,59 @@
+//! Why the proxy cannot start.
+
+use crate::logs::LogError;
+use crate::process::ProcessError;
+use displaydoc::Display;
+use rudder_peers::MeshError;
+use rudder_platform::StoreError;
+use std::net::SocketAddr;
+
+/// Why the proxy cannot start or ended early.
+#[derive(Debug, Display)]
+#[ignore_extra_doc_attributes]
+pub enum ProxyError {
+    /// {0}
+    Process(ProcessError),
+    /// cannot listen on {address}: {reason}
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        reason: std::io::Error,
+    },
+    /// the TLS certificate or key cannot be used: {0}
+    Tls(String),
+    /// the platform's address cannot be used: {0}
+    Platform(StoreError),
+    /// the peers' socket cannot be opened: {0}
+    Peers(MeshError),
+    /// the log cannot be set up: {0}
+    Logs(LogError),
+    /// the runtime cannot be started: {0}
+    Runtime(std::io::Error),
+}
+
+impl std::error::Error for ProxyError {}
+
+impl From<ProcessError> for ProxyError {
+    fn from(error: ProcessError) -> Self {
+        Self::Process(error)
+    }
+}
+
+impl From<MeshError> for ProxyError {
+    fn from(error: MeshError) -> Self {
+        Self::Peers(error)
+    }
+}
+
+impl From<StoreError> for ProxyError {
+    fn from(error: StoreError) -> Self {
+        Self::Platform(error)
+    }
+}
+
+impl From<LogError> for ProxyError {
+    fn from(error: LogError) -> Self {
+        Self::Logs(error)
+    }
+}
--- a/crates/arbutusrudder/src/main.rs
+++ b/crates/arbutusrudder/src/main.rs
@@ -1,3 +1,18 @@
-//! Placeholder.
+//! The proxy's program.
 
-fn main() {}
+use arbutusrudder::{ProxyError, ProxyOptions};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("arbutusrudder: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), ProxyError> {
+    arbutusrudder::run(&ProxyOptions::from_command_line()?)
+}
