platform: store over HTTP, accepted revisions, and a stand-in with faults

Cause: nothing spoke to the platform, so settings could neither be accepted nor followed. Change: KubeStore implements PlatformStore with every call bounded in time and its failure sorted into conflict, unavailable and unresolved; submit_change, poll_revision and RevisionFollower keep one growing revision; PlatformStandin serves the same protocol with latency, outages, lost answers and stale reads. rudder-platform now depends on rudder-settings and xxhash-rust.

--- /dev/null
+++ b/crates/rudder-platform/src/kubernetes/call.rs
@@ -0,0 +1,97 @@
+//! One call to the API: bounded in time, counted, its error classified.
+
+use super::fault::{CallFault, read_error, write_error};
+use crate::store::StoreError;
+use http::Request;
+use kube::Client;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::time::{Duration, Instant};
+
+/// What a call does, as the metrics name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ApiVerb {
+    Get,
+    List,
+    Create,
+    Replace,
+    Delete,
+}
+
+impl ApiVerb {
+    fn word(self) -> &'static str {
+        match self {
+            Self::Get => "get",
+            Self::List => "list",
+            Self::Create => "create",
+            Self::Replace => "replace",
+            Self::Delete => "delete",
+        }
+    }
+
+    fn method(self) -> http::Method {
+        match self {
+            Self::Get | Self::List => http::Method::GET,
+            Self::Create => http::Method::POST,
+            Self::Replace => http::Method::PUT,
+            Self::Delete => http::Method::DELETE,
+        }
+    }
+}
+
+/// A call that has not been sent yet.
+pub(crate) struct ApiCall<'c> {
+    pub(crate) client: &'c Client,
+    pub(crate) verb: ApiVerb,
+    pub(crate) path: String,
+    pub(crate) timeout: Duration,
+}
+
+impl ApiCall<'_> {
+    /// Sends a call that changes nothing; none when there is no such object.
+    pub(crate) async fn read<T: DeserializeOwned>(&self) -> Result<Option<T>, StoreError> {
+        match self.send(Vec::new()).await {
+            Ok(value) => Ok(Some(value)),
+            Err(CallFault::Answered(status)) if status.code == 404 => Ok(None),
+            Err(fault) => Err(read_error(&fault)),
+        }
+    }
+
+    /// Sends a call that changes something.
+    pub(crate) async fn write<T: DeserializeOwned>(
+        &self,
+        body: &(impl Serialize + Sync),
+    ) -> Result<T, StoreError> {
+        let bytes = serde_json::to_vec(body)
+            .map_err(|error| StoreError::Refused(format!("the object is not JSON: {error}")))?;
+        self.send(bytes).await.map_err(|fault| write_error(self.verb, &fault))
+    }
+
+    async fn send<T: DeserializeOwned>(&self, body: Vec<u8>) -> Result<T, CallFault> {
+        let request = Request::builder()
+            .method(self.verb.method())
+            .uri(&self.path)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(body)
+            .map_err(|error| CallFault::Unsent(error.to_string()))?;
+        let started = Instant::now();
+        // Guards against a platform that hangs: the call would hold its caller for ever.
+        let answer = tokio::time::timeout(self.timeout, self.client.request(request)).await;
+        let result = match answer {
+            Ok(Ok(value)) => Ok(value),
+            Ok(Err(error)) => Err(CallFault::from(error)),
+            Err(_) => Err(CallFault::Silent),
+        };
+        let verb = self.verb.word();
+        let outcome = result.as_ref().map_or_else(CallFault::word, |_| "ok");
+        if let Err(fault) = &result {
+            let path = &self.path;
+            log::debug!(target: "rudder::platform", verb, path:% = path, outcome, reason:% = fault; "call");
+        }
+        metrics::counter!("rudder_platform_calls_total", "verb" => verb, "outcome" => outcome)
+            .increment(1);
+        metrics::histogram!("rudder_platform_call_seconds", "verb" => verb)
+            .record(started.elapsed().as_secs_f64());
+        result
+    }
+}
--- a/crates/rudder-platform/src/lib.rs
+++ b/crates/rudder-platform/src/lib.rs
@@ -1,7 +1,15 @@
 //! The platform's object API: versioned objects, conditional updates, instance lists.
 
+mod kubernetes;
+mod revision;
 mod store;
 
+pub use kubernetes::{KubeStore, PlatformOptions};
+pub use revision::{
+    BundleError, BundleFile, FolderChange, OfferVerdict, RaceRefusal, ReadError, RevisionBundle,
+    RevisionFile, RevisionFollower, RevisionNumber, SettingsRevision, SubmitError, SubmitOutcome,
+    WriterMark, poll_revision, read_revision, submit_change,
+};
 pub use store::{
     InstanceEntry, InstanceReadiness, ObjectKind, ObjectVersion, PlatformStore, StoreError,
     StoredObject,
--- /dev/null
+++ b/crates/rudder-platform/src/revision/mod.rs
@@ -0,0 +1,18 @@
+//! Accepted revisions of the operators' folder: submitting, reading, following.
+
+mod attempt;
+mod bundle;
+mod follow;
+mod plan;
+mod prune;
+mod read;
+mod record;
+mod renew;
+mod submit;
+
+pub use bundle::{BundleError, BundleFile, RevisionBundle};
+pub use follow::{OfferVerdict, RevisionFollower};
+pub use plan::RaceRefusal;
+pub use read::{ReadError, poll_revision, read_revision};
+pub use record::{RevisionFile, RevisionNumber, SettingsRevision, WriterMark};
+pub use submit::{FolderChange, SubmitError, SubmitOutcome, submit_change};
--- /dev/null
+++ b/crates/rudder-platform/src/revision/plan.rs
@@ -0,0 +1,90 @@
+//! What a submission changes in a revision, worked out without a network.
+
+use super::record::{
+    KEEP_MARKS, KEEP_REVISIONS, RetiredObject, RevisionFile, RevisionMark, RevisionNumber,
+    SettingsRevision, WriterMark,
+};
+use displaydoc::Display;
+use rudder_core::plain_data;
+use rudder_settings::FileName;
+
+/// Another operator changed a file that this submission changes too.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[ignore_extra_doc_attributes]
+/// {file} was changed by another operator in revision {number} or before; fetch it and submit again
+pub struct RaceRefusal {
+    /// The file.
+    pub file: FileName,
+    /// The revision in force.
+    pub number: RevisionNumber,
+}
+
+impl std::error::Error for RaceRefusal {}
+
+plain_data! {
+    /// The wanted version of one file; none removes it.
+    pub(crate) struct WantedFile {
+        pub(crate) name: FileName,
+        pub(crate) object: Option<String>,
+    }
+}
+
+/// Lays the wanted files over `current`; none when nothing would change.
+///
+/// `base` is the revision from which the operator started. A file that is as it was there was not
+/// changed by this operator and stays as it is now.
+///
+/// Guards against an operator's file that vanishes silently: two operators change the same file at
+/// the same moment, and the later update would replace the earlier one unseen. The later one finds
+/// that the file is neither as in its base nor as it wants it, and is refused.
+pub(crate) fn plan_revision(
+    current: &SettingsRevision,
+    base: &SettingsRevision,
+    wanted: &[WantedFile],
+    mark: &WriterMark,
+    above: RevisionNumber,
+) -> Result<Option<SettingsRevision>, RaceRefusal> {
+    let number = current.number.max(above).next();
+    let mut next = current.clone();
+    for file in wanted {
+        let in_force = current.object(&file.name);
+        let at_base = base.object(&file.name);
+        let object = file.object.as_deref();
+        if object == in_force || object == at_base {
+            continue;
+        }
+        if in_force != at_base {
+            return Err(RaceRefusal { file: file.name.clone(), number: current.number });
+        }
+        replace_file(&mut next, file, number);
+    }
+    if next.files == current.files && above <= current.number {
+        return Ok(None);
+    }
+    next.number = number;
+    next.marks.push(RevisionMark { number, mark: mark.clone() });
+    let excess = next.marks.len().saturating_sub(KEEP_MARKS);
+    next.marks.drain(..excess);
+    next.retired.retain(|retired| retired.number.0 + KEEP_REVISIONS > number.0);
+    Ok(Some(next))
+}
+
+fn replace_file(revision: &mut SettingsRevision, file: &WantedFile, number: RevisionNumber) {
+    let position = revision.files.binary_search_by(|known| known.name.cmp(&file.name));
+    let replacement = file.object.clone();
+    match (position, replacement) {
+        (Ok(index), Some(object)) => {
+            let object = std::mem::replace(&mut revision.files[index].object, object);
+            revision.retired.push(RetiredObject { object, number });
+        }
+        (Ok(index), None) => {
+            let object = revision.files.remove(index).object;
+            revision.retired.push(RetiredObject { object, number });
+        }
+        (Err(index), Some(object)) => {
+            let name = file.name.clone();
+            revision.files.insert(index, RevisionFile { name, object });
+        }
+        (Err(_), None) => {}
+    }
+}
--- /dev/null
+++ b/crates/rudder-platform/src/revision/read.rs
@@ -0,0 +1,102 @@
+//! Reading the accepted revision and its files.
+
+use super::bundle::{BundleFile, RevisionBundle};
+use super::record::{FileRecord, REVISION_OBJECT, RevisionFile, SettingsRevision};
+use crate::store::{ObjectKind, ObjectVersion, PlatformStore, StoreError};
+use displaydoc::Display;
+use rudder_settings::SettingsFile;
+
+/// Why a revision could not be read.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[ignore_extra_doc_attributes]
+pub enum ReadError {
+    /// {0}
+    Store(StoreError),
+    /// object {object} does not have the shape of this version: {reason}
+    Shape {
+        /// The object.
+        object: String,
+        /// What does not fit.
+        reason: String,
+    },
+    /// object {0} is gone: a newer revision was accepted meanwhile; read again
+    Gone(String),
+}
+
+impl std::error::Error for ReadError {}
+
+impl From<StoreError> for ReadError {
+    fn from(error: StoreError) -> Self {
+        Self::Store(error)
+    }
+}
+
+/// Reads the accepted revision and its version; none before the first submission.
+///
+/// # Errors
+///
+/// When the platform gives no answer, or the object has another shape.
+pub async fn read_revision(
+    store: &dyn PlatformStore,
+) -> Result<Option<(ObjectVersion, SettingsRevision)>, ReadError> {
+    let object = store.get(ObjectKind::SettingsRevision, REVISION_OBJECT).await?;
+    let Some(object) = object else { return Ok(None) };
+    let revision = shaped(REVISION_OBJECT, object.spec)?;
+    Ok(Some((object.version, revision)))
+}
+
+/// Reads the accepted revision if its number is greater than that of `known`; files that `known`
+/// has are not read again. The one small read that finds nothing new is the usual case.
+///
+/// # Errors
+///
+/// When the platform gives no answer, an object has another shape, or a file was removed because a
+/// still newer revision was accepted meanwhile.
+pub async fn poll_revision(
+    store: &dyn PlatformStore,
+    known: Option<&RevisionBundle>,
+) -> Result<Option<RevisionBundle>, ReadError> {
+    let Some((_, revision)) = read_revision(store).await? else { return Ok(None) };
+    if known.is_some_and(|known| revision.number <= known.number) {
+        return Ok(None);
+    }
+    let files = read_files(store, &revision.files, known).await?;
+    Ok(Some(RevisionBundle { number: revision.number, files }))
+}
+
+/// Reads the texts of files, taking those that `known` has from there.
+pub(crate) async fn read_files(
+    store: &dyn PlatformStore,
+    files: &[RevisionFile],
+    known: Option<&RevisionBundle>,
+) -> Result<Vec<BundleFile>, ReadError> {
+    let mut bundled = Vec::with_capacity(files.len());
+    for file in files {
+        let from_known = known.and_then(|known| known.file_of(&file.object)).cloned();
+        bundled.push(match from_known {
+            Some(known) => known,
+            None => read_file(store, &file.object).await?,
+        });
+    }
+    Ok(bundled)
+}
+
+async fn read_file(store: &dyn PlatformStore, name: &str) -> Result<BundleFile, ReadError> {
+    let object = store.get(ObjectKind::SettingsFile, name).await?;
+    let object = object.ok_or_else(|| ReadError::Gone(name.to_owned()))?;
+    let record: FileRecord = shaped(name, object.spec)?;
+    let file = SettingsFile { name: record.file, text: record.text };
+    Ok(BundleFile { object: name.to_owned(), file })
+}
+
+/// Reads an object's content into its type.
+pub(crate) fn shaped<T: serde::de::DeserializeOwned>(
+    object: &str,
+    spec: serde_json::Value,
+) -> Result<T, ReadError> {
+    let refusal = |error: serde_json::Error| ReadError::Shape {
+        object: object.to_owned(),
+        reason: error.to_string(),
+    };
+    serde_json::from_value(spec).map_err(refusal)
+}
--- a/crates/rudder-platform/src/store.rs
+++ b/crates/rudder-platform/src/store.rs
@@ -33,6 +33,21 @@
             Self::SwitchOrder => "switchorders",
         }
     }
+
+    /// The kind's name in the platform's API.
+    ///
+    /// ```
+    /// assert_eq!(rudder_platform::ObjectKind::SettingsFile.singular(), "SettingsFile");
+    /// ```
+    #[must_use]
+    pub const fn singular(self) -> &'static str {
+        match self {
+            Self::SettingsFile => "SettingsFile",
+            Self::SettingsRevision => "SettingsRevision",
+            Self::SuccessionGrant => "SuccessionGrant",
+            Self::SwitchOrder => "SwitchOrder",
+        }
+    }
 }
 
 /// An object's version: opaque, compared for equality only.
--- /dev/null
+++ b/crates/rudder-platform/tests/store.rs
@@ -0,0 +1,123 @@
+//! The store over HTTP: versions, conflicts, lost answers, outages, instances.
+
+use rudder_platform::{
+    InstanceReadiness, KubeStore, ObjectKind, ObjectVersion, PlatformOptions, PlatformStore,
+    StoreError,
+};
+use rudder_standins::{PlatformFaults, PlatformOutage, PlatformStandin, StandinInstance};
+use serde_json::json;
+use std::time::Duration;
+
+const KIND: ObjectKind = ObjectKind::SwitchOrder;
+
+async fn standin() -> PlatformStandin {
+    let listen = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+    PlatformStandin::start(listen).await.expect("a free loopback port")
+}
+
+fn store(standin: &PlatformStandin, timeout: Duration) -> KubeStore {
+    let options = PlatformOptions { call_timeout: timeout, ..PlatformOptions::at(&standin.url()) };
+    KubeStore::connect(options).expect("the stand-in's address is a URL")
+}
+
+fn patient_store(standin: &PlatformStandin) -> KubeStore {
+    store(standin, Duration::from_secs(20))
+}
+
+#[tokio::test]
+async fn conditional_changes_follow_versions() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+
+    let created = store.put(KIND, "a", None, json!({ "to": "one" })).await.unwrap();
+    let taken = store.put(KIND, "a", None, json!({})).await;
+    let replaced =
+        store.put(KIND, "a", Some(&created.version), json!({ "to": "two" })).await.unwrap();
+    let outdated = store.put(KIND, "a", Some(&created.version), json!({})).await;
+    let listed = store.list(KIND).await.unwrap();
+
+    assert_eq!(taken, Err(StoreError::Conflict));
+    assert_eq!(outdated, Err(StoreError::Conflict));
+    assert_eq!(listed, vec![replaced.clone()]);
+    assert_eq!(store.get(KIND, "a").await.unwrap(), Some(replaced.clone()));
+    assert_eq!(store.delete(KIND, "a", &created.version).await, Err(StoreError::Conflict));
+    assert_eq!(store.delete(KIND, "a", &replaced.version).await, Ok(()));
+    assert_eq!(store.get(KIND, "a").await, Ok(None));
+    assert_eq!(
+        store.put(KIND, "a", Some(&ObjectVersion("1".to_owned())), json!({})).await,
+        Err(StoreError::Conflict)
+    );
+}
+
+/// An operator submits, the platform applies the change, and the connection breaks before the
+/// answer. Taken for "nothing changed", the operator would submit again and undo what came between.
+#[tokio::test]
+async fn lost_answer_is_unresolved_and_the_change_stands() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    standin.set_faults(PlatformFaults { lost_answers: 1, ..PlatformFaults::default() });
+
+    let result = store.put(KIND, "a", None, json!({ "to": "one" })).await;
+
+    assert_eq!(result, Err(StoreError::Unresolved));
+    assert_eq!(store.get(KIND, "a").await.unwrap().unwrap().spec, json!({ "to": "one" }));
+}
+
+/// The platform's service goes down: nobody listens any more. Then it hangs: connections open, no
+/// answer comes. A caller must come back with a verdict in both, and a change that hung is unknown.
+#[tokio::test]
+async fn outage_ends_every_call_with_a_verdict() {
+    let standin = standin().await;
+    let outage = |outage| PlatformFaults { outage, ..PlatformFaults::default() };
+
+    standin.set_faults(outage(PlatformOutage::Hanging));
+    let hasty = store(&standin, Duration::from_millis(100));
+    let hung_read = hasty.get(KIND, "a").await;
+    let hung_write = hasty.put(KIND, "a", None, json!({})).await;
+    standin.set_faults(outage(PlatformOutage::Refused));
+    let refused_write = loop {
+        // The listener closes its socket a moment after the switch; until then a connection is
+        // accepted and cut.
+        let result = patient_store(&standin).put(KIND, "a", None, json!({})).await;
+        if result != Err(StoreError::Unresolved) {
+            break result;
+        }
+    };
+    standin.set_faults(PlatformFaults::default());
+    let back = loop {
+        let result = patient_store(&standin).get(KIND, "a").await;
+        if result != Err(StoreError::Unavailable) {
+            break result;
+        }
+    };
+
+    assert_eq!(hung_read, Err(StoreError::Unavailable));
+    assert_eq!(hung_write, Err(StoreError::Unresolved));
+    assert_eq!(refused_write, Err(StoreError::Unavailable));
+    assert_eq!(back, Ok(None));
+}
+
+#[tokio::test]
+async fn instances_are_listed_with_lag() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    let entry = |name: &str, leaving| StandinInstance {
+        name: name.parse().unwrap(),
+        address: "127.0.0.1".parse().unwrap(),
+        leaving,
+    };
+
+    standin.set_instances(vec![entry("b", true), entry("a", false)], Duration::ZERO);
+    standin.set_instances(Vec::new(), Duration::from_secs(3600));
+    let instances = store.instances().await.unwrap();
+
+    let shown: Vec<_> =
+        instances.iter().map(|entry| (entry.name.to_string(), entry.readiness)).collect();
+    assert_eq!(
+        shown,
+        vec![
+            ("a".to_owned(), InstanceReadiness::Ready),
+            ("b".to_owned(), InstanceReadiness::Leaving)
+        ]
+    );
+}
--- /dev/null
+++ b/crates/rudder-standins/src/platform/mod.rs
@@ -0,0 +1,106 @@
+//! A small object API in the platform's place: versions, conflicts, faults on demand.
+
+mod faults;
+mod instances;
+mod listener;
+mod objects;
+mod routes;
+mod state;
+
+pub use faults::{CallCounts, PlatformFaults, PlatformOutage};
+pub use instances::StandinInstance;
+
+use listener::{ConnectionCut, FaultyListener};
+use state::StandinState;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// A running stand-in; it ends when this is dropped.
+pub struct PlatformStandin {
+    address: SocketAddr,
+    state: Arc<StandinState>,
+    server: JoinHandle<io::Result<()>>,
+}
+
+impl PlatformStandin {
+    /// Starts a stand-in that listens at `listen`; port 0 takes a free one.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// let standin = rudder_standins::PlatformStandin::start("127.0.0.1:0".parse()?).await?;
+    /// assert!(standin.url().starts_with("http://127.0.0.1:"));
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound.
+    pub async fn start(listen: SocketAddr) -> io::Result<Self> {
+        let (sender, receiver) = watch::channel(PlatformOutage::None);
+        let listener = FaultyListener::bind(listen, receiver).await?;
+        let address = axum::serve::Listener::local_addr(&listener)?;
+        let state = Arc::new(StandinState::new(sender));
+        let service = routes::router(Arc::clone(&state))
+            .into_make_service_with_connect_info::<ConnectionCut>();
+        let server = tokio::spawn(async move { axum::serve(listener, service).await });
+        Ok(Self { address, state, server })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its address as the platform's client wants it.
+    #[must_use]
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Puts exactly these faults in force.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// use rudder_standins::{PlatformFaults, PlatformStandin};
+    /// let standin = PlatformStandin::start("127.0.0.1:0".parse()?).await?;
+    /// standin.set_faults(PlatformFaults { lost_answers: 1, ..PlatformFaults::default() });
+    /// assert_eq!(standin.faults().lost_answers, 1);
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.state.set_faults(faults);
+    }
+
+    /// The faults in force.
+    #[must_use]
+    pub fn faults(&self) -> PlatformFaults {
+        self.state.faults()
+    }
+
+    /// Replaces the list of instances; it is shown after `lag`.
+    pub fn set_instances(&self, entries: Vec<StandinInstance>, lag: Duration) {
+        self.state.set_instances(entries, lag);
+    }
+
+    /// How many calls came, cut ones included.
+    #[must_use]
+    pub fn calls(&self) -> CallCounts {
+        self.state.calls()
+    }
+}
+
+impl Drop for PlatformStandin {
+    fn drop(&mut self) {
+        // Connections outlive the listener's task; the outage cuts them at their next request.
+        let outage = PlatformOutage::Refused;
+        self.state.set_faults(PlatformFaults { outage, ..PlatformFaults::default() });
+        self.server.abort();
+    }
+}
--- /dev/null
+++ b/crates/rudder-standins/src/platform/routes.rs
@@ -0,0 +1,246 @@
+//! The stand-in's HTTP interface: objects by the conventions of Kubernetes, and the fault switches.
+
+use super::faults::{PlatformFaults, PlatformOutage};
+use super::instances::StandinInstance;
+use super::listener::ConnectionCut;
+use super::objects::{ChangeRefusal, ObjectRow};
+use super::state::StandinState;
+use axum::extract::{ConnectInfo, Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::time::Duration;
+
+const OBJECTS: &str = "/apis/arbutusrudder.dev/v1/namespaces/{namespace}/{plural}";
+const OBJECT: &str = "/apis/arbutusrudder.dev/v1/namespaces/{namespace}/{plural}/{name}";
+const SLICES: &str = "/apis/discovery.k8s.io/v1/namespaces/{namespace}/endpointslices";
+
+type Shared = State<Arc<StandinState>>;
+type Connection = ConnectInfo<ConnectionCut>;
+
+/// All routes over one state.
+pub(crate) fn router(state: Arc<StandinState>) -> Router {
+    Router::new()
+        .route(OBJECTS, get(list_objects).post(create_object))
+        .route(OBJECT, get(get_object).put(replace_object).delete(delete_object))
+        .route(SLICES, get(list_slices))
+        .route("/standin/faults", post(set_faults))
+        .route("/standin/instances", post(set_instances))
+        .route("/standin/calls", get(show_calls))
+        .with_state(state)
+}
+
+#[derive(Deserialize)]
+struct ObjectPath {
+    namespace: String,
+    plural: String,
+    name: String,
+}
+
+#[derive(Deserialize)]
+struct CollectionPath {
+    namespace: String,
+    plural: String,
+}
+
+async fn get_object(
+    State(state): Shared,
+    ConnectInfo(cut): Connection,
+    Path(path): Path<ObjectPath>,
+) -> Response {
+    enter(&state, &cut, false).await;
+    let plural = scoped(&path.namespace, &path.plural);
+    let found = state.read(|table| table.get(&plural, &path.name).cloned());
+    leave(&state).await;
+    found.map_or_else(|| refused(ChangeRefusal::Absent), |row| shown(&row))
+}
+
+async fn list_objects(
+    State(state): Shared,
+    ConnectInfo(cut): Connection,
+    Path(path): Path<CollectionPath>,
+) -> Response {
+    enter(&state, &cut, false).await;
+    let plural = scoped(&path.namespace, &path.plural);
+    let (rows, version) = state.read(|table| (table.list(&plural), table.last_version()));
+    leave(&state).await;
+    let items: Vec<Value> = rows.iter().map(with_version).collect();
+    let metadata = json!({ "resourceVersion": version.to_string() });
+    Json(json!({ "kind": "List", "apiVersion": "v1", "metadata": metadata, "items": items }))
+        .into_response()
+}
+
+async fn create_object(
+    State(state): Shared,
+    ConnectInfo(cut): Connection,
+    Path(path): Path<CollectionPath>,
+    Json(body): Json<Value>,
+) -> Response {
+    enter(&state, &cut, true).await;
+    let plural = scoped(&path.namespace, &path.plural);
+    let name = body["metadata"]["name"].as_str().unwrap_or_default().to_owned();
+    let result = state.change(|table| table.create(&plural, &name, body));
+    answer_change(&state, &cut, result).await
+}
+
+async fn replace_object(
+    State(state): Shared,
+    ConnectInfo(cut): Connection,
+    Path(path): Path<ObjectPath>,
+    Json(body): Json<Value>,
+) -> Response {
+    enter(&state, &cut, true).await;
+    let plural = scoped(&path.namespace, &path.plural);
+    let expected = version_of(&body["metadata"]["resourceVersion"]);
+    let result = state.change(|table| table.replace(&plural, &path.name, expected, body));
+    answer_change(&state, &cut, result).await
+}
+
+async fn delete_object(
+    State(state): Shared,
+    ConnectInfo(cut): Connection,
+    Path(path): Path<ObjectPath>,
+    Json(body): Json<Value>,
+) -> Response {
+    enter(&state, &cut, true).await;
+    let plural = scoped(&path.namespace, &path.plural);
+    let expected = version_of(&body["preconditions"]["resourceVersion"]);
+    let result = state.change(|table| table.remove(&plural, &path.name, expected));
+    lose_or_leave(&state, &cut, result.is_ok()).await;
+    match result {
+        Ok(()) => Json(json!({ "kind": "Status", "status": "Success" })).into_response(),
+        Err(refusal) => refused(refusal),
+    }
+}
+
+#[derive(Deserialize)]
+struct SliceQuery {
+    #[serde(rename = "labelSelector", default)]
+    label_selector: String,
+}
+
+async fn list_slices(
+    State(state): Shared,
+    ConnectInfo(cut): Connection,
+    Query(query): Query<SliceQuery>,
+) -> Response {
+    enter(&state, &cut, false).await;
+    let service = query.label_selector.rsplit('=').next().unwrap_or_default().to_owned();
+    let slices = state.slices(&service);
+    leave(&state).await;
+    Json(slices).into_response()
+}
+
+#[derive(Deserialize)]
+struct FaultQuery {
+    /// After this time the faults end by themselves; the way out of a refusing outage.
+    for_ms: Option<u64>,
+}
+
+async fn set_faults(
+    State(state): Shared,
+    Query(query): Query<FaultQuery>,
+    Json(faults): Json<PlatformFaults>,
+) -> StatusCode {
+    state.set_faults(faults);
+    if let Some(millis) = query.for_ms {
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+            state.set_faults(PlatformFaults::default());
+        });
+    }
+    StatusCode::NO_CONTENT
+}
+
+#[derive(Deserialize)]
+struct LagQuery {
+    #[serde(default)]
+    lag_ms: u64,
+}
+
+async fn set_instances(
+    State(state): Shared,
+    Query(query): Query<LagQuery>,
+    Json(entries): Json<Vec<StandinInstance>>,
+) -> StatusCode {
+    state.set_instances(entries, Duration::from_millis(query.lag_ms));
+    StatusCode::NO_CONTENT
+}
+
+async fn show_calls(State(state): Shared) -> Response {
+    Json(state.calls()).into_response()
+}
+
+/// Counts the call and shows the faults that come before its effect.
+async fn enter(state: &StandinState, cut: &ConnectionCut, writes: bool) {
+    state.count(writes);
+    let faults = state.faults();
+    match faults.outage {
+        PlatformOutage::None => tokio::time::sleep(faults.half_latency()).await,
+        PlatformOutage::Refused => cut.cut().await,
+        PlatformOutage::Hanging => std::future::pending().await,
+    }
+}
+
+/// Shows the faults that come after the effect.
+async fn leave(state: &StandinState) {
+    tokio::time::sleep(state.faults().half_latency()).await;
+}
+
+async fn lose_or_leave(state: &StandinState, cut: &ConnectionCut, changed: bool) {
+    if changed && state.take_lost_answer() {
+        cut.cut().await;
+    }
+    leave(state).await;
+}
+
+async fn answer_change(
+    state: &StandinState,
+    cut: &ConnectionCut,
+    result: Result<ObjectRow, ChangeRefusal>,
+) -> Response {
+    lose_or_leave(state, cut, result.is_ok()).await;
+    match result {
+        Ok(row) => shown(&row),
+        Err(refusal) => refused(refusal),
+    }
+}
+
+/// Kinds of different namespaces are kept apart by this prefix.
+fn scoped(namespace: &str, plural: &str) -> String {
+    format!("{namespace}/{plural}")
+}
+
+fn version_of(value: &Value) -> Option<u64> {
+    value.as_str()?.parse().ok()
+}
+
+fn with_version(row: &ObjectRow) -> Value {
+    let mut body = row.body.clone();
+    body["metadata"]["resourceVersion"] = json!(row.version.to_string());
+    body
+}
+
+fn shown(row: &ObjectRow) -> Response {
+    Json(with_version(row)).into_response()
+}
+
+fn refused(refusal: ChangeRefusal) -> Response {
+    let (code, reason) = match refusal {
+        ChangeRefusal::Conflict => (StatusCode::CONFLICT, "Conflict"),
+        ChangeRefusal::Absent => (StatusCode::NOT_FOUND, "NotFound"),
+    };
+    let status = json!({
+        "kind": "Status",
+        "apiVersion": "v1",
+        "status": "Failure",
+        "reason": reason,
+        "message": reason,
+        "code": code.as_u16(),
+    });
+    (code, Json(status)).into_response()
+}
--- /dev/null
+++ b/crates/rudder-standins/src/platform/state.rs
@@ -0,0 +1,91 @@
+//! What the stand-in's requests share.
+
+use super::faults::{CallCounts, PlatformFaults, PlatformOutage};
+use super::instances::{InstanceList, StandinInstance};
+use super::objects::ObjectTable;
+use serde_json::Value;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// Objects, instances, faults and counters behind one lock.
+pub(crate) struct StandinState {
+    inner: Mutex<StandinInner>,
+    outage: watch::Sender<PlatformOutage>,
+}
+
+#[derive(Default)]
+struct StandinInner {
+    table: ObjectTable,
+    /// What reads show while they are stale.
+    frozen: Option<ObjectTable>,
+    instances: InstanceList,
+    faults: PlatformFaults,
+    calls: CallCounts,
+}
+
+impl StandinState {
+    pub(crate) fn new(outage: watch::Sender<PlatformOutage>) -> Self {
+        Self { inner: Mutex::default(), outage }
+    }
+
+    pub(crate) fn read<T>(&self, view: impl FnOnce(&ObjectTable) -> T) -> T {
+        let inner = self.lock();
+        view(inner.frozen.as_ref().unwrap_or(&inner.table))
+    }
+
+    pub(crate) fn change<T>(&self, change: impl FnOnce(&mut ObjectTable) -> T) -> T {
+        change(&mut self.lock().table)
+    }
+
+    pub(crate) fn slices(&self, service: &str) -> Value {
+        self.lock().instances.slices(service, Instant::now())
+    }
+
+    pub(crate) fn set_instances(&self, entries: Vec<StandinInstance>, lag: Duration) {
+        self.lock().instances.set(entries, Instant::now(), lag);
+    }
+
+    pub(crate) fn faults(&self) -> PlatformFaults {
+        self.lock().faults.clone()
+    }
+
+    pub(crate) fn set_faults(&self, faults: PlatformFaults) {
+        let outage = faults.outage;
+        let mut inner = self.lock();
+        inner.frozen = match (faults.stale_reads, inner.frozen.take()) {
+            (true, Some(frozen)) => Some(frozen),
+            (true, None) => Some(inner.table.clone()),
+            (false, _) => None,
+        };
+        inner.faults = faults;
+        drop(inner);
+        self.outage.send_replace(outage);
+    }
+
+    /// Whether the answer to a change that took effect is lost; uses one up.
+    pub(crate) fn take_lost_answer(&self) -> bool {
+        let faults = &mut self.lock().faults;
+        let lost = faults.lost_answers > 0;
+        faults.lost_answers = faults.lost_answers.saturating_sub(1);
+        lost
+    }
+
+    pub(crate) fn count(&self, writes: bool) {
+        let calls = &mut self.lock().calls;
+        if writes {
+            calls.writes += 1;
+        } else {
+            calls.reads += 1;
+        }
+    }
+
+    pub(crate) fn calls(&self) -> CallCounts {
+        self.lock().calls
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StandinInner> {
+        // A handler that panicked leaves whole rows behind, so its lock may be taken over.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
