Succession: switch orders, marks only for taken terms, exact suspicion deadline

Cause: a later change by another keeper would have hidden the mark of a taken term. Change: only take() writes the mark; the tally tells when it turns; a wire type for orders.

--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -30,6 +30,6 @@
 pub use succession::{
     GrantError, GroupCondition, KeeperSeat, ObserverVote, PlanBounds, PlanMember, PlanReply,
     PlanRequest, PlanState, ReservedTerm, StallWatch, SuccessionGrant, SuccessionPlan,
-    SuspicionTally, TermPurse, VoteKind, WriterMark, choose_candidate, judge_group,
+    SuspicionTally, SwitchOrder, TermPurse, VoteKind, WriterMark, choose_candidate, judge_group,
 };
 pub use unit::{ByteSize, ConnectionCount, MemberSpeed, RequestRate, SlotCount};
--- a/crates/rudder-core/src/succession/grant.rs
+++ b/crates/rudder-core/src/succession/grant.rs
@@ -14,6 +14,8 @@
 
 name_type! {
     /// A random mark by which a writer knows its own change again, and a run its reservations.
+    ///
+    /// The holder's name does not do: a restarted instance bears the same name.
     WriterMark
 }
 
@@ -119,7 +121,7 @@
         &self.holder
     }
 
-    /// The mark of the last change.
+    /// The mark that the holder gave the change by which it took that term.
     #[must_use]
     pub const fn mark(&self) -> &WriterMark {
         &self.mark
@@ -194,9 +196,9 @@
     /// let grant = SuccessionGrant::first("inst-1".parse()?, LogTerm(3), WriterMark::random());
     /// let seat = KeeperSeat { instance: "inst-2".parse()?, incarnation: WriterMark::random() };
     /// let keepers = [seat.instance.clone()];
-    /// let grant = grant.enrol(&seat, &keepers, None, WriterMark::random()).unwrap();
+    /// let grant = grant.enrol(&seat, &keepers, None).unwrap();
     /// assert_eq!(grant.reserved()[0].term, LogTerm(4));
-    /// assert!(grant.enrol(&seat, &keepers, None, WriterMark::random()).is_none());
+    /// assert!(grant.enrol(&seat, &keepers, None).is_none());
     /// # Ok::<(), rudder_core::ParseError>(())
     /// ```
     #[must_use]
@@ -205,7 +207,6 @@
         seat: &KeeperSeat,
         keepers: &[InstanceName],
         spent: Option<LogTerm>,
-        mark: WriterMark,
     ) -> Option<Self> {
         let mut next = self.clone();
         next.reserved.retain(|entry| keepers.contains(&entry.seat.instance));
@@ -215,7 +216,7 @@
         if keepers.contains(&seat.instance) && !next.reserved.iter().any(is_valid) {
             next.reserve(seat.clone(), self.highest().max(spent.unwrap_or_default()));
         }
-        (next.reserved != self.reserved).then_some(Self { mark, ..next })
+        (next.reserved != self.reserved).then_some(next)
     }
 
     /// The grant in which `primary` is written down as confirmed at `term`; none if it is known
@@ -224,19 +225,18 @@
     /// ```
     /// use rudder_core::{LogTerm, SuccessionGrant, WriterMark};
     /// let grant = SuccessionGrant::first("inst-1".parse()?, LogTerm(3), WriterMark::random());
-    /// let grant = grant.settle(&"scores-2".parse()?, LogTerm(3), WriterMark::random()).unwrap();
+    /// let grant = grant.settle(&"scores-2".parse()?, LogTerm(3)).unwrap();
     /// assert_eq!(grant.primary().unwrap().1, LogTerm(3));
     /// # Ok::<(), rudder_core::ParseError>(())
     /// ```
     #[must_use]
-    pub fn settle(&self, primary: &MemberName, term: LogTerm, mark: WriterMark) -> Option<Self> {
+    pub fn settle(&self, primary: &MemberName, term: LogTerm) -> Option<Self> {
         if self.primary.is_some() && term <= self.primary_term {
             return None;
         }
         let mut next = self.clone();
         next.primary = Some(primary.clone());
         next.primary_term = term;
-        next.mark = mark;
         next.renumber(term);
         Some(next)
     }
--- a/crates/rudder-core/src/succession/mod.rs
+++ b/crates/rudder-core/src/succession/mod.rs
@@ -6,6 +6,7 @@
 mod candidate;
 mod condition;
 mod grant;
+mod order;
 mod plan;
 mod plan_step;
 mod purse;
@@ -15,6 +16,7 @@
 pub use candidate::choose_candidate;
 pub use condition::{GroupCondition, judge_group};
 pub use grant::{GrantError, KeeperSeat, ReservedTerm, SuccessionGrant, WriterMark};
+pub use order::SwitchOrder;
 pub use plan::SuccessionPlan;
 pub use plan_step::{PlanBounds, PlanMember, PlanReply, PlanRequest, PlanState};
 pub use purse::TermPurse;
--- a/crates/rudder-core/src/succession/purse.rs
+++ b/crates/rudder-core/src/succession/purse.rs
@@ -42,7 +42,7 @@
     ///     instance: "inst-1".parse()?,
     ///     incarnation: purse.incarnation().clone(),
     /// };
-    /// let grant = grant.enrol(&seat, &["inst-1".parse()?], None, WriterMark::random()).unwrap();
+    /// let grant = grant.enrol(&seat, &["inst-1".parse()?], None).unwrap();
     /// purse.refill(&grant);
     /// assert!(purse.spend(LogTerm(1)).is_some());
     /// assert_eq!(purse.spend(LogTerm(1)), None);
--- a/crates/rudder-core/src/succession/tally.rs
+++ b/crates/rudder-core/src/succession/tally.rs
@@ -92,7 +92,7 @@
     /// let bound = Duration::from_millis(800);
     /// let mut tally = SuspicionTally::new(bound, "kigali-a".parse()?, 1, Duration::ZERO);
     /// tally.note_answer(bound);
-    /// assert_eq!(tally.own_vote(), VoteKind::Heard);
+    /// assert_eq!(tally.own_vote(bound), VoteKind::Heard);
     /// # Ok::<(), rudder_core::ParseError>(())
     /// ```
     pub fn note_answer(&mut self, sent_at: Duration) {
@@ -115,17 +115,13 @@
     /// let mut tally = SuspicionTally::new(bound, "kigali-a".parse()?, 1, Duration::ZERO);
     /// tally.note_failure(bound);
     /// tally.note_failure(bound);
-    /// assert_eq!(tally.own_vote(), VoteKind::Unheard);
+    /// assert_eq!(tally.own_vote(bound), VoteKind::Unheard);
     /// # Ok::<(), rudder_core::ParseError>(())
     /// ```
     pub fn note_failure(&mut self, now: Duration) {
         self.failures = self.failures.saturating_add(1);
         self.answers = 0;
-        // Guards against an observer that was frozen: on waking it sees a long silence, but its
-        // first new probe is answered, so it never counts enough failures.
-        if self.failures >= FAILURES_MIN && now >= self.heard_at + self.suspect_after {
-            self.unheard = true;
-        }
+        self.unheard |= self.is_silent(now);
     }
 
     /// Takes in the vote of another observer; it replaces that observer's earlier one.
@@ -159,12 +155,34 @@
     /// use std::time::Duration;
     /// let bound = Duration::from_millis(800);
     /// let tally = SuspicionTally::new(bound, "kigali-a".parse()?, 1, Duration::ZERO);
-    /// assert_eq!(tally.own_vote(), VoteKind::Heard);
+    /// assert_eq!(tally.own_vote(bound), VoteKind::Heard);
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn own_vote(&self, now: Duration) -> VoteKind {
+        let is_unheard = self.unheard || self.is_silent(now);
+        if is_unheard { VoteKind::Unheard } else { VoteKind::Heard }
+    }
+
+    /// When the own vote turns to unheard if nothing is heard before; none while all is well.
+    ///
+    /// ```
+    /// use rudder_core::SuspicionTally;
+    /// use std::time::Duration;
+    /// let bound = Duration::from_millis(800);
+    /// let tally = SuspicionTally::new(bound, "kigali-a".parse()?, 1, Duration::ZERO);
+    /// assert_eq!(tally.deadline(), None);
     /// # Ok::<(), rudder_core::ParseError>(())
     /// ```
     #[must_use]
-    pub fn own_vote(&self) -> VoteKind {
-        if self.unheard { VoteKind::Unheard } else { VoteKind::Heard }
+    pub fn deadline(&self) -> Option<Duration> {
+        (self.failures > 0).then(|| self.heard_at + self.suspect_after)
+    }
+
+    /// Guards against an observer that was frozen: on waking it sees a long silence, but its
+    /// first new probe is answered, so it never counts enough failures.
+    fn is_silent(&self, now: Duration) -> bool {
+        self.failures >= FAILURES_MIN && now >= self.heard_at + self.suspect_after
     }
 
     /// Whether the primary is suspected: the own vote and those of observers in a majority of the
@@ -182,7 +200,7 @@
     /// ```
     #[must_use]
     pub fn is_suspected(&self, now: Duration) -> bool {
-        if !self.unheard {
+        if self.own_vote(now) == VoteKind::Heard {
             return false;
         }
         let domains = self.speaking_domains(now);
@@ -216,7 +234,7 @@
     /// The failure domains with a live vote, each with one voice: unheard only if all its
     /// observers say so.
     fn speaking_domains(&self, now: Duration) -> Vec<(&DomainName, VoteKind)> {
-        let own = (&self.domain, self.own_vote());
+        let own = (&self.domain, self.own_vote(now));
         let live = self.votes.iter().filter(|vote| now < vote.at + self.suspect_after);
         let mut voices: Vec<_> = live.map(|vote| (&vote.domain, vote.kind)).collect();
         voices.push(own);
