Keeper: watches a group and replaces its primary

Cause: nobody orders a promotion when a primary fails. Change: a task per kept service probes members, exchanges votes, takes a term from the platform or its reserve, carries the plan out, repairs followers, and carries out ordered switches.

--- /dev/null
+++ b/crates/arbutusrudder/src/keeper/member_book.rs
@@ -0,0 +1,100 @@
+//! The latest report of each member.
+
+use super::view::{GroupView, MemberReport};
+use rudder_core::{FreshSample, GroupCondition};
+use rudder_core::{
+    LogTerm, MemberName, MemberStatus, ServiceName, TimedReport, confirm_sample, judge_group,
+};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The latest reports of a group's members, sorted by name.
+pub(super) struct MemberBook {
+    reports: Vec<MemberReport>,
+    origin: Instant,
+}
+
+impl MemberBook {
+    pub(super) fn new(mut members: Vec<MemberName>, origin: Instant) -> Self {
+        members.sort_unstable();
+        let blank = |member| MemberReport { member, asked_at: origin, status: None };
+        Self { reports: members.into_iter().map(blank).collect(), origin }
+    }
+
+    /// Takes in an answer, or with no status a failure; an older question changes nothing.
+    pub(super) fn note(
+        &mut self,
+        member: &MemberName,
+        asked_at: Instant,
+        status: Option<MemberStatus>,
+    ) {
+        let order = |report: &MemberReport| report.member.cmp(member);
+        let Ok(index) = self.reports.binary_search_by(order) else { return };
+        let report = &mut self.reports[index];
+        if asked_at >= report.asked_at {
+            report.asked_at = asked_at;
+            report.status = status;
+        }
+    }
+
+    /// The members that nothing was heard of since `since`.
+    pub(super) fn unheard_since(&self, since: Instant) -> Vec<MemberName> {
+        let is_old = |report: &&MemberReport| report.status.is_none() || report.asked_at < since;
+        self.reports.iter().filter(is_old).map(|report| report.member.clone()).collect()
+    }
+
+    /// The answers to questions that were sent at or after `since`.
+    pub(super) fn since(&self, since: Instant) -> Vec<(MemberName, MemberStatus)> {
+        let is_fresh = |report: &&MemberReport| report.asked_at >= since;
+        let fresh = self.reports.iter().filter(is_fresh);
+        fresh.filter_map(|report| Some((report.member.clone(), report.status?))).collect()
+    }
+
+    /// When the latest question to `member` was sent.
+    pub(super) fn asked_at(&self, member: &MemberName) -> Option<Instant> {
+        let index = self.reports.binary_search_by(|report| report.member.cmp(member)).ok()?;
+        Some(self.reports[index].asked_at)
+    }
+
+    /// The greatest term that any member accepted.
+    pub(super) fn accepted(&self) -> LogTerm {
+        let terms = self.reports.iter().filter_map(|report| Some(report.status?.accepted));
+        terms.max().unwrap_or_default()
+    }
+
+    pub(super) fn condition(&self, since: Instant) -> GroupCondition {
+        judge_group(self.reports.len(), &self.since(since))
+    }
+
+    pub(super) fn view(&self, service: &ServiceName, term: LogTerm, since: Instant) -> GroupView {
+        let (term, primary) = match self.condition(since) {
+            GroupCondition::Led { primary, term: led_term, confirmed: true, .. }
+                if led_term >= term =>
+            {
+                (led_term, Some(primary))
+            }
+            _ => (term, None),
+        };
+        let sample = primary.as_ref().and_then(|_| self.sample(since));
+        GroupView {
+            service: service.clone(),
+            term,
+            primary,
+            confirmed_at: sample.map(|sample| self.origin + sample.sent_at),
+            confirmed_stamp: sample.map(|sample| sample.stamp),
+            switching: false,
+            members: self.reports.clone(),
+        }
+    }
+
+    fn sample(&self, since: Instant) -> Option<FreshSample> {
+        let timed = |report: &MemberReport| {
+            let asked_at: Duration = report.asked_at.duration_since(self.origin);
+            let member = report.member.clone();
+            Some(TimedReport { member, asked_at, status: report.status? })
+        };
+        let fresh = self.reports.iter().filter(|report| report.asked_at >= since);
+        let reports: Vec<_> = fresh.filter_map(timed).collect();
+        confirm_sample(self.reports.len(), &reports)
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/keeper/schedule.rs
@@ -0,0 +1,33 @@
+//! When a keeper that suspects the primary acts.
+
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What delays the own succession.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ActSchedule {
+    /// Since when the primary is suspected.
+    pub(super) suspected_since: Option<Instant>,
+    /// When another keeper's step was last seen: a term that this one did not use.
+    pub(super) others_acted_at: Option<Instant>,
+    /// When the last own attempt asks to rest until.
+    pub(super) rest_until: Option<Instant>,
+}
+
+impl ActSchedule {
+    /// When to act; none while nothing is suspected.
+    ///
+    /// Guards against keepers that fence each other's promotions in turn: a lower rank waits
+    /// longer, and whoever sees another one's fence gives it `others_bound` to finish. Acting at
+    /// the same time all the same is safe, since their terms differ.
+    pub(super) fn due_at(
+        &self,
+        rank: u32,
+        rank_delay: Duration,
+        others_bound: Duration,
+    ) -> Option<Instant> {
+        let by_rank = self.suspected_since? + rank_delay * rank;
+        let after_others = self.others_acted_at.map(|at| at + others_bound + rank_delay * rank);
+        [Some(by_rank), after_others, self.rest_until].into_iter().flatten().max()
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/keeper/switch.rs
@@ -0,0 +1,63 @@
+//! Carries out an operator's order to switch the primary.
+
+use super::bounds::SWITCH_WAIT;
+use super::decision::DecisionReason;
+use super::group_keeper::GroupKeeper;
+use super::orders::{PendingOrder, remove_order};
+use rudder_core::{LogStamp, MemberName};
+use tokio::time::Instant;
+
+/// An order that waits for its target to come close.
+pub(super) struct PendingSwitch {
+    order: PendingOrder,
+    deadline: Instant,
+    goal: Option<LogStamp>,
+}
+
+impl PendingSwitch {
+    pub(super) fn new(order: PendingOrder) -> Self {
+        Self { order, deadline: Instant::now() + SWITCH_WAIT, goal: None }
+    }
+}
+
+impl GroupKeeper {
+    /// Carries out an ordered switch once its target is close behind the primary, so that writes
+    /// stop only for the plan itself and the last entries.
+    pub(super) async fn carry_out_switch(&mut self) {
+        let Some(mut switch) = self.switch.take() else { return };
+        let target = switch.order.order.target.clone();
+        if self.view.borrow().primary.as_ref() == Some(&target) {
+            self.decide(DecisionReason::SwitchDone, self.accepted, Some(&target));
+        } else if self.is_ready_for(&target, &mut switch.goal) {
+            self.switch_to(&target).await;
+        } else if Instant::now() < switch.deadline {
+            self.switch = Some(switch);
+            return;
+        } else {
+            self.decide(DecisionReason::SwitchRefused, self.accepted, Some(&target));
+        }
+        remove_order(&self.config.store, &self.config.service, &switch.order.version).await;
+    }
+
+    async fn switch_to(&mut self, target: &MemberName) {
+        self.publish(true);
+        let primary = self.succeed(Some(target)).await;
+        let is_done = primary.as_ref() == Some(target);
+        let reason =
+            if is_done { DecisionReason::SwitchDone } else { DecisionReason::SwitchMissed };
+        self.decide(reason, self.accepted, Some(target));
+        self.publish(false);
+    }
+
+    /// Whether the target has received what the primary had when the order was first looked at.
+    fn is_ready_for(&self, target: &MemberName, goal: &mut Option<LogStamp>) -> bool {
+        let view = self.view.borrow();
+        let report = view.members.iter().find(|report| report.member == *target);
+        let received = report.and_then(|report| report.status).map(|status| status.received);
+        let Some(stamp) = view.confirmed_stamp else {
+            return false;
+        };
+        let goal = *goal.get_or_insert(stamp);
+        received.is_some_and(|received| received >= goal)
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/keeper/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of the keeper against fakes at its borders.
--- a/crates/rudder-core/src/succession/tally.rs
+++ b/crates/rudder-core/src/succession/tally.rs
@@ -45,6 +45,7 @@
         domain: DomainName,
         domains_expected: usize,
         heard_at: Duration,
+        failed_at: Duration,
         failures: u32,
         answers: u32,
         unheard: bool,
@@ -77,6 +78,7 @@
             domain,
             domains_expected,
             heard_at: now,
+            failed_at: now,
             failures: 0,
             answers: ANSWERS_TO_CLEAR,
             unheard: false,
@@ -120,10 +122,32 @@
     /// ```
     pub fn note_failure(&mut self, now: Duration) {
         self.failures = self.failures.saturating_add(1);
+        self.failed_at = now;
         self.answers = 0;
         self.unheard |= self.is_silent(now);
     }
 
+    /// Starts anew over a primary that was just confirmed; votes over the lost one do not count.
+    ///
+    /// ```
+    /// use rudder_core::SuspicionTally;
+    /// use std::time::Duration;
+    /// let bound = Duration::from_millis(800);
+    /// let mut tally = SuspicionTally::new(bound, "kigali-a".parse()?, 1, Duration::ZERO);
+    /// tally.note_failure(bound);
+    /// tally.note_failure(bound);
+    /// tally.note_promotion(bound);
+    /// assert!(!tally.is_suspected(bound));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn note_promotion(&mut self, now: Duration) {
+        self.heard_at = now;
+        self.failures = 0;
+        self.answers = ANSWERS_TO_CLEAR;
+        self.unheard = false;
+        self.votes.clear();
+    }
+
     /// Takes in the vote of another observer; it replaces that observer's earlier one.
     ///
     /// ```
@@ -203,6 +227,11 @@
         if self.own_vote(now) == VoteKind::Heard {
             return false;
         }
+        // Guards against a keeper that was frozen while it suspected: the group may have its new
+        // primary by the time it wakes, so only a recent failure counts.
+        if now >= self.failed_at + self.suspect_after {
+            return false;
+        }
         let domains = self.speaking_domains(now);
         let unheard = domains.iter().filter(|(_, kind)| *kind == VoteKind::Unheard).count();
         // Guards against one cut link: the observer behind it is alone in its vote, and the
