Succession, freshness and history: tests, and the history checker

Cause: each guard needs a test that goes red without it. Change: a group in memory with the exact meaning of the control statements; generated schedules of faults over it; single-step tests; a history checker that must reject one wrong run per rule.

--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -8,6 +8,7 @@
 mod derive;
 mod error;
 mod freshness;
+mod history;
 mod ident;
 mod outcome;
 mod session;
@@ -22,6 +23,9 @@
 pub use freshness::{
     AgeLedger, FreshSample, ReadNeed, ReadVerdict, TimedReport, confirm_sample, judge_read,
 };
+pub use history::{
+    HistoryFault, HistoryLog, ReadRecord, StoredValue, WriteOutcome, WriteRecord, check_history,
+};
 pub use ident::{CallerKind, DomainName, InstanceName, MemberName, RequestKey, ServiceName};
 pub use outcome::{OutcomeClass, RefusalNotice};
 pub use session::{SessionFloor, SessionId, SessionToken};
--- /dev/null
+++ b/crates/rudder-core/tests/freshness.rs
@@ -0,0 +1,134 @@
+//! Ages never come out too small, and reads are refused rather than answered with old data.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rudder_core::{
+    AgeLedger, FreshSample, LogStamp, LogTerm, MemberRole, MemberStatus, ReadNeed, ReadVerdict,
+    TimedReport, confirm_sample, judge_read,
+};
+use std::time::Duration;
+
+fn secs(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn status(role: MemberRole, accepted: u64, received: LogStamp) -> MemberStatus {
+    MemberStatus { role, accepted: LogTerm(accepted), received, applied: received }
+}
+
+fn report(name: &str, asked_at: u64, status: MemberStatus) -> TimedReport {
+    let member = name.parse().expect("a valid name");
+    TimedReport { member, asked_at: secs(asked_at), status }
+}
+
+fn replica(applied: LogStamp) -> MemberStatus {
+    status(MemberRole::Replica, 2, applied)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // A reader is shown data older than its bound because old samples were thinned out wrongly.
+    // The ledger's age must never be below that of all samples, and never be unbounded more.
+    #[test]
+    fn age_is_never_too_small(
+        mut samples in proptest::collection::vec((0..5000_u64, 0..5000_u64), 1..400),
+        applied in 0..5000_u64,
+    ) {
+        let mut stamps: Vec<_> = samples.iter().map(|sample| sample.1).collect();
+        stamps.sort_unstable();
+        samples.iter_mut().zip(stamps).for_each(|(sample, stamp)| sample.1 = stamp);
+        let sample = |(at, position): (u64, u64)| {
+            FreshSample { sent_at: secs(at), stamp: LogStamp::new(1, position) }
+        };
+        let mut ledger = AgeLedger::default();
+
+        samples.iter().for_each(|entry| ledger.note(sample(*entry)));
+        let age = ledger.age_of(LogStamp::new(1, applied), secs(5000));
+
+        let covered = samples.iter().filter(|(_, position)| *position <= applied);
+        let exact = covered.map(|(at, _)| secs(5000 - at)).min();
+        prop_assert!(age.is_none() || age >= exact);
+        prop_assert!(samples.len() > 64 || age == exact);
+    }
+}
+
+#[test]
+fn recent_ages_stay_exact_when_many_samples_flow() {
+    let mut ledger = AgeLedger::default();
+    for at in 0..10_000 {
+        ledger.note(FreshSample { sent_at: secs(at), stamp: LogStamp::new(1, at) });
+    }
+
+    let ages = [9_999, 9_990, 9_000].map(|at| ledger.age_of(LogStamp::new(1, at), secs(10_000)));
+
+    assert_eq!(ages[0], Some(secs(1)));
+    assert!(ages[1].is_some_and(|age| age <= secs(15)), "{ages:?}");
+    assert!(ages[2].is_some_and(|age| age <= secs(1500)), "{ages:?}");
+}
+
+// A replica has stopped applying; the last sample that it covers lies far back. A reader with a
+// bound of five seconds must not be shown its data.
+#[test]
+fn lagging_replica_is_too_old_for_the_bound() {
+    let mut ledger = AgeLedger::default();
+    ledger.note(FreshSample { sent_at: secs(10), stamp: LogStamp::new(2, 5) });
+    ledger.note(FreshSample { sent_at: secs(20), stamp: LogStamp::new(2, 9) });
+    let need = |bound| ReadNeed { floor: None, bound: secs(bound), as_of: secs(22) };
+    let judge =
+        |position, bound| judge_read(&replica(LogStamp::new(2, position)), &need(bound), &ledger);
+
+    let verdicts = [judge(9, 2), judge(9, 1), judge(8, 5), judge(8, 12), judge(4, 9_999)];
+
+    let (serve, too_old) = (ReadVerdict::Serve, ReadVerdict::TooOldForBound);
+    assert_eq!(verdicts, [serve, too_old, too_old, serve, too_old]);
+}
+
+// A session wrote at term 2 and reads from a member that was left behind at term 1 with a longer
+// log; by position alone it would seem to hold the write.
+#[test]
+fn session_floor_compares_terms_first() {
+    let mut ledger = AgeLedger::default();
+    ledger.note(FreshSample { sent_at: secs(10), stamp: LogStamp::new(1, 1) });
+    let need = ReadNeed { floor: Some(LogStamp::new(2, 5)), bound: secs(60), as_of: secs(11) };
+    let judge =
+        |term, position| judge_read(&replica(LogStamp::new(term, position)), &need, &ledger);
+
+    let verdicts = [judge(1, 90), judge(2, 4), judge(2, 5)];
+
+    let too_old = ReadVerdict::TooOldForSession;
+    assert_eq!(verdicts, [too_old, too_old, ReadVerdict::Serve]);
+}
+
+// A primary is cut off from its group but still answers this proxy. Its log is not the newest any
+// more; only a majority at its own term confirms it.
+#[test]
+fn isolated_primary_gives_no_sample() {
+    let primary = status(MemberRole::Primary, 1, LogStamp::new(1, 9));
+    let behind = status(MemberRole::Replica, 1, LogStamp::new(1, 7));
+    let fenced = status(MemberRole::Replica, 2, LogStamp::new(1, 7));
+
+    let alone = confirm_sample(3, &[report("m0", 5, primary)]);
+    let superseded = [report("m0", 5, primary), report("m1", 5, behind), report("m2", 5, fenced)];
+    let superseded = confirm_sample(3, &superseded);
+    let confirmed = confirm_sample(3, &[report("m0", 5, primary), report("m1", 4, behind)]);
+
+    let sample = FreshSample { sent_at: secs(4), stamp: LogStamp::new(1, 9) };
+    assert_eq!((alone, superseded, confirmed), (None, None, Some(sample)));
+}
+
+// A peer's sample was a second old when the peer answered, and the answer took its time. Counted
+// from the arrival, data would seem fresher than it is.
+#[test]
+fn round_trip_is_added_to_a_peers_age() {
+    let mut ledger = AgeLedger::default();
+    ledger.note_peer(secs(10), secs(1), LogStamp::new(1, 3));
+
+    let age = ledger.age_of(LogStamp::new(1, 3), secs(14));
+
+    assert_eq!(age, Some(secs(5)));
+}
--- /dev/null
+++ b/crates/rudder-core/tests/succession/faults.rs
@@ -0,0 +1,355 @@
+//! Generated schedules of faults over a group in memory, one or two promoters and writers.
+
+use super::model::{ModelGroup, ModelMember, member_name};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rudder_core::{
+    AckVerdict, ControlStatement, GroupCondition, LogStamp, LogTerm, MemberName, MemberRole,
+    MemberStatus, PlanBounds, PlanMember, PlanReply, PlanState, SuccessionPlan, judge_commit,
+    judge_group,
+};
+use std::time::Duration;
+
+const SEED: u64 = 20_261_202;
+const CASES_DEFAULT: u32 = 3000;
+const PROMOTERS: usize = 2;
+const HEALING_ROUNDS: usize = 400;
+
+const BOUNDS: PlanBounds = PlanBounds {
+    retry: Duration::from_millis(50),
+    grace: Duration::from_millis(60),
+    patience: Duration::from_millis(400),
+};
+
+#[derive(Clone, Debug)]
+enum FaultStep {
+    Write(usize),
+    Report {
+        write: usize,
+        member: usize,
+    },
+    Replicate {
+        member: usize,
+        count: usize,
+    },
+    Begin {
+        promoter: usize,
+        target: Option<usize>,
+    },
+    Poll(usize),
+    Deliver(usize),
+    DeliverAll,
+    /// The promoter gives up waiting; the statement stays under way and may run late.
+    TimeOut(usize),
+    Drop(usize),
+    Answer {
+        index: usize,
+        repeat: bool,
+    },
+    AnswerAll,
+    Advance(u64),
+    Kill(usize),
+    Restart(usize),
+    Repair {
+        seen: usize,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Message {
+    promoter: Option<usize>,
+    term: LogTerm,
+    member: MemberName,
+    statement: ControlStatement,
+}
+
+struct PendingWrite {
+    value: u64,
+    commit: LogStamp,
+    reports: Vec<(MemberName, MemberStatus)>,
+    acknowledged: bool,
+}
+
+struct World {
+    group: ModelGroup,
+    now: Duration,
+    next_term: LogTerm,
+    plans: Vec<Option<SuccessionPlan>>,
+    messages: Vec<Message>,
+    answers: Vec<(Message, PlanReply)>,
+    writes: Vec<PendingWrite>,
+    leaders: Vec<(LogTerm, MemberName)>,
+}
+
+impl World {
+    fn new(members: usize) -> Self {
+        Self {
+            group: ModelGroup::new(members),
+            now: Duration::ZERO,
+            next_term: LogTerm(2),
+            plans: vec![None; PROMOTERS],
+            messages: Vec::new(),
+            answers: Vec::new(),
+            writes: Vec::new(),
+            leaders: Vec::new(),
+        }
+    }
+
+    fn size(&self) -> usize {
+        self.group.members.len()
+    }
+
+    fn step(&mut self, step: &FaultStep) {
+        let size = self.size();
+        match *step {
+            FaultStep::Write(member) => self.write(member % size),
+            FaultStep::Report { write, member } => self.report(write, member % size),
+            FaultStep::Replicate { member, count } => self.group.replicate(member % size, count),
+            FaultStep::Begin { promoter, target } => {
+                self.begin(promoter, target.map(|target| member_name(target % size)));
+            }
+            FaultStep::Poll(promoter) => self.poll(promoter),
+            FaultStep::Deliver(index) => self.deliver(index),
+            FaultStep::DeliverAll => (0..self.messages.len()).for_each(|_| self.deliver(0)),
+            FaultStep::TimeOut(index) => self.time_out(index),
+            FaultStep::Drop(index) => {
+                self.time_out(index);
+                self.take_message(index);
+            }
+            FaultStep::Answer { index, repeat } => self.answer(index, repeat),
+            FaultStep::AnswerAll => (0..self.answers.len()).for_each(|_| self.answer(0, false)),
+            FaultStep::Advance(millis) => self.now += Duration::from_millis(millis),
+            FaultStep::Kill(member) => self.group.kill(member % size),
+            FaultStep::Restart(member) => self.group.restart(member % size),
+            FaultStep::Repair { seen } => self.repair(seen),
+        }
+    }
+
+    fn write(&mut self, member: usize) {
+        let value = self.writes.len() as u64;
+        if let Some(commit) = self.group.write(member, value) {
+            let write = PendingWrite { value, commit, reports: Vec::new(), acknowledged: false };
+            self.writes.push(write);
+        }
+    }
+
+    fn report(&mut self, write: usize, member: usize) {
+        let size = self.size();
+        if self.writes.is_empty() || !self.group.members[member].up {
+            return;
+        }
+        // The newest writes are the ones worth asking about.
+        let index = self.writes.len() - 1 - write % self.writes.len();
+        let (name, status) = (member_name(member), self.group.members[member].status());
+        let write = &mut self.writes[index];
+        write.reports.retain(|(known, _)| *known != name);
+        write.reports.push((name, status));
+        let verdict = judge_commit(write.commit, size, &write.reports);
+        write.acknowledged |= verdict == AckVerdict::Acknowledged;
+    }
+
+    fn begin(&mut self, promoter: usize, target: Option<MemberName>) {
+        if self.plans[promoter].as_ref().is_some_and(|plan| plan.state() == PlanState::Running) {
+            return;
+        }
+        let members = (0..self.size())
+            .map(|index| PlanMember { name: member_name(index), preference: index as u32 });
+        let plan = SuccessionPlan::new(self.next_term, members.collect(), BOUNDS);
+        self.next_term = LogTerm(self.next_term.0 + 1);
+        self.plans[promoter] = Some(match target {
+            Some(target) => plan.switch_to(target),
+            None => plan,
+        });
+    }
+
+    fn poll(&mut self, promoter: usize) {
+        let Some(plan) = &mut self.plans[promoter] else { return };
+        for request in plan.poll(self.now) {
+            self.messages.push(Message {
+                promoter: Some(promoter),
+                term: plan.term(),
+                member: request.member,
+                statement: request.statement,
+            });
+        }
+    }
+
+    fn take_message(&mut self, index: usize) -> Option<Message> {
+        (!self.messages.is_empty()).then(|| self.messages.remove(index % self.messages.len()))
+    }
+
+    fn deliver(&mut self, index: usize) {
+        let Some(message) = self.take_message(index) else { return };
+        let member = self.group.index_of(&message.member);
+        let reply = self.group.run(member, &message.statement);
+        self.note_leaders();
+        self.answers.push((message, reply));
+    }
+
+    fn time_out(&mut self, index: usize) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let index = index % self.messages.len();
+        let message = self.messages[index].clone();
+        self.tell(&message, PlanReply::Lost);
+    }
+
+    fn answer(&mut self, index: usize, repeat: bool) {
+        if self.answers.is_empty() {
+            return;
+        }
+        let index = index % self.answers.len();
+        let (message, reply) = self.answers[index].clone();
+        if !repeat {
+            self.answers.remove(index);
+        }
+        self.tell(&message, reply);
+    }
+
+    fn tell(&mut self, message: &Message, reply: PlanReply) {
+        let Some(plan) = message.promoter.and_then(|index| self.plans[index].as_mut()) else {
+            return;
+        };
+        if plan.term() == message.term {
+            plan.observe(self.now, &message.member, &message.statement, reply);
+        }
+    }
+
+    /// Points every member to the primary, as a keeper does that sees only some of them.
+    fn repair(&mut self, seen: usize) {
+        let members = self.group.members.iter().enumerate();
+        let answering = members.filter(|(index, member)| member.up && seen >> index & 1 == 1);
+        let reports: Vec<_> =
+            answering.map(|(_, member)| (member.name.clone(), member.status())).collect();
+        let condition = judge_group(self.size(), &reports);
+        let GroupCondition::Led { primary, term, .. } = condition else { return };
+        for (member, _) in reports.into_iter().filter(|(member, _)| *member != primary) {
+            let statement = ControlStatement::Follow(term, primary.clone());
+            self.messages.push(Message { promoter: None, term, member, statement });
+        }
+    }
+
+    fn note_leaders(&mut self) {
+        for member in &self.group.members {
+            let leader = (member.accepted, member.name.clone());
+            if member.role == MemberRole::Primary && !self.leaders.contains(&leader) {
+                self.leaders.push(leader);
+            }
+        }
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        for (index, (term, name)) in self.leaders.iter().enumerate() {
+            let rival = self.leaders[..index].iter().find(|(known, _)| known == term);
+            prop_assert!(rival.is_none(), "two primaries of term {}: {:?}, {}", term, rival, name);
+        }
+        let is_primary = |member: &&ModelMember| member.role == MemberRole::Primary;
+        for member in self.group.members.iter().filter(is_primary) {
+            for write in self.writes.iter().filter(|write| write.acknowledged) {
+                let count = member.log.iter().filter(|entry| entry.value == write.value).count();
+                let must_hold = write.commit.term <= member.accepted;
+                prop_assert!(
+                    !must_hold || count == 1,
+                    "acknowledged write {} at {} stands {} times in the log of {}, primary of {}",
+                    write.value,
+                    write.commit,
+                    count,
+                    member.name,
+                    member.accepted
+                );
+            }
+        }
+        Ok(())
+    }
+
+    /// Brings every member back, then lets one promoter work until it is done.
+    fn heal(&mut self) -> Result<(), TestCaseError> {
+        let size = self.size();
+        (0..size).for_each(|index| self.group.restart(index));
+        let mut primary = None;
+        for _ in 0..HEALING_ROUNDS {
+            match self.plans[0].as_ref().map(SuccessionPlan::state) {
+                Some(PlanState::Running) => {}
+                Some(PlanState::Done(name)) if self.leads(&name) => {
+                    primary = Some(name);
+                    break;
+                }
+                _ => self.begin(0, None),
+            }
+            self.poll(0);
+            self.step(&FaultStep::DeliverAll);
+            self.step(&FaultStep::AnswerAll);
+            self.now += BOUNDS.retry;
+            (0..size).for_each(|index| self.group.replicate(index, 8));
+            self.check()?;
+        }
+        prop_assert!(primary.is_some(), "no primary although all members answer");
+        self.check()
+    }
+
+    fn leads(&self, name: &MemberName) -> bool {
+        let member = &self.group.members[self.group.index_of(name)];
+        let greatest = self.group.members.iter().map(|member| member.accepted).max();
+        member.role == MemberRole::Primary && Some(member.accepted) == greatest
+    }
+}
+
+fn fault_step() -> impl Strategy<Value = FaultStep> {
+    let member = || 0..5_usize;
+    let promoter = || 0..PROMOTERS;
+    prop_oneof![
+        8 => member().prop_map(FaultStep::Write),
+        10 => (0..3_usize, member())
+            .prop_map(|(write, member)| FaultStep::Report { write, member }),
+        8 => (member(), 1..4_usize)
+            .prop_map(|(member, count)| FaultStep::Replicate { member, count }),
+        3 => (promoter(), proptest::option::weighted(0.3, member()))
+            .prop_map(|(promoter, target)| FaultStep::Begin { promoter, target }),
+        12 => promoter().prop_map(FaultStep::Poll),
+        10 => (0..8_usize).prop_map(FaultStep::Deliver),
+        3 => Just(FaultStep::DeliverAll),
+        3 => (0..8_usize).prop_map(FaultStep::TimeOut),
+        1 => (0..8_usize).prop_map(FaultStep::Drop),
+        8 => (0..8_usize, proptest::bool::weighted(0.1))
+            .prop_map(|(index, repeat)| FaultStep::Answer { index, repeat }),
+        4 => Just(FaultStep::AnswerAll),
+        6 => prop_oneof![Just(1), Just(60), Just(100), Just(450)].prop_map(FaultStep::Advance),
+        1 => member().prop_map(FaultStep::Kill),
+        2 => member().prop_map(FaultStep::Restart),
+        2 => (1..32_usize).prop_map(|seen| FaultStep::Repair { seen }),
+    ]
+}
+
+/// A fixed seed unless `PROPTEST_RNG_SEED` gives another; more cases by `PROPTEST_CASES`.
+fn config() -> ProptestConfig {
+    let config = ProptestConfig { failure_persistence: None, ..ProptestConfig::default() };
+    let is_set = |name| std::env::var_os(name).is_some();
+    ProptestConfig {
+        rng_seed: if is_set("PROPTEST_RNG_SEED") { config.rng_seed } else { RngSeed::Fixed(SEED) },
+        cases: if is_set("PROPTEST_CASES") { config.cases } else { CASES_DEFAULT },
+        ..config
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    // Callers lose a change that was acknowledged, or two primaries both take changes. Members are
+    // killed and return, statements run late or their answers are lost, and two promoters work at
+    // the same time. Cause to be excluded: a promotion that misses what an acknowledgement rests on.
+    #[test]
+    fn no_acknowledged_write_is_lost(
+        size in prop_oneof![4 => Just(3_usize), 1 => Just(5_usize)],
+        steps in proptest::collection::vec(fault_step(), 10..160),
+    ) {
+        let mut world = World::new(size);
+
+        for step in &steps {
+            world.step(step);
+            world.check()?;
+        }
+
+        world.heal()?;
+    }
+}
--- /dev/null
+++ b/crates/rudder-core/tests/succession/grant.rs
@@ -0,0 +1,150 @@
+//! Terms of different runs never meet.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rudder_core::{InstanceName, KeeperSeat, LogTerm, SuccessionGrant, TermPurse, WriterMark};
+
+const KEEPERS: usize = 3;
+
+#[derive(Clone, Debug)]
+enum GrantStep {
+    /// Reads the object; its changes are based on this version until the next read.
+    Read(usize),
+    Take(usize),
+    Enrol(usize),
+    Settle(usize),
+    Spend(usize),
+    Restart(usize),
+}
+
+struct Keeper {
+    seat: KeeperSeat,
+    purse: TermPurse,
+    seen: usize,
+}
+
+struct World {
+    versions: Vec<SuccessionGrant>,
+    keepers: Vec<Keeper>,
+    accepted: LogTerm,
+    used: Vec<LogTerm>,
+}
+
+fn instance(index: usize) -> InstanceName {
+    format!("inst-{index}").parse().expect("a valid name")
+}
+
+fn keeper(index: usize) -> Keeper {
+    let incarnation = WriterMark::random();
+    let seat = KeeperSeat { instance: instance(index), incarnation: incarnation.clone() };
+    Keeper { seat, purse: TermPurse::new(incarnation), seen: 0 }
+}
+
+impl World {
+    fn new() -> Self {
+        let first = SuccessionGrant::first(instance(0), LogTerm(1), WriterMark::random());
+        let keepers = (0..KEEPERS).map(keeper).collect();
+        Self { versions: vec![first], keepers, accepted: LogTerm(1), used: Vec::new() }
+    }
+
+    /// A conditional update: it takes effect only on the latest version.
+    fn put(&mut self, index: usize, grant: Option<SuccessionGrant>) -> bool {
+        let is_latest = self.keepers[index].seen + 1 == self.versions.len();
+        if is_latest {
+            self.versions.extend(grant);
+        }
+        is_latest
+    }
+
+    fn step(&mut self, step: &GrantStep) {
+        let names: Vec<_> = (0..KEEPERS).map(instance).collect();
+        let seen = |world: &Self, index: usize| world.versions[world.keepers[index].seen].clone();
+        match *step {
+            GrantStep::Read(index) => {
+                let keeper = &mut self.keepers[index];
+                keeper.seen = self.versions.len() - 1;
+                keeper.purse.refill(&self.versions[keeper.seen]);
+            }
+            GrantStep::Take(index) => {
+                let grant = seen(self, index);
+                let taken = grant.take(instance(index), self.accepted, WriterMark::random());
+                let term = taken.term();
+                if self.put(index, Some(taken)) {
+                    self.used.push(term);
+                }
+            }
+            GrantStep::Enrol(index) => {
+                let keeper = &self.keepers[index];
+                let spent = Some(keeper.purse.spent());
+                let grant = seen(self, index).enrol(&keeper.seat, &names, spent);
+                self.put(index, grant);
+            }
+            GrantStep::Settle(index) => {
+                let Some(term) = self.used.iter().copied().max() else { return };
+                let primary = "m1".parse().expect("a valid name");
+                let grant = seen(self, index).settle(&primary, term);
+                self.accepted = self.accepted.max(term);
+                self.put(index, grant);
+            }
+            GrantStep::Spend(index) => {
+                let term = self.keepers[index].purse.spend(self.accepted);
+                self.used.extend(term);
+            }
+            GrantStep::Restart(index) => self.keepers[index] = keeper(index),
+        }
+    }
+}
+
+fn grant_step() -> impl Strategy<Value = GrantStep> {
+    let keeper = || 0..KEEPERS;
+    prop_oneof![
+        6 => keeper().prop_map(GrantStep::Read),
+        2 => keeper().prop_map(GrantStep::Take),
+        4 => keeper().prop_map(GrantStep::Enrol),
+        2 => keeper().prop_map(GrantStep::Settle),
+        3 => keeper().prop_map(GrantStep::Spend),
+        1 => keeper().prop_map(GrantStep::Restart),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        cases: 3000,
+        ..ProptestConfig::default()
+    })]
+
+    // Two members become primary of the same term, and each counts the other's reports. Keepers
+    // read at different times, update by condition, spend reserved terms during an outage on old
+    // copies, and restart under the same name.
+    #[test]
+    fn no_term_is_used_twice(steps in proptest::collection::vec(grant_step(), 5..80)) {
+        let mut world = World::new();
+
+        steps.iter().for_each(|step| world.step(step));
+
+        let mut used = world.used.clone();
+        used.sort_unstable();
+        used.dedup();
+        prop_assert_eq!(used.len(), world.used.len());
+    }
+}
+
+#[test]
+fn stored_grant_with_a_term_twice_is_refused() {
+    let seat = |index| KeeperSeat { instance: instance(index), incarnation: WriterMark::random() };
+    let names = [instance(0), instance(1)];
+    let grant = SuccessionGrant::first(instance(0), LogTerm(1), WriterMark::random());
+    let grant = grant.enrol(&seat(0), &names, None).expect("a change");
+    let grant = grant.enrol(&seat(1), &names, None).expect("a change");
+    let mut bytes = postcard::to_stdvec(&grant).expect("encodes");
+    let twice = bytes.iter().rposition(|byte| *byte == 3).expect("the second reserved term");
+
+    let before = postcard::from_bytes::<SuccessionGrant>(&bytes);
+    bytes[twice] = 2;
+    let after = postcard::from_bytes::<SuccessionGrant>(&bytes);
+
+    assert_eq!(before, Ok(grant));
+    assert!(after.is_err());
+}
--- /dev/null
+++ b/crates/rudder-core/tests/succession/plan.rs
@@ -0,0 +1,232 @@
+//! Single steps of a succession plan that generated schedules reach too seldom.
+
+use super::model::{ModelGroup, member_name};
+use rudder_core::{
+    ControlStatement, LogStamp, LogTerm, MemberRole, MemberStatus, PlanBounds, PlanMember,
+    PlanReply, PlanRequest, PlanState, SuccessionPlan,
+};
+use std::time::Duration;
+
+const BOUNDS: PlanBounds = PlanBounds {
+    retry: Duration::from_millis(50),
+    grace: Duration::from_millis(60),
+    patience: Duration::from_millis(400),
+};
+const TERM: LogTerm = LogTerm(2);
+
+fn plan() -> SuccessionPlan {
+    let member = |index| PlanMember { name: member_name(index), preference: index as u32 };
+    SuccessionPlan::new(TERM, (0..3).map(member).collect(), BOUNDS)
+}
+
+fn status(role: MemberRole, accepted: LogTerm, position: u64) -> PlanReply {
+    let received = LogStamp::new(1, position);
+    PlanReply::Status(MemberStatus { role, accepted, received, applied: received })
+}
+
+fn fenced(position: u64) -> PlanReply {
+    status(MemberRole::Replica, TERM, position)
+}
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn fence_all(plan: &mut SuccessionPlan, replies: [PlanReply; 3]) {
+    plan.poll(Duration::ZERO);
+    for (index, reply) in replies.into_iter().enumerate() {
+        let statement = ControlStatement::Fence(TERM);
+        plan.observe(Duration::ZERO, &member_name(index), &statement, reply);
+    }
+}
+
+fn request(member: usize, statement: ControlStatement) -> PlanRequest {
+    PlanRequest { member: member_name(member), statement }
+}
+
+fn drive(plan: &mut SuccessionPlan, group: &mut ModelGroup, rounds: u64) {
+    for round in 0..rounds {
+        let now = round * BOUNDS.retry.as_millis() as u64;
+        for request in plan.poll(millis(now)) {
+            let index = group.index_of(&request.member);
+            let reply = group.run(index, &request.statement);
+            plan.observe(millis(now), &request.member, &request.statement, reply);
+        }
+        (0..group.members.len()).for_each(|index| group.replicate(index, 1));
+    }
+}
+
+#[test]
+fn dead_primary_is_replaced_by_most_advanced_member() {
+    let mut group = ModelGroup::new(3);
+    for value in 0..4 {
+        group.write(0, value);
+    }
+    group.replicate(1, 2);
+    group.replicate(2, 3);
+    group.kill(0);
+    let mut plan = plan();
+
+    drive(&mut plan, &mut group, 4);
+
+    assert_eq!(plan.state(), PlanState::Done(member_name(2)));
+    assert_eq!(group.members[1].leader, Some(member_name(2)));
+}
+
+// A write is acknowledged by the old primary and the one member that the promoter cannot reach.
+// The promoter has fenced a single member. Promoting on its word alone would lose the write.
+#[test]
+fn bare_minority_is_never_enough() {
+    let mut plan = plan();
+
+    fence_all(&mut plan, [PlanReply::Lost, fenced(3), PlanReply::Lost]);
+
+    let requests = plan.poll(millis(10_000));
+    let fence = || ControlStatement::Fence(TERM);
+    assert_eq!(requests, vec![request(0, fence()), request(2, fence())]);
+}
+
+// A member answers the fence while it still stands at the old term and goes on taking the old
+// primary's writes; were it counted as fenced, its log could grow after it was compared.
+#[test]
+fn member_at_lower_term_is_not_fenced() {
+    let mut plan = plan();
+    let unfenced = status(MemberRole::Replica, LogTerm(1), 9);
+
+    fence_all(&mut plan, [unfenced, fenced(3), PlanReply::Lost]);
+
+    let requests = plan.poll(millis(10_000));
+    assert!(requests.contains(&request(0, ControlStatement::Fence(TERM))));
+}
+
+// A write that the slowest member alone received besides the primary would be cut although it
+// could be kept: the plan waits a short while for more answers than the bare majority.
+#[test]
+fn plan_waits_for_answers_beyond_the_majority() {
+    let mut plan = plan();
+    plan.poll(Duration::ZERO);
+    let fence = ControlStatement::Fence(TERM);
+    plan.observe(Duration::ZERO, &member_name(0), &fence, fenced(3));
+    plan.observe(Duration::ZERO, &member_name(1), &fence, fenced(3));
+
+    let early = plan.poll(millis(59));
+    plan.observe(millis(59), &member_name(2), &fence, fenced(4));
+    let late = plan.poll(millis(59));
+
+    assert_eq!(early, vec![]);
+    assert_eq!(late, vec![request(2, ControlStatement::Promote(TERM))]);
+}
+
+// The answer to the promotion is lost: the member may be primary of this term. Promoting another
+// one under the same term would make two primaries whose commits pass for each other's.
+#[test]
+fn lost_promotion_ends_the_term() {
+    let mut plan = plan();
+    fence_all(&mut plan, [PlanReply::Lost, fenced(4), fenced(3)]);
+    let sent = plan.poll(millis(1));
+
+    plan.observe(millis(2), &member_name(1), &sent[0].statement, PlanReply::Lost);
+    let retried = plan.poll(millis(60));
+    let after = plan.poll(millis(401));
+
+    assert_eq!(retried, vec![request(1, ControlStatement::Promote(TERM))]);
+    assert_eq!(after, vec![]);
+    assert_eq!(plan.state(), PlanState::CandidateLost(member_name(1)));
+}
+
+#[test]
+fn refused_promotion_ends_the_term() {
+    let mut plan = plan();
+    fence_all(&mut plan, [PlanReply::Lost, fenced(4), fenced(3)]);
+    let sent = plan.poll(millis(1));
+
+    plan.observe(millis(2), &member_name(1), &sent[0].statement, PlanReply::Refused);
+
+    assert_eq!(plan.state(), PlanState::CandidateLost(member_name(1)));
+}
+
+// The new primary dies after it answered the promotion. A status that was asked for before the
+// others followed must not open the group for writes.
+#[test]
+fn confirmation_must_be_asked_for_after_the_others_follow() {
+    let mut plan = plan();
+    fence_all(&mut plan, [PlanReply::Lost, fenced(4), fenced(3)]);
+    let leads = status(MemberRole::Primary, TERM, 4);
+    let promote = ControlStatement::Promote(TERM);
+    plan.poll(millis(1));
+    plan.observe(millis(2), &member_name(1), &promote, leads);
+    plan.poll(millis(3));
+    let follow = ControlStatement::Follow(TERM, member_name(1));
+    plan.observe(millis(4), &member_name(2), &follow, fenced(3));
+
+    plan.observe(millis(5), &member_name(1), &ControlStatement::Status, leads);
+    let early = plan.state();
+    plan.poll(millis(6));
+    plan.observe(millis(7), &member_name(1), &ControlStatement::Status, leads);
+
+    assert_eq!(early, PlanState::Running);
+    assert_eq!(plan.state(), PlanState::Done(member_name(1)));
+}
+
+#[test]
+fn candidate_that_dies_after_promotion_is_given_up() {
+    let mut plan = plan();
+    fence_all(&mut plan, [PlanReply::Lost, fenced(4), fenced(3)]);
+    plan.poll(millis(1));
+    let promote = ControlStatement::Promote(TERM);
+    plan.observe(millis(2), &member_name(1), &promote, status(MemberRole::Primary, TERM, 4));
+    plan.poll(millis(3));
+
+    plan.observe(millis(4), &member_name(1), &ControlStatement::Status, PlanReply::Lost);
+    plan.poll(millis(402));
+
+    assert_eq!(plan.state(), PlanState::CandidateLost(member_name(1)));
+}
+
+// The promoter is frozen after it fenced. Another one goes on at a greater term. The first wakes
+// and sends its promotion; the refusal ends its plan, so it cuts nobody's log.
+#[test]
+fn woken_promoter_gives_way() {
+    let mut group = ModelGroup::new(3);
+    group.kill(0);
+    let mut frozen = plan();
+    fence_all(&mut frozen, [PlanReply::Lost, fenced(0), fenced(0)]);
+    group.run(1, &ControlStatement::Fence(LogTerm(3)));
+    group.run(2, &ControlStatement::Fence(LogTerm(3)));
+
+    drive(&mut frozen, &mut group, 2);
+
+    assert_eq!(frozen.state(), PlanState::Superseded(LogTerm(3)));
+    assert!(group.members[1..].iter().all(|member| member.role == MemberRole::Replica));
+}
+
+#[test]
+fn planned_switch_waits_until_target_has_caught_up() {
+    let mut group = ModelGroup::new(3);
+    for value in 0..3 {
+        group.write(0, value);
+    }
+    let mut plan = plan().switch_to(member_name(1));
+
+    drive(&mut plan, &mut group, 12);
+
+    assert_eq!(plan.state(), PlanState::Done(member_name(1)));
+    assert_eq!(group.members[1].log.len(), 3);
+    assert_eq!(group.members[0].leader, Some(member_name(1)));
+}
+
+// The target of a switch freezes with the catch-up statement unanswered. If it were promoted and
+// ran that statement on waking, it would give up its role and cut acknowledged writes.
+#[test]
+fn target_with_unanswered_follow_is_not_promoted() {
+    let mut plan = plan().switch_to(member_name(1));
+    fence_all(&mut plan, [fenced(4), fenced(3), fenced(3)]);
+    let follow = ControlStatement::Follow(TERM, member_name(0));
+    let sent = plan.poll(millis(1));
+
+    plan.observe(millis(2), &member_name(1), &follow, PlanReply::Lost);
+    let next = plan.poll(millis(3));
+
+    assert_eq!(sent, vec![request(1, follow)]);
+    assert_eq!(next, vec![request(0, ControlStatement::Promote(TERM))]);
+}
