--- /dev/null
+++ b/crates/arbutusrudder/src/admin/status.rs
@@ -0,0 +1,99 @@
+//! What the status page says of an instance.
+
+use crate::context::InstanceContext;
+use crate::group::GroupState;
+use rudder_core::AgeLedger;
+use serde::Serialize;
+use std::sync::atomic::Ordering;
+
+/// One instance.
+#[derive(Debug, Serialize)]
+pub(crate) struct InstanceStatus {
+    instance: String,
+    domain: String,
+    revision: u64,
+    leaving: bool,
+    instances: u32,
+    groups: Vec<GroupStatus>,
+}
+
+/// One group, as the instance sees it.
+#[derive(Debug, Serialize)]
+struct GroupStatus {
+    service: String,
+    primary: Option<String>,
+    term: Option<u64>,
+    /// Age of what is known of the primary, in milliseconds.
+    known_ms: Option<u128>,
+    members: Vec<MemberLine>,
+}
+
+/// One member.
+#[derive(Debug, Serialize)]
+struct MemberLine {
+    name: String,
+    role: Option<String>,
+    accepted_term: Option<u64>,
+    received: Option<String>,
+    applied: Option<String>,
+    health: String,
+    in_flight: u32,
+    slots: u32,
+}
+
+impl InstanceStatus {
+    /// The status now.
+    pub(crate) fn of(context: &InstanceContext) -> Self {
+        let fleet = context.fleet.load();
+        Self {
+            instance: context.name().to_string(),
+            domain: context.domain().to_string(),
+            revision: fleet.revision,
+            leaving: context.is_leaving(),
+            instances: context.instances(),
+            groups: fleet.groups.iter().map(|group| group_status(group)).collect(),
+        }
+    }
+
+    /// Sets the gauges that follow the state of groups.
+    pub(crate) fn record(&self) {
+        metrics::gauge!("rudder_instances").set(f64::from(self.instances));
+        for group in &self.groups {
+            let service = group.service.clone();
+            metrics::gauge!("rudder_term", "service" => service.clone())
+                .set(group.term.unwrap_or_default() as f64);
+            if let Some(known) = group.known_ms {
+                metrics::gauge!("rudder_knowledge_age_seconds", "service" => service)
+                    .set(known as f64 / 1000.0);
+            }
+        }
+    }
+}
+
+fn group_status(group: &GroupState) -> GroupStatus {
+    let belief = group.primary();
+    let newest = group.board.with_ledger(AgeLedger::newest);
+    let known = newest.map(|sample| group.board.now().saturating_sub(sample.sent_at));
+    GroupStatus {
+        service: group.service.name.to_string(),
+        primary: belief.as_ref().map(|belief| group.members[belief.index].name().to_string()),
+        term: belief.map(|belief| belief.term.0),
+        known_ms: known.map(|known| known.as_millis()),
+        members: (0..group.members.len()).map(|index| member_line(group, index)).collect(),
+    }
+}
+
+fn member_line(group: &GroupState, index: usize) -> MemberLine {
+    let member = &group.members[index];
+    let status = group.board.status_of(member.name());
+    MemberLine {
+        name: member.name().to_string(),
+        role: status.map(|status| status.role.to_string()),
+        accepted_term: status.map(|status| status.accepted.0),
+        received: status.map(|status| status.received.to_string()),
+        applied: status.map(|status| status.applied.to_string()),
+        health: member.health().to_string(),
+        in_flight: member.in_flight.load(Ordering::Relaxed),
+        slots: member.slot_limit(),
+    }
+}
--- a/crates/arbutusrudder/src/caller/acknowledge.rs
+++ b/crates/arbutusrudder/src/caller/acknowledge.rs
@@ -24,7 +24,7 @@
     let bound = group.timing.statement_timeout;
     match timeout(bound, pooled.connection.next_status()).await {
         Ok(Ok(status)) => {
-            group.board.note(group.members[member].name(), asked_at, status);
+            group.take_report(member, asked_at, Some(status));
             Ok(status)
         }
         Ok(Err(ControlError::Unreachable(_))) => Err(ExchangeError::Member(WireError::Closed)),
--- a/crates/arbutusrudder/src/caller/attempt.rs
+++ b/crates/arbutusrudder/src/caller/attempt.rs
@@ -200,6 +200,7 @@
         let member = &self.group.members[self.member];
         if !matches!(error, ExchangeError::Caller(_)) {
             member.fail();
+            self.group.take_report(self.member, self.asked_at, None);
         }
         *session.cancel.slot.lock().await = None;
         log::info!(
--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -45,6 +45,7 @@
     batch: &CallerBatch,
     group: &Arc<GroupState>,
 ) -> Result<(), SessionEnd> {
+    group.touch(session.caller.queue_wait).await;
     let arrived = group.board.now();
     let deadline = Instant::now() + session.caller.queue_wait + group.timing.read_wait;
     let mut avoided: Vec<usize> = Vec::new();
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -44,6 +44,7 @@
     group: &Arc<GroupState>,
 ) -> Result<(), SessionEnd> {
     let deadline = Instant::now() + session.caller.queue_wait;
+    group.touch(session.caller.queue_wait).await;
     let mut keyed = KeyedRequest::of(session, batch);
     loop {
         let primary = await_primary(group, deadline).await;
--- a/crates/arbutusrudder/src/classify/mod.rs
+++ b/crates/arbutusrudder/src/classify/mod.rs
@@ -8,7 +8,7 @@
 mod scan;
 
 pub(crate) use cache::FactsCache;
-pub(crate) use facts::{
+pub use facts::{
     SessionChange, StatementEffect, StatementFacts, StatementsSummary, TransactionStep,
 };
 pub use scan::classify_text;
--- a/crates/arbutusrudder/src/context.rs
+++ b/crates/arbutusrudder/src/context.rs
@@ -7,8 +7,10 @@
 use arc_swap::ArcSwap;
 use rudder_core::{DomainName, InstanceName, ServiceName};
 use rudder_settings::FleetSettings;
+use rudder_peers::PeerEntry;
 use rudder_platform::RevisionFollower;
 use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Instant;
 use tokio::sync::watch;
 use tokio_rustls::TlsAcceptor;
@@ -49,6 +51,10 @@
     pub(crate) revision_hint: watch::Sender<u64>,
     /// Whether this instance is leaving.
     pub(crate) leaving: watch::Sender<bool>,
+    /// Counts the changes of `fleet`.
+    pub(crate) fleet_changes: watch::Sender<u64>,
+    /// How many instances share the members' connections.
+    pub(crate) instance_count: AtomicU32,
     /// TLS towards callers, if it is set.
     pub(crate) tls: Option<TlsAcceptor>,
     /// The origin of this instance's time line.
@@ -66,6 +72,17 @@
         &self.process.domain
     }
 
+    /// How many instances share the members' connections.
+    pub(crate) fn instances(&self) -> u32 {
+        self.instance_count.load(Ordering::Relaxed).max(1)
+    }
+
+    /// Takes the instances that are not gone. One that is leaving still holds its connections.
+    pub(crate) fn note_instances(&self, live: &[PeerEntry]) {
+        let count = u32::try_from(live.len()).unwrap_or(u32::MAX);
+        self.instance_count.store(count, Ordering::Relaxed);
+    }
+
     /// Whether this instance is leaving.
     pub(crate) fn is_leaving(&self) -> bool {
         *self.leaving.borrow()
--- /dev/null
+++ b/crates/arbutusrudder/src/duty/mod.rs
@@ -0,0 +1,8 @@
+//! This instance's standing tasks for each group: asking its members, and keeping it if it is one
+//! of the group's keepers.
+
+mod exchange;
+mod roster;
+
+pub(crate) use exchange::VoteExchange;
+pub(crate) use roster::run_duties;
--- a/crates/arbutusrudder/src/group/member.rs
+++ b/crates/arbutusrudder/src/group/member.rs
@@ -1,9 +1,10 @@
 //! One member of a group: its pool, its control channel and what was learned of its speed.
 
 use super::pool::ConnectionPool;
-use rudder_core::{MemberName, MemberStatus};
+use rudder_core::{ConnectionCount, MemberName, MemberStatus};
 use rudder_decisions::{MemberHealth, MemberMeter, MemberView, MemberWeight};
 use rudder_endpoint::{ControlChannel, MemberAddress};
+use rudder_peers::ConnectionShare;
 use rudder_settings::MemberSettings;
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -13,6 +14,9 @@
 /// Service time assumed of a member of the reference speed before any was measured.
 const SERVICE_GUESS: Duration = Duration::from_millis(5);
 
+/// How long a larger share of connections must have been due before it is used.
+const SHARE_SETTLE: Duration = Duration::from_secs(10);
+
 /// A member as this instance uses it.
 pub(crate) struct GroupMember {
     /// What operators declared.
@@ -29,6 +33,7 @@
     pub(crate) wanted: Notify,
     meter: Mutex<MemberMeter>,
     health: Mutex<MemberHealth>,
+    share: Mutex<ConnectionShare>,
 }
 
 impl GroupMember {
@@ -44,6 +49,7 @@
             wanted: Notify::new(),
             meter: Mutex::new(MemberMeter::new(settings.slots.0, guess)),
             health: Mutex::new(MemberHealth::Ready),
+            share: Mutex::new(ConnectionShare::new(ConnectionCount(connections), SHARE_SETTLE)),
             settings,
         }
     }
@@ -53,6 +59,14 @@
         &self.settings.name
     }
 
+    /// The share of connections to hold when `wanted` is due. It shrinks at once and grows only
+    /// after a while: two instances with different views would otherwise hold more than the member
+    /// accepts.
+    pub(crate) fn settle_share(&self, wanted: u32, now: Duration) -> u32 {
+        let mut share = self.share.lock().expect("no holder of this lock panics");
+        share.update(ConnectionCount(wanted), now).0
+    }
+
     /// Takes the time of an answered statement.
     pub(crate) fn observe(&self, latency: Duration) {
         let in_flight = self.in_flight.load(Ordering::Relaxed);
--- a/crates/arbutusrudder/src/group/pool.rs
+++ b/crates/arbutusrudder/src/group/pool.rs
@@ -2,7 +2,7 @@
 
 use displaydoc::Display;
 use rudder_endpoint::{EndpointError, MemberAddress, MemberConnection};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
@@ -49,6 +49,7 @@
     permits: Arc<Semaphore>,
     limit: Mutex<u32>,
     idle: Mutex<Vec<IdleConnection>>,
+    reported: OnceLock<Vec<(String, String)>>,
 }
 
 impl ConnectionPool {
@@ -59,6 +60,7 @@
             permits: Arc::new(Semaphore::new(limit as usize)),
             limit: Mutex::new(limit),
             idle: Mutex::default(),
+            reported: OnceLock::new(),
         }
     }
 
@@ -67,6 +69,11 @@
         &self.address
     }
 
+    /// The settings that the member reported at the first login.
+    pub(crate) fn reported_parameters(&self) -> Option<Vec<(String, String)>> {
+        self.reported.get().cloned()
+    }
+
     /// Changes the limit; a smaller one takes effect as connections come back.
     pub(crate) fn set_limit(&self, wanted: u32) {
         let mut limit = self.limit.lock().expect("no holder of this lock panics");
@@ -104,6 +111,7 @@
         let opened = MemberConnection::open(&self.address, bound).await;
         let connection = opened.map_err(PoolError::Endpoint)?;
         metrics::counter!("rudder_member_connections_opened_total").increment(1);
+        self.reported.get_or_init(|| connection.parameters().to_vec());
         Ok(PooledConnection {
             connection,
             prepared: Vec::new(),
--- a/crates/arbutusrudder/src/group/reports.rs
+++ b/crates/arbutusrudder/src/group/reports.rs
@@ -1,7 +1,7 @@
 //! The last report of each member, and what follows from all of them together.
 
 use rudder_core::{
-    AgeLedger, LogStamp, LogTerm, MemberName, MemberRole, MemberStatus, TimedReport, confirm_sample,
+    AgeLedger, LogTerm, MemberName, MemberRole, MemberStatus, TimedReport, confirm_sample,
 };
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -34,6 +34,16 @@
         self.origin.elapsed()
     }
 
+    /// A moment on this instance's time line.
+    pub(crate) fn since_origin(&self, moment: Instant) -> Duration {
+        moment.saturating_duration_since(self.origin)
+    }
+
+    /// The moment at a time on this instance's time line.
+    pub(crate) fn instant_of(&self, time: Duration) -> Instant {
+        self.origin + time
+    }
+
     /// Takes a member's report. One that was asked for earlier than the known one is dropped: it
     /// says less.
     pub(crate) fn note(&self, member: &MemberName, asked_at: Duration, status: MemberStatus) {
@@ -78,16 +88,16 @@
         Some((primary.member.clone(), primary.status.accepted))
     }
 
+    /// Whether any member has reported yet.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.lock().reports.is_empty()
+    }
+
     /// Runs a question against the age ledger.
     pub(crate) fn with_ledger<T>(&self, question: impl FnOnce(&AgeLedger) -> T) -> T {
         question(&self.lock().ledger)
     }
 
-    /// Takes a peer's sample: its age when the peer answered a question asked at `asked_at`.
-    pub(crate) fn note_peer(&self, asked_at: Duration, age: Duration, stamp: LogStamp) {
-        self.lock().ledger.note_peer(asked_at, age, stamp);
-    }
-
     fn lock(&self) -> std::sync::MutexGuard<'_, BoardState> {
         self.inner.lock().expect("no holder of this lock panics")
     }
--- a/crates/arbutusrudder/src/group/state.rs
+++ b/crates/arbutusrudder/src/group/state.rs
@@ -3,12 +3,18 @@
 use super::admission::AdmissionDesk;
 use super::member::GroupMember;
 use super::reports::ReportBoard;
-use rudder_core::{DomainName, LogTerm, MemberName};
+use crate::keeper::{KeeperHandle, TrafficNote};
+use rudder_core::{DomainName, LogTerm, MemberName, MemberStatus};
 use rudder_decisions::{LaneKey, LaneLimits, MemberView};
 use rudder_endpoint::{LoginSettings, MemberAddress};
 use rudder_settings::{DomainSettings, MemberSettings, ServiceSettings, TimingSettings};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// How long after its last request a group is still watched.
+const IN_USE: Duration = Duration::from_secs(10);
 
 /// Requests that may wait at one member, per slot.
 const QUEUE_PER_SLOT: u32 = 64;
@@ -55,6 +61,17 @@
     /// The admission gate.
     pub(crate) desk: Arc<AdmissionDesk>,
     links: Vec<Duration>,
+    usage: GroupUsage,
+    keeper: Mutex<Option<KeeperHandle>>,
+}
+
+/// Whether anybody at this instance needs the group.
+#[derive(Default)]
+struct GroupUsage {
+    /// Milliseconds from the origin to the last request.
+    last_used_ms: AtomicU64,
+    /// Whether this instance keeps the group.
+    kept: AtomicBool,
 }
 
 impl GroupState {
@@ -74,11 +91,66 @@
         let links = members.iter().map(|member| link_guess(&member.settings, tuning)).collect();
         let board = ReportBoard::new(tuning.origin, members.len());
         let desk = Arc::new(AdmissionDesk::new(rand::random()));
-        let group = Self { service, timing, members, board, desk, links };
+        let usage = GroupUsage::default();
+        let keeper = Mutex::default();
+        let group = Self { service, timing, members, board, desk, links, usage, keeper };
         group.refresh_lanes();
         group
     }
 
+    /// Notes that a request needs the group; the first one after a pause wakes its watch, and waits
+    /// until a member has reported.
+    pub(crate) async fn touch(&self, within: Duration) {
+        let now = u64::try_from(self.board.now().as_millis()).unwrap_or(u64::MAX);
+        let slept = !self.is_in_use();
+        self.usage.last_used_ms.store(now, Ordering::Relaxed);
+        if slept {
+            self.members.iter().for_each(|member| member.wanted.notify_one());
+        }
+        if self.board.is_empty() {
+            let mut changes = self.board.subscribe();
+            let reported = changes.wait_for(|_| !self.board.is_empty());
+            // Without any report the request is refused further on, and says why.
+            let _ = timeout(within, reported).await;
+        }
+    }
+
+    /// Whether the members are to be asked at an interval: this instance keeps the group, or
+    /// served it lately. At the planned size an instance serves few of all groups, and asking the
+    /// others would cost more than its whole budget for control.
+    pub(crate) fn is_in_use(&self) -> bool {
+        let now = u64::try_from(self.board.now().as_millis()).unwrap_or(u64::MAX);
+        let last = self.usage.last_used_ms.load(Ordering::Relaxed);
+        let idle = Duration::from_millis(now.saturating_sub(last));
+        self.usage.kept.load(Ordering::Relaxed) || (last > 0 && idle < IN_USE)
+    }
+
+    /// Notes whether this instance keeps the group.
+    pub(crate) fn set_keeper(&self, keeper: Option<KeeperHandle>) {
+        self.usage.kept.store(keeper.is_some(), Ordering::Relaxed);
+        *self.keeper.lock().expect("no holder of this lock panics") = keeper;
+        self.members.iter().for_each(|member| member.wanted.notify_one());
+    }
+
+    /// Takes what a request or probe showed of a member: on the board, and to the keeper, whose
+    /// own probe it replaces.
+    pub(crate) fn take_report(&self, index: usize, asked_at: Duration, status: Option<MemberStatus>) {
+        let name = self.members[index].name();
+        if let Some(status) = status {
+            self.board.note(name, asked_at, status);
+        }
+        let keeper = self.keeper.lock().expect("no holder of this lock panics");
+        if let Some(keeper) = keeper.as_ref() {
+            let asked_at = self.board.instant_of(asked_at).into();
+            keeper.note(TrafficNote { member: name.clone(), asked_at, status });
+        }
+    }
+
+    /// The settings that members reported at login, if any connection was opened.
+    pub(crate) fn reported_parameters(&self) -> Option<Vec<(String, String)>> {
+        self.members.iter().find_map(|member| member.pool.reported_parameters())
+    }
+
     /// The member believed to lead, if any report says that one does.
     pub(crate) fn primary(&self) -> Option<PrimaryBelief> {
         let (name, term) = self.board.primary()?;
@@ -107,8 +179,10 @@
 
     /// Shares the members' connections anew among `instances` instances.
     pub(crate) fn share_connections(&self, instances: u32) {
+        let now = self.board.now();
         for member in &self.members {
-            member.pool.set_limit(connection_share(&member.settings, instances));
+            let wanted = connection_share(&member.settings, instances);
+            member.pool.set_limit(member.settle_share(wanted, now));
         }
     }
 
--- a/crates/arbutusrudder/src/group/watch.rs
+++ b/crates/arbutusrudder/src/group/watch.rs
@@ -27,24 +27,28 @@
 async fn watch_member(group: Arc<GroupState>, index: usize) {
     let member = &group.members[index];
     loop {
-        ask(&group, member).await;
+        ask(&group, index).await;
         if member.demand.load(Ordering::Acquire) > 0 {
             sleep(EAGER_PAUSE).await;
-        } else {
+        } else if group.is_in_use() {
             let _ = timeout(group.timing.probe_interval, member.wanted.notified()).await;
+        } else {
+            member.wanted.notified().await;
         }
     }
 }
 
-async fn ask(group: &GroupState, member: &GroupMember) {
+async fn ask(group: &GroupState, index: usize) {
+    let member = &group.members[index];
     let asked_at = group.board.now();
     let bound = group.timing.suspect_after;
     match member.channel.run(&ControlStatement::Status, bound).await {
         Ok(status) => {
-            group.board.note(member.name(), asked_at, status);
+            group.take_report(index, asked_at, Some(status));
             set_health(group, member, MemberHealth::Ready, "answered");
         }
         Err(error) => {
+            group.take_report(index, asked_at, None);
             set_health(group, member, MemberHealth::Down, &error.to_string());
             // A member that refuses at once would otherwise be asked in a tight loop.
             sleep(group.timing.probe_interval / 4).await;
--- /dev/null
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -0,0 +1,232 @@
+//! One instance from start to end.
+
+use crate::admin::{serve_pages, set_up_metrics};
+use crate::caller::{CancelBoard, serve_caller};
+use crate::classify::FactsCache;
+use crate::context::{FleetState, InstanceContext};
+use crate::duty::{VoteExchange, run_duties};
+use crate::error::ProxyError;
+use crate::fleet::follow_settings;
+use crate::options::ProxyOptions;
+use crate::peering::PeerDesk;
+use crate::process::ProcessSettings;
+use crate::{logs, tls};
+use arc_swap::ArcSwap;
+use rudder_peers::{MeshSettings, PeerMesh};
+use rudder_platform::{KubeStore, PlatformOptions, PlatformStore, RevisionFollower};
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Semaphore, watch};
+use tokio::task::JoinSet;
+use tokio_util::task::TaskTracker;
+
+/// Pause after an accept that failed, for instance for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long a leaving instance keeps its socket after it said so, for callers on their way.
+const FAREWELL: Duration = Duration::from_millis(200);
+
+/// A running instance. Dropping it ends it at once; [`ProxyInstance::leave`] lets requests in
+/// flight finish first.
+pub struct ProxyInstance {
+    context: Arc<InstanceContext>,
+    mesh: Arc<PeerMesh>,
+    callers: TaskTracker,
+    tasks: JoinSet<()>,
+    listen: SocketAddr,
+    admin: SocketAddr,
+}
+
+impl ProxyInstance {
+    /// Starts an instance inside the present runtime. Ports of zero take any free one.
+    ///
+    /// # Errors
+    ///
+    /// [`ProxyError`] when an address cannot be used or the TLS files are wrong.
+    ///
+    /// ```
+    /// # let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    /// # runtime.block_on(async {
+    /// let process = arbutusrudder::ProcessSettings::parse(
+    ///     r#"
+    ///     instance = "entry-1"
+    ///     domain = "kigali-a"
+    ///     listen = "127.0.0.1:0"
+    ///     admin = "127.0.0.1:0"
+    ///     peer = "127.0.0.1:0"
+    ///     platform = "http://127.0.0.1:1"
+    ///     "#,
+    /// ).unwrap();
+    /// let instance = arbutusrudder::ProxyInstance::start(process).await.unwrap();
+    /// assert_ne!(instance.listen_address().port(), 0);
+    /// # });
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub async fn start(process: ProcessSettings) -> Result<Self, ProxyError> {
+        set_up_metrics();
+        let store: Arc<dyn PlatformStore> =
+            Arc::new(KubeStore::connect(PlatformOptions::at(&process.platform))?);
+        let listener = listen(process.listen).await?;
+        let pages = listen(process.admin).await?;
+        let (listen, admin) = (local_address(&listener)?, local_address(&pages)?);
+        let context = Arc::new(context_of(process)?);
+        let desk = Arc::new(PeerDesk::new(&context));
+        let mesh = Arc::new(PeerMesh::start(mesh_settings(&context), Arc::clone(&desk) as _).await?);
+        let (name, domain) = (context.name().clone(), context.domain().clone());
+        let exchange = Arc::new(VoteExchange::new(Arc::clone(&mesh), name, domain));
+        desk.set_exchange(Arc::clone(&exchange));
+        let callers = TaskTracker::new();
+        let mut tasks = JoinSet::new();
+        tasks.spawn(serve_pages(pages, Arc::clone(&context)));
+        let (shared, peers) = (Arc::clone(&store), Arc::clone(&mesh));
+        tasks.spawn(follow_settings(Arc::clone(&context), shared, peers));
+        tasks.spawn(run_duties(Arc::clone(&context), store, Arc::clone(&mesh), exchange));
+        tasks.spawn(accept_callers(listener, Arc::clone(&context), callers.clone()));
+        log::info!(
+            target: "rudder::instance", instance:% = context.name(), domain:% = context.domain(),
+            listen:% = listen, admin:% = admin, peer:% = mesh.address(); "instance started"
+        );
+        Ok(Self { context, mesh, callers, tasks, listen, admin })
+    }
+
+    /// Where callers connect.
+    #[must_use]
+    pub fn listen_address(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Where operators read the pages.
+    #[must_use]
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// Where peers connect.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.mesh.address()
+    }
+
+    /// The number of the revision in force; zero before any.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.context.revision_number()
+    }
+
+    /// Leaves: tells peers, takes no new caller, finishes every request and transaction in flight,
+    /// sends idle callers elsewhere, and returns when the last one is gone.
+    pub async fn leave(mut self) {
+        log::info!(target: "rudder::instance", instance:% = self.context.name(), reason = "asked"; "instance leaving");
+        self.mesh.leave().await;
+        self.context.leaving.send_replace(true);
+        // The balancer may send a few more callers until it notices; they are told to go elsewhere.
+        tokio::time::sleep(FAREWELL).await;
+        self.callers.close();
+        self.callers.wait().await;
+        self.tasks.shutdown().await;
+    }
+}
+
+/// Runs an instance in a runtime of its own until it is asked to end.
+///
+/// # Errors
+///
+/// [`ProxyError`] when it cannot start.
+///
+/// ```no_run
+/// arbutusrudder::run(&arbutusrudder::ProxyOptions::from_command_line()?)?;
+/// # Ok::<(), arbutusrudder::ProxyError>(())
+/// ```
+pub fn run(options: &ProxyOptions) -> Result<(), ProxyError> {
+    if options.check {
+        return Ok(());
+    }
+    logs::set_up(options.log)?;
+    let runtime = tokio::runtime::Runtime::new().map_err(ProxyError::Runtime)?;
+    runtime.block_on(async {
+        let instance = ProxyInstance::start(options.process.clone()).await?;
+        let mut stop = signal(SignalKind::terminate()).map_err(ProxyError::Runtime)?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(ProxyError::Runtime)?;
+        tokio::select! {
+            _ = stop.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        tokio::select! {
+            () = instance.leave() => {}
+            // A second signal ends at once.
+            _ = stop.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Ok(())
+    })
+}
+
+fn context_of(process: ProcessSettings) -> Result<InstanceContext, ProxyError> {
+    let tls = tls::acceptor_of(&process)?;
+    Ok(InstanceContext {
+        process,
+        fleet: ArcSwap::from_pointee(FleetState::default()),
+        facts: FactsCache::default(),
+        cancel: Arc::new(CancelBoard::default()),
+        follower: Mutex::new(RevisionFollower::default()),
+        revision_hint: watch::channel(0).0,
+        leaving: watch::channel(false).0,
+        fleet_changes: watch::channel(0).0,
+        instance_count: AtomicU32::new(1),
+        tls,
+        origin: Instant::now(),
+    })
+}
+
+fn mesh_settings(context: &InstanceContext) -> MeshSettings {
+    let process = &context.process;
+    let mut settings =
+        MeshSettings::new(process.instance.clone(), process.domain.clone(), process.peer);
+    settings.seeds.clone_from(&process.seeds);
+    settings
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, ProxyError> {
+    TcpListener::bind(address).await.map_err(|reason| ProxyError::Listen { address, reason })
+}
+
+fn local_address(listener: &TcpListener) -> Result<SocketAddr, ProxyError> {
+    listener.local_addr().map_err(ProxyError::Runtime)
+}
+
+async fn accept_callers(listener: TcpListener, context: Arc<InstanceContext>, callers: TaskTracker) {
+    let places = Arc::new(Semaphore::new(context.process.callers_max as usize));
+    let mut leaving = context.leaving.subscribe();
+    loop {
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
+            _ = leaving.wait_for(|leaving| *leaving) => break,
+        };
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            metrics::counter!("rudder_callers_refused_total").increment(1);
+            continue;
+        };
+        let context = Arc::clone(&context);
+        callers.spawn(async move {
+            serve_caller(context, stream).await;
+            drop(place);
+        });
+    }
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            // Out of descriptors or a caller that is gone already; neither ends the instance.
+            Err(error) => {
+                log::warn!(target: "rudder::instance", reason:% = error; "caller not accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
