--- a/crates/arbutusrudder/src/caller/attempt.rs
+++ b/crates/arbutusrudder/src/caller/attempt.rs
@@ -104,9 +104,8 @@
         class: WorkClass,
         deadline: Instant,
     ) -> Result<Self, AttemptError> {
-        let pass = enter(session, group, member, class, deadline)
-            .await
-            .map_err(AttemptError::Refused)?;
+        let pass =
+            enter(session, group, member, class, deadline).await.map_err(AttemptError::Refused)?;
         let load = LoadGuard::new(group, member);
         let within = deadline.saturating_duration_since(Instant::now());
         let timing = &group.timing;
--- a/crates/arbutusrudder/src/caller/keyed.rs
+++ b/crates/arbutusrudder/src/caller/keyed.rs
@@ -8,7 +8,8 @@
 use super::session::CallerSession;
 use super::write::{self, WriteEnd, answer_unresolved, is_not_run, note_commit};
 use crate::exchange::{
-    BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink, encode_batch, relay_batch,
+    BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink,
+    encode_batch, relay_batch,
 };
 use crate::group::PooledConnection;
 use rudder_core::{LogTerm, RefusalNotice, RequestKey};
--- a/crates/arbutusrudder/src/caller/login.rs
+++ b/crates/arbutusrudder/src/caller/login.rs
@@ -93,9 +93,8 @@
         }
         all.push((name.to_ascii_lowercase(), value));
     }
-    let find = |wanted: &str| {
-        all.iter().find(|(name, _)| name == wanted).map(|(_, value)| value.clone())
-    };
+    let find =
+        |wanted: &str| all.iter().find(|(name, _)| name == wanted).map(|(_, value)| value.clone());
     if find("replication").is_some_and(|value| value != "false" && value != "off") {
         return Err(LoginError::Replication);
     }
@@ -148,10 +147,7 @@
 }
 
 /// Checks the caller's password by SCRAM, if its user has one.
-pub(crate) async fn authenticate(
-    link: &mut WireLink,
-    rule: &LoginRule,
-) -> Result<(), LoginError> {
+pub(crate) async fn authenticate(link: &mut WireLink, rule: &LoginRule) -> Result<(), LoginError> {
     match rule {
         LoginRule::Trusted => {}
         LoginRule::Password(password) => run_scram(link, password).await?,
--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -62,8 +62,7 @@
             ReadRoute::Refuse => break,
         };
         log_route(session, group, member, choice.reason);
-        let attempt =
-            MemberAttempt::begin(session, group, member, WorkClass::Read, deadline).await;
+        let attempt = MemberAttempt::begin(session, group, member, WorkClass::Read, deadline).await;
         let attempt = match attempt {
             Ok(attempt) => attempt,
             Err(AttemptError::Refused(reason)) => {
--- a/crates/arbutusrudder/src/caller/serve.rs
+++ b/crates/arbutusrudder/src/caller/serve.rs
@@ -78,8 +78,10 @@
     };
     let end = serve_batches(context, &mut session).await;
     transaction::abandon(&mut session).await;
-    match end {
-        Err(SessionEnd::Idle) => say_goodbye(&mut session, IDLE_TOO_LONG, "idle for too long").await,
+    match &end {
+        Err(SessionEnd::Idle) => {
+            say_goodbye(&mut session, IDLE_TOO_LONG, "idle for too long").await
+        }
         Err(SessionEnd::Leaving) => {
             let notice = RefusalNotice::Leaving;
             say_goodbye(&mut session, notice.sqlstate(), &notice.to_string()).await;
--- a/crates/arbutusrudder/src/caller/session.rs
+++ b/crates/arbutusrudder/src/caller/session.rs
@@ -99,8 +99,7 @@
 
     /// The prepared statement of this name.
     pub(crate) fn statement(&self, name: &str) -> Option<&Arc<PreparedStatement>> {
-        let index =
-            self.prepared.binary_search_by(|(known, _)| known.as_str().cmp(name)).ok()?;
+        let index = self.prepared.binary_search_by(|(known, _)| known.as_str().cmp(name)).ok()?;
         Some(&self.prepared[index].1)
     }
 
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -4,14 +4,14 @@
 use super::acknowledge::leading_term;
 use super::answer::{put_ready, put_refusal};
 use super::attempt::{AttemptError, MemberAttempt};
+use super::keyed::{self, KeyedRequest};
 use super::local::report_token;
 use super::serve::{SessionEnd, refuse};
 use super::session::{CallerSession, FloorKnowledge, PinnedConnection};
-use super::keyed::{self, KeyedRequest};
 use super::session_change;
 use crate::exchange::{
-    BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink, encode_batch,
-    relay_batch,
+    BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink,
+    encode_batch, relay_batch,
 };
 use crate::group::GroupState;
 use rudder_core::{LogStamp, MemberStatus, RefusalNotice, TERM_REFUSED_SQLSTATE};
@@ -168,7 +168,9 @@
 /// nothing of it.
 pub(crate) fn is_not_run(outcome: &BatchOutcome, held: &HeldReplies) -> bool {
     let refused = |sqlstate: &str| sqlstate == READ_ONLY || sqlstate == TERM_REFUSED_SQLSTATE;
-    held.completions == 0 && !held.relayed && outcome.error.as_ref().is_some_and(|error| refused(&error.sqlstate))
+    held.completions == 0
+        && !held.relayed
+        && outcome.error.as_ref().is_some_and(|error| refused(&error.sqlstate))
 }
 
 /// Ends an attempt whose connection failed after the batch was sent: nobody can tell whether it
--- a/crates/arbutusrudder/src/context.rs
+++ b/crates/arbutusrudder/src/context.rs
@@ -6,11 +6,11 @@
 use crate::process::ProcessSettings;
 use arc_swap::ArcSwap;
 use rudder_core::{DomainName, InstanceName, ServiceName};
-use rudder_settings::FleetSettings;
 use rudder_peers::PeerEntry;
 use rudder_platform::RevisionFollower;
-use std::sync::{Arc, Mutex};
+use rudder_settings::FleetSettings;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 use tokio::sync::watch;
 use tokio_rustls::TlsAcceptor;
@@ -29,8 +29,7 @@
 impl FleetState {
     /// The group of a service.
     pub(crate) fn group(&self, service: &ServiceName) -> Option<&Arc<GroupState>> {
-        let index =
-            self.groups.binary_search_by(|group| group.service.name.cmp(service)).ok()?;
+        let index = self.groups.binary_search_by(|group| group.service.name.cmp(service)).ok()?;
         Some(&self.groups[index])
     }
 }
--- a/crates/arbutusrudder/src/duty/exchange.rs
+++ b/crates/arbutusrudder/src/duty/exchange.rs
@@ -1,7 +1,9 @@
 //! Carrying the keepers' votes over the peers' mesh.
 
 use crate::keeper::{KeeperEntry, KeeperRoster, ObserverExchange};
-use rudder_core::{DomainName, InstanceName, LogTerm, MemberName, ObserverVote, ServiceName, VoteKind};
+use rudder_core::{
+    DomainName, InstanceName, LogTerm, MemberName, ObserverVote, ServiceName, VoteKind,
+};
 use rudder_peers::{KEEPER_COUNT, PeerHint, PeerMesh, SuspicionVote, keepers_of};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
--- a/crates/arbutusrudder/src/duty/roster.rs
+++ b/crates/arbutusrudder/src/duty/roster.rs
@@ -119,7 +119,8 @@
             .into_iter()
             .filter_map(|member| {
                 let index = group.index_of(&member.name)?;
-                let control: Arc<dyn MemberControl> = Arc::clone(&group.members[index].channel) as _;
+                let control: Arc<dyn MemberControl> =
+                    Arc::clone(&group.members[index].channel) as _;
                 Some(KeeperMember { member, control })
             })
             .collect();
--- a/crates/arbutusrudder/src/fleet/apply.rs
+++ b/crates/arbutusrudder/src/fleet/apply.rs
@@ -6,7 +6,11 @@
 use std::sync::Arc;
 
 /// Puts a checked folder in force.
-pub(crate) fn apply_folder(context: &Arc<InstanceContext>, revision: u64, settings: &FleetSettings) {
+pub(crate) fn apply_folder(
+    context: &Arc<InstanceContext>,
+    revision: u64,
+    settings: &FleetSettings,
+) {
     let before = context.fleet.load();
     let tuning = GroupTuning {
         domain: context.domain().clone(),
@@ -14,8 +18,8 @@
         instances: context.instances(),
         origin: context.origin,
     };
-    let same_frame = before.settings.timing == settings.timing
-        && before.settings.domains == settings.domains;
+    let same_frame =
+        before.settings.timing == settings.timing && before.settings.domains == settings.domains;
     let group_of = |service: &ServiceSettings| {
         let known = before.group(&service.name);
         match known.filter(|known| same_frame && known.service == *service) {
--- a/crates/arbutusrudder/src/fleet/follow.rs
+++ b/crates/arbutusrudder/src/fleet/follow.rs
@@ -78,10 +78,8 @@
 async fn ask_peers(context: &Arc<InstanceContext>, mesh: &PeerMesh) {
     let live = mesh.live();
     let own = context.name();
-    let mut peers: Vec<_> = live
-        .iter()
-        .filter(|peer| peer.state == PeerState::Live && peer.name != *own)
-        .collect();
+    let mut peers: Vec<_> =
+        live.iter().filter(|peer| peer.state == PeerState::Live && peer.name != *own).collect();
     let mut asked = 0;
     while asked < PEERS_ASKED && !peers.is_empty() {
         let index = rand::rng().random_range(0..peers.len());
@@ -117,7 +115,7 @@
         }
     };
     let Some(folder) = folder else { return false };
-    apply_folder(context, number, &folder.settings);
+    apply_folder(context, number, &folder.fleet);
     metrics::gauge!("rudder_revision").set(number as f64);
     log::info!(target: "rudder::settings", revision = number, source, reason = "greater_number"; "revision in force");
     true
--- a/crates/arbutusrudder/src/group/mod.rs
+++ b/crates/arbutusrudder/src/group/mod.rs
@@ -9,10 +9,8 @@
 mod state;
 mod watch;
 
-pub(crate) use admission::{AdmissionDesk, AdmissionPass};
+pub(crate) use admission::AdmissionPass;
 pub(crate) use confirm::ConfirmOutcome;
-pub(crate) use member::GroupMember;
 pub(crate) use pool::{PoolError, PooledConnection};
-pub(crate) use reports::ReportBoard;
-pub(crate) use state::{GroupState, GroupTuning, PrimaryBelief};
+pub(crate) use state::{GroupState, GroupTuning};
 pub(crate) use watch::spawn_watch;
--- a/crates/arbutusrudder/src/group/state.rs
+++ b/crates/arbutusrudder/src/group/state.rs
@@ -134,7 +134,12 @@
 
     /// Takes what a request or probe showed of a member: on the board, and to the keeper, whose
     /// own probe it replaces.
-    pub(crate) fn take_report(&self, index: usize, asked_at: Duration, status: Option<MemberStatus>) {
+    pub(crate) fn take_report(
+        &self,
+        index: usize,
+        asked_at: Duration,
+        status: Option<MemberStatus>,
+    ) {
         let name = self.members[index].name();
         if let Some(status) = status {
             self.board.note(name, asked_at, status);
--- a/crates/arbutusrudder/src/logs.rs
+++ b/crates/arbutusrudder/src/logs.rs
@@ -84,7 +84,11 @@
 }
 
 impl Append for LineQueue {
-    fn append(&self, record: &Record<'_>, diagnostics: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+    fn append(
+        &self,
+        record: &Record<'_>,
+        diagnostics: &[Box<dyn Diagnostic>],
+    ) -> Result<(), Error> {
         let line = self.layout.format(record, diagnostics)?;
         match self.sender.try_send(line) {
             Ok(()) | Err(TrySendError::Disconnected(_)) => {}
--- a/crates/arbutusrudder/src/options.rs
+++ b/crates/arbutusrudder/src/options.rs
@@ -52,9 +52,8 @@
     /// ```
     pub fn from_command_line() -> Result<Self, ProxyError> {
         let line: CommandLine = argh::from_env();
-        let text = std::fs::read_to_string(&line.settings).map_err(|reason| {
-            ProcessError::Unreadable { path: line.settings.clone(), reason }
-        })?;
+        let text = std::fs::read_to_string(&line.settings)
+            .map_err(|reason| ProcessError::Unreadable { path: line.settings.clone(), reason })?;
         let process = ProcessSettings::parse(&text)?;
         Ok(Self { process, log: line.log, check: line.check })
     }
--- a/crates/arbutusrudder/src/proxy.rs
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -75,7 +75,8 @@
         let (listen, admin) = (local_address(&listener)?, local_address(&pages)?);
         let context = Arc::new(context_of(process)?);
         let desk = Arc::new(PeerDesk::new(&context));
-        let mesh = Arc::new(PeerMesh::start(mesh_settings(&context), Arc::clone(&desk) as _).await?);
+        let mesh =
+            Arc::new(PeerMesh::start(mesh_settings(&context), Arc::clone(&desk) as _).await?);
         let (name, domain) = (context.name().clone(), context.domain().clone());
         let exchange = Arc::new(VoteExchange::new(Arc::clone(&mesh), name, domain));
         desk.set_exchange(Arc::clone(&exchange));
@@ -198,7 +199,11 @@
     listener.local_addr().map_err(ProxyError::Runtime)
 }
 
-async fn accept_callers(listener: TcpListener, context: Arc<InstanceContext>, callers: TaskTracker) {
+async fn accept_callers(
+    listener: TcpListener,
+    context: Arc<InstanceContext>,
+    callers: TaskTracker,
+) {
     let places = Arc::new(Semaphore::new(context.process.callers_max as usize));
     let mut leaving = context.leaving.subscribe();
     loop {
--- a/crates/arbutusrudder/src/tls.rs
+++ b/crates/arbutusrudder/src/tls.rs
@@ -35,11 +35,8 @@
         return Ok(None);
     };
     let current = RwLock::new(load(certificate, key)?);
-    let source = Arc::new(CertificateSource {
-        certificate: certificate.clone(),
-        key: key.clone(),
-        current,
-    });
+    let source =
+        Arc::new(CertificateSource { certificate: certificate.clone(), key: key.clone(), current });
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let config = ServerConfig::builder_with_provider(provider)
         .with_safe_default_protocol_versions()
--- a/crates/rudder-endpoint/src/connection.rs
+++ b/crates/rudder-endpoint/src/connection.rs
@@ -166,7 +166,7 @@
                     outcome = parse_status_row(frame.body())
                         .map_err(|error| ControlError::Refused(error.to_string()));
                 }
-                tag::ERROR => outcome = Err(refusal_of(read_error_fields(frame.body()))),
+                tag::ERROR => outcome = Err(refusal_of(&read_error_fields(frame.body()))),
                 tag::READY => return outcome,
                 _ => {}
             }
--- a/crates/rudder-endpoint/src/status.rs
+++ b/crates/rudder-endpoint/src/status.rs
@@ -78,8 +78,8 @@
 }
 
 /// The control error that an error row of a member stands for.
-pub(crate) fn refusal_of(fields: ErrorFields) -> ControlError {
-    match superseded_term(&fields) {
+pub(crate) fn refusal_of(fields: &ErrorFields) -> ControlError {
+    match superseded_term(fields) {
         Some(term) => ControlError::Superseded(term),
         None => ControlError::Refused(format!("{} ({})", fields.message, fields.sqlstate)),
     }
--- a/crates/rudder-endpoint/src/wire/link.rs
+++ b/crates/rudder-endpoint/src/wire/link.rs
@@ -29,9 +29,9 @@
 const PROTOCOL_MAJOR: i32 = 3;
 
 /// A byte stream in both directions: plain TCP or TLS.
-pub trait LinkStream: AsyncRead + AsyncWrite + Send + Unpin {}
+pub trait LinkStream: AsyncRead + AsyncWrite + Send + Sync + Unpin {}
 
-impl<S: AsyncRead + AsyncWrite + Send + Unpin> LinkStream for S {}
+impl<S: AsyncRead + AsyncWrite + Send + Sync + Unpin> LinkStream for S {}
 
 /// A connection cut into frames, with bytes waiting to be sent.
 pub struct WireLink {
