--- /dev/null
+++ b/crates/rudder-standins/src/group/answer.rs
@@ -0,0 +1,124 @@
+//! What a statement answers: columns, rows and a command tag.
+
+use super::database::{RowValues, TableSchema};
+use super::error::SqlError;
+use super::scalar::{Scalar, ScalarScope, SessionFacts};
+use super::value::{SqlType, SqlValue};
+use std::sync::Arc;
+
+/// A column of a result.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct OutputColumn {
+    pub(crate) name: Arc<str>,
+    pub(crate) kind: SqlType,
+}
+
+/// A message that accompanies an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct NoticeMessage {
+    pub(crate) severity: &'static str,
+    pub(crate) sqlstate: &'static str,
+    pub(crate) text: String,
+}
+
+/// The rows of an answer, made as they are sent where there may be many.
+#[derive(Debug)]
+pub(crate) enum RowSource {
+    /// Rows that exist already.
+    Listed(std::vec::IntoIter<Vec<SqlValue>>),
+    /// One row for each number of a series.
+    Series(Box<SeriesRows>),
+}
+
+/// The rows over a series of numbers.
+#[derive(Debug)]
+pub(crate) struct SeriesRows {
+    pub(crate) next: i64,
+    pub(crate) last: i64,
+    pub(crate) schema: Arc<TableSchema>,
+    pub(crate) columns: Vec<Scalar>,
+    pub(crate) parameters: Arc<[SqlValue]>,
+    pub(crate) facts: Arc<SessionFacts>,
+}
+
+impl RowSource {
+    /// No rows.
+    pub(crate) fn empty() -> Self {
+        Self::Listed(Vec::new().into_iter())
+    }
+
+    /// The next row.
+    pub(crate) fn next_row(&mut self) -> Option<Result<Vec<SqlValue>, SqlError>> {
+        match self {
+            Self::Listed(rows) => rows.next().map(Ok),
+            Self::Series(series) => series.next_row(),
+        }
+    }
+}
+
+impl SeriesRows {
+    fn next_row(&mut self) -> Option<Result<Vec<SqlValue>, SqlError>> {
+        if self.next > self.last {
+            return None;
+        }
+        let row: RowValues = Arc::new([SqlValue::Int(self.next)]);
+        self.next += 1;
+        let scope = ScalarScope {
+            schema: Some(&self.schema),
+            row: &row,
+            excluded: &[],
+            parameters: &self.parameters,
+            session: &self.facts,
+        };
+        Some(self.columns.iter().map(|column| column.evaluate(scope)).collect())
+    }
+}
+
+/// The command tag that ends an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CommandTag {
+    /// A tag without a number.
+    Plain(&'static str),
+    /// A tag with the number of changed rows.
+    Counted(&'static str, u64),
+    /// A tag with the number of rows sent.
+    Sent(&'static str),
+}
+
+/// The answer to one statement.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    /// `None` for statements that answer no rows.
+    pub(crate) columns: Option<Vec<OutputColumn>>,
+    pub(crate) rows: RowSource,
+    pub(crate) tag: CommandTag,
+    pub(crate) notices: Vec<NoticeMessage>,
+}
+
+impl Answer {
+    /// An answer without rows.
+    pub(crate) fn done(tag: CommandTag) -> Self {
+        Self { columns: None, rows: RowSource::empty(), tag, notices: Vec::new() }
+    }
+
+    /// An answer of rows.
+    pub(crate) fn rows(columns: Vec<OutputColumn>, rows: Vec<Vec<SqlValue>>) -> Self {
+        Self {
+            columns: Some(columns),
+            rows: RowSource::Listed(rows.into_iter()),
+            tag: CommandTag::Sent("SELECT"),
+            notices: Vec::new(),
+        }
+    }
+
+    /// Adds a notice.
+    pub(crate) fn with_notice(
+        mut self,
+        severity: &'static str,
+        sqlstate: &'static str,
+        text: String,
+    ) -> Self {
+        self.notices.push(NoticeMessage { severity, sqlstate, text });
+        self
+    }
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/connection.rs
@@ -0,0 +1,205 @@
+//! A connection from its first byte to its end: encryption, cancel requests, login, messages.
+
+use super::cancel::CancelKey;
+use super::client::ClientStream;
+use super::encode::{put, put_error};
+use super::error::SqlError;
+use super::extended::{PortalTable, StatementTable};
+use super::login::prove_password;
+use super::member::Member;
+use super::scalar::SessionFacts;
+use super::session::{BlockState, Session};
+use super::session_settings::SessionSettings;
+use pgwire::messages::cancel::CancelRequest;
+use pgwire::messages::response::{GssEncResponse, SslResponse};
+use pgwire::messages::startup::{
+    Authentication, BackendKeyData, NegotiateProtocolVersion, SecretKey, Startup,
+};
+use pgwire::messages::{PgWireFrontendMessage as FrontendMessage, SslNegotiationMetaMessage};
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// The protocol version 3.0 as startup messages give it.
+const PROTOCOL_VERSION: i32 = 196_608;
+
+/// Parameters of the startup message that are not settings.
+const STARTUP_KEYWORDS: [&str; 4] = ["database", "options", "replication", "user"];
+
+/// Serves one connection until the client leaves.
+pub(crate) async fn serve_connection(
+    members: Arc<[Arc<Member>]>,
+    member: Arc<Member>,
+    mut client: ClientStream,
+) -> io::Result<()> {
+    member.wait_thawed().await;
+    let Some(startup) = negotiate(&member, &mut client).await? else { return Ok(()) };
+    client.end_startup();
+    let Some(_guard) = ConnectionGuard::enter(&member) else {
+        put_error("FATAL", &SqlError::TooManyConnections, &mut client.output);
+        client.close().await;
+        return Ok(());
+    };
+    let connect_time = member.connect_time();
+    if !connect_time.is_zero() {
+        tokio::time::sleep(connect_time).await;
+    }
+    if let Some(password) = &member.shared.password
+        && let Err(error) = prove_password(&mut client, password).await?
+    {
+        put_error("FATAL", &error, &mut client.output);
+        client.close().await;
+        return Ok(());
+    }
+    let mut session = log_in(members, member, client, &startup);
+    let result = session.serve().await;
+    session.client.close().await;
+    result
+}
+
+/// Counts a connection for as long as it lives.
+struct ConnectionGuard(Arc<Member>);
+
+impl ConnectionGuard {
+    fn enter(member: &Arc<Member>) -> Option<Self> {
+        let before = member.connections.fetch_add(1, Ordering::AcqRel);
+        let guard = Self(Arc::clone(member));
+        let limit = member.connections_max.load(Ordering::Relaxed);
+        if before < limit { Some(guard) } else { None }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Refuses encryption and serves a cancel request; answers the startup message, if one comes.
+async fn negotiate(member: &Member, client: &mut ClientStream) -> io::Result<Option<Startup>> {
+    loop {
+        match client.next_message().await? {
+            Some(FrontendMessage::SslNegotiation(request)) => match request {
+                SslNegotiationMetaMessage::PostgresSsl(_) => {
+                    put(&SslResponse::Refuse, &mut client.output);
+                }
+                SslNegotiationMetaMessage::PostgresGss(_) => {
+                    put(&GssEncResponse::Refuse, &mut client.output);
+                }
+                SslNegotiationMetaMessage::None => client.end_negotiation(),
+            },
+            Some(FrontendMessage::CancelRequest(request)) => {
+                cancel(member, &request);
+                return Ok(None);
+            }
+            Some(FrontendMessage::Startup(startup)) => return Ok(Some(startup)),
+            _ => return Ok(None),
+        }
+    }
+}
+
+fn cancel(member: &Member, request: &CancelRequest) {
+    if let Some(secret) = request.secret_key.as_i32() {
+        member.cancels.cancel(CancelKey { pid: request.pid, secret });
+    }
+}
+
+fn log_in(
+    members: Arc<[Arc<Member>]>,
+    member: Arc<Member>,
+    mut client: ClientStream,
+    startup: &Startup,
+) -> Session {
+    let pid = member.shared.next_pid.fetch_add(1, Ordering::Relaxed);
+    let key = CancelKey { pid, secret: rand::random() };
+    let parameter = |name: &str| startup.parameters.get(name).cloned();
+    let user = parameter("user").unwrap_or_default();
+    let database = parameter("database").unwrap_or_else(|| user.clone());
+    let facts = SessionFacts { user, database, pid, replica: false };
+    let settings = SessionSettings::new(startup_settings(startup));
+    if startup.protocol_number_minor > 0 {
+        let options = startup.parameters.keys().filter(|name| name.starts_with("_pq_."));
+        let options = options.cloned().collect();
+        put(&NegotiateProtocolVersion::new(PROTOCOL_VERSION, options), &mut client.output);
+    }
+    put(&Authentication::Ok, &mut client.output);
+    let cancel = member.cancels.add(key);
+    let mut session = Session {
+        member,
+        members,
+        client,
+        facts: Arc::new(facts),
+        key,
+        cancel,
+        settings,
+        settings_before: None,
+        settings_local: None,
+        transaction: None,
+        block: BlockState::None,
+        statements: StatementTable::default(),
+        portals: PortalTable::default(),
+        skipping: false,
+    };
+    let reports = session.settings.reports();
+    session.report(reports);
+    let data = BackendKeyData::new(pid, SecretKey::I32(key.secret));
+    put(&data, &mut session.client.output);
+    session.ready();
+    session
+}
+
+fn startup_settings(startup: &Startup) -> Vec<(Arc<str>, Arc<str>)> {
+    let mut settings = Vec::new();
+    for (name, value) in &startup.parameters {
+        let name = name.to_ascii_lowercase();
+        if !STARTUP_KEYWORDS.contains(&name.as_str()) && !name.starts_with("_pq_.") {
+            settings.push((name.into(), value.as_str().into()));
+        }
+    }
+    let options = startup.parameters.get("options").map_or("", String::as_str);
+    for word in options.split_whitespace() {
+        let word = word.trim_start_matches("-c").trim_start_matches("--");
+        if let Some((name, value)) = word.split_once('=') {
+            settings.push((name.to_ascii_lowercase().into(), value.into()));
+        }
+    }
+    settings
+}
+
+impl Session {
+    /// Answers messages until the client leaves.
+    async fn serve(&mut self) -> io::Result<()> {
+        loop {
+            let message = match self.client.next_message().await {
+                Ok(Some(message)) => message,
+                Ok(None) => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                    self.refuse(&SqlError::Protocol(error.to_string()));
+                    return Ok(());
+                }
+                Err(error) => return Err(error),
+            };
+            self.member.wait_thawed().await;
+            match message {
+                FrontendMessage::Query(query) => self.simple_query(&query.query).await?,
+                FrontendMessage::Terminate(_) => return Ok(()),
+                // What is left of a failed COPY is skipped.
+                FrontendMessage::CopyData(_)
+                | FrontendMessage::CopyDone(_)
+                | FrontendMessage::CopyFail(_) => {}
+                message if message.is_extended_query() => self.extended_message(message).await?,
+                _ => {
+                    self.refuse(&SqlError::Protocol("unexpected message".to_owned()));
+                    return Ok(());
+                }
+            }
+            self.client.flush_large().await?;
+        }
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.member.cancels.remove(self.key);
+    }
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/copy.rs
@@ -0,0 +1,160 @@
+//! `COPY` of tables, in text form.
+
+use super::answer::CommandTag;
+use super::database::RowValues;
+use super::encode::{put, put_complete};
+use super::error::SqlError;
+use super::plan::{ConflictRule, CopyPlan};
+use super::run::matching_rows;
+use super::run_insert::{complete_row, insert_row, target_columns};
+use super::session::{BoundParameters, Session, StatementError};
+use super::value::{SqlType, SqlValue};
+use bytes::{BufMut, Bytes, BytesMut};
+use pgwire::messages::PgWireFrontendMessage;
+use pgwire::messages::copy::{CopyData, CopyDone, CopyInResponse, CopyOutResponse};
+use std::io;
+
+/// The text that stands for null.
+const NULL_TEXT: &str = "\\N";
+
+/// The line that some clients send at the end.
+const END_LINE: &[u8] = b"\\.";
+
+impl Session {
+    /// Takes rows from the client. With `commit`, the implicit transaction ends here.
+    pub(crate) async fn copy_in(
+        &mut self,
+        copy: &CopyPlan,
+        commit: bool,
+    ) -> Result<(), StatementError> {
+        let schema = self.open_transaction().work.table(&copy.table)?.schema.clone();
+        let targets = target_columns(&schema, &copy.columns)?;
+        let formats = vec![0; targets.len()];
+        let count = i16::try_from(targets.len()).unwrap_or(i16::MAX);
+        put(&CopyInResponse::new(0, count, formats), &mut self.client.output);
+        let data = self.receive_copy().await?;
+        let scope = self.scope(&BoundParameters::none());
+        let mut copied = 0;
+        for line in data.split(|byte| *byte == b'\n') {
+            if line.is_empty() || line == END_LINE {
+                continue;
+            }
+            let values = line_values(line, &targets, &schema.columns)?;
+            let row = complete_row(&schema, values, &scope.sequence)?;
+            insert_row(&schema, row, &ConflictRule::Fail, self.open_transaction(), &scope)?;
+            copied += 1;
+        }
+        if commit {
+            self.end_implicit()?;
+        }
+        put_complete(CommandTag::Counted("COPY", copied), 0, &mut self.client.output);
+        Ok(())
+    }
+
+    /// Collects the client's data up to its end.
+    async fn receive_copy(&mut self) -> Result<Bytes, StatementError> {
+        let mut data = BytesMut::new();
+        loop {
+            match self.client.next_message().await? {
+                Some(PgWireFrontendMessage::CopyData(part)) => data.put(part.data),
+                Some(PgWireFrontendMessage::CopyDone(_)) => return Ok(data.freeze()),
+                Some(PgWireFrontendMessage::CopyFail(fail)) => {
+                    return Err(SqlError::CopyFailed(fail.message).into());
+                }
+                Some(PgWireFrontendMessage::Sync(_) | PgWireFrontendMessage::Flush(_)) => {}
+                Some(_) => {
+                    return Err(SqlError::Protocol("expected copy data".to_owned()).into());
+                }
+                None => return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+            }
+        }
+    }
+
+    /// Sends the rows of a table.
+    pub(crate) async fn copy_out(&mut self, copy: &CopyPlan) -> Result<(), StatementError> {
+        let scope = self.scope(&BoundParameters::none());
+        let table = self.open_transaction().work.table(&copy.table)?.clone();
+        let targets = target_columns(&table.schema, &copy.columns)?;
+        let rows = matching_rows(&table, None, &scope)?;
+        let count = i16::try_from(targets.len()).unwrap_or(i16::MAX);
+        let formats = vec![0; targets.len()];
+        put(&CopyOutResponse::new(0, count, formats), &mut self.client.output);
+        let copied = rows.len() as u64;
+        for (_, row) in rows {
+            let line = row_line(&row, &targets);
+            put(&CopyData::new(line.into()), &mut self.client.output);
+            self.client.flush_large().await?;
+        }
+        put(&CopyDone::new(), &mut self.client.output);
+        put_complete(CommandTag::Counted("COPY", copied), 0, &mut self.client.output);
+        Ok(())
+    }
+}
+
+fn line_values(
+    line: &[u8],
+    targets: &[usize],
+    columns: &[super::database::ColumnSchema],
+) -> Result<Vec<(usize, SqlValue)>, SqlError> {
+    let text = std::str::from_utf8(line)
+        .map_err(|_| SqlError::InvalidText("text", "bytes that are not UTF-8".to_owned()))?;
+    let fields: Vec<_> = text.trim_end_matches('\r').split('\t').collect();
+    if fields.len() != targets.len() {
+        return Err(SqlError::CopyFailed(format!(
+            "{} columns expected, {} found",
+            targets.len(),
+            fields.len()
+        )));
+    }
+    let mut values = Vec::with_capacity(fields.len());
+    for (field, &column) in fields.into_iter().zip(targets) {
+        values.push((column, field_value(field, columns[column].kind)?));
+    }
+    Ok(values)
+}
+
+fn field_value(field: &str, kind: SqlType) -> Result<SqlValue, SqlError> {
+    if field == NULL_TEXT {
+        return Ok(SqlValue::Null);
+    }
+    SqlValue::from_text(kind, &unescaped(field))
+}
+
+fn unescaped(field: &str) -> String {
+    let mut text = String::with_capacity(field.len());
+    let mut characters = field.chars();
+    while let Some(character) = characters.next() {
+        if character != '\\' {
+            text.push(character);
+            continue;
+        }
+        match characters.next() {
+            Some('t') => text.push('\t'),
+            Some('n') => text.push('\n'),
+            Some('r') => text.push('\r'),
+            Some(other) => text.push(other),
+            None => text.push('\\'),
+        }
+    }
+    text
+}
+
+fn row_line(row: &RowValues, targets: &[usize]) -> BytesMut {
+    let mut line = BytesMut::new();
+    for (index, &column) in targets.iter().enumerate() {
+        if index > 0 {
+            line.put_u8(b'\t');
+        }
+        match &row[column] {
+            SqlValue::Null => line.put_slice(NULL_TEXT.as_bytes()),
+            value => line.put_slice(escaped(&value.to_text()).as_bytes()),
+        }
+    }
+    line.put_u8(b'\n');
+    line
+}
+
+fn escaped(text: &str) -> String {
+    let text = text.replace('\\', "\\\\").replace('\t', "\\t");
+    text.replace('\n', "\\n").replace('\r', "\\r")
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/describe.rs
@@ -0,0 +1,306 @@
+//! The types of parameters and results, found from a plan and the tables' present columns.
+
+use super::answer::OutputColumn;
+use super::database::{Database, TableSchema};
+use super::error::SqlError;
+use super::plan::{AggregateFunction, ConflictRule, Plan, Projection, SelectPlan, SelectSource};
+use super::scalar::{Scalar, ScalarFunction};
+use super::value::SqlType;
+use rudder_core::STATUS_COLUMNS;
+use std::sync::Arc;
+
+/// The columns that a plan answers, or `None` if it answers no rows.
+pub(crate) fn output_columns(
+    plan: &Plan,
+    database: &Database,
+    parameters: &[SqlType],
+) -> Result<Option<Vec<OutputColumn>>, SqlError> {
+    match plan {
+        Plan::Control(_) => Ok(Some(status_columns())),
+        Plan::Knob(_) => Ok(Some(vec![text_column("knob")])),
+        Plan::Notice(_) => Ok(Some(vec![text_column("notice")])),
+        Plan::Show(name) => Ok(Some(vec![text_column(name)])),
+        Plan::Select(select) => select_columns(select, database, parameters).map(Some),
+        Plan::Insert(insert) => {
+            returning_columns(&insert.table, &insert.returning, database, parameters)
+        }
+        Plan::Update(update) => {
+            returning_columns(&update.table, &update.returning, database, parameters)
+        }
+        Plan::Delete(delete) => {
+            returning_columns(&delete.table, &delete.returning, database, parameters)
+        }
+        _ => Ok(None),
+    }
+}
+
+/// The columns of the status row.
+pub(crate) fn status_columns() -> Vec<OutputColumn> {
+    STATUS_COLUMNS.iter().map(|name| text_column(name)).collect()
+}
+
+/// A column of texts.
+pub(crate) fn text_column(name: &str) -> OutputColumn {
+    OutputColumn { name: name.into(), kind: SqlType::Text }
+}
+
+/// The schema of the rows of `generate_series`.
+pub(crate) fn series_schema() -> TableSchema {
+    use super::database::{ColumnDefault, ColumnSchema};
+    let column = ColumnSchema {
+        name: "generate_series".into(),
+        kind: SqlType::Int8,
+        not_null: true,
+        default: ColumnDefault::Null,
+    };
+    TableSchema {
+        name: "generate_series".into(),
+        columns: vec![column],
+        primary: None,
+        uniques: Vec::new(),
+    }
+}
+
+fn returning_columns(
+    table: &str,
+    returning: &[Projection],
+    database: &Database,
+    parameters: &[SqlType],
+) -> Result<Option<Vec<OutputColumn>>, SqlError> {
+    if returning.is_empty() {
+        return Ok(None);
+    }
+    let schema = &database.table(table)?.schema;
+    projected_columns(returning, Some(schema), parameters).map(Some)
+}
+
+/// The headings and types of projections.
+pub(crate) fn projected_columns(
+    projections: &[Projection],
+    schema: Option<&TableSchema>,
+    parameters: &[SqlType],
+) -> Result<Vec<OutputColumn>, SqlError> {
+    let mut columns = Vec::with_capacity(projections.len());
+    for projection in projections {
+        match (projection, schema) {
+            (Projection::Scalar(scalar, name), _) => {
+                check_columns(scalar, schema)?;
+                let kind = scalar.kind(schema, parameters);
+                columns.push(OutputColumn { name: Arc::clone(name), kind });
+            }
+            (Projection::All, Some(schema)) => {
+                columns.extend(schema.columns.iter().map(|column| OutputColumn {
+                    name: Arc::clone(&column.name),
+                    kind: column.kind,
+                }));
+            }
+            (Projection::All, None) => {
+                return Err(SqlError::Syntax("SELECT * without a table".to_owned()));
+            }
+        }
+    }
+    Ok(columns)
+}
+
+fn check_columns(scalar: &Scalar, schema: Option<&TableSchema>) -> Result<(), SqlError> {
+    let mut result = Ok(());
+    scalar.walk(&mut |part| {
+        if let Scalar::Column(name) | Scalar::Excluded(name) = part {
+            let known = schema.is_some_and(|schema| schema.column(name).is_ok());
+            if !known {
+                result = Err(SqlError::UnknownColumn(name.as_ref().to_owned()));
+            }
+        }
+    });
+    result
+}
+
+fn select_columns(
+    select: &SelectPlan,
+    database: &Database,
+    parameters: &[SqlType],
+) -> Result<Vec<OutputColumn>, SqlError> {
+    let schema = source_schema(&select.source, database)?;
+    if select.aggregates.is_empty() {
+        return projected_columns(&select.columns, schema.as_deref(), parameters);
+    }
+    let column = |(function, argument, name): &(AggregateFunction, Option<Scalar>, Arc<str>)| {
+        let kind = match (function, argument) {
+            (AggregateFunction::Count | AggregateFunction::Sum, _) | (_, None) => SqlType::Int8,
+            (_, Some(argument)) => argument.kind(schema.as_deref(), parameters),
+        };
+        OutputColumn { name: Arc::clone(name), kind }
+    };
+    Ok(select.aggregates.iter().map(column).collect())
+}
+
+/// The columns of a source.
+pub(crate) fn source_schema(
+    source: &SelectSource,
+    database: &Database,
+) -> Result<Option<Arc<TableSchema>>, SqlError> {
+    match source {
+        SelectSource::Nothing => Ok(None),
+        SelectSource::Table(name) => Ok(Some(Arc::clone(&database.table(name)?.schema))),
+        SelectSource::Series(..) => Ok(Some(Arc::new(series_schema()))),
+    }
+}
+
+/// The types of a plan's parameters: those the client gave, else those that their use suggests.
+pub(crate) fn parameter_types(plan: &Plan, database: &Database, given: &[u32]) -> Vec<SqlType> {
+    let mut found = ParameterTypes::default();
+    found.visit_plan(plan, database);
+    let count = found.kinds.len().max(given.len());
+    (0..count)
+        .map(|index| match given.get(index) {
+            Some(&oid) if oid != 0 => SqlType::from_oid(oid),
+            _ => found.kinds.get(index).copied().flatten().unwrap_or(SqlType::Text),
+        })
+        .collect()
+}
+
+#[derive(Default)]
+struct ParameterTypes {
+    kinds: Vec<Option<SqlType>>,
+}
+
+impl ParameterTypes {
+    fn note(&mut self, scalar: &Scalar, kind: Option<SqlType>) {
+        if let Scalar::Parameter(index) = scalar {
+            if self.kinds.len() <= *index {
+                self.kinds.resize(index + 1, None);
+            }
+            self.kinds[*index] = self.kinds[*index].or(kind);
+        }
+    }
+
+    fn visit_plan(&mut self, plan: &Plan, database: &Database) {
+        let schema_of = |name: &str| database.table(name).ok().map(|table| &table.schema);
+        match plan {
+            Plan::Insert(insert) => {
+                let schema = schema_of(&insert.table).map(Arc::as_ref);
+                for row in &insert.rows {
+                    for (index, value) in row.iter().enumerate() {
+                        let Some(value) = value else { continue };
+                        self.note(value, insert_kind(schema, &insert.columns, index));
+                        self.visit(value, schema);
+                    }
+                }
+                if let ConflictRule::Update(assignments) = &insert.on_conflict {
+                    self.visit_assignments(assignments, schema);
+                }
+                self.visit_projections(&insert.returning, schema);
+            }
+            Plan::Update(update) => {
+                let schema = schema_of(&update.table).map(Arc::as_ref);
+                self.visit_assignments(&update.assignments, schema);
+                self.visit_all(update.filter.iter(), schema);
+                self.visit_projections(&update.returning, schema);
+            }
+            Plan::Delete(delete) => {
+                let schema = schema_of(&delete.table).map(Arc::as_ref);
+                self.visit_all(delete.filter.iter(), schema);
+                self.visit_projections(&delete.returning, schema);
+            }
+            Plan::Select(select) => self.visit_select(select, database),
+            _ => {}
+        }
+    }
+
+    fn visit_select(&mut self, select: &SelectPlan, database: &Database) {
+        let schema = source_schema(&select.source, database).ok().flatten();
+        let schema = schema.as_deref();
+        if let SelectSource::Series(first, last) = &select.source {
+            self.note(first, Some(SqlType::Int8));
+            self.note(last, Some(SqlType::Int8));
+            self.visit_all([first, last].into_iter(), schema);
+        }
+        self.visit_projections(&select.columns, schema);
+        self.visit_all(
+            select.aggregates.iter().filter_map(|(_, scalar, _)| scalar.as_ref()),
+            schema,
+        );
+        self.visit_all(select.filter.iter(), schema);
+        self.visit_all(select.order.iter().map(|(scalar, _)| scalar), schema);
+        for bound in select.limit.iter().chain(&select.offset) {
+            self.note(bound, Some(SqlType::Int8));
+            self.visit(bound, schema);
+        }
+    }
+
+    fn visit_assignments(
+        &mut self,
+        assignments: &[(Arc<str>, Scalar)],
+        schema: Option<&TableSchema>,
+    ) {
+        for (name, scalar) in assignments {
+            self.note(scalar, Some(Scalar::Column(Arc::clone(name)).kind(schema, &[])));
+            self.visit(scalar, schema);
+        }
+    }
+
+    fn visit_projections(&mut self, projections: &[Projection], schema: Option<&TableSchema>) {
+        for projection in projections {
+            if let Projection::Scalar(scalar, _) = projection {
+                self.visit(scalar, schema);
+            }
+        }
+    }
+
+    fn visit_all<'a>(
+        &mut self,
+        scalars: impl Iterator<Item = &'a Scalar>,
+        schema: Option<&TableSchema>,
+    ) {
+        for scalar in scalars {
+            self.visit(scalar, schema);
+        }
+    }
+
+    fn visit(&mut self, scalar: &Scalar, schema: Option<&TableSchema>) {
+        scalar.walk(&mut |part| match part {
+            Scalar::Parameter(_) => self.note(part, None),
+            Scalar::Compare(_, left, right) | Scalar::Arithmetic(_, left, right) => {
+                self.note(left, sibling_kind(right, schema));
+                self.note(right, sibling_kind(left, schema));
+            }
+            Scalar::InList(needle, items) => {
+                for item in items {
+                    self.note(item, sibling_kind(needle, schema));
+                }
+            }
+            Scalar::Cast(inner, kind) => self.note(inner, Some(*kind)),
+            Scalar::And(left, right) | Scalar::Or(left, right) => {
+                self.note(left, Some(SqlType::Bool));
+                self.note(right, Some(SqlType::Bool));
+            }
+            Scalar::Call(ScalarFunction::Sleep, arguments) => {
+                self.note(&arguments[0], Some(SqlType::Float8));
+            }
+            Scalar::Call(ScalarFunction::Repeat, arguments) if arguments.len() == 2 => {
+                self.note(&arguments[1], Some(SqlType::Int4));
+            }
+            _ => {}
+        });
+    }
+}
+
+fn sibling_kind(sibling: &Scalar, schema: Option<&TableSchema>) -> Option<SqlType> {
+    match sibling {
+        Scalar::Parameter(_) => None,
+        other => Some(other.kind(schema, &[])),
+    }
+}
+
+fn insert_kind(
+    schema: Option<&TableSchema>,
+    columns: &[Arc<str>],
+    index: usize,
+) -> Option<SqlType> {
+    let schema = schema?;
+    let column = match columns.get(index) {
+        Some(name) => schema.column(name).ok()?,
+        None => index,
+    };
+    schema.columns.get(column).map(|column| column.kind)
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/handle.rs
@@ -0,0 +1,300 @@
+//! The handle on a running group.
+
+use super::cache::PlanCache;
+use super::client::ClientStream;
+use super::connection::serve_connection;
+use super::error::SqlError;
+use super::knob::{KnobCommand, MemberKnob};
+use super::member::{GroupShared, Member};
+use super::replication::replicate;
+use super::settings::GroupSettings;
+use super::slots::lock;
+use super::state::MemberState;
+use rudder_core::{ControlStatement, MemberName, MemberStatus, ServiceName};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicI32, AtomicI64};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// How often a restarted member tries to listen on its address again.
+const LISTEN_RETRY: Duration = Duration::from_millis(10);
+
+/// A database group of several members, served from this process over loopback or any network.
+///
+/// The group stops when the handle is dropped.
+#[derive(Debug)]
+pub struct GroupStandin {
+    service: ServiceName,
+    members: Arc<[Arc<Member>]>,
+    shared: Arc<GroupShared>,
+}
+
+impl GroupStandin {
+    /// Starts all members. The first one is primary at term 1, the others follow it.
+    ///
+    /// Must be called from within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be listened on, or there is no member.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// use rudder_standins::{GroupSettings, GroupStandin};
+    /// let group = GroupStandin::start(GroupSettings::loopback("orders".parse()?)).await?;
+    /// assert_eq!(group.members().count(), 3);
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub async fn start(settings: GroupSettings) -> io::Result<Self> {
+        let shared = Arc::new(GroupShared {
+            activity: watch::Sender::new(0),
+            cache: PlanCache::default(),
+            sequence: Arc::new(AtomicI64::new(0)),
+            next_pid: AtomicI32::new(1),
+            password: settings.password.clone(),
+            stop: CancellationToken::new(),
+        });
+        let Some(first) = settings.members.first() else {
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, "a group needs a member"));
+        };
+        let mut members = Vec::with_capacity(settings.members.len());
+        let mut listeners = Vec::with_capacity(settings.members.len());
+        for (index, member) in settings.members.iter().enumerate() {
+            let listener = TcpListener::bind(member.listen).await?;
+            let address = listener.local_addr()?;
+            let state = match index {
+                0 => MemberState::first_primary(),
+                _ => MemberState::first_replica(first.name.clone()),
+            };
+            let seed = settings.seed.wrapping_add(index as u64);
+            let shared = Arc::clone(&shared);
+            let member = Member::new(member, &settings, address, state, shared, seed);
+            members.push(Arc::new(member));
+            listeners.push(listener);
+        }
+        let members: Arc<[Arc<Member>]> = members.into();
+        for (index, listener) in listeners.into_iter().enumerate() {
+            if let Some(life) = members[index].begin_life() {
+                let listening = listen(Arc::clone(&members), index, Some(listener), life);
+                tokio::spawn(listening);
+            }
+            tokio::spawn(replicate(Arc::clone(&members), index));
+        }
+        Ok(Self { service: settings.service, members, shared })
+    }
+
+    /// The service that the group belongs to.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// use rudder_standins::{GroupSettings, GroupStandin};
+    /// let group = GroupStandin::start(GroupSettings::loopback("orders".parse()?)).await?;
+    /// assert_eq!(group.service().as_str(), "orders");
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    #[must_use]
+    pub fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    /// The members' names with the addresses that they listen on.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// use rudder_standins::{GroupSettings, GroupStandin};
+    /// let group = GroupStandin::start(GroupSettings::loopback("orders".parse()?)).await?;
+    /// assert!(group.members().all(|(_, address)| address.port() != 0));
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn members(&self) -> impl Iterator<Item = (&MemberName, SocketAddr)> {
+        self.members.iter().map(|member| (&member.name, member.address))
+    }
+
+    /// A member's report, read without its network or slots.
+    ///
+    /// # Errors
+    ///
+    /// No member has this name.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// use rudder_standins::{GroupSettings, GroupStandin};
+    /// let group = GroupStandin::start(GroupSettings::loopback("orders".parse()?)).await?;
+    /// assert_eq!(group.status(&"orders-1".parse()?)?.accepted.0, 1);
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn status(&self, member: &MemberName) -> Result<MemberStatus, GroupError> {
+        Ok(find(&self.members, member)?.status())
+    }
+
+    /// Runs a control statement on a member, as if it had come over the network.
+    ///
+    /// # Errors
+    ///
+    /// No member has this name, or it refuses the statement.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// use rudder_core::{ControlStatement, LogTerm};
+    /// use rudder_standins::{GroupSettings, GroupStandin};
+    /// let group = GroupStandin::start(GroupSettings::loopback("orders".parse()?)).await?;
+    /// let fence = ControlStatement::Fence(LogTerm(4));
+    /// assert_eq!(group.control(&"orders-2".parse()?, &fence)?.accepted, LogTerm(4));
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn control(
+        &self,
+        member: &MemberName,
+        statement: &ControlStatement,
+    ) -> Result<MemberStatus, GroupError> {
+        let member = find(&self.members, member)?;
+        member.control(statement).map_err(|error| GroupError::Refused(error.to_string()))
+    }
+
+    /// Turns a knob of a member.
+    ///
+    /// # Errors
+    ///
+    /// No member has this name.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// use rudder_standins::{GroupSettings, GroupStandin, MemberKnob};
+    /// use std::time::Duration;
+    /// let group = GroupStandin::start(GroupSettings::loopback("orders".parse()?)).await?;
+    /// group.turn(&"orders-2".parse()?, MemberKnob::ApplyLag(Duration::from_millis(100)))?;
+    /// group.turn(&"orders-1".parse()?, MemberKnob::Kill)?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn turn(&self, member: &MemberName, knob: MemberKnob) -> Result<(), GroupError> {
+        turn_knob(&self.members, find(&self.members, member)?, &knob);
+        Ok(())
+    }
+}
+
+impl Drop for GroupStandin {
+    fn drop(&mut self) {
+        self.shared.stop.cancel();
+    }
+}
+
+/// Why a request to the handle failed.
+#[derive(Clone, Debug, displaydoc::Display, PartialEq, Eq)]
+pub enum GroupError {
+    /// the group has no member "{0}"
+    UnknownMember(MemberName),
+    /// the member refused the statement: {0}
+    Refused(String),
+}
+
+impl std::error::Error for GroupError {}
+
+fn find<'a>(members: &'a [Arc<Member>], name: &MemberName) -> Result<&'a Arc<Member>, GroupError> {
+    members
+        .iter()
+        .find(|member| member.name == *name)
+        .ok_or_else(|| GroupError::UnknownMember(name.clone()))
+}
+
+fn turn_knob(members: &Arc<[Arc<Member>]>, member: &Arc<Member>, knob: &MemberKnob) {
+    match knob {
+        MemberKnob::Kill => member.end_life(),
+        MemberKnob::Restart => restart(members, member),
+        knob => member.turn(knob),
+    }
+}
+
+fn restart(members: &Arc<[Arc<Member>]>, member: &Arc<Member>) {
+    let Some(life) = member.begin_life() else { return };
+    lock(&member.state).restart();
+    let Some(index) = members.iter().position(|other| Arc::ptr_eq(other, member)) else { return };
+    tokio::spawn(listen(Arc::clone(members), index, None, life));
+    member.shared.touch();
+}
+
+/// Turns a knob that came as a statement.
+pub(crate) fn turn_by_sql(
+    members: &Arc<[Arc<Member>]>,
+    receiver: &Arc<Member>,
+    command: &KnobCommand,
+) -> Result<(), SqlError> {
+    let member = match &command.member {
+        None => receiver,
+        Some(name) => {
+            find(members, name).map_err(|error| SqlError::InvalidControl(error.to_string()))?
+        }
+    };
+    turn_knob(members, member, &command.knob);
+    Ok(())
+}
+
+/// Accepts a member's connections for as long as it lives.
+async fn listen(
+    members: Arc<[Arc<Member>]>,
+    index: usize,
+    listener: Option<TcpListener>,
+    life: CancellationToken,
+) {
+    let member = Arc::clone(&members[index]);
+    let accepting = async {
+        let listener = match listener {
+            Some(listener) => listener,
+            None => listen_again(member.address).await,
+        };
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    // Without this, small answers wait for the client's acknowledgements.
+                    if stream.set_nodelay(true).is_ok() {
+                        let client = ClientStream::new(Arc::clone(&member), stream, life.clone());
+                        spawn_connection(&members, &member, client, life.clone());
+                    }
+                }
+                Err(error) => {
+                    log::warn!(member:% = member.name, error:% = error; "accept failed");
+                    tokio::time::sleep(LISTEN_RETRY).await;
+                }
+            }
+        }
+    };
+    tokio::select! {
+        () = life.cancelled() => {}
+        () = accepting => {}
+    }
+}
+
+async fn listen_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(LISTEN_RETRY).await,
+        }
+    }
+}
+
+fn spawn_connection(
+    members: &Arc<[Arc<Member>]>,
+    member: &Arc<Member>,
+    client: ClientStream,
+    life: CancellationToken,
+) {
+    let serving = serve_connection(Arc::clone(members), Arc::clone(member), client);
+    tokio::spawn(async move {
+        tokio::select! {
+            biased;
+            () = life.cancelled() => {}
+            // A client that vanishes is an everyday matter.
+            _ = serving => {}
+        }
+    });
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/log.rs
@@ -0,0 +1,156 @@
+//! A member's replication log and the tables that result from it.
+
+use super::database::{Database, RowEffect};
+use rudder_core::{LogStamp, LogTerm};
+use std::collections::VecDeque;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// A snapshot is kept at every so many entries, so that un-applying replays few of them.
+const CHECKPOINT_ENTRIES: usize = 1024;
+
+/// One committed transaction, or the empty entry of a promotion.
+#[derive(Debug)]
+pub(crate) struct LogEntry {
+    pub(crate) stamp: LogStamp,
+    pub(crate) effects: Vec<RowEffect>,
+    /// When the primary appended it.
+    pub(crate) appended: Instant,
+}
+
+/// The entries that a member holds, and the tables as far as they are applied.
+///
+/// Positions start at 1, so the entry at position p has index p - 1.
+#[derive(Debug, Default)]
+pub(crate) struct MemberLog {
+    entries: Vec<Arc<LogEntry>>,
+    applied: usize,
+    database: Database,
+    checkpoints: Vec<(usize, Database)>,
+    /// When each entry that is not applied yet was received.
+    waiting: VecDeque<Instant>,
+}
+
+impl MemberLog {
+    /// The stamp of the last entry.
+    pub(crate) fn received(&self) -> LogStamp {
+        self.stamp_at(self.entries.len())
+    }
+
+    /// The stamp of the last entry that the tables show.
+    pub(crate) fn applied(&self) -> LogStamp {
+        self.stamp_at(self.applied)
+    }
+
+    /// How many entries the log holds.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// The tables as applied.
+    pub(crate) fn database(&self) -> &Database {
+        &self.database
+    }
+
+    /// The entries after the first `from`, at most `count` of them.
+    pub(crate) fn entries_after(&self, from: usize, count: usize) -> &[Arc<LogEntry>] {
+        let end = self.entries.len().min(from.saturating_add(count));
+        self.entries.get(from..end).unwrap_or_default()
+    }
+
+    /// The stamp of the last of the first `count` entries.
+    pub(crate) fn stamp_at(&self, count: usize) -> LogStamp {
+        match count.checked_sub(1).and_then(|index| self.entries.get(index)) {
+            Some(entry) => entry.stamp,
+            None => LogStamp::default(),
+        }
+    }
+
+    /// How many leading entries this log shares with `other`.
+    ///
+    /// A term has one primary, which gives each position once; so logs that agree on the stamp
+    /// of one entry agree on all before it, and the search may go from the end.
+    pub(crate) fn shared_with(&self, other: &MemberLog) -> usize {
+        let shorter = self.entries.len().min(other.entries.len());
+        let agree = |count: &usize| self.stamp_at(*count) == other.stamp_at(*count);
+        (0..=shorter).rev().find(agree).unwrap_or(0)
+    }
+
+    /// Appends and applies the primary's own entry; `database` is the result, if already known.
+    pub(crate) fn append_own(
+        &mut self,
+        term: LogTerm,
+        effects: Vec<RowEffect>,
+        database: Option<Database>,
+    ) -> LogStamp {
+        let stamp = LogStamp::new(term.0, self.entries.len() as u64 + 1);
+        let entry = LogEntry { stamp, effects, appended: Instant::now() };
+        match database {
+            Some(database) => self.database = database,
+            None => apply_entry(&mut self.database, &entry),
+        }
+        self.entries.push(Arc::new(entry));
+        self.applied = self.entries.len();
+        self.keep_checkpoint();
+        stamp
+    }
+
+    /// Appends an entry of the primary, to be applied later.
+    pub(crate) fn receive(&mut self, entry: Arc<LogEntry>, now: Instant) {
+        self.entries.push(entry);
+        self.waiting.push_back(now);
+    }
+
+    /// When the next entry that waits for its application was received.
+    pub(crate) fn next_waiting(&self) -> Option<Instant> {
+        self.waiting.front().copied()
+    }
+
+    /// Applies the next entry, if one waits.
+    pub(crate) fn apply_next(&mut self) {
+        if self.waiting.pop_front().is_none() {
+            return;
+        }
+        apply_entry(&mut self.database, &self.entries[self.applied]);
+        self.applied += 1;
+        self.keep_checkpoint();
+    }
+
+    /// Applies everything received, as a promotion does before it opens for writes.
+    pub(crate) fn apply_all(&mut self) {
+        while !self.waiting.is_empty() {
+            self.apply_next();
+        }
+    }
+
+    /// Drops all entries after the first `count` and un-applies them.
+    pub(crate) fn truncate(&mut self, count: usize) {
+        self.entries.truncate(count);
+        if self.applied <= count {
+            self.waiting.truncate(count - self.applied);
+            return;
+        }
+        self.waiting.clear();
+        self.checkpoints.retain(|(applied, _)| *applied <= count);
+        let (start, mut database) = self.checkpoints.last().cloned().unwrap_or_default();
+        for entry in &self.entries[start..] {
+            apply_entry(&mut database, entry);
+        }
+        self.database = database;
+        self.applied = count;
+    }
+
+    fn keep_checkpoint(&mut self) {
+        if self.applied.is_multiple_of(CHECKPOINT_ENTRIES) {
+            self.checkpoints.push((self.applied, self.database.clone()));
+        }
+    }
+}
+
+fn apply_entry(database: &mut Database, entry: &LogEntry) {
+    for effect in &entry.effects {
+        if let Err(error) = database.apply(effect) {
+            log::error!(stamp:% = entry.stamp, error:% = error; "a log entry does not apply");
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/member.rs
@@ -0,0 +1,206 @@
+//! One member of the group, as its sessions and its replication share it.
+
+use super::cache::PlanCache;
+use super::cancel::CancelRegistry;
+use super::error::SqlError;
+use super::knob::MemberKnob;
+use super::settings::{GroupSettings, MemberSettings};
+use super::slots::{ServiceTimes, SlotGate, lock};
+use super::state::MemberState;
+use rudder_core::{ControlStatement, LogStamp, MemberName, MemberStatus};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicI32, AtomicI64, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Delays and faults of a member's replication.
+#[derive(Clone, Debug)]
+pub(crate) struct ReplicationKnobs {
+    pub(crate) apply_lag: Duration,
+    pub(crate) link_delay: Duration,
+    pub(crate) paused: bool,
+    pub(crate) cut: bool,
+}
+
+/// What all members of a group share.
+#[derive(Debug)]
+pub(crate) struct GroupShared {
+    /// Grows with every change that replication may have to act on.
+    pub(crate) activity: watch::Sender<u64>,
+    pub(crate) cache: PlanCache,
+    pub(crate) sequence: Arc<AtomicI64>,
+    pub(crate) next_pid: AtomicI32,
+    pub(crate) password: Option<String>,
+    /// Ends every task of the group.
+    pub(crate) stop: CancellationToken,
+}
+
+impl GroupShared {
+    /// Tells replication that something changed.
+    pub(crate) fn touch(&self) {
+        self.activity.send_modify(|count| *count = count.wrapping_add(1));
+    }
+}
+
+/// One member.
+#[derive(Debug)]
+pub(crate) struct Member {
+    pub(crate) name: MemberName,
+    pub(crate) address: SocketAddr,
+    pub(crate) shared: Arc<GroupShared>,
+    pub(crate) state: Mutex<MemberState>,
+    pub(crate) slots: SlotGate,
+    pub(crate) cancels: CancelRegistry,
+    pub(crate) replication: Mutex<ReplicationKnobs>,
+    pub(crate) connections: AtomicU32,
+    pub(crate) connections_max: AtomicU32,
+    connect_time: Mutex<Duration>,
+    frozen: AtomicBool,
+    thawed: watch::Sender<bool>,
+    /// Ends when the member is killed; `None` while it is down.
+    life: Mutex<Option<CancellationToken>>,
+}
+
+impl Member {
+    /// A member that is not started yet.
+    pub(crate) fn new(
+        settings: &MemberSettings,
+        group: &GroupSettings,
+        address: SocketAddr,
+        state: MemberState,
+        shared: Arc<GroupShared>,
+        seed: u64,
+    ) -> Self {
+        let times =
+            ServiceTimes { mean: group.service_time, spread: group.spread, speed: settings.speed };
+        Self {
+            name: settings.name.clone(),
+            address,
+            shared,
+            state: Mutex::new(state),
+            slots: SlotGate::new(group.slots.0 as usize, times, seed),
+            cancels: CancelRegistry::default(),
+            replication: Mutex::new(ReplicationKnobs {
+                apply_lag: group.apply_lag,
+                link_delay: group.link_delay,
+                paused: false,
+                cut: false,
+            }),
+            connections: AtomicU32::new(0),
+            connections_max: AtomicU32::new(group.connections.0),
+            connect_time: Mutex::new(group.connect_time),
+            frozen: AtomicBool::new(false),
+            thawed: watch::Sender::new(true),
+            life: Mutex::new(None),
+        }
+    }
+
+    /// The member's report.
+    pub(crate) fn status(&self) -> MemberStatus {
+        lock(&self.state).status()
+    }
+
+    /// Runs a control statement and answers the status after its effect.
+    pub(crate) fn control(&self, statement: &ControlStatement) -> Result<MemberStatus, SqlError> {
+        let status = {
+            let mut state = lock(&self.state);
+            match statement {
+                ControlStatement::Status => return Ok(state.status()),
+                ControlStatement::Fence(term) => state.fence(*term)?,
+                ControlStatement::Promote(term) => state.promote(*term)?,
+                ControlStatement::Follow(_, leader) if *leader == self.name => {
+                    return Err(SqlError::InvalidControl(format!("{leader} is this member")));
+                }
+                ControlStatement::Follow(term, leader) => state.follow(*term, leader.clone())?,
+            }
+            state.status()
+        };
+        self.shared.touch();
+        Ok(status)
+    }
+
+    /// Commits a transaction.
+    pub(crate) fn commit(
+        &self,
+        transaction: super::transaction::Transaction,
+    ) -> Result<LogStamp, SqlError> {
+        let changes = !transaction.effects.is_empty();
+        let stamp = lock(&self.state).commit(transaction)?;
+        if changes {
+            self.shared.touch();
+        }
+        Ok(stamp)
+    }
+
+    /// How long a new connection takes.
+    pub(crate) fn connect_time(&self) -> Duration {
+        *lock(&self.connect_time)
+    }
+
+    /// Whether the member answers nothing at present.
+    pub(crate) fn is_frozen(&self) -> bool {
+        self.frozen.load(Ordering::Acquire)
+    }
+
+    /// Waits until the member is not frozen.
+    pub(crate) async fn wait_thawed(&self) {
+        if !self.is_frozen() {
+            return;
+        }
+        let mut thawed = self.thawed.subscribe();
+        // The sender lives as long as the member, so the wait ends by a thaw only.
+        let _ = thawed.wait_for(|thawed| *thawed).await;
+    }
+
+    /// Whether the member is up.
+    pub(crate) fn is_alive(&self) -> bool {
+        lock(&self.life).is_some()
+    }
+
+    /// Marks the member as up; the token ends when it is killed.
+    pub(crate) fn begin_life(&self) -> Option<CancellationToken> {
+        let mut life = lock(&self.life);
+        if life.is_some() {
+            return None;
+        }
+        let token = self.shared.stop.child_token();
+        *life = Some(token.clone());
+        Some(token)
+    }
+
+    /// Ends the member's listener and connections.
+    pub(crate) fn end_life(&self) {
+        if let Some(token) = lock(&self.life).take() {
+            token.cancel();
+        }
+        self.shared.touch();
+    }
+
+    /// Turns a knob that needs no task to be started or ended.
+    pub(crate) fn turn(&self, knob: &MemberKnob) {
+        match knob {
+            MemberKnob::ApplyLag(lag) => lock(&self.replication).apply_lag = *lag,
+            MemberKnob::LinkDelay(delay) => lock(&self.replication).link_delay = *delay,
+            MemberKnob::Paused(paused) => lock(&self.replication).paused = *paused,
+            MemberKnob::Cut(cut) => lock(&self.replication).cut = *cut,
+            MemberKnob::Frozen(frozen) => {
+                self.frozen.store(*frozen, Ordering::Release);
+                self.thawed.send_replace(!frozen);
+            }
+            MemberKnob::Speed(speed) => self.slots.adjust(|times| times.speed = *speed),
+            MemberKnob::ServiceTime(mean, spread) => self.slots.adjust(|times| {
+                times.mean = *mean;
+                times.spread = *spread;
+            }),
+            MemberKnob::Slots(slots) => self.slots.resize(slots.0 as usize),
+            MemberKnob::Connections(count) => {
+                self.connections_max.store(count.0, Ordering::Relaxed);
+            }
+            MemberKnob::ConnectTime(time) => *lock(&self.connect_time) = *time,
+            MemberKnob::Kill | MemberKnob::Restart => {}
+        }
+        self.shared.touch();
+    }
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/parse_scalar.rs
@@ -0,0 +1,250 @@
+//! From parsed expressions and names to the stand-in's own.
+
+use super::error::SqlError;
+use super::scalar::{ArithmeticOperator, ComparisonOperator, Scalar, ScalarFunction};
+use super::value::{SqlType, SqlValue};
+use sqlparser::ast::{self, BinaryOperator, Expr};
+use std::sync::Arc;
+
+/// An identifier: lower case unless it was quoted.
+pub(crate) fn ident_name(ident: &ast::Ident) -> Arc<str> {
+    if ident.quote_style.is_some() {
+        return ident.value.as_str().into();
+    }
+    ident.value.to_ascii_lowercase().into()
+}
+
+/// A dotted name.
+pub(crate) fn object_name(name: &ast::ObjectName) -> Arc<str> {
+    table_name(name)
+}
+
+/// A name as it was written, in lower case.
+pub(crate) fn name_text(name: &ast::ObjectName) -> Arc<str> {
+    let parts: Vec<_> = name.0.iter().map(part_text).collect();
+    parts.join(".").into()
+}
+
+/// A table's name; the default schema is left out.
+pub(crate) fn table_name(name: &ast::ObjectName) -> Arc<str> {
+    let text = name_text(name);
+    match text.strip_prefix("public.") {
+        Some(rest) => rest.into(),
+        None => text,
+    }
+}
+
+fn part_text(part: &ast::ObjectNamePart) -> String {
+    match part {
+        ast::ObjectNamePart::Identifier(ident) => ident_name(ident).as_ref().to_owned(),
+        ast::ObjectNamePart::Function(function) => function.to_string().to_ascii_lowercase(),
+    }
+}
+
+/// The type of a column or cast.
+pub(crate) fn sql_type(data_type: &ast::DataType) -> SqlType {
+    use ast::DataType as D;
+    match data_type {
+        D::Bool | D::Boolean => SqlType::Bool,
+        D::Int(_) | D::Integer(_) | D::Int4(_) | D::SmallInt(_) | D::Int2(_) => SqlType::Int4,
+        D::BigInt(_) | D::Int8(_) => SqlType::Int8,
+        D::Float8 | D::DoublePrecision | D::Double(_) => SqlType::Float8,
+        D::Custom(name, _) => match name_text(name).as_ref() {
+            "serial" | "serial4" => SqlType::Int4,
+            "bigserial" | "serial8" => SqlType::Int8,
+            _ => SqlType::Text,
+        },
+        _ => SqlType::Text,
+    }
+}
+
+/// The integer that an expression spells out.
+pub(crate) fn integer(expr: &Expr) -> Option<i64> {
+    match expr {
+        Expr::Value(value) => match &value.value {
+            ast::Value::Number(text, _) => text.parse().ok(),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+/// The text of a constant in `SET` and the like, where a bare word is a text as well.
+pub(crate) fn constant_text(expr: &Expr) -> Result<String, SqlError> {
+    match expr {
+        Expr::Identifier(ident) => Ok(ident.value.clone()),
+        Expr::Value(value) => match literal(&value.value)? {
+            Scalar::Literal(value) => Ok(value.to_text()),
+            _ => Err(SqlError::Unsupported(expr.to_string())),
+        },
+        Expr::UnaryOp { .. } => Ok(expr.to_string()),
+        _ => Err(SqlError::Unsupported(expr.to_string())),
+    }
+}
+
+/// Converts an expression.
+pub(crate) fn scalar(expr: Expr) -> Result<Scalar, SqlError> {
+    match expr {
+        Expr::Identifier(ident) => Ok(word(&ident)),
+        Expr::CompoundIdentifier(parts) => compound(&parts),
+        Expr::Value(value) => literal(&value.value),
+        Expr::Nested(inner) => scalar(*inner),
+        Expr::BinaryOp { left, op, right } => binary(*left, &op, *right),
+        Expr::UnaryOp { op: ast::UnaryOperator::Not, expr } => {
+            Ok(Scalar::Not(Box::new(scalar(*expr)?)))
+        }
+        Expr::UnaryOp { op: ast::UnaryOperator::Minus, expr } => negate(scalar(*expr)?),
+        Expr::UnaryOp { op: ast::UnaryOperator::Plus, expr } => scalar(*expr),
+        Expr::IsNull(inner) => Ok(Scalar::IsNull(Box::new(scalar(*inner)?))),
+        Expr::IsNotNull(inner) => {
+            Ok(Scalar::Not(Box::new(Scalar::IsNull(Box::new(scalar(*inner)?)))))
+        }
+        Expr::IsTrue(inner) => scalar(*inner),
+        Expr::Cast { expr, data_type, .. } => {
+            Ok(Scalar::Cast(Box::new(scalar(*expr)?), sql_type(&data_type)))
+        }
+        Expr::In { expr, target: ast::InTarget::List(list), negated, .. } => {
+            let items: Result<Vec<_>, _> = list.into_iter().map(scalar).collect();
+            let result = Scalar::InList(Box::new(scalar(*expr)?), items?);
+            Ok(if negated { Scalar::Not(Box::new(result)) } else { result })
+        }
+        Expr::Between { expr, negated, low, high } => between(*expr, negated, *low, *high),
+        Expr::Function(function) => call(function),
+        other => Err(SqlError::Unsupported(other.to_string())),
+    }
+}
+
+fn word(ident: &ast::Ident) -> Scalar {
+    match ident_name(ident).as_ref() {
+        "current_user" | "session_user" | "user" => {
+            Scalar::Call(ScalarFunction::CurrentUser, Vec::new())
+        }
+        "current_timestamp" => Scalar::Call(ScalarFunction::Now, Vec::new()),
+        "true" => Scalar::Literal(SqlValue::Bool(true)),
+        "false" => Scalar::Literal(SqlValue::Bool(false)),
+        name => Scalar::Column(name.into()),
+    }
+}
+
+fn compound(parts: &[ast::Ident]) -> Result<Scalar, SqlError> {
+    let Some((last, qualifiers)) = parts.split_last() else {
+        return Err(SqlError::Syntax("an empty name".to_owned()));
+    };
+    let proposed = qualifiers.iter().any(|part| part.value.eq_ignore_ascii_case("excluded"));
+    let name = ident_name(last);
+    Ok(if proposed { Scalar::Excluded(name) } else { Scalar::Column(name) })
+}
+
+fn literal(value: &ast::Value) -> Result<Scalar, SqlError> {
+    use ast::Value as V;
+    let value = match value {
+        V::Number(text, _) => match text.parse() {
+            Ok(number) => SqlValue::Int(number),
+            Err(_) => SqlValue::text(text),
+        },
+        V::SingleQuotedString(text)
+        | V::EscapedStringLiteral(text)
+        | V::UnicodeStringLiteral(text)
+        | V::NationalStringLiteral(text)
+        | V::DoubleQuotedString(text) => SqlValue::text(text),
+        V::DollarQuotedString(text) => SqlValue::text(&text.value),
+        V::Boolean(flag) => SqlValue::Bool(*flag),
+        V::Null => SqlValue::Null,
+        V::Placeholder(text) => return parameter(text),
+        other => return Err(SqlError::Unsupported(other.to_string())),
+    };
+    Ok(Scalar::Literal(value))
+}
+
+/// Parameters are numbered by a 16-bit integer in the protocol.
+const PARAMETERS_MAX: usize = 65_535;
+
+fn parameter(text: &str) -> Result<Scalar, SqlError> {
+    let number: Option<usize> = text.strip_prefix('$').and_then(|digits| digits.parse().ok());
+    match number {
+        Some(number) if (1..=PARAMETERS_MAX).contains(&number) => Ok(Scalar::Parameter(number - 1)),
+        _ => Err(SqlError::Syntax(format!("parameter {text}"))),
+    }
+}
+
+fn negate(inner: Scalar) -> Result<Scalar, SqlError> {
+    match inner {
+        Scalar::Literal(SqlValue::Int(number)) => {
+            let negative = number.checked_neg().ok_or(SqlError::OutOfRange)?;
+            Ok(Scalar::Literal(SqlValue::Int(negative)))
+        }
+        inner => {
+            let zero = Box::new(Scalar::Literal(SqlValue::Int(0)));
+            Ok(Scalar::Arithmetic(ArithmeticOperator::Subtract, zero, Box::new(inner)))
+        }
+    }
+}
+
+fn binary(left: Expr, operator: &BinaryOperator, right: Expr) -> Result<Scalar, SqlError> {
+    use ArithmeticOperator as A;
+    use ComparisonOperator as C;
+    let (left, right) = (Box::new(scalar(left)?), Box::new(scalar(right)?));
+    Ok(match operator {
+        BinaryOperator::And => Scalar::And(left, right),
+        BinaryOperator::Or => Scalar::Or(left, right),
+        BinaryOperator::Eq => Scalar::Compare(C::Equal, left, right),
+        BinaryOperator::NotEq => Scalar::Compare(C::NotEqual, left, right),
+        BinaryOperator::Lt => Scalar::Compare(C::Less, left, right),
+        BinaryOperator::LtEq => Scalar::Compare(C::LessOrEqual, left, right),
+        BinaryOperator::Gt => Scalar::Compare(C::Greater, left, right),
+        BinaryOperator::GtEq => Scalar::Compare(C::GreaterOrEqual, left, right),
+        BinaryOperator::Plus => Scalar::Arithmetic(A::Add, left, right),
+        BinaryOperator::Minus => Scalar::Arithmetic(A::Subtract, left, right),
+        BinaryOperator::Multiply => Scalar::Arithmetic(A::Multiply, left, right),
+        BinaryOperator::Divide => Scalar::Arithmetic(A::Divide, left, right),
+        BinaryOperator::Modulo => Scalar::Arithmetic(A::Modulo, left, right),
+        BinaryOperator::StringConcat => Scalar::Arithmetic(A::Concat, left, right),
+        other => return Err(SqlError::Unsupported(other.to_string())),
+    })
+}
+
+fn between(expr: Expr, negated: bool, low: Expr, high: Expr) -> Result<Scalar, SqlError> {
+    use ComparisonOperator as C;
+    let (value, low, high) = (scalar(expr)?, scalar(low)?, scalar(high)?);
+    let above = Scalar::Compare(C::GreaterOrEqual, Box::new(value.clone()), Box::new(low));
+    let below = Scalar::Compare(C::LessOrEqual, Box::new(value), Box::new(high));
+    let result = Scalar::And(Box::new(above), Box::new(below));
+    Ok(if negated { Scalar::Not(Box::new(result)) } else { result })
+}
+
+/// The positional arguments of a function call; `*` yields none.
+pub(crate) fn call_arguments(arguments: ast::FunctionArguments) -> Result<Vec<Expr>, SqlError> {
+    let ast::FunctionArguments::List(list) = arguments else { return Ok(Vec::new()) };
+    list.args
+        .into_iter()
+        .filter_map(|argument| match argument {
+            ast::FunctionArg::Unnamed(ast::FunctionArgExpr::Expr(expr)) => Some(Ok(expr)),
+            ast::FunctionArg::Unnamed(ast::FunctionArgExpr::Wildcard) => None,
+            other => Some(Err(SqlError::Unsupported(other.to_string()))),
+        })
+        .collect()
+}
+
+fn call(function: ast::Function) -> Result<Scalar, SqlError> {
+    use ScalarFunction as F;
+    let name = name_text(&function.name);
+    let known = match name.strip_prefix("pg_catalog.").unwrap_or(&name) {
+        "version" => F::Version,
+        "current_database" | "current_catalog" => F::CurrentDatabase,
+        "current_user" | "session_user" | "user" => F::CurrentUser,
+        "pg_backend_pid" => F::BackendPid,
+        "pg_is_in_recovery" => F::InRecovery,
+        "now" | "current_timestamp" | "clock_timestamp" => F::Now,
+        "txid_current" => F::TransactionId,
+        "coalesce" => F::Coalesce,
+        "length" => F::Length,
+        "lower" => F::Lower,
+        "upper" => F::Upper,
+        "repeat" => F::Repeat,
+        "pg_sleep" => F::Sleep,
+        _ => return Err(SqlError::UnknownFunction(name.as_ref().to_owned())),
+    };
+    let arguments: Result<Vec<_>, _> =
+        call_arguments(function.args)?.into_iter().map(scalar).collect();
+    Ok(Scalar::Call(known, arguments?))
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/scalar.rs
@@ -0,0 +1,375 @@
+//! Scalar expressions over one row and the statement's parameters.
+
+use super::database::TableSchema;
+use super::error::SqlError;
+use super::value::{SqlType, SqlValue};
+use std::cmp::Ordering;
+use std::sync::Arc;
+
+/// Operators that take numbers, or texts in the case of `Concat`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ArithmeticOperator {
+    Add,
+    Subtract,
+    Multiply,
+    Divide,
+    Modulo,
+    Concat,
+}
+
+/// Comparisons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ComparisonOperator {
+    Equal,
+    NotEqual,
+    Less,
+    LessOrEqual,
+    Greater,
+    GreaterOrEqual,
+}
+
+impl ComparisonOperator {
+    fn holds(self, ordering: Ordering) -> bool {
+        match self {
+            Self::Equal => ordering.is_eq(),
+            Self::NotEqual => ordering.is_ne(),
+            Self::Less => ordering.is_lt(),
+            Self::LessOrEqual => ordering.is_le(),
+            Self::Greater => ordering.is_gt(),
+            Self::GreaterOrEqual => ordering.is_ge(),
+        }
+    }
+}
+
+/// Functions of one row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ScalarFunction {
+    Version,
+    CurrentDatabase,
+    CurrentUser,
+    BackendPid,
+    InRecovery,
+    Now,
+    /// The number of the transaction, here always 0.
+    TransactionId,
+    Coalesce,
+    Length,
+    Lower,
+    Upper,
+    Repeat,
+    /// `pg_sleep`: the waiting is done before the statement runs.
+    Sleep,
+}
+
+/// An expression.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Scalar {
+    Literal(SqlValue),
+    /// A parameter by index from 0.
+    Parameter(usize),
+    Column(Arc<str>),
+    /// A column of the row that an insert proposed, in `ON CONFLICT DO UPDATE`.
+    Excluded(Arc<str>),
+    Arithmetic(ArithmeticOperator, Box<Scalar>, Box<Scalar>),
+    Compare(ComparisonOperator, Box<Scalar>, Box<Scalar>),
+    And(Box<Scalar>, Box<Scalar>),
+    Or(Box<Scalar>, Box<Scalar>),
+    Not(Box<Scalar>),
+    IsNull(Box<Scalar>),
+    InList(Box<Scalar>, Vec<Scalar>),
+    Cast(Box<Scalar>, SqlType),
+    Call(ScalarFunction, Vec<Scalar>),
+}
+
+/// What an expression is evaluated over.
+#[derive(Clone, Copy)]
+pub(crate) struct ScalarScope<'a> {
+    pub(crate) schema: Option<&'a TableSchema>,
+    pub(crate) row: &'a [SqlValue],
+    /// The row that an insert proposed; empty elsewhere.
+    pub(crate) excluded: &'a [SqlValue],
+    pub(crate) parameters: &'a [SqlValue],
+    pub(crate) session: &'a SessionFacts,
+}
+
+/// What functions may tell about the session and its member.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SessionFacts {
+    pub(crate) user: String,
+    pub(crate) database: String,
+    pub(crate) pid: i32,
+    pub(crate) replica: bool,
+}
+
+/// The version that the stand-in reports.
+pub(crate) const SERVER_VERSION: &str = "17.0 (rudder stand-in)";
+
+/// Longest text that `repeat` makes, in bytes.
+const REPEAT_BYTES_MAX: usize = 64 << 20;
+
+impl Scalar {
+    /// The value over `scope`.
+    pub(crate) fn evaluate(&self, scope: ScalarScope<'_>) -> Result<SqlValue, SqlError> {
+        match self {
+            Self::Literal(value) => Ok(value.clone()),
+            Self::Parameter(index) => {
+                scope.parameters.get(*index).cloned().ok_or(SqlError::MissingParameter(index + 1))
+            }
+            Self::Column(name) => column_value(name, scope.row, scope),
+            Self::Excluded(name) => column_value(name, scope.excluded, scope),
+            Self::Arithmetic(operator, left, right) => {
+                calculate(*operator, left.evaluate(scope)?, right.evaluate(scope)?)
+            }
+            Self::Compare(operator, left, right) => {
+                compare(*operator, left.evaluate(scope)?, right.evaluate(scope)?)
+            }
+            Self::And(left, right) => {
+                conjunction(left.evaluate(scope)?, || right.evaluate(scope), false)
+            }
+            Self::Or(left, right) => {
+                conjunction(left.evaluate(scope)?, || right.evaluate(scope), true)
+            }
+            Self::Not(inner) => Ok(match inner.evaluate(scope)? {
+                SqlValue::Null => SqlValue::Null,
+                value => SqlValue::Bool(!is_true(&value)),
+            }),
+            Self::IsNull(inner) => Ok(SqlValue::Bool(inner.evaluate(scope)? == SqlValue::Null)),
+            Self::InList(needle, items) => in_list(needle, items, scope),
+            Self::Cast(inner, kind) => inner.evaluate(scope)?.coerce(*kind),
+            Self::Call(function, arguments) => call(*function, arguments, scope),
+        }
+    }
+
+    /// Whether the expression is true over `scope`; null counts as false.
+    pub(crate) fn holds(&self, scope: ScalarScope<'_>) -> Result<bool, SqlError> {
+        self.evaluate(scope).map(|value| is_true(&value))
+    }
+
+    /// The type of the result; `parameters` holds the parameters' types.
+    pub(crate) fn kind(&self, schema: Option<&TableSchema>, parameters: &[SqlType]) -> SqlType {
+        match self {
+            Self::Literal(value) => value.natural_type(),
+            Self::Parameter(index) => parameters.get(*index).copied().unwrap_or(SqlType::Text),
+            Self::Column(name) | Self::Excluded(name) => column_kind(name, schema),
+            Self::Arithmetic(ArithmeticOperator::Concat, ..) => SqlType::Text,
+            Self::Arithmetic(_, left, right) => {
+                let wide = SqlType::Int8;
+                let kinds = [left.kind(schema, parameters), right.kind(schema, parameters)];
+                if kinds.contains(&wide) { wide } else { SqlType::Int4 }
+            }
+            Self::Compare(..)
+            | Self::And(..)
+            | Self::Or(..)
+            | Self::Not(_)
+            | Self::IsNull(_)
+            | Self::InList(..) => SqlType::Bool,
+            Self::Cast(_, kind) => *kind,
+            Self::Call(function, arguments) => match function {
+                ScalarFunction::BackendPid | ScalarFunction::Length => SqlType::Int4,
+                ScalarFunction::InRecovery => SqlType::Bool,
+                ScalarFunction::TransactionId => SqlType::Int8,
+                ScalarFunction::Sleep => SqlType::Void,
+                ScalarFunction::Coalesce => arguments
+                    .first()
+                    .map_or(SqlType::Text, |argument| argument.kind(schema, parameters)),
+                _ => SqlType::Text,
+            },
+        }
+    }
+
+    /// Calls `visit` for this expression and each one inside it.
+    pub(crate) fn walk(&self, visit: &mut dyn FnMut(&Scalar)) {
+        visit(self);
+        match self {
+            Self::Literal(_) | Self::Parameter(_) | Self::Column(_) | Self::Excluded(_) => {}
+            Self::Arithmetic(_, left, right)
+            | Self::Compare(_, left, right)
+            | Self::And(left, right)
+            | Self::Or(left, right) => {
+                left.walk(visit);
+                right.walk(visit);
+            }
+            Self::Not(inner) | Self::IsNull(inner) | Self::Cast(inner, _) => inner.walk(visit),
+            Self::InList(needle, items) => {
+                needle.walk(visit);
+                for item in items {
+                    item.walk(visit);
+                }
+            }
+            Self::Call(_, arguments) => {
+                for argument in arguments {
+                    argument.walk(visit);
+                }
+            }
+        }
+    }
+}
+
+fn is_true(value: &SqlValue) -> bool {
+    *value == SqlValue::Bool(true)
+}
+
+fn column_value(
+    name: &str,
+    row: &[SqlValue],
+    scope: ScalarScope<'_>,
+) -> Result<SqlValue, SqlError> {
+    let Some(schema) = scope.schema else {
+        return Err(SqlError::UnknownColumn(name.to_owned()));
+    };
+    let index = schema.column(name)?;
+    Ok(row.get(index).cloned().unwrap_or(SqlValue::Null))
+}
+
+fn column_kind(name: &str, schema: Option<&TableSchema>) -> SqlType {
+    let Some(schema) = schema else { return SqlType::Text };
+    schema.column(name).map_or(SqlType::Text, |index| schema.columns[index].kind)
+}
+
+/// `and` and `or` with SQL's three values; `dominant` decides on its own.
+fn conjunction(
+    left: SqlValue,
+    right: impl FnOnce() -> Result<SqlValue, SqlError>,
+    dominant: bool,
+) -> Result<SqlValue, SqlError> {
+    if left == SqlValue::Bool(dominant) {
+        return Ok(left);
+    }
+    let right = right()?;
+    if right == SqlValue::Bool(dominant) {
+        return Ok(right);
+    }
+    if left == SqlValue::Null { Ok(left) } else { Ok(right) }
+}
+
+fn calculate(
+    operator: ArithmeticOperator,
+    left: SqlValue,
+    right: SqlValue,
+) -> Result<SqlValue, SqlError> {
+    if left == SqlValue::Null || right == SqlValue::Null {
+        return Ok(SqlValue::Null);
+    }
+    if operator == ArithmeticOperator::Concat {
+        return Ok(SqlValue::text(&(left.to_text() + &right.to_text())));
+    }
+    let (SqlValue::Int(left), SqlValue::Int(right)) =
+        (left.coerce(SqlType::Int8)?, right.coerce(SqlType::Int8)?)
+    else {
+        return Err(SqlError::OutOfRange);
+    };
+    let result = match operator {
+        ArithmeticOperator::Add => left.checked_add(right),
+        ArithmeticOperator::Subtract => left.checked_sub(right),
+        ArithmeticOperator::Multiply => left.checked_mul(right),
+        _ if right == 0 => return Err(SqlError::DivisionByZero),
+        ArithmeticOperator::Divide => left.checked_div(right),
+        _ => left.checked_rem(right),
+    };
+    result.map(SqlValue::Int).ok_or(SqlError::OutOfRange)
+}
+
+fn compare(
+    operator: ComparisonOperator,
+    left: SqlValue,
+    right: SqlValue,
+) -> Result<SqlValue, SqlError> {
+    let (left, right) = match (left, right) {
+        (SqlValue::Null, _) | (_, SqlValue::Null) => return Ok(SqlValue::Null),
+        // A text beside another type is an untyped literal, which takes that type.
+        (left @ SqlValue::Text(_), right @ SqlValue::Text(_)) => (left, right),
+        (left @ SqlValue::Text(_), right) => (left.coerce(wide_type(&right))?, right),
+        (left, right @ SqlValue::Text(_)) => {
+            let kind = wide_type(&left);
+            (left, right.coerce(kind)?)
+        }
+        (left, right) => (left, right),
+    };
+    if std::mem::discriminant(&left) != std::mem::discriminant(&right) {
+        return Err(SqlError::TypeMismatch(
+            left.natural_type().name(),
+            right.natural_type().name(),
+        ));
+    }
+    Ok(SqlValue::Bool(operator.holds(left.cmp(&right))))
+}
+
+fn wide_type(value: &SqlValue) -> SqlType {
+    match value {
+        SqlValue::Bool(_) => SqlType::Bool,
+        SqlValue::Int(_) => SqlType::Int8,
+        SqlValue::Null | SqlValue::Text(_) => SqlType::Text,
+    }
+}
+
+fn in_list(
+    needle: &Scalar,
+    items: &[Scalar],
+    scope: ScalarScope<'_>,
+) -> Result<SqlValue, SqlError> {
+    let needle = needle.evaluate(scope)?;
+    let mut result = SqlValue::Bool(false);
+    for item in items {
+        match compare(ComparisonOperator::Equal, needle.clone(), item.evaluate(scope)?)? {
+            SqlValue::Bool(true) => return Ok(SqlValue::Bool(true)),
+            SqlValue::Null => result = SqlValue::Null,
+            _ => {}
+        }
+    }
+    Ok(result)
+}
+
+fn call(
+    function: ScalarFunction,
+    arguments: &[Scalar],
+    scope: ScalarScope<'_>,
+) -> Result<SqlValue, SqlError> {
+    let argument = |index: usize| match arguments.get(index) {
+        Some(argument) => argument.evaluate(scope),
+        None => Ok(SqlValue::Null),
+    };
+    match function {
+        ScalarFunction::Version => {
+            Ok(SqlValue::text(&format!("PostgreSQL {SERVER_VERSION} on loopback")))
+        }
+        ScalarFunction::CurrentDatabase => Ok(SqlValue::text(&scope.session.database)),
+        ScalarFunction::CurrentUser => Ok(SqlValue::text(&scope.session.user)),
+        ScalarFunction::BackendPid => Ok(SqlValue::Int(scope.session.pid.into())),
+        ScalarFunction::InRecovery => Ok(SqlValue::Bool(scope.session.replica)),
+        ScalarFunction::Now => Ok(now_text()),
+        ScalarFunction::TransactionId => Ok(SqlValue::Int(0)),
+        ScalarFunction::Sleep => Ok(SqlValue::text("")),
+        ScalarFunction::Coalesce => {
+            for argument in arguments {
+                let value = argument.evaluate(scope)?;
+                if value != SqlValue::Null {
+                    return Ok(value);
+                }
+            }
+            Ok(SqlValue::Null)
+        }
+        ScalarFunction::Length => {
+            let length = argument(0)?.to_text().chars().count();
+            Ok(SqlValue::Int(i64::try_from(length).unwrap_or(i64::MAX)))
+        }
+        ScalarFunction::Lower => Ok(SqlValue::text(&argument(0)?.to_text().to_lowercase())),
+        ScalarFunction::Upper => Ok(SqlValue::text(&argument(0)?.to_text().to_uppercase())),
+        ScalarFunction::Repeat => repeat(&argument(0)?, argument(1)?),
+    }
+}
+
+fn repeat(text: &SqlValue, count: SqlValue) -> Result<SqlValue, SqlError> {
+    let SqlValue::Int(count) = count.coerce(SqlType::Int8)? else { return Ok(SqlValue::Null) };
+    let text = text.to_text();
+    let count = usize::try_from(count).unwrap_or(0);
+    if text.len().saturating_mul(count) > REPEAT_BYTES_MAX {
+        return Err(SqlError::OutOfRange);
+    }
+    Ok(SqlValue::text(&text.repeat(count)))
+}
+
+/// The wall clock in milliseconds since 1970, as text.
+pub(crate) fn now_text() -> SqlValue {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    SqlValue::text(&since.map_or(0, |since| since.as_millis()).to_string())
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/session.rs
@@ -0,0 +1,423 @@
+//! A session: its transaction state, and the running of single statements.
+
+use super::answer::{Answer, CommandTag};
+use super::cancel::CancelKey;
+use super::client::ClientStream;
+use super::describe::{status_columns, text_column};
+use super::encode::{put, put_notice, put_ready};
+use super::error::SqlError;
+use super::extended::{PortalTable, StatementTable};
+use super::handle::turn_by_sql;
+use super::member::Member;
+use super::plan::Plan;
+use super::run::{RunScope, run_plan};
+use super::scalar::SessionFacts;
+use super::session_settings::SessionSettings;
+use super::slots::lock;
+use super::state::GroupRole;
+use super::transaction::Transaction;
+use super::value::{SqlType, SqlValue};
+use pgwire::messages::response::TransactionStatus;
+use pgwire::messages::startup::ParameterStatus;
+use rudder_core::MemberStatus;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Whether the client opened a transaction block.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BlockState {
+    /// Statements commit on their own, or at the end of their message or batch.
+    None,
+    Open,
+    /// A statement failed: only the end of the block, or a return to a savepoint, is accepted.
+    Failed,
+}
+
+/// Why a session could not go on with a statement.
+#[derive(Debug)]
+pub(crate) enum StatementError {
+    /// The statement failed; the session goes on.
+    Sql(SqlError),
+    /// The connection failed.
+    Connection(io::Error),
+}
+
+impl From<SqlError> for StatementError {
+    fn from(error: SqlError) -> Self {
+        Self::Sql(error)
+    }
+}
+
+impl From<io::Error> for StatementError {
+    fn from(error: io::Error) -> Self {
+        Self::Connection(error)
+    }
+}
+
+/// A statement's values of parameters with their types.
+#[derive(Clone, Debug)]
+pub(crate) struct BoundParameters {
+    pub(crate) values: Arc<[SqlValue]>,
+    pub(crate) kinds: Arc<[SqlType]>,
+}
+
+impl BoundParameters {
+    /// No parameters.
+    pub(crate) fn none() -> Self {
+        Self { values: Arc::new([]), kinds: Arc::new([]) }
+    }
+}
+
+/// One client's session with a member.
+#[derive(Debug)]
+pub(crate) struct Session {
+    pub(crate) member: Arc<Member>,
+    pub(crate) members: Arc<[Arc<Member>]>,
+    pub(crate) client: ClientStream,
+    pub(crate) facts: Arc<SessionFacts>,
+    pub(crate) key: CancelKey,
+    pub(crate) cancel: Arc<Notify>,
+    pub(crate) settings: SessionSettings,
+    /// Settings to return to if the block is rolled back.
+    pub(crate) settings_before: Option<SessionSettings>,
+    /// Settings to return to when the block ends in any way, from `SET LOCAL`.
+    pub(crate) settings_local: Option<SessionSettings>,
+    pub(crate) transaction: Option<Transaction>,
+    pub(crate) block: BlockState,
+    pub(crate) statements: StatementTable,
+    pub(crate) portals: PortalTable,
+    /// After an error in a batch, everything up to its end is skipped.
+    pub(crate) skipping: bool,
+}
+
+impl Session {
+    /// The status that ends each request.
+    pub(crate) fn status(&self) -> TransactionStatus {
+        match self.block {
+            BlockState::None => TransactionStatus::Idle,
+            BlockState::Open => TransactionStatus::Transaction,
+            BlockState::Failed => TransactionStatus::Error,
+        }
+    }
+
+    /// Ends a request.
+    pub(crate) fn ready(&mut self) {
+        put_ready(self.status(), &mut self.client.output);
+    }
+
+    /// Runs one statement. `alone` says that nothing else belongs to its implicit transaction,
+    /// so that it may run and commit in one step.
+    pub(crate) async fn run(
+        &mut self,
+        plan: &Plan,
+        parameters: &BoundParameters,
+        alone: bool,
+    ) -> Result<Answer, StatementError> {
+        if self.block == BlockState::Failed && !plan.runs_in_failed() {
+            return Err(SqlError::Aborted.into());
+        }
+        if plan.takes_slot() {
+            self.occupy_and_run(plan, parameters, alone).await
+        } else {
+            self.run_control(plan).map_err(StatementError::Sql)
+        }
+    }
+
+    /// Records that a statement failed.
+    pub(crate) fn fail(&mut self) {
+        match self.block {
+            BlockState::None => self.transaction = None,
+            BlockState::Open | BlockState::Failed => self.block = BlockState::Failed,
+        }
+    }
+
+    /// Commits what belongs to the implicit transaction, at the end of a message or batch.
+    pub(crate) fn end_implicit(&mut self) -> Result<(), SqlError> {
+        if self.block != BlockState::None {
+            return Ok(());
+        }
+        match self.transaction.take() {
+            Some(transaction) => self.member.commit(transaction).map(drop),
+            None => Ok(()),
+        }
+    }
+
+    async fn occupy_and_run(
+        &mut self,
+        plan: &Plan,
+        parameters: &BoundParameters,
+        alone: bool,
+    ) -> Result<Answer, StatementError> {
+        let scope = self.scope(parameters);
+        let sleep = sleep_time(plan, &scope)?;
+        let permit = match self.member.slots.try_enter() {
+            Some(permit) => permit,
+            None => {
+                self.client.flush().await?;
+                let member = Arc::clone(&self.member);
+                let entered = self.cancellable(member.slots.enter()).await?;
+                entered.ok_or(SqlError::Cancelled)?
+            }
+        };
+        let service = self.member.slots.next_time();
+        if !service.is_zero() || !sleep.is_zero() {
+            self.client.flush().await?;
+            let member = Arc::clone(&self.member);
+            self.cancellable(async {
+                member.slots.serve(service).await;
+                tokio::time::sleep(sleep).await;
+            })
+            .await?;
+        }
+        self.member.wait_thawed().await;
+        let answer = self.run_data(plan, &scope, alone)?;
+        drop(permit);
+        Ok(answer)
+    }
+
+    /// Waits for `work` unless the client cancels the statement.
+    async fn cancellable<T>(&self, work: impl Future<Output = T>) -> Result<T, SqlError> {
+        tokio::select! {
+            result = work => Ok(result),
+            () = self.cancel.notified() => Err(SqlError::Cancelled),
+        }
+    }
+
+    /// What statements run with.
+    pub(crate) fn scope(&self, parameters: &BoundParameters) -> RunScope {
+        RunScope {
+            parameters: Arc::clone(&parameters.values),
+            kinds: Arc::clone(&parameters.kinds),
+            facts: Arc::clone(&self.facts),
+            sequence: Arc::clone(&self.member.shared.sequence),
+        }
+    }
+
+    fn run_data(&mut self, plan: &Plan, scope: &RunScope, alone: bool) -> Result<Answer, SqlError> {
+        let write = plan.write_name();
+        if let Some(statement) = write {
+            lock(&self.member.state).check_writable(statement)?;
+        }
+        let alone = alone && self.block == BlockState::None && self.transaction.is_none();
+        match plan {
+            Plan::CopyIn(_) | Plan::CopyOut(_) => {
+                self.open_transaction();
+                Ok(Answer::done(CommandTag::Plain("COPY")))
+            }
+            _ if alone && write.is_some() => self.run_and_commit(plan, scope),
+            _ if alone => run_plan(plan, &mut self.snapshot(), scope),
+            _ => run_plan(plan, self.open_transaction(), scope),
+        }
+    }
+
+    /// Runs and commits a single statement under the member's lock, so that it sees and changes
+    /// the newest rows and cannot conflict.
+    fn run_and_commit(&mut self, plan: &Plan, scope: &RunScope) -> Result<Answer, SqlError> {
+        let answer = {
+            let mut state = lock(&self.member.state);
+            let mut transaction = state.begin();
+            let answer = run_plan(plan, &mut transaction, scope)?;
+            state.commit(transaction)?;
+            answer
+        };
+        self.member.shared.touch();
+        Ok(answer)
+    }
+
+    /// The open transaction, begun now if there is none.
+    pub(crate) fn open_transaction(&mut self) -> &mut Transaction {
+        let fresh = match self.transaction.take() {
+            Some(transaction) => transaction,
+            None => self.snapshot(),
+        };
+        self.transaction.insert(fresh)
+    }
+
+    /// A transaction over the newest rows, apart from the session's own.
+    pub(crate) fn snapshot(&mut self) -> Transaction {
+        let state = lock(&self.member.state);
+        let replica = matches!(state.role, GroupRole::Replica(_));
+        if replica != self.facts.replica {
+            Arc::make_mut(&mut self.facts).replica = replica;
+        }
+        state.begin()
+    }
+
+    fn run_control(&mut self, plan: &Plan) -> Result<Answer, SqlError> {
+        match plan {
+            Plan::Control(statement) => self.member.control(statement).map(status_answer),
+            Plan::Knob(command) => {
+                turn_by_sql(&self.members, &self.member, command)?;
+                Ok(Answer::rows(vec![text_column("knob")], vec![vec![SqlValue::text("ok")]]))
+            }
+            Plan::Notice(text) => {
+                let row = vec![SqlValue::text("sent")];
+                let answer = Answer::rows(vec![text_column("notice")], vec![row]);
+                Ok(answer.with_notice("NOTICE", "00000", text.as_ref().to_owned()))
+            }
+            Plan::Begin => Ok(self.begin_block()),
+            Plan::Commit => self.commit_block(),
+            Plan::Rollback => Ok(self.roll_back()),
+            Plan::Savepoint(name) => {
+                self.open_transaction().save(Arc::clone(name));
+                Ok(Answer::done(CommandTag::Plain("SAVEPOINT")))
+            }
+            Plan::RollbackTo(name) => {
+                self.open_transaction().return_to(name)?;
+                if self.block == BlockState::Failed {
+                    self.block = BlockState::Open;
+                }
+                Ok(Answer::done(CommandTag::Plain("ROLLBACK")))
+            }
+            Plan::Release(name) => {
+                self.open_transaction().release(name)?;
+                Ok(Answer::done(CommandTag::Plain("RELEASE")))
+            }
+            Plan::Set { name, value, local } => self.set(name, value.as_ref(), *local),
+            Plan::ResetAll => {
+                let reports = self.settings.reset_all();
+                self.report(reports);
+                Ok(Answer::done(CommandTag::Plain("RESET")))
+            }
+            Plan::DiscardAll => self.discard_all(),
+            Plan::Deallocate(name) => {
+                self.statements.deallocate(name.as_deref())?;
+                Ok(Answer::done(CommandTag::Plain("DEALLOCATE")))
+            }
+            Plan::Show(name) => {
+                let value = SqlValue::text(self.settings.get(name)?);
+                let mut answer = Answer::rows(vec![text_column(name)], vec![vec![value]]);
+                answer.tag = CommandTag::Plain("SHOW");
+                Ok(answer)
+            }
+            Plan::Ignored(tag) => Ok(Answer::done(CommandTag::Plain(tag))),
+            _ => Err(SqlError::Unsupported("this statement here".to_owned())),
+        }
+    }
+
+    fn begin_block(&mut self) -> Answer {
+        let answer = Answer::done(CommandTag::Plain("BEGIN"));
+        if self.block != BlockState::None {
+            let text = "there is already a transaction in progress".to_owned();
+            return answer.with_notice("WARNING", "25001", text);
+        }
+        self.block = BlockState::Open;
+        self.settings_before = Some(self.settings.clone());
+        answer
+    }
+
+    fn commit_block(&mut self) -> Result<Answer, SqlError> {
+        let answer = Answer::done(CommandTag::Plain("COMMIT"));
+        match self.block {
+            BlockState::None => {
+                self.end_implicit()?;
+                let text = "there is no transaction in progress".to_owned();
+                Ok(answer.with_notice("WARNING", "25P01", text))
+            }
+            BlockState::Failed => Ok(self.roll_back()),
+            BlockState::Open => {
+                self.block = BlockState::None;
+                self.portals.clear();
+                let committed = self.end_implicit();
+                let before = self.settings_before.take();
+                let local = self.settings_local.take();
+                let earlier = if committed.is_ok() { local } else { before };
+                if let Some(earlier) = earlier {
+                    let reports = self.settings.restore(earlier);
+                    self.report(reports);
+                }
+                committed.map(|()| answer)
+            }
+        }
+    }
+
+    fn roll_back(&mut self) -> Answer {
+        let answer = Answer::done(CommandTag::Plain("ROLLBACK"));
+        self.transaction = None;
+        self.portals.clear();
+        self.settings_local = None;
+        if let Some(earlier) = self.settings_before.take() {
+            let reports = self.settings.restore(earlier);
+            self.report(reports);
+        }
+        if self.block == BlockState::None {
+            let text = "there is no transaction in progress".to_owned();
+            return answer.with_notice("WARNING", "25P01", text);
+        }
+        self.block = BlockState::None;
+        answer
+    }
+
+    fn set(
+        &mut self,
+        name: &str,
+        value: Option<&Arc<str>>,
+        local: bool,
+    ) -> Result<Answer, SqlError> {
+        let answer = Answer::done(CommandTag::Plain(if value.is_some() { "SET" } else { "RESET" }));
+        if local && self.block == BlockState::None {
+            let text = "SET LOCAL can only be used in transaction blocks".to_owned();
+            return Ok(answer.with_notice("WARNING", "25P01", text));
+        }
+        let before = self.settings.clone();
+        let report = self.settings.set(name, value)?;
+        if local && self.settings_local.is_none() {
+            self.settings_local = Some(before);
+        } else if let Some(kept) = &mut self.settings_local
+            && !local
+        {
+            kept.set(name, value)?;
+        }
+        self.report(report);
+        Ok(answer)
+    }
+
+    fn discard_all(&mut self) -> Result<Answer, SqlError> {
+        if self.block != BlockState::None {
+            return Err(SqlError::Unsupported("DISCARD ALL inside a transaction block".to_owned()));
+        }
+        self.statements.deallocate(None)?;
+        self.portals.clear();
+        let reports = self.settings.reset_all();
+        self.report(reports);
+        Ok(Answer::done(CommandTag::Plain("DISCARD ALL")))
+    }
+
+    /// Tells the client of changed settings.
+    pub(crate) fn report(&mut self, reports: impl IntoIterator<Item = (String, String)>) {
+        for (name, value) in reports {
+            put(&ParameterStatus::new(name, value), &mut self.client.output);
+        }
+    }
+
+    /// Sends an answer's notices.
+    pub(crate) fn send_notices(&mut self, answer: &Answer) {
+        for notice in &answer.notices {
+            put_notice(notice, &mut self.client.output);
+        }
+    }
+}
+
+fn status_answer(status: MemberStatus) -> Answer {
+    let texts = [
+        status.role.to_string(),
+        status.accepted.to_string(),
+        status.received.term.to_string(),
+        status.received.position.to_string(),
+        status.applied.term.to_string(),
+        status.applied.position.to_string(),
+    ];
+    let row = texts.iter().map(|text| SqlValue::text(text)).collect();
+    Answer::rows(status_columns(), vec![row])
+}
+
+/// How long a `pg_sleep` among the columns waits.
+fn sleep_time(plan: &Plan, scope: &RunScope) -> Result<Duration, SqlError> {
+    let Plan::Select(select) = plan else { return Ok(Duration::ZERO) };
+    let Some(sleep) = &select.sleep else { return Ok(Duration::ZERO) };
+    let text = sleep.evaluate(scope.row(None, &[]))?.to_text();
+    let seconds: f64 = text.parse().map_err(|_| SqlError::InvalidText("double precision", text))?;
+    Duration::try_from_secs_f64(seconds).map_err(|_| SqlError::OutOfRange)
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/session_settings.rs
@@ -0,0 +1,132 @@
+//! The settings of a session: `SET`, `RESET`, `SHOW`.
+
+use super::error::SqlError;
+use super::scalar::SERVER_VERSION;
+use std::sync::Arc;
+
+/// Settings with their defaults and whether changes are reported to the client, by name.
+const KNOWN_SETTINGS: [(&str, &str, bool); 18] = [
+    ("application_name", "", true),
+    ("client_encoding", "UTF8", true),
+    ("client_min_messages", "notice", false),
+    ("datestyle", "ISO, MDY", true),
+    ("default_transaction_read_only", "off", true),
+    ("extra_float_digits", "1", false),
+    ("idle_in_transaction_session_timeout", "0", false),
+    ("in_hot_standby", "off", true),
+    ("integer_datetimes", "on", true),
+    ("intervalstyle", "postgres", true),
+    ("lock_timeout", "0", false),
+    ("search_path", "\"$user\", public", false),
+    ("server_encoding", "UTF8", true),
+    ("server_version", SERVER_VERSION, true),
+    ("standard_conforming_strings", "on", true),
+    ("statement_timeout", "0", false),
+    ("timezone", "UTC", true),
+    ("transaction_isolation", "repeatable read", false),
+];
+
+/// The names under which some settings are reported, where they differ from the lower-case one.
+const REPORTED_NAMES: [(&str, &str); 3] =
+    [("datestyle", "DateStyle"), ("intervalstyle", "IntervalStyle"), ("timezone", "TimeZone")];
+
+/// The settings that a session changed, sorted by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct SessionSettings {
+    /// What `RESET` returns to, from the startup message.
+    initial: Vec<(Arc<str>, Arc<str>)>,
+    current: Vec<(Arc<str>, Arc<str>)>,
+}
+
+impl SessionSettings {
+    /// Settings as the startup message gave them.
+    pub(crate) fn new(mut initial: Vec<(Arc<str>, Arc<str>)>) -> Self {
+        initial.sort();
+        Self { current: initial.clone(), initial }
+    }
+
+    /// The value of a setting.
+    pub(crate) fn get(&self, name: &str) -> Result<&str, SqlError> {
+        if let Ok(index) = find(&self.current, name) {
+            return Ok(&self.current[index].1);
+        }
+        known(name)
+            .map(|(_, value, _)| *value)
+            .ok_or_else(|| SqlError::UnknownParameter(name.to_owned()))
+    }
+
+    /// Changes a setting, or resets it; answers the report that the client must get, if any.
+    ///
+    /// Names with a dot belong to extensions and are accepted as they come.
+    pub(crate) fn set(
+        &mut self,
+        name: &str,
+        value: Option<&Arc<str>>,
+    ) -> Result<Option<(String, String)>, SqlError> {
+        if known(name).is_none() && !name.contains('.') {
+            return Err(SqlError::UnknownParameter(name.to_owned()));
+        }
+        let initial =
+            find(&self.initial, name).ok().map(|index| Arc::clone(&self.initial[index].1));
+        match (find(&self.current, name), value.cloned().or(initial)) {
+            (Ok(index), Some(value)) => self.current[index].1 = value,
+            (Ok(index), None) => drop(self.current.remove(index)),
+            (Err(index), Some(value)) => self.current.insert(index, (name.into(), value)),
+            (Err(_), None) => {}
+        }
+        let reported = known(name).is_some_and(|(_, _, reported)| *reported);
+        if !reported {
+            return Ok(None);
+        }
+        Ok(Some((reported_name(name), self.get(name)?.to_owned())))
+    }
+
+    /// Returns to the settings of the startup message.
+    pub(crate) fn reset_all(&mut self) -> Vec<(String, String)> {
+        let before = std::mem::replace(&mut self.current, self.initial.clone());
+        self.changes_since(&before)
+    }
+
+    /// Returns to earlier settings, as the end of a transaction does.
+    pub(crate) fn restore(&mut self, earlier: Self) -> Vec<(String, String)> {
+        let before = std::mem::replace(self, earlier);
+        self.changes_since(&before.current)
+    }
+
+    fn changes_since(&self, before: &[(Arc<str>, Arc<str>)]) -> Vec<(String, String)> {
+        let value_before = |name: &str, default: &str| match find(before, name) {
+            Ok(index) => before[index].1.as_ref().to_owned(),
+            Err(_) => default.to_owned(),
+        };
+        self.reports()
+            .into_iter()
+            .zip(KNOWN_SETTINGS.iter().filter(|(_, _, reported)| *reported))
+            .filter(|((_, value), (name, default, _))| *value != value_before(name, default))
+            .map(|(report, _)| report)
+            .collect()
+    }
+
+    /// All settings that are reported to clients.
+    pub(crate) fn reports(&self) -> Vec<(String, String)> {
+        let reported = KNOWN_SETTINGS.iter().filter(|(_, _, reported)| *reported);
+        reported
+            .map(|(name, default, _)| {
+                (reported_name(name), self.get(name).unwrap_or(default).to_owned())
+            })
+            .collect()
+    }
+}
+
+fn known(name: &str) -> Option<&'static (&'static str, &'static str, bool)> {
+    let index = KNOWN_SETTINGS.binary_search_by_key(&name, |(known, _, _)| known).ok()?;
+    Some(&KNOWN_SETTINGS[index])
+}
+
+fn find(list: &[(Arc<str>, Arc<str>)], name: &str) -> Result<usize, usize> {
+    list.binary_search_by(|(known, _)| known.as_ref().cmp(name))
+}
+
+fn reported_name(name: &str) -> String {
+    let special = REPORTED_NAMES.iter().find(|(lower, _)| *lower == name);
+    special.map_or(name, |(_, reported)| reported).to_owned()
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/simple.rs
@@ -0,0 +1,87 @@
+//! The simple query protocol.
+
+use super::answer::Answer;
+use super::encode::{put, put_columns, put_complete, put_error, put_row};
+use super::error::SqlError;
+use super::plan::Plan;
+use super::session::{BoundParameters, Session, StatementError};
+use pgwire::messages::response::EmptyQueryResponse;
+use std::io;
+
+impl Session {
+    /// Answers a `Query` message: its statements are one implicit transaction.
+    pub(crate) async fn simple_query(&mut self, text: &str) -> io::Result<()> {
+        match self.simple_statements(text).await {
+            Ok(()) => {}
+            Err(StatementError::Connection(error)) => return Err(error),
+            Err(StatementError::Sql(error)) => {
+                self.fail();
+                put_error("ERROR", &error, &mut self.client.output);
+            }
+        }
+        self.ready();
+        Ok(())
+    }
+
+    async fn simple_statements(&mut self, text: &str) -> Result<(), StatementError> {
+        let plans = self.member.shared.cache.plans(text)?;
+        if plans.is_empty() {
+            put(&EmptyQueryResponse::new(), &mut self.client.output);
+            return Ok(());
+        }
+        let parameters = BoundParameters::none();
+        let alone = plans.len() == 1;
+        for (index, plan) in plans.iter().enumerate() {
+            let answer = self.run(plan, &parameters, alone).await?;
+            let last = index + 1 == plans.len();
+            self.send_simple(plan, answer, last).await?;
+        }
+        Ok(())
+    }
+
+    /// Sends an answer; the implicit transaction is committed before its last statement is
+    /// reported complete.
+    async fn send_simple(
+        &mut self,
+        plan: &Plan,
+        mut answer: Answer,
+        last: bool,
+    ) -> Result<(), StatementError> {
+        match plan {
+            Plan::CopyIn(copy) => return self.copy_in(copy, last).await,
+            Plan::CopyOut(copy) => return self.copy_out(copy).await,
+            _ if last => self.end_implicit()?,
+            _ => {}
+        }
+        self.send_notices(&answer);
+        if let Some(columns) = &answer.columns {
+            put_columns(Some(columns), &[], &mut self.client.output);
+        }
+        let sent = self.send_rows(&mut answer, &[], usize::MAX).await?;
+        put_complete(answer.tag, sent as u64, &mut self.client.output);
+        Ok(())
+    }
+
+    /// Sends up to `count` rows of an answer and tells how many went out.
+    pub(crate) async fn send_rows(
+        &mut self,
+        answer: &mut Answer,
+        formats: &[i16],
+        count: usize,
+    ) -> Result<usize, StatementError> {
+        let columns = answer.columns.as_deref().unwrap_or_default();
+        let mut sent = 0;
+        while sent < count {
+            let Some(row) = answer.rows.next_row() else { break };
+            put_row(&row?, columns, formats, &mut self.client.output);
+            sent += 1;
+            self.client.flush_large().await?;
+        }
+        Ok(sent)
+    }
+
+    /// Answers a message that breaks the protocol; the connection ends after it.
+    pub(crate) fn refuse(&mut self, error: &SqlError) {
+        put_error("FATAL", error, &mut self.client.output);
+    }
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/slots.rs
@@ -0,0 +1,103 @@
+//! The slots of a member, and the time that statements occupy them.
+
+use super::knob::ServiceSpread;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rudder_core::MemberSpeed;
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
+
+/// Timers are late by up to a millisecond or two. What a statement waited too long is taken off
+/// later ones, so that the mean stays right; more than this is a stall and is not made up for.
+const OVERSHOOT_MAX: Duration = Duration::from_millis(20);
+
+/// The mean and spread of service times, and the speed that divides them.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServiceTimes {
+    pub(crate) mean: Duration,
+    pub(crate) spread: ServiceSpread,
+    pub(crate) speed: MemberSpeed,
+}
+
+/// Slots and service times of one member.
+#[derive(Debug)]
+pub(crate) struct SlotGate {
+    semaphore: Mutex<Arc<Semaphore>>,
+    times: Mutex<(ServiceTimes, StdRng)>,
+    overshoot_nanos: AtomicI64,
+}
+
+impl SlotGate {
+    /// A gate of so many slots.
+    pub(crate) fn new(slots: usize, times: ServiceTimes, seed: u64) -> Self {
+        Self {
+            semaphore: Mutex::new(Arc::new(Semaphore::new(slots))),
+            times: Mutex::new((times, StdRng::seed_from_u64(seed))),
+            overshoot_nanos: AtomicI64::new(0),
+        }
+    }
+
+    /// Changes the number of slots for statements that come from now on.
+    pub(crate) fn resize(&self, slots: usize) {
+        *lock(&self.semaphore) = Arc::new(Semaphore::new(slots));
+    }
+
+    /// Changes the service times.
+    pub(crate) fn adjust(&self, change: impl FnOnce(&mut ServiceTimes)) {
+        change(&mut lock(&self.times).0);
+    }
+
+    /// A slot, if one is free at once.
+    pub(crate) fn try_enter(&self) -> Option<OwnedSemaphorePermit> {
+        let semaphore = Arc::clone(&lock(&self.semaphore));
+        semaphore.try_acquire_owned().ok()
+    }
+
+    /// A slot, in the order of asking.
+    pub(crate) async fn enter(&self) -> Option<OwnedSemaphorePermit> {
+        let semaphore = Arc::clone(&lock(&self.semaphore));
+        semaphore.acquire_owned().await.ok()
+    }
+
+    /// How long the next statement occupies its slot.
+    pub(crate) fn next_time(&self) -> Duration {
+        /// Speeds are in percent.
+        const FULL_SPEED: f64 = 100.0;
+        let mut guard = lock(&self.times);
+        let (times, generator) = &mut *guard;
+        if times.mean.is_zero() {
+            return Duration::ZERO;
+        }
+        let scale = FULL_SPEED / f64::from(times.speed.0.max(1));
+        let factor = match times.spread {
+            ServiceSpread::Fixed => 1.0,
+            ServiceSpread::Exponential => -(1.0 - generator.random::<f64>()).ln(),
+        };
+        times.mean.mul_f64(scale * factor)
+    }
+
+    /// Waits for a service time, on average exactly.
+    pub(crate) async fn serve(&self, time: Duration) {
+        let wanted = i64::try_from(time.as_nanos()).unwrap_or(i64::MAX);
+        let owed = self.overshoot_nanos.swap(0, Ordering::Relaxed);
+        let rest = wanted - owed;
+        let Ok(nanos) = u64::try_from(rest) else {
+            self.overshoot_nanos.fetch_add(-rest, Ordering::Relaxed);
+            return;
+        };
+        let start = Instant::now();
+        tokio::time::sleep(Duration::from_nanos(nanos)).await;
+        let late = start.elapsed().saturating_sub(Duration::from_nanos(nanos)).min(OVERSHOOT_MAX);
+        let late = i64::try_from(late.as_nanos()).unwrap_or(0);
+        self.overshoot_nanos.fetch_add(late, Ordering::Relaxed);
+    }
+}
+
+/// Locks a mutex; its data stay usable though another holder panicked, since every change under
+/// these locks is complete or not begun.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/rudder-standins/src/group/state.rs
@@ -0,0 +1,139 @@
+//! The state of a member that the group's promises rest on: terms, role and log.
+
+use super::error::SqlError;
+use super::log::MemberLog;
+use super::transaction::Transaction;
+use rudder_core::{LogStamp, LogTerm, MemberName, MemberRole, MemberStatus};
+
+/// What a member does with the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum GroupRole {
+    /// Appends entries of this term.
+    Primary(LogTerm),
+    /// Takes entries from this member, if any.
+    Replica(Option<MemberName>),
+}
+
+/// Terms, role and log of one member.
+#[derive(Debug)]
+pub(crate) struct MemberState {
+    pub(crate) accepted: LogTerm,
+    pub(crate) role: GroupRole,
+    pub(crate) log: MemberLog,
+}
+
+impl MemberState {
+    /// The first primary, at term 1, with an empty log.
+    pub(crate) fn first_primary() -> Self {
+        let term = LogTerm(1);
+        Self { accepted: term, role: GroupRole::Primary(term), log: MemberLog::default() }
+    }
+
+    /// A replica at term 1, with an empty log.
+    pub(crate) fn first_replica(leader: MemberName) -> Self {
+        let role = GroupRole::Replica(Some(leader));
+        Self { accepted: LogTerm(1), role, log: MemberLog::default() }
+    }
+
+    /// The member's report.
+    pub(crate) fn status(&self) -> MemberStatus {
+        let role = match self.role {
+            GroupRole::Primary(_) => MemberRole::Primary,
+            GroupRole::Replica(_) => MemberRole::Replica,
+        };
+        MemberStatus {
+            role,
+            accepted: self.accepted,
+            received: self.log.received(),
+            applied: self.log.applied(),
+        }
+    }
+
+    /// Whether followers of `term` may take entries from this member.
+    pub(crate) fn leads(&self, term: LogTerm) -> bool {
+        self.accepted == term && self.role == GroupRole::Primary(term)
+    }
+
+    /// Accepts a term.
+    pub(crate) fn fence(&mut self, term: LogTerm) -> Result<(), SqlError> {
+        if term < self.accepted {
+            return Err(SqlError::TermRefused(self.accepted));
+        }
+        self.accepted = term;
+        Ok(())
+    }
+
+    /// Becomes primary of the accepted term.
+    pub(crate) fn promote(&mut self, term: LogTerm) -> Result<(), SqlError> {
+        if term != self.accepted {
+            return Err(SqlError::TermRefused(self.accepted));
+        }
+        if self.role == GroupRole::Primary(term) {
+            return Ok(());
+        }
+        self.log.apply_all();
+        self.role = GroupRole::Primary(term);
+        self.log.append_own(term, Vec::new(), None);
+        Ok(())
+    }
+
+    /// Accepts a term and takes entries from `leader`.
+    pub(crate) fn follow(&mut self, term: LogTerm, leader: MemberName) -> Result<(), SqlError> {
+        self.fence(term)?;
+        self.role = GroupRole::Replica(Some(leader));
+        Ok(())
+    }
+
+    /// Comes back after a restart: what was durable lasts, the role does not.
+    pub(crate) fn restart(&mut self) {
+        self.role = GroupRole::Replica(None);
+    }
+
+    /// Refuses statements that change data where none may be changed.
+    ///
+    /// Guards against writes at a superseded primary: it still believes it leads, but its term
+    /// is no longer the accepted one, so nothing may be appended under it.
+    pub(crate) fn check_writable(&self, statement: &'static str) -> Result<LogTerm, SqlError> {
+        match self.role {
+            GroupRole::Primary(term) if term == self.accepted => Ok(term),
+            GroupRole::Primary(_) => Err(SqlError::TermRefused(self.accepted)),
+            GroupRole::Replica(_) => Err(SqlError::ReadOnly(statement)),
+        }
+    }
+
+    /// A transaction over the tables as applied.
+    pub(crate) fn begin(&self) -> Transaction {
+        Transaction::new(self.accepted, self.log.applied(), self.log.database().clone())
+    }
+
+    /// Commits a transaction; nothing changes if this fails.
+    pub(crate) fn commit(&mut self, transaction: Transaction) -> Result<LogStamp, SqlError> {
+        if transaction.effects.is_empty() {
+            return Ok(self.log.applied());
+        }
+        // A member that was demoted since the transaction began refuses like a fenced one: the
+        // changes were made under a term that no longer holds.
+        let leads = self.leads(self.accepted) && transaction.term == self.accepted;
+        if !leads {
+            return Err(SqlError::TermRefused(self.accepted));
+        }
+        if transaction.base_stamp == self.log.applied() {
+            let database = Some(transaction.work);
+            return Ok(self.log.append_own(self.accepted, transaction.effects, database));
+        }
+        let mut database = self.log.database().clone();
+        let merged = transaction
+            .effects
+            .iter()
+            .try_for_each(|effect| database.check_unchanged(&transaction.base, effect));
+        let merged = merged.and_then(|()| {
+            transaction.effects.iter().try_for_each(|effect| database.apply(effect))
+        });
+        match merged {
+            Ok(()) => Ok(self.log.append_own(self.accepted, transaction.effects, Some(database))),
+            Err(SqlError::UniqueViolation(_)) if transaction.tolerant => Err(SqlError::Conflict),
+            Err(SqlError::UnknownTable(_) | SqlError::DuplicateTable(_)) => Err(SqlError::Conflict),
+            Err(error) => Err(error),
+        }
+    }
+}
