--- a/crates/arbutusrudder/src/caller/serve.rs
+++ b/crates/arbutusrudder/src/caller/serve.rs
@@ -80,7 +80,7 @@
     transaction::abandon(&mut session).await;
     match &end {
         Err(SessionEnd::Idle) => {
-            say_goodbye(&mut session, IDLE_TOO_LONG, "idle for too long").await
+            say_goodbye(&mut session, IDLE_TOO_LONG, "idle for too long").await;
         }
         Err(SessionEnd::Leaving) => {
             let notice = RefusalNotice::Leaving;
--- a/crates/arbutusrudder/src/caller/transaction.rs
+++ b/crates/arbutusrudder/src/caller/transaction.rs
@@ -12,7 +12,7 @@
     BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink,
     encode_batch, relay_batch,
 };
-use rudder_core::{RefusalNotice, RequestKey};
+use rudder_core::RefusalNotice;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,11 +37,9 @@
     let Some(mut pinned) = session.pinned.take() else {
         return Ok(());
     };
-    if let Some(key) = pinned.key.clone().filter(|_| commits(batch)) {
-        if let Some(notice) = enter_key(&mut pinned, &key).await {
-            roll_back(session, pinned).await;
-            return refuse(session, batch, &notice).await;
-        }
+    if let Some(notice) = enter_key(&mut pinned, batch).await {
+        roll_back(session, pinned).await;
+        return refuse(session, batch, &notice).await;
     }
     let asked_at = pinned.group.board.now();
     let mut queue = encode_batch(&mut pinned.pooled, batch);
@@ -63,7 +61,7 @@
         Err(error) if held.relayed || matches!(error, ExchangeError::Caller(_)) => {
             Err(SessionEnd::Broken(error))
         }
-        Err(_) if closes => Ok(lose_commit(session)),
+        Err(_) if closes => lose_commit(session),
         Err(_) => refuse(session, batch, &RefusalNotice::TransactionLost).await,
     }
 }
@@ -73,8 +71,9 @@
     batch.ends() && batch.executes
 }
 
-/// Enters the transaction's key before its commit; answers a refusal if that fails.
-async fn enter_key(pinned: &mut PinnedConnection, key: &RequestKey) -> Option<RefusalNotice> {
+/// Enters the transaction's key, if it has one, before its commit; answers a refusal if that fails.
+async fn enter_key(pinned: &mut PinnedConnection, batch: &CallerBatch) -> Option<RefusalNotice> {
+    let key = pinned.key.as_ref().filter(|_| commits(batch))?;
     let bound = pinned.group.timing.statement_timeout;
     match run_own(&mut pinned.pooled, &insert_of(key), bound).await {
         Ok(reply) => match reply.error {
@@ -134,13 +133,13 @@
         pinned.pooled.settings.clone_from(&pinned.settings_before);
     }
     if !sent.asked && ask_status(&mut pinned.pooled).is_err() {
-        return Ok(lose_commit(session));
+        return lose_commit(session);
     }
     let group = Arc::clone(&pinned.group);
     // A transaction without a term is a read-only one on a replica: there is nothing to commit.
     let stamp = if rolled_back || pinned.term.is_none() {
         if !settle(&mut pinned, sent.asked_at).await {
-            return Ok(lose_commit(session));
+            return lose_commit(session);
         }
         None
     } else {
@@ -148,7 +147,7 @@
         let pooled = &mut pinned.pooled;
         match acknowledge(&group, pinned.member, pooled, term, sent.asked_at).await {
             Some(stamp) => Some(stamp),
-            None => return Ok(lose_commit(session)),
+            None => return lose_commit(session),
         }
     };
     sent.held.release(&mut session.link);
@@ -164,8 +163,9 @@
     pinned.group.members[pinned.member].pool.give_back(pinned.pooled);
 }
 
-fn lose_commit(session: &mut CallerSession) {
+fn lose_commit(session: &mut CallerSession) -> Result<(), SessionEnd> {
     answer_unresolved(session);
+    Ok(())
 }
 
 async fn roll_back(session: &mut CallerSession, mut pinned: PinnedConnection) {
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -87,10 +87,10 @@
 async fn await_primary(group: &Arc<GroupState>, deadline: Instant) -> Option<usize> {
     let mut changes = group.board.subscribe();
     loop {
-        if let Some(belief) = group.primary() {
-            if group.members[belief.index].health() != MemberHealth::Down {
-                return Some(belief.index);
-            }
+        let up = |index: &usize| group.members[*index].health() != MemberHealth::Down;
+        let leader = group.primary().map(|belief| belief.index).filter(up);
+        if leader.is_some() {
+            return leader;
         }
         timeout_at(deadline.into(), changes.changed()).await.ok()?.ok()?;
     }
