Thin path: write, read, roam, key and failover run end to end

Cause: the whole path must stand before it is deepened. Change: a fenced member reports itself a replica: a fenced primary passed for the primary of the term that it was fenced with, so a stale replica could have looked fresh. Ruled out: asking peers what a session wrote, since an instance that died takes its knowledge along.

--- a/crates/arbutusrudder/src/caller/acknowledge.rs
+++ b/crates/arbutusrudder/src/caller/acknowledge.rs
@@ -46,7 +46,7 @@
     // Guards against a member that was superseded and led again in between: it would report a
     // log in which the commit may have been dropped. Terms only grow, so the same term before and
     // after means that nothing happened between.
-    if term.is_none() || leading_term(&after) != term {
+    if term.is_none() || leading_term(&after) != term || Some(after.received.term) != term {
         return None;
     }
     confirm(group, member, after.received).await.then_some(after.received)
@@ -70,6 +70,5 @@
 
 /// The term at which a member leads, if it does.
 pub(crate) fn leading_term(status: &MemberStatus) -> Option<LogTerm> {
-    let leads = status.role == MemberRole::Primary && status.received.term == status.accepted;
-    leads.then_some(status.accepted)
+    (status.role == MemberRole::Primary).then_some(status.accepted)
 }
--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -54,10 +54,11 @@
         let choice = choose(context, session, group, &avoided, waited);
         let member = match choice.route {
             ReadRoute::Replica(member) | ReadRoute::Primary(member) => member,
-            ReadRoute::WaitFor(_, pause) => {
+            // Once it should have caught up, it is asked: what is known of it here may be old.
+            ReadRoute::WaitFor(member, pause) => {
                 tokio::time::sleep(pause).await;
                 waited += pause;
-                continue;
+                member
             }
             ReadRoute::Refuse => break,
         };
@@ -78,9 +79,7 @@
         match run(session, batch, attempt, arrived).await? {
             ReadEnd::Served => return Ok(()),
             ReadEnd::Writes => return write::serve(session, batch, group).await,
-            ReadEnd::TooOld if group.members[member].settings.draining => avoided.push(member),
-            ReadEnd::TooOld => {}
-            ReadEnd::Failed => avoided.push(member),
+            ReadEnd::TooOld | ReadEnd::Failed => avoided.push(member),
         }
     }
     let notice = match group.primary() {
@@ -113,7 +112,7 @@
     }
     let demand = ReadDemand {
         floor: session.floor(),
-        floor_age: Duration::ZERO,
+        floor_age: session.floor_at.elapsed(),
         bound: session.bound(),
         domain: context.domain().clone(),
         wait_max: group.timing.read_wait.saturating_sub(waited),
@@ -220,11 +219,11 @@
 /// Guards against an isolated primary that shows an old picture as today's: a majority, asked
 /// after the read arrived, must not have accepted a greater term.
 async fn confirm(attempt: &MemberAttempt, status: &MemberStatus, arrived: Duration) -> bool {
-    if status.role != MemberRole::Primary || status.received.term != status.accepted {
+    if status.role != MemberRole::Primary {
         return false;
     }
     let within = attempt.group.timing.ack_timeout;
-    let outcome = attempt.group.confirm_term(status.received, arrived, within).await;
+    let outcome = attempt.group.confirm_term(status.accepted, arrived, within).await;
     outcome == ConfirmOutcome::Acknowledged
 }
 
--- a/crates/arbutusrudder/src/caller/serve.rs
+++ b/crates/arbutusrudder/src/caller/serve.rs
@@ -17,7 +17,7 @@
 use rudder_endpoint::{StartupPacket, WireError, WireLink, tag};
 use rudder_settings::CallerSettings;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
@@ -168,6 +168,7 @@
             caller: self.caller,
             caller_key: xxh3_64(self.request.user.as_bytes()),
             token: self.token,
+            floor_at: Instant::now(),
             knowledge: self.knowledge,
             settings: self.request.settings,
             prepared: Vec::new(),
--- a/crates/arbutusrudder/src/caller/session.rs
+++ b/crates/arbutusrudder/src/caller/session.rs
@@ -5,7 +5,7 @@
 use rudder_core::{AgeLedger, LogStamp, LogTerm, RequestKey, ServiceName, SessionToken};
 use rudder_endpoint::WireLink;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::cancel::CancelEntry;
 use rudder_settings::CallerSettings;
@@ -51,6 +51,8 @@
     pub(crate) caller_key: u64,
     /// What it must see.
     pub(crate) token: SessionToken,
+    /// When this instance learned of the floor: the replicas had that long to catch up.
+    pub(crate) floor_at: Instant,
     /// Whether the token is complete.
     pub(crate) knowledge: FloorKnowledge,
     /// Its settings, sorted by name, with their SET statements.
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -219,6 +219,7 @@
     metrics::counter!("rudder_commits_total").increment(1);
     let service = session.service.clone();
     session.token.raise(&service, stamp);
+    session.floor_at = Instant::now();
     // An acknowledged write of its own is at least as far as any earlier one of the session.
     session.knowledge = FloorKnowledge::Known;
     report_token(session);
--- a/crates/arbutusrudder/src/group/confirm.rs
+++ b/crates/arbutusrudder/src/group/confirm.rs
@@ -4,7 +4,9 @@
 //! asked again as soon as it has answered, and every answer serves all waiters.
 
 use super::state::GroupState;
-use rudder_core::{AckVerdict, LogStamp, MemberName, MemberStatus, judge_commit};
+use rudder_core::{
+    AckVerdict, LogStamp, LogTerm, MemberName, MemberStatus, judge_commit, judge_term,
+};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -50,30 +52,41 @@
         commit: LogStamp,
         within: Duration,
     ) -> ConfirmOutcome {
-        self.confirm(commit, Duration::ZERO, within).await
+        let members = self.members.len();
+        self.confirm(Duration::ZERO, within, |reports| judge_commit(commit, members, reports)).await
     }
 
-    /// Waits until a majority, asked at or after `since`, has accepted no greater term than that
-    /// of `seen`, the primary's own stamp: then the primary's data was the newest at `since`.
+    /// Waits until a majority, asked at or after `since`, has accepted no greater term than
+    /// `term`: then the data of that term's primary was the newest at `since`.
     pub(crate) async fn confirm_term(
         &self,
-        seen: LogStamp,
+        term: LogTerm,
         since: Duration,
         within: Duration,
     ) -> ConfirmOutcome {
-        let start_of_term = LogStamp { position: rudder_core::LogPosition(0), ..seen };
-        self.confirm(start_of_term, since, within).await
+        let members = self.members.len();
+        self.confirm(since, within, |reports| judge_term(term, members, reports)).await
     }
 
-    async fn confirm(&self, stamp: LogStamp, since: Duration, within: Duration) -> ConfirmOutcome {
-        if let Some(outcome) = self.judge(stamp, since) {
+    async fn confirm(
+        &self,
+        since: Duration,
+        within: Duration,
+        judge: impl Fn(&[(MemberName, MemberStatus)]) -> AckVerdict,
+    ) -> ConfirmOutcome {
+        let judge_now = || match judge(&self.reports_since(since)) {
+            AckVerdict::Acknowledged => Some(ConfirmOutcome::Acknowledged),
+            AckVerdict::Superseded => Some(ConfirmOutcome::Superseded),
+            AckVerdict::Waiting => None,
+        };
+        if let Some(outcome) = judge_now() {
             return outcome;
         }
         let _demand = DemandGuard::new(self);
         let mut changes = self.board.subscribe();
         let wait = async {
             loop {
-                if let Some(outcome) = self.judge(stamp, since) {
+                if let Some(outcome) = judge_now() {
                     return outcome;
                 }
                 if changes.changed().await.is_err() {
@@ -84,18 +97,9 @@
         timeout(within, wait).await.unwrap_or(ConfirmOutcome::TimedOut)
     }
 
-    fn judge(&self, stamp: LogStamp, since: Duration) -> Option<ConfirmOutcome> {
-        let reports: Vec<(MemberName, MemberStatus)> = self
-            .board
-            .reports()
-            .into_iter()
-            .filter(|report| report.asked_at >= since)
-            .map(|report| (report.member, report.status))
-            .collect();
-        match judge_commit(stamp, self.members.len(), &reports) {
-            AckVerdict::Acknowledged => Some(ConfirmOutcome::Acknowledged),
-            AckVerdict::Superseded => Some(ConfirmOutcome::Superseded),
-            AckVerdict::Waiting => None,
-        }
+    fn reports_since(&self, since: Duration) -> Vec<(MemberName, MemberStatus)> {
+        let reports = self.board.reports().into_iter();
+        let asked = reports.filter(|report| report.asked_at >= since);
+        asked.map(|report| (report.member, report.status)).collect()
     }
 }
--- a/crates/arbutusrudder/src/group/member.rs
+++ b/crates/arbutusrudder/src/group/member.rs
@@ -102,6 +102,7 @@
         &self,
         status: MemberStatus,
         age: Option<Duration>,
+        lag: Duration,
         link: Duration,
     ) -> MemberView {
         let meter = self.lock_meter();
@@ -111,7 +112,7 @@
             domain: self.settings.domain.clone(),
             applied: status.applied,
             age,
-            lag: Duration::ZERO,
+            lag,
             in_flight: self.in_flight.load(Ordering::Relaxed),
             slots: meter.limit(),
             service: meter.service(Instant::now()),
--- a/crates/arbutusrudder/src/group/state.rs
+++ b/crates/arbutusrudder/src/group/state.rs
@@ -23,6 +23,9 @@
 const LINK_GUESSES: [Duration; 3] =
     [Duration::from_millis(1), Duration::from_millis(8), Duration::from_millis(24)];
 
+/// Lag assumed of a replica whose age is not known.
+const LAG_GUESS: Duration = Duration::from_millis(500);
+
 /// Connections per member that stay apart for control statements.
 const CONTROL_CONNECTIONS: u32 = 1;
 
@@ -199,8 +202,12 @@
         let mut indexes = Vec::with_capacity(self.members.len());
         for report in self.board.reports() {
             let Some(index) = self.index_of(&report.member) else { continue };
-            let age = self.board.with_ledger(|ledger| ledger.age_of(report.status.applied, now));
-            views.push(self.members[index].view(report.status, age, self.links[index]));
+            let applied = report.status.applied;
+            let (age, lag) = self.board.with_ledger(|ledger| {
+                let lag = ledger.age_of(applied, report.asked_at).unwrap_or(LAG_GUESS);
+                (ledger.age_of(applied, now), lag)
+            });
+            views.push(self.members[index].view(report.status, age, lag, self.links[index]));
             indexes.push(index);
         }
         (views, indexes)
--- /dev/null
+++ b/crates/arbutusrudder/tests/common/mod.rs
@@ -0,0 +1,39 @@
+//! Fixtures of the tests that run a whole deployment.
+
+use rudder_standins::Deployment;
+use tokio::task::JoinHandle;
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+
+/// A client of one proxy, and the task that drives its connection.
+pub async fn connect(
+    deployment: &Deployment,
+    proxy: usize,
+    user: &str,
+) -> (Client, JoinHandle<()>) {
+    connect_with(deployment, proxy, user, "").await
+}
+
+/// The same, with further words for the client library.
+pub async fn connect_with(
+    deployment: &Deployment,
+    proxy: usize,
+    user: &str,
+    words: &str,
+) -> (Client, JoinHandle<()>) {
+    let text = format!("{} {words}", deployment.client_string(proxy, user));
+    let (client, connection) = tokio_postgres::connect(&text, NoTls).await.expect("login works");
+    let task = tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    (client, task)
+}
+
+/// The first column of every row that a simple query brings.
+pub async fn rows_of(client: &Client, query: &str) -> Vec<String> {
+    let messages = client.simple_query(query).await.expect("the query runs");
+    let row = |message: &SimpleQueryMessage| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    };
+    messages.iter().filter_map(row).collect()
+}
--- /dev/null
+++ b/crates/arbutusrudder/tests/path.rs
@@ -0,0 +1,127 @@
+//! The whole path: a client library, a proxy, a group and the platform.
+
+mod common;
+
+use common::{connect, connect_with, rows_of};
+use rudder_standins::{Deployment, DeploymentPlan, MemberKnob};
+use std::time::Duration;
+
+const CALLERS: &str = "[callers.copyist]\nusers = [\"copyist\"]\nstaleness = \"5s\"\n\
+                       queue_wait = \"5s\"\nin_flight_max = 100\n";
+
+fn plan(proxies: usize) -> DeploymentPlan {
+    DeploymentPlan { extra: CALLERS.to_owned(), ..DeploymentPlan::small(proxies) }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_is_read_back_by_simple_and_extended_queries() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let (client, _) = connect(&deployment, 0, "copyist").await;
+
+    client.batch_execute("CREATE TABLE parts (id int PRIMARY KEY, title text)").await.unwrap();
+    let inserted =
+        client.execute("INSERT INTO parts VALUES ($1, $2)", &[&1_i32, &"Agnus Dei"]).await.unwrap();
+    let row = client.query_one("SELECT title FROM parts WHERE id = $1", &[&1_i32]).await.unwrap();
+
+    assert_eq!(inserted, 1);
+    assert_eq!(row.get::<_, String>(0), "Agnus Dei");
+    assert_eq!(rows_of(&client, "SELECT title FROM parts").await, ["Agnus Dei"]);
+}
+
+/// What a user sees: an order entered at one proxy is missing when the session goes on at another.
+/// Order: write at the first proxy, the replicas fall behind, the session moves, reads at once.
+/// Cause: the second proxy does not know what the session wrote and asks a replica that lags.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_session_sees_its_write_after_moving_to_another_proxy() {
+    let deployment = Deployment::start(plan(2)).await.expect("deployment starts");
+    let (first, _) = connect(&deployment, 0, "copyist").await;
+    first.batch_execute("CREATE TABLE parts (id int PRIMARY KEY, title text)").await.unwrap();
+    for name in ["scores-orders-2", "scores-orders-3"] {
+        let lag = MemberKnob::ApplyLag(Duration::from_millis(700));
+        deployment.groups[0].turn(&name.parse().unwrap(), lag).unwrap();
+    }
+
+    first.batch_execute("INSERT INTO parts VALUES (1, 'Kyrie')").await.unwrap();
+    let token = rows_of(&first, "SHOW rudder.session").await.remove(0);
+    let option = format!("options='-c rudder.session={token}'");
+    let (second, _) = connect_with(&deployment, 1, "copyist", &option).await;
+
+    assert_eq!(rows_of(&second, "SELECT title FROM parts").await, ["Kyrie"]);
+}
+
+/// What a user sees: as above, by a client that cannot carry a token and only names its session.
+/// Order: write, the replicas fall behind, the session moves with its id only, reads at once.
+/// Cause: nobody at the second proxy knows the session; that must not mean it wrote nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_session_known_by_its_id_only_sees_its_write() {
+    let deployment = Deployment::start(plan(2)).await.expect("deployment starts");
+    let named = "options='-c rudder.session_id=anna'";
+    let (first, _) = connect_with(&deployment, 0, "copyist", named).await;
+    first.batch_execute("CREATE TABLE parts (id int PRIMARY KEY, title text)").await.unwrap();
+    for name in ["scores-orders-2", "scores-orders-3"] {
+        let lag = MemberKnob::ApplyLag(Duration::from_millis(700));
+        deployment.groups[0].turn(&name.parse().unwrap(), lag).unwrap();
+    }
+
+    first.batch_execute("INSERT INTO parts VALUES (1, 'Kyrie')").await.unwrap();
+    let (second, _) = connect_with(&deployment, 1, "copyist", named).await;
+
+    assert_eq!(rows_of(&second, "SELECT title FROM parts").await, ["Kyrie"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn transactions_commit_and_roll_back_as_a_whole() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let (mut client, _) = connect(&deployment, 0, "copyist").await;
+    client.batch_execute("CREATE TABLE parts (id int PRIMARY KEY, title text)").await.unwrap();
+
+    let kept = client.transaction().await.unwrap();
+    kept.execute("INSERT INTO parts VALUES (1, 'Kyrie')", &[]).await.unwrap();
+    kept.commit().await.unwrap();
+    let dropped = client.transaction().await.unwrap();
+    dropped.execute("INSERT INTO parts VALUES (2, 'Gloria')", &[]).await.unwrap();
+    dropped.rollback().await.unwrap();
+
+    assert_eq!(rows_of(&client, "SELECT title FROM parts").await, ["Kyrie"]);
+}
+
+/// What a user sees: a page claim that was sent again after a lost answer is made twice.
+/// Order: a claim with a key, then the same claim with the same key at another proxy.
+/// Cause: the second proxy cannot know that the first one ran it, unless the endpoint does.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_with_a_key_runs_once_at_any_proxy() {
+    let deployment = Deployment::start(plan(2)).await.expect("deployment starts");
+    let (first, _) = connect(&deployment, 0, "copyist").await;
+    let (second, _) = connect(&deployment, 1, "copyist").await;
+    first.batch_execute("CREATE TABLE claims (page int, by_whom text)").await.unwrap();
+    let claim = "/* rudder:key=claim-7 */ INSERT INTO claims VALUES (7, 'anna')";
+
+    first.batch_execute(claim).await.unwrap();
+    let again = second.batch_execute(claim).await.unwrap_err();
+
+    let error = again.as_db_error().expect("the proxy's own refusal");
+    assert_eq!(error.code().code(), "RU003");
+    assert_eq!(rows_of(&first, "SELECT by_whom FROM claims").await, ["anna"]);
+}
+
+/// What a user sees: crews cannot lodge sheets for an hour because the primary died.
+/// Order: a write, the primary is killed, writes go on at another member without anyone asked.
+/// Cause: nobody orders a promotion but the proxies themselves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_primary_is_replaced_and_nothing_acknowledged_is_lost() {
+    let deployment = Deployment::start(plan(3)).await.expect("deployment starts");
+    let (client, _) = connect(&deployment, 0, "copyist").await;
+    client.batch_execute("CREATE TABLE sheets (id int PRIMARY KEY, road text)").await.unwrap();
+    client.batch_execute("INSERT INTO sheets VALUES (1, 'A55')").await.unwrap();
+
+    deployment.groups[0].turn(&"scores-orders-1".parse().unwrap(), MemberKnob::Kill).unwrap();
+    let mut refusals = 0;
+    while client.batch_execute("INSERT INTO sheets VALUES (2, 'A470')").await.is_err() {
+        refusals += 1;
+        assert!(refusals < 20, "no primary accepts writes again");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    let roads = rows_of(&client, "SELECT road FROM sheets ORDER BY id").await;
+    assert_eq!(roads, ["A55", "A470"]);
+}
--- a/crates/rudder-core/src/ack.rs
+++ b/crates/rudder-core/src/ack.rs
@@ -7,7 +7,7 @@
 //! the check.
 
 use crate::ident::MemberName;
-use crate::stamp::LogStamp;
+use crate::stamp::{LogStamp, LogTerm};
 use crate::status::MemberStatus;
 
 /// The verdict over a commit from the reports seen so far.
@@ -55,3 +55,24 @@
     let holders = reports.iter().filter(|(_, status)| holds(status)).count();
     if holders >= majority_of(members) { AckVerdict::Acknowledged } else { AckVerdict::Waiting }
 }
+
+/// Judges whether `term` is still the greatest that a majority accepted, for a read that must see
+/// the newest data. `reports` holds reports that were asked for after the read arrived.
+///
+/// ```
+/// use rudder_core::{AckVerdict, LogTerm, judge_term};
+/// assert_eq!(judge_term(LogTerm(1), 3, &[]), AckVerdict::Waiting);
+/// ```
+#[must_use]
+pub fn judge_term(
+    term: LogTerm,
+    members: usize,
+    reports: &[(MemberName, MemberStatus)],
+) -> AckVerdict {
+    // Guards against an isolated primary that shows an old picture as today's.
+    if reports.iter().any(|(_, status)| status.accepted > term) {
+        return AckVerdict::Superseded;
+    }
+    let holders = reports.iter().filter(|(_, status)| status.accepted == term).count();
+    if holders >= majority_of(members) { AckVerdict::Acknowledged } else { AckVerdict::Waiting }
+}
--- a/crates/rudder-core/src/status.rs
+++ b/crates/rudder-core/src/status.rs
@@ -10,7 +10,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum MemberRole {
-    /// Accepts writes, if its term has not been superseded.
+    /// Accepts writes: it was promoted at the very term that is the highest it accepted. A member
+    /// that accepts a greater term reports itself a replica from then on; otherwise a fenced
+    /// primary would pass for the primary of the term that it was fenced with.
     Primary,
     /// Applies the log of a primary and serves reads.
     Replica,
--- /dev/null
+++ b/crates/rudder-standins/src/deployment/mod.rs
@@ -0,0 +1,213 @@
+//! A whole deployment on loopback: groups, platform, and proxies inside one process.
+
+mod folder;
+
+use crate::group::{GroupSettings, GroupStandin};
+use crate::platform::PlatformStandin;
+use arbutusrudder::{ProcessSettings, ProxyError, ProxyInstance};
+use displaydoc::Display;
+use folder::settings_text;
+use rudder_core::DomainName;
+use rudder_platform::{
+    FolderChange, KubeStore, PlatformOptions, StoreError, SubmitError, submit_change,
+};
+use rudder_settings::SettingsFile;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How often a starting deployment looks whether its proxies are ready.
+const READY_POLL: Duration = Duration::from_millis(20);
+
+/// Looks at most; a deployment that is not ready by then is broken.
+const READY_POLLS: u32 = 500;
+
+/// Why a deployment did not start.
+#[derive(Debug, Display)]
+#[ignore_extra_doc_attributes]
+pub enum DeploymentError {
+    /// a socket could not be opened: {0}
+    Socket(std::io::Error),
+    /// the platform stand-in gave no answer: {0}
+    Platform(StoreError),
+    /// the settings were not accepted: {0}
+    Settings(SubmitError),
+    /// a proxy did not start: {0}
+    Proxy(ProxyError),
+    /// the proxies did not become ready in time
+    NotReady,
+}
+
+impl std::error::Error for DeploymentError {}
+
+impl From<std::io::Error> for DeploymentError {
+    fn from(error: std::io::Error) -> Self {
+        Self::Socket(error)
+    }
+}
+
+impl From<StoreError> for DeploymentError {
+    fn from(error: StoreError) -> Self {
+        Self::Platform(error)
+    }
+}
+
+impl From<SubmitError> for DeploymentError {
+    fn from(error: SubmitError) -> Self {
+        Self::Settings(error)
+    }
+}
+
+impl From<ProxyError> for DeploymentError {
+    fn from(error: ProxyError) -> Self {
+        Self::Proxy(error)
+    }
+}
+
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct DeploymentPlan {
+    /// The failure domains, each in a region of its own name. Members and proxies take them in
+    /// turn.
+    pub domains: Vec<DomainName>,
+    /// The groups.
+    pub groups: Vec<GroupSettings>,
+    /// How many proxies.
+    pub proxies: usize,
+    /// Further settings in TOML: kinds of caller, timing.
+    pub extra: String,
+}
+
+impl DeploymentPlan {
+    /// One group of three members in three failure domains, and `proxies` proxies.
+    ///
+    /// ```
+    /// let plan = rudder_standins::DeploymentPlan::small(2);
+    /// assert_eq!((plan.groups.len(), plan.proxies), (1, 2));
+    /// ```
+    #[must_use]
+    pub fn small(proxies: usize) -> Self {
+        let name = "the name has only allowed characters";
+        let domains = ["kigali-a", "nairobi-a", "johannesburg-a"];
+        Self {
+            domains: domains.iter().map(|domain| domain.parse().expect(name)).collect(),
+            groups: vec![GroupSettings::loopback("scores-orders".parse().expect(name))],
+            proxies,
+            extra: String::new(),
+        }
+    }
+}
+
+/// A running deployment; dropping it ends everything.
+pub struct Deployment {
+    /// The groups, in the order of the plan.
+    pub groups: Vec<GroupStandin>,
+    /// The platform.
+    pub platform: PlatformStandin,
+    /// The proxies; one that was taken out to leave or to be killed leaves none behind.
+    pub proxies: Vec<Option<ProxyInstance>>,
+    domains: Vec<DomainName>,
+}
+
+impl Deployment {
+    /// Starts everything and waits until each proxy has the settings in force.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError`] when a part does not start.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// use rudder_standins::{Deployment, DeploymentPlan};
+    /// let deployment = Deployment::start(DeploymentPlan::small(1)).await.unwrap();
+    /// assert_eq!(deployment.proxy(0).revision(), 1);
+    /// # });
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub async fn start(plan: DeploymentPlan) -> Result<Self, DeploymentError> {
+        let mut groups = Vec::new();
+        for settings in &plan.groups {
+            groups.push(GroupStandin::start(settings.clone()).await?);
+        }
+        let platform = PlatformStandin::start(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let text = settings_text(&plan, &groups);
+        let mut deployment =
+            Self { groups, platform, proxies: Vec::new(), domains: plan.domains.clone() };
+        deployment.submit("10-deployment.toml", &text).await?;
+        for _ in 0..plan.proxies {
+            deployment.add_proxy().await?;
+        }
+        deployment.await_ready().await?;
+        Ok(deployment)
+    }
+
+    /// Submits one settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError`] when it is refused.
+    pub async fn submit(&self, name: &str, text: &str) -> Result<(), DeploymentError> {
+        let store = KubeStore::connect(PlatformOptions::at(&self.platform.url()))?;
+        let name = name.parse().expect("the file name has only allowed characters");
+        let file = SettingsFile { name, text: text.to_owned() };
+        submit_change(&store, FolderChange { put: vec![file], ..FolderChange::default() }).await?;
+        Ok(())
+    }
+
+    /// Starts one more proxy, in the next failure domain, and answers its index.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError`] when it does not start.
+    pub async fn add_proxy(&mut self) -> Result<usize, DeploymentError> {
+        let index = self.proxies.len();
+        let seeds: Vec<String> = self
+            .proxies
+            .iter()
+            .flatten()
+            .map(|proxy| format!("\"{}\"", proxy.peer_address()))
+            .collect();
+        let text = format!(
+            "instance = \"entry-{}\"\ndomain = \"{}\"\nlisten = \"127.0.0.1:0\"\n\
+             admin = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nseeds = [{}]\nplatform = \"{}\"\n",
+            index + 1,
+            self.domains[index % self.domains.len()],
+            seeds.join(", "),
+            self.platform.url(),
+        );
+        let process = ProcessSettings::parse(&text).map_err(ProxyError::from)?;
+        self.proxies.push(Some(ProxyInstance::start(process).await?));
+        Ok(index)
+    }
+
+    /// A running proxy.
+    ///
+    /// # Panics
+    ///
+    /// If the proxy was taken out.
+    #[must_use]
+    pub fn proxy(&self, index: usize) -> &ProxyInstance {
+        self.proxies[index].as_ref().expect("the proxy was not taken out")
+    }
+
+    /// How a client connects to a proxy, in the words of client libraries.
+    #[must_use]
+    pub fn client_string(&self, index: usize, user: &str) -> String {
+        let address = self.proxy(index).listen_address();
+        format!(
+            "host={} port={} user={user} dbname={} sslmode=disable",
+            address.ip(),
+            address.port(),
+            self.groups[0].service()
+        )
+    }
+
+    async fn await_ready(&self) -> Result<(), DeploymentError> {
+        for _ in 0..READY_POLLS {
+            if self.proxies.iter().flatten().all(|proxy| proxy.revision() > 0) {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        Err(DeploymentError::NotReady)
+    }
+}
--- a/crates/rudder-standins/src/group/state.rs
+++ b/crates/rudder-standins/src/group/state.rs
@@ -38,8 +38,8 @@
     /// The member's report.
     pub(crate) fn status(&self) -> MemberStatus {
         let role = match self.role {
-            GroupRole::Primary(_) => MemberRole::Primary,
-            GroupRole::Replica(_) => MemberRole::Replica,
+            GroupRole::Primary(term) if term == self.accepted => MemberRole::Primary,
+            GroupRole::Primary(_) | GroupRole::Replica(_) => MemberRole::Replica,
         };
         MemberStatus {
             role,
--- a/crates/rudder-standins/src/lib.rs
+++ b/crates/rudder-standins/src/lib.rs
@@ -1,8 +1,10 @@
 //! Stand-ins for what surrounds the proxy, for tests, examples and measurements.
 
+mod deployment;
 mod group;
 mod platform;
 
+pub use deployment::{Deployment, DeploymentError, DeploymentPlan};
 pub use group::{
     GroupError, GroupSettings, GroupStandin, MemberKnob, MemberSettings, ServiceSpread,
 };
