--- a/crates/arbutusrudder/tests/common/mod.rs
+++ b/crates/arbutusrudder/tests/deployment/common.rs
@@ -5,7 +5,7 @@
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
 /// A client of one proxy, and the task that drives its connection.
-pub async fn connect(
+pub(crate) async fn connect(
     deployment: &Deployment,
     proxy: usize,
     user: &str,
@@ -14,7 +14,7 @@
 }
 
 /// The same, with further words for the client library.
-pub async fn connect_with(
+pub(crate) async fn connect_with(
     deployment: &Deployment,
     proxy: usize,
     user: &str,
@@ -29,7 +29,7 @@
 }
 
 /// The first column of every row that a simple query brings.
-pub async fn rows_of(client: &Client, query: &str) -> Vec<String> {
+pub(crate) async fn rows_of(client: &Client, query: &str) -> Vec<String> {
     let messages = client.simple_query(query).await.expect("the query runs");
     let row = |message: &SimpleQueryMessage| match message {
         SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
--- /dev/null
+++ b/crates/arbutusrudder/tests/deployment/main.rs
@@ -0,0 +1,4 @@
+//! Tests of whole deployments on loopback: client libraries, proxies, groups and the platform.
+
+mod common;
+mod path;
--- a/crates/arbutusrudder/tests/path.rs
+++ b/crates/arbutusrudder/tests/deployment/path.rs
@@ -1,8 +1,6 @@
 //! The whole path: a client library, a proxy, a group and the platform.
 
-mod common;
-
-use common::{connect, connect_with, rows_of};
+use crate::common::{connect, connect_with, rows_of};
 use rudder_standins::{Deployment, DeploymentPlan, MemberKnob};
 use std::time::Duration;
 
--- a/crates/rudder-standins/tests/group/replication.rs
+++ b/crates/rudder-standins/tests/group/replication.rs
@@ -44,8 +44,10 @@
     assert_eq!((before.get::<_, i64>(0), applied_before), (0, LogStamp::new(1, 1)));
 }
 
-/// A primary that was fenced still believes it leads. A client that writes through it, or
-/// commits a transaction that it began before, must get an error, and nothing may be kept.
+/// A primary was fenced. A client that writes through it, or commits a transaction that it began
+/// before, must get an error, and nothing may be kept. It must not report itself primary either:
+/// it would pass for the primary of the term that it was fenced with, and make replicas look
+/// fresh that miss what the real one committed.
 #[tokio::test]
 async fn a_fenced_primary_commits_nothing() {
     let group = group().await;
@@ -61,7 +63,7 @@
     assert_eq!((sqlstate(commit).as_str(), sqlstate(write).as_str()), ("RU001", "RU001"));
     assert_eq!(lower.as_db_error().unwrap().message(), "term 7 has been accepted");
     assert_eq!(status(&group, 0).received, LogStamp::new(1, 1));
-    assert_eq!(status(&group, 0).role, MemberRole::Primary);
+    assert_eq!(status(&group, 0).role, MemberRole::Replica);
 }
 
 /// A primary is cut off and commits a row that no replica receives. Another member is promoted.
