--- /dev/null
+++ b/crates/rudder-standins/examples/bench/load.rs
@@ -0,0 +1,90 @@
+//! Load of many connections for a while.
+
+use crate::TABLE_ROWS;
+use crate::client::{BenchClient, BenchTarget};
+use crate::processor::processor_time;
+use crate::report::{Measurement, latency_histogram};
+use bytes::BytesMut;
+use hdrhistogram::Histogram;
+use std::error::Error;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Part of the time in which caches, pools and limits settle; not measured.
+const WARM_UP_SHARE: u32 = 5;
+
+/// One run over one path.
+#[derive(Debug)]
+pub(crate) struct LoadRun<'a> {
+    pub(crate) target: &'a BenchTarget,
+    pub(crate) connections: usize,
+    pub(crate) time: Duration,
+    /// The proxy's and the group's processes.
+    pub(crate) pids: (Option<u32>, Option<u32>),
+}
+
+impl LoadRun<'_> {
+    /// Runs and adds to `measurement`.
+    pub(crate) async fn run(&self, measurement: &mut Measurement) -> Result<(), Box<dyn Error>> {
+        let requests: Arc<[BytesMut]> = (0..TABLE_ROWS)
+            .map(|id| BenchClient::request(&format!("SELECT note FROM bench WHERE id = {id}")))
+            .collect();
+        let mut clients = Vec::with_capacity(self.connections);
+        for _ in 0..self.connections {
+            clients.push(BenchClient::connect(self.target).await?);
+        }
+        let start = Instant::now() + self.time / WARM_UP_SHARE;
+        let end = Instant::now() + self.time;
+        let tasks: Vec<_> = clients
+            .into_iter()
+            .enumerate()
+            .map(|(index, client)| {
+                tokio::spawn(ask_until(client, Arc::clone(&requests), index, start, end))
+            })
+            .collect();
+        tokio::time::sleep_until(start.into()).await;
+        let before = self.processor_times()?;
+        tokio::time::sleep_until(end.into()).await;
+        let after = self.processor_times()?;
+        for task in tasks {
+            measurement.latency.add(task.await??)?;
+        }
+        measurement.time += end - start;
+        measurement.processor_proxy += after[0].saturating_sub(before[0]);
+        measurement.processor_group += after[1].saturating_sub(before[1]);
+        measurement.processor_client += after[2].saturating_sub(before[2]);
+        Ok(())
+    }
+
+    fn processor_times(&self) -> std::io::Result<[Duration; 3]> {
+        let time_of = |pid: Option<u32>| match pid {
+            Some(pid) => processor_time(&pid.to_string()),
+            None => Ok(Duration::ZERO),
+        };
+        Ok([time_of(self.pids.0)?, time_of(self.pids.1)?, processor_time("self")?])
+    }
+}
+
+/// Asks one request after the other and records the latencies of those that began after `start`.
+async fn ask_until(
+    mut client: BenchClient,
+    requests: Arc<[BytesMut]>,
+    first: usize,
+    start: Instant,
+    end: Instant,
+) -> std::io::Result<Histogram<u64>> {
+    let mut latency = latency_histogram();
+    let mut index = first;
+    loop {
+        let sent = Instant::now();
+        if sent >= end {
+            return Ok(latency);
+        }
+        client.ask(&requests[index % requests.len()]).await?;
+        index += 1;
+        if sent >= start {
+            let nanos = u64::try_from(sent.elapsed().as_nanos()).unwrap_or(u64::MAX);
+            latency.saturating_record(nanos);
+        }
+    }
+}
