--- a/crates/rudder-standins/src/lib.rs
+++ b/crates/rudder-standins/src/lib.rs
@@ -2,10 +2,12 @@
 
 mod deployment;
 mod group;
+mod link;
 mod platform;
 
 pub use deployment::{Deployment, DeploymentError, DeploymentPlan};
 pub use group::{
     GroupError, GroupSettings, GroupStandin, MemberKnob, MemberSettings, ServiceSpread,
 };
+pub use link::{DatagramLinkStandin, LinkDirection, LinkFault, LinkSettings, LinkStandin};
 pub use platform::{CallCounts, PlatformFaults, PlatformOutage, PlatformStandin, StandinInstance};
