platform: proofs of submitting and following under failure

Cause: the guards of the accepted revision had no test that brings their failure about. Change: the stand-in serves reads that are a given number of changes behind; tests race operators, lose answers and requests, cut the platform off, offer stale and damaged bundles, and prune.

--- /dev/null
+++ b/crates/rudder-platform/tests/platform/following.rs
@@ -0,0 +1,120 @@
+//! Following: numbers that only grow, stale reads, instances cut off from the platform.
+
+use crate::common::{change, domain_file, patient_store, standin, store};
+use proptest::prelude::*;
+use rudder_platform::{
+    BundleError, OfferVerdict, ReadError, RevisionBundle, RevisionFollower, RevisionNumber,
+    StoreError, poll_revision, submit_change,
+};
+use rudder_standins::{PlatformFaults, PlatformOutage};
+use std::time::Duration;
+
+/// One submission of one file is two changes of the platform: the file and the revision.
+const CHANGES_EACH: usize = 2;
+
+fn region(follower: &RevisionFollower) -> &str {
+    &follower.folder().expect("a revision is in force").fleet.domains[0].region
+}
+
+/// The platform answers from a copy that lags. An instance that holds revision 2 reads revision 1;
+/// adopting it would bring back settings that an operator has replaced.
+#[tokio::test]
+async fn stale_read_reverts_nothing() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    submit_change(&store, change(&[domain_file("a", "north")])).await.unwrap();
+    submit_change(&store, change(&[domain_file("a", "south")])).await.unwrap();
+    let mut follower = RevisionFollower::default();
+    let newest = poll_revision(&store, None).await.unwrap().unwrap();
+    follower.offer(newest);
+
+    standin.set_faults(PlatformFaults { stale_by: CHANGES_EACH, ..PlatformFaults::default() });
+    let polled = poll_revision(&store, follower.bundle().map(|held| &**held)).await.unwrap();
+    let stale = poll_revision(&store, None).await.unwrap().unwrap();
+    let verdict = follower.offer(stale.clone());
+
+    assert_eq!(polled, None);
+    assert_eq!(stale.number, RevisionNumber(1));
+    assert_eq!(verdict, OfferVerdict::NotNewer);
+    assert_eq!((follower.number(), region(&follower)), (RevisionNumber(2), "south"));
+}
+
+/// An instance starts while the platform is down. Its peers hold the revision in force and hand it
+/// over; without that it could serve nobody until the outage ends.
+#[tokio::test]
+async fn instance_that_starts_in_an_outage_follows_a_peer() {
+    let standin = standin().await;
+    submit_change(&patient_store(&standin), change(&[domain_file("a", "north")])).await.unwrap();
+    let held = poll_revision(&patient_store(&standin), None).await.unwrap().unwrap();
+    let outage = PlatformOutage::Hanging;
+    standin.set_faults(PlatformFaults { outage, ..PlatformFaults::default() });
+    let mut follower = RevisionFollower::default();
+
+    let polled = poll_revision(&store(&standin, Duration::from_millis(100)), None).await;
+    let message = serde_json::to_vec(&held).unwrap();
+    let handed: RevisionBundle = serde_json::from_slice(&message).unwrap();
+    let verdict = follower.offer(handed);
+
+    assert_eq!(polled, Err(ReadError::Store(StoreError::Unavailable)));
+    assert_eq!(verdict, OfferVerdict::Adopted);
+    assert_eq!(region(&follower), "north");
+}
+
+/// Only what changed is read: an instance that holds the last revision reads the new file and not
+/// the others, which keeps the platform's load low when hundreds of instances follow.
+#[tokio::test]
+async fn poll_reads_only_what_changed() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    let files = ["a", "b", "c", "d"].map(|stem| domain_file(stem, "north"));
+    submit_change(&store, change(&files)).await.unwrap();
+    let held = poll_revision(&store, None).await.unwrap().unwrap();
+    submit_change(&store, change(&[domain_file("b", "south")])).await.unwrap();
+
+    let before = standin.calls().reads;
+    let newer = poll_revision(&store, Some(&held)).await.unwrap().unwrap();
+    let unchanged = poll_revision(&store, Some(&newer)).await.unwrap();
+
+    assert_eq!(newer.number, RevisionNumber(2));
+    assert_eq!(unchanged, None);
+    assert_eq!(standin.calls().reads - before, 3);
+}
+
+/// A peer runs a later release whose settings this one does not know, or a message was damaged.
+/// The revision in force stays, and a later usable one is still adopted.
+#[tokio::test]
+async fn unusable_bundle_leaves_the_one_in_force() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    submit_change(&store, change(&[domain_file("a", "north")])).await.unwrap();
+    let good = poll_revision(&store, None).await.unwrap().unwrap();
+    let mut follower = RevisionFollower::default();
+    follower.offer(good.clone());
+    let mut damaged = good.clone();
+    damaged.number = RevisionNumber(2);
+    damaged.files[0].file.text.push_str("# damaged\n");
+
+    let verdict = follower.offer(damaged);
+    let later = follower.offer(RevisionBundle { number: RevisionNumber(3), ..good });
+
+    assert!(matches!(verdict, OfferVerdict::Unusable(BundleError::Damaged(_))), "{verdict:?}");
+    assert_eq!(later, OfferVerdict::Adopted);
+    assert_eq!(follower.number(), RevisionNumber(3));
+}
+
+proptest! {
+    #[test]
+    fn number_in_force_is_the_greatest_offered(numbers in prop::collection::vec(1_u64..50, 1..40)) {
+        let mut follower = RevisionFollower::default();
+        let mut greatest = 0;
+        for number in numbers {
+            let bundle = RevisionBundle { number: RevisionNumber(number), files: Vec::new() };
+
+            let verdict = follower.offer(bundle);
+
+            prop_assert_eq!(verdict == OfferVerdict::Adopted, number > greatest);
+            greatest = greatest.max(number);
+            prop_assert_eq!(follower.number(), RevisionNumber(greatest));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-platform/tests/platform/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the platform's package against the stand-in over HTTP.
+
+mod common;
+mod following;
+mod store;
+mod submission;
--- a/crates/rudder-platform/tests/store.rs
+++ b/crates/rudder-platform/tests/platform/store.rs
@@ -1,29 +1,13 @@
 //! The store over HTTP: versions, conflicts, lost answers, outages, instances.
 
-use rudder_platform::{
-    InstanceReadiness, KubeStore, ObjectKind, ObjectVersion, PlatformOptions, PlatformStore,
-    StoreError,
-};
-use rudder_standins::{PlatformFaults, PlatformOutage, PlatformStandin, StandinInstance};
+use crate::common::{patient_store, standin, store};
+use rudder_platform::{InstanceReadiness, ObjectKind, ObjectVersion, PlatformStore, StoreError};
+use rudder_standins::{PlatformFaults, PlatformOutage, StandinInstance};
 use serde_json::json;
 use std::time::Duration;
 
 const KIND: ObjectKind = ObjectKind::SwitchOrder;
 
-async fn standin() -> PlatformStandin {
-    let listen = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
-    PlatformStandin::start(listen).await.expect("a free loopback port")
-}
-
-fn store(standin: &PlatformStandin, timeout: Duration) -> KubeStore {
-    let options = PlatformOptions { call_timeout: timeout, ..PlatformOptions::at(&standin.url()) };
-    KubeStore::connect(options).expect("the stand-in's address is a URL")
-}
-
-fn patient_store(standin: &PlatformStandin) -> KubeStore {
-    store(standin, Duration::from_secs(20))
-}
-
 #[tokio::test]
 async fn conditional_changes_follow_versions() {
     let standin = standin().await;
--- /dev/null
+++ b/crates/rudder-platform/tests/platform/submission.rs
@@ -0,0 +1,250 @@
+//! Submitting: racing operators, lost answers, outages, refusals, pruning.
+
+use crate::common::{
+    ScriptedStore, UpdateFault, change, domain_file, file, patient_store, standin, store,
+};
+use rudder_platform::{
+    FolderChange, KubeStore, ObjectKind, PlatformStore, RevisionNumber, SettingsRevision,
+    SubmitError, read_revision, submit_change,
+};
+use rudder_standins::{PlatformFaults, PlatformOutage};
+use std::sync::Mutex;
+use std::time::Duration;
+
+async fn revision(store: &KubeStore) -> SettingsRevision {
+    let read = read_revision(store).await.expect("the stand-in answers");
+    read.map(|(_, revision)| revision).unwrap_or_default()
+}
+
+fn names(revision: &SettingsRevision) -> Vec<&str> {
+    revision.files.iter().map(|file| file.name.as_str()).collect()
+}
+
+/// Six operators each add one file at the same moment. Each reads the same revision and builds on
+/// it; without the conditional update the last would wipe out the five others.
+#[tokio::test]
+async fn racing_operators_all_get_their_files_in() {
+    let standin = standin().await;
+    let stems = ["a", "b", "c", "d", "e", "f"];
+
+    let submissions = stems.map(|stem| {
+        let store = patient_store(&standin);
+        async move { submit_change(&store, change(&[domain_file(stem, "north")])).await }
+    });
+    let outcomes = futures::future::join_all(submissions).await;
+
+    let store = patient_store(&standin);
+    let mut numbers: Vec<u64> =
+        outcomes.into_iter().map(|outcome| outcome.unwrap().number.0).collect();
+    numbers.sort_unstable();
+    assert_eq!(numbers, vec![1, 2, 3, 4, 5, 6]);
+    let revision = revision(&store).await;
+    assert_eq!(revision.number, RevisionNumber(6));
+    assert_eq!(names(&revision), ["a.toml", "b.toml", "c.toml", "d.toml", "e.toml", "f.toml"]);
+}
+
+/// Two operators fetched revision 1 and change the same file differently. One is accepted; were the
+/// other accepted too, the first one's change would be gone and nobody told.
+#[tokio::test]
+async fn rivals_over_one_file_do_not_wipe_each_other_out() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    submit_change(&store, change(&[domain_file("a", "north")])).await.unwrap();
+    let base = revision(&store).await;
+    let rival = |region: &str| FolderChange {
+        base: Some(base.clone()),
+        ..change(&[domain_file("a", region)])
+    };
+
+    let (one, other) =
+        tokio::join!(submit_change(&store, rival("south")), submit_change(&store, rival("east")));
+
+    let (accepted, refused) = if one.is_ok() { (one, other) } else { (other, one) };
+    assert_eq!(accepted.unwrap().number, RevisionNumber(2));
+    assert!(matches!(refused, Err(SubmitError::Raced(_))), "{refused:?}");
+    assert_eq!(revision(&store).await.number, RevisionNumber(2));
+}
+
+/// An operator's folder is an older copy: another one replaced b.toml meanwhile. Submitting the
+/// whole folder for the sake of a.toml must not bring the old b.toml back.
+#[tokio::test]
+async fn unchanged_files_of_an_old_copy_do_not_revert_others() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    let old_copy = [domain_file("a", "north"), domain_file("b", "north")];
+    submit_change(&store, change(&old_copy)).await.unwrap();
+    let base = revision(&store).await;
+    submit_change(&store, change(&[domain_file("b", "south")])).await.unwrap();
+    let newer = revision(&store).await;
+
+    let whole = [domain_file("a", "west"), old_copy[1].clone()];
+    let outcome =
+        submit_change(&store, FolderChange { base: Some(base), ..change(&whole) }).await.unwrap();
+
+    let b = "b.toml".parse().unwrap();
+    assert_eq!(outcome.number, RevisionNumber(3));
+    assert_eq!(revision(&store).await.object(&b), newer.object(&b));
+}
+
+/// The platform applies the change and its answer is lost, first for the file, then for the
+/// revision. The operator must see the one revision that was made, not a second one.
+#[tokio::test]
+async fn lost_answers_make_one_revision() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    standin.set_faults(PlatformFaults { lost_answers: 2, ..PlatformFaults::default() });
+
+    let outcome = submit_change(&store, change(&[domain_file("a", "north")])).await.unwrap();
+
+    assert_eq!(standin.faults().lost_answers, 0);
+    assert_eq!((outcome.number, outcome.changed), (RevisionNumber(1), true));
+    assert_eq!(revision(&store).await.number, RevisionNumber(1));
+}
+
+/// The answer is lost, and before the writer reads back, a rival replaces the same file. The file
+/// is no longer the writer's, so only its mark can tell that its change had been accepted.
+#[tokio::test]
+async fn lost_answer_is_recognised_under_a_later_revision() {
+    let standin = standin().await;
+    let inner = patient_store(&standin);
+    let rival = change(&[domain_file("a", "south")]);
+    let faults = Mutex::new(vec![UpdateFault::LostAnswerThen(rival)]);
+    let scripted = ScriptedStore { inner, faults };
+
+    let outcome = submit_change(&scripted, change(&[domain_file("a", "north")])).await.unwrap();
+
+    assert_eq!((outcome.number, outcome.changed), (RevisionNumber(1), true));
+    assert_eq!(revision(&scripted.inner).await.number, RevisionNumber(2));
+}
+
+/// The update itself is lost on the way. Taken for accepted, the operator's change would be missing
+/// though he was told that it is in force.
+#[tokio::test]
+async fn lost_request_is_sent_again() {
+    let standin = standin().await;
+    let inner = patient_store(&standin);
+    let scripted = ScriptedStore { inner, faults: Mutex::new(vec![UpdateFault::LostRequest]) };
+
+    let outcome = submit_change(&scripted, change(&[domain_file("a", "north")])).await.unwrap();
+
+    assert_eq!((outcome.number, outcome.changed), (RevisionNumber(1), true));
+    assert_eq!(names(&revision(&scripted.inner).await), ["a.toml"]);
+}
+
+/// An update's answer is lost and the platform stays away afterwards. Nobody can tell whether the
+/// change is in force, so neither "accepted" nor "nothing changed" would be true.
+#[tokio::test]
+async fn lost_answer_before_an_outage_stays_unknown() {
+    let standin = standin().await;
+    let inner = patient_store(&standin);
+    let mut faults: Vec<UpdateFault> = (0..100).map(|_| UpdateFault::Refused).collect();
+    faults.push(UpdateFault::LostRequest);
+    let scripted = ScriptedStore { inner, faults: Mutex::new(faults) };
+
+    let result = submit_change(&scripted, change(&[domain_file("a", "north")])).await;
+
+    assert_eq!(result, Err(SubmitError::Unresolved));
+}
+
+/// The platform is down for the whole submission: the operator learns that nothing was changed.
+#[tokio::test]
+async fn outage_changes_nothing_and_says_so() {
+    let standin = standin().await;
+    let outage = PlatformOutage::Refused;
+    standin.set_faults(PlatformFaults { outage, ..PlatformFaults::default() });
+
+    let hasty = store(&standin, Duration::from_millis(100));
+    let result = submit_change(&hasty, change(&[domain_file("a", "north")])).await;
+    standin.set_faults(PlatformFaults::default());
+
+    assert_eq!(result, Err(SubmitError::Unavailable));
+}
+
+/// A file is fine by itself and breaks the merge: its member stands in a failure domain that another
+/// operator removes at the same time. The whole is refused with its place; what is in force stays.
+#[tokio::test]
+async fn invalid_merge_is_refused_and_the_revision_stays() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    let service = file(
+        "service.toml",
+        "[services.s.members.m]\naddress = \"10.0.0.1:5432\"\ndomain = \"a\"\nslots = 1\n\
+         connections = 1\n",
+    );
+    submit_change(&store, change(&[domain_file("a", "north"), service])).await.unwrap();
+    let before = revision(&store).await;
+
+    let remove = vec!["a.toml".parse().unwrap()];
+    let result = submit_change(&store, FolderChange { remove, ..FolderChange::default() }).await;
+
+    let Err(SubmitError::Invalid(refusal)) = result else { panic!("{result:?}") };
+    assert_eq!(
+        refusal.to_string(),
+        "service.toml:3: services.s.members.m.domain: failure domain \"a\" is not declared; \
+         declare it with [domains.a]"
+    );
+    assert_eq!(revision(&store).await, before);
+}
+
+#[tokio::test]
+async fn same_content_makes_no_revision() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    submit_change(&store, change(&[domain_file("a", "north")])).await.unwrap();
+
+    let again = submit_change(&store, change(&[domain_file("a", "north")])).await.unwrap();
+
+    assert_eq!((again.number, again.changed), (RevisionNumber(1), false));
+}
+
+/// A platform is restored from an old copy and its numbers start low again. Instances hold a greater
+/// one and would never follow, so the operator lifts the next number above it.
+#[tokio::test]
+async fn number_can_be_lifted_above_what_instances_hold() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    submit_change(&store, change(&[domain_file("a", "north")])).await.unwrap();
+
+    let lifted = FolderChange { above: RevisionNumber(40), ..FolderChange::default() };
+    let outcome = submit_change(&store, lifted).await.unwrap();
+
+    assert_eq!(outcome.number, RevisionNumber(41));
+}
+
+/// Operators replace one file again and again. Each text is an object of its own: without pruning
+/// they fill the platform, with too much of it a reader of the last revision finds nothing.
+#[tokio::test]
+async fn old_files_are_pruned_after_a_few_revisions() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    let mut objects = Vec::new();
+    for round in 0..10 {
+        let file = domain_file("a", &format!("region-{round}"));
+
+        submit_change(&store, change(&[file])).await.unwrap();
+
+        let revision = revision(&store).await;
+        objects.push(revision.files[0].object.clone());
+    }
+
+    let kept = store.list(ObjectKind::SettingsFile).await.unwrap();
+    let kept: Vec<&String> = kept.iter().map(|object| &object.name).collect();
+    assert!(objects[7..].iter().all(|object| kept.contains(&object)), "{kept:?}");
+    assert!(!objects[..5].iter().any(|object| kept.contains(&object)), "{kept:?}");
+}
+
+/// An operator goes back to a text whose object was retired long ago and is about to be pruned.
+/// Were it removed, the new revision would name an object that no reader finds.
+#[tokio::test]
+async fn text_that_comes_back_is_readable() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    for region in ["one", "two", "three", "one", "four", "five", "six", "seven", "one"] {
+        submit_change(&store, change(&[domain_file("a", region)])).await.unwrap();
+
+        let bundle = rudder_platform::poll_revision(&store, None).await.unwrap().unwrap();
+        let merged = bundle.merge().unwrap();
+
+        assert_eq!(merged.fleet.domains[0].region, region);
+    }
+}
--- a/crates/rudder-standins/src/platform/faults.rs
+++ b/crates/rudder-standins/src/platform/faults.rs
@@ -28,8 +28,8 @@
         pub outage: PlatformOutage,
         /// How many of the next changes take effect without their answer arriving.
         pub lost_answers: u32,
-        /// Whether reads show the state of the moment at which this was switched on.
-        pub stale_reads: bool,
+        /// How many changes the state that reads show is behind.
+        pub stale_by: usize,
     }
 }
 
--- a/crates/rudder-standins/src/platform/state.rs
+++ b/crates/rudder-standins/src/platform/state.rs
@@ -8,6 +8,9 @@
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
+/// How many changes reads can be behind.
+const HISTORY_MAX: usize = 64;
+
 /// Objects, instances, faults and counters behind one lock.
 pub(crate) struct StandinState {
     inner: Mutex<StandinInner>,
@@ -17,8 +20,8 @@
 #[derive(Default)]
 struct StandinInner {
     table: ObjectTable,
-    /// What reads show while they are stale.
-    frozen: Option<ObjectTable>,
+    /// The states before the last changes, oldest first, for stale reads.
+    history: Vec<ObjectTable>,
     instances: InstanceList,
     faults: PlatformFaults,
     calls: CallCounts,
@@ -31,11 +34,21 @@
 
     pub(crate) fn read<T>(&self, view: impl FnOnce(&ObjectTable) -> T) -> T {
         let inner = self.lock();
-        view(inner.frozen.as_ref().unwrap_or(&inner.table))
+        let stale_by = inner.faults.stale_by.min(inner.history.len());
+        let stale = inner.history.iter().rev().take(stale_by).next_back();
+        view(stale.unwrap_or(&inner.table))
     }
 
     pub(crate) fn change<T>(&self, change: impl FnOnce(&mut ObjectTable) -> T) -> T {
-        change(&mut self.lock().table)
+        let mut inner = self.lock();
+        let before = inner.table.clone();
+        let result = change(&mut inner.table);
+        if inner.table.last_version() > before.last_version() {
+            inner.history.push(before);
+            let excess = inner.history.len().saturating_sub(HISTORY_MAX);
+            inner.history.drain(..excess);
+        }
+        result
     }
 
     pub(crate) fn slices(&self, service: &str) -> Value {
@@ -52,14 +65,7 @@
 
     pub(crate) fn set_faults(&self, faults: PlatformFaults) {
         let outage = faults.outage;
-        let mut inner = self.lock();
-        inner.frozen = match (faults.stale_reads, inner.frozen.take()) {
-            (true, Some(frozen)) => Some(frozen),
-            (true, None) => Some(inner.table.clone()),
-            (false, _) => None,
-        };
-        inner.faults = faults;
-        drop(inner);
+        self.lock().faults = faults;
         self.outage.send_replace(outage);
     }
 
