--- /dev/null
+++ b/crates/arbutusrudder/src/admin/mod.rs
@@ -0,0 +1,60 @@
+//! Pages for operators: health, status, metrics.
+
+mod status;
+
+use crate::context::InstanceContext;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use axum::{Json, Router};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use status::InstanceStatus;
+use std::sync::{Arc, OnceLock};
+use tokio::net::TcpListener;
+
+/// Upper bounds in seconds of the histograms' buckets.
+const BUCKETS: [f64; 12] =
+    [0.000_1, 0.000_3, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0];
+
+/// One recorder serves all instances of a process.
+static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+
+/// Serves the pages until the instance ends.
+pub(crate) async fn serve_pages(listener: TcpListener, context: Arc<InstanceContext>) {
+    let pages = Router::new()
+        .route("/live", get(|| async { "live\n" }))
+        .route("/ready", get(ready))
+        .route("/status", get(status))
+        .route("/metrics", get(metrics_page))
+        .with_state(context);
+    if let Err(error) = axum::serve(listener, pages).await {
+        log::error!(target: "rudder::admin", reason:% = error; "pages no longer served");
+    }
+}
+
+/// Sets up the metrics of the process, once.
+pub(crate) fn set_up_metrics() {
+    RECORDER.get_or_init(|| {
+        let builder = PrometheusBuilder::new().set_buckets(&BUCKETS).ok()?;
+        builder.install_recorder().ok()
+    });
+}
+
+async fn ready(State(context): State<Arc<InstanceContext>>) -> (StatusCode, &'static str) {
+    if context.is_leaving() {
+        return (StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
+    }
+    if context.revision_number() == 0 {
+        return (StatusCode::SERVICE_UNAVAILABLE, "no settings yet\n");
+    }
+    (StatusCode::OK, "ready\n")
+}
+
+async fn status(State(context): State<Arc<InstanceContext>>) -> Json<InstanceStatus> {
+    Json(InstanceStatus::of(&context))
+}
+
+async fn metrics_page(State(context): State<Arc<InstanceContext>>) -> String {
+    InstanceStatus::of(&context).record();
+    RECORDER.get().and_then(Option::as_ref).map(PrometheusHandle::render).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/duty/exchange.rs
@@ -0,0 +1,88 @@
+//! Carrying the keepers' votes over the peers' mesh.
+
+use crate::keeper::{KeeperEntry, KeeperRoster, ObserverExchange};
+use rudder_core::{
+    DomainName, InstanceName, LogTerm, MemberName, ObserverVote, ServiceName, VoteKind,
+};
+use rudder_peers::{KEEPER_COUNT, PeerHint, PeerMesh, SuspicionVote, keepers_of};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Votes kept for one service until its keeper takes them.
+const VOTES_MAX: usize = 64;
+
+/// The mesh as the keepers of this instance see it.
+pub(crate) struct VoteExchange {
+    mesh: Arc<PeerMesh>,
+    instance: InstanceName,
+    domain: DomainName,
+    next_number: AtomicU64,
+    /// Votes that arrived, sorted by service.
+    inbox: Mutex<Vec<(ServiceName, Vec<ObserverVote>)>>,
+}
+
+impl VoteExchange {
+    /// An exchange over `mesh` for this instance.
+    pub(crate) fn new(mesh: Arc<PeerMesh>, instance: InstanceName, domain: DomainName) -> Self {
+        Self { mesh, instance, domain, next_number: AtomicU64::new(1), inbox: Mutex::default() }
+    }
+
+    /// Takes a vote that a peer cast.
+    pub(crate) fn take(&self, vote: &SuspicionVote) {
+        let kind = if vote.suspected { VoteKind::Unheard } else { VoteKind::Heard };
+        let observed = ObserverVote {
+            observer: vote.observer.clone(),
+            domain: vote.domain.clone(),
+            kind,
+            at: Duration::ZERO,
+        };
+        let mut inbox = self.inbox.lock().expect("no holder of this lock panics");
+        match inbox.binary_search_by(|(service, _)| service.cmp(&vote.service)) {
+            Ok(index) if inbox[index].1.len() < VOTES_MAX => inbox[index].1.push(observed),
+            Ok(_) => {}
+            Err(index) => inbox.insert(index, (vote.service.clone(), vec![observed])),
+        }
+    }
+}
+
+impl ObserverExchange for VoteExchange {
+    fn cast(&self, service: &ServiceName, vote: VoteKind) {
+        let keepers = keepers_of(service, &self.mesh.live(), KEEPER_COUNT);
+        let others: Vec<_> = keepers.into_iter().filter(|name| *name != self.instance).collect();
+        let hint = PeerHint::Vote(SuspicionVote {
+            service: service.clone(),
+            member: vote_subject(),
+            observer: self.instance.clone(),
+            domain: self.domain.clone(),
+            term: LogTerm(0),
+            number: self.next_number.fetch_add(1, Ordering::Relaxed),
+            suspected: vote == VoteKind::Unheard,
+        });
+        let mesh = Arc::clone(&self.mesh);
+        tokio::spawn(async move { mesh.tell(&others, hint).await });
+    }
+
+    fn take_votes(&self, service: &ServiceName) -> Vec<ObserverVote> {
+        let mut inbox = self.inbox.lock().expect("no holder of this lock panics");
+        match inbox.binary_search_by(|(known, _)| known.cmp(service)) {
+            Ok(index) => std::mem::take(&mut inbox[index].1),
+            Err(_) => Vec::new(),
+        }
+    }
+
+    fn roster(&self, service: &ServiceName) -> KeeperRoster {
+        let live = self.mesh.live();
+        let entry = |name: InstanceName| {
+            let index = live.binary_search_by(|peer| peer.name.cmp(&name)).ok()?;
+            Some(KeeperEntry { instance: name, domain: live[index].domain.clone() })
+        };
+        let keepers = keepers_of(service, &live, KEEPER_COUNT);
+        KeeperRoster { keepers: keepers.into_iter().filter_map(entry).collect() }
+    }
+}
+
+/// A vote is about the service's primary, whichever member that is.
+fn vote_subject() -> MemberName {
+    "primary".parse().expect("the name has only allowed characters")
+}
--- a/crates/arbutusrudder/src/lib.rs
+++ b/crates/arbutusrudder/src/lib.rs
@@ -1,1 +1,28 @@
-//! Placeholder.
+//! The proxy: serves callers, and carries an equal share of the control work.
+
+mod admin;
+mod caller;
+mod classify;
+mod context;
+mod duty;
+mod error;
+mod exchange;
+mod fleet;
+mod group;
+mod keeper;
+mod logs;
+mod options;
+mod peering;
+mod process;
+mod proxy;
+mod tls;
+
+pub use classify::{
+    SessionChange, StatementEffect, StatementFacts, StatementsSummary, TransactionStep,
+    classify_text,
+};
+pub use error::ProxyError;
+pub use logs::{LogError, LogLevel};
+pub use options::ProxyOptions;
+pub use process::{ProcessError, ProcessSettings, UserPassword};
+pub use proxy::{ProxyInstance, run};
--- /dev/null
+++ b/crates/rudder-peers/src/mesh/mod.rs
@@ -0,0 +1,15 @@
+//! The driver: one UDP socket and one TCP listener around the state machines.
+
+mod client;
+mod command;
+mod driver;
+mod error;
+mod fetch;
+mod frame;
+mod handle;
+mod server;
+mod settings;
+
+pub use error::{MeshError, PeerError};
+pub use handle::PeerMesh;
+pub use settings::MeshSettings;
