rudderctl: check, submit, fetch, status, drain and switch

Cause: operators had no tool to check a folder, submit it, or see what is in force where. Change: typed options from argh, one file for each command, answers as text or JSON, documented exit codes. fetch remembers what a folder held, so that a submission changes only what its operator changed. Switch orders and marks are rudder-core's types; rudderctl depends on kube and http for the instances' status pages.

--- a/crates/rudder-platform/src/lib.rs
+++ b/crates/rudder-platform/src/lib.rs
@@ -8,7 +8,7 @@
 pub use revision::{
     BundleError, BundleFile, FolderChange, OfferVerdict, RaceRefusal, ReadError, RevisionBundle,
     RevisionFile, RevisionFollower, RevisionNumber, SettingsRevision, SubmitError, SubmitOutcome,
-    WriterMark, poll_revision, read_revision, submit_change,
+    poll_revision, read_revision, submit_change,
 };
 pub use store::{
     InstanceEntry, InstanceReadiness, ObjectKind, ObjectVersion, PlatformStore, StoreError,
--- a/crates/rudder-platform/src/revision/mod.rs
+++ b/crates/rudder-platform/src/revision/mod.rs
@@ -14,5 +14,5 @@
 pub use follow::{OfferVerdict, RevisionFollower};
 pub use plan::RaceRefusal;
 pub use read::{ReadError, poll_revision, read_revision};
-pub use record::{RevisionFile, RevisionNumber, SettingsRevision, WriterMark};
+pub use record::{RevisionFile, RevisionNumber, SettingsRevision};
 pub use submit::{FolderChange, SubmitError, SubmitOutcome, submit_change};
--- a/crates/rudder-platform/src/revision/plan.rs
+++ b/crates/rudder-platform/src/revision/plan.rs
@@ -2,21 +2,28 @@
 
 use super::record::{
     KEEP_MARKS, KEEP_REVISIONS, RetiredObject, RevisionFile, RevisionMark, RevisionNumber,
-    SettingsRevision, WriterMark,
+    SettingsRevision,
 };
-use displaydoc::Display;
-use rudder_core::plain_data;
+use rudder_core::{WriterMark, plain_data};
 use rudder_settings::FileName;
+use std::fmt;
 
-/// Another operator changed a file that this submission changes too.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
-#[ignore_extra_doc_attributes]
-/// {file} was changed by another operator in revision {number} or before; fetch it and submit again
-pub struct RaceRefusal {
-    /// The file.
-    pub file: FileName,
-    /// The revision in force.
-    pub number: RevisionNumber,
+plain_data! {
+    /// Another operator changed a file that this submission changes too.
+    pub struct RaceRefusal {
+        /// The file.
+        pub file: FileName,
+        /// The revision in force.
+        pub number: RevisionNumber,
+    }
+}
+
+impl fmt::Display for RaceRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { file, number } = self;
+        write!(f, "{file} was changed by another operator up to revision {number}; ")?;
+        f.write_str("fetch the folder again, then change the file and submit it")
+    }
 }
 
 impl std::error::Error for RaceRefusal {}
@@ -50,7 +57,9 @@
         let in_force = current.object(&file.name);
         let at_base = base.object(&file.name);
         let object = file.object.as_deref();
-        if object == in_force || object == at_base {
+        // A wish to remove is always this operator's own, also where its base lacks the file.
+        let untouched = object.is_some() && object == at_base;
+        if object == in_force || untouched {
             continue;
         }
         if in_force != at_base {
--- a/crates/rudder-platform/src/revision/record.rs
+++ b/crates/rudder-platform/src/revision/record.rs
@@ -1,6 +1,6 @@
 //! The accepted revision and the files that it names, as the platform holds them.
 
-use rudder_core::{ParseError, plain_data};
+use rudder_core::{ParseError, WriterMark, plain_data};
 use rudder_settings::{FileName, SettingsFile};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -46,30 +46,6 @@
     }
 }
 
-/// What one writer puts into its change, so that it recognises it after a lost answer.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct WriterMark(String);
-
-impl WriterMark {
-    /// A fresh random mark.
-    ///
-    /// ```
-    /// use rudder_platform::WriterMark;
-    /// assert_ne!(WriterMark::random(), WriterMark::random());
-    /// ```
-    #[must_use]
-    pub fn random() -> Self {
-        Self(format!("{:016x}", rand::random::<u64>()))
-    }
-}
-
-impl fmt::Display for WriterMark {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
 plain_data! {
     /// One file of a revision.
     #[derive(Serialize, Deserialize)]
@@ -130,6 +106,28 @@
         Some(&self.files[index].object)
     }
 
+    /// A revision that names exactly these files, as if it had been accepted so.
+    ///
+    /// An operator's folder remembers by it what it held when it was last fetched or submitted.
+    ///
+    /// ```
+    /// use rudder_platform::{RevisionNumber, SettingsRevision};
+    /// let file = rudder_settings::SettingsFile::new("10-a.toml", "")?;
+    /// let revision = SettingsRevision::of_files(RevisionNumber(3), &[file]);
+    /// assert_eq!(revision.files.len(), 1);
+    /// # Ok::<(), rudder_settings::FolderError>(())
+    /// ```
+    #[must_use]
+    pub fn of_files(number: RevisionNumber, files: &[SettingsFile]) -> Self {
+        let entry = |file: &SettingsFile| RevisionFile {
+            name: file.name.clone(),
+            object: object_name(file),
+        };
+        let mut files: Vec<RevisionFile> = files.iter().map(entry).collect();
+        files.sort_by(|one, other| one.name.cmp(&other.name));
+        Self { number, files, ..Self::default() }
+    }
+
     /// The revision that this writer made, if it is among the last.
     pub(crate) fn made_by(&self, mark: &WriterMark) -> Option<RevisionNumber> {
         self.marks.iter().find(|made| made.mark == *mark).map(|made| made.number)
--- a/crates/rudder-platform/src/revision/submit.rs
+++ b/crates/rudder-platform/src/revision/submit.rs
@@ -6,13 +6,12 @@
 use super::prune::prune_files;
 use super::read::{ReadError, read_files, read_revision};
 use super::record::{
-    KEEP_MARKS, REVISION_OBJECT, RevisionFile, RevisionNumber, SettingsRevision, WriterMark,
-    object_name,
+    KEEP_MARKS, REVISION_OBJECT, RevisionFile, RevisionNumber, SettingsRevision, object_name,
 };
 use super::renew::renew_file;
 use crate::store::{ObjectKind, ObjectVersion, PlatformStore, StoreError};
 use displaydoc::Display;
-use rudder_core::plain_data;
+use rudder_core::{WriterMark, plain_data};
 use rudder_settings::{FileName, SettingsFile, SettingsRefusal, merge_folder};
 
 plain_data! {
--- a/crates/rudder-platform/tests/platform/submission.rs
+++ b/crates/rudder-platform/tests/platform/submission.rs
@@ -86,6 +86,23 @@
     assert_eq!(revision(&store).await.object(&b), newer.object(&b));
 }
 
+/// An operator removes a file that another one added after the fetch. Taken for "not there anyway",
+/// the removal would do nothing and still be reported as done.
+#[tokio::test]
+async fn removing_what_the_base_lacks_is_refused() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    submit_change(&store, change(&[domain_file("a", "north")])).await.unwrap();
+    let base = Some(revision(&store).await);
+    submit_change(&store, change(&[domain_file("b", "south")])).await.unwrap();
+
+    let remove = vec!["b.toml".parse().unwrap()];
+    let result =
+        submit_change(&store, FolderChange { base, remove, ..FolderChange::default() }).await;
+
+    assert!(matches!(result, Err(SubmitError::Raced(_))), "{result:?}");
+}
+
 /// The platform applies the change and its answer is lost, first for the file, then for the
 /// revision. The operator must see the one revision that was made, not a second one.
 #[tokio::test]
--- /dev/null
+++ b/crates/rudderctl/src/arguments.rs
@@ -0,0 +1,286 @@
+//! The command line as it is typed.
+
+use crate::options::{
+    CheckOptions, ControlCommand, ControlOptions, DrainOptions, FetchOptions, StatusOptions,
+    SubmitOptions, SwitchOptions,
+};
+use crate::output::{ExitWord, OutputForm};
+use argh::FromArgs;
+use rudder_core::{MemberName, ServiceName};
+use rudder_platform::{PlatformOptions, RevisionNumber};
+use rudder_settings::FileName;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Reads the command line; help and usage errors are printed here.
+pub(crate) fn parse_command_line() -> Result<ControlOptions, ExitWord> {
+    let words: Vec<String> =
+        std::env::args_os().map(|word| word.to_string_lossy().into_owned()).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let rest = words.get(1..).unwrap_or_default();
+    let exit = match CommandLine::from_args(&["rudderctl"], rest) {
+        Ok(line) => return Ok(line.into()),
+        Err(exit) => exit,
+    };
+    match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            Err(ExitWord::Done)
+        }
+        Err(()) => {
+            eprintln!("{}\nRun rudderctl --help for more information.", exit.output.trim_end());
+            Err(ExitWord::Usage)
+        }
+    }
+}
+
+/// Checks and submits settings, shows what is in force, drains members, orders switches.
+#[derive(FromArgs)]
+#[argh(
+    example = "Check a folder, submit it, and see it in force:\n\
+        {command_name} check examples/inanga-scores\n\
+        {command_name} submit examples/inanga-scores --platform http://127.0.0.1:18001\n\
+        {command_name} status --platform http://127.0.0.1:18001 --admin 127.0.0.1:9100",
+    example = "Take a member out of service for maintenance:\n\
+        {command_name} switch scores-orders --to scores-orders-2 --platform http://127.0.0.1:18001\n\
+        {command_name} drain scores-orders-1 --service scores-orders --platform http://127.0.0.1:18001",
+    note = "Each command takes --json. Without --platform the address, certificate and token\n\
+        that a cluster gives to its own processes are used.",
+    error_code(1, "The settings or the order are refused; nothing was changed."),
+    error_code(2, "The command line is wrong."),
+    error_code(3, "The platform cannot be reached; nothing was changed."),
+    error_code(4, "An answer was lost: the change may or may not be in force.")
+)]
+struct CommandLine {
+    #[argh(subcommand)]
+    command: CommandWord,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum CommandWord {
+    Check(CheckLine),
+    Submit(SubmitLine),
+    Fetch(FetchLine),
+    Status(StatusLine),
+    Drain(DrainLine),
+    Switch(SwitchLine),
+}
+
+/// Check a folder of settings files; needs no platform.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "check",
+    example = "{command_name} examples/inanga-scores --explain",
+    error_code(1, "The folder is refused: each problem with file, line, key and what is right.")
+)]
+struct CheckLine {
+    /// the folder
+    #[argh(positional)]
+    folder: PathBuf,
+    /// print every merged value and the file that gave it
+    #[argh(switch)]
+    explain: bool,
+    /// answer in JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Submit a folder's files: they replace those of the same name, others stay as they are.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "submit",
+    example = "{command_name} examples/inanga-scores --platform http://127.0.0.1:18001",
+    example = "{command_name} team --remove 35-rehearsals.toml --platform http://127.0.0.1:18001",
+    note = "In a folder that was fetched, only the files that were changed since are submitted."
+)]
+struct SubmitLine {
+    /// the folder
+    #[argh(positional)]
+    folder: PathBuf,
+    /// the platform's address, such as http://127.0.0.1:18001
+    #[argh(option)]
+    platform: Option<String>,
+    /// the namespace of the project's objects; default
+    #[argh(option, default = "default_namespace()")]
+    namespace: String,
+    /// a file to remove from the accepted settings; may be given several times
+    #[argh(option)]
+    remove: Vec<FileName>,
+    /// number the revision above this one; for a platform that was restored from an old copy
+    #[argh(option, default = "RevisionNumber(0)")]
+    above: RevisionNumber,
+    /// answer in JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Write the accepted files into a folder, and remember there what was fetched.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "fetch",
+    example = "{command_name} settings --platform http://127.0.0.1:18001",
+    note = "Files that were never accepted are left alone. A file that was changed here and differs\n\
+        from the accepted one is not overwritten: the command is refused."
+)]
+struct FetchLine {
+    /// the folder; made if it is missing
+    #[argh(positional)]
+    folder: PathBuf,
+    /// the platform's address, such as http://127.0.0.1:18001
+    #[argh(option)]
+    platform: Option<String>,
+    /// the namespace of the project's objects; default
+    #[argh(option, default = "default_namespace()")]
+    namespace: String,
+    /// answer in JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Show the accepted revision and what instances have in force.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "status",
+    example = "{command_name} --platform http://127.0.0.1:18001 --admin 127.0.0.1:9100 --json"
+)]
+struct StatusLine {
+    /// the platform's address, such as http://127.0.0.1:18001
+    #[argh(option)]
+    platform: Option<String>,
+    /// the namespace of the project's objects; default
+    #[argh(option, default = "default_namespace()")]
+    namespace: String,
+    /// an instance's admin address; may be given several times
+    #[argh(option)]
+    admin: Vec<SocketAddr>,
+    /// answer in JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Give a member no new work, by a settings file of its own; undo removes that file.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "drain",
+    example = "{command_name} scores-orders-1 --service scores-orders --platform http://127.0.0.1:18001",
+    example = "{command_name} scores-orders-1 --service scores-orders --undo --platform http://127.0.0.1:18001",
+    note = "A primary keeps its writes until the group is switched to another member."
+)]
+struct DrainLine {
+    /// the member
+    #[argh(positional)]
+    member: MemberName,
+    /// the member's service
+    #[argh(option)]
+    service: ServiceName,
+    /// take the member into service again
+    #[argh(switch)]
+    undo: bool,
+    /// the platform's address, such as http://127.0.0.1:18001
+    #[argh(option)]
+    platform: Option<String>,
+    /// the namespace of the project's objects; default
+    #[argh(option, default = "default_namespace()")]
+    namespace: String,
+    /// answer in JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Order a planned switch of a service's primary; its keeper carries it out.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "switch",
+    example = "{command_name} scores-orders --to scores-orders-2 --platform http://127.0.0.1:18001"
+)]
+struct SwitchLine {
+    /// the service
+    #[argh(positional)]
+    service: ServiceName,
+    /// the member that shall become primary
+    #[argh(option)]
+    to: MemberName,
+    /// the platform's address, such as http://127.0.0.1:18001
+    #[argh(option)]
+    platform: Option<String>,
+    /// the namespace of the project's objects; default
+    #[argh(option, default = "default_namespace()")]
+    namespace: String,
+    /// answer in JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+fn default_namespace() -> String {
+    PlatformOptions::default().namespace
+}
+
+fn platform_options(address: Option<String>, namespace: String) -> PlatformOptions {
+    PlatformOptions { address, namespace, ..PlatformOptions::default() }
+}
+
+impl From<CommandLine> for ControlOptions {
+    fn from(line: CommandLine) -> Self {
+        let (command, json) = match line.command {
+            CommandWord::Check(line) => line.into(),
+            CommandWord::Submit(line) => line.into(),
+            CommandWord::Fetch(line) => line.into(),
+            CommandWord::Status(line) => line.into(),
+            CommandWord::Drain(line) => line.into(),
+            CommandWord::Switch(line) => line.into(),
+        };
+        Self { command, form: OutputForm::new(json) }
+    }
+}
+
+impl From<CheckLine> for (ControlCommand, bool) {
+    fn from(line: CheckLine) -> Self {
+        let options = CheckOptions { folder: line.folder, explain: line.explain };
+        (ControlCommand::Check(options), line.json)
+    }
+}
+
+impl From<SubmitLine> for (ControlCommand, bool) {
+    fn from(line: SubmitLine) -> Self {
+        let platform = platform_options(line.platform, line.namespace);
+        let SubmitLine { folder, remove, above, .. } = line;
+        (ControlCommand::Submit(SubmitOptions { folder, platform, remove, above }), line.json)
+    }
+}
+
+impl From<FetchLine> for (ControlCommand, bool) {
+    fn from(line: FetchLine) -> Self {
+        let platform = platform_options(line.platform, line.namespace);
+        (ControlCommand::Fetch(FetchOptions { folder: line.folder, platform }), line.json)
+    }
+}
+
+impl From<StatusLine> for (ControlCommand, bool) {
+    fn from(line: StatusLine) -> Self {
+        let platform = platform_options(line.platform, line.namespace);
+        (ControlCommand::Status(StatusOptions { platform, instances: line.admin }), line.json)
+    }
+}
+
+impl From<DrainLine> for (ControlCommand, bool) {
+    fn from(line: DrainLine) -> Self {
+        let platform = platform_options(line.platform, line.namespace);
+        let DrainLine { member, service, undo, .. } = line;
+        (ControlCommand::Drain(DrainOptions { platform, service, member, undo }), line.json)
+    }
+}
+
+impl From<SwitchLine> for (ControlCommand, bool) {
+    fn from(line: SwitchLine) -> Self {
+        let platform = platform_options(line.platform, line.namespace);
+        let options = SwitchOptions { platform, service: line.service, target: line.to };
+        (ControlCommand::Switch(options), line.json)
+    }
+}
--- /dev/null
+++ b/crates/rudderctl/src/base.rs
@@ -0,0 +1,47 @@
+//! What a folder held when it was last fetched or submitted.
+
+use crate::error::ControlError;
+use rudder_platform::SettingsRevision;
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// A hidden file, so that it is no part of the settings.
+const BASE_FILE: &str = ".rudder-base.json";
+
+/// Reads what the folder held; none if it was never fetched.
+pub(crate) fn read_base(folder: &Path) -> Result<Option<SettingsRevision>, ControlError> {
+    let path = base_path(folder);
+    let damaged =
+        |reason: String| ControlError::DamagedBase { path: path.display().to_string(), reason };
+    let text = match std::fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(damaged(error.to_string())),
+    };
+    serde_json::from_str(&text).map(Some).map_err(|error| damaged(error.to_string()))
+}
+
+/// Remembers what the folder holds.
+pub(crate) fn write_base(folder: &Path, base: &SettingsRevision) -> Result<(), ControlError> {
+    let text = serde_json::to_string_pretty(base).expect("names and numbers are always JSON");
+    write_file(&base_path(folder), &text)
+}
+
+/// Writes a file of the folder.
+pub(crate) fn write_file(path: &Path, text: &str) -> Result<(), ControlError> {
+    std::fs::write(path, text).map_err(|error| unwritable(path, &error))
+}
+
+/// Removes a file of the folder.
+pub(crate) fn remove_file(path: &Path) -> Result<(), ControlError> {
+    std::fs::remove_file(path).map_err(|error| unwritable(path, &error))
+}
+
+/// The error of a path that cannot be written.
+pub(crate) fn unwritable(path: &Path, error: &io::Error) -> ControlError {
+    ControlError::Unwritable { path: path.display().to_string(), reason: error.to_string() }
+}
+
+fn base_path(folder: &Path) -> PathBuf {
+    folder.join(BASE_FILE)
+}
--- /dev/null
+++ b/crates/rudderctl/src/command/drain.rs
@@ -0,0 +1,33 @@
+//! `drain`: give a member no new work, by a settings file of its own.
+
+use super::submit::AcceptedReport;
+use crate::error::ControlError;
+use crate::options::DrainOptions;
+use crate::output::CommandReport;
+use crate::platform::accepted_member;
+use rudder_core::MemberName;
+use rudder_platform::{FolderChange, KubeStore, submit_change};
+use rudder_settings::{FileName, FolderError, SettingsFile};
+
+pub(crate) async fn drain(options: &DrainOptions) -> Result<CommandReport, ControlError> {
+    let store = KubeStore::connect(options.platform.clone())?;
+    accepted_member(&store, &options.service, &options.member).await?;
+    let change = if options.undo {
+        FolderChange { remove: vec![drain_name(&options.member)?], ..FolderChange::default() }
+    } else {
+        FolderChange { put: vec![drain_file(options)?], ..FolderChange::default() }
+    };
+    let outcome = submit_change(&store, change).await?;
+    Ok(CommandReport::done(&AcceptedReport::from(outcome)))
+}
+
+/// The name sorts last, so that the file wins over whatever else speaks of the member.
+fn drain_name(member: &MemberName) -> Result<FileName, FolderError> {
+    format!("zz-drain-{member}.toml").parse()
+}
+
+fn drain_file(options: &DrainOptions) -> Result<SettingsFile, FolderError> {
+    let DrainOptions { service, member, .. } = options;
+    let text = format!("[services.\"{service}\".members.\"{member}\"]\ndraining = true\n");
+    Ok(SettingsFile { name: drain_name(member)?, text })
+}
--- /dev/null
+++ b/crates/rudderctl/src/command/instance.rs
@@ -0,0 +1,74 @@
+//! Asking one instance for its status page.
+
+use http::Request;
+use kube::{Client, Config};
+use rudder_core::{InstanceName, LogTerm, MemberName, ServiceName};
+use rudder_platform::RevisionNumber;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// An instance answers its status page from memory; slower ones count as unreachable.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What an instance says of itself.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct InstanceStatus {
+    pub(crate) instance: InstanceName,
+    pub(crate) revision: RevisionNumber,
+    #[serde(default)]
+    pub(crate) leaving: bool,
+    #[serde(default)]
+    pub(crate) groups: Vec<GroupStatus>,
+}
+
+/// What an instance says of a group.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct GroupStatus {
+    pub(crate) service: ServiceName,
+    pub(crate) term: Option<LogTerm>,
+    pub(crate) primary: Option<MemberName>,
+}
+
+/// One admin address and what was answered there.
+#[derive(Serialize)]
+pub(crate) struct InstanceAnswer {
+    pub(crate) admin: SocketAddr,
+    #[serde(flatten)]
+    pub(crate) answer: AnswerState,
+}
+
+/// Whether an instance answered.
+#[derive(Serialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum AnswerState {
+    Status(InstanceStatus),
+    Unreachable(String),
+}
+
+/// Reads the status page at an admin address.
+pub(crate) async fn ask_instance(admin: SocketAddr) -> InstanceAnswer {
+    let answer = match tokio::time::timeout(STATUS_TIMEOUT, read_status(admin)).await {
+        Ok(Ok(status)) => AnswerState::Status(status),
+        Ok(Err(error)) => AnswerState::Unreachable(reason_of(&error)),
+        Err(_) => AnswerState::Unreachable("no answer in time".to_owned()),
+    };
+    InstanceAnswer { admin, answer }
+}
+
+async fn read_status(admin: SocketAddr) -> Result<InstanceStatus, kube::Error> {
+    let address = format!("http://{admin}").parse().expect("a socket address makes a URL");
+    let mut config = Config::new(address);
+    config.default_retry = false;
+    let client = Client::try_from(config)?;
+    let request = Request::get("/status").body(Vec::new()).map_err(kube::Error::HttpError)?;
+    client.request(request).await
+}
+
+fn reason_of(error: &kube::Error) -> String {
+    match error {
+        kube::Error::Api(status) => format!("it answered {}", status.code),
+        kube::Error::SerdeError(error) => format!("its answer is no status page: {error}"),
+        _ => "nobody answers at this address".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/rudderctl/src/command/status.rs
@@ -0,0 +1,82 @@
+//! `status`: the accepted revision, and what instances have in force.
+
+use super::instance::{AnswerState, InstanceAnswer, InstanceStatus, ask_instance};
+use crate::error::ControlError;
+use crate::options::StatusOptions;
+use crate::output::{CommandReport, ExitWord};
+use rudder_platform::{
+    KubeStore, ReadError, RevisionNumber, SettingsRevision, StoreError, read_revision,
+};
+use serde::Serialize;
+use std::fmt;
+
+#[derive(Serialize)]
+struct StatusReport {
+    /// The accepted revision; none when the platform cannot be reached.
+    accepted: Option<AcceptedRevision>,
+    instances: Vec<InstanceAnswer>,
+}
+
+#[derive(Serialize)]
+struct AcceptedRevision {
+    revision: RevisionNumber,
+    files: Vec<String>,
+}
+
+impl From<SettingsRevision> for AcceptedRevision {
+    fn from(revision: SettingsRevision) -> Self {
+        let files = revision.files.iter().map(|file| file.name.to_string()).collect();
+        Self { revision: revision.number, files }
+    }
+}
+
+impl fmt::Display for StatusReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.accepted {
+            Some(accepted) => {
+                write!(f, "accepted revision {}", accepted.revision)?;
+                for file in &accepted.files {
+                    write!(f, "\n  {file}")?;
+                }
+            }
+            None => f.write_str("accepted revision unknown: the platform cannot be reached")?,
+        }
+        for instance in &self.instances {
+            write!(f, "\n{}: ", instance.admin)?;
+            match &instance.answer {
+                AnswerState::Status(status) => write_instance(f, status)?,
+                AnswerState::Unreachable(reason) => write!(f, "unreachable: {reason}")?,
+            }
+        }
+        Ok(())
+    }
+}
+
+fn write_instance(f: &mut fmt::Formatter<'_>, status: &InstanceStatus) -> fmt::Result {
+    let leaving = if status.leaving { ", leaving" } else { "" };
+    write!(f, "{}, revision {}{leaving}", status.instance, status.revision)?;
+    for group in &status.groups {
+        write!(f, "\n  {}: ", group.service)?;
+        match (&group.primary, group.term) {
+            (Some(primary), Some(term)) => write!(f, "primary {primary}, term {term}")?,
+            _ => f.write_str("no primary known")?,
+        }
+    }
+    Ok(())
+}
+
+pub(crate) async fn status(options: &StatusOptions) -> Result<CommandReport, ControlError> {
+    let store = KubeStore::connect(options.platform.clone())?;
+    let asked = options.instances.iter().map(|admin| ask_instance(*admin));
+    let (read, instances) =
+        futures::future::join(read_revision(&store), futures::future::join_all(asked)).await;
+    let (accepted, exit) = match read {
+        Ok(read) => {
+            let revision = read.map(|(_, revision)| revision).unwrap_or_default();
+            (Some(revision.into()), ExitWord::Done)
+        }
+        Err(ReadError::Store(StoreError::Unavailable)) => (None, ExitWord::Unavailable),
+        Err(error) => return Err(error.into()),
+    };
+    Ok(CommandReport::done(&StatusReport { accepted, instances }).ending(exit))
+}
--- /dev/null
+++ b/crates/rudderctl/src/error.rs
@@ -0,0 +1,116 @@
+//! Why a command did not do what was asked.
+
+use crate::output::ExitWord;
+use displaydoc::Display;
+use rudder_core::{MemberName, ServiceName};
+use rudder_platform::{BundleError, ReadError, StoreError, SubmitError};
+use rudder_settings::{FolderError, SettingsProblem, SettingsRefusal};
+
+/// Why a command did not do what was asked.
+#[derive(Debug, Display)]
+#[ignore_extra_doc_attributes]
+pub(crate) enum ControlError {
+    /// {0}
+    Folder(FolderError),
+    /// {0}
+    Settings(SettingsRefusal),
+    /// {0}
+    Submit(SubmitError),
+    /// {0}
+    Read(ReadError),
+    /// the accepted settings cannot be used by this release: {0}
+    Accepted(BundleError),
+    /// no settings have been accepted yet; submit a folder first
+    NothingAccepted,
+    /// the accepted settings have no service {0}
+    NoService(ServiceName),
+    /// service {service} has no member {member}; it has {known}
+    NoMember {
+        /// The service.
+        service: ServiceName,
+        /// The member that was named.
+        member: MemberName,
+        /// The members that it has.
+        known: String,
+    },
+    /// service {0} is being switched already; wait until that order is carried out or refused
+    OrderPending(ServiceName),
+    /// the answer was lost and the order may stand; look at the status before ordering again
+    OrderUnknown,
+    /// {path} cannot be written: {reason}
+    Unwritable {
+        /// The file.
+        path: String,
+        /// What the operating system said.
+        reason: String,
+    },
+    /// {0} would be overwritten although changed here; submit or move them away, then fetch
+    LocalChanges(String),
+    /// {path} is damaged ({reason}); fetch the folder again
+    DamagedBase {
+        /// The file.
+        path: String,
+        /// What does not fit.
+        reason: String,
+    },
+}
+
+impl std::error::Error for ControlError {}
+
+impl ControlError {
+    /// How the command ends for this error.
+    pub(crate) fn exit(&self) -> ExitWord {
+        match self {
+            Self::Submit(SubmitError::Unavailable)
+            | Self::Read(ReadError::Store(StoreError::Unavailable)) => ExitWord::Unavailable,
+            Self::Submit(SubmitError::Unresolved) | Self::OrderUnknown => ExitWord::Unknown,
+            _ => ExitWord::Refused,
+        }
+    }
+
+    /// The problems of refused settings, one by one.
+    pub(crate) fn problems(&self) -> &[SettingsProblem] {
+        match self {
+            Self::Settings(refusal)
+            | Self::Submit(SubmitError::Invalid(refusal))
+            | Self::Accepted(BundleError::Refused(refusal)) => &refusal.problems,
+            _ => &[],
+        }
+    }
+}
+
+impl From<FolderError> for ControlError {
+    fn from(error: FolderError) -> Self {
+        Self::Folder(error)
+    }
+}
+
+impl From<SettingsRefusal> for ControlError {
+    fn from(refusal: SettingsRefusal) -> Self {
+        Self::Settings(refusal)
+    }
+}
+
+impl From<SubmitError> for ControlError {
+    fn from(error: SubmitError) -> Self {
+        Self::Submit(error)
+    }
+}
+
+impl From<ReadError> for ControlError {
+    fn from(error: ReadError) -> Self {
+        Self::Read(error)
+    }
+}
+
+impl From<StoreError> for ControlError {
+    fn from(error: StoreError) -> Self {
+        Self::Read(error.into())
+    }
+}
+
+impl From<BundleError> for ControlError {
+    fn from(error: BundleError) -> Self {
+        Self::Accepted(error)
+    }
+}
--- a/crates/rudderctl/src/main.rs
+++ b/crates/rudderctl/src/main.rs
@@ -1,3 +1,19 @@
-//! Placeholder.
+//! The operator's command line.
 
-fn main() {}
+mod arguments;
+mod base;
+mod command;
+mod error;
+mod options;
+mod output;
+mod platform;
+mod run;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match arguments::parse_command_line() {
+        Ok(options) => run::run(&options).into(),
+        Err(exit) => exit.into(),
+    }
+}
--- /dev/null
+++ b/crates/rudderctl/src/output.rs
@@ -0,0 +1,103 @@
+//! What a command says, as text or JSON, and the exit code that goes with it.
+
+use crate::error::ControlError;
+use serde::Serialize;
+use serde_json::json;
+use std::fmt::Display;
+use std::process::ExitCode;
+
+/// How a command ended, for scripts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ExitWord {
+    /// Everything was done.
+    Done,
+    /// The settings or the order are refused; nothing was changed.
+    Refused,
+    /// The command line is wrong.
+    Usage,
+    /// The platform cannot be reached; nothing was changed.
+    Unavailable,
+    /// The change may or may not be in force.
+    Unknown,
+}
+
+impl ExitWord {
+    /// The code as the help documents it.
+    pub(crate) const fn code(self) -> u8 {
+        match self {
+            Self::Done => 0,
+            Self::Refused => 1,
+            Self::Usage => 2,
+            Self::Unavailable => 3,
+            Self::Unknown => 4,
+        }
+    }
+
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Refused => "refused",
+            Self::Usage => "usage",
+            Self::Unavailable => "unavailable",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl From<ExitWord> for ExitCode {
+    fn from(exit: ExitWord) -> Self {
+        Self::from(exit.code())
+    }
+}
+
+/// In which form a command answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OutputForm {
+    Text,
+    Json,
+}
+
+impl OutputForm {
+    pub(crate) fn new(json: bool) -> Self {
+        if json { Self::Json } else { Self::Text }
+    }
+}
+
+/// What a command found or did.
+pub(crate) struct CommandReport {
+    text: String,
+    json: serde_json::Value,
+    exit: ExitWord,
+}
+
+impl CommandReport {
+    /// The report of a command that did everything.
+    pub(crate) fn done(report: &(impl Display + Serialize)) -> Self {
+        let json = serde_json::to_value(report).expect("reports hold texts and numbers only");
+        Self { text: report.to_string(), json, exit: ExitWord::Done }
+    }
+
+    /// The same report, of a command that ended otherwise.
+    pub(crate) fn ending(self, exit: ExitWord) -> Self {
+        Self { exit, ..self }
+    }
+}
+
+/// Prints what a command answered: reports to standard output, refusals as text to standard error.
+pub(crate) fn print(result: &Result<CommandReport, ControlError>, form: OutputForm) -> ExitWord {
+    match (result, form) {
+        (Ok(report), OutputForm::Text) => println!("{}", report.text),
+        (Ok(report), OutputForm::Json) => println!("{}", report.json),
+        (Err(error), OutputForm::Text) => eprintln!("{error}"),
+        (Err(error), OutputForm::Json) => println!("{}", error_json(error)),
+    }
+    match result {
+        Ok(report) => report.exit,
+        Err(error) => error.exit(),
+    }
+}
+
+fn error_json(error: &ControlError) -> serde_json::Value {
+    let problems = error.problems();
+    json!({ "error": error.exit().word(), "message": error.to_string(), "problems": problems })
+}
--- /dev/null
+++ b/crates/rudderctl/src/platform.rs
@@ -0,0 +1,38 @@
+//! What commands read from the platform.
+
+use crate::error::ControlError;
+use rudder_core::{MemberName, ServiceName};
+use rudder_platform::{KubeStore, PlatformStore, RevisionBundle, poll_revision};
+use rudder_settings::{FleetSettings, MemberSettings};
+
+/// The accepted revision with its files.
+pub(crate) async fn accepted_bundle(
+    store: &dyn PlatformStore,
+) -> Result<RevisionBundle, ControlError> {
+    let bundle = poll_revision(store, None).await?;
+    bundle.ok_or(ControlError::NothingAccepted)
+}
+
+/// A member of the accepted settings.
+pub(crate) async fn accepted_member(
+    store: &KubeStore,
+    service: &ServiceName,
+    member: &MemberName,
+) -> Result<MemberSettings, ControlError> {
+    let merged = accepted_bundle(store).await?.merge()?;
+    find_member(&merged.fleet, service, member).cloned()
+}
+
+fn find_member<'f>(
+    fleet: &'f FleetSettings,
+    service: &ServiceName,
+    member: &MemberName,
+) -> Result<&'f MemberSettings, ControlError> {
+    let group = fleet.service(service).ok_or_else(|| ControlError::NoService(service.clone()))?;
+    let found = group.members.iter().find(|known| known.name == *member);
+    found.ok_or_else(|| {
+        let names: Vec<&str> = group.members.iter().map(|known| known.name.as_str()).collect();
+        let (service, member) = (service.clone(), member.clone());
+        ControlError::NoMember { service, member, known: names.join(", ") }
+    })
+}
--- /dev/null
+++ b/crates/rudderctl/src/run.rs
@@ -0,0 +1,24 @@
+//! Runs a command and prints its answer.
+
+use crate::command;
+use crate::options::{ControlCommand, ControlOptions};
+use crate::output::{ExitWord, print};
+
+/// Runs what the options ask for.
+pub(crate) fn run(options: &ControlOptions) -> ExitWord {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("the operating system gives one thread and one poller");
+    let result = runtime.block_on(async {
+        match &options.command {
+            ControlCommand::Check(options) => command::check(options),
+            ControlCommand::Submit(options) => command::submit(options).await,
+            ControlCommand::Fetch(options) => command::fetch(options).await,
+            ControlCommand::Status(options) => command::status(options).await,
+            ControlCommand::Drain(options) => command::drain(options).await,
+            ControlCommand::Switch(options) => command::switch(options).await,
+        }
+    });
+    print(&result, options.form)
+}
--- /dev/null
+++ b/crates/rudderctl/tests/commands.rs
@@ -0,0 +1,262 @@
+//! The commands as an operator types them, against the platform's stand-in.
+
+use rudder_standins::{PlatformFaults, PlatformOutage, PlatformStandin};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::process::Command;
+
+const SERVICE: &str = r#"[domains.a]
+region = "north"
+
+[services.orders.members.orders-1]
+address = "10.0.0.1:5432"
+domain = "a"
+slots = 1
+connections = 1
+
+[services.orders.members.orders-2]
+address = "10.0.0.2:5432"
+domain = "a"
+slots = 1
+connections = 1
+"#;
+
+/// What a command printed, and its exit code.
+struct Answer {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+async fn rudderctl(words: &[&str]) -> Answer {
+    let binary = env!("CARGO_BIN_EXE_rudderctl");
+    let output = Command::new(binary).args(words).output().await.expect("the binary is built");
+    Answer {
+        code: output.status.code().expect("it ends by itself"),
+        out: String::from_utf8(output.stdout).expect("it prints text"),
+        err: String::from_utf8(output.stderr).expect("it prints text"),
+    }
+}
+
+async fn standin() -> PlatformStandin {
+    PlatformStandin::start(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a free port")
+}
+
+/// A folder of its own for each test, with these files.
+fn folder(test: &str, files: &[(&str, &str)]) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("the target folder can be written");
+    for (name, text) in files {
+        std::fs::write(folder.join(name), text).expect("the target folder can be written");
+    }
+    folder
+}
+
+fn text(path: &Path) -> &str {
+    path.to_str().expect("the target folder has a plain name")
+}
+
+/// A platform that has accepted [`SERVICE`], and its address.
+async fn accepted(test: &str) -> (PlatformStandin, String) {
+    let standin = standin().await;
+    let url = standin.url();
+    let folder = folder(test, &[("10-all.toml", SERVICE)]);
+    let answer = rudderctl(&["submit", text(&folder), "--platform", &url]).await;
+    assert_eq!((answer.code, answer.out.as_str()), (0, "accepted as revision 1\n"));
+    (standin, url)
+}
+
+/// Answers every connection at the returned address with this status page.
+async fn status_page(page: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 2048];
+            let _ = stream.read(&mut request).await;
+            let length = page.len();
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{page}");
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn check_passes_the_examples_without_a_platform() {
+    let examples = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+
+    let inanga = rudderctl(&["check", text(&examples.join("inanga-scores"))]).await;
+    let cyflwr = rudderctl(&["check", text(&examples.join("cyflwr-ffyrdd"))]).await;
+
+    assert_eq!((inanga.code, cyflwr.code), (0, 0), "{}{}", inanga.err, cyflwr.err);
+    insta::assert_snapshot!(format!("{}{}", inanga.out, cyflwr.out));
+}
+
+#[tokio::test]
+async fn check_explains_which_file_gave_each_value() {
+    let later = "[services.orders.members.orders-2]\nslots = 7\nconnections = 9\n";
+    let folder = folder("explain", &[("10-all.toml", SERVICE), ("20-later.toml", later)]);
+
+    let answer = rudderctl(&["check", text(&folder), "--explain"]).await;
+
+    assert_eq!(answer.code, 0, "{}", answer.err);
+    insta::assert_snapshot!(answer.out);
+}
+
+#[tokio::test]
+async fn refused_folder_exits_with_one_and_names_every_problem() {
+    let wrong = SERVICE.replace("slots = 1", "slot = 1");
+    let folder = folder("refused", &[("10-all.toml", &wrong)]);
+
+    let plain = rudderctl(&["check", text(&folder)]).await;
+    let json = rudderctl(&["check", text(&folder), "--json"]).await;
+
+    assert_eq!((plain.code, json.code), (1, 1));
+    insta::assert_snapshot!(plain.err);
+    let value: serde_json::Value = serde_json::from_str(&json.out).unwrap();
+    assert_eq!(value["error"], "refused");
+    assert_eq!(value["problems"][0]["place"]["line"], 4);
+}
+
+#[tokio::test]
+async fn help_and_usage_errors_have_their_codes() {
+    let help = rudderctl(&["--help"]).await;
+    let wrong = rudderctl(&["chek", "folder"]).await;
+    let name = rudderctl(&["drain", "NOT A NAME", "--service", "orders"]).await;
+
+    assert_eq!((help.code, wrong.code, name.code), (0, 2, 2));
+    insta::assert_snapshot!(help.out);
+}
+
+/// Two operators fetch the same revision, change the same file and submit at the same moment. One
+/// is told that the other was first; without that, one change would vanish and both see success.
+#[tokio::test]
+async fn racing_submits_of_one_file_accept_one() {
+    let (_standin, url) = accepted("race").await;
+    let copies = ["race-one", "race-two"].map(|name| folder(name, &[]));
+    for (index, copy) in copies.iter().enumerate() {
+        rudderctl(&["fetch", text(copy), "--platform", &url]).await;
+        let changed = SERVICE.replace("slots = 1", &format!("slots = 1 # {index}"));
+        std::fs::write(copy.join("10-all.toml"), changed).unwrap();
+    }
+
+    let words = copies.each_ref().map(|copy| ["submit", text(copy), "--platform", &url]);
+    let (one, other) = tokio::join!(rudderctl(&words[0]), rudderctl(&words[1]));
+
+    let (accepted, refused) = if one.code == 0 { (one, other) } else { (other, one) };
+    assert_eq!((accepted.code, accepted.out.as_str()), (0, "accepted as revision 2\n"));
+    assert_eq!(refused.code, 1);
+    assert!(
+        refused.err.starts_with("10-all.toml was changed by another operator"),
+        "{}",
+        refused.err
+    );
+}
+
+/// Another operator adds a file meanwhile. The own, fetched folder lacks it and holds an older copy
+/// of everything else; submitting it must neither remove nor revert what others did.
+#[tokio::test]
+async fn fetched_folder_submits_only_its_own_changes() {
+    let (_standin, url) = accepted("own").await;
+    let own = folder("own-copy", &[]);
+    rudderctl(&["fetch", text(&own), "--platform", &url]).await;
+    let theirs = folder("own-theirs", &[("20-theirs.toml", "[timing]\nread_wait = \"9ms\"\n")]);
+    rudderctl(&["submit", text(&theirs), "--platform", &url]).await;
+
+    std::fs::write(own.join("30-mine.toml"), "[timing]\nack_timeout = \"3s\"\n").unwrap();
+    let first = rudderctl(&["submit", text(&own), "--platform", &url]).await;
+    let again = rudderctl(&["submit", text(&own), "--platform", &url]).await;
+    let status = rudderctl(&["status", "--platform", &url]).await;
+
+    assert_eq!(first.out, "accepted as revision 3\n", "{}", first.err);
+    assert_eq!(again.out, "nothing to change: revision 3 has it already\n", "{}", again.err);
+    insta::assert_snapshot!(status.out);
+}
+
+/// An operator has edited a fetched file, another one changed it meanwhile and removed a second one.
+/// Fetching again must not overwrite the edit; once it is out of the way, the folder follows.
+#[tokio::test]
+async fn fetch_overwrites_no_edits_and_drops_what_others_removed() {
+    let (_standin, url) = accepted("fetch").await;
+    let extra = folder("fetch-extra", &[("20-extra.toml", "[timing]\nread_wait = \"9ms\"\n")]);
+    rudderctl(&["submit", text(&extra), "--platform", &url]).await;
+    let own = folder("fetch-own", &[]);
+    rudderctl(&["fetch", text(&own), "--platform", &url]).await;
+    let newer = SERVICE.replace("slots = 1", "slots = 1 # theirs");
+    let theirs = folder("fetch-theirs", &[("10-all.toml", &newer)]);
+    let remove = ["--remove", "20-extra.toml", "--platform", &url];
+    rudderctl(&[&["submit", text(&theirs)], &remove[..]].concat()).await;
+    let edit = SERVICE.replace("slots = 1", "slots = 1 # mine");
+    std::fs::write(own.join("10-all.toml"), &edit).unwrap();
+
+    let refused = rudderctl(&["fetch", text(&own), "--platform", &url]).await;
+    let kept = std::fs::read_to_string(own.join("10-all.toml")).unwrap();
+    std::fs::write(own.join("10-all.toml"), SERVICE).unwrap();
+    let fetched = rudderctl(&["fetch", text(&own), "--platform", &url]).await;
+
+    assert_eq!((refused.code, kept), (1, edit), "{}", refused.err);
+    assert_eq!(fetched.out, "fetched revision 3: 10-all.toml\n", "{}", fetched.err);
+    assert_eq!(std::fs::read_to_string(own.join("10-all.toml")).unwrap(), newer);
+    assert!(!own.join("20-extra.toml").exists());
+}
+
+#[tokio::test]
+async fn drain_adds_a_file_and_undo_removes_it() {
+    let (_standin, url) = accepted("drain").await;
+    let copy = folder("drain-copy", &[]);
+    let words = ["drain", "orders-1", "--service", "orders", "--platform", &url];
+
+    let drained = rudderctl(&words).await;
+    rudderctl(&["fetch", text(&copy), "--platform", &url]).await;
+    let explained = rudderctl(&["check", text(&copy), "--explain"]).await;
+    let undone = rudderctl(&[&words[..], &["--undo"]].concat()).await;
+    let unknown = rudderctl(&["drain", "x", "--service", "orders", "--platform", &url]).await;
+
+    assert_eq!(drained.out, "accepted as revision 2\n", "{}", drained.err);
+    let line = "services.orders.members.orders-1.draining = true  # zz-drain-orders-1.toml:2";
+    assert!(explained.out.contains(line), "{}", explained.out);
+    assert_eq!(undone.out, "accepted as revision 3\n", "{}", undone.err);
+    assert_eq!(unknown.code, 1);
+    assert_eq!(unknown.err, "service orders has no member x; it has orders-1, orders-2\n");
+}
+
+/// The order is placed and the answer is lost. The operator must learn that it stands, and a second
+/// order must not slip in beside it.
+#[tokio::test]
+async fn switch_survives_a_lost_answer() {
+    let (standin, url) = accepted("switch").await;
+    standin.set_faults(PlatformFaults { lost_answers: 1, ..PlatformFaults::default() });
+    let words = ["switch", "orders", "--to", "orders-2", "--platform", &url];
+
+    let ordered = rudderctl(&words).await;
+    let again = rudderctl(&words).await;
+
+    assert_eq!(standin.faults().lost_answers, 0);
+    assert_eq!(ordered.out, "ordered: orders switches to orders-2; see its status\n");
+    assert_eq!(again.code, 1);
+}
+
+#[tokio::test]
+async fn status_shows_instances_also_while_the_platform_is_down() {
+    let page = r#"{"instance":"inst-1","domain":"a","revision":7,"leaving":true,"groups":[
+        {"service":"orders","term":4,"primary":"orders-2","members":[]},
+        {"service":"pages","term":null,"primary":null}]}"#;
+    let (admin, other) = (status_page(page).await, status_page("no json").await);
+    let (standin, url) = accepted("status").await;
+    let outage = PlatformOutage::Refused;
+    standin.set_faults(PlatformFaults { outage, ..PlatformFaults::default() });
+
+    let (admin, other) = (admin.to_string(), other.to_string());
+    let words = ["status", "--platform", &url, "--admin", &admin, "--admin", &other];
+    let answer = rudderctl(&words).await;
+    let json = rudderctl(&[&words[..], &["--json"]].concat()).await;
+
+    assert_eq!((answer.code, json.code), (3, 3), "{}{}", answer.err, json.err);
+    insta::assert_snapshot!(answer.out.replace(&admin, "ADMIN").replace(&other, "OTHER"));
+    let value: serde_json::Value = serde_json::from_str(&json.out).unwrap();
+    assert_eq!(value["instances"][0]["status"]["revision"], 7);
+}
