platform: proofs for pruning, gateway timeouts, equal hashes and slices

Cause: four guards had no test that goes red without them. Change: the stand-in can answer a change that took effect with a gateway's timeout; a scripted store lets a rival submit in the middle of a pruning.

--- a/crates/rudder-platform/src/kubernetes/mod.rs
+++ b/crates/rudder-platform/src/kubernetes/mod.rs
@@ -8,6 +8,9 @@
 mod slice;
 mod wire;
 
+#[cfg(test)]
+mod tests;
+
 use crate::store::StoredObject;
 use crate::store::{InstanceEntry, ObjectKind, ObjectVersion, PlatformStore, StoreError};
 use async_trait::async_trait;
--- /dev/null
+++ b/crates/rudder-platform/src/kubernetes/tests.rs
@@ -0,0 +1,47 @@
+//! Tests of the list of instances as it is read from slices.
+
+use super::slice::instances_of;
+use crate::store::InstanceReadiness;
+use k8s_openapi::api::discovery::v1::EndpointSlice;
+use serde_json::json;
+
+fn slice(name: &str, ready: Option<bool>, terminating: Option<bool>) -> EndpointSlice {
+    let slice = json!({
+        "addressType": "IPv4",
+        "metadata": {},
+        "endpoints": [{
+            "addresses": ["10.0.0.1"],
+            "conditions": { "ready": ready, "terminating": terminating },
+            "targetRef": { "name": name },
+        }],
+    });
+    serde_json::from_value(slice).expect("the shape is the API's")
+}
+
+fn readiness(slices: &[EndpointSlice]) -> Vec<InstanceReadiness> {
+    instances_of(slices).into_iter().map(|entry| entry.readiness).collect()
+}
+
+/// An instance moves from one slice to another while it shuts down. For a moment both name it, and
+/// the older one still says ready; believed, the instance would get new work until it dies.
+#[test]
+fn leaving_in_one_slice_outweighs_ready_in_another() {
+    let ready = slice("a", Some(true), Some(false));
+    let leaving = slice("a", Some(false), Some(true));
+
+    let one = readiness(&[ready.clone(), leaving.clone()]);
+    let other = readiness(&[leaving, ready]);
+
+    assert_eq!(one, [InstanceReadiness::Leaving]);
+    assert_eq!(other, [InstanceReadiness::Leaving]);
+}
+
+#[test]
+fn instances_that_are_not_live_yet_are_left_out() {
+    let starting = slice("a", Some(false), Some(false));
+    let unspoken = slice("b", None, None);
+
+    let listed = readiness(&[starting, unspoken]);
+
+    assert_eq!(listed, [InstanceReadiness::Ready]);
+}
--- a/crates/rudder-platform/tests/platform/common.rs
+++ b/crates/rudder-platform/tests/platform/common.rs
@@ -8,6 +8,7 @@
 use rudder_settings::SettingsFile;
 use rudder_standins::PlatformStandin;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 pub(crate) async fn standin() -> PlatformStandin {
@@ -47,12 +48,64 @@
     Refused,
 }
 
-/// A store that brings faults about at updates of the revision, in order, then none.
+/// A store that brings faults about at updates of the revision, the last of the list first.
 pub(crate) struct ScriptedStore {
     pub(crate) inner: KubeStore,
     pub(crate) faults: Mutex<Vec<UpdateFault>>,
 }
 
+/// A store of a writer who is overtaken while pruning: once it has listed the files, a rival submits
+/// between the next read of the revision and its answer.
+pub(crate) struct OvertakenStore {
+    pub(crate) inner: KubeStore,
+    pub(crate) rival: Mutex<Option<FolderChange>>,
+    pub(crate) listed: AtomicBool,
+}
+
+#[async_trait]
+impl PlatformStore for OvertakenStore {
+    async fn get(&self, kind: ObjectKind, name: &str) -> Result<Option<StoredObject>, StoreError> {
+        let read = self.inner.get(kind, name).await;
+        let pruning = self.listed.load(Ordering::Relaxed) && kind == ObjectKind::SettingsRevision;
+        let rival = match pruning {
+            true => self.rival.lock().expect("no test panics here").take(),
+            false => None,
+        };
+        if let Some(rival) = rival {
+            submit_change(&self.inner, rival).await.expect("the rival's change is valid");
+        }
+        read
+    }
+
+    async fn list(&self, kind: ObjectKind) -> Result<Vec<StoredObject>, StoreError> {
+        self.listed.store(true, Ordering::Relaxed);
+        self.inner.list(kind).await
+    }
+
+    async fn put(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        expected: Option<&ObjectVersion>,
+        spec: serde_json::Value,
+    ) -> Result<StoredObject, StoreError> {
+        self.inner.put(kind, name, expected, spec).await
+    }
+
+    async fn delete(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        expected: &ObjectVersion,
+    ) -> Result<(), StoreError> {
+        self.inner.delete(kind, name, expected).await
+    }
+
+    async fn instances(&self) -> Result<Vec<InstanceEntry>, StoreError> {
+        self.inner.instances().await
+    }
+}
+
 #[async_trait]
 impl PlatformStore for ScriptedStore {
     async fn get(&self, kind: ObjectKind, name: &str) -> Result<Option<StoredObject>, StoreError> {
--- a/crates/rudder-platform/tests/platform/store.rs
+++ b/crates/rudder-platform/tests/platform/store.rs
@@ -47,6 +47,20 @@
     assert_eq!(store.get(KIND, "a").await.unwrap().unwrap().spec, json!({ "to": "one" }));
 }
 
+/// A gateway before the platform gives up while the change takes effect behind it. Were the request
+/// sent again, it would meet its own change, and the writer would hear of a conflict that never was.
+#[tokio::test]
+async fn gateway_timeout_is_unresolved_and_not_sent_again() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    standin.set_faults(PlatformFaults { gateway_timeouts: 1, ..PlatformFaults::default() });
+
+    let result = store.put(KIND, "a", None, json!({ "to": "one" })).await;
+
+    assert_eq!(result, Err(StoreError::Unresolved));
+    assert_eq!(standin.calls().writes, 1);
+}
+
 /// The platform's service goes down: nobody listens any more. Then it hangs: connections open, no
 /// answer comes. A caller must come back with a verdict in both, and a change that hung is unknown.
 #[tokio::test]
--- a/crates/rudder-platform/tests/platform/submission.rs
+++ b/crates/rudder-platform/tests/platform/submission.rs
@@ -1,14 +1,16 @@
 //! Submitting: racing operators, lost answers, outages, refusals, pruning.
 
 use crate::common::{
-    ScriptedStore, UpdateFault, change, domain_file, file, patient_store, standin, store,
+    OvertakenStore, ScriptedStore, UpdateFault, change, domain_file, file, patient_store, standin,
+    store,
 };
 use rudder_platform::{
     FolderChange, KubeStore, ObjectKind, PlatformStore, RevisionNumber, SettingsRevision,
-    SubmitError, read_revision, submit_change,
+    SubmitError, poll_revision, read_revision, submit_change,
 };
 use rudder_standins::{PlatformFaults, PlatformOutage};
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 async fn revision(store: &KubeStore) -> SettingsRevision {
@@ -250,8 +252,53 @@
     assert!(!objects[..5].iter().any(|object| kept.contains(&object)), "{kept:?}");
 }
 
-/// An operator goes back to a text whose object was retired long ago and is about to be pruned.
-/// Were it removed, the new revision would name an object that no reader finds.
+/// One operator prunes: it has listed an old object and is about to remove it. Another one goes back
+/// to just that text. Were the object removed, the new revision would name one that nobody finds.
+#[tokio::test]
+async fn pruning_spares_a_text_that_a_rival_brings_back() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    for region in ["old", "two", "three", "four"] {
+        submit_change(&store, change(&[domain_file("a", region)])).await.unwrap();
+    }
+    let rival = change(&[domain_file("a", "old")]);
+    let overtaken = OvertakenStore {
+        inner: patient_store(&standin),
+        rival: Mutex::new(Some(rival)),
+        listed: AtomicBool::new(false),
+    };
+
+    submit_change(&overtaken, change(&[domain_file("a", "five")])).await.unwrap();
+    let bundle = poll_revision(&store, None).await.unwrap().unwrap();
+
+    assert!(overtaken.rival.lock().unwrap().is_none());
+    assert_eq!(bundle.number, RevisionNumber(6));
+    assert_eq!(bundle.merge().unwrap().fleet.domains[0].region, "old");
+}
+
+/// Two texts have one hash, here brought about by another text under the object's name. Accepted,
+/// the revision would name a text that nobody checked.
+#[tokio::test]
+async fn another_text_under_the_same_name_is_refused() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    submit_change(&store, change(&[domain_file("a", "north")])).await.unwrap();
+    let object = revision(&store).await.files[0].object.clone();
+    let remove = vec!["a.toml".parse().unwrap()];
+    submit_change(&store, FolderChange { remove, ..FolderChange::default() }).await.unwrap();
+    let stored = store.get(ObjectKind::SettingsFile, &object).await.unwrap().unwrap();
+    let mut spec = stored.spec.clone();
+    spec["text"] = "# another text".into();
+    store.put(ObjectKind::SettingsFile, &object, Some(&stored.version), spec).await.unwrap();
+
+    let result = submit_change(&store, change(&[domain_file("a", "north")])).await;
+
+    assert!(matches!(result, Err(SubmitError::Platform(_))), "{result:?}");
+    assert_eq!(revision(&store).await.number, RevisionNumber(2));
+}
+
+/// An operator goes back to earlier texts again and again while old objects are removed. Each
+/// revision must be readable as soon as it is accepted.
 #[tokio::test]
 async fn text_that_comes_back_is_readable() {
     let standin = standin().await;
@@ -259,9 +306,8 @@
     for region in ["one", "two", "three", "one", "four", "five", "six", "seven", "one"] {
         submit_change(&store, change(&[domain_file("a", region)])).await.unwrap();
 
-        let bundle = rudder_platform::poll_revision(&store, None).await.unwrap().unwrap();
-        let merged = bundle.merge().unwrap();
+        let bundle = poll_revision(&store, None).await.unwrap().unwrap();
 
-        assert_eq!(merged.fleet.domains[0].region, region);
+        assert_eq!(bundle.merge().unwrap().fleet.domains[0].region, region);
     }
 }
--- a/crates/rudder-standins/src/platform/faults.rs
+++ b/crates/rudder-standins/src/platform/faults.rs
@@ -28,6 +28,8 @@
         pub outage: PlatformOutage,
         /// How many of the next changes take effect without their answer arriving.
         pub lost_answers: u32,
+        /// How many of the next changes take effect and are answered by a gateway's timeout.
+        pub gateway_timeouts: u32,
         /// How many changes the state that reads show is behind.
         pub stale_by: usize,
     }
--- a/crates/rudder-standins/src/platform/routes.rs
+++ b/crates/rudder-standins/src/platform/routes.rs
@@ -205,6 +205,7 @@
 ) -> Response {
     lose_or_leave(state, cut, result.is_ok()).await;
     match result {
+        Ok(_) if state.take_gateway_timeout() => StatusCode::GATEWAY_TIMEOUT.into_response(),
         Ok(row) => shown(&row),
         Err(refusal) => refused(refusal),
     }
--- a/crates/rudder-standins/src/platform/state.rs
+++ b/crates/rudder-standins/src/platform/state.rs
@@ -71,10 +71,12 @@
 
     /// Whether the answer to a change that took effect is lost; uses one up.
     pub(crate) fn take_lost_answer(&self) -> bool {
-        let faults = &mut self.lock().faults;
-        let lost = faults.lost_answers > 0;
-        faults.lost_answers = faults.lost_answers.saturating_sub(1);
-        lost
+        take_one(&mut self.lock().faults.lost_answers)
+    }
+
+    /// Whether a change that took effect is answered by a gateway's timeout; uses one up.
+    pub(crate) fn take_gateway_timeout(&self) -> bool {
+        take_one(&mut self.lock().faults.gateway_timeouts)
     }
 
     pub(crate) fn count(&self, writes: bool) {
@@ -95,3 +97,9 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn take_one(left: &mut u32) -> bool {
+    let taken = *left > 0;
+    *left = left.saturating_sub(1);
+    taken
+}
