--- a/crates/rudder-platform/tests/store.rs
+++ b/crates/rudder-platform/tests/platform/store.rs
@@ -1,29 +1,13 @@
 //! The store over HTTP: versions, conflicts, lost answers, outages, instances.
 
-use rudder_platform::{
-    InstanceReadiness, KubeStore, ObjectKind, ObjectVersion, PlatformOptions, PlatformStore,
-    StoreError,
-};
-use rudder_standins::{PlatformFaults, PlatformOutage, PlatformStandin, StandinInstance};
+use crate::common::{patient_store, standin, store};
+use rudder_platform::{InstanceReadiness, ObjectKind, ObjectVersion, PlatformStore, StoreError};
+use rudder_standins::{PlatformFaults, PlatformOutage, StandinInstance};
 use serde_json::json;
 use std::time::Duration;
 
 const KIND: ObjectKind = ObjectKind::SwitchOrder;
 
-async fn standin() -> PlatformStandin {
-    let listen = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
-    PlatformStandin::start(listen).await.expect("a free loopback port")
-}
-
-fn store(standin: &PlatformStandin, timeout: Duration) -> KubeStore {
-    let options = PlatformOptions { call_timeout: timeout, ..PlatformOptions::at(&standin.url()) };
-    KubeStore::connect(options).expect("the stand-in's address is a URL")
-}
-
-fn patient_store(standin: &PlatformStandin) -> KubeStore {
-    store(standin, Duration::from_secs(20))
-}
-
 #[tokio::test]
 async fn conditional_changes_follow_versions() {
     let standin = standin().await;
@@ -63,6 +47,20 @@
     assert_eq!(store.get(KIND, "a").await.unwrap().unwrap().spec, json!({ "to": "one" }));
 }
 
+/// A gateway before the platform gives up while the change takes effect behind it. Were the request
+/// sent again, it would meet its own change, and the writer would hear of a conflict that never was.
+#[tokio::test]
+async fn gateway_timeout_is_unresolved_and_not_sent_again() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    standin.set_faults(PlatformFaults { gateway_timeouts: 1, ..PlatformFaults::default() });
+
+    let result = store.put(KIND, "a", None, json!({ "to": "one" })).await;
+
+    assert_eq!(result, Err(StoreError::Unresolved));
+    assert_eq!(standin.calls().writes, 1);
+}
+
 /// The platform's service goes down: nobody listens any more. Then it hangs: connections open, no
 /// answer comes. A caller must come back with a verdict in both, and a change that hung is unknown.
 #[tokio::test]
