--- /dev/null
+++ b/crates/rudder-peers/examples/slopes/fleet.rs
@@ -0,0 +1,100 @@
+//! Many instances inside one process, each with sockets of its own.
+
+use async_trait::async_trait;
+use rudder_core::LogTerm;
+use rudder_peers::{
+    HintMessage, MeshError, MeshSettings, PeerHandler, PeerHint, PeerMesh, PeerReply, PeerRequest,
+    PeerState, TrafficCount,
+};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+const DOMAINS: usize = 7;
+
+/// Remembers the greatest term and revision heard.
+#[derive(Default)]
+pub(crate) struct LatestHint {
+    term: AtomicU64,
+    revision: AtomicU64,
+}
+
+#[async_trait]
+impl PeerHandler for LatestHint {
+    async fn on_hint(&self, message: HintMessage) {
+        match message.hint {
+            PeerHint::Group(hint) => self.term.fetch_max(hint.term.0, Ordering::Relaxed),
+            PeerHint::Revision(hint) => self.revision.fetch_max(hint.number, Ordering::Relaxed),
+            _ => 0,
+        };
+    }
+
+    async fn on_request(&self, _request: PeerRequest) -> PeerReply {
+        PeerReply::Unknown
+    }
+}
+
+/// One instance.
+pub(crate) struct FleetMember {
+    pub(crate) mesh: PeerMesh,
+    latest: Arc<LatestHint>,
+}
+
+impl FleetMember {
+    pub(crate) async fn start(number: usize, seeds: Vec<SocketAddr>) -> Result<Self, MeshError> {
+        let name = format!("rudder-{number:04}").parse().expect("a name of allowed characters");
+        let domain = format!("domain-{}", number % DOMAINS);
+        let domain = domain.parse().expect("a name of allowed characters");
+        let settings =
+            MeshSettings { seeds, ..MeshSettings::new(name, domain, ([127, 0, 0, 1], 0).into()) };
+        let latest = Arc::new(LatestHint::default());
+        let handler: Arc<dyn PeerHandler> = latest.clone();
+        let mesh = PeerMesh::start(settings, handler).await?;
+        Ok(Self { mesh, latest })
+    }
+
+    /// Whether this instance sees so many others and itself, none of them suspect.
+    pub(crate) fn sees(&self, count: usize) -> bool {
+        let live = self.mesh.live();
+        live.len() == count && live.iter().all(|entry| entry.state == PeerState::Live)
+    }
+
+    pub(crate) fn heard_term(&self, term: LogTerm) -> bool {
+        self.latest.term.load(Ordering::Relaxed) >= term.0
+    }
+
+    pub(crate) fn heard_revision(&self, number: u64) -> bool {
+        self.latest.revision.load(Ordering::Relaxed) >= number
+    }
+}
+
+/// What a fleet has sent, all instances together, and what the busiest one has.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct FleetTraffic {
+    pub(crate) datagrams: u64,
+    pub(crate) bytes: u64,
+    pub(crate) withheld: u64,
+}
+
+pub(crate) fn traffic(fleet: &[FleetMember]) -> Vec<TrafficCount> {
+    fleet.iter().map(|member| member.mesh.traffic()).collect()
+}
+
+/// The sum over all instances of what was sent between two counts.
+pub(crate) fn total(before: &[TrafficCount], after: &[TrafficCount]) -> FleetTraffic {
+    before.iter().zip(after).fold(FleetTraffic::default(), |sum, (before, after)| FleetTraffic {
+        datagrams: sum.datagrams + after.datagrams - before.datagrams,
+        bytes: sum.bytes + bytes_of(after) - bytes_of(before),
+        withheld: sum.withheld + after.withheld - before.withheld,
+    })
+}
+
+/// The most that one instance sent between two counts, in bytes.
+pub(crate) fn busiest(before: &[TrafficCount], after: &[TrafficCount]) -> u64 {
+    let sent = before.iter().zip(after).map(|(before, after)| bytes_of(after) - bytes_of(before));
+    sent.max().unwrap_or_default()
+}
+
+fn bytes_of(count: &TrafficCount) -> u64 {
+    count.datagram_bytes + count.table_bytes
+}
--- /dev/null
+++ b/crates/rudder-peers/examples/slopes/run.rs
@@ -0,0 +1,186 @@
+//! One size: joining, quiet, spreading, and losing instances.
+
+use crate::fleet::{FleetMember, busiest, total, traffic};
+use crate::process::{processor_time, resident_bytes};
+use displaydoc::Display;
+use rudder_core::{LogStamp, LogTerm};
+use rudder_peers::{GroupHint, MeshError, PeerHint, RevisionHint};
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+
+/// Far longer than anything takes; a broken fleet ends the run.
+const PATIENCE: Duration = Duration::from_secs(180);
+const POLL: Duration = Duration::from_millis(5);
+/// Hints published one after the other at each size.
+const HINTS: u64 = 9;
+/// One in so many instances is lost with its failure domain.
+const DOMAINS: usize = 7;
+
+/// Why a run ended early.
+#[derive(Debug, Display)]
+#[ignore_extra_doc_attributes]
+pub(crate) enum RunError {
+    /// an instance could not be started: {0}
+    Start(MeshError),
+    /// the fleet did not come to the state "{0}" in time
+    Patience(&'static str),
+}
+
+impl std::error::Error for RunError {}
+
+impl From<MeshError> for RunError {
+    fn from(error: MeshError) -> Self {
+        Self::Start(error)
+    }
+}
+
+/// A run at one size.
+pub(crate) struct SizeRun {
+    pub(crate) size: usize,
+    pub(crate) quiet: Duration,
+}
+
+impl SizeRun {
+    pub(crate) async fn run(&self) -> Result<Value, RunError> {
+        let memory = resident_bytes();
+        let timer = Instant::now();
+        let mut fleet = vec![FleetMember::start(0, Vec::new()).await?];
+        for number in 1..self.size {
+            let seed = fleet[0].mesh.address();
+            fleet.push(FleetMember::start(number, vec![seed]).await?);
+        }
+        wait_for("joined", || fleet.iter().all(|member| member.sees(self.size))).await?;
+        let joined = timer.elapsed();
+
+        let quiet = self.measure_quiet(&fleet).await;
+        let memory = resident_bytes().saturating_sub(memory);
+        let terms = spread_terms(&fleet).await?;
+        let revisions = spread_revisions(&fleet).await?;
+        let newcomer = join_one(&mut fleet, self.size).await?;
+        let one = lose(&mut fleet, 1).await?;
+        let domain = if self.size > DOMAINS {
+            lose(&mut fleet, self.size / DOMAINS).await?
+        } else {
+            Value::Null
+        };
+        for member in fleet {
+            member.mesh.stop().await;
+        }
+        Ok(json!({
+            "measure": "fleet",
+            "instances": self.size,
+            "all joined at once, seconds": seconds(joined),
+            "quiet, per instance": quiet,
+            "resident kilobytes per instance": memory / 1024 / self.size as u64,
+            "new term to reach all, seconds": terms,
+            "new revision to reach all, seconds": revisions,
+            "one newcomer known to all and knowing all, seconds": newcomer,
+            "one instance lost": one,
+            "a seventh of the instances lost": domain,
+        }))
+    }
+
+    async fn measure_quiet(&self, fleet: &[FleetMember]) -> Value {
+        let (before, used) = (traffic(fleet), processor_time());
+        tokio::time::sleep(self.quiet).await;
+        let (after, used) = (traffic(fleet), processor_time().saturating_sub(used));
+        let sum = total(&before, &after);
+        let share = self.size as f64 * self.quiet.as_secs_f64();
+        json!({
+            "bytes per second": (sum.bytes as f64 / share).round(),
+            "busiest, bytes per second": busiest(&before, &after) as f64 / self.quiet.as_secs_f64(),
+            "datagrams per second": (sum.datagrams as f64 / share * 100.0).round() / 100.0,
+            "withheld": sum.withheld,
+            "percent of a core": (used.as_secs_f64() / share * 100_000.0).round() / 1000.0,
+        })
+    }
+}
+
+async fn spread_terms(fleet: &[FleetMember]) -> Result<Value, RunError> {
+    let mut times = Vec::new();
+    for term in 1..=HINTS {
+        let hint = PeerHint::Group(GroupHint {
+            service: "scores-db-001".parse().expect("a name of allowed characters"),
+            term: LogTerm(term),
+            primary: "scores-db-001-b".parse().expect("a name of allowed characters"),
+            stamp: LogStamp::new(term, 0),
+            age: Some(Duration::ZERO),
+        });
+        let timer = Instant::now();
+        fleet[0].mesh.publish(hint).await;
+        let heard = || fleet[1..].iter().all(|member| member.heard_term(LogTerm(term)));
+        wait_for("new term heard", heard).await?;
+        times.push(timer.elapsed());
+    }
+    Ok(summary(times))
+}
+
+async fn spread_revisions(fleet: &[FleetMember]) -> Result<Value, RunError> {
+    let mut times = Vec::new();
+    for number in 1..=HINTS {
+        let timer = Instant::now();
+        fleet[0].mesh.publish(PeerHint::Revision(RevisionHint { number })).await;
+        let heard = || fleet[1..].iter().all(|member| member.heard_revision(number));
+        wait_for("new revision heard", heard).await?;
+        times.push(timer.elapsed());
+    }
+    Ok(summary(times))
+}
+
+async fn join_one(fleet: &mut Vec<FleetMember>, number: usize) -> Result<f64, RunError> {
+    let timer = Instant::now();
+    let seed = fleet[number / 2].mesh.address();
+    fleet.push(FleetMember::start(number, vec![seed]).await?);
+    let size = fleet.len();
+    wait_for("newcomer joined", || fleet.iter().all(|member| member.sees(size))).await?;
+    Ok(seconds(timer.elapsed()))
+}
+
+/// Stops some instances without a word, and waits until nobody counts on them.
+async fn lose(fleet: &mut Vec<FleetMember>, count: usize) -> Result<Value, RunError> {
+    for lost in fleet.split_off(fleet.len() - count) {
+        lost.mesh.stop().await;
+    }
+    let size = fleet.len();
+    let timer = Instant::now();
+    let start = traffic(fleet);
+    let (mut before, mut peak) = (start.clone(), 0);
+    while !fleet.iter().all(|member| member.sees(size)) {
+        if timer.elapsed() > PATIENCE {
+            return Err(RunError::Patience("lost instances removed"));
+        }
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let after = traffic(fleet);
+        peak = peak.max(busiest(&before, &after));
+        before = after;
+    }
+    let took = timer.elapsed();
+    let withheld = total(&start, &before).withheld;
+    Ok(json!({
+        "lost": count,
+        "removed by all within, seconds": took.as_secs(),
+        "busiest instance in its busiest second, bytes": peak,
+        "datagrams withheld, all instances": withheld,
+    }))
+}
+
+async fn wait_for(what: &'static str, condition: impl Fn() -> bool) -> Result<(), RunError> {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait).await.map_err(|_| RunError::Patience(what))
+}
+
+fn summary(mut times: Vec<Duration>) -> Value {
+    times.sort_unstable();
+    json!({
+        "median": seconds(times[times.len() / 2]),
+        "greatest": seconds(times[times.len() - 1]),
+    })
+}
+
+fn seconds(time: Duration) -> f64 {
+    (time.as_secs_f64() * 1000.0).round() / 1000.0
+}
--- a/crates/rudder-peers/src/lib.rs
+++ b/crates/rudder-peers/src/lib.rs
@@ -24,4 +24,4 @@
 pub use member::{Incarnation, PeerEntry, PeerState};
 pub use mesh::{MeshError, MeshSettings, PeerError, PeerMesh};
 pub use node::TrafficCount;
-pub use wire::{PeerReply, PeerRequest, WireError};
+pub use wire::{PeerReply, PeerRequest, WireError, groups_bytes, heartbeat_bytes, table_bytes};
--- a/crates/rudder-peers/src/membership/hearing.rs
+++ b/crates/rudder-peers/src/membership/hearing.rs
@@ -17,6 +17,7 @@
             None if heard.state == PeerState::Gone => {}
             None => {
                 self.order.insert(heard.name.clone(), &mut self.rng);
+                self.urgent = true;
                 self.adopt(heard, now);
             }
             Some((held, _)) if !heard.supersedes(&held) => {}
--- a/crates/rudder-peers/src/node/state.rs
+++ b/crates/rudder-peers/src/node/state.rs
@@ -16,8 +16,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Peers to whom urgent hints are pushed at once.
-const PUSH_FANOUT: usize = 3;
+/// Peers to whom urgent hints are pushed in one round.
+const PUSH_FANOUT: usize = 4;
+
+/// Rounds of pushing for each urgent hint. One round of four reaches all but about a fiftieth of a
+/// large fleet; two leave to heartbeats only what was lost on the way.
+const PUSH_ROUNDS: u32 = 2;
 
 /// Urgent hints that arrive within this time are pushed together.
 const PUSH_SPACING: Duration = Duration::from_millis(50);
@@ -52,7 +56,7 @@
     table_bucket: TokenBucket,
     peers_watch: DigestWatch,
     groups_watch: DigestWatch,
-    push_due: bool,
+    push_rounds: u32,
     pushed_at: Option<Duration>,
 }
 
@@ -66,7 +70,7 @@
             traffic: TrafficCount::default(),
             peers_watch: DigestWatch::default(),
             groups_watch: DigestWatch::default(),
-            push_due: false,
+            push_rounds: 0,
             pushed_at: None,
         }
     }
@@ -126,7 +130,9 @@
         } else {
             let sends = self.membership.sends();
             let urgency = self.board.absorb(hint, false, sends, now);
-            self.push_due |= urgency == Some(HintUrgency::Urgent);
+            if urgency == Some(HintUrgency::Urgent) {
+                self.push_rounds = PUSH_ROUNDS;
+            }
         }
         self.push(&mut output, now);
         output
@@ -265,7 +271,9 @@
     ) {
         for hint in hints {
             if let Some(urgency) = self.board.absorb(hint.clone(), true, sends, now) {
-                self.push_due |= urgency == HintUrgency::Urgent && sends > 0;
+                if urgency == HintUrgency::Urgent && sends > 0 {
+                    self.push_rounds = PUSH_ROUNDS;
+                }
                 output.hints.push(HintMessage { from: from.clone(), hint });
             }
         }
@@ -273,12 +281,14 @@
 
     /// Pushes urgent hints and news to a few random peers.
     fn push(&mut self, output: &mut NodeOutput, now: Duration) {
-        self.push_due |= self.membership.take_urgent();
+        if self.membership.take_urgent() {
+            self.push_rounds = PUSH_ROUNDS;
+        }
         let rested = self.pushed_at.is_none_or(|pushed| now.saturating_sub(pushed) >= PUSH_SPACING);
-        if !self.push_due || !rested {
+        if self.push_rounds == 0 || !rested {
             return;
         }
-        self.push_due = false;
+        self.push_rounds -= 1;
         self.pushed_at = Some(now);
         for to in self.membership.sample(PUSH_FANOUT) {
             output.datagrams.extend(self.compose(to, DatagramBody::Push, None, now));
--- a/crates/rudder-peers/src/node/tests/schedule.rs
+++ b/crates/rudder-peers/src/node/tests/schedule.rs
@@ -6,8 +6,14 @@
 use proptest::test_runner::{Config, RngSeed};
 
 const SIZE: usize = 9;
+/// Schedules generated unless the variable `RUDDER_CASES` says otherwise.
 const CASES: u32 = 24;
 
+fn cases() -> u32 {
+    let wanted = std::env::var("RUDDER_CASES").ok();
+    wanted.and_then(|text| text.parse().ok()).unwrap_or(CASES)
+}
+
 #[derive(Clone, Debug)]
 enum Failure {
     Kill(usize),
@@ -52,7 +58,7 @@
 
 proptest! {
     #![proptest_config(Config {
-        cases: CASES,
+        cases: cases(),
         rng_seed: RngSeed::Fixed(0x0570_0780),
         failure_persistence: None,
         ..Config::default()
--- a/crates/rudder-peers/src/wire/mod.rs
+++ b/crates/rudder-peers/src/wire/mod.rs
@@ -10,6 +10,7 @@
 mod error;
 mod hint;
 mod request;
+mod size;
 #[cfg(test)]
 mod tests;
 
@@ -21,3 +22,4 @@
 pub use error::WireError;
 pub(crate) use request::{AnswerFrame, PeerTableFrame, RequestBody, RequestFrame};
 pub use request::{PeerReply, PeerRequest};
+pub use size::{groups_bytes, heartbeat_bytes, table_bytes};
--- /dev/null
+++ b/crates/rudder-peers/src/wire/size.rs
@@ -0,0 +1,79 @@
+//! Sizes of messages as they are encoded, for planning capacity.
+
+use super::codec::{encode_answer, encode_datagram};
+use super::datagram::{DatagramBody, PeerDatagram};
+use super::request::{AnswerFrame, PeerTableFrame};
+use crate::budget::DATAGRAM_OVERHEAD_BYTES;
+use crate::hints::PeerHint;
+use crate::member::PeerEntry;
+
+/// Bytes of a heartbeat from `sender` that carries this news and these hints, headers of IP and UDP
+/// included; zero if they do not fit one datagram.
+///
+/// ```
+/// use rudder_peers::{Incarnation, PeerEntry, PeerState, heartbeat_bytes};
+/// let sender = PeerEntry {
+///     name: "i1".parse()?,
+///     address: ([127, 0, 0, 1], 7000).into(),
+///     domain: "bangor".parse()?,
+///     incarnation: Incarnation(1),
+///     state: PeerState::Live,
+/// };
+/// assert!(heartbeat_bytes(&sender, &[], &[]) < 100);
+/// # Ok::<(), rudder_core::ParseError>(())
+/// ```
+#[must_use]
+pub fn heartbeat_bytes(sender: &PeerEntry, news: &[PeerEntry], hints: &[PeerHint]) -> u64 {
+    let datagram = PeerDatagram {
+        sender: sender.clone(),
+        digest: u32::MAX,
+        groups: u32::MAX,
+        revision: u64::from(u16::MAX),
+        body: DatagramBody::Ack { sequence: u32::MAX },
+        news: news.to_vec(),
+        hints: hints.to_vec(),
+    };
+    encode_datagram(&datagram).map_or(0, |bytes| length_of(&bytes) + DATAGRAM_OVERHEAD_BYTES)
+}
+
+/// Bytes of a table of instances, as it is fetched over TCP; zero if it does not fit one frame.
+///
+/// ```
+/// # use rudder_peers::{Incarnation, PeerEntry, PeerState, table_bytes};
+/// # let sender = PeerEntry {
+/// #     name: "i1".parse()?,
+/// #     address: ([127, 0, 0, 1], 7000).into(),
+/// #     domain: "bangor".parse()?,
+/// #     incarnation: Incarnation(1),
+/// #     state: PeerState::Live,
+/// # };
+/// let entries = vec![sender.clone(); 100];
+/// assert!(table_bytes(&sender, &entries) > 50 * table_bytes(&sender, &[]));
+/// # Ok::<(), rudder_core::ParseError>(())
+/// ```
+#[must_use]
+pub fn table_bytes(sender: &PeerEntry, entries: &[PeerEntry]) -> u64 {
+    let table = PeerTableFrame { sender: sender.clone(), entries: entries.to_vec() };
+    answer_bytes(&AnswerFrame::Table { number: 1, table })
+}
+
+/// Bytes of the primaries of groups, as they are fetched over TCP; zero if they do not fit.
+///
+/// ```
+/// # use rudder_peers::groups_bytes;
+/// assert!(groups_bytes(&"i1".parse()?, &[]) < 20);
+/// # Ok::<(), rudder_core::ParseError>(())
+/// ```
+#[must_use]
+pub fn groups_bytes(sender: &rudder_core::InstanceName, hints: &[PeerHint]) -> u64 {
+    let (sender, hints) = (sender.clone(), hints.to_vec());
+    answer_bytes(&AnswerFrame::Groups { number: 1, sender, hints })
+}
+
+fn answer_bytes(answer: &AnswerFrame) -> u64 {
+    encode_answer(answer).map_or(0, |bytes| length_of(&bytes))
+}
+
+fn length_of(bytes: &[u8]) -> u64 {
+    u64::try_from(bytes.len()).unwrap_or(u64::MAX)
+}
