Peers: a probe that was not sent gives no verdict; a second never takes two budgets

Change: withheld probes are abandoned; the bucket holds one second's worth; checks of suspects are a quarter of a second apart.

--- a/crates/rudder-peers/examples/slopes/run.rs
+++ b/crates/rudder-peers/examples/slopes/run.rs
@@ -13,6 +13,12 @@
 const POLL: Duration = Duration::from_millis(5);
 /// Hints published one after the other at each size.
 const HINTS: u64 = 9;
+/// Between two hints, so that each finds the budget as it is in quiet.
+const HINT_PAUSE: Duration = Duration::from_secs(2);
+/// News of joining that one instance passes on per second: six in each of two datagrams.
+const NEWS_PER_SECOND: u64 = 12;
+/// How often each piece of news is passed on at most, at the sizes run.
+const NEWS_SENDS: u64 = 13;
 /// One in so many instances is lost with its failure domain.
 const DOMAINS: usize = 7;
 
@@ -52,6 +58,11 @@
         wait_for("joined", || fleet.iter().all(|member| member.sees(self.size))).await?;
         let joined = timer.elapsed();
 
+        // Until the news of so many joining at once has been passed on.
+        tokio::time::sleep(Duration::from_secs(
+            10 + self.size as u64 * NEWS_SENDS / NEWS_PER_SECOND,
+        ))
+        .await;
         let quiet = self.measure_quiet(&fleet).await;
         let memory = resident_bytes().saturating_sub(memory);
         let terms = spread_terms(&fleet).await?;
@@ -99,6 +110,7 @@
 async fn spread_terms(fleet: &[FleetMember]) -> Result<Value, RunError> {
     let mut times = Vec::new();
     for term in 1..=HINTS {
+        tokio::time::sleep(HINT_PAUSE).await;
         let hint = PeerHint::Group(GroupHint {
             service: "scores-db-001".parse().expect("a name of allowed characters"),
             term: LogTerm(term),
@@ -118,6 +130,7 @@
 async fn spread_revisions(fleet: &[FleetMember]) -> Result<Value, RunError> {
     let mut times = Vec::new();
     for number in 1..=HINTS {
+        tokio::time::sleep(HINT_PAUSE).await;
         let timer = Instant::now();
         fleet[0].mesh.publish(PeerHint::Revision(RevisionHint { number })).await;
         let heard = || fleet[1..].iter().all(|member| member.heard_revision(number));
--- a/crates/rudder-peers/src/membership/news.rs
+++ b/crates/rudder-peers/src/membership/news.rs
@@ -3,7 +3,7 @@
 use rudder_core::InstanceName;
 
 /// Transmissions of a piece of news beyond the logarithm of the fleet's size.
-const SENDS_BASE: u32 = 6;
+const SENDS_BASE: u32 = 3;
 
 #[derive(Debug)]
 struct NewsRecord {
--- a/crates/rudder-peers/src/membership/probing.rs
+++ b/crates/rudder-peers/src/membership/probing.rs
@@ -102,7 +102,7 @@
         far
     }
 
-    /// Probes one instance whose check is due. One per tick, so that the loss of a whole failure
+    /// Probes one instance whose check is due. One at a time, so that the loss of a whole failure
     /// domain is worked off at a constant rate.
     pub(super) fn check_one(&mut self, now: Duration, actions: &mut Vec<PeerAction>) {
         let due = self.table.records().iter().find(|record| {
--- a/crates/rudder-peers/src/membership/settings.rs
+++ b/crates/rudder-peers/src/membership/settings.rs
@@ -13,6 +13,8 @@
     pub(crate) probe_timeout: Duration,
     /// How long a suspect instance has to refute before it is checked a last time.
     pub(crate) suspicion: Duration,
+    /// The least time between two checks of suspect instances.
+    pub(crate) check_interval: Duration,
     /// How many others are asked to probe.
     pub(crate) helpers: usize,
     /// How often one instance that is gone, or a seed that has not answered, is probed.
@@ -28,6 +30,7 @@
             direct_timeout: Duration::from_millis(400),
             probe_timeout: Duration::from_millis(1000),
             suspicion: Duration::from_secs(2),
+            check_interval: Duration::from_millis(250),
             helpers: 2,
             revival_interval: Duration::from_secs(5),
             tombstone_life: Duration::from_secs(2 * 3600),
--- a/crates/rudder-peers/src/membership/state.rs
+++ b/crates/rudder-peers/src/membership/state.rs
@@ -29,6 +29,7 @@
     pub(super) ticked_at: Option<Duration>,
     pub(super) probe_at: Duration,
     pub(super) revive_at: Duration,
+    pub(super) check_at: Duration,
     pub(super) changed: bool,
     pub(super) urgent: bool,
 }
@@ -53,6 +54,7 @@
             ticked_at: None,
             probe_at: Duration::ZERO,
             revive_at: Duration::ZERO,
+            check_at: Duration::ZERO,
             changed: true,
             urgent: false,
         }
@@ -146,12 +148,22 @@
         }
     }
 
+    /// A probe, or the request to a helper, was not sent: it gives no verdict.
+    pub(crate) fn abandon_probe(&mut self, sequence: Option<u32>) {
+        if let Some(sequence) = sequence {
+            self.probes.take(sequence);
+        }
+    }
+
     /// Lets time pass. To be called several times per probe timeout.
     pub(crate) fn tick(&mut self, now: Duration) -> Vec<PeerAction> {
         let mut actions = Vec::new();
         self.notice_freeze(now);
         self.judge_probes(now, &mut actions);
-        self.check_one(now, &mut actions);
+        if now >= self.check_at {
+            self.check_at = now + self.settings.check_interval;
+            self.check_one(now, &mut actions);
+        }
         if now >= self.probe_at {
             self.probe_at = now + self.settings.period;
             self.probe_next(now, &mut actions);
--- a/crates/rudder-peers/src/mesh/error.rs
+++ b/crates/rudder-peers/src/mesh/error.rs
@@ -15,7 +15,7 @@
         /// What the system said.
         source: std::io::Error,
     },
-    /// the budget of {0} bytes per second is below the 400 that heartbeats need
+    /// the budget of {0} bytes per second is below the 800 that heartbeats need
     Budget(u64),
 }
 
--- a/crates/rudder-peers/src/mesh/handle.rs
+++ b/crates/rudder-peers/src/mesh/handle.rs
@@ -22,7 +22,7 @@
 use tokio::time::Instant;
 
 /// Less than this does not carry heartbeats and their answers.
-const BYTES_PER_SECOND_MIN: u64 = 400;
+const BYTES_PER_SECOND_MIN: u64 = 800;
 
 /// Commands that wait for the driver.
 const COMMANDS_MAX: usize = 256;
--- a/crates/rudder-peers/src/node/budget.rs
+++ b/crates/rudder-peers/src/node/budget.rs
@@ -17,14 +17,16 @@
 }
 
 impl BudgetSettings {
-    /// Splits one budget: three quarters for datagrams, one quarter for tables.
+    /// Splits one budget: five eighths for datagrams, a quarter for tables; the rest is left for
+    /// requests, which callers' actions cause and this budget does not bound.
     pub(crate) fn split(bytes_per_second: u64) -> Self {
-        let datagram_rate = bytes_per_second * 3 / 4;
+        let datagram_rate = bytes_per_second * 5 / 8;
         let table_rate = bytes_per_second / 4;
         Self {
             datagram_rate,
-            // Four seconds' worth: enough that the news of a lost failure domain starts at once.
-            datagram_depth: datagram_rate * 4,
+            // One second's worth: enough to push a hint twice, and no second ever takes more than
+            // two seconds' worth.
+            datagram_depth: datagram_rate,
             table_rate,
             table_depth: table_rate * 8,
         }
--- a/crates/rudder-peers/src/node/state.rs
+++ b/crates/rudder-peers/src/node/state.rs
@@ -128,7 +128,7 @@
         {
             self.membership.mark_leaving(name, now);
         } else {
-            let sends = self.membership.sends();
+            let sends = self.hint_sends();
             let urgency = self.board.absorb(hint, false, sends, now);
             if urgency == Some(HintUrgency::Urgent) {
                 self.push_rounds = PUSH_ROUNDS;
@@ -220,8 +220,13 @@
 
     fn perform(&mut self, actions: Vec<PeerAction>, output: &mut NodeOutput, now: Duration) {
         for action in actions {
-            let datagram = self.compose(action.to, action.body, action.first, now);
-            output.datagrams.extend(datagram);
+            let sequence = action.body.probe_sequence();
+            match self.compose(action.to, action.body, action.first, now) {
+                Some(datagram) => output.datagrams.push(datagram),
+                // Guards against taking the silence after an unsent probe for the target's: with
+                // the budget used up, live instances would be suspected and removed.
+                None => self.membership.abandon_probe(sequence),
+            }
         }
     }
 
@@ -257,10 +262,15 @@
             hints.push(PeerHint::Revision(RevisionHint { number: datagram.revision }));
         }
         let received = hints.into_iter().map(|hint| received_hint(hint, round_trip));
-        let sends = self.membership.sends();
+        let sends = self.hint_sends();
         self.absorb(&datagram.sender.name, received, sends, output, now);
     }
 
+    /// How often an urgent hint is told: the pushes, and then as often as news of members.
+    fn hint_sends(&self) -> u32 {
+        PUSH_ROUNDS * u32::try_from(PUSH_FANOUT).unwrap_or_default() + self.membership.sends()
+    }
+
     fn absorb(
         &mut self,
         from: &InstanceName,
--- a/crates/rudder-peers/src/node/tests.rs
+++ b/crates/rudder-peers/src/node/tests.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod schedule;
 
+use super::BudgetSettings;
 use crate::hints::{GroupHint, LeavingNotice, LeavingSubject, PeerHint, SuspicionVote};
 use crate::member::PeerState;
 use fleet::{BYTES_PER_SECOND, Fleet};
@@ -177,7 +178,7 @@
     }
 
     assert!(fleet.settled());
-    let allowed = BYTES_PER_SECOND * (120 + 4);
+    let allowed = BudgetSettings::split(BYTES_PER_SECOND).datagram_rate * (120 + 1);
     for (site, before) in before.iter().enumerate() {
         assert!(fleet.bytes_sent(site) - before <= allowed);
     }
@@ -234,8 +235,9 @@
         }
     }
 
+    let allowed = BudgetSettings::split(BYTES_PER_SECOND).datagram_rate * (60 + 1);
     for (site, before) in before.iter().enumerate() {
-        assert!(fleet.bytes_sent(site) - before <= BYTES_PER_SECOND * (60 + 4));
+        assert!(fleet.bytes_sent(site) - before <= allowed);
     }
 }
 
--- a/crates/rudder-peers/src/wire/datagram.rs
+++ b/crates/rudder-peers/src/wire/datagram.rs
@@ -41,6 +41,16 @@
     Push,
 }
 
+impl DatagramBody {
+    /// The number of the sender's own probe that this body asks about, if it asks.
+    pub(crate) fn probe_sequence(&self) -> Option<u32> {
+        match self {
+            Self::Probe { sequence, .. } | Self::IndirectProbe { sequence, .. } => Some(*sequence),
+            Self::Ack { .. } | Self::RelayedAck { .. } | Self::Push => None,
+        }
+    }
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireDatagram {
     sender: WireEntry,
