--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -8,17 +8,29 @@
 
 mod admission;
 mod average;
+mod detector;
 mod meter;
+mod outlier;
+mod ramp;
+mod reconnect;
+mod retry;
 mod routing;
+mod share;
 mod work;
 
 pub use admission::{
     AdmissionGate, AdmissionRequest, AdmissionVerdict, LaneKey, LaneLimits, LaneUsage,
     RefusalReason, RefusalWord, TicketId, TicketNotice, TicketOutcome,
 };
+pub use detector::{PulseDetector, SuspicionBound};
 pub use meter::MemberMeter;
+pub use outlier::OutlierTracker;
+pub use ramp::RampSchedule;
+pub use reconnect::ReconnectPacer;
+pub use retry::RetryBudget;
 pub use routing::{
     MemberHealth, MemberView, MemberWeight, ReadDemand, ReadRoute, ReadRouter, RouteChoice,
     RouteReason,
 };
+pub use share::{SlotShare, holders_of};
 pub use work::{WorkClass, WorkEstimate, WorkSize};
--- /dev/null
+++ b/crates/rudder-decisions/src/outlier.rs
@@ -0,0 +1,180 @@
+//! Takes work away from a member that fails or answers far too slowly, by degrees.
+//!
+//! Load pattern: one endpoint of a group goes bad while it still answers. Without this module a
+//! member that fails at once looks like the fastest of all, so routing by least expected time sends
+//! it nearly everything; and one that is taken out whole, on chance, throws its load at the others.
+//!
+//! Thresholds: a member is bad from a failure share of [`FAILURE_SHARE_BAD`] (a healthy one is near
+//! zero; a twentieth of the answers is noise that retries absorb) or from [`SLOW_FACTOR`] times the
+//! best member's time (old hardware is 2.5 times slower and must not count as bad). Each bad step
+//! halves its weight, down to [`WEIGHT_FLOOR`], which leaves enough requests to notice that it is
+//! well again; each good step gives a tenth back, so ten steps, ten seconds, restore it. The best
+//! member always keeps its whole weight: when all are bad, spreading is all that is left.
+
+use crate::average::MovingAverage;
+use crate::routing::MemberWeight;
+use rudder_core::MemberName;
+use std::time::{Duration, Instant};
+
+/// Share of failures from which a member is bad.
+const FAILURE_SHARE_BAD: f64 = 0.2;
+
+/// Multiple of the best member's time from which a member is bad.
+const SLOW_FACTOR: f64 = 6.0;
+
+/// Weight of one more outcome: about the last ten outcomes count.
+const OUTCOME_GAIN: f64 = 0.1;
+
+/// How often weights move.
+const STEP: Duration = Duration::from_secs(1);
+
+/// The least weight, in thousandths.
+const WEIGHT_FLOOR: u16 = 50;
+
+/// What one good step gives back, in thousandths.
+const WEIGHT_RISE: u16 = 100;
+
+/// Outcomes needed in a step before it may count as bad.
+const OUTCOMES_MIN: u32 = 5;
+
+#[derive(Clone, Debug)]
+struct MemberRecord {
+    name: MemberName,
+    failure_share: f64,
+    latency: MovingAverage,
+    outcomes: u32,
+    weight: u16,
+}
+
+/// Watches the outcomes of one group's members.
+///
+/// ```
+/// use rudder_decisions::{MemberWeight, OutlierTracker};
+/// use std::time::{Duration, Instant};
+/// let now = Instant::now();
+/// let (good, bad) = ("good".parse()?, "bad".parse()?);
+/// let mut tracker = OutlierTracker::new(now);
+/// for _ in 0..20 {
+///     tracker.observe(&good, Some(Duration::from_millis(10)));
+///     tracker.observe(&bad, None);
+/// }
+/// tracker.step(now + Duration::from_secs(1));
+/// assert_eq!(tracker.weight(&good), MemberWeight::FULL);
+/// assert_eq!(tracker.weight(&bad), MemberWeight::new(500));
+/// # Ok::<(), rudder_core::ParseError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct OutlierTracker {
+    records: Vec<MemberRecord>,
+    last_step: Instant,
+}
+
+impl OutlierTracker {
+    /// A tracker that knows no members: all have their whole weight.
+    ///
+    /// ```
+    /// let _tracker = rudder_decisions::OutlierTracker::new(std::time::Instant::now());
+    /// ```
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self { records: Vec::new(), last_step: now }
+    }
+
+    /// Takes in one outcome: the time of an answer, or `None` if the member failed or was silent.
+    ///
+    /// See the example of [`OutlierTracker`].
+    pub fn observe(&mut self, name: &MemberName, answered: Option<Duration>) {
+        let record = self.record_of(name);
+        let failure = if answered.is_some() { 0.0 } else { 1.0 };
+        record.failure_share += OUTCOME_GAIN * (failure - record.failure_share);
+        record.outcomes += 1;
+        if let Some(latency) = answered {
+            record.latency.observe(latency);
+        }
+    }
+
+    /// Moves the weights, at most once a second; call it before reading weights.
+    ///
+    /// See the example of [`OutlierTracker`].
+    pub fn step(&mut self, now: Instant) {
+        if now.duration_since(self.last_step) < STEP {
+            return;
+        }
+        self.last_step = now;
+        let best = self.records.iter().filter_map(|record| record.latency.value()).min();
+        for record in &mut self.records {
+            let verdict = judge(record, best);
+            record.weight = match verdict {
+                Some(true) => (record.weight / 2).max(WEIGHT_FLOOR),
+                Some(false) => (record.weight + WEIGHT_RISE).min(MemberWeight::FULL.permille()),
+                None => record.weight,
+            };
+            record.outcomes = 0;
+        }
+        self.keep_best();
+    }
+
+    /// The weight of a member.
+    ///
+    /// ```
+    /// use rudder_decisions::{MemberWeight, OutlierTracker};
+    /// let tracker = OutlierTracker::new(std::time::Instant::now());
+    /// assert_eq!(tracker.weight(&"a".parse()?), MemberWeight::FULL);
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn weight(&self, name: &MemberName) -> MemberWeight {
+        let index = self.records.binary_search_by(|record| record.name.cmp(name));
+        index.map_or(MemberWeight::FULL, |index| MemberWeight::new(self.records[index].weight))
+    }
+
+    /// Gives the best member its whole weight. Without it a fault that hits every member, such as
+    /// a bad statement or a cut link of this instance, would turn all of them down to the floor.
+    fn keep_best(&mut self) {
+        let best = self.records.iter_mut().max_by(|left, right| {
+            let by_failures = right.failure_share.total_cmp(&left.failure_share);
+            left.weight.cmp(&right.weight).then(by_failures)
+        });
+        if let Some(record) = best {
+            record.weight = MemberWeight::FULL.permille();
+        }
+    }
+
+    fn record_of(&mut self, name: &MemberName) -> &mut MemberRecord {
+        let index = match self.records.binary_search_by(|record| record.name.cmp(name)) {
+            Ok(index) => index,
+            Err(index) => {
+                self.records.insert(index, MemberRecord::new(name));
+                index
+            }
+        };
+        &mut self.records[index]
+    }
+}
+
+impl MemberRecord {
+    fn new(name: &MemberName) -> Self {
+        Self {
+            name: name.clone(),
+            failure_share: 0.0,
+            latency: MovingAverage::new(OUTCOME_GAIN),
+            outcomes: 0,
+            weight: MemberWeight::FULL.permille(),
+        }
+    }
+}
+
+/// Whether a member is bad, or `None` if too little was seen of it since the last step.
+fn judge(record: &MemberRecord, best: Option<Duration>) -> Option<bool> {
+    if record.outcomes == 0 {
+        return None;
+    }
+    let slow = match (record.latency.value(), best) {
+        (Some(latency), Some(best)) => latency > best.mul_f64(SLOW_FACTOR),
+        _ => false,
+    };
+    let bad = slow || record.failure_share >= FAILURE_SHARE_BAD;
+    // A turned-down member gets few requests, so few outcomes may keep it down but not lower it
+    // further, and any good one lets it rise.
+    if bad && record.outcomes < OUTCOMES_MIN { None } else { Some(bad) }
+}
