Learned speeds, outliers, ramps and retry budget decide where reads go

Cause: routing used declared speeds and guesses of distance only. Change: each member's window follows its measured service time and the least round trip of its probes; members that fail get less work by degrees, members that come back get it back by degrees; retries are paid for by successes.

--- a/crates/arbutusrudder/src/admin/status.rs
+++ b/crates/arbutusrudder/src/admin/status.rs
@@ -38,7 +38,7 @@
     applied: Option<String>,
     health: String,
     in_flight: u32,
-    slots: u32,
+    window: u32,
 }
 
 impl InstanceStatus {
@@ -94,6 +94,6 @@
         applied: status.map(|status| status.applied.to_string()),
         health: member.health().to_string(),
         in_flight: member.in_flight.load(Ordering::Relaxed),
-        slots: member.slot_limit(),
+        window: member.window(),
     }
 }
--- a/crates/arbutusrudder/src/caller/attempt.rs
+++ b/crates/arbutusrudder/src/caller/attempt.rs
@@ -188,6 +188,7 @@
     pub(crate) async fn finish(self, session: &CallerSession) {
         let member = &self.group.members[self.member];
         member.observe(self.started.elapsed());
+        self.group.note_outcome(self.member, true);
         // Waits for a cancel on its way: it must not hit the connection's next caller.
         *session.cancel.slot.lock().await = None;
         member.pool.give_back(self.pooled);
@@ -198,7 +199,7 @@
     pub(crate) async fn abandon(self, session: &CallerSession, error: &ExchangeError) {
         let member = &self.group.members[self.member];
         if !matches!(error, ExchangeError::Caller(_)) {
-            member.fail();
+            self.group.note_outcome(self.member, false);
             self.group.take_report(self.member, self.asked_at, None);
         }
         *session.cancel.slot.lock().await = None;
--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -71,7 +71,7 @@
                 return refuse(session, batch, &notice).await;
             }
             Err(AttemptError::Pool(_)) => {
-                group.members[member].fail();
+                group.note_outcome(member, false);
                 avoided.push(member);
                 continue;
             }
@@ -79,7 +79,9 @@
         match run(session, batch, attempt, arrived).await? {
             ReadEnd::Served => return Ok(()),
             ReadEnd::Writes => return write::serve(session, batch, group).await,
-            ReadEnd::TooOld | ReadEnd::Failed => avoided.push(member),
+            ReadEnd::TooOld => avoided.push(member),
+            ReadEnd::Failed if group.may_retry(WorkClass::Read) => avoided.push(member),
+            ReadEnd::Failed => break,
         }
     }
     let notice = match group.primary() {
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -62,7 +62,7 @@
                 return refuse(session, batch, &notice).await;
             }
             Err(AttemptError::Pool(_)) => {
-                group.members[member].fail();
+                group.note_outcome(member, false);
                 tokio::time::sleep(REROUTE_PAUSE).await;
                 continue;
             }
--- a/crates/arbutusrudder/src/duty/roster.rs
+++ b/crates/arbutusrudder/src/duty/roster.rs
@@ -66,8 +66,7 @@
                 break;
             }
             for duty in &duties {
-                duty.group.refresh_lanes();
-                duty.group.share_connections(parts.context.instances());
+                duty.group.follow(parts.context.instances());
             }
         }
     }
--- a/crates/arbutusrudder/src/group/member.rs
+++ b/crates/arbutusrudder/src/group/member.rs
@@ -2,7 +2,7 @@
 
 use super::pool::ConnectionPool;
 use rudder_core::{ConnectionCount, MemberName, MemberStatus};
-use rudder_decisions::{MemberHealth, MemberMeter, MemberView, MemberWeight};
+use rudder_decisions::{MemberHealth, MemberMeter, MemberView, MemberWeight, RampSchedule};
 use rudder_endpoint::{ControlChannel, MemberAddress};
 use rudder_peers::ConnectionShare;
 use rudder_settings::MemberSettings;
@@ -14,6 +14,9 @@
 /// Service time assumed of a member of the reference speed before any was measured.
 const SERVICE_GUESS: Duration = Duration::from_millis(5);
 
+/// A longer round trip moves the known one by this part of the difference.
+const LINK_RISE: u32 = 64;
+
 /// How long a larger share of connections must have been due before it is used.
 const SHARE_SETTLE: Duration = Duration::from_secs(10);
 
@@ -34,11 +37,27 @@
     meter: Mutex<MemberMeter>,
     health: Mutex<MemberHealth>,
     share: Mutex<ConnectionShare>,
+    link: Mutex<Duration>,
+    ramp: Mutex<Option<RampSchedule>>,
+}
+
+/// How fresh a member is.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MemberFreshness {
+    /// The greatest age that its answer can have, if that is known.
+    pub(crate) age: Option<Duration>,
+    /// How far it trailed the primary when it last reported.
+    pub(crate) lag: Duration,
 }
 
 impl GroupMember {
     /// A member at `address`, with `connections` connections for callers.
-    pub(crate) fn new(settings: MemberSettings, address: MemberAddress, connections: u32) -> Self {
+    pub(crate) fn new(
+        settings: MemberSettings,
+        address: MemberAddress,
+        connections: u32,
+        link: Duration,
+    ) -> Self {
         let speed = settings.speed.0.max(1);
         let guess = SERVICE_GUESS * 100 / speed;
         Self {
@@ -50,6 +69,8 @@
             meter: Mutex::new(MemberMeter::new(settings.slots.0, guess)),
             health: Mutex::new(MemberHealth::Ready),
             share: Mutex::new(ConnectionShare::new(ConnectionCount(connections), SHARE_SETTLE)),
+            link: Mutex::new(link),
+            ramp: Mutex::default(),
             settings,
         }
     }
@@ -67,20 +88,31 @@
         share.update(ConnectionCount(wanted), now).0
     }
 
-    /// Takes the time of an answered statement.
+    /// Takes the time of an answered statement, link included.
     pub(crate) fn observe(&self, latency: Duration) {
-        let in_flight = self.in_flight.load(Ordering::Relaxed);
-        self.lock_meter().observe(latency, in_flight, Instant::now());
+        let inside = latency.saturating_sub(self.link());
+        self.lock_meter().observe(inside, Instant::now());
+    }
+
+    /// Takes the round trip of a probe, which no statement slows. The least one lately counts:
+    /// everything above it is waiting, not distance.
+    pub(crate) fn observe_link(&self, round_trip: Duration) {
+        let mut link = self.link.lock().expect("no holder of this lock panics");
+        let rise = round_trip.saturating_sub(*link) / LINK_RISE;
+        *link = round_trip.min(*link + rise);
     }
 
-    /// Takes a statement that failed for the connection's sake.
-    pub(crate) fn fail(&self) {
-        self.lock_meter().fail(Instant::now());
+    /// The link's round trip.
+    pub(crate) fn link(&self) -> Duration {
+        *self.link.lock().expect("no holder of this lock panics")
     }
 
-    /// Statements that this instance may keep in flight here.
-    pub(crate) fn slot_limit(&self) -> u32 {
-        self.lock_meter().limit()
+    /// Statements that this instance may keep in flight here: enough to keep the slots busy over
+    /// the link, as far as its share of the connections allows.
+    pub(crate) fn window(&self) -> u32 {
+        let window = self.lock_meter().window(self.link(), Instant::now());
+        let share = self.share.lock().expect("no holder of this lock panics").current();
+        window.min(share.0).max(1)
     }
 
     /// Whether the member may get work.
@@ -94,31 +126,45 @@
     /// Changes the health; answers whether it was another before.
     pub(crate) fn set_health(&self, health: MemberHealth) -> bool {
         let mut known = self.health.lock().expect("no holder of this lock panics");
-        std::mem::replace(&mut *known, health) != health
+        let before = std::mem::replace(&mut *known, health);
+        if before == MemberHealth::Down && health == MemberHealth::Ready {
+            // Guards against a burst onto a member that just came back with cold caches.
+            let ramp = RampSchedule::new(Instant::now());
+            *self.ramp.lock().expect("no holder of this lock panics") = Some(ramp);
+        }
+        before != health
     }
 
-    /// What the read router is told of this member.
+    /// The share of its usual work that the member gets while it warms up.
+    fn ramp_weight(&self, now: Instant) -> MemberWeight {
+        let ramp = self.ramp.lock().expect("no holder of this lock panics");
+        ramp.map_or(MemberWeight::FULL, |ramp| ramp.weight(now))
+    }
+
+    /// What the read router is told of this member. `weight` is what the outlier tracker leaves it.
     pub(crate) fn view(
         &self,
         status: MemberStatus,
-        age: Option<Duration>,
-        lag: Duration,
-        link: Duration,
+        freshness: MemberFreshness,
+        weight: MemberWeight,
+        sharers: u32,
     ) -> MemberView {
-        let meter = self.lock_meter();
+        let now = Instant::now();
+        let service = self.lock_meter().service(now);
         MemberView {
             name: self.settings.name.clone(),
             role: status.role,
             domain: self.settings.domain.clone(),
             applied: status.applied,
-            age,
-            lag,
+            age: freshness.age,
+            lag: freshness.lag,
             in_flight: self.in_flight.load(Ordering::Relaxed),
-            slots: meter.limit(),
-            service: meter.service(Instant::now()),
-            link,
+            slots: self.settings.slots.0,
+            sharers,
+            service,
+            link: self.link(),
             health: self.health(),
-            weight: MemberWeight::FULL,
+            weight: weight.and(self.ramp_weight(now)),
         }
     }
 
--- a/crates/arbutusrudder/src/group/state.rs
+++ b/crates/arbutusrudder/src/group/state.rs
@@ -1,14 +1,16 @@
 //! A group's state: the declared service, its members, and what is believed of its primary.
 
 use super::admission::AdmissionDesk;
-use super::member::GroupMember;
+use super::member::{GroupMember, MemberFreshness};
 use super::reports::ReportBoard;
 use crate::keeper::{KeeperHandle, TrafficNote};
-use rudder_core::{DomainName, LogTerm, MemberName, MemberStatus};
-use rudder_decisions::{LaneKey, LaneLimits, MemberView};
+use rudder_core::{DomainName, LogTerm, MemberName, MemberStatus, OutcomeClass};
+use rudder_decisions::{
+    LaneKey, LaneLimits, MemberView, MemberWeight, OutlierTracker, RetryBudget, WorkClass,
+};
 use rudder_endpoint::{LoginSettings, MemberAddress};
 use rudder_settings::{DomainSettings, MemberSettings, ServiceSettings, TimingSettings};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
@@ -63,9 +65,11 @@
     pub(crate) board: ReportBoard,
     /// The admission gate.
     pub(crate) desk: Arc<AdmissionDesk>,
-    links: Vec<Duration>,
     usage: GroupUsage,
     keeper: Mutex<Option<KeeperHandle>>,
+    outliers: Mutex<OutlierTracker>,
+    retries: Mutex<RetryBudget>,
+    sharers: AtomicU32,
 }
 
 /// Whether anybody at this instance needs the group.
@@ -88,15 +92,25 @@
         let make = |settings: &MemberSettings| {
             let address = MemberAddress { address: settings.address, login: login.clone() };
             let connections = connection_share(settings, tuning.instances);
-            GroupMember::new(settings.clone(), address, connections)
+            GroupMember::new(settings.clone(), address, connections, link_guess(settings, tuning))
         };
         let members: Vec<GroupMember> = service.members.iter().map(make).collect();
-        let links = members.iter().map(|member| link_guess(&member.settings, tuning)).collect();
         let board = ReportBoard::new(tuning.origin, members.len());
         let desk = Arc::new(AdmissionDesk::new(rand::random()));
         let usage = GroupUsage::default();
         let keeper = Mutex::default();
-        let group = Self { service, timing, members, board, desk, links, usage, keeper };
+        let group = Self {
+            service,
+            timing,
+            members,
+            board,
+            desk,
+            usage,
+            keeper,
+            outliers: Mutex::new(OutlierTracker::new(Instant::now())),
+            retries: Mutex::new(RetryBudget::new()),
+            sharers: AtomicU32::new(tuning.instances),
+        };
         group.refresh_lanes();
         group
     }
@@ -177,16 +191,39 @@
     }
 
     /// Sets the lanes' slots to what the members' meters allow.
-    pub(crate) fn refresh_lanes(&self) {
+    fn refresh_lanes(&self) {
         for (index, member) in self.members.iter().enumerate() {
-            let slots = member.slot_limit();
+            let slots = member.window();
             let limits = LaneLimits { slots, queue_max: slots * QUEUE_PER_SLOT, mixed: true };
             self.desk.set_lane(&self.lane(index), limits);
         }
     }
 
-    /// Shares the members' connections anew among `instances` instances.
-    pub(crate) fn share_connections(&self, instances: u32) {
+    /// Takes the outcome of a statement at a member: whether its connection held.
+    pub(crate) fn note_outcome(&self, index: usize, answered: bool) {
+        let mut outliers = self.outliers.lock().expect("no holder of this lock panics");
+        outliers.observe(self.members[index].name(), answered);
+        if answered {
+            self.retries.lock().expect("no holder of this lock panics").succeed();
+        }
+    }
+
+    /// Whether a request that provably did not run may be tried again. Guards against a storm of
+    /// retries after a failover: they are paid for by successes.
+    pub(crate) fn may_retry(&self, class: WorkClass) -> bool {
+        let mut retries = self.retries.lock().expect("no holder of this lock panics");
+        retries.try_spend(class, OutcomeClass::NotRun)
+    }
+
+    /// Follows what was learned since the last call: outliers, lanes, connection shares.
+    pub(crate) fn follow(&self, instances: u32) {
+        self.outliers.lock().expect("no holder of this lock panics").step(Instant::now());
+        self.sharers.store(instances, Ordering::Relaxed);
+        self.share_connections(instances);
+        self.refresh_lanes();
+    }
+
+    fn share_connections(&self, instances: u32) {
         let now = self.board.now();
         for member in &self.members {
             let wanted = connection_share(&member.settings, instances);
@@ -194,20 +231,27 @@
         }
     }
 
+    fn weight_of(&self, index: usize) -> MemberWeight {
+        let outliers = self.outliers.lock().expect("no holder of this lock panics");
+        outliers.weight(self.members[index].name())
+    }
+
     /// What the read router is told, in the order of the members. Members that have not reported
     /// are left out by the second list, which gives each view's member index.
     pub(crate) fn views(&self) -> (Vec<MemberView>, Vec<usize>) {
         let now = self.board.now();
+        let sharers = self.sharers.load(Ordering::Relaxed);
         let mut views = Vec::with_capacity(self.members.len());
         let mut indexes = Vec::with_capacity(self.members.len());
         for report in self.board.reports() {
             let Some(index) = self.index_of(&report.member) else { continue };
             let applied = report.status.applied;
-            let (age, lag) = self.board.with_ledger(|ledger| {
-                let lag = ledger.age_of(applied, report.asked_at).unwrap_or(LAG_GUESS);
-                (ledger.age_of(applied, now), lag)
+            let freshness = self.board.with_ledger(|ledger| MemberFreshness {
+                age: ledger.age_of(applied, now),
+                lag: ledger.age_of(applied, report.asked_at).unwrap_or(LAG_GUESS),
             });
-            views.push(self.members[index].view(report.status, age, lag, self.links[index]));
+            let weight = self.weight_of(index);
+            views.push(self.members[index].view(report.status, freshness, weight, sharers));
             indexes.push(index);
         }
         (views, indexes)
--- a/crates/arbutusrudder/src/group/watch.rs
+++ b/crates/arbutusrudder/src/group/watch.rs
@@ -44,6 +44,7 @@
     let bound = group.timing.suspect_after;
     match member.channel.run(&ControlStatement::Status, bound).await {
         Ok(status) => {
+            member.observe_link(group.board.now().saturating_sub(asked_at));
             group.take_report(index, asked_at, Some(status));
             set_health(group, member, MemberHealth::Ready, "answered");
         }
