Deployments on loopback run over links that can be slowed and cut

Cause: failures of single links and the users' latencies must be brought about. Change: a process setting names members that are reached at another address, as behind address translation; the deployment stand-in sends each proxy over links of its own, to the platform too.

--- a/crates/arbutusrudder/src/fleet/apply.rs
+++ b/crates/arbutusrudder/src/fleet/apply.rs
@@ -17,6 +17,7 @@
         domains: settings.domains.clone(),
         instances: context.instances(),
         origin: context.origin,
+        routes: context.process.routes.clone(),
     };
     let same_frame =
         before.settings.timing == settings.timing && before.settings.domains == settings.domains;
--- a/crates/arbutusrudder/src/group/state.rs
+++ b/crates/arbutusrudder/src/group/state.rs
@@ -4,12 +4,14 @@
 use super::member::{GroupMember, MemberFreshness};
 use super::reports::ReportBoard;
 use crate::keeper::{KeeperHandle, TrafficNote};
+use crate::process::AddressRoute;
 use rudder_core::{DomainName, LogTerm, MemberName, MemberStatus, OutcomeClass};
 use rudder_decisions::{
     LaneKey, LaneLimits, MemberView, MemberWeight, OutlierTracker, RetryBudget, WorkClass,
 };
 use rudder_endpoint::{LoginSettings, MemberAddress};
 use rudder_settings::{DomainSettings, MemberSettings, ServiceSettings, TimingSettings};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -42,6 +44,15 @@
     pub(crate) instances: u32,
     /// The origin of this instance's time line.
     pub(crate) origin: Instant,
+    /// Members reached at another address than the declared one.
+    pub(crate) routes: Vec<AddressRoute>,
+}
+
+impl GroupTuning {
+    fn reached(&self, address: SocketAddr) -> SocketAddr {
+        let route = self.routes.iter().find(|route| route.declared == address);
+        route.map_or(address, |route| route.reached)
+    }
 }
 
 /// Which member is believed to lead.
@@ -90,7 +101,8 @@
     ) -> Self {
         let login = login_of(&service);
         let make = |settings: &MemberSettings| {
-            let address = MemberAddress { address: settings.address, login: login.clone() };
+            let reached = tuning.reached(settings.address);
+            let address = MemberAddress { address: reached, login: login.clone() };
             let connections = connection_share(settings, tuning.instances);
             GroupMember::new(settings.clone(), address, connections, link_guess(settings, tuning))
         };
--- a/crates/arbutusrudder/src/lib.rs
+++ b/crates/arbutusrudder/src/lib.rs
@@ -24,5 +24,5 @@
 pub use error::ProxyError;
 pub use logs::{LogError, LogLevel};
 pub use options::ProxyOptions;
-pub use process::{ProcessError, ProcessSettings, UserPassword};
+pub use process::{AddressRoute, ProcessError, ProcessSettings, UserPassword};
 pub use proxy::{ProxyInstance, run};
--- a/crates/arbutusrudder/src/process.rs
+++ b/crates/arbutusrudder/src/process.rs
@@ -70,6 +70,10 @@
         /// Its private key, as PEM.
         #[serde(default)]
         pub tls_key: Option<PathBuf>,
+        /// Members that this instance reaches at another address than the declared one, where
+        /// addresses are translated on the way.
+        #[serde(default)]
+        pub routes: Vec<AddressRoute>,
         /// Names of the environment variables that hold callers' passwords, by user. A user that
         /// is not listed is trusted, unless `require_password` is set.
         #[serde(default)]
@@ -80,6 +84,18 @@
     }
 }
 
+plain_data! {
+    /// Where this instance reaches a member.
+    #[derive(Copy, Deserialize)]
+    #[serde(deny_unknown_fields)]
+    pub struct AddressRoute {
+        /// The address that the settings declare.
+        pub declared: SocketAddr,
+        /// The address at which this instance reaches it.
+        pub reached: SocketAddr,
+    }
+}
+
 plain_data! {
     /// Where one user's password is.
     #[derive(Deserialize)]
--- /dev/null
+++ b/crates/rudder-standins/src/deployment/links.rs
@@ -0,0 +1,65 @@
+//! The links between a proxy and what it talks to.
+
+use super::{Deployment, DeploymentError};
+use crate::link::{LinkSettings, LinkStandin};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a message travels one way.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LinkDelays {
+    /// To a member in the same failure domain.
+    pub near: Duration,
+    /// To a member in another one.
+    pub far: Duration,
+    /// To the platform.
+    pub platform: Duration,
+}
+
+/// One proxy's links. Each can be slowed, cut and healed on its own.
+pub struct ProxyLinks {
+    /// To the platform.
+    pub platform: LinkStandin,
+    /// To the members, by group and member in the order of the plan.
+    pub members: Vec<Vec<LinkStandin>>,
+}
+
+impl ProxyLinks {
+    /// Opens the links of a proxy that stands in the failure domain of index `domain`.
+    pub(super) async fn start(
+        deployment: &Deployment,
+        domain: usize,
+        delays: &LinkDelays,
+    ) -> Result<Self, DeploymentError> {
+        let platform = open(deployment.platform.address(), delays.platform).await?;
+        let mut members = Vec::new();
+        for group in &deployment.groups {
+            let mut links = Vec::new();
+            for (index, (_, address)) in group.members().enumerate() {
+                let near = index % deployment.domains.len() == domain;
+                links.push(open(address, if near { delays.near } else { delays.far }).await?);
+            }
+            members.push(links);
+        }
+        Ok(Self { platform, members })
+    }
+
+    /// The process settings that send the proxy over these links.
+    pub(super) fn routes_text(&self, deployment: &Deployment) -> String {
+        let mut text = String::new();
+        for (group, links) in deployment.groups.iter().zip(&self.members) {
+            for ((_, declared), link) in group.members().zip(links) {
+                let reached = link.address();
+                writeln!(text, "[[routes]]\ndeclared = \"{declared}\"\nreached = \"{reached}\"")
+                    .expect("a string takes everything");
+            }
+        }
+        text
+    }
+}
+
+async fn open(target: SocketAddr, delay: Duration) -> Result<LinkStandin, DeploymentError> {
+    let settings = LinkSettings { delay, ..LinkSettings::loopback(target) };
+    Ok(LinkStandin::start(&settings).await?)
+}
--- a/crates/rudder-standins/src/deployment/mod.rs
+++ b/crates/rudder-standins/src/deployment/mod.rs
@@ -1,12 +1,14 @@
 //! A whole deployment on loopback: groups, platform, and proxies inside one process.
 
 mod folder;
+mod links;
 
 use crate::group::{GroupSettings, GroupStandin};
 use crate::platform::PlatformStandin;
 use arbutusrudder::{ProcessSettings, ProxyError, ProxyInstance};
 use displaydoc::Display;
 use folder::settings_text;
+pub use links::{LinkDelays, ProxyLinks};
 use rudder_core::DomainName;
 use rudder_platform::{
     FolderChange, KubeStore, PlatformOptions, StoreError, SubmitError, submit_change,
@@ -75,6 +77,8 @@
     pub proxies: usize,
     /// Further settings in TOML: kinds of caller, timing.
     pub extra: String,
+    /// How long messages travel.
+    pub delays: LinkDelays,
 }
 
 impl DeploymentPlan {
@@ -93,6 +97,7 @@
             groups: vec![GroupSettings::loopback("scores-orders".parse().expect(name))],
             proxies,
             extra: String::new(),
+            delays: LinkDelays::default(),
         }
     }
 }
@@ -105,7 +110,10 @@
     pub platform: PlatformStandin,
     /// The proxies; one that was taken out to leave or to be killed leaves none behind.
     pub proxies: Vec<Option<ProxyInstance>>,
+    /// The links of each proxy to the platform and the members.
+    pub links: Vec<ProxyLinks>,
     domains: Vec<DomainName>,
+    delays: LinkDelays,
 }
 
 impl Deployment {
@@ -130,8 +138,14 @@
         }
         let platform = PlatformStandin::start(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let text = settings_text(&plan, &groups);
-        let mut deployment =
-            Self { groups, platform, proxies: Vec::new(), domains: plan.domains.clone() };
+        let mut deployment = Self {
+            groups,
+            platform,
+            proxies: Vec::new(),
+            links: Vec::new(),
+            domains: plan.domains.clone(),
+            delays: plan.delays,
+        };
         deployment.submit("10-deployment.toml", &text).await?;
         for _ in 0..plan.proxies {
             deployment.add_proxy().await?;
@@ -166,14 +180,19 @@
             .flatten()
             .map(|proxy| format!("\"{}\"", proxy.peer_address()))
             .collect();
+        let domain = index % self.domains.len();
+        let links = ProxyLinks::start(self, domain, &self.delays).await?;
         let text = format!(
             "instance = \"entry-{}\"\ndomain = \"{}\"\nlisten = \"127.0.0.1:0\"\n\
-             admin = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nseeds = [{}]\nplatform = \"{}\"\n",
+             admin = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nseeds = [{}]\n\
+             platform = \"http://{}\"\n{}",
             index + 1,
-            self.domains[index % self.domains.len()],
+            self.domains[domain],
             seeds.join(", "),
-            self.platform.url(),
+            links.platform.address(),
+            links.routes_text(self),
         );
+        self.links.push(links);
         let process = ProcessSettings::parse(&text).map_err(ProxyError::from)?;
         self.proxies.push(Some(ProxyInstance::start(process).await?));
         Ok(index)
--- a/crates/rudder-standins/src/lib.rs
+++ b/crates/rudder-standins/src/lib.rs
@@ -5,7 +5,7 @@
 mod link;
 mod platform;
 
-pub use deployment::{Deployment, DeploymentError, DeploymentPlan};
+pub use deployment::{Deployment, DeploymentError, DeploymentPlan, LinkDelays, ProxyLinks};
 pub use group::{
     GroupError, GroupSettings, GroupStandin, MemberKnob, MemberSettings, ServiceSpread,
 };
