--- a/crates/rudder-standins/src/group/replication/tests.rs
+++ b/crates/rudder-standins/src/group/replication/tests.rs
@@ -121,6 +121,7 @@
     for _ in 0..entries {
         append(&members[0]);
     }
+    lock(&members[1].replication).apply_lag = Duration::ZERO;
     let mut flight = EntryFlight::default();
 
     let mut wake = step(&members, 1, &mut flight, Instant::now());
--- a/crates/rudder-standins/tests/group/replication.rs
+++ b/crates/rudder-standins/tests/group/replication.rs
@@ -55,9 +55,11 @@
     fence(&group, 0, 7);
     let commit = client.batch_execute("COMMIT").await;
     let write = client.batch_execute("INSERT INTO t VALUES (2)").await;
+    let begun = client.batch_execute("BEGIN; INSERT INTO t VALUES (3)").await;
+    client.batch_execute("ROLLBACK").await.unwrap();
     let lower = client.batch_execute("SELECT rudder.fence(6)").await.unwrap_err();
 
-    assert_eq!((sqlstate(commit).as_str(), sqlstate(write).as_str()), ("RU001", "RU001"));
+    assert_eq!([commit, write, begun].map(sqlstate), ["RU001", "RU001", "RU001"]);
     assert_eq!(lower.as_db_error().unwrap().message(), "term 7 has been accepted");
     assert_eq!(status(&group, 0).received, LogStamp::new(1, 1));
     assert_eq!(status(&group, 0).role, MemberRole::Primary);
@@ -74,7 +76,7 @@
     old.batch_execute("INSERT INTO t VALUES (1, 'kept')").await.unwrap();
     wait_applied(&group, 1, LogStamp::new(1, 2)).await;
     group.turn(&name(0), MemberKnob::Cut(true)).unwrap();
-    old.batch_execute("INSERT INTO t VALUES (2, 'lost')").await.unwrap();
+    old.batch_execute("INSERT INTO t VALUES (3, 'lost')").await.unwrap();
     old.batch_execute("UPDATE t SET note = 'changed' WHERE id = 1").await.unwrap();
 
     fence(&group, 1, 2);
