--- a/crates/rudder-standins/src/group/member.rs
+++ b/crates/rudder-standins/src/group/member.rs
@@ -3,7 +3,7 @@
 use super::knob::MemberKnob;
 use super::settings::{GroupSettings, MemberSettings};
 use super::slots::{ServiceTimes, SlotGate, lock};
-use super::state::MemberState;
+use super::state::{GroupRole, MemberState};
 use crate::group::sql::cache::PlanCache;
 use crate::group::sql::error::SqlError;
 use crate::group::wire::cancel::CancelRegistry;
@@ -114,6 +114,11 @@
         lock(&self.state).status()
     }
 
+    /// Whether the member is a replica.
+    pub(crate) fn is_replica(&self) -> bool {
+        matches!(lock(&self.state).role, GroupRole::Replica(_))
+    }
+
     /// Runs a control statement and answers the status after its effect.
     pub(crate) fn control(&self, statement: &ControlStatement) -> Result<MemberStatus, SqlError> {
         let status = {
@@ -129,6 +134,12 @@
             }
             state.status()
         };
+        log::info!(
+            target: "rudder::standins",
+            member:% = self.name, statement:% = statement, term:% = status.accepted,
+            role:% = status.role, received:% = status.received;
+            "control statement"
+        );
         self.shared.touch();
         Ok(status)
     }
@@ -192,6 +203,7 @@
 
     /// Turns a knob that needs no task to be started or ended.
     pub(crate) fn turn(&self, knob: &MemberKnob) {
+        log::info!(target: "rudder::standins", member:% = self.name, knob:? = knob; "knob turned");
         match knob {
             MemberKnob::ApplyLag(lag) => lock(&self.replication).apply_lag = *lag,
             MemberKnob::LinkDelay(delay) => lock(&self.replication).link_delay = *delay,
--- a/crates/rudder-standins/src/group/sql/error.rs
+++ b/crates/rudder-standins/src/group/sql/error.rs
@@ -32,6 +32,8 @@
     Aborted,
     /// canceling statement due to user request
     Cancelled,
+    /// canceling statement due to statement timeout
+    TimedOut,
     /// invalid input for type {0}: "{1}"
     InvalidText(&'static str, String),
     /// integer out of range
@@ -82,7 +84,7 @@
             Self::ReadOnly(_) => "25006",
             Self::TermRefused(_) => TERM_REFUSED_SQLSTATE,
             Self::Aborted => "25P02",
-            Self::Cancelled => "57014",
+            Self::Cancelled | Self::TimedOut => "57014",
             Self::InvalidText(..) => "22P02",
             Self::OutOfRange => "22003",
             Self::DivisionByZero => "22012",
--- a/crates/rudder-standins/src/group/wire/session.rs
+++ b/crates/rudder-standins/src/group/wire/session.rs
@@ -12,7 +12,6 @@
 use crate::group::sql::plan::Plan;
 use crate::group::sql::scalar::SessionFacts;
 use crate::group::sql::value::{SqlType, SqlValue};
-use crate::group::state::GroupRole;
 use crate::group::tables::answer::{Answer, CommandTag};
 use crate::group::tables::describe::{status_columns, text_column};
 use crate::group::tables::run::{RunScope, run_plan};
@@ -152,6 +151,7 @@
         parameters: &BoundParameters,
         alone: bool,
     ) -> Result<Answer, StatementError> {
+        self.note_role();
         let scope = self.scope(parameters);
         let sleep = sleep_time(plan, &scope)?;
         let permit = match self.member.slots.try_enter() {
@@ -168,8 +168,12 @@
             self.client.flush().await?;
             let member = Arc::clone(&self.member);
             self.cancellable(async {
-                member.slots.serve(service).await;
-                tokio::time::sleep(sleep).await;
+                if !service.is_zero() {
+                    member.slots.serve(service).await;
+                }
+                if !sleep.is_zero() {
+                    tokio::time::sleep(sleep).await;
+                }
             })
             .await?;
         }
@@ -179,11 +183,19 @@
         Ok(answer)
     }
 
-    /// Waits for `work` unless the client cancels the statement.
+    /// Waits for `work` unless the client cancels the statement or its timeout passes.
     async fn cancellable<T>(&self, work: impl Future<Output = T>) -> Result<T, SqlError> {
+        let timeout = self.settings.statement_timeout();
+        let timer = async {
+            match timeout {
+                Some(timeout) => tokio::time::sleep(timeout).await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
             result = work => Ok(result),
             () = self.cancel.notified() => Err(SqlError::Cancelled),
+            () = timer => Err(SqlError::TimedOut),
         }
     }
 
@@ -241,13 +253,16 @@
     }
 
     /// A transaction over the newest rows, apart from the session's own.
-    pub(crate) fn snapshot(&mut self) -> Transaction {
-        let state = lock(&self.member.state);
-        let replica = matches!(state.role, GroupRole::Replica(_));
+    fn snapshot(&self) -> Transaction {
+        lock(&self.member.state).begin()
+    }
+
+    /// Notes whether the member is a replica, for the functions that tell it.
+    fn note_role(&mut self) {
+        let replica = self.member.is_replica();
         if replica != self.facts.replica {
             Arc::make_mut(&mut self.facts).replica = replica;
         }
-        state.begin()
     }
 
     fn run_control(&mut self, plan: &Plan) -> Result<Answer, SqlError> {
@@ -292,7 +307,7 @@
                 Ok(Answer::done(CommandTag::Plain("DEALLOCATE")))
             }
             Plan::Show(name) => {
-                let value = SqlValue::text(self.settings.get(name)?);
+                let value = SqlValue::text(self.shown(name)?);
                 let mut answer = Answer::rows(vec![text_column(name)], vec![vec![value]]);
                 answer.tag = CommandTag::Plain("SHOW");
                 Ok(answer)
@@ -302,6 +317,16 @@
         }
     }
 
+    /// The value of a setting, or of what `SHOW` tells besides settings.
+    fn shown(&self, name: &str) -> Result<&str, SqlError> {
+        let flag = match name {
+            "transaction_read_only" => self.read_only || self.member.is_replica(),
+            "in_hot_standby" => self.member.is_replica(),
+            _ => return self.settings.get(name),
+        };
+        Ok(if flag { "on" } else { "off" })
+    }
+
     /// Tells the client of changed settings.
     pub(crate) fn report(&mut self, reports: impl IntoIterator<Item = (String, String)>) {
         for (name, value) in reports {
--- a/crates/rudder-standins/src/group/wire/session_settings.rs
+++ b/crates/rudder-standins/src/group/wire/session_settings.rs
@@ -3,6 +3,7 @@
 use crate::group::sql::error::SqlError;
 use crate::group::sql::scalar::SERVER_VERSION;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Settings with their defaults and whether changes are reported to the client, by name.
 const KNOWN_SETTINGS: [(&str, &str, bool); 18] = [
@@ -55,6 +56,19 @@
             .ok_or_else(|| SqlError::UnknownParameter(name.to_owned()))
     }
 
+    /// How long a statement may wait and run; none if it may take any time.
+    pub(crate) fn statement_timeout(&self) -> Option<Duration> {
+        let text = self.get("statement_timeout").ok()?;
+        let digits = text.trim_end_matches(|character: char| !character.is_ascii_digit());
+        let number: u64 = digits.parse().ok()?;
+        let timeout = match text[digits.len()..].trim() {
+            "s" => Duration::from_secs(number),
+            "min" => Duration::from_secs(number * 60),
+            _ => Duration::from_millis(number),
+        };
+        if timeout.is_zero() { None } else { Some(timeout) }
+    }
+
     /// Changes a setting, or resets it; answers the report that the client must get, if any.
     ///
     /// Names with a dot belong to extensions and are accepted as they come.
--- a/crates/rudder-standins/tests/group/replication.rs
+++ b/crates/rudder-standins/tests/group/replication.rs
@@ -16,8 +16,9 @@
     primary.batch_execute("CREATE TABLE t (id int); INSERT INTO t VALUES (1)").await.unwrap();
     wait_applied(&group, 1, LogStamp::new(1, 1)).await;
     let count = replica.query_one("SELECT count(*) FROM t", &[]).await.unwrap();
+    let recovering = replica.query_one("SELECT pg_is_in_recovery()", &[]).await.unwrap();
 
-    assert_eq!(count.get::<_, i64>(0), 1);
+    assert_eq!((count.get::<_, i64>(0), recovering.get::<_, bool>(0)), (1, true));
     assert_eq!(status(&group, 1).role, MemberRole::Replica);
 }
 
--- a/crates/rudder-standins/tests/group/resources.rs
+++ b/crates/rudder-standins/tests/group/resources.rs
@@ -50,6 +50,17 @@
     assert!(start.elapsed() >= Duration::from_millis(40), "{:?}", start.elapsed());
 }
 
+#[tokio::test]
+async fn a_statement_ends_at_its_timeout() {
+    let group = group().await;
+    let client = connect(&group, 0).await;
+
+    client.batch_execute("SET statement_timeout = '5ms'").await.unwrap();
+    let ended = client.batch_execute("SELECT pg_sleep(600)").await;
+
+    assert_eq!(sqlstate(ended), "57014");
+}
+
 #[tokio::test]
 async fn one_connection_too_many_is_refused() {
     let settings = GroupSettings { connections: ConnectionCount(1), ..settings() };
