Peers: told hints leave heartbeats their budget; a test for unsent probes

Cause: the guard against judging unsent probes had no test that goes red without it, and hints told to chosen instances could use up the share of heartbeats.

Result: red with the guard taken out, 42 unit tests green with it.

--- a/crates/rudder-peers/src/node/state.rs
+++ b/crates/rudder-peers/src/node/state.rs
@@ -159,7 +159,7 @@
             };
             let Ok(bytes) = encode_datagram(&datagram) else { continue };
             let charged = u64::try_from(bytes.len()).unwrap_or(u64::MAX) + DATAGRAM_OVERHEAD_BYTES;
-            if self.datagram_bucket.allows(charged, SendClass::Liveness, now) {
+            if self.datagram_bucket.allows(charged, SendClass::News, now) {
                 self.datagram_bucket.take(charged);
                 self.traffic.datagrams += 1;
                 self.traffic.datagram_bytes += charged;
--- a/crates/rudder-peers/src/node/tests.rs
+++ b/crates/rudder-peers/src/node/tests.rs
@@ -241,6 +241,20 @@
     }
 }
 
+#[test]
+fn an_instance_without_budget_suspects_nobody() {
+    // An instance has used its budget up and cannot send its probes. If it judged them all the
+    // same, it would find everybody gone and say so as soon as it may send again.
+    let mut fleet = Fleet::joined(8, 12);
+    fleet.starve(3);
+
+    fleet.run(seconds(60));
+
+    let snapshot = fleet.node(3).snapshot();
+    assert_eq!(snapshot.len(), 8);
+    assert!(snapshot.iter().all(|entry| entry.state == PeerState::Live));
+}
+
 #[test]
 fn a_new_term_reaches_all_in_spite_of_loss() {
     let mut fleet = Fleet::joined(30, 10);
--- a/crates/rudder-peers/src/node/tests/fleet.rs
+++ b/crates/rudder-peers/src/node/tests/fleet.rs
@@ -1,5 +1,6 @@
 //! A fleet of nodes with a deterministic network between them.
 
+use crate::budget::TokenBucket;
 use crate::hints::PeerHint;
 use crate::member::{Incarnation, PeerEntry, PeerState};
 use crate::membership::{Membership, MembershipSettings};
@@ -99,6 +100,11 @@
         self.sites[site].running = false;
     }
 
+    /// Takes an instance's budget away.
+    pub(super) fn starve(&mut self, site: usize) {
+        self.sites[site].node.datagram_bucket = TokenBucket::new(0, 0, self.now);
+    }
+
     pub(super) fn freeze(&mut self, site: usize, time: Duration) {
         self.sites[site].frozen_until = self.now + time;
     }
