Peers: leave returns once it is sent; garbage and foreign answers in tests

Cause: leaving and stopping right after could end the driver before the news was sent; a told notice about an instance did not reach the membership.

--- a/crates/rudder-peers/src/mesh/command.rs
+++ b/crates/rudder-peers/src/mesh/command.rs
@@ -15,6 +15,8 @@
     Tell(Vec<InstanceName>, PeerHint),
     /// Say that this instance is leaving.
     Leave,
+    /// Answer once everything commanded before has been sent.
+    Flush { reply: oneshot::Sender<()> },
     /// Encode the answer to a request for the table, or a refusal.
     EncodeTable { number: u64, reply: oneshot::Sender<Vec<u8>> },
     /// Encode the answer to a request for the primaries of groups, or a refusal.
--- a/crates/rudder-peers/src/mesh/driver.rs
+++ b/crates/rudder-peers/src/mesh/driver.rs
@@ -88,6 +88,9 @@
             MeshCommand::Publish(hint) => return self.node.publish(hint, now),
             MeshCommand::Tell(names, hint) => return self.node.tell(&names, &hint, now),
             MeshCommand::Leave => return self.node.leave(now),
+            MeshCommand::Flush { reply } => {
+                let _ = reply.send(());
+            }
             MeshCommand::EncodeTable { number, reply } => {
                 let answer = AnswerFrame::Table { number, table: self.node.table() };
                 let _ = reply.send(self.encode(&answer, now));
--- a/crates/rudder-peers/src/mesh/handle.rs
+++ b/crates/rudder-peers/src/mesh/handle.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -140,9 +140,13 @@
         let _ = self.commands.send(MeshCommand::Tell(instances.to_vec(), hint)).await;
     }
 
-    /// Says that this instance is leaving. It still answers, until it is stopped.
+    /// Says that this instance is leaving, and returns once that has been sent to some peers. It
+    /// still answers, until it is stopped.
     pub async fn leave(&self) {
         let _ = self.commands.send(MeshCommand::Leave).await;
+        let (reply, flushed) = oneshot::channel();
+        let _ = self.commands.send(MeshCommand::Flush { reply }).await;
+        let _ = flushed.await;
     }
 
     /// Asks an instance, and waits for its reply no longer than `within`.
--- a/crates/rudder-peers/src/node/state.rs
+++ b/crates/rudder-peers/src/node/state.rs
@@ -124,10 +124,7 @@
     /// Spreads a hint of this instance's own.
     pub(crate) fn publish(&mut self, hint: PeerHint, now: Duration) -> NodeOutput {
         let mut output = NodeOutput::default();
-        if let PeerHint::Leaving(LeavingNotice { subject: LeavingSubject::Instance(name) }) = &hint
-        {
-            self.membership.mark_leaving(name, now);
-        } else {
+        if !self.marks_leaving(&hint, now) {
             let sends = self.hint_sends();
             let urgency = self.board.absorb(hint, false, sends, now);
             if urgency == Some(HintUrgency::Urgent) {
@@ -266,6 +263,16 @@
         self.absorb(&datagram.sender.name, received, sends, output, now);
     }
 
+    /// Whether the hint says that an instance is leaving: that is the membership's to spread.
+    fn marks_leaving(&mut self, hint: &PeerHint, now: Duration) -> bool {
+        let PeerHint::Leaving(LeavingNotice { subject: LeavingSubject::Instance(name) }) = hint
+        else {
+            return false;
+        };
+        self.membership.mark_leaving(name, now);
+        true
+    }
+
     /// How often an urgent hint is told: the pushes, and then as often as news of members.
     fn hint_sends(&self) -> u32 {
         PUSH_ROUNDS * u32::try_from(PUSH_FANOUT).unwrap_or_default() + self.membership.sends()
@@ -280,6 +287,9 @@
         now: Duration,
     ) {
         for hint in hints {
+            if self.marks_leaving(&hint, now) {
+                continue;
+            }
             if let Some(urgency) = self.board.absorb(hint.clone(), true, sends, now) {
                 if urgency == HintUrgency::Urgent && sends > 0 {
                     self.push_rounds = PUSH_ROUNDS;
--- a/crates/rudder-peers/tests/mesh.rs
+++ b/crates/rudder-peers/tests/mesh.rs
@@ -5,12 +5,13 @@
 use async_trait::async_trait;
 use rudder_core::{InstanceName, LogStamp, LogTerm, SessionToken};
 use rudder_peers::{
-    GroupHint, HintMessage, MeshSettings, PeerHandler, PeerHint, PeerMesh, PeerReply, PeerRequest,
-    PeerState,
+    GroupHint, HintMessage, MeshSettings, PeerError, PeerHandler, PeerHint, PeerMesh, PeerReply,
+    PeerRequest, PeerState,
 };
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Far longer than anything here takes; only a broken mesh waits so long.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -140,6 +141,49 @@
     assert_eq!(reply, PeerReply::Succession(bytes));
 }
 
+#[tokio::test]
+async fn an_answer_to_another_request_is_refused() {
+    // A caller would get another session's floor: a peer, or something between, hands back the
+    // late answer to an earlier request.
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let fixture = start(0, Vec::new()).await;
+
+    let answering = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        // Version 1, request 99, the code for "unknown".
+        stream.write_all(&[0, 0, 0, 3, 1, 99, 3]).await.unwrap();
+        stream
+    };
+    let request = PeerRequest::RevisionFetch { newer_than: 1 };
+    let asking = fixture.mesh.request_at(address, request, PATIENCE);
+    let (reply, _stream) = tokio::join!(asking, answering);
+
+    assert!(matches!(reply, Err(PeerError::Mismatched)));
+}
+
+#[tokio::test]
+async fn garbage_from_the_network_changes_nothing() {
+    // Something else on the network sends to the peers' port: noise over UDP, and over TCP a frame
+    // that claims four gigabytes.
+    let fleet = start_fleet(2).await;
+    let address = fleet[0].mesh.address();
+    let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+
+    for length in 0..1400_usize {
+        socket.send_to(&vec![1; length], address).await.unwrap();
+    }
+    stream.write_all(&[0xff; 64]).await.unwrap();
+    let closed = stream.read(&mut [0; 16]).await;
+
+    assert!(matches!(closed, Ok(0) | Err(_)));
+    let peer = name(0);
+    let request = PeerRequest::SessionLookup("anna".parse().unwrap());
+    assert!(fleet[1].mesh.request(&peer, request, PATIENCE).await.is_ok());
+    assert_eq!(fleet[0].mesh.live().len(), 2);
+}
+
 #[tokio::test]
 async fn a_stopped_instance_disappears_and_a_leaving_one_says_so() {
     // Callers are sent to an instance that is no longer there, or that is about to go.
