decisions: load tests against baselines; recovery of slow and failing members

Cause: the load tests showed that a recovered member was hardly used: the first answer brought the forgotten slow estimate back, and the outlier share needed ten seconds of good outcomes at the floor. Change: the meter keeps what it forgot; the tracker judges each step and streaks of failures; work that is shed first gets a tenth of a full lane (a quarter before) and does not count as standing before the rest; tests/load.

--- a/crates/rudder-decisions/examples/trials/baseline.rs
+++ b/crates/rudder-decisions/examples/trials/baseline.rs
@@ -6,21 +6,19 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Reads go round all members that read, writes to the primary, at once and without limits.
+/// Reads go round all members, the primary too; writes, and reads that must see a write made just
+/// before, go to the primary. All at once and without limits.
 pub(crate) struct RoundRobinPolicy {
-    readers: Vec<usize>,
+    members: usize,
     primary: usize,
     next: usize,
 }
 
 impl RoundRobinPolicy {
-    /// A policy over these members; the primary reads only if nobody else does.
+    /// A policy over these members.
     pub(crate) fn new(members: &[MemberSpec], instance: usize) -> Self {
         let primary = members.iter().position(|member| member.primary).unwrap_or(0);
-        let replicas: Vec<usize> =
-            (0..members.len()).filter(|&index| !members[index].primary).collect();
-        let readers = if replicas.is_empty() { vec![primary] } else { replicas };
-        Self { readers, primary, next: instance }
+        Self { members: members.len(), primary, next: instance }
     }
 }
 
@@ -36,7 +34,7 @@
             return vec![Action::Send(id, self.primary)];
         }
         self.next += 1;
-        vec![Action::Send(id, self.readers[self.next % self.readers.len()])]
+        vec![Action::Send(id, self.next % self.members)]
     }
 
     fn answer(
--- a/crates/rudder-decisions/src/admission/lane.rs
+++ b/crates/rudder-decisions/src/admission/lane.rs
@@ -20,8 +20,9 @@
 /// other class's longest statement; more would idle a fifth or a third of a member each.
 const CLASS_RESERVE: u32 = 1;
 
-/// Every this many turns, work that is turned away first goes before the rest.
-const SHED_TURN: u64 = 4;
+/// Every this many turns, work that is turned away first goes before the rest: it then gets a tenth
+/// of a full lane, and work that cannot wait is served whole up to nine tenths of what it carries.
+const SHED_TURN: u64 = 10;
 
 /// Long work takes at most one part in this many of the slots, and always at least one slot.
 const LONG_PART: u32 = 2;
@@ -129,11 +130,17 @@
 
     /// The expected wait of one more request of this flow. Flows take turns, so what stands before
     /// it is its own flow's queue times the number of flows, and never more than the whole queue.
+    /// Flows that are turned away first do not stand before the others.
     pub(crate) fn expected_wait(&self, key: FlowKey) -> Duration {
-        let own = self.flows.iter().find(|flow| flow.key == key);
-        let own_waiting = own.map_or(0, |flow| flow.tickets.len());
-        let flows = self.flows.len() + usize::from(own.is_none());
-        let before = ((own_waiting + 1) * flows).min(self.waiting as usize + 1);
+        let rivals = self.flows.iter().filter(|flow| key.shed || !flow.key.shed);
+        let (mut flows, mut waiting, mut own_waiting) = (0, 0, 0);
+        for flow in rivals {
+            flows += 1;
+            waiting += flow.tickets.len();
+            own_waiting += if flow.key == key { flow.tickets.len() } else { 0 };
+        }
+        let in_turn = (own_waiting + 1) * (flows + usize::from(own_waiting == 0));
+        let before = in_turn.min(waiting + 1);
         self.pace() * u32::try_from(before).unwrap_or(u32::MAX)
     }
 
--- a/crates/rudder-decisions/src/meter.rs
+++ b/crates/rudder-decisions/src/meter.rs
@@ -70,6 +70,10 @@
     /// See the example of [`MemberMeter`].
     pub fn observe(&mut self, latency: Duration, now: Instant) {
         let gain = if self.last_answer.is_some() { SERVICE_GAIN } else { FIRST_GAIN };
+        // What was forgotten while no answers came stays forgotten. Otherwise the first good answer
+        // of a member that has recovered would bring its old, slow estimate back, and the member
+        // would be tried once in a while and never used.
+        self.service_s = self.service(now).as_secs_f64();
         self.service_s += gain * (latency.as_secs_f64() - self.service_s);
         self.last_answer = Some(now);
     }
--- a/crates/rudder-decisions/src/outlier.rs
+++ b/crates/rudder-decisions/src/outlier.rs
@@ -6,21 +6,23 @@
 //! others. A member that is merely slow needs no tracker: least expected time avoids it, and a
 //! second rule for slowness brought nothing in the trials (`docs/design/read-routing.md`).
 //!
-//! Thresholds: a member is bad from a failure share of [`FAILURE_SHARE_BAD`]; a healthy one is near
-//! zero, and a twentieth is noise that retries absorb. Each bad step halves its weight, down to
+//! Thresholds: a member is bad in a step in which a fifth of its statements failed
+//! ([`FAILURE_PART_BAD`]); a healthy one is near zero, and a twentieth is noise that retries absorb.
+//! A member with few statements is bad after [`STREAK_BAD`] failures in a row. Each bad step halves its weight, down to
 //! [`WEIGHT_FLOOR`], which leaves enough requests to notice that it is well again; each good step
 //! gives a tenth back, so that ten steps restore it. The best member always keeps its whole weight:
 //! when all are bad, spreading is all that is left.
 
 use crate::routing::MemberWeight;
 use rudder_core::MemberName;
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
-/// Share of failures from which a member is bad.
-const FAILURE_SHARE_BAD: f64 = 0.2;
+/// One failure in this many outcomes of a step makes a member bad.
+const FAILURE_PART_BAD: u32 = 5;
 
-/// Weight of one more outcome: about the last ten outcomes count.
-const OUTCOME_GAIN: f64 = 0.1;
+/// This many failures in a row make a member bad, however few its statements are.
+const STREAK_BAD: u32 = 5;
 
 /// How often weights move. Long enough for each instance to see some outcomes of each member.
 const STEP: Duration = Duration::from_secs(1);
@@ -31,14 +33,15 @@
 /// What one good step gives back, in thousandths.
 const WEIGHT_RISE: u16 = 100;
 
-/// Outcomes needed in a step before it may count as bad.
+/// Outcomes needed in a step before its share of failures says something.
 const OUTCOMES_MIN: u32 = 5;
 
 #[derive(Clone, Debug)]
 struct MemberRecord {
     name: MemberName,
-    failure_share: f64,
     outcomes: u32,
+    failures: u32,
+    streak: u32,
     weight: u16,
 }
 
@@ -82,9 +85,9 @@
     /// See the example of [`OutlierTracker`].
     pub fn observe(&mut self, name: &MemberName, answered: bool) {
         let record = self.record_of(name);
-        let failure = if answered { 0.0 } else { 1.0 };
-        record.failure_share += OUTCOME_GAIN * (failure - record.failure_share);
         record.outcomes += 1;
+        record.failures += u32::from(!answered);
+        record.streak = if answered { 0 } else { record.streak.saturating_add(1) };
     }
 
     /// Moves the weights, at most once a second; call it before reading weights.
@@ -102,6 +105,7 @@
                 None => record.weight,
             };
             record.outcomes = 0;
+            record.failures = 0;
         }
         self.keep_best();
     }
@@ -123,10 +127,8 @@
     /// Gives the best member its whole weight. Without it a fault that hits every member, such as
     /// a bad statement or a cut link of this instance, would turn all of them down to the floor.
     fn keep_best(&mut self) {
-        let best = self.records.iter_mut().max_by(|left, right| {
-            let by_failures = right.failure_share.total_cmp(&left.failure_share);
-            left.weight.cmp(&right.weight).then(by_failures)
-        });
+        let rank = |record: &&mut MemberRecord| (record.weight, Reverse(record.streak));
+        let best = self.records.iter_mut().max_by_key(rank);
         if let Some(record) = best {
             record.weight = MemberWeight::FULL.permille();
         }
@@ -148,8 +150,9 @@
     fn new(name: &MemberName) -> Self {
         Self {
             name: name.clone(),
-            failure_share: 0.0,
             outcomes: 0,
+            failures: 0,
+            streak: 0,
             weight: MemberWeight::FULL.permille(),
         }
     }
@@ -157,11 +160,13 @@
 
 /// Whether a member is bad, or `None` if too little was seen of it since the last step.
 fn judge(record: &MemberRecord) -> Option<bool> {
-    if record.outcomes == 0 {
-        return None;
+    let enough = record.outcomes >= OUTCOMES_MIN;
+    let share_bad = enough && record.failures * FAILURE_PART_BAD >= record.outcomes;
+    if share_bad || record.streak >= STREAK_BAD {
+        return Some(true);
     }
-    let bad = record.failure_share >= FAILURE_SHARE_BAD;
-    // A turned-down member gets few requests, so few outcomes may keep it down but not lower it
-    // further, and any good one lets it rise.
-    if bad && record.outcomes < OUTCOMES_MIN { None } else { Some(bad) }
+    // A turned-down member gets few requests. They need not be many to let it rise, but none of
+    // them may have failed, or it would swing between its floor and the next step up.
+    let well = record.outcomes > 0 && (enough || record.failures == 0);
+    well.then_some(false)
 }
--- /dev/null
+++ b/crates/rudder-decisions/tests/load/admission.rs
@@ -0,0 +1,105 @@
+use super::SEED;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rudder_decisions::{
+    AdmissionGate, AdmissionRequest, AdmissionVerdict, LaneKey, LaneLimits, RefusalWord,
+    TicketOutcome, WorkClass, WorkSize,
+};
+use std::time::{Duration, Instant};
+
+fn request(caller: u64, now: Instant) -> AdmissionRequest {
+    AdmissionRequest {
+        lane: LaneKey {
+            service: "service".parse().expect("a valid name"),
+            member: "member".parse().expect("a valid name"),
+        },
+        kind: "crews".parse().expect("a valid name"),
+        caller,
+        class: WorkClass::Read,
+        size: WorkSize::Short,
+        shed: false,
+        in_flight_max: 1000,
+        queue_wait: Duration::from_millis(200),
+        deadline: now + Duration::from_secs(10),
+    }
+}
+
+fn gate(slots: u32) -> AdmissionGate {
+    let mut gate = AdmissionGate::new();
+    let limits = LaneLimits { slots, queue_max: 10, mixed: false };
+    gate.set_lane(&request(0, Instant::now()).lane, limits);
+    gate
+}
+
+fn refusal(verdict: AdmissionVerdict) -> RefusalWord {
+    match verdict {
+        AdmissionVerdict::Refuse(reason) => reason.word,
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+// A caller waits for a slot that never frees. The refusal must come when the wait is over, and the
+// ticket's later release by its owner must not free a slot that it never held.
+#[test]
+fn a_wait_ends_with_a_final_answer() {
+    let (mut gate, now) = (gate(1), Instant::now());
+    let rng = &mut StdRng::seed_from_u64(SEED);
+    let running = gate.offer(&request(1, now), now, rng);
+    let waiting = gate.offer(&request(2, now), now, rng);
+    let expiry = gate.next_expiry().unwrap();
+
+    let early = gate.expire(expiry - Duration::from_nanos(1), rng);
+    let notices = gate.expire(expiry, rng);
+
+    let AdmissionVerdict::Wait(ticket) = waiting else { panic!("{waiting:?}") };
+    assert!(matches!(running, AdmissionVerdict::Run(_)));
+    assert!(early.is_empty());
+    assert_eq!(expiry, now + Duration::from_millis(200));
+    assert_eq!(notices.len(), 1);
+    assert!(matches!(notices[0].outcome, TicketOutcome::Refuse(reason)
+        if reason.word == RefusalWord::WaitOver));
+    assert!(gate.release(ticket, expiry, rng).is_empty());
+    assert_eq!(gate.usage(&request(1, now).lane).reads, 1);
+}
+
+#[test]
+fn one_caller_cannot_use_up_its_kinds_limit() {
+    let (mut gate, now) = (gate(100), Instant::now());
+    let rng = &mut StdRng::seed_from_u64(SEED);
+    let offer_of = |caller| AdmissionRequest { in_flight_max: 4, ..request(caller, now) };
+
+    let busy: Vec<AdmissionVerdict> = (0..4).map(|_| gate.offer(&offer_of(1), now, rng)).collect();
+    let other = gate.offer(&offer_of(2), now, rng);
+    let beyond = gate.offer(&offer_of(3), now, rng);
+
+    assert_eq!(refusal(busy[3]), RefusalWord::CallerLimit);
+    assert!(matches!(other, AdmissionVerdict::Run(_)));
+    assert_eq!(refusal(beyond), RefusalWord::KindLimit);
+}
+
+// A thousand callers are refused in the same instant. Told the same time, they would all return
+// together and be refused together again.
+#[test]
+fn refused_callers_are_told_different_times() {
+    let (mut gate, now) = (gate(2), Instant::now());
+    let rng = &mut StdRng::seed_from_u64(SEED);
+
+    let mut returns: Vec<Duration> = (0..1000)
+        .filter_map(|caller| match gate.offer(&request(caller, now), now, rng) {
+            AdmissionVerdict::Refuse(reason) => Some(reason.retry_after),
+            _ => None,
+        })
+        .collect();
+
+    returns.sort_unstable();
+    let most_in_100_ms = returns
+        .iter()
+        .map(|first| {
+            let last = *first + Duration::from_millis(100);
+            returns.iter().filter(|at| **at >= *first && **at < last).count()
+        })
+        .max();
+    assert!(returns.len() > 900);
+    // Two slots of 10 ms serve 20 in 100 ms; the jitter may draw a few of them together.
+    assert!(most_in_100_ms.unwrap() <= 40, "{most_in_100_ms:?}");
+}
--- /dev/null
+++ b/crates/rudder-decisions/tests/load/detection.rs
@@ -0,0 +1,59 @@
+use rudder_decisions::{PulseDetector, SuspicionBound};
+use std::time::{Duration, Instant};
+
+const INTERVAL: Duration = Duration::from_millis(250);
+
+fn detector(start: Instant) -> PulseDetector {
+    PulseDetector::new(SuspicionBound::around(Duration::from_millis(600)), INTERVAL, start)
+}
+
+/// Plays answers with these gaps and returns how often the member was suspect before one came.
+fn false_alarms(detector: &mut PulseDetector, start: Instant, gaps_ms: &[u64]) -> usize {
+    let mut now = start;
+    let mut alarms = 0;
+    for gap_ms in gaps_ms {
+        now += Duration::from_millis(*gap_ms);
+        alarms += usize::from(detector.is_suspect(now));
+        detector.heard(now);
+    }
+    alarms
+}
+
+// A link loses two packets in a row now and then, so an answer comes 700 ms late. A fixed bound of
+// 600 ms suspects the living primary each time; the learned one only the first time.
+#[test]
+fn a_pause_that_recurs_is_learned() {
+    let start = Instant::now();
+    let gaps: Vec<u64> = (0..400).map(|index| if index % 40 == 39 { 700 } else { 250 }).collect();
+
+    let learned = false_alarms(&mut detector(start), start, &gaps);
+    let fixed = gaps.iter().filter(|gap| **gap > 600).count();
+
+    assert_eq!(learned, 1);
+    assert_eq!(fixed, 10);
+}
+
+// An hour after an outage of a minute the primary dies. The outage must not have taught the
+// detector to wait a minute.
+#[test]
+fn an_outage_is_not_taken_for_the_links_nature() {
+    let start = Instant::now();
+    let mut detector = detector(start);
+    let mut gaps = vec![250, 60_000];
+    gaps.extend(std::iter::repeat_n(250, 4 * 3600));
+
+    false_alarms(&mut detector, start, &gaps);
+
+    assert_eq!(detector.bound(), Duration::from_millis(600));
+}
+
+#[test]
+fn a_dead_member_is_suspect_within_the_ceiling() {
+    let start = Instant::now();
+    let mut detector = detector(start);
+
+    false_alarms(&mut detector, start, &[1100, 900, 1300, 250]);
+
+    let last = start + Duration::from_millis(3550);
+    assert!(detector.is_suspect(last + Duration::from_millis(1201)));
+}
--- /dev/null
+++ b/crates/rudder-decisions/tests/load/recovery.rs
@@ -0,0 +1,78 @@
+use super::SEED;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rudder_core::OutcomeClass;
+use rudder_decisions::{MemberWeight, OutlierTracker, ReconnectPacer, RetryBudget, WorkClass};
+use std::time::{Duration, Instant};
+
+/// Most of the times that fall within any 100 ms.
+fn most_in_100_ms(times: &[Duration]) -> usize {
+    let window = Duration::from_millis(100);
+    let within =
+        |first: &Duration| times.iter().filter(|at| *at >= first && **at < *first + window).count();
+    times.iter().map(within).max().unwrap_or(0)
+}
+
+// The primary dies under 1000 reads in flight. Sent three times each, they are 3000 on a group
+// that has just lost a member, and the overload makes the next ones fail too.
+#[test]
+fn a_failure_does_not_multiply_the_load() {
+    let mut budget = RetryBudget::new();
+    (0..500).for_each(|_| budget.succeed());
+
+    let retries =
+        (0..1000).filter(|_| budget.try_spend(WorkClass::Read, OutcomeClass::Unknown)).count();
+    (0..1000).for_each(|_| budget.succeed());
+
+    assert_eq!(retries, 15);
+    assert!(budget.try_spend(WorkClass::Read, OutcomeClass::NotRun), "successes earn retries");
+}
+
+// A crack report was sent and its answer was lost. Sent again, it books a second gang.
+#[test]
+fn a_write_of_unknown_outcome_is_never_sent_again() {
+    let mut budget = RetryBudget::new();
+
+    let allowed = budget.try_spend(WorkClass::Write, OutcomeClass::Unknown);
+
+    assert!(!allowed);
+    assert_eq!(budget.remaining(), 15);
+}
+
+// A new primary is confirmed and 570 instances connect to it in the same round trip. At 12 ms each
+// and four at a time it needs 1.7 s for them; whoever times out tries again and adds to the crowd.
+#[test]
+fn reconnections_spread_over_the_time_that_they_need() {
+    let rng = &mut StdRng::seed_from_u64(SEED);
+
+    let first: Vec<Duration> =
+        (0..570).map(|_| ReconnectPacer::new().first_try(570, rng)).collect();
+    let repeated: Vec<Duration> = (0..570)
+        .map(|_| {
+            let mut pacer = ReconnectPacer::new();
+            (0..6).map(|_| pacer.after_failure(rng)).sum()
+        })
+        .collect();
+
+    assert!(most_in_100_ms(&first) < 2 * 34, "33 are served in 100 ms");
+    assert!(most_in_100_ms(&repeated) < 100, "tries after failures stay apart");
+    assert!(first.iter().all(|at| *at <= Duration::from_secs(2)));
+}
+
+// This instance's own link breaks, so every member fails at once. Turned down all alike, none
+// would be left to serve when the link returns.
+#[test]
+fn the_last_member_is_never_turned_down() {
+    let start = Instant::now();
+    let names = ["one".parse().unwrap(), "two".parse().unwrap(), "three".parse().unwrap()];
+    let mut tracker = OutlierTracker::new(start);
+
+    for second in 1..=20 {
+        (0..30).for_each(|index| tracker.observe(&names[index % 3], false));
+        tracker.step(start + Duration::from_secs(second));
+    }
+
+    let weights: Vec<MemberWeight> = names.iter().map(|name| tracker.weight(name)).collect();
+    assert!(weights.contains(&MemberWeight::FULL), "{weights:?}");
+    assert!(weights.iter().all(|weight| weight.permille() >= 50), "{weights:?}");
+}
--- /dev/null
+++ b/crates/rudder-decisions/tests/load/routing.rs
@@ -0,0 +1,112 @@
+use super::arrivals::ArrivalPattern;
+use super::current::PolicySettings;
+use super::model::Request;
+use super::summary::LoadSummary;
+use super::{INSTANCES, SEED, group, play_both};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rudder_core::{LogStamp, MemberRole};
+use rudder_decisions::{
+    MemberHealth, MemberView, MemberWeight, ReadDemand, ReadRoute, ReadRouter, RouteReason,
+};
+use std::time::Duration;
+
+fn view(name: &str, role: MemberRole) -> MemberView {
+    MemberView {
+        name: name.parse().expect("a valid name"),
+        role,
+        domain: "bangor".parse().expect("a valid name"),
+        applied: LogStamp::new(1, 100),
+        age: Some(Duration::from_millis(100)),
+        lag: Duration::from_millis(100),
+        in_flight: 0,
+        slots: 5,
+        sharers: 7,
+        service: Duration::from_millis(10),
+        link: Duration::from_millis(2),
+        health: MemberHealth::Ready,
+        weight: MemberWeight::FULL,
+    }
+}
+
+fn views() -> Vec<MemberView> {
+    vec![view("primary", MemberRole::Primary), view("replica", MemberRole::Replica)]
+}
+
+fn demand(floor: u64, floor_age_ms: u64) -> ReadDemand {
+    ReadDemand {
+        floor: Some(LogStamp::new(1, floor)),
+        floor_age: Duration::from_millis(floor_age_ms),
+        bound: Duration::from_secs(1),
+        domain: "bangor".parse().expect("a valid name"),
+        wait_max: Duration::from_millis(50),
+    }
+}
+
+fn choose(demand: &ReadDemand, members: &[MemberView]) -> (ReadRoute, RouteReason) {
+    let choice = ReadRouter::new().choose(demand, members, &mut StdRng::seed_from_u64(SEED));
+    (choice.route, choice.reason)
+}
+
+// A session writes and reads at once. The replica trails by 100 ms and does not hold the write.
+#[test]
+fn a_read_after_a_write_waits_or_goes_to_the_primary() {
+    let members = views();
+
+    let soon = choose(&demand(101, 70), &members);
+    let late = choose(&demand(101, 0), &members);
+    let held = choose(&demand(100, 0), &members);
+
+    assert_eq!(soon, (ReadRoute::WaitFor(1, Duration::from_millis(30)), RouteReason::CatchUp));
+    assert_eq!(late, (ReadRoute::Primary(0), RouteReason::FloorAhead));
+    assert_eq!(held, (ReadRoute::Replica(1), RouteReason::OnlyFresh));
+}
+
+// Nobody knows how old the replica's data is, because no primary has been seen lately. Yesterday's
+// picture must not be shown as today's.
+#[test]
+fn an_unknown_age_is_too_old_for_any_bound() {
+    let mut members = views();
+    members[1].age = None;
+
+    let with_primary = choose(&demand(1, 0), &members);
+    members[0].health = MemberHealth::Down;
+    let without = choose(&demand(1, 0), &members);
+
+    assert_eq!(with_primary, (ReadRoute::Primary(0), RouteReason::TooOld));
+    assert_eq!(without, (ReadRoute::Refuse, RouteReason::NoMember));
+}
+
+#[test]
+fn a_leaving_member_gets_no_read() {
+    let mut members = views();
+    members[1].health = MemberHealth::Leaving;
+
+    let choice = choose(&demand(1, 0), &members);
+
+    assert_eq!(choice, (ReadRoute::Primary(0), RouteReason::NoReplica));
+}
+
+// Sessions write before every fourth read while replicas trail by 100 ms. Sent to the primary after
+// any write, or kept there, most reads would miss the replicas.
+#[test]
+fn replicas_keep_three_in_four_reads_of_writing_sessions() {
+    let mut members = group();
+    members.iter_mut().for_each(|member| member.lag = Duration::from_millis(100));
+    let pattern = ArrivalPattern::steady(300.0, Duration::from_secs(20), INSTANCES);
+    let mut requests = pattern.draw(&mut StdRng::seed_from_u64(SEED));
+    for (index, request) in requests.iter_mut().enumerate() {
+        let since_write = Duration::from_millis(100 * (index as u64 % 4));
+        request.floor = Some(request.at.saturating_sub(since_write));
+    }
+
+    let read_wait = Duration::from_millis(120);
+    let settings = PolicySettings { read_wait, ..PolicySettings::default() };
+
+    let (now, _) = play_both(&members, &requests, settings);
+
+    let on_replica = |_: &Request, outcome: &super::model::Outcome| outcome.member != Some(0);
+    let on_replica = LoadSummary::of(&requests, &now, on_replica);
+    assert!(on_replica.requests * 100 >= requests.len() * 75, "{on_replica:?}");
+    assert!(on_replica.p99_ms < 200.0, "{on_replica:?}");
+}
--- /dev/null
+++ b/crates/rudder-decisions/tests/load/saturation.rs
@@ -0,0 +1,76 @@
+use super::arrivals::{ArrivalPattern, capacity};
+use super::current::PolicySettings;
+use super::model::Request;
+use super::summary::LoadSummary;
+use super::{INSTANCES, SEED, group, play_both};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::time::Duration;
+
+/// Reads at this multiple of what the group serves; every third is of a kind that can wait.
+fn requests(load: f64) -> Vec<Request> {
+    let rate = capacity(&group()) * load;
+    let pattern = ArrivalPattern {
+        patience: Duration::from_secs(1),
+        ..ArrivalPattern::steady(rate, Duration::from_secs(20), INSTANCES)
+    };
+    let mut requests = pattern.draw(&mut StdRng::seed_from_u64(SEED));
+    for request in requests.iter_mut().filter(|request| request.caller % 3 == 0) {
+        request.kind = "auditors";
+        request.shed = true;
+    }
+    requests
+}
+
+fn settings() -> PolicySettings {
+    PolicySettings {
+        queue_wait: Duration::from_millis(500),
+        queue_max: 40,
+        ..PolicySettings::default()
+    }
+}
+
+// Twice as many callers come as can be served. Without limits everyone waits longer than they care
+// to, and the group works on answers that nobody reads any more.
+#[test]
+fn goodput_stays_up_at_twice_saturation() {
+    let (full, double) = (requests(1.0), requests(2.0));
+
+    let (full_now, _) = play_both(&group(), &full, settings());
+    let (double_now, double_plain) = play_both(&group(), &double, settings());
+
+    let served = |requests, outcomes| LoadSummary::of(requests, outcomes, |_, _| true).served;
+    let at_saturation = served(&full, &full_now);
+    assert!(served(&double, &double_now) * 10 >= at_saturation * 9);
+    assert!(served(&double, &double_plain) * 10 < at_saturation * 9);
+}
+
+// Under overload auditors, who can come back later, are turned away before crews, who cannot.
+#[test]
+fn what_can_wait_is_shed_first() {
+    let requests = requests(1.3);
+
+    let (now, _) = play_both(&group(), &requests, settings());
+
+    let crews = LoadSummary::of(&requests, &now, |request, _| !request.shed);
+    let auditors = LoadSummary::of(&requests, &now, |request, _| request.shed);
+    assert!(crews.served_share() > 0.9, "{crews:?}");
+    assert!(auditors.served_share() < 0.7, "{auditors:?}");
+    assert!(auditors.served_share() > 0.1, "shed work is slow, not starved: {auditors:?}");
+}
+
+// Whoever is refused learns it at once or when the wait is over, never later.
+#[test]
+fn refusals_come_within_the_wait() {
+    let requests = requests(2.0);
+
+    let (now, _) = play_both(&group(), &requests, settings());
+
+    let refused: Vec<Duration> = requests
+        .iter()
+        .zip(&now)
+        .filter_map(|(request, outcome)| Some(outcome.refused?.0 - request.at))
+        .collect();
+    assert!(!refused.is_empty());
+    assert!(refused.iter().all(|wait| *wait <= settings().queue_wait));
+}
--- /dev/null
+++ b/crates/rudder-decisions/tests/load/shares.rs
@@ -0,0 +1,91 @@
+use super::arrivals::ArrivalPattern;
+use super::current::{LimitRule, PolicySettings};
+use super::setup::{PolicyChoice, play};
+use super::summary::LoadSummary;
+use super::{INSTANCES, SEED, group};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rudder_core::{ConnectionCount, InstanceName, MemberName};
+use rudder_decisions::{DemandPart, SlotShare, holders_of};
+use std::time::{Duration, Instant};
+
+const CONNECTIONS: ConnectionCount = ConnectionCount(30);
+
+fn instances(count: usize) -> Vec<InstanceName> {
+    (0..count).map(|index| format!("instance-{index}").parse().expect("a valid name")).collect()
+}
+
+// Load moves from one instance to another, and they learn of it seconds apart. If the one grows
+// before the other has shrunk, the endpoint refuses connections, also those that it must accept.
+#[test]
+fn shares_never_add_up_to_more_than_the_endpoint_accepts() {
+    let start = Instant::now();
+    let heavy = DemandPart::of(80, 100, 7);
+    let light = DemandPart::of(20, 600, 7);
+    let mut shares: Vec<SlotShare> =
+        (0..7).map(|_| SlotShare::new(CONNECTIONS, 7, start)).collect();
+    let mut greatest = 0;
+
+    for second in 0..60_u64 {
+        let now = start + Duration::from_secs(second);
+        let heaviest = second / 20;
+        for (index, share) in shares.iter_mut().enumerate() {
+            // Each instance learns of the change up to six seconds late.
+            let learned = second.saturating_sub(index as u64) / 20 == heaviest;
+            let part = if index as u64 == heaviest { heavy } else { light };
+            if learned {
+                share.set_holders(7, part, now);
+            }
+        }
+        greatest = greatest.max(shares.iter().map(|share| share.current(now)).sum::<u32>());
+    }
+
+    assert!(greatest <= CONNECTIONS.0, "{greatest}");
+    assert!(shares[2].current(start + Duration::from_secs(60)) > 12, "the busy one has grown");
+}
+
+// Half of the callers happen to be connected to one instance. Held to an even share of the
+// connections it turns them away, while the other instances' connections stand idle.
+#[test]
+fn connections_follow_the_demand() {
+    let mut members = group();
+    let between_domains = Duration::from_millis(8);
+    members.iter_mut().for_each(|member| member.links = vec![between_domains; INSTANCES]);
+    let pattern = ArrivalPattern {
+        write_share: 0.25,
+        patience: Duration::from_secs(2),
+        ..ArrivalPattern::steady(800.0, Duration::from_secs(20), INSTANCES)
+    };
+    let mut requests = pattern.draw(&mut StdRng::seed_from_u64(SEED));
+    let half = requests.iter_mut().filter(|request| request.caller % 2 == 0);
+    half.for_each(|request| request.instance = 0);
+    let settings = |limit| {
+        let queue_wait = Duration::from_secs(1);
+        PolicyChoice::Current(PolicySettings { limit, queue_wait, ..PolicySettings::default() })
+    };
+
+    let by_demand = play(&members, &requests, settings(LimitRule::WindowByDemand(570)), SEED);
+    let even = play(&members, &requests, settings(LimitRule::WindowEven), SEED);
+
+    let served = |outcomes| LoadSummary::of(&requests, outcomes, |_, _| true).served_share();
+    assert!(served(&by_demand) > 0.99, "{}", served(&by_demand));
+    assert!(served(&even) < 0.95, "{}", served(&even));
+}
+
+#[test]
+fn a_lost_instance_moves_only_the_members_that_it_held() {
+    let all = instances(20);
+    let remaining = &all[1..];
+    let members: Vec<MemberName> =
+        (0..200).map(|index| format!("member-{index}").parse().unwrap()).collect();
+
+    let moved = members
+        .iter()
+        .filter(|member| {
+            let before = holders_of(member, &all, 3);
+            !before.contains(&all[0]) && holders_of(member, remaining, 3) != before
+        })
+        .count();
+
+    assert_eq!(moved, 0);
+}
