decisions: near members first among equals; the waiting before newcomers

Cause: own failure domain was an input without use; a raised limit let newcomers overtake what waited. Change: ties go to the own failure domain; offer lets waiting requests go first; the gate looks only at lanes in which something waits.

--- a/crates/rudder-decisions/examples/trials/current.rs
+++ b/crates/rudder-decisions/examples/trials/current.rs
@@ -3,7 +3,7 @@
 use super::adaptive::AdaptiveLimit;
 use super::model::{Action, LoadPolicy, MemberSpec, Request};
 use rand::rngs::StdRng;
-use rudder_core::{ConnectionCount, LogStamp, MemberName, MemberRole};
+use rudder_core::{ConnectionCount, DomainName, LogStamp, MemberName, MemberRole};
 use rudder_decisions::{
     AdmissionGate, AdmissionRequest, AdmissionVerdict, DemandPart, LaneKey, LaneLimits,
     MemberHealth, MemberMeter, MemberView, MemberWeight, OutlierTracker, RampSchedule, ReadDemand,
@@ -184,6 +184,18 @@
         &self.lanes[member].member
     }
 
+    /// The failure domain of the nearest member, if one is nearer than the others.
+    fn own_domain(&self) -> DomainName {
+        let links = || self.members.iter().map(|member| member.links[self.instance]);
+        let nearest = links().min().unwrap_or_default();
+        let near: Vec<usize> = links()
+            .enumerate()
+            .filter(|(_, link)| *link == nearest)
+            .map(|(index, _)| index)
+            .collect();
+        if let [index] = near[..] { domain_of(index) } else { domain_of(self.members.len()) }
+    }
+
     fn view(&self, index: usize, now: Instant) -> MemberView {
         let member = &self.members[index];
         let usage = self.gate.usage(&self.lanes[index]);
@@ -196,7 +208,7 @@
         MemberView {
             name: self.name(index).clone(),
             role: if member.primary { MemberRole::Primary } else { MemberRole::Replica },
-            domain: "domain".parse().expect("a valid name"),
+            domain: domain_of(index),
             applied: stamp_at(applied),
             age: Some(member.lag),
             lag: member.lag,
@@ -220,7 +232,7 @@
             floor: request.floor.map(stamp_at),
             floor_age: request.floor.map_or(Duration::ZERO, |floor| since_start - floor),
             bound: Duration::from_secs(10),
-            domain: "domain".parse().expect("a valid name"),
+            domain: self.own_domain(),
             wait_max: self.settings.read_wait,
         };
         let views: Vec<MemberView> =
@@ -297,6 +309,10 @@
     }
 }
 
+fn domain_of(index: usize) -> DomainName {
+    format!("domain-{index}").parse().expect("a valid name")
+}
+
 /// The log stamp at a time since the start, one position for each microsecond.
 fn stamp_at(at: Duration) -> LogStamp {
     LogStamp::new(1, u64::try_from(at.as_micros()).unwrap_or(u64::MAX))
--- a/crates/rudder-decisions/src/admission/gate.rs
+++ b/crates/rudder-decisions/src/admission/gate.rs
@@ -139,7 +139,8 @@
         let flow = flow_of(request);
         let ticket = self.open_ticket(request, flow);
         let lane = &mut self.lane_of(&request.lane).lane;
-        if lane.has_room(flow) {
+        // After a raised limit, what waits goes first; otherwise newcomers would overtake it.
+        if lane.has_room(flow) && !lane.has_ready() {
             lane.take_slot(flow);
             self.mark_running(ticket, now);
             return AdmissionVerdict::Run(ticket);
@@ -182,7 +183,8 @@
     /// assert!(gate.expire(std::time::Instant::now(), &mut rng).is_empty());
     /// ```
     pub fn expire(&mut self, now: Instant, rng: &mut dyn Rng) -> Vec<TicketNotice> {
-        let keys: Vec<LaneKey> = self.lanes.iter().map(|record| record.key.clone()).collect();
+        let busy = self.lanes.iter().filter(|record| record.lane.usage().waiting > 0);
+        let keys: Vec<LaneKey> = busy.map(|record| record.key.clone()).collect();
         keys.iter().flat_map(|key| self.settle(key, now, rng)).collect()
     }
 
@@ -209,7 +211,8 @@
     /// ```
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
-        self.lanes.iter().filter_map(|record| record.lane.next_expiry()).min()
+        let busy = self.lanes.iter().filter(|record| record.lane.usage().waiting > 0);
+        busy.filter_map(|record| record.lane.next_expiry()).min()
     }
 
     /// Why a request is refused at once, if it is.
--- a/crates/rudder-decisions/src/admission/lane.rs
+++ b/crates/rudder-decisions/src/admission/lane.rs
@@ -159,6 +159,11 @@
             && (key.size == WorkSize::Short || self.long < long_max)
     }
 
+    /// Whether a waiting request may take a slot now.
+    pub(crate) fn has_ready(&self) -> bool {
+        self.next_flow().is_some()
+    }
+
     pub(crate) fn take_slot(&mut self, key: FlowKey) {
         *self.class_count(key.class) += 1;
         self.long += u32::from(key.size == WorkSize::Long);
--- a/crates/rudder-decisions/src/routing/router.rs
+++ b/crates/rudder-decisions/src/routing/router.rs
@@ -21,7 +21,8 @@
 /// Slots of the primary that reads spilled from replicas leave free.
 const SPILL_SLOTS_KEPT: u32 = 1;
 
-/// Expected times that differ by less than this share count as equal, and chance decides:
+/// Expected times that differ by less than this share count as equal. A member in the same failure
+/// domain then goes first, which spares the costly links, and among the rest chance decides:
 /// instances with the same view would otherwise all choose the same member.
 const TIE_SHARE: f64 = 0.1;
 
@@ -123,7 +124,7 @@
         .filter(|index| obstacle(demand, &members[*index]).is_none())
         .collect();
     if !fresh.is_empty() {
-        return Some(choose_fresh(members, &fresh, primary, rng));
+        return Some(choose_fresh(demand, members, &fresh, primary, rng));
     }
     if let Some(choice) = catch_up(demand, members, &replicas) {
         return Some(choice);
@@ -141,13 +142,14 @@
 
 /// The fresh replica with the least expected time, or the primary if they are all too busy.
 fn choose_fresh(
+    demand: &ReadDemand,
     members: &[MemberView],
     fresh: &[usize],
     primary: Option<usize>,
     rng: &mut dyn Rng,
 ) -> RouteChoice {
     let candidates = draw_by_weight(members, fresh, rng);
-    let best = least_time(members, &candidates, rng);
+    let best = least_time(demand, members, &candidates, rng);
     if let Some(primary) = primary
         && spills(&members[primary], &members[best])
     {
@@ -207,17 +209,21 @@
     heaviest.into_iter().collect()
 }
 
-/// The candidate with the least expected time; near ties are broken by chance.
-fn least_time(members: &[MemberView], candidates: &[usize], rng: &mut dyn Rng) -> usize {
-    let times: Vec<f64> =
-        candidates.iter().map(|&index| expected_time_s(&members[index])).collect();
-    let least = times.iter().copied().fold(f64::INFINITY, f64::min);
-    let ties: Vec<usize> = candidates
-        .iter()
-        .zip(&times)
-        .filter(|(_, time)| **time <= least * (1.0 + TIE_SHARE))
-        .map(|(&index, _)| index)
-        .collect();
+/// The candidate with the least expected time; of near ties one in the same failure domain.
+fn least_time(
+    demand: &ReadDemand,
+    members: &[MemberView],
+    candidates: &[usize],
+    rng: &mut dyn Rng,
+) -> usize {
+    let times = candidates.iter().map(|&index| expected_time_s(&members[index]));
+    let bound = times.fold(f64::INFINITY, f64::min) * (1.0 + TIE_SHARE);
+    let mut ties: Vec<usize> = candidates.to_vec();
+    ties.retain(|&index| expected_time_s(&members[index]) <= bound);
+    let is_near = |index: &usize| members[*index].domain == demand.domain;
+    if ties.iter().any(is_near) {
+        ties.retain(is_near);
+    }
     ties[rng.random_range(0..ties.len())]
 }
 
--- a/crates/rudder-decisions/tests/load/admission.rs
+++ b/crates/rudder-decisions/tests/load/admission.rs
@@ -62,6 +62,24 @@
     assert_eq!(gate.usage(&request(1, now).lane).reads, 1);
 }
 
+// A member's window grows while requests wait for it. Those that waited go before a newcomer.
+#[test]
+fn a_raised_limit_serves_the_waiting_first() {
+    let (mut gate, now) = (gate(1), Instant::now());
+    let rng = &mut StdRng::seed_from_u64(SEED);
+    gate.offer(&request(1, now), now, rng);
+    let waiting = gate.offer(&request(2, now), now, rng);
+    gate.set_lane(&request(0, now).lane, LaneLimits { slots: 2, queue_max: 10, mixed: false });
+
+    let newcomer = gate.offer(&request(3, now), now, rng);
+    let notices = gate.expire(now, rng);
+
+    let AdmissionVerdict::Wait(ticket) = waiting else { panic!("{waiting:?}") };
+    assert!(matches!(newcomer, AdmissionVerdict::Wait(_)));
+    assert_eq!(notices.len(), 1);
+    assert_eq!((notices[0].ticket, notices[0].outcome), (ticket, TicketOutcome::Run));
+}
+
 #[test]
 fn one_caller_cannot_use_up_its_kinds_limit() {
     let (mut gate, now) = (gate(100), Instant::now());
--- a/crates/rudder-decisions/tests/load/routing.rs
+++ b/crates/rudder-decisions/tests/load/routing.rs
@@ -87,6 +87,25 @@
     assert_eq!(choice, (ReadRoute::Primary(0), RouteReason::NoReplica));
 }
 
+// Two replicas answer equally soon, one of them over a costly link between failure domains.
+#[test]
+fn equal_replicas_are_chosen_by_failure_domain() {
+    let mut members = views();
+    members.push(view("far", MemberRole::Replica));
+    members[2].domain = "caerdydd".parse().unwrap();
+    members[2].service = Duration::from_micros(9_800);
+
+    let rng = &mut StdRng::seed_from_u64(SEED);
+    let router = ReadRouter::new();
+    let routes: Vec<ReadRoute> =
+        (0..100).map(|_| router.choose(&demand(1, 0), &members, rng).route).collect();
+    members[2].service = Duration::from_millis(5);
+    let faster = choose(&demand(1, 0), &members).0;
+
+    assert!(routes.iter().all(|route| *route == ReadRoute::Replica(1)));
+    assert_eq!(faster, ReadRoute::Replica(2));
+}
+
 // Sessions write before every fourth read while replicas trail by 100 ms. Sent to the primary after
 // any write, or kept there, most reads would miss the replicas.
 #[test]
