Keeper: tests on the paused clock, and the faults they found

Cause: a plan whose idle members had nothing to be sent told its driver to wake at once, so the driver span; a keeper enrolled before it had heard any member and held a term that members refuse; a greater term was noted only with the next round. Change: wake_at counts only members with a statement to come (generated schedules assert it); no reservation before a member was heard, and a retry until it is usable; terms are noted at once.

--- a/crates/arbutusrudder/src/keeper/bounds.rs
+++ b/crates/arbutusrudder/src/keeper/bounds.rs
@@ -12,6 +12,9 @@
 /// keepers this costs the platform 156 reads a second of its two thousand.
 pub(super) const GRANT_REFRESH: Duration = Duration::from_secs(15);
 
+/// How often a keeper asks for a reservation while it has none that members would accept.
+pub(super) const GRANT_RETRY: Duration = Duration::from_secs(1);
+
 /// How often the keeper of rank one looks for an operator's order: 156 reads a second for 780
 /// groups.
 pub(super) const ORDER_REFRESH: Duration = Duration::from_secs(5);
--- a/crates/arbutusrudder/src/keeper/group_keeper.rs
+++ b/crates/arbutusrudder/src/keeper/group_keeper.rs
@@ -14,7 +14,7 @@
 use super::switch::PendingSwitch;
 use super::view::GroupView;
 use rudder_core::{
-    ControlStatement, GroupCondition, LogTerm, MemberName, ObserverVote, StallWatch,
+    ControlStatement, GroupCondition, LogTerm, MemberName, MemberStatus, ObserverVote, StallWatch,
     SuspicionTally, TermPurse, VoteKind, WriterMark,
 };
 use rudder_endpoint::ControlError;
@@ -89,7 +89,7 @@
 }
 
 impl GroupKeeper {
-    fn new(
+    pub(super) fn new(
         config: KeeperConfig,
         notes: mpsc::Receiver<TrafficNote>,
     ) -> (Self, watch::Receiver<Arc<GroupView>>) {
@@ -138,7 +138,7 @@
         (keeper, receiver)
     }
 
-    async fn run(mut self) {
+    pub(super) async fn run(mut self) {
         let mut ticks = tokio::time::interval(self.config.timing.probe_interval);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -213,7 +213,6 @@
                 self.tally.note_failure(self.elapsed());
             }
         }
-        self.note_accepted(self.book.accepted());
         self.repair(&condition);
         self.publish(false);
     }
@@ -221,7 +220,11 @@
     pub(super) fn note_accepted(&mut self, accepted: LogTerm) {
         if accepted > self.accepted {
             self.accepted = accepted;
-            self.schedule.others_acted_at = Some(Instant::now());
+            let now = Instant::now();
+            self.schedule.others_acted_at = Some(now);
+            if !self.purse.is_usable(accepted) {
+                self.grant_due_at = now;
+            }
         }
     }
 
@@ -230,11 +233,23 @@
         if let Err(ControlError::Superseded(term)) = &answer.result {
             self.note_accepted(*term);
         }
-        self.book.note(&answer.member, answer.asked_at, status);
+        self.note_status(&answer.member, answer.asked_at, status);
     }
 
     fn note_traffic(&mut self, note: &TrafficNote) {
-        self.book.note(&note.member, note.asked_at, note.status);
+        self.note_status(&note.member, note.asked_at, note.status);
+    }
+
+    /// A greater term is noted at once and not with the next round, so that a keeper of a lower
+    /// rank sees that another one acts.
+    fn note_status(
+        &mut self,
+        member: &MemberName,
+        asked_at: Instant,
+        status: Option<MemberStatus>,
+    ) {
+        self.book.note(member, asked_at, status);
+        self.note_accepted(self.book.accepted());
     }
 
     /// Points members to the primary that do not follow it: strays of a lower term, everyone when
@@ -286,9 +301,8 @@
     }
 
     fn due_at(&self) -> Option<Instant> {
-        let timing = &self.config.timing;
         let rank = self.roster.rank_of(&self.config.instance)?;
-        self.schedule.due_at(rank, rank_delay(timing), timing.suspect_after)
+        self.schedule.due_at(rank, rank_delay(&self.config.timing))
     }
 
     fn is_due(&self) -> bool {
--- a/crates/arbutusrudder/src/keeper/platform_calls.rs
+++ b/crates/arbutusrudder/src/keeper/platform_calls.rs
@@ -1,7 +1,7 @@
 //! The keeper's calls to the platform outside a promotion. They run beside its task, so that a
 //! slow platform does not delay a probe.
 
-use super::bounds::{GRANT_REFRESH, ORDER_REFRESH};
+use super::bounds::{GRANT_REFRESH, GRANT_RETRY, ORDER_REFRESH};
 use super::decision::DecisionReason;
 use super::grant_client::GrantClientError;
 use super::group_keeper::GroupKeeper;
@@ -47,8 +47,11 @@
 
     pub(super) fn call_platform(&mut self) {
         let now = Instant::now();
-        if now >= self.grant_due_at {
-            self.grant_due_at = now + GRANT_REFRESH;
+        // Before any member was heard, a reservation would be of a term that they refuse.
+        let is_heard = self.accepted > LogTerm(0);
+        if is_heard && now >= self.grant_due_at {
+            let is_usable = self.purse.is_usable(self.accepted);
+            self.grant_due_at = now + if is_usable { GRANT_REFRESH } else { GRANT_RETRY };
             self.spawn_enrol();
         }
         let has_first_rank = self.roster.rank_of(&self.config.instance) == Some(0);
--- a/crates/arbutusrudder/src/keeper/schedule.rs
+++ b/crates/arbutusrudder/src/keeper/schedule.rs
@@ -18,16 +18,11 @@
     /// When to act; none while nothing is suspected.
     ///
     /// Guards against keepers that fence each other's promotions in turn: a lower rank waits
-    /// longer, and whoever sees another one's fence gives it `others_bound` to finish. Acting at
+    /// longer, and whoever sees another one's fence gives it one delay more to finish. Acting at
     /// the same time all the same is safe, since their terms differ.
-    pub(super) fn due_at(
-        &self,
-        rank: u32,
-        rank_delay: Duration,
-        others_bound: Duration,
-    ) -> Option<Instant> {
+    pub(super) fn due_at(&self, rank: u32, rank_delay: Duration) -> Option<Instant> {
         let by_rank = self.suspected_since? + rank_delay * rank;
-        let after_others = self.others_acted_at.map(|at| at + others_bound + rank_delay * rank);
+        let after_others = self.others_acted_at.map(|at| at + rank_delay * (rank + 1));
         [Some(by_rank), after_others, self.rest_until].into_iter().flatten().max()
     }
 }
--- /dev/null
+++ b/crates/arbutusrudder/src/keeper/tests/failover.rs
@@ -0,0 +1,199 @@
+//! A primary is replaced without anyone asked, whatever fails in the same minute.
+
+use super::fake_group::PromotionFault;
+use super::fake_platform::{PlatformFault, entry};
+use super::fixture::{Fixture, RunningKeeper, service};
+use super::model::member_name;
+use crate::keeper::KeeperRoster;
+use rudder_core::{LogTerm, SwitchOrder, WriterMark, check_history};
+use rudder_platform::{ObjectKind, PlatformStore};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// What callers may wait at most for a new primary with the default settings.
+const GAP_MAX: Duration = Duration::from_secs(2);
+/// What callers may wait at most in a planned switch.
+const SWITCH_GAP_MAX: Duration = Duration::from_secs(1);
+
+async fn settle() {
+    sleep(Duration::from_secs(3)).await;
+}
+
+fn term(keeper: &RunningKeeper) -> LogTerm {
+    keeper.view.borrow().term
+}
+
+async fn kill_primary(fixture: &Fixture) -> Duration {
+    fixture.group.model().kill(0);
+    fixture.next_acknowledgement().await
+}
+
+#[tokio::test(start_paused = true)]
+async fn killed_primary_is_replaced() {
+    let fixture = Fixture::new(3, 3);
+    let keepers = [0, 1, 2].map(|index| fixture.keeper(index, &[]));
+    settle().await;
+
+    let gap = kill_primary(&fixture).await;
+
+    println!("gap {gap:?}");
+    settle().await;
+    assert!(gap < GAP_MAX, "{gap:?}");
+    assert_eq!(check_history(&fixture.history(&keepers[0]).await), vec![]);
+    assert!(keepers.iter().all(|keeper| term(keeper) == term(&keepers[0])));
+}
+
+// The platform stops answering in the same minute as the primary dies. Callers must not wait for
+// the platform: the promotion uses a term that was agreed beforehand.
+#[tokio::test(start_paused = true)]
+async fn primary_is_replaced_during_a_platform_outage() {
+    let fixture = Fixture::new(3, 1);
+    let keeper = fixture.keeper(0, &[]);
+    settle().await;
+    *fixture.platform.fault.lock().unwrap() = PlatformFault::Hangs;
+
+    let gap = kill_primary(&fixture).await;
+
+    println!("gap {gap:?}");
+    settle().await;
+    assert!(gap < GAP_MAX, "{gap:?}");
+    assert_eq!(check_history(&fixture.history(&keeper).await), vec![]);
+}
+
+// Every change in the platform takes effect but its answer is lost. The keeper must find its own
+// mark again, or it would take one term after another, or believe in another's.
+#[tokio::test(start_paused = true)]
+async fn lost_answers_of_the_platform_cost_no_failover() {
+    let fixture = Fixture::new(3, 1);
+    let keeper = fixture.keeper(0, &[]);
+    *fixture.platform.fault.lock().unwrap() = PlatformFault::LosesAnswers;
+    settle().await;
+
+    let gap = kill_primary(&fixture).await;
+
+    println!("gap {gap:?}");
+    settle().await;
+    assert!(gap < GAP_MAX, "{gap:?}");
+    assert_eq!(check_history(&fixture.history(&keeper).await), vec![]);
+}
+
+// Two keepers disagree about who has the first rank and promote at the same time. One gives way
+// to the other's greater term; no write is lost.
+#[tokio::test(start_paused = true)]
+async fn two_promoters_at_once_leave_one_primary() {
+    let fixture = Fixture::new(3, 2);
+    let keepers = [0, 1].map(|index| {
+        let roster = KeeperRoster { keepers: vec![entry(index), entry(1 - index)] };
+        fixture.keeper_in(index, roster, &[])
+    });
+    settle().await;
+
+    let gap = kill_primary(&fixture).await;
+
+    println!("gap {gap:?}");
+    settle().await;
+    assert_eq!(check_history(&fixture.history(&keepers[0]).await), vec![]);
+    assert_eq!(keepers[0].view.borrow().primary, keepers[1].view.borrow().primary);
+}
+
+// The chosen member dies right after it answered the promotion, or before its answer is seen. A
+// further member is promoted at a new term.
+#[tokio::test(start_paused = true)]
+async fn first_candidate_dies_too() {
+    for fault in [PromotionFault::DiesAfterAnswer, PromotionFault::AnswerLost] {
+        let fixture = Fixture::new(5, 1);
+        let keeper = fixture.keeper(0, &[]);
+        settle().await;
+        *fixture.group.fault.lock().unwrap() = fault;
+
+        let gap = kill_primary(&fixture).await;
+
+        println!("gap {fault:?} {gap:?}");
+        settle().await;
+        assert!(term(&keeper) > LogTerm(3));
+        assert_eq!(check_history(&fixture.history(&keeper).await), vec![]);
+    }
+}
+
+// The promoter is frozen in the middle of its plan. The keeper of the second rank takes over;
+// the first wakes much later, sends the rest of its plan, and must do no harm.
+#[tokio::test(start_paused = true)]
+async fn frozen_promoter_is_replaced_and_gives_way_on_waking() {
+    let fixture = Fixture::new(3, 2);
+    let keepers = [0, 1].map(|index| fixture.keeper(index, &[]));
+    settle().await;
+    fixture.group.model().kill(0);
+    while fixture.group.model().members[1].accepted == LogTerm(1) {
+        sleep(Duration::from_millis(1)).await;
+    }
+
+    keepers[0].frozen.send_replace(true);
+    let gap = fixture.next_acknowledgement().await;
+    settle().await;
+    let term_before = term(&keepers[1]);
+    sleep(Duration::from_secs(60)).await;
+    keepers[0].frozen.send_replace(false);
+    settle().await;
+
+    println!("gap {gap:?}");
+    assert_eq!(term(&keepers[0]), term_before);
+    assert_eq!(check_history(&fixture.history(&keepers[0]).await), vec![]);
+}
+
+// One instance loses its link to the primary, the others do not. Callers of the others would pay
+// for a promotion with an interruption.
+#[tokio::test(start_paused = true)]
+async fn one_cut_link_moves_no_primary() {
+    let fixture = Fixture::new(3, 3);
+    let keepers = [0, 1, 2].map(|index| fixture.keeper(index, if index == 0 { &[0] } else { &[] }));
+
+    sleep(Duration::from_secs(30)).await;
+
+    assert_eq!(term(&keepers[1]), LogTerm(1));
+    assert_eq!(keepers[1].view.borrow().primary, Some(member_name(0)));
+}
+
+// A killed member comes back, follows nobody and lacks entries. Without repair it would stay
+// behind for good, and the next failure would find no majority.
+#[tokio::test(start_paused = true)]
+async fn restarted_members_follow_again() {
+    let fixture = Fixture::new(3, 1);
+    let keeper = fixture.keeper(0, &[]);
+    settle().await;
+    fixture.group.model().kill(2);
+    settle().await;
+    fixture.group.model().restart(2);
+    settle().await;
+    kill_primary(&fixture).await;
+    fixture.group.model().restart(0);
+
+    settle().await;
+
+    let model = fixture.group.model();
+    let primary = keeper.view.borrow().primary.clone();
+    let followers = model.members.iter().filter(|member| member.leader == primary).count();
+    assert_eq!(followers, 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn ordered_switch_moves_the_primary() {
+    let fixture = Fixture::new(3, 1);
+    let keeper = fixture.keeper(0, &[]);
+    settle().await;
+    let order = SwitchOrder { target: member_name(2), mark: WriterMark::random() };
+    let spec = serde_json::to_value(&order).unwrap();
+    let (kind, name) = (ObjectKind::SwitchOrder, service());
+    fixture.platform.put(kind, name.as_str(), None, spec).await.unwrap();
+
+    while term(&keeper) == LogTerm(1) {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let gap = fixture.next_acknowledgement().await;
+    settle().await;
+
+    println!("gap {gap:?}");
+    assert!(gap < SWITCH_GAP_MAX, "{gap:?}");
+    assert_eq!(keeper.view.borrow().primary, Some(member_name(2)));
+    assert_eq!(fixture.platform.get(kind, name.as_str()).await, Ok(None));
+    assert_eq!(check_history(&fixture.history(&keeper).await), vec![]);
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/keeper/tests/fake_group.rs
@@ -0,0 +1,76 @@
+//! The group in memory behind control channels that can be cut.
+
+use super::model::{ModelGroup, member_name};
+use async_trait::async_trait;
+use rudder_core::{ControlStatement, MemberStatus, PlanReply};
+use rudder_endpoint::{ControlError, MemberControl};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+const LINK_DELAY: Duration = Duration::from_millis(10);
+
+/// Kills the member that is promoted next, right after it answered or before it can answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PromotionFault {
+    None,
+    DiesAfterAnswer,
+    AnswerLost,
+}
+
+pub(super) struct FakeGroup {
+    model: Mutex<ModelGroup>,
+    pub(super) fault: Mutex<PromotionFault>,
+}
+
+impl FakeGroup {
+    pub(super) fn new(members: usize) -> Arc<Self> {
+        let model = Mutex::new(ModelGroup::new(members));
+        Arc::new(Self { model, fault: Mutex::new(PromotionFault::None) })
+    }
+
+    pub(super) fn model(&self) -> MutexGuard<'_, ModelGroup> {
+        self.model.lock().expect("no test thread panics while it holds the group")
+    }
+
+    fn run(&self, index: usize, statement: &ControlStatement) -> PlanReply {
+        let reply = self.model().run(index, statement);
+        let mut fault = self.fault.lock().expect("no panic while held");
+        let is_promotion = matches!(statement, ControlStatement::Promote(_));
+        if !is_promotion || *fault == PromotionFault::None {
+            return reply;
+        }
+        self.model().kill(index);
+        let fault = std::mem::replace(&mut *fault, PromotionFault::None);
+        if fault == PromotionFault::AnswerLost { PlanReply::Lost } else { reply }
+    }
+}
+
+/// One instance's channel to one member.
+pub(super) struct FakeControl {
+    pub(super) group: Arc<FakeGroup>,
+    pub(super) index: usize,
+    pub(super) is_cut: bool,
+}
+
+#[async_trait]
+impl MemberControl for FakeControl {
+    async fn run(
+        &self,
+        statement: &ControlStatement,
+        _within: Duration,
+    ) -> Result<MemberStatus, ControlError> {
+        let unreachable = || ControlError::Unreachable(member_name(self.index).to_string());
+        if self.is_cut {
+            return Err(unreachable());
+        }
+        tokio::time::sleep(LINK_DELAY).await;
+        let reply = self.group.run(self.index, statement);
+        tokio::time::sleep(LINK_DELAY).await;
+        match reply {
+            PlanReply::Status(status) => Ok(status),
+            PlanReply::Superseded(term) => Err(ControlError::Superseded(term)),
+            PlanReply::Refused => Err(ControlError::Refused("wrong term".to_owned())),
+            PlanReply::Lost => Err(unreachable()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/keeper/tests/fixture.rs
@@ -0,0 +1,204 @@
+//! A group with keepers and a writer that records what its caller sees.
+
+use super::fake_group::{FakeControl, FakeGroup};
+use super::fake_platform::{FakeExchange, FakePlatform, VoteBoard, entry};
+use super::model::member_name;
+use crate::keeper::group_keeper::GroupKeeper;
+use crate::keeper::{GroupView, KeeperConfig, KeeperMember, KeeperRoster};
+use rudder_core::{
+    AckVerdict, HistoryLog, OutcomeClass, PlanMember, ServiceName, StoredValue, WriteOutcome,
+    WriteRecord, judge_commit,
+};
+use rudder_settings::TimingSettings;
+use std::pin::pin;
+use std::sync::{Arc, Mutex};
+use std::task::Poll;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+const WRITE_INTERVAL: Duration = Duration::from_millis(20);
+const ACK_TIMEOUT: Duration = Duration::from_millis(500);
+const REPLICATION_INTERVAL: Duration = Duration::from_millis(5);
+/// After this time a test gives up waiting for an acknowledgement.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+const ROW: &str = "orders";
+
+pub(super) struct Fixture {
+    pub(super) group: Arc<FakeGroup>,
+    pub(super) platform: Arc<FakePlatform>,
+    board: Arc<VoteBoard>,
+    keepers: usize,
+    log: Arc<Mutex<HistoryLog>>,
+    stop: CancellationToken,
+}
+
+/// A running keeper; while it is frozen its task gets no processor time.
+pub(super) struct RunningKeeper {
+    pub(super) view: watch::Receiver<Arc<GroupView>>,
+    pub(super) frozen: watch::Sender<bool>,
+    _notes: mpsc::Sender<crate::keeper::TrafficNote>,
+}
+
+pub(super) fn service() -> ServiceName {
+    "scores-db".parse().expect("a valid name")
+}
+
+impl Fixture {
+    pub(super) fn new(members: usize, keepers: usize) -> Self {
+        let (group, platform) = (FakeGroup::new(members), FakePlatform::new());
+        let (board, log, stop) = (Arc::default(), Arc::default(), CancellationToken::new());
+        let fixture = Self { group, platform, board, keepers, log, stop };
+        tokio::spawn(replicate(fixture.group.clone()));
+        tokio::spawn(write(fixture.group.clone(), fixture.log.clone(), fixture.stop.clone()));
+        fixture
+    }
+
+    /// Starts keeper `index`; `cut` names the members that it cannot reach.
+    pub(super) fn keeper(&self, index: usize, cut: &[usize]) -> RunningKeeper {
+        let keepers = (0..self.keepers).map(entry).collect();
+        self.keeper_in(index, KeeperRoster { keepers }, cut)
+    }
+
+    pub(super) fn keeper_in(
+        &self,
+        index: usize,
+        roster: KeeperRoster,
+        cut: &[usize],
+    ) -> RunningKeeper {
+        let own = entry(index);
+        let members = 0..self.group.model().members.len();
+        let config = KeeperConfig {
+            service: service(),
+            instance: own.instance.clone(),
+            domain: own.domain.clone(),
+            members: members.map(|member| self.member(member, cut)).collect(),
+            timing: TimingSettings::default(),
+            store: self.platform.clone(),
+            exchange: Arc::new(FakeExchange { own, roster, board: self.board.clone() }),
+        };
+        let (notes, incoming) = mpsc::channel(8);
+        let (keeper, view) = GroupKeeper::new(config, incoming);
+        let (frozen, gate) = watch::channel(false);
+        tokio::spawn(run_gated(keeper, gate));
+        RunningKeeper { view, frozen, _notes: notes }
+    }
+
+    fn member(&self, index: usize, cut: &[usize]) -> KeeperMember {
+        let preference = u32::try_from(index).expect("few members");
+        let group = self.group.clone();
+        KeeperMember {
+            member: PlanMember { name: member_name(index), preference },
+            control: Arc::new(FakeControl { group, index, is_cut: cut.contains(&index) }),
+        }
+    }
+
+    /// Waits for the next acknowledged write that was sent from now on, and says how long it took.
+    pub(super) async fn next_acknowledgement(&self) -> Duration {
+        let since = Instant::now();
+        let count = || {
+            let log = self.log.lock().expect("no panic while held");
+            let acked = |write: &&WriteRecord| write.outcome == WriteOutcome::Acknowledged;
+            log.writes.iter().filter(acked).filter(|write| write.invoked >= elapsed(since)).count()
+        };
+        while count() == 0 {
+            sleep(WRITE_INTERVAL).await;
+            assert!(since.elapsed() < WAIT_MAX, "no write acknowledged: {:?}", self.group.model());
+        }
+        since.elapsed()
+    }
+
+    /// Stops the writer, and returns the history with what this view's primary holds.
+    pub(super) async fn history(&self, keeper: &RunningKeeper) -> HistoryLog {
+        self.stop.cancel();
+        sleep(2 * ACK_TIMEOUT).await;
+        let mut log = self.log.lock().expect("no panic while held").clone();
+        let primary = keeper.view.borrow().primary.clone().expect("a primary");
+        let model = self.group.model();
+        let entries = &model.members[model.index_of(&primary)].log;
+        let stored = |value| StoredValue { row: ROW.to_owned(), value };
+        log.stored = entries.iter().map(|entry| stored(entry.value)).collect();
+        log
+    }
+}
+
+fn elapsed(at: Instant) -> Duration {
+    at.duration_since(ORIGIN.with(|origin| *origin))
+}
+
+thread_local! {
+    static ORIGIN: Instant = Instant::now();
+}
+
+async fn run_gated(keeper: GroupKeeper, mut gate: watch::Receiver<bool>) {
+    let mut running = pin!(keeper.run());
+    loop {
+        let opened = gate.wait_for(|frozen| !frozen).await.is_ok();
+        if !opened {
+            return;
+        }
+        let mut closed = pin!(async { gate.clone().wait_for(|frozen| *frozen).await.is_ok() });
+        let step = std::future::poll_fn(|context| {
+            if let Poll::Ready(frozen) = closed.as_mut().poll(context) {
+                return Poll::Ready(frozen);
+            }
+            running.as_mut().poll(context).map(|()| false)
+        });
+        if !step.await {
+            return;
+        }
+    }
+}
+
+async fn replicate(group: Arc<FakeGroup>) {
+    loop {
+        sleep(REPLICATION_INTERVAL).await;
+        let mut model = group.model();
+        (0..model.members.len()).for_each(|index| model.replicate(index, 8));
+    }
+}
+
+/// Sends one write after another to whichever member takes it.
+async fn write(group: Arc<FakeGroup>, log: Arc<Mutex<HistoryLog>>, stop: CancellationToken) {
+    let origin = ORIGIN.with(|origin| *origin);
+    for value in 0.. {
+        sleep(WRITE_INTERVAL).await;
+        if stop.is_cancelled() {
+            return;
+        }
+        let invoked = origin.elapsed();
+        let outcome = write_once(&group, value).await;
+        let record = WriteRecord {
+            session: "anna".parse().expect("a valid id"),
+            invoked,
+            returned: origin.elapsed(),
+            stored: StoredValue { row: ROW.to_owned(), value },
+            key: None,
+            outcome,
+        };
+        log.lock().expect("no panic while held").writes.push(record);
+    }
+}
+
+async fn write_once(group: &FakeGroup, value: u64) -> WriteOutcome {
+    let commit = {
+        let mut model = group.model();
+        let mut takers = (0..model.members.len()).rev();
+        takers.find_map(|index| model.write(index, value))
+    };
+    let Some(commit) = commit else { return WriteOutcome::Refused(OutcomeClass::NotRun) };
+    let deadline = Instant::now() + ACK_TIMEOUT;
+    while Instant::now() < deadline {
+        sleep(REPLICATION_INTERVAL).await;
+        let model = group.model();
+        let up = model.members.iter().filter(|member| member.up);
+        let reports: Vec<_> = up.map(|member| (member.name.clone(), member.status())).collect();
+        match judge_commit(commit, model.members.len(), &reports) {
+            AckVerdict::Acknowledged => return WriteOutcome::Acknowledged,
+            AckVerdict::Superseded => break,
+            AckVerdict::Waiting => {}
+        }
+    }
+    WriteOutcome::Refused(OutcomeClass::Unknown)
+}
--- a/crates/arbutusrudder/src/keeper/tests/mod.rs
+++ b/crates/arbutusrudder/src/keeper/tests/mod.rs
@@ -1,1 +1,8 @@
-//! Tests of the keeper against fakes at its borders.
+//! Tests of the keeper against fakes at its borders, on tokio's paused clock.
+
+mod failover;
+mod fake_group;
+mod fake_platform;
+mod fixture;
+#[path = "../../../../rudder-core/tests/succession/model.rs"]
+mod model;
--- a/crates/rudder-core/src/succession/plan.rs
+++ b/crates/rudder-core/src/succession/plan.rs
@@ -135,7 +135,10 @@
         self.advance(now);
         let mut requests = Vec::new();
         for index in 0..self.progress.len() {
-            let Some(statement) = self.due_statement(index, now) else { continue };
+            if now < self.progress[index].due_at {
+                continue;
+            }
+            let Some(statement) = self.next_statement(&self.progress[index]) else { continue };
             let progress = &mut self.progress[index];
             progress.in_flight = Some(SentStatement { statement: statement.clone(), sent_at: now });
             requests.push(PlanRequest { member: progress.member.name.clone(), statement });
@@ -198,8 +201,9 @@
     /// ```
     #[must_use]
     pub fn wake_at(&self) -> Option<Duration> {
-        let idle = self.progress.iter().filter(|progress| progress.in_flight.is_none());
-        let retry_at = idle.map(|progress| progress.due_at).min();
+        // Only members with a statement to come count, or the driver would spin on the others.
+        let waiting = self.progress.iter().filter(|known| self.next_statement(known).is_some());
+        let retry_at = waiting.map(|progress| progress.due_at).min();
         let phase_end = match &self.phase {
             PlanPhase::Fencing { majority_since } => {
                 majority_since.map(|at| at + self.bounds.grace)
@@ -235,9 +239,9 @@
         progress.in_flight.take_if(|sent| sent.statement == *statement)
     }
 
-    fn due_statement(&self, index: usize, now: Duration) -> Option<ControlStatement> {
-        let progress = &self.progress[index];
-        if progress.in_flight.is_some() || now < progress.due_at {
+    /// What an idle member shall be sent next, now or once it is due.
+    fn next_statement(&self, progress: &MemberProgress) -> Option<ControlStatement> {
+        if progress.in_flight.is_some() {
             return None;
         }
         let name = &progress.member.name;
--- a/crates/rudder-core/src/succession/purse.rs
+++ b/crates/rudder-core/src/succession/purse.rs
@@ -78,9 +78,14 @@
         self.spent
     }
 
-    /// Whether a reserved term is at hand.
+    /// Whether a reserved term is at hand that members would accept.
+    ///
+    /// ```
+    /// use rudder_core::{LogTerm, TermPurse, WriterMark};
+    /// assert!(!TermPurse::new(WriterMark::random()).is_usable(LogTerm(0)));
+    /// ```
     #[must_use]
-    pub const fn is_filled(&self) -> bool {
-        self.reserved.is_some()
+    pub fn is_usable(&self, accepted: LogTerm) -> bool {
+        self.reserved.is_some_and(|reserved| reserved > accepted)
     }
 }
--- a/crates/rudder-core/tests/succession/faults.rs
+++ b/crates/rudder-core/tests/succession/faults.rs
@@ -172,6 +172,8 @@
                 statement: request.statement,
             });
         }
+        let is_early = plan.wake_at().is_some_and(|wake_at| wake_at <= self.now);
+        assert!(!is_early, "the driver would spin: {plan:?}");
     }
 
     fn take_message(&mut self, index: usize) -> Option<Message> {
