--- a/crates/arbutusrudder/src/keeper/tests/fixture.rs
+++ b/crates/arbutusrudder/src/keeper/tests/fixture.rs
@@ -4,7 +4,8 @@
 use super::fake_platform::{FakeExchange, FakePlatform, VoteBoard, entry};
 use super::model::member_name;
 use crate::keeper::group_keeper::GroupKeeper;
-use crate::keeper::{GroupView, KeeperConfig, KeeperMember, KeeperRoster};
+use crate::keeper::view::GroupView;
+use crate::keeper::{KeeperConfig, KeeperMember, KeeperRoster};
 use rudder_core::{
     AckVerdict, HistoryLog, OutcomeClass, PlanMember, ServiceName, StoredValue, WriteOutcome,
     WriteRecord, judge_commit,
