Stand-in group: acknowledged entries survive random schedules of promotions

The acknowledgement rule was tested on single reports only. 200 seeded schedules of 600 steps (commits, deliveries, reports, cuts, competing and unfinished promotions) now run over the stand-in's members with the rule of rudder-core, and each new primary's log is checked against all that was acknowledged.

--- a/crates/rudder-standins/src/group/replication/tests.rs
+++ b/crates/rudder-standins/src/group/replication/tests.rs
@@ -13,6 +13,8 @@
 const LINK_DELAY: Duration = Duration::from_secs(600);
 const APPLY_LAG: Duration = Duration::from_secs(60);
 
+mod succession;
+
 /// A primary and two replicas that are alive but have no listeners.
 fn members() -> Vec<Arc<Member>> {
     let mut settings = GroupSettings::loopback("orders".parse().unwrap());
--- /dev/null
+++ b/crates/rudder-standins/src/group/replication/tests/succession.rs
@@ -0,0 +1,203 @@
+//! Random schedules of commits, faults and competing promotions: no acknowledged entry is lost.
+
+use super::{append, lock, members, step};
+use crate::group::member::Member;
+use crate::group::replication::EntryFlight;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rudder_core::{
+    AckVerdict, ControlStatement, LogPosition, LogStamp, LogTerm, MemberName, MemberStatus,
+    judge_commit, majority_of,
+};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const SEEDS: u64 = 200;
+const OPERATIONS: usize = 600;
+
+/// A commit with the reports that were asked for after it.
+struct PendingCommit {
+    stamp: LogStamp,
+    reports: Vec<(MemberName, MemberStatus)>,
+}
+
+/// Someone who carries out a promotion, one step at a time.
+struct Promoter {
+    term: LogTerm,
+    fenced: Vec<(usize, MemberStatus)>,
+    leader: Option<usize>,
+}
+
+struct Schedule {
+    generator: StdRng,
+    members: Vec<Arc<Member>>,
+    flights: Vec<EntryFlight>,
+    now: Instant,
+    commits: Vec<PendingCommit>,
+    acknowledged: Vec<LogStamp>,
+    promoters: Vec<Promoter>,
+    promotions: usize,
+}
+
+impl Schedule {
+    fn new(seed: u64) -> Self {
+        let members = members();
+        for member in &members {
+            let mut knobs = lock(&member.replication);
+            knobs.link_delay = Duration::from_millis(5);
+            knobs.apply_lag = Duration::ZERO;
+        }
+        Self {
+            generator: StdRng::seed_from_u64(seed),
+            flights: members.iter().map(|_| EntryFlight::default()).collect(),
+            members,
+            now: Instant::now(),
+            commits: Vec::new(),
+            acknowledged: Vec::new(),
+            promoters: Vec::new(),
+            promotions: 0,
+        }
+    }
+
+    fn any_member(&mut self) -> usize {
+        self.generator.random_range(0..self.members.len())
+    }
+
+    fn operate(&mut self) {
+        match self.generator.random_range(0..100) {
+            0..20 => self.commit(),
+            20..55 => self.replicate(),
+            55..80 => self.ask_report(),
+            80..84 => self.toggle_cut(),
+            84..86 => self.begin_promotion(),
+            _ => self.advance_promotion(),
+        }
+    }
+
+    fn commit(&mut self) {
+        let index = self.any_member();
+        let member = Arc::clone(&self.members[index]);
+        if lock(&member.state).check_writable("INSERT").is_ok() {
+            append(&member);
+            let stamp = member.status().received;
+            self.commits.push(PendingCommit { stamp, reports: Vec::new() });
+        }
+    }
+
+    fn replicate(&mut self) {
+        let index = self.any_member();
+        self.now += Duration::from_millis(self.generator.random_range(0..8));
+        step(&self.members, index, &mut self.flights[index], self.now);
+    }
+
+    /// One member's report reaches everybody who waits for an acknowledgement.
+    fn ask_report(&mut self) {
+        let index = self.any_member();
+        let member = Arc::clone(&self.members[index]);
+        let status = member.status();
+        for commit in &mut self.commits {
+            commit.reports.retain(|(name, _)| *name != member.name);
+            commit.reports.push((member.name.clone(), status));
+        }
+        let count = self.members.len();
+        let verdict = |commit: &PendingCommit| judge_commit(commit.stamp, count, &commit.reports);
+        let done = self.commits.iter().filter(|commit| verdict(commit) == AckVerdict::Acknowledged);
+        self.acknowledged.extend(done.map(|commit| commit.stamp));
+        self.commits.retain(|commit| verdict(commit) == AckVerdict::Waiting);
+    }
+
+    fn toggle_cut(&mut self) {
+        let index = self.any_member();
+        let mut knobs = lock(&self.members[index].replication);
+        knobs.cut = !knobs.cut;
+    }
+
+    fn begin_promotion(&mut self) {
+        let highest = self.members.iter().map(|member| member.status().accepted).max().unwrap();
+        let planned = self.promoters.iter().map(|promoter| promoter.term).max();
+        let term = LogTerm(highest.max(planned.unwrap_or_default()).0 + 1);
+        self.promoters.push(Promoter { term, fenced: Vec::new(), leader: None });
+    }
+
+    /// Takes the next step of a promotion; a refusal ends it.
+    fn advance_promotion(&mut self) {
+        if self.promoters.is_empty() {
+            return;
+        }
+        let chosen = self.generator.random_range(0..self.promoters.len());
+        let mut promoter = self.promoters.swap_remove(chosen);
+        let index = self.any_member();
+        let goes_on = match promoter.leader {
+            Some(leader) => self.point(&promoter, index, leader),
+            None if promoter.fenced.len() < majority_of(self.members.len()) => {
+                self.fence(&mut promoter, index)
+            }
+            None => self.promote(&mut promoter),
+        };
+        if goes_on {
+            self.promoters.push(promoter);
+        }
+    }
+
+    fn fence(&self, promoter: &mut Promoter, index: usize) -> bool {
+        match self.members[index].control(&ControlStatement::Fence(promoter.term)) {
+            Ok(status) => {
+                promoter.fenced.retain(|(fenced, _)| *fenced != index);
+                promoter.fenced.push((index, status));
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    fn promote(&mut self, promoter: &mut Promoter) -> bool {
+        let best = promoter.fenced.iter().max_by_key(|(_, status)| status.received);
+        let (leader, _) = *best.unwrap();
+        if self.members[leader].control(&ControlStatement::Promote(promoter.term)).is_err() {
+            return false;
+        }
+        promoter.leader = Some(leader);
+        self.promotions += 1;
+        self.check_kept(leader);
+        true
+    }
+
+    fn point(&self, promoter: &Promoter, index: usize, leader: usize) -> bool {
+        if index == leader {
+            return true;
+        }
+        let name = self.members[leader].name.clone();
+        let follow = ControlStatement::Follow(promoter.term, name);
+        self.members[index].control(&follow).is_ok()
+    }
+
+    /// The log of a new primary holds everything that was ever acknowledged.
+    fn check_kept(&self, leader: usize) {
+        let state = lock(&self.members[leader].state);
+        for stamp in &self.acknowledged {
+            let LogPosition(position) = stamp.position;
+            let kept = state.log.stamp_at(usize::try_from(position).unwrap());
+            assert_eq!(kept, *stamp, "an acknowledged entry was lost");
+        }
+    }
+}
+
+/// Callers are told that a write is done. Then the primary is cut off, others are promoted, some
+/// promotions compete and some stop half-way. The write must be in the log of each new primary.
+#[test]
+fn acknowledged_entries_survive_every_promotion() {
+    let mut acknowledged = 0;
+    let mut promotions = 0;
+    for seed in 0..SEEDS {
+        let mut schedule = Schedule::new(seed);
+        for _ in 0..OPERATIONS {
+            schedule.operate();
+        }
+        acknowledged += schedule.acknowledged.len();
+        promotions += schedule.promotions;
+    }
+
+    // Schedules in which nothing happened would prove nothing.
+    assert!(acknowledged > 1000 && promotions > 500, "{acknowledged} {promotions}");
+}
