--- a/crates/rudder-standins/examples/bench/client.rs
+++ b/crates/rudder-standins/examples/bench/client.rs
@@ -15,6 +15,12 @@
 /// Bytes read at a time.
 const READ_BYTES: usize = 16 << 10;
 
+/// The prepared statement's name with its end.
+const PREPARED_NAME: &[u8] = b"point\0";
+
+/// The unnamed portal, then the prepared statement's name.
+const PREPARED_NAME_PAIR: &[u8] = b"\0point\0";
+
 /// Whom to connect to, and as whom.
 #[derive(Clone, Debug)]
 pub(crate) struct BenchTarget {
@@ -52,13 +58,36 @@
     /// The message for a statement.
     pub(crate) fn request(statement: &str) -> BytesMut {
         let mut message = BytesMut::new();
-        message.put_u8(b'Q');
-        message.put_i32(i32::try_from(statement.len() + 5).unwrap_or(i32::MAX));
-        message.put_slice(statement.as_bytes());
-        message.put_u8(0);
+        put_message(b'Q', &[statement.as_bytes(), &[0]].concat(), &mut message);
+        message
+    }
+
+    /// The message that executes the prepared statement with one parameter, as text.
+    pub(crate) fn execution(parameter: &str) -> BytesMut {
+        let mut bind = BytesMut::new();
+        bind.put_slice(PREPARED_NAME_PAIR);
+        bind.put_slice(&[0, 0, 0, 1]);
+        bind.put_i32(i32::try_from(parameter.len()).unwrap_or(i32::MAX));
+        bind.put_slice(parameter.as_bytes());
+        bind.put_slice(&[0, 0]);
+        let mut message = BytesMut::new();
+        put_message(b'B', &bind, &mut message);
+        put_message(b'E', &[0, 0, 0, 0, 0], &mut message);
+        put_message(b'S', &[], &mut message);
         message
     }
 
+    /// Prepares the statement that executions run.
+    pub(crate) async fn prepare(&mut self, statement: &str) -> io::Result<()> {
+        let mut parse = BytesMut::from(PREPARED_NAME);
+        parse.put_slice(statement.as_bytes());
+        parse.put_slice(&[0, 0, 0]);
+        let mut message = BytesMut::new();
+        put_message(b'P', &parse, &mut message);
+        put_message(b'S', &[], &mut message);
+        self.ask(&message).await
+    }
+
     /// Runs a statement.
     pub(crate) async fn run(&mut self, statement: &str) -> io::Result<()> {
         self.ask(&Self::request(statement)).await
@@ -97,3 +126,12 @@
         if self.input.len() < length { None } else { Some((header[0], length)) }
     }
 }
+
+/// Appends a message of a type and a body.
+fn put_message(kind: u8, body: &[u8], out: &mut BytesMut) {
+    /// The length counts itself.
+    const LENGTH_BYTES: usize = 4;
+    out.put_u8(kind);
+    out.put_i32(i32::try_from(body.len() + LENGTH_BYTES).unwrap_or(i32::MAX));
+    out.put_slice(body);
+}
--- a/crates/rudder-standins/examples/bench/load.rs
+++ b/crates/rudder-standins/examples/bench/load.rs
@@ -7,18 +7,60 @@
 use bytes::BytesMut;
 use hdrhistogram::Histogram;
 use std::error::Error;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Part of the time in which caches, pools and limits settle; not measured.
 const WARM_UP_SHARE: u32 = 5;
 
+/// What is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StatementKind {
+    /// A point read by the simple protocol.
+    Read,
+    /// A point read by a prepared statement.
+    Prepared,
+    /// A change of one row by the simple protocol.
+    Write,
+}
+
+impl FromStr for StatementKind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "read" => Ok(Self::Read),
+            "prepared" => Ok(Self::Prepared),
+            "write" => Ok(Self::Write),
+            _ => Err(format!("{text} is not one of read, prepared, write")),
+        }
+    }
+}
+
+impl StatementKind {
+    /// The message that asks for the row with this id.
+    fn request(self, id: usize) -> BytesMut {
+        match self {
+            Self::Read => BenchClient::request(&format!("SELECT note FROM bench WHERE id = {id}")),
+            Self::Prepared => BenchClient::execution(&id.to_string()),
+            Self::Write => {
+                BenchClient::request(&format!("UPDATE bench SET note = 'new' WHERE id = {id}"))
+            }
+        }
+    }
+}
+
+/// The statement that prepared reads execute.
+const PREPARED_READ: &str = "SELECT note FROM bench WHERE id = $1::int4";
+
 /// One run over one path.
 #[derive(Debug)]
 pub(crate) struct LoadRun<'a> {
     pub(crate) target: &'a BenchTarget,
     pub(crate) connections: usize,
     pub(crate) time: Duration,
+    pub(crate) statement: StatementKind,
     /// The proxy's and the group's processes.
     pub(crate) pids: (Option<u32>, Option<u32>),
 }
@@ -26,12 +68,15 @@
 impl LoadRun<'_> {
     /// Runs and adds to `measurement`.
     pub(crate) async fn run(&self, measurement: &mut Measurement) -> Result<(), Box<dyn Error>> {
-        let requests: Arc<[BytesMut]> = (0..TABLE_ROWS)
-            .map(|id| BenchClient::request(&format!("SELECT note FROM bench WHERE id = {id}")))
-            .collect();
+        let requests: Arc<[BytesMut]> =
+            (0..TABLE_ROWS).map(|id| self.statement.request(id)).collect();
         let mut clients = Vec::with_capacity(self.connections);
         for _ in 0..self.connections {
-            clients.push(BenchClient::connect(self.target).await?);
+            let mut client = BenchClient::connect(self.target).await?;
+            if self.statement == StatementKind::Prepared {
+                client.prepare(PREPARED_READ).await?;
+            }
+            clients.push(client);
         }
         let start = Instant::now() + self.time / WARM_UP_SHARE;
         let end = Instant::now() + self.time;
--- a/crates/rudder-standins/examples/bench/main.rs
+++ b/crates/rudder-standins/examples/bench/main.rs
@@ -1,7 +1,8 @@
 //! Measures what a proxy adds: the same client, direct against a member and through one proxy,
 //! in one run.
 //!
-//! Prints one JSON line for each measurement to the standard output and a table for people to
+//! Statements are sent one at a time on each connection, by the simple protocol or as a prepared
+//! statement. Prints one JSON line for each measurement to the standard output and a table for people to
 //! the standard error.
 
 mod client;
@@ -11,7 +12,7 @@
 
 use argh::FromArgs;
 use client::{BenchClient, BenchTarget};
-use load::LoadRun;
+use load::{LoadRun, StatementKind};
 use report::{BenchReport, Measurement, PathKind};
 use std::error::Error;
 use std::net::SocketAddr;
@@ -48,6 +49,9 @@
     /// comma-separated numbers of connections
     #[argh(option, default = "\"1,32,256\".to_owned()")]
     connections: String,
+    /// statement to measure: read, prepared or write; a prepared one is a read too
+    #[argh(option, default = "StatementKind::Read")]
+    statement: StatementKind,
     /// process id of the proxy, for its processor time
     #[argh(option)]
     proxy_pid: Option<u32>,
@@ -76,7 +80,9 @@
         for _ in 0..ROUNDS {
             for ((_, target), measurement) in paths.iter().zip(&mut measurements) {
                 let pids = (arguments.proxy_pid, arguments.direct_pid);
-                LoadRun { target, connections, time, pids }.run(measurement).await?;
+                LoadRun { target, connections, time, pids, statement: arguments.statement }
+                    .run(measurement)
+                    .await?;
             }
         }
         report.add(&measurements);
