--- a/crates/rudder-standins/src/group/handle.rs
+++ b/crates/rudder-standins/src/group/handle.rs
@@ -1,7 +1,7 @@
 //! The handle on a running group.
 
 use super::knob::{KnobCommand, MemberKnob};
-use super::member::{GroupShared, Member};
+use super::member::{GroupMember, GroupShared};
 use super::replication::replicate;
 use super::settings::GroupSettings;
 use super::slots::lock;
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub struct GroupStandin {
     service: ServiceName,
-    members: Arc<[Arc<Member>]>,
+    members: Arc<[Arc<GroupMember>]>,
     shared: Arc<GroupShared>,
 }
 
@@ -63,11 +63,11 @@
             };
             let seed = settings.seed.wrapping_add(index as u64);
             let shared = Arc::clone(&shared);
-            let member = Member::new(member, &settings, address, state, shared, seed);
+            let member = GroupMember::new(member, &settings, address, state, shared, seed);
             members.push(Arc::new(member));
             listeners.push(listener);
         }
-        let members: Arc<[Arc<Member>]> = members.into();
+        let members: Arc<[Arc<GroupMember>]> = members.into();
         for (index, listener) in listeners.into_iter().enumerate() {
             if let Some(life) = members[index].begin_life() {
                 let listening = listen(Arc::clone(&members), index, Some(listener), life);
@@ -189,14 +189,17 @@
 
 impl std::error::Error for GroupError {}
 
-fn find<'a>(members: &'a [Arc<Member>], name: &MemberName) -> Result<&'a Arc<Member>, GroupError> {
+fn find<'a>(
+    members: &'a [Arc<GroupMember>],
+    name: &MemberName,
+) -> Result<&'a Arc<GroupMember>, GroupError> {
     members
         .iter()
         .find(|member| member.name == *name)
         .ok_or_else(|| GroupError::UnknownMember(name.clone()))
 }
 
-fn turn_knob(members: &Arc<[Arc<Member>]>, member: &Arc<Member>, knob: &MemberKnob) {
+fn turn_knob(members: &Arc<[Arc<GroupMember>]>, member: &Arc<GroupMember>, knob: &MemberKnob) {
     match knob {
         MemberKnob::Kill => member.end_life(),
         MemberKnob::Restart => restart(members, member),
@@ -204,7 +207,7 @@
     }
 }
 
-fn restart(members: &Arc<[Arc<Member>]>, member: &Arc<Member>) {
+fn restart(members: &Arc<[Arc<GroupMember>]>, member: &Arc<GroupMember>) {
     let Some(life) = member.begin_life() else { return };
     lock(&member.state).restart();
     let Some(index) = members.iter().position(|other| Arc::ptr_eq(other, member)) else { return };
@@ -214,8 +217,8 @@
 
 /// Turns a knob that came as a statement.
 pub(crate) fn turn_by_sql(
-    members: &Arc<[Arc<Member>]>,
-    receiver: &Arc<Member>,
+    members: &Arc<[Arc<GroupMember>]>,
+    receiver: &Arc<GroupMember>,
     command: &KnobCommand,
 ) -> Result<(), SqlError> {
     let member = match &command.member {
@@ -230,7 +233,7 @@
 
 /// Accepts a member's connections for as long as it lives.
 async fn listen(
-    members: Arc<[Arc<Member>]>,
+    members: Arc<[Arc<GroupMember>]>,
     index: usize,
     listener: Option<TcpListener>,
     life: CancellationToken,
@@ -273,8 +276,8 @@
 }
 
 fn spawn_connection(
-    members: &Arc<[Arc<Member>]>,
-    member: &Arc<Member>,
+    members: &Arc<[Arc<GroupMember>]>,
+    member: &Arc<GroupMember>,
     client: ClientStream,
     life: CancellationToken,
 ) {
--- a/crates/rudder-standins/src/group/log.rs
+++ b/crates/rudder-standins/src/group/log.rs
@@ -1,6 +1,6 @@
 //! A member's replication log and the tables that result from it.
 
-use crate::group::tables::database::{Database, RowEffect};
+use crate::group::tables::database::{GroupDatabase, RowEffect};
 use rudder_core::{LogStamp, LogTerm};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -25,8 +25,8 @@
 pub(crate) struct MemberLog {
     entries: Vec<Arc<LogEntry>>,
     applied: usize,
-    database: Database,
-    checkpoints: Vec<(usize, Database)>,
+    database: GroupDatabase,
+    checkpoints: Vec<(usize, GroupDatabase)>,
     /// When each entry that is not applied yet was received.
     waiting: VecDeque<Instant>,
 }
@@ -48,7 +48,7 @@
     }
 
     /// The tables as applied.
-    pub(crate) fn database(&self) -> &Database {
+    pub(crate) fn database(&self) -> &GroupDatabase {
         &self.database
     }
 
@@ -81,7 +81,7 @@
         &mut self,
         term: LogTerm,
         effects: Vec<RowEffect>,
-        database: Option<Database>,
+        database: Option<GroupDatabase>,
     ) -> LogStamp {
         let stamp = LogStamp::new(term.0, self.entries.len() as u64 + 1);
         let entry = LogEntry { stamp, effects, appended: Instant::now() };
@@ -147,7 +147,7 @@
     }
 }
 
-fn apply_entry(database: &mut Database, entry: &LogEntry) {
+fn apply_entry(database: &mut GroupDatabase, entry: &LogEntry) {
     for effect in &entry.effects {
         if let Err(error) = database.apply(effect) {
             log::error!(stamp:% = entry.stamp, error:% = error; "a log entry does not apply");
--- a/crates/rudder-standins/src/group/member.rs
+++ b/crates/rudder-standins/src/group/member.rs
@@ -58,7 +58,7 @@
 
 /// One member.
 #[derive(Debug)]
-pub(crate) struct Member {
+pub(crate) struct GroupMember {
     pub(crate) name: MemberName,
     pub(crate) address: SocketAddr,
     pub(crate) shared: Arc<GroupShared>,
@@ -75,7 +75,7 @@
     life: Mutex<Option<CancellationToken>>,
 }
 
-impl Member {
+impl GroupMember {
     /// A member that is not started yet.
     pub(crate) fn new(
         settings: &MemberSettings,
@@ -147,7 +147,7 @@
     /// Commits a transaction.
     pub(crate) fn commit(
         &self,
-        transaction: crate::group::tables::transaction::Transaction,
+        transaction: crate::group::tables::transaction::OpenTransaction,
     ) -> Result<LogStamp, SqlError> {
         let changes = !transaction.effects.is_empty();
         let stamp = lock(&self.state).commit(transaction)?;
--- a/crates/rudder-standins/src/group/replication.rs
+++ b/crates/rudder-standins/src/group/replication.rs
@@ -1,7 +1,7 @@
 //! Asynchronous replication: one task per member pulls entries and applies them.
 
 use super::log::LogEntry;
-use super::member::{Member, ReplicationKnobs};
+use super::member::{GroupMember, ReplicationKnobs};
 use super::slots::lock;
 use super::state::{GroupRole, MemberState};
 use rudder_core::{LogStamp, LogTerm, MemberName};
@@ -55,7 +55,7 @@
 }
 
 /// Keeps a member's log up to date until the group stops.
-pub(crate) async fn replicate(members: Arc<[Arc<Member>]>, index: usize) {
+pub(crate) async fn replicate(members: Arc<[Arc<GroupMember>]>, index: usize) {
     let member = &members[index];
     let stop = member.shared.stop.clone();
     let mut activity = member.shared.activity.subscribe();
@@ -79,7 +79,7 @@
 
 /// Does all that is due and tells when the next is.
 fn step(
-    members: &[Arc<Member>],
+    members: &[Arc<GroupMember>],
     index: usize,
     flight: &mut EntryFlight,
     now: Instant,
@@ -105,7 +105,7 @@
 
 /// Sends new entries on their way; tells whether the leader has more than fit.
 fn fetch(
-    members: &[Arc<Member>],
+    members: &[Arc<GroupMember>],
     index: usize,
     flight: &mut EntryFlight,
     knobs: &ReplicationKnobs,
@@ -169,8 +169,8 @@
 /// Locks two members' states in the order of their names, so that two followers of each other
 /// cannot wait for each other for good.
 fn lock_both<'a>(
-    own: &'a Member,
-    other: &'a Member,
+    own: &'a GroupMember,
+    other: &'a GroupMember,
 ) -> (MutexGuard<'a, MemberState>, MutexGuard<'a, MemberState>) {
     if own.name < other.name {
         let first = lock(&own.state);
@@ -181,7 +181,7 @@
     }
 }
 
-fn deliver(member: &Member, flight: &mut EntryFlight, now: Instant) {
+fn deliver(member: &GroupMember, flight: &mut EntryFlight, now: Instant) {
     if flight.items.front().is_none_or(|(due, _)| *due > now) {
         return;
     }
@@ -208,7 +208,7 @@
     }
 }
 
-fn apply(member: &Member, knobs: &ReplicationKnobs, now: Instant) -> Option<Instant> {
+fn apply(member: &GroupMember, knobs: &ReplicationKnobs, now: Instant) -> Option<Instant> {
     let mut state = lock(&member.state);
     while let Some(received) = state.log.next_waiting() {
         let due = received + knobs.apply_lag;
--- a/crates/rudder-standins/src/group/replication/tests.rs
+++ b/crates/rudder-standins/src/group/replication/tests.rs
@@ -1,7 +1,7 @@
 //! Replication step by step, with times of the tests' own.
 
 use super::{EntryFlight, deliver, step};
-use crate::group::member::{GroupShared, Member};
+use crate::group::member::{GroupMember, GroupShared};
 use crate::group::settings::GroupSettings;
 use crate::group::slots::lock;
 use crate::group::state::MemberState;
@@ -16,7 +16,7 @@
 mod succession;
 
 /// A primary and two replicas that are alive but have no listeners.
-fn members() -> Vec<Arc<Member>> {
+fn members() -> Vec<Arc<GroupMember>> {
     let mut settings = GroupSettings::loopback("orders".parse().unwrap());
     settings.link_delay = LINK_DELAY;
     settings.apply_lag = APPLY_LAG;
@@ -28,20 +28,20 @@
             _ => MemberState::first_replica(leader.clone()),
         };
         let own = &settings.members[index];
-        let member = Member::new(own, &settings, own.listen, state, Arc::clone(&shared), 1);
+        let member = GroupMember::new(own, &settings, own.listen, state, Arc::clone(&shared), 1);
         member.begin_life().unwrap();
         Arc::new(member)
     };
     (0..3).map(member).collect()
 }
 
-fn append(member: &Member) {
+fn append(member: &GroupMember) {
     let mut state = lock(&member.state);
     let term = state.accepted;
     state.log.append_own(term, Vec::new(), None);
 }
 
-fn received(member: &Member) -> LogStamp {
+fn received(member: &GroupMember) -> LogStamp {
     member.status().received
 }
 
--- a/crates/rudder-standins/src/group/replication/tests/succession.rs
+++ b/crates/rudder-standins/src/group/replication/tests/succession.rs
@@ -1,7 +1,7 @@
 //! Random schedules of commits, faults and competing promotions: no acknowledged entry is lost.
 
 use super::{append, lock, members, step};
-use crate::group::member::Member;
+use crate::group::member::GroupMember;
 use crate::group::replication::EntryFlight;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -31,7 +31,7 @@
 
 struct Schedule {
     generator: StdRng,
-    members: Vec<Arc<Member>>,
+    members: Vec<Arc<GroupMember>>,
     flights: Vec<EntryFlight>,
     now: Instant,
     commits: Vec<PendingCommit>,
--- a/crates/rudder-standins/src/group/sql/cache.rs
+++ b/crates/rudder-standins/src/group/sql/cache.rs
@@ -2,7 +2,7 @@
 
 use super::error::SqlError;
 use super::parse::parse_statements;
-use super::plan::Plan;
+use super::plan::StatementPlan;
 use imbl::OrdMap;
 use std::sync::{Arc, PoisonError, RwLock};
 
@@ -12,7 +12,7 @@
 /// Longer texts, such as large inserts, are not worth keeping.
 const TEXT_BYTES_MAX: usize = 4096;
 
-type PlanTexts = OrdMap<Arc<str>, Arc<[Plan]>>;
+type PlanTexts = OrdMap<Arc<str>, Arc<[StatementPlan]>>;
 
 /// The parsed form of SQL texts, shared by all sessions of a group.
 #[derive(Debug, Default)]
@@ -22,14 +22,14 @@
 
 impl PlanCache {
     /// The plans of a text.
-    pub(crate) fn plans(&self, text: &str) -> Result<Arc<[Plan]>, SqlError> {
+    pub(crate) fn plans(&self, text: &str) -> Result<Arc<[StatementPlan]>, SqlError> {
         {
             let texts = self.texts.read().unwrap_or_else(PoisonError::into_inner);
             if let Some(plans) = texts.get(text) {
                 return Ok(Arc::clone(plans));
             }
         }
-        let plans: Arc<[Plan]> = parse_statements(text)?.into();
+        let plans: Arc<[StatementPlan]> = parse_statements(text)?.into();
         if text.len() <= TEXT_BYTES_MAX {
             drop(self.keep(text, Arc::clone(&plans)));
         }
@@ -37,7 +37,7 @@
     }
 
     /// Adds a text; what had to go is dropped by the caller, so that nobody waits for that.
-    fn keep(&self, text: &str, plans: Arc<[Plan]>) -> PlanTexts {
+    fn keep(&self, text: &str, plans: Arc<[StatementPlan]>) -> PlanTexts {
         let mut texts = self.texts.write().unwrap_or_else(PoisonError::into_inner);
         let mut gone = PlanTexts::new();
         if texts.len() >= TEXTS_MAX {
--- a/crates/rudder-standins/src/group/sql/parse.rs
+++ b/crates/rudder-standins/src/group/sql/parse.rs
@@ -7,8 +7,8 @@
 };
 use super::parse_select::{projections, select_plan, target_table};
 use super::parse_table::{create_index, create_table};
-use super::plan::{ConflictRule, CopyPlan, DeletePlan, InsertPlan, Plan, UpdatePlan};
-use super::scalar::Scalar;
+use super::plan::{ConflictRule, CopyPlan, DeletePlan, InsertPlan, StatementPlan, UpdatePlan};
+use super::scalar::RowScalar;
 use rudder_core::ControlStatement;
 use sqlparser::ast;
 use sqlparser::dialect::PostgreSqlDialect;
@@ -16,53 +16,57 @@
 use std::sync::Arc;
 
 /// Parses all statements of a text.
-pub(crate) fn parse_statements(text: &str) -> Result<Vec<Plan>, SqlError> {
+pub(crate) fn parse_statements(text: &str) -> Result<Vec<StatementPlan>, SqlError> {
     let statements = Parser::parse_sql(&PostgreSqlDialect {}, text)
         .map_err(|error| SqlError::Syntax(error.to_string()))?;
     statements.into_iter().map(plan_of).collect()
 }
 
-fn plan_of(statement: ast::Statement) -> Result<Plan, SqlError> {
+fn plan_of(statement: ast::Statement) -> Result<StatementPlan, SqlError> {
     use ast::Statement as S;
     match statement {
         S::Query(query) => match parse_call(&query)? {
             Some(plan) => Ok(plan),
-            None => select_plan(*query).map(Box::new).map(Plan::Select),
+            None => select_plan(*query).map(Box::new).map(StatementPlan::Select),
         },
-        S::Insert(insert) => insert_plan(insert).map(Plan::Insert),
-        S::Update(update) => update_plan(update).map(Plan::Update),
-        S::Delete(delete) => delete_plan(delete).map(Plan::Delete),
-        S::StartTransaction { modes, .. } => Ok(Plan::Begin { read_only: is_read_only(&modes) }),
-        S::Commit { .. } => Ok(Plan::Commit),
-        S::Rollback { savepoint: None, .. } => Ok(Plan::Rollback),
-        S::Rollback { savepoint: Some(name), .. } => Ok(Plan::RollbackTo(ident_name(&name))),
-        S::Savepoint { name } => Ok(Plan::Savepoint(ident_name(&name))),
-        S::ReleaseSavepoint { name } => Ok(Plan::Release(ident_name(&name))),
+        S::Insert(insert) => insert_plan(insert).map(StatementPlan::Insert),
+        S::Update(update) => update_plan(update).map(StatementPlan::Update),
+        S::Delete(delete) => delete_plan(delete).map(StatementPlan::Delete),
+        S::StartTransaction { modes, .. } => {
+            Ok(StatementPlan::Begin { read_only: is_read_only(&modes) })
+        }
+        S::Commit { .. } => Ok(StatementPlan::Commit),
+        S::Rollback { savepoint: None, .. } => Ok(StatementPlan::Rollback),
+        S::Rollback { savepoint: Some(name), .. } => {
+            Ok(StatementPlan::RollbackTo(ident_name(&name)))
+        }
+        S::Savepoint { name } => Ok(StatementPlan::Savepoint(ident_name(&name))),
+        S::ReleaseSavepoint { name } => Ok(StatementPlan::Release(ident_name(&name))),
         S::Set(set) => set_plan(set),
         S::Reset(reset) => match reset.reset {
             ast::Reset::ConfigurationParameter(name) => {
-                Ok(Plan::Set { name: name_text(&name), value: None, local: false })
+                Ok(StatementPlan::Set { name: name_text(&name), value: None, local: false })
             }
-            _ => Ok(Plan::ResetAll),
+            _ => Ok(StatementPlan::ResetAll),
         },
-        S::Discard { .. } => Ok(Plan::DiscardAll),
+        S::Discard { .. } => Ok(StatementPlan::DiscardAll),
         S::Deallocate { name, .. } if name.value.eq_ignore_ascii_case("all") => {
-            Ok(Plan::Deallocate(None))
+            Ok(StatementPlan::Deallocate(None))
         }
-        S::Deallocate { name, .. } => Ok(Plan::Deallocate(Some(ident_name(&name)))),
+        S::Deallocate { name, .. } => Ok(StatementPlan::Deallocate(Some(ident_name(&name)))),
         S::ShowVariable { variable } => Ok(show_plan(&variable)),
         S::CreateTable(create) => create_table(&create),
         S::CreateIndex(create) => create_index(&create),
-        S::CreateSchema { .. } => Ok(Plan::Ignored("CREATE SCHEMA")),
-        S::Analyze(_) => Ok(Plan::Ignored("ANALYZE")),
-        S::Vacuum(_) => Ok(Plan::Ignored("VACUUM")),
+        S::CreateSchema { .. } => Ok(StatementPlan::Ignored("CREATE SCHEMA")),
+        S::Analyze(_) => Ok(StatementPlan::Ignored("ANALYZE")),
+        S::Vacuum(_) => Ok(StatementPlan::Ignored("VACUUM")),
         S::Drop { object_type: ast::ObjectType::Table, if_exists, names, .. } => {
             let names = names.iter().map(table_name).collect();
-            Ok(Plan::DropTable { names, if_exists })
+            Ok(StatementPlan::DropTable { names, if_exists })
         }
         S::Truncate(truncate) => {
             let names = truncate.table_names.iter().map(|target| table_name(&target.name));
-            Ok(Plan::Truncate(names.collect()))
+            Ok(StatementPlan::Truncate(names.collect()))
         }
         S::Copy { source, to, target, .. } => copy_plan(source, to, &target),
         other => Err(SqlError::Unsupported(other.to_string())),
@@ -74,7 +78,7 @@
     modes.contains(&read_only)
 }
 
-fn show_plan(variable: &[ast::Ident]) -> Plan {
+fn show_plan(variable: &[ast::Ident]) -> StatementPlan {
     let parts: Vec<_> = variable.iter().map(|part| part.value.to_ascii_lowercase()).collect();
     let name = match parts.iter().map(String::as_str).collect::<Vec<_>>().as_slice() {
         ["transaction", "isolation", "level"] => "transaction_isolation".to_owned(),
@@ -82,33 +86,33 @@
         names => names.join("."),
     };
     if name == "rudder.status" {
-        return Plan::Control(ControlStatement::Status);
+        return StatementPlan::Control(ControlStatement::Status);
     }
-    Plan::Show(name.into())
+    StatementPlan::Show(name.into())
 }
 
-fn set_plan(set: ast::Set) -> Result<Plan, SqlError> {
+fn set_plan(set: ast::Set) -> Result<StatementPlan, SqlError> {
     match set {
         ast::Set::SingleAssignment { scope, variable, values, .. } => {
             let local = matches!(scope, Some(ast::ContextModifier::Local));
             let texts: Result<Vec<_>, _> = values.iter().map(constant_text).collect();
             let text = texts?.join(", ");
             let value = if text.eq_ignore_ascii_case("default") { None } else { Some(text.into()) };
-            Ok(Plan::Set { name: name_text(&variable), value, local })
+            Ok(StatementPlan::Set { name: name_text(&variable), value, local })
         }
-        ast::Set::SetTimeZone { local, value } => Ok(Plan::Set {
+        ast::Set::SetTimeZone { local, value } => Ok(StatementPlan::Set {
             name: "timezone".into(),
             value: Some(constant_text(&value)?.into()),
             local,
         }),
-        ast::Set::SetNames { charset_name, .. } => Ok(Plan::Set {
+        ast::Set::SetNames { charset_name, .. } => Ok(StatementPlan::Set {
             name: "client_encoding".into(),
             value: Some(charset_name.value.into()),
             local: false,
         }),
         ast::Set::SetTransaction { .. }
         | ast::Set::SetRole { .. }
-        | ast::Set::SetSessionAuthorization(_) => Ok(Plan::Ignored("SET")),
+        | ast::Set::SetSessionAuthorization(_) => Ok(StatementPlan::Ignored("SET")),
         other => Err(SqlError::Unsupported(other.to_string())),
     }
 }
@@ -131,7 +135,7 @@
     })
 }
 
-fn insert_rows(source: ast::Query) -> Result<Vec<Vec<Option<Scalar>>>, SqlError> {
+fn insert_rows(source: ast::Query) -> Result<Vec<Vec<Option<RowScalar>>>, SqlError> {
     let ast::SetExpr::Values(values) = *source.body else {
         return Err(SqlError::Unsupported("INSERT without VALUES".to_owned()));
     };
@@ -139,7 +143,7 @@
     values.rows.into_iter().map(|parens| row(parens.content)).collect()
 }
 
-fn insert_value(expr: ast::Expr) -> Result<Option<Scalar>, SqlError> {
+fn insert_value(expr: ast::Expr) -> Result<Option<RowScalar>, SqlError> {
     match &expr {
         ast::Expr::Identifier(ident) if ident.value.eq_ignore_ascii_case("default") => Ok(None),
         _ => scalar(expr).map(Some),
@@ -159,7 +163,7 @@
     }
 }
 
-fn assignments(list: Vec<ast::Assignment>) -> Result<Vec<(Arc<str>, Scalar)>, SqlError> {
+fn assignments(list: Vec<ast::Assignment>) -> Result<Vec<(Arc<str>, RowScalar)>, SqlError> {
     list.into_iter()
         .map(|assignment| match &assignment.target {
             ast::AssignmentTarget::ColumnName(name) => {
@@ -198,23 +202,23 @@
     source: ast::CopySource,
     to: bool,
     target: &ast::CopyTarget,
-) -> Result<Plan, SqlError> {
+) -> Result<StatementPlan, SqlError> {
     let ast::CopySource::Table { table_name: name, columns } = source else {
         return Err(SqlError::Unsupported("COPY of a query".to_owned()));
     };
     let columns = columns.iter().map(ident_name).collect();
     let plan = CopyPlan { table: object_name(&name), columns };
     match (to, target) {
-        (true, ast::CopyTarget::Stdout) => Ok(Plan::CopyOut(plan)),
-        (false, ast::CopyTarget::Stdin) => Ok(Plan::CopyIn(plan)),
+        (true, ast::CopyTarget::Stdout) => Ok(StatementPlan::CopyOut(plan)),
+        (false, ast::CopyTarget::Stdin) => Ok(StatementPlan::CopyIn(plan)),
         _ => Err(SqlError::Unsupported("COPY with a file".to_owned())),
     }
 }
 
 /// The non-negative integer in an expression, for limits.
-pub(crate) fn limit_scalar(expr: ast::Expr) -> Result<Option<Scalar>, SqlError> {
+pub(crate) fn limit_scalar(expr: ast::Expr) -> Result<Option<RowScalar>, SqlError> {
     match integer(&expr) {
-        Some(number) => Ok(Some(Scalar::Literal(super::value::SqlValue::Int(number)))),
+        Some(number) => Ok(Some(RowScalar::Literal(super::value::SqlValue::Int(number)))),
         None => scalar(expr).map(Some),
     }
 }
--- a/crates/rudder-standins/src/group/sql/parse_control.rs
+++ b/crates/rudder-standins/src/group/sql/parse_control.rs
@@ -3,7 +3,7 @@
 
 use super::error::SqlError;
 use super::parse_scalar::{call_arguments, constant_text, name_text};
-use super::plan::Plan;
+use super::plan::StatementPlan;
 use crate::group::knob::{KnobCommand, MemberKnob, ServiceSpread};
 use rudder_core::{ConnectionCount, ControlStatement, LogTerm, MemberName, MemberSpeed, SlotCount};
 use sqlparser::ast::{self, Expr, SelectItem};
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// The plan, if the query is such a call.
-pub(crate) fn parse_call(query: &ast::Query) -> Result<Option<Plan>, SqlError> {
+pub(crate) fn parse_call(query: &ast::Query) -> Result<Option<StatementPlan>, SqlError> {
     let ast::SetExpr::Select(select) = query.body.as_ref() else { return Ok(None) };
     let [SelectItem::UnnamedExpr(Expr::Function(function))] = select.projection.as_slice() else {
         return Ok(None);
@@ -19,14 +19,14 @@
     let name = name_text(&function.name);
     if let Some(name) = name.strip_prefix("rudder.") {
         let texts = argument_texts(function)?;
-        return control(name, &texts).map(|statement| Some(Plan::Control(statement)));
+        return control(name, &texts).map(|statement| Some(StatementPlan::Control(statement)));
     }
     if let Some(name) = name.strip_prefix("standin.") {
         let texts = argument_texts(function)?;
         if let ("notice", [text]) = (name, texts.as_slice()) {
-            return Ok(Some(Plan::Notice(text.as_str().into())));
+            return Ok(Some(StatementPlan::Notice(text.as_str().into())));
         }
-        return knob_command(name, &texts).map(|command| Some(Plan::Knob(command)));
+        return knob_command(name, &texts).map(|command| Some(StatementPlan::Knob(command)));
     }
     Ok(None)
 }
--- a/crates/rudder-standins/src/group/sql/parse_scalar.rs
+++ b/crates/rudder-standins/src/group/sql/parse_scalar.rs
@@ -1,7 +1,7 @@
 //! From parsed expressions and names to the stand-in's own.
 
 use super::error::SqlError;
-use super::scalar::{ArithmeticOperator, ComparisonOperator, Scalar, ScalarFunction};
+use super::scalar::{ArithmeticOperator, ComparisonOperator, RowScalar, ScalarFunction};
 use super::value::{SqlType, SqlValue};
 use sqlparser::ast::{self, BinaryOperator, Expr};
 use std::sync::Arc;
@@ -74,7 +74,7 @@
     match expr {
         Expr::Identifier(ident) => Ok(ident.value.clone()),
         Expr::Value(value) => match literal(&value.value)? {
-            Scalar::Literal(value) => Ok(value.to_text()),
+            RowScalar::Literal(value) => Ok(value.to_text()),
             _ => Err(SqlError::Unsupported(expr.to_string())),
         },
         Expr::UnaryOp { .. } => Ok(expr.to_string()),
@@ -83,7 +83,7 @@
 }
 
 /// Converts an expression.
-pub(crate) fn scalar(expr: Expr) -> Result<Scalar, SqlError> {
+pub(crate) fn scalar(expr: Expr) -> Result<RowScalar, SqlError> {
     match expr {
         Expr::Identifier(ident) => Ok(word(&ident)),
         Expr::CompoundIdentifier(parts) => compound(&parts),
@@ -91,22 +91,22 @@
         Expr::Nested(inner) => scalar(*inner),
         Expr::BinaryOp { left, op, right } => binary(*left, &op, *right),
         Expr::UnaryOp { op: ast::UnaryOperator::Not, expr } => {
-            Ok(Scalar::Not(Box::new(scalar(*expr)?)))
+            Ok(RowScalar::Not(Box::new(scalar(*expr)?)))
         }
         Expr::UnaryOp { op: ast::UnaryOperator::Minus, expr } => negate(scalar(*expr)?),
         Expr::UnaryOp { op: ast::UnaryOperator::Plus, expr } => scalar(*expr),
-        Expr::IsNull(inner) => Ok(Scalar::IsNull(Box::new(scalar(*inner)?))),
+        Expr::IsNull(inner) => Ok(RowScalar::IsNull(Box::new(scalar(*inner)?))),
         Expr::IsNotNull(inner) => {
-            Ok(Scalar::Not(Box::new(Scalar::IsNull(Box::new(scalar(*inner)?)))))
+            Ok(RowScalar::Not(Box::new(RowScalar::IsNull(Box::new(scalar(*inner)?)))))
         }
         Expr::IsTrue(inner) => scalar(*inner),
         Expr::Cast { expr, data_type, .. } => {
-            Ok(Scalar::Cast(Box::new(scalar(*expr)?), sql_type(&data_type)))
+            Ok(RowScalar::Cast(Box::new(scalar(*expr)?), sql_type(&data_type)))
         }
         Expr::In { expr, target: ast::InTarget::List(list), negated, .. } => {
             let items: Result<Vec<_>, _> = list.into_iter().map(scalar).collect();
-            let result = Scalar::InList(Box::new(scalar(*expr)?), items?);
-            Ok(if negated { Scalar::Not(Box::new(result)) } else { result })
+            let result = RowScalar::InList(Box::new(scalar(*expr)?), items?);
+            Ok(if negated { RowScalar::Not(Box::new(result)) } else { result })
         }
         Expr::Between { expr, negated, low, high } => between(*expr, negated, *low, *high),
         Expr::Function(function) => call(function),
@@ -114,28 +114,28 @@
     }
 }
 
-fn word(ident: &ast::Ident) -> Scalar {
+fn word(ident: &ast::Ident) -> RowScalar {
     match ident_name(ident).as_ref() {
         "current_user" | "session_user" | "user" => {
-            Scalar::Call(ScalarFunction::CurrentUser, Vec::new())
+            RowScalar::Call(ScalarFunction::CurrentUser, Vec::new())
         }
-        "current_timestamp" => Scalar::Call(ScalarFunction::Now, Vec::new()),
-        "true" => Scalar::Literal(SqlValue::Bool(true)),
-        "false" => Scalar::Literal(SqlValue::Bool(false)),
-        name => Scalar::Column(name.into()),
+        "current_timestamp" => RowScalar::Call(ScalarFunction::Now, Vec::new()),
+        "true" => RowScalar::Literal(SqlValue::Bool(true)),
+        "false" => RowScalar::Literal(SqlValue::Bool(false)),
+        name => RowScalar::Column(name.into()),
     }
 }
 
-fn compound(parts: &[ast::Ident]) -> Result<Scalar, SqlError> {
+fn compound(parts: &[ast::Ident]) -> Result<RowScalar, SqlError> {
     let Some((last, qualifiers)) = parts.split_last() else {
         return Err(SqlError::Syntax("an empty name".to_owned()));
     };
     let proposed = qualifiers.iter().any(|part| part.value.eq_ignore_ascii_case("excluded"));
     let name = ident_name(last);
-    Ok(if proposed { Scalar::Excluded(name) } else { Scalar::Column(name) })
+    Ok(if proposed { RowScalar::Excluded(name) } else { RowScalar::Column(name) })
 }
 
-fn literal(value: &ast::Value) -> Result<Scalar, SqlError> {
+fn literal(value: &ast::Value) -> Result<RowScalar, SqlError> {
     use ast::Value as V;
     let value = match value {
         V::Number(text, _) => match text.parse() {
@@ -153,63 +153,65 @@
         V::Placeholder(text) => return parameter(text),
         other => return Err(SqlError::Unsupported(other.to_string())),
     };
-    Ok(Scalar::Literal(value))
+    Ok(RowScalar::Literal(value))
 }
 
 /// Parameters are numbered by a 16-bit integer in the protocol.
 const PARAMETERS_MAX: usize = 65_535;
 
-fn parameter(text: &str) -> Result<Scalar, SqlError> {
+fn parameter(text: &str) -> Result<RowScalar, SqlError> {
     let number: Option<usize> = text.strip_prefix('$').and_then(|digits| digits.parse().ok());
     match number {
-        Some(number) if (1..=PARAMETERS_MAX).contains(&number) => Ok(Scalar::Parameter(number - 1)),
+        Some(number) if (1..=PARAMETERS_MAX).contains(&number) => {
+            Ok(RowScalar::Parameter(number - 1))
+        }
         _ => Err(SqlError::Syntax(format!("parameter {text}"))),
     }
 }
 
-fn negate(inner: Scalar) -> Result<Scalar, SqlError> {
+fn negate(inner: RowScalar) -> Result<RowScalar, SqlError> {
     match inner {
-        Scalar::Literal(SqlValue::Int(number)) => {
+        RowScalar::Literal(SqlValue::Int(number)) => {
             let negative = number.checked_neg().ok_or(SqlError::OutOfRange)?;
-            Ok(Scalar::Literal(SqlValue::Int(negative)))
+            Ok(RowScalar::Literal(SqlValue::Int(negative)))
         }
         inner => {
-            let zero = Box::new(Scalar::Literal(SqlValue::Int(0)));
-            Ok(Scalar::Arithmetic(ArithmeticOperator::Subtract, zero, Box::new(inner)))
+            let zero = Box::new(RowScalar::Literal(SqlValue::Int(0)));
+            Ok(RowScalar::Arithmetic(ArithmeticOperator::Subtract, zero, Box::new(inner)))
         }
     }
 }
 
-fn binary(left: Expr, operator: &BinaryOperator, right: Expr) -> Result<Scalar, SqlError> {
+fn binary(left: Expr, operator: &BinaryOperator, right: Expr) -> Result<RowScalar, SqlError> {
     use ArithmeticOperator as A;
     use ComparisonOperator as C;
     let (left, right) = (Box::new(scalar(left)?), Box::new(scalar(right)?));
     Ok(match operator {
-        BinaryOperator::And => Scalar::And(left, right),
-        BinaryOperator::Or => Scalar::Or(left, right),
-        BinaryOperator::Eq => Scalar::Compare(C::Equal, left, right),
-        BinaryOperator::NotEq => Scalar::Compare(C::NotEqual, left, right),
-        BinaryOperator::Lt => Scalar::Compare(C::Less, left, right),
-        BinaryOperator::LtEq => Scalar::Compare(C::LessOrEqual, left, right),
-        BinaryOperator::Gt => Scalar::Compare(C::Greater, left, right),
-        BinaryOperator::GtEq => Scalar::Compare(C::GreaterOrEqual, left, right),
-        BinaryOperator::Plus => Scalar::Arithmetic(A::Add, left, right),
-        BinaryOperator::Minus => Scalar::Arithmetic(A::Subtract, left, right),
-        BinaryOperator::Multiply => Scalar::Arithmetic(A::Multiply, left, right),
-        BinaryOperator::Divide => Scalar::Arithmetic(A::Divide, left, right),
-        BinaryOperator::Modulo => Scalar::Arithmetic(A::Modulo, left, right),
-        BinaryOperator::StringConcat => Scalar::Arithmetic(A::Concat, left, right),
+        BinaryOperator::And => RowScalar::And(left, right),
+        BinaryOperator::Or => RowScalar::Or(left, right),
+        BinaryOperator::Eq => RowScalar::Compare(C::Equal, left, right),
+        BinaryOperator::NotEq => RowScalar::Compare(C::NotEqual, left, right),
+        BinaryOperator::Lt => RowScalar::Compare(C::Less, left, right),
+        BinaryOperator::LtEq => RowScalar::Compare(C::LessOrEqual, left, right),
+        BinaryOperator::Gt => RowScalar::Compare(C::Greater, left, right),
+        BinaryOperator::GtEq => RowScalar::Compare(C::GreaterOrEqual, left, right),
+        BinaryOperator::Plus => RowScalar::Arithmetic(A::Add, left, right),
+        BinaryOperator::Minus => RowScalar::Arithmetic(A::Subtract, left, right),
+        BinaryOperator::Multiply => RowScalar::Arithmetic(A::Multiply, left, right),
+        BinaryOperator::Divide => RowScalar::Arithmetic(A::Divide, left, right),
+        BinaryOperator::Modulo => RowScalar::Arithmetic(A::Modulo, left, right),
+        BinaryOperator::StringConcat => RowScalar::Arithmetic(A::Concat, left, right),
         other => return Err(SqlError::Unsupported(other.to_string())),
     })
 }
 
-fn between(expr: Expr, negated: bool, low: Expr, high: Expr) -> Result<Scalar, SqlError> {
+fn between(expr: Expr, negated: bool, low: Expr, high: Expr) -> Result<RowScalar, SqlError> {
     use ComparisonOperator as C;
     let (value, low, high) = (scalar(expr)?, scalar(low)?, scalar(high)?);
-    let above = Scalar::Compare(C::GreaterOrEqual, Box::new(value.clone()), Box::new(low));
-    let below = Scalar::Compare(C::LessOrEqual, Box::new(value), Box::new(high));
-    let result = Scalar::And(Box::new(above), Box::new(below));
-    Ok(if negated { Scalar::Not(Box::new(result)) } else { result })
+    let above = RowScalar::Compare(C::GreaterOrEqual, Box::new(value.clone()), Box::new(low));
+    let below = RowScalar::Compare(C::LessOrEqual, Box::new(value), Box::new(high));
+    let result = RowScalar::And(Box::new(above), Box::new(below));
+    Ok(if negated { RowScalar::Not(Box::new(result)) } else { result })
 }
 
 /// The positional arguments of a function call; `*` yields none.
@@ -225,7 +227,7 @@
         .collect()
 }
 
-fn call(function: ast::Function) -> Result<Scalar, SqlError> {
+fn call(function: ast::Function) -> Result<RowScalar, SqlError> {
     use ScalarFunction as F;
     let name = name_text(&function.name);
     let known = match name.strip_prefix("pg_catalog.").unwrap_or(&name) {
@@ -246,5 +248,5 @@
     };
     let arguments: Result<Vec<_>, _> =
         call_arguments(function.args)?.into_iter().map(scalar).collect();
-    Ok(Scalar::Call(known, arguments?))
+    Ok(RowScalar::Call(known, arguments?))
 }
--- a/crates/rudder-standins/src/group/sql/parse_select.rs
+++ b/crates/rudder-standins/src/group/sql/parse_select.rs
@@ -3,8 +3,8 @@
 use super::error::SqlError;
 use super::parse::limit_scalar;
 use super::parse_scalar::{call_arguments, ident_name, name_text, scalar, table_name};
-use super::plan::{AggregateFunction, Projection, SelectPlan, SelectSource};
-use super::scalar::{Scalar, ScalarFunction};
+use super::plan::{AggregateFunction, ColumnProjection, SelectPlan, SelectSource};
+use super::scalar::{RowScalar, ScalarFunction};
 use sqlparser::ast::{self, Expr, SelectItem, TableFactor};
 use std::sync::Arc;
 
@@ -40,7 +40,9 @@
     Ok(plan)
 }
 
-fn limits(clause: Option<ast::LimitClause>) -> Result<(Option<Scalar>, Option<Scalar>), SqlError> {
+fn limits(
+    clause: Option<ast::LimitClause>,
+) -> Result<(Option<RowScalar>, Option<RowScalar>), SqlError> {
     match clause {
         None => Ok((None, None)),
         Some(ast::LimitClause::LimitOffset { limit, offset, .. }) => {
@@ -52,7 +54,7 @@
     }
 }
 
-fn order_scalars(order: Option<ast::OrderBy>) -> Result<Vec<(Scalar, bool)>, SqlError> {
+fn order_scalars(order: Option<ast::OrderBy>) -> Result<Vec<(RowScalar, bool)>, SqlError> {
     let Some(order) = order else { return Ok(Vec::new()) };
     let ast::OrderByKind::Expressions(exprs) = order.kind else {
         return Err(SqlError::Unsupported("ORDER BY ALL".to_owned()));
@@ -106,19 +108,19 @@
 }
 
 /// Converts the items of a `RETURNING` clause.
-pub(crate) fn projections(items: Vec<SelectItem>) -> Result<Vec<Projection>, SqlError> {
+pub(crate) fn projections(items: Vec<SelectItem>) -> Result<Vec<ColumnProjection>, SqlError> {
     items.into_iter().map(projection).collect()
 }
 
-fn projection(item: SelectItem) -> Result<Projection, SqlError> {
+fn projection(item: SelectItem) -> Result<ColumnProjection, SqlError> {
     match item {
-        SelectItem::Wildcard(_) | SelectItem::QualifiedWildcard(..) => Ok(Projection::All),
+        SelectItem::Wildcard(_) | SelectItem::QualifiedWildcard(..) => Ok(ColumnProjection::All),
         SelectItem::UnnamedExpr(expr) => {
             let heading = heading(&expr);
-            Ok(Projection::Scalar(scalar(expr)?, heading))
+            Ok(ColumnProjection::Scalar(scalar(expr)?, heading))
         }
         SelectItem::ExprWithAlias { expr, alias } => {
-            Ok(Projection::Scalar(scalar(expr)?, ident_name(&alias)))
+            Ok(ColumnProjection::Scalar(scalar(expr)?, ident_name(&alias)))
         }
         other @ SelectItem::ExprWithAliases { .. } => Err(SqlError::Unsupported(other.to_string())),
     }
@@ -164,12 +166,14 @@
             }
             if name.as_ref() == "generate_series" {
                 plan.source = series(&name, call_arguments(function.args)?)?;
-                plan.columns.push(Projection::Scalar(Scalar::Column(name), heading));
+                plan.columns.push(ColumnProjection::Scalar(RowScalar::Column(name), heading));
                 continue;
             }
         }
         let column = projection(item)?;
-        if let Projection::Scalar(Scalar::Call(ScalarFunction::Sleep, arguments), _) = &column {
+        if let ColumnProjection::Scalar(RowScalar::Call(ScalarFunction::Sleep, arguments), _) =
+            &column
+        {
             plan.sleep = arguments.first().cloned();
         }
         plan.columns.push(column);
--- a/crates/rudder-standins/src/group/sql/parse_table.rs
+++ b/crates/rudder-standins/src/group/sql/parse_table.rs
@@ -2,14 +2,14 @@
 
 use super::error::SqlError;
 use super::parse_scalar::{ident_name, scalar, sql_type, table_name};
-use super::plan::Plan;
-use super::scalar::{Scalar, ScalarFunction};
+use super::plan::StatementPlan;
+use super::scalar::{RowScalar, ScalarFunction};
 use crate::group::tables::database::{ColumnDefault, ColumnSchema, TableSchema, UniqueKey};
 use sqlparser::ast::{self, ColumnOption, Expr, TableConstraint};
 use std::sync::Arc;
 
 /// Converts `CREATE TABLE`.
-pub(crate) fn create_table(create: &ast::CreateTable) -> Result<Plan, SqlError> {
+pub(crate) fn create_table(create: &ast::CreateTable) -> Result<StatementPlan, SqlError> {
     let name = table_name(&create.name);
     let mut schema = TableSchema { name, columns: Vec::new(), primary: None, uniques: Vec::new() };
     for column in &create.columns {
@@ -21,15 +21,15 @@
     for constraint in &create.constraints {
         add_constraint(&mut schema, constraint)?;
     }
-    Ok(Plan::CreateTable { schema: Arc::new(schema), if_not_exists: create.if_not_exists })
+    Ok(StatementPlan::CreateTable { schema: Arc::new(schema), if_not_exists: create.if_not_exists })
 }
 
 /// Plain indexes have no effect on answers; unique ones would, and are refused.
-pub(crate) fn create_index(create: &ast::CreateIndex) -> Result<Plan, SqlError> {
+pub(crate) fn create_index(create: &ast::CreateIndex) -> Result<StatementPlan, SqlError> {
     if create.unique {
         return Err(SqlError::Unsupported("CREATE UNIQUE INDEX (declare UNIQUE)".to_owned()));
     }
-    Ok(Plan::Ignored("CREATE INDEX"))
+    Ok(StatementPlan::Ignored("CREATE INDEX"))
 }
 
 fn column_schema(column: &ast::ColumnDef) -> Result<ColumnSchema, SqlError> {
@@ -55,8 +55,8 @@
 
 fn column_default(expr: &Expr, schema: &ColumnSchema) -> Result<ColumnDefault, SqlError> {
     match scalar(expr.clone())? {
-        Scalar::Literal(value) => Ok(ColumnDefault::Value(value.coerce(schema.kind)?)),
-        Scalar::Call(ScalarFunction::Now, _) => Ok(ColumnDefault::Now),
+        RowScalar::Literal(value) => Ok(ColumnDefault::Value(value.coerce(schema.kind)?)),
+        RowScalar::Call(ScalarFunction::Now, _) => Ok(ColumnDefault::Now),
         _ => Err(SqlError::Unsupported(format!("DEFAULT {expr}"))),
     }
 }
--- a/crates/rudder-standins/src/group/sql/plan.rs
+++ b/crates/rudder-standins/src/group/sql/plan.rs
@@ -1,6 +1,6 @@
 //! Statements in the form in which they are run, independent of the tables' present state.
 
-use super::scalar::Scalar;
+use super::scalar::RowScalar;
 use crate::group::knob::KnobCommand;
 use crate::group::tables::database::TableSchema;
 use rudder_core::ControlStatement;
@@ -8,7 +8,7 @@
 
 /// One statement.
 #[derive(Clone, Debug)]
-pub(crate) enum Plan {
+pub(crate) enum StatementPlan {
     Empty,
     Control(ControlStatement),
     Knob(KnobCommand),
@@ -51,9 +51,9 @@
 
 /// A column of a result: an expression with its heading, or all columns.
 #[derive(Clone, Debug)]
-pub(crate) enum Projection {
+pub(crate) enum ColumnProjection {
     All,
-    Scalar(Scalar, Arc<str>),
+    Scalar(RowScalar, Arc<str>),
 }
 
 /// `INSERT`.
@@ -63,9 +63,9 @@
     /// Empty means all columns in order.
     pub(crate) columns: Vec<Arc<str>>,
     /// `None` in a row stands for the column's default.
-    pub(crate) rows: Vec<Vec<Option<Scalar>>>,
+    pub(crate) rows: Vec<Vec<Option<RowScalar>>>,
     pub(crate) on_conflict: ConflictRule,
-    pub(crate) returning: Vec<Projection>,
+    pub(crate) returning: Vec<ColumnProjection>,
 }
 
 /// What an insert does with a row that breaks a unique constraint.
@@ -74,24 +74,24 @@
     Fail,
     Skip,
     /// Update the row in the way; `excluded.<column>` is written as the row's own new value.
-    Update(Vec<(Arc<str>, Scalar)>),
+    Update(Vec<(Arc<str>, RowScalar)>),
 }
 
 /// `UPDATE`.
 #[derive(Clone, Debug)]
 pub(crate) struct UpdatePlan {
     pub(crate) table: Arc<str>,
-    pub(crate) assignments: Vec<(Arc<str>, Scalar)>,
-    pub(crate) filter: Option<Scalar>,
-    pub(crate) returning: Vec<Projection>,
+    pub(crate) assignments: Vec<(Arc<str>, RowScalar)>,
+    pub(crate) filter: Option<RowScalar>,
+    pub(crate) returning: Vec<ColumnProjection>,
 }
 
 /// `DELETE`.
 #[derive(Clone, Debug)]
 pub(crate) struct DeletePlan {
     pub(crate) table: Arc<str>,
-    pub(crate) filter: Option<Scalar>,
-    pub(crate) returning: Vec<Projection>,
+    pub(crate) filter: Option<RowScalar>,
+    pub(crate) returning: Vec<ColumnProjection>,
 }
 
 /// An aggregate over the filtered rows.
@@ -110,25 +110,25 @@
     Nothing,
     Table(Arc<str>),
     /// `generate_series(first, last)`.
-    Series(Scalar, Scalar),
+    Series(RowScalar, RowScalar),
 }
 
 /// `SELECT`.
 #[derive(Clone, Debug)]
 pub(crate) struct SelectPlan {
     pub(crate) source: SelectSource,
-    pub(crate) columns: Vec<Projection>,
+    pub(crate) columns: Vec<ColumnProjection>,
     /// When not empty, these replace `columns`: one row of aggregates.
-    pub(crate) aggregates: Vec<(AggregateFunction, Option<Scalar>, Arc<str>)>,
-    pub(crate) filter: Option<Scalar>,
+    pub(crate) aggregates: Vec<(AggregateFunction, Option<RowScalar>, Arc<str>)>,
+    pub(crate) filter: Option<RowScalar>,
     /// Expressions with whether they sort downwards.
-    pub(crate) order: Vec<(Scalar, bool)>,
-    pub(crate) limit: Option<Scalar>,
-    pub(crate) offset: Option<Scalar>,
+    pub(crate) order: Vec<(RowScalar, bool)>,
+    pub(crate) limit: Option<RowScalar>,
+    pub(crate) offset: Option<RowScalar>,
     /// Whether rows are locked, which only a primary can do.
     pub(crate) for_update: bool,
     /// Seconds to wait first, of a `pg_sleep` among the columns.
-    pub(crate) sleep: Option<Scalar>,
+    pub(crate) sleep: Option<RowScalar>,
 }
 
 /// `COPY` of a table, in text form.
@@ -138,7 +138,7 @@
     pub(crate) columns: Vec<Arc<str>>,
 }
 
-impl Plan {
+impl StatementPlan {
     /// Whether the statement occupies one of the member's slots for its service time.
     ///
     /// Only what touches data does: transaction control, settings and control statements cost
--- a/crates/rudder-standins/src/group/sql/scalar.rs
+++ b/crates/rudder-standins/src/group/sql/scalar.rs
@@ -63,22 +63,22 @@
 
 /// An expression.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Scalar {
+pub(crate) enum RowScalar {
     Literal(SqlValue),
     /// A parameter by index from 0.
     Parameter(usize),
     Column(Arc<str>),
     /// A column of the row that an insert proposed, in `ON CONFLICT DO UPDATE`.
     Excluded(Arc<str>),
-    Arithmetic(ArithmeticOperator, Box<Scalar>, Box<Scalar>),
-    Compare(ComparisonOperator, Box<Scalar>, Box<Scalar>),
-    And(Box<Scalar>, Box<Scalar>),
-    Or(Box<Scalar>, Box<Scalar>),
-    Not(Box<Scalar>),
-    IsNull(Box<Scalar>),
-    InList(Box<Scalar>, Vec<Scalar>),
-    Cast(Box<Scalar>, SqlType),
-    Call(ScalarFunction, Vec<Scalar>),
+    Arithmetic(ArithmeticOperator, Box<RowScalar>, Box<RowScalar>),
+    Compare(ComparisonOperator, Box<RowScalar>, Box<RowScalar>),
+    And(Box<RowScalar>, Box<RowScalar>),
+    Or(Box<RowScalar>, Box<RowScalar>),
+    Not(Box<RowScalar>),
+    IsNull(Box<RowScalar>),
+    InList(Box<RowScalar>, Vec<RowScalar>),
+    Cast(Box<RowScalar>, SqlType),
+    Call(ScalarFunction, Vec<RowScalar>),
 }
 
 /// What an expression is evaluated over.
@@ -107,7 +107,7 @@
 /// Longest text that `repeat` makes, in bytes.
 const REPEAT_BYTES_MAX: usize = 64 << 20;
 
-impl Scalar {
+impl RowScalar {
     /// The value over `scope`.
     pub(crate) fn evaluate(&self, scope: ScalarScope<'_>) -> Result<SqlValue, SqlError> {
         match self {
@@ -178,7 +178,7 @@
     }
 
     /// Calls `visit` for this expression and each one inside it.
-    pub(crate) fn walk(&self, visit: &mut dyn FnMut(&Scalar)) {
+    pub(crate) fn walk(&self, visit: &mut dyn FnMut(&RowScalar)) {
         visit(self);
         match self {
             Self::Literal(_) | Self::Parameter(_) | Self::Column(_) | Self::Excluded(_) => {}
@@ -303,8 +303,8 @@
 }
 
 fn in_list(
-    needle: &Scalar,
-    items: &[Scalar],
+    needle: &RowScalar,
+    items: &[RowScalar],
     scope: ScalarScope<'_>,
 ) -> Result<SqlValue, SqlError> {
     let needle = needle.evaluate(scope)?;
@@ -321,7 +321,7 @@
 
 fn call(
     function: ScalarFunction,
-    arguments: &[Scalar],
+    arguments: &[RowScalar],
     scope: ScalarScope<'_>,
 ) -> Result<SqlValue, SqlError> {
     let argument = |index: usize| match arguments.get(index) {
--- a/crates/rudder-standins/src/group/state.rs
+++ b/crates/rudder-standins/src/group/state.rs
@@ -2,7 +2,7 @@
 
 use super::log::MemberLog;
 use crate::group::sql::error::SqlError;
-use crate::group::tables::transaction::Transaction;
+use crate::group::tables::transaction::OpenTransaction;
 use rudder_core::{LogStamp, LogTerm, MemberName, MemberRole, MemberStatus};
 
 /// What a member does with the log.
@@ -102,12 +102,12 @@
     }
 
     /// A transaction over the tables as applied.
-    pub(crate) fn begin(&self) -> Transaction {
-        Transaction::new(self.accepted, self.log.applied(), self.log.database().clone())
+    pub(crate) fn begin(&self) -> OpenTransaction {
+        OpenTransaction::new(self.accepted, self.log.applied(), self.log.database().clone())
     }
 
     /// Commits a transaction; nothing changes if this fails.
-    pub(crate) fn commit(&mut self, transaction: Transaction) -> Result<LogStamp, SqlError> {
+    pub(crate) fn commit(&mut self, transaction: OpenTransaction) -> Result<LogStamp, SqlError> {
         if transaction.effects.is_empty() {
             return Ok(self.log.applied());
         }
--- a/crates/rudder-standins/src/group/tables/answer.rs
+++ b/crates/rudder-standins/src/group/tables/answer.rs
@@ -2,7 +2,7 @@
 
 use super::database::{RowValues, TableSchema};
 use crate::group::sql::error::SqlError;
-use crate::group::sql::scalar::{Scalar, ScalarScope, SessionFacts};
+use crate::group::sql::scalar::{RowScalar, ScalarScope, SessionFacts};
 use crate::group::sql::value::{SqlType, SqlValue};
 use std::sync::Arc;
 
@@ -36,7 +36,7 @@
     pub(crate) next: i64,
     pub(crate) last: i64,
     pub(crate) schema: Arc<TableSchema>,
-    pub(crate) columns: Vec<Scalar>,
+    pub(crate) columns: Vec<RowScalar>,
     pub(crate) parameters: Arc<[SqlValue]>,
     pub(crate) facts: Arc<SessionFacts>,
 }
@@ -87,7 +87,7 @@
 
 /// The answer to one statement.
 #[derive(Debug)]
-pub(crate) struct Answer {
+pub(crate) struct StatementAnswer {
     /// `None` for statements that answer no rows.
     pub(crate) columns: Option<Vec<OutputColumn>>,
     pub(crate) rows: RowSource,
@@ -95,7 +95,7 @@
     pub(crate) notices: Vec<NoticeMessage>,
 }
 
-impl Answer {
+impl StatementAnswer {
     /// An answer without rows.
     pub(crate) fn done(tag: CommandTag) -> Self {
         Self { columns: None, rows: RowSource::empty(), tag, notices: Vec::new() }
--- a/crates/rudder-standins/src/group/tables/database.rs
+++ b/crates/rudder-standins/src/group/tables/database.rs
@@ -60,14 +60,14 @@
 
 /// A table with its rows and its unique indexes.
 #[derive(Clone, Debug)]
-pub(crate) struct Table {
+pub(crate) struct StoredTable {
     pub(crate) schema: Arc<TableSchema>,
     pub(crate) rows: OrdMap<RowKey, RowValues>,
     /// One per entry of `schema.uniques`; keys that contain a null are left out.
     pub(crate) indexes: Vec<OrdMap<RowKey, RowKey>>,
 }
 
-impl Table {
+impl StoredTable {
     fn new(schema: Arc<TableSchema>) -> Self {
         let indexes = schema.uniques.iter().map(|_| OrdMap::new()).collect();
         Self { schema, rows: OrdMap::new(), indexes }
@@ -124,13 +124,13 @@
 
 /// All tables at one moment.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Database {
-    tables: OrdMap<Arc<str>, Arc<Table>>,
+pub(crate) struct GroupDatabase {
+    tables: OrdMap<Arc<str>, Arc<StoredTable>>,
 }
 
-impl Database {
+impl GroupDatabase {
     /// The table with this name.
-    pub(crate) fn table(&self, name: &str) -> Result<&Arc<Table>, SqlError> {
+    pub(crate) fn table(&self, name: &str) -> Result<&Arc<StoredTable>, SqlError> {
         self.tables.get(name).ok_or_else(|| SqlError::UnknownTable(name.to_owned()))
     }
 
@@ -141,7 +141,7 @@
                 if self.tables.contains_key(&schema.name) {
                     return Err(SqlError::DuplicateTable(schema.name.as_ref().to_owned()));
                 }
-                let table = Table::new(Arc::clone(schema));
+                let table = StoredTable::new(Arc::clone(schema));
                 self.tables.insert(Arc::clone(&schema.name), Arc::new(table));
                 Ok(())
             }
@@ -157,7 +157,7 @@
         }
     }
 
-    fn table_mut(&mut self, name: &Arc<str>) -> Result<&mut Table, SqlError> {
+    fn table_mut(&mut self, name: &Arc<str>) -> Result<&mut StoredTable, SqlError> {
         let table = self
             .tables
             .get_mut(name)
@@ -172,7 +172,7 @@
     /// unchanged row is the same allocation.
     pub(crate) fn check_unchanged(
         &self,
-        base: &Database,
+        base: &GroupDatabase,
         effect: &RowEffect,
     ) -> Result<(), SqlError> {
         let (RowEffect::Put { table, key, .. } | RowEffect::Delete { table, key }) = effect else {
--- a/crates/rudder-standins/src/group/tables/describe.rs
+++ b/crates/rudder-standins/src/group/tables/describe.rs
@@ -1,35 +1,35 @@
 //! The types of parameters and results, found from a plan and the tables' present columns.
 
 use super::answer::OutputColumn;
-use super::database::{Database, TableSchema};
+use super::database::{GroupDatabase, TableSchema};
 use crate::group::sql::error::SqlError;
 use crate::group::sql::plan::{
-    AggregateFunction, ConflictRule, Plan, Projection, SelectPlan, SelectSource,
+    AggregateFunction, ColumnProjection, ConflictRule, SelectPlan, SelectSource, StatementPlan,
 };
-use crate::group::sql::scalar::{Scalar, ScalarFunction};
+use crate::group::sql::scalar::{RowScalar, ScalarFunction};
 use crate::group::sql::value::SqlType;
 use rudder_core::STATUS_COLUMNS;
 use std::sync::Arc;
 
 /// The columns that a plan answers, or `None` if it answers no rows.
 pub(crate) fn output_columns(
-    plan: &Plan,
-    database: &Database,
+    plan: &StatementPlan,
+    database: &GroupDatabase,
     parameters: &[SqlType],
 ) -> Result<Option<Vec<OutputColumn>>, SqlError> {
     match plan {
-        Plan::Control(_) => Ok(Some(status_columns())),
-        Plan::Knob(_) => Ok(Some(vec![text_column("knob")])),
-        Plan::Notice(_) => Ok(Some(vec![text_column("notice")])),
-        Plan::Show(name) => Ok(Some(vec![text_column(name)])),
-        Plan::Select(select) => select_columns(select, database, parameters).map(Some),
-        Plan::Insert(insert) => {
+        StatementPlan::Control(_) => Ok(Some(status_columns())),
+        StatementPlan::Knob(_) => Ok(Some(vec![text_column("knob")])),
+        StatementPlan::Notice(_) => Ok(Some(vec![text_column("notice")])),
+        StatementPlan::Show(name) => Ok(Some(vec![text_column(name)])),
+        StatementPlan::Select(select) => select_columns(select, database, parameters).map(Some),
+        StatementPlan::Insert(insert) => {
             returning_columns(&insert.table, &insert.returning, database, parameters)
         }
-        Plan::Update(update) => {
+        StatementPlan::Update(update) => {
             returning_columns(&update.table, &update.returning, database, parameters)
         }
-        Plan::Delete(delete) => {
+        StatementPlan::Delete(delete) => {
             returning_columns(&delete.table, &delete.returning, database, parameters)
         }
         _ => Ok(None),
@@ -65,8 +65,8 @@
 
 fn returning_columns(
     table: &str,
-    returning: &[Projection],
-    database: &Database,
+    returning: &[ColumnProjection],
+    database: &GroupDatabase,
     parameters: &[SqlType],
 ) -> Result<Option<Vec<OutputColumn>>, SqlError> {
     if returning.is_empty() {
@@ -78,25 +78,25 @@
 
 /// The headings and types of projections.
 pub(crate) fn projected_columns(
-    projections: &[Projection],
+    projections: &[ColumnProjection],
     schema: Option<&TableSchema>,
     parameters: &[SqlType],
 ) -> Result<Vec<OutputColumn>, SqlError> {
     let mut columns = Vec::with_capacity(projections.len());
     for projection in projections {
         match (projection, schema) {
-            (Projection::Scalar(scalar, name), _) => {
+            (ColumnProjection::Scalar(scalar, name), _) => {
                 check_columns(scalar, schema)?;
                 let kind = scalar.kind(schema, parameters);
                 columns.push(OutputColumn { name: Arc::clone(name), kind });
             }
-            (Projection::All, Some(schema)) => {
+            (ColumnProjection::All, Some(schema)) => {
                 columns.extend(schema.columns.iter().map(|column| OutputColumn {
                     name: Arc::clone(&column.name),
                     kind: column.kind,
                 }));
             }
-            (Projection::All, None) => {
+            (ColumnProjection::All, None) => {
                 return Err(SqlError::Syntax("SELECT * without a table".to_owned()));
             }
         }
@@ -104,10 +104,10 @@
     Ok(columns)
 }
 
-fn check_columns(scalar: &Scalar, schema: Option<&TableSchema>) -> Result<(), SqlError> {
+fn check_columns(scalar: &RowScalar, schema: Option<&TableSchema>) -> Result<(), SqlError> {
     let mut result = Ok(());
     scalar.walk(&mut |part| {
-        if let Scalar::Column(name) | Scalar::Excluded(name) = part {
+        if let RowScalar::Column(name) | RowScalar::Excluded(name) = part {
             let known = schema.is_some_and(|schema| schema.column(name).is_ok());
             if !known {
                 result = Err(SqlError::UnknownColumn(name.as_ref().to_owned()));
@@ -119,14 +119,14 @@
 
 fn select_columns(
     select: &SelectPlan,
-    database: &Database,
+    database: &GroupDatabase,
     parameters: &[SqlType],
 ) -> Result<Vec<OutputColumn>, SqlError> {
     let schema = source_schema(&select.source, database)?;
     if select.aggregates.is_empty() {
         return projected_columns(&select.columns, schema.as_deref(), parameters);
     }
-    let column = |(function, argument, name): &(AggregateFunction, Option<Scalar>, Arc<str>)| {
+    let column = |(function, argument, name): &(AggregateFunction, Option<RowScalar>, Arc<str>)| {
         let kind = match (function, argument) {
             (AggregateFunction::Count | AggregateFunction::Sum, _) | (_, None) => SqlType::Int8,
             (_, Some(argument)) => argument.kind(schema.as_deref(), parameters),
@@ -139,7 +139,7 @@
 /// The columns of a source.
 pub(crate) fn source_schema(
     source: &SelectSource,
-    database: &Database,
+    database: &GroupDatabase,
 ) -> Result<Option<Arc<TableSchema>>, SqlError> {
     match source {
         SelectSource::Nothing => Ok(None),
@@ -149,7 +149,11 @@
 }
 
 /// The types of a plan's parameters: those the client gave, else those that their use suggests.
-pub(crate) fn parameter_types(plan: &Plan, database: &Database, given: &[u32]) -> Vec<SqlType> {
+pub(crate) fn parameter_types(
+    plan: &StatementPlan,
+    database: &GroupDatabase,
+    given: &[u32],
+) -> Vec<SqlType> {
     let mut found = ParameterTypes::default();
     found.visit_plan(plan, database);
     let count = found.kinds.len().max(given.len());
@@ -167,8 +171,8 @@
 }
 
 impl ParameterTypes {
-    fn note(&mut self, scalar: &Scalar, kind: Option<SqlType>) {
-        if let Scalar::Parameter(index) = scalar {
+    fn note(&mut self, scalar: &RowScalar, kind: Option<SqlType>) {
+        if let RowScalar::Parameter(index) = scalar {
             if self.kinds.len() <= *index {
                 self.kinds.resize(index + 1, None);
             }
@@ -176,10 +180,10 @@
         }
     }
 
-    fn visit_plan(&mut self, plan: &Plan, database: &Database) {
+    fn visit_plan(&mut self, plan: &StatementPlan, database: &GroupDatabase) {
         let schema_of = |name: &str| database.table(name).ok().map(|table| &table.schema);
         match plan {
-            Plan::Insert(insert) => {
+            StatementPlan::Insert(insert) => {
                 let schema = schema_of(&insert.table).map(Arc::as_ref);
                 for row in &insert.rows {
                     for (index, value) in row.iter().enumerate() {
@@ -193,23 +197,23 @@
                 }
                 self.visit_projections(&insert.returning, schema);
             }
-            Plan::Update(update) => {
+            StatementPlan::Update(update) => {
                 let schema = schema_of(&update.table).map(Arc::as_ref);
                 self.visit_assignments(&update.assignments, schema);
                 self.visit_all(update.filter.iter(), schema);
                 self.visit_projections(&update.returning, schema);
             }
-            Plan::Delete(delete) => {
+            StatementPlan::Delete(delete) => {
                 let schema = schema_of(&delete.table).map(Arc::as_ref);
                 self.visit_all(delete.filter.iter(), schema);
                 self.visit_projections(&delete.returning, schema);
             }
-            Plan::Select(select) => self.visit_select(select, database),
+            StatementPlan::Select(select) => self.visit_select(select, database),
             _ => {}
         }
     }
 
-    fn visit_select(&mut self, select: &SelectPlan, database: &Database) {
+    fn visit_select(&mut self, select: &SelectPlan, database: &GroupDatabase) {
         let schema = source_schema(&select.source, database).ok().flatten();
         let schema = schema.as_deref();
         if let SelectSource::Series(first, last) = &select.source {
@@ -232,18 +236,22 @@
 
     fn visit_assignments(
         &mut self,
-        assignments: &[(Arc<str>, Scalar)],
+        assignments: &[(Arc<str>, RowScalar)],
         schema: Option<&TableSchema>,
     ) {
         for (name, scalar) in assignments {
-            self.note(scalar, Some(Scalar::Column(Arc::clone(name)).kind(schema, &[])));
+            self.note(scalar, Some(RowScalar::Column(Arc::clone(name)).kind(schema, &[])));
             self.visit(scalar, schema);
         }
     }
 
-    fn visit_projections(&mut self, projections: &[Projection], schema: Option<&TableSchema>) {
+    fn visit_projections(
+        &mut self,
+        projections: &[ColumnProjection],
+        schema: Option<&TableSchema>,
+    ) {
         for projection in projections {
-            if let Projection::Scalar(scalar, _) = projection {
+            if let ColumnProjection::Scalar(scalar, _) = projection {
                 self.visit(scalar, schema);
             }
         }
@@ -251,7 +259,7 @@
 
     fn visit_all<'a>(
         &mut self,
-        scalars: impl Iterator<Item = &'a Scalar>,
+        scalars: impl Iterator<Item = &'a RowScalar>,
         schema: Option<&TableSchema>,
     ) {
         for scalar in scalars {
@@ -259,27 +267,27 @@
         }
     }
 
-    fn visit(&mut self, scalar: &Scalar, schema: Option<&TableSchema>) {
+    fn visit(&mut self, scalar: &RowScalar, schema: Option<&TableSchema>) {
         scalar.walk(&mut |part| match part {
-            Scalar::Parameter(_) => self.note(part, None),
-            Scalar::Compare(_, left, right) | Scalar::Arithmetic(_, left, right) => {
+            RowScalar::Parameter(_) => self.note(part, None),
+            RowScalar::Compare(_, left, right) | RowScalar::Arithmetic(_, left, right) => {
                 self.note(left, sibling_kind(right, schema));
                 self.note(right, sibling_kind(left, schema));
             }
-            Scalar::InList(needle, items) => {
+            RowScalar::InList(needle, items) => {
                 for item in items {
                     self.note(item, sibling_kind(needle, schema));
                 }
             }
-            Scalar::Cast(inner, kind) => self.note(inner, Some(*kind)),
-            Scalar::And(left, right) | Scalar::Or(left, right) => {
+            RowScalar::Cast(inner, kind) => self.note(inner, Some(*kind)),
+            RowScalar::And(left, right) | RowScalar::Or(left, right) => {
                 self.note(left, Some(SqlType::Bool));
                 self.note(right, Some(SqlType::Bool));
             }
-            Scalar::Call(ScalarFunction::Sleep, arguments) => {
+            RowScalar::Call(ScalarFunction::Sleep, arguments) => {
                 self.note(&arguments[0], Some(SqlType::Float8));
             }
-            Scalar::Call(ScalarFunction::Repeat, arguments) if arguments.len() == 2 => {
+            RowScalar::Call(ScalarFunction::Repeat, arguments) if arguments.len() == 2 => {
                 self.note(&arguments[1], Some(SqlType::Int4));
             }
             _ => {}
@@ -287,9 +295,9 @@
     }
 }
 
-fn sibling_kind(sibling: &Scalar, schema: Option<&TableSchema>) -> Option<SqlType> {
+fn sibling_kind(sibling: &RowScalar, schema: Option<&TableSchema>) -> Option<SqlType> {
     match sibling {
-        Scalar::Parameter(_) => None,
+        RowScalar::Parameter(_) => None,
         other => Some(other.kind(schema, &[])),
     }
 }
--- a/crates/rudder-standins/src/group/tables/matching.rs
+++ b/crates/rudder-standins/src/group/tables/matching.rs
@@ -1,16 +1,16 @@
 //! The rows that a filter picks out of a table.
 
-use super::database::{RowKey, RowValues, Table};
+use super::database::{RowKey, RowValues, StoredTable};
 use super::run::RunScope;
 use crate::group::sql::error::SqlError;
-use crate::group::sql::scalar::{ComparisonOperator, Scalar};
+use crate::group::sql::scalar::{ComparisonOperator, RowScalar};
 use crate::group::sql::value::SqlValue;
 use std::sync::Arc;
 
 /// The rows of a table for which a filter holds, found by key where the filter names one.
 pub(crate) fn matching_rows(
-    table: &Table,
-    filter: Option<&Scalar>,
+    table: &StoredTable,
+    filter: Option<&RowScalar>,
     scope: &RunScope,
 ) -> Result<Vec<(RowKey, RowValues)>, SqlError> {
     let Some(filter) = filter else {
@@ -35,7 +35,11 @@
 
 /// The key of the only row that can match: all columns of the primary key or of a unique
 /// constraint are compared with constants.
-fn exact_key(table: &Table, filter: &Scalar, scope: &RunScope) -> Result<Option<RowKey>, SqlError> {
+fn exact_key(
+    table: &StoredTable,
+    filter: &RowScalar,
+    scope: &RunScope,
+) -> Result<Option<RowKey>, SqlError> {
     if let Some(primary) = &table.schema.primary
         && let Some(key) = pinned_values(table, &primary.columns, filter, scope)?
     {
@@ -50,9 +54,9 @@
 }
 
 fn pinned_values(
-    table: &Table,
+    table: &StoredTable,
     columns: &[usize],
-    filter: &Scalar,
+    filter: &RowScalar,
     scope: &RunScope,
 ) -> Result<Option<RowKey>, SqlError> {
     let mut key = RowKey::with_capacity(columns.len());
@@ -69,14 +73,14 @@
 }
 
 /// The constant that `column = constant` demands among the parts of a conjunction.
-fn pinned_constant<'a>(filter: &'a Scalar, column: &str) -> Option<&'a Scalar> {
+fn pinned_constant<'a>(filter: &'a RowScalar, column: &str) -> Option<&'a RowScalar> {
     match filter {
-        Scalar::And(left, right) => {
+        RowScalar::And(left, right) => {
             pinned_constant(left, column).or_else(|| pinned_constant(right, column))
         }
-        Scalar::Compare(ComparisonOperator::Equal, left, right) => {
+        RowScalar::Compare(ComparisonOperator::Equal, left, right) => {
             match (left.as_ref(), right.as_ref()) {
-                (Scalar::Column(name), constant) | (constant, Scalar::Column(name))
+                (RowScalar::Column(name), constant) | (constant, RowScalar::Column(name))
                     if name.as_ref() == column && is_constant(constant) =>
                 {
                     Some(constant)
@@ -88,10 +92,10 @@
     }
 }
 
-fn is_constant(scalar: &Scalar) -> bool {
+fn is_constant(scalar: &RowScalar) -> bool {
     match scalar {
-        Scalar::Literal(_) | Scalar::Parameter(_) => true,
-        Scalar::Cast(inner, _) => is_constant(inner),
+        RowScalar::Literal(_) | RowScalar::Parameter(_) => true,
+        RowScalar::Cast(inner, _) => is_constant(inner),
         _ => false,
     }
 }
--- a/crates/rudder-standins/src/group/tables/run.rs
+++ b/crates/rudder-standins/src/group/tables/run.rs
@@ -1,15 +1,15 @@
 //! Running of plans that read or change data, over a transaction.
 
-use super::answer::{Answer, CommandTag, OutputColumn, RowSource};
+use super::answer::{CommandTag, OutputColumn, RowSource, StatementAnswer};
 use super::database::{RowEffect, RowKey, RowValues, TableSchema};
 use super::describe::output_columns;
 use super::matching::matching_rows;
 use super::run_insert::run_insert;
 use super::run_select::run_select;
-use super::transaction::Transaction;
+use super::transaction::OpenTransaction;
 use crate::group::sql::error::SqlError;
-use crate::group::sql::plan::{DeletePlan, Plan, Projection, UpdatePlan};
-use crate::group::sql::scalar::{Scalar, ScalarScope, SessionFacts};
+use crate::group::sql::plan::{ColumnProjection, DeletePlan, StatementPlan, UpdatePlan};
+use crate::group::sql::scalar::{RowScalar, ScalarScope, SessionFacts};
 use crate::group::sql::value::{SqlType, SqlValue};
 use std::sync::Arc;
 use std::sync::atomic::AtomicI64;
@@ -43,35 +43,35 @@
 
 /// Runs a plan that reads or changes data.
 pub(crate) fn run_plan(
-    plan: &Plan,
-    transaction: &mut Transaction,
+    plan: &StatementPlan,
+    transaction: &mut OpenTransaction,
     scope: &RunScope,
-) -> Result<Answer, SqlError> {
+) -> Result<StatementAnswer, SqlError> {
     match plan {
-        Plan::Select(select) => {
+        StatementPlan::Select(select) => {
             let columns = output_columns(plan, &transaction.work, &scope.kinds)?;
             run_select(select, columns.unwrap_or_default(), transaction, scope)
         }
-        Plan::Insert(insert) => {
+        StatementPlan::Insert(insert) => {
             let columns = output_columns(plan, &transaction.work, &scope.kinds)?;
             let (count, rows) = run_insert(insert, transaction, scope)?;
             Ok(changed("INSERT 0", count, columns, rows))
         }
-        Plan::Update(update) => {
+        StatementPlan::Update(update) => {
             let columns = output_columns(plan, &transaction.work, &scope.kinds)?;
             let (count, rows) = run_update(update, transaction, scope)?;
             Ok(changed("UPDATE", count, columns, rows))
         }
-        Plan::Delete(delete) => {
+        StatementPlan::Delete(delete) => {
             let columns = output_columns(plan, &transaction.work, &scope.kinds)?;
             let (count, rows) = run_delete(delete, transaction, scope)?;
             Ok(changed("DELETE", count, columns, rows))
         }
-        Plan::CreateTable { schema, if_not_exists } => {
+        StatementPlan::CreateTable { schema, if_not_exists } => {
             run_create(schema, *if_not_exists, transaction)
         }
-        Plan::DropTable { names, if_exists } => run_drop(names, *if_exists, transaction),
-        Plan::Truncate(names) => run_truncate(names, transaction),
+        StatementPlan::DropTable { names, if_exists } => run_drop(names, *if_exists, transaction),
+        StatementPlan::Truncate(names) => run_truncate(names, transaction),
         _ => Err(SqlError::Unsupported("this statement here".to_owned())),
     }
 }
@@ -81,8 +81,8 @@
     count: u64,
     columns: Option<Vec<OutputColumn>>,
     rows: Vec<Vec<SqlValue>>,
-) -> Answer {
-    Answer {
+) -> StatementAnswer {
+    StatementAnswer {
         columns,
         rows: RowSource::Listed(rows.into_iter()),
         tag: CommandTag::Counted(tag, count),
@@ -93,23 +93,23 @@
 fn run_create(
     schema: &Arc<TableSchema>,
     if_not_exists: bool,
-    transaction: &mut Transaction,
-) -> Result<Answer, SqlError> {
+    transaction: &mut OpenTransaction,
+) -> Result<StatementAnswer, SqlError> {
     let tag = CommandTag::Plain("CREATE TABLE");
     if if_not_exists && transaction.work.table(&schema.name).is_ok() {
         let text = format!("relation \"{}\" already exists, skipping", schema.name);
-        return Ok(Answer::done(tag).with_notice("NOTICE", "42P07", text));
+        return Ok(StatementAnswer::done(tag).with_notice("NOTICE", "42P07", text));
     }
     transaction.change(RowEffect::CreateTable(Arc::clone(schema)))?;
-    Ok(Answer::done(tag))
+    Ok(StatementAnswer::done(tag))
 }
 
 fn run_drop(
     names: &[Arc<str>],
     if_exists: bool,
-    transaction: &mut Transaction,
-) -> Result<Answer, SqlError> {
-    let mut answer = Answer::done(CommandTag::Plain("DROP TABLE"));
+    transaction: &mut OpenTransaction,
+) -> Result<StatementAnswer, SqlError> {
+    let mut answer = StatementAnswer::done(CommandTag::Plain("DROP TABLE"));
     for name in names {
         if if_exists && transaction.work.table(name).is_err() {
             let text = format!("table \"{name}\" does not exist, skipping");
@@ -121,25 +121,28 @@
     Ok(answer)
 }
 
-fn run_truncate(names: &[Arc<str>], transaction: &mut Transaction) -> Result<Answer, SqlError> {
+fn run_truncate(
+    names: &[Arc<str>],
+    transaction: &mut OpenTransaction,
+) -> Result<StatementAnswer, SqlError> {
     for name in names {
         let schema = Arc::clone(&transaction.work.table(name)?.schema);
         transaction.change(RowEffect::DropTable(Arc::clone(name)))?;
         transaction.change(RowEffect::CreateTable(schema))?;
     }
-    Ok(Answer::done(CommandTag::Plain("TRUNCATE TABLE")))
+    Ok(StatementAnswer::done(CommandTag::Plain("TRUNCATE TABLE")))
 }
 
 /// Evaluates projections over one row.
 pub(crate) fn project(
-    projections: &[Projection],
+    projections: &[ColumnProjection],
     scope: ScalarScope<'_>,
 ) -> Result<Vec<SqlValue>, SqlError> {
     let mut values = Vec::with_capacity(projections.len());
     for projection in projections {
         match projection {
-            Projection::All => values.extend_from_slice(scope.row),
-            Projection::Scalar(scalar, _) => values.push(scalar.evaluate(scope)?),
+            ColumnProjection::All => values.extend_from_slice(scope.row),
+            ColumnProjection::Scalar(scalar, _) => values.push(scalar.evaluate(scope)?),
         }
     }
     Ok(values)
@@ -147,7 +150,7 @@
 
 fn run_update(
     update: &UpdatePlan,
-    transaction: &mut Transaction,
+    transaction: &mut OpenTransaction,
     scope: &RunScope,
 ) -> Result<(u64, Vec<Vec<SqlValue>>), SqlError> {
     let table = Arc::clone(transaction.work.table(&update.table)?);
@@ -168,7 +171,7 @@
 /// The row after `column = expression` assignments.
 pub(crate) fn assign(
     schema: &TableSchema,
-    assignments: &[(Arc<str>, Scalar)],
+    assignments: &[(Arc<str>, RowScalar)],
     scope: ScalarScope<'_>,
 ) -> Result<RowValues, SqlError> {
     let mut values = scope.row.to_vec();
@@ -189,7 +192,7 @@
     schema: &TableSchema,
     key: &RowKey,
     values: &RowValues,
-    transaction: &mut Transaction,
+    transaction: &mut OpenTransaction,
 ) -> Result<(), SqlError> {
     let table = Arc::clone(&schema.name);
     let new_key = match &schema.primary {
@@ -209,7 +212,7 @@
 
 fn run_delete(
     delete: &DeletePlan,
-    transaction: &mut Transaction,
+    transaction: &mut OpenTransaction,
     scope: &RunScope,
 ) -> Result<(u64, Vec<Vec<SqlValue>>), SqlError> {
     let table = Arc::clone(transaction.work.table(&delete.table)?);
--- a/crates/rudder-standins/src/group/tables/run_insert.rs
+++ b/crates/rudder-standins/src/group/tables/run_insert.rs
@@ -1,11 +1,11 @@
 //! Running of inserts.
 
-use super::database::{ColumnDefault, RowEffect, RowKey, RowValues, Table, TableSchema};
+use super::database::{ColumnDefault, RowEffect, RowKey, RowValues, StoredTable, TableSchema};
 use super::run::{RunScope, assign, project, replace_row};
-use super::transaction::Transaction;
+use super::transaction::OpenTransaction;
 use crate::group::sql::error::SqlError;
 use crate::group::sql::plan::{ConflictRule, InsertPlan};
-use crate::group::sql::scalar::{Scalar, now_text};
+use crate::group::sql::scalar::{RowScalar, now_text};
 use crate::group::sql::value::SqlValue;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, Ordering};
@@ -13,7 +13,7 @@
 /// Inserts the plan's rows; answers how many, and the rows of `RETURNING`.
 pub(crate) fn run_insert(
     insert: &InsertPlan,
-    transaction: &mut Transaction,
+    transaction: &mut OpenTransaction,
     scope: &RunScope,
 ) -> Result<(u64, Vec<Vec<SqlValue>>), SqlError> {
     let schema = Arc::clone(&transaction.work.table(&insert.table)?.schema);
@@ -48,7 +48,7 @@
 fn evaluated_row(
     schema: &TableSchema,
     targets: &[usize],
-    row: &[Option<Scalar>],
+    row: &[Option<RowScalar>],
     scope: &RunScope,
 ) -> Result<RowValues, SqlError> {
     if row.len() > targets.len() {
@@ -101,7 +101,7 @@
     schema: &TableSchema,
     values: RowValues,
     rule: &ConflictRule,
-    transaction: &mut Transaction,
+    transaction: &mut OpenTransaction,
     scope: &RunScope,
 ) -> Result<Option<RowValues>, SqlError> {
     let key: RowKey = match &schema.primary {
@@ -131,7 +131,7 @@
 }
 
 /// The constraint that a new row would break, with the key of the row in the way.
-fn obstacle(table: &Table, key: &RowKey, values: &[SqlValue]) -> Option<(Arc<str>, RowKey)> {
+fn obstacle(table: &StoredTable, key: &RowKey, values: &[SqlValue]) -> Option<(Arc<str>, RowKey)> {
     if let Some(primary) = &table.schema.primary
         && table.rows.contains_key(key)
     {
--- a/crates/rudder-standins/src/group/tables/run_select.rs
+++ b/crates/rudder-standins/src/group/tables/run_select.rs
@@ -1,14 +1,14 @@
 //! Running of selects.
 
-use super::answer::{Answer, OutputColumn, RowSource, SeriesRows};
+use super::answer::{OutputColumn, RowSource, SeriesRows, StatementAnswer};
 use super::database::{RowValues, TableSchema};
 use super::describe::{series_schema, source_schema};
 use super::matching::matching_rows;
 use super::run::{RunScope, project};
-use super::transaction::Transaction;
+use super::transaction::OpenTransaction;
 use crate::group::sql::error::SqlError;
-use crate::group::sql::plan::{AggregateFunction, Projection, SelectPlan, SelectSource};
-use crate::group::sql::scalar::Scalar;
+use crate::group::sql::plan::{AggregateFunction, ColumnProjection, SelectPlan, SelectSource};
+use crate::group::sql::scalar::RowScalar;
 use crate::group::sql::value::{SqlType, SqlValue};
 use std::sync::Arc;
 
@@ -16,9 +16,9 @@
 pub(crate) fn run_select(
     select: &SelectPlan,
     columns: Vec<OutputColumn>,
-    transaction: &Transaction,
+    transaction: &OpenTransaction,
     scope: &RunScope,
-) -> Result<Answer, SqlError> {
+) -> Result<StatementAnswer, SqlError> {
     let schema = source_schema(&select.source, &transaction.work)?;
     let schema = schema.as_ref();
     let plain = select.filter.is_none()
@@ -33,26 +33,26 @@
     let mut rows = source_rows(select, transaction, scope)?;
     if !select.aggregates.is_empty() {
         let row = aggregate(select, schema.map(Arc::as_ref), &rows, scope)?;
-        return Ok(Answer::rows(columns, vec![row]));
+        return Ok(StatementAnswer::rows(columns, vec![row]));
     }
     sort_rows(select, schema.map(Arc::as_ref), &mut rows, scope)?;
     cut_rows(select, &mut rows, scope)?;
     let project_row =
         |row: &RowValues| project(&select.columns, scope.row(schema.map(Arc::as_ref), row));
     let projected: Result<Vec<_>, _> = rows.iter().map(project_row).collect();
-    Ok(Answer::rows(columns, projected?))
+    Ok(StatementAnswer::rows(columns, projected?))
 }
 
 fn run_series(
     select: &SelectPlan,
-    bounds: (&Scalar, &Scalar),
+    bounds: (&RowScalar, &RowScalar),
     schema: &Arc<TableSchema>,
     columns: Vec<OutputColumn>,
     scope: &RunScope,
-) -> Result<Answer, SqlError> {
-    let scalar_of = |projection: &Projection| match projection {
-        Projection::All => Scalar::Column("generate_series".into()),
-        Projection::Scalar(scalar, _) => scalar.clone(),
+) -> Result<StatementAnswer, SqlError> {
+    let scalar_of = |projection: &ColumnProjection| match projection {
+        ColumnProjection::All => RowScalar::Column("generate_series".into()),
+        ColumnProjection::Scalar(scalar, _) => scalar.clone(),
     };
     let series = SeriesRows {
         next: bound(bounds.0, scope)?,
@@ -62,13 +62,13 @@
         parameters: Arc::clone(&scope.parameters),
         facts: Arc::clone(&scope.facts),
     };
-    let mut answer = Answer::rows(columns, Vec::new());
+    let mut answer = StatementAnswer::rows(columns, Vec::new());
     answer.rows = RowSource::Series(Box::new(series));
     Ok(answer)
 }
 
 /// The integer value of an expression without a row.
-fn bound(scalar: &Scalar, scope: &RunScope) -> Result<i64, SqlError> {
+fn bound(scalar: &RowScalar, scope: &RunScope) -> Result<i64, SqlError> {
     match scalar.evaluate(scope.row(None, &[]))?.coerce(SqlType::Int8)? {
         SqlValue::Int(number) => Ok(number),
         _ => Err(SqlError::OutOfRange),
@@ -77,7 +77,7 @@
 
 fn source_rows(
     select: &SelectPlan,
-    transaction: &Transaction,
+    transaction: &OpenTransaction,
     scope: &RunScope,
 ) -> Result<Vec<RowValues>, SqlError> {
     let mut rows = Vec::new();
--- a/crates/rudder-standins/src/group/tables/transaction.rs
+++ b/crates/rudder-standins/src/group/tables/transaction.rs
@@ -1,20 +1,20 @@
 //! A transaction: a snapshot, the changes made on it, and its savepoints.
 
-use super::database::{Database, RowEffect};
+use super::database::{GroupDatabase, RowEffect};
 use crate::group::sql::error::SqlError;
 use rudder_core::{LogStamp, LogTerm};
 use std::sync::Arc;
 
 /// An open transaction of a session.
 #[derive(Clone, Debug)]
-pub(crate) struct Transaction {
+pub(crate) struct OpenTransaction {
     /// The term of the member when the transaction began.
     pub(crate) term: LogTerm,
     /// The stamp of the snapshot.
     pub(crate) base_stamp: LogStamp,
-    pub(crate) base: Database,
+    pub(crate) base: GroupDatabase,
     /// The snapshot with the transaction's own changes.
-    pub(crate) work: Database,
+    pub(crate) work: GroupDatabase,
     pub(crate) effects: Vec<RowEffect>,
     /// Set by `ON CONFLICT`: a unique violation found at commit is a conflict instead, because
     /// the statement asked not to see violations.
@@ -25,13 +25,13 @@
 #[derive(Clone, Debug)]
 struct SavedState {
     name: Arc<str>,
-    work: Database,
+    work: GroupDatabase,
     effects: usize,
 }
 
-impl Transaction {
+impl OpenTransaction {
     /// A transaction over a snapshot.
-    pub(crate) fn new(term: LogTerm, base_stamp: LogStamp, base: Database) -> Self {
+    pub(crate) fn new(term: LogTerm, base_stamp: LogStamp, base: GroupDatabase) -> Self {
         Self {
             term,
             base_stamp,
--- a/crates/rudder-standins/src/group/wire/block.rs
+++ b/crates/rudder-standins/src/group/wire/block.rs
@@ -1,14 +1,14 @@
 //! Transaction blocks, and the settings that they may take back.
 
-use super::session::{BlockState, Session};
+use super::session::{BlockState, ClientSession};
 use crate::group::sql::error::SqlError;
-use crate::group::tables::answer::{Answer, CommandTag};
+use crate::group::tables::answer::{CommandTag, StatementAnswer};
 use std::sync::Arc;
 
-impl Session {
+impl ClientSession {
     /// Opens a block.
-    pub(crate) fn begin_block(&mut self, read_only: bool) -> Answer {
-        let answer = Answer::done(CommandTag::Plain("BEGIN"));
+    pub(crate) fn begin_block(&mut self, read_only: bool) -> StatementAnswer {
+        let answer = StatementAnswer::done(CommandTag::Plain("BEGIN"));
         if self.block != BlockState::None {
             let text = "there is already a transaction in progress".to_owned();
             return answer.with_notice("WARNING", "25001", text);
@@ -20,8 +20,8 @@
     }
 
     /// Commits the block.
-    pub(crate) fn commit_block(&mut self) -> Result<Answer, SqlError> {
-        let answer = Answer::done(CommandTag::Plain("COMMIT"));
+    pub(crate) fn commit_block(&mut self) -> Result<StatementAnswer, SqlError> {
+        let answer = StatementAnswer::done(CommandTag::Plain("COMMIT"));
         match self.block {
             BlockState::None => {
                 self.end_implicit()?;
@@ -45,8 +45,8 @@
     }
 
     /// Gives up the block.
-    pub(crate) fn roll_back(&mut self) -> Answer {
-        let answer = Answer::done(CommandTag::Plain("ROLLBACK"));
+    pub(crate) fn roll_back(&mut self) -> StatementAnswer {
+        let answer = StatementAnswer::done(CommandTag::Plain("ROLLBACK"));
         self.transaction = None;
         let open = self.block != BlockState::None;
         self.close_block();
@@ -67,8 +67,9 @@
         name: &str,
         value: Option<&Arc<str>>,
         local: bool,
-    ) -> Result<Answer, SqlError> {
-        let answer = Answer::done(CommandTag::Plain(if value.is_some() { "SET" } else { "RESET" }));
+    ) -> Result<StatementAnswer, SqlError> {
+        let answer =
+            StatementAnswer::done(CommandTag::Plain(if value.is_some() { "SET" } else { "RESET" }));
         if local && self.block == BlockState::None {
             let text = "SET LOCAL can only be used in transaction blocks".to_owned();
             return Ok(answer.with_notice("WARNING", "25P01", text));
@@ -87,7 +88,7 @@
     }
 
     /// Returns the session to how it began.
-    pub(crate) fn discard_all(&mut self) -> Result<Answer, SqlError> {
+    pub(crate) fn discard_all(&mut self) -> Result<StatementAnswer, SqlError> {
         if self.block != BlockState::None {
             return Err(SqlError::Unsupported("DISCARD ALL inside a transaction block".to_owned()));
         }
@@ -95,7 +96,7 @@
         self.portals.clear();
         let reports = self.settings.reset_all();
         self.report(reports);
-        Ok(Answer::done(CommandTag::Plain("DISCARD ALL")))
+        Ok(StatementAnswer::done(CommandTag::Plain("DISCARD ALL")))
     }
 
     fn close_block(&mut self) {
--- a/crates/rudder-standins/src/group/wire/client.rs
+++ b/crates/rudder-standins/src/group/wire/client.rs
@@ -1,6 +1,6 @@
 //! The socket of a session: messages in, coalesced writes out.
 
-use crate::group::member::Member;
+use crate::group::member::GroupMember;
 use bytes::BytesMut;
 use pgwire::messages::{DecodeContext, PgWireFrontendMessage, ProtocolVersion};
 use std::io;
@@ -18,7 +18,7 @@
 /// A client's connection.
 #[derive(Debug)]
 pub(crate) struct ClientStream {
-    member: Arc<Member>,
+    member: Arc<GroupMember>,
     stream: TcpStream,
     input: BytesMut,
     /// What waits to be written.
@@ -29,7 +29,11 @@
 
 impl ClientStream {
     /// A fresh connection of a member.
-    pub(crate) fn new(member: Arc<Member>, stream: TcpStream, life: CancellationToken) -> Self {
+    pub(crate) fn new(
+        member: Arc<GroupMember>,
+        stream: TcpStream,
+        life: CancellationToken,
+    ) -> Self {
         Self {
             member,
             life,
--- a/crates/rudder-standins/src/group/wire/connection.rs
+++ b/crates/rudder-standins/src/group/wire/connection.rs
@@ -5,9 +5,9 @@
 use super::encode::{put, put_error};
 use super::extended::{PortalTable, StatementTable};
 use super::login::prove_password;
-use super::session::{BlockState, Session};
+use super::session::{BlockState, ClientSession};
 use super::session_settings::SessionSettings;
-use crate::group::member::Member;
+use crate::group::member::GroupMember;
 use crate::group::sql::error::SqlError;
 use crate::group::sql::scalar::SessionFacts;
 use pgwire::messages::cancel::CancelRequest;
@@ -28,8 +28,8 @@
 
 /// Serves one connection until the client leaves.
 pub(crate) async fn serve_connection(
-    members: Arc<[Arc<Member>]>,
-    member: Arc<Member>,
+    members: Arc<[Arc<GroupMember>]>,
+    member: Arc<GroupMember>,
     mut client: ClientStream,
 ) -> io::Result<()> {
     member.wait_thawed().await;
@@ -58,10 +58,10 @@
 }
 
 /// Counts a connection for as long as it lives.
-struct ConnectionGuard(Arc<Member>);
+struct ConnectionGuard(Arc<GroupMember>);
 
 impl ConnectionGuard {
-    fn enter(member: &Arc<Member>) -> Option<Self> {
+    fn enter(member: &Arc<GroupMember>) -> Option<Self> {
         let before = member.connections.fetch_add(1, Ordering::AcqRel);
         let guard = Self(Arc::clone(member));
         let limit = member.connections_max.load(Ordering::Relaxed);
@@ -76,7 +76,7 @@
 }
 
 /// Refuses encryption and serves a cancel request; answers the startup message, if one comes.
-async fn negotiate(member: &Member, client: &mut ClientStream) -> io::Result<Option<Startup>> {
+async fn negotiate(member: &GroupMember, client: &mut ClientStream) -> io::Result<Option<Startup>> {
     loop {
         match client.next_message().await? {
             Some(FrontendMessage::SslNegotiation(request)) => match request {
@@ -98,18 +98,18 @@
     }
 }
 
-fn cancel(member: &Member, request: &CancelRequest) {
+fn cancel(member: &GroupMember, request: &CancelRequest) {
     if let Some(secret) = request.secret_key.as_i32() {
         member.cancels.cancel(CancelKey { pid: request.pid, secret });
     }
 }
 
 fn log_in(
-    members: Arc<[Arc<Member>]>,
-    member: Arc<Member>,
+    members: Arc<[Arc<GroupMember>]>,
+    member: Arc<GroupMember>,
     mut client: ClientStream,
     startup: &Startup,
-) -> Session {
+) -> ClientSession {
     let pid = member.shared.next_pid.fetch_add(1, Ordering::Relaxed);
     let key = CancelKey { pid, secret: rand::random() };
     let parameter = |name: &str| startup.parameters.get(name).cloned();
@@ -124,7 +124,7 @@
     }
     put(&Authentication::Ok, &mut client.output);
     let cancel = member.cancels.add(key);
-    let mut session = Session {
+    let mut session = ClientSession {
         member,
         members,
         client,
@@ -167,7 +167,7 @@
     settings
 }
 
-impl Session {
+impl ClientSession {
     /// Answers messages until the client leaves.
     async fn serve(&mut self) -> io::Result<()> {
         loop {
@@ -199,7 +199,7 @@
     }
 }
 
-impl Drop for Session {
+impl Drop for ClientSession {
     fn drop(&mut self) {
         self.member.cancels.remove(self.key);
     }
--- a/crates/rudder-standins/src/group/wire/copy.rs
+++ b/crates/rudder-standins/src/group/wire/copy.rs
@@ -1,7 +1,7 @@
 //! `COPY` of tables, in text form.
 
 use super::encode::{put, put_complete};
-use super::session::{BoundParameters, Session, StatementError};
+use super::session::{BoundParameters, ClientSession, StatementError};
 use crate::group::sql::error::SqlError;
 use crate::group::sql::plan::{ConflictRule, CopyPlan};
 use crate::group::sql::value::{SqlType, SqlValue};
@@ -20,7 +20,7 @@
 /// The line that some clients send at the end.
 const END_LINE: &[u8] = b"\\.";
 
-impl Session {
+impl ClientSession {
     /// Takes rows from the client. With `commit`, the implicit transaction ends here.
     pub(crate) async fn copy_in(
         &mut self,
--- a/crates/rudder-standins/src/group/wire/extended.rs
+++ b/crates/rudder-standins/src/group/wire/extended.rs
@@ -1,13 +1,13 @@
 //! The extended query protocol: prepared statements, portals, batches.
 
 use super::encode::{is_binary, put, put_columns, put_complete, put_error, put_parameters};
-use super::session::{BlockState, BoundParameters, Session, StatementError};
+use super::session::{BlockState, BoundParameters, ClientSession, StatementError};
 use crate::group::slots::lock;
 use crate::group::sql::error::SqlError;
-use crate::group::sql::plan::Plan;
+use crate::group::sql::plan::StatementPlan;
 use crate::group::sql::value::{SqlType, SqlValue};
-use crate::group::tables::answer::{Answer, OutputColumn};
-use crate::group::tables::database::Database;
+use crate::group::tables::answer::{OutputColumn, StatementAnswer};
+use crate::group::tables::database::GroupDatabase;
 use crate::group::tables::describe::{output_columns, parameter_types};
 use pgwire::messages::PgWireFrontendMessage as FrontendMessage;
 use pgwire::messages::extendedquery::{
@@ -21,13 +21,13 @@
 /// A prepared statement.
 #[derive(Debug)]
 pub(crate) struct PreparedStatement {
-    plans: Arc<[Plan]>,
+    plans: Arc<[StatementPlan]>,
     kinds: Arc<[SqlType]>,
 }
 
 impl PreparedStatement {
-    fn plan(&self) -> &Plan {
-        self.plans.first().unwrap_or(&Plan::Empty)
+    fn plan(&self) -> &StatementPlan {
+        self.plans.first().unwrap_or(&StatementPlan::Empty)
     }
 }
 
@@ -37,7 +37,7 @@
     statement: Arc<PreparedStatement>,
     parameters: BoundParameters,
     formats: Vec<i16>,
-    answer: Option<Answer>,
+    answer: Option<StatementAnswer>,
 }
 
 /// Prepared statements sorted by name; the unnamed one has the empty name.
@@ -127,7 +127,7 @@
     }
 }
 
-impl Session {
+impl ClientSession {
     /// Answers a message of the extended protocol.
     pub(crate) async fn extended_message(&mut self, message: FrontendMessage) -> io::Result<()> {
         if let FrontendMessage::Sync(_) = message {
@@ -179,7 +179,7 @@
     }
 
     /// The tables as the next statement would see them.
-    fn visible_tables(&self) -> Database {
+    fn visible_tables(&self) -> GroupDatabase {
         match &self.transaction {
             Some(transaction) => transaction.work.clone(),
             None => lock(&self.member.state).log.database().clone(),
@@ -193,7 +193,7 @@
                 "cannot insert multiple commands into a prepared statement".to_owned(),
             ));
         }
-        let plan = plans.first().unwrap_or(&Plan::Empty);
+        let plan = plans.first().unwrap_or(&StatementPlan::Empty);
         if self.block == BlockState::Failed && !plan.runs_in_failed() {
             return Err(SqlError::Aborted);
         }
@@ -264,7 +264,7 @@
         let mut answer = match portal.answer.take() {
             Some(answer) => answer,
             None => match plan {
-                Plan::Empty => {
+                StatementPlan::Empty => {
                     put(&EmptyQueryResponse::new(), &mut self.client.output);
                     return Ok(());
                 }
@@ -277,8 +277,8 @@
             },
         };
         match plan {
-            Plan::CopyIn(copy) => return self.copy_in(copy, false).await,
-            Plan::CopyOut(copy) => return self.copy_out(copy).await,
+            StatementPlan::CopyIn(copy) => return self.copy_in(copy, false).await,
+            StatementPlan::CopyOut(copy) => return self.copy_out(copy).await,
             _ => {}
         }
         let count = match usize::try_from(execute.max_rows) {
@@ -310,7 +310,7 @@
 
 fn columns_of(
     statement: &PreparedStatement,
-    tables: &Database,
+    tables: &GroupDatabase,
 ) -> Result<Option<Vec<OutputColumn>>, SqlError> {
     output_columns(statement.plan(), tables, &statement.kinds)
 }
--- a/crates/rudder-standins/src/group/wire/session.rs
+++ b/crates/rudder-standins/src/group/wire/session.rs
@@ -6,16 +6,16 @@
 use super::extended::{PortalTable, StatementTable};
 use super::session_settings::SessionSettings;
 use crate::group::handle::turn_by_sql;
-use crate::group::member::Member;
+use crate::group::member::GroupMember;
 use crate::group::slots::lock;
 use crate::group::sql::error::SqlError;
-use crate::group::sql::plan::Plan;
+use crate::group::sql::plan::StatementPlan;
 use crate::group::sql::scalar::SessionFacts;
 use crate::group::sql::value::{SqlType, SqlValue};
-use crate::group::tables::answer::{Answer, CommandTag};
+use crate::group::tables::answer::{CommandTag, StatementAnswer};
 use crate::group::tables::describe::{status_columns, text_column};
 use crate::group::tables::run::{RunScope, run_plan};
-use crate::group::tables::transaction::Transaction;
+use crate::group::tables::transaction::OpenTransaction;
 use pgwire::messages::response::TransactionStatus;
 use pgwire::messages::startup::ParameterStatus;
 use rudder_core::MemberStatus;
@@ -71,9 +71,9 @@
 
 /// One client's session with a member.
 #[derive(Debug)]
-pub(crate) struct Session {
-    pub(crate) member: Arc<Member>,
-    pub(crate) members: Arc<[Arc<Member>]>,
+pub(crate) struct ClientSession {
+    pub(crate) member: Arc<GroupMember>,
+    pub(crate) members: Arc<[Arc<GroupMember>]>,
     pub(crate) client: ClientStream,
     pub(crate) facts: Arc<SessionFacts>,
     pub(crate) key: CancelKey,
@@ -83,7 +83,7 @@
     pub(crate) settings_before: Option<SessionSettings>,
     /// Settings to return to when the block ends in any way, from `SET LOCAL`.
     pub(crate) settings_local: Option<SessionSettings>,
-    pub(crate) transaction: Option<Transaction>,
+    pub(crate) transaction: Option<OpenTransaction>,
     pub(crate) block: BlockState,
     /// Whether the block was opened for reading only.
     pub(crate) read_only: bool,
@@ -93,7 +93,7 @@
     pub(crate) skipping: bool,
 }
 
-impl Session {
+impl ClientSession {
     /// The status that ends each request.
     pub(crate) fn status(&self) -> TransactionStatus {
         match self.block {
@@ -112,10 +112,10 @@
     /// so that it may run and commit in one step.
     pub(crate) async fn run(
         &mut self,
-        plan: &Plan,
+        plan: &StatementPlan,
         parameters: &BoundParameters,
         alone: bool,
-    ) -> Result<Answer, StatementError> {
+    ) -> Result<StatementAnswer, StatementError> {
         if self.block == BlockState::Failed && !plan.runs_in_failed() {
             return Err(SqlError::Aborted.into());
         }
@@ -147,10 +147,10 @@
 
     async fn occupy_and_run(
         &mut self,
-        plan: &Plan,
+        plan: &StatementPlan,
         parameters: &BoundParameters,
         alone: bool,
-    ) -> Result<Answer, StatementError> {
+    ) -> Result<StatementAnswer, StatementError> {
         self.note_role();
         let scope = self.scope(parameters);
         let sleep = sleep_time(plan, &scope)?;
@@ -209,7 +209,12 @@
         }
     }
 
-    fn run_data(&mut self, plan: &Plan, scope: &RunScope, alone: bool) -> Result<Answer, SqlError> {
+    fn run_data(
+        &mut self,
+        plan: &StatementPlan,
+        scope: &RunScope,
+        alone: bool,
+    ) -> Result<StatementAnswer, SqlError> {
         let write = plan.write_name();
         if let Some(statement) = write {
             if self.read_only {
@@ -219,9 +224,9 @@
         }
         let alone = alone && self.block == BlockState::None && self.transaction.is_none();
         match plan {
-            Plan::CopyIn(_) | Plan::CopyOut(_) => {
+            StatementPlan::CopyIn(_) | StatementPlan::CopyOut(_) => {
                 self.open_transaction();
-                Ok(Answer::done(CommandTag::Plain("COPY")))
+                Ok(StatementAnswer::done(CommandTag::Plain("COPY")))
             }
             _ if alone && write.is_some() => self.run_and_commit(plan, scope),
             _ if alone => run_plan(plan, &mut self.snapshot(), scope),
@@ -231,7 +236,11 @@
 
     /// Runs and commits a single statement under the member's lock, so that it sees and changes
     /// the newest rows and cannot conflict.
-    fn run_and_commit(&mut self, plan: &Plan, scope: &RunScope) -> Result<Answer, SqlError> {
+    fn run_and_commit(
+        &mut self,
+        plan: &StatementPlan,
+        scope: &RunScope,
+    ) -> Result<StatementAnswer, SqlError> {
         let answer = {
             let mut state = lock(&self.member.state);
             let mut transaction = state.begin();
@@ -244,7 +253,7 @@
     }
 
     /// The open transaction, begun now if there is none.
-    pub(crate) fn open_transaction(&mut self) -> &mut Transaction {
+    pub(crate) fn open_transaction(&mut self) -> &mut OpenTransaction {
         let fresh = match self.transaction.take() {
             Some(transaction) => transaction,
             None => self.snapshot(),
@@ -253,7 +262,7 @@
     }
 
     /// A transaction over the newest rows, apart from the session's own.
-    fn snapshot(&self) -> Transaction {
+    fn snapshot(&self) -> OpenTransaction {
         lock(&self.member.state).begin()
     }
 
@@ -265,54 +274,57 @@
         }
     }
 
-    fn run_control(&mut self, plan: &Plan) -> Result<Answer, SqlError> {
+    fn run_control(&mut self, plan: &StatementPlan) -> Result<StatementAnswer, SqlError> {
         match plan {
-            Plan::Control(statement) => self.member.control(statement).map(status_answer),
-            Plan::Knob(command) => {
+            StatementPlan::Control(statement) => self.member.control(statement).map(status_answer),
+            StatementPlan::Knob(command) => {
                 turn_by_sql(&self.members, &self.member, command)?;
-                Ok(Answer::rows(vec![text_column("knob")], vec![vec![SqlValue::text("ok")]]))
+                Ok(StatementAnswer::rows(
+                    vec![text_column("knob")],
+                    vec![vec![SqlValue::text("ok")]],
+                ))
             }
-            Plan::Notice(text) => {
+            StatementPlan::Notice(text) => {
                 let row = vec![SqlValue::text("sent")];
-                let answer = Answer::rows(vec![text_column("notice")], vec![row]);
+                let answer = StatementAnswer::rows(vec![text_column("notice")], vec![row]);
                 Ok(answer.with_notice("NOTICE", "00000", text.as_ref().to_owned()))
             }
-            Plan::Begin { read_only } => Ok(self.begin_block(*read_only)),
-            Plan::Commit => self.commit_block(),
-            Plan::Rollback => Ok(self.roll_back()),
-            Plan::Savepoint(name) => {
+            StatementPlan::Begin { read_only } => Ok(self.begin_block(*read_only)),
+            StatementPlan::Commit => self.commit_block(),
+            StatementPlan::Rollback => Ok(self.roll_back()),
+            StatementPlan::Savepoint(name) => {
                 self.open_transaction().save(Arc::clone(name));
-                Ok(Answer::done(CommandTag::Plain("SAVEPOINT")))
+                Ok(StatementAnswer::done(CommandTag::Plain("SAVEPOINT")))
             }
-            Plan::RollbackTo(name) => {
+            StatementPlan::RollbackTo(name) => {
                 self.open_transaction().return_to(name)?;
                 if self.block == BlockState::Failed {
                     self.block = BlockState::Open;
                 }
-                Ok(Answer::done(CommandTag::Plain("ROLLBACK")))
+                Ok(StatementAnswer::done(CommandTag::Plain("ROLLBACK")))
             }
-            Plan::Release(name) => {
+            StatementPlan::Release(name) => {
                 self.open_transaction().release(name)?;
-                Ok(Answer::done(CommandTag::Plain("RELEASE")))
+                Ok(StatementAnswer::done(CommandTag::Plain("RELEASE")))
             }
-            Plan::Set { name, value, local } => self.set(name, value.as_ref(), *local),
-            Plan::ResetAll => {
+            StatementPlan::Set { name, value, local } => self.set(name, value.as_ref(), *local),
+            StatementPlan::ResetAll => {
                 let reports = self.settings.reset_all();
                 self.report(reports);
-                Ok(Answer::done(CommandTag::Plain("RESET")))
+                Ok(StatementAnswer::done(CommandTag::Plain("RESET")))
             }
-            Plan::DiscardAll => self.discard_all(),
-            Plan::Deallocate(name) => {
+            StatementPlan::DiscardAll => self.discard_all(),
+            StatementPlan::Deallocate(name) => {
                 self.statements.deallocate(name.as_deref())?;
-                Ok(Answer::done(CommandTag::Plain("DEALLOCATE")))
+                Ok(StatementAnswer::done(CommandTag::Plain("DEALLOCATE")))
             }
-            Plan::Show(name) => {
+            StatementPlan::Show(name) => {
                 let value = SqlValue::text(self.shown(name)?);
-                let mut answer = Answer::rows(vec![text_column(name)], vec![vec![value]]);
+                let mut answer = StatementAnswer::rows(vec![text_column(name)], vec![vec![value]]);
                 answer.tag = CommandTag::Plain("SHOW");
                 Ok(answer)
             }
-            Plan::Ignored(tag) => Ok(Answer::done(CommandTag::Plain(tag))),
+            StatementPlan::Ignored(tag) => Ok(StatementAnswer::done(CommandTag::Plain(tag))),
             _ => Err(SqlError::Unsupported("this statement here".to_owned())),
         }
     }
@@ -335,14 +347,14 @@
     }
 
     /// Sends an answer's notices.
-    pub(crate) fn send_notices(&mut self, answer: &Answer) {
+    pub(crate) fn send_notices(&mut self, answer: &StatementAnswer) {
         for notice in &answer.notices {
             put_notice(notice, &mut self.client.output);
         }
     }
 }
 
-fn status_answer(status: MemberStatus) -> Answer {
+fn status_answer(status: MemberStatus) -> StatementAnswer {
     let texts = [
         status.role.to_string(),
         status.accepted.to_string(),
@@ -352,12 +364,12 @@
         status.applied.position.to_string(),
     ];
     let row = texts.iter().map(|text| SqlValue::text(text)).collect();
-    Answer::rows(status_columns(), vec![row])
+    StatementAnswer::rows(status_columns(), vec![row])
 }
 
 /// How long a `pg_sleep` among the columns waits.
-fn sleep_time(plan: &Plan, scope: &RunScope) -> Result<Duration, SqlError> {
-    let Plan::Select(select) = plan else { return Ok(Duration::ZERO) };
+fn sleep_time(plan: &StatementPlan, scope: &RunScope) -> Result<Duration, SqlError> {
+    let StatementPlan::Select(select) = plan else { return Ok(Duration::ZERO) };
     let Some(sleep) = &select.sleep else { return Ok(Duration::ZERO) };
     let text = sleep.evaluate(scope.row(None, &[]))?.to_text();
     let seconds: f64 = text.parse().map_err(|_| SqlError::InvalidText("double precision", text))?;
--- a/crates/rudder-standins/src/group/wire/simple.rs
+++ b/crates/rudder-standins/src/group/wire/simple.rs
@@ -1,14 +1,14 @@
 //! The simple query protocol.
 
 use super::encode::{put, put_columns, put_complete, put_error, put_row};
-use super::session::{BoundParameters, Session, StatementError};
+use super::session::{BoundParameters, ClientSession, StatementError};
 use crate::group::sql::error::SqlError;
-use crate::group::sql::plan::Plan;
-use crate::group::tables::answer::Answer;
+use crate::group::sql::plan::StatementPlan;
+use crate::group::tables::answer::StatementAnswer;
 use pgwire::messages::response::EmptyQueryResponse;
 use std::io;
 
-impl Session {
+impl ClientSession {
     /// Answers a `Query` message: its statements are one implicit transaction.
     pub(crate) async fn simple_query(&mut self, text: &str) -> io::Result<()> {
         match self.simple_statements(text).await {
@@ -43,13 +43,13 @@
     /// reported complete.
     async fn send_simple(
         &mut self,
-        plan: &Plan,
-        mut answer: Answer,
+        plan: &StatementPlan,
+        mut answer: StatementAnswer,
         last: bool,
     ) -> Result<(), StatementError> {
         match plan {
-            Plan::CopyIn(copy) => return self.copy_in(copy, last).await,
-            Plan::CopyOut(copy) => return self.copy_out(copy).await,
+            StatementPlan::CopyIn(copy) => return self.copy_in(copy, last).await,
+            StatementPlan::CopyOut(copy) => return self.copy_out(copy).await,
             _ if last => self.end_implicit()?,
             _ => {}
         }
@@ -65,7 +65,7 @@
     /// Sends up to `count` rows of an answer and tells how many went out.
     pub(crate) async fn send_rows(
         &mut self,
-        answer: &mut Answer,
+        answer: &mut StatementAnswer,
         formats: &[i16],
         count: usize,
     ) -> Result<usize, StatementError> {
