Benchmark: a paced mode, and statements per core of the proxy

As fast as possible, 32 connections measure queues more than what a proxy adds. The ratio line tells how many statements one core of the proxy could carry.

--- a/crates/rudder-standins/examples/bench/load.rs
+++ b/crates/rudder-standins/examples/bench/load.rs
@@ -61,6 +61,8 @@
     pub(crate) connections: usize,
     pub(crate) time: Duration,
     pub(crate) statement: StatementKind,
+    /// Statements a second of all connections together, if they are paced.
+    pub(crate) rate: Option<u32>,
     /// The proxy's and the group's processes.
     pub(crate) pids: (Option<u32>, Option<u32>),
 }
@@ -80,13 +82,11 @@
         }
         let start = Instant::now() + self.time / WARM_UP_SHARE;
         let end = Instant::now() + self.time;
-        let tasks: Vec<_> = clients
-            .into_iter()
-            .enumerate()
-            .map(|(index, client)| {
-                tokio::spawn(ask_until(client, Arc::clone(&requests), index, start, end))
-            })
-            .collect();
+        let mut tasks = Vec::with_capacity(self.connections);
+        for (index, client) in clients.into_iter().enumerate() {
+            let schedule = AskSchedule { first: index, pause: self.pause(), start, end };
+            tasks.push(tokio::spawn(ask_until(client, Arc::clone(&requests), schedule)));
+        }
         tokio::time::sleep_until(start.into()).await;
         let before = self.processor_times()?;
         tokio::time::sleep_until(end.into()).await;
@@ -101,6 +101,12 @@
         Ok(())
     }
 
+    /// The time between two statements of a connection, if they are paced.
+    fn pause(&self) -> Option<Duration> {
+        let rate = self.rate.filter(|rate| *rate > 0)?;
+        Some(Duration::from_secs_f64(self.connections as f64 / f64::from(rate)))
+    }
+
     fn processor_times(&self) -> std::io::Result<[Duration; 3]> {
         let time_of = |pid: Option<u32>| match pid {
             Some(pid) => processor_time(&pid.to_string()),
@@ -110,17 +116,34 @@
     }
 }
 
-/// Asks one request after the other and records the latencies of those that began after `start`.
-async fn ask_until(
-    mut client: BenchClient,
-    requests: Arc<[BytesMut]>,
+/// When one connection asks what.
+#[derive(Clone, Copy, Debug)]
+struct AskSchedule {
+    /// Index of its first request.
     first: usize,
+    pause: Option<Duration>,
+    /// Earlier requests are not recorded.
     start: Instant,
     end: Instant,
+}
+
+/// Asks one request after the other and records the latencies.
+async fn ask_until(
+    mut client: BenchClient,
+    requests: Arc<[BytesMut]>,
+    schedule: AskSchedule,
 ) -> std::io::Result<Histogram<u64>> {
+    let AskSchedule { first, pause, start, end } = schedule;
     let mut latency = latency_histogram();
     let mut index = first;
+    // Connections begin at different parts of the pause, so that they do not ask all at once.
+    let part = first as f64 / requests.len() as f64;
+    let mut next = Instant::now() + pause.unwrap_or_default().mul_f64(part.fract());
     loop {
+        if let Some(pause) = pause {
+            tokio::time::sleep_until(next.into()).await;
+            next += pause;
+        }
         let sent = Instant::now();
         if sent >= end {
             return Ok(latency);
--- a/crates/rudder-standins/examples/bench/main.rs
+++ b/crates/rudder-standins/examples/bench/main.rs
@@ -52,6 +52,9 @@
     /// statement to measure: read, prepared or write; a prepared one is a read too
     #[argh(option, default = "StatementKind::Read")]
     statement: StatementKind,
+    /// statements a second of all connections together; as many as possible without it
+    #[argh(option)]
+    rate: Option<u32>,
     /// process id of the proxy, for its processor time
     #[argh(option)]
     proxy_pid: Option<u32>,
@@ -79,10 +82,15 @@
             paths.iter().map(|(kind, _)| Measurement::new(*kind, connections)).collect();
         for _ in 0..ROUNDS {
             for ((_, target), measurement) in paths.iter().zip(&mut measurements) {
-                let pids = (arguments.proxy_pid, arguments.direct_pid);
-                LoadRun { target, connections, time, pids, statement: arguments.statement }
-                    .run(measurement)
-                    .await?;
+                let run = LoadRun {
+                    target,
+                    connections,
+                    time,
+                    statement: arguments.statement,
+                    rate: arguments.rate,
+                    pids: (arguments.proxy_pid, arguments.direct_pid),
+                };
+                run.run(measurement).await?;
             }
         }
         report.add(&measurements);
--- a/crates/rudder-standins/examples/bench/report.rs
+++ b/crates/rudder-standins/examples/bench/report.rs
@@ -95,6 +95,8 @@
     p99_ratio: f64,
     throughput_ratio: f64,
     median_added_micros: f64,
+    /// Statements that one core of the proxy could carry; 0 if its process is not known.
+    proxy_statements_per_core_second: f64,
 }
 
 /// All results of a run.
@@ -118,6 +120,11 @@
                 p99_ratio: proxy.p99_micros / direct.p99_micros,
                 throughput_ratio: proxy.statements_per_second / direct.statements_per_second,
                 median_added_micros: proxy.median_micros - direct.median_micros,
+                proxy_statements_per_core_second: if proxy.proxy_processor_micros > 0.0 {
+                    MICROS_PER_SECOND / proxy.proxy_processor_micros
+                } else {
+                    0.0
+                },
             };
             print_json(&ratio);
             self.ratios.push(ratio);
@@ -156,13 +163,14 @@
         }
         for ratio in &self.ratios {
             eprintln!(
-                "{:>8} {:>11} {:>12.2} {:>10.2} {:>10.2}   median +{:.1} us",
+                "{:>8} {:>11} {:>12.2} {:>10.2} {:>10.2}   median +{:.1} us, {:.0} statements/s a core",
                 "ratio",
                 ratio.connections,
                 ratio.throughput_ratio,
                 ratio.median_ratio,
                 ratio.p99_ratio,
-                ratio.median_added_micros
+                ratio.median_added_micros,
+                ratio.proxy_statements_per_core_second
             );
         }
     }
