Stand-in group: nextval as a write, and more of inserts tested

A sequence makes a statement that looks like a read a write; replicas refuse it as the database does, so that a proxy's safety net can be tried.

--- a/crates/rudder-standins/src/group/sql/parse_scalar.rs
+++ b/crates/rudder-standins/src/group/sql/parse_scalar.rs
@@ -244,6 +244,7 @@
         "upper" => F::Upper,
         "repeat" => F::Repeat,
         "pg_sleep" => F::Sleep,
+        "nextval" => F::NextValue,
         _ => return Err(SqlError::UnknownFunction(name.as_ref().to_owned())),
     };
     let arguments: Result<Vec<_>, _> =
--- a/crates/rudder-standins/src/group/sql/parse_select.rs
+++ b/crates/rudder-standins/src/group/sql/parse_select.rs
@@ -32,7 +32,7 @@
         order: order_scalars(query.order_by)?,
         limit: None,
         offset: None,
-        for_update: !query.locks.is_empty(),
+        write_name: if query.locks.is_empty() { None } else { Some("SELECT FOR UPDATE") },
         sleep: None,
     };
     (plan.limit, plan.offset) = limits(query.limit_clause)?;
@@ -171,10 +171,12 @@
             }
         }
         let column = projection(item)?;
-        if let ColumnProjection::Scalar(RowScalar::Call(ScalarFunction::Sleep, arguments), _) =
-            &column
-        {
-            plan.sleep = arguments.first().cloned();
+        if let ColumnProjection::Scalar(RowScalar::Call(function, arguments), _) = &column {
+            match function {
+                ScalarFunction::Sleep => plan.sleep = arguments.first().cloned(),
+                ScalarFunction::NextValue => plan.write_name = Some("nextval()"),
+                _ => {}
+            }
         }
         plan.columns.push(column);
     }
--- a/crates/rudder-standins/src/group/sql/plan.rs
+++ b/crates/rudder-standins/src/group/sql/plan.rs
@@ -125,8 +125,8 @@
     pub(crate) order: Vec<(RowScalar, bool)>,
     pub(crate) limit: Option<RowScalar>,
     pub(crate) offset: Option<RowScalar>,
-    /// Whether rows are locked, which only a primary can do.
-    pub(crate) for_update: bool,
+    /// The name of what only a primary can do, such as locking rows.
+    pub(crate) write_name: Option<&'static str>,
     /// Seconds to wait first, of a `pg_sleep` among the columns.
     pub(crate) sleep: Option<RowScalar>,
 }
@@ -168,7 +168,7 @@
             Self::Update(_) => Some("UPDATE"),
             Self::Delete(_) => Some("DELETE"),
             Self::CopyIn(_) => Some("COPY FROM"),
-            Self::Select(select) if select.for_update => Some("SELECT FOR UPDATE"),
+            Self::Select(select) => select.write_name,
             _ => None,
         }
     }
--- a/crates/rudder-standins/src/group/sql/scalar.rs
+++ b/crates/rudder-standins/src/group/sql/scalar.rs
@@ -3,8 +3,9 @@
 use super::error::SqlError;
 use super::value::{SqlType, SqlValue};
 use crate::group::tables::database::TableSchema;
-use std::cmp::Ordering;
+use std::cmp::Ordering as ValueOrdering;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicI64, Ordering};
 
 /// Operators that take numbers, or texts in the case of `Concat`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +30,7 @@
 }
 
 impl ComparisonOperator {
-    fn holds(self, ordering: Ordering) -> bool {
+    fn holds(self, ordering: ValueOrdering) -> bool {
         match self {
             Self::Equal => ordering.is_eq(),
             Self::NotEqual => ordering.is_ne(),
@@ -57,6 +58,8 @@
     Lower,
     Upper,
     Repeat,
+    /// The next number of the group's only sequence, whatever name is given.
+    NextValue,
     /// `pg_sleep`: the waiting is done before the statement runs.
     Sleep,
 }
@@ -99,6 +102,15 @@
     pub(crate) database: String,
     pub(crate) pid: i32,
     pub(crate) replica: bool,
+    /// Numbers for serial columns and for rows without a primary key.
+    pub(crate) sequence: Arc<AtomicI64>,
+}
+
+impl SessionFacts {
+    /// The next number of the group's sequence.
+    pub(crate) fn next_number(&self) -> i64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed) + 1
+    }
 }
 
 /// The version that the stand-in reports.
@@ -167,7 +179,7 @@
             Self::Call(function, arguments) => match function {
                 ScalarFunction::BackendPid | ScalarFunction::Length => SqlType::Int4,
                 ScalarFunction::InRecovery => SqlType::Bool,
-                ScalarFunction::TransactionId => SqlType::Int8,
+                ScalarFunction::TransactionId | ScalarFunction::NextValue => SqlType::Int8,
                 ScalarFunction::Sleep => SqlType::Void,
                 ScalarFunction::Coalesce => arguments
                     .first()
@@ -338,6 +350,7 @@
         ScalarFunction::InRecovery => Ok(SqlValue::Bool(scope.session.replica)),
         ScalarFunction::Now => Ok(now_text()),
         ScalarFunction::TransactionId => Ok(SqlValue::Int(0)),
+        ScalarFunction::NextValue => Ok(SqlValue::Int(scope.session.next_number())),
         ScalarFunction::Sleep => Ok(SqlValue::text("")),
         ScalarFunction::Coalesce => {
             for argument in arguments {
--- a/crates/rudder-standins/src/group/tables/run.rs
+++ b/crates/rudder-standins/src/group/tables/run.rs
@@ -12,7 +12,6 @@
 use crate::group::sql::scalar::{RowScalar, ScalarScope, SessionFacts};
 use crate::group::sql::value::{SqlType, SqlValue};
 use std::sync::Arc;
-use std::sync::atomic::AtomicI64;
 
 /// What a statement runs with besides the transaction.
 #[derive(Clone)]
@@ -20,8 +19,6 @@
     pub(crate) parameters: Arc<[SqlValue]>,
     pub(crate) kinds: Arc<[SqlType]>,
     pub(crate) facts: Arc<SessionFacts>,
-    /// Numbers for serial columns and for rows without a primary key.
-    pub(crate) sequence: Arc<AtomicI64>,
 }
 
 impl RunScope {
--- a/crates/rudder-standins/src/group/tables/run_insert.rs
+++ b/crates/rudder-standins/src/group/tables/run_insert.rs
@@ -5,10 +5,9 @@
 use super::transaction::OpenTransaction;
 use crate::group::sql::error::SqlError;
 use crate::group::sql::plan::{ConflictRule, InsertPlan};
-use crate::group::sql::scalar::{RowScalar, now_text};
+use crate::group::sql::scalar::{RowScalar, SessionFacts, now_text};
 use crate::group::sql::value::SqlValue;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicI64, Ordering};
 
 /// Inserts the plan's rows; answers how many, and the rows of `RETURNING`.
 pub(crate) fn run_insert(
@@ -60,14 +59,14 @@
             given.push((column, scalar.evaluate(scope.row(None, &[]))?));
         }
     }
-    complete_row(schema, given, &scope.sequence)
+    complete_row(schema, given, &scope.facts)
 }
 
 /// A full row: given values converted to their columns' types, defaults elsewhere.
 pub(crate) fn complete_row(
     schema: &TableSchema,
     given: Vec<(usize, SqlValue)>,
-    sequence: &AtomicI64,
+    facts: &SessionFacts,
 ) -> Result<RowValues, SqlError> {
     let mut values: Vec<Option<SqlValue>> = vec![None; schema.columns.len()];
     for (column, value) in given {
@@ -80,7 +79,7 @@
             None => match &column.default {
                 ColumnDefault::Null => SqlValue::Null,
                 ColumnDefault::Value(value) => value.clone(),
-                ColumnDefault::Sequence => SqlValue::Int(next_number(sequence)),
+                ColumnDefault::Sequence => SqlValue::Int(facts.next_number()),
                 ColumnDefault::Now => now_text(),
             },
         };
@@ -92,10 +91,6 @@
     Ok(row.into())
 }
 
-fn next_number(sequence: &AtomicI64) -> i64 {
-    sequence.fetch_add(1, Ordering::Relaxed) + 1
-}
-
 /// Inserts one row; `None` if a conflict made the insert skip it.
 pub(crate) fn insert_row(
     schema: &TableSchema,
@@ -106,7 +101,7 @@
 ) -> Result<Option<RowValues>, SqlError> {
     let key: RowKey = match &schema.primary {
         Some(primary) => primary.columns.iter().map(|&column| values[column].clone()).collect(),
-        None => vec![SqlValue::Int(next_number(&scope.sequence))],
+        None => vec![SqlValue::Int(scope.facts.next_number())],
     };
     transaction.tolerant |= !matches!(rule, ConflictRule::Fail);
     let table = Arc::clone(transaction.work.table(&schema.name)?);
--- a/crates/rudder-standins/src/group/wire/connection.rs
+++ b/crates/rudder-standins/src/group/wire/connection.rs
@@ -115,7 +115,13 @@
     let parameter = |name: &str| startup.parameters.get(name).cloned();
     let user = parameter("user").unwrap_or_default();
     let database = parameter("database").unwrap_or_else(|| user.clone());
-    let facts = SessionFacts { user, database, pid, replica: false };
+    let facts = SessionFacts {
+        user,
+        database,
+        pid,
+        replica: false,
+        sequence: Arc::clone(&member.shared.sequence),
+    };
     let settings = SessionSettings::new(startup_settings(startup));
     if startup.protocol_number_minor > 0 {
         let options = startup.parameters.keys().filter(|name| name.starts_with("_pq_."));
--- a/crates/rudder-standins/src/group/wire/copy.rs
+++ b/crates/rudder-standins/src/group/wire/copy.rs
@@ -40,7 +40,7 @@
                 continue;
             }
             let values = line_values(line, &targets, &schema.columns)?;
-            let row = complete_row(&schema, values, &scope.sequence)?;
+            let row = complete_row(&schema, values, &scope.facts)?;
             insert_row(&schema, row, &ConflictRule::Fail, self.open_transaction(), &scope)?;
             copied += 1;
         }
--- a/crates/rudder-standins/src/group/wire/session.rs
+++ b/crates/rudder-standins/src/group/wire/session.rs
@@ -205,7 +205,6 @@
             parameters: Arc::clone(&parameters.values),
             kinds: Arc::clone(&parameters.kinds),
             facts: Arc::clone(&self.facts),
-            sequence: Arc::clone(&self.member.shared.sequence),
         }
     }
 
--- a/crates/rudder-standins/tests/group/statements.rs
+++ b/crates/rudder-standins/tests/group/statements.rs
@@ -72,8 +72,40 @@
         sqlstate(client.batch_execute("SELEC 1").await),
         sqlstate(replica.batch_execute("CREATE TABLE u (id int)").await),
         sqlstate(replica.batch_execute("SELECT id FROM t FOR UPDATE").await),
+        sqlstate(replica.batch_execute("SELECT nextval('numbers')").await),
         sqlstate(client.batch_execute("BEGIN READ ONLY; INSERT INTO t VALUES (3)").await),
     ];
 
-    assert_eq!(codes, ["23505", "42P01", "42601", "25006", "25006", "25006"]);
+    assert_eq!(codes, ["23505", "42P01", "42601", "25006", "25006", "25006", "25006"]);
+}
+
+#[tokio::test]
+async fn conflicting_inserts_update_or_skip() {
+    let group = group().await;
+    let client = connect(&group, 0).await;
+    client
+        .batch_execute("CREATE TABLE t (name text UNIQUE, n int NOT NULL, id serial)")
+        .await
+        .unwrap();
+    client.batch_execute("INSERT INTO t VALUES ('a', 1), ('b', 2)").await.unwrap();
+
+    let skipped = client
+        .query("INSERT INTO t VALUES ('a', 5), ('c', 3) ON CONFLICT DO NOTHING RETURNING name", &[])
+        .await
+        .unwrap();
+    let raised = client
+        .query_one(
+            "INSERT INTO t (name, n) VALUES ('b', 5)
+             ON CONFLICT (name) DO UPDATE SET n = t.n + excluded.n RETURNING n",
+            &[],
+        )
+        .await
+        .unwrap();
+    let missing = client.batch_execute("INSERT INTO t (name) VALUES ('d')").await;
+    let sums = client.query_one("SELECT count(*), sum(n), min(name) FROM t", &[]).await.unwrap();
+
+    assert_eq!(skipped.iter().map(|row| row.get(0)).collect::<Vec<&str>>(), ["c"]);
+    assert_eq!(raised.get::<_, i32>(0), 7);
+    assert_eq!(sqlstate(missing), "23502");
+    assert_eq!((sums.get::<_, i64>(0), sums.get::<_, i64>(1), sums.get(2)), (3, 11, "a"));
 }
