Stand-in group: a member frozen during COPY commits nothing until it wakes

A member that froze after it had asked for rows took and committed them, though a frozen machine does nothing. Statements and COPY now wait for the thaw before they take effect.

--- a/crates/rudder-standins/src/group/wire/copy.rs
+++ b/crates/rudder-standins/src/group/wire/copy.rs
@@ -33,6 +33,7 @@
         let count = i16::try_from(targets.len()).unwrap_or(i16::MAX);
         put(&CopyInResponse::new(0, count, formats), &mut self.client.output);
         let data = self.receive_copy().await?;
+        self.member.wait_thawed().await;
         let scope = self.scope(&BoundParameters::none());
         let mut copied = 0;
         for line in data.split(|byte| *byte == b'\n') {
--- a/crates/rudder-standins/src/group/wire/session.rs
+++ b/crates/rudder-standins/src/group/wire/session.rs
@@ -119,6 +119,9 @@
         if self.block == BlockState::Failed && !plan.runs_in_failed() {
             return Err(SqlError::Aborted.into());
         }
+        // The member may have been frozen while the session waited for the client; what a frozen
+        // member is asked must not take effect before it wakes.
+        self.member.wait_thawed().await;
         if plan.takes_slot() {
             self.occupy_and_run(plan, parameters, alone).await
         } else {
--- a/crates/rudder-standins/tests/group/raw.rs
+++ b/crates/rudder-standins/tests/group/raw.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Buf, BytesMut};
 use pgwire::messages::PgWireFrontendMessage as FrontendMessage;
+use pgwire::messages::copy::{CopyData, CopyDone};
 use pgwire::messages::extendedquery::{Bind, Execute, Parse, Sync};
 use pgwire::messages::simplequery::Query;
 use pgwire::messages::startup::Startup;
@@ -41,20 +42,26 @@
         let mut types = String::new();
         let mut ends = 0;
         while ends < count {
-            while self.input.len() < 5 || self.input.len() < self.length() {
-                assert_ne!(self.stream.read_buf(&mut self.input).await.unwrap(), 0, "{types}");
-            }
-            let kind = char::from(self.input[0]);
-            types.push(kind);
-            if kind == 'Z' {
-                types.push(char::from(self.input[5]));
-                ends += 1;
-            }
-            self.input.advance(self.length());
+            let answer = self.answer().await;
+            ends += usize::from(answer.starts_with('Z'));
+            types.push_str(&answer);
         }
         types
     }
 
+    /// The type byte of the next answer.
+    pub(crate) async fn answer(&mut self) -> String {
+        while self.input.len() < 5 || self.input.len() < self.length() {
+            assert_ne!(self.stream.read_buf(&mut self.input).await.unwrap(), 0, "closed");
+        }
+        let mut answer = String::from(char::from(self.input[0]));
+        if answer == "Z" {
+            answer.push(char::from(self.input[5]));
+        }
+        self.input.advance(self.length());
+        answer
+    }
+
     fn length(&self) -> usize {
         u32::from_be_bytes(self.input[1..5].try_into().unwrap()) as usize + 1
     }
@@ -76,3 +83,11 @@
 pub(crate) fn sync() -> FrontendMessage {
     FrontendMessage::Sync(Sync::new())
 }
+
+/// The data of a `COPY`, and its end.
+pub(crate) fn copy_data(text: &'static str) -> Vec<FrontendMessage> {
+    vec![
+        FrontendMessage::CopyData(CopyData::new(text.into())),
+        FrontendMessage::CopyDone(CopyDone::new()),
+    ]
+}
--- a/crates/rudder-standins/tests/group/resources.rs
+++ b/crates/rudder-standins/tests/group/resources.rs
@@ -1,7 +1,8 @@
 //! Slots, service times, connections, and members that answer nothing.
 
-use crate::support::{connect, group, name, settings, sqlstate, try_connect};
-use rudder_core::{ConnectionCount, SlotCount};
+use crate::raw::{RawClient, copy_data, query};
+use crate::support::{connect, group, name, settings, sqlstate, status, try_connect};
+use rudder_core::{ConnectionCount, ControlStatement, LogStamp, LogTerm, SlotCount};
 use rudder_standins::{GroupSettings, GroupStandin, MemberKnob};
 use std::time::{Duration, Instant};
 
@@ -80,6 +81,28 @@
     assert!(again.batch_execute("SELECT 1").await.is_ok());
 }
 
+/// A member freezes while a client sends rows. They must not be committed before it wakes, since
+/// another member may have been promoted by then.
+#[tokio::test]
+async fn a_frozen_member_commits_nothing() {
+    let group = group().await;
+    let mut client = RawClient::connect(&group, 0).await;
+    client.send(vec![query("CREATE TABLE t (id int)"), query("COPY t FROM STDIN")]).await;
+    client.answers(1).await;
+    assert_eq!(client.answer().await, "G");
+
+    group.turn(&name(0), MemberKnob::Frozen(true)).unwrap();
+    client.send(copy_data("1\n")).await;
+    let early = tokio::time::timeout(Duration::from_millis(50), client.answer()).await;
+    group.control(&name(0), &ControlStatement::Fence(LogTerm(2))).unwrap();
+    group.turn(&name(0), MemberKnob::Frozen(false)).unwrap();
+    let answers = client.answers(1).await;
+
+    assert!(early.is_err());
+    assert_eq!(answers, "EZI");
+    assert_eq!(status(&group, 0).received, LogStamp::new(1, 1));
+}
+
 /// A member freezes: it accepts connections but answers nothing. When it wakes, it answers what
 /// it was asked.
 #[tokio::test]
