--- a/crates/rudder-standins/src/group/sql/scalar.rs
+++ b/crates/rudder-standins/src/group/sql/scalar.rs
@@ -3,8 +3,9 @@
 use super::error::SqlError;
 use super::value::{SqlType, SqlValue};
 use crate::group::tables::database::TableSchema;
-use std::cmp::Ordering;
+use std::cmp::Ordering as ValueOrdering;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicI64, Ordering};
 
 /// Operators that take numbers, or texts in the case of `Concat`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +30,7 @@
 }
 
 impl ComparisonOperator {
-    fn holds(self, ordering: Ordering) -> bool {
+    fn holds(self, ordering: ValueOrdering) -> bool {
         match self {
             Self::Equal => ordering.is_eq(),
             Self::NotEqual => ordering.is_ne(),
@@ -57,28 +58,30 @@
     Lower,
     Upper,
     Repeat,
+    /// The next number of the group's only sequence, whatever name is given.
+    NextValue,
     /// `pg_sleep`: the waiting is done before the statement runs.
     Sleep,
 }
 
 /// An expression.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Scalar {
+pub(crate) enum RowScalar {
     Literal(SqlValue),
     /// A parameter by index from 0.
     Parameter(usize),
     Column(Arc<str>),
     /// A column of the row that an insert proposed, in `ON CONFLICT DO UPDATE`.
     Excluded(Arc<str>),
-    Arithmetic(ArithmeticOperator, Box<Scalar>, Box<Scalar>),
-    Compare(ComparisonOperator, Box<Scalar>, Box<Scalar>),
-    And(Box<Scalar>, Box<Scalar>),
-    Or(Box<Scalar>, Box<Scalar>),
-    Not(Box<Scalar>),
-    IsNull(Box<Scalar>),
-    InList(Box<Scalar>, Vec<Scalar>),
-    Cast(Box<Scalar>, SqlType),
-    Call(ScalarFunction, Vec<Scalar>),
+    Arithmetic(ArithmeticOperator, Box<RowScalar>, Box<RowScalar>),
+    Compare(ComparisonOperator, Box<RowScalar>, Box<RowScalar>),
+    And(Box<RowScalar>, Box<RowScalar>),
+    Or(Box<RowScalar>, Box<RowScalar>),
+    Not(Box<RowScalar>),
+    IsNull(Box<RowScalar>),
+    InList(Box<RowScalar>, Vec<RowScalar>),
+    Cast(Box<RowScalar>, SqlType),
+    Call(ScalarFunction, Vec<RowScalar>),
 }
 
 /// What an expression is evaluated over.
@@ -99,6 +102,15 @@
     pub(crate) database: String,
     pub(crate) pid: i32,
     pub(crate) replica: bool,
+    /// Numbers for serial columns and for rows without a primary key.
+    pub(crate) sequence: Arc<AtomicI64>,
+}
+
+impl SessionFacts {
+    /// The next number of the group's sequence.
+    pub(crate) fn next_number(&self) -> i64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed) + 1
+    }
 }
 
 /// The version that the stand-in reports.
@@ -107,7 +119,7 @@
 /// Longest text that `repeat` makes, in bytes.
 const REPEAT_BYTES_MAX: usize = 64 << 20;
 
-impl Scalar {
+impl RowScalar {
     /// The value over `scope`.
     pub(crate) fn evaluate(&self, scope: ScalarScope<'_>) -> Result<SqlValue, SqlError> {
         match self {
@@ -167,7 +179,7 @@
             Self::Call(function, arguments) => match function {
                 ScalarFunction::BackendPid | ScalarFunction::Length => SqlType::Int4,
                 ScalarFunction::InRecovery => SqlType::Bool,
-                ScalarFunction::TransactionId => SqlType::Int8,
+                ScalarFunction::TransactionId | ScalarFunction::NextValue => SqlType::Int8,
                 ScalarFunction::Sleep => SqlType::Void,
                 ScalarFunction::Coalesce => arguments
                     .first()
@@ -178,7 +190,7 @@
     }
 
     /// Calls `visit` for this expression and each one inside it.
-    pub(crate) fn walk(&self, visit: &mut dyn FnMut(&Scalar)) {
+    pub(crate) fn walk(&self, visit: &mut dyn FnMut(&RowScalar)) {
         visit(self);
         match self {
             Self::Literal(_) | Self::Parameter(_) | Self::Column(_) | Self::Excluded(_) => {}
@@ -303,8 +315,8 @@
 }
 
 fn in_list(
-    needle: &Scalar,
-    items: &[Scalar],
+    needle: &RowScalar,
+    items: &[RowScalar],
     scope: ScalarScope<'_>,
 ) -> Result<SqlValue, SqlError> {
     let needle = needle.evaluate(scope)?;
@@ -321,7 +333,7 @@
 
 fn call(
     function: ScalarFunction,
-    arguments: &[Scalar],
+    arguments: &[RowScalar],
     scope: ScalarScope<'_>,
 ) -> Result<SqlValue, SqlError> {
     let argument = |index: usize| match arguments.get(index) {
@@ -338,6 +350,7 @@
         ScalarFunction::InRecovery => Ok(SqlValue::Bool(scope.session.replica)),
         ScalarFunction::Now => Ok(now_text()),
         ScalarFunction::TransactionId => Ok(SqlValue::Int(0)),
+        ScalarFunction::NextValue => Ok(SqlValue::Int(scope.session.next_number())),
         ScalarFunction::Sleep => Ok(SqlValue::text("")),
         ScalarFunction::Coalesce => {
             for argument in arguments {
--- a/crates/rudder-standins/src/group/wire/copy.rs
+++ b/crates/rudder-standins/src/group/wire/copy.rs
@@ -1,7 +1,7 @@
 //! `COPY` of tables, in text form.
 
 use super::encode::{put, put_complete};
-use super::session::{BoundParameters, Session, StatementError};
+use super::session::{BoundParameters, ClientSession, StatementError};
 use crate::group::sql::error::SqlError;
 use crate::group::sql::plan::{ConflictRule, CopyPlan};
 use crate::group::sql::value::{SqlType, SqlValue};
@@ -20,7 +20,7 @@
 /// The line that some clients send at the end.
 const END_LINE: &[u8] = b"\\.";
 
-impl Session {
+impl ClientSession {
     /// Takes rows from the client. With `commit`, the implicit transaction ends here.
     pub(crate) async fn copy_in(
         &mut self,
@@ -33,6 +33,7 @@
         let count = i16::try_from(targets.len()).unwrap_or(i16::MAX);
         put(&CopyInResponse::new(0, count, formats), &mut self.client.output);
         let data = self.receive_copy().await?;
+        self.member.wait_thawed().await;
         let scope = self.scope(&BoundParameters::none());
         let mut copied = 0;
         for line in data.split(|byte| *byte == b'\n') {
@@ -40,7 +41,7 @@
                 continue;
             }
             let values = line_values(line, &targets, &schema.columns)?;
-            let row = complete_row(&schema, values, &scope.sequence)?;
+            let row = complete_row(&schema, values, &scope.facts)?;
             insert_row(&schema, row, &ConflictRule::Fail, self.open_transaction(), &scope)?;
             copied += 1;
         }
