Measure command and traces; a flag for the proxies' log

Cause: both measures of the users need figures from real proxies under recorded load. A cut primary leaves callers hanging for 25 s: the bound on silence is the statement's, next to be mended.

--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -13,7 +13,7 @@
 };
 use crate::group::{ConfirmOutcome, GroupState};
 use rudder_core::{MemberRole, MemberStatus, ReadNeed, ReadVerdict, RefusalNotice, judge_read};
-use rudder_decisions::{ReadDemand, ReadRoute, ReadRouter, RouteReason, WorkClass};
+use rudder_decisions::{ReadDemand, ReadRoute, RouteReason, WorkClass};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -119,7 +119,7 @@
         domain: context.domain().clone(),
         wait_max: group.timing.read_wait.saturating_sub(waited),
     };
-    let choice = ReadRouter::new().choose(&demand, &views, &mut rand::rng());
+    let choice = context.policies.reads.choose(&demand, &views, &mut rand::rng());
     let route = match choice.route {
         ReadRoute::Replica(index) => ReadRoute::Replica(indexes[index]),
         ReadRoute::Primary(index) => ReadRoute::Primary(indexes[index]),
--- a/crates/arbutusrudder/src/context.rs
+++ b/crates/arbutusrudder/src/context.rs
@@ -3,6 +3,7 @@
 use crate::caller::CancelBoard;
 use crate::classify::FactsCache;
 use crate::group::GroupState;
+use crate::policy::ProxyPolicies;
 use crate::process::ProcessSettings;
 use arc_swap::ArcSwap;
 use rudder_core::{DomainName, InstanceName, ServiceName};
@@ -38,6 +39,8 @@
 pub(crate) struct InstanceContext {
     /// This process's own settings.
     pub(crate) process: ProcessSettings,
+    /// The rules by which it decides.
+    pub(crate) policies: ProxyPolicies,
     /// The settings in force.
     pub(crate) fleet: ArcSwap<FleetState>,
     /// Remembered classifications.
--- a/crates/arbutusrudder/src/fleet/apply.rs
+++ b/crates/arbutusrudder/src/fleet/apply.rs
@@ -18,6 +18,7 @@
         instances: context.instances(),
         origin: context.origin,
         routes: context.process.routes.clone(),
+        limits: context.policies.limits,
     };
     let same_frame =
         before.settings.timing == settings.timing && before.settings.domains == settings.domains;
--- a/crates/arbutusrudder/src/group/state.rs
+++ b/crates/arbutusrudder/src/group/state.rs
@@ -27,6 +27,9 @@
 const LINK_GUESSES: [Duration; 3] =
     [Duration::from_millis(1), Duration::from_millis(8), Duration::from_millis(24)];
 
+/// Slots of a lane where the gate is not to bound anything.
+const UNLIMITED_SLOTS: u32 = 1_000_000;
+
 /// Lag assumed of a replica whose age is not known.
 const LAG_GUESS: Duration = Duration::from_millis(500);
 
@@ -46,6 +49,8 @@
     pub(crate) origin: Instant,
     /// Members reached at another address than the declared one.
     pub(crate) routes: Vec<AddressRoute>,
+    /// Whether the admission gate bounds what runs and waits.
+    pub(crate) limits: bool,
 }
 
 impl GroupTuning {
@@ -81,6 +86,7 @@
     outliers: Mutex<OutlierTracker>,
     retries: Mutex<RetryBudget>,
     sharers: AtomicU32,
+    limits: bool,
 }
 
 /// Whether anybody at this instance needs the group.
@@ -122,6 +128,7 @@
             outliers: Mutex::new(OutlierTracker::new(Instant::now())),
             retries: Mutex::new(RetryBudget::new()),
             sharers: AtomicU32::new(tuning.instances),
+            limits: tuning.limits,
         };
         group.refresh_lanes();
         group
@@ -205,8 +212,9 @@
     /// Sets the lanes' slots to what the members' meters allow.
     fn refresh_lanes(&self) {
         for (index, member) in self.members.iter().enumerate() {
-            let slots = member.window();
-            let limits = LaneLimits { slots, queue_max: slots * QUEUE_PER_SLOT, mixed: true };
+            let slots = if self.limits { member.window() } else { UNLIMITED_SLOTS };
+            let queue_max = slots.saturating_mul(QUEUE_PER_SLOT);
+            let limits = LaneLimits { slots, queue_max, mixed: true };
             self.desk.set_lane(&self.lane(index), limits);
         }
     }
--- a/crates/arbutusrudder/src/lib.rs
+++ b/crates/arbutusrudder/src/lib.rs
@@ -13,6 +13,7 @@
 mod logs;
 mod options;
 mod peering;
+mod policy;
 mod process;
 mod proxy;
 mod tls;
@@ -22,7 +23,8 @@
     classify_text,
 };
 pub use error::ProxyError;
-pub use logs::{LogError, LogLevel};
+pub use logs::{LogError, LogLevel, set_up_logs};
 pub use options::ProxyOptions;
+pub use policy::ProxyPolicies;
 pub use process::{AddressRoute, ProcessError, ProcessSettings, UserPassword};
 pub use proxy::{ProxyInstance, run};
--- a/crates/arbutusrudder/src/logs.rs
+++ b/crates/arbutusrudder/src/logs.rs
@@ -65,8 +65,18 @@
 
 impl std::error::Error for LogError {}
 
-/// Sets up the log of the whole process.
-pub(crate) fn set_up(level: LogLevel) -> Result<(), LogError> {
+/// Sets up the log of the whole process: JSON lines on standard error.
+///
+/// # Errors
+///
+/// [`LogError::Twice`] if a logger was set up before.
+///
+/// ```
+/// arbutusrudder::set_up_logs(arbutusrudder::LogLevel::Error)?;
+/// assert!(arbutusrudder::set_up_logs(arbutusrudder::LogLevel::Error).is_err());
+/// # Ok::<(), arbutusrudder::LogError>(())
+/// ```
+pub fn set_up_logs(level: LogLevel) -> Result<(), LogError> {
     let (sender, receiver) = sync_channel(LINES_WAITING_MAX);
     std::thread::spawn(move || write_lines(&receiver));
     let append = LineQueue { layout: JsonLayout::default(), sender };
--- a/crates/arbutusrudder/src/proxy.rs
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -7,10 +7,12 @@
 use crate::duty::{VoteExchange, run_duties};
 use crate::error::ProxyError;
 use crate::fleet::follow_settings;
+use crate::logs::set_up_logs;
 use crate::options::ProxyOptions;
 use crate::peering::PeerDesk;
+use crate::policy::ProxyPolicies;
 use crate::process::ProcessSettings;
-use crate::{logs, tls};
+use crate::tls;
 use arc_swap::ArcSwap;
 use rudder_peers::{MeshSettings, PeerMesh};
 use rudder_platform::{KubeStore, PlatformOptions, PlatformStore, RevisionFollower};
@@ -67,13 +69,30 @@
     /// # Ok::<(), std::io::Error>(())
     /// ```
     pub async fn start(process: ProcessSettings) -> Result<Self, ProxyError> {
+        Self::start_with(process, ProxyPolicies::default()).await
+    }
+
+    /// Starts an instance that decides by other rules, for comparison.
+    ///
+    /// # Errors
+    ///
+    /// As [`ProxyInstance::start`].
+    ///
+    /// ```
+    /// let policies = arbutusrudder::ProxyPolicies::default();
+    /// assert!(policies.limits);
+    /// ```
+    pub async fn start_with(
+        process: ProcessSettings,
+        policies: ProxyPolicies,
+    ) -> Result<Self, ProxyError> {
         set_up_metrics();
         let store: Arc<dyn PlatformStore> =
             Arc::new(KubeStore::connect(PlatformOptions::at(&process.platform))?);
         let listener = listen(process.listen).await?;
         let pages = listen(process.admin).await?;
         let (listen, admin) = (local_address(&listener)?, local_address(&pages)?);
-        let context = Arc::new(context_of(process)?);
+        let context = Arc::new(context_of(process, policies)?);
         let desk = Arc::new(PeerDesk::new(&context));
         let mesh =
             Arc::new(PeerMesh::start(mesh_settings(&context), Arc::clone(&desk) as _).await?);
@@ -146,7 +165,7 @@
     if options.check {
         return Ok(());
     }
-    logs::set_up(options.log)?;
+    set_up_logs(options.log)?;
     let runtime = tokio::runtime::Runtime::new().map_err(ProxyError::Runtime)?;
     runtime.block_on(async {
         let instance = ProxyInstance::start(options.process.clone()).await?;
@@ -166,10 +185,14 @@
     })
 }
 
-fn context_of(process: ProcessSettings) -> Result<InstanceContext, ProxyError> {
+fn context_of(
+    process: ProcessSettings,
+    policies: ProxyPolicies,
+) -> Result<InstanceContext, ProxyError> {
     let tls = tls::acceptor_of(&process)?;
     Ok(InstanceContext {
         process,
+        policies,
         fleet: ArcSwap::from_pointee(FleetState::default()),
         facts: FactsCache::default(),
         cancel: Arc::new(CancelBoard::default()),
--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -29,8 +29,8 @@
 pub use reconnect::ReconnectPacer;
 pub use retry::RetryBudget;
 pub use routing::{
-    MemberHealth, MemberView, MemberWeight, ReadDemand, ReadRoute, ReadRouter, RouteChoice,
-    RouteReason,
+    MemberHealth, MemberView, MemberWeight, ReadDemand, ReadPolicy, ReadRoute, ReadRouter,
+    RouteChoice, RouteReason,
 };
 pub use share::{DemandPart, SlotShare, holders_of};
 pub use work::{WorkClass, WorkEstimate, WorkSize};
--- a/crates/rudder-decisions/src/routing/mod.rs
+++ b/crates/rudder-decisions/src/routing/mod.rs
@@ -6,4 +6,4 @@
 pub use demand::{
     MemberHealth, MemberView, MemberWeight, ReadDemand, ReadRoute, RouteChoice, RouteReason,
 };
-pub use router::ReadRouter;
+pub use router::{ReadPolicy, ReadRouter};
--- a/crates/rudder-decisions/src/routing/router.rs
+++ b/crates/rudder-decisions/src/routing/router.rs
@@ -58,6 +58,24 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ReadRouter;
 
+/// The rule by which reads find their member. Baselines are measured through the same border.
+pub trait ReadPolicy: Send + Sync {
+    /// Chooses where a read goes; the views may be out of date.
+    fn choose(&self, demand: &ReadDemand, members: &[MemberView], rng: &mut dyn Rng)
+    -> RouteChoice;
+}
+
+impl ReadPolicy for ReadRouter {
+    fn choose(
+        &self,
+        demand: &ReadDemand,
+        members: &[MemberView],
+        rng: &mut dyn Rng,
+    ) -> RouteChoice {
+        Self::choose(self, demand, members, rng)
+    }
+}
+
 impl ReadRouter {
     /// A router.
     ///
--- /dev/null
+++ b/crates/rudder-standins/examples/measure/load.rs
@@ -0,0 +1,160 @@
+//! Playing a trace's streams: arrivals come at their times, whether or not earlier requests have
+//! been answered.
+
+use crate::caller::{LoadCaller, RequestSample};
+use crate::trace::LoadTrace;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rudder_core::MemberRole;
+use rudder_standins::Deployment;
+use std::error::Error;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio_postgres::{NoTls, SimpleQueryMessage};
+
+/// What a run left behind.
+pub(crate) struct RunSamples {
+    /// Every request.
+    pub(crate) requests: Vec<RequestSample>,
+    /// Every caller, with what it may expect of its row.
+    pub(crate) callers: Vec<LoadCaller>,
+}
+
+/// Creates the rows and connects the callers, spread over proxies and groups.
+pub(crate) async fn prepare(
+    deployment: &Deployment,
+    trace: &LoadTrace,
+) -> Result<Vec<LoadCaller>, Box<dyn Error>> {
+    let mut callers = Vec::new();
+    for (stream_index, stream) in trace.streams.iter().enumerate() {
+        let user = format!("{}-{stream_index}", stream.kind);
+        for _ in 0..stream.callers {
+            let row = callers.len();
+            let group = row % deployment.groups.len();
+            let proxy = row % deployment.proxies.len();
+            callers.push(LoadCaller::new(deployment, row, stream_index, &user, proxy, group));
+        }
+    }
+    create_rows(deployment, callers.len()).await?;
+    for caller in &mut callers {
+        caller.connect().await.map_err(|error| error.to_string())?;
+    }
+    Ok(callers)
+}
+
+/// Enters every row directly at the primaries, and waits until the replicas have them.
+async fn create_rows(deployment: &Deployment, rows: usize) -> Result<(), Box<dyn Error>> {
+    for group in &deployment.groups {
+        let (_, address) = group.members().next().ok_or("a group has no member")?;
+        let words = format!("host={} port={} user=app dbname=db", address.ip(), address.port());
+        let (client, connection) = tokio_postgres::connect(&words, NoTls).await?;
+        tokio::spawn(connection);
+        client.batch_execute("CREATE TABLE counters (id int PRIMARY KEY, v int)").await?;
+        let values: Vec<String> = (0..rows).map(|row| format!("({row}, 0)")).collect();
+        let text = format!("INSERT INTO counters VALUES {}", values.join(", "));
+        client.batch_execute(&text).await?;
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    Ok(())
+}
+
+/// Plays the trace.
+pub(crate) async fn run(
+    callers: Vec<LoadCaller>,
+    trace: &LoadTrace,
+    seed: u64,
+    started: Instant,
+) -> Result<RunSamples, Box<dyn Error>> {
+    let (samples, mut incoming) = mpsc::unbounded_channel();
+    let mut tasks = JoinSet::new();
+    let mut inboxes: Vec<Vec<mpsc::UnboundedSender<Instant>>> =
+        vec![Vec::new(); trace.streams.len()];
+    for caller in callers {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let reads_per_write = trace.streams[caller.stream].reads_per_write;
+        inboxes[caller.stream].push(sender);
+        tasks.spawn(serve(caller, reads_per_write, receiver, samples.clone(), started));
+    }
+    drop(samples);
+    let mut arrivals = JoinSet::new();
+    for (index, inbox) in inboxes.into_iter().enumerate() {
+        let stream = trace.streams[index].clone();
+        let end = if stream.until > 0.0 { stream.until } else { trace.seconds };
+        let rng = StdRng::seed_from_u64(seed.wrapping_mul(31).wrapping_add(index as u64));
+        arrivals.spawn(arrive(inbox, stream.rate, stream.from, end, rng, started));
+    }
+    let collect = async {
+        let mut requests = Vec::new();
+        while let Some(sample) = incoming.recv().await {
+            requests.push(sample);
+        }
+        requests
+    };
+    let (requests, callers, _) = tokio::join!(collect, tasks.join_all(), arrivals.join_all());
+    Ok(RunSamples { requests, callers })
+}
+
+async fn arrive(
+    inbox: Vec<mpsc::UnboundedSender<Instant>>,
+    rate: f64,
+    from: f64,
+    until: f64,
+    mut rng: StdRng,
+    started: Instant,
+) {
+    let mut at = from;
+    loop {
+        at += -(1.0 - rng.random::<f64>()).ln() / rate;
+        if at >= until {
+            return;
+        }
+        let due = started + Duration::from_secs_f64(at);
+        tokio::time::sleep_until(due.into()).await;
+        let caller = rng.random_range(0..inbox.len());
+        // A caller that is gone has ended with an error that the report shows.
+        let _ = inbox[caller].send(due);
+    }
+}
+
+async fn serve(
+    mut caller: LoadCaller,
+    reads_per_write: u32,
+    mut arrivals: mpsc::UnboundedReceiver<Instant>,
+    samples: mpsc::UnboundedSender<RequestSample>,
+    started: Instant,
+) -> LoadCaller {
+    while let Some(arrived) = arrivals.recv().await {
+        let sample = caller.run(reads_per_write, arrived, started).await;
+        let _ = samples.send(sample);
+    }
+    caller
+}
+
+/// The rows at the real primaries after the run, by group.
+pub(crate) async fn final_values(
+    deployment: &Deployment,
+    trace: &LoadTrace,
+) -> Result<Vec<Vec<(usize, u64)>>, Box<dyn Error>> {
+    let mut finals = Vec::new();
+    for group in &deployment.groups {
+        let statuses = group.members().filter_map(|(name, address)| {
+            let status = group.status(name).ok()?;
+            (status.role == MemberRole::Primary).then_some((status.accepted, address))
+        });
+        // A primary that was cut off still believes it leads; the real one has the greatest term.
+        let (_, address) = statuses.max().ok_or(format!("{}: no primary", trace.name))?;
+        let words = format!("host={} port={} user=app dbname=db", address.ip(), address.port());
+        let (client, connection) = tokio_postgres::connect(&words, NoTls).await?;
+        tokio::spawn(connection);
+        let messages = client.simple_query("SELECT id, v FROM counters").await?;
+        let row = |message: &SimpleQueryMessage| match message {
+            SimpleQueryMessage::Row(row) => {
+                Some((row.get(0)?.parse().ok()?, row.get(1)?.parse().ok()?))
+            }
+            _ => None,
+        };
+        finals.push(messages.iter().filter_map(row).collect());
+    }
+    Ok(finals)
+}
--- a/crates/rudder-standins/src/deployment/mod.rs
+++ b/crates/rudder-standins/src/deployment/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::group::{GroupSettings, GroupStandin};
 use crate::platform::PlatformStandin;
-use arbutusrudder::{ProcessSettings, ProxyError, ProxyInstance};
+use arbutusrudder::{ProcessSettings, ProxyError, ProxyInstance, ProxyPolicies};
 use displaydoc::Display;
 use folder::settings_text;
 pub use links::{LinkDelays, ProxyLinks};
@@ -66,7 +66,7 @@
 }
 
 /// What a deployment consists of.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct DeploymentPlan {
     /// The failure domains, each in a region of its own name. Members and proxies take them in
     /// turn.
@@ -79,6 +79,8 @@
     pub extra: String,
     /// How long messages travel.
     pub delays: LinkDelays,
+    /// The rules by which the proxies decide.
+    pub policies: ProxyPolicies,
 }
 
 impl DeploymentPlan {
@@ -98,6 +100,7 @@
             proxies,
             extra: String::new(),
             delays: LinkDelays::default(),
+            policies: ProxyPolicies::default(),
         }
     }
 }
@@ -114,6 +117,7 @@
     pub links: Vec<ProxyLinks>,
     domains: Vec<DomainName>,
     delays: LinkDelays,
+    policies: ProxyPolicies,
 }
 
 impl Deployment {
@@ -145,6 +149,7 @@
             links: Vec::new(),
             domains: plan.domains.clone(),
             delays: plan.delays,
+            policies: plan.policies.clone(),
         };
         deployment.submit("10-deployment.toml", &text).await?;
         for _ in 0..plan.proxies {
@@ -194,7 +199,7 @@
         );
         self.links.push(links);
         let process = ProcessSettings::parse(&text).map_err(ProxyError::from)?;
-        self.proxies.push(Some(ProxyInstance::start(process).await?));
+        self.proxies.push(Some(ProxyInstance::start_with(process, self.policies.clone()).await?));
         Ok(index)
     }
 
