--- a/crates/rudder-peers/src/keepers/tests.rs
+++ b/crates/rudder-peers/src/keepers/tests.rs
@@ -151,6 +151,18 @@
     }
 }
 
+#[test]
+fn keepers_are_the_first_holders() {
+    // A keeper that sees none of its group's statements must ask its members four times a second.
+    let peers = fleet(60);
+
+    for service in services(50) {
+        let holders = holders_of(&service, &peers, 7);
+
+        assert_eq!(keepers_of(&service, &peers, 3), holders[..3]);
+    }
+}
+
 #[test]
 fn shares_never_exceed_what_a_member_accepts() {
     let rule = HolderRule::default();
--- a/crates/rudder-peers/src/keepers/watch.rs
+++ b/crates/rudder-peers/src/keepers/watch.rs
@@ -7,10 +7,6 @@
 /// Keepers of each group: three observers, of which two still agree when one is wrong.
 pub const KEEPER_COUNT: usize = 3;
 
-/// Separates the hashes by which holders are chosen from those of keepers, so that the same
-/// instances do not get all duties of a group.
-const HOLDER_SALT: u64 = 0x686f_6c64_6572_7321;
-
 /// The keepers of a group, in rank order; the first acts first. They stand in different failure
 /// domains as far as there are enough.
 ///
@@ -39,6 +35,9 @@
 /// The instances that hold connections to a group's members, first in rank first. They take turns
 /// over the failure domains, so that most callers have a holder in their own.
 ///
+/// The first of them are the group's keepers: the statements that they forward anyway tell them how
+/// its members are.
+///
 /// ```
 /// let holders = rudder_peers::holders_of(&"scores-db".parse()?, &[], 7);
 /// assert!(holders.is_empty());
@@ -46,8 +45,7 @@
 /// ```
 #[must_use]
 pub fn holders_of(service: &ServiceName, peers: &[PeerEntry], count: usize) -> Vec<InstanceName> {
-    let chosen = choose(name_hash(service.as_str()) ^ HOLDER_SALT, &candidates(peers), count);
-    chosen.into_iter().map(|index| peers[index].name.clone()).collect()
+    keepers_of(service, peers, count)
 }
 
 /// The holders in the order in which an instance of `domain` should try to forward to them: those
