--- a/crates/rudder-peers/src/wire/tests.rs
+++ b/crates/rudder-peers/src/wire/tests.rs
@@ -21,7 +21,7 @@
 }
 
 fn hints() -> Vec<PeerHint> {
-    let stamp = LogStamp::new(7, 1_000_000);
+    let stamp = LogStamp::new(7, 1_000_000_000);
     let status = MemberStatus {
         role: MemberRole::Primary,
         accepted: LogTerm(7),
@@ -41,7 +41,7 @@
             service: service.parse().unwrap(),
             member: member.parse().unwrap(),
             status,
-            age: None,
+            age: Some(Duration::from_millis(120)),
         }),
         PeerHint::Vote(SuspicionVote {
             service: service.parse().unwrap(),
@@ -143,6 +143,20 @@
     }
 }
 
+#[test]
+fn sizes_are_those_that_the_capacity_page_counts_with() {
+    let sender = entry(PeerState::Live);
+    let bare = heartbeat_bytes(&sender, &[], &[]);
+
+    let news = heartbeat_bytes(&sender, std::slice::from_ref(&sender), &[]) - bare;
+    let hints = hints();
+    let sizes =
+        hints.iter().map(|hint| heartbeat_bytes(&sender, &[], std::slice::from_ref(hint)) - bare);
+
+    assert_eq!((bare, news), (91, 41));
+    assert_eq!(sizes.collect::<Vec<_>>(), [40, 47, 61, 31, 13, 3]);
+}
+
 proptest! {
     #![proptest_config(Config {
         rng_seed: RngSeed::Fixed(6),
