--- a/crates/rudder-peers/examples/slopes/fleet.rs
+++ b/crates/rudder-peers/examples/slopes/fleet.rs
@@ -73,6 +73,7 @@
 pub(crate) struct FleetTraffic {
     pub(crate) datagrams: u64,
     pub(crate) bytes: u64,
+    pub(crate) table_bytes: u64,
     pub(crate) withheld: u64,
 }
 
@@ -84,17 +85,14 @@
 pub(crate) fn total(before: &[TrafficCount], after: &[TrafficCount]) -> FleetTraffic {
     before.iter().zip(after).fold(FleetTraffic::default(), |sum, (before, after)| FleetTraffic {
         datagrams: sum.datagrams + after.datagrams - before.datagrams,
-        bytes: sum.bytes + bytes_of(after) - bytes_of(before),
+        bytes: sum.bytes + after.datagram_bytes - before.datagram_bytes,
+        table_bytes: sum.table_bytes + after.table_bytes - before.table_bytes,
         withheld: sum.withheld + after.withheld - before.withheld,
     })
 }
 
-/// The most that one instance sent between two counts, in bytes.
+/// The most that one instance sent in datagrams between two counts, in bytes.
 pub(crate) fn busiest(before: &[TrafficCount], after: &[TrafficCount]) -> u64 {
-    let sent = before.iter().zip(after).map(|(before, after)| bytes_of(after) - bytes_of(before));
-    sent.max().unwrap_or_default()
-}
-
-fn bytes_of(count: &TrafficCount) -> u64 {
-    count.datagram_bytes + count.table_bytes
+    let pairs = before.iter().zip(after);
+    pairs.map(|(before, after)| after.datagram_bytes - before.datagram_bytes).max().unwrap_or(0)
 }
--- a/crates/rudder-peers/examples/slopes/run.rs
+++ b/crates/rudder-peers/examples/slopes/run.rs
@@ -10,15 +10,17 @@
 
 /// Far longer than anything takes; a broken fleet ends the run.
 const PATIENCE: Duration = Duration::from_secs(180);
+/// The news of 570 joining at once takes minutes, six to a heartbeat.
+const CALM_PATIENCE: Duration = Duration::from_secs(1200);
 const POLL: Duration = Duration::from_millis(5);
 /// Hints published one after the other at each size.
 const HINTS: u64 = 9;
 /// Between two hints, so that each finds the budget as it is in quiet.
 const HINT_PAUSE: Duration = Duration::from_secs(2);
-/// News of joining that one instance passes on per second: six in each of two datagrams.
-const NEWS_PER_SECOND: u64 = 12;
-/// How often each piece of news is passed on at most, at the sizes run.
-const NEWS_SENDS: u64 = 13;
+/// A datagram of this fleet without news is smaller, one with news is larger.
+const BARE_BYTES_MAX: u64 = 92;
+/// How long the fleet is watched for news that still rides along.
+const CALM_WINDOW: Duration = Duration::from_secs(5);
 /// One in so many instances is lost with its failure domain.
 const DOMAINS: usize = 7;
 
@@ -58,11 +60,7 @@
         wait_for("joined", || fleet.iter().all(|member| member.sees(self.size))).await?;
         let joined = timer.elapsed();
 
-        // Until the news of so many joining at once has been passed on.
-        tokio::time::sleep(Duration::from_secs(
-            10 + self.size as u64 * NEWS_SENDS / NEWS_PER_SECOND,
-        ))
-        .await;
+        let calm = wait_for_calm(&fleet).await?;
         let quiet = self.measure_quiet(&fleet).await;
         let memory = resident_bytes().saturating_sub(memory);
         let terms = spread_terms(&fleet).await?;
@@ -81,6 +79,7 @@
             "measure": "fleet",
             "instances": self.size,
             "all joined at once, seconds": seconds(joined),
+            "news of joining told, seconds": seconds(calm),
             "quiet, per instance": quiet,
             "resident kilobytes per instance": memory / 1024 / self.size as u64,
             "new term to reach all, seconds": terms,
@@ -107,6 +106,20 @@
     }
 }
 
+/// Waits until the news of so many joining at once has been passed on.
+async fn wait_for_calm(fleet: &[FleetMember]) -> Result<Duration, RunError> {
+    let timer = Instant::now();
+    while timer.elapsed() < CALM_PATIENCE {
+        let before = traffic(fleet);
+        tokio::time::sleep(CALM_WINDOW).await;
+        let sent = total(&before, &traffic(fleet));
+        if sent.bytes <= sent.datagrams * BARE_BYTES_MAX {
+            return Ok(timer.elapsed());
+        }
+    }
+    Err(RunError::Patience("news of joining told"))
+}
+
 async fn spread_terms(fleet: &[FleetMember]) -> Result<Value, RunError> {
     let mut times = Vec::new();
     for term in 1..=HINTS {
@@ -168,12 +181,14 @@
         before = after;
     }
     let took = timer.elapsed();
-    let withheld = total(&start, &before).withheld;
+    let sum = total(&start, &before);
     Ok(json!({
         "lost": count,
         "removed by all within, seconds": took.as_secs(),
         "busiest instance in its busiest second, bytes": peak,
-        "datagrams withheld, all instances": withheld,
+        "bytes per second and instance": (sum.bytes as f64 / size as f64 / took.as_secs_f64()).round(),
+        "table bytes per instance": sum.table_bytes / size as u64,
+        "datagrams withheld per instance": (sum.withheld as f64 / size as f64).round(),
     }))
 }
 
--- a/crates/rudder-peers/src/membership/hearing.rs
+++ b/crates/rudder-peers/src/membership/hearing.rs
@@ -1,5 +1,6 @@
 //! What a membership does with what it hears about instances.
 
+use super::probe::ProbeStyle;
 use super::state::Membership;
 use super::table::{CheckPlan, PeerRecord};
 use crate::member::{PeerEntry, PeerState};
@@ -38,26 +39,28 @@
         heard: &PeerEntry,
         now: Duration,
     ) {
-        if check.is_some_and(|plan| plan.hearsay) && heard.incarnation == held.incarnation {
+        if check.is_some_and(|plan| plan.style == ProbeStyle::Single)
+            && heard.incarnation == held.incarnation
+        {
             return;
         }
         let state = held.state.max(PeerState::Suspect);
         let entry = PeerEntry { incarnation: heard.incarnation, state, ..held };
-        let check = Some(CheckPlan { at: now, hearsay: true });
+        let check = Some(CheckPlan { at: now, style: ProbeStyle::Single });
         self.replace(entry, check, now);
     }
 
     fn adopt(&mut self, heard: PeerEntry, now: Duration) {
         let check = match heard.state {
             PeerState::Suspect => {
-                Some(CheckPlan { at: now + self.settings.suspicion, hearsay: false })
+                Some(CheckPlan { at: now + self.settings.suspicion, style: ProbeStyle::Repeated })
             }
             _ => None,
         };
         self.urgent |= heard.state == PeerState::Leaving;
         for name in self.table.others_at(heard.address, &heard.name) {
             // The address has been taken over: whoever was there is asked at once.
-            self.table.plan_check(&name, Some(CheckPlan { at: now, hearsay: true }));
+            self.table.plan_check(&name, Some(CheckPlan { at: now, style: ProbeStyle::Single }));
         }
         self.replace(heard, check, now);
     }
--- a/crates/rudder-peers/src/membership/probe.rs
+++ b/crates/rudder-peers/src/membership/probe.rs
@@ -20,16 +20,29 @@
     Seed,
 }
 
+/// How thoroughly an instance is probed.
+///
+/// Guards against the cost of a lost failure domain: each instance checks each lost one, and with
+/// helpers that is five datagrams for each. Whoever told of the suspicion has asked helpers already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProbeStyle {
+    /// If there is no answer, helpers are asked: nobody else suspects the target yet.
+    Helped,
+    /// If there is no answer, it is asked once more: a peer suspects it.
+    Repeated,
+    /// It is asked once: a peer found it gone.
+    Single,
+}
+
 /// A probe on its way.
 #[derive(Clone, Debug)]
 pub(crate) struct ProbeRecord {
     pub(crate) sequence: u32,
     pub(crate) target: ProbeTarget,
     pub(crate) sent_at: Duration,
-    /// Whether helpers have been asked.
-    pub(crate) helped: bool,
-    /// Whether it fails without asking helpers.
-    pub(crate) lone: bool,
+    pub(crate) style: ProbeStyle,
+    /// Whether helpers have been asked, or the probe was sent again.
+    pub(crate) retried: bool,
 }
 
 /// A probe made for another instance.
@@ -66,9 +79,9 @@
         &self.probes
     }
 
-    pub(crate) fn mark_helped(&mut self, sequence: u32) {
+    pub(crate) fn mark_retried(&mut self, sequence: u32) {
         if let Some(probe) = self.probes.iter_mut().find(|probe| probe.sequence == sequence) {
-            probe.helped = true;
+            probe.retried = true;
         }
     }
 
--- a/crates/rudder-peers/src/membership/probing.rs
+++ b/crates/rudder-peers/src/membership/probing.rs
@@ -1,7 +1,7 @@
 //! Whom a membership probes, and what it concludes from answers and silence.
 
 use super::action::PeerAction;
-use super::probe::{ProbeRecord, ProbeTarget, RelayRecord};
+use super::probe::{ProbeRecord, ProbeStyle, ProbeTarget, RelayRecord};
 use super::state::Membership;
 use super::table::CheckPlan;
 use crate::member::{PeerEntry, PeerState};
@@ -30,10 +30,13 @@
         let (mut failed, mut slow) = (Vec::new(), Vec::new());
         for probe in self.probes.probes() {
             let waited = now.saturating_sub(probe.sent_at);
-            let bound = if probe.lone { settings.direct_timeout } else { settings.probe_timeout };
+            let bound = match probe.style {
+                ProbeStyle::Single => settings.direct_timeout,
+                ProbeStyle::Helped | ProbeStyle::Repeated => settings.probe_timeout,
+            };
             if waited >= bound {
                 failed.push(probe.sequence);
-            } else if waited >= settings.direct_timeout && !probe.helped {
+            } else if waited >= settings.direct_timeout && !probe.retried {
                 slow.push(probe.clone());
             }
         }
@@ -43,7 +46,7 @@
             }
         }
         for probe in slow {
-            self.ask_helpers(&probe, actions);
+            self.retry(&probe, actions);
         }
     }
 
@@ -58,7 +61,8 @@
             Some(plan) if plan.at <= now => self.bury(entry, now),
             Some(_) => {}
             None => {
-                let plan = CheckPlan { at: now + self.settings.suspicion, hearsay: false };
+                let plan =
+                    CheckPlan { at: now + self.settings.suspicion, style: ProbeStyle::Helped };
                 let state = entry.state.max(PeerState::Suspect);
                 log::info!(target: "rudder::membership", instance:% = entry.name; "suspected");
                 self.replace(PeerEntry { state, ..entry }, Some(plan), now);
@@ -66,15 +70,23 @@
         }
     }
 
-    /// Asks others to probe. They stand in different failure domains, so that one cut link, or one
-    /// domain cut off from the target's, does not look like the target's failure.
-    fn ask_helpers(&mut self, probe: &ProbeRecord, actions: &mut Vec<PeerAction>) {
-        self.probes.mark_helped(probe.sequence);
+    /// Tries once more to get an answer.
+    fn retry(&mut self, probe: &ProbeRecord, actions: &mut Vec<PeerAction>) {
+        self.probes.mark_retried(probe.sequence);
         let ProbeTarget::Peer { name, .. } = &probe.target else { return };
         let Some(target) = self.table.get(name).map(|record| record.entry.clone()) else { return };
-        for to in self.helpers_for(name) {
-            let sequence = probe.sequence;
-            let body = DatagramBody::IndirectProbe { sequence, target: name.clone() };
+        match probe.style {
+            ProbeStyle::Helped => self.ask_helpers(probe.sequence, &target, actions),
+            ProbeStyle::Repeated => actions.push(probe_action(probe.sequence, &target)),
+            ProbeStyle::Single => {}
+        }
+    }
+
+    /// Asks others to probe. They stand in different failure domains, so that one cut link, or one
+    /// domain cut off from the target's, does not look like the target's failure.
+    fn ask_helpers(&mut self, sequence: u32, target: &PeerEntry, actions: &mut Vec<PeerAction>) {
+        for to in self.helpers_for(&target.name) {
+            let body = DatagramBody::IndirectProbe { sequence, target: target.name.clone() };
             actions.push(PeerAction { to, body, first: Some(target.clone()) });
         }
     }
@@ -110,8 +122,8 @@
                 && !self.probes.probes_peer(&record.entry.name)
         });
         if let Some((entry, plan)) = due.map(|record| (record.entry.clone(), record.check)) {
-            let lone = plan.is_some_and(|plan| plan.hearsay);
-            self.probe(&entry, lone, now, actions);
+            let style = plan.map_or(ProbeStyle::Helped, |plan| plan.style);
+            self.probe(&entry, style, now, actions);
         }
     }
 
@@ -122,7 +134,7 @@
         let Some(record) = self.table.get(&name) else { return };
         if record.entry.state != PeerState::Gone && !self.probes.probes_peer(&name) {
             let entry = record.entry.clone();
-            self.probe(&entry, false, now, actions);
+            self.probe(&entry, ProbeStyle::Helped, now, actions);
         }
     }
 
@@ -136,10 +148,10 @@
             self.seeds.iter().filter(|seed| !known(seed)).copied().collect();
         let gone: Vec<PeerEntry> = self.table.gone().cloned().collect();
         if let Some(entry) = gone.choose(&mut self.rng) {
-            self.probe(entry, true, now, actions);
+            self.probe(entry, ProbeStyle::Single, now, actions);
         }
         if let Some(&seed) = strangers.choose(&mut self.rng) {
-            let sequence = self.add_probe(ProbeTarget::Seed, true, now);
+            let sequence = self.add_probe(ProbeTarget::Seed, ProbeStyle::Single, now);
             let body = DatagramBody::Probe { sequence, target: None };
             actions.push(PeerAction { to: seed, body, first: None });
         }
@@ -148,20 +160,18 @@
     fn probe(
         &mut self,
         entry: &PeerEntry,
-        lone: bool,
+        style: ProbeStyle,
         now: Duration,
         actions: &mut Vec<PeerAction>,
     ) {
         let target = ProbeTarget::Peer { name: entry.name.clone(), incarnation: entry.incarnation };
-        let sequence = self.add_probe(target, lone, now);
-        let body = DatagramBody::Probe { sequence, target: Some(entry.name.clone()) };
-        let first = (entry.state != PeerState::Live).then(|| entry.clone());
-        actions.push(PeerAction { to: entry.address, body, first });
+        let sequence = self.add_probe(target, style, now);
+        actions.push(probe_action(sequence, entry));
     }
 
-    fn add_probe(&mut self, target: ProbeTarget, lone: bool, now: Duration) -> u32 {
+    fn add_probe(&mut self, target: ProbeTarget, style: ProbeStyle, now: Duration) -> u32 {
         let sequence = self.next_sequence();
-        self.probes.add(ProbeRecord { sequence, target, sent_at: now, helped: false, lone });
+        self.probes.add(ProbeRecord { sequence, target, sent_at: now, style, retried: false });
         sequence
     }
 
@@ -181,9 +191,7 @@
         let Some(entry) = self.entry(target).cloned() else { return };
         let sequence = self.next_sequence();
         if self.probes.add_relay(RelayRecord { sequence, origin, origin_sequence, sent_at: now }) {
-            let body = DatagramBody::Probe { sequence, target: Some(target.clone()) };
-            let first = (entry.state != PeerState::Live).then(|| entry.clone());
-            actions.push(PeerAction { to: entry.address, body, first });
+            actions.push(probe_action(sequence, &entry));
         }
     }
 
@@ -214,8 +222,15 @@
         let Some(record) = self.table.get(name) else { return };
         // A suspect instance answers with a greater incarnation once it has heard of the
         // suspicion; until then it stays suspect, but it is not removed.
-        let plan = CheckPlan { at: now + self.settings.suspicion, hearsay: false };
+        let plan = CheckPlan { at: now + self.settings.suspicion, style: ProbeStyle::Helped };
         let check = (record.entry.state == PeerState::Suspect).then_some(plan);
         self.table.plan_check(name, check);
     }
 }
+
+/// The datagram that probes an instance; a doubted one hears of the doubt with it.
+fn probe_action(sequence: u32, target: &PeerEntry) -> PeerAction {
+    let body = DatagramBody::Probe { sequence, target: Some(target.name.clone()) };
+    let first = (target.state != PeerState::Live).then(|| target.clone());
+    PeerAction { to: target.address, body, first }
+}
--- a/crates/rudder-peers/src/membership/table.rs
+++ b/crates/rudder-peers/src/membership/table.rs
@@ -1,5 +1,6 @@
 //! The table of the other instances.
 
+use super::probe::ProbeStyle;
 use crate::member::{PeerEntry, PeerState};
 use rudder_core::InstanceName;
 use std::net::SocketAddr;
@@ -14,8 +15,8 @@
 pub(crate) struct CheckPlan {
     /// From when on a failed probe removes it.
     pub(crate) at: Duration,
-    /// Whether a peer found it gone already, so that no helpers need to be asked.
-    pub(crate) hearsay: bool,
+    /// How thoroughly it is probed then.
+    pub(crate) style: ProbeStyle,
 }
 
 /// One other instance.
@@ -81,7 +82,7 @@
     /// Puts all checks off until `at`, and forgets what peers said against anyone.
     pub(crate) fn defer_checks(&mut self, at: Duration) {
         for record in &mut self.records {
-            record.check = record.check.map(|_| CheckPlan { at, hearsay: false });
+            record.check = record.check.map(|_| CheckPlan { at, style: ProbeStyle::Helped });
         }
     }
 
