Peers: all together probe an address that is gone about once a period

Cause: each instance probed one of those it remembers every 5 s; with one remembered and 570 remembering, that address gets 114 probes a second, and a new machine there would use its budget up on answers.

Change: the turn is drawn so that the fleet's total is about one a period and address; addresses in use by a present instance are left out.

--- a/crates/rudder-peers/src/membership/probing.rs
+++ b/crates/rudder-peers/src/membership/probing.rs
@@ -6,6 +6,7 @@
 use super::table::CheckPlan;
 use crate::member::{PeerEntry, PeerState};
 use crate::wire::DatagramBody;
+use rand::RngExt;
 use rand::seq::{IndexedRandom, SliceRandom};
 use rudder_core::{DomainName, InstanceName};
 use std::net::SocketAddr;
@@ -141,22 +142,41 @@
     /// Probes one instance that is gone, or a seed nobody is known at. Guards against two parted
     /// regions that never find each other again, since each has removed the other.
     pub(super) fn revive_one(&mut self, now: Duration, actions: &mut Vec<PeerAction>) {
-        let known = |seed: &SocketAddr| {
-            *seed == self.me.address || self.table.present().any(|entry| entry.address == *seed)
+        let taken = |address: &SocketAddr| {
+            *address == self.me.address
+                || self.table.present().any(|entry| entry.address == *address)
         };
-        let strangers: Vec<SocketAddr> =
-            self.seeds.iter().filter(|seed| !known(seed)).copied().collect();
-        let gone: Vec<PeerEntry> = self.table.gone().cloned().collect();
-        if let Some(entry) = gone.choose(&mut self.rng) {
+        let gone = self.table.gone().filter(|entry| !taken(&entry.address));
+        let gone: Vec<PeerEntry> = gone.cloned().collect();
+        let seeds = self.seeds.iter().filter(|seed| !taken(seed));
+        let seeds: Vec<SocketAddr> = seeds.copied().collect();
+        if self.takes_turn(gone.len())
+            && let Some(entry) = gone.choose(&mut self.rng)
+        {
             self.probe(entry, ProbeStyle::Single, now, actions);
         }
-        if let Some(&seed) = strangers.choose(&mut self.rng) {
+        if self.takes_turn(seeds.len())
+            && let Some(&seed) = seeds.choose(&mut self.rng)
+        {
             let sequence = self.add_probe(ProbeTarget::Seed, ProbeStyle::Single, now);
             let body = DatagramBody::Probe { sequence, target: None };
             actions.push(PeerAction { to: seed, body, first: None });
         }
     }
 
+    /// Whether this instance probes one of `targets` addresses this time.
+    ///
+    /// Guards against a fleet that falls upon one address: 570 instances that remember the same one
+    /// would probe it over a hundred times a second, and whoever listens there by then would use
+    /// its budget up on answers. All together probe each address about once a period.
+    fn takes_turn(&mut self, targets: usize) -> bool {
+        let periods =
+            self.settings.revival_interval.as_secs_f64() / self.settings.period.as_secs_f64();
+        let peers = self.table.present().count() + 1;
+        let turns = targets as f64 * periods / peers as f64;
+        self.rng.random_bool(turns.min(1.0))
+    }
+
     fn probe(
         &mut self,
         entry: &PeerEntry,
--- a/crates/rudder-peers/src/node/tests.rs
+++ b/crates/rudder-peers/src/node/tests.rs
@@ -282,6 +282,37 @@
     assert!(took.is_some());
 }
 
+#[test]
+fn a_newcomer_learns_the_terms_and_the_instances_that_nobody_speaks_of_any_more() {
+    // An instance is replaced in a quiet fleet. It takes a superseded primary for the present one,
+    // and works out duties from the few instances that happened to speak to it.
+    let mut fleet = Fleet::joined(60, 15);
+    fleet.publish(0, new_term(1, 9));
+    fleet.kill(31);
+    fleet.run(seconds(300));
+
+    fleet.replace(31);
+    let informed = |fleet: &Fleet| !fleet.heard(31).is_empty() && fleet.settled();
+    let took = fleet.run_until(REMOVAL_BOUND, informed);
+
+    assert!(took.is_some());
+}
+
+#[test]
+fn a_fleet_does_not_fall_upon_an_address_that_it_remembers() {
+    // A machine has died and its address is not in use. All others remember it for hours; if each
+    // kept asking, a larger fleet would bury whoever gets that address next.
+    let mut fleet = Fleet::joined(60, 16);
+    fleet.kill(20);
+    fleet.run(seconds(60));
+
+    let before = fleet.sent_to(20);
+    fleet.run(seconds(100));
+
+    assert!(fleet.sent_to(20) > before, "it is not forgotten");
+    assert!(fleet.sent_to(20) - before < 200, "about once a second by all together");
+}
+
 #[test]
 fn two_votes_of_one_observer_do_not_chase_each_other() {
     // A member is suspected and at once no longer. The two votes travel on different ways; if the
--- a/crates/rudder-peers/src/node/tests/fleet.rs
+++ b/crates/rudder-peers/src/node/tests/fleet.rs
@@ -23,6 +23,7 @@
     side: usize,
     life: usize,
     heard: Vec<PeerHint>,
+    sent_to: usize,
 }
 
 struct Parcel {
@@ -73,6 +74,7 @@
             side: 0,
             life: 0,
             heard: Vec::new(),
+            sent_to: 0,
         };
         Self {
             sites: (0..size).map(site).collect(),
@@ -115,7 +117,8 @@
         let seed = self.rng.random();
         let (node, side) = (new_node(site, life, self.now, seed), self.sites[site].side);
         let frozen_until = Duration::ZERO;
-        self.sites[site] = Site { node, running: true, frozen_until, side, life, heard: vec![] };
+        self.sites[site] =
+            Site { node, running: true, frozen_until, side, life, heard: vec![], sent_to: 0 };
     }
 
     pub(super) fn leave(&mut self, site: usize) {
@@ -153,6 +156,11 @@
         self.sites[site].node.traffic().datagram_bytes
     }
 
+    /// How many datagrams have been sent to a site so far.
+    pub(super) fn sent_to(&self, site: usize) -> usize {
+        self.sites[site].sent_to
+    }
+
     pub(super) fn all_bytes_sent(&self) -> Vec<u64> {
         (0..self.size()).map(|site| self.bytes_sent(site)).collect()
     }
@@ -240,6 +248,7 @@
 
     fn perform(&mut self, from: usize, output: NodeOutput) {
         for (to, bytes) in output.datagrams {
+            self.sites[usize::from(to.port() - 7000)].sent_to += 1;
             if self.rng.random_range(0..100) >= self.loss_percent {
                 let due = self.now + Duration::from_millis(self.rng.random_range(1..40));
                 self.parcels.push(Parcel { due, from, to, bytes });
