--- a/crates/rudder-peers/src/node/tests.rs
+++ b/crates/rudder-peers/src/node/tests.rs
@@ -13,6 +13,9 @@
 /// Loss of a probe is noticed after one round of probing at worst; the rest is timeouts.
 const REMOVAL_BOUND: Duration = Duration::from_secs(15);
 
+/// Groups whose primary stands in one of seven failure domains.
+const GROUPS_LOST: usize = 111;
+
 fn seconds(count: u64) -> Duration {
     Duration::from_secs(count)
 }
@@ -154,7 +157,7 @@
     // Two regions lose each other for an hour, and each removes the other's instances. When they
     // meet, all instances must refute, and all must hear of it; sent at once, that is a storm. The
     // seeds that they were started with are long gone.
-    let (size, half) = (parted_size(), parted_size() / 2);
+    let (size, half) = (fleet_size(), fleet_size() / 2);
     let mut fleet = Fleet::joined(size, 6);
     fleet.kill(0);
     fleet.kill(1);
@@ -193,8 +196,8 @@
     }
 }
 
-/// Instances in the parted fleet unless the variable `RUDDER_FLEET` says otherwise.
-fn parted_size() -> usize {
+/// Instances in the larger fleets unless the variable `RUDDER_FLEET` says otherwise.
+fn fleet_size() -> usize {
     let wanted = std::env::var("RUDDER_FLEET").ok();
     wanted.and_then(|text| text.parse().ok()).unwrap_or(24)
 }
@@ -313,6 +316,31 @@
     assert!(fleet.sent_to(20) - before < 200, "about once a second by all together");
 }
 
+#[test]
+fn the_terms_of_a_lost_failure_domain_reach_all_within_the_budget() {
+    // A failure domain goes, and with it the primaries of a seventh of 780 groups. The new terms
+    // are published within a moment by as many instances, and nobody speaks of anything else.
+    let mut fleet = Fleet::joined(fleet_size(), 17);
+    let (started_at, sent_before) = (fleet.now, fleet.all_bytes_sent());
+
+    for group in 0..GROUPS_LOST {
+        fleet.publish(group % fleet.size(), new_term(group, 2));
+    }
+    let published_by = |site: usize| (0..GROUPS_LOST).filter(|g| g % fleet_size() == site).count();
+    let informed = |fleet: &Fleet| {
+        (0..fleet.size()).all(|site| fleet.heard(site).len() + published_by(site) >= GROUPS_LOST)
+    };
+    let took = fleet.run_until(seconds(300), informed);
+
+    println!("{} instances know {GROUPS_LOST} terms after {took:?}", fleet.size());
+    assert!(took.is_some());
+    let rate = BudgetSettings::split(BYTES_PER_SECOND).datagram_rate;
+    let elapsed = (fleet.now - started_at).as_secs();
+    for (before, after) in sent_before.iter().zip(fleet.all_bytes_sent()) {
+        assert!(after - before <= rate * (elapsed + 2));
+    }
+}
+
 #[test]
 fn two_votes_of_one_observer_do_not_chase_each_other() {
     // A member is suspected and at once no longer. The two votes travel on different ways; if the
