--- a/crates/rudder-peers/src/handler.rs
+++ b/crates/rudder-peers/src/handler.rs
@@ -4,6 +4,19 @@
 use crate::wire::{PeerReply, PeerRequest};
 use async_trait::async_trait;
 
+/// A handler that takes no notice of hints and answers no request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct QuietHandler;
+
+#[async_trait]
+impl PeerHandler for QuietHandler {
+    async fn on_hint(&self, _message: HintMessage) {}
+
+    async fn on_request(&self, _request: PeerRequest) -> PeerReply {
+        PeerReply::Unknown
+    }
+}
+
 /// Takes hints in and answers peers' requests.
 #[async_trait]
 pub trait PeerHandler: Send + Sync {
--- a/crates/rudder-peers/src/keepers/share.rs
+++ b/crates/rudder-peers/src/keepers/share.rs
@@ -96,6 +96,14 @@
     /// Takes in the share that the present view gives, and returns the one that may be used.
     ///
     /// `now` is the time since any origin; it must not go back.
+    ///
+    /// ```
+    /// use rudder_core::ConnectionCount;
+    /// use std::time::Duration;
+    /// let mut share =
+    ///     rudder_peers::ConnectionShare::new(ConnectionCount(4), Duration::from_secs(10));
+    /// assert_eq!(share.update(ConnectionCount(2), Duration::ZERO), ConnectionCount(2));
+    /// ```
     pub fn update(&mut self, wanted: ConnectionCount, now: Duration) -> ConnectionCount {
         if wanted <= self.current {
             self.current = wanted;
@@ -114,6 +122,13 @@
     }
 
     /// The share that may be used.
+    ///
+    /// ```
+    /// use rudder_core::ConnectionCount;
+    /// use std::time::Duration;
+    /// let share = rudder_peers::ConnectionShare::new(ConnectionCount(4), Duration::from_secs(10));
+    /// assert_eq!(share.current(), ConnectionCount(4));
+    /// ```
     #[must_use]
     pub fn current(&self) -> ConnectionCount {
         self.current
--- a/crates/rudder-peers/src/keepers/watch.rs
+++ b/crates/rudder-peers/src/keepers/watch.rs
@@ -106,12 +106,21 @@
     }
 
     /// The groups kept and the instance's rank in each, from zero, sorted by group.
+    ///
+    /// ```
+    /// assert!(rudder_peers::DutyMap::default().duties().is_empty());
+    /// ```
     #[must_use]
     pub fn duties(&self) -> &[(ServiceName, usize)] {
         &self.duties
     }
 
     /// The instance's rank among the keepers of a group, from zero; none if it does not keep it.
+    ///
+    /// ```
+    /// assert_eq!(rudder_peers::DutyMap::default().rank(&"scores-db".parse()?), None);
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
     #[must_use]
     pub fn rank(&self, service: &ServiceName) -> Option<usize> {
         let index = self.duties.binary_search_by(|duty| duty.0.cmp(service)).ok()?;
--- a/crates/rudder-peers/src/lib.rs
+++ b/crates/rudder-peers/src/lib.rs
@@ -13,7 +13,7 @@
 mod node;
 mod wire;
 
-pub use handler::PeerHandler;
+pub use handler::{PeerHandler, QuietHandler};
 pub use hints::{
     GroupHint, HintMessage, LeavingNotice, LeavingSubject, MemberSample, PeerHint, RevisionHint,
     SuspicionVote,
--- a/crates/rudder-peers/src/mesh/handle.rs
+++ b/crates/rudder-peers/src/mesh/handle.rs
@@ -48,24 +48,12 @@
     /// Listens for peers and begins to look for them. Must be called inside a tokio runtime.
     ///
     /// ```
-    /// use rudder_peers::{
-    ///     HintMessage, MeshSettings, PeerHandler, PeerMesh, PeerReply, PeerRequest,
-    /// };
-    /// struct NoHandler;
-    ///
-    /// #[async_trait::async_trait]
-    /// impl PeerHandler for NoHandler {
-    ///     async fn on_hint(&self, _message: HintMessage) {}
-    ///     async fn on_request(&self, _request: PeerRequest) -> PeerReply {
-    ///         PeerReply::Unknown
-    ///     }
-    /// }
-    ///
-    /// # #[tokio::main]
+    /// # use rudder_peers::{MeshSettings, PeerMesh, QuietHandler};
+    /// # #[tokio::main(flavor = "current_thread")]
     /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
-    /// let address = ([127, 0, 0, 1], 0).into();
-    /// let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
-    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(NoHandler)).await?;
+    /// # let address = ([127, 0, 0, 1], 0).into();
+    /// # let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
+    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(QuietHandler)).await?;
     /// assert_eq!(mesh.live().len(), 1);
     /// mesh.stop().await;
     /// # Ok(())
@@ -106,24 +94,72 @@
     }
 
     /// Where this instance listens.
+    ///
+    /// ```
+    /// # use rudder_peers::{MeshSettings, PeerMesh, QuietHandler};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let address = ([127, 0, 0, 1], 0).into();
+    /// # let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
+    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(QuietHandler)).await?;
+    /// assert_ne!(mesh.address().port(), 0);
+    /// # Ok(())
+    /// # }
+    /// ```
     #[must_use]
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// The instances that are not gone, this one included, sorted by name.
+    ///
+    /// ```
+    /// # use rudder_peers::{MeshSettings, PeerMesh, QuietHandler};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let address = ([127, 0, 0, 1], 0).into();
+    /// # let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
+    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(QuietHandler)).await?;
+    /// assert_eq!(mesh.live()[0].name, "i1".parse()?);
+    /// # Ok(())
+    /// # }
+    /// ```
     #[must_use]
     pub fn live(&self) -> Arc<[PeerEntry]> {
         Arc::clone(&self.view.borrow())
     }
 
     /// The same, for a task that waits for changes.
+    ///
+    /// ```
+    /// # use rudder_peers::{MeshSettings, PeerMesh, QuietHandler};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let address = ([127, 0, 0, 1], 0).into();
+    /// # let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
+    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(QuietHandler)).await?;
+    /// assert_eq!(mesh.watch().borrow().len(), 1);
+    /// # Ok(())
+    /// # }
+    /// ```
     #[must_use]
     pub fn watch(&self) -> watch::Receiver<Arc<[PeerEntry]>> {
         self.view.clone()
     }
 
     /// What this instance has sent to its peers so far.
+    ///
+    /// ```
+    /// # use rudder_peers::{MeshSettings, PeerMesh, QuietHandler};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let address = ([127, 0, 0, 1], 0).into();
+    /// # let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
+    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(QuietHandler)).await?;
+    /// assert_eq!(mesh.traffic().table_bytes, 0);
+    /// # Ok(())
+    /// # }
+    /// ```
     #[must_use]
     pub fn traffic(&self) -> TrafficCount {
         *self.traffic.borrow()
@@ -131,17 +167,56 @@
 
     /// Spreads a hint to all instances, as far as the budget allows: a new term, a vote, a notice
     /// or a new revision at once; refreshes and samples in answers to heartbeats.
+    ///
+    /// ```
+    /// # use rudder_peers::{MeshSettings, PeerMesh, QuietHandler};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let address = ([127, 0, 0, 1], 0).into();
+    /// # let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
+    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(QuietHandler)).await?;
+    /// let hint = rudder_peers::RevisionHint { number: 7 };
+    /// mesh.publish(rudder_peers::PeerHint::Revision(hint)).await;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn publish(&self, hint: PeerHint) {
         let _ = self.commands.send(MeshCommand::Publish(hint)).await;
     }
 
     /// Sends a hint once to these instances only, for instance a vote to a group's keepers.
+    ///
+    /// ```
+    /// # use rudder_peers::{MeshSettings, PeerMesh, QuietHandler};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let address = ([127, 0, 0, 1], 0).into();
+    /// # let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
+    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(QuietHandler)).await?;
+    /// let hint = rudder_peers::RevisionHint { number: 7 };
+    /// mesh.tell(&["i2".parse()?], rudder_peers::PeerHint::Revision(hint)).await;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn tell(&self, instances: &[InstanceName], hint: PeerHint) {
         let _ = self.commands.send(MeshCommand::Tell(instances.to_vec(), hint)).await;
     }
 
     /// Says that this instance is leaving, and returns once that has been sent to some peers. It
     /// still answers, until it is stopped.
+    ///
+    /// ```
+    /// # use rudder_peers::{MeshSettings, PeerMesh, QuietHandler};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let address = ([127, 0, 0, 1], 0).into();
+    /// # let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
+    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(QuietHandler)).await?;
+    /// mesh.leave().await;
+    /// assert_eq!(mesh.live()[0].state, rudder_peers::PeerState::Leaving);
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn leave(&self) {
         let _ = self.commands.send(MeshCommand::Leave).await;
         let (reply, flushed) = oneshot::channel();
@@ -150,6 +225,20 @@
     }
 
     /// Asks an instance, and waits for its reply no longer than `within`.
+    ///
+    /// ```
+    /// # use rudder_peers::{MeshSettings, PeerMesh, QuietHandler};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let address = ([127, 0, 0, 1], 0).into();
+    /// # let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
+    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(QuietHandler)).await?;
+    /// let request = rudder_peers::PeerRequest::SessionLookup("anna".parse()?);
+    /// let reply = mesh.request(&"i1".parse()?, request, std::time::Duration::from_secs(5)).await?;
+    /// assert_eq!(reply, rudder_peers::PeerReply::Unknown);
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn request(
         &self,
         instance: &InstanceName,
@@ -164,6 +253,21 @@
     }
 
     /// Asks whoever listens at an address.
+    ///
+    /// ```
+    /// # use rudder_peers::{MeshSettings, PeerMesh, QuietHandler};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let address = ([127, 0, 0, 1], 0).into();
+    /// # let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
+    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(QuietHandler)).await?;
+    /// let request = rudder_peers::PeerRequest::RevisionFetch { newer_than: 7 };
+    /// let bound = std::time::Duration::from_secs(5);
+    /// let reply = mesh.request_at(mesh.address(), request, bound).await?;
+    /// assert_eq!(reply, rudder_peers::PeerReply::Unknown);
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn request_at(
         &self,
         address: SocketAddr,
@@ -184,6 +288,18 @@
     }
 
     /// Ends all tasks and closes the sockets. `leave` first, unless the instance is to look failed.
+    ///
+    /// ```
+    /// # use rudder_peers::{MeshSettings, PeerMesh, QuietHandler};
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # let address = ([127, 0, 0, 1], 0).into();
+    /// # let settings = MeshSettings::new("i1".parse()?, "bangor".parse()?, address);
+    /// let mesh = PeerMesh::start(settings, std::sync::Arc::new(QuietHandler)).await?;
+    /// mesh.stop().await;
+    /// # Ok(())
+    /// # }
+    /// ```
     pub async fn stop(self) {
         for task in &self.tasks {
             task.abort();
