Keeper: platform calls beside its task are bounded, answers count at once

Cause: the removal of an order was awaited inside the keeper's task, so a hanging platform stopped its probes; hung calls piled up; an answered probe withdrew a suspicion only a round later. Change: all calls outside a promotion run beside the task, bounded in time and number; answers are judged when they arrive; a reservation is renewed by the accepted term alone.

--- a/crates/arbutusrudder/src/keeper/bounds.rs
+++ b/crates/arbutusrudder/src/keeper/bounds.rs
@@ -8,6 +8,12 @@
 /// answers in milliseconds when it is well; beyond that the reserved term is the faster way.
 pub(super) const GRANT_CALL_BOUND: Duration = Duration::from_millis(250);
 
+/// A call to the platform that decides over nothing urgent is given up after this time.
+pub(super) const PLATFORM_CALL_BOUND: Duration = Duration::from_secs(10);
+
+/// Calls of one keeper under way at the same time; a slow platform is not asked for more.
+pub(super) const PLATFORM_CALLS_MAX: usize = 2;
+
 /// How often a keeper reads the grant back to see its reservation. With 780 groups of three
 /// keepers this costs the platform 156 reads a second of its two thousand.
 pub(super) const GRANT_REFRESH: Duration = Duration::from_secs(15);
--- a/crates/arbutusrudder/src/keeper/grant_client.rs
+++ b/crates/arbutusrudder/src/keeper/grant_client.rs
@@ -80,11 +80,9 @@
         &self,
         seat: &KeeperSeat,
         keepers: &[InstanceName],
-        spent: LogTerm,
         accepted: LogTerm,
     ) -> Result<SuccessionGrant, GrantClientError> {
-        let spent = Some(spent.max(accepted));
-        self.change(accepted, |grant| grant.enrol(seat, keepers, spent)).await
+        self.change(accepted, |grant| grant.enrol(seat, keepers, accepted)).await
     }
 
     /// Writes down the confirmed primary, and returns the grant.
--- a/crates/arbutusrudder/src/keeper/group_keeper.rs
+++ b/crates/arbutusrudder/src/keeper/group_keeper.rs
@@ -204,13 +204,7 @@
         }
         let condition = self.book.condition(since);
         match &condition {
-            GroupCondition::Led { primary, .. } => {
-                let asked_at = self.book.asked_at(primary).unwrap_or(since);
-                if asked_at > self.heard_at {
-                    self.heard_at = asked_at;
-                    self.tally.note_answer(asked_at - self.origin);
-                }
-            }
+            GroupCondition::Led { .. } => {}
             GroupCondition::Leaderless { .. } | GroupCondition::Unheard => {
                 self.tally.note_failure(self.elapsed());
             }
@@ -242,8 +236,8 @@
         self.note_status(&note.member, note.asked_at, note.status);
     }
 
-    /// A greater term is noted at once and not with the next round, so that a keeper of a lower
-    /// rank sees that another one acts.
+    /// Answers count at once and not with the next round: the primary's withdraws a suspicion that
+    /// is about to turn, and a greater term shows a keeper of a lower rank that another one acts.
     fn note_status(
         &mut self,
         member: &MemberName,
@@ -252,6 +246,13 @@
     ) {
         self.book.note(member, asked_at, status);
         self.note_accepted(self.book.accepted());
+        if let GroupCondition::Led { primary, .. } = self.book.condition(self.window_at)
+            && let Some(asked_at) = self.book.asked_at(&primary)
+            && asked_at > self.heard_at
+        {
+            self.heard_at = asked_at;
+            self.tally.note_answer(asked_at - self.origin);
+        }
     }
 
     /// Points members to the primary that do not follow it: strays of a lower term, everyone when
--- a/crates/arbutusrudder/src/keeper/platform_calls.rs
+++ b/crates/arbutusrudder/src/keeper/platform_calls.rs
@@ -1,19 +1,23 @@
 //! The keeper's calls to the platform outside a promotion. They run beside its task, so that a
 //! slow platform does not delay a probe.
 
-use super::bounds::{GRANT_REFRESH, GRANT_RETRY, ORDER_REFRESH};
+use super::bounds::{
+    GRANT_REFRESH, GRANT_RETRY, ORDER_REFRESH, PLATFORM_CALL_BOUND, PLATFORM_CALLS_MAX,
+};
 use super::decision::DecisionReason;
 use super::grant_client::GrantClientError;
 use super::group_keeper::GroupKeeper;
 use super::orders::{PendingOrder, read_order, remove_order};
 use super::switch::PendingSwitch;
 use rudder_core::{KeeperSeat, LogTerm, SuccessionGrant, SwitchOrder};
+use rudder_platform::ObjectVersion;
 use tokio::time::Instant;
 
 /// What a call to the platform brought.
 pub(super) enum PlatformNews {
     Grant(Result<SuccessionGrant, GrantClientError>),
     Order(Option<PendingOrder>),
+    Nothing,
 }
 
 impl GroupKeeper {
@@ -31,7 +35,7 @@
                 );
             }
             PlatformNews::Order(Some(order)) if self.switch.is_none() => self.note_order(order),
-            PlatformNews::Order(_) => {}
+            PlatformNews::Order(_) | PlatformNews::Nothing => {}
         }
     }
 
@@ -40,12 +44,7 @@
         // Guards against an order that is carried out twice: if its removal failed, it is read
         // again, perhaps after a failover has moved the primary away from the target.
         if self.last_order.as_ref() == Some(mark) {
-            let (store, service) = (self.config.store.clone(), self.config.service.clone());
-            let version = version.clone();
-            self.platform_calls.spawn(async move {
-                remove_order(&store, &service, &version).await;
-                PlatformNews::Order(None)
-            });
+            self.spawn_removal(version.clone());
             return;
         }
         self.decide(DecisionReason::SwitchOrdered, self.accepted, Some(target));
@@ -54,6 +53,9 @@
     }
 
     pub(super) fn call_platform(&mut self) {
+        if self.platform_calls.len() >= PLATFORM_CALLS_MAX {
+            return;
+        }
         let now = Instant::now();
         // A reservation made before any member was heard would be of a term that they refuse, and
         // cost the platform a second write.
@@ -67,7 +69,7 @@
         if has_first_rank && self.switch.is_none() && now >= self.order_due_at {
             self.order_due_at = now + ORDER_REFRESH;
             let (store, service) = (self.config.store.clone(), self.config.service.clone());
-            self.platform_calls.spawn(async move {
+            self.spawn_call(async move {
                 PlatformNews::Order(read_order(&store, &service).await.unwrap_or_default())
             });
         }
@@ -80,17 +82,32 @@
             instance: self.config.instance.clone(),
             incarnation: self.purse.incarnation().clone(),
         };
-        let (keepers, spent) = (self.roster.names(), self.purse.spent());
+        let keepers = self.roster.names();
         let accepted = self.accepted;
         let (primary, term) = (self.view.borrow().primary.clone(), self.view.borrow().term);
         let unsettled = primary.filter(|_| term > self.settled_term);
-        self.platform_calls.spawn(async move {
+        self.spawn_call(async move {
             if let Some(primary) = unsettled
                 && let Err(error) = client.settle(&primary, term).await
             {
                 return PlatformNews::Grant(Err(error));
             }
-            PlatformNews::Grant(client.enrol(&seat, &keepers, spent, accepted).await)
+            PlatformNews::Grant(client.enrol(&seat, &keepers, accepted).await)
+        });
+    }
+    /// Removes an order that was carried out or refused.
+    pub(super) fn spawn_removal(&mut self, version: ObjectVersion) {
+        let (store, service) = (self.config.store.clone(), self.config.service.clone());
+        self.spawn_call(async move {
+            remove_order(&store, &service, &version).await;
+            PlatformNews::Nothing
+        });
+    }
+
+    fn spawn_call(&mut self, call: impl Future<Output = PlatformNews> + Send + 'static) {
+        self.platform_calls.spawn(async move {
+            let answer = tokio::time::timeout(PLATFORM_CALL_BOUND, call).await;
+            answer.unwrap_or(PlatformNews::Nothing)
         });
     }
 }
--- a/crates/arbutusrudder/src/keeper/switch.rs
+++ b/crates/arbutusrudder/src/keeper/switch.rs
@@ -3,7 +3,7 @@
 use super::bounds::SWITCH_WAIT;
 use super::decision::DecisionReason;
 use super::group_keeper::GroupKeeper;
-use super::orders::{PendingOrder, remove_order};
+use super::orders::PendingOrder;
 use rudder_core::{LogStamp, MemberName};
 use tokio::time::Instant;
 
@@ -36,7 +36,7 @@
         } else {
             self.decide(DecisionReason::SwitchRefused, self.accepted, Some(&target));
         }
-        remove_order(&self.config.store, &self.config.service, &switch.order.version).await;
+        self.spawn_removal(switch.order.version);
     }
 
     async fn switch_to(&mut self, target: &MemberName) {
--- a/crates/rudder-core/src/succession/grant.rs
+++ b/crates/rudder-core/src/succession/grant.rs
@@ -189,16 +189,17 @@
     }
 
     /// The grant in which `seat` has a usable reservation and only `keepers` have any; none if
-    /// that is so already. `spent` is the last reserved term that this run used.
+    /// that is so already. `accepted` is the greatest term that members are known to have
+    /// accepted; a reservation up to it is of no more use.
     ///
     /// ```
     /// use rudder_core::{KeeperSeat, LogTerm, SuccessionGrant, WriterMark};
     /// let grant = SuccessionGrant::first("inst-1".parse()?, LogTerm(3), WriterMark::random());
     /// let seat = KeeperSeat { instance: "inst-2".parse()?, incarnation: WriterMark::random() };
     /// let keepers = [seat.instance.clone()];
-    /// let grant = grant.enrol(&seat, &keepers, None).unwrap();
+    /// let grant = grant.enrol(&seat, &keepers, LogTerm(3)).unwrap();
     /// assert_eq!(grant.reserved()[0].term, LogTerm(4));
-    /// assert!(grant.enrol(&seat, &keepers, None).is_none());
+    /// assert!(grant.enrol(&seat, &keepers, LogTerm(3)).is_none());
     /// # Ok::<(), rudder_core::ParseError>(())
     /// ```
     #[must_use]
@@ -206,15 +207,13 @@
         &self,
         seat: &KeeperSeat,
         keepers: &[InstanceName],
-        spent: Option<LogTerm>,
+        accepted: LogTerm,
     ) -> Option<Self> {
         let mut next = self.clone();
         next.reserved.retain(|entry| keepers.contains(&entry.seat.instance));
-        let is_valid = |entry: &ReservedTerm| {
-            entry.seat == *seat && spent.is_none_or(|spent| entry.term > spent)
-        };
+        let is_valid = |entry: &ReservedTerm| entry.seat == *seat && entry.term > accepted;
         if keepers.contains(&seat.instance) && !next.reserved.iter().any(is_valid) {
-            next.reserve(seat.clone(), self.highest().max(spent.unwrap_or_default()));
+            next.reserve(seat.clone(), self.highest().max(accepted));
         }
         (next.reserved != self.reserved).then_some(next)
     }
--- a/crates/rudder-core/src/succession/purse.rs
+++ b/crates/rudder-core/src/succession/purse.rs
@@ -42,7 +42,7 @@
     ///     instance: "inst-1".parse()?,
     ///     incarnation: purse.incarnation().clone(),
     /// };
-    /// let grant = grant.enrol(&seat, &["inst-1".parse()?], None).unwrap();
+    /// let grant = grant.enrol(&seat, &["inst-1".parse()?], LogTerm(1)).unwrap();
     /// purse.refill(&grant);
     /// assert!(purse.spend(LogTerm(1)).is_some());
     /// assert_eq!(purse.spend(LogTerm(1)), None);
@@ -72,12 +72,6 @@
         Some(term)
     }
 
-    /// The last term that was taken out, to be replaced in the grant; zero if none was.
-    #[must_use]
-    pub const fn spent(&self) -> LogTerm {
-        self.spent
-    }
-
     /// Whether a reserved term is at hand that members would accept.
     ///
     /// ```
