Succession plan: split by what it remembers, concludes and sends

Change: phases, replies and transitions in files of their own; generated schedules now end with a bare majority of live members instead of all.

--- /dev/null
+++ b/crates/rudder-core/src/succession/plan_advance.rs
@@ -0,0 +1,158 @@
+//! How a plan moves from phase to phase, and what each phase sends.
+
+use super::candidate::choose_candidate;
+use super::plan::SuccessionPlan;
+use super::plan_phase::{MemberProgress, PlanPhase};
+use super::plan_step::{PlanMember, PlanState};
+use crate::ack::majority_of;
+use crate::control::ControlStatement;
+use crate::ident::MemberName;
+use crate::status::MemberStatus;
+use std::time::Duration;
+
+impl SuccessionPlan {
+    /// What an idle member shall be sent next, now or once it is due.
+    pub(super) fn next_statement(&self, progress: &MemberProgress) -> Option<ControlStatement> {
+        if progress.in_flight.is_some() {
+            return None;
+        }
+        let name = &progress.member.name;
+        match &self.phase {
+            PlanPhase::Fencing { .. } => {
+                progress.fenced.is_none().then_some(ControlStatement::Fence(self.term))
+            }
+            PlanPhase::CatchingUp { target, .. } if target != name => None,
+            PlanPhase::CatchingUp { .. } if progress.follows => Some(ControlStatement::Status),
+            PlanPhase::CatchingUp { source, .. } => {
+                Some(ControlStatement::Follow(self.term, source.clone()))
+            }
+            PlanPhase::Promoting { candidate, .. } => {
+                (candidate == name).then_some(ControlStatement::Promote(self.term))
+            }
+            PlanPhase::Following { candidate, .. } | PlanPhase::Confirming { candidate, .. } => {
+                self.due_after_promotion(progress, candidate)
+            }
+            PlanPhase::Ended(_) => None,
+        }
+    }
+
+    pub(super) fn due_after_promotion(
+        &self,
+        progress: &MemberProgress,
+        candidate: &MemberName,
+    ) -> Option<ControlStatement> {
+        if progress.member.name == *candidate {
+            return Some(ControlStatement::Status);
+        }
+        let follow = || ControlStatement::Follow(self.term, candidate.clone());
+        (!progress.follows).then(follow)
+    }
+
+    pub(super) fn advance(&mut self, now: Duration) {
+        match self.phase.clone() {
+            PlanPhase::Fencing { majority_since } => self.advance_fencing(now, majority_since),
+            PlanPhase::CatchingUp { since, .. } if self.is_over(now, since) => {
+                self.promote_most_advanced(now);
+            }
+            // Guards against two primaries of one term: the lost promotion may have taken effect,
+            // so no other member is promoted at this term. The driver goes on at a new one.
+            PlanPhase::Promoting { candidate, since }
+            | PlanPhase::Confirming { candidate, since }
+                if self.is_over(now, since) =>
+            {
+                self.phase = PlanPhase::Ended(PlanState::CandidateLost(candidate));
+            }
+            PlanPhase::Following { candidate, heard_at } if self.is_over(now, heard_at) => {
+                self.phase = PlanPhase::Ended(PlanState::CandidateLost(candidate));
+            }
+            PlanPhase::Following { candidate, .. } if self.majority_follows() => {
+                self.enter(PlanPhase::Confirming { candidate, since: now }, now);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn advance_fencing(&mut self, now: Duration, majority_since: Option<Duration>) {
+        let fenced = self.progress.iter().filter(|progress| progress.fenced.is_some()).count();
+        // Guards against a promotion that misses acknowledged writes: every acknowledgement
+        // rests on a majority, and only another majority is sure to share a member with it.
+        if fenced < majority_of(self.progress.len()) {
+            return;
+        }
+        let since = majority_since.unwrap_or(now);
+        self.phase = PlanPhase::Fencing { majority_since: Some(since) };
+        let all_heard = self.progress.iter().all(|progress| progress.tried);
+        if all_heard || now >= since + self.bounds.grace {
+            self.leave_fencing(now);
+        }
+    }
+
+    pub(super) fn leave_fencing(&mut self, now: Duration) {
+        let fenced = self.fenced_members();
+        let Some((best, best_status)) = choose_candidate(&fenced) else { return };
+        let target = fenced.iter().find(|(member, _)| Some(&member.name) == self.target.as_ref());
+        let phase = match target {
+            Some((target, status)) if status.received < best_status.received => {
+                PlanPhase::CatchingUp {
+                    target: target.name.clone(),
+                    source: best.name.clone(),
+                    goal: best_status.received,
+                    since: now,
+                }
+            }
+            Some((target, _)) => {
+                PlanPhase::Promoting { candidate: target.name.clone(), since: now }
+            }
+            None => PlanPhase::Promoting { candidate: best.name.clone(), since: now },
+        };
+        self.enter(phase, now);
+    }
+
+    pub(super) fn promote_most_advanced(&mut self, now: Duration) {
+        let fenced = self.fenced_members();
+        let Some((best, _)) = choose_candidate(&fenced) else { return };
+        let candidate = best.name.clone();
+        for progress in &mut self.progress {
+            progress.follows = false;
+        }
+        self.enter(PlanPhase::Promoting { candidate, since: now }, now);
+    }
+
+    pub(super) fn fenced_members(&self) -> Vec<(&PlanMember, MemberStatus)> {
+        let mut fenced = Vec::new();
+        for progress in &self.progress {
+            fenced.extend(progress.fenced.map(|status| (&progress.member, status)));
+        }
+        fenced
+    }
+
+    pub(super) fn enter(&mut self, phase: PlanPhase, now: Duration) {
+        let repeats = std::mem::discriminant(&phase) == std::mem::discriminant(&self.phase);
+        self.phase = phase;
+        if repeats {
+            return;
+        }
+        for progress in &mut self.progress {
+            progress.due_at = now;
+        }
+        if let PlanPhase::Promoting { candidate, .. } = &self.phase {
+            let candidate = candidate.clone();
+            self.forget_follow_of(&candidate);
+        }
+    }
+
+    pub(super) fn forget_follow_of(&mut self, candidate: &MemberName) {
+        if let Some(index) = self.index_of(candidate) {
+            self.progress[index].follows = false;
+        }
+    }
+
+    pub(super) fn majority_follows(&self) -> bool {
+        let followers = self.progress.iter().filter(|progress| progress.follows).count();
+        followers + 1 >= majority_of(self.progress.len())
+    }
+
+    pub(super) fn is_over(&self, now: Duration, since: Duration) -> bool {
+        now >= since + self.bounds.patience
+    }
+}
--- /dev/null
+++ b/crates/rudder-core/src/succession/plan_phase.rs
@@ -0,0 +1,53 @@
+//! What a plan remembers: the phase that it is in, and its progress at each member.
+
+use super::plan_step::{PlanMember, PlanState};
+use crate::control::ControlStatement;
+use crate::ident::MemberName;
+use crate::plain_data;
+use crate::stamp::LogStamp;
+use crate::status::MemberStatus;
+use std::time::Duration;
+
+plain_data! {
+    /// What the plan knows about one member.
+    pub(super) struct MemberProgress {
+        pub(super) member: PlanMember,
+        pub(super) in_flight: Option<SentStatement>,
+        pub(super) due_at: Duration,
+        pub(super) tried: bool,
+        pub(super) fenced: Option<MemberStatus>,
+        pub(super) follows: bool,
+    }
+}
+
+plain_data! {
+    /// A statement in flight.
+    pub(super) struct SentStatement {
+        pub(super) statement: ControlStatement,
+        pub(super) sent_at: Duration,
+    }
+}
+
+/// The order of steps.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum PlanPhase {
+    Fencing { majority_since: Option<Duration> },
+    CatchingUp { target: MemberName, source: MemberName, goal: LogStamp, since: Duration },
+    Promoting { candidate: MemberName, since: Duration },
+    Following { candidate: MemberName, heard_at: Duration },
+    Confirming { candidate: MemberName, since: Duration },
+    Ended(PlanState),
+}
+
+impl MemberProgress {
+    pub(super) fn new(member: PlanMember) -> Self {
+        Self {
+            member,
+            in_flight: None,
+            due_at: Duration::ZERO,
+            tried: false,
+            fenced: None,
+            follows: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-core/src/succession/plan_reply.rs
@@ -0,0 +1,106 @@
+//! What a plan concludes from the answers of members.
+
+use super::plan::SuccessionPlan;
+use super::plan_phase::{PlanPhase, SentStatement};
+use super::plan_step::{PlanReply, PlanState};
+use crate::control::ControlStatement;
+use crate::status::{MemberRole, MemberStatus};
+use std::time::Duration;
+
+impl SuccessionPlan {
+    pub(super) fn note_status(
+        &mut self,
+        now: Duration,
+        index: usize,
+        sent: &SentStatement,
+        status: MemberStatus,
+    ) {
+        let progress = &mut self.progress[index];
+        progress.tried = true;
+        progress.due_at = now + self.bounds.retry;
+        match &sent.statement {
+            // A member counts as fenced by its own word only: an answer at a lower term would
+            // let it go on taking the old primary's writes after its log was compared.
+            ControlStatement::Fence(_) if status.accepted == self.term => {
+                progress.fenced = Some(status);
+            }
+            ControlStatement::Follow(..) if status.accepted == self.term => {
+                progress.follows = true;
+            }
+            _ => {}
+        }
+        self.note_candidate(now, index, sent, status);
+    }
+
+    pub(super) fn note_candidate(
+        &mut self,
+        now: Duration,
+        index: usize,
+        sent: &SentStatement,
+        status: MemberStatus,
+    ) {
+        let name = self.progress[index].member.name.clone();
+        let leads = status.role == MemberRole::Primary && status.accepted == self.term;
+        let lost = || PlanPhase::Ended(PlanState::CandidateLost(name.clone()));
+        let next = match &self.phase {
+            PlanPhase::CatchingUp { target, goal, .. } if *target == name => {
+                let caught_up = self.progress[index].follows && status.received >= *goal;
+                let promoting = PlanPhase::Promoting { candidate: name.clone(), since: now };
+                caught_up.then_some(promoting)
+            }
+            PlanPhase::Promoting { candidate, .. } if *candidate == name && leads => {
+                Some(PlanPhase::Following { candidate: name.clone(), heard_at: now })
+            }
+            PlanPhase::Following { candidate, .. } if *candidate == name && leads => {
+                Some(PlanPhase::Following { candidate: name.clone(), heard_at: now })
+            }
+            PlanPhase::Following { candidate, .. } if *candidate == name => Some(lost()),
+            // Guards against opening for writes on old news: only a status that was asked for
+            // after the majority followed shows that the new primary outlived the steps.
+            PlanPhase::Confirming { candidate, since }
+                if *candidate == name && leads && sent.sent_at >= *since =>
+            {
+                Some(PlanPhase::Ended(PlanState::Done(name.clone())))
+            }
+            PlanPhase::Confirming { candidate, .. } if *candidate == name && !leads => Some(lost()),
+            PlanPhase::Confirming { candidate, .. } if *candidate == name => {
+                self.progress[index].due_at = now;
+                None
+            }
+            _ => None,
+        };
+        if let Some(phase) = next {
+            self.enter(phase, now);
+        }
+    }
+
+    pub(super) fn note_failure(
+        &mut self,
+        now: Duration,
+        index: usize,
+        sent: &SentStatement,
+        reply: PlanReply,
+    ) {
+        let retry = self.bounds.retry;
+        let progress = &mut self.progress[index];
+        progress.tried = true;
+        progress.due_at = now + retry;
+        let name = progress.member.name.clone();
+        match &self.phase {
+            // Guards against a lost `follow` that a frozen member runs late: it would turn the
+            // promoted target into a replica again and cut its log. So a target whose `follow`
+            // went unanswered is never promoted at this term.
+            PlanPhase::CatchingUp { target, .. }
+                if *target == name && matches!(sent.statement, ControlStatement::Follow(..)) =>
+            {
+                self.promote_most_advanced(now);
+            }
+            PlanPhase::Promoting { candidate, .. }
+                if *candidate == name && reply == PlanReply::Refused =>
+            {
+                self.phase = PlanPhase::Ended(PlanState::CandidateLost(name));
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/rudder-core/tests/succession/faults.rs
+++ b/crates/rudder-core/tests/succession/faults.rs
@@ -6,7 +6,7 @@
 use rudder_core::{
     AckVerdict, ControlStatement, GroupCondition, LogStamp, LogTerm, MemberName, MemberRole,
     MemberStatus, PlanBounds, PlanMember, PlanReply, PlanState, SuccessionPlan, judge_commit,
-    judge_group,
+    judge_group, majority_of,
 };
 use std::time::Duration;
 
@@ -265,10 +265,11 @@
         Ok(())
     }
 
-    /// Brings every member back, then lets one promoter work until it is done.
-    fn heal(&mut self) -> Result<(), TestCaseError> {
+    /// Brings a bare majority back, `first` among it, and lets one promoter work until it is done.
+    fn heal(&mut self, first: usize) -> Result<(), TestCaseError> {
         let size = self.size();
         (0..size).for_each(|index| self.group.restart(index));
+        (majority_of(size)..size).for_each(|index| self.group.kill((first + index) % size));
         let mut primary = None;
         for _ in 0..HEALING_ROUNDS {
             match self.plans[0].as_ref().map(SuccessionPlan::state) {
@@ -286,7 +287,7 @@
             (0..size).for_each(|index| self.group.replicate(index, 8));
             self.check()?;
         }
-        prop_assert!(primary.is_some(), "no primary although all members answer");
+        prop_assert!(primary.is_some(), "no primary although a majority answers");
         self.check()
     }
 
@@ -344,6 +345,7 @@
     fn no_acknowledged_write_is_lost(
         size in prop_oneof![4 => Just(3_usize), 1 => Just(5_usize)],
         steps in proptest::collection::vec(fault_step(), 10..160),
+        first in 0..5_usize,
     ) {
         let mut world = World::new(size);
 
@@ -352,6 +354,6 @@
             world.check()?;
         }
 
-        world.heal()?;
+        world.heal(first)?;
     }
 }
--- a/crates/rudder-core/tests/succession/grant.rs
+++ b/crates/rudder-core/tests/succession/grant.rs
@@ -143,6 +143,8 @@
 
     let reserved = grant.reserved_for(&restarted.seat.incarnation).map(|entry| entry.term);
     assert_eq!(reserved, Some(LogTerm(3)));
+    assert!(grant.enrol(&restarted.seat, &names, LogTerm(2)).is_none());
+    assert!(grant.enrol(&restarted.seat, &names, LogTerm(3)).is_some());
     assert_eq!(grant.reserved().len(), 1);
 }
 
