Succession plan: a refusal that names no greater term is a refusal

Cause: a member that has not accepted the term answers with the term it did accept, which is lower; the plan took no note of it and sent the promotion again at once. Change: such an answer counts as a refusal. Result: the widened test passes.

--- a/crates/rudder-core/src/succession/plan.rs
+++ b/crates/rudder-core/src/succession/plan.rs
@@ -153,8 +153,11 @@
         let Some(sent) = self.take_in_flight(index, statement) else { return };
         match reply {
             PlanReply::Status(status) => self.note_status(now, index, &sent, status),
-            PlanReply::Refused | PlanReply::Lost => self.note_failure(now, index, &sent, reply),
-            PlanReply::Superseded(_) => {}
+            PlanReply::Lost => self.note_failure(now, index, &sent, reply),
+            // A term that is not greater: the member has not accepted the plan's term.
+            PlanReply::Refused | PlanReply::Superseded(_) => {
+                self.note_failure(now, index, &sent, PlanReply::Refused);
+            }
         }
         self.advance(now);
     }
--- a/crates/rudder-core/tests/succession/plan.rs
+++ b/crates/rudder-core/tests/succession/plan.rs
@@ -134,15 +134,18 @@
     assert_eq!(plan.state(), PlanState::CandidateLost(member_name(1)));
 }
 
+// A member refuses the promotion, either in words or by naming a term that is not greater.
 #[test]
 fn refused_promotion_ends_the_term() {
-    let mut plan = plan();
-    fence_all(&mut plan, [PlanReply::Lost, fenced(4), fenced(3)]);
-    let sent = plan.poll(millis(1));
+    for refusal in [PlanReply::Refused, PlanReply::Superseded(LogTerm(1))] {
+        let mut plan = plan();
+        fence_all(&mut plan, [PlanReply::Lost, fenced(4), fenced(3)]);
+        let sent = plan.poll(millis(1));
 
-    plan.observe(millis(2), &member_name(1), &sent[0].statement, PlanReply::Refused);
+        plan.observe(millis(2), &member_name(1), &sent[0].statement, refusal);
 
-    assert_eq!(plan.state(), PlanState::CandidateLost(member_name(1)));
+        assert_eq!(plan.state(), PlanState::CandidateLost(member_name(1)));
+    }
 }
 
 // The new primary dies after it answered the promotion. A status that was asked for before the
