--- /dev/null
+++ b/crates/arbutusrudder/src/fleet/apply.rs
@@ -0,0 +1,35 @@
+//! Putting settings in force: groups that did not change go on as they are.
+
+use crate::context::{FleetState, InstanceContext};
+use crate::group::{GroupState, GroupTuning};
+use rudder_settings::{FleetSettings, ServiceSettings};
+use std::sync::Arc;
+
+/// Puts a checked folder in force.
+pub(crate) fn apply_folder(
+    context: &Arc<InstanceContext>,
+    revision: u64,
+    settings: &FleetSettings,
+) {
+    let before = context.fleet.load();
+    let tuning = GroupTuning {
+        domain: context.domain().clone(),
+        domains: settings.domains.clone(),
+        instances: context.instances(),
+        origin: context.origin,
+        routes: context.process.routes.clone(),
+    };
+    let same_frame =
+        before.settings.timing == settings.timing && before.settings.domains == settings.domains;
+    let group_of = |service: &ServiceSettings| {
+        let known = before.group(&service.name);
+        match known.filter(|known| same_frame && known.service == *service) {
+            Some(known) => Arc::clone(known),
+            None => Arc::new(GroupState::new(service.clone(), settings.timing.clone(), &tuning)),
+        }
+    };
+    let groups = settings.services.iter().map(group_of).collect();
+    let fleet = FleetState { revision, settings: settings.clone(), groups };
+    context.fleet.store(Arc::new(fleet));
+    context.fleet_changes.send_modify(|count| *count += 1);
+}
--- /dev/null
+++ b/crates/arbutusrudder/src/group/state.rs
@@ -0,0 +1,294 @@
+//! A group's state: the declared service, its members, and what is believed of its primary.
+
+use super::admission::AdmissionDesk;
+use super::member::{GroupMember, MemberFreshness};
+use super::reports::ReportBoard;
+use crate::keeper::{KeeperHandle, TrafficNote};
+use crate::process::AddressRoute;
+use rudder_core::{DomainName, LogTerm, MemberName, MemberStatus, OutcomeClass};
+use rudder_decisions::{
+    LaneKey, LaneLimits, MemberView, MemberWeight, OutlierTracker, RetryBudget, WorkClass,
+};
+use rudder_endpoint::{LoginSettings, MemberAddress};
+use rudder_settings::{DomainSettings, MemberSettings, ServiceSettings, TimingSettings};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// How long after its last request a group is still watched.
+const IN_USE: Duration = Duration::from_secs(10);
+
+/// Requests that may wait at one member, per slot.
+const QUEUE_PER_SLOT: u32 = 64;
+
+/// Round trip assumed to a member in the same failure domain, in another one, in another region.
+const LINK_GUESSES: [Duration; 3] =
+    [Duration::from_millis(1), Duration::from_millis(8), Duration::from_millis(24)];
+
+/// Lag assumed of a replica whose age is not known.
+const LAG_GUESS: Duration = Duration::from_millis(500);
+
+/// Connections per member that stay apart for control statements.
+const CONTROL_CONNECTIONS: u32 = 1;
+
+/// What this instance is, as far as its groups need it.
+#[derive(Clone, Debug)]
+pub(crate) struct GroupTuning {
+    /// The failure domain of this instance.
+    pub(crate) domain: DomainName,
+    /// The declared failure domains, sorted by name.
+    pub(crate) domains: Vec<DomainSettings>,
+    /// How many instances share the members' connections.
+    pub(crate) instances: u32,
+    /// The origin of this instance's time line.
+    pub(crate) origin: Instant,
+    /// Members reached at another address than the declared one.
+    pub(crate) routes: Vec<AddressRoute>,
+}
+
+impl GroupTuning {
+    fn reached(&self, address: SocketAddr) -> SocketAddr {
+        let route = self.routes.iter().find(|route| route.declared == address);
+        route.map_or(address, |route| route.reached)
+    }
+}
+
+/// Which member is believed to lead.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct PrimaryBelief {
+    /// Its index among the group's members.
+    pub(crate) index: usize,
+    /// The term at which it leads.
+    pub(crate) term: LogTerm,
+}
+
+/// One database group as this instance sees it.
+pub(crate) struct GroupState {
+    /// The declared service.
+    pub(crate) service: ServiceSettings,
+    /// Bounds in time.
+    pub(crate) timing: TimingSettings,
+    /// The members, sorted by name.
+    pub(crate) members: Vec<GroupMember>,
+    /// The members' reports.
+    pub(crate) board: ReportBoard,
+    /// The admission gate.
+    pub(crate) desk: Arc<AdmissionDesk>,
+    usage: GroupUsage,
+    keeper: Mutex<Option<KeeperHandle>>,
+    outliers: Mutex<OutlierTracker>,
+    retries: Mutex<RetryBudget>,
+    sharers: AtomicU32,
+}
+
+/// Whether anybody at this instance needs the group.
+#[derive(Default)]
+struct GroupUsage {
+    /// Milliseconds from the origin to the last request.
+    last_used_ms: AtomicU64,
+    /// Whether this instance keeps the group.
+    kept: AtomicBool,
+}
+
+impl GroupState {
+    /// The state of a declared service, before any member was asked.
+    pub(crate) fn new(
+        service: ServiceSettings,
+        timing: TimingSettings,
+        tuning: &GroupTuning,
+    ) -> Self {
+        let login = login_of(&service);
+        let make = |settings: &MemberSettings| {
+            let reached = tuning.reached(settings.address);
+            let address = MemberAddress { address: reached, login: login.clone() };
+            let connections = connection_share(settings, tuning.instances);
+            GroupMember::new(settings.clone(), address, connections, link_guess(settings, tuning))
+        };
+        let members: Vec<GroupMember> = service.members.iter().map(make).collect();
+        let board = ReportBoard::new(tuning.origin, members.len());
+        let desk = Arc::new(AdmissionDesk::new(rand::random()));
+        let usage = GroupUsage::default();
+        let keeper = Mutex::default();
+        let group = Self {
+            service,
+            timing,
+            members,
+            board,
+            desk,
+            usage,
+            keeper,
+            outliers: Mutex::new(OutlierTracker::new(Instant::now())),
+            retries: Mutex::new(RetryBudget::new()),
+            sharers: AtomicU32::new(tuning.instances),
+        };
+        group.refresh_lanes();
+        group
+    }
+
+    /// Notes that a request needs the group; the first one after a pause wakes its watch, and waits
+    /// until a member has reported.
+    pub(crate) async fn touch(&self, within: Duration) {
+        let now = u64::try_from(self.board.now().as_millis()).unwrap_or(u64::MAX);
+        let slept = !self.is_in_use();
+        self.usage.last_used_ms.store(now, Ordering::Relaxed);
+        if slept {
+            self.members.iter().for_each(|member| member.wanted.notify_one());
+        }
+        if self.board.is_empty() {
+            let mut changes = self.board.subscribe();
+            let reported = changes.wait_for(|_| !self.board.is_empty());
+            // Without any report the request is refused further on, and says why.
+            let _ = timeout(within, reported).await;
+        }
+    }
+
+    /// Whether the members are to be asked at an interval: this instance keeps the group, or
+    /// served it lately. At the planned size an instance serves few of all groups, and asking the
+    /// others would cost more than its whole budget for control.
+    pub(crate) fn is_in_use(&self) -> bool {
+        let now = u64::try_from(self.board.now().as_millis()).unwrap_or(u64::MAX);
+        let last = self.usage.last_used_ms.load(Ordering::Relaxed);
+        let idle = Duration::from_millis(now.saturating_sub(last));
+        self.usage.kept.load(Ordering::Relaxed) || (last > 0 && idle < IN_USE)
+    }
+
+    /// Notes whether this instance keeps the group.
+    pub(crate) fn set_keeper(&self, keeper: Option<KeeperHandle>) {
+        self.usage.kept.store(keeper.is_some(), Ordering::Relaxed);
+        *self.keeper.lock().expect("no holder of this lock panics") = keeper;
+        self.members.iter().for_each(|member| member.wanted.notify_one());
+    }
+
+    /// Takes what a request or probe showed of a member: on the board, and to the keeper, whose
+    /// own probe it replaces.
+    pub(crate) fn take_report(
+        &self,
+        index: usize,
+        asked_at: Duration,
+        status: Option<MemberStatus>,
+    ) {
+        let name = self.members[index].name();
+        if let Some(status) = status {
+            self.board.note(name, asked_at, status);
+        }
+        let keeper = self.keeper.lock().expect("no holder of this lock panics");
+        if let Some(keeper) = keeper.as_ref() {
+            let asked_at = self.board.instant_of(asked_at).into();
+            keeper.note(TrafficNote { member: name.clone(), asked_at, status });
+        }
+    }
+
+    /// The settings that members reported at login, if any connection was opened.
+    pub(crate) fn reported_parameters(&self) -> Option<Vec<(String, String)>> {
+        self.members.iter().find_map(|member| member.pool.reported_parameters())
+    }
+
+    /// The member believed to lead, if any report says that one does.
+    pub(crate) fn primary(&self) -> Option<PrimaryBelief> {
+        let (name, term) = self.board.primary()?;
+        Some(PrimaryBelief { index: self.index_of(&name)?, term })
+    }
+
+    /// The index of a member.
+    pub(crate) fn index_of(&self, name: &MemberName) -> Option<usize> {
+        self.members.binary_search_by(|member| member.name().cmp(name)).ok()
+    }
+
+    /// The lane of a member at the admission gate.
+    pub(crate) fn lane(&self, index: usize) -> LaneKey {
+        let member = self.members[index].name().clone();
+        LaneKey { service: self.service.name.clone(), member }
+    }
+
+    /// Sets the lanes' slots to what the members' meters allow.
+    fn refresh_lanes(&self) {
+        for (index, member) in self.members.iter().enumerate() {
+            let slots = member.window();
+            let limits = LaneLimits { slots, queue_max: slots * QUEUE_PER_SLOT, mixed: true };
+            self.desk.set_lane(&self.lane(index), limits);
+        }
+    }
+
+    /// Takes the outcome of a statement at a member: whether its connection held.
+    pub(crate) fn note_outcome(&self, index: usize, answered: bool) {
+        let mut outliers = self.outliers.lock().expect("no holder of this lock panics");
+        outliers.observe(self.members[index].name(), answered);
+        if answered {
+            self.retries.lock().expect("no holder of this lock panics").succeed();
+        }
+    }
+
+    /// Whether a request that provably did not run may be tried again. Guards against a storm of
+    /// retries after a failover: they are paid for by successes.
+    pub(crate) fn may_retry(&self, class: WorkClass) -> bool {
+        let mut retries = self.retries.lock().expect("no holder of this lock panics");
+        retries.try_spend(class, OutcomeClass::NotRun)
+    }
+
+    /// Follows what was learned since the last call: outliers, lanes, connection shares.
+    pub(crate) fn follow(&self, instances: u32) {
+        self.outliers.lock().expect("no holder of this lock panics").step(Instant::now());
+        self.sharers.store(instances, Ordering::Relaxed);
+        self.share_connections(instances);
+        self.refresh_lanes();
+    }
+
+    fn share_connections(&self, instances: u32) {
+        let now = self.board.now();
+        for member in &self.members {
+            let wanted = connection_share(&member.settings, instances);
+            member.pool.set_limit(member.settle_share(wanted, now));
+        }
+    }
+
+    fn weight_of(&self, index: usize) -> MemberWeight {
+        let outliers = self.outliers.lock().expect("no holder of this lock panics");
+        outliers.weight(self.members[index].name())
+    }
+
+    /// What the read router is told, in the order of the members. Members that have not reported
+    /// are left out by the second list, which gives each view's member index.
+    pub(crate) fn views(&self) -> (Vec<MemberView>, Vec<usize>) {
+        let now = self.board.now();
+        let sharers = self.sharers.load(Ordering::Relaxed);
+        let mut views = Vec::with_capacity(self.members.len());
+        let mut indexes = Vec::with_capacity(self.members.len());
+        for report in self.board.reports() {
+            let Some(index) = self.index_of(&report.member) else { continue };
+            let applied = report.status.applied;
+            let freshness = self.board.with_ledger(|ledger| MemberFreshness {
+                age: ledger.age_of(applied, now),
+                lag: ledger.age_of(applied, report.asked_at).unwrap_or(LAG_GUESS),
+            });
+            let weight = self.weight_of(index);
+            views.push(self.members[index].view(report.status, freshness, weight, sharers));
+            indexes.push(index);
+        }
+        (views, indexes)
+    }
+}
+
+/// An equal share of a member's connections, less those for control, and at least one.
+fn connection_share(settings: &MemberSettings, instances: u32) -> u32 {
+    let share = settings.connections.0 / instances.max(1);
+    share.saturating_sub(CONTROL_CONNECTIONS).max(1)
+}
+
+fn login_of(service: &ServiceSettings) -> LoginSettings {
+    let password = service.password_variable.as_ref().and_then(|name| std::env::var(name).ok());
+    LoginSettings { user: service.user.clone(), database: service.database.clone(), password }
+}
+
+fn link_guess(member: &MemberSettings, tuning: &GroupTuning) -> Duration {
+    if member.domain == tuning.domain {
+        return LINK_GUESSES[0];
+    }
+    let region_of = |name: &DomainName| {
+        let index = tuning.domains.binary_search_by(|domain| domain.name.cmp(name)).ok()?;
+        Some(&tuning.domains[index].region)
+    };
+    let same_region = region_of(&member.domain) == region_of(&tuning.domain);
+    if same_region { LINK_GUESSES[1] } else { LINK_GUESSES[2] }
+}
--- a/crates/arbutusrudder/src/keeper/mod.rs
+++ b/crates/arbutusrudder/src/keeper/mod.rs
@@ -26,4 +26,3 @@
 pub(crate) use event::TrafficNote;
 pub(crate) use exchange::{KeeperEntry, KeeperRoster, ObserverExchange};
 pub(crate) use group_keeper::{KeeperHandle, spawn_keeper};
-pub(crate) use view::{GroupView, MemberReport};
--- /dev/null
+++ b/crates/rudder-standins/src/group/wire/session.rs
@@ -0,0 +1,379 @@
+//! A session: its transaction state, and the running of single statements.
+
+use super::cancel::CancelKey;
+use super::client::ClientStream;
+use super::encode::{put, put_notice, put_ready};
+use super::extended::{PortalTable, StatementTable};
+use super::session_settings::SessionSettings;
+use crate::group::handle::turn_by_sql;
+use crate::group::member::GroupMember;
+use crate::group::slots::lock;
+use crate::group::sql::error::SqlError;
+use crate::group::sql::plan::StatementPlan;
+use crate::group::sql::scalar::SessionFacts;
+use crate::group::sql::value::{SqlType, SqlValue};
+use crate::group::tables::answer::{CommandTag, StatementAnswer};
+use crate::group::tables::describe::{status_columns, text_column};
+use crate::group::tables::run::{RunScope, run_plan};
+use crate::group::tables::transaction::OpenTransaction;
+use pgwire::messages::response::TransactionStatus;
+use pgwire::messages::startup::ParameterStatus;
+use rudder_core::MemberStatus;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Whether the client opened a transaction block.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BlockState {
+    /// Statements commit on their own, or at the end of their message or batch.
+    None,
+    Open,
+    /// A statement failed: only the end of the block, or a return to a savepoint, is accepted.
+    Failed,
+}
+
+/// Why a session could not go on with a statement.
+#[derive(Debug)]
+pub(crate) enum StatementError {
+    /// The statement failed; the session goes on.
+    Sql(SqlError),
+    /// The connection failed.
+    Connection(io::Error),
+}
+
+impl From<SqlError> for StatementError {
+    fn from(error: SqlError) -> Self {
+        Self::Sql(error)
+    }
+}
+
+impl From<io::Error> for StatementError {
+    fn from(error: io::Error) -> Self {
+        Self::Connection(error)
+    }
+}
+
+/// A statement's values of parameters with their types.
+#[derive(Clone, Debug)]
+pub(crate) struct BoundParameters {
+    pub(crate) values: Arc<[SqlValue]>,
+    pub(crate) kinds: Arc<[SqlType]>,
+}
+
+impl BoundParameters {
+    /// No parameters.
+    pub(crate) fn none() -> Self {
+        Self { values: Arc::new([]), kinds: Arc::new([]) }
+    }
+}
+
+/// One client's session with a member.
+#[derive(Debug)]
+pub(crate) struct ClientSession {
+    pub(crate) member: Arc<GroupMember>,
+    pub(crate) members: Arc<[Arc<GroupMember>]>,
+    pub(crate) client: ClientStream,
+    pub(crate) facts: Arc<SessionFacts>,
+    pub(crate) key: CancelKey,
+    pub(crate) cancel: Arc<Notify>,
+    pub(crate) settings: SessionSettings,
+    /// Settings to return to if the block is rolled back.
+    pub(crate) settings_before: Option<SessionSettings>,
+    /// Settings to return to when the block ends in any way, from `SET LOCAL`.
+    pub(crate) settings_local: Option<SessionSettings>,
+    pub(crate) transaction: Option<OpenTransaction>,
+    pub(crate) block: BlockState,
+    /// Whether the block was opened for reading only.
+    pub(crate) read_only: bool,
+    pub(crate) statements: StatementTable,
+    pub(crate) portals: PortalTable,
+    /// After an error in a batch, everything up to its end is skipped.
+    pub(crate) skipping: bool,
+}
+
+impl ClientSession {
+    /// The status that ends each request.
+    pub(crate) fn status(&self) -> TransactionStatus {
+        match self.block {
+            BlockState::None => TransactionStatus::Idle,
+            BlockState::Open => TransactionStatus::Transaction,
+            BlockState::Failed => TransactionStatus::Error,
+        }
+    }
+
+    /// Ends a request.
+    pub(crate) fn ready(&mut self) {
+        put_ready(self.status(), &mut self.client.output);
+    }
+
+    /// Runs one statement. `alone` says that nothing else belongs to its implicit transaction,
+    /// so that it may run and commit in one step.
+    pub(crate) async fn run(
+        &mut self,
+        plan: &StatementPlan,
+        parameters: &BoundParameters,
+        alone: bool,
+    ) -> Result<StatementAnswer, StatementError> {
+        if self.block == BlockState::Failed && !plan.runs_in_failed() {
+            return Err(SqlError::Aborted.into());
+        }
+        // The member may have been frozen while the session waited for the client; what a frozen
+        // member is asked must not take effect before it wakes.
+        self.member.wait_thawed().await;
+        if plan.takes_slot() {
+            self.occupy_and_run(plan, parameters, alone).await
+        } else {
+            self.run_control(plan).map_err(StatementError::Sql)
+        }
+    }
+
+    /// Records that a statement failed.
+    pub(crate) fn fail(&mut self) {
+        match self.block {
+            BlockState::None => self.transaction = None,
+            BlockState::Open | BlockState::Failed => self.block = BlockState::Failed,
+        }
+    }
+
+    /// Commits what belongs to the implicit transaction, at the end of a message or batch.
+    pub(crate) fn end_implicit(&mut self) -> Result<(), SqlError> {
+        if self.block != BlockState::None {
+            return Ok(());
+        }
+        match self.transaction.take() {
+            Some(transaction) => self.member.commit(transaction).map(drop),
+            None => Ok(()),
+        }
+    }
+
+    async fn occupy_and_run(
+        &mut self,
+        plan: &StatementPlan,
+        parameters: &BoundParameters,
+        alone: bool,
+    ) -> Result<StatementAnswer, StatementError> {
+        self.note_role();
+        let scope = self.scope(parameters);
+        let sleep = sleep_time(plan, &scope)?;
+        let permit = match self.member.slots.try_enter() {
+            Some(permit) => permit,
+            None => {
+                self.client.flush().await?;
+                let member = Arc::clone(&self.member);
+                let entered = self.cancellable(member.slots.enter()).await?;
+                entered.ok_or(SqlError::Cancelled)?
+            }
+        };
+        let service = self.member.slots.next_time();
+        if !service.is_zero() || !sleep.is_zero() {
+            self.client.flush().await?;
+            let member = Arc::clone(&self.member);
+            self.cancellable(async {
+                if !service.is_zero() {
+                    member.slots.serve(service).await;
+                }
+                if !sleep.is_zero() {
+                    tokio::time::sleep(sleep).await;
+                }
+            })
+            .await?;
+        }
+        self.member.wait_thawed().await;
+        let answer = self.run_data(plan, &scope, alone)?;
+        drop(permit);
+        Ok(answer)
+    }
+
+    /// Waits for `work` unless the client cancels the statement or its timeout passes.
+    async fn cancellable<T>(&self, work: impl Future<Output = T>) -> Result<T, SqlError> {
+        let timeout = self.settings.statement_timeout();
+        let timer = async {
+            match timeout {
+                Some(timeout) => tokio::time::sleep(timeout).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            result = work => Ok(result),
+            () = self.cancel.notified() => Err(SqlError::Cancelled),
+            () = timer => Err(SqlError::TimedOut),
+        }
+    }
+
+    /// What statements run with.
+    pub(crate) fn scope(&self, parameters: &BoundParameters) -> RunScope {
+        RunScope {
+            parameters: Arc::clone(&parameters.values),
+            kinds: Arc::clone(&parameters.kinds),
+            facts: Arc::clone(&self.facts),
+        }
+    }
+
+    fn run_data(
+        &mut self,
+        plan: &StatementPlan,
+        scope: &RunScope,
+        alone: bool,
+    ) -> Result<StatementAnswer, SqlError> {
+        let write = plan.write_name();
+        if let Some(statement) = write {
+            if self.read_only {
+                return Err(SqlError::ReadOnly(statement));
+            }
+            lock(&self.member.state).check_writable(statement)?;
+        }
+        let alone = alone && self.block == BlockState::None && self.transaction.is_none();
+        match plan {
+            StatementPlan::CopyIn(_) | StatementPlan::CopyOut(_) => {
+                self.open_transaction();
+                Ok(StatementAnswer::done(CommandTag::Plain("COPY")))
+            }
+            _ if alone && write.is_some() => self.run_and_commit(plan, scope),
+            _ if alone => run_plan(plan, &mut self.snapshot(), scope),
+            _ => run_plan(plan, self.open_transaction(), scope),
+        }
+    }
+
+    /// Runs and commits a single statement under the member's lock, so that it sees and changes
+    /// the newest rows and cannot conflict.
+    fn run_and_commit(
+        &mut self,
+        plan: &StatementPlan,
+        scope: &RunScope,
+    ) -> Result<StatementAnswer, SqlError> {
+        let answer = {
+            let mut state = lock(&self.member.state);
+            let mut transaction = state.begin();
+            let answer = run_plan(plan, &mut transaction, scope)?;
+            state.commit(transaction)?;
+            answer
+        };
+        self.member.shared.touch();
+        Ok(answer)
+    }
+
+    /// The open transaction, begun now if there is none.
+    pub(crate) fn open_transaction(&mut self) -> &mut OpenTransaction {
+        let fresh = match self.transaction.take() {
+            Some(transaction) => transaction,
+            None => self.snapshot(),
+        };
+        self.transaction.insert(fresh)
+    }
+
+    /// A transaction over the newest rows, apart from the session's own.
+    fn snapshot(&self) -> OpenTransaction {
+        lock(&self.member.state).begin()
+    }
+
+    /// Notes whether the member is a replica, for the functions that tell it.
+    fn note_role(&mut self) {
+        let replica = self.member.is_replica();
+        if replica != self.facts.replica {
+            Arc::make_mut(&mut self.facts).replica = replica;
+        }
+    }
+
+    fn run_control(&mut self, plan: &StatementPlan) -> Result<StatementAnswer, SqlError> {
+        match plan {
+            StatementPlan::Control(statement) => self.member.control(statement).map(status_answer),
+            StatementPlan::Knob(command) => {
+                turn_by_sql(&self.members, &self.member, command)?;
+                Ok(StatementAnswer::rows(
+                    vec![text_column("knob")],
+                    vec![vec![SqlValue::text("ok")]],
+                ))
+            }
+            StatementPlan::Notice(text) => {
+                let row = vec![SqlValue::text("sent")];
+                let answer = StatementAnswer::rows(vec![text_column("notice")], vec![row]);
+                Ok(answer.with_notice("NOTICE", "00000", text.as_ref().to_owned()))
+            }
+            StatementPlan::Begin { read_only } => Ok(self.begin_block(*read_only)),
+            StatementPlan::Commit => self.commit_block(),
+            StatementPlan::Rollback => Ok(self.roll_back()),
+            StatementPlan::Savepoint(name) => {
+                self.open_transaction().save(Arc::clone(name));
+                Ok(StatementAnswer::done(CommandTag::Plain("SAVEPOINT")))
+            }
+            StatementPlan::RollbackTo(name) => {
+                self.open_transaction().return_to(name)?;
+                if self.block == BlockState::Failed {
+                    self.block = BlockState::Open;
+                }
+                Ok(StatementAnswer::done(CommandTag::Plain("ROLLBACK")))
+            }
+            StatementPlan::Release(name) => {
+                self.open_transaction().release(name)?;
+                Ok(StatementAnswer::done(CommandTag::Plain("RELEASE")))
+            }
+            StatementPlan::Set { name, value, local } => self.set(name, value.as_ref(), *local),
+            StatementPlan::ResetAll => {
+                let reports = self.settings.reset_all();
+                self.report(reports);
+                Ok(StatementAnswer::done(CommandTag::Plain("RESET")))
+            }
+            StatementPlan::DiscardAll => self.discard_all(),
+            StatementPlan::Deallocate(name) => {
+                self.statements.deallocate(name.as_deref())?;
+                Ok(StatementAnswer::done(CommandTag::Plain("DEALLOCATE")))
+            }
+            StatementPlan::Show(name) => {
+                let value = SqlValue::text(self.shown(name)?);
+                let mut answer = StatementAnswer::rows(vec![text_column(name)], vec![vec![value]]);
+                answer.tag = CommandTag::Plain("SHOW");
+                Ok(answer)
+            }
+            StatementPlan::Ignored(tag) => Ok(StatementAnswer::done(CommandTag::Plain(tag))),
+            _ => Err(SqlError::Unsupported("this statement here".to_owned())),
+        }
+    }
+
+    /// The value of a setting, or of what `SHOW` tells besides settings.
+    fn shown(&self, name: &str) -> Result<&str, SqlError> {
+        let flag = match name {
+            "transaction_read_only" => self.read_only || self.member.is_replica(),
+            "in_hot_standby" => self.member.is_replica(),
+            _ => return self.settings.get(name),
+        };
+        Ok(if flag { "on" } else { "off" })
+    }
+
+    /// Tells the client of changed settings.
+    pub(crate) fn report(&mut self, reports: impl IntoIterator<Item = (String, String)>) {
+        for (name, value) in reports {
+            put(&ParameterStatus::new(name, value), &mut self.client.output);
+        }
+    }
+
+    /// Sends an answer's notices.
+    pub(crate) fn send_notices(&mut self, answer: &StatementAnswer) {
+        for notice in &answer.notices {
+            put_notice(notice, &mut self.client.output);
+        }
+    }
+}
+
+fn status_answer(status: MemberStatus) -> StatementAnswer {
+    let texts = [
+        status.role.to_string(),
+        status.accepted.to_string(),
+        status.received.term.to_string(),
+        status.received.position.to_string(),
+        status.applied.term.to_string(),
+        status.applied.position.to_string(),
+    ];
+    let row = texts.iter().map(|text| SqlValue::text(text)).collect();
+    StatementAnswer::rows(status_columns(), vec![row])
+}
+
+/// How long a `pg_sleep` among the columns waits.
+fn sleep_time(plan: &StatementPlan, scope: &RunScope) -> Result<Duration, SqlError> {
+    let StatementPlan::Select(select) = plan else { return Ok(Duration::ZERO) };
+    let Some(sleep) = &select.sleep else { return Ok(Duration::ZERO) };
+    let text = sleep.evaluate(scope.row(None, &[]))?.to_text();
+    let seconds: f64 = text.parse().map_err(|_| SqlError::InvalidText("double precision", text))?;
+    Duration::try_from_secs_f64(seconds).map_err(|_| SqlError::OutOfRange)
+}
--- /dev/null
+++ b/crates/rudder-standins/src/platform/state.rs
@@ -0,0 +1,105 @@
+//! What the stand-in's requests share.
+
+use super::faults::{CallCounts, PlatformFaults, PlatformOutage};
+use super::instances::{InstanceList, StandinInstance};
+use super::objects::ObjectTable;
+use serde_json::Value;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// How many changes reads can be behind.
+const HISTORY_MAX: usize = 64;
+
+/// Objects, instances, faults and counters behind one lock.
+pub(crate) struct StandinState {
+    inner: Mutex<StandinInner>,
+    outage: watch::Sender<PlatformOutage>,
+}
+
+#[derive(Default)]
+struct StandinInner {
+    table: ObjectTable,
+    /// The states before the last changes, oldest first, for stale reads.
+    history: Vec<ObjectTable>,
+    instances: InstanceList,
+    faults: PlatformFaults,
+    calls: CallCounts,
+}
+
+impl StandinState {
+    pub(crate) fn new(outage: watch::Sender<PlatformOutage>) -> Self {
+        Self { inner: Mutex::default(), outage }
+    }
+
+    pub(crate) fn read<T>(&self, view: impl FnOnce(&ObjectTable) -> T) -> T {
+        let inner = self.lock();
+        let stale_by = inner.faults.stale_by.min(inner.history.len());
+        let stale = inner.history.iter().rev().take(stale_by).next_back();
+        view(stale.unwrap_or(&inner.table))
+    }
+
+    pub(crate) fn change<T>(&self, change: impl FnOnce(&mut ObjectTable) -> T) -> T {
+        let mut inner = self.lock();
+        let before = inner.table.clone();
+        let result = change(&mut inner.table);
+        if inner.table.last_version() > before.last_version() {
+            inner.history.push(before);
+            let excess = inner.history.len().saturating_sub(HISTORY_MAX);
+            inner.history.drain(..excess);
+        }
+        result
+    }
+
+    pub(crate) fn slices(&self, service: &str) -> Value {
+        self.lock().instances.slices(service, Instant::now())
+    }
+
+    pub(crate) fn set_instances(&self, entries: Vec<StandinInstance>, lag: Duration) {
+        self.lock().instances.set(entries, Instant::now(), lag);
+    }
+
+    pub(crate) fn faults(&self) -> PlatformFaults {
+        self.lock().faults.clone()
+    }
+
+    pub(crate) fn set_faults(&self, faults: PlatformFaults) {
+        let outage = faults.outage;
+        self.lock().faults = faults;
+        self.outage.send_replace(outage);
+    }
+
+    /// Whether the answer to a change that took effect is lost; uses one up.
+    pub(crate) fn take_lost_answer(&self) -> bool {
+        take_one(&mut self.lock().faults.lost_answers)
+    }
+
+    /// Whether a change that took effect is answered by a gateway's timeout; uses one up.
+    pub(crate) fn take_gateway_timeout(&self) -> bool {
+        take_one(&mut self.lock().faults.gateway_timeouts)
+    }
+
+    pub(crate) fn count(&self, writes: bool) {
+        let calls = &mut self.lock().calls;
+        if writes {
+            calls.writes += 1;
+        } else {
+            calls.reads += 1;
+        }
+    }
+
+    pub(crate) fn calls(&self) -> CallCounts {
+        self.lock().calls
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StandinInner> {
+        // A handler that panicked leaves whole rows behind, so its lock may be taken over.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn take_one(left: &mut u32) -> bool {
+    let taken = *left > 0;
+    *left = left.saturating_sub(1);
+    taken
+}
