--- a/crates/rudder-core/tests/succession/grant.rs
+++ b/crates/rudder-core/tests/succession/grant.rs
@@ -75,8 +75,7 @@
             }
             GrantStep::Enrol(index) => {
                 let keeper = &self.keepers[index];
-                let spent = Some(keeper.purse.spent());
-                let grant = seen(self, index).enrol(&keeper.seat, &names, spent);
+                let grant = seen(self, index).enrol(&keeper.seat, &names, self.accepted);
                 self.put(index, grant);
             }
             GrantStep::Settle(index) => {
@@ -131,13 +130,31 @@
     }
 }
 
+// An instance restarts under its name during a quiet time. Without a reservation for its new run
+// it could not act in an outage of the platform.
+#[test]
+fn restarted_keeper_gets_a_reservation_of_its_own() {
+    let names = [instance(0)];
+    let grant = SuccessionGrant::first(instance(0), LogTerm(1), WriterMark::random());
+    let grant = grant.enrol(&keeper(0).seat, &names, LogTerm(1)).expect("a change");
+    let restarted = keeper(0);
+
+    let grant = grant.enrol(&restarted.seat, &names, LogTerm(1)).expect("a change");
+
+    let reserved = grant.reserved_for(&restarted.seat.incarnation).map(|entry| entry.term);
+    assert_eq!(reserved, Some(LogTerm(3)));
+    assert!(grant.enrol(&restarted.seat, &names, LogTerm(2)).is_none());
+    assert!(grant.enrol(&restarted.seat, &names, LogTerm(3)).is_some());
+    assert_eq!(grant.reserved().len(), 1);
+}
+
 #[test]
 fn stored_grant_with_a_term_twice_is_refused() {
     let seat = |index| KeeperSeat { instance: instance(index), incarnation: WriterMark::random() };
     let names = [instance(0), instance(1)];
     let grant = SuccessionGrant::first(instance(0), LogTerm(1), WriterMark::random());
-    let grant = grant.enrol(&seat(0), &names, None).expect("a change");
-    let grant = grant.enrol(&seat(1), &names, None).expect("a change");
+    let grant = grant.enrol(&seat(0), &names, LogTerm(1)).expect("a change");
+    let grant = grant.enrol(&seat(1), &names, LogTerm(1)).expect("a change");
     let mut bytes = postcard::to_stdvec(&grant).expect("encodes");
     let twice = bytes.iter().rposition(|byte| *byte == 3).expect("the second reserved term");
 
