decisions: what the meter forgets goes to the next answer

Cause: with forgetting between any two answers a rarely used member's estimate was half guess, and a slow member was tried for seconds on end. Change: nothing is forgotten for a second; after that the forgotten weight goes to the next answer. The ramp test plays five runs of a very cold member.

--- a/crates/rudder-decisions/src/meter.rs
+++ b/crates/rudder-decisions/src/meter.rs
@@ -19,8 +19,12 @@
 /// Weight of the first answer, which is worth more than a guess.
 const FIRST_GAIN: f64 = 0.5;
 
-/// After this long without an answer, half of the distance to the first guess is forgotten, so
-/// that a member once slow is tried again.
+/// A member that gets work is heard more often than this. What is known of it is then kept: in a
+/// trial that forgot between any two answers the estimate of a rarely used member was half guess.
+const FORGET_AFTER: Duration = Duration::from_secs(1);
+
+/// Without answers, half of the distance to the first guess is forgotten in this time, so that a
+/// member once slow is tried again.
 const FORGET_HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// The window is at most this multiple of the slots, however far the member and however short its
@@ -69,11 +73,13 @@
     ///
     /// See the example of [`MemberMeter`].
     pub fn observe(&mut self, latency: Duration, now: Instant) {
-        let gain = if self.last_answer.is_some() { SERVICE_GAIN } else { FIRST_GAIN };
-        // What was forgotten while no answers came stays forgotten. Otherwise the first good answer
-        // of a member that has recovered would bring its old, slow estimate back, and the member
-        // would be tried once in a while and never used.
+        // What was forgotten stays forgotten, and its weight goes to this answer. Otherwise the
+        // first good answer of a member that has recovered would bring its old, slow estimate back,
+        // or the first slow one of a member that has not would hardly count; either way the member
+        // would be used wrongly for as long again.
+        let kept = self.kept(now);
         self.service_s = self.service(now).as_secs_f64();
+        let gain = SERVICE_GAIN.max(FIRST_GAIN * (1.0 - kept));
         self.service_s += gain * (latency.as_secs_f64() - self.service_s);
         self.last_answer = Some(now);
     }
@@ -87,13 +93,12 @@
     /// let mut meter = rudder_decisions::MemberMeter::new(5, Duration::from_millis(10));
     /// meter.observe(Duration::from_millis(90), now);
     /// assert_eq!(meter.service(now), Duration::from_millis(50));
-    /// assert_eq!(meter.service(now + Duration::from_secs(2)), Duration::from_millis(30));
+    /// assert_eq!(meter.service(now + Duration::from_secs(1)), Duration::from_millis(50));
+    /// assert_eq!(meter.service(now + Duration::from_secs(3)), Duration::from_millis(30));
     /// ```
     #[must_use]
     pub fn service(&self, now: Instant) -> Duration {
-        let idle = self.last_answer.map_or(Duration::ZERO, |last| now.duration_since(last));
-        let half_lives = idle.as_secs_f64() / FORGET_HALF_LIFE.as_secs_f64();
-        let kept = 0.5_f64.powf(half_lives);
+        let kept = self.kept(now);
         let service_s = self.guess_s + kept * (self.service_s - self.guess_s);
         Duration::from_secs_f64(service_s)
     }
@@ -126,4 +131,13 @@
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
     }
+
+    /// The part of what was learned that still counts.
+    fn kept(&self, now: Instant) -> f64 {
+        let Some(last) = self.last_answer else {
+            return 0.0;
+        };
+        let idle = now.duration_since(last).saturating_sub(FORGET_AFTER);
+        0.5_f64.powf(idle.as_secs_f64() / FORGET_HALF_LIFE.as_secs_f64())
+    }
 }
--- a/crates/rudder-decisions/tests/load/endpoints.rs
+++ b/crates/rudder-decisions/tests/load/endpoints.rs
@@ -73,20 +73,25 @@
 }
 
 // A replica comes back with empty caches. All instances find it idle and send it their share in
-// the same moment, and the first callers wait for each other's cold statements.
+// the same moment, and the first callers wait for each other's cold statements. How many meet it
+// cold is chance, so the first two seconds are played five times.
 #[test]
 fn load_moves_to_a_cold_member_by_degrees() {
     let until = Duration::from_secs(30);
-    let cold = Fault { from: Duration::ZERO, until, kind: FaultKind::Cold(10.0, 500) };
+    let cold = Fault { from: Duration::ZERO, until, kind: FaultKind::Cold(20.0, 1000) };
     let members = group_with(cold);
-    let requests = reads(700.0);
-    let ramped = PolicySettings { ramp: Some(2), ..PolicySettings::default() };
+    let pattern = ArrivalPattern::steady(700.0, Duration::from_secs(2), INSTANCES);
+    let runs: Vec<Vec<Request>> =
+        (SEED..SEED + 5).map(|seed| pattern.draw(&mut StdRng::seed_from_u64(seed))).collect();
+    let p99_sum = |settings| -> f64 {
+        let p99_of = |requests: &Vec<Request>| {
+            all(requests, &play(&members, requests, PolicyChoice::Current(settings), SEED)).p99_ms
+        };
+        runs.iter().map(p99_of).sum()
+    };
 
-    let now = play(&members, &requests, PolicyChoice::Current(ramped), SEED);
-    let at_once = play(&members, &requests, PolicyChoice::Current(PolicySettings::default()), SEED);
+    let now = p99_sum(PolicySettings { ramp: Some(2), ..PolicySettings::default() });
+    let at_once = p99_sum(PolicySettings::default());
 
-    let first = |request: &Request, _: &super::model::Outcome| request.at.as_secs() < 2;
-    let (now, at_once) =
-        (LoadSummary::of(&requests, &now, first), LoadSummary::of(&requests, &at_once, first));
-    assert!(now.p99_ms * 1.25 < at_once.p99_ms, "{now:?} {at_once:?}");
+    assert!(now * 1.25 < at_once, "{now} {at_once}");
 }
