--- a/crates/rudder-decisions/src/meter.rs
+++ b/crates/rudder-decisions/src/meter.rs
@@ -27,6 +27,10 @@
 /// member once slow is tried again.
 const FORGET_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Statements that stand by inside the member for each of its slots. Without them a slot whose
+/// statement was short stands idle until the next one has travelled.
+const STANDBY: f64 = 0.5;
+
 /// The window is at most this multiple of the slots, however far the member and however short its
 /// statements: more in flight would only move the queue into the member, where nothing can be
 /// reordered, shed or refused any more.
@@ -111,13 +115,13 @@
     /// ```
     /// use std::time::{Duration, Instant};
     /// let meter = rudder_decisions::MemberMeter::new(5, Duration::from_millis(10));
-    /// assert_eq!(meter.window(Duration::from_millis(8), Instant::now()), 9);
+    /// assert_eq!(meter.window(Duration::from_millis(8), Instant::now()), 12);
     /// ```
     #[must_use]
     pub fn window(&self, link: Duration, now: Instant) -> u32 {
         let service_s = self.service(now).as_secs_f64().max(SERVICE_MIN_S);
-        let travelling = (link.as_secs_f64() / service_s).min(WINDOW_FACTOR_MAX - 1.0);
-        (f64::from(self.slots) * (1.0 + travelling)).ceil() as u32
+        let travelling = (link.as_secs_f64() / service_s).min(WINDOW_FACTOR_MAX - 1.0 - STANDBY);
+        (f64::from(self.slots) * (1.0 + STANDBY + travelling)).ceil() as u32
     }
 
     /// Takes over a changed number of slots.
@@ -126,7 +130,7 @@
     /// use std::time::{Duration, Instant};
     /// let mut meter = rudder_decisions::MemberMeter::new(5, Duration::from_millis(10));
     /// meter.set_slots(2);
-    /// assert_eq!(meter.window(Duration::ZERO, Instant::now()), 2);
+    /// assert_eq!(meter.window(Duration::ZERO, Instant::now()), 3);
     /// ```
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
