--- a/crates/rudder-decisions/examples/trials/main.rs
+++ b/crates/rudder-decisions/examples/trials/main.rs
@@ -4,6 +4,7 @@
 //! table for each trial.
 
 mod adaptive;
+mod admission;
 mod arrivals;
 mod baseline;
 mod current;
@@ -12,6 +13,7 @@
 mod model;
 mod report;
 mod routing;
+mod scenes;
 mod setup;
 mod slots;
 mod summary;
@@ -26,6 +28,7 @@
         .position(|argument| argument == "--seed")
         .and_then(|index| arguments.get(index + 1))
         .map_or(SEED_DEFAULT, |text| text.parse().expect("--seed takes a number"));
+    admission::run(seed);
     routing::run(seed);
     slots::run(seed);
     faults::run(seed);
--- /dev/null
+++ b/crates/rudder-decisions/examples/trials/scenes.rs
@@ -0,0 +1,83 @@
+//! The load patterns that both the tests and the trial of admission play.
+
+use super::arrivals::{ArrivalPattern, capacity, member};
+use super::model::{MemberSpec, Request};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::time::Duration;
+
+/// Instances in front of the group.
+pub(crate) const INSTANCES: usize = 7;
+
+/// The caller that takes three quarters of the load.
+pub(crate) const BUSY_CALLER: u64 = 0;
+
+/// The fingerprint of the long statements.
+pub(crate) const REPORT: u64 = 99;
+
+/// A primary, a new replica and an old one, 2 ms away.
+pub(crate) fn group() -> Vec<MemberSpec> {
+    let link = Duration::from_millis(2);
+    let primary = MemberSpec { primary: true, ..member(1.0, 5, link, INSTANCES) };
+    vec![primary, member(1.0, 5, link, INSTANCES), member(0.4, 5, link, INSTANCES)]
+}
+
+/// Catalogue reads at 200 a second, and writes at this many times their ordinary 100 a second.
+pub(crate) fn rehearsal(write_factor: f64, seed: u64) -> Vec<Request> {
+    let rng = &mut StdRng::seed_from_u64(seed);
+    let length = Duration::from_secs(30);
+    let reads = ArrivalPattern::steady(200.0, length, INSTANCES);
+    let writes = ArrivalPattern {
+        write_share: 1.0,
+        ..ArrivalPattern::steady(100.0 * write_factor, length, INSTANCES)
+    };
+    let mut requests = reads.draw(rng);
+    requests.extend(writes.draw(rng));
+    requests.sort_by_key(|request| request.at);
+    requests
+}
+
+/// 1400 reads a second for replicas that serve 700; three in four come from one caller.
+pub(crate) fn busy_caller(seed: u64) -> Vec<Request> {
+    let pattern = ArrivalPattern {
+        patience: Duration::from_secs(1),
+        ..ArrivalPattern::steady(1400.0, Duration::from_secs(20), INSTANCES)
+    };
+    let mut requests = pattern.draw(&mut StdRng::seed_from_u64(seed));
+    requests.iter_mut().filter(|request| request.caller < 75).for_each(|request| {
+        request.caller = BUSY_CALLER;
+    });
+    requests
+}
+
+/// 250 short reads a second, and three reports a second of one second each.
+pub(crate) fn long_among_short(seed: u64) -> Vec<Request> {
+    let rng = &mut StdRng::seed_from_u64(seed);
+    let length = Duration::from_secs(40);
+    let mut requests = ArrivalPattern::steady(250.0, length, INSTANCES).draw(rng);
+    let mut reports = ArrivalPattern::steady(3.0, length, INSTANCES).draw(rng);
+    for report in &mut reports {
+        report.fingerprint = REPORT;
+        report.service = Duration::from_secs(1);
+        report.kind = "engineers";
+        report.patience = Duration::from_secs(30);
+    }
+    requests.append(&mut reports);
+    requests.sort_by_key(|request| request.at);
+    requests
+}
+
+/// Reads at this multiple of what the group serves; every third is of a kind that can wait.
+pub(crate) fn saturation(load: f64, seed: u64) -> Vec<Request> {
+    let rate = capacity(&group()) * load;
+    let pattern = ArrivalPattern {
+        patience: Duration::from_secs(1),
+        ..ArrivalPattern::steady(rate, Duration::from_secs(20), INSTANCES)
+    };
+    let mut requests = pattern.draw(&mut StdRng::seed_from_u64(seed));
+    for request in requests.iter_mut().filter(|request| request.caller % 3 == 0) {
+        request.kind = "auditors";
+        request.shed = true;
+    }
+    requests
+}
--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -32,5 +32,5 @@
     MemberHealth, MemberView, MemberWeight, ReadDemand, ReadRoute, ReadRouter, RouteChoice,
     RouteReason,
 };
-pub use share::{DemandPart, SlotShare, holders_of};
+pub use share::{DemandPart, SlotShare, holders_max, holders_of};
 pub use work::{WorkClass, WorkEstimate, WorkSize};
--- a/crates/rudder-decisions/src/share.rs
+++ b/crates/rudder-decisions/src/share.rs
@@ -17,6 +17,9 @@
 /// Connections kept for control statements: one for each of three keepers.
 const RESERVE: u32 = 3;
 
+/// The least that a holder needs: one for reads, one for writes, and one to spare.
+const HOLDER_CONNECTIONS_MIN: u32 = 3;
+
 /// How long a greater share waits before it counts.
 const GROW_DELAY: Duration = Duration::from_secs(8);
 
@@ -114,6 +117,19 @@
     }
 }
 
+/// How many instances may hold connections to an endpoint, so that each has at least
+/// three. Others forward their requests to a holder.
+///
+/// ```
+/// use rudder_core::ConnectionCount;
+/// assert_eq!(rudder_decisions::holders_max(ConnectionCount(30)), 9);
+/// ```
+#[must_use]
+pub fn holders_max(connections: ConnectionCount) -> usize {
+    let holders = connections.0.saturating_sub(RESERVE) / HOLDER_CONNECTIONS_MIN;
+    holders.max(1) as usize
+}
+
 /// The instances that hold connections to `member`, the preferred one first: at most `holders_max`
 /// of the live `instances`, by rendezvous hashing, so that a lost instance moves only its own.
 ///
--- a/crates/rudder-decisions/tests/load/burst.rs
+++ b/crates/rudder-decisions/tests/load/burst.rs
@@ -1,28 +1,11 @@
-use super::arrivals::ArrivalPattern;
 use super::current::PolicySettings;
 use super::model::Request;
+use super::scenes::rehearsal;
 use super::summary::LoadSummary;
-use super::{INSTANCES, SEED, group, play_both};
-use rand::SeedableRng;
-use rand::rngs::StdRng;
+use super::{SEED, group, play_both};
 use rudder_decisions::WorkClass;
 use std::time::Duration;
 
-/// Catalogue reads at 200 a second, and writes at this many times their ordinary 100 a second.
-fn rehearsal(write_factor: f64) -> Vec<Request> {
-    let rng = &mut StdRng::seed_from_u64(SEED);
-    let length = Duration::from_secs(30);
-    let reads = ArrivalPattern::steady(200.0, length, INSTANCES);
-    let writes = ArrivalPattern {
-        write_share: 1.0,
-        ..ArrivalPattern::steady(100.0 * write_factor, length, INSTANCES)
-    };
-    let mut requests = reads.draw(rng);
-    requests.extend(writes.draw(rng));
-    requests.sort_by_key(|request| request.at);
-    requests
-}
-
 /// Catalogue reads of sessions that have just written, so that only the primary may serve them.
 fn with_fresh_reads(mut requests: Vec<Request>) -> Vec<Request> {
     let reads = requests.iter_mut().filter(|request| request.class == WorkClass::Read);
@@ -38,7 +21,7 @@
 // and must not notice: the orders fill the primary, and the catalogue is read from the replicas.
 #[test]
 fn a_burst_of_writes_leaves_catalogue_reads_alone() {
-    let (calm, busy) = (rehearsal(1.0), rehearsal(4.5));
+    let (calm, busy) = (rehearsal(1.0, SEED), rehearsal(4.5, SEED));
 
     let (calm_now, _) = play_both(&group(), &calm, PolicySettings::default());
     let (busy_now, busy_plain) = play_both(&group(), &busy, PolicySettings::default());
@@ -54,7 +37,7 @@
 fn reads_at_the_primary_do_not_queue_behind_a_burst_of_writes() {
     let mut members = group();
     members.iter_mut().for_each(|member| member.lag = Duration::from_millis(200));
-    let requests = with_fresh_reads(rehearsal(5.5));
+    let requests = with_fresh_reads(rehearsal(5.5, SEED));
     let settings =
         PolicySettings { queue_wait: Duration::from_secs(1), ..PolicySettings::default() };
 
--- a/crates/rudder-decisions/tests/load/busy_caller.rs
+++ b/crates/rudder-decisions/tests/load/busy_caller.rs
@@ -1,37 +1,20 @@
-use super::arrivals::ArrivalPattern;
 use super::current::PolicySettings;
 use super::model::{Outcome, Request};
+use super::scenes::{BUSY_CALLER, busy_caller};
 use super::setup::{PolicyChoice, play};
 use super::summary::LoadSummary;
-use super::{INSTANCES, SEED, group};
-use rand::SeedableRng;
-use rand::rngs::StdRng;
+use super::{SEED, group};
 use std::time::Duration;
 
-const BUSY: u64 = 0;
-
-/// 1400 reads a second for a group that serves 700; three in four come from one caller.
-fn requests() -> Vec<Request> {
-    let pattern = ArrivalPattern {
-        patience: Duration::from_secs(1),
-        ..ArrivalPattern::steady(1400.0, Duration::from_secs(20), INSTANCES)
-    };
-    let mut requests = pattern.draw(&mut StdRng::seed_from_u64(SEED));
-    requests.iter_mut().filter(|request| request.caller < 75).for_each(|request| {
-        request.caller = BUSY;
-    });
-    requests
-}
-
 fn others(request: &Request, _: &Outcome) -> bool {
-    request.caller != BUSY
+    request.caller != BUSY_CALLER
 }
 
 // One conservatory's script asks for the whole catalogue in a loop. Without turns its requests
 // stand before everybody's, and copyists elsewhere wait for a script that nobody is waiting for.
 #[test]
 fn a_busy_caller_does_not_crowd_out_the_others() {
-    let requests = requests();
+    let requests = busy_caller(SEED);
     let settings =
         PolicySettings { queue_wait: Duration::from_millis(800), ..PolicySettings::default() };
 
@@ -42,6 +25,6 @@
         (LoadSummary::of(&requests, &now, others), LoadSummary::of(&requests, &fifo, others));
     assert!(others_now.served_share() > 0.95, "{others_now:?}");
     assert!(others_fifo.served_share() < 0.5, "{others_fifo:?}");
-    let busy_now = LoadSummary::of(&requests, &now, |request, _| request.caller == BUSY);
+    let busy_now = LoadSummary::of(&requests, &now, |request, _| request.caller == BUSY_CALLER);
     assert!(busy_now.served_share() > 0.2, "the busy caller still gets what is left: {busy_now:?}");
 }
--- a/crates/rudder-decisions/tests/load/main.rs
+++ b/crates/rudder-decisions/tests/load/main.rs
@@ -12,6 +12,8 @@
 mod current;
 #[path = "../../examples/trials/model.rs"]
 mod model;
+#[path = "../../examples/trials/scenes.rs"]
+mod scenes;
 #[allow(dead_code, reason = "the example also plays what was tried and not taken")]
 #[path = "../../examples/trials/setup.rs"]
 mod setup;
@@ -29,24 +31,13 @@
 mod saturation;
 mod shares;
 
-use arrivals::member;
 use model::{MemberSpec, Outcome, Request};
+use scenes::{INSTANCES, group};
 use setup::{PolicyChoice, play};
-use std::time::Duration;
 
 /// The seed of every run.
 const SEED: u64 = 11;
 
-/// Instances in front of the group.
-const INSTANCES: usize = 7;
-
-/// A primary, a new replica and an old one, 2 ms away.
-fn group() -> Vec<MemberSpec> {
-    let link = Duration::from_millis(2);
-    let primary = MemberSpec { primary: true, ..member(1.0, 5, link, INSTANCES) };
-    vec![primary, member(1.0, 5, link, INSTANCES), member(0.4, 5, link, INSTANCES)]
-}
-
 /// Plays the requests with the current decisions, then with round robin.
 fn play_both(
     members: &[MemberSpec],
--- a/crates/rudder-decisions/tests/load/saturation.rs
+++ b/crates/rudder-decisions/tests/load/saturation.rs
@@ -1,27 +1,9 @@
-use super::arrivals::{ArrivalPattern, capacity};
 use super::current::PolicySettings;
-use super::model::Request;
+use super::scenes::saturation;
 use super::summary::LoadSummary;
-use super::{INSTANCES, SEED, group, play_both};
-use rand::SeedableRng;
-use rand::rngs::StdRng;
+use super::{SEED, group, play_both};
 use std::time::Duration;
 
-/// Reads at this multiple of what the group serves; every third is of a kind that can wait.
-fn requests(load: f64) -> Vec<Request> {
-    let rate = capacity(&group()) * load;
-    let pattern = ArrivalPattern {
-        patience: Duration::from_secs(1),
-        ..ArrivalPattern::steady(rate, Duration::from_secs(20), INSTANCES)
-    };
-    let mut requests = pattern.draw(&mut StdRng::seed_from_u64(SEED));
-    for request in requests.iter_mut().filter(|request| request.caller % 3 == 0) {
-        request.kind = "auditors";
-        request.shed = true;
-    }
-    requests
-}
-
 fn settings() -> PolicySettings {
     PolicySettings {
         queue_wait: Duration::from_millis(500),
@@ -34,7 +16,7 @@
 // to, and the group works on answers that nobody reads any more.
 #[test]
 fn goodput_stays_up_at_twice_saturation() {
-    let (full, double) = (requests(1.0), requests(2.0));
+    let (full, double) = (saturation(1.0, SEED), saturation(2.0, SEED));
 
     let (full_now, _) = play_both(&group(), &full, settings());
     let (double_now, double_plain) = play_both(&group(), &double, settings());
@@ -48,7 +30,7 @@
 // Under overload auditors, who can come back later, are turned away before crews, who cannot.
 #[test]
 fn what_can_wait_is_shed_first() {
-    let requests = requests(1.3);
+    let requests = saturation(1.3, SEED);
 
     let (now, _) = play_both(&group(), &requests, settings());
 
@@ -62,7 +44,7 @@
 // Whoever is refused learns it at once or when the wait is over, never later.
 #[test]
 fn refusals_come_within_the_wait() {
-    let requests = requests(2.0);
+    let requests = saturation(2.0, SEED);
 
     let (now, _) = play_both(&group(), &requests, settings());
 
