--- a/crates/rudder-decisions/src/share.rs
+++ b/crates/rudder-decisions/src/share.rs
@@ -10,7 +10,7 @@
 //! keepers; a greater share counts only after [`GROW_DELAY`], which is longer than the few seconds
 //! that the lagging list of instances takes to reach all of them.
 
-use rudder_core::{ConnectionCount, InstanceName, MemberName};
+use rudder_core::{ConnectionCount, InstanceName, ServiceName};
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -130,24 +130,25 @@
     holders.max(1) as usize
 }
 
-/// The instances that hold connections to `member`, the preferred one first: at most `holders_max`
-/// of the live `instances`, by rendezvous hashing, so that a lost instance moves only its own.
+/// The instances that hold connections to the members of `service`, the preferred one first: at most
+/// `holders_max` of the live `instances`, by rendezvous hashing, so that a lost instance moves only
+/// what it held. They are the same for all members, so that one instance can choose among these.
 ///
 /// ```
 /// use rudder_decisions::holders_of;
 /// let instances = ["a".parse()?, "b".parse()?, "c".parse()?];
-/// let holders = holders_of(&"scores-1".parse()?, &instances, 2);
+/// let holders = holders_of(&"scores-db".parse()?, &instances, 2);
 /// assert_eq!(holders.len(), 2);
 /// # Ok::<(), rudder_core::ParseError>(())
 /// ```
 #[must_use]
 pub fn holders_of(
-    member: &MemberName,
+    service: &ServiceName,
     instances: &[InstanceName],
     holders_max: usize,
 ) -> Vec<InstanceName> {
     let mut ranked: Vec<(u64, &InstanceName)> =
-        instances.iter().map(|instance| (rank_of(member, instance), instance)).collect();
+        instances.iter().map(|instance| (rank_of(service, instance), instance)).collect();
     ranked.sort_unstable_by(|left, right| right.cmp(left));
     ranked.into_iter().take(holders_max).map(|(_, instance)| instance.clone()).collect()
 }
@@ -158,6 +159,6 @@
     GUARANTEE + pool * part.0 / 1000
 }
 
-fn rank_of(member: &MemberName, instance: &InstanceName) -> u64 {
-    xxh3_64(format!("{member}/{instance}").as_bytes())
+fn rank_of(service: &ServiceName, instance: &InstanceName) -> u64 {
+    xxh3_64(format!("{service}/{instance}").as_bytes())
 }
--- a/crates/rudder-decisions/tests/load/shares.rs
+++ b/crates/rudder-decisions/tests/load/shares.rs
@@ -5,7 +5,7 @@
 use super::{INSTANCES, SEED, group};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use rudder_core::{ConnectionCount, InstanceName, MemberName};
+use rudder_core::{ConnectionCount, InstanceName, ServiceName};
 use rudder_decisions::{DemandPart, SlotShare, holders_of};
 use std::time::{Duration, Instant};
 
@@ -73,17 +73,17 @@
 }
 
 #[test]
-fn a_lost_instance_moves_only_the_members_that_it_held() {
+fn a_lost_instance_moves_only_the_services_that_it_held() {
     let all = instances(20);
     let remaining = &all[1..];
-    let members: Vec<MemberName> =
-        (0..200).map(|index| format!("member-{index}").parse().unwrap()).collect();
+    let services: Vec<ServiceName> =
+        (0..200).map(|index| format!("service-{index}").parse().unwrap()).collect();
 
-    let moved = members
+    let moved = services
         .iter()
-        .filter(|member| {
-            let before = holders_of(member, &all, 3);
-            !before.contains(&all[0]) && holders_of(member, remaining, 3) != before
+        .filter(|service| {
+            let before = holders_of(service, &all, 3);
+            !before.contains(&all[0]) && holders_of(service, remaining, 3) != before
         })
         .count();
 
