--- a/crates/rudder-decisions/examples/trials/main.rs
+++ b/crates/rudder-decisions/examples/trials/main.rs
@@ -10,6 +10,7 @@
 mod current;
 mod detection;
 mod faults;
+mod hedging;
 mod model;
 mod report;
 mod routing;
@@ -32,5 +33,6 @@
     routing::run(seed);
     slots::run(seed);
     faults::run(seed);
+    hedging::run(seed);
     detection::run(seed);
 }
--- a/crates/rudder-decisions/examples/trials/model.rs
+++ b/crates/rudder-decisions/examples/trials/model.rs
@@ -112,6 +112,8 @@
     pub(crate) member: Option<usize>,
     /// When its answer reached the instance, since the start.
     pub(crate) done: Option<Duration>,
+    /// How often it was sent.
+    pub(crate) sends: u32,
     /// Whether the member failed it.
     pub(crate) failed: bool,
     /// When it was refused, since the start, and when to come back.
@@ -143,7 +145,8 @@
     states: Vec<MemberState>,
     events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
     sequence: u64,
-    reached: Vec<Duration>,
+    /// For each request, when it reached which member.
+    reached: Vec<Vec<(usize, Duration)>>,
     woken: Vec<Option<Duration>>,
     outcomes: Vec<Outcome>,
     rng: StdRng,
@@ -167,7 +170,7 @@
             states: members.iter().map(|_| MemberState::default()).collect(),
             events: BinaryHeap::new(),
             sequence: 0,
-            reached: vec![Duration::ZERO; requests.len()],
+            reached: vec![Vec::new(); requests.len()],
             outcomes: vec![Outcome::default(); requests.len()],
             rng,
         }
@@ -214,7 +217,9 @@
         for action in actions {
             match *action {
                 Action::Send(id, member) => {
-                    self.outcomes[id].member = Some(member);
+                    let outcome = &mut self.outcomes[id];
+                    outcome.member.get_or_insert(member);
+                    outcome.sends += 1;
                     self.push(now + self.one_way(id, member), Event::Reach(id, member));
                 }
                 Action::Refuse(id, retry_after) => {
@@ -233,7 +238,7 @@
     }
 
     fn reach(&mut self, id: usize, member: usize, now: Duration) {
-        self.reached[id] = now;
+        self.reached[id].push((member, now));
         if matches!(self.fault_at(member, now), Some(FaultKind::Failing)) {
             self.push(now + self.one_way(id, member), Event::Answer(id, member, true));
             return;
@@ -263,9 +268,15 @@
 
     fn answer(&mut self, id: usize, member: usize, failed: bool, now: Duration) {
         let instance = self.requests[id].instance;
-        self.outcomes[id].done = Some(now);
-        self.outcomes[id].failed = failed;
-        let at_member = now - self.one_way(id, member) - self.reached[id];
+        let outcome = &mut self.outcomes[id];
+        if outcome.done.is_none() {
+            outcome.done = Some(now);
+            outcome.failed = failed;
+        }
+        let visits = &self.reached[id];
+        let visit = visits.iter().find(|(visited, _)| *visited == member);
+        let (_, reached) = visit.expect("answers come from members that were reached");
+        let at_member = now - self.one_way(id, member) - *reached;
         let latency = (!failed).then_some(at_member);
         let time = self.origin + now;
         let policy = &mut self.policies[instance];
--- a/crates/rudder-decisions/tests/load/main.rs
+++ b/crates/rudder-decisions/tests/load/main.rs
@@ -10,6 +10,7 @@
 #[allow(dead_code, reason = "the example also plays what was tried and not taken")]
 #[path = "../../examples/trials/current.rs"]
 mod current;
+#[allow(dead_code, reason = "only the example counts how often a request was sent")]
 #[path = "../../examples/trials/model.rs"]
 mod model;
 #[path = "../../examples/trials/scenes.rs"]
@@ -25,6 +26,7 @@
 mod busy_caller;
 mod detection;
 mod endpoints;
+mod gate_invariants;
 mod long_work;
 mod recovery;
 mod routing;
