--- /dev/null
+++ b/crates/rudder-platform/examples/settings_cost.rs
@@ -0,0 +1,106 @@
+//! What settings cost at a given size: bytes, calls and processor time of submitting and following.
+//!
+//! `cargo run --release -p rudder-platform --example settings_cost -- --services 780 --files 60`
+
+use rudder_platform::{
+    FolderChange, KubeStore, ObjectKind, PlatformOptions, PlatformStore, RevisionFollower,
+    poll_revision, submit_change,
+};
+use rudder_settings::{SettingsFile, merge_folder};
+use rudder_standins::PlatformStandin;
+use std::error::Error;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const MEMBERS_EACH: usize = 3;
+/// Times are the median of so many runs.
+const ROUNDS: usize = 21;
+
+/// measure what settings cost at a given size
+#[derive(argh::FromArgs)]
+struct CostOptions {
+    /// how many services, of three members each
+    #[argh(option, default = "780")]
+    services: usize,
+    /// over how many files they are spread
+    #[argh(option, default = "60")]
+    files: usize,
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let options: CostOptions = argh::from_env();
+    let files = folder(&options)?;
+    let text: usize = files.iter().map(|file| file.text.len()).sum();
+    println!("{} services in {} files, {text} bytes of text", options.services, files.len());
+
+    let merge = median(|| merge_folder(&files).map(|_| ()).expect("the folder is valid"));
+    println!("merge and check: {merge:?}");
+
+    let standin = PlatformStandin::start(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+    let store = KubeStore::connect(PlatformOptions::at(&standin.url()))?;
+    let change = FolderChange { put: files.clone(), ..FolderChange::default() };
+    submit_change(&store, change).await?;
+    let bundle = poll_revision(&store, None).await?.ok_or("a revision was accepted")?;
+    let accepted = store.get(ObjectKind::SettingsRevision, "accepted").await?;
+    let accepted = accepted.ok_or("a revision was accepted")?.spec.to_string();
+    println!("object read by each poll: {} bytes", accepted.len());
+    println!("bundle for a peer: {} bytes", serde_json::to_vec(&bundle)?.len());
+
+    let mut edited = files[0].clone();
+    edited.text.push_str("# edited\n");
+    let before = standin.calls();
+    submit_change(&store, FolderChange { put: vec![edited], ..FolderChange::default() }).await?;
+    let after = standin.calls();
+    let (reads, writes) = (after.reads - before.reads, after.writes - before.writes);
+    println!("submitting one file: {reads} reads, {writes} writes");
+
+    let newer = poll_revision(&store, Some(&bundle)).await?.ok_or("the file was changed")?;
+    println!("following it: {} reads", standin.calls().reads - after.reads);
+    let adopt = median(|| {
+        RevisionFollower::default().offer(newer.clone());
+    });
+    println!("adopting a bundle: {adopt:?}");
+    Ok(())
+}
+
+fn folder(options: &CostOptions) -> Result<Vec<SettingsFile>, Box<dyn Error>> {
+    let domains = "[domains.a]\nregion = \"r\"\n";
+    let mut files = vec![SettingsFile::new("10-domains.toml", domains)?];
+    let each = options.services.div_ceil(options.files.saturating_sub(1).max(1));
+    let services: Vec<usize> = (0..options.services).collect();
+    for (index, chunk) in services.chunks(each).enumerate() {
+        let mut text = String::new();
+        for service in chunk {
+            write_service(&mut text, *service)?;
+        }
+        files.push(SettingsFile::new(&format!("20-services-{index:03}.toml"), text)?);
+    }
+    Ok(files)
+}
+
+fn write_service(text: &mut String, service: usize) -> Result<(), std::fmt::Error> {
+    for member in 0..MEMBERS_EACH {
+        let number = service * MEMBERS_EACH + member;
+        let (high, low) = (number / 250, number % 250 + 1);
+        write!(
+            text,
+            "[services.service-{service}.members.service-{service}-{member}]\n\
+             address = \"10.1.{high}.{low}:5432\"\ndomain = \"a\"\nslots = 5\nconnections = 30\n\n"
+        )?;
+    }
+    Ok(())
+}
+
+fn median(mut run: impl FnMut()) -> Duration {
+    let mut times: Vec<Duration> = (0..ROUNDS)
+        .map(|_| {
+            let started = Instant::now();
+            run();
+            started.elapsed()
+        })
+        .collect();
+    times.sort_unstable();
+    times[ROUNDS / 2]
+}
--- a/crates/rudder-platform/tests/platform/store.rs
+++ b/crates/rudder-platform/tests/platform/store.rs
@@ -6,6 +6,12 @@
 use serde_json::json;
 use std::time::Duration;
 
+/// A call that takes longer than this would never end.
+const HANG_BOUND: Duration = Duration::from_secs(60);
+
+/// A state that has not come after so many tries would never come.
+const TRIES_MAX: usize = 2000;
+
 const KIND: ObjectKind = ObjectKind::SwitchOrder;
 
 #[tokio::test]
@@ -70,24 +76,28 @@
 
     standin.set_faults(outage(PlatformOutage::Hanging));
     let hasty = store(&standin, Duration::from_millis(100));
-    let hung_read = hasty.get(KIND, "a").await;
-    let hung_write = hasty.put(KIND, "a", None, json!({})).await;
+    let hung = async { (hasty.get(KIND, "a").await, hasty.put(KIND, "a", None, json!({})).await) };
+    let (hung_read, hung_write) =
+        tokio::time::timeout(HANG_BOUND, hung).await.expect("both calls end by themselves");
     standin.set_faults(outage(PlatformOutage::Refused));
-    let refused_write = loop {
-        // The listener closes its socket a moment after the switch; until then a connection is
-        // accepted and cut.
-        let result = patient_store(&standin).put(KIND, "a", None, json!({})).await;
-        if result != Err(StoreError::Unresolved) {
-            break result;
+    // The listener closes its socket a moment after the switch; until then a connection is accepted
+    // and cut.
+    let mut refused_write = Err(StoreError::Unresolved);
+    for _ in 0..TRIES_MAX {
+        if refused_write != Err(StoreError::Unresolved) {
+            break;
         }
-    };
+        refused_write = patient_store(&standin).put(KIND, "a", None, json!({})).await;
+    }
     standin.set_faults(PlatformFaults::default());
-    let back = loop {
-        let result = patient_store(&standin).get(KIND, "a").await;
-        if result != Err(StoreError::Unavailable) {
-            break result;
+    let mut back = Err(StoreError::Unavailable);
+    for _ in 0..TRIES_MAX {
+        if back != Err(StoreError::Unavailable) {
+            break;
         }
-    };
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        back = patient_store(&standin).get(KIND, "a").await;
+    }
 
     assert_eq!(hung_read, Err(StoreError::Unavailable));
     assert_eq!(hung_write, Err(StoreError::Unresolved));
--- a/crates/rudder-platform/tests/platform/submission.rs
+++ b/crates/rudder-platform/tests/platform/submission.rs
@@ -252,6 +252,27 @@
     assert!(!objects[..5].iter().any(|object| kept.contains(&object)), "{kept:?}");
 }
 
+/// An instance has read revision 8 and is about to read its files; one of them is as old as the
+/// folder. An operator replaces just that file. Were its object removed with the revision that
+/// named it, every instance that reads at that moment would fail to follow.
+#[tokio::test]
+async fn files_of_the_last_revisions_stay_readable_however_old() {
+    let standin = standin().await;
+    let store = patient_store(&standin);
+    submit_change(&store, change(&[domain_file("a", "north")])).await.unwrap();
+    for region in ["one", "two", "three", "four", "five", "six", "seven"] {
+        submit_change(&store, change(&[domain_file("b", region)])).await.unwrap();
+    }
+    let read = revision(&store).await;
+
+    submit_change(&store, change(&[domain_file("a", "south")])).await.unwrap();
+
+    for file in &read.files {
+        let object = store.get(ObjectKind::SettingsFile, &file.object).await.unwrap();
+        assert!(object.is_some(), "{}", file.object);
+    }
+}
+
 /// One operator prunes: it has listed an old object and is about to remove it. Another one goes back
 /// to just that text. Were the object removed, the new revision would name one that nobody finds.
 #[tokio::test]
