--- a/crates/rudder-peers/src/node/state.rs
+++ b/crates/rudder-peers/src/node/state.rs
@@ -16,8 +16,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Peers to whom urgent hints are pushed at once.
-const PUSH_FANOUT: usize = 3;
+/// Peers to whom urgent hints are pushed in one round.
+const PUSH_FANOUT: usize = 4;
+
+/// Rounds of pushing for each urgent hint. One round of four reaches all but about a fiftieth of a
+/// large fleet; two leave to heartbeats only what was lost on the way.
+const PUSH_ROUNDS: u32 = 2;
 
 /// Urgent hints that arrive within this time are pushed together.
 const PUSH_SPACING: Duration = Duration::from_millis(50);
@@ -52,7 +56,7 @@
     table_bucket: TokenBucket,
     peers_watch: DigestWatch,
     groups_watch: DigestWatch,
-    push_due: bool,
+    push_rounds: u32,
     pushed_at: Option<Duration>,
 }
 
@@ -66,7 +70,7 @@
             traffic: TrafficCount::default(),
             peers_watch: DigestWatch::default(),
             groups_watch: DigestWatch::default(),
-            push_due: false,
+            push_rounds: 0,
             pushed_at: None,
         }
     }
@@ -120,13 +124,12 @@
     /// Spreads a hint of this instance's own.
     pub(crate) fn publish(&mut self, hint: PeerHint, now: Duration) -> NodeOutput {
         let mut output = NodeOutput::default();
-        if let PeerHint::Leaving(LeavingNotice { subject: LeavingSubject::Instance(name) }) = &hint
-        {
-            self.membership.mark_leaving(name, now);
-        } else {
-            let sends = self.membership.sends();
+        if !self.marks_leaving(&hint, now) {
+            let sends = self.hint_sends();
             let urgency = self.board.absorb(hint, false, sends, now);
-            self.push_due |= urgency == Some(HintUrgency::Urgent);
+            if urgency == Some(HintUrgency::Urgent) {
+                self.push_rounds = PUSH_ROUNDS;
+            }
         }
         self.push(&mut output, now);
         output
@@ -153,7 +156,7 @@
             };
             let Ok(bytes) = encode_datagram(&datagram) else { continue };
             let charged = u64::try_from(bytes.len()).unwrap_or(u64::MAX) + DATAGRAM_OVERHEAD_BYTES;
-            if self.datagram_bucket.allows(charged, SendClass::Liveness, now) {
+            if self.datagram_bucket.allows(charged, SendClass::News, now) {
                 self.datagram_bucket.take(charged);
                 self.traffic.datagrams += 1;
                 self.traffic.datagram_bytes += charged;
@@ -214,8 +217,13 @@
 
     fn perform(&mut self, actions: Vec<PeerAction>, output: &mut NodeOutput, now: Duration) {
         for action in actions {
-            let datagram = self.compose(action.to, action.body, action.first, now);
-            output.datagrams.extend(datagram);
+            let sequence = action.body.probe_sequence();
+            match self.compose(action.to, action.body, action.first, now) {
+                Some(datagram) => output.datagrams.push(datagram),
+                // Guards against taking the silence after an unsent probe for the target's: with
+                // the budget used up, live instances would be suspected and removed.
+                None => self.membership.abandon_probe(sequence),
+            }
         }
     }
 
@@ -251,10 +259,25 @@
             hints.push(PeerHint::Revision(RevisionHint { number: datagram.revision }));
         }
         let received = hints.into_iter().map(|hint| received_hint(hint, round_trip));
-        let sends = self.membership.sends();
+        let sends = self.hint_sends();
         self.absorb(&datagram.sender.name, received, sends, output, now);
     }
 
+    /// Whether the hint says that an instance is leaving: that is the membership's to spread.
+    fn marks_leaving(&mut self, hint: &PeerHint, now: Duration) -> bool {
+        let PeerHint::Leaving(LeavingNotice { subject: LeavingSubject::Instance(name) }) = hint
+        else {
+            return false;
+        };
+        self.membership.mark_leaving(name, now);
+        true
+    }
+
+    /// How often an urgent hint is told: the pushes, and then as often as news of members.
+    fn hint_sends(&self) -> u32 {
+        PUSH_ROUNDS * u32::try_from(PUSH_FANOUT).unwrap_or_default() + self.membership.sends()
+    }
+
     fn absorb(
         &mut self,
         from: &InstanceName,
@@ -264,8 +287,13 @@
         now: Duration,
     ) {
         for hint in hints {
+            if self.marks_leaving(&hint, now) {
+                continue;
+            }
             if let Some(urgency) = self.board.absorb(hint.clone(), true, sends, now) {
-                self.push_due |= urgency == HintUrgency::Urgent && sends > 0;
+                if urgency == HintUrgency::Urgent && sends > 0 {
+                    self.push_rounds = PUSH_ROUNDS;
+                }
                 output.hints.push(HintMessage { from: from.clone(), hint });
             }
         }
@@ -273,12 +301,14 @@
 
     /// Pushes urgent hints and news to a few random peers.
     fn push(&mut self, output: &mut NodeOutput, now: Duration) {
-        self.push_due |= self.membership.take_urgent();
+        if self.membership.take_urgent() {
+            self.push_rounds = PUSH_ROUNDS;
+        }
         let rested = self.pushed_at.is_none_or(|pushed| now.saturating_sub(pushed) >= PUSH_SPACING);
-        if !self.push_due || !rested {
+        if self.push_rounds == 0 || !rested {
             return;
         }
-        self.push_due = false;
+        self.push_rounds -= 1;
         self.pushed_at = Some(now);
         for to in self.membership.sample(PUSH_FANOUT) {
             output.datagrams.extend(self.compose(to, DatagramBody::Push, None, now));
--- a/crates/rudder-peers/src/node/tests/fleet.rs
+++ b/crates/rudder-peers/src/node/tests/fleet.rs
@@ -1,5 +1,6 @@
 //! A fleet of nodes with a deterministic network between them.
 
+use crate::budget::TokenBucket;
 use crate::hints::PeerHint;
 use crate::member::{Incarnation, PeerEntry, PeerState};
 use crate::membership::{Membership, MembershipSettings};
@@ -37,6 +38,8 @@
     cut_links: Vec<(usize, usize)>,
     pub(super) now: Duration,
     pub(super) loss_percent: u32,
+    /// Whether what reaches a frozen instance is lost, because its socket's buffer is full.
+    pub(super) freeze_loses: bool,
     rng: StdRng,
 }
 
@@ -77,6 +80,7 @@
             cut_links: Vec::new(),
             now: Duration::ZERO,
             loss_percent: 0,
+            freeze_loses: false,
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -96,6 +100,11 @@
         self.sites[site].running = false;
     }
 
+    /// Takes an instance's budget away.
+    pub(super) fn starve(&mut self, site: usize) {
+        self.sites[site].node.datagram_bucket = TokenBucket::new(0, 0, self.now);
+    }
+
     pub(super) fn freeze(&mut self, site: usize, time: Duration) {
         self.sites[site].frozen_until = self.now + time;
     }
@@ -215,8 +224,9 @@
                 continue;
             }
             if !self.awake(to) {
-                // The socket's buffer keeps it until the instance wakes.
-                self.parcels.push(Parcel { due: self.sites[to].frozen_until, ..parcel });
+                if !self.freeze_loses {
+                    self.parcels.push(Parcel { due: self.sites[to].frozen_until, ..parcel });
+                }
                 continue;
             }
             let output = self.sites[to].node.receive(&parcel.bytes, now).unwrap();
--- a/crates/rudder-standins/src/group/member.rs
+++ b/crates/rudder-standins/src/group/member.rs
@@ -1,12 +1,12 @@
 //! One member of the group, as its sessions and its replication share it.
 
-use super::cache::PlanCache;
-use super::cancel::CancelRegistry;
-use super::error::SqlError;
 use super::knob::MemberKnob;
 use super::settings::{GroupSettings, MemberSettings};
 use super::slots::{ServiceTimes, SlotGate, lock};
-use super::state::MemberState;
+use super::state::{GroupRole, MemberState};
+use crate::group::sql::cache::PlanCache;
+use crate::group::sql::error::SqlError;
+use crate::group::wire::cancel::CancelRegistry;
 use rudder_core::{ControlStatement, LogStamp, MemberName, MemberStatus};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicI32, AtomicI64, AtomicU32, Ordering};
@@ -38,6 +38,18 @@
 }
 
 impl GroupShared {
+    /// What a fresh group shares.
+    pub(crate) fn new(password: Option<String>) -> Self {
+        Self {
+            activity: watch::Sender::new(0),
+            cache: PlanCache::default(),
+            sequence: Arc::new(AtomicI64::new(0)),
+            next_pid: AtomicI32::new(1),
+            password,
+            stop: CancellationToken::new(),
+        }
+    }
+
     /// Tells replication that something changed.
     pub(crate) fn touch(&self) {
         self.activity.send_modify(|count| *count = count.wrapping_add(1));
@@ -46,7 +58,7 @@
 
 /// One member.
 #[derive(Debug)]
-pub(crate) struct Member {
+pub(crate) struct GroupMember {
     pub(crate) name: MemberName,
     pub(crate) address: SocketAddr,
     pub(crate) shared: Arc<GroupShared>,
@@ -63,7 +75,7 @@
     life: Mutex<Option<CancellationToken>>,
 }
 
-impl Member {
+impl GroupMember {
     /// A member that is not started yet.
     pub(crate) fn new(
         settings: &MemberSettings,
@@ -102,6 +114,11 @@
         lock(&self.state).status()
     }
 
+    /// Whether the member is a replica.
+    pub(crate) fn is_replica(&self) -> bool {
+        matches!(lock(&self.state).role, GroupRole::Replica(_))
+    }
+
     /// Runs a control statement and answers the status after its effect.
     pub(crate) fn control(&self, statement: &ControlStatement) -> Result<MemberStatus, SqlError> {
         let status = {
@@ -117,6 +134,12 @@
             }
             state.status()
         };
+        log::info!(
+            target: "rudder::standins",
+            member:% = self.name, statement:% = statement, term:% = status.accepted,
+            role:% = status.role, received:% = status.received;
+            "control statement"
+        );
         self.shared.touch();
         Ok(status)
     }
@@ -124,7 +147,7 @@
     /// Commits a transaction.
     pub(crate) fn commit(
         &self,
-        transaction: super::transaction::Transaction,
+        transaction: crate::group::tables::transaction::OpenTransaction,
     ) -> Result<LogStamp, SqlError> {
         let changes = !transaction.effects.is_empty();
         let stamp = lock(&self.state).commit(transaction)?;
@@ -180,6 +203,7 @@
 
     /// Turns a knob that needs no task to be started or ended.
     pub(crate) fn turn(&self, knob: &MemberKnob) {
+        log::info!(target: "rudder::standins", member:% = self.name, knob:? = knob; "knob turned");
         match knob {
             MemberKnob::ApplyLag(lag) => lock(&self.replication).apply_lag = *lag,
             MemberKnob::LinkDelay(delay) => lock(&self.replication).link_delay = *delay,
--- a/crates/rudder-standins/src/group/state.rs
+++ b/crates/rudder-standins/src/group/state.rs
@@ -1,8 +1,8 @@
 //! The state of a member that the group's promises rest on: terms, role and log.
 
-use super::error::SqlError;
 use super::log::MemberLog;
-use super::transaction::Transaction;
+use crate::group::sql::error::SqlError;
+use crate::group::tables::transaction::OpenTransaction;
 use rudder_core::{LogStamp, LogTerm, MemberName, MemberRole, MemberStatus};
 
 /// What a member does with the log.
@@ -38,8 +38,8 @@
     /// The member's report.
     pub(crate) fn status(&self) -> MemberStatus {
         let role = match self.role {
-            GroupRole::Primary(_) => MemberRole::Primary,
-            GroupRole::Replica(_) => MemberRole::Replica,
+            GroupRole::Primary(term) if term == self.accepted => MemberRole::Primary,
+            GroupRole::Primary(_) | GroupRole::Replica(_) => MemberRole::Replica,
         };
         MemberStatus {
             role,
@@ -102,12 +102,12 @@
     }
 
     /// A transaction over the tables as applied.
-    pub(crate) fn begin(&self) -> Transaction {
-        Transaction::new(self.accepted, self.log.applied(), self.log.database().clone())
+    pub(crate) fn begin(&self) -> OpenTransaction {
+        OpenTransaction::new(self.accepted, self.log.applied(), self.log.database().clone())
     }
 
     /// Commits a transaction; nothing changes if this fails.
-    pub(crate) fn commit(&mut self, transaction: Transaction) -> Result<LogStamp, SqlError> {
+    pub(crate) fn commit(&mut self, transaction: OpenTransaction) -> Result<LogStamp, SqlError> {
         if transaction.effects.is_empty() {
             return Ok(self.log.applied());
         }
