Silent members are given up on, and reads spill to the primary only for a queue

Cause: a statement in flight on a cut link hung for the statement's own bound of 30 s, and a read at a group that nobody had used was refused before the first reports. Change: a relay ends when the member's probes fail; a status, which takes no slot, has a bound of its own; a read waits for reports within its queue wait; the primary takes a read only if the best replica's queue exceeds two service times.

--- a/crates/arbutusrudder/src/caller/acknowledge.rs
+++ b/crates/arbutusrudder/src/caller/acknowledge.rs
@@ -8,6 +8,9 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
+/// A status may take this many times as long as a primary may stay unheard.
+const STATUS_PATIENCE: u32 = 2;
+
 /// Queues the question for a member's status on a connection in use.
 pub(crate) fn ask_status(pooled: &mut PooledConnection) -> Result<(), ExchangeError> {
     let question = ControlStatement::Status.to_string();
@@ -21,7 +24,9 @@
     pooled: &mut PooledConnection,
     asked_at: Duration,
 ) -> Result<MemberStatus, ExchangeError> {
-    let bound = group.timing.statement_timeout;
+    // Guards against a connection that went silent for good while new ones work: a status takes no
+    // slot, so its answer is never late for work's sake.
+    let bound = group.timing.suspect_after * STATUS_PATIENCE;
     match timeout(bound, pooled.connection.next_status()).await {
         Ok(Ok(status)) => {
             group.take_report(member, asked_at, Some(status));
--- a/crates/arbutusrudder/src/caller/attempt.rs
+++ b/crates/arbutusrudder/src/caller/attempt.rs
@@ -179,11 +179,6 @@
         timeout(bound, skip).await.map_err(|_| ExchangeError::MemberSilent)?
     }
 
-    /// Bounds for relaying `batch`.
-    pub(crate) fn bounds(&self, batch: &CallerBatch) -> RelayBounds {
-        bounds_of(&self.group, batch)
-    }
-
     /// Ends an attempt whose member is ready and outside of a transaction.
     pub(crate) async fn finish(self, session: &CallerSession) {
         let member = &self.group.members[self.member];
@@ -217,8 +212,13 @@
 }
 
 /// Bounds for relaying `batch` at a member of `group`.
-pub(crate) fn bounds_of(group: &GroupState, batch: &CallerBatch) -> RelayBounds {
+pub(crate) fn bounds_of<'a>(
+    group: &'a GroupState,
+    member: usize,
+    batch: &CallerBatch,
+) -> RelayBounds<'a> {
     RelayBounds {
+        member: &group.members[member],
         member_silence: group.timing.statement_timeout,
         caller_silence: group.timing.transaction_idle_timeout,
         end: batch.end,
--- a/crates/arbutusrudder/src/caller/keyed.rs
+++ b/crates/arbutusrudder/src/caller/keyed.rs
@@ -3,7 +3,7 @@
 
 use super::acknowledge::leading_term;
 use super::answer::{put_complete, put_ready};
-use super::attempt::MemberAttempt;
+use super::attempt::{MemberAttempt, bounds_of};
 use super::serve::{SessionEnd, refuse};
 use super::session::CallerSession;
 use super::write::{self, WriteEnd, answer_unresolved, is_not_run, note_commit};
@@ -14,6 +14,7 @@
 use crate::group::PooledConnection;
 use rudder_core::{LogTerm, RefusalNotice, RequestKey};
 use rudder_endpoint::{ErrorFields, WireError, read_error_fields, tag};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -134,7 +135,8 @@
     term: Option<LogTerm>,
 ) -> Result<WriteEnd, SessionEnd> {
     let mut queue = encode_batch(&mut attempt.pooled, batch);
-    let bounds = attempt.bounds(batch);
+    let group = Arc::clone(&attempt.group);
+    let bounds = bounds_of(&group, attempt.member, batch);
     let mut sink = ReplySink::new(&mut session.link, HoldRule::UntilCommit);
     let relayed = relay_batch(&mut attempt.pooled, &mut queue, &mut sink, bounds).await;
     let held = sink.into_held();
--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -2,7 +2,7 @@
 //! from the primary, else a refusal that says so.
 
 use super::answer::put_ready;
-use super::attempt::{AttemptError, MemberAttempt};
+use super::attempt::{AttemptError, MemberAttempt, bounds_of};
 use super::serve::{SessionEnd, refuse};
 use super::session::{CallerSession, FloorKnowledge, PinnedConnection};
 use super::{session_change, write};
@@ -16,6 +16,7 @@
 use rudder_decisions::{ReadDemand, ReadRoute, RouteReason, WorkClass};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::time::timeout_at;
 
 /// Members tried for one read before it is refused.
 const ATTEMPTS_MAX: u32 = 8;
@@ -50,7 +51,9 @@
     let deadline = Instant::now() + session.caller.queue_wait + group.timing.read_wait;
     let mut avoided: Vec<usize> = Vec::new();
     let mut waited = Duration::ZERO;
-    for _ in 0..ATTEMPTS_MAX {
+    let mut attempts = 0;
+    while attempts < ATTEMPTS_MAX {
+        let mut changes = group.board.subscribe();
         let choice = choose(context, session, group, &avoided, waited);
         let member = match choice.route {
             ReadRoute::Replica(member) | ReadRoute::Primary(member) => member,
@@ -60,8 +63,17 @@
                 waited += pause;
                 member
             }
-            ReadRoute::Refuse => break,
+            // Without this, a read is refused because the first reports of a group that nobody
+            // used lately are on their way, or because a failover is.
+            ReadRoute::Refuse => {
+                avoided.clear();
+                match timeout_at(deadline.into(), changes.changed()).await {
+                    Ok(Ok(())) => continue,
+                    _ => break,
+                }
+            }
         };
+        attempts += 1;
         log_route(session, group, member, choice.reason);
         let attempt = MemberAttempt::begin(session, group, member, WorkClass::Read, deadline).await;
         let attempt = match attempt {
@@ -149,7 +161,8 @@
         Err(error) => return fail(session, attempt, &error).await,
     };
     if !may_serve(session, &attempt, &status, arrived).await {
-        let bounds = attempt.bounds(batch);
+        let group = Arc::clone(&attempt.group);
+        let bounds = bounds_of(&group, attempt.member, batch);
         return match drain_batch(&mut attempt.pooled, &mut queue, bounds).await {
             Ok(outcome) if outcome.status == b'I' => {
                 attempt.finish(session).await;
@@ -162,7 +175,8 @@
             Err(error) => fail(session, attempt, &error).await,
         };
     }
-    let bounds = attempt.bounds(batch);
+    let group = Arc::clone(&attempt.group);
+    let bounds = bounds_of(&group, attempt.member, batch);
     let mut sink = ReplySink::new(&mut session.link, HoldRule::UntilRow);
     let relayed = relay_batch(&mut attempt.pooled, &mut queue, &mut sink, bounds).await;
     let held = sink.into_held();
--- a/crates/arbutusrudder/src/caller/transaction.rs
+++ b/crates/arbutusrudder/src/caller/transaction.rs
@@ -49,7 +49,8 @@
     let ahead = closes && batch.end != BatchEnd::Flush && !batch.copies_in();
     let asked = ahead && ask_status(&mut pinned.pooled).is_ok();
     let rule = if closes { HoldRule::UntilCommit } else { HoldRule::Pass };
-    let bounds = bounds_of(&pinned.group, batch);
+    let group = Arc::clone(&pinned.group);
+    let bounds = bounds_of(&group, pinned.member, batch);
     let mut sink = ReplySink::new(&mut session.link, rule);
     let relayed = relay_batch(&mut pinned.pooled, &mut queue, &mut sink, bounds).await;
     let held = sink.into_held();
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -3,7 +3,7 @@
 
 use super::acknowledge::leading_term;
 use super::answer::{put_ready, put_refusal};
-use super::attempt::{AttemptError, MemberAttempt};
+use super::attempt::{AttemptError, MemberAttempt, bounds_of};
 use super::keyed::{self, KeyedRequest};
 use super::local::report_token;
 use super::serve::{SessionEnd, refuse};
@@ -115,7 +115,8 @@
         Ok(status) => status,
         Err(error) => return Ok(lose(session, batch, attempt, &error).await),
     };
-    let bounds = attempt.bounds(batch);
+    let group = Arc::clone(&attempt.group);
+    let bounds = bounds_of(&group, attempt.member, batch);
     let mut sink = ReplySink::new(&mut session.link, HoldRule::UntilCommit);
     let relayed = relay_batch(&mut attempt.pooled, &mut queue, &mut sink, bounds).await;
     let held = sink.into_held();
--- a/crates/arbutusrudder/src/exchange/relay.rs
+++ b/crates/arbutusrudder/src/exchange/relay.rs
@@ -3,7 +3,7 @@
 use super::batch::BatchEnd;
 use super::replies::{ReplyAction, ReplyQueue};
 use super::sink::ReplySink;
-use crate::group::PooledConnection;
+use crate::group::{GroupMember, PooledConnection};
 use displaydoc::Display;
 use rudder_endpoint::{ErrorFields, FramePart, WireError, WireFrame, read_error_fields, tag};
 use std::time::Duration;
@@ -26,8 +26,10 @@
 impl std::error::Error for ExchangeError {}
 
 /// Bounds of one exchange.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct RelayBounds {
+#[derive(Clone, Copy)]
+pub(crate) struct RelayBounds<'a> {
+    /// The member: when it is known not to answer, nothing more is waited for.
+    pub(crate) member: &'a GroupMember,
     /// How long the member may send nothing.
     pub(crate) member_silence: Duration,
     /// How long the caller may take to send or take data.
@@ -52,7 +54,7 @@
     pooled: &mut PooledConnection,
     queue: &mut ReplyQueue,
     sink: &mut ReplySink<'_>,
-    bounds: RelayBounds,
+    bounds: RelayBounds<'_>,
 ) -> Result<BatchOutcome, ExchangeError> {
     let mut outcome = BatchOutcome::default();
     loop {
@@ -86,7 +88,7 @@
 pub(crate) async fn drain_batch(
     pooled: &mut PooledConnection,
     queue: &mut ReplyQueue,
-    bounds: RelayBounds,
+    bounds: RelayBounds<'_>,
 ) -> Result<BatchOutcome, ExchangeError> {
     let mut outcome = BatchOutcome::default();
     loop {
@@ -106,19 +108,26 @@
 
 async fn next_reply(
     pooled: &mut PooledConnection,
-    bounds: RelayBounds,
+    bounds: RelayBounds<'_>,
 ) -> Result<WireFrame, ExchangeError> {
-    timeout(bounds.member_silence, pooled.connection.link().next_frame())
-        .await
-        .map_err(|_| ExchangeError::MemberSilent)?
-        .map_err(ExchangeError::Member)
+    let link = pooled.connection.link();
+    if link.has_buffered_frame() {
+        return link.next_frame().await.map_err(ExchangeError::Member);
+    }
+    tokio::select! {
+        biased;
+        frame = timeout(bounds.member_silence, link.next_frame()) => {
+            frame.map_err(|_| ExchangeError::MemberSilent)?.map_err(ExchangeError::Member)
+        }
+        () = bounds.member.wait_down() => Err(ExchangeError::MemberSilent),
+    }
 }
 
 /// Sends what the caller can already have before waiting for the member, or when much has piled up.
 async fn flush_caller_if_idle(
     pooled: &mut PooledConnection,
     sink: &mut ReplySink<'_>,
-    bounds: RelayBounds,
+    bounds: RelayBounds<'_>,
 ) -> Result<(), ExchangeError> {
     let caller = sink.caller();
     let more_ready = pooled.connection.link().has_buffered_frame();
@@ -128,7 +137,10 @@
     flush_caller(sink, bounds).await
 }
 
-async fn flush_caller(sink: &mut ReplySink<'_>, bounds: RelayBounds) -> Result<(), ExchangeError> {
+async fn flush_caller(
+    sink: &mut ReplySink<'_>,
+    bounds: RelayBounds<'_>,
+) -> Result<(), ExchangeError> {
     timeout(bounds.caller_silence, sink.caller().flush())
         .await
         .map_err(|_| ExchangeError::Caller(WireError::Closed))?
@@ -160,7 +172,7 @@
 async fn forward_copy(
     pooled: &mut PooledConnection,
     sink: &mut ReplySink<'_>,
-    bounds: RelayBounds,
+    bounds: RelayBounds<'_>,
 ) -> Result<(), ExchangeError> {
     flush_caller(sink, bounds).await?;
     loop {
--- a/crates/arbutusrudder/src/group/mod.rs
+++ b/crates/arbutusrudder/src/group/mod.rs
@@ -11,6 +11,7 @@
 
 pub(crate) use admission::AdmissionPass;
 pub(crate) use confirm::ConfirmOutcome;
+pub(crate) use member::GroupMember;
 pub(crate) use pool::{PoolError, PooledConnection};
 pub(crate) use state::{GroupState, GroupTuning};
 pub(crate) use watch::spawn_watch;
--- a/crates/arbutusrudder/tests/deployment/path.rs
+++ b/crates/arbutusrudder/tests/deployment/path.rs
@@ -67,6 +67,28 @@
     assert_eq!(rows_of(&second, "SELECT title FROM parts").await, ["Kyrie"]);
 }
 
+/// What a user sees: the first read of a session at a proxy is refused, though every member is up.
+/// Order: a write at one proxy, the session moves to another whose link to the primary is slow,
+/// reads at once.
+/// Cause: the second proxy has heard from replicas that lack the write, and not yet of a primary.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_first_read_waits_for_the_first_reports() {
+    let deployment = Deployment::start(plan(2)).await.expect("deployment starts");
+    for name in ["scores-orders-2", "scores-orders-3"] {
+        let lag = MemberKnob::ApplyLag(Duration::from_secs(60));
+        deployment.groups[0].turn(&name.parse().unwrap(), lag).unwrap();
+    }
+    let (first, _) = connect(&deployment, 0, "copyist").await;
+    deployment.links[1].members[0][0].set_delay(Duration::from_millis(150), Duration::ZERO);
+
+    first.batch_execute("CREATE TABLE parts (id int PRIMARY KEY, title text)").await.unwrap();
+    let token = rows_of(&first, "SHOW rudder.session").await.remove(0);
+    let option = format!("options='-c rudder.session={token}'");
+    let (second, _) = connect_with(&deployment, 1, "copyist", &option).await;
+
+    assert_eq!(rows_of(&second, "SELECT title FROM parts").await, Vec::<String>::new());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn transactions_commit_and_roll_back_as_a_whole() {
     let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
--- a/crates/rudder-decisions/src/routing/router.rs
+++ b/crates/rudder-decisions/src/routing/router.rs
@@ -6,17 +6,19 @@
 //! replicas may serve queue behind writes at the primary.
 //!
 //! The rule is least expected time: link, plus service, plus the wait for a slot. Thresholds: the
-//! primary takes a read that a replica may serve only if it answers [`SPILL_FACTOR`] times sooner
-//! and has a free slot. The share of reads on replicas is the first measure, so spilling must
-//! stay the exception; without it a burst that fills the replicas would queue beside idle slots.
+//! primary takes a read that a replica may serve only if the best replica's queue takes more than
+//! [`SPILL_WAITS`] service times and the primary has a free slot and answers sooner. The share of
+//! reads on replicas is the first measure, so spilling must stay the exception, and distance is no
+//! reason for it; without it a burst that fills the replicas would queue beside idle slots.
 
 use super::demand::{MemberHealth, MemberView, ReadDemand, ReadRoute, RouteChoice, RouteReason};
 use rand::{Rng, RngExt};
 use rudder_core::MemberRole;
 use std::time::Duration;
 
-/// How many times sooner the primary must answer to take a read that a replica may serve.
-const SPILL_FACTOR: f64 = 4.0;
+/// Expected wait for a slot of the best replica, in service times, above which the primary takes a
+/// read that the replica may serve.
+const SPILL_WAITS: f64 = 2.0;
 
 /// Slots of the primary that reads spilled from replicas leave free.
 const SPILL_SLOTS_KEPT: u32 = 1;
@@ -256,14 +258,20 @@
 
 /// Link, service, and the wait for a slot if all are taken, in seconds.
 fn expected_time_s(member: &MemberView) -> f64 {
+    member.link.as_secs_f64() + member.service.as_secs_f64() * (1.0 + waits_of(member))
+}
+
+/// The expected wait for a slot, in service times.
+fn waits_of(member: &MemberView) -> f64 {
     let slots = member.slots.max(1);
-    let service_s = member.service.as_secs_f64();
     let ahead = load_of(member).saturating_add(1).saturating_sub(slots);
-    member.link.as_secs_f64() + service_s * (1.0 + f64::from(ahead) / f64::from(slots))
+    f64::from(ahead) / f64::from(slots)
 }
 
-/// Whether the primary should take a read that `replica` may serve.
+/// Whether the primary should take a read that `replica` may serve: only for a queue there, not for
+/// distance or slow hardware.
 fn spills(primary: &MemberView, replica: &MemberView) -> bool {
     let has_room = load_of(primary).saturating_add(SPILL_SLOTS_KEPT) < primary.slots;
-    has_room && expected_time_s(primary) * SPILL_FACTOR < expected_time_s(replica)
+    let queues = waits_of(replica) > SPILL_WAITS;
+    has_room && queues && expected_time_s(primary) < expected_time_s(replica)
 }
--- a/crates/rudder-standins/examples/measure/report.rs
+++ b/crates/rudder-standins/examples/measure/report.rs
@@ -129,14 +129,17 @@
     }
 }
 
-/// The longest time between two acknowledged writes of the first group around the first fault.
+/// The longest time without an acknowledged write of the first group, from the first fault to the
+/// end of the trace.
 fn gap(trace: &LoadTrace, requests: &[RequestSample]) -> Option<Duration> {
     let at = Duration::from_secs_f64(trace.faults.first()?.at);
+    let end = Duration::from_secs_f64(trace.seconds);
     let mut times: Vec<Duration> = requests
         .iter()
         .filter(|sample| sample.group == 0 && sample.write && sample.end == RequestEnd::Done)
-        .map(|sample| sample.ended)
+        .map(|sample| sample.ended.min(end))
         .collect();
+    times.push(end);
     times.sort_unstable();
     let around = times.windows(2).filter(|pair| pair[1] >= at);
     around.map(|pair| pair[1] - pair[0]).max()
