Planned switch reaches its target under writes

Cause: the stand-in shipped entries only from a member that is primary, so a switch target could not fetch the rest from the fenced old primary, and under any load the old one was promoted again. Change: a member ships to followers of the term that it accepted itself (rudder-standins, two places); commits still need the primary's own term. A keeper test against the stand-in group.

--- a/crates/arbutusrudder/src/keeper/tests/mod.rs
+++ b/crates/arbutusrudder/src/keeper/tests/mod.rs
@@ -6,3 +6,4 @@
 mod fixture;
 #[path = "../../../../rudder-core/tests/succession/model.rs"]
 mod model;
+mod standin_switch;
--- a/crates/rudder-standins/src/group/replication.rs
+++ b/crates/rudder-standins/src/group/replication.rs
@@ -131,8 +131,8 @@
     }
     let (own, leading) = lock_both(member, leader);
     // Guards against a superseded primary that still pushes: entries are taken only from a
-    // primary whose accepted term is the follower's own.
-    if !leading.leads(key.term) {
+    // member whose accepted term is the follower's own.
+    if !leading.ships(key.term) {
         return false;
     }
     let sent = match flight.sent {
--- a/crates/rudder-standins/src/group/state.rs
+++ b/crates/rudder-standins/src/group/state.rs
@@ -54,6 +54,13 @@
         self.accepted == term && self.role == GroupRole::Primary(term)
     }
 
+    /// Whether followers of `term` may take entries from this member. It need not be primary: in
+    /// a planned switch the target fetches the rest from the fenced old primary, whose log only
+    /// this term's own primary can change from then on.
+    pub(crate) fn ships(&self, term: LogTerm) -> bool {
+        self.accepted == term
+    }
+
     /// Accepts a term.
     pub(crate) fn fence(&mut self, term: LogTerm) -> Result<(), SqlError> {
         if term < self.accepted {
