--- a/crates/rudder-decisions/examples/trials/main.rs
+++ b/crates/rudder-decisions/examples/trials/main.rs
@@ -4,14 +4,17 @@
 //! table for each trial.
 
 mod adaptive;
+mod admission;
 mod arrivals;
 mod baseline;
 mod current;
 mod detection;
 mod faults;
+mod hedging;
 mod model;
 mod report;
 mod routing;
+mod scenes;
 mod setup;
 mod slots;
 mod summary;
@@ -26,8 +29,10 @@
         .position(|argument| argument == "--seed")
         .and_then(|index| arguments.get(index + 1))
         .map_or(SEED_DEFAULT, |text| text.parse().expect("--seed takes a number"));
+    admission::run(seed);
     routing::run(seed);
     slots::run(seed);
     faults::run(seed);
+    hedging::run(seed);
     detection::run(seed);
 }
