Succession: several reserved terms a run, interleaved

Cause: with one reserved term each, one outage of the platform outlasted at most a few failures, and a low one was useless once another keeper had used a greater one.

--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -33,7 +33,7 @@
 pub use status::{MemberRole, MemberStatus};
 pub use succession::{
     GrantError, GroupCondition, KeeperSeat, ObserverVote, PlanBounds, PlanMember, PlanReply,
-    PlanRequest, PlanState, ReservedTerm, StallWatch, SuccessionGrant, SuccessionPlan,
-    SuspicionTally, SwitchOrder, TermPurse, VoteKind, WriterMark, choose_candidate, judge_group,
+    PlanRequest, PlanState, StallWatch, SuccessionGrant, SuccessionPlan, SuspicionTally,
+    SwitchOrder, TermPurse, TermReservation, VoteKind, WriterMark, choose_candidate, judge_group,
 };
 pub use unit::{ByteSize, ConnectionCount, MemberSpeed, RequestRate, SlotCount};
--- a/crates/rudder-core/src/succession/grant.rs
+++ b/crates/rudder-core/src/succession/grant.rs
@@ -5,55 +5,13 @@
 //! stood there before. So terms of different runs differ, also when one of them acts on an old
 //! copy during an outage of the platform.
 
-use crate::derive::name_type;
+use super::reservation::{KeeperSeat, TermReservation, WriterMark};
 use crate::ident::{InstanceName, MemberName};
 use crate::plain_data;
 use crate::stamp::LogTerm;
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
-name_type! {
-    /// A random mark by which a writer knows its own change again, and a run its reservations.
-    ///
-    /// The holder's name does not do: a restarted instance bears the same name.
-    WriterMark
-}
-
-impl WriterMark {
-    /// A fresh mark.
-    ///
-    /// ```
-    /// use rudder_core::WriterMark;
-    /// assert_ne!(WriterMark::random(), WriterMark::random());
-    /// ```
-    #[must_use]
-    pub fn random() -> Self {
-        Self(uuid::Uuid::new_v4().simple().to_string().into())
-    }
-}
-
-plain_data! {
-    /// One run of an instance that keeps a group.
-    #[derive(Serialize, Deserialize)]
-    pub struct KeeperSeat {
-        /// The instance.
-        pub instance: InstanceName,
-        /// The mark of its current run; a restart brings another.
-        pub incarnation: WriterMark,
-    }
-}
-
-plain_data! {
-    /// A term set aside for one run of an instance.
-    #[derive(Serialize, Deserialize)]
-    pub struct ReservedTerm {
-        /// The term.
-        pub term: LogTerm,
-        /// Who may use it.
-        pub seat: KeeperSeat,
-    }
-}
-
 plain_data! {
     /// The object as it is stored.
     #[derive(Serialize, Deserialize)]
@@ -64,10 +22,19 @@
         mark: WriterMark,
         primary: Option<MemberName>,
         primary_term: LogTerm,
-        reserved: Vec<ReservedTerm>,
+        reserved: Vec<TermReservation>,
     }
 }
 
+/// Terms reserved for each run. Each attempt during an outage uses one.
+const RESERVED_COUNT: u32 = 8;
+
+/// A run with fewer usable terms than this asks for new ones.
+const USABLE_MIN: usize = 4;
+
+/// Reserved terms that a stored grant may hold for one run.
+const STORED_COUNT_MAX: u32 = 64;
+
 /// Why a stored grant is not valid.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[ignore_extra_doc_attributes]
@@ -76,6 +43,8 @@
     ReservedTwice(LogTerm),
     /// the succession grant both grants and reserves term {0}; remove the reservation
     GrantedAndReserved(LogTerm),
+    /// the succession grant reserves {0} terms for one run, more than it may; remove the entry
+    TooMany(u32),
 }
 
 impl std::error::Error for GrantError {}
@@ -90,7 +59,7 @@
         mark: WriterMark,
         primary: Option<MemberName>,
         primary_term: LogTerm,
-        reserved: Vec<ReservedTerm>,
+        reserved: Vec<TermReservation>,
     }
 }
 
@@ -135,7 +104,7 @@
 
     /// The reserved terms, sorted by instance.
     #[must_use]
-    pub fn reserved(&self) -> &[ReservedTerm] {
+    pub fn reserved(&self) -> &[TermReservation] {
         &self.reserved
     }
 
@@ -148,7 +117,7 @@
     /// # Ok::<(), rudder_core::ParseError>(())
     /// ```
     #[must_use]
-    pub fn reserved_for(&self, incarnation: &WriterMark) -> Option<&ReservedTerm> {
+    pub fn reserved_for(&self, incarnation: &WriterMark) -> Option<&TermReservation> {
         // Guards against a restarted instance that repeats a term which its earlier run spent:
         // the mark of the run decides, not the name.
         self.reserved.iter().find(|entry| entry.seat.incarnation == *incarnation)
@@ -164,7 +133,7 @@
     /// ```
     #[must_use]
     pub fn highest(&self) -> LogTerm {
-        let reserved = self.reserved.iter().map(|entry| entry.term);
+        let reserved = self.reserved.iter().flat_map(TermReservation::terms);
         reserved.chain([self.term, self.primary_term]).max().unwrap_or(self.term)
     }
 
@@ -184,13 +153,13 @@
         next.term = LogTerm(self.highest().max(accepted).0 + 1);
         next.holder = holder;
         next.mark = mark;
-        next.renumber(LogTerm(0));
+        next.renumber(next.term);
         next
     }
 
-    /// The grant in which `seat` has a usable reservation and only `keepers` have any; none if
+    /// The grant in which `seat` has enough usable terms and only `keepers` have any; none if
     /// that is so already. `accepted` is the greatest term that members are known to have
-    /// accepted; a reservation up to it is of no more use.
+    /// accepted; reserved terms up to it are of no more use.
     ///
     /// ```
     /// use rudder_core::{KeeperSeat, LogTerm, SuccessionGrant, WriterMark};
@@ -198,7 +167,7 @@
     /// let seat = KeeperSeat { instance: "inst-2".parse()?, incarnation: WriterMark::random() };
     /// let keepers = [seat.instance.clone()];
     /// let grant = grant.enrol(&seat, &keepers, LogTerm(3)).unwrap();
-    /// assert_eq!(grant.reserved()[0].term, LogTerm(4));
+    /// assert_eq!(grant.reserved()[0].first, LogTerm(4));
     /// assert!(grant.enrol(&seat, &keepers, LogTerm(3)).is_none());
     /// # Ok::<(), rudder_core::ParseError>(())
     /// ```
@@ -211,9 +180,11 @@
     ) -> Option<Self> {
         let mut next = self.clone();
         next.reserved.retain(|entry| keepers.contains(&entry.seat.instance));
-        let is_valid = |entry: &ReservedTerm| entry.seat == *seat && entry.term > accepted;
-        if keepers.contains(&seat.instance) && !next.reserved.iter().any(is_valid) {
-            next.reserve(seat.clone(), self.highest().max(accepted));
+        let has_enough =
+            |entry: &TermReservation| entry.seat == *seat && entry.usable(accepted) >= USABLE_MIN;
+        if keepers.contains(&seat.instance) && !next.reserved.iter().any(has_enough) {
+            next.seat(seat.clone());
+            next.renumber(self.highest().max(accepted));
         }
         (next.reserved != self.reserved).then_some(next)
     }
@@ -236,29 +207,30 @@
         let mut next = self.clone();
         next.primary = Some(primary.clone());
         next.primary_term = term;
-        next.renumber(term);
+        if next.reserved.iter().any(|entry| entry.usable(term) < USABLE_MIN) {
+            next.renumber(term);
+        }
         Some(next)
     }
 
-    fn reserve(&mut self, seat: KeeperSeat, above: LogTerm) {
-        let entry = ReservedTerm { term: LogTerm(above.0 + 1), seat };
-        let order = |known: &ReservedTerm| known.seat.instance.cmp(&entry.seat.instance);
+    fn seat(&mut self, seat: KeeperSeat) {
+        let entry = TermReservation { first: LogTerm(0), step: 1, count: 0, seat };
+        let order = |known: &TermReservation| known.seat.instance.cmp(&entry.seat.instance);
         match self.reserved.binary_search_by(order) {
             Ok(index) => self.reserved[index] = entry,
             Err(index) => self.reserved.insert(index, entry),
         }
     }
 
-    /// Moves the reservations that members would refuse by now above every number in use.
-    fn renumber(&mut self, accepted: LogTerm) {
-        let floor = self.term.max(self.primary_term).max(accepted);
-        let mut highest = self.highest();
-        for entry in &mut self.reserved {
-            if entry.term > floor {
-                continue;
-            }
-            highest = LogTerm(highest.0 + 1);
-            entry.term = highest;
+    /// Gives every run new terms above `floor` and above every number in use. A run that has not
+    /// read this yet uses its old ones, which nobody else ever gets.
+    fn renumber(&mut self, floor: LogTerm) {
+        let base = self.highest().max(floor).0 + 1;
+        let step = u32::try_from(self.reserved.len()).unwrap_or(u32::MAX);
+        for (first, entry) in (base..).zip(&mut self.reserved) {
+            entry.first = LogTerm(first);
+            entry.step = step;
+            entry.count = RESERVED_COUNT;
         }
     }
 }
@@ -280,7 +252,11 @@
     type Error = GrantError;
 
     fn try_from(record: GrantRecord) -> Result<Self, Self::Error> {
-        let mut terms: Vec<_> = record.reserved.iter().map(|entry| entry.term).collect();
+        let is_too_many = |entry: &&TermReservation| entry.count > STORED_COUNT_MAX;
+        if let Some(entry) = record.reserved.iter().find(is_too_many) {
+            return Err(GrantError::TooMany(entry.count));
+        }
+        let mut terms: Vec<_> = record.reserved.iter().flat_map(TermReservation::terms).collect();
         terms.sort_unstable();
         if let Some(pair) = terms.windows(2).find(|pair| pair[0] == pair[1]) {
             return Err(GrantError::ReservedTwice(pair[0]));
--- a/crates/rudder-core/src/succession/mod.rs
+++ b/crates/rudder-core/src/succession/mod.rs
@@ -13,15 +13,17 @@
 mod plan_reply;
 mod plan_step;
 mod purse;
+mod reservation;
 mod stall;
 mod tally;
 
 pub use candidate::choose_candidate;
 pub use condition::{GroupCondition, judge_group};
-pub use grant::{GrantError, KeeperSeat, ReservedTerm, SuccessionGrant, WriterMark};
+pub use grant::{GrantError, SuccessionGrant};
 pub use order::SwitchOrder;
 pub use plan::SuccessionPlan;
 pub use plan_step::{PlanBounds, PlanMember, PlanReply, PlanRequest, PlanState};
 pub use purse::TermPurse;
+pub use reservation::{KeeperSeat, TermReservation, WriterMark};
 pub use stall::StallWatch;
 pub use tally::{ObserverVote, SuspicionTally, VoteKind};
--- a/crates/rudder-core/src/succession/order.rs
+++ b/crates/rudder-core/src/succession/order.rs
@@ -1,6 +1,6 @@
 //! An operator's order to a group.
 
-use super::grant::WriterMark;
+use super::reservation::WriterMark;
 use crate::ident::MemberName;
 use crate::plain_data;
 use serde::{Deserialize, Serialize};
--- a/crates/rudder-core/src/succession/purse.rs
+++ b/crates/rudder-core/src/succession/purse.rs
@@ -1,6 +1,7 @@
-//! The reserved term of one instance, spent at most once.
+//! The reserved terms of one run, each spent at most once.
 
-use super::grant::{SuccessionGrant, WriterMark};
+use super::grant::SuccessionGrant;
+use super::reservation::{TermReservation, WriterMark};
 use crate::plain_data;
 use crate::stamp::LogTerm;
 
@@ -8,7 +9,7 @@
     /// What one run of an instance remembers of the terms reserved for it.
     pub struct TermPurse {
         incarnation: WriterMark,
-        reserved: Option<LogTerm>,
+        reserved: Option<TermReservation>,
         spent: LogTerm,
     }
 }
@@ -44,19 +45,19 @@
     /// };
     /// let grant = grant.enrol(&seat, &["inst-1".parse()?], LogTerm(1)).unwrap();
     /// purse.refill(&grant);
-    /// assert!(purse.spend(LogTerm(1)).is_some());
-    /// assert_eq!(purse.spend(LogTerm(1)), None);
+    /// assert_eq!(purse.spend(LogTerm(1)), Some(LogTerm(2)));
+    /// assert_eq!(purse.spend(LogTerm(1)), Some(LogTerm(3)));
     /// # Ok::<(), rudder_core::ParseError>(())
     /// ```
     pub fn refill(&mut self, grant: &SuccessionGrant) {
         let Some(entry) = grant.reserved_for(&self.incarnation) else { return };
         // A stale read of the grant shows an earlier, lower reservation; it changes nothing.
-        if self.reserved.is_none_or(|reserved| reserved < entry.term) && entry.term > self.spent {
-            self.reserved = Some(entry.term);
+        if self.reserved.as_ref().is_none_or(|reserved| reserved.first < entry.first) {
+            self.reserved = Some(entry.clone());
         }
     }
 
-    /// Takes the reserved term out, if it is greater than `accepted`, the greatest term that
+    /// Takes out the least reserved term that is greater than `accepted`, the greatest term that
     /// members are known to have accepted.
     ///
     /// ```
@@ -64,10 +65,10 @@
     /// assert!(TermPurse::new(WriterMark::random()).spend(LogTerm(0)).is_none());
     /// ```
     pub fn spend(&mut self, accepted: LogTerm) -> Option<LogTerm> {
-        let term = self.reserved.filter(|term| *term > accepted)?;
         // Guards against two plans of one term: a lost promotion of the first may still take
         // effect when the second promotes another member.
-        self.reserved = None;
+        let floor = accepted.max(self.spent);
+        let term = self.reserved.as_ref()?.terms().find(|term| *term > floor)?;
         self.spent = term;
         Some(term)
     }
@@ -80,6 +81,7 @@
     /// ```
     #[must_use]
     pub fn is_usable(&self, accepted: LogTerm) -> bool {
-        self.reserved.is_some_and(|reserved| reserved > accepted)
+        let floor = accepted.max(self.spent);
+        self.reserved.as_ref().is_some_and(|reserved| reserved.usable(floor) > 0)
     }
 }
