Succession grant: tests for numbers that must not return, and for stored grants

Cause: taking out the guard that new reservations lie above all old ones left every test green. Change: a test of just that, and one of a stored reservation that is too large.

--- a/crates/rudder-core/tests/succession/grant.rs
+++ b/crates/rudder-core/tests/succession/grant.rs
@@ -148,20 +148,43 @@
     assert_eq!(grant.reserved().len(), 1);
 }
 
-#[test]
-fn stored_grant_with_a_term_twice_is_refused() {
-    let seat = |index| KeeperSeat { instance: instance(index), incarnation: WriterMark::random() };
+fn grant_of_two() -> SuccessionGrant {
     let names = [instance(0), instance(1)];
     let grant = SuccessionGrant::first(instance(0), LogTerm(1), WriterMark::random());
-    let grant = grant.enrol(&seat(0), &names, LogTerm(1)).expect("a change");
-    let grant = grant.enrol(&seat(1), &names, LogTerm(1)).expect("a change");
-    let mut bytes = postcard::to_stdvec(&grant).expect("encodes");
-    let twice = bytes.iter().rposition(|byte| *byte == 11).expect("the second first term");
+    let grant = grant.enrol(&keeper(0).seat, &names, LogTerm(1)).expect("a change");
+    grant.enrol(&keeper(1).seat, &names, LogTerm(1)).expect("a change")
+}
+
+// One keeper used most of its terms during an outage; writing that down gives new ones to all. The
+// other keeper still holds its old ones in memory, so the new ones must lie above those too.
+#[test]
+fn settling_never_gives_out_a_number_again() {
+    let grant = grant_of_two();
+    let highest = grant.highest();
+
+    let settled = grant.settle(&"m1".parse().expect("a valid name"), LogTerm(highest.0 - 2));
 
-    let before = postcard::from_bytes::<SuccessionGrant>(&bytes);
-    bytes[twice] = 10;
-    let after = postcard::from_bytes::<SuccessionGrant>(&bytes);
+    let firsts = settled.expect("a change").reserved().iter().map(|entry| entry.first).min();
+    assert!(firsts > Some(highest), "{firsts:?}, {highest}");
+}
 
-    assert_eq!(before, Ok(grant));
-    assert!(after.is_err());
+#[test]
+fn stored_grant_that_is_not_valid_is_refused() {
+    let grant = grant_of_two();
+    let bytes = postcard::to_stdvec(&grant).expect("encodes");
+    let with = |old: u8, new: u8| {
+        let mut changed = bytes.clone();
+        let index = bytes.iter().rposition(|byte| *byte == old).expect("the number is there");
+        changed[index] = new;
+        postcard::from_bytes::<SuccessionGrant>(&changed)
+    };
+    let (second_first, first_first, count, too_many) = (11, 10, 8, 65);
+
+    let unchanged = with(count, count);
+    let reserved_twice = with(second_first, first_first);
+    let oversized = with(count, too_many);
+
+    assert_eq!(unchanged, Ok(grant));
+    assert!(reserved_twice.is_err());
+    assert!(oversized.is_err());
 }
