platform: histories of racing operators under random faults

Cause: each fault of a submission had a test of its own, but none played them together. Change: four operators submit at once while requests and answers are lost by seed; whoever was told a number must find the change in force.

--- a/crates/rudder-platform/tests/platform/common.rs
+++ b/crates/rudder-platform/tests/platform/common.rs
@@ -1,6 +1,8 @@
 //! Fixtures of the platform's tests: a stand-in, stores, files, and a store with scripted faults.
 
 use async_trait::async_trait;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use rudder_platform::{
     FolderChange, InstanceEntry, KubeStore, ObjectKind, ObjectVersion, PlatformOptions,
     PlatformStore, StoreError, StoredObject, submit_change,
@@ -38,47 +40,51 @@
     FolderChange { put: files.to_vec(), ..FolderChange::default() }
 }
 
-/// What happens to one update of the revision.
-pub(crate) enum UpdateFault {
+/// What happens to one change.
+pub(crate) enum PutFault {
+    /// It arrives and is answered.
+    None,
     /// It never arrives; the writer sees a broken connection.
     LostRequest,
+    /// It takes effect; the writer sees a broken connection.
+    LostAnswer,
     /// It takes effect, a rival submits a change, and the writer sees a broken connection.
     LostAnswerThen(FolderChange),
     /// Nobody listens.
     Refused,
 }
 
-/// A store that brings faults about at updates of the revision, the last of the list first.
-pub(crate) struct ScriptedStore {
-    pub(crate) inner: KubeStore,
-    pub(crate) faults: Mutex<Vec<UpdateFault>>,
+/// Brings faults about at chosen calls of a [`FaultyStore`].
+#[async_trait]
+pub(crate) trait FaultScript: Send + Sync {
+    /// The fault of the next change of an object of this kind.
+    fn on_put(&self, _kind: ObjectKind) -> PutFault {
+        PutFault::None
+    }
+
+    /// Runs when the files have been listed.
+    fn on_list(&self) {}
+
+    /// Runs between a read and its answer.
+    async fn on_read(&self, _inner: &KubeStore, _kind: ObjectKind) {}
 }
 
-/// A store of a writer who is overtaken while pruning: once it has listed the files, a rival submits
-/// between the next read of the revision and its answer.
-pub(crate) struct OvertakenStore {
+/// The real store with a script of faults in front.
+pub(crate) struct FaultyStore<S> {
     pub(crate) inner: KubeStore,
-    pub(crate) rival: Mutex<Option<FolderChange>>,
-    pub(crate) listed: AtomicBool,
+    pub(crate) script: S,
 }
 
 #[async_trait]
-impl PlatformStore for OvertakenStore {
+impl<S: FaultScript> PlatformStore for FaultyStore<S> {
     async fn get(&self, kind: ObjectKind, name: &str) -> Result<Option<StoredObject>, StoreError> {
         let read = self.inner.get(kind, name).await;
-        let pruning = self.listed.load(Ordering::Relaxed) && kind == ObjectKind::SettingsRevision;
-        let rival = match pruning {
-            true => self.rival.lock().expect("no test panics here").take(),
-            false => None,
-        };
-        if let Some(rival) = rival {
-            submit_change(&self.inner, rival).await.expect("the rival's change is valid");
-        }
+        self.script.on_read(&self.inner, kind).await;
         read
     }
 
     async fn list(&self, kind: ObjectKind) -> Result<Vec<StoredObject>, StoreError> {
-        self.listed.store(true, Ordering::Relaxed);
+        self.script.on_list();
         self.inner.list(kind).await
     }
 
@@ -89,7 +95,21 @@
         expected: Option<&ObjectVersion>,
         spec: serde_json::Value,
     ) -> Result<StoredObject, StoreError> {
-        self.inner.put(kind, name, expected, spec).await
+        let fault = self.script.on_put(kind);
+        match fault {
+            PutFault::LostRequest => return Err(StoreError::Unresolved),
+            PutFault::Refused => return Err(StoreError::Unavailable),
+            PutFault::None | PutFault::LostAnswer | PutFault::LostAnswerThen(_) => {}
+        }
+        let stored = self.inner.put(kind, name, expected, spec).await;
+        match fault {
+            PutFault::None => stored,
+            PutFault::LostAnswerThen(rival) => {
+                submit_change(&self.inner, rival).await.expect("the rival's change is valid");
+                Err(StoreError::Unresolved)
+            }
+            _ => Err(StoreError::Unresolved),
+        }
     }
 
     async fn delete(
@@ -106,49 +126,62 @@
     }
 }
 
+/// Faults at updates of the revision, the last of the list first.
+pub(crate) struct UpdateFaults(pub(crate) Mutex<Vec<PutFault>>);
+
 #[async_trait]
-impl PlatformStore for ScriptedStore {
-    async fn get(&self, kind: ObjectKind, name: &str) -> Result<Option<StoredObject>, StoreError> {
-        self.inner.get(kind, name).await
+impl FaultScript for UpdateFaults {
+    fn on_put(&self, kind: ObjectKind) -> PutFault {
+        match kind {
+            ObjectKind::SettingsRevision => {
+                self.0.lock().expect("no test panics here").pop().unwrap_or(PutFault::None)
+            }
+            _ => PutFault::None,
+        }
     }
+}
 
-    async fn list(&self, kind: ObjectKind) -> Result<Vec<StoredObject>, StoreError> {
-        self.inner.list(kind).await
+/// A writer is overtaken while pruning: once it has listed the files, a rival submits between the
+/// next read of the revision and its answer.
+pub(crate) struct OvertakenPruning {
+    pub(crate) rival: Mutex<Option<FolderChange>>,
+    pub(crate) listed: AtomicBool,
+}
+
+#[async_trait]
+impl FaultScript for OvertakenPruning {
+    fn on_list(&self) {
+        self.listed.store(true, Ordering::Relaxed);
     }
 
-    async fn put(
-        &self,
-        kind: ObjectKind,
-        name: &str,
-        expected: Option<&ObjectVersion>,
-        spec: serde_json::Value,
-    ) -> Result<StoredObject, StoreError> {
-        let fault = match kind {
-            ObjectKind::SettingsRevision => self.faults.lock().expect("no test panics here").pop(),
-            _ => None,
-        };
-        match fault {
-            None => self.inner.put(kind, name, expected, spec).await,
-            Some(UpdateFault::LostRequest) => Err(StoreError::Unresolved),
-            Some(UpdateFault::Refused) => Err(StoreError::Unavailable),
-            Some(UpdateFault::LostAnswerThen(rival)) => {
-                self.inner.put(kind, name, expected, spec).await?;
-                submit_change(&self.inner, rival).await.expect("the rival's change is valid");
-                Err(StoreError::Unresolved)
-            }
+    async fn on_read(&self, inner: &KubeStore, kind: ObjectKind) {
+        if !self.listed.load(Ordering::Relaxed) || kind != ObjectKind::SettingsRevision {
+            return;
+        }
+        let rival = self.rival.lock().expect("no test panics here").take();
+        if let Some(rival) = rival {
+            submit_change(inner, rival).await.expect("the rival's change is valid");
         }
     }
+}
 
-    async fn delete(
-        &self,
-        kind: ObjectKind,
-        name: &str,
-        expected: &ObjectVersion,
-    ) -> Result<(), StoreError> {
-        self.inner.delete(kind, name, expected).await
+/// Faults drawn from a seed at every change.
+pub(crate) struct RandomFaults(pub(crate) Mutex<SmallRng>);
+
+impl RandomFaults {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self(Mutex::new(SmallRng::seed_from_u64(seed)))
     }
+}
 
-    async fn instances(&self) -> Result<Vec<InstanceEntry>, StoreError> {
-        self.inner.instances().await
+#[async_trait]
+impl FaultScript for RandomFaults {
+    fn on_put(&self, _kind: ObjectKind) -> PutFault {
+        match self.0.lock().expect("no test panics here").random_range(0..10) {
+            0 | 1 => PutFault::LostRequest,
+            2 | 3 => PutFault::LostAnswer,
+            4 => PutFault::Refused,
+            _ => PutFault::None,
+        }
     }
 }
--- a/crates/rudder-platform/tests/platform/main.rs
+++ b/crates/rudder-platform/tests/platform/main.rs
@@ -2,5 +2,6 @@
 
 mod common;
 mod following;
+mod racing;
 mod store;
 mod submission;
--- a/crates/rudder-platform/tests/platform/submission.rs
+++ b/crates/rudder-platform/tests/platform/submission.rs
@@ -1,8 +1,8 @@
 //! Submitting: racing operators, lost answers, outages, refusals, pruning.
 
 use crate::common::{
-    OvertakenStore, ScriptedStore, UpdateFault, change, domain_file, file, patient_store, standin,
-    store,
+    FaultyStore, OvertakenPruning, PutFault, UpdateFaults, change, domain_file, file,
+    patient_store, standin, store,
 };
 use rudder_platform::{
     FolderChange, KubeStore, ObjectKind, PlatformStore, RevisionNumber, SettingsRevision,
@@ -127,8 +127,8 @@
     let standin = standin().await;
     let inner = patient_store(&standin);
     let rival = change(&[domain_file("a", "south")]);
-    let faults = Mutex::new(vec![UpdateFault::LostAnswerThen(rival)]);
-    let scripted = ScriptedStore { inner, faults };
+    let script = UpdateFaults(Mutex::new(vec![PutFault::LostAnswerThen(rival)]));
+    let scripted = FaultyStore { inner, script };
 
     let outcome = submit_change(&scripted, change(&[domain_file("a", "north")])).await.unwrap();
 
@@ -142,7 +142,8 @@
 async fn lost_request_is_sent_again() {
     let standin = standin().await;
     let inner = patient_store(&standin);
-    let scripted = ScriptedStore { inner, faults: Mutex::new(vec![UpdateFault::LostRequest]) };
+    let script = UpdateFaults(Mutex::new(vec![PutFault::LostRequest]));
+    let scripted = FaultyStore { inner, script };
 
     let outcome = submit_change(&scripted, change(&[domain_file("a", "north")])).await.unwrap();
 
@@ -156,9 +157,9 @@
 async fn lost_answer_before_an_outage_stays_unknown() {
     let standin = standin().await;
     let inner = patient_store(&standin);
-    let mut faults: Vec<UpdateFault> = (0..100).map(|_| UpdateFault::Refused).collect();
-    faults.push(UpdateFault::LostRequest);
-    let scripted = ScriptedStore { inner, faults: Mutex::new(faults) };
+    let mut faults: Vec<PutFault> = (0..100).map(|_| PutFault::Refused).collect();
+    faults.push(PutFault::LostRequest);
+    let scripted = FaultyStore { inner, script: UpdateFaults(Mutex::new(faults)) };
 
     let result = submit_change(&scripted, change(&[domain_file("a", "north")])).await;
 
@@ -283,16 +284,14 @@
         submit_change(&store, change(&[domain_file("a", region)])).await.unwrap();
     }
     let rival = change(&[domain_file("a", "old")]);
-    let overtaken = OvertakenStore {
-        inner: patient_store(&standin),
-        rival: Mutex::new(Some(rival)),
-        listed: AtomicBool::new(false),
-    };
+    let script =
+        OvertakenPruning { rival: Mutex::new(Some(rival)), listed: AtomicBool::new(false) };
+    let overtaken = FaultyStore { inner: patient_store(&standin), script };
 
     submit_change(&overtaken, change(&[domain_file("a", "five")])).await.unwrap();
     let bundle = poll_revision(&store, None).await.unwrap().unwrap();
 
-    assert!(overtaken.rival.lock().unwrap().is_none());
+    assert!(overtaken.script.rival.lock().unwrap().is_none());
     assert_eq!(bundle.number, RevisionNumber(6));
     assert_eq!(bundle.merge().unwrap().fleet.domains[0].region, "old");
 }
