platform: check the history of racing operators against the revisions made

Change: every revision that took effect is kept; each submission has a text of its own, two operators fight over each file, and what each was told is checked against the revisions. The checker has a test with wrong histories.

--- a/crates/rudder-platform/tests/platform/common.rs
+++ b/crates/rudder-platform/tests/platform/common.rs
@@ -1,16 +1,16 @@
 //! Fixtures of the platform's tests: a stand-in, stores, files, and a store with scripted faults.
 
 use async_trait::async_trait;
+use rand::RngExt;
 use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
 use rudder_platform::{
     FolderChange, InstanceEntry, KubeStore, ObjectKind, ObjectVersion, PlatformOptions,
-    PlatformStore, StoreError, StoredObject, submit_change,
+    PlatformStore, SettingsRevision, StoreError, StoredObject, submit_change,
 };
 use rudder_settings::SettingsFile;
 use rudder_standins::PlatformStandin;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 pub(crate) async fn standin() -> PlatformStandin {
@@ -62,6 +62,9 @@
         PutFault::None
     }
 
+    /// Runs when a change took effect.
+    fn on_stored(&self, _kind: ObjectKind, _spec: &serde_json::Value) {}
+
     /// Runs when the files have been listed.
     fn on_list(&self) {}
 
@@ -102,6 +105,9 @@
             PutFault::None | PutFault::LostAnswer | PutFault::LostAnswerThen(_) => {}
         }
         let stored = self.inner.put(kind, name, expected, spec).await;
+        if let Ok(object) = &stored {
+            self.script.on_stored(kind, &object.spec);
+        }
         match fault {
             PutFault::None => stored,
             PutFault::LostAnswerThen(rival) => {
@@ -165,23 +171,27 @@
     }
 }
 
-/// Faults drawn from a seed at every change.
-pub(crate) struct RandomFaults(pub(crate) Mutex<SmallRng>);
-
-impl RandomFaults {
-    pub(crate) fn new(seed: u64) -> Self {
-        Self(Mutex::new(SmallRng::seed_from_u64(seed)))
-    }
+/// Faults drawn from a seed at every change; keeps every revision that took effect.
+pub(crate) struct RandomFaults {
+    pub(crate) random: Mutex<SmallRng>,
+    pub(crate) revisions: Arc<Mutex<Vec<SettingsRevision>>>,
 }
 
 #[async_trait]
 impl FaultScript for RandomFaults {
     fn on_put(&self, _kind: ObjectKind) -> PutFault {
-        match self.0.lock().expect("no test panics here").random_range(0..10) {
+        match self.random.lock().expect("no test panics here").random_range(0..10) {
             0 | 1 => PutFault::LostRequest,
             2 | 3 => PutFault::LostAnswer,
             4 => PutFault::Refused,
             _ => PutFault::None,
         }
     }
+
+    fn on_stored(&self, kind: ObjectKind, spec: &serde_json::Value) {
+        if kind == ObjectKind::SettingsRevision {
+            let revision = serde_json::from_value(spec.clone()).expect("it was just written");
+            self.revisions.lock().expect("no test panics here").push(revision);
+        }
+    }
 }
--- a/crates/rudder-platform/tests/platform/racing.rs
+++ b/crates/rudder-platform/tests/platform/racing.rs
@@ -1,73 +1,108 @@
 //! Histories of operators who race while the platform loses requests and answers.
 
 use crate::common::{FaultyStore, RandomFaults, change, domain_file, patient_store, standin};
-use rudder_platform::{RevisionBundle, SubmitError, SubmitOutcome, poll_revision, submit_change};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rudder_platform::{
+    RevisionNumber, SettingsRevision, SubmitError, SubmitOutcome, submit_change,
+};
 use rudder_standins::PlatformStandin;
+use std::sync::{Arc, Mutex};
 
 const SEEDS: u64 = 6;
-const ROUNDS: usize = 3;
-const STEMS: [&str; 4] = ["a", "b", "c", "d"];
+const ROUNDS: u64 = 4;
 
-/// What one operator saw: the region that each submission wanted, and its result.
-struct OperatorHistory {
-    stem: &'static str,
-    results: Vec<(String, Result<SubmitOutcome, SubmitError>)>,
+/// Whose file each operator changes: the first two fight over one, the others over another.
+const OPERATORS: [&str; 4] = ["a", "a", "b", "b"];
+
+type RevisionLog = Arc<Mutex<Vec<SettingsRevision>>>;
+
+/// One submission of a text that nobody else submits, and what its operator was told.
+struct SubmissionRecord {
+    wanted: SettingsRevision,
+    result: Result<SubmitOutcome, SubmitError>,
 }
 
-async fn operate(standin: &PlatformStandin, stem: &'static str, seed: u64) -> OperatorHistory {
-    let inner = patient_store(standin);
-    let store = FaultyStore { inner, script: RandomFaults::new(seed) };
-    let mut results = Vec::new();
-    for round in 0..ROUNDS {
-        let region = format!("region-{round}");
-        let result = submit_change(&store, change(&[domain_file(stem, &region)])).await;
-        results.push((region, result));
+impl SubmissionRecord {
+    fn is_in(&self, revision: &SettingsRevision) -> bool {
+        let file = &self.wanted.files[0];
+        revision.object(&file.name) == Some(file.object.as_str())
     }
-    OperatorHistory { stem, results }
-}
 
-/// The regions that the last revision may show for an operator: that of its last accepted
-/// submission, or of any later one whose outcome it was not told.
-fn possible_regions(history: &OperatorHistory) -> Vec<&str> {
-    let results = &history.results;
-    let accepted = results.iter().rposition(|(_, result)| result.is_ok()).unwrap_or(0);
-    let unknown = |result: &Result<_, _>| matches!(result, Err(SubmitError::Unresolved));
-    let later = results[accepted + 1..].iter().filter(|(_, result)| unknown(result));
-    results[accepted..=accepted].iter().chain(later).map(|(region, _)| region.as_str()).collect()
+    /// Checks what the operator was told against the revisions that took effect.
+    fn check(&self, revisions: &[SettingsRevision]) -> Result<(), String> {
+        let first = revisions.iter().find(|revision| self.is_in(revision));
+        let made = first.map(|revision| revision.number);
+        match &self.result {
+            Ok(outcome) if outcome.changed && made == Some(outcome.number) => Ok(()),
+            Err(SubmitError::Unresolved) => Ok(()),
+            Err(_) if made.is_none() => Ok(()),
+            told => Err(format!("told {told:?}, in force since {made:?}")),
+        }
+    }
 }
 
-fn shown_region(bundle: &RevisionBundle, stem: &str) -> String {
-    let fleet = bundle.merge().expect("accepted settings are valid").fleet;
-    let domain = fleet.domains.iter().find(|domain| domain.name.as_str() == stem);
-    domain.expect("the file was accepted").region.clone()
+async fn operate(
+    standin: &PlatformStandin,
+    index: u64,
+    seed: u64,
+    log: RevisionLog,
+) -> Vec<SubmissionRecord> {
+    let stem = OPERATORS[usize::try_from(index).expect("there are four")];
+    let random = Mutex::new(SmallRng::seed_from_u64(seed * 100 + index));
+    let script = RandomFaults { random, revisions: log };
+    let store = FaultyStore { inner: patient_store(standin), script };
+    let mut records = Vec::new();
+    for round in 0..ROUNDS {
+        let file = domain_file(stem, &format!("region-{index}-{round}"));
+        let wanted = SettingsRevision::of_files(RevisionNumber(0), std::slice::from_ref(&file));
+        let result = submit_change(&store, change(&[file])).await;
+        records.push(SubmissionRecord { wanted, result });
+    }
+    records
 }
 
-/// Four operators change a file each, three times, at the same moment, while two of ten changes are
-/// lost on the way, two of ten take effect without an answer, and one of ten meets nobody. Whoever
-/// was told a number must find his change in it and in all later ones; no number is told twice.
+/// Four operators change two files at the same moment, while two of ten changes are lost on the way,
+/// two of ten take effect without an answer, and one of ten meets nobody. Whoever was told a number
+/// must have made that revision; whoever was refused must find his text in none.
 #[tokio::test]
-async fn accepted_changes_stand_and_numbers_are_told_once() {
+async fn what_racing_operators_are_told_is_true() {
     for seed in 0..SEEDS {
         let standin = standin().await;
-        let operators = STEMS.iter().zip(0..).map(|(stem, index)| {
-            let seed = seed * 100 + index;
-            operate(&standin, stem, seed)
-        });
+        let log = RevisionLog::default();
+        let operators =
+            (0..OPERATORS.len() as u64).map(|index| operate(&standin, index, seed, log.clone()));
 
         let histories = futures::future::join_all(operators).await;
+        let records: Vec<SubmissionRecord> = histories.into_iter().flatten().collect();
 
-        let bundle = poll_revision(&patient_store(&standin), None).await.unwrap().unwrap();
-        let mut told: Vec<u64> = Vec::new();
-        for history in &histories {
-            let shown = shown_region(&bundle, history.stem);
-            let possible = possible_regions(history);
-            assert!(possible.contains(&shown.as_str()), "seed {seed}: {shown}, {possible:?}");
-            let accepted = history.results.iter().filter_map(|(_, result)| result.as_ref().ok());
-            told.extend(accepted.filter(|outcome| outcome.changed).map(|outcome| outcome.number.0));
+        let mut revisions = log.lock().unwrap().clone();
+        revisions.sort_by_key(|revision| revision.number);
+        let numbers: Vec<u64> = revisions.iter().map(|revision| revision.number.0).collect();
+        assert_eq!(numbers, (1..=numbers.len() as u64).collect::<Vec<_>>(), "seed {seed}");
+        for record in &records {
+            assert_eq!(record.check(&revisions), Ok(()), "seed {seed}");
         }
-        told.sort_unstable();
-        let all_told = told.len() == STEMS.len() * ROUNDS;
-        assert!(told.windows(2).all(|pair| pair[0] < pair[1]), "seed {seed}: {told:?}");
-        assert!(!all_told || bundle.number.0 == told.len() as u64, "seed {seed}: {told:?}");
+        assert!(records.iter().any(|record| record.result.is_ok()), "seed {seed}");
     }
 }
+
+#[test]
+fn checker_rejects_wrong_histories() {
+    let wanted = |number| {
+        let file = domain_file("a", "north");
+        SettingsRevision::of_files(RevisionNumber(number), &[file])
+    };
+    let record = |result| SubmissionRecord { wanted: wanted(0), result };
+    let accepted = |number, changed| Ok(SubmitOutcome { number: RevisionNumber(number), changed });
+
+    let vanished = record(accepted(1, true)).check(&[]);
+    let other_number = record(accepted(1, true)).check(&[wanted(2)]);
+    let not_own = record(accepted(2, false)).check(&[wanted(2)]);
+    let refused_and_in_force = record(Err(SubmitError::Busy)).check(&[wanted(2)]);
+    let right = record(accepted(2, true)).check(&[wanted(2), wanted(3)]);
+
+    let wrong = [vanished, other_number, not_own, refused_and_in_force];
+    assert!(wrong.iter().all(Result::is_err), "{wrong:?}");
+    assert_eq!(right, Ok(()));
+}
