rudderctl: a wrong platform address is a usage error

Cause: an address without a scheme was reported as a refusal by the platform. Change: the address is parsed with the command line; exit code 2 and what to give.

--- a/crates/rudderctl/src/arguments.rs
+++ b/crates/rudderctl/src/arguments.rs
@@ -1,5 +1,6 @@
 //! The command line as it is typed.
 
+use crate::address::PlatformAddress;
 use crate::options::{
     CheckOptions, ControlCommand, ControlOptions, DrainOptions, FetchOptions, StatusOptions,
     SubmitOptions, SwitchOptions,
@@ -102,7 +103,7 @@
     folder: PathBuf,
     /// the platform's address, such as http://127.0.0.1:18001
     #[argh(option)]
-    platform: Option<String>,
+    platform: Option<PlatformAddress>,
     /// the namespace of the project's objects; default
     #[argh(option, default = "default_namespace()")]
     namespace: String,
@@ -132,7 +133,7 @@
     folder: PathBuf,
     /// the platform's address, such as http://127.0.0.1:18001
     #[argh(option)]
-    platform: Option<String>,
+    platform: Option<PlatformAddress>,
     /// the namespace of the project's objects; default
     #[argh(option, default = "default_namespace()")]
     namespace: String,
@@ -151,7 +152,7 @@
 struct StatusLine {
     /// the platform's address, such as http://127.0.0.1:18001
     #[argh(option)]
-    platform: Option<String>,
+    platform: Option<PlatformAddress>,
     /// the namespace of the project's objects; default
     #[argh(option, default = "default_namespace()")]
     namespace: String,
@@ -184,7 +185,7 @@
     undo: bool,
     /// the platform's address, such as http://127.0.0.1:18001
     #[argh(option)]
-    platform: Option<String>,
+    platform: Option<PlatformAddress>,
     /// the namespace of the project's objects; default
     #[argh(option, default = "default_namespace()")]
     namespace: String,
@@ -209,7 +210,7 @@
     to: MemberName,
     /// the platform's address, such as http://127.0.0.1:18001
     #[argh(option)]
-    platform: Option<String>,
+    platform: Option<PlatformAddress>,
     /// the namespace of the project's objects; default
     #[argh(option, default = "default_namespace()")]
     namespace: String,
@@ -222,7 +223,8 @@
     PlatformOptions::default().namespace
 }
 
-fn platform_options(address: Option<String>, namespace: String) -> PlatformOptions {
+fn platform_options(address: Option<PlatformAddress>, namespace: String) -> PlatformOptions {
+    let address = address.map(|address| address.to_string());
     PlatformOptions { address, namespace, ..PlatformOptions::default() }
 }
 
--- a/crates/rudderctl/src/main.rs
+++ b/crates/rudderctl/src/main.rs
@@ -1,5 +1,6 @@
 //! The operator's command line.
 
+mod address;
 mod arguments;
 mod base;
 mod command;
--- a/crates/rudderctl/tests/commands.rs
+++ b/crates/rudderctl/tests/commands.rs
@@ -127,8 +127,10 @@
     let help = rudderctl(&["--help"]).await;
     let wrong = rudderctl(&["chek", "folder"]).await;
     let name = rudderctl(&["drain", "NOT A NAME", "--service", "orders"]).await;
+    let address = rudderctl(&["status", "--platform", "127.0.0.1:18001"]).await;
 
-    assert_eq!((help.code, wrong.code, name.code), (0, 2, 2));
+    assert_eq!((help.code, wrong.code, name.code, address.code), (0, 2, 2, 2));
+    assert!(address.err.contains("give http://HOST:PORT"), "{}", address.err);
     insta::assert_snapshot!(help.out);
 }
 
