--- a/crates/arbutusrudder/src/keeper/platform_calls.rs
+++ b/crates/arbutusrudder/src/keeper/platform_calls.rs
@@ -1,19 +1,23 @@
 //! The keeper's calls to the platform outside a promotion. They run beside its task, so that a
 //! slow platform does not delay a probe.
 
-use super::bounds::{GRANT_REFRESH, GRANT_RETRY, ORDER_REFRESH};
+use super::bounds::{
+    GRANT_REFRESH, GRANT_RETRY, ORDER_REFRESH, PLATFORM_CALL_BOUND, PLATFORM_CALLS_MAX,
+};
 use super::decision::DecisionReason;
 use super::grant_client::GrantClientError;
 use super::group_keeper::GroupKeeper;
-use super::orders::{PendingOrder, read_order};
+use super::orders::{PendingOrder, read_order, remove_order};
 use super::switch::PendingSwitch;
-use rudder_core::{KeeperSeat, LogTerm, SuccessionGrant};
+use rudder_core::{KeeperSeat, LogTerm, SuccessionGrant, SwitchOrder};
+use rudder_platform::ObjectVersion;
 use tokio::time::Instant;
 
 /// What a call to the platform brought.
 pub(super) enum PlatformNews {
     Grant(Result<SuccessionGrant, GrantClientError>),
     Order(Option<PendingOrder>),
+    Nothing,
 }
 
 impl GroupKeeper {
@@ -30,24 +34,31 @@
                     "succession grant not refreshed"
                 );
             }
-            PlatformNews::Order(Some(order)) if self.is_new_order(&order) => {
-                let target = order.order.target.clone();
-                self.decide(DecisionReason::SwitchOrdered, self.accepted, Some(&target));
-                self.last_order = Some(order.order.mark.clone());
-                self.switch = Some(PendingSwitch::new(order));
-            }
-            PlatformNews::Order(_) => {}
+            PlatformNews::Order(Some(order)) if self.switch.is_none() => self.note_order(order),
+            PlatformNews::Order(_) | PlatformNews::Nothing => {}
         }
     }
 
-    /// A slow read may bring an order again that was carried out since.
-    fn is_new_order(&self, order: &PendingOrder) -> bool {
-        self.switch.is_none() && self.last_order.as_ref() != Some(&order.order.mark)
+    fn note_order(&mut self, order: PendingOrder) {
+        let PendingOrder { order: SwitchOrder { target, mark }, version } = &order;
+        // Guards against an order that is carried out twice: if its removal failed, it is read
+        // again, perhaps after a failover has moved the primary away from the target.
+        if self.last_order.as_ref() == Some(mark) {
+            self.spawn_removal(version.clone());
+            return;
+        }
+        self.decide(DecisionReason::SwitchOrdered, self.accepted, Some(target));
+        self.last_order = Some(mark.clone());
+        self.switch = Some(PendingSwitch::new(order));
     }
 
     pub(super) fn call_platform(&mut self) {
+        if self.platform_calls.len() >= PLATFORM_CALLS_MAX {
+            return;
+        }
         let now = Instant::now();
-        // Before any member was heard, a reservation would be of a term that they refuse.
+        // A reservation made before any member was heard would be of a term that they refuse, and
+        // cost the platform a second write.
         let is_heard = self.accepted > LogTerm(0);
         if is_heard && now >= self.grant_due_at {
             let is_usable = self.purse.is_usable(self.accepted);
@@ -58,7 +69,7 @@
         if has_first_rank && self.switch.is_none() && now >= self.order_due_at {
             self.order_due_at = now + ORDER_REFRESH;
             let (store, service) = (self.config.store.clone(), self.config.service.clone());
-            self.platform_calls.spawn(async move {
+            self.spawn_call(async move {
                 PlatformNews::Order(read_order(&store, &service).await.unwrap_or_default())
             });
         }
@@ -71,17 +82,32 @@
             instance: self.config.instance.clone(),
             incarnation: self.purse.incarnation().clone(),
         };
-        let (keepers, spent) = (self.roster.names(), self.purse.spent());
+        let keepers = self.roster.names();
         let accepted = self.accepted;
         let (primary, term) = (self.view.borrow().primary.clone(), self.view.borrow().term);
         let unsettled = primary.filter(|_| term > self.settled_term);
-        self.platform_calls.spawn(async move {
+        self.spawn_call(async move {
             if let Some(primary) = unsettled
                 && let Err(error) = client.settle(&primary, term).await
             {
                 return PlatformNews::Grant(Err(error));
             }
-            PlatformNews::Grant(client.enrol(&seat, &keepers, spent, accepted).await)
+            PlatformNews::Grant(client.enrol(&seat, &keepers, accepted).await)
+        });
+    }
+    /// Removes an order that was carried out or refused.
+    pub(super) fn spawn_removal(&mut self, version: ObjectVersion) {
+        let (store, service) = (self.config.store.clone(), self.config.service.clone());
+        self.spawn_call(async move {
+            remove_order(&store, &service, &version).await;
+            PlatformNews::Nothing
+        });
+    }
+
+    fn spawn_call(&mut self, call: impl Future<Output = PlatformNews> + Send + 'static) {
+        self.platform_calls.spawn(async move {
+            let answer = tokio::time::timeout(PLATFORM_CALL_BOUND, call).await;
+            answer.unwrap_or(PlatformNews::Nothing)
         });
     }
 }
--- a/crates/rudder-decisions/src/meter.rs
+++ b/crates/rudder-decisions/src/meter.rs
@@ -19,10 +19,18 @@
 /// Weight of the first answer, which is worth more than a guess.
 const FIRST_GAIN: f64 = 0.5;
 
-/// After this long without an answer, half of the distance to the first guess is forgotten, so
-/// that a member once slow is tried again.
+/// A member that gets work is heard more often than this. What is known of it is then kept: in a
+/// trial that forgot between any two answers the estimate of a rarely used member was half guess.
+const FORGET_AFTER: Duration = Duration::from_secs(1);
+
+/// Without answers, half of the distance to the first guess is forgotten in this time, so that a
+/// member once slow is tried again.
 const FORGET_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Statements that stand by inside the member for each of its slots. Without them a slot whose
+/// statement was short stands idle until the next one has travelled.
+const STANDBY: f64 = 0.5;
+
 /// The window is at most this multiple of the slots, however far the member and however short its
 /// statements: more in flight would only move the queue into the member, where nothing can be
 /// reordered, shed or refused any more.
@@ -69,11 +77,13 @@
     ///
     /// See the example of [`MemberMeter`].
     pub fn observe(&mut self, latency: Duration, now: Instant) {
-        let gain = if self.last_answer.is_some() { SERVICE_GAIN } else { FIRST_GAIN };
-        // What was forgotten while no answers came stays forgotten. Otherwise the first good answer
-        // of a member that has recovered would bring its old, slow estimate back, and the member
-        // would be tried once in a while and never used.
+        // What was forgotten stays forgotten, and its weight goes to this answer. Otherwise the
+        // first good answer of a member that has recovered would bring its old, slow estimate back,
+        // or the first slow one of a member that has not would hardly count; either way the member
+        // would be used wrongly for as long again.
+        let kept = self.kept(now);
         self.service_s = self.service(now).as_secs_f64();
+        let gain = SERVICE_GAIN.max(FIRST_GAIN * (1.0 - kept));
         self.service_s += gain * (latency.as_secs_f64() - self.service_s);
         self.last_answer = Some(now);
     }
@@ -87,13 +97,12 @@
     /// let mut meter = rudder_decisions::MemberMeter::new(5, Duration::from_millis(10));
     /// meter.observe(Duration::from_millis(90), now);
     /// assert_eq!(meter.service(now), Duration::from_millis(50));
-    /// assert_eq!(meter.service(now + Duration::from_secs(2)), Duration::from_millis(30));
+    /// assert_eq!(meter.service(now + Duration::from_secs(1)), Duration::from_millis(50));
+    /// assert_eq!(meter.service(now + Duration::from_secs(3)), Duration::from_millis(30));
     /// ```
     #[must_use]
     pub fn service(&self, now: Instant) -> Duration {
-        let idle = self.last_answer.map_or(Duration::ZERO, |last| now.duration_since(last));
-        let half_lives = idle.as_secs_f64() / FORGET_HALF_LIFE.as_secs_f64();
-        let kept = 0.5_f64.powf(half_lives);
+        let kept = self.kept(now);
         let service_s = self.guess_s + kept * (self.service_s - self.guess_s);
         Duration::from_secs_f64(service_s)
     }
@@ -106,13 +115,13 @@
     /// ```
     /// use std::time::{Duration, Instant};
     /// let meter = rudder_decisions::MemberMeter::new(5, Duration::from_millis(10));
-    /// assert_eq!(meter.window(Duration::from_millis(8), Instant::now()), 9);
+    /// assert_eq!(meter.window(Duration::from_millis(8), Instant::now()), 12);
     /// ```
     #[must_use]
     pub fn window(&self, link: Duration, now: Instant) -> u32 {
         let service_s = self.service(now).as_secs_f64().max(SERVICE_MIN_S);
-        let travelling = (link.as_secs_f64() / service_s).min(WINDOW_FACTOR_MAX - 1.0);
-        (f64::from(self.slots) * (1.0 + travelling)).ceil() as u32
+        let travelling = (link.as_secs_f64() / service_s).min(WINDOW_FACTOR_MAX - 1.0 - STANDBY);
+        (f64::from(self.slots) * (1.0 + STANDBY + travelling)).ceil() as u32
     }
 
     /// Takes over a changed number of slots.
@@ -121,9 +130,18 @@
     /// use std::time::{Duration, Instant};
     /// let mut meter = rudder_decisions::MemberMeter::new(5, Duration::from_millis(10));
     /// meter.set_slots(2);
-    /// assert_eq!(meter.window(Duration::ZERO, Instant::now()), 2);
+    /// assert_eq!(meter.window(Duration::ZERO, Instant::now()), 3);
     /// ```
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
     }
+
+    /// The part of what was learned that still counts.
+    fn kept(&self, now: Instant) -> f64 {
+        let Some(last) = self.last_answer else {
+            return 0.0;
+        };
+        let idle = now.duration_since(last).saturating_sub(FORGET_AFTER);
+        0.5_f64.powf(idle.as_secs_f64() / FORGET_HALF_LIFE.as_secs_f64())
+    }
 }
