--- /dev/null
+++ b/crates/rudder-platform/tests/platform/racing.rs
@@ -0,0 +1,108 @@
+//! Histories of operators who race while the platform loses requests and answers.
+
+use crate::common::{FaultyStore, RandomFaults, change, domain_file, patient_store, standin};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rudder_platform::{
+    RevisionNumber, SettingsRevision, SubmitError, SubmitOutcome, submit_change,
+};
+use rudder_standins::PlatformStandin;
+use std::sync::{Arc, Mutex};
+
+const SEEDS: u64 = 6;
+const ROUNDS: u64 = 4;
+
+/// Whose file each operator changes: the first two fight over one, the others over another.
+const OPERATORS: [&str; 4] = ["a", "a", "b", "b"];
+
+type RevisionLog = Arc<Mutex<Vec<SettingsRevision>>>;
+
+/// One submission of a text that nobody else submits, and what its operator was told.
+struct SubmissionRecord {
+    wanted: SettingsRevision,
+    result: Result<SubmitOutcome, SubmitError>,
+}
+
+impl SubmissionRecord {
+    fn is_in(&self, revision: &SettingsRevision) -> bool {
+        let file = &self.wanted.files[0];
+        revision.object(&file.name) == Some(file.object.as_str())
+    }
+
+    /// Checks what the operator was told against the revisions that took effect.
+    fn check(&self, revisions: &[SettingsRevision]) -> Result<(), String> {
+        let first = revisions.iter().find(|revision| self.is_in(revision));
+        let made = first.map(|revision| revision.number);
+        match &self.result {
+            Ok(outcome) if outcome.changed && made == Some(outcome.number) => Ok(()),
+            Err(SubmitError::Unresolved) => Ok(()),
+            Err(_) if made.is_none() => Ok(()),
+            told => Err(format!("told {told:?}, in force since {made:?}")),
+        }
+    }
+}
+
+async fn operate(
+    standin: &PlatformStandin,
+    index: u64,
+    seed: u64,
+    log: RevisionLog,
+) -> Vec<SubmissionRecord> {
+    let stem = OPERATORS[usize::try_from(index).expect("there are four")];
+    let random = Mutex::new(SmallRng::seed_from_u64(seed * 100 + index));
+    let script = RandomFaults { random, revisions: log };
+    let store = FaultyStore { inner: patient_store(standin), script };
+    let mut records = Vec::new();
+    for round in 0..ROUNDS {
+        let file = domain_file(stem, &format!("region-{index}-{round}"));
+        let wanted = SettingsRevision::of_files(RevisionNumber(0), std::slice::from_ref(&file));
+        let result = submit_change(&store, change(&[file])).await;
+        records.push(SubmissionRecord { wanted, result });
+    }
+    records
+}
+
+/// Four operators change two files at the same moment, while two of ten changes are lost on the way,
+/// two of ten take effect without an answer, and one of ten meets nobody. Whoever was told a number
+/// must have made that revision; whoever was refused must find his text in none.
+#[tokio::test]
+async fn what_racing_operators_are_told_is_true() {
+    for seed in 0..SEEDS {
+        let standin = standin().await;
+        let log = RevisionLog::default();
+        let operators =
+            (0..OPERATORS.len() as u64).map(|index| operate(&standin, index, seed, log.clone()));
+
+        let histories = futures::future::join_all(operators).await;
+        let records: Vec<SubmissionRecord> = histories.into_iter().flatten().collect();
+
+        let mut revisions = log.lock().unwrap().clone();
+        revisions.sort_by_key(|revision| revision.number);
+        let numbers: Vec<u64> = revisions.iter().map(|revision| revision.number.0).collect();
+        assert_eq!(numbers, (1..=numbers.len() as u64).collect::<Vec<_>>(), "seed {seed}");
+        for record in &records {
+            assert_eq!(record.check(&revisions), Ok(()), "seed {seed}");
+        }
+        assert!(records.iter().any(|record| record.result.is_ok()), "seed {seed}");
+    }
+}
+
+#[test]
+fn checker_rejects_wrong_histories() {
+    let wanted = |number| {
+        let file = domain_file("a", "north");
+        SettingsRevision::of_files(RevisionNumber(number), &[file])
+    };
+    let record = |result| SubmissionRecord { wanted: wanted(0), result };
+    let accepted = |number, changed| Ok(SubmitOutcome { number: RevisionNumber(number), changed });
+
+    let vanished = record(accepted(1, true)).check(&[]);
+    let other_number = record(accepted(1, true)).check(&[wanted(2)]);
+    let not_own = record(accepted(2, false)).check(&[wanted(2)]);
+    let refused_and_in_force = record(Err(SubmitError::Busy)).check(&[wanted(2)]);
+    let right = record(accepted(2, true)).check(&[wanted(2), wanted(3)]);
+
+    let wrong = [vanished, other_number, not_own, refused_and_in_force];
+    assert!(wrong.iter().all(Result::is_err), "{wrong:?}");
+    assert_eq!(right, Ok(()));
+}
