A commit's connection serves others while its majority is awaited

Cause: a write kept its slot and its connection while it waited for the majority, over links of 12 ms and more; at seven instances a member has three connections for each. Ruled out: the admission window, which was the same with the limits off. Change: the member's own status after the commit gives the stamp; then the connection goes back, and the wait for the majority needs none.

--- a/crates/arbutusrudder/src/caller/acknowledge.rs
+++ b/crates/arbutusrudder/src/caller/acknowledge.rs
@@ -37,10 +37,9 @@
     }
 }
 
-/// Waits until what was committed at `term` may be acknowledged, and answers its stamp; `None` if
-/// nobody can tell whether it stays. The question for the status after the commit must have been
-/// queued already, at `asked_at` or later.
-pub(crate) async fn acknowledge(
+/// The stamp of what was committed at `term`, by the member's own status after it; `None` if nobody
+/// can tell. The question for that status must have been queued already, at `asked_at` or later.
+pub(crate) async fn commit_stamp(
     group: &GroupState,
     member: usize,
     pooled: &mut PooledConnection,
@@ -54,10 +53,12 @@
     if term.is_none() || leading_term(&after) != term || Some(after.received.term) != term {
         return None;
     }
-    confirm(group, member, after.received).await.then_some(after.received)
+    Some(after.received)
 }
 
-async fn confirm(group: &GroupState, member: usize, commit: LogStamp) -> bool {
+/// Waits until a majority holds the commit; `false` if nobody can tell whether it stays. Needs no
+/// connection, so that the member's scarce ones serve others meanwhile.
+pub(crate) async fn confirm(group: &GroupState, member: usize, commit: LogStamp) -> bool {
     if group.service.ack == AckRule::Primary {
         return true;
     }
--- a/crates/arbutusrudder/src/caller/attempt.rs
+++ b/crates/arbutusrudder/src/caller/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to run a batch at one member: a slot, a connection, and the status that the member
 //! gives on the same connection before the batch.
 
-use super::acknowledge::{acknowledge, ask_status, read_status};
+use super::acknowledge::{ask_status, commit_stamp, read_status};
 use super::session::CallerSession;
 use crate::exchange::{CallerBatch, ExchangeError, RelayBounds, sync_settings};
 use crate::group::{AdmissionPass, GroupState, PoolError, PooledConnection};
@@ -152,8 +152,8 @@
         read_status(&self.group, self.member, &mut self.pooled, self.asked_at).await
     }
 
-    /// Waits until what the batch committed at `term` may be acknowledged.
-    pub(crate) async fn acknowledge(
+    /// The stamp of what the batch committed at `term`; `None` if nobody can tell.
+    pub(crate) async fn commit_stamp(
         &mut self,
         term: Option<LogTerm>,
         asked_again: bool,
@@ -161,7 +161,7 @@
         if !asked_again {
             self.ask_again().ok()?;
         }
-        acknowledge(&self.group, self.member, &mut self.pooled, term, self.asked_at).await
+        commit_stamp(&self.group, self.member, &mut self.pooled, term, self.asked_at).await
     }
 
     /// Reads the reply to the settings that were queued. A failure shows again at the status.
--- a/crates/arbutusrudder/src/caller/keyed.rs
+++ b/crates/arbutusrudder/src/caller/keyed.rs
@@ -1,11 +1,12 @@
 //! Requests with a key: the key is written in the same transaction as the change, under a unique
 //! index on the endpoint, so that a repeat on any instance, after any failover, finds it.
 
-use super::acknowledge::leading_term;
+use super::acknowledge::{confirm, leading_term};
 use super::answer::{put_complete, put_ready};
 use super::attempt::{MemberAttempt, bounds_of};
 use super::serve::{SessionEnd, refuse};
 use super::session::CallerSession;
+use super::session_change;
 use super::write::{self, WriteEnd, answer_unresolved, is_not_run, note_commit};
 use crate::exchange::{
     BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink,
@@ -154,7 +155,7 @@
     }
     keyed.committing = true;
     let stamp = match commit(&mut attempt, keyed, &outcome.last_tag).await {
-        Ok(true) => attempt.acknowledge(term, false).await,
+        Ok(true) => attempt.commit_stamp(term, false).await,
         Ok(false) => {
             // The member rolled back: a request with the same key was faster, or it is fenced.
             attempt.finish(session).await;
@@ -166,8 +167,15 @@
         attempt.abandon(session, &ExchangeError::MemberSilent).await;
         return Ok(try_again(session, &held));
     };
+    session_change::apply(session, batch, &mut attempt.pooled);
+    let member = attempt.member;
+    attempt.finish(session).await;
+    if !confirm(&group, member, stamp).await {
+        return Ok(try_again(session, &held));
+    }
     held.release(&mut session.link);
-    write::answer(session, batch, attempt, &outcome, Some(stamp)).await;
+    note_commit(session, stamp);
+    put_ready(session.link.outgoing(), b'I');
     Ok(WriteEnd::Answered)
 }
 
@@ -191,7 +199,7 @@
     }
     held.release(&mut session.link);
     match rolled_back {
-        Ok(_) => write::answer(session, batch, attempt, outcome, None).await,
+        Ok(_) => write::answer(session, batch, attempt, outcome).await,
         Err(error) => {
             attempt.abandon(session, &error).await;
             put_ready(session.link.outgoing(), b'I');
@@ -244,12 +252,16 @@
             return Ok(WriteEnd::NotRun);
         }
     };
-    let Some(stamp) = attempt.acknowledge(term, false).await else {
+    let Some(stamp) = attempt.commit_stamp(term, false).await else {
         attempt.abandon(session, &ExchangeError::MemberSilent).await;
         return Ok(WriteEnd::NotRun);
     };
+    let (group, member) = (Arc::clone(&attempt.group), attempt.member);
     attempt.finish(session).await;
-    note_commit(session, Some(stamp));
+    if !confirm(&group, member, stamp).await {
+        return Ok(WriteEnd::NotRun);
+    }
+    note_commit(session, stamp);
     let simple = batch.end == BatchEnd::Simple;
     if keyed.committing && simple && !value.is_empty() {
         put_complete(session.link.outgoing(), &value);
--- a/crates/arbutusrudder/src/caller/transaction.rs
+++ b/crates/arbutusrudder/src/caller/transaction.rs
@@ -1,6 +1,6 @@
 //! Batches inside a transaction: on the connection that the transaction began on, until it ends.
 
-use super::acknowledge::{acknowledge, ask_status, read_status};
+use super::acknowledge::{ask_status, commit_stamp, confirm, read_status};
 use super::answer::put_ready;
 use super::attempt::bounds_of;
 use super::keyed::{insert_of, is_duplicate, run_own};
@@ -137,23 +137,27 @@
         return lose_commit(session);
     }
     let group = Arc::clone(&pinned.group);
+    let (member, term) = (pinned.member, pinned.term);
     // A transaction without a term is a read-only one on a replica: there is nothing to commit.
-    let stamp = if rolled_back || pinned.term.is_none() {
+    if rolled_back || term.is_none() {
         if !settle(&mut pinned, sent.asked_at).await {
             return lose_commit(session);
         }
-        None
+        give_back(session, pinned).await;
+        sent.held.release(&mut session.link);
     } else {
-        let term = pinned.term;
         let pooled = &mut pinned.pooled;
-        match acknowledge(&group, pinned.member, pooled, term, sent.asked_at).await {
-            Some(stamp) => Some(stamp),
-            None => return lose_commit(session),
+        let stamp = commit_stamp(&group, member, pooled, term, sent.asked_at).await;
+        let Some(stamp) = stamp else {
+            return lose_commit(session);
+        };
+        give_back(session, pinned).await;
+        if !confirm(&group, member, stamp).await {
+            return lose_commit(session);
         }
-    };
-    sent.held.release(&mut session.link);
-    give_back(session, pinned).await;
-    note_commit(session, stamp);
+        sent.held.release(&mut session.link);
+        note_commit(session, stamp);
+    }
     put_ready(session.link.outgoing(), b'I');
     Ok(())
 }
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -1,7 +1,7 @@
 //! Serving a write: at the primary, acknowledged only once a majority holds it at the primary's
 //! own term.
 
-use super::acknowledge::leading_term;
+use super::acknowledge::{confirm, leading_term};
 use super::answer::{put_ready, put_refusal};
 use super::attempt::{AttemptError, MemberAttempt, bounds_of};
 use super::keyed::{self, KeyedRequest};
@@ -140,21 +140,33 @@
         return Ok(pin(session, batch, attempt, &outcome, &before, asked_again).await);
     }
     let committed = held.completions > 0 && outcome.last_tag != b"ROLLBACK" && batch.executes;
-    let verdict = if committed {
-        attempt.acknowledge(leading_term(&before), asked_again).await.map(Some)
-    } else {
+    if !committed {
         let settled = !asked_again || attempt.last_status().await.is_ok();
-        settled.then_some(None)
-    };
-    match verdict {
-        Some(stamp) => {
-            held.release(&mut session.link);
-            answer(session, batch, attempt, &outcome, stamp).await;
-        }
-        None => {
+        if !settled {
             attempt.abandon(session, &ExchangeError::MemberSilent).await;
             answer_unresolved(session);
+            return Ok(WriteEnd::Answered);
         }
+        held.release(&mut session.link);
+        answer(session, batch, attempt, &outcome).await;
+        return Ok(WriteEnd::Answered);
+    }
+    let Some(stamp) = attempt.commit_stamp(leading_term(&before), asked_again).await else {
+        attempt.abandon(session, &ExchangeError::MemberSilent).await;
+        answer_unresolved(session);
+        return Ok(WriteEnd::Answered);
+    };
+    if outcome.error.is_none() {
+        session_change::apply(session, batch, &mut attempt.pooled);
+    }
+    let member = attempt.member;
+    attempt.finish(session).await;
+    if confirm(&group, member, stamp).await {
+        held.release(&mut session.link);
+        note_commit(session, stamp);
+        put_ready(session.link.outgoing(), b'I');
+    } else {
+        answer_unresolved(session);
     }
     Ok(WriteEnd::Answered)
 }
@@ -198,25 +210,22 @@
     put_ready(session.link.outgoing(), b'I');
 }
 
-/// Ends the answer to a batch that left no transaction open.
+/// Ends the answer to a batch that committed nothing and left no transaction open.
 pub(crate) async fn answer(
     session: &mut CallerSession,
     batch: &CallerBatch,
     mut attempt: MemberAttempt,
     outcome: &BatchOutcome,
-    stamp: Option<LogStamp>,
 ) {
     if outcome.error.is_none() {
         session_change::apply(session, batch, &mut attempt.pooled);
     }
     attempt.finish(session).await;
-    note_commit(session, stamp);
     put_ready(session.link.outgoing(), b'I');
 }
 
-/// Raises what the session must see, and reports its token.
-pub(crate) fn note_commit(session: &mut CallerSession, stamp: Option<LogStamp>) {
-    let Some(stamp) = stamp else { return };
+/// Raises what the session must see to a commit that was acknowledged, and reports its token.
+pub(crate) fn note_commit(session: &mut CallerSession, stamp: LogStamp) {
     metrics::counter!("rudder_commits_total").increment(1);
     let service = session.service.clone();
     session.token.raise(&service, stamp);
