--- a/crates/rudder-decisions/examples/trials/admission.rs
+++ b/crates/rudder-decisions/examples/trials/admission.rs
@@ -20,7 +20,8 @@
     let is_write: Selection = |request| request.class == WorkClass::Write;
     let is_busy: Selection = |request| request.caller == BUSY_CALLER;
     let is_other: Selection = |request| request.caller != BUSY_CALLER;
-    let is_short: Selection = |request| request.fingerprint != REPORT;
+    let is_short: Selection =
+        |request| request.fingerprint != REPORT && request.at > Duration::from_secs(10);
     let is_report: Selection = |request| request.fingerprint == REPORT;
     let is_last: Selection = |request| !request.shed;
     let is_first: Selection = |request| request.shed;
