--- a/crates/rudder-platform/tests/platform/store.rs
+++ b/crates/rudder-platform/tests/platform/store.rs
@@ -1,8 +1,11 @@
 //! The store over HTTP: versions, conflicts, lost answers, outages, instances.
 
 use crate::common::{patient_store, standin, store};
-use rudder_platform::{InstanceReadiness, ObjectKind, ObjectVersion, PlatformStore, StoreError};
-use rudder_standins::{PlatformFaults, PlatformOutage, StandinInstance};
+use rudder_platform::{
+    InstanceReadiness, KubeStore, ObjectKind, ObjectVersion, PlatformOptions, PlatformStore,
+    StoreError,
+};
+use rudder_standins::{LinkSettings, LinkStandin, PlatformFaults, PlatformOutage, StandinInstance};
 use serde_json::json;
 use std::time::Duration;
 
@@ -105,6 +108,28 @@
     assert_eq!(back, Ok(None));
 }
 
+/// Something between proxy and platform loses track of the open connection: it stays silent for
+/// good, while new ones work. A store that went on using it would be cut off until a restart.
+#[tokio::test]
+async fn silent_connection_is_left_for_a_new_one() {
+    let standin = standin().await;
+    let link = LinkStandin::start(&LinkSettings::loopback(standin.address())).await.unwrap();
+    let options = PlatformOptions {
+        call_timeout: Duration::from_millis(500),
+        ..PlatformOptions::at(&format!("http://{}", link.address()))
+    };
+    let store = KubeStore::connect(options).unwrap();
+    store.put(KIND, "a", None, json!({ "to": "one" })).await.unwrap();
+
+    link.cut();
+    let silent = store.get(KIND, "a").await;
+    link.heal();
+    let again = store.get(KIND, "a").await;
+
+    assert_eq!(silent, Err(StoreError::Unavailable));
+    assert_eq!(again.unwrap().unwrap().spec, json!({ "to": "one" }));
+}
+
 #[tokio::test]
 async fn instances_are_listed_with_lag() {
     let standin = standin().await;
