--- a/crates/rudder-platform/tests/platform/following.rs
+++ b/crates/rudder-platform/tests/platform/following.rs
@@ -9,9 +9,6 @@
 use rudder_standins::{PlatformFaults, PlatformOutage};
 use std::time::Duration;
 
-/// One submission of one file is two changes of the platform: the file and the revision.
-const CHANGES_EACH: usize = 2;
-
 fn region(follower: &RevisionFollower) -> &str {
     &follower.folder().expect("a revision is in force").fleet.domains[0].region
 }
@@ -28,7 +25,7 @@
     let newest = poll_revision(&store, None).await.unwrap().unwrap();
     follower.offer(newest);
 
-    standin.set_faults(PlatformFaults { stale_by: CHANGES_EACH, ..PlatformFaults::default() });
+    standin.set_faults(PlatformFaults { stale_by: 1, ..PlatformFaults::default() });
     let polled = poll_revision(&store, follower.bundle().map(|held| &**held)).await.unwrap();
     let stale = poll_revision(&store, None).await.unwrap().unwrap();
     let verdict = follower.offer(stale.clone());
--- a/crates/rudder-standins/src/platform/faults.rs
+++ b/crates/rudder-standins/src/platform/faults.rs
@@ -30,7 +30,7 @@
         pub lost_answers: u32,
         /// How many of the next changes take effect and are answered by a gateway's timeout.
         pub gateway_timeouts: u32,
-        /// How many changes the state that reads show is behind.
+        /// How many changes of their own kind of object reads are behind.
         pub stale_by: usize,
     }
 }
--- a/crates/rudder-standins/src/platform/routes.rs
+++ b/crates/rudder-standins/src/platform/routes.rs
@@ -59,7 +59,7 @@
 ) -> Response {
     enter(&state, &cut, false).await;
     let plural = scoped(&path.namespace, &path.plural);
-    let found = state.read(|table| table.get(&plural, &path.name).cloned());
+    let found = state.read(&plural, |table| table.get(&plural, &path.name).cloned());
     leave(&state).await;
     let accept = headers.get(ACCEPT).and_then(|value| value.to_str().ok()).unwrap_or_default();
     match found {
@@ -76,7 +76,7 @@
 ) -> Response {
     enter(&state, &cut, false).await;
     let plural = scoped(&path.namespace, &path.plural);
-    let (rows, version) = state.read(|table| (table.list(&plural), table.last_version()));
+    let (rows, version) = state.read(&plural, |table| (table.list(&plural), table.last_version()));
     leave(&state).await;
     let items: Vec<Value> = rows.iter().map(with_version).collect();
     let metadata = json!({ "resourceVersion": version.to_string() });
@@ -93,7 +93,7 @@
     enter(&state, &cut, true).await;
     let plural = scoped(&path.namespace, &path.plural);
     let name = body["metadata"]["name"].as_str().unwrap_or_default().to_owned();
-    let result = state.change(|table| table.create(&plural, &name, body));
+    let result = state.change(&plural, |table| table.create(&plural, &name, body));
     answer_change(&state, &cut, result).await
 }
 
@@ -106,7 +106,7 @@
     enter(&state, &cut, true).await;
     let plural = scoped(&path.namespace, &path.plural);
     let expected = version_of(&body["metadata"]["resourceVersion"]);
-    let result = state.change(|table| table.replace(&plural, &path.name, expected, body));
+    let result = state.change(&plural, |table| table.replace(&plural, &path.name, expected, body));
     answer_change(&state, &cut, result).await
 }
 
@@ -119,7 +119,7 @@
     enter(&state, &cut, true).await;
     let plural = scoped(&path.namespace, &path.plural);
     let expected = version_of(&body["preconditions"]["resourceVersion"]);
-    let result = state.change(|table| table.remove(&plural, &path.name, expected));
+    let result = state.change(&plural, |table| table.remove(&plural, &path.name, expected));
     lose_or_leave(&state, &cut, result.is_ok()).await;
     match result {
         Ok(()) => Json(json!({ "kind": "Status", "status": "Success" })).into_response(),
--- a/crates/rudder-standins/src/platform/state.rs
+++ b/crates/rudder-standins/src/platform/state.rs
@@ -23,31 +23,38 @@
 #[derive(Default)]
 struct StandinInner {
     table: ObjectTable,
-    /// The states before the last changes, oldest first, for stale reads.
-    history: Vec<ObjectTable>,
+    /// The last changes, oldest first, for stale reads.
+    history: Vec<PastChange>,
     instances: InstanceList,
     faults: PlatformFaults,
     calls: CallCounts,
 }
 
+/// The kind of object that was changed, and the state before.
+struct PastChange {
+    plural: String,
+    before: ObjectTable,
+}
+
 impl StandinState {
     pub(crate) fn new(outage: watch::Sender<PlatformOutage>, counters: Arc<WireCounters>) -> Self {
         Self { inner: Mutex::default(), outage, counters }
     }
 
-    pub(crate) fn read<T>(&self, view: impl FnOnce(&ObjectTable) -> T) -> T {
+    /// Reads objects of a kind, as they are or as many changes of that kind ago as is set.
+    pub(crate) fn read<T>(&self, plural: &str, view: impl FnOnce(&ObjectTable) -> T) -> T {
         let inner = self.lock();
-        let stale_by = inner.faults.stale_by.min(inner.history.len());
-        let stale = inner.history.iter().rev().take(stale_by).next_back();
-        view(stale.unwrap_or(&inner.table))
+        let changes = inner.history.iter().rev().filter(|change| change.plural == plural);
+        let stale = changes.take(inner.faults.stale_by).last();
+        view(stale.map_or(&inner.table, |change| &change.before))
     }
 
-    pub(crate) fn change<T>(&self, change: impl FnOnce(&mut ObjectTable) -> T) -> T {
+    pub(crate) fn change<T>(&self, plural: &str, change: impl FnOnce(&mut ObjectTable) -> T) -> T {
         let mut inner = self.lock();
         let before = inner.table.clone();
         let result = change(&mut inner.table);
         if inner.table.last_version() > before.last_version() {
-            inner.history.push(before);
+            inner.history.push(PastChange { plural: plural.to_owned(), before });
             let excess = inner.history.len().saturating_sub(HISTORY_MAX);
             inner.history.drain(..excess);
         }
--- a/crates/rudderctl/tests/in_force.rs
+++ b/crates/rudderctl/tests/in_force.rs
@@ -67,8 +67,7 @@
         deployment.submit("20-wait.toml", &read_wait(millis)).await.unwrap();
     }
     until("revision 3 at every proxy", || revisions(&deployment) == [3; PROXIES]).await;
-    // Each submission of one file is two changes: the file and the revision.
-    deployment.platform.set_faults(PlatformFaults { stale_by: 4, ..PlatformFaults::default() });
+    deployment.platform.set_faults(PlatformFaults { stale_by: 2, ..PlatformFaults::default() });
 
     let polled_since = deployment.platform.calls().reads;
     let newcomer = deployment.add_proxy().await.unwrap();
