--- a/crates/arbutusrudder/src/caller/answer.rs
+++ b/crates/arbutusrudder/src/caller/answer.rs
@@ -55,10 +55,14 @@
     ParameterStatus::new(name.to_owned(), value.to_owned()).encode(out).expect(SMALL);
 }
 
-/// Adds a result of one text column and one row.
-pub(crate) fn put_text_row(out: &mut BytesMut, column: &str, value: &str) {
+/// Adds the description of a result of one text column.
+pub(crate) fn put_text_column(out: &mut BytesMut, column: &str) {
     let field = FieldDescription::new(column.to_owned(), 0, 0, TEXT_TYPE, -1, -1, 0);
     RowDescription::new(vec![field]).encode(out).expect(SMALL);
+}
+
+/// Adds a row of one text value.
+pub(crate) fn put_text_value(out: &mut BytesMut, value: &str) {
     let mut data = BytesMut::new();
     data.extend_from_slice(&u32::try_from(value.len()).unwrap_or_default().to_be_bytes());
     data.extend_from_slice(value.as_bytes());
--- a/crates/arbutusrudder/src/caller/attempt.rs
+++ b/crates/arbutusrudder/src/caller/attempt.rs
@@ -8,6 +8,7 @@
 use displaydoc::Display;
 use rudder_core::{ControlStatement, LogStamp, LogTerm, MemberStatus};
 use rudder_decisions::{AdmissionRequest, RefusalReason, WorkClass, WorkSize};
+use rudder_endpoint::{ErrorFields, read_error_fields};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -21,6 +22,8 @@
     Refused(RefusalReason),
     /// no connection: {0}
     Pool(PoolError),
+    /// the member refused the session's settings: {0:?}
+    Settings(ErrorFields),
 }
 
 impl std::error::Error for AttemptError {}
@@ -116,6 +119,11 @@
             .map_err(AttemptError::Pool)?;
         let unsent = |error| AttemptError::Pool(PoolError::Endpoint(error));
         let settings_queued = sync_settings(&mut pooled, &session.settings).map_err(unsent)?;
+        let mut settings_queued = settings_queued;
+        if settings_queued && !session.settings_proven {
+            settings_queued = false;
+            prove_settings(session, &mut pooled, timing.statement_timeout).await?;
+        }
         let question = ControlStatement::Status.to_string();
         pooled.connection.queue_query(&question).map_err(unsent)?;
         let target = (pool.address().address, pooled.connection.cancel_target());
@@ -141,7 +149,8 @@
     pub(crate) async fn first_status(&mut self) -> Result<MemberStatus, ExchangeError> {
         if self.settings_queued {
             self.settings_queued = false;
-            self.skip_settings().await?;
+            let bound = self.group.timing.statement_timeout;
+            skip_reply(&mut self.pooled, bound).await?;
         }
         self.last_status().await
     }
@@ -164,21 +173,6 @@
         acknowledge(&self.group, self.member, &mut self.pooled, term, self.asked_at).await
     }
 
-    /// Reads the reply to the settings that were queued. A failure shows again at the status.
-    async fn skip_settings(&mut self) -> Result<(), ExchangeError> {
-        let bound = self.group.timing.statement_timeout;
-        let link = self.pooled.connection.link();
-        let skip = async {
-            loop {
-                let frame = link.next_frame().await.map_err(ExchangeError::Member)?;
-                if frame.tag == rudder_endpoint::tag::READY {
-                    return Ok(());
-                }
-            }
-        };
-        timeout(bound, skip).await.map_err(|_| ExchangeError::MemberSilent)?
-    }
-
     /// Bounds for relaying `batch`.
     pub(crate) fn bounds(&self, batch: &CallerBatch) -> RelayBounds {
         bounds_of(&self.group, batch)
@@ -216,6 +210,44 @@
     }
 }
 
+/// Reads the reply to the settings that were queued.
+async fn skip_reply(pooled: &mut PooledConnection, within: Duration) -> Result<(), ExchangeError> {
+    let link = pooled.connection.link();
+    let skip = async {
+        loop {
+            let frame = link.next_frame().await.map_err(ExchangeError::Member)?;
+            match frame.tag {
+                rudder_endpoint::tag::READY => return Ok(()),
+                // Guards against a caller that gets the settings of the connection's last one
+                // because its own were refused: they are set in one transaction with the RESET,
+                // which is then undone, too.
+                rudder_endpoint::tag::ERROR => {
+                    return Err(ExchangeError::Settings(read_error_fields(frame.body())));
+                }
+                _ => {}
+            }
+        }
+    };
+    timeout(within, skip).await.map_err(|_| ExchangeError::MemberSilent)?
+}
+
+/// Waits for the member to take settings that no member has taken yet: those of a login may be
+/// wrong, and the session's statements must not run without them.
+async fn prove_settings(
+    session: &mut CallerSession,
+    pooled: &mut PooledConnection,
+    within: Duration,
+) -> Result<(), AttemptError> {
+    match skip_reply(pooled, within).await {
+        Ok(()) => {
+            session.settings_proven = true;
+            Ok(())
+        }
+        Err(ExchangeError::Settings(fields)) => Err(AttemptError::Settings(fields)),
+        Err(_) => Err(AttemptError::Pool(PoolError::Exhausted)),
+    }
+}
+
 /// Bounds for relaying `batch` at a member of `group`.
 pub(crate) fn bounds_of(group: &GroupState, batch: &CallerBatch) -> RelayBounds {
     RelayBounds {
--- a/crates/arbutusrudder/src/caller/collect.rs
+++ b/crates/arbutusrudder/src/caller/collect.rs
@@ -19,22 +19,36 @@
 /// Frames of one batch at most; a longer pipeline without Sync is refused.
 const BATCH_FRAMES_MAX: usize = 65_536;
 
+/// Bytes of one batch at most: a pipeline without an end would fill memory.
+const BATCH_SIZE_MAX: usize = 64 * 1024 * 1024;
+
 /// Reads frames until the caller waits for an answer.
 pub(crate) async fn collect_batch(
     session: &mut CallerSession,
     facts: &FactsCache,
 ) -> Result<CallerInput, WireError> {
+    session.names_before.clear();
     let mut batch = CallerBatch {
         frames: Vec::new(),
         end: BatchEnd::Sync,
         summaries: Vec::new(),
         executes: false,
     };
+    let mut size = 0;
     loop {
         let frame = session.link.next_frame().await?;
         if batch.frames.len() >= BATCH_FRAMES_MAX {
             return Err(WireError::Malformed("a batch has too many messages"));
         }
+        size += frame.bytes.len();
+        if size > BATCH_SIZE_MAX {
+            return Err(WireError::Malformed("a batch is larger than 64 MiB"));
+        }
+        // Guards against a Describe that is announced as large as a row: its parts would pass for
+        // messages of their own, and pile up.
+        if frame.part != FramePart::Whole && frame.tag != tag::COPY_DATA {
+            return Err(WireError::Malformed("a message is too long for its type"));
+        }
         match frame.tag {
             tag::QUERY => {
                 let text = text_of(frame.body())?;
@@ -52,7 +66,7 @@
             }
             tag::TERMINATE => return Ok(CallerInput::Goodbye),
             // Left over from a COPY that the member ended with an error.
-            tag::COPY_DATA | tag::COPY_DONE | tag::COPY_FAIL => {}
+            tag::COPY_DATA | tag::COPY_DONE | tag::COPY_FAIL => size = 0,
             tag::PARSE | tag::BIND | tag::DESCRIBE | tag::EXECUTE | tag::CLOSE => {
                 collect_frame(session, facts, &mut batch, frame)?;
             }
@@ -67,7 +81,6 @@
     batch: &mut CallerBatch,
     frame: WireFrame,
 ) -> Result<(), WireError> {
-    debug_assert_eq!(frame.part, FramePart::Whole);
     let body = frame.bytes.slice(frame.bytes.len() - frame.body().len()..);
     let collected = match frame.tag {
         tag::PARSE => {
@@ -111,7 +124,8 @@
     let statement = Arc::new(PreparedStatement {
         hash: xxh3_128(&definition),
         summary: facts.summary_of(text),
-        definition: definition.clone(),
+        // A copy: a slice would keep the whole buffer that it was read into.
+        definition: Bytes::copy_from_slice(&definition),
     });
     session.remember(name, Arc::clone(&statement));
     Ok(statement)
--- a/crates/arbutusrudder/src/caller/local.rs
+++ b/crates/arbutusrudder/src/caller/local.rs
@@ -1,13 +1,15 @@
 //! Statements that concern this proxy alone and never reach a member.
 
-use super::answer::{put_complete, put_error, put_parameter, put_ready, put_text_row};
+use super::answer::{
+    put_complete, put_error, put_parameter, put_ready, put_text_column, put_text_value,
+};
 use super::session::CallerSession;
 use crate::classify::SessionChange;
 use crate::exchange::{BatchEnd, CallerBatch};
 use std::time::Duration;
 
 /// Prefix of the settings that are this proxy's own.
-const OWN_PREFIX: &str = "rudder.";
+pub(crate) const OWN_PREFIX: &str = "rudder.";
 
 /// SQLSTATE of a setting that does not exist.
 const UNKNOWN_SETTING: &str = "42704";
@@ -17,8 +19,10 @@
 
 /// Why a setting of this proxy's own was not taken.
 pub(crate) struct SettingRefusal {
-    sqlstate: &'static str,
-    message: String,
+    /// The SQLSTATE for the caller.
+    pub(crate) sqlstate: &'static str,
+    /// The sentence for the caller.
+    pub(crate) message: String,
 }
 
 /// Answers a simple query that concerns this proxy alone; `false` if a member must answer it.
@@ -36,12 +40,32 @@
     if !is_own(change) {
         return false;
     }
-    answer_change(session, change);
+    let outcome = run_own_change(session, change);
+    let out = session.link.outgoing();
+    match outcome {
+        Ok(OwnAnswer { value, tag }) => {
+            if let (Some(value), SessionChange::Show { name }) = (value, change) {
+                put_text_column(out, name);
+                put_text_value(out, &value);
+            }
+            put_complete(out, tag);
+        }
+        Err(refusal) => put_error(out, refusal.sqlstate, &refusal.message),
+    }
     let status = session.status();
     put_ready(session.link.outgoing(), status);
     true
 }
 
+/// Whether a batch mixes statements of this proxy's own with others, in a way that cannot be
+/// served: on a member, DEALLOCATE would drop what other callers prepared, and SHOW knows nothing.
+pub(crate) fn mixes_own(batch: &CallerBatch) -> bool {
+    batch.changes().any(|change| {
+        let shows = matches!(change, SessionChange::Show { .. });
+        is_own(change) && (shows || matches!(change, SessionChange::Deallocate { .. }))
+    })
+}
+
 /// Whether a change concerns this proxy alone.
 pub(crate) fn is_own(change: &SessionChange) -> bool {
     match change {
@@ -49,38 +73,52 @@
         | SessionChange::Reset { name }
         | SessionChange::Show { name } => name.starts_with(OWN_PREFIX),
         SessionChange::Deallocate { .. } => true,
-        SessionChange::ResetAll => false,
+        SessionChange::ResetAll | SessionChange::DiscardAll => false,
     }
 }
 
-fn answer_change(session: &mut CallerSession, change: &SessionChange) {
-    match change {
+/// What a statement of this proxy's own answers.
+pub(crate) struct OwnAnswer {
+    /// The value that it shows, if it shows one.
+    pub(crate) value: Option<String>,
+    /// The command's tag.
+    pub(crate) tag: &'static str,
+}
+
+/// Runs a statement that concerns this proxy alone.
+pub(crate) fn run_own_change(
+    session: &mut CallerSession,
+    change: &SessionChange,
+) -> Result<OwnAnswer, SettingRefusal> {
+    let (value, tag) = match change {
         SessionChange::Set { name, value, .. } => {
-            let outcome = set_own(session, name, value.as_deref());
-            finish_setting(session, outcome, "SET");
+            set_own(session, name, value.as_deref())?;
+            (None, "SET")
         }
         SessionChange::Reset { name } => {
-            let outcome = reset_own(session, name);
-            finish_setting(session, outcome, "RESET");
+            reset_own(session, name)?;
+            (None, "RESET")
         }
-        SessionChange::Show { name } => show_own(session, name),
-        SessionChange::Deallocate { name } => {
-            match name {
-                Some(name) => session.forget(name),
-                None => session.prepared.clear(),
-            }
-            put_complete(session.link.outgoing(), "DEALLOCATE");
+        SessionChange::Show { name } => (Some(own_value(session, name)?), "SHOW"),
+        SessionChange::Deallocate { name: Some(name) } => {
+            session.forget(name);
+            (None, "DEALLOCATE")
         }
-        SessionChange::ResetAll => {}
-    }
+        SessionChange::Deallocate { name: None } => {
+            session.prepared.clear();
+            (None, "DEALLOCATE ALL")
+        }
+        SessionChange::ResetAll | SessionChange::DiscardAll => (None, "RESET"),
+    };
+    Ok(OwnAnswer { value, tag })
 }
 
-fn finish_setting(session: &mut CallerSession, outcome: Result<(), SettingRefusal>, tag: &str) {
-    let out = session.link.outgoing();
-    match outcome {
-        Ok(()) => put_complete(out, tag),
-        Err(refusal) => put_error(out, refusal.sqlstate, &refusal.message),
-    }
+/// Takes the settings of this proxy's own that a login gave.
+pub(crate) fn set_all_own(
+    session: &mut CallerSession,
+    settings: &[(String, String)],
+) -> Result<(), SettingRefusal> {
+    settings.iter().try_for_each(|(name, value)| set_own(session, name, Some(value)))
 }
 
 /// Takes a setting of this proxy's own.
@@ -126,22 +164,15 @@
     Ok(())
 }
 
-fn show_own(session: &mut CallerSession, name: &str) {
-    let value = match name {
-        "rudder.session" => session.token.to_string(),
-        "rudder.session_id" => session.token.id().to_string(),
-        "rudder.key" => session.key.as_ref().map(ToString::to_string).unwrap_or_default(),
-        "rudder.once" => if session.once { "on" } else { "off" }.to_owned(),
-        "rudder.staleness_ms" => session.bound().as_millis().to_string(),
-        _ => {
-            let refusal = unknown(name);
-            put_error(session.link.outgoing(), refusal.sqlstate, &refusal.message);
-            return;
-        }
-    };
-    let out = session.link.outgoing();
-    put_text_row(out, name, &value);
-    put_complete(out, "SHOW");
+fn own_value(session: &CallerSession, name: &str) -> Result<String, SettingRefusal> {
+    match name {
+        "rudder.session" => Ok(session.token.to_string()),
+        "rudder.session_id" => Ok(session.token.id().to_string()),
+        "rudder.key" => Ok(session.key.as_ref().map(ToString::to_string).unwrap_or_default()),
+        "rudder.once" => Ok(if session.once { "on" } else { "off" }.to_owned()),
+        "rudder.staleness_ms" => Ok(session.bound().as_millis().to_string()),
+        _ => Err(unknown(name)),
+    }
 }
 
 /// Reports the session's token, for the caller to hand in elsewhere.
--- a/crates/arbutusrudder/src/caller/login.rs
+++ b/crates/arbutusrudder/src/caller/login.rs
@@ -2,6 +2,7 @@
 
 use super::answer::{put_fatal, put_parameter, put_ready};
 use super::cancel::CancelEntry;
+use super::local::OWN_PREFIX;
 use crate::process::LoginRule;
 use bytes::Bytes;
 use displaydoc::Display;
@@ -33,8 +34,10 @@
     Service(ParseError),
     /// the session token cannot be read: {0}
     Token(ParseError),
-    /// a login option is not of the form "-c name=value"
+    /// a login option is not of the form "-c name=value", or its name is not a setting's
     Options,
+    /// a setting of the login is refused: {0}
+    Setting(String),
     /// the password is wrong
     Password,
     /// replication connections are not served
@@ -56,7 +59,7 @@
             Self::Wire(_) => "08P01",
             Self::UserMissing | Self::Password => "28P01",
             Self::Service(_) => "3D000",
-            Self::Token(_) | Self::Options => "22023",
+            Self::Token(_) | Self::Options | Self::Setting(_) => "22023",
             Self::Replication => "0A000",
         }
     }
@@ -71,6 +74,8 @@
     pub(crate) service: ServiceName,
     /// The session that it continues, if it named one.
     pub(crate) session: Option<SessionClaim>,
+    /// Settings of this proxy's own.
+    pub(crate) own: Vec<(String, String)>,
     /// Settings for its statements, sorted by name.
     pub(crate) settings: Vec<(String, String)>,
 }
@@ -93,6 +98,10 @@
         }
         all.push((name.to_ascii_lowercase(), value));
     }
+    // Names become part of SET statements, so nothing else may hide in one.
+    if !all.iter().all(|(name, _)| is_plain(name)) {
+        return Err(LoginError::Options);
+    }
     let find =
         |wanted: &str| all.iter().find(|(name, _)| name == wanted).map(|(_, value)| value.clone());
     if find("replication").is_some_and(|value| value != "false" && value != "off") {
@@ -106,14 +115,25 @@
         (None, None) => None,
     };
     let service = database.parse().map_err(LoginError::Service)?;
-    Ok(LoginRequest { user, service, session, settings: settings_of(&all) })
+    let is_own =
+        |name: &str| name.starts_with(OWN_PREFIX) && OWN_PARAMETERS.binary_search(&name).is_err();
+    let own = all.iter().filter(|(name, _)| is_own(name)).cloned().collect();
+    Ok(LoginRequest { user, service, session, own, settings: settings_of(&all) })
+}
+
+fn is_plain(name: &str) -> bool {
+    !name.is_empty()
+        && name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"._".contains(&byte))
 }
 
 fn settings_of(parameters: &[(String, String)]) -> Vec<(String, String)> {
     let mut settings: Vec<(String, String)> = Vec::new();
     for (name, value) in parameters {
         let protocol = name.starts_with("_pq_.");
-        if protocol || OWN_PARAMETERS.binary_search(&name.as_str()).is_ok() {
+        if protocol
+            || name.starts_with(OWN_PREFIX)
+            || OWN_PARAMETERS.binary_search(&name.as_str()).is_ok()
+        {
             continue;
         }
         let statement = format!("SET {name} = '{}'", value.replace('\'', "''"));
@@ -137,10 +157,6 @@
             None => return Err(LoginError::Options),
         };
         let (name, value) = assignment.split_once('=').ok_or(LoginError::Options)?;
-        let plain = name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"._".contains(&byte));
-        if !plain {
-            return Err(LoginError::Options);
-        }
         options.push((name.to_ascii_lowercase(), value.to_owned()));
     }
     Ok(options)
--- a/crates/arbutusrudder/src/caller/mod.rs
+++ b/crates/arbutusrudder/src/caller/mod.rs
@@ -8,6 +8,7 @@
 mod keyed;
 mod local;
 mod login;
+mod own_batch;
 mod read;
 mod serve;
 mod session;
--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -3,7 +3,7 @@
 
 use super::answer::put_ready;
 use super::attempt::{AttemptError, MemberAttempt};
-use super::serve::{SessionEnd, refuse};
+use super::serve::{SessionEnd, refuse, refuse_settings};
 use super::session::{CallerSession, FloorKnowledge, PinnedConnection};
 use super::{session_change, write};
 use crate::context::InstanceContext;
@@ -60,6 +60,14 @@
                 waited += pause;
                 member
             }
+            // Guards against a refusal of the first reads after a start or a failover: a replica may
+            // have reported first, and no replica is known to be young while nobody leads.
+            ReadRoute::Refuse if group.primary().is_none() => {
+                match write::await_primary(group, deadline).await {
+                    Some(_) => continue,
+                    None => break,
+                }
+            }
             ReadRoute::Refuse => break,
         };
         log_route(session, group, member, choice.reason);
@@ -70,6 +78,9 @@
                 let notice = RefusalNotice::Overloaded { retry_after: reason.retry_after };
                 return refuse(session, batch, &notice).await;
             }
+            Err(AttemptError::Settings(fields)) => {
+                return refuse_settings(session, batch, &fields).await;
+            }
             Err(AttemptError::Pool(_)) => {
                 group.note_outcome(member, false);
                 avoided.push(member);
@@ -240,9 +251,7 @@
     mut attempt: MemberAttempt,
     outcome: &BatchOutcome,
 ) {
-    if outcome.error.is_none() {
-        session_change::apply(session, batch, &mut attempt.pooled);
-    }
+    session_change::apply(session, batch, &mut attempt.pooled, outcome);
     if outcome.status == b'I' {
         attempt.finish(session).await;
     } else {
@@ -257,6 +266,7 @@
             term: None,
             status: outcome.status,
             settings_before,
+            skipping: false,
             key: None,
         });
     }
--- a/crates/arbutusrudder/src/caller/serve.rs
+++ b/crates/arbutusrudder/src/caller/serve.rs
@@ -2,11 +2,12 @@
 
 use super::answer::{put_error, put_fatal, put_ready, put_refusal};
 use super::collect::{CallerInput, collect_batch};
-use super::local::answer_locally;
+use super::local::{answer_locally, mixes_own, set_all_own};
 use super::login::{
     LoginError, LoginRequest, SessionClaim, authenticate, negotiate, put_welcome, read_login,
     refuse_login,
 };
+use super::own_batch::{answer_own_batch, is_own_batch};
 use super::session::{CallerSession, FloorKnowledge};
 use super::{read, transaction, write};
 use crate::context::InstanceContext;
@@ -14,7 +15,7 @@
 use crate::group::GroupState;
 use displaydoc::Display;
 use rudder_core::{ByteSize, RefusalNotice, SessionId, SessionToken};
-use rudder_endpoint::{StartupPacket, WireError, WireLink, tag};
+use rudder_endpoint::{ErrorFields, StartupPacket, WireError, WireLink, tag};
 use rudder_settings::CallerSettings;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -28,6 +29,9 @@
 /// SQLSTATE of a protocol violation.
 const PROTOCOL_VIOLATION: &str = "08P01";
 
+/// Largest message of a caller that is not logged in: none of a login is anywhere near it.
+const LOGIN_MESSAGE_MAX: ByteSize = ByteSize(10_000);
+
 /// Settings reported at login while no member has reported its own yet.
 const DEFAULT_PARAMETERS: [(&str, &str); 6] = [
     ("server_version", "15.0"),
@@ -106,10 +110,10 @@
     context: &Arc<InstanceContext>,
     stream: TcpStream,
 ) -> Result<Option<CallerSession>, SessionEnd> {
-    let frame_size_max = ByteSize(context.process.message_size_max);
-    let link = WireLink::new(Box::new(stream), frame_size_max);
-    let (mut link, packet) =
-        negotiate(link, context.tls.as_ref(), frame_size_max).await.map_err(SessionEnd::Login)?;
+    let link = WireLink::new(Box::new(stream), LOGIN_MESSAGE_MAX);
+    let (mut link, packet) = negotiate(link, context.tls.as_ref(), LOGIN_MESSAGE_MAX)
+        .await
+        .map_err(SessionEnd::Login)?;
     let parameters = match packet {
         StartupPacket::Login(parameters) => parameters,
         StartupPacket::CancelRequest { process_id, secret } => {
@@ -120,7 +124,14 @@
     };
     match open_session(context, &mut link, parameters).await {
         Ok(parts) => {
+            link.set_frame_size_max(ByteSize(context.process.message_size_max));
+            let own = parts.request.own.clone();
             let mut session = parts.into_session(context, link);
+            if let Err(refusal) = set_all_own(&mut session, &own) {
+                let error = LoginError::Setting(refusal.message);
+                refuse_login(&mut session.link, &error).await;
+                return Err(SessionEnd::Login(error));
+            }
             let parameters = reported_parameters(context, &session);
             put_welcome(&mut session.link, &parameters, &session.token, &session.cancel);
             session.link.flush().await.map_err(SessionEnd::Caller)?;
@@ -170,8 +181,10 @@
             token: self.token,
             floor_at: Instant::now(),
             knowledge: self.knowledge,
+            settings_proven: self.request.settings.is_empty(),
             settings: self.request.settings,
             prepared: Vec::new(),
+            names_before: Vec::new(),
             pinned: None,
             key: None,
             once: false,
@@ -237,6 +250,17 @@
     if answer_locally(session, batch) {
         return Ok(());
     }
+    if is_own_batch(batch) {
+        return match answer_own_batch(session, batch) {
+            true => Ok(()),
+            false => finish_refusal(session, batch).await,
+        };
+    }
+    if mixes_own(batch) {
+        let reason =
+            "DEALLOCATE and SHOW of the proxy's own settings stand in batches of their own";
+        return refuse(session, batch, &RefusalNotice::Unsupported(reason.to_owned())).await;
+    }
     if let Some(reason) = batch.refusal() {
         return refuse(session, batch, &RefusalNotice::Unsupported(reason.to_owned())).await;
     }
@@ -278,10 +302,23 @@
     metrics::counter!("rudder_refusals_total", "class" => notice.class().to_string(),
         "sqlstate" => notice.sqlstate())
     .increment(1);
+    session.undo_names(0);
     put_refusal(session.link.outgoing(), notice);
     finish_refusal(session, batch).await
 }
 
+/// Answers a batch with a member's refusal of the session's settings.
+pub(crate) async fn refuse_settings(
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    fields: &ErrorFields,
+) -> Result<(), SessionEnd> {
+    session.undo_names(0);
+    let message = format!("the settings of this session are refused: {}", fields.message);
+    put_error(session.link.outgoing(), &fields.sqlstate, &message);
+    finish_refusal(session, batch).await
+}
+
 /// Ends the answer to a batch that was not run; after a Flush the rest up to Sync is skipped.
 async fn finish_refusal(
     session: &mut CallerSession,
--- a/crates/arbutusrudder/src/caller/session_change.rs
+++ b/crates/arbutusrudder/src/caller/session_change.rs
@@ -4,15 +4,26 @@
 use super::local::{is_own, set_own};
 use super::session::CallerSession;
 use crate::classify::SessionChange;
-use crate::exchange::CallerBatch;
+use crate::exchange::{BatchOutcome, CallerBatch};
 use crate::group::PooledConnection;
 
-/// Takes over the changes of a batch that ran without error on `pooled`.
+/// Takes over the changes of a batch that ran on `pooled`.
 pub(crate) fn apply(
     session: &mut CallerSession,
     batch: &CallerBatch,
     pooled: &mut PooledConnection,
+    outcome: &BatchOutcome,
 ) {
+    if outcome.error.is_some() {
+        session.undo_names(outcome.names_changed);
+        if batch.changes().next().is_some() {
+            // Guards against a setting that stays although a later statement of its batch failed
+            // (it was committed in between): the connection's next caller would get it. What is
+            // in force is not known, so it is set anew before the next use.
+            pooled.forget_settings();
+        }
+        return;
+    }
     if !batch.executes {
         return;
     }
@@ -26,9 +37,9 @@
         }
         apply_to(&mut session.settings, change);
         apply_to(&mut pooled.settings, change);
-        if *change == SessionChange::ResetAll {
-            // DISCARD ALL drops the prepared statements of the connection too.
+        if *change == SessionChange::DiscardAll {
             pooled.prepared.clear();
+            session.prepared.clear();
         }
     }
 }
@@ -42,7 +53,7 @@
             }
         }
         SessionChange::Reset { name } => settings.retain(|(known, _)| known != name),
-        SessionChange::ResetAll => settings.clear(),
+        SessionChange::ResetAll | SessionChange::DiscardAll => settings.clear(),
         SessionChange::Show { .. } | SessionChange::Deallocate { .. } => {}
     }
 }
--- a/crates/arbutusrudder/src/caller/transaction.rs
+++ b/crates/arbutusrudder/src/caller/transaction.rs
@@ -34,9 +34,28 @@
     session: &mut CallerSession,
     batch: &CallerBatch,
 ) -> Result<(), SessionEnd> {
-    let Some(mut pinned) = session.pinned.take() else {
+    let Some(pinned) = session.pinned.take() else {
         return Ok(());
     };
+    if !pinned.skipping {
+        return serve_on(session, batch, pinned).await;
+    }
+    session.undo_names(0);
+    if batch.end == BatchEnd::Flush {
+        session.pinned = Some(pinned);
+        return Ok(());
+    }
+    // Guards against replies that are made up for messages that the member skips: of the whole
+    // batch only its Sync has an answer.
+    let rest = CallerBatch { frames: Vec::new(), summaries: Vec::new(), executes: false, ..*batch };
+    serve_on(session, &rest, pinned).await
+}
+
+async fn serve_on(
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    mut pinned: PinnedConnection,
+) -> Result<(), SessionEnd> {
     if let Some(notice) = enter_key(&mut pinned, batch).await {
         roll_back(session, pinned).await;
         return refuse(session, batch, &notice).await;
@@ -94,14 +113,13 @@
     outcome: &BatchOutcome,
     sent: SentBatch,
 ) -> Result<(), SessionEnd> {
+    session_change::apply(session, batch, &mut pinned.pooled, outcome);
     if outcome.status == 0 {
+        pinned.skipping = outcome.error.is_some();
         sent.held.release(&mut session.link);
         session.pinned = Some(pinned);
         return Ok(());
     }
-    if outcome.error.is_none() {
-        session_change::apply(session, batch, &mut pinned.pooled);
-    }
     if outcome.status == b'I' {
         return end_transaction(session, pinned, outcome, sent).await;
     }
@@ -110,6 +128,7 @@
     }
     sent.held.release(&mut session.link);
     pinned.status = outcome.status;
+    pinned.skipping = false;
     put_ready(session.link.outgoing(), outcome.status);
     session.pinned = Some(pinned);
     Ok(())
@@ -136,8 +155,9 @@
         return lose_commit(session);
     }
     let group = Arc::clone(&pinned.group);
-    // A transaction without a term is a read-only one on a replica: there is nothing to commit.
-    let stamp = if rolled_back || pinned.term.is_none() {
+    // A transaction without a term is a read-only one on a replica, and one that failed before a
+    // Flush is gone: there is nothing to commit.
+    let stamp = if rolled_back || pinned.skipping || pinned.term.is_none() {
         if !settle(&mut pinned, sent.asked_at).await {
             return lose_commit(session);
         }
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -6,7 +6,7 @@
 use super::attempt::{AttemptError, MemberAttempt};
 use super::keyed::{self, KeyedRequest};
 use super::local::report_token;
-use super::serve::{SessionEnd, refuse};
+use super::serve::{SessionEnd, refuse, refuse_settings};
 use super::session::{CallerSession, FloorKnowledge, PinnedConnection};
 use super::session_change;
 use crate::exchange::{
@@ -61,6 +61,9 @@
                 let notice = RefusalNotice::Overloaded { retry_after: reason.retry_after };
                 return refuse(session, batch, &notice).await;
             }
+            Err(AttemptError::Settings(fields)) => {
+                return refuse_settings(session, batch, &fields).await;
+            }
             Err(AttemptError::Pool(_)) => {
                 group.note_outcome(member, false);
                 tokio::time::sleep(REROUTE_PAUSE).await;
@@ -84,7 +87,7 @@
 }
 
 /// The member that leads, as far as is known; waits for one until the deadline.
-async fn await_primary(group: &Arc<GroupState>, deadline: Instant) -> Option<usize> {
+pub(crate) async fn await_primary(group: &Arc<GroupState>, deadline: Instant) -> Option<usize> {
     let mut changes = group.board.subscribe();
     loop {
         let up = |index: &usize| group.members[*index].health() != MemberHealth::Down;
@@ -205,9 +208,7 @@
     outcome: &BatchOutcome,
     stamp: Option<LogStamp>,
 ) {
-    if outcome.error.is_none() {
-        session_change::apply(session, batch, &mut attempt.pooled);
-    }
+    session_change::apply(session, batch, &mut attempt.pooled, outcome);
     attempt.finish(session).await;
     note_commit(session, stamp);
     put_ready(session.link.outgoing(), b'I');
@@ -240,9 +241,7 @@
         return WriteEnd::Answered;
     }
     let settings_before = session.settings.clone();
-    if outcome.error.is_none() {
-        session_change::apply(session, batch, &mut attempt.pooled);
-    }
+    session_change::apply(session, batch, &mut attempt.pooled, outcome);
     let group = Arc::clone(&attempt.group);
     let member = attempt.member;
     let pooled = attempt.into_pooled();
@@ -254,6 +253,7 @@
         term: leading_term(before),
         status: if flushed { b'I' } else { outcome.status },
         settings_before,
+        skipping: flushed && outcome.error.is_some(),
         key: None,
     });
     if !flushed {
--- a/crates/arbutusrudder/src/classify/facts.rs
+++ b/crates/arbutusrudder/src/classify/facts.rs
@@ -40,8 +40,10 @@
             /// The setting's name, in lower case.
             name: String,
         },
-        /// Resets everything.
+        /// Resets every setting.
         ResetAll,
+        /// Resets everything, prepared statements included.
+        DiscardAll,
         /// Shows a setting.
         Show {
             /// The setting's name, in lower case.
--- a/crates/arbutusrudder/src/classify/scan.rs
+++ b/crates/arbutusrudder/src/classify/scan.rs
@@ -105,6 +105,10 @@
 const TWO_PHASE_REFUSAL: &str = "two-phase commit is not supported";
 const CHARACTERISTICS_REFUSAL: &str =
     "SET SESSION CHARACTERISTICS is not supported; declare each transaction instead";
+const ROLE_REFUSAL: &str =
+    "SET ROLE outlasts its caller on a shared connection; use SET LOCAL ROLE in a transaction";
+const CONFIG_REFUSAL: &str =
+    "set_config for the session is not followed; use SET, or give true as its third argument";
 const ADVISORY_REFUSAL: &str = "session advisory locks need a connection of their own";
 
 /// Classifies the statements of a query text.
@@ -115,7 +119,9 @@
 /// ```
 #[must_use]
 pub fn classify_text(text: &str) -> StatementsSummary {
-    let Ok(tokens) = Tokenizer::new(&PostgreSqlDialect {}, text).tokenize() else {
+    // Literals keep their escapes: a setting's statement is put together again from its tokens.
+    let mut tokenizer = Tokenizer::new(&PostgreSqlDialect {}, text).with_unescape(false);
+    let Ok(tokens) = tokenizer.tokenize() else {
         // A text that cannot be read is the primary's to refuse.
         return StatementsSummary { statements: vec![StatementFacts::write()], key: None };
     };
@@ -150,7 +156,11 @@
         "SHOW" => change(StatementEffect::Read, show_of(tokens)),
         "SET" => classify_set(tokens, &words),
         "RESET" => change(StatementEffect::Read, reset_of(tokens)),
-        "DISCARD" => change(StatementEffect::Read, Some(SessionChange::ResetAll)),
+        "DISCARD" if word(1) == "ALL" => {
+            change(StatementEffect::Read, Some(SessionChange::DiscardAll))
+        }
+        // No connection of ours listens, so there is nothing to end and nothing to refuse.
+        "DISCARD" | "UNLISTEN" => StatementFacts::read(),
         "DEALLOCATE" => change(StatementEffect::Read, deallocate_of(tokens)),
         "BEGIN" | "START" => {
             step(TransactionStep::Begin { read_only: has_pair(&words, "READ", "ONLY") })
@@ -160,7 +170,7 @@
         "COMMIT" | "END" | "ROLLBACK" | "ABORT" => step(TransactionStep::End),
         "PREPARE" if word(1) == "TRANSACTION" => refusal(TWO_PHASE_REFUSAL),
         "PREPARE" | "EXECUTE" => refusal(PREPARE_REFUSAL),
-        "LISTEN" | "UNLISTEN" => refusal(LISTEN_REFUSAL),
+        "LISTEN" => refusal(LISTEN_REFUSAL),
         "DECLARE" if has_pair(&words, "WITH", "HOLD") => refusal(HOLD_REFUSAL),
         "CREATE"
             if words.iter().skip(1).take(2).any(|word| word == "TEMP" || word == "TEMPORARY") =>
@@ -187,11 +197,23 @@
     if calls.iter().any(|name| is_session_lock(name)) {
         return refusal(ADVISORY_REFUSAL);
     }
+    if calls.iter().any(|name| name == "SET_CONFIG") && !is_local_config(tokens) {
+        return refusal(CONFIG_REFUSAL);
+    }
     let unknown_call =
         calls.iter().any(|name| READING_WORDS.binary_search(&name.as_str()).is_err());
     if writes || locks || unknown_call { StatementFacts::write() } else { StatementFacts::read() }
 }
 
+/// Whether every `set_config` of a query says that it holds for the transaction only.
+fn is_local_config(tokens: &[Token]) -> bool {
+    let calls = tokens.iter().filter(|token| is_word(token, "SET_CONFIG")).count();
+    let is_local = |next: &[Token]| {
+        next[0] == Token::Comma && is_word(&next[1], "TRUE") && next[2] == Token::RParen
+    };
+    tokens.windows(3).filter(|next| is_local(next)).count() >= calls
+}
+
 fn is_session_lock(name: &str) -> bool {
     name.starts_with("PG_ADVISORY_LOCK") || name.starts_with("PG_TRY_ADVISORY_LOCK")
 }
@@ -200,10 +222,20 @@
     let second = words.get(1).map_or("", String::as_str);
     match second {
         "LOCAL" | "TRANSACTION" | "CONSTRAINTS" => StatementFacts::write(),
+        "ROLE" => refusal(ROLE_REFUSAL),
+        "SESSION" if words.get(2).is_some_and(|word| word == "AUTHORIZATION" || word == "ROLE") => {
+            refusal(ROLE_REFUSAL)
+        }
         "SESSION" if words.get(2).is_some_and(|word| word == "CHARACTERISTICS") => {
             refusal(CHARACTERISTICS_REFUSAL)
         }
         "TIME" => change(StatementEffect::Read, Some(set_of("timezone".to_owned(), tokens, 3))),
+        "NAMES" => {
+            change(StatementEffect::Read, Some(set_of("client_encoding".to_owned(), tokens, 2)))
+        }
+        "SCHEMA" => {
+            change(StatementEffect::Read, Some(set_of("search_path".to_owned(), tokens, 2)))
+        }
         "SESSION" => change(StatementEffect::Read, Some(named_set(tokens, 2))),
         _ => change(StatementEffect::Read, Some(named_set(tokens, 1))),
     }
@@ -253,7 +285,7 @@
     match token {
         Token::Word(word) => Some(word.value.clone()),
         Token::Period => Some(".".to_owned()),
-        Token::SingleQuotedString(text) => Some(text.clone()),
+        Token::SingleQuotedString(text) => Some(text.replace("''", "'")),
         Token::Number(text, _) => Some(text.clone()),
         _ => None,
     }
--- a/crates/arbutusrudder/src/exchange/batch.rs
+++ b/crates/arbutusrudder/src/exchange/batch.rs
@@ -96,8 +96,16 @@
         self.summaries.iter().find_map(|summary| summary.key.as_ref())
     }
 
-    /// What it does to the session's own state.
+    /// What it does to the session's own state. Statements that are only prepared or described
+    /// do nothing to it.
     pub(crate) fn changes(&self) -> impl Iterator<Item = &SessionChange> {
-        self.facts().filter_map(|facts| facts.change.as_ref())
+        let simple = if self.end == BatchEnd::Simple { &self.summaries[..] } else { &[] };
+        let bound = self.frames.iter().filter_map(|frame| match frame {
+            BatchFrame::Bind(statement, _, _) if self.executes => Some(&statement.summary),
+            _ => None,
+        });
+        let summaries = simple.iter().chain(bound);
+        let facts = summaries.flat_map(|summary| summary.statements.iter());
+        facts.filter_map(|facts| facts.change.as_ref())
     }
 }
--- a/crates/arbutusrudder/src/exchange/encode.rs
+++ b/crates/arbutusrudder/src/exchange/encode.rs
@@ -132,7 +132,7 @@
     let closed = pooled.prepared.remove(index);
     let name = name_of(closed);
     put_frame(pooled.connection.link().outgoing(), tag::CLOSE, &[b"S", name.as_bytes(), b"\0"]);
-    queue.expect(ExpectedReply::SilentClose);
+    queue.expect(ExpectedReply::SilentClose(closed));
 }
 
 fn member_name(statement: &PreparedStatement) -> String {
--- a/crates/arbutusrudder/src/exchange/relay.rs
+++ b/crates/arbutusrudder/src/exchange/relay.rs
@@ -19,6 +19,8 @@
     MemberSilent,
     /// the caller's connection failed: {0}
     Caller(WireError),
+    /// the member refused the session's settings: {0:?}
+    Settings(ErrorFields),
     /// the answer that waits for its commit is too large to hold
     Overfull,
 }
@@ -45,6 +47,8 @@
     pub(crate) error: Option<ErrorFields>,
     /// The tag of the last statement that completed.
     pub(crate) last_tag: Vec<u8>,
+    /// How many of the caller's statement names were prepared or closed.
+    pub(crate) names_changed: usize,
 }
 
 /// Relays replies into `sink` until the member is ready or, for a Flush, every reply has come.
@@ -52,22 +56,24 @@
     pooled: &mut PooledConnection,
     queue: &mut ReplyQueue,
     sink: &mut ReplySink<'_>,
-    bounds: RelayBounds,
+    mut bounds: RelayBounds,
 ) -> Result<BatchOutcome, ExchangeError> {
     let mut outcome = BatchOutcome::default();
+    let mut copying = false;
     loop {
         queue.make_up(|bytes| sink.push_bytes(bytes));
         if bounds.end == BatchEnd::Flush && queue.is_empty() {
             return Ok(outcome);
         }
         flush_caller_if_idle(pooled, sink, bounds).await?;
-        let frame = next_reply(pooled, bounds).await?;
+        let frame = next_while_copying(pooled, sink, &mut bounds, &mut copying).await?;
         if frame.tag == tag::READY {
             outcome.status = frame.body().first().copied().unwrap_or(b'I');
             return Ok(outcome);
         }
         note_reply(&frame, &mut outcome);
         let whole = matches!(frame.part, FramePart::Whole);
+        outcome.names_changed = queue.names_changed();
         if whole && queue.take(frame.tag) == ReplyAction::Swallow {
             continue;
         }
@@ -76,10 +82,28 @@
         if sink.is_overfull() {
             return Err(ExchangeError::Overfull);
         }
-        if frame.tag == tag::COPY_IN {
-            forward_copy(pooled, sink, bounds).await?;
+        // A member that refuses a simple COPY in the middle is ready at once, and what the caller
+        // still sends is dropped later on; in an extended batch it waits for the caller's Sync.
+        let refused = frame.tag == tag::ERROR && bounds.end == BatchEnd::Simple;
+        copying = (copying || frame.tag == tag::COPY_IN) && !refused;
+    }
+}
+
+/// The member's next reply, in any of its parts; the caller's COPY data goes on meanwhile.
+async fn next_while_copying(
+    pooled: &mut PooledConnection,
+    sink: &mut ReplySink<'_>,
+    bounds: &mut RelayBounds,
+    copying: &mut bool,
+) -> Result<WireFrame, ExchangeError> {
+    if *copying && forward_copy(pooled, sink, *bounds).await? {
+        *copying = false;
+        if bounds.end == BatchEnd::Flush {
+            // The Sync that ends the data ends the batch, too.
+            bounds.end = BatchEnd::Sync;
         }
     }
+    next_reply(pooled, *bounds).await
 }
 
 /// Reads and drops replies until the member is ready.
@@ -155,30 +179,29 @@
     }
 }
 
-/// Forwards the caller's COPY data until it ends or the member speaks: a member that refuses the
-/// data says so in the middle.
+/// Forwards the caller's COPY data until the member speaks, which it may do in the middle to
+/// refuse the data, or until the data ends; answers whether it ended.
 async fn forward_copy(
     pooled: &mut PooledConnection,
     sink: &mut ReplySink<'_>,
     bounds: RelayBounds,
-) -> Result<(), ExchangeError> {
+) -> Result<bool, ExchangeError> {
     flush_caller(sink, bounds).await?;
     loop {
+        let member = pooled.connection.link();
         let next = timeout(bounds.caller_silence, sink.caller().next_frame());
-        let frame = next
-            .await
+        let frame = tokio::select! {
+            frame = next => frame,
+            spoken = member.await_frame() => {
+                return spoken.map(|()| false).map_err(ExchangeError::Member);
+            }
+        };
+        let frame = frame
             .map_err(|_| ExchangeError::Caller(WireError::Closed))?
             .map_err(ExchangeError::Caller)?;
-        // In an extended batch the member answers a COPY only after a Sync of its own: the one
-        // that was sent along with the batch is skipped while data is awaited.
-        let ends = match bounds.end {
-            BatchEnd::Simple => matches!(frame.tag, tag::COPY_DONE | tag::COPY_FAIL),
-            BatchEnd::Sync | BatchEnd::Flush => frame.tag == tag::SYNC,
-        };
-        let member = pooled.connection.link();
         member.outgoing().extend_from_slice(&frame.bytes);
-        if ends {
-            return Ok(());
+        if ends_copy(bounds.end, frame.tag) {
+            return Ok(true);
         }
         if member.is_congested() {
             timeout(bounds.member_silence, member.flush())
@@ -188,3 +211,13 @@
         }
     }
 }
+
+/// Whether a frame is the last of the caller's COPY. In an extended batch the member answers a
+/// COPY only after a Sync of its own: the one that was sent along with the batch is skipped while
+/// data is awaited.
+fn ends_copy(end: BatchEnd, frame_tag: u8) -> bool {
+    match end {
+        BatchEnd::Simple => matches!(frame_tag, tag::COPY_DONE | tag::COPY_FAIL),
+        BatchEnd::Sync | BatchEnd::Flush => frame_tag == tag::SYNC,
+    }
+}
--- a/crates/arbutusrudder/src/exchange/replies.rs
+++ b/crates/arbutusrudder/src/exchange/replies.rs
@@ -20,8 +20,8 @@
         /// Whether the caller awaits it.
         relayed: bool,
     },
-    /// To a Close of our own.
-    SilentClose,
+    /// To a Close of our own, of the statement with this hash.
+    SilentClose(u128),
     /// To a Bind or a Close of the caller's.
     Single,
     /// To a Describe: ends with the row description or with its absence.
@@ -48,6 +48,7 @@
 pub(crate) struct ReplyQueue {
     expected: VecDeque<ExpectedReply>,
     prepared: Vec<u128>,
+    names_changed: usize,
 }
 
 impl ReplyQueue {
@@ -66,6 +67,12 @@
         std::mem::take(&mut self.prepared)
     }
 
+    /// How many of the caller's names the member (or this proxy in its place) has prepared or
+    /// closed.
+    pub(crate) fn names_changed(&self) -> usize {
+        self.names_changed
+    }
+
     /// Whether a Parse of this statement is on its way.
     pub(crate) fn awaits_parse(&self, wanted: u128) -> bool {
         let parses = |reply: &ExpectedReply| matches!(reply, ExpectedReply::Parse { hash, .. } if *hash == wanted);
@@ -80,6 +87,7 @@
                 Some(ExpectedReply::MadeUpClose) => write(CLOSE_COMPLETE),
                 _ => return,
             }
+            self.names_changed += 1;
             self.expected.pop_front();
         }
     }
@@ -100,7 +108,13 @@
             }
             tag::ERROR => {
                 // The member skips everything up to the next Sync, so no other reply comes.
-                self.expected.clear();
+                let skipped = std::mem::take(&mut self.expected);
+                // Guards against a statement that we think closed although its Close was skipped:
+                // preparing it again would fail, as its name is still taken.
+                self.prepared.extend(skipped.iter().filter_map(|reply| match reply {
+                    ExpectedReply::SilentClose(hash) => Some(*hash),
+                    _ => None,
+                }));
                 ReplyAction::Relay
             }
             _ => ReplyAction::Relay,
@@ -112,12 +126,13 @@
             return ReplyAction::Relay;
         };
         self.prepared.push(hash);
+        self.names_changed += usize::from(relayed);
         if relayed { ReplyAction::Relay } else { ReplyAction::Swallow }
     }
 
     fn take_close(&mut self) -> ReplyAction {
         match self.expected.pop_front() {
-            Some(ExpectedReply::SilentClose) => ReplyAction::Swallow,
+            Some(ExpectedReply::SilentClose(_)) => ReplyAction::Swallow,
             _ => ReplyAction::Relay,
         }
     }
--- a/crates/arbutusrudder/src/group/pool.rs
+++ b/crates/arbutusrudder/src/group/pool.rs
@@ -36,6 +36,15 @@
     _permit: OwnedSemaphorePermit,
 }
 
+impl PooledConnection {
+    /// Notes that it is not known which settings are in force: they are set anew before the next
+    /// use, whatever that use wants.
+    pub(crate) fn forget_settings(&mut self) {
+        // No session has a setting without a name, so this equals nobody's settings.
+        self.settings = vec![(String::new(), String::new())];
+    }
+}
+
 struct IdleConnection {
     connection: MemberConnection,
     prepared: Vec<u128>,
--- a/crates/arbutusrudder/tests/deployment/common.rs
+++ b/crates/arbutusrudder/tests/deployment/common.rs
@@ -1,9 +1,16 @@
 //! Fixtures of the tests that run a whole deployment.
 
-use rudder_standins::Deployment;
+use rudder_standins::{Deployment, DeploymentPlan};
 use tokio::task::JoinHandle;
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
+/// A deployment of one group whose callers are named copyist.
+pub(crate) fn plan(proxies: usize) -> DeploymentPlan {
+    let extra = "[callers.copyist]\nusers = [\"copyist\"]\nstaleness = \"5s\"\n\
+                 queue_wait = \"5s\"\nin_flight_max = 100\n";
+    DeploymentPlan { extra: extra.to_owned(), ..DeploymentPlan::small(proxies) }
+}
+
 /// A client of one proxy, and the task that drives its connection.
 pub(crate) async fn connect(
     deployment: &Deployment,
--- /dev/null
+++ b/crates/arbutusrudder/tests/deployment/isolation.rs
@@ -0,0 +1,153 @@
+//! What one caller leaves behind must not reach the next one on the same connection.
+
+use crate::common::{connect, connect_with, plan, rows_of};
+use crate::raw::RawClient;
+use rudder_standins::Deployment;
+use std::time::Duration;
+use tokio_postgres::error::SqlState;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_follow_their_session_and_a_rollback_takes_them_back() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let (first, _) = connect(&deployment, 0, "copyist").await;
+    let (second, _) = connect(&deployment, 0, "copyist").await;
+
+    first.batch_execute("SET application_name = 'it''s one'").await.unwrap();
+    second.execute("SET application_name TO 'two'", &[]).await.unwrap();
+    let kept = rows_of(&first, "SHOW application_name").await;
+    first.batch_execute("BEGIN; SET application_name = 'lost'").await.unwrap();
+    first.batch_execute("ROLLBACK").await.unwrap();
+    let back = rows_of(&first, "SHOW application_name").await;
+    first.batch_execute("RESET application_name").await.unwrap();
+
+    assert_eq!((kept, back), (vec!["it's one".to_owned()], vec!["it's one".to_owned()]));
+    assert_eq!(rows_of(&first, "SHOW application_name").await, ["arbutusrudder"]);
+    assert_eq!(rows_of(&second, "SHOW application_name").await, ["two"]);
+}
+
+/// What a user sees: queries answer for another tenant.
+/// Order: a caller sets its search path; another logs in with a setting that the member refuses,
+/// and runs a query on the same connection.
+/// Cause: the RESET before the refused setting is undone together with it, so the connection keeps
+/// the first caller's settings.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_setting_never_leaves_the_last_callers_in_force() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let (first, _) = connect(&deployment, 0, "copyist").await;
+    first.batch_execute("SET application_name = 'one'").await.unwrap();
+    let wrong = "options='-c no_such_setting=1'";
+    let (second, _) = connect_with(&deployment, 0, "copyist", wrong).await;
+
+    let refused = second.simple_query("SHOW application_name").await.unwrap_err();
+
+    assert_eq!(refused.as_db_error().map(|error| error.code().code()), Some("42704"));
+    assert_eq!(rows_of(&first, "SHOW application_name").await, ["one"]);
+}
+
+/// What a user sees: half of an order is there although its entry was never finished.
+/// Order: a caller changes rows and a setting in a transaction and vanishes; the next caller gets
+/// the connection.
+/// Cause: the transaction went on under the next caller and was committed by it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_vanishes_in_a_transaction_leaves_nothing() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let (maker, _) = connect(&deployment, 0, "copyist").await;
+    maker.batch_execute("CREATE TABLE parts (id int)").await.unwrap();
+    let (lost, task) = connect(&deployment, 0, "copyist").await;
+    lost.batch_execute("BEGIN; SET application_name = 'lost'").await.unwrap();
+    lost.batch_execute("INSERT INTO parts VALUES (1)").await.unwrap();
+
+    task.abort();
+    drop(lost);
+    for id in 2..6 {
+        maker.batch_execute(&format!("INSERT INTO parts VALUES ({id})")).await.unwrap();
+    }
+
+    assert_eq!(rows_of(&maker, "SELECT count(*) FROM parts").await, ["4"]);
+    assert_eq!(rows_of(&maker, "SHOW application_name").await, ["arbutusrudder"]);
+}
+
+/// What a user sees: an answer that belongs to somebody else's query.
+/// Order: a caller sends a long statement and vanishes; others use the connections meanwhile.
+/// Cause: the connection went back before its statement's answer had come.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_answer_to_a_caller_that_vanished_reaches_nobody() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let (next, _) = connect(&deployment, 0, "copyist").await;
+    let mut lost = RawClient::login(&deployment, &[]).await;
+    lost.query("SELECT pg_sleep(0.2)").send().await;
+    drop(lost);
+
+    let mut answers = Vec::new();
+    for round in 0..40 {
+        answers.extend(rows_of(&next, &format!("SELECT {round}")).await);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+
+    let wanted: Vec<String> = (0..40).map(|round| round.to_string()).collect();
+    assert_eq!(answers, wanted);
+}
+
+/// What a user sees: a statement is cancelled that nobody wanted cancelled.
+/// Order: a caller's statement is cancelled; the same connection then serves others, while the
+/// caller's library sends more cancel requests.
+/// Cause: the request names a connection of the member, which is another caller's by then.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancel_request_hits_its_own_statement_only() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let (first, _) = connect(&deployment, 0, "copyist").await;
+    let (second, _) = connect(&deployment, 0, "copyist").await;
+    let token = first.cancel_token();
+
+    let running = first.batch_execute("SELECT pg_sleep(60)");
+    let cancel = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        token.cancel_query(tokio_postgres::NoTls).await.unwrap();
+    };
+    let (cancelled, ()) = tokio::join!(running, cancel);
+    let mut unharmed = 0;
+    for _ in 0..20 {
+        let late = token.cancel_query(tokio_postgres::NoTls);
+        let (ran, _) = tokio::join!(second.batch_execute("SELECT pg_sleep(0.005)"), late);
+        unharmed += u32::from(ran.is_ok());
+    }
+
+    let code = cancelled.unwrap_err().code().map(|code| code.code().to_owned());
+    assert_eq!((code.as_deref(), unharmed), (Some("57014"), 20));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_needs_a_connection_of_its_own_is_refused_and_the_session_goes_on() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let (client, _) = connect(&deployment, 0, "copyist").await;
+    let texts = [
+        "LISTEN news",
+        "PREPARE a AS SELECT 1",
+        "CREATE TEMP TABLE t (a int)",
+        "SET ROLE director",
+        "SELECT set_config('search_path', 'a', false)",
+        "SELECT 1; DEALLOCATE ALL",
+    ];
+
+    for text in texts {
+        let refused = client.simple_query(text).await.unwrap_err();
+        assert_eq!(refused.code().map(SqlState::code), Some("0A000"), "{text}");
+        assert_eq!(rows_of(&client, "SELECT 1").await, ["1"]);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn own_settings_are_answered_by_both_protocols() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let words = "options='-c rudder.staleness_ms=1500'";
+    let (client, _) = connect_with(&deployment, 0, "copyist", words).await;
+
+    let simple = rows_of(&client, "SHOW rudder.staleness_ms").await;
+    client.execute("SET rudder.staleness_ms = 700", &[]).await.unwrap();
+    let row = client.query_one("SHOW rudder.staleness_ms", &[]).await.unwrap();
+    let unknown = client.query("SHOW rudder.nothing", &[]).await.unwrap_err();
+
+    assert_eq!((simple, row.get::<_, String>(0)), (vec!["1500".to_owned()], "700".to_owned()));
+    assert_eq!(unknown.code().map(SqlState::code), Some("42704"));
+    assert_eq!(rows_of(&client, "SELECT 1").await, ["1"]);
+}
--- a/crates/arbutusrudder/tests/deployment/main.rs
+++ b/crates/arbutusrudder/tests/deployment/main.rs
@@ -1,4 +1,8 @@
 //! Tests of whole deployments on loopback: client libraries, proxies, groups and the platform.
 
 mod common;
+mod copy;
+mod isolation;
 mod path;
+mod raw;
+mod statements;
--- /dev/null
+++ b/crates/arbutusrudder/tests/deployment/statements.rs
@@ -0,0 +1,162 @@
+//! Prepared statements, portals and pipelines through shared connections.
+
+use crate::common::{connect, plan, rows_of};
+use crate::raw::RawClient;
+use rudder_standins::Deployment;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_name_serves_reads_and_writes_on_any_connection() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let (maker, _) = connect(&deployment, 0, "copyist").await;
+    maker.batch_execute("CREATE TABLE parts (id int PRIMARY KEY, title text)").await.unwrap();
+    let mut callers = Vec::new();
+    for _ in 0..12 {
+        let client = connect(&deployment, 0, "copyist").await.0;
+        let write = client.prepare("INSERT INTO parts VALUES ($1, $2)").await.unwrap();
+        let read = client.prepare("SELECT title FROM parts WHERE id = $1").await.unwrap();
+        callers.push((client, write, read));
+    }
+
+    let work = callers.iter().zip(0_i32..).map(|((client, write, read), id)| async move {
+        for round in 0..4 {
+            let id = id * 4 + round;
+            client.execute(write, &[&id, &"Kyrie"]).await.unwrap();
+            let row = client.query_one(read, &[&id]).await.unwrap();
+            assert_eq!(row.get::<_, String>(0), "Kyrie");
+        }
+    });
+    futures::future::join_all(work).await;
+
+    assert_eq!(rows_of(&maker, "SELECT count(*) FROM parts").await, ["48"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn replies_to_made_up_messages_come_in_order() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let mut client = RawClient::login(&deployment, &[]).await;
+    client.parse("a", "SELECT 'one'").sync();
+    client.answers(1).await;
+
+    client.parse("b", "SELECT 'one'").bind("", "b").describe(b'P', "").execute("", 0);
+    client.close("a").parse("", "SELECT 'two'").describe(b'S', "").bind("", "").execute("", 0);
+    let types = client.sync().answers(1).await;
+
+    assert_eq!(types, "12TDC31tT2DCZI");
+    assert_eq!(client.rows, ["one", "two"]);
+}
+
+/// What a user sees: after a failed pipeline, the statement named s runs a text that its driver
+/// never saw prepared, or the driver is told that s does not exist.
+/// Order: s is prepared; a pipeline fails, and then closes s and prepares it anew; s is run.
+/// Cause: the messages after the error are skipped, but their names had been taken over already.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_follows_an_error_in_a_pipeline_changes_no_name() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let mut client = RawClient::login(&deployment, &[]).await;
+    client.parse("s", "SELECT 'old'").parse("t", "SELECT 'kept'").sync().answers(1).await;
+    client.parse("", "SELECT nothing FROM nowhere").bind("", "").execute("", 0);
+    client.close("t").parse("s", "SELECT 'new'").bind("", "s").execute("", 0);
+
+    let failed = client.sync().answers(1).await;
+    client.bind("", "s").execute("", 0).bind("", "t").execute("", 0).sync();
+    let after = client.answers(1).await;
+
+    assert!(failed.ends_with("EZI") && !failed.contains('3'), "{failed}");
+    assert_eq!(after, "2DC2DCZI");
+    assert_eq!(client.rows, ["old", "kept"]);
+}
+
+/// What a user sees: a driver hangs, or reads the answer to another message than it sent.
+/// Order: a statement fails before a Flush; more messages follow, and then the Sync.
+/// Cause: the member skips them, while replies were made up for those that are not passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_answered_between_an_error_before_a_flush_and_its_sync() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let mut client = RawClient::login(&deployment, &[]).await;
+    client.parse("s", "SELECT 'old'").sync().answers(1).await;
+    client.parse("", "SELECT nothing FROM nowhere").bind("", "").execute("", 0).flush();
+    client.send().await;
+    let mut before = String::new();
+    while !before.ends_with('E') {
+        before.push_str(&client.answer().await.unwrap());
+    }
+
+    let after = client.parse("s", "SELECT 'old'").close("s").sync().answers(1).await;
+    let next = client.bind("", "s").execute("", 0).sync().answers(1).await;
+
+    assert_eq!((after.as_str(), next.as_str()), ("ZI", "2DCZI"), "{:?}", client.errors);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_portal_hands_out_its_rows_in_turns() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let mut client = RawClient::login(&deployment, &[]).await;
+    client.query("CREATE TABLE parts (id int)").answers(1).await;
+    client.query("BEGIN").answers(1).await;
+
+    client.parse("", "SELECT * FROM generate_series(1, 5)").bind("p", "").execute("p", 2);
+    let first = client.sync().answers(1).await;
+    let second = client.execute("p", 2).sync().answers(1).await;
+    let last = client.execute("p", 0).sync().answers(1).await;
+    let end = client.query("COMMIT").answers(1).await;
+
+    assert_eq!(
+        [first, second, last, end].map(|types| types.replace('1', "")),
+        ["2DDsZT", "DDsZT", "DCZT", "CZI"],
+        "{:?}",
+        client.errors
+    );
+    assert_eq!(client.rows, ["1", "2", "3", "4", "5"]);
+}
+
+/// What a user sees: "prepared statement already exists" or "does not exist" out of nowhere.
+/// Order: one caller prepares and runs; another sends RESET ALL, DEALLOCATE ALL or DISCARD ALL;
+/// the first runs its statement again on the same connection.
+/// Cause: the statements of a shared connection were dropped at the member and remembered here,
+/// or the other way round.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_one_caller_resets_leaves_others_their_statements() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let (first, _) = connect(&deployment, 0, "copyist").await;
+    let (second, _) = connect(&deployment, 0, "copyist").await;
+    let statement = first.prepare("SELECT 1").await.unwrap();
+
+    for text in ["RESET ALL", "DEALLOCATE ALL", "DISCARD ALL"] {
+        second.batch_execute(text).await.unwrap();
+        second.execute(text, &[]).await.unwrap();
+        for _ in 0..6 {
+            let row = first.query_one(&statement, &[]).await.unwrap();
+            assert_eq!(row.get::<_, i32>(0), 1);
+        }
+    }
+}
+
+/// What a user sees: "prepared statement already exists" after many different statements.
+/// Order: a connection holds as many statements as it may; the batch that closes one fails first.
+/// Cause: the Close was skipped with the rest of the batch, and the statement counted as closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_full_of_statements_survives_an_error() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let mut client = RawClient::login(&deployment, &[]).await;
+    client.query("BEGIN").answers(1).await;
+    for round in 0..210 {
+        let text = format!("SELECT {round}");
+        client.parse("", &text).bind("", "").execute("", 0);
+        client.sync().answers(1).await;
+    }
+    client.query("SAVEPOINT a").answers(1).await;
+    client.parse("", "SELECT nothing FROM nowhere").bind("", "");
+    for round in 300..340 {
+        client.parse("", &format!("SELECT {round}"));
+    }
+    client.sync().answers(1).await;
+    client.query("ROLLBACK TO SAVEPOINT a").answers(1).await;
+    client.errors.clear();
+
+    for round in 0..210 {
+        client.parse("", &format!("SELECT {round}")).bind("", "").execute("", 0);
+    }
+    client.sync().answers(1).await;
+
+    assert_eq!(client.errors, Vec::<String>::new());
+}
--- a/crates/rudder-endpoint/src/wire/link.rs
+++ b/crates/rudder-endpoint/src/wire/link.rs
@@ -2,12 +2,13 @@
 
 use super::frame::{FramePart, HEADER_SIZE, StartupPacket, WireError, WireFrame};
 use super::tag;
-use bytes::{Buf, BufMut, BytesMut};
+use bytes::{Buf, BytesMut};
 use futures::future::poll_fn;
 use rudder_core::ByteSize;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
-use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio_util::io::poll_read_buf;
 
 /// Rows and COPY data above this size are handed on in parts, so that one large value does not
@@ -17,6 +18,9 @@
 /// Bytes read at once; a batch of small frames fits.
 const READ_SIZE: usize = 16 * 1024;
 
+/// Bytes that the buffer of an idle connection may keep for its next answer.
+const IDLE_SIZE_MAX: usize = 1024;
+
 /// Above this many unsent bytes the sender waits for the other side to read.
 const OUTGOING_HIGH: usize = 256 * 1024;
 
@@ -55,8 +59,8 @@
     pub fn new(stream: Box<dyn LinkStream>, frame_size_max: ByteSize) -> Self {
         Self {
             stream,
-            incoming: BytesMut::with_capacity(READ_SIZE),
-            outgoing: BytesMut::with_capacity(READ_SIZE),
+            incoming: BytesMut::new(),
+            outgoing: BytesMut::new(),
             part_left: 0,
             part_tag: 0,
             frame_size_max,
@@ -122,6 +126,36 @@
         }
     }
 
+    /// Waits until a frame, or a part of one, can be taken without waiting. Sends what waits to
+    /// be sent meanwhile; nothing is lost if the wait is given up.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] when the other side closed or the connection failed.
+    pub async fn await_frame(&mut self) -> Result<(), WireError> {
+        while !self.has_buffered_frame() {
+            poll_fn(|cx| self.poll_exchange(cx)).await?;
+        }
+        Ok(())
+    }
+
+    /// Bytes of memory that the buffers take.
+    ///
+    /// ```
+    /// let (near, _far) = tokio::io::duplex(64);
+    /// let link = rudder_endpoint::WireLink::new(Box::new(near), rudder_core::ByteSize(1024));
+    /// assert_eq!(link.buffer_size(), rudder_core::ByteSize(0));
+    /// ```
+    #[must_use]
+    pub fn buffer_size(&self) -> ByteSize {
+        ByteSize((self.incoming.capacity() + self.outgoing.capacity()) as u64)
+    }
+
+    /// Changes the greatest size of frames that are not rows or COPY data.
+    pub fn set_frame_size_max(&mut self, frame_size_max: ByteSize) {
+        self.frame_size_max = frame_size_max;
+    }
+
     /// The first packet of a caller's connection.
     ///
     /// # Errors
@@ -178,7 +212,7 @@
         if size as u64 > limit.0 {
             return Err(WireError::TooLong { size: ByteSize(size as u64), limit });
         }
-        self.incoming.reserve(size - self.incoming.len());
+        // Space is not set aside for what is only announced: it grows with what comes.
         Ok(None)
     }
 
@@ -254,16 +288,35 @@
     }
 
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), WireError>> {
-        if self.incoming.remaining_mut() == 0 || self.incoming.capacity() - self.incoming.len() == 0
-        {
-            self.incoming.reserve(READ_SIZE);
-        }
-        let count = ready!(poll_read_buf(Pin::new(&mut self.stream), cx, &mut self.incoming))?;
+        let count = if self.incoming.is_empty() && self.part_left == 0 {
+            ready!(self.poll_first(cx))?
+        } else {
+            if self.incoming.capacity() == self.incoming.len() {
+                self.incoming.reserve(READ_SIZE);
+            }
+            ready!(poll_read_buf(Pin::new(&mut self.stream), cx, &mut self.incoming))?
+        };
         if count == 0 {
             return Poll::Ready(Err(WireError::Closed));
         }
         Poll::Ready(Ok(()))
     }
+
+    /// Reads into a buffer on the stack, so that a connection that waits for its other side holds
+    /// no memory for what may come: thousands of them are idle at a time.
+    fn poll_first(&mut self, cx: &mut Context<'_>) -> Poll<std::io::Result<usize>> {
+        let mut space = [const { MaybeUninit::uninit() }; READ_SIZE];
+        let mut read = ReadBuf::uninit(&mut space);
+        if Pin::new(&mut self.stream).poll_read(cx, &mut read)?.is_pending() {
+            self.incoming = BytesMut::new();
+            if self.outgoing.is_empty() && self.outgoing.capacity() > IDLE_SIZE_MAX {
+                self.outgoing = BytesMut::new();
+            }
+            return Poll::Pending;
+        }
+        self.incoming.extend_from_slice(read.filled());
+        Poll::Ready(Ok(read.filled().len()))
+    }
 }
 
 fn read_parameters(packet: &[u8]) -> Result<StartupPacket, WireError> {
