--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -3,7 +3,7 @@
 
 use super::acknowledge::leading_term;
 use super::answer::{put_ready, put_refusal};
-use super::attempt::{AttemptError, MemberAttempt};
+use super::attempt::{AttemptError, MemberAttempt, bounds_of};
 use super::keyed::{self, KeyedRequest};
 use super::local::report_token;
 use super::serve::{SessionEnd, refuse, refuse_settings};
@@ -87,7 +87,7 @@
 }
 
 /// The member that leads, as far as is known; waits for one until the deadline.
-pub(crate) async fn await_primary(group: &Arc<GroupState>, deadline: Instant) -> Option<usize> {
+async fn await_primary(group: &Arc<GroupState>, deadline: Instant) -> Option<usize> {
     let mut changes = group.board.subscribe();
     loop {
         let up = |index: &usize| group.members[*index].health() != MemberHealth::Down;
@@ -118,7 +118,8 @@
         Ok(status) => status,
         Err(error) => return Ok(lose(session, batch, attempt, &error).await),
     };
-    let bounds = attempt.bounds(batch);
+    let group = Arc::clone(&attempt.group);
+    let bounds = bounds_of(&group, attempt.member, batch);
     let mut sink = ReplySink::new(&mut session.link, HoldRule::UntilCommit);
     let relayed = relay_batch(&mut attempt.pooled, &mut queue, &mut sink, bounds).await;
     let held = sink.into_held();
