--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -3,7 +3,7 @@
 
 use super::answer::put_ready;
 use super::attempt::{AttemptError, MemberAttempt, bounds_of};
-use super::serve::{SessionEnd, refuse};
+use super::serve::{SessionEnd, refuse, refuse_settings};
 use super::session::{CallerSession, FloorKnowledge, PinnedConnection};
 use super::{session_change, write};
 use crate::context::InstanceContext;
@@ -82,6 +82,9 @@
                 let notice = RefusalNotice::Overloaded { retry_after: reason.retry_after };
                 return refuse(session, batch, &notice).await;
             }
+            Err(AttemptError::Settings(fields)) => {
+                return refuse_settings(session, batch, &fields).await;
+            }
             Err(AttemptError::Pool(_)) => {
                 group.note_outcome(member, false);
                 avoided.push(member);
@@ -254,9 +257,7 @@
     mut attempt: MemberAttempt,
     outcome: &BatchOutcome,
 ) {
-    if outcome.error.is_none() {
-        session_change::apply(session, batch, &mut attempt.pooled);
-    }
+    session_change::apply(session, batch, &mut attempt.pooled, outcome);
     if outcome.status == b'I' {
         attempt.finish(session).await;
     } else {
@@ -271,6 +272,7 @@
             term: None,
             status: outcome.status,
             settings_before,
+            skipping: false,
             key: None,
         });
     }
