Fault trials: concurrent callers under generated faults, checked as histories

Cause: the promises must be proved together, on running proxies, under every failure that the users name. Change: a trial runs callers that roam, repeat under keys and read with and without a staleness bound, while faults come and go from a seed; its history goes through the checker. An instance without settings yet refused callers as if their service did not exist; it waits for settings now.

--- a/crates/arbutusrudder/src/caller/keyed.rs
+++ b/crates/arbutusrudder/src/caller/keyed.rs
@@ -47,6 +47,11 @@
         let key = batch.key().cloned().or_else(|| session.key.take())?;
         Some(Self { key, committing: false })
     }
+
+    /// Whether an attempt of ours may have committed.
+    pub(crate) fn may_have_committed(&self) -> bool {
+        self.committing
+    }
 }
 
 /// What a simple statement of our own brought.
@@ -167,7 +172,7 @@
         attempt.abandon(session, &ExchangeError::MemberSilent).await;
         return Ok(try_again(session, &held));
     };
-    session_change::apply(session, batch, &mut attempt.pooled);
+    session_change::apply(session, batch, &mut attempt.pooled, &outcome);
     let member = attempt.member;
     attempt.finish(session).await;
     if !confirm(&group, member, stamp).await {
--- a/crates/arbutusrudder/src/caller/serve.rs
+++ b/crates/arbutusrudder/src/caller/serve.rs
@@ -26,6 +26,9 @@
 /// SQLSTATE of a caller that was idle for too long.
 const IDLE_TOO_LONG: &str = "57P05";
 
+/// When a caller of an instance without settings should come back.
+const STARTING_RETRY: Duration = Duration::from_millis(500);
+
 /// SQLSTATE of a protocol violation.
 const PROTOCOL_VIOLATION: &str = "08P01";
 
@@ -271,6 +274,10 @@
         put_ready(session.link.outgoing(), b'I');
         return Ok(());
     }
+    if !await_settings(context, session.caller.queue_wait).await {
+        let notice = RefusalNotice::Starting { retry_after: STARTING_RETRY };
+        return refuse(session, batch, &notice).await;
+    }
     let Some(group) = context.fleet.load().group(&session.service).cloned() else {
         let message = format!("there is no service {}", session.service);
         put_error(session.link.outgoing(), "3D000", &message);
@@ -279,6 +286,14 @@
     serve_in_group(context, session, batch, &group).await
 }
 
+/// Waits until settings are in force: an instance that starts during an outage of the platform gets
+/// them from a peer, a moment after its first caller may have come.
+async fn await_settings(context: &InstanceContext, within: Duration) -> bool {
+    let mut changes = context.fleet_changes.subscribe();
+    let in_force = changes.wait_for(|_| context.fleet.load().revision > 0);
+    matches!(timeout(within, in_force).await, Ok(Ok(_)))
+}
+
 async fn serve_in_group(
     context: &Arc<InstanceContext>,
     session: &mut CallerSession,
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -50,7 +50,7 @@
         let primary = await_primary(group, deadline).await;
         let Some(member) = primary.filter(|_| Instant::now() < deadline) else {
             let notice = RefusalNotice::NoPrimary { retry_after: RETRY_AFTER };
-            return refuse(session, batch, &notice).await;
+            return give_up(session, batch, keyed.as_ref(), notice).await;
         };
         log_route(session, group, member);
         let attempt =
@@ -59,7 +59,7 @@
             Ok(attempt) => attempt,
             Err(AttemptError::Refused(reason)) => {
                 let notice = RefusalNotice::Overloaded { retry_after: reason.retry_after };
-                return refuse(session, batch, &notice).await;
+                return give_up(session, batch, keyed.as_ref(), notice).await;
             }
             Err(AttemptError::Settings(fields)) => {
                 return refuse_settings(session, batch, &fields).await;
@@ -86,6 +86,19 @@
     }
 }
 
+/// Refuses a write for which no attempt is left. Guards against a refusal that says "not run" after
+/// an attempt under a key that may have committed.
+async fn give_up(
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    keyed: Option<&KeyedRequest>,
+    notice: RefusalNotice,
+) -> Result<(), SessionEnd> {
+    let sent = keyed.is_some_and(KeyedRequest::may_have_committed);
+    let notice = if sent { RefusalNotice::Unresolved } else { notice };
+    refuse(session, batch, &notice).await
+}
+
 /// The member that leads, as far as is known; waits for one until the deadline.
 async fn await_primary(group: &Arc<GroupState>, deadline: Instant) -> Option<usize> {
     let mut changes = group.board.subscribe();
@@ -160,7 +173,7 @@
         return Ok(WriteEnd::Answered);
     };
     if outcome.error.is_none() {
-        session_change::apply(session, batch, &mut attempt.pooled);
+        session_change::apply(session, batch, &mut attempt.pooled, &outcome);
     }
     let member = attempt.member;
     attempt.finish(session).await;
--- a/crates/rudder-core/src/outcome.rs
+++ b/crates/rudder-core/src/outcome.rs
@@ -12,6 +12,8 @@
     Unknown,
     /// The endpoint ran the request and answered with an error of its own.
     Failed,
+    /// A request with the same key has run, here or elsewhere, and its change stays.
+    AlreadyRun,
 }
 
 impl fmt::Display for OutcomeClass {
@@ -20,6 +22,7 @@
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
             Self::Failed => "failed",
+            Self::AlreadyRun => "already_run",
         })
     }
 }
@@ -54,6 +57,11 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// No settings are in force yet at this instance.
+    Starting {
+        /// When to come back.
+        retry_after: Duration,
+    },
     /// No member is fresh enough for the session or the staleness bound.
     TooStale {
         /// When to come back.
@@ -85,6 +93,7 @@
     pub fn class(&self) -> OutcomeClass {
         match self {
             Self::Unresolved => OutcomeClass::Unknown,
+            Self::AlreadyRun { .. } => OutcomeClass::AlreadyRun,
             _ => OutcomeClass::NotRun,
         }
     }
@@ -98,7 +107,7 @@
     pub fn sqlstate(&self) -> &'static str {
         match self {
             Self::Overloaded { .. } => OVERLOADED,
-            Self::NoPrimary { .. } => NO_PRIMARY,
+            Self::NoPrimary { .. } | Self::Starting { .. } => NO_PRIMARY,
             Self::TooStale { .. } => TOO_STALE,
             Self::Leaving => LEAVING,
             Self::Unresolved => UNRESOLVED,
@@ -118,6 +127,7 @@
         match self {
             Self::Overloaded { retry_after }
             | Self::NoPrimary { retry_after }
+            | Self::Starting { retry_after }
             | Self::TooStale { retry_after } => Some(*retry_after),
             _ => None,
         }
@@ -129,6 +139,7 @@
         match self {
             Self::Overloaded { .. } => f.write_str("not run: too many requests are waiting"),
             Self::NoPrimary { .. } => f.write_str("not run: no primary is confirmed at present"),
+            Self::Starting { .. } => f.write_str("not run: no settings are in force here yet"),
             Self::TooStale { .. } => f.write_str("not run: no member is fresh enough at present"),
             Self::Leaving => f.write_str("not run: this instance is shutting down"),
             Self::Unresolved => f.write_str("outcome unknown: the request may have taken effect"),
--- a/crates/rudder-decisions/src/retry.rs
+++ b/crates/rudder-decisions/src/retry.rs
@@ -71,7 +71,7 @@
         let safe = match outcome {
             OutcomeClass::NotRun => true,
             OutcomeClass::Unknown => class == WorkClass::Read,
-            OutcomeClass::Failed => false,
+            OutcomeClass::Failed | OutcomeClass::AlreadyRun => false,
         };
         if !safe || self.credit < RETRY_COST {
             return false;
--- a/crates/rudder-standins/src/lib.rs
+++ b/crates/rudder-standins/src/lib.rs
@@ -4,6 +4,7 @@
 mod group;
 mod link;
 mod platform;
+mod trial;
 
 pub use deployment::{Deployment, DeploymentError, DeploymentPlan, LinkDelays, ProxyLinks};
 pub use group::{
@@ -11,3 +12,4 @@
 };
 pub use link::{DatagramLinkStandin, LinkDirection, LinkFault, LinkSettings, LinkStandin};
 pub use platform::{CallCounts, PlatformFaults, PlatformOutage, PlatformStandin, StandinInstance};
+pub use trial::{FaultKind, TimedFault, TrialReport, TrialSchedule, run_trial};
--- /dev/null
+++ b/crates/rudder-standins/src/trial/mod.rs
@@ -0,0 +1,156 @@
+//! Concurrent runs of a whole deployment under generated faults, recorded for the history checker.
+
+mod caller;
+mod schedule;
+
+use crate::deployment::{Deployment, DeploymentError, DeploymentPlan};
+use caller::{CallerRecord, TrialCaller, TrialShared};
+use rudder_core::{HistoryLog, MemberRole, StoredValue};
+pub use schedule::{FaultKind, TimedFault, TrialSchedule};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+
+/// Callers of one run.
+const CALLERS: usize = 12;
+
+/// How long the group is given to take writes again once every fault is over.
+const RECOVERY_BOUND: Duration = Duration::from_secs(15);
+
+const SETTINGS: &str = "[callers.copyist]\nusers = [\"copyist\"]\nstaleness = \"2s\"\n\
+                        queue_wait = \"2s\"\nin_flight_max = 400\n\
+                        [callers.auditor]\nusers = [\"auditor\"]\nstaleness = \"0ms\"\n\
+                        queue_wait = \"2s\"\nin_flight_max = 400\n";
+
+/// What a run showed.
+pub struct TrialReport {
+    /// What callers were told, and what the primary holds at the end.
+    pub log: HistoryLog,
+    /// Requests that ended in no answer that the checker knows, such as a broken connection.
+    pub unanswered: usize,
+    /// Whether the group took writes again after the last fault was over.
+    pub recovered: bool,
+}
+
+/// Runs callers against three proxies and a group of three, while the faults of `schedule` come
+/// and go.
+///
+/// # Errors
+///
+/// [`DeploymentError`] when the deployment does not start.
+///
+/// ```
+/// # tokio::runtime::Runtime::new()?.block_on(async {
+/// use rudder_standins::{TrialSchedule, run_trial};
+/// use std::time::Duration;
+/// let calm = TrialSchedule { faults: Vec::new(), length: Duration::from_millis(300), seed: 1 };
+/// let report = run_trial(&calm).await.unwrap();
+/// assert_eq!(rudder_core::check_history(&report.log), Vec::new());
+/// # });
+/// # Ok::<(), std::io::Error>(())
+/// ```
+pub async fn run_trial(schedule: &TrialSchedule) -> Result<TrialReport, DeploymentError> {
+    let plan = DeploymentPlan { extra: SETTINGS.to_owned(), ..DeploymentPlan::small(3) };
+    let mut deployment = Deployment::start(plan).await?;
+    create_tables(&deployment).await;
+    let shared = Arc::new(TrialShared::new(&deployment, schedule));
+    let mut callers = JoinSet::new();
+    for index in 0..CALLERS {
+        callers.spawn(TrialCaller::new(Arc::clone(&shared), index, schedule.seed).run());
+    }
+    schedule.bring_about(&mut deployment, &shared).await;
+    shared.stop();
+    let records = callers.join_all().await;
+    let recovered = await_recovery(&deployment).await;
+    let stored = read_primary(&deployment).await;
+    Ok(report(records, stored, recovered))
+}
+
+fn report(records: Vec<CallerRecord>, stored: Vec<StoredValue>, recovered: bool) -> TrialReport {
+    let mut log = HistoryLog { stored, ..HistoryLog::default() };
+    let mut unanswered = 0;
+    for record in records {
+        log.writes.extend(record.writes);
+        log.reads.extend(record.reads);
+        unanswered += record.unanswered;
+    }
+    TrialReport { log, unanswered, recovered }
+}
+
+async fn create_tables(deployment: &Deployment) {
+    let client = connect(deployment.proxy(0).listen_address(), deployment, "").await;
+    let client = client.expect("a fresh deployment takes logins");
+    client
+        .batch_execute("CREATE TABLE entries (row text, value int8)")
+        .await
+        .expect("a fresh deployment takes writes");
+    client
+        .batch_execute("CREATE TABLE rudder_requests (key text PRIMARY KEY, outcome text)")
+        .await
+        .expect("a fresh deployment takes writes");
+}
+
+/// Writes through a proxy until one is acknowledged.
+async fn await_recovery(deployment: &Deployment) -> bool {
+    let started = Instant::now();
+    while started.elapsed() < RECOVERY_BOUND {
+        let address = deployment
+            .proxies
+            .iter()
+            .flatten()
+            .next()
+            .map(arbutusrudder::ProxyInstance::listen_address);
+        if let Some(address) = address
+            && let Ok(client) = connect(address, deployment, "").await
+            && client.batch_execute("CREATE TABLE IF NOT EXISTS again (id int)").await.is_ok()
+        {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    false
+}
+
+/// Everything that the real primary holds, asked of the member itself.
+async fn read_primary(deployment: &Deployment) -> Vec<StoredValue> {
+    let group = &deployment.groups[0];
+    let primaries = group.members().filter_map(|(name, address)| {
+        let status = group.status(name).ok()?;
+        (status.role == MemberRole::Primary).then_some((status.accepted, address))
+    });
+    let Some((_, address)) = primaries.max() else { return Vec::new() };
+    let words = format!("host={} port={} user=app dbname=db", address.ip(), address.port());
+    let Ok((client, connection)) = tokio_postgres::connect(&words, NoTls).await else {
+        return Vec::new();
+    };
+    tokio::spawn(connection);
+    let messages = client.simple_query("SELECT row, value FROM entries").await.unwrap_or_default();
+    messages.iter().filter_map(stored_of).collect()
+}
+
+fn stored_of(message: &SimpleQueryMessage) -> Option<StoredValue> {
+    match message {
+        SimpleQueryMessage::Row(row) => {
+            Some(StoredValue { row: row.get(0)?.to_owned(), value: row.get(1)?.parse().ok()? })
+        }
+        _ => None,
+    }
+}
+
+async fn connect(
+    address: SocketAddr,
+    deployment: &Deployment,
+    words: &str,
+) -> Result<Client, tokio_postgres::Error> {
+    let text = format!(
+        "host={} port={} user=copyist dbname={} sslmode=disable {words}",
+        address.ip(),
+        address.port(),
+        deployment.groups[0].service()
+    );
+    let (client, connection) = tokio_postgres::connect(&text, NoTls).await?;
+    tokio::spawn(connection);
+    Ok(client)
+}
--- /dev/null
+++ b/crates/rudder-standins/src/trial/schedule.rs
@@ -0,0 +1,289 @@
+//! Faults and when they come and go, generated from a seed.
+
+use super::caller::TrialShared;
+use crate::deployment::Deployment;
+use crate::group::MemberKnob;
+use crate::link::{LinkDirection, LinkFault};
+use crate::platform::{PlatformFaults, PlatformOutage};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rudder_core::{MemberName, MemberRole, plain_data};
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until};
+
+/// How long after the last fault is over callers still run.
+const CALM: Duration = Duration::from_millis(800);
+
+/// A fault that the trial can bring about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultKind {
+    /// The primary dies; it comes back as a replica of nobody when the fault is over.
+    KillPrimary,
+    /// The primary stops answering and wakes when the fault is over.
+    FreezePrimary,
+    /// The primary is cut off from members and proxies, but lives.
+    CutPrimary,
+    /// One proxy loses its link to the primary, in both directions.
+    CutLink,
+    /// One proxy still reaches the primary, but hears no answers.
+    DeafLink,
+    /// The connections of every proxy to one member go silent for good; new ones work.
+    SilentConnections,
+    /// The replicas apply late.
+    ReplicaLag,
+    /// One replica receives nothing.
+    PausedReplica,
+    /// The platform hangs.
+    PlatformHangs,
+    /// Nobody listens at the platform.
+    PlatformGone,
+    /// The platform takes half a second for each call.
+    PlatformSlow,
+    /// The next changes take effect at the platform without an answer.
+    LostAnswers,
+    /// A proxy dies and another takes its place when the fault is over.
+    KillProxy,
+    /// Two operators submit conflicting files at the same moment.
+    RacingOperators,
+}
+
+/// Every fault, for generated schedules.
+const ALL_FAULTS: [FaultKind; 14] = [
+    FaultKind::KillPrimary,
+    FaultKind::FreezePrimary,
+    FaultKind::CutPrimary,
+    FaultKind::CutLink,
+    FaultKind::DeafLink,
+    FaultKind::SilentConnections,
+    FaultKind::ReplicaLag,
+    FaultKind::PausedReplica,
+    FaultKind::PlatformHangs,
+    FaultKind::PlatformGone,
+    FaultKind::PlatformSlow,
+    FaultKind::LostAnswers,
+    FaultKind::KillProxy,
+    FaultKind::RacingOperators,
+];
+
+plain_data! {
+    /// A fault with its times, counted from the start of the run.
+    #[derive(Copy)]
+    pub struct TimedFault {
+        /// What.
+        pub kind: FaultKind,
+        /// When it comes.
+        pub from: Duration,
+        /// When it is over.
+        pub until: Duration,
+        /// Which proxy it strikes, where it strikes one.
+        pub proxy: usize,
+    }
+}
+
+plain_data! {
+    /// The faults of one run.
+    pub struct TrialSchedule {
+        /// The faults, in any order.
+        pub faults: Vec<TimedFault>,
+        /// How long callers run.
+        pub length: Duration,
+        /// Seed of the callers' choices.
+        pub seed: u64,
+    }
+}
+
+impl TrialSchedule {
+    /// A single fault that comes after 0.4 s and stays for `stay`.
+    ///
+    /// ```
+    /// use rudder_standins::{FaultKind, TrialSchedule};
+    /// use std::time::Duration;
+    /// let schedule = TrialSchedule::single(FaultKind::CutLink, Duration::from_secs(1), 7);
+    /// assert_eq!(schedule.faults.len(), 1);
+    /// ```
+    #[must_use]
+    pub fn single(kind: FaultKind, stay: Duration, seed: u64) -> Self {
+        let from = Duration::from_millis(400);
+        let until = from + stay;
+        let faults = vec![TimedFault { kind, from, until, proxy: 0 }];
+        Self { faults, length: until + CALM, seed }
+    }
+
+    /// Two faults at the same time.
+    ///
+    /// ```
+    /// use rudder_standins::{FaultKind, TrialSchedule};
+    /// use std::time::Duration;
+    /// let kinds = [FaultKind::PlatformHangs, FaultKind::KillPrimary];
+    /// let schedule = TrialSchedule::pair(kinds, Duration::from_secs(1), 7);
+    /// assert_eq!(schedule.faults.len(), 2);
+    /// ```
+    #[must_use]
+    pub fn pair(kinds: [FaultKind; 2], stay: Duration, seed: u64) -> Self {
+        let mut schedule = Self::single(kinds[0], stay, seed);
+        let first = schedule.faults[0];
+        schedule.faults.push(TimedFault { kind: kinds[1], proxy: 1, ..first });
+        schedule
+    }
+
+    /// Two to four faults of any kind, which may overlap.
+    ///
+    /// ```
+    /// use rudder_standins::TrialSchedule;
+    /// assert_eq!(TrialSchedule::generate(3), TrialSchedule::generate(3));
+    /// ```
+    #[must_use]
+    pub fn generate(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let count = rng.random_range(2..=4);
+        let faults: Vec<TimedFault> = (0..count)
+            .map(|_| {
+                let from = Duration::from_millis(rng.random_range(200..2_000));
+                let stay = Duration::from_millis(rng.random_range(200..2_500));
+                let kind = ALL_FAULTS[rng.random_range(0..ALL_FAULTS.len())];
+                TimedFault { kind, from, until: from + stay, proxy: rng.random_range(0..3) }
+            })
+            .collect();
+        let end = faults.iter().map(|fault| fault.until).max().unwrap_or_default();
+        Self { faults, length: end + CALM, seed }
+    }
+
+    /// Brings the faults about and ends them, then waits for the end of the run.
+    pub(super) async fn bring_about(&self, deployment: &mut Deployment, shared: &TrialShared) {
+        let started = Instant::now();
+        let mut steps: Vec<(Duration, TimedFault, bool)> = Vec::new();
+        for fault in &self.faults {
+            steps.push((fault.from, *fault, true));
+            steps.push((fault.until, *fault, false));
+        }
+        steps.sort_by_key(|(at, _, _)| *at);
+        let mut struck: Vec<(TimedFault, usize)> = Vec::new();
+        for (at, fault, begins) in steps {
+            sleep_until(started + at).await;
+            if begins {
+                let member = primary_index(deployment);
+                struck.push((fault, member));
+                begin(deployment, shared, fault, member).await;
+            } else if let Some(index) = struck.iter().position(|(known, _)| *known == fault) {
+                let (_, member) = struck.remove(index);
+                end(deployment, shared, fault, member).await;
+            }
+        }
+        sleep_until(started + self.length).await;
+    }
+}
+
+fn primary_index(deployment: &Deployment) -> usize {
+    let group = &deployment.groups[0];
+    let terms = group.members().enumerate().filter_map(|(index, (name, _))| {
+        let status = group.status(name).ok()?;
+        (status.role == MemberRole::Primary).then_some((status.accepted, index))
+    });
+    terms.max().map_or(0, |(_, index)| index)
+}
+
+async fn begin(
+    deployment: &mut Deployment,
+    shared: &TrialShared,
+    fault: TimedFault,
+    member: usize,
+) {
+    let replica = (member + 1) % 3;
+    match fault.kind {
+        FaultKind::KillPrimary => turn(deployment, member, MemberKnob::Kill),
+        FaultKind::FreezePrimary => turn(deployment, member, MemberKnob::Frozen(true)),
+        FaultKind::CutPrimary => {
+            turn(deployment, member, MemberKnob::Cut(true));
+            deployment.links.iter().for_each(|links| links.members[0][member].cut());
+        }
+        FaultKind::CutLink => deployment.links[fault.proxy].members[0][member].cut(),
+        FaultKind::DeafLink => deployment.links[fault.proxy].members[0][member]
+            .set_fault(LinkDirection::Backward, LinkFault::Swallow),
+        FaultKind::SilentConnections => {
+            for links in &deployment.links {
+                links.members[0][member].cut();
+            }
+            // What was under way in this moment is lost for good; what comes after is not.
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            deployment.links.iter().for_each(|links| links.members[0][member].heal());
+        }
+        FaultKind::ReplicaLag => {
+            let lag = MemberKnob::ApplyLag(Duration::from_millis(600));
+            turn(deployment, replica, lag);
+            turn(deployment, (member + 2) % 3, lag);
+        }
+        FaultKind::PausedReplica => turn(deployment, replica, MemberKnob::Paused(true)),
+        FaultKind::PlatformHangs => set_outage(deployment, PlatformOutage::Hanging),
+        FaultKind::PlatformGone => set_outage(deployment, PlatformOutage::Refused),
+        FaultKind::PlatformSlow => {
+            let faults = PlatformFaults { latency_ms: 500, ..deployment.platform.faults() };
+            deployment.platform.set_faults(faults);
+        }
+        FaultKind::LostAnswers => {
+            let faults = PlatformFaults { lost_answers: 4, ..deployment.platform.faults() };
+            deployment.platform.set_faults(faults);
+        }
+        FaultKind::KillProxy => {
+            deployment.proxies[fault.proxy] = None;
+            shared.replace_proxy(fault.proxy, None);
+        }
+        FaultKind::RacingOperators => race(deployment).await,
+    }
+}
+
+async fn end(deployment: &mut Deployment, shared: &TrialShared, fault: TimedFault, member: usize) {
+    let replica = (member + 1) % 3;
+    match fault.kind {
+        FaultKind::KillPrimary => turn(deployment, member, MemberKnob::Restart),
+        FaultKind::FreezePrimary => turn(deployment, member, MemberKnob::Frozen(false)),
+        FaultKind::CutPrimary => {
+            turn(deployment, member, MemberKnob::Cut(false));
+            deployment.links.iter().for_each(|links| links.members[0][member].heal());
+        }
+        FaultKind::CutLink | FaultKind::DeafLink => {
+            deployment.links[fault.proxy].members[0][member].heal();
+        }
+        FaultKind::ReplicaLag => {
+            turn(deployment, replica, MemberKnob::ApplyLag(Duration::ZERO));
+            turn(deployment, (member + 2) % 3, MemberKnob::ApplyLag(Duration::ZERO));
+        }
+        FaultKind::PausedReplica => turn(deployment, replica, MemberKnob::Paused(false)),
+        FaultKind::PlatformHangs
+        | FaultKind::PlatformGone
+        | FaultKind::PlatformSlow
+        | FaultKind::LostAnswers => deployment.platform.set_faults(PlatformFaults::default()),
+        FaultKind::KillProxy => {
+            if deployment.proxies[fault.proxy].is_none()
+                && let Ok(index) = deployment.add_proxy().await
+            {
+                let address = deployment.proxy(index).listen_address();
+                shared.replace_proxy(fault.proxy, Some(address));
+            }
+        }
+        FaultKind::SilentConnections | FaultKind::RacingOperators => {}
+    }
+}
+
+fn turn(deployment: &Deployment, member: usize, knob: MemberKnob) {
+    let name: Option<MemberName> =
+        deployment.groups[0].members().nth(member).map(|(name, _)| name.clone());
+    if let Some(name) = name {
+        // A knob may not fit what an overlapping fault left behind; the run goes on without it.
+        let _ = deployment.groups[0].turn(&name, knob);
+    }
+}
+
+fn set_outage(deployment: &Deployment, outage: PlatformOutage) {
+    let faults = PlatformFaults { outage, ..deployment.platform.faults() };
+    deployment.platform.set_faults(faults);
+}
+
+/// Two files that give one value differently; both are accepted in some order, or refused.
+async fn race(deployment: &Deployment) {
+    let file = |wait: &str| format!("[timing]\nread_wait = \"{wait}\"\n");
+    let (first, second) = (file("40ms"), file("60ms"));
+    let _ = tokio::join!(
+        deployment.submit("50-first.toml", &first),
+        deployment.submit("50-second.toml", &second),
+    );
+}
