rudderctl: switch waits until it was carried out

Cause: a switch answered as soon as the order was written down, so a script could not tell a switched group from a refused order.

--- a/crates/rudderctl/src/arguments.rs
+++ b/crates/rudderctl/src/arguments.rs
@@ -12,6 +12,7 @@
 use rudder_settings::FileName;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 /// Reads the command line; help and usage errors are printed here.
 pub(crate) fn parse_command_line() -> Result<ControlOptions, ExitWord> {
@@ -199,7 +200,9 @@
 #[argh(
     subcommand,
     name = "switch",
-    example = "{command_name} scores-orders --to scores-orders-2 --platform http://127.0.0.1:18001"
+    example = "{command_name} scores-orders --to scores-orders-2 --wait 30 --platform http://127.0.0.1:18001",
+    error_code(1, "The order was refused, or not carried out."),
+    error_code(4, "The order still stood when the wait ended, or its answer was lost.")
 )]
 struct SwitchLine {
     /// the service
@@ -208,6 +211,9 @@
     /// the member that shall become primary
     #[argh(option)]
     to: MemberName,
+    /// seconds to wait until the order was carried out; without it, the command only orders
+    #[argh(option, default = "0")]
+    wait: u64,
     /// the platform's address, such as http://127.0.0.1:18001
     #[argh(option)]
     platform: Option<PlatformAddress>,
@@ -282,7 +288,8 @@
 impl From<SwitchLine> for (ControlCommand, bool) {
     fn from(line: SwitchLine) -> Self {
         let platform = platform_options(line.platform, line.namespace);
-        let options = SwitchOptions { platform, service: line.service, target: line.to };
+        let wait = Duration::from_secs(line.wait);
+        let options = SwitchOptions { platform, service: line.service, target: line.to, wait };
         (ControlCommand::Switch(options), line.json)
     }
 }
--- a/crates/rudderctl/src/command/switch.rs
+++ b/crates/rudderctl/src/command/switch.rs
@@ -4,20 +4,29 @@
 use crate::options::SwitchOptions;
 use crate::output::CommandReport;
 use crate::platform::accepted_member;
-use rudder_core::{MemberName, ServiceName, SwitchOrder, WriterMark};
+use rudder_core::{MemberName, ServiceName, SuccessionGrant, SwitchOrder, WriterMark};
 use rudder_platform::{KubeStore, ObjectKind, PlatformStore, StoreError};
 use serde::Serialize;
 use std::fmt;
+use std::time::{Duration, Instant};
+
+/// A planned switch takes well under a second.
+const WAIT_PAUSE: Duration = Duration::from_millis(200);
 
 #[derive(Serialize)]
 struct SwitchReport {
     service: ServiceName,
     target: MemberName,
+    carried_out: bool,
 }
 
 impl fmt::Display for SwitchReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "ordered: {} switches to {}; see its status", self.service, self.target)
+        let Self { service, target, .. } = self;
+        match self.carried_out {
+            true => write!(f, "{service} switched to {target}"),
+            false => write!(f, "ordered: {service} switches to {target}; see its status"),
+        }
     }
 }
 
@@ -26,10 +35,62 @@
     accepted_member(&store, &options.service, &options.target).await?;
     let order = SwitchOrder { target: options.target.clone(), mark: WriterMark::random() };
     place_order(&store, &options.service, &order).await?;
-    let report = SwitchReport { service: options.service.clone(), target: order.target };
+    let carried_out = !options.wait.is_zero();
+    if carried_out {
+        await_switch(&store, options, &order).await?;
+    }
+    let service = options.service.clone();
+    let report = SwitchReport { service, target: order.target, carried_out };
     Ok(CommandReport::done(&report))
 }
 
+/// Waits until the order is gone and the platform knows its target as primary.
+///
+/// Keepers remove an order that was carried out or refused, and write the new primary down a moment
+/// later. Calls that fail are made again: an outage must not end the wait.
+async fn await_switch(
+    store: &KubeStore,
+    options: &SwitchOptions,
+    order: &SwitchOrder,
+) -> Result<(), ControlError> {
+    let deadline = Instant::now() + options.wait;
+    loop {
+        let standing = read_order(store, &options.service).await;
+        let primary = read_primary(store, &options.service).await;
+        if primary.as_ref().is_ok_and(|primary| primary.as_ref() == Some(&order.target)) {
+            return Ok(());
+        }
+        if Instant::now() >= deadline {
+            let gone = standing?.is_none_or(|standing| standing.mark != order.mark);
+            let service = options.service.clone();
+            let primary = primary?.map_or_else(|| "nobody".to_owned(), |name| name.to_string());
+            return Err(match gone {
+                true => ControlError::NotSwitched { service, primary },
+                false => ControlError::OrderStands(service),
+            });
+        }
+        tokio::time::sleep(WAIT_PAUSE).await;
+    }
+}
+
+async fn read_order(
+    store: &KubeStore,
+    service: &ServiceName,
+) -> Result<Option<SwitchOrder>, StoreError> {
+    let object = store.get(ObjectKind::SwitchOrder, service.as_str()).await?;
+    Ok(object.and_then(|object| serde_json::from_value(object.spec).ok()))
+}
+
+/// The primary that the group's keepers wrote down last.
+async fn read_primary(
+    store: &KubeStore,
+    service: &ServiceName,
+) -> Result<Option<MemberName>, StoreError> {
+    let object = store.get(ObjectKind::SuccessionGrant, service.as_str()).await?;
+    let grant = object.and_then(|object| serde_json::from_value(object.spec).ok());
+    Ok(grant.and_then(|grant: SuccessionGrant| grant.primary().map(|(name, _)| name.clone())))
+}
+
 async fn place_order(
     store: &KubeStore,
     service: &ServiceName,
@@ -51,13 +112,8 @@
     service: &ServiceName,
     order: &SwitchOrder,
 ) -> Result<(), ControlError> {
-    let found = store.get(ObjectKind::SwitchOrder, service.as_str()).await;
-    let standing = match found {
-        Ok(Some(object)) => serde_json::from_value::<SwitchOrder>(object.spec).ok(),
-        Ok(None) | Err(_) => None,
-    };
-    match standing {
-        Some(standing) if standing.mark == order.mark => Ok(()),
+    match read_order(store, service).await {
+        Ok(Some(standing)) if standing.mark == order.mark => Ok(()),
         _ => Err(ControlError::OrderUnknown),
     }
 }
--- a/crates/rudderctl/src/error.rs
+++ b/crates/rudderctl/src/error.rs
@@ -37,6 +37,15 @@
     OrderPending(ServiceName),
     /// the answer was lost and the order may stand; look at the status before ordering again
     OrderUnknown,
+    /// service {service} was not switched: {primary} is its primary; look at the keepers' log
+    NotSwitched {
+        /// The service.
+        service: ServiceName,
+        /// Its primary, as the platform knows it.
+        primary: String,
+    },
+    /// the order for {0} still stands; look at the status before ordering again
+    OrderStands(ServiceName),
     /// {path} cannot be written: {reason}
     Unwritable {
         /// The file.
@@ -63,7 +72,9 @@
         match self {
             Self::Submit(SubmitError::Unavailable)
             | Self::Read(ReadError::Store(StoreError::Unavailable)) => ExitWord::Unavailable,
-            Self::Submit(SubmitError::Unresolved) | Self::OrderUnknown => ExitWord::Unknown,
+            Self::Submit(SubmitError::Unresolved) | Self::OrderUnknown | Self::OrderStands(_) => {
+                ExitWord::Unknown
+            }
             _ => ExitWord::Refused,
         }
     }
--- a/crates/rudderctl/src/options.rs
+++ b/crates/rudderctl/src/options.rs
@@ -6,6 +6,7 @@
 use rudder_settings::FileName;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 /// A command and the form of its answer.
 #[derive(Clone, Debug)]
@@ -66,4 +67,6 @@
     pub(crate) platform: PlatformOptions,
     pub(crate) service: ServiceName,
     pub(crate) target: MemberName,
+    /// How long to wait until the order was carried out; zero only orders.
+    pub(crate) wait: Duration,
 }
--- a/crates/rudderctl/tests/commands.rs
+++ b/crates/rudderctl/tests/commands.rs
@@ -242,6 +242,18 @@
     assert_eq!(again.code, 1);
 }
 
+/// No keeper is there to carry the order out. It may still be, so "refused" would not be true.
+#[tokio::test]
+async fn order_that_still_stands_is_an_unknown_outcome() {
+    let (_standin, url) = accepted("stands").await;
+
+    let words = ["switch", "orders", "--to", "orders-2", "--wait", "1", "--platform", &url];
+    let answer = rudderctl(&words).await;
+
+    assert_eq!(answer.code, 4);
+    assert!(answer.err.starts_with("the order for orders still stands"), "{}", answer.err);
+}
+
 #[tokio::test]
 async fn status_shows_instances_also_while_the_platform_is_down() {
     let page = r#"{"instance":"inst-1","domain":"a","revision":7,"leaving":true,"groups":[
--- a/crates/rudderctl/tests/in_force.rs
+++ b/crates/rudderctl/tests/in_force.rs
@@ -58,6 +58,35 @@
     until("revision 2 at the newcomer", || deployment.proxy(newcomer).revision() == 2).await;
 }
 
+/// An operator orders a switch and waits. The word "switched" must mean that the keepers made that
+/// member primary, not only that the order was written down.
+#[tokio::test(flavor = "multi_thread")]
+async fn ordered_switch_is_waited_for() {
+    let deployment = deployment().await;
+    let url = deployment.platform.url();
+    let command = |target: &str| {
+        let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_rudderctl"));
+        command.args(["switch", "scores-orders", "--to", target, "--wait", "60"]);
+        command.args(["--platform", &url]);
+        command
+    };
+
+    let members = member_names(&deployment).await;
+    let output = command(&members[1]).output().await.unwrap();
+
+    let told = String::from_utf8(output.stdout).unwrap();
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(told, format!("scores-orders switched to {}\n", members[1]), "{error}");
+}
+
+async fn member_names(deployment: &Deployment) -> Vec<String> {
+    let options = rudder_platform::PlatformOptions::at(&deployment.platform.url());
+    let store = rudder_platform::KubeStore::connect(options).expect("it is a URL");
+    let bundle = rudder_platform::poll_revision(&store, None).await.expect("it answers");
+    let folder = bundle.expect("it was submitted").merge().expect("it is valid");
+    folder.fleet.services[0].members.iter().map(|member| member.name.to_string()).collect()
+}
+
 /// The platform answers reads from a copy that is two submissions old, to all proxies and for
 /// several polls, and one more proxy starts from it. What operators replaced must not come back.
 #[tokio::test(flavor = "multi_thread")]
