--- a/crates/rudder-platform/src/revision/follow.rs
+++ b/crates/rudder-platform/src/revision/follow.rs
@@ -41,12 +41,20 @@
     }
 
     /// The bundle in force, to hand to a peer.
+    ///
+    /// ```
+    /// assert!(rudder_platform::RevisionFollower::default().bundle().is_none());
+    /// ```
     #[must_use]
     pub fn bundle(&self) -> Option<&Arc<RevisionBundle>> {
         self.in_force.as_ref().map(|force| &force.bundle)
     }
 
     /// The settings in force.
+    ///
+    /// ```
+    /// assert!(rudder_platform::RevisionFollower::default().folder().is_none());
+    /// ```
     #[must_use]
     pub fn folder(&self) -> Option<&Arc<MergedFolder>> {
         self.in_force.as_ref().map(|force| &force.folder)
--- a/crates/rudder-platform/src/revision/read.rs
+++ b/crates/rudder-platform/src/revision/read.rs
@@ -36,6 +36,17 @@
 
 /// Reads the accepted revision and its version; none before the first submission.
 ///
+/// ```
+/// # tokio::runtime::Runtime::new()?.block_on(async {
+/// # let standin = rudder_standins::PlatformStandin::start("127.0.0.1:0".parse()?).await?;
+/// # let address = standin.url();
+/// use rudder_platform::{KubeStore, PlatformOptions, read_revision};
+/// let store = KubeStore::connect(PlatformOptions::at(&address))?;
+/// assert_eq!(read_revision(&store).await?, None);
+/// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+///
 /// # Errors
 ///
 /// When the platform gives no answer, or the object has another shape.
@@ -51,6 +62,17 @@
 /// Reads the accepted revision if its number is greater than that of `known`; files that `known`
 /// has are not read again. The one small read that finds nothing new is the usual case.
 ///
+/// ```
+/// # tokio::runtime::Runtime::new()?.block_on(async {
+/// # let standin = rudder_standins::PlatformStandin::start("127.0.0.1:0".parse()?).await?;
+/// # let address = standin.url();
+/// use rudder_platform::{KubeStore, PlatformOptions, poll_revision};
+/// let store = KubeStore::connect(PlatformOptions::at(&address))?;
+/// assert_eq!(poll_revision(&store, None).await?, None);
+/// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+///
 /// # Errors
 ///
 /// When the platform gives no answer, an object has another shape, or a file was removed because a
--- a/crates/rudder-standins/src/platform/mod.rs
+++ b/crates/rudder-standins/src/platform/mod.rs
@@ -53,12 +53,28 @@
     }
 
     /// Where it listens.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// let standin = rudder_standins::PlatformStandin::start("127.0.0.1:0".parse()?).await?;
+    /// assert_ne!(standin.address().port(), 0);
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
     #[must_use]
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Its address as the platform's client wants it.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// let standin = rudder_standins::PlatformStandin::start("127.0.0.1:0".parse()?).await?;
+    /// assert_eq!(standin.url(), format!("http://{}", standin.address()));
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
     #[must_use]
     pub fn url(&self) -> String {
         format!("http://{}", self.address)
@@ -80,17 +96,41 @@
     }
 
     /// The faults in force.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// let standin = rudder_standins::PlatformStandin::start("127.0.0.1:0".parse()?).await?;
+    /// assert_eq!(standin.faults(), rudder_standins::PlatformFaults::default());
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
     #[must_use]
     pub fn faults(&self) -> PlatformFaults {
         self.state.faults()
     }
 
     /// Replaces the list of instances; it is shown after `lag`.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// let standin = rudder_standins::PlatformStandin::start("127.0.0.1:0".parse()?).await?;
+    /// standin.set_instances(Vec::new(), std::time::Duration::from_secs(5));
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
     pub fn set_instances(&self, entries: Vec<StandinInstance>, lag: Duration) {
         self.state.set_instances(entries, lag);
     }
 
     /// How many calls came, cut ones included.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// let standin = rudder_standins::PlatformStandin::start("127.0.0.1:0".parse()?).await?;
+    /// assert_eq!(standin.calls().reads, 0);
+    /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
     #[must_use]
     pub fn calls(&self) -> CallCounts {
         self.state.calls()
