--- a/crates/rudder-peers/src/node/tests.rs
+++ b/crates/rudder-peers/src/node/tests.rs
@@ -233,6 +233,24 @@
     assert_eq!(fleet.state(1, &fleet.name_of(3)), Some(PeerState::Live));
 }
 
+#[test]
+fn a_leaving_member_is_known_to_all_within_seconds() {
+    // An operator takes a database member away. The platform's list says so half a minute later,
+    // and until then proxies give it new statements, which fail when it goes.
+    let mut fleet = Fleet::joined(30, 18);
+    fleet.loss_percent = 5;
+    let subject = LeavingSubject::Member("scores-db".parse().unwrap(), "m1".parse().unwrap());
+    let notice = PeerHint::Leaving(LeavingNotice { subject });
+
+    fleet.publish(4, notice.clone());
+    let informed = |fleet: &Fleet| {
+        (0..30).filter(|site| *site != 4).all(|site| fleet.heard(site).contains(&notice))
+    };
+    let took = fleet.run_until(seconds(3), informed);
+
+    assert!(took.is_some());
+}
+
 #[test]
 fn a_flood_of_hints_leaves_heartbeats_their_budget() {
     // A failure domain is lost and hundreds of groups change their primary at once. If their news
