decisions: the size of work is relative to its moment

Cause: at the onset of an overload short statements counted as long, and the cap on long work throttled them. Change: WorkEstimate compares each run with what was typical at that moment.

--- a/crates/rudder-decisions/src/work.rs
+++ b/crates/rudder-decisions/src/work.rs
@@ -1,10 +1,11 @@
 //! Classes and sizes of work, and the estimate of a statement's size from its fingerprint.
 //!
-//! Load pattern: long work among short (a condition map for an engineer among page claims).
-//! Without it: a few reports fill every slot of a member, and each short statement waits for the
-//! longest of them. Thresholds: work counts as long from [`LONG_FACTOR`] times the typical time
-//! upwards. Shorter differences come from hardware (old members run at 0.4 of the speed of new
-//! ones) and from queueing, and must not change a statement's size.
+//! Load pattern: long work among short (a batch of condition maps among page claims). Without it a
+//! few reports fill every slot of a member, and each short statement waits for the longest of them.
+//! Thresholds: work counts as long from [`LONG_FACTOR`] times the typical time upwards. Smaller
+//! differences come from hardware (old members run at 0.4 of the speed of new ones). Each run is
+//! compared with what was typical at that moment: in an overload everything takes longer, and no
+//! statement must count as long for that, or the cap on long work would make the overload worse.
 
 use crate::average::MovingAverage;
 use std::fmt;
@@ -19,8 +20,12 @@
 /// Weight of one more run in a fingerprint's estimate: about the last ten runs count.
 const FINGERPRINT_GAIN: f64 = 0.2;
 
-/// Weight of one more run in the typical time: about the last hundred runs count.
-const TYPICAL_GAIN: f64 = 0.02;
+/// Weight of one more run in the typical time: about the last twenty runs count, so that it follows
+/// an overload as fast as the runs that are compared with it.
+const TYPICAL_GAIN: f64 = 0.05;
+
+/// The least time reckoned with, in seconds.
+const HELD_MIN_S: f64 = 1e-6;
 
 /// Fingerprints remembered; the one unused for longest makes room.
 const FINGERPRINTS_MAX: usize = 2048;
@@ -67,6 +72,8 @@
 struct FingerprintRecord {
     fingerprint: u64,
     service: MovingAverage,
+    /// Mean of the logarithm of each run's time relative to the typical time before it.
+    relative_ln: Option<f64>,
     used: u64,
 }
 
@@ -113,17 +120,16 @@
     pub fn observe(&mut self, fingerprint: u64, held: Duration) {
         self.uses += 1;
         let used = self.uses;
+        let held_ln_s = held.as_secs_f64().max(HELD_MIN_S).ln();
+        let relative_ln = held_ln_s - self.typical_ln_s.unwrap_or(held_ln_s);
         let index = self.slot_of(fingerprint);
         let record = &mut self.records[index];
         record.service.observe(held);
+        record.relative_ln = Some(moved(record.relative_ln, relative_ln, FINGERPRINT_GAIN));
         record.used = used;
         // The typical time is a geometric mean: a few very long runs would drag an arithmetic
         // mean up until nothing counted as long any more.
-        let held_ln_s = held.as_secs_f64().max(1e-6).ln();
-        self.typical_ln_s = Some(match self.typical_ln_s {
-            Some(typical) => typical + TYPICAL_GAIN * (held_ln_s - typical),
-            None => held_ln_s,
-        });
+        self.typical_ln_s = Some(moved(self.typical_ln_s, held_ln_s, TYPICAL_GAIN));
     }
 
     /// The expected time of `fingerprint` at its slot, or `None` if it has not been seen.
@@ -155,11 +161,13 @@
     /// ```
     #[must_use]
     pub fn size(&self, fingerprint: u64) -> WorkSize {
-        let (Some(expected), Some(typical)) = (self.expected(fingerprint), self.typical()) else {
+        let Ok(index) = self.position(fingerprint) else {
             return WorkSize::Short;
         };
-        let bound = typical.mul_f64(LONG_FACTOR).max(LONG_MIN);
-        if expected >= bound { WorkSize::Long } else { WorkSize::Short }
+        let record = &self.records[index];
+        let relative = record.relative_ln.is_some_and(|relative| relative >= LONG_FACTOR.ln());
+        let absolute = record.service.value().is_some_and(|service| service >= LONG_MIN);
+        if relative && absolute { WorkSize::Long } else { WorkSize::Short }
     }
 
     fn position(&self, fingerprint: u64) -> Result<usize, usize> {
@@ -175,7 +183,8 @@
         }
         let index = self.records.partition_point(|record| record.fingerprint < fingerprint);
         let service = MovingAverage::new(FINGERPRINT_GAIN);
-        self.records.insert(index, FingerprintRecord { fingerprint, service, used: 0 });
+        let record = FingerprintRecord { fingerprint, service, relative_ln: None, used: 0 };
+        self.records.insert(index, record);
         index
     }
 
@@ -192,3 +201,8 @@
         Self::new()
     }
 }
+
+/// A moving average after one more sample.
+fn moved(average: Option<f64>, sample: f64, gain: f64) -> f64 {
+    average.map_or(sample, |average| average + gain * (sample - average))
+}
--- a/crates/rudder-decisions/tests/load/long_work.rs
+++ b/crates/rudder-decisions/tests/load/long_work.rs
@@ -4,6 +4,7 @@
 use super::setup::{PolicyChoice, play};
 use super::summary::LoadSummary;
 use super::{SEED, play_both};
+use rudder_decisions::{WorkEstimate, WorkSize};
 use std::time::Duration;
 
 /// Whether a short read came after the first batch, from which the size of reports is learned.
@@ -30,3 +31,21 @@
     let reports = LoadSummary::of(&requests, &now, report);
     assert!(reports.served_share() > 0.99, "{reports:?}");
 }
+
+// Everything takes twenty times as long for a while, because a member is overloaded. If lookups now
+// counted as long work, the cap on long work would hold them back and lengthen the overload.
+#[test]
+fn an_overload_makes_no_statement_long() {
+    let mut estimate = WorkEstimate::new();
+    let lookup_ms = |index: u64| if index < 200 { 10 } else { 200 };
+
+    let mut long = 0;
+    for index in 0..600 {
+        estimate.observe(index % 3, Duration::from_millis(lookup_ms(index)));
+        long += u32::from(estimate.size(index % 3) == WorkSize::Long);
+    }
+    estimate.observe(REPORT, Duration::from_secs(20));
+
+    assert_eq!(long, 0);
+    assert_eq!(estimate.size(REPORT), WorkSize::Long);
+}
