--- a/crates/arbutusrudder/src/keeper/tests/fixture.rs
+++ b/crates/arbutusrudder/src/keeper/tests/fixture.rs
@@ -12,7 +12,7 @@
 };
 use rudder_settings::TimingSettings;
 use std::pin::pin;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -51,7 +51,7 @@
         let (group, platform) = (FakeGroup::new(members), FakePlatform::new());
         let (board, log, stop) = (Arc::default(), Arc::default(), CancellationToken::new());
         let fixture = Self { group, platform, board, keepers, log, stop };
-        tokio::spawn(replicate(fixture.group.clone()));
+        tokio::spawn(replicate(Arc::downgrade(&fixture.group)));
         tokio::spawn(write(fixture.group.clone(), fixture.log.clone(), fixture.stop.clone()));
         fixture
     }
@@ -160,9 +160,11 @@
     }
 }
 
-async fn replicate(group: Arc<FakeGroup>) {
+/// Runs for as long as anyone holds the group.
+async fn replicate(group: Weak<FakeGroup>) {
     loop {
         sleep(REPLICATION_INTERVAL).await;
+        let Some(group) = group.upgrade() else { return };
         let mut model = group.model();
         (0..model.members.len()).for_each(|index| model.replicate(index, 8));
     }
--- a/crates/arbutusrudder/src/keeper/tests/mod.rs
+++ b/crates/arbutusrudder/src/keeper/tests/mod.rs
@@ -6,4 +6,5 @@
 mod fixture;
 #[path = "../../../../rudder-core/tests/succession/model.rs"]
 mod model;
+mod schedules;
 mod standin_switch;
