--- a/crates/arbutusrudder/src/keeper/platform_calls.rs
+++ b/crates/arbutusrudder/src/keeper/platform_calls.rs
@@ -84,8 +84,9 @@
         };
         let keepers = self.roster.names();
         let accepted = self.accepted;
-        let (primary, term) = (self.view.borrow().primary.clone(), self.view.borrow().term);
-        let unsettled = primary.filter(|_| term > self.settled_term);
+        let view = self.view.borrow().clone();
+        let term = view.term;
+        let unsettled = view.primary.clone().filter(|_| term > self.settled_term);
         self.spawn_call(async move {
             if let Some(primary) = unsettled
                 && let Err(error) = client.settle(&primary, term).await
