--- /dev/null
+++ b/crates/arbutusrudder/src/duty/drain.rs
@@ -0,0 +1,46 @@
+//! Moving the primary off a member that operators drain: an endpoint that is leaving must get no
+//! new work, and writes are work.
+
+use crate::group::GroupState;
+use rudder_core::{MemberName, SwitchOrder, WriterMark};
+use rudder_decisions::MemberHealth;
+use rudder_platform::{ObjectKind, PlatformStore, StoreError};
+use std::sync::Arc;
+
+/// The member that should lead instead of a draining primary: the most advanced one that stays.
+pub(super) fn successor_of(group: &GroupState) -> Option<MemberName> {
+    let primary = group.primary()?;
+    if !group.members[primary.index].settings.draining {
+        return None;
+    }
+    let stays = |index: &usize| group.members[*index].health() == MemberHealth::Ready;
+    let received = |index: &usize| {
+        let status = group.board.status_of(group.members[*index].name());
+        status.map(|status| status.received)
+    };
+    let index = (0..group.members.len()).filter(stays).max_by_key(received)?;
+    Some(group.members[index].name().clone())
+}
+
+/// Orders the switch in the platform, where the group's keeper of rank one finds it. An order that
+/// stands there already is left alone.
+pub(super) async fn order_switch(
+    store: Arc<dyn PlatformStore>,
+    group: Arc<GroupState>,
+    target: MemberName,
+) {
+    let service = &group.service.name;
+    let order = SwitchOrder { target: target.clone(), mark: WriterMark::random() };
+    let Ok(spec) = serde_json::to_value(&order) else { return };
+    match store.put(ObjectKind::SwitchOrder, service.as_str(), None, spec).await {
+        Ok(_) => log::info!(
+            target: "rudder::placement", service:% = service, member:% = target,
+            reason = "primary_draining"; "switch of primary ordered"
+        ),
+        Err(StoreError::Conflict) => {}
+        Err(error) => log::warn!(
+            target: "rudder::placement", service:% = service, reason:% = error;
+            "switch of primary could not be ordered"
+        ),
+    }
+}
--- a/crates/arbutusrudder/src/duty/roster.rs
+++ b/crates/arbutusrudder/src/duty/roster.rs
@@ -1,5 +1,6 @@
 //! Starting and ending this instance's tasks as settings and instances change.
 
+use super::drain::{order_switch, successor_of};
 use super::exchange::VoteExchange;
 use crate::context::InstanceContext;
 use crate::group::{GroupState, spawn_watch};
@@ -11,7 +12,7 @@
 use rudder_peers::PeerMesh;
 use rudder_platform::PlatformStore;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -19,11 +20,15 @@
 /// How often lanes and connection shares follow what was learned.
 const TICK: Duration = Duration::from_millis(500);
 
+/// Pause between two orders to move the primary off the same draining member.
+const DRAIN_PAUSE: Duration = Duration::from_secs(5);
+
 /// The tasks of one group. Dropping it ends them.
 struct GroupDuty {
     group: Arc<GroupState>,
     _watch: JoinSet<()>,
     keeper: Option<KeeperDuty>,
+    drained: Option<Instant>,
 }
 
 struct KeeperDuty {
@@ -65,8 +70,9 @@
             if timeout(TICK, changed).await.is_ok() {
                 break;
             }
-            for duty in &duties {
+            for duty in &mut duties {
                 duty.group.follow(parts.context.instances());
+                parts.drain(duty);
             }
         }
     }
@@ -81,7 +87,12 @@
             let known = duties.iter().position(|duty| Arc::ptr_eq(&duty.group, group));
             let index = known.unwrap_or_else(|| {
                 let watch = spawn_watch(group);
-                duties.push(GroupDuty { group: Arc::clone(group), _watch: watch, keeper: None });
+                duties.push(GroupDuty {
+                    group: Arc::clone(group),
+                    _watch: watch,
+                    keeper: None,
+                    drained: None,
+                });
                 duties.len() - 1
             });
             self.assign_keeper(&mut duties[index]);
@@ -103,6 +114,18 @@
         duty.keeper = keeps.then(|| self.start_keeper(&duty.group));
     }
 
+    /// Orders a switch if the group's primary is draining and this instance is its first keeper.
+    fn drain(&self, duty: &mut GroupDuty) {
+        let recent = duty.drained.is_some_and(|at| at.elapsed() < DRAIN_PAUSE);
+        let roster = self.exchange.roster(&duty.group.service.name);
+        if recent || roster.rank_of(self.context.name()) != Some(0) {
+            return;
+        }
+        let Some(target) = successor_of(&duty.group) else { return };
+        duty.drained = Some(Instant::now());
+        tokio::spawn(order_switch(Arc::clone(&self.store), Arc::clone(&duty.group), target));
+    }
+
     fn start_keeper(&self, group: &Arc<GroupState>) -> KeeperDuty {
         let stop = CancellationToken::new();
         let handle = spawn_keeper(self.keeper_config(group), stop.clone());
--- /dev/null
+++ b/crates/arbutusrudder/tests/deployment/leaving.rs
@@ -0,0 +1,66 @@
+//! Members and proxies that leave.
+
+use crate::common::{connect, rows_of};
+use rudder_core::{MemberName, MemberRole};
+use rudder_standins::{Deployment, DeploymentPlan};
+use std::time::Duration;
+
+const CALLERS: &str = "[callers.copyist]\nusers = [\"copyist\"]\nstaleness = \"5s\"\n\
+                       queue_wait = \"5s\"\nin_flight_max = 100\n";
+
+/// Looks at most for a change to come into force, 50 ms apart.
+const LOOKS: u32 = 300;
+
+fn plan(proxies: usize) -> DeploymentPlan {
+    DeploymentPlan { extra: CALLERS.to_owned(), ..DeploymentPlan::small(proxies) }
+}
+
+fn leads(deployment: &Deployment, name: &MemberName) -> bool {
+    deployment.groups[0].status(name).is_ok_and(|status| status.role == MemberRole::Primary)
+}
+
+/// What a user sees: writes fail when a member that was announced to leave is switched off.
+/// Order: operators drain the member that happens to be the primary, wait, switch it off.
+/// Cause: draining kept reads away, while every write still went there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_primary_hands_over_without_anyone_asked() {
+    let deployment = Deployment::start(plan(3)).await.expect("deployment starts");
+    let (client, _) = connect(&deployment, 0, "copyist").await;
+    client.batch_execute("CREATE TABLE parts (id int PRIMARY KEY, title text)").await.unwrap();
+    let first: MemberName = "scores-orders-1".parse().unwrap();
+
+    let drain = "[services.scores-orders.members.scores-orders-1]\ndraining = true\n";
+    deployment.submit("90-drain.toml", drain).await.expect("the file is accepted");
+    let mut looks = 0;
+    while leads(&deployment, &first) {
+        looks += 1;
+        assert!(looks < LOOKS, "the draining member still leads");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    client.batch_execute("INSERT INTO parts VALUES (1, 'Kyrie')").await.unwrap();
+
+    assert_eq!(rows_of(&client, "SELECT title FROM parts").await, ["Kyrie"]);
+    assert!(!leads(&deployment, &first));
+}
+
+/// What a user sees: a rehearsal list breaks off because a proxy was replaced.
+/// Order: a long statement runs, the proxy is asked to leave, the answer comes.
+/// Cause: the proxy ends before the requests that it has in flight.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_proxy_finishes_what_is_in_flight() {
+    let mut deployment = Deployment::start(plan(2)).await.expect("deployment starts");
+    let (busy, _) = connect(&deployment, 0, "copyist").await;
+    let (idle, idle_task) = connect(&deployment, 0, "copyist").await;
+    let address = deployment.proxy(0).listen_address();
+    let proxy = deployment.proxies[0].take().expect("the proxy runs");
+
+    let answer = tokio::spawn(async move { rows_of(&busy, "SELECT pg_sleep(0.6), 7").await.len() });
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let left = tokio::spawn(proxy.leave());
+
+    assert_eq!(answer.await.expect("the caller is answered"), 1);
+    idle_task.await.expect("the idle caller is told to go");
+    assert!(idle.is_closed());
+    left.await.expect("the proxy ends once its callers are gone");
+    assert!(tokio::net::TcpStream::connect(address).await.is_err());
+}
--- a/crates/arbutusrudder/tests/deployment/main.rs
+++ b/crates/arbutusrudder/tests/deployment/main.rs
@@ -2,7 +2,9 @@
 
 mod common;
 mod copy;
+mod faults;
 mod isolation;
+mod leaving;
 mod path;
 mod raw;
 mod statements;
