--- a/crates/rudder-endpoint/src/connection.rs
+++ b/crates/rudder-endpoint/src/connection.rs
@@ -67,7 +67,8 @@
     /// # runtime.block_on(async {
     /// let login =
     ///     LoginSettings { user: "app".into(), database: "scores".into(), password: None };
-    /// let address = MemberAddress { address: "127.0.0.1:1".parse().unwrap(), login };
+    /// let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    /// let address = MemberAddress { address: closed, login };
     /// assert!(MemberConnection::open(&address, std::time::Duration::from_secs(1)).await.is_err());
     /// # });
     /// # Ok::<(), std::io::Error>(())
--- a/crates/rudder-standins/examples/measure/fault.rs
+++ b/crates/rudder-standins/examples/measure/fault.rs
@@ -35,6 +35,11 @@
                 deployment.links[0].members[0][index].cut();
             }
         }
+        FaultAction::Jitter => {
+            for link in deployment.links.iter().flat_map(|links| links.members.iter().flatten()) {
+                link.set_delay(Duration::from_millis(20), Duration::from_millis(60));
+            }
+        }
         FaultAction::PlatformDown => {
             deployment.links.iter().for_each(|links| links.platform.cut());
         }
--- a/crates/rudder-standins/examples/measure/load.rs
+++ b/crates/rudder-standins/examples/measure/load.rs
@@ -5,7 +5,7 @@
 use crate::trace::LoadTrace;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use rudder_core::MemberRole;
+use rudder_core::{LogTerm, MemberRole};
 use rudder_standins::Deployment;
 use std::error::Error;
 use std::time::{Duration, Instant};
@@ -131,19 +131,29 @@
     caller
 }
 
-/// The rows at the real primaries after the run, by group.
-pub(crate) async fn final_values(
+/// The groups after a run.
+#[derive(Default)]
+pub(crate) struct FinalState {
+    /// The rows at the real primaries, by group.
+    pub(crate) rows: Vec<Vec<(usize, u64)>>,
+    /// Groups whose primary was changed.
+    pub(crate) promotions: u64,
+}
+
+/// Asks the real primaries themselves.
+pub(crate) async fn final_state(
     deployment: &Deployment,
     trace: &LoadTrace,
-) -> Result<Vec<Vec<(usize, u64)>>, Box<dyn Error>> {
-    let mut finals = Vec::new();
+) -> Result<FinalState, Box<dyn Error>> {
+    let mut state = FinalState::default();
     for group in &deployment.groups {
         let statuses = group.members().filter_map(|(name, address)| {
             let status = group.status(name).ok()?;
             (status.role == MemberRole::Primary).then_some((status.accepted, address))
         });
         // A primary that was cut off still believes it leads; the real one has the greatest term.
-        let (_, address) = statuses.max().ok_or(format!("{}: no primary", trace.name))?;
+        let (term, address) = statuses.max().ok_or(format!("{}: no primary", trace.name))?;
+        state.promotions += u64::from(term > LogTerm(1));
         let words = format!("host={} port={} user=app dbname=db", address.ip(), address.port());
         let (client, connection) = tokio_postgres::connect(&words, NoTls).await?;
         tokio::spawn(connection);
@@ -154,7 +164,7 @@
             }
             _ => None,
         };
-        finals.push(messages.iter().filter_map(row).collect());
+        state.rows.push(messages.iter().filter_map(row).collect());
     }
-    Ok(finals)
+    Ok(state)
 }
--- a/crates/rudder-standins/examples/measure/main.rs
+++ b/crates/rudder-standins/examples/measure/main.rs
@@ -88,6 +88,6 @@
     let ((), samples) = tokio::join!(faults, samples);
     let samples = samples?;
     let after = report::RoleCounts::read(&deployment).await?;
-    let finals = load::final_values(&deployment, trace).await?;
+    let finals = load::final_state(&deployment, trace).await?;
     Ok(RunReport::new(trace, policy, &samples, after.since(&before), &finals))
 }
--- a/crates/rudder-standins/examples/measure/report.rs
+++ b/crates/rudder-standins/examples/measure/report.rs
@@ -2,7 +2,7 @@
 
 use crate::baseline::PolicyChoice;
 use crate::caller::{RequestEnd, RequestSample};
-use crate::load::RunSamples;
+use crate::load::{FinalState, RunSamples};
 use crate::trace::LoadTrace;
 use hdrhistogram::Histogram;
 use rudder_standins::Deployment;
@@ -67,6 +67,8 @@
     replica_share: f64,
     /// Longest time without an acknowledged write in the group that a fault struck.
     gap_ms: Option<f64>,
+    /// Groups whose primary was changed during the run.
+    promotions: u64,
     /// Answered requests per second.
     goodput: f64,
     refused: usize,
@@ -83,14 +85,14 @@
         policy: PolicyChoice,
         samples: &RunSamples,
         roles: RoleCounts,
-        finals: &[Vec<(usize, u64)>],
+        finals: &FinalState,
     ) -> Self {
         let requests = &samples.requests;
         let ended = |end: RequestEnd| requests.iter().filter(|sample| sample.end == end).count();
         let last = requests.iter().map(|sample| sample.ended).max().unwrap_or_default();
         let seconds = last.as_secs_f64().max(trace.seconds);
         let lost = samples.callers.iter().filter(|caller| {
-            let value = finals[caller.group].iter().find(|(row, _)| *row == caller.row);
+            let value = finals.rows[caller.group].iter().find(|(row, _)| *row == caller.row);
             !value.is_some_and(|(_, value)| caller.allows(*value))
         });
         let broken = requests.iter().filter(|sample| sample.broken).count() + lost.count();
@@ -102,6 +104,7 @@
             writes: requests.iter().filter(|sample| sample.write).count(),
             replica_share: roles.replica_share(),
             gap_ms: gap(trace, requests).map(|gap| gap.as_secs_f64() * 1000.0),
+            promotions: finals.promotions,
             goodput: ended(RequestEnd::Done) as f64 / seconds,
             refused: ended(RequestEnd::Refused),
             unknown: ended(RequestEnd::Unknown),
@@ -148,11 +151,12 @@
 /// Prints a table for people.
 pub(crate) fn print_table(reports: &[RunReport]) {
     println!(
-        "{:28} {:13} {:>7} {:>8} {:>9} {:>8} {:>8} {:>7} {:>6}  p50/p99 ms by kind",
+        "{:28} {:13} {:>7} {:>8} {:>8} {:>9} {:>8} {:>8} {:>7} {:>6}  p50/p99 ms by kind",
         "trace",
         "policy",
         "replica",
         "gap ms",
+        "promoted",
         "goodput/s",
         "refused",
         "unknown",
@@ -167,11 +171,12 @@
             .collect();
         let gap = report.gap_ms.map_or_else(|| "-".to_owned(), |gap| format!("{gap:.0}"));
         println!(
-            "{:28} {:13} {:>6.1}% {:>8} {:>9.0} {:>8} {:>8} {:>7} {:>6}  {}",
+            "{:28} {:13} {:>6.1}% {:>8} {:>8} {:>9.0} {:>8} {:>8} {:>7} {:>6}  {}",
             report.trace,
             report.policy,
             report.replica_share * 100.0,
             gap,
+            report.promotions,
             report.goodput,
             report.refused,
             report.unknown,
--- a/crates/rudder-standins/examples/measure/trace.rs
+++ b/crates/rudder-standins/examples/measure/trace.rs
@@ -32,6 +32,8 @@
     CutPrimary,
     /// The primary of the first group can be reached by every proxy but the first.
     CutOneLink,
+    /// Every link to a member takes up to 60 ms more, differently for each message.
+    Jitter,
     /// The platform does not answer.
     PlatformDown,
     /// The platform answers again.
