--- a/crates/arbutusrudder/src/caller/mod.rs
+++ b/crates/arbutusrudder/src/caller/mod.rs
@@ -16,5 +16,6 @@
 mod transaction;
 mod write;
 
+pub(crate) use answer::put_fatal;
 pub(crate) use cancel::CancelBoard;
 pub(crate) use serve::serve_caller;
--- a/crates/arbutusrudder/src/process.rs
+++ b/crates/arbutusrudder/src/process.rs
@@ -14,6 +14,9 @@
 /// Callers served at the same time, unless set.
 const CALLERS_MAX: u32 = 10_000;
 
+/// Seconds between two looks at the certificate, unless set: renewed ones come days ahead.
+const TLS_RELOAD_S: u32 = 60;
+
 /// Why the process settings cannot be used.
 #[derive(Debug, Display)]
 #[ignore_extra_doc_attributes]
@@ -70,6 +73,9 @@
         /// Its private key, as PEM.
         #[serde(default)]
         pub tls_key: Option<PathBuf>,
+        /// Seconds after which the certificate and the key are read again.
+        #[serde(default = "default_tls_reload")]
+        pub tls_reload_s: u32,
         /// Members that this instance reaches at another address than the declared one, where
         /// addresses are translated on the way.
         #[serde(default)]
@@ -112,6 +118,10 @@
     MESSAGE_SIZE_MAX
 }
 
+fn default_tls_reload() -> u32 {
+    TLS_RELOAD_S
+}
+
 fn default_callers() -> u32 {
     CALLERS_MAX
 }
@@ -164,6 +174,9 @@
         if self.message_size_max < 1024 {
             return wrong("message_size_max", "at least 1024 bytes");
         }
+        if self.tls_reload_s == 0 {
+            return wrong("tls_reload_s", "at least 1");
+        }
         if self.callers_max == 0 {
             return wrong("callers_max", "at least 1");
         }
--- a/crates/arbutusrudder/src/proxy.rs
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -1,7 +1,7 @@
 //! One instance from start to end.
 
 use crate::admin::{serve_pages, set_up_metrics};
-use crate::caller::{CancelBoard, serve_caller};
+use crate::caller::{CancelBoard, put_fatal, serve_caller};
 use crate::classify::FactsCache;
 use crate::context::{FleetState, InstanceContext};
 use crate::duty::{VoteExchange, run_duties};
@@ -14,6 +14,7 @@
 use crate::process::ProcessSettings;
 use crate::tls;
 use arc_swap::ArcSwap;
+use bytes::BytesMut;
 use rudder_peers::{MeshSettings, PeerMesh};
 use rudder_platform::{KubeStore, PlatformOptions, PlatformStore, RevisionFollower};
 use std::net::SocketAddr;
@@ -29,6 +30,9 @@
 /// Pause after an accept that failed, for instance for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// SQLSTATE for a caller beyond the bound.
+const TOO_MANY_CALLERS: &str = "53300";
+
 /// How long a leaving instance keeps its socket after it said so, for callers on their way.
 const FAREWELL: Duration = Duration::from_millis(200);
 
@@ -236,6 +240,7 @@
         };
         let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
             metrics::counter!("rudder_callers_refused_total").increment(1);
+            refuse_caller(&stream);
             continue;
         };
         let context = Arc::clone(&context);
@@ -246,6 +251,14 @@
     }
 }
 
+/// Tells a caller that there is no place for it, as far as its socket takes that at once: a task
+/// for it would need the place that is missing.
+fn refuse_caller(stream: &TcpStream) {
+    let mut out = BytesMut::new();
+    put_fatal(&mut out, TOO_MANY_CALLERS, "this instance serves as many callers as it may");
+    let _ = stream.try_write(&out);
+}
+
 async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
--- a/crates/arbutusrudder/src/tls.rs
+++ b/crates/arbutusrudder/src/tls.rs
@@ -12,9 +12,6 @@
 use std::time::Duration;
 use tokio_rustls::TlsAcceptor;
 
-/// How often the files are read again.
-const RELOAD_INTERVAL: Duration = Duration::from_secs(60);
-
 /// The certificate in force.
 #[derive(Debug)]
 struct CertificateSource {
@@ -43,13 +40,14 @@
         .map_err(|error| ProxyError::Tls(error.to_string()))?
         .with_no_client_auth()
         .with_cert_resolver(Arc::clone(&source) as Arc<dyn ResolvesServerCert>);
-    tokio::spawn(follow(source));
+    let interval = Duration::from_secs(u64::from(process.tls_reload_s));
+    tokio::spawn(follow(source, interval));
     Ok(Some(TlsAcceptor::from(Arc::new(config))))
 }
 
-async fn follow(source: Arc<CertificateSource>) {
+async fn follow(source: Arc<CertificateSource>, interval: Duration) {
     loop {
-        tokio::time::sleep(RELOAD_INTERVAL).await;
+        tokio::time::sleep(interval).await;
         match load(&source.certificate, &source.key) {
             Ok(key) => *source.current.write().expect("no holder of this lock panics") = key,
             Err(error) => {
--- /dev/null
+++ b/crates/arbutusrudder/tests/deployment/abuse.rs
@@ -0,0 +1,120 @@
+//! Connections that break the protocol, never finish, or come in great numbers.
+
+use crate::common::{connect, plan, rows_of};
+use crate::raw::RawClient;
+use futures::StreamExt;
+use rudder_standins::{Deployment, DeploymentPlan};
+
+/// Idle connections held at once.
+const IDLE_CALLERS: usize = 5_000;
+
+/// Logins made at the same time.
+const LOGINS_AT_ONCE: usize = 100;
+
+fn hasty() -> DeploymentPlan {
+    let mut plan = plan(1);
+    plan.extra.push_str("[timing]\nlogin_timeout = \"300ms\"\nidle_timeout = \"1s\"\n");
+    plan
+}
+
+/// The replies up to the end of a connection.
+async fn rest_of(client: &mut RawClient) -> String {
+    let mut types = String::new();
+    while let Some(next) = client.answer().await {
+        types.push_str(&next);
+    }
+    types
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_no_login_ends_the_connection() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let starts: [&[u8]; 5] = [
+        b"GET / HTTP/1.1\r\n\r\n",
+        &[0, 0, 0, 4],
+        &[0xff; 64],
+        &[0, 0, 0, 9, 0, 2, 0, 0, 0],
+        &[0, 0, 0, 14, 0, 3, 0, 0, b'u', b's', b'e', b'r', 0, 0xff],
+    ];
+
+    for start in starts {
+        let mut client = RawClient::open(&deployment).await;
+        client.out.extend_from_slice(start);
+        client.send().await;
+        let types = rest_of(&mut client).await;
+        assert!(types.is_empty() || types == "E", "{start:?}: {types}");
+    }
+
+    let (client, _) = connect(&deployment, 0, "copyist").await;
+    assert_eq!(rows_of(&client, "SELECT 1").await, ["1"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frames_that_are_none_end_the_connection_with_an_error() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let frames: [&[u8]; 7] = [
+        b"?\0\0\0\x04",
+        b"Q\0\0\0\x03",
+        b"Q\x7f\xff\xff\xff",
+        b"Q\0\0\0\x07abc",
+        b"Q\0\0\0\x06\xff\0",
+        b"P\0\0\0\x05x",
+        // A Describe as large as a row: its parts must not pass for messages.
+        b"D\x40\0\0\0Sx",
+    ];
+
+    for frame in frames {
+        let mut client = RawClient::login(&deployment, &[]).await;
+        client.out.extend_from_slice(frame);
+        client.send().await;
+        let types = rest_of(&mut client).await;
+        assert_eq!((types.as_str(), client.errors.as_slice()), ("E", &["08P01".to_owned()][..]));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_half_open_login_and_an_idle_caller_are_ended() {
+    let deployment = Deployment::start(hasty()).await.expect("deployment starts");
+    let mut half = RawClient::open(&deployment).await;
+    half.out.extend_from_slice(&[0, 0, 0, 80, 0, 3, 0, 0]);
+    half.send().await;
+    let mut idle = RawClient::login(&deployment, &[]).await;
+
+    let half = rest_of(&mut half).await;
+    let types = rest_of(&mut idle).await;
+
+    assert_eq!((half.as_str(), types.as_str()), ("", "E"));
+    assert_eq!(idle.errors, ["57P05"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_beyond_the_bound_are_told_so() {
+    let process = "callers_max = 2\n".to_owned();
+    let plan = DeploymentPlan { process, ..plan(1) };
+    let deployment = Deployment::start(plan).await.expect("deployment starts");
+    let (first, _) = connect(&deployment, 0, "copyist").await;
+    let _second = connect(&deployment, 0, "copyist").await;
+
+    let mut third = RawClient::open(&deployment).await;
+    let types = rest_of(&mut third).await;
+
+    assert_eq!((types.as_str(), third.errors.as_slice()), ("E", &["53300".to_owned()][..]));
+    assert_eq!(rows_of(&first, "SELECT 1").await, ["1"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn five_thousand_idle_callers_are_held_and_answered() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let logins = (0..IDLE_CALLERS).map(|_| RawClient::login(&deployment, &[]));
+
+    let mut callers: Vec<RawClient> =
+        futures::stream::iter(logins).buffer_unordered(LOGINS_AT_ONCE).collect().await;
+    let (client, _) = connect(&deployment, 0, "copyist").await;
+    let served = rows_of(&client, "SELECT 1").await;
+    let mut answered = 0;
+    for caller in callers.iter_mut().step_by(500) {
+        answered += usize::from(caller.query("SELECT 1").answers(1).await == "TDCZI");
+    }
+
+    assert_eq!((callers.len(), served.as_slice(), answered), (5_000, &["1".to_owned()][..], 10));
+}
--- /dev/null
+++ b/crates/arbutusrudder/tests/deployment/login.rs
@@ -0,0 +1,153 @@
+//! Callers' logins: TLS with a renewed certificate, passwords, and what the log says of them.
+
+use crate::common::{plan, rows_of};
+use rudder_standins::{Deployment, DeploymentPlan};
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, ServerName};
+use rustls::{ClientConfig, RootCertStore};
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_postgres::{Client, Config, NoTls};
+use tokio_rustls::TlsConnector;
+
+/// A variable that cargo sets for tests; its value stands for a password.
+const PASSWORD_VARIABLE: &str = "CARGO_PKG_DESCRIPTION";
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct LineKeeper;
+
+struct LineText(String);
+
+impl<'kvs> log::kv::VisitSource<'kvs> for LineText {
+    fn visit_pair(
+        &mut self,
+        key: log::kv::Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        self.0.push_str(&format!(" {key}={value}"));
+        Ok(())
+    }
+}
+
+impl log::Log for LineKeeper {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let mut line = LineText(record.args().to_string());
+        let _ = record.key_values().visit(&mut line);
+        LINES.lock().expect("no holder of this lock panics").push(line.0);
+    }
+
+    fn flush(&self) {}
+}
+
+fn keep_lines() {
+    // Another test may have set it already.
+    let _ = log::set_logger(&LineKeeper);
+    log::set_max_level(log::LevelFilter::Debug);
+}
+
+fn file(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/deployment/tls").join(name)
+}
+
+fn secured(folder: &Path) -> DeploymentPlan {
+    let process = format!(
+        "tls_certificate = {:?}\ntls_key = {:?}\ntls_reload_s = 1\n",
+        folder.join("certificate.pem"),
+        folder.join("key.pem")
+    );
+    DeploymentPlan { process, ..plan(1) }
+}
+
+fn guarded() -> DeploymentPlan {
+    let process = format!(
+        "require_password = true\n[[passwords]]\nuser = \"copyist\"\nvariable = \"{PASSWORD_VARIABLE}\"\n"
+    );
+    DeploymentPlan { process, ..plan(1) }
+}
+
+fn install(folder: &Path, name: &str) {
+    std::fs::copy(file(&format!("{name}.key.pem")), folder.join("key.pem")).expect("copied");
+    std::fs::copy(file(&format!("{name}.pem")), folder.join("certificate.pem")).expect("copied");
+}
+
+/// Connects by TLS, trusting one certificate only.
+async fn connect_trusting(
+    deployment: &Deployment,
+    certificate: &str,
+) -> Result<Client, Box<dyn Error>> {
+    let mut roots = RootCertStore::empty();
+    roots.add(CertificateDer::from_pem_file(file(certificate))?)?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()?
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    let mut stream = TcpStream::connect(deployment.proxy(0).listen_address()).await?;
+    stream.write_all(&[0, 0, 0, 8, 4, 210, 22, 47]).await?;
+    assert_eq!(stream.read_u8().await?, b'S');
+    let name = ServerName::try_from("localhost")?;
+    let stream = TlsConnector::from(Arc::new(config)).connect(name, stream).await?;
+    let text = deployment.client_string(0, "copyist");
+    let (client, connection) = text.parse::<Config>()?.connect_raw(stream, NoTls).await?;
+    tokio::spawn(connection);
+    Ok(client)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_renewed_certificate_is_used_without_a_restart() {
+    let folder = std::env::temp_dir().join(format!("rudder-tls-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for the certificate");
+    install(&folder, "first");
+    let deployment = Deployment::start(secured(&folder)).await.expect("deployment starts");
+    let early = connect_trusting(&deployment, "first.pem").await.expect("the first is trusted");
+    let refused = connect_trusting(&deployment, "second.pem").await.is_err();
+
+    install(&folder, "second");
+    let mut renewed = connect_trusting(&deployment, "second.pem").await;
+    for _ in 0..100 {
+        if renewed.is_ok() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        renewed = connect_trusting(&deployment, "second.pem").await;
+    }
+    std::fs::remove_dir_all(&folder).expect("the folder is ours");
+
+    assert!(refused);
+    assert_eq!(rows_of(&renewed.expect("the second is trusted"), "SELECT 1").await, ["1"]);
+    assert_eq!(rows_of(&early, "SELECT 1").await, ["1"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_password_lets_in_only_its_user_and_is_in_no_log_line() {
+    keep_lines();
+    let password = std::env::var(PASSWORD_VARIABLE).expect("cargo sets it");
+    let deployment = Deployment::start(guarded()).await.expect("deployment starts");
+    let connect = async |user: &str, password: &str| {
+        let mut config: Config = deployment.client_string(0, user).parse().expect("words");
+        let (client, connection) = config.password(password).connect(NoTls).await?;
+        tokio::spawn(connection);
+        Ok::<Client, tokio_postgres::Error>(client)
+    };
+
+    let client = connect("copyist", &password).await.expect("the password is right");
+    let wrong = connect("copyist", "guess").await.expect_err("the password is wrong");
+    let stranger = connect("stranger", &password).await.expect_err("the user is not listed");
+
+    assert_eq!(rows_of(&client, "SELECT 1").await, ["1"]);
+    for refused in [wrong, stranger] {
+        assert_eq!(refused.code().map(|code| code.code().to_owned()), Some("28P01".to_owned()));
+    }
+    let lines = LINES.lock().expect("no holder of this lock panics");
+    assert!(!lines.is_empty());
+    assert!(!lines.iter().any(|line| line.contains(&password) || line.contains("guess")));
+}
--- a/crates/rudder-endpoint/src/connection.rs
+++ b/crates/rudder-endpoint/src/connection.rs
@@ -67,9 +67,12 @@
     /// # runtime.block_on(async {
     /// let login =
     ///     LoginSettings { user: "app".into(), database: "scores".into(), password: None };
-    /// let address = MemberAddress { address: "127.0.0.1:1".parse().unwrap(), login };
-    /// assert!(MemberConnection::open(&address, std::time::Duration::from_secs(1)).await.is_err());
-    /// # });
+    /// // Takes connections and answers none.
+    /// let silent = std::net::TcpListener::bind("127.0.0.1:0")?;
+    /// let address = MemberAddress { address: silent.local_addr()?, login };
+    /// assert!(MemberConnection::open(&address, std::time::Duration::from_millis(20)).await.is_err());
+    /// # Ok::<(), std::io::Error>(())
+    /// # })?;
     /// # Ok::<(), std::io::Error>(())
     /// ```
     pub async fn open(address: &MemberAddress, within: Duration) -> Result<Self, EndpointError> {
--- a/crates/rudder-endpoint/src/wire/link.rs
+++ b/crates/rudder-endpoint/src/wire/link.rs
@@ -132,6 +132,18 @@
     /// # Errors
     ///
     /// [`WireError`] when the other side closed or the connection failed.
+    ///
+    /// ```
+    /// # tokio::runtime::Builder::new_current_thread().build()?.block_on(async {
+    /// use tokio::io::AsyncWriteExt;
+    /// let (near, mut far) = tokio::io::duplex(64);
+    /// let mut link = rudder_endpoint::WireLink::new(Box::new(near), rudder_core::ByteSize(1024));
+    /// far.write_all(b"S\0\0\0\x04").await.unwrap();
+    /// link.await_frame().await.unwrap();
+    /// assert!(link.has_buffered_frame());
+    /// # });
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
     pub async fn await_frame(&mut self) -> Result<(), WireError> {
         while !self.has_buffered_frame() {
             poll_fn(|cx| self.poll_exchange(cx)).await?;
@@ -152,6 +164,19 @@
     }
 
     /// Changes the greatest size of frames that are not rows or COPY data.
+    ///
+    /// ```
+    /// # tokio::runtime::Builder::new_current_thread().build()?.block_on(async {
+    /// use rudder_core::ByteSize;
+    /// use tokio::io::AsyncWriteExt;
+    /// let (near, mut far) = tokio::io::duplex(64);
+    /// let mut link = rudder_endpoint::WireLink::new(Box::new(near), ByteSize(8));
+    /// link.set_frame_size_max(ByteSize(9));
+    /// far.write_all(b"Q\0\0\0\x08abc\0").await.unwrap();
+    /// assert_eq!(link.next_frame().await.unwrap().body(), b"abc\0");
+    /// # });
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
     pub fn set_frame_size_max(&mut self, frame_size_max: ByteSize) {
         self.frame_size_max = frame_size_max;
     }
--- a/crates/rudder-standins/examples/measure/trace.rs
+++ b/crates/rudder-standins/examples/measure/trace.rs
@@ -150,6 +150,7 @@
             groups,
             proxies,
             extra: self.callers_text(policy),
+            process: String::new(),
             delays: LinkDelays {
                 near: Duration::from_micros(200),
                 far: self.region_delay(),
--- a/crates/rudder-standins/src/deployment/mod.rs
+++ b/crates/rudder-standins/src/deployment/mod.rs
@@ -77,6 +77,8 @@
     pub proxies: usize,
     /// Further settings in TOML: kinds of caller, timing.
     pub extra: String,
+    /// Further process settings of each proxy in TOML: TLS, passwords, bounds.
+    pub process: String,
     /// How long messages travel.
     pub delays: LinkDelays,
     /// The rules by which the proxies decide.
@@ -99,6 +101,7 @@
             groups: vec![GroupSettings::loopback("scores-orders".parse().expect(name))],
             proxies,
             extra: String::new(),
+            process: String::new(),
             delays: LinkDelays::default(),
             policies: ProxyPolicies::default(),
         }
@@ -116,6 +119,7 @@
     /// The links of each proxy to the platform and the members.
     pub links: Vec<ProxyLinks>,
     domains: Vec<DomainName>,
+    process: String,
     delays: LinkDelays,
     policies: ProxyPolicies,
 }
@@ -148,6 +152,7 @@
             proxies: Vec::new(),
             links: Vec::new(),
             domains: plan.domains.clone(),
+            process: plan.process.clone(),
             delays: plan.delays,
             policies: plan.policies.clone(),
         };
@@ -190,11 +195,12 @@
         let text = format!(
             "instance = \"entry-{}\"\ndomain = \"{}\"\nlisten = \"127.0.0.1:0\"\n\
              admin = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nseeds = [{}]\n\
-             platform = \"http://{}\"\n{}",
+             platform = \"http://{}\"\n{}\n{}",
             index + 1,
             self.domains[domain],
             seeds.join(", "),
             links.platform.address(),
+            self.process,
             links.routes_text(self),
         );
         self.links.push(links);
