--- a/crates/arbutusrudder/src/proxy.rs
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -25,6 +25,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
+use tokio_util::sync::{CancellationToken, DropGuard};
 use tokio_util::task::TaskTracker;
 
 /// Pause after an accept that failed, for instance for want of file descriptors.
@@ -45,6 +46,7 @@
     tasks: JoinSet<()>,
     listen: SocketAddr,
     admin: SocketAddr,
+    _stop: DropGuard,
 }
 
 impl ProxyInstance {
@@ -109,12 +111,14 @@
         let (shared, peers) = (Arc::clone(&store), Arc::clone(&mesh));
         tasks.spawn(follow_settings(Arc::clone(&context), shared, peers));
         tasks.spawn(run_duties(Arc::clone(&context), store, Arc::clone(&mesh), exchange));
-        tasks.spawn(accept_callers(listener, Arc::clone(&context), callers.clone()));
+        let stop = CancellationToken::new();
+        let accepted = AcceptedCallers { callers: callers.clone(), stop: stop.clone() };
+        tasks.spawn(accept_callers(listener, Arc::clone(&context), accepted));
         log::info!(
             target: "rudder::instance", instance:% = context.name(), domain:% = context.domain(),
             listen:% = listen, admin:% = admin, peer:% = mesh.address(); "instance started"
         );
-        Ok(Self { context, mesh, callers, tasks, listen, admin })
+        Ok(Self { context, mesh, callers, tasks, listen, admin, _stop: stop.drop_guard() })
     }
 
     /// Where callers connect.
@@ -226,10 +230,16 @@
     listener.local_addr().map_err(ProxyError::Runtime)
 }
 
+/// The tasks of callers, and what ends them at once.
+struct AcceptedCallers {
+    callers: TaskTracker,
+    stop: CancellationToken,
+}
+
 async fn accept_callers(
     listener: TcpListener,
     context: Arc<InstanceContext>,
-    callers: TaskTracker,
+    accepted: AcceptedCallers,
 ) {
     let places = Arc::new(Semaphore::new(context.process.callers_max as usize));
     let mut leaving = context.leaving.subscribe();
@@ -244,8 +254,12 @@
             continue;
         };
         let context = Arc::clone(&context);
-        callers.spawn(async move {
-            serve_caller(context, stream).await;
+        let stop = accepted.stop.clone();
+        accepted.callers.spawn(async move {
+            tokio::select! {
+                () = serve_caller(context, stream) => {}
+                () = stop.cancelled() => {}
+            }
             drop(place);
         });
     }
--- a/crates/arbutusrudder/tests/deployment/main.rs
+++ b/crates/arbutusrudder/tests/deployment/main.rs
@@ -3,7 +3,9 @@
 mod abuse;
 mod common;
 mod copy;
+mod faults;
 mod isolation;
+mod leaving;
 mod login;
 mod path;
 mod raw;
--- /dev/null
+++ b/crates/rudderctl/tests/in_force.rs
@@ -0,0 +1,112 @@
+//! Accepted settings at running proxies: in force everywhere, and never back.
+
+use rudder_standins::{Deployment, DeploymentPlan, PlatformFaults, PlatformOutage};
+use std::time::Duration;
+
+const PROXIES: usize = 3;
+const PAUSE: Duration = Duration::from_millis(20);
+/// A state that has not come after so many looks, a minute, would never come.
+const LOOKS_MAX: usize = 3000;
+
+async fn deployment() -> Deployment {
+    Deployment::start(DeploymentPlan::small(PROXIES)).await.expect("it starts on loopback")
+}
+
+fn read_wait(millis: u32) -> String {
+    format!("[timing]\nread_wait = \"{millis}ms\"\n")
+}
+
+async fn until(what: &str, reached: impl Fn() -> bool) {
+    for _ in 0..LOOKS_MAX {
+        if reached() {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("never came: {what}");
+}
+
+fn revisions(deployment: &Deployment) -> Vec<u64> {
+    (0..deployment.proxies.len()).map(|index| deployment.proxy(index).revision()).collect()
+}
+
+/// The link between one proxy and the platform is cut, both ways and without a word. Settings that
+/// are accepted meanwhile must reach it all the same, or it goes on sending work to a member that
+/// an operator has drained.
+#[tokio::test(flavor = "multi_thread")]
+async fn proxy_cut_off_from_the_platform_follows_its_peers() {
+    let deployment = deployment().await;
+    deployment.links[2].platform.cut();
+
+    deployment.submit("20-wait.toml", &read_wait(40)).await.unwrap();
+
+    until("revision 2 at every proxy", || revisions(&deployment) == [2; PROXIES]).await;
+}
+
+/// A proxy is replaced while the platform is down for everybody. It has no disk; without its peers
+/// it could serve nobody until the outage ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn proxy_that_starts_in_an_outage_takes_settings_from_a_peer() {
+    let mut deployment = deployment().await;
+    deployment.submit("20-wait.toml", &read_wait(40)).await.unwrap();
+    until("revision 2 at every proxy", || revisions(&deployment) == [2; PROXIES]).await;
+    let outage = PlatformOutage::Refused;
+    deployment.platform.set_faults(PlatformFaults { outage, ..PlatformFaults::default() });
+
+    let newcomer = deployment.add_proxy().await.unwrap();
+
+    until("revision 2 at the newcomer", || deployment.proxy(newcomer).revision() == 2).await;
+}
+
+/// An operator orders a switch and waits. The word "switched" must mean that the keepers made that
+/// member primary, not only that the order was written down.
+#[tokio::test(flavor = "multi_thread")]
+async fn ordered_switch_is_waited_for() {
+    let deployment = deployment().await;
+    let url = deployment.platform.url();
+    let command = |target: &str| {
+        let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_rudderctl"));
+        command.args(["switch", "scores-orders", "--to", target, "--wait", "60"]);
+        command.args(["--platform", &url]);
+        command
+    };
+
+    let members = member_names(&deployment).await;
+    let output = command(&members[1]).output().await.unwrap();
+
+    let told = String::from_utf8(output.stdout).unwrap();
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(told, format!("scores-orders switched to {}\n", members[1]), "{error}");
+}
+
+async fn member_names(deployment: &Deployment) -> Vec<String> {
+    let options = rudder_platform::PlatformOptions::at(&deployment.platform.url());
+    let store = rudder_platform::KubeStore::connect(options).expect("it is a URL");
+    let bundle = rudder_platform::poll_revision(&store, None).await.expect("it answers");
+    let folder = bundle.expect("it was submitted").merge().expect("it is valid");
+    folder.fleet.services[0].members.iter().map(|member| member.name.to_string()).collect()
+}
+
+/// The platform answers reads from a copy that is two submissions old, to all proxies and for
+/// several polls, and one more proxy starts from it. What operators replaced must not come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn old_copy_of_the_platform_reverts_no_proxy() {
+    let mut deployment = deployment().await;
+    for millis in [40, 50] {
+        deployment.submit("20-wait.toml", &read_wait(millis)).await.unwrap();
+    }
+    until("revision 3 at every proxy", || revisions(&deployment) == [3; PROXIES]).await;
+    deployment.platform.set_faults(PlatformFaults { stale_by: 2, ..PlatformFaults::default() });
+
+    let polled_since = deployment.platform.calls().reads;
+    let newcomer = deployment.add_proxy().await.unwrap();
+    let polls = u64::try_from(4 * PROXIES).unwrap();
+    until("several stale polls", || {
+        assert_eq!(revisions(&deployment)[..PROXIES], [3; PROXIES]);
+        deployment.platform.calls().reads >= polled_since + polls
+    })
+    .await;
+
+    assert_eq!(revisions(&deployment)[..PROXIES], [3; PROXIES]);
+    until("revision 3 at the newcomer", || deployment.proxy(newcomer).revision() == 3).await;
+}
