--- /dev/null
+++ b/crates/arbutusrudder/tests/processes/shutdown.rs
@@ -0,0 +1,53 @@
+//! Programs that are asked to end.
+
+use crate::program::Fleet;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// What a user sees: an answer is cut off whenever a proxy is replaced.
+/// Order: one caller's statement runs and another caller is idle when the process gets SIGTERM.
+/// Cause: the process ends before its callers' requests do.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_program_finishes_what_runs_and_sends_idle_callers_away() {
+    let mut fleet = Fleet::start(1).await;
+    let program = &mut fleet.programs[0];
+    let address = program.address("listen").await;
+    let (busy, _) = program.connect("").await;
+    let (idle, ended) = program.connect("").await;
+    let running = tokio::spawn(async move { busy.simple_query("SELECT pg_sleep(2), 7").await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    program.signal("-TERM");
+    let farewell = ended.await.unwrap().expect_err("the idle caller is told to go elsewhere");
+    while TcpStream::connect(address).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let refused_while_running = !running.is_finished();
+    let answer = running.await.unwrap();
+    let status = program.end().await;
+
+    assert_eq!(farewell.code().map(|code| code.code()), Some("57P01"));
+    assert!(answer.is_ok(), "{answer:?}");
+    assert!(idle.is_closed() && refused_while_running);
+    assert_eq!(status.code(), Some(0));
+}
+
+/// What a user sees: an operator cannot end a proxy because of one report that runs for an hour.
+/// Order: a statement runs, SIGTERM, and SIGTERM again when the program says that it leaves.
+/// Cause: the program waits for the last caller without an end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_signal_ends_the_program_at_once() {
+    let mut fleet = Fleet::start(1).await;
+    let program = &mut fleet.programs[0];
+    let (busy, _) = program.connect("").await;
+    let running = tokio::spawn(async move { busy.simple_query("SELECT pg_sleep(600)").await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    program.signal("-TERM");
+    program.line("rudder::instance", "instance leaving").await;
+    program.signal("-TERM");
+    let status = program.end().await;
+
+    assert_eq!(status.code(), Some(0));
+    assert!(running.await.unwrap().is_err());
+}
