Slopes of serving, keeping and settings

Cause: the capacity page had no figures for what packages other than rudder-peers do. Change: example serving_slopes of rudder-standins; measured instances run in processes of their own, behind relays that count what passes to members. No product code is changed.

--- /dev/null
+++ b/crates/rudder-standins/examples/serving_slopes/instance.rs
@@ -0,0 +1,84 @@
+//! A measured instance in a process of its own.
+
+use crate::MeasureError;
+use crate::relay::MemberRelay;
+use arbutusrudder::{ProcessSettings, ProxyInstance};
+use rudder_standins::Deployment;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::process::Stdio;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+
+/// Serves until the process is ended, after one line with the address for callers.
+pub(crate) async fn serve(text: &str) -> Result<(), MeasureError> {
+    let proxy = ProxyInstance::start(ProcessSettings::parse(text)?).await?;
+    while proxy.revision() == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    println!("{}", proxy.listen_address());
+    std::future::pending::<()>().await;
+    Ok(())
+}
+
+/// The process of an instance; dropping it ends it.
+pub(crate) struct InstanceProcess {
+    child: Child,
+    /// Where it listens for callers.
+    pub(crate) address: SocketAddr,
+}
+
+impl InstanceProcess {
+    /// Starts an instance that reaches the members of `deployment` through `relays`, and waits
+    /// until it has the settings.
+    pub(crate) async fn start(
+        deployment: &Deployment,
+        relays: &[MemberRelay],
+    ) -> Result<Self, MeasureError> {
+        let mut text = format!(
+            "instance = \"entry-1\"\ndomain = \"kigali-a\"\nlisten = \"127.0.0.1:0\"\n\
+             admin = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nseeds = []\nplatform = \"{}\"\n",
+            deployment.platform.url(),
+        );
+        for relay in relays {
+            let (declared, reached) = (relay.target, relay.address);
+            writeln!(text, "[[routes]]\ndeclared = \"{declared}\"\nreached = \"{reached}\"")?;
+        }
+        let mut command = Command::new(std::env::current_exe()?);
+        command.args(["--instance", &text]).stdout(Stdio::piped()).kill_on_drop(true);
+        let mut child = command.spawn()?;
+        let output = child.stdout.take().ok_or("the instance has no output")?;
+        let line = BufReader::new(output).lines().next_line().await?;
+        let address = line.ok_or("the instance ended at once")?.parse()?;
+        Ok(Self { child, address })
+    }
+
+    /// Ends the process without a farewell.
+    pub(crate) async fn kill(mut self) -> Result<(), MeasureError> {
+        self.child.kill().await?;
+        Ok(())
+    }
+
+    /// Resident memory in KB.
+    pub(crate) fn resident_kb(&self) -> Result<u64, MeasureError> {
+        let text = std::fs::read_to_string(format!("{}/status", self.folder()?))?;
+        let line = text.lines().find(|line| line.starts_with("VmRSS:")).ok_or("no VmRSS")?;
+        Ok(line.split_whitespace().nth(1).ok_or("no size")?.parse()?)
+    }
+
+    /// Processor time of all its threads so far.
+    pub(crate) fn processor_time(&self) -> Result<Duration, MeasureError> {
+        let mut nanoseconds = 0;
+        for task in std::fs::read_dir(format!("{}/task", self.folder()?))? {
+            let text = std::fs::read_to_string(task?.path().join("schedstat"))?;
+            let first = text.split_whitespace().next().ok_or("an empty schedstat")?;
+            nanoseconds += first.parse::<u64>()?;
+        }
+        Ok(Duration::from_nanos(nanoseconds))
+    }
+
+    fn folder(&self) -> Result<String, MeasureError> {
+        Ok(format!("/proc/{}", self.child.id().ok_or("the instance has ended")?))
+    }
+}
