Platform's list as seeds, namespace, pool and gap metrics; rudder.once is gone

Cause: the platform's list of instances and the namespace were never used, a failover's gap and the pools had no metric, and a setting was accepted without effect. Change: a starting instance adds listed instances to its seeds; gauges for connections, a histogram for the gap as callers saw it; rudder.once is refused, since a write without a key is sent at most once anyway.

--- a/crates/arbutusrudder/src/admin/status.rs
+++ b/crates/arbutusrudder/src/admin/status.rs
@@ -38,6 +38,8 @@
     applied: Option<String>,
     health: String,
     in_flight: u32,
+    /// Open connections for callers, idle ones included.
+    connections: u32,
     window: u32,
 }
 
@@ -62,6 +64,13 @@
             let service = group.service.clone();
             metrics::gauge!("rudder_term", "service" => service.clone())
                 .set(group.term.unwrap_or_default() as f64);
+            for member in &group.members {
+                let labels = [("service", service.clone()), ("member", member.name.clone())];
+                metrics::gauge!("rudder_member_in_flight", &labels)
+                    .set(f64::from(member.in_flight));
+                metrics::gauge!("rudder_member_connections", &labels)
+                    .set(f64::from(member.connections));
+            }
             if let Some(known) = group.known_ms {
                 metrics::gauge!("rudder_knowledge_age_seconds", "service" => service)
                     .set(known as f64 / 1000.0);
@@ -94,6 +103,7 @@
         applied: status.map(|status| status.applied.to_string()),
         health: member.health().to_string(),
         in_flight: member.in_flight.load(Ordering::Relaxed),
+        connections: member.pool.open_count(),
         window: member.window(),
     }
 }
--- a/crates/arbutusrudder/src/caller/local.rs
+++ b/crates/arbutusrudder/src/caller/local.rs
@@ -138,13 +138,6 @@
             session.key =
                 Some(value.parse().map_err(|_| wrong(name, "1 to 200 printable characters"))?);
         }
-        "rudder.once" => {
-            session.once = match value {
-                "on" | "true" | "1" => true,
-                "off" | "false" | "0" => false,
-                _ => return Err(wrong(name, "on or off")),
-            };
-        }
         "rudder.staleness_ms" => {
             let bound = value.parse().map_err(|_| wrong(name, "a whole number of ms"))?;
             session.staleness = Some(Duration::from_millis(bound));
@@ -157,7 +150,6 @@
 fn reset_own(session: &mut CallerSession, name: &str) -> Result<(), SettingRefusal> {
     match name {
         "rudder.key" => session.key = None,
-        "rudder.once" => session.once = false,
         "rudder.staleness_ms" => session.staleness = None,
         _ => return Err(unknown(name)),
     }
@@ -169,7 +161,6 @@
         "rudder.session" => Ok(session.token.to_string()),
         "rudder.session_id" => Ok(session.token.id().to_string()),
         "rudder.key" => Ok(session.key.as_ref().map(ToString::to_string).unwrap_or_default()),
-        "rudder.once" => Ok(if session.once { "on" } else { "off" }.to_owned()),
         "rudder.staleness_ms" => Ok(session.bound().as_millis().to_string()),
         _ => Err(unknown(name)),
     }
@@ -184,7 +175,7 @@
 fn unknown(name: &str) -> SettingRefusal {
     let message = format!(
         "there is no setting {name}: the proxy's own are rudder.session, rudder.session_id, \
-         rudder.key, rudder.once and rudder.staleness_ms"
+         rudder.key and rudder.staleness_ms"
     );
     SettingRefusal { sqlstate: UNKNOWN_SETTING, message }
 }
--- a/crates/arbutusrudder/src/caller/serve.rs
+++ b/crates/arbutusrudder/src/caller/serve.rs
@@ -190,7 +190,6 @@
             names_before: Vec::new(),
             pinned: None,
             key: None,
-            once: false,
             staleness: None,
             cancel: context.cancel.enter(),
         }
--- a/crates/arbutusrudder/src/caller/session.rs
+++ b/crates/arbutusrudder/src/caller/session.rs
@@ -69,8 +69,6 @@
     pub(crate) pinned: Option<PinnedConnection>,
     /// The key for its next request.
     pub(crate) key: Option<RequestKey>,
-    /// Whether its requests must not be repeated even without a key.
-    pub(crate) once: bool,
     /// A staleness bound of its own, at most that of its kind.
     pub(crate) staleness: Option<Duration>,
     /// Its place on the cancel board.
--- a/crates/arbutusrudder/src/group/confirm.rs
+++ b/crates/arbutusrudder/src/group/confirm.rs
@@ -53,7 +53,12 @@
         within: Duration,
     ) -> ConfirmOutcome {
         let members = self.members.len();
-        self.confirm(Duration::ZERO, within, |reports| judge_commit(commit, members, reports)).await
+        let judge = |reports: &[_]| judge_commit(commit, members, reports);
+        let outcome = self.confirm(Duration::ZERO, within, judge).await;
+        if outcome == ConfirmOutcome::Acknowledged {
+            self.note_acknowledged(commit.term);
+        }
+        outcome
     }
 
     /// Waits until a majority, asked at or after `since`, has accepted no greater term than
--- a/crates/arbutusrudder/src/group/pool.rs
+++ b/crates/arbutusrudder/src/group/pool.rs
@@ -83,6 +83,14 @@
         self.reported.get().cloned()
     }
 
+    /// Connections that are open, idle ones included.
+    pub(crate) fn open_count(&self) -> u32 {
+        let limit = *self.limit.lock().expect("no holder of this lock panics");
+        let free = u32::try_from(self.permits.available_permits()).unwrap_or(u32::MAX);
+        let idle = u32::try_from(self.lock_idle().len()).unwrap_or(u32::MAX);
+        limit.saturating_sub(free) + idle
+    }
+
     /// Changes the limit; a smaller one takes effect as connections come back.
     pub(crate) fn set_limit(&self, wanted: u32) {
         let mut limit = self.limit.lock().expect("no holder of this lock panics");
--- a/crates/arbutusrudder/src/group/state.rs
+++ b/crates/arbutusrudder/src/group/state.rs
@@ -87,6 +87,7 @@
     retries: Mutex<RetryBudget>,
     sharers: AtomicU32,
     limits: bool,
+    last_acknowledged: Mutex<Option<(LogTerm, Instant)>>,
 }
 
 /// Whether anybody at this instance needs the group.
@@ -129,6 +130,7 @@
             retries: Mutex::new(RetryBudget::new()),
             sharers: AtomicU32::new(tuning.instances),
             limits: tuning.limits,
+            last_acknowledged: Mutex::default(),
         };
         group.refresh_lanes();
         group
@@ -228,6 +230,24 @@
         }
     }
 
+    /// Takes the term of an acknowledged commit. The first one of a new term ends a failover gap, as
+    /// this instance's callers saw it.
+    pub(crate) fn note_acknowledged(&self, term: LogTerm) {
+        let now = Instant::now();
+        let mut last = self.last_acknowledged.lock().expect("no holder of this lock panics");
+        if let Some((before, at)) = *last {
+            if term < before {
+                return;
+            }
+            if term > before {
+                let service = self.service.name.to_string();
+                metrics::histogram!("rudder_failover_gap_seconds", "service" => service)
+                    .record(now.duration_since(at));
+            }
+        }
+        *last = Some((term, now));
+    }
+
     /// Whether a request that provably did not run may be tried again. Guards against a storm of
     /// retries after a failover: they are paid for by successes.
     pub(crate) fn may_retry(&self, class: WorkClass) -> bool {
--- a/crates/arbutusrudder/src/process.rs
+++ b/crates/arbutusrudder/src/process.rs
@@ -2,6 +2,7 @@
 
 use displaydoc::Display;
 use rudder_core::{DomainName, InstanceName, plain_data};
+use rudder_platform::PlatformOptions;
 use rudder_settings::{CallerSettings, ShedOrder};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -61,6 +62,9 @@
         pub seeds: Vec<SocketAddr>,
         /// Address of the platform's object API, such as `http://10.0.0.1:8001`.
         pub platform: String,
+        /// The platform's namespace that holds the project's objects.
+        #[serde(default = "default_namespace")]
+        pub namespace: String,
         /// Largest message in bytes that a caller may send.
         #[serde(default = "default_message_size")]
         pub message_size_max: u64,
@@ -114,6 +118,10 @@
     }
 }
 
+fn default_namespace() -> String {
+    PlatformOptions::default().namespace
+}
+
 fn default_message_size() -> u64 {
     MESSAGE_SIZE_MAX
 }
--- a/crates/arbutusrudder/src/proxy.rs
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -16,7 +16,9 @@
 use arc_swap::ArcSwap;
 use bytes::BytesMut;
 use rudder_peers::{MeshSettings, PeerMesh};
-use rudder_platform::{KubeStore, PlatformOptions, PlatformStore, RevisionFollower};
+use rudder_platform::{
+    InstanceReadiness, KubeStore, PlatformOptions, PlatformStore, RevisionFollower,
+};
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex};
@@ -25,6 +27,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tokio_util::task::TaskTracker;
 
@@ -34,6 +37,9 @@
 /// SQLSTATE for a caller beyond the bound.
 const TOO_MANY_CALLERS: &str = "53300";
 
+/// How long a starting instance waits for the platform's list of instances.
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// How long a leaving instance keeps its socket after it said so, for callers on their way.
 const FAREWELL: Duration = Duration::from_millis(200);
 
@@ -94,14 +100,15 @@
     ) -> Result<Self, ProxyError> {
         set_up_metrics();
         let store: Arc<dyn PlatformStore> =
-            Arc::new(KubeStore::connect(PlatformOptions::at(&process.platform))?);
+            Arc::new(KubeStore::connect(platform_options(&process))?);
         let listener = listen(process.listen).await?;
         let pages = listen(process.admin).await?;
         let (listen, admin) = (local_address(&listener)?, local_address(&pages)?);
         let context = Arc::new(context_of(process, policies)?);
         let desk = Arc::new(PeerDesk::new(&context));
-        let mesh =
-            Arc::new(PeerMesh::start(mesh_settings(&context), Arc::clone(&desk) as _).await?);
+        let seeds = find_seeds(&context, store.as_ref()).await;
+        let mesh_settings = mesh_settings(&context, seeds);
+        let mesh = Arc::new(PeerMesh::start(mesh_settings, Arc::clone(&desk) as _).await?);
         let (name, domain) = (context.name().clone(), context.domain().clone());
         let exchange = Arc::new(VoteExchange::new(Arc::clone(&mesh), name, domain));
         desk.set_exchange(Arc::clone(&exchange));
@@ -214,11 +221,35 @@
     })
 }
 
-fn mesh_settings(context: &InstanceContext) -> MeshSettings {
+fn platform_options(process: &ProcessSettings) -> PlatformOptions {
+    PlatformOptions {
+        namespace: process.namespace.clone(),
+        ..PlatformOptions::at(&process.platform)
+    }
+}
+
+/// Addresses at which peers may be found: those of the process settings, and the instances that the
+/// platform lists, which are taken to listen on the same port. The list lags and the platform may
+/// be away, so it only adds to what is known.
+async fn find_seeds(context: &InstanceContext, store: &dyn PlatformStore) -> Vec<SocketAddr> {
+    let process = &context.process;
+    let mut seeds = process.seeds.clone();
+    let listed = timeout(LIST_TIMEOUT, store.instances()).await;
+    for entry in listed.ok().and_then(Result::ok).unwrap_or_default() {
+        let address = SocketAddr::new(entry.address, process.peer.port());
+        let live = entry.readiness == InstanceReadiness::Ready;
+        if live && address != process.peer && !seeds.contains(&address) {
+            seeds.push(address);
+        }
+    }
+    seeds
+}
+
+fn mesh_settings(context: &InstanceContext, seeds: Vec<SocketAddr>) -> MeshSettings {
     let process = &context.process;
     let mut settings =
         MeshSettings::new(process.instance.clone(), process.domain.clone(), process.peer);
-    settings.seeds.clone_from(&process.seeds);
+    settings.seeds = seeds;
     settings
 }
 
--- a/crates/rudderctl/src/arguments.rs
+++ b/crates/rudderctl/src/arguments.rs
@@ -172,7 +172,7 @@
     name = "drain",
     example = "{command_name} scores-orders-1 --service scores-orders --platform http://127.0.0.1:18001",
     example = "{command_name} scores-orders-1 --service scores-orders --undo --platform http://127.0.0.1:18001",
-    note = "A primary keeps its writes until the group is switched to another member."
+    note = "A draining primary hands over to the most advanced member that stays."
 )]
 struct DrainLine {
     /// the member
