--- a/crates/rudder-standins/examples/serving_slopes/instance.rs
+++ b/crates/rudder-standins/examples/serving_slopes/instance.rs
@@ -11,13 +11,16 @@
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 
-/// Serves until the process is ended, after one line with the address for callers.
+/// The failure domains of a small plan.
+const DOMAINS: [&str; 3] = ["kigali-a", "nairobi-a", "johannesburg-a"];
+
+/// Serves until the process is ended, after one line with its addresses.
 pub(crate) async fn serve(text: &str) -> Result<(), MeasureError> {
     let proxy = ProxyInstance::start(ProcessSettings::parse(text)?).await?;
     while proxy.revision() == 0 {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    println!("{}", proxy.listen_address());
+    println!("{} {} {}", proxy.listen_address(), proxy.admin_address(), proxy.peer_address());
     std::future::pending::<()>().await;
     Ok(())
 }
@@ -27,6 +30,10 @@
     child: Child,
     /// Where it listens for callers.
     pub(crate) address: SocketAddr,
+    /// Where its pages for operators are.
+    pub(crate) admin: SocketAddr,
+    /// Where it listens for other instances.
+    pub(crate) peer: SocketAddr,
 }
 
 impl InstanceProcess {
@@ -36,9 +43,22 @@
         deployment: &Deployment,
         relays: &[MemberRelay],
     ) -> Result<Self, MeasureError> {
+        Self::join(deployment, relays, &[]).await
+    }
+
+    /// The same, beside the instances `others`, in the next failure domain.
+    pub(crate) async fn join(
+        deployment: &Deployment,
+        relays: &[MemberRelay],
+        others: &[Self],
+    ) -> Result<Self, MeasureError> {
+        let domain = DOMAINS[others.len() % DOMAINS.len()];
+        let seeds: Vec<_> = others.iter().map(|other| format!("\"{}\"", other.peer)).collect();
         let mut text = format!(
-            "instance = \"entry-1\"\ndomain = \"kigali-a\"\nlisten = \"127.0.0.1:0\"\n\
-             admin = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nseeds = []\nplatform = \"{}\"\n",
+            "instance = \"entry-{}\"\ndomain = \"{domain}\"\nlisten = \"127.0.0.1:0\"\n\
+             admin = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nseeds = [{}]\nplatform = \"{}\"\n",
+            others.len() + 1,
+            seeds.join(", "),
             deployment.platform.url(),
         );
         for relay in relays {
@@ -50,8 +70,11 @@
         let mut child = command.spawn()?;
         let output = child.stdout.take().ok_or("the instance has no output")?;
         let line = BufReader::new(output).lines().next_line().await?;
-        let address = line.ok_or("the instance ended at once")?.parse()?;
-        Ok(Self { child, address })
+        let line = line.ok_or("the instance ended at once")?;
+        let addresses: Vec<SocketAddr> =
+            line.split_whitespace().map(str::parse).collect::<Result<_, _>>()?;
+        let [address, admin, peer] = addresses[..] else { return Err("no addresses".into()) };
+        Ok(Self { child, address, admin, peer })
     }
 
     /// Ends the process without a farewell.
--- a/crates/rudder-standins/examples/serving_slopes/main.rs
+++ b/crates/rudder-standins/examples/serving_slopes/main.rs
@@ -1,7 +1,7 @@
 //! What serving, keeping and settings cost one instance, at several sizes, on loopback.
 //!
 //! Prints one JSON line for each figure. Instances whose memory or processor time is measured run
-//! in processes of their own; all else runs in this one. Takes about a minute.
+//! in processes of their own; all else runs in this one. Takes about a minute and a half.
 
 mod callers;
 mod instance;
@@ -10,6 +10,7 @@
 mod relay;
 mod settings;
 mod statements;
+mod votes;
 
 use argh::FromArgs;
 use serde_json::Value;
@@ -21,7 +22,7 @@
 /// Slopes of serving, keeping and settings.
 #[derive(FromArgs)]
 struct SlopeArguments {
-    /// what to measure: all, probe, callers, statements, keeping or settings
+    /// what to measure: all, probe, callers, statements, keeping, votes or settings
     #[argh(option, default = "\"all\".to_owned()")]
     part: String,
     /// seconds for which quiet groups are watched; a multiple of 15, as grants are read each 15 s
@@ -51,6 +52,9 @@
     if wanted("keeping") {
         keeping::measure(arguments.seconds).await?;
     }
+    if wanted("votes") {
+        votes::measure().await?;
+    }
     if wanted("settings") {
         settings::measure().await?;
     }
