Work is sized by its shape, and a new group's first transaction commits

Cause: the admission gate held every statement for short, so its cap on long work did nothing; a transaction on an empty log was answered as unknown. Change: texts without their literals share a fingerprint whose slot time is learned; an empty log has nothing to lose and needs no confirmation.

--- a/crates/arbutusrudder/src/caller/acknowledge.rs
+++ b/crates/arbutusrudder/src/caller/acknowledge.rs
@@ -50,7 +50,9 @@
     // Guards against a member that was superseded and led again in between: it would report a
     // log in which the commit may have been dropped. Terms only grow, so the same term before and
     // after means that nothing happened between.
-    if term.is_none() || leading_term(&after) != term || Some(after.received.term) != term {
+    let empty = after.received == LogStamp::default();
+    let at_term = empty || Some(after.received.term) == term;
+    if term.is_none() || leading_term(&after) != term || !at_term {
         return None;
     }
     Some(after.received)
@@ -59,7 +61,8 @@
 /// Waits until a majority holds the commit; `false` if nobody can tell whether it stays. Needs no
 /// connection, so that the member's scarce ones serve others meanwhile.
 pub(crate) async fn confirm(group: &GroupState, member: usize, commit: LogStamp) -> bool {
-    if group.service.ack == AckRule::Primary {
+    let nothing_to_lose = commit == LogStamp::default();
+    if nothing_to_lose || group.service.ack == AckRule::Primary {
         return true;
     }
     let outcome = group.confirm_commit(commit, group.timing.ack_timeout).await;
--- a/crates/arbutusrudder/src/caller/attempt.rs
+++ b/crates/arbutusrudder/src/caller/attempt.rs
@@ -7,7 +7,7 @@
 use crate::group::{AdmissionPass, GroupState, PoolError, PooledConnection};
 use displaydoc::Display;
 use rudder_core::{ControlStatement, LogStamp, LogTerm, MemberStatus};
-use rudder_decisions::{AdmissionRequest, RefusalReason, WorkClass, WorkSize};
+use rudder_decisions::{AdmissionRequest, RefusalReason, WorkClass};
 use rudder_endpoint::{ErrorFields, read_error_fields};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -38,6 +38,7 @@
     pub(crate) pooled: PooledConnection,
     /// The settings statements that were queued first have a reply to skip.
     settings_queued: bool,
+    fingerprint: u64,
     started: Instant,
     asked_at: Duration,
     _pass: AdmissionPass,
@@ -63,20 +64,37 @@
     }
 }
 
+/// What an attempt is meant to run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptWork {
+    /// Whether it may change data.
+    pub(crate) class: WorkClass,
+    /// What work of the same shape shares.
+    pub(crate) fingerprint: u64,
+}
+
+impl AttemptWork {
+    /// The work of a batch.
+    pub(crate) fn of(batch: &CallerBatch, class: WorkClass) -> Self {
+        Self { class, fingerprint: batch.fingerprint() }
+    }
+}
+
 /// Waits for a slot at a member, as long as the caller's kind allows.
 pub(crate) async fn enter(
     session: &CallerSession,
     group: &Arc<GroupState>,
     member: usize,
-    class: WorkClass,
+    work: AttemptWork,
     deadline: Instant,
 ) -> Result<AdmissionPass, RefusalReason> {
+    let class = work.class;
     let request = AdmissionRequest {
         lane: group.lane(member),
         kind: session.caller.kind.clone(),
         caller: session.caller_key,
         class,
-        size: WorkSize::Short,
+        size: group.size_of(work.fingerprint),
         shed: session.caller.shed == rudder_settings::ShedOrder::First,
         in_flight_max: session.caller.in_flight_max,
         queue_wait: session.caller.queue_wait,
@@ -104,11 +122,11 @@
         session: &mut CallerSession,
         group: &Arc<GroupState>,
         member: usize,
-        class: WorkClass,
+        work: AttemptWork,
         deadline: Instant,
     ) -> Result<Self, AttemptError> {
         let pass =
-            enter(session, group, member, class, deadline).await.map_err(AttemptError::Refused)?;
+            enter(session, group, member, work, deadline).await.map_err(AttemptError::Refused)?;
         let load = LoadGuard::new(group, member);
         let within = deadline.saturating_duration_since(Instant::now());
         let timing = &group.timing;
@@ -133,6 +151,7 @@
             member,
             pooled,
             settings_queued,
+            fingerprint: work.fingerprint,
             started: Instant::now(),
             asked_at: group.board.now(),
             _pass: pass,
@@ -176,7 +195,9 @@
     /// Ends an attempt whose member is ready and outside of a transaction.
     pub(crate) async fn finish(self, session: &CallerSession) {
         let member = &self.group.members[self.member];
-        member.observe(self.started.elapsed());
+        let held = self.started.elapsed();
+        member.observe(held);
+        self.group.note_work(self.fingerprint, held.saturating_sub(member.link()));
         self.group.note_outcome(self.member, true);
         // Waits for a cancel on its way: it must not hit the connection's next caller.
         *session.cancel.slot.lock().await = None;
--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -2,7 +2,7 @@
 //! from the primary, else a refusal that says so.
 
 use super::answer::put_ready;
-use super::attempt::{AttemptError, MemberAttempt, bounds_of};
+use super::attempt::{AttemptError, AttemptWork, MemberAttempt, bounds_of};
 use super::serve::{SessionEnd, refuse, refuse_settings};
 use super::session::{CallerSession, FloorKnowledge, PinnedConnection};
 use super::{session_change, write};
@@ -51,6 +51,7 @@
     let deadline = Instant::now() + session.caller.queue_wait + group.timing.read_wait;
     let mut avoided: Vec<usize> = Vec::new();
     let mut waited = Duration::ZERO;
+    let work = AttemptWork::of(batch, WorkClass::Read);
     let mut attempts = 0;
     while attempts < ATTEMPTS_MAX {
         let mut changes = group.board.subscribe();
@@ -75,7 +76,7 @@
         };
         attempts += 1;
         log_route(session, group, member, choice.reason);
-        let attempt = MemberAttempt::begin(session, group, member, WorkClass::Read, deadline).await;
+        let attempt = MemberAttempt::begin(session, group, member, work, deadline).await;
         let attempt = match attempt {
             Ok(attempt) => attempt,
             Err(AttemptError::Refused(reason)) => {
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -3,7 +3,7 @@
 
 use super::acknowledge::{confirm, leading_term};
 use super::answer::{put_ready, put_refusal};
-use super::attempt::{AttemptError, MemberAttempt, bounds_of};
+use super::attempt::{AttemptError, AttemptWork, MemberAttempt, bounds_of};
 use super::keyed::{self, KeyedRequest};
 use super::local::report_token;
 use super::serve::{SessionEnd, refuse, refuse_settings};
@@ -45,6 +45,7 @@
 ) -> Result<(), SessionEnd> {
     let deadline = Instant::now() + session.caller.queue_wait;
     group.touch(session.caller.queue_wait).await;
+    let work = AttemptWork::of(batch, WorkClass::Write);
     let mut keyed = KeyedRequest::of(session, batch);
     loop {
         let primary = await_primary(group, deadline).await;
@@ -53,8 +54,7 @@
             return give_up(session, batch, keyed.as_ref(), notice).await;
         };
         log_route(session, group, member);
-        let attempt =
-            MemberAttempt::begin(session, group, member, WorkClass::Write, deadline).await;
+        let attempt = MemberAttempt::begin(session, group, member, work, deadline).await;
         let attempt = match attempt {
             Ok(attempt) => attempt,
             Err(AttemptError::Refused(reason)) => {
--- a/crates/arbutusrudder/src/classify/facts.rs
+++ b/crates/arbutusrudder/src/classify/facts.rs
@@ -98,6 +98,8 @@
         pub statements: Vec<StatementFacts>,
         /// The key of a request that must run at most once, given in a comment.
         pub key: Option<RequestKey>,
+        /// Hash of the text without its literals: requests of the same shape share it.
+        pub fingerprint: u64,
     }
 }
 
--- a/crates/arbutusrudder/src/classify/scan.rs
+++ b/crates/arbutusrudder/src/classify/scan.rs
@@ -6,6 +6,7 @@
 use rudder_core::RequestKey;
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::tokenizer::{Token, Tokenizer, Whitespace};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Comment by which a request names its key: `/* rudder:key=... */`.
 const KEY_MARK: &str = "rudder:key=";
@@ -123,7 +124,11 @@
     let mut tokenizer = Tokenizer::new(&PostgreSqlDialect {}, text).with_unescape(false);
     let Ok(tokens) = tokenizer.tokenize() else {
         // A text that cannot be read is the primary's to refuse.
-        return StatementsSummary { statements: vec![StatementFacts::write()], key: None };
+        return StatementsSummary {
+            statements: vec![StatementFacts::write()],
+            key: None,
+            fingerprint: xxh3_64(text.as_bytes()),
+        };
     };
     let key = tokens.iter().find_map(key_of);
     let statements = tokens
@@ -132,7 +137,7 @@
         .filter(|tokens| !tokens.is_empty())
         .map(|tokens| classify_tokens(&tokens))
         .collect();
-    StatementsSummary { statements, key }
+    StatementsSummary { statements, key, fingerprint: fingerprint_of(&tokens) }
 }
 
 fn key_of(token: &Token) -> Option<RequestKey> {
@@ -144,6 +149,19 @@
     comment.trim().strip_prefix(KEY_MARK)?.trim().parse().ok()
 }
 
+fn fingerprint_of(tokens: &[Token]) -> u64 {
+    let mut shape = String::new();
+    for token in tokens {
+        match token {
+            Token::Whitespace(_) => {}
+            Token::Number(..) | Token::SingleQuotedString(_) => shape.push('?'),
+            _ => shape.push_str(&token.to_string()),
+        }
+        shape.push(' ');
+    }
+    xxh3_64(shape.as_bytes())
+}
+
 fn significant(tokens: &[Token]) -> Vec<Token> {
     tokens.iter().filter(|token| !matches!(token, Token::Whitespace(_))).cloned().collect()
 }
--- a/crates/arbutusrudder/src/exchange/batch.rs
+++ b/crates/arbutusrudder/src/exchange/batch.rs
@@ -96,6 +96,13 @@
         self.summaries.iter().find_map(|summary| summary.key.as_ref())
     }
 
+    /// What batches of the same shape share, whatever their literals.
+    pub(crate) fn fingerprint(&self) -> u64 {
+        self.summaries
+            .iter()
+            .fold(0, |known, summary| u64::rotate_left(known, 1) ^ summary.fingerprint)
+    }
+
     /// What it does to the session's own state. Statements that are only prepared or described
     /// do nothing to it.
     pub(crate) fn changes(&self) -> impl Iterator<Item = &SessionChange> {
--- a/crates/arbutusrudder/src/group/state.rs
+++ b/crates/arbutusrudder/src/group/state.rs
@@ -8,6 +8,7 @@
 use rudder_core::{DomainName, LogTerm, MemberName, MemberStatus, OutcomeClass};
 use rudder_decisions::{
     LaneKey, LaneLimits, MemberView, MemberWeight, OutlierTracker, RetryBudget, WorkClass,
+    WorkEstimate, WorkSize,
 };
 use rudder_endpoint::{LoginSettings, MemberAddress};
 use rudder_settings::{DomainSettings, MemberSettings, ServiceSettings, TimingSettings};
@@ -88,6 +89,7 @@
     sharers: AtomicU32,
     limits: bool,
     last_acknowledged: Mutex<Option<(LogTerm, Instant)>>,
+    estimate: Mutex<WorkEstimate>,
 }
 
 /// Whether anybody at this instance needs the group.
@@ -131,6 +133,7 @@
             sharers: AtomicU32::new(tuning.instances),
             limits: tuning.limits,
             last_acknowledged: Mutex::default(),
+            estimate: Mutex::new(WorkEstimate::new()),
         };
         group.refresh_lanes();
         group
@@ -248,6 +251,18 @@
         *last = Some((term, now));
     }
 
+    /// Takes how long work of one shape held its slot.
+    pub(crate) fn note_work(&self, fingerprint: u64, held: Duration) {
+        let mut estimate = self.estimate.lock().expect("no holder of this lock panics");
+        estimate.observe(fingerprint, held);
+    }
+
+    /// Whether work of this shape is expected to hold its slot for long. Without this, long
+    /// reports would fill every slot that short lookups wait for.
+    pub(crate) fn size_of(&self, fingerprint: u64) -> WorkSize {
+        self.estimate.lock().expect("no holder of this lock panics").size(fingerprint)
+    }
+
     /// Whether a request that provably did not run may be tried again. Guards against a storm of
     /// retries after a failover: they are paid for by successes.
     pub(crate) fn may_retry(&self, class: WorkClass) -> bool {
--- a/crates/arbutusrudder/tests/deployment/path.rs
+++ b/crates/arbutusrudder/tests/deployment/path.rs
@@ -89,6 +89,20 @@
     assert_eq!(rows_of(&second, "SELECT title FROM parts").await, Vec::<String>::new());
 }
 
+/// What a user sees: the very first transaction on a new group ends as "outcome unknown".
+/// Order: a new group, a transaction that changes nothing, its commit.
+/// Cause: the log is empty, so no entry of the primary's term confirms anything.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_transaction_on_an_empty_group_commits() {
+    let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
+    let (mut client, _) = connect(&deployment, 0, "copyist").await;
+
+    let empty = client.transaction().await.unwrap();
+    let committed = empty.commit().await;
+
+    assert!(committed.is_ok(), "{committed:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn transactions_commit_and_roll_back_as_a_whole() {
     let deployment = Deployment::start(plan(1)).await.expect("deployment starts");
