Tests that each guard of acknowledgement and strict reads needs

Cause: on a scratch copy, taking out the check of the term after a commit, the majority for strict reads, and the word for keyed requests left every deployment test green. Change: the check is a pure function with tests of its own; one proxy and the primary are cut off together; a keyed commit that nobody confirms must end as unknown.

--- a/crates/arbutusrudder/src/caller/acknowledge.rs
+++ b/crates/arbutusrudder/src/caller/acknowledge.rs
@@ -2,7 +2,7 @@
 
 use crate::exchange::ExchangeError;
 use crate::group::{ConfirmOutcome, GroupState, PooledConnection};
-use rudder_core::{ControlStatement, LogStamp, LogTerm, MemberRole, MemberStatus};
+use rudder_core::{ControlStatement, LogStamp, LogTerm, MemberRole, MemberStatus, stamp_of_commit};
 use rudder_endpoint::{ControlError, WireError};
 use rudder_settings::AckRule;
 use std::time::Duration;
@@ -47,15 +47,7 @@
     asked_at: Duration,
 ) -> Option<LogStamp> {
     let after = read_status(group, member, pooled, asked_at).await.ok()?;
-    // Guards against a member that was superseded and led again in between: it would report a
-    // log in which the commit may have been dropped. Terms only grow, so the same term before and
-    // after means that nothing happened between.
-    let empty = after.received == LogStamp::default();
-    let at_term = empty || Some(after.received.term) == term;
-    if term.is_none() || leading_term(&after) != term || !at_term {
-        return None;
-    }
-    Some(after.received)
+    stamp_of_commit(term?, &after)
 }
 
 /// Waits until a majority holds the commit; `false` if nobody can tell whether it stays. Needs no
--- a/crates/arbutusrudder/tests/deployment/main.rs
+++ b/crates/arbutusrudder/tests/deployment/main.rs
@@ -10,3 +10,4 @@
 mod path;
 mod raw;
 mod statements;
+mod superseded;
--- /dev/null
+++ b/crates/arbutusrudder/tests/deployment/superseded.rs
@@ -0,0 +1,95 @@
+//! What callers get from a primary that has been superseded or stands alone.
+
+use crate::common::{connect, rows_of};
+use rudder_standins::{Deployment, DeploymentPlan, MemberKnob};
+use std::time::Duration;
+use tokio_postgres::Client;
+
+const SETTINGS: &str = "[callers.crew]\nusers = [\"crew\"]\nstaleness = \"5s\"\n\
+                        queue_wait = \"900ms\"\nin_flight_max = 100\n\
+                        [callers.auditor]\nusers = [\"auditor\"]\nstaleness = \"0ms\"\n\
+                        queue_wait = \"900ms\"\nin_flight_max = 100\n\
+                        [timing]\nack_timeout = \"200ms\"\n";
+
+/// Writes tried at most until a successor takes them.
+const TRIES: u32 = 60;
+
+fn plan() -> DeploymentPlan {
+    DeploymentPlan { extra: SETTINGS.to_owned(), ..DeploymentPlan::small(3) }
+}
+
+async fn write_until_taken(client: &Client, text: &str) {
+    for _ in 0..TRIES {
+        if client.batch_execute(text).await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("no primary takes writes");
+}
+
+async fn sqlstate_of(client: &Client, text: &str) -> String {
+    let error = client.simple_query(text).await.expect_err("the proxy refuses");
+    error.as_db_error().expect("the proxy's own words").code().code().to_owned()
+}
+
+/// What a user sees: an auditor is shown yesterday's sheet as today's.
+/// Order: one proxy and the primary are cut off together from everything else; the others get a
+/// new primary and a new sheet; the auditor reads at the proxy that was cut off.
+/// Cause: the old primary answers, believes it leads, and nothing asks the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_strict_read_at_an_isolated_primary_is_refused() {
+    let deployment = Deployment::start(plan()).await.expect("deployment starts");
+    let (crew, _) = connect(&deployment, 1, "crew").await;
+    let (auditor, _) = connect(&deployment, 0, "auditor").await;
+    crew.batch_execute("CREATE TABLE sheets (id int PRIMARY KEY, road text)").await.unwrap();
+    let before = rows_of(&auditor, "SELECT road FROM sheets").await;
+
+    deployment.groups[0].turn(&"scores-orders-1".parse().unwrap(), MemberKnob::Cut(true)).unwrap();
+    deployment.links[0].members[0][1].cut();
+    deployment.links[0].members[0][2].cut();
+    deployment.links[1].members[0][0].cut();
+    deployment.links[2].members[0][0].cut();
+    write_until_taken(&crew, "INSERT INTO sheets VALUES (1, 'A55')").await;
+    let refusal = sqlstate_of(&auditor, "SELECT road FROM sheets").await;
+
+    assert_eq!(before, Vec::<String>::new());
+    assert!(["RU002", "57P03"].contains(&refusal.as_str()), "{refusal}");
+}
+
+/// What a user sees: a page claim refused as "not run", and there it is.
+/// Order: a claim with a key commits at the primary, no replica takes it, the wait for a majority
+/// ends, further attempts find the key and cannot confirm it either, the caller's time is over.
+/// Cause: the refusal's word was chosen by the last attempt alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_may_have_committed_ends_as_unknown() {
+    let deployment = Deployment::start(plan()).await.expect("deployment starts");
+    let (crew, _) = connect(&deployment, 0, "crew").await;
+    crew.batch_execute("CREATE TABLE claims (page int)").await.unwrap();
+    crew.batch_execute("/* rudder:key=first */ INSERT INTO claims VALUES (1)").await.unwrap();
+    for name in ["scores-orders-2", "scores-orders-3"] {
+        deployment.groups[0].turn(&name.parse().unwrap(), MemberKnob::Paused(true)).unwrap();
+    }
+
+    let claim = "/* rudder:key=claim-7 */ INSERT INTO claims VALUES (7)";
+    let refusal = sqlstate_of(&crew, claim).await;
+
+    assert_eq!(refusal, "08007");
+}
+
+/// What a user sees: a sign-off is acknowledged and later gone.
+/// Order: the primary commits, no replica takes it, nothing confirms it.
+/// Cause: the primary's word alone is taken for the group's.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_commit_that_no_replica_holds_is_not_acknowledged() {
+    let deployment = Deployment::start(plan()).await.expect("deployment starts");
+    let (crew, _) = connect(&deployment, 0, "crew").await;
+    crew.batch_execute("CREATE TABLE signoffs (id int)").await.unwrap();
+    for name in ["scores-orders-2", "scores-orders-3"] {
+        deployment.groups[0].turn(&name.parse().unwrap(), MemberKnob::Paused(true)).unwrap();
+    }
+
+    let refusal = sqlstate_of(&crew, "INSERT INTO signoffs VALUES (1)").await;
+
+    assert_eq!(refusal, "08007");
+}
--- a/crates/rudder-core/src/ack.rs
+++ b/crates/rudder-core/src/ack.rs
@@ -8,7 +8,7 @@
 
 use crate::ident::MemberName;
 use crate::stamp::{LogStamp, LogTerm};
-use crate::status::MemberStatus;
+use crate::status::{MemberRole, MemberStatus};
 
 /// The verdict over a commit from the reports seen so far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +56,28 @@
     if holders >= majority_of(members) { AckVerdict::Acknowledged } else { AckVerdict::Waiting }
 }
 
+/// The stamp that covers a commit made at `term`, from the member's own status after it; `None` if
+/// the commit may have been dropped since.
+///
+/// An empty log covers everything that was committed, which is nothing.
+///
+/// ```
+/// use rudder_core::{LogStamp, LogTerm, MemberRole, MemberStatus, stamp_of_commit};
+/// let received = LogStamp::new(2, 9);
+/// let role = MemberRole::Primary;
+/// let after = MemberStatus { role, accepted: LogTerm(2), received, applied: received };
+/// assert_eq!(stamp_of_commit(LogTerm(2), &after), Some(received));
+/// ```
+#[must_use]
+pub fn stamp_of_commit(term: LogTerm, after: &MemberStatus) -> Option<LogStamp> {
+    // Guards against a member that was superseded and led again in between: it would report a
+    // log in which the commit may have been dropped. Terms only grow, so the same term before and
+    // after means that nothing happened between.
+    let leads_still = after.role == MemberRole::Primary && after.accepted == term;
+    let at_term = after.received == LogStamp::default() || after.received.term == term;
+    (leads_still && at_term).then_some(after.received)
+}
+
 /// Judges whether `term` is still the greatest that a majority accepted, for a read that must see
 /// the newest data. `reports` holds reports that were asked for after the read arrived.
 ///
--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -17,7 +17,7 @@
 mod succession;
 mod unit;
 
-pub use ack::{AckVerdict, judge_commit, judge_term, majority_of};
+pub use ack::{AckVerdict, judge_commit, judge_term, majority_of, stamp_of_commit};
 pub use control::{ControlStatement, STATUS_COLUMNS, TERM_REFUSED_SQLSTATE};
 pub use error::ParseError;
 pub use freshness::{
