--- a/crates/arbutusrudder/tests/processes/program.rs
+++ b/crates/arbutusrudder/tests/processes/program.rs
@@ -78,7 +78,7 @@
         let sink = Arc::clone(&lines);
         std::thread::spawn(move || {
             for line in BufReader::new(errors).lines().map_while(Result::ok) {
-                sink.lock().unwrap().push(line);
+                sink.lock().expect("no thread panicked with the lines").push(line);
             }
         });
         Self { child, lines, _settings: settings }
@@ -86,7 +86,7 @@
 
     /// The lines of its log so far.
     pub(crate) fn lines(&self) -> Vec<String> {
-        self.lines.lock().unwrap().clone()
+        self.lines.lock().expect("no thread panicked with the lines").clone()
     }
 
     /// The first line of this target with this message, when it has come.
--- a/crates/arbutusrudder/tests/processes/shutdown.rs
+++ b/crates/arbutusrudder/tests/processes/shutdown.rs
@@ -3,6 +3,7 @@
 use crate::program::Fleet;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio_postgres::error::SqlState;
 
 /// What a user sees: an answer is cut off whenever a proxy is replaced.
 /// Order: one caller's statement runs and another caller is idle when the process gets SIGTERM.
@@ -26,7 +27,7 @@
     let answer = running.await.unwrap();
     let status = program.end().await;
 
-    assert_eq!(farewell.code().map(|code| code.code()), Some("57P01"));
+    assert_eq!(farewell.code().map(SqlState::code), Some("57P01"));
     assert!(answer.is_ok(), "{answer:?}");
     assert!(idle.is_closed() && refused_while_running);
     assert_eq!(status.code(), Some(0));
--- a/crates/arbutusrudder/tests/processes/startup.rs
+++ b/crates/arbutusrudder/tests/processes/startup.rs
@@ -5,6 +5,7 @@
 use rudder_standins::{PlatformFaults, PlatformOutage};
 use serde_json::Value;
 use std::net::TcpListener;
+use tokio_postgres::error::SqlState;
 
 /// What a user sees: the new proxy refuses everybody for as long as the platform is away.
 /// Order: one proxy runs, the platform goes out of service, a second proxy starts.
@@ -67,7 +68,7 @@
     fleet.add(&extra, &[(PASSWORD_VARIABLE, "agnus-dei-77")]).await;
     let program = &fleet.programs[0];
     let (client, _) = program.connect("password=agnus-dei-77").await;
-    let wrong = program.try_connect("password=gloria-88").await.err().expect("refused");
+    let wrong = program.try_connect("password=gloria-88").await.expect_err("refused");
 
     insist(&client, "CREATE TABLE parts (id int)").await;
     rows_of(&client, "SELECT id FROM parts").await;
@@ -76,7 +77,7 @@
 
     let reasons = ["least_time", "only_fresh", "catch_up", "floor_ahead", "too_old"];
     let reasons = [&reasons[..], &["replicas_busy", "no_replica"]].concat();
-    assert_eq!(wrong.code().map(|code| code.code()), Some("28P01"));
+    assert_eq!(wrong.code().map(SqlState::code), Some("28P01"));
     assert_eq!(write["kvs"]["reason"], "primary");
     assert!(reasons.contains(&read["kvs"]["reason"].as_str().unwrap()), "{read}");
     for line in program.lines() {
