A statement at a silent member is given up; trials have a service of their own

Cause: the bound on a silent member had no test that goes red without it; a proxy that died in one trial gave its port to another trial's proxy, whose callers then wrote into the wrong group. Change: a test with a statement bound of 30 minutes; every trial names its own service.

--- a/crates/arbutusrudder/src/group/watch.rs
+++ b/crates/arbutusrudder/src/group/watch.rs
@@ -3,7 +3,7 @@
 use super::member::GroupMember;
 use super::state::GroupState;
 use rudder_core::ControlStatement;
-use rudder_decisions::MemberHealth;
+use rudder_decisions::{MemberHealth, ReconnectPacer};
 use rudder_endpoint::MemberControl;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -26,8 +26,15 @@
 
 async fn watch_member(group: Arc<GroupState>, index: usize) {
     let member = &group.members[index];
+    let mut pacer = ReconnectPacer::new();
     loop {
-        ask(&group, index).await;
+        if !ask(&group, index).await {
+            // Spread in time: every instance would otherwise fall upon a member that came back.
+            let pause = pacer.after_failure(&mut rand::rng());
+            sleep(pause).await;
+            continue;
+        }
+        pacer.succeed();
         if member.demand.load(Ordering::Acquire) > 0 {
             sleep(EAGER_PAUSE).await;
         } else if group.is_in_use() {
@@ -38,7 +45,8 @@
     }
 }
 
-async fn ask(group: &GroupState, index: usize) {
+/// Asks a member for its status; answers whether it gave one.
+async fn ask(group: &GroupState, index: usize) -> bool {
     let member = &group.members[index];
     let asked_at = group.board.now();
     let bound = group.timing.suspect_after;
@@ -47,12 +55,12 @@
             member.observe_link(group.board.now().saturating_sub(asked_at));
             group.take_report(index, asked_at, Some(status));
             set_health(group, member, MemberHealth::Ready, "answered");
+            true
         }
         Err(error) => {
             group.take_report(index, asked_at, None);
             set_health(group, member, MemberHealth::Down, &error.to_string());
-            // A member that refuses at once would otherwise be asked in a tight loop.
-            sleep(group.timing.probe_interval / 4).await;
+            false
         }
     }
 }
--- a/crates/arbutusrudder/tests/deployment/superseded.rs
+++ b/crates/arbutusrudder/tests/deployment/superseded.rs
@@ -18,6 +18,9 @@
     DeploymentPlan { extra: SETTINGS.to_owned(), ..DeploymentPlan::small(3) }
 }
 
+/// Far more than the members' probes take, far less than the statement's own bound.
+const PATIENCE: Duration = Duration::from_secs(60);
+
 async fn write_until_taken(client: &Client, text: &str) {
     for _ in 0..TRIES {
         if client.batch_execute(text).await.is_ok() {
@@ -93,3 +96,26 @@
 
     assert_eq!(refusal, "08007");
 }
+
+/// What a user sees: a crew's tablet hangs for half an hour at a primary that was cut off.
+/// Order: a statement runs at the primary, every link to it goes silent.
+/// Cause: the statement's own bound is long, and nothing else ends the wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_statement_at_a_member_that_went_silent_is_given_up() {
+    let settings = format!("{SETTINGS}statement_timeout = \"30m\"\n");
+    let plan = DeploymentPlan { extra: settings, ..DeploymentPlan::small(3) };
+    let deployment = Deployment::start(plan).await.expect("deployment starts");
+    let (crew, _) = connect(&deployment, 0, "crew").await;
+    crew.batch_execute("CREATE TABLE sheets (id int PRIMARY KEY, road text)").await.unwrap();
+
+    crew.batch_execute("BEGIN; INSERT INTO sheets VALUES (1, 'A55')").await.unwrap();
+    let waits =
+        tokio::spawn(async move { crew.simple_query("SELECT pg_sleep(600)").await.is_err() });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for links in &deployment.links {
+        links.members[0][0].cut();
+    }
+    let ended = tokio::time::timeout(PATIENCE, waits).await;
+
+    assert!(ended.is_ok_and(|ended| ended.is_ok_and(|refused| refused)), "the caller still waits");
+}
--- a/crates/rudder-standins/src/trial/mod.rs
+++ b/crates/rudder-standins/src/trial/mod.rs
@@ -4,11 +4,13 @@
 mod schedule;
 
 use crate::deployment::{Deployment, DeploymentError, DeploymentPlan};
+use crate::group::GroupSettings;
 use caller::{CallerRecord, TrialCaller, TrialShared};
-use rudder_core::{HistoryLog, MemberRole, StoredValue};
+use rudder_core::{HistoryLog, MemberRole, ServiceName, StoredValue};
 pub use schedule::{FaultKind, TimedFault, TrialSchedule};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
@@ -52,7 +54,8 @@
 /// # Ok::<(), std::io::Error>(())
 /// ```
 pub async fn run_trial(schedule: &TrialSchedule) -> Result<TrialReport, DeploymentError> {
-    let plan = DeploymentPlan { extra: SETTINGS.to_owned(), ..DeploymentPlan::small(3) };
+    let mut plan = DeploymentPlan { extra: SETTINGS.to_owned(), ..DeploymentPlan::small(3) };
+    plan.groups = vec![GroupSettings::loopback(own_service())];
     let mut deployment = Deployment::start(plan).await?;
     create_tables(&deployment).await;
     let shared = Arc::new(TrialShared::new(&deployment, schedule));
@@ -68,6 +71,15 @@
     Ok(report(records, stored, recovered))
 }
 
+/// A service name that no other run uses. Guards against callers of another run in the same machine:
+/// the port of a proxy that died may be given to a proxy of that run, and they would write here.
+fn own_service() -> ServiceName {
+    static RUNS: AtomicU64 = AtomicU64::new(0);
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let name = format!("trial-{}-{run}", std::process::id());
+    name.parse().expect("the name has only allowed characters")
+}
+
 fn report(records: Vec<CallerRecord>, stored: Vec<StoredValue>, recovered: bool) -> TrialReport {
     let mut log = HistoryLog { stored, ..HistoryLog::default() };
     let mut unanswered = 0;
