--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -218,7 +218,7 @@
 
 /// Whether the member's answer may go to the caller, judged from what the member itself said on
 /// the same connection before the read.
-async fn may_serve(
+pub(super) async fn may_serve(
     session: &CallerSession,
     attempt: &MemberAttempt,
     status: &MemberStatus,
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -4,14 +4,15 @@
 use super::acknowledge::{confirm, leading_term};
 use super::answer::{put_ready, put_refusal};
 use super::attempt::{AttemptError, AttemptWork, MemberAttempt, bounds_of};
-use super::keyed::{self, KeyedRequest};
+use super::keyed::{self, KeyedRequest, run_own};
 use super::local::report_token;
+use super::read::may_serve;
 use super::serve::{SessionEnd, refuse, refuse_settings};
 use super::session::{CallerSession, FloorKnowledge, PinnedConnection};
 use super::session_change;
 use crate::exchange::{
-    BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplySink,
-    encode_batch, relay_batch,
+    BatchEnd, BatchOutcome, CallerBatch, ExchangeError, HeldReplies, HoldRule, ReplyQueue,
+    ReplySink, drain_batch, encode_batch, relay_batch,
 };
 use crate::group::GroupState;
 use rudder_core::{LogStamp, MemberStatus, RefusalNotice, TERM_REFUSED_SQLSTATE};
@@ -125,12 +126,20 @@
     batch: &CallerBatch,
     mut attempt: MemberAttempt,
 ) -> Result<WriteEnd, SessionEnd> {
+    let arrived = attempt.group.board.now();
     let mut queue = encode_batch(&mut attempt.pooled, batch);
     let asked_again = may_ask_ahead(batch) && attempt.ask_again().is_ok();
     let before = match attempt.first_status().await {
         Ok(status) => status,
         Err(error) => return Ok(lose(session, batch, attempt, &error).await),
     };
+    // Guards against a transaction that reads at an isolated primary: its commit would end as
+    // unknown, but what it read before would be yesterday's picture, or lack the session's own
+    // writes.
+    let begins = batch.begins().is_some() && !batch.ends();
+    if begins && !may_serve(session, &attempt, &before, arrived).await {
+        return Ok(turn_away(session, batch, attempt, queue).await);
+    }
     let group = Arc::clone(&attempt.group);
     let bounds = bounds_of(&group, attempt.member, batch);
     let mut sink = ReplySink::new(&mut session.link, HoldRule::UntilCommit);
@@ -187,6 +196,27 @@
     Ok(WriteEnd::Answered)
 }
 
+/// Rolls back a transaction that began at a member which may not serve it. Nothing was committed.
+async fn turn_away(
+    session: &CallerSession,
+    batch: &CallerBatch,
+    mut attempt: MemberAttempt,
+    mut queue: ReplyQueue,
+) -> WriteEnd {
+    let group = Arc::clone(&attempt.group);
+    let bounds = bounds_of(&group, attempt.member, batch);
+    let drained = drain_batch(&mut attempt.pooled, &mut queue, bounds).await;
+    let undone = match drained {
+        Ok(_) => run_own(&mut attempt.pooled, "ROLLBACK", bounds.member_silence).await.map(drop),
+        Err(error) => Err(error),
+    };
+    match undone {
+        Ok(()) => attempt.finish(session).await,
+        Err(error) => attempt.abandon(session, &error).await,
+    }
+    WriteEnd::NotRun
+}
+
 /// Whether the question for the status after the batch can be sent along with it. A COPY would
 /// take it for data, and a Flush leaves the batch open.
 fn may_ask_ahead(batch: &CallerBatch) -> bool {
--- a/crates/arbutusrudder/src/exchange/mod.rs
+++ b/crates/arbutusrudder/src/exchange/mod.rs
@@ -9,4 +9,5 @@
 pub(crate) use batch::{BatchEnd, BatchFrame, CallerBatch, PreparedStatement};
 pub(crate) use encode::{encode_batch, sync_settings};
 pub(crate) use relay::{BatchOutcome, ExchangeError, RelayBounds, drain_batch, relay_batch};
+pub(crate) use replies::ReplyQueue;
 pub(crate) use sink::{HeldReplies, HoldRule, ReplySink};
--- a/crates/arbutusrudder/tests/deployment/superseded.rs
+++ b/crates/arbutusrudder/tests/deployment/superseded.rs
@@ -1,6 +1,6 @@
 //! What callers get from a primary that has been superseded or stands alone.
 
-use crate::common::{connect, rows_of};
+use crate::common::{connect, connect_with, rows_of};
 use rudder_standins::{Deployment, DeploymentPlan, MemberKnob};
 use std::time::Duration;
 use tokio_postgres::Client;
@@ -36,7 +36,17 @@
     error.as_db_error().expect("the proxy's own words").code().code().to_owned()
 }
 
-/// What a user sees: an auditor is shown yesterday's sheet as today's.
+/// Cuts the first proxy and the first member off together from everything else.
+fn isolate(deployment: &Deployment) {
+    let primary = "scores-orders-1".parse().expect("the name has only allowed characters");
+    deployment.groups[0].turn(&primary, MemberKnob::Cut(true)).expect("the member is known");
+    deployment.links[0].members[0][1].cut();
+    deployment.links[0].members[0][2].cut();
+    deployment.links[1].members[0][0].cut();
+    deployment.links[2].members[0][0].cut();
+}
+
+/// What a user sees: an auditor is shown yesterday's sheet as today's, at once or in a transaction.
 /// Order: one proxy and the primary are cut off together from everything else; the others get a
 /// new primary and a new sheet; the auditor reads at the proxy that was cut off.
 /// Cause: the old primary answers, believes it leads, and nothing asks the others.
@@ -48,16 +58,36 @@
     crew.batch_execute("CREATE TABLE sheets (id int PRIMARY KEY, road text)").await.unwrap();
     let before = rows_of(&auditor, "SELECT road FROM sheets").await;
 
-    deployment.groups[0].turn(&"scores-orders-1".parse().unwrap(), MemberKnob::Cut(true)).unwrap();
-    deployment.links[0].members[0][1].cut();
-    deployment.links[0].members[0][2].cut();
-    deployment.links[1].members[0][0].cut();
-    deployment.links[2].members[0][0].cut();
+    isolate(&deployment);
     write_until_taken(&crew, "INSERT INTO sheets VALUES (1, 'A55')").await;
-    let refusal = sqlstate_of(&auditor, "SELECT road FROM sheets").await;
+    let read = sqlstate_of(&auditor, "SELECT road FROM sheets").await;
+    let transaction = sqlstate_of(&auditor, "BEGIN").await;
 
     assert_eq!(before, Vec::<String>::new());
-    assert!(["RU002", "57P03"].contains(&refusal.as_str()), "{refusal}");
+    assert!(["RU002", "57P03"].contains(&read.as_str()), "{read}");
+    assert_eq!(transaction, "57P03");
+}
+
+/// What a user sees: a transaction that lacks the sheet which the same crew lodged a moment before.
+/// Order: as above; the crew lodges its sheet at the new primary, moves to the proxy that was cut
+/// off with its token, and begins a transaction.
+/// Cause: what the session must see is asked of reads only.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_transaction_begins_where_the_sessions_writes_are() {
+    let deployment = Deployment::start(plan()).await.expect("deployment starts");
+    let (crew, _) = connect(&deployment, 1, "crew").await;
+    crew.batch_execute("CREATE TABLE sheets (id int PRIMARY KEY, road text)").await.unwrap();
+    let (warm, _) = connect(&deployment, 0, "crew").await;
+    warm.batch_execute("BEGIN; SELECT road FROM sheets; COMMIT").await.unwrap();
+
+    isolate(&deployment);
+    write_until_taken(&crew, "INSERT INTO sheets VALUES (1, 'A55')").await;
+    let token = rows_of(&crew, "SHOW rudder.session").await.remove(0);
+    let words = format!("options='-c rudder.session={token}'");
+    let (moved, _) = connect_with(&deployment, 0, "crew", &words).await;
+    let transaction = sqlstate_of(&moved, "BEGIN").await;
+
+    assert_eq!(transaction, "57P03");
 }
 
 /// What a user sees: a page claim refused as "not run", and there it is.
