A slow link is connected in the end

Change: an exchange goes on by itself for up to a second, and the next asker finds the connection. Ruled out: a longer bound for statements, which lengthens every failover.

--- a/crates/rudder-endpoint/src/channel.rs
+++ b/crates/rudder-endpoint/src/channel.rs
@@ -5,15 +5,19 @@
 use crate::login::EndpointError;
 use async_trait::async_trait;
 use rudder_core::{ControlStatement, MemberStatus};
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Mutex;
-use tokio::time::{Instant, timeout_at};
+use tokio::sync::{Mutex, OwnedMutexGuard, oneshot};
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// How long one exchange may go on after its asker has given up, opening the connection included.
+const EXCHANGE_MAX: Duration = Duration::from_secs(1);
 
 /// The control channel to one member over its own connection, apart from the callers' pool, so
 /// that a busy pool cannot hide a live member.
 pub struct ControlChannel {
     address: MemberAddress,
-    connection: Mutex<Option<MemberConnection>>,
+    connection: Arc<Mutex<Option<MemberConnection>>>,
 }
 
 impl ControlChannel {
@@ -28,27 +32,27 @@
     /// ```
     #[must_use]
     pub fn new(address: MemberAddress) -> Self {
-        Self { address, connection: Mutex::new(None) }
+        Self { address, connection: Arc::new(Mutex::new(None)) }
     }
+}
 
-    async fn run_on(
-        &self,
-        slot: &mut Option<MemberConnection>,
-        statement: &ControlStatement,
-        within: Duration,
-    ) -> Result<MemberStatus, ControlError> {
-        let mut connection = match slot.take() {
-            Some(connection) => connection,
-            None => MemberConnection::open(&self.address, within).await?,
-        };
-        let outcome = connection.control(statement).await;
-        // A failed connection is dropped, never kept: its late answer would be taken for the
-        // answer to the next statement.
-        if !matches!(outcome, Err(ControlError::Unreachable(_))) {
-            *slot = Some(connection);
-        }
-        outcome
+/// Runs one exchange; the connection stays in the slot unless it failed.
+async fn exchange(
+    address: MemberAddress,
+    mut slot: OwnedMutexGuard<Option<MemberConnection>>,
+    statement: ControlStatement,
+) -> Result<MemberStatus, ControlError> {
+    let mut connection = match slot.take() {
+        Some(connection) => connection,
+        None => MemberConnection::open(&address, EXCHANGE_MAX).await?,
+    };
+    let outcome = connection.control(&statement).await;
+    // A failed connection is dropped, never kept: its late answer would be taken for the answer
+    // to the next statement.
+    if !matches!(outcome, Err(ControlError::Unreachable(_))) {
+        *slot = Some(connection);
     }
+    outcome
 }
 
 #[async_trait]
@@ -59,14 +63,24 @@
         within: Duration,
     ) -> Result<MemberStatus, ControlError> {
         let deadline = Instant::now() + within;
-        let mut slot = timeout_at(deadline, self.connection.lock())
+        let slot = timeout_at(deadline, Arc::clone(&self.connection).lock_owned())
             .await
             .map_err(|_| ControlError::TimedOut)?;
-        // On a timeout the connection goes with the future that owns it, and so does the late
-        // answer.
-        timeout_at(deadline, self.run_on(&mut slot, statement, within))
-            .await
-            .map_err(|_| ControlError::TimedOut)?
+        let (sender, receiver) = oneshot::channel();
+        let exchange = exchange(self.address.clone(), slot, statement.clone());
+        // Guards against a link so slow that connecting takes longer than a statement may: were
+        // the exchange to end with its asker, every asker would start to connect anew, and none
+        // would ever be answered. It goes on by itself, and the next asker finds the connection.
+        // One that stays silent ends after its own bound, and its late answer with it.
+        tokio::spawn(async move {
+            let outcome = timeout(EXCHANGE_MAX.max(within), exchange).await;
+            // The asker may have given up; the next one has the connection.
+            let _ = sender.send(outcome.unwrap_or(Err(ControlError::TimedOut)));
+        });
+        match timeout_at(deadline, receiver).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) => Err(ControlError::TimedOut),
+        }
     }
 }
 
