--- a/crates/arbutusrudder/src/duty/exchange.rs
+++ b/crates/arbutusrudder/src/duty/exchange.rs
@@ -30,6 +30,11 @@
 
     /// Takes a vote that a peer cast.
     pub(crate) fn take(&self, vote: &SuspicionVote) {
+        // Guards against an echo: an own doubt that comes back would be answered like another's,
+        // and each answer would bring the next one.
+        if vote.observer == self.instance {
+            return;
+        }
         let kind = if vote.suspected { VoteKind::Unheard } else { VoteKind::Heard };
         let observed = ObserverVote {
             observer: vote.observer.clone(),
--- a/crates/arbutusrudder/src/keeper/group_keeper.rs
+++ b/crates/arbutusrudder/src/keeper/group_keeper.rs
@@ -82,6 +82,7 @@
     pub(super) round_at: Instant,
     pub(super) window_at: Instant,
     pub(super) vote: VoteKind,
+    pub(super) cast_at: Option<Instant>,
     pub(super) grant_due_at: Instant,
     pub(super) order_due_at: Instant,
     pub(super) switch: Option<PendingSwitch>,
@@ -129,6 +130,7 @@
             round_at: now,
             window_at: now,
             vote: VoteKind::Heard,
+            cast_at: None,
             grant_due_at: now,
             order_due_at: now,
             switch: None,
@@ -169,14 +171,25 @@
     fn refresh_roster(&mut self) {
         self.roster = self.config.exchange.roster(&self.config.service);
         self.tally.expect_domains(self.roster.domain_count());
-        self.vote = self.tally.own_vote(self.elapsed());
         // A vote that all is well is told to those who doubt it only: told in every round, the
         // votes of quiet groups used up what peers may send.
-        if self.vote == VoteKind::Unheard {
-            self.config.exchange.cast(&self.config.service, self.vote);
+        if self.vote == VoteKind::Unheard && self.may_repeat() {
+            self.cast();
         }
     }
 
+    fn cast(&mut self) {
+        self.cast_at = Some(Instant::now());
+        self.config.exchange.cast(&self.config.service, self.vote);
+    }
+
+    /// Whether the own vote may be told again. Votes live for `suspect_after`; told more often than
+    /// twice in that time, they use up what peers may send, and the answers are withheld.
+    fn may_repeat(&self) -> bool {
+        let pause = self.config.timing.suspect_after / 2;
+        self.cast_at.is_none_or(|at| at.elapsed() >= pause)
+    }
+
     fn exchange_votes(&mut self) {
         let at = self.elapsed();
         let mut doubted = false;
@@ -187,9 +200,10 @@
         let vote = self.tally.own_vote(at);
         // Guards against one cut link: without the others' answer, the observer behind it would
         // hear no other failure domain speak, and suspect the primary after a longer wait.
-        if doubted || vote != self.vote {
+        let changed = vote != self.vote;
+        if changed || doubted {
             self.vote = vote;
-            self.config.exchange.cast(&self.config.service, vote);
+            self.cast();
         }
     }
 
