--- a/crates/rudder-standins/examples/measure/main.rs
+++ b/crates/rudder-standins/examples/measure/main.rs
@@ -53,6 +53,9 @@
         if arguments.only.as_ref().is_some_and(|only| !trace.name.contains(only.as_str())) {
             continue;
         }
+        if arguments.brief && trace.full_only {
+            continue;
+        }
         let trace = if arguments.brief { trace.shortened() } else { trace };
         for policy in policies(&arguments, &trace) {
             let report = runtime.block_on(run(&trace, policy, arguments.seed))?;
--- a/crates/rudder-standins/examples/measure/trace.rs
+++ b/crates/rudder-standins/examples/measure/trace.rs
@@ -91,6 +91,9 @@
     pub(crate) lag_ms: u64,
     /// Speeds of the members in percent.
     pub(crate) speeds: Vec<u32>,
+    /// Whether the brief form leaves the trace out.
+    #[serde(default)]
+    pub(crate) full_only: bool,
     /// Whether the brief form runs the baselines too.
     #[serde(default)]
     pub(crate) baselines_in_brief: bool,
