One read-only SQLSTATE and one type for a routing choice

Cause: reading the change again: read.rs declared the SQLSTATE of a refused write that write.rs has, and a copy of the router's RouteChoice with the same two fields. Change: both are used from where they stand; behaviour is the same.

--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -5,6 +5,7 @@
 use super::attempt::{AttemptError, AttemptWork, MemberAttempt, bounds_of};
 use super::serve::{SessionEnd, refuse, refuse_settings};
 use super::session::{CallerSession, FloorKnowledge, PinnedConnection};
+use super::write::READ_ONLY;
 use super::{session_change, write};
 use crate::context::InstanceContext;
 use crate::exchange::{
@@ -13,7 +14,7 @@
 };
 use crate::group::{ConfirmOutcome, GroupState};
 use rudder_core::{MemberRole, MemberStatus, ReadNeed, ReadVerdict, RefusalNotice, judge_read};
-use rudder_decisions::{ReadDemand, ReadRoute, RouteReason, WorkClass};
+use rudder_decisions::{ReadDemand, ReadRoute, RouteChoice, RouteReason, WorkClass};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
@@ -24,9 +25,6 @@
 /// When a refused read should come back, if nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// SQLSTATEs with which a replica refuses what turns out to be a write.
-const READ_ONLY: &str = "25006";
-
 /// How an attempt ended.
 enum ReadEnd {
     /// The caller has its answer.
@@ -107,18 +105,14 @@
     refuse(session, batch, &notice).await
 }
 
-struct MemberChoice {
-    route: ReadRoute,
-    reason: RouteReason,
-}
-
+/// Chooses the member for a read; the route's index is that of the group's member.
 fn choose(
     context: &InstanceContext,
     session: &mut CallerSession,
     group: &GroupState,
     avoided: &[usize],
     waited: Duration,
-) -> MemberChoice {
+) -> RouteChoice {
     let known = session.learn_floor(group);
     let (mut views, mut indexes) = group.views();
     for index in (0..indexes.len()).rev() {
@@ -142,7 +136,7 @@
         ReadRoute::WaitFor(index, pause) => ReadRoute::WaitFor(indexes[index], pause),
         ReadRoute::Refuse => ReadRoute::Refuse,
     };
-    MemberChoice { route, reason: choice.reason }
+    RouteChoice { route, reason: choice.reason }
 }
 
 fn log_route(session: &CallerSession, group: &GroupState, member: usize, reason: RouteReason) {
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -25,7 +25,7 @@
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// SQLSTATE with which a replica refuses a write.
-const READ_ONLY: &str = "25006";
+pub(super) const READ_ONLY: &str = "25006";
 
 /// Pause before a member that turned out not to lead is tried again.
 const REROUTE_PAUSE: Duration = Duration::from_millis(20);
