--- a/crates/arbutusrudder/src/context.rs
+++ b/crates/arbutusrudder/src/context.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use rudder_core::{DomainName, InstanceName, ServiceName};
 use rudder_peers::PeerEntry;
-use rudder_platform::RevisionFollower;
+use rudder_store::RevisionFollower;
 use rudder_settings::FleetSettings;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
--- a/crates/arbutusrudder/src/duty/drain.rs
+++ b/crates/arbutusrudder/src/duty/drain.rs
@@ -4,7 +4,7 @@
 use crate::group::GroupState;
 use rudder_core::{MemberName, SwitchOrder, WriterMark};
 use rudder_decisions::MemberHealth;
-use rudder_platform::{ObjectKind, PlatformStore, StoreError};
+use rudder_store::{ObjectKind, PlatformStore, StoreError};
 use std::sync::Arc;
 
 /// The member that should lead instead of a draining primary: the most advanced one that stays.
--- a/crates/arbutusrudder/src/duty/roster.rs
+++ b/crates/arbutusrudder/src/duty/roster.rs
@@ -10,7 +10,7 @@
 use rudder_core::ServiceName;
 use rudder_endpoint::MemberControl;
 use rudder_peers::PeerMesh;
-use rudder_platform::PlatformStore;
+use rudder_store::PlatformStore;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
--- a/crates/arbutusrudder/src/error.rs
+++ b/crates/arbutusrudder/src/error.rs
@@ -4,15 +4,20 @@
 use crate::process::ProcessError;
 use displaydoc::Display;
 use rudder_peers::MeshError;
-use rudder_platform::StoreError;
+use rudder_platform::PlatformError;
+use rudder_store::StoreError;
 use std::net::SocketAddr;
 
 /// Why the proxy cannot start or ended early.
 #[derive(Debug, Display)]
 #[ignore_extra_doc_attributes]
 pub enum ProxyError {
+    /// name either a settings file with --settings, or --platform
+    Mode,
     /// {0}
     Process(ProcessError),
+    /// {0}
+    Deployment(PlatformError),
     /// cannot listen on {address}: {reason}
     Listen {
         /// The address.
@@ -40,6 +45,12 @@
     }
 }
 
+impl From<PlatformError> for ProxyError {
+    fn from(error: PlatformError) -> Self {
+        Self::Deployment(error)
+    }
+}
+
 impl From<MeshError> for ProxyError {
     fn from(error: MeshError) -> Self {
         Self::Peers(error)
--- a/crates/arbutusrudder/src/fleet/follow.rs
+++ b/crates/arbutusrudder/src/fleet/follow.rs
@@ -4,7 +4,7 @@
 use crate::context::InstanceContext;
 use rand::RngExt;
 use rudder_peers::{PeerHint, PeerMesh, PeerReply, PeerRequest, PeerState, RevisionHint};
-use rudder_platform::{OfferVerdict, PlatformStore, RevisionBundle, poll_revision};
+use rudder_store::{OfferVerdict, PlatformStore, RevisionBundle, poll_revision};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
--- a/crates/arbutusrudder/src/keeper/config.rs
+++ b/crates/arbutusrudder/src/keeper/config.rs
@@ -3,7 +3,7 @@
 use super::exchange::ObserverExchange;
 use rudder_core::{DomainName, InstanceName, PlanMember, ServiceName};
 use rudder_endpoint::MemberControl;
-use rudder_platform::PlatformStore;
+use rudder_store::PlatformStore;
 use rudder_settings::{MemberSettings, TimingSettings};
 use std::cmp::Reverse;
 use std::sync::Arc;
--- a/crates/arbutusrudder/src/keeper/grant_client.rs
+++ b/crates/arbutusrudder/src/keeper/grant_client.rs
@@ -4,7 +4,7 @@
 use rudder_core::{
     InstanceName, KeeperSeat, LogTerm, MemberName, ServiceName, SuccessionGrant, WriterMark,
 };
-use rudder_platform::{ObjectKind, ObjectVersion, PlatformStore, StoreError};
+use rudder_store::{ObjectKind, ObjectVersion, PlatformStore, StoreError};
 use std::sync::Arc;
 
 /// Rounds of reading and conditional update before a keeper leaves the object to the others.
--- a/crates/arbutusrudder/src/keeper/orders.rs
+++ b/crates/arbutusrudder/src/keeper/orders.rs
@@ -1,7 +1,7 @@
 //! Operators' orders for one group in the platform.
 
 use rudder_core::{ServiceName, SwitchOrder};
-use rudder_platform::{ObjectKind, ObjectVersion, PlatformStore, StoreError};
+use rudder_store::{ObjectKind, ObjectVersion, PlatformStore, StoreError};
 use std::sync::Arc;
 
 /// An order as it was read, with the version by which it is removed.
--- a/crates/arbutusrudder/src/keeper/platform_calls.rs
+++ b/crates/arbutusrudder/src/keeper/platform_calls.rs
@@ -10,7 +10,7 @@
 use super::orders::{PendingOrder, read_order, remove_order};
 use super::switch::PendingSwitch;
 use rudder_core::{KeeperSeat, LogTerm, SuccessionGrant, SwitchOrder};
-use rudder_platform::ObjectVersion;
+use rudder_store::ObjectVersion;
 use tokio::time::Instant;
 
 /// What a call to the platform brought.
--- a/crates/arbutusrudder/src/keeper/tests/failover.rs
+++ b/crates/arbutusrudder/src/keeper/tests/failover.rs
@@ -6,7 +6,7 @@
 use super::model::member_name;
 use crate::keeper::KeeperRoster;
 use rudder_core::{ControlStatement, LogTerm, SwitchOrder, WriterMark, check_history};
-use rudder_platform::{ObjectKind, PlatformStore};
+use rudder_store::{ObjectKind, PlatformStore};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::time::sleep;
--- a/crates/arbutusrudder/src/keeper/tests/fake_platform.rs
+++ b/crates/arbutusrudder/src/keeper/tests/fake_platform.rs
@@ -3,7 +3,7 @@
 use crate::keeper::{KeeperEntry, KeeperRoster, ObserverExchange};
 use async_trait::async_trait;
 use rudder_core::{InstanceName, ObserverVote, ServiceName, VoteKind};
-use rudder_platform::{
+use rudder_store::{
     InstanceEntry, ObjectKind, ObjectVersion, PlatformStore, StoreError, StoredObject,
 };
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/crates/arbutusrudder/src/keeper/tests/standin_switch.rs
+++ b/crates/arbutusrudder/src/keeper/tests/standin_switch.rs
@@ -8,7 +8,7 @@
     ControlStatement, LogTerm, MemberName, MemberStatus, PlanMember, SwitchOrder, WriterMark,
 };
 use rudder_endpoint::{ControlError, MemberControl};
-use rudder_platform::{ObjectKind, PlatformStore};
+use rudder_store::{ObjectKind, PlatformStore};
 use rudder_settings::TimingSettings;
 use rudder_standins::{GroupSettings, GroupStandin, MemberKnob};
 use std::sync::Arc;
--- a/crates/arbutusrudder/src/lib.rs
+++ b/crates/arbutusrudder/src/lib.rs
@@ -24,7 +24,7 @@
 };
 pub use error::ProxyError;
 pub use logs::{LogError, LogLevel, set_up_logs};
-pub use options::ProxyOptions;
+pub use options::{ProxyOptions, StartMode};
 pub use policy::ProxyPolicies;
 pub use process::{AddressRoute, ProcessError, ProcessSettings, UserPassword};
 pub use proxy::{ProxyInstance, run};
--- a/crates/arbutusrudder/src/logs.rs
+++ b/crates/arbutusrudder/src/logs.rs
@@ -68,7 +68,7 @@
 
 impl std::error::Error for LogError {}
 
-/// Sets up the log of the whole process: JSON lines on standard error.
+/// Sets up the log of the whole process: JSON lines on standard output.
 ///
 /// # Errors
 ///
@@ -122,7 +122,7 @@
 }
 
 fn write_lines(lines: &Receiver<Vec<u8>>) {
-    let mut output = std::io::BufWriter::new(std::io::stderr());
+    let mut output = std::io::BufWriter::new(std::io::stdout());
     while let Ok(first) = lines.recv() {
         let more = lines.try_iter().take(LINES_PER_FLUSH);
         for mut line in std::iter::once(first).chain(more) {
--- a/crates/arbutusrudder/src/options.rs
+++ b/crates/arbutusrudder/src/options.rs
@@ -4,6 +4,7 @@
 use crate::logs::LogLevel;
 use crate::process::{ProcessError, ProcessSettings};
 use argh::FromArgs;
+use rudder_platform::BootFile;
 use std::path::PathBuf;
 
 /// Database proxy with session consistency.
@@ -16,7 +17,11 @@
 struct CommandLine {
     /// file of this process's own settings, in TOML
     #[argh(option, short = 's')]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+
+    /// run on the users' platform, with the settings file that it provides
+    #[argh(switch)]
+    platform: bool,
 
     /// least severe log lines that are written: error, warn, info or debug; default info
     #[argh(option, short = 'l', default = "LogLevel::Info")]
@@ -27,11 +32,25 @@
     check: bool,
 }
 
+/// How the proxy is to run, with its settings.
+#[derive(Clone, Debug)]
+pub enum StartMode {
+    /// As a PostgreSQL proxy, with a settings file of the operators'.
+    Process(Box<ProcessSettings>),
+    /// On the users' platform.
+    Platform {
+        /// The platform's settings file, which may change later.
+        path: PathBuf,
+        /// What stands in it.
+        boot: Box<BootFile>,
+    },
+}
+
 /// What the command line asks for.
 #[derive(Clone, Debug)]
 pub struct ProxyOptions {
-    /// This process's own settings.
-    pub process: ProcessSettings,
+    /// How to run.
+    pub mode: StartMode,
     /// The least severe log lines that are written.
     pub log: LogLevel,
     /// Whether only to check the settings.
@@ -52,9 +71,23 @@
     /// ```
     pub fn from_command_line() -> Result<Self, ProxyError> {
         let line: CommandLine = argh::from_env();
-        let text = std::fs::read_to_string(&line.settings)
-            .map_err(|reason| ProcessError::Unreadable { path: line.settings.clone(), reason })?;
-        let process = ProcessSettings::parse(&text)?;
-        Ok(Self { process, log: line.log, check: line.check })
+        let mode = match (line.settings, line.platform) {
+            (Some(path), false) => read_process(path)?,
+            (None, true) => read_platform()?,
+            _ => return Err(ProxyError::Mode),
+        };
+        Ok(Self { mode, log: line.log, check: line.check })
     }
 }
+
+fn read_process(path: PathBuf) -> Result<StartMode, ProxyError> {
+    let text = std::fs::read_to_string(&path)
+        .map_err(|reason| ProcessError::Unreadable { path, reason })?;
+    Ok(StartMode::Process(Box::new(ProcessSettings::parse(&text)?)))
+}
+
+fn read_platform() -> Result<StartMode, ProxyError> {
+    let path = BootFile::path()?;
+    let boot = Box::new(BootFile::read(&path)?);
+    Ok(StartMode::Platform { path, boot })
+}
--- a/crates/arbutusrudder/src/process.rs
+++ b/crates/arbutusrudder/src/process.rs
@@ -2,7 +2,7 @@
 
 use displaydoc::Display;
 use rudder_core::{DomainName, InstanceName, plain_data};
-use rudder_platform::PlatformOptions;
+use rudder_store::PlatformOptions;
 use rudder_settings::{CallerSettings, ShedOrder};
 use serde::Deserialize;
 use std::net::SocketAddr;
--- a/crates/arbutusrudder/src/proxy.rs
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -8,7 +8,7 @@
 use crate::error::ProxyError;
 use crate::fleet::follow_settings;
 use crate::logs::set_up_logs;
-use crate::options::ProxyOptions;
+use crate::options::{ProxyOptions, StartMode};
 use crate::peering::PeerDesk;
 use crate::policy::ProxyPolicies;
 use crate::process::ProcessSettings;
@@ -16,7 +16,7 @@
 use arc_swap::ArcSwap;
 use bytes::BytesMut;
 use rudder_peers::{MeshSettings, PeerMesh};
-use rudder_platform::{
+use rudder_store::{
     InstanceReadiness, KubeStore, PlatformOptions, PlatformStore, RevisionFollower,
 };
 use std::net::SocketAddr;
@@ -181,24 +181,37 @@
         return Ok(());
     }
     set_up_logs(options.log)?;
-    let runtime = tokio::runtime::Runtime::new().map_err(ProxyError::Runtime)?;
-    runtime.block_on(async {
-        // Before anything else: a signal in the first moments would end the process unannounced.
-        let mut stop = signal(SignalKind::terminate()).map_err(ProxyError::Runtime)?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(ProxyError::Runtime)?;
-        let instance = ProxyInstance::start(options.process.clone()).await?;
-        tokio::select! {
-            _ = stop.recv() => {}
-            _ = interrupt.recv() => {}
+    match &options.mode {
+        StartMode::Process(process) => {
+            let runtime = tokio::runtime::Runtime::new().map_err(ProxyError::Runtime)?;
+            runtime.block_on(run_process(process.as_ref().clone()))
         }
-        tokio::select! {
-            () = instance.leave() => {}
-            // A second signal ends at once.
-            _ = stop.recv() => {}
-            _ = interrupt.recv() => {}
+        StartMode::Platform { path, boot } => {
+            // One thread: the platform's machines have a fraction of one core.
+            let mut builder = tokio::runtime::Builder::new_current_thread();
+            let runtime = builder.enable_all().build().map_err(ProxyError::Runtime)?;
+            let run = rudder_platform::run_on_platform(path.clone(), boot.as_ref().clone());
+            runtime.block_on(run).map_err(ProxyError::from)
         }
-        Ok(())
-    })
+    }
+}
+
+async fn run_process(process: ProcessSettings) -> Result<(), ProxyError> {
+    // Before anything else: a signal in the first moments would end the process unannounced.
+    let mut stop = signal(SignalKind::terminate()).map_err(ProxyError::Runtime)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(ProxyError::Runtime)?;
+    let instance = ProxyInstance::start(process).await?;
+    tokio::select! {
+        _ = stop.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tokio::select! {
+        () = instance.leave() => {}
+        // A second signal ends at once.
+        _ = stop.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
 }
 
 fn context_of(
--- /dev/null
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -0,0 +1,415 @@
+//! Carries out a change of primary.
+//!
+//! 1. Write the intent: nobody gets a new permit for the old primary.
+//! 2. Wait until every instance has said that it stopped, or until the permits have lapsed.
+//! 3. Ask the members how far their logs go, and promote the most advanced one.
+//! 4. Write the result: from then on permits are given for the new primary.
+//!
+//! Each write is conditional on the version before, and names the writer by a mark, so that an
+//! answer that was lost is cleared up by reading back. An instance that dies on the way is
+//! replaced by another one after `CHANGE_PATIENCE`; until then nobody else acts, and after
+//! [`HOLD_TIME`] this one does not act any more.
+
+use super::control::{MemberReport, ask_status, ask_statuses, step_down};
+use super::pulse::stop_answering;
+use super::records::read_record;
+use super::registry::read_seats;
+use crate::border::{PromotionError, PromotionOrder};
+use crate::clock::boot_time;
+use crate::engine::ProxyEngine;
+use crate::group::{GroupMember, MemberState, ServiceGroup};
+use crate::lead::{
+    ChangeCause, LeadPhase, LeadRecord, LeaderEpoch, PERMIT_LIFE, order_candidates,
+};
+use crate::peers::{PeerExchange, PeerMessage, RecordCopy};
+use displaydoc::Display;
+use rudder_core::{LogStamp, LogTerm, MemberName, MemberRole};
+use rudder_store::{ObjectKind, ObjectVersion, StoreError};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What is added to a permit's life before it is taken to have lapsed: clocks of two machines
+/// that run at slightly different speeds, and an answer on its way to a caller.
+const LAPSE_MARGIN: Duration = Duration::from_millis(150);
+
+/// How long an intent entitles its writer to promote. Below `CHANGE_PATIENCE` by a call's time.
+const HOLD_TIME: Duration = Duration::from_millis(3400);
+
+/// The pause between two announcements to those who have not answered.
+const ANNOUNCE_GAP: Duration = Duration::from_millis(60);
+
+/// The pause between two looks whether members have got as far as they must.
+const LOOK_GAP: Duration = Duration::from_millis(50);
+
+/// How long a planned change waits for its successor to receive the primary's last commits.
+const CATCH_UP_LIMIT: Duration = Duration::from_millis(800);
+
+/// The pause before a promotion is ordered again that was not accepted.
+const ORDER_PAUSE: Duration = Duration::from_millis(80);
+
+/// The most time for a call to the store.
+const CALL_LIMIT: Duration = Duration::from_millis(1000);
+
+/// Why a primary was not changed.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[ignore_extra_doc_attributes]
+pub(super) enum ChangeError {
+    /// another instance was faster
+    Overtaken,
+    /// no member can take over
+    NoCandidate,
+    /// the time for the change is over
+    TooLate,
+    /// the store: {0}
+    Store(StoreError),
+}
+
+impl From<StoreError> for ChangeError {
+    fn from(error: StoreError) -> Self {
+        match error {
+            StoreError::Conflict => Self::Overtaken,
+            error => Self::Store(error),
+        }
+    }
+}
+
+/// A version of the record that this instance wrote.
+struct WrittenRecord {
+    record: LeadRecord,
+    version: ObjectVersion,
+    /// When the answer came, so that the write had taken effect by then.
+    done_at: Duration,
+}
+
+/// One change under way.
+struct ChangeRun<'a> {
+    engine: &'a Arc<ProxyEngine>,
+    exchange: &'a PeerExchange,
+    group: &'a Arc<ServiceGroup>,
+}
+
+/// Changes the primary.
+pub(super) async fn change_primary(
+    engine: &Arc<ProxyEngine>,
+    exchange: &PeerExchange,
+    group: &Arc<ServiceGroup>,
+    cause: ChangeCause,
+) -> Result<(), ChangeError> {
+    let run = ChangeRun { engine, exchange, group };
+    let (before, version) = run.read_current().await?;
+    let previous = match &before.phase {
+        LeadPhase::Settled { primary, .. } => Some(primary.clone()),
+        LeadPhase::Changing { previous, .. } => previous.clone(),
+    };
+    // Guards against a service without any primary: while no other member answers, the present
+    // one is better than none.
+    let unfinished = cause == ChangeCause::Unfinished;
+    if run.ask_candidates(previous.as_ref(), unfinished).await.is_empty() {
+        return Err(ChangeError::NoCandidate);
+    }
+    log::info!(
+        service:% = group.service(), epoch:% = before.epoch, cause = cause.word();
+        "a change of primary begins"
+    );
+    let planned = cause == ChangeCause::Leaving;
+    let holder = engine.identity().name.clone();
+    let phase = LeadPhase::Changing { holder, previous: previous.clone(), planned };
+    let intent = run.write(before.epoch.next(), phase, Some(&version)).await?;
+    run.stop_all(&intent).await;
+    let leader = run.promote(&intent, previous.as_ref(), planned, unfinished).await?;
+    run.settle(&intent, &leader, previous.as_ref()).await
+}
+
+/// Writes the first record of a service: the member that says it leads.
+pub(super) async fn record_first(
+    engine: &Arc<ProxyEngine>,
+    exchange: &PeerExchange,
+    group: &Arc<ServiceGroup>,
+) -> Result<(), ChangeError> {
+    let run = ChangeRun { engine, exchange, group };
+    let reports = ask_statuses(engine, &group.members()).await;
+    let leads = |report: &&MemberReport| report.status.role == MemberRole::Primary;
+    let leader = reports.iter().filter(leads).max_by_key(|report| report.status.accepted);
+    let leader = leader.ok_or(ChangeError::NoCandidate)?;
+    let phase = LeadPhase::Settled {
+        primary: leader.member.clone(),
+        term: leader.status.accepted,
+        base: None,
+    };
+    let first = run.write(LeaderEpoch::default().next(), phase, None).await?;
+    run.announce(&first.record).await;
+    Ok(())
+}
+
+impl ChangeRun<'_> {
+    async fn read_current(&self) -> Result<(LeadRecord, ObjectVersion), ChangeError> {
+        let store = &self.engine.borders().store;
+        let sent_at = boot_time();
+        let get = store.get(ObjectKind::PrimaryRecord, self.group.service().as_str());
+        let object = limited(get).await?.ok_or(ChangeError::Overtaken)?;
+        let (_, record) = read_record(&object).ok_or(ChangeError::Overtaken)?;
+        let known = self.group.with_book(|book| book.epoch());
+        self.engine.observe(self.group.service(), &record, sent_at);
+        if record.epoch != known {
+            return Err(ChangeError::Overtaken);
+        }
+        Ok((record, object.version))
+    }
+
+    /// Writes a version of the record, on condition that the one before is in place.
+    async fn write(
+        &self,
+        epoch: LeaderEpoch,
+        phase: LeadPhase,
+        expected: Option<&ObjectVersion>,
+    ) -> Result<WrittenRecord, ChangeError> {
+        let mark = uuid::Uuid::new_v4().simple().to_string();
+        let record = LeadRecord { epoch, mark, phase };
+        let spec = serde_json::to_value(&record)
+            .map_err(|error| ChangeError::Store(StoreError::Refused(error.to_string())))?;
+        let store = &self.engine.borders().store;
+        let name = self.group.service().as_str();
+        let sent_at = boot_time();
+        let put = limited(store.put(ObjectKind::PrimaryRecord, name, expected, spec)).await;
+        let version = match put {
+            Ok(object) => object.version,
+            // The answer may be lost after the effect, and a resent call meets its own effect.
+            Err(StoreError::Conflict | StoreError::Unresolved) => {
+                self.find_own(&record).await?
+            }
+            Err(error) => return Err(error.into()),
+        };
+        self.engine.observe(self.group.service(), &record, sent_at);
+        Ok(WrittenRecord { record, version, done_at: boot_time() })
+    }
+
+    /// Whether a write of this instance took effect after all.
+    async fn find_own(&self, record: &LeadRecord) -> Result<ObjectVersion, ChangeError> {
+        let store = &self.engine.borders().store;
+        let get = store.get(ObjectKind::PrimaryRecord, self.group.service().as_str());
+        let object = limited(get).await?.ok_or(ChangeError::Overtaken)?;
+        match read_record(&object) {
+            Some((_, found)) if found.mark == record.mark => Ok(object.version),
+            _ => Err(ChangeError::Overtaken),
+        }
+    }
+
+    /// Returns once no instance answers for the version before `intent`.
+    async fn stop_all(&self, intent: &WrittenRecord) {
+        let service = self.group.service();
+        let lapsed_at = intent.done_at + PERMIT_LIFE + LAPSE_MARGIN;
+        // Read after the intent was written: an instance that registers later reads the intent.
+        let listed = read_seats(self.engine).await;
+        if let Err(error) = &listed {
+            log::info!(reason:% = error; "the list of instances was not read");
+        }
+        stop_answering(self.engine, service).await;
+        while boot_time() < lapsed_at {
+            let left = self.engine.board().not_stopped(service, intent.record.epoch);
+            // Without the list there may be instances that nobody here knows.
+            if left.is_empty() && listed.is_ok() {
+                break;
+            }
+            let receivers: Vec<_> = left.iter().map(|seat| seat.address).collect();
+            let message = PeerMessage::Announce(self.copy_of(&intent.record));
+            self.exchange.send_all(&message, &receivers).await;
+            let wait = lapsed_at.saturating_sub(boot_time()).min(ANNOUNCE_GAP);
+            self.engine.board().wait_stopped(wait).await;
+        }
+        let unheard = self.engine.board().not_stopped(service, intent.record.epoch);
+        log::info!(
+            service:% = service, epoch:% = intent.record.epoch, unheard = unheard.len(),
+            waited_ms = boot_time().saturating_sub(intent.done_at).as_millis();
+            "all instances stopped answering for the old primary"
+        );
+    }
+
+    fn copy_of(&self, record: &LeadRecord) -> RecordCopy {
+        RecordCopy { service: self.group.service().clone(), record: record.clone(), age_ms: 0 }
+    }
+
+    async fn announce(&self, record: &LeadRecord) {
+        let receivers = self.engine.board().addresses();
+        let message = PeerMessage::Announce(self.copy_of(record));
+        self.exchange.send_all(&message, &receivers).await;
+    }
+
+    /// The members that may take over, with what they say of themselves.
+    async fn ask_candidates(
+        &self,
+        previous: Option<&MemberName>,
+        previous_too: bool,
+    ) -> Vec<MemberReport> {
+        let mut members = self.group.members();
+        members.retain(|member| {
+            let ready = member.entry().state == MemberState::Ready;
+            ready && (previous_too || Some(member.name()) != previous)
+        });
+        ask_statuses(self.engine, &members).await
+    }
+
+    /// Promotes a member; returns its name, term and position as a primary.
+    async fn promote(
+        &self,
+        intent: &WrittenRecord,
+        previous: Option<&MemberName>,
+        planned: bool,
+        unfinished: bool,
+    ) -> Result<MemberReport, ChangeError> {
+        if planned && let Some(member) = previous.and_then(|name| self.group.member(name)) {
+            self.await_catch_up(&member).await;
+        }
+        let mut rejected: Vec<MemberName> = Vec::new();
+        loop {
+            let mut reports = self.ask_candidates(previous, unfinished).await;
+            // An earlier holder's order may have come into effect.
+            if let Some(leader) = newest_leader(&reports, previous) {
+                return Ok(leader.clone());
+            }
+            reports.retain(|report| !rejected.contains(&report.member));
+            let positions = reports
+                .iter()
+                .map(|report| (report.member.clone(), report.status.received))
+                .collect();
+            let candidates = order_candidates(positions);
+            // Checked right before the order: a holder that was suspended must not promote after
+            // another one took over.
+            if boot_time() >= intent.done_at + HOLD_TIME {
+                return Err(ChangeError::TooLate);
+            }
+            let Some((candidate, _)) = candidates.first() else {
+                rejected.clear();
+                tokio::time::sleep(LOOK_GAP).await;
+                continue;
+            };
+            let before = reports.iter().map(|report| report.status.accepted).max();
+            match self.order(intent, candidate).await {
+                Ok(()) | Err(PromotionError::Unanswered) => {
+                    let before = before.unwrap_or_default();
+                    if let Some(leader) = self.await_leader(intent, candidate, before).await {
+                        return Ok(leader);
+                    }
+                }
+                Err(PromotionError::Rejected) => rejected.push(candidate.clone()),
+                Err(PromotionError::TurnedAway(_)) => tokio::time::sleep(ORDER_PAUSE).await,
+            }
+        }
+    }
+
+    async fn order(
+        &self,
+        intent: &WrittenRecord,
+        candidate: &MemberName,
+    ) -> Result<(), PromotionError> {
+        let order = PromotionOrder {
+            service: self.group.service().clone(),
+            member: candidate.clone(),
+            holder: self.engine.identity().name.to_string(),
+            token: intent.record.epoch.0,
+        };
+        let call = self.engine.borders().promotion.promote(&order);
+        let outcome = tokio::time::timeout(CALL_LIMIT, call).await;
+        let outcome = outcome.unwrap_or(Err(PromotionError::Unanswered));
+        log::info!(
+            service:% = order.service, member:% = candidate, token = order.token,
+            outcome:? = outcome; "a promotion was ordered"
+        );
+        outcome
+    }
+
+    /// Waits until the member leads a newer term than `before`.
+    async fn await_leader(
+        &self,
+        intent: &WrittenRecord,
+        candidate: &MemberName,
+        before: LogTerm,
+    ) -> Option<MemberReport> {
+        let member = self.group.member(candidate)?;
+        let until = intent.done_at + HOLD_TIME + CALL_LIMIT;
+        while boot_time() < until {
+            match ask_status(self.engine, &member).await {
+                Ok(report) if leads_since(&report, before) => return Some(report),
+                Ok(_) => {}
+                Err(error) => {
+                    log::info!(member:% = candidate, reason:% = error; "a promoted member is silent");
+                }
+            }
+            tokio::time::sleep(LOOK_GAP).await;
+        }
+        None
+    }
+
+    /// Waits until a successor has received all that the leaving primary committed.
+    ///
+    /// Nobody writes there any more, so its position is final; promoting before a successor has
+    /// got there would lose acknowledged commits.
+    async fn await_catch_up(&self, primary: &GroupMember) {
+        let Ok(last) = ask_status(self.engine, primary).await else {
+            log::warn!(member:% = primary.name(); "a leaving primary gives no position");
+            return;
+        };
+        let until = boot_time() + CATCH_UP_LIMIT;
+        while boot_time() < until {
+            let reports = self.ask_candidates(Some(primary.name()), false).await;
+            if reports.iter().any(|report| report.status.received >= last.status.received) {
+                return;
+            }
+            tokio::time::sleep(LOOK_GAP).await;
+        }
+        log::warn!(
+            member:% = primary.name(), position:% = last.status.received;
+            "no successor has received all commits of a leaving primary"
+        );
+    }
+
+    async fn settle(
+        &self,
+        intent: &WrittenRecord,
+        leader: &MemberReport,
+        previous: Option<&MemberName>,
+    ) -> Result<(), ChangeError> {
+        let term = leader.status.accepted;
+        let base = Some(base_of(leader));
+        let phase = LeadPhase::Settled { primary: leader.member.clone(), term, base };
+        let epoch = intent.record.epoch.next();
+        let settled = self.write(epoch, phase, Some(&intent.version)).await?;
+        self.announce(&settled.record).await;
+        log::info!(
+            service:% = self.group.service(), epoch:% = epoch, member:% = leader.member,
+            term:% = term, position:% = leader.status.received,
+            took_ms = boot_time().saturating_sub(intent.done_at).as_millis();
+            "the primary was changed"
+        );
+        let old = previous.filter(|name| **name != leader.member);
+        if let Some(member) = old.and_then(|name| self.group.member(name)) {
+            step_down(self.engine, &member, term).await;
+        }
+        Ok(())
+    }
+}
+
+/// All of the earlier terms that survives at a new primary.
+fn base_of(leader: &MemberReport) -> LogStamp {
+    leader.status.received
+}
+
+fn leads_since(report: &MemberReport, before: LogTerm) -> bool {
+    report.status.role == MemberRole::Primary && report.status.accepted > before
+}
+
+/// A member other than the previous primary that leads the newest term.
+fn newest_leader<'a>(
+    reports: &'a [MemberReport],
+    previous: Option<&MemberName>,
+) -> Option<&'a MemberReport> {
+    let newest = reports.iter().map(|report| report.status.accepted).max()?;
+    reports.iter().find(|report| {
+        report.status.role == MemberRole::Primary
+            && report.status.accepted == newest
+            && Some(&report.member) != previous
+    })
+}
+
+async fn limited<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
+    tokio::time::timeout(CALL_LIMIT, call).await.unwrap_or(Err(StoreError::Unresolved))
+}
--- /dev/null
+++ b/crates/rudder-engine/src/duty/drain.rs
@@ -0,0 +1,47 @@
+//! Stopping an instance without cutting what it serves.
+
+use super::registry::deregister;
+use super::start::EngineTiming;
+use crate::engine::{DrainPhase, ProxyEngine};
+use std::sync::Arc;
+
+/// The part of the grace time after which open transactions are given up.
+const TRANSACTION_PART: f64 = 0.5;
+
+/// The part of the grace time after which the process ends, whatever is still open. What is left
+/// serves for the end itself, on a slow machine.
+const END_PART: f64 = 0.85;
+
+/// Leads an instance to its end: callers are asked to go elsewhere as their work ends, open
+/// transactions have half of the grace time, and the rest ends a little before it is over.
+///
+/// Returns when the process may end. `idle` tells whether no caller is left.
+///
+/// ```no_run
+/// # async fn example(engine: std::sync::Arc<rudder_engine::ProxyEngine>) {
+/// use rudder_engine::{EngineTiming, stop_engine};
+/// use std::time::Duration;
+/// let timing =
+///     EngineTiming { grace: Duration::from_secs(6), member_drain: Duration::from_secs(7) };
+/// stop_engine(&engine, timing, || true).await;
+/// # }
+/// ```
+pub async fn stop_engine(
+    engine: &Arc<ProxyEngine>,
+    timing: EngineTiming,
+    idle: impl Fn() -> bool,
+) {
+    let began_at = tokio::time::Instant::now();
+    engine.set_drain(DrainPhase::Leaving);
+    log::info!(grace_ms = timing.grace.as_millis(); "this instance stops");
+    let closing_at = began_at + timing.grace.mul_f64(TRANSACTION_PART);
+    let end_at = began_at + timing.grace.mul_f64(END_PART);
+    tokio::time::sleep_until(closing_at).await;
+    engine.set_drain(DrainPhase::Closing);
+    let look_gap = timing.grace / 100;
+    while !idle() && tokio::time::Instant::now() + look_gap < end_at {
+        tokio::time::sleep(look_gap).await;
+    }
+    deregister(engine).await;
+    log::info!(idle = idle(); "this instance ends");
+}
--- /dev/null
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -0,0 +1,185 @@
+//! Decides for each service whether its primary is to be changed, and deals out connections.
+
+use super::change;
+use crate::clock::boot_time;
+use crate::engine::{DrainPhase, ProxyEngine};
+use crate::group::{GroupMember, MemberState, ServiceGroup};
+use crate::lead::{ChangeCause, GroupSigns, judge_change};
+use crate::peers::PeerExchange;
+use rudder_core::{MemberName, MemberRole, ServiceName};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// How often the signs are judged.
+const LOOK_GAP: Duration = Duration::from_millis(50);
+
+/// Looks between two deals of connections.
+const LOOKS_PER_DEAL: u32 = 5;
+
+/// The age of the list of members from which on an entry that is missing in it says nothing.
+const LIST_AGE_MAX: Duration = Duration::from_millis(3000);
+
+/// The pause after a change that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(500);
+
+/// Since when signs have been seen that must last before they count.
+#[derive(Clone, Debug, Default)]
+struct LastingSigns {
+    absent_since: Option<Duration>,
+    usurped_since: Option<Duration>,
+}
+
+struct GroupWatch {
+    service: ServiceName,
+    signs: LastingSigns,
+    /// No change is tried before this moment.
+    pause_until: Duration,
+}
+
+/// Services with a change under way on this instance.
+type Busy = Arc<Mutex<Vec<ServiceName>>>;
+
+/// Judges all services again and again.
+pub(crate) async fn keep(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
+    let busy = Busy::default();
+    let mut watches: Vec<GroupWatch> = Vec::new();
+    let mut looks = 0_u32;
+    loop {
+        tokio::time::sleep(LOOK_GAP).await;
+        looks = looks.wrapping_add(1);
+        for group in engine.groups() {
+            let index = watch_of(&mut watches, group.service());
+            look(&engine, &exchange, &group, &mut watches[index], &busy);
+        }
+        if looks.is_multiple_of(LOOKS_PER_DEAL) {
+            deal_connections(&engine);
+        }
+    }
+}
+
+fn watch_of(watches: &mut Vec<GroupWatch>, service: &ServiceName) -> usize {
+    match watches.binary_search_by(|watch| watch.service.cmp(service)) {
+        Ok(index) => index,
+        Err(index) => {
+            let signs = LastingSigns::default();
+            let pause_until = Duration::ZERO;
+            watches.insert(index, GroupWatch { service: service.clone(), signs, pause_until });
+            index
+        }
+    }
+}
+
+fn look(
+    engine: &Arc<ProxyEngine>,
+    exchange: &PeerExchange,
+    group: &Arc<ServiceGroup>,
+    watch: &mut GroupWatch,
+    busy: &Busy,
+) {
+    let now = boot_time();
+    let signs = read_signs(engine, group, &mut watch.signs, now);
+    if now < watch.pause_until || engine.drain_phase() != DrainPhase::Serving {
+        return;
+    }
+    let epoch = group.with_book(|book| book.epoch());
+    let votes = engine.board().votes(group.service(), epoch, signs.silent_since.is_some());
+    let cause = group
+        .with_book(|book| judge_change(book, &signs, &engine.identity().name, &votes, now));
+    let first = engine.is_recordless(group.service()) && !group.members().is_empty();
+    if cause.is_none() && !first {
+        return;
+    }
+    {
+        let mut busy = busy.lock().unwrap_or_else(PoisonError::into_inner);
+        if busy.contains(group.service()) {
+            return;
+        }
+        busy.push(group.service().clone());
+    }
+    watch.pause_until = now + FAILED_PAUSE;
+    watch.signs = LastingSigns::default();
+    spawn_change(engine, exchange, group, cause, busy);
+}
+
+fn spawn_change(
+    engine: &Arc<ProxyEngine>,
+    exchange: &PeerExchange,
+    group: &Arc<ServiceGroup>,
+    cause: Option<ChangeCause>,
+    busy: &Busy,
+) {
+    let engine = Arc::clone(engine);
+    let exchange = exchange.clone();
+    let group = Arc::clone(group);
+    let busy = Arc::clone(busy);
+    tokio::spawn(async move {
+        let word = cause.map_or("first", ChangeCause::word);
+        let outcome = match cause {
+            Some(cause) => change::change_primary(&engine, &exchange, &group, cause).await,
+            None => change::record_first(&engine, &exchange, &group).await,
+        };
+        match outcome {
+            Ok(()) => log::info!(
+                service:% = group.service(), cause = word, outcome = "done";
+                "a change of primary ended"
+            ),
+            Err(error) => log::warn!(
+                service:% = group.service(), cause = word, outcome = "not_done", reason:% = error;
+                "a change of primary ended"
+            ),
+        }
+        let mut busy = busy.lock().unwrap_or_else(PoisonError::into_inner);
+        busy.retain(|service| service != group.service());
+    });
+}
+
+fn read_signs(
+    engine: &ProxyEngine,
+    group: &ServiceGroup,
+    lasting: &mut LastingSigns,
+    now: Duration,
+) -> GroupSigns {
+    let members = group.members();
+    let primary =
+        group.with_book(|book| book.record().and_then(|record| record.primary().cloned()));
+    let present = primary.as_ref().and_then(|primary| group.member(primary));
+    let listed = engine.members_confirmed_at().is_some_and(|at| now < at + LIST_AGE_MAX);
+    let absent = listed && primary.is_some() && present.is_none();
+    let usurped = present.as_deref().is_some_and(|primary| is_usurped(primary, &members));
+    lasting.absent_since = lasting_since(lasting.absent_since, absent, now);
+    lasting.usurped_since = lasting_since(lasting.usurped_since, usurped, now);
+    GroupSigns {
+        silent_since: group.silent_since(),
+        absent_since: lasting.absent_since,
+        usurped_since: lasting.usurped_since,
+        draining: present.is_some_and(|primary| !primary.serves_reads()),
+        replaceable: members.iter().any(|member| is_successor(member, primary.as_ref())),
+    }
+}
+
+fn lasting_since(since: Option<Duration>, seen: bool, now: Duration) -> Option<Duration> {
+    seen.then(|| since.unwrap_or(now))
+}
+
+/// Whether the primary says that it does not lead, and another member says that it does.
+fn is_usurped(primary: &GroupMember, members: &[Arc<GroupMember>]) -> bool {
+    let leads = |member: &GroupMember| member.entry().role == MemberRole::Primary;
+    let other = members.iter().any(|member| member.name() != primary.name() && leads(member));
+    other && !leads(primary)
+}
+
+fn is_successor(member: &GroupMember, primary: Option<&MemberName>) -> bool {
+    Some(member.name()) != primary && member.entry().state == MemberState::Ready
+}
+
+fn deal_connections(engine: &ProxyEngine) {
+    let Some(settings) = engine.settings() else { return };
+    let domains = engine.board().domains();
+    for group in engine.groups() {
+        let rules = &settings.services;
+        if let Ok(index) = rules.binary_search_by(|rule| rule.service.cmp(group.service())) {
+            let connections_max = rules[index].connections_max;
+            group.set_shares(connections_max, &engine.identity().domain, &domains);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -0,0 +1,14 @@
+//! What an instance does besides serving: its share of the control work.
+
+mod change;
+mod control;
+mod drain;
+mod keeper;
+mod pulse;
+mod records;
+mod registry;
+mod start;
+mod watch;
+
+pub use drain::stop_engine;
+pub use start::{EngineTiming, start_engine};
--- /dev/null
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -0,0 +1,167 @@
+//! Signs of life between instances, and the answers to peers' questions.
+
+use crate::clock::boot_time;
+use crate::engine::{DrainPhase, ProxyEngine};
+use crate::lead::{LeadPhase, LeaderEpoch};
+use crate::peers::{
+    GroupPulse, PeerExchange, PeerMessage, PeerPulse, RecordCopy, StopWord, fetch_settings,
+};
+use rudder_core::ServiceName;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// The pause between two pulses while nothing changes.
+const PULSE_GAP: Duration = Duration::from_millis(1000);
+
+/// How often a change is looked for that is worth a pulse of its own.
+const LOOK_GAP: Duration = Duration::from_millis(50);
+
+/// How long statements under way may hold up this instance's word that it has stopped. Nearly
+/// all commits are answered within it; the rest is answered as unknown.
+const STOP_WAIT: Duration = Duration::from_millis(250);
+
+/// The pause between two looks whether statements are still under way.
+const STOP_LOOK: Duration = Duration::from_millis(5);
+
+/// Sends pulses: once a second, and at once when this instance changes its mind on a primary.
+pub(crate) async fn send(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
+    let mut last: Option<(PeerPulse, Instant)> = None;
+    loop {
+        let pulse = compose(&engine);
+        let due = last.as_ref().is_none_or(|(told, at)| {
+            at.elapsed() >= PULSE_GAP || told.groups != pulse.groups || told.leaving != pulse.leaving
+        });
+        if due {
+            let receivers = engine.board().addresses();
+            exchange.send_all(&PeerMessage::Pulse(pulse.clone()), &receivers).await;
+            last = Some((pulse, Instant::now()));
+        }
+        tokio::time::sleep(LOOK_GAP).await;
+    }
+}
+
+fn compose(engine: &ProxyEngine) -> PeerPulse {
+    let groups = engine.groups().into_iter().map(|group| GroupPulse {
+        service: group.service().clone(),
+        epoch: group.with_book(|book| book.epoch()),
+        suspects: group.silent_since().is_some(),
+    });
+    PeerPulse {
+        instance: engine.identity().name.clone(),
+        domain: engine.identity().domain.clone(),
+        settings: engine.settings_version().map_or(0, |version| version.0),
+        leaving: engine.drain_phase() != DrainPhase::Serving,
+        groups: groups.collect(),
+    }
+}
+
+/// Takes in peers' datagrams.
+pub(crate) async fn receive(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
+    loop {
+        let (message, from) = exchange.receive().await;
+        match message {
+            PeerMessage::Pulse(pulse) => take_pulse(&engine, pulse, from),
+            PeerMessage::Announce(copy) => take_announcement(&engine, &exchange, copy, from).await,
+            PeerMessage::Stopped(word) => engine.board().note_stopped(word),
+            PeerMessage::Ask(question) => {
+                let records = copy_records(&engine);
+                exchange.send(&PeerMessage::Records { question, records }, from).await;
+            }
+            PeerMessage::Records { question, records } => {
+                take_records(&engine, question, &records);
+            }
+        }
+    }
+}
+
+fn take_pulse(engine: &Arc<ProxyEngine>, pulse: PeerPulse, from: SocketAddr) {
+    let version = pulse.settings;
+    engine.board().note_pulse(pulse, from);
+    let known = engine.settings_version().map_or(0, |version| version.0);
+    if version > known && engine.may_fetch_settings() {
+        let engine = Arc::clone(engine);
+        tokio::spawn(async move {
+            // The store's own word is on its way to an instance that it serves.
+            tokio::time::sleep(PULSE_GAP / 2).await;
+            let known = engine.settings_version().map_or(0, |version| version.0);
+            if let Some(peer) = engine.board().newer_settings(known)
+                && let Some(settings) = fetch_settings(peer).await
+            {
+                log::info!(peer:% = peer, version:% = settings.version; "settings had from a peer");
+                engine.apply_settings(settings);
+            }
+            engine.end_fetch_settings();
+        });
+    }
+}
+
+/// A peer has written a new version of a record.
+async fn take_announcement(
+    engine: &Arc<ProxyEngine>,
+    exchange: &PeerExchange,
+    copy: RecordCopy,
+    from: SocketAddr,
+) {
+    let service = copy.service;
+    let new = engine.observe(&service, &copy.record, Duration::ZERO);
+    if let LeadPhase::Changing { .. } = copy.record.phase {
+        let engine = Arc::clone(engine);
+        let exchange = exchange.clone();
+        tokio::spawn(async move {
+            let epoch = stop_answering(&engine, &service).await;
+            let instance = engine.identity().name.clone();
+            let word = StopWord { instance, service, epoch };
+            exchange.send(&PeerMessage::Stopped(word), from).await;
+        });
+    } else if new {
+        // A datagram does not say how old it is; a question's answer does.
+        ask_peer(engine, exchange, from).await;
+    }
+}
+
+pub(super) async fn ask_peer(engine: &ProxyEngine, exchange: &PeerExchange, peer: SocketAddr) {
+    let question = rand::random::<u64>();
+    engine.board().note_question(question);
+    exchange.send(&PeerMessage::Ask(question), peer).await;
+}
+
+/// Lets statements under way end, for a moment; then this instance answers for no version of the
+/// record before the one it returns.
+pub(super) async fn stop_answering(engine: &ProxyEngine, service: &ServiceName) -> LeaderEpoch {
+    let group = engine.group(service);
+    let until = Instant::now() + STOP_WAIT;
+    loop {
+        let force = Instant::now() >= until;
+        let (stopped, epoch) = group.with_book(|book| (book.stop(force), book.epoch()));
+        if stopped {
+            return epoch;
+        }
+        tokio::time::sleep(STOP_LOOK).await;
+    }
+}
+
+fn copy_records(engine: &ProxyEngine) -> Vec<RecordCopy> {
+    let now = boot_time();
+    let copy = |group: Arc<crate::group::ServiceGroup>| {
+        let service = group.service().clone();
+        group.with_book(|book| {
+            let record = book.record()?.clone();
+            let age = now.saturating_sub(book.confirmed_at());
+            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX).saturating_add(1);
+            Some(RecordCopy { service, record, age_ms })
+        })
+    };
+    engine.groups().into_iter().filter_map(copy).collect()
+}
+
+/// The answer to a question of this instance's own.
+fn take_records(engine: &ProxyEngine, question: u64, records: &[RecordCopy]) {
+    let Some(asked_at) = engine.board().asked_at(question) else { return };
+    for copy in records {
+        // Guards against an answer that was long on its way: the peer looked after the question
+        // was sent, so counted from then its word is older than it says, never younger.
+        let confirmed_at = asked_at.saturating_sub(Duration::from_millis(copy.age_ms));
+        engine.observe(&copy.service, &copy.record, confirmed_at);
+    }
+}
--- /dev/null
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -0,0 +1,85 @@
+//! Follows the records of all services, and with them the permits.
+
+use crate::clock::boot_time;
+use crate::engine::ProxyEngine;
+use crate::lead::LeadRecord;
+use crate::peers::{PeerExchange, PeerMessage};
+use rudder_core::ServiceName;
+use rudder_store::{ObjectKind, StoreError, StoredObject};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The pause between two reads. A permit lives for 1.5 s, so that two reads may fail.
+const READ_GAP: Duration = Duration::from_millis(400);
+
+/// The most time for one read. The store answers in milliseconds, and in some hundred when slow.
+const READ_LIMIT: Duration = Duration::from_millis(500);
+
+/// Peers that are asked when the store does not answer.
+const PEERS_ASKED: usize = 2;
+
+/// Reads all records again and again; asks peers while the store does not answer.
+pub(crate) async fn follow(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
+    let mut reachable = true;
+    loop {
+        let sent_at = boot_time();
+        let answer = read_all(&engine).await;
+        match &answer {
+            Ok(records) => {
+                for (service, record) in records {
+                    engine.observe(service, record, sent_at);
+                }
+                let services: Vec<_> = records.iter().map(|(service, _)| service.clone()).collect();
+                engine.note_records_read(&services);
+            }
+            Err(_) => ask_peers(&engine, &exchange).await,
+        }
+        if answer.is_ok() != reachable {
+            reachable = answer.is_ok();
+            let reason = answer.err().map_or_else(|| "answered".to_owned(), |e| e.to_string());
+            log::warn!(reachable = reachable, reason:% = reason; "the store's records");
+        }
+        let gap = if reachable { READ_GAP } else { READ_GAP / 2 };
+        tokio::time::sleep(gap.saturating_sub(boot_time().saturating_sub(sent_at))).await;
+    }
+}
+
+async fn read_all(engine: &ProxyEngine) -> Result<Vec<(ServiceName, LeadRecord)>, StoreError> {
+    let list = engine.borders().store.list(ObjectKind::PrimaryRecord);
+    let objects = match tokio::time::timeout(READ_LIMIT, list).await {
+        Ok(objects) => objects?,
+        Err(_) => return Err(StoreError::Unavailable),
+    };
+    Ok(objects.iter().filter_map(read_record).collect())
+}
+
+/// Reads one record; one that cannot be read is none.
+pub(super) fn read_record(object: &StoredObject) -> Option<(ServiceName, LeadRecord)> {
+    let service = object.name.parse::<ServiceName>();
+    let record = serde_json::from_value::<LeadRecord>(object.spec.clone());
+    match (service, record) {
+        (Ok(service), Ok(record)) => Some((service, record)),
+        (service, record) => {
+            let reason = record.err().map(|error| error.to_string());
+            let reason = reason.or_else(|| service.err().map(|error| error.to_string()));
+            log::error!(
+                object:% = object.name, reason:% = reason.unwrap_or_default();
+                "a record of a primary is unreadable"
+            );
+            None
+        }
+    }
+}
+
+async fn ask_peers(engine: &ProxyEngine, exchange: &PeerExchange) {
+    let mut live = engine.board().live_addresses();
+    let question = rand::random::<u64>();
+    // Starts at another peer each time, so that one which is cut off as well does not matter.
+    if !live.is_empty() {
+        let turn = usize::try_from(question % live.len() as u64).unwrap_or(0);
+        live.rotate_left(turn);
+    }
+    live.truncate(PEERS_ASKED);
+    engine.board().note_question(question);
+    exchange.send_all(&PeerMessage::Ask(question), &live).await;
+}
--- /dev/null
+++ b/crates/rudder-engine/src/duty/start.rs
@@ -0,0 +1,43 @@
+//! Starting an instance.
+
+use super::{keeper, pulse, records, registry, watch};
+use crate::engine::{EngineBorders, InstanceIdentity, ProxyEngine};
+use crate::peers::{PeerExchange, serve_settings};
+use rudder_core::plain_data;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+plain_data! {
+    /// The bounds that the deployment sets.
+    #[derive(Copy)]
+    pub struct EngineTiming {
+        /// The time between being told to stop and being ended.
+        pub grace: Duration,
+        /// For how long a leaving member still serves after it said so.
+        pub member_drain: Duration,
+    }
+}
+
+/// Starts an instance: its duties run until the process ends.
+///
+/// # Errors
+///
+/// When the address for peers cannot be used.
+pub async fn start_engine(
+    identity: InstanceIdentity,
+    borders: EngineBorders,
+) -> std::io::Result<Arc<ProxyEngine>> {
+    let address = identity.peer_address;
+    let engine = ProxyEngine::new(identity, borders);
+    let exchange = PeerExchange::bind(address).await?;
+    let listener = TcpListener::bind(address).await?;
+    tokio::spawn(serve_settings(Arc::clone(&engine), listener));
+    tokio::spawn(pulse::receive(Arc::clone(&engine), exchange.clone()));
+    tokio::spawn(pulse::send(Arc::clone(&engine), exchange.clone()));
+    tokio::spawn(registry::keep_registered(Arc::clone(&engine)));
+    tokio::spawn(records::follow(Arc::clone(&engine), exchange.clone()));
+    tokio::spawn(watch::supervise(Arc::clone(&engine)));
+    tokio::spawn(keeper::keep(Arc::clone(&engine), exchange));
+    Ok(engine)
+}
--- /dev/null
+++ b/crates/rudder-engine/src/duty/watch.rs
@@ -0,0 +1,114 @@
+//! Watches the primaries: a cheap question where no traffic tells of them.
+
+use crate::border::{LinkError, MemberLink};
+use crate::clock::boot_time;
+use crate::engine::ProxyEngine;
+use crate::group::{GroupMember, ServiceGroup};
+use crate::statement::MemberCommand;
+use rudder_core::{LogStamp, MemberName, ServiceName};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The age of the newest sample from which on the primary is asked. A bounded read needs one
+/// within its bound (a second and more), and a lost primary is to be noticed within half a second.
+const WATCH_GAP: Duration = Duration::from_millis(250);
+
+/// The most time for an answer: the longest round trip between regions, and a resent packet.
+const ANSWER_LIMIT: Duration = Duration::from_millis(350);
+
+/// The pause after a failure.
+const AGAIN_PAUSE: Duration = Duration::from_millis(80);
+
+/// The pause between two looks for new services.
+const LOOK_GAP: Duration = Duration::from_millis(200);
+
+/// Keeps one watch a service.
+pub(crate) async fn supervise(engine: Arc<ProxyEngine>) {
+    let mut watched: Vec<ServiceName> = Vec::new();
+    loop {
+        for group in engine.groups() {
+            if let Err(index) = watched.binary_search(group.service()) {
+                watched.insert(index, group.service().clone());
+                tokio::spawn(watch(Arc::clone(&engine), group));
+            }
+        }
+        tokio::time::sleep(LOOK_GAP).await;
+    }
+}
+
+/// The connection of a watch. It is not one of the pool's, so that callers who hold all of those
+/// do not look like a lost primary.
+struct WatchLink {
+    member: MemberName,
+    link: Box<dyn MemberLink>,
+}
+
+async fn watch(engine: Arc<ProxyEngine>, group: Arc<ServiceGroup>) {
+    let mut link: Option<WatchLink> = None;
+    let mut failing_since: Option<Duration> = None;
+    loop {
+        let gap = if failing_since.is_some() { AGAIN_PAUSE } else { WATCH_GAP };
+        engine.position_wanted(gap).await;
+        let (epoch, primary) = group.with_book(|book| {
+            let primary = book.record().and_then(|record| record.primary().cloned());
+            (book.epoch(), primary)
+        });
+        let Some(member) = primary.and_then(|primary| group.member(&primary)) else {
+            link = None;
+            failing_since = None;
+            continue;
+        };
+        if link.as_ref().is_some_and(|link| &link.member != member.name()) {
+            link = None;
+        }
+        let sampled = group.sampled_at();
+        let now = boot_time();
+        if failing_since.is_none() && sampled.is_some_and(|at| now < at + WATCH_GAP * 4 / 5) {
+            continue;
+        }
+        match ask(&engine, &member, &mut link).await {
+            Ok(Some(stamp)) => {
+                failing_since = None;
+                let permit = group.with_book(|book| book.permit(boot_time()));
+                if let Some(permit) = permit.filter(|permit| permit.epoch == epoch) {
+                    group.note_position(&permit, now, stamp);
+                }
+                group.note_alive();
+            }
+            Ok(None) => failing_since = None,
+            Err(error) => {
+                link = None;
+                if failing_since.is_none() {
+                    log::info!(
+                        service:% = group.service(), member:% = member.name(), epoch:% = epoch,
+                        reason:% = error; "the primary does not answer its watch"
+                    );
+                }
+                let since = *failing_since.get_or_insert(now);
+                group.note_silence(epoch, since);
+            }
+        }
+    }
+}
+
+async fn ask(
+    engine: &ProxyEngine,
+    member: &GroupMember,
+    link: &mut Option<WatchLink>,
+) -> Result<Option<LogStamp>, LinkError> {
+    let talk = async {
+        if link.is_none() {
+            let dialed = engine.borders().dialer.dial(member.pool().target()).await?;
+            *link = Some(WatchLink { member: member.name().clone(), link: dialed });
+        }
+        let Some(open) = link.as_mut() else { return Ok(None) };
+        // Answered with the position at once, however busy the member is.
+        open.link.send(&[MemberCommand::Reset]).await?;
+        Ok(open.link.receive().await?.position)
+    };
+    match tokio::time::timeout(ANSWER_LIMIT, talk).await {
+        Ok(Err(LinkError::Refused(_))) => Ok(None),
+        Ok(answer) => answer,
+        Err(_) => Err(LinkError::Silent),
+    }
+}
--- /dev/null
+++ b/crates/rudder-engine/src/engine.rs
@@ -0,0 +1,306 @@
+//! What all parts of one instance share.
+
+use crate::border::{MemberDialer, PromotionCall};
+use crate::clock::boot_time;
+use crate::group::{MemberEntry, ServiceGroup};
+use crate::lead::LeadRecord;
+use crate::peers::PeerBoard;
+use crate::session::CallerSession;
+use crate::settings::{DatabaseName, FleetSettings, RouteRule, SettingsVersion};
+use crate::statement::StatementError;
+use rudder_core::{DomainName, InstanceName, ServiceName, plain_data};
+use rudder_store::PlatformStore;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+
+/// How long a new caller waits for the first settings of an instance that just started. Callers
+/// give up after two seconds.
+const FIRST_SETTINGS_WAIT: Duration = Duration::from_millis(1500);
+
+/// Idle time of transactions before the settings say it.
+const TRANSACTION_IDLE: Duration = Duration::from_secs(3);
+
+plain_data! {
+    /// Who this instance is.
+    pub struct InstanceIdentity {
+        /// Its name.
+        pub name: InstanceName,
+        /// Its failure domain.
+        pub domain: DomainName,
+        /// The region of that domain.
+        pub region: String,
+        /// Where its peers reach it, by datagram and by connection.
+        pub peer_address: SocketAddr,
+    }
+}
+
+/// The systems around this instance.
+#[derive(Clone)]
+pub struct EngineBorders {
+    /// Opens connections to members.
+    pub dialer: Arc<dyn MemberDialer>,
+    /// Promotes members.
+    pub promotion: Arc<dyn PromotionCall>,
+    /// Keeps the records.
+    pub store: Arc<dyn PlatformStore>,
+}
+
+/// Whether this instance goes on serving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DrainPhase {
+    /// It does.
+    Serving,
+    /// It was told to stop; callers are asked to go elsewhere as their work ends.
+    Leaving,
+    /// Open transactions are given up.
+    Closing,
+}
+
+/// One instance of the proxy.
+pub struct ProxyEngine {
+    identity: InstanceIdentity,
+    borders: EngineBorders,
+    settings: watch::Sender<Option<Arc<FleetSettings>>>,
+    /// Sorted by service.
+    groups: Mutex<Vec<Arc<ServiceGroup>>>,
+    members: Mutex<MemberList>,
+    board: PeerBoard,
+    drain: watch::Sender<DrainPhase>,
+    position_wanted: Notify,
+    /// Whether the store lists this instance, so that a change of primary waits for its word.
+    registered: AtomicBool,
+    /// Whether settings are being fetched from a peer.
+    fetching: AtomicBool,
+    /// Services without a record, as the store's last list showed; none before the first list.
+    recordless: Mutex<Option<Vec<ServiceName>>>,
+}
+
+#[derive(Default)]
+struct MemberList {
+    entries: Vec<MemberEntry>,
+    /// The latest moment at which the list is known to have been current.
+    confirmed_at: Option<Duration>,
+}
+
+impl ProxyEngine {
+    pub(crate) fn new(identity: InstanceIdentity, borders: EngineBorders) -> Arc<Self> {
+        Arc::new(Self {
+            board: PeerBoard::new(&identity),
+            identity,
+            borders,
+            settings: watch::Sender::new(None),
+            groups: Mutex::default(),
+            members: Mutex::default(),
+            drain: watch::Sender::new(DrainPhase::Serving),
+            position_wanted: Notify::new(),
+            registered: AtomicBool::new(false),
+            fetching: AtomicBool::new(false),
+            recordless: Mutex::default(),
+        })
+    }
+
+    pub(crate) fn set_registered(&self, registered: bool) {
+        self.registered.store(registered, Ordering::Release);
+    }
+
+    /// Whether this caller is the one to fetch settings from a peer.
+    pub(crate) fn may_fetch_settings(&self) -> bool {
+        !self.fetching.swap(true, Ordering::AcqRel)
+    }
+
+    pub(crate) fn end_fetch_settings(&self) {
+        self.fetching.store(false, Ordering::Release);
+    }
+
+    /// Takes in which services have a record.
+    pub(crate) fn note_records_read(&self, recorded: &[ServiceName]) {
+        let services = self.groups().into_iter().map(|group| group.service().clone());
+        let without = services.filter(|service| !recorded.contains(service)).collect();
+        *lock(&self.recordless) = Some(without);
+    }
+
+    /// Whether the store's last list had no record of a service.
+    pub(crate) fn is_recordless(&self, service: &ServiceName) -> bool {
+        lock(&self.recordless).as_ref().is_some_and(|without| without.contains(service))
+    }
+
+    /// Takes in a record that was in place at `confirmed_at` or later.
+    pub(crate) fn observe(
+        &self,
+        service: &ServiceName,
+        record: &LeadRecord,
+        confirmed_at: Duration,
+    ) -> bool {
+        // Guards against a permit that no change of primary waits for: an instance that the store
+        // does not list yet may know the record, but must not answer for the primary.
+        let listed = self.registered.load(Ordering::Acquire);
+        let confirmed_at = if listed { confirmed_at } else { Duration::ZERO };
+        self.group(service).observe(record, confirmed_at)
+    }
+
+    pub(crate) fn identity(&self) -> &InstanceIdentity {
+        &self.identity
+    }
+
+    /// The name of this instance.
+    #[must_use]
+    pub fn identity_name(&self) -> &InstanceName {
+        &self.identity.name
+    }
+
+    pub(crate) fn borders(&self) -> &EngineBorders {
+        &self.borders
+    }
+
+    pub(crate) fn board(&self) -> &PeerBoard {
+        &self.board
+    }
+
+    /// Whether this instance knows enough to serve.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let led = self.groups().iter().any(|group| !group.members().is_empty());
+        self.settings.borrow().is_some() && led && self.drain_phase() == DrainPhase::Serving
+    }
+
+    /// Whether this instance goes on serving.
+    #[must_use]
+    pub fn drain_phase(&self) -> DrainPhase {
+        *self.drain.borrow()
+    }
+
+    /// Tells when that changes.
+    #[must_use]
+    pub fn watch_drain(&self) -> watch::Receiver<DrainPhase> {
+        self.drain.subscribe()
+    }
+
+    pub(crate) fn set_drain(&self, phase: DrainPhase) {
+        self.drain.send_replace(phase);
+    }
+
+    /// Takes in a version of the settings; an older one than is in force is dropped.
+    pub fn apply_settings(&self, settings: FleetSettings) {
+        let known = self.settings_version();
+        if known.is_some_and(|known| settings.version <= known) {
+            return;
+        }
+        log::info!(
+            version:% = settings.version, routes = settings.routes.len(),
+            services = settings.services.len(); "settings are in force"
+        );
+        self.settings.send_replace(Some(Arc::new(settings)));
+    }
+
+    /// The version in force.
+    #[must_use]
+    pub fn settings_version(&self) -> Option<SettingsVersion> {
+        self.settings.borrow().as_ref().map(|settings| settings.version)
+    }
+
+    pub(crate) fn settings(&self) -> Option<Arc<FleetSettings>> {
+        self.settings.borrow().clone()
+    }
+
+    pub(crate) fn route(&self, database: &DatabaseName) -> Option<Arc<RouteRule>> {
+        self.settings.borrow().as_ref()?.route(database).cloned()
+    }
+
+    pub(crate) fn transaction_idle(&self) -> Duration {
+        let settings = self.settings.borrow();
+        settings.as_ref().map_or(TRANSACTION_IDLE, |settings| settings.transaction_idle)
+    }
+
+    /// Takes in the members of all services, as they were at `confirmed_at` or later.
+    pub fn apply_members(&self, entries: Vec<MemberEntry>) {
+        self.confirm_members();
+        let mut list = lock(&self.members);
+        if list.entries == entries {
+            return;
+        }
+        list.entries = entries.clone();
+        drop(list);
+        log::info!(members = entries.len(); "the list of members changed");
+        let mut services: Vec<ServiceName> =
+            entries.iter().map(|entry| entry.target.service.clone()).collect();
+        services.sort_unstable();
+        services.dedup();
+        for service in &services {
+            self.group(service);
+        }
+        for group in self.groups() {
+            let of_group = |entry: &&MemberEntry| entry.target.service == *group.service();
+            let own: Vec<MemberEntry> = entries.iter().filter(of_group).cloned().collect();
+            group.set_members(&own, &self.borders.dialer);
+        }
+    }
+
+    /// Takes in that the list of members is current.
+    pub fn confirm_members(&self) {
+        lock(&self.members).confirmed_at = Some(boot_time());
+    }
+
+    /// When the list of members was last known to be current.
+    pub(crate) fn members_confirmed_at(&self) -> Option<Duration> {
+        lock(&self.members).confirmed_at
+    }
+
+    /// The group of a service; made if it is new.
+    pub(crate) fn group(&self, service: &ServiceName) -> Arc<ServiceGroup> {
+        let mut groups = lock(&self.groups);
+        match groups.binary_search_by(|group| group.service().cmp(service)) {
+            Ok(index) => Arc::clone(&groups[index]),
+            Err(index) => {
+                let group = ServiceGroup::new(service.clone());
+                groups.insert(index, Arc::clone(&group));
+                group
+            }
+        }
+    }
+
+    pub(crate) fn groups(&self) -> Vec<Arc<ServiceGroup>> {
+        lock(&self.groups).clone()
+    }
+
+    /// Asks the watch of the primary for its position now.
+    pub(crate) fn want_position(&self, _group: &ServiceGroup) {
+        self.position_wanted.notify_waiters();
+    }
+
+    /// Waits until a position is wanted, at most until `limit` is over.
+    pub(crate) async fn position_wanted(&self, limit: Duration) {
+        let wanted = self.position_wanted.notified();
+        // Over means that nobody asked; the caller looks again in either case.
+        let _ = tokio::time::timeout(limit, wanted).await;
+    }
+
+    /// Opens a caller's session.
+    ///
+    /// # Errors
+    ///
+    /// [`StatementError::NoDatabase`] if the settings know no such database,
+    /// [`StatementError::Busy`] if there are no settings yet.
+    pub async fn open_session(
+        self: &Arc<Self>,
+        database: DatabaseName,
+    ) -> Result<CallerSession, StatementError> {
+        let mut settings = self.settings.subscribe();
+        let known = settings.wait_for(Option::is_some);
+        match tokio::time::timeout(FIRST_SETTINGS_WAIT, known).await {
+            Ok(Ok(settings)) => {
+                if settings.as_ref().is_none_or(|settings| settings.route(&database).is_none()) {
+                    return Err(StatementError::NoDatabase);
+                }
+            }
+            Ok(Err(_)) | Err(_) => return Err(StatementError::Busy),
+        }
+        Ok(CallerSession::new(Arc::clone(self), database))
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/rudder-engine/src/group/link.rs
@@ -0,0 +1,146 @@
+//! A connection on loan from a pool.
+
+use super::image::LaidImage;
+use super::pool::MemberPool;
+use crate::border::{LinkError, MemberLink};
+use crate::statement::{MemberCommand, StatementReply, TransactionState};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// An exchange that gave no whole answer. The connection is lost with it: its late answer must
+/// not reach the next caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ExchangeError {
+    /// What happened.
+    pub(crate) reason: LinkError,
+    /// Whether the member may have got the commands.
+    pub(crate) sent: bool,
+}
+
+/// A connection, which goes back to its pool when it is dropped between statements and outside of
+/// a transaction, and is closed else.
+pub(crate) struct PooledLink {
+    pool: Arc<MemberPool>,
+    link: Option<Box<dyn MemberLink>>,
+    image: LaidImage,
+    state: TransactionState,
+    /// Whether an answer is awaited.
+    busy: bool,
+    used_at: Instant,
+}
+
+impl PooledLink {
+    pub(crate) fn new(pool: Arc<MemberPool>, link: Box<dyn MemberLink>) -> Self {
+        Self {
+            pool,
+            link: Some(link),
+            image: LaidImage::default(),
+            state: TransactionState::Idle,
+            busy: false,
+            used_at: Instant::now(),
+        }
+    }
+
+    pub(crate) fn pool(&self) -> &Arc<MemberPool> {
+        &self.pool
+    }
+
+    pub(crate) fn image(&self) -> &LaidImage {
+        &self.image
+    }
+
+    pub(crate) fn used_at(&self) -> Instant {
+        self.used_at
+    }
+
+    /// The state after the last answer.
+    pub(crate) fn state(&self) -> TransactionState {
+        self.state
+    }
+
+    /// Whether the connection may serve another caller.
+    pub(crate) fn is_reusable(&self) -> bool {
+        self.link.is_some() && !self.busy && self.state == TransactionState::Idle
+    }
+
+    /// Sends commands in one write and awaits all answers.
+    pub(crate) async fn exchange(
+        &mut self,
+        commands: &[MemberCommand],
+        limit: Duration,
+    ) -> Result<Vec<StatementReply>, ExchangeError> {
+        let started_at = Instant::now();
+        // Stays set if the caller gives up and drops this future half-way.
+        self.busy = true;
+        let mut sent = false;
+        let talk = Self::talk(self.link.as_mut(), commands, &mut sent);
+        let answer = match tokio::time::timeout(limit, talk).await {
+            Ok(answer) => answer,
+            Err(_) => Err(LinkError::Silent),
+        };
+        match answer {
+            Ok(replies) => {
+                self.settle(commands, &replies);
+                Ok(replies)
+            }
+            Err(reason) => {
+                self.link = None;
+                if reason == LinkError::Silent {
+                    self.pool.drop_idle_since(started_at);
+                }
+                Err(ExchangeError { reason, sent })
+            }
+        }
+    }
+
+    async fn talk(
+        link: Option<&mut Box<dyn MemberLink>>,
+        commands: &[MemberCommand],
+        sent: &mut bool,
+    ) -> Result<Vec<StatementReply>, LinkError> {
+        let link = link.ok_or_else(|| LinkError::Broken("closed before".to_owned()))?;
+        *sent = true;
+        link.send(commands).await?;
+        let mut replies = Vec::with_capacity(commands.len());
+        for _ in commands {
+            replies.push(link.receive().await?);
+        }
+        Ok(replies)
+    }
+
+    fn settle(&mut self, commands: &[MemberCommand], replies: &[StatementReply]) {
+        for (command, reply) in commands.iter().zip(replies) {
+            if reply.error().is_none() {
+                self.image.apply(command);
+            }
+        }
+        if let Some(last) = replies.last() {
+            self.state = last.state;
+        }
+        self.busy = false;
+        self.used_at = Instant::now();
+    }
+
+    /// Closes the connection.
+    pub(crate) fn close(mut self) {
+        self.link = None;
+    }
+}
+
+impl Drop for PooledLink {
+    fn drop(&mut self) {
+        let reusable = self.is_reusable();
+        let Some(link) = self.link.take().filter(|_| reusable) else {
+            self.pool.forget_one();
+            return;
+        };
+        MemberPool::give_back(Self {
+            pool: Arc::clone(&self.pool),
+            link: Some(link),
+            image: std::mem::take(&mut self.image),
+            state: TransactionState::Idle,
+            busy: false,
+            used_at: self.used_at,
+        });
+    }
+}
--- /dev/null
+++ b/crates/rudder-engine/src/group/mod.rs
@@ -0,0 +1,15 @@
+//! The members of a service, the connections to them, and where a read may go.
+
+mod image;
+mod link;
+mod placement;
+mod pool;
+mod service;
+mod share;
+
+pub(crate) use image::put_value;
+pub(crate) use link::{ExchangeError, PooledLink};
+pub(crate) use placement::{ReadPlace, order_members};
+pub(crate) use pool::AcquireError;
+pub use service::{MemberEntry, MemberState};
+pub(crate) use service::{GroupMember, ServiceGroup};
--- /dev/null
+++ b/crates/rudder-engine/src/group/service.rs
@@ -0,0 +1,323 @@
+//! One service: its members, its primary, and what is known of their logs.
+
+use super::pool::MemberPool;
+use super::share::{ShareInput, connection_share};
+use crate::border::{MemberDialer, MemberTarget};
+use crate::clock::boot_time;
+use crate::lead::{LeadBook, LeadPermit, LeadRecord, LeaderEpoch, PositionHistory};
+use rudder_core::{
+    DomainName, FreshSample, LogStamp, MemberName, MemberRole, ServiceName, plain_data,
+};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// How long a member is tried last after it failed a read, or a read found it behind. About the
+/// time in which a replica at its usual lag catches up.
+const DOUBT_TIME: Duration = Duration::from_millis(250);
+
+/// Whether a member takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberState {
+    /// It does.
+    Ready,
+    /// It is leaving.
+    Draining,
+}
+
+plain_data! {
+    /// What a member says of itself.
+    pub struct MemberEntry {
+        /// Where it is and who it is.
+        pub target: MemberTarget,
+        /// Its failure domain.
+        pub domain: DomainName,
+        /// The region of that domain.
+        pub region: String,
+        /// Whether it takes new work.
+        pub state: MemberState,
+        /// How it sees its own role.
+        pub role: MemberRole,
+        /// When it started, in milliseconds since 1970: a restarted member knows nothing of before.
+        pub born: u64,
+    }
+}
+
+/// One member of a service.
+pub(crate) struct GroupMember {
+    entry: Mutex<MemberEntry>,
+    name: MemberName,
+    domain: DomainName,
+    region: String,
+    pool: Arc<MemberPool>,
+    memory: Mutex<MemberMemory>,
+}
+
+#[derive(Debug, Default)]
+struct MemberMemory {
+    applied: Option<(LogStamp, Duration)>,
+    doubtful_until: Duration,
+}
+
+impl GroupMember {
+    fn new(entry: MemberEntry, dialer: &Arc<dyn MemberDialer>) -> Arc<Self> {
+        let pool = MemberPool::new(entry.target.clone(), Arc::clone(dialer), 1);
+        Arc::new(Self {
+            name: entry.target.member.clone(),
+            domain: entry.domain.clone(),
+            region: entry.region.clone(),
+            entry: Mutex::new(entry),
+            pool,
+            memory: Mutex::default(),
+        })
+    }
+
+    pub(crate) fn name(&self) -> &MemberName {
+        &self.name
+    }
+
+    pub(crate) fn domain(&self) -> &DomainName {
+        &self.domain
+    }
+
+    pub(crate) fn region(&self) -> &str {
+        &self.region
+    }
+
+    pub(crate) fn pool(&self) -> &Arc<MemberPool> {
+        &self.pool
+    }
+
+    pub(crate) fn entry(&self) -> MemberEntry {
+        lock(&self.entry).clone()
+    }
+
+    /// Whether reads may be sent to it: from the moment that it says it is leaving, none are.
+    pub(crate) fn serves_reads(&self) -> bool {
+        lock(&self.entry).state == MemberState::Ready
+    }
+
+    /// Takes in how far its log is applied.
+    pub(crate) fn note_applied(&self, stamp: LogStamp) {
+        let mut memory = lock(&self.memory);
+        memory.applied = Some((stamp, boot_time()));
+        if memory.doubtful_until > Duration::ZERO && memory.doubtful_until <= boot_time() {
+            memory.doubtful_until = Duration::ZERO;
+        }
+    }
+
+    /// Tries it last for a moment.
+    pub(crate) fn doubt(&self) {
+        lock(&self.memory).doubtful_until = boot_time() + DOUBT_TIME;
+    }
+
+    pub(crate) fn is_doubtful(&self) -> bool {
+        boot_time() < lock(&self.memory).doubtful_until
+    }
+
+    /// Whether it was seen so lately without `floor` that it most likely still lacks it.
+    pub(crate) fn lacks(&self, floor: LogStamp) -> bool {
+        let known = lock(&self.memory).applied;
+        known.is_some_and(|(applied, at)| applied < floor && boot_time() < at + DOUBT_TIME / 5)
+    }
+}
+
+/// One service.
+pub(crate) struct ServiceGroup {
+    service: ServiceName,
+    state: Mutex<GroupState>,
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct GroupState {
+    /// Sorted by name.
+    members: Vec<Arc<GroupMember>>,
+    book: LeadBook,
+    history: PositionHistory,
+    /// Since when the watch of the primary has failed.
+    silent_since: Option<Duration>,
+}
+
+impl ServiceGroup {
+    pub(crate) fn new(service: ServiceName) -> Arc<Self> {
+        Arc::new(Self { service, state: Mutex::default(), changed: Notify::new() })
+    }
+
+    pub(crate) fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    fn state(&self) -> MutexGuard<'_, GroupState> {
+        lock(&self.state)
+    }
+
+    pub(crate) fn members(&self) -> Vec<Arc<GroupMember>> {
+        self.state().members.clone()
+    }
+
+    pub(crate) fn member(&self, name: &MemberName) -> Option<Arc<GroupMember>> {
+        let state = self.state();
+        let found = state.members.binary_search_by(|member| member.name.cmp(name));
+        found.ok().map(|index| Arc::clone(&state.members[index]))
+    }
+
+    /// Reads or changes what is known of the primary.
+    pub(crate) fn with_book<T>(&self, use_book: impl FnOnce(&mut LeadBook) -> T) -> T {
+        use_book(&mut self.state().book)
+    }
+
+    /// Replaces the list of members.
+    pub(crate) fn set_members(&self, entries: &[MemberEntry], dialer: &Arc<dyn MemberDialer>) {
+        let mut state = self.state();
+        let known = std::mem::take(&mut state.members);
+        let mut members: Vec<_> =
+            entries.iter().map(|entry| keep_or_make(&known, entry, dialer)).collect();
+        members.sort_by(|left, right| left.name.cmp(&right.name));
+        state.members = members.clone();
+        drop(state);
+        for member in known {
+            if !members.iter().any(|kept| Arc::ptr_eq(kept, &member)) {
+                member.pool.set_limit(0);
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Takes in a version of the record; returns whether it is a new one.
+    pub(crate) fn observe(&self, record: &LeadRecord, confirmed_at: Duration) -> bool {
+        let now = boot_time();
+        let mut state = self.state();
+        let new = state.book.observe(record, confirmed_at, now);
+        if new {
+            if record.primary().is_some() {
+                state.history.clear();
+            }
+            state.silent_since = None;
+            log::info!(
+                service:% = self.service, epoch:% = record.epoch, phase:? = record.phase,
+                age_ms = (now.saturating_sub(confirmed_at)).as_millis();
+                "the record of the primary changed"
+            );
+        }
+        drop(state);
+        // Also without a change: a permit that had lapsed is good again.
+        self.changed.notify_waiters();
+        new
+    }
+
+    /// The primary and the permission to answer for it.
+    pub(crate) fn leader(&self) -> Option<(Arc<GroupMember>, LeadPermit)> {
+        let permit = self.state().book.permit(boot_time())?;
+        let member = self.member(&permit.primary)?;
+        Some((member, permit))
+    }
+
+    /// Whether an answer under `permit` may still go out.
+    pub(crate) fn holds(&self, permit: &LeadPermit) -> bool {
+        self.state().book.holds(permit, boot_time())
+    }
+
+    /// Waits until something changes, at most until `limit` is over.
+    pub(crate) async fn wait_changed(&self, limit: Duration) {
+        let changed = self.changed.notified();
+        // Over means that nothing changed; the caller looks again in either case.
+        let _ = tokio::time::timeout(limit, changed).await;
+    }
+
+    /// Takes in a position that the primary had when it answered a question sent at `sent_at`.
+    pub(crate) fn note_position(&self, permit: &LeadPermit, sent_at: Duration, stamp: LogStamp) {
+        let mut state = self.state();
+        let current = state.book.epoch() == permit.epoch;
+        if current && state.book.holds(permit, sent_at) {
+            state.history.note(FreshSample { sent_at, stamp });
+            state.silent_since = None;
+        }
+    }
+
+    /// Takes in that the watch of a version's primary failed from `since` on.
+    pub(crate) fn note_silence(&self, epoch: LeaderEpoch, since: Duration) {
+        let mut state = self.state();
+        if state.book.epoch() == epoch {
+            state.silent_since.get_or_insert(since);
+        }
+    }
+
+    /// Takes in that the primary answered its watch.
+    pub(crate) fn note_alive(&self) {
+        self.state().silent_since = None;
+    }
+
+    /// Since when the watch of the primary has failed.
+    pub(crate) fn silent_since(&self) -> Option<Duration> {
+        self.state().silent_since
+    }
+
+    /// When the primary's newest known position was asked for.
+    pub(crate) fn sampled_at(&self) -> Option<Duration> {
+        self.state().history.newest().map(|sample| sample.sent_at)
+    }
+
+    /// What a member must hold for a read with `bound`; none if that is not known.
+    pub(crate) fn bounded_floor(&self, bound: Duration) -> Option<LogStamp> {
+        self.state().history.floor(bound, boot_time())
+    }
+
+    /// The primary's newest known position.
+    pub(crate) fn newest_position(&self) -> Option<LogStamp> {
+        self.state().history.newest().map(|sample| sample.stamp)
+    }
+
+    /// What a session must see after changes of primary.
+    pub(crate) fn reachable(&self, floor: LogStamp) -> LogStamp {
+        let state = self.state();
+        state.book.record().map_or(floor, |record| record.reachable(floor))
+    }
+
+    /// Deals the members' connections out anew.
+    pub(crate) fn set_shares(
+        &self,
+        connections_max: u32,
+        own_domain: &DomainName,
+        instances: &[DomainName],
+    ) {
+        let primary = self.with_book(|book| {
+            book.record().and_then(|record| record.primary().cloned())
+        });
+        for member in self.members() {
+            let near = instances.iter().filter(|domain| *domain == member.domain()).count();
+            let near = u32::try_from(near).unwrap_or(u32::MAX);
+            let all = u32::try_from(instances.len()).unwrap_or(u32::MAX);
+            member.pool.set_limit(connection_share(ShareInput {
+                connections_max,
+                near,
+                far: all.saturating_sub(near),
+                is_near: own_domain == member.domain(),
+                is_primary: primary.as_ref() == Some(member.name()),
+            }));
+        }
+    }
+}
+
+/// Keeps a known member with its connections, unless it moved or started anew: then connections
+/// and what is known of its log are of no more use.
+fn keep_or_make(
+    known: &[Arc<GroupMember>],
+    entry: &MemberEntry,
+    dialer: &Arc<dyn MemberDialer>,
+) -> Arc<GroupMember> {
+    let same = known.iter().find(|member| {
+        let before = member.entry();
+        before.target == entry.target && before.born == entry.born && before.domain == entry.domain
+    });
+    let Some(member) = same else { return GroupMember::new(entry.clone(), dialer) };
+    *lock(&member.entry) = entry.clone();
+    if entry.state == MemberState::Draining {
+        member.pool.close_idle();
+    }
+    Arc::clone(member)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/rudder-engine/src/lead/book.rs
@@ -0,0 +1,140 @@
+//! One instance's knowledge of a service's primary, and its permission to answer for it.
+//!
+//! An instance acknowledges commits and answers strict reads only under a permit: the knowledge
+//! that the record named this primary less than [`PERMIT_LIFE`] ago. A change of primary starts
+//! with a new version of the record and promotes only once every instance has said that it
+//! stopped, or [`PERMIT_LIFE`] and a margin have gone by since. So no instance, however isolated
+//! or suspended, answers for the old primary when the new one takes its first commit.
+
+use super::record::{LeadPhase, LeadRecord, LeaderEpoch};
+use rudder_core::{MemberName, plain_data};
+use std::time::Duration;
+
+/// How long the knowledge of an unchanged record permits to answer. Longer than two reads of the
+/// record that fail (0.4 s apart, given up after 0.5 s); shorter makes an unplanned change faster.
+pub(crate) const PERMIT_LIFE: Duration = Duration::from_millis(1500);
+
+plain_data! {
+    /// Permission to answer for a primary, for as long as [`LeadBook::holds`] says so.
+    pub(crate) struct LeadPermit {
+        /// The record's version.
+        pub(crate) epoch: LeaderEpoch,
+        /// The primary.
+        pub(crate) primary: MemberName,
+    }
+}
+
+/// What an instance knows of one service's record.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LeadBook {
+    record: Option<LeadRecord>,
+    /// The latest moment at which the record is known to have been in place.
+    confirmed_at: Duration,
+    /// When this version was first seen.
+    seen_at: Duration,
+    /// The version before this one, for work that was under way when the change began.
+    closing: Option<ClosingPermit>,
+    /// Statements under way that a permit covers.
+    in_flight: u32,
+}
+
+#[derive(Clone, Debug)]
+struct ClosingPermit {
+    epoch: LeaderEpoch,
+    until: Duration,
+}
+
+impl LeadBook {
+    /// Takes in a version of the record that was in place at `confirmed_at` or later.
+    ///
+    /// Returns whether it is a new one. An older one is dropped: reads of the store and words of
+    /// peers may arrive in any order.
+    pub(crate) fn observe(
+        &mut self,
+        record: &LeadRecord,
+        confirmed_at: Duration,
+        now: Duration,
+    ) -> bool {
+        let known = self.epoch();
+        if record.epoch < known {
+            return false;
+        }
+        if record.epoch == known {
+            self.confirmed_at = self.confirmed_at.max(confirmed_at);
+            return false;
+        }
+        self.closing = self.permit(now).map(|permit| ClosingPermit {
+            epoch: permit.epoch,
+            until: self.confirmed_at + PERMIT_LIFE,
+        });
+        self.record = Some(record.clone());
+        self.confirmed_at = confirmed_at;
+        self.seen_at = now;
+        true
+    }
+
+    /// The version that is known; zero before the first.
+    pub(crate) fn epoch(&self) -> LeaderEpoch {
+        self.record.as_ref().map_or(LeaderEpoch::default(), |record| record.epoch)
+    }
+
+    /// The record.
+    pub(crate) fn record(&self) -> Option<&LeadRecord> {
+        self.record.as_ref()
+    }
+
+    /// When the version that is known was first seen.
+    pub(crate) fn seen_at(&self) -> Duration {
+        self.seen_at
+    }
+
+    /// The latest moment at which the record is known to have been in place.
+    pub(crate) fn confirmed_at(&self) -> Duration {
+        self.confirmed_at
+    }
+
+    /// Permission for new work.
+    pub(crate) fn permit(&self, now: Duration) -> Option<LeadPermit> {
+        let record = self.record.as_ref()?;
+        let primary = record.primary()?;
+        let fresh = now < self.confirmed_at + PERMIT_LIFE;
+        fresh.then(|| LeadPermit { epoch: record.epoch, primary: primary.clone() })
+    }
+
+    /// Whether an answer that was obtained under a permit may still go out.
+    ///
+    /// Work that was under way when a change began may finish: the change waits for this
+    /// instance to stop, or for the permit's life to end.
+    pub(crate) fn holds(&self, permit: &LeadPermit, now: Duration) -> bool {
+        if self.epoch() == permit.epoch {
+            return self.permit(now).is_some();
+        }
+        let closing = self.closing.as_ref();
+        closing.is_some_and(|closing| closing.epoch == permit.epoch && now < closing.until)
+    }
+
+    /// Counts a statement in that a permit covers.
+    pub(crate) fn enter(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Counts a statement out.
+    pub(crate) fn leave(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Stops answering for all versions before the present one, if nothing is under way or
+    /// `force` is set. Returns whether it has stopped.
+    pub(crate) fn stop(&mut self, force: bool) -> bool {
+        if self.closing.is_some() && (force || self.in_flight == 0) {
+            self.closing = None;
+        }
+        self.closing.is_none()
+    }
+
+    /// Whether a change is under way.
+    pub(crate) fn is_changing(&self) -> bool {
+        let phase = self.record.as_ref().map(|record| &record.phase);
+        matches!(phase, Some(LeadPhase::Changing { .. }))
+    }
+}
--- /dev/null
+++ b/crates/rudder-engine/src/lead/mod.rs
@@ -0,0 +1,11 @@
+//! Who leads a service, and who may still answer for it. Pure: time is passed in.
+
+mod book;
+mod history;
+mod record;
+mod suspicion;
+
+pub(crate) use book::{LeadBook, LeadPermit, PERMIT_LIFE};
+pub(crate) use history::PositionHistory;
+pub use record::{LeadPhase, LeadRecord, LeaderEpoch};
+pub(crate) use suspicion::{ChangeCause, GroupSigns, PeerVote, judge_change, order_candidates};
--- /dev/null
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -0,0 +1,223 @@
+//! What is known of the other instances.
+
+use super::message::{PeerPulse, StopWord};
+use crate::clock::boot_time;
+use crate::engine::InstanceIdentity;
+use crate::lead::{LeaderEpoch, PeerVote};
+use rudder_core::{DomainName, InstanceName, ServiceName, plain_data};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// How long an instance counts as live after its last word. Two pulses, a second apart, may be
+/// lost on the way.
+const LIVE_TIME: Duration = Duration::from_millis(2600);
+
+/// Questions whose answers are still taken; some seconds' worth.
+const QUESTIONS_MAX: usize = 32;
+
+plain_data! {
+    /// Where an instance is.
+    pub(crate) struct PeerSeat {
+        pub(crate) instance: InstanceName,
+        pub(crate) domain: DomainName,
+        pub(crate) address: SocketAddr,
+    }
+}
+
+#[derive(Clone, Debug)]
+struct HeardPulse {
+    pulse: PeerPulse,
+    from: SocketAddr,
+    at: Duration,
+}
+
+#[derive(Default)]
+struct BoardState {
+    /// The instances that the store lists, sorted by name.
+    seats: Vec<PeerSeat>,
+    /// The last word of each, sorted by name.
+    heard: Vec<HeardPulse>,
+    stopped: Vec<StopWord>,
+    /// Questions of this instance's own, with the time at which they were sent, oldest first.
+    questions: VecDeque<(u64, Duration)>,
+}
+
+/// What is known of the other instances.
+pub(crate) struct PeerBoard {
+    own: InstanceName,
+    own_domain: DomainName,
+    state: Mutex<BoardState>,
+    stop_heard: Notify,
+}
+
+impl PeerBoard {
+    pub(crate) fn new(identity: &InstanceIdentity) -> Self {
+        Self {
+            own: identity.name.clone(),
+            own_domain: identity.domain.clone(),
+            state: Mutex::default(),
+            stop_heard: Notify::new(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, BoardState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the list of instances; this one is left out.
+    pub(crate) fn set_seats(&self, mut seats: Vec<PeerSeat>) {
+        seats.retain(|seat| seat.instance != self.own);
+        seats.sort_by(|left, right| left.instance.cmp(&right.instance));
+        self.state().seats = seats;
+    }
+
+    /// All others that the store lists.
+    pub(crate) fn seats(&self) -> Vec<PeerSeat> {
+        self.state().seats.clone()
+    }
+
+    /// Where the others can be reached: those listed, and those heard from that are not.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        let state = self.state();
+        let now = boot_time();
+        let listed = state.seats.iter().map(|seat| seat.address);
+        let heard = state.heard.iter().filter(|heard| now < heard.at + LIVE_TIME);
+        let mut addresses: Vec<_> = listed.chain(heard.map(|heard| heard.from)).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    /// Where the live ones can be reached, nearest domains in no order.
+    pub(crate) fn live_addresses(&self) -> Vec<SocketAddr> {
+        let now = boot_time();
+        let state = self.state();
+        let live = state.heard.iter().filter(|heard| now < heard.at + LIVE_TIME);
+        live.map(|heard| heard.from).collect()
+    }
+
+    /// Takes in a sign of life.
+    pub(crate) fn note_pulse(&self, pulse: PeerPulse, from: SocketAddr) {
+        if pulse.instance == self.own {
+            return;
+        }
+        let heard = HeardPulse { pulse, from, at: boot_time() };
+        let mut state = self.state();
+        let found = state
+            .heard
+            .binary_search_by(|known| known.pulse.instance.cmp(&heard.pulse.instance));
+        match found {
+            Ok(index) => state.heard[index] = heard,
+            Err(index) => state.heard.insert(index, heard),
+        }
+    }
+
+    /// Takes in that a question is about to be sent.
+    pub(crate) fn note_question(&self, question: u64) {
+        let mut state = self.state();
+        if state.questions.len() == QUESTIONS_MAX {
+            state.questions.pop_front();
+        }
+        state.questions.push_back((question, boot_time()));
+    }
+
+    /// When a question was sent; several peers may answer the same one.
+    pub(crate) fn asked_at(&self, question: u64) -> Option<Duration> {
+        let state = self.state();
+        let asked = state.questions.iter().find(|(known, _)| *known == question);
+        asked.map(|(_, at)| *at)
+    }
+
+    /// Takes in that an instance has stopped.
+    pub(crate) fn note_stopped(&self, word: StopWord) {
+        let mut state = self.state();
+        state.stopped.retain(|known| {
+            (&known.instance, &known.service) != (&word.instance, &word.service)
+                || known.epoch > word.epoch
+        });
+        state.stopped.push(word);
+        drop(state);
+        self.stop_heard.notify_waiters();
+    }
+
+    /// Waits for the next word of an instance that has stopped, at most until `limit` is over.
+    pub(crate) async fn wait_stopped(&self, limit: Duration) {
+        let heard = self.stop_heard.notified();
+        // Over means that nobody answered; the caller asks again in either case.
+        let _ = tokio::time::timeout(limit, heard).await;
+    }
+
+    /// The listed instances that have not said that they stopped.
+    pub(crate) fn not_stopped(&self, service: &ServiceName, epoch: LeaderEpoch) -> Vec<PeerSeat> {
+        let state = self.state();
+        let has_stopped = |seat: &PeerSeat| {
+            state.stopped.iter().any(|word| {
+                word.instance == seat.instance && word.service == *service && word.epoch >= epoch
+            })
+        };
+        state.seats.iter().filter(|seat| !has_stopped(seat)).cloned().collect()
+    }
+
+    /// The votes of all live instances on a version's primary, this one's included.
+    pub(crate) fn votes(
+        &self,
+        service: &ServiceName,
+        epoch: LeaderEpoch,
+        own_suspects: bool,
+    ) -> Vec<PeerVote> {
+        let now = boot_time();
+        let state = self.state();
+        let live = state.heard.iter().filter(|heard| {
+            now < heard.at + LIVE_TIME && !heard.pulse.leaving
+        });
+        let mut votes: Vec<PeerVote> = live
+            .map(|heard| {
+                let suspects = heard.pulse.groups.iter().any(|group| {
+                    group.service == *service && group.epoch == epoch && group.suspects
+                });
+                PeerVote {
+                    instance: heard.pulse.instance.clone(),
+                    domain: heard.pulse.domain.clone(),
+                    suspects,
+                }
+            })
+            .collect();
+        votes.push(PeerVote {
+            instance: self.own.clone(),
+            domain: self.own_domain.clone(),
+            suspects: own_suspects,
+        });
+        votes
+    }
+
+    /// The failure domains of all instances that may hold connections: those listed, those heard
+    /// from, and this one.
+    pub(crate) fn domains(&self) -> Vec<DomainName> {
+        let now = boot_time();
+        let state = self.state();
+        let mut known: Vec<(InstanceName, DomainName)> =
+            state.seats.iter().map(|seat| (seat.instance.clone(), seat.domain.clone())).collect();
+        let live = state.heard.iter().filter(|heard| now < heard.at + LIVE_TIME);
+        known.extend(
+            live.map(|heard| (heard.pulse.instance.clone(), heard.pulse.domain.clone())),
+        );
+        known.push((self.own.clone(), self.own_domain.clone()));
+        known.sort_unstable();
+        known.dedup_by(|left, right| left.0 == right.0);
+        known.into_iter().map(|(_, domain)| domain).collect()
+    }
+
+    /// A live instance with newer settings than `version`.
+    pub(crate) fn newer_settings(&self, version: u64) -> Option<SocketAddr> {
+        let now = boot_time();
+        let state = self.state();
+        let newer = state
+            .heard
+            .iter()
+            .filter(|heard| now < heard.at + LIVE_TIME && heard.pulse.settings > version);
+        newer.max_by_key(|heard| heard.pulse.settings).map(|heard| heard.from)
+    }
+}
--- /dev/null
+++ b/crates/rudder-engine/src/peers/exchange.rs
@@ -0,0 +1,63 @@
+//! The datagram socket of one instance.
+
+use super::message::PeerMessage;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+
+/// The largest datagram: the records of some hundred services.
+const DATAGRAM_MAX: usize = 16_384;
+
+/// Sends and receives peers' datagrams.
+#[derive(Clone)]
+pub(crate) struct PeerExchange {
+    socket: Arc<UdpSocket>,
+}
+
+impl PeerExchange {
+    pub(crate) async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        Ok(Self { socket: Arc::new(UdpSocket::bind(address).await?) })
+    }
+
+    /// Sends a datagram; the receiver may never get it.
+    pub(crate) async fn send(&self, message: &PeerMessage, to: SocketAddr) {
+        let bytes = match postcard::to_stdvec(message) {
+            Ok(bytes) if bytes.len() <= DATAGRAM_MAX => bytes,
+            Ok(bytes) => {
+                log::error!(bytes = bytes.len(); "a datagram to a peer is too long");
+                return;
+            }
+            Err(error) => {
+                log::error!(reason:% = error; "a datagram to a peer cannot be written");
+                return;
+            }
+        };
+        if let Err(error) = self.socket.send_to(&bytes, to).await {
+            log::debug!(peer:% = to, reason:% = error; "a datagram was not sent");
+        }
+    }
+
+    /// Sends a datagram to several receivers.
+    pub(crate) async fn send_all(&self, message: &PeerMessage, receivers: &[SocketAddr]) {
+        for receiver in receivers {
+            self.send(message, *receiver).await;
+        }
+    }
+
+    /// The next datagram that can be read.
+    pub(crate) async fn receive(&self) -> (PeerMessage, SocketAddr) {
+        let mut bytes = vec![0; DATAGRAM_MAX];
+        loop {
+            match self.socket.recv_from(&mut bytes).await {
+                Ok((length, from)) => match postcard::from_bytes(&bytes[..length]) {
+                    Ok(message) => return (message, from),
+                    Err(error) => {
+                        log::debug!(peer:% = from, reason:% = error; "a datagram is unreadable");
+                    }
+                },
+                // An earlier datagram's refusal by its receiver; the socket is still good.
+                Err(error) => log::debug!(reason:% = error; "a datagram was refused"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -0,0 +1,72 @@
+//! The datagrams between instances.
+
+use crate::lead::{LeadRecord, LeaderEpoch};
+use rudder_core::{DomainName, InstanceName, ServiceName, plain_data};
+use serde::{Deserialize, Serialize};
+
+plain_data! {
+    /// What an instance says about one service.
+    #[derive(Serialize, Deserialize)]
+    pub(crate) struct GroupPulse {
+        pub(crate) service: ServiceName,
+        /// The version of the record that it knows.
+        pub(crate) epoch: LeaderEpoch,
+        /// Whether it cannot reach that version's primary.
+        pub(crate) suspects: bool,
+    }
+}
+
+plain_data! {
+    /// What an instance tells all others about once a second.
+    #[derive(Serialize, Deserialize)]
+    pub(crate) struct PeerPulse {
+        pub(crate) instance: InstanceName,
+        pub(crate) domain: DomainName,
+        /// The version of the settings that are in force there; zero before the first.
+        pub(crate) settings: u64,
+        /// Whether it is about to stop.
+        pub(crate) leaving: bool,
+        pub(crate) groups: Vec<GroupPulse>,
+    }
+}
+
+plain_data! {
+    /// A record that an instance knows.
+    #[derive(Serialize, Deserialize)]
+    pub(crate) struct RecordCopy {
+        pub(crate) service: ServiceName,
+        pub(crate) record: LeadRecord,
+        /// How long ago the record was known to be in place, in milliseconds, rounded up.
+        pub(crate) age_ms: u64,
+    }
+}
+
+plain_data! {
+    /// An instance's word that it answers for no version of a record before this one.
+    #[derive(Serialize, Deserialize)]
+    pub(crate) struct StopWord {
+        pub(crate) instance: InstanceName,
+        pub(crate) service: ServiceName,
+        pub(crate) epoch: LeaderEpoch,
+    }
+}
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PeerMessage {
+    /// A sign of life.
+    Pulse(PeerPulse),
+    /// A new version of a record; the receiver answers with a [`StopWord`] once it has stopped.
+    Announce(RecordCopy),
+    /// The answer.
+    Stopped(StopWord),
+    /// Asks for all records; the question's number comes back with the answer.
+    Ask(u64),
+    /// The answer.
+    Records {
+        /// The number of the question.
+        question: u64,
+        /// What is known.
+        records: Vec<RecordCopy>,
+    },
+}
--- /dev/null
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -0,0 +1,14 @@
+//! What instances tell each other: who lives, who cannot reach a primary, who has stopped.
+//!
+//! All of it is a hint but for two things: that an instance has stopped answering for a primary,
+//! and how long ago it knew the record to be in place.
+
+mod board;
+mod exchange;
+mod message;
+mod settings_copy;
+
+pub(crate) use board::{PeerBoard, PeerSeat};
+pub(crate) use exchange::PeerExchange;
+pub(crate) use message::{GroupPulse, PeerMessage, PeerPulse, RecordCopy, StopWord};
+pub(crate) use settings_copy::{fetch_settings, serve_settings};
--- /dev/null
+++ b/crates/rudder-engine/src/session/caller.rs
@@ -0,0 +1,322 @@
+//! One caller's session.
+
+use super::job::StatementJob;
+use super::transaction::OpenTransaction;
+use crate::engine::ProxyEngine;
+use crate::group::put_value;
+use crate::settings::{DatabaseName, RouteKind, RouteRule};
+use crate::statement::{
+    CallerStatement, RequestId, SessionValue, StatementBody, StatementEffect, StatementError,
+    StatementReply, StatementShape, TransactionState,
+};
+use rudder_core::{LogStamp, ServiceName, SessionFloor};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Values and names that one session may hold; callers beyond it would fill the memory.
+const NAMES_MAX: usize = 1024;
+
+/// A name that the session gave to a statement.
+#[derive(Clone, Debug)]
+struct PreparedName {
+    name: String,
+    shape: StatementShape,
+}
+
+/// The session's transaction.
+enum SessionPhase {
+    Idle,
+    Open(Box<OpenTransaction>),
+    /// The transaction failed, and its connection is gone. `told` says whether the caller knows.
+    Failed {
+        told: bool,
+    },
+}
+
+/// One caller's session: its values, names, transaction, and what it must see.
+pub struct CallerSession {
+    engine: Arc<ProxyEngine>,
+    database: DatabaseName,
+    values: Vec<SessionValue>,
+    names: Vec<PreparedName>,
+    floors: Vec<SessionFloor>,
+    phase: SessionPhase,
+}
+
+impl CallerSession {
+    pub(crate) fn new(engine: Arc<ProxyEngine>, database: DatabaseName) -> Self {
+        Self {
+            engine,
+            database,
+            values: Vec::new(),
+            names: Vec::new(),
+            floors: Vec::new(),
+            phase: SessionPhase::Idle,
+        }
+    }
+
+    /// The state of the session between statements.
+    #[must_use]
+    pub fn state(&self) -> TransactionState {
+        match self.phase {
+            SessionPhase::Idle => TransactionState::Idle,
+            SessionPhase::Open(_) => TransactionState::Open,
+            SessionPhase::Failed { .. } => TransactionState::Failed,
+        }
+    }
+
+    /// How long the caller may now be silent; none outside of transactions.
+    #[must_use]
+    pub fn idle_limit(&self) -> Option<Duration> {
+        matches!(self.phase, SessionPhase::Open(_)).then(|| self.engine.transaction_idle())
+    }
+
+    /// Drops the transaction of a caller that has been silent for too long, or that must end
+    /// because this instance stops; the caller learns of it with its next statement.
+    pub fn expire_transaction(&mut self) {
+        if let SessionPhase::Open(open) = std::mem::replace(&mut self.phase, SessionPhase::Idle) {
+            open.abandon();
+            self.phase = SessionPhase::Failed { told: false };
+        }
+    }
+
+    /// Runs one statement.
+    pub async fn run(&mut self, id: RequestId, statement: CallerStatement) -> StatementReply {
+        if statement == CallerStatement::Malformed {
+            return self.refuse(StatementError::Malformed, "this cannot be understood");
+        }
+        match &self.phase {
+            SessionPhase::Failed { told } => {
+                let told = *told;
+                self.run_failed(&statement, told)
+            }
+            _ => self.run_sound(id, statement).await,
+        }
+    }
+
+    fn run_failed(&mut self, statement: &CallerStatement, told: bool) -> StatementReply {
+        let aborted = |state| {
+            let text = "the transaction was rolled back; nothing of it is kept";
+            StatementReply::refusal(StatementError::Aborted, text, state)
+        };
+        match statement {
+            CallerStatement::Rollback => {
+                self.phase = SessionPhase::Idle;
+                StatementReply::local(TransactionState::Idle)
+            }
+            CallerStatement::Commit => {
+                self.phase = SessionPhase::Idle;
+                aborted(TransactionState::Idle)
+            }
+            _ if !told => {
+                self.phase = SessionPhase::Failed { told: true };
+                aborted(TransactionState::Failed)
+            }
+            _ => self.refuse(StatementError::Malformed, "the transaction failed; roll it back"),
+        }
+    }
+
+    async fn run_sound(&mut self, id: RequestId, statement: CallerStatement) -> StatementReply {
+        match statement {
+            CallerStatement::Begin { read_only } => self.begin(read_only),
+            CallerStatement::Commit => self.commit(id).await,
+            CallerStatement::Rollback => self.roll_back(),
+            CallerStatement::SetValue(value) => self.set_value(value),
+            CallerStatement::Prepare { name, shape } => self.prepare(name, shape),
+            CallerStatement::Deallocate(name) => self.deallocate(&name),
+            CallerStatement::Read(text) => {
+                let body = StatementBody::Text(text);
+                self.run_work(id, body, StatementEffect::Read, None).await
+            }
+            CallerStatement::Write(text) => {
+                let body = StatementBody::Text(text);
+                self.run_work(id, body, StatementEffect::Write, None).await
+            }
+            CallerStatement::Execute { name, arguments } => {
+                self.execute(id, &name, arguments).await
+            }
+            CallerStatement::Malformed => {
+                self.refuse(StatementError::Malformed, "this cannot be understood")
+            }
+        }
+    }
+
+    fn refuse(&self, error: StatementError, text: &str) -> StatementReply {
+        StatementReply::refusal(error, text, self.state())
+    }
+
+    fn begin(&mut self, read_only: bool) -> StatementReply {
+        if matches!(self.phase, SessionPhase::Open(_)) {
+            return self.refuse(StatementError::Malformed, "a transaction is open");
+        }
+        let Some(route) = self.engine.route(&self.database) else { return self.no_database() };
+        self.phase = SessionPhase::Open(Box::new(OpenTransaction::new(read_only, route)));
+        StatementReply::local(TransactionState::Open)
+    }
+
+    fn no_database(&self) -> StatementReply {
+        let text = format!("there is no database {}", self.database);
+        self.refuse(StatementError::NoDatabase, &text)
+    }
+
+    fn roll_back(&mut self) -> StatementReply {
+        match std::mem::replace(&mut self.phase, SessionPhase::Idle) {
+            SessionPhase::Open(open) => {
+                open.abandon();
+                StatementReply::local(TransactionState::Idle)
+            }
+            phase => {
+                self.phase = phase;
+                self.refuse(StatementError::Malformed, "no transaction is open")
+            }
+        }
+    }
+
+    fn set_value(&mut self, value: SessionValue) -> StatementReply {
+        let known = self.values.iter().any(|known| known.name == value.name);
+        if !known && self.values.len() >= NAMES_MAX {
+            return self.refuse(StatementError::TooLarge, "too many values");
+        }
+        put_value(&mut self.values, value);
+        StatementReply::local(self.state())
+    }
+
+    fn prepare(&mut self, name: String, shape: StatementShape) -> StatementReply {
+        match self.names.binary_search_by(|known| known.name.cmp(&name)) {
+            Ok(index) => self.names[index].shape = shape,
+            Err(_) if self.names.len() >= NAMES_MAX => {
+                return self.refuse(StatementError::TooLarge, "too many prepared names");
+            }
+            Err(index) => self.names.insert(index, PreparedName { name, shape }),
+        }
+        StatementReply::local(self.state())
+    }
+
+    fn deallocate(&mut self, name: &str) -> StatementReply {
+        match self.names.binary_search_by(|known| known.name.as_str().cmp(name)) {
+            Ok(index) => {
+                self.names.remove(index);
+                StatementReply::local(self.state())
+            }
+            Err(_) => self.fail(StatementError::UnknownName, "there is no such prepared name"),
+        }
+    }
+
+    /// An error of this instance's own, which ends an open transaction like any other error.
+    fn fail(&mut self, error: StatementError, text: &str) -> StatementReply {
+        if let SessionPhase::Open(open) = std::mem::replace(&mut self.phase, SessionPhase::Idle) {
+            open.abandon();
+            self.phase = SessionPhase::Failed { told: true };
+        }
+        self.refuse(error, text)
+    }
+
+    async fn execute(&mut self, id: RequestId, name: &str, arguments: String) -> StatementReply {
+        let found = self.names.binary_search_by(|known| known.name.as_str().cmp(name));
+        let Ok(index) = found else {
+            return self.fail(StatementError::UnknownName, "there is no such prepared name");
+        };
+        let shape = self.names[index].shape.clone();
+        let body = StatementBody::Execute { alias: shape.alias(), arguments };
+        self.run_work(id, body, shape.effect, Some(shape)).await
+    }
+
+    async fn run_work(
+        &mut self,
+        id: RequestId,
+        body: StatementBody,
+        effect: StatementEffect,
+        shape: Option<StatementShape>,
+    ) -> StatementReply {
+        if matches!(self.phase, SessionPhase::Open(_)) {
+            return self.run_in_transaction(id, body, effect, shape).await;
+        }
+        let Some(route) = self.engine.route(&self.database) else { return self.no_database() };
+        let job = StatementJob::new(id, body, effect, shape, &self.values, &route);
+        let engine = Arc::clone(&self.engine);
+        let strict = route.kind == RouteKind::Strict || effect == StatementEffect::Write;
+        if !strict {
+            let floor = self.floor_of(&route.service);
+            return engine.read_bounded(&route, &job, floor).await;
+        }
+        let reply = engine.run_strict(&route, &job).await;
+        if effect == StatementEffect::Write && reply.error().is_none() {
+            self.raise_floor(&route.service, reply.position);
+        }
+        reply
+    }
+
+    async fn run_in_transaction(
+        &mut self,
+        id: RequestId,
+        body: StatementBody,
+        effect: StatementEffect,
+        shape: Option<StatementShape>,
+    ) -> StatementReply {
+        let SessionPhase::Open(mut open) = std::mem::replace(&mut self.phase, SessionPhase::Idle)
+        else {
+            return self.refuse(StatementError::Malformed, "no transaction is open");
+        };
+        let floor = self.floor_of(open.service());
+        let job = StatementJob::new(id, body, effect, shape, &self.values, open.route());
+        let reply = open.run(&self.engine, &job, floor).await;
+        if reply.state == TransactionState::Failed {
+            open.abandon();
+            self.phase = SessionPhase::Failed { told: true };
+        } else {
+            self.phase = SessionPhase::Open(open);
+        }
+        reply
+    }
+
+    async fn commit(&mut self, id: RequestId) -> StatementReply {
+        let SessionPhase::Open(open) = std::mem::replace(&mut self.phase, SessionPhase::Idle)
+        else {
+            return self.refuse(StatementError::Malformed, "no transaction is open");
+        };
+        let service = open.service().clone();
+        let floor = self.floor_of(&service);
+        let body = StatementBody::Commit;
+        let effect = StatementEffect::Read;
+        let job = StatementJob::new(id, body, effect, None, &self.values, open.route());
+        let wrote = open.wrote();
+        let reply = open.commit(&self.engine, &job, floor).await;
+        if wrote && reply.error().is_none() {
+            self.raise_floor(&service, reply.position);
+        }
+        reply
+    }
+
+    fn floor_of(&self, service: &ServiceName) -> Option<LogStamp> {
+        let found = self.floors.binary_search_by(|floor| floor.service.cmp(service));
+        found.ok().map(|index| self.floors[index].stamp)
+    }
+
+    /// Raises what the session must see to a commit of its own.
+    fn raise_floor(&mut self, service: &ServiceName, position: Option<LogStamp>) {
+        let Some(stamp) = position else { return };
+        match self.floors.binary_search_by(|floor| floor.service.cmp(service)) {
+            Ok(index) => self.floors[index].stamp = self.floors[index].stamp.max(stamp),
+            Err(index) => {
+                self.floors.insert(index, SessionFloor { service: service.clone(), stamp });
+            }
+        }
+    }
+}
+
+impl Drop for CallerSession {
+    fn drop(&mut self) {
+        // A caller that left in the middle of a transaction asked for no commit.
+        if let SessionPhase::Open(open) = std::mem::replace(&mut self.phase, SessionPhase::Idle) {
+            open.abandon();
+        }
+    }
+}
+
+/// The greatest age of a route's reads, for routes that may be served by a replica.
+pub(super) fn bound_of(route: &RouteRule) -> Option<Duration> {
+    match route.kind {
+        RouteKind::Strict => None,
+        RouteKind::Bounded(bound) | RouteKind::OwnWrites(bound) => Some(bound),
+    }
+}
--- /dev/null
+++ b/crates/rudder-engine/src/session/job.rs
@@ -0,0 +1,125 @@
+//! One statement on its way to a member.
+
+use crate::group::{ExchangeError, PooledLink};
+use crate::settings::RouteRule;
+use crate::statement::{
+    MemberCommand, RequestId, SessionValue, StatementBody, StatementEffect, StatementReply,
+    StatementShape,
+};
+use rand::RngExt;
+use rudder_core::LogStamp;
+use std::time::{Duration, Instant};
+
+/// The part of a request's latency target that it may wait before a member gets it. A request
+/// that waited longer could hardly be answered in time; told now, its caller still can elsewhere.
+const WAIT_PART: u32 = 4;
+
+/// The shortest and the longest time after which a refused caller is asked to come back; spread
+/// so that callers who were refused together do not return together.
+const RETRY_AFTER_MS: std::ops::Range<u64> = 100..400;
+
+/// A statement with all that it needs.
+#[derive(Clone, Debug)]
+pub(crate) struct StatementJob {
+    pub(crate) id: RequestId,
+    pub(crate) body: StatementBody,
+    pub(crate) effect: StatementEffect,
+    /// The prepared shape that the body names, if it does.
+    pub(crate) shape: Option<StatementShape>,
+    /// The session's values, sorted.
+    pub(crate) values: Vec<SessionValue>,
+    pub(crate) priority: u8,
+    /// Until when a connection and a primary may be waited for.
+    pub(crate) wait_until: Instant,
+    /// Until when an answer is of use.
+    pub(crate) deadline: Instant,
+}
+
+impl StatementJob {
+    pub(crate) fn new(
+        id: RequestId,
+        body: StatementBody,
+        effect: StatementEffect,
+        shape: Option<StatementShape>,
+        values: &[SessionValue],
+        route: &RouteRule,
+    ) -> Self {
+        let now = Instant::now();
+        Self {
+            id,
+            body,
+            effect,
+            shape,
+            values: values.to_vec(),
+            priority: route.priority,
+            wait_until: now + route.latency_target.min(route.statement_timeout) / WAIT_PART,
+            deadline: now + route.statement_timeout,
+        }
+    }
+
+    /// How long a connection may still be waited for.
+    pub(crate) fn wait_left(&self) -> Duration {
+        self.wait_until.saturating_duration_since(Instant::now())
+    }
+
+    /// How long an answer may still be waited for.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Runs the statement on a connection, with values and names laid on in the same write.
+    pub(crate) async fn run_on(
+        &self,
+        link: &mut PooledLink,
+        floor: Option<LogStamp>,
+        limit: Duration,
+    ) -> Result<StatementReply, ExchangeError> {
+        let mut commands = link.image().commands_for(&self.values, self.shape.as_ref());
+        commands.push(MemberCommand::Statement {
+            id: self.id.clone(),
+            floor,
+            body: self.body.clone(),
+        });
+        run_all(link, &commands, limit).await
+    }
+
+    /// Begins a transaction on a connection, values and names laid on before.
+    pub(crate) async fn begin_on(
+        &self,
+        link: &mut PooledLink,
+        read_only: bool,
+        floor: Option<LogStamp>,
+        limit: Duration,
+    ) -> Result<StatementReply, ExchangeError> {
+        let mut commands = link.image().commands_for(&self.values, self.shape.as_ref());
+        commands.push(MemberCommand::Begin { read_only, floor });
+        run_all(link, &commands, limit).await
+    }
+}
+
+/// Runs commands of which all but the last prepare the connection; the last one's answer counts.
+async fn run_all(
+    link: &mut PooledLink,
+    commands: &[MemberCommand],
+    limit: Duration,
+) -> Result<StatementReply, ExchangeError> {
+    let mut replies = link.exchange(commands, limit).await?;
+    let last = replies.pop();
+    let unprepared = replies.iter().find_map(StatementReply::error);
+    match (last, unprepared) {
+        (Some(last), None) => Ok(last),
+        // Guards against an answer that was made with another caller's values: without its
+        // preparation a statement's answer is worth nothing, and may have run.
+        (_, error) => {
+            let reason = error.map_or_else(|| "no answer".to_owned(), ToString::to_string);
+            let reason = crate::border::LinkError::Protocol(reason);
+            Err(ExchangeError { reason, sent: true })
+        }
+    }
+}
+
+/// Says when to come back, and why the request was not run.
+pub(crate) fn retry_text(reason: &str) -> String {
+    let after = rand::rng().random_range(RETRY_AFTER_MS);
+    format!("not run, retry after {after} ms: {reason}")
+}
--- /dev/null
+++ b/crates/rudder-engine/src/session/mod.rs
@@ -0,0 +1,9 @@
+//! Callers' sessions: what each must see, its transaction, and its statements' way to a member.
+
+mod caller;
+mod job;
+mod read;
+mod strict;
+mod transaction;
+
+pub use caller::CallerSession;
--- a/crates/rudder-standins/src/deployment/mod.rs
+++ b/crates/rudder-standins/src/deployment/mod.rs
@@ -10,7 +10,7 @@
 use folder::settings_text;
 pub use links::{LinkDelays, ProxyLinks};
 use rudder_core::DomainName;
-use rudder_platform::{
+use rudder_store::{
     FolderChange, KubeStore, PlatformOptions, StoreError, SubmitError, submit_change,
 };
 use rudder_settings::SettingsFile;
--- a/crates/rudder-platform/examples/settings_cost.rs
+++ b/crates/rudder-store/examples/settings_cost.rs
@@ -1,8 +1,8 @@
 //! What settings cost at a given size: bytes, calls and processor time of submitting and following.
 //!
-//! `cargo run --release -p rudder-platform --example settings_cost -- --services 780 --files 60`
+//! `cargo run --release -p rudder-store --example settings_cost -- --services 780 --files 60`
 
-use rudder_platform::{
+use rudder_store::{
     FolderChange, KubeStore, ObjectKind, PlatformOptions, PlatformStore, RevisionFollower,
     poll_revision, submit_change,
 };
--- a/crates/rudder-platform/src/kubernetes/mod.rs
+++ b/crates/rudder-store/src/kubernetes/mod.rs
@@ -46,7 +46,7 @@
     /// Options with the defaults for everything but the address.
     ///
     /// ```
-    /// let options = rudder_platform::PlatformOptions::at("http://127.0.0.1:18001");
+    /// let options = rudder_store::PlatformOptions::at("http://127.0.0.1:18001");
     /// assert_eq!(options.namespace, "default");
     /// ```
     #[must_use]
@@ -78,9 +78,9 @@
     ///
     /// ```
     /// # tokio::runtime::Runtime::new()?.block_on(async {
-    /// use rudder_platform::{KubeStore, PlatformOptions};
+    /// use rudder_store::{KubeStore, PlatformOptions};
     /// let store = KubeStore::connect(PlatformOptions::at("http://127.0.0.1:18001"))?;
-    /// # Ok::<(), rudder_platform::StoreError>(()) })?;
+    /// # Ok::<(), rudder_store::StoreError>(()) })?;
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
     ///
--- a/crates/rudder-platform/src/revision/bundle.rs
+++ b/crates/rudder-store/src/revision/bundle.rs
@@ -48,11 +48,11 @@
     /// Merges and checks the files.
     ///
     /// ```
-    /// use rudder_platform::{RevisionBundle, RevisionNumber};
+    /// use rudder_store::{RevisionBundle, RevisionNumber};
     /// let number = RevisionNumber(1);
     /// let bundle = RevisionBundle { number, version: None, files: Vec::new() };
     /// assert!(bundle.merge()?.fleet.services.is_empty());
-    /// # Ok::<(), rudder_platform::BundleError>(())
+    /// # Ok::<(), rudder_store::BundleError>(())
     /// ```
     ///
     /// # Errors
--- a/crates/rudder-platform/src/revision/follow.rs
+++ b/crates/rudder-store/src/revision/follow.rs
@@ -32,7 +32,7 @@
     /// The number in force; zero before the first.
     ///
     /// ```
-    /// use rudder_platform::{RevisionFollower, RevisionNumber};
+    /// use rudder_store::{RevisionFollower, RevisionNumber};
     /// assert_eq!(RevisionFollower::default().number(), RevisionNumber(0));
     /// ```
     #[must_use]
@@ -43,7 +43,7 @@
     /// The bundle in force, to hand to a peer.
     ///
     /// ```
-    /// assert!(rudder_platform::RevisionFollower::default().bundle().is_none());
+    /// assert!(rudder_store::RevisionFollower::default().bundle().is_none());
     /// ```
     #[must_use]
     pub fn bundle(&self) -> Option<&Arc<RevisionBundle>> {
@@ -53,7 +53,7 @@
     /// The settings in force.
     ///
     /// ```
-    /// assert!(rudder_platform::RevisionFollower::default().folder().is_none());
+    /// assert!(rudder_store::RevisionFollower::default().folder().is_none());
     /// ```
     #[must_use]
     pub fn folder(&self) -> Option<&Arc<MergedFolder>> {
@@ -67,7 +67,7 @@
     /// operator has replaced. Numbers only grow, so whatever is not greater is old.
     ///
     /// ```
-    /// use rudder_platform::{OfferVerdict, RevisionBundle, RevisionFollower, RevisionNumber};
+    /// use rudder_store::{OfferVerdict, RevisionBundle, RevisionFollower, RevisionNumber};
     /// let bundle = |number| RevisionBundle {
     ///     number: RevisionNumber(number),
     ///     version: None,
--- a/crates/rudder-platform/src/revision/read.rs
+++ b/crates/rudder-store/src/revision/read.rs
@@ -40,7 +40,7 @@
 /// # tokio::runtime::Runtime::new()?.block_on(async {
 /// # let standin = rudder_standins::PlatformStandin::start("127.0.0.1:0".parse()?).await?;
 /// # let address = standin.url();
-/// use rudder_platform::{KubeStore, PlatformOptions, read_revision};
+/// use rudder_store::{KubeStore, PlatformOptions, read_revision};
 /// let store = KubeStore::connect(PlatformOptions::at(&address))?;
 /// assert_eq!(read_revision(&store).await?, None);
 /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
@@ -66,7 +66,7 @@
 /// # tokio::runtime::Runtime::new()?.block_on(async {
 /// # let standin = rudder_standins::PlatformStandin::start("127.0.0.1:0".parse()?).await?;
 /// # let address = standin.url();
-/// use rudder_platform::{KubeStore, PlatformOptions, poll_revision};
+/// use rudder_store::{KubeStore, PlatformOptions, poll_revision};
 /// let store = KubeStore::connect(PlatformOptions::at(&address))?;
 /// assert_eq!(poll_revision(&store, None).await?, None);
 /// # Ok::<(), Box<dyn std::error::Error>>(()) })?;
--- a/crates/rudder-platform/src/revision/record.rs
+++ b/crates/rudder-store/src/revision/record.rs
@@ -96,7 +96,7 @@
     /// The object that holds this file's text.
     ///
     /// ```
-    /// let revision = rudder_platform::SettingsRevision::default();
+    /// let revision = rudder_store::SettingsRevision::default();
     /// assert_eq!(revision.object(&"10-a.toml".parse()?), None);
     /// # Ok::<(), rudder_settings::FolderError>(())
     /// ```
@@ -111,7 +111,7 @@
     /// An operator's folder remembers by it what it held when it was last fetched or submitted.
     ///
     /// ```
-    /// use rudder_platform::{RevisionNumber, SettingsRevision};
+    /// use rudder_store::{RevisionNumber, SettingsRevision};
     /// let file = rudder_settings::SettingsFile::new("10-a.toml", "")?;
     /// let revision = SettingsRevision::of_files(RevisionNumber(3), &[file]);
     /// assert_eq!(revision.files.len(), 1);
--- a/crates/rudder-platform/src/revision/submit.rs
+++ b/crates/rudder-store/src/revision/submit.rs
@@ -63,7 +63,7 @@
 /// and replaces the revision if it is still the same; otherwise starts over.
 ///
 /// ```no_run
-/// use rudder_platform::{FolderChange, KubeStore, PlatformOptions, submit_change};
+/// use rudder_store::{FolderChange, KubeStore, PlatformOptions, submit_change};
 /// # async fn submit() -> Result<(), Box<dyn std::error::Error>> {
 /// let store = KubeStore::connect(PlatformOptions::at("http://127.0.0.1:18001"))?;
 /// let put = rudder_settings::read_folder(std::path::Path::new("examples/inanga-scores"))?;
--- a/crates/rudder-platform/src/store.rs
+++ b/crates/rudder-store/src/store.rs
@@ -17,13 +17,17 @@
     SuccessionGrant,
     /// An operator's order to a group: a planned switch of primary.
     SwitchOrder,
+    /// Which member of a service is the primary, or who is changing it; one object per service.
+    PrimaryRecord,
+    /// One running instance, so that the others find it; one object per instance.
+    InstanceRecord,
 }
 
 impl ObjectKind {
     /// The plural resource name in the platform's API.
     ///
     /// ```
-    /// assert_eq!(rudder_platform::ObjectKind::SettingsFile.plural(), "settingsfiles");
+    /// assert_eq!(rudder_store::ObjectKind::SettingsFile.plural(), "settingsfiles");
     /// ```
     #[must_use]
     pub const fn plural(self) -> &'static str {
@@ -32,13 +36,15 @@
             Self::SettingsRevision => "settingsrevisions",
             Self::SuccessionGrant => "successiongrants",
             Self::SwitchOrder => "switchorders",
+            Self::PrimaryRecord => "primaryrecords",
+            Self::InstanceRecord => "instancerecords",
         }
     }
 
     /// The kind's name in the platform's API.
     ///
     /// ```
-    /// assert_eq!(rudder_platform::ObjectKind::SettingsFile.singular(), "SettingsFile");
+    /// assert_eq!(rudder_store::ObjectKind::SettingsFile.singular(), "SettingsFile");
     /// ```
     #[must_use]
     pub const fn singular(self) -> &'static str {
@@ -47,6 +53,8 @@
             Self::SettingsRevision => "SettingsRevision",
             Self::SuccessionGrant => "SuccessionGrant",
             Self::SwitchOrder => "SwitchOrder",
+            Self::PrimaryRecord => "PrimaryRecord",
+            Self::InstanceRecord => "InstanceRecord",
         }
     }
 }
--- a/crates/rudder-platform/tests/platform/common.rs
+++ b/crates/rudder-store/tests/platform/common.rs
@@ -3,7 +3,7 @@
 use async_trait::async_trait;
 use rand::RngExt;
 use rand::rngs::SmallRng;
-use rudder_platform::{
+use rudder_store::{
     FolderChange, InstanceEntry, KubeStore, ObjectKind, ObjectVersion, PlatformOptions,
     PlatformStore, SettingsRevision, StoreError, StoredObject, submit_change,
 };
--- a/crates/rudder-platform/tests/platform/following.rs
+++ b/crates/rudder-store/tests/platform/following.rs
@@ -2,7 +2,7 @@
 
 use crate::common::{change, domain_file, patient_store, standin, store};
 use proptest::prelude::*;
-use rudder_platform::{
+use rudder_store::{
     BundleError, OfferVerdict, ReadError, RevisionBundle, RevisionFollower, RevisionNumber,
     StoreError, poll_revision, submit_change,
 };
--- a/crates/rudder-platform/tests/platform/racing.rs
+++ b/crates/rudder-store/tests/platform/racing.rs
@@ -3,7 +3,7 @@
 use crate::common::{FaultyStore, RandomFaults, change, domain_file, patient_store, standin};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rudder_platform::{
+use rudder_store::{
     RevisionNumber, SettingsRevision, SubmitError, SubmitOutcome, submit_change,
 };
 use rudder_standins::PlatformStandin;
--- a/crates/rudder-platform/tests/platform/store.rs
+++ b/crates/rudder-store/tests/platform/store.rs
@@ -1,7 +1,7 @@
 //! The store over HTTP: versions, conflicts, lost answers, outages, instances.
 
 use crate::common::{patient_store, standin, store};
-use rudder_platform::{
+use rudder_store::{
     InstanceReadiness, KubeStore, ObjectKind, ObjectVersion, PlatformOptions, PlatformStore,
     StoreError,
 };
--- a/crates/rudder-platform/tests/platform/submission.rs
+++ b/crates/rudder-store/tests/platform/submission.rs
@@ -4,7 +4,7 @@
     FaultyStore, OvertakenPruning, PutFault, UpdateFaults, change, domain_file, file,
     patient_store, standin, store,
 };
-use rudder_platform::{
+use rudder_store::{
     FolderChange, KubeStore, ObjectKind, PlatformStore, RevisionNumber, SettingsRevision,
     SubmitError, poll_revision, read_revision, submit_change,
 };
--- a/crates/rudderctl/src/arguments.rs
+++ b/crates/rudderctl/src/arguments.rs
@@ -8,7 +8,7 @@
 use crate::output::{ExitWord, OutputForm};
 use argh::FromArgs;
 use rudder_core::{MemberName, ServiceName};
-use rudder_platform::{PlatformOptions, RevisionNumber};
+use rudder_store::{PlatformOptions, RevisionNumber};
 use rudder_settings::FileName;
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/rudderctl/src/base.rs
+++ b/crates/rudderctl/src/base.rs
@@ -1,7 +1,7 @@
 //! What a folder held when it was last fetched or submitted.
 
 use crate::error::ControlError;
-use rudder_platform::SettingsRevision;
+use rudder_store::SettingsRevision;
 use std::io;
 use std::path::{Path, PathBuf};
 
--- a/crates/rudderctl/src/command/drain.rs
+++ b/crates/rudderctl/src/command/drain.rs
@@ -6,7 +6,7 @@
 use crate::output::CommandReport;
 use crate::platform::accepted_member;
 use rudder_core::MemberName;
-use rudder_platform::{FolderChange, KubeStore, submit_change};
+use rudder_store::{FolderChange, KubeStore, submit_change};
 use rudder_settings::{FileName, FolderError, SettingsFile};
 
 pub(crate) async fn drain(options: &DrainOptions) -> Result<CommandReport, ControlError> {
--- a/crates/rudderctl/src/command/fetch.rs
+++ b/crates/rudderctl/src/command/fetch.rs
@@ -5,7 +5,7 @@
 use crate::options::FetchOptions;
 use crate::output::CommandReport;
 use crate::platform::accepted_bundle;
-use rudder_platform::{KubeStore, RevisionFile, RevisionNumber, SettingsRevision};
+use rudder_store::{KubeStore, RevisionFile, RevisionNumber, SettingsRevision};
 use rudder_settings::{FileName, FolderError, SettingsFile, read_folder};
 use serde::Serialize;
 use std::fmt;
--- a/crates/rudderctl/src/command/instance.rs
+++ b/crates/rudderctl/src/command/instance.rs
@@ -3,7 +3,7 @@
 use http::Request;
 use kube::{Client, Config};
 use rudder_core::{InstanceName, LogTerm, MemberName, ServiceName};
-use rudder_platform::RevisionNumber;
+use rudder_store::RevisionNumber;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/rudderctl/src/command/status.rs
+++ b/crates/rudderctl/src/command/status.rs
@@ -4,7 +4,7 @@
 use crate::error::ControlError;
 use crate::options::StatusOptions;
 use crate::output::{CommandReport, ExitWord};
-use rudder_platform::{
+use rudder_store::{
     KubeStore, ReadError, RevisionNumber, SettingsRevision, StoreError, read_revision,
 };
 use serde::Serialize;
--- a/crates/rudderctl/src/command/submit.rs
+++ b/crates/rudderctl/src/command/submit.rs
@@ -4,7 +4,7 @@
 use crate::error::ControlError;
 use crate::options::SubmitOptions;
 use crate::output::CommandReport;
-use rudder_platform::{
+use rudder_store::{
     FolderChange, KubeStore, RevisionNumber, SettingsRevision, SubmitOutcome, submit_change,
 };
 use rudder_settings::{SettingsFile, read_folder};
--- a/crates/rudderctl/src/command/switch.rs
+++ b/crates/rudderctl/src/command/switch.rs
@@ -5,7 +5,7 @@
 use crate::output::CommandReport;
 use crate::platform::accepted_member;
 use rudder_core::{MemberName, ServiceName, SuccessionGrant, SwitchOrder, WriterMark};
-use rudder_platform::{KubeStore, ObjectKind, PlatformStore, StoreError};
+use rudder_store::{KubeStore, ObjectKind, PlatformStore, StoreError};
 use serde::Serialize;
 use std::fmt;
 use std::time::{Duration, Instant};
--- a/crates/rudderctl/src/error.rs
+++ b/crates/rudderctl/src/error.rs
@@ -3,7 +3,7 @@
 use crate::output::ExitWord;
 use displaydoc::Display;
 use rudder_core::{MemberName, ServiceName};
-use rudder_platform::{BundleError, ReadError, StoreError, SubmitError};
+use rudder_store::{BundleError, ReadError, StoreError, SubmitError};
 use rudder_settings::{FolderError, SettingsProblem, SettingsRefusal};
 
 /// Why a command did not do what was asked.
--- a/crates/rudderctl/src/options.rs
+++ b/crates/rudderctl/src/options.rs
@@ -2,7 +2,7 @@
 
 use crate::output::OutputForm;
 use rudder_core::{MemberName, ServiceName};
-use rudder_platform::{PlatformOptions, RevisionNumber};
+use rudder_store::{PlatformOptions, RevisionNumber};
 use rudder_settings::FileName;
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/rudderctl/src/platform.rs
+++ b/crates/rudderctl/src/platform.rs
@@ -2,7 +2,7 @@
 
 use crate::error::ControlError;
 use rudder_core::{MemberName, ServiceName};
-use rudder_platform::{KubeStore, PlatformStore, RevisionBundle, poll_revision};
+use rudder_store::{KubeStore, PlatformStore, RevisionBundle, poll_revision};
 use rudder_settings::{FleetSettings, MemberSettings};
 
 /// The accepted revision with its files.
--- a/crates/rudderctl/tests/in_force.rs
+++ b/crates/rudderctl/tests/in_force.rs
@@ -80,9 +80,9 @@
 }
 
 async fn member_names(deployment: &Deployment) -> Vec<String> {
-    let options = rudder_platform::PlatformOptions::at(&deployment.platform.url());
-    let store = rudder_platform::KubeStore::connect(options).expect("it is a URL");
-    let bundle = rudder_platform::poll_revision(&store, None).await.expect("it answers");
+    let options = rudder_store::PlatformOptions::at(&deployment.platform.url());
+    let store = rudder_store::KubeStore::connect(options).expect("it is a URL");
+    let bundle = rudder_store::poll_revision(&store, None).await.expect("it answers");
     let folder = bundle.expect("it was submitted").merge().expect("it is valid");
     folder.fleet.services[0].members.iter().map(|member| member.name.to_string()).collect()
 }
