One instance per failure domain reads the store for its neighbours

Change: the first live instance of each failure domain (three in all at least) reads and watches the primaries; the others ask it, with ages that count the whole way. A follower whose word is older than a second reads itself. Connections are dealt by distance; where there are fewer connections than instances, idle ones are given up.

--- a/crates/arbutusrudder/tests/processes/program.rs
+++ b/crates/arbutusrudder/tests/processes/program.rs
@@ -72,12 +72,12 @@
         let settings = SettingsPath::write(settings);
         let mut command = Command::new(PROGRAM);
         command.arg("--settings").arg(&settings.0).envs(variables.iter().copied());
-        let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
-        let errors = child.stderr.take().expect("standard error is piped");
+        let mut child = command.stdout(Stdio::piped()).spawn().expect("the program starts");
+        let output = child.stdout.take().expect("standard output is piped");
         let lines = Arc::new(Mutex::new(Vec::new()));
         let sink = Arc::clone(&lines);
         std::thread::spawn(move || {
-            for line in BufReader::new(errors).lines().map_while(Result::ok) {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
                 sink.lock().expect("no thread panicked with the lines").push(line);
             }
         });
--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -225,7 +225,12 @@
     }
 
     fn copy_of(&self, record: &LeadRecord) -> RecordCopy {
-        RecordCopy { service: self.group.service().clone(), record: record.clone(), age_ms: 0 }
+        RecordCopy {
+            service: self.group.service().clone(),
+            record: record.clone(),
+            age_ms: 0,
+            sample: None,
+        }
     }
 
     async fn announce(&self, record: &LeadRecord) {
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -3,10 +3,10 @@
 use super::change;
 use crate::clock::boot_time;
 use crate::engine::{DrainPhase, ProxyEngine};
-use crate::group::{GroupMember, MemberState, ServiceGroup};
+use crate::group::{GroupMember, MemberState, SeatPlace, ServiceGroup};
 use crate::lead::{ChangeCause, GroupSigns, judge_change};
 use crate::peers::PeerExchange;
-use rudder_core::{MemberName, MemberRole, ServiceName};
+use rudder_core::{DomainName, MemberName, MemberRole, ServiceName};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -78,7 +78,8 @@
 ) {
     let now = boot_time();
     let signs = read_signs(engine, group, &mut watch.signs, now);
-    if now < watch.pause_until || engine.drain_phase() != DrainPhase::Serving {
+    let may_act = engine.drain_phase() == DrainPhase::Serving && engine.board().is_reader();
+    if now < watch.pause_until || !may_act {
         return;
     }
     let epoch = group.with_book(|book| book.epoch());
@@ -174,12 +175,16 @@
 
 fn deal_connections(engine: &ProxyEngine) {
     let Some(settings) = engine.settings() else { return };
-    let domains = engine.board().domains();
+    let place = |domain: DomainName| {
+        let region = engine.region_of(&domain);
+        SeatPlace { domain, region }
+    };
+    let own = place(engine.identity().domain.clone());
+    let all: Vec<SeatPlace> = engine.board().domains().into_iter().map(place).collect();
     for group in engine.groups() {
         let rules = &settings.services;
         if let Ok(index) = rules.binary_search_by(|rule| rule.service.cmp(group.service())) {
-            let connections_max = rules[index].connections_max;
-            group.set_shares(connections_max, &engine.identity().domain, &domains);
+            group.set_shares(rules[index].connections_max, &own, &all);
         }
     }
 }
--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -4,7 +4,7 @@
 use crate::engine::{DrainPhase, ProxyEngine};
 use crate::lead::{LeadPhase, LeaderEpoch};
 use crate::peers::{
-    GroupPulse, PeerExchange, PeerMessage, PeerPulse, RecordCopy, StopWord, fetch_settings,
+    GroupPulse, PeerExchange, PeerMessage, PeerPulse, RecordCopy, SampleCopy, StopWord, fetch_settings,
 };
 use rudder_core::ServiceName;
 use std::net::SocketAddr;
@@ -21,6 +21,9 @@
 /// all commits are answered within it; the rest is answered as unknown.
 const STOP_WAIT: Duration = Duration::from_millis(250);
 
+/// How long settings that a peer has are awaited from the store before the peer is asked.
+const SETTINGS_WAIT: Duration = Duration::from_millis(400);
+
 /// The pause between two looks whether statements are still under way.
 const STOP_LOOK: Duration = Duration::from_millis(5);
 
@@ -30,10 +33,10 @@
     loop {
         let pulse = compose(&engine);
         let due = last.as_ref().is_none_or(|(told, at)| {
-            at.elapsed() >= PULSE_GAP || told.groups != pulse.groups || told.leaving != pulse.leaving
+            at.elapsed() >= PULSE_GAP || told != &pulse
         });
         if due {
-            let receivers = engine.board().addresses();
+            let receivers = engine.board().pulse_receivers();
             exchange.send_all(&PeerMessage::Pulse(pulse.clone()), &receivers).await;
             last = Some((pulse, Instant::now()));
         }
@@ -42,7 +45,9 @@
 }
 
 fn compose(engine: &ProxyEngine) -> PeerPulse {
-    let groups = engine.groups().into_iter().map(|group| GroupPulse {
+    // The others' words on the primaries do not count.
+    let reads = engine.board().is_reader();
+    let groups = engine.groups().into_iter().filter(|_| reads).map(|group| GroupPulse {
         service: group.service().clone(),
         epoch: group.with_book(|book| book.epoch()),
         suspects: group.silent_since().is_some(),
@@ -83,7 +88,7 @@
         let engine = Arc::clone(engine);
         tokio::spawn(async move {
             // The store's own word is on its way to an instance that it serves.
-            tokio::time::sleep(PULSE_GAP / 2).await;
+            tokio::time::sleep(SETTINGS_WAIT).await;
             let known = engine.settings_version().map_or(0, |version| version.0);
             if let Some(peer) = engine.board().newer_settings(known)
                 && let Some(settings) = fetch_settings(peer).await
@@ -147,12 +152,24 @@
         let service = group.service().clone();
         group.with_book(|book| {
             let record = book.record()?.clone();
-            let age = now.saturating_sub(book.confirmed_at());
-            let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX).saturating_add(1);
-            Some(RecordCopy { service, record, age_ms })
+            let age_ms = age_in_ms(book.confirmed_at(), now);
+            Some(RecordCopy { service, record, age_ms, sample: None })
         })
     };
-    engine.groups().into_iter().filter_map(copy).collect()
+    let with_sample = |group: Arc<crate::group::ServiceGroup>| {
+        let sample = group.newest_sample().map(|sample| SampleCopy {
+            stamp: sample.stamp,
+            age_ms: age_in_ms(sample.sent_at, now),
+        });
+        copy(group).map(|copy| RecordCopy { sample, ..copy })
+    };
+    engine.groups().into_iter().filter_map(with_sample).collect()
+}
+
+/// Rounded up, so that nothing looks fresher than it is.
+fn age_in_ms(since: Duration, now: Duration) -> u64 {
+    let age = now.saturating_sub(since).as_millis();
+    u64::try_from(age).unwrap_or(u64::MAX).saturating_add(1)
 }
 
 /// The answer to a question of this instance's own.
@@ -163,5 +180,9 @@
         // was sent, so counted from then its word is older than it says, never younger.
         let confirmed_at = asked_at.saturating_sub(Duration::from_millis(copy.age_ms));
         engine.observe(&copy.service, &copy.record, confirmed_at);
+        if let Some(sample) = copy.sample {
+            let sent_at = asked_at.saturating_sub(Duration::from_millis(sample.age_ms));
+            engine.group(&copy.service).note_peer_sample(copy.record.epoch, sent_at, sample.stamp);
+        }
     }
 }
--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -15,14 +15,26 @@
 /// The most time for one read. The store answers in milliseconds, and in some hundred when slow.
 const READ_LIMIT: Duration = Duration::from_millis(500);
 
+/// The age of the readers' word from which on an instance reads the store itself: two questions
+/// went without a fresh answer, and a permit's life is not half over.
+const PEER_AGE_MAX: Duration = Duration::from_millis(1000);
+
 /// Peers that are asked when the store does not answer.
-const PEERS_ASKED: usize = 2;
+const PEERS_ASKED: usize = 3;
 
-/// Reads all records again and again; asks peers while the store does not answer.
+/// Keeps the records current: those that read for all ask the store, the others ask them. Peers
+/// are asked as well while the store does not answer.
+///
+/// Reads of the store are paid for each, and its rate does not grow with the fleet.
 pub(crate) async fn follow(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
     let mut reachable = true;
     loop {
         let sent_at = boot_time();
+        if !engine.board().is_reader() && oldest_word(&engine) < PEER_AGE_MAX {
+            ask_peers(&engine, &exchange, 1).await;
+            tokio::time::sleep(READ_GAP).await;
+            continue;
+        }
         let answer = read_all(&engine).await;
         match &answer {
             Ok(records) => {
@@ -32,7 +44,7 @@
                 let services: Vec<_> = records.iter().map(|(service, _)| service.clone()).collect();
                 engine.note_records_read(&services);
             }
-            Err(_) => ask_peers(&engine, &exchange).await,
+            Err(_) => ask_peers(&engine, &exchange, PEERS_ASKED).await,
         }
         if answer.is_ok() != reachable {
             reachable = answer.is_ok();
@@ -71,15 +83,28 @@
     }
 }
 
-async fn ask_peers(engine: &ProxyEngine, exchange: &PeerExchange) {
-    let mut live = engine.board().live_addresses();
+/// The age of what is known of the records; the greatest there is if a service has none.
+fn oldest_word(engine: &ProxyEngine) -> Duration {
+    let now = boot_time();
+    let ages = engine.groups().into_iter().map(|group| {
+        group.with_book(|book| match book.record() {
+            Some(_) => now.saturating_sub(book.confirmed_at()),
+            None => Duration::MAX,
+        })
+    });
+    ages.max().unwrap_or(Duration::MAX)
+}
+
+/// Asks `count` of the instances that read the store, the near ones first.
+async fn ask_peers(engine: &ProxyEngine, exchange: &PeerExchange, count: usize) {
     let question = rand::random::<u64>();
-    // Starts at another peer each time, so that one which is cut off as well does not matter.
-    if !live.is_empty() {
-        let turn = usize::try_from(question % live.len() as u64).unwrap_or(0);
-        live.rotate_left(turn);
+    let mut readers = engine.board().reader_addresses();
+    if count > 1 && !readers.is_empty() {
+        // Begins with another one each time: one that is cut off as well is not asked for ever.
+        let turn = usize::try_from(question % readers.len() as u64).unwrap_or(0);
+        readers.rotate_left(turn);
     }
-    live.truncate(PEERS_ASKED);
+    readers.truncate(count);
     engine.board().note_question(question);
-    exchange.send_all(&PeerMessage::Ask(question), &live).await;
+    exchange.send_all(&PeerMessage::Ask(question), &readers).await;
 }
--- a/crates/rudder-engine/src/duty/watch.rs
+++ b/crates/rudder-engine/src/duty/watch.rs
@@ -1,4 +1,7 @@
 //! Watches the primaries: a cheap question where no traffic tells of them.
+//!
+//! Only the instances that read the store for all do so, since each watch takes one of a primary's
+//! few connections.
 
 use crate::border::{LinkError, MemberLink};
 use crate::clock::boot_time;
@@ -48,7 +51,15 @@
     let mut failing_since: Option<Duration> = None;
     loop {
         let gap = if failing_since.is_some() { AGAIN_PAUSE } else { WATCH_GAP };
-        engine.position_wanted(gap).await;
+        tokio::select! {
+            () = engine.position_wanted(gap) => {}
+            () = group.wait_changed(gap) => {}
+        }
+        if !engine.board().is_reader() {
+            link = None;
+            failing_since = None;
+            continue;
+        }
         let (epoch, primary) = group.with_book(|book| {
             let primary = book.record().and_then(|record| record.primary().cloned());
             (book.epoch(), primary)
@@ -61,7 +72,7 @@
         if link.as_ref().is_some_and(|link| &link.member != member.name()) {
             link = None;
         }
-        let sampled = group.sampled_at();
+        let sampled = group.newest_sample().map(|sample| sample.sent_at);
         let now = boot_time();
         if failing_since.is_none() && sampled.is_some_and(|at| now < at + WATCH_GAP * 4 / 5) {
             continue;
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -32,6 +32,8 @@
         pub domain: DomainName,
         /// The region of that domain.
         pub region: String,
+        /// The region of each failure domain, sorted by domain.
+        pub regions: Vec<(DomainName, String)>,
         /// Where its peers reach it, by datagram and by connection.
         pub peer_address: SocketAddr,
     }
@@ -145,6 +147,19 @@
         &self.identity
     }
 
+    /// The region of a failure domain; empty if it is not known.
+    pub(crate) fn region_of(&self, domain: &DomainName) -> String {
+        let regions = &self.identity.regions;
+        let found = regions.binary_search_by(|(known, _)| known.cmp(domain));
+        found.map_or_else(|_| String::new(), |index| regions[index].1.clone())
+    }
+
+    /// Whether this instance reads the store for others as well, and so often.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
+        self.board.is_reader()
+    }
+
     /// The name of this instance.
     #[must_use]
     pub fn identity_name(&self) -> &InstanceName {
@@ -215,13 +230,13 @@
     }
 
     /// Takes in the members of all services, as they were at `confirmed_at` or later.
-    pub fn apply_members(&self, entries: Vec<MemberEntry>) {
+    pub fn apply_members(&self, entries: &[MemberEntry]) {
         self.confirm_members();
         let mut list = lock(&self.members);
         if list.entries == entries {
             return;
         }
-        list.entries = entries.clone();
+        list.entries = entries.to_vec();
         drop(list);
         log::info!(members = entries.len(); "the list of members changed");
         let mut services: Vec<ServiceName> =
--- a/crates/rudder-engine/src/group/mod.rs
+++ b/crates/rudder-engine/src/group/mod.rs
@@ -12,4 +12,5 @@
 pub(crate) use placement::{ReadPlace, order_members};
 pub(crate) use pool::AcquireError;
 pub use service::{MemberEntry, MemberState};
+pub(crate) use share::SeatPlace;
 pub(crate) use service::{GroupMember, ServiceGroup};
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -7,6 +7,7 @@
 //! before orders. Limits: the share comes from [`super::share`], the wait from the caller.
 
 use super::link::PooledLink;
+use super::share::ConnectionShare;
 use crate::border::{LinkError, MemberDialer, MemberTarget};
 use crate::statement::StatementError;
 use displaydoc::Display;
@@ -24,7 +25,11 @@
 
 /// How long no connection is opened after the member said that it has too many. Connections that
 /// others lose are dropped by the member within seconds.
-const REFUSED_PAUSE: Duration = Duration::from_millis(300);
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+
+/// How long an idle connection is kept where there are fewer connections than instances: long
+/// enough for the statements of a caller that is at work, as a new one takes a slot and 12 ms.
+const SCARCE_IDLE: Duration = Duration::from_millis(250);
 
 /// Why no connection was had.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
@@ -97,17 +102,20 @@
     }
 
     /// Sets how many connections may be open; idle ones above it are closed.
-    pub(crate) fn set_limit(&self, limit: u32) {
+    pub(crate) fn set_share(&self, share: ConnectionShare) {
         let mut closed = Vec::new();
         {
             let mut state = self.state();
-            state.limit = limit;
-            while state.open > u32::try_from(closed.len()).unwrap_or(u32::MAX) + limit {
+            state.limit = share.limit;
+            while state.open > u32::try_from(closed.len()).unwrap_or(u32::MAX) + share.limit {
                 let Some(link) = state.idle.pop() else { break };
                 closed.push(link);
             }
         }
         closed.into_iter().for_each(PooledLink::close);
+        if let Some(moment) = Instant::now().checked_sub(SCARCE_IDLE).filter(|_| share.scarce) {
+            self.drop_idle_since(moment);
+        }
     }
 
     /// Closes what is idle.
@@ -145,12 +153,6 @@
         (idle + unopened).saturating_sub(u32::try_from(state.waiters.len()).unwrap_or(u32::MAX))
     }
 
-    /// Connections in use, for the metrics.
-    pub(crate) fn in_use(&self) -> u32 {
-        let state = self.state();
-        state.open.saturating_sub(u32::try_from(state.idle.len()).unwrap_or(u32::MAX))
-    }
-
     /// Whether the member could not be reached just now.
     pub(crate) fn is_down(&self) -> bool {
         is_before(Instant::now(), self.state().down_until)
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -1,7 +1,7 @@
 //! One service: its members, its primary, and what is known of their logs.
 
 use super::pool::MemberPool;
-use super::share::{ShareInput, connection_share};
+use super::share::{ConnectionShare, SeatPlace, ShareInput, connection_share};
 use crate::border::{MemberDialer, MemberTarget};
 use crate::clock::boot_time;
 use crate::lead::{LeadBook, LeadPermit, LeadRecord, LeaderEpoch, PositionHistory};
@@ -178,7 +178,7 @@
         drop(state);
         for member in known {
             if !members.iter().any(|kept| Arc::ptr_eq(kept, &member)) {
-                member.pool.set_limit(0);
+                member.pool.set_share(ConnectionShare::default());
             }
         }
         self.changed.notify_waiters();
@@ -243,6 +243,25 @@
         }
     }
 
+    /// Takes in a peer's sample of a version's primary.
+    pub(crate) fn note_peer_sample(
+        &self,
+        epoch: LeaderEpoch,
+        sent_at: Duration,
+        stamp: LogStamp,
+    ) {
+        let permit = self.state().book.permit(boot_time());
+        if let Some(permit) = permit.filter(|permit| permit.epoch == epoch) {
+            self.note_position(&permit, sent_at, stamp);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// The newest sample.
+    pub(crate) fn newest_sample(&self) -> Option<FreshSample> {
+        self.state().history.newest()
+    }
+
     /// Takes in that the primary answered its watch.
     pub(crate) fn note_alive(&self) {
         self.state().silent_since = None;
@@ -253,11 +272,6 @@
         self.state().silent_since
     }
 
-    /// When the primary's newest known position was asked for.
-    pub(crate) fn sampled_at(&self) -> Option<Duration> {
-        self.state().history.newest().map(|sample| sample.sent_at)
-    }
-
     /// What a member must hold for a read with `bound`; none if that is not known.
     pub(crate) fn bounded_floor(&self, bound: Duration) -> Option<LogStamp> {
         self.state().history.floor(bound, boot_time())
@@ -265,7 +279,7 @@
 
     /// The primary's newest known position.
     pub(crate) fn newest_position(&self) -> Option<LogStamp> {
-        self.state().history.newest().map(|sample| sample.stamp)
+        self.newest_sample().map(|sample| sample.stamp)
     }
 
     /// What a session must see after changes of primary.
@@ -275,26 +289,19 @@
     }
 
     /// Deals the members' connections out anew.
-    pub(crate) fn set_shares(
-        &self,
-        connections_max: u32,
-        own_domain: &DomainName,
-        instances: &[DomainName],
-    ) {
-        let primary = self.with_book(|book| {
-            book.record().and_then(|record| record.primary().cloned())
-        });
+    pub(crate) fn set_shares(&self, connections_max: u32, own: &SeatPlace, all: &[SeatPlace]) {
+        let primary =
+            self.with_book(|book| book.record().and_then(|record| record.primary().cloned()));
         for member in self.members() {
-            let near = instances.iter().filter(|domain| *domain == member.domain()).count();
-            let near = u32::try_from(near).unwrap_or(u32::MAX);
-            let all = u32::try_from(instances.len()).unwrap_or(u32::MAX);
-            member.pool.set_limit(connection_share(ShareInput {
+            let place = SeatPlace { domain: member.domain.clone(), region: member.region.clone() };
+            let share = connection_share(&ShareInput {
                 connections_max,
-                near,
-                far: all.saturating_sub(near),
-                is_near: own_domain == member.domain(),
+                member: place,
+                own: own.clone(),
+                all,
                 is_primary: primary.as_ref() == Some(member.name()),
-            }));
+            });
+            member.pool.set_share(share);
         }
     }
 }
--- a/crates/rudder-engine/src/group/share.rs
+++ b/crates/rudder-engine/src/group/share.rs
@@ -2,45 +2,77 @@
 //!
 //! Load pattern: callers of a failure domain read at the member of that domain; writes and strict
 //! reads of all domains go to the primary. Equal shares leave most connections of a replica with
-//! instances that hardly use them, while the instances beside it refuse callers. So an instance
-//! in the member's own domain has [`NEAR_WEIGHT`] parts, any other one [`FAR_WEIGHT`]; at the
-//! primary the parts are closer together. The parts never add up to more than the member takes,
-//! as each instance works them out from the same list.
+//! instances that hardly use them, while the instances beside it refuse callers. So the parts
+//! depend on the distance; at the primary they are closer together. They never add up to more than
+//! the member takes, as each instance works them out from the same list, unless there are more
+//! instances than connections: then each may hold one, and gives it up when it is not in use.
+
+use rudder_core::DomainName;
 
 /// Parts of an instance in the member's failure domain.
-const NEAR_WEIGHT: u32 = 5;
+const NEAR_WEIGHT: u32 = 6;
+
+/// Parts of an instance in the member's region.
+const REGION_WEIGHT: u32 = 4;
 
-/// Parts of an instance elsewhere: enough for reads that find the near member too far behind.
+/// Parts of an instance elsewhere: enough for reads that find nearer members too far behind.
 const FAR_WEIGHT: u32 = 2;
 
 /// Parts at the primary of an instance elsewhere: it writes and reads strictly there.
 const FAR_PRIMARY_WEIGHT: u32 = 4;
 
-/// Connections left free for the watch of a primary and for the change of one: one each for the
-/// instances that may try it at the same time.
-const RESERVE: u32 = 2;
+/// Connections left free for changes of the primary and for watching it: about one for each
+/// instance that reads the store for all, of which there are three to seven.
+const RESERVE: u32 = 4;
+
+/// Where an instance or a member is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct SeatPlace {
+    pub(crate) domain: DomainName,
+    pub(crate) region: String,
+}
 
 /// What a share depends on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct ShareInput {
+#[derive(Clone, Debug)]
+pub(crate) struct ShareInput<'a> {
     /// Connections that the member takes from all.
     pub(crate) connections_max: u32,
-    /// Instances in the member's failure domain.
-    pub(crate) near: u32,
-    /// Instances elsewhere.
-    pub(crate) far: u32,
-    /// Whether this instance is in the member's domain.
-    pub(crate) is_near: bool,
-    /// Whether the member is the primary, where each instance also holds a connection to watch it.
+    /// Where the member is.
+    pub(crate) member: SeatPlace,
+    /// Where this instance is.
+    pub(crate) own: SeatPlace,
+    /// Where all instances are, this one included.
+    pub(crate) all: &'a [SeatPlace],
+    /// Whether the member is the primary.
     pub(crate) is_primary: bool,
 }
 
+/// The connections of one instance to one member.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ConnectionShare {
+    /// How many it may hold.
+    pub(crate) limit: u32,
+    /// Whether there are fewer than instances, so that idle ones must be given up.
+    pub(crate) scarce: bool,
+}
+
 /// The connections that this instance may hold; at least one.
-pub(crate) fn connection_share(input: ShareInput) -> u32 {
-    let watches = if input.is_primary { input.near + input.far } else { 0 };
-    let free = input.connections_max.saturating_sub(RESERVE + watches);
-    let far_weight = if input.is_primary { FAR_PRIMARY_WEIGHT } else { FAR_WEIGHT };
-    let parts = input.near * NEAR_WEIGHT + input.far * far_weight;
-    let weight = if input.is_near { NEAR_WEIGHT } else { far_weight };
-    (free * weight / parts.max(1)).max(1)
+pub(crate) fn connection_share(input: &ShareInput<'_>) -> ConnectionShare {
+    let free = input.connections_max.saturating_sub(RESERVE);
+    let weight = |place: &SeatPlace| weight_of(place, &input.member, input.is_primary);
+    let parts: u32 = input.all.iter().map(weight).sum();
+    let limit = free * weight(&input.own) / parts.max(1);
+    ConnectionShare { limit: limit.max(1), scarce: limit == 0 }
+}
+
+fn weight_of(place: &SeatPlace, member: &SeatPlace, is_primary: bool) -> u32 {
+    if place.domain == member.domain {
+        NEAR_WEIGHT
+    } else if is_primary {
+        FAR_PRIMARY_WEIGHT
+    } else if place.region == member.region {
+        REGION_WEIGHT
+    } else {
+        FAR_WEIGHT
+    }
 }
--- a/crates/rudder-engine/src/lead/book.rs
+++ b/crates/rudder-engine/src/lead/book.rs
@@ -6,7 +6,7 @@
 //! stopped, or [`PERMIT_LIFE`] and a margin have gone by since. So no instance, however isolated
 //! or suspended, answers for the old primary when the new one takes its first commit.
 
-use super::record::{LeadPhase, LeadRecord, LeaderEpoch};
+use super::record::{LeadRecord, LeaderEpoch};
 use rudder_core::{MemberName, plain_data};
 use std::time::Duration;
 
@@ -131,10 +131,4 @@
         }
         self.closing.is_none()
     }
-
-    /// Whether a change is under way.
-    pub(crate) fn is_changing(&self) -> bool {
-        let phase = self.record.as_ref().map(|record| &record.phase);
-        matches!(phase, Some(LeadPhase::Changing { .. }))
-    }
 }
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -15,6 +15,10 @@
 /// lost on the way.
 const LIVE_TIME: Duration = Duration::from_millis(2600);
 
+/// The fewest instances that read the store and watch the primaries for all. With three, two that
+/// cannot reach a primary are more than half, and one cut link is not.
+const READERS_MIN: usize = 3;
+
 /// Questions whose answers are still taken; some seconds' worth.
 const QUESTIONS_MAX: usize = 32;
 
@@ -34,6 +38,38 @@
     at: Duration,
 }
 
+impl HeardPulse {
+    fn is_live(&self, now: Duration) -> bool {
+        now < self.at + LIVE_TIME
+    }
+}
+
+/// One of the instances that read the store for all; the address is none for this one.
+#[derive(Clone, Debug)]
+struct ReaderSeat {
+    instance: InstanceName,
+    domain: DomainName,
+    address: Option<SocketAddr>,
+}
+
+/// The first of each domain by a hash of their names, [`READERS_MIN`] in all if there are as many.
+///
+/// The number of domains is the deployment's: one that does not hear from a domain must not think
+/// that there are fewer, and read itself.
+fn choose_readers(mut all: Vec<ReaderSeat>, domains: usize) -> Vec<ReaderSeat> {
+    let rank = |seat: &ReaderSeat| xxhash_rust::xxh3::xxh3_64(seat.instance.as_str().as_bytes());
+    all.sort_by_key(|seat| (seat.domain.clone(), rank(seat)));
+    let each = READERS_MIN.div_ceil(domains.max(1));
+    let mut chosen: Vec<ReaderSeat> = Vec::new();
+    for seat in &all {
+        let count = chosen.iter().filter(|known| known.domain == seat.domain).count();
+        if count < each {
+            chosen.push(seat.clone());
+        }
+    }
+    chosen
+}
+
 #[derive(Default)]
 struct BoardState {
     /// The instances that the store lists, sorted by name.
@@ -49,6 +85,8 @@
 pub(crate) struct PeerBoard {
     own: InstanceName,
     own_domain: DomainName,
+    /// Failure domains of the whole deployment.
+    domain_count: usize,
     state: Mutex<BoardState>,
     stop_heard: Notify,
 }
@@ -58,6 +96,7 @@
         Self {
             own: identity.name.clone(),
             own_domain: identity.domain.clone(),
+            domain_count: identity.regions.len(),
             state: Mutex::default(),
             stop_heard: Notify::new(),
         }
@@ -74,29 +113,72 @@
         self.state().seats = seats;
     }
 
-    /// All others that the store lists.
-    pub(crate) fn seats(&self) -> Vec<PeerSeat> {
-        self.state().seats.clone()
+    /// Where this instance's pulses go: to its own domain, and from a reader also to the readers
+    /// of the other domains, or to all of a domain where none is known.
+    ///
+    /// So the datagrams of a fleet grow with its size, not with the square of it.
+    pub(crate) fn pulse_receivers(&self) -> Vec<SocketAddr> {
+        let reads = self.is_reader();
+        let readers = self.readers();
+        let state = self.state();
+        let now = boot_time();
+        let live = || state.heard.iter().filter(|heard| heard.is_live(now));
+        let mut receivers: Vec<SocketAddr> =
+            live().filter(|heard| heard.pulse.domain == self.own_domain).map(|h| h.from).collect();
+        receivers.extend(readers.iter().filter_map(|reader| reader.address).filter(|_| reads));
+        let unheard = state.seats.iter().filter(|seat| {
+            let covered = readers.iter().any(|reader| reader.domain == seat.domain);
+            seat.domain == self.own_domain || (reads && !covered)
+        });
+        receivers.extend(unheard.map(|seat| seat.address));
+        receivers.sort_unstable();
+        receivers.dedup();
+        receivers
     }
 
-    /// Where the others can be reached: those listed, and those heard from that are not.
+    /// Where all others can be reached: those listed, and those heard from that are not.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         let state = self.state();
         let now = boot_time();
         let listed = state.seats.iter().map(|seat| seat.address);
-        let heard = state.heard.iter().filter(|heard| now < heard.at + LIVE_TIME);
+        let heard = state.heard.iter().filter(|heard| heard.is_live(now));
         let mut addresses: Vec<_> = listed.chain(heard.map(|heard| heard.from)).collect();
         addresses.sort_unstable();
         addresses.dedup();
         addresses
     }
 
-    /// Where the live ones can be reached, nearest domains in no order.
-    pub(crate) fn live_addresses(&self) -> Vec<SocketAddr> {
+    /// Whom to ask for records: the readers, those of the own domain first.
+    pub(crate) fn reader_addresses(&self) -> Vec<SocketAddr> {
+        let mut readers = self.readers();
+        readers.sort_by_key(|reader| reader.domain != self.own_domain);
+        readers.into_iter().filter_map(|reader| reader.address).collect()
+    }
+
+    /// Whether this instance is one of those that read the store and watch the primaries for all.
+    pub(crate) fn is_reader(&self) -> bool {
+        self.readers().iter().any(|reader| reader.instance == self.own)
+    }
+
+    /// The live instances that read the store and watch the primaries for all: the first of each
+    /// failure domain by a hash, and more of each where there are few domains.
+    fn readers(&self) -> Vec<ReaderSeat> {
         let now = boot_time();
         let state = self.state();
-        let live = state.heard.iter().filter(|heard| now < heard.at + LIVE_TIME);
-        live.map(|heard| heard.from).collect()
+        let live = state.heard.iter().filter(|heard| heard.is_live(now) && !heard.pulse.leaving);
+        let mut all: Vec<ReaderSeat> = live
+            .map(|heard| ReaderSeat {
+                instance: heard.pulse.instance.clone(),
+                domain: heard.pulse.domain.clone(),
+                address: Some(heard.from),
+            })
+            .collect();
+        all.push(ReaderSeat {
+            instance: self.own.clone(),
+            domain: self.own_domain.clone(),
+            address: None,
+        });
+        choose_readers(all, self.domain_count)
     }
 
     /// Takes in a sign of life.
@@ -161,46 +243,42 @@
         state.seats.iter().filter(|seat| !has_stopped(seat)).cloned().collect()
     }
 
-    /// The votes of all live instances on a version's primary, this one's included.
+    /// The votes of the readers on a version's primary, this one's included.
     pub(crate) fn votes(
         &self,
         service: &ServiceName,
         epoch: LeaderEpoch,
         own_suspects: bool,
     ) -> Vec<PeerVote> {
-        let now = boot_time();
+        let readers = self.readers();
         let state = self.state();
-        let live = state.heard.iter().filter(|heard| {
-            now < heard.at + LIVE_TIME && !heard.pulse.leaving
-        });
-        let mut votes: Vec<PeerVote> = live
-            .map(|heard| {
-                let suspects = heard.pulse.groups.iter().any(|group| {
+        let suspects = |instance: &InstanceName| {
+            let found = state.heard.iter().find(|heard| heard.pulse.instance == *instance);
+            found.is_some_and(|heard| {
+                heard.pulse.groups.iter().any(|group| {
                     group.service == *service && group.epoch == epoch && group.suspects
-                });
-                PeerVote {
-                    instance: heard.pulse.instance.clone(),
-                    domain: heard.pulse.domain.clone(),
-                    suspects,
-                }
+                })
             })
-            .collect();
-        votes.push(PeerVote {
-            instance: self.own.clone(),
-            domain: self.own_domain.clone(),
-            suspects: own_suspects,
-        });
-        votes
+        };
+        let vote = |reader: ReaderSeat| PeerVote {
+            suspects: match reader.address {
+                Some(_) => suspects(&reader.instance),
+                None => own_suspects,
+            },
+            instance: reader.instance,
+            domain: reader.domain,
+        };
+        readers.into_iter().map(vote).collect()
     }
 
     /// The failure domains of all instances that may hold connections: those listed, those heard
-    /// from, and this one.
+    /// from, and this one; each as often as it has instances.
     pub(crate) fn domains(&self) -> Vec<DomainName> {
         let now = boot_time();
         let state = self.state();
         let mut known: Vec<(InstanceName, DomainName)> =
             state.seats.iter().map(|seat| (seat.instance.clone(), seat.domain.clone())).collect();
-        let live = state.heard.iter().filter(|heard| now < heard.at + LIVE_TIME);
+        let live = state.heard.iter().filter(|heard| heard.is_live(now));
         known.extend(
             live.map(|heard| (heard.pulse.instance.clone(), heard.pulse.domain.clone())),
         );
@@ -217,7 +295,7 @@
         let newer = state
             .heard
             .iter()
-            .filter(|heard| now < heard.at + LIVE_TIME && heard.pulse.settings > version);
+            .filter(|heard| heard.is_live(now) && heard.pulse.settings > version);
         newer.max_by_key(|heard| heard.pulse.settings).map(|heard| heard.from)
     }
 }
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -1,7 +1,7 @@
 //! The datagrams between instances.
 
 use crate::lead::{LeadRecord, LeaderEpoch};
-use rudder_core::{DomainName, InstanceName, ServiceName, plain_data};
+use rudder_core::{DomainName, InstanceName, LogStamp, ServiceName, plain_data};
 use serde::{Deserialize, Serialize};
 
 plain_data! {
@@ -38,6 +38,18 @@
         pub(crate) record: LeadRecord,
         /// How long ago the record was known to be in place, in milliseconds, rounded up.
         pub(crate) age_ms: u64,
+        /// The newest position known of its primary.
+        pub(crate) sample: Option<SampleCopy>,
+    }
+}
+
+plain_data! {
+    /// A position that a primary was seen at.
+    #[derive(Copy, Serialize, Deserialize)]
+    pub(crate) struct SampleCopy {
+        pub(crate) stamp: LogStamp,
+        /// How long ago it was asked for, in milliseconds, rounded up.
+        pub(crate) age_ms: u64,
     }
 }
 
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -10,5 +10,5 @@
 
 pub(crate) use board::{PeerBoard, PeerSeat};
 pub(crate) use exchange::PeerExchange;
-pub(crate) use message::{GroupPulse, PeerMessage, PeerPulse, RecordCopy, StopWord};
+pub(crate) use message::{GroupPulse, PeerMessage, PeerPulse, RecordCopy, SampleCopy, StopWord};
 pub(crate) use settings_copy::{fetch_settings, serve_settings};
