Unfinished changes are taken over sooner; connections follow domains

Change: the record names the process, so that a restarted holder is known to have ended; followers ask again after 0.1 s and read the store at a word 0.7 s old; shares go to domains; idle connections are closed after 1.5 s; a failed exchange starts the watch of the primary at once.

Ruled out: serving bounded reads during a change from the last known position; the kept log is not known before the promotion.

--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -32,8 +32,15 @@
 /// that run at slightly different speeds, and an answer on its way to a caller.
 const LAPSE_MARGIN: Duration = Duration::from_millis(150);
 
-/// How long an intent entitles its writer to promote. Below `CHANGE_PATIENCE` by a call's time.
-const HOLD_TIME: Duration = Duration::from_millis(3400);
+/// How long an intent entitles its writer to order a promotion: a permit's life and a second for
+/// questions and repeated orders. Below `CHANGE_PATIENCE` by more than an order's time.
+const HOLD_TIME: Duration = Duration::from_millis(2600);
+
+/// The most time for an order to promote.
+const ORDER_LIMIT: Duration = Duration::from_millis(600);
+
+/// How long a promoted member may take to lead: promoting takes up to a second.
+const LEAD_LIMIT: Duration = Duration::from_millis(2500);
 
 /// The pause between two announcements to those who have not answered.
 const ANNOUNCE_GAP: Duration = Duration::from_millis(60);
@@ -113,7 +120,8 @@
     );
     let planned = cause == ChangeCause::Leaving;
     let holder = engine.identity().name.clone();
-    let phase = LeadPhase::Changing { holder, previous: previous.clone(), planned };
+    let process = engine.process();
+    let phase = LeadPhase::Changing { holder, process, previous: previous.clone(), planned };
     let intent = run.write(before.epoch.next(), phase, Some(&version)).await?;
     run.stop_all(&intent).await;
     let leader = run.promote(&intent, previous.as_ref(), planned, unfinished).await?;
@@ -291,7 +299,7 @@
             match self.order(intent, candidate).await {
                 Ok(()) | Err(PromotionError::Unanswered) => {
                     let before = before.unwrap_or_default();
-                    if let Some(leader) = self.await_leader(intent, candidate, before).await {
+                    if let Some(leader) = self.await_leader(candidate, before).await {
                         return Ok(leader);
                     }
                 }
@@ -313,7 +321,7 @@
             token: intent.record.epoch.0,
         };
         let call = self.engine.borders().promotion.promote(&order);
-        let outcome = tokio::time::timeout(CALL_LIMIT, call).await;
+        let outcome = tokio::time::timeout(ORDER_LIMIT, call).await;
         let outcome = outcome.unwrap_or(Err(PromotionError::Unanswered));
         log::info!(
             service:% = order.service, member:% = candidate, token = order.token,
@@ -325,12 +333,11 @@
     /// Waits until the member leads a newer term than `before`.
     async fn await_leader(
         &self,
-        intent: &WrittenRecord,
         candidate: &MemberName,
         before: LogTerm,
     ) -> Option<MemberReport> {
         let member = self.group.member(candidate)?;
-        let until = intent.done_at + HOLD_TIME + CALL_LIMIT;
+        let until = boot_time() + LEAD_LIMIT;
         while boot_time() < until {
             match ask_status(self.engine, &member).await {
                 Ok(report) if leads_since(&report, before) => return Some(report),
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -4,7 +4,7 @@
 use crate::clock::boot_time;
 use crate::engine::{DrainPhase, ProxyEngine};
 use crate::group::{GroupMember, MemberState, SeatPlace, ServiceGroup};
-use crate::lead::{ChangeCause, GroupSigns, judge_change};
+use crate::lead::{ChangeCause, GroupSigns, LeadPhase, LeadRecord, judge_change};
 use crate::peers::PeerExchange;
 use rudder_core::{DomainName, MemberName, MemberRole, ServiceName};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -141,8 +141,8 @@
     now: Duration,
 ) -> GroupSigns {
     let members = group.members();
-    let primary =
-        group.with_book(|book| book.record().and_then(|record| record.primary().cloned()));
+    let record = group.with_book(|book| book.record().cloned());
+    let primary = record.as_ref().and_then(|record| record.primary().cloned());
     let present = primary.as_ref().and_then(|primary| group.member(primary));
     let listed = engine.members_confirmed_at().is_some_and(|at| now < at + LIST_AGE_MAX);
     let absent = listed && primary.is_some() && present.is_none();
@@ -154,10 +154,21 @@
         absent_since: lasting.absent_since,
         usurped_since: lasting.usurped_since,
         draining: present.is_some_and(|primary| !primary.serves_reads()),
+        holder_ended: record.is_some_and(|record| has_ended(engine, &record)),
         replaceable: members.iter().any(|member| is_successor(member, primary.as_ref())),
     }
 }
 
+/// Whether the process that began a change is known to have ended: it was this instance's last
+/// one, or its instance shows another one by now.
+fn has_ended(engine: &ProxyEngine, record: &LeadRecord) -> bool {
+    let LeadPhase::Changing { holder, process, .. } = &record.phase else { return false };
+    if *holder == engine.identity().name {
+        return *process != engine.process();
+    }
+    engine.board().has_restarted(holder, *process)
+}
+
 fn lasting_since(since: Option<Duration>, seen: bool, now: Duration) -> Option<Duration> {
     seen.then(|| since.unwrap_or(now))
 }
--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -54,6 +54,7 @@
     });
     PeerPulse {
         instance: engine.identity().name.clone(),
+        process: engine.process(),
         domain: engine.identity().domain.clone(),
         settings: engine.settings_version().map_or(0, |version| version.0),
         leaving: engine.drain_phase() != DrainPhase::Serving,
--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -15,9 +15,12 @@
 /// The most time for one read. The store answers in milliseconds, and in some hundred when slow.
 const READ_LIMIT: Duration = Duration::from_millis(500);
 
-/// The age of the readers' word from which on an instance reads the store itself: two questions
-/// went without a fresh answer, and a permit's life is not half over.
-const PEER_AGE_MAX: Duration = Duration::from_millis(1000);
+/// How long an answer of a reader is awaited. In the same failure domain it takes a millisecond.
+const ANSWER_WAIT: Duration = Duration::from_millis(100);
+
+/// The age of the readers' word from which on an instance reads the store itself. A fresh answer
+/// is at most as old as a reader's pause and one slow read; a permit's life is then not half over.
+const PEER_AGE_MAX: Duration = Duration::from_millis(700);
 
 /// Peers that are asked when the store does not answer.
 const PEERS_ASKED: usize = 3;
@@ -30,9 +33,8 @@
     let mut reachable = true;
     loop {
         let sent_at = boot_time();
-        if !engine.board().is_reader() && oldest_word(&engine) < PEER_AGE_MAX {
-            ask_peers(&engine, &exchange, 1).await;
-            tokio::time::sleep(READ_GAP).await;
+        if !engine.board().is_reader() && follow_peers(&engine, &exchange).await {
+            tokio::time::sleep(READ_GAP - ANSWER_WAIT).await;
             continue;
         }
         let answer = read_all(&engine).await;
@@ -56,6 +58,13 @@
     }
 }
 
+/// Asks a reader; returns whether its word is fresh.
+async fn follow_peers(engine: &ProxyEngine, exchange: &PeerExchange) -> bool {
+    ask_peers(engine, exchange, 1).await;
+    tokio::time::sleep(ANSWER_WAIT).await;
+    oldest_word(engine) < PEER_AGE_MAX
+}
+
 async fn read_all(engine: &ProxyEngine) -> Result<Vec<(ServiceName, LeadRecord)>, StoreError> {
     let list = engine.borders().store.list(ObjectKind::PrimaryRecord);
     let objects = match tokio::time::timeout(READ_LIMIT, list).await {
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -64,6 +64,8 @@
 /// One instance of the proxy.
 pub struct ProxyEngine {
     identity: InstanceIdentity,
+    /// Drawn at the start; tells this process from the instance's earlier and later ones.
+    process: u64,
     borders: EngineBorders,
     settings: watch::Sender<Option<Arc<FleetSettings>>>,
     /// Sorted by service.
@@ -92,6 +94,7 @@
         Arc::new(Self {
             board: PeerBoard::new(&identity),
             identity,
+            process: rand::random(),
             borders,
             settings: watch::Sender::new(None),
             groups: Mutex::default(),
@@ -147,6 +150,10 @@
         &self.identity
     }
 
+    pub(crate) fn process(&self) -> u64 {
+        self.process
+    }
+
     /// The region of a failure domain; empty if it is not known.
     pub(crate) fn region_of(&self, domain: &DomainName) -> String {
         let regions = &self.identity.regions;
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -31,6 +31,10 @@
 /// enough for the statements of a caller that is at work, as a new one takes a slot and 12 ms.
 const SCARCE_IDLE: Duration = Duration::from_millis(250);
 
+/// How long an idle connection is kept else. A member keeps the connections of a machine that lost
+/// power for some seconds; the fewer there are, the more are left for the machine's return.
+const SPARE_IDLE: Duration = Duration::from_millis(1500);
+
 /// Why no connection was had.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub(crate) enum AcquireError {
@@ -113,7 +117,8 @@
             }
         }
         closed.into_iter().for_each(PooledLink::close);
-        if let Some(moment) = Instant::now().checked_sub(SCARCE_IDLE).filter(|_| share.scarce) {
+        let kept = if share.scarce { SCARCE_IDLE } else { SPARE_IDLE };
+        if let Some(moment) = Instant::now().checked_sub(kept) {
             self.drop_idle_since(moment);
         }
     }
--- a/crates/rudder-engine/src/group/share.rs
+++ b/crates/rudder-engine/src/group/share.rs
@@ -1,24 +1,26 @@
 //! How many connections to a member each instance may hold.
 //!
 //! Load pattern: callers of a failure domain read at the member of that domain; writes and strict
-//! reads of all domains go to the primary. Equal shares leave most connections of a replica with
-//! instances that hardly use them, while the instances beside it refuse callers. So the parts
-//! depend on the distance; at the primary they are closer together. They never add up to more than
-//! the member takes, as each instance works them out from the same list, unless there are more
-//! instances than connections: then each may hold one, and gives it up when it is not in use.
+//! reads of all domains go to the primary. Each domain has about as many callers, however few
+//! instances serve them. Equal shares leave most connections of a replica with instances that
+//! hardly use them, while the instances beside it refuse callers, and starve the one instance of a
+//! small domain. So the parts go to domains, by distance, closer together at the primary, and are
+//! dealt among the instances of each. They never add up to more than the member takes, as each
+//! instance works them out from the same list, unless there are more instances than connections:
+//! then each may hold one, and gives it up when it is not in use.
 
 use rudder_core::DomainName;
 
-/// Parts of an instance in the member's failure domain.
+/// Parts of the member's own failure domain.
 const NEAR_WEIGHT: u32 = 6;
 
-/// Parts of an instance in the member's region.
+/// Parts of a domain in the member's region.
 const REGION_WEIGHT: u32 = 4;
 
-/// Parts of an instance elsewhere: enough for reads that find nearer members too far behind.
+/// Parts of a domain elsewhere: enough for reads that find nearer members too far behind.
 const FAR_WEIGHT: u32 = 2;
 
-/// Parts at the primary of an instance elsewhere: it writes and reads strictly there.
+/// Parts at the primary of a domain elsewhere: it writes and reads strictly there.
 const FAR_PRIMARY_WEIGHT: u32 = 4;
 
 /// Connections left free for changes of the primary and for watching it: about one for each
@@ -60,8 +62,16 @@
 pub(crate) fn connection_share(input: &ShareInput<'_>) -> ConnectionShare {
     let free = input.connections_max.saturating_sub(RESERVE);
     let weight = |place: &SeatPlace| weight_of(place, &input.member, input.is_primary);
-    let parts: u32 = input.all.iter().map(weight).sum();
-    let limit = free * weight(&input.own) / parts.max(1);
+    let mut domains: Vec<&SeatPlace> = Vec::new();
+    for place in input.all {
+        if !domains.iter().any(|known| known.domain == place.domain) {
+            domains.push(place);
+        }
+    }
+    let parts: u32 = domains.into_iter().map(weight).sum();
+    let neighbours = input.all.iter().filter(|place| place.domain == input.own.domain).count();
+    let neighbours = u32::try_from(neighbours).unwrap_or(u32::MAX);
+    let limit = free * weight(&input.own) / parts.max(1) / neighbours.max(1);
     ConnectionShare { limit: limit.max(1), scarce: limit == 0 }
 }
 
--- a/crates/rudder-engine/src/lead/record.rs
+++ b/crates/rudder-engine/src/lead/record.rs
@@ -42,6 +42,8 @@
     Changing {
         /// The instance.
         holder: InstanceName,
+        /// Tells the instance's process from its earlier and later ones.
+        process: u64,
         /// The primary before.
         previous: Option<MemberName>,
         /// Whether the previous primary still serves and only leaves.
--- a/crates/rudder-engine/src/lead/suspicion.rs
+++ b/crates/rudder-engine/src/lead/suspicion.rs
@@ -5,9 +5,9 @@
 use rudder_core::{DomainName, InstanceName, MemberName, plain_data};
 use std::time::Duration;
 
-/// How long an unfinished change of another instance is left alone. Longer than a whole change
-/// takes (a permit's life, 1 s of promoting, some round trips), so that two never work at once.
-const CHANGE_PATIENCE: Duration = Duration::from_millis(4500);
+/// How long an unfinished change of another instance is left alone. Longer than that one may still
+/// order a promotion (2.6 s) and the order may take, so that two never work at once.
+const CHANGE_PATIENCE: Duration = Duration::from_millis(3500);
 
 /// How long the primary must be gone from the list before that alone is a reason. Entries that
 /// lapsed in an outage of the store are back within two seconds of its return.
@@ -16,9 +16,9 @@
 /// How long two members must contradict the record in what they say of their own roles.
 const ROLE_PATIENCE: Duration = Duration::from_millis(1500);
 
-/// How long the own watch must have failed. Above the longest round trip between regions and a
-/// dropped packet's resend (0.2 s), so that one lost packet raises no doubt.
-const SILENT_PATIENCE: Duration = Duration::from_millis(350);
+/// How long the own watch must have failed. Above a dropped packet's resend (0.2 s), so that one
+/// lost packet raises no doubt.
+const SILENT_PATIENCE: Duration = Duration::from_millis(250);
 
 /// The pause before the next in line acts: several round trips and a write to the store.
 const RANK_DELAY: Duration = Duration::from_millis(300);
@@ -48,6 +48,8 @@
         pub(crate) draining: bool,
         /// Whether another member could take over.
         pub(crate) replaceable: bool,
+        /// Whether the process that began the change under way is known to have ended.
+        pub(crate) holder_ended: bool,
     }
 }
 
@@ -100,7 +102,9 @@
 ) -> Option<(ChangeCause, Duration)> {
     let record = book.record()?;
     if let LeadPhase::Changing { .. } = record.phase {
-        let due_at = book.seen_at() + CHANGE_PATIENCE;
+        // A process that ended orders no promotion any more.
+        let patience = if signs.holder_ended { Duration::ZERO } else { CHANGE_PATIENCE };
+        let due_at = book.seen_at() + patience;
         return (now >= due_at).then_some((ChangeCause::Unfinished, due_at));
     }
     if !signs.replaceable {
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -271,6 +271,13 @@
         readers.into_iter().map(vote).collect()
     }
 
+    /// Whether an instance is known to run another process than `process`.
+    pub(crate) fn has_restarted(&self, instance: &InstanceName, process: u64) -> bool {
+        let state = self.state();
+        let found = state.heard.iter().find(|heard| heard.pulse.instance == *instance);
+        found.is_some_and(|heard| heard.pulse.process != process)
+    }
+
     /// The failure domains of all instances that may hold connections: those listed, those heard
     /// from, and this one; each as often as it has instances.
     pub(crate) fn domains(&self) -> Vec<DomainName> {
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -21,6 +21,8 @@
     #[derive(Serialize, Deserialize)]
     pub(crate) struct PeerPulse {
         pub(crate) instance: InstanceName,
+        /// Tells its process from its earlier and later ones.
+        pub(crate) process: u64,
         pub(crate) domain: DomainName,
         /// The version of the settings that are in force there; zero before the first.
         pub(crate) settings: u64,
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -97,7 +97,7 @@
                 continue;
             };
             let last = left.next().is_none();
-            match self.try_member(member, job, floor, step, last).await {
+            match self.try_member(&group, member, job, floor, step, last).await {
                 Ok((reply, link)) => {
                     return Ok((reply, ReadStart { link, member: Arc::clone(member) }));
                 }
@@ -139,6 +139,7 @@
 
     async fn try_member(
         &self,
+        group: &Arc<ServiceGroup>,
         member: &Arc<GroupMember>,
         job: &StatementJob,
         floor: LogStamp,
@@ -159,6 +160,8 @@
             Ok(reply) => judge_reply(member, job, reply, link, step),
             Err(error) => {
                 log_attempt(member, job, &error);
+                // The watch tells at once whether a primary is lost.
+                self.want_position(group);
                 member.doubt();
                 Err(AttemptEnd::Next)
             }
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -59,7 +59,7 @@
                 Ok(start) => start,
                 Err(reason) => return refuse(job, reason),
             };
-            let reason = match attempt(&group, job, start).await {
+            let reason = match self.attempt(&group, job, start).await {
                 StrictEnd::Answer(reply) => return reply,
                 StrictEnd::Again(reason) => reason,
             };
@@ -70,6 +70,32 @@
         }
     }
 
+    async fn attempt(
+        &self,
+        group: &Arc<ServiceGroup>,
+        job: &StatementJob,
+        start: StrictStart,
+    ) -> StrictEnd {
+        let StrictStart { mut link, member, permit, flight } = start;
+        let sent_at = boot_time();
+        // Guards against a primary that restarted with an empty log: it lacks what was seen there.
+        let floor = match job.effect {
+            StatementEffect::Read => group.newest_position(),
+            StatementEffect::Write => None,
+        };
+        let answer = job.run_on(&mut link, floor, job.time_left()).await;
+        let end = match answer {
+            Ok(reply) => judge_reply(group, job, &permit, sent_at, reply, link),
+            Err(error) => {
+                // The watch tells at once whether it is the connection or the primary.
+                self.want_position(group);
+                judge_failure(group, job, &member, &permit, &error)
+            }
+        };
+        drop(flight);
+        end
+    }
+
     /// Waits for a primary with a permit, and for a connection to it.
     pub(super) async fn start_strict(
         &self,
@@ -108,22 +134,6 @@
     }
 }
 
-async fn attempt(group: &Arc<ServiceGroup>, job: &StatementJob, start: StrictStart) -> StrictEnd {
-    let StrictStart { mut link, member, permit, flight } = start;
-    let sent_at = boot_time();
-    // Guards against a primary that restarted with an empty log: it lacks what was seen there.
-    let floor = match job.effect {
-        StatementEffect::Read => group.newest_position(),
-        StatementEffect::Write => None,
-    };
-    let answer = job.run_on(&mut link, floor, job.time_left()).await;
-    let end = match answer {
-        Ok(reply) => judge_reply(group, job, &permit, sent_at, reply, link),
-        Err(error) => judge_failure(group, job, &member, &permit, &error),
-    };
-    drop(flight);
-    end
-}
 
 fn judge_reply(
     group: &ServiceGroup,
