--- a/crates/arbutusrudder/src/keeper/config.rs
+++ b/crates/arbutusrudder/src/keeper/config.rs
@@ -3,8 +3,8 @@
 use super::exchange::ObserverExchange;
 use rudder_core::{DomainName, InstanceName, PlanMember, ServiceName};
 use rudder_endpoint::MemberControl;
-use rudder_store::PlatformStore;
 use rudder_settings::{MemberSettings, TimingSettings};
+use rudder_store::PlatformStore;
 use std::cmp::Reverse;
 use std::sync::Arc;
 
--- a/crates/arbutusrudder/src/keeper/tests/standin_switch.rs
+++ b/crates/arbutusrudder/src/keeper/tests/standin_switch.rs
@@ -8,9 +8,9 @@
     ControlStatement, LogTerm, MemberName, MemberStatus, PlanMember, SwitchOrder, WriterMark,
 };
 use rudder_endpoint::{ControlError, MemberControl};
-use rudder_store::{ObjectKind, PlatformStore};
 use rudder_settings::TimingSettings;
 use rudder_standins::{GroupSettings, GroupStandin, MemberKnob};
+use rudder_store::{ObjectKind, PlatformStore};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
--- a/crates/arbutusrudder/src/process.rs
+++ b/crates/arbutusrudder/src/process.rs
@@ -2,8 +2,8 @@
 
 use displaydoc::Display;
 use rudder_core::{DomainName, InstanceName, plain_data};
-use rudder_store::PlatformOptions;
 use rudder_settings::{CallerSettings, ShedOrder};
+use rudder_store::PlatformOptions;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -19,7 +19,7 @@
 use crate::engine::ProxyEngine;
 use crate::group::{GroupMember, MemberState, ServiceGroup};
 use crate::lead::{
-    ChangeCause, LeadPhase, LeadRecord, LeaderEpoch, PERMIT_LIFE, order_candidates,
+    ChangeCause, LeadPhase, LeadRecord, LeaderEpoch, StopProgress, order_candidates,
 };
 use crate::peers::{PeerExchange, PeerMessage, RecordCopy};
 use displaydoc::Display;
@@ -28,10 +28,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// What is added to a permit's life before it is taken to have lapsed: clocks of two machines
-/// that run at slightly different speeds, and an answer on its way to a caller.
-const LAPSE_MARGIN: Duration = Duration::from_millis(150);
-
 /// How long an intent entitles its writer to order a promotion: a permit's life and a second for
 /// questions and repeated orders. Below `CHANGE_PATIENCE` by more than an order's time.
 const HOLD_TIME: Duration = Duration::from_millis(2600);
@@ -182,9 +178,7 @@
         let version = match put {
             Ok(object) => object.version,
             // The answer may be lost after the effect, and a resent call meets its own effect.
-            Err(StoreError::Conflict | StoreError::Unresolved) => {
-                self.find_own(&record).await?
-            }
+            Err(StoreError::Conflict | StoreError::Unresolved) => self.find_own(&record).await?,
             Err(error) => return Err(error.into()),
         };
         self.engine.observe(self.group.service(), &record, sent_at);
@@ -205,31 +199,31 @@
     /// Returns once no instance answers for the version before `intent`.
     async fn stop_all(&self, intent: &WrittenRecord) {
         let service = self.group.service();
-        let lapsed_at = intent.done_at + PERMIT_LIFE + LAPSE_MARGIN;
         // Read after the intent was written: an instance that registers later reads the intent.
         let listed = read_seats(self.engine).await;
         if let Err(error) = &listed {
             log::info!(reason:% = error; "the list of instances was not read");
         }
         stop_answering(self.engine, service).await;
-        while boot_time() < lapsed_at {
+        let listed = listed.is_ok();
+        loop {
             let left = self.engine.board().not_stopped(service, intent.record.epoch);
-            // Without the list there may be instances that nobody here knows.
-            if left.is_empty() && listed.is_ok() {
-                break;
+            let progress = StopProgress { written_by: intent.done_at, listed, unheard: left.len() };
+            let now = boot_time();
+            if progress.is_over(now) {
+                log::info!(
+                    service:% = service, epoch:% = intent.record.epoch, unheard = left.len(),
+                    listed = listed, waited_ms = now.saturating_sub(intent.done_at).as_millis();
+                    "no instance answers for the old primary any more"
+                );
+                return;
             }
             let receivers: Vec<_> = left.iter().map(|seat| seat.address).collect();
             let message = PeerMessage::Announce(self.copy_of(&intent.record));
             self.exchange.send_all(&message, &receivers).await;
-            let wait = lapsed_at.saturating_sub(boot_time()).min(ANNOUNCE_GAP);
+            let wait = progress.lapses_at().saturating_sub(now).min(ANNOUNCE_GAP);
             self.engine.board().wait_stopped(wait).await;
         }
-        let unheard = self.engine.board().not_stopped(service, intent.record.epoch);
-        log::info!(
-            service:% = service, epoch:% = intent.record.epoch, unheard = unheard.len(),
-            waited_ms = boot_time().saturating_sub(intent.done_at).as_millis();
-            "all instances stopped answering for the old primary"
-        );
     }
 
     fn copy_of(&self, record: &LeadRecord) -> RecordCopy {
@@ -331,11 +325,7 @@
     }
 
     /// Waits until the member leads a newer term than `before`.
-    async fn await_leader(
-        &self,
-        candidate: &MemberName,
-        before: LogTerm,
-    ) -> Option<MemberReport> {
+    async fn await_leader(&self, candidate: &MemberName, before: LogTerm) -> Option<MemberReport> {
         let member = self.group.member(candidate)?;
         let until = boot_time() + LEAD_LIMIT;
         while boot_time() < until {
--- a/crates/rudder-engine/src/duty/control.rs
+++ b/crates/rudder-engine/src/duty/control.rs
@@ -59,7 +59,8 @@
 /// Makes a superseded primary a replica.
 pub(super) async fn step_down(engine: &ProxyEngine, member: &GroupMember, term: LogTerm) {
     let outcome = order(engine, member, MemberCommand::StepDown(term)).await;
-    let outcome = outcome.map_or_else(|error| error.to_string(), |reply| format!("{:?}", reply.outcome));
+    let outcome =
+        outcome.map_or_else(|error| error.to_string(), |reply| format!("{:?}", reply.outcome));
     log::info!(
         member:% = member.name(), term:% = term, outcome:% = outcome; "a primary was told to step down"
     );
--- a/crates/rudder-engine/src/duty/drain.rs
+++ b/crates/rudder-engine/src/duty/drain.rs
@@ -26,11 +26,7 @@
 /// stop_engine(&engine, timing, || true).await;
 /// # }
 /// ```
-pub async fn stop_engine(
-    engine: &Arc<ProxyEngine>,
-    timing: EngineTiming,
-    idle: impl Fn() -> bool,
-) {
+pub async fn stop_engine(engine: &Arc<ProxyEngine>, timing: EngineTiming, idle: impl Fn() -> bool) {
     let began_at = tokio::time::Instant::now();
     engine.set_drain(DrainPhase::Leaving);
     log::info!(grace_ms = timing.grace.as_millis(); "this instance stops");
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -84,8 +84,8 @@
     }
     let epoch = group.with_book(|book| book.epoch());
     let votes = engine.board().votes(group.service(), epoch, signs.silent_since.is_some());
-    let cause = group
-        .with_book(|book| judge_change(book, &signs, &engine.identity().name, &votes, now));
+    let cause =
+        group.with_book(|book| judge_change(book, &signs, &engine.identity().name, &votes, now));
     let first = engine.is_recordless(group.service()) && !group.members().is_empty();
     if cause.is_none() && !first {
         return;
--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -4,7 +4,8 @@
 use crate::engine::{DrainPhase, ProxyEngine};
 use crate::lead::{LeadPhase, LeaderEpoch};
 use crate::peers::{
-    GroupPulse, PeerExchange, PeerMessage, PeerPulse, RecordCopy, SampleCopy, StopWord, fetch_settings,
+    GroupPulse, PeerExchange, PeerMessage, PeerPulse, RecordCopy, SampleCopy, StopWord,
+    fetch_settings,
 };
 use rudder_core::ServiceName;
 use std::net::SocketAddr;
@@ -32,9 +33,8 @@
     let mut last: Option<(PeerPulse, Instant)> = None;
     loop {
         let pulse = compose(&engine);
-        let due = last.as_ref().is_none_or(|(told, at)| {
-            at.elapsed() >= PULSE_GAP || told != &pulse
-        });
+        let due =
+            last.as_ref().is_none_or(|(told, at)| at.elapsed() >= PULSE_GAP || told != &pulse);
         if due {
             let receivers = engine.board().pulse_receivers();
             exchange.send_all(&PeerMessage::Pulse(pulse.clone()), &receivers).await;
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -50,10 +50,7 @@
 
 async fn register(engine: &ProxyEngine) -> Result<(), StoreError> {
     let identity = engine.identity();
-    let seat = SeatRecord {
-        domain: identity.domain.clone(),
-        peer_address: identity.peer_address,
-    };
+    let seat = SeatRecord { domain: identity.domain.clone(), peer_address: identity.peer_address };
     let spec = serde_json::to_value(&seat).map_err(|e| StoreError::Refused(e.to_string()))?;
     let store = &engine.borders().store;
     let name = identity.name.as_str();
@@ -104,8 +101,6 @@
     }
 }
 
-async fn limited<T>(
-    call: impl Future<Output = Result<T, StoreError>>,
-) -> Result<T, StoreError> {
+async fn limited<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
     tokio::time::timeout(CALL_LIMIT, call).await.unwrap_or(Err(StoreError::Unresolved))
 }
--- a/crates/rudder-engine/src/group/image.rs
+++ b/crates/rudder-engine/src/group/image.rs
@@ -34,10 +34,10 @@
         }
         let missing = values.iter().filter(|value| self.values.binary_search(value).is_err());
         let mut commands: Vec<_> = missing.cloned().map(MemberCommand::SetValue).collect();
-        commands.extend(unknown.map(|shape| MemberCommand::Prepare {
-            alias: shape.alias(),
-            shape: shape.clone(),
-        }));
+        commands.extend(
+            unknown
+                .map(|shape| MemberCommand::Prepare { alias: shape.alias(), shape: shape.clone() }),
+        );
         commands
     }
 
--- a/crates/rudder-engine/src/group/mod.rs
+++ b/crates/rudder-engine/src/group/mod.rs
@@ -11,6 +11,9 @@
 pub(crate) use link::{ExchangeError, PooledLink};
 pub(crate) use placement::{ReadPlace, order_members};
 pub(crate) use pool::AcquireError;
+pub(crate) use service::{GroupMember, ServiceGroup};
 pub use service::{MemberEntry, MemberState};
 pub(crate) use share::SeatPlace;
-pub(crate) use service::{GroupMember, ServiceGroup};
+
+#[cfg(test)]
+mod tests;
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -222,7 +222,8 @@
 
     /// Opens a connection for which a place was counted in.
     async fn dial(self: &Arc<Self>, place: OpenPlace) -> Result<PooledLink, LinkError> {
-        let dialed = match tokio::time::timeout(DIAL_TIMEOUT, self.dialer.dial(&self.target)).await {
+        let dialed = match tokio::time::timeout(DIAL_TIMEOUT, self.dialer.dial(&self.target)).await
+        {
             Ok(dialed) => dialed,
             Err(_) => Err(LinkError::Silent),
         };
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -244,12 +244,7 @@
     }
 
     /// Takes in a peer's sample of a version's primary.
-    pub(crate) fn note_peer_sample(
-        &self,
-        epoch: LeaderEpoch,
-        sent_at: Duration,
-        stamp: LogStamp,
-    ) {
+    pub(crate) fn note_peer_sample(&self, epoch: LeaderEpoch, sent_at: Duration, stamp: LogStamp) {
         let permit = self.state().book.permit(boot_time());
         if let Some(permit) = permit.filter(|permit| permit.epoch == epoch) {
             self.note_position(&permit, sent_at, stamp);
--- /dev/null
+++ b/crates/rudder-engine/src/group/tests/image.rs
@@ -0,0 +1,64 @@
+//! What a shared connection must be told before a session's statement.
+
+use crate::group::image::LaidImage;
+use crate::statement::{MemberCommand, SessionValue, StatementEffect, StatementShape};
+
+fn value(name: &str, value: &str) -> SessionValue {
+    SessionValue { name: name.to_owned(), value: value.to_owned() }
+}
+
+fn shape(text: &str) -> StatementShape {
+    StatementShape { effect: StatementEffect::Read, shape: text.to_owned() }
+}
+
+fn laid(commands: &[MemberCommand]) -> LaidImage {
+    let mut image = LaidImage::default();
+    commands.iter().for_each(|command| image.apply(command));
+    image
+}
+
+#[test]
+fn nothing_is_sent_that_the_connection_has() {
+    let values = [value("a", "1")];
+    let image = laid(&LaidImage::default().commands_for(&values, Some(&shape("q"))));
+
+    assert_eq!(image.commands_for(&values, Some(&shape("q"))), []);
+}
+
+#[test]
+fn another_callers_value_is_cleared() {
+    // One caller set a tone, the next one never did. With the tone left on the connection, the
+    // second caller's statement runs in a mode that nobody asked for.
+    let image = laid(&[MemberCommand::SetValue(value("tone", "high"))]);
+
+    let commands = image.commands_for(&[value("metre", "slow")], None);
+
+    let expected = [MemberCommand::Reset, MemberCommand::SetValue(value("metre", "slow"))];
+    assert_eq!(commands, expected);
+}
+
+#[test]
+fn a_changed_value_is_set_over_the_old_one() {
+    // Within a transaction the connection cannot be cleared without losing the transaction.
+    let image = laid(&[MemberCommand::SetValue(value("tone", "high"))]);
+
+    let commands = image.commands_for(&[value("tone", "low")], None);
+
+    assert_eq!(commands, [MemberCommand::SetValue(value("tone", "low"))]);
+}
+
+#[test]
+fn a_connection_that_knows_many_shapes_is_cleared() {
+    // A caller prepares ever new statements; the members' memory must not grow with them.
+    let many: Vec<_> = (0..64)
+        .map(|number| {
+            let shape = shape(&format!("q{number}"));
+            MemberCommand::Prepare { alias: shape.alias(), shape }
+        })
+        .collect();
+
+    let commands = laid(&many).commands_for(&[], Some(&shape("new")));
+
+    assert_eq!(commands.first(), Some(&MemberCommand::Reset));
+    assert_eq!(commands.len(), 2);
+}
--- /dev/null
+++ b/crates/rudder-engine/src/group/tests/pool.rs
@@ -0,0 +1,173 @@
+//! Who gets a connection, and which connections are kept.
+
+use crate::border::{LinkError, MemberDialer, MemberLink, MemberTarget};
+use crate::group::pool::{AcquireError, MemberPool};
+use crate::group::share::ConnectionShare;
+use crate::statement::{
+    MemberCommand, StatementError, StatementOutcome, StatementReply, TransactionState,
+};
+use async_trait::async_trait;
+use rudder_core::MemberStatus;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+const LONG: Duration = Duration::from_secs(30);
+
+/// A member that answers everything, or nothing, or refuses connections over a cap.
+#[derive(Default)]
+struct FakeDialer {
+    dialed: AtomicU32,
+    silent: bool,
+    cap: Option<u32>,
+}
+
+struct FakeLink {
+    silent: bool,
+}
+
+#[async_trait]
+impl MemberDialer for FakeDialer {
+    async fn dial(&self, _target: &MemberTarget) -> Result<Box<dyn MemberLink>, LinkError> {
+        let dialed = self.dialed.fetch_add(1, Ordering::Relaxed);
+        if self.cap.is_some_and(|cap| dialed >= cap) {
+            return Err(LinkError::Refused(StatementError::ConnectionLimit));
+        }
+        Ok(Box::new(FakeLink { silent: self.silent }))
+    }
+
+    fn read_status(&self, _reply: &StatementReply) -> Option<MemberStatus> {
+        None
+    }
+}
+
+#[async_trait]
+impl MemberLink for FakeLink {
+    async fn send(&mut self, _commands: &[MemberCommand]) -> Result<(), LinkError> {
+        Ok(())
+    }
+
+    async fn receive(&mut self) -> Result<StatementReply, LinkError> {
+        if self.silent {
+            std::future::pending::<()>().await;
+        }
+        let outcome = StatementOutcome::Done(String::new());
+        let state = TransactionState::Idle;
+        Ok(StatementReply { rows: Vec::new(), outcome, state, position: None })
+    }
+}
+
+fn pool(dialer: &Arc<FakeDialer>, limit: u32) -> Arc<MemberPool> {
+    let target = MemberTarget {
+        service: "records".parse().expect("a name"),
+        member: "i-1".parse().expect("a name"),
+        address: ([127, 0, 0, 1], 1).into(),
+    };
+    let dialer: Arc<dyn MemberDialer> = Arc::clone(dialer) as _;
+    MemberPool::new(target, dialer, limit)
+}
+
+#[tokio::test]
+async fn a_connection_that_comes_back_serves_the_next_caller() {
+    let dialer = Arc::new(FakeDialer::default());
+    let pool = pool(&dialer, 1);
+
+    for _ in 0..5 {
+        let mut link = pool.acquire(1, LONG).await.expect("a connection");
+        link.exchange(&[MemberCommand::Reset], LONG).await.expect("an answer");
+    }
+
+    assert_eq!(dialer.dialed.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test]
+async fn urgent_work_goes_before_work_that_came_earlier() {
+    // Catalogue readers queue up for the only connection, then an order comes. Behind the readers
+    // it would be late.
+    let dialer = Arc::new(FakeDialer::default());
+    let pool = pool(&dialer, 1);
+    let held = pool.acquire(1, LONG).await.expect("a connection");
+    let order = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let mut callers = Vec::new();
+    for (name, priority) in [("reader", 2), ("another reader", 2), ("order", 1)] {
+        let (pool, order) = (Arc::clone(&pool), Arc::clone(&order));
+        callers.push(tokio::spawn(async move {
+            let link = pool.acquire(priority, LONG).await.expect("a connection");
+            order.lock().expect("no panic").push(name);
+            drop(link);
+        }));
+        tokio::task::yield_now().await;
+    }
+
+    drop(held);
+    for caller in callers {
+        caller.await.expect("no panic");
+    }
+
+    assert_eq!(*order.lock().expect("no panic"), ["order", "reader", "another reader"]);
+}
+
+#[tokio::test]
+async fn a_connection_that_missed_its_answer_is_never_used_again() {
+    // Something between the two ends has lost track of the connection. The answer may still come,
+    // and must not reach the next caller.
+    let dialer = Arc::new(FakeDialer { silent: true, ..FakeDialer::default() });
+    let pool = pool(&dialer, 1);
+    let mut link = pool.acquire(1, LONG).await.expect("a connection");
+
+    let answer = link.exchange(&[MemberCommand::Reset], Duration::from_millis(5)).await;
+    drop(link);
+    pool.acquire(1, LONG).await.expect("another connection");
+
+    assert_eq!(answer.expect_err("no answer").reason, LinkError::Silent);
+    assert_eq!(dialer.dialed.load(Ordering::Relaxed), 2);
+}
+
+#[tokio::test]
+async fn a_caller_that_gives_up_takes_nothing_with_it() {
+    // Callers leave while they wait; the places that come free meanwhile must not be lost, or the
+    // instance runs out of connections that nobody holds.
+    let dialer = Arc::new(FakeDialer::default());
+    let pool = pool(&dialer, 2);
+    for _ in 0..20 {
+        let first = pool.acquire(1, LONG).await.expect("a connection");
+        let second = pool.acquire(1, LONG).await.expect("a connection");
+        let waiting = pool.acquire(1, Duration::from_millis(1)).await;
+        assert!(matches!(waiting, Err(AcquireError::WaitOver)));
+        first.close();
+        drop(second);
+    }
+
+    assert_eq!(pool.spare(), 2);
+}
+
+#[tokio::test]
+async fn a_member_that_has_too_many_connections_is_not_pressed() {
+    // The others hold more than their shares for a moment. Dialling again at once closes as many
+    // connections as it opens.
+    let dialer = Arc::new(FakeDialer { cap: Some(1), ..FakeDialer::default() });
+    let pool = pool(&dialer, 10);
+    let held = pool.acquire(1, LONG).await.expect("a connection");
+
+    for _ in 0..50 {
+        let refused = pool.acquire(1, Duration::ZERO).await;
+        assert!(refused.is_err());
+    }
+
+    assert!(dialer.dialed.load(Ordering::Relaxed) <= 4);
+    drop(held);
+}
+
+#[tokio::test]
+async fn a_smaller_share_closes_what_is_idle() {
+    let dialer = Arc::new(FakeDialer::default());
+    let pool = pool(&dialer, 3);
+    let first = pool.acquire(1, LONG).await.expect("a connection");
+    let second = pool.acquire(1, LONG).await.expect("a connection");
+    drop(first);
+
+    pool.set_share(ConnectionShare { limit: 1, scarce: false });
+    drop(second);
+
+    assert_eq!(pool.spare(), 1);
+}
--- a/crates/rudder-engine/src/lead/mod.rs
+++ b/crates/rudder-engine/src/lead/mod.rs
@@ -2,10 +2,15 @@
 
 mod book;
 mod history;
+mod lapse;
 mod record;
 mod suspicion;
 
-pub(crate) use book::{LeadBook, LeadPermit, PERMIT_LIFE};
+pub(crate) use book::{LeadBook, LeadPermit};
 pub(crate) use history::PositionHistory;
+pub(crate) use lapse::StopProgress;
 pub use record::{LeadPhase, LeadRecord, LeaderEpoch};
 pub(crate) use suspicion::{ChangeCause, GroupSigns, PeerVote, judge_change, order_candidates};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/rudder-engine/src/lead/tests/mod.rs
@@ -0,0 +1,34 @@
+//! Tests of what decides who leads.
+
+mod book;
+mod history;
+mod model;
+mod schedules;
+mod suspicion;
+
+use super::{LeadPhase, LeadRecord, LeaderEpoch};
+use rudder_core::{LogStamp, LogTerm, MemberName};
+use std::time::Duration;
+
+pub(super) fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub(super) fn member(name: &str) -> MemberName {
+    name.parse().expect("a name")
+}
+
+pub(super) fn settled(epoch: u64, primary: &str, term: u64, base: Option<LogStamp>) -> LeadRecord {
+    let phase = LeadPhase::Settled { primary: member(primary), term: LogTerm(term), base };
+    LeadRecord { epoch: LeaderEpoch(epoch), mark: format!("m{epoch}"), phase }
+}
+
+pub(super) fn changing(epoch: u64, holder: &str, previous: &str) -> LeadRecord {
+    let phase = LeadPhase::Changing {
+        holder: holder.parse().expect("a name"),
+        process: epoch,
+        previous: Some(member(previous)),
+        planned: false,
+    };
+    LeadRecord { epoch: LeaderEpoch(epoch), mark: format!("m{epoch}"), phase }
+}
--- /dev/null
+++ b/crates/rudder-engine/src/lead/tests/schedules.rs
@@ -0,0 +1,57 @@
+//! Generated schedules: no answer for a superseded primary, whatever is lost, late or frozen.
+
+use super::model::{Model, TakenOut};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// Schedules in a usual run. `RUDDER_LEAD_SCHEDULES` sets another number.
+const SCHEDULES: u64 = 3000;
+
+/// Steps of one schedule: some ten seconds.
+const STEPS: u32 = 600;
+
+fn schedules() -> u64 {
+    let asked = std::env::var("RUDDER_LEAD_SCHEDULES").ok();
+    asked.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES)
+}
+
+/// Plays schedules until one breaks a promise; counts answers and promotions.
+fn play(out: TakenOut, count: u64) -> Result<(u64, u64), String> {
+    let (mut answers, mut promotions) = (0, 0);
+    for seed in 0..count {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut model = Model::new(out);
+        for step in 0..STEPS {
+            let stepped = model.step(&mut rng);
+            stepped.map_err(|fault| format!("seed {seed}, step {step}: {fault}"))?;
+        }
+        answers += u64::from(model.answers);
+        promotions += u64::from(model.promotions);
+    }
+    Ok((answers, promotions))
+}
+
+#[test]
+fn no_instance_answers_for_a_superseded_primary() {
+    // A crew's sheet is acknowledged by an instance that does not know that the primary was
+    // changed: the sheet is lost. Reads, words of peers and announcements are lost or seconds
+    // late, machines freeze at any step, and several instances try to change the primary.
+    let (answers, promotions) = play(TakenOut::Nothing, schedules()).expect("no broken promise");
+
+    assert!(answers > schedules() && promotions > schedules(), "{answers}, {promotions}");
+}
+
+#[test]
+fn each_guard_is_needed() {
+    // Without any one of the guards the same schedules find an answer for a superseded primary.
+    for out in [
+        TakenOut::LookAtAnswer,
+        TakenOut::WaitForLapse,
+        TakenOut::StopBeforeWord,
+        TakenOut::AgeOfRead,
+        TakenOut::AgeOfPeerWord,
+        TakenOut::ListAfterIntent,
+    ] {
+        assert!(play(out, SCHEDULES).is_err(), "{out:?} is not needed");
+    }
+}
--- /dev/null
+++ b/crates/rudder-engine/src/lead/tests/suspicion.rs
@@ -0,0 +1,114 @@
+//! When a change of primary is due.
+
+use super::{changing, ms, settled};
+use crate::lead::{ChangeCause, GroupSigns, LeadBook, PeerVote, judge_change};
+use rudder_core::InstanceName;
+
+fn name(text: &str) -> InstanceName {
+    text.parse().expect("a name")
+}
+
+/// Votes of instances named after their failure domains; capitals suspect.
+fn votes(text: &str) -> Vec<PeerVote> {
+    let vote = |(index, domain): (usize, char)| PeerVote {
+        instance: name(&format!("i{index}")),
+        domain: domain.to_lowercase().to_string().parse().expect("a name"),
+        suspects: domain.is_uppercase(),
+    };
+    text.chars().enumerate().map(vote).collect()
+}
+
+fn healthy() -> GroupSigns {
+    GroupSigns {
+        silent_since: None,
+        absent_since: None,
+        usurped_since: None,
+        draining: false,
+        replaceable: true,
+        holder_ended: false,
+    }
+}
+
+fn led_by_a() -> LeadBook {
+    let mut book = LeadBook::default();
+    book.observe(&settled(1, "a", 1, None), ms(0), ms(0));
+    book
+}
+
+/// What the first in line would do, long after the signs were first seen.
+fn verdict(book: &LeadBook, signs: &GroupSigns, votes: &[PeerVote]) -> Option<ChangeCause> {
+    let judge = |vote: &PeerVote| judge_change(book, signs, &vote.instance, votes, ms(9000));
+    votes.iter().find_map(judge)
+}
+
+#[test]
+fn a_cut_link_of_one_instance_moves_no_primary() {
+    // One instance's link to the primary is cut. All others serve with it; changing it would stop
+    // every write for a second, and lose what the successor has not received.
+    let signs = GroupSigns { silent_since: Some(ms(100)), ..healthy() };
+
+    assert_eq!(verdict(&led_by_a(), &signs, &votes("Abc")), None);
+}
+
+#[test]
+fn a_domain_that_is_cut_off_moves_no_primary() {
+    let signs = GroupSigns { silent_since: Some(ms(100)), ..healthy() };
+
+    assert_eq!(verdict(&led_by_a(), &signs, &votes("AAAbc")), None);
+}
+
+#[test]
+fn an_instance_that_hears_nobody_moves_no_primary() {
+    let signs = GroupSigns { silent_since: Some(ms(100)), ..healthy() };
+
+    assert_eq!(verdict(&led_by_a(), &signs, &votes("A")), None);
+}
+
+#[test]
+fn a_primary_that_most_cannot_reach_is_replaced() {
+    let signs = GroupSigns { silent_since: Some(ms(100)), ..healthy() };
+
+    assert_eq!(verdict(&led_by_a(), &signs, &votes("ABc")), Some(ChangeCause::Unreachable));
+}
+
+#[test]
+fn a_moment_of_silence_is_no_reason() {
+    // A dropped packet is sent again after 0.2 s.
+    let signs = GroupSigns { silent_since: Some(ms(8800)), ..healthy() };
+
+    assert_eq!(verdict(&led_by_a(), &signs, &votes("ABC")), None);
+}
+
+#[test]
+fn a_primary_stays_while_nobody_can_take_over() {
+    let signs = GroupSigns { draining: true, replaceable: false, ..healthy() };
+
+    assert_eq!(verdict(&led_by_a(), &signs, &votes("abc")), None);
+}
+
+#[test]
+fn an_unfinished_change_is_left_alone_for_a_while() {
+    // The holder may only be slow. Two at work at once would promote two members in turn.
+    let mut book = led_by_a();
+    book.observe(&changing(2, "x", "a"), ms(6000), ms(6000));
+    let ended = GroupSigns { holder_ended: true, ..healthy() };
+
+    assert_eq!(verdict(&book, &healthy(), &votes("abc")), None);
+    assert_eq!(verdict(&book, &ended, &votes("abc")), Some(ChangeCause::Unfinished));
+}
+
+#[test]
+fn instances_take_turns() {
+    // All see the same signs at the same moment; only the first in line acts at once.
+    let book = led_by_a();
+    let signs = GroupSigns { silent_since: Some(ms(0)), ..healthy() };
+    let votes = votes("ABC");
+    let acting = |now: u64| {
+        let acts = |vote: &&PeerVote| {
+            judge_change(&book, &signs, &vote.instance, &votes, ms(now)).is_some()
+        };
+        votes.iter().filter(acts).count()
+    };
+
+    assert_eq!((acting(249), acting(250), acting(550), acting(850)), (0, 1, 2, 3));
+}
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -188,9 +188,8 @@
         }
         let heard = HeardPulse { pulse, from, at: boot_time() };
         let mut state = self.state();
-        let found = state
-            .heard
-            .binary_search_by(|known| known.pulse.instance.cmp(&heard.pulse.instance));
+        let found =
+            state.heard.binary_search_by(|known| known.pulse.instance.cmp(&heard.pulse.instance));
         match found {
             Ok(index) => state.heard[index] = heard,
             Err(index) => state.heard.insert(index, heard),
@@ -286,9 +285,7 @@
         let mut known: Vec<(InstanceName, DomainName)> =
             state.seats.iter().map(|seat| (seat.instance.clone(), seat.domain.clone())).collect();
         let live = state.heard.iter().filter(|heard| heard.is_live(now));
-        known.extend(
-            live.map(|heard| (heard.pulse.instance.clone(), heard.pulse.domain.clone())),
-        );
+        known.extend(live.map(|heard| (heard.pulse.instance.clone(), heard.pulse.domain.clone())));
         known.push((self.own.clone(), self.own_domain.clone()));
         known.sort_unstable();
         known.dedup_by(|left, right| left.0 == right.0);
@@ -299,10 +296,8 @@
     pub(crate) fn newer_settings(&self, version: u64) -> Option<SocketAddr> {
         let now = boot_time();
         let state = self.state();
-        let newer = state
-            .heard
-            .iter()
-            .filter(|heard| heard.is_live(now) && heard.pulse.settings > version);
+        let newer =
+            state.heard.iter().filter(|heard| heard.is_live(now) && heard.pulse.settings > version);
         newer.max_by_key(|heard| heard.pulse.settings).map(|heard| heard.from)
     }
 }
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -48,11 +48,7 @@
 
 impl ProxyEngine {
     /// Serves a single write or strict read.
-    pub(crate) async fn run_strict(
-        &self,
-        route: &RouteRule,
-        job: &StatementJob,
-    ) -> StatementReply {
+    pub(crate) async fn run_strict(&self, route: &RouteRule, job: &StatementJob) -> StatementReply {
         let group = self.group(&route.service);
         loop {
             let start = match self.start_strict(&group, job).await {
@@ -134,7 +130,6 @@
     }
 }
 
-
 fn judge_reply(
     group: &ServiceGroup,
     job: &StatementJob,
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -234,11 +234,7 @@
     }
 }
 
-async fn commit_pinned(
-    pinned: &mut PinnedLink,
-    job: &StatementJob,
-    wrote: bool,
-) -> StatementReply {
+async fn commit_pinned(pinned: &mut PinnedLink, job: &StatementJob, wrote: bool) -> StatementReply {
     let _flight = pinned.permit.as_ref().map(|_| InFlight::new(&pinned.group));
     let sent_at = boot_time();
     let answer = run_pinned_commit(pinned, job).await;
--- a/crates/rudder-standins/examples/platform.rs
+++ b/crates/rudder-standins/examples/platform.rs
@@ -4,8 +4,8 @@
 //! examples/inanga-scores` prints its address once the folder is accepted. Faults are switched on
 //! by `POST /standin/faults` with a JSON object such as `{"latency_ms": 200}`.
 
-use rudder_store::{FolderChange, KubeStore, PlatformOptions, submit_change};
 use rudder_standins::{PlatformStandin, StandinInstance};
+use rudder_store::{FolderChange, KubeStore, PlatformOptions, submit_change};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/rudder-standins/src/deployment/mod.rs
+++ b/crates/rudder-standins/src/deployment/mod.rs
@@ -10,10 +10,10 @@
 use folder::settings_text;
 pub use links::{LinkDelays, ProxyLinks};
 use rudder_core::DomainName;
+use rudder_settings::SettingsFile;
 use rudder_store::{
     FolderChange, KubeStore, PlatformOptions, StoreError, SubmitError, submit_change,
 };
-use rudder_settings::SettingsFile;
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/rudder-standins/src/lib.rs
+++ b/crates/rudder-standins/src/lib.rs
@@ -2,7 +2,9 @@
 
 mod deployment;
 mod group;
+mod lines;
 mod link;
+mod objects;
 mod platform;
 mod trial;
 
@@ -10,6 +12,8 @@
 pub use group::{
     GroupError, GroupSettings, GroupStandin, MemberKnob, MemberSettings, ServiceSpread,
 };
+pub use lines::{LineCommit, LineGroup, LineMember};
 pub use link::{DatagramLinkStandin, LinkDirection, LinkFault, LinkSettings, LinkStandin};
+pub use objects::{ObjectsFault, ObjectsStandin, PromotionSink};
 pub use platform::{CallCounts, PlatformFaults, PlatformOutage, PlatformStandin, StandinInstance};
 pub use trial::{FaultKind, TimedFault, TrialReport, TrialSchedule, run_trial};
--- /dev/null
+++ b/crates/rudder-standins/src/lines/session.rs
@@ -0,0 +1,251 @@
+//! One connection to a member of the stand-in.
+
+use super::group::{GroupState, LineCommit, lock};
+use std::sync::Mutex;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+
+/// What a connection holds between statements.
+#[derive(Default)]
+struct SessionState {
+    /// Values by name, in the order in which they were set.
+    values: Vec<(String, String)>,
+    /// Prepared names with their shapes.
+    names: Vec<(String, String)>,
+    transaction: Option<OpenWrites>,
+}
+
+struct OpenWrites {
+    read_only: bool,
+    failed: bool,
+    writes: Vec<(String, String, String)>,
+}
+
+/// What a statement is answered with.
+enum LineAnswer {
+    Done(Vec<String>, String),
+    Error(String),
+}
+
+pub(super) async fn serve_connection(
+    group: &Mutex<GroupState>,
+    index: usize,
+    stream: TcpStream,
+    full: bool,
+) {
+    let (reader, mut writer) = stream.into_split();
+    let mut lines = BufReader::new(reader).lines();
+    let Ok(Some(hello)) = lines.next_line().await else { return };
+    let greeting = greet(&lock(group), index, &hello, full);
+    let accepted = greeting.starts_with("READY");
+    if writer.write_all(greeting.as_bytes()).await.is_err() || !accepted {
+        return;
+    }
+    let mut session = SessionState::default();
+    while let Ok(Some(line)) = lines.next_line().await {
+        let Some((id, text)) = line.strip_prefix("QUERY ").and_then(|rest| rest.split_once(' '))
+        else {
+            return;
+        };
+        let answer = run(&mut lock(group), index, &mut session, id, text);
+        let text = write_answer(&lock(group), index, &session, answer);
+        if writer.write_all(text.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn greet(group: &GroupState, index: usize, hello: &str, full: bool) -> String {
+    let fields: Vec<&str> = hello.split(' ').collect();
+    let member = &group.members[index];
+    match fields.as_slice() {
+        _ if full => "ERROR CONNLIMIT full\r\n".to_owned(),
+        ["STARTUP", service, _, id] if *service == group.service && *id == member.id => {
+            format!("READY I {}\r\n", position(group, index))
+        }
+        _ => "ERROR MISROUTED not here\r\n".to_owned(),
+    }
+}
+
+fn position(group: &GroupState, index: usize) -> String {
+    let member = &group.members[index];
+    member.log.last().map_or_else(
+        || format!("{}.0", member.term),
+        |commit| format!("{}.{}", commit.term, commit.number),
+    )
+}
+
+fn write_answer(
+    group: &GroupState,
+    index: usize,
+    session: &SessionState,
+    answer: LineAnswer,
+) -> String {
+    let state = match &session.transaction {
+        None => "I",
+        Some(open) if open.failed => "E",
+        Some(_) => "T",
+    };
+    let body = match answer {
+        LineAnswer::Done(rows, proof) => {
+            let rows: String = rows.iter().map(|row| format!("DATAROW {row}\r\n")).collect();
+            format!("{rows}COMPLETE {proof}\r\n")
+        }
+        LineAnswer::Error(text) => format!("ERROR {text}\r\n"),
+    };
+    format!("{body}READY {state} {}\r\n", position(group, index))
+}
+
+fn run(
+    group: &mut GroupState,
+    index: usize,
+    session: &mut SessionState,
+    id: &str,
+    text: &str,
+) -> LineAnswer {
+    group.catch_up(index);
+    let (text, floor) = split_floor(text);
+    if floor.is_some_and(|floor| lacks(group, index, floor)) {
+        return LineAnswer::Error(format!("LAGGING {}", position(group, index)));
+    }
+    let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
+    let done = || LineAnswer::Done(Vec::new(), "-".to_owned());
+    match word {
+        "RESET" => {
+            session.values.clear();
+            session.names.clear();
+            done()
+        }
+        "SET" => {
+            let (name, value) = rest.split_once(' ').unwrap_or((rest, ""));
+            session.values.retain(|(known, _)| known != name);
+            session.values.push((name.to_owned(), value.to_owned()));
+            done()
+        }
+        "PREPARE" => {
+            let (name, shape) = rest.split_once(' ').unwrap_or((rest, ""));
+            session.names.push((name.to_owned(), shape.to_owned()));
+            done()
+        }
+        "STATUS" => LineAnswer::Done(vec![status(group, index)], "-".to_owned()),
+        "STEPDOWN" => {
+            group.members[index].leads = false;
+            LineAnswer::Done(vec![status(group, index)], "-".to_owned())
+        }
+        "BEGIN" => begin(group, index, session, rest == "READ"),
+        "ROLLBACK" => {
+            session.transaction = None;
+            done()
+        }
+        "COMMIT" => commit(group, index, session, id),
+        "EXECUTE" => {
+            let (name, rest) = rest.split_once(' ').unwrap_or((rest, ""));
+            let shape = session.names.iter().find(|(known, _)| known == name);
+            match shape.map(|(_, shape)| shape.split(' ').next() == Some("WRITE")) {
+                None => LineAnswer::Error("NOSTMT no such name".to_owned()),
+                Some(true) => write(group, index, session, id, rest),
+                Some(false) => read(group, index, session, id, rest),
+            }
+        }
+        "READ" => read(group, index, session, id, rest),
+        "WRITE" => write(group, index, session, id, rest),
+        _ => LineAnswer::Error("MALFORMED".to_owned()),
+    }
+}
+
+fn split_floor(text: &str) -> (&str, Option<(u64, u64)>) {
+    let parsed = text.strip_prefix("AFTER ").and_then(|rest| {
+        let (floor, rest) = rest.split_once(' ')?;
+        let (term, number) = floor.split_once('.')?;
+        Some((rest, (term.parse().ok()?, number.parse().ok()?)))
+    });
+    parsed.map_or((text, None), |(rest, floor)| (rest, Some(floor)))
+}
+
+fn lacks(group: &GroupState, index: usize, floor: (u64, u64)) -> bool {
+    let last = group.members[index].log.last().map(|commit| (commit.term, commit.number));
+    floor.1 > 0 && last.is_none_or(|last| last < floor)
+}
+
+fn status(group: &GroupState, index: usize) -> String {
+    let member = &group.members[index];
+    let role = if member.leads { "primary" } else { "replica" };
+    format!("{role} {} {} 0 0 0 {}", member.term, position(group, index), member.connections)
+}
+
+fn begin(
+    group: &GroupState,
+    index: usize,
+    session: &mut SessionState,
+    read_only: bool,
+) -> LineAnswer {
+    if !read_only && !group.members[index].leads {
+        return LineAnswer::Error(format!("READONLY {}", group.members[index].id));
+    }
+    session.transaction = Some(OpenWrites { read_only, failed: false, writes: Vec::new() });
+    LineAnswer::Done(Vec::new(), "-".to_owned())
+}
+
+fn commit(
+    group: &mut GroupState,
+    index: usize,
+    session: &mut SessionState,
+    id: &str,
+) -> LineAnswer {
+    let Some(open) = session.transaction.take() else {
+        return LineAnswer::Error("MALFORMED no transaction".to_owned());
+    };
+    if !open.writes.is_empty() {
+        if !group.members[index].leads {
+            return LineAnswer::Error(format!("READONLY {}", group.members[index].id));
+        }
+        group.commit(index, open.writes);
+    }
+    LineAnswer::Done(Vec::new(), proof(group, index, id))
+}
+
+fn read(
+    group: &GroupState,
+    index: usize,
+    session: &SessionState,
+    id: &str,
+    item: &str,
+) -> LineAnswer {
+    let own = session.transaction.iter().flat_map(|open| &open.writes);
+    let log = group.members[index].log.iter().flat_map(|commit: &LineCommit| &commit.writes);
+    let found = log.chain(own).rfind(|(_, known, _)| known == item);
+    let data = found.map_or("none", |(_, _, data)| data.as_str());
+    // The values of the session come with the row, so that a test sees whose they are.
+    let mut values: Vec<String> =
+        session.values.iter().map(|(name, value)| format!("{name}={value}")).collect();
+    values.sort();
+    let row = format!("{data}|{}", values.join(","));
+    LineAnswer::Done(vec![row], proof(group, index, id))
+}
+
+fn write(
+    group: &mut GroupState,
+    index: usize,
+    session: &mut SessionState,
+    id: &str,
+    rest: &str,
+) -> LineAnswer {
+    let (item, data) = rest.split_once(' ').unwrap_or((rest, ""));
+    let change = (id.to_owned(), item.to_owned(), data.to_owned());
+    let leads = group.members[index].leads;
+    if !leads || session.transaction.as_ref().is_some_and(|open| open.read_only) {
+        if let Some(open) = session.transaction.as_mut() {
+            open.failed = true;
+        }
+        return LineAnswer::Error(format!("READONLY {}", group.members[index].id));
+    }
+    match session.transaction.as_mut() {
+        Some(open) => open.writes.push(change),
+        None => group.commit(index, vec![change]),
+    }
+    LineAnswer::Done(Vec::new(), proof(group, index, id))
+}
+
+fn proof(group: &GroupState, index: usize, id: &str) -> String {
+    format!("{}.{id}", group.members[index].id)
+}
--- /dev/null
+++ b/crates/rudder-standins/src/objects/routes.rs
@@ -0,0 +1,166 @@
+//! The stand-in's HTTP interface.
+
+use super::state::{ObjectEvent, ObjectRow, ObjectsFault, ObjectsShared};
+use axum::body::Bytes;
+use axum::extract::{Path, Query, State};
+use axum::http::{HeaderMap, Method, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{any, post};
+use axum::{Json, Router};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Objects on one page.
+const PAGE: usize = 500;
+
+/// How long a lost answer takes to be given up by whoever waits for it.
+const LOST: Duration = Duration::from_secs(3600);
+
+type Shared = State<Arc<ObjectsShared>>;
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct ObjectsQuery {
+    after: Option<String>,
+    watch: Option<u64>,
+    wait_ms: u64,
+    revision: Option<u64>,
+}
+
+pub(super) fn router(shared: Arc<ObjectsShared>) -> Router {
+    Router::new()
+        .route("/v1/objects/{kind}", any(serve_kind))
+        .route("/v1/objects/{kind}/{name}", any(serve_object))
+        .route("/promotion", post(promote))
+        .with_state(shared)
+}
+
+async fn serve_kind(
+    State(shared): Shared,
+    method: Method,
+    Path(kind): Path<String>,
+    Query(query): Query<ObjectsQuery>,
+    body: Bytes,
+) -> Response {
+    if is_busy(&shared) {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    if method == Method::POST {
+        return create(&shared, &kind, &body).await;
+    }
+    match query.watch {
+        Some(from) => watch(&shared, &kind, from, query.wait_ms).await,
+        None => list(&shared, &kind, query.after.as_deref()),
+    }
+}
+
+fn is_busy(shared: &ObjectsShared) -> bool {
+    shared.state().fault == Some(ObjectsFault::Busy)
+}
+
+fn list(shared: &ObjectsShared, kind: &str, after: Option<&str>) -> Response {
+    let state = shared.state();
+    let of_kind = state.rows.iter().filter(|row| row.kind == kind);
+    let rest = of_kind.filter(|row| after.is_none_or(|after| row.name.as_str() > after));
+    let mut items: Vec<Value> = rest.take(PAGE + 1).map(ObjectRow::to_json).collect();
+    let more = items.len() > PAGE;
+    items.truncate(PAGE);
+    Json(json!({"items": items, "hasMore": more, "storeRevision": state.revision})).into_response()
+}
+
+async fn watch(shared: &ObjectsShared, kind: &str, from: u64, wait_ms: u64) -> Response {
+    let mut changed = shared.changed.subscribe();
+    let give_up = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        let (events, revision) = {
+            let state = shared.state();
+            let news = |event: &&ObjectEvent| event.row.kind == kind && event.row.revision > from;
+            let events: Vec<Value> = state
+                .events
+                .iter()
+                .filter(news)
+                .map(|event| json!({"object": event.row.to_json(), "removed": event.removed}))
+                .collect();
+            (events, state.revision)
+        };
+        let over = tokio::time::timeout_at(give_up, changed.changed());
+        if !events.is_empty() || !matches!(over.await, Ok(Ok(()))) {
+            return Json(json!({"events": events, "storeRevision": revision})).into_response();
+        }
+    }
+}
+
+async fn create(shared: &ObjectsShared, kind: &str, body: &[u8]) -> Response {
+    let Ok(body) = serde_json::from_slice::<Value>(body) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let Some(name) = body["meta"]["name"].as_str() else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let known = {
+        let state = shared.state();
+        state.find(kind, name).ok().map(|index| state.rows[index].to_json())
+    };
+    if let Some(known) = known {
+        return (StatusCode::CONFLICT, Json(known)).into_response();
+    }
+    let row = shared.state().put(kind, name, body["spec"].clone());
+    answer_write(shared, row.to_json()).await
+}
+
+/// Answers a write that was done, unless its answer is to be lost.
+async fn answer_write(shared: &ObjectsShared, object: Value) -> Response {
+    shared.tell();
+    if shared.state().fault == Some(ObjectsFault::LostWrites) {
+        tokio::time::sleep(LOST).await;
+    }
+    Json(object).into_response()
+}
+
+async fn serve_object(
+    State(shared): Shared,
+    method: Method,
+    Path((kind, name)): Path<(String, String)>,
+    Query(query): Query<ObjectsQuery>,
+    body: Bytes,
+) -> Response {
+    if is_busy(&shared) {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let known = {
+        let state = shared.state();
+        state.find(&kind, &name).ok().map(|index| state.rows[index].clone())
+    };
+    let Some(known) = known else { return StatusCode::NOT_FOUND.into_response() };
+    if method == Method::GET {
+        return Json(known.to_json()).into_response();
+    }
+    let body = serde_json::from_slice::<Value>(&body).unwrap_or_default();
+    let expected = query.revision.or_else(|| body["meta"]["revision"].as_u64());
+    if expected.is_some_and(|expected| expected != known.revision) {
+        return (StatusCode::CONFLICT, Json(known.to_json())).into_response();
+    }
+    if method == Method::DELETE {
+        shared.state().remove(&kind, &name);
+        return answer_write(&shared, known.to_json()).await;
+    }
+    let row = shared.state().put(&kind, &name, body["spec"].clone());
+    answer_write(&shared, row.to_json()).await
+}
+
+async fn promote(State(shared): Shared, headers: HeaderMap, Json(body): Json<Value>) -> Response {
+    let token = headers.get("X-Arbutusrudder-Fencing-Token");
+    let token = token.and_then(|token| token.to_str().ok()).and_then(|token| token.parse().ok());
+    let (Some(service), Some(member), Some(token)) =
+        (body["service"].as_str(), body["id"].as_str(), token)
+    else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    if (shared.promotions)(service, member, token) {
+        Json(json!({})).into_response()
+    } else {
+        StatusCode::CONFLICT.into_response()
+    }
+}
--- /dev/null
+++ b/crates/rudder-standins/src/objects/state.rs
@@ -0,0 +1,180 @@
+//! Objects, revisions and faults of the stand-in.
+
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Who is told of promotions: the service, the member, the fencing token. Returns whether the
+/// member runs.
+pub type PromotionSink = Arc<dyn Fn(&str, &str, u64) -> bool + Send + Sync>;
+
+/// What is wrong with the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ObjectsFault {
+    /// Nothing.
+    None,
+    /// It turns everybody away and does nothing.
+    Busy,
+    /// It does every write and answers none.
+    LostWrites,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct ObjectRow {
+    pub(super) kind: String,
+    pub(super) name: String,
+    pub(super) revision: u64,
+    pub(super) created: u64,
+    pub(super) spec: Value,
+}
+
+impl ObjectRow {
+    pub(super) fn to_json(&self) -> Value {
+        let meta = json!({
+            "name": self.name, "revision": self.revision, "created": self.created,
+            "finalizers": [], "deletionPending": false,
+        });
+        json!({"meta": meta, "spec": self.spec, "status": null})
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct ObjectEvent {
+    pub(super) row: ObjectRow,
+    pub(super) removed: bool,
+}
+
+#[derive(Default)]
+pub(super) struct ObjectsState {
+    /// Sorted by kind and name.
+    pub(super) rows: Vec<ObjectRow>,
+    pub(super) events: Vec<ObjectEvent>,
+    pub(super) revision: u64,
+    pub(super) fault: Option<ObjectsFault>,
+}
+
+impl ObjectsState {
+    pub(super) fn find(&self, kind: &str, name: &str) -> Result<usize, usize> {
+        self.rows.binary_search_by(|row| (row.kind.as_str(), row.name.as_str()).cmp(&(kind, name)))
+    }
+
+    /// Creates or replaces an object; one that stays the same keeps its revision.
+    pub(super) fn put(&mut self, kind: &str, name: &str, spec: Value) -> ObjectRow {
+        let found = self.find(kind, name);
+        if let Ok(index) = found
+            && self.rows[index].spec == spec
+        {
+            return self.rows[index].clone();
+        }
+        self.revision += 1;
+        let created = found.map_or(self.revision, |index| self.rows[index].created);
+        let (kind, name) = (kind.to_owned(), name.to_owned());
+        let row = ObjectRow { kind, name, revision: self.revision, created, spec };
+        match found {
+            Ok(index) => self.rows[index] = row.clone(),
+            Err(index) => self.rows.insert(index, row.clone()),
+        }
+        self.events.push(ObjectEvent { row: row.clone(), removed: false });
+        row
+    }
+
+    pub(super) fn remove(&mut self, kind: &str, name: &str) {
+        if let Ok(index) = self.find(kind, name) {
+            let mut row = self.rows.remove(index);
+            self.revision += 1;
+            row.revision = self.revision;
+            self.events.push(ObjectEvent { row, removed: true });
+        }
+    }
+}
+
+/// A running stand-in. It ends with the runtime that started it.
+#[derive(Clone)]
+pub struct ObjectsStandin {
+    address: SocketAddr,
+    pub(super) shared: Arc<ObjectsShared>,
+}
+
+pub(super) struct ObjectsShared {
+    pub(super) state: Mutex<ObjectsState>,
+    /// The newest revision, for those that wait.
+    pub(super) changed: watch::Sender<u64>,
+    pub(super) promotions: PromotionSink,
+}
+
+impl ObjectsShared {
+    pub(super) fn state(&self) -> MutexGuard<'_, ObjectsState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn tell(&self) {
+        let revision = self.state().revision;
+        self.changed.send_replace(revision);
+    }
+}
+
+impl ObjectsStandin {
+    /// Starts on a free port of loopback.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be had.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// let store = rudder_standins::ObjectsStandin::start(std::sync::Arc::new(|_, _, _| true)).await?;
+    /// store.put("config", "main", serde_json::json!({"version": 1}));
+    /// assert!(store.address().ip().is_loopback());
+    /// # Ok::<(), std::io::Error>(())
+    /// # })?;
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub async fn start(promotions: PromotionSink) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(ObjectsShared {
+            state: Mutex::default(),
+            changed: watch::Sender::new(0),
+            promotions,
+        });
+        let router = super::routes::router(Arc::clone(&shared));
+        tokio::spawn(async move {
+            if let Err(error) = axum::serve(listener, router).await {
+                log::error!(reason:% = error; "the objects stand-in ended");
+            }
+        });
+        Ok(Self { address, shared })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes an object as the operator or a member would.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.shared.state().put(kind, name, spec);
+        self.shared.tell();
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.shared.state().remove(kind, name);
+        self.shared.tell();
+    }
+
+    /// An object's content.
+    #[must_use]
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.shared.state();
+        state.find(kind, name).ok().map(|index| state.rows[index].spec.clone())
+    }
+
+    /// Sets what is wrong from now on.
+    pub fn set_fault(&self, fault: ObjectsFault) {
+        self.shared.state().fault = Some(fault);
+    }
+}
--- a/crates/rudder-store/examples/settings_cost.rs
+++ b/crates/rudder-store/examples/settings_cost.rs
@@ -2,12 +2,12 @@
 //!
 //! `cargo run --release -p rudder-store --example settings_cost -- --services 780 --files 60`
 
+use rudder_settings::{SettingsFile, merge_folder};
+use rudder_standins::{CallCounts, PlatformStandin};
 use rudder_store::{
     FolderChange, KubeStore, ObjectKind, PlatformOptions, PlatformStore, RevisionFollower,
     poll_revision, submit_change,
 };
-use rudder_settings::{SettingsFile, merge_folder};
-use rudder_standins::{CallCounts, PlatformStandin};
 use std::error::Error;
 use std::fmt::Write;
 use std::net::SocketAddr;
--- a/crates/rudder-store/tests/platform/common.rs
+++ b/crates/rudder-store/tests/platform/common.rs
@@ -3,12 +3,12 @@
 use async_trait::async_trait;
 use rand::RngExt;
 use rand::rngs::SmallRng;
+use rudder_settings::SettingsFile;
+use rudder_standins::PlatformStandin;
 use rudder_store::{
     FolderChange, InstanceEntry, KubeStore, ObjectKind, ObjectVersion, PlatformOptions,
     PlatformStore, SettingsRevision, StoreError, StoredObject, submit_change,
 };
-use rudder_settings::SettingsFile;
-use rudder_standins::PlatformStandin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
--- a/crates/rudder-store/tests/platform/following.rs
+++ b/crates/rudder-store/tests/platform/following.rs
@@ -2,11 +2,11 @@
 
 use crate::common::{change, domain_file, patient_store, standin, store};
 use proptest::prelude::*;
+use rudder_standins::{PlatformFaults, PlatformOutage};
 use rudder_store::{
     BundleError, OfferVerdict, ReadError, RevisionBundle, RevisionFollower, RevisionNumber,
     StoreError, poll_revision, submit_change,
 };
-use rudder_standins::{PlatformFaults, PlatformOutage};
 use std::time::Duration;
 
 fn region(follower: &RevisionFollower) -> &str {
--- a/crates/rudder-store/tests/platform/racing.rs
+++ b/crates/rudder-store/tests/platform/racing.rs
@@ -3,10 +3,8 @@
 use crate::common::{FaultyStore, RandomFaults, change, domain_file, patient_store, standin};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rudder_store::{
-    RevisionNumber, SettingsRevision, SubmitError, SubmitOutcome, submit_change,
-};
 use rudder_standins::PlatformStandin;
+use rudder_store::{RevisionNumber, SettingsRevision, SubmitError, SubmitOutcome, submit_change};
 use std::sync::{Arc, Mutex};
 
 const SEEDS: u64 = 6;
--- a/crates/rudder-store/tests/platform/store.rs
+++ b/crates/rudder-store/tests/platform/store.rs
@@ -1,11 +1,11 @@
 //! The store over HTTP: versions, conflicts, lost answers, outages, instances.
 
 use crate::common::{patient_store, standin, store};
+use rudder_standins::{LinkSettings, LinkStandin, PlatformFaults, PlatformOutage, StandinInstance};
 use rudder_store::{
     InstanceReadiness, KubeStore, ObjectKind, ObjectVersion, PlatformOptions, PlatformStore,
     StoreError,
 };
-use rudder_standins::{LinkSettings, LinkStandin, PlatformFaults, PlatformOutage, StandinInstance};
 use serde_json::json;
 use std::time::Duration;
 
--- a/crates/rudder-store/tests/platform/submission.rs
+++ b/crates/rudder-store/tests/platform/submission.rs
@@ -4,11 +4,11 @@
     FaultyStore, OvertakenPruning, PutFault, UpdateFaults, change, domain_file, file,
     patient_store, standin, store,
 };
+use rudder_standins::{PlatformFaults, PlatformOutage};
 use rudder_store::{
     FolderChange, KubeStore, ObjectKind, PlatformStore, RevisionNumber, SettingsRevision,
     SubmitError, poll_revision, read_revision, submit_change,
 };
-use rudder_standins::{PlatformFaults, PlatformOutage};
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
--- a/crates/rudderctl/src/arguments.rs
+++ b/crates/rudderctl/src/arguments.rs
@@ -8,8 +8,8 @@
 use crate::output::{ExitWord, OutputForm};
 use argh::FromArgs;
 use rudder_core::{MemberName, ServiceName};
-use rudder_store::{PlatformOptions, RevisionNumber};
 use rudder_settings::FileName;
+use rudder_store::{PlatformOptions, RevisionNumber};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
--- a/crates/rudderctl/src/command/drain.rs
+++ b/crates/rudderctl/src/command/drain.rs
@@ -6,8 +6,8 @@
 use crate::output::CommandReport;
 use crate::platform::accepted_member;
 use rudder_core::MemberName;
-use rudder_store::{FolderChange, KubeStore, submit_change};
 use rudder_settings::{FileName, FolderError, SettingsFile};
+use rudder_store::{FolderChange, KubeStore, submit_change};
 
 pub(crate) async fn drain(options: &DrainOptions) -> Result<CommandReport, ControlError> {
     let store = KubeStore::connect(options.platform.clone())?;
--- a/crates/rudderctl/src/command/submit.rs
+++ b/crates/rudderctl/src/command/submit.rs
@@ -4,10 +4,10 @@
 use crate::error::ControlError;
 use crate::options::SubmitOptions;
 use crate::output::CommandReport;
+use rudder_settings::{SettingsFile, read_folder};
 use rudder_store::{
     FolderChange, KubeStore, RevisionNumber, SettingsRevision, SubmitOutcome, submit_change,
 };
-use rudder_settings::{SettingsFile, read_folder};
 use serde::Serialize;
 use std::fmt;
 
--- a/crates/rudderctl/src/error.rs
+++ b/crates/rudderctl/src/error.rs
@@ -3,8 +3,8 @@
 use crate::output::ExitWord;
 use displaydoc::Display;
 use rudder_core::{MemberName, ServiceName};
-use rudder_store::{BundleError, ReadError, StoreError, SubmitError};
 use rudder_settings::{FolderError, SettingsProblem, SettingsRefusal};
+use rudder_store::{BundleError, ReadError, StoreError, SubmitError};
 
 /// Why a command did not do what was asked.
 #[derive(Debug, Display)]
--- a/crates/rudderctl/src/options.rs
+++ b/crates/rudderctl/src/options.rs
@@ -2,8 +2,8 @@
 
 use crate::output::OutputForm;
 use rudder_core::{MemberName, ServiceName};
-use rudder_store::{PlatformOptions, RevisionNumber};
 use rudder_settings::FileName;
+use rudder_store::{PlatformOptions, RevisionNumber};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
--- a/crates/rudderctl/src/platform.rs
+++ b/crates/rudderctl/src/platform.rs
@@ -2,8 +2,8 @@
 
 use crate::error::ControlError;
 use rudder_core::{MemberName, ServiceName};
-use rudder_store::{KubeStore, PlatformStore, RevisionBundle, poll_revision};
 use rudder_settings::{FleetSettings, MemberSettings};
+use rudder_store::{KubeStore, PlatformStore, RevisionBundle, poll_revision};
 
 /// The accepted revision with its files.
 pub(crate) async fn accepted_bundle(
