Most instances' word renews permits while the store is away; a change keeps to the record it judged

Change: a permit is also renewed by the word of most instances that they know of no later record, for 8 s after the store's last word; a change that cannot hear from all waits until most have stopped. A process vouches and leads only after a read of its own.

The change now takes the judged version along (the test ends with NoCandidate without it), an older pulse is no word of a restart, and a holder that learns of a later record stops.

--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -19,7 +19,7 @@
 use crate::engine::ProxyEngine;
 use crate::group::{GroupMember, MemberState, ServiceGroup};
 use crate::lead::{
-    ChangeCause, LeadPhase, LeadRecord, LeaderEpoch, StopProgress, order_candidates,
+    ChangeCause, LeadPhase, LeadRecord, LeaderEpoch, StopProgress, is_quorum, order_candidates,
 };
 use crate::peers::{PeerExchange, PeerMessage, RecordCopy};
 use displaydoc::Display;
@@ -84,6 +84,15 @@
     done_at: Duration,
 }
 
+/// A change that was found to be due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct JudgedChange {
+    /// Why.
+    pub(super) cause: ChangeCause,
+    /// The version of the record on which that was judged.
+    pub(super) epoch: LeaderEpoch,
+}
+
 /// One change under way.
 struct ChangeRun<'a> {
     engine: &'a Arc<ProxyEngine>,
@@ -96,10 +105,11 @@
     engine: &Arc<ProxyEngine>,
     exchange: &PeerExchange,
     group: &Arc<ServiceGroup>,
-    cause: ChangeCause,
+    judged: JudgedChange,
 ) -> Result<(), ChangeError> {
     let run = ChangeRun { engine, exchange, group };
-    let (before, version) = run.read_current().await?;
+    let cause = judged.cause;
+    let (before, version) = run.read_current(judged.epoch).await?;
     let previous = match &before.phase {
         LeadPhase::Settled { primary, .. } => Some(primary.clone()),
         LeadPhase::Changing { previous, .. } => previous.clone(),
@@ -119,7 +129,7 @@
     let process = engine.process();
     let phase = LeadPhase::Changing { holder, process, previous: previous.clone(), planned };
     let intent = run.write(before.epoch.next(), phase, Some(&version)).await?;
-    run.stop_all(&intent).await;
+    run.stop_all(&intent).await?;
     let leader = run.promote(&intent, previous.as_ref(), planned, unfinished).await?;
     run.settle(&intent, &leader, previous.as_ref()).await
 }
@@ -146,15 +156,21 @@
 }
 
 impl ChangeRun<'_> {
-    async fn read_current(&self) -> Result<(LeadRecord, ObjectVersion), ChangeError> {
+    /// Reads the record, which must be the version that was judged.
+    ///
+    /// Guards against a change on old grounds: meanwhile another instance may have begun one,
+    /// which this one would cut short, and both would promote.
+    async fn read_current(
+        &self,
+        judged: LeaderEpoch,
+    ) -> Result<(LeadRecord, ObjectVersion), ChangeError> {
         let store = &self.engine.borders().store;
         let sent_at = boot_time();
         let get = store.get(ObjectKind::PrimaryRecord, self.group.service().as_str());
         let object = limited(get).await?.ok_or(ChangeError::Overtaken)?;
         let (_, record) = read_record(&object).ok_or(ChangeError::Overtaken)?;
-        let known = self.group.with_book(|book| book.epoch());
         self.engine.observe(self.group.service(), &record, sent_at);
-        if record.epoch != known {
+        if record.epoch != judged {
             return Err(ChangeError::Overtaken);
         }
         Ok((record, object.version))
@@ -197,7 +213,7 @@
     }
 
     /// Returns once no instance answers for the version before `intent`.
-    async fn stop_all(&self, intent: &WrittenRecord) {
+    async fn stop_all(&self, intent: &WrittenRecord) -> Result<(), ChangeError> {
         let service = self.group.service();
         // Read after the intent was written: an instance that registers later reads the intent.
         let listed = read_seats(self.engine).await;
@@ -206,17 +222,32 @@
         }
         stop_answering(self.engine, service).await;
         let listed = listed.is_ok();
+        let mut most_since = None;
         loop {
+            let all = self.engine.board().seat_count() + 1;
             let left = self.engine.board().not_stopped(service, intent.record.epoch);
-            let progress = StopProgress { written_by: intent.done_at, listed, unheard: left.len() };
             let now = boot_time();
+            if listed && is_quorum(all - left.len(), all) {
+                most_since.get_or_insert(now);
+            }
+            let changing_since = self.group.with_book(|book| book.changing_since());
+            let progress = StopProgress {
+                written_by: intent.done_at,
+                changing_since: changing_since.unwrap_or(intent.done_at),
+                listed,
+                unheard: left.len(),
+                most_since,
+            };
             if progress.is_over(now) {
                 log::info!(
                     service:% = service, epoch:% = intent.record.epoch, unheard = left.len(),
                     listed = listed, waited_ms = now.saturating_sub(intent.done_at).as_millis();
                     "no instance answers for the old primary any more"
                 );
-                return;
+                return Ok(());
+            }
+            if now >= intent.done_at + HOLD_TIME {
+                return Err(ChangeError::TooLate);
             }
             let receivers: Vec<_> = left.iter().map(|seat| seat.address).collect();
             let message = PeerMessage::Announce(self.copy_of(&intent.record));
@@ -231,6 +262,8 @@
             service: self.group.service().clone(),
             record: record.clone(),
             age_ms: 0,
+            vouched_age_ms: 0,
+            vouches: false,
             sample: None,
         }
     }
@@ -284,6 +317,9 @@
             if boot_time() >= intent.done_at + HOLD_TIME {
                 return Err(ChangeError::TooLate);
             }
+            if self.group.with_book(|book| book.epoch()) != intent.record.epoch {
+                return Err(ChangeError::Overtaken);
+            }
             let Some((candidate, _)) = candidates.first() else {
                 rejected.clear();
                 tokio::time::sleep(LOOK_GAP).await;
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -1,10 +1,10 @@
 //! Decides for each service whether its primary is to be changed, and deals out connections.
 
-use super::change;
+use super::change::{self, JudgedChange};
 use crate::clock::boot_time;
 use crate::engine::{DrainPhase, ProxyEngine};
 use crate::group::{GroupMember, MemberState, SeatPlace, ServiceGroup};
-use crate::lead::{ChangeCause, GroupSigns, LeadPhase, LeadRecord, judge_change};
+use crate::lead::{GroupSigns, LeadBook, LeadPhase, judge_change};
 use crate::peers::PeerExchange;
 use rudder_core::{DomainName, MemberName, MemberRole, ServiceName};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -77,15 +77,16 @@
     busy: &Busy,
 ) {
     let now = boot_time();
-    let signs = read_signs(engine, group, &mut watch.signs, now);
     let may_act = engine.drain_phase() == DrainPhase::Serving && engine.board().is_reader();
     if now < watch.pause_until || !may_act {
+        watch.signs = LastingSigns::default();
         return;
     }
-    let epoch = group.with_book(|book| book.epoch());
+    let book = group.with_book(|book| book.clone());
+    let epoch = book.epoch();
+    let signs = read_signs(engine, group, &book, &mut watch.signs, now);
     let votes = engine.board().votes(group.service(), epoch, signs.silent_since.is_some());
-    let cause =
-        group.with_book(|book| judge_change(book, &signs, &engine.identity().name, &votes, now));
+    let cause = judge_change(&book, &signs, &engine.identity().name, &votes, now);
     let first = engine.is_recordless(group.service()) && !group.members().is_empty();
     if cause.is_none() && !first {
         return;
@@ -99,14 +100,15 @@
     }
     watch.pause_until = now + FAILED_PAUSE;
     watch.signs = LastingSigns::default();
-    spawn_change(engine, exchange, group, cause, busy);
+    let judged = cause.map(|cause| JudgedChange { cause, epoch });
+    spawn_change(engine, exchange, group, judged, busy);
 }
 
 fn spawn_change(
     engine: &Arc<ProxyEngine>,
     exchange: &PeerExchange,
     group: &Arc<ServiceGroup>,
-    cause: Option<ChangeCause>,
+    judged: Option<JudgedChange>,
     busy: &Busy,
 ) {
     let engine = Arc::clone(engine);
@@ -114,9 +116,9 @@
     let group = Arc::clone(group);
     let busy = Arc::clone(busy);
     tokio::spawn(async move {
-        let word = cause.map_or("first", ChangeCause::word);
-        let outcome = match cause {
-            Some(cause) => change::change_primary(&engine, &exchange, &group, cause).await,
+        let word = judged.map_or("first", |judged| judged.cause.word());
+        let outcome = match judged {
+            Some(judged) => change::change_primary(&engine, &exchange, &group, judged).await,
             None => change::record_first(&engine, &exchange, &group).await,
         };
         match outcome {
@@ -137,12 +139,12 @@
 fn read_signs(
     engine: &ProxyEngine,
     group: &ServiceGroup,
+    book: &LeadBook,
     lasting: &mut LastingSigns,
     now: Duration,
 ) -> GroupSigns {
     let members = group.members();
-    let record = group.with_book(|book| book.record().cloned());
-    let primary = record.as_ref().and_then(|record| record.primary().cloned());
+    let primary = book.record().and_then(|record| record.primary().cloned());
     let present = primary.as_ref().and_then(|primary| group.member(primary));
     let listed = engine.members_confirmed_at().is_some_and(|at| now < at + LIST_AGE_MAX);
     let absent = listed && primary.is_some() && present.is_none();
@@ -154,19 +156,20 @@
         absent_since: lasting.absent_since,
         usurped_since: lasting.usurped_since,
         draining: present.is_some_and(|primary| !primary.serves_reads()),
-        holder_ended: record.is_some_and(|record| has_ended(engine, &record)),
+        holder_ended: has_ended(engine, book),
         replaceable: members.iter().any(|member| is_successor(member, primary.as_ref())),
     }
 }
 
-/// Whether the process that began a change is known to have ended: it was this instance's last
-/// one, or its instance shows another one by now.
-fn has_ended(engine: &ProxyEngine, record: &LeadRecord) -> bool {
-    let LeadPhase::Changing { holder, process, .. } = &record.phase else { return false };
+/// Whether the attempt that began a change is known to have ended: it was this instance's own, of
+/// which only one at a time is under way, or its instance shows another process by now.
+fn has_ended(engine: &ProxyEngine, book: &LeadBook) -> bool {
+    let phase = book.record().map(|record| &record.phase);
+    let Some(LeadPhase::Changing { holder, process, .. }) = phase else { return false };
     if *holder == engine.identity().name {
-        return *process != engine.process();
+        return true;
     }
-    engine.board().has_restarted(holder, *process)
+    engine.board().has_restarted(holder, *process, book.seen_at())
 }
 
 fn lasting_since(since: Option<Duration>, seen: bool, now: Duration) -> Option<Duration> {
--- a/crates/rudder-engine/src/duty/mod.rs
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -12,3 +12,6 @@
 
 pub use drain::stop_engine;
 pub use start::{EngineTiming, start_engine};
+
+#[cfg(test)]
+mod tests;
--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -2,12 +2,12 @@
 
 use crate::clock::boot_time;
 use crate::engine::{DrainPhase, ProxyEngine};
-use crate::lead::{LeadPhase, LeaderEpoch};
+use crate::lead::{LeadPhase, LeaderEpoch, is_quorum};
 use crate::peers::{
     GroupPulse, PeerExchange, PeerMessage, PeerPulse, RecordCopy, SampleCopy, StopWord,
     fetch_settings,
 };
-use rudder_core::ServiceName;
+use rudder_core::{InstanceName, ServiceName};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -72,10 +72,12 @@
             PeerMessage::Stopped(word) => engine.board().note_stopped(word),
             PeerMessage::Ask(question) => {
                 let records = copy_records(&engine);
-                exchange.send(&PeerMessage::Records { question, records }, from).await;
+                let instance = engine.identity().name.clone();
+                let answer = PeerMessage::Records { instance, question, records };
+                exchange.send(&answer, from).await;
             }
-            PeerMessage::Records { question, records } => {
-                take_records(&engine, question, &records);
+            PeerMessage::Records { instance, question, records } => {
+                take_records(&engine, &instance, question, &records);
             }
         }
     }
@@ -154,7 +156,11 @@
         group.with_book(|book| {
             let record = book.record()?.clone();
             let age_ms = age_in_ms(book.confirmed_at(), now);
-            Some(RecordCopy { service, record, age_ms, sample: None })
+            let vouched_age_ms = age_in_ms(book.anchor(), now);
+            // Guards against an instance that forgot by a restart that it had stopped: it vouches
+            // for a version only once it has read the store itself.
+            let vouches = engine.has_read_records();
+            Some(RecordCopy { service, record, age_ms, vouched_age_ms, vouches, sample: None })
         })
     };
     let with_sample = |group: Arc<crate::group::ServiceGroup>| {
@@ -174,13 +180,28 @@
 }
 
 /// The answer to a question of this instance's own.
-fn take_records(engine: &ProxyEngine, question: u64, records: &[RecordCopy]) {
+fn take_records(
+    engine: &ProxyEngine,
+    instance: &InstanceName,
+    question: u64,
+    records: &[RecordCopy],
+) {
     let Some(asked_at) = engine.board().asked_at(question) else { return };
     for copy in records {
         // Guards against an answer that was long on its way: the peer looked after the question
         // was sent, so counted from then its word is older than it says, never younger.
         let confirmed_at = asked_at.saturating_sub(Duration::from_millis(copy.age_ms));
         engine.observe(&copy.service, &copy.record, confirmed_at);
+        let epoch = copy.record.epoch;
+        let vouched_at = asked_at.saturating_sub(Duration::from_millis(copy.vouched_age_ms));
+        engine.vouch(&copy.service, epoch, vouched_at);
+        if copy.vouches && engine.has_read_records() {
+            let board = engine.board();
+            let count = board.count_vouch(question, instance, &copy.service, epoch);
+            if is_quorum(count, board.known_count()) {
+                engine.vouch(&copy.service, epoch, asked_at);
+            }
+        }
         if let Some(sample) = copy.sample {
             let sent_at = asked_at.saturating_sub(Duration::from_millis(sample.age_ms));
             engine.group(&copy.service).note_peer_sample(copy.record.epoch, sent_at, sample.stamp);
--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -40,12 +40,14 @@
         let answer = read_all(&engine).await;
         match &answer {
             Ok(records) => {
+                let services: Vec<_> = records.iter().map(|(service, _)| service.clone()).collect();
+                engine.note_records_read(&services);
                 for (service, record) in records {
                     engine.observe(service, record, sent_at);
                 }
-                let services: Vec<_> = records.iter().map(|(service, _)| service.clone()).collect();
-                engine.note_records_read(&services);
             }
+            // Most instances' word renews permits, so that those that read for all ask everybody.
+            Err(_) if engine.board().is_reader() => ask_all(&engine, &exchange).await,
             Err(_) => ask_peers(&engine, &exchange, PEERS_ASKED).await,
         }
         if answer.is_ok() != reachable {
@@ -97,7 +99,7 @@
     let now = boot_time();
     let ages = engine.groups().into_iter().map(|group| {
         group.with_book(|book| match book.record() {
-            Some(_) => now.saturating_sub(book.confirmed_at()),
+            Some(_) => now.saturating_sub(book.anchor()),
             None => Duration::MAX,
         })
     });
@@ -117,3 +119,10 @@
     engine.board().note_question(question);
     exchange.send_all(&PeerMessage::Ask(question), &readers).await;
 }
+
+async fn ask_all(engine: &ProxyEngine, exchange: &PeerExchange) {
+    let question = rand::random::<u64>();
+    let receivers = engine.board().addresses();
+    engine.board().note_question(question);
+    exchange.send_all(&PeerMessage::Ask(question), &receivers).await;
+}
--- /dev/null
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the control work.
+
+mod change;
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -3,7 +3,7 @@
 use crate::border::{MemberDialer, PromotionCall};
 use crate::clock::boot_time;
 use crate::group::{MemberEntry, ServiceGroup};
-use crate::lead::LeadRecord;
+use crate::lead::{LeadRecord, LeaderEpoch};
 use crate::peers::PeerBoard;
 use crate::session::CallerSession;
 use crate::settings::{DatabaseName, FleetSettings, RouteRule, SettingsVersion};
@@ -127,6 +127,28 @@
         *lock(&self.recordless) = Some(without);
     }
 
+    /// Whether this process has read the records from the store itself.
+    pub(crate) fn has_read_records(&self) -> bool {
+        lock(&self.recordless).is_some()
+    }
+
+    /// Whether this process may have permits.
+    ///
+    /// Guards against a permit that no change of primary waits for. An instance that the store
+    /// does not list yet is not asked to stop. And one that stopped, was killed and started again
+    /// does not know that it stopped: a peer that is behind may tell it of the version before, so
+    /// it needs the store's own word first.
+    fn may_lead(&self) -> bool {
+        self.registered.load(Ordering::Acquire) && self.has_read_records()
+    }
+
+    /// Takes in that most instances knew of no later version at `vouched_at`.
+    pub(crate) fn vouch(&self, service: &ServiceName, epoch: LeaderEpoch, vouched_at: Duration) {
+        if self.may_lead() {
+            self.group(service).vouch(epoch, vouched_at);
+        }
+    }
+
     /// Whether the store's last list had no record of a service.
     pub(crate) fn is_recordless(&self, service: &ServiceName) -> bool {
         lock(&self.recordless).as_ref().is_some_and(|without| without.contains(service))
@@ -139,10 +161,7 @@
         record: &LeadRecord,
         confirmed_at: Duration,
     ) -> bool {
-        // Guards against a permit that no change of primary waits for: an instance that the store
-        // does not list yet may know the record, but must not answer for the primary.
-        let listed = self.registered.load(Ordering::Acquire);
-        let confirmed_at = if listed { confirmed_at } else { Duration::ZERO };
+        let confirmed_at = if self.may_lead() { confirmed_at } else { Duration::ZERO };
         self.group(service).observe(record, confirmed_at)
     }
 
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -206,6 +206,12 @@
         new
     }
 
+    /// Takes in that most instances knew of no later version at `vouched_at`.
+    pub(crate) fn vouch(&self, epoch: LeaderEpoch, vouched_at: Duration) {
+        self.state().book.vouch(epoch, vouched_at);
+        self.changed.notify_waiters();
+    }
+
     /// The primary and the permission to answer for it.
     pub(crate) fn leader(&self) -> Option<(Arc<GroupMember>, LeadPermit)> {
         let permit = self.state().book.permit(boot_time())?;
--- a/crates/rudder-engine/src/lead/book.rs
+++ b/crates/rudder-engine/src/lead/book.rs
@@ -5,6 +5,10 @@
 //! with a new version of the record and promotes only once every instance has said that it
 //! stopped, or [`PERMIT_LIFE`] and a margin have gone by since. So no instance, however isolated
 //! or suspended, answers for the old primary when the new one takes its first commit.
+//!
+//! While the store does not answer, the word of most instances renews a permit as well, for
+//! [`QUORUM_REACH`] at most: a change that cannot hear from all waits until most have stopped, and
+//! two majorities have an instance in common.
 
 use super::record::{LeadRecord, LeaderEpoch};
 use rudder_core::{MemberName, plain_data};
@@ -14,6 +18,10 @@
 /// record that fail (0.4 s apart, given up after 0.5 s); shorter makes an unplanned change faster.
 pub(crate) const PERMIT_LIFE: Duration = Duration::from_millis(1500);
 
+/// How long after the store's last word the word of most instances renews permits. Outages of the
+/// store last some seconds; when a change hears from fewer than half, it has to wait that long.
+pub(crate) const QUORUM_REACH: Duration = Duration::from_millis(8000);
+
 plain_data! {
     /// Permission to answer for a primary, for as long as [`LeadBook::holds`] says so.
     pub(crate) struct LeadPermit {
@@ -30,8 +38,12 @@
     record: Option<LeadRecord>,
     /// The latest moment at which the record is known to have been in place.
     confirmed_at: Duration,
+    /// The latest moment at which most instances knew of no later version.
+    vouched_at: Duration,
     /// When this version was first seen.
     seen_at: Duration,
+    /// When the change under way was first seen, over all who tried it.
+    changing_since: Option<Duration>,
     /// The version before this one, for work that was under way when the change began.
     closing: Option<ClosingPermit>,
     /// Statements under way that a permit covers.
@@ -65,14 +77,37 @@
         }
         self.closing = self.permit(now).map(|permit| ClosingPermit {
             epoch: permit.epoch,
-            until: self.confirmed_at + PERMIT_LIFE,
+            until: self.anchor() + PERMIT_LIFE,
         });
+        // Two changes in a row are one only if no primary was in place between them.
+        let follows = record.epoch == known.next();
+        let since = self.changing_since.filter(|_| follows);
+        self.changing_since = record.primary().is_none().then(|| since.unwrap_or(now));
         self.record = Some(record.clone());
         self.confirmed_at = confirmed_at;
+        self.vouched_at = Duration::ZERO;
         self.seen_at = now;
         true
     }
 
+    /// Takes in that most instances knew of no later version than `epoch` at `vouched_at`.
+    pub(crate) fn vouch(&mut self, epoch: LeaderEpoch, vouched_at: Duration) {
+        if epoch == self.epoch() {
+            self.vouched_at = self.vouched_at.max(vouched_at);
+        }
+    }
+
+    /// The moment from which a permit's life counts.
+    pub(crate) fn anchor(&self) -> Duration {
+        let vouched_at = self.vouched_at.min(self.confirmed_at + QUORUM_REACH);
+        self.confirmed_at.max(vouched_at)
+    }
+
+    /// When the change under way was first seen.
+    pub(crate) fn changing_since(&self) -> Option<Duration> {
+        self.changing_since
+    }
+
     /// The version that is known; zero before the first.
     pub(crate) fn epoch(&self) -> LeaderEpoch {
         self.record.as_ref().map_or(LeaderEpoch::default(), |record| record.epoch)
@@ -97,7 +132,7 @@
     pub(crate) fn permit(&self, now: Duration) -> Option<LeadPermit> {
         let record = self.record.as_ref()?;
         let primary = record.primary()?;
-        let fresh = now < self.confirmed_at + PERMIT_LIFE;
+        let fresh = now < self.anchor() + PERMIT_LIFE;
         fresh.then(|| LeadPermit { epoch: record.epoch, primary: primary.clone() })
     }
 
--- a/crates/rudder-engine/src/lead/mod.rs
+++ b/crates/rudder-engine/src/lead/mod.rs
@@ -8,7 +8,7 @@
 
 pub(crate) use book::{LeadBook, LeadPermit};
 pub(crate) use history::PositionHistory;
-pub(crate) use lapse::StopProgress;
+pub(crate) use lapse::{StopProgress, is_quorum};
 pub use record::{LeadPhase, LeadRecord, LeaderEpoch};
 pub(crate) use suspicion::{ChangeCause, GroupSigns, PeerVote, judge_change, order_candidates};
 
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -22,6 +22,9 @@
 /// Questions whose answers are still taken; some seconds' worth.
 const QUESTIONS_MAX: usize = 32;
 
+/// Answers that are kept: those of a few questions to all of a fleet about all services.
+const VOUCHES_MAX: usize = 4096;
+
 plain_data! {
     /// Where an instance is.
     pub(crate) struct PeerSeat {
@@ -79,6 +82,17 @@
     stopped: Vec<StopWord>,
     /// Questions of this instance's own, with the time at which they were sent, oldest first.
     questions: VecDeque<(u64, Duration)>,
+    /// Answers to them, oldest first.
+    vouches: Vec<PeerVouch>,
+}
+
+/// An instance's word that it knows of no later version of a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct PeerVouch {
+    question: u64,
+    instance: InstanceName,
+    service: ServiceName,
+    epoch: LeaderEpoch,
 }
 
 /// What is known of the other instances.
@@ -136,6 +150,42 @@
         receivers
     }
 
+    /// How many others the store lists.
+    pub(crate) fn seat_count(&self) -> usize {
+        self.state().seats.len()
+    }
+
+    /// How many instances are known, this one included: listed, or heard from.
+    pub(crate) fn known_count(&self) -> usize {
+        self.domains().len()
+    }
+
+    /// Counts an answer to a question of this instance's own; returns how many instances have
+    /// answered it with the same version, this one included.
+    pub(crate) fn count_vouch(
+        &self,
+        question: u64,
+        instance: &InstanceName,
+        service: &ServiceName,
+        epoch: LeaderEpoch,
+    ) -> usize {
+        let mut state = self.state();
+        let oldest = state.questions.front().map_or(question, |(known, _)| *known);
+        if state.vouches.len() >= VOUCHES_MAX {
+            let stale = state.vouches.iter().filter(|vouch| vouch.question == oldest).count();
+            state.vouches.drain(..stale.max(1));
+        }
+        let vouch =
+            PeerVouch { question, instance: instance.clone(), service: service.clone(), epoch };
+        if !state.vouches.contains(&vouch) {
+            state.vouches.push(vouch);
+        }
+        let same = state.vouches.iter().filter(|vouch| {
+            vouch.question == question && vouch.service == *service && vouch.epoch == epoch
+        });
+        same.count() + 1
+    }
+
     /// Where all others can be reached: those listed, and those heard from that are not.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         let state = self.state();
@@ -270,11 +320,17 @@
         readers.into_iter().map(vote).collect()
     }
 
-    /// Whether an instance is known to run another process than `process`.
-    pub(crate) fn has_restarted(&self, instance: &InstanceName, process: u64) -> bool {
+    /// Whether an instance has shown since a moment that it runs another process than `process`.
+    /// What was heard before that moment may be of a process before it.
+    pub(crate) fn has_restarted(
+        &self,
+        instance: &InstanceName,
+        process: u64,
+        since: Duration,
+    ) -> bool {
         let state = self.state();
         let found = state.heard.iter().find(|heard| heard.pulse.instance == *instance);
-        found.is_some_and(|heard| heard.pulse.process != process)
+        found.is_some_and(|heard| heard.at > since && heard.pulse.process != process)
     }
 
     /// The failure domains of all instances that may hold connections: those listed, those heard
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -38,8 +38,12 @@
     pub(crate) struct RecordCopy {
         pub(crate) service: ServiceName,
         pub(crate) record: LeadRecord,
-        /// How long ago the record was known to be in place, in milliseconds, rounded up.
+        /// How long ago the store had the record, in milliseconds, rounded up.
         pub(crate) age_ms: u64,
+        /// How long ago the store, or most instances, knew of no later version; never more.
+        pub(crate) vouched_age_ms: u64,
+        /// Whether the sender itself vouches that it knows of no later version.
+        pub(crate) vouches: bool,
         /// The newest position known of its primary.
         pub(crate) sample: Option<SampleCopy>,
     }
@@ -78,6 +82,8 @@
     Ask(u64),
     /// The answer.
     Records {
+        /// Who answers.
+        instance: InstanceName,
         /// The number of the question.
         question: u64,
         /// What is known.
