--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -41,6 +41,9 @@
 /// The pause between two announcements to those who have not answered.
 const ANNOUNCE_GAP: Duration = Duration::from_millis(60);
 
+/// How long most instances' answers are awaited: some round trips between regions.
+const HEARD_LIMIT: Duration = Duration::from_millis(250);
+
 /// The pause between two looks whether members have got as far as they must.
 const LOOK_GAP: Duration = Duration::from_millis(50);
 
@@ -61,6 +64,8 @@
     Overtaken,
     /// no member can take over
     NoCandidate,
+    /// most instances are not heard, and may serve with the present primary
+    NoQuorum,
     /// the time for the change is over
     TooLate,
     /// the store: {0}
@@ -91,6 +96,8 @@
     pub(super) cause: ChangeCause,
     /// The version of the record on which that was judged.
     pub(super) epoch: LeaderEpoch,
+    /// Whether it has been due for so long that most instances need not be heard.
+    pub(super) alone: bool,
 }
 
 /// One change under way.
@@ -117,9 +124,16 @@
     // Guards against a service without any primary: while no other member answers, the present
     // one is better than none.
     let unfinished = cause == ChangeCause::Unfinished;
-    if run.ask_candidates(previous.as_ref(), unfinished).await.is_empty() {
+    let candidates = run.ask_candidates(previous.as_ref(), unfinished);
+    let (candidates, heard) = tokio::join!(candidates, run.hears_most());
+    if candidates.is_empty() {
         return Err(ChangeError::NoCandidate);
     }
+    // Guards against a few instances on the store's side of a partition that stop the others, who
+    // go on serving with the primary on theirs.
+    if !heard && !unfinished && !judged.alone {
+        return Err(ChangeError::NoQuorum);
+    }
     log::info!(
         service:% = group.service(), epoch:% = before.epoch, cause = cause.word();
         "a change of primary begins"
@@ -176,6 +190,23 @@
         Ok((record, object.version))
     }
 
+    /// Whether most instances answer.
+    async fn hears_most(&self) -> bool {
+        let board = self.engine.board();
+        let question = rand::random::<u64>();
+        let until = boot_time() + HEARD_LIMIT;
+        while boot_time() < until {
+            board.note_question(question);
+            let receivers = board.addresses();
+            self.exchange.send_all(&PeerMessage::Ask(question), &receivers).await;
+            tokio::time::sleep(LOOK_GAP).await;
+            if is_quorum(board.answer_count(question) + 1, board.known_count()) {
+                return true;
+            }
+        }
+        board.known_count() == 1
+    }
+
     /// Writes a version of the record, on condition that the one before is in place.
     async fn write(
         &self,
@@ -327,6 +358,10 @@
             };
             let before = reports.iter().map(|report| report.status.accepted).max();
             match self.order(intent, candidate).await {
+                // For a member that leads already the platform changes nothing.
+                Ok(()) if let Some(leader) = leading(&reports, candidate, before) => {
+                    return Ok(leader.clone());
+                }
                 Ok(()) | Err(PromotionError::Unanswered) => {
                     let before = before.unwrap_or_default();
                     if let Some(leader) = self.await_leader(candidate, before).await {
@@ -431,6 +466,19 @@
     leader.status.received
 }
 
+/// The report of a candidate that leads the newest term.
+fn leading<'a>(
+    reports: &'a [MemberReport],
+    candidate: &MemberName,
+    newest: Option<LogTerm>,
+) -> Option<&'a MemberReport> {
+    reports.iter().find(|report| {
+        report.member == *candidate
+            && report.status.role == MemberRole::Primary
+            && Some(report.status.accepted) == newest
+    })
+}
+
 fn leads_since(report: &MemberReport, before: LogTerm) -> bool {
     report.status.role == MemberRole::Primary && report.status.accepted > before
 }
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -4,7 +4,7 @@
 use crate::clock::boot_time;
 use crate::engine::{DrainPhase, ProxyEngine};
 use crate::group::{GroupMember, MemberState, SeatPlace, ServiceGroup};
-use crate::lead::{GroupSigns, LeadBook, LeadPhase, judge_change};
+use crate::lead::{GroupSigns, LeadBook, LeadPhase, QUORUM_REACH, judge_change};
 use crate::peers::PeerExchange;
 use rudder_core::{DomainName, MemberName, MemberRole, ServiceName};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -78,10 +78,13 @@
 ) {
     let now = boot_time();
     let may_act = engine.drain_phase() == DrainPhase::Serving && engine.board().is_reader();
-    if now < watch.pause_until || !may_act {
+    if !may_act {
         watch.signs = LastingSigns::default();
         return;
     }
+    if now < watch.pause_until {
+        return;
+    }
     let book = group.with_book(|book| book.clone());
     let epoch = book.epoch();
     let signs = read_signs(engine, group, &book, &mut watch.signs, now);
@@ -99,8 +102,10 @@
         busy.push(group.service().clone());
     }
     watch.pause_until = now + FAILED_PAUSE;
-    watch.signs = LastingSigns::default();
-    let judged = cause.map(|cause| JudgedChange { cause, epoch });
+    let since = [signs.silent_since, signs.absent_since, signs.usurped_since];
+    let since = since.into_iter().flatten().min().unwrap_or(now);
+    let alone = now >= since + QUORUM_REACH;
+    let judged = cause.map(|cause| JudgedChange { cause, epoch, alone });
     spawn_change(engine, exchange, group, judged, busy);
 }
 
--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -187,6 +187,7 @@
     records: &[RecordCopy],
 ) {
     let Some(asked_at) = engine.board().asked_at(question) else { return };
+    engine.board().note_answer(question, instance);
     for copy in records {
         // Guards against an answer that was long on its way: the peer looked after the question
         // was sent, so counted from then its word is older than it says, never younger.
--- a/crates/rudder-engine/src/duty/tests/change.rs
+++ b/crates/rudder-engine/src/duty/tests/change.rs
@@ -109,7 +109,8 @@
     let exchange = PeerExchange::bind(([127, 0, 0, 1], 0).into()).await.expect("a free port");
     let service: ServiceName = "records".parse().expect("a name");
     let group = engine.group(&service);
-    let judged = JudgedChange { cause: ChangeCause::Unfinished, epoch: LeaderEpoch(2) };
+    let judged =
+        JudgedChange { cause: ChangeCause::Unfinished, epoch: LeaderEpoch(2), alone: true };
     engine.observe(&service, &changing(3), std::time::Duration::ZERO);
 
     let outcome = change_primary(&engine, &exchange, &group, judged).await;
--- a/crates/rudder-engine/src/lead/mod.rs
+++ b/crates/rudder-engine/src/lead/mod.rs
@@ -6,7 +6,7 @@
 mod record;
 mod suspicion;
 
-pub(crate) use book::{LeadBook, LeadPermit};
+pub(crate) use book::{LeadBook, LeadPermit, QUORUM_REACH};
 pub(crate) use history::PositionHistory;
 pub(crate) use lapse::{StopProgress, is_quorum};
 pub use record::{LeadPhase, LeadRecord, LeaderEpoch};
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -82,7 +82,9 @@
     stopped: Vec<StopWord>,
     /// Questions of this instance's own, with the time at which they were sent, oldest first.
     questions: VecDeque<(u64, Duration)>,
-    /// Answers to them, oldest first.
+    /// Who answered which, oldest first.
+    answers: VecDeque<(u64, InstanceName)>,
+    /// What they vouched for, oldest first.
     vouches: Vec<PeerVouch>,
 }
 
@@ -160,6 +162,25 @@
         self.domains().len()
     }
 
+    /// How many instances have answered a question.
+    pub(crate) fn answer_count(&self, question: u64) -> usize {
+        let state = self.state();
+        let of_question = state.answers.iter().filter(|(known, _)| *known == question);
+        of_question.count()
+    }
+
+    /// Takes in that an instance answered a question.
+    pub(crate) fn note_answer(&self, question: u64, instance: &InstanceName) {
+        let mut state = self.state();
+        let answer = (question, instance.clone());
+        if !state.answers.contains(&answer) {
+            if state.answers.len() == VOUCHES_MAX {
+                state.answers.pop_front();
+            }
+            state.answers.push_back(answer);
+        }
+    }
+
     /// Counts an answer to a question of this instance's own; returns how many instances have
     /// answered it with the same version, this one included.
     pub(crate) fn count_vouch(
