A metrics page on the platform; refusals log what decided them

Each refusal has one line with service, epoch, the ages of record and sample, and the wait; one of 64 served statements is logged.

--- a/crates/arbutusrudder/src/admin/mod.rs
+++ b/crates/arbutusrudder/src/admin/mod.rs
@@ -3,12 +3,14 @@
 mod status;
 
 use crate::context::InstanceContext;
+use crate::error::ProxyError;
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing::get;
 use axum::{Json, Router};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use status::InstanceStatus;
+use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use tokio::net::TcpListener;
 
@@ -40,6 +42,25 @@
     });
 }
 
+/// Serves the metrics alone, until the process ends.
+pub(crate) async fn serve_metrics(address: SocketAddr) -> Result<(), ProxyError> {
+    set_up_metrics();
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|reason| ProxyError::Listen { address, reason })?;
+    let page = Router::new().route("/metrics", get(|| async { render_metrics() }));
+    tokio::spawn(async move {
+        if let Err(error) = axum::serve(listener, page).await {
+            log::error!(target: "rudder::admin", reason:% = error; "metrics no longer served");
+        }
+    });
+    Ok(())
+}
+
+fn render_metrics() -> String {
+    RECORDER.get().and_then(Option::as_ref).map(PrometheusHandle::render).unwrap_or_default()
+}
+
 async fn ready(State(context): State<Arc<InstanceContext>>) -> (StatusCode, &'static str) {
     if context.is_leaving() {
         return (StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
@@ -56,5 +77,5 @@
 
 async fn metrics_page(State(context): State<Arc<InstanceContext>>) -> String {
     InstanceStatus::of(&context).record();
-    RECORDER.get().and_then(Option::as_ref).map(PrometheusHandle::render).unwrap_or_default()
+    render_metrics()
 }
--- a/crates/arbutusrudder/src/options.rs
+++ b/crates/arbutusrudder/src/options.rs
@@ -27,6 +27,10 @@
     #[argh(option, short = 'l', default = "LogLevel::Info")]
     log: LogLevel,
 
+    /// port of the metrics page on the platform; no page without it
+    #[argh(option)]
+    metrics_port: Option<u16>,
+
     /// check the settings and end
     #[argh(switch)]
     check: bool,
@@ -43,6 +47,8 @@
         path: PathBuf,
         /// What stands in it.
         boot: Box<BootFile>,
+        /// Port of the metrics page, if one is wanted.
+        metrics_port: Option<u16>,
     },
 }
 
@@ -73,7 +79,7 @@
         let line: CommandLine = argh::from_env();
         let mode = match (line.settings, line.platform) {
             (Some(path), false) => read_process(path)?,
-            (None, true) => read_platform()?,
+            (None, true) => read_platform(line.metrics_port)?,
             _ => return Err(ProxyError::Mode),
         };
         Ok(Self { mode, log: line.log, check: line.check })
@@ -86,8 +92,8 @@
     Ok(StartMode::Process(Box::new(ProcessSettings::parse(&text)?)))
 }
 
-fn read_platform() -> Result<StartMode, ProxyError> {
+fn read_platform(metrics_port: Option<u16>) -> Result<StartMode, ProxyError> {
     let path = BootFile::path()?;
     let boot = Box::new(BootFile::read(&path)?);
-    Ok(StartMode::Platform { path, boot })
+    Ok(StartMode::Platform { path, boot, metrics_port })
 }
--- a/crates/arbutusrudder/src/proxy.rs
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -1,6 +1,6 @@
 //! One instance from start to end.
 
-use crate::admin::{serve_pages, set_up_metrics};
+use crate::admin::{serve_metrics, serve_pages, set_up_metrics};
 use crate::caller::{CancelBoard, put_fatal, serve_caller};
 use crate::classify::FactsCache;
 use crate::context::{FleetState, InstanceContext};
@@ -186,12 +186,17 @@
             let runtime = tokio::runtime::Runtime::new().map_err(ProxyError::Runtime)?;
             runtime.block_on(run_process(process.as_ref().clone()))
         }
-        StartMode::Platform { path, boot } => {
+        StartMode::Platform { path, boot, metrics_port } => {
             // One thread: the platform's machines have a fraction of one core.
             let mut builder = tokio::runtime::Builder::new_current_thread();
             let runtime = builder.enable_all().build().map_err(ProxyError::Runtime)?;
-            let run = rudder_platform::run_on_platform(path.clone(), boot.as_ref().clone());
-            runtime.block_on(run).map_err(ProxyError::from)
+            runtime.block_on(async {
+                if let Some(port) = metrics_port {
+                    serve_metrics(SocketAddr::new(boot.address(), *port)).await?;
+                }
+                let run = rudder_platform::run_on_platform(path.clone(), boot.as_ref().clone());
+                run.await.map_err(ProxyError::from)
+            })
         }
     }
 }
--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -13,7 +13,7 @@
 use super::control::{MemberReport, ask_status, ask_statuses, step_down};
 use super::pulse::stop_answering;
 use super::records::read_record;
-use super::registry::read_seats;
+use super::registry::{limited, read_seats};
 use crate::border::{PromotionError, PromotionOrder};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
@@ -53,9 +53,6 @@
 /// The pause before a promotion is ordered again that was not accepted.
 const ORDER_PAUSE: Duration = Duration::from_millis(80);
 
-/// The most time for a call to the store.
-const CALL_LIMIT: Duration = Duration::from_millis(1000);
-
 /// Why a primary was not changed.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[ignore_extra_doc_attributes]
@@ -495,7 +492,3 @@
             && Some(&report.member) != previous
     })
 }
-
-async fn limited<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
-    tokio::time::timeout(CALL_LIMIT, call).await.unwrap_or(Err(StoreError::Unresolved))
-}
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -101,6 +101,9 @@
     }
 }
 
-async fn limited<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
+/// A call to the store with a bound; what came of a call without an answer is not known.
+pub(super) async fn limited<T>(
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
     tokio::time::timeout(CALL_LIMIT, call).await.unwrap_or(Err(StoreError::Unresolved))
 }
--- a/crates/rudder-engine/src/session/caller.rs
+++ b/crates/rudder-engine/src/session/caller.rs
@@ -7,11 +7,15 @@
 use crate::settings::{DatabaseName, RouteKind, RouteRule};
 use crate::statement::{
     CallerStatement, RequestId, SessionValue, StatementBody, StatementEffect, StatementError,
-    StatementReply, StatementShape, TransactionState,
+    StatementOutcome, StatementReply, StatementShape, TransactionState,
 };
 use rudder_core::{LogStamp, ServiceName, SessionFloor};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// Of this many statements that are served one is logged, which keeps the log's volume and cost
+/// small beside the work itself.
+const SERVED_SAMPLE: u64 = 64;
 
 /// Values and names that one session may hold; callers beyond it would fill the memory.
 const NAMES_MAX: usize = 1024;
@@ -82,6 +86,13 @@
 
     /// Runs one statement.
     pub async fn run(&mut self, id: RequestId, statement: CallerStatement) -> StatementReply {
+        let began_at = Instant::now();
+        let reply = self.dispatch(id.clone(), statement).await;
+        note_statement(&id, &self.database, began_at.elapsed(), &reply);
+        reply
+    }
+
+    async fn dispatch(&mut self, id: RequestId, statement: CallerStatement) -> StatementReply {
         if statement == CallerStatement::Malformed {
             return self.refuse(StatementError::Malformed, "this cannot be understood");
         }
@@ -313,6 +324,30 @@
     }
 }
 
+/// Counts a statement, and logs one of [`SERVED_SAMPLE`] that were served by a member; every one
+/// that was not has a line of its own where that was decided.
+fn note_statement(id: &RequestId, database: &DatabaseName, took: Duration, reply: &StatementReply) {
+    let outcome = match &reply.outcome {
+        StatementOutcome::Done(proof) if proof.is_empty() => "local",
+        StatementOutcome::Done(_) => "served",
+        StatementOutcome::Error { error, .. } => error.word(),
+    };
+    metrics::counter!("rudder_statements_total", "outcome" => outcome).increment(1);
+    if outcome == "local" {
+        return;
+    }
+    metrics::histogram!("rudder_statement_seconds").record(took.as_secs_f64());
+    // By a hash of the id, so that all instances log the same requests.
+    let sampled = xxhash_rust::xxh3::xxh3_64(id.0.as_bytes()).is_multiple_of(SERVED_SAMPLE);
+    if outcome == "served" && sampled {
+        log::info!(
+            request:% = id, database:% = database, took_ms = took.as_millis(),
+            position:? = reply.position.map(|position| position.to_string()), outcome = outcome;
+            "a statement was served"
+        );
+    }
+}
+
 /// The greatest age of a route's reads, for routes that may be served by a replica.
 pub(super) fn bound_of(route: &RouteRule) -> Option<Duration> {
     match route.kind {
--- a/crates/rudder-engine/src/session/job.rs
+++ b/crates/rudder-engine/src/session/job.rs
@@ -1,10 +1,11 @@
 //! One statement on its way to a member.
 
-use crate::group::{ExchangeError, PooledLink};
+use crate::clock::boot_time;
+use crate::group::{ExchangeError, PooledLink, ServiceGroup};
 use crate::settings::RouteRule;
 use crate::statement::{
-    MemberCommand, RequestId, SessionValue, StatementBody, StatementEffect, StatementReply,
-    StatementShape,
+    MemberCommand, RequestId, SessionValue, StatementBody, StatementEffect, StatementError,
+    StatementReply, StatementShape, TransactionState,
 };
 use rand::RngExt;
 use rudder_core::LogStamp;
@@ -29,6 +30,7 @@
     /// The session's values, sorted.
     pub(crate) values: Vec<SessionValue>,
     pub(crate) priority: u8,
+    began_at: Instant,
     /// Until when a connection and a primary may be waited for.
     pub(crate) wait_until: Instant,
     /// Until when an answer is of use.
@@ -52,6 +54,7 @@
             shape,
             values: values.to_vec(),
             priority: route.priority,
+            began_at: now,
             wait_until: now + route.latency_target.min(route.statement_timeout) / WAIT_PART,
             deadline: now + route.statement_timeout,
         }
@@ -123,3 +126,24 @@
     let after = rand::rng().random_range(RETRY_AFTER_MS);
     format!("not run, retry after {after} ms: {reason}")
 }
+
+/// The refusal of a request that was not run, with the knowledge that decided it in the log.
+pub(crate) fn refuse(
+    group: &ServiceGroup,
+    job: &StatementJob,
+    reason: &str,
+    state: TransactionState,
+) -> StatementReply {
+    let now = boot_time();
+    let age_ms = |at: Duration| now.saturating_sub(at).as_millis();
+    let (epoch, record_age_ms) =
+        group.with_book(|book| (book.epoch(), age_ms(book.confirmed_at())));
+    let sample_age_ms = group.newest_sample().map(|sample| age_ms(sample.sent_at));
+    log::info!(
+        request:% = job.id, service:% = group.service(), effect:? = job.effect, reason = reason,
+        epoch:% = epoch, record_age_ms = record_age_ms, sample_age_ms:? = sample_age_ms,
+        waited_ms = job.began_at.elapsed().as_millis(), outcome = "not_run";
+        "a statement was refused"
+    );
+    StatementReply::refusal(StatementError::Busy, &retry_text(reason), state)
+}
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -1,7 +1,7 @@
 //! Reads that a replica may serve.
 
 use super::caller::bound_of;
-use super::job::{StatementJob, retry_text};
+use super::job::{StatementJob, refuse};
 use crate::engine::ProxyEngine;
 use crate::group::{
     AcquireError, ExchangeError, GroupMember, PooledLink, ReadPlace, ServiceGroup, order_members,
@@ -79,7 +79,8 @@
         let mut reason = "no member could be reached";
         loop {
             let Some(floor) = self.read_floor(&group, route, job, session_floor).await else {
-                return Err(refuse(job, "the primary's position is not known", step));
+                let reason = "the primary's position is not known";
+                return Err(refuse(&group, job, reason, state_after(step)));
             };
             let place = ReadPlace {
                 domain: self.identity().domain.clone(),
@@ -90,7 +91,7 @@
             let mut left = members.iter().filter(|member| !tried.contains(member.name()));
             let Some(member) = left.next() else {
                 if job.wait_left() < ROUND_PAUSE {
-                    return Err(refuse(job, reason, step));
+                    return Err(refuse(&group, job, reason, state_after(step)));
                 }
                 tokio::time::sleep(ROUND_PAUSE).await;
                 tried.clear();
@@ -205,11 +206,6 @@
     );
 }
 
-fn refuse(job: &StatementJob, reason: &str, step: ReadStep) -> StatementReply {
-    log::info!(request:% = job.id, reason = reason, outcome = "not_run"; "a read was refused");
-    StatementReply::refusal(StatementError::Busy, &retry_text(reason), state_after(step))
-}
-
 fn timed_out(job: &StatementJob, step: ReadStep) -> StatementReply {
     log::info!(request:% = job.id, outcome = "timed_out"; "a read ran out of time");
     let text = "no member answered in time";
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -1,6 +1,6 @@
 //! Writes and strict reads: only at the primary, and only under a permit.
 
-use super::job::{StatementJob, retry_text};
+use super::job::{StatementJob, refuse};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::{AcquireError, ExchangeError, GroupMember, PooledLink, ServiceGroup};
@@ -53,14 +53,14 @@
         loop {
             let start = match self.start_strict(&group, job).await {
                 Ok(start) => start,
-                Err(reason) => return refuse(job, reason),
+                Err(reason) => return refuse(&group, job, reason, TransactionState::Idle),
             };
             let reason = match self.attempt(&group, job, start).await {
                 StrictEnd::Answer(reply) => return reply,
                 StrictEnd::Again(reason) => reason,
             };
             if job.wait_left() < AGAIN_PAUSE {
-                return refuse(job, reason);
+                return refuse(&group, job, reason, TransactionState::Idle);
             }
             tokio::time::sleep(AGAIN_PAUSE).await;
         }
@@ -211,8 +211,3 @@
 pub(super) fn in_doubt(text: &str) -> StatementReply {
     StatementReply::refusal(StatementError::InDoubt, text, TransactionState::Idle)
 }
-
-fn refuse(job: &StatementJob, reason: &str) -> StatementReply {
-    log::info!(request:% = job.id, reason = reason, outcome = "not_run"; "a statement was refused");
-    StatementReply::refusal(StatementError::Busy, &retry_text(reason), TransactionState::Idle)
-}
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -1,7 +1,7 @@
 //! A transaction: pinned to one connection from its first statement to its end.
 
 use super::caller::bound_of;
-use super::job::{StatementJob, retry_text};
+use super::job::{StatementJob, refuse, retry_text};
 use super::strict::{InFlight, in_doubt};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
@@ -174,7 +174,8 @@
 ) -> Result<PinnedLink, StatementReply> {
     loop {
         let start = engine.start_strict(group, job).await;
-        let mut start = start.map_err(|reason| refuse(job, reason))?;
+        let mut start =
+            start.map_err(|reason| refuse(group, job, reason, TransactionState::Failed))?;
         let sent_at = boot_time();
         let floor = group.newest_position();
         let limit = job.time_left();
@@ -199,7 +200,8 @@
             "a transaction did not begin"
         );
         if job.wait_left() < AGAIN_PAUSE {
-            return Err(refuse(job, "the primary began no transaction"));
+            let reason = "the primary began no transaction";
+            return Err(refuse(group, job, reason, TransactionState::Failed));
         }
         tokio::time::sleep(AGAIN_PAUSE).await;
     }
@@ -305,8 +307,3 @@
     let text = retry_text(reason);
     StatementReply::refusal(StatementError::Aborted, &text, TransactionState::Failed)
 }
-
-fn refuse(job: &StatementJob, reason: &str) -> StatementReply {
-    log::info!(request:% = job.id, reason = reason, outcome = "not_run"; "a transaction was refused");
-    StatementReply::refusal(StatementError::Busy, &retry_text(reason), TransactionState::Failed)
-}
--- a/crates/rudder-engine/src/statement.rs
+++ b/crates/rudder-engine/src/statement.rs
@@ -193,6 +193,26 @@
 }
 
 impl StatementError {
+    /// The fixed word in logs and metrics.
+    pub(crate) fn word(&self) -> &'static str {
+        match self {
+            Self::Busy => "busy",
+            Self::Aborted => "rolled_back",
+            Self::Lagging => "lagging",
+            Self::ReadOnly => "read_only",
+            Self::Misrouted => "misrouted",
+            Self::ConnectionLimit => "connection_limit",
+            Self::Failed => "failed",
+            Self::UnknownName => "unknown_name",
+            Self::TimedOut => "timed_out",
+            Self::InDoubt => "in_doubt",
+            Self::NoDatabase => "no_database",
+            Self::TooLarge => "too_large",
+            Self::Malformed => "malformed",
+            Self::Other(_) => "other",
+        }
+    }
+
     /// Whether the member says with this error that it ran nothing.
     pub(crate) fn ran_nothing(&self) -> bool {
         matches!(self, Self::Busy | Self::Lagging | Self::ReadOnly | Self::UnknownName)
