--- a/crates/rudder-engine/src/duty/mod.rs
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod drain;
 mod keeper;
+mod promote;
 mod pulse;
 mod records;
 mod registry;
