--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -11,7 +11,10 @@
 
 /// The pause between two reads of the list. Instances learn of each other by their pulses as
 /// well, so the list only has to be there for the first of them.
-const READ_GAP: Duration = Duration::from_secs(4);
+const READER_GAP: Duration = Duration::from_secs(4);
+
+/// The same for instances that others do not rely on.
+const FOLLOWER_GAP: Duration = Duration::from_secs(15);
 
 /// The pause before registering is tried again, and between the first reads.
 const AGAIN_PAUSE: Duration = Duration::from_millis(200);
@@ -43,7 +46,11 @@
             log::info!(reason:% = error; "the list of instances was not read");
         }
         reads = reads.saturating_add(1);
-        let gap = if reads < FIRST_READS { AGAIN_PAUSE * 2 } else { READ_GAP };
+        let gap = match reads {
+            ..FIRST_READS => AGAIN_PAUSE * 2,
+            _ if engine.is_reader() => READER_GAP,
+            _ => FOLLOWER_GAP,
+        };
         tokio::time::sleep(gap).await;
     }
 }
