--- a/crates/rudder-engine/src/duty/drain.rs
+++ b/crates/rudder-engine/src/duty/drain.rs
@@ -21,8 +21,7 @@
 /// # async fn example(engine: std::sync::Arc<rudder_engine::ProxyEngine>) {
 /// use rudder_engine::{EngineTiming, stop_engine};
 /// use std::time::Duration;
-/// let timing =
-///     EngineTiming { grace: Duration::from_secs(6), member_drain: Duration::from_secs(7) };
+/// let timing = EngineTiming { grace: Duration::from_secs(6) };
 /// stop_engine(&engine, timing, || true).await;
 /// # }
 /// ```
--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -1,5 +1,6 @@
 //! Signs of life between instances, and the answers to peers' questions.
 
+use super::records::ask;
 use crate::clock::boot_time;
 use crate::engine::{DrainPhase, ProxyEngine};
 use crate::lead::{LeadPhase, LeaderEpoch, is_quorum};
@@ -124,16 +125,10 @@
         });
     } else if new {
         // A datagram does not say how old it is; a question's answer does.
-        ask_peer(engine, exchange, from).await;
+        ask(engine, exchange, &[from]).await;
     }
 }
 
-pub(super) async fn ask_peer(engine: &ProxyEngine, exchange: &PeerExchange, peer: SocketAddr) {
-    let question = rand::random::<u64>();
-    engine.board().note_question(question);
-    exchange.send(&PeerMessage::Ask(question), peer).await;
-}
-
 /// Lets statements under way end, for a moment; then this instance answers for no version of the
 /// record before the one it returns.
 pub(super) async fn stop_answering(engine: &ProxyEngine, service: &ServiceName) -> LeaderEpoch {
--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -6,6 +6,7 @@
 use crate::peers::{PeerExchange, PeerMessage};
 use rudder_core::ServiceName;
 use rudder_store::{ObjectKind, StoreError, StoredObject};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -108,21 +109,23 @@
 
 /// Asks `count` of the instances that read the store, the near ones first.
 async fn ask_peers(engine: &ProxyEngine, exchange: &PeerExchange, count: usize) {
-    let question = rand::random::<u64>();
     let mut readers = engine.board().reader_addresses();
     if count > 1 && !readers.is_empty() {
         // Begins with another one each time: one that is cut off as well is not asked for ever.
-        let turn = usize::try_from(question % readers.len() as u64).unwrap_or(0);
+        let turn = rand::random::<u32>() as usize % readers.len();
         readers.rotate_left(turn);
     }
     readers.truncate(count);
-    engine.board().note_question(question);
-    exchange.send_all(&PeerMessage::Ask(question), &readers).await;
+    ask(engine, exchange, &readers).await;
 }
 
 async fn ask_all(engine: &ProxyEngine, exchange: &PeerExchange) {
+    ask(engine, exchange, &engine.board().addresses()).await;
+}
+
+/// Asks instances for the records that they know.
+pub(super) async fn ask(engine: &ProxyEngine, exchange: &PeerExchange, receivers: &[SocketAddr]) {
     let question = rand::random::<u64>();
-    let receivers = engine.board().addresses();
     engine.board().note_question(question);
-    exchange.send_all(&PeerMessage::Ask(question), &receivers).await;
+    exchange.send_all(&PeerMessage::Ask(question), receivers).await;
 }
--- a/crates/rudder-engine/src/duty/start.rs
+++ b/crates/rudder-engine/src/duty/start.rs
@@ -9,13 +9,11 @@
 use tokio::net::TcpListener;
 
 plain_data! {
-    /// The bounds that the deployment sets.
+    /// The bounds that the deployment sets for stopping.
     #[derive(Copy)]
     pub struct EngineTiming {
         /// The time between being told to stop and being ended.
         pub grace: Duration,
-        /// For how long a leaving member still serves after it said so.
-        pub member_drain: Duration,
     }
 }
 
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -306,8 +306,8 @@
         lock(&self.groups).clone()
     }
 
-    /// Asks the watch of the primary for its position now.
-    pub(crate) fn want_position(&self, _group: &ServiceGroup) {
+    /// Asks the watches of the primaries for positions now.
+    pub(crate) fn want_position(&self) {
         self.position_wanted.notify_waiters();
     }
 
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -98,7 +98,7 @@
                 continue;
             };
             let last = left.next().is_none();
-            match self.try_member(&group, member, job, floor, step, last).await {
+            match self.try_member(member, job, floor, step, last).await {
                 Ok((reply, link)) => {
                     return Ok((reply, ReadStart { link, member: Arc::clone(member) }));
                 }
@@ -133,14 +133,13 @@
             if left.is_zero() {
                 return None;
             }
-            self.want_position(group);
+            self.want_position();
             group.wait_changed(left).await;
         }
     }
 
     async fn try_member(
         &self,
-        group: &Arc<ServiceGroup>,
         member: &Arc<GroupMember>,
         job: &StatementJob,
         floor: LogStamp,
@@ -162,7 +161,7 @@
             Err(error) => {
                 log_attempt(member, job, &error);
                 // The watch tells at once whether a primary is lost.
-                self.want_position(group);
+                self.want_position();
                 member.doubt();
                 Err(AttemptEnd::Next)
             }
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -84,7 +84,7 @@
             Ok(reply) => judge_reply(group, job, &permit, sent_at, reply, link),
             Err(error) => {
                 // The watch tells at once whether it is the connection or the primary.
-                self.want_position(group);
+                self.want_position();
                 judge_failure(group, job, &member, &permit, &error)
             }
         };
