Readers have a module and tests of their own; a record and its sample are copied together

A record could be copied to a peer with a sample of the next version, had both been read by two threads; they are read under one lock now.

--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -3,6 +3,7 @@
 use super::records::ask;
 use crate::clock::boot_time;
 use crate::engine::{DrainPhase, ProxyEngine};
+use crate::group::ServiceGroup;
 use crate::lead::{LeadPhase, LeaderEpoch, is_quorum};
 use crate::peers::{
     GroupPulse, PeerExchange, PeerMessage, PeerPulse, RecordCopy, SampleCopy, StopWord,
@@ -145,27 +146,25 @@
 }
 
 fn copy_records(engine: &ProxyEngine) -> Vec<RecordCopy> {
+    let groups = engine.groups();
+    groups.iter().filter_map(|group| copy_record(engine, group)).collect()
+}
+
+fn copy_record(engine: &ProxyEngine, group: &ServiceGroup) -> Option<RecordCopy> {
     let now = boot_time();
-    let copy = |group: Arc<crate::group::ServiceGroup>| {
-        let service = group.service().clone();
-        group.with_book(|book| {
-            let record = book.record()?.clone();
-            let age_ms = age_in_ms(book.confirmed_at(), now);
-            let vouched_age_ms = age_in_ms(book.anchor(), now);
-            // Guards against an instance that forgot by a restart that it had stopped: it vouches
-            // for a version only once it has read the store itself.
-            let vouches = engine.has_read_records();
-            Some(RecordCopy { service, record, age_ms, vouched_age_ms, vouches, sample: None })
-        })
-    };
-    let with_sample = |group: Arc<crate::group::ServiceGroup>| {
-        let sample = group.newest_sample().map(|sample| SampleCopy {
-            stamp: sample.stamp,
-            age_ms: age_in_ms(sample.sent_at, now),
-        });
-        copy(group).map(|copy| RecordCopy { sample, ..copy })
-    };
-    engine.groups().into_iter().filter_map(with_sample).collect()
+    let (book, newest) = group.knowledge();
+    let sample = newest
+        .map(|sample| SampleCopy { stamp: sample.stamp, age_ms: age_in_ms(sample.sent_at, now) });
+    Some(RecordCopy {
+        service: group.service().clone(),
+        record: book.record()?.clone(),
+        age_ms: age_in_ms(book.confirmed_at(), now),
+        vouched_age_ms: age_in_ms(book.anchor(), now),
+        // Guards against an instance that forgot by a restart that it had stopped: it vouches for
+        // a version only once it has read the store itself.
+        vouches: engine.has_read_records(),
+        sample,
+    })
 }
 
 /// Rounded up, so that nothing looks fresher than it is.
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -167,6 +167,12 @@
         use_book(&mut self.state().book)
     }
 
+    /// What is known of the primary and its newest sample, which belong to the same version.
+    pub(crate) fn knowledge(&self) -> (LeadBook, Option<FreshSample>) {
+        let state = self.state();
+        (state.book.clone(), state.history.newest())
+    }
+
     /// Replaces the list of members.
     pub(crate) fn set_members(&self, entries: &[MemberEntry], dialer: &Arc<dyn MemberDialer>) {
         let mut state = self.state();
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -1,6 +1,7 @@
 //! What is known of the other instances.
 
 use super::message::{PeerPulse, StopWord};
+use super::readers::{ReaderSeat, choose_readers};
 use crate::clock::boot_time;
 use crate::engine::InstanceIdentity;
 use crate::lead::{LeaderEpoch, PeerVote};
@@ -15,10 +16,6 @@
 /// lost on the way.
 const LIVE_TIME: Duration = Duration::from_millis(2600);
 
-/// The fewest instances that read the store and watch the primaries for all. With three, two that
-/// cannot reach a primary are more than half, and one cut link is not.
-const READERS_MIN: usize = 3;
-
 /// Questions whose answers are still taken; some seconds' worth.
 const QUESTIONS_MAX: usize = 32;
 
@@ -47,32 +44,6 @@
     }
 }
 
-/// One of the instances that read the store for all; the address is none for this one.
-#[derive(Clone, Debug)]
-struct ReaderSeat {
-    instance: InstanceName,
-    domain: DomainName,
-    address: Option<SocketAddr>,
-}
-
-/// The first of each domain by a hash of their names, [`READERS_MIN`] in all if there are as many.
-///
-/// The number of domains is the deployment's: one that does not hear from a domain must not think
-/// that there are fewer, and read itself.
-fn choose_readers(mut all: Vec<ReaderSeat>, domains: usize) -> Vec<ReaderSeat> {
-    let rank = |seat: &ReaderSeat| xxhash_rust::xxh3::xxh3_64(seat.instance.as_str().as_bytes());
-    all.sort_by_key(|seat| (seat.domain.clone(), rank(seat)));
-    let each = READERS_MIN.div_ceil(domains.max(1));
-    let mut chosen: Vec<ReaderSeat> = Vec::new();
-    for seat in &all {
-        let count = chosen.iter().filter(|known| known.domain == seat.domain).count();
-        if count < each {
-            chosen.push(seat.clone());
-        }
-    }
-    chosen
-}
-
 #[derive(Default)]
 struct BoardState {
     /// The instances that the store lists, sorted by name.
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -6,9 +6,13 @@
 mod board;
 mod exchange;
 mod message;
+mod readers;
 mod settings_copy;
 
 pub(crate) use board::{PeerBoard, PeerSeat};
 pub(crate) use exchange::PeerExchange;
 pub(crate) use message::{GroupPulse, PeerMessage, PeerPulse, RecordCopy, SampleCopy, StopWord};
 pub(crate) use settings_copy::{fetch_settings, serve_settings};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/rudder-engine/src/peers/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of what instances know of each other.
+
+mod readers;
