A vote told to a group's keepers is not passed on by them

Cause: with one cut link the doubting keeper heard its peers' objections once and then no more, and a healthy primary was changed. A vote is told to three keepers, but each receiver took it for news, pushed it to four others and carried it in later datagrams; lasting doubts used up the byte budget and the answers were withheld. Datagrams that tell a few have a kind of their own now, whose hints are not spread.

Ruled out: lost datagrams (no loss in the test), an echo of the own doubt (mended before), the tally (its tests).

--- a/crates/rudder-peers/src/membership/state.rs
+++ b/crates/rudder-peers/src/membership/state.rs
@@ -211,7 +211,7 @@
                     self.confirm(&probe, target, now);
                 }
             }
-            DatagramBody::Push => {}
+            DatagramBody::Push | DatagramBody::Tell => {}
         }
         (actions, round_trip)
     }
--- a/crates/rudder-peers/src/node/state.rs
+++ b/crates/rudder-peers/src/node/state.rs
@@ -150,7 +150,7 @@
                 digest: self.membership.digest(),
                 groups: self.board.digest(),
                 revision: self.board.revision(),
-                body: DatagramBody::Push,
+                body: DatagramBody::Tell,
                 news: Vec::new(),
                 hints: vec![hint.clone()],
             };
@@ -262,12 +262,15 @@
         output: &mut NodeOutput,
         now: Duration,
     ) {
+        // Guards against hints for a few that reach all: the votes on one lasting doubt, passed on by
+        // each receiver, used up what peers may send, and the answers to it were withheld.
+        let told = datagram.body == DatagramBody::Tell;
         let mut hints = datagram.hints;
         if datagram.revision > self.board.revision() {
             hints.push(PeerHint::Revision(RevisionHint { number: datagram.revision }));
         }
         let received = hints.into_iter().map(|hint| received_hint(hint, round_trip));
-        let sends = self.hint_sends();
+        let sends = if told { 0 } else { self.hint_sends() };
         self.absorb(&datagram.sender.name, received, sends, output, now);
     }
 
--- a/crates/rudder-peers/src/node/tests/fleet.rs
+++ b/crates/rudder-peers/src/node/tests/fleet.rs
@@ -131,6 +131,13 @@
         self.perform(site, output);
     }
 
+    /// Sends a hint to these sites only.
+    pub(super) fn tell(&mut self, site: usize, receivers: &[usize], hint: &PeerHint) {
+        let names: Vec<_> = receivers.iter().map(|site| self.name_of(*site)).collect();
+        let output = self.sites[site].node.tell(&names, hint, self.now);
+        self.perform(site, output);
+    }
+
     /// Parts the sites from `first` on from those before it.
     pub(super) fn part(&mut self, first: usize) {
         for (number, site) in self.sites.iter_mut().enumerate() {
--- a/crates/rudder-peers/src/wire/datagram.rs
+++ b/crates/rudder-peers/src/wire/datagram.rs
@@ -39,6 +39,8 @@
     RelayedAck { sequence: u32 },
     /// Asks nothing; it only carries news and hints.
     Push,
+    /// Asks nothing; its hints are for the receiver alone and are not passed on.
+    Tell,
 }
 
 impl DatagramBody {
@@ -46,7 +48,7 @@
     pub(crate) fn probe_sequence(&self) -> Option<u32> {
         match self {
             Self::Probe { sequence, .. } | Self::IndirectProbe { sequence, .. } => Some(*sequence),
-            Self::Ack { .. } | Self::RelayedAck { .. } | Self::Push => None,
+            Self::Ack { .. } | Self::RelayedAck { .. } | Self::Push | Self::Tell => None,
         }
     }
 }
@@ -69,6 +71,7 @@
     Ack { sequence: u32 },
     RelayedAck { sequence: u32 },
     Push,
+    Tell,
 }
 
 impl From<&PeerDatagram> for WireDatagram {
@@ -116,6 +119,7 @@
             DatagramBody::Ack { sequence } => Self::Ack { sequence: *sequence },
             DatagramBody::RelayedAck { sequence } => Self::RelayedAck { sequence: *sequence },
             DatagramBody::Push => Self::Push,
+            DatagramBody::Tell => Self::Tell,
         }
     }
 }
@@ -134,6 +138,7 @@
             WireBody::Ack { sequence } => Self::Ack { sequence },
             WireBody::RelayedAck { sequence } => Self::RelayedAck { sequence },
             WireBody::Push => Self::Push,
+            WireBody::Tell => Self::Tell,
         })
     }
 }
