A planned change that is taken over waits for its successor as well

Cause: found by reading. An instance that takes over an unfinished change judged only that it was unfinished; that the primary was leaving stood in the record and was not read, so the wait for the successor to receive the last commits was skipped, and acknowledged commits could be lost.

Before: the new test has the successor promoted before it has received the primary's last entry. After: it is promoted at the last entry. The fixture of the control tests has a file of its own now.

--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -99,9 +99,15 @@
     let run = ChangeRun { engine, exchange, group };
     let cause = judged.cause;
     let (before, version) = run.read_current(judged.epoch).await?;
-    let previous = match &before.phase {
-        LeadPhase::Settled { primary, .. } => Some(primary.clone()),
-        LeadPhase::Changing { previous, .. } => previous.clone(),
+    // Guards against acknowledged commits that are lost when the instance that hands over a leaving
+    // primary dies: whoever takes the change over must wait for the successor as well, although it
+    // only sees a change that was not finished. A primary that has ended meanwhile gives no
+    // position, and nothing is waited for.
+    let (previous, planned) = match &before.phase {
+        LeadPhase::Settled { primary, .. } => {
+            (Some(primary.clone()), cause == ChangeCause::Leaving)
+        }
+        LeadPhase::Changing { previous, planned, .. } => (previous.clone(), *planned),
     };
     // Guards against a service without any primary: while no other member answers, the present
     // one is better than none.
@@ -120,7 +126,6 @@
         service:% = group.service(), epoch:% = before.epoch, cause = cause.word();
         "a change of primary begins"
     );
-    let planned = cause == ChangeCause::Leaving;
     let holder = engine.identity().name.clone();
     let process = engine.process();
     let phase = LeadPhase::Changing { holder, process, previous: previous.clone(), planned };
--- /dev/null
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -0,0 +1,240 @@
+//! A store with one record, and members that answer questions without a network.
+
+use crate::border::{
+    LinkError, MemberDialer, MemberLink, MemberTarget, PromotionCall, PromotionError,
+    PromotionOrder,
+};
+use crate::engine::{EngineBorders, InstanceIdentity, ProxyEngine};
+use crate::group::{MemberEntry, MemberState};
+use crate::lead::LeadRecord;
+use crate::statement::{MemberCommand, StatementReply, TransactionState};
+use async_trait::async_trait;
+use rudder_core::{LogPosition, LogStamp, LogTerm, MemberName, MemberRole, MemberStatus};
+use rudder_store::{
+    InstanceEntry, ObjectKind, ObjectVersion, PlatformStore, StoreError, StoredObject,
+};
+use serde_json::Value;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// A store that holds one record.
+pub(super) struct RecordStore {
+    record: Mutex<(u32, Value)>,
+    /// Whether writes are taken; otherwise they are refused, and counted all the same.
+    takes_writes: bool,
+    writes: AtomicU32,
+}
+
+impl RecordStore {
+    pub(super) fn new(record: &LeadRecord, takes_writes: bool) -> Arc<Self> {
+        let spec = serde_json::to_value(record).expect("a record is written");
+        let record = Mutex::new((1, spec));
+        Arc::new(Self { record, takes_writes, writes: AtomicU32::new(0) })
+    }
+
+    /// How many writes were tried.
+    pub(super) fn write_count(&self) -> u32 {
+        self.writes.load(Ordering::Relaxed)
+    }
+
+    /// The record as it is now.
+    pub(super) fn record(&self) -> LeadRecord {
+        let spec = self.record.lock().expect("no holder panics").1.clone();
+        serde_json::from_value(spec).expect("a record is read")
+    }
+}
+
+#[async_trait]
+impl PlatformStore for RecordStore {
+    async fn get(&self, _kind: ObjectKind, name: &str) -> Result<Option<StoredObject>, StoreError> {
+        let (version, spec) = self.record.lock().expect("no holder panics").clone();
+        let version = ObjectVersion(version.to_string());
+        Ok(Some(StoredObject { name: name.to_owned(), version, spec }))
+    }
+
+    async fn list(&self, _kind: ObjectKind) -> Result<Vec<StoredObject>, StoreError> {
+        Ok(Vec::new())
+    }
+
+    async fn put(
+        &self,
+        _kind: ObjectKind,
+        name: &str,
+        expected: Option<&ObjectVersion>,
+        spec: Value,
+    ) -> Result<StoredObject, StoreError> {
+        self.writes.fetch_add(1, Ordering::Relaxed);
+        if !self.takes_writes {
+            return Err(StoreError::Unavailable);
+        }
+        let mut record = self.record.lock().expect("no holder panics");
+        if expected.is_none_or(|version| version.0 != record.0.to_string()) {
+            return Err(StoreError::Conflict);
+        }
+        *record = (record.0 + 1, spec.clone());
+        let version = ObjectVersion(record.0.to_string());
+        Ok(StoredObject { name: name.to_owned(), version, spec })
+    }
+
+    async fn delete(
+        &self,
+        _kind: ObjectKind,
+        _name: &str,
+        _expected: &ObjectVersion,
+    ) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn instances(&self) -> Result<Vec<InstanceEntry>, StoreError> {
+        Ok(Vec::new())
+    }
+}
+
+/// Members that take promotions: the first one leads, the others receive one entry of its log each
+/// time that they are asked.
+pub(super) struct FakeMembers {
+    /// Sorted by name.
+    members: Mutex<Vec<(MemberName, MemberStatus)>>,
+    /// The orders to promote, each with how far the member's log went then.
+    promoted: Mutex<Vec<(MemberName, LogStamp)>>,
+}
+
+impl FakeMembers {
+    /// Members with logs of these lengths in term 1.
+    pub(super) fn new(logs: &[(&str, u64)]) -> Arc<Self> {
+        let status = |index: usize, length: u64| {
+            let role = if index == 0 { MemberRole::Primary } else { MemberRole::Replica };
+            let at = stamp(1, length);
+            MemberStatus { role, accepted: LogTerm(1), received: at, applied: at }
+        };
+        let members = logs.iter().enumerate().map(|(index, (name, length))| {
+            (name.parse().expect("a member's name"), status(index, *length))
+        });
+        Arc::new(Self { members: Mutex::new(members.collect()), promoted: Mutex::default() })
+    }
+
+    /// The orders to promote so far.
+    pub(super) fn promoted(&self) -> Vec<(MemberName, LogStamp)> {
+        self.promoted.lock().expect("no holder panics").clone()
+    }
+
+    /// The members' entries; the first member is leaving.
+    pub(super) fn entries(&self, service: &str) -> Vec<MemberEntry> {
+        let members = self.members.lock().expect("no holder panics");
+        let entry = |(index, (name, status)): (usize, &(MemberName, MemberStatus))| MemberEntry {
+            target: MemberTarget {
+                service: service.parse().expect("a service's name"),
+                member: name.clone(),
+                address: ([127, 0, 0, 1], 1).into(),
+            },
+            domain: "north".parse().expect("a domain's name"),
+            region: "north".to_owned(),
+            state: if index == 0 { MemberState::Draining } else { MemberState::Ready },
+            role: status.role,
+            born: 1,
+        };
+        members.iter().enumerate().map(entry).collect()
+    }
+
+    fn answer(&self, name: &MemberName) -> MemberStatus {
+        let mut members = self.members.lock().expect("no holder panics");
+        let last = members[0].1.received;
+        let index = members.binary_search_by(|(known, _)| known.cmp(name));
+        let status = &mut members[index.expect("a known member")].1;
+        let answer = status.clone();
+        if status.role == MemberRole::Replica && status.received < last {
+            let next = LogPosition(status.received.position.0 + 1);
+            status.received = LogStamp { position: next, ..status.received };
+        }
+        answer
+    }
+}
+
+/// A position of a log.
+pub(super) fn stamp(term: u64, position: u64) -> LogStamp {
+    LogStamp::new(term, position)
+}
+
+/// A connection on which a member's status can be asked.
+struct StatusLink {
+    group: Arc<FakeMembers>,
+    member: MemberName,
+}
+
+#[async_trait]
+impl MemberLink for StatusLink {
+    async fn send(&mut self, _commands: &[MemberCommand]) -> Result<(), LinkError> {
+        Ok(())
+    }
+
+    async fn receive(&mut self) -> Result<StatementReply, LinkError> {
+        let rows = vec![status_row(&self.group.answer(&self.member))];
+        Ok(StatementReply { rows, ..StatementReply::local(TransactionState::Idle) })
+    }
+}
+
+/// Reaches the members of a group, or nobody.
+pub(super) struct FakeBorders(pub(super) Option<Arc<FakeMembers>>);
+
+#[async_trait]
+impl MemberDialer for FakeBorders {
+    async fn dial(&self, target: &MemberTarget) -> Result<Box<dyn MemberLink>, LinkError> {
+        let group = self.0.clone().ok_or(LinkError::Silent)?;
+        Ok(Box::new(StatusLink { group, member: target.member.clone() }))
+    }
+
+    fn read_status(&self, reply: &StatementReply) -> Option<MemberStatus> {
+        read_row(reply.rows.first()?)
+    }
+}
+
+#[async_trait]
+impl PromotionCall for FakeBorders {
+    async fn promote(&self, order: &PromotionOrder) -> Result<(), PromotionError> {
+        let group = self.0.as_ref().ok_or(PromotionError::Rejected)?;
+        let mut members = group.members.lock().expect("no holder panics");
+        let index = members.binary_search_by(|(name, _)| name.cmp(&order.member));
+        let status = &mut members[index.map_err(|_| PromotionError::Rejected)?].1;
+        let promoted = (order.member.clone(), status.received);
+        group.promoted.lock().expect("no holder panics").push(promoted);
+        status.role = MemberRole::Primary;
+        status.accepted = LogTerm(status.accepted.0 + 1);
+        Ok(())
+    }
+}
+
+fn status_row(status: &MemberStatus) -> String {
+    let role = if status.role == MemberRole::Primary { "primary" } else { "replica" };
+    let received = status.received;
+    format!("{role} {} {} {}", status.accepted.0, received.term.0, received.position.0)
+}
+
+fn read_row(row: &str) -> Option<MemberStatus> {
+    let fields: Vec<&str> = row.split(' ').collect();
+    let [role, accepted, term, position] = fields[..] else { return None };
+    let role = if role == "primary" { MemberRole::Primary } else { MemberRole::Replica };
+    let received = stamp(term.parse().ok()?, position.parse().ok()?);
+    let accepted = LogTerm(accepted.parse().ok()?);
+    Some(MemberStatus { role, accepted, received, applied: received })
+}
+
+/// An instance that has no peers.
+pub(super) fn engine(
+    store: &Arc<RecordStore>,
+    members: Option<Arc<FakeMembers>>,
+) -> Arc<ProxyEngine> {
+    let identity = InstanceIdentity {
+        name: "own".parse().expect("a name"),
+        domain: "north".parse().expect("a name"),
+        region: "north".to_owned(),
+        regions: Vec::new(),
+        peer_address: ([127, 0, 0, 1], 0).into(),
+    };
+    let borders = Arc::new(FakeBorders(members));
+    let borders = EngineBorders {
+        dialer: Arc::clone(&borders) as _,
+        promotion: borders,
+        store: Arc::clone(store) as _,
+    };
+    ProxyEngine::new(identity, borders)
+}
--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -1,3 +1,4 @@
 //! Tests of the control work.
 
 mod change;
+mod fixture;
