A write without a confirmed primary is not called overload

The time for finding a primary can end between the look at the clock and the gate, which lets nothing in that is late; its refusal said that too much waits. After an attempt that found no confirmed primary that is the reason now; reads that found all members too old keep theirs, too.

Ruled out: a full lane (nothing else runs at that proxy in the test).

--- a/crates/arbutusrudder/src/caller/mod.rs
+++ b/crates/arbutusrudder/src/caller/mod.rs
@@ -13,6 +13,8 @@
 mod serve;
 mod session;
 mod session_change;
+#[cfg(test)]
+mod tests;
 mod transaction;
 mod write;
 
--- a/crates/arbutusrudder/src/caller/read.rs
+++ b/crates/arbutusrudder/src/caller/read.rs
@@ -51,6 +51,7 @@
     let mut waited = Duration::ZERO;
     let work = AttemptWork::of(batch, WorkClass::Read);
     let mut attempts = 0;
+    let mut too_old = false;
     while attempts < ATTEMPTS_MAX {
         let mut changes = group.board.subscribe();
         let choice = choose(context, session, group, &avoided, waited);
@@ -77,6 +78,9 @@
         let attempt = MemberAttempt::begin(session, group, member, work, deadline).await;
         let attempt = match attempt {
             Ok(attempt) => attempt,
+            // Guards against the wrong reason: the members asked before were too old, and the gate
+            // only says that the time for asking another one is over.
+            Err(AttemptError::Refused(_)) if too_old => break,
             Err(AttemptError::Refused(reason)) => {
                 let notice = RefusalNotice::Overloaded { retry_after: reason.retry_after };
                 return refuse(session, batch, &notice).await;
@@ -93,7 +97,10 @@
         match run(session, batch, attempt, arrived).await? {
             ReadEnd::Served => return Ok(()),
             ReadEnd::Writes => return write::serve(session, batch, group).await,
-            ReadEnd::TooOld => avoided.push(member),
+            ReadEnd::TooOld => {
+                too_old = true;
+                avoided.push(member);
+            }
             ReadEnd::Failed if group.may_retry(WorkClass::Read) => avoided.push(member),
             ReadEnd::Failed => break,
         }
--- a/crates/arbutusrudder/src/caller/write.rs
+++ b/crates/arbutusrudder/src/caller/write.rs
@@ -16,7 +16,7 @@
 };
 use crate::group::GroupState;
 use rudder_core::{LogStamp, MemberStatus, RefusalNotice, TERM_REFUSED_SQLSTATE};
-use rudder_decisions::{MemberHealth, WorkClass};
+use rudder_decisions::{MemberHealth, RefusalReason, WorkClass};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
@@ -48,6 +48,7 @@
     group.touch(session.caller.queue_wait).await;
     let work = AttemptWork::of(batch, WorkClass::Write);
     let mut keyed = KeyedRequest::of(session, batch);
+    let mut tried = false;
     loop {
         let primary = await_primary(group, deadline).await;
         let Some(member) = primary.filter(|_| Instant::now() < deadline) else {
@@ -59,7 +60,7 @@
         let attempt = match attempt {
             Ok(attempt) => attempt,
             Err(AttemptError::Refused(reason)) => {
-                let notice = RefusalNotice::Overloaded { retry_after: reason.retry_after };
+                let notice = notice_of(&reason, tried);
                 return give_up(session, batch, keyed.as_ref(), notice).await;
             }
             Err(AttemptError::Settings(fields)) => {
@@ -84,9 +85,22 @@
             WriteEnd::Answered => return Ok(()),
             WriteEnd::NotRun => tokio::time::sleep(REROUTE_PAUSE).await,
         }
+        tried = true;
     }
 }
 
+/// Why a write that the gate turned away was not run. `tried` says whether a member was asked
+/// before, and turned out to be no confirmed primary.
+///
+/// Guards against a caller that is told of too many waiting requests while nothing waits: the time
+/// for finding a primary ran out between two attempts, and the gate lets nothing in that is late.
+pub(super) fn notice_of(reason: &RefusalReason, tried: bool) -> RefusalNotice {
+    if tried {
+        return RefusalNotice::NoPrimary { retry_after: RETRY_AFTER };
+    }
+    RefusalNotice::Overloaded { retry_after: reason.retry_after }
+}
+
 /// Refuses a write for which no attempt is left. Guards against a refusal that says "not run" after
 /// an attempt under a key that may have committed.
 async fn give_up(
