A change of primary sends a lost write again

The write is sent again while its condition still holds; the writer's mark tells whether it took effect. Safe, as the condition lets it take effect once. Ruled out: shorter waits alone (they begin anew more often).

Before: the new test ends with Overtaken; after, the change is done with one version each for intent and result.

--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -13,7 +13,7 @@
 use super::control::{MemberReport, ask_statuses, step_down};
 use super::pulse::stop_answering;
 use super::records::read_record;
-use super::registry::{limited, read_seats};
+use super::registry::{CALL_LIMIT, limited, read_seats};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::ServiceGroup;
@@ -21,7 +21,7 @@
 use crate::peers::{PeerExchange, PeerMessage, RecordCopy};
 use displaydoc::Display;
 use rudder_core::{LogStamp, MemberName, MemberRole};
-use rudder_store::{ObjectKind, ObjectVersion, StoreError};
+use rudder_store::{ObjectKind, ObjectVersion, StoreError, StoredObject};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,6 +38,13 @@
 /// The pause between two looks whether members have got as far as they must.
 pub(super) const LOOK_GAP: Duration = Duration::from_millis(50);
 
+/// How long the answer to one write of a record is awaited before the store is asked what became
+/// of it. The store answers in milliseconds, and in a third of a second when it is slow.
+const WRITE_LIMIT: Duration = Duration::from_millis(450);
+
+/// How often one write is sent: with half of all answers lost, one change in thirty fails.
+const WRITE_TRIES: u32 = 5;
+
 /// Why a primary was not changed.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[ignore_extra_doc_attributes]
@@ -168,7 +175,7 @@
         let store = &self.engine.borders().store;
         let sent_at = boot_time();
         let get = store.get(ObjectKind::PrimaryRecord, self.group.service().as_str());
-        let object = limited(get).await?.ok_or(ChangeError::Overtaken)?;
+        let object = limited(CALL_LIMIT, get).await?.ok_or(ChangeError::Overtaken)?;
         let (_, record) = read_record(&object).ok_or(ChangeError::Overtaken)?;
         self.engine.observe(self.group.service(), &record, sent_at);
         if record.epoch != judged {
@@ -205,27 +212,59 @@
         let record = LeadRecord { epoch, mark, phase };
         let spec = serde_json::to_value(&record)
             .map_err(|error| ChangeError::Store(StoreError::Refused(error.to_string())))?;
-        let store = &self.engine.borders().store;
-        let name = self.group.service().as_str();
         let sent_at = boot_time();
-        let put = limited(store.put(ObjectKind::PrimaryRecord, name, expected, spec)).await;
-        let version = match put {
-            Ok(object) => object.version,
-            // The answer may be lost after the effect, and a resent call meets its own effect.
-            Err(StoreError::Conflict | StoreError::Unresolved) => self.find_own(&record).await?,
-            Err(error) => return Err(error.into()),
-        };
+        let version = self.write_until_known(&record, &spec, expected).await?;
         self.engine.observe(self.group.service(), &record, sent_at);
         Ok(WrittenRecord { record, version, done_at: boot_time() })
     }
 
-    /// Whether a write of this instance took effect after all.
-    async fn find_own(&self, record: &LeadRecord) -> Result<ObjectVersion, ChangeError> {
+    /// Sends a write until it is known to have taken effect, or never to do so.
+    ///
+    /// Guards against a change that starts anew, with all instances stopping again, because the
+    /// store lost one call or its answer. The same write may be sent again: its condition lets it
+    /// take effect once, also if an earlier one arrives late.
+    async fn write_until_known(
+        &self,
+        record: &LeadRecord,
+        spec: &serde_json::Value,
+        expected: Option<&ObjectVersion>,
+    ) -> Result<ObjectVersion, ChangeError> {
+        let store = &self.engine.borders().store;
+        let name = self.group.service().as_str();
+        for _ in 0..WRITE_TRIES {
+            let put = store.put(ObjectKind::PrimaryRecord, name, expected, spec.clone());
+            match limited(WRITE_LIMIT, put).await {
+                Ok(object) => return Ok(object.version),
+                Err(StoreError::Conflict | StoreError::Unresolved) => {}
+                Err(error) => return Err(error.into()),
+            }
+            if let Some(version) = self.find_own(record, expected).await? {
+                return Ok(version);
+            }
+            log::info!(
+                service:% = self.group.service(), epoch:% = record.epoch;
+                "a write of a record got no answer and has not taken effect yet"
+            );
+        }
+        Err(ChangeError::Store(StoreError::Unresolved))
+    }
+
+    /// The version that a write of this instance brought about; none while it has not taken effect
+    /// and still may.
+    async fn find_own(
+        &self,
+        record: &LeadRecord,
+        expected: Option<&ObjectVersion>,
+    ) -> Result<Option<ObjectVersion>, ChangeError> {
         let store = &self.engine.borders().store;
         let get = store.get(ObjectKind::PrimaryRecord, self.group.service().as_str());
-        let object = limited(get).await?.ok_or(ChangeError::Overtaken)?;
-        match read_record(&object) {
-            Some((_, found)) if found.mark == record.mark => Ok(object.version),
+        let found = limited(CALL_LIMIT, get).await?;
+        let own = |object: &StoredObject| {
+            read_record(object).is_some_and(|(_, found)| found.mark == record.mark)
+        };
+        match found {
+            Some(object) if own(&object) => Ok(Some(object.version)),
+            found if found.as_ref().map(|object| &object.version) == expected => Ok(None),
             _ => Err(ChangeError::Overtaken),
         }
     }
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -20,7 +20,7 @@
 const AGAIN_PAUSE: Duration = Duration::from_millis(200);
 
 /// The most time for one call.
-const CALL_LIMIT: Duration = Duration::from_millis(1000);
+pub(super) const CALL_LIMIT: Duration = Duration::from_millis(1000);
 
 /// Reads soon after the start, while others start as well.
 const FIRST_READS: u32 = 3;
@@ -62,20 +62,23 @@
     let store = &engine.borders().store;
     let name = identity.name.as_str();
     let kind = ObjectKind::InstanceRecord;
-    let created = limited(store.put(kind, name, None, spec.clone())).await;
+    let created = limited(CALL_LIMIT, store.put(kind, name, None, spec.clone())).await;
     if !matches!(created, Err(StoreError::Conflict | StoreError::Unresolved)) {
         return created.map(|_| ());
     }
-    match limited(store.get(kind, name)).await? {
+    match limited(CALL_LIMIT, store.get(kind, name)).await? {
         Some(known) if known.spec == spec => Ok(()),
-        Some(known) => limited(store.put(kind, name, Some(&known.version), spec)).await.map(|_| ()),
+        Some(known) => {
+            limited(CALL_LIMIT, store.put(kind, name, Some(&known.version), spec)).await.map(|_| ())
+        }
         None => Err(StoreError::Unresolved),
     }
 }
 
 /// Reads the list of instances from the store.
 pub(super) async fn read_seats(engine: &ProxyEngine) -> Result<(), StoreError> {
-    let objects = limited(engine.borders().store.list(ObjectKind::InstanceRecord)).await?;
+    let objects =
+        limited(CALL_LIMIT, engine.borders().store.list(ObjectKind::InstanceRecord)).await?;
     engine.board().set_seats(objects.iter().filter_map(read_seat).collect());
     Ok(())
 }
@@ -97,8 +100,8 @@
     let name = engine.identity().name.as_str();
     let kind = ObjectKind::InstanceRecord;
     let removal = async {
-        match limited(store.get(kind, name)).await? {
-            Some(known) => limited(store.delete(kind, name, &known.version)).await,
+        match limited(CALL_LIMIT, store.get(kind, name)).await? {
+            Some(known) => limited(CALL_LIMIT, store.delete(kind, name, &known.version)).await,
             None => Ok(()),
         }
     };
@@ -110,7 +113,8 @@
 
 /// A call to the store with a bound; what came of a call without an answer is not known.
 pub(super) async fn limited<T>(
+    limit: Duration,
     call: impl Future<Output = Result<T, StoreError>>,
 ) -> Result<T, StoreError> {
-    tokio::time::timeout(CALL_LIMIT, call).await.unwrap_or(Err(StoreError::Unresolved))
+    tokio::time::timeout(limit, call).await.unwrap_or(Err(StoreError::Unresolved))
 }
--- a/crates/rudder-engine/src/duty/tests/change.rs
+++ b/crates/rudder-engine/src/duty/tests/change.rs
@@ -1,6 +1,6 @@
 //! Changes of primary against a store in memory.
 
-use super::fixture::{FakeMembers, RecordStore, engine, stamp};
+use super::fixture::{FakeMembers, RecordStore, WriteFate, engine, stamp};
 use crate::duty::change::{ChangeError, JudgedChange, change_primary};
 use crate::lead::{ChangeCause, LeadPhase, LeadRecord, LeaderEpoch};
 use crate::peers::PeerExchange;
@@ -31,7 +31,7 @@
     // see it. The successor begins anew, and its announcement reaches the other one between its
     // judgement and its look at the store. If that one goes on, two instances promote in turn.
     let newer = changing(3, None, false);
-    let store = RecordStore::new(&newer, false);
+    let store = RecordStore::new(&newer, &[WriteFate::Refused]);
     let engine = engine(&store, None);
     let exchange = exchange().await;
     let group = engine.group(&service());
@@ -50,7 +50,7 @@
     // one takes over while the successor still lacks the last commits. It saw a change that was not
     // finished, not that the old primary was there to be waited for, and promoted at once.
     let record = changing(3, Some("a".parse().expect("a name")), true);
-    let store = RecordStore::new(&record, true);
+    let store = RecordStore::new(&record, &[WriteFate::Done]);
     let members = FakeMembers::new(&[("a", 100), ("b", 95), ("c", 90)]);
     let engine = engine(&store, Some(members.clone()));
     let exchange = exchange().await;
@@ -64,3 +64,24 @@
     assert_eq!(members.promoted(), [("b".parse().expect("a name"), stamp(1, 100))]);
     assert!(matches!(store.record().phase, LeadPhase::Settled { .. }));
 }
+
+#[tokio::test]
+async fn a_change_goes_on_although_writes_of_the_store_are_lost() {
+    // Crews wait six seconds for a new primary in place of two. The store loses every other write
+    // of a record without a word; the change gave up each time and began anew, with a new version
+    // of the record for which all instances had to stop again.
+    let record = changing(3, Some("a".parse().expect("a name")), false);
+    let store = RecordStore::new(&record, &[WriteFate::Lost, WriteFate::Done]);
+    let members = FakeMembers::new(&[("a", 100), ("b", 95), ("c", 90)]);
+    let engine = engine(&store, Some(members.clone()));
+    let exchange = exchange().await;
+    engine.apply_members(&members.entries("records"));
+    let group = engine.group(&service());
+    engine.observe(&service(), &record, Duration::ZERO);
+
+    let outcome = change_primary(&engine, &exchange, &group, unfinished(3)).await;
+
+    assert_eq!(outcome, Ok(()));
+    assert_eq!(store.record().epoch, LeaderEpoch(5));
+    assert_eq!(members.promoted().len(), 1);
+}
--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -17,19 +17,30 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 
+/// What becomes of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WriteFate {
+    /// It is done and answered.
+    Done,
+    /// It is refused.
+    Refused,
+    /// It is not done, and there is no answer either.
+    Lost,
+}
+
 /// A store that holds one record.
 pub(super) struct RecordStore {
     record: Mutex<(u32, Value)>,
-    /// Whether writes are taken; otherwise they are refused, and counted all the same.
-    takes_writes: bool,
+    /// What becomes of the writes to come, by turns.
+    fates: Vec<WriteFate>,
     writes: AtomicU32,
 }
 
 impl RecordStore {
-    pub(super) fn new(record: &LeadRecord, takes_writes: bool) -> Arc<Self> {
+    pub(super) fn new(record: &LeadRecord, fates: &[WriteFate]) -> Arc<Self> {
         let spec = serde_json::to_value(record).expect("a record is written");
         let record = Mutex::new((1, spec));
-        Arc::new(Self { record, takes_writes, writes: AtomicU32::new(0) })
+        Arc::new(Self { record, fates: fates.to_vec(), writes: AtomicU32::new(0) })
     }
 
     /// How many writes were tried.
@@ -63,9 +74,11 @@
         expected: Option<&ObjectVersion>,
         spec: Value,
     ) -> Result<StoredObject, StoreError> {
-        self.writes.fetch_add(1, Ordering::Relaxed);
-        if !self.takes_writes {
-            return Err(StoreError::Unavailable);
+        let turn = self.writes.fetch_add(1, Ordering::Relaxed) as usize;
+        match self.fates[turn % self.fates.len()] {
+            WriteFate::Done => {}
+            WriteFate::Refused => return Err(StoreError::Unavailable),
+            WriteFate::Lost => return Err(StoreError::Unresolved),
         }
         let mut record = self.record.lock().expect("no holder panics");
         if expected.is_none_or(|version| version.0 != record.0.to_string()) {
--- a/crates/rudder-peers/src/node/tests.rs
+++ b/crates/rudder-peers/src/node/tests.rs
@@ -401,9 +401,7 @@
 
     let expected = usize::try_from(DOUBTS).unwrap();
     for keeper in [1, 2] {
-        let from = |hint: &&PeerHint| {
-            matches!(hint, PeerHint::Vote(vote) if vote.observer == fleet.name_of(keeper))
-        };
+        let from = |hint: &&PeerHint| matches!(hint, PeerHint::Vote(vote) if vote.observer == fleet.name_of(keeper));
         assert_eq!(fleet.heard(0).iter().filter(from).count(), expected, "keeper {keeper}");
     }
     for outsider in 3..6 {
