Followers have settings and members from their domain's reader; a missing primary is used until replaced

Now a reader's pulse says which versions it knows and how fresh the store's word is; the others fetch a copy from it and ask the store only while no word is fresher than 2.2 s. Pulses name only doubted primaries.

A primary that is missing from the list stays in use for 3.5 s, until it is replaced; test a_primary_that_drops_out_of_the_list_is_used_until_it_is_replaced, red before. (2) A follower that became a reader took services for unrecorded from a list of its first second, and tried a first record, which held up real changes.

--- a/crates/rudder-engine/src/border.rs
+++ b/crates/rudder-engine/src/border.rs
@@ -4,10 +4,12 @@
 use async_trait::async_trait;
 use displaydoc::Display;
 use rudder_core::{MemberName, MemberStatus, ServiceName, plain_data};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 plain_data! {
     /// Where a member listens, and who is expected there.
+    #[derive(Serialize, Deserialize)]
     pub struct MemberTarget {
         /// The service.
         pub service: ServiceName,
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -48,6 +48,7 @@
         tokio::time::sleep(LOOK_GAP).await;
         looks = looks.wrapping_add(1);
         for group in engine.groups() {
+            group.drop_unlisted();
             let index = watch_of(&mut watches, group.service());
             look(&engine, &exchange, &group, &mut watches[index], &busy);
         }
@@ -90,7 +91,10 @@
     let signs = read_signs(engine, group, &book, &mut watch.signs, now);
     let votes = engine.board().votes(group.service(), epoch, signs.silent_since.is_some());
     let cause = judge_change(&book, &signs, &engine.identity().name, &votes, now);
-    let first = engine.is_recordless(group.service()) && !group.members().is_empty();
+    // Guards against a first record for a service that has one: the list that lacked it may have
+    // been read before another instance wrote it.
+    let unrecorded = book.record().is_none() && engine.is_recordless(group.service());
+    let first = unrecorded && !group.members().is_empty();
     if cause.is_none() && !first {
         return;
     }
@@ -152,7 +156,8 @@
     let primary = book.record().and_then(|record| record.primary().cloned());
     let present = primary.as_ref().and_then(|primary| group.member(primary));
     let listed = engine.members_confirmed_at().is_some_and(|at| now < at + LIST_AGE_MAX);
-    let absent = listed && primary.is_some() && present.is_none();
+    let gone = present.as_ref().is_none_or(|primary| !primary.is_listed());
+    let absent = listed && primary.is_some() && gone;
     let usurped = present.as_deref().is_some_and(|primary| is_usurped(primary, &members));
     lasting.absent_since = lasting_since(lasting.absent_since, absent, now);
     lasting.usurped_since = lasting_since(lasting.usurped_since, usurped, now);
--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -6,8 +6,8 @@
 use crate::group::ServiceGroup;
 use crate::lead::{LeadPhase, LeaderEpoch, is_quorum};
 use crate::peers::{
-    GroupPulse, PeerExchange, PeerMessage, PeerPulse, RecordCopy, SampleCopy, StopWord,
-    fetch_settings,
+    PeerExchange, PeerMessage, PeerPulse, PrimaryDoubt, RecordCopy, SampleCopy, StopWord,
+    fetch_copy,
 };
 use rudder_core::{InstanceName, ServiceName};
 use std::net::SocketAddr;
@@ -17,6 +17,9 @@
 /// The pause between two pulses while nothing changes.
 const PULSE_GAP: Duration = Duration::from_millis(1000);
 
+/// The same of a reader within its failure domain, where others rely on how fresh its word is.
+const FEED_GAP: Duration = Duration::from_millis(500);
+
 /// How often a change is looked for that is worth a pulse of its own.
 const LOOK_GAP: Duration = Duration::from_millis(50);
 
@@ -24,43 +27,63 @@
 /// all commits are answered within it; the rest is answered as unknown.
 const STOP_WAIT: Duration = Duration::from_millis(250);
 
-/// How long settings that a peer has are awaited from the store before the peer is asked.
-const SETTINGS_WAIT: Duration = Duration::from_millis(400);
+/// How long an instance that asks the store itself awaits its word before it asks a peer that has
+/// it already.
+const OWN_WORD_WAIT: Duration = Duration::from_millis(400);
 
 /// The pause between two looks whether statements are still under way.
 const STOP_LOOK: Duration = Duration::from_millis(5);
 
-/// Sends pulses: once a second, and at once when this instance changes its mind on a primary.
+/// Sends pulses: regularly, and at once when there is something new in them.
 pub(crate) async fn send(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
-    let mut last: Option<(PeerPulse, Instant)> = None;
+    let mut told: Option<PeerPulse> = None;
+    let mut near_at: Option<Instant> = None;
+    let mut far_at: Option<Instant> = None;
     loop {
         let pulse = compose(&engine);
-        let due =
-            last.as_ref().is_none_or(|(told, at)| at.elapsed() >= PULSE_GAP || told != &pulse);
-        if due {
-            let receivers = engine.board().pulse_receivers();
-            exchange.send_all(&PeerMessage::Pulse(pulse.clone()), &receivers).await;
-            last = Some((pulse, Instant::now()));
+        let news = told.as_ref() != Some(&pulse);
+        let is_due = |at: Option<Instant>, gap| news || at.is_none_or(|at| at.elapsed() >= gap);
+        let near_gap = if engine.is_reader() { FEED_GAP } else { PULSE_GAP };
+        let mut receivers = Vec::new();
+        if is_due(near_at, near_gap) {
+            receivers.extend(engine.board().near_receivers());
+            near_at = Some(Instant::now());
+        }
+        if is_due(far_at, PULSE_GAP) {
+            receivers.extend(engine.board().far_receivers());
+            far_at = Some(Instant::now());
         }
+        let store_age_ms = store_age_ms(&engine);
+        let dated = PeerPulse { store_age_ms, ..pulse.clone() };
+        exchange.send_all(&PeerMessage::Pulse(dated), &receivers).await;
+        told = Some(pulse);
         tokio::time::sleep(LOOK_GAP).await;
     }
 }
 
+/// The age of the store's word here; the greatest number if there is none.
+fn store_age_ms(engine: &ProxyEngine) -> u64 {
+    let confirmed_at = engine.store_confirmed_at();
+    confirmed_at.map_or(u64::MAX, |at| age_in_ms(at, boot_time()))
+}
+
+/// All of a pulse but the age of the store's word, which changes without being news.
 fn compose(engine: &ProxyEngine) -> PeerPulse {
     // The others' words on the primaries do not count.
-    let reads = engine.board().is_reader();
-    let groups = engine.groups().into_iter().filter(|_| reads).map(|group| GroupPulse {
+    let reads = engine.is_reader();
+    let doubted = |group: &Arc<ServiceGroup>| reads && group.silent_since().is_some();
+    let doubts = engine.groups().into_iter().filter(doubted).map(|group| PrimaryDoubt {
         service: group.service().clone(),
         epoch: group.with_book(|book| book.epoch()),
-        suspects: group.silent_since().is_some(),
     });
     PeerPulse {
         instance: engine.identity().name.clone(),
         process: engine.process(),
         domain: engine.identity().domain.clone(),
-        settings: engine.settings_version().map_or(0, |version| version.0),
+        version: engine.copy_version(),
+        store_age_ms: 0,
         leaving: engine.drain_phase() != DrainPhase::Serving,
-        groups: groups.collect(),
+        doubts: doubts.collect(),
     }
 }
 
@@ -86,24 +109,25 @@
 }
 
 fn take_pulse(engine: &Arc<ProxyEngine>, pulse: PeerPulse, from: SocketAddr) {
-    let version = pulse.settings;
+    let version = pulse.version;
     engine.board().note_pulse(pulse, from);
-    let known = engine.settings_version().map_or(0, |version| version.0);
-    if version > known && engine.may_fetch_settings() {
-        let engine = Arc::clone(engine);
-        tokio::spawn(async move {
-            // The store's own word is on its way to an instance that it serves.
-            tokio::time::sleep(SETTINGS_WAIT).await;
-            let known = engine.settings_version().map_or(0, |version| version.0);
-            if let Some(peer) = engine.board().newer_settings(known)
-                && let Some(settings) = fetch_settings(peer).await
-            {
-                log::info!(peer:% = peer, version:% = settings.version; "settings had from a peer");
-                engine.apply_settings(settings);
-            }
-            engine.end_fetch_settings();
-        });
+    if engine.copy_version().lacks(version) && engine.may_fetch_copy() {
+        tokio::spawn(catch_up(Arc::clone(engine)));
+    }
+}
+
+/// Fetches what a peer knows and this instance does not.
+async fn catch_up(engine: Arc<ProxyEngine>) {
+    if !engine.is_fed() {
+        tokio::time::sleep(OWN_WORD_WAIT).await;
+    }
+    if let Some(peer) = engine.board().newer_copy(engine.copy_version())
+        && let Some(copy) = fetch_copy(peer).await
+    {
+        log::info!(peer:% = peer, settings:% = copy.settings.version; "a copy was had from a peer");
+        engine.apply_copy(copy);
     }
+    engine.end_fetch_copy();
 }
 
 /// A peer has written a new version of a record.
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -14,7 +14,7 @@
 const READER_GAP: Duration = Duration::from_secs(4);
 
 /// The same for instances that others do not rely on.
-const FOLLOWER_GAP: Duration = Duration::from_secs(15);
+const FOLLOWER_GAP: Duration = Duration::from_secs(30);
 
 /// The pause before registering is tried again, and between the first reads.
 const AGAIN_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/rudder-engine/src/duty/start.rs
+++ b/crates/rudder-engine/src/duty/start.rs
@@ -2,7 +2,7 @@
 
 use super::{keeper, pulse, records, registry, watch};
 use crate::engine::{EngineBorders, InstanceIdentity, ProxyEngine};
-use crate::peers::{PeerExchange, serve_settings};
+use crate::peers::{PeerExchange, serve_copies};
 use rudder_core::plain_data;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,7 +30,7 @@
     let engine = ProxyEngine::new(identity, borders);
     let exchange = PeerExchange::bind(address).await?;
     let listener = TcpListener::bind(address).await?;
-    tokio::spawn(serve_settings(Arc::clone(&engine), listener));
+    tokio::spawn(serve_copies(Arc::clone(&engine), listener));
     tokio::spawn(pulse::receive(Arc::clone(&engine), exchange.clone()));
     tokio::spawn(pulse::send(Arc::clone(&engine), exchange.clone()));
     tokio::spawn(registry::keep_registered(Arc::clone(&engine)));
--- a/crates/rudder-engine/src/duty/tests/change.rs
+++ b/crates/rudder-engine/src/duty/tests/change.rs
@@ -54,7 +54,7 @@
     let members = FakeMembers::new(&[("a", 100), ("b", 95), ("c", 90)]);
     let engine = engine(&store, Some(members.clone()));
     let exchange = exchange().await;
-    engine.apply_members(&members.entries("records"));
+    engine.apply_members(&members.entries("records"), 1);
     let group = engine.group(&service());
     engine.observe(&service(), &record, Duration::ZERO);
 
@@ -75,7 +75,7 @@
     let members = FakeMembers::new(&[("a", 100), ("b", 95), ("c", 90)]);
     let engine = engine(&store, Some(members.clone()));
     let exchange = exchange().await;
-    engine.apply_members(&members.entries("records"));
+    engine.apply_members(&members.entries("records"), 1);
     let group = engine.group(&service());
     engine.observe(&service(), &record, Duration::ZERO);
 
--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -154,7 +154,7 @@
         let last = members[0].1.received;
         let index = members.binary_search_by(|(known, _)| known.cmp(name));
         let status = &mut members[index.expect("a known member")].1;
-        let answer = status.clone();
+        let answer = *status;
         if status.role == MemberRole::Replica && status.received < last {
             let next = LogPosition(status.received.position.0 + 1);
             status.received = LogStamp { position: next, ..status.received };
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -4,10 +4,11 @@
 use crate::clock::boot_time;
 use crate::group::{MemberEntry, ServiceGroup};
 use crate::lead::{LeadRecord, LeaderEpoch};
-use crate::peers::PeerBoard;
+use crate::peers::{CopyVersion, FleetCopy, PeerBoard};
 use crate::session::CallerSession;
 use crate::settings::{DatabaseName, FleetSettings, RouteRule, SettingsVersion};
 use crate::statement::StatementError;
+use crate::store_word::StoreWord;
 use rudder_core::{DomainName, InstanceName, ServiceName, plain_data};
 use rudder_store::PlatformStore;
 use std::net::SocketAddr;
@@ -20,6 +21,11 @@
 /// give up after two seconds.
 const FIRST_SETTINGS_WAIT: Duration = Duration::from_millis(1500);
 
+/// The age of the store's word, as a reader has it, from which on the others ask the store
+/// themselves. A reader's watch answers every 1.2 s and its word is passed on every 0.5 s; settings
+/// must be in force within 3 s, also where the reader has just died.
+const FEED_AGE_MAX: Duration = Duration::from_millis(2200);
+
 /// Idle time of transactions before the settings say it.
 const TRANSACTION_IDLE: Duration = Duration::from_secs(3);
 
@@ -70,25 +76,18 @@
     settings: watch::Sender<Option<Arc<FleetSettings>>>,
     /// Sorted by service.
     groups: Mutex<Vec<Arc<ServiceGroup>>>,
-    members: Mutex<MemberList>,
+    store_word: Mutex<StoreWord>,
     board: PeerBoard,
     drain: watch::Sender<DrainPhase>,
     position_wanted: Notify,
     /// Whether the store lists this instance, so that a change of primary waits for its word.
     registered: AtomicBool,
-    /// Whether settings are being fetched from a peer.
+    /// Whether a peer's copy is being fetched.
     fetching: AtomicBool,
     /// Services without a record, as the store's last list showed; none before the first list.
     recordless: Mutex<Option<Vec<ServiceName>>>,
 }
 
-#[derive(Default)]
-struct MemberList {
-    entries: Vec<MemberEntry>,
-    /// The latest moment at which the list is known to have been current.
-    confirmed_at: Option<Duration>,
-}
-
 impl ProxyEngine {
     pub(crate) fn new(identity: InstanceIdentity, borders: EngineBorders) -> Arc<Self> {
         Arc::new(Self {
@@ -98,7 +97,7 @@
             borders,
             settings: watch::Sender::new(None),
             groups: Mutex::default(),
-            members: Mutex::default(),
+            store_word: Mutex::default(),
             drain: watch::Sender::new(DrainPhase::Serving),
             position_wanted: Notify::new(),
             registered: AtomicBool::new(false),
@@ -111,12 +110,12 @@
         self.registered.store(registered, Ordering::Release);
     }
 
-    /// Whether this caller is the one to fetch settings from a peer.
-    pub(crate) fn may_fetch_settings(&self) -> bool {
+    /// Whether this caller is the one to fetch a peer's copy.
+    pub(crate) fn may_fetch_copy(&self) -> bool {
         !self.fetching.swap(true, Ordering::AcqRel)
     }
 
-    pub(crate) fn end_fetch_settings(&self) {
+    pub(crate) fn end_fetch_copy(&self) {
         self.fetching.store(false, Ordering::Release);
     }
 
@@ -255,16 +254,40 @@
         settings.as_ref().map_or(TRANSACTION_IDLE, |settings| settings.transaction_idle)
     }
 
-    /// Takes in the members of all services, as they were at `confirmed_at` or later.
-    pub fn apply_members(&self, entries: &[MemberEntry]) {
+    /// Takes in the members of all services, as the store has them at `revision`.
+    pub fn apply_members(&self, entries: &[MemberEntry], revision: u64) {
         self.confirm_members();
-        let mut list = lock(&self.members);
-        if list.entries == entries {
-            return;
+        let changed = lock(&self.store_word).take_members(entries, revision);
+        if changed {
+            self.spread_members(entries, "store");
+        }
+    }
+
+    /// Takes in what a peer knows, as far as it is newer.
+    pub(crate) fn apply_copy(&self, copy: FleetCopy) {
+        self.apply_settings(copy.settings);
+        let changed = lock(&self.store_word).take_copy(&copy.members, copy.members_version);
+        if changed {
+            self.spread_members(&copy.members, "peer");
         }
-        list.entries = entries.to_vec();
-        drop(list);
-        log::info!(members = entries.len(); "the list of members changed");
+    }
+
+    /// What this instance knows of the store's word, for a peer; none before the first settings.
+    pub(crate) fn fleet_copy(&self) -> Option<FleetCopy> {
+        let settings = self.settings()?.as_ref().clone();
+        let word = lock(&self.store_word);
+        let (members, members_version) = word.members();
+        Some(FleetCopy { settings, members: members.to_vec(), members_version })
+    }
+
+    /// The versions of settings and members that are known.
+    pub(crate) fn copy_version(&self) -> CopyVersion {
+        let settings = self.settings_version().unwrap_or_default();
+        CopyVersion { settings, members: lock(&self.store_word).members().1 }
+    }
+
+    fn spread_members(&self, entries: &[MemberEntry], source: &str) {
+        log::info!(members = entries.len(), source = source; "the list of members changed");
         let mut services: Vec<ServiceName> =
             entries.iter().map(|entry| entry.target.service.clone()).collect();
         services.sort_unstable();
@@ -281,12 +304,29 @@
 
     /// Takes in that the list of members is current.
     pub fn confirm_members(&self) {
-        lock(&self.members).confirmed_at = Some(boot_time());
+        lock(&self.store_word).confirm_members(boot_time());
+    }
+
+    /// Takes in that the settings in force are current.
+    pub fn confirm_settings(&self) {
+        lock(&self.store_word).confirm_settings(boot_time());
     }
 
     /// When the list of members was last known to be current.
     pub(crate) fn members_confirmed_at(&self) -> Option<Duration> {
-        lock(&self.members).confirmed_at
+        lock(&self.store_word).members_at()
+    }
+
+    /// When the store last said that members and settings are current.
+    pub(crate) fn store_confirmed_at(&self) -> Option<Duration> {
+        lock(&self.store_word).confirmed_at()
+    }
+
+    /// Whether peers tell this instance in time of what the store says, so that it need not ask.
+    #[must_use]
+    pub fn is_fed(&self) -> bool {
+        let fed_at = self.board.fed_at();
+        fed_at.is_some_and(|at| boot_time() < at + FEED_AGE_MAX) && !self.board.is_reader()
     }
 
     /// The group of a service; made if it is new.
--- /dev/null
+++ b/crates/rudder-engine/src/group/member.rs
@@ -0,0 +1,162 @@
+//! One member of a service, as this instance knows it.
+
+use super::pool::MemberPool;
+use crate::border::{MemberDialer, MemberTarget};
+use crate::clock::boot_time;
+use rudder_core::{DomainName, LogStamp, MemberName, MemberRole, plain_data};
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// How long a member is tried last after it failed a read, or a read found it behind. About the
+/// time in which a replica at its usual lag catches up.
+const DOUBT_TIME: Duration = Duration::from_millis(250);
+
+/// How long a primary that is missing from the list is still used. Longer than its absence lasts
+/// before it is replaced (2.6 s and a turn of 0.3 s), shorter than members that are gone may be
+/// sent work anywhere.
+const UNLISTED_TIME: Duration = Duration::from_millis(3500);
+
+/// Whether a member takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum MemberState {
+    /// It does.
+    Ready,
+    /// It is leaving.
+    Draining,
+}
+
+plain_data! {
+    /// What a member says of itself.
+    #[derive(Serialize, Deserialize)]
+    pub struct MemberEntry {
+        /// Where it is and who it is.
+        pub target: MemberTarget,
+        /// Its failure domain.
+        pub domain: DomainName,
+        /// The region of that domain.
+        pub region: String,
+        /// Whether it takes new work.
+        pub state: MemberState,
+        /// How it sees its own role.
+        pub role: MemberRole,
+        /// When it started, in milliseconds since 1970: a restarted member knows nothing of before.
+        pub born: u64,
+    }
+}
+
+/// One member of a service.
+pub(crate) struct GroupMember {
+    entry: Mutex<MemberEntry>,
+    name: MemberName,
+    domain: DomainName,
+    region: String,
+    pool: Arc<MemberPool>,
+    memory: Mutex<MemberMemory>,
+}
+
+#[derive(Debug, Default)]
+struct MemberMemory {
+    applied: Option<(LogStamp, Duration)>,
+    doubtful_until: Duration,
+    /// Since when the list has lacked it.
+    unlisted_since: Option<Duration>,
+}
+
+impl GroupMember {
+    pub(super) fn new(entry: MemberEntry, dialer: &Arc<dyn MemberDialer>) -> Arc<Self> {
+        let pool = MemberPool::new(entry.target.clone(), Arc::clone(dialer), 1);
+        Arc::new(Self {
+            name: entry.target.member.clone(),
+            domain: entry.domain.clone(),
+            region: entry.region.clone(),
+            entry: Mutex::new(entry),
+            pool,
+            memory: Mutex::default(),
+        })
+    }
+
+    pub(crate) fn name(&self) -> &MemberName {
+        &self.name
+    }
+
+    pub(crate) fn domain(&self) -> &DomainName {
+        &self.domain
+    }
+
+    pub(crate) fn region(&self) -> &str {
+        &self.region
+    }
+
+    pub(crate) fn pool(&self) -> &Arc<MemberPool> {
+        &self.pool
+    }
+
+    pub(crate) fn entry(&self) -> MemberEntry {
+        lock(&self.entry).clone()
+    }
+
+    /// Whether reads may be sent to it: from the moment that it says it is leaving, none are.
+    pub(crate) fn serves_reads(&self) -> bool {
+        lock(&self.entry).state == MemberState::Ready
+    }
+
+    /// Whether the list of members names it.
+    pub(crate) fn is_listed(&self) -> bool {
+        lock(&self.memory).unlisted_since.is_none()
+    }
+
+    /// Takes in that the list lacks it; returns whether it may still be used.
+    pub(super) fn linger(&self) -> bool {
+        let now = boot_time();
+        now < *lock(&self.memory).unlisted_since.get_or_insert(now) + UNLISTED_TIME
+    }
+
+    /// Takes in how far its log is applied.
+    pub(crate) fn note_applied(&self, stamp: LogStamp) {
+        let mut memory = lock(&self.memory);
+        memory.applied = Some((stamp, boot_time()));
+        if memory.doubtful_until > Duration::ZERO && memory.doubtful_until <= boot_time() {
+            memory.doubtful_until = Duration::ZERO;
+        }
+    }
+
+    /// Tries it last for a moment.
+    pub(crate) fn doubt(&self) {
+        lock(&self.memory).doubtful_until = boot_time() + DOUBT_TIME;
+    }
+
+    pub(crate) fn is_doubtful(&self) -> bool {
+        boot_time() < lock(&self.memory).doubtful_until
+    }
+
+    /// Whether it was seen so lately without `floor` that it most likely still lacks it.
+    pub(crate) fn lacks(&self, floor: LogStamp) -> bool {
+        let known = lock(&self.memory).applied;
+        known.is_some_and(|(applied, at)| applied < floor && boot_time() < at + DOUBT_TIME / 5)
+    }
+}
+
+/// Keeps a known member with its connections, unless it moved or started anew: then connections
+/// and what is known of its log are of no more use.
+pub(super) fn keep_or_make(
+    known: &[Arc<GroupMember>],
+    entry: &MemberEntry,
+    dialer: &Arc<dyn MemberDialer>,
+) -> Arc<GroupMember> {
+    let same = known.iter().find(|member| {
+        let before = member.entry();
+        before.target == entry.target && before.born == entry.born && before.domain == entry.domain
+    });
+    let Some(member) = same else { return GroupMember::new(entry.clone(), dialer) };
+    *lock(&member.entry) = entry.clone();
+    lock(&member.memory).unlisted_since = None;
+    if entry.state == MemberState::Draining {
+        member.pool.close_idle();
+    }
+    Arc::clone(member)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/rudder-engine/src/group/mod.rs
+++ b/crates/rudder-engine/src/group/mod.rs
@@ -2,6 +2,7 @@
 
 mod image;
 mod link;
+mod member;
 mod placement;
 mod pool;
 mod service;
@@ -9,10 +10,11 @@
 
 pub(crate) use image::put_value;
 pub(crate) use link::{ExchangeError, PooledLink};
+pub(crate) use member::GroupMember;
+pub use member::{MemberEntry, MemberState};
 pub(crate) use placement::{ReadPlace, order_members};
 pub(crate) use pool::AcquireError;
-pub(crate) use service::{GroupMember, ServiceGroup};
-pub use service::{MemberEntry, MemberState};
+pub(crate) use service::ServiceGroup;
 pub(crate) use share::SeatPlace;
 
 #[cfg(test)]
--- a/crates/rudder-engine/src/group/placement.rs
+++ b/crates/rudder-engine/src/group/placement.rs
@@ -1,6 +1,6 @@
 //! At which member a read is tried first.
 
-use super::service::GroupMember;
+use super::member::GroupMember;
 use rudder_core::{DomainName, LogStamp};
 use std::sync::Arc;
 
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -1,127 +1,15 @@
 //! One service: its members, its primary, and what is known of their logs.
 
-use super::pool::MemberPool;
+use super::member::{GroupMember, MemberEntry, keep_or_make};
 use super::share::{ConnectionShare, SeatPlace, ShareInput, connection_share};
-use crate::border::{MemberDialer, MemberTarget};
+use crate::border::MemberDialer;
 use crate::clock::boot_time;
 use crate::lead::{LeadBook, LeadPermit, LeadRecord, LeaderEpoch, PositionHistory};
-use rudder_core::{
-    DomainName, FreshSample, LogStamp, MemberName, MemberRole, ServiceName, plain_data,
-};
+use rudder_core::{FreshSample, LogStamp, MemberName, ServiceName};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// How long a member is tried last after it failed a read, or a read found it behind. About the
-/// time in which a replica at its usual lag catches up.
-const DOUBT_TIME: Duration = Duration::from_millis(250);
-
-/// Whether a member takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MemberState {
-    /// It does.
-    Ready,
-    /// It is leaving.
-    Draining,
-}
-
-plain_data! {
-    /// What a member says of itself.
-    pub struct MemberEntry {
-        /// Where it is and who it is.
-        pub target: MemberTarget,
-        /// Its failure domain.
-        pub domain: DomainName,
-        /// The region of that domain.
-        pub region: String,
-        /// Whether it takes new work.
-        pub state: MemberState,
-        /// How it sees its own role.
-        pub role: MemberRole,
-        /// When it started, in milliseconds since 1970: a restarted member knows nothing of before.
-        pub born: u64,
-    }
-}
-
-/// One member of a service.
-pub(crate) struct GroupMember {
-    entry: Mutex<MemberEntry>,
-    name: MemberName,
-    domain: DomainName,
-    region: String,
-    pool: Arc<MemberPool>,
-    memory: Mutex<MemberMemory>,
-}
-
-#[derive(Debug, Default)]
-struct MemberMemory {
-    applied: Option<(LogStamp, Duration)>,
-    doubtful_until: Duration,
-}
-
-impl GroupMember {
-    fn new(entry: MemberEntry, dialer: &Arc<dyn MemberDialer>) -> Arc<Self> {
-        let pool = MemberPool::new(entry.target.clone(), Arc::clone(dialer), 1);
-        Arc::new(Self {
-            name: entry.target.member.clone(),
-            domain: entry.domain.clone(),
-            region: entry.region.clone(),
-            entry: Mutex::new(entry),
-            pool,
-            memory: Mutex::default(),
-        })
-    }
-
-    pub(crate) fn name(&self) -> &MemberName {
-        &self.name
-    }
-
-    pub(crate) fn domain(&self) -> &DomainName {
-        &self.domain
-    }
-
-    pub(crate) fn region(&self) -> &str {
-        &self.region
-    }
-
-    pub(crate) fn pool(&self) -> &Arc<MemberPool> {
-        &self.pool
-    }
-
-    pub(crate) fn entry(&self) -> MemberEntry {
-        lock(&self.entry).clone()
-    }
-
-    /// Whether reads may be sent to it: from the moment that it says it is leaving, none are.
-    pub(crate) fn serves_reads(&self) -> bool {
-        lock(&self.entry).state == MemberState::Ready
-    }
-
-    /// Takes in how far its log is applied.
-    pub(crate) fn note_applied(&self, stamp: LogStamp) {
-        let mut memory = lock(&self.memory);
-        memory.applied = Some((stamp, boot_time()));
-        if memory.doubtful_until > Duration::ZERO && memory.doubtful_until <= boot_time() {
-            memory.doubtful_until = Duration::ZERO;
-        }
-    }
-
-    /// Tries it last for a moment.
-    pub(crate) fn doubt(&self) {
-        lock(&self.memory).doubtful_until = boot_time() + DOUBT_TIME;
-    }
-
-    pub(crate) fn is_doubtful(&self) -> bool {
-        boot_time() < lock(&self.memory).doubtful_until
-    }
-
-    /// Whether it was seen so lately without `floor` that it most likely still lacks it.
-    pub(crate) fn lacks(&self, floor: LogStamp) -> bool {
-        let known = lock(&self.memory).applied;
-        known.is_some_and(|(applied, at)| applied < floor && boot_time() < at + DOUBT_TIME / 5)
-    }
-}
-
 /// One service.
 pub(crate) struct ServiceGroup {
     service: ServiceName,
@@ -139,6 +27,23 @@
     silent_since: Option<Duration>,
 }
 
+impl GroupState {
+    /// The primary, if the list lacks it and it may still be used.
+    ///
+    /// Guards against strict work that ends seconds before the primary is replaced: a primary that
+    /// is cut off from the store, and from nothing else, drops out of the list although it serves.
+    fn lingering(
+        &self,
+        known: &[Arc<GroupMember>],
+        listed: &[Arc<GroupMember>],
+    ) -> Option<Arc<GroupMember>> {
+        let primary = self.book.record()?.primary()?;
+        let member = known.iter().find(|member| member.name() == primary)?;
+        let missing = !listed.iter().any(|kept| kept.name() == primary);
+        (missing && member.linger()).then(|| Arc::clone(member))
+    }
+}
+
 impl ServiceGroup {
     pub(crate) fn new(service: ServiceName) -> Arc<Self> {
         Arc::new(Self { service, state: Mutex::default(), changed: Notify::new() })
@@ -158,7 +63,7 @@
 
     pub(crate) fn member(&self, name: &MemberName) -> Option<Arc<GroupMember>> {
         let state = self.state();
-        let found = state.members.binary_search_by(|member| member.name.cmp(name));
+        let found = state.members.binary_search_by(|member| member.name().cmp(name));
         found.ok().map(|index| Arc::clone(&state.members[index]))
     }
 
@@ -179,17 +84,30 @@
         let known = std::mem::take(&mut state.members);
         let mut members: Vec<_> =
             entries.iter().map(|entry| keep_or_make(&known, entry, dialer)).collect();
-        members.sort_by(|left, right| left.name.cmp(&right.name));
+        members.extend(state.lingering(&known, &members));
+        members.sort_by(|left, right| left.name().cmp(right.name()));
         state.members = members.clone();
         drop(state);
-        for member in known {
-            if !members.iter().any(|kept| Arc::ptr_eq(kept, &member)) {
-                member.pool.set_share(ConnectionShare::default());
-            }
-        }
+        close_dropped(&known, &members);
         self.changed.notify_waiters();
     }
 
+    /// Drops a primary that has been missing from the list for long, or leads no more.
+    pub(crate) fn drop_unlisted(&self) {
+        let mut state = self.state();
+        if state.members.iter().all(|member| member.is_listed()) {
+            return;
+        }
+        let known = std::mem::take(&mut state.members);
+        let mut members = known.clone();
+        members.retain(|member| member.is_listed());
+        members.extend(state.lingering(&known, &members));
+        members.sort_by(|left, right| left.name().cmp(right.name()));
+        state.members = members.clone();
+        drop(state);
+        close_dropped(&known, &members);
+    }
+
     /// Takes in a version of the record; returns whether it is a new one.
     pub(crate) fn observe(&self, record: &LeadRecord, confirmed_at: Duration) -> bool {
         let now = boot_time();
@@ -300,7 +218,8 @@
         let primary =
             self.with_book(|book| book.record().and_then(|record| record.primary().cloned()));
         for member in self.members() {
-            let place = SeatPlace { domain: member.domain.clone(), region: member.region.clone() };
+            let place =
+                SeatPlace { domain: member.domain().clone(), region: member.region().to_owned() };
             let share = connection_share(&ShareInput {
                 connections_max,
                 member: place,
@@ -308,28 +227,18 @@
                 all,
                 is_primary: primary.as_ref() == Some(member.name()),
             });
-            member.pool.set_share(share);
+            member.pool().set_share(share);
         }
     }
 }
 
-/// Keeps a known member with its connections, unless it moved or started anew: then connections
-/// and what is known of its log are of no more use.
-fn keep_or_make(
-    known: &[Arc<GroupMember>],
-    entry: &MemberEntry,
-    dialer: &Arc<dyn MemberDialer>,
-) -> Arc<GroupMember> {
-    let same = known.iter().find(|member| {
-        let before = member.entry();
-        before.target == entry.target && before.born == entry.born && before.domain == entry.domain
-    });
-    let Some(member) = same else { return GroupMember::new(entry.clone(), dialer) };
-    *lock(&member.entry) = entry.clone();
-    if entry.state == MemberState::Draining {
-        member.pool.close_idle();
+/// Closes the connections to members that are no longer used.
+fn close_dropped(known: &[Arc<GroupMember>], kept: &[Arc<GroupMember>]) {
+    for member in known {
+        if !kept.iter().any(|kept| Arc::ptr_eq(kept, member)) {
+            member.pool().set_share(ConnectionShare::default());
+        }
     }
-    Arc::clone(member)
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/rudder-engine/src/group/tests/mod.rs
+++ b/crates/rudder-engine/src/group/tests/mod.rs
@@ -1,5 +1,6 @@
-//! Tests of connections: what they hold, how many there are, who gets one.
+//! Tests of members and connections: who is known, what they hold, how many there are, who gets one.
 
 mod image;
 mod pool;
+mod service;
 mod share;
--- a/crates/rudder-engine/src/lib.rs
+++ b/crates/rudder-engine/src/lib.rs
@@ -15,6 +15,7 @@
 mod session;
 mod settings;
 mod statement;
+mod store_word;
 
 pub use border::{
     LinkError, MemberDialer, MemberLink, MemberTarget, PromotionCall, PromotionError,
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -1,5 +1,6 @@
 //! What is known of the other instances.
 
+use super::fleet_copy::CopyVersion;
 use super::message::{PeerPulse, StopWord};
 use super::readers::{ReaderSeat, choose_readers};
 use crate::clock::boot_time;
@@ -100,27 +101,43 @@
         self.state().seats = seats;
     }
 
-    /// Where this instance's pulses go: to its own domain, and from a reader also to the readers
-    /// of the other domains, or to all of a domain where none is known.
+    /// Where this instance's pulses go within its failure domain: to all.
+    pub(crate) fn near_receivers(&self) -> Vec<SocketAddr> {
+        let state = self.state();
+        let now = boot_time();
+        let near =
+            |heard: &&HeardPulse| heard.is_live(now) && heard.pulse.domain == self.own_domain;
+        let listed = state.seats.iter().filter(|seat| seat.domain == self.own_domain);
+        let heard = state.heard.iter().filter(near).map(|heard| heard.from);
+        distinct(listed.map(|seat| seat.address).chain(heard))
+    }
+
+    /// Where a reader's pulses go elsewhere: to the readers of the other domains, or to all of a
+    /// domain where none is known.
     ///
     /// So the datagrams of a fleet grow with its size, not with the square of it.
-    pub(crate) fn pulse_receivers(&self) -> Vec<SocketAddr> {
-        let reads = self.is_reader();
-        let readers = self.readers();
+    pub(crate) fn far_receivers(&self) -> Vec<SocketAddr> {
+        let mut readers = self.readers();
+        if !readers.iter().any(|reader| reader.instance == self.own) {
+            return Vec::new();
+        }
+        readers.retain(|reader| reader.domain != self.own_domain);
         let state = self.state();
-        let now = boot_time();
-        let live = || state.heard.iter().filter(|heard| heard.is_live(now));
-        let mut receivers: Vec<SocketAddr> =
-            live().filter(|heard| heard.pulse.domain == self.own_domain).map(|h| h.from).collect();
-        receivers.extend(readers.iter().filter_map(|reader| reader.address).filter(|_| reads));
-        let unheard = state.seats.iter().filter(|seat| {
+        let uncovered = state.seats.iter().filter(|seat| {
             let covered = readers.iter().any(|reader| reader.domain == seat.domain);
-            seat.domain == self.own_domain || (reads && !covered)
+            seat.domain != self.own_domain && !covered
         });
-        receivers.extend(unheard.map(|seat| seat.address));
-        receivers.sort_unstable();
-        receivers.dedup();
-        receivers
+        let known = readers.iter().filter_map(|reader| reader.address);
+        distinct(uncovered.map(|seat| seat.address).chain(known))
+    }
+
+    /// The latest moment of which a live peer has told that what it knew was current then.
+    pub(crate) fn fed_at(&self) -> Option<Duration> {
+        let now = boot_time();
+        let state = self.state();
+        let live = state.heard.iter().filter(|heard| heard.is_live(now) && !heard.pulse.leaving);
+        let age = |heard: &HeardPulse| Duration::from_millis(heard.pulse.store_age_ms);
+        live.filter_map(|heard| heard.at.checked_sub(age(heard))).max()
     }
 
     /// How many others the store lists.
@@ -184,10 +201,7 @@
         let now = boot_time();
         let listed = state.seats.iter().map(|seat| seat.address);
         let heard = state.heard.iter().filter(|heard| heard.is_live(now));
-        let mut addresses: Vec<_> = listed.chain(heard.map(|heard| heard.from)).collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses
+        distinct(listed.chain(heard.map(|heard| heard.from)))
     }
 
     /// Whom to ask for records: the readers, those of the own domain first.
@@ -296,9 +310,8 @@
         let suspects = |instance: &InstanceName| {
             let found = state.heard.iter().find(|heard| heard.pulse.instance == *instance);
             found.is_some_and(|heard| {
-                heard.pulse.groups.iter().any(|group| {
-                    group.service == *service && group.epoch == epoch && group.suspects
-                })
+                let doubts = &heard.pulse.doubts;
+                doubts.iter().any(|doubt| doubt.service == *service && doubt.epoch == epoch)
             })
         };
         let vote = |reader: ReaderSeat| PeerVote {
@@ -340,12 +353,25 @@
         known.into_iter().map(|(_, domain)| domain).collect()
     }
 
-    /// A live instance with newer settings than `version`.
-    pub(crate) fn newer_settings(&self, version: u64) -> Option<SocketAddr> {
+    /// A live instance that knows something newer than `version`.
+    pub(crate) fn newer_copy(&self, version: CopyVersion) -> Option<SocketAddr> {
         let now = boot_time();
         let state = self.state();
-        let newer =
-            state.heard.iter().filter(|heard| heard.is_live(now) && heard.pulse.settings > version);
-        newer.max_by_key(|heard| heard.pulse.settings).map(|heard| heard.from)
+        let newer = state
+            .heard
+            .iter()
+            .filter(|heard| heard.is_live(now) && version.lacks(heard.pulse.version));
+        let order = |heard: &&HeardPulse| {
+            let known = heard.pulse.version;
+            (known.settings, known.members)
+        };
+        newer.max_by_key(order).map(|heard| heard.from)
     }
 }
+
+fn distinct(addresses: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
+    let mut addresses: Vec<_> = addresses.collect();
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses
+}
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -1,18 +1,17 @@
 //! The datagrams between instances.
 
+use super::fleet_copy::CopyVersion;
 use crate::lead::{LeadRecord, LeaderEpoch};
 use rudder_core::{DomainName, InstanceName, LogStamp, ServiceName, plain_data};
 use serde::{Deserialize, Serialize};
 
 plain_data! {
-    /// What an instance says about one service.
+    /// An instance's word that it cannot reach the primary of a service.
     #[derive(Serialize, Deserialize)]
-    pub(crate) struct GroupPulse {
+    pub(crate) struct PrimaryDoubt {
         pub(crate) service: ServiceName,
-        /// The version of the record that it knows.
+        /// The version of the record that names the primary.
         pub(crate) epoch: LeaderEpoch,
-        /// Whether it cannot reach that version's primary.
-        pub(crate) suspects: bool,
     }
 }
 
@@ -24,11 +23,15 @@
         /// Tells its process from its earlier and later ones.
         pub(crate) process: u64,
         pub(crate) domain: DomainName,
-        /// The version of the settings that are in force there; zero before the first.
-        pub(crate) settings: u64,
+        /// Which settings and members are known there.
+        pub(crate) version: CopyVersion,
+        /// How long ago the store last said that both are current, in milliseconds; the greatest
+        /// number if it never did.
+        pub(crate) store_age_ms: u64,
         /// Whether it is about to stop.
         pub(crate) leaving: bool,
-        pub(crate) groups: Vec<GroupPulse>,
+        /// The services whose primary it cannot reach.
+        pub(crate) doubts: Vec<PrimaryDoubt>,
     }
 }
 
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -5,14 +5,14 @@
 
 mod board;
 mod exchange;
+mod fleet_copy;
 mod message;
 mod readers;
-mod settings_copy;
 
 pub(crate) use board::{PeerBoard, PeerSeat};
 pub(crate) use exchange::PeerExchange;
-pub(crate) use message::{GroupPulse, PeerMessage, PeerPulse, RecordCopy, SampleCopy, StopWord};
-pub(crate) use settings_copy::{fetch_settings, serve_settings};
+pub(crate) use fleet_copy::{CopyVersion, FleetCopy, fetch_copy, serve_copies};
+pub(crate) use message::{PeerMessage, PeerPulse, PrimaryDoubt, RecordCopy, SampleCopy, StopWord};
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/rudder-engine/src/store_word.rs
@@ -0,0 +1,84 @@
+//! What the store last said of members, in which version, and when it last said that all is current.
+
+use crate::group::MemberEntry;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Orders lists of members: by the store's revision, then by the changes that this instance's
+/// patience with missing entries made to the list of one revision.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub(crate) struct MembersVersion {
+    revision: u64,
+    turn: u32,
+}
+
+/// The store's word, as far as this instance has it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StoreWord {
+    members: Vec<MemberEntry>,
+    version: MembersVersion,
+    /// The latest moment at which the list of members is known to have been current.
+    members_at: Option<Duration>,
+    /// The same of the settings.
+    settings_at: Option<Duration>,
+}
+
+impl StoreWord {
+    /// Takes in the members as the store has them at `revision`; returns whether they differ.
+    pub(crate) fn take_members(&mut self, members: &[MemberEntry], revision: u64) -> bool {
+        if self.members == members {
+            return false;
+        }
+        self.members = members.to_vec();
+        self.version = if revision > self.version.revision {
+            MembersVersion { revision, turn: 0 }
+        } else {
+            MembersVersion { turn: self.version.turn + 1, ..self.version }
+        };
+        true
+    }
+
+    /// Takes in the members that a peer knows of, unless those known are as new; returns whether
+    /// they differ.
+    ///
+    /// Guards against members that come back: a peer that the store turned away knows an old list.
+    pub(crate) fn take_copy(&mut self, members: &[MemberEntry], version: MembersVersion) -> bool {
+        if version <= self.version {
+            return false;
+        }
+        self.version = version;
+        let differs = self.members != members;
+        self.members = members.to_vec();
+        differs
+    }
+
+    /// Takes in that the list of members is current at `now`.
+    pub(crate) fn confirm_members(&mut self, now: Duration) {
+        self.members_at = Some(now);
+    }
+
+    /// Takes in that the settings in force are current at `now`.
+    pub(crate) fn confirm_settings(&mut self, now: Duration) {
+        self.settings_at = Some(now);
+    }
+
+    /// The members, and their version.
+    pub(crate) fn members(&self) -> (&[MemberEntry], MembersVersion) {
+        (&self.members, self.version)
+    }
+
+    /// When the list of members was last known to be current.
+    pub(crate) fn members_at(&self) -> Option<Duration> {
+        self.members_at
+    }
+
+    /// When members and settings were both last known to be current.
+    pub(crate) fn confirmed_at(&self) -> Option<Duration> {
+        self.members_at.zip(self.settings_at).map(|(members, settings)| members.min(settings))
+    }
+}
+
+#[cfg(test)]
+mod tests;
