--- a/crates/rudder-engine/src/duty/control.rs
+++ b/crates/rudder-engine/src/duty/control.rs
@@ -2,8 +2,8 @@
 
 use crate::border::LinkError;
 use crate::engine::ProxyEngine;
-use crate::group::GroupMember;
-use crate::statement::MemberCommand;
+use crate::group::{AcquireError, GroupMember};
+use crate::statement::{MemberCommand, StatementError, StatementReply};
 use rudder_core::{LogTerm, MemberName, MemberStatus, plain_data};
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +11,9 @@
 /// The most time for a question: two round trips between regions, and a busy member's slot.
 const STATUS_LIMIT: Duration = Duration::from_millis(500);
 
+/// The priority of such work among callers' statements.
+const FIRST: u8 = 0;
+
 plain_data! {
     /// What a member said of itself.
     pub(super) struct MemberReport {
@@ -70,11 +73,34 @@
     engine: &ProxyEngine,
     member: &GroupMember,
     command: MemberCommand,
-) -> Result<crate::statement::StatementReply, LinkError> {
+) -> Result<StatementReply, LinkError> {
     let talk = async {
-        let mut link = engine.borders().dialer.dial(member.pool().target()).await?;
+        let mut link = match engine.borders().dialer.dial(member.pool().target()).await {
+            Err(LinkError::Refused(StatementError::ConnectionLimit)) => {
+                return order_on_pooled(member, command).await;
+            }
+            dialed => dialed?,
+        };
         link.send(&[command]).await?;
         link.receive().await
     };
     tokio::time::timeout(STATUS_LIMIT, talk).await.unwrap_or(Err(LinkError::Silent))
 }
+
+/// Asks on a connection that callers use as well.
+///
+/// Guards against a change of primary that overlooks the most advanced member: it takes no more
+/// connections, and a member that gives no status is no candidate.
+async fn order_on_pooled(
+    member: &GroupMember,
+    command: MemberCommand,
+) -> Result<StatementReply, LinkError> {
+    let acquired = member.pool().acquire(FIRST, STATUS_LIMIT).await;
+    let mut link = acquired.map_err(|error| match error {
+        AcquireError::WaitOver => LinkError::Silent,
+        AcquireError::Down(reason) => reason,
+    })?;
+    let mut replies =
+        link.exchange(&[command], STATUS_LIMIT).await.map_err(|error| error.reason)?;
+    replies.pop().ok_or(LinkError::Silent)
+}
