--- /dev/null
+++ b/crates/arbutusrudder/tests/soak/main.rs
@@ -0,0 +1,74 @@
+//! A randomized soak: the real programs as processes of their own, faults from outside of them, and
+//! callers that check the promises while it runs.
+//!
+//! `RUDDER_SOAK_SEEDS=50 RUDDER_SOAK_FROM=1 RUDDER_SOAK_SECONDS=20` plays more than CI does. Each
+//! run prints its seed, its faults and, where a promise is broken, where the logs are kept.
+
+mod callers;
+mod checks;
+mod faults;
+mod process;
+mod world;
+
+use checks::SoakReport;
+use faults::SoakPlan;
+use std::time::Duration;
+use world::SoakWorld;
+
+/// Seeds that CI plays.
+const CI_SEEDS: [u64; 2] = [1, 2];
+
+/// Seeds that ever failed, each with its cause. They are played as they failed, in CI as well.
+const FAILED_SEEDS: [u64; 0] = [];
+
+/// How long faults come in CI.
+const CI_SECONDS: u64 = 8;
+
+/// Programs of one run.
+const INSTANCES: usize = 4;
+
+/// Callers of one run.
+const CALLERS: usize = 16;
+
+async fn play(seed: u64, seconds: u64) -> SoakReport {
+    let plan = SoakPlan::draw(seed, Duration::from_secs(seconds), INSTANCES);
+    println!("seed {seed}, {seconds} s: {}", plan.summary());
+    let world = SoakWorld::start(seed, INSTANCES).await;
+    world.await_served().await;
+    let callers = callers::start(&world, CALLERS, seed);
+    world.play(&plan).await;
+    world.heal().await;
+    world.await_served().await;
+    let ledger = callers.stop().await;
+    let report = SoakReport::of(&ledger, &world.fleet.group);
+    println!("seed {seed}: {report}");
+    if !report.broken.is_empty() {
+        world.keep_logs();
+    }
+    report
+}
+
+fn number(variable: &str) -> Option<u64> {
+    std::env::var(variable).ok().map(|text| text.parse().expect("a number"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_while_programs_links_and_store_fail() {
+    let seeds: Vec<u64> = match number("RUDDER_SOAK_SEEDS") {
+        Some(count) => {
+            let from = number("RUDDER_SOAK_FROM").unwrap_or(1);
+            (from..from + count).collect()
+        }
+        None => CI_SEEDS.into_iter().chain(FAILED_SEEDS).collect(),
+    };
+    let seconds = number("RUDDER_SOAK_SECONDS").unwrap_or(CI_SECONDS);
+
+    let mut broken = Vec::new();
+    for seed in seeds {
+        let report = play(seed, seconds).await;
+        assert!(report.served > 0, "seed {seed} served nothing");
+        broken.extend(report.broken.into_iter().map(|text| format!("seed {seed}: {text}")));
+    }
+
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- /dev/null
+++ b/crates/arbutusrudder/tests/soak/process.rs
@@ -0,0 +1,81 @@
+//! One program as a process of its own.
+
+use rudder_standins::{BOOT_VARIABLE, LineSeat};
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_arbutusrudder");
+
+/// What is done to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProcessSignal {
+    Pause,
+    Resume,
+    Terminate,
+    Reload,
+}
+
+impl ProcessSignal {
+    fn word(self) -> &'static str {
+        match self {
+            Self::Pause => "-STOP",
+            Self::Resume => "-CONT",
+            Self::Terminate => "-TERM",
+            Self::Reload => "-HUP",
+        }
+    }
+}
+
+/// The files of one instance: they outlive its processes.
+#[derive(Clone, Debug)]
+pub(crate) struct ProcessFiles {
+    pub(crate) settings: PathBuf,
+    pub(crate) log: PathBuf,
+}
+
+impl ProcessFiles {
+    pub(crate) fn new(seed: u64, seat: &LineSeat) -> Self {
+        let folder = std::env::temp_dir();
+        let name = format!("rudder-soak-{}-{seed}-{}", std::process::id(), seat.number);
+        Self {
+            settings: folder.join(format!("{name}.json")),
+            log: folder.join(format!("{name}.log")),
+        }
+    }
+}
+
+/// A running program; it is killed, by its own id, when this is dropped.
+pub(crate) struct SoakProcess(Child);
+
+impl SoakProcess {
+    /// Starts the program; its log is added to what earlier processes of the instance wrote.
+    pub(crate) fn start(files: &ProcessFiles) -> Self {
+        let log = File::options().create(true).append(true).open(&files.log);
+        let mut command = Command::new(PROGRAM);
+        command.arg("--platform").env(BOOT_VARIABLE, &files.settings);
+        command.stdout(log.expect("a log file is opened")).stderr(Stdio::inherit());
+        Self(command.spawn().expect("the program starts"))
+    }
+
+    /// Sends a signal by the child's id; one that has ended is left alone.
+    pub(crate) fn signal(&mut self, signal: ProcessSignal) {
+        if self.has_ended() {
+            return;
+        }
+        let id = self.0.id().to_string();
+        Command::new("kill").args([signal.word(), &id]).status().expect("kill starts");
+    }
+
+    pub(crate) fn has_ended(&mut self) -> bool {
+        self.0.try_wait().expect("the child can be waited for").is_some()
+    }
+}
+
+impl Drop for SoakProcess {
+    fn drop(&mut self) {
+        // Both fail only for a child that has ended by itself.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -12,7 +12,7 @@
 
 use super::control::{MemberReport, ask_statuses, step_down};
 use super::pulse::stop_answering;
-use super::records::read_record;
+use super::records::{ask_again, read_record};
 use super::registry::{CALL_LIMIT, limited, read_seats};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
@@ -190,9 +190,7 @@
         let question = rand::random::<u64>();
         let until = boot_time() + HEARD_LIMIT;
         while boot_time() < until {
-            board.note_question(question);
-            let receivers = board.addresses();
-            self.exchange.send_all(&PeerMessage::Ask(question), &receivers).await;
+            ask_again(self.engine, self.exchange, &board.addresses(), question).await;
             tokio::time::sleep(LOOK_GAP).await;
             if is_quorum(board.answer_count(question) + 1, board.known_count()) {
                 return true;
--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -95,13 +95,16 @@
             PeerMessage::Pulse(pulse) => take_pulse(&engine, pulse, from),
             PeerMessage::Announce(copy) => take_announcement(&engine, &exchange, copy, from).await,
             PeerMessage::Stopped(word) => engine.board().note_stopped(word),
-            PeerMessage::Ask(question) => {
+            PeerMessage::Ask { instance: asker, question } => {
                 let records = copy_records(&engine);
                 let instance = engine.identity().name.clone();
-                let answer = PeerMessage::Records { instance, question, records };
+                let listed_at = engine.board().listed_at(&asker);
+                let listed_age_ms = listed_at.map(|at| age_in_ms(at, boot_time()));
+                let answer = PeerMessage::Records { instance, question, listed_age_ms, records };
                 exchange.send(&answer, from).await;
             }
-            PeerMessage::Records { instance, question, records } => {
+            PeerMessage::Records { instance, question, listed_age_ms, records } => {
+                take_listing(&engine, question, listed_age_ms);
                 take_records(&engine, &instance, question, &records);
             }
         }
@@ -197,6 +200,14 @@
     u64::try_from(age).unwrap_or(u64::MAX).saturating_add(1)
 }
 
+/// A peer's word that the store lists this instance.
+fn take_listing(engine: &ProxyEngine, question: u64, listed_age_ms: Option<u64>) {
+    let Some(asked_at) = engine.board().asked_at(question) else { return };
+    if let Some(age_ms) = listed_age_ms {
+        engine.renew_listed(asked_at.saturating_sub(Duration::from_millis(age_ms)));
+    }
+}
+
 /// The answer to a question of this instance's own.
 fn take_records(
     engine: &ProxyEngine,
--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -125,7 +125,17 @@
 
 /// Asks instances for the records that they know.
 pub(super) async fn ask(engine: &ProxyEngine, exchange: &PeerExchange, receivers: &[SocketAddr]) {
-    let question = rand::random::<u64>();
+    ask_again(engine, exchange, receivers, rand::random()).await;
+}
+
+/// Asks a question, or the same one again; its answers count together.
+pub(super) async fn ask_again(
+    engine: &ProxyEngine,
+    exchange: &PeerExchange,
+    receivers: &[SocketAddr],
+    question: u64,
+) {
     engine.board().note_question(question);
-    exchange.send_all(&PeerMessage::Ask(question), receivers).await;
+    let instance = engine.identity().name.clone();
+    exchange.send_all(&PeerMessage::Ask { instance, question }, receivers).await;
 }
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -1,9 +1,10 @@
 //! The list of instances in the store.
 
+use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
-use crate::peers::PeerSeat;
+use crate::peers::{PeerSeat, SeatLedger, SeatVerdict};
 use rudder_core::{DomainName, InstanceName};
-use rudder_store::{ObjectKind, StoreError, StoredObject};
+use rudder_store::{ObjectKind, ObjectVersion, StoreError, StoredObject};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,6 +31,9 @@
 struct SeatRecord {
     domain: DomainName,
     peer_address: SocketAddr,
+    /// Whether others have not heard the instance for long, and it is to say whether it lives.
+    #[serde(default)]
+    marked: bool,
 }
 
 /// Registers this instance, then follows the list.
@@ -38,26 +42,90 @@
         log::warn!(reason:% = error; "this instance is not registered yet");
         tokio::time::sleep(AGAIN_PAUSE).await;
     }
-    engine.set_registered(true);
     log::info!(instance:% = engine.identity().name; "this instance is registered");
+    let mut ledger = SeatLedger::default();
     let mut reads = 0_u32;
     loop {
-        if let Err(error) = read_seats(&engine).await {
+        let listed = follow_list(&engine, &mut ledger).await;
+        if let Err(error) = &listed {
             log::info!(reason:% = error; "the list of instances was not read");
         }
         reads = reads.saturating_add(1);
         let gap = match reads {
             ..FIRST_READS => AGAIN_PAUSE * 2,
-            _ if engine.is_reader() => READER_GAP,
+            _ if engine.is_reader() || listed.is_err() => READER_GAP,
             _ => FOLLOWER_GAP,
         };
         tokio::time::sleep(gap).await;
     }
 }
 
+/// Reads the list, keeps this instance in it, and as a reader takes those out that are gone.
+async fn follow_list(engine: &ProxyEngine, ledger: &mut SeatLedger) -> Result<(), StoreError> {
+    let objects = read_seats(engine).await?;
+    let own = &engine.identity().name;
+    let seats: Vec<(PeerSeat, &StoredObject)> =
+        objects.iter().filter_map(|object| Some((read_seat(object)?, object))).collect();
+    if !seats.iter().any(|(seat, _)| seat.instance == *own && !seat.marked) {
+        log::info!(instance:% = own; "this instance is not in the list, or marked there");
+        register(engine).await?;
+    }
+    let names: Vec<InstanceName> = seats.iter().map(|(seat, _)| seat.instance.clone()).collect();
+    ledger.retain(&names);
+    let near = |seat: &PeerSeat| seat.domain == engine.identity().domain && seat.instance != *own;
+    for (seat, object) in seats.iter().filter(|(seat, _)| engine.is_reader() && near(seat)) {
+        let heard_at = engine.board().heard_at(&seat.instance);
+        let version = &object.version;
+        let now = boot_time();
+        match ledger.judge(&seat.instance, &version.0, seat.marked, heard_at, now) {
+            SeatVerdict::Keep => {}
+            SeatVerdict::Mark => mark(engine, seat, version).await?,
+            SeatVerdict::Remove => remove(engine, &seat.instance, version).await?,
+        }
+    }
+    Ok(())
+}
+
+async fn mark(
+    engine: &ProxyEngine,
+    seat: &PeerSeat,
+    version: &ObjectVersion,
+) -> Result<(), StoreError> {
+    let record =
+        SeatRecord { domain: seat.domain.clone(), peer_address: seat.address, marked: true };
+    let spec = serde_json::to_value(&record).map_err(|e| StoreError::Refused(e.to_string()))?;
+    let store = &engine.borders().store;
+    let kind = ObjectKind::InstanceRecord;
+    let put = store.put(kind, seat.instance.as_str(), Some(version), spec);
+    log::info!(instance:% = seat.instance; "an instance is not heard any more, and is marked");
+    limited(CALL_LIMIT, put).await.map(|_| ())
+}
+
+async fn remove(
+    engine: &ProxyEngine,
+    instance: &InstanceName,
+    version: &ObjectVersion,
+) -> Result<(), StoreError> {
+    log::info!(instance:% = instance; "an instance that is gone is taken out of the list");
+    let store = &engine.borders().store;
+    let kind = ObjectKind::InstanceRecord;
+    limited(CALL_LIMIT, store.delete(kind, instance.as_str(), version)).await
+}
+
 async fn register(engine: &ProxyEngine) -> Result<(), StoreError> {
+    let sent_at = boot_time();
+    write_entry(engine).await?;
+    engine.set_listed(Some(sent_at));
+    Ok(())
+}
+
+async fn write_entry(engine: &ProxyEngine) -> Result<(), StoreError> {
     let identity = engine.identity();
-    let seat = SeatRecord { domain: identity.domain.clone(), peer_address: identity.peer_address };
+    let seat = SeatRecord {
+        domain: identity.domain.clone(),
+        peer_address: identity.peer_address,
+        marked: false,
+    };
     let spec = serde_json::to_value(&seat).map_err(|e| StoreError::Refused(e.to_string()))?;
     let store = &engine.borders().store;
     let name = identity.name.as_str();
@@ -76,11 +144,20 @@
 }
 
 /// Reads the list of instances from the store.
-pub(super) async fn read_seats(engine: &ProxyEngine) -> Result<(), StoreError> {
-    let objects =
-        limited(CALL_LIMIT, engine.borders().store.list(ObjectKind::InstanceRecord)).await?;
-    engine.board().set_seats(objects.iter().filter_map(read_seat).collect());
-    Ok(())
+pub(super) async fn read_seats(engine: &ProxyEngine) -> Result<Vec<StoredObject>, StoreError> {
+    let sent_at = boot_time();
+    let list = engine.borders().store.list(ObjectKind::InstanceRecord);
+    let objects = limited(CALL_LIMIT, list).await?;
+    let seats: Vec<PeerSeat> = objects.iter().filter_map(read_seat).collect();
+    let own = seats.iter().find(|seat| seat.instance == engine.identity().name);
+    match own {
+        Some(own) if !own.marked => engine.set_listed(Some(sent_at)),
+        // Leads on what an earlier read showed, until the mark is taken away or time runs out.
+        Some(_) => {}
+        None => engine.set_listed(None),
+    }
+    engine.board().set_seats(seats, sent_at);
+    Ok(objects)
 }
 
 fn read_seat(object: &StoredObject) -> Option<PeerSeat> {
@@ -90,12 +167,13 @@
         log::warn!(object:% = object.name; "an instance's entry is unreadable");
         return None;
     };
-    Some(PeerSeat { instance, domain: seat.domain, address: seat.peer_address })
+    let (domain, address, marked) = (seat.domain, seat.peer_address, seat.marked);
+    Some(PeerSeat { instance, domain, address, marked })
 }
 
 /// Removes this instance from the list.
 pub(super) async fn deregister(engine: &ProxyEngine) {
-    engine.set_registered(false);
+    engine.set_listed(None);
     let store = &engine.borders().store;
     let name = engine.identity().name.as_str();
     let kind = ObjectKind::InstanceRecord;
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -4,7 +4,7 @@
 use crate::clock::boot_time;
 use crate::group::{MemberEntry, ServiceGroup};
 use crate::lead::{LeadRecord, LeaderEpoch};
-use crate::peers::{CopyVersion, FleetCopy, PeerBoard};
+use crate::peers::{CopyVersion, FleetCopy, LISTED_LIFE, PeerBoard};
 use crate::session::CallerSession;
 use crate::settings::{DatabaseName, FleetSettings, RouteRule, SettingsVersion};
 use crate::statement::StatementError;
@@ -80,8 +80,9 @@
     board: PeerBoard,
     drain: watch::Sender<DrainPhase>,
     position_wanted: Notify,
-    /// Whether the store lists this instance, so that a change of primary waits for its word.
-    registered: AtomicBool,
+    /// When the store last showed this instance in the list without a mark, so that a change of
+    /// primary waits for its word; none while it does not.
+    listed_at: Mutex<Option<Duration>>,
     /// Whether a peer's copy is being fetched.
     fetching: AtomicBool,
     /// Services without a record, as the store's last list showed; none before the first list.
@@ -100,14 +101,22 @@
             store_word: Mutex::default(),
             drain: watch::Sender::new(DrainPhase::Serving),
             position_wanted: Notify::new(),
-            registered: AtomicBool::new(false),
+            listed_at: Mutex::default(),
             fetching: AtomicBool::new(false),
             recordless: Mutex::default(),
         })
     }
 
-    pub(crate) fn set_registered(&self, registered: bool) {
-        self.registered.store(registered, Ordering::Release);
+    /// Takes in that the list showed this instance at `listed_at`, or did not.
+    pub(crate) fn set_listed(&self, listed_at: Option<Duration>) {
+        *lock(&self.listed_at) = listed_at;
+    }
+
+    /// Takes in a peer's word that the list showed this instance at `listed_at`. It renews what the
+    /// store itself has said before, and does not stand in for it.
+    pub(crate) fn renew_listed(&self, listed_at: Duration) {
+        let mut known = lock(&self.listed_at);
+        *known = known.map(|known| known.max(listed_at));
     }
 
     /// Whether this caller is the one to fetch a peer's copy.
@@ -134,11 +143,13 @@
     /// Whether this process may have permits.
     ///
     /// Guards against a permit that no change of primary waits for. An instance that the store
-    /// does not list yet is not asked to stop. And one that stopped, was killed and started again
+    /// does not list yet, or may list no more, is not asked to stop. And one that stopped, was killed and started again
     /// does not know that it stopped: a peer that is behind may tell it of the version before, so
     /// it needs the store's own word first.
     fn may_lead(&self) -> bool {
-        self.registered.load(Ordering::Acquire) && self.has_read_records()
+        let listed_at = *lock(&self.listed_at);
+        let listed = listed_at.is_some_and(|at| boot_time() < at + LISTED_LIFE);
+        listed && self.has_read_records()
     }
 
     /// Takes in that most instances knew of no later version at `vouched_at`.
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -29,6 +29,8 @@
         pub(crate) instance: InstanceName,
         pub(crate) domain: DomainName,
         pub(crate) address: SocketAddr,
+        /// Whether it is about to be taken out of the list, unless it says that it lives.
+        pub(crate) marked: bool,
     }
 }
 
@@ -49,6 +51,8 @@
 struct BoardState {
     /// The instances that the store lists, sorted by name.
     seats: Vec<PeerSeat>,
+    /// When the store had them so.
+    seats_at: Duration,
     /// The last word of each, sorted by name.
     heard: Vec<HeardPulse>,
     stopped: Vec<StopWord>,
@@ -94,11 +98,21 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Replaces the list of instances; this one is left out.
-    pub(crate) fn set_seats(&self, mut seats: Vec<PeerSeat>) {
+    /// Replaces the list of instances by what the store had at `read_at`; this one is left out.
+    pub(crate) fn set_seats(&self, mut seats: Vec<PeerSeat>, read_at: Duration) {
         seats.retain(|seat| seat.instance != self.own);
         seats.sort_by(|left, right| left.instance.cmp(&right.instance));
-        self.state().seats = seats;
+        let mut state = self.state();
+        state.seats = seats;
+        state.seats_at = read_at;
+    }
+
+    /// When the store had an instance in the list without a mark, if it did.
+    pub(crate) fn listed_at(&self, instance: &InstanceName) -> Option<Duration> {
+        let state = self.state();
+        let mut seats = state.seats.iter();
+        let listed = seats.any(|seat| seat.instance == *instance && !seat.marked);
+        listed.then_some(state.seats_at)
     }
 
     /// Where this instance's pulses go within its failure domain: to all.
@@ -140,6 +154,13 @@
         live.filter_map(|heard| heard.at.checked_sub(age(heard))).max()
     }
 
+    /// When an instance was last heard.
+    pub(crate) fn heard_at(&self, instance: &InstanceName) -> Option<Duration> {
+        let state = self.state();
+        let found = state.heard.iter().find(|heard| heard.pulse.instance == *instance);
+        found.map(|heard| heard.at)
+    }
+
     /// How many others the store lists.
     pub(crate) fn seat_count(&self) -> usize {
         self.state().seats.len()
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -81,14 +81,22 @@
     Announce(RecordCopy),
     /// The answer.
     Stopped(StopWord),
-    /// Asks for all records; the question's number comes back with the answer.
-    Ask(u64),
+    /// Asks for all records.
+    Ask {
+        /// Who asks.
+        instance: InstanceName,
+        /// The question's number, which comes back with the answer.
+        question: u64,
+    },
     /// The answer.
     Records {
         /// Who answers.
         instance: InstanceName,
         /// The number of the question.
         question: u64,
+        /// How long ago the store had the receiver in the list of instances, in milliseconds,
+        /// rounded up; none if it did not, or if it is about to be taken out.
+        listed_age_ms: Option<u64>,
         /// What is known.
         records: Vec<RecordCopy>,
     },
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -8,11 +8,13 @@
 mod fleet_copy;
 mod message;
 mod readers;
+mod seats;
 
 pub(crate) use board::{PeerBoard, PeerSeat};
 pub(crate) use exchange::PeerExchange;
 pub(crate) use fleet_copy::{CopyVersion, FleetCopy, fetch_copy, serve_copies};
 pub(crate) use message::{PeerMessage, PeerPulse, PrimaryDoubt, RecordCopy, SampleCopy, StopWord};
+pub(crate) use seats::{LISTED_LIFE, SeatLedger, SeatVerdict};
 
 #[cfg(test)]
 mod tests;
--- a/crates/rudder-engine/src/peers/tests/mod.rs
+++ b/crates/rudder-engine/src/peers/tests/mod.rs
@@ -1,3 +1,4 @@
 //! Tests of what instances know of each other.
 
 mod readers;
+mod seats;
--- a/crates/rudder-standins/src/lib.rs
+++ b/crates/rudder-standins/src/lib.rs
@@ -12,7 +12,10 @@
 pub use group::{
     GroupError, GroupSettings, GroupStandin, MemberKnob, MemberSettings, ServiceSpread,
 };
-pub use lines::{LineCommit, LineGroup, LineMember};
+pub use lines::{
+    BOOT_VARIABLE, LineClient, LineCommit, LineDatabase, LineEntry, LineFleet, LineGroup, LineKind,
+    LineMember, LineReply, LineSeat,
+};
 pub use link::{DatagramLinkStandin, LinkDirection, LinkFault, LinkSettings, LinkStandin};
 pub use objects::{ObjectsFault, ObjectsStandin, PromotionSink};
 pub use platform::{CallCounts, PlatformFaults, PlatformOutage, PlatformStandin, StandinInstance};
--- /dev/null
+++ b/crates/rudder-standins/src/lines/client.rs
@@ -0,0 +1,132 @@
+//! A caller that speaks lines.
+
+use std::io;
+use std::net::SocketAddr;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+/// One answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LineReply {
+    /// The rows.
+    pub rows: Vec<String>,
+    /// `COMPLETE` with its proof, or `ERROR` with code and text.
+    pub outcome: String,
+    /// `READY` with state and position.
+    pub ready: String,
+}
+
+impl LineReply {
+    /// Whether the statement was served.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.outcome.starts_with("COMPLETE")
+    }
+
+    /// The state of the session after it: `I`, `T` or `E`.
+    #[must_use]
+    pub fn state(&self) -> &str {
+        self.ready.split(' ').nth(1).unwrap_or("")
+    }
+
+    /// The code of an error; empty if there is none.
+    #[must_use]
+    pub fn code(&self) -> &str {
+        match self.outcome.strip_prefix("ERROR ") {
+            Some(rest) => rest.split(' ').next().unwrap_or(""),
+            None => "",
+        }
+    }
+
+    /// The data of the only row, without the session values that the stand-in adds.
+    #[must_use]
+    pub fn data(&self) -> &str {
+        self.rows.first().and_then(|row| row.split('|').next()).unwrap_or("")
+    }
+}
+
+/// An open session.
+pub struct LineClient {
+    lines: Lines<BufReader<OwnedReadHalf>>,
+    writer: OwnedWriteHalf,
+}
+
+impl LineClient {
+    /// Connects and names a database; the answer is the first line.
+    ///
+    /// # Errors
+    ///
+    /// When nobody listens there, or the connection ends without a line.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// use rudder_standins::{LineClient, LineGroup};
+    /// let group = LineGroup::start("scores", 3, std::time::Duration::ZERO).await?;
+    /// let member = &group.members()[0];
+    /// let hello = format!("scores someone {}", member.id);
+    /// let (mut client, line) = LineClient::connect(member.address, &hello).await?;
+    /// assert_eq!(line, "READY I 1.0");
+    /// assert!(client.query("q1", "WRITE page anna").await?.is_done());
+    /// # Ok::<(), std::io::Error>(())
+    /// # })?;
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub async fn connect(address: SocketAddr, hello: &str) -> io::Result<(Self, String)> {
+        let stream = TcpStream::connect(address).await?;
+        let (reader, writer) = stream.into_split();
+        let mut client = Self { lines: BufReader::new(reader).lines(), writer };
+        client.send(&format!("STARTUP {hello}")).await?;
+        let line = client.line().await?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        Ok((client, line))
+    }
+
+    /// Sends one line.
+    ///
+    /// # Errors
+    ///
+    /// When the connection is broken.
+    pub async fn send(&mut self, line: &str) -> io::Result<()> {
+        self.writer.write_all(format!("{line}\r\n").as_bytes()).await
+    }
+
+    /// The next line; none at the end.
+    ///
+    /// # Errors
+    ///
+    /// When the connection breaks.
+    pub async fn line(&mut self) -> io::Result<Option<String>> {
+        self.lines.next_line().await
+    }
+
+    /// Sends a query and reads its answer.
+    ///
+    /// # Errors
+    ///
+    /// When the connection breaks before the answer is whole.
+    ///
+    /// See the example of [`LineClient::connect`].
+    pub async fn query(&mut self, id: &str, text: &str) -> io::Result<LineReply> {
+        self.send(&format!("QUERY {id} {text}")).await?;
+        self.reply().await
+    }
+
+    /// Reads one answer.
+    ///
+    /// # Errors
+    ///
+    /// When the connection breaks before the answer is whole.
+    pub async fn reply(&mut self) -> io::Result<LineReply> {
+        let mut rows = Vec::new();
+        loop {
+            let line = self.line().await?.ok_or(io::ErrorKind::UnexpectedEof)?;
+            match line.strip_prefix("DATAROW ") {
+                Some(row) => rows.push(row.to_owned()),
+                None => {
+                    let ready = self.line().await?.ok_or(io::ErrorKind::UnexpectedEof)?;
+                    return Ok(LineReply { rows, outcome: line, ready });
+                }
+            }
+        }
+    }
+}
--- a/crates/rudder-standins/src/lines/group.rs
+++ b/crates/rudder-standins/src/lines/group.rs
@@ -7,6 +7,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// How long a superseded primary goes on after a promotion, unless it is told to step down.
+const UNAWARE_TIME: Duration = Duration::from_secs(1);
+
 /// Connections that a member takes.
 const CONNECTIONS_MAX: usize = 60;
 
@@ -54,11 +57,15 @@
     leader: usize,
     lag: Duration,
     tokens: Vec<u64>,
+    promoted_at: Option<Instant>,
+    /// Ids of the writes that promotions have cut back.
+    cut_back: Vec<String>,
 }
 
 impl GroupState {
     /// Brings a replica's log to where it is by now.
     pub(super) fn catch_up(&mut self, index: usize) {
+        self.demote_superseded(index);
         let leader = &self.members[self.leader];
         if index == self.leader || self.members[index].leads || !*leader.up.borrow() {
             return;
@@ -73,6 +80,14 @@
         }
     }
 
+    /// A superseded primary learns of its successor and follows it.
+    fn demote_superseded(&mut self, index: usize) {
+        let aware = self.promoted_at.is_some_and(|at| at.elapsed() >= UNAWARE_TIME);
+        if aware {
+            self.step_down(index);
+        }
+    }
+
     /// Appends a commit to a member's own log.
     pub(super) fn commit(&mut self, index: usize, writes: Vec<(String, String, String)>) {
         let member = &mut self.members[index];
@@ -80,6 +95,14 @@
         member.log.push(LineCommit { term: member.term, number, writes, at: Instant::now() });
     }
 
+    /// Makes a superseded primary a replica.
+    pub(super) fn step_down(&mut self, index: usize) {
+        if index != self.leader && self.members[index].leads {
+            self.members[index].leads = false;
+            self.members[index].log.clear();
+        }
+    }
+
     fn promote(&mut self, id: &str) -> bool {
         let Some(index) = self.members.iter().position(|member| member.id == id) else {
             return false;
@@ -92,6 +115,10 @@
         }
         self.catch_up(index);
         let term = self.members.iter().map(|member| member.term).max().unwrap_or(0) + 1;
+        let lost = self.members[self.leader].log[self.members[index].log.len()..].iter();
+        let lost = lost.flat_map(|commit| &commit.writes).map(|(id, ..)| id.clone());
+        self.cut_back.extend(lost.collect::<Vec<_>>());
+        self.promoted_at = Some(Instant::now());
         self.members[index].leads = true;
         self.members[index].term = term;
         self.leader = index;
@@ -145,7 +172,15 @@
             listeners.push(listener);
         }
         let service = service.to_owned();
-        let state = GroupState { service, members, leader: 0, lag, tokens: Vec::new() };
+        let state = GroupState {
+            service,
+            members,
+            leader: 0,
+            lag,
+            tokens: Vec::new(),
+            promoted_at: None,
+            cut_back: Vec::new(),
+        };
         let state = Arc::new(Mutex::new(state));
         for (index, listener) in listeners.into_iter().enumerate() {
             tokio::spawn(accept(Arc::clone(&state), index, listener));
@@ -189,6 +224,24 @@
         state.members[index].connections = 0;
     }
 
+    /// Starts a member again that was stopped, with the log that it had.
+    pub fn resume(&self, index: usize) {
+        self.state().members[index].up.send_replace(true);
+    }
+
+    /// Whether a member runs.
+    #[must_use]
+    pub fn is_up(&self, index: usize) -> bool {
+        *self.state().members[index].up.borrow()
+    }
+
+    /// Ids of the writes that promotions have cut back: the member that was promoted had not
+    /// received them.
+    #[must_use]
+    pub fn cut_back(&self) -> Vec<String> {
+        self.state().cut_back.clone()
+    }
+
     /// Sets how far behind the replicas are from now on.
     pub fn set_lag(&self, lag: Duration) {
         self.state().lag = lag;
--- a/crates/rudder-standins/src/lines/mod.rs
+++ b/crates/rudder-standins/src/lines/mod.rs
@@ -1,6 +1,10 @@
-//! A database group that speaks the users' line protocol, in memory.
+//! A database group that speaks the users' line protocol, in memory, with a caller and a deployment.
 
+mod client;
+mod fleet;
 mod group;
 mod session;
 
+pub use client::{LineClient, LineReply};
+pub use fleet::{BOOT_VARIABLE, LineDatabase, LineEntry, LineFleet, LineKind, LineSeat};
 pub use group::{LineCommit, LineGroup, LineMember};
--- a/crates/rudder-standins/src/lines/session.rs
+++ b/crates/rudder-standins/src/lines/session.rs
@@ -129,7 +129,7 @@
         }
         "STATUS" => LineAnswer::Done(vec![status(group, index)], "-".to_owned()),
         "STEPDOWN" => {
-            group.members[index].leads = false;
+            group.step_down(index);
             LineAnswer::Done(vec![status(group, index)], "-".to_owned())
         }
         "BEGIN" => begin(group, index, session, rest == "READ"),
