--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -192,7 +192,7 @@
         while boot_time() < until {
             ask_again(self.engine, self.exchange, &board.addresses(), question).await;
             tokio::time::sleep(LOOK_GAP).await;
-            if is_quorum(board.answer_count(question) + 1, board.known_count()) {
+            if is_quorum(board.questions().answer_count(question) + 1, board.known_count()) {
                 return true;
             }
         }
--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -202,7 +202,7 @@
 
 /// A peer's word that the store lists this instance.
 fn take_listing(engine: &ProxyEngine, question: u64, listed_age_ms: Option<u64>) {
-    let Some(asked_at) = engine.board().asked_at(question) else { return };
+    let Some(asked_at) = engine.board().questions().asked_at(question) else { return };
     if let Some(age_ms) = listed_age_ms {
         engine.renew_listed(asked_at.saturating_sub(Duration::from_millis(age_ms)));
     }
@@ -215,8 +215,8 @@
     question: u64,
     records: &[RecordCopy],
 ) {
-    let Some(asked_at) = engine.board().asked_at(question) else { return };
-    engine.board().note_answer(question, instance);
+    let Some(asked_at) = engine.board().questions().asked_at(question) else { return };
+    engine.board().questions().note_answer(question, instance);
     for copy in records {
         // Guards against an answer that was long on its way: the peer looked after the question
         // was sent, so counted from then its word is older than it says, never younger.
@@ -227,7 +227,7 @@
         engine.vouch(&copy.service, epoch, vouched_at);
         if copy.vouches && engine.has_read_records() {
             let board = engine.board();
-            let count = board.count_vouch(question, instance, &copy.service, epoch);
+            let count = board.questions().count_vouch(question, instance, &copy.service, epoch);
             if is_quorum(count, board.known_count()) {
                 engine.vouch(&copy.service, epoch, asked_at);
             }
--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -135,7 +135,7 @@
     receivers: &[SocketAddr],
     question: u64,
 ) {
-    engine.board().note_question(question);
+    engine.board().questions().note_question(question);
     let instance = engine.identity().name.clone();
     exchange.send_all(&PeerMessage::Ask { instance, question }, receivers).await;
 }
--- a/crates/rudder-engine/src/duty/tests/change.rs
+++ b/crates/rudder-engine/src/duty/tests/change.rs
@@ -5,6 +5,7 @@
 use crate::lead::{ChangeCause, LeadPhase, LeadRecord, LeaderEpoch};
 use crate::peers::PeerExchange;
 use rudder_core::{MemberName, ServiceName};
+use std::sync::Arc;
 use std::time::Duration;
 
 fn changing(epoch: u64, previous: Option<MemberName>, planned: bool) -> LeadRecord {
@@ -43,6 +44,23 @@
     assert_eq!(store.write_count(), 0);
 }
 
+/// Takes over the change that the store's record tells of, among members with logs of these
+/// lengths, of which the first is the primary and leaves.
+async fn take_over(
+    store: &Arc<RecordStore>,
+    logs: &[(&str, u64)],
+) -> (Result<(), ChangeError>, Arc<FakeMembers>) {
+    let record = store.record();
+    let members = FakeMembers::new(logs);
+    let engine = engine(store, Some(Arc::clone(&members)));
+    engine.apply_members(&members.entries(), 1);
+    engine.observe(&service(), &record, Duration::ZERO);
+    let group = engine.group(&service());
+    let judged = unfinished(record.epoch.0);
+    let outcome = change_primary(&engine, &exchange().await, &group, judged).await;
+    (outcome, members)
+}
+
 #[tokio::test]
 async fn a_planned_change_that_is_taken_over_still_waits_for_its_successor() {
     // A crew's acknowledged sheets are gone after a planned replacement. The leaving primary stops
@@ -51,14 +69,8 @@
     // finished, not that the old primary was there to be waited for, and promoted at once.
     let record = changing(3, Some("a".parse().expect("a name")), true);
     let store = RecordStore::new(&record, &[WriteFate::Done]);
-    let members = FakeMembers::new(&[("a", 100), ("b", 95), ("c", 90)]);
-    let engine = engine(&store, Some(members.clone()));
-    let exchange = exchange().await;
-    engine.apply_members(&members.entries("records"), 1);
-    let group = engine.group(&service());
-    engine.observe(&service(), &record, Duration::ZERO);
 
-    let outcome = change_primary(&engine, &exchange, &group, unfinished(3)).await;
+    let (outcome, members) = take_over(&store, &[("a", 100), ("b", 95), ("c", 90)]).await;
 
     assert_eq!(outcome, Ok(()));
     assert_eq!(members.promoted(), [("b".parse().expect("a name"), stamp(1, 100))]);
@@ -72,14 +84,8 @@
     // of the record for which all instances had to stop again.
     let record = changing(3, Some("a".parse().expect("a name")), false);
     let store = RecordStore::new(&record, &[WriteFate::Lost, WriteFate::Done]);
-    let members = FakeMembers::new(&[("a", 100), ("b", 95), ("c", 90)]);
-    let engine = engine(&store, Some(members.clone()));
-    let exchange = exchange().await;
-    engine.apply_members(&members.entries("records"), 1);
-    let group = engine.group(&service());
-    engine.observe(&service(), &record, Duration::ZERO);
 
-    let outcome = change_primary(&engine, &exchange, &group, unfinished(3)).await;
+    let (outcome, members) = take_over(&store, &[("a", 100), ("b", 95), ("c", 90)]).await;
 
     assert_eq!(outcome, Ok(()));
     assert_eq!(store.record().epoch, LeaderEpoch(5));
--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -5,6 +5,7 @@
     PromotionOrder,
 };
 use crate::engine::{EngineBorders, InstanceIdentity, ProxyEngine};
+use crate::fixtures::member_entry;
 use crate::group::{MemberEntry, MemberState};
 use crate::lead::LeadRecord;
 use crate::statement::{MemberCommand, StatementReply, TransactionState};
@@ -132,19 +133,12 @@
     }
 
     /// The members' entries; the first member is leaving.
-    pub(super) fn entries(&self, service: &str) -> Vec<MemberEntry> {
+    pub(super) fn entries(&self) -> Vec<MemberEntry> {
         let members = self.members.lock().expect("no holder panics");
         let entry = |(index, (name, status)): (usize, &(MemberName, MemberStatus))| MemberEntry {
-            target: MemberTarget {
-                service: service.parse().expect("a service's name"),
-                member: name.clone(),
-                address: ([127, 0, 0, 1], 1).into(),
-            },
-            domain: "north".parse().expect("a domain's name"),
-            region: "north".to_owned(),
             state: if index == 0 { MemberState::Draining } else { MemberState::Ready },
             role: status.role,
-            born: 1,
+            ..member_entry(name.as_str())
         };
         members.iter().enumerate().map(entry).collect()
     }
--- a/crates/rudder-engine/src/group/tests/service.rs
+++ b/crates/rudder-engine/src/group/tests/service.rs
@@ -1,11 +1,12 @@
 //! Which members are known.
 
 use crate::border::{LinkError, MemberDialer, MemberLink, MemberTarget};
-use crate::group::{MemberEntry, MemberState, ServiceGroup};
+use crate::fixtures::member_entry;
+use crate::group::ServiceGroup;
 use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
 use crate::statement::StatementReply;
 use async_trait::async_trait;
-use rudder_core::{LogTerm, MemberName, MemberRole, MemberStatus};
+use rudder_core::{LogTerm, MemberName, MemberStatus};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,21 +27,6 @@
     text.parse().expect("a name")
 }
 
-fn entry(member: &str) -> MemberEntry {
-    MemberEntry {
-        target: MemberTarget {
-            service: "records".parse().expect("a name"),
-            member: name(member),
-            address: ([127, 0, 0, 1], 1).into(),
-        },
-        domain: "north".parse().expect("a name"),
-        region: "north".to_owned(),
-        state: MemberState::Ready,
-        role: MemberRole::Replica,
-        born: 1,
-    }
-}
-
 fn settled(epoch: u64, primary: &str) -> LeadRecord {
     let phase = LeadPhase::Settled { primary: name(primary), term: LogTerm(epoch), base: None };
     LeadRecord { epoch: LeaderEpoch(epoch), mark: format!("m{epoch}"), phase }
@@ -50,7 +36,7 @@
     let group = ServiceGroup::new("records".parse().expect("a name"));
     let dialer: Arc<dyn MemberDialer> = Arc::new(Nobody);
     group.observe(&settled(1, primary), Duration::ZERO);
-    group.set_members(&[entry("a"), entry("b")], &dialer);
+    group.set_members(&[member_entry("a"), member_entry("b")], &dialer);
     (group, dialer)
 }
 
@@ -60,7 +46,7 @@
     // refused from that moment on, seconds before another member led.
     let (group, dialer) = group("a");
 
-    group.set_members(&[entry("b")], &dialer);
+    group.set_members(&[member_entry("b")], &dialer);
     let kept = group.member(&name("a"));
     group.observe(&settled(2, "b"), Duration::ZERO);
     group.drop_unlisted();
@@ -73,7 +59,7 @@
 fn a_replica_that_drops_out_of_the_list_is_used_no_more() {
     let (group, dialer) = group("a");
 
-    group.set_members(&[entry("a")], &dialer);
+    group.set_members(&[member_entry("a")], &dialer);
 
     assert!(group.member(&name("b")).is_none());
 }
@@ -82,8 +68,8 @@
 fn a_primary_that_comes_back_into_the_list_stays() {
     let (group, dialer) = group("a");
 
-    group.set_members(&[entry("b")], &dialer);
-    group.set_members(&[entry("a"), entry("b")], &dialer);
+    group.set_members(&[member_entry("b")], &dialer);
+    group.set_members(&[member_entry("a"), member_entry("b")], &dialer);
 
     assert!(group.member(&name("a")).is_some_and(|member| member.is_listed()));
 }
--- a/crates/rudder-engine/src/lib.rs
+++ b/crates/rudder-engine/src/lib.rs
@@ -9,6 +9,8 @@
 mod clock;
 mod duty;
 mod engine;
+#[cfg(test)]
+mod fixtures;
 mod group;
 mod lead;
 mod peers;
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -2,12 +2,12 @@
 
 use super::fleet_copy::CopyVersion;
 use super::message::{PeerPulse, StopWord};
+use super::questions::QuestionLog;
 use super::readers::{ReaderSeat, choose_readers};
 use crate::clock::boot_time;
 use crate::engine::InstanceIdentity;
 use crate::lead::{LeaderEpoch, PeerVote};
 use rudder_core::{DomainName, InstanceName, ServiceName, plain_data};
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -17,12 +17,6 @@
 /// lost on the way.
 const LIVE_TIME: Duration = Duration::from_millis(2600);
 
-/// Questions whose answers are still taken; some seconds' worth.
-const QUESTIONS_MAX: usize = 32;
-
-/// Answers that are kept: those of a few questions to all of a fleet about all services.
-const VOUCHES_MAX: usize = 4096;
-
 plain_data! {
     /// Where an instance is.
     pub(crate) struct PeerSeat {
@@ -56,21 +50,6 @@
     /// The last word of each, sorted by name.
     heard: Vec<HeardPulse>,
     stopped: Vec<StopWord>,
-    /// Questions of this instance's own, with the time at which they were sent, oldest first.
-    questions: VecDeque<(u64, Duration)>,
-    /// Who answered which, oldest first.
-    answers: VecDeque<(u64, InstanceName)>,
-    /// What they vouched for, oldest first.
-    vouches: Vec<PeerVouch>,
-}
-
-/// An instance's word that it knows of no later version of a record.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct PeerVouch {
-    question: u64,
-    instance: InstanceName,
-    service: ServiceName,
-    epoch: LeaderEpoch,
 }
 
 /// What is known of the other instances.
@@ -80,6 +59,7 @@
     /// Failure domains of the whole deployment.
     domain_count: usize,
     state: Mutex<BoardState>,
+    questions: Mutex<QuestionLog>,
     stop_heard: Notify,
 }
 
@@ -90,6 +70,7 @@
             own_domain: identity.domain.clone(),
             domain_count: identity.regions.len(),
             state: Mutex::default(),
+            questions: Mutex::default(),
             stop_heard: Notify::new(),
         }
     }
@@ -98,6 +79,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// This instance's own questions, and who answered them.
+    pub(crate) fn questions(&self) -> MutexGuard<'_, QuestionLog> {
+        self.questions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Replaces the list of instances by what the store had at `read_at`; this one is left out.
     pub(crate) fn set_seats(&self, mut seats: Vec<PeerSeat>, read_at: Duration) {
         seats.retain(|seat| seat.instance != self.own);
@@ -171,51 +157,6 @@
         self.domains().len()
     }
 
-    /// How many instances have answered a question.
-    pub(crate) fn answer_count(&self, question: u64) -> usize {
-        let state = self.state();
-        let of_question = state.answers.iter().filter(|(known, _)| *known == question);
-        of_question.count()
-    }
-
-    /// Takes in that an instance answered a question.
-    pub(crate) fn note_answer(&self, question: u64, instance: &InstanceName) {
-        let mut state = self.state();
-        let answer = (question, instance.clone());
-        if !state.answers.contains(&answer) {
-            if state.answers.len() == VOUCHES_MAX {
-                state.answers.pop_front();
-            }
-            state.answers.push_back(answer);
-        }
-    }
-
-    /// Counts an answer to a question of this instance's own; returns how many instances have
-    /// answered it with the same version, this one included.
-    pub(crate) fn count_vouch(
-        &self,
-        question: u64,
-        instance: &InstanceName,
-        service: &ServiceName,
-        epoch: LeaderEpoch,
-    ) -> usize {
-        let mut state = self.state();
-        let oldest = state.questions.front().map_or(question, |(known, _)| *known);
-        if state.vouches.len() >= VOUCHES_MAX {
-            let stale = state.vouches.iter().filter(|vouch| vouch.question == oldest).count();
-            state.vouches.drain(..stale.max(1));
-        }
-        let vouch =
-            PeerVouch { question, instance: instance.clone(), service: service.clone(), epoch };
-        if !state.vouches.contains(&vouch) {
-            state.vouches.push(vouch);
-        }
-        let same = state.vouches.iter().filter(|vouch| {
-            vouch.question == question && vouch.service == *service && vouch.epoch == epoch
-        });
-        same.count() + 1
-    }
-
     /// Where all others can be reached: those listed, and those heard from that are not.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         let state = self.state();
@@ -273,22 +214,6 @@
         }
     }
 
-    /// Takes in that a question is about to be sent.
-    pub(crate) fn note_question(&self, question: u64) {
-        let mut state = self.state();
-        if state.questions.len() == QUESTIONS_MAX {
-            state.questions.pop_front();
-        }
-        state.questions.push_back((question, boot_time()));
-    }
-
-    /// When a question was sent; several peers may answer the same one.
-    pub(crate) fn asked_at(&self, question: u64) -> Option<Duration> {
-        let state = self.state();
-        let asked = state.questions.iter().find(|(known, _)| *known == question);
-        asked.map(|(_, at)| *at)
-    }
-
     /// Takes in that an instance has stopped.
     pub(crate) fn note_stopped(&self, word: StopWord) {
         let mut state = self.state();
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod fleet_copy;
 mod message;
+mod questions;
 mod readers;
 mod seats;
 
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -5,7 +5,7 @@
 use super::strict::{InFlight, in_doubt};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
-use crate::group::{GroupMember, PooledLink, ServiceGroup};
+use crate::group::{ExchangeError, GroupMember, PooledLink, ServiceGroup};
 use crate::lead::LeadPermit;
 use crate::settings::RouteRule;
 use crate::statement::{
@@ -102,7 +102,15 @@
         let _flight = pinned.permit.as_ref().map(|_| InFlight::new(&pinned.group));
         let reply = match run_pinned(pinned, job).await {
             Ok(reply) => reply,
-            Err(reply) => return reply,
+            Err(error) => {
+                log::info!(
+                    request:% = job.id, member:% = pinned.member.name(),
+                    reason:% = error.reason, outcome = "rolled_back";
+                    "a transaction lost its connection"
+                );
+                // No commit was sent, and the member rolls back what loses its connection.
+                return aborted(job, "the connection to the member was lost");
+            }
         };
         // Guards against a read of a superseded primary in the middle of a transaction.
         if !pinned.may_answer() {
@@ -211,40 +219,25 @@
 async fn run_pinned(
     pinned: &mut PinnedLink,
     job: &StatementJob,
-) -> Result<StatementReply, StatementReply> {
+) -> Result<StatementReply, ExchangeError> {
     loop {
-        let answer = job.run_on(&mut pinned.link, None, job.time_left()).await;
-        match answer {
-            Ok(reply) if reply.error() == Some(&StatementError::Busy) => {
-                let alive = reply.state == TransactionState::Open;
-                if !alive || job.wait_left() < AGAIN_PAUSE {
-                    return Ok(reply);
-                }
-                tokio::time::sleep(AGAIN_PAUSE).await;
-            }
-            Ok(reply) => return Ok(reply),
-            Err(error) => {
-                log::info!(
-                    request:% = job.id, member:% = pinned.member.name(),
-                    reason:% = error.reason, outcome = "rolled_back";
-                    "a transaction lost its connection"
-                );
-                // No commit was sent, and the member rolls back what loses its connection.
-                return Err(aborted(job, "the connection to the member was lost"));
-            }
+        let reply = job.run_on(&mut pinned.link, None, job.time_left()).await?;
+        let busy = reply.error() == Some(&StatementError::Busy);
+        if !busy || reply.state != TransactionState::Open || job.wait_left() < AGAIN_PAUSE {
+            return Ok(reply);
         }
+        tokio::time::sleep(AGAIN_PAUSE).await;
     }
 }
 
 async fn commit_pinned(pinned: &mut PinnedLink, job: &StatementJob, wrote: bool) -> StatementReply {
     let _flight = pinned.permit.as_ref().map(|_| InFlight::new(&pinned.group));
     let sent_at = boot_time();
-    let answer = run_pinned_commit(pinned, job).await;
-    match answer {
+    match run_pinned(pinned, job).await {
         Ok(reply) => judge_commit(pinned, job, wrote, sent_at, reply),
-        Err(reason) if wrote => {
+        Err(error) if wrote => {
             log::warn!(
-                request:% = job.id, member:% = pinned.member.name(), reason:% = reason,
+                request:% = job.id, member:% = pinned.member.name(), reason:% = error.reason,
                 outcome = "in_doubt"; "a commit got no answer"
             );
             in_doubt("no answer to the commit")
@@ -253,21 +246,6 @@
     }
 }
 
-async fn run_pinned_commit(
-    pinned: &mut PinnedLink,
-    job: &StatementJob,
-) -> Result<StatementReply, String> {
-    loop {
-        let answer = job.run_on(&mut pinned.link, None, job.time_left()).await;
-        let reply = answer.map_err(|error| error.reason.to_string())?;
-        let busy = reply.error() == Some(&StatementError::Busy);
-        if !busy || reply.state != TransactionState::Open || job.wait_left() < AGAIN_PAUSE {
-            return Ok(reply);
-        }
-        tokio::time::sleep(AGAIN_PAUSE).await;
-    }
-}
-
 fn judge_commit(
     pinned: &PinnedLink,
     job: &StatementJob,
--- a/crates/rudder-engine/src/store_word/tests.rs
+++ b/crates/rudder-engine/src/store_word/tests.rs
@@ -1,41 +1,24 @@
 //! Tests of what is taken from the store and from peers.
 
 use super::StoreWord;
-use crate::border::MemberTarget;
-use crate::group::{MemberEntry, MemberState};
-use rudder_core::MemberRole;
+use crate::fixtures::member_entry;
 use std::time::Duration;
 
-fn member(name: &str) -> MemberEntry {
-    MemberEntry {
-        target: MemberTarget {
-            service: "records".parse().expect("a name"),
-            member: name.parse().expect("a name"),
-            address: ([127, 0, 0, 1], 1).into(),
-        },
-        domain: "north".parse().expect("a name"),
-        region: "north".to_owned(),
-        state: MemberState::Ready,
-        role: MemberRole::Replica,
-        born: 1,
-    }
-}
-
 #[test]
 fn a_peer_that_is_behind_brings_no_member_back() {
     // A member that is gone gets requests again, and another service answers at its address. An
     // instance knows from the store that the member left; a peer that the store turned away still
     // has the list of before, and hands it on.
     let mut stale = StoreWord::default();
-    stale.take_members(&[member("a"), member("b")], 7);
+    stale.take_members(&[member_entry("a"), member_entry("b")], 7);
     let mut word = StoreWord::default();
-    word.take_members(&[member("a")], 9);
+    word.take_members(&[member_entry("a")], 9);
 
     let (members, version) = stale.members();
     let changed = word.take_copy(members, version);
 
     assert!(!changed);
-    assert_eq!(word.members().0, [member("a")]);
+    assert_eq!(word.members().0, [member_entry("a")]);
 }
 
 #[test]
@@ -43,26 +26,26 @@
     // After an outage entries that are missing are believed for a moment. As that ends, the list
     // changes although the store's revision does not, and those who fetch it must see that.
     let mut reader = StoreWord::default();
-    reader.take_members(&[member("a"), member("b")], 7);
+    reader.take_members(&[member_entry("a"), member_entry("b")], 7);
     let mut follower = reader.clone();
 
-    reader.take_members(&[member("a")], 7);
+    reader.take_members(&[member_entry("a")], 7);
     let (members, version) = reader.members();
     let changed = follower.take_copy(members, version);
 
     assert!(changed);
-    assert_eq!(follower.members().0, [member("a")]);
+    assert_eq!(follower.members().0, [member_entry("a")]);
 }
 
 #[test]
 fn the_stores_own_list_counts_whatever_a_peer_said() {
     let mut word = StoreWord::default();
-    word.take_members(&[member("a"), member("b")], 8);
+    word.take_members(&[member_entry("a"), member_entry("b")], 8);
 
-    let changed = word.take_members(&[member("a")], 7);
+    let changed = word.take_members(&[member_entry("a")], 7);
 
     assert!(changed);
-    assert_eq!(word.members().0, [member("a")]);
+    assert_eq!(word.members().0, [member_entry("a")]);
 }
 
 #[test]
