A change of primary looks at the promoted member on one connection, and stops instances sooner

Each look at a promoted member opened a connection, two round trips and some 100 ms between regions; instances were told to stop only after the list had been read, and this one's own statements were waited for after that.

--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -270,12 +270,14 @@
     /// Returns once no instance answers for the version before `intent`.
     async fn stop_all(&self, intent: &WrittenRecord) -> Result<(), ChangeError> {
         let service = self.group.service();
+        // Those known so far need not wait for the list.
+        self.announce(&intent.record).await;
         // Read after the intent was written: an instance that registers later reads the intent.
-        let listed = read_seats(self.engine).await;
+        let (listed, _) =
+            tokio::join!(read_seats(self.engine), stop_answering(self.engine, service));
         if let Err(error) = &listed {
             log::info!(reason:% = error; "the list of instances was not read");
         }
-        stop_answering(self.engine, service).await;
         let listed = listed.is_ok();
         let mut most_since = None;
         loop {
--- a/crates/rudder-engine/src/duty/control.rs
+++ b/crates/rudder-engine/src/duty/control.rs
@@ -1,6 +1,6 @@
 //! Questions and orders to members, on connections of their own.
 
-use crate::border::LinkError;
+use crate::border::{LinkError, MemberLink};
 use crate::engine::ProxyEngine;
 use crate::group::{AcquireError, GroupMember};
 use crate::statement::{MemberCommand, StatementError, StatementReply};
@@ -28,12 +28,62 @@
     member: &GroupMember,
 ) -> Result<MemberReport, LinkError> {
     let reply = order(engine, member, MemberCommand::Status).await?;
-    match engine.borders().dialer.read_status(&reply) {
+    read_report(engine, member, &reply)
+}
+
+fn read_report(
+    engine: &ProxyEngine,
+    member: &GroupMember,
+    reply: &StatementReply,
+) -> Result<MemberReport, LinkError> {
+    match engine.borders().dialer.read_status(reply) {
         Some(status) => Ok(MemberReport { member: member.name().clone(), status }),
         None => Err(LinkError::Protocol(format!("unreadable status: {:?}", reply.outcome))),
     }
 }
 
+/// Asks one member again and again on one connection: opening one takes two round trips more than
+/// the question itself, some 100 ms between regions, for each look at a member that is promoted.
+pub(super) struct StatusWatch<'a> {
+    engine: &'a ProxyEngine,
+    member: &'a GroupMember,
+    link: Option<Box<dyn MemberLink>>,
+}
+
+impl<'a> StatusWatch<'a> {
+    pub(super) fn new(engine: &'a ProxyEngine, member: &'a GroupMember) -> Self {
+        Self { engine, member, link: None }
+    }
+
+    pub(super) async fn ask(&mut self) -> Result<MemberReport, LinkError> {
+        let mut link = match self.link.take() {
+            Some(link) => link,
+            None => match dial(self.engine, self.member).await {
+                Err(LinkError::Refused(StatementError::ConnectionLimit)) => {
+                    return ask_status(self.engine, self.member).await;
+                }
+                dialed => dialed?,
+            },
+        };
+        let talk = async {
+            link.send(&[MemberCommand::Status]).await?;
+            link.receive().await
+        };
+        let answer = tokio::time::timeout(STATUS_LIMIT, talk).await;
+        let reply = answer.unwrap_or(Err(LinkError::Silent))?;
+        self.link = Some(link);
+        read_report(self.engine, self.member, &reply)
+    }
+}
+
+async fn dial(
+    engine: &ProxyEngine,
+    member: &GroupMember,
+) -> Result<Box<dyn MemberLink>, LinkError> {
+    let dial = engine.borders().dialer.dial(member.pool().target());
+    tokio::time::timeout(STATUS_LIMIT, dial).await.unwrap_or(Err(LinkError::Silent))
+}
+
 /// Asks several members at once; those that do not answer are left out.
 pub(super) async fn ask_statuses(
     engine: &Arc<ProxyEngine>,
--- a/crates/rudder-engine/src/duty/promote.rs
+++ b/crates/rudder-engine/src/duty/promote.rs
@@ -1,7 +1,7 @@
 //! Chooses the member that takes over, and has it promoted.
 
 use super::change::{ChangeError, ChangeRun, HOLD_TIME, LOOK_GAP, WrittenRecord};
-use super::control::{MemberReport, ask_status, ask_statuses};
+use super::control::{MemberReport, StatusWatch, ask_status, ask_statuses};
 use crate::border::{PromotionError, PromotionOrder};
 use crate::clock::boot_time;
 use crate::group::{GroupMember, MemberState};
@@ -115,9 +115,10 @@
     /// Waits until the member leads a newer term than `before`.
     async fn await_leader(&self, candidate: &MemberName, before: LogTerm) -> Option<MemberReport> {
         let member = self.group.member(candidate)?;
+        let mut watch = StatusWatch::new(self.engine, &member);
         let until = boot_time() + LEAD_LIMIT;
         while boot_time() < until {
-            match ask_status(self.engine, &member).await {
+            match watch.ask().await {
                 Ok(report) if leads_since(&report, before) => return Some(report),
                 Ok(_) => {}
                 Err(error) => {
