A leaving primary gets no work after its time, also while it cannot be changed

Trace: three of nine instances were cut off and a fourth was gone but listed, so that six answers were no quorum; a change for this cause never went on without one, and began 7.0 s later, as the cut healed. Until then the primary got all strict work.

Ruled out: the copies of the member list (all instances knew within 0.1 s), the list's dead entry alone (it would take two minutes to be sure of it).

InstanceIdentity and its kin have a module of their own.

--- a/crates/rudder-engine/src/duty/drain.rs
+++ b/crates/rudder-engine/src/duty/drain.rs
@@ -2,7 +2,8 @@
 
 use super::registry::deregister;
 use super::start::EngineTiming;
-use crate::engine::{DrainPhase, ProxyEngine};
+use crate::engine::ProxyEngine;
+use crate::identity::DrainPhase;
 use std::sync::Arc;
 
 /// The part of the grace time after which open transactions are given up.
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -2,8 +2,9 @@
 
 use super::change::{self, JudgedChange};
 use crate::clock::boot_time;
-use crate::engine::{DrainPhase, ProxyEngine};
+use crate::engine::ProxyEngine;
 use crate::group::{GroupMember, MemberState, SeatPlace, ServiceGroup};
+use crate::identity::DrainPhase;
 use crate::lead::{GroupSigns, LeadBook, LeadPhase, QUORUM_REACH, judge_change};
 use crate::peers::PeerExchange;
 use rudder_core::{DomainName, MemberName, MemberRole, ServiceName};
@@ -108,7 +109,11 @@
     watch.pause_until = now + FAILED_PAUSE;
     let since = [signs.silent_since, signs.absent_since, signs.usurped_since];
     let since = since.into_iter().flatten().min().unwrap_or(now);
-    let alone = now >= since + QUORUM_REACH;
+    // Nobody who knows that the primary leaves sends it work by then, so there is nothing to stop.
+    let primary = book.record().and_then(|record| record.primary());
+    let left = primary.and_then(|primary| group.member(primary));
+    let left = left.is_some_and(|member| member.has_left(engine.leave_limit()));
+    let alone = left || now >= since + QUORUM_REACH;
     let judged = cause.map(|cause| JudgedChange { cause, epoch, alone });
     spawn_change(engine, exchange, group, judged, busy);
 }
--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -2,8 +2,9 @@
 
 use super::records::ask;
 use crate::clock::boot_time;
-use crate::engine::{DrainPhase, ProxyEngine};
+use crate::engine::ProxyEngine;
 use crate::group::ServiceGroup;
+use crate::identity::DrainPhase;
 use crate::lead::{LeadPhase, LeaderEpoch, is_quorum};
 use crate::peers::{
     PeerExchange, PeerMessage, PeerPulse, PrimaryDoubt, RecordCopy, SampleCopy, StopWord,
--- a/crates/rudder-engine/src/duty/start.rs
+++ b/crates/rudder-engine/src/duty/start.rs
@@ -1,7 +1,8 @@
 //! Starting an instance.
 
 use super::{keeper, pulse, records, registry, watch};
-use crate::engine::{EngineBorders, InstanceIdentity, ProxyEngine};
+use crate::engine::ProxyEngine;
+use crate::identity::{EngineBorders, InstanceIdentity};
 use crate::peers::{PeerExchange, serve_copies};
 use rudder_core::plain_data;
 use std::sync::Arc;
--- a/crates/rudder-engine/src/duty/tests/change.rs
+++ b/crates/rudder-engine/src/duty/tests/change.rs
@@ -1,10 +1,11 @@
 //! Changes of primary against a store in memory.
 
-use super::fixture::{FakeMembers, RecordStore, WriteFate, engine, stamp};
+use super::fixture::{FakeMembers, RecordStore, WriteFate, engine, engine_with_drain, stamp};
+use crate::clock::boot_time;
 use crate::duty::change::{ChangeError, JudgedChange, change_primary};
 use crate::lead::{ChangeCause, LeadPhase, LeadRecord, LeaderEpoch};
 use crate::peers::PeerExchange;
-use rudder_core::{MemberName, ServiceName};
+use rudder_core::{LogTerm, MemberName, ServiceName};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -91,3 +92,30 @@
     assert_eq!(store.record().epoch, LeaderEpoch(5));
     assert_eq!(members.promoted().len(), 1);
 }
+
+/// Whether the primary may be sent work that has just said that it leaves.
+fn is_led(member_drain: Duration) -> bool {
+    let phase =
+        LeadPhase::Settled { primary: "a".parse().expect("a name"), term: LogTerm(1), base: None };
+    let record = LeadRecord { epoch: LeaderEpoch(1), mark: "m1".to_owned(), phase };
+    let store = RecordStore::new(&record, &[WriteFate::Done]);
+    let members = FakeMembers::new(&[("a", 100), ("b", 100)]);
+    let engine = engine_with_drain(&store, Some(Arc::clone(&members)), member_drain);
+    engine.set_listed(Some(boot_time()));
+    engine.note_records_read(&[service()]);
+    engine.apply_members(&members.entries(), 1);
+    engine.observe(&service(), &record, boot_time());
+    engine.leader(&engine.group(&service())).is_some()
+}
+
+#[test]
+fn a_primary_that_has_been_leaving_for_long_gets_no_work() {
+    // Statements reach a leaving primary until it ends, and what is under way then is lost. Three
+    // instances are cut off and a fourth is gone, so that no majority is heard, and the change of
+    // primary waits for the cut to heal; meanwhile nothing took the primary out of use.
+    let while_it_may = is_led(Duration::from_secs(60));
+    let afterwards = is_led(Duration::from_secs(2));
+
+    assert!(while_it_may);
+    assert!(!afterwards);
+}
--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -4,9 +4,10 @@
     LinkError, MemberDialer, MemberLink, MemberTarget, PromotionCall, PromotionError,
     PromotionOrder,
 };
-use crate::engine::{EngineBorders, InstanceIdentity, ProxyEngine};
+use crate::engine::ProxyEngine;
 use crate::fixtures::member_entry;
 use crate::group::{MemberEntry, MemberState};
+use crate::identity::{EngineBorders, InstanceIdentity};
 use crate::lead::LeadRecord;
 use crate::statement::{MemberCommand, StatementReply, TransactionState};
 use async_trait::async_trait;
@@ -17,6 +18,7 @@
 use serde_json::Value;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// What becomes of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -225,10 +227,22 @@
     Some(MemberStatus { role, accepted, received, applied: received })
 }
 
+/// How long members may be sent work after they said that they leave.
+const MEMBER_DRAIN: Duration = Duration::from_secs(7);
+
 /// An instance that has no peers.
 pub(super) fn engine(
     store: &Arc<RecordStore>,
     members: Option<Arc<FakeMembers>>,
+) -> Arc<ProxyEngine> {
+    engine_with_drain(store, members, MEMBER_DRAIN)
+}
+
+/// The same, with another time for which leaving members may be sent work.
+pub(super) fn engine_with_drain(
+    store: &Arc<RecordStore>,
+    members: Option<Arc<FakeMembers>>,
+    member_drain: Duration,
 ) -> Arc<ProxyEngine> {
     let identity = InstanceIdentity {
         name: "own".parse().expect("a name"),
@@ -236,6 +250,7 @@
         region: "north".to_owned(),
         regions: Vec::new(),
         peer_address: ([127, 0, 0, 1], 0).into(),
+        member_drain,
     };
     let borders = Arc::new(FakeBorders(members));
     let borders = EngineBorders {
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -1,17 +1,15 @@
 //! What all parts of one instance share.
 
-use crate::border::{MemberDialer, PromotionCall};
 use crate::clock::boot_time;
-use crate::group::{MemberEntry, ServiceGroup};
-use crate::lead::{LeadRecord, LeaderEpoch};
+use crate::group::{GroupMember, MemberEntry, ServiceGroup};
+use crate::identity::{DrainPhase, EngineBorders, InstanceIdentity};
+use crate::lead::{LeadPermit, LeadRecord, LeaderEpoch};
 use crate::peers::{CopyVersion, FleetCopy, LISTED_LIFE, PeerBoard};
 use crate::session::CallerSession;
 use crate::settings::{DatabaseName, FleetSettings, RouteRule, SettingsVersion};
 use crate::statement::StatementError;
 use crate::store_word::StoreWord;
-use rudder_core::{DomainName, InstanceName, ServiceName, plain_data};
-use rudder_store::PlatformStore;
-use std::net::SocketAddr;
+use rudder_core::{DomainName, InstanceName, ServiceName};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -26,47 +24,13 @@
 /// must be in force within 3 s, also where the reader has just died.
 const FEED_AGE_MAX: Duration = Duration::from_millis(2200);
 
+/// What is taken off the time for which a leaving member may be sent work: an instance learns up to
+/// 1.2 s later that it leaves, and a statement is some hundred ms under way.
+const LEAVE_MARGIN: Duration = Duration::from_millis(2000);
+
 /// Idle time of transactions before the settings say it.
 const TRANSACTION_IDLE: Duration = Duration::from_secs(3);
 
-plain_data! {
-    /// Who this instance is.
-    pub struct InstanceIdentity {
-        /// Its name.
-        pub name: InstanceName,
-        /// Its failure domain.
-        pub domain: DomainName,
-        /// The region of that domain.
-        pub region: String,
-        /// The region of each failure domain, sorted by domain.
-        pub regions: Vec<(DomainName, String)>,
-        /// Where its peers reach it, by datagram and by connection.
-        pub peer_address: SocketAddr,
-    }
-}
-
-/// The systems around this instance.
-#[derive(Clone)]
-pub struct EngineBorders {
-    /// Opens connections to members.
-    pub dialer: Arc<dyn MemberDialer>,
-    /// Promotes members.
-    pub promotion: Arc<dyn PromotionCall>,
-    /// Keeps the records.
-    pub store: Arc<dyn PlatformStore>,
-}
-
-/// Whether this instance goes on serving.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum DrainPhase {
-    /// It does.
-    Serving,
-    /// It was told to stop; callers are asked to go elsewhere as their work ends.
-    Leaving,
-    /// Open transactions are given up.
-    Closing,
-}
-
 /// One instance of the proxy.
 pub struct ProxyEngine {
     identity: InstanceIdentity,
@@ -291,6 +255,20 @@
         Some(FleetCopy { settings, members: members.to_vec(), members_version })
     }
 
+    /// The primary of a group, if it may be sent work, and the permission to answer for it.
+    ///
+    /// Guards against a leaving primary that is sent work until it ends: while too few instances
+    /// hear each other to change it, nothing else takes it out of use, and statements under way as
+    /// it ends are lost.
+    pub(crate) fn leader(&self, group: &ServiceGroup) -> Option<(Arc<GroupMember>, LeadPermit)> {
+        group.leader().filter(|(member, _)| !member.has_left(self.leave_limit()))
+    }
+
+    /// How long a member that says it is leaving is sent work.
+    pub(crate) fn leave_limit(&self) -> Duration {
+        self.identity.member_drain.saturating_sub(LEAVE_MARGIN)
+    }
+
     /// The versions of settings and members that are known.
     pub(crate) fn copy_version(&self) -> CopyVersion {
         let settings = self.settings_version().unwrap_or_default();
--- a/crates/rudder-engine/src/group/member.rs
+++ b/crates/rudder-engine/src/group/member.rs
@@ -61,18 +61,21 @@
     doubtful_until: Duration,
     /// Since when the list has lacked it.
     unlisted_since: Option<Duration>,
+    /// Since when it has said that it is leaving.
+    leaving_since: Option<Duration>,
 }
 
 impl GroupMember {
     pub(super) fn new(entry: MemberEntry, dialer: &Arc<dyn MemberDialer>) -> Arc<Self> {
         let pool = MemberPool::new(entry.target.clone(), Arc::clone(dialer), 1);
+        let leaving_since = (entry.state == MemberState::Draining).then(boot_time);
         Arc::new(Self {
             name: entry.target.member.clone(),
             domain: entry.domain.clone(),
             region: entry.region.clone(),
             entry: Mutex::new(entry),
             pool,
-            memory: Mutex::default(),
+            memory: Mutex::new(MemberMemory { leaving_since, ..MemberMemory::default() }),
         })
     }
 
@@ -101,6 +104,12 @@
         lock(&self.entry).state == MemberState::Ready
     }
 
+    /// Whether it has been leaving for `limit` or longer.
+    pub(crate) fn has_left(&self, limit: Duration) -> bool {
+        let since = lock(&self.memory).leaving_since;
+        since.is_some_and(|since| boot_time() >= since + limit)
+    }
+
     /// Whether the list of members names it.
     pub(crate) fn is_listed(&self) -> bool {
         lock(&self.memory).unlisted_since.is_none()
@@ -150,8 +159,14 @@
     });
     let Some(member) = same else { return GroupMember::new(entry.clone(), dialer) };
     *lock(&member.entry) = entry.clone();
-    lock(&member.memory).unlisted_since = None;
-    if entry.state == MemberState::Draining {
+    let leaving = entry.state == MemberState::Draining;
+    {
+        let mut memory = lock(&member.memory);
+        memory.unlisted_since = None;
+        let since = memory.leaving_since.unwrap_or_else(boot_time);
+        memory.leaving_since = leaving.then_some(since);
+    }
+    if leaving {
         member.pool.close_idle();
     }
     Arc::clone(member)
--- /dev/null
+++ b/crates/rudder-engine/src/identity.rs
@@ -0,0 +1,48 @@
+//! Who an instance is, what surrounds it, and whether it goes on serving.
+
+use crate::border::{MemberDialer, PromotionCall};
+use rudder_core::{DomainName, InstanceName, plain_data};
+use rudder_store::PlatformStore;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+plain_data! {
+    /// Who this instance is.
+    pub struct InstanceIdentity {
+        /// Its name.
+        pub name: InstanceName,
+        /// Its failure domain.
+        pub domain: DomainName,
+        /// The region of that domain.
+        pub region: String,
+        /// The region of each failure domain, sorted by domain.
+        pub regions: Vec<(DomainName, String)>,
+        /// Where its peers reach it, by datagram and by connection.
+        pub peer_address: SocketAddr,
+        /// How long after a member said that it leaves it may be sent work, as the deployment says.
+        pub member_drain: Duration,
+    }
+}
+
+/// The systems around this instance.
+#[derive(Clone)]
+pub struct EngineBorders {
+    /// Opens connections to members.
+    pub dialer: Arc<dyn MemberDialer>,
+    /// Promotes members.
+    pub promotion: Arc<dyn PromotionCall>,
+    /// Keeps the records.
+    pub store: Arc<dyn PlatformStore>,
+}
+
+/// Whether this instance goes on serving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DrainPhase {
+    /// It does.
+    Serving,
+    /// It was told to stop; callers are asked to go elsewhere as their work ends.
+    Leaving,
+    /// Open transactions are given up.
+    Closing,
+}
--- a/crates/rudder-engine/src/lib.rs
+++ b/crates/rudder-engine/src/lib.rs
@@ -12,6 +12,7 @@
 #[cfg(test)]
 mod fixtures;
 mod group;
+mod identity;
 mod lead;
 mod peers;
 mod session;
@@ -24,8 +25,9 @@
     PromotionOrder,
 };
 pub use duty::{EngineTiming, start_engine, stop_engine};
-pub use engine::{DrainPhase, EngineBorders, InstanceIdentity, ProxyEngine};
+pub use engine::ProxyEngine;
 pub use group::{MemberEntry, MemberState};
+pub use identity::{DrainPhase, EngineBorders, InstanceIdentity};
 pub use lead::{LeadPhase, LeadRecord, LeaderEpoch};
 pub use session::CallerSession;
 pub use settings::{
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -5,7 +5,7 @@
 use super::questions::QuestionLog;
 use super::readers::{ReaderSeat, choose_readers};
 use crate::clock::boot_time;
-use crate::engine::InstanceIdentity;
+use crate::identity::InstanceIdentity;
 use crate::lead::{LeaderEpoch, PeerVote};
 use rudder_core::{DomainName, InstanceName, ServiceName, plain_data};
 use std::net::SocketAddr;
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -100,7 +100,7 @@
     ) -> Result<StrictStart, &'static str> {
         loop {
             let left = job.wait_left();
-            let Some((member, _)) = group.leader() else {
+            let Some((member, _)) = self.leader(group) else {
                 if left.is_zero() {
                     return Err("no primary is confirmed");
                 }
@@ -119,7 +119,7 @@
                 }
             };
             // Looked at again: the primary may have changed while the connection was waited for.
-            match group.leader() {
+            match self.leader(group) {
                 Some((now_member, permit)) if Arc::ptr_eq(&now_member, &member) => {
                     let flight = InFlight::new(group);
                     return Ok(StrictStart { link, member, permit, flight });
