An instance that stops does not enter the list again

Cause: found in reading the change. An instance that leaves takes its entry out of the list; its next look at the list, at most 4 s later as a reader and within the grace time, missed it and wrote it anew, so that it stayed listed after its end. Only an instance that serves enters the list now. Before: the new test counts one write; after: none.

--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
+use crate::identity::DrainPhase;
 use crate::peers::{PeerSeat, SeatLedger, SeatVerdict};
 use rudder_core::{DomainName, InstanceName};
 use rudder_store::{ObjectKind, ObjectVersion, StoreError, StoredObject};
@@ -61,12 +62,18 @@
 }
 
 /// Reads the list, keeps this instance in it, and as a reader takes those out that are gone.
-async fn follow_list(engine: &ProxyEngine, ledger: &mut SeatLedger) -> Result<(), StoreError> {
+pub(super) async fn follow_list(
+    engine: &ProxyEngine,
+    ledger: &mut SeatLedger,
+) -> Result<(), StoreError> {
     let objects = read_seats(engine).await?;
     let own = &engine.identity().name;
     let seats: Vec<(PeerSeat, &StoredObject)> =
         objects.iter().filter_map(|object| Some((read_seat(object)?, object))).collect();
-    if !seats.iter().any(|(seat, _)| seat.instance == *own && !seat.marked) {
+    let listed = seats.iter().any(|(seat, _)| seat.instance == *own && !seat.marked);
+    // Guards against an instance that stops and enters the list again, which nobody would take out
+    // for two minutes, with a permit's wait in each change of primary.
+    if !listed && engine.drain_phase() == DrainPhase::Serving {
         log::info!(instance:% = own; "this instance is not in the list, or marked there");
         register(engine).await?;
     }
--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -2,3 +2,4 @@
 
 mod change;
 mod fixture;
+mod registry;
