The soak's probes have a bound

Cause: found in reading. A probe of a process that stands still waited for an answer without a bound, so that a run that met a fault of its own could have hung in place of failing. No check changes.

--- a/crates/arbutusrudder/tests/soak/world.rs
+++ b/crates/arbutusrudder/tests/soak/world.rs
@@ -29,6 +29,9 @@
 const LOOK_GAP: Duration = Duration::from_millis(50);
 const LOOKS_MAX: u32 = 600;
 
+/// The most time for one probe: a process that stands still accepts connections and answers none.
+const PROBE_LIMIT: Duration = Duration::from_secs(5);
+
 /// Counts probes, so that each has an id of its own.
 static PROBES: AtomicU64 = AtomicU64::new(0);
 
@@ -134,7 +137,7 @@
         for seat in &self.seats {
             heal_link(&seat.store_link);
             signal(seat, ProcessSignal::Resume);
-            await_end_of_stopping(seat).await;
+            start_again_if_ended(seat).await;
         }
     }
 
@@ -175,7 +178,12 @@
     }
 }
 
+/// Whether an instance takes a write and serves a read of a database.
 async fn serves(seat: &Seat, database: &str) -> bool {
+    tokio::time::timeout(PROBE_LIMIT, probe(seat, database)).await.unwrap_or(false)
+}
+
+async fn probe(seat: &Seat, database: &str) -> bool {
     let Ok((mut client, line)) =
         LineClient::connect(seat.seat.callers, &format!("{database} probe")).await
     else {
@@ -205,15 +213,14 @@
     }
 }
 
-/// Starts a new process where the last one was told to stop, or ended by itself.
-async fn await_end_of_stopping(seat: &Seat) {
+/// Starts a new process once the last one has ended; one that still serves was not told to stop.
+async fn start_again_if_ended(seat: &Seat) {
     for _ in 0..LOOKS_MAX {
         let ended = lock(&seat.process).as_mut().is_none_or(SoakProcess::has_ended);
         if ended {
             *lock(&seat.process) = Some(SoakProcess::start(&seat.files));
             return;
         }
-        // Not told to stop, or still at it: a process that lives answers its callers.
         if serves(seat, STRICT).await {
             return;
         }
@@ -237,7 +244,7 @@
         SoakFault::Restart(index) => {
             signal(&world.seats[index], ProcessSignal::Terminate);
             tokio::time::sleep(timed.length).await;
-            await_end_of_stopping(&world.seats[index]).await;
+            start_again_if_ended(&world.seats[index]).await;
         }
         SoakFault::Reload(index) => signal(&world.seats[index], ProcessSignal::Reload),
         SoakFault::StoreBusy => harm_store(&world, ObjectsFault::Busy, timed.length).await,
