--- a/crates/arbutusrudder/tests/soak/process.rs
+++ b/crates/arbutusrudder/tests/soak/process.rs
@@ -46,7 +46,11 @@
 }
 
 /// A running program; it is killed, by its own id, when this is dropped.
-pub(crate) struct SoakProcess(Child);
+pub(crate) struct SoakProcess {
+    child: Child,
+    /// Whether it was told to stop.
+    stopping: bool,
+}
 
 impl SoakProcess {
     /// Starts the program; its log is added to what earlier processes of the instance wrote.
@@ -55,7 +59,7 @@
         let mut command = Command::new(PROGRAM);
         command.arg("--platform").env(BOOT_VARIABLE, &files.settings);
         command.stdout(log.expect("a log file is opened")).stderr(Stdio::inherit());
-        Self(command.spawn().expect("the program starts"))
+        Self { child: command.spawn().expect("the program starts"), stopping: false }
     }
 
     /// Sends a signal by the child's id; one that has ended is left alone.
@@ -63,19 +67,25 @@
         if self.has_ended() {
             return;
         }
-        let id = self.0.id().to_string();
+        self.stopping |= signal == ProcessSignal::Terminate;
+        let id = self.child.id().to_string();
         Command::new("kill").args([signal.word(), &id]).status().expect("kill starts");
     }
 
+    /// Whether it was told to stop; it may still serve for some seconds.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
     pub(crate) fn has_ended(&mut self) -> bool {
-        self.0.try_wait().expect("the child can be waited for").is_some()
+        self.child.try_wait().expect("the child can be waited for").is_some()
     }
 }
 
 impl Drop for SoakProcess {
     fn drop(&mut self) {
         // Both fail only for a child that has ended by itself.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
--- a/crates/arbutusrudder/tests/soak/world.rs
+++ b/crates/arbutusrudder/tests/soak/world.rs
@@ -213,16 +213,18 @@
     }
 }
 
-/// Starts a new process once the last one has ended; one that still serves was not told to stop.
+/// Starts a new process once one that was told to stop has ended, or where none runs.
 async fn start_again_if_ended(seat: &Seat) {
     for _ in 0..LOOKS_MAX {
-        let ended = lock(&seat.process).as_mut().is_none_or(SoakProcess::has_ended);
-        if ended {
-            *lock(&seat.process) = Some(SoakProcess::start(&seat.files));
-            return;
-        }
-        if serves(seat, STRICT).await {
-            return;
+        {
+            let mut process = lock(&seat.process);
+            let ended = process.as_mut().is_none_or(SoakProcess::has_ended);
+            if ended {
+                *process = Some(SoakProcess::start(&seat.files));
+            }
+            if process.as_ref().is_some_and(|process| !process.is_stopping()) {
+                return;
+            }
         }
         tokio::time::sleep(LOOK_GAP).await;
     }
--- a/crates/rudder-engine/src/duty/control.rs
+++ b/crates/rudder-engine/src/duty/control.rs
@@ -60,30 +60,18 @@
             Some(link) => link,
             None => match dial(self.engine, self.member).await {
                 Err(LinkError::Refused(StatementError::ConnectionLimit)) => {
-                    return ask_status(self.engine, self.member).await;
+                    let reply = order_on_pooled(self.member, MemberCommand::Status).await?;
+                    return read_report(self.engine, self.member, &reply);
                 }
                 dialed => dialed?,
             },
         };
-        let talk = async {
-            link.send(&[MemberCommand::Status]).await?;
-            link.receive().await
-        };
-        let answer = tokio::time::timeout(STATUS_LIMIT, talk).await;
-        let reply = answer.unwrap_or(Err(LinkError::Silent))?;
+        let reply = exchange(link.as_mut(), MemberCommand::Status).await?;
         self.link = Some(link);
         read_report(self.engine, self.member, &reply)
     }
 }
 
-async fn dial(
-    engine: &ProxyEngine,
-    member: &GroupMember,
-) -> Result<Box<dyn MemberLink>, LinkError> {
-    let dial = engine.borders().dialer.dial(member.pool().target());
-    tokio::time::timeout(STATUS_LIMIT, dial).await.unwrap_or(Err(LinkError::Silent))
-}
-
 /// Asks several members at once; those that do not answer are left out.
 pub(super) async fn ask_statuses(
     engine: &Arc<ProxyEngine>,
@@ -125,12 +113,29 @@
     command: MemberCommand,
 ) -> Result<StatementReply, LinkError> {
     let talk = async {
-        let mut link = match engine.borders().dialer.dial(member.pool().target()).await {
+        match dial(engine, member).await {
             Err(LinkError::Refused(StatementError::ConnectionLimit)) => {
-                return order_on_pooled(member, command).await;
+                order_on_pooled(member, command).await
             }
-            dialed => dialed?,
-        };
+            dialed => exchange(dialed?.as_mut(), command).await,
+        }
+    };
+    tokio::time::timeout(STATUS_LIMIT, talk).await.unwrap_or(Err(LinkError::Silent))
+}
+
+async fn dial(
+    engine: &ProxyEngine,
+    member: &GroupMember,
+) -> Result<Box<dyn MemberLink>, LinkError> {
+    let dial = engine.borders().dialer.dial(member.pool().target());
+    tokio::time::timeout(STATUS_LIMIT, dial).await.unwrap_or(Err(LinkError::Silent))
+}
+
+async fn exchange(
+    link: &mut dyn MemberLink,
+    command: MemberCommand,
+) -> Result<StatementReply, LinkError> {
+    let talk = async {
         link.send(&[command]).await?;
         link.receive().await
     };
@@ -145,12 +150,15 @@
     member: &GroupMember,
     command: MemberCommand,
 ) -> Result<StatementReply, LinkError> {
-    let acquired = member.pool().acquire(FIRST, STATUS_LIMIT).await;
-    let mut link = acquired.map_err(|error| match error {
-        AcquireError::WaitOver => LinkError::Silent,
-        AcquireError::Down(reason) => reason,
-    })?;
-    let mut replies =
-        link.exchange(&[command], STATUS_LIMIT).await.map_err(|error| error.reason)?;
-    replies.pop().ok_or(LinkError::Silent)
+    let talk = async {
+        let acquired = member.pool().acquire(FIRST, STATUS_LIMIT).await;
+        let mut link = acquired.map_err(|error| match error {
+            AcquireError::WaitOver => LinkError::Silent,
+            AcquireError::Down(reason) => reason,
+        })?;
+        let answer = link.exchange(&[command], STATUS_LIMIT).await;
+        let mut replies = answer.map_err(|error| error.reason)?;
+        replies.pop().ok_or(LinkError::Silent)
+    };
+    tokio::time::timeout(STATUS_LIMIT, talk).await.unwrap_or(Err(LinkError::Silent))
 }
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -7,8 +7,9 @@
 use crate::identity::DrainPhase;
 use crate::lead::{GroupSigns, LeadBook, LeadPhase, QUORUM_REACH, judge_change};
 use crate::peers::PeerExchange;
+use crate::sync::lock;
 use rudder_core::{DomainName, MemberName, MemberRole, ServiceName};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// How often the signs are judged.
@@ -100,7 +101,7 @@
         return;
     }
     {
-        let mut busy = busy.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut busy = lock(busy);
         if busy.contains(group.service()) {
             return;
         }
@@ -145,7 +146,7 @@
                 "a change of primary ended"
             ),
         }
-        let mut busy = busy.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut busy = lock(&busy);
         busy.retain(|service| service != group.service());
     });
 }
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -37,6 +37,12 @@
     marked: bool,
 }
 
+impl SeatRecord {
+    fn to_spec(&self) -> Result<serde_json::Value, StoreError> {
+        serde_json::to_value(self).map_err(|error| StoreError::Refused(error.to_string()))
+    }
+}
+
 /// Registers this instance, then follows the list.
 pub(crate) async fn keep_registered(engine: Arc<ProxyEngine>) {
     while let Err(error) = register(&engine).await {
@@ -66,10 +72,8 @@
     engine: &ProxyEngine,
     ledger: &mut SeatLedger,
 ) -> Result<(), StoreError> {
-    let objects = read_seats(engine).await?;
+    let seats = read_seats(engine).await?;
     let own = &engine.identity().name;
-    let seats: Vec<(PeerSeat, &StoredObject)> =
-        objects.iter().filter_map(|object| Some((read_seat(object)?, object))).collect();
     let listed = seats.iter().any(|(seat, _)| seat.instance == *own && !seat.marked);
     // Guards against an instance that stops and enters the list again, which nobody would take out
     // for two minutes, with a permit's wait in each change of primary.
@@ -80,9 +84,8 @@
     let names: Vec<InstanceName> = seats.iter().map(|(seat, _)| seat.instance.clone()).collect();
     ledger.retain(&names);
     let near = |seat: &PeerSeat| seat.domain == engine.identity().domain && seat.instance != *own;
-    for (seat, object) in seats.iter().filter(|(seat, _)| engine.is_reader() && near(seat)) {
+    for (seat, version) in seats.iter().filter(|(seat, _)| engine.is_reader() && near(seat)) {
         let heard_at = engine.board().heard_at(&seat.instance);
-        let version = &object.version;
         let now = boot_time();
         match ledger.judge(&seat.instance, &version.0, seat.marked, heard_at, now) {
             SeatVerdict::Keep => {}
@@ -100,7 +103,7 @@
 ) -> Result<(), StoreError> {
     let record =
         SeatRecord { domain: seat.domain.clone(), peer_address: seat.address, marked: true };
-    let spec = serde_json::to_value(&record).map_err(|e| StoreError::Refused(e.to_string()))?;
+    let spec = record.to_spec()?;
     let store = &engine.borders().store;
     let kind = ObjectKind::InstanceRecord;
     let put = store.put(kind, seat.instance.as_str(), Some(version), spec);
@@ -133,7 +136,7 @@
         peer_address: identity.peer_address,
         marked: false,
     };
-    let spec = serde_json::to_value(&seat).map_err(|e| StoreError::Refused(e.to_string()))?;
+    let spec = seat.to_spec()?;
     let store = &engine.borders().store;
     let name = identity.name.as_str();
     let kind = ObjectKind::InstanceRecord;
@@ -150,21 +153,26 @@
     }
 }
 
-/// Reads the list of instances from the store.
-pub(super) async fn read_seats(engine: &ProxyEngine) -> Result<Vec<StoredObject>, StoreError> {
+/// Reads the list of instances from the store, each with the version of its entry.
+pub(super) async fn read_seats(
+    engine: &ProxyEngine,
+) -> Result<Vec<(PeerSeat, ObjectVersion)>, StoreError> {
     let sent_at = boot_time();
     let list = engine.borders().store.list(ObjectKind::InstanceRecord);
     let objects = limited(CALL_LIMIT, list).await?;
-    let seats: Vec<PeerSeat> = objects.iter().filter_map(read_seat).collect();
-    let own = seats.iter().find(|seat| seat.instance == engine.identity().name);
+    let seats: Vec<(PeerSeat, ObjectVersion)> = objects
+        .iter()
+        .filter_map(|object| Some((read_seat(object)?, object.version.clone())))
+        .collect();
+    let own = seats.iter().find(|(seat, _)| seat.instance == engine.identity().name);
     match own {
-        Some(own) if !own.marked => engine.set_listed(Some(sent_at)),
+        Some((own, _)) if !own.marked => engine.set_listed(Some(sent_at)),
         // Leads on what an earlier read showed, until the mark is taken away or time runs out.
         Some(_) => {}
         None => engine.set_listed(None),
     }
-    engine.board().set_seats(seats, sent_at);
-    Ok(objects)
+    engine.board().set_seats(seats.iter().map(|(seat, _)| seat.clone()).collect(), sent_at);
+    Ok(seats)
 }
 
 fn read_seat(object: &StoredObject) -> Option<PeerSeat> {
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -9,9 +9,10 @@
 use crate::settings::{DatabaseName, FleetSettings, RouteRule, SettingsVersion};
 use crate::statement::StatementError;
 use crate::store_word::StoreWord;
+use crate::sync::lock;
 use rudder_core::{DomainName, InstanceName, ServiceName};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
@@ -370,7 +371,3 @@
         Ok(CallerSession::new(Arc::clone(self), database))
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/rudder-engine/src/group/member.rs
+++ b/crates/rudder-engine/src/group/member.rs
@@ -3,9 +3,10 @@
 use super::pool::MemberPool;
 use crate::border::{MemberDialer, MemberTarget};
 use crate::clock::boot_time;
+use crate::sync::lock;
 use rudder_core::{DomainName, LogStamp, MemberName, MemberRole, plain_data};
 use serde::{Deserialize, Serialize};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// How long a member is tried last after it failed a read, or a read found it behind. About the
@@ -171,7 +172,3 @@
     }
     Arc::clone(member)
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -10,8 +10,9 @@
 use super::share::ConnectionShare;
 use crate::border::{LinkError, MemberDialer, MemberTarget};
 use crate::statement::StatementError;
+use crate::sync::lock;
 use displaydoc::Display;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
@@ -101,8 +102,8 @@
         &self.target
     }
 
-    fn state(&self) -> std::sync::MutexGuard<'_, PoolState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    fn state(&self) -> MutexGuard<'_, PoolState> {
+        lock(&self.state)
     }
 
     /// Sets how many connections may be open; idle ones above it are closed.
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -5,8 +5,9 @@
 use crate::border::MemberDialer;
 use crate::clock::boot_time;
 use crate::lead::{LeadBook, LeadPermit, LeadRecord, LeaderEpoch, PositionHistory};
+use crate::sync::lock;
 use rudder_core::{FreshSample, LogStamp, MemberName, ServiceName};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -240,7 +241,3 @@
         }
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/rudder-engine/src/lib.rs
+++ b/crates/rudder-engine/src/lib.rs
@@ -19,6 +19,7 @@
 mod settings;
 mod statement;
 mod store_word;
+mod sync;
 
 pub use border::{
     LinkError, MemberDialer, MemberLink, MemberTarget, PromotionCall, PromotionError,
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -7,9 +7,10 @@
 use crate::clock::boot_time;
 use crate::identity::InstanceIdentity;
 use crate::lead::{LeaderEpoch, PeerVote};
+use crate::sync::lock;
 use rudder_core::{DomainName, InstanceName, ServiceName, plain_data};
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -76,12 +77,12 @@
     }
 
     fn state(&self) -> MutexGuard<'_, BoardState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// This instance's own questions, and who answered them.
     pub(crate) fn questions(&self) -> MutexGuard<'_, QuestionLog> {
-        self.questions.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.questions)
     }
 
     /// Replaces the list of instances by what the store had at `read_at`; this one is left out.
