Permits count from the entry in the list; a start knows its readers at once and reads the store less

A start of 70 instances made some 1,400 calls (debug log: 751 reads of records, which are none yet).

Found while reading: what was read before the own entry stood could give a permit that no change waits for (read, then another instance's intent and its look at the list, then the entry).

--- a/crates/rudder-engine/src/duty/mod.rs
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -9,6 +9,7 @@
 mod records;
 mod registry;
 mod start;
+mod turn;
 mod watch;
 
 pub use drain::stop_engine;
--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/pulse.rs
@@ -1,14 +1,15 @@
 //! Signs of life between instances, and the answers to peers' questions.
 
 use super::records::ask;
+use super::turn::PulseTurn;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::ServiceGroup;
 use crate::identity::DrainPhase;
 use crate::lead::{LeadPhase, LeaderEpoch, is_quorum};
 use crate::peers::{
-    PeerExchange, PeerMessage, PeerPulse, PrimaryDoubt, RecordCopy, SampleCopy, StopWord,
-    fetch_copy,
+    PeerExchange, PeerMessage, PeerPulse, PrimaryDoubt, RecordCopy, RecordsAnswer, SampleCopy,
+    StopWord, fetch_copy,
 };
 use rudder_core::{InstanceName, ServiceName};
 use std::net::SocketAddr;
@@ -38,22 +39,14 @@
 /// Sends pulses: regularly, and at once when there is something new in them.
 pub(crate) async fn send(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
     let mut told: Option<PeerPulse> = None;
-    let mut near_at: Option<Instant> = None;
-    let mut far_at: Option<Instant> = None;
+    let (mut near_turn, mut far_turn) = (PulseTurn::default(), PulseTurn::default());
     loop {
         let pulse = compose(&engine);
         let news = told.as_ref() != Some(&pulse);
-        let is_due = |at: Option<Instant>, gap| news || at.is_none_or(|at| at.elapsed() >= gap);
         let near_gap = if engine.is_reader() { FEED_GAP } else { PULSE_GAP };
-        let mut receivers = Vec::new();
-        if is_due(near_at, near_gap) {
-            receivers.extend(engine.board().near_receivers());
-            near_at = Some(Instant::now());
-        }
-        if is_due(far_at, PULSE_GAP) {
-            receivers.extend(engine.board().far_receivers());
-            far_at = Some(Instant::now());
-        }
+        let now = Instant::now();
+        let mut receivers = near_turn.due(engine.board().near_receivers(), news, near_gap, now);
+        receivers.extend(far_turn.due(engine.board().far_receivers(), news, PULSE_GAP, now));
         let store_age_ms = store_age_ms(&engine);
         let dated = PeerPulse { store_age_ms, ..pulse.clone() };
         exchange.send_all(&PeerMessage::Pulse(dated), &receivers).await;
@@ -97,16 +90,11 @@
             PeerMessage::Announce(copy) => take_announcement(&engine, &exchange, copy, from).await,
             PeerMessage::Stopped(word) => engine.board().note_stopped(word),
             PeerMessage::Ask { instance: asker, question } => {
-                let records = copy_records(&engine);
-                let instance = engine.identity().name.clone();
-                let listed_at = engine.board().listed_at(&asker);
-                let listed_age_ms = listed_at.map(|at| age_in_ms(at, boot_time()));
-                let answer = PeerMessage::Records { instance, question, listed_age_ms, records };
-                exchange.send(&answer, from).await;
+                exchange.send(&PeerMessage::Records(answer(&engine, &asker, question)), from).await;
             }
-            PeerMessage::Records { instance, question, listed_age_ms, records } => {
-                take_listing(&engine, question, listed_age_ms);
-                take_records(&engine, &instance, question, &records);
+            PeerMessage::Records(answer) => {
+                take_listing(&engine, &answer);
+                take_records(&engine, &answer);
             }
         }
     }
@@ -173,9 +161,22 @@
     }
 }
 
-fn copy_records(engine: &ProxyEngine) -> Vec<RecordCopy> {
+/// What this instance knows, for a peer that asked.
+fn answer(engine: &ProxyEngine, asker: &InstanceName, question: u64) -> RecordsAnswer {
     let groups = engine.groups();
-    groups.iter().filter_map(|group| copy_record(engine, group)).collect()
+    if groups.iter().any(|group| group.newest_sample().is_none()) {
+        // The asker's callers wait for positions of the primaries, too.
+        engine.want_position();
+    }
+    let now = boot_time();
+    let age_ms = |at: Option<Duration>| at.map(|at| age_in_ms(at, now));
+    RecordsAnswer {
+        instance: engine.identity().name.clone(),
+        question,
+        listed_age_ms: age_ms(engine.board().listed_at(asker)),
+        read_age_ms: age_ms(engine.records_word().read_at()),
+        records: groups.iter().filter_map(|group| copy_record(engine, group)).collect(),
+    }
 }
 
 fn copy_record(engine: &ProxyEngine, group: &ServiceGroup) -> Option<RecordCopy> {
@@ -201,24 +202,24 @@
     u64::try_from(age).unwrap_or(u64::MAX).saturating_add(1)
 }
 
-/// A peer's word that the store lists this instance.
-fn take_listing(engine: &ProxyEngine, question: u64, listed_age_ms: Option<u64>) {
-    let Some(asked_at) = engine.board().questions().asked_at(question) else { return };
-    if let Some(age_ms) = listed_age_ms {
-        engine.renew_listed(asked_at.saturating_sub(Duration::from_millis(age_ms)));
+/// A peer's word that the store lists this instance, and that it has read all records.
+fn take_listing(engine: &ProxyEngine, answer: &RecordsAnswer) {
+    let Some(asked_at) = engine.board().questions().asked_at(answer.question) else { return };
+    let moment = |age_ms| asked_at.saturating_sub(Duration::from_millis(age_ms));
+    if let Some(age_ms) = answer.listed_age_ms {
+        engine.renew_listed(moment(age_ms));
+    }
+    if let Some(age_ms) = answer.read_age_ms {
+        engine.note_records_told(moment(age_ms));
     }
 }
 
 /// The answer to a question of this instance's own.
-fn take_records(
-    engine: &ProxyEngine,
-    instance: &InstanceName,
-    question: u64,
-    records: &[RecordCopy],
-) {
+fn take_records(engine: &ProxyEngine, answer: &RecordsAnswer) {
+    let (question, instance) = (answer.question, &answer.instance);
     let Some(asked_at) = engine.board().questions().asked_at(question) else { return };
     engine.board().questions().note_answer(question, instance);
-    for copy in records {
+    for copy in &answer.records {
         // Guards against an answer that was long on its way: the peer looked after the question
         // was sent, so counted from then its word is older than it says, never younger.
         let confirmed_at = asked_at.saturating_sub(Duration::from_millis(copy.age_ms));
--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -23,6 +23,13 @@
 /// is at most as old as a reader's pause and one slow read; a permit's life is then not half over.
 const PEER_AGE_MAX: Duration = Duration::from_millis(700);
 
+/// How long an instance that starts waits for its entry in the list before it reads the records: what
+/// was read before gives no permit. Three calls to the store and their round trips between regions.
+const ENTRY_WAIT: Duration = Duration::from_millis(400);
+
+/// The least pause between two questions that callers cause.
+const ASK_PAUSE: Duration = Duration::from_millis(50);
+
 /// Peers that are asked when the store does not answer.
 const PEERS_ASKED: usize = 3;
 
@@ -32,17 +39,20 @@
 /// Reads of the store are paid for each, and its rate does not grow with the fleet.
 pub(crate) async fn follow(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
     let mut reachable = true;
+    // Over means that the entry takes longer; the records are read again when it is there.
+    let _ = tokio::time::timeout(ENTRY_WAIT, engine.list_entered()).await;
     loop {
         let sent_at = boot_time();
-        if !engine.board().is_reader() && follow_peers(&engine, &exchange).await {
-            tokio::time::sleep(READ_GAP - ANSWER_WAIT).await;
+        let follows = engine.has_read_records() && !engine.board().is_reader();
+        if follows && follow_peers(&engine, &exchange).await {
+            rest(&engine, &exchange, READ_GAP - ANSWER_WAIT).await;
             continue;
         }
         let answer = read_all(&engine).await;
         match &answer {
             Ok(records) => {
                 let services: Vec<_> = records.iter().map(|(service, _)| service.clone()).collect();
-                engine.note_records_read(&services);
+                engine.note_records_read(&services, sent_at);
                 for (service, record) in records {
                     engine.observe(service, record, sent_at);
                 }
@@ -57,7 +67,25 @@
             log::warn!(reachable = reachable, reason:% = reason; "the store's records");
         }
         let gap = if reachable { READ_GAP } else { READ_GAP / 2 };
-        tokio::time::sleep(gap.saturating_sub(boot_time().saturating_sub(sent_at))).await;
+        rest(&engine, &exchange, gap.saturating_sub(boot_time().saturating_sub(sent_at))).await;
+    }
+}
+
+/// Waits for `time`, or until this instance has entered the list: only what is read from then on
+/// lets it lead. Callers who wait for word have a reader asked at once.
+async fn rest(engine: &ProxyEngine, exchange: &PeerExchange, time: Duration) {
+    let until = tokio::time::Instant::now() + time;
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep_until(until) => return,
+            () = engine.list_entered() => return,
+            () = engine.word_wanted() => {
+                if !engine.board().is_reader() {
+                    ask_peers(engine, exchange, 1).await;
+                }
+                tokio::time::sleep(ASK_PAUSE).await;
+            }
+        }
     }
 }
 
@@ -95,16 +123,19 @@
     }
 }
 
-/// The age of what is known of the records; the greatest there is if a service has none.
-fn oldest_word(engine: &ProxyEngine) -> Duration {
+/// The age of what is known of the records. Of a service without one it is the age of the last read
+/// that showed none.
+pub(super) fn oldest_word(engine: &ProxyEngine) -> Duration {
     let now = boot_time();
+    let listed_age = engine.records_word().known_at().map(|at| now.saturating_sub(at));
+    let listed_age = listed_age.unwrap_or(Duration::MAX);
     let ages = engine.groups().into_iter().map(|group| {
         group.with_book(|book| match book.record() {
             Some(_) => now.saturating_sub(book.anchor()),
-            None => Duration::MAX,
+            None => listed_age,
         })
     });
-    ages.max().unwrap_or(Duration::MAX)
+    ages.max().unwrap_or(listed_age)
 }
 
 /// Asks `count` of the instances that read the store, the near ones first.
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -18,15 +18,20 @@
 /// The same for instances that others do not rely on.
 const FOLLOWER_GAP: Duration = Duration::from_secs(30);
 
-/// The pause before registering is tried again, and between the first reads.
+/// The pause before a first read or entry that failed is tried again.
 const AGAIN_PAUSE: Duration = Duration::from_millis(200);
 
+/// The pause between writing the entry and the next read. Instances that start at the same moment
+/// have written theirs by then, so that each knows its neighbours.
+const ENTERED_GAP: Duration = Duration::from_millis(150);
+
+/// The pause after the first read that shows the entry. Starts lie within 0.3 s, and an entry takes
+/// two round trips between regions, so that all who started together are listed by then.
+const SECOND_GAP: Duration = Duration::from_millis(800);
+
 /// The most time for one call.
 pub(super) const CALL_LIMIT: Duration = Duration::from_millis(1000);
 
-/// Reads soon after the start, while others start as well.
-const FIRST_READS: u32 = 3;
-
 /// What the store keeps of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct SeatRecord {
@@ -43,26 +48,41 @@
     }
 }
 
-/// Registers this instance, then follows the list.
+/// What a look at the list found of the own entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SeatFinding {
+    /// It stood there without a mark.
+    Stood,
+    /// It did not, and was written.
+    Entered,
+    /// It did not, and stays away, as this instance stops.
+    Left,
+}
+
+/// Enters the list if need be, and follows it.
+///
+/// The list is read before the entry is written: an instance that starts again finds its entry
+/// there, and leads one read after its start where a write that is refused and a look at what stands
+/// there take two round trips to the store more.
 pub(crate) async fn keep_registered(engine: Arc<ProxyEngine>) {
-    while let Err(error) = register(&engine).await {
-        log::warn!(reason:% = error; "this instance is not registered yet");
-        tokio::time::sleep(AGAIN_PAUSE).await;
-    }
-    log::info!(instance:% = engine.identity().name; "this instance is registered");
     let mut ledger = SeatLedger::default();
-    let mut reads = 0_u32;
+    let mut stood = false;
     loop {
-        let listed = follow_list(&engine, &mut ledger).await;
-        if let Err(error) = &listed {
-            log::info!(reason:% = error; "the list of instances was not read");
-        }
-        reads = reads.saturating_add(1);
-        let gap = match reads {
-            ..FIRST_READS => AGAIN_PAUSE * 2,
-            _ if engine.is_reader() || listed.is_err() => READER_GAP,
-            _ => FOLLOWER_GAP,
+        let found = follow_list(&engine, &mut ledger).await;
+        let gap = match &found {
+            Ok(SeatFinding::Entered) => ENTERED_GAP,
+            Ok(_) if !stood => SECOND_GAP,
+            Ok(_) if !engine.is_reader() => FOLLOWER_GAP,
+            Err(error) => {
+                log::info!(reason:% = error; "the list of instances was not read or written");
+                if stood { READER_GAP } else { AGAIN_PAUSE }
+            }
+            Ok(_) => READER_GAP,
         };
+        if !stood && found.is_ok() {
+            log::info!(instance:% = engine.identity().name; "this instance is registered");
+        }
+        stood = stood || found == Ok(SeatFinding::Stood);
         tokio::time::sleep(gap).await;
     }
 }
@@ -71,16 +91,20 @@
 pub(super) async fn follow_list(
     engine: &ProxyEngine,
     ledger: &mut SeatLedger,
-) -> Result<(), StoreError> {
+) -> Result<SeatFinding, StoreError> {
     let seats = read_seats(engine).await?;
     let own = &engine.identity().name;
-    let listed = seats.iter().any(|(seat, _)| seat.instance == *own && !seat.marked);
-    // Guards against an instance that stops and enters the list again, which nobody would take out
-    // for two minutes, with a permit's wait in each change of primary.
-    if !listed && engine.drain_phase() == DrainPhase::Serving {
+    let found = if seats.iter().any(|(seat, _)| is_own(engine, seat) && !seat.marked) {
+        SeatFinding::Stood
+    } else if engine.drain_phase() == DrainPhase::Serving {
         log::info!(instance:% = own; "this instance is not in the list, or marked there");
         register(engine).await?;
-    }
+        SeatFinding::Entered
+    } else {
+        // Guards against an instance that stops and enters the list again, which nobody would take
+        // out for two minutes, with a permit's wait in each change of primary.
+        SeatFinding::Left
+    };
     let names: Vec<InstanceName> = seats.iter().map(|(seat, _)| seat.instance.clone()).collect();
     ledger.retain(&names);
     let near = |seat: &PeerSeat| seat.domain == engine.identity().domain && seat.instance != *own;
@@ -93,7 +117,15 @@
             SeatVerdict::Remove => remove(engine, &seat.instance, version).await?,
         }
     }
-    Ok(())
+    Ok(found)
+}
+
+/// Whether an entry is this instance's, at its present address.
+fn is_own(engine: &ProxyEngine, seat: &PeerSeat) -> bool {
+    let identity = engine.identity();
+    seat.instance == identity.name
+        && seat.address == identity.peer_address
+        && seat.domain == identity.domain
 }
 
 async fn mark(
@@ -164,7 +196,7 @@
         .iter()
         .filter_map(|object| Some((read_seat(object)?, object.version.clone())))
         .collect();
-    let own = seats.iter().find(|(seat, _)| seat.instance == engine.identity().name);
+    let own = seats.iter().find(|(seat, _)| is_own(engine, seat));
     match own {
         Some((own, _)) if !own.marked => engine.set_listed(Some(sent_at)),
         // Leads on what an earlier read showed, until the mark is taken away or time runs out.
--- a/crates/rudder-engine/src/duty/tests/change.rs
+++ b/crates/rudder-engine/src/duty/tests/change.rs
@@ -102,7 +102,7 @@
     let members = FakeMembers::new(&[("a", 100), ("b", 100)]);
     let engine = engine_with_drain(&store, Some(Arc::clone(&members)), member_drain);
     engine.set_listed(Some(boot_time()));
-    engine.note_records_read(&[service()]);
+    engine.note_records_read(&[service()], boot_time());
     engine.apply_members(&members.entries(), 1);
     engine.observe(&service(), &record, boot_time());
     engine.leader(&engine.group(&service())).is_some()
--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -2,4 +2,6 @@
 
 mod change;
 mod fixture;
+mod records;
 mod registry;
+mod turn;
--- /dev/null
+++ b/crates/rudder-engine/src/duty/tests/records.rs
@@ -0,0 +1,42 @@
+//! How old the word of the records is.
+
+use super::fixture::{RecordStore, WriteFate, engine};
+use crate::clock::boot_time;
+use crate::duty::records::oldest_word;
+use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
+use rudder_core::LogTerm;
+use std::time::Duration;
+
+/// Far above the time that a test takes between two lines.
+const MOMENT: Duration = Duration::from_secs(30);
+
+fn record() -> LeadRecord {
+    let primary = "a".parse().expect("a name");
+    let phase = LeadPhase::Settled { primary, term: LogTerm(1), base: None };
+    LeadRecord { epoch: LeaderEpoch(1), mark: "m1".to_owned(), phase }
+}
+
+#[tokio::test]
+async fn a_service_without_record_is_as_old_as_the_readers_look() {
+    // A fleet starts and the store refuses calls: every instance reads the records every 0.4 s, as
+    // its services have none yet, although its domain's reader has just looked and says so.
+    let engine = engine(&RecordStore::new(&record(), &[WriteFate::Refused]), None);
+    engine.group(&"records".parse().expect("a name"));
+    let before = oldest_word(&engine);
+
+    engine.note_records_told(boot_time());
+
+    assert_eq!(before, Duration::MAX);
+    assert!(oldest_word(&engine) < MOMENT);
+}
+
+#[tokio::test]
+async fn a_record_that_nobody_confirmed_is_old_however_new_the_look() {
+    let engine = engine(&RecordStore::new(&record(), &[WriteFate::Refused]), None);
+    let service = "records".parse().expect("a name");
+    engine.observe(&service, &record(), Duration::ZERO);
+
+    engine.note_records_told(boot_time());
+
+    assert!(oldest_word(&engine) > MOMENT);
+}
--- a/crates/rudder-engine/src/duty/tests/registry.rs
+++ b/crates/rudder-engine/src/duty/tests/registry.rs
@@ -1,7 +1,7 @@
 //! The list of instances.
 
 use super::fixture::{RecordStore, WriteFate, engine};
-use crate::duty::registry::follow_list;
+use crate::duty::registry::{SeatFinding, follow_list};
 use crate::identity::DrainPhase;
 use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
 use crate::peers::SeatLedger;
@@ -26,7 +26,7 @@
 
     let followed = follow_list(&engine, &mut SeatLedger::default()).await;
 
-    assert_eq!(followed, Ok(()));
+    assert_eq!(followed, Ok(SeatFinding::Left));
     assert_eq!(store.write_count(), 0);
 }
 
--- /dev/null
+++ b/crates/rudder-engine/src/duty/turn.rs
@@ -0,0 +1,39 @@
+//! To whom a pulse is due.
+//!
+//! Load pattern: a whole fleet starts within a third of a second. An instance that pulses on its
+//! regular turn only is first heard up to a second after it learnt of its neighbours; until then each
+//! takes itself for the one that reads the store, so that all of them do.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// The turns of pulses to one group of receivers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PulseTurn {
+    /// When all were told last.
+    told_at: Option<Instant>,
+    /// Who has been told since they were receivers, sorted.
+    told: Vec<SocketAddr>,
+}
+
+impl PulseTurn {
+    /// Those of `receivers`, which are sorted, who are to be told now: all of them if there is news
+    /// or their turn has come, else those who are new.
+    pub(super) fn due(
+        &mut self,
+        receivers: Vec<SocketAddr>,
+        news: bool,
+        gap: Duration,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let over = self.told_at.is_none_or(|at| now.saturating_duration_since(at) >= gap);
+        let mut due = receivers.clone();
+        if news || over {
+            self.told_at = Some(now);
+        } else {
+            due.retain(|receiver| self.told.binary_search(receiver).is_err());
+        }
+        self.told = receivers;
+        due
+    }
+}
--- a/crates/rudder-engine/src/duty/watch.rs
+++ b/crates/rudder-engine/src/duty/watch.rs
@@ -35,7 +35,8 @@
                 tokio::spawn(watch(Arc::clone(&engine), group));
             }
         }
-        tokio::time::sleep(LOOK_GAP).await;
+        // A caller of a service that is new here does not wait for the next look.
+        engine.position_wanted(LOOK_GAP).await;
     }
 }
 
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -4,7 +4,9 @@
 use crate::group::{GroupMember, MemberEntry, ServiceGroup};
 use crate::identity::{DrainPhase, EngineBorders, InstanceIdentity};
 use crate::lead::{LeadPermit, LeadRecord, LeaderEpoch};
-use crate::peers::{CopyVersion, FleetCopy, LISTED_LIFE, PeerBoard};
+use crate::own_seat::OwnSeat;
+use crate::peers::{CopyVersion, FleetCopy, PeerBoard};
+use crate::records_word::RecordsWord;
 use crate::session::CallerSession;
 use crate::settings::{DatabaseName, FleetSettings, RouteRule, SettingsVersion};
 use crate::statement::StatementError;
@@ -45,13 +47,14 @@
     board: PeerBoard,
     drain: watch::Sender<DrainPhase>,
     position_wanted: Notify,
-    /// When the store last showed this instance in the list without a mark, so that a change of
-    /// primary waits for its word; none while it does not.
-    listed_at: Mutex<Option<Duration>>,
+    own_seat: Mutex<OwnSeat>,
+    /// Tells that this instance has entered the list.
+    list_entered: Notify,
     /// Whether a peer's copy is being fetched.
     fetching: AtomicBool,
-    /// Services without a record, as the store's last list showed; none before the first list.
-    recordless: Mutex<Option<Vec<ServiceName>>>,
+    records_word: Mutex<RecordsWord>,
+    /// Tells that callers wait for word of the primaries.
+    word_wanted: Notify,
 }
 
 impl ProxyEngine {
@@ -66,22 +69,37 @@
             store_word: Mutex::default(),
             drain: watch::Sender::new(DrainPhase::Serving),
             position_wanted: Notify::new(),
-            listed_at: Mutex::default(),
+            own_seat: Mutex::default(),
+            list_entered: Notify::new(),
             fetching: AtomicBool::new(false),
-            recordless: Mutex::default(),
+            records_word: Mutex::default(),
+            word_wanted: Notify::new(),
         })
     }
 
     /// Takes in that the list showed this instance at `listed_at`, or did not.
     pub(crate) fn set_listed(&self, listed_at: Option<Duration>) {
-        *lock(&self.listed_at) = listed_at;
+        let entered = match listed_at {
+            Some(listed_at) => lock(&self.own_seat).show(listed_at, boot_time()),
+            None => {
+                lock(&self.own_seat).hide();
+                false
+            }
+        };
+        if entered {
+            self.list_entered.notify_one();
+        }
     }
 
     /// Takes in a peer's word that the list showed this instance at `listed_at`. It renews what the
     /// store itself has said before, and does not stand in for it.
     pub(crate) fn renew_listed(&self, listed_at: Duration) {
-        let mut known = lock(&self.listed_at);
-        *known = known.map(|known| known.max(listed_at));
+        lock(&self.own_seat).renew(listed_at);
+    }
+
+    /// Waits until this instance has entered the list.
+    pub(crate) async fn list_entered(&self) {
+        self.list_entered.notified().await;
     }
 
     /// Whether this caller is the one to fetch a peer's copy.
@@ -93,40 +111,58 @@
         self.fetching.store(false, Ordering::Release);
     }
 
-    /// Takes in which services have a record.
-    pub(crate) fn note_records_read(&self, recorded: &[ServiceName]) {
+    /// Takes in which services have a record, by this process's own question of `asked_at`.
+    pub(crate) fn note_records_read(&self, recorded: &[ServiceName], asked_at: Duration) {
         let services = self.groups().into_iter().map(|group| group.service().clone());
         let without = services.filter(|service| !recorded.contains(service)).collect();
-        *lock(&self.recordless) = Some(without);
+        lock(&self.records_word).note_read(without, asked_at);
+    }
+
+    /// Takes in a peer's word that it had read all records at `read_at`.
+    pub(crate) fn note_records_told(&self, read_at: Duration) {
+        lock(&self.records_word).note_told(read_at);
+    }
+
+    /// What is known of the records as a whole.
+    pub(crate) fn records_word(&self) -> RecordsWord {
+        lock(&self.records_word).clone()
     }
 
     /// Whether this process has read the records from the store itself.
     pub(crate) fn has_read_records(&self) -> bool {
-        lock(&self.recordless).is_some()
+        lock(&self.records_word).read_at().is_some()
+    }
+
+    /// Asks for word of the primaries now.
+    pub(crate) fn want_word(&self) {
+        self.word_wanted.notify_one();
+    }
+
+    /// Waits until word of the primaries is wanted.
+    pub(crate) async fn word_wanted(&self) {
+        self.word_wanted.notified().await;
     }
 
-    /// Whether this process may have permits.
+    /// Whether what the store or a peer said at `said_at` may give this process permits.
     ///
     /// Guards against a permit that no change of primary waits for. An instance that the store does
     /// not list yet, or may list no more, is not asked to stop. And one that stopped, was killed
     /// and started again does not know that it stopped: a peer that is behind may tell it of the
     /// version before, so it needs the store's own word first.
-    fn may_lead(&self) -> bool {
-        let listed_at = *lock(&self.listed_at);
-        let listed = listed_at.is_some_and(|at| boot_time() < at + LISTED_LIFE);
-        listed && self.has_read_records()
+    fn may_lead_by(&self, said_at: Duration) -> bool {
+        lock(&self.own_seat).may_lead_by(said_at, boot_time()) && self.has_read_records()
     }
 
     /// Takes in that most instances knew of no later version at `vouched_at`.
     pub(crate) fn vouch(&self, service: &ServiceName, epoch: LeaderEpoch, vouched_at: Duration) {
-        if self.may_lead() {
+        if self.may_lead_by(vouched_at) {
             self.group(service).vouch(epoch, vouched_at);
         }
     }
 
     /// Whether the store's last list had no record of a service.
     pub(crate) fn is_recordless(&self, service: &ServiceName) -> bool {
-        lock(&self.recordless).as_ref().is_some_and(|without| without.contains(service))
+        lock(&self.records_word).lacks(service)
     }
 
     /// Takes in a record that was in place at `confirmed_at` or later.
@@ -136,7 +172,8 @@
         record: &LeadRecord,
         confirmed_at: Duration,
     ) -> bool {
-        let confirmed_at = if self.may_lead() { confirmed_at } else { Duration::ZERO };
+        let counts = self.may_lead_by(confirmed_at);
+        let confirmed_at = if counts { confirmed_at } else { Duration::ZERO };
         self.group(service).observe(record, confirmed_at)
     }
 
--- /dev/null
+++ b/crates/rudder-engine/src/own_seat.rs
@@ -0,0 +1,53 @@
+//! This instance's own entry in the list of instances, and whether it may lead by it.
+//!
+//! A change of primary waits for the instances that the list shows. So permits are only good for an
+//! instance whose entry stood before the record was read that gives them, and still stands.
+
+use crate::peers::LISTED_LIFE;
+use std::time::Duration;
+
+/// What is known of the own entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct OwnSeat {
+    /// The latest moment at which the list showed the entry without a mark; none while it does not.
+    listed_at: Option<Duration>,
+    /// By when the entry stood; it has not been missing since.
+    entered_by: Duration,
+}
+
+impl OwnSeat {
+    /// Takes in that the list showed the entry at `listed_at`, which is known at `now`; returns
+    /// whether it was not known to stand before.
+    pub(crate) fn show(&mut self, listed_at: Duration, now: Duration) -> bool {
+        let entered = self.listed_at.is_none();
+        if entered {
+            self.entered_by = now;
+        }
+        self.listed_at = self.listed_at.max(Some(listed_at));
+        entered
+    }
+
+    /// Takes in that the list lacks the entry.
+    pub(crate) fn hide(&mut self) {
+        self.listed_at = None;
+    }
+
+    /// Takes in that the list still showed the entry at `listed_at`.
+    pub(crate) fn renew(&mut self, listed_at: Duration) {
+        self.listed_at = self.listed_at.map(|known| known.max(listed_at));
+    }
+
+    /// Whether what was said of a record at `said_at` may give permits.
+    ///
+    /// Guards against a permit of an instance that is just entering the list: the record was read,
+    /// then a change of primary began and read the list, and only then the entry was there. The
+    /// change does not wait for this instance, so what was read before the entry stood counts for
+    /// nothing.
+    pub(crate) fn may_lead_by(&self, said_at: Duration, now: Duration) -> bool {
+        let stands = self.listed_at.is_some_and(|at| now < at + LISTED_LIFE);
+        stands && said_at >= self.entered_by
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -72,6 +72,24 @@
     }
 }
 
+plain_data! {
+    /// What an instance knows of all records. Ages are in milliseconds, rounded up.
+    #[derive(Serialize, Deserialize)]
+    pub(crate) struct RecordsAnswer {
+        /// Who answers.
+        pub(crate) instance: InstanceName,
+        /// The number of the question.
+        pub(crate) question: u64,
+        /// How long ago the store had the receiver in the list of instances; none if it did not, or
+        /// if it is about to be taken out.
+        pub(crate) listed_age_ms: Option<u64>,
+        /// How long ago the sender itself read all records from the store; none if it never did.
+        pub(crate) read_age_ms: Option<u64>,
+        /// What is known.
+        pub(crate) records: Vec<RecordCopy>,
+    }
+}
+
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
@@ -89,15 +107,5 @@
         question: u64,
     },
     /// The answer.
-    Records {
-        /// Who answers.
-        instance: InstanceName,
-        /// The number of the question.
-        question: u64,
-        /// How long ago the store had the receiver in the list of instances, in milliseconds,
-        /// rounded up; none if it did not, or if it is about to be taken out.
-        listed_age_ms: Option<u64>,
-        /// What is known.
-        records: Vec<RecordCopy>,
-    },
+    Records(RecordsAnswer),
 }
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -19,6 +19,10 @@
 /// The pause before the members are tried anew when none could serve.
 const ROUND_PAUSE: Duration = Duration::from_millis(25);
 
+/// How long word of the primary's position is awaited before it is asked for again: the first
+/// question may meet a reader that has just started and knows none either.
+const WORD_PAUSE: Duration = Duration::from_millis(60);
+
 /// What is to be run at a member that may be a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReadStep {
@@ -134,7 +138,8 @@
                 return None;
             }
             self.want_position();
-            group.wait_changed(left).await;
+            self.want_word();
+            group.wait_changed(left.min(WORD_PAUSE)).await;
         }
     }
 
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -104,6 +104,7 @@
                 if left.is_zero() {
                     return Err("no primary is confirmed");
                 }
+                self.want_word();
                 group.wait_changed(left).await;
                 continue;
             };
