rudderctl explain tells what became of a request; requests are shown to go on while nobody reads the log

Change: 'rudderctl explain ID FILES' puts the request's lines of all instances in order, names outcome and reason with their meaning, and shows what instances came to believe of that service from 6 s before to 3 s after, the same line of several instances once. Each line of a request names its service; ages are plain values.

Ruled out: keeping every line in memory; only the request's and those without a request are kept.

--- /dev/null
+++ b/crates/arbutusrudder/tests/processes/logs.rs
@@ -0,0 +1,55 @@
+//! Logs that nobody reads.
+
+use crate::program::{Fleet, insist, rows_of};
+use futures::future::join_all;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Callers, and reads of each: together more lines than may wait, and than a pipe holds.
+const CALLERS: usize = 20;
+const READS: usize = 1000;
+
+async fn metrics(admin: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(admin).await.expect("the pages are served");
+    let request = "GET /metrics HTTP/1.1\r\nHost: admin\r\nConnection: close\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.expect("the pages are served");
+    let mut page = String::new();
+    stream.read_to_string(&mut page).await.expect("the pages are served");
+    page
+}
+
+/// The value of a counter without labels.
+fn counter(page: &str, name: &str) -> u64 {
+    let line = page.lines().find(|line| line.starts_with(name));
+    line.and_then(|line| line.split(' ').nth(1)?.parse().ok()).unwrap_or(0)
+}
+
+/// What a user sees: every request hangs, on an instance that is otherwise well.
+/// Order: what collects the logs stops reading; callers go on reading, each read with a line of its
+/// own, until the pipe is full and no more lines may wait.
+/// Cause: a request waits for its log line to be written.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_go_on_while_nobody_reads_the_log() {
+    let fleet = Fleet::start(1).await;
+    let program = &fleet.programs[0];
+    let admin = program.address("admin").await;
+    let (maker, _) = program.connect("").await;
+    insist(&maker, "CREATE TABLE pages (id int PRIMARY KEY)").await;
+    insist(&maker, "INSERT INTO pages VALUES (7)").await;
+
+    program.read_log(false);
+    let callers = join_all((0..CALLERS).map(|_| program.connect(""))).await;
+    let served = join_all(callers.iter().map(|(client, _)| async move {
+        for _ in 0..READS {
+            assert_eq!(rows_of(client, "SELECT id FROM pages").await, ["7"]);
+        }
+        READS
+    }));
+    let served: usize = served.await.into_iter().sum();
+
+    let dropped = counter(&metrics(admin).await, "rudder_log_lines_dropped_total");
+    assert_eq!(served, CALLERS * READS);
+    assert!(dropped > 0, "all lines found a place, so nothing was tried");
+    program.read_log(true);
+}
--- a/crates/arbutusrudder/tests/processes/main.rs
+++ b/crates/arbutusrudder/tests/processes/main.rs
@@ -1,7 +1,8 @@
-//! Proofs with the real program: one operating system process per proxy, killed, frozen and asked
-//! to end.
+//! Proofs with the real program: one operating system process per proxy, killed, frozen, asked to
+//! end, and not listened to.
 
 mod failures;
+mod logs;
 mod program;
 mod shutdown;
 mod startup;
--- a/crates/arbutusrudder/tests/processes/program.rs
+++ b/crates/arbutusrudder/tests/processes/program.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -64,6 +64,8 @@
 pub(crate) struct Program {
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
+    /// Whether its standard output is read.
+    read: Arc<AtomicBool>,
     _settings: SettingsPath,
 }
 
@@ -75,13 +77,22 @@
         let mut child = command.stdout(Stdio::piped()).spawn().expect("the program starts");
         let output = child.stdout.take().expect("standard output is piped");
         let lines = Arc::new(Mutex::new(Vec::new()));
-        let sink = Arc::clone(&lines);
+        let read = Arc::new(AtomicBool::new(true));
+        let (sink, goes_on) = (Arc::clone(&lines), Arc::clone(&read));
         std::thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 sink.lock().expect("no thread panicked with the lines").push(line);
+                while !goes_on.load(Ordering::Relaxed) {
+                    std::thread::sleep(POLL);
+                }
             }
         });
-        Self { child, lines, _settings: settings }
+        Self { child, lines, read, _settings: settings }
+    }
+
+    /// Stops reading its standard output, or goes on with it.
+    pub(crate) fn read_log(&self, read: bool) {
+        self.read.store(read, Ordering::Relaxed);
     }
 
     /// The lines of its log so far.
--- a/crates/rudder-engine/src/session/caller.rs
+++ b/crates/rudder-engine/src/session/caller.rs
@@ -342,7 +342,8 @@
     if outcome == "served" && sampled {
         log::info!(
             request:% = id, database:% = database, took_ms = took.as_millis(),
-            position:? = reply.position.map(|position| position.to_string()), outcome = outcome;
+            position = reply.position.map_or_else(String::new, |at| at.to_string()).as_str(),
+            outcome = outcome;
             "a statement was served"
         );
     }
--- a/crates/rudder-engine/src/session/job.rs
+++ b/crates/rudder-engine/src/session/job.rs
@@ -8,7 +8,7 @@
     StatementReply, StatementShape, TransactionState,
 };
 use rand::RngExt;
-use rudder_core::LogStamp;
+use rudder_core::{LogStamp, ServiceName};
 use std::time::{Duration, Instant};
 
 /// The part of a request's latency target that it may wait before a member gets it. A request
@@ -23,6 +23,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct StatementJob {
     pub(crate) id: RequestId,
+    pub(crate) service: ServiceName,
     pub(crate) body: StatementBody,
     pub(crate) effect: StatementEffect,
     /// The prepared shape that the body names, if it does.
@@ -49,6 +50,7 @@
         let now = Instant::now();
         Self {
             id,
+            service: route.service.clone(),
             body,
             effect,
             shape,
@@ -138,10 +140,13 @@
     let age_ms = |at: Duration| now.saturating_sub(at).as_millis();
     let (epoch, record_age_ms) =
         group.with_book(|book| (book.epoch(), age_ms(book.confirmed_at())));
-    let sample_age_ms = group.newest_sample().map(|sample| age_ms(sample.sent_at));
+    let sample_age_ms = match group.newest_sample() {
+        Some(sample) => age_ms(sample.sent_at).to_string(),
+        None => "none".to_owned(),
+    };
     log::info!(
-        request:% = job.id, service:% = group.service(), effect:? = job.effect, reason = reason,
-        epoch:% = epoch, record_age_ms = record_age_ms, sample_age_ms:? = sample_age_ms,
+        request:% = job.id, service:% = job.service, effect:? = job.effect, reason = reason,
+        epoch:% = epoch, record_age_ms = record_age_ms, sample_age_ms = sample_age_ms.as_str(),
         waited_ms = job.began_at.elapsed().as_millis(), outcome = "not_run";
         "a statement was refused"
     );
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -186,8 +186,8 @@
     }
     let Some(error) = reply.error() else { return Ok((reply, link)) };
     log::info!(
-        request:% = job.id, member:% = member.name(), reason:% = error, outcome = "next_member";
-        "a member did not serve a read"
+        request:% = job.id, service:% = job.service, member:% = member.name(), reason:% = error,
+        outcome = "next_member"; "a member did not serve a read"
     );
     match error {
         StatementError::Lagging | StatementError::Busy | StatementError::ReadOnly => {
@@ -205,13 +205,16 @@
 
 fn log_attempt(member: &GroupMember, job: &StatementJob, error: &ExchangeError) {
     log::info!(
-        request:% = job.id, member:% = member.name(), reason:% = error.reason, sent = error.sent,
-        outcome = "next_member"; "a read got no answer"
+        request:% = job.id, service:% = job.service, member:% = member.name(),
+        reason:% = error.reason, sent = error.sent, outcome = "next_member";
+        "a read got no answer"
     );
 }
 
 fn timed_out(job: &StatementJob, step: ReadStep) -> StatementReply {
-    log::info!(request:% = job.id, outcome = "timed_out"; "a read ran out of time");
+    log::info!(
+        request:% = job.id, service:% = job.service, outcome = "timed_out"; "a read ran out of time"
+    );
     let text = "no member answered in time";
     StatementReply::refusal(StatementError::TimedOut, text, state_after(step))
 }
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -104,7 +104,7 @@
             Ok(reply) => reply,
             Err(error) => {
                 log::info!(
-                    request:% = job.id, member:% = pinned.member.name(),
+                    request:% = job.id, service:% = job.service, member:% = pinned.member.name(),
                     reason:% = error.reason, outcome = "rolled_back";
                     "a transaction lost its connection"
                 );
@@ -122,7 +122,7 @@
             // on would commit without the statement that it believes to be part of it.
             Some(error) => {
                 log::info!(
-                    request:% = job.id, member:% = pinned.member.name(), reason:% = error,
+                    request:% = job.id, service:% = job.service, member:% = pinned.member.name(), reason:% = error,
                     outcome = "rolled_back"; "a statement of a transaction failed"
                 );
                 StatementReply { state: TransactionState::Failed, ..reply }
@@ -204,7 +204,7 @@
             Err(error) => error.reason.to_string(),
         };
         log::info!(
-            request:% = job.id, member:% = start.member.name(), reason:% = reason;
+            request:% = job.id, service:% = job.service, member:% = start.member.name(), reason:% = reason;
             "a transaction did not begin"
         );
         if job.wait_left() < AGAIN_PAUSE {
@@ -237,7 +237,7 @@
         Ok(reply) => judge_commit(pinned, job, wrote, sent_at, reply),
         Err(error) if wrote => {
             log::warn!(
-                request:% = job.id, member:% = pinned.member.name(), reason:% = error.reason,
+                request:% = job.id, service:% = job.service, member:% = pinned.member.name(), reason:% = error.reason,
                 outcome = "in_doubt"; "a commit got no answer"
             );
             in_doubt("no answer to the commit")
@@ -255,7 +255,7 @@
 ) -> StatementReply {
     if let Some(error) = reply.error() {
         log::info!(
-            request:% = job.id, member:% = pinned.member.name(), reason:% = error;
+            request:% = job.id, service:% = job.service, member:% = pinned.member.name(), reason:% = error;
             "a commit was not done"
         );
         return match error {
@@ -267,7 +267,7 @@
     // Guards against a commit of a superseded primary that is acknowledged.
     if wrote && !pinned.may_answer() {
         log::warn!(
-            request:% = job.id, member:% = pinned.member.name(), outcome = "in_doubt";
+            request:% = job.id, service:% = job.service, member:% = pinned.member.name(), outcome = "in_doubt";
             "the permit lapsed during a commit"
         );
         return in_doubt("the primary was changed during the commit");
@@ -280,7 +280,8 @@
 
 fn aborted(job: &StatementJob, reason: &str) -> StatementReply {
     log::info!(
-        request:% = job.id, reason = reason, outcome = "rolled_back"; "a transaction was aborted"
+        request:% = job.id, service:% = job.service, reason = reason, outcome = "rolled_back";
+        "a transaction was aborted"
     );
     let text = retry_text(reason);
     StatementReply::refusal(StatementError::Aborted, &text, TransactionState::Failed)
--- a/crates/rudderctl/src/arguments.rs
+++ b/crates/rudderctl/src/arguments.rs
@@ -2,8 +2,8 @@
 
 use crate::address::PlatformAddress;
 use crate::options::{
-    CheckOptions, ControlCommand, ControlOptions, DrainOptions, FetchOptions, StatusOptions,
-    SubmitOptions, SwitchOptions,
+    CheckOptions, ControlCommand, ControlOptions, DrainOptions, ExplainOptions, FetchOptions,
+    StatusOptions, SubmitOptions, SwitchOptions,
 };
 use crate::output::{ExitWord, OutputForm};
 use argh::FromArgs;
@@ -67,6 +67,7 @@
     Status(StatusLine),
     Drain(DrainLine),
     Switch(SwitchLine),
+    Explain(ExplainLine),
 }
 
 /// Check a folder of settings files; needs no platform.
@@ -225,6 +226,29 @@
     json: bool,
 }
 
+/// Tell what became of one request, from the log lines of all instances.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "explain",
+    example = "{command_name} 5c0e7a21d94b36f8 entry-1.log entry-2.log",
+    example = "collect-logs --last 5m | {command_name} 5c0e7a21d94b36f8",
+    note = "Lines are those of arbutusrudder --platform. Without files they are read from standard input.\n\
+        A word before a line names its instance, else the file does.",
+    error_code(1, "No line names the request, or a file cannot be read.")
+)]
+struct ExplainLine {
+    /// the id that the caller sent with the request
+    #[argh(positional)]
+    request: String,
+    /// files of log lines, of all instances
+    #[argh(positional)]
+    logs: Vec<PathBuf>,
+    /// answer in JSON
+    #[argh(switch)]
+    json: bool,
+}
+
 fn default_namespace() -> String {
     PlatformOptions::default().namespace
 }
@@ -243,6 +267,7 @@
             CommandWord::Status(line) => line.into(),
             CommandWord::Drain(line) => line.into(),
             CommandWord::Switch(line) => line.into(),
+            CommandWord::Explain(line) => line.into(),
         };
         Self { command, form: OutputForm::new(json) }
     }
@@ -293,3 +318,10 @@
         (ControlCommand::Switch(options), line.json)
     }
 }
+
+impl From<ExplainLine> for (ControlCommand, bool) {
+    fn from(line: ExplainLine) -> Self {
+        let options = ExplainOptions { request: line.request, logs: line.logs };
+        (ControlCommand::Explain(options), line.json)
+    }
+}
--- /dev/null
+++ b/crates/rudderctl/src/command/explain.rs
@@ -0,0 +1,40 @@
+//! `explain`: what became of one request, from the logs of all instances.
+
+use crate::error::ControlError;
+use crate::explain::AccountBuilder;
+use crate::options::ExplainOptions;
+use crate::output::CommandReport;
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+use std::path::Path;
+
+pub(crate) fn explain(options: &ExplainOptions) -> Result<CommandReport, ControlError> {
+    let mut builder = AccountBuilder::new(&options.request);
+    if options.logs.is_empty() {
+        read_lines(&mut builder, io::stdin().lock(), Path::new("standard input"))?;
+    }
+    for path in &options.logs {
+        let file = File::open(path).map_err(|error| unreadable(path, &error))?;
+        read_lines(&mut builder, BufReader::new(file), path)?;
+    }
+    let account = builder.finish().map_err(ControlError::Account)?;
+    Ok(CommandReport::done(&account))
+}
+
+fn read_lines(
+    builder: &mut AccountBuilder,
+    input: impl BufRead,
+    path: &Path,
+) -> Result<(), ControlError> {
+    let file = path.file_stem().map(|name| name.to_string_lossy()).unwrap_or_default();
+    for line in input.split(b'\n') {
+        let line = line.map_err(|error| unreadable(path, &error))?;
+        // A line that a crash cut off may end in the middle of a character.
+        builder.take(&String::from_utf8_lossy(&line), &file);
+    }
+    Ok(())
+}
+
+fn unreadable(path: &Path, error: &io::Error) -> ControlError {
+    ControlError::Unreadable { path: path.display().to_string(), reason: error.to_string() }
+}
--- a/crates/rudderctl/src/command/mod.rs
+++ b/crates/rudderctl/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod drain;
+mod explain;
 mod fetch;
 mod instance;
 mod status;
@@ -10,6 +11,7 @@
 
 pub(crate) use check::check;
 pub(crate) use drain::drain;
+pub(crate) use explain::explain;
 pub(crate) use fetch::fetch;
 pub(crate) use status::status;
 pub(crate) use submit::submit;
--- a/crates/rudderctl/src/error.rs
+++ b/crates/rudderctl/src/error.rs
@@ -1,5 +1,6 @@
 //! Why a command did not do what was asked.
 
+use crate::explain::AccountError;
 use crate::output::ExitWord;
 use displaydoc::Display;
 use rudder_core::{MemberName, ServiceName};
@@ -53,6 +54,15 @@
         /// What the operating system said.
         reason: String,
     },
+    /// {path} cannot be read: {reason}
+    Unreadable {
+        /// The file.
+        path: String,
+        /// What the operating system said.
+        reason: String,
+    },
+    /// {0}
+    Account(AccountError),
     /// {0} would be overwritten although changed here; submit or move them away, then fetch
     LocalChanges(String),
     /// {path} is damaged ({reason}); fetch the folder again
--- /dev/null
+++ b/crates/rudderctl/src/explain/account/tests.rs
@@ -0,0 +1,79 @@
+use super::{AccountBuilder, AccountError};
+
+/// A line as an instance writes it, behind the words of a collector.
+fn line(second: u32, instance: &str, message: &str, facts: &str) -> String {
+    format!(
+        r#" {second}.5 {instance} {{"timestamp":"2026-04-14T22:09:{second:02}.5+00:00","level":"INFO","message":"{message}","kvs":{{{facts}}}}}"#
+    )
+}
+
+const CHANGED: &str = r#""service":"orders","epoch":"2","phase":"Changing","age_ms":3"#;
+const REFUSED: &str = r#""request":"r1","service":"orders","outcome":"not_run","reason":"no primary is confirmed","record_age_ms":2900"#;
+
+fn builder(lines: &[String]) -> AccountBuilder {
+    let mut builder = AccountBuilder::new("r1");
+    for line in lines {
+        builder.take(line, "a-file");
+    }
+    builder
+}
+
+#[test]
+fn a_refusal_is_traced_to_the_change_of_its_services_primary() {
+    let lines = [
+        line(20, "entry-1", "a statement was refused", REFUSED),
+        line(19, "entry-1", "the record of the primary changed", CHANGED),
+        line(19, "entry-2", "the record of the primary changed", &CHANGED.replace(":3", ":7")),
+        line(
+            19,
+            "entry-2",
+            "the record of the primary changed",
+            r#""service":"pages","epoch":"9""#,
+        ),
+        line(
+            1,
+            "entry-1",
+            "the record of the primary changed",
+            r#""service":"orders","epoch":"1""#,
+        ),
+        line(20, "entry-1", "a statement was refused", &REFUSED.replace("r1", "r2")),
+    ];
+
+    let account = builder(&lines).finish().expect("the request is named");
+
+    insta::assert_snapshot!(account);
+}
+
+#[test]
+fn lines_of_several_instances_are_put_in_order() {
+    let lines = [
+        line(22, "entry-2", "a read ran out of time", r#""request":"r1","outcome":"timed_out""#),
+        line(21, "entry-1", "a read got no answer", r#""request":"r1","outcome":"next_member""#),
+    ];
+
+    let account = builder(&lines).finish().expect("the request is named").to_string();
+
+    let first = account.find("got no answer").expect("it is told");
+    let second = account.find("out of time").expect("it is told");
+    assert!(first < second);
+    assert!(account.contains("outcome: timed_out"));
+}
+
+#[test]
+fn a_request_that_no_line_names_says_so() {
+    let lines = [line(20, "entry-1", "a statement was refused", &REFUSED.replace("r1", "r2"))];
+
+    let error = builder(&lines).finish().expect_err("no line names it");
+
+    assert_eq!(error, AccountError::Unmentioned { id: "r1".to_owned(), lines: 1 });
+}
+
+#[test]
+fn what_is_no_line_of_an_instance_is_passed_over() {
+    let cut_off = r#" 3.5 entry-1 {"timestamp":"2026-04-14T22:0"#;
+    let foreign = r#"{"level":"INFO"}"#;
+
+    let error = builder(&[cut_off.to_owned(), foreign.to_owned(), "text".to_owned()]).finish();
+
+    assert_eq!(error, Err(AccountError::NoLines));
+}
--- /dev/null
+++ b/crates/rudderctl/src/explain/advice.rs
@@ -0,0 +1,75 @@
+//! What the words of a deciding line mean, and where to look next.
+
+/// The meaning of a reason or outcome.
+struct WordMeaning {
+    word: &'static str,
+    meaning: &'static str,
+}
+
+/// Sorted by word.
+const MEANINGS: [WordMeaning; 13] = [
+    WordMeaning {
+        word: "all connections are in use",
+        meaning: "a burst at this instance, or the member still counts connections of machines that \
+                  were lost; look for connection_limit",
+    },
+    WordMeaning {
+        word: "in_doubt",
+        meaning: "the change may have been kept: no answer came after it was sent, or the primary \
+                  was changed meanwhile; the next record of the primary tells from where on (base)",
+    },
+    WordMeaning {
+        word: "no member could be reached",
+        meaning: "every member refused connections or is unreachable from this instance",
+    },
+    WordMeaning {
+        word: "no member could serve the read in time",
+        meaning: "replicas lack the position asked for, or all members are full; the lines before \
+                  name each member's reason",
+    },
+    WordMeaning {
+        word: "no primary is confirmed",
+        meaning: "a change of primary was under way, or neither the store nor enough peers confirmed \
+                  the record lately; compare record_age_ms",
+    },
+    WordMeaning {
+        word: "rolled_back",
+        meaning: "the transaction's connection or primary was lost before its commit; nothing is kept",
+    },
+    WordMeaning {
+        word: "served",
+        meaning: "a member answered; if the caller has no answer, its connection to the instance broke",
+    },
+    WordMeaning {
+        word: "the primary cannot be reached",
+        meaning: "connections to the primary fail; if most readers see the same, it is replaced",
+    },
+    WordMeaning {
+        word: "the primary has lost the lead",
+        meaning: "the member answered as a replica: it was replaced, or stepped down",
+    },
+    WordMeaning {
+        word: "the primary is busy",
+        meaning: "all slots and the queue of the primary were taken",
+    },
+    WordMeaning {
+        word: "the primary's position is not known",
+        meaning: "no position of the primary within the bound: it was silent, or this instance had \
+                  just started; compare sample_age_ms",
+    },
+    WordMeaning {
+        word: "timed_out",
+        meaning: "members were tried until the time of the statement was over; a read ran nowhere to \
+                  its end",
+    },
+    WordMeaning {
+        word: "withheld",
+        meaning: "the answer came from a primary that was no longer confirmed, and was not passed on",
+    },
+];
+
+/// What a word means, if it is one of ours.
+pub(super) fn meaning_of(word: &str) -> Option<&'static str> {
+    let found = MEANINGS.binary_search_by(|known| known.word.cmp(word));
+    found.ok().map(|index| MEANINGS[index].meaning)
+}
--- /dev/null
+++ b/crates/rudderctl/src/explain/line.rs
@@ -0,0 +1,67 @@
+//! One log line, as instances write it and collectors pass it on.
+
+use jiff::Timestamp;
+use serde::Deserialize;
+use serde_json::{Map, Value};
+
+/// A line as instances write it.
+#[derive(Deserialize)]
+struct WireLine {
+    timestamp: String,
+    message: String,
+    #[serde(default)]
+    kvs: Map<String, Value>,
+}
+
+/// One fact of a line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct LogFact {
+    pub(super) name: String,
+    pub(super) value: String,
+}
+
+/// A line that could be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct LogLine {
+    /// When it was written, by the clock of its instance.
+    pub(super) time: Timestamp,
+    /// Who wrote it: what the collector put before the line, or the name of the file.
+    pub(super) source: String,
+    pub(super) message: String,
+    /// Sorted by name.
+    pub(super) facts: Vec<LogFact>,
+}
+
+impl LogLine {
+    /// Reads a line; collectors may have put words before it, of which the last names the instance.
+    /// None if it is no line of an instance.
+    pub(super) fn read(text: &str, file: &str) -> Option<Self> {
+        let start = text.find('{')?;
+        let wire: WireLine = serde_json::from_str(text[start..].trim_end()).ok()?;
+        let prefix = text[..start].split_whitespace().last();
+        let mut facts: Vec<LogFact> = wire.kvs.into_iter().map(LogFact::from).collect();
+        facts.sort_by(|left, right| left.name.cmp(&right.name));
+        Some(Self {
+            time: wire.timestamp.parse().ok()?,
+            source: prefix.unwrap_or(file).to_owned(),
+            message: wire.message,
+            facts,
+        })
+    }
+
+    /// The value of a fact.
+    pub(super) fn fact(&self, name: &str) -> Option<&str> {
+        let found = self.facts.binary_search_by(|fact| fact.name.as_str().cmp(name));
+        found.ok().map(|index| self.facts[index].value.as_str())
+    }
+}
+
+impl From<(String, Value)> for LogFact {
+    fn from((name, value): (String, Value)) -> Self {
+        let value = match value {
+            Value::String(text) => text,
+            other => other.to_string(),
+        };
+        Self { name, value }
+    }
+}
--- a/crates/rudderctl/src/main.rs
+++ b/crates/rudderctl/src/main.rs
@@ -5,6 +5,7 @@
 mod base;
 mod command;
 mod error;
+mod explain;
 mod options;
 mod output;
 mod platform;
--- a/crates/rudderctl/src/options.rs
+++ b/crates/rudderctl/src/options.rs
@@ -24,6 +24,7 @@
     Status(StatusOptions),
     Drain(DrainOptions),
     Switch(SwitchOptions),
+    Explain(ExplainOptions),
 }
 
 #[derive(Clone, Debug)]
@@ -70,3 +71,11 @@
     /// How long to wait until the order was carried out; zero only orders.
     pub(crate) wait: Duration,
 }
+
+#[derive(Clone, Debug)]
+pub(crate) struct ExplainOptions {
+    /// The id that the caller sent with the request.
+    pub(crate) request: String,
+    /// Files of log lines; none for standard input.
+    pub(crate) logs: Vec<PathBuf>,
+}
--- a/crates/rudderctl/src/run.rs
+++ b/crates/rudderctl/src/run.rs
@@ -18,6 +18,7 @@
             ControlCommand::Status(options) => command::status(options).await,
             ControlCommand::Drain(options) => command::drain(options).await,
             ControlCommand::Switch(options) => command::switch(options).await,
+            ControlCommand::Explain(options) => command::explain(options),
         }
     });
     print(&result, options.form)
