Shares of connections, the order of members and of waiters stand in rudder-decisions

Cause: what is shared, what waits and where a read goes on the users' platform was decided inside the engine's pools, beside locks and sockets, without a replay of the load that it answers.

Change: DomainShare, ReadStanding, SeatPlace and WaitLine are pure and public there, each with its load pattern and reasons; the engine only asks them. Distances stood twice (shares, order of members) and stand once. The four tests of shares moved unchanged; new ones replay a burst of 400 reads with 20 orders before two connections a millisecond (last order after 209 ms as they came, after 9 ms now, the reads' last one no later) and reads of a domain whose member trails.

--- a/crates/rudder-engine/src/group/share.rs
+++ b/crates/rudder-decisions/src/domain_share.rs
@@ -9,7 +9,7 @@
 //! instance works them out from the same list, unless there are more instances than connections:
 //! then each may hold one, and gives it up when it is not in use.
 
-use rudder_core::DomainName;
+use crate::place::{PlaceDistance, SeatPlace};
 
 /// Parts of the member's own failure domain.
 const NEAR_WEIGHT: u32 = 6;
@@ -27,62 +27,70 @@
 /// instance that reads the store for all, of which there are three to seven.
 const RESERVE: u32 = 4;
 
-/// Where an instance or a member is.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct SeatPlace {
-    pub(crate) domain: DomainName,
-    pub(crate) region: String,
-}
-
 /// What a share depends on.
 #[derive(Clone, Debug)]
-pub(crate) struct ShareInput<'a> {
+pub struct DomainShareInput<'a> {
     /// Connections that the member takes from all.
-    pub(crate) connections_max: u32,
+    pub connections_max: u32,
     /// Where the member is.
-    pub(crate) member: SeatPlace,
+    pub member: SeatPlace,
     /// Where this instance is.
-    pub(crate) own: SeatPlace,
+    pub own: SeatPlace,
     /// Where all instances are, this one included.
-    pub(crate) all: &'a [SeatPlace],
+    pub all: &'a [SeatPlace],
     /// Whether the member is the primary.
-    pub(crate) is_primary: bool,
+    pub is_primary: bool,
 }
 
 /// The connections of one instance to one member.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct ConnectionShare {
+pub struct DomainShare {
     /// How many it may hold.
-    pub(crate) limit: u32,
+    pub limit: u32,
     /// Whether there are fewer than instances, so that idle ones must be given up.
-    pub(crate) scarce: bool,
+    pub scarce: bool,
 }
 
-/// The connections that this instance may hold; at least one.
-pub(crate) fn connection_share(input: &ShareInput<'_>) -> ConnectionShare {
-    let free = input.connections_max.saturating_sub(RESERVE);
-    let weight = |place: &SeatPlace| weight_of(place, &input.member, input.is_primary);
-    let mut domains: Vec<&SeatPlace> = Vec::new();
-    for place in input.all {
-        if !domains.iter().any(|known| known.domain == place.domain) {
-            domains.push(place);
+impl DomainShare {
+    /// The connections that an instance may hold; at least one.
+    ///
+    /// ```
+    /// use rudder_decisions::{DomainShare, DomainShareInput, SeatPlace};
+    /// let place = SeatPlace { domain: "kigali-a".parse()?, region: "kigali".to_owned() };
+    /// let all = [place.clone(), place.clone()];
+    /// let input = DomainShareInput {
+    ///     connections_max: 38,
+    ///     member: place.clone(),
+    ///     own: place,
+    ///     all: &all,
+    ///     is_primary: true,
+    /// };
+    /// assert_eq!(DomainShare::of(&input).limit, 17);
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn of(input: &DomainShareInput<'_>) -> Self {
+        let free = input.connections_max.saturating_sub(RESERVE);
+        let weight = |place: &SeatPlace| weight_of(place, &input.member, input.is_primary);
+        let mut domains: Vec<&SeatPlace> = Vec::new();
+        for place in input.all {
+            if !domains.iter().any(|known| known.domain == place.domain) {
+                domains.push(place);
+            }
         }
+        let parts: u32 = domains.into_iter().map(weight).sum();
+        let neighbours = input.all.iter().filter(|place| place.domain == input.own.domain).count();
+        let neighbours = u32::try_from(neighbours).unwrap_or(u32::MAX);
+        let limit = free * weight(&input.own) / parts.max(1) / neighbours.max(1);
+        Self { limit: limit.max(1), scarce: limit == 0 }
     }
-    let parts: u32 = domains.into_iter().map(weight).sum();
-    let neighbours = input.all.iter().filter(|place| place.domain == input.own.domain).count();
-    let neighbours = u32::try_from(neighbours).unwrap_or(u32::MAX);
-    let limit = free * weight(&input.own) / parts.max(1) / neighbours.max(1);
-    ConnectionShare { limit: limit.max(1), scarce: limit == 0 }
 }
 
 fn weight_of(place: &SeatPlace, member: &SeatPlace, is_primary: bool) -> u32 {
-    if place.domain == member.domain {
-        NEAR_WEIGHT
-    } else if is_primary {
-        FAR_PRIMARY_WEIGHT
-    } else if place.region == member.region {
-        REGION_WEIGHT
-    } else {
-        FAR_WEIGHT
+    match place.distance(member) {
+        PlaceDistance::SameDomain => NEAR_WEIGHT,
+        _ if is_primary => FAR_PRIMARY_WEIGHT,
+        PlaceDistance::SameRegion => REGION_WEIGHT,
+        PlaceDistance::Elsewhere => FAR_WEIGHT,
     }
 }
--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -9,13 +9,17 @@
 mod admission;
 mod average;
 mod detector;
+mod domain_share;
 mod meter;
 mod outlier;
+mod place;
 mod ramp;
 mod reconnect;
 mod retry;
 mod routing;
 mod share;
+mod standing;
+mod wait_line;
 mod work;
 
 pub use admission::{
@@ -23,8 +27,10 @@
     RefusalReason, RefusalWord, TicketId, TicketNotice, TicketOutcome,
 };
 pub use detector::{PulseDetector, SuspicionBound};
+pub use domain_share::{DomainShare, DomainShareInput};
 pub use meter::MemberMeter;
 pub use outlier::OutlierTracker;
+pub use place::{PlaceDistance, SeatPlace};
 pub use ramp::RampSchedule;
 pub use reconnect::ReconnectPacer;
 pub use retry::RetryBudget;
@@ -33,4 +39,6 @@
     RouteChoice, RouteReason,
 };
 pub use share::{DemandPart, SlotShare, holders_max, holders_of};
+pub use standing::ReadStanding;
+pub use wait_line::WaitLine;
 pub use work::{WorkClass, WorkEstimate, WorkSize};
--- a/crates/rudder-engine/src/group/tests/share.rs
+++ b/crates/rudder-decisions/tests/load/domain_share.rs
@@ -1,7 +1,6 @@
 //! Shares of a member's connections: all instances of a deployment work theirs out at once.
 
-use crate::group::SeatPlace;
-use crate::group::share::{ShareInput, connection_share};
+use rudder_decisions::{DomainShare, DomainShareInput, SeatPlace};
 
 fn place(domain: &str) -> SeatPlace {
     let region = domain.trim_end_matches(|c: char| c.is_ascii_digit());
@@ -13,7 +12,8 @@
     let all: Vec<SeatPlace> = domains.iter().map(|domain| place(domain)).collect();
     let share = |own: &SeatPlace| {
         let (member, own) = (place(member), own.clone());
-        connection_share(&ShareInput { connections_max, member, own, all: &all, is_primary }).limit
+        DomainShare::of(&DomainShareInput { connections_max, member, own, all: &all, is_primary })
+            .limit
     };
     all.iter().map(share).collect()
 }
@@ -53,7 +53,7 @@
     let all: Vec<SeatPlace> = domains.iter().map(|domain| place(domain)).collect();
     let own = place("n3");
 
-    let share = connection_share(&ShareInput {
+    let share = DomainShare::of(&DomainShareInput {
         connections_max: 30,
         member: place("n0"),
         own,
--- a/crates/rudder-decisions/tests/load/main.rs
+++ b/crates/rudder-decisions/tests/load/main.rs
@@ -25,6 +25,7 @@
 mod burst;
 mod busy_caller;
 mod detection;
+mod domain_share;
 mod endpoints;
 mod gate_invariants;
 mod long_work;
@@ -32,6 +33,8 @@
 mod routing;
 mod saturation;
 mod shares;
+mod standing;
+mod wait_line;
 
 use model::{MemberSpec, Outcome, Request};
 use scenes::{INSTANCES, group};
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -3,12 +3,13 @@
 use super::change::{self, JudgedChange};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
-use crate::group::{GroupMember, MemberState, SeatPlace, ServiceGroup};
+use crate::group::{GroupMember, MemberState, ServiceGroup};
 use crate::identity::DrainPhase;
 use crate::lead::{GroupSigns, LeadBook, LeadPhase, QUORUM_REACH, judge_change};
 use crate::peers::PeerExchange;
 use crate::sync::lock;
 use rudder_core::{DomainName, MemberName, MemberRole, ServiceName};
+use rudder_decisions::SeatPlace;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
--- a/crates/rudder-engine/src/group/mod.rs
+++ b/crates/rudder-engine/src/group/mod.rs
@@ -6,7 +6,6 @@
 mod placement;
 mod pool;
 mod service;
-mod share;
 
 pub(crate) use image::put_value;
 pub(crate) use link::{ExchangeError, PooledLink};
@@ -15,7 +14,6 @@
 pub(crate) use placement::{ReadPlace, order_members};
 pub(crate) use pool::AcquireError;
 pub(crate) use service::ServiceGroup;
-pub(crate) use share::SeatPlace;
 
 #[cfg(test)]
 mod tests;
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -4,14 +4,15 @@
 //! them over the pauses of their transactions. Without a share of its own the busiest instance
 //! takes them all and the rest are refused; without a queue a caller is refused although a
 //! connection comes free a millisecond later; without priorities the reads that can wait stand
-//! before orders. Limits: the share comes from [`super::share`], the wait from the caller.
+//! before orders. Limits: the share comes from [`DomainShare`], the order from [`WaitLine`], the wait
+//! from the caller.
 
 use super::link::PooledLink;
-use super::share::ConnectionShare;
 use crate::border::{LinkError, MemberDialer, MemberTarget};
 use crate::statement::StatementError;
 use crate::sync::lock;
 use displaydoc::Display;
+use rudder_decisions::{DomainShare, WaitLine};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -57,18 +58,11 @@
     /// Connections that are idle, in use or being opened.
     open: u32,
     limit: u32,
-    waiters: Vec<Waiter>,
-    next_turn: u64,
+    waiters: WaitLine<oneshot::Sender<Grant>>,
     down_until: Option<Instant>,
     refused_until: Option<Instant>,
 }
 
-struct Waiter {
-    priority: u8,
-    turn: u64,
-    sender: oneshot::Sender<Grant>,
-}
-
 enum Grant {
     Link(PooledLink),
     Dial(OpenPlace),
@@ -90,8 +84,7 @@
             idle: Vec::new(),
             open: 0,
             limit,
-            waiters: Vec::new(),
-            next_turn: 0,
+            waiters: WaitLine::default(),
             down_until: None,
             refused_until: None,
         };
@@ -107,7 +100,7 @@
     }
 
     /// Sets how many connections may be open; idle ones above it are closed.
-    pub(crate) fn set_share(&self, share: ConnectionShare) {
+    pub(crate) fn set_share(&self, share: DomainShare) {
         let mut closed = Vec::new();
         {
             let mut state = self.state();
@@ -212,12 +205,7 @@
             return Claim::Granted(Grant::Dial(OpenPlace::new(self)));
         }
         let (sender, receiver) = oneshot::channel();
-        let turn = state.next_turn;
-        state.next_turn += 1;
-        let index = state
-            .waiters
-            .partition_point(|waiter| (waiter.priority, waiter.turn) <= (priority, turn));
-        state.waiters.insert(index, Waiter { priority, turn, sender });
+        state.waiters.join(priority, sender);
         Claim::Waiting(receiver)
     }
 
@@ -270,13 +258,12 @@
                 link.close();
                 return;
             }
-            if state.waiters.is_empty() {
+            let Some(waiter) = state.waiters.next() else {
                 state.idle.push(link);
                 return;
-            }
-            let waiter = state.waiters.remove(0);
+            };
             drop(state);
-            match waiter.sender.send(Grant::Link(link)) {
+            match waiter.send(Grant::Link(link)) {
                 Ok(()) => return,
                 // The caller gave up; the next one gets it.
                 Err(Grant::Link(back)) => link = back,
@@ -291,13 +278,14 @@
             let waiter = {
                 let mut state = self.state();
                 state.open = state.open.saturating_sub(1);
-                if state.open >= state.limit || state.waiters.is_empty() {
+                if state.open >= state.limit {
                     return;
                 }
+                let Some(waiter) = state.waiters.next() else { return };
                 state.open += 1;
-                state.waiters.remove(0)
+                waiter
             };
-            match waiter.sender.send(Grant::Dial(OpenPlace::new(self))) {
+            match waiter.send(Grant::Dial(OpenPlace::new(self))) {
                 Ok(()) => return,
                 // The caller gave up; the place goes to the next one.
                 Err(Grant::Dial(place)) => place.keep(),
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -1,12 +1,12 @@
 //! One service: its members, its primary, and what is known of their logs.
 
 use super::member::{GroupMember, MemberEntry, keep_or_make};
-use super::share::{ConnectionShare, SeatPlace, ShareInput, connection_share};
 use crate::border::MemberDialer;
 use crate::clock::boot_time;
 use crate::lead::{LeadBook, LeadPermit, LeadRecord, LeaderEpoch, PositionHistory};
 use crate::sync::lock;
 use rudder_core::{FreshSample, LogStamp, MemberName, ServiceName};
+use rudder_decisions::{DomainShare, DomainShareInput, SeatPlace};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -219,11 +219,9 @@
         let primary =
             self.with_book(|book| book.record().and_then(|record| record.primary().cloned()));
         for member in self.members() {
-            let place =
-                SeatPlace { domain: member.domain().clone(), region: member.region().to_owned() };
-            let share = connection_share(&ShareInput {
+            let share = DomainShare::of(&DomainShareInput {
                 connections_max,
-                member: place,
+                member: member.place(),
                 own: own.clone(),
                 all,
                 is_primary: primary.as_ref() == Some(member.name()),
@@ -237,7 +235,7 @@
 fn close_dropped(known: &[Arc<GroupMember>], kept: &[Arc<GroupMember>]) {
     for member in known {
         if !kept.iter().any(|kept| Arc::ptr_eq(kept, member)) {
-            member.pool().set_share(ConnectionShare::default());
+            member.pool().set_share(DomainShare::default());
         }
     }
 }
--- a/crates/rudder-engine/src/group/tests/mod.rs
+++ b/crates/rudder-engine/src/group/tests/mod.rs
@@ -3,4 +3,3 @@
 mod image;
 mod pool;
 mod service;
-mod share;
--- a/crates/rudder-engine/src/group/tests/pool.rs
+++ b/crates/rudder-engine/src/group/tests/pool.rs
@@ -2,12 +2,12 @@
 
 use crate::border::{LinkError, MemberDialer, MemberLink, MemberTarget};
 use crate::group::pool::{AcquireError, MemberPool};
-use crate::group::share::ConnectionShare;
 use crate::statement::{
     MemberCommand, StatementError, StatementOutcome, StatementReply, TransactionState,
 };
 use async_trait::async_trait;
 use rudder_core::MemberStatus;
+use rudder_decisions::DomainShare;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -166,7 +166,7 @@
     let second = pool.acquire(1, LONG).await.expect("a connection");
     drop(first);
 
-    pool.set_share(ConnectionShare { limit: 1, scarce: false });
+    pool.set_share(DomainShare { limit: 1, scarce: false });
     drop(second);
 
     assert_eq!(pool.spare(), 1);
--- a/crates/rudder-engine/src/identity.rs
+++ b/crates/rudder-engine/src/identity.rs
@@ -2,6 +2,7 @@
 
 use crate::border::{MemberDialer, PromotionCall};
 use rudder_core::{DomainName, InstanceName, plain_data};
+use rudder_decisions::SeatPlace;
 use rudder_store::PlatformStore;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,6 +26,13 @@
     }
 }
 
+impl InstanceIdentity {
+    /// Where it is.
+    pub(crate) fn place(&self) -> SeatPlace {
+        SeatPlace { domain: self.domain.clone(), region: self.region.clone() }
+    }
+}
+
 /// The systems around this instance.
 #[derive(Clone)]
 pub struct EngineBorders {
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -86,11 +86,7 @@
                 let reason = "the primary's position is not known";
                 return Err(refuse(&group, job, reason, state_after(step)));
             };
-            let place = ReadPlace {
-                domain: self.identity().domain.clone(),
-                region: self.identity().region.clone(),
-                floor: Some(floor),
-            };
+            let place = ReadPlace { own: self.identity().place(), floor: Some(floor) };
             let members = order_members(&group.members(), &place);
             let mut left = members.iter().filter(|member| !tried.contains(member.name()));
             let Some(member) = left.next() else {
