The engine's word of store and peers stands in files of its own; settings never go back on several threads

Change: lead_word and fleet_word hold what the store and peers say; look and change are one step.

Ruled out: a lock around both, as the channel of the settings has one.

--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -4,4 +4,5 @@
 mod fixture;
 mod records;
 mod registry;
+mod settings;
 mod turn;
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -1,11 +1,13 @@
 //! What all parts of one instance share.
 
-use crate::clock::boot_time;
-use crate::group::{GroupMember, MemberEntry, ServiceGroup};
+mod fleet_word;
+mod lead_word;
+
+use crate::group::{GroupMember, ServiceGroup};
 use crate::identity::{DrainPhase, EngineBorders, InstanceIdentity};
-use crate::lead::{LeadPermit, LeadRecord, LeaderEpoch};
+use crate::lead::LeadPermit;
 use crate::own_seat::OwnSeat;
-use crate::peers::{CopyVersion, FleetCopy, PeerBoard};
+use crate::peers::PeerBoard;
 use crate::records_word::RecordsWord;
 use crate::session::CallerSession;
 use crate::settings::{DatabaseName, FleetSettings, RouteRule, SettingsVersion};
@@ -13,7 +15,7 @@
 use crate::store_word::StoreWord;
 use crate::sync::lock;
 use rudder_core::{DomainName, InstanceName, ServiceName};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -22,11 +24,6 @@
 /// give up after two seconds.
 const FIRST_SETTINGS_WAIT: Duration = Duration::from_millis(1500);
 
-/// The age of the store's word, as a reader has it, from which on the others ask the store
-/// themselves. A reader's watch answers every 1.2 s and its word is passed on every 0.5 s; settings
-/// must be in force within 3 s, also where the reader has just died.
-const FEED_AGE_MAX: Duration = Duration::from_millis(2200);
-
 /// What is taken off the time for which a leaving member may be sent work: an instance learns up to
 /// 1.2 s later that it leaves, and a statement is some hundred ms under way.
 const LEAVE_MARGIN: Duration = Duration::from_millis(2000);
@@ -77,106 +74,6 @@
         })
     }
 
-    /// Takes in that the list showed this instance at `listed_at`, or did not.
-    pub(crate) fn set_listed(&self, listed_at: Option<Duration>) {
-        let entered = match listed_at {
-            Some(listed_at) => lock(&self.own_seat).show(listed_at, boot_time()),
-            None => {
-                lock(&self.own_seat).hide();
-                false
-            }
-        };
-        if entered {
-            self.list_entered.notify_one();
-        }
-    }
-
-    /// Takes in a peer's word that the list showed this instance at `listed_at`. It renews what the
-    /// store itself has said before, and does not stand in for it.
-    pub(crate) fn renew_listed(&self, listed_at: Duration) {
-        lock(&self.own_seat).renew(listed_at);
-    }
-
-    /// Waits until this instance has entered the list.
-    pub(crate) async fn list_entered(&self) {
-        self.list_entered.notified().await;
-    }
-
-    /// Whether this caller is the one to fetch a peer's copy.
-    pub(crate) fn may_fetch_copy(&self) -> bool {
-        !self.fetching.swap(true, Ordering::AcqRel)
-    }
-
-    pub(crate) fn end_fetch_copy(&self) {
-        self.fetching.store(false, Ordering::Release);
-    }
-
-    /// Takes in which services have a record, by this process's own question of `asked_at`.
-    pub(crate) fn note_records_read(&self, recorded: &[ServiceName], asked_at: Duration) {
-        let services = self.groups().into_iter().map(|group| group.service().clone());
-        let without = services.filter(|service| !recorded.contains(service)).collect();
-        lock(&self.records_word).note_read(without, asked_at);
-    }
-
-    /// Takes in a peer's word that it had read all records at `read_at`.
-    pub(crate) fn note_records_told(&self, read_at: Duration) {
-        lock(&self.records_word).note_told(read_at);
-    }
-
-    /// What is known of the records as a whole.
-    pub(crate) fn records_word(&self) -> RecordsWord {
-        lock(&self.records_word).clone()
-    }
-
-    /// Whether this process has read the records from the store itself.
-    pub(crate) fn has_read_records(&self) -> bool {
-        lock(&self.records_word).read_at().is_some()
-    }
-
-    /// Asks for word of the primaries now.
-    pub(crate) fn want_word(&self) {
-        self.word_wanted.notify_one();
-    }
-
-    /// Waits until word of the primaries is wanted.
-    pub(crate) async fn word_wanted(&self) {
-        self.word_wanted.notified().await;
-    }
-
-    /// Whether what the store or a peer said at `said_at` may give this process permits.
-    ///
-    /// Guards against a permit that no change of primary waits for. An instance that the store does
-    /// not list yet, or may list no more, is not asked to stop. And one that stopped, was killed
-    /// and started again does not know that it stopped: a peer that is behind may tell it of the
-    /// version before, so it needs the store's own word first.
-    fn may_lead_by(&self, said_at: Duration) -> bool {
-        lock(&self.own_seat).may_lead_by(said_at, boot_time()) && self.has_read_records()
-    }
-
-    /// Takes in that most instances knew of no later version at `vouched_at`.
-    pub(crate) fn vouch(&self, service: &ServiceName, epoch: LeaderEpoch, vouched_at: Duration) {
-        if self.may_lead_by(vouched_at) {
-            self.group(service).vouch(epoch, vouched_at);
-        }
-    }
-
-    /// Whether the store's last list had no record of a service.
-    pub(crate) fn is_recordless(&self, service: &ServiceName) -> bool {
-        lock(&self.records_word).lacks(service)
-    }
-
-    /// Takes in a record that was in place at `confirmed_at` or later.
-    pub(crate) fn observe(
-        &self,
-        service: &ServiceName,
-        record: &LeadRecord,
-        confirmed_at: Duration,
-    ) -> bool {
-        let counts = self.may_lead_by(confirmed_at);
-        let confirmed_at = if counts { confirmed_at } else { Duration::ZERO };
-        self.group(service).observe(record, confirmed_at)
-    }
-
     pub(crate) fn identity(&self) -> &InstanceIdentity {
         &self.identity
     }
@@ -235,19 +132,6 @@
         self.drain.send_replace(phase);
     }
 
-    /// Takes in a version of the settings; an older one than is in force is dropped.
-    pub fn apply_settings(&self, settings: FleetSettings) {
-        let known = self.settings_version();
-        if known.is_some_and(|known| settings.version <= known) {
-            return;
-        }
-        log::info!(
-            version:% = settings.version, routes = settings.routes.len(),
-            services = settings.services.len(); "settings are in force"
-        );
-        self.settings.send_replace(Some(Arc::new(settings)));
-    }
-
     /// The version in force.
     #[must_use]
     pub fn settings_version(&self) -> Option<SettingsVersion> {
@@ -267,32 +151,6 @@
         settings.as_ref().map_or(TRANSACTION_IDLE, |settings| settings.transaction_idle)
     }
 
-    /// Takes in the members of all services, as the store has them at `revision`.
-    pub fn apply_members(&self, entries: &[MemberEntry], revision: u64) {
-        self.confirm_members();
-        let changed = lock(&self.store_word).take_members(entries, revision);
-        if changed {
-            self.spread_members(entries, "store");
-        }
-    }
-
-    /// Takes in what a peer knows, as far as it is newer.
-    pub(crate) fn apply_copy(&self, copy: FleetCopy) {
-        self.apply_settings(copy.settings);
-        let changed = lock(&self.store_word).take_copy(&copy.members, copy.members_version);
-        if changed {
-            self.spread_members(&copy.members, "peer");
-        }
-    }
-
-    /// What this instance knows of the store's word, for a peer; none before the first settings.
-    pub(crate) fn fleet_copy(&self) -> Option<FleetCopy> {
-        let settings = self.settings()?.as_ref().clone();
-        let word = lock(&self.store_word);
-        let (members, members_version) = word.members();
-        Some(FleetCopy { settings, members: members.to_vec(), members_version })
-    }
-
     /// The primary of a group, if it may be sent work, and the permission to answer for it.
     ///
     /// Guards against a leaving primary that is sent work until it ends: while too few instances
@@ -307,55 +165,6 @@
         self.identity.member_drain.saturating_sub(LEAVE_MARGIN)
     }
 
-    /// The versions of settings and members that are known.
-    pub(crate) fn copy_version(&self) -> CopyVersion {
-        let settings = self.settings_version().unwrap_or_default();
-        CopyVersion { settings, members: lock(&self.store_word).members().1 }
-    }
-
-    fn spread_members(&self, entries: &[MemberEntry], source: &str) {
-        log::info!(members = entries.len(), source = source; "the list of members changed");
-        let mut services: Vec<ServiceName> =
-            entries.iter().map(|entry| entry.target.service.clone()).collect();
-        services.sort_unstable();
-        services.dedup();
-        for service in &services {
-            self.group(service);
-        }
-        for group in self.groups() {
-            let of_group = |entry: &&MemberEntry| entry.target.service == *group.service();
-            let own: Vec<MemberEntry> = entries.iter().filter(of_group).cloned().collect();
-            group.set_members(&own, &self.borders.dialer);
-        }
-    }
-
-    /// Takes in that the list of members is current.
-    pub fn confirm_members(&self) {
-        lock(&self.store_word).confirm_members(boot_time());
-    }
-
-    /// Takes in that the settings in force are current.
-    pub fn confirm_settings(&self) {
-        lock(&self.store_word).confirm_settings(boot_time());
-    }
-
-    /// When the list of members was last known to be current.
-    pub(crate) fn members_confirmed_at(&self) -> Option<Duration> {
-        lock(&self.store_word).members_at()
-    }
-
-    /// When the store last said that members and settings are current.
-    pub(crate) fn store_confirmed_at(&self) -> Option<Duration> {
-        lock(&self.store_word).confirmed_at()
-    }
-
-    /// Whether peers tell this instance in time of what the store says, so that it need not ask.
-    #[must_use]
-    pub fn is_fed(&self) -> bool {
-        let fed_at = self.board.fed_at();
-        fed_at.is_some_and(|at| boot_time() < at + FEED_AGE_MAX) && !self.board.is_reader()
-    }
-
     /// The group of a service; made if it is new.
     pub(crate) fn group(&self, service: &ServiceName) -> Arc<ServiceGroup> {
         let mut groups = lock(&self.groups);
--- /dev/null
+++ b/crates/rudder-engine/src/engine/lead_word.rs
@@ -0,0 +1,102 @@
+//! What the store and peers say of the own entry and of the records, and whether permits follow.
+
+use super::ProxyEngine;
+use crate::clock::boot_time;
+use crate::lead::{LeadRecord, LeaderEpoch};
+use crate::records_word::RecordsWord;
+use crate::sync::lock;
+use rudder_core::ServiceName;
+use std::time::Duration;
+
+impl ProxyEngine {
+    /// Takes in that the list showed this instance at `listed_at`, or did not.
+    pub(crate) fn set_listed(&self, listed_at: Option<Duration>) {
+        let entered = match listed_at {
+            Some(listed_at) => lock(&self.own_seat).show(listed_at, boot_time()),
+            None => {
+                lock(&self.own_seat).hide();
+                false
+            }
+        };
+        if entered {
+            self.list_entered.notify_one();
+        }
+    }
+
+    /// Takes in a peer's word that the list showed this instance at `listed_at`. It renews what the
+    /// store itself has said before, and does not stand in for it.
+    pub(crate) fn renew_listed(&self, listed_at: Duration) {
+        lock(&self.own_seat).renew(listed_at);
+    }
+
+    /// Waits until this instance has entered the list.
+    pub(crate) async fn list_entered(&self) {
+        self.list_entered.notified().await;
+    }
+
+    /// Takes in which services have a record, by this process's own question of `asked_at`.
+    pub(crate) fn note_records_read(&self, recorded: &[ServiceName], asked_at: Duration) {
+        let services = self.groups().into_iter().map(|group| group.service().clone());
+        let without = services.filter(|service| !recorded.contains(service)).collect();
+        lock(&self.records_word).note_read(without, asked_at);
+    }
+
+    /// Takes in a peer's word that it had read all records at `read_at`.
+    pub(crate) fn note_records_told(&self, read_at: Duration) {
+        lock(&self.records_word).note_told(read_at);
+    }
+
+    /// What is known of the records as a whole.
+    pub(crate) fn records_word(&self) -> RecordsWord {
+        lock(&self.records_word).clone()
+    }
+
+    /// Whether this process has read the records from the store itself.
+    pub(crate) fn has_read_records(&self) -> bool {
+        lock(&self.records_word).read_at().is_some()
+    }
+
+    /// Asks for word of the primaries now.
+    pub(crate) fn want_word(&self) {
+        self.word_wanted.notify_one();
+    }
+
+    /// Waits until word of the primaries is wanted.
+    pub(crate) async fn word_wanted(&self) {
+        self.word_wanted.notified().await;
+    }
+
+    /// Whether what the store or a peer said at `said_at` may give this process permits.
+    ///
+    /// Guards against a permit that no change of primary waits for. An instance that the store does
+    /// not list yet, or may list no more, is not asked to stop. And one that stopped, was killed
+    /// and started again does not know that it stopped: a peer that is behind may tell it of the
+    /// version before, so it needs the store's own word first.
+    fn may_lead_by(&self, said_at: Duration) -> bool {
+        lock(&self.own_seat).may_lead_by(said_at, boot_time()) && self.has_read_records()
+    }
+
+    /// Takes in that most instances knew of no later version at `vouched_at`.
+    pub(crate) fn vouch(&self, service: &ServiceName, epoch: LeaderEpoch, vouched_at: Duration) {
+        if self.may_lead_by(vouched_at) {
+            self.group(service).vouch(epoch, vouched_at);
+        }
+    }
+
+    /// Whether the store's last list had no record of a service.
+    pub(crate) fn is_recordless(&self, service: &ServiceName) -> bool {
+        lock(&self.records_word).lacks(service)
+    }
+
+    /// Takes in a record that was in place at `confirmed_at` or later.
+    pub(crate) fn observe(
+        &self,
+        service: &ServiceName,
+        record: &LeadRecord,
+        confirmed_at: Duration,
+    ) -> bool {
+        let counts = self.may_lead_by(confirmed_at);
+        let confirmed_at = if counts { confirmed_at } else { Duration::ZERO };
+        self.group(service).observe(record, confirmed_at)
+    }
+}
