--- a/crates/rudderctl/src/explain/account/tests.rs
+++ b/crates/rudderctl/src/explain/account/tests.rs
@@ -77,3 +77,22 @@
 
     assert_eq!(error, Err(AccountError::NoLines));
 }
+
+#[test]
+fn every_reason_of_a_refusal_has_a_meaning() {
+    let reasons = [
+        "no primary is confirmed",
+        "the primary's position is not known",
+        "too much work is waiting",
+        "all connections are in use",
+        "no member could serve the read in time",
+    ];
+    for reason in reasons {
+        let refused = REFUSED.replace("no primary is confirmed", reason);
+        let lines = [line(20, "entry-1", "a statement was refused", &refused)];
+
+        let account = builder(&lines).finish().expect("the request is named").to_string();
+
+        assert!(account.contains(&format!("outcome: not_run, {reason}\n  ")), "{account}");
+    }
+}
--- a/crates/rudderctl/src/explain/advice.rs
+++ b/crates/rudderctl/src/explain/advice.rs
@@ -7,7 +7,7 @@
 }
 
 /// Sorted by word.
-const MEANINGS: [WordMeaning; 13] = [
+const MEANINGS: [WordMeaning; 15] = [
     WordMeaning {
         word: "all connections are in use",
         meaning: "a burst at this instance, or the member still counts connections of machines that \
@@ -40,6 +40,10 @@
         word: "served",
         meaning: "a member answered; if the caller has no answer, its connection to the instance broke",
     },
+    WordMeaning {
+        word: "the log lacks the position asked for",
+        meaning: "the member trails; another one was asked, or none was left in time",
+    },
     WordMeaning {
         word: "the primary cannot be reached",
         meaning: "connections to the primary fail; if most readers see the same, it is replaced",
@@ -62,6 +66,11 @@
         meaning: "members were tried until the time of the statement was over; a read ran nowhere to \
                   its end",
     },
+    WordMeaning {
+        word: "too much work is waiting",
+        meaning: "the member's slots and its queue were full; a transaction stays with its member, so \
+                  it ends there",
+    },
     WordMeaning {
         word: "withheld",
         meaning: "the answer came from a primary that was no longer confirmed, and was not passed on",
