The model of who leads replaces instances, and gives no process the answers of an earlier one

Cause: the model left out instances that enter the list during a change, which a guard of this work is for.

Change: messages carry the process that asked; instances are replaced and enter the list at any moment; a change waits for those that the list showed it.

--- /dev/null
+++ b/crates/rudder-engine/src/lead/tests/message.rs
@@ -0,0 +1,77 @@
+//! The messages of the model.
+
+use crate::lead::{LeadRecord, LeaderEpoch};
+use std::time::Duration;
+
+/// What travels between instances, or from the store.
+#[derive(Clone, Debug)]
+pub(super) enum Message {
+    /// What the store or a peer answered to a process.
+    Record {
+        to: usize,
+        process: u64,
+        record: LeadRecord,
+        confirmed_at: Duration,
+        own: bool,
+    },
+    Ask {
+        to: usize,
+        from: usize,
+        process: u64,
+        asked_at: Duration,
+        question: u64,
+    },
+    Vouch {
+        to: usize,
+        from: usize,
+        process: u64,
+        asked_at: Duration,
+        question: u64,
+        epoch: LeaderEpoch,
+    },
+    Announce {
+        to: usize,
+        from: usize,
+        record: LeadRecord,
+    },
+    Stopped {
+        to: usize,
+        from: usize,
+        epoch: u64,
+    },
+    /// The store's answer to the process that wrote its entry.
+    Entered {
+        to: usize,
+        process: u64,
+        written_at: Duration,
+    },
+}
+
+impl Message {
+    /// The instance that gets it.
+    pub(super) fn receiver(&self) -> usize {
+        match self {
+            Self::Record { to, .. }
+            | Self::Ask { to, .. }
+            | Self::Vouch { to, .. }
+            | Self::Announce { to, .. }
+            | Self::Stopped { to, .. }
+            | Self::Entered { to, .. } => *to,
+        }
+    }
+
+    /// The process that asked for it, if it is an answer.
+    pub(super) fn asker(&self) -> Option<u64> {
+        match self {
+            Self::Record { process, .. }
+            | Self::Vouch { process, .. }
+            | Self::Entered { process, .. } => Some(*process),
+            Self::Ask { .. } | Self::Announce { .. } | Self::Stopped { .. } => None,
+        }
+    }
+
+    /// Whether an instance sent it, not the store.
+    pub(super) fn is_between_peers(&self) -> bool {
+        !matches!(self, Self::Record { own: true, .. } | Self::Entered { .. })
+    }
+}
--- a/crates/rudder-engine/src/lead/tests/mod.rs
+++ b/crates/rudder-engine/src/lead/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod book;
 mod history;
+mod message;
 mod model;
 mod schedules;
 mod suspicion;
