--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -73,13 +73,13 @@
             Ok(SeatFinding::Entered) => ENTERED_GAP,
             Ok(_) if !stood => SECOND_GAP,
             Ok(_) if !engine.is_reader() => FOLLOWER_GAP,
+            Ok(_) => READER_GAP,
             Err(error) => {
                 log::info!(reason:% = error; "the list of instances was not read or written");
                 if stood { READER_GAP } else { AGAIN_PAUSE }
             }
-            Ok(_) => READER_GAP,
         };
-        if !stood && found.is_ok() {
+        if !stood && matches!(found, Ok(SeatFinding::Stood | SeatFinding::Entered)) {
             log::info!(instance:% = engine.identity().name; "this instance is registered");
         }
         stood = stood || found == Ok(SeatFinding::Stood);
@@ -220,7 +220,7 @@
 
 /// Removes this instance from the list.
 pub(super) async fn deregister(engine: &ProxyEngine) {
-    engine.set_listed(None);
+    engine.leave_list();
     let store = &engine.borders().store;
     let name = engine.identity().name.as_str();
     let kind = ObjectKind::InstanceRecord;
--- a/crates/rudder-engine/src/engine/lead_word.rs
+++ b/crates/rudder-engine/src/engine/lead_word.rs
@@ -23,6 +23,11 @@
         }
     }
 
+    /// Takes in that this process removes its entry and ends.
+    pub(crate) fn leave_list(&self) {
+        lock(&self.own_seat).leave();
+    }
+
     /// Takes in a peer's word that the list showed this instance at `listed_at`. It renews what the
     /// store itself has said before, and does not stand in for it.
     pub(crate) fn renew_listed(&self, listed_at: Duration) {
--- a/crates/rudder-engine/src/own_seat.rs
+++ b/crates/rudder-engine/src/own_seat.rs
@@ -13,12 +13,17 @@
     listed_at: Option<Duration>,
     /// By when the entry stood; it has not been missing since.
     entered_by: Duration,
+    /// Whether this process is leaving the list, for good.
+    left: bool,
 }
 
 impl OwnSeat {
     /// Takes in that the list showed the entry at `listed_at`, which is known at `now`; returns
     /// whether it was not known to stand before.
     pub(crate) fn show(&mut self, listed_at: Duration, now: Duration) -> bool {
+        if self.left {
+            return false;
+        }
         let entered = self.listed_at.is_none();
         if entered {
             self.entered_by = now;
@@ -32,6 +37,15 @@
         self.listed_at = None;
     }
 
+    /// Takes in that this process is about to remove the entry, and ends then.
+    ///
+    /// Guards against a read of the list that was sent before and is answered after: it shows the
+    /// entry, and by it this instance would lead while changes wait for it no more.
+    pub(crate) fn leave(&mut self) {
+        self.hide();
+        self.left = true;
+    }
+
     /// Takes in that the list still showed the entry at `listed_at`.
     pub(crate) fn renew(&mut self, listed_at: Duration) {
         self.listed_at = self.listed_at.map(|known| known.max(listed_at));
--- a/crates/rudder-engine/src/own_seat/tests.rs
+++ b/crates/rudder-engine/src/own_seat/tests.rs
@@ -57,3 +57,18 @@
     assert!(!before);
     assert!(seat.may_lead_by(late, late));
 }
+
+#[test]
+fn an_instance_that_leaves_does_not_lead_by_an_older_look_at_the_list() {
+    // A commit is acknowledged at a primary that has just been replaced. An instance that stops
+    // removes its entry, a change begins and does not wait for it, and then the answer to its last
+    // look at the list arrives, which still showed the entry.
+    let mut seat = OwnSeat::default();
+    seat.show(ms(100), ms(140));
+    seat.leave();
+
+    let entered = seat.show(ms(4990), ms(5030));
+
+    assert!(!entered);
+    assert!(!seat.may_lead_by(ms(5040), ms(5050)));
+}
