--- a/crates/rudderctl/src/explain/account.rs
+++ b/crates/rudderctl/src/explain/account.rs
@@ -24,8 +24,7 @@
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[ignore_extra_doc_attributes]
 pub(crate) enum AccountError {
-    /** none of {lines} log lines names the request {id}: it was served without a line (one of 64 has
-    one), never reached an instance, or its instance was killed */
+    /// none of {lines} log lines names {id}: served unlogged, never received, or its instance died
     Unmentioned {
         /// The request.
         id: String,
@@ -55,6 +54,26 @@
     *count == 0
 }
 
+/// A line that several instances wrote.
+struct SharedLine<'a> {
+    /// The first of them.
+    first: &'a LogLine,
+    /// The other instances, sorted.
+    others: Vec<&'a str>,
+}
+
+impl<'a> SharedLine<'a> {
+    /// Takes in that an instance wrote it, too, or again.
+    fn note_source(&mut self, source: &'a str) {
+        if source == self.first.source {
+            return;
+        }
+        if let Err(index) = self.others.binary_search(&source) {
+            self.others.insert(index, source);
+        }
+    }
+}
+
 /// What became of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub(crate) struct RequestAccount {
@@ -129,18 +148,17 @@
             .filter(concerns)
             .collect();
         near.sort_by_key(|line| line.time);
-        let mut told: Vec<ToldLine> = Vec::new();
+        let mut shared: Vec<SharedLine<'_>> = Vec::new();
         for line in near {
-            let line = ToldLine::from(line);
-            let same = |known: &&mut ToldLine| {
-                known.message == line.message && known.stable_facts() == line.stable_facts()
-            };
-            match told.iter_mut().find(same) {
-                Some(known) => known.others += usize::from(known.source != line.source),
-                None => told.push(line),
+            match shared.iter_mut().find(|known| known.first.says_the_same_as(line)) {
+                Some(known) => known.note_source(&line.source),
+                None => shared.push(SharedLine { first: line, others: Vec::new() }),
             }
         }
-        told.split_off(told.len().saturating_sub(AROUND_MAX))
+        let skipped = shared.len().saturating_sub(AROUND_MAX);
+        let told =
+            |line: &SharedLine<'_>| ToldLine { others: line.others.len(), ..line.first.into() };
+        shared[skipped..].iter().map(told).collect()
     }
 
     /// Whether a line is about a member that the request was sent to.
@@ -165,13 +183,6 @@
     }
 }
 
-impl ToldLine {
-    /// The facts without ages, which differ between instances that saw the same.
-    fn stable_facts(&self) -> Vec<&str> {
-        self.facts.split(", ").filter(|fact| !fact.contains("_ms=")).collect()
-    }
-}
-
 impl fmt::Display for ToldLine {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "  {} {}", self.time, self.source)?;
--- a/crates/rudderctl/src/explain/account/tests.rs
+++ b/crates/rudderctl/src/explain/account/tests.rs
@@ -96,3 +96,17 @@
         assert!(account.contains(&format!("outcome: not_run, {reason}\n  ")), "{account}");
     }
 }
+
+#[test]
+fn an_instance_that_says_the_same_again_counts_once() {
+    let full = r#""service":"orders","member":"orders-1","outcome":"connection_limit""#;
+    let refused = line(20, "entry-1", "a statement was refused", REFUSED);
+    let mut lines = vec![refused];
+    for instance in ["entry-1", "entry-2", "entry-3", "entry-2", "entry-1"] {
+        lines.push(line(19, instance, "a connection to a member was not opened", full));
+    }
+
+    let account = builder(&lines).finish().expect("the request is named").to_string();
+
+    assert!(account.contains("entry-1 and 2 more: a connection"), "{account}");
+}
--- a/crates/rudderctl/src/explain/line.rs
+++ b/crates/rudderctl/src/explain/line.rs
@@ -49,6 +49,14 @@
         })
     }
 
+    /// Whether another line tells of the same, ages apart, which differ between instances.
+    pub(super) fn says_the_same_as(&self, other: &Self) -> bool {
+        let lasting = |line: &Self| -> Vec<LogFact> {
+            line.facts.iter().filter(|fact| !fact.name.ends_with("_ms")).cloned().collect()
+        };
+        self.message == other.message && lasting(self) == lasting(other)
+    }
+
     /// The value of a fact.
     pub(super) fn fact(&self, name: &str) -> Option<&str> {
         let found = self.facts.binary_search_by(|fact| fact.name.as_str().cmp(name));
