--- /dev/null
+++ b/crates/rudder-engine/src/lead/tests/model/change.rs
@@ -0,0 +1,94 @@
+//! Changes of primary in the model.
+
+use super::super::message::Message;
+use super::super::{changing, ms, settled};
+use super::{INSTANCES, Model, TakenOut};
+use crate::lead::{StopProgress, is_quorum};
+use rand::RngExt;
+use rand::rngs::StdRng;
+use std::time::Duration;
+
+/// How long an intent entitles its writer to promote, as in the driver.
+const HOLD_TIME: Duration = Duration::from_millis(2600);
+
+/// A change that an instance has under way.
+#[derive(Clone)]
+pub(super) struct Change {
+    pub(super) epoch: u64,
+    written_by: Duration,
+    /// Whether the list was read after the intent was written.
+    listed: bool,
+    /// Those whom it waits for, itself included.
+    seats: Vec<usize>,
+    pub(super) stopped: Vec<usize>,
+    most_since: Option<Duration>,
+}
+
+impl Model {
+    pub(super) fn begin_change(&mut self, index: usize, rng: &mut StdRng) {
+        let known = self.instances[index].book.epoch();
+        let busy = self.instances[index].change.is_some();
+        // The condition of the write: nobody wrote since.
+        if busy || known != self.record.epoch || known.0 == 0 || self.is_cut_off(index) {
+            return;
+        }
+        let epoch = known.0 + 1;
+        self.record = changing(epoch, &format!("i{index}"), "p1");
+        let now = self.now;
+        let written_by = now + ms(rng.random_range(1..50));
+        let listed = rng.random_range(0..5) > 0;
+        let stands = |other: &usize| !listed || self.listed[*other] || *other == index;
+        let seats = (0..INSTANCES).filter(stands).collect();
+        let instance = &mut self.instances[index];
+        instance.book.observe(&self.record, now, now);
+        instance.book.stop(true);
+        let stopped = vec![index];
+        let most_since = None;
+        instance.change = Some(Change { epoch, written_by, listed, seats, stopped, most_since });
+    }
+
+    pub(super) fn advance_change(&mut self, index: usize, rng: &mut StdRng) -> Result<(), String> {
+        let now = self.now;
+        let changing_since = self.instances[index].book.changing_since();
+        if self.instances[index].change.as_ref().is_some_and(|c| now >= c.written_by + HOLD_TIME) {
+            self.instances[index].change = None;
+        }
+        let Some(change) = self.instances[index].change.as_mut() else { return Ok(()) };
+        let silent = |other: &&usize| !change.stopped.contains(*other);
+        let unheard: Vec<usize> = change.seats.iter().filter(silent).copied().collect();
+        let most = is_quorum(change.seats.len() - unheard.len(), change.seats.len());
+        if most && change.listed {
+            change.most_since.get_or_insert(now);
+        }
+        let change = change.clone();
+        let progress = StopProgress {
+            written_by: change.written_by,
+            changing_since: changing_since.unwrap_or(now),
+            listed: change.listed,
+            unheard: unheard.len(),
+            most_since: change.most_since,
+        };
+        let over = progress.is_over(self.now) || self.out == TakenOut::WaitForLapse;
+        if !over || self.now < change.written_by {
+            let record = self.record.clone();
+            if record.epoch.0 == change.epoch {
+                for to in unheard {
+                    let record = record.clone();
+                    self.send(index, Message::Announce { to, from: index, record }, rng);
+                }
+            }
+            return Ok(());
+        }
+        self.instances[index].change = None;
+        if self.record.epoch.0 != change.epoch || self.is_cut_off(index) {
+            return Ok(());
+        }
+        if change.epoch <= self.promoted {
+            return Err(format!("epoch {} promoted after {}", change.epoch, self.promoted));
+        }
+        self.promoted = change.epoch;
+        self.promotions += 1;
+        self.record = settled(change.epoch + 1, "p2", change.epoch, None);
+        Ok(())
+    }
+}
