--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -8,7 +8,7 @@
 use crate::fixtures::member_entry;
 use crate::group::{MemberEntry, MemberState};
 use crate::identity::{EngineBorders, InstanceIdentity};
-use crate::lead::LeadRecord;
+use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
 use crate::statement::{MemberCommand, StatementReply, TransactionState};
 use async_trait::async_trait;
 use rudder_core::{LogPosition, LogStamp, LogTerm, MemberName, MemberRole, MemberStatus};
@@ -20,6 +20,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+/// The first record of a service, whose primary is the member `a`.
+pub(super) fn first_record() -> LeadRecord {
+    let primary = "a".parse().expect("a name");
+    let phase = LeadPhase::Settled { primary, term: LogTerm(1), base: None };
+    LeadRecord { epoch: LeaderEpoch(1), mark: "m1".to_owned(), phase }
+}
+
 /// What becomes of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum WriteFate {
--- a/crates/rudder-engine/src/duty/tests/registry.rs
+++ b/crates/rudder-engine/src/duty/tests/registry.rs
@@ -1,19 +1,14 @@
 //! The list of instances.
 
-use super::fixture::{RecordStore, WriteFate, engine};
+use super::fixture::{RecordStore, WriteFate, engine, first_record};
 use crate::duty::registry::{SeatFinding, follow_list};
 use crate::identity::DrainPhase;
-use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
 use crate::peers::SeatLedger;
-use rudder_core::LogTerm;
 use std::sync::Arc;
 
 /// A store whose list of instances is empty, and which counts writes.
 fn store() -> Arc<RecordStore> {
-    let primary = "a".parse().expect("a name");
-    let phase = LeadPhase::Settled { primary, term: LogTerm(1), base: None };
-    let record = LeadRecord { epoch: LeaderEpoch(1), mark: "m1".to_owned(), phase };
-    RecordStore::new(&record, &[WriteFate::Refused])
+    RecordStore::new(&first_record(), &[WriteFate::Refused])
 }
 
 #[tokio::test]
--- a/crates/rudder-engine/src/duty/tests/settings.rs
+++ b/crates/rudder-engine/src/duty/tests/settings.rs
@@ -1,9 +1,7 @@
 //! Settings that arrive from several sides.
 
-use super::fixture::{RecordStore, WriteFate, engine};
-use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
+use super::fixture::{RecordStore, WriteFate, engine, first_record};
 use crate::settings::{FleetSettings, SettingsVersion};
-use rudder_core::LogTerm;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,10 +18,7 @@
 fn the_greatest_version_stays_whoever_brings_it() {
     // A route that was dropped is served again. The store's word and a peer's copy arrive on two
     // threads, each looks which version is in force, and the older one is put in last.
-    let primary = "a".parse().expect("a name");
-    let phase = LeadPhase::Settled { primary, term: LogTerm(1), base: None };
-    let record = LeadRecord { epoch: LeaderEpoch(1), mark: "m1".to_owned(), phase };
-    let engine = engine(&RecordStore::new(&record, &[WriteFate::Refused]), None);
+    let engine = engine(&RecordStore::new(&first_record(), &[WriteFate::Refused]), None);
 
     std::thread::scope(|scope| {
         for thread in 0..THREADS {
