Shares of a member's connections add up to all that it takes

Cause: each instance rounded its share down. Change: each has one, the rest goes by distance as before, and what rounding leaves goes to those that it took most from, by a draw that differs for each member.

--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -27,7 +27,7 @@
     RefusalReason, RefusalWord, TicketId, TicketNotice, TicketOutcome,
 };
 pub use detector::{PulseDetector, SuspicionBound};
-pub use domain_share::{DomainShare, DomainShareInput};
+pub use domain_share::{DomainShare, DomainShareInput, ShareHolder};
 pub use meter::MemberMeter;
 pub use outlier::OutlierTracker;
 pub use place::{PlaceDistance, SeatPlace};
--- a/crates/rudder-decisions/src/place.rs
+++ b/crates/rudder-decisions/src/place.rs
@@ -3,7 +3,7 @@
 use rudder_core::DomainName;
 
 /// Where an instance or a member is.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SeatPlace {
     /// Its failure domain.
     pub domain: DomainName,
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -8,8 +8,8 @@
 use crate::lead::{GroupSigns, LeadBook, LeadPhase, QUORUM_REACH, judge_change};
 use crate::peers::PeerExchange;
 use crate::sync::lock;
-use rudder_core::{DomainName, MemberName, MemberRole, ServiceName};
-use rudder_decisions::SeatPlace;
+use rudder_core::{DomainName, InstanceName, MemberName, MemberRole, ServiceName};
+use rudder_decisions::{SeatPlace, ShareHolder};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -206,16 +206,16 @@
 
 fn deal_connections(engine: &ProxyEngine) {
     let Some(settings) = engine.settings() else { return };
-    let place = |domain: DomainName| {
+    let holder = |(instance, domain): (InstanceName, DomainName)| {
         let region = engine.region_of(&domain);
-        SeatPlace { domain, region }
+        ShareHolder { instance, place: SeatPlace { domain, region } }
     };
-    let own = place(engine.identity().domain.clone());
-    let all: Vec<SeatPlace> = engine.board().domains().into_iter().map(place).collect();
+    let own = &engine.identity().name;
+    let all: Vec<ShareHolder> = engine.board().known().into_iter().map(holder).collect();
     for group in engine.groups() {
         let rules = &settings.services;
         if let Ok(index) = rules.binary_search_by(|rule| rule.service.cmp(group.service())) {
-            group.set_shares(rules[index].connections_max, &own, &all);
+            group.set_shares(rules[index].connections_max, own, &all);
         }
     }
 }
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -5,8 +5,8 @@
 use crate::clock::boot_time;
 use crate::lead::{LeadBook, LeadPermit, LeadRecord, LeaderEpoch, PositionHistory};
 use crate::sync::lock;
-use rudder_core::{FreshSample, LogStamp, MemberName, ServiceName};
-use rudder_decisions::{DomainShare, DomainShareInput, SeatPlace};
+use rudder_core::{FreshSample, InstanceName, LogStamp, MemberName, ServiceName};
+use rudder_decisions::{DomainShare, DomainShareInput, ShareHolder};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -215,14 +215,15 @@
     }
 
     /// Deals the members' connections out anew.
-    pub(crate) fn set_shares(&self, connections_max: u32, own: &SeatPlace, all: &[SeatPlace]) {
+    pub(crate) fn set_shares(&self, connections_max: u32, own: &InstanceName, all: &[ShareHolder]) {
         let primary =
             self.with_book(|book| book.record().and_then(|record| record.primary().cloned()));
         for member in self.members() {
             let share = DomainShare::of(&DomainShareInput {
                 connections_max,
-                member: member.place(),
-                own: own.clone(),
+                member: member.name(),
+                place: &member.place(),
+                own,
                 all,
                 is_primary: primary.as_ref() == Some(member.name()),
             });
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -155,7 +155,7 @@
 
     /// How many instances are known, this one included: listed, or heard from.
     pub(crate) fn known_count(&self) -> usize {
-        self.domains().len()
+        self.known().len()
     }
 
     /// Where all others can be reached: those listed, and those heard from that are not.
@@ -285,9 +285,9 @@
         found.is_some_and(|heard| heard.at > since && heard.pulse.process != process)
     }
 
-    /// The failure domains of all instances that may hold connections: those listed, those heard
-    /// from, and this one; each as often as it has instances.
-    pub(crate) fn domains(&self) -> Vec<DomainName> {
+    /// All instances that may hold connections, sorted by name, with their failure domains: those
+    /// listed, those heard from, and this one.
+    pub(crate) fn known(&self) -> Vec<(InstanceName, DomainName)> {
         let now = boot_time();
         let state = self.state();
         let mut known: Vec<(InstanceName, DomainName)> =
@@ -297,7 +297,7 @@
         known.push((self.own.clone(), self.own_domain.clone()));
         known.sort_unstable();
         known.dedup_by(|left, right| left.0 == right.0);
-        known.into_iter().map(|(_, domain)| domain).collect()
+        known
     }
 
     /// A live instance that knows something newer than `version`.
