Connections: one dial after a refusal, lines shared by members, idle ones closed soon

Cause: after a loss of power members still count the lost connections for three seconds. Reads held the primary's last connection. Replicas that trailed were left alone for reads that they could have served.

--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -9,12 +9,14 @@
 mod admission;
 mod average;
 mod detector;
+mod dial_gate;
 mod domain_share;
 mod meter;
 mod outlier;
 mod place;
 mod ramp;
 mod reconnect;
+mod replica_progress;
 mod retry;
 mod routing;
 mod share;
@@ -27,12 +29,14 @@
     RefusalReason, RefusalWord, TicketId, TicketNotice, TicketOutcome,
 };
 pub use detector::{PulseDetector, SuspicionBound};
+pub use dial_gate::{DialFailure, DialGate};
 pub use domain_share::{DomainShare, DomainShareInput, ShareHolder};
 pub use meter::MemberMeter;
 pub use outlier::OutlierTracker;
 pub use place::{PlaceDistance, SeatPlace};
 pub use ramp::RampSchedule;
 pub use reconnect::ReconnectPacer;
+pub use replica_progress::ReplicaProgress;
 pub use retry::RetryBudget;
 pub use routing::{
     MemberHealth, MemberView, MemberWeight, ReadDemand, ReadPolicy, ReadRoute, ReadRouter,
--- a/crates/rudder-decisions/src/standing.rs
+++ b/crates/rudder-decisions/src/standing.rs
@@ -26,6 +26,7 @@
 /// let trailing = ReadStanding { behind: true, ..near };
 /// let far = ReadStanding { distance: PlaceDistance::Elsewhere, ..near };
 /// assert!(near < far && far < trailing);
+/// assert!(far.is_sound() && !trailing.is_sound());
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ReadStanding {
@@ -40,3 +41,13 @@
     /// How far away it is.
     pub distance: PlaceDistance,
 }
+
+impl ReadStanding {
+    /// Whether the member is expected to serve the read.
+    ///
+    /// See the example of [`ReadStanding`].
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        !self.unreachable && !self.behind && !self.doubtful
+    }
+}
--- a/crates/rudder-decisions/src/wait_line.rs
+++ b/crates/rudder-decisions/src/wait_line.rs
@@ -29,7 +29,7 @@
 }
 
 impl<T> WaitLine<T> {
-    /// Adds one who waits; priority 0 is served first.
+    /// Adds one who waits, and returns its turn; priority 0 is served first.
     ///
     /// ```
     /// use rudder_decisions::WaitLine;
@@ -40,9 +40,25 @@
     /// assert_eq!(line.next(), Some("order"));
     /// assert_eq!(line.next(), Some("second order"));
     /// ```
-    pub fn join(&mut self, priority: u8, waiter: T) {
+    pub fn join(&mut self, priority: u8, waiter: T) -> u64 {
         let turn = self.next_turn;
         self.next_turn += 1;
+        self.rejoin(priority, turn, waiter);
+        turn
+    }
+
+    /// Adds one who waited before, at its old turn: what it was given turned out to be of no use.
+    ///
+    /// ```
+    /// use rudder_decisions::WaitLine;
+    /// let mut line = WaitLine::default();
+    /// let turn = line.join(1, "first");
+    /// line.join(1, "second");
+    /// assert_eq!(line.next(), Some("first"));
+    /// line.rejoin(1, turn, "first again");
+    /// assert_eq!(line.next(), Some("first again"));
+    /// ```
+    pub fn rejoin(&mut self, priority: u8, turn: u64, waiter: T) {
         let index =
             self.waiters.partition_point(|known| (known.priority, known.turn) <= (priority, turn));
         self.waiters.insert(index, LineWaiter { priority, turn, waiter });
@@ -59,6 +75,33 @@
         (!self.waiters.is_empty()).then(|| self.waiters.remove(0).waiter)
     }
 
+    /// Takes out the first one who may be served now.
+    ///
+    /// ```
+    /// let mut line = rudder_decisions::WaitLine::default();
+    /// line.join(1, "read that must leave a connection free");
+    /// line.join(1, "write");
+    /// assert_eq!(line.next_where(|waiter| *waiter == "write"), Some("write"));
+    /// assert_eq!(line.next_where(|waiter| *waiter == "write"), None);
+    /// ```
+    pub fn next_where(&mut self, may_be_served: impl Fn(&T) -> bool) -> Option<T> {
+        let index = self.waiters.iter().position(|known| may_be_served(&known.waiter))?;
+        Some(self.waiters.remove(index).waiter)
+    }
+
+    /// Keeps only those who still wait.
+    ///
+    /// ```
+    /// let mut line = rudder_decisions::WaitLine::default();
+    /// line.join(1, "gave up");
+    /// line.join(1, "waits");
+    /// line.retain(|waiter| *waiter == "waits");
+    /// assert_eq!(line.len(), 1);
+    /// ```
+    pub fn retain(&mut self, still_waits: impl Fn(&T) -> bool) {
+        self.waiters.retain(|known| still_waits(&known.waiter));
+    }
+
     /// How many wait, those who gave up included.
     ///
     /// ```
--- a/crates/rudder-decisions/tests/load/main.rs
+++ b/crates/rudder-decisions/tests/load/main.rs
@@ -25,6 +25,7 @@
 mod burst;
 mod busy_caller;
 mod detection;
+mod dial_gate;
 mod domain_share;
 mod endpoints;
 mod gate_invariants;
--- /dev/null
+++ b/crates/rudder-engine/src/group/acquire.rs
@@ -0,0 +1,153 @@
+//! How a caller comes by a connection: to one member, or to the first of several that has one.
+//!
+//! Load pattern: at saturation the members that could serve a read are all full, and connections
+//! come free at each of them every few milliseconds. A read that stands in the line of one member
+//! is sent away when its time is over, although others have come free meanwhile. So it stands in
+//! the lines of all that may serve it, and takes the first connection that it is given.
+
+use super::link::PooledLink;
+use super::pool::{ConnectionGrant, LinePlace, LineRequest, MemberPool, OpenPlace};
+use crate::border::LinkError;
+use crate::statement::StatementError;
+use displaydoc::Display;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+/// Why no connection was had.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub(crate) enum AcquireError {
+    /// all connections stayed in use
+    WaitOver,
+    /// the member cannot be reached: {0}
+    Down(LinkError),
+}
+
+/// A member that may serve.
+#[derive(Clone)]
+pub(crate) struct PoolChoice {
+    /// Its connections.
+    pub(crate) pool: Arc<MemberPool>,
+    /// Connections to it that must stay free for others.
+    pub(crate) kept_free: u32,
+}
+
+/// A choice that is still open, with the caller's place in its line.
+struct OpenChoice {
+    /// Where it stands among all choices.
+    index: usize,
+    choice: PoolChoice,
+    turn: Option<u64>,
+    place: Option<LinePlace>,
+}
+
+impl OpenChoice {
+    fn join(&mut self, rank: u8) {
+        let request = LineRequest { rank, kept_free: self.choice.kept_free, turn: self.turn };
+        let place = self.choice.pool.join_line(request);
+        self.turn = Some(place.turn);
+        self.place = Some(place);
+    }
+
+    /// What was granted without waiting.
+    fn granted_now(&mut self) -> Option<ConnectionGrant> {
+        self.place.as_mut()?.granted.try_recv().ok()
+    }
+
+    fn poll_grant(&mut self, context: &mut Context<'_>) -> Poll<ConnectionGrant> {
+        let Some(place) = &mut self.place else { return Poll::Pending };
+        match Pin::new(&mut place.granted).poll(context) {
+            Poll::Ready(Ok(grant)) => Poll::Ready(grant),
+            Poll::Ready(Err(_)) | Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl MemberPool {
+    /// Takes a connection to this member; the least rank goes first among those that wait.
+    pub(crate) async fn acquire(
+        self: &Arc<Self>,
+        rank: u8,
+        wait: Duration,
+    ) -> Result<PooledLink, AcquireError> {
+        let choice = PoolChoice { pool: Arc::clone(self), kept_free: 0 };
+        acquire_any(&[choice], rank, wait).await.map(|(_, link)| link)
+    }
+}
+
+/// Takes the first connection that comes free to one of several members, of which the first one
+/// is liked best. Returns it with the index of its member.
+pub(crate) async fn acquire_any(
+    choices: &[PoolChoice],
+    rank: u8,
+    wait: Duration,
+) -> Result<(usize, PooledLink), AcquireError> {
+    let give_up = Instant::now() + wait;
+    let mut reason = LinkError::Unreachable("tried a moment ago".to_owned());
+    let mut open: Vec<OpenChoice> = choices
+        .iter()
+        .enumerate()
+        .filter(|(_, choice)| !choice.pool.is_out())
+        .map(|(index, choice)| OpenChoice {
+            index,
+            choice: choice.clone(),
+            turn: None,
+            place: None,
+        })
+        .collect();
+    while !open.is_empty() {
+        let left = give_up.saturating_duration_since(Instant::now());
+        let Ok((at, grant)) = tokio::time::timeout(left, first_grant(&mut open, rank)).await else {
+            return Err(AcquireError::WaitOver);
+        };
+        let place = match grant {
+            ConnectionGrant::Link(link) => return Ok((open[at].index, link)),
+            ConnectionGrant::Dial(place) => place,
+        };
+        match dial_at(&mut open, at, place).await {
+            Ok(link) => return Ok((open[at].index, link)),
+            Err(LinkError::Refused(StatementError::ConnectionLimit)) => {}
+            Err(error) => {
+                open.remove(at);
+                reason = error;
+            }
+        }
+    }
+    Err(AcquireError::Down(reason))
+}
+
+/// Opens the connection. The places in the other lines are given up meanwhile, as what is granted
+/// there would stand idle; the turns are kept.
+async fn dial_at(
+    open: &mut [OpenChoice],
+    at: usize,
+    place: OpenPlace,
+) -> Result<PooledLink, LinkError> {
+    for choice in open.iter_mut() {
+        choice.place = None;
+    }
+    open[at].choice.pool.dial(place).await
+}
+
+/// Joins the lines one after the other until a connection is granted, and then waits in all.
+async fn first_grant(open: &mut [OpenChoice], rank: u8) -> (usize, ConnectionGrant) {
+    for (at, choice) in open.iter_mut().enumerate() {
+        if choice.place.is_none() {
+            choice.join(rank);
+        }
+        if let Some(grant) = choice.granted_now() {
+            return (at, grant);
+        }
+    }
+    poll_fn(|context| {
+        for (at, choice) in open.iter_mut().enumerate() {
+            if let Poll::Ready(grant) = choice.poll_grant(context) {
+                return Poll::Ready((at, grant));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
--- a/crates/rudder-engine/src/group/member.rs
+++ b/crates/rudder-engine/src/group/member.rs
@@ -5,13 +5,12 @@
 use crate::clock::boot_time;
 use crate::sync::lock;
 use rudder_core::{DomainName, LogStamp, MemberName, MemberRole, plain_data};
-use rudder_decisions::SeatPlace;
+use rudder_decisions::{ReplicaProgress, SeatPlace};
 use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// How long a member is tried last after it failed a read, or a read found it behind. About the
-/// time in which a replica at its usual lag catches up.
+/// How long a member is tried last after it failed a read: it is slow or busy for about as long.
 const DOUBT_TIME: Duration = Duration::from_millis(250);
 
 /// How long a primary that is missing from the list is still used. Longer than its absence lasts
@@ -59,7 +58,7 @@
 
 #[derive(Debug, Default)]
 struct MemberMemory {
-    applied: Option<(LogStamp, Duration)>,
+    progress: ReplicaProgress,
     doubtful_until: Duration,
     /// Since when the list has lacked it.
     unlisted_since: Option<Duration>,
@@ -119,13 +118,14 @@
         now < *lock(&self.memory).unlisted_since.get_or_insert(now) + UNLISTED_TIME
     }
 
-    /// Takes in how far its log is applied.
-    pub(crate) fn note_applied(&self, stamp: LogStamp) {
-        let mut memory = lock(&self.memory);
-        memory.applied = Some((stamp, boot_time()));
-        if memory.doubtful_until > Duration::ZERO && memory.doubtful_until <= boot_time() {
-            memory.doubtful_until = Duration::ZERO;
-        }
+    /// Takes in how far its log is applied, and for how long the primary has been farther.
+    pub(crate) fn note_applied(&self, stamp: LogStamp, lag: Duration) {
+        lock(&self.memory).progress.note(stamp, lag, boot_time());
+    }
+
+    /// Takes in that a read that needs `floor` is being sent to it.
+    pub(crate) fn note_tried(&self, floor: LogStamp) {
+        lock(&self.memory).progress.note_tried(floor, boot_time());
     }
 
     /// Tries it last for a moment.
@@ -137,10 +137,9 @@
         boot_time() < lock(&self.memory).doubtful_until
     }
 
-    /// Whether it was seen so lately without `floor` that it most likely still lacks it.
-    pub(crate) fn lacks(&self, floor: LogStamp) -> bool {
-        let known = lock(&self.memory).applied;
-        known.is_some_and(|(applied, at)| applied < floor && boot_time() < at + DOUBT_TIME / 5)
+    /// Whether it most likely still lacks `floor`, which the primary reached `age` ago.
+    pub(crate) fn lacks(&self, floor: LogStamp, age: Duration) -> bool {
+        lock(&self.memory).progress.lacks(floor, age, boot_time())
     }
 }
 
--- a/crates/rudder-engine/src/group/mod.rs
+++ b/crates/rudder-engine/src/group/mod.rs
@@ -1,5 +1,6 @@
 //! The members of a service, the connections to them, and where a read may go.
 
+mod acquire;
 mod image;
 mod link;
 mod member;
@@ -7,12 +8,12 @@
 mod pool;
 mod service;
 
+pub(crate) use acquire::{AcquireError, acquire_any};
 pub(crate) use image::put_value;
 pub(crate) use link::{ExchangeError, PooledLink};
 pub(crate) use member::GroupMember;
 pub use member::{MemberEntry, MemberState};
-pub(crate) use placement::{ReadPlace, order_members};
-pub(crate) use pool::AcquireError;
+pub(crate) use placement::{ReadPlace, order_members, read_choices};
 pub(crate) use service::ServiceGroup;
 
 #[cfg(test)]
--- a/crates/rudder-engine/src/group/placement.rs
+++ b/crates/rudder-engine/src/group/placement.rs
@@ -1,9 +1,12 @@
 //! At which member a read is tried first.
 
+use super::acquire::PoolChoice;
 use super::member::GroupMember;
+use super::service::ServiceGroup;
 use rudder_core::LogStamp;
 use rudder_decisions::{ReadStanding, SeatPlace};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// What placing a read depends on.
 #[derive(Clone, Debug)]
@@ -11,7 +14,9 @@
     /// Where this instance is.
     pub(crate) own: SeatPlace,
     /// What the member's log must hold.
-    pub(crate) floor: Option<LogStamp>,
+    pub(crate) floor: LogStamp,
+    /// How long ago the primary reached that.
+    pub(crate) floor_age: Duration,
 }
 
 /// The members that may serve a read, the best first; equal ones by name.
@@ -28,9 +33,27 @@
 fn standing(member: &GroupMember, place: &ReadPlace) -> ReadStanding {
     ReadStanding {
         unreachable: member.pool().is_down(),
-        behind: place.floor.is_some_and(|floor| member.lacks(floor)),
+        behind: member.lacks(place.floor, place.floor_age),
         doubtful: member.is_doubtful(),
         full: member.pool().spare() == 0,
         distance: place.own.distance(&member.place()),
     }
 }
+
+/// The connections that a read waits for, in the order of `members`: those of the members that are
+/// expected to serve it, or of all if there is none.
+pub(crate) fn read_choices(
+    group: &ServiceGroup,
+    members: &[Arc<GroupMember>],
+    place: &ReadPlace,
+) -> Vec<PoolChoice> {
+    let primary =
+        group.with_book(|book| book.record().and_then(|record| record.primary().cloned()));
+    let sound = members.iter().take_while(|member| standing(member, place).is_sound()).count();
+    let usable = if sound == 0 { members.len() } else { sound };
+    let choice = |member: &Arc<GroupMember>| PoolChoice {
+        pool: Arc::clone(member.pool()),
+        kept_free: u32::from(usable > 1 && primary.as_ref() == Some(member.name())),
+    };
+    members[..usable].iter().map(choice).collect()
+}
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -1,18 +1,17 @@
 //! The connections of this instance to one member.
 //!
-//! Load pattern: a member takes 30 to 40 connections from all instances together, and callers hold
-//! them over the pauses of their transactions. Without a share of its own the busiest instance
+//! Load pattern: a member takes a few dozen connections from all instances together, and callers
+//! hold them over the pauses of their transactions. Without a share of its own the busiest instance
 //! takes them all and the rest are refused; without a queue a caller is refused although a
 //! connection comes free a millisecond later; without priorities the reads that can wait stand
-//! before orders. Limits: the share comes from [`DomainShare`], the order from [`WaitLine`], the wait
-//! from the caller.
+//! before orders. Limits: the share comes from [`DomainShare`], the order from [`WaitLine`], dials
+//! after a failure from [`DialGate`], the wait from the caller.
 
 use super::link::PooledLink;
 use crate::border::{LinkError, MemberDialer, MemberTarget};
 use crate::statement::StatementError;
 use crate::sync::lock;
-use displaydoc::Display;
-use rudder_decisions::{DomainShare, WaitLine};
+use rudder_decisions::{DialFailure, DialGate, DomainShare, WaitLine};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -21,30 +20,13 @@
 /// member's own work fit in.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// How long a member that could not be reached is left alone: about the time of a failed attempt,
-/// so that callers do not all wait for it.
-const UNREACHABLE_PAUSE: Duration = Duration::from_millis(150);
-
-/// How long no connection is opened after the member said that it has too many. Connections that
-/// others lose are dropped by the member within seconds.
-const REFUSED_PAUSE: Duration = Duration::from_millis(100);
-
 /// How long an idle connection is kept where there are fewer connections than instances: long
 /// enough for the statements of a caller that is at work, as a new one takes a slot and 12 ms.
 const SCARCE_IDLE: Duration = Duration::from_millis(250);
 
 /// How long an idle connection is kept else. A member keeps the connections of a machine that lost
 /// power for some seconds; the fewer there are, the more are left for the machine's return.
-const SPARE_IDLE: Duration = Duration::from_millis(1500);
-
-/// Why no connection was had.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
-pub(crate) enum AcquireError {
-    /// all connections stayed in use
-    WaitOver,
-    /// the member cannot be reached: {0}
-    Down(LinkError),
-}
+const SPARE_IDLE: Duration = Duration::from_millis(250);
 
 /// The connections to one member.
 pub(crate) struct MemberPool {
@@ -58,20 +40,49 @@
     /// Connections that are idle, in use or being opened.
     open: u32,
     limit: u32,
-    waiters: WaitLine<oneshot::Sender<Grant>>,
-    down_until: Option<Instant>,
-    refused_until: Option<Instant>,
+    waiters: WaitLine<WaitingCaller>,
+    gate: DialGate,
+}
+
+impl PoolState {
+    /// How many connections could be had at once.
+    fn free(&self, now: Instant) -> u32 {
+        let unopened = self.limit.saturating_sub(self.open);
+        let unopened = if self.gate.may_begin(now) { unopened } else { 0 };
+        count(self.idle.len()) + unopened
+    }
 }
 
-enum Grant {
+/// A caller in line for a connection.
+struct WaitingCaller {
+    granted: oneshot::Sender<ConnectionGrant>,
+    /// Connections that must stay free for others if it is to have one.
+    kept_free: u32,
+}
+
+/// What a caller was waiting for.
+pub(super) enum ConnectionGrant {
+    /// An open connection.
     Link(PooledLink),
+    /// The right to open one.
     Dial(OpenPlace),
 }
 
-enum Claim {
-    Granted(Grant),
-    Waiting(oneshot::Receiver<Grant>),
-    Down,
+/// How a caller waits in a line.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LineRequest {
+    /// The least is served first.
+    pub(super) rank: u8,
+    /// Connections that must stay free for others if it is to have one.
+    pub(super) kept_free: u32,
+    /// The turn that it had in this line before.
+    pub(super) turn: Option<u64>,
+}
+
+/// A caller's place in a line; given up when it is dropped.
+pub(super) struct LinePlace {
+    pub(super) turn: u64,
+    pub(super) granted: oneshot::Receiver<ConnectionGrant>,
 }
 
 impl MemberPool {
@@ -85,8 +96,7 @@
             open: 0,
             limit,
             waiters: WaitLine::default(),
-            down_until: None,
-            refused_until: None,
+            gate: DialGate::default(),
         };
         Arc::new(Self { target, dialer, state: Mutex::new(state) })
     }
@@ -100,12 +110,12 @@
     }
 
     /// Sets how many connections may be open; idle ones above it are closed.
-    pub(crate) fn set_share(&self, share: DomainShare) {
+    pub(crate) fn set_share(self: &Arc<Self>, share: DomainShare) {
         let mut closed = Vec::new();
         {
             let mut state = self.state();
             state.limit = share.limit;
-            while state.open > u32::try_from(closed.len()).unwrap_or(u32::MAX) + share.limit {
+            while state.open > count(closed.len()) + share.limit {
                 let Some(link) = state.idle.pop() else { break };
                 closed.push(link);
             }
@@ -115,6 +125,7 @@
         if let Some(moment) = Instant::now().checked_sub(kept) {
             self.drop_idle_since(moment);
         }
+        self.serve_line();
     }
 
     /// Closes what is idle.
@@ -128,89 +139,81 @@
     /// Guards against connections that something between the two ends has lost track of: where
     /// one went silent, others that were idle as long may have, too.
     pub(crate) fn drop_idle_since(&self, moment: Instant) {
-        let stale = {
+        let stale: Vec<PooledLink> = {
             let mut state = self.state();
             let idle = std::mem::take(&mut state.idle);
             let (stale, kept) = idle.into_iter().partition(|link| link.used_at() < moment);
             state.idle = kept;
             stale
         };
-        let stale: Vec<PooledLink> = stale;
         stale.into_iter().for_each(PooledLink::close);
     }
 
     /// How many callers could be served at once without waiting.
     pub(crate) fn spare(&self) -> u32 {
-        let state = self.state();
-        let now = Instant::now();
-        if is_before(now, state.down_until) {
-            return 0;
-        }
-        let idle = u32::try_from(state.idle.len()).unwrap_or(u32::MAX);
-        let may_open = !is_before(now, state.refused_until);
-        let unopened = if may_open { state.limit.saturating_sub(state.open) } else { 0 };
-        (idle + unopened).saturating_sub(u32::try_from(state.waiters.len()).unwrap_or(u32::MAX))
+        let mut state = self.state();
+        state.waiters.retain(|caller| !caller.granted.is_closed());
+        state.free(Instant::now()).saturating_sub(count(state.waiters.len()))
     }
 
     /// Whether the member could not be reached just now.
     pub(crate) fn is_down(&self) -> bool {
-        is_before(Instant::now(), self.state().down_until)
+        self.state().gate.is_unreachable(Instant::now())
     }
 
-    /// Takes a connection; `priority` 0 goes first among those that wait.
-    pub(crate) async fn acquire(
-        self: &Arc<Self>,
-        priority: u8,
-        wait: Duration,
-    ) -> Result<PooledLink, AcquireError> {
-        let give_up = Instant::now() + wait;
-        loop {
-            let grant = match self.claim(priority) {
-                Claim::Granted(grant) => grant,
-                Claim::Down => {
-                    let reason = LinkError::Unreachable("tried a moment ago".to_owned());
-                    return Err(AcquireError::Down(reason));
-                }
-                Claim::Waiting(receiver) => {
-                    let left = give_up.saturating_duration_since(Instant::now());
-                    match tokio::time::timeout(left, receiver).await {
-                        Ok(Ok(grant)) => grant,
-                        Ok(Err(_)) | Err(_) => return Err(AcquireError::WaitOver),
-                    }
+    /// Whether no connection is to be had for as long as the member counts as unreachable.
+    pub(super) fn is_out(&self) -> bool {
+        let state = self.state();
+        state.idle.is_empty() && state.gate.is_unreachable(Instant::now())
+    }
+
+    /// Puts a caller in line, and serves it at once if it is its turn.
+    pub(super) fn join_line(self: &Arc<Self>, request: LineRequest) -> LinePlace {
+        let (sender, granted) = oneshot::channel();
+        let caller = WaitingCaller { granted: sender, kept_free: request.kept_free };
+        let turn = {
+            let mut state = self.state();
+            match request.turn {
+                Some(turn) => {
+                    state.waiters.rejoin(request.rank, turn, caller);
+                    turn
                 }
-            };
-            match grant {
-                Grant::Link(link) => return Ok(link),
-                Grant::Dial(place) => match self.dial(place).await {
-                    Err(LinkError::Refused(StatementError::ConnectionLimit))
-                        if Instant::now() < give_up => {}
-                    Err(reason) => return Err(AcquireError::Down(reason)),
-                    Ok(link) => return Ok(link),
-                },
+                None => state.waiters.join(request.rank, caller),
             }
+        };
+        self.serve_line();
+        LinePlace { turn, granted }
+    }
+
+    /// Gives what is free to those who wait.
+    fn serve_line(self: &Arc<Self>) {
+        while let Some((caller, grant)) = self.next_grant() {
+            // A grant to a caller that has just given up is dropped, and so counted free again.
+            drop(caller.granted.send(grant));
         }
     }
 
-    fn claim(self: &Arc<Self>, priority: u8) -> Claim {
-        let mut state = self.state();
+    fn next_grant(self: &Arc<Self>) -> Option<(WaitingCaller, ConnectionGrant)> {
         let now = Instant::now();
-        if let Some(link) = state.idle.pop() {
-            return Claim::Granted(Grant::Link(link));
-        }
-        if is_before(now, state.down_until) {
-            return Claim::Down;
+        let mut state = self.state();
+        let free = state.free(now);
+        if free == 0 {
+            return None;
         }
-        if state.open < state.limit && !is_before(now, state.refused_until) {
-            state.open += 1;
-            return Claim::Granted(Grant::Dial(OpenPlace::new(self)));
+        state.waiters.retain(|caller| !caller.granted.is_closed());
+        // The only connection that this instance may hold is for all of its callers.
+        let kept_most = state.limit.saturating_sub(1);
+        let caller = state.waiters.next_where(|caller| caller.kept_free.min(kept_most) < free)?;
+        if let Some(link) = state.idle.pop() {
+            return Some((caller, ConnectionGrant::Link(link)));
         }
-        let (sender, receiver) = oneshot::channel();
-        state.waiters.join(priority, sender);
-        Claim::Waiting(receiver)
+        state.gate.try_begin(now);
+        state.open += 1;
+        Some((caller, ConnectionGrant::Dial(OpenPlace::new(self))))
     }
 
     /// Opens a connection for which a place was counted in.
-    async fn dial(self: &Arc<Self>, place: OpenPlace) -> Result<PooledLink, LinkError> {
+    pub(super) async fn dial(self: &Arc<Self>, place: OpenPlace) -> Result<PooledLink, LinkError> {
         let dialed = match tokio::time::timeout(DIAL_TIMEOUT, self.dialer.dial(&self.target)).await
         {
             Ok(dialed) => dialed,
@@ -219,27 +222,27 @@
         match dialed {
             Ok(link) => {
                 place.keep();
-                self.state().down_until = None;
-                Ok(PooledLink::new(Arc::clone(self), link))
+                self.state().gate.note_success();
+                let link = PooledLink::new(Arc::clone(self), link);
+                self.serve_line();
+                Ok(link)
             }
             Err(reason) => {
-                self.note_refusal(&reason);
+                self.note_failure(&reason);
                 Err(reason)
             }
         }
     }
 
-    fn note_refusal(&self, reason: &LinkError) {
-        let mut state = self.state();
-        let now = Instant::now();
-        let word = if *reason == LinkError::Refused(StatementError::ConnectionLimit) {
-            state.refused_until = Some(now + REFUSED_PAUSE);
-            "connection_limit"
-        } else {
-            state.down_until = Some(now + UNREACHABLE_PAUSE);
-            "unreachable"
+    fn note_failure(self: &Arc<Self>, reason: &LinkError) {
+        let (failure, word) = match reason {
+            LinkError::Refused(StatementError::ConnectionLimit) => {
+                (DialFailure::ConnectionLimit, "connection_limit")
+            }
+            _ => (DialFailure::Unreachable, "unreachable"),
         };
-        drop(state);
+        let pause = self.state().gate.note_failure(failure, Instant::now());
+        self.serve_line_after(pause);
         metrics::counter!("rudder_dials_failed_total", "reason" => word).increment(1);
         log::info!(
             service:% = self.target.service, member:% = self.target.member, reason:% = reason,
@@ -247,56 +250,44 @@
         );
     }
 
+    /// Lets the next caller dial when the pause after a failure is over.
+    fn serve_line_after(self: &Arc<Self>, pause: Duration) {
+        let pool = Arc::downgrade(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(pause).await;
+            if let Some(pool) = pool.upgrade() {
+                pool.serve_line();
+            }
+        });
+    }
+
     /// Puts a connection at the disposal of the next caller.
-    pub(crate) fn give_back(link: PooledLink) {
+    pub(super) fn give_back(link: PooledLink) {
         let pool = Arc::clone(link.pool());
-        let mut link = link;
-        loop {
+        {
             let mut state = pool.state();
-            if state.open > state.limit {
+            if state.open <= state.limit {
+                state.idle.push(link);
+            } else {
                 drop(state);
                 link.close();
-                return;
-            }
-            let Some(waiter) = state.waiters.next() else {
-                state.idle.push(link);
-                return;
-            };
-            drop(state);
-            match waiter.send(Grant::Link(link)) {
-                Ok(()) => return,
-                // The caller gave up; the next one gets it.
-                Err(Grant::Link(back)) => link = back,
-                Err(Grant::Dial(_)) => return,
             }
         }
+        pool.serve_line();
     }
 
     /// Counts a closed connection out, and lets the next caller open one.
-    pub(crate) fn forget_one(self: &Arc<Self>) {
-        loop {
-            let waiter = {
-                let mut state = self.state();
-                state.open = state.open.saturating_sub(1);
-                if state.open >= state.limit {
-                    return;
-                }
-                let Some(waiter) = state.waiters.next() else { return };
-                state.open += 1;
-                waiter
-            };
-            match waiter.send(Grant::Dial(OpenPlace::new(self))) {
-                Ok(()) => return,
-                // The caller gave up; the place goes to the next one.
-                Err(Grant::Dial(place)) => place.keep(),
-                Err(Grant::Link(_)) => return,
-            }
+    pub(super) fn forget_one(self: &Arc<Self>) {
+        {
+            let mut state = self.state();
+            state.open = state.open.saturating_sub(1);
         }
+        self.serve_line();
     }
 }
 
 /// A place that is counted as open while a connection is being opened, and given up with it.
-struct OpenPlace {
+pub(super) struct OpenPlace {
     pool: Option<Arc<MemberPool>>,
 }
 
@@ -314,11 +305,12 @@
 impl Drop for OpenPlace {
     fn drop(&mut self) {
         if let Some(pool) = self.pool.take() {
+            pool.state().gate.note_given_up();
             pool.forget_one();
         }
     }
 }
 
-fn is_before(now: Instant, until: Option<Instant>) -> bool {
-    until.is_some_and(|until| now < until)
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
 }
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -203,6 +203,17 @@
         self.state().history.floor(bound, boot_time())
     }
 
+    /// How long ago the primary reached a position, as far as is known.
+    pub(crate) fn age_of(&self, floor: LogStamp) -> Duration {
+        self.state().history.age_of(floor, boot_time())
+    }
+
+    /// Takes in how far a member's log is applied.
+    pub(crate) fn note_applied(&self, member: &GroupMember, stamp: LogStamp) {
+        let lag = self.state().history.lag_of(stamp, boot_time());
+        member.note_applied(stamp, lag);
+    }
+
     /// The primary's newest known position.
     pub(crate) fn newest_position(&self) -> Option<LogStamp> {
         self.newest_sample().map(|sample| sample.stamp)
--- a/crates/rudder-engine/src/group/tests/pool.rs
+++ b/crates/rudder-engine/src/group/tests/pool.rs
@@ -1,7 +1,8 @@
 //! Who gets a connection, and which connections are kept.
 
 use crate::border::{LinkError, MemberDialer, MemberLink, MemberTarget};
-use crate::group::pool::{AcquireError, MemberPool};
+use crate::group::acquire::{AcquireError, PoolChoice, acquire_any};
+use crate::group::pool::MemberPool;
 use crate::statement::{
     MemberCommand, StatementError, StatementOutcome, StatementReply, TransactionState,
 };
@@ -10,7 +11,7 @@
 use rudder_decisions::DomainShare;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const LONG: Duration = Duration::from_secs(30);
 
@@ -20,6 +21,8 @@
     dialed: AtomicU32,
     silent: bool,
     cap: Option<u32>,
+    /// How many dials over the cap are refused before all are taken.
+    refusals: Option<u32>,
 }
 
 struct FakeLink {
@@ -30,7 +33,8 @@
 impl MemberDialer for FakeDialer {
     async fn dial(&self, _target: &MemberTarget) -> Result<Box<dyn MemberLink>, LinkError> {
         let dialed = self.dialed.fetch_add(1, Ordering::Relaxed);
-        if self.cap.is_some_and(|cap| dialed >= cap) {
+        let over = self.cap.is_some_and(|cap| dialed >= cap);
+        if over && self.refusals.is_none_or(|refusals| dialed < refusals) {
             return Err(LinkError::Refused(StatementError::ConnectionLimit));
         }
         Ok(Box::new(FakeLink { silent: self.silent }))
@@ -171,3 +175,87 @@
 
     assert_eq!(pool.spare(), 1);
 }
+
+#[tokio::test]
+async fn waiting_callers_do_not_dial_one_after_the_other() {
+    // All instances return from a loss of power, and the members still count their old
+    // connections. Each refusal lets the next caller in line dial: hundreds of dials a second that
+    // are known to be refused, from every instance, while nobody is served.
+    let dialer = Arc::new(FakeDialer { cap: Some(0), ..FakeDialer::default() });
+    let pool = pool(&dialer, 2);
+    let began_at = Instant::now();
+
+    let mut callers = tokio::task::JoinSet::new();
+    for _ in 0..200 {
+        let pool = Arc::clone(&pool);
+        callers.spawn(async move { pool.acquire(1, Duration::from_millis(300)).await.is_ok() });
+    }
+    let served = callers.join_all().await;
+
+    // The pause is 50 ms or longer, and two dials may be under way when the first one is refused.
+    let pauses = u32::try_from(began_at.elapsed().as_millis() / 50).expect("a short test");
+    assert!(served.iter().all(|served| !served));
+    assert!(dialer.dialed.load(Ordering::Relaxed) <= 2 + pauses);
+}
+
+#[tokio::test]
+async fn a_place_that_comes_free_at_a_full_member_is_found() {
+    // The old connections of lost machines lapse one by one. Callers that wait must be served then,
+    // although nobody new comes to knock.
+    let dialer = Arc::new(FakeDialer { cap: Some(0), refusals: Some(2), ..FakeDialer::default() });
+    let pool = pool(&dialer, 2);
+
+    let link = pool.acquire(1, LONG).await;
+
+    assert!(link.is_ok());
+    assert_eq!(dialer.dialed.load(Ordering::Relaxed), 3);
+}
+
+#[tokio::test]
+async fn a_read_takes_the_first_connection_of_any_member() {
+    // All members are full. A read that stands in the line of the nearest is refused when its time
+    // is over, although connections to another one come free meanwhile.
+    let dialer = Arc::new(FakeDialer::default());
+    let pools = [pool(&dialer, 1), pool(&dialer, 1)];
+    let _near = pools[0].acquire(1, LONG).await.expect("a connection");
+    let far = pools[1].acquire(1, LONG).await.expect("a connection");
+    let choices = pools.clone().map(|pool| PoolChoice { pool, kept_free: 0 });
+    let read = tokio::spawn(async move { acquire_any(&choices, 1, LONG).await });
+    tokio::task::yield_now().await;
+
+    drop(far);
+    let (index, _link) = read.await.expect("no panic").expect("a connection");
+
+    assert_eq!(index, 1);
+    assert_eq!(pools[0].spare(), 0, "the other line is left");
+}
+
+#[tokio::test]
+async fn a_read_leaves_the_primarys_last_connection_to_writes() {
+    // Reads that a replica may serve as well hold all of an instance's connections to the primary;
+    // an order that only the primary can take is refused.
+    let dialer = Arc::new(FakeDialer::default());
+    let pool = pool(&dialer, 2);
+    let read = [PoolChoice { pool: Arc::clone(&pool), kept_free: 1 }];
+
+    let first = acquire_any(&read, 3, Duration::ZERO).await;
+    let second = acquire_any(&read, 3, Duration::ZERO).await;
+    let write = pool.acquire(2, Duration::ZERO).await;
+
+    assert!(first.is_ok());
+    assert_eq!(second.err(), Some(AcquireError::WaitOver));
+    assert!(write.is_ok());
+}
+
+#[tokio::test]
+async fn the_only_connection_of_an_instance_serves_reads_too() {
+    // Where an instance may hold one connection only, keeping it for writes would leave its reads
+    // unserved for ever while no replica is fresh enough.
+    let dialer = Arc::new(FakeDialer::default());
+    let pool = pool(&dialer, 1);
+    let read = [PoolChoice { pool, kept_free: 1 }];
+
+    let link = acquire_any(&read, 3, Duration::ZERO).await;
+
+    assert!(link.is_ok());
+}
--- a/crates/rudder-engine/src/lead/history.rs
+++ b/crates/rudder-engine/src/lead/history.rs
@@ -45,6 +45,21 @@
         self.samples.get(index).map(|sample| sample.stamp)
     }
 
+    /// How long ago the primary was first seen at `stamp` or farther; zero if it never was.
+    pub(crate) fn age_of(&self, stamp: LogStamp, now: Duration) -> Duration {
+        self.age_from(now, |sample| sample.stamp < stamp)
+    }
+
+    /// For how long the primary has been seen farther than `stamp`; zero if it is not.
+    pub(crate) fn lag_of(&self, stamp: LogStamp, now: Duration) -> Duration {
+        self.age_from(now, |sample| sample.stamp <= stamp)
+    }
+
+    fn age_from(&self, now: Duration, before: impl Fn(&FreshSample) -> bool) -> Duration {
+        let first = self.samples.get(self.samples.partition_point(before));
+        first.map_or(Duration::ZERO, |sample| now.saturating_sub(sample.sent_at))
+    }
+
     /// When the newest sample was asked for.
     pub(crate) fn newest(&self) -> Option<FreshSample> {
         self.samples.back().copied()
--- a/crates/rudder-engine/src/session/job.rs
+++ b/crates/rudder-engine/src/session/job.rs
@@ -62,6 +62,17 @@
         }
     }
 
+    /// Where strict work stands in a line: before reads of the same route, which other members
+    /// may serve as well.
+    pub(crate) fn strict_rank(&self) -> u8 {
+        self.priority.saturating_mul(2)
+    }
+
+    /// Where a read stands in a line.
+    pub(crate) fn read_rank(&self) -> u8 {
+        self.strict_rank().saturating_add(1)
+    }
+
     /// How long a connection may still be waited for.
     pub(crate) fn wait_left(&self) -> Duration {
         self.wait_until.saturating_duration_since(Instant::now())
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -4,13 +4,14 @@
 use super::job::{StatementJob, refuse};
 use crate::engine::ProxyEngine;
 use crate::group::{
-    AcquireError, ExchangeError, GroupMember, PooledLink, ReadPlace, ServiceGroup, order_members,
+    AcquireError, ExchangeError, GroupMember, PooledLink, ReadPlace, ServiceGroup, acquire_any,
+    order_members, read_choices,
 };
 use crate::settings::RouteRule;
 use crate::statement::{StatementError, StatementReply, TransactionState};
 use rudder_core::{LogStamp, MemberName};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The least time that a member gets for its answer before another one is asked. Longer than
 /// almost all reads take (some 10 to 400 ms), so that slow ones are not run twice.
@@ -38,6 +39,23 @@
     pub(super) member: Arc<GroupMember>,
 }
 
+/// Why no member served a read.
+pub(super) enum ReadFailure {
+    /// The caller has this answer.
+    Answered(StatementReply),
+    /// Nothing is known of what a replica must hold, but the primary may be read.
+    ///
+    /// Guards against reads that are refused for as long as no instance can watch the primary, as
+    /// when the connections of lost machines fill it: the answer tells its position as well.
+    NoPosition,
+}
+
+impl From<StatementReply> for ReadFailure {
+    fn from(reply: StatementReply) -> Self {
+        Self::Answered(reply)
+    }
+}
+
 /// The end of one attempt that did not serve.
 enum AttemptEnd {
     /// Another member may do better.
@@ -55,7 +73,8 @@
         session_floor: Option<LogStamp>,
     ) -> StatementReply {
         match self.read_at_some_member(route, job, session_floor, ReadStep::Statement).await {
-            Ok((reply, _)) | Err(reply) => reply,
+            Ok((reply, _)) | Err(ReadFailure::Answered(reply)) => reply,
+            Err(ReadFailure::NoPosition) => self.run_strict(route, job).await,
         }
     }
 
@@ -65,7 +84,7 @@
         route: &RouteRule,
         job: &StatementJob,
         session_floor: Option<LogStamp>,
-    ) -> Result<ReadStart, StatementReply> {
+    ) -> Result<ReadStart, ReadFailure> {
         let (_, start) =
             self.read_at_some_member(route, job, session_floor, ReadStep::Begin).await?;
         Ok(start)
@@ -77,45 +96,63 @@
         job: &StatementJob,
         session_floor: Option<LogStamp>,
         step: ReadStep,
-    ) -> Result<(StatementReply, ReadStart), StatementReply> {
+    ) -> Result<(StatementReply, ReadStart), ReadFailure> {
+        let refused =
+            |group: &ServiceGroup, reason| refuse(group, job, reason, state_after(step)).into();
         let group = self.group(&route.service);
         let mut tried: Vec<MemberName> = Vec::new();
         let mut reason = "no member could be reached";
         loop {
             let Some(floor) = self.read_floor(&group, route, job, session_floor).await else {
-                let reason = "the primary's position is not known";
-                return Err(refuse(&group, job, reason, state_after(step)));
+                if self.leader(&group).is_some() {
+                    return Err(ReadFailure::NoPosition);
+                }
+                return Err(refused(&group, "the primary's position is not known"));
             };
-            let place = ReadPlace { own: self.identity().place(), floor: Some(floor) };
-            let members = order_members(&group.members(), &place);
-            let mut left = members.iter().filter(|member| !tried.contains(member.name()));
-            let Some(member) = left.next() else {
+            let floor_age = group.age_of(floor);
+            let place = ReadPlace { own: self.identity().place(), floor, floor_age };
+            let mut members = order_members(&group.members(), &place);
+            members.retain(|member| !tried.contains(member.name()));
+            if members.is_empty() {
                 if job.wait_left() < ROUND_PAUSE {
-                    return Err(refuse(&group, job, reason, state_after(step)));
+                    return Err(refused(&group, reason));
                 }
                 tokio::time::sleep(ROUND_PAUSE).await;
                 tried.clear();
                 continue;
+            }
+            let last = members.len() == 1;
+            let choices = read_choices(&group, &members, &place);
+            reason = "no member could serve the read in time";
+            let (member, link) = match acquire_any(&choices, job.read_rank(), job.wait_left()).await
+            {
+                Ok((index, link)) => (&members[index], link),
+                Err(AcquireError::WaitOver) => {
+                    return Err(refused(&group, reason));
+                }
+                Err(AcquireError::Down(_)) => {
+                    tried.extend(
+                        members.iter().take(choices.len()).map(|member| member.name().clone()),
+                    );
+                    continue;
+                }
             };
-            let last = left.next().is_none();
-            match self.try_member(member, job, floor, step, last).await {
+            match self.try_member(member, link, job, floor, step, last).await {
                 Ok((reply, link)) => {
                     return Ok((reply, ReadStart { link, member: Arc::clone(member) }));
                 }
-                Err(AttemptEnd::Final(reply)) => return Err(reply),
-                Err(AttemptEnd::Next) => {
-                    reason = "no member could serve the read in time";
-                    tried.push(member.name().clone());
-                }
+                Err(AttemptEnd::Final(reply)) => return Err(reply.into()),
+                Err(AttemptEnd::Next) => tried.push(member.name().clone()),
             }
             if job.time_left().is_zero() {
-                return Err(timed_out(job, step));
+                return Err(timed_out(job, step).into());
             }
         }
     }
 
     /// What a member's log must hold for this read: what the bound asks for and what the session
-    /// wrote. Waits for a sample of the primary's position where there is none.
+    /// wrote. Waits for a sample of the primary's position where there is none; only for a moment
+    /// if the primary may be read instead.
     async fn read_floor(
         &self,
         group: &Arc<ServiceGroup>,
@@ -124,13 +161,15 @@
         session_floor: Option<LogStamp>,
     ) -> Option<LogStamp> {
         let bound = bound_of(route).unwrap_or_default();
+        let word_until = Instant::now() + WORD_PAUSE;
         loop {
             if let Some(floor) = group.bounded_floor(bound) {
                 let own = session_floor.map(|floor| group.reachable(floor));
                 return Some(own.map_or(floor, |own| own.max(floor)));
             }
             let left = job.wait_left();
-            if left.is_zero() {
+            let readable = Instant::now() >= word_until && self.leader(group).is_some();
+            if left.is_zero() || readable {
                 return None;
             }
             self.want_position();
@@ -142,15 +181,13 @@
     async fn try_member(
         &self,
         member: &Arc<GroupMember>,
+        mut link: PooledLink,
         job: &StatementJob,
         floor: LogStamp,
         step: ReadStep,
         last: bool,
     ) -> Result<(StatementReply, PooledLink), AttemptEnd> {
-        let mut link = match member.pool().acquire(job.priority, job.wait_left()).await {
-            Ok(link) => link,
-            Err(AcquireError::WaitOver | AcquireError::Down(_)) => return Err(AttemptEnd::Next),
-        };
+        member.note_tried(floor);
         let left = job.time_left();
         let limit = if last { left } else { left.min(ATTEMPT_MIN.max(left / 2)) };
         let answer = match step {
@@ -158,7 +195,7 @@
             ReadStep::Begin => job.begin_on(&mut link, true, Some(floor), limit).await,
         };
         match answer {
-            Ok(reply) => judge_reply(member, job, reply, link, step),
+            Ok(reply) => judge_reply(&self.group(&job.service), member, job, reply, link, step),
             Err(error) => {
                 log_attempt(member, job, &error);
                 // The watch tells at once whether a primary is lost.
@@ -171,6 +208,7 @@
 }
 
 fn judge_reply(
+    group: &ServiceGroup,
     member: &Arc<GroupMember>,
     job: &StatementJob,
     reply: StatementReply,
@@ -178,7 +216,7 @@
     step: ReadStep,
 ) -> Result<(StatementReply, PooledLink), AttemptEnd> {
     if let Some(position) = reply.position {
-        member.note_applied(position);
+        group.note_applied(member, position);
     }
     let Some(error) = reply.error() else { return Ok((reply, link)) };
     log::info!(
@@ -186,7 +224,9 @@
         outcome = "next_member"; "a member did not serve a read"
     );
     match error {
-        StatementError::Lagging | StatementError::Busy | StatementError::ReadOnly => {
+        // What its log lacks now says nothing of reads that need less: they may still go there.
+        StatementError::Lagging => Err(AttemptEnd::Next),
+        StatementError::Busy | StatementError::ReadOnly => {
             member.doubt();
             Err(AttemptEnd::Next)
         }
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -108,7 +108,7 @@
                 group.wait_changed(left).await;
                 continue;
             };
-            let link = match member.pool().acquire(job.priority, left).await {
+            let link = match member.pool().acquire(job.strict_rank(), left).await {
                 Ok(link) => link,
                 Err(AcquireError::WaitOver) => return Err("all connections are in use"),
                 Err(AcquireError::Down(_)) if left < AGAIN_PAUSE => {
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -2,6 +2,7 @@
 
 use super::caller::bound_of;
 use super::job::{StatementJob, refuse, retry_text};
+use super::read::{ReadFailure, ReadStart};
 use super::strict::{InFlight, in_doubt};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
@@ -162,13 +163,18 @@
         }
         let route = Arc::clone(&self.route);
         let group = engine.group(&route.service);
-        let pinned = if self.read_only && bound_of(&route).is_some() {
-            let start = engine.begin_bounded(&route, job, session_floor).await?;
-            PinnedLink { link: start.link, member: start.member, group, permit: None }
-        } else {
-            begin_strict(engine, &group, job, self.read_only).await?
-        };
-        self.pinned = Some(pinned);
+        let replica_may = self.read_only && bound_of(&route).is_some();
+        if replica_may {
+            match engine.begin_bounded(&route, job, session_floor).await {
+                Ok(ReadStart { link, member }) => {
+                    self.pinned = Some(PinnedLink { link, member, group, permit: None });
+                    return Ok(());
+                }
+                Err(ReadFailure::Answered(reply)) => return Err(reply),
+                Err(ReadFailure::NoPosition) => {}
+            }
+        }
+        self.pinned = Some(begin_strict(engine, &group, job, self.read_only).await?);
         Ok(())
     }
 }
