The storm of dials is replayed with dials that take a while

With an instant refusal the test passed on the code before; with one of a millisecond it fails there (run on: 200 waiting callers dial one after the other).

--- a/crates/rudder-engine/src/group/tests/pool.rs
+++ b/crates/rudder-engine/src/group/tests/pool.rs
@@ -33,6 +33,8 @@
 impl MemberDialer for FakeDialer {
     async fn dial(&self, _target: &MemberTarget) -> Result<Box<dyn MemberLink>, LinkError> {
         let dialed = self.dialed.fetch_add(1, Ordering::Relaxed);
+        // The answer takes a while, in which other callers join the line.
+        tokio::time::sleep(Duration::from_millis(1)).await;
         let over = self.cap.is_some_and(|cap| dialed >= cap);
         if over && self.refusals.is_none_or(|refusals| dialed < refusals) {
             return Err(LinkError::Refused(StatementError::ConnectionLimit));
