Single statements go before transactions that wait for the same connections

Cause: a transaction holds its connection over its caller's pauses, for as long as dozens of single statements take; where an instance holds one or two connections to the primary, those waited behind it in the order of arrival and were refused. Change: within a route's priority strict statements go first, then strict transactions, then reads.

--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -44,5 +44,5 @@
 };
 pub use share::{DemandPart, SlotShare, holders_max, holders_of};
 pub use standing::ReadStanding;
-pub use wait_line::WaitLine;
+pub use wait_line::{WaitLine, WaitingWork};
 pub use work::{WorkClass, WorkEstimate, WorkSize};
--- a/crates/rudder-decisions/src/wait_line.rs
+++ b/crates/rudder-decisions/src/wait_line.rs
@@ -7,6 +7,45 @@
 //! So it goes by priority, and among equals by turn. There is no bound on the length: each waiter
 //! has a time of its own after which it gives up, and those who gave up are passed over.
 
+/// What a connection is waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitingWork {
+    /// One statement that only the primary may run.
+    StrictStatement,
+    /// A transaction that only the primary may run.
+    StrictTransaction,
+    /// One read that other members may serve as well.
+    Read,
+    /// A transaction of such reads.
+    ReadTransaction,
+}
+
+impl WaitingWork {
+    /// Where the work stands in a line, by its route's priority first; the least is served first.
+    ///
+    /// A transaction holds its connection over its caller's pauses, for as long as dozens of single
+    /// statements take: those go first, which costs it little. Reads go last, as they wait in other
+    /// lines, too.
+    ///
+    /// ```
+    /// use rudder_decisions::WaitingWork;
+    /// let [write, transaction] = [WaitingWork::StrictStatement, WaitingWork::StrictTransaction];
+    /// assert!(write.rank(1) < transaction.rank(1));
+    /// assert!(transaction.rank(1) < WaitingWork::Read.rank(1));
+    /// assert!(WaitingWork::ReadTransaction.rank(1) < write.rank(2));
+    /// ```
+    #[must_use]
+    pub fn rank(self, priority: u8) -> u8 {
+        let order = match self {
+            Self::StrictStatement => 0,
+            Self::StrictTransaction => 1,
+            Self::Read => 2,
+            Self::ReadTransaction => 3,
+        };
+        priority.saturating_mul(4).saturating_add(order)
+    }
+}
+
 /// One who waits.
 #[derive(Clone, Debug)]
 struct LineWaiter<T> {
--- a/crates/rudder-engine/src/session/job.rs
+++ b/crates/rudder-engine/src/session/job.rs
@@ -9,6 +9,7 @@
 };
 use rand::RngExt;
 use rudder_core::{LogStamp, ServiceName};
+use rudder_decisions::WaitingWork;
 use std::time::{Duration, Instant};
 
 /// The part of a request's latency target that it may wait before a member gets it. A request
@@ -62,15 +63,9 @@
         }
     }
 
-    /// Where strict work stands in a line: before reads of the same route, which other members
-    /// may serve as well.
-    pub(crate) fn strict_rank(&self) -> u8 {
-        self.priority.saturating_mul(2)
-    }
-
-    /// Where a read stands in a line.
-    pub(crate) fn read_rank(&self) -> u8 {
-        self.strict_rank().saturating_add(1)
+    /// Where this work stands in a line for connections.
+    pub(crate) fn rank(&self, work: WaitingWork) -> u8 {
+        work.rank(self.priority)
     }
 
     /// How long a connection may still be waited for.
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -10,6 +10,7 @@
 use crate::settings::RouteRule;
 use crate::statement::{StatementError, StatementReply, TransactionState};
 use rudder_core::{LogStamp, MemberName};
+use rudder_decisions::WaitingWork;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -33,6 +34,15 @@
     Begin,
 }
 
+impl ReadStep {
+    fn work(self) -> WaitingWork {
+        match self {
+            Self::Statement => WaitingWork::Read,
+            Self::Begin => WaitingWork::ReadTransaction,
+        }
+    }
+}
+
 /// A connection in a read-only transaction.
 pub(super) struct ReadStart {
     pub(super) link: PooledLink,
@@ -124,19 +134,19 @@
             let last = members.len() == 1;
             let choices = read_choices(&group, &members, &place);
             reason = "no member could serve the read in time";
-            let (member, link) = match acquire_any(&choices, job.read_rank(), job.wait_left()).await
-            {
-                Ok((index, link)) => (&members[index], link),
-                Err(AcquireError::WaitOver) => {
-                    return Err(refused(&group, reason));
-                }
-                Err(AcquireError::Down(_)) => {
-                    tried.extend(
-                        members.iter().take(choices.len()).map(|member| member.name().clone()),
-                    );
-                    continue;
-                }
-            };
+            let (member, link) =
+                match acquire_any(&choices, job.rank(step.work()), job.wait_left()).await {
+                    Ok((index, link)) => (&members[index], link),
+                    Err(AcquireError::WaitOver) => {
+                        return Err(refused(&group, reason));
+                    }
+                    Err(AcquireError::Down(_)) => {
+                        tried.extend(
+                            members.iter().take(choices.len()).map(|member| member.name().clone()),
+                        );
+                        continue;
+                    }
+                };
             match self.try_member(member, link, job, floor, step, last).await {
                 Ok((reply, link)) => {
                     return Ok((reply, ReadStart { link, member: Arc::clone(member) }));
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -7,6 +7,7 @@
 use crate::lead::LeadPermit;
 use crate::settings::RouteRule;
 use crate::statement::{StatementEffect, StatementError, StatementReply, TransactionState};
+use rudder_decisions::WaitingWork;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,7 +52,7 @@
     pub(crate) async fn run_strict(&self, route: &RouteRule, job: &StatementJob) -> StatementReply {
         let group = self.group(&route.service);
         loop {
-            let start = match self.start_strict(&group, job).await {
+            let start = match self.start_strict(&group, job, WaitingWork::StrictStatement).await {
                 Ok(start) => start,
                 Err(reason) => return refuse(&group, job, reason, TransactionState::Idle),
             };
@@ -97,6 +98,7 @@
         &self,
         group: &Arc<ServiceGroup>,
         job: &StatementJob,
+        work: WaitingWork,
     ) -> Result<StrictStart, &'static str> {
         loop {
             let left = job.wait_left();
@@ -108,7 +110,7 @@
                 group.wait_changed(left).await;
                 continue;
             };
-            let link = match member.pool().acquire(job.strict_rank(), left).await {
+            let link = match member.pool().acquire(job.rank(work), left).await {
                 Ok(link) => link,
                 Err(AcquireError::WaitOver) => return Err("all connections are in use"),
                 Err(AcquireError::Down(_)) if left < AGAIN_PAUSE => {
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -13,6 +13,7 @@
     MemberCommand, StatementEffect, StatementError, StatementReply, TransactionState,
 };
 use rudder_core::{LogStamp, ServiceName};
+use rudder_decisions::WaitingWork;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -187,7 +188,7 @@
     read_only: bool,
 ) -> Result<PinnedLink, StatementReply> {
     loop {
-        let start = engine.start_strict(group, job).await;
+        let start = engine.start_strict(group, job, WaitingWork::StrictTransaction).await;
         let mut start =
             start.map_err(|reason| refuse(group, job, reason, TransactionState::Failed))?;
         let sent_at = boot_time();
