A change of primary keeps its connections to the candidates

Two tests: dials of a change (fails with connections that are not kept), and a candidate whose connection goes silent in between (fails without the second dial: the member behind is promoted).

--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -10,10 +10,11 @@
 //! replaced by another one after `CHANGE_PATIENCE`; until then nobody else acts, and after
 //! [`HOLD_TIME`] this one does not act any more.
 
-use super::control::{MemberReport, ask_statuses, step_down};
+use super::control::{MemberReport, step_down};
 use super::pulse::stop_answering;
 use super::records::{ask_again, read_record};
 use super::registry::{CALL_LIMIT, limited, read_seats};
+use super::status::StatusDesk;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::ServiceGroup;
@@ -24,6 +25,7 @@
 use rudder_store::{ObjectKind, ObjectVersion, StoreError, StoredObject};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Mutex;
 
 /// How long an intent entitles its writer to order a promotion: a permit's life and a second for
 /// questions and repeated orders. Below `CHANGE_PATIENCE` by more than an order's time.
@@ -94,6 +96,17 @@
     pub(super) engine: &'a Arc<ProxyEngine>,
     pub(super) exchange: &'a PeerExchange,
     pub(super) group: &'a Arc<ServiceGroup>,
+    pub(super) desk: Mutex<StatusDesk>,
+}
+
+impl<'a> ChangeRun<'a> {
+    fn new(
+        engine: &'a Arc<ProxyEngine>,
+        exchange: &'a PeerExchange,
+        group: &'a Arc<ServiceGroup>,
+    ) -> Self {
+        Self { engine, exchange, group, desk: Mutex::default() }
+    }
 }
 
 /// Changes the primary.
@@ -103,7 +116,7 @@
     group: &Arc<ServiceGroup>,
     judged: JudgedChange,
 ) -> Result<(), ChangeError> {
-    let run = ChangeRun { engine, exchange, group };
+    let run = ChangeRun::new(engine, exchange, group);
     let cause = judged.cause;
     let (before, version) = run.read_current(judged.epoch).await?;
     // Guards against acknowledged commits that are lost when the instance that hands over a leaving
@@ -148,8 +161,8 @@
     exchange: &PeerExchange,
     group: &Arc<ServiceGroup>,
 ) -> Result<(), ChangeError> {
-    let run = ChangeRun { engine, exchange, group };
-    let reports = ask_statuses(engine, &group.members()).await;
+    let run = ChangeRun::new(engine, exchange, group);
+    let reports = StatusDesk::default().ask_all(engine, &group.members()).await;
     let leads = |report: &&MemberReport| report.status.role == MemberRole::Primary;
     let leader = reports.iter().filter(leads).max_by_key(|report| report.status.accepted);
     let leader = leader.ok_or(ChangeError::NoCandidate)?;
--- a/crates/rudder-engine/src/duty/control.rs
+++ b/crates/rudder-engine/src/duty/control.rs
@@ -5,11 +5,10 @@
 use crate::group::{AcquireError, GroupMember};
 use crate::statement::{MemberCommand, StatementError, StatementReply};
 use rudder_core::{LogTerm, MemberName, MemberStatus, plain_data};
-use std::sync::Arc;
 use std::time::Duration;
 
 /// The most time for a question: two round trips between regions, and a busy member's slot.
-const STATUS_LIMIT: Duration = Duration::from_millis(500);
+pub(super) const STATUS_LIMIT: Duration = Duration::from_millis(500);
 
 /// The priority of such work among callers' statements.
 const FIRST: u8 = 0;
@@ -31,7 +30,7 @@
     read_report(engine, member, &reply)
 }
 
-fn read_report(
+pub(super) fn read_report(
     engine: &ProxyEngine,
     member: &GroupMember,
     reply: &StatementReply,
@@ -42,61 +41,6 @@
     }
 }
 
-/// Asks one member again and again on one connection: opening one takes two round trips more than
-/// the question itself, some 100 ms between regions, for each look at a member that is promoted.
-pub(super) struct StatusWatch<'a> {
-    engine: &'a ProxyEngine,
-    member: &'a GroupMember,
-    link: Option<Box<dyn MemberLink>>,
-}
-
-impl<'a> StatusWatch<'a> {
-    pub(super) fn new(engine: &'a ProxyEngine, member: &'a GroupMember) -> Self {
-        Self { engine, member, link: None }
-    }
-
-    pub(super) async fn ask(&mut self) -> Result<MemberReport, LinkError> {
-        let mut link = match self.link.take() {
-            Some(link) => link,
-            None => match dial(self.engine, self.member).await {
-                Err(LinkError::Refused(StatementError::ConnectionLimit)) => {
-                    let reply = order_on_pooled(self.member, MemberCommand::Status).await?;
-                    return read_report(self.engine, self.member, &reply);
-                }
-                dialed => dialed?,
-            },
-        };
-        let reply = exchange(link.as_mut(), MemberCommand::Status).await?;
-        self.link = Some(link);
-        read_report(self.engine, self.member, &reply)
-    }
-}
-
-/// Asks several members at once; those that do not answer are left out.
-pub(super) async fn ask_statuses(
-    engine: &Arc<ProxyEngine>,
-    members: &[Arc<GroupMember>],
-) -> Vec<MemberReport> {
-    let mut questions = tokio::task::JoinSet::new();
-    for member in members {
-        let engine = Arc::clone(engine);
-        let member = Arc::clone(member);
-        questions.spawn(async move { (member.name().clone(), ask_status(&engine, &member).await) });
-    }
-    let mut reports = Vec::new();
-    while let Some(answer) = questions.join_next().await {
-        match answer {
-            Ok((_, Ok(report))) => reports.push(report),
-            Ok((member, Err(error))) => {
-                log::info!(member:% = member, reason:% = error; "a member gave no status");
-            }
-            Err(error) => log::error!(reason:% = error; "a question to a member failed"),
-        }
-    }
-    reports.sort_by(|left, right| left.member.cmp(&right.member));
-    reports
-}
-
 /// Makes a superseded primary a replica.
 pub(super) async fn step_down(engine: &ProxyEngine, member: &GroupMember, term: LogTerm) {
     let outcome = order(engine, member, MemberCommand::StepDown(term)).await;
@@ -123,7 +67,7 @@
     tokio::time::timeout(STATUS_LIMIT, talk).await.unwrap_or(Err(LinkError::Silent))
 }
 
-async fn dial(
+pub(super) async fn dial(
     engine: &ProxyEngine,
     member: &GroupMember,
 ) -> Result<Box<dyn MemberLink>, LinkError> {
@@ -131,7 +75,7 @@
     tokio::time::timeout(STATUS_LIMIT, dial).await.unwrap_or(Err(LinkError::Silent))
 }
 
-async fn exchange(
+pub(super) async fn exchange(
     link: &mut dyn MemberLink,
     command: MemberCommand,
 ) -> Result<StatementReply, LinkError> {
@@ -146,7 +90,7 @@
 ///
 /// Guards against a change of primary that overlooks the most advanced member: it takes no more
 /// connections, and a member that gives no status is no candidate.
-async fn order_on_pooled(
+pub(super) async fn order_on_pooled(
     member: &GroupMember,
     command: MemberCommand,
 ) -> Result<StatementReply, LinkError> {
--- a/crates/rudder-engine/src/duty/mod.rs
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -9,6 +9,7 @@
 mod records;
 mod registry;
 mod start;
+mod status;
 mod turn;
 mod watch;
 
--- a/crates/rudder-engine/src/duty/promote.rs
+++ b/crates/rudder-engine/src/duty/promote.rs
@@ -1,7 +1,7 @@
 //! Chooses the member that takes over, and has it promoted.
 
 use super::change::{ChangeError, ChangeRun, HOLD_TIME, LOOK_GAP, WrittenRecord};
-use super::control::{MemberReport, StatusWatch, ask_status, ask_statuses};
+use super::control::{MemberReport, ask_status};
 use crate::border::{PromotionError, PromotionOrder};
 use crate::clock::boot_time;
 use crate::group::{GroupMember, MemberState};
@@ -33,7 +33,7 @@
             let ready = member.entry().state == MemberState::Ready;
             ready && (previous_too || Some(member.name()) != previous)
         });
-        ask_statuses(self.engine, &members).await
+        self.desk.lock().await.ask_all(self.engine, &members).await
     }
 
     /// Promotes a member; returns its name, term and position as a primary.
@@ -115,7 +115,7 @@
     /// Waits until the member leads a newer term than `before`.
     async fn await_leader(&self, candidate: &MemberName, before: LogTerm) -> Option<MemberReport> {
         let member = self.group.member(candidate)?;
-        let mut watch = StatusWatch::new(self.engine, &member);
+        let mut watch = self.desk.lock().await.take(self.engine, &member);
         let until = boot_time() + LEAD_LIMIT;
         while boot_time() < until {
             match watch.ask().await {
--- a/crates/rudder-engine/src/duty/tests/change.rs
+++ b/crates/rudder-engine/src/duty/tests/change.rs
@@ -50,9 +50,15 @@
 async fn take_over(
     store: &Arc<RecordStore>,
     logs: &[(&str, u64)],
+) -> (Result<(), ChangeError>, Arc<FakeMembers>) {
+    take_over_from(store, FakeMembers::new(logs)).await
+}
+
+async fn take_over_from(
+    store: &Arc<RecordStore>,
+    members: Arc<FakeMembers>,
 ) -> (Result<(), ChangeError>, Arc<FakeMembers>) {
     let record = store.record();
-    let members = FakeMembers::new(logs);
     let engine = engine(store, Some(Arc::clone(&members)));
     engine.apply_members(&members.entries(), 1);
     engine.observe(&service(), &record, Duration::ZERO);
@@ -93,6 +99,37 @@
     assert_eq!(members.promoted().len(), 1);
 }
 
+#[tokio::test]
+async fn a_change_asks_its_candidates_on_one_connection_each() {
+    // Crews wait two seconds for a new primary that takes 0.3 to promote. The change asks the
+    // candidates twice and then looks at the promoted one, and opened a connection each time, which
+    // waited for a slot of members that were busy with the lost primary's reads.
+    let record = changing(3, Some("a".parse().expect("a name")), false);
+    let store = RecordStore::new(&record, &[WriteFate::Done]);
+
+    let (outcome, members) = take_over(&store, &[("a", 100), ("b", 100), ("c", 90)]).await;
+
+    assert_eq!(outcome, Ok(()));
+    // The candidates', and the one on which the old primary is told to step down.
+    assert!(members.dials() <= 4, "{}", members.dials());
+}
+
+#[tokio::test]
+async fn a_candidate_whose_connection_went_silent_is_asked_on_a_new_one() {
+    // The last sheets of a lost primary are gone although a replica had them. Something between the
+    // two ends lost track of the connection on which it was asked a moment before; without an answer
+    // it was no candidate, and a member behind it was promoted.
+    let record = changing(3, Some("a".parse().expect("a name")), false);
+    let store = RecordStore::new(&record, &[WriteFate::Done]);
+    let members = FakeMembers::new(&[("a", 80), ("b", 100), ("c", 90)]);
+    members.fall_silent_later("b");
+
+    let (outcome, members) = take_over_from(&store, members).await;
+
+    assert_eq!(outcome, Ok(()));
+    assert_eq!(members.promoted(), [("b".parse().expect("a name"), stamp(1, 100))]);
+}
+
 /// Whether the primary may be sent work that has just said that it leaves.
 fn is_led(member_drain: Duration) -> bool {
     let phase =
--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -120,6 +120,9 @@
     members: Mutex<Vec<(MemberName, MemberStatus)>>,
     /// The orders to promote, each with how far the member's log went then.
     promoted: Mutex<Vec<(MemberName, LogStamp)>>,
+    dials: AtomicU32,
+    /// The member whose connections answer once only, and are silent from then on.
+    silent_later: Mutex<Option<MemberName>>,
 }
 
 impl FakeMembers {
@@ -133,7 +136,13 @@
         let members = logs.iter().enumerate().map(|(index, (name, length))| {
             (name.parse().expect("a member's name"), status(index, *length))
         });
-        Arc::new(Self { members: Mutex::new(members.collect()), promoted: Mutex::default() })
+        let members = Mutex::new(members.collect());
+        Arc::new(Self {
+            members,
+            promoted: Mutex::default(),
+            dials: AtomicU32::new(0),
+            silent_later: Mutex::default(),
+        })
     }
 
     /// The orders to promote so far.
@@ -141,6 +150,21 @@
         self.promoted.lock().expect("no holder panics").clone()
     }
 
+    /// From now on connections to this member answer once only.
+    pub(super) fn fall_silent_later(&self, member: &str) {
+        let member = member.parse().expect("a member's name");
+        *self.silent_later.lock().expect("no holder panics") = Some(member);
+    }
+
+    fn falls_silent(&self, member: &MemberName) -> bool {
+        self.silent_later.lock().expect("no holder panics").as_ref() == Some(member)
+    }
+
+    /// How many connections were opened.
+    pub(super) fn dials(&self) -> u32 {
+        self.dials.load(Ordering::Relaxed)
+    }
+
     /// The members' entries; the first member is leaving.
     pub(super) fn entries(&self) -> Vec<MemberEntry> {
         let members = self.members.lock().expect("no holder panics");
@@ -175,6 +199,7 @@
 struct StatusLink {
     group: Arc<FakeMembers>,
     member: MemberName,
+    asked: u32,
 }
 
 #[async_trait]
@@ -184,6 +209,10 @@
     }
 
     async fn receive(&mut self) -> Result<StatementReply, LinkError> {
+        self.asked += 1;
+        if self.asked > 1 && self.group.falls_silent(&self.member) {
+            std::future::pending::<()>().await;
+        }
         let rows = vec![status_row(&self.group.answer(&self.member))];
         Ok(StatementReply { rows, ..StatementReply::local(TransactionState::Idle) })
     }
@@ -196,7 +225,8 @@
 impl MemberDialer for FakeBorders {
     async fn dial(&self, target: &MemberTarget) -> Result<Box<dyn MemberLink>, LinkError> {
         let group = self.0.clone().ok_or(LinkError::Silent)?;
-        Ok(Box::new(StatusLink { group, member: target.member.clone() }))
+        group.dials.fetch_add(1, Ordering::Relaxed);
+        Ok(Box::new(StatusLink { group, member: target.member.clone(), asked: 0 }))
     }
 
     fn read_status(&self, reply: &StatementReply) -> Option<MemberStatus> {
