--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -11,7 +11,7 @@
 //! [`HOLD_TIME`] this one does not act any more.
 
 use super::control::{MemberReport, step_down};
-use super::pulse::stop_answering;
+use super::heartbeat::stop_answering;
 use super::records::{ask_again, read_record};
 use super::registry::{CALL_LIMIT, limited, read_seats};
 use super::status::StatusDesk;
--- a/crates/rudder-engine/src/duty/pulse.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -1,14 +1,14 @@
 //! Signs of life between instances, and the answers to peers' questions.
 
 use super::records::ask;
-use super::turn::PulseTurn;
+use super::turn::HeartbeatTurn;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::ServiceGroup;
 use crate::identity::DrainPhase;
 use crate::lead::{LeadPhase, LeaderEpoch, is_quorum};
 use crate::peers::{
-    PeerExchange, PeerMessage, PeerPulse, PrimaryDoubt, RecordCopy, RecordsAnswer, SampleCopy,
+    PeerExchange, PeerHeartbeat, PeerMessage, PrimaryDoubt, RecordCopy, RecordsAnswer, SampleCopy,
     StopWord, fetch_copy,
 };
 use rudder_core::{InstanceName, ServiceName};
@@ -16,13 +16,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// The pause between two pulses while nothing changes.
-const PULSE_GAP: Duration = Duration::from_millis(1000);
+/// The pause between two heartbeats while nothing changes.
+const HEARTBEAT_GAP: Duration = Duration::from_millis(1000);
 
 /// The same of a reader within its failure domain, where others rely on how fresh its word is.
 const FEED_GAP: Duration = Duration::from_millis(500);
 
-/// How often a change is looked for that is worth a pulse of its own.
+/// How often a change is looked for that is worth a heartbeat of its own.
 const LOOK_GAP: Duration = Duration::from_millis(50);
 
 /// How long statements under way may hold up this instance's word that it has stopped. Nearly
@@ -36,21 +36,21 @@
 /// The pause between two looks whether statements are still under way.
 const STOP_LOOK: Duration = Duration::from_millis(5);
 
-/// Sends pulses: regularly, and at once when there is something new in them.
+/// Sends heartbeats: regularly, and at once when there is something new in them.
 pub(crate) async fn send(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
-    let mut told: Option<PeerPulse> = None;
-    let (mut near_turn, mut far_turn) = (PulseTurn::default(), PulseTurn::default());
+    let mut told: Option<PeerHeartbeat> = None;
+    let (mut near_turn, mut far_turn) = (HeartbeatTurn::default(), HeartbeatTurn::default());
     loop {
-        let pulse = compose(&engine);
-        let news = told.as_ref() != Some(&pulse);
-        let near_gap = if engine.is_reader() { FEED_GAP } else { PULSE_GAP };
+        let heartbeat = compose(&engine);
+        let news = told.as_ref() != Some(&heartbeat);
+        let near_gap = if engine.is_reader() { FEED_GAP } else { HEARTBEAT_GAP };
         let now = Instant::now();
         let mut receivers = near_turn.due(engine.board().near_receivers(), news, near_gap, now);
-        receivers.extend(far_turn.due(engine.board().far_receivers(), news, PULSE_GAP, now));
+        receivers.extend(far_turn.due(engine.board().far_receivers(), news, HEARTBEAT_GAP, now));
         let store_age_ms = store_age_ms(&engine);
-        let dated = PeerPulse { store_age_ms, ..pulse.clone() };
-        exchange.send_all(&PeerMessage::Pulse(dated), &receivers).await;
-        told = Some(pulse);
+        let dated = PeerHeartbeat { store_age_ms, ..heartbeat.clone() };
+        exchange.send_all(&PeerMessage::Heartbeat(dated), &receivers).await;
+        told = Some(heartbeat);
         tokio::time::sleep(LOOK_GAP).await;
     }
 }
@@ -61,8 +61,8 @@
     confirmed_at.map_or(u64::MAX, |at| age_in_ms(at, boot_time()))
 }
 
-/// All of a pulse but the age of the store's word, which changes without being news.
-fn compose(engine: &ProxyEngine) -> PeerPulse {
+/// All of a heartbeat but the age of the store's word, which changes without being news.
+fn compose(engine: &ProxyEngine) -> PeerHeartbeat {
     // The others' words on the primaries do not count.
     let reads = engine.is_reader();
     let doubted = |group: &Arc<ServiceGroup>| reads && group.silent_since().is_some();
@@ -70,7 +70,7 @@
         service: group.service().clone(),
         epoch: group.with_book(|book| book.epoch()),
     });
-    PeerPulse {
+    PeerHeartbeat {
         instance: engine.identity().name.clone(),
         process: engine.process(),
         domain: engine.identity().domain.clone(),
@@ -86,7 +86,7 @@
     loop {
         let (message, from) = exchange.receive().await;
         match message {
-            PeerMessage::Pulse(pulse) => take_pulse(&engine, pulse, from),
+            PeerMessage::Heartbeat(heartbeat) => take_heartbeat(&engine, heartbeat, from),
             PeerMessage::Announce(copy) => take_announcement(&engine, &exchange, copy, from).await,
             PeerMessage::Stopped(word) => engine.board().note_stopped(word),
             PeerMessage::Ask { instance: asker, question } => {
@@ -100,9 +100,9 @@
     }
 }
 
-fn take_pulse(engine: &Arc<ProxyEngine>, pulse: PeerPulse, from: SocketAddr) {
-    let version = pulse.version;
-    engine.board().note_pulse(pulse, from);
+fn take_heartbeat(engine: &Arc<ProxyEngine>, heartbeat: PeerHeartbeat, from: SocketAddr) {
+    let version = heartbeat.version;
+    engine.board().note_heartbeat(heartbeat, from);
     if engine.copy_version().lacks(version) && engine.may_fetch_copy() {
         tokio::spawn(catch_up(Arc::clone(engine)));
     }
--- a/crates/rudder-engine/src/duty/mod.rs
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -3,9 +3,9 @@
 mod change;
 mod control;
 mod drain;
+mod heartbeat;
 mod keeper;
 mod promote;
-mod pulse;
 mod records;
 mod registry;
 mod start;
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The pause between two reads of the list. Instances learn of each other by their pulses as
+/// The pause between two reads of the list. Instances learn of each other by their heartbeats as
 /// well, so the list only has to be there for the first of them.
 const READER_GAP: Duration = Duration::from_secs(4);
 
@@ -62,8 +62,8 @@
 /// Enters the list if need be, and follows it.
 ///
 /// The list is read before the entry is written: an instance that starts again finds its entry
-/// there, and leads one read after its start where a write that is refused and a look at what stands
-/// there take two round trips to the store more.
+/// there, and leads one read after its start where a write that is refused and a look at what
+/// stands there take two round trips to the store more.
 pub(crate) async fn keep_registered(engine: Arc<ProxyEngine>) {
     let mut ledger = SeatLedger::default();
     let mut stood = false;
--- a/crates/rudder-engine/src/duty/start.rs
+++ b/crates/rudder-engine/src/duty/start.rs
@@ -1,6 +1,6 @@
 //! Starting an instance.
 
-use super::{keeper, pulse, records, registry, watch};
+use super::{heartbeat, keeper, records, registry, watch};
 use crate::engine::ProxyEngine;
 use crate::identity::{EngineBorders, InstanceIdentity};
 use crate::peers::{PeerExchange, serve_copies};
@@ -32,8 +32,8 @@
     let exchange = PeerExchange::bind(address).await?;
     let listener = TcpListener::bind(address).await?;
     tokio::spawn(serve_copies(Arc::clone(&engine), listener));
-    tokio::spawn(pulse::receive(Arc::clone(&engine), exchange.clone()));
-    tokio::spawn(pulse::send(Arc::clone(&engine), exchange.clone()));
+    tokio::spawn(heartbeat::receive(Arc::clone(&engine), exchange.clone()));
+    tokio::spawn(heartbeat::send(Arc::clone(&engine), exchange.clone()));
     tokio::spawn(registry::keep_registered(Arc::clone(&engine)));
     tokio::spawn(records::follow(Arc::clone(&engine), exchange.clone()));
     tokio::spawn(watch::supervise(Arc::clone(&engine)));
--- a/crates/rudder-engine/src/duty/turn.rs
+++ b/crates/rudder-engine/src/duty/turn.rs
@@ -1,22 +1,22 @@
-//! To whom a pulse is due.
+//! To whom a heartbeat is due.
 //!
-//! Load pattern: a whole fleet starts within a third of a second. An instance that pulses on its
-//! regular turn only is first heard up to a second after it learnt of its neighbours; until then each
-//! takes itself for the one that reads the store, so that all of them do.
+//! Load pattern: a whole fleet starts within a third of a second. An instance that heartbeats on
+//! its regular turn only is first heard up to a second after it learnt of its neighbours; until
+//! then each takes itself for the one that reads the store, so that all of them do.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// The turns of pulses to one group of receivers.
+/// The turns of heartbeats to one group of receivers.
 #[derive(Clone, Debug, Default)]
-pub(super) struct PulseTurn {
+pub(super) struct HeartbeatTurn {
     /// When all were told last.
     told_at: Option<Instant>,
     /// Who has been told since they were receivers, sorted.
     told: Vec<SocketAddr>,
 }
 
-impl PulseTurn {
+impl HeartbeatTurn {
     /// Those of `receivers`, which are sorted, who are to be told now: all of them if there is news
     /// or their turn has come, else those who are new.
     pub(super) fn due(
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -1,7 +1,7 @@
 //! What is known of the other instances.
 
 use super::fleet_copy::CopyVersion;
-use super::message::{PeerPulse, StopWord};
+use super::message::{PeerHeartbeat, StopWord};
 use super::questions::QuestionLog;
 use super::readers::{ReaderSeat, choose_readers};
 use crate::clock::boot_time;
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// How long an instance counts as live after its last word. Two pulses, a second apart, may be
+/// How long an instance counts as live after its last word. Two heartbeats, a second apart, may be
 /// lost on the way.
 const LIVE_TIME: Duration = Duration::from_millis(2600);
 
@@ -30,13 +30,13 @@
 }
 
 #[derive(Clone, Debug)]
-struct HeardPulse {
-    pulse: PeerPulse,
+struct HeardHeartbeat {
+    heartbeat: PeerHeartbeat,
     from: SocketAddr,
     at: Duration,
 }
 
-impl HeardPulse {
+impl HeardHeartbeat {
     fn is_live(&self, now: Duration) -> bool {
         now < self.at + LIVE_TIME
     }
@@ -49,7 +49,7 @@
     /// When the store had them so.
     seats_at: Duration,
     /// The last word of each, sorted by name.
-    heard: Vec<HeardPulse>,
+    heard: Vec<HeardHeartbeat>,
     stopped: Vec<StopWord>,
 }
 
@@ -102,19 +102,20 @@
         listed.then_some(state.seats_at)
     }
 
-    /// Where this instance's pulses go within its failure domain: to all.
+    /// Where this instance's heartbeats go within its failure domain: to all.
     pub(crate) fn near_receivers(&self) -> Vec<SocketAddr> {
         let state = self.state();
         let now = boot_time();
-        let near =
-            |heard: &&HeardPulse| heard.is_live(now) && heard.pulse.domain == self.own_domain;
+        let near = |heard: &&HeardHeartbeat| {
+            heard.is_live(now) && heard.heartbeat.domain == self.own_domain
+        };
         let listed = state.seats.iter().filter(|seat| seat.domain == self.own_domain);
         let heard = state.heard.iter().filter(near).map(|heard| heard.from);
         distinct(listed.map(|seat| seat.address).chain(heard))
     }
 
-    /// Where a reader's pulses go elsewhere: to the readers of the other domains, or to all of a
-    /// domain where none is known.
+    /// Where a reader's heartbeats go elsewhere: to the readers of the other domains, or to all of
+    /// a domain where none is known.
     ///
     /// So the datagrams of a fleet grow with its size, not with the square of it.
     pub(crate) fn far_receivers(&self) -> Vec<SocketAddr> {
@@ -136,15 +137,16 @@
     pub(crate) fn fed_at(&self) -> Option<Duration> {
         let now = boot_time();
         let state = self.state();
-        let live = state.heard.iter().filter(|heard| heard.is_live(now) && !heard.pulse.leaving);
-        let age = |heard: &HeardPulse| Duration::from_millis(heard.pulse.store_age_ms);
+        let live =
+            state.heard.iter().filter(|heard| heard.is_live(now) && !heard.heartbeat.leaving);
+        let age = |heard: &HeardHeartbeat| Duration::from_millis(heard.heartbeat.store_age_ms);
         live.filter_map(|heard| heard.at.checked_sub(age(heard))).max()
     }
 
     /// When an instance was last heard.
     pub(crate) fn heard_at(&self, instance: &InstanceName) -> Option<Duration> {
         let state = self.state();
-        let found = state.heard.iter().find(|heard| heard.pulse.instance == *instance);
+        let found = state.heard.iter().find(|heard| heard.heartbeat.instance == *instance);
         found.map(|heard| heard.at)
     }
 
@@ -184,11 +186,12 @@
     fn readers(&self) -> Vec<ReaderSeat> {
         let now = boot_time();
         let state = self.state();
-        let live = state.heard.iter().filter(|heard| heard.is_live(now) && !heard.pulse.leaving);
+        let live =
+            state.heard.iter().filter(|heard| heard.is_live(now) && !heard.heartbeat.leaving);
         let mut all: Vec<ReaderSeat> = live
             .map(|heard| ReaderSeat {
-                instance: heard.pulse.instance.clone(),
-                domain: heard.pulse.domain.clone(),
+                instance: heard.heartbeat.instance.clone(),
+                domain: heard.heartbeat.domain.clone(),
                 address: Some(heard.from),
             })
             .collect();
@@ -201,14 +204,15 @@
     }
 
     /// Takes in a sign of life.
-    pub(crate) fn note_pulse(&self, pulse: PeerPulse, from: SocketAddr) {
-        if pulse.instance == self.own {
+    pub(crate) fn note_heartbeat(&self, heartbeat: PeerHeartbeat, from: SocketAddr) {
+        if heartbeat.instance == self.own {
             return;
         }
-        let heard = HeardPulse { pulse, from, at: boot_time() };
+        let heard = HeardHeartbeat { heartbeat, from, at: boot_time() };
         let mut state = self.state();
-        let found =
-            state.heard.binary_search_by(|known| known.pulse.instance.cmp(&heard.pulse.instance));
+        let found = state
+            .heard
+            .binary_search_by(|known| known.heartbeat.instance.cmp(&heard.heartbeat.instance));
         match found {
             Ok(index) => state.heard[index] = heard,
             Err(index) => state.heard.insert(index, heard),
@@ -255,9 +259,9 @@
         let readers = self.readers();
         let state = self.state();
         let suspects = |instance: &InstanceName| {
-            let found = state.heard.iter().find(|heard| heard.pulse.instance == *instance);
+            let found = state.heard.iter().find(|heard| heard.heartbeat.instance == *instance);
             found.is_some_and(|heard| {
-                let doubts = &heard.pulse.doubts;
+                let doubts = &heard.heartbeat.doubts;
                 doubts.iter().any(|doubt| doubt.service == *service && doubt.epoch == epoch)
             })
         };
@@ -281,8 +285,8 @@
         since: Duration,
     ) -> bool {
         let state = self.state();
-        let found = state.heard.iter().find(|heard| heard.pulse.instance == *instance);
-        found.is_some_and(|heard| heard.at > since && heard.pulse.process != process)
+        let found = state.heard.iter().find(|heard| heard.heartbeat.instance == *instance);
+        found.is_some_and(|heard| heard.at > since && heard.heartbeat.process != process)
     }
 
     /// All instances that may hold connections, sorted by name, with their failure domains: those
@@ -293,7 +297,9 @@
         let mut known: Vec<(InstanceName, DomainName)> =
             state.seats.iter().map(|seat| (seat.instance.clone(), seat.domain.clone())).collect();
         let live = state.heard.iter().filter(|heard| heard.is_live(now));
-        known.extend(live.map(|heard| (heard.pulse.instance.clone(), heard.pulse.domain.clone())));
+        known.extend(
+            live.map(|heard| (heard.heartbeat.instance.clone(), heard.heartbeat.domain.clone())),
+        );
         known.push((self.own.clone(), self.own_domain.clone()));
         known.sort_unstable();
         known.dedup_by(|left, right| left.0 == right.0);
@@ -307,9 +313,9 @@
         let newer = state
             .heard
             .iter()
-            .filter(|heard| heard.is_live(now) && version.lacks(heard.pulse.version));
-        let order = |heard: &&HeardPulse| {
-            let known = heard.pulse.version;
+            .filter(|heard| heard.is_live(now) && version.lacks(heard.heartbeat.version));
+        let order = |heard: &&HeardHeartbeat| {
+            let known = heard.heartbeat.version;
             (known.settings, known.members)
         };
         newer.max_by_key(order).map(|heard| heard.from)
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -18,7 +18,7 @@
 plain_data! {
     /// What an instance tells all others about once a second.
     #[derive(Serialize, Deserialize)]
-    pub(crate) struct PeerPulse {
+    pub(crate) struct PeerHeartbeat {
         pub(crate) instance: InstanceName,
         /// Tells its process from its earlier and later ones.
         pub(crate) process: u64,
@@ -94,7 +94,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
     /// A sign of life.
-    Pulse(PeerPulse),
+    Heartbeat(PeerHeartbeat),
     /// A new version of a record; the receiver answers with a [`StopWord`] once it has stopped.
     Announce(RecordCopy),
     /// The answer.
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -15,7 +15,7 @@
 pub(crate) use exchange::PeerExchange;
 pub(crate) use fleet_copy::{CopyVersion, FleetCopy, fetch_copy, serve_copies};
 pub(crate) use message::{
-    PeerMessage, PeerPulse, PrimaryDoubt, RecordCopy, RecordsAnswer, SampleCopy, StopWord,
+    PeerHeartbeat, PeerMessage, PrimaryDoubt, RecordCopy, RecordsAnswer, SampleCopy, StopWord,
 };
 pub(crate) use seats::{LISTED_LIFE, SeatLedger, SeatVerdict};
 
--- a/crates/rudder-engine/src/peers/seats.rs
+++ b/crates/rudder-engine/src/peers/seats.rs
@@ -1,7 +1,7 @@
 //! When an instance is taken out of the list that the store keeps.
 //!
-//! Load pattern: machines fail and are replaced, dozens a day in a large fleet, and most of them say
-//! nothing before. If they stay in the list, each change of primary waits for words that never
+//! Load pattern: machines fail and are replaced, dozens a day in a large fleet, and most of them
+//! say nothing before. If they stay in the list, each change of primary waits for words that never
 //! come, connections are set aside for nobody, and once most of the list is gone no majority is
 //! reached any more.
 //!
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// How long an instance of the own failure domain must not have been heard before it is marked: a
-/// minute of lost pulses is no bad link, and a restart takes a second or two.
+/// minute of lost heartbeats is no bad link, and a restart takes a second or two.
 const UNHEARD_TIME: Duration = Duration::from_secs(60);
 
 /// How long a mark stands before the entry is removed.
