Connections are shared equally among instances

Change: equal shares; what is left over goes by a draw that differs for each member. The tests of domains go with the mechanism; the tests that the shares are all that a member takes and differ by one at most stand, and strange settings (none, one, very many) have one of their own.

--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -8,9 +8,9 @@
 
 mod admission;
 mod average;
+mod connection_share;
 mod detector;
 mod dial_gate;
-mod domain_share;
 mod meter;
 mod outlier;
 mod place;
@@ -28,9 +28,9 @@
     AdmissionGate, AdmissionRequest, AdmissionVerdict, LaneKey, LaneLimits, LaneUsage,
     RefusalReason, RefusalWord, TicketId, TicketNotice, TicketOutcome,
 };
+pub use connection_share::ConnectionShare;
 pub use detector::{PulseDetector, SuspicionBound};
 pub use dial_gate::{DialFailure, DialGate};
-pub use domain_share::{DomainShare, DomainShareInput, ShareHolder};
 pub use meter::MemberMeter;
 pub use outlier::OutlierTracker;
 pub use place::{PlaceDistance, SeatPlace};
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -8,8 +8,7 @@
 use crate::lead::{GroupSigns, LeadBook, LeadPhase, QUORUM_REACH, judge_change};
 use crate::peers::PeerExchange;
 use crate::sync::lock;
-use rudder_core::{DomainName, InstanceName, MemberName, MemberRole, ServiceName};
-use rudder_decisions::{SeatPlace, ShareHolder};
+use rudder_core::{MemberName, MemberRole, ServiceName};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -206,12 +205,8 @@
 
 fn deal_connections(engine: &ProxyEngine) {
     let Some(settings) = engine.settings() else { return };
-    let holder = |(instance, domain): (InstanceName, DomainName)| {
-        let region = engine.region_of(&domain);
-        ShareHolder { instance, place: SeatPlace { domain, region } }
-    };
     let own = &engine.identity().name;
-    let all: Vec<ShareHolder> = engine.board().known().into_iter().map(holder).collect();
+    let all = engine.board().known();
     for group in engine.groups() {
         let rules = &settings.services;
         if let Ok(index) = rules.binary_search_by(|rule| rule.service.cmp(group.service())) {
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -14,7 +14,7 @@
 use crate::statement::StatementError;
 use crate::store_word::StoreWord;
 use crate::sync::lock;
-use rudder_core::{DomainName, InstanceName, ServiceName};
+use rudder_core::{InstanceName, ServiceName};
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -82,13 +82,6 @@
         self.process
     }
 
-    /// The region of a failure domain; empty if it is not known.
-    pub(crate) fn region_of(&self, domain: &DomainName) -> String {
-        let regions = &self.identity.regions;
-        let found = regions.binary_search_by(|(known, _)| known.cmp(domain));
-        found.map_or_else(|_| String::new(), |index| regions[index].1.clone())
-    }
-
     /// Whether this instance reads the store for others as well, and so often.
     #[must_use]
     pub fn is_reader(&self) -> bool {
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -4,14 +4,14 @@
 //! hold them over the pauses of their transactions. Without a share of its own the busiest instance
 //! takes them all and the rest are refused; without a queue a caller is refused although a
 //! connection comes free a millisecond later; without priorities the reads that can wait stand
-//! before orders. Limits: the share comes from [`DomainShare`], the order from [`WaitLine`], dials
+//! before orders. Limits: the share comes from [`ConnectionShare`], the order from [`WaitLine`], dials
 //! after a failure from [`DialGate`], the wait from the caller.
 
 use super::link::PooledLink;
 use crate::border::{LinkError, MemberDialer, MemberTarget};
 use crate::statement::StatementError;
 use crate::sync::lock;
-use rudder_decisions::{DialFailure, DialGate, DomainShare, WaitLine};
+use rudder_decisions::{ConnectionShare, DialFailure, DialGate, WaitLine};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -110,7 +110,7 @@
     }
 
     /// Sets how many connections may be open; idle ones above it are closed.
-    pub(crate) fn set_share(self: &Arc<Self>, share: DomainShare) {
+    pub(crate) fn set_share(self: &Arc<Self>, share: ConnectionShare) {
         let mut closed = Vec::new();
         {
             let mut state = self.state();
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -6,7 +6,7 @@
 use crate::lead::{LeadBook, LeadPermit, LeadRecord, LeaderEpoch, PositionHistory};
 use crate::sync::lock;
 use rudder_core::{FreshSample, InstanceName, LogStamp, MemberName, ServiceName};
-use rudder_decisions::{DomainShare, DomainShareInput, ShareHolder};
+use rudder_decisions::ConnectionShare;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -225,19 +225,15 @@
         state.book.record().map_or(floor, |record| record.reachable(floor))
     }
 
-    /// Deals the members' connections out anew.
-    pub(crate) fn set_shares(&self, connections_max: u32, own: &InstanceName, all: &[ShareHolder]) {
-        let primary =
-            self.with_book(|book| book.record().and_then(|record| record.primary().cloned()));
+    /// Deals the members' connections out anew among `all` instances.
+    pub(crate) fn set_shares(
+        &self,
+        connections_max: u32,
+        own: &InstanceName,
+        all: &[InstanceName],
+    ) {
         for member in self.members() {
-            let share = DomainShare::of(&DomainShareInput {
-                connections_max,
-                member: member.name(),
-                place: &member.place(),
-                own,
-                all,
-                is_primary: primary.as_ref() == Some(member.name()),
-            });
+            let share = ConnectionShare::of(connections_max, member.name(), own, all);
             member.pool().set_share(share);
         }
     }
@@ -247,7 +243,7 @@
 fn close_dropped(known: &[Arc<GroupMember>], kept: &[Arc<GroupMember>]) {
     for member in known {
         if !kept.iter().any(|kept| Arc::ptr_eq(kept, member)) {
-            member.pool().set_share(DomainShare::default());
+            member.pool().set_share(ConnectionShare::default());
         }
     }
 }
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/board.rs
@@ -289,20 +289,18 @@
         found.is_some_and(|heard| heard.at > since && heard.heartbeat.process != process)
     }
 
-    /// All instances that may hold connections, sorted by name, with their failure domains: those
-    /// listed, those heard from, and this one.
-    pub(crate) fn known(&self) -> Vec<(InstanceName, DomainName)> {
+    /// All instances that may hold connections, sorted by name: those listed, those heard from, and
+    /// this one.
+    pub(crate) fn known(&self) -> Vec<InstanceName> {
         let now = boot_time();
         let state = self.state();
-        let mut known: Vec<(InstanceName, DomainName)> =
-            state.seats.iter().map(|seat| (seat.instance.clone(), seat.domain.clone())).collect();
+        let listed = state.seats.iter().map(|seat| seat.instance.clone());
         let live = state.heard.iter().filter(|heard| heard.is_live(now));
-        known.extend(
-            live.map(|heard| (heard.heartbeat.instance.clone(), heard.heartbeat.domain.clone())),
-        );
-        known.push((self.own.clone(), self.own_domain.clone()));
+        let heard = live.map(|heard| heard.heartbeat.instance.clone());
+        let mut known: Vec<InstanceName> = listed.chain(heard).collect();
+        known.push(self.own.clone());
         known.sort_unstable();
-        known.dedup_by(|left, right| left.0 == right.0);
+        known.dedup();
         known
     }
 
