--- a/crates/rudder-decisions/src/connection_share.rs
+++ b/crates/rudder-decisions/src/connection_share.rs
@@ -8,7 +8,7 @@
 //! So all instances have equal shares, and what is left over goes to some of them by a draw that
 //! comes out differently for each member. The shares add up to just what is to be divided, as each
 //! instance works them out from the same list, unless there are more instances than connections:
-//! then each may hold one, and gives it up when it is not in use.
+//! then each may hold one, and the member itself refuses what it does not take.
 
 use rudder_core::{InstanceName, MemberName};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -17,26 +17,23 @@
 /// instance that reads the store for all, of which there are three to seven.
 const RESERVE: u32 = 4;
 
-/// The connections of one instance to one member.
+/// How many connections one instance may hold to one member.
+///
+/// ```
+/// use rudder_decisions::ConnectionShare;
+/// let all = ["entry-1".parse()?, "entry-2".parse()?];
+/// let share = ConnectionShare::of(38, &"db-1".parse()?, &all[0], &all);
+/// assert_eq!(share, ConnectionShare(17));
+/// # Ok::<(), rudder_core::ParseError>(())
+/// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ConnectionShare {
-    /// How many it may hold.
-    pub limit: u32,
-    /// Whether there are fewer than instances, so that idle ones must be given up.
-    pub scarce: bool,
-}
+pub struct ConnectionShare(pub u32);
 
 impl ConnectionShare {
-    /// The connections that `own` may hold to `member`, which takes `connections_max` from `all`
-    /// instances, this one included; at least one.
+    /// The share of `own` in the connections that `member` takes from `all` instances, this one
+    /// included; at least one.
     ///
-    /// ```
-    /// use rudder_decisions::ConnectionShare;
-    /// let all = ["entry-1".parse()?, "entry-2".parse()?];
-    /// let share = ConnectionShare::of(38, &"db-1".parse()?, &all[0], &all);
-    /// assert_eq!((share.limit, share.scarce), (17, false));
-    /// # Ok::<(), rudder_core::ParseError>(())
-    /// ```
+    /// See the example of [`ConnectionShare`].
     #[must_use]
     pub fn of(
         connections_max: u32,
@@ -46,16 +43,14 @@
     ) -> Self {
         let free = connections_max.saturating_sub(RESERVE);
         let count = u32::try_from(all.len()).unwrap_or(u32::MAX).max(1);
-        if free < count {
-            return Self { limit: 1, scarce: true };
+        if free < count || !all.contains(own) {
+            return Self(1);
         }
         let seed = xxh3_64(member.as_str().as_bytes());
         let draw = |instance: &InstanceName| xxh3_64_with_seed(instance.as_str().as_bytes(), seed);
         let own_draw = draw(own);
         let ahead = all.iter().filter(|instance| draw(instance) < own_draw).count();
-        let listed = all.contains(own);
-        let extra = listed && ahead < (free % count) as usize;
-        let limit = if listed { free / count + u32::from(extra) } else { 1 };
-        Self { limit, scarce: false }
+        let extra = ahead < (free % count) as usize;
+        Self(free / count + u32::from(extra))
     }
 }
--- a/crates/rudder-decisions/tests/load/connection_share.rs
+++ b/crates/rudder-decisions/tests/load/connection_share.rs
@@ -18,7 +18,7 @@
 }
 
 fn limits(connections_max: u32, member: &str, count: usize) -> Vec<u32> {
-    shares(connections_max, member, count).iter().map(|share| share.limit).collect()
+    shares(connections_max, member, count).iter().map(|share| share.0).collect()
 }
 
 #[test]
@@ -56,9 +56,7 @@
 
 #[test]
 fn with_more_instances_than_connections_each_may_hold_one_while_it_needs_it() {
-    let one = ConnectionShare { limit: 1, scarce: true };
-
-    assert!(shares(30, "db-1", 70).iter().all(|share| *share == one));
+    assert!(limits(30, "db-1", 70).iter().all(|limit| *limit == 1));
 }
 
 #[test]
@@ -78,5 +76,5 @@
 
     let share = ConnectionShare::of(30, &member, &newcomer, &instances(2));
 
-    assert_eq!(share, ConnectionShare { limit: 1, scarce: false });
+    assert_eq!(share, ConnectionShare(1));
 }
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -20,13 +20,12 @@
 /// member's own work fit in.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// How long an idle connection is kept where there are fewer connections than instances: long
-/// enough for the statements of a caller that is at work, as a new one takes a slot and 12 ms.
-const SCARCE_IDLE: Duration = Duration::from_millis(250);
-
-/// How long an idle connection is kept else. A member keeps the connections of a machine that lost
-/// power for some seconds; the fewer there are, the more are left for the machine's return.
-const SPARE_IDLE: Duration = Duration::from_millis(250);
+/// How long an idle connection is kept: long enough for the statements of a caller that is at work,
+/// as a new one takes a slot and 12 ms.
+///
+/// Guards against callers that are refused after a loss of power: members keep the connections of
+/// a lost machine for some seconds, and what was idle there takes the place of a new one.
+const IDLE_TIME: Duration = Duration::from_millis(250);
 
 /// The connections to one member.
 pub(crate) struct MemberPool {
@@ -114,15 +113,14 @@
         let mut closed = Vec::new();
         {
             let mut state = self.state();
-            state.limit = share.limit;
-            while state.open > count(closed.len()) + share.limit {
+            state.limit = share.0;
+            while state.open > count(closed.len()) + share.0 {
                 let Some(link) = state.idle.pop() else { break };
                 closed.push(link);
             }
         }
         closed.into_iter().for_each(PooledLink::close);
-        let kept = if share.scarce { SCARCE_IDLE } else { SPARE_IDLE };
-        if let Some(moment) = Instant::now().checked_sub(kept) {
+        if let Some(moment) = Instant::now().checked_sub(IDLE_TIME) {
             self.drop_idle_since(moment);
         }
         self.serve_line();
--- a/crates/rudder-engine/src/group/tests/pool.rs
+++ b/crates/rudder-engine/src/group/tests/pool.rs
@@ -172,7 +172,7 @@
     let second = pool.acquire(1, LONG).await.expect("a connection");
     drop(first);
 
-    pool.set_share(ConnectionShare { limit: 1, scarce: false });
+    pool.set_share(ConnectionShare(1));
     drop(second);
 
     assert_eq!(pool.spare(), 1);
@@ -261,3 +261,18 @@
 
     assert!(link.is_ok());
 }
+
+#[tokio::test]
+async fn connections_that_nobody_uses_are_given_up_soon() {
+    // All instances lose power. The members count their connections for seconds, idle ones too, and
+    // refuse the instances when they are back: callers are turned away for want of a connection.
+    let dialer = Arc::new(FakeDialer::default());
+    let pool = pool(&dialer, 2);
+    drop(pool.acquire(1, LONG).await.expect("a connection"));
+    tokio::time::sleep(Duration::from_millis(260)).await;
+
+    pool.set_share(ConnectionShare(2));
+    drop(pool.acquire(1, LONG).await.expect("a connection"));
+
+    assert_eq!(dialer.dialed.load(Ordering::Relaxed), 2);
+}
