--- a/crates/rudder-decisions/examples/costs.rs
+++ b/crates/rudder-decisions/examples/costs.rs
@@ -8,7 +8,7 @@
 use rudder_core::{LogStamp, MemberRole};
 use rudder_decisions::{
     AdmissionGate, AdmissionRequest, AdmissionVerdict, LaneKey, LaneLimits, MemberHealth,
-    MemberMeter, MemberView, MemberWeight, PulseDetector, ReadDemand, ReadRouter, WorkClass,
+    MemberMeter, MemberView, MemberWeight, ReadDemand, ReadRouter, SilenceDetector, WorkClass,
     WorkEstimate, WorkSize,
 };
 use serde_json::json;
@@ -29,7 +29,7 @@
     }
     let sizes = [
         ("MemberMeter", size_of::<MemberMeter>()),
-        ("PulseDetector", size_of::<PulseDetector>()),
+        ("SilenceDetector", size_of::<SilenceDetector>()),
         ("MemberView", size_of::<MemberView>()),
         ("AdmissionRequest", size_of::<AdmissionRequest>()),
     ];
--- a/crates/rudder-decisions/examples/trials/detection.rs
+++ b/crates/rudder-decisions/examples/trials/detection.rs
@@ -9,7 +9,7 @@
 use super::summary::percentile_ms;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use rudder_decisions::{PulseDetector, SuspicionBound};
+use rudder_decisions::{SilenceDetector, SuspicionBound};
 use std::time::{Duration, Instant};
 
 const INTERVAL: Duration = Duration::from_millis(250);
@@ -219,7 +219,7 @@
     match rule {
         BoundRule::Longest(bound) => {
             let origin = Instant::now();
-            let mut detector = PulseDetector::new(bound, INTERVAL, origin);
+            let mut detector = SilenceDetector::new(bound, INTERVAL, origin);
             Box::new(move |at| {
                 detector.heard(origin + at);
                 detector.suspect_at().duration_since(origin)
--- a/crates/rudder-decisions/src/detector.rs
+++ b/crates/rudder-decisions/src/detector.rs
@@ -52,26 +52,26 @@
 /// Watches one member's answers from one observer.
 ///
 /// ```
-/// use rudder_decisions::{PulseDetector, SuspicionBound};
+/// use rudder_decisions::{SilenceDetector, SuspicionBound};
 /// use std::time::{Duration, Instant};
 /// let start = Instant::now();
 /// let bound = SuspicionBound::around(Duration::from_millis(800));
-/// let mut detector = PulseDetector::new(bound, Duration::from_millis(250), start);
+/// let mut detector = SilenceDetector::new(bound, Duration::from_millis(250), start);
 /// detector.heard(start + Duration::from_millis(250));
 /// assert!(!detector.is_suspect(start + Duration::from_millis(900)));
 /// assert!(detector.is_suspect(start + Duration::from_millis(1900)));
 /// ```
 #[derive(Clone, Debug)]
-pub struct PulseDetector {
+pub struct SilenceDetector {
     limits: SuspicionBound,
     peak_s: f64,
     last_heard: Instant,
 }
 
-impl PulseDetector {
+impl SilenceDetector {
     /// A detector of a member that answers about every `interval`.
     ///
-    /// See the example of [`PulseDetector`].
+    /// See the example of [`SilenceDetector`].
     #[must_use]
     pub fn new(limits: SuspicionBound, interval: Duration, now: Instant) -> Self {
         Self { limits, peak_s: interval.as_secs_f64(), last_heard: now }
@@ -79,7 +79,7 @@
 
     /// Takes in an answer of the member, to a probe or to a request.
     ///
-    /// See the example of [`PulseDetector`].
+    /// See the example of [`SilenceDetector`].
     pub fn heard(&mut self, now: Instant) {
         let gap = now.duration_since(self.last_heard);
         let half_lives = gap.as_secs_f64() / PEAK_HALF_LIFE.as_secs_f64();
@@ -93,10 +93,10 @@
     /// How long the member may be silent now before it is suspect.
     ///
     /// ```
-    /// use rudder_decisions::{PulseDetector, SuspicionBound};
+    /// use rudder_decisions::{SilenceDetector, SuspicionBound};
     /// use std::time::{Duration, Instant};
     /// let bound = SuspicionBound::around(Duration::from_millis(800));
-    /// let detector = PulseDetector::new(bound, Duration::from_millis(250), Instant::now());
+    /// let detector = SilenceDetector::new(bound, Duration::from_millis(250), Instant::now());
     /// assert_eq!(detector.bound(), Duration::from_millis(800));
     /// ```
     #[must_use]
@@ -108,7 +108,7 @@
 
     /// Whether the member has been silent for too long.
     ///
-    /// See the example of [`PulseDetector`].
+    /// See the example of [`SilenceDetector`].
     #[must_use]
     pub fn is_suspect(&self, now: Instant) -> bool {
         now.duration_since(self.last_heard) > self.bound()
@@ -117,11 +117,11 @@
     /// When the member becomes suspect if it stays silent.
     ///
     /// ```
-    /// use rudder_decisions::{PulseDetector, SuspicionBound};
+    /// use rudder_decisions::{SilenceDetector, SuspicionBound};
     /// use std::time::{Duration, Instant};
     /// let now = Instant::now();
     /// let bound = SuspicionBound::around(Duration::from_millis(800));
-    /// let detector = PulseDetector::new(bound, Duration::from_millis(250), now);
+    /// let detector = SilenceDetector::new(bound, Duration::from_millis(250), now);
     /// assert_eq!(detector.suspect_at(), now + Duration::from_millis(800));
     /// ```
     #[must_use]
--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -21,7 +21,7 @@
 mod routing;
 mod share;
 mod standing;
-mod wait_line;
+mod wait_queue;
 mod work;
 
 pub use admission::{
@@ -29,11 +29,11 @@
     RefusalReason, RefusalWord, TicketId, TicketNotice, TicketOutcome,
 };
 pub use connection_share::ConnectionShare;
-pub use detector::{PulseDetector, SuspicionBound};
+pub use detector::{SilenceDetector, SuspicionBound};
 pub use dial_gate::{DialFailure, DialGate};
 pub use meter::MemberMeter;
 pub use outlier::OutlierTracker;
-pub use place::{PlaceDistance, SeatPlace};
+pub use place::{NodePlace, PlaceDistance};
 pub use ramp::RampSchedule;
 pub use reconnect::ReconnectPacer;
 pub use replica_progress::ReplicaProgress;
@@ -44,5 +44,5 @@
 };
 pub use share::{DemandPart, SlotShare, holders_max, holders_of};
 pub use standing::ReadStanding;
-pub use wait_line::{WaitLine, WaitingWork};
+pub use wait_queue::{WaitQueue, WaitingWork};
 pub use work::{WorkClass, WorkEstimate, WorkSize};
--- a/crates/rudder-decisions/src/place.rs
+++ b/crates/rudder-decisions/src/place.rs
@@ -4,7 +4,7 @@
 
 /// Where an instance or a member is.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct SeatPlace {
+pub struct NodePlace {
     /// Its failure domain.
     pub domain: DomainName,
     /// The region of that domain.
@@ -22,13 +22,13 @@
     Elsewhere,
 }
 
-impl SeatPlace {
+impl NodePlace {
     /// How far it is to another place.
     ///
     /// ```
-    /// use rudder_decisions::{PlaceDistance, SeatPlace};
-    /// let kigali = SeatPlace { domain: "kigali-a".parse()?, region: "kigali".to_owned() };
-    /// let nairobi = SeatPlace { domain: "nairobi-a".parse()?, region: "nairobi".to_owned() };
+    /// use rudder_decisions::{PlaceDistance, NodePlace};
+    /// let kigali = NodePlace { domain: "kigali-a".parse()?, region: "kigali".to_owned() };
+    /// let nairobi = NodePlace { domain: "nairobi-a".parse()?, region: "nairobi".to_owned() };
     /// assert_eq!(kigali.distance(&nairobi), PlaceDistance::Elsewhere);
     /// assert!(kigali.distance(&kigali) < kigali.distance(&nairobi));
     /// # Ok::<(), rudder_core::ParseError>(())
--- a/crates/rudder-decisions/src/wait_line.rs
+++ b/crates/rudder-decisions/src/wait_queue.rs
@@ -21,11 +21,11 @@
 }
 
 impl WaitingWork {
-    /// Where the work stands in a line, by its route's priority first; the least is served first.
+    /// Where the work stands in a queue, by its route's priority first; the least is served first.
     ///
     /// A transaction holds its connection over its caller's pauses, for as long as dozens of single
     /// statements take: those go first, which costs it little. Reads go last, as they wait in other
-    /// lines, too.
+    /// queues, too.
     ///
     /// ```
     /// use rudder_decisions::WaitingWork;
@@ -48,7 +48,7 @@
 
 /// One who waits.
 #[derive(Clone, Debug)]
-struct LineWaiter<T> {
+struct QueueWaiter<T> {
     priority: u8,
     turn: u64,
     waiter: T,
@@ -56,28 +56,28 @@
 
 /// Those who wait for one thing, the next one first.
 #[derive(Clone, Debug)]
-pub struct WaitLine<T> {
-    waiters: Vec<LineWaiter<T>>,
+pub struct WaitQueue<T> {
+    waiters: Vec<QueueWaiter<T>>,
     next_turn: u64,
 }
 
-impl<T> Default for WaitLine<T> {
+impl<T> Default for WaitQueue<T> {
     fn default() -> Self {
         Self { waiters: Vec::new(), next_turn: 0 }
     }
 }
 
-impl<T> WaitLine<T> {
+impl<T> WaitQueue<T> {
     /// Adds one who waits, and returns its turn; priority 0 is served first.
     ///
     /// ```
-    /// use rudder_decisions::WaitLine;
-    /// let mut line = WaitLine::default();
-    /// line.join(2, "read");
-    /// line.join(0, "order");
-    /// line.join(0, "second order");
-    /// assert_eq!(line.next(), Some("order"));
-    /// assert_eq!(line.next(), Some("second order"));
+    /// use rudder_decisions::WaitQueue;
+    /// let mut queue = WaitQueue::default();
+    /// queue.join(2, "read");
+    /// queue.join(0, "order");
+    /// queue.join(0, "second order");
+    /// assert_eq!(queue.next(), Some("order"));
+    /// assert_eq!(queue.next(), Some("second order"));
     /// ```
     pub fn join(&mut self, priority: u8, waiter: T) -> u64 {
         let turn = self.next_turn;
@@ -89,27 +89,27 @@
     /// Adds one who waited before, at its old turn: what it was given turned out to be of no use.
     ///
     /// ```
-    /// use rudder_decisions::WaitLine;
-    /// let mut line = WaitLine::default();
-    /// let turn = line.join(1, "first");
-    /// line.join(1, "second");
-    /// assert_eq!(line.next(), Some("first"));
-    /// line.rejoin(1, turn, "first again");
-    /// assert_eq!(line.next(), Some("first again"));
+    /// use rudder_decisions::WaitQueue;
+    /// let mut queue = WaitQueue::default();
+    /// let turn = queue.join(1, "first");
+    /// queue.join(1, "second");
+    /// assert_eq!(queue.next(), Some("first"));
+    /// queue.rejoin(1, turn, "first again");
+    /// assert_eq!(queue.next(), Some("first again"));
     /// ```
     pub fn rejoin(&mut self, priority: u8, turn: u64, waiter: T) {
         let index =
             self.waiters.partition_point(|known| (known.priority, known.turn) <= (priority, turn));
-        self.waiters.insert(index, LineWaiter { priority, turn, waiter });
+        self.waiters.insert(index, QueueWaiter { priority, turn, waiter });
     }
 
     /// Takes out the one who is next.
     ///
     /// ```
-    /// let mut line: rudder_decisions::WaitLine<&str> = rudder_decisions::WaitLine::default();
-    /// assert_eq!(line.next(), None);
+    /// let mut queue: rudder_decisions::WaitQueue<&str> = rudder_decisions::WaitQueue::default();
+    /// assert_eq!(queue.next(), None);
     /// ```
-    #[expect(clippy::should_implement_trait, reason = "the line goes on after it was empty")]
+    #[expect(clippy::should_implement_trait, reason = "the queue goes on after it was empty")]
     pub fn next(&mut self) -> Option<T> {
         (!self.waiters.is_empty()).then(|| self.waiters.remove(0).waiter)
     }
@@ -117,11 +117,11 @@
     /// Takes out the first one who may be served now.
     ///
     /// ```
-    /// let mut line = rudder_decisions::WaitLine::default();
-    /// line.join(1, "read that must leave a connection free");
-    /// line.join(1, "write");
-    /// assert_eq!(line.next_where(|waiter| *waiter == "write"), Some("write"));
-    /// assert_eq!(line.next_where(|waiter| *waiter == "write"), None);
+    /// let mut queue = rudder_decisions::WaitQueue::default();
+    /// queue.join(1, "read that must leave a connection free");
+    /// queue.join(1, "write");
+    /// assert_eq!(queue.next_where(|waiter| *waiter == "write"), Some("write"));
+    /// assert_eq!(queue.next_where(|waiter| *waiter == "write"), None);
     /// ```
     pub fn next_where(&mut self, may_be_served: impl Fn(&T) -> bool) -> Option<T> {
         let index = self.waiters.iter().position(|known| may_be_served(&known.waiter))?;
@@ -131,11 +131,11 @@
     /// Keeps only those who still wait.
     ///
     /// ```
-    /// let mut line = rudder_decisions::WaitLine::default();
-    /// line.join(1, "gave up");
-    /// line.join(1, "waits");
-    /// line.retain(|waiter| *waiter == "waits");
-    /// assert_eq!(line.len(), 1);
+    /// let mut queue = rudder_decisions::WaitQueue::default();
+    /// queue.join(1, "gave up");
+    /// queue.join(1, "waits");
+    /// queue.retain(|waiter| *waiter == "waits");
+    /// assert_eq!(queue.len(), 1);
     /// ```
     pub fn retain(&mut self, still_waits: impl Fn(&T) -> bool) {
         self.waiters.retain(|known| still_waits(&known.waiter));
@@ -144,9 +144,9 @@
     /// How many wait, those who gave up included.
     ///
     /// ```
-    /// let mut line = rudder_decisions::WaitLine::default();
-    /// line.join(1, "read");
-    /// assert_eq!((line.len(), line.is_empty()), (1, false));
+    /// let mut queue = rudder_decisions::WaitQueue::default();
+    /// queue.join(1, "read");
+    /// assert_eq!((queue.len(), queue.is_empty()), (1, false));
     /// ```
     #[must_use]
     pub fn len(&self) -> usize {
@@ -156,7 +156,7 @@
     /// Whether nobody waits.
     ///
     /// ```
-    /// assert!(rudder_decisions::WaitLine::<u8>::default().is_empty());
+    /// assert!(rudder_decisions::WaitQueue::<u8>::default().is_empty());
     /// ```
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/rudder-decisions/tests/load/detection.rs
+++ b/crates/rudder-decisions/tests/load/detection.rs
@@ -1,14 +1,14 @@
-use rudder_decisions::{PulseDetector, SuspicionBound};
+use rudder_decisions::{SilenceDetector, SuspicionBound};
 use std::time::{Duration, Instant};
 
 const INTERVAL: Duration = Duration::from_millis(250);
 
-fn detector(start: Instant) -> PulseDetector {
-    PulseDetector::new(SuspicionBound::around(Duration::from_millis(600)), INTERVAL, start)
+fn detector(start: Instant) -> SilenceDetector {
+    SilenceDetector::new(SuspicionBound::around(Duration::from_millis(600)), INTERVAL, start)
 }
 
 /// Plays answers with these gaps and returns how often the member was suspect before one came.
-fn false_alarms(detector: &mut PulseDetector, start: Instant, gaps_ms: &[u64]) -> usize {
+fn false_alarms(detector: &mut SilenceDetector, start: Instant, gaps_ms: &[u64]) -> usize {
     let mut now = start;
     let mut alarms = 0;
     for gap_ms in gaps_ms {
--- a/crates/rudder-decisions/tests/load/main.rs
+++ b/crates/rudder-decisions/tests/load/main.rs
@@ -35,7 +35,7 @@
 mod saturation;
 mod shares;
 mod standing;
-mod wait_line;
+mod wait_queue;
 
 use model::{MemberSpec, Outcome, Request};
 use scenes::{INSTANCES, group};
--- a/crates/rudder-decisions/tests/load/wait_line.rs
+++ b/crates/rudder-decisions/tests/load/wait_queue.rs
@@ -1,6 +1,6 @@
 //! A burst of reads with orders among them, before few connections.
 
-use rudder_decisions::WaitLine;
+use rudder_decisions::WaitQueue;
 
 /// Priorities of the two kinds of work.
 const ORDER: u8 = 0;
@@ -13,16 +13,16 @@
 /// Plays the burst, with an order after each twentieth read; returns for each work, in the order of
 /// their arrival, the millisecond in which it was served, orders and reads apart.
 fn play(priority_of_orders: u8) -> (Vec<u32>, Vec<u32>) {
-    let mut line = WaitLine::default();
+    let mut queue = WaitQueue::default();
     for number in 0..BURST {
-        line.join(READ, (READ, number));
+        queue.join(READ, (READ, number));
         if number % 20 == 19 {
-            line.join(priority_of_orders, (ORDER, number));
+            queue.join(priority_of_orders, (ORDER, number));
         }
     }
     let (mut orders, mut reads) = (Vec::new(), Vec::new());
     let mut served = 0;
-    while let Some((kind, number)) = line.next() {
+    while let Some((kind, number)) = queue.next() {
         let of_kind = if kind == ORDER { &mut orders } else { &mut reads };
         of_kind.push((number, served / FREED));
         served += 1;
--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -1,9 +1,9 @@
 //! Carries out a change of primary.
 //!
-//! 1. Write the intent: nobody gets a new permit for the old primary.
-//! 2. Wait until every instance has said that it stopped, or until the permits have lapsed.
+//! 1. Write the intent: nobody gets a new lease for the old primary.
+//! 2. Wait until every instance has said that it stopped, or until the leases have expired.
 //! 3. Ask the members how far their logs go, and promote the most advanced one.
-//! 4. Write the result: from then on permits are given for the new primary.
+//! 4. Write the result: from then on leases are given for the new primary.
 //!
 //! Each write is conditional on the version before, and names the writer by a mark, so that an
 //! answer that was lost is cleared up by reading back. An instance that dies on the way is
@@ -13,7 +13,7 @@
 use super::control::{MemberReport, step_down};
 use super::heartbeat::stop_answering;
 use super::records::{ask_again, read_record};
-use super::registry::{CALL_LIMIT, limited, read_seats};
+use super::registry::{CALL_LIMIT, limited, read_entries};
 use super::status::StatusDesk;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
@@ -27,7 +27,7 @@
 use std::time::Duration;
 use tokio::sync::Mutex;
 
-/// How long an intent entitles its writer to order a promotion: a permit's life and a second for
+/// How long an intent entitles its writer to order a promotion: a lease's life and a second for
 /// questions and repeated orders. Below `CHANGE_PATIENCE` by more than an order's time.
 pub(super) const HOLD_TIME: Duration = Duration::from_millis(2600);
 
@@ -199,17 +199,20 @@
 
     /// Whether most instances answer.
     async fn hears_most(&self) -> bool {
-        let board = self.engine.board();
+        let membership = self.engine.membership();
         let question = rand::random::<u64>();
         let until = boot_time() + HEARD_LIMIT;
         while boot_time() < until {
-            ask_again(self.engine, self.exchange, &board.addresses(), question).await;
+            ask_again(self.engine, self.exchange, &membership.addresses(), question).await;
             tokio::time::sleep(LOOK_GAP).await;
-            if is_quorum(board.questions().answer_count(question) + 1, board.known_count()) {
+            if is_quorum(
+                membership.questions().answer_count(question) + 1,
+                membership.known_count(),
+            ) {
                 return true;
             }
         }
-        board.known_count() == 1
+        membership.known_count() == 1
     }
 
     /// Writes a version of the record, on condition that the one before is in place.
@@ -287,20 +290,20 @@
         self.announce(&intent.record).await;
         // Read after the intent was written: an instance that registers later reads the intent.
         let (listed, _) =
-            tokio::join!(read_seats(self.engine), stop_answering(self.engine, service));
+            tokio::join!(read_entries(self.engine), stop_answering(self.engine, service));
         if let Err(error) = &listed {
             log::info!(reason:% = error; "the list of instances was not read");
         }
         let listed = listed.is_ok();
         let mut most_since = None;
         loop {
-            let all = self.engine.board().seat_count() + 1;
-            let left = self.engine.board().not_stopped(service, intent.record.epoch);
+            let all = self.engine.membership().listed_count() + 1;
+            let left = self.engine.membership().not_stopped(service, intent.record.epoch);
             let now = boot_time();
             if listed && is_quorum(all - left.len(), all) {
                 most_since.get_or_insert(now);
             }
-            let changing_since = self.group.with_book(|book| book.changing_since());
+            let changing_since = self.group.with_leases(|leases| leases.changing_since());
             let progress = StopProgress {
                 written_by: intent.done_at,
                 changing_since: changing_since.unwrap_or(intent.done_at),
@@ -319,11 +322,11 @@
             if now >= intent.done_at + HOLD_TIME {
                 return Err(ChangeError::TooLate);
             }
-            let receivers: Vec<_> = left.iter().map(|seat| seat.address).collect();
+            let receivers: Vec<_> = left.iter().map(|entry| entry.address).collect();
             let message = PeerMessage::Announce(self.copy_of(&intent.record));
             self.exchange.send_all(&message, &receivers).await;
-            let wait = progress.lapses_at().saturating_sub(now).min(ANNOUNCE_GAP);
-            self.engine.board().wait_stopped(wait).await;
+            let wait = progress.expires_at().saturating_sub(now).min(ANNOUNCE_GAP);
+            self.engine.membership().wait_stopped(wait).await;
         }
     }
 
@@ -332,14 +335,14 @@
             service: self.group.service().clone(),
             record: record.clone(),
             age_ms: 0,
-            vouched_age_ms: 0,
-            vouches: false,
+            majority_age_ms: 0,
+            confirms: false,
             sample: None,
         }
     }
 
     async fn announce(&self, record: &LeadRecord) {
-        let receivers = self.engine.board().addresses();
+        let receivers = self.engine.membership().addresses();
         let message = PeerMessage::Announce(self.copy_of(record));
         self.exchange.send_all(&message, &receivers).await;
     }
--- a/crates/rudder-engine/src/duty/heartbeat.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -1,7 +1,7 @@
 //! Signs of life between instances, and the answers to peers' questions.
 
 use super::records::ask;
-use super::turn::HeartbeatTurn;
+use super::schedule::HeartbeatSchedule;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::ServiceGroup;
@@ -9,7 +9,7 @@
 use crate::lead::{LeadPhase, LeaderEpoch, is_quorum};
 use crate::peers::{
     PeerExchange, PeerHeartbeat, PeerMessage, PrimaryDoubt, RecordCopy, RecordsAnswer, SampleCopy,
-    StopWord, fetch_copy,
+    StopNotice, fetch_copy,
 };
 use rudder_core::{InstanceName, ServiceName};
 use std::net::SocketAddr;
@@ -31,7 +31,7 @@
 
 /// How long an instance that asks the store itself awaits its word before it asks a peer that has
 /// it already.
-const OWN_WORD_WAIT: Duration = Duration::from_millis(400);
+const OWN_READ_WAIT: Duration = Duration::from_millis(400);
 
 /// The pause between two looks whether statements are still under way.
 const STOP_LOOK: Duration = Duration::from_millis(5);
@@ -39,14 +39,21 @@
 /// Sends heartbeats: regularly, and at once when there is something new in them.
 pub(crate) async fn send(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
     let mut told: Option<PeerHeartbeat> = None;
-    let (mut near_turn, mut far_turn) = (HeartbeatTurn::default(), HeartbeatTurn::default());
+    let (mut near_schedule, mut far_schedule) =
+        (HeartbeatSchedule::default(), HeartbeatSchedule::default());
     loop {
         let heartbeat = compose(&engine);
         let news = told.as_ref() != Some(&heartbeat);
         let near_gap = if engine.is_reader() { FEED_GAP } else { HEARTBEAT_GAP };
         let now = Instant::now();
-        let mut receivers = near_turn.due(engine.board().near_receivers(), news, near_gap, now);
-        receivers.extend(far_turn.due(engine.board().far_receivers(), news, HEARTBEAT_GAP, now));
+        let mut receivers =
+            near_schedule.due(engine.membership().near_receivers(), news, near_gap, now);
+        receivers.extend(far_schedule.due(
+            engine.membership().far_receivers(),
+            news,
+            HEARTBEAT_GAP,
+            now,
+        ));
         let store_age_ms = store_age_ms(&engine);
         let dated = PeerHeartbeat { store_age_ms, ..heartbeat.clone() };
         exchange.send_all(&PeerMessage::Heartbeat(dated), &receivers).await;
@@ -68,7 +75,7 @@
     let doubted = |group: &Arc<ServiceGroup>| reads && group.silent_since().is_some();
     let doubts = engine.groups().into_iter().filter(doubted).map(|group| PrimaryDoubt {
         service: group.service().clone(),
-        epoch: group.with_book(|book| book.epoch()),
+        epoch: group.with_leases(|leases| leases.epoch()),
     });
     PeerHeartbeat {
         instance: engine.identity().name.clone(),
@@ -88,7 +95,7 @@
         match message {
             PeerMessage::Heartbeat(heartbeat) => take_heartbeat(&engine, heartbeat, from),
             PeerMessage::Announce(copy) => take_announcement(&engine, &exchange, copy, from).await,
-            PeerMessage::Stopped(word) => engine.board().note_stopped(word),
+            PeerMessage::Stopped(word) => engine.membership().note_stopped(word),
             PeerMessage::Ask { instance: asker, question } => {
                 exchange.send(&PeerMessage::Records(answer(&engine, &asker, question)), from).await;
             }
@@ -102,7 +109,7 @@
 
 fn take_heartbeat(engine: &Arc<ProxyEngine>, heartbeat: PeerHeartbeat, from: SocketAddr) {
     let version = heartbeat.version;
-    engine.board().note_heartbeat(heartbeat, from);
+    engine.membership().note_heartbeat(heartbeat, from);
     if engine.copy_version().lacks(version) && engine.may_fetch_copy() {
         tokio::spawn(catch_up(Arc::clone(engine)));
     }
@@ -111,9 +118,9 @@
 /// Fetches what a peer knows and this instance does not.
 async fn catch_up(engine: Arc<ProxyEngine>) {
     if !engine.is_fed() {
-        tokio::time::sleep(OWN_WORD_WAIT).await;
+        tokio::time::sleep(OWN_READ_WAIT).await;
     }
-    if let Some(peer) = engine.board().newer_copy(engine.copy_version())
+    if let Some(peer) = engine.membership().newer_copy(engine.copy_version())
         && let Some(copy) = fetch_copy(peer).await
     {
         log::info!(peer:% = peer, settings:% = copy.settings.version; "a copy was had from a peer");
@@ -137,7 +144,7 @@
         tokio::spawn(async move {
             let epoch = stop_answering(&engine, &service).await;
             let instance = engine.identity().name.clone();
-            let word = StopWord { instance, service, epoch };
+            let word = StopNotice { instance, service, epoch };
             exchange.send(&PeerMessage::Stopped(word), from).await;
         });
     } else if new {
@@ -153,7 +160,7 @@
     let until = Instant::now() + STOP_WAIT;
     loop {
         let force = Instant::now() >= until;
-        let (stopped, epoch) = group.with_book(|book| (book.stop(force), book.epoch()));
+        let (stopped, epoch) = group.with_leases(|leases| (leases.stop(force), leases.epoch()));
         if stopped {
             return epoch;
         }
@@ -173,25 +180,25 @@
     RecordsAnswer {
         instance: engine.identity().name.clone(),
         question,
-        listed_age_ms: age_ms(engine.board().listed_at(asker)),
-        read_age_ms: age_ms(engine.records_word().read_at()),
+        listed_age_ms: age_ms(engine.membership().listed_at(asker)),
+        read_age_ms: age_ms(engine.records_status().read_at()),
         records: groups.iter().filter_map(|group| copy_record(engine, group)).collect(),
     }
 }
 
 fn copy_record(engine: &ProxyEngine, group: &ServiceGroup) -> Option<RecordCopy> {
     let now = boot_time();
-    let (book, newest) = group.knowledge();
+    let (leases, newest) = group.knowledge();
     let sample = newest
         .map(|sample| SampleCopy { stamp: sample.stamp, age_ms: age_in_ms(sample.sent_at, now) });
     Some(RecordCopy {
         service: group.service().clone(),
-        record: book.record()?.clone(),
-        age_ms: age_in_ms(book.confirmed_at(), now),
-        vouched_age_ms: age_in_ms(book.anchor(), now),
-        // Guards against an instance that forgot by a restart that it had stopped: it vouches for
+        record: leases.record()?.clone(),
+        age_ms: age_in_ms(leases.confirmed_at(), now),
+        majority_age_ms: age_in_ms(leases.anchor(), now),
+        // Guards against an instance that forgot by a restart that it had stopped: it confirms
         // a version only once it has read the store itself.
-        vouches: engine.has_read_records(),
+        confirms: engine.has_read_records(),
         sample,
     })
 }
@@ -204,7 +211,7 @@
 
 /// A peer's word that the store lists this instance, and that it has read all records.
 fn take_listing(engine: &ProxyEngine, answer: &RecordsAnswer) {
-    let Some(asked_at) = engine.board().questions().asked_at(answer.question) else { return };
+    let Some(asked_at) = engine.membership().questions().asked_at(answer.question) else { return };
     let moment = |age_ms| asked_at.saturating_sub(Duration::from_millis(age_ms));
     if let Some(age_ms) = answer.listed_age_ms {
         engine.renew_listed(moment(age_ms));
@@ -217,21 +224,22 @@
 /// The answer to a question of this instance's own.
 fn take_records(engine: &ProxyEngine, answer: &RecordsAnswer) {
     let (question, instance) = (answer.question, &answer.instance);
-    let Some(asked_at) = engine.board().questions().asked_at(question) else { return };
-    engine.board().questions().note_answer(question, instance);
+    let Some(asked_at) = engine.membership().questions().asked_at(question) else { return };
+    engine.membership().questions().note_answer(question, instance);
     for copy in &answer.records {
         // Guards against an answer that was long on its way: the peer looked after the question
         // was sent, so counted from then its word is older than it says, never younger.
         let confirmed_at = asked_at.saturating_sub(Duration::from_millis(copy.age_ms));
         engine.observe(&copy.service, &copy.record, confirmed_at);
         let epoch = copy.record.epoch;
-        let vouched_at = asked_at.saturating_sub(Duration::from_millis(copy.vouched_age_ms));
-        engine.vouch(&copy.service, epoch, vouched_at);
-        if copy.vouches && engine.has_read_records() {
-            let board = engine.board();
-            let count = board.questions().count_vouch(question, instance, &copy.service, epoch);
-            if is_quorum(count, board.known_count()) {
-                engine.vouch(&copy.service, epoch, asked_at);
+        let majority_at = asked_at.saturating_sub(Duration::from_millis(copy.majority_age_ms));
+        engine.confirm_by_majority(&copy.service, epoch, majority_at);
+        if copy.confirms && engine.has_read_records() {
+            let membership = engine.membership();
+            let count =
+                membership.questions().count_confirmation(question, instance, &copy.service, epoch);
+            if is_quorum(count, membership.known_count()) {
+                engine.confirm_by_majority(&copy.service, epoch, asked_at);
             }
         }
         if let Some(sample) = copy.sample {
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -5,7 +5,7 @@
 use crate::engine::ProxyEngine;
 use crate::group::{GroupMember, MemberState, ServiceGroup};
 use crate::identity::DrainPhase;
-use crate::lead::{GroupSigns, LeadBook, LeadPhase, QUORUM_REACH, judge_change};
+use crate::lead::{GroupSigns, LeadPhase, LeaseTable, QUORUM_REACH, judge_change};
 use crate::peers::PeerExchange;
 use crate::sync::lock;
 use rudder_core::{MemberName, MemberRole, ServiceName};
@@ -80,7 +80,7 @@
     busy: &Busy,
 ) {
     let now = boot_time();
-    let may_act = engine.drain_phase() == DrainPhase::Serving && engine.board().is_reader();
+    let may_act = engine.drain_phase() == DrainPhase::Serving && engine.membership().is_reader();
     if !may_act {
         watch.signs = LastingSigns::default();
         return;
@@ -88,14 +88,14 @@
     if now < watch.pause_until {
         return;
     }
-    let book = group.with_book(|book| book.clone());
-    let epoch = book.epoch();
-    let signs = read_signs(engine, group, &book, &mut watch.signs, now);
-    let votes = engine.board().votes(group.service(), epoch, signs.silent_since.is_some());
-    let cause = judge_change(&book, &signs, &engine.identity().name, &votes, now);
+    let leases = group.with_leases(|leases| leases.clone());
+    let epoch = leases.epoch();
+    let signs = read_signs(engine, group, &leases, &mut watch.signs, now);
+    let votes = engine.membership().votes(group.service(), epoch, signs.silent_since.is_some());
+    let cause = judge_change(&leases, &signs, &engine.identity().name, &votes, now);
     // Guards against a first record for a service that has one: the list that lacked it may have
     // been read before another instance wrote it.
-    let unrecorded = book.record().is_none() && engine.is_recordless(group.service());
+    let unrecorded = leases.record().is_none() && engine.is_recordless(group.service());
     let first = unrecorded && !group.members().is_empty();
     if cause.is_none() && !first {
         return;
@@ -111,7 +111,7 @@
     let since = [signs.silent_since, signs.absent_since, signs.usurped_since];
     let since = since.into_iter().flatten().min().unwrap_or(now);
     // Nobody who knows that the primary leaves sends it work by then, so there is nothing to stop.
-    let primary = book.record().and_then(|record| record.primary());
+    let primary = leases.record().and_then(|record| record.primary());
     let left = primary.and_then(|primary| group.member(primary));
     let left = left.is_some_and(|member| member.has_left(engine.leave_limit()));
     let alone = left || now >= since + QUORUM_REACH;
@@ -154,12 +154,12 @@
 fn read_signs(
     engine: &ProxyEngine,
     group: &ServiceGroup,
-    book: &LeadBook,
+    leases: &LeaseTable,
     lasting: &mut LastingSigns,
     now: Duration,
 ) -> GroupSigns {
     let members = group.members();
-    let primary = book.record().and_then(|record| record.primary().cloned());
+    let primary = leases.record().and_then(|record| record.primary().cloned());
     let present = primary.as_ref().and_then(|primary| group.member(primary));
     let listed = engine.members_confirmed_at().is_some_and(|at| now < at + LIST_AGE_MAX);
     let gone = present.as_ref().is_none_or(|primary| !primary.is_listed());
@@ -172,20 +172,20 @@
         absent_since: lasting.absent_since,
         usurped_since: lasting.usurped_since,
         draining: present.is_some_and(|primary| !primary.serves_reads()),
-        holder_ended: has_ended(engine, book),
+        holder_ended: has_ended(engine, leases),
         replaceable: members.iter().any(|member| is_successor(member, primary.as_ref())),
     }
 }
 
 /// Whether the attempt that began a change is known to have ended: it was this instance's own, of
 /// which only one at a time is under way, or its instance shows another process by now.
-fn has_ended(engine: &ProxyEngine, book: &LeadBook) -> bool {
-    let phase = book.record().map(|record| &record.phase);
+fn has_ended(engine: &ProxyEngine, leases: &LeaseTable) -> bool {
+    let phase = leases.record().map(|record| &record.phase);
     let Some(LeadPhase::Changing { holder, process, .. }) = phase else { return false };
     if *holder == engine.identity().name {
         return true;
     }
-    engine.board().has_restarted(holder, *process, book.seen_at())
+    engine.membership().has_restarted(holder, *process, leases.seen_at())
 }
 
 fn lasting_since(since: Option<Duration>, seen: bool, now: Duration) -> Option<Duration> {
@@ -206,7 +206,7 @@
 fn deal_connections(engine: &ProxyEngine) {
     let Some(settings) = engine.settings() else { return };
     let own = &engine.identity().name;
-    let all = engine.board().known();
+    let all = engine.membership().known();
     for group in engine.groups() {
         let rules = &settings.services;
         if let Ok(index) = rules.binary_search_by(|rule| rule.service.cmp(group.service())) {
--- a/crates/rudder-engine/src/duty/mod.rs
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -8,9 +8,9 @@
 mod promote;
 mod records;
 mod registry;
+mod schedule;
 mod start;
 mod status;
-mod turn;
 mod watch;
 
 pub use drain::stop_engine;
--- a/crates/rudder-engine/src/duty/promote.rs
+++ b/crates/rudder-engine/src/duty/promote.rs
@@ -65,7 +65,7 @@
             if boot_time() >= intent.done_at + HOLD_TIME {
                 return Err(ChangeError::TooLate);
             }
-            if self.group.with_book(|book| book.epoch()) != intent.record.epoch {
+            if self.group.with_leases(|leases| leases.epoch()) != intent.record.epoch {
                 return Err(ChangeError::Overtaken);
             }
             let Some((candidate, _)) = candidates.first() else {
--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -1,4 +1,4 @@
-//! Follows the records of all services, and with them the permits.
+//! Follows the records of all services, and with them the leases.
 
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The pause between two reads. A permit lives for 1.5 s, so that two reads may fail.
+/// The pause between two reads. A lease lives for 1.5 s, so that two reads may fail.
 const READ_GAP: Duration = Duration::from_millis(400);
 
 /// The most time for one read. The store answers in milliseconds, and in some hundred when slow.
@@ -20,11 +20,11 @@
 const ANSWER_WAIT: Duration = Duration::from_millis(100);
 
 /// The age of the readers' word from which on an instance reads the store itself. A fresh answer
-/// is at most as old as a reader's pause and one slow read; a permit's life is then not half over.
+/// is at most as old as a reader's pause and one slow read; a lease's life is then not half over.
 const PEER_AGE_MAX: Duration = Duration::from_millis(700);
 
 /// How long an instance that starts waits for its entry in the list before it reads the records: what
-/// was read before gives no permit. Three calls to the store and their round trips between regions.
+/// was read before gives no lease. Three calls to the store and their round trips between regions.
 const ENTRY_WAIT: Duration = Duration::from_millis(400);
 
 /// The least pause between two questions that callers cause.
@@ -43,7 +43,7 @@
     let _ = tokio::time::timeout(ENTRY_WAIT, engine.list_entered()).await;
     loop {
         let sent_at = boot_time();
-        let follows = engine.has_read_records() && !engine.board().is_reader();
+        let follows = engine.has_read_records() && !engine.membership().is_reader();
         if follows && follow_peers(&engine, &exchange).await {
             rest(&engine, &exchange, READ_GAP - ANSWER_WAIT).await;
             continue;
@@ -57,8 +57,8 @@
                     engine.observe(service, record, sent_at);
                 }
             }
-            // Most instances' word renews permits, so that those that read for all ask everybody.
-            Err(_) if engine.board().is_reader() => ask_all(&engine, &exchange).await,
+            // Most instances' word renews leases, so that those that read for all ask everybody.
+            Err(_) if engine.membership().is_reader() => ask_all(&engine, &exchange).await,
             Err(_) => ask_peers(&engine, &exchange, PEERS_ASKED).await,
         }
         if answer.is_ok() != reachable {
@@ -79,8 +79,8 @@
         tokio::select! {
             () = tokio::time::sleep_until(until) => return,
             () = engine.list_entered() => return,
-            () = engine.word_wanted() => {
-                if !engine.board().is_reader() {
+            () = engine.records_wanted() => {
+                if !engine.membership().is_reader() {
                     ask_peers(engine, exchange, 1).await;
                 }
                 tokio::time::sleep(ASK_PAUSE).await;
@@ -93,7 +93,7 @@
 async fn follow_peers(engine: &ProxyEngine, exchange: &PeerExchange) -> bool {
     ask_peers(engine, exchange, 1).await;
     tokio::time::sleep(ANSWER_WAIT).await;
-    oldest_word(engine) < PEER_AGE_MAX
+    oldest_record_age(engine) < PEER_AGE_MAX
 }
 
 async fn read_all(engine: &ProxyEngine) -> Result<Vec<(ServiceName, LeadRecord)>, StoreError> {
@@ -125,13 +125,13 @@
 
 /// The age of what is known of the records. Of a service without one it is the age of the last read
 /// that showed none.
-pub(super) fn oldest_word(engine: &ProxyEngine) -> Duration {
+pub(super) fn oldest_record_age(engine: &ProxyEngine) -> Duration {
     let now = boot_time();
-    let listed_age = engine.records_word().known_at().map(|at| now.saturating_sub(at));
+    let listed_age = engine.records_status().known_at().map(|at| now.saturating_sub(at));
     let listed_age = listed_age.unwrap_or(Duration::MAX);
     let ages = engine.groups().into_iter().map(|group| {
-        group.with_book(|book| match book.record() {
-            Some(_) => now.saturating_sub(book.anchor()),
+        group.with_leases(|leases| match leases.record() {
+            Some(_) => now.saturating_sub(leases.anchor()),
             None => listed_age,
         })
     });
@@ -140,7 +140,7 @@
 
 /// Asks `count` of the instances that read the store, the near ones first.
 async fn ask_peers(engine: &ProxyEngine, exchange: &PeerExchange, count: usize) {
-    let mut readers = engine.board().reader_addresses();
+    let mut readers = engine.membership().reader_addresses();
     if count > 1 && !readers.is_empty() {
         // Begins with another one each time: one that is cut off as well is not asked for ever.
         let turn = rand::random::<u32>() as usize % readers.len();
@@ -151,7 +151,7 @@
 }
 
 async fn ask_all(engine: &ProxyEngine, exchange: &PeerExchange) {
-    ask(engine, exchange, &engine.board().addresses()).await;
+    ask(engine, exchange, &engine.membership().addresses()).await;
 }
 
 /// Asks instances for the records that they know.
@@ -166,7 +166,7 @@
     receivers: &[SocketAddr],
     question: u64,
 ) {
-    engine.board().questions().note_question(question);
+    engine.membership().questions().note_question(question);
     let instance = engine.identity().name.clone();
     exchange.send_all(&PeerMessage::Ask { instance, question }, receivers).await;
 }
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -3,7 +3,7 @@
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::identity::DrainPhase;
-use crate::peers::{PeerSeat, SeatLedger, SeatVerdict};
+use crate::peers::{EntryLedger, EntryVerdict, PeerEntry};
 use rudder_core::{DomainName, InstanceName};
 use rudder_store::{ObjectKind, ObjectVersion, StoreError, StoredObject};
 use serde::{Deserialize, Serialize};
@@ -34,7 +34,7 @@
 
 /// What the store keeps of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct SeatRecord {
+struct EntryRecord {
     domain: DomainName,
     peer_address: SocketAddr,
     /// Whether others have not heard the instance for long, and it is to say whether it lives.
@@ -42,7 +42,7 @@
     marked: bool,
 }
 
-impl SeatRecord {
+impl EntryRecord {
     fn to_spec(&self) -> Result<serde_json::Value, StoreError> {
         serde_json::to_value(self).map_err(|error| StoreError::Refused(error.to_string()))
     }
@@ -50,7 +50,7 @@
 
 /// What a look at the list found of the own entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum SeatFinding {
+pub(super) enum EntryFinding {
     /// It stood there without a mark.
     Stood,
     /// It did not, and was written.
@@ -65,12 +65,12 @@
 /// there, and leads one read after its start where a write that is refused and a look at what
 /// stands there take two round trips to the store more.
 pub(crate) async fn keep_registered(engine: Arc<ProxyEngine>) {
-    let mut ledger = SeatLedger::default();
+    let mut ledger = EntryLedger::default();
     let mut stood = false;
     loop {
         let found = follow_list(&engine, &mut ledger).await;
         let gap = match &found {
-            Ok(SeatFinding::Entered) => ENTERED_GAP,
+            Ok(EntryFinding::Entered) => ENTERED_GAP,
             Ok(_) if !stood => SECOND_GAP,
             Ok(_) if !engine.is_reader() => FOLLOWER_GAP,
             Ok(_) => READER_GAP,
@@ -79,10 +79,10 @@
                 if stood { READER_GAP } else { AGAIN_PAUSE }
             }
         };
-        if !stood && matches!(found, Ok(SeatFinding::Stood | SeatFinding::Entered)) {
+        if !stood && matches!(found, Ok(EntryFinding::Stood | EntryFinding::Entered)) {
             log::info!(instance:% = engine.identity().name; "this instance is registered");
         }
-        stood = stood || found == Ok(SeatFinding::Stood);
+        stood = stood || found == Ok(EntryFinding::Stood);
         tokio::time::sleep(gap).await;
     }
 }
@@ -90,56 +90,58 @@
 /// Reads the list, keeps this instance in it, and as a reader takes those out that are gone.
 pub(super) async fn follow_list(
     engine: &ProxyEngine,
-    ledger: &mut SeatLedger,
-) -> Result<SeatFinding, StoreError> {
-    let seats = read_seats(engine).await?;
+    ledger: &mut EntryLedger,
+) -> Result<EntryFinding, StoreError> {
+    let entries = read_entries(engine).await?;
     let own = &engine.identity().name;
-    let found = if seats.iter().any(|(seat, _)| is_own(engine, seat) && !seat.marked) {
-        SeatFinding::Stood
+    let found = if entries.iter().any(|(entry, _)| is_own(engine, entry) && !entry.marked) {
+        EntryFinding::Stood
     } else if engine.drain_phase() == DrainPhase::Serving {
         log::info!(instance:% = own; "this instance is not in the list, or marked there");
         register(engine).await?;
-        SeatFinding::Entered
+        EntryFinding::Entered
     } else {
         // Guards against an instance that stops and enters the list again, which nobody would take
-        // out for two minutes, with a permit's wait in each change of primary.
-        SeatFinding::Left
+        // out for two minutes, with a lease's wait in each change of primary.
+        EntryFinding::Left
     };
-    let names: Vec<InstanceName> = seats.iter().map(|(seat, _)| seat.instance.clone()).collect();
+    let names: Vec<InstanceName> =
+        entries.iter().map(|(entry, _)| entry.instance.clone()).collect();
     ledger.retain(&names);
-    let near = |seat: &PeerSeat| seat.domain == engine.identity().domain && seat.instance != *own;
-    for (seat, version) in seats.iter().filter(|(seat, _)| engine.is_reader() && near(seat)) {
-        let heard_at = engine.board().heard_at(&seat.instance);
+    let near =
+        |entry: &PeerEntry| entry.domain == engine.identity().domain && entry.instance != *own;
+    for (entry, version) in entries.iter().filter(|(entry, _)| engine.is_reader() && near(entry)) {
+        let heard_at = engine.membership().heard_at(&entry.instance);
         let now = boot_time();
-        match ledger.judge(&seat.instance, &version.0, seat.marked, heard_at, now) {
-            SeatVerdict::Keep => {}
-            SeatVerdict::Mark => mark(engine, seat, version).await?,
-            SeatVerdict::Remove => remove(engine, &seat.instance, version).await?,
+        match ledger.judge(&entry.instance, &version.0, entry.marked, heard_at, now) {
+            EntryVerdict::Keep => {}
+            EntryVerdict::Mark => mark(engine, entry, version).await?,
+            EntryVerdict::Remove => remove(engine, &entry.instance, version).await?,
         }
     }
     Ok(found)
 }
 
 /// Whether an entry is this instance's, at its present address.
-fn is_own(engine: &ProxyEngine, seat: &PeerSeat) -> bool {
+fn is_own(engine: &ProxyEngine, entry: &PeerEntry) -> bool {
     let identity = engine.identity();
-    seat.instance == identity.name
-        && seat.address == identity.peer_address
-        && seat.domain == identity.domain
+    entry.instance == identity.name
+        && entry.address == identity.peer_address
+        && entry.domain == identity.domain
 }
 
 async fn mark(
     engine: &ProxyEngine,
-    seat: &PeerSeat,
+    entry: &PeerEntry,
     version: &ObjectVersion,
 ) -> Result<(), StoreError> {
     let record =
-        SeatRecord { domain: seat.domain.clone(), peer_address: seat.address, marked: true };
+        EntryRecord { domain: entry.domain.clone(), peer_address: entry.address, marked: true };
     let spec = record.to_spec()?;
     let store = &engine.borders().store;
     let kind = ObjectKind::InstanceRecord;
-    let put = store.put(kind, seat.instance.as_str(), Some(version), spec);
-    log::info!(instance:% = seat.instance; "an instance is not heard any more, and is marked");
+    let put = store.put(kind, entry.instance.as_str(), Some(version), spec);
+    log::info!(instance:% = entry.instance; "an instance is not heard any more, and is marked");
     limited(CALL_LIMIT, put).await.map(|_| ())
 }
 
@@ -163,12 +165,12 @@
 
 async fn write_entry(engine: &ProxyEngine) -> Result<(), StoreError> {
     let identity = engine.identity();
-    let seat = SeatRecord {
+    let entry = EntryRecord {
         domain: identity.domain.clone(),
         peer_address: identity.peer_address,
         marked: false,
     };
-    let spec = seat.to_spec()?;
+    let spec = entry.to_spec()?;
     let store = &engine.borders().store;
     let name = identity.name.as_str();
     let kind = ObjectKind::InstanceRecord;
@@ -186,36 +188,38 @@
 }
 
 /// Reads the list of instances from the store, each with the version of its entry.
-pub(super) async fn read_seats(
+pub(super) async fn read_entries(
     engine: &ProxyEngine,
-) -> Result<Vec<(PeerSeat, ObjectVersion)>, StoreError> {
+) -> Result<Vec<(PeerEntry, ObjectVersion)>, StoreError> {
     let sent_at = boot_time();
     let list = engine.borders().store.list(ObjectKind::InstanceRecord);
     let objects = limited(CALL_LIMIT, list).await?;
-    let seats: Vec<(PeerSeat, ObjectVersion)> = objects
+    let entries: Vec<(PeerEntry, ObjectVersion)> = objects
         .iter()
-        .filter_map(|object| Some((read_seat(object)?, object.version.clone())))
+        .filter_map(|object| Some((read_entry(object)?, object.version.clone())))
         .collect();
-    let own = seats.iter().find(|(seat, _)| is_own(engine, seat));
+    let own = entries.iter().find(|(entry, _)| is_own(engine, entry));
     match own {
         Some((own, _)) if !own.marked => engine.set_listed(Some(sent_at)),
         // Leads on what an earlier read showed, until the mark is taken away or time runs out.
         Some(_) => {}
         None => engine.set_listed(None),
     }
-    engine.board().set_seats(seats.iter().map(|(seat, _)| seat.clone()).collect(), sent_at);
-    Ok(seats)
+    engine
+        .membership()
+        .set_entries(entries.iter().map(|(entry, _)| entry.clone()).collect(), sent_at);
+    Ok(entries)
 }
 
-fn read_seat(object: &StoredObject) -> Option<PeerSeat> {
+fn read_entry(object: &StoredObject) -> Option<PeerEntry> {
     let instance = object.name.parse::<InstanceName>();
-    let seat = serde_json::from_value::<SeatRecord>(object.spec.clone());
-    let (Ok(instance), Ok(seat)) = (instance, seat) else {
+    let entry = serde_json::from_value::<EntryRecord>(object.spec.clone());
+    let (Ok(instance), Ok(entry)) = (instance, entry) else {
         log::warn!(object:% = object.name; "an instance's entry is unreadable");
         return None;
     };
-    let (domain, address, marked) = (seat.domain, seat.peer_address, seat.marked);
-    Some(PeerSeat { instance, domain, address, marked })
+    let (domain, address, marked) = (entry.domain, entry.peer_address, entry.marked);
+    Some(PeerEntry { instance, domain, address, marked })
 }
 
 /// Removes this instance from the list.
@@ -231,7 +235,7 @@
         }
     };
     if let Err(error) = removal.await {
-        // A change of primary then waits for a permit's life instead of for this one's word.
+        // A change of primary then waits for a lease's life instead of for this one's word.
         log::warn!(reason:% = error; "this instance stays in the list of instances");
     }
 }
--- a/crates/rudder-engine/src/duty/turn.rs
+++ b/crates/rudder-engine/src/duty/schedule.rs
@@ -9,14 +9,14 @@
 
 /// The turns of heartbeats to one group of receivers.
 #[derive(Clone, Debug, Default)]
-pub(super) struct HeartbeatTurn {
+pub(super) struct HeartbeatSchedule {
     /// When all were told last.
     told_at: Option<Instant>,
     /// Who has been told since they were receivers, sorted.
     told: Vec<SocketAddr>,
 }
 
-impl HeartbeatTurn {
+impl HeartbeatSchedule {
     /// Those of `receivers`, which are sorted, who are to be told now: all of them if there is news
     /// or their turn has come, else those who are new.
     pub(super) fn due(
--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -4,5 +4,5 @@
 mod fixture;
 mod records;
 mod registry;
+mod schedule;
 mod settings;
-mod turn;
--- a/crates/rudder-engine/src/duty/tests/turn.rs
+++ b/crates/rudder-engine/src/duty/tests/schedule.rs
@@ -1,6 +1,6 @@
 //! Whom a heartbeat goes to.
 
-use crate::duty::turn::HeartbeatTurn;
+use crate::duty::schedule::HeartbeatSchedule;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -16,7 +16,7 @@
     // a confirmed primary. Each sent its first heartbeat before it had read who its neighbours are,
     // and the next one only a second later, so nobody knew who reads for the others.
     let start = Instant::now();
-    let mut turn = HeartbeatTurn::default();
+    let mut turn = HeartbeatSchedule::default();
     turn.due(peers(&[]), true, GAP, start);
 
     let due = turn.due(peers(&[1, 2]), false, GAP, start + GAP / 10);
@@ -27,7 +27,7 @@
 #[test]
 fn those_who_were_told_wait_for_their_turn() {
     let start = Instant::now();
-    let mut turn = HeartbeatTurn::default();
+    let mut turn = HeartbeatSchedule::default();
     turn.due(peers(&[1, 2]), true, GAP, start);
 
     let between = turn.due(peers(&[1, 2, 3]), false, GAP, start + GAP / 2);
@@ -42,7 +42,7 @@
 #[test]
 fn news_go_to_all() {
     let start = Instant::now();
-    let mut turn = HeartbeatTurn::default();
+    let mut turn = HeartbeatSchedule::default();
     turn.due(peers(&[1, 2]), true, GAP, start);
 
     let due = turn.due(peers(&[1, 2]), true, GAP, start + GAP / 10);
--- a/crates/rudder-engine/src/duty/watch.rs
+++ b/crates/rudder-engine/src/duty/watch.rs
@@ -56,14 +56,14 @@
             () = engine.position_wanted(gap) => {}
             () = group.wait_changed(gap) => {}
         }
-        if !engine.board().is_reader() {
+        if !engine.membership().is_reader() {
             link = None;
             failing_since = None;
             continue;
         }
-        let (epoch, primary) = group.with_book(|book| {
-            let primary = book.record().and_then(|record| record.primary().cloned());
-            (book.epoch(), primary)
+        let (epoch, primary) = group.with_leases(|leases| {
+            let primary = leases.record().and_then(|record| record.primary().cloned());
+            (leases.epoch(), primary)
         });
         let Some(member) = primary.and_then(|primary| group.member(&primary)) else {
             link = None;
@@ -81,9 +81,9 @@
         match ask(&engine, &member, &mut link).await {
             Ok(Some(stamp)) => {
                 failing_since = None;
-                let permit = group.with_book(|book| book.permit(boot_time()));
-                if let Some(permit) = permit.filter(|permit| permit.epoch == epoch) {
-                    group.note_position(&permit, now, stamp);
+                let lease = group.with_leases(|leases| leases.lease(boot_time()));
+                if let Some(lease) = lease.filter(|lease| lease.epoch == epoch) {
+                    group.note_position(&lease, now, stamp);
                 }
                 group.note_alive();
             }
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -1,18 +1,18 @@
 //! What all parts of one instance share.
 
-mod fleet_word;
-mod lead_word;
+mod fleet;
+mod leadership;
 
 use crate::group::{GroupMember, ServiceGroup};
 use crate::identity::{DrainPhase, EngineBorders, InstanceIdentity};
-use crate::lead::LeadPermit;
-use crate::own_seat::OwnSeat;
-use crate::peers::PeerBoard;
-use crate::records_word::RecordsWord;
+use crate::lead::LeaderLease;
+use crate::own_entry::OwnEntry;
+use crate::peers::MembershipView;
+use crate::records_status::RecordsStatus;
 use crate::session::CallerSession;
 use crate::settings::{DatabaseName, FleetSettings, RouteRule, SettingsVersion};
 use crate::statement::StatementError;
-use crate::store_word::StoreWord;
+use crate::store_snapshot::StoreSnapshot;
 use crate::sync::lock;
 use rudder_core::{InstanceName, ServiceName};
 use std::sync::atomic::AtomicBool;
@@ -40,37 +40,37 @@
     settings: watch::Sender<Option<Arc<FleetSettings>>>,
     /// Sorted by service.
     groups: Mutex<Vec<Arc<ServiceGroup>>>,
-    store_word: Mutex<StoreWord>,
-    board: PeerBoard,
+    store_snapshot: Mutex<StoreSnapshot>,
+    membership: MembershipView,
     drain: watch::Sender<DrainPhase>,
     position_wanted: Notify,
-    own_seat: Mutex<OwnSeat>,
+    own_entry: Mutex<OwnEntry>,
     /// Tells that this instance has entered the list.
     list_entered: Notify,
     /// Whether a peer's copy is being fetched.
     fetching: AtomicBool,
-    records_word: Mutex<RecordsWord>,
+    records_status: Mutex<RecordsStatus>,
     /// Tells that callers wait for word of the primaries.
-    word_wanted: Notify,
+    records_wanted: Notify,
 }
 
 impl ProxyEngine {
     pub(crate) fn new(identity: InstanceIdentity, borders: EngineBorders) -> Arc<Self> {
         Arc::new(Self {
-            board: PeerBoard::new(&identity),
+            membership: MembershipView::new(&identity),
             identity,
             process: rand::random(),
             borders,
             settings: watch::Sender::new(None),
             groups: Mutex::default(),
-            store_word: Mutex::default(),
+            store_snapshot: Mutex::default(),
             drain: watch::Sender::new(DrainPhase::Serving),
             position_wanted: Notify::new(),
-            own_seat: Mutex::default(),
+            own_entry: Mutex::default(),
             list_entered: Notify::new(),
             fetching: AtomicBool::new(false),
-            records_word: Mutex::default(),
-            word_wanted: Notify::new(),
+            records_status: Mutex::default(),
+            records_wanted: Notify::new(),
         })
     }
 
@@ -85,7 +85,7 @@
     /// Whether this instance reads the store for others as well, and so often.
     #[must_use]
     pub fn is_reader(&self) -> bool {
-        self.board.is_reader()
+        self.membership.is_reader()
     }
 
     /// The name of this instance.
@@ -98,8 +98,8 @@
         &self.borders
     }
 
-    pub(crate) fn board(&self) -> &PeerBoard {
-        &self.board
+    pub(crate) fn membership(&self) -> &MembershipView {
+        &self.membership
     }
 
     /// Whether this instance knows enough to serve.
@@ -149,7 +149,7 @@
     /// Guards against a leaving primary that is sent work until it ends: while too few instances
     /// hear each other to change it, nothing else takes it out of use, and statements under way as
     /// it ends are lost.
-    pub(crate) fn leader(&self, group: &ServiceGroup) -> Option<(Arc<GroupMember>, LeadPermit)> {
+    pub(crate) fn leader(&self, group: &ServiceGroup) -> Option<(Arc<GroupMember>, LeaderLease)> {
         group.leader().filter(|(member, _)| !member.has_left(self.leave_limit()))
     }
 
--- a/crates/rudder-engine/src/engine/fleet_word.rs
+++ b/crates/rudder-engine/src/engine/fleet.rs
@@ -38,7 +38,7 @@
     /// Takes in the members of all services, as the store has them at `revision`.
     pub fn apply_members(&self, entries: &[MemberEntry], revision: u64) {
         self.confirm_members();
-        let changed = lock(&self.store_word).take_members(entries, revision);
+        let changed = lock(&self.store_snapshot).take_members(entries, revision);
         if changed {
             self.spread_members(entries, "store");
         }
@@ -47,7 +47,7 @@
     /// Takes in what a peer knows, as far as it is newer.
     pub(crate) fn apply_copy(&self, copy: FleetCopy) {
         self.apply_settings(copy.settings);
-        let changed = lock(&self.store_word).take_copy(&copy.members, copy.members_version);
+        let changed = lock(&self.store_snapshot).take_copy(&copy.members, copy.members_version);
         if changed {
             self.spread_members(&copy.members, "peer");
         }
@@ -56,7 +56,7 @@
     /// What this instance knows of the store's word, for a peer; none before the first settings.
     pub(crate) fn fleet_copy(&self) -> Option<FleetCopy> {
         let settings = self.settings()?.as_ref().clone();
-        let word = lock(&self.store_word);
+        let word = lock(&self.store_snapshot);
         let (members, members_version) = word.members();
         Some(FleetCopy { settings, members: members.to_vec(), members_version })
     }
@@ -73,7 +73,7 @@
     /// The versions of settings and members that are known.
     pub(crate) fn copy_version(&self) -> CopyVersion {
         let settings = self.settings_version().unwrap_or_default();
-        CopyVersion { settings, members: lock(&self.store_word).members().1 }
+        CopyVersion { settings, members: lock(&self.store_snapshot).members().1 }
     }
 
     fn spread_members(&self, entries: &[MemberEntry], source: &str) {
@@ -94,28 +94,28 @@
 
     /// Takes in that the list of members is current.
     pub fn confirm_members(&self) {
-        lock(&self.store_word).confirm_members(boot_time());
+        lock(&self.store_snapshot).confirm_members(boot_time());
     }
 
     /// Takes in that the settings in force are current.
     pub fn confirm_settings(&self) {
-        lock(&self.store_word).confirm_settings(boot_time());
+        lock(&self.store_snapshot).confirm_settings(boot_time());
     }
 
     /// When the list of members was last known to be current.
     pub(crate) fn members_confirmed_at(&self) -> Option<Duration> {
-        lock(&self.store_word).members_at()
+        lock(&self.store_snapshot).members_at()
     }
 
     /// When the store last said that members and settings are current.
     pub(crate) fn store_confirmed_at(&self) -> Option<Duration> {
-        lock(&self.store_word).confirmed_at()
+        lock(&self.store_snapshot).confirmed_at()
     }
 
     /// Whether peers tell this instance in time of what the store says, so that it need not ask.
     #[must_use]
     pub fn is_fed(&self) -> bool {
-        let fed_at = self.board.fed_at();
-        fed_at.is_some_and(|at| boot_time() < at + FEED_AGE_MAX) && !self.board.is_reader()
+        let fed_at = self.membership.fed_at();
+        fed_at.is_some_and(|at| boot_time() < at + FEED_AGE_MAX) && !self.membership.is_reader()
     }
 }
--- a/crates/rudder-engine/src/engine/lead_word.rs
+++ b/crates/rudder-engine/src/engine/leadership.rs
@@ -1,9 +1,9 @@
-//! What the store and peers say of the own entry and of the records, and whether permits follow.
+//! What the store and peers say of the own entry and of the records, and whether leases follow.
 
 use super::ProxyEngine;
 use crate::clock::boot_time;
 use crate::lead::{LeadRecord, LeaderEpoch};
-use crate::records_word::RecordsWord;
+use crate::records_status::RecordsStatus;
 use crate::sync::lock;
 use rudder_core::ServiceName;
 use std::time::Duration;
@@ -12,9 +12,9 @@
     /// Takes in that the list showed this instance at `listed_at`, or did not.
     pub(crate) fn set_listed(&self, listed_at: Option<Duration>) {
         let entered = match listed_at {
-            Some(listed_at) => lock(&self.own_seat).show(listed_at, boot_time()),
+            Some(listed_at) => lock(&self.own_entry).show(listed_at, boot_time()),
             None => {
-                lock(&self.own_seat).hide();
+                lock(&self.own_entry).hide();
                 false
             }
         };
@@ -25,13 +25,13 @@
 
     /// Takes in that this process removes its entry and ends.
     pub(crate) fn leave_list(&self) {
-        lock(&self.own_seat).leave();
+        lock(&self.own_entry).leave();
     }
 
     /// Takes in a peer's word that the list showed this instance at `listed_at`. It renews what the
     /// store itself has said before, and does not stand in for it.
     pub(crate) fn renew_listed(&self, listed_at: Duration) {
-        lock(&self.own_seat).renew(listed_at);
+        lock(&self.own_entry).renew(listed_at);
     }
 
     /// Waits until this instance has entered the list.
@@ -43,54 +43,59 @@
     pub(crate) fn note_records_read(&self, recorded: &[ServiceName], asked_at: Duration) {
         let services = self.groups().into_iter().map(|group| group.service().clone());
         let without = services.filter(|service| !recorded.contains(service)).collect();
-        lock(&self.records_word).note_read(without, asked_at);
+        lock(&self.records_status).note_read(without, asked_at);
     }
 
     /// Takes in a peer's word that it had read all records at `read_at`.
     pub(crate) fn note_records_told(&self, read_at: Duration) {
-        lock(&self.records_word).note_told(read_at);
+        lock(&self.records_status).note_told(read_at);
     }
 
     /// What is known of the records as a whole.
-    pub(crate) fn records_word(&self) -> RecordsWord {
-        lock(&self.records_word).clone()
+    pub(crate) fn records_status(&self) -> RecordsStatus {
+        lock(&self.records_status).clone()
     }
 
     /// Whether this process has read the records from the store itself.
     pub(crate) fn has_read_records(&self) -> bool {
-        lock(&self.records_word).read_at().is_some()
+        lock(&self.records_status).read_at().is_some()
     }
 
     /// Asks for word of the primaries now.
-    pub(crate) fn want_word(&self) {
-        self.word_wanted.notify_one();
+    pub(crate) fn want_records(&self) {
+        self.records_wanted.notify_one();
     }
 
     /// Waits until word of the primaries is wanted.
-    pub(crate) async fn word_wanted(&self) {
-        self.word_wanted.notified().await;
+    pub(crate) async fn records_wanted(&self) {
+        self.records_wanted.notified().await;
     }
 
-    /// Whether what the store or a peer said at `said_at` may give this process permits.
+    /// Whether what the store or a peer said at `said_at` may give this process leases.
     ///
-    /// Guards against a permit that no change of primary waits for. An instance that the store does
+    /// Guards against a lease that no change of primary waits for. An instance that the store does
     /// not list yet, or may list no more, is not asked to stop. And one that stopped, was killed
     /// and started again does not know that it stopped: a peer that is behind may tell it of the
     /// version before, so it needs the store's own word first.
     fn may_lead_by(&self, said_at: Duration) -> bool {
-        lock(&self.own_seat).may_lead_by(said_at, boot_time()) && self.has_read_records()
+        lock(&self.own_entry).may_lead_by(said_at, boot_time()) && self.has_read_records()
     }
 
-    /// Takes in that most instances knew of no later version at `vouched_at`.
-    pub(crate) fn vouch(&self, service: &ServiceName, epoch: LeaderEpoch, vouched_at: Duration) {
-        if self.may_lead_by(vouched_at) {
-            self.group(service).vouch(epoch, vouched_at);
+    /// Takes in that most instances knew of no later version at `majority_at`.
+    pub(crate) fn confirm_by_majority(
+        &self,
+        service: &ServiceName,
+        epoch: LeaderEpoch,
+        majority_at: Duration,
+    ) {
+        if self.may_lead_by(majority_at) {
+            self.group(service).confirm_by_majority(epoch, majority_at);
         }
     }
 
     /// Whether the store's last list had no record of a service.
     pub(crate) fn is_recordless(&self, service: &ServiceName) -> bool {
-        lock(&self.records_word).lacks(service)
+        lock(&self.records_status).lacks(service)
     }
 
     /// Takes in a record that was in place at `confirmed_at` or later.
--- a/crates/rudder-engine/src/group/acquire.rs
+++ b/crates/rudder-engine/src/group/acquire.rs
@@ -1,12 +1,12 @@
 //! How a caller comes by a connection: to one member, or to the first of several that has one.
 //!
 //! Load pattern: at saturation the members that could serve a read are all full, and connections
-//! come free at each of them every few milliseconds. A read that stands in the line of one member
+//! come free at each of them every few milliseconds. A read that stands in the queue of one member
 //! is sent away when its time is over, although others have come free meanwhile. So it stands in
-//! the lines of all that may serve it, and takes the first connection that it is given.
+//! the queues of all that may serve it, and takes the first connection that it is given.
 
 use super::link::PooledLink;
-use super::pool::{ConnectionGrant, LinePlace, LineRequest, MemberPool, OpenPlace};
+use super::pool::{ConnectionGrant, MemberPool, OpenPlace, QueuePlace, QueueRequest};
 use crate::border::LinkError;
 use crate::statement::StatementError;
 use displaydoc::Display;
@@ -34,19 +34,19 @@
     pub(crate) kept_free: u32,
 }
 
-/// A choice that is still open, with the caller's place in its line.
+/// A choice that is still open, with the caller's place in its queue.
 struct OpenChoice {
     /// Where it stands among all choices.
     index: usize,
     choice: PoolChoice,
     turn: Option<u64>,
-    place: Option<LinePlace>,
+    place: Option<QueuePlace>,
 }
 
 impl OpenChoice {
     fn join(&mut self, rank: u8) {
-        let request = LineRequest { rank, kept_free: self.choice.kept_free, turn: self.turn };
-        let place = self.choice.pool.join_line(request);
+        let request = QueueRequest { rank, kept_free: self.choice.kept_free, turn: self.turn };
+        let place = self.choice.pool.join_queue(request);
         self.turn = Some(place.turn);
         self.place = Some(place);
     }
@@ -118,7 +118,7 @@
     Err(AcquireError::Down(reason))
 }
 
-/// Opens the connection. The places in the other lines are given up meanwhile, as what is granted
+/// Opens the connection. The places in the other queues are given up meanwhile, as what is granted
 /// there would stand idle; the turns are kept.
 async fn dial_at(
     open: &mut [OpenChoice],
@@ -131,7 +131,7 @@
     open[at].choice.pool.dial(place).await
 }
 
-/// Joins the lines one after the other until a connection is granted, and then waits in all.
+/// Joins the queues one after the other until a connection is granted, and then waits in all.
 async fn first_grant(open: &mut [OpenChoice], rank: u8) -> (usize, ConnectionGrant) {
     for (at, choice) in open.iter_mut().enumerate() {
         if choice.place.is_none() {
--- a/crates/rudder-engine/src/group/link.rs
+++ b/crates/rudder-engine/src/group/link.rs
@@ -1,6 +1,6 @@
 //! A connection on loan from a pool.
 
-use super::image::LaidImage;
+use super::link_session::LinkSession;
 use super::pool::MemberPool;
 use crate::border::{LinkError, MemberLink};
 use crate::statement::{MemberCommand, StatementReply, TransactionState};
@@ -22,7 +22,7 @@
 pub(crate) struct PooledLink {
     pool: Arc<MemberPool>,
     link: Option<Box<dyn MemberLink>>,
-    image: LaidImage,
+    session: LinkSession,
     state: TransactionState,
     /// Whether an answer is awaited.
     busy: bool,
@@ -34,7 +34,7 @@
         Self {
             pool,
             link: Some(link),
-            image: LaidImage::default(),
+            session: LinkSession::default(),
             state: TransactionState::Idle,
             busy: false,
             used_at: Instant::now(),
@@ -45,8 +45,8 @@
         &self.pool
     }
 
-    pub(crate) fn image(&self) -> &LaidImage {
-        &self.image
+    pub(crate) fn session(&self) -> &LinkSession {
+        &self.session
     }
 
     pub(crate) fn used_at(&self) -> Instant {
@@ -111,7 +111,7 @@
     fn settle(&mut self, commands: &[MemberCommand], replies: &[StatementReply]) {
         for (command, reply) in commands.iter().zip(replies) {
             if reply.error().is_none() {
-                self.image.apply(command);
+                self.session.apply(command);
             }
         }
         if let Some(last) = replies.last() {
@@ -137,7 +137,7 @@
         MemberPool::give_back(Self {
             pool: Arc::clone(&self.pool),
             link: Some(link),
-            image: std::mem::take(&mut self.image),
+            session: std::mem::take(&mut self.session),
             state: TransactionState::Idle,
             busy: false,
             used_at: self.used_at,
--- a/crates/rudder-engine/src/group/image.rs
+++ b/crates/rudder-engine/src/group/link_session.rs
@@ -8,12 +8,12 @@
 
 /// The values and prepared shapes on one connection, both sorted.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct LaidImage {
+pub(crate) struct LinkSession {
     values: Vec<SessionValue>,
     shapes: Vec<StatementShape>,
 }
 
-impl LaidImage {
+impl LinkSession {
     /// The commands after which the connection has exactly these values and knows the shape.
     ///
     /// Guards against a statement that runs with another caller's values: a value that the session
--- a/crates/rudder-engine/src/group/member.rs
+++ b/crates/rudder-engine/src/group/member.rs
@@ -5,7 +5,7 @@
 use crate::clock::boot_time;
 use crate::sync::lock;
 use rudder_core::{DomainName, LogStamp, MemberName, MemberRole, plain_data};
-use rudder_decisions::{ReplicaProgress, SeatPlace};
+use rudder_decisions::{NodePlace, ReplicaProgress};
 use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -84,8 +84,8 @@
         &self.name
     }
 
-    pub(crate) fn place(&self) -> SeatPlace {
-        SeatPlace { domain: self.domain.clone(), region: self.region.clone() }
+    pub(crate) fn place(&self) -> NodePlace {
+        NodePlace { domain: self.domain.clone(), region: self.region.clone() }
     }
 
     pub(crate) fn pool(&self) -> &Arc<MemberPool> {
--- a/crates/rudder-engine/src/group/mod.rs
+++ b/crates/rudder-engine/src/group/mod.rs
@@ -1,16 +1,16 @@
 //! The members of a service, the connections to them, and where a read may go.
 
 mod acquire;
-mod image;
 mod link;
+mod link_session;
 mod member;
 mod placement;
 mod pool;
 mod service;
 
 pub(crate) use acquire::{AcquireError, acquire_any};
-pub(crate) use image::put_value;
 pub(crate) use link::{ExchangeError, PooledLink};
+pub(crate) use link_session::put_value;
 pub(crate) use member::GroupMember;
 pub use member::{MemberEntry, MemberState};
 pub(crate) use placement::{ReadPlace, order_members, read_choices};
--- a/crates/rudder-engine/src/group/placement.rs
+++ b/crates/rudder-engine/src/group/placement.rs
@@ -4,7 +4,7 @@
 use super::member::GroupMember;
 use super::service::ServiceGroup;
 use rudder_core::LogStamp;
-use rudder_decisions::{ReadStanding, SeatPlace};
+use rudder_decisions::{NodePlace, ReadStanding};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ReadPlace {
     /// Where this instance is.
-    pub(crate) own: SeatPlace,
+    pub(crate) own: NodePlace,
     /// What the member's log must hold.
     pub(crate) floor: LogStamp,
     /// How long ago the primary reached that.
@@ -48,7 +48,7 @@
     place: &ReadPlace,
 ) -> Vec<PoolChoice> {
     let primary =
-        group.with_book(|book| book.record().and_then(|record| record.primary().cloned()));
+        group.with_leases(|leases| leases.record().and_then(|record| record.primary().cloned()));
     let sound = members.iter().take_while(|member| standing(member, place).is_sound()).count();
     let usable = if sound == 0 { members.len() } else { sound };
     let choice = |member: &Arc<GroupMember>| PoolChoice {
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -4,14 +4,14 @@
 //! hold them over the pauses of their transactions. Without a share of its own the busiest instance
 //! takes them all and the rest are refused; without a queue a caller is refused although a
 //! connection comes free a millisecond later; without priorities the reads that can wait stand
-//! before orders. Limits: the share comes from [`ConnectionShare`], the order from [`WaitLine`], dials
+//! before orders. Limits: the share comes from [`ConnectionShare`], the order from [`WaitQueue`], dials
 //! after a failure from [`DialGate`], the wait from the caller.
 
 use super::link::PooledLink;
 use crate::border::{LinkError, MemberDialer, MemberTarget};
 use crate::statement::StatementError;
 use crate::sync::lock;
-use rudder_decisions::{ConnectionShare, DialFailure, DialGate, WaitLine};
+use rudder_decisions::{ConnectionShare, DialFailure, DialGate, WaitQueue};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -39,7 +39,7 @@
     /// Connections that are idle, in use or being opened.
     open: u32,
     limit: u32,
-    waiters: WaitLine<WaitingCaller>,
+    waiters: WaitQueue<WaitingCaller>,
     gate: DialGate,
 }
 
@@ -52,7 +52,7 @@
     }
 }
 
-/// A caller in line for a connection.
+/// A caller in queue for a connection.
 struct WaitingCaller {
     granted: oneshot::Sender<ConnectionGrant>,
     /// Connections that must stay free for others if it is to have one.
@@ -67,19 +67,19 @@
     Dial(OpenPlace),
 }
 
-/// How a caller waits in a line.
+/// How a caller waits in a queue.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct LineRequest {
+pub(super) struct QueueRequest {
     /// The least is served first.
     pub(super) rank: u8,
     /// Connections that must stay free for others if it is to have one.
     pub(super) kept_free: u32,
-    /// The turn that it had in this line before.
+    /// The turn that it had in this queue before.
     pub(super) turn: Option<u64>,
 }
 
-/// A caller's place in a line; given up when it is dropped.
-pub(super) struct LinePlace {
+/// A caller's place in a queue; given up when it is dropped.
+pub(super) struct QueuePlace {
     pub(super) turn: u64,
     pub(super) granted: oneshot::Receiver<ConnectionGrant>,
 }
@@ -94,7 +94,7 @@
             idle: Vec::new(),
             open: 0,
             limit,
-            waiters: WaitLine::default(),
+            waiters: WaitQueue::default(),
             gate: DialGate::default(),
         };
         Arc::new(Self { target, dialer, state: Mutex::new(state) })
@@ -123,7 +123,7 @@
         if let Some(moment) = Instant::now().checked_sub(IDLE_TIME) {
             self.drop_idle_since(moment);
         }
-        self.serve_line();
+        self.serve_queue();
     }
 
     /// Closes what is idle.
@@ -165,8 +165,8 @@
         state.idle.is_empty() && state.gate.is_unreachable(Instant::now())
     }
 
-    /// Puts a caller in line, and serves it at once if it is its turn.
-    pub(super) fn join_line(self: &Arc<Self>, request: LineRequest) -> LinePlace {
+    /// Puts a caller in queue, and serves it at once if it is its turn.
+    pub(super) fn join_queue(self: &Arc<Self>, request: QueueRequest) -> QueuePlace {
         let (sender, granted) = oneshot::channel();
         let caller = WaitingCaller { granted: sender, kept_free: request.kept_free };
         let turn = {
@@ -179,12 +179,12 @@
                 None => state.waiters.join(request.rank, caller),
             }
         };
-        self.serve_line();
-        LinePlace { turn, granted }
+        self.serve_queue();
+        QueuePlace { turn, granted }
     }
 
     /// Gives what is free to those who wait.
-    fn serve_line(self: &Arc<Self>) {
+    fn serve_queue(self: &Arc<Self>) {
         while let Some((caller, grant)) = self.next_grant() {
             // A grant to a caller that has just given up is dropped, and so counted free again.
             drop(caller.granted.send(grant));
@@ -222,7 +222,7 @@
                 place.keep();
                 self.state().gate.note_success();
                 let link = PooledLink::new(Arc::clone(self), link);
-                self.serve_line();
+                self.serve_queue();
                 Ok(link)
             }
             Err(reason) => {
@@ -240,7 +240,7 @@
             _ => (DialFailure::Unreachable, "unreachable"),
         };
         let pause = self.state().gate.note_failure(failure, Instant::now());
-        self.serve_line_after(pause);
+        self.serve_queue_after(pause);
         metrics::counter!("rudder_dials_failed_total", "reason" => word).increment(1);
         log::info!(
             service:% = self.target.service, member:% = self.target.member, reason:% = reason,
@@ -249,12 +249,12 @@
     }
 
     /// Lets the next caller dial when the pause after a failure is over.
-    fn serve_line_after(self: &Arc<Self>, pause: Duration) {
+    fn serve_queue_after(self: &Arc<Self>, pause: Duration) {
         let pool = Arc::downgrade(self);
         tokio::spawn(async move {
             tokio::time::sleep(pause).await;
             if let Some(pool) = pool.upgrade() {
-                pool.serve_line();
+                pool.serve_queue();
             }
         });
     }
@@ -271,7 +271,7 @@
                 link.close();
             }
         }
-        pool.serve_line();
+        pool.serve_queue();
     }
 
     /// Counts a closed connection out, and lets the next caller open one.
@@ -280,7 +280,7 @@
             let mut state = self.state();
             state.open = state.open.saturating_sub(1);
         }
-        self.serve_line();
+        self.serve_queue();
     }
 }
 
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -3,7 +3,7 @@
 use super::member::{GroupMember, MemberEntry, keep_or_make};
 use crate::border::MemberDialer;
 use crate::clock::boot_time;
-use crate::lead::{LeadBook, LeadPermit, LeadRecord, LeaderEpoch, PositionHistory};
+use crate::lead::{LeadRecord, LeaderEpoch, LeaderLease, LeaseTable, PositionHistory};
 use crate::sync::lock;
 use rudder_core::{FreshSample, InstanceName, LogStamp, MemberName, ServiceName};
 use rudder_decisions::ConnectionShare;
@@ -22,7 +22,7 @@
 struct GroupState {
     /// Sorted by name.
     members: Vec<Arc<GroupMember>>,
-    book: LeadBook,
+    leases: LeaseTable,
     history: PositionHistory,
     /// Since when the watch of the primary has failed.
     silent_since: Option<Duration>,
@@ -38,7 +38,7 @@
         known: &[Arc<GroupMember>],
         listed: &[Arc<GroupMember>],
     ) -> Option<Arc<GroupMember>> {
-        let primary = self.book.record()?.primary()?;
+        let primary = self.leases.record()?.primary()?;
         let member = known.iter().find(|member| member.name() == primary)?;
         let missing = !listed.iter().any(|kept| kept.name() == primary);
         (missing && member.linger()).then(|| Arc::clone(member))
@@ -69,14 +69,14 @@
     }
 
     /// Reads or changes what is known of the primary.
-    pub(crate) fn with_book<T>(&self, use_book: impl FnOnce(&mut LeadBook) -> T) -> T {
-        use_book(&mut self.state().book)
+    pub(crate) fn with_leases<T>(&self, use_leases: impl FnOnce(&mut LeaseTable) -> T) -> T {
+        use_leases(&mut self.state().leases)
     }
 
     /// What is known of the primary and its newest sample, which belong to the same version.
-    pub(crate) fn knowledge(&self) -> (LeadBook, Option<FreshSample>) {
+    pub(crate) fn knowledge(&self) -> (LeaseTable, Option<FreshSample>) {
         let state = self.state();
-        (state.book.clone(), state.history.newest())
+        (state.leases.clone(), state.history.newest())
     }
 
     /// Replaces the list of members.
@@ -113,7 +113,7 @@
     pub(crate) fn observe(&self, record: &LeadRecord, confirmed_at: Duration) -> bool {
         let now = boot_time();
         let mut state = self.state();
-        let new = state.book.observe(record, confirmed_at, now);
+        let new = state.leases.observe(record, confirmed_at, now);
         if new {
             if record.primary().is_some() {
                 state.history.clear();
@@ -126,27 +126,27 @@
             );
         }
         drop(state);
-        // Also without a change: a permit that had lapsed is good again.
+        // Also without a change: a lease that had expired is good again.
         self.changed.notify_waiters();
         new
     }
 
-    /// Takes in that most instances knew of no later version at `vouched_at`.
-    pub(crate) fn vouch(&self, epoch: LeaderEpoch, vouched_at: Duration) {
-        self.state().book.vouch(epoch, vouched_at);
+    /// Takes in that most instances knew of no later version at `majority_at`.
+    pub(crate) fn confirm_by_majority(&self, epoch: LeaderEpoch, majority_at: Duration) {
+        self.state().leases.confirm_by_majority(epoch, majority_at);
         self.changed.notify_waiters();
     }
 
     /// The primary and the permission to answer for it.
-    pub(crate) fn leader(&self) -> Option<(Arc<GroupMember>, LeadPermit)> {
-        let permit = self.state().book.permit(boot_time())?;
-        let member = self.member(&permit.primary)?;
-        Some((member, permit))
+    pub(crate) fn leader(&self) -> Option<(Arc<GroupMember>, LeaderLease)> {
+        let lease = self.state().leases.lease(boot_time())?;
+        let member = self.member(&lease.primary)?;
+        Some((member, lease))
     }
 
-    /// Whether an answer under `permit` may still go out.
-    pub(crate) fn holds(&self, permit: &LeadPermit) -> bool {
-        self.state().book.holds(permit, boot_time())
+    /// Whether an answer under `lease` may still go out.
+    pub(crate) fn holds(&self, lease: &LeaderLease) -> bool {
+        self.state().leases.holds(lease, boot_time())
     }
 
     /// Waits until something changes, at most until `limit` is over.
@@ -157,10 +157,10 @@
     }
 
     /// Takes in a position that the primary had when it answered a question sent at `sent_at`.
-    pub(crate) fn note_position(&self, permit: &LeadPermit, sent_at: Duration, stamp: LogStamp) {
+    pub(crate) fn note_position(&self, lease: &LeaderLease, sent_at: Duration, stamp: LogStamp) {
         let mut state = self.state();
-        let current = state.book.epoch() == permit.epoch;
-        if current && state.book.holds(permit, sent_at) {
+        let current = state.leases.epoch() == lease.epoch;
+        if current && state.leases.holds(lease, sent_at) {
             state.history.note(FreshSample { sent_at, stamp });
             state.silent_since = None;
         }
@@ -169,16 +169,16 @@
     /// Takes in that the watch of a version's primary failed from `since` on.
     pub(crate) fn note_silence(&self, epoch: LeaderEpoch, since: Duration) {
         let mut state = self.state();
-        if state.book.epoch() == epoch {
+        if state.leases.epoch() == epoch {
             state.silent_since.get_or_insert(since);
         }
     }
 
     /// Takes in a peer's sample of a version's primary.
     pub(crate) fn note_peer_sample(&self, epoch: LeaderEpoch, sent_at: Duration, stamp: LogStamp) {
-        let permit = self.state().book.permit(boot_time());
-        if let Some(permit) = permit.filter(|permit| permit.epoch == epoch) {
-            self.note_position(&permit, sent_at, stamp);
+        let lease = self.state().leases.lease(boot_time());
+        if let Some(lease) = lease.filter(|lease| lease.epoch == epoch) {
+            self.note_position(&lease, sent_at, stamp);
             self.changed.notify_waiters();
         }
     }
@@ -222,7 +222,7 @@
     /// What a session must see after changes of primary.
     pub(crate) fn reachable(&self, floor: LogStamp) -> LogStamp {
         let state = self.state();
-        state.book.record().map_or(floor, |record| record.reachable(floor))
+        state.leases.record().map_or(floor, |record| record.reachable(floor))
     }
 
     /// Deals the members' connections out anew among `all` instances.
--- a/crates/rudder-engine/src/group/tests/image.rs
+++ b/crates/rudder-engine/src/group/tests/link_session.rs
@@ -1,6 +1,6 @@
 //! What a shared connection must be told before a session's statement.
 
-use crate::group::image::LaidImage;
+use crate::group::link_session::LinkSession;
 use crate::statement::{MemberCommand, SessionValue, StatementEffect, StatementShape};
 
 fn value(name: &str, value: &str) -> SessionValue {
@@ -11,27 +11,27 @@
     StatementShape { effect: StatementEffect::Read, shape: text.to_owned() }
 }
 
-fn laid(commands: &[MemberCommand]) -> LaidImage {
-    let mut image = LaidImage::default();
-    commands.iter().for_each(|command| image.apply(command));
-    image
+fn laid(commands: &[MemberCommand]) -> LinkSession {
+    let mut session = LinkSession::default();
+    commands.iter().for_each(|command| session.apply(command));
+    session
 }
 
 #[test]
 fn nothing_is_sent_that_the_connection_has() {
     let values = [value("a", "1")];
-    let image = laid(&LaidImage::default().commands_for(&values, Some(&shape("q"))));
+    let session = laid(&LinkSession::default().commands_for(&values, Some(&shape("q"))));
 
-    assert_eq!(image.commands_for(&values, Some(&shape("q"))), []);
+    assert_eq!(session.commands_for(&values, Some(&shape("q"))), []);
 }
 
 #[test]
 fn another_callers_value_is_cleared() {
     // One caller set a tone, the next one never did. With the tone left on the connection, the
     // second caller's statement runs in a mode that nobody asked for.
-    let image = laid(&[MemberCommand::SetValue(value("tone", "high"))]);
+    let session = laid(&[MemberCommand::SetValue(value("tone", "high"))]);
 
-    let commands = image.commands_for(&[value("metre", "slow")], None);
+    let commands = session.commands_for(&[value("metre", "slow")], None);
 
     let expected = [MemberCommand::Reset, MemberCommand::SetValue(value("metre", "slow"))];
     assert_eq!(commands, expected);
@@ -40,9 +40,9 @@
 #[test]
 fn a_changed_value_is_set_over_the_old_one() {
     // Within a transaction the connection cannot be cleared without losing the transaction.
-    let image = laid(&[MemberCommand::SetValue(value("tone", "high"))]);
+    let session = laid(&[MemberCommand::SetValue(value("tone", "high"))]);
 
-    let commands = image.commands_for(&[value("tone", "low")], None);
+    let commands = session.commands_for(&[value("tone", "low")], None);
 
     assert_eq!(commands, [MemberCommand::SetValue(value("tone", "low"))]);
 }
--- a/crates/rudder-engine/src/group/tests/mod.rs
+++ b/crates/rudder-engine/src/group/tests/mod.rs
@@ -1,5 +1,5 @@
 //! Tests of members and connections: who is known, what they hold, how many there are, who gets one.
 
-mod image;
+mod link_session;
 mod pool;
 mod service;
--- a/crates/rudder-engine/src/group/tests/pool.rs
+++ b/crates/rudder-engine/src/group/tests/pool.rs
@@ -202,7 +202,7 @@
 
 #[tokio::test]
 async fn a_place_that_comes_free_at_a_full_member_is_found() {
-    // The old connections of lost machines lapse one by one. Callers that wait must be served then,
+    // The old connections of lost machines expire one by one. Callers that wait must be served then,
     // although nobody new comes to knock.
     let dialer = Arc::new(FakeDialer { cap: Some(0), refusals: Some(2), ..FakeDialer::default() });
     let pool = pool(&dialer, 2);
--- a/crates/rudder-engine/src/group/tests/service.rs
+++ b/crates/rudder-engine/src/group/tests/service.rs
@@ -42,7 +42,7 @@
 
 #[test]
 fn a_primary_that_drops_out_of_the_list_is_used_until_it_is_replaced() {
-    // A primary loses its link to the store, and its entry lapses. Crews who could reach it were
+    // A primary loses its link to the store, and its entry expires. Crews who could reach it were
     // refused from that moment on, seconds before another member led.
     let (group, dialer) = group("a");
 
--- a/crates/rudder-engine/src/identity.rs
+++ b/crates/rudder-engine/src/identity.rs
@@ -2,7 +2,7 @@
 
 use crate::border::{MemberDialer, PromotionCall};
 use rudder_core::{DomainName, InstanceName, plain_data};
-use rudder_decisions::SeatPlace;
+use rudder_decisions::NodePlace;
 use rudder_store::PlatformStore;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,8 +28,8 @@
 
 impl InstanceIdentity {
     /// Where it is.
-    pub(crate) fn place(&self) -> SeatPlace {
-        SeatPlace { domain: self.domain.clone(), region: self.region.clone() }
+    pub(crate) fn place(&self) -> NodePlace {
+        NodePlace { domain: self.domain.clone(), region: self.region.clone() }
     }
 }
 
--- a/crates/rudder-engine/src/lead/history.rs
+++ b/crates/rudder-engine/src/lead/history.rs
@@ -18,7 +18,7 @@
 
 impl PositionHistory {
     /// Takes in a position that the primary had applied when it answered a question that was
-    /// sent at `sample.sent_at`. The permit must have covered that moment.
+    /// sent at `sample.sent_at`. The lease must have covered that moment.
     pub(crate) fn note(&mut self, sample: FreshSample) {
         let Some(newest) = self.samples.back() else {
             self.samples.push_back(sample);
--- a/crates/rudder-engine/src/lead/book.rs
+++ b/crates/rudder-engine/src/lead/lease_table.rs
@@ -1,12 +1,12 @@
 //! One instance's knowledge of a service's primary, and its permission to answer for it.
 //!
-//! An instance acknowledges commits and answers strict reads only under a permit: the knowledge
-//! that the record named this primary less than [`PERMIT_LIFE`] ago. A change of primary starts
+//! An instance acknowledges commits and answers strict reads only under a lease: the knowledge
+//! that the record named this primary less than [`LEASE_TIME`] ago. A change of primary starts
 //! with a new version of the record and promotes only once every instance has said that it
-//! stopped, or [`PERMIT_LIFE`] and a margin have gone by since. So no instance, however isolated
+//! stopped, or [`LEASE_TIME`] and a margin have gone by since. So no instance, however isolated
 //! or suspended, answers for the old primary when the new one takes its first commit.
 //!
-//! While the store does not answer, the word of most instances renews a permit as well, for
+//! While the store does not answer, the word of most instances renews a lease as well, for
 //! [`QUORUM_REACH`] at most: a change that cannot hear from all waits until most have stopped, and
 //! two majorities have an instance in common.
 
@@ -14,17 +14,17 @@
 use rudder_core::{MemberName, plain_data};
 use std::time::Duration;
 
-/// How long the knowledge of an unchanged record permits to answer. Longer than two reads of the
+/// How long the knowledge of an unchanged record lets an instance answer. Longer than two reads of the
 /// record that fail (0.4 s apart, given up after 0.5 s); shorter makes an unplanned change faster.
-pub(crate) const PERMIT_LIFE: Duration = Duration::from_millis(1500);
+pub(crate) const LEASE_TIME: Duration = Duration::from_millis(1500);
 
-/// How long after the store's last word the word of most instances renews permits. Outages of the
+/// How long after the store's last word the word of most instances renews leases. Outages of the
 /// store last some seconds; when a change hears from fewer than half, it has to wait that long.
 pub(crate) const QUORUM_REACH: Duration = Duration::from_millis(8000);
 
 plain_data! {
-    /// Permission to answer for a primary, for as long as [`LeadBook::holds`] says so.
-    pub(crate) struct LeadPermit {
+    /// Permission to answer for a primary, for as long as [`LeaseTable::holds`] says so.
+    pub(crate) struct LeaderLease {
         /// The record's version.
         pub(crate) epoch: LeaderEpoch,
         /// The primary.
@@ -34,29 +34,29 @@
 
 /// What an instance knows of one service's record.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct LeadBook {
+pub(crate) struct LeaseTable {
     record: Option<LeadRecord>,
     /// The latest moment at which the record is known to have been in place.
     confirmed_at: Duration,
     /// The latest moment at which most instances knew of no later version.
-    vouched_at: Duration,
+    majority_at: Duration,
     /// When this version was first seen.
     seen_at: Duration,
     /// When the change under way was first seen, over all who tried it.
     changing_since: Option<Duration>,
     /// The version before this one, for work that was under way when the change began.
-    closing: Option<ClosingPermit>,
-    /// Statements under way that a permit covers.
+    closing: Option<ClosingLease>,
+    /// Statements under way that a lease covers.
     in_flight: u32,
 }
 
 #[derive(Clone, Debug)]
-struct ClosingPermit {
+struct ClosingLease {
     epoch: LeaderEpoch,
     until: Duration,
 }
 
-impl LeadBook {
+impl LeaseTable {
     /// Takes in a version of the record that was in place at `confirmed_at` or later.
     ///
     /// Returns whether it is a new one. An older one is dropped: reads of the store and words of
@@ -75,32 +75,31 @@
             self.confirmed_at = self.confirmed_at.max(confirmed_at);
             return false;
         }
-        self.closing = self.permit(now).map(|permit| ClosingPermit {
-            epoch: permit.epoch,
-            until: self.anchor() + PERMIT_LIFE,
-        });
+        self.closing = self
+            .lease(now)
+            .map(|lease| ClosingLease { epoch: lease.epoch, until: self.anchor() + LEASE_TIME });
         // Two changes in a row are one only if no primary was in place between them.
         let follows = record.epoch == known.next();
         let since = self.changing_since.filter(|_| follows);
         self.changing_since = record.primary().is_none().then(|| since.unwrap_or(now));
         self.record = Some(record.clone());
         self.confirmed_at = confirmed_at;
-        self.vouched_at = Duration::ZERO;
+        self.majority_at = Duration::ZERO;
         self.seen_at = now;
         true
     }
 
-    /// Takes in that most instances knew of no later version than `epoch` at `vouched_at`.
-    pub(crate) fn vouch(&mut self, epoch: LeaderEpoch, vouched_at: Duration) {
+    /// Takes in that most instances knew of no later version than `epoch` at `majority_at`.
+    pub(crate) fn confirm_by_majority(&mut self, epoch: LeaderEpoch, majority_at: Duration) {
         if epoch == self.epoch() {
-            self.vouched_at = self.vouched_at.max(vouched_at);
+            self.majority_at = self.majority_at.max(majority_at);
         }
     }
 
-    /// The moment from which a permit's life counts.
+    /// The moment from which a lease's life counts.
     pub(crate) fn anchor(&self) -> Duration {
-        let vouched_at = self.vouched_at.min(self.confirmed_at + QUORUM_REACH);
-        self.confirmed_at.max(vouched_at)
+        let majority_at = self.majority_at.min(self.confirmed_at + QUORUM_REACH);
+        self.confirmed_at.max(majority_at)
     }
 
     /// When the change under way was first seen.
@@ -129,26 +128,26 @@
     }
 
     /// Permission for new work.
-    pub(crate) fn permit(&self, now: Duration) -> Option<LeadPermit> {
+    pub(crate) fn lease(&self, now: Duration) -> Option<LeaderLease> {
         let record = self.record.as_ref()?;
         let primary = record.primary()?;
-        let fresh = now < self.anchor() + PERMIT_LIFE;
-        fresh.then(|| LeadPermit { epoch: record.epoch, primary: primary.clone() })
+        let fresh = now < self.anchor() + LEASE_TIME;
+        fresh.then(|| LeaderLease { epoch: record.epoch, primary: primary.clone() })
     }
 
-    /// Whether an answer that was obtained under a permit may still go out.
+    /// Whether an answer that was obtained under a lease may still go out.
     ///
     /// Work that was under way when a change began may finish: the change waits for this
-    /// instance to stop, or for the permit's life to end.
-    pub(crate) fn holds(&self, permit: &LeadPermit, now: Duration) -> bool {
-        if self.epoch() == permit.epoch {
-            return self.permit(now).is_some();
+    /// instance to stop, or for the lease's life to end.
+    pub(crate) fn holds(&self, lease: &LeaderLease, now: Duration) -> bool {
+        if self.epoch() == lease.epoch {
+            return self.lease(now).is_some();
         }
         let closing = self.closing.as_ref();
-        closing.is_some_and(|closing| closing.epoch == permit.epoch && now < closing.until)
+        closing.is_some_and(|closing| closing.epoch == lease.epoch && now < closing.until)
     }
 
-    /// Counts a statement in that a permit covers.
+    /// Counts a statement in that a lease covers.
     pub(crate) fn enter(&mut self) {
         self.in_flight += 1;
     }
--- a/crates/rudder-engine/src/lead/mod.rs
+++ b/crates/rudder-engine/src/lead/mod.rs
@@ -1,14 +1,14 @@
 //! Who leads a service, and who may still answer for it. Pure: time is passed in.
 
-mod book;
+mod expiry;
 mod history;
-mod lapse;
+mod lease_table;
 mod record;
 mod suspicion;
 
-pub(crate) use book::{LeadBook, LeadPermit, QUORUM_REACH};
+pub(crate) use expiry::{StopProgress, is_quorum};
 pub(crate) use history::PositionHistory;
-pub(crate) use lapse::{StopProgress, is_quorum};
+pub(crate) use lease_table::{LeaderLease, LeaseTable, QUORUM_REACH};
 pub use record::{LeadPhase, LeadRecord, LeaderEpoch};
 pub(crate) use suspicion::{ChangeCause, GroupSigns, PeerVote, judge_change, order_candidates};
 
--- a/crates/rudder-engine/src/lead/suspicion.rs
+++ b/crates/rudder-engine/src/lead/suspicion.rs
@@ -1,6 +1,6 @@
 //! Whether a change of primary is due, and whose turn it is to carry it out.
 
-use super::book::LeadBook;
+use super::lease_table::LeaseTable;
 use super::record::{LeadPhase, LeaderEpoch};
 use rudder_core::{DomainName, InstanceName, MemberName, plain_data};
 use std::time::Duration;
@@ -10,7 +10,7 @@
 const CHANGE_PATIENCE: Duration = Duration::from_millis(3500);
 
 /// How long the primary must be gone from the list before that alone is a reason. Entries that
-/// lapsed in an outage of the store are back within two seconds of its return.
+/// expired in an outage of the store are back within two seconds of its return.
 const ABSENT_PATIENCE: Duration = Duration::from_millis(2600);
 
 /// How long two members must contradict the record in what they say of their own roles.
@@ -83,35 +83,35 @@
 
 /// Whether `instance` should change the primary now, and why.
 pub(crate) fn judge_change(
-    book: &LeadBook,
+    leases: &LeaseTable,
     signs: &GroupSigns,
     instance: &InstanceName,
     votes: &[PeerVote],
     now: Duration,
 ) -> Option<ChangeCause> {
-    let (cause, due_at) = change_due(book, signs, votes, now)?;
-    let rank = rank_of(instance, book.epoch(), votes, cause);
+    let (cause, due_at) = change_due(leases, signs, votes, now)?;
+    let rank = rank_of(instance, leases.epoch(), votes, cause);
     (now >= due_at + RANK_DELAY * rank).then_some(cause)
 }
 
 fn change_due(
-    book: &LeadBook,
+    leases: &LeaseTable,
     signs: &GroupSigns,
     votes: &[PeerVote],
     now: Duration,
 ) -> Option<(ChangeCause, Duration)> {
-    let record = book.record()?;
+    let record = leases.record()?;
     if let LeadPhase::Changing { .. } = record.phase {
         // A process that ended orders no promotion any more.
         let patience = if signs.holder_ended { Duration::ZERO } else { CHANGE_PATIENCE };
-        let due_at = book.seen_at() + patience;
+        let due_at = leases.seen_at() + patience;
         return (now >= due_at).then_some((ChangeCause::Unfinished, due_at));
     }
     if !signs.replaceable {
         return None;
     }
     if signs.draining {
-        return Some((ChangeCause::Leaving, book.seen_at()));
+        return Some((ChangeCause::Leaving, leases.seen_at()));
     }
     let over = |since: Option<Duration>, patience: Duration| {
         since.map(|since| since + patience).filter(|due_at| now >= *due_at)
--- /dev/null
+++ b/crates/rudder-engine/src/lead/tests/lease_table.rs
@@ -0,0 +1,72 @@
+//! Leases of one instance.
+
+use super::{changing, member, ms, settled};
+use crate::lead::LeaseTable;
+use rudder_core::LogStamp;
+
+#[test]
+fn a_lease_counts_from_when_the_question_was_sent() {
+    // A store that is slow answers after a second. The record may have changed right after it was
+    // read there, so the answer's arrival says nothing.
+    let mut leases = LeaseTable::default();
+
+    leases.observe(&settled(1, "a", 1, None), ms(1000), ms(2000));
+
+    assert!(leases.lease(ms(2400)).is_some());
+    assert!(leases.lease(ms(2500)).is_none());
+}
+
+#[test]
+fn an_older_version_changes_nothing() {
+    // An answer that was long on its way arrives after the primary was changed. Taking it for the
+    // present would give a lease for the old primary.
+    let mut leases = LeaseTable::default();
+    leases.observe(&settled(3, "b", 2, None), ms(100), ms(100));
+
+    let new = leases.observe(&settled(1, "a", 1, None), ms(900), ms(900));
+
+    assert!(!new);
+    assert_eq!(leases.lease(ms(200)).map(|lease| lease.primary), Some(member("b")));
+    assert!(leases.lease(ms(1700)).is_none());
+}
+
+#[test]
+fn no_lease_is_given_during_a_change_but_work_under_way_may_end() {
+    // A commit is on its way as another instance begins a planned change. It would be reported as
+    // unknown although the change waits for it.
+    let mut leases = LeaseTable::default();
+    leases.observe(&settled(1, "a", 1, None), ms(0), ms(0));
+    let lease = leases.lease(ms(10)).expect("a lease");
+    leases.enter();
+
+    leases.observe(&changing(2, "x", "a"), ms(20), ms(25));
+
+    assert!(leases.lease(ms(30)).is_none());
+    assert!(leases.holds(&lease, ms(30)));
+    assert!(!leases.stop(false), "a statement is under way");
+    leases.leave();
+    assert!(leases.stop(false));
+    assert!(!leases.holds(&lease, ms(31)));
+}
+
+#[test]
+fn work_under_way_ends_with_the_lease_at_the_latest() {
+    let mut leases = LeaseTable::default();
+    leases.observe(&settled(1, "a", 1, None), ms(0), ms(0));
+    let lease = leases.lease(ms(10)).expect("a lease");
+    leases.enter();
+    leases.observe(&changing(2, "x", "a"), ms(20), ms(25));
+
+    assert!(!leases.holds(&lease, ms(1500)));
+}
+
+#[test]
+fn a_floor_that_was_cut_off_comes_down_to_the_cut() {
+    // A session's commit at 1:90 was lost: the member that was promoted had received 80. No log
+    // will ever reach 1:90, so a session that waits for it would never read again.
+    let record = settled(3, "b", 2, Some(LogStamp::new(1, 80)));
+
+    assert_eq!(record.reachable(LogStamp::new(1, 90)), LogStamp::new(1, 80));
+    assert_eq!(record.reachable(LogStamp::new(1, 70)), LogStamp::new(1, 70));
+    assert_eq!(record.reachable(LogStamp::new(2, 95)), LogStamp::new(2, 95));
+}
--- a/crates/rudder-engine/src/lead/tests/message.rs
+++ b/crates/rudder-engine/src/lead/tests/message.rs
@@ -21,7 +21,7 @@
         asked_at: Duration,
         question: u64,
     },
-    Vouch {
+    Confirm {
         to: usize,
         from: usize,
         process: u64,
@@ -53,7 +53,7 @@
         match self {
             Self::Record { to, .. }
             | Self::Ask { to, .. }
-            | Self::Vouch { to, .. }
+            | Self::Confirm { to, .. }
             | Self::Announce { to, .. }
             | Self::Stopped { to, .. }
             | Self::Entered { to, .. } => *to,
@@ -64,7 +64,7 @@
     pub(super) fn asker(&self) -> Option<u64> {
         match self {
             Self::Record { process, .. }
-            | Self::Vouch { process, .. }
+            | Self::Confirm { process, .. }
             | Self::Entered { process, .. } => Some(*process),
             Self::Ask { .. } | Self::Announce { .. } | Self::Stopped { .. } => None,
         }
--- a/crates/rudder-engine/src/lead/tests/mod.rs
+++ b/crates/rudder-engine/src/lead/tests/mod.rs
@@ -1,7 +1,7 @@
 //! Tests of what decides who leads.
 
-mod book;
 mod history;
+mod lease_table;
 mod message;
 mod model;
 mod schedules;
--- a/crates/rudder-engine/src/lead/tests/model.rs
+++ b/crates/rudder-engine/src/lead/tests/model.rs
@@ -5,8 +5,8 @@
 use self::change::Change;
 use super::message::Message;
 use super::{ms, settled};
-use crate::lead::{LeadBook, LeadPermit, LeadRecord, LeaderEpoch, is_quorum};
-use crate::own_seat::OwnSeat;
+use crate::lead::{LeadRecord, LeaderEpoch, LeaderLease, LeaseTable, is_quorum};
+use crate::own_entry::OwnEntry;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use std::time::Duration;
@@ -24,10 +24,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TakenOut {
     Nothing,
-    /// Answers go out without another look at the permit.
+    /// Answers go out without another look at the lease.
     LookAtAnswer,
     /// The promotion does not wait for instances that are silent.
-    WaitForLapse,
+    WaitForExpiry,
     /// An instance says that it stopped, and goes on.
     StopBeforeWord,
     /// A read of the store counts from its arrival.
@@ -48,18 +48,18 @@
 }
 
 struct Instance {
-    book: LeadBook,
+    leases: LeaseTable,
     frozen_until: Duration,
-    under_way: Vec<LeadPermit>,
+    under_way: Vec<LeaderLease>,
     change: Option<Change>,
     /// Whether it has read the store since it started.
     has_read: bool,
     /// Counts its processes.
     process: u64,
-    seat: OwnSeat,
-    /// Its last question to all, and who vouched.
+    entry: OwnEntry,
+    /// Its last question to all, and who confirmed.
     question: u64,
-    vouchers: Vec<usize>,
+    confirmers: Vec<usize>,
 }
 
 /// One run of the model.
@@ -86,18 +86,18 @@
 
 impl Model {
     pub(super) fn new(out: TakenOut, list_changes: ListChanges) -> Self {
-        let mut seat = OwnSeat::default();
-        seat.show(Duration::ZERO, Duration::ZERO);
+        let mut entry = OwnEntry::default();
+        entry.show(Duration::ZERO, Duration::ZERO);
         let instance = || Instance {
-            book: LeadBook::default(),
+            leases: LeaseTable::default(),
             frozen_until: Duration::ZERO,
             under_way: Vec::new(),
             change: None,
             has_read: false,
             process: 0,
-            seat,
+            entry,
             question: 0,
-            vouchers: Vec::new(),
+            confirmers: Vec::new(),
         };
         Self {
             now: ms(10_000),
@@ -188,25 +188,26 @@
                 let may_lead =
                     instance.has_read && may_lead_by(self.out, instance, confirmed_at, now);
                 let confirmed_at = if may_lead { confirmed_at } else { Duration::ZERO };
-                instance.book.observe(&record, confirmed_at, now);
+                instance.leases.observe(&record, confirmed_at, now);
             }
             Message::Entered { to, written_at, .. } => {
-                self.instances[to].seat.show(written_at, now);
+                self.instances[to].entry.show(written_at, now);
             }
-            Message::Vouch { to, from, asked_at, question, epoch, .. } => {
-                self.take_vouch(to, from, asked_at, question, epoch);
+            Message::Confirm { to, from, asked_at, question, epoch, .. } => {
+                self.take_confirmation(to, from, asked_at, question, epoch);
             }
             Message::Ask { to, from, process, asked_at, question } => {
-                let vouches = self.instances[to].has_read;
-                let epoch = self.instances[to].book.epoch();
-                if question > 0 && vouches {
+                let confirms = self.instances[to].has_read;
+                let epoch = self.instances[to].leases.epoch();
+                if question > 0 && confirms {
                     let (to, from) = (from, to);
-                    let vouch = Message::Vouch { to, from, process, asked_at, question, epoch };
-                    self.send(from, vouch, rng);
+                    let confirmation =
+                        Message::Confirm { to, from, process, asked_at, question, epoch };
+                    self.send(from, confirmation, rng);
                 }
-                let book = &self.instances[to].book;
-                let Some(record) = book.record().cloned() else { return };
-                let age = now.saturating_sub(book.confirmed_at());
+                let leases = &self.instances[to].leases;
+                let Some(record) = leases.record().cloned() else { return };
+                let age = now.saturating_sub(leases.confirmed_at());
                 let confirmed_at = match self.out {
                     TakenOut::AgeOfPeerWord => now,
                     _ => asked_at.saturating_sub(age),
@@ -216,11 +217,11 @@
                 self.send(to, answer, rng);
             }
             Message::Announce { to, from, record } => {
-                self.instances[to].book.observe(&record, Duration::ZERO, now);
+                self.instances[to].leases.observe(&record, Duration::ZERO, now);
                 let force = rng.random_range(0..3) == 0;
                 let kept = self.out == TakenOut::StopBeforeWord;
-                if kept || self.instances[to].book.stop(force) {
-                    let epoch = self.instances[to].book.epoch().0;
+                if kept || self.instances[to].leases.stop(force) {
+                    let epoch = self.instances[to].leases.epoch().0;
                     self.send(to, Message::Stopped { to: from, from: to, epoch }, rng);
                 }
             }
@@ -243,7 +244,7 @@
     }
 
     /// Takes in that `from` knew of no later version than `epoch` after `asked_at`.
-    fn take_vouch(
+    fn take_confirmation(
         &mut self,
         to: usize,
         from: usize,
@@ -252,16 +253,16 @@
         epoch: LeaderEpoch,
     ) {
         let instance = &mut self.instances[to];
-        if !instance.has_read || instance.question != question || instance.book.epoch() != epoch {
+        if !instance.has_read || instance.question != question || instance.leases.epoch() != epoch {
             return;
         }
-        instance.vouchers.push(from);
-        instance.vouchers.sort_unstable();
-        instance.vouchers.dedup();
-        let count = instance.vouchers.len() + 1;
+        instance.confirmers.push(from);
+        instance.confirmers.sort_unstable();
+        instance.confirmers.dedup();
+        let count = instance.confirmers.len() + 1;
         let may_lead = may_lead_by(self.out, instance, asked_at, self.now);
         if may_lead && is_quorum(count, INSTANCES) {
-            instance.book.vouch(epoch, asked_at);
+            instance.leases.confirm_by_majority(epoch, asked_at);
         }
     }
 
@@ -269,7 +270,7 @@
         self.questions += 1;
         let question = self.questions;
         self.instances[index].question = question;
-        self.instances[index].vouchers.clear();
+        self.instances[index].confirmers.clear();
         for to in (0..INSTANCES).filter(|to| *to != index) {
             self.ask(index, to, question, rng);
         }
@@ -284,11 +285,11 @@
     fn restart(&mut self, index: usize) {
         let instance = &mut self.instances[index];
         instance.process += 1;
-        instance.book = LeadBook::default();
+        instance.leases = LeaseTable::default();
         instance.under_way.clear();
         instance.change = None;
         instance.has_read = false;
-        instance.vouchers.clear();
+        instance.confirmers.clear();
     }
 
     /// An instance is replaced by one that is not in the list, or such a one enters it.
@@ -298,9 +299,9 @@
             0..2 if unlisted < UNLISTED_MAX => {
                 self.listed[index] = false;
                 self.restart(index);
-                self.instances[index].seat = OwnSeat::default();
+                self.instances[index].entry = OwnEntry::default();
             }
-            2..20 if self.instances[index].seat == OwnSeat::default() => self.enter(index, rng),
+            2..20 if self.instances[index].entry == OwnEntry::default() => self.enter(index, rng),
             _ => {}
         }
     }
@@ -339,29 +340,29 @@
 
     fn begin_work(&mut self, index: usize) {
         let instance = &mut self.instances[index];
-        if let Some(permit) = instance.book.permit(self.now) {
-            instance.book.enter();
-            instance.under_way.push(permit);
+        if let Some(lease) = instance.leases.lease(self.now) {
+            instance.leases.enter();
+            instance.under_way.push(lease);
         }
     }
 
-    /// An answer came from the member; it goes out if the permit still holds.
+    /// An answer came from the member; it goes out if the lease still holds.
     fn end_work(&mut self, index: usize) -> Result<(), String> {
         let now = self.now;
         let instance = &mut self.instances[index];
         if instance.under_way.is_empty() {
             return Ok(());
         }
-        let permit = instance.under_way.remove(0);
-        instance.book.leave();
-        if self.out != TakenOut::LookAtAnswer && !instance.book.holds(&permit, now) {
+        let lease = instance.under_way.remove(0);
+        instance.leases.leave();
+        if self.out != TakenOut::LookAtAnswer && !instance.leases.holds(&lease, now) {
             return Ok(());
         }
         self.answers += 1;
-        if permit.epoch.0 < self.promoted {
+        if lease.epoch.0 < self.promoted {
             return Err(format!(
                 "instance {index} answered for epoch {} at {now:?} after the promotion of epoch {}",
-                permit.epoch, self.promoted
+                lease.epoch, self.promoted
             ));
         }
         Ok(())
@@ -372,11 +373,11 @@
     }
 }
 
-/// Whether what was said of the record at `said_at` may give an instance a permit.
+/// Whether what was said of the record at `said_at` may give an instance a lease.
 fn may_lead_by(out: TakenOut, instance: &Instance, said_at: Duration, now: Duration) -> bool {
     match out {
-        TakenOut::EntryBeforeWord => instance.seat.may_lead_by(now, now),
-        _ => instance.seat.may_lead_by(said_at, now),
+        TakenOut::EntryBeforeWord => instance.entry.may_lead_by(now, now),
+        _ => instance.entry.may_lead_by(said_at, now),
     }
 }
 
--- a/crates/rudder-engine/src/lead/tests/model/change.rs
+++ b/crates/rudder-engine/src/lead/tests/model/change.rs
@@ -19,14 +19,14 @@
     /// Whether the list was read after the intent was written.
     listed: bool,
     /// Those whom it waits for, itself included.
-    seats: Vec<usize>,
+    entries: Vec<usize>,
     pub(super) stopped: Vec<usize>,
     most_since: Option<Duration>,
 }
 
 impl Model {
     pub(super) fn begin_change(&mut self, index: usize, rng: &mut StdRng) {
-        let known = self.instances[index].book.epoch();
+        let known = self.instances[index].leases.epoch();
         let busy = self.instances[index].change.is_some();
         // The condition of the write: nobody wrote since.
         if busy || known != self.record.epoch || known.0 == 0 || self.is_cut_off(index) {
@@ -38,25 +38,25 @@
         let written_by = now + ms(rng.random_range(1..50));
         let listed = rng.random_range(0..5) > 0;
         let stands = |other: &usize| !listed || self.listed[*other] || *other == index;
-        let seats = (0..INSTANCES).filter(stands).collect();
+        let entries = (0..INSTANCES).filter(stands).collect();
         let instance = &mut self.instances[index];
-        instance.book.observe(&self.record, now, now);
-        instance.book.stop(true);
+        instance.leases.observe(&self.record, now, now);
+        instance.leases.stop(true);
         let stopped = vec![index];
         let most_since = None;
-        instance.change = Some(Change { epoch, written_by, listed, seats, stopped, most_since });
+        instance.change = Some(Change { epoch, written_by, listed, entries, stopped, most_since });
     }
 
     pub(super) fn advance_change(&mut self, index: usize, rng: &mut StdRng) -> Result<(), String> {
         let now = self.now;
-        let changing_since = self.instances[index].book.changing_since();
+        let changing_since = self.instances[index].leases.changing_since();
         if self.instances[index].change.as_ref().is_some_and(|c| now >= c.written_by + HOLD_TIME) {
             self.instances[index].change = None;
         }
         let Some(change) = self.instances[index].change.as_mut() else { return Ok(()) };
         let silent = |other: &&usize| !change.stopped.contains(*other);
-        let unheard: Vec<usize> = change.seats.iter().filter(silent).copied().collect();
-        let most = is_quorum(change.seats.len() - unheard.len(), change.seats.len());
+        let unheard: Vec<usize> = change.entries.iter().filter(silent).copied().collect();
+        let most = is_quorum(change.entries.len() - unheard.len(), change.entries.len());
         if most && change.listed {
             change.most_since.get_or_insert(now);
         }
@@ -68,7 +68,7 @@
             unheard: unheard.len(),
             most_since: change.most_since,
         };
-        let over = progress.is_over(self.now) || self.out == TakenOut::WaitForLapse;
+        let over = progress.is_over(self.now) || self.out == TakenOut::WaitForExpiry;
         if !over || self.now < change.written_by {
             let record = self.record.clone();
             if record.epoch.0 == change.epoch {
--- a/crates/rudder-engine/src/lead/tests/schedules.rs
+++ b/crates/rudder-engine/src/lead/tests/schedules.rs
@@ -55,7 +55,7 @@
     // for one takes a minute; these are the first that a search found.
     for (out, seed) in [
         (TakenOut::LookAtAnswer, 30),
-        (TakenOut::WaitForLapse, 0),
+        (TakenOut::WaitForExpiry, 0),
         (TakenOut::StopBeforeWord, 35),
         (TakenOut::AgeOfRead, 2168),
         (TakenOut::AgeOfPeerWord, 1160),
--- a/crates/rudder-engine/src/lead/tests/suspicion.rs
+++ b/crates/rudder-engine/src/lead/tests/suspicion.rs
@@ -1,7 +1,7 @@
 //! When a change of primary is due.
 
 use super::{changing, ms, settled};
-use crate::lead::{ChangeCause, GroupSigns, LeadBook, PeerVote, judge_change};
+use crate::lead::{ChangeCause, GroupSigns, LeaseTable, PeerVote, judge_change};
 use rudder_core::InstanceName;
 
 fn name(text: &str) -> InstanceName {
@@ -29,15 +29,15 @@
     }
 }
 
-fn led_by_a() -> LeadBook {
-    let mut book = LeadBook::default();
-    book.observe(&settled(1, "a", 1, None), ms(0), ms(0));
-    book
+fn led_by_a() -> LeaseTable {
+    let mut leases = LeaseTable::default();
+    leases.observe(&settled(1, "a", 1, None), ms(0), ms(0));
+    leases
 }
 
 /// What the first in line would do, long after the signs were first seen.
-fn verdict(book: &LeadBook, signs: &GroupSigns, votes: &[PeerVote]) -> Option<ChangeCause> {
-    let judge = |vote: &PeerVote| judge_change(book, signs, &vote.instance, votes, ms(9000));
+fn verdict(leases: &LeaseTable, signs: &GroupSigns, votes: &[PeerVote]) -> Option<ChangeCause> {
+    let judge = |vote: &PeerVote| judge_change(leases, signs, &vote.instance, votes, ms(9000));
     votes.iter().find_map(judge)
 }
 
@@ -89,23 +89,23 @@
 #[test]
 fn an_unfinished_change_is_left_alone_for_a_while() {
     // The holder may only be slow. Two at work at once would promote two members in turn.
-    let mut book = led_by_a();
-    book.observe(&changing(2, "x", "a"), ms(6000), ms(6000));
+    let mut leases = led_by_a();
+    leases.observe(&changing(2, "x", "a"), ms(6000), ms(6000));
     let ended = GroupSigns { holder_ended: true, ..healthy() };
 
-    assert_eq!(verdict(&book, &healthy(), &votes("abc")), None);
-    assert_eq!(verdict(&book, &ended, &votes("abc")), Some(ChangeCause::Unfinished));
+    assert_eq!(verdict(&leases, &healthy(), &votes("abc")), None);
+    assert_eq!(verdict(&leases, &ended, &votes("abc")), Some(ChangeCause::Unfinished));
 }
 
 #[test]
 fn instances_take_turns() {
     // All see the same signs at the same moment; only the first in line acts at once.
-    let book = led_by_a();
+    let leases = led_by_a();
     let signs = GroupSigns { silent_since: Some(ms(0)), ..healthy() };
     let votes = votes("ABC");
     let acting = |now: u64| {
         let acts = |vote: &&PeerVote| {
-            judge_change(&book, &signs, &vote.instance, &votes, ms(now)).is_some()
+            judge_change(&leases, &signs, &vote.instance, &votes, ms(now)).is_some()
         };
         votes.iter().filter(acts).count()
     };
--- a/crates/rudder-engine/src/lib.rs
+++ b/crates/rudder-engine/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Callers' statements come in through [`CallerSession`]; members, the store and the promotion call
 //! are traits. Reads with a bound go to replicas that hold a position which follows from samples
-//! of the primary's; writes and strict reads go to the primary under a permit; the primary is
+//! of the primary's; writes and strict reads go to the primary under a lease; the primary is
 //! changed through a record in the store.
 
 mod border;
@@ -14,13 +14,13 @@
 mod group;
 mod identity;
 mod lead;
-mod own_seat;
+mod own_entry;
 mod peers;
-mod records_word;
+mod records_status;
 mod session;
 mod settings;
 mod statement;
-mod store_word;
+mod store_snapshot;
 mod sync;
 
 pub use border::{
--- a/crates/rudder-engine/src/own_seat.rs
+++ b/crates/rudder-engine/src/own_entry.rs
@@ -1,6 +1,6 @@
 //! This instance's own entry in the list of instances, and whether it may lead by it.
 //!
-//! A change of primary waits for the instances that the list shows. So permits are only good for an
+//! A change of primary waits for the instances that the list shows. So leases are only good for an
 //! instance whose entry stood before the record was read that gives them, and still stands.
 
 use crate::peers::LISTED_LIFE;
@@ -8,7 +8,7 @@
 
 /// What is known of the own entry.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct OwnSeat {
+pub(crate) struct OwnEntry {
     /// The latest moment at which the list showed the entry without a mark; none while it does not.
     listed_at: Option<Duration>,
     /// By when the entry stood; it has not been missing since.
@@ -17,7 +17,7 @@
     left: bool,
 }
 
-impl OwnSeat {
+impl OwnEntry {
     /// Takes in that the list showed the entry at `listed_at`, which is known at `now`; returns
     /// whether it was not known to stand before.
     pub(crate) fn show(&mut self, listed_at: Duration, now: Duration) -> bool {
@@ -51,9 +51,9 @@
         self.listed_at = self.listed_at.map(|known| known.max(listed_at));
     }
 
-    /// Whether what was said of a record at `said_at` may give permits.
+    /// Whether what was said of a record at `said_at` may give leases.
     ///
-    /// Guards against a permit of an instance that is just entering the list: the record was read,
+    /// Guards against a lease of an instance that is just entering the list: the record was read,
     /// then a change of primary began and read the list, and only then the entry was there. The
     /// change does not wait for this instance, so what was read before the entry stood counts for
     /// nothing.
--- /dev/null
+++ b/crates/rudder-engine/src/own_entry/tests.rs
@@ -0,0 +1,74 @@
+use super::OwnEntry;
+use crate::peers::LISTED_LIFE;
+use std::time::Duration;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn a_record_that_was_read_before_the_entry_stood_gives_no_lease() {
+    // A commit is acknowledged at a primary that has just been replaced. An instance starts: its
+    // read of the record is done, then another instance begins a change and reads the list, then the
+    // new one's entry is written, and both answers arrive. Nobody asked it to stop, and it went by
+    // what it had read.
+    let mut entry = OwnEntry::default();
+
+    let entered = entry.show(ms(100), ms(140));
+
+    assert!(entered);
+    assert!(!entry.may_lead_by(ms(139), ms(150)));
+    assert!(entry.may_lead_by(ms(140), ms(150)));
+}
+
+#[test]
+fn an_entry_that_was_seen_again_counts_from_its_first_time() {
+    let mut entry = OwnEntry::default();
+    entry.show(ms(100), ms(140));
+
+    let entered = entry.show(ms(4000), ms(4040));
+
+    assert!(!entered);
+    assert!(entry.may_lead_by(ms(3900), ms(4050)));
+}
+
+#[test]
+fn an_entry_that_was_missing_counts_anew() {
+    let mut entry = OwnEntry::default();
+    entry.show(ms(100), ms(140));
+    entry.hide();
+    let hidden = entry.may_lead_by(ms(5000), ms(5000));
+
+    let entered = entry.show(ms(6000), ms(6040));
+
+    assert!(!hidden && entered);
+    assert!(!entry.may_lead_by(ms(6010), ms(6050)));
+}
+
+#[test]
+fn an_entry_that_was_not_seen_for_long_gives_no_lease() {
+    let mut entry = OwnEntry::default();
+    entry.show(ms(100), ms(140));
+    let late = ms(100) + LISTED_LIFE;
+
+    let before = entry.may_lead_by(late, late);
+    entry.renew(ms(2000));
+
+    assert!(!before);
+    assert!(entry.may_lead_by(late, late));
+}
+
+#[test]
+fn an_instance_that_leaves_does_not_lead_by_an_older_look_at_the_list() {
+    // A commit is acknowledged at a primary that has just been replaced. An instance that stops
+    // removes its entry, a change begins and does not wait for it, and then the answer to its last
+    // look at the list arrives, which still showed the entry.
+    let mut entry = OwnEntry::default();
+    entry.show(ms(100), ms(140));
+    entry.leave();
+
+    let entered = entry.show(ms(4990), ms(5030));
+
+    assert!(!entered);
+    assert!(!entry.may_lead_by(ms(5040), ms(5050)));
+}
--- a/crates/rudder-engine/src/peers/seats.rs
+++ b/crates/rudder-engine/src/peers/entries.rs
@@ -5,7 +5,7 @@
 //! come, connections are set aside for nobody, and once most of the list is gone no majority is
 //! reached any more.
 //!
-//! An instance that is taken out holds no permit, because it loses it first: it leads only while a
+//! An instance that is taken out holds no lease, because it loses it first: it leads only while a
 //! read of its own has shown its entry without a mark less than [`LISTED_LIFE`] ago, and a marked
 //! entry is removed only once the mark has stood for longer, [`MARK_LIFE`]. One that lives sees the
 //! mark with its next read, and takes it away.
@@ -27,7 +27,7 @@
 
 /// What is to be done with an entry of the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum SeatVerdict {
+pub(crate) enum EntryVerdict {
     /// It stays as it is.
     Keep,
     /// It is marked.
@@ -38,7 +38,7 @@
 
 /// Since when an entry has shown a mark here, or its instance nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct SeatWatch {
+struct EntryWatch {
     instance: InstanceName,
     /// The version of the entry.
     version: String,
@@ -48,11 +48,11 @@
 
 /// What one reader remembers of the entries of its failure domain, sorted by instance.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct SeatLedger {
-    watches: Vec<SeatWatch>,
+pub(crate) struct EntryLedger {
+    watches: Vec<EntryWatch>,
 }
 
-impl SeatLedger {
+impl EntryLedger {
     /// Judges one entry as it was read at `now`; `heard_at` is when its instance was last heard.
     pub(crate) fn judge(
         &mut self,
@@ -61,9 +61,9 @@
         marked: bool,
         heard_at: Option<Duration>,
         now: Duration,
-    ) -> SeatVerdict {
+    ) -> EntryVerdict {
         let index = self.watches.binary_search_by(|watch| watch.instance.cmp(instance));
-        let fresh = SeatWatch {
+        let fresh = EntryWatch {
             instance: instance.clone(),
             version: version.to_owned(),
             marked,
@@ -84,11 +84,11 @@
         let since = self.watches[index].since;
         if marked {
             let over = now >= since + MARK_LIFE;
-            return if over { SeatVerdict::Remove } else { SeatVerdict::Keep };
+            return if over { EntryVerdict::Remove } else { EntryVerdict::Keep };
         }
         let silent_since = heard_at.map_or(since, |heard_at| heard_at.max(since));
         let over = now >= silent_since + UNHEARD_TIME;
-        if over { SeatVerdict::Mark } else { SeatVerdict::Keep }
+        if over { EntryVerdict::Mark } else { EntryVerdict::Keep }
     }
 
     /// Forgets the entries that are not in the list any more.
--- a/crates/rudder-engine/src/peers/fleet_copy.rs
+++ b/crates/rudder-engine/src/peers/fleet_copy.rs
@@ -8,7 +8,7 @@
 use crate::engine::ProxyEngine;
 use crate::group::MemberEntry;
 use crate::settings::{FleetSettings, SettingsVersion};
-use crate::store_word::MembersVersion;
+use crate::store_snapshot::MembersVersion;
 use rudder_core::plain_data;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
--- a/crates/rudder-engine/src/peers/board.rs
+++ b/crates/rudder-engine/src/peers/membership.rs
@@ -1,9 +1,9 @@
 //! What is known of the other instances.
 
 use super::fleet_copy::CopyVersion;
-use super::message::{PeerHeartbeat, StopWord};
+use super::message::{PeerHeartbeat, StopNotice};
 use super::questions::QuestionLog;
-use super::readers::{ReaderSeat, choose_readers};
+use super::readers::{ReaderCandidate, choose_readers};
 use crate::clock::boot_time;
 use crate::identity::InstanceIdentity;
 use crate::lead::{LeaderEpoch, PeerVote};
@@ -20,7 +20,7 @@
 
 plain_data! {
     /// Where an instance is.
-    pub(crate) struct PeerSeat {
+    pub(crate) struct PeerEntry {
         pub(crate) instance: InstanceName,
         pub(crate) domain: DomainName,
         pub(crate) address: SocketAddr,
@@ -43,28 +43,28 @@
 }
 
 #[derive(Default)]
-struct BoardState {
+struct MembershipState {
     /// The instances that the store lists, sorted by name.
-    seats: Vec<PeerSeat>,
+    entries: Vec<PeerEntry>,
     /// When the store had them so.
-    seats_at: Duration,
+    entries_at: Duration,
     /// The last word of each, sorted by name.
     heard: Vec<HeardHeartbeat>,
-    stopped: Vec<StopWord>,
+    stopped: Vec<StopNotice>,
 }
 
 /// What is known of the other instances.
-pub(crate) struct PeerBoard {
+pub(crate) struct MembershipView {
     own: InstanceName,
     own_domain: DomainName,
     /// Failure domains of the whole deployment.
     domain_count: usize,
-    state: Mutex<BoardState>,
+    state: Mutex<MembershipState>,
     questions: Mutex<QuestionLog>,
     stop_heard: Notify,
 }
 
-impl PeerBoard {
+impl MembershipView {
     pub(crate) fn new(identity: &InstanceIdentity) -> Self {
         Self {
             own: identity.name.clone(),
@@ -76,7 +76,7 @@
         }
     }
 
-    fn state(&self) -> MutexGuard<'_, BoardState> {
+    fn state(&self) -> MutexGuard<'_, MembershipState> {
         lock(&self.state)
     }
 
@@ -86,20 +86,20 @@
     }
 
     /// Replaces the list of instances by what the store had at `read_at`; this one is left out.
-    pub(crate) fn set_seats(&self, mut seats: Vec<PeerSeat>, read_at: Duration) {
-        seats.retain(|seat| seat.instance != self.own);
-        seats.sort_by(|left, right| left.instance.cmp(&right.instance));
+    pub(crate) fn set_entries(&self, mut entries: Vec<PeerEntry>, read_at: Duration) {
+        entries.retain(|entry| entry.instance != self.own);
+        entries.sort_by(|left, right| left.instance.cmp(&right.instance));
         let mut state = self.state();
-        state.seats = seats;
-        state.seats_at = read_at;
+        state.entries = entries;
+        state.entries_at = read_at;
     }
 
     /// When the store had an instance in the list without a mark, if it did.
     pub(crate) fn listed_at(&self, instance: &InstanceName) -> Option<Duration> {
         let state = self.state();
-        let mut seats = state.seats.iter();
-        let listed = seats.any(|seat| seat.instance == *instance && !seat.marked);
-        listed.then_some(state.seats_at)
+        let mut entries = state.entries.iter();
+        let listed = entries.any(|entry| entry.instance == *instance && !entry.marked);
+        listed.then_some(state.entries_at)
     }
 
     /// Where this instance's heartbeats go within its failure domain: to all.
@@ -109,9 +109,9 @@
         let near = |heard: &&HeardHeartbeat| {
             heard.is_live(now) && heard.heartbeat.domain == self.own_domain
         };
-        let listed = state.seats.iter().filter(|seat| seat.domain == self.own_domain);
+        let listed = state.entries.iter().filter(|entry| entry.domain == self.own_domain);
         let heard = state.heard.iter().filter(near).map(|heard| heard.from);
-        distinct(listed.map(|seat| seat.address).chain(heard))
+        distinct(listed.map(|entry| entry.address).chain(heard))
     }
 
     /// Where a reader's heartbeats go elsewhere: to the readers of the other domains, or to all of
@@ -125,12 +125,12 @@
         }
         readers.retain(|reader| reader.domain != self.own_domain);
         let state = self.state();
-        let uncovered = state.seats.iter().filter(|seat| {
-            let covered = readers.iter().any(|reader| reader.domain == seat.domain);
-            seat.domain != self.own_domain && !covered
+        let uncovered = state.entries.iter().filter(|entry| {
+            let covered = readers.iter().any(|reader| reader.domain == entry.domain);
+            entry.domain != self.own_domain && !covered
         });
         let known = readers.iter().filter_map(|reader| reader.address);
-        distinct(uncovered.map(|seat| seat.address).chain(known))
+        distinct(uncovered.map(|entry| entry.address).chain(known))
     }
 
     /// The latest moment of which a live peer has told that what it knew was current then.
@@ -151,8 +151,8 @@
     }
 
     /// How many others the store lists.
-    pub(crate) fn seat_count(&self) -> usize {
-        self.state().seats.len()
+    pub(crate) fn listed_count(&self) -> usize {
+        self.state().entries.len()
     }
 
     /// How many instances are known, this one included: listed, or heard from.
@@ -164,7 +164,7 @@
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         let state = self.state();
         let now = boot_time();
-        let listed = state.seats.iter().map(|seat| seat.address);
+        let listed = state.entries.iter().map(|entry| entry.address);
         let heard = state.heard.iter().filter(|heard| heard.is_live(now));
         distinct(listed.chain(heard.map(|heard| heard.from)))
     }
@@ -183,19 +183,19 @@
 
     /// The live instances that read the store and watch the primaries for all: the first of each
     /// failure domain by a hash, and more of each where there are few domains.
-    fn readers(&self) -> Vec<ReaderSeat> {
+    fn readers(&self) -> Vec<ReaderCandidate> {
         let now = boot_time();
         let state = self.state();
         let live =
             state.heard.iter().filter(|heard| heard.is_live(now) && !heard.heartbeat.leaving);
-        let mut all: Vec<ReaderSeat> = live
-            .map(|heard| ReaderSeat {
+        let mut all: Vec<ReaderCandidate> = live
+            .map(|heard| ReaderCandidate {
                 instance: heard.heartbeat.instance.clone(),
                 domain: heard.heartbeat.domain.clone(),
                 address: Some(heard.from),
             })
             .collect();
-        all.push(ReaderSeat {
+        all.push(ReaderCandidate {
             instance: self.own.clone(),
             domain: self.own_domain.clone(),
             address: None,
@@ -220,7 +220,7 @@
     }
 
     /// Takes in that an instance has stopped.
-    pub(crate) fn note_stopped(&self, word: StopWord) {
+    pub(crate) fn note_stopped(&self, word: StopNotice) {
         let mut state = self.state();
         state.stopped.retain(|known| {
             (&known.instance, &known.service) != (&word.instance, &word.service)
@@ -239,14 +239,14 @@
     }
 
     /// The listed instances that have not said that they stopped.
-    pub(crate) fn not_stopped(&self, service: &ServiceName, epoch: LeaderEpoch) -> Vec<PeerSeat> {
+    pub(crate) fn not_stopped(&self, service: &ServiceName, epoch: LeaderEpoch) -> Vec<PeerEntry> {
         let state = self.state();
-        let has_stopped = |seat: &PeerSeat| {
+        let has_stopped = |entry: &PeerEntry| {
             state.stopped.iter().any(|word| {
-                word.instance == seat.instance && word.service == *service && word.epoch >= epoch
+                word.instance == entry.instance && word.service == *service && word.epoch >= epoch
             })
         };
-        state.seats.iter().filter(|seat| !has_stopped(seat)).cloned().collect()
+        state.entries.iter().filter(|entry| !has_stopped(entry)).cloned().collect()
     }
 
     /// The votes of the readers on a version's primary, this one's included.
@@ -265,7 +265,7 @@
                 doubts.iter().any(|doubt| doubt.service == *service && doubt.epoch == epoch)
             })
         };
-        let vote = |reader: ReaderSeat| PeerVote {
+        let vote = |reader: ReaderCandidate| PeerVote {
             suspects: match reader.address {
                 Some(_) => suspects(&reader.instance),
                 None => own_suspects,
@@ -294,7 +294,7 @@
     pub(crate) fn known(&self) -> Vec<InstanceName> {
         let now = boot_time();
         let state = self.state();
-        let listed = state.seats.iter().map(|seat| seat.instance.clone());
+        let listed = state.entries.iter().map(|entry| entry.instance.clone());
         let live = state.heard.iter().filter(|heard| heard.is_live(now));
         let heard = live.map(|heard| heard.heartbeat.instance.clone());
         let mut known: Vec<InstanceName> = listed.chain(heard).collect();
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -44,9 +44,9 @@
         /// How long ago the store had the record, in milliseconds, rounded up.
         pub(crate) age_ms: u64,
         /// How long ago the store, or most instances, knew of no later version; never more.
-        pub(crate) vouched_age_ms: u64,
-        /// Whether the sender itself vouches that it knows of no later version.
-        pub(crate) vouches: bool,
+        pub(crate) majority_age_ms: u64,
+        /// Whether the sender itself confirms that it knows of no later version.
+        pub(crate) confirms: bool,
         /// The newest position known of its primary.
         pub(crate) sample: Option<SampleCopy>,
     }
@@ -65,7 +65,7 @@
 plain_data! {
     /// An instance's word that it answers for no version of a record before this one.
     #[derive(Serialize, Deserialize)]
-    pub(crate) struct StopWord {
+    pub(crate) struct StopNotice {
         pub(crate) instance: InstanceName,
         pub(crate) service: ServiceName,
         pub(crate) epoch: LeaderEpoch,
@@ -95,10 +95,10 @@
 pub(crate) enum PeerMessage {
     /// A sign of life.
     Heartbeat(PeerHeartbeat),
-    /// A new version of a record; the receiver answers with a [`StopWord`] once it has stopped.
+    /// A new version of a record; the receiver answers with a [`StopNotice`] once it has stopped.
     Announce(RecordCopy),
     /// The answer.
-    Stopped(StopWord),
+    Stopped(StopNotice),
     /// Asks for all records.
     Ask {
         /// Who asks.
--- a/crates/rudder-engine/src/peers/questions.rs
+++ b/crates/rudder-engine/src/peers/questions.rs
@@ -10,11 +10,11 @@
 const QUESTIONS_MAX: usize = 32;
 
 /// Answers that are kept: those of a few questions to all of a fleet about all services.
-const VOUCHES_MAX: usize = 4096;
+const CONFIRMATIONS_MAX: usize = 4096;
 
 /// An instance's word that it knows of no later version of a record.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct PeerVouch {
+struct PeerConfirmation {
     question: u64,
     instance: InstanceName,
     service: ServiceName,
@@ -28,8 +28,8 @@
     questions: VecDeque<(u64, Duration)>,
     /// Who answered which, oldest first.
     answers: VecDeque<(u64, InstanceName)>,
-    /// What they vouched for, oldest first.
-    vouches: Vec<PeerVouch>,
+    /// What they confirmed, oldest first.
+    confirms: Vec<PeerConfirmation>,
 }
 
 impl QuestionLog {
@@ -43,7 +43,7 @@
     pub(crate) fn note_answer(&mut self, question: u64, instance: &InstanceName) {
         let answer = (question, instance.clone());
         if !self.answers.contains(&answer) {
-            if self.answers.len() == VOUCHES_MAX {
+            if self.answers.len() == CONFIRMATIONS_MAX {
                 self.answers.pop_front();
             }
             self.answers.push_back(answer);
@@ -52,7 +52,7 @@
 
     /// Counts an answer to a question of this instance's own; returns how many instances have
     /// answered it with the same version, this one included.
-    pub(crate) fn count_vouch(
+    pub(crate) fn count_confirmation(
         &mut self,
         question: u64,
         instance: &InstanceName,
@@ -60,17 +60,24 @@
         epoch: LeaderEpoch,
     ) -> usize {
         let oldest = self.questions.front().map_or(question, |(known, _)| *known);
-        if self.vouches.len() >= VOUCHES_MAX {
-            let stale = self.vouches.iter().filter(|vouch| vouch.question == oldest).count();
-            self.vouches.drain(..stale.max(1));
+        if self.confirms.len() >= CONFIRMATIONS_MAX {
+            let stale =
+                self.confirms.iter().filter(|confirmation| confirmation.question == oldest).count();
+            self.confirms.drain(..stale.max(1));
         }
-        let vouch =
-            PeerVouch { question, instance: instance.clone(), service: service.clone(), epoch };
-        if !self.vouches.contains(&vouch) {
-            self.vouches.push(vouch);
+        let confirmation = PeerConfirmation {
+            question,
+            instance: instance.clone(),
+            service: service.clone(),
+            epoch,
+        };
+        if !self.confirms.contains(&confirmation) {
+            self.confirms.push(confirmation);
         }
-        let same = self.vouches.iter().filter(|vouch| {
-            vouch.question == question && vouch.service == *service && vouch.epoch == epoch
+        let same = self.confirms.iter().filter(|confirmation| {
+            confirmation.question == question
+                && confirmation.service == *service
+                && confirmation.epoch == epoch
         });
         same.count() + 1
     }
--- a/crates/rudder-engine/src/peers/readers.rs
+++ b/crates/rudder-engine/src/peers/readers.rs
@@ -15,7 +15,7 @@
 
 /// An instance that may be a reader; the address is none for this one.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct ReaderSeat {
+pub(crate) struct ReaderCandidate {
     pub(crate) instance: InstanceName,
     pub(crate) domain: DomainName,
     pub(crate) address: Option<SocketAddr>,
@@ -25,15 +25,19 @@
 ///
 /// `domains` is how many the deployment has. An instance that hears from none but its own domain
 /// must not think that there is no other, and take itself for one of three readers there.
-pub(crate) fn choose_readers(mut all: Vec<ReaderSeat>, domains: usize) -> Vec<ReaderSeat> {
-    let rank = |seat: &ReaderSeat| xxhash_rust::xxh3::xxh3_64(seat.instance.as_str().as_bytes());
-    all.sort_by_key(|seat| (seat.domain.clone(), rank(seat)));
+pub(crate) fn choose_readers(
+    mut all: Vec<ReaderCandidate>,
+    domains: usize,
+) -> Vec<ReaderCandidate> {
+    let rank =
+        |entry: &ReaderCandidate| xxhash_rust::xxh3::xxh3_64(entry.instance.as_str().as_bytes());
+    all.sort_by_key(|entry| (entry.domain.clone(), rank(entry)));
     let each = READERS_MIN.div_ceil(domains.max(1));
-    let mut chosen: Vec<ReaderSeat> = Vec::new();
-    for seat in all {
-        let count = chosen.iter().filter(|known| known.domain == seat.domain).count();
+    let mut chosen: Vec<ReaderCandidate> = Vec::new();
+    for entry in all {
+        let count = chosen.iter().filter(|known| known.domain == entry.domain).count();
         if count < each {
-            chosen.push(seat);
+            chosen.push(entry);
         }
     }
     chosen
--- a/crates/rudder-engine/src/peers/tests/seats.rs
+++ b/crates/rudder-engine/src/peers/tests/entries.rs
@@ -1,6 +1,6 @@
 //! Instances that are gone leave the list.
 
-use crate::peers::seats::{LISTED_LIFE, SeatLedger, SeatVerdict};
+use crate::peers::entries::{EntryLedger, EntryVerdict, LISTED_LIFE};
 use rudder_core::InstanceName;
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 fn an_instance_that_never_comes_back_is_marked_and_then_removed() {
     // After some days of replaced machines a change of primary takes ten seconds in place of two:
     // most of those listed are gone, and are asked whether they have stopped.
-    let mut ledger = SeatLedger::default();
+    let mut ledger = EntryLedger::default();
     let gone = gone();
 
     let verdicts = [
@@ -28,7 +28,7 @@
         ledger.judge(&gone, "8", true, Some(at(100)), at(224)),
     ];
 
-    use SeatVerdict::{Keep, Mark, Remove};
+    use EntryVerdict::{Keep, Mark, Remove};
     assert_eq!(verdicts, [Keep, Keep, Mark, Keep, Keep, Remove]);
 }
 
@@ -36,7 +36,7 @@
 fn an_instance_that_is_only_not_heard_here_stays() {
     // A link between two instances is cut for minutes. The one marks the other, which reads the
     // store, sees the mark, and writes its entry anew; it must not be removed for the old mark.
-    let mut ledger = SeatLedger::default();
+    let mut ledger = EntryLedger::default();
     let gone = gone();
     ledger.judge(&gone, "7", false, None, at(100));
     ledger.judge(&gone, "8", true, None, at(165));
@@ -44,23 +44,23 @@
     let written_anew = ledger.judge(&gone, "9", false, None, at(190));
     let later = ledger.judge(&gone, "9", false, None, at(249));
 
-    assert_eq!((written_anew, later), (SeatVerdict::Keep, SeatVerdict::Keep));
+    assert_eq!((written_anew, later), (EntryVerdict::Keep, EntryVerdict::Keep));
 }
 
 #[test]
-fn an_instance_loses_its_permits_before_its_entry_is_removed() {
+fn an_instance_loses_its_leases_before_its_entry_is_removed() {
     // An instance that cannot read the list goes on leading on its peers' word. If its entry went
     // first, a change of primary would not wait for it, and both primaries would be answered for.
-    let mut ledger = SeatLedger::default();
+    let mut ledger = EntryLedger::default();
     let gone = gone();
     ledger.judge(&gone, "7", false, None, at(100));
     let last_unmarked_read = at(160);
     let marked = ledger.judge(&gone, "7", false, None, last_unmarked_read);
     ledger.judge(&gone, "8", true, None, last_unmarked_read);
 
-    let permit_ends = last_unmarked_read + LISTED_LIFE;
-    let then = ledger.judge(&gone, "8", true, None, permit_ends + at(10));
+    let lease_ends = last_unmarked_read + LISTED_LIFE;
+    let then = ledger.judge(&gone, "8", true, None, lease_ends + at(10));
 
-    assert_eq!(marked, SeatVerdict::Mark);
-    assert_eq!(then, SeatVerdict::Keep);
+    assert_eq!(marked, EntryVerdict::Mark);
+    assert_eq!(then, EntryVerdict::Keep);
 }
--- a/crates/rudder-engine/src/peers/tests/mod.rs
+++ b/crates/rudder-engine/src/peers/tests/mod.rs
@@ -1,4 +1,4 @@
 //! Tests of what instances know of each other.
 
+mod entries;
 mod readers;
-mod seats;
--- a/crates/rudder-engine/src/peers/tests/readers.rs
+++ b/crates/rudder-engine/src/peers/tests/readers.rs
@@ -1,20 +1,20 @@
 //! Who reads the store for all.
 
-use crate::peers::readers::{ReaderSeat, choose_readers};
+use crate::peers::readers::{ReaderCandidate, choose_readers};
 
 /// Instances named `DOMAIN-NUMBER`.
-fn seats(names: &[&str]) -> Vec<ReaderSeat> {
-    let seat = |name: &&str| ReaderSeat {
+fn entries(names: &[&str]) -> Vec<ReaderCandidate> {
+    let entry = |name: &&str| ReaderCandidate {
         instance: name.parse().expect("a name"),
         domain: name.split('-').next().expect("a domain").parse().expect("a name"),
         address: None,
     };
-    names.iter().map(seat).collect()
+    names.iter().map(entry).collect()
 }
 
 fn chosen(names: &[&str], domains: usize) -> Vec<String> {
-    let chosen = choose_readers(seats(names), domains);
-    chosen.into_iter().map(|seat| seat.instance.to_string()).collect()
+    let chosen = choose_readers(entries(names), domains);
+    chosen.into_iter().map(|entry| entry.instance.to_string()).collect()
 }
 
 const FLEET: [&str; 9] = ["n-1", "n-2", "n-3", "s-1", "s-2", "s-3", "w-1", "w-2", "w-3"];
--- a/crates/rudder-engine/src/records_word.rs
+++ b/crates/rudder-engine/src/records_status.rs
@@ -10,7 +10,7 @@
 
 /// Reads of all records.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct RecordsWord {
+pub(crate) struct RecordsStatus {
     /// Services without a record by this process's last read.
     without: Vec<ServiceName>,
     /// When this process's last read was sent; none before the first one.
@@ -19,7 +19,7 @@
     told_at: Option<Duration>,
 }
 
-impl RecordsWord {
+impl RecordsStatus {
     /// Takes in a read of this process's own that was sent at `asked_at`.
     pub(crate) fn note_read(&mut self, without: Vec<ServiceName>, asked_at: Duration) {
         self.without = without;
--- a/crates/rudder-engine/src/session/job.rs
+++ b/crates/rudder-engine/src/session/job.rs
@@ -85,7 +85,7 @@
         floor: Option<LogStamp>,
         limit: Duration,
     ) -> Result<StatementReply, ExchangeError> {
-        let mut commands = link.image().commands_for(&self.values, self.shape.as_ref());
+        let mut commands = link.session().commands_for(&self.values, self.shape.as_ref());
         commands.push(MemberCommand::Statement {
             id: self.id.clone(),
             floor,
@@ -102,7 +102,7 @@
         floor: Option<LogStamp>,
         limit: Duration,
     ) -> Result<StatementReply, ExchangeError> {
-        let mut commands = link.image().commands_for(&self.values, self.shape.as_ref());
+        let mut commands = link.session().commands_for(&self.values, self.shape.as_ref());
         commands.push(MemberCommand::Begin { read_only, floor });
         run_all(link, &commands, limit).await
     }
@@ -145,7 +145,7 @@
     let now = boot_time();
     let age_ms = |at: Duration| now.saturating_sub(at).as_millis();
     let (epoch, record_age_ms) =
-        group.with_book(|book| (book.epoch(), age_ms(book.confirmed_at())));
+        group.with_leases(|leases| (leases.epoch(), age_ms(leases.confirmed_at())));
     let sample_age_ms = match group.newest_sample() {
         Some(sample) => age_ms(sample.sent_at).to_string(),
         None => "none".to_owned(),
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -23,7 +23,7 @@
 
 /// How long word of the primary's position is awaited before it is asked for again: the first
 /// question may meet a reader that has just started and knows none either.
-const WORD_PAUSE: Duration = Duration::from_millis(60);
+const POSITION_PAUSE: Duration = Duration::from_millis(60);
 
 /// What is to be run at a member that may be a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -171,20 +171,20 @@
         session_floor: Option<LogStamp>,
     ) -> Option<LogStamp> {
         let bound = bound_of(route).unwrap_or_default();
-        let word_until = Instant::now() + WORD_PAUSE;
+        let position_until = Instant::now() + POSITION_PAUSE;
         loop {
             if let Some(floor) = group.bounded_floor(bound) {
                 let own = session_floor.map(|floor| group.reachable(floor));
                 return Some(own.map_or(floor, |own| own.max(floor)));
             }
             let left = job.wait_left();
-            let readable = Instant::now() >= word_until && self.leader(group).is_some();
+            let readable = Instant::now() >= position_until && self.leader(group).is_some();
             if left.is_zero() || readable {
                 return None;
             }
             self.want_position();
-            self.want_word();
-            group.wait_changed(left.min(WORD_PAUSE)).await;
+            self.want_records();
+            group.wait_changed(left.min(POSITION_PAUSE)).await;
         }
     }
 
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -1,10 +1,10 @@
-//! Writes and strict reads: only at the primary, and only under a permit.
+//! Writes and strict reads: only at the primary, and only under a lease.
 
 use super::job::{StatementJob, refuse};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::{AcquireError, ExchangeError, GroupMember, PooledLink, ServiceGroup};
-use crate::lead::LeadPermit;
+use crate::lead::LeaderLease;
 use crate::settings::RouteRule;
 use crate::statement::{StatementEffect, StatementError, StatementReply, TransactionState};
 use rudder_decisions::WaitingWork;
@@ -18,7 +18,7 @@
 pub(super) struct StrictStart {
     pub(super) link: PooledLink,
     pub(super) member: Arc<GroupMember>,
-    pub(super) permit: LeadPermit,
+    pub(super) lease: LeaderLease,
     pub(super) flight: InFlight,
 }
 
@@ -29,14 +29,14 @@
 
 impl InFlight {
     pub(super) fn new(group: &Arc<ServiceGroup>) -> Self {
-        group.with_book(crate::lead::LeadBook::enter);
+        group.with_leases(crate::lead::LeaseTable::enter);
         Self { group: Arc::clone(group) }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.group.with_book(crate::lead::LeadBook::leave);
+        self.group.with_leases(crate::lead::LeaseTable::leave);
     }
 }
 
@@ -73,7 +73,7 @@
         job: &StatementJob,
         start: StrictStart,
     ) -> StrictEnd {
-        let StrictStart { mut link, member, permit, flight } = start;
+        let StrictStart { mut link, member, lease, flight } = start;
         let sent_at = boot_time();
         // Guards against a primary that restarted with an empty log: it lacks what was seen there.
         let floor = match job.effect {
@@ -82,18 +82,18 @@
         };
         let answer = job.run_on(&mut link, floor, job.time_left()).await;
         let end = match answer {
-            Ok(reply) => judge_reply(group, job, &permit, sent_at, reply, link),
+            Ok(reply) => judge_reply(group, job, &lease, sent_at, reply, link),
             Err(error) => {
                 // The watch tells at once whether it is the connection or the primary.
                 self.want_position();
-                judge_failure(group, job, &member, &permit, &error)
+                judge_failure(group, job, &member, &lease, &error)
             }
         };
         drop(flight);
         end
     }
 
-    /// Waits for a primary with a permit, and for a connection to it.
+    /// Waits for a primary with a lease, and for a connection to it.
     pub(super) async fn start_strict(
         &self,
         group: &Arc<ServiceGroup>,
@@ -106,7 +106,7 @@
                 if left.is_zero() {
                     return Err("no primary is confirmed");
                 }
-                self.want_word();
+                self.want_records();
                 group.wait_changed(left).await;
                 continue;
             };
@@ -123,9 +123,9 @@
             };
             // Looked at again: the primary may have changed while the connection was waited for.
             match self.leader(group) {
-                Some((now_member, permit)) if Arc::ptr_eq(&now_member, &member) => {
+                Some((now_member, lease)) if Arc::ptr_eq(&now_member, &member) => {
                     let flight = InFlight::new(group);
-                    return Ok(StrictStart { link, member, permit, flight });
+                    return Ok(StrictStart { link, member, lease, flight });
                 }
                 _ => {}
             }
@@ -136,16 +136,16 @@
 fn judge_reply(
     group: &ServiceGroup,
     job: &StatementJob,
-    permit: &LeadPermit,
+    lease: &LeaderLease,
     sent_at: Duration,
     reply: StatementReply,
     link: PooledLink,
 ) -> StrictEnd {
     let Some(error) = reply.error() else {
-        return judge_success(group, job, permit, sent_at, reply);
+        return judge_success(group, job, lease, sent_at, reply);
     };
     log::info!(
-        request:% = job.id, service:% = group.service(), member:% = permit.primary,
+        request:% = job.id, service:% = group.service(), member:% = lease.primary,
         reason:% = error; "the primary did not serve a statement"
     );
     match error {
@@ -163,16 +163,16 @@
 fn judge_success(
     group: &ServiceGroup,
     job: &StatementJob,
-    permit: &LeadPermit,
+    lease: &LeaderLease,
     sent_at: Duration,
     reply: StatementReply,
 ) -> StrictEnd {
-    // Guards against an answer by a superseded primary: the permit may have lapsed while the
+    // Guards against an answer by a superseded primary: the lease may have expired while the
     // statement ran, and another member may have been promoted since.
-    if !group.holds(permit) {
+    if !group.holds(lease) {
         log::warn!(
-            request:% = job.id, service:% = group.service(), member:% = permit.primary,
-            epoch:% = permit.epoch, outcome = "withheld"; "the permit lapsed while a statement ran"
+            request:% = job.id, service:% = group.service(), member:% = lease.primary,
+            epoch:% = lease.epoch, outcome = "withheld"; "the lease expired while a statement ran"
         );
         return match job.effect {
             StatementEffect::Read => StrictEnd::Again("the primary is no longer confirmed"),
@@ -180,7 +180,7 @@
         };
     }
     if let Some(position) = reply.position {
-        group.note_position(permit, sent_at, position);
+        group.note_position(lease, sent_at, position);
     }
     StrictEnd::Answer(reply)
 }
@@ -189,12 +189,12 @@
     group: &ServiceGroup,
     job: &StatementJob,
     member: &GroupMember,
-    permit: &LeadPermit,
+    lease: &LeaderLease,
     error: &ExchangeError,
 ) -> StrictEnd {
     log::info!(
         request:% = job.id, service:% = group.service(), member:% = member.name(),
-        epoch:% = permit.epoch, reason:% = error.reason, sent = error.sent;
+        epoch:% = lease.epoch, reason:% = error.reason, sent = error.sent;
         "the primary gave no answer"
     );
     match job.effect {
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -7,7 +7,7 @@
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::{ExchangeError, GroupMember, PooledLink, ServiceGroup};
-use crate::lead::LeadPermit;
+use crate::lead::LeaderLease;
 use crate::settings::RouteRule;
 use crate::statement::{
     MemberCommand, StatementEffect, StatementError, StatementReply, TransactionState,
@@ -37,13 +37,13 @@
     member: Arc<GroupMember>,
     group: Arc<ServiceGroup>,
     /// Permission to answer for the primary; none where a replica serves.
-    permit: Option<LeadPermit>,
+    lease: Option<LeaderLease>,
 }
 
 impl PinnedLink {
     /// Whether answers may go out.
     fn may_answer(&self) -> bool {
-        self.permit.as_ref().is_none_or(|permit| self.group.holds(permit))
+        self.lease.as_ref().is_none_or(|lease| self.group.holds(lease))
     }
 }
 
@@ -101,7 +101,7 @@
         if job.effect == StatementEffect::Write {
             self.wrote = true;
         }
-        let _flight = pinned.permit.as_ref().map(|_| InFlight::new(&pinned.group));
+        let _flight = pinned.lease.as_ref().map(|_| InFlight::new(&pinned.group));
         let reply = match run_pinned(pinned, job).await {
             Ok(reply) => reply,
             Err(error) => {
@@ -168,7 +168,7 @@
         if replica_may {
             match engine.begin_bounded(&route, job, session_floor).await {
                 Ok(ReadStart { link, member }) => {
-                    self.pinned = Some(PinnedLink { link, member, group, permit: None });
+                    self.pinned = Some(PinnedLink { link, member, group, lease: None });
                     return Ok(());
                 }
                 Err(ReadFailure::Answered(reply)) => return Err(reply),
@@ -198,13 +198,13 @@
         let reason = match begun {
             Ok(reply) if reply.error().is_none() => {
                 if let Some(position) = reply.position {
-                    group.note_position(&start.permit, sent_at, position);
+                    group.note_position(&start.lease, sent_at, position);
                 }
                 return Ok(PinnedLink {
                     link: start.link,
                     member: start.member,
                     group: Arc::clone(group),
-                    permit: Some(start.permit),
+                    lease: Some(start.lease),
                 });
             }
             Ok(reply) => reply.error().map_or_else(String::new, ToString::to_string),
@@ -238,7 +238,7 @@
 }
 
 async fn commit_pinned(pinned: &mut PinnedLink, job: &StatementJob, wrote: bool) -> StatementReply {
-    let _flight = pinned.permit.as_ref().map(|_| InFlight::new(&pinned.group));
+    let _flight = pinned.lease.as_ref().map(|_| InFlight::new(&pinned.group));
     let sent_at = boot_time();
     match run_pinned(pinned, job).await {
         Ok(reply) => judge_commit(pinned, job, wrote, sent_at, reply),
@@ -275,12 +275,12 @@
     if wrote && !pinned.may_answer() {
         log::warn!(
             request:% = job.id, service:% = job.service, member:% = pinned.member.name(), outcome = "in_doubt";
-            "the permit lapsed during a commit"
+            "the lease expired during a commit"
         );
         return in_doubt("the primary was changed during the commit");
     }
-    if let (Some(permit), Some(position)) = (&pinned.permit, reply.position) {
-        pinned.group.note_position(permit, sent_at, position);
+    if let (Some(lease), Some(position)) = (&pinned.lease, reply.position) {
+        pinned.group.note_position(lease, sent_at, position);
     }
     reply
 }
--- a/crates/rudder-engine/src/store_word.rs
+++ b/crates/rudder-engine/src/store_snapshot.rs
@@ -16,7 +16,7 @@
 
 /// The store's word, as far as this instance has it.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct StoreWord {
+pub(crate) struct StoreSnapshot {
     members: Vec<MemberEntry>,
     version: MembersVersion,
     /// The latest moment at which the list of members is known to have been current.
@@ -25,7 +25,7 @@
     settings_at: Option<Duration>,
 }
 
-impl StoreWord {
+impl StoreSnapshot {
     /// Takes in the members as the store has them at `revision`; returns whether they differ.
     pub(crate) fn take_members(&mut self, members: &[MemberEntry], revision: u64) -> bool {
         if self.members == members {
--- a/crates/rudder-engine/src/store_word/tests.rs
+++ b/crates/rudder-engine/src/store_snapshot/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of what is taken from the store and from peers.
 
-use super::StoreWord;
+use super::StoreSnapshot;
 use crate::fixtures::member_entry;
 use std::time::Duration;
 
@@ -9,9 +9,9 @@
     // A member that is gone gets requests again, and another service answers at its address. An
     // instance knows from the store that the member left; a peer that the store turned away still
     // has the list of before, and hands it on.
-    let mut stale = StoreWord::default();
+    let mut stale = StoreSnapshot::default();
     stale.take_members(&[member_entry("a"), member_entry("b")], 7);
-    let mut word = StoreWord::default();
+    let mut word = StoreSnapshot::default();
     word.take_members(&[member_entry("a")], 9);
 
     let (members, version) = stale.members();
@@ -25,7 +25,7 @@
 fn a_list_that_changed_without_the_store_is_newer_than_before() {
     // After an outage entries that are missing are believed for a moment. As that ends, the list
     // changes although the store's revision does not, and those who fetch it must see that.
-    let mut reader = StoreWord::default();
+    let mut reader = StoreSnapshot::default();
     reader.take_members(&[member_entry("a"), member_entry("b")], 7);
     let mut follower = reader.clone();
 
@@ -39,7 +39,7 @@
 
 #[test]
 fn the_stores_own_list_counts_whatever_a_peer_said() {
-    let mut word = StoreWord::default();
+    let mut word = StoreSnapshot::default();
     word.take_members(&[member_entry("a"), member_entry("b")], 8);
 
     let changed = word.take_members(&[member_entry("a")], 7);
@@ -50,7 +50,7 @@
 
 #[test]
 fn the_word_is_as_old_as_its_older_half() {
-    let mut word = StoreWord::default();
+    let mut word = StoreSnapshot::default();
     word.confirm_members(Duration::from_secs(9));
     let before = word.confirmed_at();
 
--- a/deploy/measure/causes.py
+++ b/deploy/measure/causes.py
@@ -24,7 +24,7 @@
     "a transaction did not begin",
     "a commit was not done",
     "a commit got no answer",
-    "the permit lapsed while a statement ran",
+    "the lease expired while a statement ran",
 }
 
 
