--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -10,9 +10,10 @@
 //! replaced by another one after `CHANGE_PATIENCE`; until then nobody else acts, and after
 //! [`HOLD_TIME`] this one does not act any more.
 
+use super::answers::{ask_again, tell_subscribers};
 use super::control::{MemberReport, step_down};
 use super::heartbeat::stop_answering;
-use super::records::{ask_again, read_record};
+use super::records::read_record;
 use super::registry::{CALL_LIMIT, limited, read_entries};
 use super::status::StatusDesk;
 use crate::clock::boot_time;
@@ -203,7 +204,7 @@
         let question = rand::random::<u64>();
         let until = boot_time() + HEARD_LIMIT;
         while boot_time() < until {
-            ask_again(self.engine, self.exchange, &membership.addresses(), question).await;
+            ask_again(self.engine, self.exchange, &membership.addresses(), question, false).await;
             tokio::time::sleep(LOOK_GAP).await;
             if is_quorum(
                 membership.questions().answer_count(question) + 1,
@@ -229,6 +230,7 @@
         let sent_at = boot_time();
         let version = self.write_until_known(&record, &spec, expected).await?;
         self.engine.observe(self.group.service(), &record, sent_at);
+        tell_subscribers(self.engine, self.exchange).await;
         Ok(WrittenRecord { record, version, done_at: boot_time() })
     }
 
@@ -331,14 +333,7 @@
     }
 
     fn copy_of(&self, record: &LeadRecord) -> RecordCopy {
-        RecordCopy {
-            service: self.group.service().clone(),
-            record: record.clone(),
-            age_ms: 0,
-            majority_age_ms: 0,
-            confirms: false,
-            sample: None,
-        }
+        RecordCopy { service: self.group.service().clone(), record: record.clone() }
     }
 
     async fn announce(&self, record: &LeadRecord) {
--- a/crates/rudder-engine/src/duty/heartbeat.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -1,17 +1,17 @@
 //! Signs of life between instances, and the answers to peers' questions.
 
-use super::records::ask;
+use super::answers::{answer_question, ask, take_answer};
 use super::schedule::HeartbeatSchedule;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::ServiceGroup;
 use crate::identity::DrainPhase;
-use crate::lead::{LeadPhase, LeaderEpoch, is_quorum};
+use crate::lead::{LeadPhase, LeaderEpoch};
 use crate::peers::{
-    PeerExchange, PeerHeartbeat, PeerMessage, PrimaryDoubt, RecordCopy, RecordsAnswer, SampleCopy,
-    StopNotice, fetch_copy,
+    CopyVersion, PeerExchange, PeerHeartbeat, PeerMessage, PrimaryDoubt, RecordCopy, StopNotice,
+    fetch_copy,
 };
-use rudder_core::{InstanceName, ServiceName};
+use rudder_core::ServiceName;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -19,9 +19,6 @@
 /// The pause between two heartbeats while nothing changes.
 const HEARTBEAT_GAP: Duration = Duration::from_millis(1000);
 
-/// The same of a reader within its failure domain, where others rely on how fresh its word is.
-const FEED_GAP: Duration = Duration::from_millis(500);
-
 /// How often a change is looked for that is worth a heartbeat of its own.
 const LOOK_GAP: Duration = Duration::from_millis(50);
 
@@ -44,34 +41,20 @@
     loop {
         let heartbeat = compose(&engine);
         let news = told.as_ref() != Some(&heartbeat);
-        let near_gap = if engine.is_reader() { FEED_GAP } else { HEARTBEAT_GAP };
         let now = Instant::now();
-        let mut receivers =
-            near_schedule.due(engine.membership().near_receivers(), news, near_gap, now);
-        receivers.extend(far_schedule.due(
-            engine.membership().far_receivers(),
-            news,
-            HEARTBEAT_GAP,
-            now,
-        ));
-        let store_age_ms = store_age_ms(&engine);
-        let dated = PeerHeartbeat { store_age_ms, ..heartbeat.clone() };
-        exchange.send_all(&PeerMessage::Heartbeat(dated), &receivers).await;
+        let near = engine.membership().near_receivers();
+        let far = engine.membership().far_receivers();
+        let mut receivers = near_schedule.due(near, news, HEARTBEAT_GAP, now);
+        receivers.extend(far_schedule.due(far, news, HEARTBEAT_GAP, now));
+        exchange.send_all(&PeerMessage::Heartbeat(heartbeat.clone()), &receivers).await;
         told = Some(heartbeat);
         tokio::time::sleep(LOOK_GAP).await;
     }
 }
 
-/// The age of the store's word here; the greatest number if there is none.
-fn store_age_ms(engine: &ProxyEngine) -> u64 {
-    let confirmed_at = engine.store_confirmed_at();
-    confirmed_at.map_or(u64::MAX, |at| age_in_ms(at, boot_time()))
-}
-
-/// All of a heartbeat but the age of the store's word, which changes without being news.
 fn compose(engine: &ProxyEngine) -> PeerHeartbeat {
     // The others' words on the primaries do not count.
-    let reads = engine.is_reader();
+    let reads = engine.membership().is_reader();
     let doubted = |group: &Arc<ServiceGroup>| reads && group.silent_since().is_some();
     let doubts = engine.groups().into_iter().filter(doubted).map(|group| PrimaryDoubt {
         service: group.service().clone(),
@@ -82,7 +65,7 @@
         process: engine.process(),
         domain: engine.identity().domain.clone(),
         version: engine.copy_version(),
-        store_age_ms: 0,
+        turned_away: engine.membership().is_turned_away(),
         leaving: engine.drain_phase() != DrainPhase::Serving,
         doubts: doubts.collect(),
     }
@@ -96,13 +79,8 @@
             PeerMessage::Heartbeat(heartbeat) => take_heartbeat(&engine, heartbeat, from),
             PeerMessage::Announce(copy) => take_announcement(&engine, &exchange, copy, from).await,
             PeerMessage::Stopped(word) => engine.membership().note_stopped(word),
-            PeerMessage::Ask { instance: asker, question } => {
-                exchange.send(&PeerMessage::Records(answer(&engine, &asker, question)), from).await;
-            }
-            PeerMessage::Records(answer) => {
-                take_listing(&engine, &answer);
-                take_records(&engine, &answer);
-            }
+            PeerMessage::Ask(question) => answer_question(&engine, &exchange, question, from).await,
+            PeerMessage::Records(answer) => take_answer(&engine, &exchange, answer, from).await,
         }
     }
 }
@@ -110,21 +88,34 @@
 fn take_heartbeat(engine: &Arc<ProxyEngine>, heartbeat: PeerHeartbeat, from: SocketAddr) {
     let version = heartbeat.version;
     engine.membership().note_heartbeat(heartbeat, from);
-    if engine.copy_version().lacks(version) && engine.may_fetch_copy() {
-        tokio::spawn(catch_up(Arc::clone(engine)));
+    catch_up_if_behind(engine, version, None);
+}
+
+/// Fetches what a peer knows, if this instance knows less than `version`, or if `lists` has a newer
+/// list of instances.
+pub(super) fn catch_up_if_behind(
+    engine: &Arc<ProxyEngine>,
+    version: CopyVersion,
+    lists: Option<SocketAddr>,
+) {
+    let behind = engine.copy_version().lacks(version) || lists.is_some();
+    if behind && engine.may_fetch_copy() {
+        tokio::spawn(catch_up(Arc::clone(engine), lists));
     }
 }
 
 /// Fetches what a peer knows and this instance does not.
-async fn catch_up(engine: Arc<ProxyEngine>) {
-    if !engine.is_fed() {
+async fn catch_up(engine: Arc<ProxyEngine>, lists: Option<SocketAddr>) {
+    if !engine.is_fed() && lists.is_none() {
         tokio::time::sleep(OWN_READ_WAIT).await;
     }
-    if let Some(peer) = engine.membership().newer_copy(engine.copy_version())
-        && let Some(copy) = fetch_copy(peer).await
+    let peer = engine.membership().newer_copy(engine.copy_version()).or(lists);
+    let asked_at = boot_time();
+    if let Some(peer) = peer
+        && let Some(copy) = fetch_copy(peer, engine.copy_request()).await
     {
-        log::info!(peer:% = peer, settings:% = copy.settings.version; "a copy was had from a peer");
-        engine.apply_copy(copy);
+        log::info!(peer:% = peer; "a copy was had from a peer");
+        engine.apply_copy(copy, asked_at);
     }
     engine.end_fetch_copy();
 }
@@ -137,7 +128,7 @@
     from: SocketAddr,
 ) {
     let service = copy.service;
-    let new = engine.observe(&service, &copy.record, Duration::ZERO);
+    engine.observe(&service, &copy.record, Duration::ZERO);
     if let LeadPhase::Changing { .. } = copy.record.phase {
         let engine = Arc::clone(engine);
         let exchange = exchange.clone();
@@ -147,9 +138,9 @@
             let word = StopNotice { instance, service, epoch };
             exchange.send(&PeerMessage::Stopped(word), from).await;
         });
-    } else if new {
+    } else if engine.membership().is_reader() {
         // A datagram does not say how old it is; a question's answer does.
-        ask(engine, exchange, &[from]).await;
+        ask(engine, exchange, &[from], false).await;
     }
 }
 
@@ -167,84 +158,3 @@
         tokio::time::sleep(STOP_LOOK).await;
     }
 }
-
-/// What this instance knows, for a peer that asked.
-fn answer(engine: &ProxyEngine, asker: &InstanceName, question: u64) -> RecordsAnswer {
-    let groups = engine.groups();
-    if groups.iter().any(|group| group.newest_sample().is_none()) {
-        // The asker's callers wait for positions of the primaries, too.
-        engine.want_position();
-    }
-    let now = boot_time();
-    let age_ms = |at: Option<Duration>| at.map(|at| age_in_ms(at, now));
-    RecordsAnswer {
-        instance: engine.identity().name.clone(),
-        question,
-        listed_age_ms: age_ms(engine.membership().listed_at(asker)),
-        read_age_ms: age_ms(engine.records_status().read_at()),
-        records: groups.iter().filter_map(|group| copy_record(engine, group)).collect(),
-    }
-}
-
-fn copy_record(engine: &ProxyEngine, group: &ServiceGroup) -> Option<RecordCopy> {
-    let now = boot_time();
-    let (leases, newest) = group.knowledge();
-    let sample = newest
-        .map(|sample| SampleCopy { stamp: sample.stamp, age_ms: age_in_ms(sample.sent_at, now) });
-    Some(RecordCopy {
-        service: group.service().clone(),
-        record: leases.record()?.clone(),
-        age_ms: age_in_ms(leases.confirmed_at(), now),
-        majority_age_ms: age_in_ms(leases.anchor(), now),
-        // Guards against an instance that forgot by a restart that it had stopped: it confirms
-        // a version only once it has read the store itself.
-        confirms: engine.has_read_records(),
-        sample,
-    })
-}
-
-/// Rounded up, so that nothing looks fresher than it is.
-fn age_in_ms(since: Duration, now: Duration) -> u64 {
-    let age = now.saturating_sub(since).as_millis();
-    u64::try_from(age).unwrap_or(u64::MAX).saturating_add(1)
-}
-
-/// A peer's word that the store lists this instance, and that it has read all records.
-fn take_listing(engine: &ProxyEngine, answer: &RecordsAnswer) {
-    let Some(asked_at) = engine.membership().questions().asked_at(answer.question) else { return };
-    let moment = |age_ms| asked_at.saturating_sub(Duration::from_millis(age_ms));
-    if let Some(age_ms) = answer.listed_age_ms {
-        engine.renew_listed(moment(age_ms));
-    }
-    if let Some(age_ms) = answer.read_age_ms {
-        engine.note_records_told(moment(age_ms));
-    }
-}
-
-/// The answer to a question of this instance's own.
-fn take_records(engine: &ProxyEngine, answer: &RecordsAnswer) {
-    let (question, instance) = (answer.question, &answer.instance);
-    let Some(asked_at) = engine.membership().questions().asked_at(question) else { return };
-    engine.membership().questions().note_answer(question, instance);
-    for copy in &answer.records {
-        // Guards against an answer that was long on its way: the peer looked after the question
-        // was sent, so counted from then its word is older than it says, never younger.
-        let confirmed_at = asked_at.saturating_sub(Duration::from_millis(copy.age_ms));
-        engine.observe(&copy.service, &copy.record, confirmed_at);
-        let epoch = copy.record.epoch;
-        let majority_at = asked_at.saturating_sub(Duration::from_millis(copy.majority_age_ms));
-        engine.confirm_by_majority(&copy.service, epoch, majority_at);
-        if copy.confirms && engine.has_read_records() {
-            let membership = engine.membership();
-            let count =
-                membership.questions().count_confirmation(question, instance, &copy.service, epoch);
-            if is_quorum(count, membership.known_count()) {
-                engine.confirm_by_majority(&copy.service, epoch, asked_at);
-            }
-        }
-        if let Some(sample) = copy.sample {
-            let sent_at = asked_at.saturating_sub(Duration::from_millis(sample.age_ms));
-            engine.group(&copy.service).note_peer_sample(copy.record.epoch, sent_at, sample.stamp);
-        }
-    }
-}
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -49,10 +49,16 @@
     loop {
         tokio::time::sleep(LOOK_GAP).await;
         looks = looks.wrapping_add(1);
+        let serves = engine.drain_phase() == DrainPhase::Serving;
+        let may_act = serves && engine.membership().is_reader();
         for group in engine.groups() {
             group.drop_unlisted();
-            let index = watch_of(&mut watches, group.service());
-            look(&engine, &exchange, &group, &mut watches[index], &busy);
+            let watch = watch_of(&mut watches, group.service());
+            if may_act {
+                look(&engine, &exchange, &group, watch, &busy);
+            } else {
+                watch.signs = LastingSigns::default();
+            }
         }
         if looks.is_multiple_of(LOOKS_PER_DEAL) {
             deal_connections(&engine);
@@ -60,8 +66,8 @@
     }
 }
 
-fn watch_of(watches: &mut Vec<GroupWatch>, service: &ServiceName) -> usize {
-    match watches.binary_search_by(|watch| watch.service.cmp(service)) {
+fn watch_of<'a>(watches: &'a mut Vec<GroupWatch>, service: &ServiceName) -> &'a mut GroupWatch {
+    let index = match watches.binary_search_by(|watch| watch.service.cmp(service)) {
         Ok(index) => index,
         Err(index) => {
             let signs = LastingSigns::default();
@@ -69,7 +75,8 @@
             watches.insert(index, GroupWatch { service: service.clone(), signs, pause_until });
             index
         }
-    }
+    };
+    &mut watches[index]
 }
 
 fn look(
@@ -80,11 +87,6 @@
     busy: &Busy,
 ) {
     let now = boot_time();
-    let may_act = engine.drain_phase() == DrainPhase::Serving && engine.membership().is_reader();
-    if !may_act {
-        watch.signs = LastingSigns::default();
-        return;
-    }
     if now < watch.pause_until {
         return;
     }
@@ -96,7 +98,8 @@
     // Guards against a first record for a service that has one: the list that lacked it may have
     // been read before another instance wrote it.
     let unrecorded = leases.record().is_none() && engine.is_recordless(group.service());
-    let first = unrecorded && !group.members().is_empty();
+    let may_record = engine.membership().is_first_reader() && !group.members().is_empty();
+    let first = unrecorded && may_record;
     if cause.is_none() && !first {
         return;
     }
--- a/crates/rudder-engine/src/duty/mod.rs
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -1,5 +1,6 @@
 //! What an instance does besides serving: its share of the control work.
 
+mod answers;
 mod change;
 mod control;
 mod drain;
--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -1,27 +1,34 @@
 //! Follows the records of all services, and with them the leases.
 
+use super::answers::{ask, tell_subscribers};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
-use crate::lead::LeadRecord;
-use crate::peers::{PeerExchange, PeerMessage};
+use crate::lead::{LeadRecord, LeaseTable};
+use crate::peers::PeerExchange;
 use rudder_core::ServiceName;
 use rudder_store::{ObjectKind, StoreError, StoredObject};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The pause between two reads. A lease lives for 1.5 s, so that two reads may fail.
-const READ_GAP: Duration = Duration::from_millis(400);
+/// The pause between two reads. A lease lives for 1.5 s, so that a read and a datagram may fail.
+const READ_GAP: Duration = Duration::from_millis(500);
 
 /// The most time for one read. The store answers in milliseconds, and in some hundred when slow.
 const READ_LIMIT: Duration = Duration::from_millis(500);
 
-/// How long an answer of a reader is awaited. In the same failure domain it takes a millisecond.
+/// The age of the records from which on a reader asks again, and then the store itself: a pause of
+/// the first reader, its read and the way.
+const READER_PATIENCE: Duration = Duration::from_millis(650);
+
+/// The same for the others, by when their reader has asked the store.
+const FOLLOWER_PATIENCE: Duration = Duration::from_millis(850);
+
+/// How long an answer is awaited: the longest way between regions and back.
 const ANSWER_WAIT: Duration = Duration::from_millis(100);
 
-/// The age of the readers' word from which on an instance reads the store itself. A fresh answer
-/// is at most as old as a reader's pause and one slow read; a lease's life is then not half over.
-const PEER_AGE_MAX: Duration = Duration::from_millis(700);
+/// How often an instance that is told of the records asks to be told on.
+const SUBSCRIBE_GAP: Duration = Duration::from_millis(900);
 
 /// How long an instance that starts waits for its entry in the list before it reads the records: what
 /// was read before gives no lease. Three calls to the store and their round trips between regions.
@@ -30,37 +37,46 @@
 /// The least pause between two questions that callers cause.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
 
-/// Peers that are asked when the store does not answer.
-const PEERS_ASKED: usize = 3;
+/// Where an instance that is told of the records stands with its questions.
+#[derive(Debug, Default)]
+struct SourceState {
+    asked_at: Option<Duration>,
+    /// How many sources in a row did not answer.
+    silent: usize,
+}
 
-/// Keeps the records current: those that read for all ask the store, the others ask them. Peers
-/// are asked as well while the store does not answer.
-///
-/// Reads of the store are paid for each, and its rate does not grow with the fleet.
+impl SourceState {
+    /// Those to ask next: the source, and another one if it was silent.
+    fn receivers(&self, sources: &[SocketAddr]) -> Vec<SocketAddr> {
+        let count = if self.silent == 0 { 1 } else { 2 };
+        let start = self.silent.checked_rem(sources.len()).unwrap_or(0);
+        sources.iter().cycle().skip(start).take(count.min(sources.len())).copied().collect()
+    }
+}
+
+/// Keeps the records current: the first reader asks the store and tells the other readers, and these
+/// tell their failure domains. Whoever is not told in time asks the store itself.
 pub(crate) async fn follow(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
-    let mut reachable = true;
     // Over means that the entry takes longer; the records are read again when it is there.
     let _ = tokio::time::timeout(ENTRY_WAIT, engine.list_entered()).await;
+    let mut state = SourceState::default();
+    let mut reachable = true;
     loop {
-        let sent_at = boot_time();
-        let follows = engine.has_read_records() && !engine.membership().is_reader();
-        if follows && follow_peers(&engine, &exchange).await {
-            rest(&engine, &exchange, READ_GAP - ANSWER_WAIT).await;
+        metrics::gauge!("rudder_records_age_seconds").set(records_age(&engine).as_secs_f64());
+        let follows = engine.has_read_records() && !engine.membership().is_first_reader();
+        if follows && follow_peers(&engine, &exchange, &mut state).await {
             continue;
         }
+        let sent_at = boot_time();
         let answer = read_all(&engine).await;
+        engine.membership().note_store_answer(answer.is_ok(), boot_time());
         match &answer {
-            Ok(records) => {
-                let services: Vec<_> = records.iter().map(|(service, _)| service.clone()).collect();
-                engine.note_records_read(&services, sent_at);
-                for (service, record) in records {
-                    engine.observe(service, record, sent_at);
-                }
-            }
-            // Most instances' word renews leases, so that those that read for all ask everybody.
-            Err(_) if engine.membership().is_reader() => ask_all(&engine, &exchange).await,
-            Err(_) => ask_peers(&engine, &exchange, PEERS_ASKED).await,
+            Ok(records) => take_records(&engine, records, sent_at),
+            // Most instances' word renews leases.
+            Err(_) if engine.membership().is_first_reader() => ask_all(&engine, &exchange).await,
+            Err(_) => {}
         }
+        tell_subscribers(&engine, &exchange).await;
         if answer.is_ok() != reachable {
             reachable = answer.is_ok();
             let reason = answer.err().map_or_else(|| "answered".to_owned(), |e| e.to_string());
@@ -72,7 +88,7 @@
 }
 
 /// Waits for `time`, or until this instance has entered the list: only what is read from then on
-/// lets it lead. Callers who wait for word have a reader asked at once.
+/// lets it lead. Callers who wait for positions of the primaries have the readers asked at once.
 async fn rest(engine: &ProxyEngine, exchange: &PeerExchange, time: Duration) {
     let until = tokio::time::Instant::now() + time;
     loop {
@@ -80,8 +96,8 @@
             () = tokio::time::sleep_until(until) => return,
             () = engine.list_entered() => return,
             () = engine.records_wanted() => {
-                if !engine.membership().is_reader() {
-                    ask_peers(engine, exchange, 1).await;
+                if let Some(source) = engine.membership().sources().first() {
+                    ask(engine, exchange, &[*source], true).await;
                 }
                 tokio::time::sleep(ASK_PAUSE).await;
             }
@@ -89,11 +105,47 @@
     }
 }
 
-/// Asks a reader; returns whether its word is fresh.
-async fn follow_peers(engine: &ProxyEngine, exchange: &PeerExchange) -> bool {
-    ask_peers(engine, exchange, 1).await;
-    tokio::time::sleep(ANSWER_WAIT).await;
-    oldest_record_age(engine) < PEER_AGE_MAX
+/// Has itself told of the records; returns whether it is told in time.
+async fn follow_peers(
+    engine: &ProxyEngine,
+    exchange: &PeerExchange,
+    state: &mut SourceState,
+) -> bool {
+    let is_reader = engine.membership().is_reader();
+    let patience = if is_reader { READER_PATIENCE } else { FOLLOWER_PATIENCE };
+    let age = unrenewed_time(engine);
+    let since_asked = state.asked_at.map(|at| boot_time().saturating_sub(at));
+    let due = since_asked.is_none_or(|since| since >= SUBSCRIBE_GAP);
+    if age >= patience || due {
+        let sources = state.receivers(&engine.membership().sources());
+        ask(engine, exchange, &sources, true).await;
+        state.asked_at = Some(boot_time());
+    }
+    if age >= patience {
+        tokio::time::sleep(ANSWER_WAIT).await;
+        let told = unrenewed_time(engine) < patience;
+        state.silent = if told { state.silent } else { state.silent + 1 };
+        return told;
+    }
+    let next_question = SUBSCRIBE_GAP.saturating_sub(since_asked.unwrap_or_default());
+    let pause = if due { patience - age } else { (patience - age).min(next_question) };
+    tokio::select! {
+        () = tokio::time::sleep(pause) => {}
+        () = engine.list_entered() => state.asked_at = None,
+        () = engine.records_wanted() => {
+            state.asked_at = None;
+            tokio::time::sleep(ASK_PAUSE).await;
+        }
+    }
+    true
+}
+
+fn take_records(engine: &ProxyEngine, records: &[(ServiceName, LeadRecord)], sent_at: Duration) {
+    let services: Vec<_> = records.iter().map(|(service, _)| service.clone()).collect();
+    engine.note_records_read(&services, sent_at);
+    for (service, record) in records {
+        engine.observe(service, record, sent_at);
+    }
 }
 
 async fn read_all(engine: &ProxyEngine) -> Result<Vec<(ServiceName, LeadRecord)>, StoreError> {
@@ -125,48 +177,26 @@
 
 /// The age of what is known of the records. Of a service without one it is the age of the last read
 /// that showed none.
-pub(super) fn oldest_record_age(engine: &ProxyEngine) -> Duration {
-    let now = boot_time();
-    let listed_age = engine.records_status().known_at().map(|at| now.saturating_sub(at));
-    let listed_age = listed_age.unwrap_or(Duration::MAX);
-    let ages = engine.groups().into_iter().map(|group| {
-        group.with_leases(|leases| match leases.record() {
-            Some(_) => now.saturating_sub(leases.anchor()),
-            None => listed_age,
-        })
-    });
-    ages.max().unwrap_or(listed_age)
+pub(super) fn records_age(engine: &ProxyEngine) -> Duration {
+    age_by(engine, LeaseTable::anchor)
 }
 
-/// Asks `count` of the instances that read the store, the near ones first.
-async fn ask_peers(engine: &ProxyEngine, exchange: &PeerExchange, count: usize) {
-    let mut readers = engine.membership().reader_addresses();
-    if count > 1 && !readers.is_empty() {
-        // Begins with another one each time: one that is cut off as well is not asked for ever.
-        let turn = rand::random::<u32>() as usize % readers.len();
-        readers.rotate_left(turn);
-    }
-    readers.truncate(count);
-    ask(engine, exchange, &readers).await;
+/// The same, but a version that has just been announced counts from then: whoever wrote it tells the
+/// readers when, and these pass it on.
+pub(super) fn unrenewed_time(engine: &ProxyEngine) -> Duration {
+    age_by(engine, |leases| leases.anchor().max(leases.seen_at()))
 }
 
-async fn ask_all(engine: &ProxyEngine, exchange: &PeerExchange) {
-    ask(engine, exchange, &engine.membership().addresses()).await;
-}
-
-/// Asks instances for the records that they know.
-pub(super) async fn ask(engine: &ProxyEngine, exchange: &PeerExchange, receivers: &[SocketAddr]) {
-    ask_again(engine, exchange, receivers, rand::random()).await;
+fn age_by(engine: &ProxyEngine, moment: impl Fn(&LeaseTable) -> Duration) -> Duration {
+    let now = boot_time();
+    let age_of = |at: Duration| now.saturating_sub(at);
+    let read_age = engine.records_status().known_at().map_or(Duration::MAX, age_of);
+    let ages = engine.groups().into_iter().map(|group| {
+        group.with_leases(|leases| leases.record().map_or(read_age, |_| age_of(moment(leases))))
+    });
+    ages.max().unwrap_or(read_age)
 }
 
-/// Asks a question, or the same one again; its answers count together.
-pub(super) async fn ask_again(
-    engine: &ProxyEngine,
-    exchange: &PeerExchange,
-    receivers: &[SocketAddr],
-    question: u64,
-) {
-    engine.membership().questions().note_question(question);
-    let instance = engine.identity().name.clone();
-    exchange.send_all(&PeerMessage::Ask { instance, question }, receivers).await;
+async fn ask_all(engine: &ProxyEngine, exchange: &PeerExchange) {
+    ask(engine, exchange, &engine.membership().addresses(), false).await;
 }
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -11,24 +11,29 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The pause between two reads of the list. Instances learn of each other by their heartbeats as
-/// well, so the list only has to be there for the first of them.
-const READER_GAP: Duration = Duration::from_secs(4);
+/// The pause between two reads of the list by the first reader, from whom the others have it.
+const FIRST_READER_GAP: Duration = Duration::from_secs(10);
 
-/// The same for instances that others do not rely on.
-const FOLLOWER_GAP: Duration = Duration::from_secs(30);
+/// The same while the list changes, as when a fleet starts.
+const CHANGING_GAP: Duration = Duration::from_millis(500);
+
+/// The pause between two looks of a reader for entries of its failure domain that are left over.
+const JUDGE_GAP: Duration = Duration::from_secs(30);
+
+/// How long an instance that nobody tells of its own entry goes without a look at the list. Below
+/// [`LISTED_LIFE`] by some reads that fail.
+const UNTOLD_TIME: Duration = Duration::from_secs(20);
 
 /// The pause before a first read or entry that failed is tried again.
 const AGAIN_PAUSE: Duration = Duration::from_millis(200);
 
+/// The pause between two looks whether a read is due.
+const LOOK_GAP: Duration = Duration::from_millis(250);
+
 /// The pause between writing the entry and the next read. Instances that start at the same moment
 /// have written theirs by then, so that each knows its neighbours.
 const ENTERED_GAP: Duration = Duration::from_millis(150);
 
-/// The pause after the first read that shows the entry. Starts lie within 0.3 s, and an entry takes
-/// two round trips between regions, so that all who started together are listed by then.
-const SECOND_GAP: Duration = Duration::from_millis(800);
-
 /// The most time for one call.
 pub(super) const CALL_LIMIT: Duration = Duration::from_millis(1000);
 
@@ -59,58 +64,141 @@
     Left,
 }
 
-/// Enters the list if need be, and follows it.
+/// When the list was last read, and by which calls.
+#[derive(Debug, Default)]
+struct ListState {
+    read_at: Option<Duration>,
+    judged_at: Option<Duration>,
+    /// Whether the last read showed another list than the one before.
+    changing: bool,
+    ledger: EntryLedger,
+}
+
+/// Enters the list, finds neighbours, and sees to it that the list stays right.
 ///
-/// The list is read before the entry is written: an instance that starts again finds its entry
-/// there, and leads one read after its start where a write that is refused and a look at what
-/// stands there take two round trips to the store more.
+/// The list itself is read by the first reader, and handed on from instance to instance.
 pub(crate) async fn keep_registered(engine: Arc<ProxyEngine>) {
-    let mut ledger = EntryLedger::default();
-    let mut stood = false;
+    let (_, found) = tokio::join!(enter(&engine), find_contacts(&engine));
+    if !found {
+        tokio::time::sleep(ENTERED_GAP).await;
+        meet_newcomers(&engine).await;
+    }
+    let mut state = ListState::default();
     loop {
-        let found = follow_list(&engine, &mut ledger).await;
-        let gap = match &found {
-            Ok(EntryFinding::Entered) => ENTERED_GAP,
-            Ok(_) if !stood => SECOND_GAP,
-            Ok(_) if !engine.is_reader() => FOLLOWER_GAP,
-            Ok(_) => READER_GAP,
+        tokio::time::sleep(LOOK_GAP).await;
+        if let Err(error) = look_if_due(&engine, &mut state).await {
+            log::info!(reason:% = error; "the list of instances was not read or written");
+            tokio::time::sleep(AGAIN_PAUSE).await;
+        }
+    }
+}
+
+/// Writes this instance's entry until it stands.
+async fn enter(engine: &ProxyEngine) {
+    while engine.drain_phase() == DrainPhase::Serving {
+        match register(engine).await {
+            Ok(()) => {
+                log::info!(instance:% = engine.identity().name; "this instance is registered");
+                return;
+            }
             Err(error) => {
-                log::info!(reason:% = error; "the list of instances was not read or written");
-                if stood { READER_GAP } else { AGAIN_PAUSE }
+                log::info!(reason:% = error; "the list of instances was not written");
+                tokio::time::sleep(AGAIN_PAUSE).await;
             }
-        };
-        if !stood && matches!(found, Ok(EntryFinding::Stood | EntryFinding::Entered)) {
-            log::info!(instance:% = engine.identity().name; "this instance is registered");
         }
-        stood = stood || found == Ok(EntryFinding::Stood);
-        tokio::time::sleep(gap).await;
     }
 }
 
-/// Reads the list, keeps this instance in it, and as a reader takes those out that are gone.
-pub(super) async fn follow_list(
-    engine: &ProxyEngine,
-    ledger: &mut EntryLedger,
-) -> Result<EntryFinding, StoreError> {
+/// Learns of others by a list that may be some seconds old; returns whether there are any.
+///
+/// Load pattern: a whole fleet loses power and returns. Most of what the list says then is what it
+/// said before, and a call that need not be exact is cheap.
+async fn find_contacts(engine: &ProxyEngine) -> bool {
+    let list = engine.borders().store.list_cached(ObjectKind::InstanceRecord);
+    match limited(CALL_LIMIT, list).await {
+        Ok(objects) => {
+            let contacts: Vec<PeerEntry> = objects.iter().filter_map(read_entry).collect();
+            let own = &engine.identity().name;
+            let found = contacts.iter().any(|entry| entry.instance != *own);
+            engine.membership().set_contacts(contacts);
+            found
+        }
+        Err(error) => {
+            log::info!(reason:% = error; "no neighbours were found");
+            false
+        }
+    }
+}
+
+/// Learns of those who have started at the same time, for the first time.
+async fn meet_newcomers(engine: &ProxyEngine) {
+    if find_contacts(engine).await {
+        return;
+    }
+    if let Err(error) = read_entries(engine).await {
+        log::info!(reason:% = error; "the list of instances was not read");
+    }
+}
+
+/// Reads the list if it is this instance's turn.
+async fn look_if_due(engine: &ProxyEngine, state: &mut ListState) -> Result<(), StoreError> {
+    let now = boot_time();
+    let is_over = |at: Option<Duration>, gap| at.is_none_or(|at| now >= at + gap);
+    let gap = if state.changing { CHANGING_GAP } else { FIRST_READER_GAP };
+    let reads = engine.membership().is_first_reader() && is_over(state.read_at, gap);
+    let untold = engine.is_unlisted_for(UNTOLD_TIME) && is_over(state.read_at, CHANGING_GAP);
+    if reads || untold {
+        let (before, _) = engine.membership().entries_version();
+        state.read_at = Some(now);
+        follow_list(engine).await?;
+        state.changing = before != engine.membership().entries_version().0;
+    }
+    if engine.membership().is_reader() && is_over(state.judged_at, JUDGE_GAP) {
+        let first = state.judged_at.is_none();
+        state.judged_at = Some(now);
+        // What an instance has just learnt of tells nothing of how long it has been silent.
+        if !first {
+            judge_neighbours(engine, &mut state.ledger).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Reads the list, and keeps this instance in it.
+pub(super) async fn follow_list(engine: &ProxyEngine) -> Result<EntryFinding, StoreError> {
     let entries = read_entries(engine).await?;
-    let own = &engine.identity().name;
-    let found = if entries.iter().any(|(entry, _)| is_own(engine, entry) && !entry.marked) {
-        EntryFinding::Stood
-    } else if engine.drain_phase() == DrainPhase::Serving {
-        log::info!(instance:% = own; "this instance is not in the list, or marked there");
-        register(engine).await?;
-        EntryFinding::Entered
-    } else {
+    if entries.iter().any(|entry| is_own(engine, entry) && !entry.marked) {
+        return Ok(EntryFinding::Stood);
+    }
+    if engine.drain_phase() != DrainPhase::Serving {
         // Guards against an instance that stops and enters the list again, which nobody would take
         // out for two minutes, with a lease's wait in each change of primary.
-        EntryFinding::Left
-    };
+        return Ok(EntryFinding::Left);
+    }
+    log::info!(instance:% = engine.identity().name; "this instance is not in the list, or marked there");
+    register(engine).await?;
+    Ok(EntryFinding::Entered)
+}
+
+/// Takes instances of the own failure domain out of the list that are gone. The list that is looked
+/// at may be old: each change names the version of the entry that was seen.
+async fn judge_neighbours(
+    engine: &ProxyEngine,
+    ledger: &mut EntryLedger,
+) -> Result<(), StoreError> {
+    let list = engine.borders().store.list_cached(ObjectKind::InstanceRecord);
+    let objects = limited(CALL_LIMIT, list).await?;
+    let entries: Vec<(PeerEntry, ObjectVersion)> = objects
+        .iter()
+        .filter_map(|object| Some((read_entry(object)?, object.version.clone())))
+        .collect();
+    let own = &engine.identity().name;
     let names: Vec<InstanceName> =
         entries.iter().map(|(entry, _)| entry.instance.clone()).collect();
     ledger.retain(&names);
     let near =
         |entry: &PeerEntry| entry.domain == engine.identity().domain && entry.instance != *own;
-    for (entry, version) in entries.iter().filter(|(entry, _)| engine.is_reader() && near(entry)) {
+    for (entry, version) in entries.iter().filter(|(entry, _)| near(entry)) {
         let heard_at = engine.membership().heard_at(&entry.instance);
         let now = boot_time();
         match ledger.judge(&entry.instance, &version.0, entry.marked, heard_at, now) {
@@ -119,7 +207,7 @@
             EntryVerdict::Remove => remove(engine, &entry.instance, version).await?,
         }
     }
-    Ok(found)
+    Ok(())
 }
 
 /// Whether an entry is this instance's, at its present address.
@@ -158,12 +246,14 @@
 
 async fn register(engine: &ProxyEngine) -> Result<(), StoreError> {
     let sent_at = boot_time();
-    write_entry(engine).await?;
+    let version = write_entry(engine).await?;
+    engine.note_entry_version(version);
     engine.set_listed(Some(sent_at));
     Ok(())
 }
 
-async fn write_entry(engine: &ProxyEngine) -> Result<(), StoreError> {
+/// Writes this instance's entry, unless it stands there already; returns its version.
+async fn write_entry(engine: &ProxyEngine) -> Result<ObjectVersion, StoreError> {
     let identity = engine.identity();
     let entry = EntryRecord {
         domain: identity.domain.clone(),
@@ -174,40 +264,28 @@
     let store = &engine.borders().store;
     let name = identity.name.as_str();
     let kind = ObjectKind::InstanceRecord;
-    let created = limited(CALL_LIMIT, store.put(kind, name, None, spec.clone())).await;
-    if !matches!(created, Err(StoreError::Conflict | StoreError::Unresolved)) {
-        return created.map(|_| ());
-    }
-    match limited(CALL_LIMIT, store.get(kind, name)).await? {
-        Some(known) if known.spec == spec => Ok(()),
-        Some(known) => {
-            limited(CALL_LIMIT, store.put(kind, name, Some(&known.version), spec)).await.map(|_| ())
-        }
-        None => Err(StoreError::Unresolved),
+    let known = limited(CALL_LIMIT, store.create_or_get(kind, name, spec.clone())).await?;
+    if known.spec == spec {
+        return Ok(known.version);
     }
+    let written = limited(CALL_LIMIT, store.put(kind, name, Some(&known.version), spec)).await?;
+    Ok(written.version)
 }
 
-/// Reads the list of instances from the store, each with the version of its entry.
-pub(super) async fn read_entries(
-    engine: &ProxyEngine,
-) -> Result<Vec<(PeerEntry, ObjectVersion)>, StoreError> {
+/// Reads the list of instances from the store.
+pub(super) async fn read_entries(engine: &ProxyEngine) -> Result<Vec<PeerEntry>, StoreError> {
     let sent_at = boot_time();
     let list = engine.borders().store.list(ObjectKind::InstanceRecord);
     let objects = limited(CALL_LIMIT, list).await?;
-    let entries: Vec<(PeerEntry, ObjectVersion)> = objects
-        .iter()
-        .filter_map(|object| Some((read_entry(object)?, object.version.clone())))
-        .collect();
-    let own = entries.iter().find(|(entry, _)| is_own(engine, entry));
+    let entries: Vec<PeerEntry> = objects.iter().filter_map(read_entry).collect();
+    let own = entries.iter().find(|entry| is_own(engine, entry));
     match own {
-        Some((own, _)) if !own.marked => engine.set_listed(Some(sent_at)),
+        Some(own) if !own.marked => engine.set_listed(Some(sent_at)),
         // Leads on what an earlier read showed, until the mark is taken away or time runs out.
         Some(_) => {}
         None => engine.set_listed(None),
     }
-    engine
-        .membership()
-        .set_entries(entries.iter().map(|(entry, _)| entry.clone()).collect(), sent_at);
+    engine.membership().set_entries(entries.clone(), sent_at);
     Ok(entries)
 }
 
@@ -225,18 +303,25 @@
 /// Removes this instance from the list.
 pub(super) async fn deregister(engine: &ProxyEngine) {
     engine.leave_list();
+    let Some(version) = engine.entry_version() else { return };
+    if let Err(error) = remove_own(engine, &version).await {
+        // A change of primary then waits for a lease's life instead of for this one's word.
+        log::warn!(reason:% = error; "this instance stays in the list of instances");
+    }
+}
+
+async fn remove_own(engine: &ProxyEngine, version: &ObjectVersion) -> Result<(), StoreError> {
     let store = &engine.borders().store;
     let name = engine.identity().name.as_str();
     let kind = ObjectKind::InstanceRecord;
-    let removal = async {
-        match limited(CALL_LIMIT, store.get(kind, name)).await? {
-            Some(known) => limited(CALL_LIMIT, store.delete(kind, name, &known.version)).await,
-            None => Ok(()),
-        }
-    };
-    if let Err(error) = removal.await {
-        // A change of primary then waits for a lease's life instead of for this one's word.
-        log::warn!(reason:% = error; "this instance stays in the list of instances");
+    let removed = limited(CALL_LIMIT, store.delete(kind, name, version)).await;
+    if removed != Err(StoreError::Conflict) {
+        return removed;
+    }
+    // Another instance has marked the entry.
+    match limited(CALL_LIMIT, store.get(kind, name)).await? {
+        Some(known) => limited(CALL_LIMIT, store.delete(kind, name, &known.version)).await,
+        None => Ok(()),
     }
 }
 
--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -281,14 +281,31 @@
     members: Option<Arc<FakeMembers>>,
     member_drain: Duration,
 ) -> Arc<ProxyEngine> {
-    let identity = InstanceIdentity {
-        name: "own".parse().expect("a name"),
+    let identity = InstanceIdentity { member_drain, ..identity("own") };
+    engine_of(store, members, identity)
+}
+
+/// The same with another name.
+pub(super) fn engine_named(store: &Arc<RecordStore>, name: &str) -> Arc<ProxyEngine> {
+    engine_of(store, None, identity(name))
+}
+
+fn identity(name: &str) -> InstanceIdentity {
+    InstanceIdentity {
+        name: name.parse().expect("a name"),
         domain: "north".parse().expect("a name"),
         region: "north".to_owned(),
         regions: Vec::new(),
         peer_address: ([127, 0, 0, 1], 0).into(),
-        member_drain,
-    };
+        member_drain: MEMBER_DRAIN,
+    }
+}
+
+fn engine_of(
+    store: &Arc<RecordStore>,
+    members: Option<Arc<FakeMembers>>,
+    identity: InstanceIdentity,
+) -> Arc<ProxyEngine> {
     let borders = Arc::new(FakeBorders(members));
     let borders = EngineBorders {
         dialer: Arc::clone(&borders) as _,
--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the control work.
 
+mod answers;
 mod change;
 mod fixture;
 mod records;
--- a/crates/rudder-engine/src/duty/tests/records.rs
+++ b/crates/rudder-engine/src/duty/tests/records.rs
@@ -2,7 +2,7 @@
 
 use super::fixture::{RecordStore, WriteFate, engine, first_record};
 use crate::clock::boot_time;
-use crate::duty::records::oldest_record_age;
+use crate::duty::records::{records_age, unrenewed_time};
 use std::time::Duration;
 
 /// Far above the time that a test takes between two lines.
@@ -14,12 +14,12 @@
     // its services have none yet, although its domain's reader has just looked and says so.
     let engine = engine(&RecordStore::new(&first_record(), &[WriteFate::Refused]), None);
     engine.group(&"records".parse().expect("a name"));
-    let before = oldest_record_age(&engine);
+    let before = records_age(&engine);
 
-    engine.note_records_told(boot_time());
+    assert!(engine.note_records_told(boot_time()));
 
     assert_eq!(before, Duration::MAX);
-    assert!(oldest_record_age(&engine) < MOMENT);
+    assert!(records_age(&engine) < MOMENT);
 }
 
 #[tokio::test]
@@ -28,7 +28,18 @@
     let service = "records".parse().expect("a name");
     engine.observe(&service, &first_record(), Duration::ZERO);
 
-    engine.note_records_told(boot_time());
+    assert!(engine.note_records_told(boot_time()));
 
-    assert!(oldest_record_age(&engine) > MOMENT);
+    assert!(records_age(&engine) > MOMENT);
+}
+
+/// Guards against a whole fleet that reads the store after each change of a primary.
+#[tokio::test]
+async fn a_record_that_was_just_announced_is_waited_for() {
+    let engine = engine(&RecordStore::new(&first_record(), &[WriteFate::Refused]), None);
+    let service = "records".parse().expect("a name");
+
+    engine.observe(&service, &first_record(), Duration::ZERO);
+
+    assert!(unrenewed_time(&engine) < MOMENT);
 }
--- a/crates/rudder-engine/src/duty/tests/registry.rs
+++ b/crates/rudder-engine/src/duty/tests/registry.rs
@@ -3,7 +3,6 @@
 use super::fixture::{RecordStore, WriteFate, engine, first_record};
 use crate::duty::registry::{EntryFinding, follow_list};
 use crate::identity::DrainPhase;
-use crate::peers::EntryLedger;
 use std::sync::Arc;
 
 /// A store whose list of instances is empty, and which counts writes.
@@ -19,7 +18,7 @@
     let engine = engine(&store, None);
     engine.set_drain(DrainPhase::Leaving);
 
-    let followed = follow_list(&engine, &mut EntryLedger::default()).await;
+    let followed = follow_list(&engine).await;
 
     assert_eq!(followed, Ok(EntryFinding::Left));
     assert_eq!(store.write_count(), 0);
@@ -32,7 +31,7 @@
     let store = store();
     let engine = engine(&store, None);
 
-    let followed = follow_list(&engine, &mut EntryLedger::default()).await;
+    let followed = follow_list(&engine).await;
 
     assert!(followed.is_err(), "the store refuses writes");
     assert_eq!(store.write_count(), 1);
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -15,6 +15,7 @@
 use crate::store_snapshot::StoreSnapshot;
 use crate::sync::lock;
 use rudder_core::{InstanceName, ServiceName};
+use rudder_store::ObjectVersion;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -45,6 +46,8 @@
     drain: watch::Sender<DrainPhase>,
     position_wanted: Notify,
     own_entry: Mutex<OwnEntry>,
+    /// The version of the own entry as it was written or found.
+    entry_version: Mutex<Option<ObjectVersion>>,
     /// Tells that this instance has entered the list.
     list_entered: Notify,
     /// Whether a peer's copy is being fetched.
@@ -67,6 +70,7 @@
             drain: watch::Sender::new(DrainPhase::Serving),
             position_wanted: Notify::new(),
             own_entry: Mutex::default(),
+            entry_version: Mutex::default(),
             list_entered: Notify::new(),
             fetching: AtomicBool::new(false),
             records_status: Mutex::default(),
@@ -82,10 +86,10 @@
         self.process
     }
 
-    /// Whether this instance reads the store for others as well, and so often.
+    /// Whether this instance asks the store for all, and so often.
     #[must_use]
-    pub fn is_reader(&self) -> bool {
-        self.membership.is_reader()
+    pub fn is_first_reader(&self) -> bool {
+        self.membership.is_first_reader()
     }
 
     /// The name of this instance.
--- a/crates/rudder-engine/src/engine/fleet.rs
+++ b/crates/rudder-engine/src/engine/fleet.rs
@@ -3,7 +3,9 @@
 use super::ProxyEngine;
 use crate::clock::boot_time;
 use crate::group::MemberEntry;
-use crate::peers::{CopyVersion, FleetCopy};
+use crate::peers::{
+    CopyRequest, CopyVersion, EntriesCopy, EntriesDigest, FleetCopy, MembersCopy, QuestionOffset,
+};
 use crate::settings::FleetSettings;
 use crate::sync::lock;
 use rudder_core::ServiceName;
@@ -11,10 +13,17 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// The age of the store's word, as a reader has it, from which on the others ask the store
-/// themselves. A reader's watch answers every 1.2 s and its word is passed on every 0.5 s; settings
-/// must be in force within 3 s, also where the reader has just died.
-const FEED_AGE_MAX: Duration = Duration::from_millis(2200);
+/// The age of what peers say of settings and members from which on a reader asks the store itself.
+/// The first reader's watch is answered every 1.2 s, and its word passed on every 0.5 s; settings
+/// must be in force within 3 s, also where the first reader has just died.
+const READER_PATIENCE: Duration = Duration::from_millis(2200);
+
+/// The same for the other instances, by when their reader has asked the store.
+const FOLLOWER_PATIENCE: Duration = Duration::from_millis(2700);
+
+/// The same while their reader answers: then it asks the store, and an outage of the store is not
+/// filled with the calls of a whole fleet.
+const HEARD_PATIENCE: Duration = Duration::from_millis(5000);
 
 impl ProxyEngine {
     /// Takes in a version of the settings; an older one than is in force is dropped.
@@ -44,21 +53,55 @@
         }
     }
 
-    /// Takes in what a peer knows, as far as it is newer.
-    pub(crate) fn apply_copy(&self, copy: FleetCopy) {
-        self.apply_settings(copy.settings);
-        let changed = lock(&self.store_snapshot).take_copy(&copy.members, copy.members_version);
+    /// Takes in members that the store may have had so some seconds ago, if none are known yet.
+    pub fn apply_cached_members(&self, entries: &[MemberEntry], revision: u64) {
+        let mut snapshot = lock(&self.store_snapshot);
+        let changed = snapshot.is_blank() && snapshot.take_members(entries, revision);
+        drop(snapshot);
         if changed {
+            self.spread_members(entries, "cache");
+        }
+    }
+
+    /// Takes in what a peer knows, as far as it is newer, by its answer to a request of `asked_at`.
+    pub(crate) fn apply_copy(&self, copy: FleetCopy, asked_at: Duration) {
+        if let Some(settings) = copy.settings {
+            self.apply_settings(settings);
+        }
+        if let Some(copy) = copy.members
+            && lock(&self.store_snapshot).take_copy(&copy.members, copy.version)
+        {
             self.spread_members(&copy.members, "peer");
         }
+        if let Some(EntriesCopy { entries, read: Some(read) }) = copy.entries {
+            log::info!(instances = entries.len(); "the list of instances was had from a peer");
+            self.membership.set_entries(entries, read.since(asked_at));
+        }
     }
 
-    /// What this instance knows of the store's word, for a peer; none before the first settings.
-    pub(crate) fn fleet_copy(&self) -> Option<FleetCopy> {
-        let settings = self.settings()?.as_ref().clone();
-        let word = lock(&self.store_snapshot);
-        let (members, members_version) = word.members();
-        Some(FleetCopy { settings, members: members.to_vec(), members_version })
+    /// What this instance knows of the store's word beyond a peer's request.
+    pub(crate) fn fleet_copy(&self, request: CopyRequest, received_at: Duration) -> FleetCopy {
+        let settings = self.settings().filter(|known| known.version > request.version.settings);
+        let (members, version) = {
+            let snapshot = lock(&self.store_snapshot);
+            let (members, version) = snapshot.members();
+            (members.to_vec(), version)
+        };
+        let (entries, read_at) = self.membership.entries();
+        let read = QuestionOffset::of(read_at, received_at);
+        let newer = EntriesDigest::of(&entries) != request.entries;
+        FleetCopy {
+            settings: settings.map(|settings| settings.as_ref().clone()),
+            members: (version > request.version.members)
+                .then_some(MembersCopy { members, version }),
+            entries: newer.then_some(EntriesCopy { entries, read }),
+        }
+    }
+
+    /// What this instance knows already.
+    pub(crate) fn copy_request(&self) -> CopyRequest {
+        let (entries, _) = self.membership.entries_version();
+        CopyRequest { version: self.copy_version(), entries }
     }
 
     /// Whether this caller is the one to fetch a peer's copy.
@@ -112,10 +155,25 @@
         lock(&self.store_snapshot).confirmed_at()
     }
 
+    /// Takes in a peer's word that settings and members were current at `moment`, in its versions;
+    /// none if it does not know.
+    pub(crate) fn note_told(&self, version: CopyVersion, moment: Option<Duration>) {
+        let current = !self.copy_version().lacks(version);
+        let mut snapshot = lock(&self.store_snapshot);
+        snapshot.note_heard(boot_time());
+        if let Some(moment) = moment.filter(|_| current) {
+            snapshot.note_told(moment);
+        }
+    }
+
     /// Whether peers tell this instance in time of what the store says, so that it need not ask.
     #[must_use]
     pub fn is_fed(&self) -> bool {
-        let fed_at = self.membership.fed_at();
-        fed_at.is_some_and(|at| boot_time() < at + FEED_AGE_MAX) && !self.membership.is_reader()
+        let (patience, longer) = match self.membership.is_reader() {
+            true if self.membership.is_first_reader() => return false,
+            true => (READER_PATIENCE, READER_PATIENCE),
+            false => (FOLLOWER_PATIENCE, HEARD_PATIENCE),
+        };
+        lock(&self.store_snapshot).is_told(patience, longer, boot_time())
     }
 }
--- a/crates/rudder-engine/src/engine/leadership.rs
+++ b/crates/rudder-engine/src/engine/leadership.rs
@@ -2,10 +2,14 @@
 
 use super::ProxyEngine;
 use crate::clock::boot_time;
+use crate::group::ServiceGroup;
 use crate::lead::{LeadRecord, LeaderEpoch};
+use crate::peers::{RecordCopy, RecordsDigest};
 use crate::records_status::RecordsStatus;
 use crate::sync::lock;
 use rudder_core::ServiceName;
+use rudder_store::ObjectVersion;
+use std::sync::Arc;
 use std::time::Duration;
 
 impl ProxyEngine {
@@ -23,6 +27,16 @@
         }
     }
 
+    /// Takes in the version of the own entry.
+    pub(crate) fn note_entry_version(&self, version: ObjectVersion) {
+        *lock(&self.entry_version) = Some(version);
+    }
+
+    /// The version of the own entry, as far as this process wrote or found it.
+    pub(crate) fn entry_version(&self) -> Option<ObjectVersion> {
+        lock(&self.entry_version).clone()
+    }
+
     /// Takes in that this process removes its entry and ends.
     pub(crate) fn leave_list(&self) {
         lock(&self.own_entry).leave();
@@ -34,6 +48,11 @@
         lock(&self.own_entry).renew(listed_at);
     }
 
+    /// Whether the list was last known to show this instance longer than `time` ago, or not at all.
+    pub(crate) fn is_unlisted_for(&self, time: Duration) -> bool {
+        lock(&self.own_entry).is_unconfirmed_for(time, boot_time())
+    }
+
     /// Waits until this instance has entered the list.
     pub(crate) async fn list_entered(&self) {
         self.list_entered.notified().await;
@@ -46,9 +65,29 @@
         lock(&self.records_status).note_read(without, asked_at);
     }
 
-    /// Takes in a peer's word that it had read all records at `read_at`.
-    pub(crate) fn note_records_told(&self, read_at: Duration) {
-        lock(&self.records_status).note_told(read_at);
+    /// Takes in a peer's word that the store was asked for all records at `read_at`; returns whether
+    /// that is later than was known.
+    pub(crate) fn note_records_told(&self, read_at: Duration) -> bool {
+        lock(&self.records_status).note_told(read_at)
+    }
+
+    /// All records that are known, sorted by service.
+    pub(crate) fn known_records(&self) -> Vec<RecordCopy> {
+        let copy = |group: Arc<ServiceGroup>| {
+            let record = group.with_leases(|leases| leases.record().cloned())?;
+            Some(RecordCopy { service: group.service().clone(), record })
+        };
+        self.groups().into_iter().filter_map(copy).collect()
+    }
+
+    /// Which versions of the records are known.
+    pub(crate) fn records_digest(&self) -> RecordsDigest {
+        let groups = self.groups();
+        let version = |group: &Arc<ServiceGroup>| {
+            group.with_leases(|leases| leases.record().map(|record| record.epoch))
+        };
+        let versions = groups.iter().filter_map(|group| Some((group.service(), version(group)?)));
+        RecordsDigest::of(versions)
     }
 
     /// What is known of the records as a whole.
@@ -87,10 +126,8 @@
         service: &ServiceName,
         epoch: LeaderEpoch,
         majority_at: Duration,
-    ) {
-        if self.may_lead_by(majority_at) {
-            self.group(service).confirm_by_majority(epoch, majority_at);
-        }
+    ) -> bool {
+        self.may_lead_by(majority_at) && self.group(service).confirm_by_majority(epoch, majority_at)
     }
 
     /// Whether the store's last list had no record of a service.
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -132,9 +132,11 @@
     }
 
     /// Takes in that most instances knew of no later version at `majority_at`.
-    pub(crate) fn confirm_by_majority(&self, epoch: LeaderEpoch, majority_at: Duration) {
-        self.state().leases.confirm_by_majority(epoch, majority_at);
+    /// Returns whether that is later than was known.
+    pub(crate) fn confirm_by_majority(&self, epoch: LeaderEpoch, majority_at: Duration) -> bool {
+        let later = self.state().leases.confirm_by_majority(epoch, majority_at);
         self.changed.notify_waiters();
+        later
     }
 
     /// The primary and the permission to answer for it.
--- a/crates/rudder-engine/src/lead/lease_table.rs
+++ b/crates/rudder-engine/src/lead/lease_table.rs
@@ -89,11 +89,19 @@
         true
     }
 
-    /// Takes in that most instances knew of no later version than `epoch` at `majority_at`.
-    pub(crate) fn confirm_by_majority(&mut self, epoch: LeaderEpoch, majority_at: Duration) {
-        if epoch == self.epoch() {
-            self.majority_at = self.majority_at.max(majority_at);
+    /// Takes in that most instances knew of no later version than `epoch` at `majority_at`; returns
+    /// whether leases live longer by it.
+    pub(crate) fn confirm_by_majority(
+        &mut self,
+        epoch: LeaderEpoch,
+        majority_at: Duration,
+    ) -> bool {
+        if epoch != self.epoch() {
+            return false;
         }
+        let before = self.anchor();
+        self.majority_at = self.majority_at.max(majority_at);
+        self.anchor() > before
     }
 
     /// The moment from which a lease's life counts.
--- a/crates/rudder-engine/src/lead/tests/model.rs
+++ b/crates/rudder-engine/src/lead/tests/model.rs
@@ -7,6 +7,7 @@
 use super::{ms, settled};
 use crate::lead::{LeadRecord, LeaderEpoch, LeaderLease, LeaseTable, is_quorum};
 use crate::own_entry::OwnEntry;
+use crate::peers::QuestionOffset;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use std::time::Duration;
@@ -36,6 +37,8 @@
     AgeOfPeerWord,
     /// What was said before the own entry stood in the list counts as well.
     EntryBeforeWord,
+    /// A peer's later answer to the same question counts from its arrival.
+    AgeOfLaterAnswer,
 }
 
 /// What happens to the list of instances during a schedule.
@@ -47,6 +50,22 @@
     Replaced,
 }
 
+/// A process that has asked an instance for the record.
+#[derive(Clone, Debug)]
+struct Subscriber {
+    from: usize,
+    process: u64,
+    asked_at: Duration,
+    received_at: Duration,
+}
+
+/// Whether questions between instances are answered more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LaterAnswers {
+    Never,
+    WhenRenewed,
+}
+
 struct Instance {
     leases: LeaseTable,
     frozen_until: Duration,
@@ -57,6 +76,8 @@
     /// Counts its processes.
     process: u64,
     entry: OwnEntry,
+    /// Whose questions it answers again when it knows more.
+    subscribers: Vec<Subscriber>,
     /// Its last question to all, and who confirmed.
     question: u64,
     confirmers: Vec<usize>,
@@ -77,6 +98,7 @@
     split_until: Duration,
     questions: u64,
     list_changes: ListChanges,
+    later_answers: LaterAnswers,
     /// Which instances the store lists.
     listed: [bool; INSTANCES],
     out: TakenOut,
@@ -96,6 +118,7 @@
             has_read: false,
             process: 0,
             entry,
+            subscribers: Vec::new(),
             question: 0,
             confirmers: Vec::new(),
         };
@@ -109,6 +132,7 @@
             split_until: Duration::ZERO,
             questions: 0,
             list_changes,
+            later_answers: LaterAnswers::Never,
             listed: [true; INSTANCES],
             out,
             answers: 0,
@@ -116,6 +140,12 @@
         }
     }
 
+    /// The same with questions that are answered again whenever there is newer knowledge.
+    pub(super) fn with_later_answers(mut self) -> Self {
+        self.later_answers = LaterAnswers::WhenRenewed;
+        self
+    }
+
     /// One step; an error tells of a broken promise.
     pub(super) fn step(&mut self, rng: &mut StdRng) -> Result<(), String> {
         self.now += ms(rng.random_range(0..16));
@@ -188,7 +218,13 @@
                 let may_lead =
                     instance.has_read && may_lead_by(self.out, instance, confirmed_at, now);
                 let confirmed_at = if may_lead { confirmed_at } else { Duration::ZERO };
+                let before = instance.leases.confirmed_at();
                 instance.leases.observe(&record, confirmed_at, now);
+                if self.later_answers == LaterAnswers::WhenRenewed
+                    && self.instances[to].leases.confirmed_at() > before
+                {
+                    self.tell_subscribers(to, rng);
+                }
             }
             Message::Entered { to, written_at, .. } => {
                 self.instances[to].entry.show(written_at, now);
@@ -205,6 +241,10 @@
                         Message::Confirm { to, from, process, asked_at, question, epoch };
                     self.send(from, confirmation, rng);
                 }
+                let subscriber = Subscriber { from, process, asked_at, received_at: now };
+                let subscribers = &mut self.instances[to].subscribers;
+                subscribers.retain(|known| known.from != from);
+                subscribers.push(subscriber);
                 let leases = &self.instances[to].leases;
                 let Some(record) = leases.record().cloned() else { return };
                 let age = now.saturating_sub(leases.confirmed_at());
@@ -281,6 +321,25 @@
         self.send(from, Message::Ask { to, from, process, asked_at, question }, rng);
     }
 
+    /// Answers earlier questions again, in moments counted from when each question came.
+    fn tell_subscribers(&mut self, index: usize, rng: &mut StdRng) {
+        let leases = &self.instances[index].leases;
+        let Some(record) = leases.record().cloned() else { return };
+        let known_at = leases.confirmed_at();
+        for subscriber in self.instances[index].subscribers.clone() {
+            let Subscriber { from, process, asked_at, received_at } = subscriber;
+            let offset = QuestionOffset::of(known_at, received_at);
+            let confirmed_at = match self.out {
+                // The age is taken off the moment of arrival, which is at most this much later.
+                TakenOut::AgeOfLaterAnswer => known_at + ms(3000),
+                _ => offset.map_or(Duration::ZERO, |offset| offset.since(asked_at)),
+            };
+            let (record, own) = (record.clone(), false);
+            let answer = Message::Record { to: from, process, record, confirmed_at, own };
+            self.send(index, answer, rng);
+        }
+    }
+
     /// A process is killed and starts again; it knows nothing of before.
     fn restart(&mut self, index: usize) {
         let instance = &mut self.instances[index];
@@ -289,6 +348,7 @@
         instance.under_way.clear();
         instance.change = None;
         instance.has_read = false;
+        instance.subscribers.clear();
         instance.confirmers.clear();
     }
 
--- a/crates/rudder-engine/src/lead/tests/schedules.rs
+++ b/crates/rudder-engine/src/lead/tests/schedules.rs
@@ -13,6 +13,9 @@
 /// A schedule in which a new instance leads by word from before its entry.
 const ENTRY_SEED: u64 = 64_702;
 
+/// A schedule in which a later answer that counts from its arrival does so.
+const LATER_ANSWER_SEED: u64 = 2143;
+
 fn schedules() -> u64 {
     let asked = std::env::var("RUDDER_LEAD_SCHEDULES").ok();
     asked.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES)
@@ -30,8 +33,11 @@
 }
 
 fn play_one(out: TakenOut, changes: ListChanges, seed: u64) -> Result<Model, String> {
+    play_model(Model::new(out, changes), seed)
+}
+
+fn play_model(mut model: Model, seed: u64) -> Result<Model, String> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut model = Model::new(out, changes);
     for step in 0..STEPS {
         let stepped = model.step(&mut rng);
         stepped.map_err(|fault| format!("seed {seed}, step {step}: {fault}"))?;
@@ -83,3 +89,27 @@
 
     assert!(played.is_err(), "the guard is not needed by seed {ENTRY_SEED}");
 }
+
+/// Guards against a lease that lives on by an answer which was long on its way to the instance.
+#[test]
+fn later_answers_to_a_question_renew_no_lease_of_a_superseded_primary() {
+    let (mut answers, mut promotions) = (0, 0);
+    for seed in 0..schedules() {
+        let model = Model::new(TakenOut::Nothing, ListChanges::Replaced).with_later_answers();
+        let model = play_model(model, seed).expect("no broken promise");
+        answers += u64::from(model.answers);
+        promotions += u64::from(model.promotions);
+    }
+
+    assert!(answers > schedules() && promotions * 4 > schedules(), "{answers}, {promotions}");
+}
+
+/// Guards against the test above being one that nothing can fail.
+#[test]
+fn later_answers_must_count_from_the_question() {
+    let model = Model::new(TakenOut::AgeOfLaterAnswer, ListChanges::Nothing).with_later_answers();
+
+    let played = play_model(model, LATER_ANSWER_SEED);
+
+    assert!(played.is_err(), "the guard is not needed by seed {LATER_ANSWER_SEED}");
+}
--- a/crates/rudder-engine/src/own_entry.rs
+++ b/crates/rudder-engine/src/own_entry.rs
@@ -51,6 +51,11 @@
         self.listed_at = self.listed_at.map(|known| known.max(listed_at));
     }
 
+    /// Whether the list was last known to show the entry longer than `time` ago, or not at all.
+    pub(crate) fn is_unconfirmed_for(&self, time: Duration, now: Duration) -> bool {
+        !self.left && self.listed_at.is_none_or(|at| now >= at + time)
+    }
+
     /// Whether what was said of a record at `said_at` may give leases.
     ///
     /// Guards against a lease of an instance that is just entering the list: the record was read,
--- /dev/null
+++ b/crates/rudder-engine/src/peers/digest.rs
@@ -0,0 +1,42 @@
+//! What an instance knows of records and of instances, each in one number.
+
+use super::membership::PeerEntry;
+use crate::lead::LeaderEpoch;
+use rudder_core::ServiceName;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Tells whether two instances know the same versions of all records.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RecordsDigest(u64);
+
+impl RecordsDigest {
+    /// The digest of versions that are sorted by service.
+    pub(crate) fn of<'a>(versions: impl Iterator<Item = (&'a ServiceName, LeaderEpoch)>) -> Self {
+        let mut hash = Xxh3::new();
+        for (service, epoch) in versions {
+            hash.update(service.as_str().as_bytes());
+            // No name holds it, so that two lists never run together to the same bytes.
+            hash.update(&[0]);
+            hash.update(&epoch.0.to_le_bytes());
+        }
+        Self(hash.digest())
+    }
+}
+
+/// Tells whether two instances know the same list of instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EntriesDigest(u64);
+
+impl EntriesDigest {
+    /// The digest of entries that are sorted by instance.
+    pub(crate) fn of(entries: &[PeerEntry]) -> Self {
+        let mut hash = Xxh3::new();
+        for entry in entries {
+            let (instance, domain) = (entry.instance.as_str(), entry.domain.as_str());
+            let line = format!("{instance} {domain} {} {}\n", entry.address, entry.marked);
+            hash.update(line.as_bytes());
+        }
+        Self(hash.digest())
+    }
+}
--- a/crates/rudder-engine/src/peers/exchange.rs
+++ b/crates/rudder-engine/src/peers/exchange.rs
@@ -19,6 +19,12 @@
         Ok(Self { socket: Arc::new(UdpSocket::bind(address).await?) })
     }
 
+    /// Where it receives.
+    #[cfg(test)]
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.socket.local_addr().expect("a bound socket")
+    }
+
     /// Sends a datagram; the receiver may never get it.
     pub(crate) async fn send(&self, message: &PeerMessage, to: SocketAddr) {
         let bytes = match postcard::to_stdvec(message) {
--- a/crates/rudder-engine/src/peers/fleet_copy.rs
+++ b/crates/rudder-engine/src/peers/fleet_copy.rs
@@ -1,10 +1,14 @@
 //! What the store says of settings and members, handed from one instance to another.
 //!
 //! Load pattern: a fleet that follows the store asks it again and again whether anything changed,
-//! each call is paid for, and the store's rate grows more slowly than the fleet. So only the
-//! readers of each failure domain ask, and the others fetch what is new from them; they ask the
-//! store themselves as soon as no reader's word is fresh.
+//! each call is paid for, and the store's rate grows more slowly than the fleet. So one reader
+//! asks, and the others fetch what is new from it and from each other; they ask the store
+//! themselves as soon as nobody tells them in time.
 
+use super::digest::EntriesDigest;
+use super::membership::PeerEntry;
+use super::offset::QuestionOffset;
+use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::MemberEntry;
 use crate::settings::{FleetSettings, SettingsVersion};
@@ -24,14 +28,40 @@
 const COPY_BYTES_MAX: u64 = 4 << 20;
 
 plain_data! {
-    /// What an instance knows of the store's word.
-    #[derive(Serialize, Deserialize)]
+    /// What an instance knows already.
+    #[derive(Copy, Serialize, Deserialize)]
+    pub(crate) struct CopyRequest {
+        pub(crate) version: CopyVersion,
+        pub(crate) entries: EntriesDigest,
+    }
+}
+
+plain_data! {
+    /// What another one knows of the store's word beyond that.
+    #[derive(Default, Serialize, Deserialize)]
     pub(crate) struct FleetCopy {
-        pub(crate) settings: FleetSettings,
-        /// The members of all services.
+        pub(crate) settings: Option<FleetSettings>,
+        pub(crate) members: Option<MembersCopy>,
+        pub(crate) entries: Option<EntriesCopy>,
+    }
+}
+
+plain_data! {
+    /// The members of all services.
+    #[derive(Serialize, Deserialize)]
+    pub(crate) struct MembersCopy {
         pub(crate) members: Vec<MemberEntry>,
-        /// Their version.
-        pub(crate) members_version: MembersVersion,
+        pub(crate) version: MembersVersion,
+    }
+}
+
+plain_data! {
+    /// The list of instances.
+    #[derive(Serialize, Deserialize)]
+    pub(crate) struct EntriesCopy {
+        pub(crate) entries: Vec<PeerEntry>,
+        /// When the store had it so, counted from the request.
+        pub(crate) read: Option<QuestionOffset>,
     }
 }
 
@@ -49,10 +79,10 @@
     }
 }
 
-/// Hands what this instance knows to whoever connects.
+/// Hands what this instance knows to whoever connects and asks.
 pub(crate) async fn serve_copies(engine: Arc<ProxyEngine>, listener: TcpListener) {
     loop {
-        let (mut stream, peer) = match listener.accept().await {
+        let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!(reason:% = error; "a peer's connection was not accepted");
@@ -60,47 +90,47 @@
                 continue;
             }
         };
-        let Some(copy) = engine.fleet_copy() else { continue };
+        let engine = Arc::clone(&engine);
         tokio::spawn(async move {
-            let bytes = match postcard::to_stdvec(&copy) {
-                Ok(bytes) => bytes,
-                Err(error) => {
-                    log::error!(reason:% = error; "a copy cannot be written for a peer");
-                    return;
-                }
-            };
-            let copy = stream.write_all(&bytes);
-            if !matches!(tokio::time::timeout(COPY_LIMIT, copy).await, Ok(Ok(()))) {
-                log::debug!(peer:% = peer; "a peer did not take a copy");
+            match tokio::time::timeout(COPY_LIMIT, serve_copy(&engine, stream)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => log::info!(peer:% = peer, reason:% = error; "a peer had no copy"),
+                Err(_) => log::info!(peer:% = peer, reason = "timeout"; "a peer had no copy"),
             }
         });
     }
 }
 
-/// Asks an instance for what it knows.
-pub(crate) async fn fetch_copy(peer: SocketAddr) -> Option<FleetCopy> {
-    let fetch = async {
-        let stream = TcpStream::connect(peer).await?;
-        let mut bytes = Vec::new();
-        stream.take(COPY_BYTES_MAX).read_to_end(&mut bytes).await?;
-        Ok::<_, std::io::Error>(bytes)
-    };
-    let bytes = match tokio::time::timeout(COPY_LIMIT, fetch).await {
-        Ok(Ok(bytes)) => bytes,
+async fn serve_copy(engine: &ProxyEngine, mut stream: TcpStream) -> std::io::Result<()> {
+    let received_at = boot_time();
+    let length = stream.read_u16().await?;
+    let mut bytes = vec![0; length.into()];
+    stream.read_exact(&mut bytes).await?;
+    let request: CopyRequest = postcard::from_bytes(&bytes).map_err(std::io::Error::other)?;
+    let copy = engine.fleet_copy(request, received_at);
+    let bytes = postcard::to_stdvec(&copy).map_err(std::io::Error::other)?;
+    stream.write_all(&bytes).await
+}
+
+/// Asks an instance for what it knows beyond `request`.
+pub(crate) async fn fetch_copy(peer: SocketAddr, request: CopyRequest) -> Option<FleetCopy> {
+    match tokio::time::timeout(COPY_LIMIT, exchange_copy(peer, request)).await {
+        Ok(Ok(copy)) => return Some(copy),
         Ok(Err(error)) => {
             log::info!(peer:% = peer, reason:% = error; "a peer's copy was not had");
-            return None;
-        }
-        Err(_) => {
-            log::info!(peer:% = peer, reason = "timeout"; "a peer's copy was not had");
-            return None;
-        }
-    };
-    match postcard::from_bytes(&bytes) {
-        Ok(copy) => Some(copy),
-        Err(error) => {
-            log::info!(peer:% = peer, reason:% = error; "a peer's copy is unreadable");
-            None
         }
+        Err(_) => log::info!(peer:% = peer, reason = "timeout"; "a peer's copy was not had"),
     }
+    None
+}
+
+async fn exchange_copy(peer: SocketAddr, request: CopyRequest) -> std::io::Result<FleetCopy> {
+    let mut stream = TcpStream::connect(peer).await?;
+    let bytes = postcard::to_stdvec(&request).map_err(std::io::Error::other)?;
+    let length = u16::try_from(bytes.len()).map_err(std::io::Error::other)?;
+    let framed = [length.to_be_bytes().as_slice(), &bytes].concat();
+    stream.write_all(&framed).await?;
+    let mut answer = Vec::new();
+    stream.take(COPY_BYTES_MAX).read_to_end(&mut answer).await?;
+    postcard::from_bytes(&answer).map_err(std::io::Error::other)
 }
--- a/crates/rudder-engine/src/peers/membership.rs
+++ b/crates/rudder-engine/src/peers/membership.rs
@@ -1,14 +1,17 @@
 //! What is known of the other instances.
 
+use super::digest::EntriesDigest;
 use super::fleet_copy::CopyVersion;
 use super::message::{PeerHeartbeat, StopNotice};
 use super::questions::QuestionLog;
-use super::readers::{ReaderCandidate, choose_readers};
+use super::readers::{ReaderCandidate, choose_readers, first_reader};
+use super::subscribers::SubscriberList;
 use crate::clock::boot_time;
 use crate::identity::InstanceIdentity;
 use crate::lead::{LeaderEpoch, PeerVote};
 use crate::sync::lock;
 use rudder_core::{DomainName, InstanceName, ServiceName, plain_data};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
@@ -18,8 +21,12 @@
 /// lost on the way.
 const LIVE_TIME: Duration = Duration::from_millis(2600);
 
+/// How long an instance that the store did not answer leaves the store to others.
+const TURNED_AWAY_TIME: Duration = Duration::from_secs(5);
+
 plain_data! {
     /// Where an instance is.
+    #[derive(Serialize, Deserialize)]
     pub(crate) struct PeerEntry {
         pub(crate) instance: InstanceName,
         pub(crate) domain: DomainName,
@@ -44,13 +51,29 @@
 
 #[derive(Default)]
 struct MembershipState {
-    /// The instances that the store lists, sorted by name.
+    /// The instances that the store lists, this one included, sorted by name.
     entries: Vec<PeerEntry>,
     /// When the store had them so.
     entries_at: Duration,
+    /// Instances of a list that may be old; good for finding neighbours only.
+    contacts: Vec<PeerEntry>,
     /// The last word of each, sorted by name.
     heard: Vec<HeardHeartbeat>,
     stopped: Vec<StopNotice>,
+    /// When the store did not answer this instance, if it has not answered since.
+    refused_at: Option<Duration>,
+}
+
+impl MembershipState {
+    /// All others that the store lists or listed a moment ago.
+    fn reachable<'a>(&'a self, own: &'a InstanceName) -> impl Iterator<Item = &'a PeerEntry> {
+        let entries = self.entries.iter().chain(&self.contacts);
+        entries.filter(move |entry| entry.instance != *own)
+    }
+
+    fn is_turned_away(&self, now: Duration) -> bool {
+        self.refused_at.is_some_and(|at| now < at + TURNED_AWAY_TIME)
+    }
 }
 
 /// What is known of the other instances.
@@ -61,6 +84,7 @@
     domain_count: usize,
     state: Mutex<MembershipState>,
     questions: Mutex<QuestionLog>,
+    subscribers: Mutex<SubscriberList>,
     stop_heard: Notify,
 }
 
@@ -72,6 +96,7 @@
             domain_count: identity.regions.len(),
             state: Mutex::default(),
             questions: Mutex::default(),
+            subscribers: Mutex::default(),
             stop_heard: Notify::new(),
         }
     }
@@ -85,21 +110,62 @@
         lock(&self.questions)
     }
 
-    /// Replaces the list of instances by what the store had at `read_at`; this one is left out.
+    /// Replaces the list of instances by what the store had at `read_at`, unless a later one is known.
     pub(crate) fn set_entries(&self, mut entries: Vec<PeerEntry>, read_at: Duration) {
-        entries.retain(|entry| entry.instance != self.own);
         entries.sort_by(|left, right| left.instance.cmp(&right.instance));
         let mut state = self.state();
-        state.entries = entries;
-        state.entries_at = read_at;
+        if read_at >= state.entries_at {
+            if entries.iter().any(|entry| entry.instance == self.own) {
+                state.contacts.clear();
+            }
+            state.entries = entries;
+            state.entries_at = read_at;
+        }
+    }
+
+    /// Takes in instances that may have been listed seconds ago.
+    pub(crate) fn set_contacts(&self, contacts: Vec<PeerEntry>) {
+        self.state().contacts = contacts;
+    }
+
+    /// The list of instances, and when the store had it so.
+    pub(crate) fn entries(&self) -> (Vec<PeerEntry>, Duration) {
+        let state = self.state();
+        (state.entries.clone(), state.entries_at)
+    }
+
+    /// When the store had the list of instances so, and which list that is.
+    pub(crate) fn entries_version(&self) -> (EntriesDigest, Duration) {
+        let state = self.state();
+        (EntriesDigest::of(&state.entries), state.entries_at)
+    }
+
+    /// Takes in a peer's word that the store had the list `digest` at `read_at`; returns whether that
+    /// is a newer list than is known.
+    pub(crate) fn renew_entries(&self, digest: EntriesDigest, read_at: Duration) -> bool {
+        let mut state = self.state();
+        if read_at <= state.entries_at {
+            return false;
+        }
+        let same = digest == EntriesDigest::of(&state.entries);
+        if same {
+            state.entries_at = read_at;
+        }
+        !same
     }
 
     /// When the store had an instance in the list without a mark, if it did.
     pub(crate) fn listed_at(&self, instance: &InstanceName) -> Option<Duration> {
         let state = self.state();
-        let mut entries = state.entries.iter();
-        let listed = entries.any(|entry| entry.instance == *instance && !entry.marked);
-        listed.then_some(state.entries_at)
+        let found = state.entries.binary_search_by(|entry| entry.instance.cmp(instance));
+        let entry = found.ok().map(|index| &state.entries[index])?;
+        (!entry.marked).then_some(state.entries_at)
+    }
+
+    /// Whether the list shows an instance at all.
+    pub(crate) fn has_entry(&self, instance: &InstanceName) -> bool {
+        let state = self.state();
+        state.entries.binary_search_by(|entry| entry.instance.cmp(instance)).is_ok()
     }
 
     /// Where this instance's heartbeats go within its failure domain: to all.
@@ -109,7 +175,7 @@
         let near = |heard: &&HeardHeartbeat| {
             heard.is_live(now) && heard.heartbeat.domain == self.own_domain
         };
-        let listed = state.entries.iter().filter(|entry| entry.domain == self.own_domain);
+        let listed = state.reachable(&self.own).filter(|entry| entry.domain == self.own_domain);
         let heard = state.heard.iter().filter(near).map(|heard| heard.from);
         distinct(listed.map(|entry| entry.address).chain(heard))
     }
@@ -125,7 +191,7 @@
         }
         readers.retain(|reader| reader.domain != self.own_domain);
         let state = self.state();
-        let uncovered = state.entries.iter().filter(|entry| {
+        let uncovered = state.reachable(&self.own).filter(|entry| {
             let covered = readers.iter().any(|reader| reader.domain == entry.domain);
             entry.domain != self.own_domain && !covered
         });
@@ -133,16 +199,6 @@
         distinct(uncovered.map(|entry| entry.address).chain(known))
     }
 
-    /// The latest moment of which a live peer has told that what it knew was current then.
-    pub(crate) fn fed_at(&self) -> Option<Duration> {
-        let now = boot_time();
-        let state = self.state();
-        let live =
-            state.heard.iter().filter(|heard| heard.is_live(now) && !heard.heartbeat.leaving);
-        let age = |heard: &HeardHeartbeat| Duration::from_millis(heard.heartbeat.store_age_ms);
-        live.filter_map(|heard| heard.at.checked_sub(age(heard))).max()
-    }
-
     /// When an instance was last heard.
     pub(crate) fn heard_at(&self, instance: &InstanceName) -> Option<Duration> {
         let state = self.state();
@@ -152,7 +208,8 @@
 
     /// How many others the store lists.
     pub(crate) fn listed_count(&self) -> usize {
-        self.state().entries.len()
+        let state = self.state();
+        state.entries.iter().filter(|entry| entry.instance != self.own).count()
     }
 
     /// How many instances are known, this one included: listed, or heard from.
@@ -164,25 +221,54 @@
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         let state = self.state();
         let now = boot_time();
-        let listed = state.entries.iter().map(|entry| entry.address);
+        let listed = state.reachable(&self.own).map(|entry| entry.address);
         let heard = state.heard.iter().filter(|heard| heard.is_live(now));
         distinct(listed.chain(heard.map(|heard| heard.from)))
     }
 
-    /// Whom to ask for records: the readers, those of the own domain first.
-    pub(crate) fn reader_addresses(&self) -> Vec<SocketAddr> {
+    /// Whom to ask for records, the best first: a reader asks the first reader, as that one asks the
+    /// store, and the others ask the readers of their domain.
+    pub(crate) fn sources(&self) -> Vec<SocketAddr> {
         let mut readers = self.readers();
-        readers.sort_by_key(|reader| reader.domain != self.own_domain);
+        let first = first_reader(&readers).map(|first| first.instance.clone());
+        let is_reader = readers.iter().any(|reader| reader.instance == self.own);
+        readers.sort_by_key(|reader| {
+            let is_first = Some(&reader.instance) == first.as_ref();
+            let near = reader.domain == self.own_domain;
+            if is_reader { !is_first } else { !near }
+        });
         readers.into_iter().filter_map(|reader| reader.address).collect()
     }
 
-    /// Whether this instance is one of those that read the store and watch the primaries for all.
+    /// Whether this instance is one of those that watch the primaries, and pass on in their failure
+    /// domain what the store says.
     pub(crate) fn is_reader(&self) -> bool {
         self.readers().iter().any(|reader| reader.instance == self.own)
     }
 
-    /// The live instances that read the store and watch the primaries for all: the first of each
-    /// failure domain by a hash, and more of each where there are few domains.
+    /// Whether this instance is the reader that asks the store for all.
+    pub(crate) fn is_first_reader(&self) -> bool {
+        let readers = self.readers();
+        first_reader(&readers).is_some_and(|first| first.instance == self.own)
+    }
+
+    /// Takes in whether the store answered this instance.
+    pub(crate) fn note_store_answer(&self, answered: bool, now: Duration) {
+        self.state().refused_at = (!answered).then_some(now);
+    }
+
+    /// Whether the store did not answer this instance a moment ago.
+    pub(crate) fn is_turned_away(&self) -> bool {
+        self.state().is_turned_away(boot_time())
+    }
+
+    /// Who is told of the records by this instance.
+    pub(crate) fn subscribers(&self) -> MutexGuard<'_, SubscriberList> {
+        lock(&self.subscribers)
+    }
+
+    /// The live readers: the first instances of each failure domain by a hash, and more of each
+    /// where there are few domains.
     fn readers(&self) -> Vec<ReaderCandidate> {
         let now = boot_time();
         let state = self.state();
@@ -193,12 +279,14 @@
                 instance: heard.heartbeat.instance.clone(),
                 domain: heard.heartbeat.domain.clone(),
                 address: Some(heard.from),
+                turned_away: heard.heartbeat.turned_away,
             })
             .collect();
         all.push(ReaderCandidate {
             instance: self.own.clone(),
             domain: self.own_domain.clone(),
             address: None,
+            turned_away: state.is_turned_away(now),
         });
         choose_readers(all, self.domain_count)
     }
@@ -246,7 +334,8 @@
                 word.instance == entry.instance && word.service == *service && word.epoch >= epoch
             })
         };
-        state.entries.iter().filter(|entry| !has_stopped(entry)).cloned().collect()
+        let others = state.entries.iter().filter(|entry| entry.instance != self.own);
+        others.filter(|entry| !has_stopped(entry)).cloned().collect()
     }
 
     /// The votes of the readers on a version's primary, this one's included.
@@ -294,7 +383,7 @@
     pub(crate) fn known(&self) -> Vec<InstanceName> {
         let now = boot_time();
         let state = self.state();
-        let listed = state.entries.iter().map(|entry| entry.instance.clone());
+        let listed = state.reachable(&self.own).map(|entry| entry.instance.clone());
         let live = state.heard.iter().filter(|heard| heard.is_live(now));
         let heard = live.map(|heard| heard.heartbeat.instance.clone());
         let mut known: Vec<InstanceName> = listed.chain(heard).collect();
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -1,6 +1,8 @@
 //! The datagrams between instances.
 
+use super::digest::{EntriesDigest, RecordsDigest};
 use super::fleet_copy::CopyVersion;
+use super::offset::QuestionOffset;
 use crate::lead::{LeadRecord, LeaderEpoch};
 use rudder_core::{DomainName, InstanceName, LogStamp, ServiceName, plain_data};
 use serde::{Deserialize, Serialize};
@@ -25,9 +27,8 @@
         pub(crate) domain: DomainName,
         /// Which settings and members are known there.
         pub(crate) version: CopyVersion,
-        /// How long ago the store last said that both are current, in milliseconds; the greatest
-        /// number if it never did.
-        pub(crate) store_age_ms: u64,
+        /// Whether the store does not answer it.
+        pub(crate) turned_away: bool,
         /// Whether it is about to stop.
         pub(crate) leaving: bool,
         /// The services whose primary it cannot reach.
@@ -36,18 +37,22 @@
 }
 
 plain_data! {
-    /// A record that an instance knows.
+    /// A new version of a record.
     #[derive(Serialize, Deserialize)]
     pub(crate) struct RecordCopy {
         pub(crate) service: ServiceName,
         pub(crate) record: LeadRecord,
-        /// How long ago the store had the record, in milliseconds, rounded up.
-        pub(crate) age_ms: u64,
-        /// How long ago the store, or most instances, knew of no later version; never more.
-        pub(crate) majority_age_ms: u64,
-        /// Whether the sender itself confirms that it knows of no later version.
-        pub(crate) confirms: bool,
-        /// The newest position known of its primary.
+    }
+}
+
+plain_data! {
+    /// When a record was known to be in place, and the newest position known of its primary.
+    #[derive(Copy, Serialize, Deserialize)]
+    pub(crate) struct RecordTiming {
+        /// The store had it.
+        pub(crate) confirmed: Option<QuestionOffset>,
+        /// The store, or most instances, knew of no later version; never earlier.
+        pub(crate) anchor: Option<QuestionOffset>,
         pub(crate) sample: Option<SampleCopy>,
     }
 }
@@ -57,13 +62,13 @@
     #[derive(Copy, Serialize, Deserialize)]
     pub(crate) struct SampleCopy {
         pub(crate) stamp: LogStamp,
-        /// How long ago it was asked for, in milliseconds, rounded up.
-        pub(crate) age_ms: u64,
+        /// When it was asked for.
+        pub(crate) sent: Option<QuestionOffset>,
     }
 }
 
 plain_data! {
-    /// An instance's word that it answers for no version of a record before this one.
+    /// An instance's notice that it answers for no version of a record before this one.
     #[derive(Serialize, Deserialize)]
     pub(crate) struct StopNotice {
         pub(crate) instance: InstanceName,
@@ -73,20 +78,49 @@
 }
 
 plain_data! {
-    /// What an instance knows of all records. Ages are in milliseconds, rounded up.
+    /// A question for all records.
+    #[derive(Serialize, Deserialize)]
+    pub(crate) struct RecordsQuestion {
+        /// Who asks.
+        pub(crate) instance: InstanceName,
+        /// The question's number, which comes back with each answer.
+        pub(crate) question: u64,
+        /// The versions that the asker knows.
+        pub(crate) digest: RecordsDigest,
+        /// Whether it is to be answered again, for a while, whenever there is newer knowledge.
+        pub(crate) subscribes: bool,
+    }
+}
+
+plain_data! {
+    /// What an instance knows of all records.
     #[derive(Serialize, Deserialize)]
     pub(crate) struct RecordsAnswer {
         /// Who answers.
         pub(crate) instance: InstanceName,
         /// The number of the question.
         pub(crate) question: u64,
-        /// How long ago the store had the receiver in the list of instances; none if it did not, or
-        /// if it is about to be taken out.
-        pub(crate) listed_age_ms: Option<u64>,
-        /// How long ago the sender itself read all records from the store; none if it never did.
-        pub(crate) read_age_ms: Option<u64>,
-        /// What is known.
-        pub(crate) records: Vec<RecordCopy>,
+        /// When the store had the receiver in the list of instances; none if it did not, or if it
+        /// is about to be taken out.
+        pub(crate) listed: Option<QuestionOffset>,
+        /// When the store was last asked for all records.
+        pub(crate) read: Option<QuestionOffset>,
+        /// Which settings and members the sender knows.
+        pub(crate) version: CopyVersion,
+        /// When these were last known to be current.
+        pub(crate) current: Option<QuestionOffset>,
+        /// Which list of instances the sender knows.
+        pub(crate) entries: EntriesDigest,
+        /// When the store had it so.
+        pub(crate) entries_read: Option<QuestionOffset>,
+        /// Whether the sender itself confirms that it knows of no later versions of the records.
+        pub(crate) confirms: bool,
+        /// The versions that the timings are of.
+        pub(crate) digest: RecordsDigest,
+        /// One for each record, in the order of the services.
+        pub(crate) timings: Vec<RecordTiming>,
+        /// The records, in the same order; left out if the receiver knows these versions.
+        pub(crate) records: Option<Vec<RecordCopy>>,
     }
 }
 
@@ -100,12 +134,7 @@
     /// The answer.
     Stopped(StopNotice),
     /// Asks for all records.
-    Ask {
-        /// Who asks.
-        instance: InstanceName,
-        /// The question's number, which comes back with the answer.
-        question: u64,
-    },
+    Ask(RecordsQuestion),
     /// The answer.
     Records(RecordsAnswer),
 }
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -1,23 +1,32 @@
 //! What instances tell each other: who lives, who cannot reach a primary, who has stopped.
 //!
 //! All of it is a hint but for two things: that an instance has stopped answering for a primary,
-//! and how long ago it knew the record to be in place.
+//! and when it knew the record to be in place.
 
+mod digest;
 mod entries;
 mod exchange;
 mod fleet_copy;
 mod membership;
 mod message;
+mod offset;
 mod questions;
 mod readers;
+mod subscribers;
 
+pub(crate) use digest::{EntriesDigest, RecordsDigest};
 pub(crate) use entries::{EntryLedger, EntryVerdict, LISTED_LIFE};
 pub(crate) use exchange::PeerExchange;
-pub(crate) use fleet_copy::{CopyVersion, FleetCopy, fetch_copy, serve_copies};
+pub(crate) use fleet_copy::{
+    CopyRequest, CopyVersion, EntriesCopy, FleetCopy, MembersCopy, fetch_copy, serve_copies,
+};
 pub(crate) use membership::{MembershipView, PeerEntry};
 pub(crate) use message::{
-    PeerHeartbeat, PeerMessage, PrimaryDoubt, RecordCopy, RecordsAnswer, SampleCopy, StopNotice,
+    PeerHeartbeat, PeerMessage, PrimaryDoubt, RecordCopy, RecordTiming, RecordsAnswer,
+    RecordsQuestion, SampleCopy, StopNotice,
 };
+pub(crate) use offset::QuestionOffset;
+pub(crate) use subscribers::RecordsSubscriber;
 
 #[cfg(test)]
 mod tests;
--- a/crates/rudder-engine/src/peers/questions.rs
+++ b/crates/rudder-engine/src/peers/questions.rs
@@ -1,6 +1,5 @@
 //! This instance's questions to its peers, and who answered them.
 
-use crate::clock::boot_time;
 use crate::lead::LeaderEpoch;
 use rudder_core::{InstanceName, ServiceName};
 use std::collections::VecDeque;
@@ -9,90 +8,92 @@
 /// Questions whose answers are still taken; some seconds' worth.
 const QUESTIONS_MAX: usize = 32;
 
-/// Answers that are kept: those of a few questions to all of a fleet about all services.
-const CONFIRMATIONS_MAX: usize = 4096;
-
-/// An instance's word that it knows of no later version of a record.
+/// How many instances confirmed one version of a record.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct PeerConfirmation {
-    question: u64,
-    instance: InstanceName,
+struct RecordTally {
     service: ServiceName,
     epoch: LeaderEpoch,
+    count: usize,
+}
+
+/// A question and what came of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct OpenQuestion {
+    number: u64,
+    sent_at: Duration,
+    /// Who answered, sorted.
+    answered: Vec<InstanceName>,
+    /// Sorted by service and version.
+    tallies: Vec<RecordTally>,
 }
 
-/// Questions of this instance's own, and their answers.
+/// Questions of this instance's own, oldest first.
 #[derive(Debug, Default)]
 pub(crate) struct QuestionLog {
-    /// Each with the time at which it was sent, oldest first.
-    questions: VecDeque<(u64, Duration)>,
-    /// Who answered which, oldest first.
-    answers: VecDeque<(u64, InstanceName)>,
-    /// What they confirmed, oldest first.
-    confirms: Vec<PeerConfirmation>,
+    questions: VecDeque<OpenQuestion>,
 }
 
 impl QuestionLog {
-    /// How many instances have answered a question.
-    pub(crate) fn answer_count(&self, question: u64) -> usize {
-        let of_question = self.answers.iter().filter(|(known, _)| *known == question);
-        of_question.count()
+    /// Takes in that a question is sent at `now`; one that is sent again counts from the first time.
+    pub(crate) fn note_question(&mut self, number: u64, now: Duration) {
+        if self.find(number).is_some() {
+            return;
+        }
+        if self.questions.len() == QUESTIONS_MAX {
+            self.questions.pop_front();
+        }
+        let (answered, tallies) = (Vec::new(), Vec::new());
+        self.questions.push_back(OpenQuestion { number, sent_at: now, answered, tallies });
+    }
+
+    /// When a question was sent; several peers may answer the same one.
+    pub(crate) fn asked_at(&self, number: u64) -> Option<Duration> {
+        let asked = self.questions.iter().find(|known| known.number == number);
+        asked.map(|known| known.sent_at)
     }
 
-    /// Takes in that an instance answered a question.
-    pub(crate) fn note_answer(&mut self, question: u64, instance: &InstanceName) {
-        let answer = (question, instance.clone());
-        if !self.answers.contains(&answer) {
-            if self.answers.len() == CONFIRMATIONS_MAX {
-                self.answers.pop_front();
+    /// Takes in that an instance answered a question; returns whether it is its first answer.
+    pub(crate) fn note_answer(&mut self, number: u64, instance: &InstanceName) -> bool {
+        let Some(question) = self.find(number) else { return false };
+        match question.answered.binary_search(instance) {
+            Ok(_) => false,
+            Err(index) => {
+                question.answered.insert(index, instance.clone());
+                true
             }
-            self.answers.push_back(answer);
         }
     }
 
-    /// Counts an answer to a question of this instance's own; returns how many instances have
-    /// answered it with the same version, this one included.
+    /// How many instances have answered a question.
+    pub(crate) fn answer_count(&self, number: u64) -> usize {
+        let asked = self.questions.iter().find(|known| known.number == number);
+        asked.map_or(0, |known| known.answered.len())
+    }
+
+    /// Counts an instance's first answer to a question; returns how many instances have confirmed the
+    /// same version, this one included.
     pub(crate) fn count_confirmation(
         &mut self,
-        question: u64,
-        instance: &InstanceName,
+        number: u64,
         service: &ServiceName,
         epoch: LeaderEpoch,
     ) -> usize {
-        let oldest = self.questions.front().map_or(question, |(known, _)| *known);
-        if self.confirms.len() >= CONFIRMATIONS_MAX {
-            let stale =
-                self.confirms.iter().filter(|confirmation| confirmation.question == oldest).count();
-            self.confirms.drain(..stale.max(1));
-        }
-        let confirmation = PeerConfirmation {
-            question,
-            instance: instance.clone(),
-            service: service.clone(),
-            epoch,
+        let Some(question) = self.find(number) else { return 1 };
+        let order = |known: &RecordTally| (&known.service, known.epoch).cmp(&(service, epoch));
+        let index = match question.tallies.binary_search_by(order) {
+            Ok(index) => index,
+            Err(index) => {
+                let tally = RecordTally { service: service.clone(), epoch, count: 0 };
+                question.tallies.insert(index, tally);
+                index
+            }
         };
-        if !self.confirms.contains(&confirmation) {
-            self.confirms.push(confirmation);
-        }
-        let same = self.confirms.iter().filter(|confirmation| {
-            confirmation.question == question
-                && confirmation.service == *service
-                && confirmation.epoch == epoch
-        });
-        same.count() + 1
+        let tally = &mut question.tallies[index];
+        tally.count += 1;
+        tally.count + 1
     }
 
-    /// Takes in that a question is about to be sent.
-    pub(crate) fn note_question(&mut self, question: u64) {
-        if self.questions.len() == QUESTIONS_MAX {
-            self.questions.pop_front();
-        }
-        self.questions.push_back((question, boot_time()));
-    }
-
-    /// When a question was sent; several peers may answer the same one.
-    pub(crate) fn asked_at(&self, question: u64) -> Option<Duration> {
-        let asked = self.questions.iter().find(|(known, _)| *known == question);
-        asked.map(|(_, at)| *at)
+    fn find(&mut self, number: u64) -> Option<&mut OpenQuestion> {
+        self.questions.iter_mut().find(|known| known.number == number)
     }
 }
--- a/crates/rudder-engine/src/peers/readers.rs
+++ b/crates/rudder-engine/src/peers/readers.rs
@@ -1,10 +1,9 @@
-//! Which instances read the store and watch the primaries for all.
+//! Which instances watch the primaries, and which one of them asks the store for all.
 //!
 //! Load pattern: a fleet asks the store whether its records have changed. Each call is paid for,
-//! and the store's rate grows more slowly than the fleet. So the first instances of each failure
-//! domain ask, and their neighbours ask them, without a word that leaves the domain. With six
-//! instances in three domains that made 900 calls in 54 calm seconds, where each asking for itself
-//! made 1,623 (counted by the store, one run each; longer watches of the others included).
+//! and the store's rate grows more slowly than the fleet. So one reader asks the store, the readers
+//! of the other failure domains have its word from it, and their neighbours from them, with one
+//! message a domain over the long links.
 
 use rudder_core::{DomainName, InstanceName};
 use std::net::SocketAddr;
@@ -19,6 +18,17 @@
     pub(crate) instance: InstanceName,
     pub(crate) domain: DomainName,
     pub(crate) address: Option<SocketAddr>,
+    /// Whether the store does not answer it.
+    pub(crate) turned_away: bool,
+}
+
+fn rank(candidate: &ReaderCandidate) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(candidate.instance.as_str().as_bytes())
+}
+
+/// The reader that asks the store for all: one that the store answers, the first by a hash.
+pub(crate) fn first_reader(readers: &[ReaderCandidate]) -> Option<&ReaderCandidate> {
+    readers.iter().min_by_key(|reader| (reader.turned_away, rank(reader)))
 }
 
 /// The first of each domain by a hash of their names, [`READERS_MIN`] in all if there are as many.
@@ -29,15 +39,13 @@
     mut all: Vec<ReaderCandidate>,
     domains: usize,
 ) -> Vec<ReaderCandidate> {
-    let rank =
-        |entry: &ReaderCandidate| xxhash_rust::xxh3::xxh3_64(entry.instance.as_str().as_bytes());
-    all.sort_by_key(|entry| (entry.domain.clone(), rank(entry)));
+    all.sort_by_cached_key(|candidate| (candidate.domain.clone(), rank(candidate)));
     let each = READERS_MIN.div_ceil(domains.max(1));
     let mut chosen: Vec<ReaderCandidate> = Vec::new();
-    for entry in all {
-        let count = chosen.iter().filter(|known| known.domain == entry.domain).count();
+    for candidate in all {
+        let count = chosen.iter().filter(|known| known.domain == candidate.domain).count();
         if count < each {
-            chosen.push(entry);
+            chosen.push(candidate);
         }
     }
     chosen
--- a/crates/rudder-engine/src/peers/tests/mod.rs
+++ b/crates/rudder-engine/src/peers/tests/mod.rs
@@ -1,4 +1,6 @@
 //! Tests of what instances know of each other.
 
 mod entries;
+mod offset;
 mod readers;
+mod subscribers;
--- a/crates/rudder-engine/src/peers/tests/readers.rs
+++ b/crates/rudder-engine/src/peers/tests/readers.rs
@@ -1,6 +1,6 @@
 //! Who reads the store for all.
 
-use crate::peers::readers::{ReaderCandidate, choose_readers};
+use crate::peers::readers::{ReaderCandidate, choose_readers, first_reader};
 
 /// Instances named `DOMAIN-NUMBER`.
 fn entries(names: &[&str]) -> Vec<ReaderCandidate> {
@@ -8,6 +8,7 @@
         instance: name.parse().expect("a name"),
         domain: name.split('-').next().expect("a domain").parse().expect("a name"),
         address: None,
+        turned_away: false,
     };
     names.iter().map(entry).collect()
 }
@@ -52,3 +53,38 @@
 
     assert_eq!(chosen(&turned, 3), chosen(&FLEET, 3));
 }
+
+#[test]
+fn one_reader_asks_the_store_for_all() {
+    let readers = choose_readers(entries(&FLEET), 3);
+    let first = first_reader(&readers).expect("a reader");
+
+    let mut turned = readers.clone();
+    turned.reverse();
+
+    assert_eq!(first_reader(&turned), Some(first));
+    assert!(readers.contains(first));
+}
+
+/// Guards against a fleet that gets no word of the store because the store turns one instance away.
+#[test]
+fn a_reader_that_the_store_turns_away_is_not_the_one() {
+    let mut readers = choose_readers(entries(&FLEET), 3);
+    let first = first_reader(&readers).expect("a reader").instance.clone();
+    for reader in readers.iter_mut().filter(|reader| reader.instance == first) {
+        reader.turned_away = true;
+    }
+
+    let next = first_reader(&readers).expect("a reader");
+
+    assert_ne!(next.instance, first);
+}
+
+/// Guards against an outage of the store in which nobody asks whether it is back.
+#[test]
+fn somebody_asks_although_the_store_answers_nobody() {
+    let mut readers = choose_readers(entries(&FLEET), 3);
+    readers.iter_mut().for_each(|reader| reader.turned_away = true);
+
+    assert!(first_reader(&readers).is_some());
+}
--- /dev/null
+++ b/crates/rudder-engine/src/peers/tests/subscribers.rs
@@ -0,0 +1,40 @@
+//! Who is told of the records.
+
+use crate::peers::subscribers::SubscriberList;
+use crate::peers::{RecordsDigest, RecordsSubscriber};
+use std::time::Duration;
+
+fn subscriber(host: u8, question: u64, received_at: Duration) -> RecordsSubscriber {
+    RecordsSubscriber {
+        address: ([10, 0, 0, host], 7440).into(),
+        instance: format!("entry-{host}").parse().expect("a name"),
+        question,
+        received_at,
+        digest: RecordsDigest::default(),
+    }
+}
+
+fn questions(list: &mut SubscriberList, now: Duration) -> Vec<u64> {
+    list.live(now).into_iter().map(|subscriber| subscriber.question).collect()
+}
+
+#[test]
+fn the_last_question_of_an_instance_counts() {
+    let mut list = SubscriberList::default();
+    list.subscribe(subscriber(2, 20, Duration::from_secs(10)));
+    list.subscribe(subscriber(1, 10, Duration::from_secs(10)));
+
+    list.subscribe(subscriber(2, 21, Duration::from_secs(11)));
+
+    assert_eq!(questions(&mut list, Duration::from_secs(11)), [10, 21]);
+}
+
+/// Guards against datagrams to instances that are gone.
+#[test]
+fn an_instance_that_asks_no_more_is_told_no_more() {
+    let mut list = SubscriberList::default();
+    list.subscribe(subscriber(1, 10, Duration::from_secs(10)));
+
+    assert_eq!(questions(&mut list, Duration::from_secs(12)), [10]);
+    assert!(questions(&mut list, Duration::from_secs(13)).is_empty());
+}
--- a/crates/rudder-engine/src/records_status.rs
+++ b/crates/rudder-engine/src/records_status.rs
@@ -1,9 +1,9 @@
 //! What is known of the records of primaries as a whole: who has read them, and when.
 //!
 //! Load pattern: all instances of a fleet start at once, before there are records. An instance that
-//! reads the store for as long as a service has none makes ten calls in the first three seconds, each
-//! paid for (751 of 1,777 calls at the start of 70 instances, counted by the store). So a reader
-//! says how old its own read is, and its neighbours need not look whether there is a record yet.
+//! reads the store for as long as a service has none makes ten calls in the first three seconds. So
+//! instances tell each other when the store was last read, and need not look for themselves whether
+//! there is a record yet.
 
 use rudder_core::ServiceName;
 use std::time::Duration;
@@ -26,9 +26,12 @@
         self.read_at = Some(asked_at);
     }
 
-    /// Takes in a peer's word that it had read them at `read_at`.
-    pub(crate) fn note_told(&mut self, read_at: Duration) {
+    /// Takes in a peer's word that they were read at `read_at`; returns whether that is later than
+    /// was known.
+    pub(crate) fn note_told(&mut self, read_at: Duration) -> bool {
+        let later = Some(read_at) > self.known_at();
         self.told_at = self.told_at.max(Some(read_at));
+        later
     }
 
     /// When this process last read them itself.
--- a/crates/rudder-engine/src/store_snapshot.rs
+++ b/crates/rudder-engine/src/store_snapshot.rs
@@ -4,6 +4,9 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+/// How long a peer counts as one that answers; longer than the pause between two questions.
+const HEARD_TIME: Duration = Duration::from_millis(1500);
+
 /// Orders lists of members: by the store's revision, then by the changes that this instance's
 /// patience with missing entries made to the list of one revision.
 #[derive(
@@ -23,6 +26,10 @@
     members_at: Option<Duration>,
     /// The same of the settings.
     settings_at: Option<Duration>,
+    /// The latest moment of which a peer said that both were current then.
+    told_at: Option<Duration>,
+    /// When a peer that tells this instance was last heard.
+    heard_at: Option<Duration>,
 }
 
 impl StoreSnapshot {
@@ -40,6 +47,11 @@
         true
     }
 
+    /// Whether nothing is known of the members yet.
+    pub(crate) fn is_blank(&self) -> bool {
+        self.version == MembersVersion::default() && self.members.is_empty()
+    }
+
     /// Takes in the members that a peer knows of, unless those known are as new; returns whether
     /// they differ.
     ///
@@ -56,12 +68,32 @@
 
     /// Takes in that the list of members is current at `now`.
     pub(crate) fn confirm_members(&mut self, now: Duration) {
-        self.members_at = Some(now);
+        self.members_at = self.members_at.max(Some(now));
     }
 
     /// Takes in that the settings in force are current at `now`.
     pub(crate) fn confirm_settings(&mut self, now: Duration) {
-        self.settings_at = Some(now);
+        self.settings_at = self.settings_at.max(Some(now));
+    }
+
+    /// Takes in a peer's word that both were current at `moment`, in the versions known here.
+    pub(crate) fn note_told(&mut self, moment: Duration) {
+        self.confirm_members(moment);
+        self.confirm_settings(moment);
+        self.told_at = self.told_at.max(Some(moment));
+    }
+
+    /// Takes in that a peer answered, whatever it knows.
+    pub(crate) fn note_heard(&mut self, now: Duration) {
+        self.heard_at = Some(now);
+    }
+
+    /// Whether peers said less than `patience` ago, or less than `longer` if they still answer, that
+    /// both are current.
+    pub(crate) fn is_told(&self, patience: Duration, longer: Duration, now: Duration) -> bool {
+        let heard = self.heard_at.is_some_and(|at| now < at + HEARD_TIME);
+        let patience = if heard { longer } else { patience };
+        self.told_at.is_some_and(|at| now < at + patience)
     }
 
     /// The members, and their version.
--- a/crates/rudder-store/src/store.rs
+++ b/crates/rudder-store/src/store.rs
@@ -138,6 +138,26 @@
     /// Reads all objects of a kind, sorted by name.
     async fn list(&self, kind: ObjectKind) -> Result<Vec<StoredObject>, StoreError>;
 
+    /// The same at less cost where the platform offers it: what is read may be seconds old.
+    async fn list_cached(&self, kind: ObjectKind) -> Result<Vec<StoredObject>, StoreError> {
+        self.list(kind).await
+    }
+
+    /// Creates an object, or finds the one that has its name.
+    async fn create_or_get(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        spec: serde_json::Value,
+    ) -> Result<StoredObject, StoreError> {
+        match self.put(kind, name, None, spec).await {
+            Err(StoreError::Conflict | StoreError::Unresolved) => {
+                self.get(kind, name).await?.ok_or(StoreError::Unresolved)
+            }
+            created => created,
+        }
+    }
+
     /// Creates an object (`expected` is none) or replaces the version that `expected` names.
     async fn put(
         &self,
