Heartbeats of a failure domain go to its first three instances

Cause: every instance told every other one of its failure domain once a second that it lives: 33 times 32 datagrams a domain at 195 instances, 7 KB a second for each at 81 in a domain (docs/CAPACITY.md), against 2 KB that control may take.

Change: the first three of a domain by a hash, of whom the reader is one, heartbeat to all of it; the others only to them. Who hears none of them takes itself for one of them and is heard by all. Worked out for 33 instances a domain: 186 datagrams a second in place of 1,056.

--- a/crates/rudder-engine/src/peers/membership.rs
+++ b/crates/rudder-engine/src/peers/membership.rs
@@ -4,7 +4,7 @@
 use super::fleet_copy::CopyVersion;
 use super::message::{PeerHeartbeat, StopNotice};
 use super::questions::QuestionLog;
-use super::readers::{ReaderCandidate, choose_readers, first_reader};
+use super::readers::{ReaderCandidate, choose_readers, first_of_domain, first_reader};
 use super::subscribers::SubscriberList;
 use crate::clock::boot_time;
 use crate::identity::InstanceIdentity;
@@ -71,6 +71,26 @@
         entries.filter(move |entry| entry.instance != *own)
     }
 
+    /// The live instances that are not about to stop, the viewer included.
+    fn candidates(&self, view: &MembershipView, now: Duration) -> Vec<ReaderCandidate> {
+        let live = self.heard.iter().filter(|heard| heard.is_live(now) && !heard.heartbeat.leaving);
+        let mut all: Vec<ReaderCandidate> = live
+            .map(|heard| ReaderCandidate {
+                instance: heard.heartbeat.instance.clone(),
+                domain: heard.heartbeat.domain.clone(),
+                address: Some(heard.from),
+                turned_away: heard.heartbeat.turned_away,
+            })
+            .collect();
+        all.push(ReaderCandidate {
+            instance: view.own.clone(),
+            domain: view.own_domain.clone(),
+            address: None,
+            turned_away: self.is_turned_away(now),
+        });
+        all
+    }
+
     fn is_turned_away(&self, now: Duration) -> bool {
         self.refused_at.is_some_and(|at| now < at + TURNED_AWAY_TIME)
     }
@@ -168,10 +188,18 @@
         state.entries.binary_search_by(|entry| entry.instance.cmp(instance)).is_ok()
     }
 
-    /// Where this instance's heartbeats go within its failure domain: to all.
+    /// Where this instance's heartbeats go within its failure domain: to all if it is one of the
+    /// first there, of whom the reader is one; to those else.
+    ///
+    /// So the datagrams of a domain grow with its size, not with the square of it.
     pub(crate) fn near_receivers(&self) -> Vec<SocketAddr> {
-        let state = self.state();
         let now = boot_time();
+        let state = self.state();
+        let live: Vec<ReaderCandidate> = state.candidates(self, now);
+        let first = first_of_domain(live, &self.own_domain);
+        if !first.iter().any(|candidate| candidate.instance == self.own) {
+            return distinct(first.into_iter().filter_map(|candidate| candidate.address));
+        }
         let near = |heard: &&HeardHeartbeat| {
             heard.is_live(now) && heard.heartbeat.domain == self.own_domain
         };
@@ -270,25 +298,7 @@
     /// The live readers: the first instances of each failure domain by a hash, and more of each
     /// where there are few domains.
     fn readers(&self) -> Vec<ReaderCandidate> {
-        let now = boot_time();
-        let state = self.state();
-        let live =
-            state.heard.iter().filter(|heard| heard.is_live(now) && !heard.heartbeat.leaving);
-        let mut all: Vec<ReaderCandidate> = live
-            .map(|heard| ReaderCandidate {
-                instance: heard.heartbeat.instance.clone(),
-                domain: heard.heartbeat.domain.clone(),
-                address: Some(heard.from),
-                turned_away: heard.heartbeat.turned_away,
-            })
-            .collect();
-        all.push(ReaderCandidate {
-            instance: self.own.clone(),
-            domain: self.own_domain.clone(),
-            address: None,
-            turned_away: state.is_turned_away(now),
-        });
-        choose_readers(all, self.domain_count)
+        choose_readers(self.state().candidates(self, boot_time()), self.domain_count)
     }
 
     /// Takes in a sign of life.
--- a/crates/rudder-engine/src/peers/readers.rs
+++ b/crates/rudder-engine/src/peers/readers.rs
@@ -12,6 +12,10 @@
 /// link is not.
 const READERS_MIN: usize = 3;
 
+/// Instances of a failure domain that heartbeat to all of it. At least [`READERS_MIN`], as all of those
+/// may stand in one domain; two of them may be lost at once before anybody has to look for more.
+const DOMAIN_HEADS: usize = READERS_MIN;
+
 /// An instance that may be a reader; the address is none for this one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct ReaderCandidate {
@@ -31,6 +35,18 @@
     readers.iter().min_by_key(|reader| (reader.turned_away, rank(reader)))
 }
 
+/// The first few of a domain, who hear from all of it and tell all of it that they live. One of them
+/// is its reader, and when that one is gone the next is known to all.
+pub(crate) fn first_of_domain(
+    mut all: Vec<ReaderCandidate>,
+    domain: &DomainName,
+) -> Vec<ReaderCandidate> {
+    all.retain(|candidate| candidate.domain == *domain);
+    all.sort_by_cached_key(rank);
+    all.truncate(DOMAIN_HEADS);
+    all
+}
+
 /// The first of each domain by a hash of their names, [`READERS_MIN`] in all if there are as many.
 ///
 /// `domains` is how many the deployment has. An instance that hears from none but its own domain
--- a/crates/rudder-engine/src/peers/tests/readers.rs
+++ b/crates/rudder-engine/src/peers/tests/readers.rs
@@ -1,6 +1,6 @@
 //! Who reads the store for all.
 
-use crate::peers::readers::{ReaderCandidate, choose_readers, first_reader};
+use crate::peers::readers::{ReaderCandidate, choose_readers, first_of_domain, first_reader};
 
 /// Instances named `DOMAIN-NUMBER`.
 fn entries(names: &[&str]) -> Vec<ReaderCandidate> {
@@ -88,3 +88,30 @@
 
     assert!(first_reader(&readers).is_some());
 }
+
+/// Guards against a fleet whose heartbeats fill the links of a large failure domain.
+#[test]
+fn a_few_of_a_domain_hear_from_all_of_it() {
+    let names: Vec<String> = (0..80).map(|number| format!("n-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let domain = "n".parse().expect("a name");
+
+    let heads = first_of_domain(entries(&names), &domain);
+    let reader = choose_readers(entries(&names), 6);
+
+    assert_eq!(heads.len(), 3);
+    assert_eq!(heads[0].instance, reader[0].instance);
+}
+
+/// Guards against a reader that its followers do not hear, as they take another one for it.
+#[test]
+fn an_instance_that_hears_the_first_ones_only_makes_the_same_choice() {
+    let names: Vec<String> = (0..80).map(|number| format!("n-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let domain = "n".parse().expect("a name");
+    let heads = first_of_domain(entries(&names), &domain);
+    let mut heard = heads.clone();
+    heard.extend(entries(&["n-80"]));
+
+    assert_eq!(first_of_domain(heard, &domain)[0], heads[0]);
+}
