Long files are split, the last private names go, measurements leave the comments; calls to the store are counted in tests

The membership's state and the model's subscribers have files of their own. RefusalWord is RefusalCause, as a type beside it is called RefusalReason. Comments of rudder-decisions and others that told of trials say the reason only. No behaviour is changed; assertions are as they were.

--- a/crates/arbutusrudder/src/caller/tests.rs
+++ b/crates/arbutusrudder/src/caller/tests.rs
@@ -2,11 +2,11 @@
 
 use super::write::notice_of;
 use rudder_core::RefusalNotice;
-use rudder_decisions::{RefusalReason, RefusalWord};
+use rudder_decisions::{RefusalCause, RefusalReason};
 use std::time::Duration;
 
 fn too_late() -> RefusalReason {
-    RefusalReason { word: RefusalWord::TooLate, retry_after: Duration::from_millis(40) }
+    RefusalReason { word: RefusalCause::TooLate, retry_after: Duration::from_millis(40) }
 }
 
 #[test]
--- a/crates/arbutusrudder/src/group/member.rs
+++ b/crates/arbutusrudder/src/group/member.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
 
-/// Service time assumed of a member of the reference speed before any was measured.
+/// Service time assumed of a member of the reference speed before any was observed.
 const SERVICE_GUESS: Duration = Duration::from_millis(5);
 
 /// A longer round trip moves the known one by this part of the difference.
--- a/crates/rudder-decisions/src/admission/gate.rs
+++ b/crates/rudder-decisions/src/admission/gate.rs
@@ -8,7 +8,7 @@
 
 use super::lane::{FlowKey, LaneLimits, LaneUsage, MemberLane, WaitingTicket};
 use super::request::{
-    AdmissionRequest, AdmissionVerdict, LaneKey, RefusalReason, RefusalWord, TicketId,
+    AdmissionRequest, AdmissionVerdict, LaneKey, RefusalCause, RefusalReason, TicketId,
     TicketNotice, TicketOutcome,
 };
 use super::retry_after::RetryPacer;
@@ -201,7 +201,7 @@
     /// ```
     pub fn close(&mut self, key: &LaneKey, now: Instant, rng: &mut dyn Rng) -> Vec<TicketNotice> {
         let tickets = self.lane_of(key).lane.take_all();
-        self.refuse_all(key, &tickets, RefusalWord::LaneClosed, now, rng)
+        self.refuse_all(key, &tickets, RefusalCause::LaneClosed, now, rng)
     }
 
     /// When the next waiting request's wait is over, or `None` if nothing waits.
@@ -216,36 +216,36 @@
     }
 
     /// Why a request is refused at once, if it is.
-    fn refusal_of(&mut self, request: &AdmissionRequest, now: Instant) -> Option<RefusalWord> {
+    fn refusal_of(&mut self, request: &AdmissionRequest, now: Instant) -> Option<RefusalCause> {
         let caller_key = (request.kind.clone(), request.caller);
         let caller_max = (f64::from(request.in_flight_max) * CALLER_PART).ceil() as u32;
         if count_of(&self.kinds, &request.kind) >= request.in_flight_max {
-            return Some(RefusalWord::KindLimit);
+            return Some(RefusalCause::KindLimit);
         }
         if count_of(&self.callers, &caller_key) >= caller_max {
-            return Some(RefusalWord::CallerLimit);
+            return Some(RefusalCause::CallerLimit);
         }
         let flow = flow_of(request);
         let lane = &self.lane_of(&request.lane).lane;
         if lane.has_room(flow) {
-            return (request.deadline <= now).then_some(RefusalWord::TooLate);
+            return (request.deadline <= now).then_some(RefusalCause::TooLate);
         }
         let waiting = f64::from(lane.usage().waiting);
         let queue_max = f64::from(lane.limits.queue_max);
         if waiting >= queue_max {
-            return Some(RefusalWord::QueueFull);
+            return Some(RefusalCause::QueueFull);
         }
         if request.shed && waiting >= queue_max * SHED_PART {
-            return Some(RefusalWord::Shed);
+            return Some(RefusalCause::Shed);
         }
         let give_up = request.deadline.min(now + request.queue_wait);
-        (now + lane.expected_wait(flow) > give_up).then_some(RefusalWord::TooLate)
+        (now + lane.expected_wait(flow) > give_up).then_some(RefusalCause::TooLate)
     }
 
     /// Refuses what has waited long enough in one lane, then serves what may run.
     fn settle(&mut self, key: &LaneKey, now: Instant, rng: &mut dyn Rng) -> Vec<TicketNotice> {
         let expired = self.lane_of(key).lane.take_expired(now);
-        let mut notices = self.refuse_all(key, &expired, RefusalWord::WaitOver, now, rng);
+        let mut notices = self.refuse_all(key, &expired, RefusalCause::WaitOver, now, rng);
         while let Some(ticket) = self.lane_of(key).lane.serve_next() {
             self.mark_running(ticket, now);
             notices.push(TicketNotice { ticket, outcome: TicketOutcome::Run });
@@ -257,7 +257,7 @@
         &mut self,
         key: &LaneKey,
         tickets: &[TicketId],
-        word: RefusalWord,
+        word: RefusalCause,
         now: Instant,
         rng: &mut dyn Rng,
     ) -> Vec<TicketNotice> {
@@ -273,7 +273,7 @@
     fn refusal(
         &mut self,
         key: &LaneKey,
-        word: RefusalWord,
+        word: RefusalCause,
         now: Instant,
         rng: &mut dyn Rng,
     ) -> RefusalReason {
--- a/crates/rudder-decisions/src/admission/lane.rs
+++ b/crates/rudder-decisions/src/admission/lane.rs
@@ -24,8 +24,8 @@
 /// of a full lane, and work that cannot wait is served whole up to nine tenths of what it carries.
 const SHED_TURN: u32 = 10;
 
-/// Slots that long work may hold in one lane. Six or seven instances share a member's 3 to 5 slots, so
-/// even one each can fill it; with half of the window each, the cap changed nothing in the trials.
+/// Slots that long work may hold in one lane. Several instances share a member's few slots, so that
+/// even one each can fill it.
 const LONG_MAX: u32 = 1;
 
 /// Weight of one more run in a lane's service time: about the last twenty runs count.
--- a/crates/rudder-decisions/src/admission/request.rs
+++ b/crates/rudder-decisions/src/admission/request.rs
@@ -72,7 +72,7 @@
     #[derive(Copy)]
     pub struct RefusalReason {
         /// The reason as a fixed word.
-        pub word: RefusalWord,
+        pub word: RefusalCause,
         /// When to come back; spread, so that refused callers do not return together.
         pub retry_after: Duration,
     }
@@ -80,7 +80,7 @@
 
 /// Why a request was turned away, as a fixed word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum RefusalWord {
+pub enum RefusalCause {
     /// The caller's kind has as many requests as it may.
     KindLimit,
     /// The caller has as many requests as one caller of its kind may.
@@ -97,7 +97,7 @@
     LaneClosed,
 }
 
-impl fmt::Display for RefusalWord {
+impl fmt::Display for RefusalCause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::KindLimit => "kind_limit",
--- a/crates/rudder-decisions/src/detector.rs
+++ b/crates/rudder-decisions/src/detector.rs
@@ -6,10 +6,9 @@
 //! waiting.
 //!
 //! The bound is the longest gap between two answers seen lately, with a margin, between a floor and
-//! a ceiling. The usual rule, mean plus some deviations, was tried and is no better than a fixed
-//! bound: a lost packet costs a whole retransmission time, so the gaps that matter are far out in
-//! the tail, where mean and deviation say little. Thresholds: `docs/design/failure-detection.md`
-//! has the measured curve of false alarms against the gap.
+//! a ceiling. Mean plus some deviations is no better than a fixed bound: a lost packet costs a whole
+//! retransmission time, so the gaps that matter are far out in the tail, where mean and deviation
+//! say little. Thresholds: `docs/design/failure-detection.md`.
 
 use std::time::{Duration, Instant};
 
--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use admission::{
     AdmissionGate, AdmissionRequest, AdmissionVerdict, LaneKey, LaneLimits, LaneUsage,
-    RefusalReason, RefusalWord, TicketId, TicketNotice, TicketOutcome,
+    RefusalCause, RefusalReason, TicketId, TicketNotice, TicketOutcome,
 };
 pub use connection_share::ConnectionShare;
 pub use detector::{SilenceDetector, SuspicionBound};
--- a/crates/rudder-decisions/src/meter.rs
+++ b/crates/rudder-decisions/src/meter.rs
@@ -19,8 +19,8 @@
 /// Weight of the first answer, which is worth more than a guess.
 const FIRST_GAIN: f64 = 0.5;
 
-/// A member that gets work is heard more often than this. What is known of it is then kept: in a
-/// trial that forgot between any two answers the estimate of a rarely used member was half guess.
+/// A member that gets work is heard more often than this. What is known of it is then kept, as the
+/// estimate of a rarely used member would else be half guess.
 const FORGET_AFTER: Duration = Duration::from_secs(1);
 
 /// Without answers, half of the distance to the first guess is forgotten in this time, so that a
--- a/crates/rudder-decisions/src/outlier.rs
+++ b/crates/rudder-decisions/src/outlier.rs
@@ -3,8 +3,8 @@
 //! Load pattern: one endpoint of a group goes bad while it still answers. Without this module a
 //! member that fails at once looks like the fastest of all, so routing by least expected time sends
 //! it even more than its share; and one that is taken out whole, on chance, throws its load at the
-//! others. A member that is merely slow needs no tracker: least expected time avoids it, and a
-//! second rule for slowness brought nothing in the trials (`docs/design/read-routing.md`).
+//! others. A member that is merely slow needs no tracker: least expected time avoids it
+//! (`docs/design/read-routing.md`).
 //!
 //! Thresholds: a member is bad in a step in which a fifth of its statements failed
 //! ([`FAILURE_PART_BAD`]); a healthy one is near zero, and a twentieth is noise that retries absorb.
--- a/crates/rudder-decisions/src/ramp.rs
+++ b/crates/rudder-decisions/src/ramp.rs
@@ -5,7 +5,7 @@
 //! requests that find it cold are as many as all instances' slots together, and wait for each other
 //! inside the member. Thresholds: it starts at [`RAMP_START`], enough to warm it and to measure its
 //! speed, and gets its whole weight after [`RAMP_TIME`]: a few hundred statements at a tenth of
-//! a member's usual rate, by which time its measured speed, not the ramp, steers the load.
+//! a member's usual rate, by which time its observed speed, not the ramp, steers the load.
 
 use crate::routing::MemberWeight;
 use std::time::{Duration, Instant};
--- a/crates/rudder-decisions/src/routing/router.rs
+++ b/crates/rudder-decisions/src/routing/router.rs
@@ -60,7 +60,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ReadRouter;
 
-/// The rule by which reads find their member. Baselines are measured through the same border.
+/// The rule by which reads find their member. Baselines go through the same border.
 pub trait ReadPolicy: Send + Sync {
     /// Chooses where a read goes; the views may be out of date.
     fn choose(&self, demand: &ReadDemand, members: &[MemberView], rng: &mut dyn Rng)
@@ -250,8 +250,7 @@
 /// Statements that the member is taken to have in flight from all instances.
 ///
 /// An instance sees only its own requests. It takes the others to load the member as it does
-/// itself: in the trials this halves the mean wait at a load of 0.92 against counting its own
-/// requests alone, because the choice then reacts before its own share alone fills the member.
+/// itself, so that the choice reacts before its own share alone fills the member.
 fn load_of(member: &MemberView) -> u32 {
     member.in_flight.saturating_mul(member.sharers.max(1))
 }
--- a/crates/rudder-decisions/tests/load/admission.rs
+++ b/crates/rudder-decisions/tests/load/admission.rs
@@ -2,7 +2,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rudder_decisions::{
-    AdmissionGate, AdmissionRequest, AdmissionVerdict, LaneKey, LaneLimits, RefusalWord,
+    AdmissionGate, AdmissionRequest, AdmissionVerdict, LaneKey, LaneLimits, RefusalCause,
     TicketOutcome, WorkClass, WorkSize,
 };
 use std::time::{Duration, Instant};
@@ -31,7 +31,7 @@
     gate
 }
 
-fn refusal(verdict: AdmissionVerdict) -> RefusalWord {
+fn refusal(verdict: AdmissionVerdict) -> RefusalCause {
     match verdict {
         AdmissionVerdict::Refuse(reason) => reason.word,
         other => panic!("expected a refusal, got {other:?}"),
@@ -57,7 +57,7 @@
     assert_eq!(expiry, now + Duration::from_millis(200));
     assert_eq!(notices.len(), 1);
     assert!(matches!(notices[0].outcome, TicketOutcome::Refuse(reason)
-        if reason.word == RefusalWord::WaitOver));
+        if reason.word == RefusalCause::WaitOver));
     assert!(gate.release(ticket, expiry, rng).is_empty());
     assert_eq!(gate.usage(&request(1, now).lane).reads, 1);
 }
@@ -90,9 +90,9 @@
     let other = gate.offer(&offer_of(2), now, rng);
     let beyond = gate.offer(&offer_of(3), now, rng);
 
-    assert_eq!(refusal(busy[3]), RefusalWord::CallerLimit);
+    assert_eq!(refusal(busy[3]), RefusalCause::CallerLimit);
     assert!(matches!(other, AdmissionVerdict::Run(_)));
-    assert_eq!(refusal(beyond), RefusalWord::KindLimit);
+    assert_eq!(refusal(beyond), RefusalCause::KindLimit);
 }
 
 // A thousand callers are refused in the same instant. Told the same time, they would all return
--- a/crates/rudder-engine/src/lead/tests/model.rs
+++ b/crates/rudder-engine/src/lead/tests/model.rs
@@ -1,13 +1,14 @@
 //! Instances, a store and messages in memory, driven step by step by a random source.
 
 mod change;
+mod subscriber;
 
 use self::change::Change;
+use self::subscriber::Subscriber;
 use super::message::Message;
 use super::{ms, settled};
 use crate::lead::{LeadRecord, LeaderEpoch, LeaderLease, LeaseTable, is_quorum};
 use crate::own_entry::OwnEntry;
-use crate::peers::QuestionOffset;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use std::time::Duration;
@@ -50,15 +51,6 @@
     Replaced,
 }
 
-/// A process that has asked an instance for the record.
-#[derive(Clone, Debug)]
-struct Subscriber {
-    from: usize,
-    process: u64,
-    asked_at: Duration,
-    received_at: Duration,
-}
-
 /// Whether questions between instances are answered more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LaterAnswers {
@@ -321,25 +313,6 @@
         self.send(from, Message::Ask { to, from, process, asked_at, question }, rng);
     }
 
-    /// Answers earlier questions again, in moments counted from when each question came.
-    fn tell_subscribers(&mut self, index: usize, rng: &mut StdRng) {
-        let leases = &self.instances[index].leases;
-        let Some(record) = leases.record().cloned() else { return };
-        let known_at = leases.confirmed_at();
-        for subscriber in self.instances[index].subscribers.clone() {
-            let Subscriber { from, process, asked_at, received_at } = subscriber;
-            let offset = QuestionOffset::of(known_at, received_at);
-            let confirmed_at = match self.out {
-                // The age is taken off the moment of arrival, which is at most this much later.
-                TakenOut::AgeOfLaterAnswer => known_at + ms(3000),
-                _ => offset.map_or(Duration::ZERO, |offset| offset.since(asked_at)),
-            };
-            let (record, own) = (record.clone(), false);
-            let answer = Message::Record { to: from, process, record, confirmed_at, own };
-            self.send(index, answer, rng);
-        }
-    }
-
     /// A process is killed and starts again; it knows nothing of before.
     fn restart(&mut self, index: usize) {
         let instance = &mut self.instances[index];
--- /dev/null
+++ b/crates/rudder-engine/src/lead/tests/model/subscriber.rs
@@ -0,0 +1,38 @@
+//! Questions that are answered again whenever there is newer knowledge.
+
+use super::{Model, TakenOut};
+use crate::lead::tests::message::Message;
+use crate::lead::tests::ms;
+use crate::peers::QuestionOffset;
+use rand::rngs::StdRng;
+use std::time::Duration;
+
+/// A process that has asked an instance for the record.
+#[derive(Clone, Debug)]
+pub(super) struct Subscriber {
+    pub(super) from: usize,
+    pub(super) process: u64,
+    pub(super) asked_at: Duration,
+    pub(super) received_at: Duration,
+}
+
+impl Model {
+    /// Answers earlier questions again, in moments counted from when each question came.
+    pub(super) fn tell_subscribers(&mut self, index: usize, rng: &mut StdRng) {
+        let leases = &self.instances[index].leases;
+        let Some(record) = leases.record().cloned() else { return };
+        let known_at = leases.confirmed_at();
+        for subscriber in self.instances[index].subscribers.clone() {
+            let Subscriber { from, process, asked_at, received_at } = subscriber;
+            let offset = QuestionOffset::of(known_at, received_at);
+            let confirmed_at = match self.out {
+                // The age is taken off the moment of arrival, which is at most this much later.
+                TakenOut::AgeOfLaterAnswer => known_at + ms(3000),
+                _ => offset.map_or(Duration::ZERO, |offset| offset.since(asked_at)),
+            };
+            let (record, own) = (record.clone(), false);
+            let answer = Message::Record { to: from, process, record, confirmed_at, own };
+            self.send(index, answer, rng);
+        }
+    }
+}
--- a/crates/rudder-engine/src/peers/digest.rs
+++ b/crates/rudder-engine/src/peers/digest.rs
@@ -1,6 +1,6 @@
 //! What an instance knows of records and of instances, each in one number.
 
-use super::membership::PeerEntry;
+use super::membership_state::PeerEntry;
 use crate::lead::LeaderEpoch;
 use rudder_core::ServiceName;
 use serde::{Deserialize, Serialize};
--- a/crates/rudder-engine/src/peers/fleet_copy.rs
+++ b/crates/rudder-engine/src/peers/fleet_copy.rs
@@ -6,7 +6,7 @@
 //! themselves as soon as nobody tells them in time.
 
 use super::digest::EntriesDigest;
-use super::membership::PeerEntry;
+use super::membership_state::PeerEntry;
 use super::offset::QuestionOffset;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
--- a/crates/rudder-engine/src/peers/membership.rs
+++ b/crates/rudder-engine/src/peers/membership.rs
@@ -2,6 +2,7 @@
 
 use super::digest::EntriesDigest;
 use super::fleet_copy::CopyVersion;
+use super::membership_state::{HeardHeartbeat, MembershipState, PeerEntry};
 use super::message::{PeerHeartbeat, StopNotice};
 use super::questions::QuestionLog;
 use super::readers::{ReaderCandidate, choose_readers, first_of_domain, first_reader};
@@ -10,92 +11,12 @@
 use crate::identity::InstanceIdentity;
 use crate::lead::{LeaderEpoch, PeerVote};
 use crate::sync::lock;
-use rudder_core::{DomainName, InstanceName, ServiceName, plain_data};
-use serde::{Deserialize, Serialize};
+use rudder_core::{DomainName, InstanceName, ServiceName};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// How long an instance counts as live after its last word. Two heartbeats, a second apart, may be
-/// lost on the way.
-const LIVE_TIME: Duration = Duration::from_millis(2600);
-
-/// How long an instance that the store did not answer leaves the store to others.
-const TURNED_AWAY_TIME: Duration = Duration::from_secs(5);
-
-plain_data! {
-    /// Where an instance is.
-    #[derive(Serialize, Deserialize)]
-    pub(crate) struct PeerEntry {
-        pub(crate) instance: InstanceName,
-        pub(crate) domain: DomainName,
-        pub(crate) address: SocketAddr,
-        /// Whether it is about to be taken out of the list, unless it says that it lives.
-        pub(crate) marked: bool,
-    }
-}
-
-#[derive(Clone, Debug)]
-struct HeardHeartbeat {
-    heartbeat: PeerHeartbeat,
-    from: SocketAddr,
-    at: Duration,
-}
-
-impl HeardHeartbeat {
-    fn is_live(&self, now: Duration) -> bool {
-        now < self.at + LIVE_TIME
-    }
-}
-
-#[derive(Default)]
-struct MembershipState {
-    /// The instances that the store lists, this one included, sorted by name.
-    entries: Vec<PeerEntry>,
-    /// When the store had them so.
-    entries_at: Duration,
-    /// Instances of a list that may be old; good for finding neighbours only.
-    contacts: Vec<PeerEntry>,
-    /// The last word of each, sorted by name.
-    heard: Vec<HeardHeartbeat>,
-    stopped: Vec<StopNotice>,
-    /// When the store did not answer this instance, if it has not answered since.
-    refused_at: Option<Duration>,
-}
-
-impl MembershipState {
-    /// All others that the store lists or listed a moment ago.
-    fn reachable<'a>(&'a self, own: &'a InstanceName) -> impl Iterator<Item = &'a PeerEntry> {
-        let entries = self.entries.iter().chain(&self.contacts);
-        entries.filter(move |entry| entry.instance != *own)
-    }
-
-    /// The live instances that are not about to stop, the viewer included.
-    fn candidates(&self, view: &MembershipView, now: Duration) -> Vec<ReaderCandidate> {
-        let live = self.heard.iter().filter(|heard| heard.is_live(now) && !heard.heartbeat.leaving);
-        let mut all: Vec<ReaderCandidate> = live
-            .map(|heard| ReaderCandidate {
-                instance: heard.heartbeat.instance.clone(),
-                domain: heard.heartbeat.domain.clone(),
-                address: Some(heard.from),
-                turned_away: heard.heartbeat.turned_away,
-            })
-            .collect();
-        all.push(ReaderCandidate {
-            instance: view.own.clone(),
-            domain: view.own_domain.clone(),
-            address: None,
-            turned_away: self.is_turned_away(now),
-        });
-        all
-    }
-
-    fn is_turned_away(&self, now: Duration) -> bool {
-        self.refused_at.is_some_and(|at| now < at + TURNED_AWAY_TIME)
-    }
-}
-
 /// What is known of the other instances.
 pub(crate) struct MembershipView {
     own: InstanceName,
@@ -195,7 +116,7 @@
     pub(crate) fn near_receivers(&self) -> Vec<SocketAddr> {
         let now = boot_time();
         let state = self.state();
-        let live: Vec<ReaderCandidate> = state.candidates(self, now);
+        let live: Vec<ReaderCandidate> = state.candidates(&self.own, &self.own_domain, now);
         let first = first_of_domain(live, &self.own_domain);
         if !first.iter().any(|candidate| candidate.instance == self.own) {
             return distinct(first.into_iter().filter_map(|candidate| candidate.address));
@@ -298,7 +219,9 @@
     /// The live readers: the first instances of each failure domain by a hash, and more of each
     /// where there are few domains.
     fn readers(&self) -> Vec<ReaderCandidate> {
-        choose_readers(self.state().candidates(self, boot_time()), self.domain_count)
+        let state = self.state();
+        let candidates = state.candidates(&self.own, &self.own_domain, boot_time());
+        choose_readers(candidates, self.domain_count)
     }
 
     /// Takes in a sign of life.
--- /dev/null
+++ b/crates/rudder-engine/src/peers/membership_state.rs
@@ -0,0 +1,98 @@
+//! What the store and the other instances said, as far as it is kept.
+
+use super::message::{PeerHeartbeat, StopNotice};
+use super::readers::ReaderCandidate;
+use rudder_core::{DomainName, InstanceName, plain_data};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long an instance counts as live after its last word. Two heartbeats, a second apart, may be
+/// lost on the way.
+const LIVE_TIME: Duration = Duration::from_millis(2600);
+
+/// How long an instance that the store did not answer leaves the store to others.
+const TURNED_AWAY_TIME: Duration = Duration::from_secs(5);
+
+plain_data! {
+    /// Where an instance is.
+    #[derive(Serialize, Deserialize)]
+    pub(crate) struct PeerEntry {
+        pub(crate) instance: InstanceName,
+        pub(crate) domain: DomainName,
+        pub(crate) address: SocketAddr,
+        /// Whether it is about to be taken out of the list, unless it says that it lives.
+        pub(crate) marked: bool,
+    }
+}
+
+/// The last heartbeat of an instance.
+#[derive(Clone, Debug)]
+pub(super) struct HeardHeartbeat {
+    pub(super) heartbeat: PeerHeartbeat,
+    pub(super) from: SocketAddr,
+    pub(super) at: Duration,
+}
+
+impl HeardHeartbeat {
+    pub(super) fn is_live(&self, now: Duration) -> bool {
+        now < self.at + LIVE_TIME
+    }
+}
+
+/// What the store and the others said.
+#[derive(Default)]
+pub(super) struct MembershipState {
+    /// The instances that the store lists, this one included, sorted by name.
+    pub(super) entries: Vec<PeerEntry>,
+    /// When the store had them so.
+    pub(super) entries_at: Duration,
+    /// Instances of a list that may be old; good for finding neighbours only.
+    pub(super) contacts: Vec<PeerEntry>,
+    /// The last word of each, sorted by name.
+    pub(super) heard: Vec<HeardHeartbeat>,
+    pub(super) stopped: Vec<StopNotice>,
+    /// When the store did not answer this instance, if it has not answered since.
+    pub(super) refused_at: Option<Duration>,
+}
+
+impl MembershipState {
+    /// All others that the store lists or listed a moment ago.
+    pub(super) fn reachable<'a>(
+        &'a self,
+        own: &'a InstanceName,
+    ) -> impl Iterator<Item = &'a PeerEntry> {
+        let entries = self.entries.iter().chain(&self.contacts);
+        entries.filter(move |entry| entry.instance != *own)
+    }
+
+    /// The live instances that are not about to stop, the own one included.
+    pub(super) fn candidates(
+        &self,
+        own: &InstanceName,
+        own_domain: &DomainName,
+        now: Duration,
+    ) -> Vec<ReaderCandidate> {
+        let live = self.heard.iter().filter(|heard| heard.is_live(now) && !heard.heartbeat.leaving);
+        let mut all: Vec<ReaderCandidate> = live
+            .map(|heard| ReaderCandidate {
+                instance: heard.heartbeat.instance.clone(),
+                domain: heard.heartbeat.domain.clone(),
+                address: Some(heard.from),
+                turned_away: heard.heartbeat.turned_away,
+            })
+            .collect();
+        all.push(ReaderCandidate {
+            instance: own.clone(),
+            domain: own_domain.clone(),
+            address: None,
+            turned_away: self.is_turned_away(now),
+        });
+        all
+    }
+
+    /// Whether the store did not answer this instance a moment ago.
+    pub(super) fn is_turned_away(&self, now: Duration) -> bool {
+        self.refused_at.is_some_and(|at| now < at + TURNED_AWAY_TIME)
+    }
+}
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod fleet_copy;
 mod membership;
+mod membership_state;
 mod message;
 mod offset;
 mod questions;
@@ -20,7 +21,8 @@
 pub(crate) use fleet_copy::{
     CopyRequest, CopyVersion, EntriesCopy, FleetCopy, MembersCopy, fetch_copy, serve_copies,
 };
-pub(crate) use membership::{MembershipView, PeerEntry};
+pub(crate) use membership::MembershipView;
+pub(crate) use membership_state::PeerEntry;
 pub(crate) use message::{
     PeerHeartbeat, PeerMessage, PrimaryDoubt, RecordCopy, RecordTiming, RecordsAnswer,
     RecordsQuestion, SampleCopy, StopNotice,
--- a/crates/rudder-engine/src/store_snapshot/tests.rs
+++ b/crates/rudder-engine/src/store_snapshot/tests.rs
@@ -49,7 +49,7 @@
 }
 
 #[test]
-fn the_word_is_as_old_as_its_older_half() {
+fn the_snapshot_is_as_old_as_its_older_half() {
     let mut word = StoreSnapshot::default();
     word.confirm_members(Duration::from_secs(9));
     let before = word.confirmed_at();
--- a/crates/rudder-settings/src/model.rs
+++ b/crates/rudder-settings/src/model.rs
@@ -78,7 +78,7 @@
         pub slots: SlotCount,
         /// Connections that it accepts from all instances together.
         pub connections: ConnectionCount,
-        /// Speed of its hardware, as a first guess until it has been measured.
+        /// Speed of its hardware, as a first guess until it has been observed.
         pub speed: MemberSpeed,
         /// Whether it is leaving and gets no new work.
         pub draining: bool,
--- a/crates/rudder-standins/src/lib.rs
+++ b/crates/rudder-standins/src/lib.rs
@@ -17,6 +17,6 @@
     LineMember, LineReply, LineSeat,
 };
 pub use link::{DatagramLinkStandin, LinkDirection, LinkFault, LinkSettings, LinkStandin};
-pub use objects::{ObjectsFault, ObjectsStandin, PromotionSink};
+pub use objects::{ObjectsCall, ObjectsFault, ObjectsStandin, PromotionSink};
 pub use platform::{CallCounts, PlatformFaults, PlatformOutage, PlatformStandin, StandinInstance};
 pub use trial::{FaultKind, TimedFault, TrialReport, TrialSchedule, run_trial};
--- a/crates/rudder-standins/src/objects/routes.rs
+++ b/crates/rudder-standins/src/objects/routes.rs
@@ -1,6 +1,6 @@
 //! The stand-in's HTTP interface.
 
-use super::state::{ObjectEvent, ObjectRow, ObjectsFault, ObjectsShared};
+use super::state::{ObjectEvent, ObjectRow, ObjectsCall, ObjectsFault, ObjectsShared};
 use axum::body::Bytes;
 use axum::extract::{Path, Query, State};
 use axum::http::{HeaderMap, Method, StatusCode};
@@ -27,6 +27,7 @@
     watch: Option<u64>,
     wait_ms: u64,
     revision: Option<u64>,
+    stale_ok: u8,
 }
 
 pub(super) fn router(shared: Arc<ObjectsShared>) -> Router {
@@ -44,6 +45,13 @@
     Query(query): Query<ObjectsQuery>,
     body: Bytes,
 ) -> Response {
+    let call = match (method == Method::POST, query.watch, query.stale_ok) {
+        (true, ..) => ObjectsCall::Write,
+        (false, Some(_), _) => ObjectsCall::Watch,
+        (false, None, 0) => ObjectsCall::List,
+        (false, None, _) => ObjectsCall::CachedList,
+    };
+    shared.state().count(call);
     if is_busy(&shared) {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
@@ -126,6 +134,8 @@
     Query(query): Query<ObjectsQuery>,
     body: Bytes,
 ) -> Response {
+    let reads = method == Method::GET;
+    shared.state().count(if reads { ObjectsCall::Get } else { ObjectsCall::Write });
     if is_busy(&shared) {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
--- a/crates/rudder-standins/src/objects/state.rs
+++ b/crates/rudder-standins/src/objects/state.rs
@@ -21,6 +21,21 @@
     LostWrites,
 }
 
+/// What a call to the store was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ObjectsCall {
+    /// All objects of a kind, as they are.
+    List,
+    /// The same, as they may have been some seconds ago.
+    CachedList,
+    /// Changes of a kind are waited for.
+    Watch,
+    /// One object is read.
+    Get,
+    /// One object is created, replaced or removed.
+    Write,
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct ObjectRow {
     pub(super) kind: String,
@@ -53,9 +68,18 @@
     pub(super) events: Vec<ObjectEvent>,
     pub(super) revision: u64,
     pub(super) fault: Option<ObjectsFault>,
+    /// How often the store was called, by what the call was.
+    pub(super) calls: Vec<(ObjectsCall, u64)>,
 }
 
 impl ObjectsState {
+    pub(super) fn count(&mut self, call: ObjectsCall) {
+        match self.calls.binary_search_by(|(known, _)| known.cmp(&call)) {
+            Ok(index) => self.calls[index].1 += 1,
+            Err(index) => self.calls.insert(index, (call, 1)),
+        }
+    }
+
     pub(super) fn find(&self, kind: &str, name: &str) -> Result<usize, usize> {
         self.rows.binary_search_by(|row| (row.kind.as_str(), row.name.as_str()).cmp(&(kind, name)))
     }
@@ -173,6 +197,24 @@
         state.find(kind, name).ok().map(|index| state.rows[index].spec.clone())
     }
 
+    /// How often it was called so, whatever came of it.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// use rudder_standins::ObjectsCall;
+    /// let store = rudder_standins::ObjectsStandin::start(std::sync::Arc::new(|_, _, _| true)).await?;
+    /// assert_eq!(store.calls(ObjectsCall::List), 0);
+    /// # Ok::<(), std::io::Error>(())
+    /// # })?;
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    #[must_use]
+    pub fn calls(&self, call: ObjectsCall) -> u64 {
+        let state = self.shared.state();
+        let found = state.calls.binary_search_by(|(known, _)| known.cmp(&call));
+        found.map_or(0, |index| state.calls[index].1)
+    }
+
     /// Sets what is wrong from now on.
     pub fn set_fault(&self, fault: ObjectsFault) {
         self.shared.state().fault = Some(fault);
