A read that fails at one member is tried at another

A read that failed everywhere is said to have failed, never refused as not run. Writes and statements of transactions are not sent again.

Tests: five with members in memory; four of them fail without the change.

--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -5,7 +5,7 @@
     PromotionOrder,
 };
 use crate::engine::ProxyEngine;
-use crate::fixtures::member_entry;
+use crate::fixtures::{identity, member_entry};
 use crate::group::{MemberEntry, MemberState};
 use crate::identity::{EngineBorders, InstanceIdentity};
 use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
@@ -264,15 +264,12 @@
     Some(MemberStatus { role, accepted, received, applied: received })
 }
 
-/// How long members may be sent work after they said that they leave.
-const MEMBER_DRAIN: Duration = Duration::from_secs(7);
-
 /// An instance that has no peers.
 pub(super) fn engine(
     store: &Arc<RecordStore>,
     members: Option<Arc<FakeMembers>>,
 ) -> Arc<ProxyEngine> {
-    engine_with_drain(store, members, MEMBER_DRAIN)
+    engine_of(store, members, identity("own"))
 }
 
 /// The same, with another time for which leaving members may be sent work.
@@ -290,17 +287,6 @@
     engine_of(store, None, identity(name))
 }
 
-fn identity(name: &str) -> InstanceIdentity {
-    InstanceIdentity {
-        name: name.parse().expect("a name"),
-        domain: "north".parse().expect("a name"),
-        region: "north".to_owned(),
-        regions: Vec::new(),
-        peer_address: ([127, 0, 0, 1], 0).into(),
-        member_drain: MEMBER_DRAIN,
-    }
-}
-
 fn engine_of(
     store: &Arc<RecordStore>,
     members: Option<Arc<FakeMembers>>,
--- a/crates/rudder-engine/src/fixtures.rs
+++ b/crates/rudder-engine/src/fixtures.rs
@@ -2,7 +2,70 @@
 
 use crate::border::MemberTarget;
 use crate::group::{MemberEntry, MemberState};
+use crate::identity::InstanceIdentity;
+use async_trait::async_trait;
 use rudder_core::MemberRole;
+use rudder_store::{
+    InstanceEntry, ObjectKind, ObjectVersion, PlatformStore, StoreError, StoredObject,
+};
+use serde_json::Value;
+use std::time::Duration;
+
+/// How long members may be sent work after they said that they leave.
+const MEMBER_DRAIN: Duration = Duration::from_secs(7);
+
+/// An instance of the failure domain `north`.
+pub(crate) fn identity(name: &str) -> InstanceIdentity {
+    InstanceIdentity {
+        name: name.parse().expect("a name"),
+        domain: "north".parse().expect("a name"),
+        region: "north".to_owned(),
+        regions: Vec::new(),
+        peer_address: ([127, 0, 0, 1], 0).into(),
+        member_drain: MEMBER_DRAIN,
+    }
+}
+
+/// A store that answers nobody.
+pub(crate) struct SilentStore;
+
+#[async_trait]
+impl PlatformStore for SilentStore {
+    async fn get(
+        &self,
+        _kind: ObjectKind,
+        _name: &str,
+    ) -> Result<Option<StoredObject>, StoreError> {
+        Err(StoreError::Unavailable)
+    }
+
+    async fn list(&self, _kind: ObjectKind) -> Result<Vec<StoredObject>, StoreError> {
+        Err(StoreError::Unavailable)
+    }
+
+    async fn put(
+        &self,
+        _kind: ObjectKind,
+        _name: &str,
+        _expected: Option<&ObjectVersion>,
+        _spec: Value,
+    ) -> Result<StoredObject, StoreError> {
+        Err(StoreError::Unavailable)
+    }
+
+    async fn delete(
+        &self,
+        _kind: ObjectKind,
+        _name: &str,
+        _expected: &ObjectVersion,
+    ) -> Result<(), StoreError> {
+        Err(StoreError::Unavailable)
+    }
+
+    async fn instances(&self) -> Result<Vec<InstanceEntry>, StoreError> {
+        Err(StoreError::Unavailable)
+    }
+}
 
 /// A replica of the service `records` that takes work.
 pub(crate) fn member_entry(name: &str) -> MemberEntry {
--- a/crates/rudder-engine/src/session/mod.rs
+++ b/crates/rudder-engine/src/session/mod.rs
@@ -7,3 +7,6 @@
 mod transaction;
 
 pub use caller::CallerSession;
+
+#[cfg(test)]
+mod tests;
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -70,6 +70,8 @@
 enum AttemptEnd {
     /// Another member may do better.
     Next,
+    /// The read ran and failed here; another member may do better, else this is the answer.
+    Failed(StatementReply),
     /// This answer is final.
     Final(StatementReply),
 }
@@ -82,9 +84,15 @@
         job: &StatementJob,
         session_floor: Option<LogStamp>,
     ) -> StatementReply {
-        match self.read_at_some_member(route, job, session_floor, ReadStep::Statement).await {
-            Ok((reply, _)) | Err(ReadFailure::Answered(reply)) => reply,
-            Err(ReadFailure::NoPosition) => self.run_strict(route, job).await,
+        let mut failed = None;
+        let step = ReadStep::Statement;
+        let read = self.read_at_some_member(route, job, session_floor, step, &mut failed).await;
+        match (read, failed) {
+            (Ok((reply, _)), _) => reply,
+            // Where it has run, a refusal that says otherwise would not be true.
+            (Err(_), Some(failed)) => failed,
+            (Err(ReadFailure::Answered(reply)), None) => reply,
+            (Err(ReadFailure::NoPosition), None) => self.run_strict(route, job).await,
         }
     }
 
@@ -95,17 +103,21 @@
         job: &StatementJob,
         session_floor: Option<LogStamp>,
     ) -> Result<ReadStart, ReadFailure> {
+        let step = ReadStep::Begin;
         let (_, start) =
-            self.read_at_some_member(route, job, session_floor, ReadStep::Begin).await?;
+            self.read_at_some_member(route, job, session_floor, step, &mut None).await?;
         Ok(start)
     }
 
+    /// Runs a step at the first member that serves it. A read that fails at a member is tried once
+    /// at each other one; `failed` is then the last such answer.
     async fn read_at_some_member(
         &self,
         route: &RouteRule,
         job: &StatementJob,
         session_floor: Option<LogStamp>,
         step: ReadStep,
+        failed: &mut Option<StatementReply>,
     ) -> Result<(StatementReply, ReadStart), ReadFailure> {
         let refused =
             |group: &ServiceGroup, reason| refuse(group, job, reason, state_after(step)).into();
@@ -124,7 +136,7 @@
             let mut members = order_members(&group.members(), &place);
             members.retain(|member| !tried.contains(member.name()));
             if members.is_empty() {
-                if job.wait_left() < ROUND_PAUSE {
+                if failed.is_some() || job.wait_left() < ROUND_PAUSE {
                     return Err(refused(&group, reason));
                 }
                 tokio::time::sleep(ROUND_PAUSE).await;
@@ -153,6 +165,10 @@
                 }
                 Err(AttemptEnd::Final(reply)) => return Err(reply.into()),
                 Err(AttemptEnd::Next) => tried.push(member.name().clone()),
+                Err(AttemptEnd::Failed(reply)) => {
+                    *failed = Some(reply);
+                    tried.push(member.name().clone());
+                }
             }
             if job.time_left().is_zero() {
                 return Err(timed_out(job, step).into());
@@ -245,6 +261,10 @@
             Err(AttemptEnd::Next)
         }
         _ if step == ReadStep::Begin => Err(AttemptEnd::Next),
+        StatementError::Failed => {
+            member.doubt();
+            Err(AttemptEnd::Failed(reply))
+        }
         _ => Err(AttemptEnd::Final(reply)),
     }
 }
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -45,23 +45,35 @@
     Answer(StatementReply),
     /// Nothing ran, or it was a read: it may be sent again.
     Again(&'static str),
+    /// A read ran and failed.
+    FailedRead(StatementReply),
 }
 
 impl ProxyEngine {
     /// Serves a single write or strict read.
     pub(crate) async fn run_strict(&self, route: &RouteRule, job: &StatementJob) -> StatementReply {
         let group = self.group(&route.service);
+        let mut failed: Option<StatementReply> = None;
         loop {
+            let give_up = |failed: Option<StatementReply>, reason| {
+                // Where it has run, a refusal that says otherwise would not be true.
+                failed.unwrap_or_else(|| refuse(&group, job, reason, TransactionState::Idle))
+            };
             let start = match self.start_strict(&group, job, WaitingWork::StrictStatement).await {
                 Ok(start) => start,
-                Err(reason) => return refuse(&group, job, reason, TransactionState::Idle),
+                Err(reason) => return give_up(failed, reason),
             };
             let reason = match self.attempt(&group, job, start).await {
                 StrictEnd::Answer(reply) => return reply,
                 StrictEnd::Again(reason) => reason,
+                StrictEnd::FailedRead(reply) if failed.is_some() => return reply,
+                StrictEnd::FailedRead(reply) => {
+                    failed = Some(reply);
+                    "the read failed"
+                }
             };
             if job.wait_left() < AGAIN_PAUSE {
-                return refuse(&group, job, reason, TransactionState::Idle);
+                return give_up(failed, reason);
             }
             tokio::time::sleep(AGAIN_PAUSE).await;
         }
@@ -156,6 +168,9 @@
             link.close();
             StrictEnd::Again("the primary forgot a prepared statement")
         }
+        StatementError::Failed if job.effect == StatementEffect::Read => {
+            StrictEnd::FailedRead(reply)
+        }
         _ => StrictEnd::Answer(reply),
     }
 }
--- /dev/null
+++ b/crates/rudder-engine/src/session/tests/failing_member.rs
@@ -0,0 +1,206 @@
+//! A member that fails statements although it is well by all other signs.
+
+use crate::border::{
+    LinkError, MemberDialer, MemberLink, MemberTarget, PromotionCall, PromotionError,
+    PromotionOrder,
+};
+use crate::clock::boot_time;
+use crate::engine::ProxyEngine;
+use crate::fixtures::{SilentStore, identity, member_entry};
+use crate::group::MemberEntry;
+use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
+use crate::session::job::StatementJob;
+use crate::settings::{DatabaseName, RouteKind, RouteRule};
+use crate::statement::{
+    MemberCommand, RequestId, StatementBody, StatementEffect, StatementError, StatementOutcome,
+    StatementReply, TransactionState,
+};
+use async_trait::async_trait;
+use rudder_core::{LogStamp, LogTerm, MemberName, MemberStatus, ServiceName};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Members of which some fail statements.
+#[derive(Default)]
+struct GreyMembers {
+    /// Those that fail, each with how many statements it fails.
+    failing: Mutex<Vec<(MemberName, u32)>>,
+    /// Who was asked, in this order.
+    asked: Mutex<Vec<MemberName>>,
+}
+
+impl GreyMembers {
+    fn new(failing: &[(&str, u32)]) -> Arc<Self> {
+        let failing = failing.iter().map(|(name, count)| (member(name), *count)).collect();
+        Arc::new(Self { failing: Mutex::new(failing), asked: Mutex::default() })
+    }
+
+    fn asked(&self) -> Vec<String> {
+        let asked = self.asked.lock().expect("no holder panics");
+        asked.iter().map(ToString::to_string).collect()
+    }
+
+    fn outcome_at(&self, member: &MemberName) -> StatementOutcome {
+        self.asked.lock().expect("no holder panics").push(member.clone());
+        let mut failing = self.failing.lock().expect("no holder panics");
+        let left = failing.iter_mut().find(|(name, left)| name == member && *left > 0);
+        let Some((_, left)) = left else { return StatementOutcome::Done("proof".to_owned()) };
+        *left -= 1;
+        StatementOutcome::Error { error: StatementError::Failed, text: "it failed".to_owned() }
+    }
+}
+
+struct GreyDialer(Arc<GreyMembers>);
+
+struct GreyLink {
+    members: Arc<GreyMembers>,
+    member: MemberName,
+}
+
+#[async_trait]
+impl MemberDialer for GreyDialer {
+    async fn dial(&self, target: &MemberTarget) -> Result<Box<dyn MemberLink>, LinkError> {
+        let members = Arc::clone(&self.0);
+        Ok(Box::new(GreyLink { members, member: target.member.clone() }))
+    }
+
+    fn read_status(&self, _reply: &StatementReply) -> Option<MemberStatus> {
+        None
+    }
+}
+
+#[async_trait]
+impl MemberLink for GreyLink {
+    async fn send(&mut self, _commands: &[MemberCommand]) -> Result<(), LinkError> {
+        Ok(())
+    }
+
+    async fn receive(&mut self) -> Result<StatementReply, LinkError> {
+        let outcome = self.members.outcome_at(&self.member);
+        let (state, position) = (TransactionState::Idle, Some(position()));
+        Ok(StatementReply { rows: Vec::new(), outcome, state, position })
+    }
+}
+
+struct NoPromotion;
+
+#[async_trait]
+impl PromotionCall for NoPromotion {
+    async fn promote(&self, _order: &PromotionOrder) -> Result<(), PromotionError> {
+        Err(PromotionError::Rejected)
+    }
+}
+
+fn member(name: &str) -> MemberName {
+    name.parse().expect("a name")
+}
+
+fn service() -> ServiceName {
+    "records".parse().expect("a name")
+}
+
+fn position() -> LogStamp {
+    LogStamp::new(1, 7)
+}
+
+/// An instance before the primary `a` and the replicas `b` and `c`, all alike near.
+fn engine(members: &Arc<GreyMembers>) -> Arc<ProxyEngine> {
+    let borders = crate::identity::EngineBorders {
+        dialer: Arc::new(GreyDialer(Arc::clone(members))),
+        promotion: Arc::new(NoPromotion),
+        store: Arc::new(SilentStore),
+    };
+    let engine = ProxyEngine::new(identity("own"), borders);
+    let entries: Vec<MemberEntry> = ["a", "b", "c"].map(member_entry).into();
+    engine.apply_members(&entries, 1);
+    engine.set_listed(Some(boot_time()));
+    let now = boot_time();
+    engine.note_records_read(&[service()], now);
+    let phase = LeadPhase::Settled { primary: member("a"), term: LogTerm(1), base: None };
+    let record = LeadRecord { epoch: LeaderEpoch(1), mark: "m1".to_owned(), phase };
+    engine.observe(&service(), &record, now);
+    engine.group(&service()).note_peer_sample(LeaderEpoch(1), now, position());
+    engine
+}
+
+fn route(kind: RouteKind) -> RouteRule {
+    RouteRule {
+        database: DatabaseName("db".to_owned()),
+        service: service(),
+        kind,
+        statement_timeout: Duration::from_secs(5),
+        latency_target: Duration::from_secs(4),
+        priority: 1,
+    }
+}
+
+fn job(effect: StatementEffect, route: &RouteRule) -> StatementJob {
+    let id = RequestId("r1".to_owned());
+    let body = StatementBody::Text("READ x".to_owned());
+    StatementJob::new(id, body, effect, None, &[], route)
+}
+
+/// Guards against reads that fail for as long as the nearest member fails them.
+#[tokio::test]
+async fn a_read_that_fails_at_one_member_is_served_by_another() {
+    let members = GreyMembers::new(&[("a", 9)]);
+    let engine = engine(&members);
+    let route = route(RouteKind::Bounded(Duration::from_secs(60)));
+
+    let reply = engine.read_bounded(&route, &job(StatementEffect::Read, &route), None).await;
+
+    assert_eq!(reply.error(), None);
+    assert_eq!(members.asked(), ["a", "b"]);
+}
+
+/// Guards against a read that all members fail, and that is said not to have run.
+#[tokio::test]
+async fn a_read_that_fails_everywhere_is_tried_once_at_each_member_and_said_to_have_failed() {
+    let members = GreyMembers::new(&[("a", 9), ("b", 9), ("c", 9)]);
+    let engine = engine(&members);
+    let route = route(RouteKind::Bounded(Duration::from_secs(60)));
+
+    let reply = engine.read_bounded(&route, &job(StatementEffect::Read, &route), None).await;
+
+    assert_eq!(reply.error(), Some(&StatementError::Failed));
+    assert_eq!(members.asked(), ["a", "b", "c"]);
+}
+
+/// Guards against strict reads that fail with each mishap of the primary.
+#[tokio::test]
+async fn a_strict_read_that_failed_is_sent_once_more() {
+    let members = GreyMembers::new(&[("a", 1)]);
+    let engine = engine(&members);
+    let route = route(RouteKind::Strict);
+
+    let reply = engine.run_strict(&route, &job(StatementEffect::Read, &route)).await;
+
+    assert_eq!(reply.error(), None);
+    assert_eq!(members.asked(), ["a", "a"]);
+}
+
+/// Guards against a primary that fails all reads and gets each of them without end.
+#[tokio::test]
+async fn a_strict_read_that_failed_twice_is_answered_so() {
+    let members = GreyMembers::new(&[("a", 9)]);
+    let engine = engine(&members);
+    let route = route(RouteKind::Strict);
+
+    let reply = engine.run_strict(&route, &job(StatementEffect::Read, &route)).await;
+
+    assert_eq!(reply.error(), Some(&StatementError::Failed));
+    assert_eq!(members.asked(), ["a", "a"]);
+}
+
+/// Guards against a write that runs twice.
+#[tokio::test]
+async fn a_write_that_failed_is_not_sent_again() {
+    let members = GreyMembers::new(&[("a", 1)]);
+    let engine = engine(&members);
+    let route = route(RouteKind::Strict);
+
+    let reply = engine.run_strict(&route, &job(StatementEffect::Write, &route)).await;
+
+    assert_eq!(reply.error(), Some(&StatementError::Failed));
+    assert_eq!(members.asked(), ["a"]);
+}
--- /dev/null
+++ b/crates/rudder-engine/src/session/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of statements' way to a member.
+
+mod failing_member;
