An instance returns to its best source after a moment of silence

Cause: found in reading the change. After one answer that was late an instance asked the readers of other failure domains from then on, and was told by two of them twice a second, over the links that are dear.

Change: three seconds later it asks its own domain's reader again.

--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -30,6 +30,10 @@
 /// How often an instance that is told of the records asks to be told on.
 const SUBSCRIBE_GAP: Duration = Duration::from_millis(900);
 
+/// How long a source that was silent is not the first to be asked. A reader that is gone is not among
+/// the sources by then, and what comes over long links is paid for.
+const SILENCE_TIME: Duration = Duration::from_millis(3000);
+
 /// How long an instance that starts waits for its entry in the list before it reads the records: what
 /// was read before gives no lease. Three calls to the store and their round trips between regions.
 const ENTRY_WAIT: Duration = Duration::from_millis(400);
@@ -39,15 +43,25 @@
 
 /// Where an instance that is told of the records stands with its questions.
 #[derive(Debug, Default)]
-struct SourceState {
+pub(super) struct SourceState {
     asked_at: Option<Duration>,
-    /// How many sources in a row did not answer.
+    /// How many times in a row nobody answered in time, and when last.
     silent: usize,
+    silent_at: Duration,
 }
 
 impl SourceState {
-    /// Those to ask next: the source, and another one if it was silent.
-    fn receivers(&self, sources: &[SocketAddr]) -> Vec<SocketAddr> {
+    /// Takes in that those who were asked last had not answered by `now`.
+    pub(super) fn note_silence(&mut self, now: Duration) {
+        self.silent += 1;
+        self.silent_at = now;
+    }
+
+    /// Those to ask next: the best source, or for a while two others if it was silent.
+    pub(super) fn receivers(&mut self, sources: &[SocketAddr], now: Duration) -> Vec<SocketAddr> {
+        if now >= self.silent_at + SILENCE_TIME {
+            self.silent = 0;
+        }
         let count = if self.silent == 0 { 1 } else { 2 };
         let start = self.silent.checked_rem(sources.len()).unwrap_or(0);
         sources.iter().cycle().skip(start).take(count.min(sources.len())).copied().collect()
@@ -117,14 +131,16 @@
     let since_asked = state.asked_at.map(|at| boot_time().saturating_sub(at));
     let due = since_asked.is_none_or(|since| since >= SUBSCRIBE_GAP);
     if age >= patience || due {
-        let sources = state.receivers(&engine.membership().sources());
+        let sources = state.receivers(&engine.membership().sources(), boot_time());
         ask(engine, exchange, &sources, true).await;
         state.asked_at = Some(boot_time());
     }
     if age >= patience {
         tokio::time::sleep(ANSWER_WAIT).await;
         let told = unrenewed_time(engine) < patience;
-        state.silent = if told { state.silent } else { state.silent + 1 };
+        if !told {
+            state.note_silence(boot_time());
+        }
         return told;
     }
     let next_question = SUBSCRIBE_GAP.saturating_sub(since_asked.unwrap_or_default());
--- a/crates/rudder-engine/src/duty/tests/records.rs
+++ b/crates/rudder-engine/src/duty/tests/records.rs
@@ -2,7 +2,8 @@
 
 use super::fixture::{RecordStore, WriteFate, engine, first_record};
 use crate::clock::boot_time;
-use crate::duty::records::{records_age, unrenewed_time};
+use crate::duty::records::{SourceState, records_age, unrenewed_time};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Far above the time that a test takes between two lines.
@@ -43,3 +44,46 @@
 
     assert!(unrenewed_time(&engine) < MOMENT);
 }
+
+fn sources(count: u8) -> Vec<SocketAddr> {
+    (0..count).map(|host| SocketAddr::from(([10, 0, 0, host], 7440))).collect()
+}
+
+const NOW: Duration = Duration::from_secs(100);
+
+/// Guards against a failure domain that reads the store because its reader has just died.
+#[test]
+fn an_instance_whose_source_is_silent_asks_others() {
+    let mut state = SourceState::default();
+    let first = state.receivers(&sources(4), NOW);
+
+    state.note_silence(NOW);
+    let second = state.receivers(&sources(4), NOW);
+    state.note_silence(NOW);
+    let third = state.receivers(&sources(4), NOW);
+
+    let all = sources(4);
+    assert_eq!(first, [all[0]]);
+    assert_eq!(second, [all[1], all[2]]);
+    assert_eq!(third, [all[2], all[3]]);
+}
+
+/// Guards against a domain that goes on being told over long links after a moment of silence.
+#[test]
+fn an_instance_returns_to_its_best_source() {
+    let mut state = SourceState::default();
+    state.note_silence(NOW);
+
+    let later = state.receivers(&sources(4), NOW + Duration::from_secs(4));
+
+    assert_eq!(later, [sources(4)[0]]);
+}
+
+#[test]
+fn an_instance_that_knows_nobody_asks_nobody() {
+    let mut state = SourceState::default();
+    state.note_silence(NOW);
+
+    assert!(state.receivers(&[], NOW).is_empty());
+    assert_eq!(state.receivers(&sources(1), NOW), sources(1));
+}
--- a/crates/rudder-engine/src/store_snapshot/tests.rs
+++ b/crates/rudder-engine/src/store_snapshot/tests.rs
@@ -59,3 +59,41 @@
     assert_eq!(before, None);
     assert_eq!(word.confirmed_at(), Some(Duration::from_secs(5)));
 }
+
+/// Guards against an outage of the store that is filled with the calls of a whole fleet.
+#[test]
+fn an_instance_whose_peer_answers_waits_longer_for_its_word() {
+    let at = Duration::from_millis;
+    let (patience, longer) = (at(2700), at(5000));
+    let mut silent = StoreSnapshot::default();
+    silent.note_told(at(10_000));
+    let mut heard = silent.clone();
+    heard.note_heard(at(13_900));
+
+    assert!(silent.is_told(patience, longer, at(12_600)));
+    assert!(!silent.is_told(patience, longer, at(14_000)));
+    assert!(heard.is_told(patience, longer, at(14_000)));
+    assert!(!heard.is_told(patience, longer, at(15_000)), "not for ever");
+}
+
+/// Guards against an instance that never asks the store, as its peers know no more than it does.
+#[test]
+fn an_instance_that_was_never_told_asks_the_store() {
+    let mut snapshot = StoreSnapshot::default();
+    snapshot.note_heard(Duration::from_secs(10));
+
+    let told =
+        snapshot.is_told(Duration::from_secs(3), Duration::from_secs(5), Duration::from_secs(10));
+
+    assert!(!told);
+}
+
+/// Guards against members of long ago that take the place of those which peers told of.
+#[test]
+fn what_may_be_old_counts_only_where_nothing_is_known() {
+    let mut snapshot = StoreSnapshot::default();
+    let before = snapshot.is_blank();
+    snapshot.take_members(&[member_entry("a")], 7);
+
+    assert!(before && !snapshot.is_blank());
+}
