Each process writes its entry in the list anew, and one whose entry is gone leads no more

Cause: found in reading the change. A process that ends removes its entry on condition of its version, and the store may carry that out seconds later.

Change: the entry names the process, so that a successor writes it and the version moves on. An instance that is handed a later list which lacks it leads no more, and enters the list again.

Tests: a_process_that_starts_again_writes_its_entry_anew (the same version before), and an_entry_that_a_later_list_lacks_gives_no_lease. A restart costs one call more.

--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -45,6 +45,9 @@
     /// Whether others have not heard the instance for long, and it is to say whether it lives.
     #[serde(default)]
     marked: bool,
+    /// Tells the instance's process from its earlier and later ones; zero where it was marked.
+    #[serde(default)]
+    process: u64,
 }
 
 impl EntryRecord {
@@ -223,8 +226,12 @@
     entry: &PeerEntry,
     version: &ObjectVersion,
 ) -> Result<(), StoreError> {
-    let record =
-        EntryRecord { domain: entry.domain.clone(), peer_address: entry.address, marked: true };
+    let record = EntryRecord {
+        domain: entry.domain.clone(),
+        peer_address: entry.address,
+        marked: true,
+        process: 0,
+    };
     let spec = record.to_spec()?;
     let store = &engine.borders().store;
     let kind = ObjectKind::InstanceRecord;
@@ -252,13 +259,18 @@
     Ok(())
 }
 
-/// Writes this instance's entry, unless it stands there already; returns its version.
+/// Writes this instance's entry, also if an earlier process of it has left one there; returns its
+/// version.
+///
+/// Guards against the removal by that process, which may take effect seconds after it was sent: it
+/// names the version before, and would take this process out of the list without its knowledge.
 async fn write_entry(engine: &ProxyEngine) -> Result<ObjectVersion, StoreError> {
     let identity = engine.identity();
     let entry = EntryRecord {
         domain: identity.domain.clone(),
         peer_address: identity.peer_address,
         marked: false,
+        process: engine.process(),
     };
     let spec = entry.to_spec()?;
     let store = &engine.borders().store;
--- a/crates/rudder-engine/src/duty/tests/registry.rs
+++ b/crates/rudder-engine/src/duty/tests/registry.rs
@@ -36,3 +36,18 @@
     assert!(followed.is_err(), "the store refuses writes");
     assert_eq!(store.write_count(), 1);
 }
+
+/// Guards against a removal by an earlier process that takes the present one out of the list.
+#[tokio::test]
+async fn a_process_that_starts_again_writes_its_entry_anew() {
+    let store = RecordStore::new(&first_record(), &[WriteFate::Done]);
+    let earlier = engine(&store, None);
+    follow_list(&earlier).await.expect("the store takes it");
+    let left_behind = earlier.entry_version();
+
+    let later = engine(&store, None);
+    follow_list(&later).await.expect("the store takes it");
+
+    assert!(left_behind.is_some() && later.entry_version().is_some());
+    assert_ne!(later.entry_version(), left_behind);
+}
--- a/crates/rudder-engine/src/engine/fleet.rs
+++ b/crates/rudder-engine/src/engine/fleet.rs
@@ -75,7 +75,14 @@
         }
         if let Some(EntriesCopy { entries, read: Some(read) }) = copy.entries {
             log::info!(instances = entries.len(); "the list of instances was had from a peer");
-            self.membership.set_entries(entries, read.since(asked_at));
+            let read_at = read.since(asked_at);
+            let own = &self.identity.name;
+            if !entries.iter().any(|entry| entry.instance == *own)
+                && lock(&self.own_entry).miss(read_at)
+            {
+                log::warn!(instance:% = own; "this instance is gone from the list");
+            }
+            self.membership.set_entries(entries, read_at);
         }
     }
 
--- a/crates/rudder-engine/src/own_entry.rs
+++ b/crates/rudder-engine/src/own_entry.rs
@@ -51,6 +51,18 @@
         self.listed_at = self.listed_at.map(|known| known.max(listed_at));
     }
 
+    /// Takes in that a list which the store had at `read_at` lacks the entry; returns whether it stood
+    /// before.
+    ///
+    /// Guards against an instance that leads on an entry which is gone, as nobody shows it the list.
+    pub(crate) fn miss(&mut self, read_at: Duration) -> bool {
+        let gone = self.listed_at.is_some() && read_at > self.entered_by;
+        if gone {
+            self.hide();
+        }
+        gone
+    }
+
     /// Whether the list was last known to show the entry longer than `time` ago, or not at all.
     pub(crate) fn is_unconfirmed_for(&self, time: Duration, now: Duration) -> bool {
         !self.left && self.listed_at.is_none_or(|at| now >= at + time)
--- a/crates/rudder-engine/src/own_entry/tests.rs
+++ b/crates/rudder-engine/src/own_entry/tests.rs
@@ -72,3 +72,18 @@
     assert!(!entered);
     assert!(!entry.may_lead_by(ms(5040), ms(5050)));
 }
+
+/// Guards against an instance that leads on an entry which somebody has removed.
+#[test]
+fn an_entry_that_a_later_list_lacks_gives_no_lease() {
+    let second = Duration::from_secs;
+    let mut entry = OwnEntry::default();
+    entry.show(second(10), second(11));
+
+    let older = entry.miss(second(11));
+    let stood = entry.may_lead_by(second(12), second(13));
+    let later = entry.miss(second(14));
+
+    assert!(!older && stood, "a list of before the entry says nothing");
+    assert!(later && !entry.may_lead_by(second(15), second(15)));
+}
