Members of a cached list give way to any list of the store; answers are taken by the records that they are of

Cause: both found in reading the change. A list that may be old was kept under the revision that came with it; had that been the store's present one, copies of peers would have been refused as older, and members of long ago stayed. And an answer that leaves the records out was matched with those known here in two steps, between which they may change where the engine runs on several threads.

Change: a cached list has the least version. The records that are known are read once, and compared with the answer's digest.

Test: what_may_be_old_gives_way_to_any_list_of_the_store. The second has no test of its own; the users' platform runs the engine on one thread.

--- a/crates/rudder-engine/src/duty/answers.rs
+++ b/crates/rudder-engine/src/duty/answers.rs
@@ -33,7 +33,7 @@
 ) {
     engine.membership().questions().note_question(question, boot_time());
     let instance = engine.identity().name.clone();
-    let digest = engine.records_digest();
+    let digest = digest_of(&engine.known_records());
     let question = RecordsQuestion { instance, question, digest, subscribes };
     exchange.send_all(&PeerMessage::Ask(question), receivers).await;
 }
@@ -79,9 +79,8 @@
     let groups = engine.groups();
     let known: Vec<(RecordCopy, RecordTiming)> =
         groups.iter().filter_map(|group| copy_record(group, received_at)).collect();
-    let versions = known.iter().map(|(copy, _)| (&copy.service, copy.record.epoch));
-    let digest = RecordsDigest::of(versions);
-    let (records, timings) = known.into_iter().unzip();
+    let (records, timings): (Vec<_>, _) = known.into_iter().unzip();
+    let digest = digest_of(&records);
     let (entries, entries_at) = engine.membership().entries_version();
     RecordsAnswer {
         instance: engine.identity().name.clone(),
@@ -101,6 +100,10 @@
     }
 }
 
+fn digest_of(records: &[RecordCopy]) -> RecordsDigest {
+    RecordsDigest::of(records.iter().map(|copy| (&copy.service, copy.record.epoch)))
+}
+
 fn copy_record(group: &ServiceGroup, received_at: Duration) -> Option<(RecordCopy, RecordTiming)> {
     let (leases, newest) = group.knowledge();
     let record = leases.record()?.clone();
@@ -143,12 +146,11 @@
     let read = answer.entries_read.map(moment);
     let lists = read.is_some_and(|at| engine.membership().renew_entries(answer.entries, at));
     catch_up_if_behind(engine, answer.version, lists.then_some(from));
-    let records = match answer.records {
-        Some(records) => records,
-        None if answer.digest == engine.records_digest() => engine.known_records(),
+    let records = answer.records.unwrap_or_else(|| engine.known_records());
+    if digest_of(&records) != answer.digest {
         // The versions changed here meanwhile; the next question names them.
-        None => return renewed,
-    };
+        return renewed;
+    }
     if records.len() != answer.timings.len() {
         log::warn!(instance:% = answer.instance; "an answer of a peer is incomplete");
         return renewed;
--- a/crates/rudder-engine/src/engine/fleet.rs
+++ b/crates/rudder-engine/src/engine/fleet.rs
@@ -53,10 +53,11 @@
         }
     }
 
-    /// Takes in members that the store may have had so some seconds ago, if none are known yet.
-    pub fn apply_cached_members(&self, entries: &[MemberEntry], revision: u64) {
+    /// Takes in members that the store may have had so some seconds ago, if none are known yet. Any
+    /// list that a peer has from the store is newer, whatever revision this one claims.
+    pub fn apply_cached_members(&self, entries: &[MemberEntry]) {
         let mut snapshot = lock(&self.store_snapshot);
-        let changed = snapshot.is_blank() && snapshot.take_members(entries, revision);
+        let changed = snapshot.is_blank() && snapshot.take_members(entries, 0);
         drop(snapshot);
         if changed {
             self.spread_members(entries, "cache");
--- a/crates/rudder-engine/src/engine/leadership.rs
+++ b/crates/rudder-engine/src/engine/leadership.rs
@@ -4,7 +4,7 @@
 use crate::clock::boot_time;
 use crate::group::ServiceGroup;
 use crate::lead::{LeadRecord, LeaderEpoch};
-use crate::peers::{RecordCopy, RecordsDigest};
+use crate::peers::RecordCopy;
 use crate::records_status::RecordsStatus;
 use crate::sync::lock;
 use rudder_core::ServiceName;
@@ -80,16 +80,6 @@
         self.groups().into_iter().filter_map(copy).collect()
     }
 
-    /// Which versions of the records are known.
-    pub(crate) fn records_digest(&self) -> RecordsDigest {
-        let groups = self.groups();
-        let version = |group: &Arc<ServiceGroup>| {
-            group.with_leases(|leases| leases.record().map(|record| record.epoch))
-        };
-        let versions = groups.iter().filter_map(|group| Some((group.service(), version(group)?)));
-        RecordsDigest::of(versions)
-    }
-
     /// What is known of the records as a whole.
     pub(crate) fn records_status(&self) -> RecordsStatus {
         lock(&self.records_status).clone()
--- a/crates/rudder-engine/src/store_snapshot/tests.rs
+++ b/crates/rudder-engine/src/store_snapshot/tests.rs
@@ -88,12 +88,18 @@
     assert!(!told);
 }
 
-/// Guards against members of long ago that take the place of those which peers told of.
+/// Guards against members of long ago that stay in place of those which peers have from the store.
 #[test]
-fn what_may_be_old_counts_only_where_nothing_is_known() {
+fn what_may_be_old_gives_way_to_any_list_of_the_store() {
     let mut snapshot = StoreSnapshot::default();
     let before = snapshot.is_blank();
-    snapshot.take_members(&[member_entry("a")], 7);
+    snapshot.take_members(&[member_entry("old")], 0);
+    let mut peer = StoreSnapshot::default();
+    peer.take_members(&[member_entry("new")], 1);
 
-    assert!(before && !snapshot.is_blank());
+    let (members, version) = peer.members();
+    let changed = snapshot.take_copy(members, version);
+
+    assert!(before && changed);
+    assert_eq!(snapshot.members().0, [member_entry("new")]);
 }
