--- /dev/null
+++ b/crates/rudder-engine/src/peers/tests/message.rs
@@ -0,0 +1,72 @@
+//! How large messages between instances are.
+
+use crate::peers::{
+    CopyVersion, EntriesDigest, PeerHeartbeat, PeerMessage, QuestionOffset, RecordTiming,
+    RecordsAnswer, RecordsDigest, SampleCopy,
+};
+use rudder_core::LogStamp;
+use std::time::Duration;
+
+/// The longest datagram that is sent.
+const DATAGRAM_MAX: usize = 16_384;
+
+fn offset(ms: u64) -> Option<QuestionOffset> {
+    QuestionOffset::of(Duration::from_millis(100_000 + ms), Duration::from_millis(100_000))
+}
+
+/// An answer to an instance that knows the records of so many services.
+fn answer(services: usize) -> PeerMessage {
+    let sample = SampleCopy { stamp: LogStamp::new(3, 120_000), sent: offset(400) };
+    let timing = RecordTiming { confirmed: offset(450), anchor: offset(450), sample: Some(sample) };
+    PeerMessage::Records(RecordsAnswer {
+        instance: "frontend-johannesburg-a-17".parse().expect("a name"),
+        question: u64::MAX,
+        listed: offset(0),
+        read: offset(450),
+        version: CopyVersion::default(),
+        current: offset(300),
+        entries: EntriesDigest::default(),
+        entries_read: offset(0),
+        confirms: true,
+        digest: RecordsDigest::default(),
+        timings: vec![timing; services],
+        records: None,
+    })
+}
+
+fn size(message: &PeerMessage) -> usize {
+    postcard::to_stdvec(message).expect("a message is written").len()
+}
+
+/// Guards against word of the records that fills the links of a large fleet.
+#[test]
+fn an_answer_is_some_hundred_bytes_at_twenty_services() {
+    let bytes = size(&answer(20));
+
+    assert!(bytes < 400, "{bytes}");
+}
+
+/// Guards against a fleet that hears nothing of its records, as the datagram is too long.
+#[test]
+fn an_answer_of_all_planned_services_fits_a_datagram() {
+    let bytes = size(&answer(780));
+
+    assert!(bytes < DATAGRAM_MAX, "{bytes}");
+}
+
+#[test]
+fn a_heartbeat_is_short() {
+    let heartbeat = PeerHeartbeat {
+        instance: "frontend-johannesburg-a-17".parse().expect("a name"),
+        process: u64::MAX,
+        domain: "johannesburg-a".parse().expect("a name"),
+        version: CopyVersion::default(),
+        turned_away: false,
+        leaving: false,
+        doubts: Vec::new(),
+    };
+
+    let bytes = size(&PeerMessage::Heartbeat(heartbeat));
+
+    assert!(bytes < 100, "{bytes}");
+}
