A failed read is not logged as refused; digests and copies are made once, where they are needed

A read that failed at every member was answered as failed and yet logged as refused and not run, which would mislead whoever explains it. The digest of the list of instances was worked out anew for each subscriber and each answer, in the path that runs twice a second for a whole domain; it is kept beside the list. A copy for a peer cloned all members and instances before it was known whether the peer lacks them. The number of known instances was worked out for answers that are not counted.

--- a/crates/rudder-engine/src/duty/answers.rs
+++ b/crates/rudder-engine/src/duty/answers.rs
@@ -160,7 +160,7 @@
         && answer.confirms
         && engine.has_read_records()
         && engine.membership().has_entry(&engine.identity().name);
-    let instances = engine.membership().known_count();
+    let instances = if counts { engine.membership().known_count() } else { 0 };
     for (copy, timing) in records.iter().zip(&answer.timings) {
         let confirmed_at = timing.confirmed.map_or(Duration::ZERO, moment);
         renewed |= engine.observe(&copy.service, &copy.record, confirmed_at);
--- a/crates/rudder-engine/src/duty/heartbeat.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -135,8 +135,8 @@
         tokio::spawn(async move {
             let epoch = stop_answering(&engine, &service).await;
             let instance = engine.identity().name.clone();
-            let word = StopNotice { instance, service, epoch };
-            exchange.send(&PeerMessage::Stopped(word), from).await;
+            let notice = StopNotice { instance, service, epoch };
+            exchange.send(&PeerMessage::Stopped(notice), from).await;
         });
     } else if engine.membership().is_reader() {
         // A datagram does not say how old it is; a question's answer does.
--- a/crates/rudder-engine/src/engine/fleet.rs
+++ b/crates/rudder-engine/src/engine/fleet.rs
@@ -3,9 +3,7 @@
 use super::ProxyEngine;
 use crate::clock::boot_time;
 use crate::group::MemberEntry;
-use crate::peers::{
-    CopyRequest, CopyVersion, EntriesCopy, EntriesDigest, FleetCopy, MembersCopy, QuestionOffset,
-};
+use crate::peers::{CopyRequest, CopyVersion, EntriesCopy, FleetCopy, MembersCopy, QuestionOffset};
 use crate::settings::FleetSettings;
 use crate::sync::lock;
 use rudder_core::ServiceName;
@@ -90,20 +88,18 @@
     /// What this instance knows of the store's word beyond a peer's request.
     pub(crate) fn fleet_copy(&self, request: CopyRequest, received_at: Duration) -> FleetCopy {
         let settings = self.settings().filter(|known| known.version > request.version.settings);
-        let (members, version) = {
+        let members = {
             let snapshot = lock(&self.store_snapshot);
             let (members, version) = snapshot.members();
-            (members.to_vec(), version)
+            let newer = version > request.version.members;
+            newer.then(|| MembersCopy { members: members.to_vec(), version })
         };
-        let (entries, read_at) = self.membership.entries();
-        let read = QuestionOffset::of(read_at, received_at);
-        let newer = EntriesDigest::of(&entries) != request.entries;
-        FleetCopy {
-            settings: settings.map(|settings| settings.as_ref().clone()),
-            members: (version > request.version.members)
-                .then_some(MembersCopy { members, version }),
-            entries: newer.then_some(EntriesCopy { entries, read }),
-        }
+        let newer = self.membership.entries_version().0 != request.entries;
+        let entries = newer.then(|| {
+            let (entries, read_at) = self.membership.entries();
+            EntriesCopy { entries, read: QuestionOffset::of(read_at, received_at) }
+        });
+        FleetCopy { settings: settings.map(|settings| settings.as_ref().clone()), members, entries }
     }
 
     /// What this instance knows already.
--- a/crates/rudder-engine/src/peers/digest.rs
+++ b/crates/rudder-engine/src/peers/digest.rs
@@ -25,9 +25,15 @@
 }
 
 /// Tells whether two instances know the same list of instances.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct EntriesDigest(u64);
 
+impl Default for EntriesDigest {
+    fn default() -> Self {
+        Self::of(&[])
+    }
+}
+
 impl EntriesDigest {
     /// The digest of entries that are sorted by instance.
     pub(crate) fn of(entries: &[PeerEntry]) -> Self {
--- a/crates/rudder-engine/src/peers/membership.rs
+++ b/crates/rudder-engine/src/peers/membership.rs
@@ -59,6 +59,7 @@
             if entries.iter().any(|entry| entry.instance == self.own) {
                 state.contacts.clear();
             }
+            state.digest = EntriesDigest::of(&entries);
             state.entries = entries;
             state.entries_at = read_at;
         }
@@ -78,7 +79,7 @@
     /// When the store had the list of instances so, and which list that is.
     pub(crate) fn entries_version(&self) -> (EntriesDigest, Duration) {
         let state = self.state();
-        (EntriesDigest::of(&state.entries), state.entries_at)
+        (state.digest, state.entries_at)
     }
 
     /// Takes in a peer's word that the store had the list `digest` at `read_at`; returns whether that
@@ -88,7 +89,7 @@
         if read_at <= state.entries_at {
             return false;
         }
-        let same = digest == EntriesDigest::of(&state.entries);
+        let same = digest == state.digest;
         if same {
             state.entries_at = read_at;
         }
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -15,7 +15,7 @@
 mod readers;
 mod subscribers;
 
-pub(crate) use digest::{EntriesDigest, RecordsDigest};
+pub(crate) use digest::RecordsDigest;
 pub(crate) use entries::{EntryLedger, EntryVerdict, LISTED_LIFE};
 pub(crate) use exchange::PeerExchange;
 pub(crate) use fleet_copy::{
--- a/crates/rudder-engine/src/peers/tests/message.rs
+++ b/crates/rudder-engine/src/peers/tests/message.rs
@@ -1,8 +1,9 @@
 //! How large messages between instances are.
 
+use crate::peers::digest::EntriesDigest;
 use crate::peers::{
-    CopyVersion, EntriesDigest, PeerHeartbeat, PeerMessage, QuestionOffset, RecordTiming,
-    RecordsAnswer, RecordsDigest, SampleCopy,
+    CopyVersion, PeerHeartbeat, PeerMessage, QuestionOffset, RecordTiming, RecordsAnswer,
+    RecordsDigest, SampleCopy,
 };
 use rudder_core::LogStamp;
 use std::time::Duration;
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -136,7 +136,10 @@
             let mut members = order_members(&group.members(), &place);
             members.retain(|member| !tried.contains(member.name()));
             if members.is_empty() {
-                if failed.is_some() || job.wait_left() < ROUND_PAUSE {
+                if let Some(reply) = failed.take() {
+                    return Err(reply.into());
+                }
+                if job.wait_left() < ROUND_PAUSE {
                     return Err(refused(&group, reason));
                 }
                 tokio::time::sleep(ROUND_PAUSE).await;
--- a/crates/rudder-engine/src/store_snapshot/tests.rs
+++ b/crates/rudder-engine/src/store_snapshot/tests.rs
@@ -62,7 +62,7 @@
 
 /// Guards against an outage of the store that is filled with the calls of a whole fleet.
 #[test]
-fn an_instance_whose_peer_answers_waits_longer_for_its_word() {
+fn an_instance_whose_peer_answers_waits_longer() {
     let at = Duration::from_millis;
     let (patience, longer) = (at(2700), at(5000));
     let mut silent = StoreSnapshot::default();
