--- a/crates/arbutusrudder/tests/soak/world.rs
+++ b/crates/arbutusrudder/tests/soak/world.rs
@@ -100,7 +100,8 @@
 
     fn change_settings(&self) {
         let version = self.settings.fetch_add(3, Ordering::Relaxed) + 3;
-        let database = |name: &str, kind| LineDatabase { name: name.to_owned(), kind };
+        let database =
+            |name: &str, kind| LineDatabase { name: name.to_owned(), kind, public: false };
         self.fleet.publish_settings(
             version,
             &[
--- a/crates/rudder-core/src/ident.rs
+++ b/crates/rudder-core/src/ident.rs
@@ -26,6 +26,10 @@
     /// A failure domain (zone).
     DomainName
 }
+name_type! {
+    /// A client account, to which keys and a limit belong.
+    AccountName
+}
 name_type! {
     /// A kind of caller (customer), to which limits and staleness bounds are given.
     CallerKind
--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -26,7 +26,9 @@
 pub use history::{
     HistoryFault, HistoryLog, ReadRecord, StoredValue, WriteOutcome, WriteRecord, check_history,
 };
-pub use ident::{CallerKind, DomainName, InstanceName, MemberName, RequestKey, ServiceName};
+pub use ident::{
+    AccountName, CallerKind, DomainName, InstanceName, MemberName, RequestKey, ServiceName,
+};
 pub use outcome::{OutcomeClass, RefusalNotice};
 pub use session::{SessionFloor, SessionId, SessionToken};
 pub use stamp::{LogPosition, LogStamp, LogTerm};
--- a/crates/rudder-engine/src/border.rs
+++ b/crates/rudder-engine/src/border.rs
@@ -3,7 +3,7 @@
 use crate::statement::{MemberCommand, StatementError, StatementReply};
 use async_trait::async_trait;
 use displaydoc::Display;
-use rudder_core::{MemberName, MemberStatus, ServiceName, plain_data};
+use rudder_core::{AccountName, MemberName, MemberStatus, ServiceName, plain_data};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -51,8 +51,13 @@
 /// Opens connections to members.
 #[async_trait]
 pub trait MemberDialer: Send + Sync {
-    /// Opens a connection and waits until the member has accepted it.
-    async fn dial(&self, target: &MemberTarget) -> Result<Box<dyn MemberLink>, LinkError>;
+    /// Opens a connection in the name of a client account, or of this instance, and waits until the
+    /// member has accepted it.
+    async fn dial(
+        &self,
+        target: &MemberTarget,
+        account: Option<&AccountName>,
+    ) -> Result<Box<dyn MemberLink>, LinkError>;
 
     /// What a member said of itself in its answer to [`MemberCommand::Status`].
     fn read_status(&self, reply: &StatementReply) -> Option<MemberStatus>;
--- a/crates/rudder-engine/src/duty/control.rs
+++ b/crates/rudder-engine/src/duty/control.rs
@@ -2,7 +2,7 @@
 
 use crate::border::{LinkError, MemberLink};
 use crate::engine::ProxyEngine;
-use crate::group::{AcquireError, GroupMember};
+use crate::group::{AcquireError, GroupMember, LinkRequest, LinkUser};
 use crate::statement::{MemberCommand, StatementError, StatementReply};
 use rudder_core::{LogTerm, MemberName, MemberStatus, plain_data};
 use std::time::Duration;
@@ -71,7 +71,7 @@
     engine: &ProxyEngine,
     member: &GroupMember,
 ) -> Result<Box<dyn MemberLink>, LinkError> {
-    let dial = engine.borders().dialer.dial(member.pool().target());
+    let dial = engine.borders().dialer.dial(member.pool().target(), None);
     tokio::time::timeout(STATUS_LIMIT, dial).await.unwrap_or(Err(LinkError::Silent))
 }
 
@@ -95,7 +95,8 @@
     command: MemberCommand,
 ) -> Result<StatementReply, LinkError> {
     let talk = async {
-        let acquired = member.pool().acquire(FIRST, STATUS_LIMIT).await;
+        let request = LinkRequest { user: LinkUser::Control, rank: FIRST };
+        let acquired = member.pool().acquire(&request, STATUS_LIMIT).await;
         let mut link = acquired.map_err(|error| match error {
             AcquireError::WaitOver => LinkError::Silent,
             AcquireError::Down(reason) => reason,
--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -11,7 +11,9 @@
 use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
 use crate::statement::{MemberCommand, StatementReply, TransactionState};
 use async_trait::async_trait;
-use rudder_core::{LogPosition, LogStamp, LogTerm, MemberName, MemberRole, MemberStatus};
+use rudder_core::{
+    AccountName, LogPosition, LogStamp, LogTerm, MemberName, MemberRole, MemberStatus,
+};
 use rudder_store::{
     InstanceEntry, ObjectKind, ObjectVersion, PlatformStore, StoreError, StoredObject,
 };
@@ -223,7 +225,11 @@
 
 #[async_trait]
 impl MemberDialer for FakeBorders {
-    async fn dial(&self, target: &MemberTarget) -> Result<Box<dyn MemberLink>, LinkError> {
+    async fn dial(
+        &self,
+        target: &MemberTarget,
+        _account: Option<&AccountName>,
+    ) -> Result<Box<dyn MemberLink>, LinkError> {
         let group = self.0.clone().ok_or(LinkError::Silent)?;
         group.dials.fetch_add(1, Ordering::Relaxed);
         Ok(Box::new(StatusLink { group, member: target.member.clone(), asked: 0 }))
--- a/crates/rudder-engine/src/duty/watch.rs
+++ b/crates/rudder-engine/src/duty/watch.rs
@@ -110,7 +110,7 @@
 ) -> Result<Option<LogStamp>, LinkError> {
     let talk = async {
         if link.is_none() {
-            let dialed = engine.borders().dialer.dial(member.pool().target()).await?;
+            let dialed = engine.borders().dialer.dial(member.pool().target(), None).await?;
             *link = Some(WatchLink { member: member.name().clone(), link: dialed });
         }
         let Some(open) = link.as_mut() else { return Ok(None) };
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -10,11 +10,11 @@
 use crate::peers::MembershipView;
 use crate::records_status::RecordsStatus;
 use crate::session::CallerSession;
-use crate::settings::{DatabaseName, FleetSettings, RouteRule, SettingsVersion};
+use crate::settings::{DatabaseName, FleetSettings, KeyDigest, RouteRule, SettingsVersion};
 use crate::statement::StatementError;
 use crate::store_snapshot::StoreSnapshot;
 use crate::sync::lock;
-use rudder_core::{InstanceName, ServiceName};
+use rudder_core::{AccountName, InstanceName, ServiceName, plain_data};
 use rudder_store::ObjectVersion;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
@@ -32,6 +32,15 @@
 /// Idle time of transactions before the settings say it.
 const TRANSACTION_IDLE: Duration = Duration::from_secs(3);
 
+plain_data! {
+    /// What a caller may use.
+    pub(crate) struct RouteAccess {
+        pub(crate) route: Arc<RouteRule>,
+        /// The client account of the caller's key; none on public routes and where there are none.
+        pub(crate) account: Option<AccountName>,
+    }
+}
+
 /// One instance of the proxy.
 pub struct ProxyEngine {
     identity: InstanceIdentity,
@@ -139,8 +148,23 @@
         self.settings.borrow().clone()
     }
 
-    pub(crate) fn route(&self, database: &DatabaseName) -> Option<Arc<RouteRule>> {
-        self.settings.borrow().as_ref()?.route(database).cloned()
+    /// What the settings in force allow to the holder of a key.
+    pub(crate) fn access(
+        &self,
+        database: &DatabaseName,
+        key: &KeyDigest,
+    ) -> Result<RouteAccess, StatementError> {
+        let settings = self.settings.borrow();
+        let settings = settings.as_ref().ok_or(StatementError::Busy)?;
+        let route = settings.route(database).ok_or(StatementError::NoDatabase)?;
+        let account = match &settings.accounts {
+            Some(accounts) if !route.is_public => {
+                let rule = accounts.holder(key).ok_or(StatementError::Unauthorized)?;
+                Some(rule.name.clone())
+            }
+            Some(_) | None => None,
+        };
+        Ok(RouteAccess { route: Arc::clone(route), account })
     }
 
     pub(crate) fn transaction_idle(&self) -> Duration {
@@ -196,21 +220,23 @@
     /// # Errors
     ///
     /// [`StatementError::NoDatabase`] if the settings know no such database,
+    /// [`StatementError::Unauthorized`] if no client account has the key,
     /// [`StatementError::Busy`] if there are no settings yet.
     pub async fn open_session(
         self: &Arc<Self>,
         database: DatabaseName,
+        key: KeyDigest,
     ) -> Result<CallerSession, StatementError> {
         let mut settings = self.settings.subscribe();
         let known = settings.wait_for(Option::is_some);
         match tokio::time::timeout(FIRST_SETTINGS_WAIT, known).await {
-            Ok(Ok(settings)) => {
-                if settings.as_ref().is_none_or(|settings| settings.route(&database).is_none()) {
-                    return Err(StatementError::NoDatabase);
-                }
-            }
+            Ok(Ok(_)) => {}
             Ok(Err(_)) | Err(_) => return Err(StatementError::Busy),
         }
-        Ok(CallerSession::new(Arc::clone(self), database))
+        if let Err(error) = self.access(&database, &key) {
+            log::info!(database:% = database, reason:% = error; "a session was refused");
+            return Err(error);
+        }
+        Ok(CallerSession::new(Arc::clone(self), database, key))
     }
 }
--- a/crates/rudder-engine/src/group/acquire.rs
+++ b/crates/rudder-engine/src/group/acquire.rs
@@ -6,7 +6,7 @@
 //! the queues of all that may serve it, and takes the first connection that it is given.
 
 use super::link::PooledLink;
-use super::pool::{ConnectionGrant, MemberPool, OpenPlace, QueuePlace, QueueRequest};
+use super::pool::{ConnectionGrant, LinkRequest, MemberPool, OpenPlace, QueuePlace, QueueRequest};
 use crate::border::LinkError;
 use crate::statement::StatementError;
 use displaydoc::Display;
@@ -44,8 +44,12 @@
 }
 
 impl OpenChoice {
-    fn join(&mut self, rank: u8) {
-        let request = QueueRequest { rank, kept_free: self.choice.kept_free, turn: self.turn };
+    fn join(&mut self, request: &LinkRequest) {
+        let request = QueueRequest {
+            link: request.clone(),
+            kept_free: self.choice.kept_free,
+            turn: self.turn,
+        };
         let place = self.choice.pool.join_queue(request);
         self.turn = Some(place.turn);
         self.place = Some(place);
@@ -69,11 +73,11 @@
     /// Takes a connection to this member; the least rank goes first among those that wait.
     pub(crate) async fn acquire(
         self: &Arc<Self>,
-        rank: u8,
+        request: &LinkRequest,
         wait: Duration,
     ) -> Result<PooledLink, AcquireError> {
         let choice = PoolChoice { pool: Arc::clone(self), kept_free: 0 };
-        acquire_any(&[choice], rank, wait).await.map(|(_, link)| link)
+        acquire_any(&[choice], request, wait).await.map(|(_, link)| link)
     }
 }
 
@@ -81,7 +85,7 @@
 /// is liked best. Returns it with the index of its member.
 pub(crate) async fn acquire_any(
     choices: &[PoolChoice],
-    rank: u8,
+    request: &LinkRequest,
     wait: Duration,
 ) -> Result<(usize, PooledLink), AcquireError> {
     let give_up = Instant::now() + wait;
@@ -99,14 +103,15 @@
         .collect();
     while !open.is_empty() {
         let left = give_up.saturating_duration_since(Instant::now());
-        let Ok((at, grant)) = tokio::time::timeout(left, first_grant(&mut open, rank)).await else {
+        let Ok((at, grant)) = tokio::time::timeout(left, first_grant(&mut open, request)).await
+        else {
             return Err(AcquireError::WaitOver);
         };
         let place = match grant {
             ConnectionGrant::Link(link) => return Ok((open[at].index, link)),
             ConnectionGrant::Dial(place) => place,
         };
-        match dial_at(&mut open, at, place).await {
+        match dial_at(&mut open, at, place, request).await {
             Ok(link) => return Ok((open[at].index, link)),
             Err(LinkError::Refused(StatementError::ConnectionLimit)) => {}
             Err(error) => {
@@ -124,18 +129,19 @@
     open: &mut [OpenChoice],
     at: usize,
     place: OpenPlace,
+    request: &LinkRequest,
 ) -> Result<PooledLink, LinkError> {
     for choice in open.iter_mut() {
         choice.place = None;
     }
-    open[at].choice.pool.dial(place).await
+    open[at].choice.pool.dial(place, request.user.account()).await
 }
 
 /// Joins the queues one after the other until a connection is granted, and then waits in all.
-async fn first_grant(open: &mut [OpenChoice], rank: u8) -> (usize, ConnectionGrant) {
+async fn first_grant(open: &mut [OpenChoice], request: &LinkRequest) -> (usize, ConnectionGrant) {
     for (at, choice) in open.iter_mut().enumerate() {
         if choice.place.is_none() {
-            choice.join(rank);
+            choice.join(request);
         }
         if let Some(grant) = choice.granted_now() {
             return (at, grant);
--- a/crates/rudder-engine/src/group/link.rs
+++ b/crates/rudder-engine/src/group/link.rs
@@ -4,6 +4,7 @@
 use super::pool::MemberPool;
 use crate::border::{LinkError, MemberLink};
 use crate::statement::{MemberCommand, StatementReply, TransactionState};
+use rudder_core::AccountName;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -22,22 +23,32 @@
 pub(crate) struct PooledLink {
     pool: Arc<MemberPool>,
     link: Option<Box<dyn MemberLink>>,
+    /// The client account that the member takes its work for; none for this instance's own.
+    account: Option<AccountName>,
     session: LinkSession,
     state: TransactionState,
     /// Whether an answer is awaited.
     busy: bool,
     used_at: Instant,
+    /// Whether the pool counts it as open.
+    counted: bool,
 }
 
 impl PooledLink {
-    pub(crate) fn new(pool: Arc<MemberPool>, link: Box<dyn MemberLink>) -> Self {
+    pub(crate) fn new(
+        pool: Arc<MemberPool>,
+        link: Box<dyn MemberLink>,
+        account: Option<AccountName>,
+    ) -> Self {
         Self {
             pool,
             link: Some(link),
+            account,
             session: LinkSession::default(),
             state: TransactionState::Idle,
             busy: false,
             used_at: Instant::now(),
+            counted: true,
         }
     }
 
@@ -45,6 +56,11 @@
         &self.pool
     }
 
+    /// The client account that the member takes its work for.
+    pub(crate) fn account(&self) -> Option<&AccountName> {
+        self.account.as_ref()
+    }
+
     pub(crate) fn session(&self) -> &LinkSession {
         &self.session
     }
@@ -125,22 +141,32 @@
     pub(crate) fn close(mut self) {
         self.link = None;
     }
+
+    /// Closes the connection; another one is opened in its place.
+    pub(super) fn replace(mut self) {
+        self.link = None;
+        self.counted = false;
+    }
 }
 
 impl Drop for PooledLink {
     fn drop(&mut self) {
         let reusable = self.is_reusable();
         let Some(link) = self.link.take().filter(|_| reusable) else {
-            self.pool.forget_one();
+            if self.counted {
+                self.pool.forget_one();
+            }
             return;
         };
         MemberPool::give_back(Self {
             pool: Arc::clone(&self.pool),
             link: Some(link),
+            account: self.account.take(),
             session: std::mem::take(&mut self.session),
             state: TransactionState::Idle,
             busy: false,
             used_at: self.used_at,
+            counted: true,
         });
     }
 }
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -11,6 +11,7 @@
 use crate::border::{LinkError, MemberDialer, MemberTarget};
 use crate::statement::StatementError;
 use crate::sync::lock;
+use rudder_core::AccountName;
 use rudder_decisions::{ConnectionShare, DialFailure, DialGate, WaitQueue};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -44,6 +45,16 @@
 }
 
 impl PoolState {
+    /// Counts in a connection that is to be opened; returns the one that must be closed for it, which
+    /// is the one that was idle for longest.
+    fn make_room(&mut self) -> Option<PooledLink> {
+        if self.open >= self.limit && !self.idle.is_empty() {
+            return Some(self.idle.remove(0));
+        }
+        self.open += 1;
+        None
+    }
+
     /// How many connections could be had at once.
     fn free(&self, now: Instant) -> u32 {
         let unopened = self.limit.saturating_sub(self.open);
@@ -52,8 +63,44 @@
     }
 }
 
+/// For whom a connection is wanted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum LinkUser {
+    /// Callers of a client account, or callers who need none.
+    Caller(Option<AccountName>),
+    /// This instance, for whose commands any connection will do.
+    Control,
+}
+
+impl LinkUser {
+    /// Whether a connection that was opened for `account` will do.
+    fn takes(&self, account: Option<&AccountName>) -> bool {
+        match self {
+            Self::Caller(own) => own.as_ref() == account,
+            Self::Control => true,
+        }
+    }
+
+    /// The account for which a new connection is opened.
+    pub(super) fn account(&self) -> Option<&AccountName> {
+        match self {
+            Self::Caller(account) => account.as_ref(),
+            Self::Control => None,
+        }
+    }
+}
+
+/// Who wants a connection, and how urgently.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkRequest {
+    pub(crate) user: LinkUser,
+    /// The least is served first.
+    pub(crate) rank: u8,
+}
+
 /// A caller in queue for a connection.
 struct WaitingCaller {
+    user: LinkUser,
     granted: oneshot::Sender<ConnectionGrant>,
     /// Connections that must stay free for others if it is to have one.
     kept_free: u32,
@@ -68,10 +115,9 @@
 }
 
 /// How a caller waits in a queue.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct QueueRequest {
-    /// The least is served first.
-    pub(super) rank: u8,
+    pub(super) link: LinkRequest,
     /// Connections that must stay free for others if it is to have one.
     pub(super) kept_free: u32,
     /// The turn that it had in this queue before.
@@ -168,15 +214,16 @@
     /// Puts a caller in queue, and serves it at once if it is its turn.
     pub(super) fn join_queue(self: &Arc<Self>, request: QueueRequest) -> QueuePlace {
         let (sender, granted) = oneshot::channel();
-        let caller = WaitingCaller { granted: sender, kept_free: request.kept_free };
+        let LinkRequest { user, rank } = request.link;
+        let caller = WaitingCaller { user, granted: sender, kept_free: request.kept_free };
         let turn = {
             let mut state = self.state();
             match request.turn {
                 Some(turn) => {
-                    state.waiters.rejoin(request.rank, turn, caller);
+                    state.waiters.rejoin(rank, turn, caller);
                     turn
                 }
-                None => state.waiters.join(request.rank, caller),
+                None => state.waiters.join(rank, caller),
             }
         };
         self.serve_queue();
@@ -201,19 +248,33 @@
         state.waiters.retain(|caller| !caller.granted.is_closed());
         // The only connection that this instance may hold is for all of its callers.
         let kept_most = state.limit.saturating_sub(1);
-        let caller = state.waiters.next_where(|caller| caller.kept_free.min(kept_most) < free)?;
-        if let Some(link) = state.idle.pop() {
-            return Some((caller, ConnectionGrant::Link(link)));
+        let may_dial = state.gate.may_begin(now);
+        let PoolState { idle, waiters, .. } = &mut *state;
+        let position = |user: &LinkUser| idle.iter().rposition(|link| user.takes(link.account()));
+        let caller = waiters.next_where(|caller| {
+            let has_place = caller.kept_free.min(kept_most) < free;
+            has_place && (may_dial || position(&caller.user).is_some())
+        })?;
+        if let Some(index) = position(&caller.user) {
+            return Some((caller, ConnectionGrant::Link(idle.remove(index))));
         }
         state.gate.try_begin(now);
-        state.open += 1;
+        let replaced = state.make_room();
+        drop(state);
+        if let Some(link) = replaced {
+            link.replace();
+        }
         Some((caller, ConnectionGrant::Dial(OpenPlace::new(self))))
     }
 
     /// Opens a connection for which a place was counted in.
-    pub(super) async fn dial(self: &Arc<Self>, place: OpenPlace) -> Result<PooledLink, LinkError> {
-        let dialed = match tokio::time::timeout(DIAL_TIMEOUT, self.dialer.dial(&self.target)).await
-        {
+    pub(super) async fn dial(
+        self: &Arc<Self>,
+        place: OpenPlace,
+        account: Option<&AccountName>,
+    ) -> Result<PooledLink, LinkError> {
+        let dial = self.dialer.dial(&self.target, account);
+        let dialed = match tokio::time::timeout(DIAL_TIMEOUT, dial).await {
             Ok(dialed) => dialed,
             Err(_) => Err(LinkError::Silent),
         };
@@ -221,7 +282,7 @@
             Ok(link) => {
                 place.keep();
                 self.state().gate.note_success();
-                let link = PooledLink::new(Arc::clone(self), link);
+                let link = PooledLink::new(Arc::clone(self), link, account.cloned());
                 self.serve_queue();
                 Ok(link)
             }
--- a/crates/rudder-engine/src/group/tests/pool.rs
+++ b/crates/rudder-engine/src/group/tests/pool.rs
@@ -2,15 +2,15 @@
 
 use crate::border::{LinkError, MemberDialer, MemberLink, MemberTarget};
 use crate::group::acquire::{AcquireError, PoolChoice, acquire_any};
-use crate::group::pool::MemberPool;
+use crate::group::pool::{LinkRequest, LinkUser, MemberPool};
 use crate::statement::{
     MemberCommand, StatementError, StatementOutcome, StatementReply, TransactionState,
 };
 use async_trait::async_trait;
-use rudder_core::MemberStatus;
+use rudder_core::{AccountName, MemberStatus};
 use rudder_decisions::ConnectionShare;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const LONG: Duration = Duration::from_secs(30);
@@ -19,6 +19,8 @@
 #[derive(Default)]
 struct FakeDialer {
     dialed: AtomicU32,
+    /// The accounts for which connections were opened.
+    accounts: Mutex<Vec<Option<AccountName>>>,
     silent: bool,
     cap: Option<u32>,
     /// How many dials over the cap are refused before all are taken.
@@ -31,7 +33,12 @@
 
 #[async_trait]
 impl MemberDialer for FakeDialer {
-    async fn dial(&self, _target: &MemberTarget) -> Result<Box<dyn MemberLink>, LinkError> {
+    async fn dial(
+        &self,
+        _target: &MemberTarget,
+        account: Option<&AccountName>,
+    ) -> Result<Box<dyn MemberLink>, LinkError> {
+        self.accounts.lock().expect("no panic").push(account.cloned());
         let dialed = self.dialed.fetch_add(1, Ordering::Relaxed);
         // The answer takes a while, in which other callers join the line.
         tokio::time::sleep(Duration::from_millis(1)).await;
@@ -73,13 +80,17 @@
     MemberPool::new(target, dialer, limit)
 }
 
+fn ask(rank: u8) -> LinkRequest {
+    LinkRequest { user: LinkUser::Caller(None), rank }
+}
+
 #[tokio::test]
 async fn a_connection_that_comes_back_serves_the_next_caller() {
     let dialer = Arc::new(FakeDialer::default());
     let pool = pool(&dialer, 1);
 
     for _ in 0..5 {
-        let mut link = pool.acquire(1, LONG).await.expect("a connection");
+        let mut link = pool.acquire(&ask(1), LONG).await.expect("a connection");
         link.exchange(&[MemberCommand::Reset], LONG).await.expect("an answer");
     }
 
@@ -92,13 +103,13 @@
     // it would be late.
     let dialer = Arc::new(FakeDialer::default());
     let pool = pool(&dialer, 1);
-    let held = pool.acquire(1, LONG).await.expect("a connection");
+    let held = pool.acquire(&ask(1), LONG).await.expect("a connection");
     let order = Arc::new(std::sync::Mutex::new(Vec::new()));
     let mut callers = Vec::new();
     for (name, priority) in [("reader", 2), ("another reader", 2), ("order", 1)] {
         let (pool, order) = (Arc::clone(&pool), Arc::clone(&order));
         callers.push(tokio::spawn(async move {
-            let link = pool.acquire(priority, LONG).await.expect("a connection");
+            let link = pool.acquire(&ask(priority), LONG).await.expect("a connection");
             order.lock().expect("no panic").push(name);
             drop(link);
         }));
@@ -119,11 +130,11 @@
     // and must not reach the next caller.
     let dialer = Arc::new(FakeDialer { silent: true, ..FakeDialer::default() });
     let pool = pool(&dialer, 1);
-    let mut link = pool.acquire(1, LONG).await.expect("a connection");
+    let mut link = pool.acquire(&ask(1), LONG).await.expect("a connection");
 
     let answer = link.exchange(&[MemberCommand::Reset], Duration::from_millis(5)).await;
     drop(link);
-    pool.acquire(1, LONG).await.expect("another connection");
+    pool.acquire(&ask(1), LONG).await.expect("another connection");
 
     assert_eq!(answer.expect_err("no answer").reason, LinkError::Silent);
     assert_eq!(dialer.dialed.load(Ordering::Relaxed), 2);
@@ -136,9 +147,9 @@
     let dialer = Arc::new(FakeDialer::default());
     let pool = pool(&dialer, 2);
     for _ in 0..20 {
-        let first = pool.acquire(1, LONG).await.expect("a connection");
-        let second = pool.acquire(1, LONG).await.expect("a connection");
-        let waiting = pool.acquire(1, Duration::from_millis(1)).await;
+        let first = pool.acquire(&ask(1), LONG).await.expect("a connection");
+        let second = pool.acquire(&ask(1), LONG).await.expect("a connection");
+        let waiting = pool.acquire(&ask(1), Duration::from_millis(1)).await;
         assert!(matches!(waiting, Err(AcquireError::WaitOver)));
         first.close();
         drop(second);
@@ -153,10 +164,10 @@
     // connections as it opens.
     let dialer = Arc::new(FakeDialer { cap: Some(1), ..FakeDialer::default() });
     let pool = pool(&dialer, 10);
-    let held = pool.acquire(1, LONG).await.expect("a connection");
+    let held = pool.acquire(&ask(1), LONG).await.expect("a connection");
 
     for _ in 0..50 {
-        let refused = pool.acquire(1, Duration::ZERO).await;
+        let refused = pool.acquire(&ask(1), Duration::ZERO).await;
         assert!(refused.is_err());
     }
 
@@ -168,8 +179,8 @@
 async fn a_smaller_share_closes_what_is_idle() {
     let dialer = Arc::new(FakeDialer::default());
     let pool = pool(&dialer, 3);
-    let first = pool.acquire(1, LONG).await.expect("a connection");
-    let second = pool.acquire(1, LONG).await.expect("a connection");
+    let first = pool.acquire(&ask(1), LONG).await.expect("a connection");
+    let second = pool.acquire(&ask(1), LONG).await.expect("a connection");
     drop(first);
 
     pool.set_share(ConnectionShare(1));
@@ -190,7 +201,8 @@
     let mut callers = tokio::task::JoinSet::new();
     for _ in 0..200 {
         let pool = Arc::clone(&pool);
-        callers.spawn(async move { pool.acquire(1, Duration::from_millis(300)).await.is_ok() });
+        callers
+            .spawn(async move { pool.acquire(&ask(1), Duration::from_millis(300)).await.is_ok() });
     }
     let served = callers.join_all().await;
 
@@ -207,7 +219,7 @@
     let dialer = Arc::new(FakeDialer { cap: Some(0), refusals: Some(2), ..FakeDialer::default() });
     let pool = pool(&dialer, 2);
 
-    let link = pool.acquire(1, LONG).await;
+    let link = pool.acquire(&ask(1), LONG).await;
 
     assert!(link.is_ok());
     assert_eq!(dialer.dialed.load(Ordering::Relaxed), 3);
@@ -219,10 +231,10 @@
     // is over, although connections to another one come free meanwhile.
     let dialer = Arc::new(FakeDialer::default());
     let pools = [pool(&dialer, 1), pool(&dialer, 1)];
-    let _near = pools[0].acquire(1, LONG).await.expect("a connection");
-    let far = pools[1].acquire(1, LONG).await.expect("a connection");
+    let _near = pools[0].acquire(&ask(1), LONG).await.expect("a connection");
+    let far = pools[1].acquire(&ask(1), LONG).await.expect("a connection");
     let choices = pools.clone().map(|pool| PoolChoice { pool, kept_free: 0 });
-    let read = tokio::spawn(async move { acquire_any(&choices, 1, LONG).await });
+    let read = tokio::spawn(async move { acquire_any(&choices, &ask(1), LONG).await });
     tokio::task::yield_now().await;
 
     drop(far);
@@ -240,9 +252,9 @@
     let pool = pool(&dialer, 2);
     let read = [PoolChoice { pool: Arc::clone(&pool), kept_free: 1 }];
 
-    let first = acquire_any(&read, 3, Duration::ZERO).await;
-    let second = acquire_any(&read, 3, Duration::ZERO).await;
-    let write = pool.acquire(2, Duration::ZERO).await;
+    let first = acquire_any(&read, &ask(3), Duration::ZERO).await;
+    let second = acquire_any(&read, &ask(3), Duration::ZERO).await;
+    let write = pool.acquire(&ask(2), Duration::ZERO).await;
 
     assert!(first.is_ok());
     assert_eq!(second.err(), Some(AcquireError::WaitOver));
@@ -257,7 +269,7 @@
     let pool = pool(&dialer, 1);
     let read = [PoolChoice { pool, kept_free: 1 }];
 
-    let link = acquire_any(&read, 3, Duration::ZERO).await;
+    let link = acquire_any(&read, &ask(3), Duration::ZERO).await;
 
     assert!(link.is_ok());
 }
@@ -268,11 +280,62 @@
     // refuse the instances when they are back: callers are turned away for want of a connection.
     let dialer = Arc::new(FakeDialer::default());
     let pool = pool(&dialer, 2);
-    drop(pool.acquire(1, LONG).await.expect("a connection"));
+    drop(pool.acquire(&ask(1), LONG).await.expect("a connection"));
     tokio::time::sleep(Duration::from_millis(260)).await;
 
     pool.set_share(ConnectionShare(2));
-    drop(pool.acquire(1, LONG).await.expect("a connection"));
+    drop(pool.acquire(&ask(1), LONG).await.expect("a connection"));
+
+    assert_eq!(dialer.dialed.load(Ordering::Relaxed), 2);
+}
+
+fn ask_for(account: &str) -> LinkRequest {
+    LinkRequest { user: LinkUser::Caller(Some(account.parse().expect("a name"))), rank: 1 }
+}
+
+/// Guards against work of an account on a connection that was opened for another one.
+#[tokio::test]
+async fn a_connection_serves_only_the_account_it_was_opened_for() {
+    let dialer = Arc::new(FakeDialer::default());
+    let pool = pool(&dialer, 2);
+
+    for account in ["choirs", "bands", "choirs", "bands"] {
+        let link = pool.acquire(&ask_for(account), LONG).await.expect("a connection");
+        assert_eq!(link.account().map(AccountName::as_str), Some(account));
+    }
 
     assert_eq!(dialer.dialed.load(Ordering::Relaxed), 2);
 }
+
+/// Guards against callers that wait for ever while all connections are idle for other accounts.
+#[tokio::test]
+async fn the_longest_idle_connection_of_another_account_gives_way() {
+    let dialer = Arc::new(FakeDialer::default());
+    let pool = pool(&dialer, 2);
+    for account in ["choirs", "bands"] {
+        let kept = pool.acquire(&ask_for(account), LONG).await.expect("a connection");
+        drop(kept);
+    }
+
+    let third = pool.acquire(&ask_for("soloists"), LONG).await.expect("a connection");
+    let bands = pool.acquire(&ask_for("bands"), LONG).await.expect("a connection");
+    let fourth = pool.acquire(&ask_for("choirs"), Duration::from_millis(20)).await;
+
+    assert_eq!(dialer.dialed.load(Ordering::Relaxed), 3);
+    assert!(fourth.is_err(), "no more connections are open than may be");
+    drop((third, bands));
+}
+
+/// Guards against a change of primary that waits for a connection of its own, although any will do.
+#[tokio::test]
+async fn control_commands_take_a_connection_of_any_account() {
+    let dialer = Arc::new(FakeDialer::default());
+    let pool = pool(&dialer, 1);
+    drop(pool.acquire(&ask_for("choirs"), LONG).await.expect("a connection"));
+
+    let control = LinkRequest { user: LinkUser::Control, rank: 0 };
+    let link = pool.acquire(&control, LONG).await.expect("a connection");
+
+    assert_eq!(dialer.dialed.load(Ordering::Relaxed), 1);
+    drop(link);
+}
--- a/crates/rudder-engine/src/group/tests/service.rs
+++ b/crates/rudder-engine/src/group/tests/service.rs
@@ -6,7 +6,7 @@
 use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
 use crate::statement::StatementReply;
 use async_trait::async_trait;
-use rudder_core::{LogTerm, MemberName, MemberStatus};
+use rudder_core::{AccountName, LogTerm, MemberName, MemberStatus};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +14,11 @@
 
 #[async_trait]
 impl MemberDialer for Nobody {
-    async fn dial(&self, _target: &MemberTarget) -> Result<Box<dyn MemberLink>, LinkError> {
+    async fn dial(
+        &self,
+        _target: &MemberTarget,
+        _account: Option<&AccountName>,
+    ) -> Result<Box<dyn MemberLink>, LinkError> {
         Err(LinkError::Silent)
     }
 
--- a/crates/rudder-engine/src/lib.rs
+++ b/crates/rudder-engine/src/lib.rs
@@ -34,7 +34,8 @@
 pub use lead::{LeadPhase, LeadRecord, LeaderEpoch};
 pub use session::CallerSession;
 pub use settings::{
-    DatabaseName, FleetSettings, RouteKind, RouteRule, ServiceRule, SettingsVersion,
+    AccountError, AccountLimit, AccountRule, AccountTable, DatabaseName, FleetSettings, KeyDigest,
+    RouteKind, RouteRule, ServiceRule, SettingsVersion,
 };
 pub use statement::{
     CallerStatement, MemberCommand, RequestId, SessionValue, StatementBody, StatementEffect,
--- a/crates/rudder-engine/src/session/caller.rs
+++ b/crates/rudder-engine/src/session/caller.rs
@@ -1,10 +1,10 @@
 //! One caller's session.
 
-use super::job::StatementJob;
+use super::job::{StatementJob, retry_text};
 use super::transaction::OpenTransaction;
-use crate::engine::ProxyEngine;
+use crate::engine::{ProxyEngine, RouteAccess};
 use crate::group::put_value;
-use crate::settings::{DatabaseName, RouteKind, RouteRule};
+use crate::settings::{DatabaseName, KeyDigest, RouteKind, RouteRule};
 use crate::statement::{
     CallerStatement, RequestId, SessionValue, StatementBody, StatementEffect, StatementError,
     StatementOutcome, StatementReply, StatementShape, TransactionState,
@@ -41,6 +41,7 @@
 pub struct CallerSession {
     engine: Arc<ProxyEngine>,
     database: DatabaseName,
+    key: KeyDigest,
     values: Vec<SessionValue>,
     names: Vec<PreparedName>,
     floors: Vec<SessionFloor>,
@@ -48,10 +49,11 @@
 }
 
 impl CallerSession {
-    pub(crate) fn new(engine: Arc<ProxyEngine>, database: DatabaseName) -> Self {
+    pub(crate) fn new(engine: Arc<ProxyEngine>, database: DatabaseName, key: KeyDigest) -> Self {
         Self {
             engine,
             database,
+            key,
             values: Vec::new(),
             names: Vec::new(),
             floors: Vec::new(),
@@ -160,14 +162,24 @@
         if matches!(self.phase, SessionPhase::Open(_)) {
             return self.refuse(StatementError::Malformed, "a transaction is open");
         }
-        let Some(route) = self.engine.route(&self.database) else { return self.no_database() };
-        self.phase = SessionPhase::Open(Box::new(OpenTransaction::new(read_only, route)));
+        let access = match self.access() {
+            Ok(access) => access,
+            Err(reply) => return reply,
+        };
+        self.phase = SessionPhase::Open(Box::new(OpenTransaction::new(read_only, access)));
         StatementReply::local(TransactionState::Open)
     }
 
-    fn no_database(&self) -> StatementReply {
-        let text = format!("there is no database {}", self.database);
-        self.refuse(StatementError::NoDatabase, &text)
+    /// What the settings in force allow to this caller.
+    fn access(&self) -> Result<RouteAccess, StatementReply> {
+        self.engine.access(&self.database, &self.key).map_err(|error| {
+            log::info!(database:% = self.database, reason:% = error; "a session's right has ended");
+            let text = match error {
+                StatementError::Busy => retry_text("no settings are in force yet"),
+                ref error => format!("{error}: {}", self.database),
+            };
+            self.refuse(error, &text)
+        })
     }
 
     fn roll_back(&mut self) -> StatementReply {
@@ -242,8 +254,12 @@
         if matches!(self.phase, SessionPhase::Open(_)) {
             return self.run_in_transaction(id, body, effect, shape).await;
         }
-        let Some(route) = self.engine.route(&self.database) else { return self.no_database() };
-        let job = StatementJob::new(id, body, effect, shape, &self.values, &route);
+        let access = match self.access() {
+            Ok(access) => access,
+            Err(reply) => return reply,
+        };
+        let route = Arc::clone(&access.route);
+        let job = StatementJob::new(id, body, effect, shape, &self.values, &access);
         let engine = Arc::clone(&self.engine);
         let strict = route.kind == RouteKind::Strict || effect == StatementEffect::Write;
         if !strict {
@@ -268,8 +284,13 @@
         else {
             return self.refuse(StatementError::Malformed, "no transaction is open");
         };
+        if let Err(error) = self.keep_right(&open) {
+            open.abandon();
+            self.phase = SessionPhase::Failed { told: true };
+            return self.refuse(error, "the account of this transaction lost its key");
+        }
         let floor = self.floor_of(open.service());
-        let job = StatementJob::new(id, body, effect, shape, &self.values, open.route());
+        let job = StatementJob::new(id, body, effect, shape, &self.values, open.access());
         let reply = open.run(&self.engine, &job, floor).await;
         if reply.state == TransactionState::Failed {
             open.abandon();
@@ -280,16 +301,31 @@
         reply
     }
 
+    /// Whether the caller still is who began the transaction. Its route holds until it ends.
+    fn keep_right(&self, open: &OpenTransaction) -> Result<(), StatementError> {
+        match self.engine.access(&self.database, &self.key) {
+            Ok(access) if access.account != open.access().account => {
+                Err(StatementError::Unauthorized)
+            }
+            Err(StatementError::Unauthorized) => Err(StatementError::Unauthorized),
+            Ok(_) | Err(_) => Ok(()),
+        }
+    }
+
     async fn commit(&mut self, id: RequestId) -> StatementReply {
         let SessionPhase::Open(open) = std::mem::replace(&mut self.phase, SessionPhase::Idle)
         else {
             return self.refuse(StatementError::Malformed, "no transaction is open");
         };
+        if let Err(error) = self.keep_right(&open) {
+            open.abandon();
+            return self.refuse(error, "the account of this transaction lost its key");
+        }
         let service = open.service().clone();
         let floor = self.floor_of(&service);
         let body = StatementBody::Commit;
         let effect = StatementEffect::Read;
-        let job = StatementJob::new(id, body, effect, None, &self.values, open.route());
+        let job = StatementJob::new(id, body, effect, None, &self.values, open.access());
         let wrote = open.wrote();
         let reply = open.commit(&self.engine, &job, floor).await;
         if wrote && reply.error().is_none() {
--- a/crates/rudder-engine/src/session/job.rs
+++ b/crates/rudder-engine/src/session/job.rs
@@ -1,14 +1,14 @@
 //! One statement on its way to a member.
 
 use crate::clock::boot_time;
-use crate::group::{ExchangeError, PooledLink, ServiceGroup};
-use crate::settings::RouteRule;
+use crate::engine::RouteAccess;
+use crate::group::{ExchangeError, LinkRequest, LinkUser, PooledLink, ServiceGroup};
 use crate::statement::{
     MemberCommand, RequestId, SessionValue, StatementBody, StatementEffect, StatementError,
     StatementReply, StatementShape, TransactionState,
 };
 use rand::RngExt;
-use rudder_core::{LogStamp, ServiceName};
+use rudder_core::{AccountName, LogStamp, ServiceName};
 use rudder_decisions::WaitingWork;
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,8 @@
 pub(crate) struct StatementJob {
     pub(crate) id: RequestId,
     pub(crate) service: ServiceName,
+    /// The client account of the caller, if it has one.
+    pub(crate) account: Option<AccountName>,
     pub(crate) body: StatementBody,
     pub(crate) effect: StatementEffect,
     /// The prepared shape that the body names, if it does.
@@ -46,12 +48,14 @@
         effect: StatementEffect,
         shape: Option<StatementShape>,
         values: &[SessionValue],
-        route: &RouteRule,
+        access: &RouteAccess,
     ) -> Self {
+        let route = &access.route;
         let now = Instant::now();
         Self {
             id,
             service: route.service.clone(),
+            account: access.account.clone(),
             body,
             effect,
             shape,
@@ -63,9 +67,9 @@
         }
     }
 
-    /// Where this work stands in a line for connections.
-    pub(crate) fn rank(&self, work: WaitingWork) -> u8 {
-        work.rank(self.priority)
+    /// What this work needs of a connection.
+    pub(crate) fn link_request(&self, work: WaitingWork) -> LinkRequest {
+        LinkRequest { user: LinkUser::Caller(self.account.clone()), rank: work.rank(self.priority) }
     }
 
     /// How long a connection may still be waited for.
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -148,20 +148,20 @@
             }
             let last = members.len() == 1;
             let choices = read_choices(&group, &members, &place);
+            let request = job.link_request(step.work());
             reason = "no member could serve the read in time";
-            let (member, link) =
-                match acquire_any(&choices, job.rank(step.work()), job.wait_left()).await {
-                    Ok((index, link)) => (&members[index], link),
-                    Err(AcquireError::WaitOver) => {
-                        return Err(refused(&group, reason));
-                    }
-                    Err(AcquireError::Down(_)) => {
-                        tried.extend(
-                            members.iter().take(choices.len()).map(|member| member.name().clone()),
-                        );
-                        continue;
-                    }
-                };
+            let (member, link) = match acquire_any(&choices, &request, job.wait_left()).await {
+                Ok((index, link)) => (&members[index], link),
+                Err(AcquireError::WaitOver) => {
+                    return Err(refused(&group, reason));
+                }
+                Err(AcquireError::Down(_)) => {
+                    tried.extend(
+                        members.iter().take(choices.len()).map(|member| member.name().clone()),
+                    );
+                    continue;
+                }
+            };
             match self.try_member(member, link, job, floor, step, last).await {
                 Ok((reply, link)) => {
                     return Ok((reply, ReadStart { link, member: Arc::clone(member) }));
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -122,7 +122,7 @@
                 group.wait_changed(left).await;
                 continue;
             };
-            let link = match member.pool().acquire(job.rank(work), left).await {
+            let link = match member.pool().acquire(&job.link_request(work), left).await {
                 Ok(link) => link,
                 Err(AcquireError::WaitOver) => return Err("all connections are in use"),
                 Err(AcquireError::Down(_)) if left < AGAIN_PAUSE => {
--- a/crates/rudder-engine/src/session/tests/failing_member.rs
+++ b/crates/rudder-engine/src/session/tests/failing_member.rs
@@ -5,7 +5,7 @@
     PromotionOrder,
 };
 use crate::clock::boot_time;
-use crate::engine::ProxyEngine;
+use crate::engine::{ProxyEngine, RouteAccess};
 use crate::fixtures::{SilentStore, identity, member_entry};
 use crate::group::MemberEntry;
 use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
@@ -16,7 +16,7 @@
     StatementReply, TransactionState,
 };
 use async_trait::async_trait;
-use rudder_core::{LogStamp, LogTerm, MemberName, MemberStatus, ServiceName};
+use rudder_core::{AccountName, LogStamp, LogTerm, MemberName, MemberStatus, ServiceName};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -59,7 +59,11 @@
 
 #[async_trait]
 impl MemberDialer for GreyDialer {
-    async fn dial(&self, target: &MemberTarget) -> Result<Box<dyn MemberLink>, LinkError> {
+    async fn dial(
+        &self,
+        target: &MemberTarget,
+        _account: Option<&AccountName>,
+    ) -> Result<Box<dyn MemberLink>, LinkError> {
         let members = Arc::clone(&self.0);
         Ok(Box::new(GreyLink { members, member: target.member.clone() }))
     }
@@ -123,21 +127,23 @@
     engine
 }
 
-fn route(kind: RouteKind) -> RouteRule {
-    RouteRule {
+fn access(kind: RouteKind) -> RouteAccess {
+    let route = RouteRule {
         database: DatabaseName("db".to_owned()),
         service: service(),
         kind,
         statement_timeout: Duration::from_secs(5),
         latency_target: Duration::from_secs(4),
         priority: 1,
-    }
+        is_public: false,
+    };
+    RouteAccess { route: Arc::new(route), account: None }
 }
 
-fn job(effect: StatementEffect, route: &RouteRule) -> StatementJob {
+fn job(effect: StatementEffect, access: &RouteAccess) -> StatementJob {
     let id = RequestId("r1".to_owned());
     let body = StatementBody::Text("READ x".to_owned());
-    StatementJob::new(id, body, effect, None, &[], route)
+    StatementJob::new(id, body, effect, None, &[], access)
 }
 
 /// Guards against reads that fail for as long as the nearest member fails them.
@@ -145,9 +151,10 @@
 async fn a_read_that_fails_at_one_member_is_served_by_another() {
     let members = GreyMembers::new(&[("a", 9)]);
     let engine = engine(&members);
-    let route = route(RouteKind::Bounded(Duration::from_secs(60)));
+    let access = access(RouteKind::Bounded(Duration::from_secs(60)));
 
-    let reply = engine.read_bounded(&route, &job(StatementEffect::Read, &route), None).await;
+    let reply =
+        engine.read_bounded(&access.route, &job(StatementEffect::Read, &access), None).await;
 
     assert_eq!(reply.error(), None);
     assert_eq!(members.asked(), ["a", "b"]);
@@ -158,9 +165,10 @@
 async fn a_read_that_fails_everywhere_is_tried_once_at_each_member_and_said_to_have_failed() {
     let members = GreyMembers::new(&[("a", 9), ("b", 9), ("c", 9)]);
     let engine = engine(&members);
-    let route = route(RouteKind::Bounded(Duration::from_secs(60)));
+    let access = access(RouteKind::Bounded(Duration::from_secs(60)));
 
-    let reply = engine.read_bounded(&route, &job(StatementEffect::Read, &route), None).await;
+    let reply =
+        engine.read_bounded(&access.route, &job(StatementEffect::Read, &access), None).await;
 
     assert_eq!(reply.error(), Some(&StatementError::Failed));
     assert_eq!(members.asked(), ["a", "b", "c"]);
@@ -171,9 +179,9 @@
 async fn a_strict_read_that_failed_is_sent_once_more() {
     let members = GreyMembers::new(&[("a", 1)]);
     let engine = engine(&members);
-    let route = route(RouteKind::Strict);
+    let access = access(RouteKind::Strict);
 
-    let reply = engine.run_strict(&route, &job(StatementEffect::Read, &route)).await;
+    let reply = engine.run_strict(&access.route, &job(StatementEffect::Read, &access)).await;
 
     assert_eq!(reply.error(), None);
     assert_eq!(members.asked(), ["a", "a"]);
@@ -184,9 +192,9 @@
 async fn a_strict_read_that_failed_twice_is_answered_so() {
     let members = GreyMembers::new(&[("a", 9)]);
     let engine = engine(&members);
-    let route = route(RouteKind::Strict);
+    let access = access(RouteKind::Strict);
 
-    let reply = engine.run_strict(&route, &job(StatementEffect::Read, &route)).await;
+    let reply = engine.run_strict(&access.route, &job(StatementEffect::Read, &access)).await;
 
     assert_eq!(reply.error(), Some(&StatementError::Failed));
     assert_eq!(members.asked(), ["a", "a"]);
@@ -197,9 +205,9 @@
 async fn a_write_that_failed_is_not_sent_again() {
     let members = GreyMembers::new(&[("a", 1)]);
     let engine = engine(&members);
-    let route = route(RouteKind::Strict);
+    let access = access(RouteKind::Strict);
 
-    let reply = engine.run_strict(&route, &job(StatementEffect::Write, &route)).await;
+    let reply = engine.run_strict(&access.route, &job(StatementEffect::Write, &access)).await;
 
     assert_eq!(reply.error(), Some(&StatementError::Failed));
     assert_eq!(members.asked(), ["a"]);
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -5,10 +5,9 @@
 use super::read::{ReadFailure, ReadStart};
 use super::strict::{InFlight, in_doubt};
 use crate::clock::boot_time;
-use crate::engine::ProxyEngine;
+use crate::engine::{ProxyEngine, RouteAccess};
 use crate::group::{ExchangeError, GroupMember, PooledLink, ServiceGroup};
 use crate::lead::LeaderLease;
-use crate::settings::RouteRule;
 use crate::statement::{
     MemberCommand, StatementEffect, StatementError, StatementReply, TransactionState,
 };
@@ -26,7 +25,7 @@
 /// A transaction of a caller. It reaches a member with its first statement.
 pub(super) struct OpenTransaction {
     read_only: bool,
-    route: Arc<RouteRule>,
+    access: RouteAccess,
     pinned: Option<PinnedLink>,
     wrote: bool,
 }
@@ -48,16 +47,16 @@
 }
 
 impl OpenTransaction {
-    pub(super) fn new(read_only: bool, route: Arc<RouteRule>) -> Self {
-        Self { read_only, route, pinned: None, wrote: false }
+    pub(super) fn new(read_only: bool, access: RouteAccess) -> Self {
+        Self { read_only, access, pinned: None, wrote: false }
     }
 
     pub(super) fn service(&self) -> &ServiceName {
-        &self.route.service
+        &self.access.route.service
     }
 
-    pub(super) fn route(&self) -> &RouteRule {
-        &self.route
+    pub(super) fn access(&self) -> &RouteAccess {
+        &self.access
     }
 
     /// Whether a write was sent.
@@ -162,7 +161,7 @@
         if self.pinned.is_some() {
             return Ok(());
         }
-        let route = Arc::clone(&self.route);
+        let route = Arc::clone(&self.access.route);
         let group = engine.group(&route.service);
         let replica_may = self.read_only && bound_of(&route).is_some();
         if replica_may {
--- /dev/null
+++ b/crates/rudder-engine/src/settings/accounts.rs
@@ -0,0 +1,153 @@
+//! Client accounts: who a caller is by its key, and how much an account may ask for.
+
+use displaydoc::Display;
+use rudder_core::{AccountName, plain_data};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::fmt;
+
+/// The SHA-256 of a caller's key. The key itself is not kept, so that no log line, message between
+/// instances or memory image shows it, and comparing digests tells nothing about its characters.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// The digest of a key.
+    ///
+    /// ```
+    /// use rudder_engine::KeyDigest;
+    /// assert_eq!(KeyDigest::of("secret"), KeyDigest::of("secret"));
+    /// assert_ne!(KeyDigest::of("secret"), KeyDigest::of("Secret"));
+    /// assert!(!format!("{:?}", KeyDigest::of("secret")).contains("secret"));
+    /// ```
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest(..)")
+    }
+}
+
+plain_data! {
+    /// How many operations an account may run, over all instances.
+    #[derive(Copy, Serialize, Deserialize)]
+    pub struct AccountLimit {
+        /// Operations a second, in thousandths.
+        pub milli_per_second: u64,
+        /// Operations at once beyond the rate.
+        pub burst: u32,
+    }
+}
+
+plain_data! {
+    /// One client account.
+    #[derive(Serialize, Deserialize)]
+    pub struct AccountRule {
+        /// Its name, which members are told.
+        pub name: AccountName,
+        /// The digests of its keys.
+        pub keys: Vec<KeyDigest>,
+        /// How much it may ask for; none if that is not limited.
+        pub limit: Option<AccountLimit>,
+    }
+}
+
+/// Why a list of accounts cannot be used.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[ignore_extra_doc_attributes]
+pub enum AccountError {
+    /// the account {0} is declared twice
+    DoubledName(AccountName),
+    /// the accounts {0} and {1} have a key in common
+    SharedKey(AccountName, AccountName),
+}
+
+impl std::error::Error for AccountError {}
+
+plain_data! {
+    /// A key and the account that holds it.
+    #[derive(Serialize, Deserialize)]
+    struct KeyHolder {
+        key: KeyDigest,
+        /// The account's place in the list.
+        account: u32,
+    }
+}
+
+plain_data! {
+    /// All client accounts.
+    #[derive(Default, Serialize, Deserialize)]
+    pub struct AccountTable {
+        /// Sorted by name.
+        accounts: Vec<AccountRule>,
+        /// Sorted by key.
+        holders: Vec<KeyHolder>,
+    }
+}
+
+impl AccountTable {
+    /// Puts accounts in order.
+    ///
+    /// # Errors
+    ///
+    /// [`AccountError`] if a name or a key stands for two accounts.
+    ///
+    /// ```
+    /// use rudder_engine::{AccountRule, AccountTable, KeyDigest};
+    /// let name = "choirs".parse()?;
+    /// let rule = AccountRule { name, keys: vec![KeyDigest::of("secret")], limit: None };
+    /// let table = AccountTable::sorted(vec![rule.clone()]).expect("one account");
+    /// assert_eq!(table.holder(&KeyDigest::of("secret")), Some(&rule));
+    /// assert_eq!(table.holder(&KeyDigest::of("guess")), None);
+    /// assert!(AccountTable::sorted(vec![rule.clone(), rule]).is_err());
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn sorted(mut accounts: Vec<AccountRule>) -> Result<Self, AccountError> {
+        accounts.sort_by(|left, right| left.name.cmp(&right.name));
+        if let Some(pair) = accounts.windows(2).find(|pair| pair[0].name == pair[1].name) {
+            return Err(AccountError::DoubledName(pair[0].name.clone()));
+        }
+        let mut holders = Vec::new();
+        for (account, rule) in (0..).zip(&accounts) {
+            holders.extend(rule.keys.iter().map(|key| KeyHolder { key: *key, account }));
+        }
+        holders.sort_by_key(|holder| (holder.key, holder.account));
+        holders.dedup();
+        let table = Self { accounts, holders };
+        match table.holders.windows(2).find(|pair| pair[0].key == pair[1].key) {
+            Some(pair) => {
+                let name = |holder: &KeyHolder| table.rule_of(holder).name.clone();
+                Err(AccountError::SharedKey(name(&pair[0]), name(&pair[1])))
+            }
+            None => Ok(table),
+        }
+    }
+
+    /// The account that holds a key.
+    ///
+    /// See the example of [`AccountTable::sorted`].
+    #[must_use]
+    pub fn holder(&self, key: &KeyDigest) -> Option<&AccountRule> {
+        let found = self.holders.binary_search_by(|holder| holder.key.cmp(key)).ok()?;
+        Some(self.rule_of(&self.holders[found]))
+    }
+
+    /// The limit of an account; none if the account is not known or not limited.
+    pub(crate) fn limit(&self, account: &AccountName) -> Option<AccountLimit> {
+        let found = self.accounts.binary_search_by(|rule| rule.name.cmp(account)).ok()?;
+        self.accounts[found].limit
+    }
+
+    /// How many accounts there are.
+    pub(crate) fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    fn rule_of(&self, holder: &KeyHolder) -> &AccountRule {
+        &self.accounts[holder.account as usize]
+    }
+}
--- a/crates/rudder-engine/src/settings/table.rs
+++ b/crates/rudder-engine/src/settings/table.rs
@@ -1,5 +1,6 @@
 //! One version of the operators' settings, as the engine uses it.
 
+use super::accounts::AccountTable;
 use rudder_core::{ServiceName, plain_data};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -64,6 +65,8 @@
         pub latency_target: Duration,
         /// 0 is served first.
         pub priority: u8,
+        /// Whether callers need no key.
+        pub is_public: bool,
     }
 }
 
@@ -90,6 +93,8 @@
         pub services: Vec<ServiceRule>,
         /// How long a transaction may stay idle.
         pub transaction_idle: Duration,
+        /// The client accounts; none if the deployment has none, and every caller is served.
+        pub accounts: Option<AccountTable>,
     }
 }
 
@@ -119,6 +124,21 @@
         let mut routes: Vec<Arc<RouteRule>> = routes.into_iter().map(Arc::new).collect();
         routes.sort_by(|left, right| left.database.cmp(&right.database));
         services.sort_by(|left, right| left.service.cmp(&right.service));
-        Self { version, routes, services, transaction_idle }
+        Self { version, routes, services, transaction_idle, accounts: None }
+    }
+
+    /// The same with client accounts.
+    ///
+    /// ```
+    /// use rudder_engine::{AccountTable, FleetSettings, SettingsVersion};
+    /// use std::time::Duration;
+    /// let idle = Duration::from_secs(3);
+    /// let settings = FleetSettings::sorted(SettingsVersion(4), Vec::new(), Vec::new(), idle);
+    /// let settings = settings.with_accounts(AccountTable::default());
+    /// assert!(settings.accounts.is_some());
+    /// ```
+    #[must_use]
+    pub fn with_accounts(self, accounts: AccountTable) -> Self {
+        Self { accounts: Some(accounts), ..self }
     }
 }
--- a/crates/rudder-engine/src/statement.rs
+++ b/crates/rudder-engine/src/statement.rs
@@ -184,6 +184,8 @@
     InDoubt,
     /// there is no such database
     NoDatabase,
+    /// the key is not known
+    Unauthorized,
     /// the request is too long
     TooLarge,
     /// the request cannot be understood, or not in this state
@@ -207,6 +209,7 @@
             Self::TimedOut => "timed_out",
             Self::InDoubt => "in_doubt",
             Self::NoDatabase => "no_database",
+            Self::Unauthorized => "unauthorized",
             Self::TooLarge => "too_large",
             Self::Malformed => "malformed",
             Self::Other(_) => "other",
--- a/crates/rudder-standins/src/lib.rs
+++ b/crates/rudder-standins/src/lib.rs
@@ -13,8 +13,8 @@
     GroupError, GroupSettings, GroupStandin, MemberKnob, MemberSettings, ServiceSpread,
 };
 pub use lines::{
-    BOOT_VARIABLE, LineClient, LineCommit, LineDatabase, LineEntry, LineFleet, LineGroup, LineKind,
-    LineMember, LineReply, LineSeat,
+    BOOT_VARIABLE, LineAccount, LineClient, LineCommit, LineDatabase, LineEntry, LineFleet,
+    LineGroup, LineKind, LineMember, LineReply, LineRun, LineSeat,
 };
 pub use link::{DatagramLinkStandin, LinkDirection, LinkFault, LinkSettings, LinkStandin};
 pub use objects::{ObjectsCall, ObjectsFault, ObjectsStandin, PromotionSink};
--- a/crates/rudder-standins/src/lines/fleet.rs
+++ b/crates/rudder-standins/src/lines/fleet.rs
@@ -5,8 +5,8 @@
 use serde_json::{Value, json};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// The variable that names an instance's settings file.
@@ -42,6 +42,19 @@
     pub name: String,
     /// What its reads must see.
     pub kind: LineKind,
+    /// Whether callers need no key.
+    pub public: bool,
+}
+
+/// One client account of the settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LineAccount {
+    /// Its name.
+    pub name: String,
+    /// Its keys.
+    pub keys: Vec<String>,
+    /// Operations a second, and at once beyond them; none if that is not limited.
+    pub limit: Option<(f64, f64)>,
 }
 
 /// A member's entry in the store.
@@ -73,6 +86,7 @@
     /// The group.
     pub group: LineGroup,
     service: String,
+    accounts: Mutex<Option<Vec<LineAccount>>>,
 }
 
 impl LineFleet {
@@ -86,7 +100,9 @@
     /// # tokio::runtime::Runtime::new()?.block_on(async {
     /// use rudder_standins::{LineDatabase, LineFleet, LineKind};
     /// let fleet = LineFleet::start("records", std::time::Duration::ZERO).await?;
-    /// fleet.publish_settings(1, &[LineDatabase { name: "db".to_owned(), kind: LineKind::Strict }]);
+    /// fleet.publish_settings(1, &[LineDatabase {
+    ///     name: "db".to_owned(), kind: LineKind::Strict, public: false,
+    /// }]);
     /// let seat = LineFleet::seat(0);
     /// assert!(fleet.boot_text(&seat, fleet.store.address()).contains("proxy-0"));
     /// # Ok::<(), std::io::Error>(())
@@ -101,7 +117,7 @@
             service == known && promoted.promote(member, token)
         }))
         .await?;
-        Ok(Self { store, group, service: service.to_owned() })
+        Ok(Self { store, group, service: service.to_owned(), accounts: Mutex::default() })
     }
 
     /// Writes the members' entries as the members would.
@@ -119,14 +135,22 @@
         }
     }
 
+    /// Sets the client accounts that the next versions of the settings declare.
+    pub fn set_accounts(&self, accounts: Vec<LineAccount>) {
+        *self.accounts.lock().unwrap_or_else(PoisonError::into_inner) = Some(accounts);
+    }
+
     /// Writes a version of the settings as the operator would.
     pub fn publish_settings(&self, version: u64, databases: &[LineDatabase]) {
         let routes: Vec<Value> = databases.iter().map(|known| self.route(known)).collect();
         let services = json!([{"name": self.service, "maxConnections": 40, "syncReplicas": 0}]);
         let limits = json!({"txIdleMs": 1000});
-        let spec = json!({
+        let mut spec = json!({
             "version": version, "routes": routes, "services": services, "limits": limits,
         });
+        if let Some(accounts) = &*self.accounts.lock().unwrap_or_else(PoisonError::into_inner) {
+            spec["tenants"] = accounts.iter().map(account).collect();
+        }
         self.store.put("config", "main", spec);
     }
 
@@ -139,7 +163,7 @@
         json!({
             "name": format!("r-{}", database.name), "host": database.name, "type": kind,
             "timeoutMs": 2000, "targetLatencyMs": 1000, "priority": 1, "service": self.service,
-            "maxAttempts": 2, "maxStalenessMs": staleness,
+            "maxAttempts": 2, "maxStalenessMs": staleness, "public": database.public,
         })
     }
 
@@ -168,10 +192,22 @@
                 "frontend": seat.callers, "ready": SocketAddr::new(ip, READY_PORT),
             },
             "internalPortRange": [PEER_PORT, PEER_PORT],
-            "bounds": {"graceS": 6, "drainMs": 7000},
+            "bounds": {
+                "graceS": 6, "drainMs": 7000,
+                "quotaWindowS": 5, "quotaOverage": 0.1, "quotaTolerance": 20,
+            },
             "platform": {"address": platform},
             "cloudApi": {"address": platform},
         })
         .to_string()
     }
 }
+
+fn account(account: &LineAccount) -> Value {
+    let mut entry = json!({"name": account.name, "apiKeys": account.keys, "priority": 1});
+    if let Some((rate, burst)) = account.limit {
+        entry["ratePerS"] = json!(rate);
+        entry["burst"] = json!(burst);
+    }
+    entry
+}
--- a/crates/rudder-standins/src/lines/group.rs
+++ b/crates/rudder-standins/src/lines/group.rs
@@ -26,6 +26,17 @@
     pub at: Instant,
 }
 
+/// A statement of a caller that a member was asked to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LineRun {
+    /// The request's id.
+    pub id: String,
+    /// Who connected.
+    pub user: String,
+    /// When it came.
+    pub at: Instant,
+}
+
 /// A member, as tests see it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LineMember {
@@ -60,9 +71,14 @@
     promoted_at: Option<Instant>,
     /// Ids of the writes that promotions have cut back.
     cut_back: Vec<String>,
+    runs: Vec<LineRun>,
 }
 
 impl GroupState {
+    pub(super) fn note_run(&mut self, run: LineRun) {
+        self.runs.push(run);
+    }
+
     /// Brings a replica's log to where it is by now.
     pub(super) fn catch_up(&mut self, index: usize) {
         self.demote_superseded(index);
@@ -180,6 +196,7 @@
             tokens: Vec::new(),
             promoted_at: None,
             cut_back: Vec::new(),
+            runs: Vec::new(),
         };
         let state = Arc::new(Mutex::new(state));
         for (index, listener) in listeners.into_iter().enumerate() {
@@ -242,6 +259,12 @@
         self.state().cut_back.clone()
     }
 
+    /// The callers' statements that members were asked to run, in the order in which they came.
+    #[must_use]
+    pub fn runs(&self) -> Vec<LineRun> {
+        self.state().runs.clone()
+    }
+
     /// Sets how far behind the replicas are from now on.
     pub fn set_lag(&self, lag: Duration) {
         self.state().lag = lag;
--- a/crates/rudder-standins/src/lines/mod.rs
+++ b/crates/rudder-standins/src/lines/mod.rs
@@ -6,5 +6,7 @@
 mod session;
 
 pub use client::{LineClient, LineReply};
-pub use fleet::{BOOT_VARIABLE, LineDatabase, LineEntry, LineFleet, LineKind, LineSeat};
-pub use group::{LineCommit, LineGroup, LineMember};
+pub use fleet::{
+    BOOT_VARIABLE, LineAccount, LineDatabase, LineEntry, LineFleet, LineKind, LineSeat,
+};
+pub use group::{LineCommit, LineGroup, LineMember, LineRun};
--- a/crates/rudder-standins/src/lines/session.rs
+++ b/crates/rudder-standins/src/lines/session.rs
@@ -1,13 +1,16 @@
 //! One connection to a member of the stand-in.
 
-use super::group::{GroupState, LineCommit, lock};
+use super::group::{GroupState, LineCommit, LineRun, lock};
 use std::sync::Mutex;
+use std::time::Instant;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
 /// What a connection holds between statements.
 #[derive(Default)]
 struct SessionState {
+    /// Who connected.
+    user: String,
     /// Values by name, in the order in which they were set.
     values: Vec<(String, String)>,
     /// Prepared names with their shapes.
@@ -41,7 +44,8 @@
     if writer.write_all(greeting.as_bytes()).await.is_err() || !accepted {
         return;
     }
-    let mut session = SessionState::default();
+    let user = hello.split(' ').nth(2).unwrap_or_default().to_owned();
+    let mut session = SessionState { user, ..SessionState::default() };
     while let Ok(Some(line)) = lines.next_line().await {
         let Some((id, text)) = line.strip_prefix("QUERY ").and_then(|rest| rest.split_once(' '))
         else {
@@ -109,6 +113,13 @@
         return LineAnswer::Error(format!("LAGGING {}", position(group, index)));
     }
     let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
+    if matches!(word, "READ" | "WRITE" | "EXECUTE" | "COMMIT") {
+        group.note_run(LineRun {
+            id: id.to_owned(),
+            user: session.user.clone(),
+            at: Instant::now(),
+        });
+    }
     let done = || LineAnswer::Done(Vec::new(), "-".to_owned());
     match word {
         "RESET" => {
