Large settings come into force on slow links

Cause: the time of a call to the store was for the whole answer (0.7 s, or 1 s), and that of a copy between instances for the whole copy (1.5 s).

Change: an answer or a copy is limited by its progress; only its beginning has a time of its own.

--- a/crates/rudder-engine/src/peers/fleet_copy.rs
+++ b/crates/rudder-engine/src/peers/fleet_copy.rs
@@ -13,16 +13,27 @@
 use crate::group::MemberEntry;
 use crate::settings::{FleetSettings, SettingsVersion};
 use crate::store_snapshot::MembersVersion;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use rudder_core::plain_data;
 use serde::{Deserialize, Serialize};
+use std::io::{Read as _, Write as _};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-/// The most time for a copy: some hundred kilobytes between regions, a packet lost.
-const COPY_LIMIT: Duration = Duration::from_millis(1500);
+/// How long the next part of a copy may take: a busy peer's turn, a packet lost between regions. The
+/// time of a whole copy grows with its size and with how many ask for it at once.
+const PART_LIMIT: Duration = Duration::from_millis(1500);
+
+/// The most time for a copy.
+const COPY_LIMIT: Duration = Duration::from_secs(15);
+
+/// The most that is read or written at a time.
+const PART_BYTES: usize = 16_384;
 
 /// The longest copy that is read; the store holds values of up to a megabyte.
 const COPY_BYTES_MAX: u64 = 4 << 20;
@@ -108,8 +119,30 @@
     stream.read_exact(&mut bytes).await?;
     let request: CopyRequest = postcard::from_bytes(&bytes).map_err(std::io::Error::other)?;
     let copy = engine.fleet_copy(request, received_at);
-    let bytes = postcard::to_stdvec(&copy).map_err(std::io::Error::other)?;
-    stream.write_all(&bytes).await
+    for part in encode_copy(&copy)?.chunks(PART_BYTES) {
+        part_limited(stream.write_all(part)).await?;
+    }
+    Ok(())
+}
+
+/// A copy as it is sent. Names recur in each of its entries, so it is compressed.
+pub(super) fn encode_copy(copy: &FleetCopy) -> std::io::Result<Vec<u8>> {
+    let bytes = postcard::to_stdvec(copy).map_err(std::io::Error::other)?;
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&bytes)?;
+    encoder.finish()
+}
+
+/// Reads a copy as it was sent.
+pub(super) fn decode_copy(bytes: &[u8]) -> std::io::Result<FleetCopy> {
+    let mut plain = Vec::new();
+    DeflateDecoder::new(bytes).take(COPY_BYTES_MAX).read_to_end(&mut plain)?;
+    postcard::from_bytes(&plain).map_err(std::io::Error::other)
+}
+
+async fn part_limited<T>(part: impl Future<Output = std::io::Result<T>>) -> std::io::Result<T> {
+    let timed_out = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
+    tokio::time::timeout(PART_LIMIT, part).await.map_err(timed_out)?
 }
 
 /// Asks an instance for what it knows beyond `request`.
@@ -125,12 +158,17 @@
 }
 
 async fn exchange_copy(peer: SocketAddr, request: CopyRequest) -> std::io::Result<FleetCopy> {
-    let mut stream = TcpStream::connect(peer).await?;
+    let mut stream = part_limited(TcpStream::connect(peer)).await?;
     let bytes = postcard::to_stdvec(&request).map_err(std::io::Error::other)?;
     let length = u16::try_from(bytes.len()).map_err(std::io::Error::other)?;
     let framed = [length.to_be_bytes().as_slice(), &bytes].concat();
     stream.write_all(&framed).await?;
     let mut answer = Vec::new();
-    stream.take(COPY_BYTES_MAX).read_to_end(&mut answer).await?;
-    postcard::from_bytes(&answer).map_err(std::io::Error::other)
+    let mut stream = stream.take(COPY_BYTES_MAX);
+    loop {
+        answer.reserve(PART_BYTES);
+        if part_limited(stream.read_buf(&mut answer)).await? == 0 {
+            return decode_copy(&answer);
+        }
+    }
 }
