--- a/crates/rudder-decisions/src/operation_limit/ledger.rs
+++ b/crates/rudder-decisions/src/operation_limit/ledger.rs
@@ -128,6 +128,7 @@
 #[derive(Clone, Debug)]
 struct AccountHolding {
     account: AccountName,
+    role: OwnerRole,
     bucket: OperationBucket,
 }
 
@@ -179,15 +180,31 @@
         };
         let index = found.unwrap_or_else(|index| {
             let bucket = OperationBucket::new(granted, bounds.reserve(limit), now);
-            self.holdings.insert(index, AccountHolding { account: account.clone(), bucket });
+            self.holdings.insert(index, AccountHolding { account: account.clone(), role, bucket });
             index
         });
-        match self.holdings[index].bucket.take(granted, now) {
+        let holding = &mut self.holdings[index];
+        holding.role = role;
+        match holding.bucket.take(granted, now) {
             Ok(()) => ClaimVerdict::Granted,
             Err(after) => ClaimVerdict::Spent(after),
         }
     }
 
+    /// The role in which the last claim of an account was judged.
+    ///
+    /// ```
+    /// use rudder_decisions::{LimitLedger, OwnerRole};
+    /// let account = "choirs".parse()?;
+    /// assert_eq!(LimitLedger::default().role(&account), OwnerRole::Absent);
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn role(&self, account: &AccountName) -> OwnerRole {
+        let found = self.holdings.binary_search_by(|known| known.account.cmp(account));
+        found.map_or(OwnerRole::Absent, |index| self.holdings[index].role)
+    }
+
     /// Forgets the accounts for which `keeps` does not hold.
     ///
     /// ```
--- a/crates/rudder-engine/src/fixtures.rs
+++ b/crates/rudder-engine/src/fixtures.rs
@@ -1,10 +1,14 @@
 //! What tests of several modules need.
 
-use crate::border::MemberTarget;
+use crate::border::{
+    LinkError, MemberDialer, MemberLink, MemberTarget, PromotionCall, PromotionError,
+    PromotionOrder,
+};
 use crate::group::{MemberEntry, MemberState};
 use crate::identity::InstanceIdentity;
+use crate::statement::StatementReply;
 use async_trait::async_trait;
-use rudder_core::MemberRole;
+use rudder_core::{AccountName, MemberRole, MemberStatus};
 use rudder_decisions::LimitBounds;
 use rudder_store::{
     InstanceEntry, ObjectKind, ObjectVersion, PlatformStore, StoreError, StoredObject,
@@ -84,3 +88,31 @@
         born: 1,
     }
 }
+
+/// Reaches no member.
+pub(crate) struct NobodyDialer;
+
+#[async_trait]
+impl MemberDialer for NobodyDialer {
+    async fn dial(
+        &self,
+        _target: &MemberTarget,
+        _account: Option<&AccountName>,
+    ) -> Result<Box<dyn MemberLink>, LinkError> {
+        Err(LinkError::Silent)
+    }
+
+    fn read_status(&self, _reply: &StatementReply) -> Option<MemberStatus> {
+        None
+    }
+}
+
+/// Promotes nobody.
+pub(crate) struct NoPromotion;
+
+#[async_trait]
+impl PromotionCall for NoPromotion {
+    async fn promote(&self, _order: &PromotionOrder) -> Result<(), PromotionError> {
+        Err(PromotionError::Rejected)
+    }
+}
--- a/crates/rudder-engine/src/group/tests/service.rs
+++ b/crates/rudder-engine/src/group/tests/service.rs
@@ -1,32 +1,13 @@
 //! Which members are known.
 
-use crate::border::{LinkError, MemberDialer, MemberLink, MemberTarget};
-use crate::fixtures::member_entry;
+use crate::border::MemberDialer;
+use crate::fixtures::{NobodyDialer, member_entry};
 use crate::group::ServiceGroup;
 use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
-use crate::statement::StatementReply;
-use async_trait::async_trait;
-use rudder_core::{AccountName, LogTerm, MemberName, MemberStatus};
+use rudder_core::{LogTerm, MemberName};
 use std::sync::Arc;
 use std::time::Duration;
 
-struct Nobody;
-
-#[async_trait]
-impl MemberDialer for Nobody {
-    async fn dial(
-        &self,
-        _target: &MemberTarget,
-        _account: Option<&AccountName>,
-    ) -> Result<Box<dyn MemberLink>, LinkError> {
-        Err(LinkError::Silent)
-    }
-
-    fn read_status(&self, _reply: &StatementReply) -> Option<MemberStatus> {
-        None
-    }
-}
-
 fn name(text: &str) -> MemberName {
     text.parse().expect("a name")
 }
@@ -38,7 +19,7 @@
 
 fn group(primary: &str) -> (Arc<ServiceGroup>, Arc<dyn MemberDialer>) {
     let group = ServiceGroup::new("records".parse().expect("a name"));
-    let dialer: Arc<dyn MemberDialer> = Arc::new(Nobody);
+    let dialer: Arc<dyn MemberDialer> = Arc::new(NobodyDialer);
     group.observe(&settled(1, primary), Duration::ZERO);
     group.set_members(&[member_entry("a"), member_entry("b")], &dialer);
     (group, dialer)
--- a/crates/rudder-engine/src/limits/claim.rs
+++ b/crates/rudder-engine/src/limits/claim.rs
@@ -7,7 +7,7 @@
 use crate::statement::RequestId;
 use displaydoc::Display;
 use rand::RngExt;
-use rudder_core::InstanceName;
+use rudder_core::{AccountName, InstanceName};
 use rudder_decisions::{ClaimPlan, ClaimVerdict};
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -81,10 +81,11 @@
             return Ok(());
         }
         let began_at = Instant::now();
-        let owners = self.limit_owners(account);
+        let until = began_at + CLAIM_WAIT;
+        let owners = self.await_owners(account, until).await;
         let (question, answers) = self.limits().state().begin_claim();
         let claim = OperationClaim { question, account: account.clone(), counts: true };
-        let ended = self.ask_owners(&owners, &claim, answers).await;
+        let ended = self.ask_owners(&owners, &claim, answers, until).await;
         self.limits().state().end_claim(question);
         if let Err(error) = &ended {
             metrics::counter!("rudder_claims_refused_total", "reason" => error.word()).increment(1);
@@ -100,17 +101,28 @@
         ended
     }
 
+    /// The instances that may count for an account; waits for them while this instance starts.
+    async fn await_owners(&self, account: &AccountName, until: Instant) -> Vec<LimitOwner> {
+        loop {
+            let owners = self.limit_owners(account);
+            if !owners.is_empty() || Instant::now() >= until {
+                return owners;
+            }
+            tokio::time::sleep(NEXT_PAUSE).await;
+        }
+    }
+
     async fn ask_owners(
         &self,
         owners: &[LimitOwner],
         claim: &OperationClaim,
         mut answers: mpsc::UnboundedReceiver<HeardAnswer>,
+        until: Instant,
     ) -> Result<(), ClaimError> {
         let silent: Vec<bool> = {
             let (now, state) = (boot_time(), self.limits().state());
             owners.iter().map(|owner| state.silent.contains(&owner.instance, now)).collect()
         };
-        let until = Instant::now() + CLAIM_WAIT;
         let mut unheard: Vec<&InstanceName> = Vec::new();
         let mut declined = None;
         for index in ClaimPlan::new(&silent) {
--- a/crates/rudder-engine/src/limits/mod.rs
+++ b/crates/rudder-engine/src/limits/mod.rs
@@ -7,3 +7,6 @@
 pub(crate) use claim::ClaimError;
 pub(crate) use owner::answer_claim;
 pub(crate) use state::{AccountLimits, LimitOwner};
+
+#[cfg(test)]
+mod tests;
--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -46,12 +46,26 @@
             return if counts_here { ClaimVerdict::Granted } else { ClaimVerdict::NotOwner };
         }
         let bounds = self.identity().limit_bounds;
-        self.limits().state().ledger.claim(account, limit, bounds, role, boot_time())
+        let mut state = self.limits().state();
+        let before = state.ledger.role(account);
+        let verdict = state.ledger.claim(account, limit, bounds, role, boot_time());
+        drop(state);
+        if before != role {
+            log::info!(
+                account:% = account, before:? = before, role:? = role;
+                "this instance's part in counting for an account changed"
+            );
+        }
+        verdict
     }
 
     /// Whether this instance counts for an account. Asks those before it whether they do.
     async fn role_for(&self, account: &AccountName) -> OwnerRole {
         let own = &self.identity().name;
+        // Guards against a fleet that starts anew, in which each instance takes itself for the only one.
+        if !self.membership().has_entries() {
+            return OwnerRole::Absent;
+        }
         let owners = self.limit_owners(account);
         let Some(place) = owners.iter().position(|owner| owner.instance == *own) else {
             return OwnerRole::Absent;
--- /dev/null
+++ b/crates/rudder-engine/src/limits/tests.rs
@@ -0,0 +1,120 @@
+//! Who counts for an account.
+
+use crate::clock::boot_time;
+use crate::engine::{ProxyEngine, RouteAccess};
+use crate::fixtures::{NoPromotion, NobodyDialer, SilentStore, identity, member_entry};
+use crate::identity::EngineBorders;
+use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
+use crate::peers::PeerEntry;
+use crate::settings::{
+    AccountLimit, AccountRule, AccountTable, DatabaseName, FleetSettings, RouteKind, RouteRule,
+    SettingsVersion,
+};
+use crate::statement::RequestId;
+use rudder_core::{AccountName, LogTerm};
+use std::sync::Arc;
+use std::time::Duration;
+
+fn account() -> AccountName {
+    "choirs".parse().expect("a name")
+}
+
+fn settings(version: u64, burst: u32) -> FleetSettings {
+    let limit = AccountLimit { milli_per_second: 10, burst };
+    let rule = AccountRule { name: account(), keys: Vec::new(), limit: Some(limit) };
+    let accounts = AccountTable::sorted(vec![rule]).expect("one account");
+    let idle = Duration::from_secs(3);
+    FleetSettings::sorted(SettingsVersion(version), Vec::new(), Vec::new(), idle)
+        .with_accounts(accounts)
+}
+
+/// An instance that has had a sign of the fleet just now, and knows no list of instances.
+fn engine() -> Arc<ProxyEngine> {
+    let borders = EngineBorders {
+        dialer: Arc::new(NobodyDialer),
+        promotion: Arc::new(NoPromotion),
+        store: Arc::new(SilentStore),
+    };
+    let mut identity = identity("own");
+    identity.limit_bounds.tolerance = 9;
+    let engine = ProxyEngine::new(identity, borders);
+    engine.apply_members(&[member_entry("a")], 1);
+    engine.set_listed(Some(boot_time()));
+    let service = "records".parse().expect("a name");
+    engine.note_records_read(std::slice::from_ref(&service), boot_time());
+    let primary = "a".parse().expect("a name");
+    let phase = LeadPhase::Settled { primary, term: LogTerm(1), base: None };
+    let record = LeadRecord { epoch: LeaderEpoch(1), mark: "m1".to_owned(), phase };
+    engine.observe(&service, &record, boot_time());
+    engine.apply_settings(settings(1, 3));
+    engine
+}
+
+fn list(engine: &ProxyEngine, names: &[&str]) {
+    let entry = |name: &&str| PeerEntry {
+        instance: name.parse().expect("a name"),
+        domain: "north".parse().expect("a name"),
+        address: ([127, 0, 0, 1], 9).into(),
+        marked: false,
+    };
+    engine.membership().set_entries(names.iter().map(entry).collect(), boot_time());
+}
+
+fn access() -> RouteAccess {
+    let route = RouteRule {
+        database: DatabaseName("db".to_owned()),
+        service: "records".parse().expect("a name"),
+        kind: RouteKind::Strict,
+        statement_timeout: Duration::from_secs(1),
+        latency_target: Duration::from_secs(1),
+        priority: 1,
+        is_public: false,
+    };
+    RouteAccess { route: Arc::new(route), account: Some(account()) }
+}
+
+async fn claims(engine: &ProxyEngine, count: usize) -> usize {
+    let mut granted = 0;
+    for _ in 0..count {
+        let id = RequestId("r1".to_owned());
+        granted += usize::from(engine.claim_operation(&access(), &id).await.is_ok());
+    }
+    granted
+}
+
+/// Guards against a fleet that starts anew, in which each instance grants a limit of its own.
+#[tokio::test]
+async fn an_instance_that_knows_no_list_counts_for_nobody() {
+    let engine = engine();
+
+    assert_eq!(claims(&engine, 1).await, 0);
+    list(&engine, &["own"]);
+    assert_eq!(claims(&engine, 9).await, 3);
+}
+
+/// Guards against an account that gets a new burst with each version of the settings.
+#[tokio::test]
+async fn a_new_version_of_the_settings_gives_no_new_operations() {
+    let engine = engine();
+    list(&engine, &["own"]);
+    let first = claims(&engine, 9).await;
+
+    for version in 2..50 {
+        engine.apply_settings(settings(version, 3));
+    }
+
+    assert_eq!((first, claims(&engine, 9).await), (3, 0));
+}
+
+/// Guards against an instance that counts on although it may be cut off from all others.
+#[tokio::test(start_paused = true)]
+async fn an_instance_without_a_sign_of_the_fleet_counts_for_nobody() {
+    let engine = engine();
+    list(&engine, &["own"]);
+
+    engine.group(&"records".parse().expect("a name")).with_leases(|leases| {
+        *leases = crate::lead::LeaseTable::default();
+    });
+
+    assert_eq!(claims(&engine, 1).await, 0);
+}
--- a/crates/rudder-engine/src/peers/membership.rs
+++ b/crates/rudder-engine/src/peers/membership.rs
@@ -329,25 +329,24 @@
         known
     }
 
-    /// The listed instances that may count for an account, the first one first; this one alone if
-    /// none are listed.
+    /// The instances that may count for an account, the first one first, by the store's list; by one
+    /// that may be old while this instance knows no other.
     pub(crate) fn limit_owners(&self, account: &AccountName, count: usize) -> Vec<LimitOwner> {
         let state = self.state();
-        let listed = state.entries.iter().filter(|entry| !entry.marked);
-        let ranked = rank_owners(account, listed.map(|entry| &entry.instance), count);
-        let address = |instance: &InstanceName| {
-            let found =
-                state.entries.binary_search_by(|entry| entry.instance.cmp(instance)).ok()?;
-            (*instance != self.own).then(|| state.entries[found].address)
+        let known = if state.entries.is_empty() { &state.contacts } else { &state.entries };
+        let usable = known.iter().filter(|entry| !entry.marked);
+        let ranked = rank_owners(account, usable.map(|entry| &entry.instance), count);
+        let owner = |instance: &InstanceName| {
+            let entry = known.iter().find(|entry| entry.instance == *instance)?;
+            let address = (*instance != self.own).then_some(entry.address);
+            Some(LimitOwner { instance: instance.clone(), address })
         };
-        if ranked.is_empty() {
-            return vec![LimitOwner { instance: self.own.clone(), address: None }];
-        }
-        let owner = |instance: &InstanceName| LimitOwner {
-            instance: instance.clone(),
-            address: address(instance),
-        };
-        ranked.into_iter().map(owner).collect()
+        ranked.into_iter().filter_map(owner).collect()
+    }
+
+    /// Whether the store's list of instances is known.
+    pub(crate) fn has_entries(&self) -> bool {
+        !self.state().entries.is_empty()
     }
 
     /// A live instance that knows something newer than `version`.
--- a/crates/rudder-engine/src/session/tests/failing_member.rs
+++ b/crates/rudder-engine/src/session/tests/failing_member.rs
@@ -1,12 +1,9 @@
 //! A member that fails statements although it is well by all other signs.
 
-use crate::border::{
-    LinkError, MemberDialer, MemberLink, MemberTarget, PromotionCall, PromotionError,
-    PromotionOrder,
-};
+use crate::border::{LinkError, MemberDialer, MemberLink, MemberTarget};
 use crate::clock::boot_time;
 use crate::engine::{ProxyEngine, RouteAccess};
-use crate::fixtures::{SilentStore, identity, member_entry};
+use crate::fixtures::{NoPromotion, SilentStore, identity, member_entry};
 use crate::group::MemberEntry;
 use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
 use crate::session::job::StatementJob;
@@ -86,15 +83,6 @@
     }
 }
 
-struct NoPromotion;
-
-#[async_trait]
-impl PromotionCall for NoPromotion {
-    async fn promote(&self, _order: &PromotionOrder) -> Result<(), PromotionError> {
-        Err(PromotionError::Rejected)
-    }
-}
-
 fn member(name: &str) -> MemberName {
     name.parse().expect("a name")
 }
