Accounts are counted by the list of before while an instance starts

Change: while no list is known, accounts are divided by the cached list of the start, which shows the instances of before; an answer of the store to this instance is a sign of the fleet like a confirmed record.

--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -25,14 +25,13 @@
         Some(limit.into())
     }
 
-    /// Whether this instance has had a sign of the fleet a moment ago, and goes on serving.
+    /// Whether this instance has had a sign of the store, by itself or by peers, a moment ago, and goes
+    /// on serving.
     fn may_count(&self) -> bool {
-        let confirmed_at = self
-            .groups()
-            .into_iter()
-            .map(|group| group.with_leases(|leases| leases.anchor()))
-            .max();
-        let joined_until = confirmed_at.unwrap_or_default() + LimitBounds::joined_life();
+        let groups = self.groups().into_iter();
+        let confirmed_at = groups.map(|group| group.with_leases(|leases| leases.anchor())).max();
+        let joined_at = confirmed_at.max(self.membership().store_answered_at());
+        let joined_until = joined_at.unwrap_or_default() + LimitBounds::joined_life();
         self.drain_phase() == DrainPhase::Serving && boot_time() < joined_until
     }
 
@@ -63,7 +62,7 @@
     async fn role_for(&self, account: &AccountName) -> OwnerRole {
         let own = &self.identity().name;
         // Guards against a fleet that starts anew, in which each instance takes itself for the only one.
-        if !self.membership().has_entries() {
+        if !self.membership().knows_owners() {
             return OwnerRole::Absent;
         }
         let owners = self.limit_owners(account);
--- a/crates/rudder-engine/src/limits/tests.rs
+++ b/crates/rudder-engine/src/limits/tests.rs
@@ -50,14 +50,18 @@
     engine
 }
 
-fn list(engine: &ProxyEngine, names: &[&str]) {
-    let entry = |name: &&str| PeerEntry {
+fn entry(name: &str) -> PeerEntry {
+    PeerEntry {
         instance: name.parse().expect("a name"),
         domain: "north".parse().expect("a name"),
         address: ([127, 0, 0, 1], 9).into(),
         marked: false,
-    };
-    engine.membership().set_entries(names.iter().map(entry).collect(), boot_time());
+    }
+}
+
+fn list(engine: &ProxyEngine, names: &[&str]) {
+    let entries = names.iter().map(|name| entry(name)).collect();
+    engine.membership().set_entries(entries, boot_time());
 }
 
 fn access() -> RouteAccess {
@@ -92,6 +96,22 @@
     assert_eq!(claims(&engine, 9).await, 3);
 }
 
+/// Guards against accounts that are refused for the second that the first list takes after a loss of
+/// power of all.
+#[tokio::test]
+async fn an_instance_that_starts_counts_by_the_list_of_before() {
+    let engine = engine();
+
+    engine.membership().set_contacts(vec![entry("own")]);
+    assert_eq!(claims(&engine, 1).await, 0, "it may be the only one that has registered yet");
+    let owners = ["own", "other"].map(entry);
+    engine.membership().set_contacts(owners.into());
+    let first = engine.membership().limit_owners(&account(), 1);
+
+    let granted = claims(&engine, 1).await;
+    assert_eq!(granted == 1, first[0].instance == engine.identity().name);
+}
+
 /// Guards against an account that gets a new burst with each version of the settings.
 #[tokio::test]
 async fn a_new_version_of_the_settings_gives_no_new_operations() {
--- a/crates/rudder-engine/src/peers/membership.rs
+++ b/crates/rudder-engine/src/peers/membership.rs
@@ -68,8 +68,11 @@
     }
 
     /// Takes in instances that may have been listed seconds ago.
-    pub(crate) fn set_contacts(&self, contacts: Vec<PeerEntry>) {
-        self.state().contacts = contacts;
+    pub(crate) fn set_contacts(&self, mut contacts: Vec<PeerEntry>) {
+        contacts.sort_by(|left, right| left.instance.cmp(&right.instance));
+        let mut state = self.state();
+        state.contacts = contacts;
+        state.answered_at = Some(boot_time());
     }
 
     /// The list of instances, and when the store had it so.
@@ -206,7 +209,11 @@
 
     /// Takes in whether the store answered this instance.
     pub(crate) fn note_store_answer(&self, answered: bool, now: Duration) {
-        self.state().refused_at = (!answered).then_some(now);
+        let mut state = self.state();
+        state.refused_at = (!answered).then_some(now);
+        if answered {
+            state.answered_at = Some(now);
+        }
     }
 
     /// Whether the store did not answer this instance a moment ago.
@@ -344,9 +351,16 @@
         ranked.into_iter().filter_map(owner).collect()
     }
 
-    /// Whether the store's list of instances is known.
-    pub(crate) fn has_entries(&self) -> bool {
-        !self.state().entries.is_empty()
+    /// When the store last answered this instance itself.
+    pub(crate) fn store_answered_at(&self) -> Option<Duration> {
+        self.state().answered_at
+    }
+
+    /// Whether the instances are known among which accounts are divided: by the store's list, or by
+    /// one that may be old but shows others as well.
+    pub(crate) fn knows_owners(&self) -> bool {
+        let state = self.state();
+        !state.entries.is_empty() || state.contacts.iter().any(|entry| entry.instance != self.own)
     }
 
     /// A live instance that knows something newer than `version`.
--- a/crates/rudder-engine/src/peers/membership_state.rs
+++ b/crates/rudder-engine/src/peers/membership_state.rs
@@ -57,6 +57,8 @@
     pub(super) stopped: Vec<StopNotice>,
     /// When the store did not answer this instance, if it has not answered since.
     pub(super) refused_at: Option<Duration>,
+    /// When the store last answered this instance itself.
+    pub(super) answered_at: Option<Duration>,
 }
 
 impl MembershipState {
