Lists are copied by their changes, and short copies by datagram

Cause: each change of the list of instances or of members made every instance fetch the whole list over a connection of its own (4,880 fetches in six seconds of a start with 195 instances; 554 new connections a second at the busiest). Bytes of a start grow with the cube of the fleet.

Change: an instance keeps the last 32 versions of each list and answers with the difference from the one that the asker names by its digest; the whole list where it does not know that one. A copy of up to 1,200 bytes comes as the answer to a datagram; a longer one is still fetched by a connection. A change that is of another list than is known is not taken.

Ruled out: versions in place of digests; members have versions that two instances may count differently.

Tests: generated sequences of changes with fetches now and then; foreign and forgotten bases; the copy of one change does not grow with the list.

--- a/crates/rudder-engine/src/duty/heartbeat.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -10,7 +10,7 @@
 use crate::limits::answer_claim;
 use crate::peers::{
     CopyVersion, PeerExchange, PeerHeartbeat, PeerMessage, PrimaryDoubt, RecordCopy, StopNotice,
-    fetch_copy,
+    answer_copy, fetch_copy,
 };
 use rudder_core::ServiceName;
 use std::net::SocketAddr;
@@ -84,6 +84,8 @@
             PeerMessage::Records(answer) => take_answer(&engine, &exchange, answer, from).await,
             PeerMessage::Claim(claim) => answer_claim(&engine, &exchange, claim, from).await,
             PeerMessage::ClaimAnswer(answer) => engine.take_claim_answer(answer, from),
+            PeerMessage::AskCopy(question) => answer_copy(&engine, &exchange, question, from).await,
+            PeerMessage::Copy(answer) => engine.pending_copy().take(answer),
         }
     }
 }
@@ -115,7 +117,7 @@
     let peer = engine.membership().newer_copy(engine.copy_version()).or(lists);
     let asked_at = boot_time();
     if let Some(peer) = peer
-        && let Some(copy) = fetch_copy(peer, engine.copy_request()).await
+        && let Some(copy) = fetch_copy(&engine, peer, engine.copy_request()).await
     {
         log::info!(peer:% = peer; "a copy was had from a peer");
         engine.apply_copy(copy, asked_at);
--- a/crates/rudder-engine/src/duty/start.rs
+++ b/crates/rudder-engine/src/duty/start.rs
@@ -31,7 +31,7 @@
     let engine = ProxyEngine::new(identity, borders);
     let exchange = PeerExchange::bind(address).await?;
     let listener = TcpListener::bind(address).await?;
-    engine.limits().connect(exchange.clone());
+    engine.connect(exchange.clone());
     tokio::spawn(serve_copies(Arc::clone(&engine), listener));
     tokio::spawn(heartbeat::receive(Arc::clone(&engine), exchange.clone()));
     tokio::spawn(heartbeat::send(Arc::clone(&engine), exchange.clone()));
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::lead::LeaderLease;
 use crate::limits::AccountLimits;
 use crate::own_entry::OwnEntry;
-use crate::peers::MembershipView;
+use crate::peers::{MembershipView, PeerExchange, PendingCopy};
 use crate::records_status::RecordsStatus;
 use crate::session::CallerSession;
 use crate::settings::{DatabaseName, FleetSettings, KeyDigest, RouteRule, SettingsVersion};
@@ -18,7 +18,7 @@
 use rudder_core::{AccountName, InstanceName, ServiceName, plain_data};
 use rudder_store::ObjectVersion;
 use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
@@ -64,6 +64,9 @@
     fetching: AtomicBool,
     records_status: Mutex<RecordsStatus>,
     limits: AccountLimits,
+    /// Datagrams to other instances, once this one has started.
+    exchange: OnceLock<PeerExchange>,
+    pending_copy: PendingCopy,
     /// Tells that callers wait for word of the primaries.
     records_wanted: Notify,
 }
@@ -86,6 +89,8 @@
             fetching: AtomicBool::new(false),
             records_status: Mutex::default(),
             limits: AccountLimits::default(),
+            exchange: OnceLock::new(),
+            pending_copy: PendingCopy::default(),
             records_wanted: Notify::new(),
         })
     }
@@ -114,6 +119,21 @@
         &self.borders
     }
 
+    /// Lets datagrams be sent to other instances.
+    pub(crate) fn connect(&self, exchange: PeerExchange) {
+        if self.exchange.set(exchange).is_err() {
+            log::error!("an instance was connected to its peers twice");
+        }
+    }
+
+    pub(crate) fn exchange(&self) -> Option<&PeerExchange> {
+        self.exchange.get()
+    }
+
+    pub(crate) fn pending_copy(&self) -> &PendingCopy {
+        &self.pending_copy
+    }
+
     /// The limits of client accounts.
     pub(crate) fn limits(&self) -> &AccountLimits {
         &self.limits
--- a/crates/rudder-engine/src/engine/fleet.rs
+++ b/crates/rudder-engine/src/engine/fleet.rs
@@ -73,12 +73,18 @@
         if let Some(settings) = copy.settings {
             self.apply_settings(settings);
         }
-        if let Some(copy) = copy.members
-            && lock(&self.store_snapshot).take_copy(&copy.members, copy.version)
-        {
-            self.spread_members(&copy.members, "peer");
+        if let Some(copy) = copy.members {
+            let mut snapshot = lock(&self.store_snapshot);
+            let members = copy.list.resolve(snapshot.members().0);
+            let members = members.filter(|members| snapshot.take_copy(members, copy.version));
+            drop(snapshot);
+            if let Some(members) = members {
+                self.spread_members(&members, "peer");
+            }
         }
-        if let Some(EntriesCopy { entries, read: Some(read) }) = copy.entries {
+        if let Some(EntriesCopy { list, read: Some(read) }) = copy.entries
+            && let Some(entries) = list.resolve(&self.membership.entries().0)
+        {
             log::info!(instances = entries.len(); "the list of instances was had from a peer");
             let read_at = read.since(asked_at);
             let own = &self.identity.name;
@@ -96,14 +102,14 @@
         let settings = self.settings().filter(|known| known.version > request.version.settings);
         let members = {
             let snapshot = lock(&self.store_snapshot);
-            let (members, version) = snapshot.members();
+            let (_, version) = snapshot.members();
             let newer = version > request.version.members;
-            newer.then(|| MembersCopy { members: members.to_vec(), version })
+            newer.then(|| MembersCopy { list: snapshot.copy_members(request.members), version })
         };
         let newer = self.membership.entries_version().0 != request.entries;
         let entries = newer.then(|| {
-            let (entries, read_at) = self.membership.entries();
-            EntriesCopy { entries, read: QuestionOffset::of(read_at, received_at) }
+            let (list, read_at) = self.membership.copy_entries(request.entries);
+            EntriesCopy { list, read: QuestionOffset::of(read_at, received_at) }
         });
         FleetCopy { settings: settings.map(|settings| settings.as_ref().clone()), members, entries }
     }
@@ -111,7 +117,8 @@
     /// What this instance knows already.
     pub(crate) fn copy_request(&self) -> CopyRequest {
         let (entries, _) = self.membership.entries_version();
-        CopyRequest { version: self.copy_version(), entries }
+        let members = lock(&self.store_snapshot).members_digest();
+        CopyRequest { version: self.copy_version(), members, entries }
     }
 
     /// Whether this caller is the one to fetch a peer's copy.
--- a/crates/rudder-engine/src/limits/claim.rs
+++ b/crates/rudder-engine/src/limits/claim.rs
@@ -141,7 +141,7 @@
                     ClaimVerdict::NotOwner => Some(ClaimOutcome::NotOwner),
                 },
                 Some(address) => {
-                    let Some(exchange) = self.limits().exchange() else { break };
+                    let Some(exchange) = self.exchange() else { break };
                     exchange.send(&PeerMessage::Claim(claim.clone()), address).await;
                     if unheard.contains(&&owner.instance) {
                         self.limits().state().silent.note_silent(&owner.instance, boot_time());
--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -82,7 +82,7 @@
                 standings.push(state.watch.standing(account, &owner.instance, now));
             }
         }
-        if let Some(exchange) = self.limits().exchange() {
+        if let Some(exchange) = self.exchange() {
             for (question, address) in probes {
                 let claim = OperationClaim { question, account: account.clone(), counts: false };
                 exchange.send(&PeerMessage::Claim(claim), address).await;
--- a/crates/rudder-engine/src/limits/state.rs
+++ b/crates/rudder-engine/src/limits/state.rs
@@ -1,11 +1,11 @@
 //! What an instance remembers of the accounts' limits.
 
-use crate::peers::{ClaimAnswer, PeerExchange};
+use crate::peers::ClaimAnswer;
 use crate::sync::lock;
 use rudder_core::{AccountName, InstanceName};
 use rudder_decisions::{LimitLedger, OwnerWatch, SilentOwners};
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, OnceLock};
+use std::sync::{Mutex, MutexGuard};
 use tokio::sync::mpsc;
 
 /// An instance that may count for an account.
@@ -40,7 +40,6 @@
 #[derive(Default)]
 pub(crate) struct AccountLimits {
     state: Mutex<LimitState>,
-    exchange: OnceLock<PeerExchange>,
 }
 
 #[derive(Default)]
@@ -59,17 +58,6 @@
 const PROBES_MAX: usize = 1024;
 
 impl AccountLimits {
-    /// Lets claims be sent to other instances.
-    pub(crate) fn connect(&self, exchange: PeerExchange) {
-        if self.exchange.set(exchange).is_err() {
-            log::error!("the exchange with peers was set twice");
-        }
-    }
-
-    pub(super) fn exchange(&self) -> Option<&PeerExchange> {
-        self.exchange.get()
-    }
-
     pub(super) fn state(&self) -> MutexGuard<'_, LimitState> {
         lock(&self.state)
     }
--- a/crates/rudder-engine/src/peers/digest.rs
+++ b/crates/rudder-engine/src/peers/digest.rs
@@ -1,6 +1,5 @@
-//! What an instance knows of records and of instances, each in one number.
+//! What an instance knows of records, in one number.
 
-use super::membership_state::PeerEntry;
 use crate::lead::LeaderEpoch;
 use rudder_core::ServiceName;
 use serde::{Deserialize, Serialize};
@@ -23,26 +22,3 @@
         Self(hash.digest())
     }
 }
-
-/// Tells whether two instances know the same list of instances.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct EntriesDigest(u64);
-
-impl Default for EntriesDigest {
-    fn default() -> Self {
-        Self::of(&[])
-    }
-}
-
-impl EntriesDigest {
-    /// The digest of entries that are sorted by instance.
-    pub(crate) fn of(entries: &[PeerEntry]) -> Self {
-        let mut hash = Xxh3::new();
-        for entry in entries {
-            let (instance, domain) = (entry.instance.as_str(), entry.domain.as_str());
-            let line = format!("{instance} {domain} {} {}\n", entry.address, entry.marked);
-            hash.update(line.as_bytes());
-        }
-        Self(hash.digest())
-    }
-}
--- a/crates/rudder-engine/src/peers/fleet_copy.rs
+++ b/crates/rudder-engine/src/peers/fleet_copy.rs
@@ -5,25 +5,29 @@
 //! asks, and the others fetch what is new from it and from each other; they ask the store
 //! themselves as soon as nobody tells them in time.
 
-use super::digest::EntriesDigest;
+use super::exchange::PeerExchange;
+use super::list_change::{CopiedList, ListDigest};
 use super::membership_state::PeerEntry;
+use super::message::{CopyAnswer, CopyQuestion, PeerMessage};
 use super::offset::QuestionOffset;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::MemberEntry;
 use crate::settings::{FleetSettings, SettingsVersion};
 use crate::store_snapshot::MembersVersion;
+use crate::sync::lock;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
-use rudder_core::plain_data;
+use rudder_core::{InstanceName, MemberName, plain_data};
 use serde::{Deserialize, Serialize};
 use std::io::{Read as _, Write as _};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
 
 /// How long the next part of a copy may take: a busy peer's turn, a packet lost between regions. The
 /// time of a whole copy grows with its size and with how many ask for it at once.
@@ -32,6 +36,12 @@
 /// The most time for a copy.
 const COPY_LIMIT: Duration = Duration::from_secs(15);
 
+/// The longest copy that goes in a datagram, so that it is not split on its way.
+const DATAGRAM_BYTES_MAX: usize = 1200;
+
+/// How long a copy by datagram is awaited: a round trip between regions and a slow machine's turn.
+const DATAGRAM_WAIT: Duration = Duration::from_millis(150);
+
 /// The most that is read or written at a time.
 const PART_BYTES: usize = 16_384;
 
@@ -43,7 +53,8 @@
     #[derive(Copy, Serialize, Deserialize)]
     pub(crate) struct CopyRequest {
         pub(crate) version: CopyVersion,
-        pub(crate) entries: EntriesDigest,
+        pub(crate) members: ListDigest,
+        pub(crate) entries: ListDigest,
     }
 }
 
@@ -61,7 +72,7 @@
     /// The members of all services.
     #[derive(Serialize, Deserialize)]
     pub(crate) struct MembersCopy {
-        pub(crate) members: Vec<MemberEntry>,
+        pub(crate) list: CopiedList<MemberEntry, MemberName>,
         pub(crate) version: MembersVersion,
     }
 }
@@ -70,7 +81,7 @@
     /// The list of instances.
     #[derive(Serialize, Deserialize)]
     pub(crate) struct EntriesCopy {
-        pub(crate) entries: Vec<PeerEntry>,
+        pub(crate) list: CopiedList<PeerEntry, InstanceName>,
         /// When the store had it so, counted from the request.
         pub(crate) read: Option<QuestionOffset>,
     }
@@ -145,8 +156,83 @@
     tokio::time::timeout(PART_LIMIT, part).await.map_err(timed_out)?
 }
 
-/// Asks an instance for what it knows beyond `request`.
-pub(crate) async fn fetch_copy(peer: SocketAddr, request: CopyRequest) -> Option<FleetCopy> {
+/// The copy that this instance awaits by datagram.
+#[derive(Default)]
+pub(crate) struct PendingCopy {
+    state: Mutex<PendingState>,
+}
+
+#[derive(Default)]
+struct PendingState {
+    question: u64,
+    answered: Option<oneshot::Sender<Option<Vec<u8>>>>,
+}
+
+impl PendingCopy {
+    /// Begins to await a copy, in place of any one awaited before.
+    fn begin(&self) -> (u64, oneshot::Receiver<Option<Vec<u8>>>) {
+        let (answered, answer) = oneshot::channel();
+        let mut state = lock(&self.state);
+        state.question += 1;
+        state.answered = Some(answered);
+        (state.question, answer)
+    }
+
+    /// Takes in an answer, if it is the awaited one.
+    pub(crate) fn take(&self, answer: CopyAnswer) {
+        let mut state = lock(&self.state);
+        if answer.question == state.question
+            && let Some(answered) = state.answered.take()
+        {
+            // Whoever asked may have turned to a connection meanwhile.
+            let _ = answered.send(answer.copy);
+        }
+    }
+}
+
+/// Answers a question for a copy.
+pub(crate) async fn answer_copy(
+    engine: &ProxyEngine,
+    exchange: &PeerExchange,
+    question: CopyQuestion,
+    from: SocketAddr,
+) {
+    let copy = match encode_copy(&engine.fleet_copy(question.request, boot_time())) {
+        Ok(bytes) => (bytes.len() <= DATAGRAM_BYTES_MAX).then_some(bytes),
+        Err(error) => {
+            log::error!(reason:% = error; "a copy cannot be written");
+            None
+        }
+    };
+    let answer = CopyAnswer { question: question.question, copy };
+    exchange.send(&PeerMessage::Copy(answer), from).await;
+}
+
+/// Asks an instance for what it knows beyond `request`: by datagram, and by a connection where the
+/// answer is too long for one.
+pub(crate) async fn fetch_copy(
+    engine: &ProxyEngine,
+    peer: SocketAddr,
+    request: CopyRequest,
+) -> Option<FleetCopy> {
+    if let Some(bytes) = ask_copy(engine, peer, request).await {
+        match decode_copy(&bytes) {
+            Ok(copy) => return Some(copy),
+            Err(error) => log::warn!(peer:% = peer, reason:% = error; "a copy is unreadable"),
+        }
+    }
+    fetch_by_connection(peer, request).await
+}
+
+async fn ask_copy(engine: &ProxyEngine, peer: SocketAddr, request: CopyRequest) -> Option<Vec<u8>> {
+    let (question, answer) = engine.pending_copy().begin();
+    let message = PeerMessage::AskCopy(CopyQuestion { question, request });
+    engine.exchange()?.send(&message, peer).await;
+    // Without an answer a connection tells whether the peer lives.
+    tokio::time::timeout(DATAGRAM_WAIT, answer).await.ok()?.ok()?
+}
+
+async fn fetch_by_connection(peer: SocketAddr, request: CopyRequest) -> Option<FleetCopy> {
     match tokio::time::timeout(COPY_LIMIT, exchange_copy(peer, request)).await {
         Ok(Ok(copy)) => return Some(copy),
         Ok(Err(error)) => {
--- /dev/null
+++ b/crates/rudder-engine/src/peers/list_change.rs
@@ -0,0 +1,144 @@
+//! Lists that instances copy from each other, by what has changed in them.
+//!
+//! Load pattern: while a fleet starts, each of its instances changes the list of instances, and each
+//! change reaches all others. If every copy is the whole list, the bytes grow with the cube of the
+//! fleet, and fill links and processors for longer than the start itself takes.
+
+use crate::group::MemberEntry;
+use crate::peers::PeerEntry;
+use rudder_core::{InstanceName, MemberName};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// Earlier lists that are remembered. An instance that is further behind gets the whole list.
+const HISTORY_MAX: usize = 32;
+
+/// An item of a list that is sorted by the item's key.
+pub(crate) trait ListItem: Clone + PartialEq + Serialize {
+    type Key: Ord + Clone;
+
+    fn key(&self) -> &Self::Key;
+}
+
+impl ListItem for PeerEntry {
+    type Key = InstanceName;
+
+    fn key(&self) -> &InstanceName {
+        &self.instance
+    }
+}
+
+impl ListItem for MemberEntry {
+    type Key = MemberName;
+
+    fn key(&self) -> &MemberName {
+        &self.target.member
+    }
+}
+
+/// Tells whether two instances know the same list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ListDigest(u64);
+
+impl Default for ListDigest {
+    fn default() -> Self {
+        Self::of::<()>(&[])
+    }
+}
+
+impl ListDigest {
+    /// The digest of a sorted list.
+    pub(crate) fn of<T: Serialize>(items: &[T]) -> Self {
+        match postcard::to_stdvec(items) {
+            Ok(bytes) => Self(xxhash_rust::xxh3::xxh3_64(&bytes)),
+            Err(error) => {
+                log::error!(reason:% = error; "a list cannot be written");
+                Self(0)
+            }
+        }
+    }
+}
+
+/// A list as it is sent: as a whole, or by its difference from one that the receiver knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum CopiedList<T, K> {
+    Whole(Vec<T>),
+    Change {
+        /// The list that it is a change of.
+        base: ListDigest,
+        /// New items, and those that differ.
+        put: Vec<T>,
+        removed: Vec<K>,
+    },
+}
+
+impl<T: ListItem> CopiedList<T, T::Key> {
+    /// The list, if this is a whole one or a change of `known`.
+    pub(crate) fn resolve(self, known: &[T]) -> Option<Vec<T>> {
+        let (base, put, removed) = match self {
+            Self::Whole(items) => return Some(items),
+            Self::Change { base, put, removed } => (base, put, removed),
+        };
+        if base != ListDigest::of(known) {
+            log::info!("a change of a list is of another one than is known");
+            return None;
+        }
+        let mut items = known.to_vec();
+        items.retain(|item| !removed.contains(item.key()));
+        for item in put {
+            match items.binary_search_by(|known| known.key().cmp(item.key())) {
+                Ok(index) => items[index] = item,
+                Err(index) => items.insert(index, item),
+            }
+        }
+        Some(items)
+    }
+}
+
+/// The last versions of a list, the newest at the end.
+#[derive(Clone, Debug)]
+pub(crate) struct ListHistory<T> {
+    lists: VecDeque<(ListDigest, Vec<T>)>,
+}
+
+impl<T> Default for ListHistory<T> {
+    fn default() -> Self {
+        Self { lists: VecDeque::new() }
+    }
+}
+
+impl<T: ListItem> ListHistory<T> {
+    /// Takes in the list as it is now.
+    pub(crate) fn note(&mut self, items: &[T]) {
+        let digest = ListDigest::of(items);
+        if digest == self.digest() {
+            return;
+        }
+        self.lists.retain(|(known, _)| *known != digest);
+        self.lists.push_back((digest, items.to_vec()));
+        if self.lists.len() > HISTORY_MAX {
+            self.lists.pop_front();
+        }
+    }
+
+    /// The digest of the newest list.
+    pub(crate) fn digest(&self) -> ListDigest {
+        self.lists.back().map_or_else(ListDigest::default, |(digest, _)| *digest)
+    }
+
+    /// The newest list for an instance that knows the one of `base`.
+    pub(crate) fn copy_for(&self, base: ListDigest) -> CopiedList<T, T::Key> {
+        let Some((_, newest)) = self.lists.back() else { return CopiedList::Whole(Vec::new()) };
+        let found = self.lists.iter().find(|(digest, _)| *digest == base);
+        let Some((_, known)) = found else { return CopiedList::Whole(newest.clone()) };
+        let differs = |item: &&T| {
+            let found = known.binary_search_by(|other| other.key().cmp(item.key()));
+            !found.is_ok_and(|index| known[index] == **item)
+        };
+        let is_gone =
+            |item: &&T| newest.binary_search_by(|other| other.key().cmp(item.key())).is_err();
+        let put: Vec<T> = newest.iter().filter(differs).cloned().collect();
+        let removed = known.iter().filter(is_gone).map(|item| item.key().clone()).collect();
+        CopiedList::Change { base, put, removed }
+    }
+}
--- a/crates/rudder-engine/src/peers/membership.rs
+++ b/crates/rudder-engine/src/peers/membership.rs
@@ -1,7 +1,7 @@
 //! What is known of the other instances.
 
-use super::digest::EntriesDigest;
 use super::fleet_copy::CopyVersion;
+use super::list_change::{CopiedList, ListDigest};
 use super::membership_state::{HeardHeartbeat, MembershipState, PeerEntry};
 use super::message::{PeerHeartbeat, StopNotice};
 use super::questions::QuestionLog;
@@ -61,7 +61,7 @@
             if entries.iter().any(|entry| entry.instance == self.own) {
                 state.contacts.clear();
             }
-            state.digest = EntriesDigest::of(&entries);
+            state.history.note(&entries);
             state.entries = entries;
             state.entries_at = read_at;
         }
@@ -81,20 +81,29 @@
         (state.entries.clone(), state.entries_at)
     }
 
+    /// The list of instances for one who knows the list of `base`, and when the store had it so.
+    pub(crate) fn copy_entries(
+        &self,
+        base: ListDigest,
+    ) -> (CopiedList<PeerEntry, InstanceName>, Duration) {
+        let state = self.state();
+        (state.history.copy_for(base), state.entries_at)
+    }
+
     /// When the store had the list of instances so, and which list that is.
-    pub(crate) fn entries_version(&self) -> (EntriesDigest, Duration) {
+    pub(crate) fn entries_version(&self) -> (ListDigest, Duration) {
         let state = self.state();
-        (state.digest, state.entries_at)
+        (state.history.digest(), state.entries_at)
     }
 
     /// Takes in a peer's word that the store had the list `digest` at `read_at`; returns whether that
     /// is a newer list than is known.
-    pub(crate) fn renew_entries(&self, digest: EntriesDigest, read_at: Duration) -> bool {
+    pub(crate) fn renew_entries(&self, digest: ListDigest, read_at: Duration) -> bool {
         let mut state = self.state();
         if read_at <= state.entries_at {
             return false;
         }
-        let same = digest == state.digest;
+        let same = digest == state.history.digest();
         if same {
             state.entries_at = read_at;
         }
--- a/crates/rudder-engine/src/peers/membership_state.rs
+++ b/crates/rudder-engine/src/peers/membership_state.rs
@@ -1,6 +1,6 @@
 //! What the store and the other instances said, as far as it is kept.
 
-use super::digest::EntriesDigest;
+use super::list_change::ListHistory;
 use super::message::{PeerHeartbeat, StopNotice};
 use super::readers::ReaderCandidate;
 use rudder_core::{DomainName, InstanceName, plain_data};
@@ -46,8 +46,8 @@
 pub(super) struct MembershipState {
     /// The instances that the store lists, this one included, sorted by name.
     pub(super) entries: Vec<PeerEntry>,
-    /// Their digest, which goes with each answer to a peer.
-    pub(super) digest: EntriesDigest,
+    /// Their last versions; the digest of the newest goes with each answer to a peer.
+    pub(super) history: ListHistory<PeerEntry>,
     /// When the store had them so.
     pub(super) entries_at: Duration,
     /// Instances of a list that may be old; good for finding neighbours only.
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -1,7 +1,8 @@
 //! The datagrams between instances.
 
-use super::digest::{EntriesDigest, RecordsDigest};
-use super::fleet_copy::CopyVersion;
+use super::digest::RecordsDigest;
+use super::fleet_copy::{CopyRequest, CopyVersion};
+use super::list_change::ListDigest;
 use super::offset::QuestionOffset;
 use crate::lead::{LeadRecord, LeaderEpoch};
 use rudder_core::{AccountName, DomainName, InstanceName, LogStamp, ServiceName, plain_data};
@@ -110,7 +111,7 @@
         /// When these were last known to be current.
         pub(crate) current: Option<QuestionOffset>,
         /// Which list of instances the sender knows.
-        pub(crate) entries: EntriesDigest,
+        pub(crate) entries: ListDigest,
         /// When the store had it so.
         pub(crate) entries_read: Option<QuestionOffset>,
         /// Whether the sender itself confirms that it knows of no later versions of the records.
@@ -136,6 +137,27 @@
     }
 }
 
+plain_data! {
+    /// A question for what the receiver knows of the store's word.
+    #[derive(Copy, Serialize, Deserialize)]
+    pub(crate) struct CopyQuestion {
+        /// The question's number, which comes back with the answer.
+        pub(crate) question: u64,
+        pub(crate) request: CopyRequest,
+    }
+}
+
+plain_data! {
+    /// The answer.
+    #[derive(Serialize, Deserialize)]
+    pub(crate) struct CopyAnswer {
+        /// The question's number.
+        pub(crate) question: u64,
+        /// The copy; none if it is too long for a datagram and has to be fetched by a connection.
+        pub(crate) copy: Option<Vec<u8>>,
+    }
+}
+
 /// What a claim came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum ClaimOutcome {
@@ -177,4 +199,8 @@
     Claim(OperationClaim),
     /// The answer.
     ClaimAnswer(ClaimAnswer),
+    /// Asks for what the receiver knows of the store's word.
+    AskCopy(CopyQuestion),
+    /// The answer.
+    Copy(CopyAnswer),
 }
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod entries;
 mod exchange;
 mod fleet_copy;
+mod list_change;
 mod membership;
 mod membership_state;
 mod message;
@@ -19,8 +20,10 @@
 pub(crate) use entries::{EntryLedger, EntryVerdict, LISTED_LIFE};
 pub(crate) use exchange::PeerExchange;
 pub(crate) use fleet_copy::{
-    CopyRequest, CopyVersion, EntriesCopy, FleetCopy, MembersCopy, fetch_copy, serve_copies,
+    CopyRequest, CopyVersion, EntriesCopy, FleetCopy, MembersCopy, PendingCopy, answer_copy,
+    fetch_copy, serve_copies,
 };
+pub(crate) use list_change::{CopiedList, ListDigest, ListHistory};
 pub(crate) use membership::MembershipView;
 pub(crate) use membership_state::PeerEntry;
 pub(crate) use message::{
--- a/crates/rudder-engine/src/peers/tests/message.rs
+++ b/crates/rudder-engine/src/peers/tests/message.rs
@@ -1,6 +1,6 @@
 //! How large messages between instances are.
 
-use crate::peers::digest::EntriesDigest;
+use crate::peers::list_change::ListDigest;
 use crate::peers::{
     CopyVersion, PeerHeartbeat, PeerMessage, QuestionOffset, RecordTiming, RecordsAnswer,
     RecordsDigest, SampleCopy,
@@ -26,7 +26,7 @@
         read: offset(450),
         version: CopyVersion::default(),
         current: offset(300),
-        entries: EntriesDigest::default(),
+        entries: ListDigest::default(),
         entries_read: offset(0),
         confirms: true,
         digest: RecordsDigest::default(),
--- a/crates/rudder-engine/src/peers/tests/mod.rs
+++ b/crates/rudder-engine/src/peers/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod entries;
 mod fleet_copy;
+mod list_change;
 mod message;
 mod offset;
 mod readers;
--- a/crates/rudder-engine/src/store_snapshot.rs
+++ b/crates/rudder-engine/src/store_snapshot.rs
@@ -1,6 +1,8 @@
 //! What the store last said of members, in which version, and when it last said that all is current.
 
 use crate::group::MemberEntry;
+use crate::peers::{CopiedList, ListDigest, ListHistory};
+use rudder_core::MemberName;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -21,6 +23,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StoreSnapshot {
     members: Vec<MemberEntry>,
+    /// The last versions of the list.
+    history: ListHistory<MemberEntry>,
     version: MembersVersion,
     /// The latest moment at which the list of members is known to have been current.
     members_at: Option<Duration>,
@@ -38,7 +42,7 @@
         if self.members == members {
             return false;
         }
-        self.members = members.to_vec();
+        self.replace_members(members);
         self.version = if revision > self.version.revision {
             MembersVersion { revision, turn: 0 }
         } else {
@@ -62,10 +66,26 @@
         }
         self.version = version;
         let differs = self.members != members;
-        self.members = members.to_vec();
+        self.replace_members(members);
         differs
     }
 
+    fn replace_members(&mut self, members: &[MemberEntry]) {
+        self.members = members.to_vec();
+        self.members.sort_by(|left, right| left.target.member.cmp(&right.target.member));
+        self.history.note(&self.members);
+    }
+
+    /// The list of members for one who knows the list of `base`.
+    pub(crate) fn copy_members(&self, base: ListDigest) -> CopiedList<MemberEntry, MemberName> {
+        self.history.copy_for(base)
+    }
+
+    /// The digest of the list of members.
+    pub(crate) fn members_digest(&self) -> ListDigest {
+        self.history.digest()
+    }
+
     /// Takes in that the list of members is current at `now`.
     pub(crate) fn confirm_members(&mut self, now: Duration) {
         self.members_at = self.members_at.max(Some(now));
