Owners of a limit that may be cut off grant what they hold; the parts add up

Change: such an owner grants what its bucket holds and a twelfth of the allowance a window. What may run beyond a limit is divided by place in the order of owners, so that all of them may begin within a window. The first owner starts with the burst if it has had contact for a whole window. An account that nobody answered for is refused at once for 300 ms.

--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -34,8 +34,8 @@
 pub use dial_gate::{DialFailure, DialGate};
 pub use meter::MemberMeter;
 pub use operation_limit::{
-    ClaimPlan, ClaimVerdict, LimitBounds, LimitLedger, OperationBucket, OperationLimit, OwnerRole,
-    OwnerStanding, OwnerWatch, SilentOwners, rank_owners,
+    ClaimPlan, ClaimVerdict, FleetContact, LimitBounds, LimitLedger, OperationBucket,
+    OperationLimit, OwnerRole, OwnerStanding, OwnerWatch, RecentNotes, rank_owners,
 };
 pub use outlier::OutlierTracker;
 pub use place::{NodePlace, PlaceDistance};
--- a/crates/rudder-decisions/src/operation_limit/ledger.rs
+++ b/crates/rudder-decisions/src/operation_limit/ledger.rs
@@ -13,10 +13,19 @@
 /// [`LimitBounds::joined_life`] after its last sign of the fleet, which is less.
 const FULL_AFTER: Duration = Duration::from_millis(1900);
 
-/// Parts into which the allowance above a limit is divided: one for a successor, one for an owner that
-/// returns, and one that is added to the burst, so that an account just below its limit is not
-/// refused for the unevenness of its operations.
-const ALLOWANCE_PARTS: u64 = 3;
+/// Twelfths of the allowance above a limit that an owner may grant when it begins to count, by its place
+/// in the order of owners. All of them may begin within a window.
+const START_PARTS: [u64; 3] = [2, 4, 2];
+
+/// Twelfths that a successor may grant in a window while it does not count in full.
+const PROVISIONAL_PART: u64 = 3;
+
+/// Twelfths that an owner may grant in a window, beyond what it holds, while it may be cut off.
+const DETACHED_PART: u64 = 1;
+
+/// Twelfths that are added to the burst, so that an account just below its limit is not refused for
+/// the unevenness of its operations.
+const BURST_PART: u64 = 2;
 
 /// What of an account's use counts together, and how far it may be above the limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -41,64 +50,92 @@
         Duration::from_millis(1800)
     }
 
-    /// Operations in a window that a new owner may grant without knowing what was granted before.
+    /// Operations in a window that may run beyond a limit.
     ///
     /// ```
     /// use rudder_decisions::{LimitBounds, OperationLimit};
     /// use std::time::Duration;
     /// let window = Duration::from_secs(5);
-    /// let bounds = LimitBounds { window, overage_permille: 100, tolerance: 21 };
+    /// let bounds = LimitBounds { window, overage_permille: 100, tolerance: 20 };
     /// let limit = OperationLimit { milli_per_second: 10_000, burst: 10 };
-    /// assert_eq!(bounds.reserve(limit), 9);
+    /// assert_eq!(bounds.allowance(limit), 26);
     /// ```
     #[must_use]
-    pub fn reserve(self, limit: OperationLimit) -> u64 {
+    pub fn allowance(self, limit: OperationLimit) -> u64 {
         let overage = limit.in_window(self.window).saturating_mul(self.overage_permille.into());
-        (overage / 1000 + u64::from(self.tolerance)) / ALLOWANCE_PARTS
+        overage / 1000 + u64::from(self.tolerance)
     }
 
-    /// The limit with a burst that is greater by the reserve.
-    fn lenient(self, limit: OperationLimit) -> OperationLimit {
-        let reserve = u32::try_from(self.reserve(limit)).unwrap_or(u32::MAX);
-        OperationLimit { burst: limit.burst.saturating_add(reserve), ..limit }
+    /// What a new owner may grant at once. Only one that has long counted, or would have, knows that
+    /// no other one has just granted.
+    fn start(self, role: OwnerRole, place: usize, limit: OperationLimit) -> u64 {
+        match role {
+            OwnerRole::Settled => limit.burst.into(),
+            _ => self.allowance(limit) * START_PARTS.get(place).unwrap_or(&0) / 12,
+        }
     }
 
-    /// The reserve as a limit of its own.
-    fn reserve_limit(self, limit: OperationLimit) -> OperationLimit {
-        let reserve = self.reserve(limit);
+    /// What an owner may grant in a role.
+    fn granted_in(self, role: OwnerRole, limit: OperationLimit) -> OperationLimit {
+        let allowance = self.allowance(limit);
+        let added = u32::try_from(allowance * BURST_PART / 12).unwrap_or(u32::MAX);
+        let burst = limit.burst.saturating_add(added);
         let window_ms = u64::try_from(self.window.as_millis()).unwrap_or(u64::MAX).max(1);
-        let milli_per_second = reserve.saturating_mul(1_000_000) / window_ms;
-        OperationLimit { milli_per_second, burst: u32::try_from(reserve).unwrap_or(u32::MAX) }
+        let rate = |part: u64| (allowance * part / 12).saturating_mul(1_000_000) / window_ms;
+        let milli_per_second = match role {
+            OwnerRole::Full | OwnerRole::Settled => limit.milli_per_second,
+            OwnerRole::Provisional => rate(PROVISIONAL_PART),
+            OwnerRole::Detached => rate(DETACHED_PART),
+            OwnerRole::Absent => 0,
+        };
+        OperationLimit { milli_per_second, burst }
     }
 }
 
 /// Whether an instance counts for an account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OwnerRole {
-    /// Another one does, or this one may be cut off.
+    /// Another one does.
     Absent,
-    /// An earlier owner has just gone silent: only the reserve is granted.
+    /// It may be cut off, and another one may count elsewhere: it grants what it holds, and little
+    /// more.
+    Detached,
+    /// An earlier owner has just gone silent: a part of what may run beyond the limit is granted.
     Provisional,
     /// It does.
     Full,
+    /// It does, and no other one can have done so for a whole window.
+    Settled,
+}
+
+/// What an instance knows of its own place in the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FleetContact {
+    /// It has had no sign of the fleet within [`LimitBounds::joined_life`].
+    Lost,
+    /// It has.
+    Joined,
+    /// It has had one all the time for a whole window.
+    Settled,
 }
 
 impl OwnerRole {
-    /// The role of an instance, by whether it has had a sign of the fleet within
-    /// [`LimitBounds::joined_life`] and what the owners before it do.
+    /// The role of an instance, by its contact with the fleet and what the owners before it do.
     ///
     /// ```
-    /// use rudder_decisions::{OwnerRole, OwnerStanding};
+    /// use rudder_decisions::{FleetContact, OwnerRole, OwnerStanding};
     /// use std::time::Duration;
     /// let silent = |ms| OwnerStanding::SilentFor(Duration::from_millis(ms));
-    /// assert_eq!(OwnerRole::of(true, &[]), OwnerRole::Full);
-    /// assert_eq!(OwnerRole::of(true, &[OwnerStanding::Granting]), OwnerRole::Absent);
-    /// assert_eq!(OwnerRole::of(true, &[silent(300)]), OwnerRole::Provisional);
-    /// assert_eq!(OwnerRole::of(true, &[silent(3000), OwnerStanding::Vacant]), OwnerRole::Full);
-    /// assert_eq!(OwnerRole::of(false, &[]), OwnerRole::Absent);
+    /// assert_eq!(OwnerRole::of(FleetContact::Settled, &[]), OwnerRole::Settled);
+    /// let joined = FleetContact::Joined;
+    /// assert_eq!(OwnerRole::of(joined, &[]), OwnerRole::Full);
+    /// assert_eq!(OwnerRole::of(joined, &[OwnerStanding::Granting]), OwnerRole::Absent);
+    /// assert_eq!(OwnerRole::of(joined, &[silent(300)]), OwnerRole::Provisional);
+    /// assert_eq!(OwnerRole::of(joined, &[silent(3000), OwnerStanding::Vacant]), OwnerRole::Full);
+    /// assert_eq!(OwnerRole::of(FleetContact::Lost, &[]), OwnerRole::Detached);
     /// ```
     #[must_use]
-    pub fn of(is_joined: bool, earlier: &[OwnerStanding]) -> Self {
+    pub fn of(contact: FleetContact, earlier: &[OwnerStanding]) -> Self {
         let role = |standing: &OwnerStanding| match standing {
             OwnerStanding::Granting => Self::Absent,
             OwnerStanding::Vacant => Self::Full,
@@ -107,10 +144,15 @@
             OwnerStanding::SilentFor(_) => Self::Absent,
         };
         let roles: Vec<Self> = earlier.iter().map(role).collect();
-        if !is_joined || roles.contains(&Self::Absent) {
+        if roles.contains(&Self::Absent) {
             return Self::Absent;
         }
-        if roles.contains(&Self::Provisional) { Self::Provisional } else { Self::Full }
+        match contact {
+            FleetContact::Lost => Self::Detached,
+            _ if roles.contains(&Self::Provisional) => Self::Provisional,
+            FleetContact::Settled if earlier.is_empty() => Self::Settled,
+            FleetContact::Settled | FleetContact::Joined => Self::Full,
+        }
     }
 }
 
@@ -138,11 +180,12 @@
 /// use rudder_decisions::{ClaimVerdict, LimitBounds, LimitLedger, OperationLimit, OwnerRole};
 /// use std::time::Duration;
 /// let account = "choirs".parse()?;
-/// let bounds = LimitBounds { window: Duration::from_secs(5), overage_permille: 0, tolerance: 3 };
+/// assert!(!LimitLedger::default().grants(&account, OwnerRole::Detached));
+/// let bounds = LimitBounds { window: Duration::from_secs(5), overage_permille: 0, tolerance: 6 };
 /// let limit = OperationLimit { milli_per_second: 1_000, burst: 10 };
 /// let mut ledger = LimitLedger::default();
 /// let mut claim = |role, ms| {
-///     ledger.claim(&account, limit, bounds, role, Duration::from_millis(ms))
+///     ledger.claim(&account, limit, bounds, role, 0, Duration::from_millis(ms))
 /// };
 /// assert_eq!(claim(OwnerRole::Full, 0), ClaimVerdict::Granted);
 /// assert_eq!(claim(OwnerRole::Full, 0), ClaimVerdict::Spent(Duration::from_secs(1)));
@@ -155,7 +198,7 @@
 }
 
 impl LimitLedger {
-    /// Judges the claim of one operation.
+    /// Judges the claim of one operation, for an instance at `place` in the order of owners.
     ///
     /// See the example of [`LimitLedger`].
     pub fn claim(
@@ -164,25 +207,26 @@
         limit: OperationLimit,
         bounds: LimitBounds,
         role: OwnerRole,
+        place: usize,
         now: Duration,
     ) -> ClaimVerdict {
         let found = self.holdings.binary_search_by(|known| known.account.cmp(account));
-        let granted = match role {
-            OwnerRole::Absent => {
+        let granted = bounds.granted_in(role, limit);
+        let index = match (found, role) {
+            (Ok(index), OwnerRole::Absent) => {
                 // Another one may grant from now on, so this bucket tells nothing any more.
-                if let Ok(index) = found {
-                    self.holdings.remove(index);
-                }
+                self.holdings.remove(index);
                 return ClaimVerdict::NotOwner;
             }
-            OwnerRole::Provisional => bounds.reserve_limit(limit),
-            OwnerRole::Full => bounds.lenient(limit),
+            (Err(_), OwnerRole::Absent | OwnerRole::Detached) => return ClaimVerdict::NotOwner,
+            (Ok(index), _) => index,
+            (Err(index), _) => {
+                let bucket = OperationBucket::new(granted, bounds.start(role, place, limit), now);
+                let holding = AccountHolding { account: account.clone(), role, bucket };
+                self.holdings.insert(index, holding);
+                index
+            }
         };
-        let index = found.unwrap_or_else(|index| {
-            let bucket = OperationBucket::new(granted, bounds.reserve(limit), now);
-            self.holdings.insert(index, AccountHolding { account: account.clone(), role, bucket });
-            index
-        });
         let holding = &mut self.holdings[index];
         holding.role = role;
         match holding.bucket.take(granted, now) {
@@ -191,6 +235,18 @@
         }
     }
 
+    /// Whether an instance with this role may grant an account's operations.
+    ///
+    /// See the example of [`LimitLedger`].
+    #[must_use]
+    pub fn grants(&self, account: &AccountName, role: OwnerRole) -> bool {
+        match role {
+            OwnerRole::Absent => false,
+            OwnerRole::Detached => self.role(account) != OwnerRole::Absent,
+            OwnerRole::Provisional | OwnerRole::Full | OwnerRole::Settled => true,
+        }
+    }
+
     /// The role in which the last claim of an account was judged.
     ///
     /// ```
--- a/crates/rudder-decisions/src/operation_limit/mod.rs
+++ b/crates/rudder-decisions/src/operation_limit/mod.rs
@@ -17,7 +17,7 @@
 mod watch;
 
 pub use bucket::{OperationBucket, OperationLimit};
-pub use ledger::{ClaimVerdict, LimitBounds, LimitLedger, OwnerRole};
+pub use ledger::{ClaimVerdict, FleetContact, LimitBounds, LimitLedger, OwnerRole};
 pub use owners::rank_owners;
-pub use plan::{ClaimPlan, SilentOwners};
+pub use plan::{ClaimPlan, RecentNotes};
 pub use watch::{OwnerStanding, OwnerWatch};
--- a/crates/rudder-decisions/src/operation_limit/plan.rs
+++ b/crates/rudder-decisions/src/operation_limit/plan.rs
@@ -1,11 +1,7 @@
 //! Which owner is asked next for an operation, and which ones are passed over.
 
-use rudder_core::InstanceName;
 use std::time::Duration;
 
-/// How long an owner that did not answer is passed over.
-const SILENT_TIME: Duration = Duration::from_millis(1000);
-
 /// How far behind the first one the owners stand that are asked after it, in a circle.
 const OFFSETS: [usize; 4] = [1, 0, 1, 2];
 
@@ -56,50 +52,62 @@
     }
 }
 
-/// Owners that did not answer a moment ago, sorted by name.
+/// Names that something was noted of a moment ago, sorted: owners that did not answer, and accounts
+/// whose claims nobody answered.
 ///
 /// ```
-/// use rudder_decisions::SilentOwners;
+/// use rudder_core::InstanceName;
+/// use rudder_decisions::RecentNotes;
 /// use std::time::Duration;
-/// let owner = "entry-1".parse()?;
-/// let mut silent = SilentOwners::default();
-/// silent.note_silent(&owner, Duration::ZERO);
-/// assert!(silent.contains(&owner, Duration::from_millis(500)));
-/// assert!(!silent.contains(&owner, Duration::from_millis(1500)));
-/// silent.note_heard(&owner);
-/// assert!(!silent.contains(&owner, Duration::from_millis(500)));
+/// let owner: InstanceName = "entry-1".parse()?;
+/// let mut notes = RecentNotes::new(Duration::from_secs(1));
+/// notes.note(&owner, Duration::ZERO);
+/// assert!(notes.contains(&owner, Duration::from_millis(500)));
+/// assert!(!notes.contains(&owner, Duration::from_millis(1500)));
+/// notes.forget(&owner);
+/// assert!(!notes.contains(&owner, Duration::from_millis(500)));
 /// # Ok::<(), rudder_core::ParseError>(())
 /// ```
-#[derive(Clone, Debug, Default)]
-pub struct SilentOwners {
-    owners: Vec<(InstanceName, Duration)>,
+#[derive(Clone, Debug)]
+pub struct RecentNotes<N> {
+    life: Duration,
+    notes: Vec<(N, Duration)>,
 }
 
-impl SilentOwners {
-    /// Takes in that an owner did not answer.
+impl<N: Ord + Clone> RecentNotes<N> {
+    /// Notes that hold for `life`.
+    ///
+    /// See the example of [`RecentNotes`].
+    #[must_use]
+    pub fn new(life: Duration) -> Self {
+        Self { life, notes: Vec::new() }
+    }
+
+    /// Takes in a note.
     ///
-    /// See the example of [`SilentOwners`].
-    pub fn note_silent(&mut self, owner: &InstanceName, now: Duration) {
-        self.owners.retain(|(_, until)| now < *until);
-        match self.owners.binary_search_by(|(known, _)| known.cmp(owner)) {
-            Ok(index) => self.owners[index].1 = now + SILENT_TIME,
-            Err(index) => self.owners.insert(index, (owner.clone(), now + SILENT_TIME)),
+    /// See the example of [`RecentNotes`].
+    pub fn note(&mut self, name: &N, now: Duration) {
+        self.notes.retain(|(_, until)| now < *until);
+        let until = now + self.life;
+        match self.notes.binary_search_by(|(known, _)| known.cmp(name)) {
+            Ok(index) => self.notes[index].1 = until,
+            Err(index) => self.notes.insert(index, (name.clone(), until)),
         }
     }
 
-    /// Takes in an answer.
+    /// Takes a note back.
     ///
-    /// See the example of [`SilentOwners`].
-    pub fn note_heard(&mut self, owner: &InstanceName) {
-        self.owners.retain(|(known, _)| known != owner);
+    /// See the example of [`RecentNotes`].
+    pub fn forget(&mut self, name: &N) {
+        self.notes.retain(|(known, _)| known != name);
     }
 
-    /// Whether an owner is passed over.
+    /// Whether something was noted.
     ///
-    /// See the example of [`SilentOwners`].
+    /// See the example of [`RecentNotes`].
     #[must_use]
-    pub fn contains(&self, owner: &InstanceName, now: Duration) -> bool {
-        let found = self.owners.binary_search_by(|(known, _)| known.cmp(owner));
-        found.is_ok_and(|index| now < self.owners[index].1)
+    pub fn contains(&self, name: &N, now: Duration) -> bool {
+        let found = self.notes.binary_search_by(|(known, _)| known.cmp(name));
+        found.is_ok_and(|index| now < self.notes[index].1)
     }
 }
--- a/crates/rudder-engine/src/limits/claim.rs
+++ b/crates/rudder-engine/src/limits/claim.rs
@@ -57,6 +57,10 @@
         Self::Spent { after: after.saturating_add(spread(SPREAD_MS)) }
     }
 
+    fn unanswered() -> Self {
+        Self::Unanswered { after: spread(UNANSWERED_MS) }
+    }
+
     fn word(&self) -> &'static str {
         match self {
             Self::Spent { .. } => "spent",
@@ -82,13 +86,10 @@
         }
         let began_at = Instant::now();
         let until = began_at + CLAIM_WAIT;
-        let owners = self.await_owners(account, until).await;
-        let (question, answers) = self.limits().state().begin_claim();
-        let claim = OperationClaim { question, account: account.clone(), counts: true };
-        let ended = self.ask_owners(&owners, &claim, answers, until).await;
-        self.limits().state().end_claim(question);
+        let ended = self.claim_until(account, until).await;
         if let Err(error) = &ended {
             metrics::counter!("rudder_claims_refused_total", "reason" => error.word()).increment(1);
+            let owners = self.limit_owners(account);
             let owner = owners.first().map_or("none", |owner| owner.instance.as_str());
             log::info!(
                 request:% = id, account:% = account, reason:% = error, owner = owner,
@@ -101,6 +102,24 @@
         ended
     }
 
+    async fn claim_until(&self, account: &AccountName, until: Instant) -> Result<(), ClaimError> {
+        // Guards against callers that wait for what the one before them has just waited for in vain.
+        if self.limits().state().unanswered.contains(account, boot_time()) {
+            return Err(ClaimError::unanswered());
+        }
+        let owners = self.await_owners(account, until).await;
+        let (question, answers) = self.limits().state().begin_claim();
+        let claim = OperationClaim { question, account: account.clone(), counts: true };
+        let ended = self.ask_owners(&owners, &claim, answers, until).await;
+        let mut state = self.limits().state();
+        state.end_claim(question);
+        match &ended {
+            Err(ClaimError::Unanswered { .. }) => state.unanswered.note(account, boot_time()),
+            Ok(()) | Err(ClaimError::Spent { .. }) => state.unanswered.forget(account),
+        }
+        ended
+    }
+
     /// The instances that may count for an account; waits for them while this instance starts.
     async fn await_owners(&self, account: &AccountName, until: Instant) -> Vec<LimitOwner> {
         loop {
@@ -144,7 +163,7 @@
                     let Some(exchange) = self.exchange() else { break };
                     exchange.send(&PeerMessage::Claim(claim.clone()), address).await;
                     if unheard.contains(&&owner.instance) {
-                        self.limits().state().silent.note_silent(&owner.instance, boot_time());
+                        self.limits().state().silent.note(&owner.instance, boot_time());
                     }
                     unheard.push(&owner.instance);
                     self.await_answer(owners, owner, &mut answers, &mut unheard, step_until).await
@@ -162,7 +181,7 @@
                 None => {}
             }
         }
-        Err(ClaimError::Unanswered { after: spread(UNANSWERED_MS) })
+        Err(ClaimError::unanswered())
     }
 
     /// The next answer that decides, or that `asked` does not count; none if the time is over.
@@ -177,7 +196,7 @@
         while let Ok(Some(heard)) = tokio::time::timeout_at(until, answers.recv()).await {
             let from = owners.iter().find(|owner| owner.address == Some(heard.from));
             if let Some(from) = from {
-                self.limits().state().silent.note_heard(&from.instance);
+                self.limits().state().silent.forget(&from.instance);
                 unheard.retain(|instance| **instance != from.instance);
             }
             let outcome = heard.answer.outcome;
--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -6,7 +6,7 @@
 use crate::identity::DrainPhase;
 use crate::peers::{ClaimAnswer, ClaimOutcome, OperationClaim, PeerExchange, PeerMessage};
 use rudder_core::AccountName;
-use rudder_decisions::{ClaimVerdict, LimitBounds, OperationLimit, OwnerRole};
+use rudder_decisions::{ClaimVerdict, FleetContact, LimitBounds, OperationLimit, OwnerRole};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,29 +25,43 @@
         Some(limit.into())
     }
 
-    /// Whether this instance has had a sign of the store, by itself or by peers, a moment ago, and goes
-    /// on serving.
-    fn may_count(&self) -> bool {
+    /// Whether this instance has had a sign of the store, by itself or by peers, a moment ago.
+    fn fleet_contact(&self) -> FleetContact {
         let groups = self.groups().into_iter();
         let confirmed_at = groups.map(|group| group.with_leases(|leases| leases.anchor())).max();
         let joined_at = confirmed_at.max(self.membership().store_answered_at());
         let joined_until = joined_at.unwrap_or_default() + LimitBounds::joined_life();
-        self.drain_phase() == DrainPhase::Serving && boot_time() < joined_until
+        let now = boot_time();
+        let mut state = self.limits().state();
+        if now >= joined_until {
+            state.lost_at = Some(now);
+            return FleetContact::Lost;
+        }
+        let settled_at = state.lost_at.get_or_insert(now).saturating_add(self.settled_after());
+        if now >= settled_at { FleetContact::Settled } else { FleetContact::Joined }
+    }
+
+    /// After how long with a sign of the fleet an instance knows that no other one counted for the
+    /// accounts that it is the first owner of.
+    fn settled_after(&self) -> Duration {
+        self.identity().limit_bounds.window
     }
 
     /// Judges a claim that was made here; one that does not count asks only who counts.
     pub(super) async fn judge_claim(&self, account: &AccountName, counts: bool) -> ClaimVerdict {
         // Whoever claims knows a limit; where this instance knows none yet, another one counts.
         let Some(limit) = self.operation_limit(account) else { return ClaimVerdict::NotOwner };
-        let role = self.role_for(account).await;
+        let Some((place, role)) = self.role_for(account).await else {
+            return ClaimVerdict::NotOwner;
+        };
         if !counts {
-            let counts_here = role != OwnerRole::Absent;
-            return if counts_here { ClaimVerdict::Granted } else { ClaimVerdict::NotOwner };
+            let grants = self.limits().state().ledger.grants(account, role);
+            return if grants { ClaimVerdict::Granted } else { ClaimVerdict::NotOwner };
         }
         let bounds = self.identity().limit_bounds;
         let mut state = self.limits().state();
         let before = state.ledger.role(account);
-        let verdict = state.ledger.claim(account, limit, bounds, role, boot_time());
+        let verdict = state.ledger.claim(account, limit, bounds, role, place, boot_time());
         drop(state);
         if before != role {
             log::info!(
@@ -58,17 +72,19 @@
         verdict
     }
 
-    /// Whether this instance counts for an account. Asks those before it whether they do.
-    async fn role_for(&self, account: &AccountName) -> OwnerRole {
+    /// The place of this instance among an account's owners, and whether it counts for it; none if it
+    /// is no owner. Asks those before it whether they count.
+    async fn role_for(&self, account: &AccountName) -> Option<(usize, OwnerRole)> {
         let own = &self.identity().name;
         // Guards against a fleet that starts anew, in which each instance takes itself for the only one.
         if !self.membership().knows_owners() {
-            return OwnerRole::Absent;
+            return None;
+        }
+        if self.drain_phase() != DrainPhase::Serving {
+            return None;
         }
         let owners = self.limit_owners(account);
-        let Some(place) = owners.iter().position(|owner| owner.instance == *own) else {
-            return OwnerRole::Absent;
-        };
+        let place = owners.iter().position(|owner| owner.instance == *own)?;
         let mut standings = Vec::new();
         let mut probes = Vec::new();
         {
@@ -88,7 +104,7 @@
                 exchange.send(&PeerMessage::Claim(claim), address).await;
             }
         }
-        OwnerRole::of(self.may_count(), &standings)
+        Some((place, OwnerRole::of(self.fleet_contact(), &standings)))
     }
 
     /// Takes in the answer to a claim or to a question of this instance.
--- a/crates/rudder-engine/src/limits/state.rs
+++ b/crates/rudder-engine/src/limits/state.rs
@@ -3,9 +3,10 @@
 use crate::peers::ClaimAnswer;
 use crate::sync::lock;
 use rudder_core::{AccountName, InstanceName};
-use rudder_decisions::{LimitLedger, OwnerWatch, SilentOwners};
+use rudder_decisions::{LimitLedger, OwnerWatch, RecentNotes};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
 use tokio::sync::mpsc;
 
 /// An instance that may count for an account.
@@ -42,11 +43,15 @@
     state: Mutex<LimitState>,
 }
 
-#[derive(Default)]
 pub(super) struct LimitState {
     pub(super) ledger: LimitLedger,
     pub(super) watch: OwnerWatch,
-    pub(super) silent: SilentOwners,
+    /// Owners that did not answer.
+    pub(super) silent: RecentNotes<InstanceName>,
+    /// Accounts whose claims nobody answered.
+    pub(super) unanswered: RecentNotes<AccountName>,
+    /// Since when this instance has had a sign of the fleet all the time.
+    pub(super) lost_at: Option<Duration>,
     /// Sorted by question.
     claims: Vec<PendingClaim>,
     /// Sorted by question.
@@ -54,6 +59,27 @@
     last_question: u64,
 }
 
+impl Default for LimitState {
+    fn default() -> Self {
+        Self {
+            ledger: LimitLedger::default(),
+            watch: OwnerWatch::default(),
+            silent: RecentNotes::new(SILENT_TIME),
+            unanswered: RecentNotes::new(UNANSWERED_TIME),
+            lost_at: None,
+            claims: Vec::new(),
+            probes: Vec::new(),
+            last_question: 0,
+        }
+    }
+}
+
+/// How long an owner that did not answer is passed over.
+const SILENT_TIME: Duration = Duration::from_millis(1000);
+
+/// How long an account whose claim nobody answered is refused at once.
+const UNANSWERED_TIME: Duration = Duration::from_millis(300);
+
 /// The most questions to earlier owners whose answers are awaited; the oldest one gives way.
 const PROBES_MAX: usize = 1024;
 
--- a/crates/rudder-engine/src/limits/tests.rs
+++ b/crates/rudder-engine/src/limits/tests.rs
@@ -15,6 +15,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Longer than an account is refused at once after nobody answered.
+const REFUSED_AT_ONCE: Duration = Duration::from_millis(400);
+
 fn account() -> AccountName {
     "choirs".parse().expect("a name")
 }
@@ -36,7 +39,7 @@
         store: Arc::new(SilentStore),
     };
     let mut identity = identity("own");
-    identity.limit_bounds.tolerance = 9;
+    identity.limit_bounds.tolerance = 18;
     let engine = ProxyEngine::new(identity, borders);
     engine.apply_members(&[member_entry("a")], 1);
     engine.set_listed(Some(boot_time()));
@@ -93,6 +96,7 @@
 
     assert_eq!(claims(&engine, 1).await, 0);
     list(&engine, &["own"]);
+    tokio::time::sleep(REFUSED_AT_ONCE).await;
     assert_eq!(claims(&engine, 9).await, 3);
 }
 
@@ -104,6 +108,7 @@
 
     engine.membership().set_contacts(vec![entry("own")]);
     assert_eq!(claims(&engine, 1).await, 0, "it may be the only one that has registered yet");
+    tokio::time::sleep(REFUSED_AT_ONCE).await;
     let owners = ["own", "other"].map(entry);
     engine.membership().set_contacts(owners.into());
     let first = engine.membership().limit_owners(&account(), 1);
@@ -112,6 +117,18 @@
     assert_eq!(granted == 1, first[0].instance == engine.identity().name);
 }
 
+/// Guards against callers that each wait in vain for what the one before them waited for.
+#[tokio::test]
+async fn an_account_nobody_answers_for_is_refused_at_once_for_a_moment() {
+    let engine = engine();
+    assert_eq!(claims(&engine, 1).await, 0);
+    let began_at = std::time::Instant::now();
+
+    assert_eq!(claims(&engine, 5).await, 0);
+
+    assert!(began_at.elapsed() < Duration::from_millis(200), "{:?}", began_at.elapsed());
+}
+
 /// Guards against an account that gets a new burst with each version of the settings.
 #[tokio::test]
 async fn a_new_version_of_the_settings_gives_no_new_operations() {
