Where the deployment says so, keys need a sign that the settings are current

Cause: the deployment's bounds name a way to refuse keys while an instance may have missed that they were taken away (revokeFailClosed, revokeMs); it was not read.

Change: where it is true, a caller with a key is refused (not run) at an instance whose settings were last known to be current longer ago than that. Test both ways.

--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod leadership;
 
+use crate::clock::boot_time;
 use crate::group::{GroupMember, ServiceGroup};
 use crate::identity::{DrainPhase, EngineBorders, InstanceIdentity};
 use crate::lead::LeaderLease;
@@ -187,6 +188,7 @@
         let route = settings.route(database).ok_or(StatementError::NoDatabase)?;
         let account = match &settings.accounts {
             Some(accounts) if !route.is_public => {
+                self.check_key_trust()?;
                 let rule = accounts.holder(key).ok_or(StatementError::Unauthorized)?;
                 Some(rule.name.clone())
             }
@@ -195,6 +197,15 @@
         Ok(RouteAccess { route: Arc::clone(route), account })
     }
 
+    /// Refuses callers with keys where the deployment wants it so while keys may have been taken away
+    /// unheard.
+    fn check_key_trust(&self) -> Result<(), StatementError> {
+        let Some(trust) = self.identity.key_trust else { return Ok(()) };
+        let settings_at = lock(&self.store_snapshot).settings_at();
+        let trusted = settings_at.is_some_and(|at| boot_time() < at + trust);
+        if trusted { Ok(()) } else { Err(StatementError::Busy) }
+    }
+
     pub(crate) fn transaction_idle(&self) -> Duration {
         let settings = self.settings.borrow();
         settings.as_ref().map_or(TRANSACTION_IDLE, |settings| settings.transaction_idle)
@@ -249,7 +260,8 @@
     ///
     /// [`StatementError::NoDatabase`] if the settings know no such database,
     /// [`StatementError::Unauthorized`] if no client account has the key,
-    /// [`StatementError::Busy`] if there are no settings yet.
+    /// [`StatementError::Busy`] if there are no settings yet, or if keys are not to be trusted for lack
+    /// of a sign that the settings are current.
     pub async fn open_session(
         self: &Arc<Self>,
         database: DatabaseName,
--- a/crates/rudder-engine/src/fixtures.rs
+++ b/crates/rudder-engine/src/fixtures.rs
@@ -28,6 +28,7 @@
         regions: Vec::new(),
         peer_address: ([127, 0, 0, 1], 0).into(),
         member_drain: MEMBER_DRAIN,
+        key_trust: None,
         limit_bounds: LimitBounds::default(),
     }
 }
--- a/crates/rudder-engine/src/identity.rs
+++ b/crates/rudder-engine/src/identity.rs
@@ -23,6 +23,9 @@
         pub peer_address: SocketAddr,
         /// How long after a member said that it leaves it may be sent work, as the deployment says.
         pub member_drain: Duration,
+        /// How long keys may be trusted without a sign that the settings are current; none if an
+        /// instance that hears nothing goes on with what it knows.
+        pub key_trust: Option<Duration>,
         /// How far the use of a client account may be above its limit, as the deployment says.
         pub limit_bounds: LimitBounds,
     }
--- a/crates/rudder-engine/src/limits/tests.rs
+++ b/crates/rudder-engine/src/limits/tests.rs
@@ -3,14 +3,14 @@
 use crate::clock::boot_time;
 use crate::engine::{ProxyEngine, RouteAccess};
 use crate::fixtures::{NoPromotion, NobodyDialer, SilentStore, identity, member_entry};
-use crate::identity::EngineBorders;
+use crate::identity::{EngineBorders, InstanceIdentity};
 use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
 use crate::peers::PeerEntry;
 use crate::settings::{
-    AccountLimit, AccountRule, AccountTable, DatabaseName, FleetSettings, RouteKind, RouteRule,
-    SettingsVersion,
+    AccountLimit, AccountRule, AccountTable, DatabaseName, FleetSettings, KeyDigest, RouteKind,
+    RouteRule, SettingsVersion,
 };
-use crate::statement::RequestId;
+use crate::statement::{RequestId, StatementError};
 use rudder_core::{AccountName, LogTerm};
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,21 +24,27 @@
 
 fn settings(version: u64, burst: u32) -> FleetSettings {
     let limit = AccountLimit { milli_per_second: 10, burst };
-    let rule = AccountRule { name: account(), keys: Vec::new(), limit: Some(limit) };
+    let keys = vec![KeyDigest::of("key-one")];
+    let rule = AccountRule { name: account(), keys, limit: Some(limit) };
     let accounts = AccountTable::sorted(vec![rule]).expect("one account");
     let idle = Duration::from_secs(3);
-    FleetSettings::sorted(SettingsVersion(version), Vec::new(), Vec::new(), idle)
+    let routes = vec![route()];
+    FleetSettings::sorted(SettingsVersion(version), routes, Vec::new(), idle)
         .with_accounts(accounts)
 }
 
 /// An instance that has had a sign of the fleet just now, and knows no list of instances.
 fn engine() -> Arc<ProxyEngine> {
+    engine_trusting(None)
+}
+
+fn engine_trusting(key_trust: Option<Duration>) -> Arc<ProxyEngine> {
     let borders = EngineBorders {
         dialer: Arc::new(NobodyDialer),
         promotion: Arc::new(NoPromotion),
         store: Arc::new(SilentStore),
     };
-    let mut identity = identity("own");
+    let mut identity = InstanceIdentity { key_trust, ..identity("own") };
     identity.limit_bounds.tolerance = 18;
     let engine = ProxyEngine::new(identity, borders);
     engine.apply_members(&[member_entry("a")], 1);
@@ -67,8 +73,8 @@
     engine.membership().set_entries(entries, boot_time());
 }
 
-fn access() -> RouteAccess {
-    let route = RouteRule {
+fn route() -> RouteRule {
+    RouteRule {
         database: DatabaseName("db".to_owned()),
         service: "records".parse().expect("a name"),
         kind: RouteKind::Strict,
@@ -76,8 +82,11 @@
         latency_target: Duration::from_secs(1),
         priority: 1,
         is_public: false,
-    };
-    RouteAccess { route: Arc::new(route), account: Some(account()) }
+    }
+}
+
+fn access() -> RouteAccess {
+    RouteAccess { route: Arc::new(route()), account: Some(account()) }
 }
 
 async fn claims(engine: &ProxyEngine, count: usize) -> usize {
@@ -155,3 +164,20 @@
 
     assert_eq!(claims(&engine, 1).await, 0);
 }
+
+/// Guards against keys that were taken away and go on at an instance that has not heard of it, where
+/// the deployment wants such instances to refuse; and against refusals where it does not.
+#[tokio::test]
+async fn keys_are_trusted_without_news_only_where_the_deployment_says_so() {
+    let (database, key) = (DatabaseName("db".to_owned()), KeyDigest::of("key-one"));
+    let open = engine_trusting(None);
+    let closed = engine_trusting(Some(Duration::from_millis(50)));
+
+    closed.confirm_settings();
+    let fresh = closed.access(&database, &key);
+    tokio::time::sleep(Duration::from_millis(80)).await;
+
+    assert!(fresh.is_ok());
+    assert_eq!(closed.access(&database, &key), Err(StatementError::Busy));
+    assert!(open.access(&database, &key).is_ok());
+}
--- a/crates/rudder-engine/src/session/caller.rs
+++ b/crates/rudder-engine/src/session/caller.rs
@@ -176,7 +176,7 @@
         self.engine.access(&self.database, &self.key).map_err(|error| {
             log::info!(database:% = self.database, reason:% = error; "a session's right has ended");
             let text = match error {
-                StatementError::Busy => retry_text("no settings are in force yet"),
+                StatementError::Busy => retry_text("no settings are known to be current"),
                 ref error => format!("{error}: {}", self.database),
             };
             self.refuse(error, &text)
--- a/crates/rudder-engine/src/store_snapshot.rs
+++ b/crates/rudder-engine/src/store_snapshot.rs
@@ -126,6 +126,11 @@
         self.members_at
     }
 
+    /// When the settings in force were last known to be current.
+    pub(crate) fn settings_at(&self) -> Option<Duration> {
+        self.settings_at
+    }
+
     /// When members and settings were both last known to be current.
     pub(crate) fn confirmed_at(&self) -> Option<Duration> {
         self.members_at.zip(self.settings_at).map(|(members, settings)| members.min(settings))
