--- a/crates/rudder-decisions/tests/limits/fleet.rs
+++ b/crates/rudder-decisions/tests/limits/fleet.rs
@@ -45,6 +45,7 @@
     ProbeAnswer { grants: bool },
 }
 
+#[derive(Clone, Copy)]
 struct SimDatagram {
     due: Duration,
     from: usize,
@@ -344,7 +345,7 @@
         let now = self.now;
         let instance = &mut self.instances[index];
         let joined = instance.joined_at;
-        if !joined.is_some_and(|at| now < at + LimitBounds::joined_life()) {
+        if joined.is_none_or(|at| now >= at + LimitBounds::joined_life()) {
             instance.lost_at = Some(now);
             return FleetContact::Lost;
         }
--- a/crates/rudder-engine/src/limits/state.rs
+++ b/crates/rudder-engine/src/limits/state.rs
@@ -105,6 +105,8 @@
     /// Registers a claim; its answers come by the receiver.
     pub(super) fn begin_claim(&mut self) -> (u64, mpsc::UnboundedReceiver<HeardAnswer>) {
         let question = self.next_question();
+        // A claim whose caller is gone ends without a word.
+        self.claims.retain(|claim| !claim.heard.is_closed());
         let (heard, answers) = mpsc::unbounded_channel();
         self.claims.push(PendingClaim { question, heard });
         (question, answers)
--- a/crates/rudder-engine/src/session/caller.rs
+++ b/crates/rudder-engine/src/session/caller.rs
@@ -1,14 +1,14 @@
 //! One caller's session.
 
 use super::job::{StatementJob, retry_text, retry_text_after};
+use super::state::{SessionState, StateFull};
 use super::transaction::OpenTransaction;
 use crate::engine::{ProxyEngine, RouteAccess};
-use crate::group::put_value;
 use crate::limits::ClaimError;
 use crate::settings::{DatabaseName, KeyDigest, RouteKind, RouteRule};
 use crate::statement::{
-    CallerStatement, RequestId, SessionValue, StatementBody, StatementEffect, StatementError,
-    StatementOutcome, StatementReply, StatementShape, TransactionState,
+    CallerStatement, RequestId, StatementBody, StatementEffect, StatementError, StatementOutcome,
+    StatementReply, StatementShape, TransactionState,
 };
 use rudder_core::{LogStamp, ServiceName, SessionFloor};
 use std::sync::Arc;
@@ -18,16 +18,6 @@
 /// small beside the work itself.
 const SERVED_SAMPLE: u64 = 64;
 
-/// Values and names that one session may hold; callers beyond it would fill the memory.
-const NAMES_MAX: usize = 1024;
-
-/// A name that the session gave to a statement.
-#[derive(Clone, Debug)]
-struct PreparedName {
-    name: String,
-    shape: StatementShape,
-}
-
 /// The session's transaction.
 enum SessionPhase {
     Idle,
@@ -43,8 +33,7 @@
     engine: Arc<ProxyEngine>,
     database: DatabaseName,
     key: KeyDigest,
-    values: Vec<SessionValue>,
-    names: Vec<PreparedName>,
+    session_state: SessionState,
     floors: Vec<SessionFloor>,
     phase: SessionPhase,
 }
@@ -55,8 +44,7 @@
             engine,
             database,
             key,
-            values: Vec::new(),
-            names: Vec::new(),
+            session_state: SessionState::default(),
             floors: Vec::new(),
             phase: SessionPhase::Idle,
         }
@@ -135,8 +123,14 @@
             CallerStatement::Begin { read_only } => self.begin(read_only),
             CallerStatement::Commit => self.commit(id).await,
             CallerStatement::Rollback => self.roll_back(),
-            CallerStatement::SetValue(value) => self.set_value(value),
-            CallerStatement::Prepare { name, shape } => self.prepare(name, shape),
+            CallerStatement::SetValue(value) => {
+                let changed = self.session_state.set_value(value);
+                self.answer_local(changed)
+            }
+            CallerStatement::Prepare { name, shape } => {
+                let changed = self.session_state.prepare(name, shape);
+                self.answer_local(changed)
+            }
             CallerStatement::Deallocate(name) => self.deallocate(&name),
             CallerStatement::Read(text) => {
                 let body = StatementBody::Text(text);
@@ -196,34 +190,19 @@
         }
     }
 
-    fn set_value(&mut self, value: SessionValue) -> StatementReply {
-        let known = self.values.iter().any(|known| known.name == value.name);
-        if !known && self.values.len() >= NAMES_MAX {
-            return self.refuse(StatementError::TooLarge, "too many values");
+    /// Answers what changed the session's state and needed no member.
+    fn answer_local(&self, changed: Result<(), StateFull>) -> StatementReply {
+        match changed {
+            Ok(()) => StatementReply::local(self.state()),
+            Err(error) => self.refuse(StatementError::TooLarge, &error.to_string()),
         }
-        put_value(&mut self.values, value);
-        StatementReply::local(self.state())
-    }
-
-    fn prepare(&mut self, name: String, shape: StatementShape) -> StatementReply {
-        match self.names.binary_search_by(|known| known.name.cmp(&name)) {
-            Ok(index) => self.names[index].shape = shape,
-            Err(_) if self.names.len() >= NAMES_MAX => {
-                return self.refuse(StatementError::TooLarge, "too many prepared names");
-            }
-            Err(index) => self.names.insert(index, PreparedName { name, shape }),
-        }
-        StatementReply::local(self.state())
     }
 
     fn deallocate(&mut self, name: &str) -> StatementReply {
-        match self.names.binary_search_by(|known| known.name.as_str().cmp(name)) {
-            Ok(index) => {
-                self.names.remove(index);
-                StatementReply::local(self.state())
-            }
-            Err(_) => self.fail(StatementError::UnknownName, "there is no such prepared name"),
+        if self.session_state.forget(name) {
+            return StatementReply::local(self.state());
         }
+        self.fail(StatementError::UnknownName, "there is no such prepared name")
     }
 
     /// An error of this instance's own, which ends an open transaction like any other error.
@@ -236,11 +215,9 @@
     }
 
     async fn execute(&mut self, id: RequestId, name: &str, arguments: String) -> StatementReply {
-        let found = self.names.binary_search_by(|known| known.name.as_str().cmp(name));
-        let Ok(index) = found else {
+        let Some(shape) = self.session_state.shape(name).cloned() else {
             return self.fail(StatementError::UnknownName, "there is no such prepared name");
         };
-        let shape = self.names[index].shape.clone();
         let body = StatementBody::Execute { alias: shape.alias(), arguments };
         self.run_work(id, body, shape.effect, Some(shape)).await
     }
@@ -264,7 +241,7 @@
             return self.refuse(StatementError::Busy, &refusal_text(&error));
         }
         let route = Arc::clone(&access.route);
-        let job = StatementJob::new(id, body, effect, shape, &self.values, &access);
+        let job = StatementJob::new(id, body, effect, shape, self.session_state.values(), &access);
         let strict = route.kind == RouteKind::Strict || effect == StatementEffect::Write;
         if !strict {
             let floor = self.floor_of(&route.service);
@@ -298,7 +275,8 @@
             return self.refuse(StatementError::Busy, &refusal_text(&error));
         }
         let floor = self.floor_of(open.service());
-        let job = StatementJob::new(id, body, effect, shape, &self.values, open.access());
+        let job =
+            StatementJob::new(id, body, effect, shape, self.session_state.values(), open.access());
         let reply = open.run(&self.engine, &job, floor).await;
         if reply.state == TransactionState::Failed {
             open.abandon();
@@ -336,7 +314,8 @@
         let floor = self.floor_of(&service);
         let body = StatementBody::Commit;
         let effect = StatementEffect::Read;
-        let job = StatementJob::new(id, body, effect, None, &self.values, open.access());
+        let job =
+            StatementJob::new(id, body, effect, None, self.session_state.values(), open.access());
         let wrote = open.wrote();
         let reply = open.commit(&self.engine, &job, floor).await;
         if wrote && reply.error().is_none() {
--- a/crates/rudder-engine/src/session/mod.rs
+++ b/crates/rudder-engine/src/session/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod job;
 mod read;
+mod state;
 mod strict;
 mod transaction;
 
