The soak's callers have accounts, and half of them a limit

Each caller of the soak has an account with a key; every other one is limited to 5 operations a second, less than it asks for. What the members saw is checked: each statement in its caller's name, and no more operations in any 5 s than limit, a tenth and twenty. The stand-in notes which statements begin an operation.

--- a/crates/arbutusrudder/tests/soak/checks.rs
+++ b/crates/arbutusrudder/tests/soak/checks.rs
@@ -1,9 +1,19 @@
 //! What callers saw, held against the promises and against what the group kept.
 
-use rudder_standins::{LineCommit, LineGroup};
+use super::world::{ACCOUNT_LIMIT, account_of, is_limited};
+use rudder_standins::{LineCommit, LineGroup, LineRun};
 use std::fmt;
 use std::time::{Duration, Instant};
 
+/// The window in which an account's operations are counted, as the settings files say.
+const LIMIT_WINDOW: Duration = Duration::from_secs(5);
+
+/// Operations that a limited account may run in it: a tenth and twenty more than its limit.
+const OPERATIONS_MAX: usize = {
+    let limit = (ACCOUNT_LIMIT.0 * 5 + ACCOUNT_LIMIT.1) as usize;
+    limit + limit / 10 + 20
+};
+
 /// What a caller may conclude about a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WriteFate {
@@ -141,6 +151,7 @@
         }
         report.check_writes(ledger, &group.commits(), &cut_back);
         report.check_pairs(ledger, &group.commits());
+        report.check_accounts(&group.runs());
         for note in &ledger.reads {
             report.check_read(note, &cut_back, ledger);
         }
@@ -169,6 +180,38 @@
         }
     }
 
+    /// A statement runs in the name of its caller's account, and a limited account runs no more
+    /// operations than its limit allows.
+    fn check_accounts(&mut self, runs: &[LineRun]) {
+        let caller_of = |run: &LineRun| -> Option<usize> {
+            run.id.strip_prefix('c')?.split_once('n')?.0.parse().ok()
+        };
+        let mut operations: Vec<(usize, &str, Instant)> = Vec::new();
+        for run in runs {
+            let Some(caller) = caller_of(run) else { continue };
+            if run.user != account_of(&format!("caller{caller}")) {
+                self.broken.push(format!("{} ran in the name of {}", run.id, run.user));
+            }
+            if run.begins && is_limited(caller) {
+                operations.push((caller, &run.id, run.at));
+            }
+        }
+        // A read that failed at one member is the same operation at the next one.
+        operations.sort_unstable();
+        operations.dedup_by_key(|operation| (operation.0, operation.1));
+        operations.sort_unstable_by_key(|operation| (operation.0, operation.2));
+        for of_caller in operations.chunk_by(|left, right| left.0 == right.0) {
+            let within = |from: Instant| {
+                of_caller.iter().filter(|(.., at)| (from..from + LIMIT_WINDOW).contains(at)).count()
+            };
+            let most = of_caller.iter().map(|(.., at)| within(*at)).max().unwrap_or(0);
+            if most > OPERATIONS_MAX {
+                let caller = of_caller[0].0;
+                self.broken.push(format!("{most} operations of caller{caller} ran in a window"));
+            }
+        }
+    }
+
     /// A transaction is kept as one commit.
     fn check_pairs(&mut self, ledger: &SoakLedger, commits: &[LineCommit]) {
         let commit_of = |id: &String| {
--- a/crates/arbutusrudder/tests/soak/world.rs
+++ b/crates/arbutusrudder/tests/soak/world.rs
@@ -3,8 +3,8 @@
 use super::faults::{LinkHarm, SoakFault, SoakPlan, TimedSoakFault};
 use super::process::{ProcessFiles, ProcessSignal, SoakProcess};
 use rudder_standins::{
-    LineClient, LineDatabase, LineEntry, LineFleet, LineKind, LineSeat, LinkDirection, LinkFault,
-    LinkSettings, LinkStandin, ObjectsFault,
+    LineAccount, LineClient, LineDatabase, LineEntry, LineFleet, LineKind, LineSeat, LinkDirection,
+    LinkFault, LinkSettings, LinkStandin, ObjectsFault,
 };
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,6 +18,36 @@
 pub(crate) const BOUNDED: &str = "db-bounded";
 pub(crate) const OWN: &str = "db-own";
 
+/// Client accounts, one for each caller; more than there are callers.
+const ACCOUNTS: usize = 64;
+
+/// Operations a second, and at once beyond them, of every other account: less than its caller asks for.
+pub(crate) const ACCOUNT_LIMIT: (u32, u32) = (5, 5);
+
+/// The account of a caller, whose key is its name.
+pub(crate) fn account_of(caller: &str) -> String {
+    format!("account-{caller}")
+}
+
+/// Whether the account of a caller is limited.
+pub(crate) fn is_limited(caller: usize) -> bool {
+    caller % 2 == 1
+}
+
+fn accounts() -> Vec<LineAccount> {
+    let account = |caller: String, limit| LineAccount {
+        name: account_of(&caller),
+        keys: vec![caller],
+        limit,
+    };
+    let limit = (f64::from(ACCOUNT_LIMIT.0), f64::from(ACCOUNT_LIMIT.1));
+    let limit_of = |number: usize| is_limited(number).then_some(limit);
+    let mut accounts: Vec<_> =
+        (0..ACCOUNTS).map(|number| account(format!("caller{number}"), limit_of(number))).collect();
+    accounts.push(account("probe".to_owned(), None));
+    accounts
+}
+
 /// How far replicas are behind when nothing is wrong.
 const USUAL_LAG: Duration = Duration::from_millis(15);
 
@@ -56,6 +86,7 @@
 impl SoakWorld {
     pub(crate) async fn start(seed: u64, instances: usize) -> Arc<Self> {
         let fleet = LineFleet::start(SERVICE, USUAL_LAG).await.expect("store and group start");
+        fleet.set_accounts(accounts());
         let mut member_links = Vec::new();
         for member in fleet.group.members() {
             member_links.push(link_to(member.address).await);
--- a/crates/rudder-standins/src/lines/group.rs
+++ b/crates/rudder-standins/src/lines/group.rs
@@ -33,6 +33,8 @@
     pub id: String,
     /// Who connected.
     pub user: String,
+    /// Whether it is a statement outside of transactions, or the first one of a transaction.
+    pub begins: bool,
     /// When it came.
     pub at: Instant,
 }
--- a/crates/rudder-standins/src/lines/session.rs
+++ b/crates/rudder-standins/src/lines/session.rs
@@ -19,11 +19,20 @@
 }
 
 struct OpenWrites {
+    /// Whether no statement has come yet.
+    first: bool,
     read_only: bool,
     failed: bool,
     writes: Vec<(String, String, String)>,
 }
 
+impl OpenWrites {
+    /// Whether the statement that comes now is the first one.
+    fn take_first(&mut self) -> bool {
+        std::mem::take(&mut self.first)
+    }
+}
+
 /// What a statement is answered with.
 enum LineAnswer {
     Done(Vec<String>, String),
@@ -114,11 +123,9 @@
     }
     let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
     if matches!(word, "READ" | "WRITE" | "EXECUTE" | "COMMIT") {
-        group.note_run(LineRun {
-            id: id.to_owned(),
-            user: session.user.clone(),
-            at: Instant::now(),
-        });
+        let begins = session.transaction.as_mut().is_none_or(OpenWrites::take_first);
+        let (id, user) = (id.to_owned(), session.user.clone());
+        group.note_run(LineRun { id, user, begins, at: Instant::now() });
     }
     let done = || LineAnswer::Done(Vec::new(), "-".to_owned());
     match word {
@@ -193,7 +200,8 @@
     if !read_only && !group.members[index].leads {
         return LineAnswer::Error(format!("READONLY {}", group.members[index].id));
     }
-    session.transaction = Some(OpenWrites { read_only, failed: false, writes: Vec::new() });
+    session.transaction =
+        Some(OpenWrites { first: true, read_only, failed: false, writes: Vec::new() });
     LineAnswer::Done(Vec::new(), "-".to_owned())
 }
 
