--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -4,8 +4,12 @@
 //! hold them over the pauses of their transactions. Without a share of its own the busiest instance
 //! takes them all and the rest are refused; without a queue a caller is refused although a
 //! connection comes free a millisecond later; without priorities the reads that can wait stand
-//! before orders. Limits: the share comes from [`ConnectionShare`], the order from [`WaitQueue`], dials
-//! after a failure from [`DialGate`], the wait from the caller.
+//! before orders. Limits: the share comes from [`ConnectionShare`], what may be held beyond it from
+//! [`ConnectionHeadroom`], the order from [`WaitQueue`], dials after a failure from [`DialGate`], the
+//! wait from the caller.
+//!
+//! A member runs work in the name that a connection was opened with, so a connection serves one client
+//! account. Where all places are taken, the one that was idle for longest gives way to another account.
 
 use super::link::PooledLink;
 use crate::border::{LinkError, MemberDialer, MemberTarget};
--- a/crates/rudder-engine/src/limits/claim.rs
+++ b/crates/rudder-engine/src/limits/claim.rs
@@ -1,9 +1,9 @@
 //! Claims of operations that callers ask this instance for.
 
-use super::state::{HeardAnswer, LimitOwner};
+use super::state::HeardAnswer;
 use crate::clock::boot_time;
 use crate::engine::{ProxyEngine, RouteAccess};
-use crate::peers::{ClaimOutcome, OperationClaim, PeerMessage};
+use crate::peers::{ClaimOutcome, LimitOwner, OperationClaim, PeerMessage};
 use crate::statement::RequestId;
 use displaydoc::Display;
 use rand::RngExt;
--- a/crates/rudder-engine/src/limits/mod.rs
+++ b/crates/rudder-engine/src/limits/mod.rs
@@ -6,7 +6,7 @@
 
 pub(crate) use claim::ClaimError;
 pub(crate) use owner::answer_claim;
-pub(crate) use state::{AccountLimits, LimitOwner};
+pub(crate) use state::AccountLimits;
 
 #[cfg(test)]
 mod tests;
--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -1,10 +1,12 @@
 //! The part of an instance that counts for accounts.
 
-use super::state::{HeardAnswer, LimitOwner};
+use super::state::HeardAnswer;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::identity::DrainPhase;
-use crate::peers::{ClaimAnswer, ClaimOutcome, OperationClaim, PeerExchange, PeerMessage};
+use crate::peers::{
+    ClaimAnswer, ClaimOutcome, LimitOwner, OperationClaim, PeerExchange, PeerMessage,
+};
 use rudder_core::AccountName;
 use rudder_decisions::{ClaimVerdict, FleetContact, LimitBounds, OperationLimit, OwnerRole};
 use std::net::SocketAddr;
--- a/crates/rudder-engine/src/limits/state.rs
+++ b/crates/rudder-engine/src/limits/state.rs
@@ -9,14 +9,6 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// An instance that may count for an account.
-#[derive(Clone, Debug)]
-pub(crate) struct LimitOwner {
-    pub(crate) instance: InstanceName,
-    /// Where it is reached; none for this instance.
-    pub(crate) address: Option<SocketAddr>,
-}
-
 /// An answer to a claim, and who gave it.
 #[derive(Debug)]
 pub(super) struct HeardAnswer {
--- a/crates/rudder-engine/src/peers/membership.rs
+++ b/crates/rudder-engine/src/peers/membership.rs
@@ -2,7 +2,7 @@
 
 use super::fleet_copy::CopyVersion;
 use super::list_change::{CopiedList, ListDigest};
-use super::membership_state::{HeardHeartbeat, MembershipState, PeerEntry};
+use super::membership_state::{HeardHeartbeat, LimitOwner, MembershipState, PeerEntry};
 use super::message::{PeerHeartbeat, StopNotice};
 use super::questions::QuestionLog;
 use super::readers::{ReaderCandidate, choose_readers, first_of_domain, first_reader};
@@ -10,7 +10,6 @@
 use crate::clock::boot_time;
 use crate::identity::InstanceIdentity;
 use crate::lead::{LeaderEpoch, PeerVote};
-use crate::limits::LimitOwner;
 use crate::sync::lock;
 use rudder_core::{AccountName, DomainName, InstanceName, ServiceName};
 use rudder_decisions::rank_owners;
--- a/crates/rudder-engine/src/peers/membership_state.rs
+++ b/crates/rudder-engine/src/peers/membership_state.rs
@@ -27,6 +27,14 @@
     }
 }
 
+/// An instance that may count for a client account.
+#[derive(Clone, Debug)]
+pub(crate) struct LimitOwner {
+    pub(crate) instance: InstanceName,
+    /// Where it is reached; none for this instance.
+    pub(crate) address: Option<SocketAddr>,
+}
+
 /// The last heartbeat of an instance.
 #[derive(Clone, Debug)]
 pub(super) struct HeardHeartbeat {
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -25,7 +25,7 @@
 };
 pub(crate) use list_change::{CopiedList, ListDigest, ListHistory};
 pub(crate) use membership::MembershipView;
-pub(crate) use membership_state::PeerEntry;
+pub(crate) use membership_state::{LimitOwner, PeerEntry};
 pub(crate) use message::{
     ClaimAnswer, ClaimOutcome, OperationClaim, PeerHeartbeat, PeerMessage, PrimaryDoubt,
     RecordCopy, RecordTiming, RecordsAnswer, RecordsQuestion, SampleCopy, StopNotice,
