Queue an account's claims by priority at its owner

Cause: claims of an account at its limit are granted first come, first served, and all rejected callers are told the time of the same token.

Change: LimitQueues assigns the ledger's tokens by priority with a floor for the lowest one, queues claims whose token comes within their useful wait, and gives rejected claims tokens of their own within half of their latency target. Grants can be put back once, within the window, unless the bucket may have overflowed.

--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -36,8 +36,10 @@
 pub use dial_gate::{DialFailure, DialGate};
 pub use meter::MemberMeter;
 pub use operation_limit::{
-    ClaimDecision, ClaimPlan, ExpiringSet, FleetContact, LimitBounds, LimitLedger, OperationBucket,
-    OperationLimit, OwnerRole, OwnerState, OwnerWatch, rank_owners,
+    ClaimDecision, ClaimPlan, ClaimRejection, ClaimScope, ClaimTerms, ExpiringSet, FleetContact,
+    LimitBounds, LimitLedger, LimitQueues, OperationBucket, OperationLimit, OwnerRole, OwnerState,
+    OwnerWatch, PromisedTokens, QueueNotice, QueueOutcome, ReservationTally, TokenSupply,
+    rank_owners,
 };
 pub use outlier::OutlierTracker;
 pub use place::{NodePlace, PlaceDistance};
--- a/crates/rudder-decisions/src/operation_limit/ledger.rs
+++ b/crates/rudder-decisions/src/operation_limit/ledger.rs
@@ -1,6 +1,6 @@
 //! Grants of one instance to the accounts that it owns.
 
-use super::bucket::{OperationBucket, OperationLimit};
+use super::bucket::{OperationBucket, OperationLimit, TokenSupply};
 use super::watch::OwnerState;
 use rudder_core::AccountName;
 use std::time::Duration;
@@ -79,7 +79,7 @@
     }
 
     /// Returns the limit that applies to the grants of an owner in a role.
-    fn effective_limit(self, role: OwnerRole, limit: OperationLimit) -> OperationLimit {
+    pub(super) fn effective_limit(self, role: OwnerRole, limit: OperationLimit) -> OperationLimit {
         let allowance = self.allowance(limit);
         let added = u32::try_from(allowance * BURST_TWELFTHS / 12).unwrap_or(u32::MAX);
         let burst = limit.burst.saturating_add(added);
@@ -269,6 +269,46 @@
         found.map_or(OwnerRole::Absent, |index| self.records[index].role)
     }
 
+    /// Returns the content and rate of an account's bucket; `None` if there is none or if another
+    /// instance may grant.
+    ///
+    /// ```
+    /// use rudder_decisions::{LimitBounds, LimitLedger, OperationLimit, OwnerRole};
+    /// use std::time::Duration;
+    /// let account = "choirs".parse()?;
+    /// let limit = OperationLimit { milli_per_second: 1_000, burst: 10 };
+    /// let (bounds, role) = (LimitBounds::default(), OwnerRole::Full);
+    /// let mut ledger = LimitLedger::default();
+    /// assert!(ledger.supply(&account, limit, bounds, role, Duration::ZERO).is_none());
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn supply(
+        &mut self,
+        account: &AccountName,
+        limit: OperationLimit,
+        bounds: LimitBounds,
+        role: OwnerRole,
+        now: Duration,
+    ) -> Option<TokenSupply> {
+        let found = self.records.binary_search_by(|known| known.account.cmp(account)).ok()?;
+        if role == OwnerRole::Absent {
+            return None;
+        }
+        Some(self.records[found].bucket.supply(bounds.effective_limit(role, limit), now))
+    }
+
+    /// Puts a token back into an account's bucket. See [`OperationBucket::put_back`].
+    pub(super) fn put_back(
+        &mut self,
+        account: &AccountName,
+        limit: OperationLimit,
+        fills: u64,
+        now: Duration,
+    ) -> bool {
+        let found = self.records.binary_search_by(|known| known.account.cmp(account));
+        found.is_ok_and(|index| self.records[index].bucket.put_back(limit, fills, now))
+    }
+
     /// Removes the accounts for which `keep` returns false.
     ///
     /// ```
--- a/crates/rudder-decisions/src/operation_limit/mod.rs
+++ b/crates/rudder-decisions/src/operation_limit/mod.rs
@@ -12,13 +12,19 @@
 //! as the previous owner may just have granted one.
 
 mod bucket;
+mod claim_queue;
 mod ledger;
+mod limit_queues;
 mod owners;
 mod plan;
+mod reservation;
 mod watch;
 
-pub use bucket::{OperationBucket, OperationLimit};
+pub use bucket::{OperationBucket, OperationLimit, TokenSupply};
+pub use claim_queue::{ClaimRejection, ClaimTerms, QueueOutcome};
 pub use ledger::{ClaimDecision, FleetContact, LimitBounds, LimitLedger, OwnerRole};
+pub use limit_queues::{ClaimScope, LimitQueues, QueueNotice};
 pub use owners::rank_owners;
 pub use plan::{ClaimPlan, ExpiringSet};
+pub use reservation::{PromisedTokens, ReservationTally};
 pub use watch::{OwnerState, OwnerWatch};
--- a/crates/rudder-decisions/tests/limits/main.rs
+++ b/crates/rudder-decisions/tests/limits/main.rs
@@ -2,4 +2,5 @@
 //! partitions, message loss, restarts and suspended processes.
 
 mod fleet;
+mod queue_load;
 mod schedules;
