Claim operations through the owner's queue and return unused grants

Cause: claims wait nowhere, priorities are not sent, and the grant of an operation that no member ran stays spent.

Change: QueueClaim, QueuedClaim and ReturnClaim; a timer task serves the queues; sessions keep the reservation of a refused operation; a grant is returned if no command of its statement can have run at a member, or if its claim has ended. An owner that answers only Claim gets that message.

--- a/crates/rudder-decisions/src/operation_limit/claim_queue.rs
+++ b/crates/rudder-decisions/src/operation_limit/claim_queue.rs
@@ -193,7 +193,7 @@
         }
         let expected = self.expected(index, order, supply, terms.wait, now);
         let wait = if self.is_certain(order) { terms.wait } else { terms.wait / 2 };
-        if expected > wait || self.waiting.len() >= WAITING_MAX {
+        if wait.is_zero() || expected > wait || self.waiting.len() >= WAITING_MAX {
             let rejection = self.reject(terms, priority, expected, supply, last_number, now);
             return (Some(claimant), ClaimVerdict::Rejected(rejection));
         }
--- a/crates/rudder-decisions/src/operation_limit/reservation.rs
+++ b/crates/rudder-decisions/src/operation_limit/reservation.rs
@@ -230,15 +230,4 @@
         let spread = TokenSupply::time_to_add(entry.rejected * 1000, milli_per_second);
         Some(entry.until.saturating_sub(now).saturating_add(spread))
     }
-
-    /// Removes an account, for example because a claim of it was granted.
-    ///
-    /// ```
-    /// let account = "choirs".parse()?;
-    /// rudder_decisions::PromisedTokens::default().remove(&account);
-    /// # Ok::<(), rudder_core::ParseError>(())
-    /// ```
-    pub fn remove(&mut self, account: &AccountName) {
-        self.entries.retain(|entry| entry.account != *account);
-    }
 }
--- a/crates/rudder-engine/src/duty/heartbeat.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -7,7 +7,7 @@
 use crate::group::ServiceGroup;
 use crate::identity::DrainPhase;
 use crate::lead::{LeadPhase, LeaderEpoch};
-use crate::limits::respond_to_claim;
+use crate::limits::{respond_to_claim, respond_to_queue_claim};
 use crate::peers::{
     CopyVersion, PeerExchange, PeerHeartbeat, PeerMessage, PrimarySuspicion, RecordCopy,
     StopNotice, fetch_copy, respond_with_copy,
@@ -90,6 +90,11 @@
                 respond_with_copy(&engine, &exchange, request, from).await;
             }
             PeerMessage::Copy(response) => engine.pending_copy().complete(response),
+            PeerMessage::QueueClaim(claim) => respond_to_queue_claim(&engine, claim, from).await,
+            PeerMessage::QueuedClaim(response) => engine.handle_queued_claim(response, from).await,
+            PeerMessage::ReturnClaim(claim) => {
+                engine.take_back_grant(&claim.account, claim.grant).await;
+            }
         }
     }
 }
--- a/crates/rudder-engine/src/duty/start.rs
+++ b/crates/rudder-engine/src/duty/start.rs
@@ -3,6 +3,7 @@
 use super::{heartbeat, keeper, records, registry, watch};
 use crate::engine::ProxyEngine;
 use crate::identity::{EngineDependencies, InstanceIdentity};
+use crate::limits::serve_queues;
 use crate::peers::{PeerExchange, serve_copies};
 use rudder_core::plain_data;
 use std::sync::Arc;
@@ -38,6 +39,7 @@
     tokio::spawn(registry::keep_registered(Arc::clone(&engine)));
     tokio::spawn(records::follow(Arc::clone(&engine), exchange.clone()));
     tokio::spawn(watch::supervise(Arc::clone(&engine)));
+    tokio::spawn(serve_queues(Arc::clone(&engine)));
     tokio::spawn(keeper::run_keeper(Arc::clone(&engine), exchange));
     Ok(engine)
 }
--- a/crates/rudder-engine/src/limits/claim.rs
+++ b/crates/rudder-engine/src/limits/claim.rs
@@ -1,14 +1,16 @@
 //! Claims that this instance makes for the operations of its callers.
 
-use super::state::ReceivedResponse;
+use super::queue::{QueueClaimant, to_ms_rounded_up};
+use super::state::{ClaimReply, ReceivedResponse};
 use crate::clock::boot_time;
 use crate::engine::{ProxyEngine, RouteAccess};
-use crate::peers::{ClaimOutcome, LimitOwner, OperationClaim, PeerMessage};
+use crate::peers::{LimitOwner, OperationClaim, PeerMessage, QueueClaim, ReturnClaim};
 use crate::statement::RequestId;
 use displaydoc::Display;
 use rand::RngExt;
 use rudder_core::{AccountName, InstanceName};
-use rudder_decisions::{ClaimDecision, ClaimPlan};
+use rudder_decisions::{ClaimPlan, ClaimTerms};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -24,8 +26,12 @@
 /// Pause before the next owner is tried after one responded that it does not count.
 const NEXT_OWNER_PAUSE: Duration = Duration::from_millis(10);
 
-/// Random part of the retry delay of callers that were refused for a used-up limit, added to the
-/// time until an operation is available.
+/// Fraction of the latency target (one part in this many) that a claim may wait while its grant is
+/// certain. The other half is left for the statement.
+const WAIT_DIVISOR: u32 = 2;
+
+/// Random part of the retry delay of callers that were refused by an owner of an older build, which
+/// gives many of them the same time.
 const RETRY_JITTER_MS: std::ops::Range<u64> = 0..200;
 
 /// Retry delay if no owner responded.
@@ -40,6 +46,8 @@
     Spent {
         /// Delay before a retry.
         after: Duration,
+        /// Reservation of a token at that time.
+        reservation: Option<u64>,
     },
     /// the account's limit cannot be looked up
     Unanswered {
@@ -51,14 +59,10 @@
 impl ClaimError {
     pub(crate) fn retry_after(&self) -> Duration {
         match self {
-            Self::Spent { after } | Self::Unanswered { after } => *after,
+            Self::Spent { after, .. } | Self::Unanswered { after } => *after,
         }
     }
 
-    fn spent(after: Duration) -> Self {
-        Self::Spent { after: after.saturating_add(random_delay(RETRY_JITTER_MS)) }
-    }
-
     fn unanswered() -> Self {
         Self::Unanswered { after: random_delay(UNANSWERED_RETRY_MS) }
     }
@@ -75,28 +79,111 @@
     Duration::from_millis(rand::rng().random_range(range))
 }
 
+/// Operation that an owner granted.
+#[derive(Clone, Debug)]
+pub(crate) struct ClaimGrant {
+    account: AccountName,
+    /// Address of the owner; `None` for this instance.
+    owner: Option<SocketAddr>,
+    number: u64,
+}
+
+/// Operation of a session that was refused because of the account's limit.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RefusedOperation {
+    refused_at: Instant,
+    reservation: Option<u64>,
+}
+
+impl RefusedOperation {
+    /// Returns the operation that an error refused; `None` if the limit was not the reason.
+    pub(crate) fn of(error: &ClaimError) -> Option<Self> {
+        match error {
+            ClaimError::Spent { reservation, .. } => {
+                Some(Self { refused_at: Instant::now(), reservation: *reservation })
+            }
+            ClaimError::Unanswered { .. } => None,
+        }
+    }
+}
+
+/// Claim of one operation with the terms of its route.
+struct OperationTerms<'a> {
+    request_id: u64,
+    account: &'a AccountName,
+    terms: ClaimTerms,
+    began_at: Instant,
+}
+
+impl OperationTerms<'_> {
+    /// Returns the terms with the time that remains.
+    fn remaining(&self) -> ClaimTerms {
+        let elapsed = self.began_at.elapsed();
+        ClaimTerms {
+            wait: self.terms.wait.saturating_sub(elapsed),
+            deadline: self.terms.deadline.saturating_sub(elapsed),
+            ..self.terms
+        }
+    }
+
+    fn queue_message(&self) -> PeerMessage {
+        let terms = self.remaining();
+        PeerMessage::QueueClaim(QueueClaim {
+            request_id: self.request_id,
+            account: self.account.clone(),
+            priority: terms.priority,
+            wait_ms: to_ms_rounded_up(terms.wait),
+            deadline_ms: to_ms_rounded_up(terms.deadline),
+            refused_before: terms.refused_before,
+            reservation: terms.reservation,
+        })
+    }
+
+    fn older_message(&self) -> PeerMessage {
+        let (request_id, account) = (self.request_id, self.account.clone());
+        PeerMessage::Claim(OperationClaim { request_id, account, counts: true })
+    }
+}
+
 impl ProxyEngine {
     /// Claims one operation for the caller's account. Returns at once if the account has no limit.
+    /// `refused` is the last operation of the same session if it was refused. The grant can be
+    /// returned if the operation does not run.
     pub(crate) async fn claim_operation(
         &self,
         access: &RouteAccess,
         id: &RequestId,
-    ) -> Result<(), ClaimError> {
-        let Some(account) = &access.account else { return Ok(()) };
-        if self.operation_limit(account).is_none() {
-            return Ok(());
-        }
+        refused: Option<RefusedOperation>,
+    ) -> Result<Option<ClaimGrant>, ClaimError> {
+        let Some(account) = &access.account else { return Ok(None) };
+        let Some(limit) = self.operation_limit(account) else { return Ok(None) };
         let began_at = Instant::now();
-        let deadline = began_at + CLAIM_TIMEOUT;
-        let result = self.claim_before(account, deadline).await;
+        let route = &access.route;
+        let timeout = route.statement_timeout;
+        let refused = refused.filter(|refused| refused.refused_at.elapsed() < timeout);
+        let terms = ClaimTerms {
+            priority: Some(route.priority),
+            wait: route.latency_target.min(timeout) / WAIT_DIVISOR,
+            deadline: timeout,
+            refused_before: refused.is_some(),
+            reservation: refused.and_then(|refused| refused.reservation),
+        };
+        let local = self.try_reject_locally(account, terms, limit.milli_per_second);
+        let is_local = local.is_some();
+        let result = match local {
+            Some(error) => Err(error),
+            None => self.claim_before(account, terms, began_at).await,
+        };
         if let Err(error) = &result {
             metrics::counter!("rudder_claims_refused_total", "reason" => error.reason_code())
                 .increment(1);
             let owners = self.limit_owners(account);
             let owner = owners.first().map_or("none", |owner| owner.instance.as_str());
+            let decided_by = if is_local { "local" } else { "owner" };
             log::info!(
                 request:% = id, account:% = account, reason:% = error, owner = owner,
                 settings = self.settings_version().unwrap_or_default().0,
+                priority = route.priority, decided_by = decided_by,
                 retry_after_ms = error.retry_after().as_millis(),
                 waited_ms = began_at.elapsed().as_millis(), outcome = "not_run";
                 "an operation was refused"
@@ -105,25 +192,70 @@
         result
     }
 
+    /// Returns the refusal of a claim that its owner would certainly reject.
+    fn try_reject_locally(
+        &self,
+        account: &AccountName,
+        terms: ClaimTerms,
+        milli_per_second: u64,
+    ) -> Option<ClaimError> {
+        if terms.reservation.is_some() {
+            return None;
+        }
+        let priority = terms.priority.unwrap_or(u8::MAX);
+        let promised = &mut self.limits().state().promised;
+        let after =
+            promised.try_reject(account, priority, terms.wait, milli_per_second, boot_time())?;
+        metrics::counter!("rudder_claims_rejected_locally_total", "priority" => priority.to_string())
+            .increment(1);
+        // Tokens that are free before the deadline go to claims that arrive then.
+        Some(ClaimError::Spent { after: after.max(terms.deadline), reservation: None })
+    }
+
+    /// Returns a grant whose statement is known not to have run at a member.
+    pub(crate) async fn return_grant(&self, grant: ClaimGrant) {
+        let ClaimGrant { account, owner, number } = grant;
+        metrics::counter!("rudder_grants_returned_total", "reason" => "not_run").increment(1);
+        log::debug!(account:% = account, reason = "not_run"; "a grant was returned");
+        match (owner, self.exchange()) {
+            (None, _) => self.take_back_grant(&account, number).await,
+            (Some(address), Some(exchange)) => {
+                let message = PeerMessage::ReturnClaim(ReturnClaim { account, grant: number });
+                exchange.send(&message, address).await;
+            }
+            (Some(_), None) => {}
+        }
+    }
+
     async fn claim_before(
         &self,
         account: &AccountName,
-        deadline: Instant,
-    ) -> Result<(), ClaimError> {
+        terms: ClaimTerms,
+        began_at: Instant,
+    ) -> Result<Option<ClaimGrant>, ClaimError> {
         // Later claims of the account fail at once, as they would wait for the timeout that an
         // earlier one has just reached.
         if self.limits().state().unanswered.contains(account, boot_time()) {
             return Err(ClaimError::unanswered());
         }
-        let owners = self.await_owners(account, deadline).await;
-        let (request_id, responses) = self.limits().state().begin_claim();
-        let claim = OperationClaim { request_id, account: account.clone(), counts: true };
-        let result = self.claim_at_owners(&owners, &claim, responses, deadline).await;
-        let mut state = self.limits().state();
-        state.end_claim(request_id);
-        match &result {
-            Err(ClaimError::Unanswered { .. }) => state.unanswered.insert(account, boot_time()),
-            Ok(()) | Err(ClaimError::Spent { .. }) => state.unanswered.remove(account),
+        let owners = self.await_owners(account, began_at + CLAIM_TIMEOUT).await;
+        let (request_id, mut responses) = self.limits().state().begin_claim(account);
+        let claim = OperationTerms { request_id, account, terms, began_at };
+        let result = self.claim_at_owners(&owners, &claim, &mut responses).await;
+        {
+            let mut state = self.limits().state();
+            state.end_claim(request_id);
+            match &result {
+                Err(ClaimError::Unanswered { .. }) => state.unanswered.insert(account, boot_time()),
+                Ok(_) | Err(ClaimError::Spent { .. }) => state.unanswered.remove(account),
+            }
+        }
+        // The claim may have been granted twice if it was sent to several owners.
+        while let Ok(received) = responses.try_recv() {
+            if let ClaimReply::Granted { grant: Some(number) } = received.reply {
+                let (account, owner) = (account.clone(), received.from);
+                self.return_grant(ClaimGrant { account, owner, number }).await;
+            }
         }
         result
     }
@@ -143,10 +275,10 @@
     async fn claim_at_owners(
         &self,
         owners: &[LimitOwner],
-        claim: &OperationClaim,
-        mut responses: mpsc::UnboundedReceiver<ReceivedResponse>,
-        deadline: Instant,
-    ) -> Result<(), ClaimError> {
+        claim: &OperationTerms<'_>,
+        responses: &mut mpsc::UnboundedReceiver<ReceivedResponse>,
+    ) -> Result<Option<ClaimGrant>, ClaimError> {
+        let mut deadline = claim.began_at + CLAIM_TIMEOUT;
         let silent_owners: Vec<bool> = {
             let (now, state) = (boot_time(), self.limits().state());
             owners.iter().map(|owner| state.silent_owners.contains(&owner.instance, now)).collect()
@@ -161,47 +293,91 @@
                 continue;
             }
             let owner = &owners[index];
+            if !self.send_claim(claim, owner, &mut unresponsive).await {
+                break;
+            }
             let owner_deadline = deadline.min(Instant::now() + OWNER_TIMEOUT);
-            let outcome = match owner.address {
-                None => match self.judge_claim(&claim.account, true).await {
-                    ClaimDecision::Granted => return Ok(()),
-                    ClaimDecision::Spent(after) => return Err(ClaimError::spent(after)),
-                    ClaimDecision::NotOwner => Some(ClaimOutcome::NotOwner),
-                },
-                Some(address) => {
-                    let Some(exchange) = self.exchange() else { break };
-                    exchange.send(&PeerMessage::Claim(claim.clone()), address).await;
-                    if unresponsive.contains(&&owner.instance) {
-                        self.limits().state().silent_owners.insert(&owner.instance, boot_time());
-                    }
-                    unresponsive.push(&owner.instance);
-                    self.await_response(
-                        owners,
-                        owner,
-                        &mut responses,
-                        &mut unresponsive,
-                        owner_deadline,
-                    )
-                    .await
+            let mut response = self
+                .await_response(owners, owner, responses, &mut unresponsive, owner_deadline)
+                .await;
+            while let Some((ClaimReply::Queued { within }, _)) = response {
+                // The owner rejects the claim when its wait ends. If that response does not arrive,
+                // the owner is lost, and the next one gets the claim with the remaining wait.
+                let wait = within.min(claim.remaining().wait) + OWNER_TIMEOUT;
+                deadline = deadline.max(Instant::now() + wait + OWNER_TIMEOUT);
+                let wait_end = Instant::now() + wait;
+                response = self
+                    .await_response(owners, owner, responses, &mut unresponsive, wait_end)
+                    .await;
+            }
+            match response {
+                Some((ClaimReply::Granted { grant }, from)) => {
+                    let account = claim.account.clone();
+                    return Ok(grant.map(|number| ClaimGrant { account, owner: from, number }));
                 }
-            };
-            match outcome {
-                Some(ClaimOutcome::Granted) => return Ok(()),
-                Some(ClaimOutcome::Spent { after_ms }) => {
-                    return Err(ClaimError::spent(Duration::from_millis(after_ms.into())));
+                Some((ClaimReply::Rejected { after, reservation, promised_for }, _)) => {
+                    return Err(self.rejected(claim, after, reservation, promised_for));
                 }
-                Some(ClaimOutcome::NotOwner) => {
+                Some((ClaimReply::NotOwner, _)) => {
                     declined = Some(index);
                     tokio::time::sleep(NEXT_OWNER_PAUSE).await;
                 }
-                None => {}
+                Some((ClaimReply::Queued { .. }, _)) | None => {}
             }
         }
         Err(ClaimError::unanswered())
     }
 
-    /// Returns the next response that decides the claim, or the response of `awaited` that it does
-    /// not count for the account. Returns `None` at the deadline.
+    /// Sends a claim to an owner, without a queue if the owner may run an older build. Returns false
+    /// if this instance cannot send datagrams.
+    async fn send_claim<'a>(
+        &self,
+        claim: &OperationTerms<'_>,
+        owner: &'a LimitOwner,
+        unresponsive: &mut Vec<&'a InstanceName>,
+    ) -> bool {
+        let Some(address) = owner.address else {
+            let claimant = QueueClaimant::Own { request_id: claim.request_id };
+            self.queue_claim(claim.account, claim.remaining(), claimant).await;
+            return true;
+        };
+        let Some(exchange) = self.exchange() else { return false };
+        let is_repeated = unresponsive.contains(&&owner.instance);
+        let is_older = {
+            let mut state = self.limits().state();
+            if is_repeated {
+                state.silent_owners.insert(&owner.instance, boot_time());
+            }
+            state.older_owners.contains(&owner.instance, boot_time())
+        };
+        let message =
+            if is_repeated || is_older { claim.older_message() } else { claim.queue_message() };
+        unresponsive.push(&owner.instance);
+        exchange.send(&message, address).await;
+        true
+    }
+
+    /// Records a rejection and returns the refusal of the operation.
+    fn rejected(
+        &self,
+        claim: &OperationTerms<'_>,
+        after: Duration,
+        reservation: Option<u64>,
+        promised_for: Option<Duration>,
+    ) -> ClaimError {
+        if let (Some(promised_for), Some(priority)) = (promised_for, claim.terms.priority) {
+            let now = boot_time();
+            let until = now.saturating_add(promised_for);
+            self.limits().state().promised.record(claim.account, priority, until, now);
+        }
+        // A token of its own needs no spread.
+        let jitter = if reservation.is_some() { 0..1 } else { RETRY_JITTER_MS };
+        ClaimError::Spent { after: after.saturating_add(random_delay(jitter)), reservation }
+    }
+
+    /// Returns the next response that decides the claim or says that it is queued, or the response
+    /// of `awaited` that it does not count for the account, with the address of its sender. Returns
+    /// `None` at the deadline.
     async fn await_response(
         &self,
         owners: &[LimitOwner],
@@ -209,17 +385,20 @@
         responses: &mut mpsc::UnboundedReceiver<ReceivedResponse>,
         unresponsive: &mut Vec<&InstanceName>,
         deadline: Instant,
-    ) -> Option<ClaimOutcome> {
+    ) -> Option<(ClaimReply, Option<SocketAddr>)> {
         while let Ok(Some(received)) = tokio::time::timeout_at(deadline, responses.recv()).await {
-            let from = owners.iter().find(|owner| owner.address == Some(received.from));
+            let from = owners.iter().find(|owner| owner.address == received.from);
             if let Some(from) = from {
-                self.limits().state().silent_owners.remove(&from.instance);
+                let mut state = self.limits().state();
+                state.silent_owners.remove(&from.instance);
+                if received.from.is_some() {
+                    state.record_build(&from.instance, received.has_queue);
+                }
                 unresponsive.retain(|instance| **instance != from.instance);
             }
-            let outcome = received.response.outcome;
             let is_awaited = from.is_some_and(|from| from.instance == awaited.instance);
-            if outcome != ClaimOutcome::NotOwner || is_awaited {
-                return Some(outcome);
+            if received.reply != ClaimReply::NotOwner || is_awaited {
+                return Some((received.reply, received.from));
             }
         }
         None
--- a/crates/rudder-engine/src/limits/mod.rs
+++ b/crates/rudder-engine/src/limits/mod.rs
@@ -4,10 +4,12 @@
 
 mod claim;
 mod owner;
+mod queue;
 mod state;
 
-pub(crate) use claim::ClaimError;
+pub(crate) use claim::{ClaimError, ClaimGrant, RefusedOperation};
 pub(crate) use owner::respond_to_claim;
+pub(crate) use queue::{respond_to_queue_claim, serve_queues};
 pub(crate) use state::AccountLimits;
 
 #[cfg(test)]
--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -1,6 +1,7 @@
 //! Counting of operations at the instance that owns an account's limit.
 
-use super::state::ReceivedResponse;
+use super::queue::QueueClaimant;
+use super::state::{ClaimReply, ReceivedResponse};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::identity::DrainPhase;
@@ -8,7 +9,7 @@
     ClaimOutcome, ClaimResponse, LimitOwner, OperationClaim, PeerExchange, PeerMessage,
 };
 use rudder_core::AccountName;
-use rudder_decisions::{ClaimDecision, FleetContact, LimitBounds, OperationLimit, OwnerRole};
+use rudder_decisions::{ClaimTerms, FleetContact, LimitBounds, OperationLimit, OwnerRole};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -52,36 +53,20 @@
         self.identity().limit_bounds.window
     }
 
-    /// Decides a claim, of this instance or of a peer, as a possible owner of the account's limit.
-    /// Without `counts`, it only returns whether this instance counts the account's operations.
-    pub(super) async fn judge_claim(&self, account: &AccountName, counts: bool) -> ClaimDecision {
-        // The claiming instance knows a limit. If this instance knows none yet, another one counts.
-        let Some(limit) = self.operation_limit(account) else { return ClaimDecision::NotOwner };
-        let Some((rank, role)) = self.role_for(account).await else {
-            return ClaimDecision::NotOwner;
-        };
-        if !counts {
-            let grants = self.limits().state().ledger.grants(account, role);
-            return if grants { ClaimDecision::Granted } else { ClaimDecision::NotOwner };
+    /// Whether this instance counts the operations of an account.
+    async fn counts_for(&self, account: &AccountName) -> bool {
+        // The probing instance knows a limit. If this instance knows none yet, another one counts.
+        if self.operation_limit(account).is_none() {
+            return false;
         }
-        let bounds = self.identity().limit_bounds;
-        let mut state = self.limits().state();
-        let before = state.ledger.role(account);
-        let decision = state.ledger.claim(account, limit, bounds, role, rank, boot_time());
-        drop(state);
-        if before != role {
-            log::info!(
-                account:% = account, before:? = before, role:? = role;
-                "the role of this instance in counting the operations of an account changed"
-            );
-        }
-        decision
+        let Some((_, role)) = self.role_for(account).await else { return false };
+        self.limits().state().ledger.grants(account, role)
     }
 
     /// Returns the rank of this instance among an account's owners and whether it counts for the
     /// account, or `None` if it is no owner. Asks the owners that are ranked before it whether they
     /// count.
-    async fn role_for(&self, account: &AccountName) -> Option<(usize, OwnerRole)> {
+    pub(super) async fn role_for(&self, account: &AccountName) -> Option<(usize, OwnerRole)> {
         let own = &self.identity().name;
         // Without a list, each instance of a restarting fleet would consider itself the only one.
         if !self.membership().knows_owners() {
@@ -122,27 +107,43 @@
                 let grants = response.outcome != ClaimOutcome::NotOwner;
                 state.watch.record_response(&account, &owner, grants, boot_time());
             }
-            None => state.deliver(ReceivedResponse { from, response }),
+            None => {
+                let reply = match response.outcome {
+                    ClaimOutcome::Granted => ClaimReply::Granted { grant: None },
+                    ClaimOutcome::Spent { after_ms } => ClaimReply::Rejected {
+                        after: Duration::from_millis(after_ms.into()),
+                        reservation: None,
+                        promised_for: None,
+                    },
+                    ClaimOutcome::NotOwner => ClaimReply::NotOwner,
+                };
+                let request_id = response.request_id;
+                state.deliver(ReceivedResponse {
+                    from: Some(from),
+                    request_id,
+                    has_queue: false,
+                    reply,
+                });
+            }
         }
     }
 }
 
-/// Responds to another instance's claim.
+/// Responds to another instance's claim. A claim without a queue, as older builds send it, has the
+/// lowest priority and does not wait, but it takes no tokens from claims that do.
 pub(crate) async fn respond_to_claim(
     engine: &ProxyEngine,
     exchange: &PeerExchange,
     claim: OperationClaim,
     from: SocketAddr,
 ) {
-    let outcome = match engine.judge_claim(&claim.account, claim.counts).await {
-        ClaimDecision::Granted => ClaimOutcome::Granted,
-        ClaimDecision::Spent(after) => ClaimOutcome::Spent { after_ms: to_ms_rounded_up(after) },
-        ClaimDecision::NotOwner => ClaimOutcome::NotOwner,
-    };
-    let response = ClaimResponse { request_id: claim.request_id, outcome };
-    exchange.send(&PeerMessage::ClaimResponse(response), from).await;
-}
-
-fn to_ms_rounded_up(time: Duration) -> u32 {
-    u32::try_from(time.as_micros().div_ceil(1000)).unwrap_or(u32::MAX)
+    let OperationClaim { request_id, account, counts } = claim;
+    if counts {
+        let claimant = QueueClaimant::Older { from, request_id };
+        engine.queue_claim(&account, ClaimTerms::default(), claimant).await;
+        return;
+    }
+    let grants = engine.counts_for(&account).await;
+    let outcome = if grants { ClaimOutcome::Granted } else { ClaimOutcome::NotOwner };
+    exchange.send(&PeerMessage::ClaimResponse(ClaimResponse { request_id, outcome }), from).await;
 }
--- a/crates/rudder-engine/src/limits/state.rs
+++ b/crates/rudder-engine/src/limits/state.rs
@@ -1,24 +1,44 @@
 //! State of the accounts' limits in one instance.
 
-use crate::peers::ClaimResponse;
+use super::queue::QueueClaimant;
+use crate::clock::boot_time;
 use crate::sync::lock;
 use rudder_core::{AccountName, InstanceName};
-use rudder_decisions::{ExpiringSet, LimitLedger, OwnerWatch};
+use rudder_decisions::{ExpiringSet, LimitLedger, LimitQueues, OwnerWatch, PromisedTokens};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
+
+/// Outcome of a claim, in either kind of response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClaimReply {
+    /// The operation may run. Owners of an older build give no number.
+    Granted { grant: Option<u64> },
+    /// The claim waits; another response follows within this time.
+    Queued { within: Duration },
+    /// The operation may not run now.
+    Rejected { after: Duration, reservation: Option<u64>, promised_for: Option<Duration> },
+    /// The sender does not count for the account.
+    NotOwner,
+}
 
 /// Response to a claim, with its sender.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct ReceivedResponse {
-    pub(super) from: SocketAddr,
-    pub(super) response: ClaimResponse,
+    /// Address of the sender; `None` for this instance.
+    pub(super) from: Option<SocketAddr>,
+    pub(super) request_id: u64,
+    /// Whether the sender responded to a claim with a queue.
+    pub(super) has_queue: bool,
+    pub(super) reply: ClaimReply,
 }
 
 /// Claim that waits for its responses.
 struct PendingClaim {
     request_id: u64,
+    account: AccountName,
     sender: mpsc::UnboundedSender<ReceivedResponse>,
 }
 
@@ -33,10 +53,19 @@
 #[derive(Default)]
 pub(crate) struct AccountLimits {
     state: Mutex<LimitState>,
+    /// Notified when the time of the next service of a queue may have changed.
+    pub(super) queue_changed: Notify,
 }
 
 pub(super) struct LimitState {
     pub(super) ledger: LimitLedger,
+    pub(super) queues: LimitQueues<QueueClaimant>,
+    /// Accounts whose tokens are promised to other claims, as told by their owners.
+    pub(super) promised: PromisedTokens,
+    /// Owners that responded only to claims without a queue, as older builds do.
+    pub(super) older_owners: ExpiringSet<InstanceName>,
+    /// Number of consecutive times that an owner responded only to claims without a queue.
+    older_responses: Vec<(InstanceName, u32)>,
     pub(super) watch: OwnerWatch,
     /// Owners that recently did not respond.
     pub(super) silent_owners: ExpiringSet<InstanceName>,
@@ -48,6 +77,8 @@
     claims: Vec<PendingClaim>,
     /// Sorted by request.
     probes: Vec<PendingProbe>,
+    /// Accounts of claims that have ended, oldest first.
+    ended: VecDeque<(u64, AccountName)>,
     last_request_id: u64,
 }
 
@@ -55,12 +86,17 @@
     fn default() -> Self {
         Self {
             ledger: LimitLedger::default(),
+            queues: LimitQueues::new(rand::random::<u64>() >> 1),
+            promised: PromisedTokens::default(),
+            older_owners: ExpiringSet::new(OLDER_OWNER_TIME),
+            older_responses: Vec::new(),
             watch: OwnerWatch::default(),
             silent_owners: ExpiringSet::new(SILENT_OWNER_TIME),
             unanswered: ExpiringSet::new(UNANSWERED_TIME),
             contact_since: None,
             claims: Vec::new(),
             probes: Vec::new(),
+            ended: VecDeque::new(),
             last_request_id: 0,
         }
     }
@@ -72,6 +108,16 @@
 /// Time for which an account's claims are refused at once after no owner responded.
 const UNANSWERED_TIME: Duration = Duration::from_millis(300);
 
+/// Time for which an owner of an older build gets claims without a queue at once.
+const OLDER_OWNER_TIME: Duration = Duration::from_secs(10);
+
+/// Number of consecutive responses only to claims without a queue after which an owner is taken for
+/// an older build. A single one may be due to a lost datagram.
+const OLDER_RESPONSES: u32 = 3;
+
+/// Maximum number of ended claims whose late grants are returned.
+const ENDED_MAX: usize = 512;
+
 /// Maximum number of pending probes of earlier owners; the oldest one is dropped.
 const PROBES_MAX: usize = 1024;
 
@@ -85,6 +131,8 @@
         let mut state = self.state();
         state.ledger.retain(&is_limited);
         state.watch.retain(&is_limited);
+        // Claimants of a removed account get no response and find that it has no limit any more.
+        state.queues.retain(&is_limited);
     }
 }
 
@@ -95,21 +143,37 @@
     }
 
     /// Registers a claim; its responses arrive at the receiver.
-    pub(super) fn begin_claim(&mut self) -> (u64, mpsc::UnboundedReceiver<ReceivedResponse>) {
+    pub(super) fn begin_claim(
+        &mut self,
+        account: &AccountName,
+    ) -> (u64, mpsc::UnboundedReceiver<ReceivedResponse>) {
         let request_id = self.next_request_id();
         // A claim whose caller has disconnected ends without a call of `end_claim`.
-        self.claims.retain(|claim| !claim.sender.is_closed());
+        let closed = self.claims.extract_if(.., |claim| claim.sender.is_closed());
+        self.ended.extend(closed.map(|claim| (claim.request_id, claim.account)));
         let (sender, responses) = mpsc::unbounded_channel();
-        self.claims.push(PendingClaim { request_id, sender });
+        self.claims.push(PendingClaim { request_id, account: account.clone(), sender });
         (request_id, responses)
     }
 
     pub(super) fn end_claim(&mut self, request_id: u64) {
         if let Ok(index) = self.claims.binary_search_by_key(&request_id, |claim| claim.request_id) {
-            self.claims.remove(index);
+            let claim = self.claims.remove(index);
+            self.ended.push_back((request_id, claim.account));
+        }
+        while self.ended.len() > ENDED_MAX {
+            self.ended.pop_front();
         }
     }
 
+    /// Returns the account of a claim that was decided or whose caller has disconnected.
+    pub(super) fn ended_account(&self, request_id: u64) -> Option<AccountName> {
+        let ended = self.ended.iter().find(|(known, _)| *known == request_id);
+        let ended = ended.map(|(_, account)| account);
+        let pending = || self.claims.iter().find(|claim| claim.request_id == request_id);
+        ended.or_else(|| pending().map(|claim| &claim.account)).cloned()
+    }
+
     /// Registers a probe of an owner that is ranked before this instance.
     pub(super) fn begin_probe(&mut self, account: &AccountName, owner: &InstanceName) -> u64 {
         let request_id = self.next_request_id();
@@ -131,12 +195,37 @@
         Some((probe.account, probe.owner))
     }
 
-    /// Passes a response to the claim that waits for it, if there still is one.
-    pub(super) fn deliver(&self, received: ReceivedResponse) {
-        let request_id = received.response.request_id;
-        if let Ok(index) = self.claims.binary_search_by_key(&request_id, |claim| claim.request_id) {
-            // A claim that was granted meanwhile has closed its receiver.
-            let _ = self.claims[index].sender.send(received);
+    /// Passes a response to the claim that waits for it. Returns false if there is none any more.
+    pub(super) fn deliver(&self, received: ReceivedResponse) -> bool {
+        let request_id = received.request_id;
+        let found = self.claims.binary_search_by_key(&request_id, |claim| claim.request_id);
+        // A claim that was decided meanwhile has closed its receiver.
+        found.is_ok_and(|index| self.claims[index].sender.send(received).is_ok())
+    }
+
+    /// Records whether an owner responded to a claim with a queue, or only to one without.
+    pub(super) fn record_build(&mut self, owner: &InstanceName, has_queue: bool) {
+        let position = self.older_responses.iter().position(|(known, _)| known == owner);
+        if has_queue {
+            if let Some(index) = position {
+                self.older_responses.swap_remove(index);
+                self.older_owners.remove(owner);
+            }
+            return;
+        }
+        let index = position.unwrap_or_else(|| {
+            self.older_responses.push((owner.clone(), 0));
+            self.older_responses.len() - 1
+        });
+        let count = &mut self.older_responses[index].1;
+        *count += 1;
+        if *count >= OLDER_RESPONSES {
+            *count = 0;
+            self.older_owners.insert(owner, boot_time());
+            log::info!(
+                owner:% = owner, reason = "older_build";
+                "an owner responds only to claims without a queue"
+            );
         }
     }
 }
--- a/crates/rudder-engine/src/limits/tests.rs
+++ b/crates/rudder-engine/src/limits/tests.rs
@@ -95,7 +95,7 @@
     let mut granted = 0;
     for _ in 0..count {
         let id = RequestId("r1".to_owned());
-        granted += usize::from(engine.claim_operation(&access(), &id).await.is_ok());
+        granted += usize::from(engine.claim_operation(&access(), &id, None).await.is_ok());
     }
     granted
 }
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -4,6 +4,7 @@
 use super::fleet_copy::{CopyRequest, CopyVersion};
 use super::list_change::ListDigest;
 use super::offset::RequestOffset;
+use super::queue_claim::{QueueClaim, QueuedClaim, ReturnClaim};
 use crate::lead::{LeadRecord, LeaderEpoch};
 use rudder_core::{AccountName, DomainName, InstanceName, LogStamp, ServiceName, plain_data};
 use serde::{Deserialize, Serialize};
@@ -208,4 +209,10 @@
     FetchCopy(CopyQuery),
     /// Response to a request for a copy.
     Copy(CopyResponse),
+    /// Claim of an operation of an account, which may wait.
+    QueueClaim(QueueClaim),
+    /// Response to a claim that may wait.
+    QueuedClaim(QueuedClaim),
+    /// Return of a grant whose statement did not run.
+    ReturnClaim(ReturnClaim),
 }
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -13,6 +13,7 @@
 mod membership_state;
 mod message;
 mod offset;
+mod queue_claim;
 mod readers;
 mod requests;
 mod subscribers;
@@ -32,6 +33,7 @@
     RecordCopy, RecordTiming, RecordsRequest, RecordsResponse, SampleCopy, StopNotice,
 };
 pub(crate) use offset::RequestOffset;
+pub(crate) use queue_claim::{QueueClaim, QueuedClaim, QueuedOutcome, ReturnClaim};
 pub(crate) use subscribers::RecordsSubscriber;
 
 #[cfg(test)]
--- a/crates/rudder-engine/src/session/caller.rs
+++ b/crates/rudder-engine/src/session/caller.rs
@@ -4,7 +4,7 @@
 use super::state::{SessionState, StateFull};
 use super::transaction::OpenTransaction;
 use crate::engine::{ProxyEngine, RouteAccess};
-use crate::limits::ClaimError;
+use crate::limits::{ClaimError, RefusedOperation};
 use crate::settings::{DatabaseName, KeyDigest, RouteKind, RouteRule};
 use crate::statement::{
     CallerStatement, PreparedStatement, RequestId, StatementBody, StatementEffect, StatementError,
@@ -38,6 +38,8 @@
     session_state: SessionState,
     floors: Vec<SessionFloor>,
     phase: SessionPhase,
+    /// Last operation, if the account's limit refused it.
+    refused: Option<RefusedOperation>,
 }
 
 impl CallerSession {
@@ -49,6 +51,7 @@
             session_state: SessionState::default(),
             floors: Vec::new(),
             phase: SessionPhase::Idle,
+            refused: None,
         }
     }
 
@@ -247,18 +250,23 @@
             Err(reply) => return reply,
         };
         let engine = Arc::clone(&self.engine);
-        if let Err(error) = engine.claim_operation(&access, &id).await {
-            return self.refuse(StatementError::Busy, &refusal_text(&error));
-        }
+        let grant = match engine.claim_operation(&access, &id, self.refused.take()).await {
+            Ok(grant) => grant,
+            Err(error) => return self.refuse_claim(&error),
+        };
         let route = Arc::clone(&access.route);
         let job =
             StatementJob::new(id, body, effect, prepared, self.session_state.values(), &access);
         let strict = route.kind == RouteKind::Strict || effect == StatementEffect::Write;
-        if !strict {
+        let reply = if strict {
+            engine.run_strict(&route, &job).await
+        } else {
             let floor = self.session_floor(&route.service);
-            return engine.read_bounded(&route, &job, floor).await;
+            engine.read_bounded(&route, &job, floor).await
+        };
+        if let (Some(grant), true, false) = (grant, reply.error().is_some(), job.may_have_run()) {
+            engine.return_grant(grant).await;
         }
-        let reply = engine.run_strict(&route, &job).await;
         if effect == StatementEffect::Write && reply.error().is_none() {
             self.raise_floor(&route.service, reply.position);
         }
@@ -281,9 +289,9 @@
             self.phase = SessionPhase::Failed { reported: true };
             return self.refuse(error, "the account of this transaction lost its key");
         }
-        if let Err(error) = open.claim(&self.engine, &id).await {
+        if let Err(error) = open.claim(&self.engine, &id, self.refused.take()).await {
             self.phase = SessionPhase::Failed { reported: true };
-            return self.refuse(StatementError::Busy, &refusal_text(&error));
+            return self.refuse_claim(&error);
         }
         let floor = self.session_floor(open.service());
         let job = StatementJob::new(
@@ -304,6 +312,12 @@
         reply
     }
 
+    /// Returns the refusal of an operation whose claim failed, and keeps its reservation.
+    fn refuse_claim(&mut self, error: &ClaimError) -> StatementReply {
+        self.refused = RefusedOperation::of(error);
+        self.refuse(StatementError::Busy, &refusal_text(error))
+    }
+
     /// Checks that the caller's key still belongs to the account that began the transaction. Route
     /// changes do not affect an open transaction.
     fn check_account(&self, open: &OpenTransaction) -> Result<(), StatementError> {
@@ -326,8 +340,8 @@
             return self.refuse(error, "the account of this transaction lost its key");
         }
         let service = open.service().clone();
-        if let Err(error) = open.claim(&self.engine, &id).await {
-            return self.refuse(StatementError::Busy, &refusal_text(&error));
+        if let Err(error) = open.claim(&self.engine, &id, self.refused.take()).await {
+            return self.refuse_claim(&error);
         }
         let floor = self.session_floor(&service);
         let body = StatementBody::Commit;
--- a/crates/rudder-engine/src/session/job.rs
+++ b/crates/rudder-engine/src/session/job.rs
@@ -10,6 +10,8 @@
 use rand::RngExt;
 use rudder_core::{AccountName, LogStamp, ServiceName};
 use rudder_decisions::WaitingWork;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// Fraction of the latency target (one part in this many) that a request may wait before it is sent
@@ -40,6 +42,8 @@
     pub(crate) wait_until: Instant,
     /// Deadline for the response.
     pub(crate) deadline: Instant,
+    /// Whether a member may have run the statement, or begun its transaction.
+    may_have_run: Arc<AtomicBool>,
 }
 
 impl StatementJob {
@@ -65,6 +69,7 @@
             started_at: now,
             wait_until: now + route.latency_target.min(route.statement_timeout) / WAIT_DIVISOR,
             deadline: now + route.statement_timeout,
+            may_have_run: Arc::default(),
         }
     }
 
@@ -97,7 +102,7 @@
             floor,
             body: self.body.clone(),
         });
-        run_all(link, &commands, timeout).await
+        self.record_attempt(run_all(link, &commands, timeout).await)
     }
 
     /// Begins a transaction on a connection. Missing session values and prepared statements are
@@ -111,7 +116,28 @@
     ) -> Result<StatementReply, ExchangeError> {
         let mut commands = link.session().commands_for(&self.values, self.prepared.as_ref());
         commands.push(MemberCommand::Begin { read_only, floor });
-        run_all(link, &commands, timeout).await
+        self.record_attempt(run_all(link, &commands, timeout).await)
+    }
+
+    /// Returns whether a member may have run the statement, or begun its transaction.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.may_have_run.load(Ordering::Relaxed)
+    }
+
+    fn record_attempt(
+        &self,
+        result: Result<StatementReply, ExchangeError>,
+    ) -> Result<StatementReply, ExchangeError> {
+        let not_run = match &result {
+            Ok(reply) => reply.error().is_some_and(|error| {
+                error.guarantees_not_run() || *error == StatementError::ConnectionLimit
+            }),
+            Err(error) => !error.sent,
+        };
+        if !not_run {
+            self.may_have_run.store(true, Ordering::Relaxed);
+        }
+        result
     }
 }
 
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -8,7 +8,7 @@
 use crate::engine::{ProxyEngine, RouteAccess};
 use crate::group::{ExchangeError, GroupMember, PooledLink, ServiceGroup};
 use crate::lead::LeaderLease;
-use crate::limits::ClaimError;
+use crate::limits::{ClaimError, ClaimGrant, RefusedOperation};
 use crate::statement::{
     MemberCommand, RequestId, StatementEffect, StatementError, StatementReply, TransactionState,
 };
@@ -31,6 +31,8 @@
     wrote: bool,
     /// Whether the transaction was claimed against the account's operation limit.
     claimed: bool,
+    /// Grant of the claim, until the transaction may have begun at a member.
+    grant: Option<ClaimGrant>,
 }
 
 /// Connection that a transaction is pinned to.
@@ -51,7 +53,7 @@
 
 impl OpenTransaction {
     pub(super) fn new(read_only: bool, access: RouteAccess) -> Self {
-        Self { read_only, access, pinned: None, wrote: false, claimed: false }
+        Self { read_only, access, pinned: None, wrote: false, claimed: false, grant: None }
     }
 
     pub(super) fn service(&self) -> &ServiceName {
@@ -67,11 +69,13 @@
         &mut self,
         engine: &ProxyEngine,
         id: &RequestId,
+        refused: Option<RefusedOperation>,
     ) -> Result<(), ClaimError> {
         if std::mem::replace(&mut self.claimed, true) {
             return Ok(());
         }
-        engine.claim_operation(&self.access, id).await
+        self.grant = engine.claim_operation(&self.access, id, refused).await?;
+        Ok(())
     }
 
     /// Whether the transaction has sent a write.
@@ -176,6 +180,20 @@
         if self.pinned.is_some() {
             return Ok(());
         }
+        let grant = self.grant.take();
+        let result = self.begin(engine, job, session_floor).await;
+        if let (Err(_), Some(grant), false) = (&result, grant, job.may_have_run()) {
+            engine.return_grant(grant).await;
+        }
+        result
+    }
+
+    async fn begin(
+        &mut self,
+        engine: &ProxyEngine,
+        job: &StatementJob,
+        session_floor: Option<LogStamp>,
+    ) -> Result<(), StatementReply> {
         let route = Arc::clone(&self.access.route);
         let group = engine.group(&route.service);
         let replica_allowed = self.read_only && staleness_bound(&route).is_some();
