--- a/crates/rudder-decisions/src/operation_limit/bucket.rs
+++ b/crates/rudder-decisions/src/operation_limit/bucket.rs
@@ -163,7 +163,7 @@
         let refill = refilled(limit.milli_per_second, now.saturating_sub(self.refilled_at));
         let content = self.micro_operations.saturating_add(refill);
         let half = limit.capacity() - limit.returns_max() * MICRO_PER_OPERATION;
-        if content > half {
+        if refill > 0 && content > half {
             self.fills += 1;
         }
         self.micro_operations = content.min(limit.capacity());
--- a/crates/rudder-engine/src/limits/claim.rs
+++ b/crates/rudder-engine/src/limits/claim.rs
@@ -34,6 +34,9 @@
 /// gives many of them the same time.
 const RETRY_JITTER_MS: std::ops::Range<u64> = 0..200;
 
+/// Maximum retry delay, which callers of an account with a limit of zero are given.
+const RETRY_MAX: Duration = Duration::from_secs(3600);
+
 /// Retry delay if no owner responded.
 const UNANSWERED_RETRY_MS: std::ops::Range<u64> = 100..400;
 
@@ -372,7 +375,8 @@
         }
         // A token of its own needs no spread.
         let jitter = if reservation.is_some() { 0..1 } else { RETRY_JITTER_MS };
-        ClaimError::Spent { after: after.saturating_add(random_delay(jitter)), reservation }
+        let after = after.min(RETRY_MAX).saturating_add(random_delay(jitter));
+        ClaimError::Spent { after, reservation }
     }
 
     /// Returns the next response that decides the claim or says that it is queued, or the response
--- a/crates/rudder-engine/src/limits/tests.rs
+++ b/crates/rudder-engine/src/limits/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Which instance counts for an account.
 
+mod queue;
+
 use crate::clock::boot_time;
 use crate::engine::{ProxyEngine, RouteAccess};
 use crate::fixtures::{
@@ -41,6 +43,10 @@
 }
 
 fn engine_with_key_validity(key_validity: Option<Duration>) -> Arc<ProxyEngine> {
+    engine_with(key_validity, Duration::ZERO)
+}
+
+fn engine_with(key_validity: Option<Duration>, window: Duration) -> Arc<ProxyEngine> {
     let dependencies = EngineDependencies {
         dialer: Arc::new(UnreachableDialer),
         promotion: Arc::new(RejectingPromotion),
@@ -48,6 +54,7 @@
     };
     let mut identity = InstanceIdentity { key_validity, ..identity("own") };
     identity.limit_bounds.tolerance = 18;
+    identity.limit_bounds.window = window;
     let engine = ProxyEngine::new(identity, dependencies);
     engine.apply_members(&[member_entry("a")], 1);
     engine.set_registered(Some(boot_time()));
--- a/crates/rudder-engine/src/peers/tests/message.rs
+++ b/crates/rudder-engine/src/peers/tests/message.rs
@@ -2,8 +2,8 @@
 
 use crate::peers::list_change::ListDigest;
 use crate::peers::{
-    CopyVersion, PeerHeartbeat, PeerMessage, RecordTiming, RecordsDigest, RecordsResponse,
-    RequestOffset, SampleCopy,
+    CopyVersion, PeerHeartbeat, PeerMessage, QueueClaim, RecordTiming, RecordsDigest,
+    RecordsResponse, RequestOffset, SampleCopy,
 };
 use rudder_core::LogStamp;
 use std::time::Duration;
@@ -72,3 +72,33 @@
 
     assert!(bytes < 100, "{bytes}");
 }
+
+fn queue_claim() -> PeerMessage {
+    PeerMessage::QueueClaim(QueueClaim {
+        request_id: 1 << 20,
+        account: "an-account-with-a-long-name".parse().expect("a name"),
+        priority: Some(1),
+        wait_ms: 750,
+        deadline_ms: 2500,
+        refused_before: true,
+        reservation: Some(u64::MAX),
+    })
+}
+
+/// A claim is sent for each operation, so its size decides the traffic between domains.
+#[test]
+fn a_claim_with_a_queue_is_short() {
+    let bytes = size(&queue_claim());
+
+    assert!(bytes < 60, "{bytes}");
+}
+
+/// A truncated claim must not be read as one with other terms.
+#[test]
+fn a_truncated_claim_is_an_error() {
+    let bytes = postcard::to_stdvec(&queue_claim()).expect("a message is written");
+
+    for length in 0..bytes.len() {
+        assert!(postcard::from_bytes::<PeerMessage>(&bytes[..length]).is_err(), "{length}");
+    }
+}
--- a/crates/rudder-engine/src/session/tests/failing_member.rs
+++ b/crates/rudder-engine/src/session/tests/failing_member.rs
@@ -200,3 +200,22 @@
     assert_eq!(reply.error(), Some(&StatementError::Failed));
     assert_eq!(members.contacted(), ["a"]);
 }
+
+/// The grant of an operation that ran must not be returned, even if the reply is an error.
+#[tokio::test]
+async fn a_statement_that_failed_at_a_member_may_have_run() {
+    for kind in [RouteKind::Strict, RouteKind::Bounded(Duration::from_secs(60))] {
+        let members = FailingMembers::new(&[("a", 9), ("b", 9), ("c", 9)]);
+        let engine = engine(&members);
+        let access = access(kind);
+        let job = job(StatementEffect::Read, &access);
+        assert!(!job.may_have_run());
+
+        match kind {
+            RouteKind::Strict => engine.run_strict(&access.route, &job).await,
+            _ => engine.read_bounded(&access.route, &job, None).await,
+        };
+
+        assert!(job.may_have_run());
+    }
+}
