--- a/crates/rudder-decisions/src/operation_limit/limit_queues.rs
+++ b/crates/rudder-decisions/src/operation_limit/limit_queues.rs
@@ -122,7 +122,7 @@
                 let fills = fills.map_or(0, |supply| supply.fills);
                 let index = self.index_of(account);
                 let priority = self.queues[index].queue.record_direct_grant(terms.priority, now);
-                let outcome = self.grant(index, fills, now, false);
+                let outcome = self.grant(index, fills, bounds.window, now, false);
                 notices.push(QueueNotice { claimant, priority, outcome });
                 return notices;
             }
@@ -306,18 +306,26 @@
     ) -> QueueOutcome {
         let ClaimScope { limit, bounds, role, rank, now } = scope;
         match ledger.claim(account, limit, bounds, role, rank, now) {
-            ClaimDecision::Granted => self.grant(index, fills, now, waited),
+            ClaimDecision::Granted => self.grant(index, fills, bounds.window, now, waited),
             // The supply is read at the same time, so this does not happen. Without a token the
             // claim must not be granted in any case.
             ClaimDecision::Spent(_) | ClaimDecision::NotOwner => QueueOutcome::NotOwner,
         }
     }
 
-    fn grant(&mut self, index: usize, fills: u64, now: Duration, waited: bool) -> QueueOutcome {
+    fn grant(
+        &mut self,
+        index: usize,
+        fills: u64,
+        window: Duration,
+        now: Duration,
+        waited: bool,
+    ) -> QueueOutcome {
         self.last_number += 1;
         let number = self.last_number;
         let grants = &mut self.queues[index].grants;
-        if grants.len() >= GRANTS_MAX {
+        let is_old = |known: &OutstandingGrant| known.granted_at.saturating_add(window) <= now;
+        while grants.len() >= GRANTS_MAX || grants.front().is_some_and(is_old) {
             grants.pop_front();
         }
         grants.push_back(OutstandingGrant { number, granted_at: now, fills });
--- a/crates/rudder-decisions/tests/limits/schedules.rs
+++ b/crates/rudder-decisions/tests/limits/schedules.rs
@@ -168,8 +168,9 @@
     for limit in [small_limit(), large_limit()] {
         let mut refused = 0;
         let mut requested = 0;
-        for seed in 0..seed_count() {
-            let mut fleet = SimFleet::new(seed, 18, limit);
+        for seed in 0..2 * seed_count() {
+            let mut fleet = SimFleet::new(seed / 2, 18, limit);
+            fleet.uses_queues = seed % 2 == 1;
             fleet.run(seconds(6.0), 1.0);
             fleet.run(seconds(10.0), limit.milli_per_second as f64 / 1000.0 * 0.95);
             refused += fleet.refused;
--- a/crates/rudder-engine/src/limits/claim.rs
+++ b/crates/rudder-engine/src/limits/claim.rs
@@ -70,6 +70,10 @@
         Self::Unanswered { after: random_delay(UNANSWERED_RETRY_MS) }
     }
 
+    fn has_reservation(&self) -> bool {
+        matches!(self, Self::Spent { reservation: Some(_), .. })
+    }
+
     fn reason_code(&self) -> &'static str {
         match self {
             Self::Spent { .. } => "spent",
@@ -187,6 +191,7 @@
                 request:% = id, account:% = account, reason:% = error, owner = owner,
                 settings = self.settings_version().unwrap_or_default().0,
                 priority = route.priority, decided_by = decided_by,
+                reserved = error.has_reservation(),
                 retry_after_ms = error.retry_after().as_millis(),
                 waited_ms = began_at.elapsed().as_millis(), outcome = "not_run";
                 "an operation was refused"
--- a/crates/rudder-engine/src/limits/queue.rs
+++ b/crates/rudder-engine/src/limits/queue.rs
@@ -36,9 +36,9 @@
         claimant: QueueClaimant,
     ) {
         let scope = self.claim_scope(account).await;
-        let notices = {
+        let (notices, is_waiting) = {
             let state = &mut *self.limits().state();
-            match scope {
+            let notices = match scope {
                 Some(scope) => {
                     let before = state.ledger.role(account);
                     if before != scope.role {
@@ -56,9 +56,12 @@
                     notices.push(QueueNotice { claimant, priority: 0, outcome });
                     notices
                 }
-            }
+            };
+            (notices, state.queues.next_service_at().is_some())
         };
-        self.limits().queue_changed.notify_one();
+        if is_waiting {
+            self.limits().queue_changed.notify_one();
+        }
         self.send_outcomes(account, notices).await;
     }
 
--- a/crates/rudder-engine/src/limits/tests/queue.rs
+++ b/crates/rudder-engine/src/limits/tests/queue.rs
@@ -294,3 +294,19 @@
     let next = last.recv().await.expect("a response").reply;
     assert_eq!(next, crate::limits::state::ClaimReply::NotOwner);
 }
+
+/// An account whose limit does not bind could need more messages than before.
+#[tokio::test]
+async fn a_claim_that_is_granted_at_once_needs_one_message() {
+    let owner = StandInOwner::start(|count, message| {
+        vec![queued(message, QueuedOutcome::Granted { grant: count as u64 })]
+    })
+    .await;
+    let engine = connected_engine(vec![owner.entry("owner")]).await;
+
+    for _ in 0..5 {
+        assert!(claim(&engine, &access()).await.is_ok());
+    }
+
+    assert_eq!(owner.received().len(), 5);
+}
