--- a/crates/rudder-decisions/src/operation_limit/claim_queue.rs
+++ b/crates/rudder-decisions/src/operation_limit/claim_queue.rs
@@ -53,6 +53,26 @@
 }
 
 impl ClaimTerms {
+    /// Returns what is unusual about the terms, as a fixed word. The claim is decided all the same:
+    /// without a priority as one of the lowest, and with absurd times cut.
+    ///
+    /// ```
+    /// use rudder_decisions::ClaimTerms;
+    /// assert_eq!(ClaimTerms::default().irregularity(), Some("no_priority"));
+    /// let terms = ClaimTerms { priority: Some(1), ..Default::default() };
+    /// assert_eq!(terms.irregularity(), Some("deadline_past"));
+    /// ```
+    #[must_use]
+    pub fn irregularity(&self) -> Option<&'static str> {
+        match self {
+            Self { priority: None, .. } => Some("no_priority"),
+            Self { deadline, .. } if deadline.is_zero() => Some("deadline_past"),
+            Self { deadline, .. } if *deadline > DEADLINE_MAX => Some("deadline_absurd"),
+            Self { wait, .. } if *wait > WAIT_MAX => Some("wait_absurd"),
+            Self { .. } => None,
+        }
+    }
+
     /// Returns the terms with absurd values replaced. A claim whose deadline is past does not wait.
     fn bounded(self) -> Self {
         let deadline = self.deadline.min(DEADLINE_MAX);
--- a/crates/rudder-engine/src/limits/queue.rs
+++ b/crates/rudder-engine/src/limits/queue.rs
@@ -176,6 +176,13 @@
         refused_before: claim.refused_before,
         reservation: claim.reservation,
     };
+    if let Some(reason) = terms.irregularity() {
+        metrics::counter!("rudder_claims_irregular_total", "reason" => reason).increment(1);
+        log::debug!(
+            account:% = claim.account, peer:% = from, reason = reason;
+            "a claim states unusual terms"
+        );
+    }
     let claimant = QueueClaimant::Peer { from, request_id: claim.request_id };
     engine.queue_claim(&claim.account, terms, claimant).await;
 }
--- a/crates/rudder-engine/src/peers/exchange.rs
+++ b/crates/rudder-engine/src/peers/exchange.rs
@@ -58,6 +58,7 @@
                 Ok((length, from)) => match postcard::from_bytes(&bytes[..length]) {
                     Ok(message) => return (message, from),
                     Err(error) => {
+                        metrics::counter!("rudder_datagrams_malformed_total").increment(1);
                         log::debug!(peer:% = from, reason:% = error; "a datagram is malformed");
                     }
                 },
