--- a/crates/rudder-decisions/tests/limits/schedules.rs
+++ b/crates/rudder-decisions/tests/limits/schedules.rs
@@ -165,18 +165,26 @@
 /// An account below its limit could be refused because its operations arrive unevenly.
 #[test]
 fn an_account_at_95_percent_of_its_limit_is_rarely_refused() {
-    for limit in [small_limit(), large_limit()] {
+    for (limit, uses_queues) in [
+        (small_limit(), false),
+        (large_limit(), false),
+        (small_limit(), true),
+        (large_limit(), true),
+    ] {
         let mut refused = 0;
         let mut requested = 0;
-        for seed in 0..2 * seed_count() {
-            let mut fleet = SimFleet::new(seed / 2, 18, limit);
-            fleet.uses_queues = seed % 2 == 1;
+        for seed in 0..seed_count() {
+            let mut fleet = SimFleet::new(seed, 18, limit);
+            fleet.uses_queues = uses_queues;
             fleet.run(seconds(6.0), 1.0);
             fleet.run(seconds(10.0), limit.milli_per_second as f64 / 1000.0 * 0.95);
             refused += fleet.refused;
             requested += fleet.requested;
         }
-        assert!(refused * 100 < requested, "{refused} of {requested} were refused");
+        assert!(
+            refused * 100 < requested,
+            "queues {uses_queues}: {refused} of {requested} were refused"
+        );
     }
 }
 
