Probe earlier owners of an account through relays

Cause: a successor that alone could not reach the first owner took over after 1.9 s while the first one went on, and both granted the whole rate. Owners that returned, or took over again within a window, granted further bursts. Change: a probe without a direct response is repeated through three random relays of other domains, and its result counts from the time of the request. Claims carry evidence of the owner that last decided one. An owner without contact keeps its bucket for 3 s and returns with an empty one. A successor grants no burst before, gets its start once a window, and probes between claims, so that it steps down at once and sparse claims restart no silence.

--- a/crates/rudder-decisions/src/operation_limit/bucket.rs
+++ b/crates/rudder-decisions/src/operation_limit/bucket.rs
@@ -92,4 +92,21 @@
             rate => Err(Duration::from_micros(u64::try_from(missing / rate).unwrap_or(u64::MAX))),
         }
     }
+
+    /// Reduces the content to at most `operations` and starts to refill again at `now`.
+    ///
+    /// ```
+    /// use rudder_decisions::{OperationBucket, OperationLimit};
+    /// use std::time::Duration;
+    /// let limit = OperationLimit { milli_per_second: 10_000, burst: 2 };
+    /// let mut bucket = OperationBucket::new(limit, 2, Duration::ZERO);
+    /// bucket.reduce(0, Duration::from_secs(9));
+    /// let expected = Err(Duration::from_millis(100));
+    /// assert_eq!(bucket.take(limit, Duration::from_secs(9)), expected);
+    /// ```
+    pub fn reduce(&mut self, operations: u64, now: Duration) {
+        let micro_operations = operations.saturating_mul(MICRO_PER_OPERATION);
+        self.micro_operations = self.micro_operations.min(micro_operations);
+        self.refilled_at = now;
+    }
 }
--- a/crates/rudder-decisions/src/operation_limit/ledger.rs
+++ b/crates/rudder-decisions/src/operation_limit/ledger.rs
@@ -12,7 +12,14 @@
 /// How long an earlier owner has to be silent before its successor grants in full. An owner that is
 /// cut off stops granting earlier: [`LimitBounds::contact_timeout`] after its last contact with the
 /// fleet.
-const FULL_AFTER: Duration = Duration::from_millis(1900);
+pub(super) const FULL_AFTER: Duration = Duration::from_millis(1900);
+
+/// How long an owner that is cut off may grant the content of its bucket. Its successor grants no
+/// burst before, as both bursts could fall into one window.
+const DETACHED_BURST_TIME: Duration = Duration::from_millis(3000);
+
+/// How long after its last claim an account's earlier owners are probed between claims.
+const ACTIVE_TIME: Duration = Duration::from_millis(5000);
 
 /// Twelfths of the allowance above a limit that a new owner may grant at once, by its rank in the
 /// order of owners. All owners may start within one window, so their parts add up.
@@ -74,19 +81,37 @@
     fn start_operations(self, role: OwnerRole, rank: usize, limit: OperationLimit) -> u64 {
         match role {
             OwnerRole::Settled => limit.burst.into(),
-            _ => self.allowance(limit) * START_TWELFTHS.get(rank).unwrap_or(&0) / 12,
+            _ => self.start_part(rank, limit),
         }
     }
 
-    /// Returns the limit that applies to the grants of an owner in a role.
-    fn effective_limit(self, role: OwnerRole, limit: OperationLimit) -> OperationLimit {
+    fn start_part(self, rank: usize, limit: OperationLimit) -> u64 {
+        self.allowance(limit) * START_TWELFTHS.get(rank).unwrap_or(&0) / 12
+    }
+
+    /// Returns the limit that applies to the grants of an owner in a role. `is_expired` is true if
+    /// the owner has been cut off for [`DETACHED_BURST_TIME`].
+    fn effective_limit(
+        self,
+        role: OwnerRole,
+        rank: usize,
+        limit: OperationLimit,
+        is_expired: bool,
+    ) -> OperationLimit {
         let allowance = self.allowance(limit);
-        let added = u32::try_from(allowance * BURST_TWELFTHS / 12).unwrap_or(u32::MAX);
-        let burst = limit.burst.saturating_add(added);
+        let part = |operations: u64| u32::try_from(operations).unwrap_or(u32::MAX);
+        let burst = limit.burst.saturating_add(part(allowance * BURST_TWELFTHS / 12));
+        let burst = match role {
+            OwnerRole::Successor => burst.min(part(self.start_part(rank, limit))),
+            OwnerRole::Detached if is_expired => {
+                burst.min(part(allowance * DETACHED_TWELFTHS / 12))
+            }
+            _ => burst,
+        };
         let window_ms = u64::try_from(self.window.as_millis()).unwrap_or(u64::MAX).max(1);
         let rate = |part: u64| (allowance * part / 12).saturating_mul(1_000_000) / window_ms;
         let milli_per_second = match role {
-            OwnerRole::Full | OwnerRole::Settled => limit.milli_per_second,
+            OwnerRole::Successor | OwnerRole::Full | OwnerRole::Settled => limit.milli_per_second,
             OwnerRole::Provisional => rate(PROVISIONAL_TWELFTHS),
             OwnerRole::Detached => rate(DETACHED_TWELFTHS),
             OwnerRole::Absent => 0,
@@ -106,6 +131,9 @@
     /// An earlier owner has recently become silent: this instance grants part of the permitted
     /// excess over the limit.
     Provisional,
+    /// This instance is the owner, but an earlier one may still grant the content of its bucket:
+    /// this instance grants the rate without the burst.
+    Successor,
     /// This instance is the owner.
     Full,
     /// This instance is the owner, and no other instance can have granted for a whole window.
@@ -136,7 +164,8 @@
     /// assert_eq!(OwnerRole::of(connected, &[]), OwnerRole::Full);
     /// assert_eq!(OwnerRole::of(connected, &[OwnerState::Granting]), OwnerRole::Absent);
     /// assert_eq!(OwnerRole::of(connected, &[silent(300)]), OwnerRole::Provisional);
-    /// let earlier = [silent(3000), OwnerState::NotGranting];
+    /// assert_eq!(OwnerRole::of(connected, &[silent(1900)]), OwnerRole::Successor);
+    /// let earlier = [silent(5000), OwnerState::NotGranting];
     /// assert_eq!(OwnerRole::of(connected, &earlier), OwnerRole::Full);
     /// assert_eq!(OwnerRole::of(FleetContact::Lost, &[]), OwnerRole::Detached);
     /// ```
@@ -145,7 +174,8 @@
         let role = |state: &OwnerState| match state {
             OwnerState::Granting => Self::Absent,
             OwnerState::NotGranting => Self::Full,
-            OwnerState::SilentFor(time) if *time >= FULL_AFTER => Self::Full,
+            OwnerState::SilentFor(time) if *time >= FULL_AFTER + DETACHED_BURST_TIME => Self::Full,
+            OwnerState::SilentFor(time) if *time >= FULL_AFTER => Self::Successor,
             OwnerState::SilentFor(time) if *time >= PROVISIONAL_AFTER => Self::Provisional,
             OwnerState::SilentFor(_) => Self::Absent,
         };
@@ -156,6 +186,7 @@
         match contact {
             FleetContact::Lost => Self::Detached,
             _ if roles.contains(&Self::Provisional) => Self::Provisional,
+            _ if roles.contains(&Self::Successor) => Self::Successor,
             FleetContact::Settled if earlier.is_empty() => Self::Settled,
             FleetContact::Settled | FleetContact::Connected => Self::Full,
         }
@@ -178,6 +209,39 @@
     account: AccountName,
     role: OwnerRole,
     bucket: OperationBucket,
+    /// Last time at which the bucket started with operations.
+    started_at: Duration,
+    /// Time at which this instance lost contact with the fleet; `None` while it has contact.
+    detached_at: Option<Duration>,
+    /// Time of the last claim.
+    claimed_at: Duration,
+    /// Whether the instance takes over again and has not granted an operation since.
+    is_resumed: bool,
+}
+
+impl AccountRecord {
+    /// Applies a change of the role. Returns whether the instance may grant in the new role.
+    fn change_role(&mut self, role: OwnerRole, now: Duration) -> bool {
+        match (self.role, role) {
+            (_, OwnerRole::Absent) => self.role = role,
+            // An instance that is cut off does not take over.
+            (OwnerRole::Absent, OwnerRole::Detached) => {}
+            (OwnerRole::Detached, OwnerRole::Detached) => {}
+            (_, OwnerRole::Detached) => {
+                self.role = role;
+                self.detached_at = Some(now);
+            }
+            (before, _) => {
+                self.role = role;
+                self.is_resumed |= before == OwnerRole::Absent;
+                if self.detached_at.take().is_some() {
+                    // A successor may have granted a burst while this instance was cut off.
+                    self.bucket.reduce(0, now);
+                }
+            }
+        }
+        self.role != OwnerRole::Absent
+    }
 }
 
 /// Token buckets of the accounts that an instance owns, sorted by account.
@@ -217,32 +281,109 @@
         now: Duration,
     ) -> ClaimDecision {
         let found = self.records.binary_search_by(|known| known.account.cmp(account));
-        let granted = bounds.effective_limit(role, limit);
+        let start = bounds.start_operations(role, rank, limit);
         let index = match (found, role) {
-            (Ok(index), OwnerRole::Absent) => {
-                // Another instance may grant from now on, so the content of this bucket is out of
-                // date.
-                self.records.remove(index);
-                return ClaimDecision::NotOwner;
-            }
             (Err(_), OwnerRole::Absent | OwnerRole::Detached) => return ClaimDecision::NotOwner,
             (Ok(index), _) => index,
             (Err(index), _) => {
-                let bucket =
-                    OperationBucket::new(granted, bounds.start_operations(role, rank, limit), now);
-                let record = AccountRecord { account: account.clone(), role, bucket };
+                let granted = bounds.effective_limit(role, rank, limit, false);
+                let bucket = OperationBucket::new(granted, start, now);
+                let account = account.clone();
+                let record = AccountRecord {
+                    account,
+                    role,
+                    bucket,
+                    started_at: now,
+                    detached_at: None,
+                    claimed_at: now,
+                    is_resumed: false,
+                };
                 self.records.insert(index, record);
                 index
             }
         };
         let record = &mut self.records[index];
-        record.role = role;
+        record.claimed_at = now;
+        if !record.change_role(role, now) {
+            return ClaimDecision::NotOwner;
+        }
+        let is_expired = record.detached_at.is_some_and(|at| now >= at + DETACHED_BURST_TIME);
+        let granted = bounds.effective_limit(role, rank, limit, is_expired);
+        if record.is_resumed {
+            // An owner that takes over again within a window has already granted its start.
+            record.is_resumed = false;
+            if now >= record.started_at + bounds.window {
+                record.bucket = OperationBucket::new(granted, start, now);
+                record.started_at = now;
+            } else {
+                record.bucket.reduce(bounds.start_part(rank, limit), now);
+            }
+        }
         match record.bucket.take(granted, now) {
             Ok(()) => ClaimDecision::Granted,
             Err(after) => ClaimDecision::Spent(after),
         }
     }
 
+    /// Records that this instance has been without contact with the fleet since `detached_at`. It
+    /// has to be called also if no claim arrives meanwhile, as the buckets would otherwise fill up
+    /// to the burst that a successor may have granted.
+    ///
+    /// ```
+    /// use rudder_decisions::{ClaimDecision, LimitBounds, LimitLedger, OperationLimit, OwnerRole};
+    /// use std::time::Duration;
+    /// let account = "choirs".parse()?;
+    /// let bounds = LimitBounds { window: Duration::from_secs(5), overage_permille: 0, tolerance: 6 };
+    /// let limit = OperationLimit { milli_per_second: 1_000, burst: 10 };
+    /// let mut ledger = LimitLedger::default();
+    /// let settled = OwnerRole::Settled;
+    /// let at = Duration::from_secs;
+    /// assert_eq!(
+    ///     ledger.claim(&account, limit, bounds, settled, 0, at(0)),
+    ///     ClaimDecision::Granted
+    /// );
+    /// ledger.detach(at(1));
+    /// assert_eq!(ledger.role(&account), OwnerRole::Detached);
+    /// let decision = ledger.claim(&account, limit, bounds, OwnerRole::Full, 0, at(9));
+    /// assert_eq!(decision, ClaimDecision::Spent(at(1)));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn detach(&mut self, detached_at: Duration) {
+        for record in &mut self.records {
+            record.change_role(OwnerRole::Detached, detached_at);
+        }
+    }
+
+    /// Records that an earlier owner grants an account's operations.
+    ///
+    /// ```
+    /// let account = "choirs".parse()?;
+    /// let mut ledger = rudder_decisions::LimitLedger::default();
+    /// ledger.step_down(&account);
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn step_down(&mut self, account: &AccountName) {
+        if let Ok(index) = self.records.binary_search_by(|known| known.account.cmp(account)) {
+            self.records[index].role = OwnerRole::Absent;
+        }
+    }
+
+    /// Returns the accounts that this instance counts for and that had a claim recently. It has to
+    /// probe the owners before it at the probe interval also between claims: a pause restarts the
+    /// measurement of their silence, and a response must make it step down at once.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let ledger = rudder_decisions::LimitLedger::default();
+    /// assert_eq!(ledger.active_accounts(Duration::ZERO).count(), 0);
+    /// ```
+    pub fn active_accounts(&self, now: Duration) -> impl Iterator<Item = &AccountName> {
+        let is_active = move |record: &&AccountRecord| {
+            record.role != OwnerRole::Absent && now < record.claimed_at + ACTIVE_TIME
+        };
+        self.records.iter().filter(is_active).map(|record| &record.account)
+    }
+
     /// Whether an instance with this role may grant an account's operations.
     ///
     /// See the example of [`LimitLedger`].
@@ -251,7 +392,10 @@
         match role {
             OwnerRole::Absent => false,
             OwnerRole::Detached => self.role(account) != OwnerRole::Absent,
-            OwnerRole::Provisional | OwnerRole::Full | OwnerRole::Settled => true,
+            OwnerRole::Provisional
+            | OwnerRole::Successor
+            | OwnerRole::Full
+            | OwnerRole::Settled => true,
         }
     }
 
--- a/crates/rudder-decisions/src/operation_limit/mod.rs
+++ b/crates/rudder-decisions/src/operation_limit/mod.rs
@@ -12,13 +12,15 @@
 //! as the previous owner may just have granted one.
 
 mod bucket;
+mod evidence;
 mod ledger;
 mod owners;
 mod plan;
 mod watch;
 
 pub use bucket::{OperationBucket, OperationLimit};
+pub use evidence::GrantLog;
 pub use ledger::{ClaimDecision, FleetContact, LimitBounds, LimitLedger, OwnerRole};
-pub use owners::rank_owners;
+pub use owners::{choose_relays, rank_owners};
 pub use plan::{ClaimPlan, ExpiringSet};
 pub use watch::{OwnerState, OwnerWatch};
--- a/crates/rudder-decisions/src/operation_limit/watch.rs
+++ b/crates/rudder-decisions/src/operation_limit/watch.rs
@@ -28,11 +28,30 @@
 struct WatchedOwner {
     account: AccountName,
     owner: InstanceName,
-    probed_at: Duration,
+    /// Time of the last probe; `None` if there was none.
+    probed_at: Option<Duration>,
+    /// Whether the last probe got no response from the owner itself.
+    is_unanswered: bool,
+    /// Whether the probe before it got none either, so that relays are to be asked.
+    relays_due: bool,
     silent_since: Option<Duration>,
     response: Option<OwnerResponse>,
 }
 
+impl WatchedOwner {
+    fn new(account: &AccountName, owner: &InstanceName) -> Self {
+        Self {
+            account: account.clone(),
+            owner: owner.clone(),
+            probed_at: None,
+            is_unanswered: false,
+            relays_due: false,
+            silent_since: None,
+            response: None,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct OwnerResponse {
     at: Duration,
@@ -72,29 +91,48 @@
         match self.position(account, owner) {
             Ok(index) => {
                 let watched = &mut self.watched[index];
-                let pause = now.saturating_sub(watched.probed_at);
-                if pause < PROBE_INTERVAL {
+                let pause = watched.probed_at.map(|at| now.saturating_sub(at));
+                if pause.is_some_and(|pause| pause < PROBE_INTERVAL) {
                     return false;
                 }
-                if pause > SILENCE_RESET_AFTER || watched.silent_since.is_none() {
+                let is_first = pause.is_none_or(|pause| pause > SILENCE_RESET_AFTER);
+                if is_first || watched.silent_since.is_none() {
                     watched.silent_since = Some(now);
                 }
-                watched.probed_at = now;
+                watched.relays_due = watched.is_unanswered && !is_first;
+                watched.is_unanswered = true;
+                watched.probed_at = Some(now);
             }
             Err(index) => {
-                let watched = WatchedOwner {
-                    account: account.clone(),
-                    owner: owner.clone(),
-                    probed_at: now,
-                    silent_since: Some(now),
-                    response: None,
-                };
+                let mut watched = WatchedOwner::new(account, owner);
+                watched.probed_at = Some(now);
+                watched.is_unanswered = true;
+                watched.silent_since = Some(now);
                 self.watched.insert(index, watched);
             }
         }
         true
     }
 
+    /// Whether the probe that [`Self::try_begin_probe`] has just recorded is also to be sent through
+    /// relays, because the owner itself did not respond to the one before.
+    ///
+    /// ```
+    /// use rudder_decisions::OwnerWatch;
+    /// use std::time::Duration;
+    /// let (account, owner) = ("choirs".parse()?, "entry-1".parse()?);
+    /// let mut watch = OwnerWatch::default();
+    /// assert!(watch.try_begin_probe(&account, &owner, Duration::from_millis(1000)));
+    /// assert!(!watch.needs_relays(&account, &owner));
+    /// assert!(watch.try_begin_probe(&account, &owner, Duration::from_millis(1100)));
+    /// assert!(watch.needs_relays(&account, &owner));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn needs_relays(&self, account: &AccountName, owner: &InstanceName) -> bool {
+        self.position(account, owner).is_ok_and(|index| self.watched[index].relays_due)
+    }
+
     /// Records the response of an owner: whether it grants the account's operations.
     ///
     /// See the example of [`OwnerWatch`].
@@ -107,11 +145,51 @@
     ) {
         if let Ok(index) = self.position(account, owner) {
             let watched = &mut self.watched[index];
+            watched.is_unanswered = false;
             watched.silent_since = None;
             watched.response = Some(OwnerResponse { at: now, grants });
         }
     }
 
+    /// Records what another instance has observed of an owner: a relay, or a claimant to which the
+    /// owner granted an operation. `observed_at` is the latest time at which the owner can not have
+    /// been silent, for a relay the time of the request to it, so that a delayed report does not
+    /// extend the time for which the owner counts as granting.
+    ///
+    /// ```
+    /// use rudder_decisions::{OwnerState, OwnerWatch};
+    /// use std::time::Duration;
+    /// let (account, owner) = ("choirs".parse()?, "entry-1".parse()?);
+    /// let ms = Duration::from_millis;
+    /// let mut watch = OwnerWatch::default();
+    /// assert!(watch.try_begin_probe(&account, &owner, ms(1000)));
+    /// watch.record_report(&account, &owner, true, ms(1100));
+    /// assert_eq!(watch.state(&account, &owner, ms(1200)), OwnerState::Granting);
+    /// assert_eq!(watch.state(&account, &owner, ms(1500)), OwnerState::SilentFor(ms(400)));
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn record_report(
+        &mut self,
+        account: &AccountName,
+        owner: &InstanceName,
+        grants: bool,
+        observed_at: Duration,
+    ) {
+        let index = match self.position(account, owner) {
+            Ok(index) => index,
+            Err(index) => {
+                self.watched.insert(index, WatchedOwner::new(account, owner));
+                index
+            }
+        };
+        let watched = &mut self.watched[index];
+        if watched.response.is_some_and(|response| observed_at <= response.at) {
+            return;
+        }
+        watched.response = Some(OwnerResponse { at: observed_at, grants });
+        watched.silent_since = watched.silent_since.map(|since| since.max(observed_at));
+    }
+
     /// Returns the state of an owner.
     ///
     /// See the example of [`OwnerWatch`].
--- a/crates/rudder-decisions/tests/limits/fleet.rs
+++ b/crates/rudder-decisions/tests/limits/fleet.rs
@@ -5,10 +5,10 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use rudder_core::{AccountName, InstanceName};
+use rudder_core::{AccountName, DomainName, InstanceName};
 use rudder_decisions::{
-    ClaimDecision, ClaimPlan, ExpiringSet, FleetContact, LimitBounds, LimitLedger, OperationLimit,
-    OwnerRole, OwnerWatch, rank_owners,
+    ClaimDecision, ClaimPlan, ExpiringSet, FleetContact, GrantLog, LimitBounds, LimitLedger,
+    OperationLimit, OwnerRole, OwnerWatch, choose_relays, rank_owners,
 };
 use std::time::Duration;
 
@@ -26,6 +26,9 @@
 /// Time from the start of an instance to its first contact with the fleet.
 const JOIN_DELAY: Duration = Duration::from_millis(400);
 
+/// Number of relays that an owner without a response is probed through.
+const RELAYS: usize = 3;
+
 /// Bounds of every simulated limit.
 pub(crate) const BOUNDS: LimitBounds =
     LimitBounds { window: Duration::from_secs(5), overage_permille: 100, tolerance: 20 };
@@ -33,6 +36,7 @@
 /// One simulated instance, which is both a claimant and a possible owner.
 struct SimInstance {
     name: InstanceName,
+    domain: DomainName,
     running: bool,
     suspended_until: Duration,
     /// Network partition; only instances of the same partition reach each other.
@@ -48,25 +52,48 @@
     watch: OwnerWatch,
     /// Owners that did not respond recently.
     unresponsive: ExpiringSet<InstanceName>,
+    /// Owners that decided its claims.
+    grants: GrantLog,
 }
 
 #[derive(Clone, Copy)]
 enum SimMessage {
-    /// Request for one operation, or a probe that asks whether the owner grants operations and
-    /// consumes none.
+    /// Request for one operation.
     Claim {
         operation: usize,
-        consumes: bool,
     },
     ClaimResponse {
         operation: usize,
         decision: ClaimDecision,
     },
+    /// Request whether the owner grants operations, possibly on behalf of another instance.
+    Probe {
+        relay: Option<SimRelay>,
+    },
     ProbeResponse {
         grants: bool,
+        relay: Option<SimRelay>,
+    },
+    /// Request to probe an owner.
+    RelayProbe {
+        owner: usize,
+        sent_at: Duration,
+    },
+    /// What the sender has observed of an owner, as a relay or as a claimant.
+    Report {
+        owner: usize,
+        grants: bool,
+        observed_at: Duration,
     },
 }
 
+/// Instance for which a relay probes an owner, and the time of its request.
+#[derive(Clone, Copy)]
+struct SimRelay {
+    requester: usize,
+    sent_at: Duration,
+}
+
 #[derive(Clone, Copy)]
 struct SimDatagram {
     deliver_at: Duration,
@@ -102,6 +129,8 @@
     pub(crate) refused: usize,
     /// Whether all instances are without contact with the store.
     store_unreachable: bool,
+    /// Whether contact with the store suffices for an owner, without a majority of the instances.
+    store_suffices: bool,
     /// Operations that were requested.
     pub(crate) requested: usize,
 }
@@ -110,6 +139,7 @@
     pub(crate) fn new(seed: u64, count: usize, limit: OperationLimit) -> Self {
         let instance = |index: usize| SimInstance {
             name: format!("entry-{index}").parse().expect("a name"),
+            domain: format!("domain-{}", index % 6).parse().expect("a name"),
             running: true,
             suspended_until: Duration::ZERO,
             partition: 0,
@@ -120,6 +150,7 @@
             ledger: LimitLedger::default(),
             watch: OwnerWatch::default(),
             unresponsive: ExpiringSet::new(SKIP_DURATION),
+            grants: GrantLog::default(),
         };
         Self {
             random: SmallRng::seed_from_u64(seed),
@@ -133,6 +164,7 @@
             granted_at: Vec::new(),
             refused: 0,
             store_unreachable: false,
+            store_suffices: false,
             requested: 0,
         }
     }
@@ -145,6 +177,7 @@
             self.update_contact();
             self.generate_arrivals(operations_per_s);
             self.deliver();
+            self.probe_between_claims();
             self.send_claims();
         }
     }
@@ -173,6 +206,7 @@
         instance.ledger = LimitLedger::default();
         instance.watch = OwnerWatch::default();
         instance.unresponsive = ExpiringSet::new(SKIP_DURATION);
+        instance.grants = GrantLog::default();
         for operation in &mut self.operations {
             operation.finished |= operation.instance == index;
         }
@@ -207,6 +241,11 @@
         self.store_unreachable = store_unreachable;
     }
 
+    /// Makes contact with the store suffice for an owner, without a majority of the instances.
+    pub(crate) fn set_store_suffices(&mut self) {
+        self.store_suffices = true;
+    }
+
     pub(crate) fn random_instance(&mut self) -> usize {
         self.random.random_range(0..self.instances.len())
     }
@@ -238,13 +277,18 @@
     /// While the store is reachable, records contact for each running instance that the store serves
     /// and that reaches a majority of the fleet.
     fn update_contact(&mut self) {
-        if self.store_unreachable {
-            return;
-        }
         for index in 0..self.instances.len() {
+            // A running instance checks its contact regularly, so that an owner without claims
+            // detects that it was cut off.
+            if self.is_running(index) {
+                self.fleet_contact(index);
+            }
+            if self.store_unreachable {
+                continue;
+            }
             let reachable = (0..self.instances.len())
                 .filter(|other| self.is_running(*other) && self.is_linked(index, *other));
-            let majority = reachable.count() * 2 > self.instances.len();
+            let majority = self.store_suffices || reachable.count() * 2 > self.instances.len();
             let instance = &self.instances[index];
             let joined = self.now >= instance.started_at + JOIN_DELAY;
             if majority && joined && instance.store_serves && self.is_running(index) {
@@ -312,16 +356,34 @@
                 let decision = self.decide(owner, true);
                 self.complete_claim(operation, owner, decision);
             } else {
-                self.send(instance, owner, SimMessage::Claim { operation, consumes: true });
+                self.send_evidence(instance, &owners[..place], owner);
+                self.send(instance, owner, SimMessage::Claim { operation });
             }
         }
     }
 
+    /// Tells `owner` which of the owners before it last decided a claim of `instance`.
+    fn send_evidence(&mut self, instance: usize, earlier: &[usize], owner: usize) {
+        let Some((granter, age)) = self.instances[instance].grants.latest(&self.account, self.now)
+        else {
+            return;
+        };
+        let is_granter = |earlier: &&usize| self.instances[**earlier].name == *granter;
+        if let Some(granter) = earlier.iter().find(is_granter) {
+            let observed_at = self.now - age;
+            let report = SimMessage::Report { owner: *granter, grants: true, observed_at };
+            self.send(instance, owner, report);
+        }
+    }
+
     /// Applies the decision of an owner to an operation.
     fn complete_claim(&mut self, operation: usize, owner: usize, decision: ClaimDecision) {
         let instance = self.operations[operation].instance;
         let name = self.instances[owner].name.clone();
         self.instances[instance].unresponsive.remove(&name);
+        if decision != ClaimDecision::NotOwner {
+            self.instances[instance].grants.record(&self.account, &name, self.now);
+        }
         self.operations[operation].tried_owners.retain(|tried| *tried != owner);
         if self.operations[operation].finished {
             return;
@@ -362,25 +424,80 @@
     fn receive(&mut self, datagram: SimDatagram) {
         let SimDatagram { from, to, message, .. } = datagram;
         match message {
-            SimMessage::Claim { operation, consumes: true } => {
+            SimMessage::Claim { operation } => {
                 let decision = self.decide(to, true);
                 self.send(to, from, SimMessage::ClaimResponse { operation, decision });
             }
-            SimMessage::Claim { consumes: false, .. } => {
+            SimMessage::Probe { relay } => {
                 let grants = self.decide(to, false) != ClaimDecision::NotOwner;
-                self.send(to, from, SimMessage::ProbeResponse { grants });
+                self.send(to, from, SimMessage::ProbeResponse { grants, relay });
             }
             SimMessage::ClaimResponse { operation, decision } => {
                 self.complete_claim(operation, from, decision);
             }
-            SimMessage::ProbeResponse { grants } => {
+            SimMessage::ProbeResponse { grants, relay: Some(relay) } => {
+                let SimRelay { requester, sent_at: observed_at } = relay;
+                let report = SimMessage::Report { owner: from, grants, observed_at };
+                self.send(to, requester, report);
+            }
+            SimMessage::ProbeResponse { grants, relay: None } => {
                 let owner = self.instances[from].name.clone();
                 let account = self.account.clone();
                 self.instances[to].watch.record_response(&account, &owner, grants, self.now);
             }
+            SimMessage::RelayProbe { owner, sent_at } => {
+                let relay = Some(SimRelay { requester: from, sent_at });
+                self.send(to, owner, SimMessage::Probe { relay });
+            }
+            SimMessage::Report { owner, grants, observed_at } => {
+                let owner = self.instances[owner].name.clone();
+                let account = self.account.clone();
+                self.instances[to].watch.record_report(&account, &owner, grants, observed_at);
+            }
+        }
+    }
+
+    /// Probes an owner that is ranked before `index`, and through relays if it did not respond.
+    fn probe(&mut self, index: usize, owner: usize) {
+        let name = self.instances[owner].name.clone();
+        let watch = &mut self.instances[index].watch;
+        if !watch.try_begin_probe(&self.account, &name, self.now) {
+            return;
+        }
+        let needs_relays = watch.needs_relays(&self.account, &name);
+        self.send(index, owner, SimMessage::Probe { relay: None });
+        if needs_relays {
+            let sent_at = self.now;
+            for relay in self.choose_relays(index, owner) {
+                self.send(index, relay, SimMessage::RelayProbe { owner, sent_at });
+            }
+        }
+    }
+
+    /// Makes each owner with a recent claim probe the owners before it.
+    fn probe_between_claims(&mut self) {
+        let owners = self.owners();
+        for index in owners {
+            let is_active = self.instances[index].ledger.active_accounts(self.now).count() > 0;
+            if is_active && self.is_running(index) {
+                self.decide(index, false);
+            }
         }
     }
 
+    fn choose_relays(&mut self, index: usize, owner: usize) -> Vec<usize> {
+        let instances = &self.instances;
+        let is_other = |(other, _): &(usize, &SimInstance)| *other != index && *other != owner;
+        let candidates = instances.iter().enumerate().filter(is_other);
+        let candidates = candidates.map(|(_, instance)| (&instance.name, &instance.domain));
+        let domain = &instances[index].domain;
+        let relays = choose_relays(candidates, domain, RELAYS, &mut self.random);
+        let position = |relay: &InstanceName| {
+            instances.iter().position(|known| known.name == *relay).expect("it is listed")
+        };
+        relays.into_iter().map(position).collect()
+    }
+
     /// Decides on a claim at the owner `index`, probing the owners ranked before it. For a probe
     /// the decision is only whether the owner grants operations.
     fn decide(&mut self, index: usize, consumes: bool) -> ClaimDecision {
@@ -388,15 +505,16 @@
         let place = owners.iter().position(|owner| *owner == index).expect("an owner");
         let mut states = Vec::new();
         for earlier in &owners[..place] {
-            let name = self.instances[*earlier].name.clone();
-            if self.instances[index].watch.try_begin_probe(&self.account, &name, self.now) {
-                self.send(index, *earlier, SimMessage::Claim { operation: 0, consumes: false });
-            }
-            let watch = &self.instances[index].watch;
-            states.push(watch.state(&self.account, &name, self.now));
+            self.probe(index, *earlier);
+            let instance = &self.instances[index];
+            let name = &self.instances[*earlier].name;
+            states.push(instance.watch.state(&self.account, name, self.now));
         }
         let role = OwnerRole::of(self.fleet_contact(index), &states);
         if !consumes {
+            if role == OwnerRole::Absent {
+                self.instances[index].ledger.step_down(&self.account);
+            }
             let grants = self.instances[index].ledger.grants(&self.account, role);
             return if grants { ClaimDecision::Granted } else { ClaimDecision::NotOwner };
         }
@@ -410,6 +528,9 @@
         let last_contact_at = instance.last_contact_at;
         if last_contact_at.is_none_or(|at| now >= at + LimitBounds::contact_timeout()) {
             instance.contact_lost_at = Some(now);
+            if let Some(at) = last_contact_at {
+                instance.ledger.detach(at + LimitBounds::contact_timeout());
+            }
             return FleetContact::Lost;
         }
         let settled_at = *instance.contact_lost_at.get_or_insert(now) + BOUNDS.window;
--- a/crates/rudder-decisions/tests/limits/partial.rs
+++ b/crates/rudder-decisions/tests/limits/partial.rs
@@ -112,3 +112,27 @@
         fleet.set_partition(first, 0);
     });
 }
+
+/// Without a relay that reaches both owners, instances whose links move from one to the other could
+/// get the whole limit from each.
+#[test]
+fn owners_whose_claimants_move_between_them_grant_the_limit_once() {
+    assert_within_limit("moving links", 6.0, &[], |fleet, rate| {
+        fleet.set_store_suffices();
+        let owners = fleet.owners();
+        for _ in 0..8 {
+            fleet.restore_links();
+            fleet.cut_link(owners[0], owners[1]);
+            fleet.cut_link(owners[0], owners[2]);
+            for index in 0..fleet.instance_count() {
+                let unreachable = owners[usize::from(fleet.random_bool(0.5))];
+                if !owners.contains(&index) {
+                    fleet.cut_link(unreachable, index);
+                }
+            }
+            let duration = fleet.random_duration(300..1000);
+            fleet.run(duration, rate);
+        }
+        fleet.restore_links();
+    });
+}
--- a/crates/rudder-decisions/tests/limits/schedules.rs
+++ b/crates/rudder-decisions/tests/limits/schedules.rs
@@ -168,6 +168,7 @@
         requested += fleet.requested - before.0;
         granted += fleet.granted_at.len() - before.1;
     }
+
     assert!(granted * 20 >= requested * 17, "{granted} of {requested} were served");
 }
 
