Send probes through relays and evidence of claimants in the engine

Change: RelayProbe and RelayedProbe are appended to PeerMessage. RelayedProbe has an age, as it also carries a claimant's evidence (request number 0): a new field of the claim would not be understood by an older build. Messages of unknown senders, for unknown accounts or of other requests are counted and dropped.

--- a/crates/rudder-engine/src/duty/heartbeat.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -85,7 +85,13 @@
             }
             PeerMessage::Records(reply) => handle_response(&engine, &exchange, reply, from).await,
             PeerMessage::Claim(claim) => respond_to_claim(&engine, &exchange, claim, from).await,
-            PeerMessage::ClaimResponse(response) => engine.handle_claim_response(response, from),
+            PeerMessage::ClaimResponse(response) => {
+                engine.handle_claim_response(response, from).await;
+            }
+            PeerMessage::RelayProbe(probe) => {
+                engine.handle_relay_probe(&exchange, probe, from).await;
+            }
+            PeerMessage::RelayedProbe(probe) => engine.handle_relayed_probe(&probe, from),
             PeerMessage::FetchCopy(request) => {
                 respond_with_copy(&engine, &exchange, request, from).await;
             }
--- a/crates/rudder-engine/src/limits/claim.rs
+++ b/crates/rudder-engine/src/limits/claim.rs
@@ -170,12 +170,14 @@
                 },
                 Some(address) => {
                     let Some(exchange) = self.exchange() else { break };
+                    self.send_evidence(&claim.account, &owners[..index], address).await;
                     exchange.send(&PeerMessage::Claim(claim.clone()), address).await;
                     if unresponsive.contains(&&owner.instance) {
                         self.limits().state().silent_owners.insert(&owner.instance, boot_time());
                     }
                     unresponsive.push(&owner.instance);
                     self.await_response(
+                        &claim.account,
                         owners,
                         owner,
                         &mut responses,
@@ -204,6 +206,7 @@
     /// not count for the account. Returns `None` at the deadline.
     async fn await_response(
         &self,
+        account: &AccountName,
         owners: &[LimitOwner],
         awaited: &LimitOwner,
         responses: &mut mpsc::UnboundedReceiver<ReceivedResponse>,
@@ -217,6 +220,11 @@
                 unresponsive.retain(|instance| **instance != from.instance);
             }
             let outcome = received.response.outcome;
+            if outcome != ClaimOutcome::NotOwner
+                && let Some(from) = from
+            {
+                self.limits().state().grants.record(account, &from.instance, boot_time());
+            }
             let is_awaited = from.is_some_and(|from| from.instance == awaited.instance);
             if outcome != ClaimOutcome::NotOwner || is_awaited {
                 return Some(outcome);
--- a/crates/rudder-engine/src/limits/mod.rs
+++ b/crates/rudder-engine/src/limits/mod.rs
@@ -4,10 +4,12 @@
 
 mod claim;
 mod owner;
+mod probe;
 mod state;
 
 pub(crate) use claim::ClaimError;
 pub(crate) use owner::respond_to_claim;
+pub(crate) use probe::probe_owners;
 pub(crate) use state::AccountLimits;
 
 #[cfg(test)]
--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -29,7 +29,7 @@
 
     /// Returns whether this instance was recently in contact with the store, directly or through
     /// peers, and for how long.
-    fn fleet_contact(&self) -> FleetContact {
+    pub(super) fn fleet_contact(&self) -> FleetContact {
         let groups = self.groups().into_iter();
         let confirmed_at =
             groups.map(|group| group.with_leases(|leases| leases.valid_from())).max();
@@ -37,10 +37,17 @@
         let connected_until = confirmed_at.unwrap_or_default() + LimitBounds::contact_timeout();
         let now = boot_time();
         let mut state = self.limits().state();
+        let checked_at = state.contact_checked_at.replace(now).unwrap_or(now);
         if now >= connected_until {
             state.contact_since = Some(now);
+            state.ledger.detach(connected_until);
             return FleetContact::Lost;
         }
+        // A process that was suspended may find new contact before it checks for the first time.
+        if now >= checked_at + LimitBounds::contact_timeout() {
+            state.contact_since = Some(now);
+            state.ledger.detach(checked_at);
+        }
         let settled_at =
             state.contact_since.get_or_insert(now).saturating_add(self.settling_time());
         if now >= settled_at { FleetContact::Settled } else { FleetContact::Connected }
@@ -61,7 +68,16 @@
             return ClaimDecision::NotOwner;
         };
         if !counts {
-            let grants = self.limits().state().ledger.grants(account, role);
+            let mut state = self.limits().state();
+            let before = state.ledger.role(account);
+            if role == OwnerRole::Absent && before != role {
+                state.ledger.step_down(account);
+                log::info!(
+                    account:% = account, before:? = before, reason = "earlier_owner_responds";
+                    "this instance no longer counts the operations of an account"
+                );
+            }
+            let grants = state.ledger.grants(account, role);
             return if grants { ClaimDecision::Granted } else { ClaimDecision::NotOwner };
         }
         let bounds = self.identity().limit_bounds;
@@ -94,6 +110,7 @@
         let rank = owners.iter().position(|owner| owner.instance == *own)?;
         let mut states = Vec::new();
         let mut probes = Vec::new();
+        let mut unanswered = Vec::new();
         {
             let now = boot_time();
             let mut state = self.limits().state();
@@ -101,6 +118,9 @@
                 if state.watch.try_begin_probe(account, &owner.instance, now) {
                     let request_id = state.begin_probe(account, &owner.instance);
                     probes.extend(owner.address.map(|address| (request_id, address)));
+                    if state.watch.needs_relays(account, &owner.instance) {
+                        unanswered.push(&owner.instance);
+                    }
                 }
                 states.push(state.watch.state(account, &owner.instance, now));
             }
@@ -110,19 +130,31 @@
                 let claim = OperationClaim { request_id, account: account.clone(), counts: false };
                 exchange.send(&PeerMessage::Claim(claim), address).await;
             }
+            for owner in unanswered {
+                self.probe_through_relays(exchange, account, owner).await;
+            }
         }
         Some((rank, OwnerRole::of(self.fleet_contact(), &states)))
     }
 
     /// Applies the response to a claim or to a probe of this instance.
-    pub(crate) fn handle_claim_response(&self, response: ClaimResponse, from: SocketAddr) {
-        let mut state = self.limits().state();
-        match state.end_probe(response.request_id) {
-            Some((account, owner)) => {
-                let grants = response.outcome != ClaimOutcome::NotOwner;
-                state.watch.record_response(&account, &owner, grants, boot_time());
+    pub(crate) async fn handle_claim_response(&self, response: ClaimResponse, from: SocketAddr) {
+        let grants = response.outcome != ClaimOutcome::NotOwner;
+        let relayed = {
+            let mut state = self.limits().state();
+            let relayed = state.relays.end_relayed(response.request_id, from);
+            if relayed.is_none() {
+                match state.end_probe(response.request_id) {
+                    Some((account, owner)) => {
+                        state.watch.record_response(&account, &owner, grants, boot_time());
+                    }
+                    None => state.deliver(ReceivedResponse { from, response }),
+                }
             }
-            None => state.deliver(ReceivedResponse { from, response }),
+            relayed
+        };
+        if let Some(relayed) = relayed {
+            self.return_relayed(relayed, grants).await;
         }
     }
 }
--- a/crates/rudder-engine/src/limits/state.rs
+++ b/crates/rudder-engine/src/limits/state.rs
@@ -1,9 +1,10 @@
 //! State of the accounts' limits in one instance.
 
+use super::probe::RelayLog;
 use crate::peers::ClaimResponse;
 use crate::sync::lock;
 use rudder_core::{AccountName, InstanceName};
-use rudder_decisions::{ExpiringSet, LimitLedger, OwnerWatch};
+use rudder_decisions::{ExpiringSet, GrantLog, LimitLedger, OwnerWatch};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
@@ -44,6 +45,12 @@
     pub(super) unanswered: ExpiringSet<AccountName>,
     /// Time since when this instance has been in continuous contact with the fleet.
     pub(super) contact_since: Option<Duration>,
+    /// Time of the last check of the contact with the fleet.
+    pub(super) contact_checked_at: Option<Duration>,
+    /// Owners that decided claims of this instance.
+    pub(super) grants: GrantLog,
+    /// Probes through relays.
+    pub(super) relays: RelayLog,
     /// Sorted by request.
     claims: Vec<PendingClaim>,
     /// Sorted by request.
@@ -59,6 +66,9 @@
             silent_owners: ExpiringSet::new(SILENT_OWNER_TIME),
             unanswered: ExpiringSet::new(UNANSWERED_TIME),
             contact_since: None,
+            contact_checked_at: None,
+            grants: GrantLog::default(),
+            relays: RelayLog::default(),
             claims: Vec::new(),
             probes: Vec::new(),
             last_request_id: 0,
@@ -85,11 +95,12 @@
         let mut state = self.state();
         state.ledger.retain(&is_limited);
         state.watch.retain(&is_limited);
+        state.grants.retain(&is_limited);
     }
 }
 
 impl LimitState {
-    fn next_request_id(&mut self) -> u64 {
+    pub(super) fn next_request_id(&mut self) -> u64 {
         self.last_request_id += 1;
         self.last_request_id
     }
--- a/crates/rudder-engine/src/peers/membership.rs
+++ b/crates/rudder-engine/src/peers/membership.rs
@@ -370,6 +370,14 @@
         ranked.into_iter().filter_map(owner).collect()
     }
 
+    /// Returns the other instances that share the accounts.
+    pub(crate) fn limit_peers(&self) -> Vec<PeerEntry> {
+        let state = self.state();
+        let known = if state.entries.is_empty() { &state.contacts } else { &state.entries };
+        let others = known.iter().filter(|entry| !entry.marked && entry.instance != self.own);
+        others.cloned().collect()
+    }
+
     /// Returns when the store last responded to this instance itself.
     pub(crate) fn store_answered_at(&self) -> Option<Duration> {
         self.state().store_responded_at
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -4,6 +4,7 @@
 use super::fleet_copy::{CopyRequest, CopyVersion};
 use super::list_change::ListDigest;
 use super::offset::RequestOffset;
+use super::relay::{RelayProbe, RelayedProbe};
 use crate::lead::{LeadRecord, LeaderEpoch};
 use rudder_core::{AccountName, DomainName, InstanceName, LogStamp, ServiceName, plain_data};
 use serde::{Deserialize, Serialize};
@@ -208,4 +209,8 @@
     FetchCopy(CopyQuery),
     /// Response to a request for a copy.
     Copy(CopyResponse),
+    /// Request to probe an owner of an account that the sender cannot reach.
+    RelayProbe(RelayProbe),
+    /// Response of a relay, or evidence of a claimant.
+    RelayedProbe(RelayedProbe),
 }
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -14,6 +14,7 @@
 mod message;
 mod offset;
 mod readers;
+mod relay;
 mod requests;
 mod subscribers;
 
@@ -32,6 +33,7 @@
     RecordCopy, RecordTiming, RecordsRequest, RecordsResponse, SampleCopy, StopNotice,
 };
 pub(crate) use offset::RequestOffset;
+pub(crate) use relay::{EVIDENCE_ID, RelayProbe, RelayedProbe};
 pub(crate) use subscribers::RecordsSubscriber;
 
 #[cfg(test)]
