--- a/crates/rudder-decisions/tests/limits/partial.rs
+++ b/crates/rudder-decisions/tests/limits/partial.rs
@@ -136,3 +136,55 @@
         fleet.restore_links();
     });
 }
+
+/// A first owner that was suspended and got no claims meanwhile could return with a full bucket after
+/// its successor has granted its own burst.
+#[test]
+fn an_owner_without_claims_returns_with_an_empty_bucket() {
+    assert_within_limit("idle return", 8.0, &[], |fleet, rate| {
+        let first = fleet.owners()[0];
+        let downtime = fleet.random_duration(6000..8000);
+        fleet.suspend(first, downtime + seconds(0.4));
+        fleet.run(downtime, rate / 24.0);
+        fleet.run(seconds(0.4), rate);
+    });
+}
+
+/// Separates the first owner with two other instances from the fleet.
+fn separate_first_owner(fleet: &mut SimFleet) {
+    let first = fleet.owners()[0];
+    for index in 0..fleet.instance_count() {
+        if index % 6 == first % 6 {
+            fleet.set_partition(index, 1);
+        }
+    }
+}
+
+/// An owner that is cut off could grant the content of its bucket late, when its successor already
+/// grants a burst.
+#[test]
+fn an_owner_that_is_cut_off_grants_no_late_burst() {
+    assert_within_limit("late burst", 24.0, &[], |fleet, rate| {
+        fleet.run(seconds(6.0), rate / 80.0);
+        separate_first_owner(fleet);
+        let downtime = fleet.random_duration(2000..9000);
+        fleet.run(downtime, rate / 80.0);
+        let overload = fleet.random_duration(1000..4000);
+        fleet.run(overload, rate);
+    });
+}
+
+/// An owner that is suspended while it is cut off could count the time for which it may grant its
+/// burst from when it resumes.
+#[test]
+fn an_owner_that_resumes_without_contact_grants_no_late_burst() {
+    assert_within_limit("late resumption", 24.0, &[], |fleet, rate| {
+        fleet.run(seconds(6.0), rate / 80.0);
+        separate_first_owner(fleet);
+        let first = fleet.owners()[0];
+        let downtime = fleet.random_duration(5500..9000);
+        fleet.suspend(first, downtime);
+        fleet.run(downtime, rate / 80.0);
+        fleet.run(seconds(3.0), rate);
+    });
+}
