Run statements and transactions of an account at a holder of its connections

Cause: a connection to a member serves one account.

Change: an instance sends a statement or a whole transaction to a holder over a shared, multiplexed TCP connection (FF FF and a version on the listener for copies). The holder runs it as its own; the origin keeps the session. A request that was not sent or was declined goes to the next holder or stays local; a lost one is run again (read), in doubt (write, commit) or aborted (transaction).

--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection_share;
 mod detector;
 mod dial_gate;
+mod forwarded_load;
 mod meter;
 mod operation_limit;
 mod outlier;
@@ -34,6 +35,7 @@
 pub use connection_share::ConnectionShare;
 pub use detector::{SilenceDetector, SuspicionBound};
 pub use dial_gate::{DialFailure, DialGate};
+pub use forwarded_load::ForwardedLoad;
 pub use meter::MemberMeter;
 pub use operation_limit::{
     ClaimDecision, ClaimPlan, ExpiringSet, FleetContact, LimitBounds, LimitLedger, OperationBucket,
--- a/crates/rudder-engine/src/duty/drain.rs
+++ b/crates/rudder-engine/src/duty/drain.rs
@@ -17,7 +17,8 @@
 /// transactions end, open transactions have half of the grace time, and everything else ends
 /// shortly before the grace time is over.
 ///
-/// Returns when the process may exit. `idle` returns whether no caller is left.
+/// Returns when the process may exit. `idle` returns whether no caller is left. Requests that other
+/// instances forwarded are waited for in the same way.
 ///
 /// ```no_run
 /// # async fn example(engine: std::sync::Arc<rudder_engine::ProxyEngine>) {
@@ -36,9 +37,10 @@
     tokio::time::sleep_until(closing_at).await;
     engine.set_drain_phase(DrainPhase::Closing);
     let poll_interval = timing.grace / 100;
-    while !idle() && tokio::time::Instant::now() + poll_interval < end_at {
+    let is_idle = || idle() && engine.forwarding().work().is_idle();
+    while !is_idle() && tokio::time::Instant::now() + poll_interval < end_at {
         tokio::time::sleep(poll_interval).await;
     }
     deregister(engine).await;
-    log::info!(idle = idle(); "this instance ends");
+    log::info!(idle = is_idle(); "this instance ends");
 }
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -4,6 +4,7 @@
 mod leadership;
 
 use crate::clock::boot_time;
+use crate::forwarding::ForwardingState;
 use crate::group::{GroupMember, ServiceGroup};
 use crate::identity::{DrainPhase, EngineDependencies, InstanceIdentity};
 use crate::lead::LeaderLease;
@@ -68,6 +69,7 @@
     copy_fetch_running: AtomicBool,
     records_status: Mutex<RecordsStatus>,
     limits: AccountLimits,
+    forwarding: ForwardingState,
     /// Datagram exchange with other instances; set at the start.
     exchange: OnceLock<PeerExchange>,
     pending_copy: PendingCopy,
@@ -93,6 +95,7 @@
             copy_fetch_running: AtomicBool::new(false),
             records_status: Mutex::default(),
             limits: AccountLimits::default(),
+            forwarding: ForwardingState::default(),
             exchange: OnceLock::new(),
             pending_copy: PendingCopy::default(),
             wait_records_request: Notify::new(),
@@ -143,6 +146,11 @@
         &self.limits
     }
 
+    /// Returns the state of forwarding to and from other instances.
+    pub(crate) fn forwarding(&self) -> &ForwardingState {
+        &self.forwarding
+    }
+
     pub(crate) fn membership(&self) -> &MembershipView {
         &self.membership
     }
--- /dev/null
+++ b/crates/rudder-engine/src/forwarding/connection.rs
@@ -0,0 +1,367 @@
+//! The origin's side of a forwarding connection: requests in progress, and the detection of a lost
+//! or silent holder.
+
+use super::frame::{
+    ConnectionEnd, FrameDecoder, LinkActivity, encode_to_holder, length_codec, preamble,
+};
+use super::wire::{DeclineReason, HolderFrame, OriginFrame};
+use crate::statement::StatementReply;
+use crate::sync::lock;
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::time::{Instant, MissedTickBehavior};
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+/// Interval of pings while requests are pending.
+const PING_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time without a sign of life after which a holder with pending requests counts as lost: three
+/// pings, as one lost packet delays the ones behind it by 200 ms.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Time after which an unused connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Maximum number of pending requests on one connection. A holder runs as many in total.
+const PENDING_MAX: usize = 256;
+
+/// Maximum total size of requests that are queued for writing; bounds the memory that a slow
+/// holder takes from an instance with 160 MB.
+const QUEUED_BYTES_MAX: usize = 8 << 20;
+
+/// Result of a request to a holder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ForwardResult {
+    Reply(StatementReply),
+    /// The holder sent nothing to a member.
+    Declined(DeclineReason),
+    /// The holder did not receive the request. Holds the reason.
+    NotSent(&'static str),
+    /// The holder may have run the request. Holds the reason.
+    Lost(&'static str),
+}
+
+struct PendingRequest {
+    request_id: u64,
+    /// Whether writing the request has begun.
+    is_written: bool,
+    sender: oneshot::Sender<ForwardResult>,
+}
+
+struct PendingState {
+    ended: bool,
+    last_request_id: u64,
+    last_transaction: u64,
+    /// Sorted by request.
+    requests: Vec<PendingRequest>,
+    /// Number of transactions that are open on this connection.
+    transactions: u32,
+    /// Time at which requests were last added to none, or the last one ended.
+    changed_at: Instant,
+}
+
+impl PendingState {
+    fn position(&self, request_id: u64) -> Result<usize, usize> {
+        self.requests.binary_search_by_key(&request_id, |request| request.request_id)
+    }
+
+    fn remove(&mut self, request_id: u64) -> Option<PendingRequest> {
+        let index = self.position(request_id).ok()?;
+        let request = self.requests.remove(index);
+        if self.requests.is_empty() {
+            self.changed_at = Instant::now();
+        }
+        Some(request)
+    }
+}
+
+/// A message in the queue for writing.
+struct QueuedFrame {
+    /// Request that the message belongs to; the message is skipped if the request has ended.
+    request_id: Option<u64>,
+    bytes: Bytes,
+    _permit: Option<OwnedSemaphorePermit>,
+}
+
+/// A connection to a holder.
+pub(crate) struct HolderConnection {
+    peer: SocketAddr,
+    state: Mutex<PendingState>,
+    queue: mpsc::UnboundedSender<QueuedFrame>,
+    queued_bytes: Arc<Semaphore>,
+    activity: LinkActivity,
+}
+
+impl HolderConnection {
+    /// Opens a connection. Requests are sent only after the holder has confirmed the version: an
+    /// instance without forwarding would read them as a request for a copy.
+    pub(super) async fn open(peer: SocketAddr) -> Result<Arc<Self>, ConnectionEnd> {
+        let mut stream = TcpStream::connect(peer).await?;
+        stream.set_nodelay(true)?;
+        stream.write_all(&preamble()).await?;
+        let mut response = [0; 3];
+        stream.read_exact(&mut response).await?;
+        if response != preamble() {
+            return Err(ConnectionEnd::Version);
+        }
+        let (queue, frames) = mpsc::unbounded_channel();
+        let state = PendingState {
+            ended: false,
+            last_request_id: 0,
+            last_transaction: 0,
+            requests: Vec::new(),
+            transactions: 0,
+            changed_at: Instant::now(),
+        };
+        let connection = Arc::new(Self {
+            peer,
+            state: Mutex::new(state),
+            queue,
+            queued_bytes: Arc::new(Semaphore::new(QUEUED_BYTES_MAX)),
+            activity: LinkActivity::new(),
+        });
+        tokio::spawn(Arc::clone(&connection).run(stream, frames));
+        Ok(connection)
+    }
+
+    /// Whether the connection has ended.
+    pub(super) fn has_ended(&self) -> bool {
+        lock(&self.state).ended
+    }
+
+    /// Sends a request and waits for its result, until `limit` has passed.
+    pub(super) async fn request(
+        self: &Arc<Self>,
+        message: impl FnOnce(u64) -> OriginFrame,
+        limit: Duration,
+    ) -> ForwardResult {
+        let (guard, receiver) = match self.register() {
+            Ok(registered) => registered,
+            Err(reason) => return ForwardResult::NotSent(reason),
+        };
+        let Some(bytes) = encode_to_holder(&message(guard.request_id)) else {
+            return ForwardResult::NotSent("too_large");
+        };
+        let size = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+        let Ok(permit) = Arc::clone(&self.queued_bytes).try_acquire_many_owned(size) else {
+            return ForwardResult::NotSent("queue_full");
+        };
+        let request_id = Some(guard.request_id);
+        if self.queue.send(QueuedFrame { request_id, bytes, _permit: Some(permit) }).is_err() {
+            return ForwardResult::NotSent("closed");
+        }
+        match tokio::time::timeout(limit, receiver).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) => ForwardResult::Lost("closed"),
+            Err(_) if guard.cancel() => ForwardResult::NotSent("timeout"),
+            Err(_) => ForwardResult::Lost("timeout"),
+        }
+    }
+
+    fn register(
+        self: &Arc<Self>,
+    ) -> Result<(PendingGuard, oneshot::Receiver<ForwardResult>), &'static str> {
+        let (sender, receiver) = oneshot::channel();
+        let mut state = lock(&self.state);
+        if state.ended {
+            return Err("closed");
+        }
+        if state.requests.len() >= PENDING_MAX {
+            return Err("too_many_pending");
+        }
+        state.last_request_id += 1;
+        let request_id = state.last_request_id;
+        if state.requests.is_empty() {
+            state.changed_at = Instant::now();
+        }
+        state.requests.push(PendingRequest { request_id, is_written: false, sender });
+        Ok((PendingGuard { connection: Arc::clone(self), request_id }, receiver))
+    }
+
+    /// Returns the number of a new transaction, which counts as open until
+    /// [`Self::end_transaction`].
+    pub(super) fn begin_transaction(&self) -> u64 {
+        let mut state = lock(&self.state);
+        state.transactions += 1;
+        state.last_transaction += 1;
+        state.last_transaction
+    }
+
+    /// Ends a transaction; `roll_back` says whether the holder has to roll it back.
+    pub(super) fn end_transaction(&self, transaction: u64, roll_back: bool) {
+        {
+            let mut state = lock(&self.state);
+            state.transactions = state.transactions.saturating_sub(1);
+            state.changed_at = Instant::now();
+        }
+        if roll_back {
+            self.send_control(&OriginFrame::RollBack { transaction });
+        }
+    }
+
+    fn send_control(&self, message: &OriginFrame) {
+        let Some(bytes) = encode_to_holder(message) else { return };
+        // On a connection that has ended, the holder has rolled back by itself.
+        let _ = self.queue.send(QueuedFrame { request_id: None, bytes, _permit: None });
+    }
+
+    async fn run(self: Arc<Self>, stream: TcpStream, frames: mpsc::UnboundedReceiver<QueuedFrame>) {
+        let (reader, writer) = stream.into_split();
+        let end = tokio::select! {
+            end = self.receive(reader) => end,
+            end = self.transmit(writer, frames) => end,
+            end = self.supervise() => end,
+        };
+        self.end(end);
+    }
+
+    async fn receive(&self, reader: OwnedReadHalf) -> ConnectionEnd {
+        let decoder = FrameDecoder::<HolderFrame>::new(self.activity.clone());
+        let mut frames = FramedRead::new(reader, decoder);
+        loop {
+            let (request_id, result) = match frames.next().await {
+                None => return ConnectionEnd::Closed,
+                Some(Err(error)) => return error.into(),
+                Some(Ok((HolderFrame::Pong, _))) => continue,
+                Some(Ok((HolderFrame::Reply { request_id, reply }, _))) => {
+                    (request_id, ForwardResult::Reply(reply.into()))
+                }
+                Some(Ok((HolderFrame::Declined { request_id, reason }, _))) => {
+                    (request_id, ForwardResult::Declined(reason))
+                }
+                Some(Ok((HolderFrame::Undeliverable { request_id }, _))) => {
+                    (request_id, ForwardResult::Lost("undeliverable"))
+                }
+            };
+            self.complete(request_id, result);
+        }
+    }
+
+    fn complete(&self, request_id: u64, result: ForwardResult) {
+        let request = lock(&self.state).remove(request_id);
+        let delivered = request.is_some_and(|request| request.sender.send(result).is_ok());
+        if !delivered {
+            metrics::counter!("rudder_forward_replies_dropped_total").increment(1);
+            log::info!(
+                peer:% = self.peer, number = request_id, reason = "unknown_request";
+                "a forwarded request's reply was dropped"
+            );
+        }
+    }
+
+    async fn transmit(
+        &self,
+        writer: OwnedWriteHalf,
+        mut frames: mpsc::UnboundedReceiver<QueuedFrame>,
+    ) -> ConnectionEnd {
+        let mut writer = FramedWrite::new(writer, length_codec());
+        while let Some(frame) = frames.recv().await {
+            if !self.mark_written(frame.request_id) {
+                continue;
+            }
+            self.activity.record_written(frame.bytes.len());
+            if let Err(error) = writer.send(frame.bytes).await {
+                return error.into();
+            }
+        }
+        ConnectionEnd::Closed
+    }
+
+    /// Marks a request as written; returns whether its message still has to be sent.
+    fn mark_written(&self, request_id: Option<u64>) -> bool {
+        let Some(request_id) = request_id else { return true };
+        let mut state = lock(&self.state);
+        let Ok(index) = state.position(request_id) else { return false };
+        state.requests[index].is_written = true;
+        true
+    }
+
+    async fn supervise(&self) -> ConnectionEnd {
+        let mut ticks = tokio::time::interval(PING_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ticked_at = Instant::now();
+        let mut resumed_at = ticked_at;
+        loop {
+            ticks.tick().await;
+            let now = Instant::now();
+            // If this process itself did not run, messages may wait in its receive buffer.
+            if now > ticked_at + 2 * PING_INTERVAL {
+                resumed_at = now;
+            }
+            ticked_at = now;
+            let changed_at = {
+                let mut state = lock(&self.state);
+                if state.requests.is_empty() {
+                    let is_idle = state.transactions == 0 && now > state.changed_at + IDLE_TIMEOUT;
+                    state.ended |= is_idle;
+                    if is_idle {
+                        return ConnectionEnd::Idle;
+                    }
+                    continue;
+                }
+                state.changed_at
+            };
+            let silent_since = self.activity.silent_since().max(changed_at).max(resumed_at);
+            if now > silent_since + SILENCE_TIMEOUT {
+                return ConnectionEnd::Silent;
+            }
+            self.send_control(&OriginFrame::Ping);
+        }
+    }
+
+    /// Ends the connection and all pending requests.
+    fn end(&self, end: ConnectionEnd) {
+        let requests = {
+            let mut state = lock(&self.state);
+            state.ended = true;
+            std::mem::take(&mut state.requests)
+        };
+        log::info!(
+            peer:% = self.peer, pending = requests.len(), reason:% = end;
+            "a forwarding connection ended"
+        );
+        if end == ConnectionEnd::Malformed {
+            super::count_rejected_frame(end);
+        }
+        let reason = match end {
+            ConnectionEnd::Silent => "silent",
+            ConnectionEnd::Malformed => "malformed",
+            _ => "closed",
+        };
+        for request in requests {
+            let result = match request.is_written {
+                true => ForwardResult::Lost(reason),
+                false => ForwardResult::NotSent(reason),
+            };
+            // The caller may have disconnected.
+            let _ = request.sender.send(result);
+        }
+    }
+}
+
+/// Removes a pending request when its caller stops waiting.
+struct PendingGuard {
+    connection: Arc<HolderConnection>,
+    request_id: u64,
+}
+
+impl PendingGuard {
+    /// Removes the request; returns whether it is certain that it will not be written.
+    fn cancel(&self) -> bool {
+        let request = lock(&self.connection.state).remove(self.request_id);
+        request.is_some_and(|request| !request.is_written)
+    }
+}
+
+impl Drop for PendingGuard {
+    fn drop(&mut self) {
+        lock(&self.connection.state).remove(self.request_id);
+    }
+}
--- /dev/null
+++ b/crates/rudder-engine/src/forwarding/dispatch.rs
@@ -0,0 +1,150 @@
+//! Runs a caller's request at a holder or at this instance, and classifies a lost holder's request.
+
+use super::choice::{ForwardChoice, HolderTarget};
+use super::connection::ForwardResult;
+use super::remote::RemoteTransaction;
+use crate::engine::{ProxyEngine, RouteAccess};
+use crate::session::{StatementJob, in_doubt};
+use crate::statement::{StatementEffect, StatementReply};
+use rudder_core::{InstanceName, LogStamp};
+use std::time::Instant;
+
+/// Maximum number of holders that a request is sent to. Further ones would use up the time in which
+/// this instance can run the request itself.
+const HOLDERS_MAX: usize = 2;
+
+/// One of this many forwarded requests that were served is logged.
+const SERVED_SAMPLE: u64 = 64;
+
+/// Start of a transaction.
+pub(crate) enum RemoteStart {
+    /// The transaction runs at this instance.
+    Local,
+    /// The transaction runs at a holder, which returned the result of the first statement.
+    Remote(RemoteTransaction, ForwardResult),
+}
+
+impl ProxyEngine {
+    /// Runs a single statement at a holder or at this instance.
+    pub(crate) async fn run_single(
+        &self,
+        access: &RouteAccess,
+        job: &StatementJob,
+        floor: Option<LogStamp>,
+    ) -> StatementReply {
+        let mut lost_job = None;
+        for _ in 0..HOLDERS_MAX {
+            let ForwardChoice::Forward(holder) = self.forward_choice(access) else { break };
+            let job = lost_job.as_ref().unwrap_or(job);
+            let sent_at = Instant::now();
+            let result = self.forwarding().client().run(&holder, access, job, floor).await;
+            self.record_result(&holder, job, sent_at, &result);
+            match result {
+                ForwardResult::Reply(reply) => return reply,
+                ForwardResult::Declined(_) | ForwardResult::NotSent(_) => {}
+                ForwardResult::Lost(_) if job.effect == StatementEffect::Write => {
+                    return in_doubt("the instance that ran the statement was lost");
+                }
+                // The detection of the loss takes longer than a request may wait for a connection.
+                ForwardResult::Lost(_) => lost_job = Some(job.with_renewed_wait(&access.route)),
+            }
+        }
+        self.run_local(&access.route, lost_job.as_ref().unwrap_or(job), floor).await
+    }
+
+    /// Sends the first statement of a transaction to a holder, unless this instance runs it.
+    pub(crate) async fn start_transaction(
+        &self,
+        access: &RouteAccess,
+        read_only: bool,
+        job: &StatementJob,
+        floor: Option<LogStamp>,
+    ) -> RemoteStart {
+        for _ in 0..HOLDERS_MAX {
+            let ForwardChoice::Forward(holder) = self.forward_choice(access) else { break };
+            let sent_at = Instant::now();
+            let client = self.forwarding().client();
+            let result = match RemoteTransaction::open(client, &holder, read_only, job).await {
+                Ok(mut remote) => {
+                    let result = remote.run(access, job, floor).await;
+                    self.record_result(&holder, job, sent_at, &result);
+                    match result {
+                        ForwardResult::Reply(_) | ForwardResult::Lost(_) => {
+                            return RemoteStart::Remote(remote, result);
+                        }
+                        ForwardResult::Declined(_) | ForwardResult::NotSent(_) => continue,
+                    }
+                }
+                Err(reason) => ForwardResult::NotSent(reason),
+            };
+            self.record_result(&holder, job, sent_at, &result);
+        }
+        RemoteStart::Local
+    }
+
+    /// Runs a later statement or the commit of a transaction at its holder.
+    pub(crate) async fn continue_transaction(
+        &self,
+        remote: &mut RemoteTransaction,
+        access: &RouteAccess,
+        job: &StatementJob,
+        floor: Option<LogStamp>,
+    ) -> ForwardResult {
+        let sent_at = Instant::now();
+        let result = remote.run(access, job, floor).await;
+        record_outcome(remote.holder(), job, sent_at, &result);
+        result
+    }
+
+    fn record_result(
+        &self,
+        holder: &HolderTarget,
+        job: &StatementJob,
+        sent_at: Instant,
+        result: &ForwardResult,
+    ) {
+        if !matches!(result, ForwardResult::Reply(_)) {
+            self.forwarding().board().record_failure(&holder.instance);
+        }
+        record_outcome(&holder.instance, job, sent_at, result);
+    }
+}
+
+/// Updates the metrics, and logs each request that was not served and a sample of the others.
+fn record_outcome(
+    holder: &InstanceName,
+    job: &StatementJob,
+    sent_at: Instant,
+    result: &ForwardResult,
+) {
+    let (outcome, reason) = match result {
+        ForwardResult::Reply(reply) => match reply.error() {
+            None => ("served", String::new()),
+            Some(error) => ("refused", error.label().to_owned()),
+        },
+        ForwardResult::Declined(reason) => ("declined", reason.to_string()),
+        ForwardResult::NotSent(reason) => ("not_sent", (*reason).to_owned()),
+        ForwardResult::Lost(reason) if job.may_change_data() => ("in_doubt", (*reason).to_owned()),
+        ForwardResult::Lost(reason) => ("lost", (*reason).to_owned()),
+    };
+    let elapsed = sent_at.elapsed();
+    metrics::counter!("rudder_forwarded_total", "outcome" => outcome).increment(1);
+    metrics::histogram!("rudder_forward_seconds").record(elapsed.as_secs_f64());
+    // The sample is chosen by a hash of the request id, so that all instances log the same
+    // requests.
+    let is_sampled =
+        || xxhash_rust::xxh3::xxh3_64(job.id.0.as_bytes()).is_multiple_of(SERVED_SAMPLE);
+    match outcome {
+        "served" if is_sampled() => log::info!(
+            request:% = job.id, service:% = job.service, holder:% = holder,
+            took_ms = elapsed.as_millis(), outcome = outcome;
+            "a forwarded request was served"
+        ),
+        "served" => {}
+        _ => log::info!(
+            request:% = job.id, service:% = job.service, holder:% = holder,
+            reason = reason.as_str(), took_ms = elapsed.as_millis(), outcome = outcome;
+            "a forwarded request was not served"
+        ),
+    }
+}
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -212,6 +212,11 @@
         state.free(Instant::now()).saturating_sub(count(state.waiters.len()))
     }
 
+    /// Maximum number of connections that this instance may hold now.
+    pub(crate) fn max_connections(&self) -> u32 {
+        self.state().max_open(Instant::now())
+    }
+
     /// Whether a recent dial found the member unreachable.
     pub(crate) fn is_unreachable(&self) -> bool {
         self.state().gate.is_unreachable(Instant::now())
--- a/crates/rudder-engine/src/peers/fleet_copy.rs
+++ b/crates/rudder-engine/src/peers/fleet_copy.rs
@@ -12,6 +12,7 @@
 use super::offset::RequestOffset;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
+use crate::forwarding::{FORWARDING_MARK, serve_forwarding};
 use crate::group::MemberEntry;
 use crate::settings::{FleetSettings, SettingsVersion};
 use crate::store_snapshot::MembersVersion;
@@ -28,6 +29,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
+use tokio::time::error::Elapsed;
 
 /// Timeout for the next chunk of a copy: covers scheduling on a busy peer and a packet lost between
 /// regions. The time for a whole copy grows with its size and with the number of concurrent
@@ -102,7 +104,7 @@
     }
 }
 
-/// Serves copies of this instance's state to peers that connect.
+/// Serves copies of this instance's state, and forwarded requests, to peers that connect.
 pub(crate) async fn serve_copies(engine: Arc<ProxyEngine>, listener: TcpListener) {
     loop {
         let (stream, peer) = match listener.accept().await {
@@ -115,7 +117,7 @@
         };
         let engine = Arc::clone(&engine);
         tokio::spawn(async move {
-            match tokio::time::timeout(COPY_TIMEOUT, serve_copy(&engine, stream)).await {
+            match serve_connection(&engine, stream, peer).await {
                 Ok(Ok(())) => {}
                 Ok(Err(error)) => log::info!(
                     peer:% = peer, reason:% = error; "the store's state was not sent to a peer"
@@ -128,9 +130,30 @@
     }
 }
 
-async fn serve_copy(engine: &ProxyEngine, mut stream: TcpStream) -> std::io::Result<()> {
+/// Serves a copy, or forwarded requests if the connection starts with their mark.
+async fn serve_connection(
+    engine: &Arc<ProxyEngine>,
+    mut stream: TcpStream,
+    peer: SocketAddr,
+) -> Result<std::io::Result<()>, Elapsed> {
+    let deadline = tokio::time::Instant::now() + COPY_TIMEOUT;
+    let length = match tokio::time::timeout_at(deadline, stream.read_u16()).await? {
+        Ok(FORWARDING_MARK) => {
+            serve_forwarding(Arc::clone(engine), stream, peer).await;
+            return Ok(Ok(()));
+        }
+        Ok(length) => length,
+        Err(error) => return Ok(Err(error)),
+    };
+    tokio::time::timeout_at(deadline, serve_copy(engine, stream, length)).await
+}
+
+async fn serve_copy(
+    engine: &ProxyEngine,
+    mut stream: TcpStream,
+    length: u16,
+) -> std::io::Result<()> {
     let received_at = boot_time();
-    let length = stream.read_u16().await?;
     let mut bytes = vec![0; length.into()];
     stream.read_exact(&mut bytes).await?;
     let request: CopyRequest = postcard::from_bytes(&bytes).map_err(std::io::Error::other)?;
--- a/crates/rudder-engine/src/session/caller.rs
+++ b/crates/rudder-engine/src/session/caller.rs
@@ -253,12 +253,8 @@
         let route = Arc::clone(&access.route);
         let job =
             StatementJob::new(id, body, effect, prepared, self.session_state.values(), &access);
-        let strict = route.kind == RouteKind::Strict || effect == StatementEffect::Write;
-        if !strict {
-            let floor = self.session_floor(&route.service);
-            return engine.read_bounded(&route, &job, floor).await;
-        }
-        let reply = engine.run_strict(&route, &job).await;
+        let floor = self.session_floor(&route.service);
+        let reply = engine.run_single(&access, &job, floor).await;
         if effect == StatementEffect::Write && reply.error().is_none() {
             self.raise_floor(&route.service, reply.position);
         }
--- a/crates/rudder-engine/src/session/job.rs
+++ b/crates/rudder-engine/src/session/job.rs
@@ -3,6 +3,7 @@
 use crate::clock::boot_time;
 use crate::engine::RouteAccess;
 use crate::group::{ExchangeError, LinkRequest, LinkUser, PooledLink, ServiceGroup};
+use crate::settings::RouteRule;
 use crate::statement::{
     MemberCommand, PreparedStatement, RequestId, SessionValue, StatementBody, StatementEffect,
     StatementError, StatementReply, TransactionState,
@@ -63,11 +64,22 @@
             values: values.to_vec(),
             priority: route.priority,
             started_at: now,
-            wait_until: now + route.latency_target.min(route.statement_timeout) / WAIT_DIVISOR,
+            wait_until: now + wait_limit(route),
             deadline: now + route.statement_timeout,
         }
     }
 
+    /// Returns the job with the time to wait for a connection starting anew.
+    pub(crate) fn with_renewed_wait(&self, route: &RouteRule) -> Self {
+        let now = Instant::now();
+        Self { wait_until: (now + wait_limit(route)).min(self.deadline), ..self.clone() }
+    }
+
+    /// Whether the job writes or commits.
+    pub(crate) fn may_change_data(&self) -> bool {
+        self.effect == StatementEffect::Write || self.body == StatementBody::Commit
+    }
+
     /// Returns the connection request for this job.
     pub(crate) fn link_request(&self, work: WaitingWork) -> LinkRequest {
         LinkRequest { user: LinkUser::Caller(self.account.clone()), rank: work.rank(self.priority) }
@@ -115,6 +127,11 @@
     }
 }
 
+/// Time that a request may wait for a connection.
+fn wait_limit(route: &RouteRule) -> Duration {
+    route.latency_target.min(route.statement_timeout) / WAIT_DIVISOR
+}
+
 /// Runs commands of which all but the last prepare the connection; returns the last one's reply.
 async fn run_all(
     link: &mut PooledLink,
--- a/crates/rudder-engine/src/session/mod.rs
+++ b/crates/rudder-engine/src/session/mod.rs
@@ -4,11 +4,16 @@
 mod caller;
 mod job;
 mod read;
+mod single;
 mod state;
 mod strict;
 mod transaction;
 
 pub use caller::CallerSession;
+pub(crate) use job::StatementJob;
+pub(crate) use single::is_strict;
+pub(crate) use strict::in_doubt;
+pub(crate) use transaction::OpenTransaction;
 
 #[cfg(test)]
 mod tests;
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -230,6 +230,6 @@
 }
 
 /// Returns the reply to a write that may or may not have been committed.
-pub(super) fn in_doubt(text: &str) -> StatementReply {
+pub(crate) fn in_doubt(text: &str) -> StatementReply {
     StatementReply::refusal(StatementError::InDoubt, text, TransactionState::Idle)
 }
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -6,6 +6,7 @@
 use super::strict::{InFlightGuard, in_doubt};
 use crate::clock::boot_time;
 use crate::engine::{ProxyEngine, RouteAccess};
+use crate::forwarding::{ForwardResult, RemoteStart, RemoteTransaction};
 use crate::group::{ExchangeError, GroupMember, PooledLink, ServiceGroup};
 use crate::lead::LeaderLease;
 use crate::limits::ClaimError;
@@ -24,13 +25,21 @@
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// A caller's transaction. It begins at a member with its first statement.
-pub(super) struct OpenTransaction {
+pub(crate) struct OpenTransaction {
     read_only: bool,
     access: RouteAccess,
     pinned: Option<PinnedLink>,
     wrote: bool,
     /// Whether the transaction was claimed against the account's operation limit.
     claimed: bool,
+    place: TransactionPlace,
+}
+
+/// Where a transaction runs.
+enum TransactionPlace {
+    Undecided,
+    Local,
+    Remote(RemoteTransaction),
 }
 
 /// Connection that a transaction is pinned to.
@@ -51,7 +60,13 @@
 
 impl OpenTransaction {
     pub(super) fn new(read_only: bool, access: RouteAccess) -> Self {
-        Self { read_only, access, pinned: None, wrote: false, claimed: false }
+        let place = TransactionPlace::Undecided;
+        Self { read_only, access, pinned: None, wrote: false, claimed: false, place }
+    }
+
+    /// Creates a transaction that runs at this instance.
+    pub(crate) fn new_local(read_only: bool, access: RouteAccess) -> Self {
+        Self { place: TransactionPlace::Local, ..Self::new(read_only, access) }
     }
 
     pub(super) fn service(&self) -> &ServiceName {
@@ -80,7 +95,7 @@
     }
 
     /// Rolls back in a background task.
-    pub(super) fn abandon(self) {
+    pub(crate) fn abandon(self) {
         let Some(mut pinned) = self.pinned else { return };
         tokio::spawn(async move {
             if pinned.link.state() == TransactionState::Idle {
@@ -99,12 +114,21 @@
     }
 
     /// Runs one statement; the state of the reply says whether the transaction stays open.
-    pub(super) async fn run(
+    pub(crate) async fn run(
         &mut self,
         engine: &ProxyEngine,
         job: &StatementJob,
         session_floor: Option<LogStamp>,
     ) -> StatementReply {
+        if let Some(result) = self.run_remote(engine, job, session_floor).await {
+            return match result {
+                ForwardResult::Reply(reply) if reply.error().is_none() => reply,
+                ForwardResult::Reply(reply) => {
+                    StatementReply { state: TransactionState::Failed, ..reply }
+                }
+                _ => aborted(job, "the instance that ran the transaction was lost"),
+            };
+        }
         if let Err(reply) = self.pin(engine, job, session_floor).await {
             return reply;
         }
@@ -147,12 +171,20 @@
     }
 
     /// Commits the transaction.
-    pub(super) async fn commit(
+    pub(crate) async fn commit(
         mut self,
         engine: &ProxyEngine,
         job: &StatementJob,
         session_floor: Option<LogStamp>,
     ) -> StatementReply {
+        if let Some(result) = self.run_remote(engine, job, session_floor).await {
+            let reply = match result {
+                ForwardResult::Reply(reply) => reply,
+                ForwardResult::Lost(_) if self.wrote => in_doubt("no answer to the commit"),
+                _ => aborted(job, "the instance that ran the transaction was lost"),
+            };
+            return StatementReply { state: TransactionState::Idle, ..reply };
+        }
         if let Err(reply) = self.pin(engine, job, session_floor).await {
             return StatementReply { state: TransactionState::Idle, ..reply };
         }
@@ -166,6 +198,34 @@
         StatementReply { state: TransactionState::Idle, ..reply }
     }
 
+    /// Runs a statement or the commit at a holder; returns `None` if the transaction runs at this
+    /// instance. Its first statement decides.
+    async fn run_remote(
+        &mut self,
+        engine: &ProxyEngine,
+        job: &StatementJob,
+        session_floor: Option<LogStamp>,
+    ) -> Option<ForwardResult> {
+        let (access, read_only) = (&self.access, self.read_only);
+        let result = match &mut self.place {
+            TransactionPlace::Local => return None,
+            TransactionPlace::Remote(remote) => {
+                engine.continue_transaction(remote, access, job, session_floor).await
+            }
+            TransactionPlace::Undecided => {
+                let start = engine.start_transaction(access, read_only, job, session_floor).await;
+                let RemoteStart::Remote(remote, result) = start else {
+                    self.place = TransactionPlace::Local;
+                    return None;
+                };
+                self.place = TransactionPlace::Remote(remote);
+                result
+            }
+        };
+        self.wrote |= job.effect == StatementEffect::Write;
+        Some(result)
+    }
+
     /// Pins the transaction to a connection and begins it there, unless it is already pinned.
     async fn pin(
         &mut self,
