Test forwarding with two instances, scripted holders and altered messages

They showed that pings counted as activity of the peer, so that a silent holder was never detected, and that a request could use up its wait on a connection that does not open.

Change: writing extends the silence by the transfer time only; a request waits for half of its wait at most until a connection to a holder is open, and the attempt continues for later requests. Reasons of lost requests are an enum.

--- a/crates/rudder-engine/src/forwarding/choice.rs
+++ b/crates/rudder-engine/src/forwarding/choice.rs
@@ -1,5 +1,6 @@
 //! Which instance runs a request: this one or a holder of connections for the caller's account.
 
+use super::connection::ForwardResult;
 use crate::engine::{ProxyEngine, RouteAccess};
 use crate::sync::lock;
 use rudder_core::InstanceName;
@@ -19,13 +20,6 @@
     pub(crate) address: SocketAddr,
 }
 
-/// Instance that runs a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum ForwardChoice {
-    Local,
-    Forward(HolderTarget),
-}
-
 /// What this instance has learned about holders.
 #[derive(Default)]
 pub(crate) struct HolderBoard {
@@ -54,31 +48,42 @@
 }
 
 impl ProxyEngine {
-    /// Chooses the instance that runs a request.
-    pub(crate) fn forward_choice(&self, access: &RouteAccess) -> ForwardChoice {
-        let Some(account) = &access.account else { return ForwardChoice::Local };
-        let Some(settings) = self.settings() else { return ForwardChoice::Local };
-        let Some(accounts) = &settings.accounts else { return ForwardChoice::Local };
+    /// Returns the holder that runs a request; `None` if this instance runs it.
+    pub(super) fn choose_holder(
+        &self,
+        access: &RouteAccess,
+        _strict: bool,
+    ) -> Option<HolderTarget> {
+        let account = access.account.as_ref()?;
+        let settings = self.settings()?;
+        let accounts = settings.accounts.as_ref()?;
         let services = &settings.services;
         let found = services.binary_search_by(|rule| rule.service.cmp(&access.route.service));
-        let Ok(index) = found else { return ForwardChoice::Local };
+        let index = found.ok()?;
         let (entries, _) = self.membership().entries();
         if entries.len() * accounts.len() <= services[index].connections_max as usize {
-            return ForwardChoice::Local;
+            return None;
         }
         let usable = entries.iter().filter(|entry| !entry.marked).map(|entry| &entry.instance);
         for holder in rank_owners(account, usable, entries.len()) {
             if holder == self.identity_name() {
-                return ForwardChoice::Local;
+                return None;
             }
             let entry = entries.iter().find(|entry| entry.instance == *holder);
             if let Some(entry) = entry
                 && self.forwarding().board().is_usable(holder)
             {
                 let (instance, address) = (holder.clone(), entry.address);
-                return ForwardChoice::Forward(HolderTarget { instance, address });
+                return Some(HolderTarget { instance, address });
             }
         }
-        ForwardChoice::Local
+        None
+    }
+
+    /// Records what a request showed about its holder.
+    pub(super) fn record_holder(&self, holder: &HolderTarget, result: &ForwardResult) {
+        if !matches!(result, ForwardResult::Reply(_)) {
+            self.forwarding().board().record_failure(&holder.instance);
+        }
     }
 }
--- a/crates/rudder-engine/src/forwarding/client.rs
+++ b/crates/rudder-engine/src/forwarding/client.rs
@@ -1,7 +1,7 @@
 //! Connections of this instance to the holders that it forwards to, one per holder.
 
 use super::choice::HolderTarget;
-use super::connection::{ForwardResult, HolderConnection};
+use super::connection::{ForwardFault, ForwardResult, HolderConnection};
 use super::wire::{OriginFrame, WireRequest};
 use crate::engine::RouteAccess;
 use crate::session::StatementJob;
@@ -35,6 +35,47 @@
     failed_at: Option<Instant>,
 }
 
+impl HolderSlot {
+    /// Returns the connection; opens one if there is none, unless that failed recently.
+    async fn connect(
+        self: Arc<Self>,
+        holder: HolderTarget,
+    ) -> Result<Arc<HolderConnection>, ForwardFault> {
+        let mut state = self.state.lock().await;
+        if let Some(connection) = &state.connection
+            && !connection.has_ended()
+        {
+            return Ok(Arc::clone(connection));
+        }
+        state.connection = None;
+        if state.failed_at.is_some_and(|at| Instant::now() < at + CONNECT_PAUSE) {
+            return Err(ForwardFault::Unreachable);
+        }
+        let open = HolderConnection::open(holder.address);
+        let reason = match tokio::time::timeout(CONNECT_TIMEOUT, open).await {
+            Ok(Ok(connection)) => {
+                state.failed_at = None;
+                state.connection = Some(Arc::clone(&connection));
+                return Ok(connection);
+            }
+            Ok(Err(end)) => end.to_string(),
+            Err(_) => "timeout".to_owned(),
+        };
+        state.failed_at = Some(Instant::now());
+        log::info!(
+            holder:% = holder.instance, reason:% = reason;
+            "a forwarding connection was not opened"
+        );
+        Err(ForwardFault::Unreachable)
+    }
+
+    /// Returns the connection if it is known to be open.
+    fn open_connection(&self) -> Option<Arc<HolderConnection>> {
+        let state = self.state.try_lock().ok()?;
+        state.connection.as_ref().filter(|connection| !connection.has_ended()).cloned()
+    }
+}
+
 /// Connections of this instance to the holders that it forwards to.
 #[derive(Default)]
 pub(crate) struct ForwardingClient {
@@ -51,7 +92,7 @@
         job: &StatementJob,
         floor: Option<LogStamp>,
     ) -> ForwardResult {
-        let connection = match self.connection(holder, job.wait_remaining()).await {
+        let connection = match self.connection(holder, connect_limit(job)).await {
             Ok(connection) => connection,
             Err(reason) => return ForwardResult::NotSent(reason),
         };
@@ -65,43 +106,18 @@
         &self,
         holder: &HolderTarget,
         limit: Duration,
-    ) -> Result<Arc<HolderConnection>, &'static str> {
+    ) -> Result<Arc<HolderConnection>, ForwardFault> {
         let slot = self.slot(holder.address);
-        let connect = async {
-            let mut state = slot.state.lock().await;
-            if let Some(connection) = &state.connection
-                && !connection.has_ended()
-            {
-                return Ok(Arc::clone(connection));
-            }
-            state.connection = None;
-            if state.failed_at.is_some_and(|at| Instant::now() < at + CONNECT_PAUSE) {
-                return Err("unreachable");
-            }
-            // Counts as failed until it succeeds, also if this caller stops waiting.
-            state.failed_at = Some(Instant::now());
-            let open = HolderConnection::open(holder.address);
-            let reason = match tokio::time::timeout(CONNECT_TIMEOUT, open).await {
-                Ok(Ok(connection)) => {
-                    state.failed_at = None;
-                    state.connection = Some(Arc::clone(&connection));
-                    return Ok(connection);
-                }
-                Ok(Err(end)) => end.to_string(),
-                Err(_) => "timeout".to_owned(),
-            };
-            log::info!(
-                holder:% = holder.instance, reason:% = reason;
-                "a forwarding connection was not opened"
-            );
-            Err("unreachable")
-        };
-        match tokio::time::timeout(limit, connect).await {
-            Ok(connection) => connection,
-            Err(_) => Err("connect_timeout"),
+        if let Some(connection) = slot.open_connection() {
+            return Ok(connection);
+        }
+        // If this caller stops waiting, the connection is opened for the next ones.
+        let connect = tokio::spawn(slot.connect(holder.clone()));
+        match tokio::time::timeout(limit.min(CONNECT_TIMEOUT), connect).await {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(_)) | Err(_) => Err(ForwardFault::Timeout),
         }
     }
-
     fn slot(&self, address: SocketAddr) -> Arc<HolderSlot> {
         let mut slots = lock(&self.slots);
         if let Ok(index) = slots.binary_search_by_key(&address, |(known, _)| *known) {
@@ -123,6 +139,12 @@
     }
 }
 
+/// Time that a job may wait for a connection to a holder: half of its wait, so that it can still be
+/// run by this instance.
+pub(super) fn connect_limit(job: &StatementJob) -> Duration {
+    job.wait_remaining() / 2
+}
+
 /// Time for which the reply to a job is awaited.
 pub(super) fn reply_limit(job: &StatementJob) -> Duration {
     job.time_remaining() + REPLY_MARGIN
--- a/crates/rudder-engine/src/forwarding/connection.rs
+++ b/crates/rudder-engine/src/forwarding/connection.rs
@@ -8,6 +8,7 @@
 use crate::statement::StatementReply;
 use crate::sync::lock;
 use bytes::Bytes;
+use displaydoc::Display;
 use futures::{SinkExt, StreamExt};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -36,16 +37,44 @@
 /// holder takes from an instance with 160 MB.
 const QUEUED_BYTES_MAX: usize = 8 << 20;
 
+/// Reason why a request got no response from a holder. The texts are fixed words in logs.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum ForwardFault {
+    /// unreachable
+    Unreachable,
+    /// closed
+    Closed,
+    /// silent
+    Silent,
+    /// malformed
+    Malformed,
+    /// timeout
+    Timeout,
+    /// too_large
+    TooLarge,
+    /// queue_full
+    QueueFull,
+    /// undeliverable
+    Undeliverable,
+}
+
+impl ForwardFault {
+    /// Whether the holder itself cannot be used, rather than this request.
+    pub(super) fn is_of_holder(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Closed | Self::Silent | Self::Malformed)
+    }
+}
+
 /// Result of a request to a holder.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum ForwardResult {
     Reply(StatementReply),
     /// The holder sent nothing to a member.
     Declined(DeclineReason),
-    /// The holder did not receive the request. Holds the reason.
-    NotSent(&'static str),
-    /// The holder may have run the request. Holds the reason.
-    Lost(&'static str),
+    /// The holder did not receive the request.
+    NotSent(ForwardFault),
+    /// The holder may have run the request.
+    Lost(ForwardFault),
 }
 
 struct PendingRequest {
@@ -147,34 +176,34 @@
             Err(reason) => return ForwardResult::NotSent(reason),
         };
         let Some(bytes) = encode_to_holder(&message(guard.request_id)) else {
-            return ForwardResult::NotSent("too_large");
+            return ForwardResult::NotSent(ForwardFault::TooLarge);
         };
         let size = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
         let Ok(permit) = Arc::clone(&self.queued_bytes).try_acquire_many_owned(size) else {
-            return ForwardResult::NotSent("queue_full");
+            return ForwardResult::NotSent(ForwardFault::QueueFull);
         };
         let request_id = Some(guard.request_id);
         if self.queue.send(QueuedFrame { request_id, bytes, _permit: Some(permit) }).is_err() {
-            return ForwardResult::NotSent("closed");
+            return ForwardResult::NotSent(ForwardFault::Closed);
         }
         match tokio::time::timeout(limit, receiver).await {
             Ok(Ok(result)) => result,
-            Ok(Err(_)) => ForwardResult::Lost("closed"),
-            Err(_) if guard.cancel() => ForwardResult::NotSent("timeout"),
-            Err(_) => ForwardResult::Lost("timeout"),
+            Ok(Err(_)) => ForwardResult::Lost(ForwardFault::Closed),
+            Err(_) if guard.cancel() => ForwardResult::NotSent(ForwardFault::Timeout),
+            Err(_) => ForwardResult::Lost(ForwardFault::Timeout),
         }
     }
 
     fn register(
         self: &Arc<Self>,
-    ) -> Result<(PendingGuard, oneshot::Receiver<ForwardResult>), &'static str> {
+    ) -> Result<(PendingGuard, oneshot::Receiver<ForwardResult>), ForwardFault> {
         let (sender, receiver) = oneshot::channel();
         let mut state = lock(&self.state);
         if state.ended {
-            return Err("closed");
+            return Err(ForwardFault::Closed);
         }
         if state.requests.len() >= PENDING_MAX {
-            return Err("too_many_pending");
+            return Err(ForwardFault::QueueFull);
         }
         state.last_request_id += 1;
         let request_id = state.last_request_id;
@@ -237,7 +266,7 @@
                     (request_id, ForwardResult::Declined(reason))
                 }
                 Some(Ok((HolderFrame::Undeliverable { request_id }, _))) => {
-                    (request_id, ForwardResult::Lost("undeliverable"))
+                    (request_id, ForwardResult::Lost(ForwardFault::Undeliverable))
                 }
             };
             self.complete(request_id, result);
@@ -308,8 +337,8 @@
                 }
                 state.changed_at
             };
-            let silent_since = self.activity.silent_since().max(changed_at).max(resumed_at);
-            if now > silent_since + SILENCE_TIMEOUT {
+            let silent_at = self.activity.silent_at(changed_at.max(resumed_at), SILENCE_TIMEOUT);
+            if now > silent_at {
                 return ConnectionEnd::Silent;
             }
             self.send_control(&OriginFrame::Ping);
@@ -331,9 +360,9 @@
             super::count_rejected_frame(end);
         }
         let reason = match end {
-            ConnectionEnd::Silent => "silent",
-            ConnectionEnd::Malformed => "malformed",
-            _ => "closed",
+            ConnectionEnd::Silent => ForwardFault::Silent,
+            ConnectionEnd::Malformed => ForwardFault::Malformed,
+            _ => ForwardFault::Closed,
         };
         for request in requests {
             let result = match request.is_written {
--- a/crates/rudder-engine/src/forwarding/dispatch.rs
+++ b/crates/rudder-engine/src/forwarding/dispatch.rs
@@ -1,10 +1,10 @@
 //! Runs a caller's request at a holder or at this instance, and classifies a lost holder's request.
 
-use super::choice::{ForwardChoice, HolderTarget};
+use super::choice::HolderTarget;
 use super::connection::ForwardResult;
 use super::remote::RemoteTransaction;
 use crate::engine::{ProxyEngine, RouteAccess};
-use crate::session::{StatementJob, in_doubt};
+use crate::session::{StatementJob, in_doubt, is_strict};
 use crate::statement::{StatementEffect, StatementReply};
 use rudder_core::{InstanceName, LogStamp};
 use std::time::Instant;
@@ -34,7 +34,8 @@
     ) -> StatementReply {
         let mut lost_job = None;
         for _ in 0..HOLDERS_MAX {
-            let ForwardChoice::Forward(holder) = self.forward_choice(access) else { break };
+            let strict = is_strict(&access.route, job.effect);
+            let Some(holder) = self.choose_holder(access, strict) else { break };
             let job = lost_job.as_ref().unwrap_or(job);
             let sent_at = Instant::now();
             let result = self.forwarding().client().run(&holder, access, job, floor).await;
@@ -60,8 +61,9 @@
         job: &StatementJob,
         floor: Option<LogStamp>,
     ) -> RemoteStart {
+        let strict = !read_only || is_strict(&access.route, StatementEffect::Read);
         for _ in 0..HOLDERS_MAX {
-            let ForwardChoice::Forward(holder) = self.forward_choice(access) else { break };
+            let Some(holder) = self.choose_holder(access, strict) else { break };
             let sent_at = Instant::now();
             let client = self.forwarding().client();
             let result = match RemoteTransaction::open(client, &holder, read_only, job).await {
@@ -103,9 +105,7 @@
         sent_at: Instant,
         result: &ForwardResult,
     ) {
-        if !matches!(result, ForwardResult::Reply(_)) {
-            self.forwarding().board().record_failure(&holder.instance);
-        }
+        self.record_holder(holder, result);
         record_outcome(&holder.instance, job, sent_at, result);
     }
 }
@@ -123,9 +123,9 @@
             Some(error) => ("refused", error.label().to_owned()),
         },
         ForwardResult::Declined(reason) => ("declined", reason.to_string()),
-        ForwardResult::NotSent(reason) => ("not_sent", (*reason).to_owned()),
-        ForwardResult::Lost(reason) if job.may_change_data() => ("in_doubt", (*reason).to_owned()),
-        ForwardResult::Lost(reason) => ("lost", (*reason).to_owned()),
+        ForwardResult::NotSent(reason) => ("not_sent", reason.to_string()),
+        ForwardResult::Lost(reason) if job.may_change_data() => ("in_doubt", reason.to_string()),
+        ForwardResult::Lost(reason) => ("lost", reason.to_string()),
     };
     let elapsed = sent_at.elapsed();
     metrics::counter!("rudder_forwarded_total", "outcome" => outcome).increment(1);
--- a/crates/rudder-engine/src/forwarding/frame.rs
+++ b/crates/rudder-engine/src/forwarding/frame.rs
@@ -64,39 +64,42 @@
     }
 }
 
-/// When a peer was last heard, and until when messages to it may still be on their way.
+/// When a peer was last heard, and how long messages to it may still be on their way.
 #[derive(Clone, Debug)]
 pub(super) struct LinkActivity(Arc<Mutex<ActivityTimes>>);
 
 #[derive(Debug)]
 struct ActivityTimes {
     received_at: Instant,
-    transferred_at: Instant,
+    /// Time after `received_at` that the link may need for what was written.
+    transfer: Duration,
 }
 
 impl LinkActivity {
     pub(super) fn new() -> Self {
-        let now = Instant::now();
-        Self(Arc::new(Mutex::new(ActivityTimes { received_at: now, transferred_at: now })))
+        let times = ActivityTimes { received_at: Instant::now(), transfer: Duration::ZERO };
+        Self(Arc::new(Mutex::new(times)))
     }
 
     fn record_received(&self) {
-        lock(&self.0).received_at = Instant::now();
+        let now = Instant::now();
+        let mut times = lock(&self.0);
+        times.transfer = times.transfer.saturating_sub(now - times.received_at);
+        times.received_at = now;
     }
 
     /// Records that bytes were handed to the network stack, which may take long to transfer them.
     pub(super) fn record_written(&self, bytes: usize) {
-        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-        let transfer =
-            Duration::from_micros(bytes.saturating_mul(1_000_000) / LINK_BYTES_PER_SECOND);
-        let mut times = lock(&self.0);
-        times.transferred_at = times.transferred_at.max(Instant::now()) + transfer;
+        let micros = (bytes as u64).saturating_mul(1_000_000) / LINK_BYTES_PER_SECOND;
+        lock(&self.0).transfer += Duration::from_micros(micros);
     }
 
-    /// Returns the time since which the peer could have been heard.
-    pub(super) fn silent_since(&self) -> Instant {
+    /// Returns the time at which the peer counts as silent, if it was expected to send something
+    /// since `since` and may take `timeout` for it.
+    pub(super) fn silent_at(&self, since: Instant, timeout: Duration) -> Instant {
         let times = lock(&self.0);
-        times.received_at.max(times.transferred_at)
+        let since = since.max(times.received_at);
+        since + timeout + times.transfer.saturating_sub(since - times.received_at)
     }
 }
 
--- a/crates/rudder-engine/src/forwarding/remote.rs
+++ b/crates/rudder-engine/src/forwarding/remote.rs
@@ -1,8 +1,8 @@
 //! The origin's side of a transaction that runs at a holder.
 
 use super::choice::HolderTarget;
-use super::client::{ForwardingClient, reply_limit};
-use super::connection::{ForwardResult, HolderConnection};
+use super::client::{ForwardingClient, connect_limit, reply_limit};
+use super::connection::{ForwardFault, ForwardResult, HolderConnection};
 use super::wire::{OriginFrame, WireBegin, WireRequest};
 use crate::engine::RouteAccess;
 use crate::session::StatementJob;
@@ -28,8 +28,8 @@
         holder: &HolderTarget,
         read_only: bool,
         job: &StatementJob,
-    ) -> Result<Self, &'static str> {
-        let connection = client.connection(holder, job.wait_remaining()).await?;
+    ) -> Result<Self, ForwardFault> {
+        let connection = client.connection(holder, connect_limit(job)).await?;
         let number = connection.begin_transaction();
         let begin = Some(WireBegin { read_only });
         let holder = holder.instance.clone();
--- /dev/null
+++ b/crates/rudder-engine/src/forwarding/tests/fixture.rs
@@ -0,0 +1,399 @@
+//! Instances in one process whose members record what they receive, and holders that follow a
+//! script.
+
+use crate::clock::boot_time;
+use crate::engine::{ProxyEngine, RouteAccess};
+use crate::fixtures::{RejectingPromotion, UnavailableStore, identity, member_entry};
+use crate::forwarding::frame::{FrameDecoder, LinkActivity, length_codec, preamble};
+use crate::forwarding::wire::{HolderFrame, OriginFrame};
+use crate::group::MemberEntry;
+use crate::identity::EngineDependencies;
+use crate::interfaces::{LinkError, MemberDialer, MemberLink, MemberTarget};
+use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
+use crate::peers::{PeerEntry, serve_copies};
+use crate::session::CallerSession;
+use crate::settings::{
+    AccountRule, AccountTable, DatabaseName, FleetSettings, KeyDigest, RouteKind, RouteRule,
+    ServiceRule, SettingsVersion,
+};
+use crate::statement::{
+    CallerStatement, MemberCommand, RequestId, StatementBody, StatementOutcome, StatementReply,
+    TransactionState,
+};
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use rudder_core::{AccountName, LogStamp, LogTerm, MemberStatus};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+/// Text of a statement that a member runs for [`SLOW_TIME`].
+pub(super) const SLOW: &str = "SLOW";
+pub(super) const SLOW_TIME: Duration = Duration::from_millis(300);
+
+/// Text of a statement that fails at the member.
+pub(super) const FAILING: &str = "FAILING";
+
+/// Commands that the members received from one instance, in order, with account, request id and
+/// text.
+#[derive(Default)]
+pub(super) struct CommandLog(Mutex<Vec<String>>);
+
+impl CommandLog {
+    fn push(&self, line: String) {
+        self.0.lock().expect("no holder panics").push(line);
+    }
+
+    pub(super) fn lines(&self) -> Vec<String> {
+        self.0.lock().expect("no holder panics").clone()
+    }
+
+    /// Waits until a line is in the log.
+    pub(super) async fn wait_for(&self, line: &str) {
+        let wait = async {
+            while !self.lines().iter().any(|known| known == line) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let waited = tokio::time::timeout(Duration::from_secs(5), wait).await;
+        waited.unwrap_or_else(|_| panic!("{line} is missing from {:?}", self.lines()));
+    }
+}
+
+struct RecordingDialer(Arc<CommandLog>);
+
+struct RecordingLink {
+    log: Arc<CommandLog>,
+    account: String,
+    state: TransactionState,
+    commands: VecDeque<MemberCommand>,
+}
+
+#[async_trait]
+impl MemberDialer for RecordingDialer {
+    async fn dial(
+        &self,
+        _target: &MemberTarget,
+        account: Option<&AccountName>,
+    ) -> Result<Box<dyn MemberLink>, LinkError> {
+        let account = account.map_or_else(|| "-".to_owned(), ToString::to_string);
+        let state = TransactionState::Idle;
+        let log = Arc::clone(&self.0);
+        Ok(Box::new(RecordingLink { log, account, state, commands: VecDeque::new() }))
+    }
+
+    fn read_status(&self, _reply: &StatementReply) -> Option<MemberStatus> {
+        None
+    }
+}
+
+#[async_trait]
+impl MemberLink for RecordingLink {
+    async fn send(&mut self, commands: &[MemberCommand]) -> Result<(), LinkError> {
+        self.commands.extend(commands.iter().cloned());
+        Ok(())
+    }
+
+    async fn receive(&mut self) -> Result<StatementReply, LinkError> {
+        let command = self.commands.pop_front().ok_or(LinkError::Silent)?;
+        let mut outcome = StatementOutcome::Done("proof".to_owned());
+        let line = match command {
+            MemberCommand::Begin { read_only, .. } => {
+                self.state = TransactionState::Open;
+                format!("begin read_only={read_only}")
+            }
+            MemberCommand::Rollback => {
+                self.state = TransactionState::Idle;
+                "rollback".to_owned()
+            }
+            MemberCommand::SetValue(value) => format!("set {}={}", value.name, value.value),
+            MemberCommand::Prepare { prepared, .. } => format!("prepare {}", prepared.text),
+            MemberCommand::Statement { id, body, floor } => {
+                let text = match body {
+                    StatementBody::Text(text) => text,
+                    StatementBody::Execute { alias, arguments } => format!("{alias}({arguments})"),
+                    StatementBody::Commit => {
+                        self.state = TransactionState::Idle;
+                        "commit".to_owned()
+                    }
+                };
+                if text == SLOW {
+                    tokio::time::sleep(SLOW_TIME).await;
+                }
+                if text == FAILING {
+                    let error = crate::statement::StatementError::Failed;
+                    outcome = StatementOutcome::Error { error, text: "it failed".to_owned() };
+                }
+                let floor = floor.map_or_else(|| "-".to_owned(), |floor| floor.to_string());
+                format!("{id} {text} floor={floor}")
+            }
+            command => format!("{command:?}"),
+        };
+        self.log.push(format!("{}: {line}", self.account));
+        let position = Some(LogStamp::new(1, 9));
+        Ok(StatementReply { rows: vec!["row".to_owned()], outcome, state: self.state, position })
+    }
+}
+
+/// An instance and what its members received from it.
+pub(super) struct TestInstance {
+    pub(super) engine: Arc<ProxyEngine>,
+    pub(super) log: Arc<CommandLog>,
+    pub(super) address: SocketAddr,
+    /// Account whose statements this instance forwards.
+    account: OnceLock<String>,
+}
+
+/// Names of the accounts in the settings; each is also the account's key.
+pub(super) fn accounts() -> Vec<String> {
+    (0..8).map(|number| format!("choir-{number}")).collect()
+}
+
+/// Returns settings whose accounts make forwarding necessary. Each member accepts
+/// `connections_max` connections.
+pub(super) fn settings(version: u64, accounts: &[String], connections_max: u32) -> FleetSettings {
+    let route = |database: &str, kind| RouteRule {
+        database: DatabaseName(database.to_owned()),
+        service: "records".parse().expect("a name"),
+        kind,
+        statement_timeout: Duration::from_secs(3),
+        latency_target: Duration::from_secs(2),
+        priority: 1,
+        is_public: false,
+    };
+    let bound = Duration::from_secs(60);
+    let routes = vec![
+        route("strict", RouteKind::Strict),
+        route("bounded", RouteKind::Bounded(bound)),
+        route("own", RouteKind::ReadYourWrites(bound)),
+    ];
+    let services =
+        vec![ServiceRule { service: "records".parse().expect("a name"), connections_max }];
+    let rule = |name: &String| AccountRule {
+        name: name.parse().expect("a name"),
+        keys: vec![KeyDigest::of(name)],
+        limit: None,
+    };
+    let table = AccountTable::sorted(accounts.iter().map(rule).collect()).expect("no duplicates");
+    let idle = Duration::from_secs(3);
+    FleetSettings::sorted(SettingsVersion(version), routes, services, idle).with_accounts(table)
+}
+
+/// Starts an instance with the primary `a` and the replicas `b` and `c`.
+pub(super) async fn instance(name: &str) -> TestInstance {
+    let log = Arc::new(CommandLog::default());
+    let dependencies = EngineDependencies {
+        dialer: Arc::new(RecordingDialer(Arc::clone(&log))),
+        promotion: Arc::new(RejectingPromotion),
+        store: Arc::new(UnavailableStore),
+    };
+    let engine = ProxyEngine::new(identity(name), dependencies);
+    let entries: Vec<MemberEntry> = ["a", "b", "c"].map(member_entry).into();
+    engine.apply_members(&entries, 1);
+    engine.apply_settings(settings(1, &accounts(), 10));
+    engine.set_registered(Some(boot_time()));
+    confirm_primary(&engine);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(serve_copies(Arc::clone(&engine), listener));
+    TestInstance { engine, log, address, account: OnceLock::new() }
+}
+
+/// Renews the lease on the primary and the sample of its position.
+pub(super) fn confirm_primary(engine: &ProxyEngine) {
+    let service = "records".parse().expect("a name");
+    let now = boot_time();
+    engine.record_store_read(std::slice::from_ref(&service), now);
+    let primary = "a".parse().expect("a name");
+    let phase = LeadPhase::Settled { primary, term: LogTerm(1), base: None };
+    let record = LeadRecord { epoch: LeaderEpoch(1), mark: "m1".to_owned(), phase };
+    engine.observe_record(&service, &record, now);
+    engine.group(&service).record_peer_sample(LeaderEpoch(1), now, LogStamp::new(1, 7));
+}
+
+/// Makes two instances known to the first one.
+pub(super) fn introduce(origin: &TestInstance, holder: SocketAddr) {
+    let entry = |name: &str, address| PeerEntry {
+        instance: name.parse().expect("a name"),
+        domain: "north".parse().expect("a name"),
+        address,
+        marked: false,
+    };
+    let entries = vec![entry("holder", holder), entry("origin", origin.address)];
+    origin.engine.membership().set_entries(entries, boot_time());
+}
+
+/// Returns an account whose statements the origin forwards, as chosen before any of them was sent.
+pub(super) fn forwarded_account(origin: &TestInstance) -> String {
+    origin.account.get_or_init(|| choose_account(origin)).clone()
+}
+
+fn choose_account(origin: &TestInstance) -> String {
+    let is_forwarded = |account: &String| {
+        let (database, key) = (DatabaseName("strict".to_owned()), KeyDigest::of(account));
+        let access = origin.engine.access(&database, &key).expect("a key");
+        origin.engine.choose_holder(&access, true).is_some()
+    };
+    accounts().into_iter().find(is_forwarded).expect("an account whose holder is the other one")
+}
+
+/// Returns a pair of instances, the first of which forwards to the second.
+pub(super) async fn pair() -> (TestInstance, TestInstance) {
+    let (origin, holder) = (instance("origin").await, instance("holder").await);
+    introduce(&origin, holder.address);
+    (origin, holder)
+}
+
+/// Opens a session of a forwarded account.
+pub(super) async fn session(origin: &TestInstance, database: &str) -> CallerSession {
+    let key = KeyDigest::of(&forwarded_account(origin));
+    let opened = origin.engine.open_session(DatabaseName(database.to_owned()), key).await;
+    opened.expect("a session")
+}
+
+/// Returns the access of a forwarded account.
+pub(super) fn access(origin: &TestInstance, database: &str) -> RouteAccess {
+    let key = KeyDigest::of(&forwarded_account(origin));
+    origin.engine.access(&DatabaseName(database.to_owned()), &key).expect("a key")
+}
+
+pub(super) fn id(text: &str) -> RequestId {
+    RequestId(text.to_owned())
+}
+
+pub(super) async fn read(session: &mut CallerSession, text: &str) -> StatementReply {
+    session.run(id("r1"), CallerStatement::Read(text.to_owned())).await
+}
+
+pub(super) async fn write(session: &mut CallerSession, text: &str) -> StatementReply {
+    session.run(id("w1"), CallerStatement::Write(text.to_owned())).await
+}
+
+pub(super) async fn begin(session: &mut CallerSession) {
+    let reply = session.run(id("b1"), CallerStatement::Begin { read_only: false }).await;
+    assert_eq!(reply.state, TransactionState::Open);
+}
+
+/// How a scripted holder treats the requests on its connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HolderScript {
+    /// Closes the connection once it has received a request.
+    CloseOnRequest,
+    /// Responds to the first request of a transaction and closes the connection at the next.
+    CloseOnSecond,
+    /// Responds to nothing, not even to pings.
+    Silent,
+    /// Responds to the first request and not to the next.
+    SilentOnSecond,
+    /// Responds twice to each request, and to a request that was never made.
+    Repeat,
+    /// Declines each request as overloaded.
+    Decline,
+    /// Responds with bytes that are no message.
+    Garbage,
+    /// States another version.
+    OtherVersion,
+    /// Reads without ever responding, as an older build does.
+    OlderBuild,
+}
+
+/// A holder that follows a script.
+pub(super) struct ScriptedHolder {
+    pub(super) address: SocketAddr,
+    /// Number of requests that it received.
+    pub(super) requests: Arc<Mutex<usize>>,
+}
+
+impl ScriptedHolder {
+    pub(super) async fn start(script: HolderScript) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+        let address = listener.local_addr().expect("an address");
+        let requests = Arc::new(Mutex::new(0));
+        let count = Arc::clone(&requests);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(follow_script(script, stream, Arc::clone(&count)));
+            }
+        });
+        Self { address, requests }
+    }
+
+    pub(super) fn request_count(&self) -> usize {
+        *self.requests.lock().expect("no holder panics")
+    }
+}
+
+async fn follow_script(script: HolderScript, mut stream: TcpStream, count: Arc<Mutex<usize>>) {
+    let mut preamble_bytes = preamble();
+    stream.read_exact(&mut preamble_bytes).await.expect("a preamble");
+    if script == HolderScript::OlderBuild {
+        let _ = stream.read_to_end(&mut Vec::new()).await;
+        return;
+    }
+    if script == HolderScript::OtherVersion {
+        preamble_bytes[2] += 1;
+    }
+    stream.write_all(&preamble_bytes).await.expect("a connection");
+    let (reader, writer) = stream.into_split();
+    let decoder = FrameDecoder::<OriginFrame>::new(LinkActivity::new());
+    let mut frames = FramedRead::new(reader, decoder);
+    let mut writer = FramedWrite::new(writer, length_codec());
+    let mut received = 0;
+    while let Some(Ok((frame, _))) = frames.next().await {
+        let request = match frame {
+            OriginFrame::Statement(request) | OriginFrame::Transaction { request, .. } => request,
+            OriginFrame::RollBack { .. } => continue,
+            OriginFrame::Ping => {
+                let is_silent = script == HolderScript::Silent
+                    || (script == HolderScript::SilentOnSecond && received > 1);
+                if !is_silent {
+                    send(&mut writer, &HolderFrame::Pong).await;
+                }
+                continue;
+            }
+        };
+        *count.lock().expect("no holder panics") += 1;
+        received += 1;
+        let request_id = request.request_id;
+        let reply = |request_id| {
+            let outcome = StatementOutcome::Done("scripted".to_owned());
+            let state = TransactionState::Open;
+            let reply = StatementReply { rows: Vec::new(), outcome, state, position: None };
+            HolderFrame::Reply { request_id, reply: reply.into() }
+        };
+        match script {
+            HolderScript::CloseOnRequest => return,
+            HolderScript::CloseOnSecond | HolderScript::SilentOnSecond if received == 1 => {
+                send(&mut writer, &reply(request_id)).await;
+            }
+            HolderScript::CloseOnSecond => return,
+            HolderScript::Repeat => {
+                send(&mut writer, &reply(request_id + 1000)).await;
+                send(&mut writer, &reply(request_id)).await;
+                send(&mut writer, &reply(request_id)).await;
+            }
+            HolderScript::Decline => {
+                let reason = crate::forwarding::wire::DeclineReason::Overloaded;
+                send(&mut writer, &HolderFrame::Declined { request_id, reason }).await;
+            }
+            HolderScript::Garbage => {
+                writer.send(Bytes::from_static(&[0xEE; 40])).await.expect("a connection");
+            }
+            _ => {}
+        }
+    }
+}
+
+async fn send<W: tokio::io::AsyncWrite + Unpin>(
+    writer: &mut FramedWrite<W, tokio_util::codec::LengthDelimitedCodec>,
+    frame: &HolderFrame,
+) {
+    let bytes = postcard::to_stdvec(frame).expect("a message");
+    // The origin may have closed the connection.
+    let _ = writer.send(Bytes::from(bytes)).await;
+}
--- /dev/null
+++ b/crates/rudder-engine/src/forwarding/tests/lost_holder.rs
@@ -0,0 +1,215 @@
+//! Holders that are lost, silent or of another build.
+
+use super::counters::CounterRecorder;
+use super::fixture::{
+    HolderScript, ScriptedHolder, TestInstance, begin, confirm_primary, forwarded_account, id,
+    instance, introduce, read, session, write,
+};
+use crate::statement::{CallerStatement, StatementError, StatementReply, TransactionState};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+
+async fn origin_of(script: HolderScript) -> (TestInstance, ScriptedHolder) {
+    let (origin, holder) = (instance("origin").await, ScriptedHolder::start(script).await);
+    introduce(&origin, holder.address);
+    (origin, holder)
+}
+
+/// Runs a transaction with one write and the commit; returns both replies.
+async fn transaction(origin: &TestInstance) -> (StatementReply, StatementReply) {
+    let mut session = session(origin, "strict").await;
+    begin(&mut session).await;
+    let written = write(&mut session, "PUT x").await;
+    confirm_primary(&origin.engine);
+    let committed = session.run(id("c1"), CallerStatement::Commit).await;
+    assert_eq!(session.state(), TransactionState::Idle);
+    (written, committed)
+}
+
+/// A request that was never sent must be served, and only once.
+#[tokio::test]
+async fn a_holder_that_is_down_costs_nothing() {
+    let origin = instance("origin").await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+    introduce(&origin, listener.local_addr().expect("an address"));
+    drop(listener);
+    let account = forwarded_account(&origin);
+    let mut session = session(&origin, "strict").await;
+
+    let reply = write(&mut session, "PUT x").await;
+    let (written, committed) = transaction(&origin).await;
+
+    assert_eq!([reply.error(), written.error(), committed.error()], [None, None, None]);
+    let lines = origin.log.lines();
+    assert_eq!(lines.iter().filter(|line| line.contains("PUT x")).count(), 2);
+    assert_eq!(lines[0], format!("{account}: w1 PUT x floor=-"));
+}
+
+/// A read can run again; refusing it would be a needless error.
+#[tokio::test]
+async fn a_read_whose_holder_is_killed_runs_elsewhere() {
+    let (origin, holder) = origin_of(HolderScript::CloseOnRequest).await;
+    let mut session = session(&origin, "bounded").await;
+
+    let reply = read(&mut session, "READ x").await;
+
+    assert_eq!(reply.error(), None);
+    assert_eq!((holder.request_count(), origin.log.lines().len()), (1, 1));
+}
+
+/// The write may have run: a second run or "not run" could change data twice.
+#[tokio::test]
+async fn a_write_whose_holder_is_killed_is_in_doubt_and_does_not_run_again() {
+    let (origin, holder) = origin_of(HolderScript::CloseOnRequest).await;
+    let mut session = session(&origin, "strict").await;
+
+    let reply = write(&mut session, "PUT x").await;
+
+    assert_eq!(reply.error(), Some(&StatementError::InDoubt));
+    assert_eq!(reply.state, TransactionState::Idle);
+    assert_eq!(holder.request_count(), 1);
+    assert!(origin.log.lines().is_empty());
+}
+
+/// The commit was never sent, so "in doubt" would make the caller check for nothing.
+#[tokio::test]
+async fn a_transaction_whose_holder_is_killed_before_the_commit_is_aborted() {
+    let (origin, holder) = origin_of(HolderScript::CloseOnRequest).await;
+
+    let (written, committed) = transaction(&origin).await;
+
+    assert_eq!(written.error(), Some(&StatementError::Aborted));
+    assert_eq!(written.state, TransactionState::Failed);
+    assert_eq!(committed.error(), Some(&StatementError::Aborted));
+    assert_eq!(holder.request_count(), 1);
+    assert!(origin.log.lines().is_empty());
+}
+
+/// The commit may have run, so "aborted" could be false.
+#[tokio::test]
+async fn a_commit_whose_holder_is_killed_is_in_doubt() {
+    let (origin, holder) = origin_of(HolderScript::CloseOnSecond).await;
+
+    let (written, committed) = transaction(&origin).await;
+
+    assert_eq!(written.error(), None);
+    assert_eq!(committed.error(), Some(&StatementError::InDoubt));
+    assert_eq!(committed.state, TransactionState::Idle);
+    assert_eq!(holder.request_count(), 2);
+    assert!(origin.log.lines().is_empty());
+}
+
+/// Without writes a lost commit loses nothing, and "in doubt" would be needless.
+#[tokio::test]
+async fn a_lost_commit_of_reads_is_aborted() {
+    let (origin, _holder) = origin_of(HolderScript::CloseOnSecond).await;
+    let mut session = session(&origin, "strict").await;
+    begin(&mut session).await;
+    read(&mut session, "READ x").await;
+
+    let committed = session.run(id("c1"), CallerStatement::Commit).await;
+
+    assert_eq!(committed.error(), Some(&StatementError::Aborted));
+}
+
+/// A connection that is cut without an end must not hold requests until their deadline (3 s).
+#[tokio::test]
+async fn a_silent_holder_is_lost_after_its_silence() {
+    let (origin, _holder) = origin_of(HolderScript::Silent).await;
+    let (mut reader, mut writer) =
+        (session(&origin, "bounded").await, session(&origin, "strict").await);
+    let began_at = Instant::now();
+
+    let (read, written) = tokio::join!(read(&mut reader, "READ x"), write(&mut writer, "PUT x"));
+
+    let took = began_at.elapsed();
+    assert!(took > Duration::from_millis(600) && took < Duration::from_millis(1300), "{took:?}");
+    assert_eq!(read.error(), None);
+    assert_eq!(written.error(), Some(&StatementError::InDoubt));
+    assert_eq!(origin.log.lines().len(), 1);
+}
+
+/// A link that falls silent between two statements must not leave the caller without a response.
+#[tokio::test]
+async fn a_holder_that_falls_silent_during_a_transaction_leaves_a_true_outcome() {
+    let (origin, _holder) = origin_of(HolderScript::SilentOnSecond).await;
+    let began_at = Instant::now();
+
+    let (written, committed) = transaction(&origin).await;
+
+    assert_eq!(written.error(), None);
+    assert_eq!(committed.error(), Some(&StatementError::InDoubt));
+    assert!(began_at.elapsed() < Duration::from_millis(1300));
+}
+
+/// A holder without forwarding must not receive requests, which it would take for something else.
+#[tokio::test]
+async fn a_holder_of_another_build_is_left_alone() {
+    for script in [HolderScript::OtherVersion, HolderScript::OlderBuild] {
+        let (origin, holder) = origin_of(script).await;
+        let mut session = session(&origin, "strict").await;
+
+        let reply = write(&mut session, "PUT x").await;
+
+        assert_eq!(reply.error(), None, "{script:?}");
+        assert_eq!((holder.request_count(), origin.log.lines().len()), (0, 1), "{script:?}");
+    }
+}
+
+/// Nothing was sent to a member, so the request must be served elsewhere.
+#[tokio::test]
+async fn a_declined_request_runs_at_the_origin() {
+    let (origin, holder) = origin_of(HolderScript::Decline).await;
+    let recorder = CounterRecorder::default();
+    let _recording = metrics::set_default_local_recorder(&recorder);
+    let mut session = session(&origin, "strict").await;
+
+    let reply = write(&mut session, "PUT x").await;
+
+    assert_eq!(reply.error(), None);
+    assert_eq!((holder.request_count(), origin.log.lines().len()), (1, 1));
+    assert_eq!(recorder.value("rudder_forwarded_total{declined}"), 1);
+}
+
+/// A transaction that a holder declines begins elsewhere, and only there.
+#[tokio::test]
+async fn a_declined_transaction_runs_at_the_origin() {
+    let (origin, holder) = origin_of(HolderScript::Decline).await;
+
+    let (written, committed) = transaction(&origin).await;
+
+    assert_eq!((written.error(), committed.error()), (None, None));
+    assert_eq!((holder.request_count(), origin.log.lines().len()), (1, 3));
+}
+
+/// A reply that is taken for another request's would be a wrong result.
+#[tokio::test]
+async fn late_and_repeated_replies_are_dropped_and_counted() {
+    let (origin, _holder) = origin_of(HolderScript::Repeat).await;
+    let recorder = CounterRecorder::default();
+    let _recording = metrics::set_default_local_recorder(&recorder);
+    let mut session = session(&origin, "bounded").await;
+
+    for _ in 0..3 {
+        assert_eq!(read(&mut session, "READ x").await.error(), None);
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    assert_eq!(recorder.value("rudder_forward_replies_dropped_total{}"), 6);
+    assert_eq!(recorder.value("rudder_forwarded_total{served}"), 3);
+}
+
+/// Bytes that are no message end the connection; they must not end the process or be guessed at.
+#[tokio::test]
+async fn a_malformed_reply_is_counted_and_its_write_is_in_doubt() {
+    let (origin, _holder) = origin_of(HolderScript::Garbage).await;
+    let recorder = CounterRecorder::default();
+    let _recording = metrics::set_default_local_recorder(&recorder);
+    let mut session = session(&origin, "strict").await;
+
+    let reply = write(&mut session, "PUT x").await;
+
+    assert_eq!(reply.error(), Some(&StatementError::InDoubt));
+    assert_eq!(recorder.value("rudder_forward_frames_rejected_total{malformed}"), 1);
+    assert_eq!(recorder.value("rudder_forwarded_total{in_doubt}"), 1);
+}
