Decline forwarded requests that would wait in vain

Cause: requests that ended because their wait was over counted as served, so that an overloaded holder took its connections for faster than they are and accepted requests that then waited in vain.

Change: only served requests count for the rate, averaged over 32 ends. A replayed load of twice what four connections serve shows the decision.

--- a/crates/rudder-decisions/src/forwarded_load.rs
+++ b/crates/rudder-decisions/src/forwarded_load.rs
@@ -9,8 +9,10 @@
 
 use std::time::{Duration, Instant};
 
-/// Weight of a new interval in the moving average (one part in this many).
-const AVERAGE_DIVISOR: u32 = 8;
+/// Weight of a new interval in the moving average (one part in this many). Connections that began
+/// together end together, so single intervals say little; the average has to cover several rounds of
+/// a dozen connections.
+const AVERAGE_DIVISOR: u32 = 32;
 
 /// Forwarded requests in progress for the same connections, and the rate at which they end.
 ///
@@ -22,8 +24,8 @@
 /// let wait = Duration::from_millis(50);
 /// // Without an estimate everything is admitted.
 /// assert!((0..4).all(|_| load.try_begin(1, wait)));
-/// load.end(1, began_at);
-/// load.end(1, began_at + Duration::from_millis(40));
+/// load.end(1, true, began_at);
+/// load.end(1, true, began_at + Duration::from_millis(40));
 /// // One is served and one waits: the next one is expected to wait for two of 40 ms.
 /// assert!(!load.try_begin(1, wait));
 /// assert!(load.try_begin(1, Duration::from_millis(80)));
@@ -33,7 +35,7 @@
     in_progress: u32,
     /// Average time between the ends of two requests while requests wait.
     end_interval: Option<Duration>,
-    /// End of the last request, if requests have waited since.
+    /// End of the last request that was served, if requests have waited since.
     busy_since: Option<Instant>,
 }
 
@@ -59,10 +61,17 @@
         }
     }
 
-    /// Ends a request at `now`.
+    /// Ends a request at `now`. A request that was not served, because it waited in vain, says
+    /// nothing about the rate at which connections become free.
     ///
     /// See the example of [`ForwardedLoad`].
-    pub fn end(&mut self, connections: u32, now: Instant) {
+    pub fn end(&mut self, connections: u32, served: bool, now: Instant) {
+        self.in_progress = self.in_progress.saturating_sub(1);
+        let is_busy = self.in_progress >= connections;
+        if !served {
+            self.busy_since = self.busy_since.filter(|_| is_busy);
+            return;
+        }
         if let Some(since) = self.busy_since {
             let interval = now.saturating_duration_since(since);
             self.end_interval = Some(match self.end_interval {
@@ -70,7 +79,6 @@
                 Some(known) => known - known / AVERAGE_DIVISOR + interval / AVERAGE_DIVISOR,
             });
         }
-        self.in_progress = self.in_progress.saturating_sub(1);
-        self.busy_since = (self.in_progress >= connections).then_some(now);
+        self.busy_since = is_busy.then_some(now);
     }
 }
--- a/crates/rudder-decisions/tests/load/main.rs
+++ b/crates/rudder-decisions/tests/load/main.rs
@@ -28,6 +28,7 @@
 mod detection;
 mod dial_gate;
 mod endpoints;
+mod forwarded_load;
 mod gate_invariants;
 mod long_work;
 mod read_rank;
--- a/crates/rudder-engine/src/forwarding/held.rs
+++ b/crates/rudder-engine/src/forwarding/held.rs
@@ -52,11 +52,8 @@
         let (sender, commands) = mpsc::channel(COMMANDS_MAX);
         self.open.push((transaction, sender));
         let open = OpenTransaction::new_local(read_only, first.request.access.clone());
-        let held = HeldTransaction { engine, commands, replies };
-        tokio::spawn(async move {
-            held.run(open, first).await;
-            drop(guard);
-        });
+        let held = HeldTransaction { engine, commands, replies, guard };
+        tokio::spawn(held.run(open, first));
         Ok(())
     }
 
@@ -95,6 +92,7 @@
     engine: Arc<ProxyEngine>,
     commands: mpsc::Receiver<TransactionCommand>,
     replies: ReplySender,
+    guard: WorkGuard,
 }
 
 impl HeldTransaction {
@@ -108,6 +106,7 @@
                 return self.reject_queued().await;
             }
             let reply = open.run(&self.engine, &job, floor).await;
+            self.guard.record_reply(&reply);
             let is_open = reply.state != TransactionState::Failed;
             if !is_open {
                 // The rollback precedes the reply, so that it does not depend on the origin.
--- a/crates/rudder-engine/src/forwarding/server.rs
+++ b/crates/rudder-engine/src/forwarding/server.rs
@@ -183,7 +183,7 @@
         let request_id = request.request_id;
         self.check_request_id(request_id)?;
         let id = request.id.clone();
-        let (request, guard) = match self.admit(request, size) {
+        let (request, mut guard) = match self.admit(request, size) {
             Ok(admitted) => admitted,
             Err(reason) => {
                 self.replies.decline(request_id, &id, reason).await;
@@ -194,6 +194,7 @@
         tokio::spawn(async move {
             let ForwardedRequest { access, job, floor } = request;
             let reply = engine.run_local(&access.route, &job, floor).await;
+            guard.record_reply(&reply);
             replies.reply(request_id, reply).await;
             drop(guard);
         });
--- a/crates/rudder-engine/src/forwarding/workload.rs
+++ b/crates/rudder-engine/src/forwarding/workload.rs
@@ -2,6 +2,7 @@
 
 use super::wire::DeclineReason;
 use crate::engine::ProxyEngine;
+use crate::statement::{StatementError, StatementReply};
 use crate::sync::lock;
 use rudder_core::ServiceName;
 use rudder_decisions::ForwardedLoad;
@@ -56,6 +57,14 @@
     lane: (ServiceName, bool),
     connections: u32,
     bytes: usize,
+    served: bool,
+}
+
+impl WorkGuard {
+    /// Records whether the request was served or waited in vain.
+    pub(super) fn record_reply(&mut self, reply: &StatementReply) {
+        self.served = reply.error() != Some(&StatementError::Busy);
+    }
 }
 
 impl Drop for WorkGuard {
@@ -63,7 +72,7 @@
         let mut state = lock(&self.engine.forwarding().work().state);
         state.count = state.count.saturating_sub(1);
         state.bytes = state.bytes.saturating_sub(self.bytes);
-        state.lane(self.lane.clone()).end(self.connections, Instant::now());
+        state.lane(self.lane.clone()).end(self.connections, self.served, Instant::now());
     }
 }
 
@@ -86,7 +95,7 @@
         }
         state.count += 1;
         state.bytes += bytes;
-        Ok(WorkGuard { engine: Arc::clone(self), lane, connections, bytes })
+        Ok(WorkGuard { engine: Arc::clone(self), lane, connections, bytes, served: true })
     }
 
     /// Number of connections that this instance may hold to the members that can serve a request.
