Decide which instances hold the connections of an account

Cause: instances times accounts exceed the connections that a member accepts (88 x 86 against 70), so nearly every statement opens a connection.

Change: crates/rudder-decisions/src/forwarding: ForwardingRule, rank_holders, HolderBoard, forward_choice and HolderBudget, without I/O. The order of the holders is hashed over account and service, so rank_holders takes the service; overload counts for the account that was declined, so that a large account uses the next holder and the others stay.

--- a/crates/rudder-decisions/src/connection_share.rs
+++ b/crates/rudder-decisions/src/connection_share.rs
@@ -15,7 +15,7 @@
 
 /// Connections reserved for changes of the primary and for monitoring it: about one for each
 /// instance that reads the store on behalf of all, of which there are three to seven.
-const RESERVED_CONNECTIONS: u32 = 4;
+pub(crate) const RESERVED_CONNECTIONS: u32 = 4;
 
 /// Number of connections that one instance may hold to one member.
 ///
--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection_share;
 mod detector;
 mod dial_gate;
+mod forwarding;
 mod meter;
 mod operation_limit;
 mod outlier;
@@ -34,6 +35,10 @@
 pub use connection_share::ConnectionShare;
 pub use detector::{SilenceDetector, SuspicionBound};
 pub use dial_gate::{DialFailure, DialGate};
+pub use forwarding::{
+    ForwardChoice, ForwardingRule, HolderBoard, HolderBudget, HolderCandidate, InstanceCapacity,
+    LocalPool, forward_choice, rank_holders,
+};
 pub use meter::MemberMeter;
 pub use operation_limit::{
     ClaimDecision, ClaimPlan, ExpiringSet, FleetContact, LimitBounds, LimitLedger, OperationBucket,
