--- a/crates/rudder-decisions/src/forwarding/budget.rs
+++ b/crates/rudder-decisions/src/forwarding/budget.rs
@@ -62,13 +62,27 @@
             let others = count(candidates.len()).saturating_sub(holders).max(1);
             return Self { kept: 0, open_max: ((free - half) / others).max(1) };
         };
-        let rank = count(rank);
-        let part = half / holders + u32::from(rank < half % holders);
-        let kept = if part > 0 { part } else { u32::from(rank < free) };
+        let kept = kept_of(rank, &near, half, free);
         Self { kept, open_max: kept.max(1) }
     }
 }
 
+/// Returns the number of connections that the holder of this rank keeps: one, and its part of the
+/// rest by capacity, as its number of accounts is proportional to it. What rounding leaves goes to
+/// the first holders.
+fn kept_of(rank: usize, near: &[&HolderCandidate], half: u32, free: u32) -> u32 {
+    let holders = count(near.len());
+    let Some(rest) = half.checked_sub(holders) else {
+        return u32::from(count(rank) < free);
+    };
+    let weight = |candidate: &HolderCandidate| u64::from(candidate.capacity.0.max(1));
+    let total: u64 = near.iter().map(|candidate| weight(candidate)).sum();
+    let part = |candidate: &HolderCandidate| u64::from(rest) * weight(candidate) / total;
+    let left = u64::from(rest) - near.iter().map(|candidate| part(candidate)).sum::<u64>();
+    let own = part(near[rank]) + u64::from((rank as u64) < left);
+    1 + u32::try_from(own).unwrap_or(rest)
+}
+
 fn count(length: usize) -> u32 {
     u32::try_from(length).unwrap_or(u32::MAX)
 }
