Holders keep the connections of client accounts within a budget

Cause: 88 instances and 86 accounts share 70 connections of a member; a pool kept idle ones for 250 ms, so nearly every statement opened one.

--- a/crates/rudder-decisions/src/forwarding/choice.rs
+++ b/crates/rudder-decisions/src/forwarding/choice.rs
@@ -6,7 +6,7 @@
 
 /// Number of holders in order that may serve an account. A large account needs a few; if this many
 /// cannot be used, the fault is rather on this instance's side, and it dials itself.
-const HOLDERS_MAX: usize = 4;
+pub const HOLDERS_MAX: usize = 4;
 
 /// Number of waiting callers per connection from which this instance's queue counts as long. The
 /// last of them waits for two statements of 3 to 15 ms, more than a round trip to another holder.
--- a/crates/rudder-decisions/src/forwarding/mod.rs
+++ b/crates/rudder-decisions/src/forwarding/mod.rs
@@ -20,6 +20,6 @@
 pub use board::HolderBoard;
 pub use budget::HolderBudget;
 pub use capacity::InstanceCapacity;
-pub use choice::{ForwardChoice, LocalPool, forward_choice};
+pub use choice::{ForwardChoice, HOLDERS_MAX, LocalPool, forward_choice};
 pub use rank::{HolderCandidate, rank_holders};
 pub use rule::ForwardingRule;
--- a/crates/rudder-decisions/src/forwarding/rank.rs
+++ b/crates/rudder-decisions/src/forwarding/rank.rs
@@ -73,13 +73,17 @@
 ) -> Vec<&'a HolderCandidate> {
     let distance = |candidate: &HolderCandidate| member_place.distance(&candidate.place);
     let least = candidates.iter().map(distance).min();
-    let mut near: Vec<_> =
-        candidates.iter().filter(|candidate| Some(distance(candidate)) == least).collect();
     let seed = xxh3_64(member.as_str().as_bytes());
+    let mut near: Vec<_> = candidates
+        .iter()
+        .filter(|candidate| Some(distance(candidate)) == least)
+        .map(|candidate| (cost(candidate, seed), candidate))
+        .collect();
     near.sort_by(|left, right| {
-        let by_cost = cost(left, seed).total_cmp(&cost(right, seed));
-        by_cost.then_with(|| left.instance.cmp(&right.instance))
+        let by_cost = left.0.total_cmp(&right.0);
+        by_cost.then_with(|| left.1.instance.cmp(&right.1.instance))
     });
+    let mut near: Vec<_> = near.into_iter().map(|(_, candidate)| candidate).collect();
     near.dedup_by(|left, right| left.instance == right.instance);
     near
 }
--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -36,8 +36,8 @@
 pub use detector::{SilenceDetector, SuspicionBound};
 pub use dial_gate::{DialFailure, DialGate};
 pub use forwarding::{
-    ForwardChoice, ForwardingRule, HolderBoard, HolderBudget, HolderCandidate, InstanceCapacity,
-    LocalPool, forward_choice, rank_holders,
+    ForwardChoice, ForwardingRule, HOLDERS_MAX, HolderBoard, HolderBudget, HolderCandidate,
+    InstanceCapacity, LocalPool, forward_choice, rank_holders,
 };
 pub use meter::MemberMeter;
 pub use operation_limit::{
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -222,10 +222,13 @@
     let Some(settings) = engine.settings() else { return };
     let own = &engine.identity().name;
     let all = engine.membership().known();
+    let holders = engine.holder_candidates();
     for group in engine.groups() {
         let rules = &settings.services;
         if let Ok(index) = rules.binary_search_by(|rule| rule.service.cmp(group.service())) {
-            group.assign_connection_shares(rules[index].connections_max, own, &all);
+            let connections_max = rules[index].connections_max;
+            let holders = engine.forwards(connections_max).then_some(holders.as_slice());
+            group.assign_connection_shares(connections_max, own, &all, holders);
         }
     }
 }
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -5,6 +5,7 @@
 use crate::identity::DrainPhase;
 use crate::peers::{EntryDecision, EntryLedger, PeerEntry};
 use rudder_core::{DomainName, InstanceName};
+use rudder_decisions::InstanceCapacity;
 use rudder_store::{ObjectKind, ObjectVersion, StoreError, StoredObject};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -49,6 +50,9 @@
     /// Identifier of the instance's process; zero in an entry that was marked.
     #[serde(default)]
     process: u64,
+    /// Capacity of the machine; absent in entries of older builds, which ignore it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    capacity: Option<u32>,
 }
 
 impl EntryRecord {
@@ -240,6 +244,7 @@
         peer_address: entry.address,
         marked: true,
         process: 0,
+        capacity: entry.capacity.map(|capacity| capacity.0),
     };
     let spec = record.to_spec()?;
     let store = &engine.dependencies().store;
@@ -282,6 +287,7 @@
         peer_address: identity.peer_address,
         marked: false,
         process: engine.process(),
+        capacity: identity.capacity.map(|capacity| capacity.0),
     };
     let spec = entry.to_spec()?;
     let store = &engine.dependencies().store;
@@ -322,7 +328,8 @@
         return None;
     };
     let (domain, address, marked) = (entry.domain, entry.peer_address, entry.marked);
-    Some(PeerEntry { instance, domain, address, marked })
+    let capacity = entry.capacity.map(InstanceCapacity);
+    Some(PeerEntry { instance, domain, address, marked, capacity })
 }
 
 /// Removes this instance from the list.
--- a/crates/rudder-engine/src/duty/tests/answers.rs
+++ b/crates/rudder-engine/src/duty/tests/answers.rs
@@ -78,6 +78,7 @@
         domain: "north".parse().expect("a name"),
         address,
         marked: false,
+        capacity: None,
     }
 }
 
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -4,6 +4,7 @@
 mod leadership;
 
 use crate::clock::boot_time;
+use crate::forwarding::holders::HolderTable;
 use crate::group::{GroupMember, ServiceGroup};
 use crate::identity::{DrainPhase, EngineDependencies, InstanceIdentity};
 use crate::lead::LeaderLease;
@@ -73,6 +74,7 @@
     pending_copy: PendingCopy,
     /// Notified when callers wait for current records of the primaries.
     wait_records_request: Notify,
+    holders: HolderTable,
 }
 
 impl ProxyEngine {
@@ -96,6 +98,7 @@
             exchange: OnceLock::new(),
             pending_copy: PendingCopy::default(),
             wait_records_request: Notify::new(),
+            holders: HolderTable::default(),
         })
     }
 
@@ -143,6 +146,11 @@
         &self.limits
     }
 
+    /// Returns the holders of the connections of client accounts.
+    pub(crate) fn holders(&self) -> &HolderTable {
+        &self.holders
+    }
+
     pub(crate) fn membership(&self) -> &MembershipView {
         &self.membership
     }
--- a/crates/rudder-engine/src/fixtures.rs
+++ b/crates/rudder-engine/src/fixtures.rs
@@ -30,6 +30,7 @@
         member_drain: MEMBER_DRAIN,
         key_validity: None,
         limit_bounds: LimitBounds::default(),
+        capacity: None,
     }
 }
 
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -8,6 +8,9 @@
 //! [`ConnectionHeadroom`] the connections allowed beyond it, [`WaitQueue`] the order, [`DialGate`]
 //! the dials after a failure, and the caller the wait deadline.
 //!
+//! Where statements are forwarded to the holders of an account's connections, [`HolderBudget`] takes
+//! the place of the share and says how many idle connections are kept.
+//!
 //! A member runs statements as the account that the connection was opened for, so a connection
 //! serves one client account. If no further connection may be opened, the one that has been idle
 //! longest is replaced by one for the account that needs it.
@@ -17,7 +20,9 @@
 use crate::statement::StatementError;
 use crate::sync::lock;
 use rudder_core::AccountName;
-use rudder_decisions::{ConnectionHeadroom, ConnectionShare, DialFailure, DialGate, WaitQueue};
+use rudder_decisions::{
+    ConnectionHeadroom, ConnectionShare, DialFailure, DialGate, HolderBudget, LocalPool, WaitQueue,
+};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
@@ -31,6 +36,10 @@
 /// machine for some seconds after a power loss, and its idle ones block new connections.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time that an idle connection within a holder's budget is kept. Accounts of one statement in some
+/// seconds still find theirs, and the budget leaves room for the connections of another fleet.
+const KEPT_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Connection pool for one member.
 pub(crate) struct MemberPool {
     target: MemberTarget,
@@ -43,6 +52,8 @@
     /// Number of connections that are idle, in use or being opened.
     open: u32,
     share: u32,
+    /// Number of connections that are kept for [`KEPT_IDLE_TIMEOUT`] while they are idle.
+    kept: u32,
     headroom: ConnectionHeadroom,
     waiters: WaitQueue<WaitingCaller>,
     gate: DialGate,
@@ -64,6 +75,25 @@
         None
     }
 
+    /// Removes the idle connections that the budget does not keep, the least recently used first:
+    /// those beyond the kept ones after [`IDLE_TIMEOUT`], and all after [`KEPT_IDLE_TIMEOUT`].
+    fn take_beyond_budget(&mut self, now: Instant) -> Vec<PooledLink> {
+        let beyond_kept = self.idle.len().saturating_sub(self.kept as usize);
+        let idle = std::mem::take(&mut self.idle);
+        let (mut closed, mut kept) = (Vec::new(), Vec::new());
+        for (index, link) in idle.into_iter().enumerate() {
+            let unused = now.saturating_duration_since(link.used_at());
+            let timeout = if index < beyond_kept { IDLE_TIMEOUT } else { KEPT_IDLE_TIMEOUT };
+            if unused > timeout {
+                closed.push(link);
+            } else {
+                kept.push(link);
+            }
+        }
+        self.idle = kept;
+        closed
+    }
+
     /// Number of connections that can be granted immediately.
     fn free(&self, now: Instant) -> u32 {
         let unopened = self.max_open(now).saturating_sub(self.open);
@@ -149,6 +179,7 @@
             idle: Vec::new(),
             open: 0,
             share,
+            kept: 0,
             headroom: ConnectionHeadroom::default(),
             waiters: WaitQueue::default(),
             gate: DialGate::default(),
@@ -171,6 +202,7 @@
         {
             let mut state = self.state();
             state.share = share.0;
+            state.kept = 0;
             state.headroom.set_scarce(is_scarce);
             while state.open > count(closed.len()) + share.0 {
                 let Some(link) = state.idle.pop() else { break };
@@ -184,6 +216,41 @@
         self.serve_queue();
     }
 
+    /// Sets the share to the budget of this instance as a holder, and keeps idle connections within
+    /// the budget for longer. Connections beyond it are closed as without a budget, the least
+    /// recently used ones first.
+    pub(crate) fn set_budget(self: &Arc<Self>, budget: HolderBudget, is_scarce: bool) {
+        self.set_budget_at(budget, is_scarce, Instant::now());
+    }
+
+    pub(super) fn set_budget_at(
+        self: &Arc<Self>,
+        budget: HolderBudget,
+        is_scarce: bool,
+        now: Instant,
+    ) {
+        let closed = {
+            let mut state = self.state();
+            state.share = budget.open_max;
+            state.kept = budget.kept;
+            state.headroom.set_scarce(is_scarce);
+            state.take_beyond_budget(now)
+        };
+        closed.into_iter().for_each(PooledLink::close);
+        self.serve_queue();
+    }
+
+    /// State of the pool that decides whether a statement of `account` runs on this instance.
+    pub(crate) fn local_pool(&self, account: &AccountName) -> LocalPool {
+        let mut state = self.state();
+        state.waiters.retain(|caller| !caller.granted.is_closed());
+        LocalPool {
+            is_warm: state.idle.iter().any(|link| link.account() == Some(account)),
+            waiting: count(state.waiters.len()),
+            open_max: state.max_open(Instant::now()),
+        }
+    }
+
     /// Closes all idle connections.
     pub(crate) fn close_idle(&self) {
         let idle = std::mem::take(&mut self.state().idle);
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -6,7 +6,7 @@
 use crate::lead::{LeadRecord, LeaderEpoch, LeaderLease, LeaseTable, PositionHistory};
 use crate::sync::lock;
 use rudder_core::{FreshSample, InstanceName, LogStamp, MemberName, ServiceName};
-use rudder_decisions::ConnectionShare;
+use rudder_decisions::{ConnectionShare, HolderBudget, HolderCandidate};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -26,6 +26,8 @@
     history: PositionHistory,
     /// Time of the first failure in the current run of failed watches of the primary.
     watch_failing_since: Option<Duration>,
+    /// Whether statements of client accounts are forwarded to holders of connections.
+    forwards: bool,
 }
 
 impl GroupState {
@@ -236,18 +238,44 @@
         state.leases.record().map_or(floor, |record| record.clamp_floor(floor))
     }
 
-    /// Divides the connections of each member among `all` instances and applies this instance's
-    /// share.
+    fn record_forwarding(&self, forwards: bool, instances: usize) {
+        let before = std::mem::replace(&mut self.state().forwards, forwards);
+        if before != forwards {
+            let reason = if forwards { "connections_scarce" } else { "connections_ample" };
+            metrics::gauge!("rudder_forwarding_needed", "service" => self.service.to_string())
+                .set(if forwards { 1.0 } else { 0.0 });
+            log::info!(
+                service:% = self.service, forwards = forwards, instances = instances,
+                reason = reason;
+                "whether connections are left to their holders changed"
+            );
+        }
+    }
+
+    /// Applies this instance's part of the connections of each member: its budget as one of the
+    /// `holders` if statements are forwarded, otherwise its share among `all` instances.
     pub(crate) fn assign_connection_shares(
         &self,
         connections_max: u32,
         own: &InstanceName,
         all: &[InstanceName],
+        holders: Option<&[HolderCandidate]>,
     ) {
+        self.record_forwarding(holders.is_some(), all.len());
         let scarce = ConnectionShare::is_scarce(connections_max, all.len());
         for member in self.members() {
-            let share = ConnectionShare::of(connections_max, member.name(), own, all);
-            member.pool().set_share(share, scarce);
+            let (pool, name) = (member.pool(), member.name());
+            match holders {
+                Some(holders) => {
+                    let place = member.place();
+                    let budget = HolderBudget::of(connections_max, name, own, holders, &place);
+                    pool.set_budget(budget, scarce);
+                }
+                None => {
+                    let share = ConnectionShare::of(connections_max, name, own, all);
+                    pool.set_share(share, scarce);
+                }
+            }
         }
     }
 }
--- a/crates/rudder-engine/src/group/tests/pool.rs
+++ b/crates/rudder-engine/src/group/tests/pool.rs
@@ -13,12 +13,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const LONG: Duration = Duration::from_secs(30);
+pub(super) const LONG: Duration = Duration::from_secs(30);
 
 /// Simulated member that replies to everything, never replies, or refuses connections over a cap.
 #[derive(Default)]
-struct FakeDialer {
-    dialed: AtomicU32,
+pub(super) struct FakeDialer {
+    pub(super) dialed: AtomicU32,
     /// Accounts that connections were dialed for, in order.
     accounts: Mutex<Vec<Option<AccountName>>>,
     silent: bool,
@@ -70,7 +70,7 @@
     }
 }
 
-fn pool(dialer: &Arc<FakeDialer>, limit: u32) -> Arc<MemberPool> {
+pub(super) fn pool(dialer: &Arc<FakeDialer>, limit: u32) -> Arc<MemberPool> {
     let target = MemberTarget {
         service: "records".parse().expect("a name"),
         member: "i-1".parse().expect("a name"),
@@ -290,7 +290,7 @@
     assert_eq!(dialer.dialed.load(Ordering::Relaxed), 2);
 }
 
-fn request_for(account: &str) -> LinkRequest {
+pub(super) fn request_for(account: &str) -> LinkRequest {
     LinkRequest { user: LinkUser::Caller(Some(account.parse().expect("a name"))), rank: 1 }
 }
 
--- a/crates/rudder-engine/src/identity.rs
+++ b/crates/rudder-engine/src/identity.rs
@@ -2,7 +2,7 @@
 
 use crate::interfaces::{MemberDialer, PromotionCall};
 use rudder_core::{DomainName, InstanceName, plain_data};
-use rudder_decisions::{LimitBounds, NodePlace};
+use rudder_decisions::{InstanceCapacity, LimitBounds, NodePlace};
 use rudder_store::PlatformStore;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,6 +30,8 @@
         /// Bounds on how far a client account may exceed its limit, as the deployment configures
         /// them.
         pub limit_bounds: LimitBounds,
+        /// Capacity of the machine; `None` if the deployment does not state it.
+        pub capacity: Option<InstanceCapacity>,
     }
 }
 
--- a/crates/rudder-engine/src/lib.rs
+++ b/crates/rudder-engine/src/lib.rs
@@ -10,6 +10,7 @@
 mod engine;
 #[cfg(test)]
 mod fixtures;
+mod forwarding;
 mod group;
 mod identity;
 mod interfaces;
--- a/crates/rudder-engine/src/limits/tests.rs
+++ b/crates/rudder-engine/src/limits/tests.rs
@@ -67,6 +67,7 @@
         domain: "north".parse().expect("a name"),
         address: ([127, 0, 0, 1], 9).into(),
         marked: false,
+        capacity: None,
     }
 }
 
--- a/crates/rudder-engine/src/peers/fleet_copy.rs
+++ b/crates/rudder-engine/src/peers/fleet_copy.rs
@@ -20,6 +20,7 @@
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use rudder_core::{InstanceName, MemberName, plain_data};
+use rudder_decisions::InstanceCapacity;
 use serde::{Deserialize, Serialize};
 use std::io::{Read as _, Write as _};
 use std::net::SocketAddr;
@@ -88,6 +89,37 @@
     }
 }
 
+plain_data! {
+    /// Capacities of the entries in a copy, in the same order. They follow the copy, as older builds
+    /// ignore what follows it but could not decode entries with a further field.
+    #[derive(Serialize, Deserialize)]
+    struct CapacitiesCopy {
+        capacities: Vec<Option<u32>>,
+    }
+}
+
+impl CapacitiesCopy {
+    /// Returns the capacities of a copy's entries, if there are any.
+    fn of(copy: &FleetCopy) -> Option<Self> {
+        let (CopiedList::Whole(entries) | CopiedList::Change { put: entries, .. }) =
+            &copy.entries.as_ref()?.list;
+        let capacity = |entry: &PeerEntry| entry.capacity.map(|capacity| capacity.0);
+        let capacities: Vec<Option<u32>> = entries.iter().map(capacity).collect();
+        capacities.iter().any(Option::is_some).then_some(Self { capacities })
+    }
+
+    fn apply_to(self, copy: &mut FleetCopy) {
+        let list = copy.entries.as_mut().map(|entries| &mut entries.list);
+        let Some(CopiedList::Whole(entries) | CopiedList::Change { put: entries, .. }) = list
+        else {
+            return;
+        };
+        for (entry, capacity) in entries.iter_mut().zip(self.capacities) {
+            entry.capacity = capacity.map(InstanceCapacity);
+        }
+    }
+}
+
 /// Versions of the settings and members that an instance knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CopyVersion {
@@ -143,7 +175,11 @@
 
 /// Encodes a copy for sending. Names recur in each of its entries, so it is compressed.
 pub(super) fn encode_copy(copy: &FleetCopy) -> std::io::Result<Vec<u8>> {
-    let bytes = postcard::to_stdvec(copy).map_err(std::io::Error::other)?;
+    let mut bytes = postcard::to_stdvec(copy).map_err(std::io::Error::other)?;
+    if let Some(capacities) = CapacitiesCopy::of(copy) {
+        let appended = postcard::to_stdvec(&capacities).map_err(std::io::Error::other)?;
+        bytes.extend(appended);
+    }
     let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
     encoder.write_all(&bytes)?;
     encoder.finish()
@@ -153,7 +189,14 @@
 pub(super) fn decode_copy(bytes: &[u8]) -> std::io::Result<FleetCopy> {
     let mut plain = Vec::new();
     DeflateDecoder::new(bytes).take(COPY_BYTES_MAX).read_to_end(&mut plain)?;
-    postcard::from_bytes(&plain).map_err(std::io::Error::other)
+    let (mut copy, appended) =
+        postcard::take_from_bytes::<FleetCopy>(&plain).map_err(std::io::Error::other)?;
+    if !appended.is_empty() {
+        let capacities: CapacitiesCopy =
+            postcard::from_bytes(appended).map_err(std::io::Error::other)?;
+        capacities.apply_to(&mut copy);
+    }
+    Ok(copy)
 }
 
 async fn with_chunk_timeout<T>(
--- a/crates/rudder-engine/src/peers/list_change.rs
+++ b/crates/rudder-engine/src/peers/list_change.rs
@@ -113,6 +113,10 @@
     pub(crate) fn record(&mut self, items: &[T]) {
         let digest = ListDigest::of(items);
         if digest == self.digest() {
+            // The digest does not cover the capacities of instances, which may have changed.
+            if let Some((_, newest)) = self.lists.back_mut().filter(|(_, newest)| newest != items) {
+                items.clone_into(newest);
+            }
             return;
         }
         self.lists.retain(|(known, _)| *known != digest);
--- a/crates/rudder-engine/src/peers/membership.rs
+++ b/crates/rudder-engine/src/peers/membership.rs
@@ -43,7 +43,7 @@
         }
     }
 
-    fn state(&self) -> MutexGuard<'_, MembershipState> {
+    pub(super) fn state(&self) -> MutexGuard<'_, MembershipState> {
         lock(&self.state)
     }
 
@@ -59,9 +59,11 @@
         let mut state = self.state();
         if read_at >= state.entries_at {
             if entries.iter().any(|entry| entry.instance == self.own) {
+                state.list_changes += u64::from(!state.contacts.is_empty());
                 state.contacts.clear();
             }
             state.history.record(&entries);
+            state.list_changes += u64::from(state.entries != entries);
             state.entries = entries;
             state.entries_at = read_at;
         }
@@ -72,6 +74,7 @@
         contacts.sort_by(|left, right| left.instance.cmp(&right.instance));
         let mut state = self.state();
         state.contacts = contacts;
+        state.list_changes += 1;
         state.store_responded_at = Some(boot_time());
     }
 
--- a/crates/rudder-engine/src/peers/membership_state.rs
+++ b/crates/rudder-engine/src/peers/membership_state.rs
@@ -4,6 +4,7 @@
 use super::message::{PeerHeartbeat, StopNotice};
 use super::readers::ReaderCandidate;
 use rudder_core::{DomainName, InstanceName, plain_data};
+use rudder_decisions::InstanceCapacity;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -24,6 +25,11 @@
         pub(crate) address: SocketAddr,
         /// Whether the entry is about to be removed, unless the instance rewrites it.
         pub(crate) marked: bool,
+        /// Capacity that the instance states; `None` in entries of older builds. Not part of the
+        /// encoding or the digest of a list, which older builds have to agree on: a copy carries it
+        /// after the end (see `peers::fleet_copy`).
+        #[serde(skip)]
+        pub(crate) capacity: Option<InstanceCapacity>,
     }
 }
 
@@ -62,6 +68,8 @@
     /// Instances of a list that may be outdated; used to find peers and, until a list is known, the
     /// owners of limits.
     pub(super) contacts: Vec<PeerEntry>,
+    /// Number of changes of the entries and contacts.
+    pub(super) list_changes: u64,
     /// Last heartbeat of each instance, sorted by name.
     pub(super) received: Vec<ReceivedHeartbeat>,
     pub(super) stopped: Vec<StopNotice>,
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod entries;
 mod exchange;
 mod fleet_copy;
+mod holder_list;
 mod list_change;
 mod membership;
 mod membership_state;
@@ -24,6 +25,7 @@
     CopyRequest, CopyVersion, EntriesCopy, FleetCopy, MembersCopy, PendingCopy, fetch_copy,
     respond_with_copy, serve_copies,
 };
+pub(crate) use holder_list::{HolderList, find_entry};
 pub(crate) use list_change::{CopiedList, ListDigest, ListHistory};
 pub(crate) use membership::MembershipView;
 pub(crate) use membership_state::{LimitOwner, PeerEntry};
--- a/crates/rudder-engine/src/peers/tests/list_change.rs
+++ b/crates/rudder-engine/src/peers/tests/list_change.rs
@@ -5,6 +5,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rudder_core::InstanceName;
+use rudder_decisions::InstanceCapacity;
 
 fn entry(number: usize, port: u16) -> PeerEntry {
     PeerEntry {
@@ -12,6 +13,7 @@
         domain: "north".parse().expect("a name"),
         address: ([127, 0, 0, 1], port).into(),
         marked: false,
+        capacity: None,
     }
 }
 
@@ -90,6 +92,23 @@
     assert!(sizes[1] <= sizes[0] + 4, "{sizes:?}");
 }
 
+/// The digest does not cover capacities, but the copies that follow must carry the newest ones.
+#[test]
+fn a_change_of_a_capacity_is_part_of_later_copies() {
+    let mut history = ListHistory::default();
+    history.record(&list(0..3));
+    let mut newest = list(0..3);
+    newest[1].capacity = Some(InstanceCapacity(250));
+    history.record(&newest);
+
+    let whole = history.copy_for(ListDigest::of(&list(7..9)));
+    assert_eq!(whole.resolve(&list(7..9)), Some(newest.clone()));
+    newest.push(entry(3, 1));
+    history.record(&newest);
+
+    assert_eq!(history.copy_for(ListDigest::default()), CopiedList::Whole(newest));
+}
+
 #[test]
 fn a_message_of_another_release_is_an_error() {
     assert!(postcard::from_bytes::<PeerMessage>(&[200, 1, 2, 3]).is_err());
