--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -13,6 +13,7 @@
 mod detector;
 mod dial_gate;
 mod forwarded_load;
+mod forwarding;
 mod meter;
 mod operation_limit;
 mod outlier;
@@ -36,6 +37,10 @@
 pub use detector::{SilenceDetector, SuspicionBound};
 pub use dial_gate::{DialFailure, DialGate};
 pub use forwarded_load::ForwardedLoad;
+pub use forwarding::{
+    ForwardChoice, ForwardingRule, HOLDERS_MAX, HolderBoard, HolderBudget, HolderCandidate,
+    InstanceCapacity, LocalPool, forward_choice, rank_holders,
+};
 pub use meter::MemberMeter;
 pub use operation_limit::{
     ClaimDecision, ClaimPlan, ExpiringSet, FleetContact, LimitBounds, LimitLedger, OperationBucket,
--- a/crates/rudder-engine/src/forwarding/choice.rs
+++ b/crates/rudder-engine/src/forwarding/choice.rs
@@ -1,17 +1,14 @@
 //! Which instance runs a request: this one or a holder of connections for the caller's account.
 
-use super::connection::ForwardResult;
+use super::connection::{ForwardFault, ForwardResult};
+use super::wire::DeclineReason;
 use crate::engine::{ProxyEngine, RouteAccess};
-use crate::sync::lock;
-use rudder_core::InstanceName;
-use rudder_decisions::rank_owners;
+use crate::group::{GroupMember, PlacementContext, nearest_usable};
+use rudder_core::{AccountName, InstanceName, LogStamp};
+use rudder_decisions::{ForwardChoice, forward_choice};
 use std::net::SocketAddr;
-use std::sync::Mutex;
-use std::time::Duration;
-use tokio::time::Instant;
-
-/// Time for which a holder that did not run a request is skipped; one heartbeat.
-const SKIP_TIME: Duration = Duration::from_millis(1000);
+use std::sync::Arc;
+use std::time::Instant;
 
 /// A holder and its address.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,70 +17,74 @@
     pub(crate) address: SocketAddr,
 }
 
-/// What this instance has learned about holders.
-#[derive(Default)]
-pub(crate) struct HolderBoard {
-    /// Holders to skip, sorted by name, with the end of the skip.
-    skipped: Mutex<Vec<(InstanceName, Instant)>>,
-}
-
-impl HolderBoard {
-    /// Records that a holder did not run a request.
-    pub(super) fn record_failure(&self, holder: &InstanceName) {
-        let now = Instant::now();
-        let mut skipped = lock(&self.skipped);
-        skipped.retain(|(_, until)| now < *until);
-        let until = now + SKIP_TIME;
-        match skipped.binary_search_by(|(known, _)| known.cmp(holder)) {
-            Ok(index) => skipped[index].1 = until,
-            Err(index) => skipped.insert(index, (holder.clone(), until)),
-        }
-    }
-
-    fn is_usable(&self, holder: &InstanceName) -> bool {
-        let skipped = lock(&self.skipped);
-        let found = skipped.binary_search_by(|(known, _)| known.cmp(holder));
-        found.is_err() || found.is_ok_and(|index| Instant::now() >= skipped[index].1)
-    }
-}
-
 impl ProxyEngine {
-    /// Returns the holder that runs a request; `None` if this instance runs it.
+    /// Returns the holder that runs a request; `None` if this instance runs it. `strict` says
+    /// whether only the primary may serve it.
     pub(super) fn choose_holder(
         &self,
         access: &RouteAccess,
-        _strict: bool,
+        strict: bool,
+        floor: Option<LogStamp>,
     ) -> Option<HolderTarget> {
         let account = access.account.as_ref()?;
-        let settings = self.settings()?;
-        let accounts = settings.accounts.as_ref()?;
-        let services = &settings.services;
-        let found = services.binary_search_by(|rule| rule.service.cmp(&access.route.service));
-        let index = found.ok()?;
-        let (entries, _) = self.membership().entries();
-        if entries.len() * accounts.len() <= services[index].connections_max as usize {
+        let member = self.expected_member(access, strict, floor)?;
+        let known = self.member_holders(&access.route.service, account, &member);
+        if !known.is_needed {
             return None;
         }
-        let usable = entries.iter().filter(|entry| !entry.marked).map(|entry| &entry.instance);
-        for holder in rank_owners(account, usable, entries.len()) {
-            if holder == self.identity_name() {
-                return None;
-            }
-            let entry = entries.iter().find(|entry| entry.instance == *holder);
-            if let Some(entry) = entry
-                && self.forwarding().board().is_usable(holder)
-            {
-                let (instance, address) = (holder.clone(), entry.address);
-                return Some(HolderTarget { instance, address });
+        let own = self.identity_name();
+        let (names, now) = (&known.holders.names, Instant::now());
+        let mut board = self.holders().board();
+        match forward_choice(own, account, names, known.pool, &mut board, now) {
+            ForwardChoice::Local => None,
+            ForwardChoice::Forward(instance) => {
+                let address = known.holders.address(&instance)?;
+                Some(HolderTarget { instance, address })
             }
         }
-        None
     }
 
-    /// Records what a request showed about its holder.
-    pub(super) fn record_holder(&self, holder: &HolderTarget, result: &ForwardResult) {
-        if !matches!(result, ForwardResult::Reply(_)) {
-            self.forwarding().board().record_failure(&holder.instance);
+    /// Returns the member that most likely serves a request. Whether this instance has free
+    /// connections to it does not count, so that the holder of an account changes rarely.
+    fn expected_member(
+        &self,
+        access: &RouteAccess,
+        strict: bool,
+        floor: Option<LogStamp>,
+    ) -> Option<Arc<GroupMember>> {
+        let group = self.group(&access.route.service);
+        if strict {
+            return Some(self.serving_primary(&group)?.0);
+        }
+        let floor = floor.unwrap_or_default();
+        let floor_age = group.age_of(floor);
+        let context = PlacementContext { own: self.identity().place(), floor, floor_age };
+        nearest_usable(&group.members(), &context)
+    }
+
+    /// Records what a request of an account showed about its holder.
+    pub(super) fn record_holder(
+        &self,
+        holder: &InstanceName,
+        account: Option<&AccountName>,
+        result: &ForwardResult,
+    ) {
+        let Some(account) = account else { return };
+        let now = Instant::now();
+        let mut board = self.holders().board();
+        match result {
+            ForwardResult::Reply(_) => board.record_reply(holder),
+            ForwardResult::Declined(DeclineReason::Draining) => board.record_draining(holder, now),
+            // The holder is reachable, but not of use to this account for now.
+            ForwardResult::Declined(_)
+            | ForwardResult::NotSent(ForwardFault::TooLarge | ForwardFault::QueueFull)
+            | ForwardResult::Lost(ForwardFault::Undeliverable) => {
+                board.record_reply(holder);
+                board.record_overloaded(holder, account, now);
+            }
+            ForwardResult::NotSent(_) | ForwardResult::Lost(_) => {
+                board.record_unreachable(holder, now);
+            }
         }
     }
 }
--- a/crates/rudder-engine/src/forwarding/connection.rs
+++ b/crates/rudder-engine/src/forwarding/connection.rs
@@ -58,13 +58,6 @@
     Undeliverable,
 }
 
-impl ForwardFault {
-    /// Whether the holder itself cannot be used, rather than this request.
-    pub(super) fn is_of_holder(self) -> bool {
-        matches!(self, Self::Unreachable | Self::Closed | Self::Silent | Self::Malformed)
-    }
-}
-
 /// Result of a request to a holder.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum ForwardResult {
--- a/crates/rudder-engine/src/forwarding/dispatch.rs
+++ b/crates/rudder-engine/src/forwarding/dispatch.rs
@@ -11,7 +11,7 @@
 
 /// Maximum number of holders that a request is sent to. Further ones would use up the time in which
 /// this instance can run the request itself.
-const HOLDERS_MAX: usize = 2;
+const ATTEMPTS_MAX: usize = 2;
 
 /// One of this many forwarded requests that were served is logged.
 const SERVED_SAMPLE: u64 = 64;
@@ -33,9 +33,9 @@
         floor: Option<LogStamp>,
     ) -> StatementReply {
         let mut lost_job = None;
-        for _ in 0..HOLDERS_MAX {
+        for _ in 0..ATTEMPTS_MAX {
             let strict = is_strict(&access.route, job.effect);
-            let Some(holder) = self.choose_holder(access, strict) else { break };
+            let Some(holder) = self.choose_holder(access, strict, floor) else { break };
             let job = lost_job.as_ref().unwrap_or(job);
             let sent_at = Instant::now();
             let result = self.forwarding().client().run(&holder, access, job, floor).await;
@@ -62,8 +62,8 @@
         floor: Option<LogStamp>,
     ) -> RemoteStart {
         let strict = !read_only || is_strict(&access.route, StatementEffect::Read);
-        for _ in 0..HOLDERS_MAX {
-            let Some(holder) = self.choose_holder(access, strict) else { break };
+        for _ in 0..ATTEMPTS_MAX {
+            let Some(holder) = self.choose_holder(access, strict, floor) else { break };
             let sent_at = Instant::now();
             let client = self.forwarding().client();
             let result = match RemoteTransaction::open(client, &holder, read_only, job).await {
@@ -94,7 +94,9 @@
     ) -> ForwardResult {
         let sent_at = Instant::now();
         let result = remote.run(access, job, floor).await;
-        record_outcome(remote.holder(), job, sent_at, &result);
+        let holder = remote.holder();
+        self.record_holder(holder, access.account.as_ref(), &result);
+        record_outcome(holder, job, sent_at, &result);
         result
     }
 
@@ -105,7 +107,7 @@
         sent_at: Instant,
         result: &ForwardResult,
     ) {
-        self.record_holder(holder, result);
+        self.record_holder(&holder.instance, job.account.as_ref(), result);
         record_outcome(&holder.instance, job, sent_at, result);
     }
 }
--- a/crates/rudder-engine/src/forwarding/mod.rs
+++ b/crates/rudder-engine/src/forwarding/mod.rs
@@ -11,6 +11,7 @@
 mod dispatch;
 mod frame;
 mod held;
+pub(crate) mod holders;
 mod remote;
 mod server;
 mod wire;
@@ -22,7 +23,6 @@
 pub(crate) use remote::RemoteTransaction;
 pub(crate) use server::serve_forwarding;
 
-use choice::HolderBoard;
 use client::ForwardingClient;
 use frame::ConnectionEnd;
 use workload::ForwardedWork;
@@ -31,7 +31,6 @@
 #[derive(Default)]
 pub(crate) struct ForwardingState {
     client: ForwardingClient,
-    board: HolderBoard,
     work: ForwardedWork,
 }
 
@@ -40,10 +39,6 @@
         &self.client
     }
 
-    fn board(&self) -> &HolderBoard {
-        &self.board
-    }
-
     pub(crate) fn work(&self) -> &ForwardedWork {
         &self.work
     }
--- a/crates/rudder-engine/src/forwarding/tests/fixture.rs
+++ b/crates/rudder-engine/src/forwarding/tests/fixture.rs
@@ -223,6 +223,7 @@
         domain: "north".parse().expect("a name"),
         address,
         marked: false,
+        capacity: None,
     };
     let entries = vec![entry("holder", holder), entry("origin", origin.address)];
     origin.engine.membership().set_entries(entries, boot_time());
@@ -237,7 +238,7 @@
     let is_forwarded = |account: &String| {
         let (database, key) = (DatabaseName("strict".to_owned()), KeyDigest::of(account));
         let access = origin.engine.access(&database, &key).expect("a key");
-        origin.engine.choose_holder(&access, true).is_some()
+        origin.engine.choose_holder(&access, true, None).is_some()
     };
     accounts().into_iter().find(is_forwarded).expect("an account whose holder is the other one")
 }
