--- a/crates/rudder-decisions/tests/load/forwarded_load.rs
+++ b/crates/rudder-decisions/tests/load/forwarded_load.rs
@@ -31,7 +31,7 @@
     let start = Instant::now();
     let mut load = ForwardedLoad::default();
     let mut summary = LoadSummary::default();
-    let mut free_at = vec![start; CONNECTIONS];
+    let mut free_at = [start; CONNECTIONS];
     let mut ends: Vec<(Instant, bool)> = Vec::new();
     let mut now = start;
     while now < start + DURATION {
