Do not run forwarded requests that were given up

Cause: a holder that was frozen, or behind a link that was cut, could run a write long after the origin had reported it as in doubt, while its caller may have sent it again. A read without a reply by its deadline was reported as not run.

Change: the origin's socket discards what it has not transferred. Replies that an origin does not read end the connection after 10 s, and the bytes queued for all holders together are bounded. The outcome in_doubt is counted for single writes and commits of writes only.

--- a/crates/rudder-engine/src/forwarding/client.rs
+++ b/crates/rudder-engine/src/forwarding/client.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 /// Timeout for opening a connection: two round trips between regions, and scheduling on a slow
@@ -23,6 +24,10 @@
 /// the request when the remaining time that it received is over, which is later by the transit.
 const REPLY_MARGIN: Duration = Duration::from_millis(100);
 
+/// Maximum total size of requests that are queued for writing; bounds the memory that slow holders
+/// take from an instance with 160 MB.
+const QUEUED_BYTES_MAX: usize = 8 << 20;
+
 /// Connection to one holder.
 #[derive(Default)]
 struct HolderSlot {
@@ -40,6 +45,7 @@
     async fn connect(
         self: Arc<Self>,
         holder: HolderTarget,
+        queue_bytes: Arc<Semaphore>,
     ) -> Result<Arc<HolderConnection>, ForwardFault> {
         let mut state = self.state.lock().await;
         if let Some(connection) = &state.connection
@@ -51,7 +57,7 @@
         if state.failed_at.is_some_and(|at| Instant::now() < at + CONNECT_PAUSE) {
             return Err(ForwardFault::Unreachable);
         }
-        let open = HolderConnection::open(holder.address);
+        let open = HolderConnection::open(holder.address, queue_bytes);
         let reason = match tokio::time::timeout(CONNECT_TIMEOUT, open).await {
             Ok(Ok(connection)) => {
                 state.failed_at = None;
@@ -77,10 +83,18 @@
 }
 
 /// Connections of this instance to the holders that it forwards to.
-#[derive(Default)]
 pub(crate) struct ForwardingClient {
     /// Sorted by address.
     slots: Mutex<Vec<(SocketAddr, Arc<HolderSlot>)>>,
+    /// Remaining bytes of requests that may be queued for writing, at all holders together.
+    queue_bytes: Arc<Semaphore>,
+}
+
+impl Default for ForwardingClient {
+    fn default() -> Self {
+        let queue_bytes = Arc::new(Semaphore::new(QUEUED_BYTES_MAX));
+        Self { slots: Mutex::default(), queue_bytes }
+    }
 }
 
 impl ForwardingClient {
@@ -112,7 +126,7 @@
             return Ok(connection);
         }
         // If this caller stops waiting, the connection is opened for the next ones.
-        let connect = tokio::spawn(slot.connect(holder.clone()));
+        let connect = tokio::spawn(slot.connect(holder.clone(), Arc::clone(&self.queue_bytes)));
         match tokio::time::timeout(limit.min(CONNECT_TIMEOUT), connect).await {
             Ok(Ok(connection)) => connection,
             Ok(Err(_)) | Err(_) => Err(ForwardFault::Timeout),
--- a/crates/rudder-engine/src/forwarding/connection.rs
+++ b/crates/rudder-engine/src/forwarding/connection.rs
@@ -33,10 +33,6 @@
 /// Maximum number of pending requests on one connection. A holder runs as many in total.
 const PENDING_MAX: usize = 256;
 
-/// Maximum total size of requests that are queued for writing; bounds the memory that a slow
-/// holder takes from an instance with 160 MB.
-const QUEUED_BYTES_MAX: usize = 8 << 20;
-
 /// Reason why a request got no response from a holder. The texts are fixed words in logs.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(crate) enum ForwardFault {
@@ -117,16 +113,22 @@
     peer: SocketAddr,
     state: Mutex<PendingState>,
     queue: mpsc::UnboundedSender<QueuedFrame>,
-    queued_bytes: Arc<Semaphore>,
+    queue_bytes: Arc<Semaphore>,
     activity: LinkActivity,
 }
 
 impl HolderConnection {
     /// Opens a connection. Requests are sent only after the holder has confirmed the version: an
     /// instance without forwarding would read them as a request for a copy.
-    pub(super) async fn open(peer: SocketAddr) -> Result<Arc<Self>, ConnectionEnd> {
+    pub(super) async fn open(
+        peer: SocketAddr,
+        queue_bytes: Arc<Semaphore>,
+    ) -> Result<Arc<Self>, ConnectionEnd> {
         let mut stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
+        // Once a request is given up, the network stack must not transfer it any more: it would run
+        // long after its caller was told that its outcome is unknown.
+        stream.set_zero_linger()?;
         stream.write_all(&preamble()).await?;
         let mut response = [0; 3];
         stream.read_exact(&mut response).await?;
@@ -146,7 +148,7 @@
             peer,
             state: Mutex::new(state),
             queue,
-            queued_bytes: Arc::new(Semaphore::new(QUEUED_BYTES_MAX)),
+            queue_bytes,
             activity: LinkActivity::new(),
         });
         tokio::spawn(Arc::clone(&connection).run(stream, frames));
@@ -172,7 +174,7 @@
             return ForwardResult::NotSent(ForwardFault::TooLarge);
         };
         let size = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
-        let Ok(permit) = Arc::clone(&self.queued_bytes).try_acquire_many_owned(size) else {
+        let Ok(permit) = Arc::clone(&self.queue_bytes).try_acquire_many_owned(size) else {
             return ForwardResult::NotSent(ForwardFault::QueueFull);
         };
         let request_id = Some(guard.request_id);
--- a/crates/rudder-engine/src/forwarding/dispatch.rs
+++ b/crates/rudder-engine/src/forwarding/dispatch.rs
@@ -1,11 +1,10 @@
 //! Runs a caller's request at a holder or at this instance, and classifies a lost holder's request.
 
-use super::choice::HolderTarget;
 use super::connection::ForwardResult;
 use super::remote::RemoteTransaction;
 use crate::engine::{ProxyEngine, RouteAccess};
 use crate::session::{StatementJob, in_doubt, is_strict};
-use crate::statement::{StatementEffect, StatementReply};
+use crate::statement::{StatementEffect, StatementError, StatementReply, TransactionState};
 use rudder_core::{InstanceName, LogStamp};
 use std::time::Instant;
 
@@ -39,13 +38,19 @@
             let job = lost_job.as_ref().unwrap_or(job);
             let sent_at = Instant::now();
             let result = self.forwarding().client().run(&holder, access, job, floor).await;
-            self.record_result(&holder, job, sent_at, &result);
+            let leaves_doubt = job.effect == StatementEffect::Write;
+            self.record_result(&holder.instance, job, sent_at, &result, leaves_doubt);
             match result {
                 ForwardResult::Reply(reply) => return reply,
                 ForwardResult::Declined(_) | ForwardResult::NotSent(_) => {}
-                ForwardResult::Lost(_) if job.effect == StatementEffect::Write => {
+                ForwardResult::Lost(_) if leaves_doubt => {
                     return in_doubt("the instance that ran the statement was lost");
                 }
+                ForwardResult::Lost(_) if job.time_remaining().is_zero() => {
+                    let text = "the instance that ran the read did not answer in time";
+                    let (error, state) = (StatementError::TimedOut, TransactionState::Idle);
+                    return StatementReply::refusal(error, text, state);
+                }
                 // The detection of the loss takes longer than a request may wait for a connection.
                 ForwardResult::Lost(_) => lost_job = Some(job.with_renewed_wait(&access.route)),
             }
@@ -69,7 +74,8 @@
             let result = match RemoteTransaction::open(client, &holder, read_only, job).await {
                 Ok(mut remote) => {
                     let result = remote.run(access, job, floor).await;
-                    self.record_result(&holder, job, sent_at, &result);
+                    let leaves_doubt = remote.leaves_doubt(job);
+                    self.record_result(&holder.instance, job, sent_at, &result, leaves_doubt);
                     match result {
                         ForwardResult::Reply(_) | ForwardResult::Lost(_) => {
                             return RemoteStart::Remote(remote, result);
@@ -79,7 +85,7 @@
                 }
                 Err(reason) => ForwardResult::NotSent(reason),
             };
-            self.record_result(&holder, job, sent_at, &result);
+            self.record_result(&holder.instance, job, sent_at, &result, false);
         }
         RemoteStart::Local
     }
@@ -94,21 +100,21 @@
     ) -> ForwardResult {
         let sent_at = Instant::now();
         let result = remote.run(access, job, floor).await;
-        let holder = remote.holder();
-        self.record_holder(holder, access.account.as_ref(), &result);
-        record_outcome(holder, job, sent_at, &result);
+        let leaves_doubt = remote.leaves_doubt(job);
+        self.record_result(remote.holder(), job, sent_at, &result, leaves_doubt);
         result
     }
 
     fn record_result(
         &self,
-        holder: &HolderTarget,
+        holder: &InstanceName,
         job: &StatementJob,
         sent_at: Instant,
         result: &ForwardResult,
+        leaves_doubt: bool,
     ) {
-        self.record_holder(&holder.instance, job.account.as_ref(), result);
-        record_outcome(&holder.instance, job, sent_at, result);
+        self.record_holder(holder, job.account.as_ref(), result);
+        record_outcome(holder, job, sent_at, result, leaves_doubt);
     }
 }
 
@@ -118,6 +124,7 @@
     job: &StatementJob,
     sent_at: Instant,
     result: &ForwardResult,
+    leaves_doubt: bool,
 ) {
     let (outcome, reason) = match result {
         ForwardResult::Reply(reply) => match reply.error() {
@@ -126,7 +133,7 @@
         },
         ForwardResult::Declined(reason) => ("declined", reason.to_string()),
         ForwardResult::NotSent(reason) => ("not_sent", reason.to_string()),
-        ForwardResult::Lost(reason) if job.may_change_data() => ("in_doubt", reason.to_string()),
+        ForwardResult::Lost(reason) if leaves_doubt => ("in_doubt", reason.to_string()),
         ForwardResult::Lost(reason) => ("lost", reason.to_string()),
     };
     let elapsed = sent_at.elapsed();
--- a/crates/rudder-engine/src/forwarding/mod.rs
+++ b/crates/rudder-engine/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod holders;
 mod remote;
 mod server;
+mod suspension;
 mod wire;
 mod workload;
 
@@ -25,6 +26,7 @@
 
 use client::ForwardingClient;
 use frame::ConnectionEnd;
+use suspension::SuspensionWatch;
 use workload::ForwardedWork;
 
 /// State of forwarding in one instance, as origin and as holder.
@@ -32,6 +34,7 @@
 pub(crate) struct ForwardingState {
     client: ForwardingClient,
     work: ForwardedWork,
+    suspension: SuspensionWatch,
 }
 
 impl ForwardingState {
@@ -39,6 +42,10 @@
         &self.client
     }
 
+    fn suspension(&self) -> &SuspensionWatch {
+        &self.suspension
+    }
+
     pub(crate) fn work(&self) -> &ForwardedWork {
         &self.work
     }
--- a/crates/rudder-engine/src/forwarding/remote.rs
+++ b/crates/rudder-engine/src/forwarding/remote.rs
@@ -6,7 +6,7 @@
 use super::wire::{OriginFrame, WireBegin, WireRequest};
 use crate::engine::RouteAccess;
 use crate::session::StatementJob;
-use crate::statement::{StatementBody, TransactionState};
+use crate::statement::{StatementBody, StatementEffect, TransactionState};
 use rudder_core::{InstanceName, LogStamp};
 use std::sync::Arc;
 
@@ -19,6 +19,7 @@
     begin: Option<WireBegin>,
     /// Whether the holder may still have the transaction open.
     may_be_open: bool,
+    wrote: bool,
 }
 
 impl RemoteTransaction {
@@ -33,7 +34,7 @@
         let number = connection.begin_transaction();
         let begin = Some(WireBegin { read_only });
         let holder = holder.instance.clone();
-        Ok(Self { connection, holder, number, begin, may_be_open: false })
+        Ok(Self { connection, holder, number, begin, may_be_open: false, wrote: false })
     }
 
     /// Returns the holder.
@@ -41,6 +42,11 @@
         &self.holder
     }
 
+    /// Whether the loss of a job leaves its outcome unknown; the loss of any other rolls back.
+    pub(super) fn leaves_doubt(&self, job: &StatementJob) -> bool {
+        self.wrote && job.body == StatementBody::Commit
+    }
+
     /// Runs a statement or the commit of the transaction.
     pub(crate) async fn run(
         &mut self,
@@ -50,6 +56,7 @@
     ) -> ForwardResult {
         let (transaction, begin) = (self.number, self.begin.take());
         self.may_be_open = true;
+        self.wrote |= job.effect == StatementEffect::Write;
         let message = |request_id| {
             let request = WireRequest::new(request_id, access, job, floor);
             OriginFrame::Transaction { transaction, begin, request }
--- a/crates/rudder-engine/src/forwarding/server.rs
+++ b/crates/rudder-engine/src/forwarding/server.rs
@@ -1,8 +1,8 @@
 //! The holder's side of a forwarding connection: runs the requests of one origin.
 
 use super::frame::{
-    ConnectionEnd, FRAME_BYTES_MAX, FrameDecoder, LinkActivity, WIRE_VERSION, encode_to_origin,
-    length_codec, preamble,
+    ConnectionEnd, FrameDecoder, LinkActivity, WIRE_VERSION, encode_to_origin, length_codec,
+    preamble,
 };
 use super::held::{HeldTransactions, TransactionCommand};
 use super::wire::{
@@ -17,7 +17,7 @@
 use futures::{SinkExt, StreamExt};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -31,6 +31,10 @@
 /// origin, which sends pings while requests are pending.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(45);
 
+/// Timeout for sending one message; the largest one takes 4 s on a slow link. Replies that an origin
+/// does not read would otherwise fill the memory.
+const SEND_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Maximum number of replies that wait to be written. Requests wait beyond it.
 const REPLY_QUEUE_MAX: usize = 64;
 
@@ -100,6 +104,7 @@
     stream: TcpStream,
     peer: SocketAddr,
 ) -> ConnectionEnd {
+    engine.forwarding().suspension().start();
     let (reader, writer) = stream.into_split();
     let (sender, frames) = mpsc::channel(REPLY_QUEUE_MAX);
     let origin = OriginConnection {
@@ -118,8 +123,10 @@
 async fn transmit(writer: OwnedWriteHalf, mut frames: mpsc::Receiver<Bytes>) -> ConnectionEnd {
     let mut writer = FramedWrite::new(writer, length_codec());
     while let Some(bytes) = frames.recv().await {
-        if let Err(error) = writer.send(bytes).await {
-            return error.into();
+        match tokio::time::timeout(SEND_TIMEOUT, writer.send(bytes)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return error.into(),
+            Err(_) => return ConnectionEnd::Silent,
         }
     }
     ConnectionEnd::Closed
@@ -212,12 +219,12 @@
         self.check_request_id(request_id)?;
         let id = request.id.clone();
         let Some(begin) = begin else {
-            return match ForwardedRequest::try_from(request) {
+            return match self.check_age().and_then(|()| ForwardedRequest::try_from(request)) {
                 Ok(request) => {
                     let command = TransactionCommand { request_id, request };
                     self.transactions.run(transaction, command, &self.replies).await
                 }
-                // An invalid statement aborts the transaction like any other error.
+                // A statement that is not run aborts the transaction like any other error.
                 Err(reason) => {
                     self.transactions.roll_back(transaction);
                     self.replies.decline(request_id, &id, reason).await;
@@ -245,16 +252,24 @@
         }
     }
 
+    /// Rejects requests that may have been given up while this process did not run.
+    fn check_age(&self) -> Result<(), DeclineReason> {
+        match self.engine.forwarding().suspension().may_have_waited(Instant::now()) {
+            true => Err(DeclineReason::Expired),
+            false => Ok(()),
+        }
+    }
+
     /// Checks whether this instance runs new work of an origin now.
     fn admit(
         &self,
         request: WireRequest,
         size: usize,
     ) -> Result<(ForwardedRequest, WorkGuard), DeclineReason> {
-        debug_assert!(size <= FRAME_BYTES_MAX);
         if self.engine.drain_phase() != DrainPhase::Serving {
             return Err(DeclineReason::Draining);
         }
+        self.check_age()?;
         let request = ForwardedRequest::try_from(request)?;
         self.check_known(&request.access)?;
         let strict = is_strict(&request.access.route, request.job.effect);
--- a/crates/rudder-engine/src/forwarding/tests/frames.rs
+++ b/crates/rudder-engine/src/forwarding/tests/frames.rs
@@ -6,7 +6,9 @@
 use crate::forwarding::frame::{
     FRAME_BYTES_MAX, FrameDecoder, LinkActivity, length_codec, preamble,
 };
-use crate::forwarding::wire::{DeclineReason, HolderFrame, OriginFrame, WireBegin};
+use crate::forwarding::wire::{
+    DeclineReason, HolderFrame, OriginFrame, WireBegin, WireBody, WireRequest,
+};
 use bytes::{BufMut, Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
 use rand::rngs::StdRng;
@@ -219,3 +221,46 @@
     assert_eq!(recorder.value("rudder_forward_declined_total{expired}"), 1);
     assert!(holder.log.lines().is_empty());
 }
+
+/// A write that was read after a suspension of the process would run when its caller was long told
+/// that its outcome is unknown, and may have sent it again.
+#[tokio::test]
+async fn a_request_that_arrived_during_a_suspension_is_declined() {
+    let (origin, holder) = pair().await;
+    let mut raw = RawOrigin::connect(&holder).await;
+    raw.send(&OriginFrame::Statement(request(&origin, 1))).await;
+    assert!(matches!(raw.next().await, Some(HolderFrame::Reply { .. })));
+
+    raw.send(&OriginFrame::Statement(request(&origin, 2))).await;
+    // The test has one thread, so nothing of the holder runs meanwhile.
+    std::thread::sleep(Duration::from_millis(700));
+
+    let declined = HolderFrame::Declined { request_id: 2, reason: DeclineReason::Expired };
+    assert_eq!(raw.next().await, Some(declined));
+    assert_eq!(holder.log.lines().len(), 1);
+    tokio::time::sleep(Duration::from_millis(350)).await;
+    raw.send(&OriginFrame::Statement(request(&origin, 3))).await;
+    assert!(matches!(raw.next().await, Some(HolderFrame::Reply { request_id: 3, .. })));
+}
+
+/// A commit that is read after a suspension would take effect when its caller has given it up.
+#[tokio::test]
+async fn a_commit_that_arrived_during_a_suspension_is_not_run() {
+    let (origin, holder) = pair().await;
+    let account = super::fixture::forwarded_account(&origin);
+    let mut raw = RawOrigin::connect(&holder).await;
+    let begin = Some(WireBegin { read_only: false });
+    let first = OriginFrame::Transaction { transaction: 1, begin, request: request(&origin, 1) };
+    raw.send(&first).await;
+    assert!(matches!(raw.next().await, Some(HolderFrame::Reply { .. })));
+
+    let commit = WireRequest { body: WireBody::Commit, ..request(&origin, 2) };
+    let commit = OriginFrame::Transaction { transaction: 1, begin: None, request: commit };
+    raw.send(&commit).await;
+    std::thread::sleep(Duration::from_millis(700));
+
+    let declined = HolderFrame::Declined { request_id: 2, reason: DeclineReason::Expired };
+    assert_eq!(raw.next().await, Some(declined));
+    holder.log.wait_for(&format!("{account}: rollback")).await;
+    assert!(!holder.log.lines().iter().any(|line| line.contains("commit")));
+}
--- a/crates/rudder-engine/src/session/job.rs
+++ b/crates/rudder-engine/src/session/job.rs
@@ -75,11 +75,6 @@
         Self { wait_until: (now + wait_limit(route)).min(self.deadline), ..self.clone() }
     }
 
-    /// Whether the job writes or commits.
-    pub(crate) fn may_change_data(&self) -> bool {
-        self.effect == StatementEffect::Write || self.body == StatementBody::Commit
-    }
-
     /// Returns the connection request for this job.
     pub(crate) fn link_request(&self, work: WaitingWork) -> LinkRequest {
         LinkRequest { user: LinkUser::Caller(self.account.clone()), rank: work.rank(self.priority) }
