--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -50,9 +50,10 @@
     /// Identifier of the instance's process; zero in an entry that was marked.
     #[serde(default)]
     process: u64,
-    /// Capacity of the machine; absent in entries of older builds, which ignore it.
+    /// Capacity of the machine; absent in entries of older builds, which ignore it. Any value is
+    /// parsed, as changes of primary wait for the instance of each entry that is.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    capacity: Option<u32>,
+    capacity: Option<serde_json::Value>,
 }
 
 impl EntryRecord {
@@ -244,7 +245,7 @@
         peer_address: entry.address,
         marked: true,
         process: 0,
-        capacity: entry.capacity.map(|capacity| capacity.0),
+        capacity: entry.capacity.map(|capacity| capacity.0.into()),
     };
     let spec = record.to_spec()?;
     let store = &engine.dependencies().store;
@@ -287,7 +288,7 @@
         peer_address: identity.peer_address,
         marked: false,
         process: engine.process(),
-        capacity: identity.capacity.map(|capacity| capacity.0),
+        capacity: identity.capacity.map(|capacity| capacity.0.into()),
     };
     let spec = entry.to_spec()?;
     let store = &engine.dependencies().store;
@@ -320,7 +321,7 @@
     Ok(entries)
 }
 
-fn read_entry(object: &StoredObject) -> Option<PeerEntry> {
+pub(super) fn read_entry(object: &StoredObject) -> Option<PeerEntry> {
     let instance = object.name.parse::<InstanceName>();
     let entry = serde_json::from_value::<EntryRecord>(object.spec.clone());
     let (Ok(instance), Ok(entry)) = (instance, entry) else {
@@ -328,10 +329,25 @@
         return None;
     };
     let (domain, address, marked) = (entry.domain, entry.peer_address, entry.marked);
-    let capacity = entry.capacity.map(InstanceCapacity);
+    let capacity = entry.capacity.and_then(|capacity| read_capacity(&instance, &capacity));
     Some(PeerEntry { instance, domain, address, marked, capacity })
 }
 
+fn read_capacity(
+    instance: &InstanceName,
+    capacity: &serde_json::Value,
+) -> Option<InstanceCapacity> {
+    let number = capacity.as_u64().and_then(|number| u32::try_from(number).ok());
+    let valid = number.filter(|number| *number > 0).map(InstanceCapacity);
+    if valid.is_none() {
+        log::warn!(
+            instance:% = instance, capacity:% = capacity, reason = "capacity_invalid";
+            "the capacity in an entry of the list of instances is ignored"
+        );
+    }
+    valid
+}
+
 /// Removes this instance from the list.
 pub(super) async fn deregister(engine: &ProxyEngine) {
     engine.begin_deregistration();
--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -294,7 +294,7 @@
     engine_of(store, None, identity(name))
 }
 
-fn engine_of(
+pub(super) fn engine_of(
     store: &Arc<RecordStore>,
     members: Option<Arc<FakeMembers>>,
     identity: InstanceIdentity,
--- a/crates/rudder-engine/src/duty/tests/registry.rs
+++ b/crates/rudder-engine/src/duty/tests/registry.rs
@@ -1,8 +1,12 @@
 //! Registration in the list of instances.
 
-use super::fixture::{RecordStore, WriteOutcome, engine, first_record};
-use crate::duty::registry::{RegistrationCheck, ensure_registered};
-use crate::identity::DrainPhase;
+use super::fixture::{RecordStore, WriteOutcome, engine, engine_of, first_record};
+use crate::duty::registry::{RegistrationCheck, ensure_registered, read_entry};
+use crate::fixtures::identity;
+use crate::identity::{DrainPhase, InstanceIdentity};
+use rudder_decisions::InstanceCapacity;
+use rudder_store::{ObjectKind, ObjectVersion, PlatformStore, StoredObject};
+use serde_json::{Value, json};
 use std::sync::Arc;
 
 /// Returns a store whose list of instances is empty, and which rejects and counts writes.
@@ -51,3 +55,36 @@
     assert!(earlier_version.is_some() && later.entry_version().is_some());
     assert_ne!(later.entry_version(), earlier_version);
 }
+
+fn entry_object(spec: Value) -> StoredObject {
+    StoredObject { name: "other".to_owned(), version: ObjectVersion("1".to_owned()), spec }
+}
+
+/// All instances rank the holders of connections by the capacities in the list.
+#[tokio::test]
+async fn an_entry_states_the_capacity_of_the_machine() {
+    let store = RecordStore::new(&first_record(), &[WriteOutcome::Done]);
+    let capacity = Some(InstanceCapacity(250));
+    let engine = engine_of(&store, None, InstanceIdentity { capacity, ..identity("own") });
+
+    ensure_registered(&engine).await.expect("the store takes it");
+
+    let object = store.get(ObjectKind::InstanceRecord, "own").await.expect("a read");
+    assert_eq!(read_entry(&object.expect("an entry")).expect("it is valid").capacity, capacity);
+}
+
+/// An entry that cannot be parsed is not in the list, and changes of primary do not wait for its
+/// instance: an older build's entry, or a malformed capacity, must not have that effect.
+#[test]
+fn entries_without_a_valid_capacity_are_read() {
+    let spec = json!({"domain": "north", "peer_address": "127.0.0.1:9", "marked": true});
+    let invalid = [json!("large"), json!(-3), json!(0), json!(1e300), json!({}), Value::Null];
+
+    let older = read_entry(&entry_object(spec.clone())).expect("it is valid");
+    assert!(older.marked && older.capacity.is_none());
+    for capacity in invalid {
+        let mut spec = spec.clone();
+        spec["capacity"] = capacity;
+        assert_eq!(read_entry(&entry_object(spec)).as_ref(), Some(&older));
+    }
+}
--- a/crates/rudder-engine/src/group/tests/service.rs
+++ b/crates/rudder-engine/src/group/tests/service.rs
@@ -4,7 +4,8 @@
 use crate::group::ServiceGroup;
 use crate::interfaces::MemberDialer;
 use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
-use rudder_core::{LogTerm, MemberName};
+use rudder_core::{InstanceName, LogTerm, MemberName};
+use rudder_decisions::{HolderCandidate, InstanceCapacity, NodePlace};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -58,3 +59,40 @@
 
     assert!(group.member(&name("a")).is_some_and(|member| member.is_listed()));
 }
+
+fn candidate(name: &str, domain: &str) -> HolderCandidate {
+    HolderCandidate {
+        instance: name.parse().expect("a name"),
+        place: NodePlace { domain: domain.parse().expect("a name"), region: domain.to_owned() },
+        capacity: InstanceCapacity(250),
+    }
+}
+
+/// Connections that each of three instances may open to a member in `north`: two of that domain,
+/// and one of another.
+fn connections(forwards: bool) -> Vec<u32> {
+    let holders = [
+        candidate("entry-1", "north"),
+        candidate("entry-2", "north"),
+        candidate("entry-3", "south"),
+    ];
+    let all: Vec<InstanceName> = holders.iter().map(|holder| holder.instance.clone()).collect();
+    let of = |own: &InstanceName| {
+        let (group, _) = group("a");
+        group.assign_connection_shares(28, own, &all, forwards.then_some(&holders));
+        group.member(&name("a")).expect("a member").pool().spare_connections()
+    };
+    all.iter().map(of).collect()
+}
+
+#[tokio::test]
+async fn shares_are_equal_unless_statements_are_forwarded() {
+    // Where forwarding is not needed, instances must divide the connections as older builds do.
+    assert_eq!(connections(false), [8, 8, 8]);
+}
+
+#[tokio::test]
+async fn holders_divide_one_half_and_the_other_instances_the_rest() {
+    // If holders had more, no connection would be left for those that cannot reach them.
+    assert_eq!(connections(true), [6, 6, 12]);
+}
