Report a lost read that cannot run elsewhere truthfully, and let idle connections sleep

Cause: after a holder was lost, a read that found no connection here was refused as not run, although it may have run at the holder. Each idle connection woke its instance five times a second.

Change: such a read is reported as timed out. The supervision of a connection waits until requests are pending.

--- a/crates/rudder-engine/src/forwarding/connection.rs
+++ b/crates/rudder-engine/src/forwarding/connection.rs
@@ -16,7 +16,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::codec::{FramedRead, FramedWrite};
 
@@ -115,6 +115,8 @@
     queue: mpsc::UnboundedSender<QueuedFrame>,
     queue_bytes: Arc<Semaphore>,
     activity: LinkActivity,
+    /// Notified when requests are pending after there were none.
+    pending: Notify,
 }
 
 impl HolderConnection {
@@ -150,6 +152,7 @@
             queue,
             queue_bytes,
             activity: LinkActivity::new(),
+            pending: Notify::new(),
         });
         tokio::spawn(Arc::clone(&connection).run(stream, frames));
         Ok(connection)
@@ -204,6 +207,7 @@
         let request_id = state.last_request_id;
         if state.requests.is_empty() {
             state.changed_at = Instant::now();
+            self.pending.notify_one();
         }
         state.requests.push(PendingRequest { request_id, is_written: false, sender });
         Ok((PendingGuard { connection: Arc::clone(self), request_id }, receiver))
@@ -320,17 +324,15 @@
                 resumed_at = now;
             }
             ticked_at = now;
-            let changed_at = {
-                let mut state = lock(&self.state);
-                if state.requests.is_empty() {
-                    let is_idle = state.transactions == 0 && now > state.changed_at + IDLE_TIMEOUT;
-                    state.ended |= is_idle;
-                    if is_idle {
-                        return ConnectionEnd::Idle;
-                    }
-                    continue;
+            let Some(changed_at) = self.pending_since() else {
+                if self.end_if_idle(now) {
+                    return ConnectionEnd::Idle;
                 }
-                state.changed_at
+                // Requests may have come meanwhile; the permit of the notification is kept then.
+                let _ = tokio::time::timeout(IDLE_TIMEOUT, self.pending.notified()).await;
+                ticks.reset();
+                ticked_at = Instant::now();
+                continue;
             };
             let silent_at = self.activity.silent_at(changed_at.max(resumed_at), SILENCE_TIMEOUT);
             if now > silent_at {
@@ -340,6 +342,20 @@
         }
     }
 
+    /// Returns the time since which requests are pending without a break.
+    fn pending_since(&self) -> Option<Instant> {
+        let state = lock(&self.state);
+        (!state.requests.is_empty()).then_some(state.changed_at)
+    }
+
+    /// Ends the connection for new requests if it has been unused for [`IDLE_TIMEOUT`].
+    fn end_if_idle(&self, now: Instant) -> bool {
+        let mut state = lock(&self.state);
+        let is_unused = state.requests.is_empty() && state.transactions == 0;
+        state.ended |= is_unused && now >= state.changed_at + IDLE_TIMEOUT;
+        state.ended
+    }
+
     /// Ends the connection and all pending requests.
     fn end(&self, end: ConnectionEnd) {
         let requests = {
--- a/crates/rudder-engine/src/forwarding/dispatch.rs
+++ b/crates/rudder-engine/src/forwarding/dispatch.rs
@@ -47,15 +47,19 @@
                     return in_doubt("the instance that ran the statement was lost");
                 }
                 ForwardResult::Lost(_) if job.time_remaining().is_zero() => {
-                    let text = "the instance that ran the read did not answer in time";
-                    let (error, state) = (StatementError::TimedOut, TransactionState::Idle);
-                    return StatementReply::refusal(error, text, state);
+                    return timed_out("the instance that ran the read did not answer in time");
                 }
                 // The detection of the loss takes longer than a request may wait for a connection.
                 ForwardResult::Lost(_) => lost_job = Some(job.with_renewed_wait(&access.route)),
             }
         }
-        self.run_local(&access.route, lost_job.as_ref().unwrap_or(job), floor).await
+        let Some(job) = lost_job else { return self.run_local(&access.route, job, floor).await };
+        let reply = self.run_local(&access.route, &job, floor).await;
+        if reply.error() == Some(&StatementError::Busy) {
+            // The read may have run at the lost holder, so "not run" would be wrong.
+            return timed_out("the instance that ran the read was lost");
+        }
+        reply
     }
 
     /// Sends the first statement of a transaction to a holder, unless this instance runs it.
@@ -118,6 +122,11 @@
     }
 }
 
+/// Returns the reply to a read that may have run.
+fn timed_out(text: &str) -> StatementReply {
+    StatementReply::refusal(StatementError::TimedOut, text, TransactionState::Idle)
+}
+
 /// Updates the metrics, and logs each request that was not served and a sample of the others.
 fn record_outcome(
     holder: &InstanceName,
--- a/crates/rudder-engine/src/forwarding/tests/lost_holder.rs
+++ b/crates/rudder-engine/src/forwarding/tests/lost_holder.rs
@@ -213,3 +213,19 @@
     assert_eq!(recorder.value("rudder_forward_frames_rejected_total{malformed}"), 1);
     assert_eq!(recorder.value("rudder_forwarded_total{in_doubt}"), 1);
 }
+
+/// The read may have run at the lost holder, so "not run" would be false.
+#[tokio::test]
+async fn a_lost_read_that_cannot_run_elsewhere_is_not_reported_as_not_run() {
+    let (origin, holder) = origin_of(HolderScript::CloseOnRequest).await;
+    let mut session = session(&origin, "bounded").await;
+    let group = origin.engine.group(&"records".parse().expect("a name"));
+    for member in group.members() {
+        member.pool().set_share(rudder_decisions::ConnectionShare(0), false);
+    }
+
+    let reply = read(&mut session, "READ x").await;
+
+    assert_eq!(holder.request_count(), 1);
+    assert_eq!(reply.error(), Some(&StatementError::TimedOut));
+}
