Split the results of requests and the scripted holders into files of their own

Change: result.rs, tests/scripted.rs; tests wait for a rollback for 2 s, which is less than the idle timeout.

--- a/crates/rudder-engine/src/forwarding/choice.rs
+++ b/crates/rudder-engine/src/forwarding/choice.rs
@@ -1,6 +1,6 @@
 //! Which instance runs a request: this one or a holder of connections for the caller's account.
 
-use super::connection::{ForwardFault, ForwardResult};
+use super::result::{ForwardFault, ForwardResult};
 use super::wire::DeclineReason;
 use crate::engine::{ProxyEngine, RouteAccess};
 use crate::group::{GroupMember, PlacementContext, nearest_usable};
--- a/crates/rudder-engine/src/forwarding/client.rs
+++ b/crates/rudder-engine/src/forwarding/client.rs
@@ -1,7 +1,8 @@
 //! Connections of this instance to the holders that it forwards to, one per holder.
 
 use super::choice::HolderTarget;
-use super::connection::{ForwardFault, ForwardResult, HolderConnection};
+use super::connection::HolderConnection;
+use super::result::{ForwardFault, ForwardResult};
 use super::wire::{OriginFrame, WireRequest};
 use crate::engine::RouteAccess;
 use crate::session::StatementJob;
--- a/crates/rudder-engine/src/forwarding/connection.rs
+++ b/crates/rudder-engine/src/forwarding/connection.rs
@@ -4,11 +4,10 @@
 use super::frame::{
     ConnectionEnd, FrameDecoder, LinkActivity, encode_to_holder, length_codec, preamble,
 };
-use super::wire::{DeclineReason, HolderFrame, OriginFrame};
-use crate::statement::StatementReply;
+use super::result::{ForwardFault, ForwardResult};
+use super::wire::{HolderFrame, OriginFrame};
 use crate::sync::lock;
 use bytes::Bytes;
-use displaydoc::Display;
 use futures::{SinkExt, StreamExt};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -33,39 +32,6 @@
 /// Maximum number of pending requests on one connection. A holder runs as many in total.
 const PENDING_MAX: usize = 256;
 
-/// Reason why a request got no response from a holder. The texts are fixed words in logs.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub(crate) enum ForwardFault {
-    /// unreachable
-    Unreachable,
-    /// closed
-    Closed,
-    /// silent
-    Silent,
-    /// malformed
-    Malformed,
-    /// timeout
-    Timeout,
-    /// too_large
-    TooLarge,
-    /// queue_full
-    QueueFull,
-    /// undeliverable
-    Undeliverable,
-}
-
-/// Result of a request to a holder.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum ForwardResult {
-    Reply(StatementReply),
-    /// The holder sent nothing to a member.
-    Declined(DeclineReason),
-    /// The holder did not receive the request.
-    NotSent(ForwardFault),
-    /// The holder may have run the request.
-    Lost(ForwardFault),
-}
-
 struct PendingRequest {
     request_id: u64,
     /// Whether writing the request has begun.
--- a/crates/rudder-engine/src/forwarding/dispatch.rs
+++ b/crates/rudder-engine/src/forwarding/dispatch.rs
@@ -1,7 +1,7 @@
 //! Runs a caller's request at a holder or at this instance, and classifies a lost holder's request.
 
-use super::connection::ForwardResult;
 use super::remote::RemoteTransaction;
+use super::result::ForwardResult;
 use crate::engine::{ProxyEngine, RouteAccess};
 use crate::session::{StatementJob, in_doubt, is_strict};
 use crate::statement::{StatementEffect, StatementError, StatementReply, TransactionState};
--- a/crates/rudder-engine/src/forwarding/mod.rs
+++ b/crates/rudder-engine/src/forwarding/mod.rs
@@ -13,15 +13,16 @@
 mod held;
 pub(crate) mod holders;
 mod remote;
+mod result;
 mod server;
 mod suspension;
 mod wire;
 mod workload;
 
-pub(crate) use connection::ForwardResult;
 pub(crate) use dispatch::RemoteStart;
 pub(crate) use frame::FORWARDING_MARK;
 pub(crate) use remote::RemoteTransaction;
+pub(crate) use result::ForwardResult;
 pub(crate) use server::serve_forwarding;
 
 use client::ForwardingClient;
--- a/crates/rudder-engine/src/forwarding/remote.rs
+++ b/crates/rudder-engine/src/forwarding/remote.rs
@@ -2,7 +2,8 @@
 
 use super::choice::HolderTarget;
 use super::client::{ForwardingClient, connect_limit, reply_limit};
-use super::connection::{ForwardFault, ForwardResult, HolderConnection};
+use super::connection::HolderConnection;
+use super::result::{ForwardFault, ForwardResult};
 use super::wire::{OriginFrame, WireBegin, WireRequest};
 use crate::engine::RouteAccess;
 use crate::session::StatementJob;
--- /dev/null
+++ b/crates/rudder-engine/src/forwarding/result.rs
@@ -0,0 +1,38 @@
+//! What became of a request to a holder.
+
+use super::wire::DeclineReason;
+use crate::statement::StatementReply;
+use displaydoc::Display;
+
+/// Reason why a request got no response from a holder. The texts are fixed words in logs.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum ForwardFault {
+    /// unreachable
+    Unreachable,
+    /// closed
+    Closed,
+    /// silent
+    Silent,
+    /// malformed
+    Malformed,
+    /// timeout
+    Timeout,
+    /// too_large
+    TooLarge,
+    /// queue_full
+    QueueFull,
+    /// undeliverable
+    Undeliverable,
+}
+
+/// Result of a request to a holder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ForwardResult {
+    Reply(StatementReply),
+    /// The holder sent nothing to a member.
+    Declined(DeclineReason),
+    /// The holder did not receive the request.
+    NotSent(ForwardFault),
+    /// The holder may have run the request.
+    Lost(ForwardFault),
+}
--- a/crates/rudder-engine/src/forwarding/tests/fixture.rs
+++ b/crates/rudder-engine/src/forwarding/tests/fixture.rs
@@ -1,11 +1,8 @@
-//! Instances in one process whose members record what they receive, and holders that follow a
-//! script.
+//! Instances in one process whose members record what they receive.
 
 use crate::clock::boot_time;
 use crate::engine::{ProxyEngine, RouteAccess};
 use crate::fixtures::{RejectingPromotion, UnavailableStore, identity, member_entry};
-use crate::forwarding::frame::{FrameDecoder, LinkActivity, length_codec, preamble};
-use crate::forwarding::wire::{HolderFrame, OriginFrame};
 use crate::group::MemberEntry;
 use crate::identity::EngineDependencies;
 use crate::interfaces::{LinkError, MemberDialer, MemberLink, MemberTarget};
@@ -21,16 +18,12 @@
     TransactionState,
 };
 use async_trait::async_trait;
-use bytes::Bytes;
-use futures::{SinkExt, StreamExt};
 use rudder_core::{AccountName, LogStamp, LogTerm, MemberStatus};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::{FramedRead, FramedWrite};
+use tokio::net::TcpListener;
 
 /// Text of a statement that a member runs for [`SLOW_TIME`].
 pub(super) const SLOW: &str = "SLOW";
@@ -53,14 +46,15 @@
         self.0.lock().expect("no holder panics").clone()
     }
 
-    /// Waits until a line is in the log.
+    /// Waits until a line is in the log, for less than the idle timeout of transactions, after which
+    /// a holder rolls back without being told.
     pub(super) async fn wait_for(&self, line: &str) {
         let wait = async {
             while !self.lines().iter().any(|known| known == line) {
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
         };
-        let waited = tokio::time::timeout(Duration::from_secs(5), wait).await;
+        let waited = tokio::time::timeout(Duration::from_secs(2), wait).await;
         waited.unwrap_or_else(|_| panic!("{line} is missing from {:?}", self.lines()));
     }
 }
@@ -279,122 +273,3 @@
     let reply = session.run(id("b1"), CallerStatement::Begin { read_only: false }).await;
     assert_eq!(reply.state, TransactionState::Open);
 }
-
-/// How a scripted holder treats the requests on its connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum HolderScript {
-    /// Closes the connection once it has received a request.
-    CloseOnRequest,
-    /// Responds to the first request of a transaction and closes the connection at the next.
-    CloseOnSecond,
-    /// Responds to nothing, not even to pings.
-    Silent,
-    /// Responds to the first request and not to the next.
-    SilentOnSecond,
-    /// Responds twice to each request, and to a request that was never made.
-    Repeat,
-    /// Declines each request as overloaded.
-    Decline,
-    /// Responds with bytes that are no message.
-    Garbage,
-    /// States another version.
-    OtherVersion,
-    /// Reads without ever responding, as an older build does.
-    OlderBuild,
-}
-
-/// A holder that follows a script.
-pub(super) struct ScriptedHolder {
-    pub(super) address: SocketAddr,
-    /// Number of requests that it received.
-    pub(super) requests: Arc<Mutex<usize>>,
-}
-
-impl ScriptedHolder {
-    pub(super) async fn start(script: HolderScript) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
-        let address = listener.local_addr().expect("an address");
-        let requests = Arc::new(Mutex::new(0));
-        let count = Arc::clone(&requests);
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(follow_script(script, stream, Arc::clone(&count)));
-            }
-        });
-        Self { address, requests }
-    }
-
-    pub(super) fn request_count(&self) -> usize {
-        *self.requests.lock().expect("no holder panics")
-    }
-}
-
-async fn follow_script(script: HolderScript, mut stream: TcpStream, count: Arc<Mutex<usize>>) {
-    let mut preamble_bytes = preamble();
-    stream.read_exact(&mut preamble_bytes).await.expect("a preamble");
-    if script == HolderScript::OlderBuild {
-        let _ = stream.read_to_end(&mut Vec::new()).await;
-        return;
-    }
-    if script == HolderScript::OtherVersion {
-        preamble_bytes[2] += 1;
-    }
-    stream.write_all(&preamble_bytes).await.expect("a connection");
-    let (reader, writer) = stream.into_split();
-    let decoder = FrameDecoder::<OriginFrame>::new(LinkActivity::new());
-    let mut frames = FramedRead::new(reader, decoder);
-    let mut writer = FramedWrite::new(writer, length_codec());
-    let mut received = 0;
-    while let Some(Ok((frame, _))) = frames.next().await {
-        let request = match frame {
-            OriginFrame::Statement(request) | OriginFrame::Transaction { request, .. } => request,
-            OriginFrame::RollBack { .. } => continue,
-            OriginFrame::Ping => {
-                let is_silent = script == HolderScript::Silent
-                    || (script == HolderScript::SilentOnSecond && received > 1);
-                if !is_silent {
-                    send(&mut writer, &HolderFrame::Pong).await;
-                }
-                continue;
-            }
-        };
-        *count.lock().expect("no holder panics") += 1;
-        received += 1;
-        let request_id = request.request_id;
-        let reply = |request_id| {
-            let outcome = StatementOutcome::Done("scripted".to_owned());
-            let state = TransactionState::Open;
-            let reply = StatementReply { rows: Vec::new(), outcome, state, position: None };
-            HolderFrame::Reply { request_id, reply: reply.into() }
-        };
-        match script {
-            HolderScript::CloseOnRequest => return,
-            HolderScript::CloseOnSecond | HolderScript::SilentOnSecond if received == 1 => {
-                send(&mut writer, &reply(request_id)).await;
-            }
-            HolderScript::CloseOnSecond => return,
-            HolderScript::Repeat => {
-                send(&mut writer, &reply(request_id + 1000)).await;
-                send(&mut writer, &reply(request_id)).await;
-                send(&mut writer, &reply(request_id)).await;
-            }
-            HolderScript::Decline => {
-                let reason = crate::forwarding::wire::DeclineReason::Overloaded;
-                send(&mut writer, &HolderFrame::Declined { request_id, reason }).await;
-            }
-            HolderScript::Garbage => {
-                writer.send(Bytes::from_static(&[0xEE; 40])).await.expect("a connection");
-            }
-            _ => {}
-        }
-    }
-}
-
-async fn send<W: tokio::io::AsyncWrite + Unpin>(
-    writer: &mut FramedWrite<W, tokio_util::codec::LengthDelimitedCodec>,
-    frame: &HolderFrame,
-) {
-    let bytes = postcard::to_stdvec(frame).expect("a message");
-    // The origin may have closed the connection.
-    let _ = writer.send(Bytes::from(bytes)).await;
-}
--- a/crates/rudder-engine/src/forwarding/tests/lost_holder.rs
+++ b/crates/rudder-engine/src/forwarding/tests/lost_holder.rs
@@ -2,9 +2,10 @@
 
 use super::counters::CounterRecorder;
 use super::fixture::{
-    HolderScript, ScriptedHolder, TestInstance, begin, confirm_primary, forwarded_account, id,
-    instance, introduce, read, session, write,
+    TestInstance, begin, confirm_primary, forwarded_account, id, instance, introduce, read,
+    session, write,
 };
+use super::scripted::{HolderScript, ScriptedHolder};
 use crate::statement::{CallerStatement, StatementError, StatementReply, TransactionState};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
--- a/crates/rudder-engine/src/forwarding/tests/mod.rs
+++ b/crates/rudder-engine/src/forwarding/tests/mod.rs
@@ -5,4 +5,5 @@
 mod frames;
 mod lost_holder;
 mod requests;
+mod scripted;
 mod served;
