Do not dial while all holders of an account are overloaded

A saturated member gets nothing from more connections.

Change: forward_choice returns Busy with a delay if a holder can be reached but is overloaded; it dials only if none can be reached.

--- a/crates/rudder-decisions/src/forwarding/board.rs
+++ b/crates/rudder-decisions/src/forwarding/board.rs
@@ -13,8 +13,8 @@
 use std::time::{Duration, Instant};
 
 /// Time for which an account avoids an overloaded holder. A declined statement costs a round trip of
-/// up to 24 ms between regions; tried at this interval, that is a twentieth of the time.
-const OVERLOADED_PAUSE: Duration = Duration::from_millis(500);
+/// up to 24 ms between regions; tried at this interval, that is a tenth of the time.
+const OVERLOADED_PAUSE: Duration = Duration::from_millis(250);
 
 /// Time for which an unreachable holder is first skipped: one heartbeat interval.
 const UNREACHABLE_PAUSE_MIN: Duration = Duration::from_secs(1);
@@ -104,6 +104,35 @@
         true
     }
 
+    /// Returns for how long a holder that can be reached, as far as is known, is skipped by `account`
+    /// because it is overloaded; `None` if it is not.
+    ///
+    /// ```
+    /// use rudder_decisions::HolderBoard;
+    /// use std::time::{Duration, Instant};
+    /// let now = Instant::now();
+    /// let (holder, account) = ("entry-1".parse()?, "choirs".parse()?);
+    /// let mut board = HolderBoard::default();
+    /// board.record_overloaded(&holder, &account, now);
+    /// assert_eq!(board.overloaded_for(&holder, &account, now), Some(Duration::from_millis(250)));
+    /// board.record_unreachable(&holder, now);
+    /// assert_eq!(board.overloaded_for(&holder, &account, now), None);
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn overloaded_for(
+        &self,
+        holder: &InstanceName,
+        account: &AccountName,
+        now: Instant,
+    ) -> Option<Duration> {
+        if self.find_skipped(holder).is_ok() {
+            return None;
+        }
+        let overloaded = &self.overloaded[self.find_overloaded(holder, account).ok()?];
+        Some(overloaded.retry_at.saturating_duration_since(now)).filter(|pause| !pause.is_zero())
+    }
+
     /// Records that the holder could not be reached, or did not respond.
     ///
     /// See the example of [`HolderBoard`].
--- a/crates/rudder-decisions/src/forwarding/choice.rs
+++ b/crates/rudder-decisions/src/forwarding/choice.rs
@@ -2,7 +2,7 @@
 
 use super::HolderBoard;
 use rudder_core::{AccountName, InstanceName};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Number of holders in order that may serve an account. A large account needs a few; if this many
 /// cannot be used, the fault is rather on this instance's side, and it dials itself.
@@ -45,11 +45,18 @@
     Local,
     /// The named holder.
     Forward(InstanceName),
+    /// None for now: all holders that can be reached are overloaded. A connection opened here would
+    /// take from the member what its holders need, so the statement is rejected as not run.
+    Busy {
+        /// Time until a holder may be tried again.
+        retry_after: Duration,
+    },
 }
 
 /// Returns the instance that runs a statement of `account`, given the `holders` in order: this
-/// instance if it has a warm connection; otherwise the first holder that is usable. The choice is
-/// local if that is this instance, or if none of the first four is usable.
+/// instance if it has a warm connection; otherwise the first of four holders that is usable. If none
+/// is, this instance dials only if none of them can be reached. If some are overloaded instead, the
+/// statement waits here if this instance is a holder, and is rejected otherwise.
 ///
 /// ```
 /// use rudder_decisions::{ForwardChoice, HolderBoard, LocalPool, forward_choice};
@@ -67,6 +74,8 @@
 /// assert_eq!(choose(cold, &mut board), ForwardChoice::Forward(holders[0].clone()));
 /// board.record_unreachable(&holders[0], now);
 /// assert_eq!(choose(cold, &mut board), ForwardChoice::Forward(holders[1].clone()));
+/// board.record_overloaded(&holders[1], &account, now);
+/// assert!(matches!(choose(cold, &mut board), ForwardChoice::Busy { .. }));
 /// board.record_unreachable(&holders[1], now);
 /// assert_eq!(choose(cold, &mut board), ForwardChoice::Local);
 /// # Ok::<(), rudder_core::ParseError>(())
@@ -83,7 +92,8 @@
     if pool.is_warm {
         return ForwardChoice::Local;
     }
-    for holder in holders.iter().take(HOLDERS_MAX) {
+    let holders = &holders[..holders.len().min(HOLDERS_MAX)];
+    for holder in holders {
         if holder == own {
             if pool.has_long_queue() {
                 continue;
@@ -94,5 +104,9 @@
             return ForwardChoice::Forward(holder.clone());
         }
     }
-    ForwardChoice::Local
+    let pauses = holders.iter().filter_map(|holder| board.overloaded_for(holder, account, now));
+    match pauses.min() {
+        Some(retry_after) if !holders.contains(own) => ForwardChoice::Busy { retry_after },
+        Some(_) | None => ForwardChoice::Local,
+    }
 }
--- a/crates/rudder-decisions/tests/load/forwarding.rs
+++ b/crates/rudder-decisions/tests/load/forwarding.rs
@@ -84,6 +84,21 @@
     assert!(f64::from(result.declined) < 0.05 * f64::from(result.served), "{result:?}");
 }
 
+#[test]
+fn a_saturated_member_is_not_filled_with_connections() {
+    // Three fifths of all statements are of one account and at one member, more than it can serve.
+    // If each instance dialed once the holders are overloaded, the member would refuse hundreds of
+    // thousands of connections, and its slots would open connections instead of running statements.
+    let load = FleetLoad { surge: 0.6, ..LOAD };
+    let forwarded = simulate(load);
+    let own = simulate(FleetLoad { forwards: false, ..load });
+
+    assert_eq!(forwarded.refused, 0, "{forwarded:?}");
+    assert!(forwarded.served > own.served, "{forwarded:?} {own:?}");
+    assert!(forwarded.rejected < forwarded.served / 10, "{forwarded:?}");
+    assert!(forwarded.mean_ms < 100.0, "{forwarded:?}");
+}
+
 #[test]
 fn the_loss_of_a_holder_moves_only_its_accounts() {
     // If the order of the others changed as well, one lost instance would cost the connections of
@@ -256,3 +271,23 @@
     board.record_overloaded(&holders[1], &account(0), now);
     assert_eq!(choose(4, &mut board), ForwardChoice::Local);
 }
+
+#[test]
+fn a_rejected_statement_learns_when_a_holder_is_tried_again() {
+    // Without a delay, hundreds of callers retry at once and are declined again.
+    let (own, account) = ("origin".parse().expect("a name"), account(0));
+    let holders: Vec<InstanceName> =
+        candidates().into_iter().take(6).map(|candidate| candidate.instance).collect();
+    let mut board = HolderBoard::default();
+    let start = Instant::now();
+    for (step, holder) in (0..).zip(&holders[..4]) {
+        board.record_overloaded(holder, &account, start + Duration::from_millis(step));
+    }
+    let now = start + Duration::from_millis(50);
+    let choice = forward_choice(&own, &account, &holders, LocalPool::default(), &mut board, now);
+
+    assert_eq!(choice, ForwardChoice::Busy { retry_after: Duration::from_millis(200) });
+    let later = now + Duration::from_millis(200);
+    let choice = forward_choice(&own, &account, &holders, LocalPool::default(), &mut board, later);
+    assert_eq!(choice, ForwardChoice::Forward(holders[0].clone()));
+}
--- a/crates/rudder-decisions/tests/load/forwarding_fleet.rs
+++ b/crates/rudder-decisions/tests/load/forwarding_fleet.rs
@@ -202,6 +202,9 @@
             self.start + Duration::from_micros(now),
         );
         match choice {
+            ForwardChoice::Busy { .. } => {
+                self.result.rejected += u32::from(statement.at_us >= WARM_UP_US);
+            }
             ForwardChoice::Local => self.serve(now, origin, statement),
             ForwardChoice::Forward(name) => {
                 let holder = self.number_of(&name);
--- a/crates/rudder-decisions/tests/load/forwarding_model.rs
+++ b/crates/rudder-decisions/tests/load/forwarding_model.rs
@@ -35,6 +35,8 @@
     /// Greatest number of connections of one member.
     pub(crate) peak: u32,
     pub(crate) declined: u32,
+    /// Statements that ran nowhere because all holders were overloaded.
+    pub(crate) rejected: u32,
     /// Mean time until the response.
     pub(crate) mean_ms: f64,
     /// Instances that served the largest account at the first member.
