--- a/crates/rudder-engine/src/forwarding/choice.rs
+++ b/crates/rudder-engine/src/forwarding/choice.rs
@@ -8,7 +8,19 @@
 use rudder_decisions::{ForwardChoice, forward_choice};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Where a request runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum RequestPlace {
+    /// At this instance.
+    Local,
+    Holder(HolderTarget),
+    /// Nowhere for now: all holders that can be reached are overloaded.
+    Busy {
+        retry_after: Duration,
+    },
+}
 
 /// A holder and its address.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,29 +30,31 @@
 }
 
 impl ProxyEngine {
-    /// Returns the holder that runs a request; `None` if this instance runs it. `strict` says
-    /// whether only the primary may serve it.
-    pub(super) fn choose_holder(
+    /// Returns where a request runs. `strict` says whether only the primary may serve it.
+    pub(super) fn choose_place(
         &self,
         access: &RouteAccess,
         strict: bool,
         floor: Option<LogStamp>,
-    ) -> Option<HolderTarget> {
-        let account = access.account.as_ref()?;
-        let member = self.expected_member(access, strict, floor)?;
+    ) -> RequestPlace {
+        let Some(account) = &access.account else { return RequestPlace::Local };
+        let Some(member) = self.expected_member(access, strict, floor) else {
+            return RequestPlace::Local;
+        };
         let known = self.member_holders(&access.route.service, account, &member);
         if !known.is_needed {
-            return None;
+            return RequestPlace::Local;
         }
         let own = self.identity_name();
         let (names, now) = (&known.holders.names, Instant::now());
         let mut board = self.holders().board();
         match forward_choice(own, account, names, known.pool, &mut board, now) {
-            ForwardChoice::Local => None,
-            ForwardChoice::Forward(instance) => {
-                let address = known.holders.address(&instance)?;
-                Some(HolderTarget { instance, address })
-            }
+            ForwardChoice::Local => RequestPlace::Local,
+            ForwardChoice::Forward(instance) => match known.holders.address(&instance) {
+                Some(address) => RequestPlace::Holder(HolderTarget { instance, address }),
+                None => RequestPlace::Local,
+            },
+            ForwardChoice::Busy { retry_after } => RequestPlace::Busy { retry_after },
         }
     }
 
@@ -75,13 +89,15 @@
         match result {
             ForwardResult::Reply(_) => board.record_reply(holder),
             ForwardResult::Declined(DeclineReason::Draining) => board.record_draining(holder, now),
-            // The holder is reachable, but not of use to this account for now.
-            ForwardResult::Declined(_)
-            | ForwardResult::NotSent(ForwardFault::TooLarge | ForwardFault::QueueFull)
-            | ForwardResult::Lost(ForwardFault::Undeliverable) => {
+            ForwardResult::Declined(DeclineReason::Overloaded)
+            | ForwardResult::NotSent(ForwardFault::QueueFull) => {
                 board.record_reply(holder);
                 board.record_overloaded(holder, account, now);
             }
+            // The holder is usable, but not for this request.
+            ForwardResult::Declined(_)
+            | ForwardResult::NotSent(ForwardFault::TooLarge)
+            | ForwardResult::Lost(ForwardFault::Undeliverable) => board.record_reply(holder),
             ForwardResult::NotSent(_) | ForwardResult::Lost(_) => {
                 board.record_unreachable(holder, now);
             }
--- a/crates/rudder-engine/src/forwarding/dispatch.rs
+++ b/crates/rudder-engine/src/forwarding/dispatch.rs
@@ -1,16 +1,18 @@
 //! Runs a caller's request at a holder or at this instance, and classifies a lost holder's request.
 
+use super::choice::RequestPlace;
 use super::remote::RemoteTransaction;
 use super::result::ForwardResult;
 use crate::engine::{ProxyEngine, RouteAccess};
-use crate::session::{StatementJob, in_doubt, is_strict};
+use crate::session::{StatementJob, in_doubt, is_strict, retry_text_after};
 use crate::statement::{StatementEffect, StatementError, StatementReply, TransactionState};
+use rand::RngExt;
 use rudder_core::{InstanceName, LogStamp};
-use std::time::Instant;
+use rudder_decisions::HOLDERS_MAX;
+use std::time::{Duration, Instant};
 
-/// Maximum number of holders that a request is sent to. Further ones would use up the time in which
-/// this instance can run the request itself.
-const ATTEMPTS_MAX: usize = 2;
+/// Spread of the retry delays of requests that were rejected together.
+const RETRY_JITTER_MS: std::ops::Range<u64> = 0..200;
 
 /// One of this many forwarded requests that were served is logged.
 const SERVED_SAMPLE: u64 = 64;
@@ -19,6 +21,8 @@
 pub(crate) enum RemoteStart {
     /// The transaction runs at this instance.
     Local,
+    /// The transaction does not run: its first statement was rejected.
+    Rejected(StatementReply),
     /// The transaction runs at a holder, which returned the result of the first statement.
     Remote(RemoteTransaction, ForwardResult),
 }
@@ -32,14 +36,26 @@
         floor: Option<LogStamp>,
     ) -> StatementReply {
         let mut lost_job = None;
-        for _ in 0..ATTEMPTS_MAX {
-            let strict = is_strict(&access.route, job.effect);
-            let Some(holder) = self.choose_holder(access, strict, floor) else { break };
+        let strict = is_strict(&access.route, job.effect);
+        // One more than there are holders, as the last choice may be that all are overloaded.
+        for _ in 0..=HOLDERS_MAX {
+            let holder = match self.choose_place(access, strict, floor) {
+                RequestPlace::Local => break,
+                RequestPlace::Holder(holder) => holder,
+                // The read may have run at the lost holder, so "not run" would be wrong.
+                RequestPlace::Busy { .. } if lost_job.is_some() => {
+                    return timed_out("the instance that ran the read was lost");
+                }
+                RequestPlace::Busy { retry_after } => {
+                    return reject(job, retry_after, TransactionState::Idle);
+                }
+            };
             let job = lost_job.as_ref().unwrap_or(job);
             let sent_at = Instant::now();
             let result = self.forwarding().client().run(&holder, access, job, floor).await;
             let leaves_doubt = job.effect == StatementEffect::Write;
             self.record_result(&holder.instance, job, sent_at, &result, leaves_doubt);
+            let is_of_request = result.is_of_request();
             match result {
                 ForwardResult::Reply(reply) => return reply,
                 ForwardResult::Declined(_) | ForwardResult::NotSent(_) => {}
@@ -52,6 +68,9 @@
                 // The detection of the loss takes longer than a request may wait for a connection.
                 ForwardResult::Lost(_) => lost_job = Some(job.with_renewed_wait(&access.route)),
             }
+            if is_of_request {
+                break;
+            }
         }
         let Some(job) = lost_job else { return self.run_local(&access.route, job, floor).await };
         let reply = self.run_local(&access.route, &job, floor).await;
@@ -71,8 +90,15 @@
         floor: Option<LogStamp>,
     ) -> RemoteStart {
         let strict = !read_only || is_strict(&access.route, StatementEffect::Read);
-        for _ in 0..ATTEMPTS_MAX {
-            let Some(holder) = self.choose_holder(access, strict, floor) else { break };
+        for _ in 0..=HOLDERS_MAX {
+            let holder = match self.choose_place(access, strict, floor) {
+                RequestPlace::Local => break,
+                RequestPlace::Holder(holder) => holder,
+                RequestPlace::Busy { retry_after } => {
+                    let reply = reject(job, retry_after, TransactionState::Failed);
+                    return RemoteStart::Rejected(reply);
+                }
+            };
             let sent_at = Instant::now();
             let client = self.forwarding().client();
             let result = match RemoteTransaction::open(client, &holder, read_only, job).await {
@@ -84,6 +110,7 @@
                         ForwardResult::Reply(_) | ForwardResult::Lost(_) => {
                             return RemoteStart::Remote(remote, result);
                         }
+                        _ if result.is_of_request() => break,
                         ForwardResult::Declined(_) | ForwardResult::NotSent(_) => continue,
                     }
                 }
@@ -122,6 +149,20 @@
     }
 }
 
+/// Returns the refusal of a request that no holder can run for now.
+fn reject(job: &StatementJob, retry_after: Duration, state: TransactionState) -> StatementReply {
+    let jitter = Duration::from_millis(rand::rng().random_range(RETRY_JITTER_MS));
+    let retry_after = retry_after + jitter;
+    metrics::counter!("rudder_forwarded_total", "outcome" => "rejected").increment(1);
+    log::info!(
+        request:% = job.id, service:% = job.service, reason = "holders_overloaded",
+        retry_after_ms = retry_after.as_millis(), outcome = "not_run";
+        "a statement was refused"
+    );
+    let text = retry_text_after(retry_after, "the connections of the account are in use");
+    StatementReply::refusal(StatementError::Busy, &text, state)
+}
+
 /// Returns the reply to a read that may have run.
 fn timed_out(text: &str) -> StatementReply {
     StatementReply::refusal(StatementError::TimedOut, text, TransactionState::Idle)
--- a/crates/rudder-engine/src/forwarding/result.rs
+++ b/crates/rudder-engine/src/forwarding/result.rs
@@ -36,3 +36,17 @@
     /// The holder may have run the request.
     Lost(ForwardFault),
 }
+
+impl ForwardResult {
+    /// Whether the fault is of the request, so that another holder would not run it either.
+    pub(super) fn is_of_request(&self) -> bool {
+        match self {
+            Self::Reply(_) => false,
+            Self::Declined(reason) => {
+                !matches!(reason, DeclineReason::Draining | DeclineReason::Overloaded)
+            }
+            Self::NotSent(fault) => *fault == ForwardFault::TooLarge,
+            Self::Lost(fault) => *fault == ForwardFault::Undeliverable,
+        }
+    }
+}
--- a/crates/rudder-engine/src/forwarding/tests/fixture.rs
+++ b/crates/rudder-engine/src/forwarding/tests/fixture.rs
@@ -3,6 +3,7 @@
 use crate::clock::boot_time;
 use crate::engine::{ProxyEngine, RouteAccess};
 use crate::fixtures::{RejectingPromotion, UnavailableStore, identity, member_entry};
+use crate::forwarding::choice::RequestPlace;
 use crate::group::MemberEntry;
 use crate::identity::EngineDependencies;
 use crate::interfaces::{LinkError, MemberDialer, MemberLink, MemberTarget};
@@ -223,6 +224,23 @@
     origin.engine.membership().set_entries(entries, boot_time());
 }
 
+/// Makes several holders known to an instance that is farther from the members than they are.
+pub(super) fn introduce_nearer(origin: &TestInstance, holders: &[SocketAddr]) {
+    let entry = |name: &str, domain: &str, address| PeerEntry {
+        instance: name.parse().expect("a name"),
+        domain: domain.parse().expect("a name"),
+        address,
+        marked: false,
+        capacity: None,
+    };
+    let mut entries: Vec<PeerEntry> = (0..)
+        .zip(holders)
+        .map(|(number, address)| entry(&format!("holder-{number}"), "north", *address))
+        .collect();
+    entries.push(entry("origin", "south", origin.address));
+    origin.engine.membership().set_entries(entries, boot_time());
+}
+
 /// Returns an account whose statements the origin forwards, as chosen before any of them was sent.
 pub(super) fn forwarded_account(origin: &TestInstance) -> String {
     origin.account.get_or_init(|| choose_account(origin)).clone()
@@ -232,7 +250,7 @@
     let is_forwarded = |account: &String| {
         let (database, key) = (DatabaseName("strict".to_owned()), KeyDigest::of(account));
         let access = origin.engine.access(&database, &key).expect("a key");
-        origin.engine.choose_holder(&access, true, None).is_some()
+        matches!(origin.engine.choose_place(&access, true, None), RequestPlace::Holder(_))
     };
     accounts().into_iter().find(is_forwarded).expect("an account whose holder is the other one")
 }
--- a/crates/rudder-engine/src/forwarding/tests/lost_holder.rs
+++ b/crates/rudder-engine/src/forwarding/tests/lost_holder.rs
@@ -2,10 +2,11 @@
 
 use super::counters::CounterRecorder;
 use super::fixture::{
-    TestInstance, begin, confirm_primary, forwarded_account, id, instance, introduce, read,
-    session, write,
+    TestInstance, accounts, begin, confirm_primary, forwarded_account, id, instance, introduce,
+    introduce_nearer, read, session, write,
 };
 use super::scripted::{HolderScript, ScriptedHolder};
+use crate::settings::{DatabaseName, KeyDigest};
 use crate::statement::{CallerStatement, StatementError, StatementReply, TransactionState};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -230,3 +231,49 @@
     assert_eq!(holder.request_count(), 1);
     assert_eq!(reply.error(), Some(&StatementError::TimedOut));
 }
+
+/// If all instances dialed while the holders are overloaded, the member would refuse connections.
+#[tokio::test]
+async fn requests_are_rejected_as_not_run_while_all_holders_are_overloaded() {
+    let (origin, holder) =
+        (instance("origin").await, ScriptedHolder::start(HolderScript::Decline).await);
+    introduce_nearer(&origin, &[holder.address; 4]);
+    let (mut first, mut second) =
+        (session(&origin, "strict").await, session(&origin, "strict").await);
+
+    let reply = write(&mut first, "PUT x").await;
+    begin(&mut second).await;
+    let begun = write(&mut second, "PUT y").await;
+    let commit = second.run(id("c1"), CallerStatement::Commit).await;
+
+    assert_eq!((reply.error(), reply.state), (Some(&StatementError::Busy), TransactionState::Idle));
+    assert!(format!("{reply:?}").contains("not run, retry after"), "{reply:?}");
+    assert_eq!(begun.error(), Some(&StatementError::Busy));
+    assert_eq!(begun.state, TransactionState::Failed);
+    assert_eq!(commit.error(), Some(&StatementError::Aborted));
+    assert_eq!((holder.request_count(), origin.log.lines().len()), (4, 0));
+}
+
+/// The next holder has the account's connections, too; this instance would have to open one.
+#[tokio::test]
+async fn a_request_goes_to_the_next_holder_after_one_that_is_lost_or_declines() {
+    for script in [HolderScript::Decline, HolderScript::OtherVersion, HolderScript::CloseOnRequest]
+    {
+        let (origin, scripted, holder) =
+            (instance("origin").await, ScriptedHolder::start(script).await, instance("h").await);
+        introduce_nearer(&origin, &[scripted.address, holder.address]);
+
+        // Each of the two is the first holder of some of the accounts.
+        for account in accounts() {
+            let (database, key) = (DatabaseName("bounded".to_owned()), KeyDigest::of(&account));
+            let opened = origin.engine.open_session(database, key).await;
+            let reply = read(&mut opened.expect("a session"), "READ x").await;
+            assert_eq!(reply.error(), None, "{script:?}");
+        }
+
+        assert_eq!(holder.log.lines().len(), accounts().len(), "{script:?}");
+        assert!(origin.log.lines().is_empty(), "{script:?}");
+        let is_turned_away = script == HolderScript::OtherVersion;
+        assert_eq!(scripted.request_count() == 0, is_turned_away, "{script:?}");
+    }
+}
--- a/crates/rudder-engine/src/session/mod.rs
+++ b/crates/rudder-engine/src/session/mod.rs
@@ -10,7 +10,7 @@
 mod transaction;
 
 pub use caller::CallerSession;
-pub(crate) use job::StatementJob;
+pub(crate) use job::{StatementJob, retry_text_after};
 pub(crate) use single::is_strict;
 pub(crate) use strict::in_doubt;
 pub(crate) use transaction::OpenTransaction;
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -214,12 +214,17 @@
             }
             TransactionPlace::Undecided => {
                 let start = engine.start_transaction(access, read_only, job, session_floor).await;
-                let RemoteStart::Remote(remote, result) = start else {
-                    self.place = TransactionPlace::Local;
-                    return None;
-                };
-                self.place = TransactionPlace::Remote(remote);
-                result
+                match start {
+                    RemoteStart::Local => {
+                        self.place = TransactionPlace::Local;
+                        return None;
+                    }
+                    RemoteStart::Rejected(reply) => ForwardResult::Reply(reply),
+                    RemoteStart::Remote(remote, result) => {
+                        self.place = TransactionPlace::Remote(remote);
+                        result
+                    }
+                }
             }
         };
         self.wrote |= job.effect == StatementEffect::Write;
