--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -12,6 +12,8 @@
 mod connection_share;
 mod detector;
 mod dial_gate;
+mod forwarded_load;
+mod forwarding;
 mod meter;
 mod operation_limit;
 mod outlier;
@@ -34,6 +36,11 @@
 pub use connection_share::ConnectionShare;
 pub use detector::{SilenceDetector, SuspicionBound};
 pub use dial_gate::{DialFailure, DialGate};
+pub use forwarded_load::ForwardedLoad;
+pub use forwarding::{
+    ForwardChoice, ForwardingRule, HOLDERS_MAX, HolderBoard, HolderBudget, HolderCandidate,
+    InstanceCapacity, LocalPool, forward_choice, rank_holders,
+};
 pub use meter::MemberMeter;
 pub use operation_limit::{
     ClaimDecision, ClaimPlan, ExpiringSet, FleetContact, GrantLog, LimitBounds, LimitLedger,
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -4,6 +4,8 @@
 mod leadership;
 
 use crate::clock::boot_time;
+use crate::forwarding::ForwardingState;
+use crate::forwarding::holders::HolderTable;
 use crate::group::{GroupMember, ServiceGroup};
 use crate::identity::{DrainPhase, EngineDependencies, InstanceIdentity};
 use crate::lead::LeaderLease;
@@ -68,11 +70,13 @@
     copy_fetch_running: AtomicBool,
     records_status: Mutex<RecordsStatus>,
     limits: AccountLimits,
+    forwarding: ForwardingState,
     /// Datagram exchange with other instances; set at the start.
     exchange: OnceLock<PeerExchange>,
     pending_copy: PendingCopy,
     /// Notified when callers wait for current records of the primaries.
     wait_records_request: Notify,
+    holders: HolderTable,
 }
 
 impl ProxyEngine {
@@ -93,9 +97,11 @@
             copy_fetch_running: AtomicBool::new(false),
             records_status: Mutex::default(),
             limits: AccountLimits::default(),
+            forwarding: ForwardingState::default(),
             exchange: OnceLock::new(),
             pending_copy: PendingCopy::default(),
             wait_records_request: Notify::new(),
+            holders: HolderTable::default(),
         })
     }
 
@@ -143,6 +149,16 @@
         &self.limits
     }
 
+    /// Returns the state of forwarding to and from other instances.
+    pub(crate) fn forwarding(&self) -> &ForwardingState {
+        &self.forwarding
+    }
+
+    /// Returns the holders of the connections of client accounts.
+    pub(crate) fn holders(&self) -> &HolderTable {
+        &self.holders
+    }
+
     pub(crate) fn membership(&self) -> &MembershipView {
         &self.membership
     }
--- a/crates/rudder-engine/src/group/placement.rs
+++ b/crates/rudder-engine/src/group/placement.rs
@@ -30,6 +30,19 @@
     usable
 }
 
+/// Returns the member that would be tried first if all had free connections.
+pub(crate) fn nearest_usable(
+    members: &[Arc<GroupMember>],
+    context: &PlacementContext,
+) -> Option<Arc<GroupMember>> {
+    let usable = members.iter().filter(|member| member.serves_reads());
+    let rank = |member: &&Arc<GroupMember>| {
+        let rank = ReadRank { no_free_connection: false, ..read_rank(member, context) };
+        (rank, member.name().clone())
+    };
+    usable.min_by_key(rank).cloned()
+}
+
 fn read_rank(member: &GroupMember, context: &PlacementContext) -> ReadRank {
     ReadRank {
         unreachable: member.pool().is_unreachable(),
