Loans of connections between instances: the decision without I/O

Cause: with 29 instances and 49 connections a member, an instance has one or two connections and refuses callers while connections of others are unused.

Change: LoanLedger holds the borrowed and lent connections of one instance to one member and decides requests, renewals, returns and recalls; SpareBoard chooses one lender at a time. The lender lowers its share before it responds and counts the validity with a margin; a new process uses one connection for that time. A renewal keeps the id of the loan: with an id of its own, a late response to a lost renewal made the borrower return a loan that it still used (found by the replayed load).

--- a/crates/rudder-decisions/src/connection_share.rs
+++ b/crates/rudder-decisions/src/connection_share.rs
@@ -43,6 +43,20 @@
         (connections_max.saturating_sub(RESERVED_CONNECTIONS) as usize) < instances
     }
 
+    /// Returns the largest share of any of `instances`.
+    ///
+    /// ```
+    /// use rudder_decisions::ConnectionShare;
+    /// assert_eq!(ConnectionShare::largest(49, 29), ConnectionShare(2));
+    /// assert_eq!(ConnectionShare::largest(49, 15), ConnectionShare(3));
+    /// ```
+    #[must_use]
+    pub fn largest(connections_max: u32, instances: usize) -> Self {
+        let free = connections_max.saturating_sub(RESERVED_CONNECTIONS);
+        let count = u32::try_from(instances).unwrap_or(u32::MAX).max(1);
+        Self(free.div_ceil(count).max(1))
+    }
+
     /// Returns the share of `own` in the connections that `member` accepts from `all` instances,
     /// including this one; at least one.
     ///
--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod average;
 mod connection_headroom;
+mod connection_loan;
 mod connection_share;
 mod detector;
 mod dial_gate;
@@ -31,6 +32,10 @@
     RefusalCause, RefusalReason, TicketId, TicketNotice, TicketOutcome,
 };
 pub use connection_headroom::ConnectionHeadroom;
+pub use connection_loan::{
+    LoanAction, LoanDecision, LoanLedger, LoanRefusal, LoanRequestTerms, LoanResponseTerms,
+    MemberKey, MemberUse, ResponseOutcome, ReturnReason, SpareBoard, uses_connection_loans,
+};
 pub use connection_share::ConnectionShare;
 pub use detector::{SilenceDetector, SuspicionBound};
 pub use dial_gate::{DialFailure, DialGate};
--- a/crates/rudder-decisions/tests/load/main.rs
+++ b/crates/rudder-decisions/tests/load/main.rs
@@ -24,6 +24,7 @@
 mod admission;
 mod burst;
 mod busy_caller;
+mod connection_loan;
 mod connection_share;
 mod detection;
 mod dial_gate;
