Loans of connections between instances: messages, pools, start after a loss of all instances

Cause: an instance whose share of a member is one or two connections refuses callers while connections of others are unused; after a loss of all instances, the few connections that members still accept go to whichever caller dials first.

Change: SpareConnections, LoanRequest, LoanResponse, LoanReturn and LoanRecall (appended to PeerMessage); group/loan.rs keeps the ledgers, group/pool_loans.rs what they add to a pool, duty/loans.rs sends and handles the messages. Only while loans are used (no accounts, largest share 1 or 2, not scarce): a process that has just started dials one connection per member at first, callers below the highest priority 100 ms later; reads go first to members that accept connections, and among members of the same region to those with fewer statements of this instance in flight.

--- a/crates/rudder-decisions/src/connection_loan/ledger.rs
+++ b/crates/rudder-decisions/src/connection_loan/ledger.rs
@@ -330,7 +330,7 @@
     pub fn end_all(&mut self) {
         self.pending = None;
         for loan in &mut self.borrowed {
-            loan.ending.get_or_insert(ReturnReason::Unknown);
+            loan.ending.get_or_insert(ReturnReason::Disabled);
         }
     }
 
--- a/crates/rudder-decisions/src/connection_loan/terms.rs
+++ b/crates/rudder-decisions/src/connection_loan/terms.rs
@@ -122,7 +122,9 @@
     Recalled,
     /// Its validity ends.
     Expired,
-    /// This instance does not know it, or loans are no longer used.
+    /// Loans are no longer used.
+    Disabled,
+    /// This instance does not know it.
     Unknown,
 }
 
@@ -138,6 +140,7 @@
             Self::Unused => "unused",
             Self::Recalled => "recalled",
             Self::Expired => "expired",
+            Self::Disabled => "disabled",
             Self::Unknown => "unknown",
         }
     }
--- a/crates/rudder-decisions/src/dial_gate.rs
+++ b/crates/rudder-decisions/src/dial_gate.rs
@@ -10,6 +10,10 @@
 //! repeated refusals, so that many instances together cost the member little, and stays short
 //! enough that a free connection is found soon. A member that cannot be reached is not dialed for
 //! about the duration of a failed attempt, so that not all callers wait for it.
+//!
+//! Where instances share few connections, the few that such a member accepts go to the callers of
+//! the highest priority: other callers dial later after a refusal, and a process that has just
+//! started treats each member as if it had refused a connection.
 
 use std::time::{Duration, Instant};
 
@@ -19,6 +23,10 @@
 /// Maximum pause after a refusal: a free connection is found after half of it on average.
 const REFUSED_PAUSE_MAX: Duration = Duration::from_millis(200);
 
+/// Additional pause of callers that do not have the highest priority. About the round trip and
+/// processing of the dials that go first, and less than half of the time that reads may wait.
+const LOW_PRIORITY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Pause after a member could not be reached.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -87,6 +95,48 @@
         open && !self.is_unreachable(now)
     }
 
+    /// Whether a caller could begin a dial now. After a refusal, callers that are not of the highest
+    /// priority (`is_urgent`) dial later than the others.
+    ///
+    /// ```
+    /// use rudder_decisions::DialGate;
+    /// use std::time::{Duration, Instant};
+    /// let now = Instant::now();
+    /// let mut gate = DialGate::default();
+    /// assert!(gate.may_begin_for(false, now));
+    /// gate.expect_refusal(now);
+    /// assert!(gate.may_begin_for(true, now) && !gate.may_begin_for(false, now));
+    /// assert!(gate.may_begin_for(false, now + Duration::from_millis(100)));
+    /// ```
+    #[must_use]
+    pub fn may_begin_for(&self, is_urgent: bool, now: Instant) -> bool {
+        let pause = if is_urgent { Duration::ZERO } else { LOW_PRIORITY_PAUSE };
+        self.may_begin(now) && self.refused.is_none_or(|refused| now >= refused.retry_at + pause)
+    }
+
+    /// Whether the member refused the last dial, or is expected to refuse the next.
+    ///
+    /// ```
+    /// let mut gate = rudder_decisions::DialGate::default();
+    /// gate.expect_refusal(std::time::Instant::now());
+    /// assert!(gate.is_refusing());
+    /// gate.record_success();
+    /// assert!(!gate.is_refusing());
+    /// ```
+    #[must_use]
+    pub fn is_refusing(&self) -> bool {
+        self.refused.is_some()
+    }
+
+    /// Treats the member as if it had refused a connection, because this process has just started
+    /// and the member may be full. The first dial may begin at once.
+    ///
+    /// See the example of [`DialGate::may_begin_for`].
+    pub fn expect_refusal(&mut self, now: Instant) {
+        let state = RefusedState { retry_at: now, pause: REFUSED_PAUSE_MIN, probing: false };
+        self.refused.get_or_insert(state);
+    }
+
     /// Whether the member was unreachable at the last dial, within the pause after it.
     ///
     /// ```
--- a/crates/rudder-decisions/src/read_rank.rs
+++ b/crates/rudder-decisions/src/read_rank.rs
@@ -11,6 +11,11 @@
 //! how long. Criteria in order of precedence, each of which ranks a member behind those that it does
 //! not apply to: the member cannot be reached, it lacks the position, it failed recently, it would
 //! make the read wait. Distance decides only among members that are equal in all of these.
+//!
+//! Where instances share few connections to each member, reads of many instances meet at the near
+//! primary, whose slots are then missing for what only it can serve. There, the statements in
+//! flight at members of the same region decide before the distance; no read is sent to another
+//! region because of them.
 
 use crate::place::PlaceDistance;
 
@@ -23,6 +28,8 @@
 ///     lagging: false,
 ///     recently_failed: false,
 ///     no_free_connection: false,
+///     in_other_region: false,
+///     in_flight: 0,
 ///     distance: PlaceDistance::SameDomain,
 /// };
 /// let trailing = ReadRank { lagging: true, ..near };
@@ -40,6 +47,10 @@
     pub recently_failed: bool,
     /// Whether no connection to the member is free.
     pub no_free_connection: bool,
+    /// Whether the member is in another region; false where statements in flight do not count.
+    pub in_other_region: bool,
+    /// Statements of this instance in flight at the member; 0 where they do not count.
+    pub in_flight: u32,
     /// Distance to the member.
     pub distance: PlaceDistance,
 }
--- a/crates/rudder-decisions/src/wait_queue.rs
+++ b/crates/rudder-decisions/src/wait_queue.rs
@@ -143,6 +143,18 @@
         self.waiters.retain(|entry| still_waits(&entry.waiter));
     }
 
+    /// Returns the waiters in the order in which they are served.
+    ///
+    /// ```
+    /// let mut queue = rudder_decisions::WaitQueue::default();
+    /// queue.push(2, "read");
+    /// queue.push(0, "order");
+    /// assert_eq!(queue.iter().collect::<Vec<_>>(), [&"order", &"read"]);
+    /// ```
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.waiters.iter().map(|entry| &entry.waiter)
+    }
+
     /// Returns the number of waiters, including those that timed out.
     ///
     /// ```
--- a/crates/rudder-decisions/tests/load/read_rank.rs
+++ b/crates/rudder-decisions/tests/load/read_rank.rs
@@ -9,6 +9,8 @@
         lagging: false,
         recently_failed: false,
         no_free_connection: false,
+        in_other_region: false,
+        in_flight: 0,
         distance,
     }
 }
@@ -48,3 +50,22 @@
 
     assert!(in_order.is_sorted());
 }
+
+#[test]
+fn reads_leave_a_busy_primary_for_a_member_of_the_same_region() {
+    // Otherwise the reads of a domain fill the slots of its primary while a replica next door is
+    // idle, and writes wait.
+    let busy = ReadRank { in_flight: 1, ..rank_at(PlaceDistance::SameDomain) };
+    let idle = rank_at(PlaceDistance::SameRegion);
+
+    assert_eq!(first_choice(&[busy, idle]), 1);
+}
+
+#[test]
+fn statements_in_flight_send_no_read_to_another_region() {
+    // A round trip to another region takes longer than the wait for a slot.
+    let busy = ReadRank { in_flight: 2, ..rank_at(PlaceDistance::SameDomain) };
+    let idle = ReadRank { in_other_region: true, ..rank_at(PlaceDistance::Elsewhere) };
+
+    assert_eq!(first_choice(&[busy, idle]), 0);
+}
--- a/crates/rudder-engine/src/duty/heartbeat.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -1,6 +1,10 @@
 //! Heartbeats between instances, and the handling of peers' datagrams.
 
 use super::answers::{handle_request, handle_response, request_records};
+use super::loans::{
+    handle_loan_recall, handle_loan_response, handle_loan_return, record_spare,
+    respond_to_loan_request,
+};
 use super::schedule::HeartbeatSchedule;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
@@ -90,6 +94,17 @@
                 respond_with_copy(&engine, &exchange, request, from).await;
             }
             PeerMessage::Copy(response) => engine.pending_copy().complete(response),
+            PeerMessage::SpareConnections(report) => record_spare(&engine, report, from),
+            PeerMessage::LoanRequest(request) => {
+                respond_to_loan_request(&engine, &exchange, request, from).await;
+            }
+            PeerMessage::LoanResponse(response) => {
+                handle_loan_response(&engine, &exchange, response, from).await;
+            }
+            PeerMessage::LoanReturn(notice) => handle_loan_return(&engine, &notice, from),
+            PeerMessage::LoanRecall(recall) => {
+                handle_loan_recall(&engine, &exchange, recall, from).await;
+            }
         }
     }
 }
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -1,6 +1,7 @@
 //! Decides for each service whether to change its primary, and updates the connection shares.
 
 use super::change::{self, ChangeDecision};
+use super::loans::update_modes;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::{GroupMember, MemberState, ServiceGroup};
@@ -220,6 +221,7 @@
 
 fn update_connection_shares(engine: &ProxyEngine) {
     let Some(settings) = engine.settings() else { return };
+    update_modes(engine);
     let own = &engine.identity().name;
     let all = engine.membership().known();
     for group in engine.groups() {
--- a/crates/rudder-engine/src/duty/mod.rs
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod heartbeat;
 mod keeper;
+mod loans;
 mod promote;
 mod records;
 mod registry;
--- a/crates/rudder-engine/src/duty/start.rs
+++ b/crates/rudder-engine/src/duty/start.rs
@@ -1,6 +1,6 @@
 //! Start of an instance.
 
-use super::{heartbeat, keeper, records, registry, watch};
+use super::{heartbeat, keeper, loans, records, registry, watch};
 use crate::engine::ProxyEngine;
 use crate::identity::{EngineDependencies, InstanceIdentity};
 use crate::peers::{PeerExchange, serve_copies};
@@ -38,6 +38,7 @@
     tokio::spawn(registry::keep_registered(Arc::clone(&engine)));
     tokio::spawn(records::follow(Arc::clone(&engine), exchange.clone()));
     tokio::spawn(watch::supervise(Arc::clone(&engine)));
+    tokio::spawn(loans::keep_loans(Arc::clone(&engine), exchange.clone()));
     tokio::spawn(keeper::run_keeper(Arc::clone(&engine), exchange));
     Ok(engine)
 }
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -4,7 +4,7 @@
 mod leadership;
 
 use crate::clock::boot_time;
-use crate::group::{GroupMember, ServiceGroup};
+use crate::group::{ConnectionLoans, GroupMember, ServiceGroup};
 use crate::identity::{DrainPhase, EngineDependencies, InstanceIdentity};
 use crate::lead::LeaderLease;
 use crate::limits::AccountLimits;
@@ -68,6 +68,7 @@
     copy_fetch_running: AtomicBool,
     records_status: Mutex<RecordsStatus>,
     limits: AccountLimits,
+    loans: ConnectionLoans,
     /// Datagram exchange with other instances; set at the start.
     exchange: OnceLock<PeerExchange>,
     pending_copy: PendingCopy,
@@ -93,6 +94,7 @@
             copy_fetch_running: AtomicBool::new(false),
             records_status: Mutex::default(),
             limits: AccountLimits::default(),
+            loans: ConnectionLoans::new(),
             exchange: OnceLock::new(),
             pending_copy: PendingCopy::default(),
             wait_records_request: Notify::new(),
@@ -143,6 +145,11 @@
         &self.limits
     }
 
+    /// Returns the loans of connections between instances.
+    pub(crate) fn loans(&self) -> &ConnectionLoans {
+        &self.loans
+    }
+
     pub(crate) fn membership(&self) -> &MembershipView {
         &self.membership
     }
--- a/crates/rudder-engine/src/group/acquire.rs
+++ b/crates/rudder-engine/src/group/acquire.rs
@@ -49,6 +49,7 @@
     fn join(&mut self, request: &LinkRequest) {
         let request = QueueRequest {
             link: request.clone(),
+            is_preferred: self.index == 0,
             kept_free: self.choice.kept_free,
             sequence: self.sequence,
         };
--- a/crates/rudder-engine/src/group/placement.rs
+++ b/crates/rudder-engine/src/group/placement.rs
@@ -4,7 +4,7 @@
 use super::member::GroupMember;
 use super::service::ServiceGroup;
 use rudder_core::LogStamp;
-use rudder_decisions::{NodePlace, ReadRank};
+use rudder_decisions::{NodePlace, PlaceDistance, ReadRank};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,12 +31,17 @@
 }
 
 fn read_rank(member: &GroupMember, context: &PlacementContext) -> ReadRank {
+    let distance = context.own.distance(&member.place());
+    let load = member.pool().shared_load();
+    let is_refusing = load.is_some_and(|load| load.is_refusing);
     ReadRank {
         unreachable: member.pool().is_unreachable(),
         lagging: member.lacks(context.floor, context.floor_age),
         recently_failed: member.is_deprioritized(),
-        no_free_connection: member.pool().spare_connections() == 0,
-        distance: context.own.distance(&member.place()),
+        no_free_connection: is_refusing || member.pool().spare_connections() == 0,
+        in_other_region: load.is_some() && distance == PlaceDistance::Elsewhere,
+        in_flight: load.map_or(0, |load| load.in_flight),
+        distance,
     }
 }
 
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -6,13 +6,15 @@
 //! although a connection becomes free a millisecond later; without priorities, reads that can wait
 //! are served before urgent writes. Limits: [`ConnectionShare`] sets the share,
 //! [`ConnectionHeadroom`] the connections allowed beyond it, [`WaitQueue`] the order, [`DialGate`]
-//! the dials after a failure, and the caller the wait deadline.
+//! the dials after a failure, and the caller the wait deadline. Where instances lend each other
+//! connections, [`PoolLoans`] holds what is added to the share.
 //!
 //! A member runs statements as the account that the connection was opened for, so a connection
 //! serves one client account. If no further connection may be opened, the one that has been idle
 //! longest is replaced by one for the account that needs it.
 
 use super::link::PooledLink;
+use super::pool_loans::PoolLoans;
 use crate::interfaces::{LinkError, MemberDialer, MemberTarget};
 use crate::statement::StatementError;
 use crate::sync::lock;
@@ -38,20 +40,22 @@
     state: Mutex<PoolState>,
 }
 
-struct PoolState {
-    idle: Vec<PooledLink>,
+pub(super) struct PoolState {
+    pub(super) idle: Vec<PooledLink>,
     /// Number of connections that are idle, in use or being opened.
-    open: u32,
-    share: u32,
+    pub(super) open: u32,
+    pub(super) share: u32,
+    pub(super) loans: PoolLoans,
     headroom: ConnectionHeadroom,
-    waiters: WaitQueue<WaitingCaller>,
-    gate: DialGate,
+    pub(super) waiters: WaitQueue<WaitingCaller>,
+    pub(super) gate: DialGate,
 }
 
 impl PoolState {
     /// Maximum number of open connections.
-    fn max_open(&self, now: Instant) -> u32 {
-        self.share + if self.share > 0 { self.headroom.extra(now) } else { 0 }
+    pub(super) fn max_open(&self, now: Instant) -> u32 {
+        let extra = if self.share > 0 { self.headroom.extra(now) } else { 0 };
+        self.loans.limit(self.share) + extra
     }
 
     /// Reserves a slot for a new connection. If none is left, returns the connection that has been
@@ -108,9 +112,14 @@
 }
 
 /// A caller in the queue for a connection.
-struct WaitingCaller {
+pub(super) struct WaitingCaller {
     user: LinkUser,
-    granted: oneshot::Sender<ConnectionGrant>,
+    pub(super) granted: oneshot::Sender<ConnectionGrant>,
+    /// Rank in the queue.
+    pub(super) rank: u8,
+    /// Whether the caller prefers this member. Otherwise it also waits at another member, and a
+    /// connection borrowed for it here would not be used.
+    pub(super) is_preferred: bool,
     /// Number of connections that must stay free for others after the grant.
     kept_free: u32,
 }
@@ -127,6 +136,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct QueueRequest {
     pub(super) link: LinkRequest,
+    /// Whether this member is the first choice.
+    pub(super) is_preferred: bool,
     /// Number of connections that must stay free for others after the grant.
     pub(super) kept_free: u32,
     /// Sequence number from an earlier entry in this queue, which keeps its order.
@@ -149,6 +160,7 @@
             idle: Vec::new(),
             open: 0,
             share,
+            loans: PoolLoans::default(),
             headroom: ConnectionHeadroom::default(),
             waiters: WaitQueue::default(),
             gate: DialGate::default(),
@@ -160,7 +172,7 @@
         &self.target
     }
 
-    fn state(&self) -> MutexGuard<'_, PoolState> {
+    pub(super) fn state(&self) -> MutexGuard<'_, PoolState> {
         lock(&self.state)
     }
 
@@ -172,7 +184,7 @@
             let mut state = self.state();
             state.share = share.0;
             state.headroom.set_scarce(is_scarce);
-            while state.open > count(closed.len()) + share.0 {
+            while state.open > count(closed.len()) + state.loans.limit(share.0) {
                 let Some(link) = state.idle.pop() else { break };
                 closed.push(link);
             }
@@ -228,7 +240,8 @@
     pub(super) fn join_queue(self: &Arc<Self>, request: QueueRequest) -> QueueEntry {
         let (sender, granted) = oneshot::channel();
         let LinkRequest { user, rank } = request.link;
-        let caller = WaitingCaller { user, granted: sender, kept_free: request.kept_free };
+        let QueueRequest { is_preferred, kept_free, .. } = request;
+        let caller = WaitingCaller { user, granted: sender, rank, is_preferred, kept_free };
         let sequence = {
             let mut state = self.state();
             match request.sequence {
@@ -240,11 +253,12 @@
             }
         };
         self.serve_queue();
+        self.report_loan_need();
         QueueEntry { sequence, granted }
     }
 
     /// Grants available connections and slots to waiting callers.
-    fn serve_queue(self: &Arc<Self>) {
+    pub(super) fn serve_queue(self: &Arc<Self>) {
         while let Some((caller, grant)) = self.next_grant() {
             // If the caller has just stopped waiting, dropping the grant frees it again.
             drop(caller.granted.send(grant));
@@ -261,18 +275,21 @@
         state.waiters.retain(|caller| !caller.granted.is_closed());
         // If the pool may hold only one connection, it is available to all requests.
         let max_kept_free = state.max_open(now).saturating_sub(1);
-        let may_dial = state.gate.may_begin(now);
-        let PoolState { idle, waiters, .. } = &mut *state;
+        let PoolState { idle, waiters, gate, loans, .. } = &mut *state;
+        let may_dial = |rank| gate.may_begin_for(loans.is_urgent(rank), now);
         let position = |user: &LinkUser| idle.iter().rposition(|link| user.accepts(link.account()));
         let caller = waiters.pop_where(|caller| {
             let enough_free = caller.kept_free.min(max_kept_free) < free;
-            enough_free && (may_dial || position(&caller.user).is_some())
+            enough_free && (may_dial(caller.rank) || position(&caller.user).is_some())
         })?;
         if let Some(index) = position(&caller.user) {
-            return Some((caller, ConnectionGrant::Link(idle.remove(index))));
+            let link = idle.remove(index);
+            state.record_use();
+            return Some((caller, ConnectionGrant::Link(link)));
         }
         state.gate.try_begin(now);
         let replaced = state.reserve_slot(now);
+        state.record_use();
         drop(state);
         if let Some(link) = replaced {
             link.close_for_replacement();
@@ -390,6 +407,6 @@
     }
 }
 
-fn count(length: usize) -> u32 {
+pub(super) fn count(length: usize) -> u32 {
     u32::try_from(length).unwrap_or(u32::MAX)
 }
--- a/crates/rudder-engine/src/group/tests/mod.rs
+++ b/crates/rudder-engine/src/group/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the membership of a service, connection pools, and session state on connections.
 
 mod link_session;
+mod loan;
 mod pool;
 mod service;
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -3,6 +3,7 @@
 use super::digest::RecordsDigest;
 use super::fleet_copy::{CopyRequest, CopyVersion};
 use super::list_change::ListDigest;
+use super::loan_message::{LoanRecall, LoanRequest, LoanResponse, LoanReturn, SpareConnections};
 use super::offset::RequestOffset;
 use crate::lead::{LeadRecord, LeaderEpoch};
 use rudder_core::{AccountName, DomainName, InstanceName, LogStamp, ServiceName, plain_data};
@@ -208,4 +209,14 @@
     FetchCopy(CopyQuery),
     /// Response to a request for a copy.
     Copy(CopyResponse),
+    /// Connections that an instance could lend.
+    SpareConnections(SpareConnections),
+    /// Request for a loan of connections.
+    LoanRequest(LoanRequest),
+    /// Response to a [`LoanRequest`].
+    LoanResponse(LoanResponse),
+    /// Notice of a borrower that a loan has ended.
+    LoanReturn(LoanReturn),
+    /// Request of a lender to end a loan.
+    LoanRecall(LoanRecall),
 }
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod fleet_copy;
 mod list_change;
+mod loan_message;
 mod membership;
 mod membership_state;
 mod message;
@@ -25,6 +26,9 @@
     respond_with_copy, serve_copies,
 };
 pub(crate) use list_change::{CopiedList, ListDigest, ListHistory};
+pub(crate) use loan_message::{
+    LoanRecall, LoanRequest, LoanResponse, LoanReturn, LoanTarget, SpareConnections, SpareCount,
+};
 pub(crate) use membership::MembershipView;
 pub(crate) use membership_state::{LimitOwner, PeerEntry};
 pub(crate) use message::{
--- a/crates/rudder-engine/src/peers/tests/message.rs
+++ b/crates/rudder-engine/src/peers/tests/message.rs
@@ -1,9 +1,10 @@
 //! Sizes of messages between instances.
 
 use crate::peers::list_change::ListDigest;
+use crate::peers::message::CopyResponse;
 use crate::peers::{
-    CopyVersion, PeerHeartbeat, PeerMessage, RecordTiming, RecordsDigest, RecordsResponse,
-    RequestOffset, SampleCopy,
+    CopyVersion, LoanRecall, LoanTarget, PeerHeartbeat, PeerMessage, RecordTiming, RecordsDigest,
+    RecordsResponse, RequestOffset, SampleCopy, SpareConnections, SpareCount,
 };
 use rudder_core::LogStamp;
 use std::time::Duration;
@@ -72,3 +73,31 @@
 
     assert!(bytes < 100, "{bytes}");
 }
+
+/// An older build drops unknown datagrams, but would take a message for another one if the numbers
+/// of the variants changed.
+#[test]
+fn messages_about_loans_come_after_those_that_older_builds_know() {
+    let loan = LoanTarget {
+        request_id: 1,
+        service: "records".parse().expect("a name"),
+        member: "db-1".parse().expect("a name"),
+    };
+    let number = |message: &PeerMessage| postcard::to_stdvec(message).expect("a message")[0];
+
+    let known = number(&PeerMessage::Copy(CopyResponse { request_id: 1, copy: None }));
+    let report = number(&PeerMessage::SpareConnections(SpareConnections { counts: Vec::new() }));
+    let recall = number(&PeerMessage::LoanRecall(LoanRecall { loan }));
+
+    assert!(known < report && recall == report + 4, "{known} {report} {recall}");
+}
+
+/// Reports are sent to seven instances each second.
+#[test]
+fn a_report_for_all_members_is_short() {
+    let counts = vec![SpareCount { member: u32::MAX, spare: 1 }; 24];
+
+    let bytes = size(&PeerMessage::SpareConnections(SpareConnections { counts }));
+
+    assert!(bytes < 150, "{bytes}");
+}
