Instances lend connections to members that they have not dialed yet

Cause: a process that has just started expects a refusal until its first dial; an instance without callers for a member never dialed it and lent nothing (found by a test of two instances over UDP).

Change: an expected refusal is told apart from an actual one, and an actual one counts for a second after its pause.

Result: the third caller of an instance with two connections gets the one that the other instance lends, the lender gets it back when its callers wait, and at most the sum of the shares is open.

--- a/crates/rudder-decisions/src/dial_gate.rs
+++ b/crates/rudder-decisions/src/dial_gate.rs
@@ -27,6 +27,10 @@
 /// processing of the dials that go first, and less than half of the time that reads may wait.
 const LOW_PRIORITY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time after the pause for which a member counts as refusing connections if nobody dials it.
+/// Longer than several pauses; a member that is not dialed at all must not count for ever.
+const REFUSAL_RELEVANCE: Duration = Duration::from_millis(1000);
+
 /// Pause after a member could not be reached.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -67,6 +71,8 @@
     pause: Duration,
     /// Whether the single dial that probes the member is in progress.
     probing: bool,
+    /// Whether the member has not refused a dial yet.
+    expected: bool,
 }
 
 impl DialGate {
@@ -114,18 +120,23 @@
         self.may_begin(now) && self.refused.is_none_or(|refused| now >= refused.retry_at + pause)
     }
 
-    /// Whether the member refused the last dial, or is expected to refuse the next.
+    /// Whether the member refused the last dial, and did so recently.
     ///
     /// ```
-    /// let mut gate = rudder_decisions::DialGate::default();
-    /// gate.expect_refusal(std::time::Instant::now());
-    /// assert!(gate.is_refusing());
-    /// gate.record_success();
-    /// assert!(!gate.is_refusing());
+    /// use rudder_decisions::{DialFailure, DialGate};
+    /// use std::time::{Duration, Instant};
+    /// let now = Instant::now();
+    /// let mut gate = DialGate::default();
+    /// gate.expect_refusal(now);
+    /// assert!(!gate.is_refusing(now));
+    /// gate.record_failure(DialFailure::ConnectionLimit, now);
+    /// assert!(gate.is_refusing(now));
+    /// assert!(!gate.is_refusing(now + Duration::from_secs(2)));
     /// ```
     #[must_use]
-    pub fn is_refusing(&self) -> bool {
-        self.refused.is_some()
+    pub fn is_refusing(&self, now: Instant) -> bool {
+        let refused = self.refused.filter(|refused| !refused.expected);
+        refused.is_some_and(|refused| now < refused.retry_at + REFUSAL_RELEVANCE)
     }
 
     /// Treats the member as if it had refused a connection, because this process has just started
@@ -133,7 +144,12 @@
     ///
     /// See the example of [`DialGate::may_begin_for`].
     pub fn expect_refusal(&mut self, now: Instant) {
-        let state = RefusedState { retry_at: now, pause: REFUSED_PAUSE_MIN, probing: false };
+        let state = RefusedState {
+            retry_at: now,
+            pause: REFUSED_PAUSE_MIN,
+            probing: false,
+            expected: true,
+        };
         self.refused.get_or_insert(state);
     }
 
@@ -198,10 +214,12 @@
     fn record_refusal(&mut self, now: Instant) -> Duration {
         let pause = match self.refused {
             None => REFUSED_PAUSE_MIN,
+            Some(refused) if refused.expected => REFUSED_PAUSE_MIN,
             Some(refused) if refused.probing => (refused.pause * 2).min(REFUSED_PAUSE_MAX),
             Some(refused) => refused.pause,
         };
-        self.refused = Some(RefusedState { retry_at: now + pause, pause, probing: false });
+        self.refused =
+            Some(RefusedState { retry_at: now + pause, pause, probing: false, expected: false });
         pause
     }
 }
--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod change;
 mod fixture;
+mod loans;
 mod records;
 mod registry;
 mod schedule;
--- a/crates/rudder-engine/src/group/pool_loans.rs
+++ b/crates/rudder-engine/src/group/pool_loans.rs
@@ -85,7 +85,7 @@
             recent_peak: self.recent_peak(now),
             waiting,
             priority: rank / RANKS_PER_PRIORITY,
-            may_dial: self.gate.may_begin(now) && !self.gate.is_refusing(),
+            may_dial: self.gate.may_begin(now) && !self.gate.is_refusing(now),
         }
     }
 }
@@ -113,7 +113,7 @@
     pub(super) fn shared_load(&self) -> Option<SharedLoad> {
         let state = self.state();
         state.loans.mode.as_ref()?;
-        let is_refusing = state.gate.is_refusing() && state.idle.is_empty();
+        let is_refusing = state.gate.is_refusing(Instant::now()) && state.idle.is_empty();
         Some(SharedLoad { in_flight: state.in_use(), is_refusing })
     }
 
