Replayed load of loans: a lender and its borrowers together, and connections in use

Cause: without the start limit, the margins, or the wait for a connection in use, the test of the sum still passed, as instances that start leave room in the sum.

Change: the test checks the share of each lender against its own limit and what others borrowed from it, and the connections in use of each instance against what it has.

--- a/crates/rudder-decisions/src/connection_loan/ledger.rs
+++ b/crates/rudder-decisions/src/connection_loan/ledger.rs
@@ -46,6 +46,12 @@
     ending: Option<ReturnReason>,
 }
 
+impl BorrowedLoan {
+    fn is_usable(&self, now: Duration) -> bool {
+        self.ending.is_none() && now + BORROWER_MARGIN < self.until
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct PendingRequest {
     request_id: u64,
@@ -141,12 +147,21 @@
         self.lent.iter().filter(|loan| now < loan.until).map(|loan| loan.count).sum()
     }
 
+    /// Returns the borrowed connections that were not returned yet: the lender, their number, and
+    /// whether work may begin on them.
+    ///
+    /// ```
+    /// let ledger = rudder_decisions::LoanLedger::new(std::time::Duration::ZERO);
+    /// assert_eq!(ledger.borrowed(std::time::Duration::ZERO).count(), 0);
+    /// ```
+    pub fn borrowed(&self, now: Duration) -> impl Iterator<Item = (SocketAddr, u32, bool)> {
+        let valid = self.borrowed.iter().filter(move |loan| now < loan.until);
+        valid.map(move |loan| (loan.lender, loan.count, loan.is_usable(now)))
+    }
+
     /// Number of borrowed connections that work may begin on.
     fn usable(&self, now: Duration) -> u32 {
-        let usable = self
-            .borrowed
-            .iter()
-            .filter(|loan| loan.ending.is_none() && now + BORROWER_MARGIN < loan.until);
+        let usable = self.borrowed.iter().filter(|loan| loan.is_usable(now));
         usable.map(|loan| loan.count).sum()
     }
 
--- a/crates/rudder-decisions/tests/load/connection_loan.rs
+++ b/crates/rudder-decisions/tests/load/connection_loan.rs
@@ -196,6 +196,10 @@
                 self.step(index, now);
             }
             self.check_sum(now);
+            // Every other millisecond, as this takes longer than the simulation.
+            if now.is_multiple_of(2) {
+                self.check_each(now);
+            }
         }
         self.summary
     }
@@ -380,6 +384,32 @@
             assert!(in_use <= shares && shares <= CONNECTIONS, "{in_use} at {now} ms");
         }
     }
+
+    /// A lender and the borrowers of its connections must not use more than its share together, and
+    /// no instance more than it has. The sum alone has room left while instances start.
+    fn check_each(&self, now: u64) {
+        for (index, lender) in self.instances.iter().enumerate() {
+            if now < lender.down_until {
+                continue;
+            }
+            let mut total = lender.limit(now);
+            for (_, count, is_usable) in lender.ledger.borrowed(ms(now)) {
+                total -= if is_usable { count } else { 0 };
+            }
+            for borrower in &self.instances {
+                let of_lender = borrower.ledger.borrowed(ms(now));
+                let of_lender = of_lender.filter(|(from, ..)| *from == address(index));
+                total += of_lender.map(|(_, count, _)| count).sum::<u32>();
+            }
+            assert!(total <= lender.share, "{total} of lender {index} at {now} ms");
+            if self.faults.list_changes_per_second == 0.0 {
+                let ending = lender.ledger.borrowed(ms(now)).filter(|(.., is_usable)| !is_usable);
+                let allowed = lender.limit(now) + ending.map(|(_, count, _)| count).sum::<u32>();
+                let in_use = lender.in_use.len() as u32;
+                assert!(in_use <= allowed, "{in_use} in use at {index}, {now} ms");
+            }
+        }
+    }
 }
 
 fn refused_share(summary: &Summary) -> f64 {
