Replayed load of loans: transactions that outlast their loan

Cause: a validity that the borrower counts from the response instead of the request passed the test, as no connection was in use until the end of its loan.

Change: transactions of 2.5 s in a third of the runs.

--- a/crates/rudder-decisions/tests/load/connection_loan.rs
+++ b/crates/rudder-decisions/tests/load/connection_loan.rs
@@ -25,6 +25,9 @@
 /// Time that a connection is held by a transaction, and by a single statement.
 const HOLD_MS: [u64; 2] = [70, 18];
 
+/// The same with transactions that outlast the end of a loan.
+const LONG_HOLD_MS: [u64; 2] = [2500, 18];
+
 /// Share of the transactions.
 const TRANSACTIONS: f64 = 0.3;
 
@@ -39,6 +42,8 @@
     restarts_per_second: f64,
     /// Chance per second that an instance starts or stops missing others in its list.
     list_changes_per_second: f64,
+    /// Time that a connection is held by a transaction, and by a single statement.
+    hold_ms: [u64; 2],
 }
 
 const NO_FAULTS: Faults = Faults {
@@ -47,6 +52,7 @@
     delay_max_ms: 0,
     restarts_per_second: 0.0,
     list_changes_per_second: 0.0,
+    hold_ms: HOLD_MS,
 };
 
 const FAULTS: Faults = Faults {
@@ -55,6 +61,7 @@
     delay_max_ms: 900,
     restarts_per_second: 0.5,
     list_changes_per_second: 0.0,
+    hold_ms: HOLD_MS,
 };
 
 #[derive(Clone, Copy)]
@@ -214,7 +221,7 @@
             index = index / DOMAINS * DOMAINS + hot;
         }
         let index = index.min(INSTANCES - 1);
-        let hold = HOLD_MS[usize::from(!self.load.random_bool(TRANSACTIONS))];
+        let hold = self.faults.hold_ms[usize::from(!self.load.random_bool(TRANSACTIONS))];
         if now >= self.instances[index].down_until {
             self.summary.arrived += 1;
             self.instances[index].waiting.push((now, hold));
@@ -380,11 +387,17 @@
             }
         }
         assert!(limits <= shares, "{limits} of {shares} at {now} ms");
-        if self.faults.list_changes_per_second == 0.0 {
+        if self.is_bounded_in_use() {
             assert!(in_use <= shares && shares <= CONNECTIONS, "{in_use} at {now} ms");
         }
     }
 
+    /// Whether connections in use stay within the limits: statements end before their loans, and
+    /// shares do not become smaller.
+    fn is_bounded_in_use(&self) -> bool {
+        self.faults.list_changes_per_second == 0.0 && self.faults.hold_ms == HOLD_MS
+    }
+
     /// A lender and the borrowers of its connections must not use more than its share together, and
     /// no instance more than it has. The sum alone has room left while instances start.
     fn check_each(&self, now: u64) {
@@ -402,7 +415,7 @@
                 total += of_lender.map(|(_, count, _)| count).sum::<u32>();
             }
             assert!(total <= lender.share, "{total} of lender {index} at {now} ms");
-            if self.faults.list_changes_per_second == 0.0 {
+            if self.is_bounded_in_use() {
                 let ending = lender.ledger.borrowed(ms(now)).filter(|(.., is_usable)| !is_usable);
                 let allowed = lender.limit(now) + ending.map(|(_, count, _)| count).sum::<u32>();
                 let in_use = lender.in_use.len() as u32;
@@ -437,7 +450,8 @@
     // and lists differ.
     for seed in 0..24 {
         let list_changes_per_second = if seed % 2 == 0 { 0.5 } else { 0.0 };
-        let faults = Faults { list_changes_per_second, ..FAULTS };
+        let hold_ms = if seed % 3 == 0 { LONG_HOLD_MS } else { HOLD_MS };
+        let faults = Faults { list_changes_per_second, hold_ms, ..FAULTS };
         let summary = Simulation::new(seed, faults, true).run(12_000);
 
         assert!(summary.borrowed > 0, "{summary:?}");
