--- a/crates/rudder-engine/src/duty/loans.rs
+++ b/crates/rudder-engine/src/duty/loans.rs
@@ -15,7 +15,8 @@
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// Interval between checks while no loan exists and no caller waits.
+/// Interval between checks while no loan exists and no caller waits, and between checks of all
+/// members.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Interval between checks while loans exist or callers wait: a loan that was recalled is returned,
@@ -43,6 +44,7 @@
     let own_seed = xxh3_64(engine.identity().name.as_str().as_bytes());
     let mut report = ReportSchedule::default();
     let mut busy_until = Instant::now();
+    let mut full_pass_at: Option<Instant> = None;
     loop {
         let now = Instant::now();
         let loans = engine.loans();
@@ -50,7 +52,11 @@
             tokio::time::sleep(IDLE_INTERVAL).await;
             continue;
         }
-        for work in loans.advance(&engine.groups(), own_seed) {
+        let is_full = full_pass_at.is_none_or(|at| now >= at + IDLE_INTERVAL);
+        if is_full {
+            full_pass_at = Some(now);
+        }
+        for work in loans.advance(&engine.groups(), own_seed, is_full) {
             send_work(&exchange, work).await;
         }
         if let Some(message) = report.due(&engine, now) {
--- a/crates/rudder-engine/src/group/loan.rs
+++ b/crates/rudder-engine/src/group/loan.rs
@@ -54,6 +54,7 @@
 struct MemberLedger {
     service: ServiceName,
     member: MemberName,
+    key: MemberKey,
     /// Whether loans are used for this member.
     in_use: bool,
     ledger: LoanLedger,
@@ -73,6 +74,7 @@
                 let entry = MemberLedger {
                     service: target.service.clone(),
                     member: target.member.clone(),
+                    key: MemberKey::of(&target.service, &target.member),
                     in_use: false,
                     ledger: LoanLedger::new(started_at),
                 };
@@ -138,9 +140,14 @@
         }
     }
 
-    /// Returns the messages that are due, and applies all loans to the pools. Loans of members that
-    /// were removed end.
-    pub(crate) fn advance(&self, groups: &[Arc<ServiceGroup>], own_seed: u64) -> Vec<LoanWork> {
+    /// Returns the messages that are due, and applies the loans to the pools. Loans of members that
+    /// were removed end. Only a `full` pass covers members without loans and waiting callers.
+    pub(crate) fn advance(
+        &self,
+        groups: &[Arc<ServiceGroup>],
+        own_seed: u64,
+        full: bool,
+    ) -> Vec<LoanWork> {
         let now = boot_time();
         let mut state = self.state();
         let LoanState { ledgers, board } = &mut *state;
@@ -148,7 +155,11 @@
         ledgers.retain_mut(|known| {
             let group = groups.binary_search_by(|group| group.service().cmp(&known.service));
             let member = group.ok().and_then(|index| groups[index].member(&known.member));
-            let key = MemberKey::of(&known.service, &known.member);
+            let has_waiters = member.as_ref().is_some_and(|member| member.pool().has_waiters());
+            if !full && !has_waiters && known.ledger.is_empty() {
+                return true;
+            }
+            let key = known.key;
             let mut decide = |usage: MemberUse| {
                 let is_needed = known.in_use && usage.waiting > 0;
                 let lender = if is_needed { board.choose(key, own_seed, now) } else { None };
@@ -182,7 +193,7 @@
         }
         let usage = member.pool().state().member_use(Instant::now());
         let spare = known.ledger.spare(usage, false, now).ok().filter(|spare| *spare > 0)?;
-        Some((MemberKey::of(&target.service, &target.member), spare))
+        Some((known.key, spare))
     }
 
     /// Records another instance's report.
@@ -242,7 +253,7 @@
             let outcome = known.ledger.record_response(lender, terms, now);
             (known.balance(usage, now), outcome)
         });
-        let key = MemberKey::of(&loan.service, &loan.member);
+        let key = known.key;
         match outcome {
             ResponseOutcome::Borrowed(count) => board.reduce(key, lender, count),
             ResponseOutcome::Refused => board.reduce(key, lender, u32::MAX),
--- a/crates/rudder-engine/src/group/pool_loans.rs
+++ b/crates/rudder-engine/src/group/pool_loans.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Whether callers are in the queue, including those that timed out.
+    pub(super) fn has_waiters(&self) -> bool {
+        !self.state().waiters.is_empty()
+    }
+
     /// Returns the load of the member; `None` where loans are not used.
     pub(super) fn shared_load(&self) -> Option<SharedLoad> {
         let state = self.state();
--- a/crates/rudder-engine/src/group/tests/loan.rs
+++ b/crates/rudder-engine/src/group/tests/loan.rs
@@ -111,7 +111,7 @@
     }
 
     fn advance(&self) -> Vec<LoanAction> {
-        let work = self.loans.advance(std::slice::from_ref(&self.group), OWN_SEED);
+        let work = self.loans.advance(std::slice::from_ref(&self.group), OWN_SEED, true);
         work.into_iter().map(|work| work.action).collect()
     }
 
