--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -6,7 +6,7 @@
 use crate::clock::boot_time;
 use crate::forwarding::ForwardingState;
 use crate::forwarding::holders::HolderTable;
-use crate::group::{GroupMember, ServiceGroup};
+use crate::group::{ConnectionLoans, GroupMember, ServiceGroup};
 use crate::identity::{DrainPhase, EngineDependencies, InstanceIdentity};
 use crate::lead::LeaderLease;
 use crate::limits::AccountLimits;
@@ -71,6 +71,7 @@
     records_status: Mutex<RecordsStatus>,
     limits: AccountLimits,
     forwarding: ForwardingState,
+    loans: ConnectionLoans,
     /// Datagram exchange with other instances; set at the start.
     exchange: OnceLock<PeerExchange>,
     pending_copy: PendingCopy,
@@ -98,6 +99,7 @@
             records_status: Mutex::default(),
             limits: AccountLimits::default(),
             forwarding: ForwardingState::default(),
+            loans: ConnectionLoans::new(),
             exchange: OnceLock::new(),
             pending_copy: PendingCopy::default(),
             wait_records_request: Notify::new(),
@@ -159,6 +161,11 @@
         &self.holders
     }
 
+    /// Returns the loans of connections between instances.
+    pub(crate) fn loans(&self) -> &ConnectionLoans {
+        &self.loans
+    }
+
     pub(crate) fn membership(&self) -> &MembershipView {
         &self.membership
     }
--- a/crates/rudder-engine/src/group/tests/mod.rs
+++ b/crates/rudder-engine/src/group/tests/mod.rs
@@ -2,5 +2,6 @@
 
 mod budget;
 mod link_session;
+mod loan;
 mod pool;
 mod service;
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -3,6 +3,7 @@
 use super::digest::RecordsDigest;
 use super::fleet_copy::{CopyRequest, CopyVersion};
 use super::list_change::ListDigest;
+use super::loan_message::{LoanRecall, LoanRequest, LoanResponse, LoanReturn, SpareConnections};
 use super::offset::RequestOffset;
 use super::relay::{RelayProbe, RelayedProbe};
 use crate::lead::{LeadRecord, LeaderEpoch};
@@ -213,4 +214,14 @@
     RelayProbe(RelayProbe),
     /// Response of a relay, or evidence of a claimant.
     RelayedProbe(RelayedProbe),
+    /// Connections that an instance could lend.
+    SpareConnections(SpareConnections),
+    /// Request for a loan of connections.
+    LoanRequest(LoanRequest),
+    /// Response to a [`LoanRequest`].
+    LoanResponse(LoanResponse),
+    /// Notice of a borrower that a loan has ended.
+    LoanReturn(LoanReturn),
+    /// Request of a lender to end a loan.
+    LoanRecall(LoanRecall),
 }
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -10,6 +10,7 @@
 mod fleet_copy;
 mod holder_list;
 mod list_change;
+mod loan_message;
 mod membership;
 mod membership_state;
 mod message;
@@ -28,6 +29,9 @@
 };
 pub(crate) use holder_list::{HolderList, find_entry};
 pub(crate) use list_change::{CopiedList, ListDigest, ListHistory};
+pub(crate) use loan_message::{
+    LoanRecall, LoanRequest, LoanResponse, LoanReturn, LoanTarget, SpareConnections, SpareCount,
+};
 pub(crate) use membership::MembershipView;
 pub(crate) use membership_state::{LimitOwner, PeerEntry};
 pub(crate) use message::{
