Send a claim to two owners while the first one is in doubt

Cause: each claim waited up to 120 ms for a failed owner again whenever the second in which it is skipped had passed, and each instance for itself. Change: an owner that did not respond in time is in doubt for 5 s, for the claims of all accounts of the instance, unless it responds. A claim whose first owner is in doubt is sent to the next one at once. Both may grant it, but it runs once.

--- a/crates/rudder-decisions/src/operation_limit/plan.rs
+++ b/crates/rudder-decisions/src/operation_limit/plan.rs
@@ -17,11 +17,24 @@
 /// let plan = ClaimPlan::new(&[true, false, false]);
 /// assert_eq!(plan.take(6).collect::<Vec<_>>(), [1, 1, 2, 1, 2, 0]);
 /// ```
+///
+/// If the first owner is in doubt, because a recent claim got no response from it, the next owner
+/// gets the claim at the same time. Both may grant it, but the operation runs once: the limit is not
+/// exceeded, and at most one token is lost.
+///
+/// ```
+/// use rudder_decisions::ClaimPlan;
+/// let mut plan = ClaimPlan::with_doubt(&[false, false, false], &[true, false, false]);
+/// assert_eq!((plan.next(), plan.is_hedged()), (Some(0), true));
+/// assert_eq!((plan.next(), plan.is_hedged()), (Some(1), false));
+/// assert_eq!(plan.take(4).collect::<Vec<_>>(), [0, 1, 2, 1]);
+/// ```
 #[derive(Clone, Debug)]
 pub struct ClaimPlan {
     first: usize,
     count: usize,
     step: usize,
+    is_doubtful: bool,
 }
 
 impl ClaimPlan {
@@ -31,7 +44,26 @@
     #[must_use]
     pub fn new(silent: &[bool]) -> Self {
         let first = silent.iter().position(|silent| !silent).unwrap_or(0);
-        Self { first, count: silent.len(), step: 0 }
+        Self { first, count: silent.len(), step: 0, is_doubtful: false }
+    }
+
+    /// Creates a plan that sends the claim to two owners at once if the first one is in doubt.
+    ///
+    /// See the example of [`ClaimPlan`].
+    #[must_use]
+    pub fn with_doubt(silent: &[bool], doubtful: &[bool]) -> Self {
+        let plan = Self::new(silent);
+        let is_doubtful = doubtful.get(plan.first) == Some(&true) && plan.count > 1;
+        Self { is_doubtful, ..plan }
+    }
+
+    /// Whether the claim is to be sent to the next owner at once, without waiting for the response
+    /// of the one that was returned last.
+    ///
+    /// See the example of [`ClaimPlan`].
+    #[must_use]
+    pub fn is_hedged(&self) -> bool {
+        self.is_doubtful && self.step == 1
     }
 }
 
@@ -44,10 +76,11 @@
         }
         let step = self.step;
         self.step += 1;
-        if step < 2 {
-            return Some(self.first);
-        }
-        let offset = RETRY_OFFSETS[(step - 2) % RETRY_OFFSETS.len()];
+        let offset = match (self.is_doubtful, step) {
+            (_, 0) | (false, 1) => 0,
+            (false, _) => RETRY_OFFSETS[(step - 2) % RETRY_OFFSETS.len()],
+            (true, _) => RETRY_OFFSETS[(step - 1) % RETRY_OFFSETS.len()],
+        };
         Some((self.first + offset) % self.count)
     }
 }
--- a/crates/rudder-decisions/tests/limits/fleet.rs
+++ b/crates/rudder-decisions/tests/limits/fleet.rs
@@ -23,6 +23,9 @@
 /// Time for which an instance skips an owner that did not respond.
 const SKIP_DURATION: Duration = Duration::from_millis(1000);
 
+/// Time for which an owner that did not respond is in doubt, unless it responds.
+const DOUBT_DURATION: Duration = Duration::from_millis(5000);
+
 /// Time from the start of an instance to its first contact with the fleet.
 const JOIN_DELAY: Duration = Duration::from_millis(400);
 
@@ -52,6 +55,8 @@
     watch: OwnerWatch,
     /// Owners that did not respond recently.
     unresponsive: ExpiringSet<InstanceName>,
+    /// Owners that did not respond to a claim in time.
+    doubtful: ExpiringSet<InstanceName>,
     /// Owners that decided its claims.
     grants: GrantLog,
 }
@@ -108,6 +113,8 @@
     started_at: Duration,
     next_attempt_at: Duration,
     plan: ClaimPlan,
+    /// Owner whose response is awaited.
+    awaited_owner: Option<usize>,
     /// Owners that were sent a claim and have not responded.
     tried_owners: Vec<usize>,
     finished: bool,
@@ -127,6 +134,10 @@
     /// Times at which operations were granted.
     pub(crate) granted_at: Vec<Duration>,
     pub(crate) refused: usize,
+    /// Operations that were refused because no owner decided.
+    pub(crate) unanswered: usize,
+    /// Times that operations waited for the decision of an owner.
+    pub(crate) waits: Vec<Duration>,
     /// Whether all instances are without contact with the store.
     store_unreachable: bool,
     /// Whether contact with the store suffices for an owner, without a majority of the instances.
@@ -150,6 +161,7 @@
             ledger: LimitLedger::default(),
             watch: OwnerWatch::default(),
             unresponsive: ExpiringSet::new(SKIP_DURATION),
+            doubtful: ExpiringSet::new(DOUBT_DURATION),
             grants: GrantLog::default(),
         };
         Self {
@@ -163,6 +175,8 @@
             operations: Vec::new(),
             granted_at: Vec::new(),
             refused: 0,
+            unanswered: 0,
+            waits: Vec::new(),
             store_unreachable: false,
             store_suffices: false,
             requested: 0,
@@ -206,6 +220,7 @@
         instance.ledger = LimitLedger::default();
         instance.watch = OwnerWatch::default();
         instance.unresponsive = ExpiringSet::new(SKIP_DURATION);
+        instance.doubtful = ExpiringSet::new(DOUBT_DURATION);
         instance.grants = GrantLog::default();
         for operation in &mut self.operations {
             operation.finished |= operation.instance == index;
@@ -313,17 +328,18 @@
 
     fn start_operation(&mut self, instance: usize) {
         self.requested += 1;
-        let unresponsive = &self.instances[instance].unresponsive;
-        let unresponsive: Vec<bool> = self
-            .owners()
-            .into_iter()
-            .map(|owner| unresponsive.contains(&self.instances[owner].name, self.now))
-            .collect();
+        let known = &self.instances[instance];
+        let marked = |set: &ExpiringSet<InstanceName>| -> Vec<bool> {
+            let owners = self.owners().into_iter();
+            owners.map(|owner| set.contains(&self.instances[owner].name, self.now)).collect()
+        };
+        let plan = ClaimPlan::with_doubt(&marked(&known.unresponsive), &marked(&known.doubtful));
         self.operations.push(SimOperation {
             instance,
             started_at: self.now,
             next_attempt_at: self.now,
-            plan: ClaimPlan::new(&unresponsive),
+            plan,
+            awaited_owner: None,
             tried_owners: Vec::new(),
             finished: false,
         });
@@ -339,8 +355,13 @@
             if self.operations[operation].finished || !is_due || !self.is_running(instance) {
                 continue;
             }
+            if let Some(awaited) = self.operations[operation].awaited_owner.take() {
+                let name = self.instances[awaited].name.clone();
+                self.instances[instance].doubtful.insert(&name, self.now);
+            }
             if self.now >= self.operations[operation].started_at + CLAIM_TIMEOUT {
                 self.operations[operation].finished = true;
+                self.unanswered += 1;
                 self.refused += 1;
                 continue;
             }
@@ -351,7 +372,10 @@
                 self.instances[instance].unresponsive.insert(&name, self.now);
             }
             self.operations[operation].tried_owners.push(owner);
-            self.operations[operation].next_attempt_at = self.now + RESPONSE_TIMEOUT;
+            let is_hedged = self.operations[operation].plan.is_hedged();
+            self.operations[operation].awaited_owner = (!is_hedged).then_some(owner);
+            let timeout = if is_hedged { Duration::ZERO } else { RESPONSE_TIMEOUT };
+            self.operations[operation].next_attempt_at = self.now + timeout;
             if owner == instance {
                 let decision = self.decide(owner, true);
                 self.complete_claim(operation, owner, decision);
@@ -381,6 +405,8 @@
         let instance = self.operations[operation].instance;
         let name = self.instances[owner].name.clone();
         self.instances[instance].unresponsive.remove(&name);
+        self.instances[instance].doubtful.remove(&name);
+        self.operations[operation].awaited_owner.take_if(|awaited| *awaited == owner);
         if decision != ClaimDecision::NotOwner {
             self.instances[instance].grants.record(&self.account, &name, self.now);
         }
@@ -396,6 +422,7 @@
                 return;
             }
         }
+        self.waits.push(self.now - self.operations[operation].started_at);
         self.operations[operation].finished = true;
     }
 
--- a/crates/rudder-decisions/tests/limits/main.rs
+++ b/crates/rudder-decisions/tests/limits/main.rs
@@ -4,4 +4,5 @@
 
 mod fleet;
 mod partial;
+mod reports;
 mod schedules;
--- a/crates/rudder-decisions/tests/limits/partial.rs
+++ b/crates/rudder-decisions/tests/limits/partial.rs
@@ -2,7 +2,8 @@
 //! serves some instances and not others.
 
 use super::fleet::SimFleet;
-use super::schedules::{assert_within_limit, seconds};
+use super::schedules::{assert_within_limit, seconds, seed_count, small_limit};
+use std::time::Duration;
 
 /// Cuts the link between the first two owners, and each other link of the first one with a
 /// probability.
@@ -188,3 +189,22 @@
         fleet.run(seconds(3.0), rate);
     });
 }
+
+/// Each claim could first wait for an owner that others of its instance have found silent.
+#[test]
+fn claims_find_a_successor_soon_after_the_first_owner_fails() {
+    let (mut waits, mut unanswered) = (Vec::new(), 0);
+    for seed in 0..seed_count() {
+        let mut fleet = SimFleet::new(seed, 18, small_limit());
+        fleet.run(seconds(2.0), 20.0);
+        let first = fleet.owners()[0];
+        fleet.stop(first);
+        let decided = fleet.waits.len();
+        fleet.run(seconds(6.0), 20.0);
+        waits.extend(fleet.waits.split_off(decided));
+        unanswered += fleet.unanswered;
+    }
+    let mean = waits.iter().sum::<Duration>() / u32::try_from(waits.len()).expect("few");
+    assert!(mean < Duration::from_millis(85), "{mean:?}");
+    assert_eq!(unanswered, 0);
+}
--- a/crates/rudder-decisions/tests/limits/schedules.rs
+++ b/crates/rudder-decisions/tests/limits/schedules.rs
@@ -13,12 +13,12 @@
 /// Seeds with which a schedule has exceeded a limit before.
 const REGRESSION_SEEDS: [u64; 1] = [46];
 
-fn seed_count() -> u64 {
+pub(crate) fn seed_count() -> u64 {
     let configured = std::env::var(SEEDS_VARIABLE).ok().and_then(|text| text.parse().ok());
     configured.unwrap_or(SEEDS)
 }
 
-fn small_limit() -> OperationLimit {
+pub(crate) fn small_limit() -> OperationLimit {
     OperationLimit { milli_per_second: 10_000, burst: 10 }
 }
 
--- a/crates/rudder-engine/src/limits/claim.rs
+++ b/crates/rudder-engine/src/limits/claim.rs
@@ -8,7 +8,7 @@
 use displaydoc::Display;
 use rand::RngExt;
 use rudder_core::{AccountName, InstanceName};
-use rudder_decisions::{ClaimDecision, ClaimPlan};
+use rudder_decisions::{ClaimDecision, ClaimPlan, ExpiringSet};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -140,6 +140,16 @@
         }
     }
 
+    /// Returns the order in which a claim is sent to owners, by what claims for all accounts have
+    /// shown of them.
+    fn claim_plan(&self, owners: &[LimitOwner]) -> ClaimPlan {
+        let (now, state) = (boot_time(), self.limits().state());
+        let marked = |set: &ExpiringSet<InstanceName>| -> Vec<bool> {
+            owners.iter().map(|owner| set.contains(&owner.instance, now)).collect()
+        };
+        ClaimPlan::with_doubt(&marked(&state.silent_owners), &marked(&state.doubtful_owners))
+    }
+
     async fn claim_at_owners(
         &self,
         owners: &[LimitOwner],
@@ -147,13 +157,11 @@
         mut responses: mpsc::UnboundedReceiver<ReceivedResponse>,
         deadline: Instant,
     ) -> Result<(), ClaimError> {
-        let silent_owners: Vec<bool> = {
-            let (now, state) = (boot_time(), self.limits().state());
-            owners.iter().map(|owner| state.silent_owners.contains(&owner.instance, now)).collect()
-        };
+        let mut plan = self.claim_plan(owners);
+        let mut hedged = None;
         let mut unresponsive: Vec<&InstanceName> = Vec::new();
         let mut declined = None;
-        for index in ClaimPlan::new(&silent_owners) {
+        while let Some(index) = plan.next() {
             if Instant::now() >= deadline {
                 break;
             }
@@ -161,12 +169,25 @@
                 continue;
             }
             let owner = &owners[index];
+            // After a claim to two owners at once, the response of the first one is awaited.
+            let awaited = hedged.take().unwrap_or(index);
             let owner_deadline = deadline.min(Instant::now() + OWNER_TIMEOUT);
             let outcome = match owner.address {
                 None => match self.judge_claim(&claim.account, true).await {
                     ClaimDecision::Granted => return Ok(()),
                     ClaimDecision::Spent(after) => return Err(ClaimError::spent(after)),
-                    ClaimDecision::NotOwner => Some(ClaimOutcome::NotOwner),
+                    ClaimDecision::NotOwner if awaited == index => Some(ClaimOutcome::NotOwner),
+                    ClaimDecision::NotOwner => {
+                        self.await_response(
+                            &claim.account,
+                            owners,
+                            &owners[awaited],
+                            &mut responses,
+                            &mut unresponsive,
+                            owner_deadline,
+                        )
+                        .await
+                    }
                 },
                 Some(address) => {
                     let Some(exchange) = self.exchange() else { break };
@@ -176,10 +197,14 @@
                         self.limits().state().silent_owners.insert(&owner.instance, boot_time());
                     }
                     unresponsive.push(&owner.instance);
+                    if plan.is_hedged() {
+                        hedged = Some(index);
+                        continue;
+                    }
                     self.await_response(
                         &claim.account,
                         owners,
-                        owner,
+                        &owners[awaited],
                         &mut responses,
                         &mut unresponsive,
                         owner_deadline,
@@ -193,10 +218,13 @@
                     return Err(ClaimError::spent(Duration::from_millis(after_ms.into())));
                 }
                 Some(ClaimOutcome::NotOwner) => {
-                    declined = Some(index);
+                    declined = Some(awaited);
                     tokio::time::sleep(NEXT_OWNER_PAUSE).await;
                 }
-                None => {}
+                None => {
+                    let doubtful = &owners[awaited].instance;
+                    self.limits().state().doubtful_owners.insert(doubtful, boot_time());
+                }
             }
         }
         Err(ClaimError::unanswered())
@@ -216,7 +244,10 @@
         while let Ok(Some(received)) = tokio::time::timeout_at(deadline, responses.recv()).await {
             let from = owners.iter().find(|owner| owner.address == Some(received.from));
             if let Some(from) = from {
-                self.limits().state().silent_owners.remove(&from.instance);
+                let mut state = self.limits().state();
+                state.silent_owners.remove(&from.instance);
+                state.doubtful_owners.remove(&from.instance);
+                drop(state);
                 unresponsive.retain(|instance| **instance != from.instance);
             }
             let outcome = received.response.outcome;
--- a/crates/rudder-engine/src/limits/state.rs
+++ b/crates/rudder-engine/src/limits/state.rs
@@ -41,6 +41,8 @@
     pub(super) watch: OwnerWatch,
     /// Owners that recently did not respond.
     pub(super) silent_owners: ExpiringSet<InstanceName>,
+    /// Owners that did not respond to a claim in time.
+    pub(super) doubtful_owners: ExpiringSet<InstanceName>,
     /// Accounts for whose claims no owner recently responded.
     pub(super) unanswered: ExpiringSet<AccountName>,
     /// Time since when this instance has been in continuous contact with the fleet.
@@ -64,6 +66,7 @@
             ledger: LimitLedger::default(),
             watch: OwnerWatch::default(),
             silent_owners: ExpiringSet::new(SILENT_OWNER_TIME),
+            doubtful_owners: ExpiringSet::new(DOUBTFUL_OWNER_TIME),
             unanswered: ExpiringSet::new(UNANSWERED_TIME),
             contact_since: None,
             contact_checked_at: None,
@@ -79,6 +82,10 @@
 /// Time for which an owner that did not respond is skipped.
 const SILENT_OWNER_TIME: Duration = Duration::from_millis(1000);
 
+/// Time for which claims are also sent to the next owner after an owner did not respond. It is longer
+/// than [`SILENT_OWNER_TIME`], so that no claim waits for the owner again when that has passed.
+const DOUBTFUL_OWNER_TIME: Duration = Duration::from_millis(5000);
+
 /// Time for which an account's claims are refused at once after no owner responded.
 const UNANSWERED_TIME: Duration = Duration::from_millis(300);
 
--- a/crates/rudder-engine/src/limits/tests.rs
+++ b/crates/rudder-engine/src/limits/tests.rs
@@ -188,3 +188,5 @@
     assert_eq!(closed.access(&database, &key), Err(StatementError::Busy));
     assert!(open.access(&database, &key).is_ok());
 }
+
+mod relay;
