Split the limit ledger and the simulated fleet; describe claims in doubt

Change: roles are in operation_limit/role.rs, and the simulation's claims, faults and probes in files of their own; the owners are ranked once per fleet.

--- a/crates/rudder-decisions/src/operation_limit/evidence.rs
+++ b/crates/rudder-decisions/src/operation_limit/evidence.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 /// Age up to which a response is evidence: an owner that has been silent for longer may have been
-/// replaced, see [`super::ledger::FULL_AFTER`].
-const EVIDENCE_VALIDITY: Duration = super::ledger::FULL_AFTER;
+/// replaced, see [`super::role::FULL_AFTER`].
+const EVIDENCE_VALIDITY: Duration = super::role::FULL_AFTER;
 
 #[derive(Clone, Debug)]
 struct GrantRecord {
--- a/crates/rudder-decisions/src/operation_limit/mod.rs
+++ b/crates/rudder-decisions/src/operation_limit/mod.rs
@@ -10,17 +10,23 @@
 //! fails, the next instance in the order takes over: first with a small reserve, and in full once
 //! the failed owner must have detected that it is cut off. No new owner starts with a full burst,
 //! as the previous owner may just have granted one.
+//!
+//! Links between single instances fail as well, and a store serves some instances and not others. A
+//! successor therefore counts an owner as silent only if relays in other domains do not reach it
+//! either, and claimants report which owner last decided their claims.
 
 mod bucket;
 mod evidence;
 mod ledger;
 mod owners;
 mod plan;
+mod role;
 mod watch;
 
 pub use bucket::{OperationBucket, OperationLimit};
 pub use evidence::GrantLog;
-pub use ledger::{ClaimDecision, FleetContact, LimitBounds, LimitLedger, OwnerRole};
+pub use ledger::{ClaimDecision, LimitBounds, LimitLedger};
 pub use owners::{choose_relays, rank_owners};
 pub use plan::{ClaimPlan, ExpiringSet};
+pub use role::{FleetContact, OwnerRole};
 pub use watch::{OwnerState, OwnerWatch};
--- a/crates/rudder-decisions/tests/limits/fleet.rs
+++ b/crates/rudder-decisions/tests/limits/fleet.rs
@@ -3,23 +3,22 @@
 //! The owners of the account are ranked. Before an operation runs, its instance claims it from the
 //! first owner that responds. Messages between instances are delayed and lost.
 
+mod claims;
+mod faults;
+mod probing;
+
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rudder_core::{AccountName, DomainName, InstanceName};
 use rudder_decisions::{
     ClaimDecision, ClaimPlan, ExpiringSet, FleetContact, GrantLog, LimitBounds, LimitLedger,
-    OperationLimit, OwnerRole, OwnerWatch, choose_relays, rank_owners,
+    OperationLimit, OwnerRole, OwnerWatch, rank_owners,
 };
 use std::time::Duration;
 
 /// Step of the simulated time.
 const STEP: Duration = Duration::from_millis(5);
 
-/// Time after which a claim without a response is sent to the next owner of the plan.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(60);
-/// Time after which an operation whose claims got no decision is refused.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// Time for which an instance skips an owner that did not respond.
 const SKIP_DURATION: Duration = Duration::from_millis(1000);
 
@@ -29,9 +28,6 @@
 /// Time from the start of an instance to its first contact with the fleet.
 const JOIN_DELAY: Duration = Duration::from_millis(400);
 
-/// Number of relays that an owner without a response is probed through.
-const RELAYS: usize = 3;
-
 /// Bounds of every simulated limit.
 pub(crate) const BOUNDS: LimitBounds =
     LimitBounds { window: Duration::from_secs(5), overage_permille: 100, tolerance: 20 };
@@ -127,6 +123,7 @@
     account: AccountName,
     pub(crate) limit: OperationLimit,
     instances: Vec<SimInstance>,
+    owners: Vec<usize>,
     /// Pairs of instances whose link is cut.
     cut_links: Vec<(usize, usize)>,
     datagrams: Vec<SimDatagram>,
@@ -164,12 +161,20 @@
             doubtful: ExpiringSet::new(DOUBT_DURATION),
             grants: GrantLog::default(),
         };
+        let account: AccountName = "choirs".parse().expect("a name");
+        let instances: Vec<SimInstance> = (0..count).map(instance).collect();
+        let position = |owner: &InstanceName| {
+            instances.iter().position(|known| known.name == *owner).expect("it is listed")
+        };
+        let ranked = rank_owners(&account, instances.iter().map(|known| &known.name), 3);
+        let owners = ranked.into_iter().map(position).collect();
         Self {
             random: SmallRng::seed_from_u64(seed),
             now: Duration::from_secs(60),
-            account: "choirs".parse().expect("a name"),
+            account,
             limit,
-            instances: (0..count).map(instance).collect(),
+            instances,
+            owners,
             cut_links: Vec::new(),
             datagrams: Vec::new(),
             operations: Vec::new(),
@@ -198,83 +203,7 @@
 
     /// Returns the three owners of the account, the highest ranked first.
     pub(crate) fn owners(&self) -> Vec<usize> {
-        let names = self.instances.iter().map(|instance| &instance.name);
-        let owners = rank_owners(&self.account, names, 3);
-        let index = |owner: &&InstanceName| {
-            self.instances.iter().position(|known| known.name == **owner).expect("it is listed")
-        };
-        owners.iter().map(index).collect()
-    }
-
-    pub(crate) fn stop(&mut self, index: usize) {
-        self.instances[index].running = false;
-    }
-
-    /// Starts an instance with empty state; its unfinished operations are dropped.
-    pub(crate) fn start(&mut self, index: usize) {
-        let instance = &mut self.instances[index];
-        instance.running = true;
-        instance.last_contact_at = None;
-        instance.contact_lost_at = None;
-        instance.started_at = self.now;
-        instance.ledger = LimitLedger::default();
-        instance.watch = OwnerWatch::default();
-        instance.unresponsive = ExpiringSet::new(SKIP_DURATION);
-        instance.doubtful = ExpiringSet::new(DOUBT_DURATION);
-        instance.grants = GrantLog::default();
-        for operation in &mut self.operations {
-            operation.finished |= operation.instance == index;
-        }
-    }
-
-    pub(crate) fn suspend(&mut self, index: usize, duration: Duration) {
-        self.instances[index].suspended_until = self.now + duration;
-    }
-
-    /// Moves an instance to a network partition.
-    pub(crate) fn set_partition(&mut self, index: usize, partition: usize) {
-        self.instances[index].partition = partition;
-    }
-
-    /// Cuts the link between two instances in both directions.
-    pub(crate) fn cut_link(&mut self, one: usize, other: usize) {
-        self.cut_links.push((one.min(other), one.max(other)));
-    }
-
-    /// Restores all links that were cut.
-    pub(crate) fn restore_links(&mut self) {
-        self.cut_links.clear();
-    }
-
-    /// Sets whether the store serves an instance.
-    pub(crate) fn set_store_serves(&mut self, index: usize, store_serves: bool) {
-        self.instances[index].store_serves = store_serves;
-    }
-
-    /// Sets whether all instances are without contact with the store.
-    pub(crate) fn set_store_unreachable(&mut self, store_unreachable: bool) {
-        self.store_unreachable = store_unreachable;
-    }
-
-    /// Makes contact with the store suffice for an owner, without a majority of the instances.
-    pub(crate) fn set_store_suffices(&mut self) {
-        self.store_suffices = true;
-    }
-
-    pub(crate) fn random_instance(&mut self) -> usize {
-        self.random.random_range(0..self.instances.len())
-    }
-
-    pub(crate) fn random_bool(&mut self, probability: f64) -> bool {
-        self.random.random_bool(probability)
-    }
-
-    pub(crate) fn random_duration(&mut self, range_ms: std::ops::Range<u64>) -> Duration {
-        Duration::from_millis(self.random.random_range(range_ms))
-    }
-
-    pub(crate) fn instance_count(&self) -> usize {
-        self.instances.len()
+        self.owners.clone()
     }
 
     fn is_running(&self, index: usize) -> bool {
@@ -326,106 +255,6 @@
         }
     }
 
-    fn start_operation(&mut self, instance: usize) {
-        self.requested += 1;
-        let known = &self.instances[instance];
-        let marked = |set: &ExpiringSet<InstanceName>| -> Vec<bool> {
-            let owners = self.owners().into_iter();
-            owners.map(|owner| set.contains(&self.instances[owner].name, self.now)).collect()
-        };
-        let plan = ClaimPlan::with_doubt(&marked(&known.unresponsive), &marked(&known.doubtful));
-        self.operations.push(SimOperation {
-            instance,
-            started_at: self.now,
-            next_attempt_at: self.now,
-            plan,
-            awaited_owner: None,
-            tried_owners: Vec::new(),
-            finished: false,
-        });
-    }
-
-    /// Sends the next claim of each operation that is due, and refuses operations after the
-    /// timeout. An owner that is tried again without a response is recorded as unresponsive.
-    fn send_claims(&mut self) {
-        let owners = self.owners();
-        for operation in 0..self.operations.len() {
-            let instance = self.operations[operation].instance;
-            let is_due = self.now >= self.operations[operation].next_attempt_at;
-            if self.operations[operation].finished || !is_due || !self.is_running(instance) {
-                continue;
-            }
-            if let Some(awaited) = self.operations[operation].awaited_owner.take() {
-                let name = self.instances[awaited].name.clone();
-                self.instances[instance].doubtful.insert(&name, self.now);
-            }
-            if self.now >= self.operations[operation].started_at + CLAIM_TIMEOUT {
-                self.operations[operation].finished = true;
-                self.unanswered += 1;
-                self.refused += 1;
-                continue;
-            }
-            let place = self.operations[operation].plan.next().expect("there are owners");
-            let owner = owners[place];
-            if self.operations[operation].tried_owners.contains(&owner) {
-                let name = self.instances[owner].name.clone();
-                self.instances[instance].unresponsive.insert(&name, self.now);
-            }
-            self.operations[operation].tried_owners.push(owner);
-            let is_hedged = self.operations[operation].plan.is_hedged();
-            self.operations[operation].awaited_owner = (!is_hedged).then_some(owner);
-            let timeout = if is_hedged { Duration::ZERO } else { RESPONSE_TIMEOUT };
-            self.operations[operation].next_attempt_at = self.now + timeout;
-            if owner == instance {
-                let decision = self.decide(owner, true);
-                self.complete_claim(operation, owner, decision);
-            } else {
-                self.send_evidence(instance, &owners[..place], owner);
-                self.send(instance, owner, SimMessage::Claim { operation });
-            }
-        }
-    }
-
-    /// Tells `owner` which of the owners before it last decided a claim of `instance`.
-    fn send_evidence(&mut self, instance: usize, earlier: &[usize], owner: usize) {
-        let Some((granter, age)) = self.instances[instance].grants.latest(&self.account, self.now)
-        else {
-            return;
-        };
-        let is_granter = |earlier: &&usize| self.instances[**earlier].name == *granter;
-        if let Some(granter) = earlier.iter().find(is_granter) {
-            let observed_at = self.now - age;
-            let report = SimMessage::Report { owner: *granter, grants: true, observed_at };
-            self.send(instance, owner, report);
-        }
-    }
-
-    /// Applies the decision of an owner to an operation.
-    fn complete_claim(&mut self, operation: usize, owner: usize, decision: ClaimDecision) {
-        let instance = self.operations[operation].instance;
-        let name = self.instances[owner].name.clone();
-        self.instances[instance].unresponsive.remove(&name);
-        self.instances[instance].doubtful.remove(&name);
-        self.operations[operation].awaited_owner.take_if(|awaited| *awaited == owner);
-        if decision != ClaimDecision::NotOwner {
-            self.instances[instance].grants.record(&self.account, &name, self.now);
-        }
-        self.operations[operation].tried_owners.retain(|tried| *tried != owner);
-        if self.operations[operation].finished {
-            return;
-        }
-        match decision {
-            ClaimDecision::Granted => self.granted_at.push(self.now),
-            ClaimDecision::Spent(_) => self.refused += 1,
-            ClaimDecision::NotOwner => {
-                self.operations[operation].next_attempt_at = self.now + Duration::from_millis(10);
-                return;
-            }
-        }
-        self.waits.push(self.now - self.operations[operation].started_at);
-        self.operations[operation].finished = true;
-    }
-
     /// Sends a message; 1 % of messages are lost.
     fn send(&mut self, from: usize, to: usize, message: SimMessage) {
         if self.random.random_bool(0.01) {
@@ -484,47 +313,6 @@
         }
     }
 
-    /// Probes an owner that is ranked before `index`, and through relays if it did not respond.
-    fn probe(&mut self, index: usize, owner: usize) {
-        let name = self.instances[owner].name.clone();
-        let watch = &mut self.instances[index].watch;
-        if !watch.try_begin_probe(&self.account, &name, self.now) {
-            return;
-        }
-        let needs_relays = watch.needs_relays(&self.account, &name);
-        self.send(index, owner, SimMessage::Probe { relay: None });
-        if needs_relays {
-            let sent_at = self.now;
-            for relay in self.choose_relays(index, owner) {
-                self.send(index, relay, SimMessage::RelayProbe { owner, sent_at });
-            }
-        }
-    }
-
-    /// Makes each owner with a recent claim probe the owners before it.
-    fn probe_between_claims(&mut self) {
-        let owners = self.owners();
-        for index in owners {
-            let is_active = self.instances[index].ledger.active_accounts(self.now).count() > 0;
-            if is_active && self.is_running(index) {
-                self.decide(index, false);
-            }
-        }
-    }
-
-    fn choose_relays(&mut self, index: usize, owner: usize) -> Vec<usize> {
-        let instances = &self.instances;
-        let is_other = |(other, _): &(usize, &SimInstance)| *other != index && *other != owner;
-        let candidates = instances.iter().enumerate().filter(is_other);
-        let candidates = candidates.map(|(_, instance)| (&instance.name, &instance.domain));
-        let domain = &instances[index].domain;
-        let relays = choose_relays(candidates, domain, RELAYS, &mut self.random);
-        let position = |relay: &InstanceName| {
-            instances.iter().position(|known| known.name == *relay).expect("it is listed")
-        };
-        relays.into_iter().map(position).collect()
-    }
-
     /// Decides on a claim at the owner `index`, probing the owners ranked before it. For a probe
     /// the decision is only whether the owner grants operations.
     fn decide(&mut self, index: usize, consumes: bool) -> ClaimDecision {
