Test that sparse claims keep the measured silence of an owner

Cause: since claims are sent to two owners at once, no schedule failed without the probes between claims. Change: a schedule with 0.6 operations per second.

--- a/crates/rudder-decisions/tests/limits/partial.rs
+++ b/crates/rudder-decisions/tests/limits/partial.rs
@@ -208,3 +208,23 @@
     assert!(mean < Duration::from_millis(85), "{mean:?}");
     assert_eq!(unanswered, 0);
 }
+
+/// Pauses between the claims of an account could restart the measurement of its owner's silence,
+/// so that each claim would wait until the successor takes over again.
+#[test]
+fn an_account_with_few_operations_is_served_soon_after_its_owner_fails() {
+    let (mut late, mut decided) = (0, 0);
+    for seed in 0..4 * seed_count() {
+        let mut fleet = SimFleet::new(seed, 18, small_limit());
+        fleet.run(seconds(2.0), 1.0);
+        let first = fleet.owners()[0];
+        fleet.stop(first);
+        fleet.run(seconds(3.0), 1.0);
+        let before = fleet.waits.len();
+        fleet.run(seconds(20.0), 0.6);
+        let waits = &fleet.waits[before..];
+        late += waits.iter().filter(|wait| **wait > Duration::from_millis(250)).count();
+        decided += waits.len();
+    }
+    assert!(late * 10 < decided, "{late} of {decided} waited for more than 250 ms");
+}
