--- a/crates/rudder-decisions/src/connection_share.rs
+++ b/crates/rudder-decisions/src/connection_share.rs
@@ -15,7 +15,7 @@
 
 /// Connections reserved for changes of the primary and for monitoring it: about one for each
 /// instance that reads the store on behalf of all, of which there are three to seven.
-const RESERVED_CONNECTIONS: u32 = 4;
+pub(crate) const RESERVED_CONNECTIONS: u32 = 4;
 
 /// Number of connections that one instance may hold to one member.
 ///
@@ -43,6 +43,20 @@
         (connections_max.saturating_sub(RESERVED_CONNECTIONS) as usize) < instances
     }
 
+    /// Returns the smallest share of any of `instances`.
+    ///
+    /// ```
+    /// use rudder_decisions::ConnectionShare;
+    /// assert_eq!(ConnectionShare::smallest(49, 29), ConnectionShare(1));
+    /// assert_eq!(ConnectionShare::smallest(18, 7), ConnectionShare(2));
+    /// ```
+    #[must_use]
+    pub fn smallest(connections_max: u32, instances: usize) -> Self {
+        let free = connections_max.saturating_sub(RESERVED_CONNECTIONS);
+        let count = u32::try_from(instances).unwrap_or(u32::MAX).max(1);
+        Self((free / count).max(1))
+    }
+
     /// Returns the share of `own` in the connections that `member` accepts from `all` instances,
     /// including this one; at least one.
     ///
--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -9,9 +9,12 @@
 mod admission;
 mod average;
 mod connection_headroom;
+mod connection_loan;
 mod connection_share;
 mod detector;
 mod dial_gate;
+mod forwarded_load;
+mod forwarding;
 mod meter;
 mod operation_limit;
 mod outlier;
@@ -31,15 +34,24 @@
     RefusalCause, RefusalReason, TicketId, TicketNotice, TicketOutcome,
 };
 pub use connection_headroom::ConnectionHeadroom;
+pub use connection_loan::{
+    LoanAction, LoanDecision, LoanLedger, LoanRefusal, LoanRequestTerms, LoanResponseTerms,
+    MemberKey, MemberUse, ResponseOutcome, ReturnReason, SpareBoard, uses_connection_loans,
+};
 pub use connection_share::ConnectionShare;
 pub use detector::{SilenceDetector, SuspicionBound};
 pub use dial_gate::{DialFailure, DialGate};
+pub use forwarded_load::ForwardedLoad;
+pub use forwarding::{
+    ForwardChoice, ForwardingRule, HOLDERS_MAX, HolderBoard, HolderBudget, HolderCandidate,
+    InstanceCapacity, LocalPool, forward_choice, rank_holders,
+};
 pub use meter::MemberMeter;
 pub use operation_limit::{
     ClaimDecision, ClaimPlan, ClaimRejection, ClaimScope, ClaimTerms, ExpiringSet, FleetContact,
-    LimitBounds, LimitLedger, LimitQueues, OperationBucket, OperationLimit, OwnerRole, OwnerState,
-    OwnerWatch, PromisedTokens, QueueNotice, QueueOutcome, ReservationTally, TokenSupply,
-    rank_owners,
+    GrantLog, LimitBounds, LimitLedger, LimitQueues, OperationBucket, OperationLimit, OwnerRole,
+    OwnerState, OwnerWatch, PromisedTokens, QueueNotice, QueueOutcome, ReservationTally,
+    TokenSupply, choose_relays, rank_owners,
 };
 pub use outlier::OutlierTracker;
 pub use place::{NodePlace, PlaceDistance};
--- a/crates/rudder-decisions/src/operation_limit/bucket.rs
+++ b/crates/rudder-decisions/src/operation_limit/bucket.rs
@@ -69,8 +69,11 @@
 pub struct OperationBucket {
     micro_operations: u64,
     refilled_at: Duration,
-    /// Number of refills that left the bucket more than half full. Tokens taken before the last of
-    /// them might have been lost, so they cannot be put back.
+    /// Capacity at the last refill.
+    capacity: u64,
+    /// Number of refills that left the bucket more than half full, and of changes of its content or
+    /// capacity by other means. Tokens taken before the last of them might have been lost, so they
+    /// cannot be put back.
     fills: u64,
 }
 
@@ -83,7 +86,8 @@
     pub next_after: Duration,
     /// Rate in force, in thousandths of an operation per second.
     pub milli_per_second: u64,
-    /// Number of refills that left the bucket more than half full.
+    /// Number of refills that left the bucket more than half full, and of changes of its content or
+    /// capacity by other means.
     pub fills: u64,
 }
 
@@ -107,6 +111,7 @@
         Self {
             micro_operations: start.saturating_mul(MICRO_PER_OPERATION).min(limit.capacity()),
             refilled_at: now,
+            capacity: limit.capacity(),
             fills: 0,
         }
     }
@@ -163,9 +168,12 @@
         let refill = refilled(limit.milli_per_second, now.saturating_sub(self.refilled_at));
         let content = self.micro_operations.saturating_add(refill);
         let half = limit.capacity() - limit.returns_max() * MICRO_PER_OPERATION;
-        if refill > 0 && content > half {
+        // A bucket whose capacity changes may overflow, or may have overflowed below half of the
+        // new capacity.
+        if refill > 0 && content > half || limit.capacity() != self.capacity {
             self.fills += 1;
         }
+        self.capacity = limit.capacity();
         self.micro_operations = content.min(limit.capacity());
         self.refilled_at = self.refilled_at.max(now);
     }
@@ -195,4 +203,38 @@
         }
         Err(self.time_to_next(limit))
     }
+
+    /// Reduces the content to at most `operations` and starts to refill again at `now`.
+    ///
+    /// ```
+    /// use rudder_decisions::{OperationBucket, OperationLimit};
+    /// use std::time::Duration;
+    /// let limit = OperationLimit { milli_per_second: 10_000, burst: 2 };
+    /// let mut bucket = OperationBucket::new(limit, 2, Duration::ZERO);
+    /// bucket.reduce(0, Duration::from_secs(9));
+    /// let expected = Err(Duration::from_millis(100));
+    /// assert_eq!(bucket.take(limit, Duration::from_secs(9)), expected);
+    /// ```
+    pub fn reduce(&mut self, operations: u64, now: Duration) {
+        let micro_operations = operations.saturating_mul(MICRO_PER_OPERATION);
+        self.micro_operations = self.micro_operations.min(micro_operations);
+        self.refilled_at = now;
+        self.fills += 1;
+    }
+
+    /// Fills the bucket with `start` operations, as a new one.
+    ///
+    /// ```
+    /// use rudder_decisions::{OperationBucket, OperationLimit};
+    /// use std::time::Duration;
+    /// let limit = OperationLimit { milli_per_second: 10_000, burst: 4 };
+    /// let mut bucket = OperationBucket::new(limit, 1, Duration::ZERO);
+    /// let fills = bucket.supply(limit, Duration::ZERO).fills;
+    /// bucket.take(limit, Duration::ZERO).expect("one operation");
+    /// bucket.restart(limit, 0, Duration::ZERO);
+    /// assert!(!bucket.put_back(limit, fills, Duration::ZERO), "taken from the earlier content");
+    /// ```
+    pub fn restart(&mut self, limit: OperationLimit, start: u64, now: Duration) {
+        *self = Self { fills: self.fills + 1, ..Self::new(limit, start, now) };
+    }
 }
--- a/crates/rudder-decisions/src/operation_limit/limit_queues.rs
+++ b/crates/rudder-decisions/src/operation_limit/limit_queues.rs
@@ -2,8 +2,9 @@
 
 use super::bucket::OperationLimit;
 use super::claim_queue::{ClaimQueue, ClaimTerms, ClaimVerdict, QueueOutcome};
-use super::ledger::{ClaimDecision, LimitBounds, LimitLedger, OwnerRole};
+use super::ledger::{ClaimDecision, LimitBounds, LimitLedger};
 use super::reservation::ReservationTally;
+use super::role::OwnerRole;
 use rudder_core::AccountName;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -114,11 +115,11 @@
     ) -> Vec<QueueNotice<T>> {
         let mut notices = self.serve(ledger, account, scope);
         let ClaimScope { limit, bounds, role, rank, now } = scope;
-        let Some(supply) = ledger.supply(account, limit, bounds, role, now) else {
+        let Some(supply) = ledger.supply(account, scope) else {
             // There is no bucket yet, so no claim waits either.
             let decision = ledger.claim(account, limit, bounds, role, rank, now);
             if decision == ClaimDecision::Granted {
-                let fills = ledger.supply(account, limit, bounds, role, now);
+                let fills = ledger.supply(account, scope);
                 let fills = fills.map_or(0, |supply| supply.fills);
                 let index = self.index_of(account);
                 let priority = self.queues[index].queue.record_direct_grant(terms.priority, now);
@@ -166,9 +167,9 @@
         account: &AccountName,
         scope: ClaimScope,
     ) -> Vec<QueueNotice<T>> {
-        let ClaimScope { limit, bounds, role, now, .. } = scope;
+        let now = scope.now;
         let Ok(index) = self.position(account) else { return Vec::new() };
-        let Some(supply) = ledger.supply(account, limit, bounds, role, now) else {
+        let Some(supply) = ledger.supply(account, scope) else {
             return self.release(account);
         };
         let decided = self.queues[index].queue.serve(supply, &mut self.last_number, now);
@@ -183,7 +184,7 @@
             };
             notices.push(QueueNotice { claimant, priority, outcome });
         }
-        let supply = ledger.supply(account, limit, bounds, role, now);
+        let supply = ledger.supply(account, scope);
         let queue = &self.queues[index].queue;
         let next = supply.and_then(|supply| queue.next_service(supply, now));
         self.queues[index].serve_at = next.map(|after| now.saturating_add(after));
@@ -217,9 +218,8 @@
         scope: ClaimScope,
         grant: u64,
     ) -> bool {
-        let ClaimScope { limit, bounds, role, now, .. } = scope;
+        let ClaimScope { bounds, now, .. } = scope;
         let Ok(index) = self.position(account) else { return false };
-        let Some(_) = ledger.supply(account, limit, bounds, role, now) else { return false };
         let entry = &mut self.queues[index];
         let Ok(found) = entry.grants.binary_search_by_key(&grant, |known| known.number) else {
             return false;
@@ -227,11 +227,9 @@
         let Some(grant) = entry.grants.remove(found) else { return false };
         let in_window = |at: Duration| now < at.saturating_add(bounds.window);
         entry.returned_at.retain(|at| in_window(*at));
-        let limit = bounds.effective_limit(role, limit);
-        if !in_window(grant.granted_at) || entry.returned_at.len() as u64 >= limit.returns_max() {
-            return false;
-        }
-        let is_put_back = ledger.put_back(account, limit, grant.fills, now);
+        let returned = entry.returned_at.len() as u64;
+        let is_put_back =
+            in_window(grant.granted_at) && ledger.put_back(account, scope, grant.fills, returned);
         if is_put_back {
             entry.returned_at.push_back(now);
             // The token may serve a queued claim at once.
--- a/crates/rudder-decisions/tests/limits/fleet.rs
+++ b/crates/rudder-decisions/tests/limits/fleet.rs
@@ -3,27 +3,30 @@
 //! The owners of the account are ranked. Before an operation runs, its instance claims it from the
 //! first owner that responds. Messages between instances are delayed and lost.
 
+mod claims;
+mod faults;
+mod probing;
+mod queueing;
+
+use queueing::{NUMBERS_PER_PROCESS, SimClaimant};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use rudder_core::{AccountName, InstanceName};
+use rudder_core::{AccountName, DomainName, InstanceName};
 use rudder_decisions::{
-    ClaimDecision, ClaimPlan, ClaimScope, ClaimTerms, ExpiringSet, FleetContact, LimitBounds,
-    LimitLedger, LimitQueues, OperationLimit, OwnerRole, OwnerWatch, QueueNotice, QueueOutcome,
-    rank_owners,
+    ClaimDecision, ClaimPlan, ClaimScope, ExpiringSet, FleetContact, GrantLog, LimitBounds,
+    LimitLedger, LimitQueues, OperationLimit, OwnerRole, OwnerWatch, QueueOutcome, rank_owners,
 };
 use std::time::Duration;
 
 /// Step of the simulated time.
 const STEP: Duration = Duration::from_millis(5);
 
-/// Time after which a claim without a response is sent to the next owner of the plan.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(60);
-/// Time after which an operation whose claims got no decision is refused.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// Time for which an instance skips an owner that did not respond.
 const SKIP_DURATION: Duration = Duration::from_millis(1000);
 
+/// Time for which an owner that did not respond is in doubt, unless it responds.
+const DOUBT_DURATION: Duration = Duration::from_millis(5000);
+
 /// Time from the start of an instance to its first contact with the fleet.
 const JOIN_DELAY: Duration = Duration::from_millis(400);
 
@@ -34,10 +37,13 @@
 /// One simulated instance, which is both a claimant and a possible owner.
 struct SimInstance {
     name: InstanceName,
+    domain: DomainName,
     running: bool,
     suspended_until: Duration,
     /// Network partition; only instances of the same partition reach each other.
     partition: usize,
+    /// Whether the store serves this instance.
+    store_serves: bool,
     /// Last time at which it reached a majority of the instances.
     last_contact_at: Option<Duration>,
     /// Last time at which it had no contact with the fleet, or its first check after a start.
@@ -48,23 +54,22 @@
     watch: OwnerWatch,
     /// Owners that did not respond recently.
     unresponsive: ExpiringSet<InstanceName>,
+    /// Owners that did not respond to a claim in time.
+    doubtful: ExpiringSet<InstanceName>,
+    /// Owners that decided its claims.
+    grants: GrantLog,
 }
 
 #[derive(Clone, Copy)]
 enum SimMessage {
-    /// Request for one operation, or a probe that asks whether the owner grants operations and
-    /// consumes none.
+    /// Request for one operation.
     Claim {
         operation: usize,
-        consumes: bool,
     },
     ClaimResponse {
         operation: usize,
         decision: ClaimDecision,
     },
-    ProbeResponse {
-        grants: bool,
-    },
     QueueResponse {
         operation: usize,
         outcome: QueueOutcome,
@@ -72,28 +77,34 @@
     ReturnGrant {
         grant: u64,
     },
+    /// Request whether the owner grants operations, possibly on behalf of another instance.
+    Probe {
+        relay: Option<SimRelay>,
+    },
+    ProbeResponse {
+        grants: bool,
+        relay: Option<SimRelay>,
+    },
+    /// Request to probe an owner.
+    RelayProbe {
+        owner: usize,
+        sent_at: Duration,
+    },
+    /// What the sender has observed of an owner, as a relay or as a claimant.
+    Report {
+        owner: usize,
+        grants: bool,
+        observed_at: Duration,
+    },
 }
 
-/// Operation whose claim an owner received, and the instance that sent it.
+/// Instance for which a relay probes an owner, and the time of its request.
 #[derive(Clone, Copy)]
-struct SimClaimant {
-    operation: usize,
-    instance: usize,
+struct SimRelay {
+    requester: usize,
+    sent_at: Duration,
 }
 
-/// Useful wait of claims, by priority.
-const QUEUE_WAITS: [Duration; 3] =
-    [Duration::from_millis(200), Duration::from_millis(300), Duration::from_millis(750)];
-
-/// Time to the deadline of claims that may wait.
-const QUEUE_DEADLINE: Duration = Duration::from_millis(2500);
-
-/// Probability that a granted operation does not run, so that its grant is returned.
-const RETURN_PROBABILITY: f64 = 0.2;
-
-/// Numbers of grants that a process of an owner may give.
-const NUMBERS_PER_PROCESS: u64 = 1 << 32;
-
 #[derive(Clone, Copy)]
 struct SimDatagram {
     deliver_at: Duration,
@@ -108,6 +119,8 @@
     started_at: Duration,
     next_attempt_at: Duration,
     plan: ClaimPlan,
+    /// Owner whose response is awaited.
+    awaited_owner: Option<usize>,
     /// Owners that were sent a claim and have not responded.
     tried_owners: Vec<usize>,
     finished: bool,
@@ -121,13 +134,22 @@
     account: AccountName,
     pub(crate) limit: OperationLimit,
     instances: Vec<SimInstance>,
+    owners: Vec<usize>,
+    /// Pairs of instances whose link is cut.
+    cut_links: Vec<(usize, usize)>,
     datagrams: Vec<SimDatagram>,
     operations: Vec<SimOperation>,
     /// Times at which operations were granted.
     pub(crate) granted_at: Vec<Duration>,
     pub(crate) refused: usize,
+    /// Operations that were refused because no owner decided.
+    pub(crate) unanswered: usize,
+    /// Times that operations waited for the decision of an owner.
+    pub(crate) waits: Vec<Duration>,
     /// Whether all instances are without contact with the store.
     store_unreachable: bool,
+    /// Whether contact with the store suffices for an owner, without a majority of the instances.
+    store_suffices: bool,
     /// Operations that were requested.
     pub(crate) requested: usize,
     /// Whether claims go through the owners' queues and unused grants are returned.
@@ -141,9 +163,11 @@
     pub(crate) fn new(seed: u64, count: usize, limit: OperationLimit) -> Self {
         let instance = |index: usize| SimInstance {
             name: format!("entry-{index}").parse().expect("a name"),
+            domain: format!("domain-{}", index % 6).parse().expect("a name"),
             running: true,
             suspended_until: Duration::ZERO,
             partition: 0,
+            store_serves: true,
             last_contact_at: None,
             contact_lost_at: None,
             started_at: Duration::ZERO,
@@ -151,18 +175,32 @@
             queues: LimitQueues::new(index as u64 * NUMBERS_PER_PROCESS),
             watch: OwnerWatch::default(),
             unresponsive: ExpiringSet::new(SKIP_DURATION),
+            doubtful: ExpiringSet::new(DOUBT_DURATION),
+            grants: GrantLog::default(),
+        };
+        let account: AccountName = "choirs".parse().expect("a name");
+        let instances: Vec<SimInstance> = (0..count).map(instance).collect();
+        let position = |owner: &InstanceName| {
+            instances.iter().position(|known| known.name == *owner).expect("it is listed")
         };
+        let ranked = rank_owners(&account, instances.iter().map(|known| &known.name), 3);
+        let owners = ranked.into_iter().map(position).collect();
         Self {
             random: SmallRng::seed_from_u64(seed),
             now: Duration::from_secs(60),
-            account: "choirs".parse().expect("a name"),
+            account,
             limit,
-            instances: (0..count).map(instance).collect(),
+            instances,
+            owners,
+            cut_links: Vec::new(),
             datagrams: Vec::new(),
             operations: Vec::new(),
             granted_at: Vec::new(),
             refused: 0,
+            unanswered: 0,
+            waits: Vec::new(),
             store_unreachable: false,
+            store_suffices: false,
             requested: 0,
             uses_queues: false,
             processes: count as u64,
@@ -178,6 +216,7 @@
             self.update_contact();
             self.generate_arrivals(operations_per_s);
             self.deliver();
+            self.probe_between_claims();
             self.serve_queues();
             self.send_claims();
         }
@@ -185,63 +224,7 @@
 
     /// Returns the three owners of the account, the highest ranked first.
     pub(crate) fn owners(&self) -> Vec<usize> {
-        let names = self.instances.iter().map(|instance| &instance.name);
-        let owners = rank_owners(&self.account, names, 3);
-        let index = |owner: &&InstanceName| {
-            self.instances.iter().position(|known| known.name == **owner).expect("it is listed")
-        };
-        owners.iter().map(index).collect()
-    }
-
-    pub(crate) fn stop(&mut self, index: usize) {
-        self.instances[index].running = false;
-    }
-
-    /// Starts an instance with empty state; its unfinished operations are dropped.
-    pub(crate) fn start(&mut self, index: usize) {
-        let instance = &mut self.instances[index];
-        instance.running = true;
-        instance.last_contact_at = None;
-        instance.contact_lost_at = None;
-        instance.started_at = self.now;
-        instance.ledger = LimitLedger::default();
-        instance.queues = LimitQueues::new(self.processes * NUMBERS_PER_PROCESS);
-        self.processes += 1;
-        instance.watch = OwnerWatch::default();
-        instance.unresponsive = ExpiringSet::new(SKIP_DURATION);
-        for operation in &mut self.operations {
-            operation.finished |= operation.instance == index;
-        }
-    }
-
-    pub(crate) fn suspend(&mut self, index: usize, duration: Duration) {
-        self.instances[index].suspended_until = self.now + duration;
-    }
-
-    /// Moves an instance to a network partition.
-    pub(crate) fn set_partition(&mut self, index: usize, partition: usize) {
-        self.instances[index].partition = partition;
-    }
-
-    /// Sets whether all instances are without contact with the store.
-    pub(crate) fn set_store_unreachable(&mut self, store_unreachable: bool) {
-        self.store_unreachable = store_unreachable;
-    }
-
-    pub(crate) fn random_instance(&mut self) -> usize {
-        self.random.random_range(0..self.instances.len())
-    }
-
-    pub(crate) fn random_bool(&mut self, probability: f64) -> bool {
-        self.random.random_bool(probability)
-    }
-
-    pub(crate) fn random_duration(&mut self, range_ms: std::ops::Range<u64>) -> Duration {
-        Duration::from_millis(self.random.random_range(range_ms))
-    }
-
-    pub(crate) fn instance_count(&self) -> usize {
-        self.instances.len()
+        self.owners.clone()
     }
 
     fn is_running(&self, index: usize) -> bool {
@@ -249,20 +232,31 @@
         instance.running && self.now >= instance.suspended_until
     }
 
-    /// While the store is reachable, records contact for each running instance that reaches a
-    /// majority of the fleet.
+    /// Whether datagrams of one instance arrive at another.
+    fn is_linked(&self, from: usize, to: usize) -> bool {
+        let link = (from.min(to), from.max(to));
+        self.instances[from].partition == self.instances[to].partition
+            && !self.cut_links.contains(&link)
+    }
+
+    /// While the store is reachable, records contact for each running instance that the store serves
+    /// and that reaches a majority of the fleet.
     fn update_contact(&mut self) {
-        if self.store_unreachable {
-            return;
-        }
         for index in 0..self.instances.len() {
-            let partition = self.instances[index].partition;
-            let reachable = (0..self.instances.len()).filter(|other| {
-                self.is_running(*other) && self.instances[*other].partition == partition
-            });
-            let majority = reachable.count() * 2 > self.instances.len();
-            let joined = self.now >= self.instances[index].started_at + JOIN_DELAY;
-            if majority && joined && self.is_running(index) {
+            // A running instance checks its contact regularly, so that an owner without claims
+            // detects that it was cut off.
+            if self.is_running(index) {
+                self.fleet_contact(index);
+            }
+            if self.store_unreachable {
+                continue;
+            }
+            let reachable = (0..self.instances.len())
+                .filter(|other| self.is_running(*other) && self.is_linked(index, *other));
+            let majority = self.store_suffices || reachable.count() * 2 > self.instances.len();
+            let instance = &self.instances[index];
+            let joined = self.now >= instance.started_at + JOIN_DELAY;
+            if majority && joined && instance.store_serves && self.is_running(index) {
                 self.instances[index].last_contact_at = Some(self.now);
             }
         }
@@ -282,80 +276,6 @@
         }
     }
 
-    fn start_operation(&mut self, instance: usize) {
-        self.requested += 1;
-        let unresponsive = &self.instances[instance].unresponsive;
-        let unresponsive: Vec<bool> = self
-            .owners()
-            .into_iter()
-            .map(|owner| unresponsive.contains(&self.instances[owner].name, self.now))
-            .collect();
-        let priority = if self.uses_queues { self.random.random_range(0..3) } else { 0 };
-        self.operations.push(SimOperation {
-            priority,
-            instance,
-            started_at: self.now,
-            next_attempt_at: self.now,
-            plan: ClaimPlan::new(&unresponsive),
-            tried_owners: Vec::new(),
-            finished: false,
-        });
-    }
-
-    /// Sends the next claim of each operation that is due, and refuses operations after the
-    /// timeout. An owner that is tried again without a response is recorded as unresponsive.
-    fn send_claims(&mut self) {
-        let owners = self.owners();
-        for operation in 0..self.operations.len() {
-            let instance = self.operations[operation].instance;
-            let is_due = self.now >= self.operations[operation].next_attempt_at;
-            if self.operations[operation].finished || !is_due || !self.is_running(instance) {
-                continue;
-            }
-            if self.now >= self.operations[operation].started_at + CLAIM_TIMEOUT {
-                self.operations[operation].finished = true;
-                self.refused += 1;
-                continue;
-            }
-            let place = self.operations[operation].plan.next().expect("there are owners");
-            let owner = owners[place];
-            if self.operations[operation].tried_owners.contains(&owner) {
-                let name = self.instances[owner].name.clone();
-                self.instances[instance].unresponsive.insert(&name, self.now);
-            }
-            self.operations[operation].tried_owners.push(owner);
-            self.operations[operation].next_attempt_at = self.now + RESPONSE_TIMEOUT;
-            if self.uses_queues && owner == instance {
-                self.queue_claim(owner, SimClaimant { operation, instance });
-            } else if owner == instance {
-                let decision = self.decide(owner, true);
-                self.complete_claim(operation, owner, decision);
-            } else {
-                self.send(instance, owner, SimMessage::Claim { operation, consumes: true });
-            }
-        }
-    }
-
-    /// Applies the decision of an owner to an operation.
-    fn complete_claim(&mut self, operation: usize, owner: usize, decision: ClaimDecision) {
-        let instance = self.operations[operation].instance;
-        let name = self.instances[owner].name.clone();
-        self.instances[instance].unresponsive.remove(&name);
-        self.operations[operation].tried_owners.retain(|tried| *tried != owner);
-        if self.operations[operation].finished {
-            return;
-        }
-        match decision {
-            ClaimDecision::Granted => self.granted_at.push(self.now),
-            ClaimDecision::Spent(_) => self.refused += 1,
-            ClaimDecision::NotOwner => {
-                self.operations[operation].next_attempt_at = self.now + Duration::from_millis(10);
-                return;
-            }
-        }
-        self.operations[operation].finished = true;
-    }
-
     /// Sends a message; 1 % of messages are lost.
     fn send(&mut self, from: usize, to: usize, message: SimMessage) {
         if self.random.random_bool(0.01) {
@@ -371,9 +291,8 @@
             .partition(|datagram| datagram.deliver_at <= self.now);
         self.datagrams = later;
         for datagram in due {
-            let reachable =
-                self.instances[datagram.from].partition == self.instances[datagram.to].partition;
-            if reachable && self.is_running(datagram.to) {
+            let is_linked = self.is_linked(datagram.from, datagram.to);
+            if is_linked && self.is_running(datagram.to) {
                 self.receive(datagram);
             }
         }
@@ -382,154 +301,86 @@
     fn receive(&mut self, datagram: SimDatagram) {
         let SimDatagram { from, to, message, .. } = datagram;
         match message {
-            SimMessage::Claim { operation, consumes: true } if self.uses_queues => {
+            SimMessage::Claim { operation } if self.uses_queues => {
                 self.queue_claim(to, SimClaimant { operation, instance: from });
             }
             SimMessage::QueueResponse { operation, outcome } => {
                 self.complete_queue_claim(operation, from, outcome);
             }
             SimMessage::ReturnGrant { grant } => self.take_back(to, grant),
-            SimMessage::Claim { operation, consumes: true } => {
+            SimMessage::Claim { operation } => {
                 let decision = self.decide(to, true);
                 self.send(to, from, SimMessage::ClaimResponse { operation, decision });
             }
-            SimMessage::Claim { consumes: false, .. } => {
+            SimMessage::Probe { relay } => {
                 let grants = self.decide(to, false) != ClaimDecision::NotOwner;
-                self.send(to, from, SimMessage::ProbeResponse { grants });
+                self.send(to, from, SimMessage::ProbeResponse { grants, relay });
             }
             SimMessage::ClaimResponse { operation, decision } => {
                 self.complete_claim(operation, from, decision);
             }
-            SimMessage::ProbeResponse { grants } => {
+            SimMessage::ProbeResponse { grants, relay: Some(relay) } => {
+                let SimRelay { requester, sent_at: observed_at } = relay;
+                let report = SimMessage::Report { owner: from, grants, observed_at };
+                self.send(to, requester, report);
+            }
+            SimMessage::ProbeResponse { grants, relay: None } => {
                 let owner = self.instances[from].name.clone();
                 let account = self.account.clone();
                 self.instances[to].watch.record_response(&account, &owner, grants, self.now);
             }
+            SimMessage::RelayProbe { owner, sent_at } => {
+                let relay = Some(SimRelay { requester: from, sent_at });
+                self.send(to, owner, SimMessage::Probe { relay });
+            }
+            SimMessage::Report { owner, grants, observed_at } => {
+                let owner = self.instances[owner].name.clone();
+                let account = self.account.clone();
+                self.instances[to].watch.record_report(&account, &owner, grants, observed_at);
+            }
         }
     }
 
-    /// Decides on a claim at the owner `index`, probing the owners ranked before it. For a probe
-    /// the decision is only whether the owner grants operations.
+    /// Decides on a claim at the owner `index`. For a probe the decision is only whether the owner
+    /// grants operations.
     fn decide(&mut self, index: usize, consumes: bool) -> ClaimDecision {
-        let (place, role) = self.place_and_role(index);
+        let ClaimScope { limit, bounds, role, rank, now } = self.claim_scope(index);
         if !consumes {
+            if role == OwnerRole::Absent {
+                self.instances[index].ledger.step_down(&self.account);
+                let notices = self.instances[index].queues.release(&self.account);
+                self.send_outcomes(index, notices);
+            }
             let grants = self.instances[index].ledger.grants(&self.account, role);
             return if grants { ClaimDecision::Granted } else { ClaimDecision::NotOwner };
         }
-        let (limit, now) = (self.limit, self.now);
-        self.instances[index].ledger.claim(&self.account, limit, BOUNDS, role, place, now)
+        self.instances[index].ledger.claim(&self.account, limit, bounds, role, rank, now)
     }
 
-    /// Returns the rank and role of the owner `index`, probing the owners ranked before it.
-    fn place_and_role(&mut self, index: usize) -> (usize, OwnerRole) {
+    /// Returns the scope of a decision at the owner `index`, probing the owners ranked before it.
+    fn claim_scope(&mut self, index: usize) -> ClaimScope {
         let owners = self.owners();
-        let place = owners.iter().position(|owner| *owner == index).expect("an owner");
+        let rank = owners.iter().position(|owner| *owner == index).expect("an owner");
         let mut states = Vec::new();
-        for earlier in &owners[..place] {
-            let name = self.instances[*earlier].name.clone();
-            if self.instances[index].watch.try_begin_probe(&self.account, &name, self.now) {
-                self.send(index, *earlier, SimMessage::Claim { operation: 0, consumes: false });
-            }
-            let watch = &self.instances[index].watch;
-            states.push(watch.state(&self.account, &name, self.now));
+        for earlier in &owners[..rank] {
+            self.probe(index, *earlier);
+            let instance = &self.instances[index];
+            let name = &self.instances[*earlier].name;
+            states.push(instance.watch.state(&self.account, name, self.now));
         }
-        (place, OwnerRole::of(self.fleet_contact(index), &states))
-    }
-
-    fn claim_scope(&mut self, index: usize) -> ClaimScope {
-        let (rank, role) = self.place_and_role(index);
+        let role = OwnerRole::of(self.fleet_contact(index), &states);
         ClaimScope { limit: self.limit, bounds: BOUNDS, role, rank, now: self.now }
     }
 
-    /// Decides on a claim that may wait at the owner `index`.
-    fn queue_claim(&mut self, index: usize, claimant: SimClaimant) {
-        let scope = self.claim_scope(index);
-        let priority = self.operations[claimant.operation].priority;
-        let wait = QUEUE_WAITS[usize::from(priority)];
-        let priority = Some(priority);
-        let terms =
-            ClaimTerms { priority, wait, deadline: QUEUE_DEADLINE, ..ClaimTerms::default() };
-        let SimInstance { ledger, queues, .. } = &mut self.instances[index];
-        let notices = queues.claim(ledger, &self.account, scope, terms, claimant);
-        self.send_outcomes(index, notices);
-    }
-
-    /// Serves the queues that are due at all running instances.
-    fn serve_queues(&mut self) {
-        for index in 0..self.instances.len() {
-            let is_due = !self.instances[index].queues.due(self.now).is_empty();
-            if !is_due || !self.is_running(index) {
-                continue;
-            }
-            let scope = self.claim_scope(index);
-            let SimInstance { ledger, queues, .. } = &mut self.instances[index];
-            let notices = queues.serve(ledger, &self.account, scope);
-            self.send_outcomes(index, notices);
-        }
-    }
-
-    fn send_outcomes(&mut self, index: usize, notices: Vec<QueueNotice<SimClaimant>>) {
-        for QueueNotice { claimant: SimClaimant { operation, instance }, outcome, .. } in notices {
-            if instance == index {
-                self.complete_queue_claim(operation, index, outcome);
-            } else {
-                self.send(index, instance, SimMessage::QueueResponse { operation, outcome });
-            }
-        }
-    }
-
-    /// Applies the outcome of a claim that may wait. Grants of operations that have ended or do not
-    /// run are returned.
-    fn complete_queue_claim(&mut self, operation: usize, owner: usize, outcome: QueueOutcome) {
-        let decision = match outcome {
-            QueueOutcome::Granted { grant, .. } => {
-                let ended = self.operations[operation].finished;
-                if ended || self.random.random_bool(RETURN_PROBABILITY) {
-                    self.operations[operation].finished = true;
-                    self.return_grant(operation, owner, grant);
-                    return;
-                }
-                ClaimDecision::Granted
-            }
-            QueueOutcome::Queued { within } => {
-                let known = &mut self.operations[operation];
-                known.next_attempt_at = self.now + within + RESPONSE_TIMEOUT;
-                return;
-            }
-            QueueOutcome::Rejected(rejection) => ClaimDecision::Spent(rejection.retry_after),
-            QueueOutcome::NotOwner => ClaimDecision::NotOwner,
-        };
-        self.complete_claim(operation, owner, decision);
-    }
-
-    /// Returns a grant after a random time, and in some cases twice or to the wrong owner.
-    fn return_grant(&mut self, operation: usize, owner: usize, grant: u64) {
-        let instance = self.operations[operation].instance;
-        let other = self.owners()[0];
-        let copies =
-            if self.random.random_bool(0.1) { vec![owner, owner, other] } else { vec![owner] };
-        for to in copies {
-            let delay = self.random_duration(1..2500);
-            let message = SimMessage::ReturnGrant { grant };
-            let deliver_at = self.now + delay;
-            self.datagrams.push(SimDatagram { deliver_at, from: instance, to, message });
-        }
-    }
-
-    fn take_back(&mut self, index: usize, grant: u64) {
-        let scope = self.claim_scope(index);
-        let SimInstance { ledger, queues, .. } = &mut self.instances[index];
-        if queues.return_grant(ledger, &self.account, scope, grant) {
-            self.returned += 1;
-        }
-    }
-
     fn fleet_contact(&mut self, index: usize) -> FleetContact {
         let now = self.now;
         let instance = &mut self.instances[index];
         let last_contact_at = instance.last_contact_at;
         if last_contact_at.is_none_or(|at| now >= at + LimitBounds::contact_timeout()) {
             instance.contact_lost_at = Some(now);
+            if let Some(at) = last_contact_at {
+                instance.ledger.detach(at + LimitBounds::contact_timeout());
+            }
             return FleetContact::Lost;
         }
         let settled_at = *instance.contact_lost_at.get_or_insert(now) + BOUNDS.window;
--- a/crates/rudder-decisions/tests/limits/main.rs
+++ b/crates/rudder-decisions/tests/limits/main.rs
@@ -1,8 +1,11 @@
 //! Operation limits of client accounts, enforced by a simulated fleet of instances under network
-//! partitions, message loss, restarts and suspended processes.
+//! partitions, cut links, message loss, partial outages of the store, restarts and suspended
+//! processes.
 
 mod claim_terms;
 mod fleet;
+mod partial;
 mod queue_load;
+mod reports;
 mod returns;
 mod schedules;
--- a/crates/rudder-engine/src/duty/heartbeat.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -1,6 +1,10 @@
 //! Heartbeats between instances, and the handling of peers' datagrams.
 
 use super::answers::{handle_request, handle_response, request_records};
+use super::loans::{
+    handle_loan_recall, handle_loan_response, handle_loan_return, record_spare,
+    respond_to_loan_request,
+};
 use super::schedule::HeartbeatSchedule;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
@@ -85,7 +89,13 @@
             }
             PeerMessage::Records(reply) => handle_response(&engine, &exchange, reply, from).await,
             PeerMessage::Claim(claim) => respond_to_claim(&engine, &exchange, claim, from).await,
-            PeerMessage::ClaimResponse(response) => engine.handle_claim_response(response, from),
+            PeerMessage::ClaimResponse(response) => {
+                engine.handle_claim_response(response, from).await;
+            }
+            PeerMessage::RelayProbe(probe) => {
+                engine.handle_relay_probe(&exchange, probe, from).await;
+            }
+            PeerMessage::RelayedProbe(probe) => engine.handle_relayed_probe(&probe, from),
             PeerMessage::FetchCopy(request) => {
                 respond_with_copy(&engine, &exchange, request, from).await;
             }
@@ -95,6 +105,17 @@
             PeerMessage::ReturnClaim(claim) => {
                 engine.take_back_grant(&claim.account, claim.grant).await;
             }
+            PeerMessage::SpareConnections(report) => record_spare(&engine, report, from),
+            PeerMessage::LoanRequest(request) => {
+                respond_to_loan_request(&engine, &exchange, request, from).await;
+            }
+            PeerMessage::LoanResponse(response) => {
+                handle_loan_response(&engine, &exchange, response, from).await;
+            }
+            PeerMessage::LoanReturn(notice) => handle_loan_return(&engine, &notice, from),
+            PeerMessage::LoanRecall(recall) => {
+                handle_loan_recall(&engine, &exchange, recall, from).await;
+            }
         }
     }
 }
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -1,6 +1,7 @@
 //! Decides for each service whether to change its primary, and updates the connection shares.
 
 use super::change::{self, ChangeDecision};
+use super::loans::update_modes;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::{GroupMember, MemberState, ServiceGroup};
@@ -220,12 +221,16 @@
 
 fn update_connection_shares(engine: &ProxyEngine) {
     let Some(settings) = engine.settings() else { return };
+    update_modes(engine);
     let own = &engine.identity().name;
     let all = engine.membership().known();
+    let holders = engine.holder_candidates();
     for group in engine.groups() {
         let rules = &settings.services;
         if let Ok(index) = rules.binary_search_by(|rule| rule.service.cmp(group.service())) {
-            group.assign_connection_shares(rules[index].connections_max, own, &all);
+            let connections_max = rules[index].connections_max;
+            let holders = engine.forwards(connections_max).then_some(holders.as_slice());
+            group.assign_connection_shares(connections_max, own, &all, holders);
         }
     }
 }
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -4,7 +4,9 @@
 mod leadership;
 
 use crate::clock::boot_time;
-use crate::group::{GroupMember, ServiceGroup};
+use crate::forwarding::ForwardingState;
+use crate::forwarding::holders::HolderTable;
+use crate::group::{ConnectionLoans, GroupMember, ServiceGroup};
 use crate::identity::{DrainPhase, EngineDependencies, InstanceIdentity};
 use crate::lead::LeaderLease;
 use crate::limits::AccountLimits;
@@ -68,11 +70,14 @@
     copy_fetch_running: AtomicBool,
     records_status: Mutex<RecordsStatus>,
     limits: AccountLimits,
+    forwarding: ForwardingState,
+    loans: ConnectionLoans,
     /// Datagram exchange with other instances; set at the start.
     exchange: OnceLock<PeerExchange>,
     pending_copy: PendingCopy,
     /// Notified when callers wait for current records of the primaries.
     wait_records_request: Notify,
+    holders: HolderTable,
 }
 
 impl ProxyEngine {
@@ -93,9 +98,12 @@
             copy_fetch_running: AtomicBool::new(false),
             records_status: Mutex::default(),
             limits: AccountLimits::default(),
+            forwarding: ForwardingState::default(),
+            loans: ConnectionLoans::new(),
             exchange: OnceLock::new(),
             pending_copy: PendingCopy::default(),
             wait_records_request: Notify::new(),
+            holders: HolderTable::default(),
         })
     }
 
@@ -143,6 +151,21 @@
         &self.limits
     }
 
+    /// Returns the state of forwarding to and from other instances.
+    pub(crate) fn forwarding(&self) -> &ForwardingState {
+        &self.forwarding
+    }
+
+    /// Returns the holders of the connections of client accounts.
+    pub(crate) fn holders(&self) -> &HolderTable {
+        &self.holders
+    }
+
+    /// Returns the loans of connections between instances.
+    pub(crate) fn loans(&self) -> &ConnectionLoans {
+        &self.loans
+    }
+
     pub(crate) fn membership(&self) -> &MembershipView {
         &self.membership
     }
--- a/crates/rudder-engine/src/limits/claim.rs
+++ b/crates/rudder-engine/src/limits/claim.rs
@@ -9,7 +9,7 @@
 use displaydoc::Display;
 use rand::RngExt;
 use rudder_core::{AccountName, InstanceName};
-use rudder_decisions::{ClaimPlan, ClaimTerms};
+use rudder_decisions::{ClaimPlan, ClaimTerms, ExpiringSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -146,6 +146,11 @@
         })
     }
 
+    /// Returns when the claim's wait in the queue of an owner has ended, and its response is due.
+    fn queue_end(&self) -> Instant {
+        self.began_at + self.terms.wait + OWNER_TIMEOUT
+    }
+
     fn older_message(&self) -> PeerMessage {
         let (request_id, account) = (self.request_id, self.account.clone());
         PeerMessage::Claim(OperationClaim { request_id, account, counts: true })
@@ -287,63 +292,83 @@
         responses: &mut mpsc::UnboundedReceiver<ReceivedResponse>,
     ) -> Result<Option<ClaimGrant>, ClaimError> {
         let mut deadline = claim.began_at + CLAIM_TIMEOUT;
-        let silent_owners: Vec<bool> = {
-            let (now, state) = (boot_time(), self.limits().state());
-            owners.iter().map(|owner| state.silent_owners.contains(&owner.instance, now)).collect()
-        };
+        let mut plan = self.claim_plan(owners);
+        let mut hedged = None;
         let mut unresponsive: Vec<&InstanceName> = Vec::new();
         let mut declined = None;
-        for index in ClaimPlan::new(&silent_owners) {
+        while let Some(index) = plan.next() {
             if Instant::now() >= deadline {
                 break;
             }
             if declined.take() == Some(index) && owners.len() > 1 {
                 continue;
             }
-            let owner = &owners[index];
-            if !self.send_claim(claim, owner, &mut unresponsive).await {
+            if !self.send_claim(claim, owners, index, &mut unresponsive).await {
                 break;
             }
-            let owner_deadline = deadline.min(Instant::now() + OWNER_TIMEOUT);
-            let mut response = self
-                .await_response(owners, owner, responses, &mut unresponsive, owner_deadline)
-                .await;
-            while let Some((ClaimReply::Queued { within }, _)) = response {
+            if plan.is_hedged() && owners[index].address.is_some() {
+                hedged = Some(index);
+                continue;
+            }
+            // After a claim to two owners at once, the response of the first one is awaited.
+            let mut awaited = hedged.take().unwrap_or(index);
+            let mut wait_end = deadline.min(Instant::now() + OWNER_TIMEOUT);
+            let response = loop {
+                let response = self
+                    .await_response(claim, owners, awaited, responses, &mut unresponsive, wait_end)
+                    .await;
+                let Some((ClaimReply::Queued { within }, from)) = response else { break response };
+                if Instant::now() >= claim.queue_end() {
+                    break None;
+                }
                 // The owner rejects the claim when its wait ends. If that response does not arrive,
                 // the owner is lost, and the next one gets the claim with the remaining wait.
-                let wait = within.min(claim.remaining().wait) + OWNER_TIMEOUT;
-                deadline = deadline.max(Instant::now() + wait + OWNER_TIMEOUT);
-                let wait_end = Instant::now() + wait;
-                response = self
-                    .await_response(owners, owner, responses, &mut unresponsive, wait_end)
-                    .await;
-            }
+                awaited = from;
+                let wait = within.saturating_add(OWNER_TIMEOUT);
+                wait_end = claim.queue_end().min(Instant::now() + wait);
+                deadline = deadline.max(claim.queue_end() + OWNER_TIMEOUT);
+            };
             match response {
                 Some((ClaimReply::Granted { grant }, from)) => {
-                    let account = claim.account.clone();
-                    return Ok(grant.map(|number| ClaimGrant { account, owner: from, number }));
+                    let (account, owner) = (claim.account.clone(), owners[from].address);
+                    return Ok(grant.map(|number| ClaimGrant { account, owner, number }));
                 }
                 Some((ClaimReply::Rejected { after, reservation, promised_for }, _)) => {
                     return Err(self.rejected(claim, after, reservation, promised_for));
                 }
                 Some((ClaimReply::NotOwner, _)) => {
-                    declined = Some(index);
+                    declined = Some(awaited);
                     tokio::time::sleep(NEXT_OWNER_PAUSE).await;
                 }
-                Some((ClaimReply::Queued { .. }, _)) | None => {}
+                Some((ClaimReply::Queued { .. }, _)) | None => {
+                    let doubtful = &owners[awaited].instance;
+                    self.limits().state().doubtful_owners.insert(doubtful, boot_time());
+                }
             }
         }
         Err(ClaimError::unanswered())
     }
 
+    /// Returns the order in which a claim is sent to owners, by what claims for all accounts have
+    /// shown of them.
+    fn claim_plan(&self, owners: &[LimitOwner]) -> ClaimPlan {
+        let (now, state) = (boot_time(), self.limits().state());
+        let marked = |set: &ExpiringSet<InstanceName>| -> Vec<bool> {
+            owners.iter().map(|owner| set.contains(&owner.instance, now)).collect()
+        };
+        ClaimPlan::with_doubt(&marked(&state.silent_owners), &marked(&state.doubtful_owners))
+    }
+
     /// Sends a claim to an owner, without a queue if the owner may run an older build. Returns false
     /// if this instance cannot send datagrams.
     async fn send_claim<'a>(
         &self,
         claim: &OperationTerms<'_>,
-        owner: &'a LimitOwner,
+        owners: &'a [LimitOwner],
+        index: usize,
         unresponsive: &mut Vec<&'a InstanceName>,
     ) -> bool {
+        let owner = &owners[index];
         let Some(address) = owner.address else {
             let claimant = QueueClaimant::Own { request_id: claim.request_id };
             self.queue_claim(claim.account, claim.remaining(), claimant).await;
@@ -361,6 +386,7 @@
         let message =
             if is_repeated || is_older { claim.older_message() } else { claim.queue_message() };
         unresponsive.push(&owner.instance);
+        self.send_evidence(claim.account, &owners[..index], address).await;
         exchange.send(&message, address).await;
         true
     }
@@ -385,31 +411,49 @@
     }
 
     /// Returns the next response that decides the claim or says that it is queued, or the response
-    /// of `awaited` that it does not count for the account, with the address of its sender. Returns
-    /// `None` at the deadline.
+    /// of `awaited` that it does not count for the account, with the index of the owner that
+    /// responded. Returns `None` at the deadline.
     async fn await_response(
         &self,
+        claim: &OperationTerms<'_>,
         owners: &[LimitOwner],
-        awaited: &LimitOwner,
+        awaited: usize,
         responses: &mut mpsc::UnboundedReceiver<ReceivedResponse>,
         unresponsive: &mut Vec<&InstanceName>,
         deadline: Instant,
-    ) -> Option<(ClaimReply, Option<SocketAddr>)> {
+    ) -> Option<(ClaimReply, usize)> {
         while let Ok(Some(received)) = tokio::time::timeout_at(deadline, responses.recv()).await {
-            let from = owners.iter().find(|owner| owner.address == received.from);
-            if let Some(from) = from {
-                let mut state = self.limits().state();
-                state.silent_owners.remove(&from.instance);
-                if received.from.is_some() {
-                    state.record_build(&from.instance, received.has_queue);
-                }
-                unresponsive.retain(|instance| **instance != from.instance);
+            let from = owners.iter().position(|owner| owner.address == received.from);
+            let Some(from) = from else {
+                ignore_response(claim, received.from);
+                continue;
+            };
+            let owner = &owners[from].instance;
+            let mut state = self.limits().state();
+            state.silent_owners.remove(owner);
+            state.doubtful_owners.remove(owner);
+            if received.from.is_some() {
+                state.record_build(owner, received.has_queue);
+            }
+            if received.reply != ClaimReply::NotOwner {
+                state.grants.record(claim.account, owner, boot_time());
             }
-            let is_awaited = from.is_some_and(|from| from.instance == awaited.instance);
-            if received.reply != ClaimReply::NotOwner || is_awaited {
-                return Some((received.reply, received.from));
+            drop(state);
+            unresponsive.retain(|instance| *instance != owner);
+            if received.reply != ClaimReply::NotOwner || from == awaited {
+                return Some((received.reply, from));
             }
         }
         None
     }
 }
+
+/// Counts and logs a response of an instance that the claim was not sent to.
+fn ignore_response(claim: &OperationTerms<'_>, from: Option<SocketAddr>) {
+    let reason = "unknown_sender";
+    metrics::counter!("rudder_claim_responses_ignored_total", "reason" => reason).increment(1);
+    log::debug!(
+        peer:? = from, request = claim.request_id, reason = reason;
+        "a response to a claim was ignored"
+    );
+}
--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -1,7 +1,7 @@
 //! Counting of operations at the instance that owns an account's limit.
 
 use super::queue::QueueClaimant;
-use super::state::{ClaimReply, ReceivedResponse};
+use super::state::ReceivedResponse;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::identity::DrainPhase;
@@ -30,7 +30,7 @@
 
     /// Returns whether this instance was recently in contact with the store, directly or through
     /// peers, and for how long.
-    fn fleet_contact(&self) -> FleetContact {
+    pub(super) fn fleet_contact(&self) -> FleetContact {
         let groups = self.groups().into_iter();
         let confirmed_at =
             groups.map(|group| group.with_leases(|leases| leases.valid_from())).max();
@@ -38,10 +38,17 @@
         let connected_until = confirmed_at.unwrap_or_default() + LimitBounds::contact_timeout();
         let now = boot_time();
         let mut state = self.limits().state();
+        let checked_at = state.contact_checked_at.replace(now).unwrap_or(now);
         if now >= connected_until {
             state.contact_since = Some(now);
+            state.ledger.detach(connected_until);
             return FleetContact::Lost;
         }
+        // A process that was suspended may find new contact before it checks for the first time.
+        if now >= checked_at + LimitBounds::contact_timeout() {
+            state.contact_since = Some(now);
+            state.ledger.detach(checked_at);
+        }
         let settled_at =
             state.contact_since.get_or_insert(now).saturating_add(self.settling_time());
         if now >= settled_at { FleetContact::Settled } else { FleetContact::Connected }
@@ -53,14 +60,22 @@
         self.identity().limit_bounds.window
     }
 
-    /// Whether this instance counts the operations of an account.
-    async fn counts_for(&self, account: &AccountName) -> bool {
+    /// Returns whether this instance counts the operations of an account. If it does no longer, its
+    /// queue is rejected.
+    pub(super) async fn counts_for(&self, account: &AccountName) -> bool {
         // The probing instance knows a limit. If this instance knows none yet, another one counts.
         if self.operation_limit(account).is_none() {
             return false;
         }
-        let Some((_, role)) = self.role_for(account).await else { return false };
-        self.limits().state().ledger.grants(account, role)
+        let role = self.role_for(account).await.map_or(OwnerRole::Absent, |(_, role)| role);
+        let (counts, notices) = {
+            let mut state = self.limits().state();
+            let is_absent = role == OwnerRole::Absent;
+            let notices = if is_absent { state.stop_counting(account) } else { Vec::new() };
+            (state.ledger.grants(account, role), notices)
+        };
+        self.send_outcomes(account, notices).await;
+        counts
     }
 
     /// Returns the rank of this instance among an account's owners and whether it counts for the
@@ -79,6 +94,7 @@
         let rank = owners.iter().position(|owner| owner.instance == *own)?;
         let mut states = Vec::new();
         let mut probes = Vec::new();
+        let mut unanswered = Vec::new();
         {
             let now = boot_time();
             let mut state = self.limits().state();
@@ -86,6 +102,9 @@
                 if state.watch.try_begin_probe(account, &owner.instance, now) {
                     let request_id = state.begin_probe(account, &owner.instance);
                     probes.extend(owner.address.map(|address| (request_id, address)));
+                    if state.watch.needs_relays(account, &owner.instance) {
+                        unanswered.push(&owner.instance);
+                    }
                 }
                 states.push(state.watch.state(account, &owner.instance, now));
             }
@@ -95,36 +114,33 @@
                 let claim = OperationClaim { request_id, account: account.clone(), counts: false };
                 exchange.send(&PeerMessage::Claim(claim), address).await;
             }
+            for owner in unanswered {
+                self.probe_through_relays(exchange, account, owner).await;
+            }
         }
         Some((rank, OwnerRole::of(self.fleet_contact(), &states)))
     }
 
     /// Applies the response to a claim or to a probe of this instance.
-    pub(crate) fn handle_claim_response(&self, response: ClaimResponse, from: SocketAddr) {
-        let mut state = self.limits().state();
-        match state.end_probe(response.request_id) {
-            Some((account, owner)) => {
-                let grants = response.outcome != ClaimOutcome::NotOwner;
-                state.watch.record_response(&account, &owner, grants, boot_time());
-            }
-            None => {
-                let reply = match response.outcome {
-                    ClaimOutcome::Granted => ClaimReply::Granted { grant: None },
-                    ClaimOutcome::Spent { after_ms } => ClaimReply::Rejected {
-                        after: Duration::from_millis(after_ms.into()),
-                        reservation: None,
-                        promised_for: None,
-                    },
-                    ClaimOutcome::NotOwner => ClaimReply::NotOwner,
-                };
-                let request_id = response.request_id;
-                state.deliver(ReceivedResponse {
-                    from: Some(from),
-                    request_id,
-                    has_queue: false,
-                    reply,
-                });
+    pub(crate) async fn handle_claim_response(&self, response: ClaimResponse, from: SocketAddr) {
+        let grants = response.outcome != ClaimOutcome::NotOwner;
+        let relayed = {
+            let mut state = self.limits().state();
+            let relayed = state.relays.end_relayed(response.request_id, from);
+            if relayed.is_none() {
+                match state.end_probe(response.request_id) {
+                    Some((account, owner)) => {
+                        state.watch.record_response(&account, &owner, grants, boot_time());
+                    }
+                    None => {
+                        state.deliver(ReceivedResponse::of(response, from));
+                    }
+                }
             }
+            relayed
+        };
+        if let Some(relayed) = relayed {
+            self.return_relayed(relayed, grants).await;
         }
     }
 }
--- a/crates/rudder-engine/src/limits/queue.rs
+++ b/crates/rudder-engine/src/limits/queue.rs
@@ -51,7 +51,7 @@
                     state.queues.claim(&mut state.ledger, account, scope, terms, claimant)
                 }
                 None => {
-                    let mut notices = state.queues.release(account);
+                    let mut notices = state.stop_counting(account);
                     let outcome = QueueOutcome::NotOwner;
                     notices.push(QueueNotice { claimant, priority: 0, outcome });
                     notices
@@ -80,7 +80,11 @@
         Some(ClaimScope { limit, bounds, role, rank, now: boot_time() })
     }
 
-    async fn send_outcomes(&self, account: &AccountName, notices: Vec<QueueNotice<QueueClaimant>>) {
+    pub(super) async fn send_outcomes(
+        &self,
+        account: &AccountName,
+        notices: Vec<QueueNotice<QueueClaimant>>,
+    ) {
         for QueueNotice { claimant, priority, outcome } in notices {
             record_outcome(account, priority, outcome);
             let (message, to) = match claimant {
@@ -207,7 +211,7 @@
                 let state = &mut *engine.limits().state();
                 match scope {
                     Some(scope) => state.queues.serve(&mut state.ledger, &account, scope),
-                    None => state.queues.release(&account),
+                    None => state.stop_counting(&account),
                 }
             };
             engine.send_outcomes(&account, notices).await;
--- a/crates/rudder-engine/src/limits/state.rs
+++ b/crates/rudder-engine/src/limits/state.rs
@@ -1,10 +1,15 @@
 //! State of the accounts' limits in one instance.
 
+use super::probe::RelayLog;
 use super::queue::QueueClaimant;
 use crate::clock::boot_time;
+use crate::peers::{ClaimOutcome, ClaimResponse};
 use crate::sync::lock;
 use rudder_core::{AccountName, InstanceName};
-use rudder_decisions::{ExpiringSet, LimitLedger, LimitQueues, OwnerWatch, PromisedTokens};
+use rudder_decisions::{
+    ExpiringSet, GrantLog, LimitLedger, LimitQueues, OwnerRole, OwnerWatch, PromisedTokens,
+    QueueNotice,
+};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
@@ -35,6 +40,23 @@
     pub(super) reply: ClaimReply,
 }
 
+impl ReceivedResponse {
+    /// Returns the response to a claim without a queue.
+    pub(super) fn of(response: ClaimResponse, from: SocketAddr) -> Self {
+        let reply = match response.outcome {
+            ClaimOutcome::Granted => ClaimReply::Granted { grant: None },
+            ClaimOutcome::Spent { after_ms } => ClaimReply::Rejected {
+                after: Duration::from_millis(after_ms.into()),
+                reservation: None,
+                promised_for: None,
+            },
+            ClaimOutcome::NotOwner => ClaimReply::NotOwner,
+        };
+        let request_id = response.request_id;
+        Self { from: Some(from), request_id, has_queue: false, reply }
+    }
+}
+
 /// Claim that waits for its responses.
 struct PendingClaim {
     request_id: u64,
@@ -69,10 +91,18 @@
     pub(super) watch: OwnerWatch,
     /// Owners that recently did not respond.
     pub(super) silent_owners: ExpiringSet<InstanceName>,
+    /// Owners that did not respond to a claim in time.
+    pub(super) doubtful_owners: ExpiringSet<InstanceName>,
     /// Accounts for whose claims no owner recently responded.
     pub(super) unanswered: ExpiringSet<AccountName>,
     /// Time since when this instance has been in continuous contact with the fleet.
     pub(super) contact_since: Option<Duration>,
+    /// Time of the last check of the contact with the fleet.
+    pub(super) contact_checked_at: Option<Duration>,
+    /// Owners that decided claims of this instance.
+    pub(super) grants: GrantLog,
+    /// Probes through relays.
+    pub(super) relays: RelayLog,
     /// Sorted by request.
     claims: Vec<PendingClaim>,
     /// Sorted by request.
@@ -92,8 +122,12 @@
             older_responses: Vec::new(),
             watch: OwnerWatch::default(),
             silent_owners: ExpiringSet::new(SILENT_OWNER_TIME),
+            doubtful_owners: ExpiringSet::new(DOUBTFUL_OWNER_TIME),
             unanswered: ExpiringSet::new(UNANSWERED_TIME),
             contact_since: None,
+            contact_checked_at: None,
+            grants: GrantLog::default(),
+            relays: RelayLog::default(),
             claims: Vec::new(),
             probes: Vec::new(),
             ended: VecDeque::new(),
@@ -105,6 +139,10 @@
 /// Time for which an owner that did not respond is skipped.
 const SILENT_OWNER_TIME: Duration = Duration::from_millis(1000);
 
+/// Time for which claims are also sent to the next owner after an owner did not respond. It is longer
+/// than [`SILENT_OWNER_TIME`], so that no claim waits for the owner again when that has passed.
+const DOUBTFUL_OWNER_TIME: Duration = Duration::from_millis(5000);
+
 /// Time for which an account's claims are refused at once after no owner responded.
 const UNANSWERED_TIME: Duration = Duration::from_millis(300);
 
@@ -133,11 +171,30 @@
         state.watch.retain(&is_limited);
         // Claimants of a removed account get no response and find that it has no limit any more.
         state.queues.retain(&is_limited);
+        state.grants.retain(&is_limited);
     }
 }
 
 impl LimitState {
-    fn next_request_id(&mut self) -> u64 {
+    /// Records that another instance counts an account's operations. Returns the claims that waited.
+    /// Grants made so far cannot be returned any more: they would increase the content with which
+    /// this instance may count again.
+    pub(super) fn stop_counting(
+        &mut self,
+        account: &AccountName,
+    ) -> Vec<QueueNotice<QueueClaimant>> {
+        let before = self.ledger.role(account);
+        if before != OwnerRole::Absent {
+            self.ledger.step_down(account);
+            log::info!(
+                account:% = account, before:? = before, reason = "another_owner";
+                "this instance no longer counts the operations of an account"
+            );
+        }
+        self.queues.release(account)
+    }
+
+    pub(super) fn next_request_id(&mut self) -> u64 {
         self.last_request_id += 1;
         self.last_request_id
     }
--- a/crates/rudder-engine/src/limits/tests/mod.rs
+++ b/crates/rudder-engine/src/limits/tests/mod.rs
@@ -74,6 +74,7 @@
         domain: "north".parse().expect("a name"),
         address: ([127, 0, 0, 1], 9).into(),
         marked: false,
+        capacity: None,
     }
 }
 
@@ -195,3 +196,5 @@
     assert_eq!(closed.access(&database, &key), Err(StatementError::Busy));
     assert!(open.access(&database, &key).is_ok());
 }
+
+mod relay;
--- a/crates/rudder-engine/src/limits/tests/queue.rs
+++ b/crates/rudder-engine/src/limits/tests/queue.rs
@@ -12,6 +12,7 @@
 use crate::session::CallerSession;
 use crate::settings::{AccountLimit, AccountRule, AccountTable, DatabaseName, KeyDigest};
 use crate::statement::{CallerStatement, RequestId, StatementError, StatementOutcome};
+use rudder_decisions::ClaimScope;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -66,7 +67,7 @@
         loop {
             match exchange.receive().await {
                 (PeerMessage::ClaimResponse(response), from) => {
-                    receiver.handle_claim_response(response, from);
+                    receiver.handle_claim_response(response, from).await;
                 }
                 (PeerMessage::QueuedClaim(response), from) => {
                     receiver.handle_queued_claim(response, from).await;
@@ -144,7 +145,8 @@
     let bounds = engine.identity().limit_bounds;
     let role = engine.limits().state().ledger.role(&account());
     let state = &mut *engine.limits().state();
-    let supply = state.ledger.supply(&account(), limit, bounds, role, boot_time());
+    let scope = ClaimScope { limit, bounds, role, rank: 0, now: boot_time() };
+    let supply = state.ledger.supply(&account(), scope);
     supply.map_or(0, |supply| supply.available)
 }
 
@@ -231,9 +233,13 @@
 
     assert!(claim(&engine, &access()).await.is_ok());
 
-    let wait_ms = |owner: &StandInOwner| match owner.received().first() {
-        Some(PeerMessage::QueueClaim(claim)) => claim.wait_ms,
-        other => panic!("a claim with a queue: {other:?}"),
+    let wait_ms = |owner: &StandInOwner| {
+        let received = owner.received();
+        let claim = received.iter().find_map(|message| match message {
+            PeerMessage::QueueClaim(claim) => Some(claim.wait_ms),
+            _ => None,
+        });
+        claim.unwrap_or_else(|| panic!("a claim with a queue: {received:?}"))
     };
     assert_eq!(wait_ms(&lost), 500);
     assert!(wait_ms(&next) < 400, "{}", wait_ms(&next));
--- a/crates/rudder-engine/src/peers/fleet_copy.rs
+++ b/crates/rudder-engine/src/peers/fleet_copy.rs
@@ -12,6 +12,7 @@
 use super::offset::RequestOffset;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
+use crate::forwarding::{FORWARDING_MARK, serve_forwarding};
 use crate::group::MemberEntry;
 use crate::settings::{FleetSettings, SettingsVersion};
 use crate::store_snapshot::MembersVersion;
@@ -20,6 +21,7 @@
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use rudder_core::{InstanceName, MemberName, plain_data};
+use rudder_decisions::InstanceCapacity;
 use serde::{Deserialize, Serialize};
 use std::io::{Read as _, Write as _};
 use std::net::SocketAddr;
@@ -28,6 +30,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
+use tokio::time::error::Elapsed;
 
 /// Timeout for the next chunk of a copy: covers scheduling on a busy peer and a packet lost between
 /// regions. The time for a whole copy grows with its size and with the number of concurrent
@@ -88,6 +91,37 @@
     }
 }
 
+plain_data! {
+    /// Capacities of the entries in a copy, in the same order. They follow the copy, as older builds
+    /// ignore what follows it but could not decode entries with a further field.
+    #[derive(Serialize, Deserialize)]
+    struct CapacitiesCopy {
+        capacities: Vec<Option<u32>>,
+    }
+}
+
+impl CapacitiesCopy {
+    /// Returns the capacities of a copy's entries, if there are any.
+    fn of(copy: &FleetCopy) -> Option<Self> {
+        let (CopiedList::Whole(entries) | CopiedList::Change { put: entries, .. }) =
+            &copy.entries.as_ref()?.list;
+        let capacity = |entry: &PeerEntry| entry.capacity.map(|capacity| capacity.0);
+        let capacities: Vec<Option<u32>> = entries.iter().map(capacity).collect();
+        capacities.iter().any(Option::is_some).then_some(Self { capacities })
+    }
+
+    fn apply_to(self, copy: &mut FleetCopy) {
+        let list = copy.entries.as_mut().map(|entries| &mut entries.list);
+        let Some(CopiedList::Whole(entries) | CopiedList::Change { put: entries, .. }) = list
+        else {
+            return;
+        };
+        for (entry, capacity) in entries.iter_mut().zip(self.capacities) {
+            entry.capacity = capacity.map(InstanceCapacity);
+        }
+    }
+}
+
 /// Versions of the settings and members that an instance knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CopyVersion {
@@ -102,7 +136,7 @@
     }
 }
 
-/// Serves copies of this instance's state to peers that connect.
+/// Serves copies of this instance's state, and forwarded requests, to peers that connect.
 pub(crate) async fn serve_copies(engine: Arc<ProxyEngine>, listener: TcpListener) {
     loop {
         let (stream, peer) = match listener.accept().await {
@@ -115,7 +149,7 @@
         };
         let engine = Arc::clone(&engine);
         tokio::spawn(async move {
-            match tokio::time::timeout(COPY_TIMEOUT, serve_copy(&engine, stream)).await {
+            match serve_connection(&engine, stream, peer).await {
                 Ok(Ok(())) => {}
                 Ok(Err(error)) => log::info!(
                     peer:% = peer, reason:% = error; "the store's state was not sent to a peer"
@@ -128,9 +162,30 @@
     }
 }
 
-async fn serve_copy(engine: &ProxyEngine, mut stream: TcpStream) -> std::io::Result<()> {
+/// Serves a copy, or forwarded requests if the connection starts with their mark.
+async fn serve_connection(
+    engine: &Arc<ProxyEngine>,
+    mut stream: TcpStream,
+    peer: SocketAddr,
+) -> Result<std::io::Result<()>, Elapsed> {
+    let deadline = tokio::time::Instant::now() + COPY_TIMEOUT;
+    let length = match tokio::time::timeout_at(deadline, stream.read_u16()).await? {
+        Ok(FORWARDING_MARK) => {
+            serve_forwarding(Arc::clone(engine), stream, peer).await;
+            return Ok(Ok(()));
+        }
+        Ok(length) => length,
+        Err(error) => return Ok(Err(error)),
+    };
+    tokio::time::timeout_at(deadline, serve_copy(engine, stream, length)).await
+}
+
+async fn serve_copy(
+    engine: &ProxyEngine,
+    mut stream: TcpStream,
+    length: u16,
+) -> std::io::Result<()> {
     let received_at = boot_time();
-    let length = stream.read_u16().await?;
     let mut bytes = vec![0; length.into()];
     stream.read_exact(&mut bytes).await?;
     let request: CopyRequest = postcard::from_bytes(&bytes).map_err(std::io::Error::other)?;
@@ -143,7 +198,11 @@
 
 /// Encodes a copy for sending. Names recur in each of its entries, so it is compressed.
 pub(super) fn encode_copy(copy: &FleetCopy) -> std::io::Result<Vec<u8>> {
-    let bytes = postcard::to_stdvec(copy).map_err(std::io::Error::other)?;
+    let mut bytes = postcard::to_stdvec(copy).map_err(std::io::Error::other)?;
+    if let Some(capacities) = CapacitiesCopy::of(copy) {
+        let appended = postcard::to_stdvec(&capacities).map_err(std::io::Error::other)?;
+        bytes.extend(appended);
+    }
     let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
     encoder.write_all(&bytes)?;
     encoder.finish()
@@ -153,7 +212,14 @@
 pub(super) fn decode_copy(bytes: &[u8]) -> std::io::Result<FleetCopy> {
     let mut plain = Vec::new();
     DeflateDecoder::new(bytes).take(COPY_BYTES_MAX).read_to_end(&mut plain)?;
-    postcard::from_bytes(&plain).map_err(std::io::Error::other)
+    let (mut copy, appended) =
+        postcard::take_from_bytes::<FleetCopy>(&plain).map_err(std::io::Error::other)?;
+    if !appended.is_empty() {
+        let capacities: CapacitiesCopy =
+            postcard::from_bytes(appended).map_err(std::io::Error::other)?;
+        capacities.apply_to(&mut copy);
+    }
+    Ok(copy)
 }
 
 async fn with_chunk_timeout<T>(
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -3,8 +3,10 @@
 use super::digest::RecordsDigest;
 use super::fleet_copy::{CopyRequest, CopyVersion};
 use super::list_change::ListDigest;
+use super::loan_message::{LoanRecall, LoanRequest, LoanResponse, LoanReturn, SpareConnections};
 use super::offset::RequestOffset;
 use super::queue_claim::{QueueClaim, QueuedClaim, ReturnClaim};
+use super::relay::{RelayProbe, RelayedProbe};
 use crate::lead::{LeadRecord, LeaderEpoch};
 use rudder_core::{AccountName, DomainName, InstanceName, LogStamp, ServiceName, plain_data};
 use serde::{Deserialize, Serialize};
@@ -209,10 +211,24 @@
     FetchCopy(CopyQuery),
     /// Response to a request for a copy.
     Copy(CopyResponse),
+    /// Request to probe an owner of an account that the sender cannot reach.
+    RelayProbe(RelayProbe),
+    /// Response of a relay, or evidence of a claimant.
+    RelayedProbe(RelayedProbe),
     /// Claim of an operation of an account, which may wait.
     QueueClaim(QueueClaim),
     /// Response to a claim that may wait.
     QueuedClaim(QueuedClaim),
     /// Return of a grant whose statement did not run.
     ReturnClaim(ReturnClaim),
+    /// Connections that an instance could lend.
+    SpareConnections(SpareConnections),
+    /// Request for a loan of connections.
+    LoanRequest(LoanRequest),
+    /// Response to a [`LoanRequest`].
+    LoanResponse(LoanResponse),
+    /// Notice of a borrower that a loan has ended.
+    LoanReturn(LoanReturn),
+    /// Request of a lender to end a loan.
+    LoanRecall(LoanRecall),
 }
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -8,13 +8,16 @@
 mod entries;
 mod exchange;
 mod fleet_copy;
+mod holder_list;
 mod list_change;
+mod loan_message;
 mod membership;
 mod membership_state;
 mod message;
 mod offset;
 mod queue_claim;
 mod readers;
+mod relay;
 mod requests;
 mod subscribers;
 
@@ -25,7 +28,11 @@
     CopyRequest, CopyVersion, EntriesCopy, FleetCopy, MembersCopy, PendingCopy, fetch_copy,
     respond_with_copy, serve_copies,
 };
+pub(crate) use holder_list::{HolderList, find_entry};
 pub(crate) use list_change::{CopiedList, ListDigest, ListHistory};
+pub(crate) use loan_message::{
+    LoanRecall, LoanRequest, LoanResponse, LoanReturn, LoanTarget, SpareConnections, SpareCount,
+};
 pub(crate) use membership::MembershipView;
 pub(crate) use membership_state::{LimitOwner, PeerEntry};
 pub(crate) use message::{
@@ -34,6 +41,7 @@
 };
 pub(crate) use offset::RequestOffset;
 pub(crate) use queue_claim::{QueueClaim, QueuedClaim, QueuedOutcome, ReturnClaim};
+pub(crate) use relay::{EVIDENCE_ID, RelayProbe, RelayedProbe};
 pub(crate) use subscribers::RecordsSubscriber;
 
 #[cfg(test)]
--- a/crates/rudder-engine/src/session/caller.rs
+++ b/crates/rudder-engine/src/session/caller.rs
@@ -257,13 +257,8 @@
         let route = Arc::clone(&access.route);
         let job =
             StatementJob::new(id, body, effect, prepared, self.session_state.values(), &access);
-        let strict = route.kind == RouteKind::Strict || effect == StatementEffect::Write;
-        let reply = if strict {
-            engine.run_strict(&route, &job).await
-        } else {
-            let floor = self.session_floor(&route.service);
-            engine.read_bounded(&route, &job, floor).await
-        };
+        let floor = self.session_floor(&route.service);
+        let reply = engine.run_single(&access, &job, floor).await;
         if let (Some(grant), true, false) = (grant, reply.error().is_some(), job.may_have_run()) {
             engine.return_grant(grant).await;
         }
--- a/crates/rudder-engine/src/session/job.rs
+++ b/crates/rudder-engine/src/session/job.rs
@@ -3,6 +3,7 @@
 use crate::clock::boot_time;
 use crate::engine::RouteAccess;
 use crate::group::{ExchangeError, LinkRequest, LinkUser, PooledLink, ServiceGroup};
+use crate::settings::RouteRule;
 use crate::statement::{
     MemberCommand, PreparedStatement, RequestId, SessionValue, StatementBody, StatementEffect,
     StatementError, StatementReply, TransactionState,
@@ -67,12 +68,18 @@
             values: values.to_vec(),
             priority: route.priority,
             started_at: now,
-            wait_until: now + route.latency_target.min(route.statement_timeout) / WAIT_DIVISOR,
+            wait_until: now + wait_limit(route),
             deadline: now + route.statement_timeout,
             may_have_run: Arc::default(),
         }
     }
 
+    /// Returns the job with the time to wait for a connection starting anew.
+    pub(crate) fn with_renewed_wait(&self, route: &RouteRule) -> Self {
+        let now = Instant::now();
+        Self { wait_until: (now + wait_limit(route)).min(self.deadline), ..self.clone() }
+    }
+
     /// Returns the connection request for this job.
     pub(crate) fn link_request(&self, work: WaitingWork) -> LinkRequest {
         LinkRequest { user: LinkUser::Caller(self.account.clone()), rank: work.rank(self.priority) }
@@ -124,6 +131,11 @@
         self.may_have_run.load(Ordering::Relaxed)
     }
 
+    /// Records that the statement may have run at a member without a connection of this instance.
+    pub(crate) fn record_run(&self) {
+        self.may_have_run.store(true, Ordering::Relaxed);
+    }
+
     fn record_attempt(
         &self,
         result: Result<StatementReply, ExchangeError>,
@@ -135,12 +147,17 @@
             Err(error) => !error.sent,
         };
         if !not_run {
-            self.may_have_run.store(true, Ordering::Relaxed);
+            self.record_run();
         }
         result
     }
 }
 
+/// Time that a request may wait for a connection.
+fn wait_limit(route: &RouteRule) -> Duration {
+    route.latency_target.min(route.statement_timeout) / WAIT_DIVISOR
+}
+
 /// Runs commands of which all but the last prepare the connection; returns the last one's reply.
 async fn run_all(
     link: &mut PooledLink,
