Run a request at its origin until the connection to its holder is open

An instance that had served an account itself also kept its connection warm and stayed at it, so that connections of instances that are no holders added up beyond the member's limit. Change: the connection opens in the background and the request runs at its origin meanwhile; a warm connection counts only at one of the account's holders.

--- a/crates/rudder-engine/src/forwarding/choice.rs
+++ b/crates/rudder-engine/src/forwarding/choice.rs
@@ -5,7 +5,7 @@
 use crate::engine::{ProxyEngine, RouteAccess};
 use crate::group::{GroupMember, PlacementContext, nearest_usable};
 use rudder_core::{AccountName, InstanceName, LogStamp};
-use rudder_decisions::{ForwardChoice, forward_choice};
+use rudder_decisions::{ForwardChoice, LocalPool, forward_choice};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -47,8 +47,12 @@
         }
         let own = self.identity_name();
         let (names, now) = (&known.holders.names, Instant::now());
+        // Connections of instances that are no holders would add up beyond the member's limit, so
+        // they are used only while no holder can be, and then expire.
+        let is_warm = known.pool.is_warm && names.contains(own);
+        let pool = LocalPool { is_warm, ..known.pool };
         let mut board = self.holders().board();
-        match forward_choice(own, account, names, known.pool, &mut board, now) {
+        match forward_choice(own, account, names, pool, &mut board, now) {
             ForwardChoice::Local => RequestPlace::Local,
             ForwardChoice::Forward(instance) => match known.holders.address(&instance) {
                 Some(address) => RequestPlace::Holder(HolderTarget { instance, address }),
@@ -94,6 +98,8 @@
                 board.record_reply(holder);
                 board.record_overloaded(holder, account, now);
             }
+            // Nothing is known of the holder yet.
+            ForwardResult::NotSent(ForwardFault::Connecting) => {}
             // The holder is usable, but not for this request.
             ForwardResult::Declined(_)
             | ForwardResult::NotSent(ForwardFault::TooLarge)
--- a/crates/rudder-engine/src/forwarding/client.rs
+++ b/crates/rudder-engine/src/forwarding/client.rs
@@ -42,47 +42,55 @@
 }
 
 impl HolderSlot {
-    /// Returns the connection; opens one if there is none, unless that failed recently.
-    async fn connect(
-        self: Arc<Self>,
-        holder: HolderTarget,
-        queue_bytes: Arc<Semaphore>,
-    ) -> Result<Arc<HolderConnection>, ForwardFault> {
+    /// Opens a connection unless there is one.
+    async fn connect(self: Arc<Self>, holder: HolderTarget, queue_bytes: Arc<Semaphore>) {
         let mut state = self.state.lock().await;
-        if let Some(connection) = &state.connection
-            && !connection.has_ended()
-        {
-            return Ok(Arc::clone(connection));
-        }
-        state.connection = None;
-        if state.failed_at.is_some_and(|at| Instant::now() < at + CONNECT_PAUSE) {
-            return Err(ForwardFault::Unreachable);
+        if state.open_connection().is_some() {
+            return;
         }
         let open = HolderConnection::open(holder.address, queue_bytes);
         let reason = match tokio::time::timeout(CONNECT_TIMEOUT, open).await {
             Ok(Ok(connection)) => {
-                state.failed_at = None;
-                state.connection = Some(Arc::clone(&connection));
-                return Ok(connection);
+                *state = SlotState { connection: Some(connection), failed_at: None };
+                return;
             }
             Ok(Err(end)) => end.to_string(),
             Err(_) => "timeout".to_owned(),
         };
-        state.failed_at = Some(Instant::now());
+        *state = SlotState { connection: None, failed_at: Some(Instant::now()) };
         log::info!(
             holder:% = holder.instance, reason:% = reason;
             "a forwarding connection was not opened"
         );
-        Err(ForwardFault::Unreachable)
     }
 
-    /// Returns the connection if it is known to be open.
+    fn status(&self) -> SlotStatus {
+        // The state is locked for as long as a connection is being opened.
+        let Ok(state) = self.state.try_lock() else { return SlotStatus::Opening };
+        match (state.open_connection(), state.failed_at) {
+            (Some(connection), _) => SlotStatus::Open(connection),
+            (None, Some(at)) if at.elapsed() < CONNECT_PAUSE => SlotStatus::Failed,
+            (None, _) => SlotStatus::Closed,
+        }
+    }
+}
+
+impl SlotState {
+    /// Returns the connection if it accepts requests.
     fn open_connection(&self) -> Option<Arc<HolderConnection>> {
-        let state = self.state.try_lock().ok()?;
-        state.connection.as_ref().filter(|connection| !connection.has_ended()).cloned()
+        self.connection.as_ref().filter(|connection| !connection.has_ended()).cloned()
     }
 }
 
+/// Whether a holder can be sent requests.
+enum SlotStatus {
+    Open(Arc<HolderConnection>),
+    Opening,
+    /// Opening the connection failed recently.
+    Failed,
+    Closed,
+}
+
 /// Connections of this instance to the holders that it forwards to.
 pub(crate) struct ForwardingClient {
     /// Sorted by address.
@@ -107,7 +115,7 @@
         job: &StatementJob,
         floor: Option<LogStamp>,
     ) -> ForwardResult {
-        let connection = match self.connection(holder, connect_limit(job)).await {
+        let connection = match self.connection(holder) {
             Ok(connection) => connection,
             Err(reason) => return ForwardResult::NotSent(reason),
         };
@@ -116,23 +124,32 @@
         connection.request(message, reply_limit(job)).await
     }
 
-    /// Returns a connection to a holder; opens one if needed, for at most `limit`.
-    pub(super) async fn connection(
+    /// Returns the connection to a holder if it is open. Otherwise opens it in the background: a
+    /// request that waited for two round trips between regions would miss its latency target, and
+    /// this instance can run it meanwhile.
+    pub(super) fn connection(
         &self,
         holder: &HolderTarget,
-        limit: Duration,
     ) -> Result<Arc<HolderConnection>, ForwardFault> {
         let slot = self.slot(holder.address);
-        if let Some(connection) = slot.open_connection() {
-            return Ok(connection);
-        }
-        // If this caller stops waiting, the connection is opened for the next ones.
-        let connect = tokio::spawn(slot.connect(holder.clone(), Arc::clone(&self.queue_bytes)));
-        match tokio::time::timeout(limit.min(CONNECT_TIMEOUT), connect).await {
-            Ok(Ok(connection)) => connection,
-            Ok(Err(_)) | Err(_) => Err(ForwardFault::Timeout),
+        match slot.status() {
+            SlotStatus::Open(connection) => Ok(connection),
+            SlotStatus::Opening => Err(ForwardFault::Connecting),
+            SlotStatus::Failed => Err(ForwardFault::Unreachable),
+            SlotStatus::Closed => {
+                tokio::spawn(slot.connect(holder.clone(), Arc::clone(&self.queue_bytes)));
+                Err(ForwardFault::Connecting)
+            }
         }
     }
+
+    /// Opens the connection to a holder.
+    #[cfg(test)]
+    pub(super) async fn open(&self, holder: HolderTarget) {
+        let slot = self.slot(holder.address);
+        slot.connect(holder, Arc::clone(&self.queue_bytes)).await;
+    }
+
     fn slot(&self, address: SocketAddr) -> Arc<HolderSlot> {
         let mut slots = lock(&self.slots);
         if let Ok(index) = slots.binary_search_by_key(&address, |(known, _)| *known) {
@@ -154,12 +171,6 @@
     }
 }
 
-/// Time that a job may wait for a connection to a holder: half of its wait, so that it can still be
-/// run by this instance.
-pub(super) fn connect_limit(job: &StatementJob) -> Duration {
-    job.wait_remaining() / 2
-}
-
 /// Time for which the reply to a job is awaited.
 pub(super) fn reply_limit(job: &StatementJob) -> Duration {
     job.time_remaining() + REPLY_MARGIN
--- a/crates/rudder-engine/src/forwarding/dispatch.rs
+++ b/crates/rudder-engine/src/forwarding/dispatch.rs
@@ -2,7 +2,7 @@
 
 use super::choice::RequestPlace;
 use super::remote::RemoteTransaction;
-use super::result::ForwardResult;
+use super::result::{ForwardFault, ForwardResult};
 use crate::engine::{ProxyEngine, RouteAccess};
 use crate::session::{StatementJob, in_doubt, is_strict, retry_text_after};
 use crate::statement::{StatementEffect, StatementError, StatementReply, TransactionState};
@@ -101,7 +101,7 @@
             };
             let sent_at = Instant::now();
             let client = self.forwarding().client();
-            let result = match RemoteTransaction::open(client, &holder, read_only, job).await {
+            let result = match RemoteTransaction::open(client, &holder, read_only) {
                 Ok(mut remote) => {
                     let result = remote.run(access, job, floor).await;
                     let leaves_doubt = remote.leaves_doubt(job);
@@ -182,6 +182,7 @@
             Some(error) => ("refused", error.label().to_owned()),
         },
         ForwardResult::Declined(reason) => ("declined", reason.to_string()),
+        ForwardResult::NotSent(ForwardFault::Connecting) => ("connecting", String::new()),
         ForwardResult::NotSent(reason) => ("not_sent", reason.to_string()),
         ForwardResult::Lost(reason) if leaves_doubt => ("in_doubt", reason.to_string()),
         ForwardResult::Lost(reason) => ("lost", reason.to_string()),
@@ -199,7 +200,7 @@
             took_ms = elapsed.as_millis(), outcome = outcome;
             "a forwarded request was served"
         ),
-        "served" => {}
+        "served" | "connecting" => {}
         _ => log::info!(
             request:% = job.id, service:% = job.service, holder:% = holder,
             reason = reason.as_str(), took_ms = elapsed.as_millis(), outcome = outcome;
--- a/crates/rudder-engine/src/forwarding/remote.rs
+++ b/crates/rudder-engine/src/forwarding/remote.rs
@@ -1,7 +1,7 @@
 //! The origin's side of a transaction that runs at a holder.
 
 use super::choice::HolderTarget;
-use super::client::{ForwardingClient, connect_limit, reply_limit};
+use super::client::{ForwardingClient, reply_limit};
 use super::connection::HolderConnection;
 use super::result::{ForwardFault, ForwardResult};
 use super::wire::{OriginFrame, WireBegin, WireRequest};
@@ -25,13 +25,12 @@
 
 impl RemoteTransaction {
     /// Prepares a transaction at a holder. It begins there with its first statement.
-    pub(super) async fn open(
+    pub(super) fn open(
         client: &ForwardingClient,
         holder: &HolderTarget,
         read_only: bool,
-        job: &StatementJob,
     ) -> Result<Self, ForwardFault> {
-        let connection = client.connection(holder, connect_limit(job)).await?;
+        let connection = client.connection(holder)?;
         let number = connection.begin_transaction();
         let begin = Some(WireBegin { read_only });
         let holder = holder.instance.clone();
--- a/crates/rudder-engine/src/forwarding/result.rs
+++ b/crates/rudder-engine/src/forwarding/result.rs
@@ -7,6 +7,8 @@
 /// Reason why a request got no response from a holder. The texts are fixed words in logs.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(crate) enum ForwardFault {
+    /// connecting
+    Connecting,
     /// unreachable
     Unreachable,
     /// closed
@@ -38,14 +40,17 @@
 }
 
 impl ForwardResult {
-    /// Whether the fault is of the request, so that another holder would not run it either.
+    /// Whether the request is not sent to another holder: the fault is of the request, or its holder
+    /// will be usable as soon as the connection to it is open.
     pub(super) fn is_of_request(&self) -> bool {
         match self {
             Self::Reply(_) => false,
             Self::Declined(reason) => {
                 !matches!(reason, DeclineReason::Draining | DeclineReason::Overloaded)
             }
-            Self::NotSent(fault) => *fault == ForwardFault::TooLarge,
+            Self::NotSent(fault) => {
+                matches!(fault, ForwardFault::TooLarge | ForwardFault::Connecting)
+            }
             Self::Lost(fault) => *fault == ForwardFault::Undeliverable,
         }
     }
--- a/crates/rudder-engine/src/forwarding/tests/fixture.rs
+++ b/crates/rudder-engine/src/forwarding/tests/fixture.rs
@@ -3,7 +3,7 @@
 use crate::clock::boot_time;
 use crate::engine::{ProxyEngine, RouteAccess};
 use crate::fixtures::{RejectingPromotion, UnavailableStore, identity, member_entry};
-use crate::forwarding::choice::RequestPlace;
+use crate::forwarding::choice::{HolderTarget, RequestPlace};
 use crate::group::MemberEntry;
 use crate::identity::EngineDependencies;
 use crate::interfaces::{LinkError, MemberDialer, MemberLink, MemberTarget};
@@ -211,8 +211,8 @@
     engine.group(&service).record_peer_sample(LeaderEpoch(1), now, LogStamp::new(1, 7));
 }
 
-/// Makes two instances known to the first one.
-pub(super) fn introduce(origin: &TestInstance, holder: SocketAddr) {
+/// Makes two instances known to the first one, and opens its connection to the holder.
+pub(super) async fn introduce(origin: &TestInstance, holder: SocketAddr) {
     let entry = |name: &str, address| PeerEntry {
         instance: name.parse().expect("a name"),
         domain: "north".parse().expect("a name"),
@@ -221,11 +221,20 @@
         capacity: None,
     };
     let entries = vec![entry("holder", holder), entry("origin", origin.address)];
-    origin.engine.membership().set_entries(entries, boot_time());
+    origin.engine.membership().set_entries(entries.clone(), boot_time());
+    open_connections(origin, entries).await;
+}
+
+/// Makes several holders known to an instance that is farther from the members than they are, and
+/// opens its connections to them.
+pub(super) async fn introduce_nearer(origin: &TestInstance, holders: &[SocketAddr]) {
+    let entries = list_nearer(origin, holders);
+    open_connections(origin, entries).await;
 }
 
 /// Makes several holders known to an instance that is farther from the members than they are.
-pub(super) fn introduce_nearer(origin: &TestInstance, holders: &[SocketAddr]) {
+/// Returns their entries.
+pub(super) fn list_nearer(origin: &TestInstance, holders: &[SocketAddr]) -> Vec<PeerEntry> {
     let entry = |name: &str, domain: &str, address| PeerEntry {
         instance: name.parse().expect("a name"),
         domain: domain.parse().expect("a name"),
@@ -238,7 +247,17 @@
         .map(|(number, address)| entry(&format!("holder-{number}"), "north", *address))
         .collect();
     entries.push(entry("origin", "south", origin.address));
-    origin.engine.membership().set_entries(entries, boot_time());
+    origin.engine.membership().set_entries(entries.clone(), boot_time());
+    entries
+}
+
+/// Opens the connections to the holders in a list, as a request without an open connection runs at
+/// its origin.
+async fn open_connections(origin: &TestInstance, entries: Vec<PeerEntry>) {
+    let holders = entries.into_iter().filter(|entry| entry.address != origin.address);
+    for PeerEntry { instance, address, .. } in holders {
+        origin.engine.forwarding().client().open(HolderTarget { instance, address }).await;
+    }
 }
 
 /// Returns an account whose statements the origin forwards, as chosen before any of them was sent.
@@ -258,7 +277,7 @@
 /// Returns a pair of instances, the first of which forwards to the second.
 pub(super) async fn pair() -> (TestInstance, TestInstance) {
     let (origin, holder) = (instance("origin").await, instance("holder").await);
-    introduce(&origin, holder.address);
+    introduce(&origin, holder.address).await;
     (origin, holder)
 }
 
--- a/crates/rudder-engine/src/forwarding/tests/lost_holder.rs
+++ b/crates/rudder-engine/src/forwarding/tests/lost_holder.rs
@@ -13,7 +13,7 @@
 
 async fn origin_of(script: HolderScript) -> (TestInstance, ScriptedHolder) {
     let (origin, holder) = (instance("origin").await, ScriptedHolder::start(script).await);
-    introduce(&origin, holder.address);
+    introduce(&origin, holder.address).await;
     (origin, holder)
 }
 
@@ -33,7 +33,7 @@
 async fn a_holder_that_is_down_costs_nothing() {
     let origin = instance("origin").await;
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
-    introduce(&origin, listener.local_addr().expect("an address"));
+    introduce(&origin, listener.local_addr().expect("an address")).await;
     drop(listener);
     let account = forwarded_account(&origin);
     let mut session = session(&origin, "strict").await;
@@ -237,7 +237,7 @@
 async fn requests_are_rejected_as_not_run_while_all_holders_are_overloaded() {
     let (origin, holder) =
         (instance("origin").await, ScriptedHolder::start(HolderScript::Decline).await);
-    introduce_nearer(&origin, &[holder.address; 4]);
+    introduce_nearer(&origin, &[holder.address; 4]).await;
     let (mut first, mut second) =
         (session(&origin, "strict").await, session(&origin, "strict").await);
 
@@ -261,7 +261,7 @@
     {
         let (origin, scripted, holder) =
             (instance("origin").await, ScriptedHolder::start(script).await, instance("h").await);
-        introduce_nearer(&origin, &[scripted.address, holder.address]);
+        introduce_nearer(&origin, &[scripted.address, holder.address]).await;
 
         // Each of the two is the first holder of some of the accounts.
         for account in accounts() {
--- a/crates/rudder-engine/src/forwarding/tests/served.rs
+++ b/crates/rudder-engine/src/forwarding/tests/served.rs
@@ -1,8 +1,8 @@
 //! Requests that a holder serves.
 
 use super::fixture::{
-    FAILING, accounts, begin, forwarded_account, id, instance, introduce, pair, read, session,
-    settings, write,
+    FAILING, accounts, begin, forwarded_account, id, instance, introduce, list_nearer, pair, read,
+    session, settings, write,
 };
 use crate::identity::DrainPhase;
 use crate::statement::{
@@ -216,7 +216,7 @@
 #[tokio::test]
 async fn nothing_is_forwarded_while_connections_suffice() {
     let (origin, holder) = (instance("origin").await, instance("holder").await);
-    introduce(&origin, holder.address);
+    introduce(&origin, holder.address).await;
     let account = forwarded_account(&origin);
     // Two instances and eight accounts.
     origin.engine.apply_settings(settings(2, &accounts(), 16));
@@ -235,3 +235,23 @@
 fn forwarded_account_in_log(lines: &[String]) -> String {
     lines[0].split(':').next().expect("an account").to_owned()
 }
+
+/// A request that waits for a connection between regions to open misses its latency target.
+#[tokio::test]
+async fn a_request_runs_at_the_origin_until_the_connection_to_its_holder_is_open() {
+    let (origin, holder) = (instance("origin").await, instance("holder").await);
+    list_nearer(&origin, &[holder.address; 4]);
+    let mut session = session(&origin, "bounded").await;
+
+    let first = read(&mut session, "READ x").await;
+    let opened = async {
+        while holder.log.lines().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            assert_eq!(read(&mut session, "READ y").await.error(), None);
+        }
+    };
+
+    assert_eq!(first.error(), None);
+    assert!(origin.log.lines()[0].contains("READ x"), "{:?}", origin.log.lines());
+    tokio::time::timeout(Duration::from_secs(2), opened).await.expect("a forwarded request");
+}
