--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -269,7 +269,9 @@
                 Some(holders) => {
                     let place = member.place();
                     let budget = HolderBudget::of(connections_max, name, own, holders, &place);
-                    pool.set_budget(budget, scarce);
+                    // Headroom of all instances together exceeds the member's limit many times; the
+                    // holders need it for callers that are idle inside transactions.
+                    pool.set_budget(budget, scarce && budget.kept > 0);
                 }
                 None => {
                     let share = ConnectionShare::of(connections_max, name, own, all);
