--- a/crates/rudder-decisions/tests/limits/fleet.rs
+++ b/crates/rudder-decisions/tests/limits/fleet.rs
@@ -6,13 +6,15 @@
 mod claims;
 mod faults;
 mod probing;
+mod queueing;
 
+use queueing::{NUMBERS_PER_PROCESS, SimClaimant};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rudder_core::{AccountName, DomainName, InstanceName};
 use rudder_decisions::{
-    ClaimDecision, ClaimPlan, ExpiringSet, FleetContact, GrantLog, LimitBounds, LimitLedger,
-    OperationLimit, OwnerRole, OwnerWatch, rank_owners,
+    ClaimDecision, ClaimPlan, ClaimScope, ExpiringSet, FleetContact, GrantLog, LimitBounds,
+    LimitLedger, LimitQueues, OperationLimit, OwnerRole, OwnerWatch, QueueOutcome, rank_owners,
 };
 use std::time::Duration;
 
@@ -48,6 +50,7 @@
     contact_lost_at: Option<Duration>,
     started_at: Duration,
     ledger: LimitLedger,
+    queues: LimitQueues<SimClaimant>,
     watch: OwnerWatch,
     /// Owners that did not respond recently.
     unresponsive: ExpiringSet<InstanceName>,
@@ -67,6 +70,13 @@
         operation: usize,
         decision: ClaimDecision,
     },
+    QueueResponse {
+        operation: usize,
+        outcome: QueueOutcome,
+    },
+    ReturnGrant {
+        grant: u64,
+    },
     /// Request whether the owner grants operations, possibly on behalf of another instance.
     Probe {
         relay: Option<SimRelay>,
@@ -114,6 +124,7 @@
     /// Owners that were sent a claim and have not responded.
     tried_owners: Vec<usize>,
     finished: bool,
+    priority: u8,
 }
 
 /// Simulated fleet of instances and the network between them.
@@ -141,6 +152,11 @@
     store_suffices: bool,
     /// Operations that were requested.
     pub(crate) requested: usize,
+    /// Whether claims go through the owners' queues and unused grants are returned.
+    pub(crate) uses_queues: bool,
+    processes: u64,
+    /// Grants whose tokens were put back.
+    pub(crate) returned: usize,
 }
 
 impl SimFleet {
@@ -156,6 +172,7 @@
             contact_lost_at: None,
             started_at: Duration::ZERO,
             ledger: LimitLedger::default(),
+            queues: LimitQueues::new(index as u64 * NUMBERS_PER_PROCESS),
             watch: OwnerWatch::default(),
             unresponsive: ExpiringSet::new(SKIP_DURATION),
             doubtful: ExpiringSet::new(DOUBT_DURATION),
@@ -185,6 +202,9 @@
             store_unreachable: false,
             store_suffices: false,
             requested: 0,
+            uses_queues: false,
+            processes: count as u64,
+            returned: 0,
         }
     }
 
@@ -197,6 +217,7 @@
             self.generate_arrivals(operations_per_s);
             self.deliver();
             self.probe_between_claims();
+            self.serve_queues();
             self.send_claims();
         }
     }
@@ -280,6 +301,13 @@
     fn receive(&mut self, datagram: SimDatagram) {
         let SimDatagram { from, to, message, .. } = datagram;
         match message {
+            SimMessage::Claim { operation } if self.uses_queues => {
+                self.queue_claim(to, SimClaimant { operation, instance: from });
+            }
+            SimMessage::QueueResponse { operation, outcome } => {
+                self.complete_queue_claim(operation, from, outcome);
+            }
+            SimMessage::ReturnGrant { grant } => self.take_back(to, grant),
             SimMessage::Claim { operation } => {
                 let decision = self.decide(to, true);
                 self.send(to, from, SimMessage::ClaimResponse { operation, decision });
@@ -313,28 +341,35 @@
         }
     }
 
-    /// Decides on a claim at the owner `index`, probing the owners ranked before it. For a probe
-    /// the decision is only whether the owner grants operations.
+    /// Decides on a claim at the owner `index`. For a probe the decision is only whether the owner
+    /// grants operations.
     fn decide(&mut self, index: usize, consumes: bool) -> ClaimDecision {
+        let ClaimScope { limit, bounds, role, rank, now } = self.claim_scope(index);
+        if !consumes {
+            if role == OwnerRole::Absent {
+                self.instances[index].ledger.step_down(&self.account);
+                let notices = self.instances[index].queues.release(&self.account);
+                self.send_outcomes(index, notices);
+            }
+            let grants = self.instances[index].ledger.grants(&self.account, role);
+            return if grants { ClaimDecision::Granted } else { ClaimDecision::NotOwner };
+        }
+        self.instances[index].ledger.claim(&self.account, limit, bounds, role, rank, now)
+    }
+
+    /// Returns the scope of a decision at the owner `index`, probing the owners ranked before it.
+    fn claim_scope(&mut self, index: usize) -> ClaimScope {
         let owners = self.owners();
-        let place = owners.iter().position(|owner| *owner == index).expect("an owner");
+        let rank = owners.iter().position(|owner| *owner == index).expect("an owner");
         let mut states = Vec::new();
-        for earlier in &owners[..place] {
+        for earlier in &owners[..rank] {
             self.probe(index, *earlier);
             let instance = &self.instances[index];
             let name = &self.instances[*earlier].name;
             states.push(instance.watch.state(&self.account, name, self.now));
         }
         let role = OwnerRole::of(self.fleet_contact(index), &states);
-        if !consumes {
-            if role == OwnerRole::Absent {
-                self.instances[index].ledger.step_down(&self.account);
-            }
-            let grants = self.instances[index].ledger.grants(&self.account, role);
-            return if grants { ClaimDecision::Granted } else { ClaimDecision::NotOwner };
-        }
-        let (limit, now) = (self.limit, self.now);
-        self.instances[index].ledger.claim(&self.account, limit, BOUNDS, role, place, now)
+        ClaimScope { limit: self.limit, bounds: BOUNDS, role, rank, now: self.now }
     }
 
     fn fleet_contact(&mut self, index: usize) -> FleetContact {
--- a/crates/rudder-decisions/tests/limits/fleet/claims.rs
+++ b/crates/rudder-decisions/tests/limits/fleet/claims.rs
@@ -1,12 +1,14 @@
 //! Claims of operations at the owners of the account.
 
+use super::queueing::SimClaimant;
 use super::{SimFleet, SimMessage, SimOperation};
+use rand::RngExt;
 use rudder_core::InstanceName;
 use rudder_decisions::{ClaimDecision, ClaimPlan, ExpiringSet};
 use std::time::Duration;
 
 /// Time after which a claim without a response is sent to the next owner of the plan.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(60);
+pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Time after which an operation whose claims got no decision is refused.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(600);
@@ -20,7 +22,9 @@
             owners.map(|owner| set.contains(&self.instances[owner].name, self.now)).collect()
         };
         let plan = ClaimPlan::with_doubt(&marked(&known.unresponsive), &marked(&known.doubtful));
+        let priority = if self.uses_queues { self.random.random_range(0..3) } else { 0 };
         self.operations.push(SimOperation {
+            priority,
             instance,
             started_at: self.now,
             next_attempt_at: self.now,
@@ -62,7 +66,9 @@
             self.operations[operation].awaited_owner = (!is_hedged).then_some(owner);
             let timeout = if is_hedged { Duration::ZERO } else { RESPONSE_TIMEOUT };
             self.operations[operation].next_attempt_at = self.now + timeout;
-            if owner == instance {
+            if self.uses_queues && owner == instance {
+                self.queue_claim(owner, SimClaimant { operation, instance });
+            } else if owner == instance {
                 let decision = self.decide(owner, true);
                 self.complete_claim(operation, owner, decision);
             } else {
@@ -79,15 +85,10 @@
         owner: usize,
         decision: ClaimDecision,
     ) {
-        let instance = self.operations[operation].instance;
-        let name = self.instances[owner].name.clone();
-        self.instances[instance].unresponsive.remove(&name);
-        self.instances[instance].doubtful.remove(&name);
-        self.operations[operation].awaited_owner.take_if(|awaited| *awaited == owner);
+        self.record_response(operation, owner);
         if decision != ClaimDecision::NotOwner {
-            self.instances[instance].grants.record(&self.account, &name, self.now);
+            self.record_decision(operation, owner);
         }
-        self.operations[operation].tried_owners.retain(|tried| *tried != owner);
         if self.operations[operation].finished {
             return;
         }
@@ -102,4 +103,21 @@
         self.waits.push(self.now - self.operations[operation].started_at);
         self.operations[operation].finished = true;
     }
+
+    /// Records that an owner responded.
+    pub(super) fn record_response(&mut self, operation: usize, owner: usize) {
+        let instance = self.operations[operation].instance;
+        let name = self.instances[owner].name.clone();
+        self.instances[instance].unresponsive.remove(&name);
+        self.instances[instance].doubtful.remove(&name);
+        self.operations[operation].awaited_owner.take_if(|awaited| *awaited == owner);
+        self.operations[operation].tried_owners.retain(|tried| *tried != owner);
+    }
+
+    /// Records an owner's decision as evidence.
+    pub(super) fn record_decision(&mut self, operation: usize, owner: usize) {
+        let instance = self.operations[operation].instance;
+        let name = self.instances[owner].name.clone();
+        self.instances[instance].grants.record(&self.account, &name, self.now);
+    }
 }
--- a/crates/rudder-decisions/tests/limits/fleet/faults.rs
+++ b/crates/rudder-decisions/tests/limits/fleet/faults.rs
@@ -1,8 +1,9 @@
 //! Faults of the simulated fleet: stops, suspensions, cut links and outages of the store.
 
+use super::queueing::NUMBERS_PER_PROCESS;
 use super::{DOUBT_DURATION, SKIP_DURATION, SimFleet};
 use rand::RngExt;
-use rudder_decisions::{ExpiringSet, GrantLog, LimitLedger, OwnerWatch};
+use rudder_decisions::{ExpiringSet, GrantLog, LimitLedger, LimitQueues, OwnerWatch};
 use std::time::Duration;
 
 impl SimFleet {
@@ -18,6 +19,8 @@
         instance.contact_lost_at = None;
         instance.started_at = self.now;
         instance.ledger = LimitLedger::default();
+        instance.queues = LimitQueues::new(self.processes * NUMBERS_PER_PROCESS);
+        self.processes += 1;
         instance.watch = OwnerWatch::default();
         instance.unresponsive = ExpiringSet::new(SKIP_DURATION);
         instance.doubtful = ExpiringSet::new(DOUBT_DURATION);
--- a/crates/rudder-decisions/tests/limits/main.rs
+++ b/crates/rudder-decisions/tests/limits/main.rs
@@ -2,7 +2,10 @@
 //! partitions, cut links, message loss, partial outages of the store, restarts and suspended
 //! processes.
 
+mod claim_terms;
 mod fleet;
 mod partial;
+mod queue_load;
 mod reports;
+mod returns;
 mod schedules;
--- a/crates/rudder-engine/src/forwarding/result.rs
+++ b/crates/rudder-engine/src/forwarding/result.rs
@@ -1,7 +1,7 @@
 //! What became of a request to a holder.
 
 use super::wire::DeclineReason;
-use crate::statement::StatementReply;
+use crate::statement::{StatementError, StatementReply};
 use displaydoc::Display;
 
 /// Reason why a request got no response from a holder. The texts are fixed words in logs.
@@ -40,6 +40,19 @@
 }
 
 impl ForwardResult {
+    /// Whether a member may have run the request, or begun its transaction. The reply to a statement
+    /// of a transaction does not tell whether the transaction began.
+    pub(super) fn may_have_run(&self, is_transaction: bool) -> bool {
+        match self {
+            Self::Reply(reply) => {
+                let not_run = reply.error().is_some_and(StatementError::guarantees_not_run);
+                is_transaction || !not_run
+            }
+            Self::Declined(_) | Self::NotSent(_) => false,
+            Self::Lost(_) => true,
+        }
+    }
+
     /// Whether the request is not sent to another holder: the fault is of the request, or its holder
     /// will be usable as soon as the connection to it is open.
     pub(super) fn is_of_request(&self) -> bool {
--- a/crates/rudder-engine/src/limits/mod.rs
+++ b/crates/rudder-engine/src/limits/mod.rs
@@ -5,11 +5,13 @@
 mod claim;
 mod owner;
 mod probe;
+mod queue;
 mod state;
 
-pub(crate) use claim::ClaimError;
+pub(crate) use claim::{ClaimError, ClaimGrant, RefusedOperation};
 pub(crate) use owner::respond_to_claim;
 pub(crate) use probe::probe_owners;
+pub(crate) use queue::{respond_to_queue_claim, serve_queues};
 pub(crate) use state::AccountLimits;
 
 #[cfg(test)]
--- a/crates/rudder-engine/src/limits/probe.rs
+++ b/crates/rudder-engine/src/limits/probe.rs
@@ -10,7 +10,7 @@
     EVIDENCE_ID, LimitOwner, OperationClaim, PeerExchange, PeerMessage, RelayProbe, RelayedProbe,
 };
 use rudder_core::{AccountName, InstanceName};
-use rudder_decisions::{ClaimDecision, choose_relays};
+use rudder_decisions::choose_relays;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -153,8 +153,8 @@
             return reject(from, "not_an_owner");
         };
         let Some(owner_address) = owner.address else {
-            let decision = self.judge_claim(&probe.account, false).await;
-            let response = relayed_probe(probe, decision != ClaimDecision::NotOwner);
+            let grants = self.counts_for(&probe.account).await;
+            let response = relayed_probe(probe, grants);
             exchange.send(&PeerMessage::RelayedProbe(response), from).await;
             return;
         };
@@ -262,7 +262,7 @@
             state.ledger.active_accounts(boot_time()).cloned().collect()
         };
         for account in accounts {
-            engine.judge_claim(&account, false).await;
+            engine.counts_for(&account).await;
         }
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
--- a/crates/rudder-engine/src/limits/tests/relay.rs
+++ b/crates/rudder-engine/src/limits/tests/relay.rs
@@ -162,7 +162,7 @@
 
     let request = loop {
         assert!(tokio::time::Instant::now() < deadline, "no relay was asked");
-        fixture.engine.judge_claim(&account(), true).await;
+        fixture.engine.counts_for(&account()).await;
         let next = tokio::time::timeout(Duration::from_millis(20), fixture.other.receive()).await;
         if let Ok((PeerMessage::RelayProbe(probe), _)) = next {
             break probe;
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -15,6 +15,7 @@
 mod membership_state;
 mod message;
 mod offset;
+mod queue_claim;
 mod readers;
 mod relay;
 mod requests;
@@ -39,6 +40,7 @@
     RecordCopy, RecordTiming, RecordsRequest, RecordsResponse, SampleCopy, StopNotice,
 };
 pub(crate) use offset::RequestOffset;
+pub(crate) use queue_claim::{QueueClaim, QueuedClaim, QueuedOutcome, ReturnClaim};
 pub(crate) use relay::{EVIDENCE_ID, RelayProbe, RelayedProbe};
 pub(crate) use subscribers::RecordsSubscriber;
 
--- a/crates/rudder-engine/src/peers/tests/message.rs
+++ b/crates/rudder-engine/src/peers/tests/message.rs
@@ -3,8 +3,8 @@
 use crate::peers::list_change::ListDigest;
 use crate::peers::message::CopyResponse;
 use crate::peers::{
-    CopyVersion, LoanRecall, LoanTarget, PeerHeartbeat, PeerMessage, RecordTiming, RecordsDigest,
-    RecordsResponse, RequestOffset, SampleCopy, SpareConnections, SpareCount,
+    CopyVersion, LoanRecall, LoanTarget, PeerHeartbeat, PeerMessage, QueueClaim, RecordTiming,
+    RecordsDigest, RecordsResponse, RequestOffset, SampleCopy, SpareConnections, SpareCount,
 };
 use rudder_core::LogStamp;
 use std::time::Duration;
@@ -74,6 +74,36 @@
     assert!(bytes < 100, "{bytes}");
 }
 
+fn queue_claim() -> PeerMessage {
+    PeerMessage::QueueClaim(QueueClaim {
+        request_id: 1 << 20,
+        account: "an-account-with-a-long-name".parse().expect("a name"),
+        priority: Some(1),
+        wait_ms: 750,
+        deadline_ms: 2500,
+        refused_before: true,
+        reservation: Some(u64::MAX),
+    })
+}
+
+/// A claim is sent for each operation, so its size decides the traffic between domains.
+#[test]
+fn a_claim_with_a_queue_is_short() {
+    let bytes = size(&queue_claim());
+
+    assert!(bytes < 60, "{bytes}");
+}
+
+/// A truncated claim must not be read as one with other terms.
+#[test]
+fn a_truncated_claim_is_an_error() {
+    let bytes = postcard::to_stdvec(&queue_claim()).expect("a message is written");
+
+    for length in 0..bytes.len() {
+        assert!(postcard::from_bytes::<PeerMessage>(&bytes[..length]).is_err(), "{length}");
+    }
+}
+
 /// An older build drops unknown datagrams, but would take a message for another one if the numbers
 /// of the variants changed.
 #[test]
