Decide which of two sets of instances counts operations

Cause: two sets of instances without any link, each with an instance that reads the store, both have contact with the fleet, so the owners of both grant an account's whole limit.

Change: AuthorityKeeper agrees on one holder of an object in the store and AuthorityView passes its confirmations on. Contact means a confirmation within 1.8 s; contact with the store counts only before any authority is known. A poll before a takeover counts only instances that are no longer in contact with the present holder. The simulated fleet has a store with delayed calls and calls without a response.

--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -36,8 +36,10 @@
 pub use dial_gate::{DialFailure, DialGate};
 pub use meter::MemberMeter;
 pub use operation_limit::{
-    ClaimDecision, ClaimPlan, ExpiringSet, FleetContact, GrantLog, LimitBounds, LimitLedger,
-    OperationBucket, OperationLimit, OwnerRole, OwnerState, OwnerWatch, choose_relays, rank_owners,
+    AuthorityAction, AuthorityChange, AuthorityKeeper, AuthorityRecord, AuthorityTerm,
+    AuthorityView, ClaimDecision, ClaimPlan, ExpiringSet, FleetContact, GrantLog, LimitBounds,
+    LimitLedger, OperationBucket, OperationLimit, OwnerRole, OwnerState, OwnerWatch, WriteOutcome,
+    choose_relays, rank_owners,
 };
 pub use outlier::OutlierTracker;
 pub use place::{NodePlace, PlaceDistance};
--- a/crates/rudder-decisions/src/operation_limit/mod.rs
+++ b/crates/rudder-decisions/src/operation_limit/mod.rs
@@ -15,6 +15,7 @@
 //! successor therefore counts an owner as silent only if relays in other domains do not reach it
 //! either, and claimants report which owner last decided their claims.
 
+mod authority;
 mod bucket;
 mod evidence;
 mod ledger;
@@ -23,6 +24,10 @@
 mod role;
 mod watch;
 
+pub use authority::{
+    AuthorityAction, AuthorityChange, AuthorityKeeper, AuthorityRecord, AuthorityTerm,
+    AuthorityView, WriteOutcome,
+};
 pub use bucket::{OperationBucket, OperationLimit};
 pub use evidence::GrantLog;
 pub use ledger::{ClaimDecision, LimitBounds, LimitLedger};
--- a/crates/rudder-decisions/tests/limits/main.rs
+++ b/crates/rudder-decisions/tests/limits/main.rs
@@ -2,7 +2,9 @@
 //! partitions, cut links, message loss, partial outages of the store, restarts and suspended
 //! processes.
 
+mod authority;
 mod fleet;
 mod partial;
 mod reports;
 mod schedules;
+mod two_sets;
