Confirm contact for limits through one holder in the store

Cause: fleet_contact counted contact with the store, which two sets of instances without a link between them can both have.

Change: the fleet reader keeps the object limitauthorities/authority (duty/authority) while the settings limit an account. Its confirmation time follows the encoded Records message as an offset, with a version byte, and passes through the same chain; responses to any request for records are counted as votes of a majority. fleet_contact uses the confirmation once one is known. Behind an instance of an older build, contact with the store counts again 13 s after the last confirmation. Without limited accounts no call is made and no byte is sent.

--- a/crates/rudder-engine/src/duty/start.rs
+++ b/crates/rudder-engine/src/duty/start.rs
@@ -1,6 +1,6 @@
 //! Start of an instance.
 
-use super::{heartbeat, keeper, records, registry, watch};
+use super::{authority, heartbeat, keeper, records, registry, watch};
 use crate::engine::ProxyEngine;
 use crate::identity::{EngineDependencies, InstanceIdentity};
 use crate::limits::probe_owners;
@@ -39,6 +39,7 @@
     tokio::spawn(probe_owners(Arc::clone(&engine)));
     tokio::spawn(registry::keep_registered(Arc::clone(&engine)));
     tokio::spawn(records::follow(Arc::clone(&engine), exchange.clone()));
+    tokio::spawn(authority::keep(Arc::clone(&engine), exchange.clone()));
     tokio::spawn(watch::supervise(Arc::clone(&engine)));
     tokio::spawn(keeper::run_keeper(Arc::clone(&engine), exchange));
     Ok(engine)
--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the background tasks.
 
 mod answers;
+mod authority;
 mod change;
 mod fixture;
 mod records;
--- a/crates/rudder-engine/src/limits/mod.rs
+++ b/crates/rudder-engine/src/limits/mod.rs
@@ -2,6 +2,7 @@
 //! instance that counts the account's operations on all instances
 //! (`rudder_decisions::LimitLedger`).
 
+mod authority;
 mod claim;
 mod owner;
 mod probe;
--- a/crates/rudder-engine/src/limits/tests/relay.rs
+++ b/crates/rudder-engine/src/limits/tests/relay.rs
@@ -4,7 +4,8 @@
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::peers::{
-    ClaimOutcome, ClaimResponse, EVIDENCE_ID, PeerExchange, PeerMessage, RelayProbe, RelayedProbe,
+    ClaimOutcome, ClaimResponse, EVIDENCE_ID, PeerExchange, PeerMessage, ReceivedDatagram,
+    RelayProbe, RelayedProbe,
 };
 use rudder_core::InstanceName;
 use rudder_decisions::OwnerState;
@@ -81,7 +82,7 @@
 
 async fn receive(exchange: &PeerExchange) -> Option<PeerMessage> {
     let received = tokio::time::timeout(DATAGRAM_TIMEOUT, exchange.receive()).await;
-    received.ok().map(|(message, _)| message)
+    received.ok().map(|received| received.message)
 }
 
 fn granted(request_id: u64) -> ClaimResponse {
@@ -164,7 +165,7 @@
         assert!(tokio::time::Instant::now() < deadline, "no relay was asked");
         fixture.engine.judge_claim(&account(), true).await;
         let next = tokio::time::timeout(Duration::from_millis(20), fixture.other.receive()).await;
-        if let Ok((PeerMessage::RelayProbe(probe), _)) = next {
+        if let Ok(ReceivedDatagram { message: PeerMessage::RelayProbe(probe), .. }) = next {
             break probe;
         }
     };
--- a/crates/rudder-engine/src/settings/accounts.rs
+++ b/crates/rudder-engine/src/settings/accounts.rs
@@ -150,6 +150,11 @@
         self.accounts[found].limit
     }
 
+    /// Returns whether any account has a limit.
+    pub(crate) fn has_limits(&self) -> bool {
+        self.accounts.iter().any(|rule| rule.limit.is_some())
+    }
+
     /// Number of accounts.
     pub(crate) fn len(&self) -> usize {
         self.accounts.len()
--- a/crates/rudder-store/src/store.rs
+++ b/crates/rudder-store/src/store.rs
@@ -21,6 +21,8 @@
     PrimaryRecord,
     /// One running instance, for discovery by other instances; one object per instance.
     InstanceRecord,
+    /// Instance that confirms contact for the operation limits of accounts; a single object.
+    LimitAuthority,
 }
 
 impl ObjectKind {
@@ -38,6 +40,7 @@
             Self::SwitchOrder => "switchorders",
             Self::PrimaryRecord => "primaryrecords",
             Self::InstanceRecord => "instancerecords",
+            Self::LimitAuthority => "limitauthorities",
         }
     }
 
@@ -55,6 +58,7 @@
             Self::SwitchOrder => "SwitchOrder",
             Self::PrimaryRecord => "PrimaryRecord",
             Self::InstanceRecord => "InstanceRecord",
+            Self::LimitAuthority => "LimitAuthority",
         }
     }
 }
