--- a/crates/rudder-decisions/src/operation_limit/mod.rs
+++ b/crates/rudder-decisions/src/operation_limit/mod.rs
@@ -16,6 +16,7 @@
 //! either, and claimants report which owner last decided their claims.
 
 mod authority;
+mod authority_keeper;
 mod bucket;
 mod evidence;
 mod ledger;
@@ -24,10 +25,8 @@
 mod role;
 mod watch;
 
-pub use authority::{
-    AuthorityAction, AuthorityChange, AuthorityKeeper, AuthorityRecord, AuthorityTerm,
-    AuthorityView, WriteOutcome,
-};
+pub use authority::{AuthorityRecord, AuthorityTerm, AuthorityView};
+pub use authority_keeper::{AuthorityAction, AuthorityChange, AuthorityKeeper, WriteOutcome};
 pub use bucket::{OperationBucket, OperationLimit};
 pub use evidence::GrantLog;
 pub use ledger::{ClaimDecision, LimitBounds, LimitLedger};
--- a/crates/rudder-decisions/tests/limits/authority.rs
+++ b/crates/rudder-decisions/tests/limits/authority.rs
@@ -171,3 +171,35 @@
     let AuthorityAction::Write(record) = action(&keeper, ms(2200)) else { panic!() };
     assert_eq!(record.term.sequence, 3);
 }
+
+/// If the responses of instances that still trust the present holder counted, a takeover would let
+/// both sets count until their trust has ended.
+#[test]
+fn an_instance_in_contact_with_the_holder_does_not_count_for_a_takeover() {
+    let keeper = keeper();
+
+    assert!(!keeper.counts_vote(Some((4, ms(500))), ms(2299)));
+    assert!(keeper.counts_vote(Some((4, ms(500))), ms(2300)));
+    assert!(keeper.counts_vote(None, ms(0)), "an older build knows no authority");
+}
+
+/// A former holder would be confirmed by instances that know its successor.
+#[test]
+fn an_instance_that_knows_a_later_term_does_not_count_for_the_holder() {
+    let (keeper, first) = holder();
+
+    assert!(keeper.counts_vote(Some((first.term.sequence, ms(10))), ms(20)));
+    assert!(!keeper.counts_vote(Some((first.term.sequence + 1, ms(10))), ms(20)));
+}
+
+/// A majority that confirmed the holder without end would never let the other set take over safely.
+#[test]
+fn a_majority_confirms_the_holder_for_eight_seconds() {
+    let (mut keeper, first) = holder();
+    let renewal = written(&keeper, ms(1200));
+    keeper.record_write(&renewal, WriteOutcome::NotExecuted, ms(1200));
+
+    keeper.record_majority(ms(20_000));
+
+    assert_eq!(keeper.confirmation(), Some((&first.term, ms(8000))));
+}
--- a/crates/rudder-decisions/tests/limits/two_sets.rs
+++ b/crates/rudder-decisions/tests/limits/two_sets.rs
@@ -85,3 +85,41 @@
         join(fleet);
     });
 }
+
+/// The majority could move from the holder, whose store fails, to the other set, which would take
+/// over while the first one still trusts the last confirmation.
+#[test]
+fn two_sets_grant_the_limit_once_while_instances_move_between_them() {
+    assert_within_limit("two sets, moving", 6.0, &[], |fleet, rate| {
+        fleet.run(seconds(3.0), rate);
+        for _ in 0..6 {
+            separate(fleet);
+            for set in 0..2 {
+                let store_serves = fleet.random_bool(0.7);
+                set_store_serves(fleet, set, store_serves);
+            }
+            let duration = fleet.random_duration(200..3500);
+            let load = if fleet.random_bool(0.3) { rate / 20.0 } else { rate };
+            fleet.run(duration, load);
+        }
+        for set in 0..2 {
+            set_store_serves(fleet, set, true);
+        }
+        join(fleet);
+    });
+}
+
+/// The smaller set could take over while the larger one, which the store does not serve, is still
+/// confirmed by its majority.
+#[test]
+fn two_sets_grant_the_limit_once_while_the_store_fails_for_the_larger_one() {
+    assert_within_limit("two sets, long outage", 6.0, &[], |fleet, rate| {
+        fleet.run(seconds(3.0), rate);
+        separate(fleet);
+        set_store_serves(fleet, 0, false);
+        let duration = fleet.random_duration(9000..16_000);
+        fleet.run(duration, rate);
+        set_store_serves(fleet, 0, true);
+        join(fleet);
+    });
+}
