Regain contact within a term only by a later confirmation

Change: after contact was lost, a confirmation of the same term counts only if it is later than the time at which contact was regained. The holder itself and a new term need not wait.

--- a/crates/rudder-decisions/src/operation_limit/authority.rs
+++ b/crates/rudder-decisions/src/operation_limit/authority.rs
@@ -6,6 +6,7 @@
 //! of an object in the store, therefore confirms contact for its set, and no other one does until
 //! the last confirmation of the holder has expired everywhere.
 
+use super::ledger::LimitBounds;
 use rudder_core::InstanceName;
 use std::time::Duration;
 
@@ -47,19 +48,22 @@
 /// let ms = Duration::from_millis;
 /// let mut view = AuthorityView::default();
 /// assert_eq!(view.contact_at(Some(ms(900))), Some(ms(900)));
-/// assert!(view.observe(&term(1), ms(500)));
-/// assert!(!view.observe(&term(1), ms(400)));
+/// assert!(view.observe(&term(1), ms(500), ms(600)));
+/// assert!(!view.observe(&term(1), ms(400), ms(700)));
 /// assert_eq!(view.contact_at(Some(ms(900))), Some(ms(500)));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct AuthorityView {
     known: Option<(AuthorityTerm, Duration)>,
+    /// Time at which contact was regained within a term. Only later confirmations count: an earlier
+    /// one may have been passed on by instances that have left the holder's set.
+    regained_at: Duration,
 }
 
 impl AuthorityView {
-    /// Records that the holder of a term was confirmed at `confirmed_at`. Returns whether that is
-    /// later than what was known.
-    pub fn observe(&mut self, term: &AuthorityTerm, confirmed_at: Duration) -> bool {
+    /// Records at `now` that the holder of a term was confirmed at `confirmed_at`. Returns whether that
+    /// is later than what was known.
+    pub fn observe(&mut self, term: &AuthorityTerm, confirmed_at: Duration, now: Duration) -> bool {
         if let Some((known, known_at)) = &self.known {
             let is_same = known == term;
             if term.sequence < known.sequence || (term.sequence == known.sequence && !is_same) {
@@ -68,6 +72,11 @@
             if is_same && confirmed_at <= *known_at {
                 return false;
             }
+            if !is_same {
+                self.regained_at = Duration::ZERO;
+            } else if now >= *known_at + LimitBounds::contact_timeout() {
+                self.regained_at = now;
+            }
         }
         self.known = Some((term.clone(), confirmed_at));
         true
@@ -84,12 +93,17 @@
     }
 
     /// Returns the time of the last contact for the purpose of limits. `store_contact_at` is the
-    /// time of the last contact with the store, which counts as long as no authority is known.
+    /// time of the last contact with the store, which counts as long as no authority is known. If
+    /// contact was regained and no later confirmation has arrived, the time has expired.
     ///
     /// See the example of [`AuthorityView`].
     #[must_use]
     pub fn contact_at(&self, store_contact_at: Option<Duration>) -> Option<Duration> {
-        self.latest().map_or(store_contact_at, |(_, confirmed_at)| Some(confirmed_at))
+        let Some((_, confirmed_at)) = self.latest() else { return store_contact_at };
+        if confirmed_at < self.regained_at {
+            return Some(self.regained_at.saturating_sub(LimitBounds::contact_timeout()));
+        }
+        Some(confirmed_at)
     }
 
     /// Records that an instance of an older build, which passes no confirmations on, is a source of
--- a/crates/rudder-decisions/tests/limits/authority.rs
+++ b/crates/rudder-decisions/tests/limits/authority.rs
@@ -132,12 +132,12 @@
 #[test]
 fn a_confirmation_only_moves_forward() {
     let mut view = AuthorityView::default();
-    assert!(view.observe(&term(2, "entry-1", 7), ms(500)));
+    assert!(view.observe(&term(2, "entry-1", 7), ms(500), ms(500)));
 
-    assert!(!view.observe(&term(2, "entry-1", 7), ms(500)));
-    assert!(!view.observe(&term(2, "entry-2", 7), ms(900)), "two holders of one term");
-    assert!(!view.observe(&term(1, "entry-2", 9), ms(900)), "an earlier term");
-    assert!(view.observe(&term(3, "entry-2", 9), ms(450)));
+    assert!(!view.observe(&term(2, "entry-1", 7), ms(500), ms(500)));
+    assert!(!view.observe(&term(2, "entry-2", 7), ms(900), ms(900)), "two holders of one term");
+    assert!(!view.observe(&term(1, "entry-2", 9), ms(900), ms(900)), "an earlier term");
+    assert!(view.observe(&term(3, "entry-2", 9), ms(450), ms(450)));
 
     assert_eq!(view.contact_at(Some(ms(9000))), Some(ms(450)));
 }
@@ -147,7 +147,7 @@
 #[test]
 fn contact_with_the_store_counts_again_behind_an_older_build() {
     let mut view = AuthorityView::default();
-    view.observe(&term(2, "entry-1", 7), ms(500));
+    view.observe(&term(2, "entry-1", 7), ms(500), ms(500));
 
     assert!(!view.record_unaware_source(ms(13_400)));
     assert_eq!(view.contact_at(Some(ms(13_300))), Some(ms(500)));
@@ -159,7 +159,7 @@
 #[test]
 fn a_removed_object_is_created_only_after_the_wait() {
     let mut view = AuthorityView::default();
-    view.observe(&term(2, "entry-2", 9), ms(0));
+    view.observe(&term(2, "entry-2", 9), ms(0), ms(0));
     let mut keeper = keeper();
     keeper.record_read(None, ms(100));
     keeper.record_majority(ms(1950));
@@ -203,3 +203,27 @@
 
     assert_eq!(keeper.confirmation(), Some((&first.term, ms(8000))));
 }
+
+/// Instances that were in the holder's set could pass its last confirmation to an owner of another set,
+/// which would count next to the owner that the holder still reaches.
+#[test]
+fn contact_is_regained_only_by_a_later_confirmation() {
+    let mut view = AuthorityView::default();
+    view.observe(&term(2, "entry-1", 7), ms(500), ms(600));
+    view.observe(&term(2, "entry-1", 7), ms(2200), ms(2400));
+    assert_eq!(view.contact_at(None), Some(ms(600)), "it has expired at 2400");
+
+    view.observe(&term(2, "entry-1", 7), ms(2450), ms(2500));
+
+    assert_eq!(view.contact_at(None), Some(ms(2450)));
+}
+
+/// After a takeover there is nothing that an earlier holder's set could have passed on.
+#[test]
+fn contact_with_a_new_holder_counts_at_once() {
+    let mut view = AuthorityView::default();
+    view.observe(&term(2, "entry-1", 7), ms(500), ms(600));
+    view.observe(&term(3, "entry-2", 9), ms(2700), ms(2800));
+
+    assert_eq!(view.contact_at(None), Some(ms(2700)));
+}
--- a/crates/rudder-decisions/tests/limits/fleet/authority.rs
+++ b/crates/rudder-decisions/tests/limits/fleet/authority.rs
@@ -165,7 +165,7 @@
         }
         let instance = &mut self.instances[index];
         if let Some((term, confirmed_at)) = instance.keeper.confirmation() {
-            instance.authority.observe(term, confirmed_at);
+            instance.authority.observe(term, confirmed_at, confirmed_at);
         }
     }
 
@@ -209,7 +209,7 @@
                 if let Some((term, confirmed_at)) =
                     latest.map(|(term, confirmed_at)| (term.clone(), confirmed_at))
                 {
-                    self.instances[to].authority.observe(&term, confirmed_at);
+                    self.instances[to].authority.observe(&term, confirmed_at, self.now);
                 }
             }
         }
--- a/crates/rudder-engine/src/limits/authority.rs
+++ b/crates/rudder-engine/src/limits/authority.rs
@@ -23,7 +23,8 @@
         let change = change(keeper);
         log_change(keeper, change);
         let confirmation = keeper.confirmation();
-        confirmation.is_some_and(|(term, at)| self.authority.observe(term, at))
+        // A holder need not wait for a further confirmation of its own.
+        confirmation.is_some_and(|(term, at)| self.authority.observe(term, at, at))
     }
 }
 
@@ -156,7 +157,8 @@
                 "the counting authority is no longer considered; contact with the store counts"
             );
         }
-        let is_later = known.as_ref().is_some_and(|(term, at)| state.authority.observe(term, *at));
+        let is_later =
+            known.as_ref().is_some_and(|(term, at)| state.authority.observe(term, *at, now));
         let vote = known.map(|(term, confirmed_at)| (term.sequence, confirmed_at));
         let counts =
             state.keeper.as_ref().is_some_and(|keeper| keeper.counts_vote(vote, requested_at));
