--- a/crates/rudder-decisions/tests/limits/main.rs
+++ b/crates/rudder-decisions/tests/limits/main.rs
@@ -2,6 +2,7 @@
 //! partitions, cut links, message loss, partial outages of the store, restarts and suspended
 //! processes.
 
+mod authority;
 mod claim_terms;
 mod fleet;
 mod partial;
@@ -9,3 +10,4 @@
 mod reports;
 mod returns;
 mod schedules;
+mod two_sets;
