--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -48,11 +48,10 @@
 };
 pub use meter::MemberMeter;
 pub use operation_limit::{
-    AuthorityAction, AuthorityChange, AuthorityKeeper, AuthorityRecord, AuthorityTerm,
-    AuthorityView, ClaimDecision, ClaimPlan, ClaimRejection, ClaimScope, ClaimTerms, ExpiringSet,
-    FleetContact, GrantLog, LimitBounds, LimitLedger, LimitQueues, OperationBucket, OperationLimit,
-    OwnerRole, OwnerState, OwnerWatch, PromisedTokens, QueueNotice, QueueOutcome, ReservationTally,
-    TokenSupply, WriteOutcome, choose_relays, rank_owners,
+    ClaimDecision, ClaimPlan, ClaimRejection, ClaimScope, ClaimTerms, ExpiringSet, FleetContact,
+    GrantLog, LimitBounds, LimitLedger, LimitQueues, OperationBucket, OperationLimit, OwnerRole,
+    OwnerState, OwnerWatch, PromisedTokens, QueueNotice, QueueOutcome, ReservationTally,
+    TokenSupply, choose_relays, rank_owners,
 };
 pub use outlier::OutlierTracker;
 pub use place::{NodePlace, PlaceDistance};
--- a/crates/rudder-decisions/src/operation_limit/mod.rs
+++ b/crates/rudder-decisions/src/operation_limit/mod.rs
@@ -15,8 +15,6 @@
 //! successor therefore counts an owner as silent only if relays in other domains do not reach it
 //! either, and claimants report which owner last decided their claims.
 
-mod authority;
-mod authority_keeper;
 mod bucket;
 mod claim_queue;
 mod evidence;
@@ -28,8 +26,6 @@
 mod role;
 mod watch;
 
-pub use authority::{AuthorityRecord, AuthorityTerm, AuthorityView};
-pub use authority_keeper::{AuthorityAction, AuthorityChange, AuthorityKeeper, WriteOutcome};
 pub use bucket::{OperationBucket, OperationLimit, TokenSupply};
 pub use claim_queue::{ClaimRejection, ClaimTerms, QueueOutcome};
 pub use evidence::GrantLog;
--- a/crates/rudder-decisions/tests/limits/fleet.rs
+++ b/crates/rudder-decisions/tests/limits/fleet.rs
@@ -3,21 +3,18 @@
 //! The owners of the account are ranked. Before an operation runs, its instance claims it from the
 //! first owner that responds. Messages between instances are delayed and lost.
 
-mod authority;
 mod claims;
 mod faults;
 mod probing;
 mod queueing;
 
-use authority::SimStore;
 use queueing::{NUMBERS_PER_PROCESS, SimClaimant};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rudder_core::{AccountName, DomainName, InstanceName};
 use rudder_decisions::{
-    AuthorityKeeper, AuthorityView, ClaimDecision, ClaimPlan, ClaimScope, ExpiringSet,
-    FleetContact, GrantLog, LimitBounds, LimitLedger, LimitQueues, OperationLimit, OwnerRole,
-    OwnerWatch, QueueOutcome, rank_owners,
+    ClaimDecision, ClaimPlan, ClaimScope, ExpiringSet, FleetContact, GrantLog, LimitBounds,
+    LimitLedger, LimitQueues, OperationLimit, OwnerRole, OwnerWatch, QueueOutcome, rank_owners,
 };
 use std::time::Duration;
 
@@ -61,13 +58,6 @@
     doubtful: ExpiringSet<InstanceName>,
     /// Owners that decided its claims.
     grants: GrantLog,
-    /// Number that distinguishes its process from earlier ones.
-    process: u64,
-    keeper: AuthorityKeeper,
-    /// Version of the object that it read or wrote last.
-    authority_version: Option<u64>,
-    /// Latest confirmation of the counting authority that it has learned of.
-    authority: AuthorityView,
 }
 
 #[derive(Clone, Copy)]
@@ -158,7 +148,6 @@
     pub(crate) waits: Vec<Duration>,
     /// Whether all instances are without contact with the store.
     store_unreachable: bool,
-    store: SimStore,
     /// Whether contact with the store suffices for an owner, without a majority of the instances.
     store_suffices: bool,
     /// Operations that were requested.
@@ -188,10 +177,6 @@
             unresponsive: ExpiringSet::new(SKIP_DURATION),
             doubtful: ExpiringSet::new(DOUBT_DURATION),
             grants: GrantLog::default(),
-            process: 0,
-            keeper: AuthorityKeeper::new(format!("entry-{index}").parse().expect("a name"), 0),
-            authority_version: None,
-            authority: AuthorityView::default(),
         };
         let account: AccountName = "choirs".parse().expect("a name");
         let instances: Vec<SimInstance> = (0..count).map(instance).collect();
@@ -215,7 +200,6 @@
             unanswered: 0,
             waits: Vec::new(),
             store_unreachable: false,
-            store: SimStore::new(SmallRng::seed_from_u64(seed)),
             store_suffices: false,
             requested: 0,
             uses_queues: false,
@@ -230,7 +214,6 @@
         while self.now < until {
             self.now += STEP;
             self.update_contact();
-            self.update_authority();
             self.generate_arrivals(operations_per_s);
             self.deliver();
             self.probe_between_claims();
@@ -392,7 +375,7 @@
     fn fleet_contact(&mut self, index: usize) -> FleetContact {
         let now = self.now;
         let instance = &mut self.instances[index];
-        let last_contact_at = instance.authority.contact_at(instance.last_contact_at);
+        let last_contact_at = instance.last_contact_at;
         if last_contact_at.is_none_or(|at| now >= at + LimitBounds::contact_timeout()) {
             instance.contact_lost_at = Some(now);
             if let Some(at) = last_contact_at {
--- a/crates/rudder-decisions/tests/limits/fleet/faults.rs
+++ b/crates/rudder-decisions/tests/limits/fleet/faults.rs
@@ -3,9 +3,7 @@
 use super::queueing::NUMBERS_PER_PROCESS;
 use super::{DOUBT_DURATION, SKIP_DURATION, SimFleet};
 use rand::RngExt;
-use rudder_decisions::{
-    AuthorityKeeper, AuthorityView, ExpiringSet, GrantLog, LimitLedger, LimitQueues, OwnerWatch,
-};
+use rudder_decisions::{ExpiringSet, GrantLog, LimitLedger, LimitQueues, OwnerWatch};
 use std::time::Duration;
 
 impl SimFleet {
@@ -27,10 +25,6 @@
         instance.unresponsive = ExpiringSet::new(SKIP_DURATION);
         instance.doubtful = ExpiringSet::new(DOUBT_DURATION);
         instance.grants = GrantLog::default();
-        instance.process += 1;
-        instance.keeper = AuthorityKeeper::new(instance.name.clone(), instance.process);
-        instance.authority_version = None;
-        instance.authority = AuthorityView::default();
         for operation in &mut self.operations {
             operation.finished |= operation.instance == index;
         }
@@ -45,10 +39,6 @@
         self.instances[index].partition = partition;
     }
 
-    pub(crate) fn partition(&self, index: usize) -> usize {
-        self.instances[index].partition
-    }
-
     /// Cuts the link between two instances in both directions.
     pub(crate) fn cut_link(&mut self, one: usize, other: usize) {
         self.cut_links.push((one.min(other), one.max(other)));
--- a/crates/rudder-decisions/tests/limits/main.rs
+++ b/crates/rudder-decisions/tests/limits/main.rs
@@ -2,7 +2,6 @@
 //! partitions, cut links, message loss, partial outages of the store, restarts and suspended
 //! processes.
 
-mod authority;
 mod claim_terms;
 mod fleet;
 mod partial;
@@ -10,4 +9,3 @@
 mod reports;
 mod returns;
 mod schedules;
-mod two_sets;
--- a/crates/rudder-engine/src/duty/answers.rs
+++ b/crates/rudder-engine/src/duty/answers.rs
@@ -6,8 +6,8 @@
 use crate::group::ServiceGroup;
 use crate::lead::is_quorum;
 use crate::peers::{
-    AuthorityTrailer, PeerExchange, PeerMessage, RecordCopy, RecordTiming, RecordsDigest,
-    RecordsRequest, RecordsResponse, RecordsSubscriber, RequestOffset, SampleCopy,
+    PeerExchange, PeerMessage, RecordCopy, RecordTiming, RecordsDigest, RecordsRequest,
+    RecordsResponse, RecordsSubscriber, RequestOffset, SampleCopy,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -49,20 +49,18 @@
         // The requesting instance's callers also wait for log positions of the primaries.
         engine.request_position();
     }
-    let received_at = boot_time();
     let subscriber = RecordsSubscriber {
         address: from,
         instance: request.instance,
         request_id: request.request_id,
-        received_at,
+        received_at: boot_time(),
         digest: request.digest,
     };
     let response = compose_response(engine, &subscriber);
     if request.subscribes {
         engine.membership().subscribers().subscribe(subscriber);
     }
-    let trailer = engine.authority_trailer(received_at);
-    exchange.send_records(response, trailer.as_ref(), from).await;
+    exchange.send(&PeerMessage::Records(response), from).await;
 }
 
 /// Sends the current records to all subscribers.
@@ -70,8 +68,7 @@
     let subscribers = engine.membership().subscribers().live(boot_time());
     for subscriber in subscribers {
         let response = compose_response(engine, &subscriber);
-        let trailer = engine.authority_trailer(subscriber.received_at);
-        exchange.send_records(response, trailer.as_ref(), subscriber.address).await;
+        exchange.send(&PeerMessage::Records(response), subscriber.address).await;
     }
 }
 
@@ -130,10 +127,9 @@
     engine: &Arc<ProxyEngine>,
     exchange: &PeerExchange,
     response: RecordsResponse,
-    trailer: Option<AuthorityTrailer>,
     from: SocketAddr,
 ) {
-    if apply_response(engine, response, trailer, from) {
+    if apply_response(engine, response, from) {
         notify_subscribers(engine, exchange).await;
     }
 }
@@ -141,12 +137,7 @@
 /// Applies a response. Returns whether it confirms the records for a later time than was known.
 /// Two instances that subscribe to each other stop notifying by this rule, as no response is newer
 /// than the information it was composed from.
-fn apply_response(
-    engine: &Arc<ProxyEngine>,
-    response: RecordsResponse,
-    trailer: Option<AuthorityTrailer>,
-    from: SocketAddr,
-) -> bool {
+fn apply_response(engine: &Arc<ProxyEngine>, response: RecordsResponse, from: SocketAddr) -> bool {
     let request_id = response.request_id;
     let Some(requested_at) = engine.membership().requests().sent_at(request_id) else {
         return false;
@@ -158,7 +149,6 @@
     }
     let mut renewed =
         response.read.is_some_and(|read| engine.record_peer_records_read(moment(read)));
-    renewed |= engine.observe_authority(trailer, request_id, requested_at, first);
     engine.record_peer_confirmation(response.version, response.current.map(moment));
     let entries_read_at = response.entries_read.map(moment);
     let has_newer_list =
--- a/crates/rudder-engine/src/duty/heartbeat.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -13,8 +13,8 @@
 use crate::lead::{LeadPhase, LeaderEpoch};
 use crate::limits::{respond_to_claim, respond_to_queue_claim};
 use crate::peers::{
-    CopyVersion, PeerExchange, PeerHeartbeat, PeerMessage, PrimarySuspicion, ReceivedDatagram,
-    RecordCopy, StopNotice, fetch_copy, respond_with_copy,
+    CopyVersion, PeerExchange, PeerHeartbeat, PeerMessage, PrimarySuspicion, RecordCopy,
+    StopNotice, fetch_copy, respond_with_copy,
 };
 use rudder_core::ServiceName;
 use std::net::SocketAddr;
@@ -79,7 +79,7 @@
 /// Handles peers' datagrams.
 pub(crate) async fn receive(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
     loop {
-        let ReceivedDatagram { message, from, trailer } = exchange.receive().await;
+        let (message, from) = exchange.receive().await;
         match message {
             PeerMessage::Heartbeat(heartbeat) => handle_heartbeat(&engine, heartbeat, from),
             PeerMessage::Announce(copy) => handle_announce(&engine, &exchange, copy, from).await,
@@ -87,9 +87,7 @@
             PeerMessage::FetchRecords(request) => {
                 handle_request(&engine, &exchange, request, from).await;
             }
-            PeerMessage::Records(reply) => {
-                handle_response(&engine, &exchange, reply, trailer, from).await;
-            }
+            PeerMessage::Records(reply) => handle_response(&engine, &exchange, reply, from).await,
             PeerMessage::Claim(claim) => respond_to_claim(&engine, &exchange, claim, from).await,
             PeerMessage::ClaimResponse(response) => {
                 engine.handle_claim_response(response, from).await;
--- a/crates/rudder-engine/src/duty/mod.rs
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -1,7 +1,6 @@
 //! Background tasks of an instance: heartbeats, registration, records and changes of primary.
 
 mod answers;
-mod authority;
 mod change;
 mod control;
 mod drain;
--- a/crates/rudder-engine/src/duty/start.rs
+++ b/crates/rudder-engine/src/duty/start.rs
@@ -1,6 +1,6 @@
 //! Start of an instance.
 
-use super::{authority, heartbeat, keeper, loans, records, registry, watch};
+use super::{heartbeat, keeper, loans, records, registry, watch};
 use crate::engine::ProxyEngine;
 use crate::identity::{EngineDependencies, InstanceIdentity};
 use crate::limits::{probe_owners, serve_queues};
@@ -39,7 +39,6 @@
     tokio::spawn(probe_owners(Arc::clone(&engine)));
     tokio::spawn(registry::keep_registered(Arc::clone(&engine)));
     tokio::spawn(records::follow(Arc::clone(&engine), exchange.clone()));
-    tokio::spawn(authority::keep(Arc::clone(&engine), exchange.clone()));
     tokio::spawn(watch::supervise(Arc::clone(&engine)));
     tokio::spawn(serve_queues(Arc::clone(&engine)));
     tokio::spawn(loans::keep_loans(Arc::clone(&engine), exchange.clone()));
--- a/crates/rudder-engine/src/duty/tests/answers.rs
+++ b/crates/rudder-engine/src/duty/tests/answers.rs
@@ -4,7 +4,7 @@
 use crate::clock::boot_time;
 use crate::duty::answers::{handle_request, handle_response, notify_subscribers, request_records};
 use crate::engine::ProxyEngine;
-use crate::peers::{PeerEntry, PeerExchange, PeerMessage, ReceivedDatagram};
+use crate::peers::{PeerEntry, PeerExchange, PeerMessage};
 use rudder_core::ServiceName;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -54,14 +54,13 @@
     /// Handles the next datagram. Returns whether one arrived in time.
     async fn handle_next_within(&self, limit: Duration) -> bool {
         let next = tokio::time::timeout(limit, self.exchange.receive()).await;
-        let Ok(received) = next else { return false };
-        let ReceivedDatagram { message, from, trailer } = received;
+        let Ok((message, from)) = next else { return false };
         match message {
             PeerMessage::FetchRecords(request) => {
                 handle_request(&self.engine, &self.exchange, request, from).await;
             }
             PeerMessage::Records(response) => {
-                handle_response(&self.engine, &self.exchange, response, trailer, from).await;
+                handle_response(&self.engine, &self.exchange, response, from).await;
             }
             other => panic!("an unexpected datagram: {other:?}"),
         }
--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -1,7 +1,6 @@
 //! Tests of the background tasks.
 
 mod answers;
-mod authority;
 mod change;
 mod fixture;
 mod loans;
--- a/crates/rudder-engine/src/limits/mod.rs
+++ b/crates/rudder-engine/src/limits/mod.rs
@@ -2,7 +2,6 @@
 //! instance that counts the account's operations on all instances
 //! (`rudder_decisions::LimitLedger`).
 
-mod authority;
 mod claim;
 mod owner;
 mod probe;
--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -28,18 +28,16 @@
         Some(limit.into())
     }
 
-    /// Returns whether this instance was recently in contact with the counting authority, and for how
-    /// long. As long as it has not learned of any, contact with the store counts, directly or through
-    /// peers.
+    /// Returns whether this instance was recently in contact with the store, directly or through
+    /// peers, and for how long.
     pub(super) fn fleet_contact(&self) -> FleetContact {
         let groups = self.groups().into_iter();
         let confirmed_at =
             groups.map(|group| group.with_leases(|leases| leases.valid_from())).max();
         let confirmed_at = confirmed_at.max(self.membership().store_answered_at());
+        let connected_until = confirmed_at.unwrap_or_default() + LimitBounds::contact_timeout();
         let now = boot_time();
         let mut state = self.limits().state();
-        let contact_at = state.authority.contact_at(confirmed_at).unwrap_or_default();
-        let connected_until = contact_at + LimitBounds::contact_timeout();
         let checked_at = state.contact_checked_at.replace(now).unwrap_or(now);
         if now >= connected_until {
             state.contact_since = Some(now);
--- a/crates/rudder-engine/src/limits/state.rs
+++ b/crates/rudder-engine/src/limits/state.rs
@@ -7,8 +7,8 @@
 use crate::sync::lock;
 use rudder_core::{AccountName, InstanceName};
 use rudder_decisions::{
-    AuthorityKeeper, AuthorityView, ExpiringSet, GrantLog, LimitLedger, LimitQueues, OwnerRole,
-    OwnerWatch, PromisedTokens, QueueNotice,
+    ExpiringSet, GrantLog, LimitLedger, LimitQueues, OwnerRole, OwnerWatch, PromisedTokens,
+    QueueNotice,
 };
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -99,10 +99,6 @@
     pub(super) contact_since: Option<Duration>,
     /// Time of the last check of the contact with the fleet.
     pub(super) contact_checked_at: Option<Duration>,
-    /// Latest confirmation of the counting authority.
-    pub(super) authority: AuthorityView,
-    /// State of this instance while it wants to hold the authority.
-    pub(super) keeper: Option<AuthorityKeeper>,
     /// Owners that decided claims of this instance.
     pub(super) grants: GrantLog,
     /// Probes through relays.
@@ -130,8 +126,6 @@
             unanswered: ExpiringSet::new(UNANSWERED_TIME),
             contact_since: None,
             contact_checked_at: None,
-            authority: AuthorityView::default(),
-            keeper: None,
             grants: GrantLog::default(),
             relays: RelayLog::default(),
             claims: Vec::new(),
--- a/crates/rudder-engine/src/limits/tests/queue.rs
+++ b/crates/rudder-engine/src/limits/tests/queue.rs
@@ -7,7 +7,7 @@
 use crate::limits::serve_queues;
 use crate::peers::{
     ClaimOutcome, ClaimResponse, PeerEntry, PeerExchange, PeerMessage, QueueClaim, QueuedClaim,
-    QueuedOutcome, ReceivedDatagram, ReturnClaim,
+    QueuedOutcome, ReturnClaim,
 };
 use crate::session::CallerSession;
 use crate::settings::{AccountLimit, AccountRule, AccountTable, DatabaseName, KeyDigest};
@@ -36,7 +36,7 @@
         let log = Arc::clone(&received);
         tokio::spawn(async move {
             loop {
-                let ReceivedDatagram { message, from, .. } = exchange.receive().await;
+                let (message, from) = exchange.receive().await;
                 let count = log.lock().expect("no holder panics").len();
                 for response in respond(count, &message) {
                     exchange.send(&response, from).await;
@@ -65,12 +65,11 @@
     let receiver = Arc::clone(&engine);
     tokio::spawn(async move {
         loop {
-            let ReceivedDatagram { message, from, .. } = exchange.receive().await;
-            match message {
-                PeerMessage::ClaimResponse(response) => {
+            match exchange.receive().await {
+                (PeerMessage::ClaimResponse(response), from) => {
                     receiver.handle_claim_response(response, from).await;
                 }
-                PeerMessage::QueuedClaim(response) => {
+                (PeerMessage::QueuedClaim(response), from) => {
                     receiver.handle_queued_claim(response, from).await;
                 }
                 _ => {}
--- a/crates/rudder-engine/src/limits/tests/relay.rs
+++ b/crates/rudder-engine/src/limits/tests/relay.rs
@@ -4,8 +4,7 @@
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::peers::{
-    ClaimOutcome, ClaimResponse, EVIDENCE_ID, PeerExchange, PeerMessage, ReceivedDatagram,
-    RelayProbe, RelayedProbe,
+    ClaimOutcome, ClaimResponse, EVIDENCE_ID, PeerExchange, PeerMessage, RelayProbe, RelayedProbe,
 };
 use rudder_core::InstanceName;
 use rudder_decisions::OwnerState;
@@ -82,7 +81,7 @@
 
 async fn receive(exchange: &PeerExchange) -> Option<PeerMessage> {
     let received = tokio::time::timeout(DATAGRAM_TIMEOUT, exchange.receive()).await;
-    received.ok().map(|received| received.message)
+    received.ok().map(|(message, _)| message)
 }
 
 fn granted(request_id: u64) -> ClaimResponse {
@@ -165,7 +164,7 @@
         assert!(tokio::time::Instant::now() < deadline, "no relay was asked");
         fixture.engine.counts_for(&account()).await;
         let next = tokio::time::timeout(Duration::from_millis(20), fixture.other.receive()).await;
-        if let Ok(ReceivedDatagram { message: PeerMessage::RelayProbe(probe), .. }) = next {
+        if let Ok((PeerMessage::RelayProbe(probe), _)) = next {
             break probe;
         }
     };
--- a/crates/rudder-engine/src/peers/exchange.rs
+++ b/crates/rudder-engine/src/peers/exchange.rs
@@ -1,7 +1,6 @@
 //! Datagram socket of one instance.
 
-use super::authority::AuthorityTrailer;
-use super::message::{PeerMessage, RecordsResponse};
+use super::message::PeerMessage;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::UdpSocket;
@@ -9,15 +8,6 @@
 /// Maximum size of a datagram: the records of some hundred services.
 const DATAGRAM_MAX: usize = 16_384;
 
-/// Datagram of a peer.
-#[derive(Debug)]
-pub(crate) struct ReceivedDatagram {
-    pub(crate) message: PeerMessage,
-    pub(crate) from: SocketAddr,
-    /// Bytes after the message, if they are understood.
-    pub(crate) trailer: Option<AuthorityTrailer>,
-}
-
 /// Sends and receives peers' datagrams.
 #[derive(Clone)]
 pub(crate) struct PeerExchange {
@@ -37,27 +27,7 @@
 
     /// Sends a datagram; delivery is not guaranteed.
     pub(crate) async fn send(&self, message: &PeerMessage, to: SocketAddr) {
-        self.send_encoded(postcard::to_stdvec(message), to).await;
-    }
-
-    /// Sends the records, followed by what this instance knows of the counting authority.
-    pub(crate) async fn send_records(
-        &self,
-        response: RecordsResponse,
-        trailer: Option<&AuthorityTrailer>,
-        to: SocketAddr,
-    ) {
-        let trailer = trailer.map_or_else(|| Ok(Vec::new()), AuthorityTrailer::to_bytes);
-        let encoded = postcard::to_stdvec(&PeerMessage::Records(response));
-        let encoded = encoded.and_then(|mut bytes| {
-            bytes.extend(trailer?);
-            Ok(bytes)
-        });
-        self.send_encoded(encoded, to).await;
-    }
-
-    async fn send_encoded(&self, encoded: Result<Vec<u8>, postcard::Error>, to: SocketAddr) {
-        let bytes = match encoded {
+        let bytes = match postcard::to_stdvec(message) {
             Ok(bytes) if bytes.len() <= DATAGRAM_MAX => bytes,
             Ok(bytes) => {
                 log::error!(bytes = bytes.len(); "a datagram to a peer exceeds the maximum size");
@@ -81,17 +51,12 @@
     }
 
     /// Receives the next datagram that can be parsed.
-    pub(crate) async fn receive(&self) -> ReceivedDatagram {
+    pub(crate) async fn receive(&self) -> (PeerMessage, SocketAddr) {
         let mut bytes = vec![0; DATAGRAM_MAX];
         loop {
             match self.socket.recv_from(&mut bytes).await {
-                Ok((length, from)) => match postcard::take_from_bytes(&bytes[..length]) {
-                    Ok((message, rest)) => {
-                        let carries_trailer = matches!(message, PeerMessage::Records(_));
-                        let trailer =
-                            carries_trailer.then(|| AuthorityTrailer::parse(rest)).flatten();
-                        return ReceivedDatagram { message, from, trailer };
-                    }
+                Ok((length, from)) => match postcard::from_bytes(&bytes[..length]) {
+                    Ok(message) => return (message, from),
                     Err(error) => {
                         metrics::counter!("rudder_datagrams_malformed_total").increment(1);
                         log::debug!(peer:% = from, reason:% = error; "a datagram is malformed");
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -4,7 +4,6 @@
 //! All of it is advisory, with two exceptions that safety depends on: that an instance has stopped
 //! responding for a primary, and when it knew the record to be in place.
 
-mod authority;
 mod digest;
 mod entries;
 mod exchange;
@@ -22,10 +21,9 @@
 mod requests;
 mod subscribers;
 
-pub(crate) use authority::{AuthorityNotice, AuthorityTrailer};
 pub(crate) use digest::RecordsDigest;
 pub(crate) use entries::{EntryDecision, EntryLedger, LISTING_VALIDITY};
-pub(crate) use exchange::{PeerExchange, ReceivedDatagram};
+pub(crate) use exchange::PeerExchange;
 pub(crate) use fleet_copy::{
     CopyRequest, CopyVersion, EntriesCopy, FleetCopy, MembersCopy, PendingCopy, fetch_copy,
     respond_with_copy, serve_copies,
--- a/crates/rudder-engine/src/peers/requests.rs
+++ b/crates/rudder-engine/src/peers/requests.rs
@@ -23,8 +23,6 @@
     sent_at: Duration,
     /// Instances that responded, sorted.
     responders: Vec<InstanceName>,
-    /// Number of responses that count for the authority of the limits.
-    votes: usize,
     /// Sorted by service and version.
     tallies: Vec<RecordTally>,
 }
@@ -46,8 +44,7 @@
             self.requests.pop_front();
         }
         let (responders, tallies) = (Vec::new(), Vec::new());
-        let request = SentRequest { request_id, sent_at: now, responders, votes: 0, tallies };
-        self.requests.push_back(request);
+        self.requests.push_back(SentRequest { request_id, sent_at: now, responders, tallies });
     }
 
     /// Returns when a request was sent. Several peers may respond to the same one.
@@ -74,14 +71,6 @@
         request.map_or(0, |known| known.responders.len())
     }
 
-    /// Counts an instance's first response for the authority of the limits. Returns how many have been
-    /// counted, including this instance.
-    pub(crate) fn count_vote(&mut self, request_id: u64) -> usize {
-        let Some(request) = self.find(request_id) else { return 1 };
-        request.votes += 1;
-        request.votes + 1
-    }
-
     /// Counts an instance's first response to a request. Returns how many instances have confirmed
     /// the same version, including this one.
     pub(crate) fn count_confirmation(
--- a/crates/rudder-engine/src/peers/tests/message.rs
+++ b/crates/rudder-engine/src/peers/tests/message.rs
@@ -3,12 +3,10 @@
 use crate::peers::list_change::ListDigest;
 use crate::peers::message::CopyResponse;
 use crate::peers::{
-    AuthorityNotice, AuthorityTrailer, CopyVersion, LoanRecall, LoanTarget, PeerHeartbeat,
-    PeerMessage, QueueClaim, RecordTiming, RecordsDigest, RecordsResponse, RequestOffset,
-    SampleCopy, SpareConnections, SpareCount,
+    CopyVersion, LoanRecall, LoanTarget, PeerHeartbeat, PeerMessage, QueueClaim, RecordTiming,
+    RecordsDigest, RecordsResponse, RequestOffset, SampleCopy, SpareConnections, SpareCount,
 };
 use rudder_core::LogStamp;
-use rudder_decisions::AuthorityTerm;
 use std::time::Duration;
 
 /// Maximum size of a datagram.
@@ -133,35 +131,3 @@
 
     assert!(bytes < 150, "{bytes}");
 }
-fn trailer() -> AuthorityTrailer {
-    let holder = "frontend-johannesburg-a-17".parse().expect("a name");
-    let term = AuthorityTerm { sequence: 300, holder, process: u64::MAX };
-    AuthorityTrailer { known: Some(AuthorityNotice::new(&term, offset(450))) }
-}
-
-/// An older build decodes a message with `postcard::from_bytes`. If it did not ignore the bytes that
-/// follow, it would receive no records from newer builds.
-#[test]
-fn an_older_build_reads_records_that_bytes_follow() {
-    let message = response(20);
-    let mut bytes = postcard::to_stdvec(&message).expect("a message is written");
-    bytes.extend(trailer().to_bytes().expect("a trailer is written"));
-
-    let read: PeerMessage = postcard::from_bytes(&bytes).expect("a message is read");
-
-    assert_eq!(read, message);
-}
-
-/// A truncated trailer, or one of a later format, must neither be misread nor end the message.
-#[test]
-fn a_trailer_is_read_only_if_it_is_complete_and_of_this_version() {
-    let bytes = trailer().to_bytes().expect("a trailer is written");
-    let mut later = bytes.clone();
-    later[0] += 1;
-
-    assert_eq!(AuthorityTrailer::parse(&bytes), Some(trailer()));
-    assert_eq!(AuthorityTrailer::parse(&later), None);
-    for length in 0..bytes.len() {
-        assert_eq!(AuthorityTrailer::parse(&bytes[..length]), None, "{length} bytes");
-    }
-}
--- a/crates/rudder-engine/src/settings/accounts.rs
+++ b/crates/rudder-engine/src/settings/accounts.rs
@@ -155,11 +155,6 @@
         self.accounts.binary_search_by(|rule| rule.name.cmp(account)).is_ok()
     }
 
-    /// Returns whether any account has a limit.
-    pub(crate) fn has_limits(&self) -> bool {
-        self.accounts.iter().any(|rule| rule.limit.is_some())
-    }
-
     /// Number of accounts.
     pub(crate) fn len(&self) -> usize {
         self.accounts.len()
--- a/crates/rudder-store/src/store.rs
+++ b/crates/rudder-store/src/store.rs
@@ -21,8 +21,6 @@
     PrimaryRecord,
     /// One running instance, for discovery by other instances; one object per instance.
     InstanceRecord,
-    /// Instance that confirms contact for the operation limits of accounts; a single object.
-    LimitAuthority,
 }
 
 impl ObjectKind {
@@ -40,7 +38,6 @@
             Self::SwitchOrder => "switchorders",
             Self::PrimaryRecord => "primaryrecords",
             Self::InstanceRecord => "instancerecords",
-            Self::LimitAuthority => "limitauthorities",
         }
     }
 
@@ -58,7 +55,6 @@
             Self::SwitchOrder => "SwitchOrder",
             Self::PrimaryRecord => "PrimaryRecord",
             Self::InstanceRecord => "InstanceRecord",
-            Self::LimitAuthority => "LimitAuthority",
         }
     }
 }
