Follow forwarded requests in `rudderctl explain`

Cause: the report took the outcome of the last line by time, so a request whose holder logged after its origin had given it up showed the holder's outcome, and a request refused at its holder showed `busy` without the cause. Words of forwarding, loans and owners' roles had no explanation.

Change: the outcome is that of the origin or, if the holder refused, of the holder. Lines carry notes on what a step means; lines of owners and holders about the request are shown with it, those of other accounts are not.

--- a/crates/rudderctl/src/explain/mod.rs
+++ b/crates/rudderctl/src/explain/mod.rs
@@ -4,6 +4,7 @@
 
 mod advice;
 mod line;
+mod notes;
 mod report;
 
 pub(crate) use report::{ReportBuilder, ReportError};
--- a/crates/rudderctl/src/explain/report.rs
+++ b/crates/rudderctl/src/explain/report.rs
@@ -3,6 +3,7 @@
 
 use super::advice::meaning_of;
 use super::line::LogLine;
+use super::notes::notes_on;
 use displaydoc::Display;
 use jiff::{SignedDuration, Timestamp};
 use serde::Serialize;
@@ -50,6 +51,9 @@
     message: String,
     /// Fields of the line as `name=value`, without [`HIDDEN_FIELDS`].
     facts: String,
+    /// What the line means, for lines about the work that instances share.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    notes: Vec<&'static str>,
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
@@ -83,9 +87,9 @@
     request: String,
     /// Log lines of the request, in order of time.
     lines: Vec<ReportLine>,
-    /// Outcome in the last line of the request.
+    /// Outcome in the deciding line of the request.
     outcome: String,
-    /// Reason in the last line, if it gives one.
+    /// Reason in that line, if it gives one.
     reason: Option<String>,
     /// Explanation of the reason or, without one, of the outcome.
     meaning: Option<&'static str>,
@@ -135,22 +139,57 @@
             return Err(ReportError::RequestNotFound { id: self.request, lines: self.lines_read });
         };
         let (from, to) = (first.time, last.time);
-        let outcome = last.field("outcome").unwrap_or("unfinished").to_owned();
-        let reason = last.field("reason").map(str::to_owned);
+        let deciding = self.deciding_line(last);
+        let outcome = deciding.field("outcome").unwrap_or("unfinished").to_owned();
+        let reason = deciding.field("reason").map(str::to_owned);
         let meaning = reason.as_deref().and_then(meaning_of).or_else(|| meaning_of(&outcome));
         let around = self.surrounding_lines(from, to);
         let lines = self.request_lines.iter().map(ReportLine::from).collect();
         Ok(RequestReport { request: self.request, lines, outcome, reason, meaning, around })
     }
 
-    /// Returns the other lines about the request's service, and those without a service from its
-    /// instances. If there are too many, the latest ones are returned.
+    /// Returns the line whose outcome the caller was told: the last one of the instance that the
+    /// caller was connected to or, if a holder refused the request, the last one of that holder.
+    fn deciding_line<'a>(&'a self, last: &'a LogLine) -> &'a LogLine {
+        // A holder may finish a request after its origin has given it up.
+        let origin = self.request_lines.iter().rfind(|line| !self.is_holder(&line.source));
+        let line = origin.unwrap_or(last);
+        if line.field("outcome") != Some("refused") {
+            return line;
+        }
+        let Some(holder) = line.field("holder") else { return line };
+        self.request_lines
+            .iter()
+            .rfind(|known| known.source == holder && known.field("outcome").is_some())
+            .unwrap_or(line)
+    }
+
+    /// Whether the request was forwarded to an instance.
+    fn is_holder(&self, instance: &str) -> bool {
+        self.request_lines.iter().any(|line| line.field("holder") == Some(instance))
+    }
+
+    /// Whether a line without a service is about the request: it names the account, or was written by
+    /// an instance that took part.
+    fn is_of_participant(&self, line: &LogLine) -> bool {
+        let account = self.request_lines.iter().find_map(|known| known.field("account"));
+        match (line.field("account"), account) {
+            (Some(named), Some(account)) => named == account,
+            _ => {
+                self.is_holder(&line.source)
+                    || self.request_lines.iter().any(|known| known.source == line.source)
+            }
+        }
+    }
+
+    /// Returns the other lines about the request's service, and those without a service about its
+    /// account or from its instances. If there are too many, the latest ones are returned.
     fn surrounding_lines(&self, from: Timestamp, to: Timestamp) -> Vec<ReportLine> {
         let service = self.request_lines.iter().find_map(|line| line.field("service"));
         let is_related = |line: &&LogLine| match (line.field("service"), service) {
             (Some(named), Some(service)) => named == service,
             (Some(_), None) => self.shares_member(line),
-            (None, _) => self.request_lines.iter().any(|known| known.source == line.source),
+            (None, _) => self.is_of_participant(line),
         };
         let mut nearby: Vec<&LogLine> = self
             .other_lines
@@ -191,6 +230,7 @@
             others: 0,
             message: line.message.clone(),
             facts: facts.join(", "),
+            notes: notes_on(line).collect(),
         }
     }
 }
@@ -201,7 +241,8 @@
         if self.others > 0 {
             write!(f, " and {} more", self.others)?;
         }
-        write!(f, ": {} ({})", self.message, self.facts)
+        write!(f, ": {} ({})", self.message, self.facts)?;
+        self.notes.iter().try_for_each(|note| write!(f, "\n    {note}"))
     }
 }
 
