Work out the bandwidth of forwarding, loans and claims

Cause: the page on capacity had no figures for forwarding and loans, and an estimate of 80 bytes for a claim.

Change: tests assert the encoded sizes (forwarded read 176 bytes, reply 87, claim 25 and response 14, loan request 42, spare report 146 for 24 members and 14,043 for 2340).

--- a/crates/rudder-engine/src/forwarding/tests/mod.rs
+++ b/crates/rudder-engine/src/forwarding/tests/mod.rs
@@ -7,3 +7,4 @@
 mod requests;
 mod scripted;
 mod served;
+mod sizes;
--- a/crates/rudder-engine/src/peers/tests/message.rs
+++ b/crates/rudder-engine/src/peers/tests/message.rs
@@ -3,8 +3,9 @@
 use crate::peers::list_change::ListDigest;
 use crate::peers::message::CopyResponse;
 use crate::peers::{
-    CopyVersion, LoanRecall, LoanTarget, PeerHeartbeat, PeerMessage, RecordTiming, RecordsDigest,
-    RecordsResponse, RequestOffset, SampleCopy, SpareConnections, SpareCount,
+    ClaimOutcome, ClaimResponse, CopyVersion, LoanRecall, LoanRequest, LoanTarget, OperationClaim,
+    PeerHeartbeat, PeerMessage, RecordTiming, RecordsDigest, RecordsResponse, RequestOffset,
+    SampleCopy, SpareConnections, SpareCount,
 };
 use rudder_core::LogStamp;
 use std::time::Duration;
@@ -101,3 +102,29 @@
 
     assert!(bytes < 150, "{bytes}");
 }
+
+/// The bandwidth of claims and loans in docs/CAPACITY.md is worked out from these sizes.
+#[test]
+fn sizes_of_claims_and_loans_are_as_documented() {
+    let account = "account-0017".parse().expect("a name");
+    let claim = OperationClaim { request_id: u64::MAX, account, counts: true };
+    let outcome = ClaimOutcome::Spent { after_ms: 1_000 };
+    let response = ClaimResponse { request_id: u64::MAX, outcome };
+    let loan = LoanTarget {
+        request_id: u64::MAX,
+        service: "service-0780".parse().expect("a name"),
+        member: "service-0780-2".parse().expect("a name"),
+    };
+    let request = LoanRequest { loan, renewal: 1, count: 2, priority: 0 };
+    let report = |members| {
+        let counts = vec![SpareCount { member: u32::MAX, spare: 1 }; members];
+        size(&PeerMessage::SpareConnections(SpareConnections { counts }))
+    };
+
+    let claim_bytes = size(&PeerMessage::Claim(claim));
+    let response_bytes = size(&PeerMessage::ClaimResponse(response));
+    let request_bytes = size(&PeerMessage::LoanRequest(request));
+
+    assert_eq!((claim_bytes, response_bytes, request_bytes), (25, 14, 42));
+    assert_eq!((report(24), report(2340)), (146, 14_043));
+}
