--- a/crates/rudderctl/src/explain/notes/tests.rs
+++ b/crates/rudderctl/src/explain/notes/tests.rs
@@ -47,6 +47,12 @@
     assert_noted("a forwarded request was declined", "reason", &declined);
     assert_noted("a forwarded request was not served", "reason", &declined);
     assert_noted("a forwarded request was not served", "reason", &faults);
+    for message in [
+        "a forwarded request's reply was dropped",
+        "the result of a forwarded request was not sent",
+    ] {
+        assert_eq!(notes_on(&line(message, "")).count(), 1, "{message}");
+    }
     assert_noted(
         "a transaction of an origin was rolled back",
         "reason",
@@ -54,6 +60,29 @@
     );
 }
 
+/// The end of a connection is the cause of all requests that were pending on it.
+#[test]
+fn each_end_of_a_forwarding_connection_has_a_note() {
+    let cases = [
+        ("a forwarding connection ended", "broken"),
+        ("a forwarding connection ended", "closed_by_peer"),
+        ("a forwarding connection ended", "idle"),
+        ("a forwarding connection ended", "malformed"),
+        ("a forwarding connection ended", "silent"),
+        ("a forwarding connection was not opened", "broken"),
+        ("a forwarding connection was not opened", "closed_by_peer"),
+        ("a forwarding connection was not opened", "timeout"),
+        ("a forwarding connection was not opened", "version"),
+    ];
+    for (message, reason) in cases {
+        let facts = format!(r#""peer":"10.0.0.2:7000","reason":"{reason}""#);
+
+        let count = notes_on(&line(message, &facts)).count();
+
+        assert_eq!(count, 2, "the consequence and the cause: {message}, {reason}");
+    }
+}
+
 #[test]
 fn each_change_of_a_loan_has_a_note() {
     let reasons = [
