--- a/crates/rudder-decisions/src/operation_limit/ledger.rs
+++ b/crates/rudder-decisions/src/operation_limit/ledger.rs
@@ -1,6 +1,7 @@
 //! Grants of one instance to the accounts that it owns.
 
-use super::bucket::{OperationBucket, OperationLimit};
+use super::bucket::{OperationBucket, OperationLimit, TokenSupply};
+use super::limit_queues::ClaimScope;
 use super::role::{DETACHED_BURST_TIME, OwnerRole};
 use rudder_core::AccountName;
 use std::time::Duration;
@@ -194,32 +195,53 @@
         rank: usize,
         now: Duration,
     ) -> ClaimDecision {
-        let found = self.records.binary_search_by(|known| known.account.cmp(account));
-        let start = bounds.start_operations(role, rank, limit);
-        let index = match (found, role) {
-            (Err(_), OwnerRole::Absent | OwnerRole::Detached) => return ClaimDecision::NotOwner,
-            (Ok(index), _) => index,
-            (Err(index), _) => {
-                let granted = bounds.effective_limit(role, rank, limit, false);
-                let bucket = OperationBucket::new(granted, start, now);
-                let account = account.clone();
-                let record = AccountRecord {
-                    account,
-                    role,
-                    bucket,
-                    started_at: now,
-                    detached_at: None,
-                    claimed_at: now,
-                    is_resumed: false,
-                };
-                self.records.insert(index, record);
-                index
+        let scope = ClaimScope { limit, bounds, role, rank, now };
+        if self.position(account).is_err() {
+            if matches!(role, OwnerRole::Absent | OwnerRole::Detached) {
+                return ClaimDecision::NotOwner;
             }
+            self.insert(account, scope);
+        }
+        let Some((index, granted)) = self.apply_role(account, scope) else {
+            return ClaimDecision::NotOwner;
+        };
+        match self.records[index].bucket.take(granted, now) {
+            Ok(()) => ClaimDecision::Granted,
+            Err(after) => ClaimDecision::Spent(after),
+        }
+    }
+
+    fn insert(&mut self, account: &AccountName, scope: ClaimScope) {
+        let ClaimScope { limit, bounds, role, rank, now } = scope;
+        let granted = bounds.effective_limit(role, rank, limit, false);
+        let start = bounds.start_operations(role, rank, limit);
+        let record = AccountRecord {
+            account: account.clone(),
+            role,
+            bucket: OperationBucket::new(granted, start, now),
+            started_at: now,
+            detached_at: None,
+            claimed_at: now,
+            is_resumed: false,
         };
+        if let Err(index) = self.position(account) {
+            self.records.insert(index, record);
+        }
+    }
+
+    /// Applies the role of this instance to an account's record. Returns its index and the limit
+    /// that applies to grants; `None` if there is no record or if this instance may not grant.
+    fn apply_role(
+        &mut self,
+        account: &AccountName,
+        scope: ClaimScope,
+    ) -> Option<(usize, OperationLimit)> {
+        let ClaimScope { limit, bounds, role, rank, now } = scope;
+        let index = self.position(account).ok()?;
         let record = &mut self.records[index];
         record.claimed_at = now;
         if !record.change_role(role, now) {
-            return ClaimDecision::NotOwner;
+            return None;
         }
         let is_expired = record.detached_at.is_some_and(|at| now >= at + DETACHED_BURST_TIME);
         let granted = bounds.effective_limit(role, rank, limit, is_expired);
@@ -227,16 +249,18 @@
             // An owner that takes over again within a window has already granted its start.
             record.is_resumed = false;
             if now >= record.started_at + bounds.window {
-                record.bucket = OperationBucket::new(granted, start, now);
+                let start = bounds.start_operations(role, rank, limit);
+                record.bucket.restart(granted, start, now);
                 record.started_at = now;
             } else {
                 record.bucket.reduce(bounds.start_part(rank, limit), now);
             }
         }
-        match record.bucket.take(granted, now) {
-            Ok(()) => ClaimDecision::Granted,
-            Err(after) => ClaimDecision::Spent(after),
-        }
+        Some((index, granted))
+    }
+
+    fn position(&self, account: &AccountName) -> Result<usize, usize> {
+        self.records.binary_search_by(|known| known.account.cmp(account))
     }
 
     /// Records that this instance has been without contact with the fleet since `detached_at`. It
@@ -277,7 +301,7 @@
     /// # Ok::<(), rudder_core::ParseError>(())
     /// ```
     pub fn step_down(&mut self, account: &AccountName) {
-        if let Ok(index) = self.records.binary_search_by(|known| known.account.cmp(account)) {
+        if let Ok(index) = self.position(account) {
             self.records[index].role = OwnerRole::Absent;
         }
     }
@@ -323,8 +347,40 @@
     /// ```
     #[must_use]
     pub fn role(&self, account: &AccountName) -> OwnerRole {
-        let found = self.records.binary_search_by(|known| known.account.cmp(account));
-        found.map_or(OwnerRole::Absent, |index| self.records[index].role)
+        self.position(account).map_or(OwnerRole::Absent, |index| self.records[index].role)
+    }
+
+    /// Returns the content and rate of an account's bucket; `None` if there is none or if another
+    /// instance may grant.
+    ///
+    /// ```
+    /// use rudder_decisions::{ClaimScope, LimitBounds, LimitLedger, OperationLimit, OwnerRole};
+    /// use std::time::Duration;
+    /// let account = "choirs".parse()?;
+    /// let limit = OperationLimit { milli_per_second: 1_000, burst: 10 };
+    /// let (bounds, role, now) = (LimitBounds::default(), OwnerRole::Full, Duration::ZERO);
+    /// let scope = ClaimScope { limit, bounds, role, rank: 0, now };
+    /// let mut ledger = LimitLedger::default();
+    /// assert!(ledger.supply(&account, scope).is_none());
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    pub fn supply(&mut self, account: &AccountName, scope: ClaimScope) -> Option<TokenSupply> {
+        let (index, granted) = self.apply_role(account, scope)?;
+        Some(self.records[index].bucket.supply(granted, scope.now))
+    }
+
+    /// Puts a token back into an account's bucket; `returned` others were put back within the
+    /// window. See [`OperationBucket::put_back`].
+    pub(super) fn put_back(
+        &mut self,
+        account: &AccountName,
+        scope: ClaimScope,
+        fills: u64,
+        returned: u64,
+    ) -> bool {
+        let Some((index, granted)) = self.apply_role(account, scope) else { return false };
+        returned < granted.returns_max()
+            && self.records[index].bucket.put_back(granted, fills, scope.now)
     }
 
     /// Removes the accounts for which `keep` returns false.
--- a/crates/rudder-decisions/src/operation_limit/mod.rs
+++ b/crates/rudder-decisions/src/operation_limit/mod.rs
@@ -15,18 +15,28 @@
 //! successor therefore counts an owner as silent only if relays in other domains do not reach it
 //! either, and claimants report which owner last decided their claims.
 
+mod authority;
+mod authority_keeper;
 mod bucket;
+mod claim_queue;
 mod evidence;
 mod ledger;
+mod limit_queues;
 mod owners;
 mod plan;
+mod reservation;
 mod role;
 mod watch;
 
-pub use bucket::{OperationBucket, OperationLimit};
+pub use authority::{AuthorityRecord, AuthorityTerm, AuthorityView};
+pub use authority_keeper::{AuthorityAction, AuthorityChange, AuthorityKeeper, WriteOutcome};
+pub use bucket::{OperationBucket, OperationLimit, TokenSupply};
+pub use claim_queue::{ClaimRejection, ClaimTerms, QueueOutcome};
 pub use evidence::GrantLog;
 pub use ledger::{ClaimDecision, LimitBounds, LimitLedger};
+pub use limit_queues::{ClaimScope, LimitQueues, QueueNotice};
 pub use owners::{choose_relays, rank_owners};
 pub use plan::{ClaimPlan, ExpiringSet};
+pub use reservation::{PromisedTokens, ReservationTally};
 pub use role::{FleetContact, OwnerRole};
 pub use watch::{OwnerState, OwnerWatch};
--- a/crates/rudder-decisions/tests/limits/main.rs
+++ b/crates/rudder-decisions/tests/limits/main.rs
@@ -2,7 +2,12 @@
 //! partitions, cut links, message loss, partial outages of the store, restarts and suspended
 //! processes.
 
+mod authority;
+mod claim_terms;
 mod fleet;
 mod partial;
+mod queue_load;
 mod reports;
+mod returns;
 mod schedules;
+mod two_sets;
--- a/crates/rudder-engine/src/duty/heartbeat.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -11,10 +11,10 @@
 use crate::group::ServiceGroup;
 use crate::identity::DrainPhase;
 use crate::lead::{LeadPhase, LeaderEpoch};
-use crate::limits::respond_to_claim;
+use crate::limits::{respond_to_claim, respond_to_queue_claim};
 use crate::peers::{
-    CopyVersion, PeerExchange, PeerHeartbeat, PeerMessage, PrimarySuspicion, RecordCopy,
-    StopNotice, fetch_copy, respond_with_copy,
+    CopyVersion, PeerExchange, PeerHeartbeat, PeerMessage, PrimarySuspicion, ReceivedDatagram,
+    RecordCopy, StopNotice, fetch_copy, respond_with_copy,
 };
 use rudder_core::ServiceName;
 use std::net::SocketAddr;
@@ -79,7 +79,7 @@
 /// Handles peers' datagrams.
 pub(crate) async fn receive(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
     loop {
-        let (message, from) = exchange.receive().await;
+        let ReceivedDatagram { message, from, trailer } = exchange.receive().await;
         match message {
             PeerMessage::Heartbeat(heartbeat) => handle_heartbeat(&engine, heartbeat, from),
             PeerMessage::Announce(copy) => handle_announce(&engine, &exchange, copy, from).await,
@@ -87,7 +87,9 @@
             PeerMessage::FetchRecords(request) => {
                 handle_request(&engine, &exchange, request, from).await;
             }
-            PeerMessage::Records(reply) => handle_response(&engine, &exchange, reply, from).await,
+            PeerMessage::Records(reply) => {
+                handle_response(&engine, &exchange, reply, trailer, from).await;
+            }
             PeerMessage::Claim(claim) => respond_to_claim(&engine, &exchange, claim, from).await,
             PeerMessage::ClaimResponse(response) => {
                 engine.handle_claim_response(response, from).await;
@@ -100,6 +102,11 @@
                 respond_with_copy(&engine, &exchange, request, from).await;
             }
             PeerMessage::Copy(response) => engine.pending_copy().complete(response),
+            PeerMessage::QueueClaim(claim) => respond_to_queue_claim(&engine, claim, from).await,
+            PeerMessage::QueuedClaim(response) => engine.handle_queued_claim(response, from).await,
+            PeerMessage::ReturnClaim(claim) => {
+                engine.take_back_grant(&claim.account, claim.grant).await;
+            }
             PeerMessage::SpareConnections(report) => record_spare(&engine, report, from),
             PeerMessage::LoanRequest(request) => {
                 respond_to_loan_request(&engine, &exchange, request, from).await;
--- a/crates/rudder-engine/src/forwarding/dispatch.rs
+++ b/crates/rudder-engine/src/forwarding/dispatch.rs
@@ -54,7 +54,7 @@
             let sent_at = Instant::now();
             let result = self.forwarding().client().run(&holder, access, job, floor).await;
             let leaves_doubt = job.effect == StatementEffect::Write;
-            self.record_result(&holder.instance, job, sent_at, &result, leaves_doubt);
+            self.record_result(&holder.instance, job, sent_at, &result, leaves_doubt, false);
             let is_of_request = result.is_of_request();
             match result {
                 ForwardResult::Reply(reply) => return reply,
@@ -105,7 +105,7 @@
                 Ok(mut remote) => {
                     let result = remote.run(access, job, floor).await;
                     let leaves_doubt = remote.leaves_doubt(job);
-                    self.record_result(&holder.instance, job, sent_at, &result, leaves_doubt);
+                    self.record_result(&holder.instance, job, sent_at, &result, leaves_doubt, true);
                     match result {
                         ForwardResult::Reply(_) | ForwardResult::Lost(_) => {
                             return RemoteStart::Remote(remote, result);
@@ -116,7 +116,7 @@
                 }
                 Err(reason) => ForwardResult::NotSent(reason),
             };
-            self.record_result(&holder.instance, job, sent_at, &result, false);
+            self.record_result(&holder.instance, job, sent_at, &result, false, true);
         }
         RemoteStart::Local
     }
@@ -132,7 +132,7 @@
         let sent_at = Instant::now();
         let result = remote.run(access, job, floor).await;
         let leaves_doubt = remote.leaves_doubt(job);
-        self.record_result(remote.holder(), job, sent_at, &result, leaves_doubt);
+        self.record_result(remote.holder(), job, sent_at, &result, leaves_doubt, true);
         result
     }
 
@@ -143,8 +143,12 @@
         sent_at: Instant,
         result: &ForwardResult,
         leaves_doubt: bool,
+        is_transaction: bool,
     ) {
         self.record_holder(holder, job.account.as_ref(), result);
+        if result.may_have_run(is_transaction) {
+            job.record_run();
+        }
         record_outcome(holder, job, sent_at, result, leaves_doubt);
     }
 }
--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -1,5 +1,6 @@
 //! Counting of operations at the instance that owns an account's limit.
 
+use super::queue::QueueClaimant;
 use super::state::ReceivedResponse;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
@@ -8,7 +9,7 @@
     ClaimOutcome, ClaimResponse, LimitOwner, OperationClaim, PeerExchange, PeerMessage,
 };
 use rudder_core::AccountName;
-use rudder_decisions::{ClaimDecision, FleetContact, LimitBounds, OperationLimit, OwnerRole};
+use rudder_decisions::{ClaimTerms, FleetContact, LimitBounds, OperationLimit, OwnerRole};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,16 +28,18 @@
         Some(limit.into())
     }
 
-    /// Returns whether this instance was recently in contact with the store, directly or through
-    /// peers, and for how long.
+    /// Returns whether this instance was recently in contact with the counting authority, and for how
+    /// long. As long as it has not learned of any, contact with the store counts, directly or through
+    /// peers.
     pub(super) fn fleet_contact(&self) -> FleetContact {
         let groups = self.groups().into_iter();
         let confirmed_at =
             groups.map(|group| group.with_leases(|leases| leases.valid_from())).max();
         let confirmed_at = confirmed_at.max(self.membership().store_answered_at());
-        let connected_until = confirmed_at.unwrap_or_default() + LimitBounds::contact_timeout();
         let now = boot_time();
         let mut state = self.limits().state();
+        let contact_at = state.authority.contact_at(confirmed_at).unwrap_or_default();
+        let connected_until = contact_at + LimitBounds::contact_timeout();
         let checked_at = state.contact_checked_at.replace(now).unwrap_or(now);
         if now >= connected_until {
             state.contact_since = Some(now);
@@ -59,45 +62,28 @@
         self.identity().limit_bounds.window
     }
 
-    /// Decides a claim, of this instance or of a peer, as a possible owner of the account's limit.
-    /// Without `counts`, it only returns whether this instance counts the account's operations.
-    pub(super) async fn judge_claim(&self, account: &AccountName, counts: bool) -> ClaimDecision {
-        // The claiming instance knows a limit. If this instance knows none yet, another one counts.
-        let Some(limit) = self.operation_limit(account) else { return ClaimDecision::NotOwner };
-        let Some((rank, role)) = self.role_for(account).await else {
-            return ClaimDecision::NotOwner;
-        };
-        if !counts {
-            let mut state = self.limits().state();
-            let before = state.ledger.role(account);
-            if role == OwnerRole::Absent && before != role {
-                state.ledger.step_down(account);
-                log::info!(
-                    account:% = account, before:? = before, reason = "earlier_owner_responds";
-                    "this instance no longer counts the operations of an account"
-                );
-            }
-            let grants = state.ledger.grants(account, role);
-            return if grants { ClaimDecision::Granted } else { ClaimDecision::NotOwner };
+    /// Returns whether this instance counts the operations of an account. If it does no longer, its
+    /// queue is rejected.
+    pub(super) async fn counts_for(&self, account: &AccountName) -> bool {
+        // The probing instance knows a limit. If this instance knows none yet, another one counts.
+        if self.operation_limit(account).is_none() {
+            return false;
         }
-        let bounds = self.identity().limit_bounds;
-        let mut state = self.limits().state();
-        let before = state.ledger.role(account);
-        let decision = state.ledger.claim(account, limit, bounds, role, rank, boot_time());
-        drop(state);
-        if before != role {
-            log::info!(
-                account:% = account, before:? = before, role:? = role;
-                "the role of this instance in counting the operations of an account changed"
-            );
-        }
-        decision
+        let role = self.role_for(account).await.map_or(OwnerRole::Absent, |(_, role)| role);
+        let (counts, notices) = {
+            let mut state = self.limits().state();
+            let is_absent = role == OwnerRole::Absent;
+            let notices = if is_absent { state.stop_counting(account) } else { Vec::new() };
+            (state.ledger.grants(account, role), notices)
+        };
+        self.send_outcomes(account, notices).await;
+        counts
     }
 
     /// Returns the rank of this instance among an account's owners and whether it counts for the
     /// account, or `None` if it is no owner. Asks the owners that are ranked before it whether they
     /// count.
-    async fn role_for(&self, account: &AccountName) -> Option<(usize, OwnerRole)> {
+    pub(super) async fn role_for(&self, account: &AccountName) -> Option<(usize, OwnerRole)> {
         let own = &self.identity().name;
         // Without a list, each instance of a restarting fleet would consider itself the only one.
         if !self.membership().knows_owners() {
@@ -148,7 +134,9 @@
                     Some((account, owner)) => {
                         state.watch.record_response(&account, &owner, grants, boot_time());
                     }
-                    None => state.deliver(ReceivedResponse { from, response }),
+                    None => {
+                        state.deliver(ReceivedResponse::of(response, from));
+                    }
                 }
             }
             relayed
@@ -159,22 +147,21 @@
     }
 }
 
-/// Responds to another instance's claim.
+/// Responds to another instance's claim. A claim without a queue, as older builds send it, has the
+/// lowest priority and does not wait, but it takes no tokens from claims that do.
 pub(crate) async fn respond_to_claim(
     engine: &ProxyEngine,
     exchange: &PeerExchange,
     claim: OperationClaim,
     from: SocketAddr,
 ) {
-    let outcome = match engine.judge_claim(&claim.account, claim.counts).await {
-        ClaimDecision::Granted => ClaimOutcome::Granted,
-        ClaimDecision::Spent(after) => ClaimOutcome::Spent { after_ms: to_ms_rounded_up(after) },
-        ClaimDecision::NotOwner => ClaimOutcome::NotOwner,
-    };
-    let response = ClaimResponse { request_id: claim.request_id, outcome };
-    exchange.send(&PeerMessage::ClaimResponse(response), from).await;
-}
-
-fn to_ms_rounded_up(time: Duration) -> u32 {
-    u32::try_from(time.as_micros().div_ceil(1000)).unwrap_or(u32::MAX)
+    let OperationClaim { request_id, account, counts } = claim;
+    if counts {
+        let claimant = QueueClaimant::Older { from, request_id };
+        engine.queue_claim(&account, ClaimTerms::default(), claimant).await;
+        return;
+    }
+    let grants = engine.counts_for(&account).await;
+    let outcome = if grants { ClaimOutcome::Granted } else { ClaimOutcome::NotOwner };
+    exchange.send(&PeerMessage::ClaimResponse(ClaimResponse { request_id, outcome }), from).await;
 }
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -5,6 +5,7 @@
 use super::list_change::ListDigest;
 use super::loan_message::{LoanRecall, LoanRequest, LoanResponse, LoanReturn, SpareConnections};
 use super::offset::RequestOffset;
+use super::queue_claim::{QueueClaim, QueuedClaim, ReturnClaim};
 use super::relay::{RelayProbe, RelayedProbe};
 use crate::lead::{LeadRecord, LeaderEpoch};
 use rudder_core::{AccountName, DomainName, InstanceName, LogStamp, ServiceName, plain_data};
@@ -214,6 +215,12 @@
     RelayProbe(RelayProbe),
     /// Response of a relay, or evidence of a claimant.
     RelayedProbe(RelayedProbe),
+    /// Claim of an operation of an account, which may wait.
+    QueueClaim(QueueClaim),
+    /// Response to a claim that may wait.
+    QueuedClaim(QueuedClaim),
+    /// Return of a grant whose statement did not run.
+    ReturnClaim(ReturnClaim),
     /// Connections that an instance could lend.
     SpareConnections(SpareConnections),
     /// Request for a loan of connections.
--- a/crates/rudder-engine/src/peers/tests/message.rs
+++ b/crates/rudder-engine/src/peers/tests/message.rs
@@ -3,11 +3,13 @@
 use crate::peers::list_change::ListDigest;
 use crate::peers::message::CopyResponse;
 use crate::peers::{
-    ClaimOutcome, ClaimResponse, CopyVersion, LoanRecall, LoanRequest, LoanTarget, OperationClaim,
-    PeerHeartbeat, PeerMessage, RecordTiming, RecordsDigest, RecordsResponse, RequestOffset,
-    SampleCopy, SpareConnections, SpareCount,
+    AuthorityNotice, AuthorityTrailer, ClaimOutcome, ClaimResponse, CopyVersion, LoanRecall,
+    LoanRequest, LoanTarget, OperationClaim, PeerHeartbeat, PeerMessage, QueueClaim, QueuedClaim,
+    QueuedOutcome, RecordTiming, RecordsDigest, RecordsResponse, RequestOffset, SampleCopy,
+    SpareConnections, SpareCount,
 };
 use rudder_core::LogStamp;
+use rudder_decisions::AuthorityTerm;
 use std::time::Duration;
 
 /// Maximum size of a datagram.
@@ -75,6 +77,36 @@
     assert!(bytes < 100, "{bytes}");
 }
 
+fn queue_claim() -> PeerMessage {
+    PeerMessage::QueueClaim(QueueClaim {
+        request_id: 1 << 20,
+        account: "an-account-with-a-long-name".parse().expect("a name"),
+        priority: Some(1),
+        wait_ms: 750,
+        deadline_ms: 2500,
+        refused_before: true,
+        reservation: Some(u64::MAX),
+    })
+}
+
+/// A claim is sent for each operation, so its size decides the traffic between domains.
+#[test]
+fn a_claim_with_a_queue_is_short() {
+    let bytes = size(&queue_claim());
+
+    assert!(bytes < 60, "{bytes}");
+}
+
+/// A truncated claim must not be read as one with other terms.
+#[test]
+fn a_truncated_claim_is_an_error() {
+    let bytes = postcard::to_stdvec(&queue_claim()).expect("a message is written");
+
+    for length in 0..bytes.len() {
+        assert!(postcard::from_bytes::<PeerMessage>(&bytes[..length]).is_err(), "{length}");
+    }
+}
+
 /// An older build drops unknown datagrams, but would take a message for another one if the numbers
 /// of the variants changed.
 #[test]
@@ -102,6 +134,38 @@
 
     assert!(bytes < 150, "{bytes}");
 }
+fn trailer() -> AuthorityTrailer {
+    let holder = "frontend-johannesburg-a-17".parse().expect("a name");
+    let term = AuthorityTerm { sequence: 300, holder, process: u64::MAX };
+    AuthorityTrailer { known: Some(AuthorityNotice::new(&term, offset(450))) }
+}
+
+/// An older build decodes a message with `postcard::from_bytes`. If it did not ignore the bytes that
+/// follow, it would receive no records from newer builds.
+#[test]
+fn an_older_build_reads_records_that_bytes_follow() {
+    let message = response(20);
+    let mut bytes = postcard::to_stdvec(&message).expect("a message is written");
+    bytes.extend(trailer().to_bytes().expect("a trailer is written"));
+
+    let read: PeerMessage = postcard::from_bytes(&bytes).expect("a message is read");
+
+    assert_eq!(read, message);
+}
+
+/// A truncated trailer, or one of a later format, must neither be misread nor end the message.
+#[test]
+fn a_trailer_is_read_only_if_it_is_complete_and_of_this_version() {
+    let bytes = trailer().to_bytes().expect("a trailer is written");
+    let mut later = bytes.clone();
+    later[0] += 1;
+
+    assert_eq!(AuthorityTrailer::parse(&bytes), Some(trailer()));
+    assert_eq!(AuthorityTrailer::parse(&later), None);
+    for length in 0..bytes.len() {
+        assert_eq!(AuthorityTrailer::parse(&bytes[..length]), None, "{length} bytes");
+    }
+}
 
 /// The bandwidth of claims and loans in docs/CAPACITY.md is worked out from these sizes.
 #[test]
@@ -128,3 +192,28 @@
     assert_eq!((claim_bytes, response_bytes, request_bytes), (25, 14, 42));
     assert_eq!((report(24), report(2340)), (146, 14_043));
 }
+
+/// Each operation of a limited account costs these bytes; docs/CAPACITY.md works out their sum.
+#[test]
+fn sizes_of_queued_claims_are_as_documented() {
+    let claim = |reservation: Option<u64>| {
+        size(&PeerMessage::QueueClaim(QueueClaim {
+            request_id: u64::MAX,
+            account: "account-0017".parse().expect("a name"),
+            priority: Some(1),
+            wait_ms: 300,
+            deadline_ms: 3_000,
+            refused_before: reservation.is_some(),
+            reservation,
+        }))
+    };
+    let response =
+        |outcome| size(&PeerMessage::QueuedClaim(QueuedClaim { request_id: u64::MAX, outcome }));
+
+    let claim_bytes = (claim(None), claim(Some(u64::MAX)));
+    let granted_bytes = response(QueuedOutcome::Granted { grant: u64::MAX });
+    let queued_bytes = response(QueuedOutcome::Queued { within_ms: 300 });
+
+    assert_eq!(claim_bytes, (32, 42));
+    assert_eq!((granted_bytes, queued_bytes), (22, 14));
+}
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -9,7 +9,7 @@
 use crate::forwarding::{ForwardResult, RemoteStart, RemoteTransaction};
 use crate::group::{ExchangeError, GroupMember, PooledLink, ServiceGroup};
 use crate::lead::LeaderLease;
-use crate::limits::ClaimError;
+use crate::limits::{ClaimError, ClaimGrant, RefusedOperation};
 use crate::statement::{
     MemberCommand, RequestId, StatementEffect, StatementError, StatementReply, TransactionState,
 };
@@ -32,6 +32,8 @@
     wrote: bool,
     /// Whether the transaction was claimed against the account's operation limit.
     claimed: bool,
+    /// Grant of the claim, until the transaction may have begun at a member.
+    grant: Option<ClaimGrant>,
     place: TransactionPlace,
 }
 
@@ -61,7 +63,7 @@
 impl OpenTransaction {
     pub(super) fn new(read_only: bool, access: RouteAccess) -> Self {
         let place = TransactionPlace::Undecided;
-        Self { read_only, access, pinned: None, wrote: false, claimed: false, place }
+        Self { read_only, access, pinned: None, wrote: false, claimed: false, grant: None, place }
     }
 
     /// Creates a transaction that runs at this instance.
@@ -82,11 +84,13 @@
         &mut self,
         engine: &ProxyEngine,
         id: &RequestId,
+        refused: Option<RefusedOperation>,
     ) -> Result<(), ClaimError> {
         if std::mem::replace(&mut self.claimed, true) {
             return Ok(());
         }
-        engine.claim_operation(&self.access, id).await
+        self.grant = engine.claim_operation(&self.access, id, refused).await?;
+        Ok(())
     }
 
     /// Whether the transaction has sent a write.
@@ -228,6 +232,11 @@
             }
         };
         self.wrote |= job.effect == StatementEffect::Write;
+        // The holder's reply does not tell whether the transaction began at a member, so the grant
+        // is returned only if no holder ran the first statement.
+        if let (Some(grant), false) = (self.grant.take(), job.may_have_run()) {
+            engine.return_grant(grant).await;
+        }
         Some(result)
     }
 
@@ -241,6 +250,20 @@
         if self.pinned.is_some() {
             return Ok(());
         }
+        let grant = self.grant.take();
+        let result = self.begin(engine, job, session_floor).await;
+        if let (Err(_), Some(grant), false) = (&result, grant, job.may_have_run()) {
+            engine.return_grant(grant).await;
+        }
+        result
+    }
+
+    async fn begin(
+        &mut self,
+        engine: &ProxyEngine,
+        job: &StatementJob,
+        session_floor: Option<LogStamp>,
+    ) -> Result<(), StatementReply> {
         let route = Arc::clone(&self.access.route);
         let group = engine.group(&route.service);
         let replica_allowed = self.read_only && staleness_bound(&route).is_some();
