Bound ended claims, number requests at random, and report lost reads truthfully

Cause (review of queues and returned grants): - A read whose response was lost was later refused as "not run"; a holder passed this on, so the origin would have returned the grant of a read that may have run. - Reservations that are due one after another held back the token of the floor while only claims of the lowest priority waited. - A restarted process numbered its claims from one again, so that the response to a claim of the process before it, up to ten seconds late, could decide a claim of another account. - Claims whose callers disconnect were recorded without a bound, and so were owners of an older build.

Change: such reads are reported as timed out; the floor's token is independent of reservations; requests are numbered from a random start; both records are bounded. Tests for the first two, and for guards of the merge: grants after another owner counted or after the capacity changed, an owner that repeats that a claim is queued, the second grant of a claim to two owners.

Removing the guard of the capacity, of reduced buckets, or of the floor fails one test each.

--- a/crates/rudder-decisions/src/operation_limit/claim_queue.rs
+++ b/crates/rudder-decisions/src/operation_limit/claim_queue.rs
@@ -205,7 +205,7 @@
         self.last_sequence += 1;
         let order = (priority, standing, self.last_sequence);
         let index = self.waiting.partition_point(|known| known.order < order);
-        let floor_due = self.is_lowest(priority) && self.floor_credit + 1 >= FLOOR_TOKENS;
+        let floor_due = self.is_floor_due(priority);
         if index == 0 && supply.available > self.held(order, floor_due, now) {
             self.redeem(terms.reservation);
             self.record_grant(priority, now);
@@ -237,7 +237,7 @@
         let mut decided = Vec::new();
         while let Some(index) = self.next_index() {
             let order = self.waiting[index].order;
-            if supply.available <= self.held(order, index > 0, now) {
+            if supply.available <= self.held(order, self.is_floor_due(order.0), now) {
                 break;
             }
             supply.available -= 1;
@@ -271,7 +271,7 @@
         let order = self.waiting[index].order;
         let wait_end = self.waiting.iter().map(|claim| claim.wait_until.saturating_sub(now)).min();
         let expiry = self.book.next_expiry().map(|at| at.saturating_sub(now) + MILLISECOND);
-        let held = self.held(order, index > 0, now);
+        let held = self.held(order, self.is_floor_due(order.0), now);
         let token = supply.next_after.saturating_add(TokenSupply::time_to_add(
             held.saturating_sub(supply.available) * 1000,
             supply.milli_per_second,
@@ -325,6 +325,11 @@
         self.shares.len() > 1 && self.lowest() == Some(priority)
     }
 
+    /// Whether the next token is the one of the floor for claims of a priority.
+    fn is_floor_due(&self, priority: u8) -> bool {
+        self.is_lowest(priority) && self.floor_credit + 1 >= FLOOR_TOKENS
+    }
+
     /// Whether later claims cannot displace this one past its wait: those of the highest priority in
     /// use, and those with a reservation.
     fn is_certain(&self, order: ClaimOrder) -> bool {
@@ -347,7 +352,7 @@
     /// Returns the index of the claim that gets the next token.
     fn next_index(&self) -> Option<usize> {
         let last = self.waiting.last()?.order.0;
-        if self.floor_credit + 1 >= FLOOR_TOKENS && self.is_lowest(last) {
+        if self.is_floor_due(last) {
             return Some(self.waiting.partition_point(|claim| claim.order.0 < last));
         }
         Some(0)
--- a/crates/rudder-decisions/tests/limits/claim_terms.rs
+++ b/crates/rudder-decisions/tests/limits/claim_terms.rs
@@ -151,3 +151,22 @@
     let scope = owner.scope(20, OwnerRole::Full);
     assert!(!owner.queues.return_grant(&mut owner.ledger, &owner.account, scope, grant));
 }
+
+/// Reservations of higher priorities that are due one after another must not starve the lowest
+/// priority while nothing else waits.
+#[test]
+fn a_due_reservation_does_not_hold_back_the_token_of_the_floor() {
+    let mut owner = Owner::new(100_000, 10);
+    owner.exhaust(0);
+    owner.claim(0, terms(0, 0, 900), 1);
+    let reserved = owner.claim(0, terms(1, 15, 900), 2);
+    assert!(matches!(&reserved[0].outcome, QueueOutcome::Rejected(rejection)
+        if rejection.reservation.is_some()));
+    let queued = owner.claim(0, terms(2, 400, 900), 3);
+    assert!(matches!(queued[0].outcome, QueueOutcome::Queued { .. }));
+
+    let scope = owner.scope(10, OwnerRole::Full);
+    let served = owner.queues.serve(&mut owner.ledger, &owner.account, scope);
+
+    assert!(matches!(served[0].outcome, QueueOutcome::Granted { .. }), "{served:?}");
+}
--- a/crates/rudder-decisions/tests/limits/returns.rs
+++ b/crates/rudder-decisions/tests/limits/returns.rs
@@ -19,6 +19,7 @@
     account: AccountName,
     ledger: LimitLedger,
     queues: LimitQueues<()>,
+    role: OwnerRole,
     now: Duration,
 }
 
@@ -28,13 +29,13 @@
             account: "choirs".parse().expect("a name"),
             ledger: LimitLedger::default(),
             queues: LimitQueues::new(0),
+            role: OwnerRole::Settled,
             now: Duration::from_secs(60),
         }
     }
 
     fn scope(&self) -> ClaimScope {
-        let role = OwnerRole::Settled;
-        ClaimScope { limit: LIMIT, bounds: BOUNDS, role, rank: 0, now: self.now }
+        ClaimScope { limit: LIMIT, bounds: BOUNDS, role: self.role, rank: 0, now: self.now }
     }
 
     fn claim(&mut self) -> Option<u64> {
@@ -108,6 +109,31 @@
     assert_eq!(owner.claim_all().len(), 1);
 }
 
+/// A bucket that was emptied because another owner may have granted must not get tokens of the time
+/// before.
+#[test]
+fn grants_are_not_returned_after_another_owner_may_have_granted() {
+    let mut owner = Owner::new();
+    let grants = owner.claim_all();
+    owner.ledger.step_down(&owner.account);
+    owner.now += Duration::from_millis(500);
+    assert!(owner.claim().is_none());
+
+    assert!(!owner.return_grant(grants[0]));
+}
+
+/// A bucket that shrank lost the operations above its new capacity, also without a refill.
+#[test]
+fn grants_are_not_returned_after_the_capacity_changed() {
+    let mut owner = Owner::new();
+    let grants: Vec<u64> = (0..10).filter_map(|_| owner.claim()).collect();
+    owner.role = OwnerRole::Successor;
+    assert!(owner.claim().is_some());
+    owner.role = OwnerRole::Settled;
+
+    assert!(!owner.return_grant(grants[0]));
+}
+
 /// A grant of an earlier window must not come back.
 #[test]
 fn a_grant_is_not_returned_after_the_window() {
--- a/crates/rudder-engine/src/limits/state.rs
+++ b/crates/rudder-engine/src/limits/state.rs
@@ -131,7 +131,8 @@
             claims: Vec::new(),
             probes: Vec::new(),
             ended: VecDeque::new(),
-            last_request_id: 0,
+            // Owners may still respond to claims of an earlier process at the same address.
+            last_request_id: rand::random::<u32>().into(),
         }
     }
 }
@@ -153,6 +154,10 @@
 /// an older build. A single one may be due to a lost datagram.
 const OLDER_RESPONSES: u32 = 3;
 
+/// Maximum number of owners whose responses to claims without a queue are counted. Names of instances
+/// that were replaced would accumulate otherwise.
+const OLDER_MAX: usize = 256;
+
 /// Maximum number of ended claims whose late grants are returned.
 const ENDED_MAX: usize = 512;
 
@@ -208,6 +213,7 @@
         // A claim whose caller has disconnected ends without a call of `end_claim`.
         let closed = self.claims.extract_if(.., |claim| claim.sender.is_closed());
         self.ended.extend(closed.map(|claim| (claim.request_id, claim.account)));
+        self.drop_oldest_ended();
         let (sender, responses) = mpsc::unbounded_channel();
         self.claims.push(PendingClaim { request_id, account: account.clone(), sender });
         (request_id, responses)
@@ -218,9 +224,12 @@
             let claim = self.claims.remove(index);
             self.ended.push_back((request_id, claim.account));
         }
-        while self.ended.len() > ENDED_MAX {
-            self.ended.pop_front();
-        }
+        self.drop_oldest_ended();
+    }
+
+    fn drop_oldest_ended(&mut self) {
+        let excess = self.ended.len().saturating_sub(ENDED_MAX);
+        self.ended.drain(..excess);
     }
 
     /// Returns the account of a claim that was decided or whose caller has disconnected.
@@ -271,6 +280,9 @@
             return;
         }
         let index = position.unwrap_or_else(|| {
+            if self.older_responses.len() >= OLDER_MAX {
+                self.older_responses.remove(0);
+            }
             self.older_responses.push((owner.clone(), 0));
             self.older_responses.len() - 1
         });
--- a/crates/rudder-engine/src/limits/tests/queue.rs
+++ b/crates/rudder-engine/src/limits/tests/queue.rs
@@ -316,3 +316,83 @@
 
     assert_eq!(owner.received().len(), 5);
 }
+
+/// A peer that says again and again that a claim is queued must not hold its caller for longer than
+/// the claim's wait.
+#[tokio::test]
+async fn an_owner_cannot_extend_the_wait_of_a_claim() {
+    let owner = StandInOwner::start(|_, message| match message {
+        PeerMessage::QueueClaim(_) => {
+            vec![queued(message, QueuedOutcome::Queued { within_ms: 10_000 })]
+        }
+        _ => Vec::new(),
+    })
+    .await;
+    let engine = connected_engine(vec![owner.entry("owner")]).await;
+    let (claimant, began_at) = (Arc::clone(&engine), Instant::now());
+    let waiting = tokio::spawn(async move { claim(&claimant, &access()).await });
+
+    while !waiting.is_finished() && began_at.elapsed() < Duration::from_secs(3) {
+        for message in owner.received() {
+            if let PeerMessage::QueueClaim(QueueClaim { request_id, .. }) = message {
+                let outcome = QueuedOutcome::Queued { within_ms: 10_000 };
+                let response = QueuedClaim { request_id, outcome };
+                engine.handle_queued_claim(response, owner.address).await;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+
+    // The wait is 500 ms, and one more attempt follows.
+    assert!(began_at.elapsed() < Duration::from_millis(1500), "{:?}", began_at.elapsed());
+    assert!(waiting.await.expect("a claim ends").is_err());
+}
+
+/// An instance that counts again after another one did must not get tokens back that it granted
+/// before.
+#[tokio::test]
+async fn grants_cannot_be_returned_after_another_instance_counted() {
+    let engine = engine_with(None, Duration::from_secs(5));
+    set_instance_list(&engine, &["own"]);
+    let mut grants = Vec::new();
+    while let Ok(Some(grant)) = claim(&engine, &access()).await {
+        grants.push(grant);
+    }
+    set_instance_list(&engine, &["other"]);
+    assert!(!engine.counts_for(&account()).await);
+    set_instance_list(&engine, &["own"]);
+
+    assert!(!grants.is_empty());
+    for grant in grants {
+        engine.return_grant(grant).await;
+    }
+
+    assert!(claim(&engine, &access()).await.is_err());
+}
+
+/// Two owners that are asked at once may both grant. The operation runs once, so the second token
+/// would be lost.
+#[tokio::test]
+async fn the_second_grant_of_a_claim_to_two_owners_is_returned() {
+    let respond = |number: u64| {
+        move |_: usize, message: &PeerMessage| match message {
+            PeerMessage::QueueClaim(_) => {
+                vec![queued(message, QueuedOutcome::Granted { grant: number })]
+            }
+            _ => Vec::new(),
+        }
+    };
+    let owners = [StandInOwner::start(respond(7)).await, StandInOwner::start(respond(8)).await];
+    let entries = vec![owners[0].entry("one"), owners[1].entry("two")];
+    let engine = connected_engine(entries).await;
+    let first = engine.membership().limit_owners(&account(), 1)[0].instance.clone();
+    engine.limits().state().doubtful_owners.insert(&first, boot_time());
+
+    assert!(claim(&engine, &access()).await.expect("a grant").is_some());
+
+    let returned = || {
+        let received = owners.iter().flat_map(StandInOwner::received);
+        received.filter(|message| matches!(message, PeerMessage::ReturnClaim(_))).count()
+    };
+    assert!(eventually(|| returned() == 1).await, "{}", returned());
+}
--- a/crates/rudder-engine/src/session/job.rs
+++ b/crates/rudder-engine/src/session/job.rs
@@ -190,7 +190,8 @@
     format!("not run, retry after {} ms: {reason}", after.as_millis())
 }
 
-/// Returns the refusal of a request that was not run, and logs the state that led to the decision.
+/// Returns the refusal of a request that was not run, and logs the state that led to the decision. A
+/// single read that a member may have run is reported as unanswered.
 pub(crate) fn refuse(
     group: &ServiceGroup,
     job: &StatementJob,
@@ -205,11 +206,17 @@
         Some(sample) => age_ms(sample.sent_at).to_string(),
         None => "none".to_owned(),
     };
+    let may_have_run = state == TransactionState::Idle && job.may_have_run();
+    let outcome = if may_have_run { "timed_out" } else { "not_run" };
     log::info!(
         request:% = job.id, service:% = job.service, effect:? = job.effect, reason = reason,
         epoch:% = epoch, record_age_ms = record_age_ms, sample_age_ms = sample_age_ms.as_str(),
-        waited_ms = job.started_at.elapsed().as_millis(), outcome = "not_run";
+        waited_ms = job.started_at.elapsed().as_millis(), outcome = outcome;
         "a statement was refused"
     );
+    if may_have_run {
+        let text = "no member answered the read in time";
+        return StatementReply::refusal(StatementError::TimedOut, text, state);
+    }
     StatementReply::refusal(StatementError::Busy, &retry_text(reason), state)
 }
--- a/crates/rudder-engine/src/session/tests/failing_member.rs
+++ b/crates/rudder-engine/src/session/tests/failing_member.rs
@@ -24,12 +24,15 @@
     failing: Mutex<Vec<(MemberName, u32)>>,
     /// Members that received a statement, in order.
     contacted: Mutex<Vec<MemberName>>,
+    /// Whether the members run statements without a response.
+    is_silent: bool,
 }
 
 impl FailingMembers {
     fn new(failing: &[(&str, u32)]) -> Arc<Self> {
         let failing = failing.iter().map(|(name, count)| (member(name), *count)).collect();
-        Arc::new(Self { failing: Mutex::new(failing), contacted: Mutex::default() })
+        let contacted = Mutex::default();
+        Arc::new(Self { failing: Mutex::new(failing), contacted, is_silent: false })
     }
 
     fn contacted(&self) -> Vec<String> {
@@ -78,6 +81,9 @@
 
     async fn receive(&mut self) -> Result<StatementReply, LinkError> {
         let outcome = self.members.outcome_at(&self.member);
+        if self.members.is_silent {
+            return Err(LinkError::Silent);
+        }
         let (state, position) = (TransactionState::Idle, Some(position()));
         Ok(StatementReply { rows: Vec::new(), outcome, state, position })
     }
@@ -219,3 +225,23 @@
         assert!(job.may_have_run());
     }
 }
+
+/// A read whose response was lost may have run, so a refusal must not say that it was not run, nor
+/// must its grant be returned.
+#[tokio::test]
+async fn a_read_without_a_response_is_not_reported_as_not_run() {
+    for kind in [RouteKind::Strict, RouteKind::Bounded(Duration::from_secs(60))] {
+        let members = Arc::new(FailingMembers { is_silent: true, ..FailingMembers::default() });
+        let engine = engine(&members);
+        let mut access = access(kind);
+        Arc::make_mut(&mut access.route).latency_target = Duration::from_millis(400);
+        let job = job(StatementEffect::Read, &access);
+
+        let reply = match kind {
+            RouteKind::Strict => engine.run_strict(&access.route, &job).await,
+            _ => engine.read_bounded(&access.route, &job, None).await,
+        };
+
+        assert_eq!(reply.error(), Some(&StatementError::TimedOut), "{kind:?}");
+    }
+}
