--- a/crates/rudder-decisions/tests/limits/partial.rs
+++ b/crates/rudder-decisions/tests/limits/partial.rs
@@ -228,3 +228,22 @@
     }
     assert!(late * 10 < decided, "{late} of {decided} waited for more than 250 ms");
 }
+
+/// Two sets of instances without any link between them, both of which reach the store, could each
+/// grant the whole limit: relays and claimants connect neither owner to the other.
+#[test]
+#[ignore = "known fault, see KNOWN-RED.txt"]
+fn two_sets_that_both_reach_the_store_grant_the_limit_once() {
+    assert_within_limit("two sets", 6.0, &[], |fleet, rate| {
+        fleet.set_store_suffices();
+        let owners = fleet.owners();
+        for index in 0..fleet.instance_count() {
+            let joins_first = index == owners[0] || (index % 3 == 0 && index != owners[1]);
+            fleet.set_partition(index, usize::from(joins_first));
+        }
+        fleet.run(seconds(7.0), rate);
+        for index in 0..fleet.instance_count() {
+            fleet.set_partition(index, 0);
+        }
+    });
+}
