Keep the holder when another instance reads the store

Cause: the holder gave the authority up as soon as another instance became the fleet reader.

Change: the holder renews the object as long as it can; the fleet reader takes it over only after the usual wait, and subscribes to the holder's records meanwhile, so that confirmations reach the chain.

--- a/crates/rudder-decisions/tests/limits/fleet/authority.rs
+++ b/crates/rudder-decisions/tests/limits/fleet/authority.rs
@@ -144,7 +144,8 @@
     }
 
     fn keep_authority(&mut self, index: usize) {
-        if !self.is_fleet_reader(index) {
+        let holds = self.instances[index].keeper.confirmation().is_some();
+        if !holds && !self.is_fleet_reader(index) {
             self.instances[index].keeper.release();
             return;
         }
--- a/crates/rudder-engine/src/duty/authority.rs
+++ b/crates/rudder-engine/src/duty/authority.rs
@@ -46,7 +46,8 @@
     }
 }
 
-/// Holds the counting authority while this instance is the fleet reader and an account is limited.
+/// Takes the counting authority over if this instance is the fleet reader, and holds it from then on
+/// while an account is limited.
 pub(crate) async fn keep(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
     let mut version = None;
     loop {
@@ -70,6 +71,9 @@
             false
         }
         Some(AuthorityAction::Read) => {
+            if let Some(holder) = engine.authority_holder() {
+                request_records(engine, exchange, &[holder], true).await;
+            }
             let read = read_object(engine).await;
             if let Ok(object) = &read {
                 *version = object.as_ref().map(|(_, version)| version.clone());
--- a/crates/rudder-engine/src/duty/tests/authority.rs
+++ b/crates/rudder-engine/src/duty/tests/authority.rs
@@ -6,7 +6,10 @@
 use crate::engine::ProxyEngine;
 use crate::fixtures::{RejectingPromotion, UnreachableDialer, identity};
 use crate::identity::EngineDependencies;
-use crate::peers::{AuthorityTrailer, PeerEntry, PeerExchange, PeerMessage, ReceivedDatagram};
+use crate::peers::{
+    AuthorityTrailer, CopyVersion, PeerEntry, PeerExchange, PeerHeartbeat, PeerMessage,
+    ReceivedDatagram,
+};
 use crate::settings::{
     AccountLimit, AccountRule, AccountTable, FleetSettings, KeyDigest, SettingsVersion,
 };
@@ -293,3 +296,56 @@
     let (before, later) = (confirmed(before), confirmed(reader.known()));
     assert!(later > before.map(|at| at + Duration::from_millis(1000)), "{before:?}, {later:?}");
 }
+
+/// If the holder gave the object up as soon as another instance reads the store for the fleet, no
+/// instance would confirm contact until that one has waited, or longer if the store fails for it.
+#[tokio::test]
+async fn a_holder_stays_the_holder_when_another_instance_becomes_the_fleet_reader() {
+    let store = Arc::new(AuthorityStore::default());
+    let mut peer = Peer::new("own", &store, limit()).await;
+    peer.keep_once().await;
+    peer.keep_once().await;
+    let other = PeerExchange::bind(([127, 0, 0, 1], 0).into()).await.expect("a socket");
+    let entries = vec![entry("a-first", other.address()), entry("own", peer.exchange.address())];
+    peer.engine.membership().set_entries(entries, boot_time());
+    let heartbeat = PeerHeartbeat {
+        instance: "a-first".parse().expect("a name"),
+        process: 1,
+        domain: "north".parse().expect("a name"),
+        version: CopyVersion::default(),
+        store_unreachable: false,
+        leaving: false,
+        suspicions: Vec::new(),
+    };
+    peer.engine.membership().record_heartbeat(heartbeat, other.address());
+    // The reader is chosen by a hash among the instances that the store responds to.
+    peer.engine.membership().record_store_response(false, boot_time());
+    assert!(!peer.engine.membership().is_fleet_reader());
+
+    tokio::time::sleep(Duration::from_millis(1250)).await;
+    peer.keep_once().await;
+
+    assert_eq!(store.state().writes, 2);
+}
+
+/// Confirmations of a holder that no longer reads the store for the fleet would reach no instance.
+#[tokio::test]
+async fn the_fleet_reader_subscribes_to_the_holder() {
+    let store = Arc::new(AuthorityStore::default());
+    let mut holder = Peer::new("holder", &store, limit()).await;
+    holder.keep_once().await;
+    holder.keep_once().await;
+    let mut reader = Peer::new("a-reader", &store, limit()).await;
+    reader.fetch_from(&holder, true).await;
+    let entries = vec![
+        entry("a-reader", reader.exchange.address()),
+        entry("holder", holder.exchange.address()),
+    ];
+    reader.engine.membership().set_entries(entries, boot_time());
+
+    reader.keep_once().await;
+
+    let received = holder.receive().await;
+    let PeerMessage::FetchRecords(request) = received.message else { panic!("{received:?}") };
+    assert!(request.subscribes);
+}
--- a/crates/rudder-engine/src/limits/authority.rs
+++ b/crates/rudder-engine/src/limits/authority.rs
@@ -10,6 +10,7 @@
 use rudder_decisions::{
     AuthorityAction, AuthorityChange, AuthorityKeeper, AuthorityRecord, AuthorityTerm, WriteOutcome,
 };
+use std::net::SocketAddr;
 use std::time::Duration;
 
 impl LimitState {
@@ -36,11 +37,16 @@
     }
 
     /// Returns whether this instance wants to hold the counting authority: it reads the store for the
-    /// fleet, and the store's list contains it. Before it knows the list, each instance of a starting
-    /// fleet considers itself the reader.
+    /// fleet, or is the holder, and the store's list contains it. Before it knows the list, each
+    /// instance of a starting fleet considers itself the reader. A holder stays the holder if another
+    /// instance becomes the reader, as that one might not reach the store.
     fn wants_authority(&self) -> bool {
+        let holds = {
+            let state = self.limits().state();
+            state.keeper.as_ref().is_some_and(|keeper| keeper.confirmation().is_some())
+        };
         self.limits_accounts()
-            && self.membership().is_fleet_reader()
+            && (holds || self.membership().is_fleet_reader())
             && self.membership().has_entry(&self.identity().name)
             && self.drain_phase() == DrainPhase::Serving
     }
@@ -59,7 +65,7 @@
             {
                 count("released");
                 log::info!(
-                    sequence = term.sequence, reason = "not_fleet_reader";
+                    sequence = term.sequence, reason = "released";
                     "this instance no longer holds the counting authority"
                 );
             }
@@ -77,6 +83,14 @@
         Some(action)
     }
 
+    /// Returns the address of the holder, if it is another instance. The fleet reader subscribes to its
+    /// records, as the holder may no longer be at the head of the chain in which they are passed on.
+    pub(crate) fn authority_holder(&self) -> Option<SocketAddr> {
+        let holder = self.limits().state().authority.latest()?.0.holder.clone();
+        let peers = self.membership().limit_peers();
+        peers.into_iter().find(|peer| peer.instance == holder).map(|peer| peer.address)
+    }
+
     /// Applies the object as read now, or that it could not be read.
     pub(crate) fn record_authority_read(
         &self,
