Open one forwarding connection for requests that come together

Each request that came before the first one's task held the lock started a task of its own, and after a failure each tried to open a connection again, one after the other, for up to 300 ms each. Change: a task looks at the slot's state again under the lock; one function gives that state to requests, tasks and the removal of unused slots. The mapping of a claim's verdict to its outcome, which stood twice in LimitQueues, is one function.

--- a/crates/rudder-decisions/src/operation_limit/limit_queues.rs
+++ b/crates/rudder-decisions/src/operation_limit/limit_queues.rs
@@ -142,13 +142,7 @@
             entry.queue.admit(terms, claimant.clone(), supply, &mut self.last_number, now);
         let priority = entry.queue.priority_of(terms.priority);
         let is_queued = returned.is_none();
-        let outcome = match verdict {
-            ClaimVerdict::Granted { waited } => {
-                self.take(ledger, account, scope, index, supply.fills, waited)
-            }
-            ClaimVerdict::Queued { within } => QueueOutcome::Queued { within },
-            ClaimVerdict::Rejected(rejection) => QueueOutcome::Rejected(rejection),
-        };
+        let outcome = self.apply_verdict(ledger, account, scope, index, supply.fills, verdict);
         notices.push(QueueNotice { claimant, priority, outcome });
         if is_queued {
             // The new claim may displace others past their wait.
@@ -175,13 +169,7 @@
         let decided = self.queues[index].queue.serve(supply, &mut self.last_number, now);
         let mut notices = Vec::with_capacity(decided.len());
         for (claimant, priority, verdict) in decided {
-            let outcome = match verdict {
-                ClaimVerdict::Granted { waited } => {
-                    self.take(ledger, account, scope, index, supply.fills, waited)
-                }
-                ClaimVerdict::Queued { within } => QueueOutcome::Queued { within },
-                ClaimVerdict::Rejected(rejection) => QueueOutcome::Rejected(rejection),
-            };
+            let outcome = self.apply_verdict(ledger, account, scope, index, supply.fills, verdict);
             notices.push(QueueNotice { claimant, priority, outcome });
         }
         let supply = ledger.supply(account, scope);
@@ -292,16 +280,21 @@
         removed.iter().flat_map(|account| self.release(account)).collect()
     }
 
-    /// Takes a token for a decided claim.
-    fn take(
+    /// Returns the outcome of a decided claim; takes its token if it is granted.
+    fn apply_verdict(
         &mut self,
         ledger: &mut LimitLedger,
         account: &AccountName,
         scope: ClaimScope,
         index: usize,
         fills: u64,
-        waited: bool,
+        verdict: ClaimVerdict,
     ) -> QueueOutcome {
+        let waited = match verdict {
+            ClaimVerdict::Granted { waited } => waited,
+            ClaimVerdict::Queued { within } => return QueueOutcome::Queued { within },
+            ClaimVerdict::Rejected(rejection) => return QueueOutcome::Rejected(rejection),
+        };
         let ClaimScope { limit, bounds, role, rank, now } = scope;
         match ledger.claim(account, limit, bounds, role, rank, now) {
             ClaimDecision::Granted => self.grant(index, fills, bounds.window, now, waited),
--- a/crates/rudder-engine/src/forwarding/client.rs
+++ b/crates/rudder-engine/src/forwarding/client.rs
@@ -42,10 +42,11 @@
 }
 
 impl HolderSlot {
-    /// Opens a connection unless there is one.
+    /// Opens a connection unless there is one or opening one failed recently. Callers that come while
+    /// one is being opened wait for the lock and must not each try again.
     async fn connect(self: Arc<Self>, holder: HolderTarget, queue_bytes: Arc<Semaphore>) {
         let mut state = self.state.lock().await;
-        if state.open_connection().is_some() {
+        if !matches!(state.status(), SlotStatus::Closed) {
             return;
         }
         let open = HolderConnection::open(holder.address, queue_bytes);
@@ -66,19 +67,18 @@
 
     fn status(&self) -> SlotStatus {
         // The state is locked for as long as a connection is being opened.
-        let Ok(state) = self.state.try_lock() else { return SlotStatus::Opening };
-        match (state.open_connection(), state.failed_at) {
-            (Some(connection), _) => SlotStatus::Open(connection),
-            (None, Some(at)) if at.elapsed() < CONNECT_PAUSE => SlotStatus::Failed,
-            (None, _) => SlotStatus::Closed,
-        }
+        self.state.try_lock().map_or(SlotStatus::Opening, |state| state.status())
     }
 }
 
 impl SlotState {
-    /// Returns the connection if it accepts requests.
-    fn open_connection(&self) -> Option<Arc<HolderConnection>> {
-        self.connection.as_ref().filter(|connection| !connection.has_ended()).cloned()
+    fn status(&self) -> SlotStatus {
+        let open = self.connection.as_ref().filter(|connection| !connection.has_ended());
+        match (open, self.failed_at) {
+            (Some(connection), _) => SlotStatus::Open(Arc::clone(connection)),
+            (None, Some(at)) if at.elapsed() < CONNECT_PAUSE => SlotStatus::Failed,
+            (None, _) => SlotStatus::Closed,
+        }
     }
 }
 
@@ -157,12 +157,8 @@
         }
         // Replaced instances leave slots behind; those without a connection are removed.
         slots.retain(|(_, slot)| {
-            let unused = slot.state.try_lock().is_ok_and(|state| {
-                let open = state.connection.as_ref().is_some_and(|known| !known.has_ended());
-                let paused = state.failed_at.is_some_and(|at| at.elapsed() < CONNECT_PAUSE);
-                !open && !paused
-            });
-            !unused || Arc::strong_count(slot) > 1
+            let is_unused = matches!(slot.status(), SlotStatus::Closed);
+            !is_unused || Arc::strong_count(slot) > 1
         });
         let index = slots.partition_point(|(known, _)| *known < address);
         let slot = Arc::new(HolderSlot::default());
--- a/crates/rudder-engine/src/forwarding/tests/lost_holder.rs
+++ b/crates/rudder-engine/src/forwarding/tests/lost_holder.rs
@@ -6,6 +6,8 @@
     introduce_nearer, read, session, write,
 };
 use super::scripted::{HolderScript, ScriptedHolder};
+use crate::forwarding::choice::HolderTarget;
+use crate::forwarding::client::ForwardingClient;
 use crate::settings::{DatabaseName, KeyDigest};
 use crate::statement::{CallerStatement, StatementError, StatementReply, TransactionState};
 use std::time::{Duration, Instant};
@@ -302,3 +304,26 @@
     assert!((1..=accounts().len()).contains(&refused), "{refused} requests were refused");
     assert_eq!(holder.log.lines().len(), 2 * accounts().len() - refused);
 }
+
+/// Requests that come together while a connection fails would each try to open it again, one after
+/// the other, for 300 ms each at a holder that is silent.
+#[tokio::test]
+async fn requests_that_come_together_open_one_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+    let address = listener.local_addr().expect("an address");
+    let holder = HolderTarget { instance: "holder".parse().expect("a name"), address };
+    let client = ForwardingClient::default();
+
+    for _ in 0..8 {
+        assert!(client.connection(&holder).is_err());
+    }
+    let mut accepted = 0;
+    while let Ok(Ok(connection)) =
+        tokio::time::timeout(Duration::from_millis(200), listener.accept()).await
+    {
+        drop(connection);
+        accepted += 1;
+    }
+
+    assert_eq!(accepted, 1);
+}
