Plan which readers watch a primary, and how often

Cause: each reader samples each primary four times a second.

Change: a pure rule that limits a reader to 200 samples a second. Up to 50 services all readers sample all primaries as before; beyond, each service has three watchers among the readers by a rendezvous hash, and the interval grows with the services of a reader.

Not used yet.

--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -27,6 +27,7 @@
 mod routing;
 mod share;
 mod wait_queue;
+mod watch_plan;
 mod work;
 
 pub use admission::{
@@ -66,4 +67,5 @@
 };
 pub use share::{DemandPart, HolderShare, holders_max, holders_of};
 pub use wait_queue::{WaitQueue, WaitingWork};
+pub use watch_plan::WatchPlan;
 pub use work::{WorkClass, WorkEstimate, WorkSize};
--- a/crates/rudder-decisions/tests/load/main.rs
+++ b/crates/rudder-decisions/tests/load/main.rs
@@ -41,6 +41,7 @@
 mod saturation;
 mod shares;
 mod wait_queue;
+mod watch_plan;
 
 use model::{MemberSpec, Outcome, Request};
 use setup::{PolicyChoice, simulate};
