--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -166,21 +166,37 @@
     group: &Arc<ServiceGroup>,
 ) -> Result<(), ChangeError> {
     let run = ChangeRun::new(engine, exchange, group);
-    let reports = StatusClients::default().fetch_all(engine, &group.members()).await;
-    let leads = |report: &&MemberReport| report.status.role == MemberRole::Primary;
-    let leader = reports.iter().filter(leads).max_by_key(|report| report.status.accepted);
-    let leader = leader.ok_or(ChangeError::NoCandidate)?;
+    let leader = run.find_leader().await.ok_or(ChangeError::NoCandidate)?;
     let phase = LeadPhase::Settled {
         primary: leader.member.clone(),
         term: leader.status.accepted,
         base: None,
     };
-    let first = run.write(LeaderEpoch::default().next(), phase, None).await?;
-    run.announce(&first.record).await;
+    // The first record is not announced: no instance serves without it, and the next read of all
+    // records spreads it. A fleet that starts would send a datagram for each pair of instance and
+    // service otherwise.
+    run.write(LeaderEpoch::default().next(), phase, None).await?;
     Ok(())
 }
 
 impl ChangeRun<'_> {
+    /// Returns the status of the primary of the newest term: of the members that list themselves as
+    /// primaries, or of all members if none of them responds as one.
+    async fn find_leader(&self) -> Option<MemberReport> {
+        let all = self.group.members();
+        let (listed, _): (Vec<_>, Vec<_>) =
+            all.iter().cloned().partition(|member| member.entry().role == MemberRole::Primary);
+        for members in [listed, all] {
+            let reports = StatusClients::default().fetch_all(self.engine, &members).await;
+            let leads = |report: &MemberReport| report.status.role == MemberRole::Primary;
+            let leaders = reports.into_iter().filter(leads);
+            if let Some(leader) = leaders.max_by_key(|report| report.status.accepted) {
+                return Some(leader);
+            }
+        }
+        None
+    }
+
     /// Reads the record, which must be the version that the decision is based on. Otherwise this
     /// change could interrupt one that another instance has begun, and both would promote a member.
     async fn read_current(
@@ -238,7 +254,9 @@
         let sent_at = boot_time();
         let version = self.write_until_known(&record, &spec, expected).await?;
         self.engine.observe_record(self.group.service(), &record, sent_at);
-        notify_subscribers(self.engine, self.exchange).await;
+        if expected.is_some() {
+            notify_subscribers(self.engine, self.exchange).await;
+        }
         Ok(WrittenRecord { record, version, acknowledged_at: boot_time() })
     }
 
--- a/crates/rudder-engine/src/duty/heartbeat.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -6,6 +6,7 @@
     respond_to_loan_request,
 };
 use super::schedule::HeartbeatSchedule;
+use super::watch::handle_probe_request;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::ServiceGroup;
@@ -24,9 +25,12 @@
 /// Interval between heartbeats while their content does not change.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1000);
 
-/// Interval between checks for changed heartbeat content, which is sent at once.
+/// Interval between checks of a hub for changed heartbeat content, which is sent at once.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The same interval of other instances, whose content nobody waits for.
+const FOLLOWER_POLL_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Maximum time for which statements in flight may delay this instance's stop notice. Nearly all
 /// commits complete within it; the outcome of the others is reported as unknown.
 const STOP_TIMEOUT: Duration = Duration::from_millis(250);
@@ -53,18 +57,20 @@
         receivers.extend(far_schedule.due(far, has_changed, HEARTBEAT_INTERVAL, now));
         exchange.send_all(&PeerMessage::Heartbeat(heartbeat.clone()), &receivers).await;
         last_sent = Some(heartbeat);
-        tokio::time::sleep(POLL_INTERVAL).await;
+        let is_hub = engine.membership().is_hub();
+        tokio::time::sleep(if is_hub { POLL_INTERVAL } else { FOLLOWER_POLL_INTERVAL }).await;
     }
 }
 
 fn compose_heartbeat(engine: &ProxyEngine) -> PeerHeartbeat {
     // Only readers watch the primaries, so only their suspicions count.
-    let reads = engine.membership().is_reader();
-    let suspected = |group: &Arc<ServiceGroup>| reads && group.watch_failing_since().is_some();
-    let suspicions = engine.groups().into_iter().filter(suspected).map(|group| PrimarySuspicion {
-        service: group.service().clone(),
-        epoch: group.with_leases(|leases| leases.epoch()),
-    });
+    let watched = if engine.membership().is_reader() { engine.groups() } else { Arc::default() };
+    let suspected = |group: &Arc<ServiceGroup>| group.watch_failing_since().is_some();
+    let suspicions =
+        watched.iter().filter(|group| suspected(group)).map(|group| PrimarySuspicion {
+            service: group.service().clone(),
+            epoch: group.with_leases(|leases| leases.epoch()),
+        });
     PeerHeartbeat {
         instance: engine.identity().name.clone(),
         process: engine.process(),
@@ -87,7 +93,13 @@
             PeerMessage::FetchRecords(request) => {
                 handle_request(&engine, &exchange, request, from).await;
             }
-            PeerMessage::Records(reply) => handle_response(&engine, &exchange, reply, from).await,
+            PeerMessage::RecordsSummary(reply) => {
+                handle_response(&engine, &exchange, *reply, from).await;
+            }
+            PeerMessage::ProbePrimary(probe) => handle_probe_request(&engine, probe).await,
+            PeerMessage::Records(_) => {
+                metrics::counter!("rudder_datagrams_ignored_total").increment(1);
+            }
             PeerMessage::Claim(claim) => respond_to_claim(&engine, &exchange, claim, from).await,
             PeerMessage::ClaimResponse(response) => {
                 engine.handle_claim_response(response, from).await;
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -7,17 +7,24 @@
 use crate::group::{GroupMember, MemberState, ServiceGroup};
 use crate::identity::DrainPhase;
 use crate::lead::{LeadPhase, LeaseTable, PrimaryHealth, QUORUM_REACH, decide_change};
-use crate::peers::PeerExchange;
+use crate::peers::{KnownVersion, PeerExchange};
+use crate::settings::{FleetSettings, SettingsVersion};
 use crate::sync::lock;
 use rudder_core::{MemberName, MemberRole, ServiceName};
+use rudder_decisions::WatchPlan;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Interval between evaluations of all services.
+/// Interval between evaluations of all services on a reader.
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Number of evaluations between two updates of the connection shares.
-const EVALUATIONS_PER_SHARE_UPDATE: u32 = 5;
+/// Interval between updates of the connection pools. On other instances than readers also that of
+/// evaluations, which only remove primaries there whose grace time is over.
+const POOL_UPDATE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Number of first records that are written at a time. A fleet that starts for the first time
+/// writes one for each service; each takes a status request and a call to the store.
+const FIRST_RECORDS_MAX: usize = 64;
 
 /// Maximum age of the list of members at which a missing entry of the primary counts as a sign that
 /// the primary is lost.
@@ -49,27 +56,47 @@
 pub(crate) async fn run_keeper(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
     let running = RunningChanges::default();
     let mut monitors: Vec<GroupMonitor> = Vec::new();
-    let mut evaluations = 0_u32;
+    let mut shares = ShareUpdater::default();
+    let mut pools_updated_at = boot_time();
     loop {
-        tokio::time::sleep(EVALUATION_INTERVAL).await;
-        evaluations = evaluations.wrapping_add(1);
+        let is_reader = engine.membership().is_reader();
+        let interval = if is_reader { EVALUATION_INTERVAL } else { POOL_UPDATE_INTERVAL };
+        tokio::time::sleep(interval).await;
         let serves = engine.drain_phase() == DrainPhase::Serving;
         let may_act = serves && engine.membership().is_reader();
-        for group in engine.groups() {
+        let groups = engine.groups();
+        let plan = engine.watch_plan();
+        for group in groups.iter() {
             group.remove_unlisted_primary();
-            let monitor = monitor_of(&mut monitors, group.service());
-            if may_act {
-                evaluate(&engine, &exchange, &group, monitor, &running);
+            if may_act && group.needs_decision() && decides(&engine, plan, group) {
+                let monitor = monitor_of(&mut monitors, group.service());
+                evaluate(&engine, &exchange, group, monitor, &running);
             } else {
-                monitor.signs = SignOnsets::default();
+                reset_signs(&mut monitors, group.service());
             }
         }
-        if evaluations.is_multiple_of(EVALUATIONS_PER_SHARE_UPDATE) {
-            update_connection_shares(&engine);
+        let now = boot_time();
+        if now >= pools_updated_at + POOL_UPDATE_INTERVAL {
+            pools_updated_at = now;
+            shares.update(&engine, &groups);
+            groups.iter().for_each(|group| group.close_expired_connections());
         }
     }
 }
 
+/// Whether this instance decides on the primary of a group: as one of its watchers, or on its first
+/// record as the fleet reader.
+fn decides(engine: &ProxyEngine, plan: WatchPlan, group: &ServiceGroup) -> bool {
+    let membership = engine.membership();
+    membership.watches(plan, group.service()) || membership.is_fleet_reader()
+}
+
+fn reset_signs(monitors: &mut [GroupMonitor], service: &ServiceName) {
+    if let Ok(index) = monitors.binary_search_by(|monitor| monitor.service.cmp(service)) {
+        monitors[index].signs = SignOnsets::default();
+    }
+}
+
 fn monitor_of<'a>(
     monitors: &'a mut Vec<GroupMonitor>,
     service: &ServiceName,
@@ -100,10 +127,13 @@
     }
     let leases = group.with_leases(|leases| leases.clone());
     let epoch = leases.epoch();
+    let plan = engine.watch_plan();
     let health = read_health(engine, group, &leases, &mut monitor.signs, now);
     let votes =
-        engine.membership().votes(group.service(), epoch, health.unreachable_since.is_some());
-    let cause = decide_change(&leases, &health, &engine.identity().name, &votes, now);
+        engine.membership().votes(plan, group.service(), epoch, health.unreachable_since.is_some());
+    let is_watcher = votes.iter().any(|vote| vote.instance == engine.identity().name);
+    let cause = decide_change(&leases, &health, &engine.identity().name, &votes, now)
+        .filter(|_| is_watcher);
     // Only the fleet reader writes a first record, and only if the store's records lacked one:
     // another instance may have written it after they were read.
     let lacks_record = leases.record().is_none() && engine.lacks_record(group.service());
@@ -114,7 +144,8 @@
     }
     {
         let mut running = lock(running);
-        if running.contains(group.service()) {
+        let waits = cause.is_none() && running.len() >= FIRST_RECORDS_MAX;
+        if waits || running.contains(group.service()) {
             return;
         }
         running.push(group.service().clone());
@@ -219,13 +250,48 @@
     Some(member.name()) != primary && member.entry().state == MemberState::Ready
 }
 
-fn update_connection_shares(engine: &ProxyEngine) {
-    let Some(settings) = engine.settings() else { return };
-    update_modes(engine);
+/// Everything that the connection shares are worked out from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ShareInputs {
+    settings: SettingsVersion,
+    instances: KnownVersion,
+    members: u64,
+}
+
+/// Updates the connection shares when something that they depend on has changed.
+///
+/// Load pattern: a share is worked out from the names of all instances, for each member of each
+/// service. Done at regular intervals, this takes more time than all statements of a large fleet.
+#[derive(Debug, Default)]
+struct ShareUpdater {
+    applied: Option<ShareInputs>,
+}
+
+impl ShareUpdater {
+    fn update(&mut self, engine: &ProxyEngine, groups: &[Arc<ServiceGroup>]) {
+        let Some(settings) = engine.settings() else { return };
+        let inputs = ShareInputs {
+            settings: settings.version,
+            instances: engine.membership().known_version(),
+            members: engine.member_changes(),
+        };
+        let changed = self.applied != Some(inputs);
+        if changed || engine.loans().is_used() {
+            // The restriction on loans after a start depends on the time.
+            update_modes(engine);
+        }
+        if changed {
+            assign_shares(engine, groups, &settings);
+            self.applied = Some(inputs);
+        }
+    }
+}
+
+fn assign_shares(engine: &ProxyEngine, groups: &[Arc<ServiceGroup>], settings: &FleetSettings) {
     let own = &engine.identity().name;
     let all = engine.membership().known();
     let holders = engine.holder_candidates();
-    for group in engine.groups() {
+    for group in groups {
         let rules = &settings.services;
         if let Ok(index) = rules.binary_search_by(|rule| rule.service.cmp(group.service())) {
             let connections_max = rules[index].connections_max;
--- a/crates/rudder-engine/src/duty/loans.rs
+++ b/crates/rudder-engine/src/duty/loans.rs
@@ -19,6 +19,9 @@
 /// members.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval between checks while loans are not used. The end of the wait is notified as well.
+const UNUSED_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Interval between checks while loans exist or callers wait: a loan that was recalled is returned,
 /// or the next lender asked, within this time.
 const BUSY_INTERVAL: Duration = Duration::from_millis(10);
@@ -49,7 +52,7 @@
         let now = Instant::now();
         let loans = engine.loans();
         if !loans.is_used() && !loans.has_loans() {
-            tokio::time::sleep(IDLE_INTERVAL).await;
+            loans.wait_need(UNUSED_INTERVAL).await;
             continue;
         }
         let is_full = full_pass_at.is_none_or(|at| now >= at + IDLE_INTERVAL);
@@ -79,14 +82,14 @@
     let has_list = engine.membership().knows_owners();
     let instances = if has_list { engine.membership().known_count() } else { 0 };
     let top_priority = settings.routes.iter().map(|route| route.priority).min();
-    for group in engine.groups() {
+    for group in engine.groups().iter() {
         let rules = &settings.services;
         let found = rules.binary_search_by(|rule| rule.service.cmp(group.service()));
         let is_used = found.is_ok_and(|index| {
             let connections_max = rules[index].connections_max;
             uses_connection_loans(connections_max, instances, settings.accounts.is_some())
         });
-        engine.loans().set_mode(&group, top_priority.filter(|_| is_used));
+        engine.loans().set_mode(group, top_priority.filter(|_| is_used));
     }
 }
 
@@ -261,7 +264,8 @@
         if self.sent_at.is_some_and(|at| now < at + REPORT_INTERVAL) {
             return None;
         }
-        let members = engine.groups().into_iter().flat_map(|group| group.members());
+        let groups = engine.groups();
+        let members = groups.iter().flat_map(|group| group.members());
         let spare = members.filter_map(|member| engine.loans().spare(&member));
         let counts: Vec<SpareCount> = spare.map(SpareCount::from).collect();
         let is_due = self.sent_at.is_none_or(|at| now >= at + REPEAT_INTERVAL);
--- a/crates/rudder-engine/src/duty/mod.rs
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -17,6 +17,7 @@
 
 pub use drain::stop_engine;
 pub use start::{EngineTiming, start_engine};
+pub(crate) use watch::request_sample;
 
 #[cfg(test)]
 mod tests;
--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -42,6 +42,10 @@
 /// regions.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for which a starting instance that is no hub waits for the records of its peers before it
+/// reads the store itself. A fleet that starts at once knows its readers within about a second.
+const PEER_RECORDS_TIMEOUT: Duration = Duration::from_millis(3000);
+
 /// Minimum interval between requests that waiting callers trigger.
 const REQUEST_MIN_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -82,10 +86,17 @@
     let _ = tokio::time::timeout(REGISTRATION_TIMEOUT, engine.wait_registered()).await;
     let mut selector = SourceSelector::default();
     let mut reachable = true;
+    let started_at = boot_time();
     loop {
         metrics::gauge!("rudder_records_age_seconds").set(records_age(&engine).as_secs_f64());
-        let follows = engine.has_read_records() && !engine.membership().is_fleet_reader();
-        if follows && follow_peers(&engine, &exchange, &mut selector).await {
+        // If each instance read the records at its start, the calls to the store and the bytes that
+        // it sends would grow with instances times services.
+        let waits_for_peers = !engine.has_read_records()
+            && !engine.membership().is_hub()
+            && boot_time() < started_at + PEER_RECORDS_TIMEOUT;
+        let follows = (engine.has_read_records() || waits_for_peers)
+            && !engine.membership().is_fleet_reader();
+        if follows && (follow_peers(&engine, &exchange, &mut selector).await || waits_for_peers) {
             continue;
         }
         let sent_at = boot_time();
@@ -171,8 +182,14 @@
 fn apply_records(engine: &ProxyEngine, records: &[(ServiceName, LeadRecord)], sent_at: Duration) {
     let services: Vec<_> = records.iter().map(|(service, _)| service.clone()).collect();
     engine.record_store_read(&services, sent_at);
-    for (service, record) in records {
-        engine.observe_record(service, record, sent_at);
+    let observe = |(service, record): &&(ServiceName, LeadRecord)| {
+        engine.observe_record(service, record, sent_at)
+    };
+    let changed = records.iter().filter(observe).count();
+    if changed > 0 {
+        log::info!(
+            records = records.len(), changed = changed; "read the records of the primaries"
+        );
     }
 }
 
@@ -220,7 +237,8 @@
     let now = boot_time();
     let age_of = |at: Duration| now.saturating_sub(at);
     let read_age = engine.records_status().latest_read_at().map_or(Duration::MAX, age_of);
-    let ages = engine.groups().into_iter().map(|group| {
+    let groups = engine.groups();
+    let ages = groups.iter().map(|group| {
         group.with_leases(|leases| leases.record().map_or(read_age, |_| age_of(moment(leases))))
     });
     ages.max().unwrap_or(read_age)
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -131,10 +131,12 @@
             let own = &engine.identity().name;
             let found = contacts.iter().any(|entry| entry.instance != *own);
             engine.membership().set_contacts(contacts);
+            engine.record_contacts_read();
             found
         }
         Err(error) => {
             log::info!(reason:% = error; "the cached list of instances was not read");
+            engine.record_contacts_read();
             false
         }
     }
--- a/crates/rudder-engine/src/duty/tests/answers.rs
+++ b/crates/rudder-engine/src/duty/tests/answers.rs
@@ -4,11 +4,13 @@
 use crate::clock::boot_time;
 use crate::duty::answers::{handle_request, handle_response, notify_subscribers, request_records};
 use crate::engine::ProxyEngine;
-use crate::peers::{PeerEntry, PeerExchange, PeerMessage};
+use crate::group::ServiceGroup;
+use crate::peers::{PeerEntry, PeerExchange, PeerMessage, serve_copies};
 use rudder_core::ServiceName;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 
 /// An instance with its socket on loopback.
 struct Peer {
@@ -32,6 +34,13 @@
         peer
     }
 
+    /// Returns a peer that is registered and knows no record.
+    async fn registered_only(name: &str) -> Self {
+        let peer = Self::new(name).await;
+        peer.engine.set_registered(Some(boot_time()));
+        peer
+    }
+
     fn read_store(&self) {
         let now = boot_time();
         self.engine.record_store_read(&[service()], now);
@@ -59,8 +68,8 @@
             PeerMessage::FetchRecords(request) => {
                 handle_request(&self.engine, &self.exchange, request, from).await;
             }
-            PeerMessage::Records(response) => {
-                handle_response(&self.engine, &self.exchange, response, from).await;
+            PeerMessage::RecordsSummary(response) => {
+                handle_response(&self.engine, &self.exchange, *response, from).await;
             }
             other => panic!("an unexpected datagram: {other:?}"),
         }
@@ -68,6 +77,97 @@
     }
 }
 
+/// Number of services whose records do not fit a datagram.
+const MANY_SERVICES: usize = 200;
+
+fn nth_service(number: usize) -> ServiceName {
+    format!("records-{number:03}").parse().expect("a name")
+}
+
+/// Returns a peer that has read the records of many services from the store, and serves copies.
+async fn reader_of_many() -> Peer {
+    let peer = Peer::registered_only("reader").await;
+    read_many(&peer);
+    let listener = TcpListener::bind(peer.address()).await.expect("a free port");
+    tokio::spawn(serve_copies(Arc::clone(&peer.engine), listener));
+    peer
+}
+
+fn read_many(peer: &Peer) {
+    let now = boot_time();
+    let services: Vec<_> = (0..MANY_SERVICES).map(nth_service).collect();
+    peer.engine.record_store_read(&services, now);
+    for service in &services {
+        peer.engine.observe_record(service, &first_record(), now);
+    }
+}
+
+fn leases(peer: &Peer) -> usize {
+    let groups = peer.engine.groups();
+    let leads =
+        |group: &ServiceGroup| group.with_leases(|leases| leases.lease(boot_time()).is_some());
+    groups.iter().filter(|group| leads(group)).count()
+}
+
+/// Lets a follower request the records of a reader, and apply the response.
+async fn follow_once(follower: &Peer, reader: &Peer) {
+    request_records(&follower.engine, &follower.exchange, &[reader.address()], true).await;
+    reader.handle_next().await;
+    follower.handle_next().await;
+}
+
+/// The records of a thousand services exceed a datagram. If no response came, each instance of a
+/// fleet would read them from the store, twice a second.
+#[tokio::test]
+async fn records_that_exceed_a_datagram_come_by_connection_and_are_confirmed_at_once() {
+    let reader = reader_of_many().await;
+    let follower = Peer::registered_only("follower").await;
+    follow_once(&follower, &reader).await;
+    wait_for(|| follower.engine.known_records().len() == MANY_SERVICES).await;
+    assert_eq!(leases(&follower), 0, "a copy has no age");
+
+    read_many(&reader);
+    follow_once(&follower, &reader).await;
+
+    assert_eq!(leases(&follower), MANY_SERVICES);
+}
+
+/// A restarted process must not vote on versions that it may have stopped for: it has to know all
+/// records as of a read of the store after its registration.
+#[tokio::test]
+async fn records_of_a_peer_count_as_a_read_only_from_after_the_registration() {
+    let reader = reader_of_many().await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let follower = Peer::registered_only("follower").await;
+    follow_once(&follower, &reader).await;
+    wait_for(|| follower.engine.known_records().len() == MANY_SERVICES).await;
+
+    follow_once(&follower, &reader).await;
+    let before = follower.engine.has_read_records();
+    read_many(&reader);
+    follow_once(&follower, &reader).await;
+
+    assert!(!before, "the reader's read precedes the follower's registration");
+    assert!(follower.engine.has_read_records());
+}
+
+/// While a fleet writes its first records, each response would cause another copy of all of them.
+#[tokio::test]
+async fn a_copy_of_all_records_is_not_fetched_again_at_once() {
+    let peer = Peer::new("own").await;
+
+    assert!(peer.engine.try_start_records_fetch());
+    assert!(!peer.engine.try_start_records_fetch());
+}
+
+async fn wait_for(condition: impl Fn() -> bool) {
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(5);
+    while !condition() {
+        assert!(tokio::time::Instant::now() < deadline, "the condition was not met in time");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 fn service() -> ServiceName {
     "records".parse().expect("a name")
 }
--- a/crates/rudder-engine/src/duty/tests/change.rs
+++ b/crates/rudder-engine/src/duty/tests/change.rs
@@ -2,9 +2,9 @@
 
 use super::fixture::{FakeMembers, RecordStore, WriteOutcome, engine, engine_with_drain, stamp};
 use crate::clock::boot_time;
-use crate::duty::change::{ChangeDecision, ChangeError, change_primary};
+use crate::duty::change::{ChangeDecision, ChangeError, change_primary, write_first_record};
 use crate::lead::{ChangeCause, LeadPhase, LeadRecord, LeaderEpoch};
-use crate::peers::PeerExchange;
+use crate::peers::{PeerEntry, PeerExchange};
 use rudder_core::{LogTerm, MemberName, ServiceName};
 use std::sync::Arc;
 use std::time::Duration;
@@ -155,3 +155,29 @@
     assert!(within_limit);
     assert!(!past_limit);
 }
+
+/// A fleet that starts writes a record for each service. If each were announced to each instance,
+/// a thousand instances before a thousand services would send a million datagrams.
+#[tokio::test]
+async fn a_first_record_is_not_announced() {
+    let store = RecordStore::empty();
+    let members = FakeMembers::new(&[("a", 100), ("b", 95), ("c", 90)]);
+    let engine = engine(&store, Some(Arc::clone(&members)));
+    engine.apply_members(&members.entries(), 1);
+    let peer = exchange().await;
+    let entry = PeerEntry {
+        instance: "peer".parse().expect("a name"),
+        domain: "north".parse().expect("a name"),
+        address: peer.address(),
+        marked: false,
+        capacity: None,
+    };
+    engine.membership().set_entries(vec![entry], boot_time());
+
+    let outcome = write_first_record(&engine, &exchange().await, &engine.group(&service())).await;
+
+    assert_eq!(outcome, Ok(()));
+    assert_eq!(members.dials(), 1, "only the member that lists itself as primary is asked");
+    let received = tokio::time::timeout(Duration::from_millis(100), peer.receive()).await;
+    assert!(received.is_err(), "{received:?}");
+}
--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -55,6 +55,12 @@
         Arc::new(Self { record, outcomes: outcomes.to_vec(), writes: AtomicU32::new(0) })
     }
 
+    /// Returns a store without a record, in which one can be created.
+    pub(super) fn empty() -> Arc<Self> {
+        let outcomes = vec![WriteOutcome::Done];
+        Arc::new(Self { record: Mutex::new((0, Value::Null)), outcomes, writes: AtomicU32::new(0) })
+    }
+
     /// Returns the number of attempted writes.
     pub(super) fn write_count(&self) -> u32 {
         self.writes.load(Ordering::Relaxed)
@@ -93,7 +99,8 @@
             WriteOutcome::Lost => return Err(StoreError::OutcomeUnknown),
         }
         let mut record = self.record.lock().expect("no holder panics");
-        if expected.is_none_or(|version| version.0 != record.0.to_string()) {
+        let known = (record.0 > 0).then(|| record.0.to_string());
+        if expected.map(|version| &version.0) != known.as_ref() {
             return Err(StoreError::Conflict);
         }
         *record = (record.0 + 1, spec.clone());
--- a/crates/rudder-engine/src/duty/tests/loans.rs
+++ b/crates/rudder-engine/src/duty/tests/loans.rs
@@ -118,7 +118,7 @@
         engine.apply_settings(settings());
         engine.apply_members(&members, 1);
         loans::update_modes(engine);
-        for group in engine.groups() {
+        for group in engine.groups().iter() {
             group.assign_connection_shares(CONNECTIONS, &engine.identity().name, &names, None);
         }
         tokio::spawn(heartbeat::receive(Arc::clone(engine), exchange.clone()));
--- a/crates/rudder-engine/src/duty/watch.rs
+++ b/crates/rudder-engine/src/duty/watch.rs
@@ -1,41 +1,95 @@
 //! Watches the primaries: sends a cheap request where no traffic provides a recent sample.
 //!
 //! Only readers do so, since each watch occupies one of a primary's few connections.
+//! [`rudder_decisions::WatchPlan`] says which of them watch a primary, and how often.
 
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::{GroupMember, ServiceGroup};
 use crate::interfaces::{LinkError, MemberLink};
+use crate::peers::{PeerMessage, PrimaryProbe};
 use crate::statement::MemberCommand;
 use rudder_core::{LogStamp, MemberName, ServiceName};
 use std::sync::Arc;
 use std::time::Duration;
-
-/// Interval between samples of a primary. A read with a staleness bound needs a sample within its
-/// bound (a second or more), and a lost primary must be detected within half a second.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
+use tokio::task::JoinHandle;
 
 /// Timeout of one request: the longest round trip between regions, and one retransmission.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Age of the newest sample below which a requested one is not taken: a primary that was lost since
+/// is found by the next request.
+const REQUESTED_SAMPLE_AGE: Duration = Duration::from_millis(200);
+
 /// Delay before a failed request is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(80);
 
-/// Interval between checks for new services.
-const SERVICE_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between checks of which services this instance watches.
+const PLAN_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Runs one watch for each service.
+/// Runs one watch for each service that this instance watches.
 pub(crate) async fn supervise(engine: Arc<ProxyEngine>) {
-    let mut monitored: Vec<ServiceName> = Vec::new();
+    let mut watches: Vec<PrimaryWatch> = Vec::new();
     loop {
-        for group in engine.groups() {
-            if let Err(index) = monitored.binary_search(group.service()) {
-                monitored.insert(index, group.service().clone());
-                tokio::spawn(monitor_primary(Arc::clone(&engine), group));
+        tokio::time::sleep(PLAN_POLL_INTERVAL).await;
+        watches.retain(|watch| !watch.task.is_finished());
+        if !engine.membership().is_reader() {
+            continue;
+        }
+        let plan = engine.watch_plan();
+        for group in engine.groups().iter() {
+            let found = watches.binary_search_by(|watch| watch.service.cmp(group.service()));
+            if let Err(index) = found
+                && engine.membership().watches(plan, group.service())
+            {
+                let service = group.service().clone();
+                let task = tokio::spawn(monitor_primary(Arc::clone(&engine), Arc::clone(group)));
+                watches.insert(index, PrimaryWatch { service, task });
             }
         }
-        // A request for positions ends the wait, so that a caller of a new service is not delayed.
-        engine.wait_position_request(SERVICE_POLL_INTERVAL).await;
+    }
+}
+
+/// Watch of one service. The list of them is sorted by service.
+struct PrimaryWatch {
+    service: ServiceName,
+    task: JoinHandle<()>,
+}
+
+/// Requests a sample of the primary of a group, from this instance's watch or from those of others.
+/// A statement that gets no answer detects a lost primary sooner than its watchers, which may take
+/// a sample only every few seconds.
+pub(crate) async fn request_sample(engine: &ProxyEngine, group: &ServiceGroup) {
+    group.request_position();
+    if engine.watch_plan().is_close() || !group.begin_probe_request() {
+        return;
+    }
+    let Some(exchange) = engine.exchange() else { return };
+    let service = group.service().clone();
+    let is_relayed = engine.membership().is_reader();
+    let receivers = if is_relayed {
+        engine.membership().watcher_addresses(engine.watch_plan(), &service)
+    } else {
+        // Only readers know the readers of other failure domains.
+        engine.membership().sources().into_iter().take(1).collect()
+    };
+    let probe = PeerMessage::ProbePrimary(PrimaryProbe { service, is_relayed });
+    exchange.send_all(&probe, &receivers).await;
+}
+
+/// Handles another instance's request for a sample of a primary. Services that are not known here
+/// are ignored.
+pub(super) async fn handle_probe_request(engine: &ProxyEngine, probe: PrimaryProbe) {
+    let groups = engine.groups();
+    let found = groups.binary_search_by(|group| group.service().cmp(&probe.service));
+    let Ok(index) = found else {
+        metrics::counter!("rudder_probes_ignored_total", "reason" => "unknown_service")
+            .increment(1);
+        return;
+    };
+    match probe.is_relayed {
+        true => groups[index].request_position(),
+        false => request_sample(engine, &groups[index]).await,
     }
 }
 
@@ -46,20 +100,19 @@
     link: Box<dyn MemberLink>,
 }
 
+/// Watches the primary of a group until this instance is no longer one of its watchers.
 async fn monitor_primary(engine: Arc<ProxyEngine>, group: Arc<ServiceGroup>) {
     let mut link: Option<WatchLink> = None;
     let mut failing_since: Option<Duration> = None;
     loop {
-        let gap = if failing_since.is_some() { RETRY_DELAY } else { SAMPLE_INTERVAL };
-        tokio::select! {
-            () = engine.wait_position_request(gap) => {}
-            () = group.wait_changed(gap) => {}
-        }
-        if !engine.membership().is_reader() {
-            link = None;
-            failing_since = None;
-            continue;
+        let plan = engine.watch_plan();
+        if !engine.membership().watches(plan, group.service()) {
+            group.clear_watch_failure();
+            return;
         }
+        let interval = plan.interval();
+        let gap = if failing_since.is_some() { RETRY_DELAY } else { interval };
+        let is_requested = group.wait_position_request(gap).await;
         let (epoch, primary) = group.with_leases(|leases| {
             let primary = leases.record().and_then(|record| record.primary().cloned());
             (leases.epoch(), primary)
@@ -74,7 +127,8 @@
         }
         let sampled = group.newest_sample().map(|sample| sample.sent_at);
         let now = boot_time();
-        if failing_since.is_none() && sampled.is_some_and(|at| now < at + SAMPLE_INTERVAL * 4 / 5) {
+        let recent = if is_requested { REQUESTED_SAMPLE_AGE } else { interval * 4 / 5 };
+        if failing_since.is_none() && sampled.is_some_and(|at| now < at + recent) {
             continue;
         }
         match sample_position(&engine, &member, &mut link).await {
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -11,7 +11,9 @@
 use crate::lead::LeaderLease;
 use crate::limits::AccountLimits;
 use crate::own_entry::OwnEntry;
-use crate::peers::{MembershipView, PeerExchange, PendingCopy};
+use crate::peers::{
+    EncodedCopy, EncodedRecords, MembershipView, PeerExchange, PendingCopy, RecordsDigest,
+};
 use crate::records_status::RecordsStatus;
 use crate::session::CallerSession;
 use crate::settings::{DatabaseName, FleetSettings, KeyDigest, RouteRule, SettingsVersion};
@@ -19,8 +21,9 @@
 use crate::store_snapshot::StoreSnapshot;
 use crate::sync::lock;
 use rudder_core::{AccountName, InstanceName, ServiceName, plain_data};
+use rudder_decisions::WatchPlan;
 use rudder_store::ObjectVersion;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -55,20 +58,31 @@
     process: u64,
     dependencies: EngineDependencies,
     settings: watch::Sender<Option<Arc<FleetSettings>>>,
-    /// Sorted by service.
-    groups: Mutex<Vec<Arc<ServiceGroup>>>,
+    /// Sorted by service. Shared, as each pass over all services takes it.
+    groups: Mutex<Arc<Vec<Arc<ServiceGroup>>>>,
     store_snapshot: Mutex<StoreSnapshot>,
+    /// Number of changes of the list of members.
+    member_changes: AtomicU64,
     membership: MembershipView,
     drain: watch::Sender<DrainPhase>,
-    wait_position_request: Notify,
     own_entry: Mutex<OwnEntry>,
     /// Store version of this instance's entry as last written or found.
     entry_version: Mutex<Option<ObjectVersion>>,
     /// Notified when this instance's entry is in the list of instances.
     wait_registered: Notify,
+    /// Whether this process has tried to read a list of other instances.
+    contacts_read: watch::Sender<bool>,
     /// Whether a peer's copy is being fetched.
     copy_fetch_running: AtomicBool,
     records_status: Mutex<RecordsStatus>,
+    /// Digest of the versions of all known records.
+    records_digest: Mutex<RecordsDigest>,
+    /// Whether the records as of this process's registration are known.
+    records_known: AtomicBool,
+    encoded_records: EncodedRecords,
+    encoded_copy: EncodedCopy,
+    /// Time at which all records were last fetched from a peer.
+    records_fetched_at: Mutex<Option<Duration>>,
     limits: AccountLimits,
     forwarding: ForwardingState,
     loans: ConnectionLoans,
@@ -90,13 +104,19 @@
             settings: watch::Sender::new(None),
             groups: Mutex::default(),
             store_snapshot: Mutex::default(),
+            member_changes: AtomicU64::new(0),
             drain: watch::Sender::new(DrainPhase::Serving),
-            wait_position_request: Notify::new(),
             own_entry: Mutex::default(),
             entry_version: Mutex::default(),
             wait_registered: Notify::new(),
+            contacts_read: watch::Sender::new(false),
             copy_fetch_running: AtomicBool::new(false),
             records_status: Mutex::default(),
+            records_digest: Mutex::default(),
+            records_known: AtomicBool::new(false),
+            encoded_records: EncodedRecords::default(),
+            encoded_copy: EncodedCopy::default(),
+            records_fetched_at: Mutex::default(),
             limits: AccountLimits::default(),
             forwarding: ForwardingState::default(),
             loans: ConnectionLoans::new(),
@@ -121,6 +141,25 @@
         self.membership.is_fleet_reader()
     }
 
+    /// Returns whether this instance is a hub: one of those of its failure domain from which the
+    /// others receive the store's contents.
+    #[must_use]
+    pub fn is_hub(&self) -> bool {
+        self.membership.is_hub()
+    }
+
+    /// Waits until this process has tried to read a list of other instances, at most for `limit`.
+    /// Until then each process takes itself for a hub.
+    pub async fn wait_contacts_read(&self, limit: Duration) {
+        let mut contacts_read = self.contacts_read.subscribe();
+        // After a timeout this instance acts on its own.
+        let _ = tokio::time::timeout(limit, contacts_read.wait_for(|read| *read)).await;
+    }
+
+    pub(crate) fn record_contacts_read(&self) {
+        self.contacts_read.send_replace(true);
+    }
+
     /// Returns the name of this instance.
     #[must_use]
     pub fn identity_name(&self) -> &InstanceName {
@@ -142,6 +181,16 @@
         self.exchange.get()
     }
 
+    /// Returns the records as they were last encoded.
+    pub(crate) fn encoded_records(&self) -> &EncodedRecords {
+        &self.encoded_records
+    }
+
+    /// Returns the copy of the store's state as it was last encoded.
+    pub(crate) fn encoded_copy(&self) -> &EncodedCopy {
+        &self.encoded_copy
+    }
+
     pub(crate) fn pending_copy(&self) -> &PendingCopy {
         &self.pending_copy
     }
@@ -262,26 +311,30 @@
             Ok(index) => Arc::clone(&groups[index]),
             Err(index) => {
                 let group = ServiceGroup::new(service.clone());
-                groups.insert(index, Arc::clone(&group));
+                Arc::make_mut(&mut *groups).insert(index, Arc::clone(&group));
                 group
             }
         }
     }
 
-    pub(crate) fn groups(&self) -> Vec<Arc<ServiceGroup>> {
-        lock(&self.groups).clone()
+    pub(crate) fn groups(&self) -> Arc<Vec<Arc<ServiceGroup>>> {
+        Arc::clone(&lock(&self.groups))
     }
 
-    /// Requests a sample of each primary's log position now.
-    pub(crate) fn request_position(&self) {
-        self.wait_position_request.notify_waiters();
+    /// Requests a sample of the primary's position from each watch of this instance that has none.
+    pub(crate) fn request_missing_positions(&self) {
+        if !self.watch_plan().is_close() {
+            return;
+        }
+        for group in self.groups().iter().filter(|group| group.newest_sample().is_none()) {
+            group.request_position();
+        }
     }
 
-    /// Waits until a position sample is requested, for at most `limit`.
-    pub(crate) async fn wait_position_request(&self, limit: Duration) {
-        let wanted = self.wait_position_request.notified();
-        // A timeout means that there was no request; the caller polls again in either case.
-        let _ = tokio::time::timeout(limit, wanted).await;
+    /// Returns how the readers share the watch of the primaries.
+    pub(crate) fn watch_plan(&self) -> WatchPlan {
+        let services = lock(&self.groups).len();
+        self.membership.watch_plan(services)
     }
 
     /// Opens a session for a caller.
--- a/crates/rudder-engine/src/engine/fleet.rs
+++ b/crates/rudder-engine/src/engine/fleet.rs
@@ -7,7 +7,6 @@
 use crate::peers::{CopyRequest, CopyVersion, EntriesCopy, FleetCopy, MembersCopy, RequestOffset};
 use crate::settings::{AccountTable, FleetSettings};
 use crate::sync::lock;
-use rudder_core::ServiceName;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -25,6 +24,9 @@
 /// the store in that case, so a store outage does not attract calls from the whole fleet.
 const FOLLOWER_FALLBACK_MAX_AGE: Duration = Duration::from_millis(5000);
 
+/// Minimum interval between two fetches of all records from peers.
+const RECORDS_FETCH_INTERVAL: Duration = Duration::from_millis(500);
+
 impl ProxyEngine {
     /// Applies a version of the settings unless the version in force is at least as new.
     pub fn apply_settings(&self, settings: FleetSettings) {
@@ -133,6 +135,18 @@
         self.copy_fetch_running.store(false, Ordering::Release);
     }
 
+    /// Marks a fetch of all records as begun. Returns false if the last one began too recently:
+    /// while a fleet writes its first records, each response shows further ones.
+    pub(crate) fn try_start_records_fetch(&self) -> bool {
+        let now = boot_time();
+        let mut fetched_at = lock(&self.records_fetched_at);
+        if fetched_at.is_some_and(|at| now < at + RECORDS_FETCH_INTERVAL) {
+            return false;
+        }
+        *fetched_at = Some(now);
+        true
+    }
+
     /// Returns the known versions of settings and members.
     pub(crate) fn copy_version(&self) -> CopyVersion {
         let settings = self.settings_version().unwrap_or_default();
@@ -141,18 +155,26 @@
 
     fn update_groups(&self, entries: &[MemberEntry], source: &str) {
         log::info!(members = entries.len(), source = source; "the list of members changed");
-        let mut services: Vec<ServiceName> =
-            entries.iter().map(|entry| entry.target.service.clone()).collect();
-        services.sort_unstable();
-        services.dedup();
-        for service in &services {
-            self.group(service);
+        let mut sorted: Vec<&MemberEntry> = entries.iter().collect();
+        sorted.sort_by(|left, right| left.target.service.cmp(&right.target.service));
+        for of_service in sorted.chunk_by(|left, right| left.target.service == right.target.service)
+        {
+            self.group(&of_service[0].target.service);
         }
-        for group in self.groups() {
-            let of_group = |entry: &&MemberEntry| entry.target.service == *group.service();
-            let own: Vec<MemberEntry> = entries.iter().filter(of_group).cloned().collect();
+        for group in self.groups().iter() {
+            let service = group.service();
+            let first = sorted.partition_point(|entry| entry.target.service < *service);
+            let of_group =
+                sorted[first..].iter().take_while(|entry| entry.target.service == *service);
+            let own: Vec<MemberEntry> = of_group.map(|entry| MemberEntry::clone(entry)).collect();
             group.set_members(&own, &self.dependencies.dialer);
         }
+        self.member_changes.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Returns the number of changes of the list of members.
+    pub(crate) fn member_changes(&self) -> u64 {
+        self.member_changes.load(Ordering::Acquire)
     }
 
     /// Records that the list of members is current.
--- a/crates/rudder-engine/src/engine/leadership.rs
+++ b/crates/rudder-engine/src/engine/leadership.rs
@@ -5,12 +5,14 @@
 use crate::clock::boot_time;
 use crate::group::ServiceGroup;
 use crate::lead::{LeadRecord, LeaderEpoch};
-use crate::peers::RecordCopy;
+use crate::peers::{RecordCopy, RecordsDigest};
 use crate::records_status::RecordsStatus;
+use crate::records_view::{RecordState, RecordTimes, RecordsView};
 use crate::sync::lock;
 use rudder_core::ServiceName;
 use rudder_store::ObjectVersion;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 impl ProxyEngine {
@@ -63,8 +65,12 @@
 
     /// Records which services have a record, as read by this process at `requested_at`.
     pub(crate) fn record_store_read(&self, recorded: &[ServiceName], requested_at: Duration) {
-        let services = self.groups().into_iter().map(|group| group.service().clone());
-        let without = services.filter(|service| !recorded.contains(service)).collect();
+        let mut recorded: Vec<&ServiceName> = recorded.iter().collect();
+        recorded.sort_unstable();
+        let groups = self.groups();
+        let services = groups.iter().map(|group| group.service());
+        let without =
+            services.filter(|service| recorded.binary_search(service).is_err()).cloned().collect();
         lock(&self.records_status).record_own_read(without, requested_at);
     }
 
@@ -76,11 +82,11 @@
 
     /// Returns all known records, sorted by service.
     pub(crate) fn known_records(&self) -> Vec<RecordCopy> {
-        let copy = |group: Arc<ServiceGroup>| {
+        let copy = |group: &Arc<ServiceGroup>| {
             let record = group.with_leases(|leases| leases.record().cloned())?;
             Some(RecordCopy { service: group.service().clone(), record })
         };
-        self.groups().into_iter().filter_map(copy).collect()
+        self.groups().iter().filter_map(copy).collect()
     }
 
     /// Returns the times at which all records were last read.
@@ -88,9 +94,38 @@
         lock(&self.records_status).clone()
     }
 
-    /// Returns whether this process has read the records from the store itself.
+    /// Returns a summary of the known records.
+    pub(crate) fn records_view(&self) -> RecordsView {
+        let groups = self.groups();
+        let known: Vec<RecordState> =
+            groups.iter().filter_map(|group| group.record_state()).collect();
+        RecordsView::of(&known)
+    }
+
+    /// Records that the records of a read at `read_at`, of which a peer informed this instance, are
+    /// all known here.
+    pub(crate) fn record_complete_records(&self, read_at: Duration) {
+        lock(&self.records_status).record_complete(read_at);
+        self.check_records_known();
+    }
+
+    /// Returns whether this process knows all records as they were when it was registered, or in
+    /// later versions: from a read of its own, or from a peer that knew them.
     pub(crate) fn has_read_records(&self) -> bool {
-        lock(&self.records_status).own_read_at().is_some()
+        self.records_known.load(Ordering::Acquire) || self.check_records_known()
+    }
+
+    fn check_records_known(&self) -> bool {
+        let known = {
+            let status = lock(&self.records_status);
+            let complete_at = status.complete_at();
+            status.has_own_read()
+                || complete_at.is_some_and(|at| lock(&self.own_entry).was_registered_by(at))
+        };
+        if known {
+            self.records_known.store(true, Ordering::Release);
+        }
+        known
     }
 
     /// Requests current records of the primaries now.
@@ -108,8 +143,8 @@
     ///
     /// A change of primary must wait for every lease, but it does not ask an instance to stop whose
     /// entry is not in the list. A restarted process no longer knows that it had stopped, and a
-    /// peer that lags may send it the previous version of the record, so it must have read the
-    /// store itself first.
+    /// peer that lags may send it the previous version of the record, so it must first know all
+    /// records as they were after its registration.
     fn may_lead_by(&self, confirmed_at: Duration) -> bool {
         lock(&self.own_entry).may_lead_by(confirmed_at, boot_time()) && self.has_read_records()
     }
@@ -129,6 +164,30 @@
         lock(&self.records_status).lacks_record(service)
     }
 
+    /// Applies that the known versions of all records were in place at the times of a peer's
+    /// summary. Returns whether this extends leases by confirmations of a majority.
+    pub(crate) fn confirm_records(&self, times: impl Fn(usize) -> RecordTimes) -> bool {
+        let (own_entry, now) = (*lock(&self.own_entry), boot_time());
+        let has_read = self.has_read_records();
+        let allowed = |moment: Duration| {
+            let may_lead = has_read && own_entry.may_lead_by(moment, now);
+            if may_lead { moment } else { Duration::ZERO }
+        };
+        let (mut extended, mut index) = (false, 0);
+        for group in self.groups().iter() {
+            let known = group.confirm_record(|| {
+                let RecordTimes { confirmed_at, valid_from } = times(index);
+                let (confirmed_at, valid_from) = (allowed(confirmed_at), allowed(valid_from));
+                RecordTimes { confirmed_at, valid_from }
+            });
+            if let Some(is_later) = known {
+                index += 1;
+                extended |= is_later;
+            }
+        }
+        extended
+    }
+
     /// Applies a record that was in place in the store at `confirmed_at` or later.
     pub(crate) fn observe_record(
         &self,
@@ -138,6 +197,16 @@
     ) -> bool {
         let counts = self.may_lead_by(confirmed_at);
         let confirmed_at = if counts { confirmed_at } else { Duration::ZERO };
-        self.group(service).observe_record(record, confirmed_at)
+        let Some(change) = self.group(service).observe_record(record, confirmed_at) else {
+            return false;
+        };
+        let mut digest = lock(&self.records_digest);
+        *digest = digest.without(change.before).and(change.after);
+        true
+    }
+
+    /// Returns the digest of the versions of all known records.
+    pub(crate) fn records_digest(&self) -> RecordsDigest {
+        *lock(&self.records_digest)
     }
 }
--- a/crates/rudder-engine/src/forwarding/server.rs
+++ b/crates/rudder-engine/src/forwarding/server.rs
@@ -293,10 +293,10 @@
             return Err(DeclineReason::UnknownAccount);
         }
         let groups = self.engine.groups();
-        let group = groups.iter().find(|group| *group.service() == access.route.service);
-        match group {
-            Some(group) if !group.members().is_empty() => Ok(()),
-            Some(_) | None => Err(DeclineReason::UnknownService),
+        let found = groups.binary_search_by(|group| group.service().cmp(&access.route.service));
+        match found {
+            Ok(index) if !groups[index].members().is_empty() => Ok(()),
+            Ok(_) | Err(_) => Err(DeclineReason::UnknownService),
         }
     }
 }
--- a/crates/rudder-engine/src/group/loan.rs
+++ b/crates/rudder-engine/src/group/loan.rs
@@ -132,6 +132,9 @@
             if mode.is_none() && !known.in_use {
                 continue;
             }
+            if mode.is_some() && !known.in_use {
+                self.need.notify_one();
+            }
             known.in_use = mode.is_some();
             if !known.in_use {
                 known.ledger.end_all();
--- a/crates/rudder-engine/src/group/member.rs
+++ b/crates/rudder-engine/src/group/member.rs
@@ -106,6 +106,11 @@
         lock(&self.entry).state == MemberState::Ready
     }
 
+    /// Whether the member reports that it is the primary.
+    pub(super) fn reports_primary(&self) -> bool {
+        lock(&self.entry).role == MemberRole::Primary
+    }
+
     /// Whether the member has been draining for at least `limit`.
     pub(crate) fn has_drained_for(&self, limit: Duration) -> bool {
         let since = lock(&self.observations).draining_since;
--- a/crates/rudder-engine/src/group/pool.rs
+++ b/crates/rudder-engine/src/group/pool.rs
@@ -56,6 +56,8 @@
     pub(super) share: u32,
     /// Number of connections that are kept for [`KEPT_IDLE_TIMEOUT`] while they are idle.
     kept: u32,
+    /// Whether idle connections beyond the share are closed at once, and not after their timeout.
+    is_share_strict: bool,
     pub(super) loans: PoolLoans,
     headroom: ConnectionHeadroom,
     pub(super) waiters: WaitQueue<WaitingCaller>,
@@ -79,6 +81,19 @@
         None
     }
 
+    /// Removes the idle connections beyond a strict share. They stay counted as open until they are
+    /// closed.
+    fn take_beyond_share(&mut self) -> Vec<PooledLink> {
+        let mut closed = Vec::new();
+        while self.is_share_strict
+            && self.open > count(closed.len()) + self.loans.limit(self.share)
+            && let Some(link) = self.idle.pop()
+        {
+            closed.push(link);
+        }
+        closed
+    }
+
     /// Removes the idle connections that the budget does not keep, the least recently used first:
     /// those beyond the kept ones after [`IDLE_TIMEOUT`], and all after [`KEPT_IDLE_TIMEOUT`].
     fn take_beyond_budget(&mut self, now: Instant) -> Vec<PooledLink> {
@@ -191,6 +206,7 @@
             open: 0,
             share,
             kept: 0,
+            is_share_strict: true,
             loans: PoolLoans::default(),
             headroom: ConnectionHeadroom::default(),
             waiters: WaitQueue::default(),
@@ -210,22 +226,14 @@
     /// Sets the share of connections, and whether there are fewer connections than instances.
     /// Closes idle connections beyond the share or past the idle timeout.
     pub(crate) fn set_share(self: &Arc<Self>, share: ConnectionShare, is_scarce: bool) {
-        let mut closed = Vec::new();
         {
             let mut state = self.state();
             state.share = share.0;
             state.kept = 0;
+            state.is_share_strict = true;
             state.headroom.set_scarce(is_scarce);
-            while state.open > count(closed.len()) + state.loans.limit(share.0) {
-                let Some(link) = state.idle.pop() else { break };
-                closed.push(link);
-            }
         }
-        closed.into_iter().for_each(PooledLink::close);
-        if let Some(cutoff) = Instant::now().checked_sub(IDLE_TIMEOUT) {
-            self.close_unused_since(cutoff);
-        }
-        self.serve_queue();
+        self.close_expired();
     }
 
     /// Sets the share to the budget of this instance as a holder, and keeps idle connections within
@@ -241,17 +249,39 @@
         is_scarce: bool,
         now: Instant,
     ) {
-        let closed = {
+        {
             let mut state = self.state();
             state.share = budget.open_max;
             state.kept = budget.kept;
+            state.is_share_strict = false;
             state.headroom.set_scarce(is_scarce);
-            state.take_beyond_budget(now)
+        }
+        self.close_expired_at(now);
+    }
+
+    /// Closes the idle connections beyond the share or past their idle timeout, and serves the
+    /// queue.
+    pub(crate) fn close_expired(self: &Arc<Self>) {
+        self.close_expired_at(Instant::now());
+    }
+
+    fn close_expired_at(self: &Arc<Self>, now: Instant) {
+        let closed = {
+            let mut state = self.state();
+            let mut closed = state.take_beyond_share();
+            closed.extend(state.take_beyond_budget(now));
+            closed
         };
         closed.into_iter().for_each(PooledLink::close);
         self.serve_queue();
     }
 
+    /// Whether the pool has connections or waiting callers.
+    pub(crate) fn is_active(&self) -> bool {
+        let state = self.state();
+        state.open > 0 || !state.waiters.is_empty()
+    }
+
     /// State of the pool that decides whether a statement of `account` runs on this instance.
     pub(crate) fn local_pool(&self, account: &AccountName) -> LocalPool {
         let mut state = self.state();
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -1,9 +1,12 @@
 //! One service: its members, its primary's lease, and the observed log positions.
 
 use super::member::{GroupMember, MemberEntry, reuse_or_create};
+use super::pool::MemberPool;
 use crate::clock::boot_time;
 use crate::interfaces::MemberDialer;
 use crate::lead::{LeadRecord, LeaderEpoch, LeaderLease, LeaseTable, PositionHistory};
+use crate::peers::RecordsDigest;
+use crate::records_view::{RecordState, RecordTimes};
 use crate::sync::lock;
 use rudder_core::{FreshSample, InstanceName, LogStamp, MemberName, ServiceName};
 use rudder_decisions::{ConnectionShare, HolderBudget, HolderCandidate};
@@ -11,11 +14,17 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
+/// Minimum interval between requests to other instances to probe the primary of a group.
+const PROBE_REQUEST_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A service and its replicated database group.
 pub(crate) struct ServiceGroup {
     service: ServiceName,
     state: Mutex<GroupState>,
     changed: Notify,
+    /// Notified when a sample of the primary's position is requested, and when the primary may have
+    /// changed.
+    position_requested: Notify,
 }
 
 #[derive(Default)]
@@ -23,14 +32,31 @@
     /// Sorted by name.
     members: Vec<Arc<GroupMember>>,
     leases: LeaseTable,
+    /// Digest of the known record.
+    record_digest: RecordsDigest,
     history: PositionHistory,
     /// Time of the first failure in the current run of failed watches of the primary.
     watch_failing_since: Option<Duration>,
+    /// Time at which other instances were last asked to probe the primary.
+    probe_requested_at: Option<Duration>,
     /// Whether statements of client accounts are forwarded to holders of connections.
     forwards: bool,
 }
 
+/// Digests of a service's record before and after a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct DigestChange {
+    pub(crate) before: RecordsDigest,
+    pub(crate) after: RecordsDigest,
+}
+
 impl GroupState {
+    /// Returns the pools that have connections or waiting callers.
+    fn active_pools(&self) -> Vec<Arc<MemberPool>> {
+        let pools = self.members.iter().map(|member| member.pool());
+        pools.filter(|pool| pool.is_active()).cloned().collect()
+    }
+
     /// Returns the primary if it is missing from the membership but may still be used.
     ///
     /// A primary that only lost its connection to the store drops out of the membership although it
@@ -49,7 +75,12 @@
 
 impl ServiceGroup {
     pub(crate) fn new(service: ServiceName) -> Arc<Self> {
-        Arc::new(Self { service, state: Mutex::default(), changed: Notify::new() })
+        Arc::new(Self {
+            service,
+            state: Mutex::default(),
+            changed: Notify::new(),
+            position_requested: Notify::new(),
+        })
     }
 
     pub(crate) fn service(&self) -> &ServiceName {
@@ -75,10 +106,18 @@
         use_leases(&mut self.state().leases)
     }
 
-    /// Returns the lease table and the newest position sample, both of the same record version.
-    pub(crate) fn leases_and_newest_sample(&self) -> (LeaseTable, Option<FreshSample>) {
+    /// Returns what a summary of the records says of this service; none without a record.
+    pub(crate) fn record_state(&self) -> Option<RecordState> {
         let state = self.state();
-        (state.leases.clone(), state.history.newest())
+        state.leases.record()?;
+        Some(RecordState {
+            digest: state.record_digest,
+            times: RecordTimes {
+                confirmed_at: state.leases.confirmed_at(),
+                valid_from: state.leases.valid_from(),
+            },
+            sample: state.history.newest(),
+        })
     }
 
     /// Replaces the membership.
@@ -93,6 +132,7 @@
         drop(state);
         close_removed(&known, &members);
         self.changed.notify_waiters();
+        self.position_requested.notify_waiters();
     }
 
     /// Removes a primary that is missing from the membership and has exceeded its grace time or has
@@ -112,26 +152,40 @@
         close_removed(&known, &members);
     }
 
-    /// Records a version of the primary's record; returns whether it is new.
-    pub(crate) fn observe_record(&self, record: &LeadRecord, confirmed_at: Duration) -> bool {
+    /// Records a version of the primary's record; returns the change of its digest if it is new.
+    pub(crate) fn observe_record(
+        &self,
+        record: &LeadRecord,
+        confirmed_at: Duration,
+    ) -> Option<DigestChange> {
         let now = boot_time();
         let mut state = self.state();
+        let is_first = state.leases.record().is_none();
         let new = state.leases.observe(record, confirmed_at, now);
-        if new {
+        let change = new.then(|| {
             if record.primary().is_some() {
                 state.history.clear();
             }
             state.watch_failing_since = None;
-            log::info!(
+            let after = RecordsDigest::of_record(&self.service, record.epoch);
+            let before = std::mem::replace(&mut state.record_digest, after);
+            // A starting instance learns of all records at once, which is logged as one line.
+            let level = if is_first { log::Level::Debug } else { log::Level::Info };
+            log::log!(
+                level,
                 service:% = self.service, epoch:% = record.epoch, phase:? = record.phase,
                 age_ms = (now.saturating_sub(confirmed_at)).as_millis();
                 "the record of the primary changed"
             );
-        }
+            DigestChange { before, after }
+        });
         drop(state);
+        if change.is_some() {
+            self.position_requested.notify_waiters();
+        }
         // Notifies also without a new version, as the observation may renew an expired lease.
         self.changed.notify_waiters();
-        new
+        change
     }
 
     /// Records that a majority of instances knew of no later version at `majority_at`; returns
@@ -142,6 +196,20 @@
         later
     }
 
+    /// Records when the known version was in place; `times` is called only if there is one. Returns
+    /// whether a confirmation by a majority extends leases; none without a record.
+    pub(crate) fn confirm_record(&self, times: impl FnOnce() -> RecordTimes) -> Option<bool> {
+        let mut state = self.state();
+        state.leases.record()?;
+        let RecordTimes { confirmed_at, valid_from } = times();
+        state.leases.confirm(confirmed_at);
+        let epoch = state.leases.epoch();
+        let extended = state.leases.confirm_by_majority(epoch, valid_from);
+        drop(state);
+        self.changed.notify_waiters();
+        Some(extended)
+    }
+
     /// Returns the primary with its current lease.
     pub(crate) fn leader(&self) -> Option<(Arc<GroupMember>, LeaderLease)> {
         let lease = self.state().leases.lease(boot_time())?;
@@ -161,6 +229,29 @@
         let _ = tokio::time::timeout(timeout, changed).await;
     }
 
+    /// Requests a sample of the primary's position now, if this instance watches it.
+    pub(crate) fn request_position(&self) {
+        self.position_requested.notify_waiters();
+    }
+
+    /// Marks that other instances are asked to probe the primary. Returns false if they were a
+    /// moment ago: each of the failing statements of a lost primary would ask them otherwise.
+    pub(crate) fn begin_probe_request(&self) -> bool {
+        let now = boot_time();
+        let mut state = self.state();
+        if state.probe_requested_at.is_some_and(|at| now < at + PROBE_REQUEST_INTERVAL) {
+            return false;
+        }
+        state.probe_requested_at = Some(now);
+        true
+    }
+
+    /// Waits until a position sample is requested or the primary may have changed, at most for
+    /// `timeout`. Returns whether that happened.
+    pub(crate) async fn wait_position_request(&self, timeout: Duration) -> bool {
+        tokio::time::timeout(timeout, self.position_requested.notified()).await.is_ok()
+    }
+
     /// Records the primary's position from its response to a request sent at `sent_at`. Ignored
     /// unless the lease is of the current version and covered that time.
     pub(crate) fn record_position(&self, lease: &LeaderLease, sent_at: Duration, stamp: LogStamp) {
@@ -252,6 +343,28 @@
         }
     }
 
+    /// Closes connections that have been idle for too long.
+    pub(crate) fn close_expired_connections(&self) {
+        let active = self.state().active_pools();
+        active.iter().for_each(MemberPool::close_expired);
+    }
+
+    /// Whether the state of the primary calls for a decision: there is no record, a change is in
+    /// progress, or something speaks against the primary.
+    pub(crate) fn needs_decision(&self) -> bool {
+        let state = self.state();
+        let Some(primary) = state.leases.record().and_then(LeadRecord::primary) else {
+            return true;
+        };
+        let found = state.members.binary_search_by(|member| member.name().cmp(primary));
+        let Ok(index) = found else { return true };
+        let member = &state.members[index];
+        state.watch_failing_since.is_some()
+            || !member.is_listed()
+            || !member.serves_reads()
+            || !member.reports_primary()
+    }
+
     /// Applies this instance's part of the connections of each member: its budget as one of the
     /// `holders` if statements are forwarded, otherwise its share among `all` instances.
     pub(crate) fn assign_connection_shares(
--- a/crates/rudder-engine/src/group/tests/service.rs
+++ b/crates/rudder-engine/src/group/tests/service.rs
@@ -1,10 +1,10 @@
 //! Tests of the membership of a service.
 
 use crate::fixtures::{UnreachableDialer, member_entry};
-use crate::group::ServiceGroup;
+use crate::group::{MemberEntry, MemberState, ServiceGroup};
 use crate::interfaces::MemberDialer;
 use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
-use rudder_core::{InstanceName, LogTerm, MemberName};
+use rudder_core::{InstanceName, LogTerm, MemberName, MemberRole};
 use rudder_decisions::{HolderCandidate, InstanceCapacity, NodePlace};
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,6 +60,59 @@
     assert!(group.member(&name("a")).is_some_and(|member| member.is_listed()));
 }
 
+/// Returns a group whose member `a` is the primary by its record and by its own report.
+fn settled_group() -> (Arc<ServiceGroup>, Arc<dyn MemberDialer>) {
+    let (group, dialer) = group("a");
+    let primary = MemberEntry { role: MemberRole::Primary, ..member_entry("a") };
+    group.set_members(&[primary, member_entry("b")], &dialer);
+    (group, dialer)
+}
+
+/// A keeper that worked out the health of each of a thousand primaries twenty times a second would
+/// take more time than all statements.
+#[test]
+fn a_group_with_a_healthy_primary_needs_no_decision() {
+    let (group, _) = settled_group();
+
+    assert!(!group.needs_decision());
+}
+
+/// A lost, leaving or superseded primary must not be passed over.
+#[test]
+fn each_sign_against_a_primary_calls_for_a_decision() {
+    let (group, dialer) = settled_group();
+    group.record_watch_failure(LeaderEpoch(1), Duration::from_secs(1));
+    assert!(group.needs_decision(), "the watch fails");
+
+    group.clear_watch_failure();
+    assert!(!group.needs_decision(), "the primary responds again");
+
+    let leaving = MemberEntry {
+        role: MemberRole::Primary,
+        state: MemberState::Draining,
+        ..member_entry("a")
+    };
+    group.set_members(&[leaving, member_entry("b")], &dialer);
+    assert!(group.needs_decision(), "the primary is leaving");
+
+    group.set_members(&[member_entry("a"), member_entry("b")], &dialer);
+    assert!(group.needs_decision(), "the primary reports another role");
+
+    group.set_members(&[member_entry("b")], &dialer);
+    assert!(group.needs_decision(), "the primary is missing");
+
+    let changing = LeadPhase::Changing {
+        holder: "entry-1".parse().expect("a name"),
+        process: 1,
+        previous: None,
+        planned: false,
+    };
+    let record = LeadRecord { epoch: LeaderEpoch(2), mark: "m2".to_owned(), phase: changing };
+    group.observe_record(&record, Duration::ZERO);
+    assert!(group.needs_decision(), "a change is in progress");
+    assert!(ServiceGroup::new("other".parse().expect("a name")).needs_decision(), "no record");
+}
+
 fn candidate(name: &str, domain: &str) -> HolderCandidate {
     HolderCandidate {
         instance: name.parse().expect("a name"),
--- a/crates/rudder-engine/src/lead/lease_table.rs
+++ b/crates/rudder-engine/src/lead/lease_table.rs
@@ -95,6 +95,11 @@
         true
     }
 
+    /// Records that the known version was in place at `confirmed_at`.
+    pub(crate) fn confirm(&mut self, confirmed_at: Duration) {
+        self.confirmed_at = self.confirmed_at.max(confirmed_at);
+    }
+
     /// Records that a majority of instances knew no later version than `epoch` at `majority_at`.
     /// Returns whether this extends leases.
     pub(crate) fn confirm_by_majority(
--- a/crates/rudder-engine/src/lead/tests/model.rs
+++ b/crates/rudder-engine/src/lead/tests/model.rs
@@ -208,7 +208,9 @@
         match message {
             Message::Record { to, record, confirmed_at, from_store, .. } => {
                 let instance = &mut self.instances[to];
-                instance.has_read |= from_store;
+                // A peer's response lists all records as of a read of the store at `confirmed_at`,
+                // which counts as a read by this process if it was registered by then.
+                instance.has_read |= from_store || instance.entry.was_registered_by(confirmed_at);
                 let may_lead = instance.has_read
                     && may_grant_lease(self.disabled_check, instance, confirmed_at, now);
                 let confirmed_at = if may_lead { confirmed_at } else { Duration::ZERO };
@@ -330,6 +332,10 @@
         instance.has_read = false;
         instance.subscribers.clear();
         instance.confirmed_by.clear();
+        if self.listed[index] {
+            instance.entry = OwnEntry::default();
+            instance.entry.observe_listed(self.now, self.now);
+        }
     }
 
     /// Replaces an instance by one that is not in the list, or registers such an instance.
--- a/crates/rudder-engine/src/lib.rs
+++ b/crates/rudder-engine/src/lib.rs
@@ -19,6 +19,7 @@
 mod own_entry;
 mod peers;
 mod records_status;
+mod records_view;
 mod session;
 mod settings;
 mod statement;
--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -31,9 +31,9 @@
     /// Returns whether this instance was recently in contact with the store, directly or through
     /// peers, and for how long.
     pub(super) fn fleet_contact(&self) -> FleetContact {
-        let groups = self.groups().into_iter();
+        let groups = self.groups();
         let confirmed_at =
-            groups.map(|group| group.with_leases(|leases| leases.valid_from())).max();
+            groups.iter().map(|group| group.with_leases(|leases| leases.valid_from())).max();
         let confirmed_at = confirmed_at.max(self.membership().store_answered_at());
         let connected_until = confirmed_at.unwrap_or_default() + LimitBounds::contact_timeout();
         let now = boot_time();
--- a/crates/rudder-engine/src/limits/probe.rs
+++ b/crates/rudder-engine/src/limits/probe.rs
@@ -23,6 +23,9 @@
 /// Interval between the probes of owners and the checks of this instance's contact with the fleet.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval between checks whether the settings define accounts, as long as they define none.
+const UNUSED_INTERVAL: Duration = Duration::from_millis(1000);
+
 /// Maximum number of pending requests in each direction; the oldest one is dropped.
 const PENDING_MAX: usize = 1024;
 
@@ -256,6 +259,10 @@
 /// claims arrive.
 pub(crate) async fn probe_owners(engine: Arc<ProxyEngine>) {
     loop {
+        if engine.settings().is_some_and(|settings| settings.accounts.is_none()) {
+            tokio::time::sleep(UNUSED_INTERVAL).await;
+            continue;
+        }
         engine.fleet_contact();
         let accounts: Vec<AccountName> = {
             let state = engine.limits().state();
--- a/crates/rudder-engine/src/own_entry.rs
+++ b/crates/rudder-engine/src/own_entry.rs
@@ -70,6 +70,11 @@
         !self.has_left && self.listed_at.is_none_or(|at| now >= at + time)
     }
 
+    /// Returns whether the list has shown the entry, and `moment` is not before it did.
+    pub(crate) fn was_registered_by(&self, moment: Duration) -> bool {
+        self.listed_at.is_some() && moment >= self.registered_by
+    }
+
     /// Returns whether a confirmation of a record at `confirmed_at` may grant a lease.
     ///
     /// While an instance registers, the record may be read first, then a change of primary may
--- a/crates/rudder-engine/src/peers/fleet_copy.rs
+++ b/crates/rudder-engine/src/peers/fleet_copy.rs
@@ -10,6 +10,7 @@
 use super::membership_state::PeerEntry;
 use super::message::{CopyQuery, CopyResponse, PeerMessage};
 use super::offset::RequestOffset;
+use super::record_copy::{RECORDS_MARK, serve_records};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::forwarding::{FORWARDING_MARK, serve_forwarding};
@@ -46,6 +47,9 @@
 /// Timeout for a copy by datagram: a round trip between regions and scheduling on a slow machine.
 const DATAGRAM_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time for which an encoded copy is sent again to others with the same request.
+const COPY_VALIDITY: Duration = Duration::from_millis(100);
+
 /// Maximum number of bytes read or written at a time.
 const CHUNK_BYTES: usize = 16_384;
 
@@ -162,7 +166,7 @@
     }
 }
 
-/// Serves a copy, or forwarded requests if the connection starts with their mark.
+/// Serves a copy, or the records or forwarded requests if the connection starts with their mark.
 async fn serve_connection(
     engine: &Arc<ProxyEngine>,
     mut stream: TcpStream,
@@ -174,6 +178,9 @@
             serve_forwarding(Arc::clone(engine), stream, peer).await;
             return Ok(Ok(()));
         }
+        Ok(RECORDS_MARK) => {
+            return tokio::time::timeout_at(deadline, serve_records(engine, stream)).await;
+        }
         Ok(length) => length,
         Err(error) => return Ok(Err(error)),
     };
@@ -189,13 +196,56 @@
     let mut bytes = vec![0; length.into()];
     stream.read_exact(&mut bytes).await?;
     let request: CopyRequest = postcard::from_bytes(&bytes).map_err(std::io::Error::other)?;
-    let copy = engine.fleet_copy(request, received_at);
-    for chunk in encode_copy(&copy)?.chunks(CHUNK_BYTES) {
+    let bytes = engine.encoded_copy().encode(engine, request, received_at)?;
+    for chunk in bytes.chunks(CHUNK_BYTES) {
         with_chunk_timeout(stream.write_all(chunk)).await?;
     }
     Ok(())
 }
 
+/// Encoded copy as it was last sent.
+///
+/// Load pattern: while a fleet starts, the instances of a failure domain all fetch the same copy
+/// within seconds, and encoding it takes several milliseconds of a core.
+#[derive(Default)]
+pub(crate) struct EncodedCopy {
+    last: Mutex<Option<CachedCopy>>,
+}
+
+struct CachedCopy {
+    request: CopyRequest,
+    /// State that the copy was made of.
+    known: CopyRequest,
+    valid_until: Duration,
+    bytes: Arc<[u8]>,
+}
+
+impl EncodedCopy {
+    /// Encodes what `engine` knows beyond a request that was received at `received_at`.
+    fn encode(
+        &self,
+        engine: &ProxyEngine,
+        request: CopyRequest,
+        received_at: Duration,
+    ) -> std::io::Result<Arc<[u8]>> {
+        let known = engine.copy_request();
+        if let Some(cached) = &*lock(&self.last)
+            && cached.request == request
+            && cached.known == known
+            && received_at < cached.valid_until
+        {
+            return Ok(Arc::clone(&cached.bytes));
+        }
+        // Times in a copy are relative to the receipt of its request. Relative to the end of the
+        // validity they are never later than the actual ones, whenever the copy is used.
+        let valid_until = received_at + COPY_VALIDITY;
+        let bytes: Arc<[u8]> = encode_copy(&engine.fleet_copy(request, valid_until))?.into();
+        let cached = CachedCopy { request, known, valid_until, bytes: Arc::clone(&bytes) };
+        *lock(&self.last) = Some(cached);
+        Ok(bytes)
+    }
+}
+
 /// Encodes a copy for sending. Names recur in each of its entries, so it is compressed.
 pub(super) fn encode_copy(copy: &FleetCopy) -> std::io::Result<Vec<u8>> {
     let mut bytes = postcard::to_stdvec(copy).map_err(std::io::Error::other)?;
@@ -270,8 +320,8 @@
     query: CopyQuery,
     from: SocketAddr,
 ) {
-    let copy = match encode_copy(&engine.fleet_copy(query.request, boot_time())) {
-        Ok(bytes) => (bytes.len() <= DATAGRAM_BYTES_MAX).then_some(bytes),
+    let copy = match engine.encoded_copy().encode(engine, query.request, boot_time()) {
+        Ok(bytes) => (bytes.len() <= DATAGRAM_BYTES_MAX).then(|| bytes.to_vec()),
         Err(error) => {
             log::error!(reason:% = error; "a copy could not be encoded");
             None
--- a/crates/rudder-engine/src/peers/list_change.rs
+++ b/crates/rudder-engine/src/peers/list_change.rs
@@ -14,6 +14,10 @@
 /// list.
 const HISTORY_MAX: usize = 32;
 
+/// Maximum number of items in all kept lists together, beyond the newest one and the one before.
+/// An item takes about 200 bytes.
+const HISTORY_ITEMS_MAX: usize = 20_000;
+
 /// Item of a list that is sorted by the item's key.
 pub(crate) trait ListItem: Clone + PartialEq + Serialize {
     type Key: Ord + Clone;
@@ -121,8 +125,9 @@
         }
         self.lists.retain(|(known, _)| *known != digest);
         self.lists.push_back((digest, items.to_vec()));
-        if self.lists.len() > HISTORY_MAX {
-            self.lists.pop_front();
+        let mut kept: usize = self.lists.iter().map(|(_, items)| items.len()).sum();
+        while self.lists.len() > HISTORY_MAX || (self.lists.len() > 2 && kept > HISTORY_ITEMS_MAX) {
+            kept -= self.lists.pop_front().map_or(0, |(_, items)| items.len());
         }
     }
 
--- a/crates/rudder-engine/src/peers/membership.rs
+++ b/crates/rudder-engine/src/peers/membership.rs
@@ -1,10 +1,13 @@
 //! Membership of the fleet as known to this instance.
 
 use super::fleet_copy::CopyVersion;
+use super::holder_list::find_entry;
 use super::list_change::{CopiedList, ListDigest};
-use super::membership_state::{LimitOwner, MembershipState, PeerEntry, ReceivedHeartbeat};
+use super::membership_state::{
+    FleetRoles, LimitOwner, MembershipState, OwnCandidate, PeerEntry, ReceivedHeartbeat,
+};
 use super::message::{PeerHeartbeat, StopNotice};
-use super::readers::{ReaderCandidate, choose_domain_hubs, choose_readers, fleet_reader};
+use super::readers::{ReaderCandidate, fleet_reader};
 use super::requests::RequestLog;
 use super::subscribers::SubscriberList;
 use crate::clock::boot_time;
@@ -12,7 +15,7 @@
 use crate::lead::{LeaderEpoch, PeerVote};
 use crate::sync::lock;
 use rudder_core::{AccountName, DomainName, InstanceName, ServiceName};
-use rudder_decisions::rank_owners;
+use rudder_decisions::{InstanceCapacity, WatchPlan, rank_owners};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
@@ -22,6 +25,7 @@
 pub(crate) struct MembershipView {
     own: InstanceName,
     own_domain: DomainName,
+    own_capacity: InstanceCapacity,
     /// Number of failure domains of the whole deployment.
     domain_count: usize,
     state: Mutex<MembershipState>,
@@ -35,6 +39,7 @@
         Self {
             own: identity.name.clone(),
             own_domain: identity.domain.clone(),
+            own_capacity: identity.capacity.unwrap_or_default(),
             domain_count: identity.regions.len(),
             state: Mutex::default(),
             requests: Mutex::default(),
@@ -62,6 +67,7 @@
                 state.list_changes += u64::from(!state.contacts.is_empty());
                 state.contacts.clear();
             }
+            state.begin_discovery(boot_time());
             state.history.record(&entries);
             state.list_changes += u64::from(state.entries != entries);
             state.entries = entries;
@@ -76,6 +82,9 @@
         state.contacts = contacts;
         state.list_changes += 1;
         state.store_responded_at = Some(boot_time());
+        if !state.contacts.is_empty() {
+            state.begin_discovery(boot_time());
+        }
     }
 
     /// Returns the instance list, and when the store had it.
@@ -134,13 +143,12 @@
     ///
     /// The datagrams of a domain therefore grow linearly with its size, not with the square of it.
     pub(crate) fn domain_receivers(&self) -> Vec<SocketAddr> {
+        let hubs = self.roles().hubs;
+        if !hubs.iter().any(|candidate| candidate.instance == self.own) {
+            return deduplicate(hubs.iter().filter_map(|candidate| candidate.address));
+        }
         let now = boot_time();
         let state = self.state();
-        let live: Vec<ReaderCandidate> = state.candidates(&self.own, &self.own_domain, now);
-        let first = choose_domain_hubs(live, &self.own_domain);
-        if !first.iter().any(|candidate| candidate.instance == self.own) {
-            return deduplicate(first.into_iter().filter_map(|candidate| candidate.address));
-        }
         let is_near = |received: &&ReceivedHeartbeat| {
             received.is_live(now) && received.heartbeat.domain == self.own_domain
         };
@@ -154,11 +162,12 @@
     ///
     /// The datagrams of a fleet therefore grow linearly with its size, not with the square of it.
     pub(crate) fn remote_receivers(&self) -> Vec<SocketAddr> {
-        let mut readers = self.readers();
-        if !readers.iter().any(|reader| reader.instance == self.own) {
+        let roles = self.roles();
+        if !roles.is_reader {
             return Vec::new();
         }
-        readers.retain(|reader| reader.domain != self.own_domain);
+        let remote = |reader: &&ReaderCandidate| reader.domain != self.own_domain;
+        let readers: Vec<&ReaderCandidate> = roles.readers.iter().filter(remote).collect();
         let state = self.state();
         let uncovered = state.reachable(&self.own).filter(|entry| {
             let covered = readers.iter().any(|reader| reader.domain == entry.domain);
@@ -184,7 +193,17 @@
     /// Returns the number of known instances, including this one: listed ones, and those whose
     /// heartbeats are received.
     pub(crate) fn known_count(&self) -> usize {
-        self.known().len()
+        let now = boot_time();
+        let state = self.state();
+        let is_listed = |instance: &InstanceName| find_entry(&state.entries, instance).is_some();
+        let contacts = state.contacts.iter().filter(|entry| !is_listed(&entry.instance));
+        let is_known = |instance: &InstanceName| {
+            is_listed(instance) || find_entry(&state.contacts, instance).is_some()
+        };
+        let live = state.received.iter().filter(|received| received.is_live(now));
+        let unlisted = live.filter(|received| !is_known(&received.heartbeat.instance));
+        let own = usize::from(!is_known(&self.own));
+        state.entries.len() + contacts.count() + unlisted.count() + own
     }
 
     /// Returns the addresses of all other instances: listed ones, and unlisted ones whose
@@ -200,9 +219,9 @@
     /// Returns the instances to request records from, in order of preference: a reader asks the
     /// fleet reader, as that one polls the store, and the others ask the readers of their domain.
     pub(crate) fn sources(&self) -> Vec<SocketAddr> {
-        let mut readers = self.readers();
+        let FleetRoles { readers, is_reader, .. } = self.roles();
         let fleet = fleet_reader(&readers).map(|reader| reader.instance.clone());
-        let is_reader = readers.iter().any(|reader| reader.instance == self.own);
+        let mut readers: Vec<&ReaderCandidate> = readers.iter().collect();
         readers.sort_by_key(|reader| {
             let is_fleet_reader = Some(&reader.instance) == fleet.as_ref();
             let near = reader.domain == self.own_domain;
@@ -214,19 +233,27 @@
     /// Returns whether this instance is a reader, which probes the primaries and passes the store's
     /// state on in its failure domain.
     pub(crate) fn is_reader(&self) -> bool {
-        self.readers().iter().any(|reader| reader.instance == self.own)
+        self.roles().is_reader
     }
 
     /// Returns whether this instance is the reader that polls the store for the whole fleet.
     pub(crate) fn is_fleet_reader(&self) -> bool {
-        let readers = self.readers();
-        fleet_reader(&readers).is_some_and(|reader| reader.instance == self.own)
+        self.roles().is_fleet_reader
+    }
+
+    /// Returns whether this instance is a hub of its failure domain.
+    pub(crate) fn is_hub(&self) -> bool {
+        self.roles().hubs.iter().any(|hub| hub.instance == self.own)
     }
 
     /// Records whether the store responded to this instance.
     pub(crate) fn record_store_response(&self, answered: bool, now: Duration) {
         let mut state = self.state();
-        state.store_failed_at = (!answered).then_some(now);
+        let failed_at = (!answered).then_some(now);
+        if failed_at.is_some() != state.store_failed_at.is_some() {
+            state.roles = None;
+        }
+        state.store_failed_at = failed_at;
         if answered {
             state.store_responded_at = Some(now);
         }
@@ -242,12 +269,14 @@
         lock(&self.subscribers)
     }
 
-    /// Returns the live readers: the first instances of each failure domain by a hash, and more of
-    /// each domain if there are few domains.
-    fn readers(&self) -> Vec<ReaderCandidate> {
-        let state = self.state();
-        let candidates = state.candidates(&self.own, &self.own_domain, boot_time());
-        choose_readers(candidates, self.domain_count)
+    /// Returns the roles that follow from the live instances.
+    fn roles(&self) -> FleetRoles {
+        let own = OwnCandidate {
+            instance: self.own.clone(),
+            domain: self.own_domain.clone(),
+            capacity: self.own_capacity,
+        };
+        self.state().roles(&own, self.domain_count, boot_time())
     }
 
     /// Records the heartbeat of another instance; the instance's own one is ignored.
@@ -257,6 +286,7 @@
         }
         let received = ReceivedHeartbeat { heartbeat, from, at: boot_time() };
         let mut state = self.state();
+        state.roles = None;
         let found = state
             .received
             .binary_search_by(|known| known.heartbeat.instance.cmp(&received.heartbeat.instance));
@@ -299,15 +329,39 @@
         others.filter(|entry| !has_stopped(entry)).cloned().collect()
     }
 
-    /// Returns the votes of the readers on the primary of a record's version, including this
+    /// Returns how the readers share the watch of the primaries of this number of services.
+    pub(crate) fn watch_plan(&self, services: usize) -> WatchPlan {
+        WatchPlan::new(services, self.roles().readers.len())
+    }
+
+    /// Returns whether this instance watches the primary of a service.
+    pub(crate) fn watches(&self, plan: WatchPlan, service: &ServiceName) -> bool {
+        let roles = self.roles();
+        roles.is_reader && is_watcher(plan, service, &self.own, &roles.readers)
+    }
+
+    /// Returns the addresses of the other instances that watch the primary of a service.
+    pub(crate) fn watcher_addresses(
+        &self,
+        plan: WatchPlan,
+        service: &ServiceName,
+    ) -> Vec<SocketAddr> {
+        let readers = self.roles().readers;
+        let watchers =
+            readers.iter().filter(|reader| is_watcher(plan, service, &reader.instance, &readers));
+        watchers.filter_map(|reader| reader.address).collect()
+    }
+
+    /// Returns the votes of the watchers on the primary of a record's version, including this
     /// instance's vote.
     pub(crate) fn votes(
         &self,
+        plan: WatchPlan,
         service: &ServiceName,
         epoch: LeaderEpoch,
         own_suspects: bool,
     ) -> Vec<PeerVote> {
-        let readers = self.readers();
+        let readers = self.roles().readers;
         let state = self.state();
         let suspects = |instance: &InstanceName| {
             let found =
@@ -319,15 +373,17 @@
                     .any(|suspicion| suspicion.service == *service && suspicion.epoch == epoch)
             })
         };
-        let vote = |reader: ReaderCandidate| PeerVote {
+        let vote = |reader: &ReaderCandidate| PeerVote {
             suspects: match reader.address {
                 Some(_) => suspects(&reader.instance),
                 None => own_suspects,
             },
-            instance: reader.instance,
-            domain: reader.domain,
+            instance: reader.instance.clone(),
+            domain: reader.domain.clone(),
         };
-        readers.into_iter().map(vote).collect()
+        let watchers =
+            readers.iter().filter(|reader| is_watcher(plan, service, &reader.instance, &readers));
+        watchers.map(vote).collect()
     }
 
     /// Returns whether an instance was observed after `since` with another process than `process`.
@@ -411,6 +467,15 @@
     }
 }
 
+fn is_watcher(
+    plan: WatchPlan,
+    service: &ServiceName,
+    instance: &InstanceName,
+    readers: &[ReaderCandidate],
+) -> bool {
+    plan.watches(service, instance, readers.iter().map(|reader| &reader.instance))
+}
+
 fn deduplicate(addresses: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
     let mut addresses: Vec<_> = addresses.collect();
     addresses.sort_unstable();
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -40,6 +40,16 @@
     }
 }
 
+plain_data! {
+    /// Request to probe the primary of a service.
+    #[derive(Serialize, Deserialize)]
+    pub(crate) struct PrimaryProbe {
+        pub(crate) service: ServiceName,
+        /// Whether a reader has passed the request on to the watchers.
+        pub(crate) is_relayed: bool,
+    }
+}
+
 plain_data! {
     /// New version of a record.
     #[derive(Serialize, Deserialize)]
@@ -50,16 +60,34 @@
 }
 
 plain_data! {
-    /// Time at which a record was known to be in place, and the newest known position of its
-    /// primary.
-    #[derive(Copy, Serialize, Deserialize)]
+    /// Times at which a record was known to be in place.
+    #[derive(Copy, Default, Serialize, Deserialize)]
     pub(crate) struct RecordTiming {
         /// Time at which the store had the record.
         pub(crate) confirmed: Option<RequestOffset>,
         /// Time at which the store, or a majority of instances, knew no later version; never
         /// earlier than `confirmed`.
         pub(crate) valid_from: Option<RequestOffset>,
-        pub(crate) sample: Option<SampleCopy>,
+    }
+}
+
+plain_data! {
+    /// Timing of one record that differs from that of the others.
+    #[derive(Copy, Serialize, Deserialize)]
+    pub(crate) struct RecordException {
+        /// Position of the record in the order of the services.
+        pub(crate) index: u32,
+        pub(crate) timing: RecordTiming,
+    }
+}
+
+plain_data! {
+    /// Newest known position of the primary in one record.
+    #[derive(Copy, Serialize, Deserialize)]
+    pub(crate) struct RecordSample {
+        /// Position of the record in the order of the services.
+        pub(crate) index: u32,
+        pub(crate) sample: SampleCopy,
     }
 }
 
@@ -100,9 +128,10 @@
 }
 
 plain_data! {
-    /// State of all records as known to an instance.
+    /// Summary of all records as known to an instance. Its size does not depend on the number of
+    /// records, as long as nearly all of them were confirmed by the same read of the store.
     #[derive(Serialize, Deserialize)]
-    pub(crate) struct RecordsResponse {
+    pub(crate) struct RecordsSummary {
         /// Responding instance.
         pub(crate) instance: InstanceName,
         /// Number of the request.
@@ -112,6 +141,9 @@
         pub(crate) listed: Option<RequestOffset>,
         /// Time at which the store was last polled for all records.
         pub(crate) read: Option<RequestOffset>,
+        /// Time of a poll of the store since which the sender knows at least the versions that the
+        /// poll showed, of all records.
+        pub(crate) complete: Option<RequestOffset>,
         /// Versions of the settings and members that the sender knows.
         pub(crate) version: CopyVersion,
         /// Time at which these were last known to be current.
@@ -124,13 +156,34 @@
         pub(crate) confirms: bool,
         /// Versions of the records that the timings belong to.
         pub(crate) digest: RecordsDigest,
-        /// Timing of each record, in the order of the services.
-        pub(crate) timings: Vec<RecordTiming>,
-        /// Records in the same order; omitted if the receiver knows these versions.
+        /// Number of records.
+        pub(crate) count: u32,
+        /// Timing of all records that are no exceptions.
+        pub(crate) common: RecordTiming,
+        /// Other records, sorted by position.
+        pub(crate) exceptions: Vec<RecordException>,
+        /// Positions of primaries, if the readers sample all of them.
+        pub(crate) samples: Vec<RecordSample>,
+        /// Records in the order of the services; omitted if the receiver knows these versions, or
+        /// if they do not fit a datagram.
         pub(crate) records: Option<Vec<RecordCopy>>,
     }
 }
 
+impl RecordsSummary {
+    /// Returns the timing of the record at a position.
+    pub(crate) fn timing(&self, index: usize) -> RecordTiming {
+        let found = self.exceptions.binary_search_by_key(&index, |known| known.index as usize);
+        found.map_or(self.common, |found| self.exceptions[found].timing)
+    }
+}
+
+plain_data! {
+    /// Response of an older build to a request for all records, which is ignored.
+    #[derive(Copy, Serialize, Deserialize)]
+    pub(crate) struct IgnoredResponse;
+}
+
 plain_data! {
     /// Claim of one operation of an account, sent to the instance that counts for it.
     #[derive(Serialize, Deserialize)]
@@ -201,8 +254,9 @@
     Stopped(StopNotice),
     /// Request for all records.
     FetchRecords(RecordsRequest),
-    /// Response to a request for all records.
-    Records(RecordsResponse),
+    /// Response of an older build to a request for all records. It keeps its number, so that the
+    /// others keep theirs.
+    Records(IgnoredResponse),
     /// Claim of an operation of an account.
     Claim(OperationClaim),
     /// Response to a claim.
@@ -231,4 +285,8 @@
     LoanReturn(LoanReturn),
     /// Request of a lender to end a loan.
     LoanRecall(LoanRecall),
+    /// Response to a request for all records.
+    RecordsSummary(Box<RecordsSummary>),
+    /// Request to probe the primary of a service.
+    ProbePrimary(PrimaryProbe),
 }
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -17,6 +17,7 @@
 mod offset;
 mod queue_claim;
 mod readers;
+mod record_copy;
 mod relay;
 mod requests;
 mod subscribers;
@@ -25,10 +26,10 @@
 pub(crate) use entries::{EntryDecision, EntryLedger, LISTING_VALIDITY};
 pub(crate) use exchange::PeerExchange;
 pub(crate) use fleet_copy::{
-    CopyRequest, CopyVersion, EntriesCopy, FleetCopy, MembersCopy, PendingCopy, fetch_copy,
-    respond_with_copy, serve_copies,
+    CopyRequest, CopyVersion, EncodedCopy, EntriesCopy, FleetCopy, MembersCopy, PendingCopy,
+    fetch_copy, respond_with_copy, serve_copies,
 };
-pub(crate) use holder_list::{HolderList, find_entry};
+pub(crate) use holder_list::{HolderList, KnownVersion, find_entry};
 pub(crate) use list_change::{CopiedList, ListDigest, ListHistory};
 pub(crate) use loan_message::{
     LoanRecall, LoanRequest, LoanResponse, LoanReturn, LoanTarget, SpareConnections, SpareCount,
@@ -36,11 +37,13 @@
 pub(crate) use membership::MembershipView;
 pub(crate) use membership_state::{LimitOwner, PeerEntry};
 pub(crate) use message::{
-    ClaimOutcome, ClaimResponse, OperationClaim, PeerHeartbeat, PeerMessage, PrimarySuspicion,
-    RecordCopy, RecordTiming, RecordsRequest, RecordsResponse, SampleCopy, StopNotice,
+    ClaimOutcome, ClaimResponse, OperationClaim, PeerHeartbeat, PeerMessage, PrimaryProbe,
+    PrimarySuspicion, RecordCopy, RecordException, RecordSample, RecordTiming, RecordsRequest,
+    RecordsSummary, SampleCopy, StopNotice,
 };
 pub(crate) use offset::RequestOffset;
 pub(crate) use queue_claim::{QueueClaim, QueuedClaim, QueuedOutcome, ReturnClaim};
+pub(crate) use record_copy::{EncodedRecords, fetch_records};
 pub(crate) use relay::{EVIDENCE_ID, RelayProbe, RelayedProbe};
 pub(crate) use subscribers::RecordsSubscriber;
 
--- a/crates/rudder-engine/src/peers/readers.rs
+++ b/crates/rudder-engine/src/peers/readers.rs
@@ -7,6 +7,8 @@
 //! of their domain, with one message per domain over the long links.
 
 use rudder_core::{DomainName, InstanceName};
+use rudder_decisions::InstanceCapacity;
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 /// Minimum number of readers. With three, two that cannot reach a primary are more than half, and
@@ -26,14 +28,19 @@
     pub(crate) address: Option<SocketAddr>,
     /// Whether the store does not respond to it.
     pub(crate) store_unreachable: bool,
+    /// Capacity that the instance list states for it.
+    pub(crate) capacity: InstanceCapacity,
 }
 
-fn rank(candidate: &ReaderCandidate) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(candidate.instance.as_str().as_bytes())
+/// Order among the candidates. A reader's work grows with its domain and with the number of
+/// services, so instances on larger machines come first, and equal ones by a hash.
+fn rank(candidate: &ReaderCandidate) -> (Reverse<InstanceCapacity>, u64) {
+    let hash = xxhash_rust::xxh3::xxh3_64(candidate.instance.as_str().as_bytes());
+    (Reverse(candidate.capacity), hash)
 }
 
-/// Returns the reader that polls the store for the whole fleet: the first by a hash among those
-/// that the store responds to, or among all if it responds to none.
+/// Returns the reader that polls the store for the whole fleet: the first in rank among those that
+/// the store responds to, or among all if it responds to none.
 pub(crate) fn fleet_reader(readers: &[ReaderCandidate]) -> Option<&ReaderCandidate> {
     readers.iter().min_by_key(|reader| (reader.store_unreachable, rank(reader)))
 }
@@ -50,8 +57,7 @@
     all
 }
 
-/// Returns the first instances of each domain by a hash of their names, [`READERS_MIN`] in all if
-/// there are as many.
+/// Returns the first instances of each domain in rank, [`READERS_MIN`] in all if there are as many.
 ///
 /// `domains` is the number of domains of the deployment. An instance that receives heartbeats only
 /// from its own domain must not conclude that there is no other, and consider itself one of three
--- a/crates/rudder-engine/src/peers/requests.rs
+++ b/crates/rudder-engine/src/peers/requests.rs
@@ -1,5 +1,6 @@
 //! Requests of this instance to its peers, and the instances that responded.
 
+use super::digest::RecordsDigest;
 use crate::lead::LeaderEpoch;
 use rudder_core::{InstanceName, ServiceName};
 use std::collections::VecDeque;
@@ -8,11 +9,19 @@
 /// Maximum number of requests whose responses are still accepted; covers several seconds.
 const REQUESTS_MAX: usize = 32;
 
-/// Number of instances that confirmed one version of a record.
+/// What an instance confirms by its response.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct RecordTally {
-    service: ServiceName,
-    epoch: LeaderEpoch,
+enum ConfirmedVersion {
+    /// Versions of all records.
+    All(RecordsDigest),
+    /// Version of one record.
+    Record(ServiceName, LeaderEpoch),
+}
+
+/// Number of instances that confirmed the same.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct ConfirmationTally {
+    version: ConfirmedVersion,
     count: usize,
 }
 
@@ -23,8 +32,9 @@
     sent_at: Duration,
     /// Instances that responded, sorted.
     responders: Vec<InstanceName>,
-    /// Sorted by service and version.
-    tallies: Vec<RecordTally>,
+    tallies: Vec<ConfirmationTally>,
+    /// Versions of all records whose confirmation by a majority was applied.
+    applied: Option<RecordsDigest>,
 }
 
 /// Requests of this instance, oldest first.
@@ -44,7 +54,8 @@
             self.requests.pop_front();
         }
         let (responders, tallies) = (Vec::new(), Vec::new());
-        self.requests.push_back(SentRequest { request_id, sent_at: now, responders, tallies });
+        let request = SentRequest { request_id, sent_at: now, responders, tallies, applied: None };
+        self.requests.push_back(request);
     }
 
     /// Returns when a request was sent. Several peers may respond to the same one.
@@ -71,27 +82,76 @@
         request.map_or(0, |known| known.responders.len())
     }
 
-    /// Counts an instance's first response to a request. Returns how many instances have confirmed
-    /// the same version, including this one.
-    pub(crate) fn count_confirmation(
+    /// Counts an instance's first response, which confirms the versions of all records in `digest`.
+    pub(crate) fn count_all(&mut self, request_id: u64, digest: RecordsDigest) {
+        self.count(request_id, ConfirmedVersion::All(digest));
+    }
+
+    /// Counts an instance's first response, which confirms a version of one record, and other
+    /// versions of other records than those known here.
+    pub(crate) fn count_record(
         &mut self,
         request_id: u64,
         service: &ServiceName,
         epoch: LeaderEpoch,
+    ) {
+        self.count(request_id, ConfirmedVersion::Record(service.clone(), epoch));
+    }
+
+    /// Returns how many instances, including this one, have confirmed a version of a record that is
+    /// one of those in `digest`.
+    pub(crate) fn confirmations(
+        &self,
+        request_id: u64,
+        digest: RecordsDigest,
+        service: &ServiceName,
+        epoch: LeaderEpoch,
     ) -> usize {
-        let Some(request) = self.find(request_id) else { return 1 };
-        let order = |known: &RecordTally| (&known.service, known.epoch).cmp(&(service, epoch));
-        let index = match request.tallies.binary_search_by(order) {
-            Ok(index) => index,
-            Err(index) => {
-                let tally = RecordTally { service: service.clone(), epoch, count: 0 };
-                request.tallies.insert(index, tally);
-                index
+        let Some(request) = self.requests.iter().find(|known| known.request_id == request_id)
+        else {
+            return 1;
+        };
+        let confirms = |version: &ConfirmedVersion| match version {
+            ConfirmedVersion::All(known) => *known == digest,
+            ConfirmedVersion::Record(known, known_epoch) => {
+                known == service && *known_epoch == epoch
             }
         };
-        let tally = &mut request.tallies[index];
-        tally.count += 1;
-        tally.count + 1
+        let tallies = request.tallies.iter().filter(|tally| confirms(&tally.version));
+        tallies.map(|tally| tally.count).sum::<usize>() + 1
+    }
+
+    /// Returns how many instances, including this one, confirmed the versions of all records in
+    /// `digest`; none if some confirmed others.
+    pub(crate) fn unanimous_confirmations(
+        &self,
+        request_id: u64,
+        digest: RecordsDigest,
+    ) -> Option<usize> {
+        let request = self.requests.iter().find(|known| known.request_id == request_id)?;
+        match &request.tallies[..] {
+            [ConfirmationTally { version: ConfirmedVersion::All(known), count }]
+                if *known == digest =>
+            {
+                Some(count + 1)
+            }
+            _ => None,
+        }
+    }
+
+    /// Records that the confirmations of all records in `digest` were applied. Returns false if
+    /// they were before.
+    pub(crate) fn mark_applied(&mut self, request_id: u64, digest: RecordsDigest) -> bool {
+        let Some(request) = self.find(request_id) else { return false };
+        request.applied.replace(digest) != Some(digest)
+    }
+
+    fn count(&mut self, request_id: u64, version: ConfirmedVersion) {
+        let Some(request) = self.find(request_id) else { return };
+        match request.tallies.iter_mut().find(|tally| tally.version == version) {
+            Some(tally) => tally.count += 1,
+            None => request.tallies.push(ConfirmationTally { version, count: 1 }),
+        }
     }
 
     fn find(&mut self, request_id: u64) -> Option<&mut SentRequest> {
--- a/crates/rudder-engine/src/peers/tests/list_change.rs
+++ b/crates/rudder-engine/src/peers/tests/list_change.rs
@@ -113,3 +113,17 @@
 fn a_message_of_another_release_is_an_error() {
     assert!(postcard::from_bytes::<PeerMessage>(&[200, 1, 2, 3]).is_err());
 }
+
+/// Earlier versions of the entries of three thousand members must not fill a small machine.
+#[test]
+fn the_history_of_a_long_list_is_short() {
+    let mut history = ListHistory::default();
+    let lists: Vec<_> = (0..40).map(|number| list(0..5000 + number)).collect();
+
+    lists.iter().for_each(|list| history.record(list));
+
+    let is_change = |list: &Vec<PeerEntry>| {
+        matches!(history.copy_for(ListDigest::of(list)), CopiedList::Change { .. })
+    };
+    assert_eq!(lists.iter().filter(|list| is_change(list)).count(), 3);
+}
--- a/crates/rudder-engine/src/peers/tests/message.rs
+++ b/crates/rudder-engine/src/peers/tests/message.rs
@@ -4,8 +4,9 @@
 use crate::peers::message::CopyResponse;
 use crate::peers::{
     ClaimOutcome, ClaimResponse, CopyVersion, LoanRecall, LoanRequest, LoanTarget, OperationClaim,
-    PeerHeartbeat, PeerMessage, QueueClaim, QueuedClaim, QueuedOutcome, RecordTiming,
-    RecordsDigest, RecordsResponse, RequestOffset, SampleCopy, SpareConnections, SpareCount,
+    PeerHeartbeat, PeerMessage, QueueClaim, QueuedClaim, QueuedOutcome, RecordException,
+    RecordSample, RecordTiming, RecordsDigest, RecordsSummary, RequestOffset, SampleCopy,
+    SpareConnections, SpareCount,
 };
 use rudder_core::LogStamp;
 use std::time::Duration;
@@ -17,25 +18,31 @@
     RequestOffset::of(Duration::from_millis(100_000 + ms), Duration::from_millis(100_000))
 }
 
-/// Returns a response to an instance that knows the records of `services` services.
-fn response(services: usize) -> PeerMessage {
+/// Returns a response to an instance that knows the records of `services` services, with times of
+/// their own for `exceptions` of them and samples of `samples` primaries.
+fn response(services: u32, exceptions: u32, samples: u32) -> PeerMessage {
     let sample = SampleCopy { stamp: LogStamp::new(3, 120_000), sent: offset(400) };
-    let timing =
-        RecordTiming { confirmed: offset(450), valid_from: offset(450), sample: Some(sample) };
-    PeerMessage::Records(RecordsResponse {
+    let timing = RecordTiming { confirmed: offset(450), valid_from: offset(450) };
+    let exception = |index| RecordException { index, timing };
+    let sampled = |index| RecordSample { index, sample };
+    PeerMessage::RecordsSummary(Box::new(RecordsSummary {
         instance: "frontend-johannesburg-a-17".parse().expect("a name"),
         request_id: u64::MAX,
         listed: offset(0),
         read: offset(450),
+        complete: offset(450),
         version: CopyVersion::default(),
         current: offset(300),
         entries: ListDigest::default(),
         entries_read: offset(0),
         confirms: true,
         digest: RecordsDigest::default(),
-        timings: vec![timing; services],
+        count: services,
+        common: timing,
+        exceptions: (0..exceptions).map(exception).collect(),
+        samples: (0..samples).map(sampled).collect(),
         records: None,
-    })
+    }))
 }
 
 fn size(message: &PeerMessage) -> usize {
@@ -45,7 +52,7 @@
 /// Responses with records must not fill the links of a large fleet.
 #[test]
 fn a_response_for_twenty_services_is_short() {
-    let bytes = size(&response(20));
+    let bytes = size(&response(20, 2, 20));
 
     assert!(bytes < 400, "{bytes}");
 }
@@ -53,11 +60,19 @@
 /// If the response exceeded a datagram, the fleet would receive no records.
 #[test]
 fn a_response_for_all_planned_services_fits_a_datagram() {
-    let bytes = size(&response(780));
+    let bytes = size(&response(780, 64, 50));
 
     assert!(bytes < DATAGRAM_MAX, "{bytes}");
 }
 
+/// Each instance receives two such responses a second from the reader of its failure domain.
+#[test]
+fn a_response_does_not_grow_with_the_number_of_services() {
+    let sizes = [200, 1000, 2000, 16_000].map(|services| size(&response(services, 0, 0)));
+
+    assert!(sizes.iter().all(|bytes| *bytes == sizes[0] && *bytes < 128), "{sizes:?}");
+}
+
 #[test]
 fn a_heartbeat_is_short() {
     let heartbeat = PeerHeartbeat {
--- a/crates/rudder-engine/src/peers/tests/mod.rs
+++ b/crates/rudder-engine/src/peers/tests/mod.rs
@@ -6,4 +6,6 @@
 mod message;
 mod offset;
 mod readers;
+mod record_copy;
+mod roles;
 mod subscribers;
--- a/crates/rudder-engine/src/peers/tests/readers.rs
+++ b/crates/rudder-engine/src/peers/tests/readers.rs
@@ -1,6 +1,7 @@
 //! Choice of the readers.
 
 use crate::peers::readers::{ReaderCandidate, choose_domain_hubs, choose_readers, fleet_reader};
+use rudder_decisions::InstanceCapacity;
 
 /// Instances named `DOMAIN-NUMBER`.
 fn entries(names: &[&str]) -> Vec<ReaderCandidate> {
@@ -9,6 +10,7 @@
         domain: name.split('-').next().expect("a domain").parse().expect("a name"),
         address: None,
         store_unreachable: false,
+        capacity: InstanceCapacity::default(),
     };
     names.iter().map(entry).collect()
 }
--- a/crates/rudder-engine/src/records_status.rs
+++ b/crates/rudder-engine/src/records_status.rs
@@ -11,12 +11,15 @@
 /// Latest reads of all records.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct RecordsStatus {
-    /// Services without a record in this process's last read.
+    /// Services without a record in this process's last read, sorted.
     services_without_record: Vec<ServiceName>,
     /// Time at which this process's last read was sent; none before the first one.
     own_read_at: Option<Duration>,
     /// Time of the latest read that a peer reported.
     peer_read_at: Option<Duration>,
+    /// Time of the latest read, by this process or a peer, whose records are all known here, each
+    /// in the version that the read showed or a later one.
+    complete_at: Option<Duration>,
 }
 
 impl RecordsStatus {
@@ -28,6 +31,17 @@
     ) {
         self.services_without_record = services_without_record;
         self.own_read_at = Some(requested_at);
+        self.record_complete(requested_at);
+    }
+
+    /// Records that all records of a read at `read_at` are known here.
+    pub(crate) fn record_complete(&mut self, read_at: Duration) {
+        self.complete_at = self.complete_at.max(Some(read_at));
+    }
+
+    /// Returns the time of the latest read whose records are all known here.
+    pub(crate) fn complete_at(&self) -> Option<Duration> {
+        self.complete_at
     }
 
     /// Records a peer's report that the records were read at `read_at`. Returns whether that is
@@ -38,9 +52,9 @@
         later
     }
 
-    /// Returns the time of this process's own last read.
-    pub(crate) fn own_read_at(&self) -> Option<Duration> {
-        self.own_read_at
+    /// Returns whether this process has read the records itself.
+    pub(crate) fn has_own_read(&self) -> bool {
+        self.own_read_at.is_some()
     }
 
     /// Returns the time of the latest read by this process or by a peer that reported one.
@@ -50,6 +64,6 @@
 
     /// Returns whether this process's last read showed no record of a service.
     pub(crate) fn lacks_record(&self, service: &ServiceName) -> bool {
-        self.services_without_record.contains(service)
+        self.services_without_record.binary_search(service).is_ok()
     }
 }
--- a/crates/rudder-engine/src/session/read.rs
+++ b/crates/rudder-engine/src/session/read.rs
@@ -2,6 +2,7 @@
 
 use super::caller::staleness_bound;
 use super::job::{StatementJob, refuse};
+use crate::duty::request_sample;
 use crate::engine::ProxyEngine;
 use crate::group::{
     AcquireError, ExchangeError, GroupMember, PlacementContext, PooledLink, ServiceGroup,
@@ -180,7 +181,8 @@
 
     /// Returns the position that a member must have applied to serve this read: the later of the
     /// staleness bound's floor and the session's own commits. Without a sample of the primary's
-    /// position it waits for one, but only [`POSITION_RETRY_DELAY`] if the primary can be read.
+    /// position it waits for one, but only [`POSITION_RETRY_DELAY`] if the primary can be read, and
+    /// not at all if the readers do not sample all primaries.
     async fn read_floor(
         &self,
         group: &Arc<ServiceGroup>,
@@ -189,6 +191,7 @@
         session_floor: Option<LogStamp>,
     ) -> Option<LogStamp> {
         let bound = staleness_bound(route).unwrap_or_default();
+        let is_sampled = self.watch_plan().is_close();
         let position_deadline = Instant::now() + POSITION_RETRY_DELAY;
         loop {
             if let Some(floor) = group.bounded_floor(bound) {
@@ -196,12 +199,12 @@
                 return Some(own.map_or(floor, |own| own.max(floor)));
             }
             let remaining = job.wait_remaining();
-            let readable =
-                Instant::now() >= position_deadline && self.serving_primary(group).is_some();
+            let may_wait = is_sampled && Instant::now() < position_deadline;
+            let readable = !may_wait && self.serving_primary(group).is_some();
             if remaining.is_zero() || readable {
                 return None;
             }
-            self.request_position();
+            group.request_position();
             self.request_records();
             group.wait_changed(remaining.min(POSITION_RETRY_DELAY)).await;
         }
@@ -229,7 +232,7 @@
             Err(error) => {
                 log_attempt(member, job, &error);
                 // Triggers the watch of the primary, which detects a failed primary.
-                self.request_position();
+                request_sample(self, &self.group(&job.service)).await;
                 member.deprioritize();
                 Err(AttemptFailure::TryNext)
             }
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -2,6 +2,7 @@
 
 use super::job::{StatementJob, refuse};
 use crate::clock::boot_time;
+use crate::duty::request_sample;
 use crate::engine::ProxyEngine;
 use crate::group::{AcquireError, ExchangeError, GroupMember, PooledLink, ServiceGroup};
 use crate::lead::LeaderLease;
@@ -100,7 +101,7 @@
             Err(error) => {
                 // Triggers the watch of the primary, which distinguishes a failed connection from a
                 // failed primary.
-                self.request_position();
+                request_sample(self, group).await;
                 classify_failure(group, job, &member, &lease, &error)
             }
         };
