Apply lists of members to the services whose entries changed

Cause: 3,000 members register within seven seconds of a start. The log of one instance shows 60 changed lists, and each replaced the members of all 1,000 services, some ten milliseconds of a core each.

--- a/crates/rudder-engine/src/engine/fleet.rs
+++ b/crates/rudder-engine/src/engine/fleet.rs
@@ -153,22 +153,34 @@
         CopyVersion { settings, members: lock(&self.store_snapshot).members().1 }
     }
 
+    /// Applies a changed list of members to the services whose entries changed.
+    ///
+    /// Load pattern: the members of a thousand services register within seconds, and each instance
+    /// receives the list dozens of times, each time with a few changed entries.
     fn update_groups(&self, entries: &[MemberEntry], source: &str) {
-        log::info!(members = entries.len(), source = source; "the list of members changed");
         let mut sorted: Vec<&MemberEntry> = entries.iter().collect();
-        sorted.sort_by(|left, right| left.target.service.cmp(&right.target.service));
+        sorted.sort_by_key(|entry| (&entry.target.service, &entry.target.member));
         for of_service in sorted.chunk_by(|left, right| left.target.service == right.target.service)
         {
             self.group(&of_service[0].target.service);
         }
+        let mut changed = 0_usize;
         for group in self.groups().iter() {
             let service = group.service();
             let first = sorted.partition_point(|entry| entry.target.service < *service);
-            let of_group =
-                sorted[first..].iter().take_while(|entry| entry.target.service == *service);
-            let own: Vec<MemberEntry> = of_group.map(|entry| MemberEntry::clone(entry)).collect();
-            group.set_members(&own, &self.dependencies.dialer);
+            let count = sorted[first..].partition_point(|entry| entry.target.service == *service);
+            let own = &sorted[first..first + count];
+            if !group.has_entries(own) {
+                let own: Vec<MemberEntry> =
+                    own.iter().map(|entry| MemberEntry::clone(entry)).collect();
+                group.set_members(&own, &self.dependencies.dialer);
+                changed += 1;
+            }
         }
+        log::info!(
+            members = entries.len(), changed_services = changed, source = source;
+            "the list of members changed"
+        );
         self.member_changes.fetch_add(1, Ordering::AcqRel);
     }
 
--- a/crates/rudder-engine/src/group/member.rs
+++ b/crates/rudder-engine/src/group/member.rs
@@ -101,6 +101,11 @@
         lock(&self.entry).clone()
     }
 
+    /// Whether the member's registration is `entry`.
+    pub(super) fn has_entry(&self, entry: &MemberEntry) -> bool {
+        *lock(&self.entry) == *entry
+    }
+
     /// Whether reads may be sent to the member: none once it is draining.
     pub(crate) fn serves_reads(&self) -> bool {
         lock(&self.entry).state == MemberState::Ready
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -120,6 +120,15 @@
         })
     }
 
+    /// Whether the members are those of `entries`, which are sorted by name, and nothing else.
+    pub(crate) fn has_entries(&self, entries: &[&MemberEntry]) -> bool {
+        let state = self.state();
+        let same = |(member, entry): (&Arc<GroupMember>, &&MemberEntry)| {
+            member.is_listed() && member.has_entry(entry)
+        };
+        state.members.len() == entries.len() && state.members.iter().zip(entries).all(same)
+    }
+
     /// Replaces the membership.
     pub(crate) fn set_members(&self, entries: &[MemberEntry], dialer: &Arc<dyn MemberDialer>) {
         let mut state = self.state();
