Check a peer's records against its summary; tests of shares and lists

Watches of new services began up to 200 ms late where all primaries are watched closely, and on those deployments too the first record of a service was no longer logged.

Change: records that do not have the summary's digest are ignored with a warning (the test fails without it); readers that watch closely look for new services every 50 ms; first records are summarized in the log only before more than 64 services. Tests that shares are worked out only when their inputs change and that unchanged entries of members are recognized.

--- a/crates/rudder-engine/src/duty/answers.rs
+++ b/crates/rudder-engine/src/duty/answers.rs
@@ -179,6 +179,13 @@
         && engine.has_read_records()
         && engine.membership().has_entry(&engine.identity().name);
     if let Some(records) = &response.records {
+        if digest_of(records) != response.digest {
+            log::warn!(
+                instance:% = response.instance, records = records.len();
+                "a peer's response is inconsistent: its records are not those that it summarizes"
+            );
+            return renewed;
+        }
         renewed |= apply_records(engine, records, times);
     }
     let digest = engine.records_digest();
@@ -205,6 +212,12 @@
     renewed
 }
 
+fn digest_of(records: &[RecordCopy]) -> RecordsDigest {
+    let digests =
+        records.iter().map(|copy| RecordsDigest::of_record(&copy.service, copy.record.epoch));
+    digests.fold(RecordsDigest::default(), RecordsDigest::and)
+}
+
 /// Applies the records of a response with the times at which they were known to be in place.
 fn apply_records(
     engine: &ProxyEngine,
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -263,12 +263,12 @@
 /// Load pattern: a share is worked out from the names of all instances, for each member of each
 /// service. Done at regular intervals, this takes more time than all statements of a large fleet.
 #[derive(Debug, Default)]
-struct ShareUpdater {
+pub(super) struct ShareUpdater {
     applied: Option<ShareInputs>,
 }
 
 impl ShareUpdater {
-    fn update(&mut self, engine: &ProxyEngine, groups: &[Arc<ServiceGroup>]) {
+    pub(super) fn update(&mut self, engine: &ProxyEngine, groups: &[Arc<ServiceGroup>]) {
         let Some(settings) = engine.settings() else { return };
         let inputs = ShareInputs {
             settings: settings.version,
--- a/crates/rudder-engine/src/duty/tests/answers.rs
+++ b/crates/rudder-engine/src/duty/tests/answers.rs
@@ -151,6 +151,23 @@
     assert!(follower.engine.has_read_records());
 }
 
+/// A lease must not be renewed by times that belong to other records.
+#[tokio::test]
+async fn records_that_a_response_does_not_summarize_are_ignored() {
+    let reader = Peer::registered("reader").await;
+    let follower = Peer::registered_only("follower").await;
+    request_records(&follower.engine, &follower.exchange, &[reader.address()], true).await;
+    reader.handle_next().await;
+    let (message, from) = follower.exchange.receive().await;
+    let PeerMessage::RecordsSummary(mut response) = message else { panic!("{message:?}") };
+    let records = response.records.as_mut().expect("a record that the follower lacks");
+    records[0].record.epoch = records[0].record.epoch.next();
+
+    handle_response(&follower.engine, &follower.exchange, *response, from).await;
+
+    assert!(follower.engine.known_records().is_empty());
+}
+
 /// While a fleet writes its first records, each response would cause another copy of all of them.
 #[tokio::test]
 async fn a_copy_of_all_records_is_not_fetched_again_at_once() {
--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -8,3 +8,4 @@
 mod registry;
 mod schedule;
 mod settings;
+mod shares;
--- a/crates/rudder-engine/src/duty/watch.rs
+++ b/crates/rudder-engine/src/duty/watch.rs
@@ -27,25 +27,35 @@
 /// Interval between checks of which services this instance watches.
 const PLAN_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The same interval on readers that watch all primaries closely: callers of a new service then wait
+/// for its first sample.
+const CLOSE_PLAN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Runs one watch for each service that this instance watches.
 pub(crate) async fn supervise(engine: Arc<ProxyEngine>) {
     let mut watches: Vec<PrimaryWatch> = Vec::new();
     loop {
-        tokio::time::sleep(PLAN_POLL_INTERVAL).await;
         watches.retain(|watch| !watch.task.is_finished());
-        if !engine.membership().is_reader() {
-            continue;
+        let is_reader = engine.membership().is_reader();
+        if is_reader {
+            start_missing(&engine, &mut watches);
         }
-        let plan = engine.watch_plan();
-        for group in engine.groups().iter() {
-            let found = watches.binary_search_by(|watch| watch.service.cmp(group.service()));
-            if let Err(index) = found
-                && engine.membership().watches(plan, group.service())
-            {
-                let service = group.service().clone();
-                let task = tokio::spawn(monitor_primary(Arc::clone(&engine), Arc::clone(group)));
-                watches.insert(index, PrimaryWatch { service, task });
-            }
+        let is_close = is_reader && engine.watch_plan().is_close();
+        let interval = if is_close { CLOSE_PLAN_POLL_INTERVAL } else { PLAN_POLL_INTERVAL };
+        tokio::time::sleep(interval).await;
+    }
+}
+
+fn start_missing(engine: &Arc<ProxyEngine>, watches: &mut Vec<PrimaryWatch>) {
+    let plan = engine.watch_plan();
+    for group in engine.groups().iter() {
+        let found = watches.binary_search_by(|watch| watch.service.cmp(group.service()));
+        if let Err(index) = found
+            && engine.membership().watches(plan, group.service())
+        {
+            let service = group.service().clone();
+            let task = tokio::spawn(monitor_primary(Arc::clone(engine), Arc::clone(group)));
+            watches.insert(index, PrimaryWatch { service, task });
         }
     }
 }
--- a/crates/rudder-engine/src/engine/fleet.rs
+++ b/crates/rudder-engine/src/engine/fleet.rs
@@ -171,8 +171,7 @@
             let count = sorted[first..].partition_point(|entry| entry.target.service == *service);
             let own = &sorted[first..first + count];
             if !group.has_entries(own) {
-                let own: Vec<MemberEntry> =
-                    own.iter().map(|entry| MemberEntry::clone(entry)).collect();
+                let own: Vec<MemberEntry> = own.iter().copied().cloned().collect();
                 group.set_members(&own, &self.dependencies.dialer);
                 changed += 1;
             }
--- a/crates/rudder-engine/src/engine/leadership.rs
+++ b/crates/rudder-engine/src/engine/leadership.rs
@@ -197,7 +197,8 @@
     ) -> bool {
         let counts = self.may_lead_by(confirmed_at);
         let confirmed_at = if counts { confirmed_at } else { Duration::ZERO };
-        let Some(change) = self.group(service).observe_record(record, confirmed_at) else {
+        let (group, services) = (self.group(service), self.groups().len());
+        let Some(change) = group.observe_record_of(record, confirmed_at, services) else {
             return false;
         };
         let mut digest = lock(&self.records_digest);
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -14,6 +14,9 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
+/// Number of services up to which the first record of each is logged.
+const LOGGED_SERVICES_MAX: usize = 64;
+
 /// Minimum interval between requests to other instances to probe the primary of a group.
 const PROBE_REQUEST_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -162,10 +165,22 @@
     }
 
     /// Records a version of the primary's record; returns the change of its digest if it is new.
+    #[cfg(test)]
     pub(crate) fn observe_record(
         &self,
         record: &LeadRecord,
         confirmed_at: Duration,
+    ) -> Option<DigestChange> {
+        self.observe_record_of(record, confirmed_at, 1)
+    }
+
+    /// The same for the record of one of so many services. Among many, the first record is not
+    /// logged: an instance that starts learns of all at once, and logs their number.
+    pub(crate) fn observe_record_of(
+        &self,
+        record: &LeadRecord,
+        confirmed_at: Duration,
+        services: usize,
     ) -> Option<DigestChange> {
         let now = boot_time();
         let mut state = self.state();
@@ -178,8 +193,8 @@
             state.watch_failing_since = None;
             let after = RecordsDigest::of_record(&self.service, record.epoch);
             let before = std::mem::replace(&mut state.record_digest, after);
-            // A starting instance learns of all records at once, which is logged as one line.
-            let level = if is_first { log::Level::Debug } else { log::Level::Info };
+            let is_summarized = is_first && services > LOGGED_SERVICES_MAX;
+            let level = if is_summarized { log::Level::Debug } else { log::Level::Info };
             log::log!(
                 level,
                 service:% = self.service, epoch:% = record.epoch, phase:? = record.phase,
--- a/crates/rudder-engine/src/group/tests/service.rs
+++ b/crates/rudder-engine/src/group/tests/service.rs
@@ -77,6 +77,22 @@
     assert!(!group.needs_decision());
 }
 
+/// While the members of a thousand services register, each change of the list would replace the
+/// members of all services.
+#[test]
+fn a_group_knows_whether_its_entries_changed() {
+    let (group, dialer) = settled_group();
+    let primary = MemberEntry { role: MemberRole::Primary, ..member_entry("a") };
+    let other = member_entry("b");
+    let restarted = MemberEntry { started_at_ms: 2, ..member_entry("b") };
+
+    assert!(group.has_entries(&[&primary, &other]));
+    assert!(!group.has_entries(&[&primary]), "a member is missing");
+    assert!(!group.has_entries(&[&primary, &restarted]), "a member has restarted");
+    group.set_members(&[member_entry("b")], &dialer);
+    assert!(!group.has_entries(&[&primary, &other]), "the primary is not listed");
+}
+
 /// A lost, leaving or superseded primary must not be passed over.
 #[test]
 fn each_sign_against_a_primary_calls_for_a_decision() {
