Log how many operations each owner of an account at its limit grants

Cause: an account's limit was exceeded by 2% while the fleet was cut in two, and the logs showed the roles of owners only, not who granted how many, so that a second owner, a late burst and a wrong count could not be told apart.

Change: an owner counts the outcomes of claims by account and logs one line a second for each account that it rejected some of, with its role. An owner that loses contact with the store logs that once.

--- a/crates/rudder-engine/src/limits/mod.rs
+++ b/crates/rudder-engine/src/limits/mod.rs
@@ -7,6 +7,7 @@
 mod probe;
 mod queue;
 mod state;
+mod tally;
 
 pub(crate) use claim::{ClaimError, ClaimGrant, RefusedOperation};
 pub(crate) use owner::respond_to_claim;
--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -40,6 +40,12 @@
         let mut state = self.limits().state();
         let checked_at = state.contact_checked_at.replace(now).unwrap_or(now);
         if now >= connected_until {
+            if state.contact_since != Some(checked_at) {
+                log::info!(
+                    age_ms = now.saturating_sub(confirmed_at.unwrap_or_default()).as_millis();
+                    "this instance has no contact with the store and grants little as an owner"
+                );
+            }
             state.contact_since = Some(now);
             state.ledger.detach(connected_until);
             return FleetContact::Lost;
--- a/crates/rudder-engine/src/limits/probe.rs
+++ b/crates/rudder-engine/src/limits/probe.rs
@@ -264,6 +264,7 @@
             continue;
         }
         engine.fleet_contact();
+        engine.report_grants();
         let accounts: Vec<AccountName> = {
             let state = engine.limits().state();
             state.ledger.active_accounts(boot_time()).cloned().collect()
--- a/crates/rudder-engine/src/limits/queue.rs
+++ b/crates/rudder-engine/src/limits/queue.rs
@@ -87,6 +87,7 @@
     ) {
         for QueueNotice { claimant, priority, outcome } in notices {
             record_outcome(account, priority, outcome);
+            self.limits().state().tally.record(account, outcome, boot_time());
             let (message, to) = match claimant {
                 QueueClaimant::Own { request_id } => {
                     let reply = reply_of(outcome);
--- a/crates/rudder-engine/src/limits/state.rs
+++ b/crates/rudder-engine/src/limits/state.rs
@@ -2,6 +2,7 @@
 
 use super::probe::RelayLog;
 use super::queue::QueueClaimant;
+use super::tally::GrantTally;
 use crate::clock::boot_time;
 use crate::peers::{ClaimOutcome, ClaimResponse};
 use crate::sync::lock;
@@ -103,6 +104,8 @@
     pub(super) grants: GrantLog,
     /// Probes through relays.
     pub(super) relays: RelayLog,
+    /// Operations that this instance granted and rejected.
+    pub(super) tally: GrantTally,
     /// Sorted by request.
     claims: Vec<PendingClaim>,
     /// Sorted by request.
@@ -128,6 +131,7 @@
             contact_checked_at: None,
             grants: GrantLog::default(),
             relays: RelayLog::default(),
+            tally: GrantTally::default(),
             claims: Vec::new(),
             probes: Vec::new(),
             ended: VecDeque::new(),
