Keep work on loans of connections independent of the number of members

Callers saw: nothing yet on the deployments in service; in a fleet of 166 to 331 instances before 1,000 services (331 connections a member) instances spend their processor and link on loans that nobody needs. The start of a derived fleet of 196 instances had not ended after 330 s, five times that of 97.

Cause: where loans are used, each instance told all of its domain and three others the spare connections of every member each second (553 KB in five seconds at 3,000 members), and went eight times a second over all members.

With loans off 196 instances start in 104 s of processor time; with them on 219 s passed until the eighth of 24 seconds, and 29 s went into each half second after that.

Change: a report is about 64 members at most, in turn, for 8 instances of the domain and 3 others; a pass covers members with loans or waiting callers and the next 64; the mode is applied when its inputs change. With up to 64 members everything is as before.

Tests: reports_of_spare_connections_do_not_grow_with_members_or_instances failed before (177,030 and 721,616 bytes a round) and passes; passes_over_loans_do_not_grow_with_members and a_member_that_callers_wait_for_is_checked_at_once are new.

--- a/crates/rudder-decisions/src/connection_loan.rs
+++ b/crates/rudder-decisions/src/connection_loan.rs
@@ -16,10 +16,12 @@
 //! caller, and their own callers wait.
 
 mod ledger;
+mod rotation;
 mod spare;
 mod terms;
 
 pub use ledger::LoanLedger;
+pub use rotation::ReportRotation;
 pub use spare::{MemberKey, SpareBoard};
 pub use terms::{
     LoanAction, LoanDecision, LoanRefusal, LoanRequestTerms, LoanResponseTerms, MemberUse,
--- a/crates/rudder-engine/src/duty/keeper.rs
+++ b/crates/rudder-engine/src/duty/keeper.rs
@@ -265,6 +265,8 @@
 #[derive(Debug, Default)]
 pub(super) struct ShareUpdater {
     applied: Option<ShareInputs>,
+    /// Whether loans were restricted at the last update, as this process had just started.
+    loans_restricted: bool,
 }
 
 impl ShareUpdater {
@@ -276,8 +278,10 @@
             members: engine.member_changes(),
         };
         let changed = self.applied != Some(inputs);
-        if changed || engine.loans().is_used() {
-            // The restriction on loans after a start depends on the time.
+        // The restriction on loans after a start depends on the time.
+        let were_restricted =
+            std::mem::replace(&mut self.loans_restricted, engine.loans().is_starting());
+        if changed || were_restricted && engine.loans().is_used() {
             update_modes(engine);
         }
         if changed {
--- a/crates/rudder-engine/src/duty/loans.rs
+++ b/crates/rudder-engine/src/duty/loans.rs
@@ -7,7 +7,7 @@
     PeerMessage, SpareConnections, SpareCount,
 };
 use rudder_decisions::{
-    LoanAction, LoanDecision, MemberKey, NodePlace, ResponseOutcome, ReturnReason,
+    LoanAction, LoanDecision, MemberKey, NodePlace, ReportRotation, ResponseOutcome, ReturnReason,
     uses_connection_loans,
 };
 use std::net::SocketAddr;
@@ -39,13 +39,16 @@
 /// Interval between reports that have not changed.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(2000);
 
+/// Maximum number of instances of its own failure domain that receive an instance's reports.
+const NEAR_RECEIVERS_MAX: usize = 8;
+
 /// Number of instances of other failure domains that receive an instance's reports.
 const REMOTE_RECEIVERS: usize = 3;
 
 /// Borrows, lends and returns connections as long as the instance runs.
 pub(super) async fn keep_loans(engine: Arc<ProxyEngine>, exchange: PeerExchange) {
     let own_seed = xxh3_64(engine.identity().name.as_str().as_bytes());
-    let mut report = ReportSchedule::default();
+    let mut report = ReportSchedule::new(own_seed);
     let mut busy_until = Instant::now();
     let mut full_pass_at: Option<Instant> = None;
     loop {
@@ -62,6 +65,7 @@
         for work in loans.advance(&engine.groups(), own_seed, is_full) {
             send_work(&exchange, work).await;
         }
+        metrics::counter!("rudder_loan_checks_total").absolute(loans.checks());
         if let Some(message) = report.due(&engine, now) {
             exchange.send_all(&message, &report_receivers(&engine, own_seed)).await;
         }
@@ -251,24 +255,34 @@
 }
 
 /// Reports of spare connections that were sent.
-#[derive(Default)]
-struct ReportSchedule {
+pub(super) struct ReportSchedule {
+    rotation: ReportRotation,
     last: Vec<SpareCount>,
     sent_at: Option<Instant>,
 }
 
 impl ReportSchedule {
+    pub(super) fn new(own_seed: u64) -> Self {
+        Self { rotation: ReportRotation::new(own_seed), last: Vec::new(), sent_at: None }
+    }
+
     /// Returns the report that is due: when it has changed, but not more often than heartbeats, and
-    /// otherwise at longer intervals. Nothing is reported repeatedly if nothing can be lent.
-    fn due(&mut self, engine: &ProxyEngine, now: Instant) -> Option<PeerMessage> {
+    /// otherwise at longer intervals. Nothing is reported repeatedly if nothing can be lent. Reports
+    /// about some of the members are sent at the longer intervals only.
+    pub(super) fn due(&mut self, engine: &ProxyEngine, now: Instant) -> Option<PeerMessage> {
         if self.sent_at.is_some_and(|at| now < at + REPORT_INTERVAL) {
             return None;
         }
+        let is_due = self.sent_at.is_none_or(|at| now >= at + REPEAT_INTERVAL);
         let groups = engine.groups();
-        let members = groups.iter().flat_map(|group| group.members());
-        let spare = members.filter_map(|member| engine.loans().spare(&member));
+        let members: Vec<Arc<GroupMember>> =
+            groups.iter().flat_map(|group| group.members()).collect();
+        if ReportRotation::is_partial(members.len()) && !is_due {
+            return None;
+        }
+        let chosen = self.rotation.next(members.len()).map(|positions| &members[positions]);
+        let spare = chosen.concat().into_iter().filter_map(|member| engine.loans().spare(&member));
         let counts: Vec<SpareCount> = spare.map(SpareCount::from).collect();
-        let is_due = self.sent_at.is_none_or(|at| now >= at + REPEAT_INTERVAL);
         if counts == self.last && (counts.is_empty() || !is_due) {
             return None;
         }
@@ -278,15 +292,19 @@
     }
 }
 
-/// Returns the receivers of this instance's reports: the instances of its failure domain and a few
-/// of the others, which differ between instances.
-fn report_receivers(engine: &ProxyEngine, own_seed: u64) -> Vec<SocketAddr> {
+/// Returns the receivers of this instance's reports: the instances of its failure domain, some of
+/// them if there are many, and a few of the others. They differ between instances.
+pub(super) fn report_receivers(engine: &ProxyEngine, own_seed: u64) -> Vec<SocketAddr> {
     let own = engine.identity();
     let (entries, _) = engine.membership().entries();
     let others = entries.into_iter().filter(|entry| entry.instance != own.name);
-    let (near, mut far): (Vec<PeerEntry>, Vec<PeerEntry>) =
+    let (mut near, mut far): (Vec<PeerEntry>, Vec<PeerEntry>) =
         others.partition(|entry| entry.domain == own.domain);
-    far.sort_by_cached_key(|entry| xxh3_64_with_seed(entry.instance.as_str().as_bytes(), own_seed));
-    far.truncate(REMOTE_RECEIVERS);
+    for (receivers, count) in [(&mut near, NEAR_RECEIVERS_MAX), (&mut far, REMOTE_RECEIVERS)] {
+        receivers.sort_by_cached_key(|entry| {
+            xxh3_64_with_seed(entry.instance.as_str().as_bytes(), own_seed)
+        });
+        receivers.truncate(count);
+    }
     near.into_iter().chain(far).map(|entry| entry.address).collect()
 }
--- a/crates/rudder-engine/src/duty/tests/loans.rs
+++ b/crates/rudder-engine/src/duty/tests/loans.rs
@@ -1,6 +1,7 @@
 //! Loans of connections between two instances that exchange datagrams.
 
 use crate::clock::boot_time;
+use crate::duty::keeper::ShareUpdater;
 use crate::duty::{heartbeat, loans};
 use crate::engine::ProxyEngine;
 use crate::fixtures::{RejectingPromotion, UnavailableStore, identity, member_entry};
@@ -17,7 +18,7 @@
 use rudder_decisions::ConnectionShare;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::task::JoinHandle;
 
 /// Connections that the member accepts: two for each instance, and four that are reserved.
@@ -161,3 +162,116 @@
     assert!(kept.is_some() && was_waiting && returned.is_some());
     assert!(member.most_open.load(Ordering::SeqCst) <= 3, "the shares are exceeded");
 }
+
+/// Returns an instance of a fleet whose instances have one or two connections to each of three
+/// members of `services` services.
+fn instance_of_fleet(instances: usize, services: usize) -> Arc<ProxyEngine> {
+    let dependencies = EngineDependencies {
+        dialer: Arc::new(CountingMember::default()),
+        promotion: Arc::new(RejectingPromotion),
+        store: Arc::new(UnavailableStore),
+    };
+    let engine = ProxyEngine::new(identity("own"), dependencies);
+    let domains = ["east", "north", "south"];
+    let entries = (0..instances).map(|number| PeerEntry {
+        instance: if number == 0 { "own".to_owned() } else { format!("peer-{number}") }
+            .parse()
+            .expect("a name"),
+        domain: if number == 0 { "north" } else { domains[number % 3] }.parse().expect("a name"),
+        address: ([127, 0, 0, 1], 1000 + u16::try_from(number).expect("few")).into(),
+        marked: false,
+        capacity: None,
+    });
+    engine.membership().set_entries(entries.collect(), boot_time());
+    let connections_max = u32::try_from(instances + instances / 2).expect("few");
+    let service = |number: usize| format!("records-{number}").parse().expect("a name");
+    let members: Vec<MemberEntry> = (0..3 * services)
+        .map(|number| {
+            let entry = member_entry(&format!("m-{number}"));
+            let target = MemberTarget { service: service(number / 3), ..entry.target };
+            MemberEntry { target, ..entry }
+        })
+        .collect();
+    let rule = |number| ServiceRule { service: service(number), connections_max };
+    let rules = (0..services).map(rule).collect();
+    let route = RouteRule { service: service(0), ..settings().routes[0].as_ref().clone() };
+    engine.apply_settings(FleetSettings::sorted(SettingsVersion(1), vec![route], rules, WAIT));
+    engine.apply_members(&members, 1);
+    loans::update_modes(&engine);
+    let names = engine.membership().known();
+    for group in engine.groups().iter() {
+        group.assign_connection_shares(connections_max, &engine.identity().name, &names, None);
+    }
+    engine
+}
+
+/// Each instance of a fleet with thousands of members would send and receive reports on all of them
+/// from all instances of its failure domain, every second.
+#[tokio::test]
+async fn reports_of_spare_connections_do_not_grow_with_members_or_instances() {
+    let mut sent = Vec::new();
+    for (instances, services) in [(40, 8), (200, 300), (400, 600)] {
+        let engine = instance_of_fleet(instances, services);
+        tokio::time::sleep(SETTLING_TIME).await;
+        let mut schedule = loans::ReportSchedule::new(7);
+        let report = schedule.due(&engine, Instant::now()).expect("spare connections");
+        let repeated = schedule.due(&engine, Instant::now() + Duration::from_millis(1500));
+        let bytes = postcard::to_stdvec(&report).expect("a message is written").len();
+        sent.push((bytes * loans::report_receivers(&engine, 7).len(), repeated.is_some()));
+    }
+
+    assert!(sent[1..].iter().all(|(bytes, _)| *bytes < 4096), "{sent:?}");
+    assert!(sent.iter().all(|(_, is_repeated)| !is_repeated), "{sent:?}");
+}
+
+/// Each instance of a fleet with thousands of members would work out the loans of all of them several
+/// times a second, although nobody needs one.
+#[tokio::test]
+async fn passes_over_loans_do_not_grow_with_members() {
+    let mut checks = Vec::new();
+    for services in [8, 300, 600] {
+        let engine = instance_of_fleet(200, services);
+        tokio::time::sleep(SETTLING_TIME).await;
+        let mut updater = ShareUpdater::default();
+        for _ in 0..3 {
+            updater.update(&engine, &engine.groups());
+        }
+        let before = engine.loans().checks();
+        for _ in 0..4 {
+            updater.update(&engine, &engine.groups());
+            engine.loans().advance(&engine.groups(), 7, true);
+        }
+        for _ in 0..100 {
+            engine.loans().advance(&engine.groups(), 7, false);
+        }
+        checks.push(engine.loans().checks() - before);
+    }
+
+    assert!(checks.iter().all(|count| *count <= 4 * 64), "{checks:?}");
+}
+
+/// A member of a large fleet for which a caller waits would get a loan only when its turn comes.
+#[tokio::test]
+async fn a_member_that_callers_wait_for_is_checked_at_once() {
+    let engine = instance_of_fleet(200, 300);
+    tokio::time::sleep(SETTLING_TIME).await;
+    loans::update_modes(&engine);
+    let group = engine.groups()[150].clone();
+    let member = group.members().remove(0);
+    let request = LinkRequest { user: LinkUser::Caller(None), rank: 4 };
+    let mut held = Vec::new();
+    while member.pool().spare_connections() > 0 {
+        held.push(member.pool().acquire(&request, WAIT).await.expect("a connection"));
+    }
+    let waiting = tokio::spawn(async move { member.pool().acquire(&request, WAIT).await.is_ok() });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let before = engine.loans().checks();
+
+    engine.loans().advance(&engine.groups(), 7, false);
+    let checked = engine.loans().checks() - before;
+    engine.loans().advance(&engine.groups(), 7, false);
+    let checked_again = engine.loans().checks() - before - checked;
+    waiting.abort();
+
+    assert_eq!((checked, checked_again), (1, 1));
+}
--- a/crates/rudder-engine/src/group/loan.rs
+++ b/crates/rudder-engine/src/group/loan.rs
@@ -5,7 +5,7 @@
 //! message is sent. The ledgers outlive the pools, as loans stay valid if a member restarts.
 
 use super::member::GroupMember;
-use super::pool_loans::PoolMode;
+use super::pool_loans::{LoanNeed, PoolMode};
 use super::service::ServiceGroup;
 use crate::clock::boot_time;
 use crate::peers::{LoanRequest, LoanTarget};
@@ -13,12 +13,12 @@
 use rudder_core::{MemberName, ServiceName};
 use rudder_decisions::{
     LoanAction, LoanDecision, LoanLedger, LoanRefusal, LoanRequestTerms, LoanResponseTerms,
-    MemberKey, MemberUse, PlaceDistance, ResponseOutcome, SpareBoard,
+    MemberKey, MemberUse, PlaceDistance, ReportRotation, ResponseOutcome, SpareBoard,
 };
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
 
 /// Another instance, as the sender or receiver of messages about loans.
 #[derive(Clone, Copy, Debug)]
@@ -41,7 +41,9 @@
 pub(crate) struct ConnectionLoans {
     started_at: Duration,
     state: Mutex<LoanState>,
-    need: Arc<Notify>,
+    need: Arc<LoanNeed>,
+    /// Number of times that the loans of a member were worked out.
+    checks: AtomicU64,
 }
 
 #[derive(Default)]
@@ -49,6 +51,8 @@
     /// Sorted by service and member.
     ledgers: Vec<MemberLedger>,
     board: SpareBoard,
+    /// Members that the next full pass covers.
+    rotation: ReportRotation,
 }
 
 struct MemberLedger {
@@ -94,7 +98,8 @@
 
     /// Creates the loans of a process that started at `started_at`.
     pub(super) fn of_process(started_at: Duration) -> Self {
-        Self { started_at, state: Mutex::default(), need: Arc::new(Notify::new()) }
+        let checks = AtomicU64::new(0);
+        Self { started_at, state: Mutex::default(), need: Arc::default(), checks }
     }
 
     fn state(&self) -> MutexGuard<'_, LoanState> {
@@ -103,7 +108,17 @@
 
     /// Waits until callers may need a loan, for at most `limit`. Returns whether they do.
     pub(crate) async fn wait_need(&self, limit: Duration) -> bool {
-        tokio::time::timeout(limit, self.need.notified()).await.is_ok()
+        tokio::time::timeout(limit, self.need.changed.notified()).await.is_ok()
+    }
+
+    /// Whether loans of an earlier process of this instance may be valid.
+    pub(crate) fn is_starting(&self) -> bool {
+        LoanLedger::new(self.started_at).is_starting(boot_time())
+    }
+
+    /// Number of times that the loans of a member were worked out.
+    pub(crate) fn checks(&self) -> u64 {
+        self.checks.load(Ordering::Relaxed)
     }
 
     /// Whether loans are used for any member.
@@ -133,18 +148,21 @@
                 continue;
             }
             if mode.is_some() && !known.in_use {
-                self.need.notify_one();
+                self.need.changed.notify_one();
             }
             known.in_use = mode.is_some();
             if !known.in_use {
                 known.ledger.end_all();
             }
+            self.checks.fetch_add(1, Ordering::Relaxed);
             member.pool().update_balance(|usage| (known.balance(usage, now), ()));
         }
     }
 
     /// Returns the messages that are due, and applies the loans to the pools. Loans of members that
-    /// were removed end. Only a `full` pass covers members without loans and waiting callers.
+    /// were removed end. Only a `full` pass covers members without loans and waiting callers. Of
+    /// thousands of members it covers the next ones in turn, so that its work does not grow with
+    /// them.
     pub(crate) fn advance(
         &self,
         groups: &[Arc<ServiceGroup>],
@@ -153,16 +171,30 @@
     ) -> Vec<LoanWork> {
         let now = boot_time();
         let mut state = self.state();
-        let LoanState { ledgers, board } = &mut *state;
+        let LoanState { ledgers, board, rotation } = &mut *state;
+        let is_partial = ReportRotation::is_partial(ledgers.len());
+        let covered = if full { rotation.next(ledgers.len()) } else { [0..0, 0..0] };
+        let needed = self.need.members();
+        let mut positions = 0..;
         let mut due = Vec::new();
         ledgers.retain_mut(|known| {
+            let key = known.key;
+            let position = positions.next().unwrap_or(usize::MAX);
+            let is_covered = covered.iter().any(|range| range.contains(&position));
+            let is_needed = !is_partial || needed.binary_search(&key).is_ok();
+            if !is_covered && !is_needed && known.ledger.is_empty() {
+                return true;
+            }
             let group = groups.binary_search_by(|group| group.service().cmp(&known.service));
             let member = group.ok().and_then(|index| groups[index].member(&known.member));
             let has_waiters = member.as_ref().is_some_and(|member| member.pool().has_waiters());
-            if !full && !has_waiters && known.ledger.is_empty() {
+            if !has_waiters {
+                self.need.end(key);
+            }
+            if !is_covered && !has_waiters && known.ledger.is_empty() {
                 return true;
             }
-            let key = known.key;
+            self.checks.fetch_add(1, Ordering::Relaxed);
             let mut decide = |usage: MemberUse| {
                 let is_needed = known.in_use && usage.waiting > 0;
                 let lender = if is_needed { board.choose(key, own_seed, now) } else { None };
@@ -250,7 +282,7 @@
         else {
             return ResponseOutcome::Unknown;
         };
-        let LoanState { ledgers, board } = &mut *state;
+        let LoanState { ledgers, board, .. } = &mut *state;
         let known = &mut ledgers[index];
         let outcome = member.pool().update_balance(|usage| {
             let outcome = known.ledger.record_response(lender, terms, now);
@@ -262,7 +294,7 @@
             ResponseOutcome::Refused => board.reduce(key, lender, u32::MAX),
             ResponseOutcome::Renewed | ResponseOutcome::Repeated | ResponseOutcome::Unknown => {}
         }
-        self.need.notify_one();
+        self.need.changed.notify_one();
         outcome
     }
 
@@ -288,7 +320,7 @@
     pub(crate) fn record_recall(&self, loan: &LoanTarget, lender: SocketAddr) -> bool {
         let mut state = self.state();
         let Ok(index) = state.position(&loan.service, &loan.member) else { return false };
-        self.need.notify_one();
+        self.need.changed.notify_one();
         state.ledgers[index].ledger.record_recall(lender, loan.request_id)
     }
 }
--- a/crates/rudder-engine/src/group/pool_loans.rs
+++ b/crates/rudder-engine/src/group/pool_loans.rs
@@ -2,8 +2,9 @@
 
 use super::link::PooledLink;
 use super::pool::{MemberPool, PoolState, count};
-use rudder_decisions::MemberUse;
-use std::sync::Arc;
+use crate::sync::lock;
+use rudder_decisions::{MemberKey, MemberUse};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
@@ -29,11 +30,40 @@
     period_began_at: Option<Instant>,
 }
 
+/// Members for which callers wait although the limit of the pool is reached.
+#[derive(Default)]
+pub(super) struct LoanNeed {
+    pub(super) changed: Notify,
+    /// Sorted.
+    members: Mutex<Vec<MemberKey>>,
+}
+
+impl LoanNeed {
+    fn report(&self, member: MemberKey) {
+        let mut members = lock(&self.members);
+        if let Err(index) = members.binary_search(&member) {
+            members.insert(index, member);
+        }
+        drop(members);
+        self.changed.notify_one();
+    }
+
+    /// Returns the members, sorted.
+    pub(super) fn members(&self) -> Vec<MemberKey> {
+        lock(&self.members).clone()
+    }
+
+    /// Records that no caller waits for a member any more.
+    pub(super) fn end(&self, member: MemberKey) {
+        lock(&self.members).retain(|known| *known != member);
+    }
+}
+
 /// Settings of a pool while loans are used.
 #[derive(Clone)]
 pub(super) struct PoolMode {
     /// Notified when callers wait although the limit is reached.
-    pub(super) need: Arc<Notify>,
+    pub(super) need: Arc<LoanNeed>,
     /// Highest priority of any route.
     pub(super) top_priority: u8,
 }
@@ -105,7 +135,8 @@
         let state = self.state();
         let Some(mode) = &state.loans.mode else { return };
         if !state.waiters.is_empty() {
-            mode.need.notify_one();
+            let target = self.target();
+            mode.need.report(MemberKey::of(&target.service, &target.member));
         }
     }
 
