Keep a member's need for a loan that is reported during a pass; name the rotation by what it rotates

Cause: a pass over the loans removed the need of a member without waiting callers after it had looked, so a caller that began to wait in between would have got a loan only when the member's turn came (seconds, with more than 64 members). A pass now takes the needs first and records those that still stand.

Also: an instance that starts no longer logs that it has lost contact with the store, and ReportRotation, which passes use as well, is called MemberRotation.

--- a/crates/rudder-decisions/src/connection_loan.rs
+++ b/crates/rudder-decisions/src/connection_loan.rs
@@ -21,7 +21,7 @@
 mod terms;
 
 pub use ledger::LoanLedger;
-pub use rotation::ReportRotation;
+pub use rotation::MemberRotation;
 pub use spare::{MemberKey, SpareBoard};
 pub use terms::{
     LoanAction, LoanDecision, LoanRefusal, LoanRequestTerms, LoanResponseTerms, MemberUse,
--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -37,7 +37,7 @@
 pub use connection_headroom::ConnectionHeadroom;
 pub use connection_loan::{
     LoanAction, LoanDecision, LoanLedger, LoanRefusal, LoanRequestTerms, LoanResponseTerms,
-    MemberKey, MemberUse, ReportRotation, ResponseOutcome, ReturnReason, SpareBoard,
+    MemberKey, MemberRotation, MemberUse, ResponseOutcome, ReturnReason, SpareBoard,
     uses_connection_loans,
 };
 pub use connection_share::ConnectionShare;
--- a/crates/rudder-engine/src/duty/loans.rs
+++ b/crates/rudder-engine/src/duty/loans.rs
@@ -7,7 +7,7 @@
     PeerMessage, SpareConnections, SpareCount,
 };
 use rudder_decisions::{
-    LoanAction, LoanDecision, MemberKey, NodePlace, ReportRotation, ResponseOutcome, ReturnReason,
+    LoanAction, LoanDecision, MemberKey, MemberRotation, NodePlace, ResponseOutcome, ReturnReason,
     uses_connection_loans,
 };
 use std::net::SocketAddr;
@@ -256,14 +256,14 @@
 
 /// Reports of spare connections that were sent.
 pub(super) struct ReportSchedule {
-    rotation: ReportRotation,
+    rotation: MemberRotation,
     last: Vec<SpareCount>,
     sent_at: Option<Instant>,
 }
 
 impl ReportSchedule {
     pub(super) fn new(own_seed: u64) -> Self {
-        Self { rotation: ReportRotation::new(own_seed), last: Vec::new(), sent_at: None }
+        Self { rotation: MemberRotation::new(own_seed), last: Vec::new(), sent_at: None }
     }
 
     /// Returns the report that is due: when it has changed, but not more often than heartbeats, and
@@ -277,7 +277,7 @@
         let groups = engine.groups();
         let members: Vec<Arc<GroupMember>> =
             groups.iter().flat_map(|group| group.members()).collect();
-        if ReportRotation::is_partial(members.len()) && !is_due {
+        if MemberRotation::is_partial(members.len()) && !is_due {
             return None;
         }
         let chosen = self.rotation.next(members.len()).map(|positions| &members[positions]);
--- a/crates/rudder-engine/src/group/loan.rs
+++ b/crates/rudder-engine/src/group/loan.rs
@@ -13,7 +13,7 @@
 use rudder_core::{MemberName, ServiceName};
 use rudder_decisions::{
     LoanAction, LoanDecision, LoanLedger, LoanRefusal, LoanRequestTerms, LoanResponseTerms,
-    MemberKey, MemberUse, PlaceDistance, ReportRotation, ResponseOutcome, SpareBoard,
+    MemberKey, MemberRotation, MemberUse, PlaceDistance, ResponseOutcome, SpareBoard,
 };
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -52,7 +52,7 @@
     ledgers: Vec<MemberLedger>,
     board: SpareBoard,
     /// Members that the next full pass covers.
-    rotation: ReportRotation,
+    rotation: MemberRotation,
 }
 
 struct MemberLedger {
@@ -172,9 +172,9 @@
         let now = boot_time();
         let mut state = self.state();
         let LoanState { ledgers, board, rotation } = &mut *state;
-        let is_partial = ReportRotation::is_partial(ledgers.len());
+        let is_partial = MemberRotation::is_partial(ledgers.len());
         let covered = if full { rotation.next(ledgers.len()) } else { [0..0, 0..0] };
-        let needed = self.need.members();
+        let needed = self.need.take();
         let mut positions = 0..;
         let mut due = Vec::new();
         ledgers.retain_mut(|known| {
@@ -188,8 +188,8 @@
             let group = groups.binary_search_by(|group| group.service().cmp(&known.service));
             let member = group.ok().and_then(|index| groups[index].member(&known.member));
             let has_waiters = member.as_ref().is_some_and(|member| member.pool().has_waiters());
-            if !has_waiters {
-                self.need.end(key);
+            if has_waiters {
+                self.need.record(key);
             }
             if !is_covered && !has_waiters && known.ledger.is_empty() {
                 return true;
--- a/crates/rudder-engine/src/group/pool_loans.rs
+++ b/crates/rudder-engine/src/group/pool_loans.rs
@@ -39,23 +39,18 @@
 }
 
 impl LoanNeed {
-    fn report(&self, member: MemberKey) {
+    /// Records that callers wait for a member.
+    pub(super) fn record(&self, member: MemberKey) {
         let mut members = lock(&self.members);
         if let Err(index) = members.binary_search(&member) {
             members.insert(index, member);
         }
-        drop(members);
-        self.changed.notify_one();
     }
 
-    /// Returns the members, sorted.
-    pub(super) fn members(&self) -> Vec<MemberKey> {
-        lock(&self.members).clone()
-    }
-
-    /// Records that no caller waits for a member any more.
-    pub(super) fn end(&self, member: MemberKey) {
-        lock(&self.members).retain(|known| *known != member);
+    /// Removes and returns the members, sorted. Those that callers still wait for have to be recorded
+    /// again.
+    pub(super) fn take(&self) -> Vec<MemberKey> {
+        std::mem::take(&mut *lock(&self.members))
     }
 }
 
@@ -136,7 +131,8 @@
         let Some(mode) = &state.loans.mode else { return };
         if !state.waiters.is_empty() {
             let target = self.target();
-            mode.need.report(MemberKey::of(&target.service, &target.member));
+            mode.need.record(MemberKey::of(&target.service, &target.member));
+            mode.need.changed.notify_one();
         }
     }
 
--- a/crates/rudder-engine/src/limits/owner.rs
+++ b/crates/rudder-engine/src/limits/owner.rs
@@ -40,7 +40,7 @@
         let mut state = self.limits().state();
         let checked_at = state.contact_checked_at.replace(now).unwrap_or(now);
         if now >= connected_until {
-            if state.contact_since != Some(checked_at) {
+            if state.contact_since.is_some_and(|since| since != checked_at) {
                 log::info!(
                     age_ms = now.saturating_sub(confirmed_at.unwrap_or_default()).as_millis();
                     "this instance has no contact with the store and grants little as an owner"
