--- a/crates/arbutusrudder/tests/soak/environment.rs
+++ b/crates/arbutusrudder/tests/soak/environment.rs
@@ -52,6 +52,17 @@
 /// Replication lag without faults.
 const DEFAULT_LAG: Duration = Duration::from_millis(15);
 
+/// Time between a promotion order and its effect.
+const PROMOTION_TIME: Duration = Duration::from_millis(1000);
+
+/// Shortest and longest outage of a primary whose promoter is killed: the order is sent before its
+/// end, and takes effect afterwards.
+const PROMOTER_OUTAGE: (Duration, Duration) =
+    (Duration::from_millis(700), Duration::from_millis(1300));
+
+/// Time after which a killed process is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+
 /// Interval of a member's registrations, and the time after which a stopped member is removed.
 const REGISTRATION_INTERVAL: Duration = Duration::from_millis(150);
 const REGISTRATION_EXPIRY: Duration = Duration::from_millis(1200);
@@ -88,6 +99,7 @@
     pub(crate) async fn start(seed: u64, instance_count: usize) -> Arc<Self> {
         let fleet = LineFleet::start(SERVICE, DEFAULT_LAG).await.expect("store and group start");
         fleet.set_accounts(accounts());
+        fleet.group.set_promotion_time(PROMOTION_TIME);
         let mut member_links = Vec::new();
         for member in fleet.group.members() {
             member_links.push(link_to(member.address).await);
@@ -305,6 +317,10 @@
                 group.resume(index);
             }
         }
+        SoakFault::PromoterKilled => {
+            let (shortest, longest) = PROMOTER_OUTAGE;
+            kill_promoter(&environment, timed.length.clamp(shortest, longest)).await;
+        }
         SoakFault::PrimaryLeaves => {
             let members = environment.fleet.group.members();
             let primary = members.into_iter().find(|member| member.is_primary);
@@ -321,6 +337,31 @@
     }
 }
 
+/// Stops the primary for a time, and kills the process that orders its successor meanwhile or soon
+/// after.
+async fn kill_promoter(environment: &SoakEnvironment, length: Duration) {
+    let group = &environment.fleet.group;
+    let members = group.members();
+    let primary = members.iter().position(|member| member.is_primary);
+    let all_run = (0..members.len()).all(|member| group.is_up(member));
+    let Some(primary) = primary.filter(|_| all_run) else { return };
+    group.stop(primary);
+    let outage = async {
+        tokio::time::sleep(length).await;
+        group.resume(primary);
+    };
+    let kill = async {
+        let order = tokio::time::timeout(length + PROMOTION_TIME, environment.fleet.next_order());
+        let Ok(order) = order.await else { return };
+        let is_holder = |instance: &&SoakInstance| instance.slot.name() == order.holder;
+        let Some(holder) = environment.instances.iter().find(is_holder) else { return };
+        *lock(&holder.process) = None;
+        tokio::time::sleep(RESTART_DELAY).await;
+        lock(&holder.process).get_or_insert_with(|| SoakProcess::start(&holder.files));
+    };
+    tokio::join!(outage, kill);
+}
+
 async fn fail_store(environment: &SoakEnvironment, fault: ObjectsFault, length: Duration) {
     environment.fleet.store.set_fault(fault);
     tokio::time::sleep(length).await;
--- a/crates/arbutusrudder/tests/soak/faults.rs
+++ b/crates/arbutusrudder/tests/soak/faults.rs
@@ -49,6 +49,9 @@
     MemberLink(usize, LinkFailure),
     /// Stops a member.
     MemberDown(usize),
+    /// Stops the primary for about a second, and kills the process that orders its successor as soon
+    /// as the order has been accepted.
+    PromoterKilled,
     /// The primary announces that it is leaving.
     PrimaryLeaves,
     /// Replicas lag by this time.
@@ -104,7 +107,7 @@
 fn generate_fault(rng: &mut StdRng, instances: usize) -> SoakFault {
     let instance = rng.random_range(0..instances);
     let member = rng.random_range(0..MEMBERS);
-    match rng.random_range(0..14) {
+    match rng.random_range(0..16) {
         0 | 1 => SoakFault::Kill(instance),
         2 => SoakFault::Pause(instance),
         3 => SoakFault::Restart(instance),
@@ -116,6 +119,7 @@
         10 => SoakFault::MemberDown(member),
         11 => SoakFault::PrimaryLeaves,
         12 => SoakFault::Lag(Duration::from_millis(rng.random_range(50..4000))),
+        13 | 14 => SoakFault::PromoterKilled,
         _ => SoakFault::SettingsChange,
     }
 }
--- a/crates/rudder-standins/src/lib.rs
+++ b/crates/rudder-standins/src/lib.rs
@@ -18,6 +18,6 @@
     LineFleet, LineGroup, LineMember, LineReply, LineSlot, LineStatement,
 };
 pub use link::{DatagramLinkStandin, LinkDirection, LinkFault, LinkSettings, LinkStandin};
-pub use objects::{ObjectsCall, ObjectsFault, ObjectsStandin, PromotionSink};
+pub use objects::{ObjectsCall, ObjectsFault, ObjectsStandin, PromotionRequest, PromotionSink};
 pub use platform::{CallCounts, PlatformFaults, PlatformOutage, PlatformStandin, StandinInstance};
 pub use trial::{FaultKind, TimedFault, TrialReport, TrialSchedule, run_trial};
--- a/crates/rudder-standins/src/lines/fleet.rs
+++ b/crates/rudder-standins/src/lines/fleet.rs
@@ -2,13 +2,14 @@
 //! describe members and settings.
 
 use super::group::{LineGroup, LineMember};
-use crate::objects::ObjectsStandin;
+use crate::objects::{ObjectsStandin, PromotionRequest};
 use serde_json::{Value, json};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Name of the environment variable that holds the path of an instance's settings file.
 pub const BOOT_VARIABLE: &str = "ARBUTUSRUDDER_BOOT";
@@ -80,6 +81,18 @@
     pub callers: SocketAddr,
 }
 
+impl LineSlot {
+    /// Returns the name of the instance.
+    ///
+    /// ```
+    /// assert_eq!(rudder_standins::LineFleet::instance_slot(2).name(), "proxy-2");
+    /// ```
+    #[must_use]
+    pub fn name(&self) -> String {
+        format!("proxy-{}", self.number)
+    }
+}
+
 /// Object store and database group of one service.
 pub struct LineFleet {
     /// Object store.
@@ -88,6 +101,8 @@
     pub group: LineGroup,
     service: String,
     accounts: Mutex<Option<Vec<LineAccount>>>,
+    /// Last promotion order, if it was accepted.
+    orders: watch::Sender<Option<PromotionRequest>>,
 }
 
 impl LineFleet {
@@ -114,11 +129,30 @@
         let group = LineGroup::start(service, DOMAINS.len(), lag).await?;
         let promoted_group = group.clone();
         let own_service = service.to_owned();
-        let store = ObjectsStandin::start(Arc::new(move |service, member, token| {
-            service == own_service && promoted_group.promote(member, token)
+        let orders = watch::Sender::new(None);
+        let received = orders.clone();
+        let store = ObjectsStandin::start(Arc::new(move |request: &PromotionRequest| {
+            let accepted = request.service == own_service
+                && promoted_group.promote(&request.member, request.token);
+            received.send_replace(accepted.then(|| request.clone()));
+            accepted
         }))
         .await?;
-        Ok(Self { store, group, service: service.to_owned(), accounts: Mutex::default() })
+        let accounts = Mutex::default();
+        Ok(Self { store, group, service: service.to_owned(), accounts, orders })
+    }
+
+    /// Waits until the next promotion order is accepted, and returns it.
+    pub async fn next_order(&self) -> PromotionRequest {
+        let mut orders = self.orders.subscribe();
+        loop {
+            // Fails only if the sender is dropped, which this deployment holds.
+            if orders.changed().await.is_ok()
+                && let Some(request) = orders.borrow_and_update().clone()
+            {
+                return request;
+            }
+        }
     }
 
     /// Writes the members' registrations as the members would.
@@ -187,7 +221,7 @@
         let regions: serde_json::Map<_, _> =
             DOMAINS.iter().map(|domain| ((*domain).to_owned(), json!(*domain))).collect();
         json!({
-            "nodeName": format!("proxy-{}", slot.number), "ip": ip, "zone": domain,
+            "nodeName": slot.name(), "ip": ip, "zone": domain,
             "region": domain, "zones": regions,
             "listenAddrs": {
                 "frontend": slot.callers, "ready": SocketAddr::new(ip, READY_PORT),
--- a/crates/rudder-standins/src/lines/group.rs
+++ b/crates/rudder-standins/src/lines/group.rs
@@ -72,6 +72,8 @@
     lag: Duration,
     tokens: Vec<u64>,
     promoted_at: Option<Instant>,
+    /// Time between a promotion order and its effect.
+    promotion_time: Duration,
     /// Ids of the writes that promotions rolled back.
     rolled_back_writes: Vec<String>,
     statements: Vec<LineStatement>,
@@ -122,19 +124,22 @@
         }
     }
 
-    fn promote(&mut self, id: &str) -> bool {
-        let Some(index) = self.members.iter().position(|member| member.id == id) else {
-            return false;
-        };
-        if !*self.members[index].running.borrow() {
-            return false;
-        }
+    /// Returns the index of a member that can be promoted.
+    fn running_member(&self, id: &str) -> Option<usize> {
+        let index = self.members.iter().position(|member| member.id == id)?;
+        self.members[index].running.borrow().then_some(index)
+    }
+
+    /// Promotes a member, if it runs and is not the primary already.
+    fn promote(&mut self, id: &str) {
+        let Some(index) = self.running_member(id) else { return };
         if index == self.primary && self.members[index].is_primary {
-            return true;
+            return;
         }
         self.catch_up(index);
         let term = self.members.iter().map(|member| member.term).max().unwrap_or(0) + 1;
-        let rolled_back = self.members[self.primary].log[self.members[index].log.len()..].iter();
+        let same = common_length(&self.members[self.primary].log, &self.members[index].log);
+        let rolled_back = self.members[self.primary].log[same..].iter();
         let rolled_back = rolled_back.flat_map(|commit| &commit.writes).map(|(id, ..)| id.clone());
         self.rolled_back_writes.extend(rolled_back.collect::<Vec<_>>());
         self.promoted_at = Some(Instant::now());
@@ -144,13 +149,17 @@
         let primary_log = self.members[index].log.clone();
         for member in self.members.iter_mut().filter(|member| !member.is_primary) {
             // Commits that the new primary has not received are rolled back.
-            let same = member.log.iter().zip(&primary_log).take_while(|(a, b)| a == b).count();
+            let same = common_length(&member.log, &primary_log);
             member.log.truncate(same);
         }
-        true
     }
 }
 
+/// Returns the number of commits at the start of two logs that are the same.
+fn common_length(left: &[LineCommit], right: &[LineCommit]) -> usize {
+    left.iter().zip(right).take_while(|(left, right)| left == right).count()
+}
+
 /// A running group. It stops with the runtime that started it.
 #[derive(Clone)]
 pub struct LineGroup {
@@ -198,6 +207,7 @@
             lag,
             tokens: Vec::new(),
             promoted_at: None,
+            promotion_time: Duration::ZERO,
             rolled_back_writes: Vec::new(),
             statements: Vec::new(),
         };
@@ -223,13 +233,32 @@
         self.state().members.iter().map(view).collect()
     }
 
-    /// Promotes a member to primary of the next term with the log that it has received. Returns
-    /// false if the member is stopped or unknown.
+    /// Promotes a member to primary of the next term with the log that it has received, after the
+    /// group's promotion time and if it still runs then. Returns false if the member is stopped or
+    /// unknown.
     #[must_use]
     pub fn promote(&self, id: &str, token: u64) -> bool {
         let mut state = self.state();
         state.tokens.push(token);
-        state.promote(id)
+        if state.running_member(id).is_none() {
+            return false;
+        }
+        if state.promotion_time.is_zero() {
+            state.promote(id);
+            return true;
+        }
+        let (state, id, promotion_time) =
+            (Arc::clone(&self.state), id.to_owned(), state.promotion_time);
+        tokio::spawn(async move {
+            tokio::time::sleep(promotion_time).await;
+            lock(&state).promote(&id);
+        });
+        true
+    }
+
+    /// Sets the time between a promotion order and its effect.
+    pub fn set_promotion_time(&self, promotion_time: Duration) {
+        self.state().promotion_time = promotion_time;
     }
 
     /// Returns the fencing tokens of all promotion requests, in the order received.
--- a/crates/rudder-standins/src/objects/mod.rs
+++ b/crates/rudder-standins/src/objects/mod.rs
@@ -3,4 +3,4 @@
 mod routes;
 mod state;
 
-pub use state::{ObjectsCall, ObjectsFault, ObjectsStandin, PromotionSink};
+pub use state::{ObjectsCall, ObjectsFault, ObjectsStandin, PromotionRequest, PromotionSink};
--- a/crates/rudder-standins/src/objects/routes.rs
+++ b/crates/rudder-standins/src/objects/routes.rs
@@ -1,6 +1,8 @@
 //! HTTP interface of the object store.
 
-use super::state::{ObjectEvent, ObjectRow, ObjectsCall, ObjectsFault, ObjectsShared};
+use super::state::{
+    ObjectEvent, ObjectRow, ObjectsCall, ObjectsFault, ObjectsShared, PromotionRequest,
+};
 use axum::body::Bytes;
 use axum::extract::{Path, Query, State};
 use axum::http::{HeaderMap, Method, StatusCode};
@@ -161,16 +163,22 @@
 }
 
 async fn promote(State(shared): Shared, headers: HeaderMap, Json(body): Json<Value>) -> Response {
-    let token = headers.get("X-Arbutusrudder-Fencing-Token");
-    let token = token.and_then(|token| token.to_str().ok()).and_then(|token| token.parse().ok());
-    let (Some(service), Some(member), Some(token)) =
-        (body["service"].as_str(), body["id"].as_str(), token)
-    else {
+    let Some(request) = parse_promotion(&headers, &body) else {
         return StatusCode::BAD_REQUEST.into_response();
     };
-    if (shared.promotions)(service, member, token) {
+    if (shared.promotions)(&request) {
         Json(json!({})).into_response()
     } else {
         StatusCode::CONFLICT.into_response()
     }
 }
+
+fn parse_promotion(headers: &HeaderMap, body: &Value) -> Option<PromotionRequest> {
+    let header = |name: &str| headers.get(name)?.to_str().ok();
+    Some(PromotionRequest {
+        service: body["service"].as_str()?.to_owned(),
+        member: body["id"].as_str()?.to_owned(),
+        holder: header("X-Arbutusrudder-Lease-Holder")?.to_owned(),
+        token: header("X-Arbutusrudder-Fencing-Token")?.parse().ok()?,
+    })
+}
--- a/crates/rudder-standins/src/objects/state.rs
+++ b/crates/rudder-standins/src/objects/state.rs
@@ -1,14 +1,28 @@
 //! Objects, revisions and faults of the object store.
 
+use rudder_core::plain_data;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-/// Callback for promotions with service, member and fencing token. Returns whether the member
-/// accepted the promotion.
-pub type PromotionSink = Arc<dyn Fn(&str, &str, u64) -> bool + Send + Sync>;
+plain_data! {
+    /// Order to promote a member, as received.
+    pub struct PromotionRequest {
+        /// Service of the member.
+        pub service: String,
+        /// Member to promote.
+        pub member: String,
+        /// Instance that sent the order.
+        pub holder: String,
+        /// Fencing token.
+        pub token: u64,
+    }
+}
+
+/// Callback for promotions. Returns whether the member accepted the promotion.
+pub type PromotionSink = Arc<dyn Fn(&PromotionRequest) -> bool + Send + Sync>;
 
 /// Fault of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -148,7 +162,7 @@
     ///
     /// ```
     /// # tokio::runtime::Runtime::new()?.block_on(async {
-    /// let store = rudder_standins::ObjectsStandin::start(std::sync::Arc::new(|_, _, _| true)).await?;
+    /// let store = rudder_standins::ObjectsStandin::start(std::sync::Arc::new(|_| true)).await?;
     /// store.put("config", "main", serde_json::json!({"version": 1}));
     /// assert!(store.address().ip().is_loopback());
     /// # Ok::<(), std::io::Error>(())
@@ -202,7 +216,7 @@
     /// ```
     /// # tokio::runtime::Runtime::new()?.block_on(async {
     /// use rudder_standins::ObjectsCall;
-    /// let store = rudder_standins::ObjectsStandin::start(std::sync::Arc::new(|_, _, _| true)).await?;
+    /// let store = rudder_standins::ObjectsStandin::start(std::sync::Arc::new(|_| true)).await?;
     /// assert_eq!(store.calls(ObjectsCall::List), 0);
     /// # Ok::<(), std::io::Error>(())
     /// # })?;
