Order the member again that was ordered last, and no present primary twice

What callers would have seen: no primary for about five seconds after two primaries were lost within five seconds.

Cause: an order stays pending after its member was named, and a takeover preferred every pending member alike, so it ordered the old primary, which was back, in place of its successor. The present primary was ordered again at each poll while the other order was awaited.

Change: the member of the latest order comes first, and an accepted order for a member that leads is not repeated. The soak has a run that only kills promoting processes; its group ignores orders for the present primary when they arrive, as the platform does.

Before: the_member_that_was_ordered_last_comes_first would choose a.

--- a/crates/arbutusrudder/tests/soak/faults.rs
+++ b/crates/arbutusrudder/tests/soak/faults.rs
@@ -10,6 +10,9 @@
 /// Duration of a fault, in milliseconds.
 const FAULT_LENGTH_MS: std::ops::Range<u64> = 200..3500;
 
+/// Time between two kills of processes that promote a member.
+const PROMOTER_KILL_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Number of members of the group.
 const MEMBERS: usize = 3;
 
@@ -90,6 +93,16 @@
         }
     }
 
+    /// Returns a plan that kills so many processes while they promote a member, one after the other.
+    pub(crate) fn of_killed_promoters(count: usize) -> Self {
+        let fault = |number: u32| TimedSoakFault {
+            at: PROMOTER_KILL_INTERVAL * (number + 1),
+            length: Duration::from_millis(u64::from(900 + 100 * number)),
+            fault: SoakFault::PromoterKilled,
+        };
+        Self { faults: (0..).map(fault).take(count).collect() }
+    }
+
     /// Formats the faults in one line.
     pub(crate) fn summary(&self) -> String {
         let line = |fault: &TimedSoakFault| {
--- a/crates/arbutusrudder/tests/soak/main.rs
+++ b/crates/arbutusrudder/tests/soak/main.rs
@@ -24,19 +24,24 @@
 /// Seconds for which faults are injected in CI.
 const CI_SECONDS: u64 = 8;
 
+/// Number of promoting processes that are killed in a run.
+const PROMOTER_KILLS: usize = 3;
+
+/// Seed of the callers in that run.
+const PROMOTER_SEED: u64 = 0;
+
 /// Number of program processes in a run.
 const INSTANCES: usize = 4;
 
 /// Number of callers in a run.
 const CALLERS: usize = 16;
 
-async fn run(seed: u64, seconds: u64) -> SoakReport {
-    let plan = SoakPlan::generate(seed, Duration::from_secs(seconds), INSTANCES);
-    println!("seed {seed}, {seconds} s: {}", plan.summary());
+async fn run(seed: u64, plan: &SoakPlan) -> SoakReport {
+    println!("seed {seed}: {}", plan.summary());
     let environment = SoakEnvironment::start(seed, INSTANCES).await;
     environment.await_serving().await;
     let callers = callers::start(&environment, CALLERS, seed);
-    environment.run(&plan).await;
+    environment.run(plan).await;
     environment.restore().await;
     environment.await_serving().await;
     let history = callers.stop().await;
@@ -65,10 +70,23 @@
 
     let mut violations = Vec::new();
     for seed in seeds {
-        let report = run(seed, seconds).await;
+        let plan = SoakPlan::generate(seed, Duration::from_secs(seconds), INSTANCES);
+        let report = run(seed, &plan).await;
         assert!(report.served > 0, "seed {seed} served nothing");
         violations.extend(report.violations.into_iter().map(|text| format!("seed {seed}: {text}")));
     }
 
     assert!(violations.is_empty(), "{violations:#?}");
 }
+
+/// Guards against an order that takes effect after its instance was killed and another one has
+/// named the old primary.
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_promoting_instances_are_killed() {
+    let plan = SoakPlan::of_killed_promoters(PROMOTER_KILLS);
+
+    let report = run(PROMOTER_SEED, &plan).await;
+
+    assert!(report.promotions >= PROMOTER_KILLS, "{report}");
+    assert!(report.violations.is_empty(), "{:#?}", report.violations);
+}
--- a/crates/rudder-engine/src/duty/promote.rs
+++ b/crates/rudder-engine/src/duty/promote.rs
@@ -29,12 +29,18 @@
     member: MemberName,
     /// Order for the same member under an earlier version.
     earlier: Option<MemberOrder>,
-    /// Whether the order was accepted, or may have been.
-    may_take_effect: bool,
+    /// Whether an order was accepted.
+    was_accepted: bool,
     /// Whether an order got no response, so that it may still be on its way.
     is_unanswered: bool,
 }
 
+impl CurrentOrder {
+    fn may_take_effect(&self) -> bool {
+        self.was_accepted || self.is_unanswered
+    }
+}
+
 impl ChangeRun<'_> {
     /// Returns the status reports of the members that may take over.
     pub(super) async fn fetch_candidate_reports(&self, plan: &ChangePlan) -> Vec<MemberReport> {
@@ -76,7 +82,21 @@
                 tokio::time::sleep(POLL_INTERVAL).await;
                 continue;
             };
+            let before = reports.iter().map(|report| report.status.accepted).max();
+            let leading = find_leading(&reports, &candidate, before).cloned();
             let mut order = match current.take() {
+                // It leads already, so the order changes nothing, but an order for another member
+                // may still take effect.
+                Some(order)
+                    if order.member == candidate && order.was_accepted && leading.is_some() =>
+                {
+                    current = Some(order);
+                    if let Some(leader) = leading.filter(|leader| self.may_settle_on(leader)) {
+                        return Ok(self.promotion(leader, intent, current));
+                    }
+                    tokio::time::sleep(POLL_INTERVAL).await;
+                    continue;
+                }
                 Some(order) if order.member == candidate => order,
                 replaced => {
                     let (order, written) =
@@ -88,16 +108,13 @@
                     order
                 }
             };
-            let before = reports.iter().map(|report| report.status.accepted).max();
             let outcome = self.order(&intent, &candidate).await;
             order.is_unanswered |= outcome == Err(PromotionError::Unanswered);
-            order.may_take_effect |= order.is_unanswered || outcome.is_ok();
+            order.was_accepted |= outcome.is_ok();
             current = Some(order);
             let leader = match outcome {
                 // The platform changes nothing if the member is already the primary.
-                Ok(()) if let Some(leader) = find_leading(&reports, &candidate, before) => {
-                    Some(leader.clone())
-                }
+                Ok(()) if leading.is_some() => leading,
                 Ok(()) | Err(PromotionError::Unanswered) => {
                     self.await_leader(&candidate, before.unwrap_or_default()).await
                 }
@@ -175,7 +192,7 @@
         candidate: &MemberName,
     ) -> Result<(CurrentOrder, WrittenRecord), ChangeError> {
         let mut orders = self.pending_orders();
-        if let Some(replaced) = replaced.filter(|order| !order.may_take_effect) {
+        if let Some(replaced) = replaced.filter(|order| !order.may_take_effect()) {
             orders.retain(|order| order.member != replaced.member);
             orders.extend(replaced.earlier);
         }
@@ -187,8 +204,8 @@
         let phase = self.changing(plan);
         let written = self.write(epoch, phase, orders, Some(&intent.version)).await?;
         let member = candidate.clone();
-        let (may_take_effect, is_unanswered) = (false, false);
-        Ok((CurrentOrder { member, earlier, may_take_effect, is_unanswered }, written))
+        let order = CurrentOrder { member, earlier, was_accepted: false, is_unanswered: false };
+        Ok((order, written))
     }
 
     async fn order(
--- a/crates/rudder-engine/src/lead/suspicion.rs
+++ b/crates/rudder-engine/src/lead/suspicion.rs
@@ -169,8 +169,8 @@
     xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), epoch.0)
 }
 
-/// Sorts the members that could take over: those that may be promoted by an earlier order, then the
-/// most advanced log first.
+/// Sorts the members that could take over: the one that was ordered last and may be promoted yet, then
+/// the most advanced log first.
 ///
 /// Ordering the same member again lets a change that is taken over end as soon as that order takes
 /// effect. With another member it would have to wait until the order no longer can.
@@ -178,9 +178,10 @@
     mut reports: Vec<(MemberName, LogStamp)>,
     orders: &[MemberOrder],
 ) -> Vec<(MemberName, LogStamp)> {
-    let is_ordered = |name: &MemberName| orders.iter().any(|order| order.member == *name);
+    let last = orders.iter().max_by_key(|order| order.epoch);
+    let is_last = |name: &MemberName| last.is_some_and(|order| order.member == *name);
     reports.sort_by(|left, right| {
-        let ordered = is_ordered(&right.0).cmp(&is_ordered(&left.0));
+        let ordered = is_last(&right.0).cmp(&is_last(&left.0));
         ordered.then_with(|| right.1.cmp(&left.1)).then_with(|| left.0.cmp(&right.0))
     });
     reports
--- a/crates/rudder-engine/src/lead/tests/suspicion.rs
+++ b/crates/rudder-engine/src/lead/tests/suspicion.rs
@@ -1,8 +1,11 @@
 //! Conditions for a change of primary.
 
-use super::{changing, ms, settled};
-use crate::lead::{ChangeCause, LeaseTable, PeerVote, PrimaryHealth, decide_change};
-use rudder_core::InstanceName;
+use super::{changing, member, ms, settled};
+use crate::lead::{
+    ChangeCause, LeaderEpoch, LeaseTable, MemberOrder, PeerVote, PrimaryHealth, decide_change,
+    order_candidates,
+};
+use rudder_core::{InstanceName, LogStamp};
 
 fn name(text: &str) -> InstanceName {
     text.parse().expect("a name")
@@ -117,3 +120,17 @@
 
     assert_eq!((acting(249), acting(250), acting(550), acting(850)), (0, 1, 2, 3));
 }
+
+/// Guards against a takeover that orders the old primary, whose own order is still pending, while
+/// its successor is being promoted.
+#[test]
+fn the_member_that_was_ordered_last_comes_first() {
+    let order = |name: &str, epoch| MemberOrder { member: member(name), epoch: LeaderEpoch(epoch) };
+    let reports = ["a", "b", "c"].into_iter().zip([100, 90, 95]);
+    let reports: Vec<_> =
+        reports.map(|(name, length)| (member(name), LogStamp::new(1, length))).collect();
+    let first = |orders: &[MemberOrder]| order_candidates(reports.clone(), orders)[0].0.clone();
+
+    assert_eq!(first(&[]), member("a"));
+    assert_eq!(first(&[order("a", 5), order("b", 8)]), member("b"));
+}
--- a/crates/rudder-standins/src/lines/group.rs
+++ b/crates/rudder-standins/src/lines/group.rs
@@ -130,12 +130,15 @@
         self.members[index].running.borrow().then_some(index)
     }
 
+    fn leads(&self, index: usize) -> bool {
+        index == self.primary && self.members[index].is_primary
+    }
+
     /// Promotes a member, if it runs and is not the primary already.
     fn promote(&mut self, id: &str) {
-        let Some(index) = self.running_member(id) else { return };
-        if index == self.primary && self.members[index].is_primary {
+        let Some(index) = self.running_member(id).filter(|index| !self.leads(*index)) else {
             return;
-        }
+        };
         self.catch_up(index);
         let term = self.members.iter().map(|member| member.term).max().unwrap_or(0) + 1;
         let same = common_length(&self.members[self.primary].log, &self.members[index].log);
@@ -240,8 +243,9 @@
     pub fn promote(&self, id: &str, token: u64) -> bool {
         let mut state = self.state();
         state.tokens.push(token);
-        if state.running_member(id).is_none() {
-            return false;
+        let Some(index) = state.running_member(id) else { return false };
+        if state.leads(index) {
+            return true;
         }
         if state.promotion_time.is_zero() {
             state.promote(id);
