Promote only members that hold all acknowledged commits of a synchronous service

What callers saw: with syncReplicas 1, commits that had been acknowledged were gone after a change of primary, though one replica had received each of them.

Cause: a change promoted the most advanced of the members that answered one round of status requests. Which answers are enough was not asked, and the setting was not read. A slow replica that held the last commits was left out after 500 ms.

Change: a service's number of synchronous replicas comes from the settings. With one or more, the chosen member must have received a position that holds all acknowledged commits: that of the previous primary, or the most advanced one of so many replicas that each commit is among them. Status requests wait up to 2 s while the answers do not suffice; draining, departed and restarted replicas count. Without such a position nobody is promoted, also not in a planned change, until the operator sets syncReplicas to 0.

Why it works: no instance acknowledges anything once the positions are read, and each commit that was acknowledged before is in the log of one of the members that have to report.

--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -153,9 +153,8 @@
     let cause = decision.cause;
     let (before, version) = run.read_current(decision.epoch).await?;
     let plan = ChangePlan::of(&before, cause);
-    let candidates = run.fetch_candidate_reports(&plan);
-    let (candidates, has_quorum) = tokio::join!(candidates, run.reaches_quorum());
-    if candidates.is_empty() {
+    let (reports, has_quorum) = tokio::join!(run.fetch_candidates(&plan), run.reaches_quorum());
+    if reports.is_empty() {
         return Err(ChangeError::NoCandidate);
     }
     // In a network partition, a minority of instances that can reach the store must not stop the
--- a/crates/rudder-engine/src/duty/control.rs
+++ b/crates/rudder-engine/src/duty/control.rs
@@ -60,11 +60,11 @@
     command: MemberCommand,
 ) -> Result<StatementReply, LinkError> {
     let call = async {
-        match dial(engine, member).await {
+        match dial(engine, member, STATUS_TIMEOUT).await {
             Err(LinkError::Refused(StatementError::ConnectionLimit)) => {
-                send_on_pooled(member, command).await
+                send_on_pooled(member, command, STATUS_TIMEOUT).await
             }
-            dialed => exchange(dialed?.as_mut(), command).await,
+            dialed => exchange(dialed?.as_mut(), command, STATUS_TIMEOUT).await,
         }
     };
     tokio::time::timeout(STATUS_TIMEOUT, call).await.unwrap_or(Err(LinkError::Silent))
@@ -73,20 +73,22 @@
 pub(super) async fn dial(
     engine: &ProxyEngine,
     member: &GroupMember,
+    timeout: Duration,
 ) -> Result<Box<dyn MemberLink>, LinkError> {
     let dial = engine.dependencies().dialer.dial(member.pool().target(), None);
-    tokio::time::timeout(STATUS_TIMEOUT, dial).await.unwrap_or(Err(LinkError::Silent))
+    tokio::time::timeout(timeout, dial).await.unwrap_or(Err(LinkError::Silent))
 }
 
 pub(super) async fn exchange(
     link: &mut dyn MemberLink,
     command: MemberCommand,
+    timeout: Duration,
 ) -> Result<StatementReply, LinkError> {
     let call = async {
         link.send(&[command]).await?;
         link.receive().await
     };
-    tokio::time::timeout(STATUS_TIMEOUT, call).await.unwrap_or(Err(LinkError::Silent))
+    tokio::time::timeout(timeout, call).await.unwrap_or(Err(LinkError::Silent))
 }
 
 /// Sends a command on a pooled connection that callers also use, for members that accept no more
@@ -95,17 +97,18 @@
 pub(super) async fn send_on_pooled(
     member: &GroupMember,
     command: MemberCommand,
+    timeout: Duration,
 ) -> Result<StatementReply, LinkError> {
     let call = async {
         let request = LinkRequest { user: LinkUser::Control, rank: CONTROL_RANK };
-        let acquired = member.pool().acquire(&request, STATUS_TIMEOUT).await;
+        let acquired = member.pool().acquire(&request, timeout).await;
         let mut link = acquired.map_err(|error| match error {
             AcquireError::WaitOver => LinkError::Silent,
             AcquireError::Unreachable(reason) => reason,
         })?;
-        let result = link.exchange(&[command], STATUS_TIMEOUT).await;
+        let result = link.exchange(&[command], timeout).await;
         let mut replies = result.map_err(|error| error.reason)?;
         replies.pop().ok_or(LinkError::Silent)
     };
-    tokio::time::timeout(STATUS_TIMEOUT, call).await.unwrap_or(Err(LinkError::Silent))
+    tokio::time::timeout(timeout, call).await.unwrap_or(Err(LinkError::Silent))
 }
--- a/crates/rudder-engine/src/duty/promote.rs
+++ b/crates/rudder-engine/src/duty/promote.rs
@@ -3,12 +3,12 @@
 use super::change::{
     ChangeError, ChangePlan, ChangeRun, INTENT_VALIDITY, POLL_INTERVAL, Promotion, WrittenRecord,
 };
-use super::control::{MemberReport, fetch_status};
+use super::control::{MemberReport, STATUS_TIMEOUT, fetch_status};
 use crate::clock::boot_time;
 use crate::group::{GroupMember, MemberState};
 use crate::interfaces::{PromotionError, PromotionOrder};
 use crate::lead::{MemberOrder, order_candidates};
-use rudder_core::{LogTerm, MemberName, MemberRole};
+use rudder_core::{LogStamp, LogTerm, MemberName, MemberRole};
 use std::time::Duration;
 
 /// Maximum time a planned change waits for a successor to receive the primary's last commits.
@@ -42,16 +42,37 @@
 }
 
 impl ChangeRun<'_> {
+    /// Returns the status reports of the members that may take over and, if replicas receive commits
+    /// synchronously, of all other members.
+    pub(super) async fn fetch_reports(&self, plan: &ChangePlan) -> Vec<MemberReport> {
+        if self.sync_replicas() == 0 {
+            return self.fetch_candidates(plan).await;
+        }
+        let members = self.group.members();
+        let sufficient = |reports: &[MemberReport]| self.choose(plan, reports, &[]).is_some();
+        self.clients.lock().await.fetch_until(self.engine, &members, sufficient).await
+    }
+
     /// Returns the status reports of the members that may take over.
-    pub(super) async fn fetch_candidate_reports(&self, plan: &ChangePlan) -> Vec<MemberReport> {
+    pub(super) async fn fetch_candidates(&self, plan: &ChangePlan) -> Vec<MemberReport> {
         let mut members = self.group.members();
-        members.retain(|member| {
-            let ready = member.entry().state == MemberState::Ready;
-            ready && (plan.unfinished || Some(member.name()) != plan.previous.as_ref())
-        });
+        members.retain(|member| self.may_succeed(plan, member));
         self.clients.lock().await.fetch_all(self.engine, &members).await
     }
 
+    /// Returns whether a member may take over, if its log is complete.
+    fn may_succeed(&self, plan: &ChangePlan, member: &GroupMember) -> bool {
+        let is_ready = member.entry().state == MemberState::Ready;
+        is_ready && (plan.unfinished || Some(member.name()) != plan.previous.as_ref())
+    }
+
+    fn sync_replicas(&self) -> u32 {
+        let Some(settings) = self.engine.settings() else { return 0 };
+        let rules = &settings.services;
+        let found = rules.binary_search_by(|rule| rule.service.cmp(self.group.service()));
+        found.map_or(0, |index| rules[index].sync_replicas)
+    }
+
     /// Promotes a member.
     pub(super) async fn promote(
         &self,
@@ -66,19 +87,23 @@
         }
         let mut current: Option<CurrentOrder> = None;
         let mut rejected: Vec<MemberName> = Vec::new();
+        let mut is_withheld = false;
         loop {
-            let mut reports = self.fetch_candidate_reports(plan).await;
+            let reports = self.fetch_reports(plan).await;
             // An earlier order may have taken effect.
             let leader = newest_leader(&reports, previous).cloned();
             if let Some(leader) = leader.as_ref().filter(|leader| self.may_settle_on(leader)) {
                 return Ok(self.promotion(leader.clone(), intent, current));
             }
-            reports.retain(|report| !rejected.contains(&report.member));
             self.check_validity(&intent)?;
             // While an order for another member may still take effect, there is nothing to order.
-            let candidate = self.choose_candidate(&reports).filter(|_| leader.is_none());
+            let candidate = self.choose(plan, &reports, &rejected).filter(|_| leader.is_none());
             let Some(candidate) = candidate else {
                 rejected.clear();
+                let waits = leader.is_none() && self.sync_replicas() > 0;
+                if waits && !std::mem::replace(&mut is_withheld, true) {
+                    self.report_withheld(&reports);
+                }
                 tokio::time::sleep(POLL_INTERVAL).await;
                 continue;
             };
@@ -174,14 +199,56 @@
         Promotion { leader, written, orders }
     }
 
-    fn choose_candidate(&self, reports: &[MemberReport]) -> Option<MemberName> {
-        let positions =
-            reports.iter().map(|report| (report.member.clone(), report.status.received));
-        let orders = self.pending_orders();
-        let candidates = order_candidates(positions.collect(), &orders);
+    /// Returns the member to promote; none if none may take over, or if the reports do not show
+    /// which members hold all acknowledged commits of a service with synchronous replicas.
+    ///
+    /// Promoting a member that lacks some would lose them, although the service is declared to keep
+    /// its acknowledged commits when its primary fails.
+    fn choose(
+        &self,
+        plan: &ChangePlan,
+        reports: &[MemberReport],
+        rejected: &[MemberName],
+    ) -> Option<MemberName> {
+        let positions: Vec<_> =
+            reports.iter().map(|report| (report.member.clone(), report.status.received)).collect();
+        let previous = plan.previous.as_ref();
+        let sync_replicas = self.sync_replicas();
+        let complete = if sync_replicas > 0 {
+            let evidence = self.group.commit_evidence(sync_replicas, previous);
+            evidence.complete_position(previous, &positions)?
+        } else {
+            LogStamp::new(0, 0)
+        };
+        let (mut ready, mut leaving) = (Vec::new(), Vec::new());
+        let is_candidate = |(name, received): &(MemberName, LogStamp)| {
+            *received >= complete && !rejected.contains(name)
+        };
+        for (name, received) in positions.into_iter().filter(is_candidate) {
+            let Some(member) = self.group.member(&name) else { continue };
+            if self.may_succeed(plan, &member) {
+                ready.push((name, received));
+            } else if Some(&name) != previous {
+                leaving.push((name, received));
+            }
+        }
+        // A replica that is draining is replaced again, but no commit is lost meanwhile.
+        let candidates = if ready.is_empty() && sync_replicas > 0 { leaving } else { ready };
+        let candidates = order_candidates(candidates, &self.pending_orders());
         candidates.into_iter().next().map(|(member, _)| member)
     }
 
+    fn report_withheld(&self, reports: &[MemberReport]) {
+        let service = self.group.service();
+        let reported: Vec<&str> = reports.iter().map(|report| report.member.as_str()).collect();
+        metrics::counter!("rudder_promotions_withheld", "service" => service.to_string())
+            .increment(1);
+        log::warn!(
+            service:% = service, sync_replicas = self.sync_replicas(), reported:? = reported;
+            "no member that may take over is known to hold all acknowledged commits; waiting"
+        );
+    }
+
     /// Writes an order into the record, before it is sent. The order that it replaces stays in the
     /// record if it may still take effect.
     async fn write_order(
@@ -235,7 +302,7 @@
         let mut client = self.clients.lock().await.take(self.engine, &member);
         let until = boot_time() + LEADERSHIP_TIMEOUT;
         while boot_time() < until {
-            match client.fetch().await {
+            match client.fetch(STATUS_TIMEOUT).await {
                 Ok(report) if leads_since(&report, before) => return Some(report),
                 Ok(_) => {}
                 Err(error) => {
@@ -262,7 +329,7 @@
         };
         let until = boot_time() + CATCH_UP_TIMEOUT;
         while boot_time() < until {
-            let reports = self.fetch_candidate_reports(plan).await;
+            let reports = self.fetch_reports(plan).await;
             let is_successor = |report: &&MemberReport| report.member != *primary.name();
             let mut successors = reports.iter().filter(is_successor);
             if successors.any(|report| report.status.received >= last.status.received) {
--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -134,6 +134,10 @@
     silenced: Mutex<Option<MemberName>>,
     /// Members that cannot be reached.
     down: Mutex<Vec<MemberName>>,
+    /// Replicas that receive nothing.
+    deaf: Mutex<Vec<MemberName>>,
+    /// Members whose replies take this time.
+    slow: Mutex<Vec<(MemberName, Duration)>>,
     /// Time between a promotion order and its effect.
     promotion_time: Duration,
     /// Time for which the next order is held up on its way.
@@ -164,12 +168,32 @@
             dials: AtomicU32::new(0),
             silenced: Mutex::default(),
             down: Mutex::default(),
+            deaf: Mutex::default(),
+            slow: Mutex::default(),
             promotion_time,
             held_up: Mutex::default(),
             orders: AtomicU32::new(0),
         })
     }
 
+    /// Sets the replicas that receive nothing.
+    pub(super) fn set_deaf(&self, members: &[&str]) {
+        let members = members.iter().map(|member| member.parse().expect("a member's name"));
+        *self.deaf.lock().expect("no holder panics") = members.collect();
+    }
+
+    /// Lets each reply of a member take this time.
+    pub(super) fn slow_down(&self, member: &str, time: Duration) {
+        let member = member.parse().expect("a member's name");
+        self.slow.lock().expect("no holder panics").push((member, time));
+    }
+
+    fn reply_time(&self, member: &MemberName) -> Duration {
+        let slow = self.slow.lock().expect("no holder panics");
+        let found = slow.iter().find(|(known, _)| known == member);
+        found.map_or(Duration::ZERO, |(_, time)| *time)
+    }
+
     /// Sets whether a member can be reached.
     pub(super) fn set_down(&self, member: &str, is_down: bool) {
         let member = member.parse().expect("a member's name");
@@ -261,7 +285,8 @@
         let index = members.binary_search_by(|(known, _)| known.cmp(name));
         let status = &mut members[index.expect("a known member")].1;
         let reported = *status;
-        if status.role == MemberRole::Replica && status.received < last {
+        let is_deaf = self.deaf.lock().expect("no holder panics").contains(name);
+        if status.role == MemberRole::Replica && status.received < last && !is_deaf {
             let next = LogPosition(status.received.position.0 + 1);
             status.received = LogStamp { position: next, ..status.received };
         }
@@ -292,6 +317,7 @@
         if self.asked > 1 && self.group.is_silenced(&self.member) {
             std::future::pending::<()>().await;
         }
+        tokio::time::sleep(self.group.reply_time(&self.member)).await;
         let rows = vec![status_row(&self.group.next_status(&self.member))];
         Ok(StatementReply { rows, ..StatementReply::without_member(TransactionState::Idle) })
     }
--- a/crates/rudder-engine/src/duty/tests/loans.rs
+++ b/crates/rudder-engine/src/duty/tests/loans.rs
@@ -85,7 +85,7 @@
         priority: 1,
         is_public: true,
     };
-    let rule = ServiceRule { service, connections_max: CONNECTIONS };
+    let rule = ServiceRule { service, connections_max: CONNECTIONS, sync_replicas: 0 };
     FleetSettings::sorted(SettingsVersion(1), vec![route], vec![rule], WAIT)
 }
 
@@ -192,7 +192,7 @@
             MemberEntry { target, ..entry }
         })
         .collect();
-    let rule = |number| ServiceRule { service: service(number), connections_max };
+    let rule = |number| ServiceRule { service: service(number), connections_max, sync_replicas: 0 };
     let rules = (0..services).map(rule).collect();
     let route = RouteRule { service: service(0), ..settings().routes[0].as_ref().clone() };
     engine.apply_settings(FleetSettings::sorted(SettingsVersion(1), vec![route], rules, WAIT));
--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -9,3 +9,4 @@
 mod schedule;
 mod settings;
 mod shares;
+mod sync_replicas;
--- a/crates/rudder-engine/src/duty/tests/shares.rs
+++ b/crates/rudder-engine/src/duty/tests/shares.rs
@@ -28,8 +28,11 @@
     let members = FakeMembers::new(&[("a", 1), ("b", 1), ("c", 1)]);
     let store = RecordStore::new(&first_record(), &[WriteOutcome::Refused]);
     let engine = engine(&store, Some(Arc::clone(&members)));
-    let rule =
-        ServiceRule { service: "records".parse().expect("a name"), connections_max: CONNECTIONS };
+    let rule = ServiceRule {
+        service: "records".parse().expect("a name"),
+        connections_max: CONNECTIONS,
+        sync_replicas: 0,
+    };
     let idle = Duration::from_secs(3);
     engine.apply_settings(FleetSettings::sorted(SettingsVersion(1), Vec::new(), vec![rule], idle));
     engine.apply_members(&members.entries(), 1);
--- a/crates/rudder-engine/src/forwarding/holders/tests.rs
+++ b/crates/rudder-engine/src/forwarding/holders/tests.rs
@@ -23,7 +23,7 @@
 
 /// Returns the settings with a number of accounts, or without accounts.
 fn settings(version: u64, accounts: Option<usize>) -> FleetSettings {
-    let services = vec![ServiceRule { service: service(), connections_max: 30 }];
+    let services = vec![ServiceRule { service: service(), connections_max: 30, sync_replicas: 0 }];
     let idle = Duration::from_secs(3);
     let settings = FleetSettings::sorted(SettingsVersion(version), Vec::new(), services, idle);
     let rule = |number| AccountRule { name: account(number), keys: Vec::new(), limit: None };
--- a/crates/rudder-engine/src/forwarding/tests/fixture.rs
+++ b/crates/rudder-engine/src/forwarding/tests/fixture.rs
@@ -167,8 +167,11 @@
         route("bounded", RouteKind::Bounded(bound)),
         route("own", RouteKind::ReadYourWrites(bound)),
     ];
-    let services =
-        vec![ServiceRule { service: "records".parse().expect("a name"), connections_max }];
+    let services = vec![ServiceRule {
+        service: "records".parse().expect("a name"),
+        connections_max,
+        sync_replicas: 0,
+    }];
     let rule = |name: &String| AccountRule {
         name: name.parse().expect("a name"),
         keys: vec![KeyDigest::of(name)],
--- a/crates/rudder-engine/src/lead/history.rs
+++ b/crates/rudder-engine/src/lead/history.rs
@@ -66,6 +66,12 @@
         self.samples.back().copied()
     }
 
+    /// Returns the first sample that was requested at `since` or later.
+    pub(crate) fn first_since(&self, since: Duration) -> Option<FreshSample> {
+        let index = self.samples.partition_point(|sample| sample.sent_at < since);
+        self.samples.get(index).copied()
+    }
+
     /// Removes all samples, as the log may have been truncated.
     pub(crate) fn clear(&mut self) {
         self.samples.clear();
--- a/crates/rudder-engine/src/lead/mod.rs
+++ b/crates/rudder-engine/src/lead/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! All functions are pure; the current time is passed in.
 
+mod commit_evidence;
 mod expiry;
 mod history;
 mod lease_table;
 mod record;
 mod suspicion;
 
+pub(crate) use commit_evidence::{CommitEvidence, DepartedReplica};
 pub(crate) use expiry::{StopProgress, is_quorum};
 pub(crate) use history::PositionHistory;
 pub(crate) use lease_table::{LeaderLease, LeaseTable, QUORUM_REACH};
--- /dev/null
+++ b/crates/rudder-engine/src/lead/tests/commit_evidence.rs
@@ -0,0 +1,57 @@
+//! Log positions that hold all acknowledged commits.
+
+use super::member;
+use crate::lead::{CommitEvidence, DepartedReplica};
+use rudder_core::{LogStamp, MemberName};
+
+fn stamp(position: u64) -> LogStamp {
+    LogStamp::new(1, position)
+}
+
+fn evidence(sync_replicas: u32, replicas: &[&str]) -> CommitEvidence {
+    let replicas = replicas.iter().map(|name| member(name)).collect();
+    CommitEvidence { sync_replicas, replicas, departed: Vec::new(), newest: None }
+}
+
+/// Position that must have been received after these reports, with the previous primary `a`.
+fn complete(evidence: &CommitEvidence, reports: &[(&str, u64)]) -> Option<u64> {
+    let reports: Vec<(MemberName, LogStamp)> =
+        reports.iter().map(|(name, position)| (member(name), stamp(*position))).collect();
+    let found = evidence.complete_position(Some(&member("a")), &reports);
+    found.map(|stamp| stamp.position.0)
+}
+
+#[test]
+fn all_replicas_but_the_synchronous_ones_must_report() {
+    let one = evidence(1, &["b", "c"]);
+    let two = evidence(2, &["b", "c"]);
+
+    assert_eq!(complete(&one, &[("b", 90)]), None);
+    assert_eq!(complete(&one, &[("b", 90), ("c", 95)]), Some(95));
+    assert_eq!(complete(&two, &[("b", 90)]), Some(90));
+    assert_eq!(complete(&two, &[]), None);
+}
+
+#[test]
+fn the_previous_primary_reports_for_all() {
+    assert_eq!(complete(&evidence(1, &["b", "c"]), &[("a", 100), ("b", 90)]), Some(100));
+}
+
+/// Guards against a previous primary that lost its log in a restart.
+#[test]
+fn a_previous_primary_without_its_log_does_not_count() {
+    let known = CommitEvidence { newest: Some(stamp(100)), ..evidence(1, &["b", "c"]) };
+
+    assert_eq!(complete(&known, &[("a", 0)]), None);
+    assert_eq!(complete(&evidence(1, &["b", "c"]), &[("a", 0), ("b", 90)]), None);
+}
+
+#[test]
+fn a_departed_replica_counts_until_another_one_has_what_came_later() {
+    let departed = |later| DepartedReplica { member: member("c"), later_position: later };
+    let with = |later| CommitEvidence { departed: vec![departed(later)], ..evidence(1, &["b"]) };
+
+    assert_eq!(complete(&with(None), &[("b", 90)]), None);
+    assert_eq!(complete(&with(Some(stamp(95))), &[("b", 90)]), None);
+    assert_eq!(complete(&with(Some(stamp(90))), &[("b", 90)]), Some(90));
+}
--- a/crates/rudder-engine/src/lead/tests/mod.rs
+++ b/crates/rudder-engine/src/lead/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of leases, changes of primary and position histories.
 
+mod commit_evidence;
 mod history;
 mod lease_table;
 mod message;
--- a/crates/rudder-engine/src/settings/table.rs
+++ b/crates/rudder-engine/src/settings/table.rs
@@ -78,6 +78,8 @@
         pub service: ServiceName,
         /// Maximum number of connections to one member from all instances together.
         pub connections_max: u32,
+        /// Number of replicas that have received a commit when the primary acknowledges it.
+        pub sync_replicas: u32,
     }
 }
 
