Soak: synchronous replicas, deaf replicas, and a primary lost behind a late one

Cause: the stand-in's group acknowledged each commit at once and the settings of every run had no synchronous replica, so no run could show a promotion that lacks acknowledged commits.

Change: the group acknowledges a commit once so many replicas have received it, replicas can be deaf, every second seed has one synchronous replica, and a run of its own loses the primary while one replica is deaf and the other one answers late. An acknowledged write that a promotion rolled back is a violation there.

--- a/crates/arbutusrudder/tests/soak/checks.rs
+++ b/crates/arbutusrudder/tests/soak/checks.rs
@@ -157,7 +157,7 @@
         if !tokens.is_sorted() {
             report.violations.push(format!("fencing tokens went down: {tokens:?}"));
         }
-        report.check_writes(history, &group.commits(), &discarded);
+        report.check_writes(history, &group.commits(), &discarded, group.sync_replicas());
         report.check_pairs(history, &group.commits());
         report.check_accounts(&group.statements());
         for record in &history.reads {
@@ -166,12 +166,14 @@
         report
     }
 
-    /// Checks that acknowledged writes are committed once and refused ones are not committed.
+    /// Checks that acknowledged writes are committed once and refused ones are not committed, and
+    /// that none is rolled back that a synchronous replica has received.
     fn check_writes(
         &mut self,
         history: &SoakHistory,
         commits: &[LineCommit],
         discarded: &[String],
+        sync_replicas: usize,
     ) {
         let mut committed: Vec<&str> =
             commits.iter().flat_map(|commit| &commit.writes).map(|(id, ..)| id.as_str()).collect();
@@ -185,6 +187,9 @@
                 WriteOutcome::Acknowledged if !is_committed && !is_discarded => {
                     self.violations.push(format!("{id} was acknowledged and is not committed"));
                 }
+                WriteOutcome::Acknowledged if is_discarded && sync_replicas > 0 => {
+                    self.violations.push(format!("{id} was acknowledged and rolled back"));
+                }
                 WriteOutcome::Refused if is_committed => {
                     self.violations.push(format!("{id} was refused and is committed"));
                 }
--- a/crates/arbutusrudder/tests/soak/environment.rs
+++ b/crates/arbutusrudder/tests/soak/environment.rs
@@ -96,10 +96,11 @@
 }
 
 impl SoakEnvironment {
-    pub(crate) async fn start(seed: u64, instance_count: usize) -> Arc<Self> {
+    pub(crate) async fn start(seed: u64, instance_count: usize, sync_replicas: usize) -> Arc<Self> {
         let fleet = LineFleet::start(SERVICE, DEFAULT_LAG).await.expect("store and group start");
         fleet.set_accounts(accounts());
         fleet.group.set_promotion_time(PROMOTION_TIME);
+        fleet.group.set_sync_replicas(sync_replicas);
         let mut member_links = Vec::new();
         for member in fleet.group.members() {
             member_links.push(link_to(member.address).await);
@@ -180,6 +181,7 @@
         *lock(&self.leaving) = None;
         for (index, link) in self.member_links.iter().enumerate() {
             self.fleet.group.resume(index);
+            self.fleet.group.set_deaf(index, false);
             restore_link(link);
         }
         for instance in &self.instances {
@@ -321,6 +323,11 @@
             let (shortest, longest) = PROMOTER_OUTAGE;
             kill_promoter(&environment, timed.length.clamp(shortest, longest)).await;
         }
+        SoakFault::Deaf(index) => {
+            environment.fleet.group.set_deaf(index, true);
+            tokio::time::sleep(timed.length).await;
+            environment.fleet.group.set_deaf(index, false);
+        }
         SoakFault::PrimaryLeaves => {
             let members = environment.fleet.group.members();
             let primary = members.into_iter().find(|member| member.is_primary);
--- a/crates/arbutusrudder/tests/soak/faults.rs
+++ b/crates/arbutusrudder/tests/soak/faults.rs
@@ -13,6 +13,9 @@
 /// Time between two kills of processes that promote a member.
 const PROMOTER_KILL_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Delay of each direction of the link to a member that answers late.
+const LATE_REPLY_TIME: Duration = Duration::from_millis(300);
+
 /// Number of members of the group.
 const MEMBERS: usize = 3;
 
@@ -55,6 +58,8 @@
     /// Stops the primary for about a second, and kills the process that orders its successor as soon
     /// as the order has been accepted.
     PromoterKilled,
+    /// A replica receives nothing from the primary.
+    Deaf(usize),
     /// The primary announces that it is leaving.
     PrimaryLeaves,
     /// Replicas lag by this time.
@@ -103,6 +108,22 @@
         Self { faults: (0..).map(fault).take(count).collect() }
     }
 
+    /// Returns a plan in which the primary is lost while one replica receives nothing and the other
+    /// one answers late.
+    pub(crate) fn of_late_replica() -> Self {
+        let fault = |at_ms, length_ms, fault| TimedSoakFault {
+            at: Duration::from_millis(at_ms),
+            length: Duration::from_millis(length_ms),
+            fault,
+        };
+        let faults = vec![
+            fault(1000, 7000, SoakFault::Deaf(1)),
+            fault(1000, 7000, SoakFault::MemberLink(2, LinkFailure::Slow(LATE_REPLY_TIME))),
+            fault(3000, 5000, SoakFault::MemberDown(0)),
+        ];
+        Self { faults }
+    }
+
     /// Formats the faults in one line.
     pub(crate) fn summary(&self) -> String {
         let line = |fault: &TimedSoakFault| {
@@ -120,7 +141,7 @@
 fn generate_fault(rng: &mut StdRng, instances: usize) -> SoakFault {
     let instance = rng.random_range(0..instances);
     let member = rng.random_range(0..MEMBERS);
-    match rng.random_range(0..16) {
+    match rng.random_range(0..17) {
         0 | 1 => SoakFault::Kill(instance),
         2 => SoakFault::Pause(instance),
         3 => SoakFault::Restart(instance),
@@ -133,6 +154,7 @@
         11 => SoakFault::PrimaryLeaves,
         12 => SoakFault::Lag(Duration::from_millis(rng.random_range(50..4000))),
         13 | 14 => SoakFault::PromoterKilled,
+        15 => SoakFault::Deaf(member),
         _ => SoakFault::SettingsChange,
     }
 }
--- a/crates/arbutusrudder/tests/soak/main.rs
+++ b/crates/arbutusrudder/tests/soak/main.rs
@@ -24,11 +24,14 @@
 /// Seconds for which faults are injected in CI.
 const CI_SECONDS: u64 = 8;
 
+/// Seed of the callers while the primary is lost behind a late replica.
+const LATE_REPLICA_SEED: u64 = 9000;
+
 /// Number of promoting processes that are killed in a run.
 const PROMOTER_KILLS: usize = 3;
 
 /// Seed of the callers in that run.
-const PROMOTER_SEED: u64 = 0;
+const PROMOTER_SEED: u64 = 9001;
 
 /// Number of program processes in a run.
 const INSTANCES: usize = 4;
@@ -36,9 +39,9 @@
 /// Number of callers in a run.
 const CALLERS: usize = 16;
 
-async fn run(seed: u64, plan: &SoakPlan) -> SoakReport {
-    println!("seed {seed}: {}", plan.summary());
-    let environment = SoakEnvironment::start(seed, INSTANCES).await;
+async fn run(seed: u64, plan: &SoakPlan, sync_replicas: usize) -> SoakReport {
+    println!("seed {seed}, sync replicas {sync_replicas}: {}", plan.summary());
+    let environment = SoakEnvironment::start(seed, INSTANCES, sync_replicas).await;
     environment.await_serving().await;
     let callers = callers::start(&environment, CALLERS, seed);
     environment.run(plan).await;
@@ -71,7 +74,7 @@
     let mut violations = Vec::new();
     for seed in seeds {
         let plan = SoakPlan::generate(seed, Duration::from_secs(seconds), INSTANCES);
-        let report = run(seed, &plan).await;
+        let report = run(seed, &plan, usize::from(seed % 2 == 0)).await;
         assert!(report.served > 0, "seed {seed} served nothing");
         violations.extend(report.violations.into_iter().map(|text| format!("seed {seed}: {text}")));
     }
@@ -85,8 +88,20 @@
 async fn guarantees_hold_while_promoting_instances_are_killed() {
     let plan = SoakPlan::of_killed_promoters(PROMOTER_KILLS);
 
-    let report = run(PROMOTER_SEED, &plan).await;
+    let report = run(PROMOTER_SEED, &plan, 0).await;
 
     assert!(report.promotions >= PROMOTER_KILLS, "{report}");
     assert!(report.violations.is_empty(), "{:#?}", report.violations);
 }
+
+/// Guards against the promotion of a replica that lacks acknowledged commits, because the one that
+/// has them answers late.
+#[tokio::test(flavor = "multi_thread")]
+async fn acknowledged_commits_survive_while_their_replica_answers_late() {
+    let plan = SoakPlan::of_late_replica();
+
+    let report = run(LATE_REPLICA_SEED, &plan, 1).await;
+
+    assert!(report.promotions > 0, "{report}");
+    assert!(report.violations.is_empty(), "{:#?}", report.violations);
+}
--- a/crates/rudder-standins/src/lines/fleet.rs
+++ b/crates/rudder-standins/src/lines/fleet.rs
@@ -178,7 +178,9 @@
     /// Writes a version of the settings as an operator would.
     pub fn publish_settings(&self, version: u64, databases: &[LineDatabase]) {
         let routes: Vec<Value> = databases.iter().map(|database| self.route(database)).collect();
-        let services = json!([{"name": self.service, "maxConnections": 40, "syncReplicas": 0}]);
+        let sync_replicas = self.group.sync_replicas();
+        let services =
+            json!([{"name": self.service, "maxConnections": 40, "syncReplicas": sync_replicas}]);
         let limits = json!({"txIdleMs": 1000});
         let mut spec = json!({
             "version": version, "routes": routes, "services": services, "limits": limits,
--- a/crates/rudder-standins/src/lines/group.rs
+++ b/crates/rudder-standins/src/lines/group.rs
@@ -58,6 +58,8 @@
     pub(super) is_primary: bool,
     pub(super) term: u64,
     pub(super) log: Vec<LineCommit>,
+    /// Whether the member receives nothing from the primary.
+    is_deaf: bool,
     pub(super) connections: usize,
     /// Whether the member runs; its connections end when this becomes false.
     pub(super) running: watch::Sender<bool>,
@@ -70,6 +72,8 @@
     /// Index of the member that was promoted last, which the replicas follow.
     primary: usize,
     lag: Duration,
+    /// Number of replicas that receive a commit before it is acknowledged.
+    sync_replicas: usize,
     tokens: Vec<u64>,
     promoted_at: Option<Instant>,
     /// Time between a promotion order and its effect.
@@ -87,8 +91,9 @@
     /// Applies the primary's commits that are older than the replication lag to a replica's log.
     pub(super) fn catch_up(&mut self, index: usize) {
         self.demote_superseded(index);
-        let primary = &self.members[self.primary];
-        if index == self.primary || self.members[index].is_primary || !*primary.running.borrow() {
+        let (primary, member) = (&self.members[self.primary], &self.members[index]);
+        let receives = index != self.primary && !member.is_primary && !member.is_deaf;
+        if !receives || !*primary.running.borrow() {
             return;
         }
         let now = Instant::now();
@@ -109,6 +114,20 @@
         }
     }
 
+    /// Returns whether enough replicas have received a member's whole log, so that its last commit
+    /// may be acknowledged.
+    pub(super) fn is_replicated(&mut self, index: usize) -> bool {
+        let others: Vec<usize> = (0..self.members.len()).filter(|other| *other != index).collect();
+        for other in &others {
+            if *self.members[*other].running.borrow() {
+                self.catch_up(*other);
+            }
+        }
+        let log = &self.members[index].log;
+        let has_all = |other: &&usize| common_length(log, &self.members[**other].log) == log.len();
+        others.iter().filter(has_all).count() >= self.sync_replicas
+    }
+
     /// Appends a commit to a member's own log.
     pub(super) fn commit(&mut self, index: usize, writes: Vec<(String, String, String)>) {
         let member = &mut self.members[index];
@@ -197,6 +216,7 @@
                 is_primary: index == 0,
                 term: 1,
                 log: Vec::new(),
+                is_deaf: false,
                 connections: 0,
                 running: watch::Sender::new(true),
             });
@@ -208,6 +228,7 @@
             members,
             primary: 0,
             lag,
+            sync_replicas: 0,
             tokens: Vec::new(),
             promoted_at: None,
             promotion_time: Duration::ZERO,
@@ -307,6 +328,22 @@
         self.state().lag = lag;
     }
 
+    /// Sets the number of replicas that receive a commit before the primary acknowledges it.
+    pub fn set_sync_replicas(&self, sync_replicas: usize) {
+        self.state().sync_replicas = sync_replicas;
+    }
+
+    /// Returns the number of replicas that receive a commit before the primary acknowledges it.
+    #[must_use]
+    pub fn sync_replicas(&self) -> usize {
+        self.state().sync_replicas
+    }
+
+    /// Sets whether a replica receives nothing from the primary.
+    pub fn set_deaf(&self, index: usize, is_deaf: bool) {
+        self.state().members[index].is_deaf = is_deaf;
+    }
+
     /// Returns the log of the member that was promoted last.
     #[must_use]
     pub fn commits(&self) -> Vec<LineCommit> {
--- a/crates/rudder-standins/src/lines/session.rs
+++ b/crates/rudder-standins/src/lines/session.rs
@@ -2,10 +2,13 @@
 
 use super::group::{GroupState, LineCommit, LineStatement, lock};
 use std::sync::Mutex;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
+/// Interval at which a commit checks whether replicas have received it.
+const REPLICATION_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
 /// State of a connection between statements.
 #[derive(Default)]
 struct SessionState {
@@ -60,7 +63,15 @@
         else {
             return;
         };
-        let response = run(&mut lock(group), index, &mut session, id, text);
+        let (response, commits) = {
+            let mut state = lock(group);
+            let before = state.members[index].log.len();
+            let response = run(&mut state, index, &mut session, id, text);
+            (response, state.members[index].is_primary && state.members[index].log.len() > before)
+        };
+        while commits && !lock(group).is_replicated(index) {
+            tokio::time::sleep(REPLICATION_POLL_INTERVAL).await;
+        }
         let text = format_response(&lock(group), index, &session, response);
         if writer.write_all(text.as_bytes()).await.is_err() {
             return;
