Split the promotion of a member, its selection and the writes of its record

Change: duty/candidates chooses the member, duty/promote orders it, duty/record_write writes versions of the record, group/departures keeps the members that left. No change of behaviour.

--- a/crates/rudder-engine/src/duty/mod.rs
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -1,6 +1,7 @@
 //! Background tasks of an instance: heartbeats, registration, records and changes of primary.
 
 mod answers;
+mod candidates;
 mod change;
 mod control;
 mod drain;
@@ -8,6 +9,7 @@
 mod keeper;
 mod loans;
 mod promote;
+mod record_write;
 mod records;
 mod registry;
 mod schedule;
--- a/crates/rudder-engine/src/duty/promote.rs
+++ b/crates/rudder-engine/src/duty/promote.rs
@@ -1,14 +1,15 @@
-//! Selection and promotion of the next primary.
+//! Promotion of the next primary: orders, and their effect.
 
 use super::change::{
-    ChangeError, ChangePlan, ChangeRun, INTENT_VALIDITY, POLL_INTERVAL, Promotion, WrittenRecord,
+    ChangeError, ChangePlan, ChangeRun, INTENT_VALIDITY, POLL_INTERVAL, Promotion,
 };
 use super::control::{MemberReport, STATUS_TIMEOUT, fetch_status};
+use super::record_write::WrittenRecord;
 use crate::clock::boot_time;
-use crate::group::{GroupMember, MemberState};
+use crate::group::GroupMember;
 use crate::interfaces::{PromotionError, PromotionOrder};
-use crate::lead::{MemberOrder, order_candidates};
-use rudder_core::{LogStamp, LogTerm, MemberName, MemberRole};
+use crate::lead::MemberOrder;
+use rudder_core::{LogTerm, MemberName, MemberRole};
 use std::time::Duration;
 
 /// Maximum time a planned change waits for a successor to receive the primary's last commits.
@@ -41,43 +42,30 @@
     }
 }
 
-impl ChangeRun<'_> {
-    /// Returns the status reports of the members that may take over and, if replicas receive commits
-    /// synchronously, of all other members.
-    pub(super) async fn fetch_reports(&self, plan: &ChangePlan) -> Vec<MemberReport> {
-        if self.sync_replicas() == 0 {
-            return self.fetch_candidates(plan).await;
-        }
-        let members = self.group.members();
-        let sufficient = |reports: &[MemberReport]| self.choose(plan, reports, &[]).is_some();
-        self.clients.lock().await.fetch_until(self.engine, &members, sufficient).await
-    }
-
-    /// Returns the status reports of the members that may take over.
-    pub(super) async fn fetch_candidates(&self, plan: &ChangePlan) -> Vec<MemberReport> {
-        let mut members = self.group.members();
-        members.retain(|member| self.may_succeed(plan, member));
-        self.clients.lock().await.fetch_all(self.engine, &members).await
-    }
-
-    /// Returns whether a member may take over, if its log is complete.
-    fn may_succeed(&self, plan: &ChangePlan, member: &GroupMember) -> bool {
-        let is_ready = member.entry().state == MemberState::Ready;
-        is_ready && (plan.unfinished || Some(member.name()) != plan.previous.as_ref())
-    }
+/// Orders of one attempt to promote a member.
+struct OrderState {
+    /// Version of the record as last written.
+    written: WrittenRecord,
+    /// Order that this version names.
+    current: Option<CurrentOrder>,
+    /// Members whose promotion was rejected in the present round.
+    rejected: Vec<MemberName>,
+}
 
-    fn sync_replicas(&self) -> u32 {
-        let Some(settings) = self.engine.settings() else { return 0 };
-        let rules = &settings.services;
-        let found = rules.binary_search_by(|rule| rule.service.cmp(self.group.service()));
-        found.map_or(0, |index| rules[index].sync_replicas)
+impl OrderState {
+    fn record_outcome(&mut self, outcome: &Result<(), PromotionError>) {
+        let Some(order) = self.current.as_mut() else { return };
+        order.was_accepted |= outcome.is_ok();
+        order.is_unanswered |= *outcome == Err(PromotionError::Unanswered);
     }
+}
 
+impl ChangeRun<'_> {
     /// Promotes a member.
     pub(super) async fn promote(
         &self,
         plan: &ChangePlan,
-        mut intent: WrittenRecord,
+        intent: WrittenRecord,
     ) -> Result<Promotion, ChangeError> {
         let previous = plan.previous.as_ref();
         if plan.planned
@@ -85,76 +73,30 @@
         {
             self.await_catch_up(plan, &member).await;
         }
-        let mut current: Option<CurrentOrder> = None;
-        let mut rejected: Vec<MemberName> = Vec::new();
+        let mut state = OrderState { written: intent, current: None, rejected: Vec::new() };
         let mut is_withheld = false;
         loop {
             let reports = self.fetch_reports(plan).await;
             // An earlier order may have taken effect.
             let leader = newest_leader(&reports, previous).cloned();
             if let Some(leader) = leader.as_ref().filter(|leader| self.may_settle_on(leader)) {
-                return Ok(self.promotion(leader.clone(), intent, current));
+                return Ok(self.promotion(leader.clone(), state));
             }
-            self.check_validity(&intent)?;
+            self.check_validity(&state.written)?;
             // While an order for another member may still take effect, there is nothing to order.
-            let candidate = self.choose(plan, &reports, &rejected).filter(|_| leader.is_none());
-            let Some(candidate) = candidate else {
-                rejected.clear();
-                let waits = leader.is_none() && self.sync_replicas() > 0;
-                if waits && !std::mem::replace(&mut is_withheld, true) {
+            let chosen = self.choose(plan, &reports, &state.rejected);
+            let Some(candidate) = chosen.filter(|_| leader.is_none()) else {
+                state.rejected.clear();
+                let is_waiting = leader.is_none() && self.sync_replicas() > 0;
+                if is_waiting && !std::mem::replace(&mut is_withheld, true) {
                     self.report_withheld(&reports);
                 }
                 tokio::time::sleep(POLL_INTERVAL).await;
                 continue;
             };
-            let before = reports.iter().map(|report| report.status.accepted).max();
-            let leading = find_leading(&reports, &candidate, before).cloned();
-            let mut order = match current.take() {
-                // It leads already, so the order changes nothing, but an order for another member
-                // may still take effect.
-                Some(order)
-                    if order.member == candidate && order.was_accepted && leading.is_some() =>
-                {
-                    current = Some(order);
-                    if let Some(leader) = leading.filter(|leader| self.may_settle_on(leader)) {
-                        return Ok(self.promotion(leader, intent, current));
-                    }
-                    tokio::time::sleep(POLL_INTERVAL).await;
-                    continue;
-                }
-                Some(order) if order.member == candidate => order,
-                replaced => {
-                    let (order, written) =
-                        self.write_order(plan, &intent, replaced, &candidate).await?;
-                    intent = written;
-                    // Checked right before the order: a holder that was suspended must not promote
-                    // a member after another instance has taken over.
-                    self.check_validity(&intent)?;
-                    order
-                }
-            };
-            let outcome = self.order(&intent, &candidate).await;
-            order.is_unanswered |= outcome == Err(PromotionError::Unanswered);
-            order.was_accepted |= outcome.is_ok();
-            current = Some(order);
-            let leader = match outcome {
-                // The platform changes nothing if the member is already the primary.
-                Ok(()) if leading.is_some() => leading,
-                Ok(()) | Err(PromotionError::Unanswered) => {
-                    self.await_leader(&candidate, before.unwrap_or_default()).await
-                }
-                Err(PromotionError::Rejected) => {
-                    rejected.push(candidate);
-                    None
-                }
-                Err(PromotionError::TurnedAway(_)) => {
-                    tokio::time::sleep(ORDER_RETRY_DELAY).await;
-                    None
-                }
-            };
-            match leader {
+            match self.promote_candidate(plan, &mut state, &reports, &candidate).await? {
                 Some(leader) if self.may_settle_on(&leader) => {
-                    return Ok(self.promotion(leader, intent, current));
+                    return Ok(self.promotion(leader, state));
                 }
                 Some(_) => tokio::time::sleep(POLL_INTERVAL).await,
                 None => {}
@@ -162,6 +104,48 @@
         }
     }
 
+    /// Orders the promotion of a member. Returns its status report once it leads; none if it does
+    /// not in time.
+    async fn promote_candidate(
+        &self,
+        plan: &ChangePlan,
+        state: &mut OrderState,
+        reports: &[MemberReport],
+        candidate: &MemberName,
+    ) -> Result<Option<MemberReport>, ChangeError> {
+        let before = reports.iter().map(|report| report.status.accepted).max();
+        let leading = find_leading(reports, candidate, before).cloned();
+        match state.current.as_ref().filter(|order| order.member == *candidate) {
+            // The order is not repeated for a member that leads already.
+            Some(order) if order.was_accepted && leading.is_some() => return Ok(leading),
+            Some(_) => {}
+            None => {
+                self.write_order(plan, state, candidate).await?;
+                // Checked right before the order: a holder that was suspended must not promote a
+                // member after another instance has taken over.
+                self.check_validity(&state.written)?;
+            }
+        }
+        let outcome = self.send_order(&state.written, candidate).await;
+        state.record_outcome(&outcome);
+        let leader = match outcome {
+            // The platform changes nothing if the member is already the primary.
+            Ok(()) if leading.is_some() => leading,
+            Ok(()) | Err(PromotionError::Unanswered) => {
+                self.await_leader(candidate, before.unwrap_or_default()).await
+            }
+            Err(PromotionError::Rejected) => {
+                state.rejected.push(candidate.clone());
+                None
+            }
+            Err(PromotionError::TurnedAway(_)) => {
+                tokio::time::sleep(ORDER_RETRY_DELAY).await;
+                None
+            }
+        };
+        Ok(leader)
+    }
+
     /// Fails if the written version no longer entitles this instance to order a promotion.
     fn check_validity(&self, written: &WrittenRecord) -> Result<(), ChangeError> {
         if boot_time() >= written.sent_at + INTENT_VALIDITY {
@@ -173,7 +157,7 @@
         Ok(())
     }
 
-    fn pending_orders(&self) -> Vec<MemberOrder> {
+    pub(super) fn pending_orders(&self) -> Vec<MemberOrder> {
         self.group.with_leases(|leases| leases.pending_orders(boot_time()))
     }
 
@@ -185,68 +169,13 @@
 
     /// Returns the promotion of `leader`, with the orders for it that may still be on their way. An
     /// order that was answered is not.
-    fn promotion(
-        &self,
-        leader: MemberReport,
-        written: WrittenRecord,
-        current: Option<CurrentOrder>,
-    ) -> Promotion {
+    fn promotion(&self, leader: MemberReport, state: OrderState) -> Promotion {
         let mut orders = self.pending_orders();
-        if let Some(order) = current.filter(|order| !order.is_unanswered) {
+        if let Some(order) = state.current.filter(|order| !order.is_unanswered) {
             orders.retain(|pending| pending.member != order.member);
             orders.extend(order.earlier);
         }
-        Promotion { leader, written, orders }
-    }
-
-    /// Returns the member to promote; none if none may take over, or if the reports do not show
-    /// which members hold all acknowledged commits of a service with synchronous replicas.
-    ///
-    /// Promoting a member that lacks some would lose them, although the service is declared to keep
-    /// its acknowledged commits when its primary fails.
-    fn choose(
-        &self,
-        plan: &ChangePlan,
-        reports: &[MemberReport],
-        rejected: &[MemberName],
-    ) -> Option<MemberName> {
-        let positions: Vec<_> =
-            reports.iter().map(|report| (report.member.clone(), report.status.received)).collect();
-        let previous = plan.previous.as_ref();
-        let sync_replicas = self.sync_replicas();
-        let complete = if sync_replicas > 0 {
-            let evidence = self.group.commit_evidence(sync_replicas, previous);
-            evidence.complete_position(previous, &positions)?
-        } else {
-            LogStamp::new(0, 0)
-        };
-        let (mut ready, mut leaving) = (Vec::new(), Vec::new());
-        let is_candidate = |(name, received): &(MemberName, LogStamp)| {
-            *received >= complete && !rejected.contains(name)
-        };
-        for (name, received) in positions.into_iter().filter(is_candidate) {
-            let Some(member) = self.group.member(&name) else { continue };
-            if self.may_succeed(plan, &member) {
-                ready.push((name, received));
-            } else if Some(&name) != previous {
-                leaving.push((name, received));
-            }
-        }
-        // A replica that is draining is replaced again, but no commit is lost meanwhile.
-        let candidates = if ready.is_empty() && sync_replicas > 0 { leaving } else { ready };
-        let candidates = order_candidates(candidates, &self.pending_orders());
-        candidates.into_iter().next().map(|(member, _)| member)
-    }
-
-    fn report_withheld(&self, reports: &[MemberReport]) {
-        let service = self.group.service();
-        let reported: Vec<&str> = reports.iter().map(|report| report.member.as_str()).collect();
-        metrics::counter!("rudder_promotions_withheld", "service" => service.to_string())
-            .increment(1);
-        log::warn!(
-            service:% = service, sync_replicas = self.sync_replicas(), reported:? = reported;
-            "no member that may take over is known to hold all acknowledged commits; waiting"
-        );
+        Promotion { leader, written: state.written, orders }
     }
 
     /// Writes an order into the record, before it is sent. The order that it replaces stays in the
@@ -254,37 +183,37 @@
     async fn write_order(
         &self,
         plan: &ChangePlan,
-        intent: &WrittenRecord,
-        replaced: Option<CurrentOrder>,
+        state: &mut OrderState,
         candidate: &MemberName,
-    ) -> Result<(CurrentOrder, WrittenRecord), ChangeError> {
+    ) -> Result<(), ChangeError> {
         let mut orders = self.pending_orders();
-        if let Some(replaced) = replaced.filter(|order| !order.may_take_effect()) {
+        if let Some(replaced) = state.current.take().filter(|order| !order.may_take_effect()) {
             orders.retain(|order| order.member != replaced.member);
             orders.extend(replaced.earlier);
         }
         let earlier = orders.iter().find(|order| order.member == *candidate).cloned();
         orders.retain(|order| order.member != *candidate);
-        let epoch = intent.record.epoch.next();
+        let epoch = state.written.record.epoch.next();
         orders.push(MemberOrder { member: candidate.clone(), epoch });
         orders.sort_by(|left, right| left.member.cmp(&right.member));
         let phase = self.changing(plan);
-        let written = self.write(epoch, phase, orders, Some(&intent.version)).await?;
+        state.written = self.write(epoch, phase, orders, Some(&state.written.version)).await?;
         let member = candidate.clone();
-        let order = CurrentOrder { member, earlier, was_accepted: false, is_unanswered: false };
-        Ok((order, written))
+        state.current =
+            Some(CurrentOrder { member, earlier, was_accepted: false, is_unanswered: false });
+        Ok(())
     }
 
-    async fn order(
+    async fn send_order(
         &self,
-        intent: &WrittenRecord,
+        written: &WrittenRecord,
         candidate: &MemberName,
     ) -> Result<(), PromotionError> {
         let order = PromotionOrder {
             service: self.group.service().clone(),
             member: candidate.clone(),
             holder: self.engine.identity().name.to_string(),
-            token: intent.record.epoch.0,
+            token: written.record.epoch.0,
         };
         let call = self.engine.dependencies().promotion.promote(&order);
         let outcome = tokio::time::timeout(PROMOTION_CALL_TIMEOUT, call).await;
--- a/crates/rudder-engine/src/group/mod.rs
+++ b/crates/rudder-engine/src/group/mod.rs
@@ -1,6 +1,7 @@
 //! Members of a service, connection pools to them, and the placement of reads.
 
 mod acquire;
+mod departures;
 mod link;
 mod link_session;
 mod loan;
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -1,12 +1,12 @@
 //! One service: its members, its primary's lease, and the observed log positions.
 
-use super::member::{GroupMember, MemberEntry, MemberState, reuse_or_create};
+use super::departures::DepartureLog;
+use super::member::{GroupMember, MemberEntry, reuse_or_create};
 use super::pool::MemberPool;
 use crate::clock::boot_time;
 use crate::interfaces::MemberDialer;
 use crate::lead::{
-    CommitEvidence, DepartedReplica, LeadRecord, LeaderEpoch, LeaderLease, LeaseTable,
-    PositionHistory,
+    CommitEvidence, LeadRecord, LeaderEpoch, LeaderLease, LeaseTable, PositionHistory,
 };
 use crate::peers::RecordsDigest;
 use crate::records_view::{RecordState, RecordTimes};
@@ -47,14 +47,7 @@
     probe_requested_at: Option<Duration>,
     /// Whether statements of client accounts are forwarded to holders of connections.
     forwards: bool,
-    /// Members that have left since the primary took over, with the times at which they did.
-    departed: Vec<DepartedMember>,
-}
-
-/// Member that is no longer in the membership.
-struct DepartedMember {
-    entry: MemberEntry,
-    at: Duration,
+    departures: DepartureLog,
 }
 
 /// Digests of a service's record before and after a change.
@@ -65,26 +58,6 @@
 }
 
 impl GroupState {
-    /// Records which of the `known` members have left. One that started again has lost its log; one
-    /// that was draining has passed it to a new member at its address.
-    fn record_departures(&mut self, known: &[Arc<GroupMember>]) {
-        let entries: Vec<_> = self.members.iter().map(|member| member.entry()).collect();
-        let is_kept = |left: &MemberEntry| {
-            entries.iter().any(|entry| {
-                entry.target.member == left.target.member
-                    && entry.started_at_ms == left.started_at_ms
-            })
-        };
-        let is_succeeded = |left: &MemberEntry| {
-            left.state == MemberState::Draining
-                && entries.iter().any(|entry| entry.target.address == left.target.address)
-        };
-        let now = boot_time();
-        let left = known.iter().map(|member| DepartedMember { entry: member.entry(), at: now });
-        self.departed.extend(left);
-        self.departed.retain(|left| !is_kept(&left.entry) && !is_succeeded(&left.entry));
-    }
-
     /// Returns the pools that have connections or waiting callers.
     fn active_pools(&self) -> Vec<Arc<MemberPool>> {
         let pools = self.members.iter().map(|member| member.pool());
@@ -172,7 +145,9 @@
         members.extend(state.unlisted_primary(&known, &members));
         members.sort_by(|left, right| left.name().cmp(right.name()));
         state.members = members.clone();
-        state.record_departures(&known);
+        let entries: Vec<_> = members.iter().map(|member| member.entry()).collect();
+        let known_entries = known.iter().map(|member| member.entry());
+        state.departures.record(known_entries, &entries, boot_time());
         drop(state);
         close_removed(&known, &members);
         self.changed.notify_waiters();
@@ -221,8 +196,7 @@
         let change = new.then(|| {
             if record.primary().is_some() {
                 state.history.clear();
-                // The new primary holds every commit that those members may have held.
-                state.departed.clear();
+                state.departures.clear();
             }
             state.watch_failing_since = None;
             let after = RecordsDigest::of_record(&self.service, record.epoch);
@@ -390,15 +364,11 @@
         let state = self.state();
         let replicas = state.members.iter().map(|member| member.name());
         let replicas = replicas.filter(|name| Some(*name) != previous).cloned().collect();
-        let departed = state.departed.iter().map(|left| DepartedReplica {
-            member: left.entry.target.member.clone(),
-            later_position: state.history.first_since(left.at).map(|sample| sample.stamp),
-        });
-        let departed = departed.filter(|left| Some(&left.member) != previous);
+        let departed = state.departures.replicas(previous, &state.history);
         CommitEvidence {
             sync_replicas,
             replicas,
-            departed: departed.collect(),
+            departed,
             newest: state.history.newest().map(|sample| sample.stamp),
         }
     }
