Check the validity of a promotion order after its connection is open

What callers would have seen: an instance that was suspended while it connected to the platform sends its order after another one has taken over, with a lower fencing token.

Cause: the validity was checked before the call, which first opens a connection: a round trip during which the process may be suspended.

Change: an order carries the time until which it may be sent, and the platform's client checks it once a connection is open. What remains is a suspension between that check and the write to the socket.

--- a/crates/rudder-engine/src/duty/promote.rs
+++ b/crates/rudder-engine/src/duty/promote.rs
@@ -214,6 +214,7 @@
             member: candidate.clone(),
             holder: self.engine.identity().name.to_string(),
             token: written.record.epoch.0,
+            valid_until: written.sent_at + INTENT_VALIDITY,
         };
         let call = self.engine.dependencies().promotion.promote(&order);
         let outcome = tokio::time::timeout(PROMOTION_CALL_TIMEOUT, call).await;
--- a/crates/rudder-engine/src/interfaces.rs
+++ b/crates/rudder-engine/src/interfaces.rs
@@ -1,11 +1,13 @@
 //! Interfaces to the systems around the engine: member connections and the promotion call.
 
+use crate::clock::boot_time;
 use crate::statement::{MemberCommand, StatementError, StatementReply};
 use async_trait::async_trait;
 use displaydoc::Display;
 use rudder_core::{AccountName, MemberName, MemberStatus, ServiceName, plain_data};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 plain_data! {
     /// Address of a member and the identity that is expected there.
@@ -88,12 +90,38 @@
         pub holder: String,
         /// Fencing token, which is greater for each later holder.
         pub token: u64,
+        /// Time since the machine started, including suspension, after which the order must not be
+        /// sent, as another instance may send one by then.
+        pub valid_until: Duration,
+    }
+}
+
+impl PromotionOrder {
+    /// Returns whether the order may still be sent.
+    ///
+    /// ```
+    /// use rudder_engine::PromotionOrder;
+    /// use std::time::Duration;
+    /// let order = PromotionOrder {
+    ///     service: "records".parse()?,
+    ///     member: "a".parse()?,
+    ///     holder: "entry-1".to_owned(),
+    ///     token: 3,
+    ///     valid_until: Duration::ZERO,
+    /// };
+    /// assert!(!order.is_valid());
+    /// # Ok::<(), rudder_core::ParseError>(())
+    /// ```
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        boot_time() < self.valid_until
     }
 }
 
 /// Promotes members.
 #[async_trait]
 pub trait PromotionCall: Send + Sync {
-    /// Sends the order. Repeating the same order is allowed.
+    /// Sends the order, unless it is no longer valid once it can be sent. Repeating the same order
+    /// is allowed.
     async fn promote(&self, order: &PromotionOrder) -> Result<(), PromotionError>;
 }
