--- a/crates/arbutusrudder/tests/soak/faults.rs
+++ b/crates/arbutusrudder/tests/soak/faults.rs
@@ -80,6 +80,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct SoakPlan {
     pub(crate) faults: Vec<TimedSoakFault>,
+    /// Number of program processes.
+    pub(crate) instances: usize,
 }
 
 impl SoakPlan {
@@ -90,7 +92,7 @@
         loop {
             at += Duration::from_millis(rng.random_range(FAULT_GAP_MS));
             if at >= time {
-                return Self { faults };
+                return Self { faults, instances };
             }
             let length = Duration::from_millis(rng.random_range(FAULT_LENGTH_MS));
             let fault = generate_fault(&mut rng, instances);
@@ -99,18 +101,18 @@
     }
 
     /// Returns a plan that kills so many processes while they promote a member, one after the other.
-    pub(crate) fn of_killed_promoters(count: usize) -> Self {
+    pub(crate) fn of_killed_promoters(count: usize, instances: usize) -> Self {
         let fault = |number: u32| TimedSoakFault {
             at: PROMOTER_KILL_INTERVAL * (number + 1),
             length: Duration::from_millis(u64::from(900 + 100 * number)),
             fault: SoakFault::PromoterKilled,
         };
-        Self { faults: (0..).map(fault).take(count).collect() }
+        Self { faults: (0..).map(fault).take(count).collect(), instances }
     }
 
     /// Returns a plan in which the primary is lost while one replica receives nothing and the other
     /// one answers late.
-    pub(crate) fn of_late_replica() -> Self {
+    pub(crate) fn of_late_replica(instances: usize) -> Self {
         let fault = |at_ms, length_ms, fault| TimedSoakFault {
             at: Duration::from_millis(at_ms),
             length: Duration::from_millis(length_ms),
@@ -121,7 +123,7 @@
             fault(1000, 7000, SoakFault::MemberLink(2, LinkFailure::Slow(LATE_REPLY_TIME))),
             fault(3000, 5000, SoakFault::MemberDown(0)),
         ];
-        Self { faults }
+        Self { faults, instances }
     }
 
     /// Formats the faults in one line.
--- a/crates/arbutusrudder/tests/soak/main.rs
+++ b/crates/arbutusrudder/tests/soak/main.rs
@@ -1,7 +1,8 @@
 //! Randomized soak test: processes of the compiled program, faults injected from outside, and
 //! callers whose observations are checked against the consistency guarantees.
 //!
-//! `RUDDER_SOAK_SEEDS=50 RUDDER_SOAK_FROM=1 RUDDER_SOAK_SECONDS=20` runs more seeds than CI does.
+//! `RUDDER_SOAK_SEEDS=50 RUDDER_SOAK_FROM=1 RUDDER_SOAK_SECONDS=20` runs more seeds than CI does, and
+//! `RUDDER_SOAK_INSTANCES=60` more processes.
 //! Each run prints its seed, its faults and, if a guarantee is violated, the paths of the logs.
 
 mod callers;
@@ -41,7 +42,7 @@
 
 async fn run(seed: u64, plan: &SoakPlan, sync_replicas: usize) -> SoakReport {
     println!("seed {seed}, sync replicas {sync_replicas}: {}", plan.summary());
-    let environment = SoakEnvironment::start(seed, INSTANCES, sync_replicas).await;
+    let environment = SoakEnvironment::start(seed, plan.instances, sync_replicas).await;
     environment.await_serving().await;
     let callers = callers::start(&environment, CALLERS, seed);
     environment.run(plan).await;
@@ -70,10 +71,12 @@
         None => CI_SEEDS.into_iter().chain(FAILED_SEEDS).collect(),
     };
     let seconds = number("RUDDER_SOAK_SECONDS").unwrap_or(CI_SECONDS);
+    let instances = number("RUDDER_SOAK_INSTANCES")
+        .map_or(INSTANCES, |count| usize::try_from(count).expect("a number of processes"));
 
     let mut violations = Vec::new();
     for seed in seeds {
-        let plan = SoakPlan::generate(seed, Duration::from_secs(seconds), INSTANCES);
+        let plan = SoakPlan::generate(seed, Duration::from_secs(seconds), instances);
         let report = run(seed, &plan, usize::from(seed % 2 == 0)).await;
         assert!(report.served > 0, "seed {seed} served nothing");
         violations.extend(report.violations.into_iter().map(|text| format!("seed {seed}: {text}")));
@@ -86,7 +89,7 @@
 /// named the old primary.
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_while_promoting_instances_are_killed() {
-    let plan = SoakPlan::of_killed_promoters(PROMOTER_KILLS);
+    let plan = SoakPlan::of_killed_promoters(PROMOTER_KILLS, INSTANCES);
 
     let report = run(PROMOTER_SEED, &plan, 0).await;
 
@@ -98,7 +101,7 @@
 /// has them answers late.
 #[tokio::test(flavor = "multi_thread")]
 async fn acknowledged_commits_survive_while_their_replica_answers_late() {
-    let plan = SoakPlan::of_late_replica();
+    let plan = SoakPlan::of_late_replica(INSTANCES);
 
     let report = run(LATE_REPLICA_SEED, &plan, 1).await;
 
