Test of record copies: take a port that is free for both transports

The test failed once in a run of the unit tests: the listener for copies was bound to the port number of the peer's datagram socket, and a connection of another test had that TCP port (AddrInUse). With 14,000 TCP ports in use, 13 of 30 runs failed. The fixture now takes another peer until both are free; the checks are the same. 0 of 30 runs failed beside the same 14,000 ports.

--- a/crates/rudder-engine/src/duty/tests/answers.rs
+++ b/crates/rudder-engine/src/duty/tests/answers.rs
@@ -77,6 +77,9 @@
     }
 }
 
+/// Number of ports that are tried for datagrams and connections.
+const PORTS_MAX: u32 = 50;
+
 /// Number of services whose records do not fit a datagram.
 const MANY_SERVICES: usize = 200;
 
@@ -86,13 +89,24 @@
 
 /// Returns a peer that has read the records of many services from the store, and serves copies.
 async fn reader_of_many() -> Peer {
-    let peer = Peer::registered_only("reader").await;
+    let (peer, listener) = peer_with_listener().await;
     read_many(&peer);
-    let listener = TcpListener::bind(peer.address()).await.expect("a free port");
     tokio::spawn(serve_copies(Arc::clone(&peer.engine), listener));
     peer
 }
 
+/// Returns a peer with a listener for connections on the port of its datagrams, which another test's
+/// connection may occupy.
+async fn peer_with_listener() -> (Peer, TcpListener) {
+    for _ in 0..PORTS_MAX {
+        let peer = Peer::registered_only("reader").await;
+        if let Ok(listener) = TcpListener::bind(peer.address()).await {
+            return (peer, listener);
+        }
+    }
+    panic!("no port is free for datagrams and connections");
+}
+
 fn read_many(peer: &Peer) {
     let now = boot_time();
     let services: Vec<_> = (0..MANY_SERVICES).map(nth_service).collect();
