Decide which memory and connections callers may occupy

Cause: the limits of a request and of a connection bound no sum. 260 requests of the maximum size, each within its limits, exceed a machine of 260 MB, and the memory and descriptors of the machine were known to nobody.

Change: three decisions without input and output. `MachineLimits` divides memory and descriptors of a machine; `MemoryBudget` counts what callers hold beyond a small exempt amount each and rejects what does not fit; `ConnectionTable` chooses the connections that are closed when there is no room for new ones, or that keep memory from others while they wait for their callers.

Nothing uses the decisions yet.

--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -11,10 +11,13 @@
 mod connection_headroom;
 mod connection_loan;
 mod connection_share;
+mod connection_table;
 mod detector;
 mod dial_gate;
 mod forwarded_load;
 mod forwarding;
+mod machine_limits;
+mod memory_budget;
 mod meter;
 mod operation_limit;
 mod outlier;
@@ -41,6 +44,7 @@
     uses_connection_loans,
 };
 pub use connection_share::ConnectionShare;
+pub use connection_table::{ConnectionDecision, ConnectionPhase, ConnectionTable};
 pub use detector::{SilenceDetector, SuspicionBound};
 pub use dial_gate::{DialFailure, DialGate};
 pub use forwarded_load::ForwardedLoad;
@@ -48,6 +52,8 @@
     ForwardChoice, ForwardingRule, HOLDERS_MAX, HolderBoard, HolderBudget, HolderCandidate,
     InstanceCapacity, LocalPool, forward_choice, rank_holders,
 };
+pub use machine_limits::MachineLimits;
+pub use memory_budget::{BudgetError, MemoryBudget, MemoryReservation};
 pub use meter::MemberMeter;
 pub use operation_limit::{
     ClaimDecision, ClaimPlan, ClaimRejection, ClaimScope, ClaimTerms, DomainCount, ExpiringSet,
