Bound the memory that callers of the line protocol occupy together

What callers saw: the process ended (passed the 260 MB of its machine, with the bytes that wait in its sockets) within seconds of a crowd whose messages are each within the limits, and all sessions were lost with it.

Cause: nothing bounded the sum. A message was held up to seven times while it ran, an idle session kept the buffer of its largest message, session values and prepared statements of any size were kept, laid on and remembered for each connection to a member, replies were gathered without a limit, also those to other instances, and each socket could hold megabytes unread.

Change: input, running requests, session state, rows from members and replies to other instances count against budgets derived from `memoryMb`, beyond an exempt amount each, so that requests of usual size never wait for others. A request that does not fit gets `BUSY`, says that it was not run, and its line is skipped without being stored; the session goes on. Where memory is short, sessions that keep some and have waited for their callers for seconds are closed. The line reader has its own buffer, exact in size, handed over to the statement instead of copied, and given up with the line; a statement is copied three times instead of seven. A caller that sends ahead of refusals is paused. A reply that is not taken closes its session, in a transaction after the idle timeout, as it occupies a connection to a member. Line ends are found with `memchr`.

Why it works: all that grows with what callers send is now in one of the budgets (a quarter, a sixteenth and two sixteenths of the memory), and the receive buffers add up to an eighth.

Tests: `crates/arbutusrudder/tests/clients` starts the process with the limits of its machine and plays each kind of client beside ten ordinary callers; a watch stops the process when it passes the memory of its machine.

--- /dev/null
+++ b/crates/arbutusrudder/tests/clients/lines.rs
@@ -0,0 +1,400 @@
+//! Clients of the line protocol that do not behave.
+
+use super::crowd::{play_crowd, play_in_turn};
+use super::line_client::{DATABASE, LineSession, PIECE, RawLines, filling, filling_of, hold};
+use super::line_environment::LineEnvironment;
+use super::stage::{self, take_turn};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Bytes that a client streams without the end of a line.
+const STREAM: usize = 64 << 20;
+
+/// Bytes sent at once while streaming.
+const STREAM_PIECE: usize = 64 * 1024;
+
+/// Size of messages that are large, but far from the maximum.
+const LARGE_MESSAGE: usize = 100_000;
+
+/// Size of a row that a client reads many times.
+const LARGE_ROW: usize = 500_000;
+
+/// Statements that a client sends ahead.
+const STATEMENTS_AHEAD: usize = 400;
+
+/// Pause of clients that send or read a byte at a time.
+const SLOW_PAUSE: Duration = Duration::from_secs(1);
+
+/// Plays a crowd at the address for callers, then checks that a single message of the greatest size
+/// is still served.
+async fn play<F: Future<Output = ()>>(name: &str, crowd: impl FnOnce(SocketAddr) -> F) {
+    let _turn = take_turn().await;
+    let mut environment = LineEnvironment::start().await;
+    let address = environment.callers();
+    stage::play::<LineSession>(name, &address, &environment.watch, crowd(address)).await;
+    environment.assert_serves(&format!("READ {}", filling())).await;
+    environment.watch.assert_within_machine();
+}
+
+/// Runs an endless client, which ends when it is refused; it connects again after a moment.
+async fn repeat<F: Future<Output = Option<()>>>(client: impl Fn() -> F) {
+    loop {
+        client().await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against memory for requests whose end never comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn messages_without_their_end_do_not_fill_the_memory() {
+    let text = Arc::new(format!("QUERY q READ {}", filling()));
+    play("half messages", |address| {
+        play_crowd(600, move |_| {
+            let text = Arc::clone(&text);
+            async move {
+                let Some(mut lines) = RawLines::start(address).await else { return };
+                let _ = lines.send(&text).await;
+                hold(lines).await;
+            }
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for startup lines whose end never comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn startup_lines_without_their_end_do_not_fill_the_memory() {
+    let text = Arc::new(format!("STARTUP {DATABASE} {}", filling()));
+    play("half startups", |address| {
+        play_crowd(600, move |_| {
+            let text = Arc::clone(&text);
+            repeat(move || {
+                let text = Arc::clone(&text);
+                async move {
+                    let mut lines = RawLines::open(address).await?;
+                    lines.send(&text).await?;
+                    lines.read_to_end().await
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for many large requests at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_whole_messages_do_not_fill_the_memory() {
+    let text = Arc::new(format!("READ {}", filling()));
+    play("whole messages", |address| {
+        play_crowd(400, move |_| {
+            let text = Arc::clone(&text);
+            repeat(move || {
+                let text = Arc::clone(&text);
+                async move {
+                    let mut lines = RawLines::start(address).await?;
+                    loop {
+                        lines.query(&text).await?;
+                    }
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory and repeated parsing for large requests that arrive in small pieces.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_messages_in_pieces_do_not_fill_the_memory() {
+    let text = Arc::new(format!("QUERY q READ {}\r\n", filling()));
+    play("messages in pieces", |address| {
+        play_crowd(400, move |_| {
+            let text = Arc::clone(&text);
+            repeat(move || {
+                let text = Arc::clone(&text);
+                async move {
+                    let mut lines = RawLines::start(address).await?;
+                    loop {
+                        lines.send_in_pieces(&text, PIECE, Duration::from_millis(1)).await?;
+                        lines.read_until("READY").await?;
+                    }
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for more large requests than the members can run.
+#[tokio::test(flavor = "multi_thread")]
+async fn very_many_large_messages_do_not_fill_the_memory() {
+    let text = Arc::new(format!("READ {}", filling_of(LARGE_MESSAGE)));
+    play("messages of 100 kB", |address| {
+        play_crowd(1_500, move |_| {
+            let text = Arc::clone(&text);
+            repeat(move || {
+                let text = Arc::clone(&text);
+                async move {
+                    let mut lines = RawLines::start(address).await?;
+                    loop {
+                        lines.query(&text).await?;
+                    }
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for large requests that are sent ahead.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_messages_sent_ahead_do_not_fill_the_memory() {
+    let text = Arc::new(format!("QUERY q READ {}\r\n", filling()));
+    play("large messages ahead", |address| {
+        play_crowd(300, move |_| {
+            let text = Arc::clone(&text);
+            repeat(move || {
+                let text = Arc::clone(&text);
+                async move {
+                    let mut lines = RawLines::start_unread(address).await?;
+                    loop {
+                        lines.send(&text).await?;
+                    }
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for session values of any number and size.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_session_values_do_not_fill_the_memory() {
+    let value = Arc::new(filling());
+    play("large session values", |address| {
+        play_crowd(2, move |_| {
+            let value = Arc::clone(&value);
+            repeat(move || {
+                let value = Arc::clone(&value);
+                async move {
+                    let mut lines = RawLines::start(address).await?;
+                    for number in 0.. {
+                        lines.query(&format!("SET name{number} {value}")).await?;
+                    }
+                    Some(())
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for the session values of many requests in progress, and of the
+/// connections that they were laid on.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_session_values_at_members_do_not_fill_the_memory() {
+    let value = Arc::new(filling());
+    play("large session values at members", |address| {
+        play_crowd(60, move |_| {
+            let value = Arc::clone(&value);
+            repeat(move || {
+                let value = Arc::clone(&value);
+                async move {
+                    let mut lines = RawLines::start(address).await?;
+                    for number in 0..3 {
+                        lines.query(&format!("SET name{number} {value}")).await?;
+                    }
+                    loop {
+                        lines.query("READ item").await?;
+                    }
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for prepared statements of any number and size.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_prepared_statements_do_not_fill_the_memory() {
+    let shape = Arc::new(filling());
+    play("large prepared statements", |address| {
+        play_crowd(2, move |_| {
+            let shape = Arc::clone(&shape);
+            repeat(move || {
+                let shape = Arc::clone(&shape);
+                async move {
+                    let mut lines = RawLines::start(address).await?;
+                    for number in 0.. {
+                        lines.query(&format!("PREPARE name{number} READ {shape}")).await?;
+                    }
+                    Some(())
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for the large prepared statements that connections to members hold.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_prepared_statements_at_members_do_not_fill_the_memory() {
+    let shape = Arc::new(filling_of(LARGE_ROW));
+    play("large prepared statements at members", |address| {
+        play_crowd(20, move |client| {
+            let shape = Arc::clone(&shape);
+            repeat(move || {
+                let shape = Arc::clone(&shape);
+                async move {
+                    let mut lines = RawLines::start(address).await?;
+                    for number in 0.. {
+                        let prepare = format!("PREPARE name READ {client}-{number}-{shape}");
+                        lines.query(&prepare).await?;
+                        lines.query("EXECUTE name item").await?;
+                    }
+                    Some(())
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for small prepared statements of any number.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_small_prepared_statements_do_not_fill_the_memory() {
+    play("small prepared statements", |address| {
+        play_crowd(16, move |client| {
+            repeat(move || async move {
+                let mut lines = RawLines::start(address).await?;
+                for number in 0.. {
+                    lines.query(&format!("PREPARE n{number} READ s{client}-{number}")).await?;
+                    lines.query(&format!("EXECUTE n{number} item")).await?;
+                }
+                Some(())
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory that stays with a session once its large request was answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn sessions_idle_after_a_large_message_do_not_fill_the_memory() {
+    let text = Arc::new(format!("READ {}", filling()));
+    play("one large message each, then idle", |address| {
+        play_in_turn(400, 1, move |_| {
+            let text = Arc::clone(&text);
+            async move {
+                let mut lines = RawLines::start(address).await?;
+                lines.query(&text).await?;
+                Some(lines)
+            }
+        })
+    })
+    .await;
+}
+
+/// Guards against memory and processor time for streams without the end of a line.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_without_the_end_of_a_line_are_cut_off() {
+    let piece = Arc::new(filling_of(STREAM_PIECE));
+    play("endless lines", |address| {
+        play_crowd(300, move |_| {
+            let piece = Arc::clone(&piece);
+            repeat(move || {
+                let piece = Arc::clone(&piece);
+                async move {
+                    let mut lines = RawLines::start(address).await?;
+                    for _ in 0..STREAM / STREAM_PIECE {
+                        lines.send(&piece).await?;
+                    }
+                    Some(())
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against processor time for many connections that are opened and closed at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_opened_and_closed_at_once_do_not_stop_the_process() {
+    play("opened and closed", |address| {
+        play_crowd(500, move |_| {
+            repeat(move || async move {
+                let lines = RawLines::start(address).await;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                lines.map(drop)
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for the replies to small statements that are sent ahead.
+#[tokio::test(flavor = "multi_thread")]
+async fn small_statements_ahead_with_unread_answers_do_not_fill_the_memory() {
+    let sets = Arc::new("QUERY q SET name value\r\n".repeat(STATEMENTS_AHEAD));
+    let reads = Arc::new("QUERY q READ item\r\n".repeat(STATEMENTS_AHEAD));
+    play("small statements ahead", |address| {
+        play_crowd(68, move |client| {
+            let text = Arc::clone(if client < 8 { &sets } else { &reads });
+            async move {
+                let Some(mut lines) = RawLines::start_unread(address).await else { return };
+                while lines.send(&text).await.is_some() {}
+            }
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for large replies that are read a byte at a time.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_answers_that_are_read_slowly_do_not_fill_the_memory() {
+    play("large answers read slowly", |address| async move {
+        write_large_row(address).await;
+        play_crowd(500, move |_| {
+            repeat(move || async move {
+                let mut lines = RawLines::start_unread(address).await?;
+                lines.send("QUERY q READ large\r\n").await?;
+                loop {
+                    lines.read_byte().await?;
+                    tokio::time::sleep(SLOW_PAUSE / 10).await;
+                }
+            })
+        })
+        .await;
+    })
+    .await;
+}
+
+/// Guards against memory and waits for transactions with large writes.
+#[tokio::test(flavor = "multi_thread")]
+async fn transactions_with_large_writes_do_not_fill_the_memory() {
+    let write = Arc::new(format!("WRITE large {}", filling()));
+    play("large writes in transactions", |address| {
+        play_crowd(4, move |_| {
+            let write = Arc::clone(&write);
+            repeat(move || {
+                let write = Arc::clone(&write);
+                async move {
+                    let mut lines = RawLines::start(address).await?;
+                    lines.query("BEGIN").await?;
+                    for _ in 0..8 {
+                        lines.query(&write).await?;
+                    }
+                    lines.query("ROLLBACK").await
+                }
+            })
+        })
+    })
+    .await;
+}
+
+async fn write_large_row(address: SocketAddr) {
+    let mut lines = RawLines::start(address).await.expect("a session is opened");
+    let write = format!("WRITE large {}", filling_of(LARGE_ROW));
+    lines.query(&write).await.expect("a row is written");
+}
--- /dev/null
+++ b/crates/arbutusrudder/tests/clients/main.rs
@@ -0,0 +1,13 @@
+//! Tests with clients that do not behave, played against processes of the compiled program beside
+//! ordinary traffic, over both wires.
+//!
+//! `RUDDER_CROWD_SECONDS=20` plays each crowd for longer than CI does. Each test prints the memory of
+//! the process and how the ordinary requests fared before, during and after the crowd.
+
+mod crowd;
+mod line_client;
+mod line_environment;
+mod lines;
+mod memory;
+mod stage;
+mod traffic;
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod leadership;
 
+use crate::callers::CallerMemory;
 use crate::clock::boot_time;
 use crate::forwarding::ForwardingState;
 use crate::forwarding::holders::HolderTable;
@@ -21,7 +22,7 @@
 use crate::store_snapshot::StoreSnapshot;
 use crate::sync::lock;
 use rudder_core::{AccountName, InstanceName, ServiceName, plain_data};
-use rudder_decisions::WatchPlan;
+use rudder_decisions::{MemoryReservation, WatchPlan};
 use rudder_store::ObjectVersion;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -92,6 +93,7 @@
     /// Notified when callers wait for current records of the primaries.
     wait_records_request: Notify,
     holders: HolderTable,
+    caller_memory: CallerMemory,
 }
 
 impl ProxyEngine {
@@ -99,6 +101,7 @@
         Arc::new(Self {
             membership: MembershipView::new(&identity),
             limits: AccountLimits::new(identity.domain.clone()),
+            caller_memory: CallerMemory::new(&identity.machine),
             identity,
             process: rand::random(),
             dependencies,
@@ -200,6 +203,17 @@
         &self.limits
     }
 
+    /// Returns the budgets for the memory of callers.
+    pub(crate) fn caller_memory(&self) -> &CallerMemory {
+        &self.caller_memory
+    }
+
+    /// Returns the reservation for the input of one caller's connection.
+    #[must_use]
+    pub fn input_reservation(&self) -> MemoryReservation {
+        self.caller_memory.input_reservation()
+    }
+
     /// Returns the state of forwarding to and from other instances.
     pub(crate) fn forwarding(&self) -> &ForwardingState {
         &self.forwarding
--- a/crates/rudder-engine/src/fixtures.rs
+++ b/crates/rudder-engine/src/fixtures.rs
@@ -9,7 +9,7 @@
 use crate::statement::StatementReply;
 use async_trait::async_trait;
 use rudder_core::{AccountName, MemberRole, MemberStatus};
-use rudder_decisions::LimitBounds;
+use rudder_decisions::{LimitBounds, MachineLimits};
 use rudder_store::{
     InstanceEntry, ObjectKind, ObjectVersion, PlatformStore, StoreError, StoredObject,
 };
@@ -31,6 +31,7 @@
         key_validity: None,
         limit_bounds: LimitBounds::default(),
         capacity: None,
+        machine: MachineLimits::default(),
     }
 }
 
--- a/crates/rudder-engine/src/forwarding/server.rs
+++ b/crates/rudder-engine/src/forwarding/server.rs
@@ -15,6 +15,8 @@
 use crate::statement::{StatementReply, TransactionState};
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
+use rudder_core::ByteSize;
+use rudder_decisions::{MemoryBudget, MemoryReservation};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -35,6 +37,12 @@
 /// does not read would otherwise fill the memory.
 const SEND_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Memory of a reply that does not count against the budget, several times its usual size.
+const REPLY_EXEMPT: ByteSize = ByteSize(16 * 1024);
+
+/// Copies of a reply: its rows and its encoded form.
+const REPLY_COPIES: usize = 2;
+
 /// Maximum number of replies that wait to be written. Requests wait beyond it.
 const REPLY_QUEUE_MAX: usize = 64;
 
@@ -42,15 +50,28 @@
 #[derive(Clone)]
 pub(super) struct ReplySender {
     peer: SocketAddr,
-    frames: mpsc::Sender<Bytes>,
+    frames: mpsc::Sender<QueuedReply>,
+    memory: Arc<MemoryBudget>,
+}
+
+/// A message in the queue for writing, and the memory that it occupies.
+struct QueuedReply {
+    bytes: Bytes,
+    _memory: MemoryReservation,
 }
 
 impl ReplySender {
     pub(super) async fn reply(&self, request_id: u64, reply: StatementReply) {
-        let frame = HolderFrame::Reply { request_id, reply: reply.into() };
+        let mut memory = self.memory.reservation(REPLY_EXEMPT);
+        let size = ByteSize((REPLY_COPIES * reply.rows_size()) as u64);
+        let frame = match memory.resize(size) {
+            Ok(()) => HolderFrame::Reply { request_id, reply: reply.into() },
+            Err(_) => HolderFrame::Undeliverable { request_id },
+        };
         let bytes = encode_to_origin(&frame)
             .or_else(|| encode_to_origin(&HolderFrame::Undeliverable { request_id }));
-        self.send(request_id, bytes).await;
+        drop(frame);
+        self.send_reserved(request_id, bytes, memory).await;
     }
 
     async fn decline(&self, request_id: u64, id: &str, reason: DeclineReason) {
@@ -65,8 +86,17 @@
     }
 
     async fn send(&self, request_id: u64, bytes: Option<Bytes>) {
+        self.send_reserved(request_id, bytes, self.memory.reservation(REPLY_EXEMPT)).await;
+    }
+
+    async fn send_reserved(
+        &self,
+        request_id: u64,
+        bytes: Option<Bytes>,
+        memory: MemoryReservation,
+    ) {
         let Some(bytes) = bytes else { return };
-        if self.frames.send(bytes).await.is_err() {
+        if self.frames.send(QueuedReply { bytes, _memory: memory }).await.is_err() {
             log::info!(
                 origin:% = self.peer, number = request_id, reason = "connection_ended";
                 "the result of a forwarded request was not sent"
@@ -109,7 +139,11 @@
     let (sender, frames) = mpsc::channel(REPLY_QUEUE_MAX);
     let origin = OriginConnection {
         engine: Arc::clone(engine),
-        replies: ReplySender { peer, frames: sender },
+        replies: ReplySender {
+            peer,
+            frames: sender,
+            memory: Arc::clone(engine.caller_memory().replies()),
+        },
         transactions: HeldTransactions::default(),
         last_request_id: 0,
     };
@@ -120,10 +154,13 @@
     }
 }
 
-async fn transmit(writer: OwnedWriteHalf, mut frames: mpsc::Receiver<Bytes>) -> ConnectionEnd {
+async fn transmit(
+    writer: OwnedWriteHalf,
+    mut frames: mpsc::Receiver<QueuedReply>,
+) -> ConnectionEnd {
     let mut writer = FramedWrite::new(writer, length_codec());
-    while let Some(bytes) = frames.recv().await {
-        match tokio::time::timeout(SEND_TIMEOUT, writer.send(bytes)).await {
+    while let Some(reply) = frames.recv().await {
+        match tokio::time::timeout(SEND_TIMEOUT, writer.send(reply.bytes)).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => return error.into(),
             Err(_) => return ConnectionEnd::Silent,
--- a/crates/rudder-engine/src/group/link.rs
+++ b/crates/rudder-engine/src/group/link.rs
@@ -159,6 +159,7 @@
             }
             return;
         };
+        self.session.trim();
         MemberPool::return_link(Self {
             pool: Arc::clone(&self.pool),
             link: Some(link),
--- a/crates/rudder-engine/src/group/link_session.rs
+++ b/crates/rudder-engine/src/group/link_session.rs
@@ -6,11 +6,17 @@
 /// that callers that keep preparing new statements cannot exhaust a member's memory.
 const PREPARED_MAX: usize = 64;
 
+/// Maximum size in bytes of the values and prepared statements that are remembered of an unused
+/// connection. What takes more is sent again to the next session that needs it.
+const REMEMBERED_MAX: usize = 16 * 1024;
+
 /// Session values and prepared statements on one connection, both sorted.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct LinkSession {
     values: Vec<SessionValue>,
     prepared: Vec<PreparedStatement>,
+    /// Whether the connection has values or statements that are not remembered.
+    forgotten: bool,
 }
 
 impl LinkSession {
@@ -25,7 +31,7 @@
         prepared: Option<&PreparedStatement>,
     ) -> Vec<MemberCommand> {
         let is_named = |name: &str| values.iter().any(|value| value.name == name);
-        let has_foreign = self.values.iter().any(|value| !is_named(&value.name));
+        let has_foreign = self.forgotten || self.values.iter().any(|value| !is_named(&value.name));
         let unprepared = prepared.filter(|prepared| self.prepared.binary_search(prepared).is_err());
         let is_full = unprepared.is_some() && self.prepared.len() >= PREPARED_MAX;
         if has_foreign || is_full {
@@ -56,6 +62,16 @@
         }
     }
 
+    /// Forgets values and statements that take much memory. The connection is reset before its next
+    /// use.
+    pub(crate) fn trim(&mut self) {
+        let values = self.values.iter().map(SessionValue::size);
+        let prepared = self.prepared.iter().map(PreparedStatement::size);
+        if values.chain(prepared).sum::<usize>() > REMEMBERED_MAX {
+            *self = Self { forgotten: true, ..Self::default() };
+        }
+    }
+
     fn set_value(&mut self, value: &SessionValue) {
         put_value(&mut self.values, value.clone());
     }
--- a/crates/rudder-engine/src/identity.rs
+++ b/crates/rudder-engine/src/identity.rs
@@ -2,7 +2,7 @@
 
 use crate::interfaces::{MemberDialer, PromotionCall};
 use rudder_core::{DomainName, InstanceName, plain_data};
-use rudder_decisions::{InstanceCapacity, LimitBounds, NodePlace};
+use rudder_decisions::{InstanceCapacity, LimitBounds, MachineLimits, NodePlace};
 use rudder_store::PlatformStore;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,6 +32,8 @@
         pub limit_bounds: LimitBounds,
         /// Capacity of the machine; `None` if the deployment does not state it.
         pub capacity: Option<InstanceCapacity>,
+        /// Memory and descriptors that the machine gives to the process.
+        pub machine: MachineLimits,
     }
 }
 
--- a/crates/rudder-engine/src/lib.rs
+++ b/crates/rudder-engine/src/lib.rs
@@ -5,6 +5,7 @@
 //! from samples of the primary's position. Writes and strict reads go to the primary under a lease.
 //! A change of primary is coordinated through a record in the store.
 
+mod callers;
 mod clock;
 mod duty;
 mod engine;
@@ -26,6 +27,7 @@
 mod store_snapshot;
 mod sync;
 
+pub use callers::{CallerConnection, CallerConnections};
 pub use duty::{EngineTiming, start_engine, stop_engine};
 pub use engine::ProxyEngine;
 pub use group::{MemberEntry, MemberState};
--- a/crates/rudder-engine/src/statement.rs
+++ b/crates/rudder-engine/src/statement.rs
@@ -36,6 +36,11 @@
 }
 
 impl PreparedStatement {
+    /// Returns the length of the text in bytes.
+    pub(crate) fn size(&self) -> usize {
+        self.text.len()
+    }
+
     /// Returns the name under which this statement is prepared on member connections. It depends on
     /// the statement alone, so the names of different callers cannot collide on a shared
     /// connection.
@@ -58,6 +63,13 @@
     }
 }
 
+impl SessionValue {
+    /// Returns the length of name and value in bytes.
+    pub(crate) fn size(&self) -> usize {
+        self.name.len() + self.value.len()
+    }
+}
+
 /// One statement of a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallerStatement {
@@ -96,6 +108,19 @@
     Malformed,
 }
 
+impl CallerStatement {
+    /// Returns the length of all texts in bytes.
+    pub(crate) fn size(&self) -> usize {
+        match self {
+            Self::Begin { .. } | Self::Commit | Self::Rollback | Self::Malformed => 0,
+            Self::Read(text) | Self::Write(text) | Self::Deallocate(text) => text.len(),
+            Self::SetValue(value) => value.size(),
+            Self::Prepare { name, prepared } => name.len() + prepared.size(),
+            Self::Execute { name, arguments } => name.len() + arguments.len(),
+        }
+    }
+}
+
 /// Part of a statement command that a member runs for a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StatementBody {
@@ -266,6 +291,11 @@
         Self { rows: Vec::new(), outcome, state, position: None }
     }
 
+    /// Returns the length of the rows in bytes.
+    pub(crate) fn rows_size(&self) -> usize {
+        self.rows.iter().map(String::len).sum()
+    }
+
     /// Returns the error of a reply that reports one.
     pub(crate) fn error(&self) -> Option<&StatementError> {
         match &self.outcome {
