--- a/crates/arbutusrudder/tests/clients/lines.rs
+++ b/crates/arbutusrudder/tests/clients/lines.rs
@@ -318,6 +318,38 @@
     .await;
 }
 
+/// Guards against callers that are not accepted while others occupy all descriptors.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_sessions_do_not_occupy_all_descriptors() {
+    play("idle sessions", |address| play_in_turn(4_600, 100, move |_| RawLines::start(address)))
+        .await;
+}
+
+/// Guards against callers that are not accepted while others have connected and say nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_do_not_occupy_all_descriptors() {
+    play("silent connections", |address| {
+        play_crowd(4_600, move |_| {
+            repeat(move || async move { RawLines::open(address).await?.read_to_end().await })
+        })
+    })
+    .await;
+}
+
+/// Guards against callers that are not accepted while others send a byte at a time.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_senders_do_not_occupy_all_descriptors() {
+    play("a byte a second", |address| {
+        play_crowd(4_600, move |_| {
+            repeat(move || async move {
+                let mut lines = RawLines::start(address).await?;
+                lines.send_in_pieces("QUERY q READ item-of-a-slow-client", 1, SLOW_PAUSE).await
+            })
+        })
+    })
+    .await;
+}
+
 /// Guards against processor time for many connections that are opened and closed at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_opened_and_closed_at_once_do_not_stop_the_process() {
