--- a/crates/arbutusrudder/tests/clients/line_environment.rs
+++ b/crates/arbutusrudder/tests/clients/line_environment.rs
@@ -52,6 +52,11 @@
         self.slot.callers
     }
 
+    /// Address of the readiness page.
+    pub(crate) fn ready(&self) -> SocketAddr {
+        ready_address(&self.slot)
+    }
+
     /// Fails unless the process still runs and serves a new caller's message, which is sent again
     /// while the reply says that it was not run.
     pub(crate) async fn assert_serves(&mut self, text: &str) {
--- a/crates/arbutusrudder/tests/clients/lines.rs
+++ b/crates/arbutusrudder/tests/clients/lines.rs
@@ -425,6 +425,73 @@
     .await;
 }
 
+/// Guards against memory for request heads of any size at the readiness address.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_heads_at_the_readiness_address_are_refused() {
+    let head = Arc::new(format!("GET /v1/readyz HTTP/1.1\r\nhost: {}", filling()));
+    play_at_ready("large heads", 200, move |ready| {
+        let head = Arc::clone(&head);
+        async move {
+            let mut lines = RawLines::open(ready).await?;
+            lines.send(&head).await?;
+            lines.send(&head).await?;
+            lines.read_to_end().await
+        }
+    })
+    .await;
+}
+
+/// Guards against readiness probes that are not accepted while others send a byte at a time.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_heads_do_not_occupy_the_readiness_address() {
+    play_at_ready("slow heads", 4_600, |ready| async move {
+        let mut lines = RawLines::open(ready).await?;
+        lines.send_in_pieces("GET /v1/readyz HTTP/1.1\r\n", 1, SLOW_PAUSE).await
+    })
+    .await;
+}
+
+/// Plays a crowd at the readiness address beside ordinary callers, with a probe each second that
+/// must be answered.
+async fn play_at_ready<F>(
+    name: &str,
+    count: usize,
+    client: impl Fn(SocketAddr) -> F + Clone + Send + Sync + 'static,
+) where
+    F: Future<Output = Option<()>> + Send + 'static,
+{
+    let _turn = take_turn().await;
+    let environment = LineEnvironment::start().await;
+    let (callers, ready) = (environment.callers(), environment.ready());
+    let crowd = play_crowd(count, move |_| {
+        let client = client.clone();
+        repeat(move || client(ready))
+    });
+    let crowd = async {
+        tokio::select! {
+            () = crowd => {}
+            () = probe_readiness(ready) => {}
+        }
+    };
+    stage::play::<LineSession>(name, &callers, &environment.watch, crowd).await;
+}
+
+/// Probes as the load balancer does; fails when two probes in a row have no answer.
+async fn probe_readiness(ready: SocketAddr) {
+    let mut misses = 0;
+    loop {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let probe = async {
+            let mut lines = RawLines::open(ready).await?;
+            lines.send("GET /v1/readyz HTTP/1.1\r\nhost: proxy\r\n\r\n").await?;
+            lines.read_until("HTTP/1.1 200 OK\r").await
+        };
+        let answer = tokio::time::timeout(Duration::from_secs(1), probe).await;
+        misses = if answer == Ok(Some(())) { 0 } else { misses + 1 };
+        assert!(misses < 2, "two probes in a row were not answered");
+    }
+}
+
 async fn write_large_row(address: SocketAddr) {
     let mut lines = RawLines::start(address).await.expect("a session is opened");
     let write = format!("WRITE large {}", filling_of(LARGE_ROW));
