--- a/crates/arbutusrudder/tests/clients/lines.rs
+++ b/crates/arbutusrudder/tests/clients/lines.rs
@@ -382,6 +382,29 @@
     .await;
 }
 
+/// Guards against memory for large replies that are not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_answers_that_are_not_read_do_not_fill_the_memory() {
+    let reads = Arc::new("QUERY q READ large\r\n".repeat(STATEMENTS_AHEAD));
+    play("large answers unread", |address| async move {
+        write_large_row(address).await;
+        play_crowd(500, move |_| {
+            let reads = Arc::clone(&reads);
+            repeat(move || {
+                let reads = Arc::clone(&reads);
+                async move {
+                    let mut lines = RawLines::start_unread(address).await?;
+                    lines.send(&reads).await?;
+                    hold(lines).await;
+                    Some(())
+                }
+            })
+        })
+        .await;
+    })
+    .await;
+}
+
 /// Guards against memory for large replies that are read a byte at a time.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_answers_that_are_read_slowly_do_not_fill_the_memory() {
