Bound the memory that PostgreSQL callers occupy together

What callers saw: the process ended (passed the 260 MB of its machine) within three seconds of 60 unfinished messages of 16 MiB, of batches without a Sync, or of four sessions that prepare one large statement after another.

Cause: the limits of a message (16 MiB) and of a batch (64 MiB) held for each connection; nothing bounded the sum, nor what sessions keep. A batch of small messages took up to eight times its bytes. Read buffers doubled to twice the message, settings were copied for each connection to a member, and the sockets held megabytes unread.

Change: read buffers, unsent replies, batches and settings in progress count against a quarter of `memory_mb` (256 by default), prepared statements and settings against a sixteenth, beyond an exempt amount each. A connection whose request does not fit ends with `53200`. Read buffers grow to the declared end of a message and no further; while memory is scarce, replies are sent from 16 KiB on instead of 256. Settings over 16 KiB are not remembered of a connection to a member. At most three quarters of the process's sockets are for callers, below `callers_max`. The socket buffers of a caller's connection are 64 KiB.

Tests: `tests/clients/postgres`, each beside ten ordinary callers.

--- a/crates/arbutusrudder/src/caller/collect.rs
+++ b/crates/arbutusrudder/src/caller/collect.rs
@@ -4,6 +4,7 @@
 use crate::classify::SummaryCache;
 use crate::exchange::{BatchEnd, BatchFrame, CallerBatch, PreparedStatement};
 use bytes::Bytes;
+use rudder_core::ByteSize;
 use rudder_endpoint::{FramePart, WireError, WireFrame, tag};
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_128;
@@ -22,6 +23,16 @@
 /// Maximum bytes of one batch; an endless pipeline would fill memory.
 const BATCH_SIZE_MAX: usize = 64 * 1024 * 1024;
 
+/// Memory of a frame besides its bytes, with the reply that is expected to it.
+const FRAME_BYTES: usize = 400;
+
+/// Copies of a batch: the caller's and the member's.
+const BATCH_COPIES: usize = 2;
+
+/// Copies of the session's settings while a batch is served: the text for the member's connection,
+/// its write buffer, which grows by doubling, and what is remembered of the connection.
+const SETTINGS_COPIES: usize = 4;
+
 /// Reads frames until the caller waits for a response.
 pub(crate) async fn collect_batch(
     session: &mut CallerSession,
@@ -44,6 +55,7 @@
         if size > BATCH_SIZE_MAX {
             return Err(WireError::Malformed("a batch is larger than 64 MiB"));
         }
+        reserve_batch(session, &batch, size)?;
         // A Describe with a declared length as large as a row arrives in parts, which would be
         // taken for separate messages and accumulate.
         if frame.part != FramePart::Whole && frame.tag != tag::COPY_DATA {
@@ -75,6 +87,19 @@
     }
 }
 
+/// Accounts for the memory of a batch while it is collected and served: its frames, their copy for the
+/// member, and the settings that precede them.
+fn reserve_batch(
+    session: &mut CallerSession,
+    batch: &CallerBatch,
+    size: usize,
+) -> Result<(), WireError> {
+    let frames = batch.frames.len() * FRAME_BYTES;
+    let size = BATCH_COPIES * size + frames + SETTINGS_COPIES * session.settings_size();
+    let reserved = session.batch_memory.resize(ByteSize(size as u64));
+    reserved.map_err(|_| WireError::NoMemory)
+}
+
 fn collect_frame(
     session: &mut CallerSession,
     facts: &SummaryCache,
--- a/crates/arbutusrudder/src/caller/serve.rs
+++ b/crates/arbutusrudder/src/caller/serve.rs
@@ -32,6 +32,15 @@
 /// SQLSTATE of a protocol violation.
 const PROTOCOL_VIOLATION: &str = "08P01";
 
+/// SQLSTATE of a request for which there is no memory.
+const OUT_OF_MEMORY: &str = "53200";
+
+/// Exempt amounts of a connection's buffers, of a batch, and of what a session keeps, several times
+/// their usual sizes.
+const BUFFER_EXEMPT: ByteSize = ByteSize(16 * 1024);
+const BATCH_EXEMPT: ByteSize = ByteSize(8 * 1024);
+const STATE_EXEMPT: ByteSize = ByteSize(4 * 1024);
+
 /// Maximum size of a message before login is complete; login messages are far smaller.
 const LOGIN_MESSAGE_MAX: ByteSize = ByteSize(10_000);
 
@@ -96,6 +105,10 @@
         Err(SessionEnd::Caller(WireError::Malformed(what))) => {
             send_fatal(&mut session, PROTOCOL_VIOLATION, what).await;
         }
+        Err(SessionEnd::Caller(error @ WireError::NoMemory)) => {
+            metrics::counter!("rudder_requests_refused_total", "reason" => "memory").increment(1);
+            send_fatal(&mut session, OUT_OF_MEMORY, &error.to_string()).await;
+        }
         Err(SessionEnd::Caller(error @ WireError::TooLong { .. })) => {
             send_fatal(&mut session, PROTOCOL_VIOLATION, &error.to_string()).await;
         }
@@ -128,6 +141,7 @@
     match open_session(context, &mut link, parameters).await {
         Ok(parts) => {
             link.set_frame_size_max(ByteSize(context.process.message_size_max));
+            link.set_memory(context.request_memory.reservation(BUFFER_EXEMPT));
             let proxy_settings = parts.request.proxy_settings.clone();
             let mut session = parts.into_session(context, link);
             if let Err(refusal) = set_proxy_settings(&mut session, &proxy_settings) {
@@ -188,6 +202,8 @@
             settings: self.request.settings,
             prepared: Vec::new(),
             previous_names: Vec::new(),
+            batch_memory: context.request_memory.reservation(BATCH_EXEMPT),
+            state_memory: context.session_memory.reservation(STATE_EXEMPT),
             pinned: None,
             key: None,
             staleness: None,
@@ -220,6 +236,10 @@
             CallerInput::Terminate => return Err(SessionEnd::Terminate),
         };
         serve_batch(context, session, &batch).await?;
+        drop(batch);
+        session.reserve_state().map_err(|_| SessionEnd::Caller(WireError::NoMemory))?;
+        // A smaller size always fits.
+        let _ = session.batch_memory.resize(ByteSize(0));
         if !session.link.has_buffered_frame() || session.link.is_congested() {
             session.link.flush().await.map_err(SessionEnd::Caller)?;
         }
--- a/crates/arbutusrudder/src/caller/session.rs
+++ b/crates/arbutusrudder/src/caller/session.rs
@@ -2,7 +2,10 @@
 
 use crate::exchange::PreparedStatement;
 use crate::group::{GroupState, PooledConnection};
-use rudder_core::{FreshnessSamples, LogStamp, LogTerm, RequestKey, ServiceName, SessionToken};
+use rudder_core::{
+    ByteSize, FreshnessSamples, LogStamp, LogTerm, RequestKey, ServiceName, SessionToken,
+};
+use rudder_decisions::{BudgetError, MemoryReservation};
 use rudder_endpoint::WireLink;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -10,6 +13,9 @@
 use super::cancel::CancelEntry;
 use rudder_settings::CallerSettings;
 
+/// Memory of a prepared statement or setting besides its texts.
+const STATEMENT_BYTES: usize = 256;
+
 /// A member connection reserved for the session until its transaction ends.
 pub(crate) struct PinnedConnection {
     pub(crate) group: Arc<GroupState>,
@@ -62,6 +68,10 @@
     pub(crate) prepared: Vec<(String, Arc<PreparedStatement>)>,
     /// Statements that names referred to before the current batch changed them, in order of change.
     pub(crate) previous_names: Vec<(String, Option<Arc<PreparedStatement>>)>,
+    /// Memory of the batch that is collected or served.
+    pub(crate) batch_memory: MemoryReservation,
+    /// Memory of its settings and prepared statements.
+    pub(crate) state_memory: MemoryReservation,
     /// The connection of its open transaction.
     pub(crate) pinned: Option<PinnedConnection>,
     /// Idempotency key of its next request.
@@ -101,6 +111,25 @@
         true
     }
 
+    /// Returns the bytes of its settings.
+    pub(crate) fn settings_size(&self) -> usize {
+        self.settings.iter().map(|(name, statement)| name.len() + statement.len()).sum()
+    }
+
+    /// Accounts for the memory of its settings and prepared statements.
+    ///
+    /// # Errors
+    ///
+    /// [`BudgetError`] if the sessions of all callers hold too much.
+    pub(crate) fn reserve_state(&mut self) -> Result<(), BudgetError> {
+        let statement = |(name, statement): &(String, Arc<PreparedStatement>)| {
+            name.len() + statement.definition.len() + STATEMENT_BYTES
+        };
+        let prepared: usize = self.prepared.iter().map(statement).sum();
+        let size = prepared + self.settings_size() + STATEMENT_BYTES * self.settings.len();
+        self.state_memory.resize(ByteSize(size as u64))
+    }
+
     /// Returns the prepared statement of this name.
     pub(crate) fn statement(&self, name: &str) -> Option<&Arc<PreparedStatement>> {
         let index = self.prepared.binary_search_by(|(known, _)| known.as_str().cmp(name)).ok()?;
--- a/crates/arbutusrudder/src/context.rs
+++ b/crates/arbutusrudder/src/context.rs
@@ -7,6 +7,7 @@
 use crate::process::ProcessSettings;
 use arc_swap::ArcSwap;
 use rudder_core::{DomainName, InstanceName, ServiceName};
+use rudder_decisions::MemoryBudget;
 use rudder_peers::PeerEntry;
 use rudder_settings::FleetSettings;
 use rudder_store::RevisionFollower;
@@ -56,6 +57,10 @@
     pub(crate) fleet_changes: watch::Sender<u64>,
     /// Number of instances that share the members' connections.
     pub(crate) instance_count: AtomicU32,
+    /// Memory that the requests of all callers may occupy.
+    pub(crate) request_memory: Arc<MemoryBudget>,
+    /// Memory that the sessions of all callers may occupy between requests.
+    pub(crate) session_memory: Arc<MemoryBudget>,
     /// TLS for callers, if it is configured.
     pub(crate) tls: Option<TlsAcceptor>,
     /// Reference point of the instance's monotonic time.
--- a/crates/arbutusrudder/src/exchange/encode.rs
+++ b/crates/arbutusrudder/src/exchange/encode.rs
@@ -11,6 +11,14 @@
 /// Maximum number of prepared statements on one connection; above it an existing one is closed.
 const PREPARED_MAX: usize = 200;
 
+/// Maximum size in bytes of the settings that are remembered of a connection. Larger ones are set
+/// again before each use.
+const REMEMBERED_SETTINGS_MAX: usize = 16 * 1024;
+
+/// Statement that clears all settings, and what separates it from those that set them.
+const RESET: &str = "RESET ALL";
+const SEPARATOR: &str = "; ";
+
 /// Queues the statements that apply the session's settings to a connection. Returns `false` if the
 /// connection has them already.
 pub(crate) fn sync_settings(
@@ -20,13 +28,19 @@
     if pooled.settings == wanted {
         return Ok(false);
     }
-    let mut text = String::from("RESET ALL");
+    let size: usize = wanted.iter().map(|(_, statement)| statement.len() + SEPARATOR.len()).sum();
+    let mut text = String::with_capacity(RESET.len() + size);
+    text.push_str(RESET);
     for (_, statement) in wanted {
-        text.push_str("; ");
+        text.push_str(SEPARATOR);
         text.push_str(statement);
     }
     pooled.connection.queue_query(&text)?;
-    pooled.settings = wanted.to_vec();
+    if size > REMEMBERED_SETTINGS_MAX {
+        pooled.invalidate_settings();
+    } else {
+        pooled.settings = wanted.to_vec();
+    }
     Ok(true)
 }
 
--- a/crates/arbutusrudder/src/process.rs
+++ b/crates/arbutusrudder/src/process.rs
@@ -1,9 +1,11 @@
 //! Settings of one process: addresses, failure domain, platform and peers.
 
 use displaydoc::Display;
-use rudder_core::{DomainName, InstanceName, plain_data};
+use rudder_core::{ByteSize, DomainName, InstanceName, plain_data};
+use rudder_decisions::MachineLimits;
 use rudder_settings::{CallerSettings, ShedOrder};
 use rudder_store::PlatformOptions;
+use rustix::process::{Resource, getrlimit};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -15,6 +17,11 @@
 /// Default for the maximum number of concurrent callers.
 const DEFAULT_CALLERS_MAX: u32 = 10_000;
 
+/// Smallest memory that the process can work with, in megabytes.
+const MEMORY_MB_MIN: u64 = 64;
+
+const BYTES_PER_MB: u64 = 1_000_000;
+
 /// Default for the seconds between two reloads of the certificate. Certificates are renewed days
 /// before they expire, so this is often enough.
 const DEFAULT_TLS_RELOAD_S: u32 = 60;
@@ -72,6 +79,10 @@
         /// Maximum number of concurrent callers.
         #[serde(default = "default_callers")]
         pub callers_max: u32,
+        /// Memory of the machine for this process, in megabytes. What callers may occupy together
+        /// is derived from it.
+        #[serde(default = "default_memory")]
+        pub memory_mb: u64,
         /// PEM file with the certificate chain presented to callers.
         #[serde(default)]
         pub tls_certificate: Option<PathBuf>,
@@ -143,6 +154,10 @@
     DEFAULT_TLS_RELOAD_S
 }
 
+fn default_memory() -> u64 {
+    MachineLimits::default().memory.0 / BYTES_PER_MB
+}
+
 fn default_callers() -> u32 {
     DEFAULT_CALLERS_MAX
 }
@@ -199,12 +214,23 @@
         if self.tls_reload_s == 0 {
             return invalid("tls_reload_s", "at least 1");
         }
+        if self.memory_mb < MEMORY_MB_MIN {
+            return invalid("memory_mb", "at least 64 megabytes");
+        }
         if self.callers_max == 0 {
             return invalid("callers_max", "at least 1");
         }
         Ok(())
     }
 
+    /// Returns the memory and descriptors that the process may use.
+    pub(crate) fn machine_limits(&self) -> MachineLimits {
+        let memory = ByteSize(self.memory_mb.saturating_mul(BYTES_PER_MB));
+        let files = getrlimit(Resource::Nofile).current;
+        let descriptors = files.map_or(u32::MAX, |files| u32::try_from(files).unwrap_or(u32::MAX));
+        MachineLimits { memory, descriptors }
+    }
+
     /// Returns the authentication required for `user`.
     pub(crate) fn login_rule(&self, user: &str) -> LoginRule {
         let listed = self.passwords.iter().find(|entry| entry.user == user);
--- a/crates/arbutusrudder/src/proxy.rs
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -15,6 +15,7 @@
 use crate::tls;
 use arc_swap::ArcSwap;
 use bytes::BytesMut;
+use rudder_decisions::MemoryBudget;
 use rudder_peers::{MeshSettings, PeerMesh};
 use rudder_store::{
     InstanceReadiness, KubeStore, PlatformOptions, PlatformStore, RevisionFollower,
@@ -34,6 +35,9 @@
 /// Pause after a failed accept, for example when no file descriptor is available.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Receive and send buffers of a caller's connection in bytes.
+const SOCKET_BUFFER: usize = 64 * 1024;
+
 /// SQLSTATE sent to callers beyond the maximum (too_many_connections).
 const TOO_MANY_CONNECTIONS: &str = "53300";
 
@@ -103,6 +107,7 @@
         let store: Arc<dyn PlatformStore> =
             Arc::new(KubeStore::connect(platform_options(&process))?);
         let listener = listen(process.listen).await?;
+        limit_socket_buffers(&listener);
         let admin_listener = listen(process.admin).await?;
         let (listen, admin) = (local_address(&listener)?, local_address(&admin_listener)?);
         let context = Arc::new(new_context(process, policies)?);
@@ -227,7 +232,10 @@
     policies: ProxyPolicies,
 ) -> Result<InstanceContext, ProxyError> {
     let tls = tls::build_acceptor(&process)?;
+    let limits = process.machine_limits();
     Ok(InstanceContext {
+        request_memory: MemoryBudget::new(limits.request_memory()),
+        session_memory: MemoryBudget::new(limits.session_memory()),
         process,
         policies,
         fleet: ArcSwap::from_pointee(FleetState::default()),
@@ -279,6 +287,21 @@
     TcpListener::bind(address).await.map_err(|reason| ProxyError::Listen { address, reason })
 }
 
+/// Limits what the connections of callers can hold unread, in both directions. Without it, each may
+/// hold megabytes.
+fn limit_socket_buffers(listener: &TcpListener) {
+    let socket = socket2::SockRef::from(listener);
+    let limited = socket
+        .set_recv_buffer_size(SOCKET_BUFFER)
+        .and_then(|()| socket.set_send_buffer_size(SOCKET_BUFFER));
+    if let Err(error) = limited {
+        log::warn!(
+            target: "rudder::instance", reason:% = error;
+            "the sizes of the socket buffers were not set"
+        );
+    }
+}
+
 fn local_address(listener: &TcpListener) -> Result<SocketAddr, ProxyError> {
     listener.local_addr().map_err(ProxyError::Runtime)
 }
@@ -290,7 +313,9 @@
 }
 
 async fn accept_callers(listener: TcpListener, context: Arc<InstanceContext>, tasks: CallerTasks) {
-    let permits = Arc::new(Semaphore::new(context.process.callers_max as usize));
+    let callers_max = context.process.machine_limits().socket_callers_max();
+    let callers_max = callers_max.min(context.process.callers_max as usize);
+    let permits = Arc::new(Semaphore::new(callers_max));
     let mut leaving = context.leaving.subscribe();
     loop {
         let stream = tokio::select! {
--- a/crates/arbutusrudder/tests/clients/lines.rs
+++ b/crates/arbutusrudder/tests/clients/lines.rs
@@ -425,6 +425,26 @@
     .await;
 }
 
+/// Guards against connections to members that are occupied by transactions whose callers do not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn transactions_whose_answers_are_not_read_do_not_occupy_the_members() {
+    play("transactions unread", |address| async move {
+        write_large_row(address).await;
+        play_crowd(200, move |_| {
+            repeat(move || async move {
+                let mut lines = RawLines::start_unread(address).await?;
+                lines.query("BEGIN").await?;
+                lines.query("WRITE other value").await?;
+                lines.send("QUERY q READ large\r\n").await?;
+                hold(lines).await;
+                Some(())
+            })
+        })
+        .await;
+    })
+    .await;
+}
+
 /// Guards against memory and waits for transactions with large writes.
 #[tokio::test(flavor = "multi_thread")]
 async fn transactions_with_large_writes_do_not_fill_the_memory() {
--- /dev/null
+++ b/crates/arbutusrudder/tests/clients/postgres.rs
@@ -0,0 +1,343 @@
+//! Clients of the PostgreSQL protocol that do not behave.
+
+use super::crowd::{play_crowd, play_in_turn};
+use super::frame_client::{FrameSession, RawFrames, parse_frame, query_frame, sync_frame};
+use super::frame_environment::FrameEnvironment;
+use super::line_client::hold;
+use super::stage::{self, take_turn};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Size of a message just under the default maximum of 16 MiB.
+const LARGE_MESSAGE: usize = (16 << 20) - 64;
+
+/// Size of messages that are large, but far from the maximum.
+const MEDIUM_MESSAGE: usize = 1 << 20;
+
+/// Size of a row, below that of the largest message and above that of the kernel's buffers.
+const LARGE_ROW: usize = 240 * 1024;
+
+/// Returns a query that selects nothing large, with a comment that fills it to a size.
+fn filled_query(bytes: usize) -> String {
+    format!("SELECT 1 /* {} */", "x".repeat(bytes))
+}
+
+/// Plays a crowd at the address for callers, then checks that a single message of the greatest size
+/// is still served.
+async fn play<F: Future<Output = ()>>(name: &str, crowd: impl FnOnce(SocketAddr) -> F) {
+    let _turn = take_turn().await;
+    let environment = FrameEnvironment::start().await;
+    let address = environment.callers();
+    stage::play::<FrameSession>(name, &address, &environment.watch, crowd(address)).await;
+    environment.assert_serves(&filled_query(LARGE_MESSAGE - 64)).await;
+    environment.watch.assert_within_machine();
+}
+
+/// Runs an endless client, which ends when it is refused; it connects again after a moment.
+async fn repeat<F: Future<Output = Option<()>>>(client: impl Fn() -> F) {
+    loop {
+        client().await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against memory for messages whose end never comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn frames_without_their_end_do_not_fill_the_memory() {
+    let mut frame = query_frame(&filled_query(LARGE_MESSAGE - 64));
+    frame.truncate(frame.len() - 1);
+    let frame = Arc::new(frame);
+    play("postgres half messages", |address| {
+        play_crowd(60, move |_| {
+            let frame = Arc::clone(&frame);
+            async move {
+                let Some(mut frames) = RawFrames::start(address).await else { return };
+                let _ = frames.send(&frame).await;
+                hold(frames).await;
+            }
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for many large messages at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_whole_frames_do_not_fill_the_memory() {
+    let frame = Arc::new(query_frame(&filled_query(MEDIUM_MESSAGE)));
+    play("postgres whole messages", |address| {
+        play_crowd(400, move |_| {
+            let frame = Arc::clone(&frame);
+            repeat(move || {
+                let frame = Arc::clone(&frame);
+                async move {
+                    let mut frames = RawFrames::start(address).await?;
+                    loop {
+                        frames.run(&frame).await?;
+                    }
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for large messages that are sent ahead.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_frames_sent_ahead_do_not_fill_the_memory() {
+    let frame = Arc::new(query_frame(&filled_query(MEDIUM_MESSAGE)));
+    play("postgres large messages ahead", |address| {
+        play_crowd(300, move |_| {
+            let frame = Arc::clone(&frame);
+            repeat(move || {
+                let frame = Arc::clone(&frame);
+                async move {
+                    let mut frames = RawFrames::start_unread(address).await?;
+                    loop {
+                        frames.send(&frame).await?;
+                    }
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for batches whose Sync never comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn batches_without_their_end_do_not_fill_the_memory() {
+    let frame = Arc::new(parse_frame("", &filled_query(MEDIUM_MESSAGE)));
+    play("postgres endless batches", |address| {
+        play_crowd(20, move |_| {
+            let frame = Arc::clone(&frame);
+            repeat(move || {
+                let frame = Arc::clone(&frame);
+                async move {
+                    let mut frames = RawFrames::start(address).await?;
+                    loop {
+                        frames.send(&frame).await?;
+                    }
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for batches of very many small messages whose Sync never comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn batches_of_small_frames_do_not_fill_the_memory() {
+    let frames_ahead = parse_frame("", "SELECT 1").repeat(1000);
+    let frames_ahead = Arc::new(frames_ahead);
+    play("postgres endless batches of small messages", |address| {
+        play_crowd(100, move |_| {
+            let frames_ahead = Arc::clone(&frames_ahead);
+            repeat(move || {
+                let frames_ahead = Arc::clone(&frames_ahead);
+                async move {
+                    let mut frames = RawFrames::start(address).await?;
+                    loop {
+                        frames.send(&frames_ahead).await?;
+                    }
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for prepared statements of any number and size.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_prepared_frames_do_not_fill_the_memory() {
+    let text = Arc::new(filled_query(MEDIUM_MESSAGE));
+    play("postgres large prepared statements", |address| {
+        play_crowd(4, move |_| {
+            let text = Arc::clone(&text);
+            repeat(move || {
+                let text = Arc::clone(&text);
+                async move {
+                    let mut frames = RawFrames::start(address).await?;
+                    for number in 0.. {
+                        let mut batch = parse_frame(&format!("name{number}"), &text);
+                        batch.unsplit(sync_frame());
+                        frames.run(&batch).await?;
+                    }
+                    Some(())
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for small prepared statements of any number.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_small_prepared_frames_do_not_fill_the_memory() {
+    play("postgres small prepared statements", |address| {
+        play_crowd(16, move |client| {
+            repeat(move || async move {
+                let mut frames = RawFrames::start(address).await?;
+                for round in 0.. {
+                    let mut batch = bytes::BytesMut::new();
+                    for number in 0..1000 {
+                        let name = format!("name{round}-{number}");
+                        let text = format!("SELECT {client}{round}{number}");
+                        batch.unsplit(parse_frame(&name, &text));
+                    }
+                    batch.unsplit(sync_frame());
+                    frames.run(&batch).await?;
+                }
+                Some(())
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory for session settings of any number and size.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_settings_do_not_fill_the_memory() {
+    let value = Arc::new("x".repeat(MEDIUM_MESSAGE));
+    play("postgres large settings", |address| {
+        play_crowd(4, move |_| {
+            let value = Arc::clone(&value);
+            repeat(move || {
+                let value = Arc::clone(&value);
+                async move {
+                    let mut frames = RawFrames::start(address).await?;
+                    for number in 0.. {
+                        let set = format!("SET my.name{number} = '{value}'");
+                        frames.run(&query_frame(&set)).await?;
+                    }
+                    Some(())
+                }
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against memory that stays with a session once its large message was answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn sessions_idle_after_a_large_frame_do_not_fill_the_memory() {
+    let frame = Arc::new(query_frame(&filled_query(MEDIUM_MESSAGE)));
+    play("postgres one large message each, then idle", |address| {
+        play_in_turn(400, 2, move |_| {
+            let frame = Arc::clone(&frame);
+            async move {
+                let mut frames = RawFrames::start(address).await?;
+                frames.run(&frame).await?;
+                Some(frames)
+            }
+        })
+    })
+    .await;
+}
+
+/// Guards against callers that are not accepted while logins are left unfinished.
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_logins_do_not_occupy_the_process() {
+    play("postgres unfinished logins", |address| {
+        play_crowd(3_000, move |_| {
+            repeat(move || async move {
+                let mut frames = RawFrames::open(address).await?;
+                frames.send(&[0, 0, 0, 80, 0, 3, 0, 0]).await?;
+                frames.read_to_end().await
+            })
+        })
+    })
+    .await;
+}
+
+/// Guards against callers that are not accepted while others occupy all descriptors.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_postgres_sessions_do_not_occupy_all_descriptors() {
+    play("postgres idle sessions", |address| {
+        play_in_turn(4_600, 100, move |_| RawFrames::start(address))
+    })
+    .await;
+}
+
+/// Guards against memory for large answers that are held until a commit is acknowledged, and then not
+/// read.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_answers_of_commits_that_are_not_read_do_not_fill_the_memory() {
+    let frame = Arc::new(query_frame("INSERT INTO parts VALUES (1); SELECT data FROM large"));
+    play("postgres large answers of commits unread", |address| async move {
+        write_large_rows(address, 8).await;
+        play_crowd(100, move |_| {
+            let frame = Arc::clone(&frame);
+            repeat(move || {
+                let frame = Arc::clone(&frame);
+                async move {
+                    let mut frames = RawFrames::start_unread(address).await?;
+                    frames.send(&frame).await?;
+                    hold(frames).await;
+                    Some(())
+                }
+            })
+        })
+        .await;
+    })
+    .await;
+}
+
+/// Guards against connections to members that are occupied by transactions whose callers do not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn transactions_whose_answers_are_not_read_do_not_occupy_the_members() {
+    let begin = Arc::new(query_frame("BEGIN"));
+    let select = Arc::new(query_frame("SELECT data FROM large"));
+    play("postgres transactions unread", |address| async move {
+        write_large_rows(address, 1).await;
+        play_crowd(200, move |_| {
+            let (begin, select) = (Arc::clone(&begin), Arc::clone(&select));
+            repeat(move || {
+                let (begin, select) = (Arc::clone(&begin), Arc::clone(&select));
+                async move {
+                    let mut frames = RawFrames::start_unread(address).await?;
+                    frames.run(&begin).await?;
+                    frames.send(&select).await?;
+                    hold(frames).await;
+                    Some(())
+                }
+            })
+        })
+        .await;
+    })
+    .await;
+}
+
+/// Creates a table with rows of a size that the kernel's buffers do not take.
+async fn write_large_rows(address: SocketAddr, count: usize) {
+    let mut frames = RawFrames::start(address).await.expect("a login");
+    let create = query_frame("CREATE TABLE large (data text)");
+    frames.run(&create).await.expect("a table");
+    let insert = format!("INSERT INTO large VALUES ('{}')", "x".repeat(LARGE_ROW));
+    for _ in 0..count {
+        frames.run(&query_frame(&insert)).await.expect("a row");
+    }
+}
+
+/// Guards against memory for messages that declare a size far over the limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn frames_far_over_the_limit_are_refused() {
+    let piece = Arc::new(vec![b'x'; 64 * 1024]);
+    play("postgres messages of 2 GB", |address| {
+        play_crowd(100, move |_| {
+            let piece = Arc::clone(&piece);
+            repeat(move || {
+                let piece = Arc::clone(&piece);
+                async move {
+                    let mut frames = RawFrames::start(address).await?;
+                    frames.send(b"Q\x7f\xff\xff\xff").await?;
+                    for _ in 0..1000 {
+                        frames.send(&piece).await?;
+                    }
+                    Some(())
+                }
+            })
+        })
+    })
+    .await;
+}
--- a/crates/arbutusrudder/tests/processes/program.rs
+++ b/crates/arbutusrudder/tests/processes/program.rs
@@ -122,11 +122,16 @@
 
     /// Sends a signal to the process.
     pub(crate) fn signal(&self, signal: &str) {
-        let id = self.child.id().to_string();
+        let id = self.id().to_string();
         let sent = Command::new("kill").args([signal, &id]).status().expect("kill starts");
         assert!(sent.success(), "the signal could not be sent");
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits for the process to exit and returns its status.
     pub(crate) async fn wait_for_exit(&mut self) -> ExitStatus {
         for _ in 0..POLLS_MAX {
--- a/crates/rudder-endpoint/src/wire/frame.rs
+++ b/crates/rudder-endpoint/src/wire/frame.rs
@@ -80,6 +80,8 @@
         /// Maximum size allowed.
         limit: ByteSize,
     },
+    /// too much memory is in use
+    NoMemory,
 }
 
 impl std::error::Error for WireError {}
--- a/crates/rudder-endpoint/src/wire/link.rs
+++ b/crates/rudder-endpoint/src/wire/link.rs
@@ -5,6 +5,7 @@
 use bytes::{Buf, BytesMut};
 use futures::future::poll_fn;
 use rudder_core::ByteSize;
+use rudder_decisions::MemoryReservation;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -24,6 +25,9 @@
 /// Number of unsent bytes at which the sender waits for the remote side to read.
 const HIGH_WATER_MARK: usize = 256 * 1024;
 
+/// The same, while memory is scarce.
+const LOW_WATER_MARK: usize = 16 * 1024;
+
 /// Maximum size of a login packet, the same as in `PostgreSQL`: 10,000 bytes.
 const STARTUP_SIZE_MAX: usize = 10_000;
 
@@ -47,6 +51,8 @@
     /// Tag of the frame that is returned in parts.
     part_tag: u8,
     frame_size_max: ByteSize,
+    /// Memory of both buffers, if it counts against a budget.
+    memory: Option<MemoryReservation>,
 }
 
 impl WireLink {
@@ -66,9 +72,23 @@
             part_left: 0,
             part_tag: 0,
             frame_size_max,
+            memory: None,
         }
     }
 
+    /// Counts the memory of both buffers against a budget. The connection fails when it is used up.
+    ///
+    /// ```
+    /// use rudder_core::ByteSize;
+    /// let budget = rudder_decisions::MemoryBudget::new(ByteSize(1 << 20));
+    /// let (local, _remote) = tokio::io::duplex(64);
+    /// let mut link = rudder_endpoint::WireLink::new(Box::new(local), ByteSize(1024));
+    /// link.set_memory(budget.reservation(ByteSize(16 * 1024)));
+    /// ```
+    pub fn set_memory(&mut self, memory: MemoryReservation) {
+        self.memory = Some(memory);
+    }
+
     /// Returns the stream for an upgrade to TLS.
     ///
     /// # Errors
@@ -99,7 +119,8 @@
     /// Whether the write buffer should be flushed before more bytes are appended.
     #[must_use]
     pub fn is_congested(&self) -> bool {
-        self.outgoing.len() >= HIGH_WATER_MARK
+        let is_scarce = self.memory.as_ref().is_some_and(MemoryReservation::is_scarce);
+        self.outgoing.len() >= if is_scarce { LOW_WATER_MARK } else { HIGH_WATER_MARK }
     }
 
     /// Whether the connection is open and nothing was received. Does not wait for bytes.
@@ -231,6 +252,9 @@
         }
         if self.incoming.len() >= size {
             let bytes = self.incoming.split_to(size).freeze();
+            if size > SPLIT_THRESHOLD {
+                self.release_memory();
+            }
             return Ok(Some(WireFrame { tag, part: FramePart::Whole, bytes }));
         }
         let in_parts = size > SPLIT_THRESHOLD && matches!(tag, tag::DATA_ROW | tag::COPY_DATA);
@@ -307,7 +331,12 @@
 
     fn poll_send(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), WireError>> {
         while !self.outgoing.is_empty() {
-            let sent = ready!(Pin::new(&mut self.stream).poll_write(cx, &self.outgoing))?;
+            let Poll::Ready(sent) = Pin::new(&mut self.stream).poll_write(cx, &self.outgoing)
+            else {
+                self.reserve_memory(self.incoming.capacity())?;
+                return Poll::Pending;
+            };
+            let sent = sent?;
             if sent == 0 {
                 return Poll::Ready(Err(WireError::Closed));
             }
@@ -321,7 +350,7 @@
             ready!(self.poll_receive_first(cx))?
         } else {
             if self.incoming.capacity() == self.incoming.len() {
-                self.incoming.reserve(READ_SIZE);
+                self.grow_incoming()?;
             }
             ready!(poll_read_buf(Pin::new(&mut self.stream), cx, &mut self.incoming))?
         };
@@ -331,6 +360,37 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Enlarges the read buffer, for a frame of known size no further than to its end.
+    fn grow_incoming(&mut self) -> Result<(), WireError> {
+        let length = self.incoming.len();
+        let frame_size =
+            if length < HEADER_SIZE || self.part_left > 0 { READ_SIZE } else { self.frame_size() };
+        let capacity = (2 * length).min(frame_size).max(length + READ_SIZE);
+        self.reserve_memory(capacity)?;
+        // `BytesMut::reserve` would double the buffer, also for the last bytes of a large frame.
+        let mut grown = BytesMut::with_capacity(capacity);
+        grown.extend_from_slice(&self.incoming);
+        self.incoming = grown;
+        Ok(())
+    }
+
+    /// Accounts for a read buffer of this capacity and for the bytes that are not sent yet.
+    fn reserve_memory(&mut self, incoming: usize) -> Result<(), WireError> {
+        let size = ByteSize((incoming + self.outgoing.len()) as u64);
+        let Some(memory) = &mut self.memory else { return Ok(()) };
+        memory.resize(size).map_err(|_| WireError::NoMemory)
+    }
+
+    /// Accounts for buffers that have become smaller.
+    fn release_memory(&mut self) {
+        let size = ByteSize((self.incoming.capacity() + self.outgoing.len()) as u64);
+        if let Some(memory) = &mut self.memory
+            && memory.resize(size).is_err()
+        {
+            log::debug!("the write buffer of a connection has grown beyond the memory budget");
+        }
+    }
+
     /// Receives the first bytes into a buffer on the stack, so that a waiting connection holds no
     /// read buffer: thousands of connections are idle at a time.
     fn poll_receive_first(&mut self, cx: &mut Context<'_>) -> Poll<std::io::Result<usize>> {
@@ -338,6 +398,7 @@
         let mut read = ReadBuf::uninit(&mut buffer);
         if Pin::new(&mut self.stream).poll_read(cx, &mut read)?.is_pending() {
             self.incoming = BytesMut::new();
+            self.release_memory();
             if self.outgoing.is_empty() && self.outgoing.capacity() > IDLE_BUFFER_MAX {
                 self.outgoing = BytesMut::new();
             }
