Classify a text only if there is memory for its tokens

What callers saw: the process ended when four callers sent a query of 8 MiB, half of the allowed size, that consists of very many tokens (`SELECT 1,1,1,…`).

Cause: the text is tokenized as a whole to tell reads from writes. Measured on texts of one to two million tokens (release build), a token took 105 to 193 bytes, so a message of 16 MiB can take 3 GB. Tokens were also copied for each statement.

Change: an upper bound of the number of tokens is counted without tokenizing, and 200 bytes for each are reserved while the text is classified. A text that does not fit ends its connection with `53200`. Quoted texts and comments count as two tokens; where it is uncertain where one begins (dollar quotes, a comment right behind an operator, an `E` behind a digit), all of the text counts as unquoted, which can only be too much. Statements refer to the tokens instead of copying them.

--- a/crates/arbutusrudder/src/caller/collect.rs
+++ b/crates/arbutusrudder/src/caller/collect.rs
@@ -1,7 +1,7 @@
 //! Collects a batch from the caller's frames.
 
 use super::session::CallerSession;
-use crate::classify::SummaryCache;
+use crate::classify::{StatementsSummary, SummaryCache, classification_size};
 use crate::exchange::{BatchEnd, BatchFrame, CallerBatch, PreparedStatement};
 use bytes::Bytes;
 use rudder_core::ByteSize;
@@ -64,7 +64,8 @@
         match frame.tag {
             tag::QUERY => {
                 let text = text_of(frame.body())?;
-                batch.summaries.push(facts.summary_of(text));
+                let summary = classify(session, facts, text)?;
+                batch.summaries.push(summary);
                 batch.frames.push(BatchFrame::Plain(frame));
                 batch.end = BatchEnd::Simple;
                 batch.executes = true;
@@ -100,6 +101,21 @@
     reserved.map_err(|_| WireError::NoMemory)
 }
 
+/// Classifies a text, if there is memory for its tokens.
+fn classify(
+    session: &mut CallerSession,
+    facts: &SummaryCache,
+    text: &str,
+) -> Result<Arc<StatementsSummary>, WireError> {
+    let reserved = session.batch_memory.size();
+    let size = reserved.0 + classification_size(text) as u64;
+    session.batch_memory.resize(ByteSize(size)).map_err(|_| WireError::NoMemory)?;
+    let summary = facts.summary_of(text);
+    // A smaller size always fits.
+    let _ = session.batch_memory.resize(reserved);
+    Ok(summary)
+}
+
 fn collect_frame(
     session: &mut CallerSession,
     facts: &SummaryCache,
@@ -148,7 +164,7 @@
     let text = text_of(&definition)?;
     let statement = Arc::new(PreparedStatement {
         hash: xxh3_128(&definition),
-        summary: facts.summary_of(text),
+        summary: classify(session, facts, text)?,
         // Copied, because a slice would keep the whole read buffer alive.
         definition: Bytes::copy_from_slice(&definition),
     });
--- a/crates/arbutusrudder/src/classify/mod.rs
+++ b/crates/arbutusrudder/src/classify/mod.rs
@@ -4,10 +4,12 @@
 //! read is still rejected by the replica.
 
 mod cache;
+mod estimate;
 mod facts;
 mod scan;
 
 pub(crate) use cache::SummaryCache;
+pub(crate) use estimate::classification_size;
 pub use facts::{
     SessionChange, StatementEffect, StatementFacts, StatementsSummary, TransactionStep,
 };
--- a/crates/arbutusrudder/src/classify/scan.rs
+++ b/crates/arbutusrudder/src/classify/scan.rs
@@ -162,12 +162,12 @@
     xxh3_64(shape.as_bytes())
 }
 
-fn without_whitespace(tokens: &[Token]) -> Vec<Token> {
-    tokens.iter().filter(|token| !matches!(token, Token::Whitespace(_))).cloned().collect()
+fn without_whitespace(tokens: &[Token]) -> Vec<&Token> {
+    tokens.iter().filter(|token| !matches!(token, Token::Whitespace(_))).collect()
 }
 
-fn classify_tokens(tokens: &[Token]) -> StatementFacts {
-    let words: Vec<String> = tokens.iter().filter_map(unquoted_word).collect();
+fn classify_tokens(tokens: &[&Token]) -> StatementFacts {
+    let words: Vec<String> = tokens.iter().filter_map(|token| unquoted_word(token)).collect();
     let word = |index: usize| words.get(index).map_or("", String::as_str);
     match word(0) {
         "SELECT" | "VALUES" | "TABLE" | "WITH" => classify_query(tokens, &words),
@@ -204,13 +204,13 @@
     }
 }
 
-fn classify_query(tokens: &[Token], words: &[String]) -> StatementFacts {
+fn classify_query(tokens: &[&Token], words: &[String]) -> StatementFacts {
     let writes = words.iter().any(|word| WRITE_KEYWORDS.contains(&word.as_str()));
     let locks = ["UPDATE", "SHARE", "NO", "KEY"].iter().any(|next| has_pair(words, "FOR", next));
     let calls: Vec<String> = tokens
         .windows(2)
-        .filter(|pair| pair[1] == Token::LParen)
-        .filter_map(|pair| called_name(&pair[0]))
+        .filter(|pair| *pair[1] == Token::LParen)
+        .filter_map(|pair| called_name(pair[0]))
         .collect();
     if calls.iter().any(|name| is_session_lock(name)) {
         return refusal(ADVISORY_REFUSAL);
@@ -224,10 +224,10 @@
 }
 
 /// Whether every `set_config` of a query is local to its transaction.
-fn is_local_config(tokens: &[Token]) -> bool {
+fn is_local_config(tokens: &[&Token]) -> bool {
     let calls = tokens.iter().filter(|token| is_word(token, "SET_CONFIG")).count();
-    let is_local = |next: &[Token]| {
-        next[0] == Token::Comma && is_word(&next[1], "TRUE") && next[2] == Token::RParen
+    let is_local = |next: &[&Token]| {
+        *next[0] == Token::Comma && is_word(next[1], "TRUE") && *next[2] == Token::RParen
     };
     tokens.windows(3).filter(|next| is_local(next)).count() >= calls
 }
@@ -236,7 +236,7 @@
     name.starts_with("PG_ADVISORY_LOCK") || name.starts_with("PG_TRY_ADVISORY_LOCK")
 }
 
-fn classify_set(tokens: &[Token], words: &[String]) -> StatementFacts {
+fn classify_set(tokens: &[&Token], words: &[String]) -> StatementFacts {
     let second = words.get(1).map_or("", String::as_str);
     match second {
         "LOCAL" | "TRANSACTION" | "CONSTRAINTS" => StatementFacts::write(),
@@ -259,13 +259,13 @@
     }
 }
 
-fn named_set(tokens: &[Token], start: usize) -> SessionChange {
+fn named_set(tokens: &[&Token], start: usize) -> SessionChange {
     let (name, length) = setting_name(&tokens[start.min(tokens.len())..]);
     // Skips one more token: the equals sign or TO.
     set_of(name, tokens, start + length + 1)
 }
 
-fn set_of(name: String, tokens: &[Token], value_start: usize) -> SessionChange {
+fn set_of(name: String, tokens: &[&Token], value_start: usize) -> SessionChange {
     let value = match tokens.get(value_start..) {
         Some([value]) => literal_of(value),
         _ => None,
@@ -274,27 +274,27 @@
     SessionChange::Set { name, value, statement: statement.replace(" . ", ".") }
 }
 
-fn show_of(tokens: &[Token]) -> Option<SessionChange> {
+fn show_of(tokens: &[&Token]) -> Option<SessionChange> {
     let (name, _) = setting_name(tokens.get(1..)?);
     Some(SessionChange::Show { name })
 }
 
-fn reset_of(tokens: &[Token]) -> Option<SessionChange> {
+fn reset_of(tokens: &[&Token]) -> Option<SessionChange> {
     let (name, _) = setting_name(tokens.get(1..)?);
     if name == "all" { Some(SessionChange::ResetAll) } else { Some(SessionChange::Reset { name }) }
 }
 
-fn deallocate_of(tokens: &[Token]) -> Option<SessionChange> {
-    let name = tokens.last().and_then(literal_of)?;
+fn deallocate_of(tokens: &[&Token]) -> Option<SessionChange> {
+    let name = tokens.last().and_then(|token| literal_of(token))?;
     let all = name.eq_ignore_ascii_case("all") || tokens.len() < 2;
     Some(SessionChange::Deallocate { name: (!all).then_some(name) })
 }
 
 /// Returns the dotted name at the start of `tokens`, in lower case, and its number of tokens.
-fn setting_name(tokens: &[Token]) -> (String, usize) {
+fn setting_name(tokens: &[&Token]) -> (String, usize) {
     let is_part =
-        |token: &&Token| matches!(token, Token::Word(_) | Token::Period) && !is_word(token, "TO");
-    let parts: Vec<&Token> = tokens.iter().take_while(is_part).collect();
+        |token: &&&Token| matches!(token, Token::Word(_) | Token::Period) && !is_word(token, "TO");
+    let parts: Vec<&&Token> = tokens.iter().take_while(is_part).collect();
     let text: String = parts.iter().filter_map(|token| literal_of(token)).collect();
     (text.to_ascii_lowercase(), parts.len())
 }
--- a/crates/arbutusrudder/src/classify/tests.rs
+++ b/crates/arbutusrudder/src/classify/tests.rs
@@ -1,7 +1,12 @@
 //! Tests of the classification of statements.
 
+use super::estimate::count_tokens;
 use super::facts::{SessionChange, TransactionStep};
 use super::scan::classify_text;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::tokenizer::Tokenizer;
 
 #[test]
 fn only_provable_reads_are_reads() {
@@ -96,3 +101,25 @@
 
     assert_eq!(accepted, Vec::<&&str>::new());
 }
+
+/// Guards against texts whose tokens take far more memory than was reserved for them.
+#[test]
+fn the_estimate_of_tokens_is_an_upper_bound() {
+    const PIECES: [&str; 24] = [
+        "'", "''", "\"", "e'", "E'\\''", "xe'\\'", "$$", "$a$", "$1", "$", "--", "\n", "/*", "*/",
+        "/", "*", " ", "1", ",", "word", "1.5e3", "->>", "U&'", "é",
+    ];
+    let mut rng = StdRng::seed_from_u64(51);
+
+    for _ in 0..20_000 {
+        let length = rng.random_range(1..24);
+        let text: String = (0..length).map(|_| PIECES[rng.random_range(0..PIECES.len())]).collect();
+        let mut tokens = Vec::new();
+        // After an error, the list holds the tokens before it.
+        let _ = Tokenizer::new(&PostgreSqlDialect {}, &text)
+            .with_unescape(false)
+            .tokenize_with_location_into_buf(&mut tokens);
+        let estimate = count_tokens(text.as_bytes());
+        assert!(estimate >= tokens.len(), "{estimate} of {}: {text:?}", tokens.len());
+    }
+}
--- a/crates/arbutusrudder/tests/clients/postgres.rs
+++ b/crates/arbutusrudder/tests/clients/postgres.rs
@@ -147,6 +147,28 @@
     .await;
 }
 
+/// Guards against memory for the tokens of a text, which take many times its size.
+#[tokio::test(flavor = "multi_thread")]
+async fn texts_of_many_tokens_do_not_fill_the_memory() {
+    let text = format!("SELECT 1{}", ",1".repeat(4 << 20));
+    let frame = Arc::new(query_frame(&text));
+    play("postgres many tokens", |address| {
+        play_crowd(4, move |_| {
+            let frame = Arc::clone(&frame);
+            repeat(move || {
+                let frame = Arc::clone(&frame);
+                async move {
+                    let mut frames = RawFrames::start(address).await?;
+                    loop {
+                        frames.run(&frame).await?;
+                    }
+                }
+            })
+        })
+    })
+    .await;
+}
+
 /// Guards against memory for prepared statements of any number and size.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_prepared_frames_do_not_fill_the_memory() {
