Let requests that are sent ahead take turns of their own

What callers saw: beside 100 sessions that send statements ahead without reading the replies, 13 of 22 requests of ordinary callers with the same user were served within 5 s, the median after 1.5 s; the others were refused again and again.

Cause: one caller, that is one user, may have three quarters of its kind's requests in progress. A session that sends ahead offers its next statement the moment the one before has ended or was refused, so that these sessions always held all 75 places, and an ordinary request found one free only by chance. Memory did not bind: the peak was 51 MB.

Change: a request of a session that has sent further ones already counts as another caller's, with a limit and a turn of its own.

--- a/crates/arbutusrudder/src/caller/attempt.rs
+++ b/crates/arbutusrudder/src/caller/attempt.rs
@@ -90,7 +90,7 @@
     let request = AdmissionRequest {
         lane: group.lane(member),
         kind: session.caller.kind.clone(),
-        caller: session.caller_key,
+        caller: session.admission_key(),
         class,
         size: group.estimated_size(work.fingerprint),
         sheddable: session.caller.shed == rudder_settings::ShedOrder::First,
--- a/crates/arbutusrudder/src/caller/session.rs
+++ b/crates/arbutusrudder/src/caller/session.rs
@@ -111,6 +111,13 @@
         true
     }
 
+    /// Returns the key by which its requests take turns with those of other callers. Requests sent
+    /// ahead of the replies to earlier ones count as another caller's: they follow each other without
+    /// a pause, and would use up the share of the sessions that wait for their replies.
+    pub(crate) fn admission_key(&self) -> u64 {
+        if self.link.has_buffered_frame() { !self.caller_key } else { self.caller_key }
+    }
+
     /// Returns the bytes of its settings.
     pub(crate) fn settings_size(&self) -> usize {
         self.settings.iter().map(|(name, statement)| name.len() + statement.len()).sum()
--- a/crates/arbutusrudder/tests/clients/postgres.rs
+++ b/crates/arbutusrudder/tests/clients/postgres.rs
@@ -19,6 +19,9 @@
 /// Size of a row, below that of the largest message and above that of the kernel's buffers.
 const LARGE_ROW: usize = 240 * 1024;
 
+/// Statements that a client sends ahead.
+const STATEMENTS_AHEAD: usize = 400;
+
 /// Returns a query that selects nothing large, with a comment that fills it to a size.
 fn filled_query(bytes: usize) -> String {
     format!("SELECT 1 /* {} */", "x".repeat(bytes))
@@ -281,6 +284,22 @@
     .await;
 }
 
+/// Guards against memory for answers that are not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn postgres_answers_that_are_not_read_do_not_fill_the_memory() {
+    let queries = Arc::new(query_frame("SELECT 1").repeat(STATEMENTS_AHEAD));
+    play("postgres answers unread", |address| {
+        play_crowd(100, move |_| {
+            let queries = Arc::clone(&queries);
+            async move {
+                let Some(mut frames) = RawFrames::start_unread(address).await else { return };
+                while frames.send(&queries).await.is_some() {}
+            }
+        })
+    })
+    .await;
+}
+
 /// Guards against memory for large answers that are held until a commit is acknowledged, and then not
 /// read.
 #[tokio::test(flavor = "multi_thread")]
