--- a/crates/arbutusrudder/tests/clients/line_environment.rs
+++ b/crates/arbutusrudder/tests/clients/line_environment.rs
@@ -32,6 +32,15 @@
 impl LineEnvironment {
     /// Starts the process and waits until it serves.
     pub(crate) async fn start() -> Self {
+        Self::start_with_log(Stdio::null()).await
+    }
+
+    /// Starts a process whose standard output nobody reads.
+    pub(crate) async fn start_with_unread_log() -> Self {
+        Self::start_with_log(Stdio::piped()).await
+    }
+
+    async fn start_with_log(log: Stdio) -> Self {
         let fleet = LineFleet::start("records", Duration::ZERO).await.expect("the fleet starts");
         let consistency = LineConsistency::Bounded;
         let database = LineDatabase { name: DATABASE.to_owned(), consistency, public: false };
@@ -39,7 +48,7 @@
         publish_members(&fleet);
         let slot = LineFleet::instance_slot(0);
         let settings = write_settings(&fleet, &slot);
-        let process = start_process(&settings);
+        let process = start_process(&settings, log);
         let addresses = vec![slot.callers, ready_address(&slot)];
         let watch = MemoryWatch::start(process.id(), addresses);
         let environment = Self { _fleet: fleet, slot, settings, process, watch };
@@ -110,11 +119,11 @@
 }
 
 /// Starts the program with the descriptors of its machine.
-fn start_process(settings: &PathBuf) -> Child {
+fn start_process(settings: &PathBuf, log: Stdio) -> Child {
     let limited = format!("ulimit -n {MACHINE_DESCRIPTORS} && exec \"$0\" --platform");
     let mut command = Command::new("sh");
     command.args(["-c", &limited, PROGRAM]).env(BOOT_VARIABLE, settings);
-    command.stdout(Stdio::null()).spawn().expect("the program starts")
+    command.stdout(log).spawn().expect("the program starts")
 }
 
 fn ready_address(slot: &LineSlot) -> SocketAddr {
--- a/crates/arbutusrudder/tests/clients/lines.rs
+++ b/crates/arbutusrudder/tests/clients/lines.rs
@@ -31,7 +31,14 @@
 /// is still served.
 async fn play<F: Future<Output = ()>>(name: &str, crowd: impl FnOnce(SocketAddr) -> F) {
     let _turn = take_turn().await;
-    let mut environment = LineEnvironment::start().await;
+    play_at(LineEnvironment::start().await, name, crowd).await;
+}
+
+async fn play_at<F: Future<Output = ()>>(
+    mut environment: LineEnvironment,
+    name: &str,
+    crowd: impl FnOnce(SocketAddr) -> F,
+) {
     let address = environment.callers();
     stage::play::<LineSession>(name, &address, &environment.watch, crowd(address)).await;
     environment.assert_serves(&format!("READ {}", filling())).await;
@@ -168,6 +175,28 @@
     .await;
 }
 
+/// Guards against log lines that hold what callers send, in a log that nobody reads.
+#[tokio::test(flavor = "multi_thread")]
+async fn names_of_any_length_do_not_fill_the_log() {
+    let _turn = take_turn().await;
+    let startup = Arc::new(format!("STARTUP {} crowd\r\n", filling()));
+    let environment = LineEnvironment::start_with_unread_log().await;
+    play_at(environment, "unknown databases with long names", |address| {
+        play_crowd(20, move |_| {
+            let startup = Arc::clone(&startup);
+            repeat(move || {
+                let startup = Arc::clone(&startup);
+                async move {
+                    let mut lines = RawLines::open(address).await?;
+                    lines.send(&startup).await?;
+                    lines.read_to_end().await
+                }
+            })
+        })
+    })
+    .await;
+}
+
 /// Guards against memory for session values of any number and size.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_session_values_do_not_fill_the_memory() {
