Count the ids of requests against the memory budget

Cause: a request's id may be as long as its message and is copied as often as its text, but only the text counted.

Change and evidence: the id counts with the statement.

--- a/crates/arbutusrudder/tests/clients/lines.rs
+++ b/crates/arbutusrudder/tests/clients/lines.rs
@@ -197,6 +197,28 @@
     .await;
 }
 
+/// Guards against memory for request ids of any length.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_request_ids_do_not_fill_the_memory() {
+    let text = Arc::new(format!("QUERY {} READ item\r\n", filling()));
+    play("large request ids", |address| {
+        play_crowd(300, move |_| {
+            let text = Arc::clone(&text);
+            repeat(move || {
+                let text = Arc::clone(&text);
+                async move {
+                    let mut lines = RawLines::start(address).await?;
+                    loop {
+                        lines.send(&text).await?;
+                        lines.read_until("READY").await?;
+                    }
+                }
+            })
+        })
+    })
+    .await;
+}
+
 /// Guards against memory for session values of any number and size.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_session_values_do_not_fill_the_memory() {
--- a/crates/rudder-engine/src/session/caller.rs
+++ b/crates/rudder-engine/src/session/caller.rs
@@ -109,13 +109,13 @@
     }
 
     /// Reserves the memory that running a statement needs; returns whether there is enough.
-    pub fn reserve_memory(&mut self, statement: &CallerStatement) -> bool {
-        let size = self.memory_of(statement);
+    pub fn reserve_memory(&mut self, id: &RequestId, statement: &CallerStatement) -> bool {
+        let size = self.memory_of(id, statement);
         self.request_memory.resize(size).is_ok()
     }
 
-    /// Returns the memory that the copies of a statement and of its session state take.
-    fn memory_of(&self, statement: &CallerStatement) -> ByteSize {
+    /// Returns the memory that the copies of a request and of its session state take.
+    fn memory_of(&self, id: &RequestId, statement: &CallerStatement) -> ByteSize {
         let copied = match statement {
             CallerStatement::Read(_) | CallerStatement::Write(_) => {
                 self.session_state.values_size()
@@ -128,7 +128,8 @@
         };
         let reads = matches!(statement, CallerStatement::Read(_) | CallerStatement::Execute { .. });
         let expected = if reads { REPLY_COPIES * self.expected_rows() } else { 0 };
-        ByteSize((STATEMENT_COPIES * (statement.size() + copied) + expected) as u64)
+        let size = id.0.len() + statement.size() + copied;
+        ByteSize((STATEMENT_COPIES * size + expected) as u64)
     }
 
     /// Returns the size that is expected of the rows of a read. A caller that has just read a large
