--- a/crates/rudder-engine/src/forwarding/tests/fixture.rs
+++ b/crates/rudder-engine/src/forwarding/tests/fixture.rs
@@ -30,6 +30,10 @@
 pub(super) const SLOW: &str = "SLOW";
 pub(super) const SLOW_TIME: Duration = Duration::from_millis(300);
 
+/// Text of a statement whose row has [`LARGE_ROW`] bytes.
+pub(super) const LARGE: &str = "LARGE";
+pub(super) const LARGE_ROW: usize = 40_000;
+
 /// Text of a statement that fails at the member.
 pub(super) const FAILING: &str = "FAILING";
 
@@ -97,6 +101,7 @@
     async fn receive(&mut self) -> Result<StatementReply, LinkError> {
         let command = self.commands.pop_front().ok_or(LinkError::Silent)?;
         let mut outcome = StatementOutcome::Done("proof".to_owned());
+        let mut row = "row".to_owned();
         let line = match command {
             MemberCommand::Begin { read_only, .. } => {
                 self.state = TransactionState::Open;
@@ -120,6 +125,9 @@
                 if text == SLOW {
                     tokio::time::sleep(SLOW_TIME).await;
                 }
+                if text == LARGE {
+                    row = "x".repeat(LARGE_ROW);
+                }
                 if text == FAILING {
                     let error = crate::statement::StatementError::Failed;
                     outcome = StatementOutcome::Error { error, text: "it failed".to_owned() };
@@ -131,7 +139,7 @@
         };
         self.log.push(format!("{}: {line}", self.account));
         let position = Some(LogStamp::new(1, 9));
-        Ok(StatementReply { rows: vec!["row".to_owned()], outcome, state: self.state, position })
+        Ok(StatementReply { rows: vec![row], outcome, state: self.state, position })
     }
 }
 
--- a/crates/rudder-engine/src/forwarding/tests/served.rs
+++ b/crates/rudder-engine/src/forwarding/tests/served.rs
@@ -1,15 +1,15 @@
 //! Requests that a holder serves.
 
 use super::fixture::{
-    FAILING, accounts, begin, forwarded_account, id, instance, introduce, list_nearer, pair, read,
-    session, settings, write,
+    FAILING, LARGE, LARGE_ROW, accounts, begin, forwarded_account, id, instance, introduce,
+    list_nearer, pair, read, session, settings, write,
 };
 use crate::identity::DrainPhase;
 use crate::statement::{
     CallerStatement, PreparedStatement, SessionValue, StatementEffect, StatementError,
     TransactionState,
 };
-use rudder_core::LogStamp;
+use rudder_core::{ByteSize, LogStamp};
 use std::time::Duration;
 
 /// The member must receive a caller's id and text as they are, under the caller's account.
@@ -255,3 +255,25 @@
     assert!(origin.log.lines()[0].contains("READ x"), "{:?}", origin.log.lines());
     tokio::time::timeout(Duration::from_secs(2), opened).await.expect("a forwarded request");
 }
+
+/// Guards against replies to other instances that exceed the memory of the holder together.
+#[tokio::test]
+async fn a_large_reply_without_memory_is_not_sent_and_small_ones_are() {
+    let (origin, holder) = pair().await;
+    let mut session = session(&origin, "bounded").await;
+    let replies = holder.engine.caller_memory().replies();
+    let mut others = replies.reservation(ByteSize(0));
+    let limit = holder.engine.identity().machine.reply_memory();
+
+    read(&mut session, LARGE).await;
+    let forwarded = origin.log.lines().is_empty();
+    others.resize(limit).expect("all of it is free");
+    let served = read(&mut session, LARGE).await;
+    let own_runs = origin.log.lines().len();
+    let small = read(&mut session, "READ x").await;
+
+    assert!(forwarded, "the first read did not run at the holder");
+    assert_eq!(served.rows.first().map(String::len), Some(LARGE_ROW));
+    assert_eq!(own_runs, 1, "the holder sent a reply for which it had no memory");
+    assert_eq!(small.error(), None);
+}
--- a/crates/rudder-engine/src/group/tests/link_session.rs
+++ b/crates/rudder-engine/src/group/tests/link_session.rs
@@ -63,3 +63,20 @@
     assert_eq!(commands.first(), Some(&MemberCommand::Reset));
     assert_eq!(commands.len(), 2);
 }
+
+/// Guards against connections that keep the large values of a session that no longer uses them, and
+/// against a statement that runs with values that were forgotten.
+#[test]
+fn large_values_are_forgotten_and_reset_before_the_next_use() {
+    let large = [value("a", &"x".repeat(20_000))];
+    let mut session = session_after(&LinkSession::default().commands_for(&large, None));
+
+    session.trim();
+
+    assert_eq!(session.commands_for(&[], None), [MemberCommand::Reset]);
+    let [value] = large;
+    let expected = [MemberCommand::Reset, MemberCommand::SetValue(value.clone())];
+    assert_eq!(session.commands_for(&[value], None), expected);
+    session.apply(&MemberCommand::Reset);
+    assert_eq!(session, LinkSession::default());
+}
--- a/crates/rudder-engine/src/session/tests/mod.rs
+++ b/crates/rudder-engine/src/session/tests/mod.rs
@@ -1,3 +1,4 @@
 //! Tests of the execution of statements at members.
 
 mod failing_member;
+mod memory;
