Add up the samples of histograms while nobody reads the metrics

Cause: the recorder keeps samples until the page is read or its upkeep is called, and `install_recorder` leaves the upkeep to its caller.

Change: a thread calls it every 5 s.

Test: `samples_are_added_up_while_nobody_reads_the_metrics`.

--- a/crates/arbutusrudder/src/admin/mod.rs
+++ b/crates/arbutusrudder/src/admin/mod.rs
@@ -12,12 +12,16 @@
 use status::InstanceStatus;
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 use tokio::net::TcpListener;
 
 /// Upper bounds of the histogram buckets, in seconds.
 const HISTOGRAM_BUCKETS: [f64; 12] =
     [0.000_1, 0.000_3, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0];
 
+/// Interval at which the recorder's samples are added up.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Metrics recorder that all instances of the process share.
 static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
@@ -38,10 +42,24 @@
 pub(crate) fn set_up_metrics() {
     RECORDER.get_or_init(|| {
         let builder = PrometheusBuilder::new().set_buckets(&HISTOGRAM_BUCKETS).ok()?;
-        builder.install_recorder().ok()
+        let recorder = builder.install_recorder().ok()?;
+        std::thread::spawn({
+            let recorder = recorder.clone();
+            move || keep_up(&recorder)
+        });
+        Some(recorder)
     });
 }
 
+/// Adds new samples to the histograms' buckets. The recorder keeps each sample until then, and nobody
+/// may ever read the metrics page.
+fn keep_up(recorder: &PrometheusHandle) -> ! {
+    loop {
+        std::thread::sleep(UPKEEP_INTERVAL);
+        recorder.run_upkeep();
+    }
+}
+
 /// Starts a server for the metrics page only, which runs until the process ends.
 pub(crate) async fn serve_metrics(address: SocketAddr) -> Result<(), ProxyError> {
     set_up_metrics();
@@ -79,3 +97,6 @@
     InstanceStatus::of(&context).record();
     render_metrics()
 }
+
+#[cfg(test)]
+mod tests;
