Do not cache the classification of statements that change settings

Cause: the cache of classifications is bounded in entries (4,096) and text length (4 KiB). The classification of a SET holds its text and value, so that the cache could take 33 MB, a third of what all requests may, outside of any budget.

Change: such statements are classified each time; their values seldom recur. All others hold no text.

Evidence: computed from the two bounds, not seen in a run; the tests of classification and of settings pass.

--- a/crates/arbutusrudder/src/classify/cache.rs
+++ b/crates/arbutusrudder/src/classify/cache.rs
@@ -28,7 +28,10 @@
             return summary;
         }
         let summary = Arc::new(classify_text(text));
-        self.insert_summary(hash, Arc::clone(&summary));
+        // A change of a setting holds copies of the text, and its value seldom recurs.
+        if summary.statements.iter().all(|facts| facts.change.is_none()) {
+            self.insert_summary(hash, Arc::clone(&summary));
+        }
         summary
     }
 
