Log and measure refusals for lack of memory

One line a second at most for requests and connections that are refused or closed, with their number and the memory in use, and the metrics rudder_requests_refused_total, rudder_caller_memory_bytes and rudder_connections_closed_total. A line for each refusal would cost more than the refusal. LogThrottle decides, for both wires.

--- a/crates/arbutusrudder/src/admin/mod.rs
+++ b/crates/arbutusrudder/src/admin/mod.rs
@@ -95,6 +95,12 @@
 
 async fn metrics_page(State(context): State<Arc<InstanceContext>>) -> String {
     InstanceStatus::of(&context).record();
+    let budgets = [("requests", &context.request_memory), ("sessions", &context.session_memory)];
+    for (budget, memory) in budgets {
+        #[expect(clippy::cast_precision_loss, reason = "a gauge of megabytes")]
+        metrics::gauge!("rudder_caller_memory_bytes", "budget" => budget)
+            .set(memory.used().0 as f64);
+    }
     render_metrics()
 }
 
--- a/crates/arbutusrudder/src/caller/serve.rs
+++ b/crates/arbutusrudder/src/caller/serve.rs
@@ -107,6 +107,7 @@
         }
         Err(SessionEnd::Caller(error @ WireError::NoMemory)) => {
             metrics::counter!("rudder_requests_refused_total", "reason" => "memory").increment(1);
+            context.log_refusal("memory");
             send_fatal(&mut session, OUT_OF_MEMORY, &error.to_string()).await;
         }
         Err(SessionEnd::Caller(error @ WireError::TooLong { .. })) => {
--- a/crates/arbutusrudder/src/context.rs
+++ b/crates/arbutusrudder/src/context.rs
@@ -7,7 +7,7 @@
 use crate::process::ProcessSettings;
 use arc_swap::ArcSwap;
 use rudder_core::{DomainName, InstanceName, ServiceName};
-use rudder_decisions::MemoryBudget;
+use rudder_decisions::{LogThrottle, MemoryBudget};
 use rudder_peers::PeerEntry;
 use rudder_settings::FleetSettings;
 use rudder_store::RevisionFollower;
@@ -61,6 +61,8 @@
     pub(crate) request_memory: Arc<MemoryBudget>,
     /// Memory that the sessions of all callers may occupy between requests.
     pub(crate) session_memory: Arc<MemoryBudget>,
+    /// Callers and requests that were refused since the last log line about them.
+    pub(crate) refusal_log: Mutex<LogThrottle>,
     /// TLS for callers, if it is configured.
     pub(crate) tls: Option<TlsAcceptor>,
     /// Reference point of the instance's monotonic time.
@@ -90,6 +92,19 @@
         self.instance_count.store(count, Ordering::Relaxed);
     }
 
+    /// Logs a caller or request that was refused because `reason` is used up, at most a line a second.
+    pub(crate) fn log_refusal(&self, reason: &'static str) {
+        let mut throttle = self.refusal_log.lock().expect("no holder of this lock panics");
+        if let Some(count) = throttle.record(1, Instant::now()) {
+            log::warn!(
+                target: "rudder::caller", reason = reason, count = count,
+                requests_bytes = self.request_memory.used().0,
+                sessions_bytes = self.session_memory.used().0;
+                "callers were refused, as there is no room for all"
+            );
+        }
+    }
+
     /// Whether this instance is leaving.
     pub(crate) fn is_leaving(&self) -> bool {
         *self.leaving.borrow()
--- a/crates/arbutusrudder/src/proxy.rs
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -236,6 +236,7 @@
     Ok(InstanceContext {
         request_memory: MemoryBudget::new(limits.request_memory()),
         session_memory: MemoryBudget::new(limits.session_memory()),
+        refusal_log: Mutex::default(),
         process,
         policies,
         fleet: ArcSwap::from_pointee(FleetState::default()),
@@ -324,6 +325,7 @@
         };
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             metrics::counter!("rudder_callers_refused_total").increment(1);
+            context.log_refusal("connections");
             reject_caller(&stream);
             continue;
         };
--- a/crates/rudder-decisions/src/lib.rs
+++ b/crates/rudder-decisions/src/lib.rs
@@ -16,6 +16,7 @@
 mod dial_gate;
 mod forwarded_load;
 mod forwarding;
+mod log_throttle;
 mod machine_limits;
 mod memory_budget;
 mod meter;
@@ -52,6 +53,7 @@
     ForwardChoice, ForwardingRule, HOLDERS_MAX, HolderBoard, HolderBudget, HolderCandidate,
     InstanceCapacity, LocalPool, forward_choice, rank_holders,
 };
+pub use log_throttle::LogThrottle;
 pub use machine_limits::MachineLimits;
 pub use memory_budget::{BudgetError, MemoryBudget, MemoryReservation};
 pub use meter::MemberMeter;
--- a/crates/rudder-engine/src/callers/connections.rs
+++ b/crates/rudder-engine/src/callers/connections.rs
@@ -1,15 +1,12 @@
 //! Connections of callers, and the notification of those that are closed to make room.
 
 use crate::sync::lock;
-use rudder_decisions::{ConnectionDecision, ConnectionPhase, ConnectionTable};
+use rudder_decisions::{ConnectionDecision, ConnectionPhase, ConnectionTable, LogThrottle};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::Notify;
 
-/// Interval between two log lines about connections that were closed or refused.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Connections to one address of this instance.
 #[derive(Clone)]
 pub struct CallerConnections(Arc<Mutex<ConnectionState>>);
@@ -20,9 +17,7 @@
     closers: Vec<(u64, Arc<Notify>)>,
     /// Label of the address in metrics and logs.
     address: &'static str,
-    /// Connections closed or refused since the last log line.
-    unlogged: u64,
-    logged_at: Option<Instant>,
+    throttle: LogThrottle,
 }
 
 impl ConnectionState {
@@ -35,8 +30,7 @@
         self.record_closed(ids.len() as u64, reason);
     }
 
-    /// Counts connections that were closed or refused, and logs them at most once per interval: a
-    /// line for each would fill the log.
+    /// Counts and logs connections that were closed or refused.
     fn record_closed(&mut self, count: u64, reason: &'static str) {
         if count == 0 {
             return;
@@ -45,18 +39,12 @@
             "rudder_connections_closed_total", "address" => self.address, "reason" => reason
         )
         .increment(count);
-        self.unlogged += count;
-        let now = Instant::now();
-        if self.logged_at.is_some_and(|at| now.duration_since(at) < LOG_INTERVAL) {
-            return;
+        if let Some(count) = self.throttle.record(count, Instant::now()) {
+            log::warn!(
+                address = self.address, reason = reason, count = count, open = self.table.len(),
+                outcome = "closed"; "connections were closed, as there is no room for all"
+            );
         }
-        log::warn!(
-            address = self.address, reason = reason, count = self.unlogged,
-            open = self.table.len(), outcome = "closed";
-            "connections were closed, as there is no room for all"
-        );
-        self.unlogged = 0;
-        self.logged_at = Some(now);
     }
 }
 
@@ -77,8 +65,7 @@
             table: ConnectionTable::new(max),
             closers: Vec::new(),
             address,
-            unlogged: 0,
-            logged_at: None,
+            throttle: LogThrottle::default(),
         })))
     }
 
--- a/crates/rudder-engine/src/callers/mod.rs
+++ b/crates/rudder-engine/src/callers/mod.rs
@@ -5,4 +5,4 @@
 mod memory;
 
 pub use connections::{CallerConnection, CallerConnections};
-pub(crate) use memory::CallerMemory;
+pub(crate) use memory::{CallerMemory, report_usage};
--- a/crates/rudder-engine/src/session/caller.rs
+++ b/crates/rudder-engine/src/session/caller.rs
@@ -141,7 +141,7 @@
 
     /// Returns the reply to a request that is not run because too much memory is in use.
     pub fn refuse_for_memory(&mut self) -> StatementReply {
-        metrics::counter!("rudder_requests_refused_total", "reason" => "memory").increment(1);
+        self.engine.caller_memory().record_refusal("memory");
         self.fail(StatementError::Busy, &retry_text("too much memory is in use"))
     }
 
@@ -158,7 +158,7 @@
             return reply;
         }
         drop(reply);
-        metrics::counter!("rudder_requests_refused_total", "reason" => "reply_memory").increment(1);
+        self.engine.caller_memory().record_refusal("reply_memory");
         self.fail(StatementError::TooLarge, "the rows exceed the memory that is left")
     }
 
@@ -287,6 +287,7 @@
         match changed {
             Ok(()) => StatementReply::without_member(self.state()),
             Err(StateFull::Memory) => {
+                self.engine.caller_memory().record_refusal("session_memory");
                 let text = retry_text(&StateFull::Memory.to_string());
                 self.refuse(StatementError::Busy, &text)
             }
