Soak: clients that do not behave beside the callers that are checked

Sixty clients send unfinished startups and requests, large ones one after the other without reading, large session values, statements ahead within a transaction, and lines without an end, while faults are injected. No promise may be broken and no process may exceed the memory that it assumes for its machine.

--- a/crates/arbutusrudder/tests/soak/environment.rs
+++ b/crates/arbutusrudder/tests/soak/environment.rs
@@ -135,6 +135,12 @@
         self.instances.iter().map(|instance| instance.slot.callers).collect()
     }
 
+    /// Returns the greatest resident memory of a running process in bytes.
+    pub(crate) fn peak_memory(&self) -> u64 {
+        let peak = |instance: &SoakInstance| lock(&instance.process).as_ref()?.peak_memory();
+        self.instances.iter().filter_map(peak).max().unwrap_or(0)
+    }
+
     /// Keeps the logs of the processes and prints their paths.
     pub(crate) fn keep_logs(&self) {
         self.keep_logs_on_drop.store(true, Ordering::Relaxed);
--- a/crates/arbutusrudder/tests/soak/main.rs
+++ b/crates/arbutusrudder/tests/soak/main.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod checks;
+mod crowd;
 mod environment;
 mod faults;
 mod process;
@@ -34,23 +35,49 @@
 /// Seed of the callers in that run.
 const PROMOTER_SEED: u64 = 9001;
 
+/// Seeds of the runs beside clients that do not behave.
+const CROWD_SEEDS: [u64; 2] = [9051, 9052];
+
+/// Memory that a process assumes for its machine if its settings do not state it.
+const MACHINE_MEMORY: u64 = 256_000_000;
+
 /// Number of program processes in a run.
 const INSTANCES: usize = 4;
 
 /// Number of callers in a run.
 const CALLERS: usize = 16;
 
+/// Clients besides the callers whose observations are checked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OtherClients {
+    None,
+    Misbehaving,
+}
+
 async fn run(seed: u64, plan: &SoakPlan, sync_replicas: usize) -> SoakReport {
+    run_beside(seed, plan, sync_replicas, OtherClients::None).await
+}
+
+async fn run_beside(
+    seed: u64,
+    plan: &SoakPlan,
+    sync_replicas: usize,
+    clients: OtherClients,
+) -> SoakReport {
     println!("seed {seed}, sync replicas {sync_replicas}: {}", plan.summary());
     let environment = SoakEnvironment::start(seed, plan.instances, sync_replicas).await;
     environment.await_serving().await;
     let callers = callers::start(&environment, CALLERS, seed);
+    let crowd = (clients == OtherClients::Misbehaving).then(|| crowd::start(&environment, seed));
     environment.run(plan).await;
+    let peak_memory = environment.peak_memory();
+    drop(crowd);
     environment.restore().await;
     environment.await_serving().await;
     let history = callers.stop().await;
     let report = SoakReport::of(&history, &environment.fleet.group);
-    println!("seed {seed}: {report}");
+    println!("seed {seed}: {report}, peak memory {} MB", peak_memory / 1_000_000);
+    assert!(peak_memory <= MACHINE_MEMORY, "seed {seed}: {peak_memory} bytes were resident");
     if !report.violations.is_empty() {
         environment.keep_logs();
     }
@@ -108,3 +135,27 @@
     assert!(report.promotions > 0, "{report}");
     assert!(report.violations.is_empty(), "{:#?}", report.violations);
 }
+
+/// Guards against promises that are broken, and memory that is exceeded, while clients send large,
+/// unfinished or many requests during faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_clients_do_not_behave() {
+    let seeds = match number("RUDDER_SOAK_SEEDS") {
+        Some(count) => {
+            let from = number("RUDDER_SOAK_FROM").unwrap_or(1);
+            (from..from + count).collect()
+        }
+        None => CROWD_SEEDS.to_vec(),
+    };
+    let seconds = number("RUDDER_SOAK_SECONDS").unwrap_or(CI_SECONDS);
+
+    let mut violations = Vec::new();
+    for seed in seeds {
+        let plan = SoakPlan::generate(seed, Duration::from_secs(seconds), INSTANCES);
+        let report = run_beside(seed, &plan, 0, OtherClients::Misbehaving).await;
+        assert!(report.served > 0, "seed {seed} served nothing");
+        violations.extend(report.violations.into_iter().map(|text| format!("seed {seed}: {text}")));
+    }
+
+    assert!(violations.is_empty(), "{violations:#?}");
+}
--- a/crates/arbutusrudder/tests/soak/process.rs
+++ b/crates/arbutusrudder/tests/soak/process.rs
@@ -77,6 +77,14 @@
         self.stopping
     }
 
+    /// Returns the greatest resident memory so far in bytes, unless the process has exited.
+    pub(crate) fn peak_memory(&self) -> Option<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kib: u64 = line.trim().trim_end_matches(" kB").parse().ok()?;
+        Some(kib * 1024)
+    }
+
     pub(crate) fn has_ended(&mut self) -> bool {
         self.child.try_wait().expect("the child can be waited for").is_some()
     }
