--- a/crates/arbutusrudder/tests/clients/line_client.rs
+++ b/crates/arbutusrudder/tests/clients/line_client.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
-/// Database of the crowds and of the ordinary callers.
+/// Database of the abusive clients and of the ordinary callers.
 pub(crate) const DATABASE: &str = "db-bounded";
 
 /// Maximum length of a message.
@@ -60,7 +60,7 @@
     }
 
     async fn started(mut self) -> Option<Self> {
-        self.send(&format!("STARTUP {DATABASE} crowd\r\n")).await?;
+        self.send(&format!("STARTUP {DATABASE} abusive\r\n")).await?;
         self.read_until("READY").await?;
         Some(self)
     }
--- a/crates/arbutusrudder/tests/clients/lines.rs
+++ b/crates/arbutusrudder/tests/clients/lines.rs
@@ -1,8 +1,8 @@
-//! Clients of the line protocol that do not behave.
+//! Abusive clients of the line protocol.
 
-use super::crowd::{hold, play_in_turn, play_repeating};
 use super::line_client::{DATABASE, LineSession, PIECE, RawLines, filling, filling_of};
 use super::line_environment::LineEnvironment;
+use super::load::{hold, run_in_turn, run_repeating};
 use super::stage::{self, take_turn};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -27,20 +27,20 @@
 /// Pause of clients that send or read a byte at a time.
 const SLOW_PAUSE: Duration = Duration::from_secs(1);
 
-/// Plays a crowd at the address for callers, then checks that a single message of the greatest size
-/// is still served.
-async fn play<F: Future<Output = ()>>(name: &str, crowd: impl FnOnce(SocketAddr) -> F) {
+/// Runs abusive clients at the address for callers, then checks that a single message of the greatest
+/// size is still served.
+async fn check_with<F: Future<Output = ()>>(name: &str, clients: impl FnOnce(SocketAddr) -> F) {
     let _turn = take_turn().await;
-    play_at(LineEnvironment::start().await, name, crowd).await;
+    check_at(LineEnvironment::start().await, name, clients).await;
 }
 
-async fn play_at<F: Future<Output = ()>>(
+async fn check_at<F: Future<Output = ()>>(
     mut environment: LineEnvironment,
     name: &str,
-    crowd: impl FnOnce(SocketAddr) -> F,
+    clients: impl FnOnce(SocketAddr) -> F,
 ) {
     let address = environment.callers();
-    stage::play::<LineSession>(name, &address, &environment.watch, crowd(address)).await;
+    stage::check_service::<LineSession>(name, &address, &environment.watch, clients(address)).await;
     environment.assert_serves(&format!("READ {}", filling())).await;
     environment.watch.assert_within_machine();
 }
@@ -49,8 +49,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn messages_without_their_end_do_not_fill_the_memory() {
     let text = format!("QUERY q READ {}", filling());
-    play("half messages", |address| {
-        play_repeating(600, address, text, |client| async move {
+    check_with("half messages", |address| {
+        run_repeating(600, address, text, |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             lines.send(&client.shared).await?;
             hold(lines).await;
@@ -64,8 +64,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn startup_lines_without_their_end_do_not_fill_the_memory() {
     let text = format!("STARTUP {DATABASE} {}", filling());
-    play("half startups", |address| {
-        play_repeating(600, address, text, |client| async move {
+    check_with("half startups", |address| {
+        run_repeating(600, address, text, |client| async move {
             let mut lines = RawLines::open(client.address).await?;
             lines.send(&client.shared).await?;
             lines.read_to_end().await
@@ -78,8 +78,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn many_whole_messages_do_not_fill_the_memory() {
     let text = format!("READ {}", filling());
-    play("whole messages", |address| {
-        play_repeating(400, address, text, |client| async move {
+    check_with("whole messages", |address| {
+        run_repeating(400, address, text, |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             loop {
                 lines.query(&client.shared).await?;
@@ -93,8 +93,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn many_messages_in_pieces_do_not_fill_the_memory() {
     let text = format!("QUERY q READ {}\r\n", filling());
-    play("messages in pieces", |address| {
-        play_repeating(400, address, text, |client| async move {
+    check_with("messages in pieces", |address| {
+        run_repeating(400, address, text, |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             loop {
                 lines.send_in_pieces(&client.shared, PIECE, Duration::from_millis(1)).await?;
@@ -109,8 +109,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn very_many_large_messages_do_not_fill_the_memory() {
     let text = format!("READ {}", filling_of(LARGE_MESSAGE));
-    play("messages of 100 kB", |address| {
-        play_repeating(1_500, address, text, |client| async move {
+    check_with("messages of 100 kB", |address| {
+        run_repeating(1_500, address, text, |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             loop {
                 lines.query(&client.shared).await?;
@@ -124,8 +124,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_messages_sent_ahead_do_not_fill_the_memory() {
     let text = format!("QUERY q READ {}\r\n", filling());
-    play("large messages ahead", |address| {
-        play_repeating(300, address, text, |client| async move {
+    check_with("large messages ahead", |address| {
+        run_repeating(300, address, text, |client| async move {
             let mut lines = RawLines::start_unread(client.address).await?;
             loop {
                 lines.send(&client.shared).await?;
@@ -139,10 +139,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn names_of_any_length_do_not_fill_the_log() {
     let _turn = take_turn().await;
-    let startup = format!("STARTUP {} crowd\r\n", filling());
+    let startup = format!("STARTUP {} abusive\r\n", filling());
     let environment = LineEnvironment::start_with_unread_log().await;
-    play_at(environment, "unknown databases with long names", |address| {
-        play_repeating(20, address, startup, |client| async move {
+    check_at(environment, "unknown databases with long names", |address| {
+        run_repeating(20, address, startup, |client| async move {
             let mut lines = RawLines::open(client.address).await?;
             lines.send(&client.shared).await?;
             lines.read_to_end().await
@@ -155,8 +155,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_request_ids_do_not_fill_the_memory() {
     let text = format!("QUERY {} READ item\r\n", filling());
-    play("large request ids", |address| {
-        play_repeating(300, address, text, |client| async move {
+    check_with("large request ids", |address| {
+        run_repeating(300, address, text, |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             loop {
                 lines.send(&client.shared).await?;
@@ -171,8 +171,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_session_values_do_not_fill_the_memory() {
     let value = filling();
-    play("large session values", |address| {
-        play_repeating(2, address, value, |client| async move {
+    check_with("large session values", |address| {
+        run_repeating(2, address, value, |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             for number in 0.. {
                 lines.query(&format!("SET name{number} {}", client.shared)).await?;
@@ -188,8 +188,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_session_values_at_members_do_not_fill_the_memory() {
     let value = filling();
-    play("large session values at members", |address| {
-        play_repeating(60, address, value, |client| async move {
+    check_with("large session values at members", |address| {
+        run_repeating(60, address, value, |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             for number in 0..3 {
                 lines.query(&format!("SET name{number} {}", client.shared)).await?;
@@ -206,8 +206,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_prepared_statements_do_not_fill_the_memory() {
     let shape = filling();
-    play("large prepared statements", |address| {
-        play_repeating(2, address, shape, |client| async move {
+    check_with("large prepared statements", |address| {
+        run_repeating(2, address, shape, |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             for number in 0.. {
                 lines.query(&format!("PREPARE name{number} READ {}", client.shared)).await?;
@@ -222,8 +222,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_prepared_statements_at_members_do_not_fill_the_memory() {
     let shape = filling_of(LARGE_ROW);
-    play("large prepared statements at members", |address| {
-        play_repeating(20, address, shape, |client| async move {
+    check_with("large prepared statements at members", |address| {
+        run_repeating(20, address, shape, |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             for number in 0.. {
                 let shape = format!("{}-{number}-{}", client.number, client.shared);
@@ -240,8 +240,8 @@
 /// Guards against memory for small prepared statements of any number.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_small_prepared_statements_do_not_fill_the_memory() {
-    play("small prepared statements", |address| {
-        play_repeating(16, address, (), |client| async move {
+    check_with("small prepared statements", |address| {
+        run_repeating(16, address, (), |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             for number in 0.. {
                 let shape = format!("s{}-{number}", client.number);
@@ -258,8 +258,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn sessions_idle_after_a_large_message_do_not_fill_the_memory() {
     let text = Arc::new(format!("READ {}", filling()));
-    play("one large message each, then idle", |address| {
-        play_in_turn(400, 1, move |_| {
+    check_with("one large message each, then idle", |address| {
+        run_in_turn(400, 1, move |_| {
             let text = Arc::clone(&text);
             async move {
                 let mut lines = RawLines::start(address).await?;
@@ -275,8 +275,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_without_the_end_of_a_line_are_cut_off() {
     let piece = filling_of(STREAM_PIECE);
-    play("endless lines", |address| {
-        play_repeating(300, address, piece, |client| async move {
+    check_with("endless lines", |address| {
+        run_repeating(300, address, piece, |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             for _ in 0..STREAM / STREAM_PIECE {
                 lines.send(&client.shared).await?;
@@ -290,15 +290,17 @@
 /// Guards against callers that are not accepted while others occupy all descriptors.
 #[tokio::test(flavor = "multi_thread")]
 async fn idle_sessions_do_not_occupy_all_descriptors() {
-    play("idle sessions", |address| play_in_turn(4_600, 100, move |_| RawLines::start(address)))
-        .await;
+    check_with("idle sessions", |address| {
+        run_in_turn(4_600, 100, move |_| RawLines::start(address))
+    })
+    .await;
 }
 
 /// Guards against callers that are not accepted while others have connected and say nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_connections_do_not_occupy_all_descriptors() {
-    play("silent connections", |address| {
-        play_repeating(4_600, address, (), |client| async move {
+    check_with("silent connections", |address| {
+        run_repeating(4_600, address, (), |client| async move {
             RawLines::open(client.address).await?.read_to_end().await
         })
     })
@@ -308,8 +310,8 @@
 /// Guards against callers that are not accepted while others send a byte at a time.
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_senders_do_not_occupy_all_descriptors() {
-    play("a byte a second", |address| {
-        play_repeating(4_600, address, (), |client| async move {
+    check_with("a byte a second", |address| {
+        run_repeating(4_600, address, (), |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             lines.send_in_pieces("QUERY q READ item-of-a-slow-client", 1, SLOW_PAUSE).await
         })
@@ -320,8 +322,8 @@
 /// Guards against processor time for many connections that are opened and closed at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_opened_and_closed_at_once_do_not_stop_the_process() {
-    play("opened and closed", |address| {
-        play_repeating(500, address, (), |client| async move {
+    check_with("opened and closed", |address| {
+        run_repeating(500, address, (), |client| async move {
             let lines = RawLines::start(client.address).await;
             tokio::time::sleep(Duration::from_millis(100)).await;
             lines.map(drop)
@@ -335,8 +337,8 @@
 async fn small_statements_ahead_with_unread_answers_do_not_fill_the_memory() {
     let sets = "QUERY q SET name value\r\n".repeat(STATEMENTS_AHEAD);
     let reads = "QUERY q READ item\r\n".repeat(STATEMENTS_AHEAD);
-    play("small statements ahead", |address| {
-        play_repeating(68, address, (sets, reads), |client| async move {
+    check_with("small statements ahead", |address| {
+        run_repeating(68, address, (sets, reads), |client| async move {
             let (sets, reads) = &*client.shared;
             let mut lines = RawLines::start_unread(client.address).await?;
             loop {
@@ -351,9 +353,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_answers_that_are_not_read_do_not_fill_the_memory() {
     let reads = "QUERY q READ large\r\n".repeat(STATEMENTS_AHEAD);
-    play("large answers unread", |address| async move {
+    check_with("large answers unread", |address| async move {
         write_large_row(address).await;
-        play_repeating(500, address, reads, |client| async move {
+        run_repeating(500, address, reads, |client| async move {
             let mut lines = RawLines::start_unread(client.address).await?;
             lines.send(&client.shared).await?;
             hold(lines).await;
@@ -367,9 +369,9 @@
 /// Guards against memory for large replies that are read a byte at a time.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_answers_that_are_read_slowly_do_not_fill_the_memory() {
-    play("large answers read slowly", |address| async move {
+    check_with("large answers read slowly", |address| async move {
         write_large_row(address).await;
-        play_repeating(500, address, (), |client| async move {
+        run_repeating(500, address, (), |client| async move {
             let mut lines = RawLines::start_unread(client.address).await?;
             lines.send("QUERY q READ large\r\n").await?;
             loop {
@@ -385,9 +387,9 @@
 /// Guards against connections to members that are occupied by transactions whose callers do not read.
 #[tokio::test(flavor = "multi_thread")]
 async fn transactions_whose_answers_are_not_read_do_not_occupy_the_members() {
-    play("transactions unread", |address| async move {
+    check_with("transactions unread", |address| async move {
         write_large_row(address).await;
-        play_repeating(200, address, (), |client| async move {
+        run_repeating(200, address, (), |client| async move {
             let mut lines = RawLines::start_unread(client.address).await?;
             lines.query("BEGIN").await?;
             lines.query("WRITE other value").await?;
@@ -404,8 +406,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn transactions_with_large_writes_do_not_fill_the_memory() {
     let write = format!("WRITE large {}", filling());
-    play("large writes in transactions", |address| {
-        play_repeating(4, address, write, |client| async move {
+    check_with("large writes in transactions", |address| {
+        run_repeating(4, address, write, |client| async move {
             let mut lines = RawLines::start(client.address).await?;
             lines.query("BEGIN").await?;
             for _ in 0..8 {
@@ -421,8 +423,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_heads_at_the_readiness_address_are_refused() {
     let head = format!("GET /v1/readyz HTTP/1.1\r\nhost: {}", filling());
-    play_at_ready("large heads", |ready| {
-        play_repeating(200, ready, head, |client| async move {
+    check_at_ready("large heads", |ready| {
+        run_repeating(200, ready, head, |client| async move {
             let mut lines = RawLines::open(client.address).await?;
             lines.send(&client.shared).await?;
             lines.send(&client.shared).await?;
@@ -435,8 +437,8 @@
 /// Guards against readiness probes that are not accepted while others send a byte at a time.
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_heads_do_not_occupy_the_readiness_address() {
-    play_at_ready("slow heads", |ready| {
-        play_repeating(4_600, ready, (), |client| async move {
+    check_at_ready("slow heads", |ready| {
+        run_repeating(4_600, ready, (), |client| async move {
             let mut lines = RawLines::open(client.address).await?;
             lines.send_in_pieces("GET /v1/readyz HTTP/1.1\r\n", 1, SLOW_PAUSE).await
         })
@@ -444,19 +446,19 @@
     .await;
 }
 
-/// Plays a crowd at the readiness address beside ordinary callers, with a probe each second that
-/// must be answered.
-async fn play_at_ready<F: Future<Output = ()>>(name: &str, crowd: impl FnOnce(SocketAddr) -> F) {
+/// Runs abusive clients at the readiness address beside ordinary callers, with a probe each second
+/// that must be answered.
+async fn check_at_ready<F: Future<Output = ()>>(name: &str, clients: impl FnOnce(SocketAddr) -> F) {
     let _turn = take_turn().await;
     let environment = LineEnvironment::start().await;
     let (callers, ready) = (environment.callers(), environment.ready());
-    let crowd = async {
+    let clients = async {
         tokio::select! {
-            () = crowd(ready) => {}
+            () = clients(ready) => {}
             () = probe_readiness(ready) => {}
         }
     };
-    stage::play::<LineSession>(name, &callers, &environment.watch, crowd).await;
+    stage::check_service::<LineSession>(name, &callers, &environment.watch, clients).await;
 }
 
 /// Probes as the load balancer does; fails when two probes in a row have no answer.
--- a/crates/arbutusrudder/tests/clients/postgres.rs
+++ b/crates/arbutusrudder/tests/clients/postgres.rs
@@ -1,8 +1,8 @@
-//! Clients of the PostgreSQL protocol that do not behave.
+//! Abusive clients of the PostgreSQL protocol.
 
-use super::crowd::{hold, play_in_turn, play_repeating};
 use super::frame_client::{FrameSession, RawFrames, parse_frame, query_frame, sync_frame};
 use super::frame_environment::FrameEnvironment;
+use super::load::{hold, run_in_turn, run_repeating};
 use super::stage::{self, take_turn};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -25,13 +25,14 @@
     format!("SELECT 1 /* {} */", "x".repeat(bytes))
 }
 
-/// Plays a crowd at the address for callers, then checks that a single message of the greatest size
-/// is still served.
-async fn play<F: Future<Output = ()>>(name: &str, crowd: impl FnOnce(SocketAddr) -> F) {
+/// Runs abusive clients at the address for callers, then checks that a single message of the greatest
+/// size is still served.
+async fn check_with<F: Future<Output = ()>>(name: &str, clients: impl FnOnce(SocketAddr) -> F) {
     let _turn = take_turn().await;
     let environment = FrameEnvironment::start().await;
     let address = environment.callers();
-    stage::play::<FrameSession>(name, &address, &environment.watch, crowd(address)).await;
+    stage::check_service::<FrameSession>(name, &address, &environment.watch, clients(address))
+        .await;
     environment.assert_serves(&filled_query(LARGE_MESSAGE - 64)).await;
     environment.watch.assert_within_machine();
 }
@@ -41,8 +42,8 @@
 async fn frames_without_their_end_do_not_fill_the_memory() {
     let mut frame = query_frame(&filled_query(LARGE_MESSAGE - 64));
     frame.truncate(frame.len() - 1);
-    play("postgres half messages", |address| {
-        play_repeating(60, address, frame, |client| async move {
+    check_with("postgres half messages", |address| {
+        run_repeating(60, address, frame, |client| async move {
             let mut frames = RawFrames::start(client.address).await?;
             frames.send(&client.shared).await?;
             hold(frames).await;
@@ -56,8 +57,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn many_whole_frames_do_not_fill_the_memory() {
     let frame = query_frame(&filled_query(MEDIUM_MESSAGE));
-    play("postgres whole messages", |address| {
-        play_repeating(400, address, frame, |client| async move {
+    check_with("postgres whole messages", |address| {
+        run_repeating(400, address, frame, |client| async move {
             let mut frames = RawFrames::start(client.address).await?;
             loop {
                 frames.run(&client.shared).await?;
@@ -71,8 +72,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_frames_sent_ahead_do_not_fill_the_memory() {
     let frame = query_frame(&filled_query(MEDIUM_MESSAGE));
-    play("postgres large messages ahead", |address| {
-        play_repeating(300, address, frame, |client| async move {
+    check_with("postgres large messages ahead", |address| {
+        run_repeating(300, address, frame, |client| async move {
             let mut frames = RawFrames::start_unread(client.address).await?;
             loop {
                 frames.send(&client.shared).await?;
@@ -86,8 +87,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn batches_without_their_end_do_not_fill_the_memory() {
     let frame = parse_frame("", &filled_query(MEDIUM_MESSAGE));
-    play("postgres endless batches", |address| {
-        play_repeating(20, address, frame, |client| async move {
+    check_with("postgres endless batches", |address| {
+        run_repeating(20, address, frame, |client| async move {
             let mut frames = RawFrames::start(client.address).await?;
             loop {
                 frames.send(&client.shared).await?;
@@ -101,8 +102,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn batches_of_small_frames_do_not_fill_the_memory() {
     let frames_ahead = parse_frame("", "SELECT 1").repeat(1000);
-    play("postgres endless batches of small messages", |address| {
-        play_repeating(100, address, frames_ahead, |client| async move {
+    check_with("postgres endless batches of small messages", |address| {
+        run_repeating(100, address, frames_ahead, |client| async move {
             let mut frames = RawFrames::start(client.address).await?;
             loop {
                 frames.send(&client.shared).await?;
@@ -117,8 +118,8 @@
 async fn texts_of_many_tokens_do_not_fill_the_memory() {
     let text = format!("SELECT 1{}", ",1".repeat(4 << 20));
     let frame = query_frame(&text);
-    play("postgres many tokens", |address| {
-        play_repeating(4, address, frame, |client| async move {
+    check_with("postgres many tokens", |address| {
+        run_repeating(4, address, frame, |client| async move {
             let mut frames = RawFrames::start(client.address).await?;
             loop {
                 frames.run(&client.shared).await?;
@@ -132,8 +133,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_prepared_frames_do_not_fill_the_memory() {
     let text = filled_query(MEDIUM_MESSAGE);
-    play("postgres large prepared statements", |address| {
-        play_repeating(4, address, text, |client| async move {
+    check_with("postgres large prepared statements", |address| {
+        run_repeating(4, address, text, |client| async move {
             let mut frames = RawFrames::start(client.address).await?;
             for number in 0.. {
                 let mut batch = parse_frame(&format!("name{number}"), &client.shared);
@@ -149,8 +150,8 @@
 /// Guards against memory for small prepared statements of any number.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_small_prepared_frames_do_not_fill_the_memory() {
-    play("postgres small prepared statements", |address| {
-        play_repeating(16, address, (), |client| async move {
+    check_with("postgres small prepared statements", |address| {
+        run_repeating(16, address, (), |client| async move {
             let mut frames = RawFrames::start(client.address).await?;
             for round in 0.. {
                 let mut batch = bytes::BytesMut::new();
@@ -172,8 +173,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_settings_do_not_fill_the_memory() {
     let value = "x".repeat(MEDIUM_MESSAGE);
-    play("postgres large settings", |address| {
-        play_repeating(4, address, value, |client| async move {
+    check_with("postgres large settings", |address| {
+        run_repeating(4, address, value, |client| async move {
             let mut frames = RawFrames::start(client.address).await?;
             for number in 0.. {
                 let set = format!("SET my.name{number} = '{}'", client.shared);
@@ -189,8 +190,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn sessions_idle_after_a_large_frame_do_not_fill_the_memory() {
     let frame = Arc::new(query_frame(&filled_query(MEDIUM_MESSAGE)));
-    play("postgres one large message each, then idle", |address| {
-        play_in_turn(400, 2, move |_| {
+    check_with("postgres one large message each, then idle", |address| {
+        run_in_turn(400, 2, move |_| {
             let frame = Arc::clone(&frame);
             async move {
                 let mut frames = RawFrames::start(address).await?;
@@ -205,8 +206,8 @@
 /// Guards against callers that are not accepted while logins are left unfinished.
 #[tokio::test(flavor = "multi_thread")]
 async fn unfinished_logins_do_not_occupy_the_process() {
-    play("postgres unfinished logins", |address| {
-        play_repeating(3_000, address, (), |client| async move {
+    check_with("postgres unfinished logins", |address| {
+        run_repeating(3_000, address, (), |client| async move {
             let mut frames = RawFrames::open(client.address).await?;
             frames.send(&[0, 0, 0, 80, 0, 3, 0, 0]).await?;
             frames.read_to_end().await
@@ -218,8 +219,8 @@
 /// Guards against callers that are not accepted while others occupy all descriptors.
 #[tokio::test(flavor = "multi_thread")]
 async fn idle_postgres_sessions_do_not_occupy_all_descriptors() {
-    play("postgres idle sessions", |address| {
-        play_in_turn(4_600, 100, move |_| RawFrames::start(address))
+    check_with("postgres idle sessions", |address| {
+        run_in_turn(4_600, 100, move |_| RawFrames::start(address))
     })
     .await;
 }
@@ -228,8 +229,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn postgres_answers_that_are_not_read_do_not_fill_the_memory() {
     let queries = query_frame("SELECT 1").repeat(STATEMENTS_AHEAD);
-    play("postgres answers unread", |address| {
-        play_repeating(100, address, queries, |client| async move {
+    check_with("postgres answers unread", |address| {
+        run_repeating(100, address, queries, |client| async move {
             let mut frames = RawFrames::start_unread(client.address).await?;
             loop {
                 frames.send(&client.shared).await?;
@@ -244,9 +245,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn large_answers_of_commits_that_are_not_read_do_not_fill_the_memory() {
     let frame = query_frame("INSERT INTO parts VALUES (1); SELECT data FROM large");
-    play("postgres large answers of commits unread", |address| async move {
+    check_with("postgres large answers of commits unread", |address| async move {
         write_large_rows(address, 8).await;
-        play_repeating(100, address, frame, |client| async move {
+        run_repeating(100, address, frame, |client| async move {
             let mut frames = RawFrames::start_unread(client.address).await?;
             frames.send(&client.shared).await?;
             hold(frames).await;
@@ -261,9 +262,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn transactions_whose_answers_are_not_read_do_not_occupy_the_members() {
     let batches = (query_frame("BEGIN"), query_frame("SELECT data FROM large"));
-    play("postgres transactions unread", |address| async move {
+    check_with("postgres transactions unread", |address| async move {
         write_large_rows(address, 1).await;
-        play_repeating(200, address, batches, |client| async move {
+        run_repeating(200, address, batches, |client| async move {
             let (begin, select) = &*client.shared;
             let mut frames = RawFrames::start_unread(client.address).await?;
             frames.run(begin).await?;
@@ -280,8 +281,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn transactions_that_are_left_open_do_not_occupy_the_members() {
     let batches = [query_frame("BEGIN"), query_frame("INSERT INTO parts VALUES (0)")];
-    play("postgres transactions left open", |address| {
-        play_repeating(100, address, batches, |client| async move {
+    check_with("postgres transactions left open", |address| {
+        run_repeating(100, address, batches, |client| async move {
             let mut frames = RawFrames::start(client.address).await?;
             for batch in &*client.shared {
                 frames.run(batch).await?;
@@ -299,9 +300,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_that_are_not_read_do_not_occupy_the_slots() {
     let select = query_frame("SELECT data FROM large");
-    play("postgres large answers unread", |address| async move {
+    check_with("postgres large answers unread", |address| async move {
         write_large_rows(address, 40).await;
-        play_repeating(100, address, select, |client| async move {
+        run_repeating(100, address, select, |client| async move {
             let mut frames = RawFrames::start_unread(client.address).await?;
             frames.send(&client.shared).await?;
             hold(frames).await;
@@ -327,8 +328,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn frames_far_over_the_limit_are_refused() {
     let piece = vec![b'x'; 64 * 1024];
-    play("postgres messages of 2 GB", |address| {
-        play_repeating(100, address, piece, |client| async move {
+    check_with("postgres messages of 2 GB", |address| {
+        run_repeating(100, address, piece, |client| async move {
             let mut frames = RawFrames::start(client.address).await?;
             frames.send(b"Q\x7f\xff\xff\xff").await?;
             for _ in 0..1000 {
--- a/crates/arbutusrudder/tests/soak/crowd.rs
+++ b/crates/arbutusrudder/tests/soak/abusive.rs
@@ -1,4 +1,4 @@
-//! Clients that do not behave: they send large, unfinished or many requests and do not read replies.
+//! Abusive clients: they send large, unfinished or many requests and do not read replies.
 
 use super::environment::{BOUNDED, SoakEnvironment};
 use rand::rngs::StdRng;
@@ -35,7 +35,7 @@
                 let stay = Duration::from_millis(rng.random_range(STAY_MS));
                 let behaviour = rng.random_range(0..6);
                 // A client that is refused or cut off connects again, like one whose time is over.
-                let _ = tokio::time::timeout(stay, misbehave(address, behaviour)).await;
+                let _ = tokio::time::timeout(stay, abuse(address, behaviour)).await;
                 let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
                 tokio::time::sleep(pause).await;
             }
@@ -45,7 +45,7 @@
 }
 
 /// Runs one behaviour until the connection ends.
-async fn misbehave(address: SocketAddr, behaviour: u32) -> std::io::Result<()> {
+async fn abuse(address: SocketAddr, behaviour: u32) -> std::io::Result<()> {
     let large = "x".repeat(LARGE);
     let mut stream = TcpStream::connect(address).await?;
     if behaviour == 0 {
--- a/crates/arbutusrudder/tests/soak/main.rs
+++ b/crates/arbutusrudder/tests/soak/main.rs
@@ -5,9 +5,9 @@
 //! `RUDDER_SOAK_INSTANCES=60` more processes.
 //! Each run prints its seed, its faults and, if a guarantee is violated, the paths of the logs.
 
+mod abusive;
 mod callers;
 mod checks;
-mod crowd;
 mod environment;
 mod faults;
 mod process;
@@ -35,8 +35,8 @@
 /// Seed of the callers in that run.
 const PROMOTER_SEED: u64 = 9001;
 
-/// Seeds of the runs beside clients that do not behave.
-const CROWD_SEEDS: [u64; 2] = [9051, 9052];
+/// Seeds of the runs beside abusive clients.
+const ABUSIVE_SEEDS: [u64; 2] = [9051, 9052];
 
 /// Memory that a process assumes for its machine if its settings do not state it.
 const MACHINE_MEMORY: u64 = 256_000_000;
@@ -51,7 +51,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OtherClients {
     None,
-    Misbehaving,
+    Abusive,
 }
 
 async fn run(seed: u64, plan: &SoakPlan, sync_replicas: usize) -> SoakReport {
@@ -68,10 +68,10 @@
     let environment = SoakEnvironment::start(seed, plan.instances, sync_replicas).await;
     environment.await_serving().await;
     let callers = callers::start(&environment, CALLERS, seed);
-    let crowd = (clients == OtherClients::Misbehaving).then(|| crowd::start(&environment, seed));
+    let abusive = (clients == OtherClients::Abusive).then(|| abusive::start(&environment, seed));
     environment.run(plan).await;
     let peak_memory = environment.peak_memory();
-    drop(crowd);
+    drop(abusive);
     environment.restore().await;
     environment.await_serving().await;
     let history = callers.stop().await;
@@ -139,20 +139,20 @@
 /// Guards against promises that are broken, and memory that is exceeded, while clients send large,
 /// unfinished or many requests during faults.
 #[tokio::test(flavor = "multi_thread")]
-async fn guarantees_hold_while_clients_do_not_behave() {
+async fn guarantees_hold_beside_abusive_clients() {
     let seeds = match number("RUDDER_SOAK_SEEDS") {
         Some(count) => {
             let from = number("RUDDER_SOAK_FROM").unwrap_or(1);
             (from..from + count).collect()
         }
-        None => CROWD_SEEDS.to_vec(),
+        None => ABUSIVE_SEEDS.to_vec(),
     };
     let seconds = number("RUDDER_SOAK_SECONDS").unwrap_or(CI_SECONDS);
 
     let mut violations = Vec::new();
     for seed in seeds {
         let plan = SoakPlan::generate(seed, Duration::from_secs(seconds), INSTANCES);
-        let report = run_beside(seed, &plan, 0, OtherClients::Misbehaving).await;
+        let report = run_beside(seed, &plan, 0, OtherClients::Abusive).await;
         assert!(report.served > 0, "seed {seed} served nothing");
         violations.extend(report.violations.into_iter().map(|text| format!("seed {seed}: {text}")));
     }
--- a/crates/rudder-decisions/src/connection_table.rs
+++ b/crates/rudder-decisions/src/connection_table.rs
@@ -81,7 +81,7 @@
     }
 
     /// Whether the connection keeps memory from others while it waits for its caller.
-    fn is_hoarding(&self, now: Instant) -> bool {
+    fn keeps_memory(&self, now: Instant) -> bool {
         let waits = !self.closing && self.phase != ConnectionPhase::Busy;
         waits && self.holding && now.saturating_duration_since(self.since) >= HOLDING_MAX
     }
@@ -182,16 +182,16 @@
             return Vec::new();
         }
         self.released_at = Some(now);
-        let mut hoarding: Vec<_> = self
+        let mut keeping: Vec<_> = self
             .entries
             .iter()
             .enumerate()
-            .filter(|(_, entry)| entry.is_hoarding(now))
+            .filter(|(_, entry)| entry.keeps_memory(now))
             .map(|(index, entry)| (entry.since, index))
             .collect();
-        hoarding.sort_unstable();
-        hoarding.truncate(CLOSED_AT_ONCE);
-        self.mark_closing(hoarding.into_iter().map(|(_, index)| index).collect())
+        keeping.sort_unstable();
+        keeping.truncate(CLOSED_AT_ONCE);
+        self.mark_closing(keeping.into_iter().map(|(_, index)| index).collect())
     }
 
     /// Removes a connection that has ended.
--- a/crates/rudder-decisions/tests/load/memory_budget.rs
+++ b/crates/rudder-decisions/tests/load/memory_budget.rs
@@ -8,23 +8,23 @@
 /// Size of a request of the maximum size with its copies.
 const LARGE_REQUEST: ByteSize = ByteSize(4 << 20);
 
-/// Guards against a crowd of large requests that together exceed the memory, and against small ones
+/// Guards against many large requests that together exceed the memory, and against small ones
 /// that are rejected for it.
 #[test]
 fn large_requests_stay_within_the_budget_and_small_ones_are_served() {
     let limits = MachineLimits { memory: ByteSize(260_000_000), descriptors: 4_300 };
     let budget = MemoryBudget::new(limits.request_memory());
 
-    let mut crowd: Vec<_> = (0..600).map(|_| budget.reservation(EXEMPT)).collect();
+    let mut large: Vec<_> = (0..600).map(|_| budget.reservation(EXEMPT)).collect();
     let admitted =
-        crowd.iter_mut().filter_map(|request| request.resize(LARGE_REQUEST).ok()).count();
+        large.iter_mut().filter_map(|request| request.resize(LARGE_REQUEST).ok()).count();
     let mut ordinary = budget.reservation(EXEMPT);
 
     assert!(admitted >= 10, "{admitted} were admitted");
     assert!(budget.used() <= limits.request_memory());
     assert_eq!(ordinary.resize(ByteSize(2 * 1024)), Ok(()));
     assert_eq!(ordinary.resize(LARGE_REQUEST), Err(BudgetError::Exhausted));
-    drop(crowd);
+    drop(large);
     assert_eq!((ordinary.resize(LARGE_REQUEST), budget.is_scarce()), (Ok(()), false));
 }
 
