--- a/crates/rudder-decisions/src/machine_limits.rs
+++ b/crates/rudder-decisions/src/machine_limits.rs
@@ -109,7 +109,7 @@
     /// use rudder_core::ByteSize;
     /// let limits =
     ///     rudder_decisions::MachineLimits { memory: ByteSize(1 << 30), descriptors: 4300 };
-    /// assert_eq!(limits.receive_buffer(), ByteSize(43_647));
+    /// assert_eq!(limits.receive_buffer(), ByteSize(43_648));
     /// ```
     #[must_use]
     pub fn receive_buffer(&self) -> ByteSize {
