--- a/crates/arbutusrudder/tests/clients/traffic.rs
+++ b/crates/arbutusrudder/tests/clients/traffic.rs
@@ -11,8 +11,8 @@
 /// Number of ordinary callers.
 const CALLERS: usize = 10;
 
-/// Time that a caller gives to one request, with its retries.
-const TIME_LIMIT: Duration = Duration::from_secs(5);
+/// Timeout of one request, with its retries.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Pause between two requests of a caller.
 const REQUEST_PAUSE: Duration = Duration::from_millis(100);
@@ -23,7 +23,7 @@
 /// Number of requests after which a caller opens a new session.
 const SESSION_REQUESTS: u64 = 10;
 
-/// Permille of the requests that must be served within their time limit.
+/// Requests in a thousand that must be served before their timeout.
 const SERVED_PERMILLE_MIN: usize = 950;
 
 /// What became of one attempt of a request.
@@ -201,7 +201,7 @@
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     };
-    let served = tokio::time::timeout(TIME_LIMIT, attempts).await;
+    let served = tokio::time::timeout(REQUEST_TIMEOUT, attempts).await;
     if served.is_err() {
         *session = None;
     }
--- a/crates/rudder-decisions/src/connection_table.rs
+++ b/crates/rudder-decisions/src/connection_table.rs
@@ -60,7 +60,7 @@
     since: Instant,
     /// Whether the connection holds memory beyond the exempt amount.
     holding: bool,
-    /// Whether the connection was chosen to be closed.
+    /// Whether the connection is to be closed.
     closing: bool,
 }
 
--- a/crates/rudder-decisions/src/log_throttle.rs
+++ b/crates/rudder-decisions/src/log_throttle.rs
@@ -1,6 +1,6 @@
 //! Limit on the lines about events that callers can cause at any rate.
 //!
-//! Load pattern: a crowd is refused thousands of times a second. A line for each refusal costs more
+//! Load pattern: callers are refused thousands of times a second. A line for each refusal costs more
 //! than the refusal, and fills the queue of the log, so that other lines are dropped.
 
 use std::time::{Duration, Instant};
