Do not estimate the tokens of a text whose classification is cached

Each PostgreSQL statement was scanned for an upper bound of its tokens before the cache of classifications was looked at, and each frame of a batch summed up the session's settings anew. The cache is asked first, and only a text that is classified takes memory for its tokens; the settings, which don't change while a batch is collected, are summed up once. Limits and their checks are the same.

--- a/crates/arbutusrudder/src/caller/collect.rs
+++ b/crates/arbutusrudder/src/caller/collect.rs
@@ -46,6 +46,7 @@
         executes: false,
     };
     let mut size = 0;
+    let settings_size = session.settings_size();
     loop {
         let frame = session.link.next_frame().await?;
         if batch.frames.len() >= BATCH_FRAMES_MAX {
@@ -55,7 +56,7 @@
         if size > BATCH_SIZE_MAX {
             return Err(WireError::Malformed("a batch is larger than 64 MiB"));
         }
-        reserve_batch(session, &batch, size)?;
+        reserve_batch(session, &batch, size, settings_size)?;
         // A Describe with a declared length as large as a row arrives in parts, which would be
         // taken for separate messages and accumulate.
         if frame.part != FramePart::Whole && frame.tag != tag::COPY_DATA {
@@ -94,23 +95,27 @@
     session: &mut CallerSession,
     batch: &CallerBatch,
     size: usize,
+    settings_size: usize,
 ) -> Result<(), WireError> {
     let frames = batch.frames.len() * FRAME_BYTES;
-    let size = BATCH_COPIES * size + frames + SETTINGS_COPIES * session.settings_size();
+    let size = BATCH_COPIES * size + frames + SETTINGS_COPIES * settings_size;
     let reserved = session.batch_memory.resize(ByteSize(size as u64));
     reserved.map_err(|_| WireError::NoMemory)
 }
 
-/// Classifies a text, if there is memory for its tokens.
+/// Returns the classification of a text. Without a cached one, it takes memory for the text's tokens.
 fn classify(
     session: &mut CallerSession,
     facts: &SummaryCache,
     text: &str,
 ) -> Result<Arc<StatementsSummary>, WireError> {
+    if let Some(summary) = facts.find(text) {
+        return Ok(summary);
+    }
     let reserved = session.batch_memory.size();
     let size = reserved.0 + classification_size(text) as u64;
     session.batch_memory.resize(ByteSize(size)).map_err(|_| WireError::NoMemory)?;
-    let summary = facts.summary_of(text);
+    let summary = facts.classify(text);
     // A smaller size always fits.
     let _ = session.batch_memory.resize(reserved);
     Ok(summary)
--- a/crates/arbutusrudder/src/classify/cache.rs
+++ b/crates/arbutusrudder/src/classify/cache.rs
@@ -18,29 +18,28 @@
 }
 
 impl SummaryCache {
-    /// Returns the classification of `text`.
-    pub(crate) fn summary_of(&self, text: &str) -> Arc<StatementsSummary> {
+    /// Returns the classification of `text` if it is cached.
+    pub(crate) fn find(&self, text: &str) -> Option<Arc<StatementsSummary>> {
         if text.len() > CACHED_TEXT_MAX {
-            return Arc::new(classify_text(text));
+            return None;
         }
         let hash = xxh3_128(text.as_bytes());
-        if let Some(summary) = self.find(hash) {
-            return summary;
-        }
+        let entries = self.entries.read().expect("no holder of this lock panics");
+        let index = entries.binary_search_by_key(&hash, |(hash, _)| *hash).ok()?;
+        Some(Arc::clone(&entries[index].1))
+    }
+
+    /// Classifies `text` and caches the result.
+    pub(crate) fn classify(&self, text: &str) -> Arc<StatementsSummary> {
         let summary = Arc::new(classify_text(text));
         // A change of a setting holds copies of the text, and its value seldom recurs.
-        if summary.statements.iter().all(|facts| facts.change.is_none()) {
-            self.insert_summary(hash, Arc::clone(&summary));
+        let changes = summary.statements.iter().any(|facts| facts.change.is_some());
+        if text.len() <= CACHED_TEXT_MAX && !changes {
+            self.insert_summary(xxh3_128(text.as_bytes()), Arc::clone(&summary));
         }
         summary
     }
 
-    fn find(&self, hash: u128) -> Option<Arc<StatementsSummary>> {
-        let entries = self.entries.read().expect("no holder of this lock panics");
-        let index = entries.binary_search_by_key(&hash, |(hash, _)| *hash).ok()?;
-        Some(Arc::clone(&entries[index].1))
-    }
-
     fn insert_summary(&self, hash: u128, summary: Arc<StatementsSummary>) {
         let mut entries = self.entries.write().expect("no holder of this lock panics");
         if entries.len() >= CACHE_ENTRIES_MAX {
