Read the memory of a process in one place

The tests of abusive clients, of the metrics recorder and the soak each parsed the kernel's report of a process. They call ProcessMemory of the stand-ins; bounds and checks are the same.

--- a/crates/arbutusrudder/src/admin/tests.rs
+++ b/crates/arbutusrudder/src/admin/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the metrics recorder.
 
 use super::{UPKEEP_INTERVAL, set_up_metrics};
+use rudder_standins::ProcessMemory;
 
 /// Samples recorded in each round, and their size in the recorder before they are added up.
 const SAMPLES: u64 = 1_000_000;
@@ -10,10 +11,7 @@
 
 /// Returns the resident bytes of this process.
 fn resident_bytes() -> u64 {
-    let text = std::fs::read_to_string("/proc/self/status").expect("the process has a status");
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a line");
-    let kib: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
-    kib * 1024
+    ProcessMemory::of(std::process::id()).expect("this process runs").resident
 }
 
 /// Guards against samples that the recorder keeps for ever while nobody reads the metrics.
--- a/crates/arbutusrudder/tests/clients/memory.rs
+++ b/crates/arbutusrudder/tests/clients/memory.rs
@@ -1,5 +1,6 @@
 //! Watches the memory of a child process and stops the process before it harms the machine.
 
+use rudder_standins::ProcessMemory;
 use std::fmt;
 use std::net::SocketAddr;
 use std::process::Command;
@@ -97,7 +98,8 @@
     let mut unread = 0;
     let mut unread_at = started_at;
     while !state.ended.load(Ordering::Relaxed) {
-        let Some(resident) = resident_bytes(process) else { return };
+        let Some(memory) = ProcessMemory::of(process) else { return };
+        let resident = memory.resident;
         if unread_at.elapsed() >= UNREAD_INTERVAL {
             unread = unread_bytes(addresses);
             unread_at = Instant::now();
@@ -120,14 +122,6 @@
     }
 }
 
-/// Returns the resident bytes of a process, unless it has ended.
-fn resident_bytes(process: u32) -> Option<u64> {
-    let text = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-    let kib: u64 = line.trim().trim_end_matches(" kB").parse().ok()?;
-    Some(kib * 1024)
-}
-
 /// Returns the bytes that wait in the receive queues of established connections.
 fn unread_bytes(addresses: &[SocketAddr]) -> u64 {
     let wanted: Vec<String> = addresses.iter().filter_map(|address| table_form(*address)).collect();
--- a/crates/arbutusrudder/tests/soak/process.rs
+++ b/crates/arbutusrudder/tests/soak/process.rs
@@ -1,6 +1,6 @@
 //! Processes of the program.
 
-use rudder_standins::{BOOT_VARIABLE, LineSlot};
+use rudder_standins::{BOOT_VARIABLE, LineSlot, ProcessMemory};
 use std::fs::File;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -79,10 +79,7 @@
 
     /// Returns the greatest resident memory so far in bytes, unless the process has exited.
     pub(crate) fn peak_memory(&self) -> Option<u64> {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-        let kib: u64 = line.trim().trim_end_matches(" kB").parse().ok()?;
-        Some(kib * 1024)
+        Some(ProcessMemory::of(self.child.id())?.peak)
     }
 
     pub(crate) fn has_ended(&mut self) -> bool {
--- a/crates/rudder-standins/src/lib.rs
+++ b/crates/rudder-standins/src/lib.rs
@@ -7,6 +7,7 @@
 mod link;
 mod objects;
 mod platform;
+mod process_memory;
 mod trial;
 
 pub use deployment::{Deployment, DeploymentError, DeploymentPlan, LinkDelays, ProxyLinks};
@@ -20,4 +21,5 @@
 pub use link::{DatagramLinkStandin, LinkDirection, LinkFault, LinkSettings, LinkStandin};
 pub use objects::{ObjectsCall, ObjectsFault, ObjectsStandin, PromotionRequest, PromotionSink};
 pub use platform::{CallCounts, PlatformFaults, PlatformOutage, PlatformStandin, StandinInstance};
+pub use process_memory::ProcessMemory;
 pub use trial::{FaultKind, TimedFault, TrialReport, TrialSchedule, run_trial};
