Name what several abusive clients do alike

Twelve tests wrote the same six clients out: run, send or query without an end, send without reading, send and hold, send and wait. Each is a function now; numbers of clients, what they send, and all checks are as before.

--- a/crates/arbutusrudder/tests/clients/lines.rs
+++ b/crates/arbutusrudder/tests/clients/lines.rs
@@ -2,7 +2,7 @@
 
 use super::line_client::{DATABASE, LineSession, PIECE, RawLines, filling, filling_of};
 use super::line_environment::LineEnvironment;
-use super::load::{hold, run_in_turn, run_repeating};
+use super::load::{LoadClient, hold, run_in_turn, run_repeating};
 use super::stage::{self, take_turn};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -45,6 +45,21 @@
     environment.watch.assert_within_machine();
 }
 
+/// Runs a query again and again.
+async fn query_endlessly(client: LoadClient<String>) -> Option<()> {
+    let mut lines = RawLines::start(client.address).await?;
+    loop {
+        lines.query(&client.shared).await?;
+    }
+}
+
+/// Sends a text on a new connection and waits until the process closes it.
+async fn send_and_wait(client: LoadClient<String>) -> Option<()> {
+    let mut lines = RawLines::open(client.address).await?;
+    lines.send(&client.shared).await?;
+    lines.read_to_end().await
+}
+
 /// Guards against memory for requests whose end never comes.
 #[tokio::test(flavor = "multi_thread")]
 async fn messages_without_their_end_do_not_fill_the_memory() {
@@ -64,29 +79,15 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn startup_lines_without_their_end_do_not_fill_the_memory() {
     let text = format!("STARTUP {DATABASE} {}", filling());
-    check_with("half startups", |address| {
-        run_repeating(600, address, text, |client| async move {
-            let mut lines = RawLines::open(client.address).await?;
-            lines.send(&client.shared).await?;
-            lines.read_to_end().await
-        })
-    })
-    .await;
+    check_with("half startups", |address| run_repeating(600, address, text, send_and_wait)).await;
 }
 
 /// Guards against memory for many large requests at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_whole_messages_do_not_fill_the_memory() {
     let text = format!("READ {}", filling());
-    check_with("whole messages", |address| {
-        run_repeating(400, address, text, |client| async move {
-            let mut lines = RawLines::start(client.address).await?;
-            loop {
-                lines.query(&client.shared).await?;
-            }
-        })
-    })
-    .await;
+    check_with("whole messages", |address| run_repeating(400, address, text, query_endlessly))
+        .await;
 }
 
 /// Guards against memory and repeated parsing for large requests that arrive in small pieces.
@@ -111,12 +112,7 @@
 async fn very_many_large_messages_do_not_fill_the_memory() {
     let text = format!("READ {}", filling_of(LARGE_MESSAGE));
     check_with("messages of 100 kB", |address| {
-        run_repeating(1_500, address, text, |client| async move {
-            let mut lines = RawLines::start(client.address).await?;
-            loop {
-                lines.query(&client.shared).await?;
-            }
-        })
+        run_repeating(1_500, address, text, query_endlessly)
     })
     .await;
 }
@@ -143,11 +139,7 @@
     let startup = format!("STARTUP {} abusive\r\n", filling());
     let environment = LineEnvironment::start_with_unread_log().await;
     check_at(environment, "unknown databases with long names", |address| {
-        run_repeating(20, address, startup, |client| async move {
-            let mut lines = RawLines::open(client.address).await?;
-            lines.send(&client.shared).await?;
-            lines.read_to_end().await
-        })
+        run_repeating(20, address, startup, send_and_wait)
     })
     .await;
 }
--- a/crates/arbutusrudder/tests/clients/postgres.rs
+++ b/crates/arbutusrudder/tests/clients/postgres.rs
@@ -2,7 +2,7 @@
 
 use super::frame_client::{FrameSession, RawFrames, parse_frame, query_frame, sync_frame};
 use super::frame_environment::FrameEnvironment;
-use super::load::{hold, run_in_turn, run_repeating};
+use super::load::{LoadClient, hold, run_in_turn, run_repeating};
 use super::stage::{self, take_turn};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -37,6 +37,38 @@
     environment.watch.assert_within_machine();
 }
 
+/// Runs a batch again and again.
+async fn run_endlessly(client: LoadClient<impl AsRef<[u8]>>) -> Option<()> {
+    let mut frames = RawFrames::start(client.address).await?;
+    loop {
+        frames.run((*client.shared).as_ref()).await?;
+    }
+}
+
+/// Sends bytes again and again.
+async fn send_endlessly(client: LoadClient<impl AsRef<[u8]>>) -> Option<()> {
+    let mut frames = RawFrames::start(client.address).await?;
+    loop {
+        frames.send((*client.shared).as_ref()).await?;
+    }
+}
+
+/// Sends bytes again and again, and takes few answers.
+async fn send_without_reading(client: LoadClient<impl AsRef<[u8]>>) -> Option<()> {
+    let mut frames = RawFrames::start_unread(client.address).await?;
+    loop {
+        frames.send((*client.shared).as_ref()).await?;
+    }
+}
+
+/// Sends bytes once, takes little of the answer and keeps the connection open.
+async fn send_and_hold(client: LoadClient<impl AsRef<[u8]>>) -> Option<()> {
+    let mut frames = RawFrames::start_unread(client.address).await?;
+    frames.send((*client.shared).as_ref()).await?;
+    hold(frames).await;
+    Some(())
+}
+
 /// Guards against memory for messages whose end never comes.
 #[tokio::test(flavor = "multi_thread")]
 async fn frames_without_their_end_do_not_fill_the_memory() {
@@ -58,12 +90,7 @@
 async fn many_whole_frames_do_not_fill_the_memory() {
     let frame = query_frame(&filled_query(MEDIUM_MESSAGE));
     check_with("postgres whole messages", |address| {
-        run_repeating(400, address, frame, |client| async move {
-            let mut frames = RawFrames::start(client.address).await?;
-            loop {
-                frames.run(&client.shared).await?;
-            }
-        })
+        run_repeating(400, address, frame, run_endlessly)
     })
     .await;
 }
@@ -73,12 +100,7 @@
 async fn large_frames_sent_ahead_do_not_fill_the_memory() {
     let frame = query_frame(&filled_query(MEDIUM_MESSAGE));
     check_with("postgres large messages ahead", |address| {
-        run_repeating(300, address, frame, |client| async move {
-            let mut frames = RawFrames::start_unread(client.address).await?;
-            loop {
-                frames.send(&client.shared).await?;
-            }
-        })
+        run_repeating(300, address, frame, send_without_reading)
     })
     .await;
 }
@@ -88,12 +110,7 @@
 async fn batches_without_their_end_do_not_fill_the_memory() {
     let frame = parse_frame("", &filled_query(MEDIUM_MESSAGE));
     check_with("postgres endless batches", |address| {
-        run_repeating(20, address, frame, |client| async move {
-            let mut frames = RawFrames::start(client.address).await?;
-            loop {
-                frames.send(&client.shared).await?;
-            }
-        })
+        run_repeating(20, address, frame, send_endlessly)
     })
     .await;
 }
@@ -103,12 +120,7 @@
 async fn batches_of_small_frames_do_not_fill_the_memory() {
     let frames_ahead = parse_frame("", "SELECT 1").repeat(1000);
     check_with("postgres endless batches of small messages", |address| {
-        run_repeating(100, address, frames_ahead, |client| async move {
-            let mut frames = RawFrames::start(client.address).await?;
-            loop {
-                frames.send(&client.shared).await?;
-            }
-        })
+        run_repeating(100, address, frames_ahead, send_endlessly)
     })
     .await;
 }
@@ -118,15 +130,8 @@
 async fn texts_of_many_tokens_do_not_fill_the_memory() {
     let text = format!("SELECT 1{}", ",1".repeat(4 << 20));
     let frame = query_frame(&text);
-    check_with("postgres many tokens", |address| {
-        run_repeating(4, address, frame, |client| async move {
-            let mut frames = RawFrames::start(client.address).await?;
-            loop {
-                frames.run(&client.shared).await?;
-            }
-        })
-    })
-    .await;
+    check_with("postgres many tokens", |address| run_repeating(4, address, frame, run_endlessly))
+        .await;
 }
 
 /// Guards against memory for prepared statements of any number and size.
@@ -230,12 +235,7 @@
 async fn postgres_answers_that_are_not_read_do_not_fill_the_memory() {
     let queries = query_frame("SELECT 1").repeat(STATEMENTS_AHEAD);
     check_with("postgres answers unread", |address| {
-        run_repeating(100, address, queries, |client| async move {
-            let mut frames = RawFrames::start_unread(client.address).await?;
-            loop {
-                frames.send(&client.shared).await?;
-            }
-        })
+        run_repeating(100, address, queries, send_without_reading)
     })
     .await;
 }
@@ -247,13 +247,7 @@
     let frame = query_frame("INSERT INTO parts VALUES (1); SELECT data FROM large");
     check_with("postgres large answers of commits unread", |address| async move {
         write_large_rows(address, 8).await;
-        run_repeating(100, address, frame, |client| async move {
-            let mut frames = RawFrames::start_unread(client.address).await?;
-            frames.send(&client.shared).await?;
-            hold(frames).await;
-            Some(())
-        })
-        .await;
+        run_repeating(100, address, frame, send_and_hold).await;
     })
     .await;
 }
@@ -302,13 +296,7 @@
     let select = query_frame("SELECT data FROM large");
     check_with("postgres large answers unread", |address| async move {
         write_large_rows(address, 40).await;
-        run_repeating(100, address, select, |client| async move {
-            let mut frames = RawFrames::start_unread(client.address).await?;
-            frames.send(&client.shared).await?;
-            hold(frames).await;
-            Some(())
-        })
-        .await;
+        run_repeating(100, address, select, send_and_hold).await;
     })
     .await;
 }
