Return the memory of large messages to the system once they are served

Cause: glibc raises the size from which it maps blocks separately to the largest block that was freed. After a message of 16 MiB, all large blocks come from the heap of whichever thread serves them, and each of eight heaps keeps what is freed.

Change: a PostgreSQL process fixes the size before it starts its threads, in a small crate of its own, as the call of the C library is unsafe code. The process of the users' platform has one thread and is unchanged. The check of the single message says so if the process was stopped for its memory.

--- a/crates/arbutusrudder/src/proxy.rs
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -15,6 +15,7 @@
 use crate::tls;
 use arc_swap::ArcSwap;
 use bytes::BytesMut;
+use rudder_allocator::{DEFAULT_MMAP_THRESHOLD, set_mmap_threshold};
 use rudder_decisions::MemoryBudget;
 use rudder_peers::{MeshSettings, PeerMesh};
 use rudder_store::{
@@ -190,6 +191,7 @@
     set_up_logs(options.log)?;
     match &options.mode {
         StartMode::Process(process) => {
+            limit_retained_memory();
             let runtime = tokio::runtime::Runtime::new().map_err(ProxyError::Runtime)?;
             runtime.block_on(run_process(process.as_ref().clone()))
         }
@@ -208,6 +210,14 @@
     }
 }
 
+/// Limits the freed memory that the allocator keeps for each thread, which counts against the memory of
+/// the machine, but against no budget.
+fn limit_retained_memory() {
+    if let Err(error) = set_mmap_threshold(DEFAULT_MMAP_THRESHOLD) {
+        log::warn!(target: "rudder::instance", reason:% = error; "the allocator was not set up");
+    }
+}
+
 async fn run_process(process: ProcessSettings) -> Result<(), ProxyError> {
     // Installed first: without a handler, a signal during startup would kill the process without
     // a graceful shutdown.
--- a/crates/arbutusrudder/tests/clients/frame_environment.rs
+++ b/crates/arbutusrudder/tests/clients/frame_environment.rs
@@ -45,6 +45,7 @@
             }
         };
         let served = tokio::time::timeout(PROBE_TIMEOUT, run).await.is_ok();
+        self.watch.assert_within_machine();
         assert!(served, "a message of {} bytes was not served in calm", text.len());
     }
 
