Close unused and idle PostgreSQL sessions for new callers at the limit

What callers saw: while idle sessions occupied all places of `callers_max`, others were told 53300 until the idle timeout, an hour by default. Beside 600 clients that log in, send nothing and connect again where 300 have room, 70 of 78 ordinary requests were served in 6 s.

Cause: the limit refused new connections and never closed old ones. The test with 4,600 idle sessions did not show it, as its process had room for 10,000; all tests of PostgreSQL clients now run with the 3,075 of a machine with 4,300 descriptors.

Change: the table of connections that the line protocol uses decides here, too. A session holds state that its caller would have to restore, so it is kept for two seconds after a request and for 500 ms after its login; unused ones are closed before idle ones.

Two tests of the table replay the load.

--- a/crates/arbutusrudder/src/caller/serve.rs
+++ b/crates/arbutusrudder/src/caller/serve.rs
@@ -15,7 +15,9 @@
 use crate::group::GroupState;
 use displaydoc::Display;
 use rudder_core::{ByteSize, RefusalNotice, SessionId, SessionToken};
+use rudder_decisions::ConnectionPhase;
 use rudder_endpoint::{ErrorFields, StartupPacket, WireError, WireLink, tag};
+use rudder_engine::CallerConnection;
 use rudder_settings::CallerSettings;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -66,6 +68,8 @@
     Caller(WireError),
     /// the caller was idle for too long
     Idle,
+    /// the connection was closed to make room for other callers
+    Displaced,
     /// this instance is leaving
     Leaving,
     /// a response was interrupted: {0}
@@ -75,29 +79,44 @@
 impl std::error::Error for SessionEnd {}
 
 /// Serves one caller until its connection ends.
-pub(crate) async fn serve_caller(context: Arc<InstanceContext>, stream: TcpStream) {
+pub(crate) async fn serve_caller(
+    context: Arc<InstanceContext>,
+    stream: TcpStream,
+    connection: CallerConnection,
+) {
     // Disables Nagle's algorithm, which would delay small responses.
     let _ = stream.set_nodelay(true);
     metrics::gauge!("rudder_callers").increment(1.0);
-    let end = run_caller(&context, stream).await;
+    let end = run_caller(&context, stream, &connection).await;
     metrics::gauge!("rudder_callers").decrement(1.0);
     if let Err(end) = end {
         log::debug!(target: "rudder::caller", reason:% = end; "caller's connection ended");
     }
 }
 
-async fn run_caller(context: &Arc<InstanceContext>, stream: TcpStream) -> Result<(), SessionEnd> {
+async fn run_caller(
+    context: &Arc<InstanceContext>,
+    stream: TcpStream,
+    connection: &CallerConnection,
+) -> Result<(), SessionEnd> {
     let within = context.fleet.load().settings.timing.login_timeout;
-    let login = timeout(within, log_in(context, stream));
-    let Some(mut session) = login.await.map_err(|_| SessionEnd::Idle)?? else {
+    let login = tokio::select! {
+        login = timeout(within, log_in(context, stream, connection)) => login,
+        () = connection.wait_closing() => return Err(SessionEnd::Displaced),
+    };
+    let Some(mut session) = login.map_err(|_| SessionEnd::Idle)?? else {
         return Ok(());
     };
-    let end = serve_batches(context, &mut session).await;
+    let end = serve_batches(context, &mut session, connection).await;
     transaction::abandon(&mut session).await;
     match &end {
         Err(SessionEnd::Idle) => {
             send_fatal(&mut session, IDLE_SESSION_TIMEOUT, "idle for too long").await;
         }
+        Err(SessionEnd::Displaced) => {
+            let message = "idle while other callers need the connection";
+            send_fatal(&mut session, IDLE_SESSION_TIMEOUT, message).await;
+        }
         Err(SessionEnd::Leaving) => {
             let notice = RefusalNotice::Leaving;
             send_fatal(&mut session, notice.sqlstate(), &notice.to_string()).await;
@@ -126,6 +145,7 @@
 async fn log_in(
     context: &Arc<InstanceContext>,
     stream: TcpStream,
+    connection: &CallerConnection,
 ) -> Result<Option<CallerSession>, SessionEnd> {
     let link = WireLink::new(Box::new(stream), LOGIN_MESSAGE_MAX);
     let (mut link, packet) = negotiate(link, context.tls.as_ref(), LOGIN_MESSAGE_MAX)
@@ -152,6 +172,8 @@
             }
             let parameters = reported_parameters(context, &session);
             put_login_complete(&mut session.link, &parameters, &session.token, &session.cancel);
+            // A session counts as used only once it has sent a request.
+            connection.set_phase(ConnectionPhase::Starting);
             session.link.flush().await.map_err(SessionEnd::Caller)?;
             Ok(Some(session))
         }
@@ -230,26 +252,49 @@
 async fn serve_batches(
     context: &Arc<InstanceContext>,
     session: &mut CallerSession,
+    connection: &CallerConnection,
 ) -> Result<(), SessionEnd> {
     loop {
-        let batch = match next_input(context, session).await? {
+        let batch = match next_input(context, session, connection).await? {
             CallerInput::Batch(batch) => batch,
             CallerInput::Terminate => return Err(SessionEnd::Terminate),
         };
+        connection.set_phase(ConnectionPhase::Busy);
         serve_batch(context, session, &batch).await?;
         drop(batch);
         session.reserve_state().map_err(|_| SessionEnd::Caller(WireError::NoMemory))?;
         // A smaller size always fits.
         let _ = session.batch_memory.resize(ByteSize(0));
         if !session.link.has_buffered_frame() || session.link.is_congested() {
-            session.link.flush().await.map_err(SessionEnd::Caller)?;
+            flush_reply(session, connection).await?;
         }
+        if session.pinned.is_none() {
+            connection.set_phase(ConnectionPhase::Idle);
+        }
+    }
+}
+
+/// Sends the reply. Within a transaction, which occupies a connection to a member, the idle timeout
+/// ends the wait for a caller that does not read.
+async fn flush_reply(
+    session: &mut CallerSession,
+    connection: &CallerConnection,
+) -> Result<(), SessionEnd> {
+    if session.pinned.is_some() {
+        return session.link.flush().await.map_err(SessionEnd::Caller);
+    }
+    connection.set_phase(ConnectionPhase::Replying);
+    tokio::select! {
+        biased;
+        flushed = session.link.flush() => flushed.map_err(SessionEnd::Caller),
+        () = connection.wait_closing() => Err(SessionEnd::Caller(WireError::Closed)),
     }
 }
 
 async fn next_input(
     context: &Arc<InstanceContext>,
     session: &mut CallerSession,
+    connection: &CallerConnection,
 ) -> Result<CallerInput, SessionEnd> {
     let timing = context.fleet.load().settings.timing.clone();
     let in_transaction = session.pinned.is_some();
@@ -262,6 +307,7 @@
         // An open transaction is finished first; an idle caller is told to reconnect to another
         // instance.
         _ = leaving.wait_for(|leaving| *leaving), if !in_transaction => Err(SessionEnd::Leaving),
+        () = connection.wait_closing(), if !in_transaction => Err(SessionEnd::Displaced),
     }
 }
 
--- a/crates/arbutusrudder/src/proxy.rs
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -17,6 +17,7 @@
 use bytes::BytesMut;
 use rudder_allocator::{DEFAULT_MMAP_THRESHOLD, set_mmap_threshold};
 use rudder_decisions::MemoryBudget;
+use rudder_engine::CallerConnections;
 use rudder_peers::{MeshSettings, PeerMesh};
 use rudder_store::{
     InstanceReadiness, KubeStore, PlatformOptions, PlatformStore, RevisionFollower,
@@ -27,7 +28,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -39,6 +40,10 @@
 /// Receive and send buffers of a caller's connection in bytes.
 const SOCKET_BUFFER: usize = 64 * 1024;
 
+/// Time for which a session must be idle before it is closed for a new caller. Sessions that are in
+/// use by their callers wait for them less often.
+const IDLE_MIN: Duration = Duration::from_secs(2);
+
 /// SQLSTATE sent to callers beyond the maximum (too_many_connections).
 const TOO_MANY_CONNECTIONS: &str = "53300";
 
@@ -326,14 +331,14 @@
 async fn accept_callers(listener: TcpListener, context: Arc<InstanceContext>, tasks: CallerTasks) {
     let callers_max = context.process.machine_limits().socket_callers_max();
     let callers_max = callers_max.min(context.process.callers_max as usize);
-    let permits = Arc::new(Semaphore::new(callers_max));
+    let connections = CallerConnections::with_idle_min("callers", callers_max, IDLE_MIN);
     let mut leaving = context.leaving.subscribe();
     loop {
         let stream = tokio::select! {
             stream = accept(&listener) => stream,
             _ = leaving.wait_for(|leaving| *leaving) => break,
         };
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+        let Some(connection) = connections.admit() else {
             metrics::counter!("rudder_callers_refused_total").increment(1);
             context.log_refusal("connections");
             reject_caller(&stream);
@@ -343,10 +348,9 @@
         let stop = tasks.stop.clone();
         tasks.callers.spawn(async move {
             tokio::select! {
-                () = serve_caller(context, stream) => {}
+                () = serve_caller(context, stream, connection) => {}
                 () = stop.cancelled() => {}
             }
-            drop(permit);
         });
     }
 }
--- a/crates/arbutusrudder/tests/clients/frame_environment.rs
+++ b/crates/arbutusrudder/tests/clients/frame_environment.rs
@@ -6,6 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Callers for which a machine of 4,300 descriptors has room.
+const MACHINE_CALLERS: u32 = 3_075;
+
 /// Pause before a probe is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -22,7 +25,13 @@
 impl FrameEnvironment {
     /// Starts the process and waits until it serves.
     pub(crate) async fn start() -> Self {
-        let fleet = Fleet::start(1).await;
+        Self::start_with(MACHINE_CALLERS).await
+    }
+
+    /// Starts a process for this number of callers and waits until it serves.
+    pub(crate) async fn start_with(callers_max: u32) -> Self {
+        let mut fleet = Fleet::start(0).await;
+        fleet.add(&format!("callers_max = {callers_max}\n"), &[]).await;
         let program = &fleet.programs[0];
         let address = program.address("listen").await;
         let watch = MemoryWatch::start(program.id(), vec![address]);
--- a/crates/arbutusrudder/tests/clients/postgres.rs
+++ b/crates/arbutusrudder/tests/clients/postgres.rs
@@ -17,6 +17,9 @@
 /// Size of a row, below that of the largest message and above that of the kernel's buffers.
 const LARGE_ROW: usize = 240 * 1024;
 
+/// Number of callers that a process takes which is started for few.
+const FEW_CALLERS: u32 = 300;
+
 /// Statements that a client sends ahead.
 const STATEMENTS_AHEAD: usize = 400;
 
@@ -29,7 +32,14 @@
 /// size is still served.
 async fn check_with<F: Future<Output = ()>>(name: &str, clients: impl FnOnce(SocketAddr) -> F) {
     let _turn = take_turn().await;
-    let environment = FrameEnvironment::start().await;
+    check_at(FrameEnvironment::start().await, name, clients).await;
+}
+
+async fn check_at<F: Future<Output = ()>>(
+    environment: FrameEnvironment,
+    name: &str,
+    clients: impl FnOnce(SocketAddr) -> F,
+) {
     let address = environment.callers();
     stage::check_service::<FrameSession>(name, &address, &environment.watch, clients(address))
         .await;
@@ -230,6 +240,20 @@
     .await;
 }
 
+/// Guards against callers that are not accepted while idle sessions occupy all places, for an hour by
+/// default.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_postgres_sessions_do_not_keep_out_others() {
+    let _turn = take_turn().await;
+    let environment = FrameEnvironment::start_with(FEW_CALLERS).await;
+    check_at(environment, "postgres idle sessions in all places", |address| {
+        run_repeating(2 * FEW_CALLERS as usize, address, (), |client| async move {
+            RawFrames::start(client.address).await?.read_to_end().await
+        })
+    })
+    .await;
+}
+
 /// Guards against memory for answers that are not read.
 #[tokio::test(flavor = "multi_thread")]
 async fn postgres_answers_that_are_not_read_do_not_fill_the_memory() {
--- a/crates/rudder-decisions/src/connection_table.rs
+++ b/crates/rudder-decisions/src/connection_table.rs
@@ -65,7 +65,9 @@
 }
 
 impl TableEntry {
-    fn rank(&self, now: Instant) -> Option<(ClosingRank, Instant)> {
+    /// Returns the rank of a connection that may be closed. With `idle_min`, one that waits for its
+    /// caller may be closed only after this time, a new one only after [`STARTUP_EXPECTED`].
+    fn rank(&self, now: Instant, idle_min: Option<Duration>) -> Option<(ClosingRank, Instant)> {
         if self.closing {
             return None;
         }
@@ -77,7 +79,12 @@
             ConnectionPhase::Failed | ConnectionPhase::Replying => ClosingRank::Stalled,
             ConnectionPhase::Busy => return None,
         };
-        Some((rank, self.since))
+        let is_kept = match rank {
+            ClosingRank::New => idle_min.is_some(),
+            ClosingRank::Abandoned => false,
+            ClosingRank::Unused | ClosingRank::Stalled => idle_min.is_some_and(|min| waiting < min),
+        };
+        (!is_kept).then_some((rank, self.since))
     }
 
     /// Whether the connection keeps memory from others while it waits for its caller.
@@ -116,6 +123,9 @@
 /// ```
 pub struct ConnectionTable {
     max: usize,
+    /// Time for which a connection must have waited for its caller before it is closed for another,
+    /// if connections in use are kept.
+    idle_min: Option<Duration>,
     last_id: u64,
     /// Sorted by id.
     entries: Vec<TableEntry>,
@@ -129,7 +139,27 @@
     /// Creates a table for at most `max` connections.
     #[must_use]
     pub fn new(max: usize) -> Self {
-        Self { max, last_id: 0, entries: Vec::new(), closing: 0, released_at: None }
+        Self { max, idle_min: None, last_id: 0, entries: Vec::new(), closing: 0, released_at: None }
+    }
+
+    /// Keeps connections that were opened just now, and those that have waited for their callers for
+    /// less than `idle_min`, from being closed for others: for sessions whose state their callers
+    /// would have to restore.
+    ///
+    /// ```
+    /// use rudder_decisions::{ConnectionDecision, ConnectionPhase, ConnectionTable};
+    /// use std::time::{Duration, Instant};
+    /// let now = Instant::now();
+    /// let mut table = ConnectionTable::new(1).with_idle_min(Duration::from_secs(2));
+    /// table.admit(now);
+    /// table.set_phase(1, ConnectionPhase::Idle, now);
+    /// assert_eq!(table.admit(now + Duration::from_secs(1)), ConnectionDecision::Refused);
+    /// let later = now + Duration::from_secs(2);
+    /// assert_eq!(table.admit(later), ConnectionDecision::Admitted { id: 2, closed: vec![1] });
+    /// ```
+    #[must_use]
+    pub fn with_idle_min(self, idle_min: Duration) -> Self {
+        Self { idle_min: Some(idle_min), ..self }
     }
 
     /// Decides on a new connection.
@@ -224,7 +254,7 @@
             .entries
             .iter()
             .enumerate()
-            .filter_map(|(index, entry)| Some((entry.rank(now)?, index)))
+            .filter_map(|(index, entry)| Some((entry.rank(now, self.idle_min)?, index)))
             .collect();
         let count = CLOSED_AT_ONCE.min(self.max.div_ceil(CLOSED_AT_ONCE)).min(ranked.len());
         if count == 0 {
--- a/crates/rudder-decisions/tests/load/connection_table.rs
+++ b/crates/rudder-decisions/tests/load/connection_table.rs
@@ -108,3 +108,53 @@
 
     assert_eq!((early.as_slice(), late.as_slice(), last.as_slice()), (&[][..], &[7][..], &[9][..]));
 }
+
+/// Time for which a session with state must be idle before it is closed.
+const IDLE_MIN: Duration = Duration::from_secs(2);
+
+/// Interval at which rejected callers connect again.
+const RECONNECT_TIME: Duration = Duration::from_millis(1);
+
+/// Guards against callers that use their sessions and are closed, or never admitted, while others
+/// occupy all places and connect again at once.
+#[test]
+fn sessions_in_use_are_kept_and_admitted_among_unused_ones() {
+    let start = Instant::now();
+    let mut table = ConnectionTable::new(CONNECTIONS_MAX).with_idle_min(IDLE_MIN);
+    let mut used = Vec::new();
+
+    for step in 1..=10_000 {
+        let now = start + step * RECONNECT_TIME;
+        let admitted = table.admit(now);
+        if let ConnectionDecision::Admitted { id, closed } = admitted {
+            assert!(used.iter().all(|id| !closed.contains(id)), "a session in use was closed");
+            closed.iter().for_each(|id| table.remove(*id));
+            // One of a hundred callers sends requests.
+            if step % 100 == 0 {
+                used.push(id);
+            }
+        }
+        for id in &used {
+            table.set_phase(*id, ConnectionPhase::Idle, now);
+        }
+    }
+
+    assert_eq!(used.len(), 100);
+}
+
+/// Guards against the loss of sessions that were opened or used just now for those that come later.
+#[test]
+fn recent_sessions_are_kept_from_later_callers() {
+    let now = Instant::now();
+    for phase in [ConnectionPhase::Starting, ConnectionPhase::Idle, ConnectionPhase::Replying] {
+        let mut table = ConnectionTable::new(1).with_idle_min(IDLE_MIN);
+        let (session, _) = admit(&mut table, now);
+        table.set_phase(session, phase, now);
+
+        let recent = table.admit(now + Duration::from_millis(400));
+        let later = table.admit(now + IDLE_MIN);
+
+        assert_eq!(recent, ConnectionDecision::Refused);
+        assert_eq!(later, ConnectionDecision::Admitted { id: 2, closed: vec![session] });
+    }
+}
--- a/crates/rudder-engine/src/callers/connections.rs
+++ b/crates/rudder-engine/src/callers/connections.rs
@@ -4,7 +4,7 @@
 use rudder_decisions::{ConnectionDecision, ConnectionPhase, ConnectionTable, LogThrottle};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
 /// Connections to one address of this instance.
@@ -61,8 +61,26 @@
     /// ```
     #[must_use]
     pub fn new(address: &'static str, max: usize) -> Self {
+        Self::with_table(address, ConnectionTable::new(max))
+    }
+
+    /// Creates an empty set as [`CallerConnections::new`], whose connections are closed for others
+    /// only after they were idle for `idle_min`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// let idle_min = Duration::from_secs(2);
+    /// let connections = rudder_engine::CallerConnections::with_idle_min("callers", 2, idle_min);
+    /// assert!(connections.admit().is_some());
+    /// ```
+    #[must_use]
+    pub fn with_idle_min(address: &'static str, max: usize, idle_min: Duration) -> Self {
+        Self::with_table(address, ConnectionTable::new(max).with_idle_min(idle_min))
+    }
+
+    fn with_table(address: &'static str, table: ConnectionTable) -> Self {
         Self(Arc::new(Mutex::new(ConnectionState {
-            table: ConnectionTable::new(max),
+            table,
             closers: Vec::new(),
             address,
             throttle: LogThrottle::default(),
