--- a/crates/arbutusrudder/src/proxy.rs
+++ b/crates/arbutusrudder/src/proxy.rs
@@ -40,8 +40,8 @@
 /// Receive and send buffers of a caller's connection in bytes.
 const SOCKET_BUFFER: usize = 64 * 1024;
 
-/// Time for which a session must be idle before it is closed for a new caller. Sessions that are in
-/// use by their callers wait for them less often.
+/// Time for which a session must be idle before it is closed for a new caller. A session in use
+/// seldom waits for its caller that long.
 const IDLE_MIN: Duration = Duration::from_secs(2);
 
 /// SQLSTATE sent to callers beyond the maximum (too_many_connections).
