--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -270,14 +270,14 @@
     for process in &mut fleet.processes {
         process.kill();
     }
-    let verdict = judge_forgotten_replica(&group);
+    let verdict = judge_lost(&group);
     save(&group, record);
     verdict
 }
 
 /// LOST: where the service has `syncReplicas`, an acknowledged commit is not in the log of the member
 /// that is promoted.
-fn judge_forgotten_replica(group: &Group) -> Verdict {
+fn judge_lost(group: &Group) -> Verdict {
     let mut state = group.lock();
     let lost: Vec<String> = {
         let mut lost: Vec<String> =
@@ -300,3 +300,100 @@
     state.note(format!("verdict: {text}"));
     if lost.is_empty() { Verdict::Held(text) } else { Verdict::Broken(text) }
 }
+
+/// A service with one synchronous replica. One replica receives nothing for a while; the other one
+/// restarts behind a cut from the store, so that its entry there still is that of before, and has
+/// received only a part of the log again when the primary crashes. The first replica lacks
+/// acknowledged commits and must not be promoted.
+pub async fn reborn_replica(files: &Path, record: &Path, trouble: bool) -> Verdict {
+    let routes = json!([route("db-primary", "primary")]);
+    let mut fleet = match Fleet::start(files, 1, routes).await {
+        Ok(fleet) => fleet,
+        Err(error) => return Verdict::NotRun(error.to_string()),
+    };
+    let group = fleet.group.clone();
+    if !wait_serving(&fleet, "db-primary").await {
+        save(&group, record);
+        return Verdict::NotRun("the instances do not serve".to_owned());
+    }
+    let load = Load::start(&fleet, "db-primary", Duration::from_millis(40));
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    if trouble {
+        let began_at = Instant::now();
+        group.set_deaf(2, true);
+        // The other replica receives the commits that are acknowledged now.
+        tokio::time::sleep(Duration::from_millis(1000)).await;
+        let cut_at = Instant::now();
+        group.cut_store(1, true);
+        group.crash(1);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        group.restart_empty(1, 1);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let crashed_at = Instant::now();
+        group.crash(0);
+        tokio::time::sleep_until((cut_at + Duration::from_millis(4500)).into()).await;
+        group.cut_store(1, false);
+        tokio::time::sleep_until((began_at + Duration::from_millis(6500)).into()).await;
+        group.set_deaf(2, false);
+        tokio::time::sleep_until((crashed_at + Duration::from_millis(8000)).into()).await;
+        group.restart(0);
+        tokio::time::sleep(Duration::from_secs(8)).await;
+    } else {
+        tokio::time::sleep(Duration::from_secs(12)).await;
+    }
+    load.end().await;
+    for process in &mut fleet.processes {
+        process.kill();
+    }
+    let verdict = judge_lost(&group);
+    save(&group, record);
+    verdict
+}
+
+/// A service with one synchronous replica. The replica that acknowledges commits is cut from the store
+/// alone, so that its entry is removed while it goes on receiving commits. Then the primary crashes. The
+/// other replica lacks the last acknowledged commits and must not be promoted.
+pub async fn unlisted_replica(files: &Path, record: &Path, trouble: bool) -> Verdict {
+    let routes = json!([route("db-primary", "primary")]);
+    let mut fleet = match Fleet::start(files, 1, routes).await {
+        Ok(fleet) => fleet,
+        Err(error) => return Verdict::NotRun(error.to_string()),
+    };
+    let group = fleet.group.clone();
+    // One replica is nearer to the primary than the other.
+    group.lock().members[1].lag = Duration::from_millis(5);
+    if !wait_serving(&fleet, "db-primary").await {
+        save(&group, record);
+        return Verdict::NotRun("the instances do not serve".to_owned());
+    }
+    let load = Load::start(&fleet, "db-primary", Duration::from_millis(20));
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    if trouble {
+        let cut_at = Instant::now();
+        group.cut_store(1, true);
+        let name = group.lock().members[1].id.clone();
+        let store = fleet.store.clone();
+        let removed = || store.get("servers", &name).is_none();
+        if !wait_until(Duration::from_secs(6), removed).await {
+            save(&group, record);
+            return Verdict::NotRun("the entry of the cut member was not removed".to_owned());
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let crashed_at = Instant::now();
+        group.crash(0);
+        tokio::time::sleep_until((cut_at + Duration::from_millis(5000)).into()).await;
+        group.cut_store(1, false);
+        tokio::time::sleep_until((crashed_at + Duration::from_millis(8000)).into()).await;
+        group.restart(0);
+        tokio::time::sleep(Duration::from_secs(6)).await;
+    } else {
+        tokio::time::sleep(Duration::from_secs(12)).await;
+    }
+    load.end().await;
+    for process in &mut fleet.processes {
+        process.kill();
+    }
+    let verdict = judge_lost(&group);
+    save(&group, record);
+    verdict
+}
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -144,7 +144,7 @@
                 let spec = json!({
                     "service": state.service, "address": member.address, "zone": member.domain,
                     "version": "v1", "capacity": 3, "state": "ready", "warmupLeftMs": 0,
-                    "dbRole": role, "sequence": 1, "born": 1_700_000_000_000_u64,
+                    "dbRole": role, "sequence": 1, "born": member.born,
                 });
                 (member.up && !member.cut_store && !member.gone, member.id.clone(), spec)
             };
--- a/review/standin-2/src/group.rs
+++ b/review/standin-2/src/group.rs
@@ -53,6 +53,10 @@
     pub log: Vec<Entry>,
     /// Time until it receives a commit of the primary.
     pub lag: Duration,
+    /// Whether it receives nothing from the primary.
+    pub deaf: bool,
+    /// Commits that it receives in a tick while it copies the log anew.
+    pub copy_rate: usize,
     /// Whether the machine is lost for good.
     pub gone: bool,
     /// Whether the links to the other members are cut.
@@ -61,8 +65,8 @@
     pub cut_store: bool,
     /// Instances from which it is cut.
     pub cut_from: HashSet<String>,
-    /// Number of cuts, by which connections of before are known.
-    pub cuts: u64,
+    /// Start of its process in Unix milliseconds.
+    pub born: u64,
     pub connections: usize,
     slots: Arc<Semaphore>,
     queued: usize,
@@ -143,6 +147,9 @@
                 member.leads = false;
                 notes.push(format!("member {} steps down: it reaches the new primary", member.id));
             }
+            if member.deaf {
+                continue;
+            }
             member.term = term;
             let same = common(&member.log, &log);
             if member.log.len() > same {
@@ -150,7 +157,7 @@
             }
             let lag = member.lag;
             let due = log[same..].iter().take_while(|entry| entry.at + lag <= now);
-            member.log.extend(due.cloned());
+            member.log.extend(due.take(member.copy_rate).cloned());
         }
         for text in notes {
             self.note(text);
@@ -258,11 +265,13 @@
                 term: 1,
                 log: Vec::new(),
                 lag: Duration::from_millis(60),
+                deaf: false,
+                copy_rate: usize::MAX,
                 gone: false,
                 cut_members: false,
                 cut_store: false,
                 cut_from: HashSet::new(),
-                cuts: 0,
+                born: 1_700_000_000_000,
                 connections: 0,
                 slots: Arc::new(Semaphore::new(SLOTS)),
                 queued: 0,
@@ -364,6 +373,38 @@
         state.note(format!("trouble ends: member {name} is back with its log, as {role}"));
     }
 
+    /// A crashed replica starts again under its id. It holds and knows nothing of before, and copies
+    /// the log from the primary.
+    pub fn restart_empty(&self, index: usize, copy_rate: usize) {
+        let mut state = self.lock();
+        let member = &mut state.members[index];
+        member.up = true;
+        member.leads = false;
+        member.log.clear();
+        member.born += 60_000;
+        member.copy_rate = copy_rate;
+        let name = member.id.clone();
+        state.note(format!("trouble: member {name} starts again under its id, with an empty log"));
+    }
+
+    /// Partitions a member from the store alone, or ends that.
+    pub fn cut_store(&self, index: usize, cut: bool) {
+        let mut state = self.lock();
+        let member = &mut state.members[index];
+        member.cut_store = cut;
+        let name = member.id.clone();
+        let text = if cut { "trouble: the link" } else { "trouble ends: the link" };
+        state.note(format!("{text} of member {name} to the store is cut: {cut}"));
+    }
+
+    /// A replica receives nothing from the primary, or does again.
+    pub fn set_deaf(&self, index: usize, deaf: bool) {
+        let mut state = self.lock();
+        state.members[index].deaf = deaf;
+        let name = state.members[index].id.clone();
+        state.note(format!("trouble: member {name} receives nothing: {deaf}"));
+    }
+
     /// Partitions a member from the other members, the store, and some instances.
     pub fn cut(&self, index: usize, from: &[&str]) {
         let mut state = self.lock();
@@ -371,7 +412,6 @@
         member.cut_members = true;
         member.cut_store = true;
         member.cut_from = from.iter().map(|name| (*name).to_owned()).collect();
-        member.cuts += 1;
         let name = member.id.clone();
         state.note(format!(
             "trouble: member {name} is partitioned from the other members, the store and {from:?}"
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -65,6 +65,12 @@
         "forgotten-replica" => {
             tokio::time::timeout(limit, cases::forgotten_replica(files, &record, trouble)).await
         }
+        "reborn-replica" => {
+            tokio::time::timeout(limit, cases::reborn_replica(files, &record, trouble)).await
+        }
+        "unlisted-replica" => {
+            tokio::time::timeout(limit, cases::unlisted_replica(files, &record, trouble)).await
+        }
         _ => return Verdict::NotRun(format!("there is no case {case}")),
     };
     verdict.unwrap_or_else(|_| Verdict::NotRun("the case took too long".to_owned()))
