--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -17,7 +17,12 @@
 }
 
 /// Sends a request and records what is sent and answered.
-pub async fn ask(group: &Group, client: &mut LineClient, id: &str, text: &str) -> Option<LineReply> {
+pub async fn ask(
+    group: &Group,
+    client: &mut LineClient,
+    id: &str,
+    text: &str,
+) -> Option<LineReply> {
     {
         let mut state = group.lock();
         state.note(format!("sent   {id} {text}"));
--- a/review/standin-2/src/group.rs
+++ b/review/standin-2/src/group.rs
@@ -19,8 +19,8 @@
 const HANDSHAKE: Duration = Duration::from_millis(12);
 const TICK: Duration = Duration::from_millis(2);
 
-/// One commit in a log.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// One commit in a log, known by its time.
+#[derive(Clone, Debug)]
 pub struct Entry {
     pub term: u64,
     pub number: u64,
@@ -126,10 +126,9 @@
     fn replicate(&mut self) {
         let now = Instant::now();
         let leader = self.leader;
-        let (term, log, reachable) = {
-            let member = &self.members[leader];
-            (member.term, member.log.clone(), member.up && !member.cut_members && member.leads)
-        };
+        let log = std::mem::take(&mut self.members[leader].log);
+        let primary = &self.members[leader];
+        let (term, reachable) = (primary.term, primary.up && !primary.cut_members && primary.leads);
         let mut notes = Vec::new();
         for (index, member) in self.members.iter_mut().enumerate() {
             if index == leader {
@@ -152,13 +151,12 @@
             }
             member.term = term;
             let same = common(&member.log, &log);
-            if member.log.len() > same {
-                member.log.truncate(same);
-            }
+            member.log.truncate(same);
             let lag = member.lag;
             let due = log[same..].iter().take_while(|entry| entry.at + lag <= now);
             member.log.extend(due.take(member.copy_rate).cloned());
         }
+        self.members[leader].log = log;
         for text in notes {
             self.note(text);
         }
@@ -242,8 +240,11 @@
     }
 }
 
+/// Length up to which two logs are the same. Logs that share an entry share all before it.
 fn common(left: &[Entry], right: &[Entry]) -> usize {
-    left.iter().zip(right).take_while(|(left, right)| left == right).count()
+    let length = left.len().min(right.len());
+    let same = |index: &usize| left[*index].at == right[*index].at;
+    (0..length).rev().find(same).map_or(0, |index| index + 1)
 }
 
 #[derive(Clone)]
@@ -327,7 +328,9 @@
         let found = state.members.iter().position(|known| known.id == member);
         let running = found.filter(|index| state.members[*index].up);
         let answer = if running.is_some() { 200 } else { 409 };
-        state.note(format!("platform: POST /promotion {member} by {holder}, token {token}: {answer}"));
+        state.note(format!(
+            "platform: POST /promotion {member} by {holder}, token {token}: {answer}"
+        ));
         let Some(index) = running else { return false };
         if state.leader == index && state.members[index].leads {
             return true;
@@ -691,13 +694,7 @@
     format!("DATAROW {}\r\n{}", data.as_deref().unwrap_or("none"), done(&proof(&state, index, id)))
 }
 
-async fn write(
-    group: &Group,
-    index: usize,
-    session: &mut Session,
-    id: &str,
-    rest: &str,
-) -> String {
+async fn write(group: &Group, index: usize, session: &mut Session, id: &str, rest: &str) -> String {
     let (item, data) = rest.split_once(' ').unwrap_or((rest, ""));
     let read_only = session.open.as_ref().is_some_and(|open| open.read_only);
     if read_only || !group.lock().members[index].leads {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -30,7 +30,9 @@
         eprintln!("no temporary folder: {error}");
         return ExitCode::from(2);
     }
-    let runtime = match tokio::runtime::Runtime::new() {
+    // On one thread, the conditional writes of the store's stand-in are atomic.
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("no runtime: {error}");
@@ -61,7 +63,9 @@
     let record: PathBuf = folder.join("record.txt");
     let limit = std::time::Duration::from_secs(110);
     let verdict = match case {
-        "old-primary" => tokio::time::timeout(limit, cases::old_primary(files, &record, trouble)).await,
+        "old-primary" => {
+            tokio::time::timeout(limit, cases::old_primary(files, &record, trouble)).await
+        }
         "forgotten-replica" => {
             tokio::time::timeout(limit, cases::forgotten_replica(files, &record, trouble)).await
         }
