--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -3,7 +3,7 @@
 use crate::Verdict;
 use crate::client::{ask, next_id, run_session};
 use crate::fleet::Fleet;
-use crate::group::Group;
+use crate::group::{Group, State};
 use rudder_standins::LineClient;
 use serde_json::{Value, json};
 use std::path::Path;
@@ -178,6 +178,16 @@
     verdict
 }
 
+/// Reads that were answered from a log without commits that had been acknowledged before they were
+/// sent, and that no promotion has rolled back for good.
+fn stale_reads(state: &State) -> Vec<(String, usize)> {
+    let lacking = |missing: &Vec<String>| {
+        missing.iter().filter(|id| !state.rolled_back.contains(*id)).count()
+    };
+    let reads = state.answered_reads.iter().map(|(id, _, missing)| (id.clone(), lacking(missing)));
+    reads.filter(|(_, count)| *count > 0).collect()
+}
+
 /// ONE: a write is committed at the old primary after a promote has taken effect, and acknowledged.
 /// STALE: a read runs on a log that lacks a commit which was acknowledged before it was sent, and
 /// which no promote rolled back.
@@ -190,12 +200,7 @@
         .filter(|commit| state.acked.contains_key(&commit.id))
         .map(|commit| commit.id.clone())
         .collect();
-    let stale: Vec<(String, usize)> = state
-        .answered_reads
-        .iter()
-        .filter(|(_, _, missing)| !missing.is_empty())
-        .map(|(id, _, missing)| (id.clone(), missing.len()))
-        .collect();
+    let stale = stale_reads(&state);
     let text = format!(
         "{} acknowledged writes committed at the superseded primary after the promote (first {:?}); \
          {} reads answered from a log that lacked acknowledged commits (first {:?}); \
@@ -397,3 +402,76 @@
     save(&group, record);
     verdict
 }
+
+/// The replicas receive nothing for a while, and the primary crashes. A replica is promoted without its
+/// last commits, serves, and crashes as well. The former primary is back with its log by then, and is
+/// promoted for it, though another member has no commits that were rolled back.
+pub async fn returned_commits(files: &Path, record: &Path, trouble: bool) -> Verdict {
+    let routes = json!([route("db-primary", "primary")]);
+    let mut fleet = match Fleet::start(files, 0, routes).await {
+        Ok(fleet) => fleet,
+        Err(error) => return Verdict::NotRun(error.to_string()),
+    };
+    let group = fleet.group.clone();
+    if !wait_serving(&fleet, "db-primary").await {
+        save(&group, record);
+        return Verdict::NotRun("the instances do not serve".to_owned());
+    }
+    let load = Load::start(&fleet, "db-primary", Duration::from_millis(40));
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    if trouble {
+        let deaf_at = Instant::now();
+        group.set_deaf(1, true);
+        group.set_deaf(2, true);
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        let crashed_at = Instant::now();
+        group.crash(0);
+        if !wait_until(Duration::from_secs(5), || !group.lock().promotions.is_empty()).await {
+            save(&group, record);
+            return Verdict::NotRun("no member was promoted in time".to_owned());
+        }
+        let promoted = group.lock().leader;
+        // The new primary serves for a while.
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        group.crash(promoted);
+        let second_at = Instant::now();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        group.restart(0);
+        group.note(format!("the first primary was down for {:?}", crashed_at.elapsed()));
+        tokio::time::sleep_until((deaf_at + Duration::from_millis(6600)).into()).await;
+        group.set_deaf(1, false);
+        group.set_deaf(2, false);
+        tokio::time::sleep_until((second_at + Duration::from_millis(8000)).into()).await;
+        group.restart(promoted);
+        tokio::time::sleep(Duration::from_secs(4)).await;
+    } else {
+        tokio::time::sleep(Duration::from_secs(12)).await;
+    }
+    load.end().await;
+    for process in &mut fleet.processes {
+        process.kill();
+    }
+    let verdict = judge_returned_commits(&group);
+    save(&group, record);
+    verdict
+}
+
+/// STALE, on a `primary` route: a read runs on a log that lacks any commit which was acknowledged before.
+fn judge_returned_commits(group: &Group) -> Verdict {
+    let mut state = group.lock();
+    let stale = stale_reads(&state);
+    let promotions: Vec<String> = state
+        .promotions
+        .iter()
+        .map(|(_, index, term)| format!("{} in term {term}", state.members[*index].id))
+        .collect();
+    let text = format!(
+        "{} reads answered from a log that lacked acknowledged commits that are kept (first {:?}); \
+         promotions: {promotions:?}; {} writes acknowledged",
+        stale.len(),
+        stale.first(),
+        state.acked.len(),
+    );
+    state.note(format!("verdict: {text}"));
+    if stale.is_empty() { Verdict::Held(text) } else { Verdict::Broken(text) }
+}
--- a/review/standin-2/src/group.rs
+++ b/review/standin-2/src/group.rs
@@ -99,7 +99,7 @@
     pub acked: HashMap<String, Instant>,
     /// Time at which a client began to send a request.
     pub sent: HashMap<String, Instant>,
-    /// Reads that ran, with the acknowledged commits that the log lacked.
+    /// Reads that ran, with the acknowledged commits that the log lacked, rolled back or not.
     pub reads: HashMap<String, (usize, Vec<String>)>,
     /// Reads that were answered with success.
     pub answered_reads: Vec<(String, usize, Vec<String>)>,
@@ -198,14 +198,14 @@
             self.members[index].log.iter().map(|entry| entry.id.as_str()).collect();
         let mut missing: Vec<String> = Vec::new();
         for (acked, at) in &self.acked {
-            if *at < sent && !log.contains(acked.as_str()) && !self.rolled_back.contains(acked) {
+            if *at < sent && !log.contains(acked.as_str()) {
                 missing.push(acked.clone());
             }
         }
         missing.sort();
         let (term, number) = self.position(index);
         let name = self.members[index].id.clone();
-        let count = missing.len();
+        let count = missing.iter().filter(|id| !self.rolled_back.contains(*id)).count();
         self.note(format!(
             "ran    {id} READ {item} at {name} on {term}.{number}, lacks {count} acknowledged commits"
         ));
@@ -215,12 +215,12 @@
     fn promote(&mut self, index: usize) {
         self.newest_term += 1;
         let term = self.newest_term;
-        let log: HashSet<&str> =
-            self.members[index].log.iter().map(|entry| entry.id.as_str()).collect();
+        let log_ids: HashSet<String> =
+            self.members[index].log.iter().map(|entry| entry.id.clone()).collect();
         let lost: Vec<String> = self
             .commits
             .iter()
-            .filter(|commit| !log.contains(commit.id.as_str()))
+            .filter(|commit| !log_ids.contains(&commit.id))
             .map(|commit| commit.id.clone())
             .collect();
         let fresh: Vec<String> =
@@ -234,6 +234,16 @@
             "promotion of {name} takes effect, term {term}; commits rolled back by it: {} ({acked} acknowledged)",
             fresh.len()
         ));
+        // Commits of an earlier primary that are in the log of the new one are there again.
+        let back: Vec<String> =
+            self.rolled_back.iter().filter(|id| log_ids.contains(*id)).cloned().collect();
+        if !back.is_empty() {
+            self.note(format!(
+                "commits that an earlier promotion rolled back return: {}",
+                back.len()
+            ));
+        }
+        self.rolled_back.retain(|id| !log_ids.contains(id));
         self.rolled_back.extend(fresh);
         self.leader = index;
         self.promotions.push((Instant::now(), index, term));
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -66,6 +66,9 @@
         "old-primary" => {
             tokio::time::timeout(limit, cases::old_primary(files, &record, trouble)).await
         }
+        "returned-commits" => {
+            tokio::time::timeout(limit, cases::returned_commits(files, &record, trouble)).await
+        }
         "forgotten-replica" => {
             tokio::time::timeout(limit, cases::forgotten_replica(files, &record, trouble)).await
         }
