Name a member as the primary only in a term after the last settled one

Cause: a change of primary took each member that reports the role of primary in the newest term at hand for the result of an earlier order. While the successor doesn't respond, that is the member that it had replaced. The record of a change in progress held neither the term of the last settled primary nor anything else to compare with, and an order for such a member was taken as done at once, as it 'already led'.

Change: the object in the store has a history beside the record, which is written with each version and so outlives the processes. It holds the term of the last settled primary. A member counts as promoted only in a newer term; the previous primary counts in its own. The history stays in the store: messages between instances are unchanged. Records of older builds have none, and a settled one states its term itself.

Evidence: a_superseded_primary_is_promoted_before_it_is_named and a_change_that_is_taken_over_knows_the_last_settled_term fail with the comparison taken out (no promotion, settled in term 1) and pass with it. 278 tests of the engine pass.

--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -17,14 +17,15 @@
 use super::control::{MemberReport, step_down};
 use super::heartbeat::stop_leases;
 use super::record_write::WrittenRecord;
-use super::records::read_record;
+use super::records::read_stored_record;
 use super::registry::{CALL_TIMEOUT, read_entries, with_timeout};
 use super::status::StatusClients;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
 use crate::group::ServiceGroup;
 use crate::lead::{
-    ChangeCause, LeadPhase, LeadRecord, LeaderEpoch, MemberOrder, StopProgress, is_quorum,
+    ChangeCause, LeadHistory, LeadPhase, LeadRecord, LeaderEpoch, MemberOrder, StopProgress,
+    StoredRecord, is_quorum,
 };
 use crate::peers::{PeerExchange, PeerMessage, RecordCopy};
 use displaydoc::Display;
@@ -105,6 +106,8 @@
     /// Whether the change completes that of another attempt. It may promote the previous primary
     /// again: if no other member responds, the service would otherwise be left without any primary.
     pub(super) unfinished: bool,
+    /// What the record states of earlier primaries.
+    pub(super) history: LeadHistory,
 }
 
 /// Change of primary in progress.
@@ -147,29 +150,31 @@
     }
     let orders = group.with_leases(|leases| leases.pending_orders(boot_time()));
     log::info!(
-        service:% = group.service(), epoch:% = before.epoch, cause = cause.label(),
-        pending_orders = orders.len();
+        service:% = group.service(), epoch:% = before.record.epoch, cause = cause.label(),
+        pending_orders = orders.len(), settled_term:? = plan.history.term.map(|term| term.0);
         "a change of primary begins"
     );
     let phase = run.changing(&plan);
-    let intent = run.write(before.epoch.next(), phase, orders, Some(&version)).await?;
+    let (epoch, history) = (before.record.epoch.next(), plan.history.clone());
+    let intent = run.write(epoch, phase, orders, history, Some(&version)).await?;
     run.wait_all_stopped(&intent).await?;
     let promotion = run.promote(&plan, intent).await?;
     run.settle(promotion, plan.previous.as_ref()).await
 }
 
 impl ChangePlan {
-    fn of(before: &LeadRecord, cause: ChangeCause) -> Self {
+    fn of(before: &StoredRecord, cause: ChangeCause) -> Self {
         // `planned` is part of the record because an instance that takes over must also wait for
         // the successor to catch up, or acknowledged commits are lost. A previous primary that has
         // stopped reports no position, and there is no wait.
-        let (previous, planned) = match &before.phase {
+        let (previous, planned) = match &before.record.phase {
             LeadPhase::Settled { primary, .. } => {
                 (Some(primary.clone()), cause == ChangeCause::Leaving)
             }
             LeadPhase::Changing { previous, planned, .. } => (previous.clone(), *planned),
         };
-        Self { previous, planned, unfinished: cause == ChangeCause::Unfinished }
+        let unfinished = cause == ChangeCause::Unfinished;
+        Self { previous, planned, unfinished, history: before.history() }
     }
 }
 
@@ -190,7 +195,9 @@
     // The first record is not announced: no instance serves without it, and the next read of all
     // records spreads it. A fleet that starts would send a datagram for each pair of instance and
     // service otherwise.
-    run.write(LeaderEpoch::default().next(), phase, Vec::new(), None).await?;
+    let mut history = LeadHistory::default();
+    history.settle(leader.status.accepted);
+    run.write(LeaderEpoch::default().next(), phase, Vec::new(), history, None).await?;
     Ok(())
 }
 
@@ -227,17 +234,17 @@
     async fn read_current(
         &self,
         decided_epoch: LeaderEpoch,
-    ) -> Result<(LeadRecord, ObjectVersion), ChangeError> {
+    ) -> Result<(StoredRecord, ObjectVersion), ChangeError> {
         let store = &self.engine.dependencies().store;
         let sent_at = boot_time();
         let get = store.get(ObjectKind::PrimaryRecord, self.group.service().as_str());
         let object = with_timeout(CALL_TIMEOUT, get).await?.ok_or(ChangeError::Superseded)?;
-        let (_, record) = read_record(&object).ok_or(ChangeError::Superseded)?;
-        self.engine.observe_record(self.group.service(), &record, sent_at);
-        if record.epoch != decided_epoch {
+        let stored = read_stored_record(&object).ok_or(ChangeError::Superseded)?;
+        self.engine.observe_record(self.group.service(), &stored.record, sent_at);
+        if stored.record.epoch != decided_epoch {
             return Err(ChangeError::Superseded);
         }
-        Ok((record, object.version))
+        Ok((stored, object.version))
     }
 
     /// Returns whether a majority of the known instances responds in time.
@@ -334,7 +341,9 @@
         let base = Some(base_of(&leader));
         let phase = LeadPhase::Settled { primary: leader.member.clone(), term, base };
         let epoch = intent.record.epoch.next();
-        let settled = self.write(epoch, phase, orders, Some(&intent.version)).await?;
+        let mut history = intent.history;
+        history.settle(term);
+        let settled = self.write(epoch, phase, orders, history, Some(&intent.version)).await?;
         self.announce(&settled.record).await;
         log::info!(
             service:% = self.group.service(), epoch:% = epoch, member:% = leader.member,
--- a/crates/rudder-engine/src/duty/promote.rs
+++ b/crates/rudder-engine/src/duty/promote.rs
@@ -67,9 +67,8 @@
         plan: &ChangePlan,
         intent: WrittenRecord,
     ) -> Result<Promotion, ChangeError> {
-        let previous = plan.previous.as_ref();
         if plan.planned
-            && let Some(member) = previous.and_then(|name| self.group.member(name))
+            && let Some(member) = plan.previous.as_ref().and_then(|name| self.group.member(name))
         {
             self.await_catch_up(plan, &member).await;
         }
@@ -78,7 +77,7 @@
         loop {
             let reports = self.fetch_reports(plan).await;
             // An earlier order may have taken effect.
-            let leader = newest_leader(&reports, previous).cloned();
+            let leader = newest_leader(&reports, plan).cloned();
             if let Some(leader) = leader.as_ref().filter(|leader| self.may_settle_on(leader)) {
                 return Ok(self.promotion(leader.clone(), state));
             }
@@ -113,8 +112,9 @@
         reports: &[MemberReport],
         candidate: &MemberName,
     ) -> Result<Option<MemberReport>, ChangeError> {
-        let before = reports.iter().map(|report| report.status.accepted).max();
-        let leading = find_leading(reports, candidate, before).cloned();
+        let newest = reports.iter().map(|report| report.status.accepted).max();
+        let before = newest.max(plan.history.term);
+        let leading = find_leading(reports, candidate, plan).cloned();
         match state.current.as_ref().filter(|order| order.member == *candidate) {
             // The order is not repeated for a member that leads already.
             Some(order) if order.was_accepted && leading.is_some() => return Ok(leading),
@@ -196,8 +196,9 @@
         let epoch = state.written.record.epoch.next();
         orders.push(MemberOrder { member: candidate.clone(), epoch });
         orders.sort_by(|left, right| left.member.cmp(&right.member));
-        let phase = self.changing(plan);
-        state.written = self.write(epoch, phase, orders, Some(&state.written.version)).await?;
+        let (phase, history) = (self.changing(plan), plan.history.clone());
+        let version = Some(&state.written.version);
+        state.written = self.write(epoch, phase, orders, history, version).await?;
         let member = candidate.clone();
         state.current =
             Some(CurrentOrder { member, earlier, was_accepted: false, is_unanswered: false });
@@ -278,29 +279,30 @@
 fn find_leading<'a>(
     reports: &'a [MemberReport],
     candidate: &MemberName,
-    newest: Option<LogTerm>,
+    plan: &ChangePlan,
 ) -> Option<&'a MemberReport> {
-    reports.iter().find(|report| {
-        report.member == *candidate
-            && report.status.role == MemberRole::Primary
-            && Some(report.status.accepted) == newest
-    })
+    let leader = newest_primary(reports).filter(|report| report.member == *candidate)?;
+    let is_previous = plan.previous.as_ref() == Some(candidate)
+        && plan.history.term == Some(leader.status.accepted);
+    (is_previous || plan.history.is_newer(leader.status.accepted)).then_some(leader)
 }
 
 fn leads_since(report: &MemberReport, before: LogTerm) -> bool {
     report.status.role == MemberRole::Primary && report.status.accepted > before
 }
 
-/// Returns the report of a member other than the previous primary that is the primary of the newest
-/// term.
-fn newest_leader<'a>(
-    reports: &'a [MemberReport],
-    previous: Option<&MemberName>,
-) -> Option<&'a MemberReport> {
+/// Returns the report of a member other than the previous primary that was promoted since.
+fn newest_leader<'a>(reports: &'a [MemberReport], plan: &ChangePlan) -> Option<&'a MemberReport> {
+    newest_primary(reports).filter(|report| {
+        Some(&report.member) != plan.previous.as_ref()
+            && plan.history.is_newer(report.status.accepted)
+    })
+}
+
+/// Returns the report of the primary of the newest term.
+fn newest_primary(reports: &[MemberReport]) -> Option<&MemberReport> {
     let newest = reports.iter().map(|report| report.status.accepted).max()?;
     reports.iter().find(|report| {
-        report.status.role == MemberRole::Primary
-            && report.status.accepted == newest
-            && Some(&report.member) != previous
+        report.status.role == MemberRole::Primary && report.status.accepted == newest
     })
 }
--- a/crates/rudder-engine/src/duty/record_write.rs
+++ b/crates/rudder-engine/src/duty/record_write.rs
@@ -5,7 +5,7 @@
 use super::records::read_record;
 use super::registry::{CALL_TIMEOUT, with_timeout};
 use crate::clock::boot_time;
-use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch, MemberOrder};
+use crate::lead::{LeadHistory, LeadPhase, LeadRecord, LeaderEpoch, MemberOrder, StoredRecord};
 use rudder_store::{ObjectKind, ObjectVersion, StoreError, StoredObject};
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 /// Version of the record that this instance wrote.
 pub(super) struct WrittenRecord {
     pub(super) record: LeadRecord,
+    pub(super) history: LeadHistory,
     pub(super) version: ObjectVersion,
     /// Time at which the write was first sent; it took effect later.
     pub(super) sent_at: Duration,
@@ -34,19 +35,21 @@
         epoch: LeaderEpoch,
         phase: LeadPhase,
         orders: Vec<MemberOrder>,
+        history: LeadHistory,
         expected: Option<&ObjectVersion>,
     ) -> Result<WrittenRecord, ChangeError> {
         let mark = uuid::Uuid::new_v4().simple().to_string();
-        let record = LeadRecord { epoch, mark, phase, orders };
-        let spec = serde_json::to_value(&record)
+        let stored = StoredRecord::new(LeadRecord { epoch, mark, phase, orders }, history);
+        let spec = serde_json::to_value(&stored)
             .map_err(|error| ChangeError::Store(StoreError::Refused(error.to_string())))?;
+        let StoredRecord { record, history } = stored;
         let sent_at = boot_time();
         let version = self.write_until_known(&record, &spec, expected).await?;
         self.engine.observe_record(self.group.service(), &record, sent_at);
         if expected.is_some() {
             notify_subscribers(self.engine, self.exchange).await;
         }
-        Ok(WrittenRecord { record, version, sent_at, acknowledged_at: boot_time() })
+        Ok(WrittenRecord { record, history, version, sent_at, acknowledged_at: boot_time() })
     }
 
     /// Retries a write until it is known to have taken effect, or to be unable to.
--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -3,10 +3,11 @@
 use super::answers::{notify_subscribers, request_records};
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
-use crate::lead::{LeadRecord, LeaseTable};
+use crate::lead::{LeadRecord, LeaseTable, StoredRecord};
 use crate::peers::PeerExchange;
 use rudder_core::ServiceName;
 use rudder_store::{ObjectKind, StoreError, StoredObject};
+use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -202,10 +203,20 @@
     Ok(objects.iter().filter_map(read_record).collect())
 }
 
-/// Parses one record. Returns none, and logs the reason, if the record is invalid.
+/// Parses the part of one record that all instances know. Returns none, and logs the reason, if the
+/// record is invalid.
 pub(super) fn read_record(object: &StoredObject) -> Option<(ServiceName, LeadRecord)> {
+    parse_record(object)
+}
+
+/// The same for the whole record.
+pub(super) fn read_stored_record(object: &StoredObject) -> Option<StoredRecord> {
+    parse_record(object).map(|(_, record)| record)
+}
+
+fn parse_record<T: DeserializeOwned>(object: &StoredObject) -> Option<(ServiceName, T)> {
     let service = object.name.parse::<ServiceName>();
-    let record = serde_json::from_value::<LeadRecord>(object.spec.clone());
+    let record = T::deserialize(&object.spec);
     match (service, record) {
         (Ok(service), Ok(record)) => Some((service, record)),
         (service, record) => {
--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -8,7 +8,7 @@
     LinkError, MemberDialer, MemberLink, MemberTarget, PromotionCall, PromotionError,
     PromotionOrder,
 };
-use crate::lead::{LeadPhase, LeadRecord, LeaderEpoch};
+use crate::lead::{LeadHistory, LeadPhase, LeadRecord, LeaderEpoch, StoredRecord};
 use crate::statement::{MemberCommand, StatementReply, TransactionState};
 use async_trait::async_trait;
 use rudder_core::{
@@ -50,6 +50,11 @@
 
 impl RecordStore {
     pub(super) fn new(record: &LeadRecord, outcomes: &[WriteOutcome]) -> Arc<Self> {
+        Self::with_history(&StoredRecord::new(record.clone(), LeadHistory::default()), outcomes)
+    }
+
+    /// Returns a store whose record tells of earlier primaries.
+    pub(super) fn with_history(record: &StoredRecord, outcomes: &[WriteOutcome]) -> Arc<Self> {
         let spec = serde_json::to_value(record).expect("a record is written");
         let record = Mutex::new((1, spec));
         Arc::new(Self { record, outcomes: outcomes.to_vec(), writes: AtomicU32::new(0) })
@@ -176,6 +181,14 @@
         })
     }
 
+    /// Sets what a member reports of itself.
+    pub(super) fn set_status(&self, member: &str, status: MemberStatus) {
+        let member: MemberName = member.parse().expect("a member's name");
+        let mut members = self.members.lock().expect("no holder panics");
+        let index = members.binary_search_by(|(known, _)| known.cmp(&member));
+        members[index.expect("a known member")].1 = status;
+    }
+
     /// Sets the replicas that receive nothing.
     pub(super) fn set_deaf(&self, members: &[&str]) {
         let members = members.iter().map(|member| member.parse().expect("a member's name"));
--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod change;
+mod earlier_primaries;
 mod fixture;
 mod loans;
 mod records;
