Keep commits that a promotion rolled back from returning with the next one

Cause: candidates were compared by the positions that they report. A position of an earlier term beyond the base of a later one counts commits that were declared lost. Only the last base was recorded, and a change in progress did not keep it.

Change: the history in the store holds the start of each term in the log of the last settled primary. Reported positions are cut to it before candidates are compared and before synchronous replicas count as evidence. A member with rolled-back commits is promoted only if no other one responds for 20 s after the change began. A primary that leads on in its term keeps its base, so that floors of sessions are still lowered to the cut.

--- a/crates/rudder-engine/src/duty/candidates.rs
+++ b/crates/rudder-engine/src/duty/candidates.rs
@@ -2,9 +2,15 @@
 
 use super::change::{ChangePlan, ChangeRun};
 use super::control::MemberReport;
+use crate::clock::boot_time;
 use crate::group::{GroupMember, MemberState};
 use crate::lead::order_candidates;
 use rudder_core::{LogStamp, MemberName};
+use std::time::Duration;
+
+/// Time after which a member whose log holds commits that were rolled back may be promoted if no
+/// other one responds. Longer than a member that crashed is down.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(20);
 
 impl ChangeRun<'_> {
     /// Returns the status reports of the members that may take over and, if replicas receive commits
@@ -43,14 +49,19 @@
     ///
     /// Promoting a member that lacks some would lose them, although the service is declared to keep
     /// its acknowledged commits when its primary fails.
+    ///
+    /// A member whose log holds commits that an earlier promotion rolled back is promoted only if no
+    /// other one returns in [`RETURN_TIMEOUT`]. These commits would be in force again, although
+    /// callers have read the state without them.
     pub(super) fn choose(
         &self,
         plan: &ChangePlan,
         reports: &[MemberReport],
         rejected: &[MemberName],
     ) -> Option<MemberName> {
+        let kept = |report: &MemberReport| plan.history.kept_position(report.status.received);
         let positions: Vec<_> =
-            reports.iter().map(|report| (report.member.clone(), report.status.received)).collect();
+            reports.iter().map(|report| (report.member.clone(), kept(report))).collect();
         let previous = plan.previous.as_ref();
         let sync_replicas = self.sync_replicas();
         let complete = if sync_replicas > 0 {
@@ -59,33 +70,60 @@
         } else {
             LogStamp::new(0, 0)
         };
-        let (mut ready, mut leaving) = (Vec::new(), Vec::new());
-        let is_candidate = |(name, received): &(MemberName, LogStamp)| {
-            *received >= complete && !rejected.contains(name)
-        };
-        for (name, received) in positions.into_iter().filter(is_candidate) {
-            let Some(member) = self.group.member(&name) else { continue };
-            if self.may_succeed(plan, &member) {
-                ready.push((name, received));
-            } else if Some(&name) != previous {
-                leaving.push((name, received));
+        let (mut ready, mut leaving, mut rolled_back) = (Vec::new(), Vec::new(), Vec::new());
+        for report in reports {
+            let candidate = (report.member.clone(), kept(report));
+            if candidate.1 < complete || rejected.contains(&candidate.0) {
+                continue;
+            }
+            let Some(member) = self.group.member(&candidate.0) else { continue };
+            match (self.may_succeed(plan, &member), plan.was_rolled_back(report)) {
+                (true, true) => rolled_back.push(candidate),
+                (true, false) => ready.push(candidate),
+                (false, false) if Some(&report.member) != previous => leaving.push(candidate),
+                (false, _) => {}
             }
         }
         // A replica that is draining is replaced again, but no commit is lost meanwhile.
-        let candidates = if ready.is_empty() && sync_replicas > 0 { leaving } else { ready };
+        let candidates = match () {
+            () if !ready.is_empty() => ready,
+            () if sync_replicas > 0 && !leaving.is_empty() => leaving,
+            () if self.has_waited_for_return() => rolled_back,
+            () => Vec::new(),
+        };
         let candidates = order_candidates(candidates, &self.pending_orders());
         candidates.into_iter().next().map(|(member, _)| member)
     }
 
-    /// Reports that a change waits because no member is known to be complete.
-    pub(super) fn report_withheld(&self, reports: &[MemberReport]) {
+    /// Returns whether the members that are down have had time to return since the change began.
+    fn has_waited_for_return(&self) -> bool {
+        let changing_since = self.group.with_leases(|leases| leases.changing_since());
+        changing_since.is_some_and(|since| boot_time() >= since + RETURN_TIMEOUT)
+    }
+
+    /// Reports that a change waits, unless it only waits for members to respond or to be accepted.
+    pub(super) fn report_withheld(&self, plan: &ChangePlan, reports: &[MemberReport]) -> bool {
         let service = self.group.service();
-        let reported: Vec<&str> = reports.iter().map(|report| report.member.as_str()).collect();
-        metrics::counter!("rudder_promotions_withheld", "service" => service.to_string())
-            .increment(1);
+        let rolled_back = reports.iter().filter(|report| plan.was_rolled_back(report)).count();
+        let reason = match rolled_back {
+            0 if self.sync_replicas() > 0 => "commits_missing",
+            0 => return false,
+            _ => "commits_rolled_back",
+        };
+        let reported: Vec<String> = reports
+            .iter()
+            .map(|report| format!("{} {}", report.member, report.status.received))
+            .collect();
+        metrics::counter!(
+            "rudder_promotions_withheld", "service" => service.to_string(), "reason" => reason
+        )
+        .increment(1);
         log::warn!(
-            service:% = service, sync_replicas = self.sync_replicas(), reported:? = reported;
-            "no member that may take over is known to hold all acknowledged commits; waiting"
+            service:% = service, reason = reason, sync_replicas = self.sync_replicas(),
+            reported:? = reported, history:? = plan.history;
+            "no member that may take over is known to hold all acknowledged commits, and none that \
+             were rolled back; waiting"
         );
+        true
     }
 }
--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -176,6 +176,11 @@
         let unfinished = cause == ChangeCause::Unfinished;
         Self { previous, planned, unfinished, history: before.history() }
     }
+
+    /// Returns whether the log of a member holds commits that a promotion rolled back.
+    pub(super) fn was_rolled_back(&self, report: &MemberReport) -> bool {
+        self.history.was_rolled_back(report.status.received)
+    }
 }
 
 /// Writes the first record of a service. It names the member of the newest term that reports the
@@ -195,8 +200,7 @@
     // The first record is not announced: no instance serves without it, and the next read of all
     // records spreads it. A fleet that starts would send a datagram for each pair of instance and
     // service otherwise.
-    let mut history = LeadHistory::default();
-    history.settle(leader.status.accepted);
+    let history = LeadHistory::of_term(leader.status.accepted);
     run.write(LeaderEpoch::default().next(), phase, Vec::new(), history, None).await?;
     Ok(())
 }
@@ -338,11 +342,11 @@
     ) -> Result<(), ChangeError> {
         let Promotion { leader, written: intent, orders } = promotion;
         let term = leader.status.accepted;
-        let base = Some(base_of(&leader));
+        let mut history = intent.history;
+        history.settle(term, base_of(&leader));
+        let base = history.base();
         let phase = LeadPhase::Settled { primary: leader.member.clone(), term, base };
         let epoch = intent.record.epoch.next();
-        let mut history = intent.history;
-        history.settle(term);
         let settled = self.write(epoch, phase, orders, history, Some(&intent.version)).await?;
         self.announce(&settled.record).await;
         log::info!(
--- a/crates/rudder-engine/src/duty/promote.rs
+++ b/crates/rudder-engine/src/duty/promote.rs
@@ -86,9 +86,8 @@
             let chosen = self.choose(plan, &reports, &state.rejected);
             let Some(candidate) = chosen.filter(|_| leader.is_none()) else {
                 state.rejected.clear();
-                let is_waiting = leader.is_none() && self.sync_replicas() > 0;
-                if is_waiting && !std::mem::replace(&mut is_withheld, true) {
-                    self.report_withheld(&reports);
+                if leader.is_none() && !is_withheld {
+                    is_withheld = self.report_withheld(plan, &reports);
                 }
                 tokio::time::sleep(POLL_INTERVAL).await;
                 continue;
--- a/crates/rudder-engine/src/duty/tests/earlier_primaries.rs
+++ b/crates/rudder-engine/src/duty/tests/earlier_primaries.rs
@@ -20,6 +20,9 @@
     MemberStatus { role, accepted: LogTerm(term), received, applied: received }
 }
 
+/// Position of the member `a` beyond the base of term 2.
+const ROLLED_BACK: (u64, u64) = (1, 130);
+
 /// Service whose primary `b` took over from `a` in term 2 when its log ended at 1.100, and which
 /// cannot be reached now. The member `a` was partitioned and still leads term 1.
 struct LostSuccessor {
@@ -91,7 +94,7 @@
     };
     let mark = "m5".to_owned();
     let record = LeadRecord { epoch: LeaderEpoch(5), mark, phase, orders: Vec::new() };
-    let history = LeadHistory { term: Some(LogTerm(2)) };
+    let history = LeadHistory::of_term(LogTerm(2));
     let lost = LostSuccessor::with_record(record, history);
 
     let outcome = lost.change(ChangeCause::Unfinished).await;
@@ -99,3 +102,36 @@
     assert_eq!(outcome, Ok(()));
     assert_eq!(lost.settled(), Some((name("a"), LogTerm(3))));
 }
+
+/// Guards against commits that a promotion rolled back and that return with the next one, as the log
+/// that holds them is the longest.
+#[tokio::test]
+async fn a_member_without_rolled_back_commits_is_promoted() {
+    let lost = LostSuccessor::new();
+    let (term, position) = ROLLED_BACK;
+    lost.members.set_status("a", status(MemberRole::Replica, 1, stamp(term, position)));
+    lost.members.set_status("c", status(MemberRole::Replica, 1, stamp(1, 95)));
+    lost.members.set_down("c", false);
+
+    let outcome = lost.change(ChangeCause::Unreachable).await;
+
+    assert_eq!(outcome, Ok(()));
+    assert_eq!(lost.members.promoted()[0].0, name("c"));
+}
+
+/// Guards against the same if the member with the rolled-back commits is the only one that responds.
+#[tokio::test]
+async fn a_change_waits_for_a_member_without_rolled_back_commits() {
+    let lost = LostSuccessor::new();
+    let (term, position) = ROLLED_BACK;
+    lost.members.set_status("a", status(MemberRole::Primary, 1, stamp(term, position)));
+
+    let alone = lost.change(ChangeCause::Unreachable).await;
+    let promoted_alone = lost.members.promoted();
+    lost.members.set_down("c", false);
+    let outcome = lost.change(ChangeCause::Unfinished).await;
+
+    assert_eq!((alone, promoted_alone), (Err(ChangeError::TooLate), Vec::new()));
+    assert_eq!(outcome, Ok(()));
+    assert_eq!(lost.settled().map(|(primary, _)| primary), Some(name("c")));
+}
--- a/crates/rudder-engine/src/lead/tests/mod.rs
+++ b/crates/rudder-engine/src/lead/tests/mod.rs
@@ -6,6 +6,7 @@
 mod message;
 mod model;
 mod schedules;
+mod stored_record;
 mod suspicion;
 
 use super::{LeadPhase, LeadRecord, LeaderEpoch, MemberOrder};
