Count a replica that is only cut from the store as one that holds commits

Cause: a member whose entry is missing was taken for one that receives nothing any more. A position of the primary sampled after the entry went was held to cover all that the member may have, and only listed members were asked for their positions.

Change: the watchers of a service with synchronous replicas probe members that have left. Samples of the primary count only from when two probes in a row have failed. A member that responds counts as a replica and is asked during a change; it isn't promoted while it isn't listed. Once a process has ended and enough other replicas have received a later position of the primary, it is released, and counts again if a probe succeeds.

Why it works: commits acknowledged after a process has ended are with the other replicas, and those before it below the sampled position. Nothing else follows from a missing entry.

--- a/crates/rudder-engine/src/duty/candidates.rs
+++ b/crates/rudder-engine/src/duty/candidates.rs
@@ -1,11 +1,14 @@
 //! Selection of the member to promote.
 
-use super::change::{ChangePlan, ChangeRun};
+use super::change::ChangeRun;
+use super::change_plan::ChangePlan;
 use super::control::MemberReport;
 use crate::clock::boot_time;
 use crate::group::{GroupMember, MemberState};
-use crate::lead::order_candidates;
+use crate::lead::{CommitHolder, order_candidates};
+use crate::sync::lock;
 use rudder_core::{LogStamp, MemberName};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Time after which a member whose log holds commits that were rolled back may be promoted if no
@@ -19,9 +22,37 @@
         if self.sync_replicas() == 0 {
             return self.fetch_candidates(plan).await;
         }
-        let members = self.group.members();
+        let departed = self.departed_members();
+        let mut members = self.group.members();
+        members.extend(departed.iter().map(|(_, member)| Arc::clone(member)));
         let sufficient = |reports: &[MemberReport]| self.choose(plan, reports, &[]).is_some();
-        self.clients.lock().await.fetch_until(self.engine, &members, sufficient).await
+        let reports =
+            self.clients.lock().await.fetch_until(self.engine, &members, sufficient).await;
+        for (holder, member) in &departed {
+            if reports.iter().any(|report| report.member == *member.name()) {
+                self.group.record_holder_probe(holder, true);
+            }
+        }
+        reports
+    }
+
+    /// Returns the members that have left and may still run. One that is only cut from the store has
+    /// received commits that others lack.
+    fn departed_members(&self) -> Vec<(CommitHolder, Arc<GroupMember>)> {
+        let mut known = lock(&self.departed);
+        let mut members = Vec::new();
+        for holder in self.group.holders_to_request() {
+            let found = known.binary_search_by(|(known, _)| known.cmp(&holder));
+            let index = found.unwrap_or_else(|index| {
+                let domain = &self.engine.identity().domain;
+                let dialer = &self.engine.dependencies().dialer;
+                let member = self.group.departed_member(&holder, domain, dialer);
+                known.insert(index, (holder, member));
+                index
+            });
+            members.push(known[index].clone());
+        }
+        members
     }
 
     /// Returns the status reports of the members that may take over.
@@ -38,10 +69,7 @@
     }
 
     pub(super) fn sync_replicas(&self) -> u32 {
-        let Some(settings) = self.engine.settings() else { return 0 };
-        let rules = &settings.services;
-        let found = rules.binary_search_by(|rule| rule.service.cmp(self.group.service()));
-        found.map_or(0, |index| rules[index].sync_replicas)
+        self.engine.sync_replicas(self.group.service())
     }
 
     /// Returns the member to promote; none if none may take over, or if the reports do not show
--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -14,6 +14,7 @@
 //! longer does.
 
 use super::answers::send_records_request;
+use super::change_plan::ChangePlan;
 use super::control::{MemberReport, step_down};
 use super::heartbeat::stop_leases;
 use super::record_write::WrittenRecord;
@@ -22,10 +23,10 @@
 use super::status::StatusClients;
 use crate::clock::boot_time;
 use crate::engine::ProxyEngine;
-use crate::group::ServiceGroup;
+use crate::group::{GroupMember, ServiceGroup};
 use crate::lead::{
-    ChangeCause, LeadHistory, LeadPhase, LeadRecord, LeaderEpoch, MemberOrder, StopProgress,
-    StoredRecord, is_quorum,
+    ChangeCause, CommitHolder, LeadHistory, LeadPhase, LeadRecord, LeaderEpoch, MemberOrder,
+    StopProgress, StoredRecord, is_quorum,
 };
 use crate::peers::{PeerExchange, PeerMessage, RecordCopy};
 use displaydoc::Display;
@@ -96,26 +97,14 @@
     pub(super) skips_quorum: bool,
 }
 
-/// What a change starts from.
-#[derive(Clone, Debug)]
-pub(super) struct ChangePlan {
-    /// Primary before the change.
-    pub(super) previous: Option<MemberName>,
-    /// Whether the previous primary is draining, so that a successor has to catch up with it.
-    pub(super) planned: bool,
-    /// Whether the change completes that of another attempt. It may promote the previous primary
-    /// again: if no other member responds, the service would otherwise be left without any primary.
-    pub(super) unfinished: bool,
-    /// What the record states of earlier primaries.
-    pub(super) history: LeadHistory,
-}
-
 /// Change of primary in progress.
 pub(super) struct ChangeRun<'a> {
     pub(super) engine: &'a Arc<ProxyEngine>,
     pub(super) exchange: &'a PeerExchange,
     pub(super) group: &'a Arc<ServiceGroup>,
     pub(super) clients: Mutex<StatusClients>,
+    /// Departed members whose status was requested, sorted by process.
+    pub(super) departed: std::sync::Mutex<Vec<(CommitHolder, Arc<GroupMember>)>>,
 }
 
 impl<'a> ChangeRun<'a> {
@@ -124,7 +113,8 @@
         exchange: &'a PeerExchange,
         group: &'a Arc<ServiceGroup>,
     ) -> Self {
-        Self { engine, exchange, group, clients: Mutex::default() }
+        let (clients, departed) = Default::default();
+        Self { engine, exchange, group, clients, departed }
     }
 }
 
@@ -148,41 +138,18 @@
     if !has_quorum && !plan.unfinished && !decision.skips_quorum {
         return Err(ChangeError::NoQuorum);
     }
-    let orders = group.with_leases(|leases| leases.pending_orders(boot_time()));
     log::info!(
         service:% = group.service(), epoch:% = before.record.epoch, cause = cause.label(),
-        pending_orders = orders.len(), settled_term:? = plan.history.term.map(|term| term.0);
+        pending_orders = run.pending_orders().len(),
+        settled_term:? = plan.history.term.map(|term| term.0);
         "a change of primary begins"
     );
-    let phase = run.changing(&plan);
-    let (epoch, history) = (before.record.epoch.next(), plan.history.clone());
-    let intent = run.write(epoch, phase, orders, history, Some(&version)).await?;
+    let intent = run.write_intent(&before, &version, &plan).await?;
     run.wait_all_stopped(&intent).await?;
     let promotion = run.promote(&plan, intent).await?;
     run.settle(promotion, plan.previous.as_ref()).await
 }
 
-impl ChangePlan {
-    fn of(before: &StoredRecord, cause: ChangeCause) -> Self {
-        // `planned` is part of the record because an instance that takes over must also wait for
-        // the successor to catch up, or acknowledged commits are lost. A previous primary that has
-        // stopped reports no position, and there is no wait.
-        let (previous, planned) = match &before.record.phase {
-            LeadPhase::Settled { primary, .. } => {
-                (Some(primary.clone()), cause == ChangeCause::Leaving)
-            }
-            LeadPhase::Changing { previous, planned, .. } => (previous.clone(), *planned),
-        };
-        let unfinished = cause == ChangeCause::Unfinished;
-        Self { previous, planned, unfinished, history: before.history() }
-    }
-
-    /// Returns whether the log of a member holds commits that a promotion rolled back.
-    pub(super) fn was_rolled_back(&self, report: &MemberReport) -> bool {
-        self.history.was_rolled_back(report.status.received)
-    }
-}
-
 /// Writes the first record of a service. It names the member of the newest term that reports the
 /// role of primary.
 pub(super) async fn write_first_record(
@@ -251,6 +218,17 @@
         Ok((stored, object.version))
     }
 
+    async fn write_intent(
+        &self,
+        before: &StoredRecord,
+        version: &ObjectVersion,
+        plan: &ChangePlan,
+    ) -> Result<WrittenRecord, ChangeError> {
+        let (epoch, phase) = (before.record.epoch.next(), self.changing(plan));
+        let (orders, history) = (self.pending_orders(), plan.history.clone());
+        self.write(epoch, phase, orders, history, Some(version)).await
+    }
+
     /// Returns whether a majority of the known instances responds in time.
     async fn reaches_quorum(&self) -> bool {
         let membership = self.engine.membership();
--- a/crates/rudder-engine/src/duty/mod.rs
+++ b/crates/rudder-engine/src/duty/mod.rs
@@ -3,9 +3,11 @@
 mod answers;
 mod candidates;
 mod change;
+mod change_plan;
 mod control;
 mod drain;
 mod heartbeat;
+mod holders;
 mod keeper;
 mod loans;
 mod promote;
--- a/crates/rudder-engine/src/duty/promote.rs
+++ b/crates/rudder-engine/src/duty/promote.rs
@@ -1,8 +1,7 @@
 //! Promotion of the next primary: orders, and their effect.
 
-use super::change::{
-    ChangeError, ChangePlan, ChangeRun, INTENT_VALIDITY, POLL_INTERVAL, Promotion,
-};
+use super::change::{ChangeError, ChangeRun, INTENT_VALIDITY, POLL_INTERVAL, Promotion};
+use super::change_plan::ChangePlan;
 use super::control::{MemberReport, STATUS_TIMEOUT, fetch_status};
 use super::record_write::WrittenRecord;
 use crate::clock::boot_time;
--- a/crates/rudder-engine/src/duty/start.rs
+++ b/crates/rudder-engine/src/duty/start.rs
@@ -1,6 +1,6 @@
 //! Start of an instance.
 
-use super::{heartbeat, keeper, loans, records, registry, watch};
+use super::{heartbeat, holders, keeper, loans, records, registry, watch};
 use crate::callers::report_usage;
 use crate::engine::ProxyEngine;
 use crate::identity::{EngineDependencies, InstanceIdentity};
@@ -44,6 +44,7 @@
     tokio::spawn(watch::supervise(Arc::clone(&engine)));
     tokio::spawn(serve_queues(Arc::clone(&engine)));
     tokio::spawn(report_usage(Arc::clone(&engine)));
+    tokio::spawn(holders::keep_holders(Arc::clone(&engine)));
     tokio::spawn(loans::keep_loans(Arc::clone(&engine), exchange.clone()));
     tokio::spawn(keeper::run_keeper(Arc::clone(&engine), exchange));
     Ok(engine)
--- a/crates/rudder-engine/src/duty/tests/sync_replicas.rs
+++ b/crates/rudder-engine/src/duty/tests/sync_replicas.rs
@@ -2,6 +2,7 @@
 //! acknowledged.
 
 use super::fixture::{FakeMembers, RecordStore, WriteOutcome, engine, first_record, stamp};
+use crate::clock::boot_time;
 use crate::duty::change::{ChangeDecision, ChangeError, change_primary};
 use crate::engine::ProxyEngine;
 use crate::group::MemberEntry;
@@ -52,6 +53,17 @@
         change_primary(&self.engine, &self.exchange, &group, decision).await
     }
 
+    /// Records that the primary was at this position now, before it was lost.
+    fn sample(&self, position: u64) {
+        self.engine.set_registered(Some(boot_time()));
+        self.engine.record_store_read(&[service()], boot_time());
+        self.engine.observe_record(&service(), &self.store.record(), boot_time());
+        let group = self.engine.group(&service());
+        let now = boot_time();
+        let lease = group.with_leases(|leases| leases.lease(now)).expect("a lease");
+        group.record_position(&lease, now, stamp(1, position));
+    }
+
     fn set_entries(&self, entries: &[MemberEntry]) {
         self.engine.apply_members(entries, 2);
     }
@@ -174,3 +186,22 @@
     assert_eq!((withheld, outcome), (Err(ChangeError::TooLate), Ok(())));
     assert_eq!(lost.members.promoted(), [(name("b"), stamp(1, 90))]);
 }
+
+/// Guards against the loss of commits that only a replica cut from the store has received, as its
+/// entry is missing although it still receives and acknowledges commits.
+#[tokio::test]
+async fn a_replica_that_is_only_cut_from_the_store_is_asked() {
+    let lost = LostPrimary::new(&[("a", 100), ("b", 90), ("c", 100)]).await;
+    lost.members.set_deaf(&["b"]);
+    lost.set_entries(&lost.members.ready_entries()[..2]);
+    lost.sample(90);
+
+    let while_cut = lost.change(ChangeCause::Unreachable).await;
+    let promoted_while_cut = lost.members.promoted();
+    lost.set_entries(&lost.members.ready_entries());
+    let outcome = lost.change(ChangeCause::Unfinished).await;
+
+    assert_eq!((while_cut, promoted_while_cut), (Err(ChangeError::TooLate), Vec::new()));
+    assert_eq!(outcome, Ok(()));
+    assert_eq!(lost.members.promoted(), [(name("c"), stamp(1, 100))]);
+}
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -267,6 +267,14 @@
         self.settings.borrow().clone()
     }
 
+    /// Returns the number of replicas that receive a commit of a service before it is acknowledged.
+    pub(crate) fn sync_replicas(&self, service: &ServiceName) -> u32 {
+        let Some(settings) = self.settings() else { return 0 };
+        let rules = &settings.services;
+        let found = rules.binary_search_by(|rule| rule.service.cmp(service));
+        found.map_or(0, |index| rules[index].sync_replicas)
+    }
+
     /// Returns the route and account that the settings in force grant to the holder of a key.
     pub(crate) fn access(
         &self,
--- /dev/null
+++ b/crates/rudder-engine/src/group/holders.rs
@@ -0,0 +1,87 @@
+//! Processes of a group's members that may hold acknowledged commits.
+
+use super::member::{GroupMember, MemberEntry, MemberState};
+use super::service::ServiceGroup;
+use crate::clock::boot_time;
+use crate::interfaces::{MemberDialer, MemberTarget};
+use crate::lead::{CommitEvidence, CommitHolder};
+use rudder_core::{DomainName, LogStamp, MemberName, MemberRole};
+use std::sync::Arc;
+use std::time::Duration;
+
+impl ServiceGroup {
+    /// Returns what is known of the copies of acknowledged commits while the primary `previous` is
+    /// being changed.
+    pub(crate) fn commit_evidence(
+        &self,
+        sync_replicas: u32,
+        previous: Option<&MemberName>,
+    ) -> CommitEvidence {
+        let state = self.state();
+        let replicas = state.members.iter().map(|member| member.name());
+        let replicas = replicas.filter(|name| Some(*name) != previous).cloned().collect();
+        let departed = state.departures.replicas(previous, &state.history);
+        CommitEvidence {
+            sync_replicas,
+            replicas,
+            departed,
+            newest: state.history.newest().map(|sample| sample.stamp),
+        }
+    }
+
+    /// Returns the departed processes to probe.
+    pub(crate) fn holders_to_probe(&self) -> Vec<CommitHolder> {
+        self.state().departures.to_probe(boot_time())
+    }
+
+    /// Returns the departed processes whose status a change of primary requests.
+    pub(crate) fn holders_to_request(&self) -> Vec<CommitHolder> {
+        self.state().departures.to_request(boot_time())
+    }
+
+    /// Records whether a departed process responded to a probe.
+    pub(crate) fn record_holder_probe(&self, holder: &CommitHolder, responds: bool) {
+        let now = boot_time();
+        let mut state = self.state();
+        state.departures.record_probe(holder, responds, now);
+        state.departures.forget_old(now);
+    }
+
+    /// Returns the processes that have ended and may hold commits which no other replica has, each
+    /// with a position of the primary after its end.
+    pub(crate) fn ended_holders(&self) -> Vec<(CommitHolder, Option<LogStamp>)> {
+        let state = self.state();
+        let later =
+            |ended_at: Duration| state.history.first_since(ended_at).map(|sample| sample.stamp);
+        let ended = state.departures.ended().into_iter();
+        ended.map(|(holder, ended_at)| (holder, later(ended_at))).collect()
+    }
+
+    /// Records that other replicas hold all commits that a departed process may hold.
+    pub(crate) fn release_holder(&self, holder: &CommitHolder) {
+        self.state().departures.release(holder);
+    }
+
+    /// Returns a departed process as a member that can be asked for its status.
+    pub(crate) fn departed_member(
+        &self,
+        holder: &CommitHolder,
+        domain: &DomainName,
+        dialer: &Arc<dyn MemberDialer>,
+    ) -> Arc<GroupMember> {
+        let target = MemberTarget {
+            service: self.service().clone(),
+            member: holder.member.clone(),
+            address: holder.address,
+        };
+        let entry = MemberEntry {
+            target,
+            domain: domain.clone(),
+            region: String::new(),
+            state: MemberState::Draining,
+            role: MemberRole::Replica,
+            started_at_ms: holder.started_at_ms,
+        };
+        GroupMember::new(entry, dialer)
+    }
+}
--- a/crates/rudder-engine/src/group/mod.rs
+++ b/crates/rudder-engine/src/group/mod.rs
@@ -2,6 +2,7 @@
 
 mod acquire;
 mod departures;
+mod holders;
 mod link;
 mod link_session;
 mod loan;
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -5,9 +5,7 @@
 use super::pool::MemberPool;
 use crate::clock::boot_time;
 use crate::interfaces::MemberDialer;
-use crate::lead::{
-    CommitEvidence, LeadRecord, LeaderEpoch, LeaderLease, LeaseTable, PositionHistory,
-};
+use crate::lead::{LeadRecord, LeaderEpoch, LeaderLease, LeaseTable, PositionHistory};
 use crate::peers::RecordsDigest;
 use crate::records_view::{RecordState, RecordTimes};
 use crate::sync::lock;
@@ -34,20 +32,20 @@
 }
 
 #[derive(Default)]
-struct GroupState {
+pub(super) struct GroupState {
     /// Sorted by name.
-    members: Vec<Arc<GroupMember>>,
+    pub(super) members: Vec<Arc<GroupMember>>,
     leases: LeaseTable,
     /// Digest of the known record.
     record_digest: RecordsDigest,
-    history: PositionHistory,
+    pub(super) history: PositionHistory,
     /// Time of the first failure in the current run of failed watches of the primary.
     watch_failing_since: Option<Duration>,
     /// Time at which other instances were last asked to probe the primary.
     probe_requested_at: Option<Duration>,
     /// Whether statements of client accounts are forwarded to holders of connections.
     forwards: bool,
-    departures: DepartureLog,
+    pub(super) departures: DepartureLog,
 }
 
 /// Digests of a service's record before and after a change.
@@ -94,7 +92,7 @@
         &self.service
     }
 
-    fn state(&self) -> MutexGuard<'_, GroupState> {
+    pub(super) fn state(&self) -> MutexGuard<'_, GroupState> {
         lock(&self.state)
     }
 
@@ -354,25 +352,6 @@
         self.newest_sample().map(|sample| sample.stamp)
     }
 
-    /// Returns what is known of the copies of acknowledged commits while the primary `previous` is
-    /// being changed.
-    pub(crate) fn commit_evidence(
-        &self,
-        sync_replicas: u32,
-        previous: Option<&MemberName>,
-    ) -> CommitEvidence {
-        let state = self.state();
-        let replicas = state.members.iter().map(|member| member.name());
-        let replicas = replicas.filter(|name| Some(*name) != previous).cloned().collect();
-        let departed = state.departures.replicas(previous, &state.history);
-        CommitEvidence {
-            sync_replicas,
-            replicas,
-            departed,
-            newest: state.history.newest().map(|sample| sample.stamp),
-        }
-    }
-
     /// Lowers a session floor to the promotion's base position if the change of primary cut the log
     /// off below it, as no member would ever reach it.
     pub(crate) fn clamp_floor(&self, floor: LogStamp) -> LogStamp {
--- a/crates/rudder-engine/src/group/tests/departures.rs
+++ b/crates/rudder-engine/src/group/tests/departures.rs
@@ -1,7 +1,7 @@
 //! Members that have left a group.
 
 use crate::fixtures::member_entry;
-use crate::group::departures::DepartureLog;
+use crate::group::departures::{DepartureLog, holder_of};
 use crate::group::{MemberEntry, MemberState};
 use crate::lead::PositionHistory;
 use rudder_core::{FreshSample, LogStamp, MemberName};
@@ -13,7 +13,7 @@
     log.record(known.iter().cloned(), entries, Duration::from_secs(1));
     let previous: MemberName = "a".parse().expect("a name");
     let replicas = log.replicas(Some(&previous), &PositionHistory::default());
-    replicas.iter().map(|replica| replica.member.to_string()).collect()
+    replicas.iter().map(|replica| replica.holder.member.to_string()).collect()
 }
 
 #[test]
@@ -36,17 +36,70 @@
     assert_eq!(departed(&[draining], &[successor]), [""; 0]);
 }
 
-#[test]
-fn the_position_after_a_departure_is_that_of_the_next_sample() {
+/// Returns the primary's history with samples at 0.5, 1.2 and 1.5 s.
+fn history() -> PositionHistory {
     let mut history = PositionHistory::default();
     for (sent_ms, position) in [(500, 10), (1200, 20), (1500, 30)] {
         let sent_at = Duration::from_millis(sent_ms);
         history.record(FreshSample { sent_at, stamp: LogStamp::new(1, position) });
     }
+    history
+}
+
+/// Returns the log after the member `c` has left at 1 s.
+fn log_without_c() -> DepartureLog {
     let mut log = DepartureLog::default();
     log.record([member_entry("c")].into_iter(), &[], Duration::from_secs(1));
+    log
+}
+
+fn later_position(log: &DepartureLog) -> Option<LogStamp> {
+    log.replicas(None, &history())[0].later_position
+}
+
+/// Guards against a replica that is only cut from the store, goes on receiving commits, and counts as
+/// one that has ended.
+#[test]
+fn a_replica_that_left_counts_as_ended_only_if_probes_fail() {
+    let mut log = log_without_c();
+    let holder = holder_of(&member_entry("c"));
+
+    let unprobed = later_position(&log);
+    log.record_probe(&holder, false, Duration::from_millis(1000));
+    let failed_once = later_position(&log);
+    log.record_probe(&holder, false, Duration::from_millis(1100));
+    let ended = later_position(&log);
+    log.record_probe(&holder, true, Duration::from_millis(1200));
+    let back = later_position(&log);
+
+    assert_eq!((unprobed, failed_once, back), (None, None, None));
+    assert_eq!(ended, Some(LogStamp::new(1, 20)));
+}
+
+/// Guards against commits of a released process that came back with its log.
+#[test]
+fn a_released_process_that_responds_counts_again() {
+    let mut log = log_without_c();
+    let holder = holder_of(&member_entry("c"));
+    log.record_probe(&holder, false, Duration::from_millis(1000));
+    log.record_probe(&holder, false, Duration::from_millis(1100));
+
+    log.release(&holder);
+    let released = log.replicas(None, &history()).len();
+    let probed = log.to_probe(Duration::from_secs(2));
+    log.record_probe(&holder, true, Duration::from_secs(2));
+
+    assert_eq!((released, probed), (0, vec![holder]));
+    assert_eq!(log.replicas(None, &history()).len(), 1);
+}
+
+#[test]
+fn an_earlier_process_of_a_listed_member_has_ended() {
+    let restarted = MemberEntry { started_at_ms: 7, ..member_entry("c") };
+    let mut log = DepartureLog::default();
 
-    let replicas = log.replicas(None, &history);
+    log.record([member_entry("c")].into_iter(), &[restarted], Duration::from_secs(1));
 
-    assert_eq!(replicas[0].later_position, Some(LogStamp::new(1, 20)));
+    assert_eq!(later_position(&log), Some(LogStamp::new(1, 20)));
+    assert!(log.to_probe(Duration::from_secs(1)).is_empty());
 }
--- a/crates/rudder-engine/src/lead/commit_evidence.rs
+++ b/crates/rudder-engine/src/lead/commit_evidence.rs
@@ -1,13 +1,28 @@
 //! What members' log positions show of the commits that were acknowledged before a change.
 
 use rudder_core::{LogStamp, MemberName, plain_data};
+use std::net::SocketAddr;
 
 plain_data! {
-    /// Replica that has left the membership, whose log may hold commits that no other replica has.
-    pub(crate) struct DepartedReplica {
+    /// Process of a member that may have received commits before they were acknowledged.
+    #[derive(PartialOrd, Ord)]
+    pub(crate) struct CommitHolder {
         pub(crate) member: MemberName,
-        /// Position of the primary after the departure. The primary has acknowledged all commits
-        /// since with the remaining replicas, so one that has received this position lacks nothing.
+        /// Start time in milliseconds since 1970. A restarted member keeps no log from before.
+        pub(crate) started_at_ms: u64,
+        pub(crate) address: SocketAddr,
+    }
+}
+
+plain_data! {
+    /// Replica that is not in the membership, whose log may hold commits that no other replica has.
+    pub(crate) struct DepartedReplica {
+        pub(crate) holder: CommitHolder,
+        /// Whether the process may still run, so that a report of the member comes from it.
+        pub(crate) may_run: bool,
+        /// Position of the primary after the process had ended. The primary has acknowledged all
+        /// commits since with other replicas, so one that has received this position lacks nothing
+        /// that the process had.
         pub(crate) later_position: Option<LogStamp>,
     }
 }
@@ -19,7 +34,7 @@
         pub(crate) sync_replicas: u32,
         /// Members other than the previous primary, sorted by name.
         pub(crate) replicas: Vec<MemberName>,
-        /// Members that have left since the previous primary took over.
+        /// Processes other than those of the previous primary that are no longer in the membership.
         pub(crate) departed: Vec<DepartedReplica>,
         /// Newest known position of the previous primary.
         pub(crate) newest: Option<LogStamp>,
@@ -33,13 +48,15 @@
     ///
     /// Either the previous primary reports the end of its log, or so many replicas report theirs
     /// that at least one of them holds each commit. The previous primary does not count if it has
-    /// lost its log in a restart.
+    /// lost its log in a restart. A replica that has left the membership counts as long as it may
+    /// hold a commit that the others lack: it may only be cut from the store, and still receive
+    /// commits.
     pub(crate) fn complete_position(
         &self,
         previous: Option<&MemberName>,
         reports: &[(MemberName, LogStamp)],
     ) -> Option<LogStamp> {
-        let of_replicas = reports.iter().filter(|(member, _)| self.is_replica(member));
+        let of_replicas = reports.iter().filter(|(member, _)| self.may_report(member));
         let most_advanced = of_replicas.clone().map(|(_, received)| *received).max();
         let known = most_advanced.max(self.newest);
         let of_previous = reports.iter().find(|(member, _)| Some(member) == previous);
@@ -48,15 +65,21 @@
         {
             return Some(*received);
         }
-        let lacks = |departed: &&DepartedReplica| {
+        let has_reported = |departed: &DepartedReplica| {
+            departed.may_run && reports.iter().any(|(name, _)| *name == departed.holder.member)
+        };
+        let lacks = |departed: &DepartedReplica| {
             departed.later_position.is_none_or(|position| most_advanced < Some(position))
         };
-        let count = self.replicas.len() + self.departed.iter().filter(lacks).count();
+        let counts = |departed: &&DepartedReplica| has_reported(departed) || lacks(departed);
+        let count = self.replicas.len() + self.departed.iter().filter(counts).count();
         let required = (count + 1).saturating_sub(self.sync_replicas as usize).max(1);
         (of_replicas.count() >= required).then_some(most_advanced).flatten()
     }
 
-    fn is_replica(&self, member: &MemberName) -> bool {
-        self.replicas.binary_search(member).is_ok()
+    fn may_report(&self, member: &MemberName) -> bool {
+        let may_run =
+            |departed: &DepartedReplica| departed.may_run && departed.holder.member == *member;
+        self.replicas.binary_search(member).is_ok() || self.departed.iter().any(may_run)
     }
 }
--- a/crates/rudder-engine/src/lead/mod.rs
+++ b/crates/rudder-engine/src/lead/mod.rs
@@ -10,7 +10,7 @@
 mod stored_record;
 mod suspicion;
 
-pub(crate) use commit_evidence::{CommitEvidence, DepartedReplica};
+pub(crate) use commit_evidence::{CommitEvidence, CommitHolder, DepartedReplica};
 pub(crate) use expiry::{StopProgress, is_quorum};
 pub(crate) use history::PositionHistory;
 pub(crate) use lease_table::{LeaderLease, LeaseTable, QUORUM_REACH};
--- a/crates/rudder-engine/src/lead/tests/commit_evidence.rs
+++ b/crates/rudder-engine/src/lead/tests/commit_evidence.rs
@@ -1,7 +1,7 @@
 //! Log positions that hold all acknowledged commits.
 
 use super::member;
-use crate::lead::{CommitEvidence, DepartedReplica};
+use crate::lead::{CommitEvidence, CommitHolder, DepartedReplica};
 use rudder_core::{LogStamp, MemberName};
 
 fn stamp(position: u64) -> LogStamp {
@@ -46,10 +46,35 @@
     assert_eq!(complete(&evidence(1, &["b", "c"]), &[("a", 0), ("b", 90)]), None);
 }
 
+/// Returns the evidence of a service whose replica `c` has left.
+fn with_departed(may_run: bool, later_position: Option<LogStamp>) -> CommitEvidence {
+    let address = ([127, 0, 0, 1], 1).into();
+    let holder = CommitHolder { member: member("c"), started_at_ms: 1, address };
+    let departed = vec![DepartedReplica { holder, may_run, later_position }];
+    CommitEvidence { departed, ..evidence(1, &["b"]) }
+}
+
+/// Guards against the loss of commits that only a replica cut from the store has received.
+#[test]
+fn a_departed_replica_reports_like_the_others() {
+    let with = with_departed(true, None);
+
+    assert_eq!(complete(&with, &[("b", 90)]), None);
+    assert_eq!(complete(&with, &[("c", 100)]), None);
+    assert_eq!(complete(&with, &[("b", 90), ("c", 100)]), Some(100));
+}
+
+#[test]
+fn a_later_process_does_not_report_for_one_that_ended() {
+    let with =
+        CommitEvidence { replicas: vec![member("b"), member("c")], ..with_departed(false, None) };
+
+    assert_eq!(complete(&with, &[("b", 90), ("c", 20)]), None);
+}
+
 #[test]
 fn a_departed_replica_counts_until_another_one_has_what_came_later() {
-    let departed = |later| DepartedReplica { member: member("c"), later_position: later };
-    let with = |later| CommitEvidence { departed: vec![departed(later)], ..evidence(1, &["b"]) };
+    let with = |later| with_departed(true, later);
 
     assert_eq!(complete(&with(None), &[("b", 90)]), None);
     assert_eq!(complete(&with(Some(stamp(95))), &[("b", 90)]), None);
