Keep the members that may hold acknowledged commits in the store

Cause: members that have left were known to the memory of the processes alone. After a start, the one replica that was listed counted as all replicas.

Change: the history in the store names the processes (member, start, address) that may hold acknowledged commits. The first record and each version of a change write them; the fleet reader adds members that join, and removes a process once it has ended and enough others have received a later position of the primary. A started process takes those that the list lacks for departed. A change of primary no longer forgets anybody: members stay named until a replica of the new primary has caught up. An update keeps the version of the record and so ends no lease; a change that it overtakes reads the record again at once.

Why it works: what shows that a promotion is complete is now either in the list or in the store, and leaves the store only when it is no longer needed.

Kept: a replica lost for good delays no change. Services without synchronous replicas make no further call.

--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -128,7 +128,8 @@
     let run = ChangeRun::new(engine, exchange, group);
     let cause = decision.cause;
     let (before, version) = run.read_current(decision.epoch).await?;
-    let plan = ChangePlan::of(&before, cause);
+    let mut plan = ChangePlan::of(&before, cause);
+    plan.history.holders = run.commit_holders(&plan.history);
     let (reports, has_quorum) = tokio::join!(run.fetch_candidates(&plan), run.reaches_quorum());
     if reports.is_empty() {
         return Err(ChangeError::NoCandidate);
@@ -144,7 +145,15 @@
         settled_term:? = plan.history.term.map(|term| term.0);
         "a change of primary begins"
     );
-    let intent = run.write_intent(&before, &version, &plan).await?;
+    let intent = match run.write_intent(&before, &version, &plan).await {
+        // The fleet reader may have updated the history of the same version meanwhile.
+        Err(ChangeError::Superseded) => {
+            let (before, version) = run.read_current(decision.epoch).await?;
+            plan.history.holders = run.commit_holders(&before.history());
+            run.write_intent(&before, &version, &plan).await?
+        }
+        written => written?,
+    };
     run.wait_all_stopped(&intent).await?;
     let promotion = run.promote(&plan, intent).await?;
     run.settle(promotion, plan.previous.as_ref()).await
@@ -167,7 +176,8 @@
     // The first record is not announced: no instance serves without it, and the next read of all
     // records spreads it. A fleet that starts would send a datagram for each pair of instance and
     // service otherwise.
-    let history = LeadHistory::of_term(leader.status.accepted);
+    let mut history = LeadHistory::of_term(leader.status.accepted);
+    history.holders = run.commit_holders(&history);
     run.write(LeaderEpoch::default().next(), phase, Vec::new(), history, None).await?;
     Ok(())
 }
@@ -183,6 +193,16 @@
         }
     }
 
+    /// Returns the processes that may hold acknowledged commits, among them those that the record
+    /// names and that left before this process could observe them.
+    fn commit_holders(&self, history: &LeadHistory) -> Vec<CommitHolder> {
+        if self.sync_replicas() == 0 {
+            return Vec::new();
+        }
+        self.group.adopt_holders(&history.holders);
+        self.group.commit_holders()
+    }
+
     /// Returns the status of the primary of the newest term: of the members that list themselves as
     /// primaries, or of all members if none of them responds as one.
     async fn find_leader(&self) -> Option<MemberReport> {
--- a/crates/rudder-engine/src/duty/holders.rs
+++ b/crates/rudder-engine/src/duty/holders.rs
@@ -2,15 +2,20 @@
 //!
 //! A replica that is no longer in the membership has ended, or is only cut from the store and still
 //! receives commits. The watchers of its service probe it, and release it once it has ended and
-//! enough other replicas have received all that it may hold.
+//! enough other replicas have received all that it may hold. The fleet reader keeps the processes in
+//! the record, so that they are known after a restart of all instances.
 
 use super::control::fetch_status;
+use super::records::read_stored_record;
+use super::registry::{CALL_TIMEOUT, with_timeout};
 use crate::engine::ProxyEngine;
 use crate::group::{GroupMember, ServiceGroup};
 use crate::identity::DrainPhase;
 use crate::interfaces::LinkError;
+use crate::lead::StoredRecord;
 use crate::statement::StatementError;
-use rudder_core::{LogStamp, MemberName};
+use rudder_core::{LogStamp, MemberName, ServiceName};
+use rudder_store::{ObjectKind, ObjectVersion, StoreError};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -21,22 +26,52 @@
 /// Maximum number of services that are checked at a time: the members of a rack may leave at once.
 const CHECKS_MAX: usize = 16;
 
+/// Record of a service as last read from the store or written to it.
+#[derive(Clone, Debug)]
+pub(super) struct StoredCopy {
+    service: ServiceName,
+    stored: StoredRecord,
+    version: ObjectVersion,
+}
+
 /// Checks all services at regular intervals.
 pub(crate) async fn keep_holders(engine: Arc<ProxyEngine>) {
+    // Sorted by service.
+    let mut copies: Vec<StoredCopy> = Vec::new();
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        if !engine.membership().is_reader() || engine.drain_phase() != DrainPhase::Serving {
+        let is_reader = engine.membership().is_reader();
+        if !is_reader || engine.drain_phase() != DrainPhase::Serving {
+            copies.clear();
             continue;
         }
         let mut checks = JoinSet::new();
         for group in engine.groups().iter().filter(|group| is_followed(&engine, group)) {
-            if checks.len() >= CHECKS_MAX {
-                checks.join_next().await;
+            while checks.len() >= CHECKS_MAX {
+                keep_copy(&mut copies, checks.join_next().await);
             }
+            let found = copies.binary_search_by(|copy| copy.service.cmp(group.service()));
+            let copy = found.ok().map(|index| copies.remove(index));
             let (engine, group) = (Arc::clone(&engine), Arc::clone(group));
-            checks.spawn(async move { check_holders(&engine, &group).await });
+            checks.spawn(async move { check_holders(&engine, &group, copy).await });
+        }
+        while let Some(checked) = checks.join_next().await {
+            keep_copy(&mut copies, Some(checked));
+        }
+    }
+}
+
+fn keep_copy(
+    copies: &mut Vec<StoredCopy>,
+    checked: Option<Result<Option<StoredCopy>, tokio::task::JoinError>>,
+) {
+    match checked {
+        Some(Ok(Some(copy))) => {
+            let index = copies.partition_point(|known| known.service < copy.service);
+            copies.insert(index, copy);
         }
-        while checks.join_next().await.is_some() {}
+        Some(Ok(None)) | None => {}
+        Some(Err(error)) => log::error!(reason:% = error; "a check of departed members failed"),
     }
 }
 
@@ -52,10 +87,60 @@
             .with_leases(|leases| leases.record().is_some_and(|record| record.primary().is_some()))
 }
 
-/// Probes departed members and releases those that no longer matter.
-pub(super) async fn check_holders(engine: &Arc<ProxyEngine>, group: &Arc<ServiceGroup>) {
+/// Probes departed members and releases those that no longer matter. On the fleet reader, updates
+/// the record, and returns its copy for the next check.
+pub(super) async fn check_holders(
+    engine: &Arc<ProxyEngine>,
+    group: &Arc<ServiceGroup>,
+    copy: Option<StoredCopy>,
+) -> Option<StoredCopy> {
+    let copy = match engine.membership().is_fleet_reader() {
+        true => match current_copy(engine, group, copy).await {
+            Ok(copy) => copy,
+            Err(error) => {
+                log::info!(
+                    service:% = group.service(), reason:% = error;
+                    "the record of a service was not read"
+                );
+                None
+            }
+        },
+        false => None,
+    };
+    if let Some(copy) = &copy {
+        group.adopt_holders(&copy.stored.history.holders);
+    }
     probe_departed(engine, group).await;
     release_ended(engine, group).await;
+    update_record(engine, group, copy?).await
+}
+
+/// Returns the record in the present version, read again if `copy` is an older one; none if the
+/// store's is another one.
+async fn current_copy(
+    engine: &ProxyEngine,
+    group: &ServiceGroup,
+    copy: Option<StoredCopy>,
+) -> Result<Option<StoredCopy>, StoreError> {
+    let epoch = group.with_leases(|leases| leases.epoch());
+    let copy = match copy.filter(|copy| copy.stored.record.epoch == epoch) {
+        Some(copy) => return Ok(Some(copy)),
+        None => read_copy(engine, group).await?,
+    };
+    Ok(copy.filter(|copy| copy.stored.record.epoch == epoch))
+}
+
+async fn read_copy(
+    engine: &ProxyEngine,
+    group: &ServiceGroup,
+) -> Result<Option<StoredCopy>, StoreError> {
+    let service = group.service();
+    let get = engine.dependencies().store.get(ObjectKind::PrimaryRecord, service.as_str());
+    let object = with_timeout(CALL_TIMEOUT, get).await?;
+    Ok(object.and_then(|object| {
+        let stored = read_stored_record(&object)?;
+        Some(StoredCopy { service: service.clone(), stored, version: object.version })
+    }))
 }
 
 async fn probe_departed(engine: &Arc<ProxyEngine>, group: &Arc<ServiceGroup>) {
@@ -130,3 +215,45 @@
     }
     received
 }
+
+/// Writes the processes that may hold acknowledged commits into the record, if they have changed.
+/// The version of the record stays the same, as its primary does. Returns the copy unless the
+/// outcome of the write is unknown.
+async fn update_record(
+    engine: &ProxyEngine,
+    group: &ServiceGroup,
+    mut copy: StoredCopy,
+) -> Option<StoredCopy> {
+    let holders = group.commit_holders();
+    if holders == copy.stored.history.holders {
+        return Some(copy);
+    }
+    let members: Vec<&MemberName> = holders.iter().map(|holder| &holder.member).collect();
+    log::info!(
+        service:% = group.service(), epoch:% = copy.stored.record.epoch, holders:? = members;
+        "the members that may hold acknowledged commits changed"
+    );
+    copy.stored.history.holders = holders;
+    let spec = match serde_json::to_value(&copy.stored) {
+        Ok(spec) => spec,
+        Err(error) => {
+            log::error!(reason:% = error; "a record could not be encoded");
+            return None;
+        }
+    };
+    let (kind, name) = (ObjectKind::PrimaryRecord, group.service().as_str());
+    let put = engine.dependencies().store.put(kind, name, Some(&copy.version), spec);
+    match with_timeout(CALL_TIMEOUT, put).await {
+        Ok(object) => {
+            copy.version = object.version;
+            Some(copy)
+        }
+        Err(error) => {
+            log::info!(
+                service:% = group.service(), reason:% = error;
+                "the members that may hold acknowledged commits were not written"
+            );
+            None
+        }
+    }
+}
--- a/crates/rudder-engine/src/duty/tests/change.rs
+++ b/crates/rudder-engine/src/duty/tests/change.rs
@@ -122,6 +122,21 @@
     assert_eq!(members.promoted().len(), 1);
 }
 
+/// Guards against a change that starts again later because the fleet reader has just updated the
+/// history in the record.
+#[tokio::test]
+async fn a_change_begins_although_the_history_was_updated() {
+    let record = changing(3, Some("a".parse().expect("a name")), false);
+    let outcomes =
+        [WriteOutcome::Overtaken, WriteOutcome::Done, WriteOutcome::Done, WriteOutcome::Done];
+    let store = RecordStore::new(&record, &outcomes);
+
+    let (outcome, members) = take_over(&store, &[("a", 100), ("b", 95), ("c", 90)]).await;
+
+    assert_eq!(outcome, Ok(()));
+    assert_eq!(members.promoted().len(), 1);
+}
+
 #[tokio::test]
 async fn change_uses_one_connection_per_candidate() {
     // A change requests the candidates' status twice and then polls the promoted member. If each
--- a/crates/rudder-engine/src/duty/tests/fixture.rs
+++ b/crates/rudder-engine/src/duty/tests/fixture.rs
@@ -38,6 +38,8 @@
     Refused,
     /// The write does not take effect, and there is no response.
     Lost,
+    /// The write is rejected, as another one has just rewritten the same version of the record.
+    Overtaken,
 }
 
 /// Store that holds one record.
@@ -71,6 +73,13 @@
         self.writes.load(Ordering::Relaxed)
     }
 
+    /// Returns what the current record tells of earlier primaries.
+    pub(super) fn history(&self) -> LeadHistory {
+        let spec = self.record.lock().expect("no holder panics").1.clone();
+        let stored: StoredRecord = serde_json::from_value(spec).expect("a record is read");
+        stored.history()
+    }
+
     /// Returns the current record.
     pub(super) fn record(&self) -> LeadRecord {
         let spec = self.record.lock().expect("no holder panics").1.clone();
@@ -102,6 +111,7 @@
             WriteOutcome::Done => {}
             WriteOutcome::Refused => return Err(StoreError::Unavailable),
             WriteOutcome::Lost => return Err(StoreError::OutcomeUnknown),
+            WriteOutcome::Overtaken => self.record.lock().expect("no holder panics").0 += 1,
         }
         let mut record = self.record.lock().expect("no holder panics");
         let known = (record.0 > 0).then(|| record.0.to_string());
--- a/crates/rudder-engine/src/duty/tests/mod.rs
+++ b/crates/rudder-engine/src/duty/tests/mod.rs
@@ -4,6 +4,7 @@
 mod change;
 mod earlier_primaries;
 mod fixture;
+mod holders;
 mod loans;
 mod records;
 mod registry;
--- a/crates/rudder-engine/src/duty/tests/sync_replicas.rs
+++ b/crates/rudder-engine/src/duty/tests/sync_replicas.rs
@@ -5,8 +5,9 @@
 use crate::clock::boot_time;
 use crate::duty::change::{ChangeDecision, ChangeError, change_primary};
 use crate::engine::ProxyEngine;
+use crate::fixtures::member_entry;
 use crate::group::MemberEntry;
-use crate::lead::ChangeCause;
+use crate::lead::{ChangeCause, CommitHolder, LeadHistory, StoredRecord};
 use crate::peers::PeerExchange;
 use crate::settings::{FleetSettings, ServiceRule, SettingsVersion};
 use rudder_core::{MemberName, ServiceName};
@@ -33,7 +34,12 @@
 
 impl LostPrimary {
     async fn new(logs: &[(&str, u64)]) -> Self {
-        let store = RecordStore::new(&first_record(), &[WriteOutcome::Done]);
+        Self::with_record(logs, &StoredRecord::new(first_record(), LeadHistory::default())).await
+    }
+
+    /// The same with this record in the store, and a process that has only just started.
+    async fn with_record(logs: &[(&str, u64)], record: &StoredRecord) -> Self {
+        let store = RecordStore::with_history(record, &[WriteOutcome::Done]);
         let members = FakeMembers::new(logs);
         members.set_down("a", true);
         let engine = engine(&store, Some(Arc::clone(&members)));
@@ -53,6 +59,21 @@
         change_primary(&self.engine, &self.exchange, &group, decision).await
     }
 
+    /// Returns the same service as a process sees it that has only just started, with these members
+    /// in the list.
+    async fn restart(&self, listed: &[&str]) -> Self {
+        let (store, members) = (Arc::clone(&self.store), Arc::clone(&self.members));
+        let engine = engine(&store, Some(Arc::clone(&members)));
+        engine.apply_settings(settings(1, 1));
+        let entries = members.ready_entries();
+        let is_listed = |entry: &&MemberEntry| listed.contains(&entry.target.member.as_str());
+        let entries: Vec<_> = entries.iter().filter(is_listed).cloned().collect();
+        engine.apply_members(&entries, 1);
+        engine.observe_record(&service(), &store.record(), Duration::ZERO);
+        let exchange = PeerExchange::bind(([127, 0, 0, 1], 0).into()).await.expect("a free port");
+        Self { store, members, engine, exchange }
+    }
+
     /// Records that the primary was at this position now, before it was lost.
     fn sample(&self, position: u64) {
         self.engine.set_registered(Some(boot_time()));
@@ -187,6 +208,14 @@
     assert_eq!(lost.members.promoted(), [(name("b"), stamp(1, 90))]);
 }
 
+/// Returns the record of a service whose commits these members may hold.
+fn record_with_holders(members: &[&str]) -> StoredRecord {
+    let address = member_entry("a").target.address;
+    let holder = |member: &&str| CommitHolder { member: name(member), started_at_ms: 1, address };
+    let holders = members.iter().map(holder).collect();
+    StoredRecord::new(first_record(), LeadHistory { holders, ..LeadHistory::default() })
+}
+
 /// Guards against the loss of commits that only a replica cut from the store has received, as its
 /// entry is missing although it still receives and acknowledges commits.
 #[tokio::test]
@@ -205,3 +234,49 @@
     assert_eq!(outcome, Ok(()));
     assert_eq!(lost.members.promoted(), [(name("c"), stamp(1, 100))]);
 }
+
+/// Guards against the loss of commits of a replica that was lost before all instances restarted.
+#[tokio::test]
+async fn a_lost_replica_is_known_after_a_restart_of_all_instances() {
+    let record = record_with_holders(&["a", "b", "c"]);
+    let lost = LostPrimary::with_record(&[("a", 100), ("b", 90), ("c", 100)], &record).await;
+    lost.members.set_deaf(&["b"]);
+    lost.members.set_down("c", true);
+    let lost = lost.restart(&["b"]).await;
+
+    let outcome = lost.change(ChangeCause::Unreachable).await;
+
+    assert_eq!((outcome, lost.members.promoted()), (Err(ChangeError::TooLate), Vec::new()));
+}
+
+/// Guards against the same if the instances restart while the primary is being changed.
+#[tokio::test]
+async fn a_change_in_progress_names_the_members_that_may_hold_commits() {
+    let lost = LostPrimary::new(&[("a", 100), ("b", 90), ("c", 100)]).await;
+    lost.members.set_deaf(&["b"]);
+    lost.members.set_down("c", true);
+    let first = lost.change(ChangeCause::Unreachable).await;
+    let restarted = lost.restart(&["b"]).await;
+
+    let outcome = restarted.change(ChangeCause::Unfinished).await;
+
+    assert_eq!((first, outcome), (Err(ChangeError::TooLate), Err(ChangeError::TooLate)));
+    assert_eq!(lost.members.promoted(), Vec::new());
+}
+
+/// Guards against a promotion that is withheld because of a replica that was lost long before.
+#[tokio::test]
+async fn a_released_replica_does_not_delay_a_change() {
+    let record = record_with_holders(&["a", "b"]);
+    let lost = LostPrimary::with_record(&[("a", 100), ("b", 90), ("c", 100)], &record).await;
+    lost.members.set_deaf(&["b"]);
+    lost.members.set_down("c", true);
+    let lost = lost.restart(&["b"]).await;
+    let started_at = tokio::time::Instant::now();
+
+    let outcome = lost.change(ChangeCause::Unreachable).await;
+
+    assert_eq!(outcome, Ok(()));
+    assert_eq!(lost.members.promoted(), [(name("b"), stamp(1, 90))]);
+    assert!(started_at.elapsed() < Duration::from_millis(1000), "{:?}", started_at.elapsed());
+}
--- a/crates/rudder-engine/src/group/departures.rs
+++ b/crates/rudder-engine/src/group/departures.rs
@@ -76,6 +76,21 @@
         self.retain_departed(entries, now);
     }
 
+    /// Adds processes of which the record in the store tells, unless they are among `entries`.
+    pub(super) fn adopt(
+        &mut self,
+        holders: &[CommitHolder],
+        entries: &[MemberEntry],
+        now: Duration,
+    ) {
+        for holder in holders {
+            if !self.succeeded.contains(holder) && self.find(holder).is_none() {
+                self.departed.push(DepartedMember::new(holder.clone(), false));
+            }
+        }
+        self.retain_departed(entries, now);
+    }
+
     fn retain_departed(&mut self, entries: &[MemberEntry], now: Duration) {
         let is_listed = |holder: &CommitHolder| {
             entries.iter().any(|entry| {
@@ -147,6 +162,11 @@
         self.departed.iter().filter(due).map(|left| left.holder.clone()).collect()
     }
 
+    /// Returns the processes that may hold commits that no other replica has.
+    pub(super) fn holders(&self) -> impl Iterator<Item = &CommitHolder> {
+        self.departed.iter().filter(|left| !left.is_released).map(|left| &left.holder)
+    }
+
     /// Returns the departed members other than the previous primary, each with what is known of
     /// the primary's position since.
     pub(super) fn replicas(
@@ -166,7 +186,7 @@
         departed.filter(|left| Some(&left.holder.member) != previous).collect()
     }
 
-    /// Removes all processes: a new primary holds every commit that they may have held.
+    /// Removes all processes: the record in the store tells of those that matter.
     pub(super) fn clear(&mut self) {
         self.departed.clear();
     }
--- a/crates/rudder-engine/src/group/holders.rs
+++ b/crates/rudder-engine/src/group/holders.rs
@@ -1,5 +1,6 @@
 //! Processes of a group's members that may hold acknowledged commits.
 
+use super::departures::holder_of;
 use super::member::{GroupMember, MemberEntry, MemberState};
 use super::service::ServiceGroup;
 use crate::clock::boot_time;
@@ -29,6 +30,25 @@
         }
     }
 
+    /// Returns all processes that may hold commits which no other replica has, sorted: those of the
+    /// members, and departed ones.
+    pub(crate) fn commit_holders(&self) -> Vec<CommitHolder> {
+        let state = self.state();
+        let listed = state.members.iter().map(|member| holder_of(&member.entry()));
+        let mut holders: Vec<_> = listed.chain(state.departures.holders().cloned()).collect();
+        holders.sort();
+        holders.dedup();
+        holders
+    }
+
+    /// Applies the processes that the record in the store names. Those that are not in the
+    /// membership left it before this process could observe them.
+    pub(crate) fn adopt_holders(&self, holders: &[CommitHolder]) {
+        let mut state = self.state();
+        let entries: Vec<_> = state.members.iter().map(|member| member.entry()).collect();
+        state.departures.adopt(holders, &entries, boot_time());
+    }
+
     /// Returns the departed processes to probe.
     pub(crate) fn holders_to_probe(&self) -> Vec<CommitHolder> {
         self.state().departures.to_probe(boot_time())
--- a/crates/rudder-engine/src/group/tests/departures.rs
+++ b/crates/rudder-engine/src/group/tests/departures.rs
@@ -103,3 +103,14 @@
     assert_eq!(later_position(&log), Some(LogStamp::new(1, 20)));
     assert!(log.to_probe(Duration::from_secs(1)).is_empty());
 }
+
+/// Guards against a lost replica that is forgotten in a restart of all instances.
+#[test]
+fn processes_of_the_record_that_are_not_listed_have_left() {
+    let holders = ["b", "c"].map(|name| holder_of(&member_entry(name)));
+    let mut log = DepartureLog::default();
+
+    log.adopt(&holders, &[member_entry("b")], Duration::from_secs(1));
+
+    assert_eq!(log.holders().cloned().collect::<Vec<_>>(), holders[1..]);
+}
--- a/crates/rudder-engine/src/lead/commit_evidence.rs
+++ b/crates/rudder-engine/src/lead/commit_evidence.rs
@@ -1,11 +1,12 @@
 //! What members' log positions show of the commits that were acknowledged before a change.
 
 use rudder_core::{LogStamp, MemberName, plain_data};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 plain_data! {
     /// Process of a member that may have received commits before they were acknowledged.
-    #[derive(PartialOrd, Ord)]
+    #[derive(PartialOrd, Ord, Serialize, Deserialize)]
     pub(crate) struct CommitHolder {
         pub(crate) member: MemberName,
         /// Start time in milliseconds since 1970. A restarted member keeps no log from before.
--- a/crates/rudder-engine/src/lead/stored_record.rs
+++ b/crates/rudder-engine/src/lead/stored_record.rs
@@ -1,6 +1,7 @@
 //! A service's record as kept in the store, with what a change of primary has to know of the
 //! primaries before it.
 
+use super::commit_evidence::CommitHolder;
 use super::record::{LeadPhase, LeadRecord};
 use rudder_core::{LogStamp, LogTerm, plain_data};
 use serde::{Deserialize, Serialize};
@@ -32,6 +33,10 @@
         /// Terms in the log of that primary, sorted by term and by base.
         #[serde(default)]
         pub(crate) term_starts: Vec<TermStart>,
+        /// Processes that may hold acknowledged commits which no other replica has, sorted. Empty if
+        /// the service has no synchronous replicas.
+        #[serde(default)]
+        pub(crate) holders: Vec<CommitHolder>,
     }
 }
 
