Parse each object of the store by itself

Each list and watch ended in 'a response of the store is invalid'. Processes did not end by themselves.

Cause: a page of a list, and the events of a watch, were parsed as one JSON text with all contents in it. The parser gives up at 128 levels and at numbers out of range, and the page was lost with the entry. Names went into paths as they are. Each object of the kind of the settings was taken for the settings.

Change: the ends of objects are found by quotes and brackets alone, and each object is parsed by itself: metadata first, content where it is used. An object whose content cannot be parsed names nothing and is logged once until it is valid, also among records and instances, where a line appeared with each read. Names are encoded in paths; only config/main holds settings, whose unknown fields are skipped however deep they are.

Why it works: whatever another writer leaves, the store sends it inside balanced quotes and brackets.

Tests: platform/tests/platform/foreign_entries, 20 contents in members, records, instances and settings, before the start and while running, on several pages, with special characters in names. The stand-in sends such contents as they were left.

--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -230,7 +230,7 @@
         let sent_at = boot_time();
         let get = store.get(ObjectKind::PrimaryRecord, self.group.service().as_str());
         let object = with_timeout(CALL_TIMEOUT, get).await?.ok_or(ChangeError::Superseded)?;
-        let stored = read_stored_record(&object).ok_or(ChangeError::Superseded)?;
+        let stored = read_stored_record(self.engine, &object).ok_or(ChangeError::Superseded)?;
         self.engine.observe_record(self.group.service(), &stored.record, sent_at);
         if stored.record.epoch != decided_epoch {
             return Err(ChangeError::Superseded);
--- a/crates/rudder-engine/src/duty/holders.rs
+++ b/crates/rudder-engine/src/duty/holders.rs
@@ -138,7 +138,7 @@
     let get = engine.dependencies().store.get(ObjectKind::PrimaryRecord, service.as_str());
     let object = with_timeout(CALL_TIMEOUT, get).await?;
     Ok(object.and_then(|object| {
-        let stored = read_stored_record(&object)?;
+        let stored = read_stored_record(engine, &object)?;
         Some(StoredCopy { service: service.clone(), stored, version: object.version })
     }))
 }
--- a/crates/rudder-engine/src/duty/record_write.rs
+++ b/crates/rudder-engine/src/duty/record_write.rs
@@ -94,7 +94,7 @@
         let get = store.get(ObjectKind::PrimaryRecord, self.group.service().as_str());
         let found = with_timeout(CALL_TIMEOUT, get).await?;
         let own = |object: &StoredObject| {
-            read_record(object).is_some_and(|(_, found)| found.mark == record.mark)
+            read_record(self.engine, object).is_some_and(|(_, found)| found.mark == record.mark)
         };
         match found {
             Some(object) if own(&object) => Ok(Some(object.version)),
--- a/crates/rudder-engine/src/duty/records.rs
+++ b/crates/rudder-engine/src/duty/records.rs
@@ -200,35 +200,34 @@
         Ok(objects) => objects?,
         Err(_) => return Err(StoreError::Unavailable),
     };
-    Ok(objects.iter().filter_map(read_record).collect())
+    Ok(objects.iter().filter_map(|object| read_record(engine, object)).collect())
 }
 
-/// Parses the part of one record that all instances know. Returns none, and logs the reason, if the
-/// record is invalid.
-pub(super) fn read_record(object: &StoredObject) -> Option<(ServiceName, LeadRecord)> {
-    parse_record(object)
+/// Parses the part of one record that all instances know. Returns none, and logs the reason once, if
+/// the record is invalid.
+pub(super) fn read_record(
+    engine: &ProxyEngine,
+    object: &StoredObject,
+) -> Option<(ServiceName, LeadRecord)> {
+    parse_record(engine, object)
 }
 
 /// The same for the whole record.
-pub(super) fn read_stored_record(object: &StoredObject) -> Option<StoredRecord> {
-    parse_record(object).map(|(_, record)| record)
+pub(super) fn read_stored_record(
+    engine: &ProxyEngine,
+    object: &StoredObject,
+) -> Option<StoredRecord> {
+    parse_record(engine, object).map(|(_, record)| record)
 }
 
-fn parse_record<T: DeserializeOwned>(object: &StoredObject) -> Option<(ServiceName, T)> {
-    let service = object.name.parse::<ServiceName>();
-    let record = T::deserialize(&object.spec);
-    match (service, record) {
-        (Ok(service), Ok(record)) => Some((service, record)),
-        (service, record) => {
-            let reason = record.err().map(|error| error.to_string());
-            let reason = reason.or_else(|| service.err().map(|error| error.to_string()));
-            log::error!(
-                object:% = object.name, reason:% = reason.unwrap_or_default();
-                "a record of a primary cannot be parsed"
-            );
-            None
-        }
-    }
+fn parse_record<T: DeserializeOwned>(
+    engine: &ProxyEngine,
+    object: &StoredObject,
+) -> Option<(ServiceName, T)> {
+    let service = object.name.parse::<ServiceName>().map_err(|error| error.to_string());
+    let record = T::deserialize(&object.spec).map_err(|error| error.to_string());
+    let parsed = service.and_then(|service| Ok((service, record?)));
+    engine.report_invalid(ObjectKind::PrimaryRecord, &object.name, parsed)
 }
 
 /// Returns the age of the oldest confirmation of a record. For a service without a record, that is
--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -127,7 +127,8 @@
     let list = engine.dependencies().store.list_cached(ObjectKind::InstanceRecord);
     match with_timeout(CALL_TIMEOUT, list).await {
         Ok(objects) => {
-            let contacts: Vec<PeerEntry> = objects.iter().filter_map(read_entry).collect();
+            let contacts: Vec<PeerEntry> =
+                objects.iter().filter_map(|object| read_entry(engine, object)).collect();
             let own = &engine.identity().name;
             let found = contacts.iter().any(|entry| entry.instance != *own);
             engine.membership().set_contacts(contacts);
@@ -209,7 +210,7 @@
     let objects = with_timeout(CALL_TIMEOUT, list).await?;
     let entries: Vec<(PeerEntry, ObjectVersion)> = objects
         .iter()
-        .filter_map(|object| Some((read_entry(object)?, object.version.clone())))
+        .filter_map(|object| Some((read_entry(engine, object)?, object.version.clone())))
         .collect();
     let own = &engine.identity().name;
     let names: Vec<InstanceName> =
@@ -310,7 +311,8 @@
     let sent_at = boot_time();
     let list = engine.dependencies().store.list(ObjectKind::InstanceRecord);
     let objects = with_timeout(CALL_TIMEOUT, list).await?;
-    let entries: Vec<PeerEntry> = objects.iter().filter_map(read_entry).collect();
+    let entries: Vec<PeerEntry> =
+        objects.iter().filter_map(|object| read_entry(engine, object)).collect();
     let own = entries.iter().find(|entry| is_own(engine, entry));
     match own {
         Some(own) if !own.marked => engine.set_registered(Some(sent_at)),
@@ -323,31 +325,26 @@
     Ok(entries)
 }
 
-pub(super) fn read_entry(object: &StoredObject) -> Option<PeerEntry> {
-    let instance = object.name.parse::<InstanceName>();
-    let entry = serde_json::from_value::<EntryRecord>(object.spec.clone());
-    let (Ok(instance), Ok(entry)) = (instance, entry) else {
-        log::warn!(object:% = object.name; "an entry in the list of instances cannot be parsed");
-        return None;
-    };
+pub(super) fn read_entry(engine: &ProxyEngine, object: &StoredObject) -> Option<PeerEntry> {
+    let instance = object.name.parse::<InstanceName>().map_err(|error| error.to_string());
+    let entry = EntryRecord::deserialize(&object.spec).map_err(|error| error.to_string());
+    let parsed = instance.and_then(|instance| Ok((instance, entry?)));
+    let (instance, entry) =
+        engine.report_invalid(ObjectKind::InstanceRecord, &object.name, parsed)?;
     let (domain, address, marked) = (entry.domain, entry.peer_address, entry.marked);
-    let capacity = entry.capacity.and_then(|capacity| read_capacity(&instance, &capacity));
+    let capacity = entry.capacity.and_then(|capacity| read_capacity(engine, &instance, &capacity));
     Some(PeerEntry { instance, domain, address, marked, capacity })
 }
 
 fn read_capacity(
+    engine: &ProxyEngine,
     instance: &InstanceName,
     capacity: &serde_json::Value,
 ) -> Option<InstanceCapacity> {
     let number = capacity.as_u64().and_then(|number| u32::try_from(number).ok());
     let valid = number.filter(|number| *number > 0).map(InstanceCapacity);
-    if valid.is_none() {
-        log::warn!(
-            instance:% = instance, capacity:% = capacity, reason = "capacity_invalid";
-            "the capacity in an entry of the list of instances is ignored"
-        );
-    }
-    valid
+    let parsed = valid.ok_or_else(|| format!("capacity_invalid: {capacity}"));
+    engine.report_invalid(ObjectKind::InstanceRecord, &format!("{instance}/capacity"), parsed)
 }
 
 /// Removes this instance from the list.
--- a/crates/rudder-engine/src/duty/tests/registry.rs
+++ b/crates/rudder-engine/src/duty/tests/registry.rs
@@ -70,7 +70,10 @@
     ensure_registered(&engine).await.expect("the store takes it");
 
     let object = store.get(ObjectKind::InstanceRecord, "own").await.expect("a read");
-    assert_eq!(read_entry(&object.expect("an entry")).expect("it is valid").capacity, capacity);
+    assert_eq!(
+        read_entry(&engine, &object.expect("an entry")).expect("it is valid").capacity,
+        capacity
+    );
 }
 
 /// An entry that cannot be parsed is not in the list, and changes of primary do not wait for its
@@ -80,11 +83,14 @@
     let spec = json!({"domain": "north", "peer_address": "127.0.0.1:9", "marked": true});
     let invalid = [json!("large"), json!(-3), json!(0), json!(1e300), json!({}), Value::Null];
 
-    let older = read_entry(&entry_object(spec.clone())).expect("it is valid");
+    let store = RecordStore::new(&first_record(), &[WriteOutcome::Done]);
+    let engine = engine_of(&store, None, identity("own"));
+
+    let older = read_entry(&engine, &entry_object(spec.clone())).expect("it is valid");
     assert!(older.marked && older.capacity.is_none());
     for capacity in invalid {
         let mut spec = spec.clone();
         spec["capacity"] = capacity;
-        assert_eq!(read_entry(&entry_object(spec)).as_ref(), Some(&older));
+        assert_eq!(read_entry(&engine, &entry_object(spec)).as_ref(), Some(&older));
     }
 }
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -1,6 +1,7 @@
 //! State that all parts of one instance share.
 
 mod fleet;
+mod invalid;
 mod leadership;
 
 use crate::callers::CallerMemory;
@@ -23,7 +24,7 @@
 use crate::sync::lock;
 use rudder_core::{AccountName, InstanceName, ServiceName, plain_data};
 use rudder_decisions::{MemoryReservation, WatchPlan};
-use rudder_store::ObjectVersion;
+use rudder_store::{InvalidNames, ObjectVersion};
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
@@ -94,6 +95,8 @@
     wait_records_request: Notify,
     holders: HolderTable,
     caller_memory: CallerMemory,
+    /// Invalid objects of the store that have been logged.
+    invalid_objects: Mutex<InvalidNames>,
 }
 
 impl ProxyEngine {
@@ -111,6 +114,7 @@
             member_changes: AtomicU64::new(0),
             drain: watch::Sender::new(DrainPhase::Serving),
             own_entry: Mutex::default(),
+            invalid_objects: Mutex::default(),
             entry_version: Mutex::default(),
             wait_registered: Notify::new(),
             contacts_read: watch::Sender::new(false),
--- a/crates/rudder-standins/src/objects/routes.rs
+++ b/crates/rudder-standins/src/objects/routes.rs
@@ -5,6 +5,7 @@
 };
 use axum::body::Bytes;
 use axum::extract::{Path, Query, State};
+use axum::http::header::CONTENT_TYPE;
 use axum::http::{HeaderMap, Method, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{any, post};
@@ -74,10 +75,15 @@
     let state = shared.state();
     let of_kind = state.rows.iter().filter(|row| row.kind == kind);
     let rest = of_kind.filter(|row| after.is_none_or(|after| row.name.as_str() > after));
-    let mut items: Vec<Value> = rest.take(PAGE_SIZE + 1).map(ObjectRow::to_json).collect();
+    let mut items: Vec<Vec<u8>> = rest.take(PAGE_SIZE + 1).map(ObjectRow::to_bytes).collect();
     let more = items.len() > PAGE_SIZE;
     items.truncate(PAGE_SIZE);
-    Json(json!({"items": items, "hasMore": more, "storeRevision": state.revision})).into_response()
+    let end = format!("],\"hasMore\":{more},\"storeRevision\":{}}}", state.revision);
+    json_response([b"{\"items\":[", &*items.join(&b','), end.as_bytes()].concat())
+}
+
+fn json_response(body: Vec<u8>) -> Response {
+    ([(CONTENT_TYPE, "application/json")], body).into_response()
 }
 
 async fn watch(shared: &ObjectsShared, kind: &str, from: u64, wait_ms: u64) -> Response {
@@ -87,17 +93,19 @@
         let (events, revision) = {
             let state = shared.state();
             let is_new = |event: &&ObjectEvent| event.row.kind == kind && event.row.revision > from;
-            let events: Vec<Value> = state
-                .events
-                .iter()
-                .filter(is_new)
-                .map(|event| json!({"object": event.row.to_json(), "removed": event.removed}))
-                .collect();
+            let to_bytes = |event: &ObjectEvent| {
+                let end = format!(",\"removed\":{}}}", event.removed);
+                [b"{\"object\":", &*event.row.to_bytes(), end.as_bytes()].concat()
+            };
+            let events: Vec<Vec<u8>> = state.events.iter().filter(is_new).map(to_bytes).collect();
             (events, state.revision)
         };
         let change = tokio::time::timeout_at(deadline, changed.changed());
         if !events.is_empty() || !matches!(change.await, Ok(Ok(()))) {
-            return Json(json!({"events": events, "storeRevision": revision})).into_response();
+            let end = format!("],\"storeRevision\":{revision}}}");
+            return json_response(
+                [b"{\"events\":[", &*events.join(&b','), end.as_bytes()].concat(),
+            );
         }
     }
 }
@@ -111,22 +119,22 @@
     };
     let known = {
         let state = shared.state();
-        state.find(kind, name).ok().map(|index| state.rows[index].to_json())
+        state.find(kind, name).ok().map(|index| state.rows[index].to_bytes())
     };
     if let Some(known) = known {
-        return (StatusCode::CONFLICT, Json(known)).into_response();
+        return (StatusCode::CONFLICT, json_response(known)).into_response();
     }
     let row = shared.state().put(kind, name, body["spec"].clone());
-    respond_to_write(shared, row.to_json()).await
+    respond_to_write(shared, row.to_bytes()).await
 }
 
 /// Responds to a completed write, unless the fault loses the response.
-async fn respond_to_write(shared: &ObjectsShared, object: Value) -> Response {
+async fn respond_to_write(shared: &ObjectsShared, object: Vec<u8>) -> Response {
     shared.notify_watchers();
     if shared.state().fault == Some(ObjectsFault::LostWrites) {
         tokio::time::sleep(LOST_RESPONSE_DELAY).await;
     }
-    Json(object).into_response()
+    json_response(object)
 }
 
 async fn serve_object(
@@ -147,19 +155,19 @@
     };
     let Some(known) = known else { return StatusCode::NOT_FOUND.into_response() };
     if method == Method::GET {
-        return Json(known.to_json()).into_response();
+        return json_response(known.to_bytes());
     }
     let body = serde_json::from_slice::<Value>(&body).unwrap_or_default();
     let expected = query.revision.or_else(|| body["meta"]["revision"].as_u64());
     if expected.is_some_and(|expected| expected != known.revision) {
-        return (StatusCode::CONFLICT, Json(known.to_json())).into_response();
+        return (StatusCode::CONFLICT, json_response(known.to_bytes())).into_response();
     }
     if method == Method::DELETE {
         shared.state().remove(&kind, &name);
-        return respond_to_write(&shared, known.to_json()).await;
+        return respond_to_write(&shared, known.to_bytes()).await;
     }
     let row = shared.state().put(&kind, &name, body["spec"].clone());
-    respond_to_write(&shared, row.to_json()).await
+    respond_to_write(&shared, row.to_bytes()).await
 }
 
 async fn promote(State(shared): Shared, headers: HeaderMap, Json(body): Json<Value>) -> Response {
--- a/crates/rudder-standins/src/objects/state.rs
+++ b/crates/rudder-standins/src/objects/state.rs
@@ -57,15 +57,23 @@
     pub(super) revision: u64,
     pub(super) created: u64,
     pub(super) spec: Value,
+    /// Content and status as another writer left them, which need not be valid JSON.
+    pub(super) foreign: Option<(Vec<u8>, Vec<u8>)>,
 }
 
 impl ObjectRow {
-    pub(super) fn to_json(&self) -> Value {
+    /// Returns the object as it is sent.
+    pub(super) fn to_bytes(&self) -> Vec<u8> {
         let meta = json!({
             "name": self.name, "revision": self.revision, "created": self.created,
             "finalizers": [], "deletionPending": false,
         });
-        json!({"meta": meta, "spec": self.spec, "status": null})
+        let (spec, status) = match &self.foreign {
+            Some((spec, status)) => (spec.clone(), status.clone()),
+            None => (self.spec.to_string().into_bytes(), b"null".to_vec()),
+        };
+        let meta = meta.to_string().into_bytes();
+        [b"{\"meta\":", &*meta, b",\"spec\":", &spec, b",\"status\":", &status, b"}"].concat()
     }
 }
 
@@ -103,13 +111,26 @@
         let found = self.find(kind, name);
         if let Ok(index) = found
             && self.rows[index].spec == spec
+            && self.rows[index].foreign.is_none()
         {
             return self.rows[index].clone();
         }
+        self.insert(kind, name, spec, None)
+    }
+
+    /// Creates or replaces an object with a new revision.
+    pub(super) fn insert(
+        &mut self,
+        kind: &str,
+        name: &str,
+        spec: Value,
+        foreign: Option<(Vec<u8>, Vec<u8>)>,
+    ) -> ObjectRow {
+        let found = self.find(kind, name);
         self.revision += 1;
         let created = found.map_or(self.revision, |index| self.rows[index].created);
         let (kind, name) = (kind.to_owned(), name.to_owned());
-        let row = ObjectRow { kind, name, revision: self.revision, created, spec };
+        let row = ObjectRow { kind, name, revision: self.revision, created, spec, foreign };
         match found {
             Ok(index) => self.rows[index] = row.clone(),
             Err(index) => self.rows.insert(index, row.clone()),
@@ -198,6 +219,24 @@
         self.shared.notify_watchers();
     }
 
+    /// Writes an object whose content and status are these bytes, valid JSON or not, as a writer of
+    /// another system would.
+    ///
+    /// ```
+    /// # tokio::runtime::Runtime::new()?.block_on(async {
+    /// let store = rudder_standins::ObjectsStandin::start(std::sync::Arc::new(|_| true)).await?;
+    /// store.put_bytes("servers", "stranger", b"{\"capacity\": NaN}", b"null");
+    /// assert!(store.get("servers", "stranger").is_some_and(|spec| spec.is_null()));
+    /// # Ok::<(), std::io::Error>(())
+    /// # })?;
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
+    pub fn put_bytes(&self, kind: &str, name: &str, spec: &[u8], status: &[u8]) {
+        let foreign = Some((spec.to_vec(), status.to_vec()));
+        self.shared.state().insert(kind, name, Value::Null, foreign);
+        self.shared.notify_watchers();
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         self.shared.state().remove(kind, name);
--- a/crates/rudder-store/src/lib.rs
+++ b/crates/rudder-store/src/lib.rs
@@ -1,10 +1,12 @@
 //! Client for the platform's object API: versioned objects, conditional updates, instance lists,
 //! and the accepted revisions of the settings folder.
 
+mod invalid;
 mod kubernetes;
 mod revision;
 mod store;
 
+pub use invalid::InvalidNames;
 pub use kubernetes::{KubeStore, PlatformOptions};
 pub use revision::{
     BundleError, BundleFile, FileConflict, FolderChange, OfferOutcome, ReadError, RevisionBundle,
