Withhold a promotion if no report reaches the acknowledged commits

Cause: the reports of all replicas counted as proof that one of them holds each acknowledged commit, also if one has lost its log. A restart is known from the member's entry alone, which it can't write behind the cut.

Change: each instance keeps a position that the commits which it acknowledged have reached at least, one beyond the newest position of the primary that it knew when it sent the statement. The position of the answer counts commits that still wait for a replica, so it would withhold promotions without need. Instances send the position before they confirm that they stopped (a message of its own, which older builds ignore); a change in progress keeps it in the store. If no report reaches it, the change waits.

--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -129,7 +129,7 @@
     let cause = decision.cause;
     let (before, version) = run.read_current(decision.epoch).await?;
     let mut plan = ChangePlan::of(&before, cause);
-    plan.history.holders = run.commit_holders(&plan.history);
+    run.complete_history(&mut plan.history);
     let (reports, has_quorum) = tokio::join!(run.fetch_candidates(&plan), run.reaches_quorum());
     if reports.is_empty() {
         return Err(ChangeError::NoCandidate);
@@ -149,7 +149,8 @@
         // The fleet reader may have updated the history of the same version meanwhile.
         Err(ChangeError::Superseded) => {
             let (before, version) = run.read_current(decision.epoch).await?;
-            plan.history.holders = run.commit_holders(&before.history());
+            plan.history = before.history();
+            run.complete_history(&mut plan.history);
             run.write_intent(&before, &version, &plan).await?
         }
         written => written?,
@@ -177,7 +178,7 @@
     // records spreads it. A fleet that starts would send a datagram for each pair of instance and
     // service otherwise.
     let mut history = LeadHistory::of_term(leader.status.accepted);
-    history.holders = run.commit_holders(&history);
+    run.complete_history(&mut history);
     run.write(LeaderEpoch::default().next(), phase, Vec::new(), history, None).await?;
     Ok(())
 }
@@ -193,14 +194,18 @@
         }
     }
 
-    /// Returns the processes that may hold acknowledged commits, among them those that the record
-    /// names and that left before this process could observe them.
-    fn commit_holders(&self, history: &LeadHistory) -> Vec<CommitHolder> {
+    /// Adds to the history of a service with synchronous replicas what this process knows of the
+    /// acknowledged commits, and applies what the history tells of them.
+    fn complete_history(&self, history: &mut LeadHistory) {
         if self.sync_replicas() == 0 {
-            return Vec::new();
+            history.holders.clear();
+            history.acknowledged = None;
+            return;
         }
         self.group.adopt_holders(&history.holders);
-        self.group.commit_holders()
+        self.group.raise_acknowledged(history.acknowledged);
+        history.holders = self.group.commit_holders();
+        history.acknowledged = self.group.acknowledged();
     }
 
     /// Returns the status of the primary of the newest term: of the members that list themselves as
--- a/crates/rudder-engine/src/duty/heartbeat.rs
+++ b/crates/rudder-engine/src/duty/heartbeat.rs
@@ -14,10 +14,10 @@
 use crate::lead::{LeadPhase, LeaderEpoch};
 use crate::limits::{respond_to_claim, respond_to_queue_claim};
 use crate::peers::{
-    CopyVersion, PeerExchange, PeerHeartbeat, PeerMessage, PrimarySuspicion, RecordCopy,
-    StopNotice, fetch_copy, respond_with_copy,
+    AcknowledgedNotice, CopyVersion, PeerExchange, PeerHeartbeat, PeerMessage, PrimarySuspicion,
+    RecordCopy, StopNotice, fetch_copy, respond_with_copy,
 };
-use rudder_core::ServiceName;
+use rudder_core::{LogStamp, ServiceName};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -108,6 +108,7 @@
                 engine.handle_relay_probe(&exchange, probe, from).await;
             }
             PeerMessage::RelayedProbe(probe) => engine.handle_relayed_probe(&probe, from),
+            PeerMessage::Acknowledged(notice) => handle_acknowledged(&engine, &notice),
             PeerMessage::Reach(notice) => engine.handle_reach_notice(notice, from),
             PeerMessage::FetchCopy(request) => {
                 respond_with_copy(&engine, &exchange, request, from).await;
@@ -182,6 +183,11 @@
         let exchange = exchange.clone();
         tokio::spawn(async move {
             let epoch = stop_leases(&engine, &service).await;
+            if let Some(position) = acknowledged_position(&engine, &service) {
+                let service = service.clone();
+                let notice = AcknowledgedNotice { service, epoch, position };
+                exchange.send(&PeerMessage::Acknowledged(notice), from).await;
+            }
             let instance = engine.identity().name.clone();
             let notice = StopNotice { instance, service, epoch };
             exchange.send(&PeerMessage::Stopped(notice), from).await;
@@ -192,6 +198,22 @@
     }
 }
 
+/// Returns how far the commits reach that this instance has acknowledged, if a change of primary
+/// depends on it.
+fn acknowledged_position(engine: &ProxyEngine, service: &ServiceName) -> Option<LogStamp> {
+    let has_sync_replicas = engine.sync_replicas(service) > 0;
+    has_sync_replicas.then(|| engine.group(service).acknowledged()).flatten()
+}
+
+/// Applies how far the commits reach that another instance has acknowledged. A notice on an earlier
+/// change is ignored.
+fn handle_acknowledged(engine: &ProxyEngine, notice: &AcknowledgedNotice) {
+    let group = engine.group(&notice.service);
+    if group.with_leases(|leases| leases.epoch()) == notice.epoch {
+        group.raise_acknowledged(Some(notice.position));
+    }
+}
+
 /// Waits a short time for statements in flight, then stops this instance's leases. Returns the
 /// version of the record before which this instance holds no lease any more.
 pub(super) async fn stop_leases(engine: &ProxyEngine, service: &ServiceName) -> LeaderEpoch {
--- a/crates/rudder-engine/src/duty/tests/sync_replicas.rs
+++ b/crates/rudder-engine/src/duty/tests/sync_replicas.rs
@@ -280,3 +280,26 @@
     assert_eq!(lost.members.promoted(), [(name("b"), stamp(1, 90))]);
     assert!(started_at.elapsed() < Duration::from_millis(1000), "{:?}", started_at.elapsed());
 }
+
+/// Guards against the loss of commits that a replica had received before it lost its log behind a cut
+/// from the store, so that its entry does not tell of the restart.
+#[tokio::test]
+async fn a_replica_that_lost_its_log_is_no_proof() {
+    let lost = LostPrimary::new(&[("a", 100), ("b", 90), ("c", 20)]).await;
+    lost.members.set_deaf(&["b", "c"]);
+    lost.sample(98);
+    let group = lost.engine.group(&service());
+    group.record_acknowledged(group.newest_position());
+
+    let while_away = lost.change(ChangeCause::Unreachable).await;
+    let restarted = lost.restart(&["a", "b", "c"]).await;
+    let after_restart = restarted.change(ChangeCause::Unfinished).await;
+    let promoted_while_away = lost.members.promoted();
+    lost.members.set_down("a", false);
+    let outcome = restarted.change(ChangeCause::Unfinished).await;
+
+    assert_eq!(while_away, Err(ChangeError::TooLate));
+    assert_eq!((after_restart, promoted_while_away), (Err(ChangeError::TooLate), Vec::new()));
+    assert_eq!(outcome, Ok(()));
+    assert_eq!(lost.primary(), Some(name("a")));
+}
--- a/crates/rudder-engine/src/group/holders.rs
+++ b/crates/rudder-engine/src/group/holders.rs
@@ -6,7 +6,7 @@
 use crate::clock::boot_time;
 use crate::interfaces::{MemberDialer, MemberTarget};
 use crate::lead::{CommitEvidence, CommitHolder};
-use rudder_core::{DomainName, LogStamp, MemberName, MemberRole};
+use rudder_core::{DomainName, LogPosition, LogStamp, MemberName, MemberRole};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,10 +26,31 @@
             sync_replicas,
             replicas,
             departed,
+            acknowledged: state.acknowledged,
             newest: state.history.newest().map(|sample| sample.stamp),
         }
     }
 
+    /// Records that a commit was acknowledged to a caller. `known` is the position at which the
+    /// primary had been observed before the statement was sent, so that the commit came after it.
+    pub(crate) fn record_acknowledged(&self, known: Option<LogStamp>) {
+        let next =
+            |known: LogStamp| LogStamp { position: LogPosition(known.position.0 + 1), ..known };
+        self.raise_acknowledged(known.map(next));
+    }
+
+    /// Applies what another instance, or the record in the store, says of the position that
+    /// acknowledged commits have reached.
+    pub(crate) fn raise_acknowledged(&self, position: Option<LogStamp>) {
+        let mut state = self.state();
+        state.acknowledged = state.acknowledged.max(position);
+    }
+
+    /// Returns the position that acknowledged commits have reached at least.
+    pub(crate) fn acknowledged(&self) -> Option<LogStamp> {
+        self.state().acknowledged
+    }
+
     /// Returns all processes that may hold commits which no other replica has, sorted: those of the
     /// members, and departed ones.
     pub(crate) fn commit_holders(&self) -> Vec<CommitHolder> {
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -46,6 +46,8 @@
     /// Whether statements of client accounts are forwarded to holders of connections.
     forwards: bool,
     pub(super) departures: DepartureLog,
+    /// Position that the primary's acknowledged commits have reached at least.
+    pub(super) acknowledged: Option<LogStamp>,
 }
 
 /// Digests of a service's record before and after a change.
@@ -195,6 +197,7 @@
             if record.primary().is_some() {
                 state.history.clear();
                 state.departures.clear();
+                state.acknowledged = None;
             }
             state.watch_failing_since = None;
             let after = RecordsDigest::of_record(&self.service, record.epoch);
--- a/crates/rudder-engine/src/lead/commit_evidence.rs
+++ b/crates/rudder-engine/src/lead/commit_evidence.rs
@@ -37,6 +37,8 @@
         pub(crate) replicas: Vec<MemberName>,
         /// Processes other than those of the previous primary that are no longer in the membership.
         pub(crate) departed: Vec<DepartedReplica>,
+        /// Position that acknowledged commits have reached at least.
+        pub(crate) acknowledged: Option<LogStamp>,
         /// Newest known position of the previous primary.
         pub(crate) newest: Option<LogStamp>,
     }
@@ -51,7 +53,8 @@
     /// that at least one of them holds each commit. The previous primary does not count if it has
     /// lost its log in a restart. A replica that has left the membership counts as long as it may
     /// hold a commit that the others lack: it may only be cut from the store, and still receive
-    /// commits.
+    /// commits. If no report reaches the known acknowledged commits, one of the replicas has lost its
+    /// log, and the reports show nothing.
     pub(crate) fn complete_position(
         &self,
         previous: Option<&MemberName>,
@@ -59,7 +62,7 @@
     ) -> Option<LogStamp> {
         let of_replicas = reports.iter().filter(|(member, _)| self.may_report(member));
         let most_advanced = of_replicas.clone().map(|(_, received)| *received).max();
-        let known = most_advanced.max(self.newest);
+        let known = most_advanced.max(self.newest).max(self.acknowledged);
         let of_previous = reports.iter().find(|(member, _)| Some(member) == previous);
         if let Some((_, received)) = of_previous
             && Some(*received) >= known
@@ -73,6 +76,9 @@
             departed.later_position.is_none_or(|position| most_advanced < Some(position))
         };
         let counts = |departed: &&DepartedReplica| has_reported(departed) || lacks(departed);
+        if most_advanced < self.acknowledged {
+            return None;
+        }
         let count = self.replicas.len() + self.departed.iter().filter(counts).count();
         let required = (count + 1).saturating_sub(self.sync_replicas as usize).max(1);
         (of_replicas.count() >= required).then_some(most_advanced).flatten()
--- a/crates/rudder-engine/src/lead/stored_record.rs
+++ b/crates/rudder-engine/src/lead/stored_record.rs
@@ -37,6 +37,10 @@
         /// the service has no synchronous replicas.
         #[serde(default)]
         pub(crate) holders: Vec<CommitHolder>,
+        /// Position that the acknowledged commits of the primary that is being changed have reached
+        /// at least; none if it is not known.
+        #[serde(default)]
+        pub(crate) acknowledged: Option<LogStamp>,
     }
 }
 
@@ -56,9 +60,11 @@
     pub(crate) fn settle(&mut self, term: LogTerm, base: LogStamp) {
         if self.term == Some(term) {
             // The previous primary leads on, and its log has kept what it holds.
+            self.acknowledged = None;
             return;
         }
         self.term = Some(term);
+        self.acknowledged = None;
         // Terms after that of `base` are not in the log of the new primary.
         self.term_starts.retain(|start| start.term <= base.term);
         self.term_starts.push(TermStart { term, base });
--- a/crates/rudder-engine/src/lead/tests/commit_evidence.rs
+++ b/crates/rudder-engine/src/lead/tests/commit_evidence.rs
@@ -10,7 +10,13 @@
 
 fn evidence(sync_replicas: u32, replicas: &[&str]) -> CommitEvidence {
     let replicas = replicas.iter().map(|name| member(name)).collect();
-    CommitEvidence { sync_replicas, replicas, departed: Vec::new(), newest: None }
+    CommitEvidence {
+        sync_replicas,
+        replicas,
+        departed: Vec::new(),
+        acknowledged: None,
+        newest: None,
+    }
 }
 
 /// Position that must have been received after these reports, with the previous primary `a`.
@@ -80,3 +86,15 @@
     assert_eq!(complete(&with(Some(stamp(95))), &[("b", 90)]), None);
     assert_eq!(complete(&with(Some(stamp(90))), &[("b", 90)]), Some(90));
 }
+
+/// Guards against a replica that lost its log in a restart that nobody observed, and whose report
+/// counts as proof that the other one lacks nothing.
+#[test]
+fn reports_that_lack_acknowledged_commits_show_nothing() {
+    let known = CommitEvidence { acknowledged: Some(stamp(95)), ..evidence(1, &["b", "c"]) };
+
+    assert_eq!(complete(&known, &[("b", 90), ("c", 20)]), None);
+    assert_eq!(complete(&known, &[("b", 90), ("c", 95)]), Some(95));
+    assert_eq!(complete(&known, &[("a", 94)]), None);
+    assert_eq!(complete(&known, &[("a", 100), ("c", 20)]), Some(100));
+}
--- a/crates/rudder-engine/src/peers/message.rs
+++ b/crates/rudder-engine/src/peers/message.rs
@@ -112,6 +112,19 @@
     }
 }
 
+plain_data! {
+    /// Notice of how far the commits of a primary reach that the sender has acknowledged. It precedes
+    /// a [`StopNotice`], and older builds ignore it.
+    #[derive(Serialize, Deserialize)]
+    pub(crate) struct AcknowledgedNotice {
+        pub(crate) service: ServiceName,
+        /// Version of the record that began the change.
+        pub(crate) epoch: LeaderEpoch,
+        /// Position that these commits have reached at least.
+        pub(crate) position: LogStamp,
+    }
+}
+
 plain_data! {
     /// Request for all records.
     #[derive(Serialize, Deserialize)]
@@ -292,4 +305,6 @@
     ProbePrimary(PrimaryProbe),
     /// Instances that a hub is connected to.
     Reach(ReachNotice),
+    /// Acknowledged commits of a service whose primary is being changed.
+    Acknowledged(AcknowledgedNotice),
 }
--- a/crates/rudder-engine/src/peers/mod.rs
+++ b/crates/rudder-engine/src/peers/mod.rs
@@ -39,9 +39,9 @@
 pub(crate) use membership::MembershipView;
 pub(crate) use membership_state::{LimitOwner, PeerEntry};
 pub(crate) use message::{
-    ClaimOutcome, ClaimResponse, OperationClaim, PeerHeartbeat, PeerMessage, PrimaryProbe,
-    PrimarySuspicion, RecordCopy, RecordException, RecordSample, RecordTiming, RecordsRequest,
-    RecordsSummary, SampleCopy, StopNotice,
+    AcknowledgedNotice, ClaimOutcome, ClaimResponse, OperationClaim, PeerHeartbeat, PeerMessage,
+    PrimaryProbe, PrimarySuspicion, RecordCopy, RecordException, RecordSample, RecordTiming,
+    RecordsRequest, RecordsSummary, SampleCopy, StopNotice,
 };
 pub(crate) use offset::RequestOffset;
 pub(crate) use queue_claim::{QueueClaim, QueuedClaim, QueuedOutcome, ReturnClaim};
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -50,6 +50,13 @@
     ReadFailed(StatementReply),
 }
 
+impl StrictOutcome {
+    /// Returns whether the statement succeeded.
+    fn is_done(&self) -> bool {
+        matches!(self, Self::Reply(reply) if reply.error().is_none())
+    }
+}
+
 impl ProxyEngine {
     /// Runs a single write or strict read at the primary.
     pub(crate) async fn run_strict(&self, route: &RouteRule, job: &StatementJob) -> StatementReply {
@@ -91,13 +98,17 @@
         let sent_at = boot_time();
         // With this floor a primary that restarted with an empty log refuses reads: it lacks
         // positions that were observed there before.
-        let floor = match job.effect {
-            StatementEffect::Read => group.newest_position(),
-            StatementEffect::Write => None,
-        };
+        let known = group.newest_position();
+        let floor = known.filter(|_| job.effect == StatementEffect::Read);
         let result = job.run_on(&mut link, floor, job.time_remaining()).await;
         let outcome = match result {
-            Ok(reply) => classify_reply(group, job, &lease, sent_at, reply, link),
+            Ok(reply) => {
+                let outcome = classify_reply(group, job, &lease, sent_at, reply, link);
+                if job.effect == StatementEffect::Write && outcome.is_done() {
+                    group.record_acknowledged(known);
+                }
+                outcome
+            }
             Err(error) => {
                 // Triggers the watch of the primary, which distinguishes a failed connection from a
                 // failed primary.
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -342,8 +342,15 @@
 async fn commit_pinned(pinned: &mut PinnedLink, job: &StatementJob, wrote: bool) -> StatementReply {
     let _guard = pinned.lease.as_ref().map(|_| InFlightGuard::new(&pinned.group));
     let sent_at = boot_time();
+    let known = pinned.group.newest_position();
     match run_pinned(pinned, job).await {
-        Ok(reply) => classify_commit(pinned, job, wrote, sent_at, reply),
+        Ok(reply) => {
+            let reply = classify_commit(pinned, job, wrote, sent_at, reply);
+            if wrote && reply.error().is_none() {
+                pinned.group.record_acknowledged(known);
+            }
+            reply
+        }
         Err(error) if wrote => {
             log::warn!(
                 request:% = job.id, service:% = job.service, member:% = pinned.member.name(), reason:% = error.reason,
