Take what a primary took over for a position that reports must reach

What callers would see: a replica that lost its log behind a cut is promoted with an empty log if its primary crashes before any commit is acknowledged in its term, and all acknowledged commits are lost.

Cause: the position that reports must reach came from acknowledged commits alone, and from observations of the primary.

Change: with one synchronous replica, reports must also reach the base of the last settled term. The primary before has all of it, and is a replica since, or was released for one that has received it. An instance without an observation of the primary counts from the base and the term that the record states.

Test: reports_that_lack_what_the_primary_took_over_show_nothing; without the base it gets 20 for none.

--- a/crates/rudder-engine/src/duty/candidates.rs
+++ b/crates/rudder-engine/src/duty/candidates.rs
@@ -93,7 +93,8 @@
         let previous = plan.previous.as_ref();
         let sync_replicas = self.sync_replicas();
         let complete = if sync_replicas > 0 {
-            let evidence = self.group.commit_evidence(sync_replicas, previous);
+            let base = plan.history.base();
+            let evidence = self.group.commit_evidence(sync_replicas, previous, base);
             evidence.complete_position(previous, &positions)?
         } else {
             LogStamp::new(0, 0)
--- a/crates/rudder-engine/src/duty/tests/sync_replicas.rs
+++ b/crates/rudder-engine/src/duty/tests/sync_replicas.rs
@@ -289,7 +289,7 @@
     lost.members.set_deaf(&["b", "c"]);
     lost.sample(98);
     let group = lost.engine.group(&service());
-    group.record_acknowledged(group.newest_position());
+    group.raise_acknowledged(group.next_commit_floor());
 
     let while_away = lost.change(ChangeCause::Unreachable).await;
     let restarted = lost.restart(&["a", "b", "c"]).await;
--- a/crates/rudder-engine/src/group/holders.rs
+++ b/crates/rudder-engine/src/group/holders.rs
@@ -5,18 +5,19 @@
 use super::service::ServiceGroup;
 use crate::clock::boot_time;
 use crate::interfaces::{MemberDialer, MemberTarget};
-use crate::lead::{CommitEvidence, CommitHolder};
+use crate::lead::{CommitEvidence, CommitHolder, LeadPhase};
 use rudder_core::{DomainName, LogPosition, LogStamp, MemberName, MemberRole};
 use std::sync::Arc;
 use std::time::Duration;
 
 impl ServiceGroup {
-    /// Returns what is known of the copies of acknowledged commits while the primary `previous` is
-    /// being changed.
+    /// Returns what is known of the copies of acknowledged commits while the primary `previous`, whose
+    /// log ended at `base` when it took over, is being changed.
     pub(crate) fn commit_evidence(
         &self,
         sync_replicas: u32,
         previous: Option<&MemberName>,
+        base: Option<LogStamp>,
     ) -> CommitEvidence {
         let state = self.state();
         let replicas = state.members.iter().map(|member| member.name());
@@ -27,20 +28,27 @@
             replicas,
             departed,
             acknowledged: state.acknowledged,
+            base,
             newest: state.history.newest().map(|sample| sample.stamp),
         }
     }
 
-    /// Records that a commit was acknowledged to a caller. `known` is the position at which the
-    /// primary had been observed before the statement was sent, so that the commit came after it.
-    pub(crate) fn record_acknowledged(&self, known: Option<LogStamp>) {
-        let next =
-            |known: LogStamp| LogStamp { position: LogPosition(known.position.0 + 1), ..known };
-        self.raise_acknowledged(known.map(next));
+    /// Returns a position that a commit of a statement which is sent now reaches at least: one beyond
+    /// the newest known position of the primary, in its term.
+    pub(crate) fn next_commit_floor(&self) -> Option<LogStamp> {
+        let state = self.state();
+        let newest = state.history.newest().map(|sample| sample.stamp);
+        let (term, base) = match state.leases.record().map(|record| &record.phase) {
+            Some(LeadPhase::Settled { term, base, .. }) => (Some(*term), *base),
+            Some(LeadPhase::Changing { .. }) | None => (None, None),
+        };
+        let known = newest.max(base);
+        let term = term.max(known.map(|known| known.term))?;
+        let position = known.map_or(1, |known| known.position.0 + 1);
+        Some(LogStamp { term, position: LogPosition(position) })
     }
 
-    /// Applies what another instance, or the record in the store, says of the position that
-    /// acknowledged commits have reached.
+    /// Applies a position that commits which were acknowledged to callers have reached at least.
     pub(crate) fn raise_acknowledged(&self, position: Option<LogStamp>) {
         let mut state = self.state();
         state.acknowledged = state.acknowledged.max(position);
--- a/crates/rudder-engine/src/group/service.rs
+++ b/crates/rudder-engine/src/group/service.rs
@@ -35,7 +35,7 @@
 pub(super) struct GroupState {
     /// Sorted by name.
     pub(super) members: Vec<Arc<GroupMember>>,
-    leases: LeaseTable,
+    pub(super) leases: LeaseTable,
     /// Digest of the known record.
     record_digest: RecordsDigest,
     pub(super) history: PositionHistory,
--- a/crates/rudder-engine/src/lead/commit_evidence.rs
+++ b/crates/rudder-engine/src/lead/commit_evidence.rs
@@ -39,6 +39,8 @@
         pub(crate) departed: Vec<DepartedReplica>,
         /// Position that acknowledged commits have reached at least.
         pub(crate) acknowledged: Option<LogStamp>,
+        /// End of the previous primary's log when it took over.
+        pub(crate) base: Option<LogStamp>,
         /// Newest known position of the previous primary.
         pub(crate) newest: Option<LogStamp>,
     }
@@ -62,7 +64,8 @@
     ) -> Option<LogStamp> {
         let of_replicas = reports.iter().filter(|(member, _)| self.may_report(member));
         let most_advanced = of_replicas.clone().map(|(_, received)| *received).max();
-        let known = most_advanced.max(self.newest).max(self.acknowledged);
+        let required_position = self.required_position();
+        let known = most_advanced.max(self.newest).max(required_position);
         let of_previous = reports.iter().find(|(member, _)| Some(member) == previous);
         if let Some((_, received)) = of_previous
             && Some(*received) >= known
@@ -76,7 +79,7 @@
             departed.later_position.is_none_or(|position| most_advanced < Some(position))
         };
         let counts = |departed: &&DepartedReplica| has_reported(departed) || lacks(departed);
-        if most_advanced < self.acknowledged {
+        if most_advanced < required_position {
             return None;
         }
         let count = self.replicas.len() + self.departed.iter().filter(counts).count();
@@ -84,6 +87,15 @@
         (of_replicas.count() >= required).then_some(most_advanced).flatten()
     }
 
+    /// Returns a position that some replica has received unless it has lost its log.
+    ///
+    /// With one synchronous replica, that is at least what the previous primary took over: the
+    /// primary before it has all of that, and is a replica since, or was released for another one
+    /// that has received it. With several, some of it may have been with too few replicas.
+    fn required_position(&self) -> Option<LogStamp> {
+        self.acknowledged.max(self.base.filter(|_| self.sync_replicas == 1))
+    }
+
     fn may_report(&self, member: &MemberName) -> bool {
         let may_run =
             |departed: &DepartedReplica| departed.may_run && departed.holder.member == *member;
--- a/crates/rudder-engine/src/lead/tests/commit_evidence.rs
+++ b/crates/rudder-engine/src/lead/tests/commit_evidence.rs
@@ -15,6 +15,7 @@
         replicas,
         departed: Vec::new(),
         acknowledged: None,
+        base: None,
         newest: None,
     }
 }
@@ -98,3 +99,13 @@
     assert_eq!(complete(&known, &[("a", 94)]), None);
     assert_eq!(complete(&known, &[("a", 100), ("c", 20)]), Some(100));
 }
+
+/// Guards against the same right after a change of primary, when no commit has been acknowledged.
+#[test]
+fn reports_that_lack_what_the_primary_took_over_show_nothing() {
+    let with = |count| CommitEvidence { base: Some(stamp(90)), ..evidence(count, &["b", "c"]) };
+
+    assert_eq!(complete(&with(1), &[("b", 0), ("c", 20)]), None);
+    assert_eq!(complete(&with(1), &[("b", 0), ("c", 90)]), Some(90));
+    assert_eq!(complete(&with(2), &[("c", 20)]), Some(20));
+}
--- a/crates/rudder-engine/src/session/strict.rs
+++ b/crates/rudder-engine/src/session/strict.rs
@@ -98,14 +98,16 @@
         let sent_at = boot_time();
         // With this floor a primary that restarted with an empty log refuses reads: it lacks
         // positions that were observed there before.
-        let known = group.newest_position();
-        let floor = known.filter(|_| job.effect == StatementEffect::Read);
+        let (floor, commit_floor) = match job.effect {
+            StatementEffect::Read => (group.newest_position(), None),
+            StatementEffect::Write => (None, group.next_commit_floor()),
+        };
         let result = job.run_on(&mut link, floor, job.time_remaining()).await;
         let outcome = match result {
             Ok(reply) => {
                 let outcome = classify_reply(group, job, &lease, sent_at, reply, link);
-                if job.effect == StatementEffect::Write && outcome.is_done() {
-                    group.record_acknowledged(known);
+                if commit_floor.is_some() && outcome.is_done() {
+                    group.raise_acknowledged(commit_floor);
                 }
                 outcome
             }
--- a/crates/rudder-engine/src/session/transaction.rs
+++ b/crates/rudder-engine/src/session/transaction.rs
@@ -342,12 +342,12 @@
 async fn commit_pinned(pinned: &mut PinnedLink, job: &StatementJob, wrote: bool) -> StatementReply {
     let _guard = pinned.lease.as_ref().map(|_| InFlightGuard::new(&pinned.group));
     let sent_at = boot_time();
-    let known = pinned.group.newest_position();
+    let commit_floor = pinned.group.next_commit_floor();
     match run_pinned(pinned, job).await {
         Ok(reply) => {
             let reply = classify_commit(pinned, job, wrote, sent_at, reply);
             if wrote && reply.error().is_none() {
-                pinned.group.record_acknowledged(known);
+                pinned.group.raise_acknowledged(commit_floor);
             }
             reply
         }
