Name released members in the store while they may come back

What callers would see: with one synchronous replica, a replica crashes, is released, comes back with its log behind a cut from the store, and receives commits. All instances restart, then the primary crashes: the other replica is promoted without commits that only the first one has.

Cause: a release took the process out of the record, so that after a restart nobody probed or asked it.

Change: the record names released processes besides, for the minute in which they are probed. A change asks them, and one that responds counts again.

Tests: released_processes_of_the_record_are_probed.

--- a/crates/rudder-engine/src/duty/change.rs
+++ b/crates/rudder-engine/src/duty/change.rs
@@ -199,12 +199,14 @@
     fn complete_history(&self, history: &mut LeadHistory) {
         if self.sync_replicas() == 0 {
             history.holders.clear();
+            history.released.clear();
             history.acknowledged = None;
             return;
         }
-        self.group.adopt_holders(&history.holders);
+        self.group.adopt_holders(history);
         self.group.raise_acknowledged(history.acknowledged);
         history.holders = self.group.commit_holders();
+        history.released = self.group.released_holders();
         history.acknowledged = self.group.acknowledged();
     }
 
--- a/crates/rudder-engine/src/duty/holders.rs
+++ b/crates/rudder-engine/src/duty/holders.rs
@@ -108,7 +108,7 @@
         false => None,
     };
     if let Some(copy) = &copy {
-        group.adopt_holders(&copy.stored.history.holders);
+        group.adopt_holders(&copy.stored.history);
     }
     probe_departed(engine, group).await;
     release_ended(engine, group).await;
@@ -224,16 +224,17 @@
     group: &ServiceGroup,
     mut copy: StoredCopy,
 ) -> Option<StoredCopy> {
-    let holders = group.commit_holders();
-    if holders == copy.stored.history.holders {
+    let (holders, released) = (group.commit_holders(), group.released_holders());
+    let history = &mut copy.stored.history;
+    if holders == history.holders && released == history.released {
         return Some(copy);
     }
     let members: Vec<&MemberName> = holders.iter().map(|holder| &holder.member).collect();
     log::info!(
-        service:% = group.service(), epoch:% = copy.stored.record.epoch, holders:? = members;
-        "the members that may hold acknowledged commits changed"
+        service:% = group.service(), epoch:% = copy.stored.record.epoch, holders:? = members,
+        released = released.len(); "the members that may hold acknowledged commits changed"
     );
-    copy.stored.history.holders = holders;
+    (history.holders, history.released) = (holders, released);
     let spec = match serde_json::to_value(&copy.stored) {
         Ok(spec) => spec,
         Err(error) => {
--- a/crates/rudder-engine/src/group/departures.rs
+++ b/crates/rudder-engine/src/group/departures.rs
@@ -76,16 +76,22 @@
         self.retain_departed(entries, now);
     }
 
-    /// Adds processes of which the record in the store tells, unless they are among `entries`.
+    /// Adds processes of which the record in the store tells, unless they are among `entries`. Those
+    /// that are `released` have ended, as far as is known.
     pub(super) fn adopt(
         &mut self,
         holders: &[CommitHolder],
+        released: &[CommitHolder],
         entries: &[MemberEntry],
         now: Duration,
     ) {
-        for holder in holders {
+        let adopted = holders.iter().map(|holder| (holder, None));
+        let adopted = adopted.chain(released.iter().map(|holder| (holder, Some(now))));
+        for (holder, ended_at) in adopted {
             if !self.succeeded.contains(holder) && self.find(holder).is_none() {
-                self.departed.push(DepartedMember::new(holder.clone(), false));
+                let is_released = ended_at.is_some();
+                let left = DepartedMember::new(holder.clone(), false);
+                self.departed.push(DepartedMember { ended_at, is_released, ..left });
             }
         }
         self.retain_departed(entries, now);
@@ -167,6 +173,11 @@
         self.departed.iter().filter(|left| !left.is_released).map(|left| &left.holder)
     }
 
+    /// Returns the released processes that are still probed.
+    pub(super) fn released(&self) -> impl Iterator<Item = &CommitHolder> {
+        self.departed.iter().filter(|left| left.is_released).map(|left| &left.holder)
+    }
+
     /// Returns the departed members other than the previous primary, each with what is known of
     /// the primary's position since.
     pub(super) fn replicas(
--- a/crates/rudder-engine/src/group/holders.rs
+++ b/crates/rudder-engine/src/group/holders.rs
@@ -5,7 +5,7 @@
 use super::service::ServiceGroup;
 use crate::clock::boot_time;
 use crate::interfaces::{MemberDialer, MemberTarget};
-use crate::lead::{CommitEvidence, CommitHolder, LeadPhase};
+use crate::lead::{CommitEvidence, CommitHolder, LeadHistory, LeadPhase};
 use rudder_core::{DomainName, LogPosition, LogStamp, MemberName, MemberRole};
 use std::sync::Arc;
 use std::time::Duration;
@@ -70,12 +70,22 @@
         holders
     }
 
+    /// Returns the released processes that are still probed, sorted.
+    pub(crate) fn released_holders(&self) -> Vec<CommitHolder> {
+        let mut state = self.state();
+        state.departures.forget_old(boot_time());
+        let mut released: Vec<_> = state.departures.released().cloned().collect();
+        released.sort();
+        released
+    }
+
     /// Applies the processes that the record in the store names. Those that are not in the
     /// membership left it before this process could observe them.
-    pub(crate) fn adopt_holders(&self, holders: &[CommitHolder]) {
+    pub(crate) fn adopt_holders(&self, history: &LeadHistory) {
         let mut state = self.state();
         let entries: Vec<_> = state.members.iter().map(|member| member.entry()).collect();
-        state.departures.adopt(holders, &entries, boot_time());
+        let (holders, released) = (&history.holders, &history.released);
+        state.departures.adopt(holders, released, &entries, boot_time());
     }
 
     /// Returns the departed processes to probe.
@@ -90,10 +100,7 @@
 
     /// Records whether a departed process responded to a probe.
     pub(crate) fn record_holder_probe(&self, holder: &CommitHolder, responds: bool) {
-        let now = boot_time();
-        let mut state = self.state();
-        state.departures.record_probe(holder, responds, now);
-        state.departures.forget_old(now);
+        self.state().departures.record_probe(holder, responds, boot_time());
     }
 
     /// Returns the processes that have ended and may hold commits which no other replica has, each
--- a/crates/rudder-engine/src/group/tests/departures.rs
+++ b/crates/rudder-engine/src/group/tests/departures.rs
@@ -110,7 +110,24 @@
     let holders = ["b", "c"].map(|name| holder_of(&member_entry(name)));
     let mut log = DepartureLog::default();
 
-    log.adopt(&holders, &[member_entry("b")], Duration::from_secs(1));
+    log.adopt(&holders, &[], &[member_entry("b")], Duration::from_secs(1));
 
     assert_eq!(log.holders().cloned().collect::<Vec<_>>(), holders[1..]);
 }
+
+/// Guards against a released process that comes back with its log, cut from the store, after a restart
+/// of all instances.
+#[test]
+fn released_processes_of_the_record_are_probed() {
+    let holder = holder_of(&member_entry("c"));
+    let mut log = DepartureLog::default();
+    let now = Duration::from_secs(100);
+
+    log.adopt(&[], std::slice::from_ref(&holder), &[member_entry("b")], now);
+    let counted = log.holders().count();
+    let requested = log.to_request(now);
+    log.record_probe(&holder, true, now);
+
+    assert_eq!((counted, requested), (0, vec![holder.clone()]));
+    assert_eq!(log.holders().cloned().collect::<Vec<_>>(), [holder]);
+}
--- a/crates/rudder-engine/src/lead/stored_record.rs
+++ b/crates/rudder-engine/src/lead/stored_record.rs
@@ -37,6 +37,10 @@
         /// the service has no synchronous replicas.
         #[serde(default)]
         pub(crate) holders: Vec<CommitHolder>,
+        /// Processes that ended and were released a short time ago, sorted. One that comes back with
+        /// its log counts again, although it may be cut from the store and not be listed.
+        #[serde(default)]
+        pub(crate) released: Vec<CommitHolder>,
         /// Position that the acknowledged commits of the primary that is being changed have reached
         /// at least; none if it is not known.
         #[serde(default)]
