Test the promotion of a member with rolled-back commits when no other returns

The path had no test: after 20 s the only member that responds is promoted although its log holds commits that an earlier promotion rolled back. The test lets the process have observed the change for 21 s.

--- a/crates/rudder-engine/src/duty/tests/earlier_primaries.rs
+++ b/crates/rudder-engine/src/duty/tests/earlier_primaries.rs
@@ -1,6 +1,7 @@
 //! Changes of primary while a member still reports what was before an earlier change.
 
 use super::fixture::{FakeMembers, RecordStore, WriteOutcome, engine, stamp};
+use crate::clock::boot_time;
 use crate::duty::change::{ChangeDecision, ChangeError, change_primary};
 use crate::lead::{ChangeCause, LeadHistory, LeadPhase, LeadRecord, LeaderEpoch, StoredRecord};
 use crate::peers::PeerExchange;
@@ -39,6 +40,21 @@
         Self::with_record(record, LeadHistory::default())
     }
 
+    /// Returns the same service while another instance's change is not finished.
+    fn changing() -> Self {
+        let phase = LeadPhase::Changing {
+            holder: "other".parse().expect("a name"),
+            process: 7,
+            previous: Some(name("b")),
+            planned: false,
+        };
+        let mark = "m5".to_owned();
+        let record = LeadRecord { epoch: LeaderEpoch(5), mark, phase, orders: Vec::new() };
+        let mut history = LeadHistory::of_term(LogTerm(1));
+        history.settle(LogTerm(2), stamp(1, 100));
+        Self::with_record(record, history)
+    }
+
     fn with_record(record: LeadRecord, history: LeadHistory) -> Self {
         let stored = StoredRecord::new(record, history);
         let members = FakeMembers::new(&[("a", 90), ("b", 100), ("c", 100)]);
@@ -51,12 +67,19 @@
 
     /// Changes the primary by a process that knows nothing of earlier attempts.
     async fn change(&self, cause: ChangeCause) -> Result<(), ChangeError> {
+        self.change_since(cause, Duration::ZERO).await
+    }
+
+    /// The same by a process that has observed the record for this time.
+    async fn change_since(&self, cause: ChangeCause, age: Duration) -> Result<(), ChangeError> {
         let engine = engine(&self.store, Some(Arc::clone(&self.members)));
         engine.apply_members(&self.members.ready_entries(), 1);
         let record = self.store.record();
+        let observed_at = boot_time().saturating_sub(age);
+        let group = engine.group(&service());
+        group.with_leases(|leases| leases.observe(&record, Duration::ZERO, observed_at));
         engine.observe_record(&service(), &record, Duration::ZERO);
         let exchange = PeerExchange::bind(([127, 0, 0, 1], 0).into()).await.expect("a free port");
-        let group = engine.group(&service());
         let decision = ChangeDecision { cause, epoch: record.epoch, skips_quorum: true };
         change_primary(&engine, &exchange, &group, decision).await
     }
@@ -86,16 +109,7 @@
 /// settled primary from the store alone.
 #[tokio::test]
 async fn a_change_that_is_taken_over_knows_the_last_settled_term() {
-    let phase = LeadPhase::Changing {
-        holder: "other".parse().expect("a name"),
-        process: 7,
-        previous: Some(name("b")),
-        planned: false,
-    };
-    let mark = "m5".to_owned();
-    let record = LeadRecord { epoch: LeaderEpoch(5), mark, phase, orders: Vec::new() };
-    let history = LeadHistory::of_term(LogTerm(2));
-    let lost = LostSuccessor::with_record(record, history);
+    let lost = LostSuccessor::changing();
 
     let outcome = lost.change(ChangeCause::Unfinished).await;
 
@@ -135,3 +149,17 @@
     assert_eq!(outcome, Ok(()));
     assert_eq!(lost.settled().map(|(primary, _)| primary), Some(name("c")));
 }
+
+/// Guards against a service that stays without a primary because the only member left holds commits
+/// that were rolled back.
+#[tokio::test]
+async fn a_member_with_rolled_back_commits_is_promoted_if_no_other_returns() {
+    let lost = LostSuccessor::changing();
+    let (term, position) = ROLLED_BACK;
+    lost.members.set_status("a", status(MemberRole::Replica, 1, stamp(term, position)));
+
+    let outcome = lost.change_since(ChangeCause::Unfinished, Duration::from_secs(21)).await;
+
+    assert_eq!(outcome, Ok(()));
+    assert_eq!(lost.settled(), Some((name("a"), LogTerm(3))));
+}
