--- a/crates/rudder-engine/src/duty/registry.rs
+++ b/crates/rudder-engine/src/duty/registry.rs
@@ -1,7 +1,7 @@
 //! Registration in the store's list of instances.
 
 use crate::clock::boot_time;
-use crate::engine::ProxyEngine;
+use crate::engine::{ProxyEngine, shorten};
 use crate::identity::DrainPhase;
 use crate::peers::{EntryDecision, EntryLedger, PeerEntry};
 use rudder_core::{DomainName, InstanceName};
@@ -343,8 +343,15 @@
 ) -> Option<InstanceCapacity> {
     let number = capacity.as_u64().and_then(|number| u32::try_from(number).ok());
     let valid = number.filter(|number| *number > 0).map(InstanceCapacity);
-    let parsed = valid.ok_or_else(|| format!("capacity_invalid: {capacity}"));
-    engine.report_invalid(ObjectKind::InstanceRecord, &format!("{instance}/capacity"), parsed)
+    let field = format!("{instance}/capacity");
+    if engine.record_validity(ObjectKind::InstanceRecord, &field, valid.is_some()) {
+        log::warn!(
+            instance:% = instance, capacity = shorten(&capacity.to_string()).as_str(),
+            reason = "capacity_invalid";
+            "the capacity in an entry of the list of instances is ignored"
+        );
+    }
+    valid
 }
 
 /// Removes this instance from the list.
--- a/crates/rudder-engine/src/engine.rs
+++ b/crates/rudder-engine/src/engine.rs
@@ -4,6 +4,8 @@
 mod invalid;
 mod leadership;
 
+pub(crate) use invalid::shorten;
+
 use crate::callers::CallerMemory;
 use crate::clock::boot_time;
 use crate::forwarding::ForwardingState;
